--- /dev/null
+++ b/crates/caller/src/inbound.rs
@@ -0,0 +1,135 @@
+//! Requests as decoded from HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chiverelay_decisions::names::Model;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use serde::Deserialize;
+
+/// Bytes of prompt text that count as one token before the engine counts them.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// A caller's request, read whole.
+#[derive(Debug)]
+pub struct Inbound {
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub path_and_query: String,
+    /// Path alone.
+    pub path: String,
+    /// Headers as they came.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// The key that came with it.
+    pub key: Option<String>,
+    /// The model asked for, if any.
+    pub model: Option<Model>,
+    /// The largest answer in tokens, if stated.
+    pub max_answer_tokens: Option<u64>,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u64,
+}
+
+/// The fields of an OpenAI-compatible body that decisions use.
+#[derive(Debug, Default, Deserialize)]
+struct Fields {
+    model: Option<String>,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+}
+
+fn refuse(code: Code) -> Refusal {
+    Refusal::before_dispatch(code, Step::Receive, Peer::Caller)
+}
+
+impl Inbound {
+    /// Reads a request whole.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body that is too large, too slow, cut off or not the JSON
+    /// that its path asks for.
+    pub(crate) async fn read(
+        req: Request<Incoming>,
+        max_body: usize,
+        timeout: Duration,
+    ) -> Result<Self, Refusal> {
+        let (parts, body) = req.into_parts();
+        let read = Limited::new(body, max_body).collect();
+        let body = match tokio::time::timeout(timeout, read).await {
+            Err(_) => return Err(refuse(Code::ReceiveTimeout)),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(refuse(Code::TooLarge)),
+            Ok(Err(_)) => return Err(refuse(Code::Malformed)),
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        let path = parts.uri.path().to_owned();
+        let path_and_query = match parts.uri.path_and_query() {
+            Some(p) => p.as_str().to_owned(),
+            None => path.clone(),
+        };
+        let fields = read_fields(&path, &body)?;
+        Ok(Self {
+            method: parts.method,
+            key: read_key(&parts.headers)?,
+            path_and_query,
+            path,
+            headers: parts.headers,
+            model: fields.model.map(Model::from),
+            max_answer_tokens: fields.max_completion_tokens.or(fields.max_tokens),
+            prompt_tokens: (body.len() as u64).div_ceil(BYTES_PER_TOKEN),
+            body,
+        })
+    }
+}
+
+fn read_fields(path: &str, body: &Bytes) -> Result<Fields, Refusal> {
+    if path != "/v1/chat/completions" && path != "/v1/completions" {
+        return Ok(Fields::default());
+    }
+    let fields: Fields = serde_json::from_slice(body).map_err(|_| refuse(Code::Malformed))?;
+    if fields.model.is_none() {
+        return Err(refuse(Code::Malformed));
+    }
+    Ok(fields)
+}
+
+/// Reads the key from `Authorization: Bearer` or `X-Api-Key`.
+///
+/// # Errors
+///
+/// Refuses a request that shows more than one key.
+fn read_key(headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+    let bearer = headers.get_all(AUTHORIZATION).iter().map(|v| {
+        let v = v.to_str().ok()?;
+        let (scheme, key) = v.split_once(' ')?;
+        scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+    });
+    let api_key = headers
+        .get_all("x-api-key")
+        .iter()
+        .map(|v| v.to_str().ok().map(str::trim));
+    let keys: Vec<Option<&str>> = bearer.chain(api_key).collect();
+    match keys[..] {
+        [] => Ok(None),
+        [Some(key)] => Ok(Some(key.to_owned())),
+        _ => Err(Refusal::before_dispatch(
+            Code::Unauthenticated,
+            Step::Authenticate,
+            Peer::Caller,
+        )),
+    }
+}
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,22 @@
+//! The callers: HTTP/1.1 and HTTP/2 requests in, answers out.
+//!
+//! [`Server`] accepts connections, [`Inbound`] is a decoded request and
+//! [`Reply`] an answer before encoding. What happens between them is up to
+//! the [`Handler`]; this package decides nothing about routing or limits.
+
+mod body;
+mod error;
+mod inbound;
+mod reply;
+mod server;
+
+pub use body::Piece;
+pub use body::Sender;
+pub use body::channel;
+pub use error::Error;
+pub use inbound::Inbound;
+pub use reply::Reply;
+pub use reply::ReplyBody;
+pub use server::Handler;
+pub use server::Limits;
+pub use server::Server;
--- /dev/null
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -0,0 +1,104 @@
+//! `chiverelayd run`: runs the daemon.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_caller as caller;
+use chiverelay_operator as operator;
+use chiverelay_sibling as sibling;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use super::Error;
+use crate::context::Context;
+use crate::instance::Instance;
+use crate::instance::Starting;
+use crate::members;
+use crate::operate::Operate;
+use crate::publish;
+use crate::serve::Serve;
+use crate::settings::Settings;
+use crate::sibling::Siblings;
+
+/// Describes the subcommand.
+pub(crate) fn describe() -> &'static str {
+    "chiverelayd run SETTINGS      runs the daemon"
+}
+
+/// Executes the subcommand.
+pub(crate) fn execute(mut args: pico_args::Arguments) -> Result<(), Error> {
+    let path: PathBuf = args.free_from_str()?;
+    let settings = Settings::read(&path)?;
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .enable_all()
+        .build()
+        .map_err(|e| Error::Start(Box::new(e)))?;
+    runtime.block_on(run(settings)).map_err(Error::Start)
+}
+
+async fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+    let starting = Instance::<Starting>::new();
+    let endpoint = sibling::Endpoint::bind(settings.sibling.listen, &settings.certificates()?)?;
+    let callers = caller::Server::bind(
+        settings.caller.listen,
+        settings.caller.limits(),
+        settings.tls()?,
+    )
+    .await?;
+    let operators = operator::Server::bind(settings.operator.listen).await?;
+    let addresses = members::Addresses {
+        caller: callers.address(),
+        operator: operators.address(),
+        sibling: endpoint.address(),
+    };
+    let cx = Arc::new(Context::new(settings, endpoint.clone(), addresses)?);
+    tokio::spawn(publish::run(Arc::clone(&cx)));
+    tokio::spawn(members::run(Arc::clone(&cx)));
+    tokio::spawn(
+        endpoint
+            .clone()
+            .run(Arc::new(Siblings::new(Arc::clone(&cx))), cx.stop.clone()),
+    );
+    tokio::spawn(operators.run(Arc::new(Operate::new(Arc::clone(&cx))), cx.stop.clone()));
+    let serving = starting.serve();
+    let serve = callers.run(Arc::new(Serve::new(Arc::clone(&cx))), cx.drain.clone());
+    let served = tokio::spawn(serve);
+    println!("ready {}", serde_json::to_string(&cx.addresses)?);
+    log::info!(
+        "daemon: {} serves in {}",
+        cx.settings.instance,
+        cx.settings.region
+    );
+    wait_for_stop(&cx).await?;
+    let draining = serving.drain(&cx).await;
+    let timeout = Duration::from_millis(cx.settings.drain_timeout_ms);
+    let ended = async {
+        served.await?;
+        draining.stop(&cx).await;
+        Ok::<_, tokio::task::JoinError>(())
+    };
+    match tokio::time::timeout(timeout, ended).await {
+        Ok(ended) => ended?,
+        Err(_) => log::error!(
+            "daemon: {} requests are cut at the drain timeout",
+            cx.requests.len()
+        ),
+    }
+    endpoint.close().await;
+    log::info!("daemon: stopped");
+    Ok(())
+}
+
+async fn wait_for_stop(cx: &Context) -> std::io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+        () = cx.drain.cancelled() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/chiverelayd/src/context.rs
@@ -0,0 +1,139 @@
+//! What the parts of the daemon share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::event::Entry;
+use chiverelay_decisions::event::Ring;
+use chiverelay_decisions::gateway::Tables;
+use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Sharded;
+use chiverelay_sibling as sibling;
+use chiverelay_store::Store;
+use chiverelay_target::Client;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::clock::Clock;
+use crate::members::Addresses;
+use crate::members::Member;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::workers::Pool;
+
+/// Time for a connection to a target.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for a call of the store.
+const STORE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// What the parts of the daemon share.
+///
+/// # Invariants
+///
+/// `drain` is cancelled before `stop`; `requests` counts every open request
+/// of callers and siblings, so that `stop` comes after the last of them.
+#[derive(Debug)]
+pub(crate) struct Context {
+    /// The settings.
+    pub(crate) settings: Settings,
+    /// The addresses that the instance listens on.
+    pub(crate) addresses: Addresses,
+    /// The clocks.
+    pub(crate) clock: Clock,
+    /// The tables that the workers share.
+    pub(crate) tables: Arc<Tables>,
+    /// The workers.
+    pub(crate) pool: Pool,
+    /// The newest events.
+    pub(crate) events: Ring,
+    /// Counters.
+    pub(crate) metrics: Metrics,
+    /// Connections to targets.
+    pub(crate) targets: Client,
+    /// The store.
+    pub(crate) store: Store,
+    /// The endpoint for siblings.
+    pub(crate) endpoint: sibling::Endpoint,
+    /// Links to siblings.
+    pub(crate) links: Sharded<Instance, sibling::Link<sibling::Up>>,
+    /// The other instances.
+    pub(crate) members: Sharded<Instance, Member>,
+    /// Cancelled when no new requests are taken.
+    pub(crate) drain: CancellationToken,
+    /// Cancelled when the last request has ended.
+    pub(crate) stop: CancellationToken,
+    /// Open requests.
+    pub(crate) requests: TaskTracker,
+}
+
+impl Context {
+    /// Starts the workers and opens the clients.
+    pub(crate) fn new(
+        settings: Settings,
+        endpoint: sibling::Endpoint,
+        addresses: Addresses,
+    ) -> Result<Self, std::io::Error> {
+        let tables = Arc::new(Tables::new());
+        let stop = CancellationToken::new();
+        let pool = Pool::start(
+            Arc::clone(&tables),
+            settings.workers,
+            settings.queue_depth,
+            &stop,
+        );
+        Ok(Self {
+            addresses,
+            clock: Clock::new(),
+            tables,
+            pool,
+            events: Ring::new(settings.instance.clone(), settings.events),
+            metrics: Metrics::new(settings.metrics.as_ref())?,
+            targets: Client::new(CONNECT_TIMEOUT),
+            store: Store::new(settings.store.address, STORE_TIMEOUT),
+            endpoint,
+            links: Sharded::new(Rank::Links),
+            members: Sharded::new(Rank::Members),
+            drain: CancellationToken::new(),
+            stop,
+            requests: TaskTracker::new(),
+            settings,
+        })
+    }
+
+    /// Records what happened to a request.
+    pub(crate) fn record(
+        &self,
+        request: &RequestId,
+        account: Option<&Account>,
+        step: Step,
+        peer: Peer,
+        what: impl Into<String>,
+    ) {
+        let entry = Entry {
+            request: Some(request.clone()),
+            account: account.cloned(),
+            step,
+            peer,
+            what: what.into(),
+        };
+        self.events.record(self.clock.wall(), entry);
+    }
+
+    /// Records what happened to the instance.
+    pub(crate) fn note(&self, step: Step, peer: Peer, what: impl Into<String>) {
+        let entry = Entry {
+            request: None,
+            account: None,
+            step,
+            peer,
+            what: what.into(),
+        };
+        self.events.record(self.clock.wall(), entry);
+    }
+}
--- /dev/null
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -0,0 +1,87 @@
+//! One attempt at a target of this region.
+
+use chiverelay_decisions::gateway;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::Placed;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use chiverelay_target::Answer;
+use chiverelay_target::Outbound;
+
+use crate::context::Context;
+
+/// What became of an attempt.
+pub(crate) enum Attempt<O> {
+    /// The head of an answer arrived.
+    Answer(Request<Dispatched, O>, Box<Answer>),
+    /// Another target may be tried.
+    Again(Request<Admitted, O>),
+    /// The request is over.
+    Refused(Refusal),
+}
+
+/// Tries the request at the target that was chosen.
+pub(crate) async fn attempt<O>(
+    cx: &Context,
+    req: Request<Placed, O>,
+    out: &Outbound,
+) -> Attempt<O> {
+    let target = req.target().clone();
+    let config = cx.tables.config.get();
+    let entry = config
+        .pools
+        .get(&req.grant().pool)
+        .and_then(|pool| pool.targets.get(&target));
+    let Some(entry) = entry else {
+        return Attempt::Again(req.unplace());
+    };
+    let id = req.head().id.clone();
+    let account = req.grant().account.clone();
+    let record = |step, what: String| {
+        cx.record(
+            &id,
+            account.as_ref(),
+            step,
+            Peer::Target(target.clone()),
+            what,
+        );
+    };
+    let fresh = !req.grant().repeatable;
+    let conn = match cx.targets.connect(&target, entry.address, fresh).await {
+        Ok(conn) => conn,
+        Err(e) => {
+            log::warn!("dispatch: {id}: {e}");
+            record(Step::Connect, format!("no connection: {e}"));
+            gateway::eject(&cx.tables, &target, cx.clock.now());
+            return Attempt::Again(req.unplace());
+        }
+    };
+    let left = req.head().deadline.saturating_sub(cx.clock.now());
+    let req = req.dispatch();
+    record(Step::Dispatch, "sent".to_owned());
+    gateway::start(&cx.tables, &target);
+    let error = match tokio::time::timeout(left, conn.send(out.clone())).await {
+        Ok(Ok(answer)) => {
+            record(Step::Answer, format!("status {}", answer.status().as_u16()));
+            return Attempt::Answer(req, Box::new(answer));
+        }
+        Ok(Err(e)) => e.to_string(),
+        Err(_) => {
+            gateway::finish(&cx.tables, &target);
+            record(Step::Dispatch, "no answer in time".to_owned());
+            return Attempt::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Dispatch));
+        }
+    };
+    gateway::finish(&cx.tables, &target);
+    gateway::eject(&cx.tables, &target, cx.clock.now());
+    log::warn!("dispatch: {id}: {error}");
+    record(Step::Dispatch, format!("no answer: {error}"));
+    match req.repeat() {
+        Ok(req) => Attempt::Again(req),
+        Err(req) => Attempt::Refused(req.refuse_unknown(Code::TargetFailed, Step::Dispatch)),
+    }
+}
--- /dev/null
+++ b/crates/chiverelayd/src/instance.rs
@@ -0,0 +1,71 @@
+//! The life cycle of the instance as a typestate.
+
+use std::sync::Arc;
+
+use chiverelay_decisions::names::Instance as Name;
+
+use crate::context::Context;
+use crate::members;
+
+/// State before the first request.
+#[derive(Debug)]
+pub(crate) struct Starting(());
+
+/// State in which requests are taken.
+#[derive(Debug)]
+pub(crate) struct Serving(());
+
+/// State in which open requests end and no new ones are taken.
+#[derive(Debug)]
+pub(crate) struct Draining(());
+
+/// State after the last request.
+#[derive(Debug)]
+pub(crate) struct Stopped(());
+
+/// The instance in state `S`.
+#[derive(Debug)]
+pub(crate) struct Instance<S> {
+    _state: S,
+}
+
+impl Instance<Starting> {
+    /// Begins the life cycle.
+    pub(crate) fn new() -> Self {
+        Self {
+            _state: Starting(()),
+        }
+    }
+
+    /// Takes requests.
+    pub(crate) fn serve(self) -> Instance<Serving> {
+        Instance {
+            _state: Serving(()),
+        }
+    }
+}
+
+impl Instance<Serving> {
+    /// Leaves the list of instances and takes no new connections.
+    pub(crate) async fn drain(self, cx: &Arc<Context>) -> Instance<Draining> {
+        let name: &Name = &cx.settings.instance;
+        log::info!("daemon: {name} drains");
+        cx.drain.cancel();
+        members::leave(cx).await;
+        Instance {
+            _state: Draining(()),
+        }
+    }
+}
+
+impl Instance<Draining> {
+    /// Ends all tasks.
+    pub(crate) async fn stop(self, cx: &Context) -> Instance<Stopped> {
+        cx.requests.close();
+        cx.requests.wait().await;
+        cx.stop.cancel();
+        Instance {
+            _state: Stopped(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chiverelayd/src/main.rs
@@ -0,0 +1,39 @@
+//! The daemon of an entry instance.
+
+mod clock;
+mod cmd;
+mod context;
+mod dispatch;
+mod forward;
+mod instance;
+mod members;
+mod metrics;
+mod operate;
+mod publish;
+mod relay;
+mod request;
+mod serve;
+mod settings;
+mod sibling;
+mod workers;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let mut args = pico_args::Arguments::from_env();
+    let result = match args.subcommand() {
+        Ok(Some(name)) => match name.as_str() {
+            "run" => cmd::run::execute(args),
+            "check" => cmd::check::execute(args),
+            _ => Err(cmd::Error::Usage),
+        },
+        _ => Err(cmd::Error::Usage),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            e.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/chiverelayd/src/serve.rs
@@ -0,0 +1,76 @@
+//! Answers callers: the pages of the instance itself.
+
+use std::sync::Arc;
+
+use chiverelay_caller::Handler;
+use chiverelay_caller::Inbound;
+use chiverelay_caller::Reply;
+use hyper::StatusCode;
+use serde_json::json;
+
+use crate::context::Context;
+use crate::members;
+
+/// Answers callers.
+#[derive(Debug)]
+pub(crate) struct Serve {
+    pub(crate) cx: Arc<Context>,
+}
+
+impl Serve {
+    /// Makes the handler.
+    pub(crate) fn new(cx: Arc<Context>) -> Self {
+        Self { cx }
+    }
+
+    fn instances(&self) -> Reply {
+        let own = json!({
+            "instance": self.cx.settings.instance,
+            "address": self.cx.addresses.caller,
+        });
+        let mut list = vec![own];
+        self.cx.members.for_each(|name, m| {
+            if self
+                .cx
+                .tables
+                .siblings
+                .with(name, |s| s.is_some_and(|s| s.serving))
+            {
+                list.push(json!({"instance": name, "address": m.addresses.caller}));
+            }
+        });
+        let body = json!({"ttl_ms": 5000, "instances": list});
+        Reply::json(StatusCode::OK, body.to_string().into_bytes())
+    }
+
+    fn models(&self) -> Reply {
+        let config = self.cx.tables.config.get();
+        let data: Vec<_> = config
+            .routes
+            .values()
+            .filter_map(|r| r.model.as_ref())
+            .map(|m| json!({"id": m, "object": "model", "owned_by": "chiverelay"}))
+            .collect();
+        let body = json!({"object": "list", "data": data});
+        Reply::json(StatusCode::OK, body.to_string().into_bytes())
+    }
+
+    fn ready(&self) -> Reply {
+        if self.cx.drain.is_cancelled() || self.cx.tables.config.get().version == 0 {
+            return Reply::json(StatusCode::SERVICE_UNAVAILABLE, b"{}".to_vec());
+        }
+        Reply::json(StatusCode::OK, b"{}".to_vec())
+    }
+}
+
+impl Handler for Serve {
+    async fn handle(&self, req: Inbound) -> Reply {
+        match req.path.as_str() {
+            "/healthz" => Reply::json(StatusCode::OK, b"{}".to_vec()),
+            "/readyz" => self.ready(),
+            "/v1/instances" => self.instances(),
+            "/v1/models" => self.models(),
+            _ => self.relayed(req).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/chiverelayd/src/sibling.rs
@@ -0,0 +1,172 @@
+//! Answers siblings.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::gateway;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::Forwarded;
+use chiverelay_decisions::request::Head;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use chiverelay_sibling::Envelope;
+use chiverelay_sibling::Forward;
+use chiverelay_sibling::Frame;
+use chiverelay_sibling::FrameSender;
+use chiverelay_sibling::Handler;
+use chiverelay_sibling::Identity;
+use chiverelay_sibling::Message;
+use chiverelay_sibling::VERSION;
+use chiverelay_target::Answer;
+use chiverelay_target::Outbound;
+use chiverelay_target::headers;
+use hyper::Method;
+
+use crate::context::Context;
+use crate::dispatch;
+use crate::dispatch::Attempt;
+use crate::forward::read_headers;
+use crate::forward::write_headers;
+use crate::members;
+use crate::relay;
+use crate::relay::Sink;
+use crate::relay::Source;
+
+/// Attempts at a forwarded request before it is refused.
+const ATTEMPTS: usize = 3;
+
+/// Answers siblings.
+#[derive(Debug)]
+pub(crate) struct Siblings {
+    cx: Arc<Context>,
+}
+
+impl Siblings {
+    /// Makes the handler.
+    pub(crate) fn new(cx: Arc<Context>) -> Self {
+        Self { cx }
+    }
+
+    async fn answer(
+        &self,
+        from: &Identity,
+        req: Forward,
+    ) -> Result<(Request<Dispatched, Forwarded>, Box<Answer>), Refusal> {
+        let now = self.cx.clock.now();
+        let peer = Peer::Sibling(from.instance.clone());
+        self.cx.record(
+            &req.id,
+            req.account.as_ref(),
+            Step::Receive,
+            peer.clone(),
+            "taken",
+        );
+        let method = Method::from_bytes(req.method.as_bytes())
+            .map_err(|_| Refusal::before_dispatch(Code::Malformed, Step::Receive, peer))?;
+        let head = Head {
+            id: req.id,
+            deadline: now + Duration::from_millis(req.remaining_ms),
+            model: None,
+            prompt_tokens: req.prompt_tokens,
+            max_answer_tokens: req.max_answer_tokens,
+            prefix: req.prefix,
+        };
+        let out = Outbound {
+            method,
+            path_and_query: req.path_and_query,
+            headers: read_headers(&req.headers),
+            body: req.body.into(),
+        };
+        let admitted = gateway::admit_forwarded(
+            &self.cx.tables,
+            Request::from_sibling(head),
+            req.account.as_ref(),
+            &req.route,
+            &self.cx.settings.region,
+        )?;
+        self.run(admitted, &out).await
+    }
+
+    async fn run(
+        &self,
+        mut req: Request<Admitted, Forwarded>,
+        out: &Outbound,
+    ) -> Result<(Request<Dispatched, Forwarded>, Box<Answer>), Refusal> {
+        for _ in 0..ATTEMPTS {
+            let here = &self.cx.settings.region;
+            let now = self.cx.clock.now();
+            let placed = gateway::place_forwarded(&self.cx.tables, req, here, now)?;
+            req = match dispatch::attempt(&self.cx, placed, out).await {
+                Attempt::Answer(req, answer) => return Ok((req, answer)),
+                Attempt::Again(req) => req,
+                Attempt::Refused(refusal) => return Err(refusal),
+            };
+        }
+        Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
+    }
+
+    async fn stream(
+        &self,
+        req: Request<Dispatched, Forwarded>,
+        answer: Box<Answer>,
+        mut tx: FrameSender,
+    ) {
+        let head = Frame::Head {
+            status: answer.status().as_u16(),
+            headers: write_headers(&headers::to_caller(answer.headers())),
+        };
+        // If the sibling left, the relay finds out and cancels the request.
+        let _ = tx.send(&head).await;
+        let target = match req.peer() {
+            Peer::Target(target) => target.clone(),
+            _ => "".into(),
+        };
+        let whole = relay::run(
+            Arc::clone(&self.cx),
+            Arc::clone(req.grant()),
+            req.head().prompt_tokens,
+            req.head().deadline,
+            Source::Target(answer, target),
+            Sink::Sibling(tx),
+        )
+        .await;
+        if whole {
+            drop(req.answered());
+        }
+    }
+}
+
+impl Handler for Siblings {
+    async fn control(&self, from: &Identity, stamp: Stamp, message: Message) -> Envelope {
+        self.cx.events.observe(stamp);
+        let message = match message {
+            Message::Heartbeat(beat) => {
+                members::hear(&self.cx, &from.instance, &from.region, &beat);
+                Message::Heartbeat(members::heartbeat(&self.cx))
+            }
+            Message::Forward(_) | Message::Done => Message::Done,
+        };
+        Envelope {
+            version: VERSION,
+            stamp: self.cx.events.latest(),
+            message,
+        }
+    }
+
+    async fn forward(&self, from: &Identity, req: Forward, mut tx: FrameSender) {
+        let open = self.cx.requests.token();
+        match self.answer(from, req).await {
+            Ok((req, answer)) => self.stream(req, answer, tx).await,
+            Err(refusal) => {
+                // The sibling may have left.
+                let _ = tx.send(&Frame::Refused(refusal)).await;
+            }
+        }
+        drop(open);
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/config.rs
@@ -0,0 +1,316 @@
+//! The operators' configuration: routes and pools joined by name, accounts
+//! and keys, as one immutable snapshot.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+use crate::names::Account;
+use crate::names::KeyId;
+use crate::names::Model;
+use crate::names::Pool;
+use crate::names::Region;
+use crate::names::Route;
+use crate::names::Target;
+use crate::names::Zone;
+
+/// Tokens charged for an answer where neither request nor route states a limit.
+pub const DEFAULT_MAX_ANSWER_TOKENS: u64 = 1024;
+
+/// Time for a whole answer where the route states none, in milliseconds.
+pub const DEFAULT_DEADLINE_MS: u64 = 120_000;
+
+/// The whole configuration at one version.
+///
+/// # Invariants
+///
+/// A snapshot is never changed after it was published; a new version is a new
+/// snapshot. [`Config::check`] holds for every published snapshot.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Config {
+    /// The version, raised by one with each accepted change.
+    pub version: u64,
+    /// Who may ask for what.
+    pub routes: BTreeMap<Route, RouteEntry>,
+    /// Which targets may answer.
+    pub pools: BTreeMap<Pool, PoolEntry>,
+    /// The client accounts.
+    pub accounts: BTreeMap<Account, AccountEntry>,
+    /// The keys, as salted digests.
+    pub keys: BTreeMap<KeyId, KeyEntry>,
+}
+
+/// A route: who may ask for what, and which pool answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct RouteEntry {
+    /// Prefix of the request's path.
+    pub path: String,
+    /// The model asked for; any if absent.
+    #[serde(default)]
+    pub model: Option<Model>,
+    /// The pool that answers.
+    pub pool: Pool,
+    /// Whether the route needs no key.
+    #[serde(default)]
+    pub open: bool,
+    /// The client accounts that may ask.
+    #[serde(default)]
+    pub accounts: Vec<Account>,
+    /// Whether a request may run more than once.
+    #[serde(default = "yes")]
+    pub repeatable: bool,
+    /// The regions that may answer; any if absent.
+    #[serde(default)]
+    pub residency: Residency,
+    /// Tokens charged for an answer where the request states no limit.
+    #[serde(default = "default_max_answer_tokens")]
+    pub max_answer_tokens: u64,
+    /// Time for a whole answer, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u64,
+}
+
+fn yes() -> bool {
+    true
+}
+
+fn default_max_answer_tokens() -> u64 {
+    DEFAULT_MAX_ANSWER_TOKENS
+}
+
+fn default_deadline_ms() -> u64 {
+    DEFAULT_DEADLINE_MS
+}
+
+/// The regions in which a request may run.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Residency(Option<Vec<Region>>);
+
+impl Residency {
+    /// Allows any region.
+    pub fn anywhere() -> Self {
+        Self(None)
+    }
+
+    /// Allows just these regions.
+    pub fn only(regions: Vec<Region>) -> Self {
+        Self(Some(regions))
+    }
+
+    /// Tells whether the request may run in `region`.
+    pub fn allows(&self, region: &Region) -> bool {
+        match &self.0 {
+            None => true,
+            Some(regions) => regions.contains(region),
+        }
+    }
+
+    /// Allows what both allow.
+    pub fn and(&self, other: &Self) -> Self {
+        match (&self.0, &other.0) {
+            (None, _) => other.clone(),
+            (_, None) => self.clone(),
+            (Some(a), Some(b)) => Self(Some(a.iter().filter(|r| b.contains(r)).cloned().collect())),
+        }
+    }
+}
+
+/// What a pool's targets are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PoolKind {
+    /// Model engines, which answer in tokens.
+    Engine,
+    /// Plain services.
+    Service,
+}
+
+/// A pool: which targets, in which regions, may answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct PoolEntry {
+    /// What the targets are.
+    pub kind: PoolKind,
+    /// The targets by name.
+    pub targets: BTreeMap<Target, TargetEntry>,
+}
+
+/// A target of a pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct TargetEntry {
+    /// IP address and port.
+    pub address: std::net::SocketAddr,
+    /// The target's region.
+    pub region: Region,
+    /// The target's availability zone.
+    pub zone: Zone,
+}
+
+/// A client account's limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct AccountEntry {
+    /// Tokens a second over all instances.
+    pub rate: u64,
+    /// Tokens that may be spent at once over all instances.
+    pub burst: u64,
+    /// The regions that the account's requests are bound to; any if absent.
+    #[serde(default)]
+    pub residency: Residency,
+}
+
+/// A key's record, which does not hold the key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct KeyEntry {
+    /// The account that the key shows.
+    pub account: Account,
+    /// Salt of the digest, in hexadecimal digits.
+    pub salt: String,
+    /// SHA-256 of salt and secret, in hexadecimal digits.
+    pub digest: String,
+    /// Whether the key was withdrawn. A withdrawal is never undone.
+    #[serde(default)]
+    pub withdrawn: bool,
+}
+
+impl KeyEntry {
+    /// Makes the record of a new key.
+    pub fn new(account: Account, salt: &str, secret: &str) -> Self {
+        Self {
+            account,
+            salt: salt.to_owned(),
+            digest: digest(salt, secret),
+            withdrawn: false,
+        }
+    }
+
+    /// Compares a secret in constant time.
+    pub fn matches(&self, secret: &str) -> bool {
+        let want = self.digest.as_bytes();
+        bool::from(digest(&self.salt, secret).as_bytes().ct_eq(want))
+    }
+}
+
+fn digest(salt: &str, secret: &str) -> String {
+    let mut hasher = Sha256::new();
+    hasher.update(salt.as_bytes());
+    hasher.update([0]);
+    hasher.update(secret.as_bytes());
+    hex(&hasher.finalize())
+}
+
+/// Compares an operator's token with its SHA-256 in constant time.
+pub fn token_matches(token: &str, want: &str) -> bool {
+    let found = hex(&Sha256::digest(token.as_bytes()));
+    bool::from(found.as_bytes().ct_eq(want.as_bytes()))
+}
+
+/// Writes bytes as hexadecimal digits.
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// Prefix of every key, so that leaked keys can be searched for.
+pub const KEY_PREFIX: &str = "ck_";
+
+/// Splits a key into its public part and its secret.
+pub fn split_key(key: &str) -> Option<(&str, &str)> {
+    key.strip_prefix(KEY_PREFIX)?.split_once('.')
+}
+
+/// A fault of a configuration, at the place where it stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Path of keys to the faulty value.
+    pub path: Vec<String>,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl Config {
+    /// Finds the account that a key shows.
+    pub fn authenticate(&self, key: &str) -> Option<(&KeyId, &Account)> {
+        let (id, secret) = split_key(key)?;
+        let (id, entry) = self.keys.get_key_value(id)?;
+        (entry.matches(secret) && !entry.withdrawn).then_some((id, &entry.account))
+    }
+
+    /// Finds the route of a request: the longest path, then the one that names the model.
+    pub fn find_route(&self, path: &str, model: Option<&Model>) -> Option<(&Route, &RouteEntry)> {
+        self.routes
+            .iter()
+            .filter(|(_, r)| path_matches(&r.path, path))
+            .filter(|(_, r)| r.model.is_none() || r.model.as_ref() == model)
+            .max_by_key(|(_, r)| (r.path.len(), r.model.is_some()))
+    }
+
+    /// Lists every fault of the tables taken together.
+    pub fn check(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for (name, route) in &self.routes {
+            self.check_route(name, route, &mut faults);
+        }
+        for (name, entry) in &self.keys {
+            if !self.accounts.contains_key(&entry.account) {
+                faults.push(fault(
+                    &["keys", name.as_str(), "account"],
+                    format!("no account {}", entry.account),
+                ));
+            }
+        }
+        faults
+    }
+
+    fn check_route(&self, name: &Route, route: &RouteEntry, faults: &mut Vec<Fault>) {
+        let at = ["routes", name.as_str()];
+        if !route.path.starts_with('/') {
+            faults.push(fault(
+                &[at[0], at[1], "path"],
+                "a path starts with /".to_owned(),
+            ));
+        }
+        if !self.pools.contains_key(&route.pool) {
+            faults.push(fault(
+                &[at[0], at[1], "pool"],
+                format!("no pool {}", route.pool),
+            ));
+        }
+        if route.open && !route.accounts.is_empty() {
+            faults.push(fault(
+                &[at[0], at[1], "accounts"],
+                "an open route lists no accounts".to_owned(),
+            ));
+        }
+        for account in &route.accounts {
+            if !self.accounts.contains_key(account) {
+                faults.push(fault(
+                    &[at[0], at[1], "accounts"],
+                    format!("no account {account}"),
+                ));
+            }
+        }
+    }
+}
+
+fn path_matches(prefix: &str, path: &str) -> bool {
+    match path.strip_prefix(prefix) {
+        None => false,
+        Some(rest) => rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/'),
+    }
+}
+
+fn fault(path: &[&str], reason: String) -> Fault {
+    Fault {
+        path: path.iter().map(|&s| s.to_owned()).collect(),
+        reason,
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/event.rs
@@ -0,0 +1,168 @@
+//! Events with hybrid logical clock stamps, kept in a bounded ring.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::Account;
+use crate::names::Instance;
+use crate::names::RequestId;
+use crate::step::Peer;
+use crate::step::Step;
+use crate::tables::Rank;
+use crate::tables::Ranked;
+
+/// A hybrid logical clock's stamp; ordered over all processes.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Stamp {
+    /// Wall clock time in milliseconds since the epoch, or the highest one seen.
+    pub wall_ms: u64,
+    /// Orders stamps of the same millisecond.
+    pub counter: u32,
+}
+
+impl Stamp {
+    /// Returns the next stamp at a wall clock time.
+    pub fn next(self, wall: Duration) -> Self {
+        let wall_ms = wall.as_millis() as u64;
+        if wall_ms > self.wall_ms {
+            return Self {
+                wall_ms,
+                counter: 0,
+            };
+        }
+        Self {
+            wall_ms: self.wall_ms,
+            counter: self.counter.saturating_add(1),
+        }
+    }
+}
+
+/// Something that happened to a request or to the instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// When it happened.
+    pub stamp: Stamp,
+    /// The instance at which it happened.
+    pub instance: Instance,
+    /// The request, if it concerns one.
+    pub request: Option<RequestId>,
+    /// The client account, if it concerns one.
+    pub account: Option<Account>,
+    /// The step.
+    pub step: Step,
+    /// The peer.
+    pub peer: Peer,
+    /// What happened, in a few words.
+    pub what: String,
+}
+
+/// What a caller of [`Ring::record`] says; the ring adds instance and stamp.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The request, if it concerns one.
+    pub request: Option<RequestId>,
+    /// The client account, if it concerns one.
+    pub account: Option<Account>,
+    /// The step.
+    pub step: Step,
+    /// The peer.
+    pub peer: Peer,
+    /// What happened, in a few words.
+    pub what: String,
+}
+
+/// The newest events of one instance.
+///
+/// # Invariants
+///
+/// Holds at most `capacity` events, in the order of their stamps; `dropped`
+/// counts those that made room.
+#[derive(Debug)]
+pub struct Ring {
+    instance: Instance,
+    capacity: usize,
+    inner: Ranked<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    last: Stamp,
+    dropped: u64,
+    events: VecDeque<Event>,
+}
+
+/// Events read from a ring.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// The events, oldest first.
+    pub events: Vec<Event>,
+    /// Events that the ring no longer holds.
+    pub dropped: u64,
+}
+
+impl Ring {
+    /// Makes an empty ring.
+    pub fn new(instance: Instance, capacity: usize) -> Self {
+        Self {
+            instance,
+            capacity,
+            inner: Ranked::new(
+                Rank::Events,
+                Inner {
+                    last: Stamp::default(),
+                    dropped: 0,
+                    events: VecDeque::with_capacity(capacity),
+                },
+            ),
+        }
+    }
+
+    /// Records an event and returns its stamp.
+    pub fn record(&self, wall: Duration, entry: Entry) -> Stamp {
+        let mut inner = self.inner.lock();
+        inner.last = inner.last.next(wall);
+        if inner.events.len() == self.capacity {
+            inner.events.pop_front();
+            inner.dropped += 1;
+        }
+        let stamp = inner.last;
+        inner.events.push_back(Event {
+            stamp,
+            instance: self.instance.clone(),
+            request: entry.request,
+            account: entry.account,
+            step: entry.step,
+            peer: entry.peer,
+            what: entry.what,
+        });
+        stamp
+    }
+
+    /// Moves the clock past a stamp that a sibling sent.
+    pub fn observe(&self, stamp: Stamp) {
+        let mut inner = self.inner.lock();
+        inner.last = inner.last.max(stamp);
+    }
+
+    /// Returns the latest stamp, to be sent along with messages.
+    pub fn latest(&self) -> Stamp {
+        self.inner.lock().last
+    }
+
+    /// Returns the events for which `f` returns true.
+    pub fn page<F>(&self, f: F) -> Page
+    where
+        F: Fn(&Event) -> bool,
+    {
+        let inner = self.inner.lock();
+        Page {
+            events: inner.events.iter().filter(|e| f(e)).cloned().collect(),
+            dropped: inner.dropped,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,20 @@
+//! Every decision of the gateway, without I/O, clocks or message encoding.
+//!
+//! Time is passed in as a [`std::time::Duration`] since the process started,
+//! and random numbers come from the caller. The peer packages encode and
+//! carry what is decided here, so a further front end uses the same code.
+
+pub mod config;
+pub mod event;
+pub mod gateway;
+pub mod limits;
+pub mod names;
+pub mod placement;
+pub mod refusal;
+pub mod request;
+pub mod step;
+pub mod tables;
+
+pub use config::Config;
+pub use refusal::Refusal;
+pub use request::Request;
--- /dev/null
+++ b/crates/decisions/src/limits.rs
@@ -0,0 +1,5 @@
+//! Limits of client accounts.
+
+mod bucket;
+
+pub use bucket::Bucket;
--- /dev/null
+++ b/crates/decisions/src/limits/bucket.rs
@@ -0,0 +1,83 @@
+//! A token bucket on a clock that is passed in.
+
+use std::time::Duration;
+
+/// Nanoseconds of a second.
+const NANOS: u128 = 1_000_000_000;
+
+/// A bucket that fills at a rate up to a burst.
+///
+/// # Invariants
+///
+/// `level` is at most `burst` and counts nano-tokens, so that refills lose
+/// nothing to rounding.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bucket {
+    rate: u64,
+    burst: u64,
+    level: u128,
+    at: Duration,
+}
+
+impl Bucket {
+    /// Makes an empty bucket.
+    pub fn empty(rate: u64, burst: u64, now: Duration) -> Self {
+        Self {
+            rate,
+            burst,
+            level: 0,
+            at: now,
+        }
+    }
+
+    /// Makes a full bucket.
+    pub fn full(rate: u64, burst: u64, now: Duration) -> Self {
+        Self {
+            level: u128::from(burst) * NANOS,
+            ..Self::empty(rate, burst, now)
+        }
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.at).as_nanos();
+        let cap = u128::from(self.burst) * NANOS;
+        self.level = cap.min(self.level + elapsed * u128::from(self.rate));
+        self.at = self.at.max(now);
+    }
+
+    /// Returns the whole tokens held.
+    pub fn level(&mut self, now: Duration) -> u64 {
+        self.refill(now);
+        (self.level / NANOS) as u64
+    }
+
+    /// Takes tokens, all or none.
+    pub fn take(&mut self, tokens: u64, now: Duration) -> bool {
+        self.refill(now);
+        let want = u128::from(tokens) * NANOS;
+        if want > self.level {
+            return false;
+        }
+        self.level -= want;
+        true
+    }
+
+    /// Gives back tokens that were taken and not used.
+    pub fn refund(&mut self, tokens: u64, now: Duration) {
+        self.refill(now);
+        let cap = u128::from(self.burst) * NANOS;
+        self.level = cap.min(self.level + u128::from(tokens) * NANOS);
+    }
+
+    /// Returns the time until so many tokens are held; `None` if never.
+    pub fn wait(&mut self, tokens: u64, now: Duration) -> Option<Duration> {
+        self.refill(now);
+        let want = u128::from(tokens) * NANOS;
+        if tokens > self.burst || self.rate == 0 && want > self.level {
+            return None;
+        }
+        let missing = want.saturating_sub(self.level);
+        let nanos = missing.div_ceil(u128::from(self.rate.max(1)));
+        Some(Duration::from_nanos(nanos as u64))
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/tables.rs
@@ -0,0 +1,251 @@
+//! The tables shared by the workers, and the order in which they are locked.
+//!
+//! A thread that holds a lock takes only locks of a higher [`Rank`]; two
+//! shards of one table are never held together. Debug builds check this. A
+//! lock is held for one short decision and never across an await: the guard
+//! can't be sent between threads, and the closures given to the tables are
+//! not asynchronous.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::ops::Deref;
+use std::ops::DerefMut;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use xxhash_rust::xxh3::Xxh3DefaultBuilder;
+
+use crate::config::Config;
+
+/// The lock order, lowest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// The pointer to the configuration's snapshot.
+    Config,
+    /// Withdrawn keys and the streams that run under keys.
+    Keys,
+    /// Limits of client accounts.
+    Accounts,
+    /// Waiting requests.
+    Queues,
+    /// Load and health of targets.
+    Targets,
+    /// Records of the other instances.
+    Members,
+    /// What siblings said of themselves.
+    Siblings,
+    /// Open links to siblings.
+    Links,
+    /// Operation tickets and claims.
+    Tickets,
+    /// The ring of events.
+    Events,
+}
+
+thread_local! {
+    static HELD: RefCell<Vec<Rank>> = const { RefCell::new(Vec::new()) };
+}
+
+/// A mutex with a place in the lock order.
+#[derive(Debug)]
+pub struct Ranked<T> {
+    rank: Rank,
+    inner: Mutex<T>,
+}
+
+impl<T> Ranked<T> {
+    /// Wraps a value.
+    pub fn new(rank: Rank, value: T) -> Self {
+        Self {
+            rank,
+            inner: Mutex::new(value),
+        }
+    }
+
+    /// Locks the value.
+    ///
+    /// # Panics
+    ///
+    /// In debug builds, if this thread holds a lock of the same or a higher rank.
+    pub fn lock(&self) -> Guard<'_, T> {
+        if cfg!(debug_assertions) {
+            enter(self.rank);
+        }
+        Guard {
+            rank: self.rank,
+            inner: self.inner.lock().unwrap_or_else(PoisonError::into_inner),
+        }
+    }
+}
+
+fn enter(rank: Rank) {
+    HELD.with_borrow_mut(|held| {
+        if let Some(top) = held.last() {
+            assert!(*top < rank, "lock order: {rank:?} taken under {top:?}");
+        }
+        held.push(rank);
+    });
+}
+
+fn leave(rank: Rank) {
+    HELD.with_borrow_mut(|held| {
+        if let Some(at) = held.iter().rposition(|r| *r == rank) {
+            held.remove(at);
+        }
+    });
+}
+
+/// A held lock.
+#[derive(Debug)]
+pub struct Guard<'a, T> {
+    rank: Rank,
+    inner: MutexGuard<'a, T>,
+}
+
+impl<T> Deref for Guard<'_, T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.inner
+    }
+}
+
+impl<T> DerefMut for Guard<'_, T> {
+    fn deref_mut(&mut self) -> &mut T {
+        &mut self.inner
+    }
+}
+
+impl<T> Drop for Guard<'_, T> {
+    fn drop(&mut self) {
+        if cfg!(debug_assertions) {
+            leave(self.rank);
+        }
+    }
+}
+
+/// A map in shards, each under its own lock of one rank.
+#[derive(Debug)]
+pub struct Sharded<K, V> {
+    shards: Box<[Ranked<HashMap<K, V, Xxh3DefaultBuilder>>]>,
+}
+
+/// Number of shards of a table; more than the workers of an instance.
+pub const SHARDS: usize = 16;
+
+impl<K, V> Sharded<K, V>
+where
+    K: Hash + Eq,
+{
+    /// Makes an empty table.
+    pub fn new(rank: Rank) -> Self {
+        let shards = (0..SHARDS)
+            .map(|_| Ranked::new(rank, HashMap::default()))
+            .collect();
+        Self { shards }
+    }
+
+    fn shard(&self, key: &K) -> &Ranked<HashMap<K, V, Xxh3DefaultBuilder>> {
+        use std::hash::BuildHasher;
+        let hash = Xxh3DefaultBuilder::new().hash_one(key);
+        // The maps use the low bits, so the shard is chosen by the high ones.
+        &self.shards[(hash >> 56) as usize % SHARDS]
+    }
+
+    /// Runs `f` on the entry of `key` under its lock.
+    pub fn with<R, F>(&self, key: &K, f: F) -> R
+    where
+        F: FnOnce(Option<&mut V>) -> R,
+    {
+        f(self.shard(key).lock().get_mut(key))
+    }
+
+    /// Runs `f` on the entry of `key`, made if it is missing, under its lock.
+    pub fn with_or<R, M, F>(&self, key: &K, make: M, f: F) -> R
+    where
+        K: Clone,
+        M: FnOnce() -> V,
+        F: FnOnce(&mut V) -> R,
+    {
+        f(self
+            .shard(key)
+            .lock()
+            .entry(key.clone())
+            .or_insert_with(make))
+    }
+
+    /// Puts an entry and returns the one it replaces.
+    pub fn insert(&self, key: K, value: V) -> Option<V> {
+        self.shard(&key).lock().insert(key, value)
+    }
+
+    /// Removes an entry.
+    pub fn remove(&self, key: &K) -> Option<V> {
+        self.shard(key).lock().remove(key)
+    }
+
+    /// Runs `f` on every entry, one shard's lock at a time.
+    pub fn for_each<F>(&self, mut f: F)
+    where
+        F: FnMut(&K, &mut V),
+    {
+        for shard in &self.shards {
+            for (k, v) in shard.lock().iter_mut() {
+                f(k, v);
+            }
+        }
+    }
+
+    /// Keeps the entries for which `f` returns true, one shard's lock at a time.
+    pub fn retain<F>(&self, mut f: F)
+    where
+        F: FnMut(&K, &mut V) -> bool,
+    {
+        for shard in &self.shards {
+            shard.lock().retain(|k, v| f(k, v));
+        }
+    }
+
+    /// Counts the entries, one shard's lock at a time.
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(|s| s.lock().len()).sum()
+    }
+
+    /// Tells whether the table has no entry.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// The configuration in force, swapped whole.
+#[derive(Debug)]
+pub struct Snapshot {
+    current: Ranked<Arc<Config>>,
+}
+
+impl Snapshot {
+    /// Starts with a configuration.
+    pub fn new(config: Config) -> Self {
+        Self {
+            current: Ranked::new(Rank::Config, Arc::new(config)),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn get(&self) -> Arc<Config> {
+        Arc::clone(&self.current.lock())
+    }
+
+    /// Puts a newer configuration in force; an older or equal one is ignored.
+    pub fn advance(&self, config: Arc<Config>) -> bool {
+        let mut current = self.current.lock();
+        if config.version <= current.version {
+            return false;
+        }
+        *current = config;
+        true
+    }
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,162 @@
+//! A client for short exchanges, which never repeats a request by itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONTENT_TYPE;
+use hyper_util::client::legacy::Client as Pool;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error as ThisError;
+
+/// Largest body that is read, in bytes.
+const MAX_BODY: usize = 64 * 1024 * 1024;
+
+/// An error of an exchange.
+#[derive(Debug, ThisError)]
+pub enum Error {
+    /// The server has seen nothing of the request.
+    #[error("can't connect to {address}: {reason}")]
+    Connect {
+        /// The server's address.
+        address: SocketAddr,
+        /// The cause.
+        reason: String,
+    },
+    /// The server may have acted on the request.
+    #[error("no answer from {address}: {reason}")]
+    Lost {
+        /// The server's address.
+        address: SocketAddr,
+        /// The cause.
+        reason: String,
+    },
+    /// A body can't be read or written as JSON.
+    #[error("malformed body: {0}")]
+    Malformed(#[from] serde_json::Error),
+}
+
+/// A client.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+    bearer: Option<String>,
+}
+
+/// An answer read whole.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// Status code.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Response {
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is not the document expected.
+    pub fn json<T>(&self) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        Ok(serde_json::from_slice(&self.body)?)
+    }
+}
+
+impl Client {
+    /// Makes a client whose exchanges end within `timeout`.
+    pub fn new(timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(timeout));
+        connector.set_nodelay(true);
+        let pool = Pool::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self {
+            pool,
+            timeout,
+            bearer: None,
+        }
+    }
+
+    /// Shows a token with each request.
+    pub fn with_bearer(mut self, token: String) -> Self {
+        self.bearer = Some(token);
+        self
+    }
+
+    /// Sends a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer in time.
+    pub async fn send_json<T>(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: &T,
+    ) -> Result<Response, Error>
+    where
+        T: Serialize,
+    {
+        let body = serde_json::to_vec(body)?;
+        self.send(method, address, path, body.into()).await
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer in time.
+    pub async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response, Error> {
+        let lost = |reason: String| Error::Lost { address, reason };
+        let mut req = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(CONTENT_TYPE, "application/json");
+        if let Some(token) = &self.bearer {
+            req = req.header(AUTHORIZATION, format!("Bearer {token}"));
+        }
+        let req = req.body(Full::new(body)).map_err(|e| lost(e.to_string()))?;
+        let exchange = async {
+            let resp = self.pool.request(req).await.map_err(|e| {
+                let reason = e.to_string();
+                if e.is_connect() {
+                    return Error::Connect { address, reason };
+                }
+                lost(reason)
+            })?;
+            let status = resp.status();
+            let body = Limited::new(resp.into_body(), MAX_BODY)
+                .collect()
+                .await
+                .map_err(|e| lost(e.to_string()))?
+                .to_bytes();
+            Ok(Response { status, body })
+        };
+        tokio::time::timeout(self.timeout, exchange)
+            .await
+            .map_err(|_| lost("timeout".to_owned()))?
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,108 @@
+//! A server loop for short exchanges and event streams.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use http_body_util::combinators::BoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::server::conn::auto;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// A body of an answer. An error in it cuts the connection.
+pub type Body = BoxBody<Bytes, std::io::Error>;
+
+/// Returns a body that is known whole.
+pub fn full(data: impl Into<Bytes>) -> Body {
+    Full::new(data.into()).map_err(|e| match e {}).boxed()
+}
+
+/// Answers with a status code alone.
+pub fn empty(status: StatusCode) -> Response<Body> {
+    let mut resp = Response::new(full(Bytes::new()));
+    *resp.status_mut() = status;
+    resp
+}
+
+/// Answers with a JSON document.
+pub fn json<T>(status: StatusCode, value: &T) -> Response<Body>
+where
+    T: Serialize,
+{
+    let Ok(body) = serde_json::to_vec(value) else {
+        return empty(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let mut resp = Response::new(full(body));
+    *resp.status_mut() = status;
+    resp.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    resp
+}
+
+/// Reads a request's body as JSON, at most `max` bytes of it.
+///
+/// # Errors
+///
+/// Returns the answer to give if the body can't be read.
+pub async fn read_json<T>(req: Request<Incoming>, max: usize) -> Result<T, Box<Response<Body>>>
+where
+    T: DeserializeOwned,
+{
+    let body = match Limited::new(req.into_body(), max).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => return Err(Box::new(empty(StatusCode::PAYLOAD_TOO_LARGE))),
+    };
+    serde_json::from_slice(&body)
+        .map_err(|e| Box::new(json(StatusCode::BAD_REQUEST, &e.to_string())))
+}
+
+/// Serves `answer` on a listener until `cancel`.
+pub async fn run<F, R>(listener: TcpListener, cancel: CancellationToken, answer: F)
+where
+    F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let answer = Arc::new(answer);
+    loop {
+        let stream = tokio::select! {
+            () = cancel.cancelled() => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::warn!("http: accept failed: {e}");
+                    continue;
+                }
+            },
+        };
+        // Answers are short, so they must not wait for more data.
+        let _ = stream.set_nodelay(true);
+        let answer = Arc::clone(&answer);
+        let cancel = cancel.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |req| {
+                let resp = answer(req);
+                async move { Ok::<_, Infallible>(resp.await) }
+            });
+            let builder = auto::Builder::new(TokioExecutor::new());
+            let conn = builder.serve_connection(TokioIo::new(stream), service);
+            if let Some(Err(e)) = cancel.run_until_cancelled(conn).await {
+                log::debug!("http: connection ended: {e}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/sibling/src/endpoint.rs
@@ -0,0 +1,218 @@
+//! The QUIC endpoint of an instance.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
+use quinn::IdleTimeout;
+use quinn::RecvStream;
+use quinn::SendStream;
+use quinn::TransportConfig;
+use quinn::VarInt;
+use tokio_util::sync::CancellationToken;
+
+use crate::Certificates;
+use crate::Envelope;
+use crate::Error;
+use crate::Forward;
+use crate::FrameSender;
+use crate::Identity;
+use crate::Link;
+use crate::Message;
+use crate::Up;
+use crate::VERSION;
+use crate::identity::server_name;
+use crate::wire;
+
+/// A connection that is silent for so long has ended, in milliseconds.
+const IDLE_TIMEOUT_MS: u32 = 5_000;
+
+/// A sign of life goes out on an otherwise silent connection.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// Time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Requests and messages that one sibling may have open at once.
+const MAX_STREAMS: u32 = 4096;
+
+/// What answers siblings.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers a control message.
+    fn control(
+        &self,
+        from: &Identity,
+        stamp: Stamp,
+        message: Message,
+    ) -> impl Future<Output = Envelope> + Send;
+
+    /// Runs a request that a sibling passed on.
+    fn forward(
+        &self,
+        from: &Identity,
+        req: Forward,
+        tx: FrameSender,
+    ) -> impl Future<Output = ()> + Send;
+}
+
+/// Listens for siblings and connects to them.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    inner: quinn::Endpoint,
+    address: SocketAddr,
+}
+
+impl Endpoint {
+    /// Opens the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be had or the certificates can't be used.
+    pub fn bind(address: SocketAddr, certs: &Certificates) -> Result<Self, Error> {
+        let mut transport = TransportConfig::default();
+        transport
+            .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
+            .keep_alive_interval(Some(KEEP_ALIVE))
+            .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
+            .max_concurrent_uni_streams(VarInt::from_u32(0));
+        let transport = Arc::new(transport);
+        let mut server = quinn::ServerConfig::with_crypto(Arc::new(certs.server()?));
+        server.transport_config(Arc::clone(&transport));
+        let mut client = quinn::ClientConfig::new(Arc::new(certs.client()?));
+        client.transport_config(transport);
+        let wrap = |source| Error::Listen { address, source };
+        let mut inner = quinn::Endpoint::server(server, address).map_err(wrap)?;
+        inner.set_default_client_config(client);
+        let address = inner.local_addr().map_err(wrap)?;
+        Ok(Self { inner, address })
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connects to a sibling, whose certificate must carry its name.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the sibling can't be reached in time or is another one.
+    pub async fn connect(
+        &self,
+        instance: &Instance,
+        region: &Region,
+        address: SocketAddr,
+    ) -> Result<Link<Up>, Error> {
+        let wrap = |reason: String| Error::Connect {
+            instance: instance.clone(),
+            reason,
+        };
+        let connecting = self
+            .inner
+            .connect(address, &server_name(instance, region))
+            .map_err(|e| wrap(e.to_string()))?;
+        let conn = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| wrap("timeout".to_owned()))?
+            .map_err(|e| wrap(e.to_string()))?;
+        let peer = Identity {
+            instance: instance.clone(),
+            region: region.clone(),
+        };
+        Ok(Link::new(peer, conn))
+    }
+
+    /// Serves siblings until `cancel`.
+    pub async fn run<H>(self, handler: Arc<H>, cancel: CancellationToken)
+    where
+        H: Handler,
+    {
+        loop {
+            let incoming = tokio::select! {
+                () = cancel.cancelled() => return,
+                incoming = self.inner.accept() => match incoming {
+                    Some(incoming) => incoming,
+                    None => return,
+                },
+            };
+            let handler = Arc::clone(&handler);
+            let cancel = cancel.clone();
+            tokio::spawn(async move {
+                let served = async {
+                    match incoming.await {
+                        Ok(conn) => serve(conn, handler).await,
+                        Err(e) => log::warn!("sibling: connection refused: {e}"),
+                    }
+                };
+                cancel.run_until_cancelled(served).await;
+            });
+        }
+    }
+
+    /// Closes every connection and waits until the siblings know.
+    pub async fn close(&self) {
+        self.inner.close(0_u32.into(), b"stopped");
+        self.inner.wait_idle().await;
+    }
+}
+
+async fn serve<H>(conn: quinn::Connection, handler: Arc<H>)
+where
+    H: Handler,
+{
+    let Some(peer) = Identity::of_connection(&conn) else {
+        log::warn!(
+            "sibling: {}: certificate names no instance",
+            conn.remote_address()
+        );
+        conn.close(1_u32.into(), b"no name");
+        return;
+    };
+    loop {
+        let (tx, rx) = match conn.accept_bi().await {
+            Ok(streams) => streams,
+            Err(e) => {
+                log::debug!("sibling: {}: connection ended: {e}", peer.instance);
+                return;
+            }
+        };
+        let handler = Arc::clone(&handler);
+        let peer = peer.clone();
+        tokio::spawn(async move {
+            if let Err(e) = exchange(&*handler, &peer, tx, rx).await {
+                log::warn!("sibling: {}: message refused: {e}", peer.instance);
+            }
+        });
+    }
+}
+
+async fn exchange<H>(
+    handler: &H,
+    peer: &Identity,
+    mut tx: SendStream,
+    mut rx: RecvStream,
+) -> Result<(), Error>
+where
+    H: Handler,
+{
+    let envelope: Envelope = wire::read(&mut rx).await?;
+    if envelope.version != VERSION {
+        return Err(Error::Version {
+            version: envelope.version,
+        });
+    }
+    match envelope.message {
+        Message::Forward(req) => handler.forward(peer, req, FrameSender::new(tx)).await,
+        message => {
+            let reply = handler.control(peer, envelope.stamp, message).await;
+            wire::write(&mut tx, &reply).await?;
+            // The reply is on its way; the sibling may be gone already.
+            let _ = tx.finish();
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sibling/src/lib.rs
@@ -0,0 +1,34 @@
+//! The sibling instances: control messages and forwarded requests over QUIC
+//! with mutual TLS.
+//!
+//! [`Endpoint`] listens and connects, [`Link`] is a connection to one sibling,
+//! [`Message`] and [`Frame`] are what goes over it. A sibling's name and
+//! region come from its certificate, never from a message.
+
+mod endpoint;
+mod error;
+mod identity;
+mod link;
+mod message;
+mod wire;
+
+pub use endpoint::Endpoint;
+pub use endpoint::Handler;
+pub use error::Error;
+pub use identity::Certificates;
+pub use identity::Identity;
+pub use identity::server_name;
+pub use link::Answer;
+pub use link::Closed;
+pub use link::Link;
+pub use link::Up;
+pub use message::Envelope;
+pub use message::Forward;
+pub use message::Frame;
+pub use message::Heartbeat;
+pub use message::Message;
+pub use message::VERSION;
+pub use wire::FrameSender;
+pub use wire::MAX_FRAME;
+pub use wire::decode;
+pub use wire::encode;
--- /dev/null
+++ b/crates/sibling/src/message.rs
@@ -0,0 +1,88 @@
+//! What instances say to each other.
+
+use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::names::Route;
+use chiverelay_decisions::refusal::Refusal;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Version of the messages. Instances refuse any other.
+pub const VERSION: u16 = 1;
+
+/// A message with what goes along with every message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// [`VERSION`] of the sender.
+    pub version: u16,
+    /// The sender's hybrid logical clock.
+    pub stamp: Stamp,
+    /// The message.
+    pub message: Message,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// A sign of life.
+    Heartbeat(Heartbeat),
+    /// A request passed on. Answered by [`Frame`]s.
+    Forward(Forward),
+    /// The message was taken and needs no other answer.
+    Done,
+}
+
+/// A sign of life and what siblings need to know of the sender.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Whether the sender takes new work.
+    pub serving: bool,
+    /// The sender's configuration version.
+    pub config_version: u64,
+}
+
+/// A request passed on, with the account in place of the key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Forward {
+    /// The request's identifier.
+    pub id: RequestId,
+    /// The account that the sender charged; `None` on open routes.
+    pub account: Option<Account>,
+    /// The route that the sender matched.
+    pub route: Route,
+    /// Time left until the deadline, in milliseconds.
+    pub remaining_ms: u64,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// The largest answer in tokens, if stated.
+    pub max_answer_tokens: Option<u64>,
+    /// Chained hashes of the prompt's blocks.
+    pub prefix: Vec<u64>,
+    /// Method.
+    pub method: String,
+    /// Path with its query.
+    pub path_and_query: String,
+    /// Headers that may reach a target.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A part of the answer to a forwarded request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Status code and headers.
+    Head {
+        /// Status code.
+        status: u16,
+        /// Headers that may reach a caller.
+        headers: Vec<(String, Vec<u8>)>,
+    },
+    /// A piece of the body.
+    Data(Vec<u8>),
+    /// The body is whole.
+    End,
+    /// There is no answer, or no more of it.
+    Refused(Refusal),
+}
--- /dev/null
+++ b/crates/sibling/src/wire.rs
@@ -0,0 +1,105 @@
+//! Messages as length-prefixed postcard on a stream.
+
+use quinn::RecvStream;
+use quinn::SendStream;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+use crate::Frame;
+
+/// Largest encoded message in bytes.
+pub const MAX_FRAME: usize = 8 * 1024 * 1024;
+
+/// Bytes of the length before each message.
+const PREFIX: usize = 4;
+
+fn malformed(e: impl ToString) -> Error {
+    Error::Malformed {
+        reason: e.to_string(),
+    }
+}
+
+/// Encodes a message without its length.
+///
+/// # Errors
+///
+/// Fails if the message is larger than [`MAX_FRAME`].
+pub fn encode<T>(msg: &T) -> Result<Vec<u8>, Error>
+where
+    T: Serialize,
+{
+    let buf = postcard::to_stdvec(msg).map_err(malformed)?;
+    if buf.len() > MAX_FRAME {
+        return Err(malformed("message too large"));
+    }
+    Ok(buf)
+}
+
+/// Decodes a message; trailing bytes are an error.
+///
+/// # Errors
+///
+/// Fails if `buf` is not exactly one message.
+pub fn decode<T>(buf: &[u8]) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    let (msg, rest) = postcard::take_from_bytes(buf).map_err(malformed)?;
+    if !rest.is_empty() {
+        return Err(malformed("trailing bytes"));
+    }
+    Ok(msg)
+}
+
+pub(crate) async fn write<T>(tx: &mut SendStream, msg: &T) -> Result<(), Error>
+where
+    T: Serialize,
+{
+    let buf = encode(msg)?;
+    let len = (buf.len() as u32).to_be_bytes();
+    tx.write_all(&len).await.map_err(malformed)?;
+    tx.write_all(&buf).await.map_err(malformed)
+}
+
+pub(crate) async fn read<T>(rx: &mut RecvStream) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    let mut len = [0; PREFIX];
+    rx.read_exact(&mut len).await.map_err(malformed)?;
+    let len = u32::from_be_bytes(len) as usize;
+    if len > MAX_FRAME {
+        return Err(malformed("message too large"));
+    }
+    let mut buf = vec![0; len];
+    rx.read_exact(&mut buf).await.map_err(malformed)?;
+    decode(&buf)
+}
+
+/// Sends the parts of an answer to a forwarded request.
+#[derive(Debug)]
+pub struct FrameSender {
+    tx: SendStream,
+}
+
+impl FrameSender {
+    pub(crate) fn new(tx: SendStream) -> Self {
+        Self { tx }
+    }
+
+    /// Sends a part.
+    ///
+    /// # Errors
+    ///
+    /// Fails once the sibling no longer waits for the answer.
+    pub async fn send(&mut self, frame: &Frame) -> Result<(), Error> {
+        write(&mut self.tx, frame).await
+    }
+
+    /// Waits until the sibling no longer waits for the answer.
+    pub async fn closed(&mut self) {
+        // Any result means that the sibling stopped reading or is gone.
+        let _ = self.tx.stopped().await;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,187 @@
+//! A model engine with an OpenAI-compatible interface, whose answers are
+//! counted words.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chiverelay_http::Body;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::faults::ReceiverStream;
+use crate::faults::Script;
+
+/// Largest request in bytes.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+
+/// Words of an answer where the request states no limit.
+const DEFAULT_WORDS: u64 = 8;
+
+/// An engine's state.
+#[derive(Debug)]
+pub struct Engine {
+    /// Scripted faults.
+    pub script: Script,
+    name: String,
+    token_time: Duration,
+    running: AtomicU64,
+    cancelled: AtomicU64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Ask {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+}
+
+/// Counts a request as running for as long as it lives.
+struct Running {
+    engine: Arc<Engine>,
+    finished: bool,
+}
+
+impl Running {
+    fn new(engine: &Arc<Engine>) -> Self {
+        engine.running.fetch_add(1, Ordering::Relaxed);
+        Self {
+            engine: Arc::clone(engine),
+            finished: false,
+        }
+    }
+
+    fn finish(mut self) {
+        self.finished = true;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.engine.running.fetch_sub(1, Ordering::Relaxed);
+        if !self.finished {
+            self.engine.cancelled.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Engine {
+    /// Makes an engine that takes `token_time` for each word of an answer.
+    pub fn new(name: &str, token_time: Duration) -> Self {
+        Self {
+            script: Script::default(),
+            name: name.to_owned(),
+            token_time,
+            running: AtomicU64::new(0),
+            cancelled: AtomicU64::new(0),
+        }
+    }
+
+    async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        if req.uri().path() == "/load" {
+            let load = json!({
+                "running": self.running.load(Ordering::Relaxed),
+                "cancelled": self.cancelled.load(Ordering::Relaxed),
+            });
+            return chiverelay_http::json(StatusCode::OK, &load);
+        }
+        let req = match self.script.before(req).await {
+            Ok(req) => req,
+            Err(resp) => return resp,
+        };
+        let ask: Ask = match chiverelay_http::read_json(req, MAX_BODY).await {
+            Ok(ask) => ask,
+            Err(resp) => return *resp,
+        };
+        let words = ask.max_tokens.unwrap_or(DEFAULT_WORDS);
+        let running = Running::new(&self);
+        if ask.stream {
+            return self.stream(&ask, words, running);
+        }
+        self.whole(&ask, words, running).await
+    }
+
+    async fn whole(&self, ask: &Ask, words: u64, running: Running) -> Response<Body> {
+        tokio::time::sleep(self.token_time * words as u32).await;
+        running.finish();
+        let content: Vec<String> = (0..words).map(|i| format!("word{i}")).collect();
+        let answer = json!({
+            "object": "chat.completion",
+            "model": ask.model,
+            "system_fingerprint": self.name,
+            "choices": [{"index": 0, "finish_reason": "stop",
+                "message": {"role": "assistant", "content": content.join(" ")}}],
+            "usage": {"completion_tokens": words},
+        });
+        self.script
+            .after(chiverelay_http::json(StatusCode::OK, &answer))
+    }
+
+    fn stream(self: &Arc<Self>, ask: &Ask, words: u64, running: Running) -> Response<Body> {
+        let (tx, rx) = mpsc::channel(1);
+        let engine = Arc::clone(self);
+        let model = ask.model.clone();
+        tokio::spawn(async move {
+            if engine.send_words(&tx, &model, words).await {
+                running.finish();
+            }
+        });
+        let mut resp = Response::new(BodyExt::boxed(StreamBody::new(ReceiverStream(rx))));
+        resp.headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        resp
+    }
+
+    /// Sends an answer word by word; true if all of it went out.
+    async fn send_words(&self, tx: &Pieces, model: &str, words: u64) -> bool {
+        for i in 0..words {
+            tokio::time::sleep(self.token_time).await;
+            if self.script.get().cut_after == Some(i) {
+                // The receiver may be gone already.
+                let _ = tx.send(Err(std::io::Error::other("cut"))).await;
+                return false;
+            }
+            let chunk = json!({
+                "object": "chat.completion.chunk",
+                "model": model,
+                "system_fingerprint": self.name,
+                "choices": [{"index": 0, "delta": {"content": format!("word{i} ")}}],
+            });
+            if !send(tx, &chunk.to_string()).await {
+                return false;
+            }
+        }
+        let usage = json!({
+            "object": "chat.completion.chunk", "choices": [],
+            "usage": {"completion_tokens": words},
+        });
+        send(tx, &usage.to_string()).await && send(tx, "[DONE]").await
+    }
+}
+
+type Pieces = mpsc::Sender<std::io::Result<Frame<Bytes>>>;
+
+async fn send(tx: &Pieces, data: &str) -> bool {
+    let event = Bytes::from(format!("data: {data}\n\n"));
+    tx.send(Ok(Frame::data(event))).await.is_ok()
+}
+
+/// Serves until `cancel`. `GET /load` gives the load.
+pub async fn serve(engine: Arc<Engine>, listener: TcpListener, cancel: CancellationToken) {
+    chiverelay_http::run(listener, cancel, move |req| Arc::clone(&engine).answer(req)).await;
+}
--- /dev/null
+++ b/crates/standin/src/faults.rs
@@ -0,0 +1,122 @@
+//! Scripted faults, set over HTTP at `PUT /faults`.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use chiverelay_http::Body;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What goes wrong, until it is changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Faults {
+    /// Answers with status 503 before acting.
+    pub refuse: bool,
+    /// Waits before acting, in milliseconds.
+    pub delay_ms: u64,
+    /// Acts, then cuts the connection in place of an answer.
+    pub lose_answer: bool,
+    /// Takes requests and neither acts nor answers.
+    pub freeze: bool,
+    /// Cuts a streamed answer after so many pieces.
+    pub cut_after: Option<u64>,
+}
+
+/// The faults in force at a stand-in.
+#[derive(Debug, Default)]
+pub struct Script {
+    current: Mutex<Faults>,
+}
+
+impl Script {
+    /// Returns the faults in force.
+    pub fn get(&self) -> Faults {
+        self.current
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts other faults in force.
+    pub fn set(&self, faults: Faults) {
+        *self.current.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
+    /// Answers calls of the script itself, and applies the faults that strike
+    /// before a request is acted on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to give in place of acting on the request.
+    pub async fn before(
+        &self,
+        req: Request<Incoming>,
+    ) -> Result<Request<Incoming>, Response<Body>> {
+        if req.uri().path() == "/faults" && req.method() == Method::PUT {
+            return Err(match chiverelay_http::read_json(req, 4096).await {
+                Ok(faults) => {
+                    self.set(faults);
+                    chiverelay_http::empty(StatusCode::OK)
+                }
+                Err(resp) => *resp,
+            });
+        }
+        let faults = self.get();
+        if faults.freeze {
+            std::future::pending::<()>().await;
+        }
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.refuse {
+            return Err(chiverelay_http::empty(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        Ok(req)
+    }
+
+    /// Applies the faults that strike after a request was acted on.
+    pub fn after(&self, resp: Response<Body>) -> Response<Body> {
+        if !self.get().lose_answer {
+            return resp;
+        }
+        let (mut parts, _) = resp.into_parts();
+        // The length says more than what comes before the connection is cut.
+        parts
+            .headers
+            .insert(hyper::header::CONTENT_LENGTH, 1_u32.into());
+        Response::from_parts(parts, cut())
+    }
+}
+
+/// Returns a body that cuts the connection.
+pub(crate) fn cut() -> Body {
+    use http_body_util::BodyExt;
+    use http_body_util::StreamBody;
+    let (tx, rx) = tokio::sync::mpsc::channel(1);
+    // The channel has room for one piece.
+    let _ = tx.try_send(Err(std::io::Error::other("cut")));
+    BodyExt::boxed(StreamBody::new(ReceiverStream(rx)))
+}
+
+/// The receiving end of a channel as a stream of frames.
+pub(crate) struct ReceiverStream(
+    pub(crate) tokio::sync::mpsc::Receiver<std::io::Result<hyper::body::Frame<bytes::Bytes>>>,
+);
+
+impl futures_core::Stream for ReceiverStream {
+    type Item = std::io::Result<hyper::body::Frame<bytes::Bytes>>;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        self.0.poll_recv(cx)
+    }
+}
--- /dev/null
+++ b/crates/target/src/client.rs
@@ -0,0 +1,251 @@
+//! Connections to targets, each request sent once.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::step::Step;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::Error;
+use crate::headers;
+
+/// Idle connections kept for each target.
+const IDLE_PER_TARGET: usize = 64;
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// A request for a target.
+#[derive(Clone, Debug)]
+pub struct Outbound {
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub path_and_query: String,
+    /// Headers; only those of [`headers::to_target`] are sent.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Opens connections to targets and keeps idle ones.
+#[derive(Clone, Debug)]
+pub struct Client {
+    idle: Arc<Idle>,
+    connect_timeout: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Idle {
+    by_address: Mutex<HashMap<SocketAddr, Vec<Sender>>>,
+}
+
+impl Idle {
+    fn take(&self, address: SocketAddr) -> Option<Sender> {
+        let mut map = self
+            .by_address
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let senders = map.get_mut(&address)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn put(&self, address: SocketAddr, sender: Sender) {
+        let mut map = self
+            .by_address
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let senders = map.entry(address).or_default();
+        if senders.len() < IDLE_PER_TARGET {
+            senders.push(sender);
+        }
+    }
+}
+
+impl Client {
+    /// Makes a client.
+    pub fn new(connect_timeout: Duration) -> Self {
+        Self {
+            idle: Arc::default(),
+            connect_timeout,
+        }
+    }
+
+    /// Gets a connection; the target has seen nothing of the request yet.
+    ///
+    /// A reused connection may turn out closed after the request was sent, so
+    /// requests that may not be repeated ask for a fresh one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target can't be reached in time.
+    pub async fn connect(
+        &self,
+        target: &Target,
+        address: SocketAddr,
+        fresh: bool,
+    ) -> Result<Connection, Error> {
+        let reused = if fresh { None } else { self.idle.take(address) };
+        let sender = match reused {
+            Some(sender) => sender,
+            None => self.open(target, address).await?,
+        };
+        Ok(Connection {
+            target: target.clone(),
+            address,
+            sender,
+            idle: Arc::clone(&self.idle),
+        })
+    }
+
+    async fn open(&self, target: &Target, address: SocketAddr) -> Result<Sender, Error> {
+        let connect = TcpStream::connect(address);
+        let stream = match tokio::time::timeout(self.connect_timeout, connect).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(source)) => {
+                return Err(Error::Connect {
+                    target: target.clone(),
+                    source,
+                });
+            }
+            Err(_) => {
+                return Err(Error::Timeout {
+                    step: Step::Connect,
+                    target: target.clone(),
+                });
+            }
+        };
+        // Requests are written whole, so they must not wait for more data.
+        let _ = stream.set_nodelay(true);
+        let (sender, conn) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|source| Error::Handshake {
+                target: target.clone(),
+                source,
+            })?;
+        let target = target.clone();
+        tokio::spawn(async move {
+            if let Err(e) = conn.await {
+                log::debug!("target: {target}: connection ended: {e}");
+            }
+        });
+        Ok(sender)
+    }
+}
+
+/// A connection over which one request is sent.
+#[derive(Debug)]
+pub struct Connection {
+    target: Target,
+    address: SocketAddr,
+    sender: Sender,
+    idle: Arc<Idle>,
+}
+
+impl Connection {
+    /// Sends the request, once, and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// After any error the target may have run the request.
+    pub async fn send(mut self, req: Outbound) -> Result<Answer, Error> {
+        let mut msg = Request::new(Full::new(req.body));
+        *msg.method_mut() = req.method;
+        *msg.headers_mut() = headers::to_target(&req.headers);
+        let host = self.address.to_string();
+        let parts = (req.path_and_query.parse(), host.parse());
+        let (Ok(uri), Ok(host)) = parts else {
+            return Err(Error::Answer {
+                target: self.target,
+                reason: "the path can't be sent".to_owned(),
+            });
+        };
+        *msg.uri_mut() = uri;
+        msg.headers_mut().insert(HOST, host);
+        let resp = self
+            .sender
+            .send_request(msg)
+            .await
+            .map_err(|source| Error::Dispatch {
+                target: self.target.clone(),
+                source,
+            })?;
+        let (parts, body) = resp.into_parts();
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            conn: self,
+        })
+    }
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Incoming,
+    conn: Connection,
+}
+
+impl Answer {
+    /// Returns the status code.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Returns the headers as the target sent them.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    /// Returns the next piece of the body; `None` after its stated end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off before its stated end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        loop {
+            match self.body.frame().await {
+                None => return Ok(None),
+                Some(Err(e)) => {
+                    return Err(Error::Answer {
+                        target: self.conn.target.clone(),
+                        reason: e.to_string(),
+                    });
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Keeps the connection for another request, once the body was read whole.
+    pub fn release(self) {
+        self.conn.idle.put(self.conn.address, self.conn.sender);
+    }
+}
--- /dev/null
+++ b/crates/target/src/headers.rs
@@ -0,0 +1,59 @@
+//! The headers that pass between callers and targets.
+
+use hyper::HeaderMap;
+use hyper::header::ACCEPT;
+use hyper::header::ACCEPT_LANGUAGE;
+use hyper::header::CACHE_CONTROL;
+use hyper::header::CONTENT_ENCODING;
+use hyper::header::CONTENT_LANGUAGE;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::ETAG;
+use hyper::header::HeaderName;
+use hyper::header::IF_MATCH;
+use hyper::header::IF_NONE_MATCH;
+use hyper::header::LAST_MODIFIED;
+use hyper::header::LOCATION;
+use hyper::header::USER_AGENT;
+
+/// Headers of a caller's request that reach a target. Keys are not among them.
+const TO_TARGET: [HeaderName; 8] = [
+    ACCEPT,
+    ACCEPT_LANGUAGE,
+    CONTENT_TYPE,
+    CONTENT_ENCODING,
+    CONTENT_LANGUAGE,
+    IF_MATCH,
+    IF_NONE_MATCH,
+    USER_AGENT,
+];
+
+/// Headers of a target's answer that reach a caller.
+const TO_CALLER: [HeaderName; 7] = [
+    CACHE_CONTROL,
+    CONTENT_ENCODING,
+    CONTENT_LANGUAGE,
+    CONTENT_TYPE,
+    ETAG,
+    LAST_MODIFIED,
+    LOCATION,
+];
+
+/// Keeps the headers that may reach a target.
+pub fn to_target(headers: &HeaderMap) -> HeaderMap {
+    keep(headers, &TO_TARGET)
+}
+
+/// Keeps the headers that may reach a caller.
+pub fn to_caller(headers: &HeaderMap) -> HeaderMap {
+    keep(headers, &TO_CALLER)
+}
+
+fn keep(headers: &HeaderMap, allowed: &[HeaderName]) -> HeaderMap {
+    let mut kept = HeaderMap::new();
+    for name in allowed {
+        for value in headers.get_all(name) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
--- /dev/null
+++ b/crates/target/src/lib.rs
@@ -0,0 +1,14 @@
+//! The targets: model engines and plain services, over HTTP.
+//!
+//! [`Client`] opens connections and sends a request once; nothing here
+//! repeats a request. [`headers`] lists what of a caller's headers may pass.
+
+mod client;
+mod error;
+pub mod headers;
+
+pub use client::Answer;
+pub use client::Client;
+pub use client::Connection;
+pub use client::Outbound;
+pub use error::Error;
--- /dev/null
+++ b/tests/support/process.rs
@@ -0,0 +1,140 @@
+//! The project's programs as processes.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+use std::sync::OnceLock;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+/// Time in which a process must print a line or end.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Builds the programs once and returns the folder they are in.
+pub fn programs() -> &'static PathBuf {
+    static DIR: OnceLock<PathBuf> = OnceLock::new();
+    DIR.get_or_init(|| {
+        // The test binary is in `target/PROFILE/deps`.
+        let exe = std::env::current_exe().expect("the test has a path");
+        let dir = exe
+            .ancestors()
+            .nth(2)
+            .expect("the test is in a target folder");
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--quiet", "--workspace", "--bins"]);
+        build.current_dir(env!("CARGO_MANIFEST_DIR"));
+        build.env("CARGO_TARGET_DIR", dir.parent().expect("a target folder"));
+        if dir.ends_with("release") {
+            build.arg("--release");
+        }
+        let status = build.status().expect("cargo runs");
+        assert!(status.success(), "the programs don't build");
+        dir.to_owned()
+    })
+}
+
+/// Runs a program to its end.
+pub fn output(program: &str, args: &[&str]) -> Output {
+    Command::new(programs().join(program))
+        .args(args)
+        .stdin(Stdio::null())
+        .output()
+        .expect("the program runs")
+}
+
+/// A running program, killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    lines: mpsc::Receiver<String>,
+}
+
+impl Process {
+    /// Starts a program.
+    pub fn start(program: &str, args: &[&str]) -> Self {
+        let mut child = Command::new(programs().join(program))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let (tx, lines) = mpsc::channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                if tx.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        Self { child, lines }
+    }
+
+    /// Waits for a line that starts with `word` and returns the rest of it.
+    pub fn line(&self, word: &str) -> String {
+        loop {
+            let line = self
+                .lines
+                .recv_timeout(PATIENCE)
+                .unwrap_or_else(|e| panic!("no line {word:?}: {e}"));
+            if let Some(rest) = line.strip_prefix(word) {
+                return rest.trim().to_owned();
+            }
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("the process can be signalled");
+    }
+
+    /// Kills the process without warning.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Stops the process in its tracks.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to stop gracefully.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits until the process has ended; true if it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().expect("the process ends").success()
+    }
+
+    /// Tells whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child
+            .try_wait()
+            .expect("the process is known")
+            .is_none()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! The tests of the whole workspace, a module for each area.
+
+mod bucket;
+mod path;
+mod tables;
