Keep cargo's test environment out of the nested build

Cause: the test binary builds the programs with cargo, and ring's build script runs again when CARGO_MANIFEST_DIR differs, so each test run built all TLS dependants again. Ruled out: differing features (the workspace build alone did not rebuild).

--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -5,7 +5,6 @@
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Away;
 use chiverelay_decisions::request::Direct;
-use chiverelay_decisions::request::Head;
 use chiverelay_decisions::request::Request;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
@@ -18,7 +17,6 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
-use crate::dispatch;
 use crate::members;
 use crate::relay::Source;
 use crate::serve::Serve;
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -14,7 +14,6 @@
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
-use chiverelay_decisions::request::Away;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Dispatched;
 use chiverelay_decisions::request::Head;
--- a/crates/chiverelayd/src/serve.rs
+++ b/crates/chiverelayd/src/serve.rs
@@ -9,7 +9,6 @@
 use serde_json::json;
 
 use crate::context::Context;
-use crate::members;
 
 /// Answers callers.
 #[derive(Debug)]
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -31,6 +31,12 @@
         let mut build = Command::new(env!("CARGO"));
         build.args(["build", "--quiet", "--workspace", "--bins"]);
         build.current_dir(env!("CARGO_MANIFEST_DIR"));
+        // Build scripts run again if what cargo tells a test stands in their way.
+        for (name, _) in std::env::vars() {
+            if name.starts_with("CARGO_") && name != "CARGO_HOME" {
+                build.env_remove(name);
+            }
+        }
         build.env("CARGO_TARGET_DIR", dir.parent().expect("a target folder"));
         if dir.ends_with("release") {
             build.arg("--release");
