--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -117,7 +117,7 @@
     }
 
     async fn whole(&self, ask: &Ask, words: u64, running: Running) -> Response<Body> {
-        tokio::time::sleep(self.token_time * words as u32).await;
+        self.work(words as u32).await;
         running.finish();
         let content: Vec<String> = (0..words).map(|i| format!("word{i}")).collect();
         let answer = json!({
@@ -147,10 +147,17 @@
         resp
     }
 
+    /// Takes the time of so many words; a timer would round none up to a tick.
+    async fn work(&self, words: u32) {
+        if !self.token_time.is_zero() {
+            tokio::time::sleep(self.token_time * words).await;
+        }
+    }
+
     /// Sends an answer word by word; true if all of it went out.
     async fn send_words(&self, tx: &Pieces, model: &str, words: u64) -> bool {
         for i in 0..words {
-            tokio::time::sleep(self.token_time).await;
+            self.work(1).await;
             if self.script.get().cut_after == Some(i) {
                 // The receiver may be gone already.
                 let _ = tx.send(Err(std::io::Error::other("cut"))).await;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Returns the process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         kill_process(pid, signal).expect("the process can be signalled");
