Prove that a cut-off region serves its own callers

Stand-in links for UDP and TCP that can be cut, an advertised address for siblings in the settings (so that a link, or address translation, can stand in front of an instance), and two tests over separate processes: a region without links answers its own callers and refuses 'unavailable, not run' what only another region could answer, and is whole again once the links are mended; a store outage stops no request. Seen failing first with the advertised address left out: the cut reached nobody and the test waited in vain for silence.

--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -52,7 +52,8 @@
     let addresses = members::Addresses {
         caller: callers.address(),
         operator: operators.address(),
-        sibling: endpoint.address(),
+        sibling: settings.sibling.advertise.unwrap_or(endpoint.address()),
+        listening: endpoint.address(),
     };
     let cx = Arc::new(Context::new(settings, endpoint.clone(), addresses)?);
     tokio::spawn(publish::run(Arc::clone(&cx)));
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -41,6 +41,8 @@
     pub(crate) operator: SocketAddr,
     /// For siblings.
     pub(crate) sibling: SocketAddr,
+    /// Where the endpoint for siblings listens.
+    pub(crate) listening: SocketAddr,
 }
 
 /// An instance's record in the store.
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -139,6 +139,9 @@
 pub(crate) struct SiblingSettings {
     /// Address to listen on.
     pub(crate) listen: SocketAddr,
+    /// Address that siblings connect to, if it is not the one listened on.
+    #[serde(default)]
+    pub(crate) advertise: Option<SocketAddr>,
     /// Certificate of the authority.
     pub(crate) ca: PathBuf,
     /// Certificate chain of the instance.
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -11,6 +11,8 @@
 use chiverelay_operator::api::GrantKey;
 use chiverelay_operator::api::GrantedKey;
 use chiverelay_standin::engine::Engine;
+use chiverelay_standin::link::Switch;
+use chiverelay_standin::link::UdpLink;
 use chiverelay_standin::service::Service;
 use chiverelay_standin::store::Store;
 use serde_json::json;
@@ -41,6 +43,8 @@
     pub operator: SocketAddr,
     /// Its address for siblings.
     pub sibling: SocketAddr,
+    /// Where its endpoint for siblings listens, behind any link.
+    pub listening: SocketAddr,
 }
 
 impl Daemon {
@@ -54,6 +58,14 @@
     }
 }
 
+/// The links between a daemon and everything but its callers and targets.
+#[derive(Debug)]
+struct Links {
+    sibling: Arc<UdpLink>,
+    store_address: SocketAddr,
+    store: Switch,
+}
+
 /// Daemons, a store and targets.
 #[derive(Debug)]
 pub struct Site {
@@ -63,6 +75,7 @@
     pub store_address: SocketAddr,
     /// The daemons by name.
     pub daemons: BTreeMap<String, Daemon>,
+    links: BTreeMap<String, Links>,
     dir: TempDir,
     cancel: CancellationToken,
     _guard: DropGuard,
@@ -78,6 +91,27 @@
     /// Starts a store, and a daemon for each name and region; waits until they
     /// hear each other.
     pub async fn start(daemons: &[(&str, &str)]) -> Self {
+        let mut site = Self::empty().await;
+        for (name, region) in daemons {
+            site.start_daemon(name, region, &json!({}));
+        }
+        site.joined().await;
+        site
+    }
+
+    /// Like [`Site::start`], with links that [`Site::cut`] can cut.
+    pub async fn start_linked(daemons: &[(&str, &str)]) -> Self {
+        let mut site = Self::empty().await;
+        for (name, region) in daemons {
+            site.link(name).await;
+            site.start_daemon(name, region, &json!({}));
+        }
+        site.joined().await;
+        site
+    }
+
+    /// Starts a store and no daemon.
+    pub async fn empty() -> Self {
         let store = Arc::new(Store::default());
         let (listener, store_address) = listener().await;
         let cancel = CancellationToken::new();
@@ -90,19 +124,64 @@
         let path = dir.path().to_str().expect("a plain path").to_owned();
         let made = process::output("chiverelay", &["certs", "--dir", &path]);
         assert!(made.status.success(), "{made:?}");
-        let mut site = Self {
+        Self {
             store,
             store_address,
             daemons: BTreeMap::new(),
+            links: BTreeMap::new(),
             dir,
             _guard: cancel.clone().drop_guard(),
             cancel,
+        }
+    }
+
+    async fn link(&mut self, name: &str) {
+        let sibling = UdpLink::bind().await.expect("a free port");
+        tokio::spawn(Arc::clone(&sibling).run(self.cancel.clone()));
+        let (listener, store_address) = listener().await;
+        let store = Switch::default();
+        tokio::spawn(chiverelay_standin::link::run_tcp(
+            listener,
+            self.store_address,
+            store.clone(),
+            self.cancel.clone(),
+        ));
+        let links = Links {
+            sibling,
+            store_address,
+            store,
         };
-        for (name, region) in daemons {
-            site.start_daemon(name, region, &json!({}));
+        self.links.insert(name.to_owned(), links);
+    }
+
+    /// Cuts a daemon's links to the store and to every sibling.
+    pub fn cut(&self, name: &str) {
+        self.links[name].sibling.switch.cut();
+        self.links[name].store.cut();
+        let own = self.daemons[name].listening;
+        for links in self.links.values() {
+            links.sibling.block(own);
         }
-        site.joined().await;
-        site
+    }
+
+    /// Mends what [`Site::cut`] cut.
+    pub fn mend(&self, name: &str) {
+        self.links[name].sibling.switch.mend();
+        self.links[name].store.mend();
+        let own = self.daemons[name].listening;
+        for links in self.links.values() {
+            links.sibling.unblock(&own);
+        }
+    }
+
+    /// Mends what [`Site::cut_store`] cut.
+    pub fn mend_store(&self, name: &str) {
+        self.links[name].store.mend();
+    }
+
+    /// Cuts a daemon's link to the store alone.
+    pub fn cut_store(&self, name: &str) {
+        self.links[name].store.cut();
     }
 
     /// Returns the folder with certificates and settings.
@@ -136,11 +215,15 @@
         let process = Process::start("chiverelayd", &["run", &path]);
         let ready: BTreeMap<String, SocketAddr> =
             serde_json::from_str(&process.line("ready")).expect("the addresses");
+        if let Some(links) = self.links.get(name) {
+            links.sibling.set_upstream(ready["listening"]);
+        }
         let daemon = Daemon {
             process,
             caller: ready["caller"],
             operator: ready["operator"],
             sibling: ready["sibling"],
+            listening: ready["listening"],
         };
         self.daemons.insert(name.to_owned(), daemon);
     }
@@ -151,17 +234,20 @@
             .iter()
             .map(|b| format!("{b:02x}"))
             .collect();
+        let links = self.links.get(name);
+        let advertise = links.and_then(|l| l.sibling.address().ok());
         json!({
             "instance": name, "region": region, "zone": format!("{region}-a"),
             "caller": {"listen": "127.0.0.1:0"},
             "operator": {"listen": "127.0.0.1:0", "token-digest": digest},
             "sibling": {
                 "listen": "127.0.0.1:0",
+                "advertise": advertise,
                 "ca": self.path("ca.pem"),
                 "cert": self.path(&format!("{name}.pem")),
                 "key": self.path(&format!("{name}.key")),
             },
-            "store": {"address": self.store_address},
+            "store": {"address": links.map_or(self.store_address, |l| l.store_address)},
         })
     }
 
