Write digests without the formatter

Cause: the profile of the loaded daemon showed core::fmt and allocation behind each key check, as every byte of a digest went through format!.

--- a/crates/decisions/src/config.rs
+++ b/crates/decisions/src/config.rs
@@ -216,7 +216,9 @@
 
 /// Writes bytes as hexadecimal digits.
 pub fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|b| format!("{b:02x}")).collect()
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    let digits = |b: &u8| [b >> 4, b & 15].map(|d| char::from(DIGITS[usize::from(d)]));
+    bytes.iter().flat_map(digits).collect()
 }
 
 /// Prefix of every key, so that leaked keys can be searched for.
