Pace, count and settle the calls of the store's client

The client called as it pleased: no budget, no counts, no way to tell its own write from another's after a lost answer, and leases were bare numbers.

Each call now passes a gate with a pacer (this instance's part of 0.4 of the store's rates, divided by the known instances) and the store session, a state machine (up, slow, out) fed by the outcome of each call. While the session is out, one call at a time probes with full jitter; on its return nothing saved up is spent at once. Leases are typestates whose validity is measured from before the call was sent, less a margin. A settled write sends the same compare-and-swap again, which its expected revision lets take effect once only. Reading back alone was ruled out: an unchanged value does not show that the first send will not arrive later. Watches resume from the last revision told and list anew after compaction.

The plain swap's conflict with its own value stays as a test beside the settled one.

Conclusion: other parts may use `swap_settled` and `Lease<Held>`.

--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -95,7 +95,11 @@
             events: Ring::new(settings.instance.clone(), settings.events),
             metrics: Metrics::new(settings.metrics.as_ref())?,
             targets: Client::new(CONNECT_TIMEOUT),
-            store: Store::new(settings.store.address, STORE_TIMEOUT),
+            store: Store::new(
+                settings.store.address,
+                settings.store.budget(),
+                STORE_TIMEOUT,
+            ),
             endpoint,
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -13,6 +13,9 @@
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Message;
 use chiverelay_sibling::Up;
+use chiverelay_store::Held;
+use chiverelay_store::Lease;
+use chiverelay_store::Renewal;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::task::JoinSet;
@@ -70,6 +73,8 @@
         refresh(&cx).await;
         beat(&cx).await;
         cx.metrics.queue_depth(cx.pool.waiting());
+        cx.metrics.store_calls(cx.store.gate().calls());
+        cx.store.gate().set_fleet(cx.members.len() as u32 + 1);
         tokio::select! {
             () = cx.stop.cancelled() => return,
             () = tokio::time::sleep(INTERVAL) => {}
@@ -91,27 +96,32 @@
     }
 }
 
-async fn renew(cx: &Context, lease: Option<i64>) -> Option<i64> {
-    match try_renew(cx, lease).await {
+async fn renew(cx: &Context, lease: Option<Lease<Held>>) -> Option<Lease<Held>> {
+    if let Some(lease) = lease {
+        match lease.renew(&cx.store).await {
+            Renewal::Held(lease) => return Some(lease),
+            Renewal::Unanswered(lease, e) => {
+                log::warn!("members: {e}");
+                return Some(lease);
+            }
+            Renewal::Lapsed(_) => log::warn!("members: the lease lapsed"),
+        }
+    }
+    match record(cx).await {
         Ok(lease) => Some(lease),
         Err(e) => {
             log::warn!("members: {e}");
-            lease
+            None
         }
     }
 }
 
-async fn try_renew(cx: &Context, lease: Option<i64>) -> Result<i64, chiverelay_store::Error> {
-    if let Some(lease) = lease
-        && cx.store.renew_lease(lease).await?
-    {
-        return Ok(lease);
-    }
+async fn record(cx: &Context) -> Result<Lease<Held>, chiverelay_store::Error> {
     let lease = cx.store.grant_lease(LEASE).await?;
     let key = key(&cx.settings.instance);
     let value = serde_json::to_vec(&own(cx)).unwrap_or_default();
     let expected = cx.store.get(&key).await?.map_or(0, |e| e.revision);
-    cx.store.swap(&key, expected, &value, lease).await?;
+    cx.store.swap(&key, expected, &value, Some(&lease)).await?;
     Ok(lease)
 }
 
--- a/crates/chiverelayd/src/metrics.rs
+++ b/crates/chiverelayd/src/metrics.rs
@@ -12,6 +12,8 @@
 use cadence::Timed;
 use cadence::UdpMetricSink;
 use chiverelay_decisions::refusal::Refusal;
+use chiverelay_store::Calls;
+use chiverelay_store::Kind;
 
 /// Prefix of every metric.
 const PREFIX: &str = "chiverelay";
@@ -71,4 +73,15 @@
     pub(crate) fn queue_depth(&self, waiting: usize) {
         let _ = self.client.gauge("queue_depth", waiting as u64);
     }
+
+    /// Records the store's calls so far by kind, and its waiting watches.
+    pub(crate) fn store_calls(&self, calls: &Calls) {
+        for kind in Kind::ALL {
+            self.client
+                .gauge_with_tags("store_calls", calls.of(kind))
+                .with_tag("kind", kind.as_str())
+                .send();
+        }
+        let _ = self.client.gauge("store_watches", calls.waiting());
+    }
 }
--- a/crates/chiverelayd/src/operate.rs
+++ b/crates/chiverelayd/src/operate.rs
@@ -166,7 +166,7 @@
         }
         Status {
             own: self.own(),
-            store: "unknown".to_owned(),
+            store: self.cx.store.gate().state().as_str().to_owned(),
             siblings,
         }
     }
--- a/crates/chiverelayd/src/publish.rs
+++ b/crates/chiverelayd/src/publish.rs
@@ -99,7 +99,7 @@
         faults: vec![e.to_string()],
     })?;
     let expected = entry.map_or(0, |e| e.revision);
-    let swap = cx.store.swap(KEY, expected, &value, 0).await;
+    let swap = cx.store.swap(KEY, expected, &value, None).await;
     let config = Arc::new(config);
     match swap {
         Ok(Swap::Done(_)) => {
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -10,6 +10,7 @@
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
 use chiverelay_sibling::Certificates;
+use chiverelay_store::Budget;
 use jsonc_parser::ParseOptions;
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::PrivateKeyDer;
@@ -153,6 +154,24 @@
 pub(crate) struct StoreSettings {
     /// Its address.
     pub(crate) address: SocketAddr,
+    /// Reads a second that it takes from all instances, waiting watches
+    /// included.
+    #[serde(default)]
+    pub(crate) reads_per_second: Option<u32>,
+    /// Writes a second that it takes from all instances.
+    #[serde(default)]
+    pub(crate) writes_per_second: Option<u32>,
+}
+
+impl StoreSettings {
+    /// Returns the rates that the instances share.
+    pub(crate) fn budget(&self) -> Budget {
+        let default = Budget::default();
+        Budget {
+            reads: self.reads_per_second.map_or(default.reads, f64::from),
+            writes: self.writes_per_second.map_or(default.writes, f64::from),
+        }
+    }
 }
 
 fn read(path: &Path) -> Result<Vec<u8>, Error> {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,15 +4,18 @@
 //! and random numbers come from the caller. The peer packages encode and
 //! carry what is decided here, so a further front end uses the same code.
 
+pub mod backoff;
 pub mod config;
 pub mod event;
 pub mod gateway;
 pub mod limits;
 pub mod names;
+pub mod pacing;
 pub mod placement;
 pub mod refusal;
 pub mod request;
 pub mod step;
+pub mod store_session;
 pub mod tables;
 
 pub use config::Config;
--- /dev/null
+++ b/crates/decisions/src/store_session.rs
@@ -0,0 +1,170 @@
+//! Whether the store answers, as a state machine driven by the outcome of
+//! each call.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use statig::Outcome;
+use statig::blocking;
+use statig::blocking::IntoStateMachine;
+use statig::blocking::IntoStateMachineExt;
+use statig::blocking::StateMachine;
+
+use crate::backoff::Backoff;
+
+/// A call that takes longer makes the session slow.
+pub const SLOW: Duration = Duration::from_millis(500);
+
+/// Failed calls in a row after which the session is out.
+pub const FAILURES: u32 = 3;
+
+/// Delays between calls while the session is out.
+pub const PROBES: Backoff = Backoff {
+    base: Duration::from_millis(500),
+    cap: Duration::from_secs(8),
+};
+
+/// State of the session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// Calls are answered.
+    Up,
+    /// Calls are answered late, or some of them not.
+    Slow,
+    /// Calls are not answered; one now and then finds out when they are.
+    Out,
+}
+
+impl State {
+    /// Returns the state's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Up => "up",
+            Self::Slow => "slow",
+            Self::Out => "out",
+        }
+    }
+}
+
+/// The outcome of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The store answered.
+    Answered {
+        /// Time from the call to its answer.
+        took: Duration,
+    },
+    /// The store did not answer.
+    Failed {
+        /// When the call ended.
+        at: Duration,
+        /// A uniform random number.
+        random: u64,
+    },
+}
+
+/// What the states share.
+///
+/// # Invariants
+///
+/// `failures` counts the failed calls since the last answer; `probe_at`
+/// matters only while the session is out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rules {
+    failures: u32,
+    probe_at: Duration,
+}
+
+impl IntoStateMachine for Rules {
+    type State = State;
+    type Superstate<'sub> = ();
+    type Event<'evt> = Event;
+    type Context<'ctx> = ();
+
+    fn initial() -> State {
+        State::Up
+    }
+}
+
+impl blocking::State<Rules> for State {
+    fn call_handler(&mut self, rules: &mut Rules, event: &Event, (): &mut ()) -> Outcome<Self> {
+        let next = match event {
+            Event::Answered { took } => rules.answered(*took),
+            Event::Failed { at, random } => rules.failed(*at, *random),
+        };
+        if next == *self {
+            return Outcome::Handled;
+        }
+        Outcome::Transition(next)
+    }
+}
+
+impl Rules {
+    fn answered(&mut self, took: Duration) -> State {
+        self.failures = 0;
+        if took > SLOW { State::Slow } else { State::Up }
+    }
+
+    fn failed(&mut self, at: Duration, random: u64) -> State {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures < FAILURES {
+            return State::Slow;
+        }
+        self.probe_at = at + PROBES.delay(self.failures - FAILURES + 1, random);
+        State::Out
+    }
+}
+
+/// The session of one instance with the store.
+pub struct Session {
+    machine: StateMachine<Rules>,
+}
+
+impl Session {
+    /// Starts a session.
+    pub fn new() -> Self {
+        Self {
+            machine: Rules::default().state_machine(),
+        }
+    }
+
+    /// Returns the state.
+    pub fn state(&self) -> State {
+        *self.machine.state()
+    }
+
+    /// Takes note of the outcome of a call.
+    pub fn handle(&mut self, event: Event) {
+        self.machine.handle(&event);
+    }
+
+    /// Tells whether a call may start. While the session is out only one may
+    /// in each delay; `random` is uniform.
+    pub fn may_call(&mut self, now: Duration, random: u64) -> bool {
+        if self.state() != State::Out {
+            return true;
+        }
+        let rules = self.machine.inner();
+        if now < rules.probe_at {
+            return false;
+        }
+        // The probe counts as failed until its outcome is known, so that no
+        // other call starts beside it.
+        self.handle(Event::Failed { at: now, random });
+        true
+    }
+}
+
+impl Default for Session {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl std::fmt::Debug for Session {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_tuple("Session").field(&self.state()).finish()
+    }
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::header::CONTENT_TYPE;
 use hyper_util::client::legacy::Client as Pool;
@@ -118,19 +119,41 @@
         self.send(method, address, path, body.into()).await
     }
 
-    /// Sends a request and reads the whole answer.
+    /// Sends a JSON document and returns the answer's status and its body,
+    /// which may go on for long.
     ///
     /// # Errors
     ///
-    /// Fails if there is no whole answer in time.
-    pub async fn send(
+    /// Fails if the head of the answer does not come in time.
+    pub async fn open_json<T>(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: &T,
+    ) -> Result<(StatusCode, Incoming), Error>
+    where
+        T: Serialize,
+    {
+        let body = serde_json::to_vec(body)?;
+        let req = self.request(method, address, path, body.into())?;
+        let head = self.head(address, req);
+        let resp = tokio::time::timeout(self.timeout, head)
+            .await
+            .map_err(|_| Error::Lost {
+                address,
+                reason: "timeout".to_owned(),
+            })??;
+        Ok((resp.status(), resp.into_body()))
+    }
+
+    fn request(
         &self,
         method: Method,
         address: SocketAddr,
         path: &str,
         body: Bytes,
-    ) -> Result<Response, Error> {
-        let lost = |reason: String| Error::Lost { address, reason };
+    ) -> Result<Request<Full<Bytes>>, Error> {
         let mut req = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
@@ -138,15 +161,42 @@
         if let Some(token) = &self.bearer {
             req = req.header(AUTHORIZATION, format!("Bearer {token}"));
         }
-        let req = req.body(Full::new(body)).map_err(|e| lost(e.to_string()))?;
+        req.body(Full::new(body)).map_err(|e| Error::Lost {
+            address,
+            reason: e.to_string(),
+        })
+    }
+
+    async fn head(
+        &self,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<hyper::Response<Incoming>, Error> {
+        self.pool.request(req).await.map_err(|e| {
+            let reason = e.to_string();
+            if e.is_connect() {
+                return Error::Connect { address, reason };
+            }
+            Error::Lost { address, reason }
+        })
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer in time.
+    pub async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response, Error> {
+        let lost = |reason: String| Error::Lost { address, reason };
+        let req = self.request(method, address, path, body)?;
         let exchange = async {
-            let resp = self.pool.request(req).await.map_err(|e| {
-                let reason = e.to_string();
-                if e.is_connect() {
-                    return Error::Connect { address, reason };
-                }
-                lost(reason)
-            })?;
+            let resp = self.head(address, req).await?;
             let status = resp.status();
             let body = Limited::new(resp.into_body(), MAX_BODY)
                 .collect()
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chiverelay_http::Body;
@@ -33,6 +35,7 @@
 #[derive(Debug, Default)]
 pub struct Script {
     current: Mutex<Faults>,
+    struck: AtomicU64,
 }
 
 impl Script {
@@ -44,6 +47,15 @@
             .clone()
     }
 
+    /// Returns how many requests a fault has struck so far.
+    pub fn struck(&self) -> u64 {
+        self.struck.load(Ordering::Relaxed)
+    }
+
+    fn strike(&self) {
+        self.struck.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Puts other faults in force.
     pub fn set(&self, faults: Faults) {
         *self.current.lock().unwrap_or_else(PoisonError::into_inner) = faults;
@@ -69,6 +81,9 @@
             });
         }
         let faults = self.get();
+        if faults.freeze || faults.delay_ms > 0 || faults.refuse {
+            self.strike();
+        }
         if faults.freeze {
             std::future::pending::<()>().await;
         }
@@ -86,6 +101,7 @@
         if !self.get().lose_answer {
             return resp;
         }
+        self.strike();
         let (mut parts, _) = resp.into_parts();
         // The length says more than what comes before the connection is cut.
         parts
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Error;
+
 /// Encodes bytes.
 pub fn encode(data: &[u8]) -> String {
     BASE64_STANDARD.encode(data)
@@ -16,6 +18,19 @@
     BASE64_STANDARD.decode(text).ok()
 }
 
+pub(crate) fn malformed(reason: &str) -> Error {
+    Error::Malformed {
+        reason: reason.to_owned(),
+    }
+}
+
+pub(crate) fn number(text: &str) -> Result<i64, Error> {
+    if text.is_empty() {
+        return Ok(0);
+    }
+    text.parse().map_err(|_| malformed("not a number"))
+}
+
 /// Returns the end of the range of keys that start with `prefix`.
 pub fn range_end(prefix: &[u8]) -> Vec<u8> {
     let mut end = prefix.to_vec();
@@ -153,6 +168,14 @@
     pub responses: Vec<ResponseOp>,
 }
 
+/// `POST /v3/kv/compaction`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CompactionRequest {
+    /// Changes before this revision are forgotten.
+    pub revision: String,
+}
+
 /// `POST /v3/lease/grant`.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,14 +1,21 @@
 //! Calls of the store.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chiverelay_http::Client;
 use hyper::Method;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::Instant;
 
+use crate::Budget;
 use crate::Error;
+use crate::Gate;
+use crate::Held;
+use crate::Kind;
+use crate::Lease;
 use crate::api;
 
 /// A value with the revision at which it was written.
@@ -22,56 +29,74 @@
     pub revision: i64,
 }
 
-/// What became of a compare-and-swap.
+/// The keys of a prefix at one revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Swap {
-    /// The value was written at this revision.
-    Done(i64),
-    /// Another value stands there, or none.
-    Conflict(Option<Entry>),
+pub struct Listing {
+    /// The store's revision.
+    pub revision: i64,
+    /// The keys in their order.
+    pub entries: Vec<Entry>,
 }
 
-/// A client of the store.
+/// A client of the store, which paces and counts its calls.
 #[derive(Clone, Debug)]
 pub struct Store {
-    http: Client,
-    address: SocketAddr,
-}
-
-fn malformed(reason: &str) -> Error {
-    Error::Malformed {
-        reason: reason.to_owned(),
-    }
-}
-
-fn number(text: &str) -> Result<i64, Error> {
-    if text.is_empty() {
-        return Ok(0);
-    }
-    text.parse().map_err(|_| malformed("not a number"))
+    pub(crate) http: Client,
+    pub(crate) address: SocketAddr,
+    pub(crate) timeout: Duration,
+    pub(crate) gate: Arc<Gate>,
 }
 
 impl Entry {
-    fn read(kv: &api::KeyValue) -> Result<Self, Error> {
-        let key = api::decode(&kv.key).ok_or_else(|| malformed("key"))?;
+    pub(crate) fn read(kv: &api::KeyValue) -> Result<Self, Error> {
+        let key = api::decode(&kv.key).ok_or_else(|| api::malformed("key"))?;
         Ok(Self {
-            key: String::from_utf8(key).map_err(|_| malformed("key"))?,
-            value: api::decode(&kv.value).ok_or_else(|| malformed("value"))?,
-            revision: number(&kv.mod_revision)?,
+            key: String::from_utf8(key).map_err(|_| api::malformed("key"))?,
+            value: api::decode(&kv.value).ok_or_else(|| api::malformed("value"))?,
+            revision: api::number(&kv.mod_revision)?,
         })
     }
 }
 
 impl Store {
-    /// Makes a client whose calls end within `timeout`.
-    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+    /// Makes a client whose calls wait for their turn and for their answer
+    /// for at most `timeout` each.
+    pub fn new(address: SocketAddr, budget: Budget, timeout: Duration) -> Self {
         Self {
             http: Client::new(timeout),
             address,
+            timeout,
+            gate: Arc::new(Gate::new(budget, rand::random())),
         }
     }
 
-    async fn call<Q, R>(&self, path: &str, req: &Q) -> Result<R, Error>
+    /// Returns what admits the calls: counts, rate and session.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    pub(crate) async fn call<Q, R>(&self, kind: Kind, path: &str, req: &Q) -> Result<R, Error>
+    where
+        Q: Serialize,
+        R: DeserializeOwned,
+    {
+        let (_, resp) = self.timed_call(kind, path, req).await?;
+        Ok(resp)
+    }
+
+    async fn timed_call<Q, R>(&self, kind: Kind, path: &str, req: &Q) -> Result<(Instant, R), Error>
+    where
+        Q: Serialize,
+        R: DeserializeOwned,
+    {
+        let permit = self.gate.enter(kind, self.timeout).await?;
+        let started = permit.started();
+        let result = self.exchange(path, req).await;
+        permit.end(&result);
+        Ok((started, result?))
+    }
+
+    async fn exchange<Q, R>(&self, path: &str, req: &Q) -> Result<R, Error>
     where
         Q: Serialize,
         R: DeserializeOwned,
@@ -98,7 +123,7 @@
             key: api::encode(key.as_bytes()),
             range_end: String::new(),
         };
-        let resp: api::RangeResponse = self.call("/v3/kv/range", &req).await?;
+        let resp: api::RangeResponse = self.call(Kind::Get, "/v3/kv/range", &req).await?;
         resp.kvs.first().map(Entry::read).transpose()
     }
 
@@ -108,99 +133,61 @@
     ///
     /// Fails if the store gives no answer.
     pub async fn list(&self, prefix: &str) -> Result<Vec<Entry>, Error> {
-        let req = api::RangeRequest {
-            key: api::encode(prefix.as_bytes()),
-            range_end: api::encode(&api::range_end(prefix.as_bytes())),
-        };
-        let resp: api::RangeResponse = self.call("/v3/kv/range", &req).await?;
-        resp.kvs.iter().map(Entry::read).collect()
+        Ok(self.list_at(prefix).await?.entries)
     }
 
-    /// Writes a key if its last change was at `expected`; 0 for no such key.
+    /// Reads every key that starts with `prefix`, with the revision at which
+    /// they stand so.
     ///
     /// # Errors
     ///
-    /// Fails if the store gives no answer; with [`Error::Lost`] the value may
-    /// have been written.
-    pub async fn swap(
-        &self,
-        key: &str,
-        expected: i64,
-        value: &[u8],
-        lease: i64,
-    ) -> Result<Swap, Error> {
-        let encoded = api::encode(key.as_bytes());
-        let req = api::TxnRequest {
-            compare: vec![api::Compare {
-                key: encoded.clone(),
-                target: "MOD".to_owned(),
-                result: "EQUAL".to_owned(),
-                mod_revision: expected.to_string(),
-            }],
-            success: vec![api::RequestOp {
-                request_put: Some(api::PutRequest {
-                    key: encoded.clone(),
-                    value: api::encode(value),
-                    lease: lease.to_string(),
-                }),
-                ..api::RequestOp::default()
-            }],
-            failure: vec![api::RequestOp {
-                request_range: Some(api::RangeRequest {
-                    key: encoded,
-                    range_end: String::new(),
-                }),
-                ..api::RequestOp::default()
-            }],
+    /// Fails if the store gives no answer.
+    pub async fn list_at(&self, prefix: &str) -> Result<Listing, Error> {
+        let req = api::RangeRequest {
+            key: api::encode(prefix.as_bytes()),
+            range_end: api::encode(&api::range_end(prefix.as_bytes())),
         };
-        let resp: api::TxnResponse = self.call("/v3/kv/txn", &req).await?;
-        if resp.succeeded {
-            return Ok(Swap::Done(number(&resp.header.revision)?));
-        }
-        let found = resp
-            .responses
-            .first()
-            .and_then(|r| r.response_range.as_ref())
-            .and_then(|r| r.kvs.first());
-        Ok(Swap::Conflict(found.map(Entry::read).transpose()?))
+        let resp: api::RangeResponse = self.call(Kind::List, "/v3/kv/range", &req).await?;
+        let entries: Result<_, _> = resp.kvs.iter().map(Entry::read).collect();
+        Ok(Listing {
+            revision: api::number(&resp.header.revision)?,
+            entries: entries?,
+        })
     }
 
     /// Takes a lease.
     ///
     /// # Errors
     ///
-    /// Fails if the store gives no answer.
-    pub async fn grant_lease(&self, ttl: Duration) -> Result<i64, Error> {
+    /// Fails if the store gives no answer in time.
+    pub async fn grant_lease(&self, ttl: Duration) -> Result<Lease<Held>, Error> {
+        let ttl = Duration::from_secs(ttl.as_secs().max(1));
         let req = api::LeaseGrantRequest {
-            TTL: ttl.as_secs().max(1).to_string(),
+            TTL: ttl.as_secs().to_string(),
         };
-        let resp: api::LeaseGrantResponse = self.call("/v3/lease/grant", &req).await?;
-        number(&resp.ID)
+        let (sent, resp): (_, api::LeaseGrantResponse) = self
+            .timed_call(Kind::Grant, "/v3/lease/grant", &req)
+            .await?;
+        Ok(Lease::new(api::number(&resp.ID)?, ttl, sent))
     }
 
-    /// Renews a lease; false if it is gone.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the store gives no answer.
-    pub async fn renew_lease(&self, lease: i64) -> Result<bool, Error> {
+    /// Renews a lease; `None` if it is gone, else when the call was sent.
+    pub(crate) async fn renew(&self, lease: i64) -> Result<Option<Instant>, Error> {
         let req = api::LeaseRequest {
             ID: lease.to_string(),
         };
-        let resp: api::LeaseKeepAliveResponse = self.call("/v3/lease/keepalive", &req).await?;
-        Ok(number(&resp.result.TTL)? > 0)
+        let (sent, resp): (_, api::LeaseKeepAliveResponse) = self
+            .timed_call(Kind::Renew, "/v3/lease/keepalive", &req)
+            .await?;
+        Ok((api::number(&resp.result.TTL)? > 0).then_some(sent))
     }
 
     /// Gives a lease back, and with it every key that hangs on it.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the store gives no answer.
-    pub async fn revoke_lease(&self, lease: i64) -> Result<(), Error> {
+    pub(crate) async fn revoke(&self, lease: i64) -> Result<(), Error> {
         let req = api::LeaseRequest {
             ID: lease.to_string(),
         };
-        let _: serde_json::Value = self.call("/v3/lease/revoke", &req).await?;
+        let _: serde_json::Value = self.call(Kind::Revoke, "/v3/lease/revoke", &req).await?;
         Ok(())
     }
 }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -6,6 +6,15 @@
 /// An error at the store.
 #[derive(Debug, ThisError)]
 pub enum Error {
+    /// The store is out; the call was not sent.
+    #[error("{step}: store: out", step = Step::Store)]
+    Out,
+    /// Too many calls wait for their turn; the call was not sent.
+    #[error("{step}: store: call budget used up", step = Step::Store)]
+    Paced,
+    /// The lease shown with the write is over; the call was not sent.
+    #[error("{step}: store: lease lapsed", step = Step::Store)]
+    Lapsed,
     /// The store has not seen the call.
     #[error("{step}: store: {source}", step = Step::Store)]
     Unreachable {
@@ -18,7 +27,8 @@
         /// The cause.
         source: chiverelay_http::Error,
     },
-    /// The store refused the call.
+    /// The store refused the call; after a status of 500 and above it may
+    /// have acted on it.
     #[error("{step}: store: refused with status {status}", step = Step::Store)]
     Refused {
         /// The HTTP status code.
@@ -30,6 +40,20 @@
         /// What is wrong.
         reason: String,
     },
+    /// The watch's first revision is no longer held.
+    #[error("{step}: store: watch compacted", step = Step::Store)]
+    Compacted,
+}
+
+impl Error {
+    /// Tells whether the store can't have acted on the call.
+    pub fn is_unsent(&self) -> bool {
+        match self {
+            Self::Out | Self::Paced | Self::Lapsed | Self::Unreachable { .. } => true,
+            Self::Refused { status } => *status < 500,
+            Self::Lost { .. } | Self::Malformed { .. } | Self::Compacted => false,
+        }
+    }
 }
 
 impl From<chiverelay_http::Error> for Error {
--- /dev/null
+++ b/crates/store/src/gate.rs
@@ -0,0 +1,183 @@
+//! Admits the client's calls: their rate, and whether the store answers.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use chiverelay_decisions::pacing::Pacer;
+use chiverelay_decisions::store_session::Event;
+use chiverelay_decisions::store_session::Session;
+use chiverelay_decisions::store_session::State;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::Instant;
+
+use crate::Calls;
+use crate::Error;
+use crate::Kind;
+
+/// Instances assumed to share the store before their number is known.
+const UNKNOWN_FLEET: u32 = 32;
+
+/// The part of the store's rates that the instances together may use.
+const SHARE: f64 = 0.4;
+
+/// The store's rates, which all instances share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// Reads a second, waiting watches included.
+    pub reads: f64,
+    /// Writes a second.
+    pub writes: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self {
+            reads: 2000.0,
+            writes: 300.0,
+        }
+    }
+}
+
+/// Admits calls.
+#[derive(Debug)]
+pub struct Gate {
+    start: Instant,
+    budget: Budget,
+    calls: Calls,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    rng: StdRng,
+    session: Session,
+    reads: Pacer,
+    writes: Pacer,
+}
+
+impl Inner {
+    /// Lets calls start anew after an outage, without a burst.
+    fn restart(&mut self, now: Duration) {
+        let random = self.rng.next_u64();
+        self.reads.restart(now, random);
+        self.writes.restart(now, random);
+    }
+}
+
+/// A call that may start now.
+#[derive(Debug)]
+#[must_use]
+pub struct Permit<'a> {
+    gate: &'a Gate,
+    started: Instant,
+}
+
+impl Gate {
+    /// Makes a gate for one instance; `seed` sets its jitter.
+    pub fn new(budget: Budget, seed: u64) -> Self {
+        let part = SHARE / f64::from(UNKNOWN_FLEET);
+        Self {
+            start: Instant::now(),
+            budget,
+            calls: Calls::default(),
+            inner: Mutex::new(Inner {
+                rng: StdRng::seed_from_u64(seed),
+                session: Session::new(),
+                reads: Pacer::new(budget.reads * part),
+                writes: Pacer::new(budget.writes * part),
+            }),
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the number of instances that share the store.
+    pub fn set_fleet(&self, instances: u32) {
+        let part = SHARE / f64::from(instances.max(1));
+        let mut inner = self.lock();
+        inner.reads.set_rate(self.budget.reads * part);
+        inner.writes.set_rate(self.budget.writes * part);
+    }
+
+    /// Returns the session's state.
+    pub fn state(&self) -> State {
+        self.lock().session.state()
+    }
+
+    /// Returns the counts of calls.
+    pub fn calls(&self) -> &Calls {
+        &self.calls
+    }
+
+    fn reserve(&self, kind: Kind, patience: Duration) -> Result<Duration, Error> {
+        let now = self.start.elapsed();
+        let mut inner = self.lock();
+        let random = inner.rng.next_u64();
+        if !inner.session.may_call(now, random) {
+            return Err(Error::Out);
+        }
+        let pacer = match kind.is_write() {
+            true => &mut inner.writes,
+            false => &mut inner.reads,
+        };
+        pacer.reserve(now, patience).ok_or(Error::Paced)
+    }
+
+    /// Waits until a call may start, at most for `patience`.
+    ///
+    /// # Errors
+    ///
+    /// Fails at once while the store is out, and if too many calls wait.
+    pub async fn enter(&self, kind: Kind, patience: Duration) -> Result<Permit<'_>, Error> {
+        let at = self.reserve(kind, patience)?;
+        tokio::time::sleep_until(self.start + at).await;
+        self.calls.count(kind);
+        Ok(Permit {
+            gate: self,
+            started: Instant::now(),
+        })
+    }
+
+    fn handle(&self, answered: Option<Duration>) {
+        let at = self.start.elapsed();
+        let mut inner = self.lock();
+        let event = match answered {
+            Some(took) => Event::Answered { took },
+            None => Event::Failed {
+                at,
+                random: inner.rng.next_u64(),
+            },
+        };
+        let before = inner.session.state();
+        inner.session.handle(event);
+        let after = inner.session.state();
+        if before == State::Out && after != State::Out {
+            inner.restart(at);
+        }
+        if before != after {
+            log::warn!("store: session is {}", after.as_str());
+        }
+    }
+}
+
+impl Permit<'_> {
+    /// Returns when the call started.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Takes note of the call's outcome.
+    pub fn end<T>(self, result: &Result<T, Error>) {
+        let answered = match result {
+            Ok(_) => true,
+            Err(Error::Refused { status }) => *status < 500,
+            Err(_) => false,
+        };
+        self.gate.handle(answered.then(|| self.started.elapsed()));
+    }
+}
--- /dev/null
+++ b/crates/store/src/swap.rs
@@ -0,0 +1,201 @@
+//! Compare-and-swap, settled after lost answers.
+
+use std::time::Duration;
+
+use chiverelay_decisions::backoff::Backoff;
+
+use crate::Entry;
+use crate::Error;
+use crate::Held;
+use crate::Kind;
+use crate::Lease;
+use crate::Store;
+use crate::api;
+
+/// Sends of one write before its outcome counts as unknown.
+const SENDS: u32 = 4;
+
+/// Delays between the sends of one write.
+const RESENDS: Backoff = Backoff {
+    base: Duration::from_millis(100),
+    cap: Duration::from_secs(1),
+};
+
+/// What became of a compare-and-swap.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Swap {
+    /// The value was written at this revision.
+    Done(i64),
+    /// Another value stands there, or none.
+    Conflict(Option<Entry>),
+}
+
+/// What became of a settled compare-and-swap.
+#[derive(Debug)]
+pub enum Settled {
+    /// The value was written. Another may stand there by now.
+    Done,
+    /// The value was not written, as this entry or none stands there.
+    Conflict(Option<Entry>),
+    /// The value may be written, or may yet be.
+    Unknown(Error),
+}
+
+/// A compare-and-swap of one key, with keys that are deleted along with it.
+#[derive(Clone, Copy, Debug)]
+pub struct Write<'a> {
+    /// Key.
+    pub key: &'a str,
+    /// Revision of the last change that is expected; 0 for no such key.
+    pub expected: i64,
+    /// Value.
+    pub value: &'a [u8],
+    /// Lease on which the key is to hang.
+    pub lease: Option<&'a Lease<Held>>,
+    /// Keys that are deleted if the value is written.
+    pub deletes: &'a [String],
+}
+
+impl Write<'_> {
+    fn request(&self) -> api::TxnRequest {
+        let key = api::encode(self.key.as_bytes());
+        let put = api::RequestOp {
+            request_put: Some(api::PutRequest {
+                key: key.clone(),
+                value: api::encode(self.value),
+                lease: self.lease.map_or(0, Lease::id).to_string(),
+            }),
+            ..api::RequestOp::default()
+        };
+        let delete = |key: &String| api::RequestOp {
+            request_delete_range: Some(api::DeleteRequest {
+                key: api::encode(key.as_bytes()),
+            }),
+            ..api::RequestOp::default()
+        };
+        let read = api::RequestOp {
+            request_range: Some(api::RangeRequest {
+                key: key.clone(),
+                range_end: String::new(),
+            }),
+            ..api::RequestOp::default()
+        };
+        api::TxnRequest {
+            compare: vec![api::Compare {
+                key,
+                target: "MOD".to_owned(),
+                result: "EQUAL".to_owned(),
+                mod_revision: self.expected.to_string(),
+            }],
+            success: std::iter::once(put)
+                .chain(self.deletes.iter().map(delete))
+                .collect(),
+            failure: vec![read],
+        }
+    }
+}
+
+impl Store {
+    /// Writes a key if its last change was at `expected`; 0 for no such key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gives no answer; unless [`Error::is_unsent`] the
+    /// value may have been written.
+    pub async fn swap(
+        &self,
+        key: &str,
+        expected: i64,
+        value: &[u8],
+        lease: Option<&Lease<Held>>,
+    ) -> Result<Swap, Error> {
+        self.write(&Write {
+            key,
+            expected,
+            value,
+            lease,
+            deletes: &[],
+        })
+        .await
+    }
+
+    /// Carries out a compare-and-swap.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gives no answer; unless [`Error::is_unsent`] the
+    /// value may have been written.
+    pub async fn write(&self, write: &Write<'_>) -> Result<Swap, Error> {
+        if write.lease.is_some_and(|lease| !lease.is_valid()) {
+            return Err(Error::Lapsed);
+        }
+        let resp: api::TxnResponse = self
+            .call(Kind::Swap, "/v3/kv/txn", &write.request())
+            .await?;
+        if resp.succeeded {
+            return Ok(Swap::Done(api::number(&resp.header.revision)?));
+        }
+        let found = resp
+            .responses
+            .first()
+            .and_then(|r| r.response_range.as_ref())
+            .and_then(|r| r.kvs.first());
+        Ok(Swap::Conflict(found.map(Entry::read).transpose()?))
+    }
+
+    /// Carries out a compare-and-swap and finds out what became of it if its
+    /// answer is lost. The value must be unlike any other writer's, by the
+    /// writer's incarnation and a nonce in it; `mine` tells whether a value
+    /// found in its place is this one or follows from it.
+    ///
+    /// The write is sent again as it is: its expected revision lets it take
+    /// effect once only, also if the first send arrives late.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't have seen the write.
+    pub async fn write_settled<F>(&self, write: &Write<'_>, mine: F) -> Result<Settled, Error>
+    where
+        F: Fn(&[u8]) -> bool,
+    {
+        let mut lost = match self.write(write).await {
+            Ok(Swap::Done(_)) => return Ok(Settled::Done),
+            Ok(Swap::Conflict(found)) => return Ok(Settled::Conflict(found)),
+            Err(e) if e.is_unsent() => return Err(e),
+            Err(e) => e,
+        };
+        for send in 1..SENDS {
+            tokio::time::sleep(RESENDS.delay(send, rand::random())).await;
+            match self.write(write).await {
+                Ok(Swap::Done(_)) => return Ok(Settled::Done),
+                Ok(Swap::Conflict(Some(found))) if mine(&found.value) => return Ok(Settled::Done),
+                Ok(Swap::Conflict(found)) => return Ok(Settled::Conflict(found)),
+                Err(e) => lost = e,
+            }
+        }
+        Ok(Settled::Unknown(lost))
+    }
+
+    /// Is [`Store::write_settled`] for a value whose writer is alone in
+    /// following up on it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't have seen the write.
+    pub async fn swap_settled(
+        &self,
+        key: &str,
+        expected: i64,
+        value: &[u8],
+        lease: Option<&Lease<Held>>,
+    ) -> Result<Settled, Error> {
+        let write = Write {
+            key,
+            expected,
+            value,
+            lease,
+            deletes: &[],
+        };
+        self.write_settled(&write, |found| found == value).await
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod bucket;
 mod path;
+mod store;
 mod tables;
