Add the registry's client and its stand-in

The client speaks a published service-catalog API: list with a status each, register, deregister. What the list says is a hint only: an instance marked critical is leaving; one that is missing says nothing.

The stand-in keeps the changes with their times and answers as of a lag ago.

Conclusion: membership can take the hint; the daemon does not poll yet.

--- a/crates/standin/src/cmd.rs
+++ b/crates/standin/src/cmd.rs
@@ -1,6 +1,7 @@
 //! The subcommands.
 
 pub(crate) mod engine;
+pub(crate) mod registry;
 pub(crate) mod service;
 pub(crate) mod store;
 
@@ -25,7 +26,13 @@
 
 /// Describes the program.
 pub(crate) fn usage() -> String {
-    [store::describe(), engine::describe(), service::describe()].join("\n")
+    [
+        store::describe(),
+        registry::describe(),
+        engine::describe(),
+        service::describe(),
+    ]
+    .join("\n")
 }
 
 /// Opens the listener named by `--listen` and prints its address.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,10 +1,11 @@
 //! Stand-ins for the systems that the gateway talks to, for tests, benches
-//! and examples: a store, a model engine and a plain service.
+//! and examples: a store, a registry, a model engine and a plain service.
 //!
 //! Each has a `serve` function and is a subcommand of the package's program.
 //! [`faults`] scripts what goes wrong; nothing here simulates a cluster.
 
 pub mod engine;
 pub mod faults;
+pub mod registry;
 pub mod service;
 pub mod store;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -11,6 +11,7 @@
     let result = match args.subcommand() {
         Ok(Some(name)) => match name.as_str() {
             "store" => cmd::store::execute(args).await,
+            "registry" => cmd::registry::execute(args).await,
             "engine" => cmd::engine::execute(args).await,
             "service" => cmd::service::execute(args).await,
             _ => Err(cmd::Error::Usage(cmd::usage())),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod bucket;
 mod path;
+mod registry;
 mod store;
 mod tables;
