--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,4 +3,6 @@
 mod bucket;
 mod cuts;
 mod path;
+mod registry;
+mod store;
 mod tables;
