Keep the text of keys from everything that is sent on

An allow-list of headers was all that stood between a caller's key and a target. A key in the query, in the path, in the body, in an allowed header such as User-Agent, or in a header that Connection names went on to the target as it was, and so would it have gone on to a sibling.

Weighed: stripping query parameters by name, which misses a key under any other name and changes what the target is asked; and refusing. Headers for credentials and those that Connection names are removed. Five query names that only ever carry credentials are refused whatever they hold.

An unknown key id is compared with a record that stands for it, so that it takes as long as a known one. A withdrawn key no longer binds its account to the document, so that an account can be removed once its keys are withdrawn.

--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chiverelay_decisions::keys::Detector;
+use chiverelay_decisions::keys::Shown;
 use chiverelay_decisions::names::Model;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
@@ -16,11 +18,39 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
+use hyper::header::CONNECTION;
+use hyper::header::COOKIE;
+use hyper::header::HeaderName;
+use hyper::header::PROXY_AUTHORIZATION;
+use hyper::header::TE;
+use hyper::header::TRAILER;
+use hyper::header::UPGRADE;
 use serde::Deserialize;
 
 /// Bytes of prompt text that count as one token before the engine counts them.
 const BYTES_PER_TOKEN: u64 = 4;
 
+/// Header that may carry a key in place of `Authorization`.
+const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
+
+/// Headers that carry credentials, or concern just the caller's connection.
+const NOT_SENT_ON: [HeaderName; 10] = [
+    API_KEY,
+    AUTHORIZATION,
+    CONNECTION,
+    COOKIE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    UPGRADE,
+];
+
+/// Query parameters that only ever carry credentials.
+const CREDENTIAL_PARAMETERS: [&str; 5] =
+    ["access_token", "api-key", "api_key", "apikey", "x-api-key"];
+
 /// A caller's request, read whole.
 #[derive(Debug)]
 pub struct Inbound {
@@ -30,12 +60,12 @@
     pub path_and_query: String,
     /// Path alone.
     pub path: String,
-    /// Headers as they came.
+    /// Headers without those that carry keys or concern the connection.
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
     /// The key that came with it.
-    pub key: Option<String>,
+    pub key: Option<Shown>,
     /// The model asked for, if any.
     pub model: Option<Model>,
     /// The largest answer in tokens, if stated.
@@ -81,13 +111,24 @@
             Some(p) => p.as_str().to_owned(),
             None => path.clone(),
         };
+        let key = read_key(&parts.headers)?;
+        let headers = without_credentials(parts.headers);
+        let detector = Detector::new(key.as_ref());
+        let in_headers = headers.values().any(|v| detector.finds(v.as_bytes()));
+        if in_headers
+            || names_credential(parts.uri.query().unwrap_or_default())
+            || detector.finds(path_and_query.as_bytes())
+            || detector.finds(&body)
+        {
+            return Err(refuse(Code::Malformed));
+        }
         let fields = read_fields(&path, &body)?;
         Ok(Self {
             method: parts.method,
-            key: read_key(&parts.headers)?,
+            key,
             path_and_query,
             path,
-            headers: parts.headers,
+            headers,
             model: fields.model.map(Model::from),
             max_answer_tokens: fields.max_completion_tokens.or(fields.max_tokens),
             prompt_tokens: (body.len() as u64).div_ceil(BYTES_PER_TOKEN),
@@ -112,20 +153,20 @@
 /// # Errors
 ///
 /// Refuses a request that shows more than one key.
-fn read_key(headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+fn read_key(headers: &HeaderMap) -> Result<Option<Shown>, Refusal> {
     let bearer = headers.get_all(AUTHORIZATION).iter().map(|v| {
         let v = v.to_str().ok()?;
         let (scheme, key) = v.split_once(' ')?;
         scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
     });
     let api_key = headers
-        .get_all("x-api-key")
+        .get_all(API_KEY)
         .iter()
         .map(|v| v.to_str().ok().map(str::trim));
     let keys: Vec<Option<&str>> = bearer.chain(api_key).collect();
     match keys[..] {
         [] => Ok(None),
-        [Some(key)] => Ok(Some(key.to_owned())),
+        [Some(key)] => Ok(Some(Shown::from(key))),
         _ => Err(Refusal::before_dispatch(
             Code::Unauthenticated,
             Step::Authenticate,
@@ -133,3 +174,31 @@
         )),
     }
 }
+
+/// Removes the headers that carry credentials or concern just the connection,
+/// also those that `Connection` names.
+fn without_credentials(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&NOT_SENT_ON) {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// Tells whether a query has a parameter that only ever carries credentials.
+fn names_credential(query: &str) -> bool {
+    query
+        .split(['&', ';'])
+        .filter_map(|pair| pair.split('=').next())
+        .any(|name| {
+            CREDENTIAL_PARAMETERS
+                .iter()
+                .any(|c| name.eq_ignore_ascii_case(c))
+        })
+}
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -10,6 +10,7 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Placement;
+use chiverelay_decisions::keys::Shown;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
@@ -108,7 +109,7 @@
         &self,
         head: Head,
         path: String,
-        key: Option<String>,
+        key: Option<Shown>,
     ) -> Result<Request<Admitted, Direct>, Refusal> {
         let now = self.cx.clock.now();
         let by = key.clone().unwrap_or_default();
--- a/crates/decisions/src/config.rs
+++ b/crates/decisions/src/config.rs
@@ -2,6 +2,7 @@
 //! and keys, as one immutable snapshot.
 
 use std::collections::BTreeMap;
+use std::sync::LazyLock;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -9,6 +10,7 @@
 use sha2::Sha256;
 use subtle::ConstantTimeEq;
 
+use crate::keys::SECRET_DIGITS;
 use crate::names::Account;
 use crate::names::KeyId;
 use crate::names::Model;
@@ -193,6 +195,13 @@
         }
     }
 
+    /// Returns a record that stands for a missing one in comparisons.
+    fn absent() -> &'static Self {
+        static ABSENT: LazyLock<KeyEntry> =
+            LazyLock::new(|| KeyEntry::new("".into(), &"0".repeat(SECRET_DIGITS), ""));
+        &ABSENT
+    }
+
     /// Compares a secret in constant time.
     pub fn matches(&self, secret: &str) -> bool {
         let want = self.digest.as_bytes();
@@ -240,7 +249,11 @@
     /// Finds the account that a key shows.
     pub fn authenticate(&self, key: &str) -> Option<(&KeyId, &Account)> {
         let (id, secret) = split_key(key)?;
-        let (id, entry) = self.keys.get_key_value(id)?;
+        let Some((id, entry)) = self.keys.get_key_value(id) else {
+            // An unknown key takes as long as a known one with a wrong secret.
+            let _ = KeyEntry::absent().matches(secret);
+            return None;
+        };
         (entry.matches(secret) && !entry.withdrawn).then_some((id, &entry.account))
     }
 
@@ -259,7 +272,7 @@
         for (name, route) in &self.routes {
             self.check_route(name, route, &mut faults);
         }
-        for (name, entry) in &self.keys {
+        for (name, entry) in self.keys.iter().filter(|(_, key)| !key.withdrawn) {
             if !self.accounts.contains_key(&entry.account) {
                 faults.push(fault(
                     &["keys", name.as_str(), "account"],
--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::config::Config;
+use crate::keys::Withdrawn;
 use crate::limits::Bucket;
 use crate::names::Account;
 use crate::names::Instance;
@@ -13,6 +14,7 @@
 use crate::names::Target;
 use crate::placement::Load;
 use crate::tables::Rank;
+use crate::tables::Ranked;
 use crate::tables::Sharded;
 use crate::tables::Snapshot;
 
@@ -43,6 +45,8 @@
 pub struct Tables {
     /// The configuration in force.
     pub config: Snapshot,
+    /// Keys that are withdrawn.
+    pub withdrawn: Ranked<Withdrawn>,
     /// Limits by account.
     pub accounts: Sharded<Account, Bucket>,
     /// Load by target.
@@ -56,6 +60,7 @@
     pub fn new() -> Self {
         Self {
             config: Snapshot::new(Config::default()),
+            withdrawn: Ranked::new(Rank::Keys, Withdrawn::default()),
             accounts: Sharded::new(Rank::Accounts),
             targets: Sharded::new(Rank::Targets),
             siblings: Sharded::new(Rank::Siblings),
--- a/crates/decisions/src/gateway/admit.rs
+++ b/crates/decisions/src/gateway/admit.rs
@@ -21,7 +21,7 @@
 use crate::step::Step;
 
 /// What the gateway reads of a caller's request to decide on it.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Ask<'a> {
     /// Path of the request.
     pub path: &'a str,
@@ -45,7 +45,10 @@
     now: Duration,
 ) -> Result<Request<Admitted, Direct>, Refusal> {
     let config = tables.config.get();
-    let shown = ask.key.and_then(|key| config.authenticate(key));
+    let shown = ask
+        .key
+        .and_then(|key| config.authenticate(key))
+        .filter(|(id, _)| !tables.withdrawn.lock().contains(id));
     let Some((name, route)) = config.find_route(ask.path, req.head().model.as_ref()) else {
         // Only a caller with a key learns which routes exist.
         if shown.is_none() {
@@ -56,7 +59,7 @@
     if route.open {
         return Ok(req.admit(grant(name, route, None, 0)));
     }
-    let Some((_, account)) = shown else {
+    let Some((key, account)) = shown else {
         return Err(refuse(req, Code::Unauthenticated, Step::Authenticate));
     };
     if !route.accounts.contains(account) {
@@ -67,6 +70,7 @@
     };
     let charge = charge(&req, route);
     take(tables, account, limit, charge, now).map_err(limited)?;
+    let req = req.with_key(key.clone());
     Ok(req.admit(grant(name, route, Some((account, limit)), charge)))
 }
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod event;
 pub mod gateway;
+pub mod keys;
 pub mod limits;
 pub mod names;
 pub mod placement;
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -62,6 +62,7 @@
 use crate::config::Residency;
 use crate::names::Account;
 use crate::names::Instance;
+use crate::names::KeyId;
 use crate::names::Model;
 use crate::names::Pool;
 use crate::names::Region;
@@ -195,6 +196,7 @@
 #[derive(Debug)]
 pub struct Request<S, O> {
     head: Arc<Head>,
+    key: Option<KeyId>,
     attempted: bool,
     state: S,
     origin: PhantomData<O>,
@@ -206,9 +208,16 @@
         &self.head
     }
 
+    /// Returns the key that the request runs under; `None` on open routes and
+    /// at siblings, which never learn of it.
+    pub fn key(&self) -> Option<&KeyId> {
+        self.key.as_ref()
+    }
+
     fn with_state<T>(self, state: T) -> Request<T, O> {
         Request {
             head: self.head,
+            key: self.key,
             attempted: self.attempted,
             state,
             origin: PhantomData,
@@ -242,6 +251,12 @@
     pub fn from_caller(head: Head) -> Self {
         Self::new(head)
     }
+
+    /// Notes the key that the request runs under.
+    pub(crate) fn with_key(mut self, key: KeyId) -> Self {
+        self.key = Some(key);
+        self
+    }
 }
 
 impl Request<Received, Forwarded> {
@@ -255,6 +270,7 @@
     fn new(head: Head) -> Self {
         Self {
             head: Arc::new(head),
+            key: None,
             attempted: false,
             state: Received(()),
             origin: PhantomData,
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -11,6 +11,8 @@
 use hyper::StatusCode;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 /// Time in which an answer must end.
@@ -120,3 +122,23 @@
         .map_err(|e| e.to_string())?;
     send(address, req).await
 }
+
+/// Sends bytes as they are and reads until the connection ends.
+///
+/// # Errors
+///
+/// Fails if the connection doesn't end in time.
+pub async fn raw(address: SocketAddr, request: &[u8]) -> Result<String, String> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(request).await?;
+        let mut answer = Vec::new();
+        // A reset after the answer loses nothing that was read before it.
+        let _ = stream.read_to_end(&mut answer).await;
+        Ok::<_, std::io::Error>(String::from_utf8_lossy(&answer).into_owned())
+    };
+    match tokio::time::timeout(PATIENCE, exchange).await {
+        Ok(answer) => answer.map_err(|e| e.to_string()),
+        Err(_) => Err("no end of the connection in time".to_owned()),
+    }
+}
