Withdraw keys at any instance, also without the store

A withdrawal was a write to the store and nothing else: with the store out it was refused, and a stream that ran under the key went on to its end.

Every instance now keeps a set of withdrawn ids that only grows. What the configuration in force doesn't hold yet is pending: it is pushed to every known instance at once, and a digest of it goes along with the heartbeats, so that an instance that missed the push asks for it. Weighed: a set of all ids ever in the messages, which would grow for ever; and a lease on each key, which stops callers during an outage of the store.

What runs under a key holds a cancellation token of the key. A withdrawal ends the wait for an answer's head ("unknown", as the target may run it) and breaks a stream off. The request knows its key from admission; siblings still learn the account only.

--- a/crates/chiverelay/src/cmd/keys.rs
+++ b/crates/chiverelay/src/cmd/keys.rs
@@ -35,7 +35,12 @@
 
 async fn withdraw(conn: &Connection, id: String) -> Result<(), Error> {
     let info = conn.client().withdraw(&KeyId::from(id)).await?;
-    println!("key {} of {} is withdrawn", info.id, info.account);
+    let state = if info.durable {
+        "withdrawn"
+    } else {
+        "withdrawn; accepted by this instance, not yet durable"
+    };
+    println!("key {} is {state}", info.id);
     Ok(())
 }
 
@@ -46,7 +51,8 @@
         } else {
             "in force"
         };
-        println!("{}  {}  {state}", key.id, key.account);
+        let account = key.account.as_ref().map_or("-", |a| a.as_str());
+        println!("{}  {account}  {state}", key.id);
     }
     Ok(())
 }
--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 use crate::instance::Instance;
 use crate::instance::Starting;
+use crate::keys;
 use crate::members;
 use crate::operate::Operate;
 use crate::publish;
@@ -57,6 +58,7 @@
     let cx = Arc::new(Context::new(settings, endpoint.clone(), addresses)?);
     tokio::spawn(publish::run(Arc::clone(&cx)));
     tokio::spawn(members::run(Arc::clone(&cx)));
+    tokio::spawn(keys::run(Arc::clone(&cx)));
     tokio::spawn(
         endpoint
             .clone()
--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -20,6 +20,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
+use crate::keys::Running;
 use crate::members::Addresses;
 use crate::members::Member;
 use crate::metrics::Metrics;
@@ -48,6 +49,8 @@
     pub(crate) clock: Clock,
     /// The tables that the workers share.
     pub(crate) tables: Arc<Tables>,
+    /// What runs under each key.
+    pub(crate) running: Arc<Running>,
     /// The workers.
     pub(crate) pool: Pool,
     /// The newest events.
@@ -91,6 +94,7 @@
             addresses,
             clock: Clock::new(),
             tables,
+            running: Arc::new(Running::new()),
             pool,
             events: Ring::new(settings.instance.clone(), settings.events),
             metrics: Metrics::new(settings.metrics.as_ref())?,
--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -13,6 +13,7 @@
 use chiverelay_target::Outbound;
 
 use crate::context::Context;
+use crate::keys;
 
 /// What became of an attempt.
 pub(crate) enum Attempt<O> {
@@ -60,11 +61,20 @@
             return Attempt::Again(req.unplace());
         }
     };
+    let under = keys::enter(cx, req.key());
     let left = req.head().deadline.saturating_sub(cx.clock.now());
     let req = req.dispatch();
     record(Step::Dispatch, "sent".to_owned());
     gateway::start(&cx.tables, &target);
-    let error = match tokio::time::timeout(left, conn.send(out.clone())).await {
+    let sent = tokio::select! {
+        sent = tokio::time::timeout(left, conn.send(out.clone())) => sent,
+        () = under.withdrawn() => {
+            gateway::finish(&cx.tables, &target);
+            record(Step::Authenticate, "cut: the key was withdrawn".to_owned());
+            return Attempt::Refused(req.refuse_unknown(Code::Unauthenticated, Step::Authenticate));
+        }
+    };
+    let error = match sent {
         Ok(Ok(answer)) => {
             record(Step::Answer, format!("status {}", answer.status().as_u16()));
             return Attempt::Answer(req, Box::new(answer));
--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -17,6 +17,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
+use crate::keys;
 use crate::members;
 use crate::relay::Source;
 use crate::serve::Serve;
@@ -52,7 +53,15 @@
             Ok::<_, chiverelay_sibling::Error>((answer, frame))
         };
         let left = req.head().deadline.saturating_sub(self.cx.clock.now());
-        match tokio::time::timeout(left, head).await {
+        let under = keys::enter(&self.cx, req.key());
+        let head = tokio::select! {
+            head = tokio::time::timeout(left, head) => head,
+            () = under.withdrawn() => {
+                record("cut: the key was withdrawn");
+                return Err(req.refuse_unknown(Code::Unauthenticated, Step::Authenticate));
+            }
+        };
+        match head {
             Err(_) => Err(req.refuse_unknown(Code::DeadlineExceeded, Step::Forward)),
             Ok(Err(e)) => {
                 log::warn!("serve: {id}: {e}");
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 
 use crate::context::Context;
+use crate::keys;
 
 /// Prefix of the keys that hold the instances' records.
 const PREFIX: &str = "chiverelay/instances/";
@@ -172,7 +173,7 @@
     beats.join_all().await;
 }
 
-async fn beat_one(cx: &Context, member: &Member) {
+async fn beat_one(cx: &Arc<Context>, member: &Member) {
     let message = Message::Heartbeat(heartbeat(cx));
     let asked = async {
         let link = link(cx, &member.instance).await?;
@@ -197,17 +198,19 @@
     Heartbeat {
         serving: !cx.drain.is_cancelled(),
         config_version: cx.tables.config.get().version,
+        withdrawn: cx.tables.withdrawn.lock().digest(),
     }
 }
 
 /// Takes note of a sibling's sign of life.
-pub(crate) fn hear(cx: &Context, instance: &Instance, region: &Region, beat: &Heartbeat) {
+pub(crate) fn hear(cx: &Arc<Context>, instance: &Instance, region: &Region, beat: &Heartbeat) {
     let sibling = Sibling {
         region: region.clone(),
         heard: cx.clock.now(),
         serving: beat.serving,
     };
     cx.tables.siblings.insert(instance.clone(), sibling);
+    keys::compare(cx, instance, beat.withdrawn);
     cx.members.with(instance, |m| {
         if let Some(m) = m {
             m.config_version = beat.config_version;
--- a/crates/chiverelayd/src/operate.rs
+++ b/crates/chiverelayd/src/operate.rs
@@ -8,6 +8,7 @@
 use chiverelay_decisions::config::token_matches;
 use chiverelay_decisions::event::Page;
 use chiverelay_decisions::names::KeyId;
+use chiverelay_decisions::step::Peer;
 use chiverelay_operator::Handler;
 use chiverelay_operator::api::Apply;
 use chiverelay_operator::api::Failure;
@@ -20,6 +21,7 @@
 use rand::Rng;
 
 use crate::context::Context;
+use crate::keys;
 use crate::publish;
 
 /// Bytes of a key's public part.
@@ -64,6 +66,21 @@
     }
 }
 
+impl Operate {
+    fn key_info(&self, id: &KeyId) -> KeyInfo {
+        let config = self.cx.tables.config.get();
+        let entry = config.keys.get(id);
+        let withdrawn = self.cx.tables.withdrawn.lock().contains(id);
+        let stored = entry.is_some_and(|key| key.withdrawn);
+        KeyInfo {
+            id: id.clone(),
+            account: entry.map(|key| key.account.clone()),
+            withdrawn: withdrawn || stored,
+            durable: entry.is_some() && (stored || !withdrawn),
+        }
+    }
+}
+
 impl Handler for Operate {
     fn authenticate(&self, token: Option<&str>) -> bool {
         let want = &self.cx.settings.operator.token_digest;
@@ -92,11 +109,7 @@
 
     fn keys(&self) -> Vec<KeyInfo> {
         let config = self.cx.tables.config.get();
-        config
-            .keys
-            .iter()
-            .map(|(id, key)| key_info(id, key))
-            .collect()
+        config.keys.keys().map(|id| self.key_info(id)).collect()
     }
 
     async fn grant(&self, req: GrantKey) -> Result<GrantedKey, Failure> {
@@ -121,22 +134,21 @@
     }
 
     async fn withdraw(&self, id: KeyId) -> Result<KeyInfo, Failure> {
-        let config = publish::change(&self.cx, |config| {
-            let Some(key) = config.keys.get_mut(&id) else {
-                return Err(Failure::NotFound {
-                    what: format!("key {id}"),
-                });
-            };
-            key.withdrawn = true;
-            Ok(())
-        })
-        .await?;
-        match config.keys.get_key_value(&id) {
-            Some((id, key)) => Ok(key_info(id, key)),
-            None => Err(Failure::NotFound {
-                what: format!("key {id}"),
-            }),
+        let not_found = || Failure::NotFound {
+            what: format!("key {id}"),
+        };
+        if !keys::is_valid(&id) {
+            return Err(not_found());
         }
+        let ids = [id.clone()];
+        keys::learn(&self.cx, ids.to_vec(), &Peer::Operator);
+        keys::push(&self.cx, &ids);
+        match keys::make_durable(&self.cx, &ids).await {
+            Ok(()) => {}
+            Err(Failure::NotFound { .. }) => return Err(not_found()),
+            Err(e) => log::warn!("keys: {id}: accepted here, not durable yet: {e}"),
+        }
+        Ok(self.key_info(&id))
     }
 
     async fn status(&self) -> Status {
@@ -179,11 +191,3 @@
         self.cx.drain.cancel();
     }
 }
-
-fn key_info(id: &KeyId, key: &KeyEntry) -> KeyInfo {
-    KeyInfo {
-        id: id.clone(),
-        account: key.account.clone(),
-        withdrawn: key.withdrawn,
-    }
-}
--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -13,6 +13,7 @@
 use chiverelay_target as target;
 
 use crate::context::Context;
+use crate::keys::Under;
 
 /// Bytes of an answer that count as one token where the engine counts none.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -107,13 +108,17 @@
     deadline: Duration,
     mut source: Source,
     mut sink: Sink,
+    under: &Under,
 ) -> bool {
     let mut bytes = 0;
     let left = deadline.saturating_sub(cx.clock.now());
     let piped = pipe(&mut source, &mut sink, &mut bytes);
-    let end = tokio::time::timeout(left, piped)
-        .await
-        .unwrap_or_else(|_| End::Broken("deadline".to_owned()));
+    let end = tokio::select! {
+        end = tokio::time::timeout(left, piped) => {
+            end.unwrap_or_else(|_| End::Broken("deadline".to_owned()))
+        }
+        () = under.withdrawn() => End::Broken("the key was withdrawn".to_owned()),
+    };
     let whole = matches!(end, End::Whole);
     source.finish(&cx, whole);
     let used = prompt_tokens + bytes / BYTES_PER_TOKEN;
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -31,6 +31,7 @@
 
 use crate::dispatch;
 use crate::dispatch::Attempt;
+use crate::keys;
 use crate::relay;
 use crate::relay::Sink;
 use crate::relay::Source;
@@ -173,6 +174,7 @@
     ) -> Reply {
         let (tx, body) = chiverelay_caller::channel();
         let cx = Arc::clone(&self.cx);
+        let under = keys::enter(&self.cx, req.key());
         self.cx.requests.spawn(async move {
             let head = Arc::clone(req.head());
             let grant = Arc::clone(req.grant());
@@ -184,6 +186,7 @@
                 head.deadline,
                 source,
                 sink,
+                &under,
             )
             .await;
             let peer = req.peer().clone();
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -32,6 +32,7 @@
 use crate::dispatch::Attempt;
 use crate::forward::read_headers;
 use crate::forward::write_headers;
+use crate::keys;
 use crate::members;
 use crate::relay;
 use crate::relay::Sink;
@@ -133,6 +134,7 @@
             req.head().deadline,
             Source::Target(answer, target),
             Sink::Sibling(tx),
+            &keys::enter(&self.cx, req.key()),
         )
         .await;
         if whole {
@@ -149,6 +151,11 @@
                 members::hear(&self.cx, &from.instance, &from.region, &beat);
                 Message::Heartbeat(members::heartbeat(&self.cx))
             }
+            Message::Withdrawn(ids) => {
+                let peer = Peer::Sibling(from.instance.clone());
+                keys::learn(&self.cx, ids, &peer);
+                Message::Withdrawn(self.cx.tables.withdrawn.lock().pending())
+            }
             Message::Forward(_) | Message::Done => Message::Done,
         };
         Envelope {
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -187,6 +187,18 @@
         self.shard(key).lock().remove(key)
     }
 
+    /// Removes the entry of `key` if `f` returns true for it, under its lock.
+    pub fn remove_if<F>(&self, key: &K, f: F) -> Option<V>
+    where
+        F: FnOnce(&mut V) -> bool,
+    {
+        let mut shard = self.shard(key).lock();
+        if f(shard.get_mut(key)?) {
+            return shard.remove(key);
+        }
+        None
+    }
+
     /// Runs `f` on every entry, one shard's lock at a time.
     pub fn for_each<F>(&self, mut f: F)
     where
--- a/crates/operator/src/api.rs
+++ b/crates/operator/src/api.rs
@@ -58,10 +58,13 @@
 pub struct KeyInfo {
     /// The public part.
     pub id: KeyId,
-    /// The account that the key shows.
-    pub account: Account,
+    /// The account that the key shows; `None` if this instance does not know
+    /// the key yet.
+    pub account: Option<Account>,
     /// Whether the key was withdrawn.
     pub withdrawn: bool,
+    /// Whether what this says stands in the stored configuration.
+    pub durable: bool,
 }
 
 /// `POST /v1/keys`.
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -2,6 +2,7 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
 use chiverelay_decisions::refusal::Refusal;
@@ -31,6 +32,8 @@
     Forward(Forward),
     /// The message was taken and needs no other answer.
     Done,
+    /// Keys whose withdrawal may not be durable yet. Answered in kind.
+    Withdrawn(Vec<KeyId>),
 }
 
 /// A sign of life and what siblings need to know of the sender.
@@ -40,6 +43,8 @@
     pub serving: bool,
     /// The sender's configuration version.
     pub config_version: u64,
+    /// Digest of the withdrawals that are not durable yet.
+    pub withdrawn: u64,
 }
 
 /// A request passed on, with the account in place of the key.
--- a/tests/testsuite/keys.rs
+++ b/tests/testsuite/keys.rs
@@ -1,10 +1,27 @@
 //! Keys: what they show, where their text may not go, and how they end.
 
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use chiverelay_decisions::Config;
+use chiverelay_decisions::config::KeyEntry;
+use chiverelay_decisions::keys;
+use chiverelay_decisions::keys::Withdrawn;
+use chiverelay_decisions::names::KeyId;
+use chiverelay_operator::api::Apply;
+use chiverelay_operator::api::GrantKey;
+use chiverelay_operator::api::GrantedKey;
+use chiverelay_standin::faults::Faults;
+use hyper::StatusCode;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use serde_json::json;
 use support::block_on;
 use support::caller;
 use support::cases;
 use support::site::Site;
 use support::site::document;
+use support::site::eventually;
 
 /// What is to become of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -164,3 +181,230 @@
         Want::Runs
     );
 }
+
+fn long_answer() -> serde_json::Value {
+    json!({"model": "taller-llm", "stream": true, "max_tokens": 100_000, "messages": []})
+}
+
+/// Starts two instances of a region before an engine whose answers take hours.
+async fn two_instances() -> (Site, GrantedKey) {
+    let site = Site::start(&[("lima-1", "lima"), ("lima-2", "lima")]).await;
+    let (_, engine) = site.engine("engine-1", Duration::from_millis(50)).await;
+    let (_, service) = site.service().await;
+    let engines = [("engine-1", engine, "lima")];
+    site.apply(
+        "lima-1",
+        document(&engines, &[("orders-1", service, "lima")]),
+    )
+    .await;
+    let granted = site.grant("lima-1", "encargos").await;
+    (site, granted)
+}
+
+/// Waits until an instance refuses a key.
+async fn refused(site: &Site, name: &str, key: &str) {
+    eventually("the key is refused", async || {
+        let answer = caller::post(site.daemon(name).caller, "/orders", key, &json!({}))
+            .await
+            .expect("an answer");
+        answer.refusal() == ("unauthenticated".to_owned(), "not_run".to_owned())
+    })
+    .await;
+}
+
+#[test]
+fn a_withdrawal_ends_a_stream_at_another_instance() {
+    block_on(async {
+        let (site, granted) = two_instances().await;
+        let address = site.daemon("lima-1").caller;
+        let key = granted.key.clone();
+        let body = long_answer();
+        let stream = caller::post(address, "/v1/chat/completions", &key, &body);
+        let withdraw = async {
+            running(&site, "lima-1").await;
+            let info = site.daemon("lima-2").client().withdraw(&granted.id).await;
+            assert!(info.expect("a withdrawal").durable);
+        };
+        let (answer, ()) = tokio::join!(stream, withdraw);
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(!answer.whole);
+        refused(&site, "lima-1", &granted.key).await;
+    });
+}
+
+/// Waits until an answer begins.
+async fn running(site: &Site, name: &str) {
+    eventually("the request is dispatched", async || {
+        let page = site.daemon(name).client().events().await.expect("events");
+        page.events.iter().any(|e| e.what.starts_with("status 200"))
+    })
+    .await;
+}
+
+#[test]
+fn a_withdrawal_ends_a_request_without_a_head() {
+    block_on(async {
+        let (site, granted) = two_instances().await;
+        let address = site.daemon("lima-1").caller;
+        let mut body = long_answer();
+        body["stream"] = json!(false);
+        let request = caller::post(address, "/v1/chat/completions", &granted.key, &body);
+        let withdraw = async {
+            eventually("the request is dispatched", async || {
+                let page = site.daemon("lima-1").client().events().await;
+                let page = page.expect("events");
+                page.events.iter().any(|e| e.what == "sent")
+            })
+            .await;
+            let info = site.daemon("lima-2").client().withdraw(&granted.id).await;
+            assert!(info.expect("a withdrawal").withdrawn);
+        };
+        let (answer, ()) = tokio::join!(request, withdraw);
+        let want = ("unauthenticated".to_owned(), "unknown".to_owned());
+        assert_eq!(answer.expect("an answer").refusal(), want);
+    });
+}
+
+#[test]
+fn a_withdrawal_counts_while_the_store_is_out() {
+    block_on(async {
+        let (mut site, granted) = two_instances().await;
+        let out = Faults {
+            refuse: true,
+            ..Faults::default()
+        };
+        site.store.script.set(out);
+        let client = site.daemon("lima-1").client();
+        let info = client.withdraw(&granted.id).await.expect("a withdrawal");
+        assert!(info.withdrawn && !info.durable, "{info:?}");
+        refused(&site, "lima-1", &granted.key).await;
+        refused(&site, "lima-2", &granted.key).await;
+        site.store.script.set(Faults::default());
+        eventually("the withdrawal is durable", async || {
+            let keys = client.keys().await.expect("the keys");
+            keys.iter().all(|k| k.withdrawn && k.durable)
+        })
+        .await;
+        // An instance that hears of it only through the store.
+        site.daemon_mut("lima-1").process.kill();
+        site.daemon_mut("lima-2").process.kill();
+        site.daemons.clear();
+        site.start_daemon("lima-3", "lima", &json!({}));
+        refused(&site, "lima-3", &granted.key).await;
+    });
+}
+
+#[test]
+fn a_paused_instance_learns_of_a_withdrawal() {
+    block_on(async {
+        let (site, granted) = two_instances().await;
+        site.daemon("lima-2").process.freeze();
+        let out = Faults {
+            refuse: true,
+            ..Faults::default()
+        };
+        site.store.script.set(out);
+        let client = site.daemon("lima-1").client();
+        let info = client.withdraw(&granted.id).await.expect("a withdrawal");
+        assert!(info.withdrawn && !info.durable, "{info:?}");
+        site.daemon("lima-2").process.thaw();
+        refused(&site, "lima-2", &granted.key).await;
+    });
+}
+
+#[test]
+fn a_withdrawal_wins_over_racing_changes() {
+    block_on(async {
+        let (site, granted) = two_instances().await;
+        let client = site.daemon("lima-1").client();
+        let applies = async {
+            for _ in 0..10 {
+                let config = client.config().await.expect("a configuration");
+                let apply = Apply {
+                    expected: config.version,
+                    document: config.document,
+                };
+                // It may lose, but never undo the withdrawal.
+                let _ = client.apply(&apply).await;
+                let grant = GrantKey {
+                    account: "encargos".into(),
+                };
+                let _ = client.grant(&grant).await;
+            }
+        };
+        let other = site.daemon("lima-2").client();
+        let (info, ()) = tokio::join!(other.withdraw(&granted.id), applies);
+        assert!(info.expect("a withdrawal").withdrawn);
+        let version = client.config().await.expect("a configuration").version;
+        site.in_force(version).await;
+        refused(&site, "lima-1", &granted.key).await;
+        eventually("the withdrawal is durable", async || {
+            let keys = client.keys().await.expect("the keys");
+            let key = keys.iter().find(|k| k.id == granted.id);
+            key.is_some_and(|k| k.withdrawn && k.durable)
+        })
+        .await;
+    });
+}
+
+/// Over any schedule of withdrawals, exchanges and new configurations, no
+/// replica ever forgets one, and in the end all agree.
+fn never_undone(steps: Vec<(u8, u8, u8)>) -> bool {
+    const REPLICAS: usize = 4;
+    const KEYS: u8 = 6;
+    let id = |k: u8| KeyId::from(format!("key{}", k % KEYS));
+    let mut config = Config::default();
+    for k in 0..KEYS {
+        config
+            .keys
+            .insert(id(k), KeyEntry::new("encargos".into(), "salt", "secret"));
+    }
+    let old = config.clone();
+    let mut replicas = vec![Withdrawn::default(); REPLICAS];
+    let mut known = vec![BTreeSet::new(); REPLICAS];
+    for (step, a, b) in steps {
+        let (at, other) = (usize::from(a) % REPLICAS, usize::from(b) % REPLICAS);
+        match step % 5 {
+            0 => {
+                replicas[at].extend([id(b)]);
+                known[at].insert(id(b));
+            }
+            1 => {
+                let pending = replicas[other].pending();
+                replicas[at].extend(pending);
+            }
+            2 => {
+                let unknown = keys::withdraw(&mut config, &replicas[at].pending());
+                assert!(unknown.is_empty());
+                replicas[at].fold(&config);
+            }
+            3 => drop(replicas[at].fold(&config)),
+            // A configuration that lacks every withdrawal.
+            _ => drop(replicas[at].fold(&old)),
+        }
+        let kept = replicas.iter().zip(&known);
+        if !kept
+            .into_iter()
+            .all(|(r, known)| known.iter().all(|id| r.contains(id)))
+        {
+            return false;
+        }
+    }
+    let all: Vec<KeyId> = known.into_iter().flatten().collect();
+    for replica in &replicas {
+        keys::withdraw(&mut config, &replica.pending());
+    }
+    replicas.iter_mut().for_each(|r| drop(r.fold(&config)));
+    replicas
+        .iter()
+        .all(|r| r.digest() == 0 && all.iter().all(|id| r.contains(id)))
+}
+
+#[test]
+fn withdrawals_merge_in_any_order() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 4))
+        .tests(2000)
+        .quickcheck(never_undone as fn(Vec<(u8, u8, u8)>) -> bool);
+}
