--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,8 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
+
+mod cuts;
 mod keys;
 mod path;
 mod tables;
