--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -10,6 +10,7 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Placement;
+use chiverelay_decisions::keys::Shown;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
@@ -30,6 +31,7 @@
 
 use crate::dispatch;
 use crate::dispatch::Attempt;
+use crate::keys;
 use crate::relay;
 use crate::relay::Sink;
 use crate::relay::Source;
@@ -108,7 +110,7 @@
         &self,
         head: Head,
         path: String,
-        key: Option<String>,
+        key: Option<Shown>,
     ) -> Result<Request<Admitted, Direct>, Refusal> {
         let now = self.cx.clock.now();
         let by = key.clone().unwrap_or_default();
@@ -172,6 +174,7 @@
     ) -> Reply {
         let (tx, body) = chiverelay_caller::channel();
         let cx = Arc::clone(&self.cx);
+        let under = keys::enter(&self.cx, req.key());
         self.cx.requests.spawn(async move {
             let head = Arc::clone(req.head());
             let grant = Arc::clone(req.grant());
@@ -183,6 +186,7 @@
                 head.deadline,
                 source,
                 sink,
+                &under,
             )
             .await;
             let peer = req.peer().clone();
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod event;
 pub mod gateway;
+pub mod keys;
 pub mod limits;
 pub mod names;
 pub mod pacing;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,9 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
+
 mod cuts;
+mod keys;
 mod path;
 mod registry;
 mod store;
