--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use chiverelay_decisions::names::Model;
+use chiverelay_decisions::placement::prefix;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::step::Peer;
@@ -17,6 +18,7 @@
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use serde::Deserialize;
+use serde_json::Value;
 
 /// Bytes of prompt text that count as one token before the engine counts them.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -42,6 +44,8 @@
     pub max_answer_tokens: Option<u64>,
     /// Estimated tokens of the prompt.
     pub prompt_tokens: u64,
+    /// Chained hashes of the prompt's blocks.
+    pub prefix: Vec<u64>,
 }
 
 /// The fields of an OpenAI-compatible body that decisions use.
@@ -50,6 +54,37 @@
     model: Option<String>,
     max_tokens: Option<u64>,
     max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    messages: Vec<Turn>,
+    #[serde(default)]
+    prompt: Option<Value>,
+}
+
+/// A message of a chat.
+#[derive(Debug, Deserialize)]
+struct Turn {
+    #[serde(default)]
+    role: String,
+    #[serde(default)]
+    content: Value,
+}
+
+impl Fields {
+    /// Hashes the prompt; the text of each part, or its JSON if it is not text.
+    fn prefix(&self) -> Vec<u64> {
+        let text = |v: &Value| match v {
+            Value::String(s) => s.clone(),
+            Value::Null => String::new(),
+            other => other.to_string(),
+        };
+        let mut parts: Vec<String> = Vec::new();
+        for turn in &self.messages {
+            parts.push(turn.role.clone());
+            parts.push(text(&turn.content));
+        }
+        parts.extend(self.prompt.as_ref().map(text));
+        prefix::hashes(parts.iter().map(String::as_str))
+    }
 }
 
 fn refuse(code: Code) -> Refusal {
@@ -85,6 +120,7 @@
         Ok(Self {
             method: parts.method,
             key: read_key(&parts.headers)?,
+            prefix: fields.prefix(),
             path_and_query,
             path,
             headers: parts.headers,
--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -20,6 +20,7 @@
 use crate::serve::Serve;
 use crate::settings::Settings;
 use crate::sibling::Siblings;
+use crate::wait;
 
 /// Describes the subcommand.
 pub(crate) fn describe() -> &'static str {
@@ -57,6 +58,7 @@
     let cx = Arc::new(Context::new(settings, endpoint.clone(), addresses)?);
     tokio::spawn(publish::run(Arc::clone(&cx)));
     tokio::spawn(members::run(Arc::clone(&cx)));
+    tokio::spawn(wait::run(Arc::clone(&cx)));
     tokio::spawn(
         endpoint
             .clone()
--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -67,6 +67,7 @@
     let error = match tokio::time::timeout(left, conn.send(out.clone())).await {
         Ok(Ok(answer)) => {
             record(Step::Answer, format!("status {}", answer.status().as_u16()));
+            gateway::succeed(&cx.tables, &target, cx.clock.now());
             return Attempt::Answer(req, Box::new(answer));
         }
         Ok(Err(e)) => e.to_string(),
@@ -77,7 +78,7 @@
         }
     };
     gateway::finish(&cx.tables, &target);
-    gateway::eject(&cx.tables, &target, cx.clock.now());
+    gateway::fail(&cx.tables, &target, cx.clock.now());
     log::warn!("dispatch: {id}: {error}");
     record(Step::Dispatch, format!("no answer: {error}"));
     match req.repeat() {
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -15,6 +15,7 @@
 mod serve;
 mod settings;
 mod sibling;
+mod wait;
 mod workers;
 
 use std::process::ExitCode;
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Sibling;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
@@ -197,6 +198,7 @@
     Heartbeat {
         serving: !cx.drain.is_cancelled(),
         config_version: cx.tables.config.get().version,
+        summaries: gateway::summaries(&cx.tables, &cx.settings.region, cx.clock.now()),
     }
 }
 
@@ -206,6 +208,7 @@
         region: region.clone(),
         heard: cx.clock.now(),
         serving: beat.serving,
+        summaries: beat.summaries.clone(),
     };
     cx.tables.siblings.insert(instance.clone(), sibling);
     cx.members.with(instance, |m| {
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -10,6 +10,7 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Placement;
+use chiverelay_decisions::gateway::Turn;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
@@ -34,6 +35,7 @@
 use crate::relay::Sink;
 use crate::relay::Source;
 use crate::serve::Serve;
+use crate::wait;
 
 /// Attempts at a request before it is refused.
 const ATTEMPTS: usize = 4;
@@ -75,7 +77,7 @@
             model: inbound.model,
             prompt_tokens: inbound.prompt_tokens,
             max_answer_tokens: inbound.max_answer_tokens,
-            prefix: Vec::new(),
+            prefix: inbound.prefix,
         };
         let out = Outbound {
             method: inbound.method,
@@ -134,13 +136,22 @@
         mut req: Request<Admitted, Direct>,
         out: Outbound,
     ) -> Result<Reply, Refusal> {
-        for _ in 0..ATTEMPTS {
+        let mut turn = Turn::New;
+        let mut attempts = 0;
+        while attempts < ATTEMPTS {
             let here = &self.cx.settings.region;
-            let placement = gateway::place(&self.cx.tables, req, here, self.cx.clock.now())?;
-            req = match placement {
+            let now = self.cx.clock.now();
+            req = match gateway::place(&self.cx.tables, req, here, turn, now)? {
+                Placement::Wait(req) => {
+                    turn = Turn::Woken;
+                    wait::slot(&self.cx, req).await?
+                }
                 Placement::Here(placed) => match dispatch::attempt(&self.cx, placed, &out).await {
                     Attempt::Answer(req, answer) => return Ok(self.reply(req, answer)),
-                    Attempt::Again(req) => req,
+                    Attempt::Again(req) => {
+                        (turn, attempts) = (Turn::New, attempts + 1);
+                        req
+                    }
                     Attempt::Refused(refusal) => return Err(refusal),
                 },
                 Placement::Away(away) => return self.forward(away, out).await,
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -5,6 +5,8 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::gateway;
+use chiverelay_decisions::gateway::Local;
+use chiverelay_decisions::gateway::Turn;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -36,6 +38,7 @@
 use crate::relay;
 use crate::relay::Sink;
 use crate::relay::Source;
+use crate::wait;
 
 /// Attempts at a forwarded request before it is refused.
 const ATTEMPTS: usize = 3;
@@ -97,15 +100,25 @@
         mut req: Request<Admitted, Forwarded>,
         out: &Outbound,
     ) -> Result<(Request<Dispatched, Forwarded>, Box<Answer>), Refusal> {
-        for _ in 0..ATTEMPTS {
+        let mut turn = Turn::New;
+        let mut attempts = 0;
+        while attempts < ATTEMPTS {
             let here = &self.cx.settings.region;
             let now = self.cx.clock.now();
-            let placed = gateway::place_forwarded(&self.cx.tables, req, here, now)?;
+            let placed = match gateway::place_forwarded(&self.cx.tables, req, here, turn, now)? {
+                Local::Here(placed) => placed,
+                Local::Wait(waiting) => {
+                    turn = Turn::Woken;
+                    req = wait::slot(&self.cx, waiting).await?;
+                    continue;
+                }
+            };
             req = match dispatch::attempt(&self.cx, placed, out).await {
                 Attempt::Answer(req, answer) => return Ok((req, answer)),
                 Attempt::Again(req) => req,
                 Attempt::Refused(refusal) => return Err(refusal),
             };
+            (turn, attempts) = (Turn::New, attempts + 1);
         }
         Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
     }
--- /dev/null
+++ b/crates/chiverelayd/src/wait.rs
@@ -0,0 +1,55 @@
+//! Waits for a slot of a pool.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::gateway;
+use chiverelay_decisions::gateway::Waker;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use tokio::sync::oneshot;
+
+use crate::context::Context;
+
+/// Time between two looks for slots that other instances gave up.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Waits until it is the request's turn.
+pub(crate) async fn slot<O>(
+    cx: &Context,
+    req: Request<Admitted, O>,
+) -> Result<Request<Admitted, O>, Refusal> {
+    let (tx, rx) = oneshot::channel();
+    let waker = Waker::new(move || tx.send(()).is_ok());
+    let now = cx.clock.now();
+    let req = gateway::wait(&cx.tables, req, waker, now)?;
+    let account = req.grant().account.clone();
+    cx.record(
+        &req.head().id,
+        account.as_ref(),
+        Step::Place,
+        Peer::Local,
+        "waits for a slot",
+    );
+    let left = req.head().deadline.saturating_sub(now);
+    match tokio::time::timeout(left, rx).await {
+        Ok(Ok(())) => Ok(req),
+        _ => Err(req.refuse_not_run(Code::DeadlineExceeded, Step::Place, Peer::Local)),
+    }
+}
+
+/// Wakes waiting requests for free slots until the instance stops.
+pub(crate) async fn run(cx: Arc<Context>) {
+    let mut ticks = tokio::time::interval(INTERVAL);
+    loop {
+        tokio::select! {
+            () = cx.stop.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        gateway::pump(&cx.tables, &cx.settings.region, cx.clock.now());
+    }
+}
--- a/crates/decisions/src/config.rs
+++ b/crates/decisions/src/config.rs
@@ -17,6 +17,7 @@
 use crate::names::Route;
 use crate::names::Target;
 use crate::names::Zone;
+use crate::placement::Weights;
 
 /// Tokens charged for an answer where neither request nor route states a limit.
 pub const DEFAULT_MAX_ANSWER_TOKENS: u64 = 1024;
@@ -24,6 +25,15 @@
 /// Time for a whole answer where the route states none, in milliseconds.
 pub const DEFAULT_DEADLINE_MS: u64 = 120_000;
 
+/// Requests that a target takes at once where the pool states none.
+pub const DEFAULT_SLOTS: u64 = 64;
+
+/// Prompt tokens a second that a target reads where the pool states none.
+pub const DEFAULT_PREFILL_RATE: u64 = 8000;
+
+/// Requests that may wait for a pool at an instance where the pool states none.
+pub const DEFAULT_QUEUE: usize = 1024;
+
 /// The whole configuration at one version.
 ///
 /// # Invariants
@@ -140,6 +150,30 @@
     pub kind: PoolKind,
     /// The targets by name.
     pub targets: BTreeMap<Target, TargetEntry>,
+    /// Requests that a target takes at once.
+    #[serde(default = "default_slots")]
+    pub slots: u64,
+    /// Prompt tokens a second that a target reads.
+    #[serde(default = "default_prefill_rate")]
+    pub prefill_rate: u64,
+    /// Requests that may wait at an instance.
+    #[serde(default = "default_queue")]
+    pub queue: usize,
+    /// What placement weighs more.
+    #[serde(default)]
+    pub weights: Weights,
+}
+
+fn default_slots() -> u64 {
+    DEFAULT_SLOTS
+}
+
+fn default_prefill_rate() -> u64 {
+    DEFAULT_PREFILL_RATE
+}
+
+fn default_queue() -> usize {
+    DEFAULT_QUEUE
 }
 
 /// A target of a pool.
@@ -259,6 +293,14 @@
         for (name, route) in &self.routes {
             self.check_route(name, route, &mut faults);
         }
+        for (name, pool) in &self.pools {
+            if pool.slots == 0 || pool.prefill_rate == 0 {
+                faults.push(fault(
+                    &["pools", name.as_str()],
+                    "slots and prefill-rate are at least 1".to_owned(),
+                ));
+            }
+        }
         for (name, entry) in &self.keys {
             if !self.accounts.contains_key(&entry.account) {
                 faults.push(fault(
--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -2,16 +2,25 @@
 
 mod admit;
 mod place;
+mod targets;
+mod wait;
 
 use std::time::Duration;
 
 use crate::config::Config;
+use crate::config::PoolEntry;
 use crate::limits::Bucket;
 use crate::names::Account;
 use crate::names::Instance;
+use crate::names::Pool;
 use crate::names::Region;
 use crate::names::Target;
+use crate::placement::FairQueue;
+use crate::placement::Link;
 use crate::placement::Load;
+use crate::placement::Network;
+use crate::placement::RetryBudget;
+use crate::placement::Summary;
 use crate::tables::Rank;
 use crate::tables::Sharded;
 use crate::tables::Snapshot;
@@ -20,12 +29,23 @@
 pub use admit::admit;
 pub use admit::admit_forwarded;
 pub use admit::settle;
+pub use place::Local;
 pub use place::Placement;
-pub use place::eject;
-pub use place::finish;
+pub use place::Turn;
 pub use place::place;
 pub use place::place_forwarded;
-pub use place::start;
+pub use targets::apply_cache_event;
+pub use targets::eject;
+pub use targets::fail;
+pub use targets::finish;
+pub use targets::report;
+pub use targets::restart;
+pub use targets::start;
+pub use targets::succeed;
+pub use targets::summaries;
+pub use wait::Waker;
+pub use wait::pump;
+pub use wait::wait;
 
 /// A sibling that can take forwarded requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,6 +56,26 @@
     pub heard: Duration,
     /// Whether it takes new work.
     pub serving: bool,
+    /// What it said of the pools of its region.
+    pub summaries: Vec<Summary>,
+}
+
+/// Waiting requests and retries of a pool.
+#[derive(Debug)]
+pub struct Waiting {
+    /// Requests that wait for a slot.
+    pub queue: FairQueue<Waker>,
+    /// The budget for retries.
+    pub retries: RetryBudget,
+}
+
+impl Waiting {
+    fn new(entry: &PoolEntry) -> Self {
+        Self {
+            queue: FairQueue::new(entry.queue),
+            retries: RetryBudget::default(),
+        }
+    }
 }
 
 /// The tables that workers share.
@@ -45,10 +85,16 @@
     pub config: Snapshot,
     /// Limits by account.
     pub accounts: Sharded<Account, Bucket>,
+    /// Waiting requests by pool.
+    pub queues: Sharded<Pool, Waiting>,
     /// Load by target.
     pub targets: Sharded<Target, Load>,
     /// Known siblings.
     pub siblings: Sharded<Instance, Sibling>,
+    /// Budgets of the links to other regions.
+    pub links: Sharded<Region, Link>,
+    /// The network between regions.
+    pub network: Network,
 }
 
 impl Tables {
@@ -57,8 +103,11 @@
         Self {
             config: Snapshot::new(Config::default()),
             accounts: Sharded::new(Rank::Accounts),
+            queues: Sharded::new(Rank::Queues),
             targets: Sharded::new(Rank::Targets),
             siblings: Sharded::new(Rank::Siblings),
+            links: Sharded::new(Rank::Links),
+            network: Network::default(),
         }
     }
 }
--- a/crates/decisions/src/gateway/place.rs
+++ b/crates/decisions/src/gateway/place.rs
@@ -1,26 +1,55 @@
 //! Where an admitted request goes.
 
-use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::Tables;
+use super::Waiting;
+use super::targets::estimate;
+use super::targets::peers;
 use crate::config::Config;
+use crate::config::PoolEntry;
+use crate::config::TargetEntry;
 use crate::names::Instance;
 use crate::names::Region;
 use crate::names::Target;
+use crate::names::Zone;
+use crate::placement::Estimate;
+use crate::placement::Link;
 use crate::placement::Load;
+use crate::placement::Sign;
+use crate::placement::Status;
+use crate::placement::prefix;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::request::Admitted;
 use crate::request::Away;
 use crate::request::Direct;
 use crate::request::Forwarded;
-use crate::request::Grant;
 use crate::request::Placed;
 use crate::request::Request;
 use crate::step::Peer;
 use crate::step::Step;
 
+/// A region's targets are all scored up to this number, else a sample of them.
+const SCORE_ALL: usize = 16;
+
+/// Targets scored by rendezvous hashing of the prefix.
+const HOMES: usize = 2;
+
+/// Targets scored at random.
+const SAMPLES: usize = 4;
+
+/// With fewer usable targets in a hundred, ejected ones are used too.
+const PANIC_PERCENT: usize = 30;
+
+/// Expected time to the first token in a region that said nothing yet.
+const UNKNOWN_REGION: Duration = Duration::from_secs(1);
+
+/// Factor on the score of a target that failed lately.
+const SUSPECT_FACTOR: u32 = 2;
+
 /// Where a caller's request goes.
 #[derive(Debug)]
 pub enum Placement {
@@ -28,34 +57,92 @@
     Here(Request<Placed, Direct>),
     /// To a sibling in another region.
     Away(Request<Away, Direct>),
+    /// It waits for a slot.
+    Wait(Request<Admitted, Direct>),
+}
+
+/// Where a request goes that a sibling passed on.
+#[derive(Debug)]
+pub enum Local {
+    /// To a target of this region.
+    Here(Request<Placed, Forwarded>),
+    /// It waits for a slot.
+    Wait(Request<Admitted, Forwarded>),
 }
 
-/// Time without new work for a target that failed.
-const EJECTION: Duration = Duration::from_secs(5);
+/// Whether a request waited before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It goes behind those that wait.
+    New,
+    /// It was woken, so a slot is its own.
+    Woken,
+}
 
-/// Chooses a target of this region, or else a sibling of another one.
+/// What is the same for all targets while one request is placed.
+struct Scan<'a> {
+    tables: &'a Tables,
+    entry: &'a PoolEntry,
+    here: &'a Region,
+    zone: Option<&'a Zone>,
+    peers: u64,
+    now: Duration,
+}
+
+/// A target with its estimate.
+struct Candidate<'a> {
+    name: &'a Target,
+    status: Status,
+    estimate: Estimate,
+    score: Duration,
+}
+
+/// A sibling of another region with the region's expected time.
+struct Far {
+    instance: Instance,
+    region: Region,
+    first_token: Duration,
+    has_room: bool,
+}
+
+/// Chooses a target of this region, a sibling of another one, or a wait.
 ///
 /// # Errors
 ///
-/// Refuses a request for which no allowed target can be reached.
+/// Refuses a request for which no allowed target can be reached, and a retry
+/// beyond the budget or the deadline.
 pub fn place(
     tables: &Tables,
     req: Request<Admitted, Direct>,
     here: &Region,
+    turn: Turn,
     now: Duration,
 ) -> Result<Placement, Refusal> {
     let config = tables.config.get();
-    let req = match place_here(tables, &config, req, here, now) {
-        Ok(req) => return Ok(Placement::Here(req)),
-        Err(req) => req,
-    };
-    let grant = Arc::clone(req.grant());
-    let Some((instance, region)) = find_sibling(tables, &config, &grant, here) else {
+    let Some(entry) = config.pools.get(&req.grant().pool) else {
         return Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local));
     };
-    req.place_away(instance, region)
-        .map(Placement::Away)
-        .map_err(|req| req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
+    let req = check_retry(tables, entry, req, turn)?;
+    let scan = Scan::new(tables, entry, here, now);
+    let far = find_far(&scan, &config, &req);
+    let Some(best) = scan.best(&req, far.is_none()) else {
+        return match far {
+            Some(far) => go_away(&scan, req, far),
+            None => Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local)),
+        };
+    };
+    let margin = entry.weights.spill_margin();
+    if let Some(far) = far
+        && far.has_room
+        && far.first_token + margin < best.score.max(scan.queue_wait(&req))
+        && spend(&scan, &req, &far.region).is_ok()
+    {
+        return go(req, far);
+    }
+    if turn == Turn::New && !scan.may_start(&req, &best) {
+        return Ok(Placement::Wait(req));
+    }
+    scan.choose(req, &best).map(Placement::Here)
 }
 
 /// Chooses a target of this region for a request that a sibling passed on.
@@ -67,85 +154,291 @@
     tables: &Tables,
     req: Request<Admitted, Forwarded>,
     here: &Region,
+    turn: Turn,
     now: Duration,
-) -> Result<Request<Placed, Forwarded>, Refusal> {
+) -> Result<Local, Refusal> {
     let config = tables.config.get();
-    place_here(tables, &config, req, here, now)
-        .map_err(|req| req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
+    let Some(entry) = config.pools.get(&req.grant().pool) else {
+        return Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local));
+    };
+    let req = check_retry(tables, entry, req, turn)?;
+    let scan = Scan::new(tables, entry, here, now);
+    let Some(best) = scan.best(&req, true) else {
+        return Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local));
+    };
+    if turn == Turn::New && !scan.may_start(&req, &best) {
+        return Ok(Local::Wait(req));
+    }
+    scan.choose(req, &best).map(Local::Here)
 }
 
-fn place_here<O>(
+/// Earns a share of a retry with a first attempt; spends one with a retry.
+fn check_retry<O>(
     tables: &Tables,
-    config: &Config,
+    entry: &PoolEntry,
     req: Request<Admitted, O>,
-    here: &Region,
-    now: Duration,
-) -> Result<Request<Placed, O>, Request<Admitted, O>> {
-    let Some(pool) = config.pools.get(&req.grant().pool) else {
-        return Err(req);
-    };
-    let best = pool
-        .targets
-        .iter()
-        .filter(|(_, t)| t.region == *here)
-        .filter_map(|(name, _)| Some((load(tables, name, now)?, name)))
-        .min();
-    match best {
-        None => Err(req),
-        Some((_, name)) => req.place(name.clone(), here.clone()),
+    turn: Turn,
+) -> Result<Request<Admitted, O>, Refusal> {
+    if turn == Turn::Woken {
+        return Ok(req);
+    }
+    let retry = req.attempted();
+    let pool = req.grant().pool.clone();
+    let allowed = tables.queues.with_or(
+        &pool,
+        || Waiting::new(entry),
+        |waiting| {
+            if retry {
+                return waiting.retries.spend();
+            }
+            waiting.retries.earn();
+            true
+        },
+    );
+    if allowed {
+        return Ok(req);
     }
+    Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
 }
 
-fn load(tables: &Tables, target: &Target, now: Duration) -> Option<u64> {
-    tables.targets.with(target, |load| match load {
-        None => Some(0),
-        Some(load) if load.ejected_until > now => None,
-        Some(load) => Some(load.running),
+fn go(req: Request<Admitted, Direct>, far: Far) -> Result<Placement, Refusal> {
+    req.place_away(far.instance, far.region)
+        .map(Placement::Away)
+        .map_err(|req| req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
+}
+
+/// Sends a request away that has no target in this region.
+fn go_away(
+    scan: &Scan<'_>,
+    req: Request<Admitted, Direct>,
+    far: Far,
+) -> Result<Placement, Refusal> {
+    match spend(scan, &req, &far.region) {
+        Ok(()) => go(req, far),
+        Err(wait) => {
+            let refusal = req.refuse_not_run(Code::Overloaded, Step::Place, Peer::Local);
+            Err(match wait {
+                Some(wait) => refusal.retry_after(wait),
+                None => refusal,
+            })
+        }
+    }
+}
+
+fn link_bytes(req: &Request<Admitted, Direct>) -> u64 {
+    let head = req.head();
+    let answer = req.grant().charge.saturating_sub(head.prompt_tokens);
+    Link::bytes(head.prompt_tokens, head.max_answer_tokens.unwrap_or(answer))
+}
+
+/// Spends the link's budget for a request, or tells the wait for it.
+fn spend(
+    scan: &Scan<'_>,
+    req: &Request<Admitted, Direct>,
+    region: &Region,
+) -> Result<(), Option<Duration>> {
+    let bytes = link_bytes(req);
+    let make = || Link::new(&scan.tables.network, scan.now);
+    scan.tables.links.with_or(region, make, |link| {
+        if link.take(bytes, scan.now) {
+            return Ok(());
+        }
+        Err(link.wait(bytes, scan.now))
     })
 }
 
-fn find_sibling(
-    tables: &Tables,
-    config: &Config,
-    grant: &Grant,
-    here: &Region,
-) -> Option<(Instance, Region)> {
-    let pool = config.pools.get(&grant.pool)?;
-    let mut found = None;
-    tables.siblings.for_each(|name, sibling| {
+/// Finds the best of the other regions that may answer.
+fn find_far(scan: &Scan<'_>, config: &Config, req: &Request<Admitted, Direct>) -> Option<Far> {
+    let grant = req.grant();
+    let home = req.head().prefix.first().copied().unwrap_or_default();
+    let network = &scan.tables.network;
+    let transfer = Duration::from_micros(link_bytes(req) * 8 / network.link_mbits.max(1));
+    let entry = config.pools.get(&grant.pool)?;
+    let mut found: Option<(u64, Far)> = None;
+    scan.tables.siblings.for_each(|name, sibling| {
         let region = &sibling.region;
-        let has_target = || pool.targets.values().any(|t| t.region == *region);
-        if found.is_none()
-            && sibling.serving
-            && region != here
-            && grant.residency.allows(region)
-            && has_target()
+        let has_target = || entry.targets.values().any(|t| t.region == *region);
+        if !sibling.serving
+            || region == scan.here
+            || !grant.residency.allows(region)
+            || !has_target()
         {
-            found = Some((name.clone(), region.clone()));
+            return;
+        }
+        let summary = sibling.summaries.iter().find(|s| s.pool == grant.pool);
+        // A region that says what it has, and has none of the pool, is skipped.
+        if summary.is_none() && !sibling.summaries.is_empty() {
+            return;
+        }
+        let there = summary.map_or(UNKNOWN_REGION, |s| s.first_token(req.head().prompt_tokens));
+        let far = Far {
+            instance: name.clone(),
+            region: region.clone(),
+            first_token: network.round_trip + transfer + there,
+            has_room: summary.is_some_and(|s| s.has_room()),
+        };
+        let weight = prefix::rendezvous(home, name.as_str());
+        let rank = |far: &Far| (!far.has_room, far.first_token);
+        let better = match &found {
+            None => true,
+            Some((_, old)) if old.region != far.region => rank(&far) < rank(old),
+            Some((old, _)) => weight > *old,
+        };
+        if better {
+            found = Some((weight, far));
         }
     });
-    found
+    found.map(|(_, far)| far)
 }
 
-/// Sends no new work to a target for a while.
-pub fn eject(tables: &Tables, target: &Target, now: Duration) {
-    tables.targets.with_or(target, Load::default, |load| {
-        load.ejected_until = now + EJECTION;
-    });
-}
+impl<'a> Scan<'a> {
+    fn new(tables: &'a Tables, entry: &'a PoolEntry, here: &'a Region, now: Duration) -> Self {
+        Self {
+            tables,
+            entry,
+            here,
+            zone: tables.network.zone.as_ref(),
+            peers: peers(tables, here),
+            now,
+        }
+    }
+
+    /// Returns the best target that takes new work.
+    ///
+    /// `last_resort` tells that no other region can answer; then ejected
+    /// targets are used if too few others are left.
+    fn best<O>(&self, req: &Request<Admitted, O>, last_resort: bool) -> Option<Candidate<'a>> {
+        let local: Vec<_> = self
+            .entry
+            .targets
+            .iter()
+            .filter(|(name, t)| t.region == *self.here && !req.tried().contains(name))
+            .collect();
+        let chosen = sample(&local, req);
+        let scored: Vec<_> = chosen
+            .into_iter()
+            .map(|(name, t)| self.score(req, name, t))
+            .filter(|c| c.status != Status::Leaving)
+            .collect();
+        let usable = scored
+            .iter()
+            .filter(|c| c.status != Status::Ejected)
+            .count();
+        let panic = last_resort && usable * 100 < scored.len() * PANIC_PERCENT;
+        scored
+            .into_iter()
+            .filter(|c| panic || c.status != Status::Ejected)
+            .min_by(|a, b| (a.score, a.name).cmp(&(b.score, b.name)))
+    }
+
+    fn score<O>(
+        &self,
+        req: &Request<Admitted, O>,
+        name: &'a Target,
+        target: &TargetEntry,
+    ) -> Candidate<'a> {
+        let head = req.head();
+        let round_trip = match self.zone {
+            Some(zone) if *zone == target.zone => Duration::ZERO,
+            _ => self.tables.network.zone_round_trip,
+        };
+        self.tables.targets.with_or(name, Load::default, |load| {
+            let status = load.health.status(self.now);
+            let estimate = estimate(
+                load,
+                self.entry,
+                &head.prefix,
+                head.prompt_tokens,
+                self.peers,
+                round_trip,
+                self.now,
+            );
+            let score = estimate.score(self.entry.weights);
+            let factor = match status {
+                Status::Suspect => SUSPECT_FACTOR,
+                _ => 1,
+            };
+            Candidate {
+                name,
+                status,
+                estimate,
+                score: score * factor,
+            }
+        })
+    }
+
+    /// Tells whether a request may start now, ahead of none that waits.
+    fn may_start<O>(&self, req: &Request<Admitted, O>, best: &Candidate<'_>) -> bool {
+        let free = best.estimate.has_room() || best.status == Status::Probe;
+        let pool = &req.grant().pool;
+        free && self
+            .tables
+            .queues
+            .with(pool, |w| w.is_none_or(|w| w.queue.is_empty()))
+    }
 
-/// Counts a request as running at its target.
-pub fn start(tables: &Tables, target: &Target) {
-    tables
-        .targets
-        .with_or(target, Load::default, |load| load.running += 1);
+    /// Returns the expected wait in the queue of this region.
+    fn queue_wait<O>(&self, req: &Request<Admitted, O>) -> Duration {
+        let grant = req.grant();
+        self.tables.queues.with(&grant.pool, |waiting| {
+            let Some(waiting) = waiting else {
+                return Duration::ZERO;
+            };
+            if waiting.queue.is_empty() {
+                return Duration::ZERO;
+            }
+            let work = req.head().prompt_tokens;
+            waiting
+                .queue
+                .expected_wait(grant.account.as_ref(), work)
+                .unwrap_or_default()
+        })
+    }
+
+    /// Places the request and counts its prompt at the target.
+    fn choose<O>(
+        &self,
+        req: Request<Admitted, O>,
+        best: &Candidate<'_>,
+    ) -> Result<Request<Placed, O>, Refusal> {
+        let pool = req.grant().pool.clone();
+        let head = req.head().clone();
+        let placed = req
+            .place(best.name.clone(), self.here.clone())
+            .map_err(|req| req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))?;
+        let rate = self.entry.prefill_rate;
+        self.tables
+            .targets
+            .with_or(best.name, Load::default, |load| {
+                load.health.observe(Sign::Placed, self.now);
+                load.add(best.estimate.uncached, rate, self.now);
+                // The target caches the prompt as it reads it.
+                load.cache.insert(head.prefix.iter().copied());
+                load.pool = Some(pool);
+            });
+        Ok(placed)
+    }
 }
 
-/// Counts a request as ended at its target.
-pub fn finish(tables: &Tables, target: &Target) {
-    tables.targets.with(target, |load| {
-        if let Some(load) = load {
-            load.running = load.running.saturating_sub(1);
-        }
-    });
+/// Bounds the targets that are scored: the homes of the prefix and a sample.
+fn sample<'a, O>(
+    local: &[(&'a Target, &'a TargetEntry)],
+    req: &Request<Admitted, O>,
+) -> Vec<(&'a Target, &'a TargetEntry)> {
+    if local.len() <= SCORE_ALL {
+        return local.to_vec();
+    }
+    let mut chosen = Vec::with_capacity(HOMES + SAMPLES);
+    if let Some(first) = req.head().prefix.first() {
+        let weight = |t: &(&Target, &TargetEntry)| prefix::rendezvous(*first, t.0.as_str());
+        let mut homes: Vec<_> = local.iter().map(|t| (weight(t), *t)).collect();
+        homes.select_nth_unstable_by(HOMES, |a, b| b.0.cmp(&a.0));
+        chosen.extend(homes.into_iter().take(HOMES).map(|(_, t)| t));
+    }
+    let seed = xxh3_64(req.head().id.as_str().as_bytes());
+    for i in 0..SAMPLES as u64 {
+        let at = prefix::rendezvous(seed, &i.to_string()) as usize % local.len();
+        chosen.push(local[at]);
+    }
+    chosen
 }
--- /dev/null
+++ b/crates/decisions/src/gateway/wait.rs
@@ -0,0 +1,126 @@
+//! Requests that wait for a slot.
+
+use std::fmt;
+use std::time::Duration;
+
+use super::Tables;
+use super::Waiting;
+use super::targets;
+use crate::names::Pool;
+use crate::names::Region;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+use crate::request::Admitted;
+use crate::request::Request;
+use crate::step::Peer;
+use crate::step::Step;
+
+/// The delay named where a full queue gives no better estimate.
+const FULL_RETRY: Duration = Duration::from_secs(1);
+
+/// Wakes a waiting request.
+pub struct Waker(Box<dyn FnOnce() -> bool + Send>);
+
+impl Waker {
+    /// Wraps a function that returns false if nobody waits any more.
+    pub fn new<F>(wake: F) -> Self
+    where
+        F: FnOnce() -> bool + Send + 'static,
+    {
+        Self(Box::new(wake))
+    }
+
+    fn wake(self) -> bool {
+        (self.0)()
+    }
+}
+
+impl fmt::Debug for Waker {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Waker")
+    }
+}
+
+/// Lets a request wait until [`Waker`] tells it to be placed again.
+///
+/// # Errors
+///
+/// Refuses the request at once if the queue is full or the deadline would
+/// pass first.
+pub fn wait<O>(
+    tables: &Tables,
+    req: Request<Admitted, O>,
+    waker: Waker,
+    now: Duration,
+) -> Result<Request<Admitted, O>, Refusal> {
+    let config = tables.config.get();
+    let grant = req.grant().clone();
+    let Some(entry) = config.pools.get(&grant.pool) else {
+        return Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local));
+    };
+    let work = work(&req);
+    let left = req.head().deadline.saturating_sub(now);
+    let make = || Waiting::new(entry);
+    let taken = tables.queues.with_or(&grant.pool, make, |waiting| {
+        let queue = &mut waiting.queue;
+        queue.measure(now);
+        let expected = queue.expected_wait(grant.account.as_ref(), work);
+        if let Some(over) = expected.and_then(|wait| wait.checked_sub(left)) {
+            return Err((Code::DeadlineExceeded, over));
+        }
+        queue
+            .push(grant.account.as_ref(), work, waker)
+            .map_err(|_| (Code::Overloaded, expected.unwrap_or(FULL_RETRY)))
+    });
+    match taken {
+        Ok(()) => Ok(req),
+        Err((code, delay)) => {
+            let refusal = req.refuse_not_run(code, Step::Place, Peer::Local);
+            Err(refusal.retry_after(delay.max(FULL_RETRY)))
+        }
+    }
+}
+
+/// Returns the work of a request in tokens.
+fn work<O>(req: &Request<Admitted, O>) -> u64 {
+    let head = req.head();
+    let answer = req.grant().charge.saturating_sub(head.prompt_tokens);
+    head.prompt_tokens + head.max_answer_tokens.unwrap_or(answer)
+}
+
+/// Wakes waiting requests for the slots that are free by the estimates.
+///
+/// Slots that other instances gave up are seen in load reports only, so this
+/// is called with each report, and now and then.
+pub fn pump(tables: &Tables, here: &Region, now: Duration) {
+    let config = tables.config.get();
+    let mut peers = None;
+    for (name, entry) in &config.pools {
+        let waiting = tables.queues.with(name, |w| w.map_or(0, |w| w.queue.len()));
+        if waiting == 0 {
+            continue;
+        }
+        let peers = *peers.get_or_insert_with(|| targets::peers(tables, here));
+        let free = targets::free_slots(tables, entry, here, peers, now);
+        for _ in 0..free.unwrap_or(u64::MAX).min(waiting as u64) {
+            wake_next(tables, name);
+        }
+    }
+}
+
+/// Wakes the request whose turn it is.
+pub(super) fn wake_next(tables: &Tables, pool: &Pool) {
+    loop {
+        let next = tables
+            .queues
+            .with(pool, |waiting| waiting.and_then(|w| w.queue.pop()));
+        match next {
+            Some(waker) => {
+                if waker.wake() {
+                    return;
+                }
+            }
+            None => return,
+        }
+    }
+}
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -1,16 +1,28 @@
-//! Where a request runs.
+//! Where a request runs: what is known of targets and regions, and the
+//! expected time to the first token that follows from it.
 
-use std::time::Duration;
+mod cache;
+mod health;
+mod link;
+mod load;
+pub mod prefix;
+mod queue;
+mod retry;
+mod score;
+mod summary;
 
-/// What an instance knows of a target.
-///
-/// # Invariants
-///
-/// `running` counts the requests that this instance has at the target now.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests of this instance at the target.
-    pub running: u64,
-    /// No new work goes to the target before this time.
-    pub ejected_until: Duration,
-}
+pub use cache::CacheView;
+pub use cache::Gap;
+pub use health::Health;
+pub use health::Sign;
+pub use health::Status;
+pub use link::Link;
+pub use link::Network;
+pub use load::Load;
+pub use load::Report;
+pub use queue::FairQueue;
+pub use queue::Full;
+pub use retry::RetryBudget;
+pub use score::Estimate;
+pub use score::Weights;
+pub use summary::Summary;
--- /dev/null
+++ b/crates/decisions/src/placement/cache.rs
@@ -0,0 +1,115 @@
+//! A bounded view of a target's prefix cache, fed by cache events.
+
+use std::collections::HashSet;
+use std::mem;
+
+use xxhash_rust::xxh3::Xxh3DefaultBuilder;
+
+use super::prefix::BLOCK_TOKENS;
+
+type Blocks = HashSet<u64, Xxh3DefaultBuilder>;
+
+/// Blocks kept of one target's cache.
+const CAPACITY: usize = 4096;
+
+/// Events are missing between the last one applied and the one at hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gap {
+    /// Sequence number of the last event applied.
+    pub after: u64,
+    /// Sequence number of the event at hand.
+    pub found: u64,
+}
+
+/// What is known of a target's prefix cache.
+///
+/// # Invariants
+///
+/// `recent` and `older` together hold at most [`CAPACITY`] blocks: when
+/// `recent` reaches half of it, `older` is dropped and replaced by `recent`.
+/// `sequence` is the last event applied, without a gap since the view began.
+#[derive(Clone, Debug, Default)]
+pub struct CacheView {
+    sequence: u64,
+    recent: Blocks,
+    older: Blocks,
+}
+
+impl CacheView {
+    /// Returns the sequence number of the last event applied.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Counts the blocks held.
+    pub fn len(&self) -> usize {
+        self.recent.len() + self.older.len()
+    }
+
+    /// Tells whether nothing is known to be cached.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Takes note of blocks that the target stores.
+    pub fn insert<I>(&mut self, blocks: I)
+    where
+        I: IntoIterator<Item = u64>,
+    {
+        for block in blocks {
+            self.older.remove(&block);
+            self.recent.insert(block);
+            if self.recent.len() >= CAPACITY / 2 {
+                self.older = mem::take(&mut self.recent);
+            }
+        }
+    }
+
+    /// Applies one cache event.
+    ///
+    /// # Errors
+    ///
+    /// A gap in the sequence drops the view, since blocks may have left the
+    /// cache unseen; the event is then applied to the empty view.
+    pub fn apply(&mut self, sequence: u64, stored: &[u64], removed: &[u64]) -> Result<(), Gap> {
+        if sequence <= self.sequence {
+            return Ok(());
+        }
+        let after = mem::replace(&mut self.sequence, sequence);
+        let gap = sequence != after + 1;
+        if gap {
+            self.clear();
+        }
+        for block in removed {
+            self.recent.remove(block);
+            self.older.remove(block);
+        }
+        self.insert(stored.iter().copied());
+        if gap {
+            return Err(Gap {
+                after,
+                found: sequence,
+            });
+        }
+        Ok(())
+    }
+
+    /// Starts anew, for a target that was restarted.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    fn clear(&mut self) {
+        self.recent.clear();
+        self.older.clear();
+    }
+
+    /// Counts the tokens of a prompt's prefix that the target has cached.
+    pub fn cached_tokens(&self, chain: &[u64]) -> u64 {
+        // The hashes are chained, so the last block held covers all before it.
+        let held = chain
+            .iter()
+            .rposition(|b| self.recent.contains(b) || self.older.contains(b));
+        held.map_or(0, |at| (at as u64 + 1) * BLOCK_TOKENS)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/placement/health.rs
@@ -0,0 +1,209 @@
+//! The health of a target as a state machine.
+
+use std::fmt;
+use std::time::Duration;
+
+use statig::blocking::StateMachine;
+use statig::prelude::*;
+
+/// Failures in a row that eject a target.
+const FAILURES: u32 = 2;
+
+/// Time without new work after the first ejection; doubled with each further.
+const EJECTION: Duration = Duration::from_secs(5);
+
+/// The longest ejection is [`EJECTION`] doubled so many times.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// Time for a probe to succeed before another one is sent.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time in which a returning target comes back to its full share.
+const SLOW_START: Duration = Duration::from_secs(20);
+
+/// The share of a target that just returned, in thousandths.
+const FIRST_SHARE: u64 = 100;
+
+/// Something that was seen of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// It answered.
+    Success,
+    /// It failed at a request.
+    Failure,
+    /// It can't be reached or takes no work.
+    Unreachable,
+    /// A request goes to it.
+    Placed,
+    /// It is about to stop.
+    Leaving,
+    /// It says that it takes work.
+    Present,
+}
+
+/// Whether a target takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    /// It does.
+    Healthy,
+    /// It does, and failed lately.
+    Suspect,
+    /// It takes one request, which shows whether it came back.
+    Probe,
+    /// It takes none.
+    Ejected,
+    /// It takes none and will stop.
+    Leaving,
+}
+
+/// A sign with its time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Event {
+    sign: Sign,
+    now: Duration,
+}
+
+/// What outlasts a state.
+///
+/// # Invariants
+///
+/// `ejections` counts the ejections since the last success outside of a probe.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Machine {
+    returned: Option<Duration>,
+    ejections: u32,
+}
+
+impl Machine {
+    fn eject(&mut self, now: Duration) -> Outcome<State> {
+        let doublings = self.ejections.min(MAX_DOUBLINGS);
+        self.ejections += 1;
+        Transition(State::ejected(now + EJECTION * (1 << doublings)))
+    }
+
+    fn welcome(&mut self, now: Duration) -> Outcome<State> {
+        self.returned = Some(now);
+        Transition(State::healthy())
+    }
+}
+
+#[state_machine(
+    initial = "State::healthy()",
+    state(derive(Clone, Debug, PartialEq, Eq)),
+    visibility = "pub(crate)"
+)]
+impl Machine {
+    #[state]
+    fn healthy(&mut self, event: &Event) -> Outcome<State> {
+        match event.sign {
+            Sign::Failure => Transition(State::suspect(1)),
+            Sign::Unreachable => self.eject(event.now),
+            Sign::Leaving => Transition(State::leaving()),
+            Sign::Success => {
+                self.ejections = 0;
+                Handled
+            }
+            Sign::Placed | Sign::Present => Handled,
+        }
+    }
+
+    #[state]
+    fn suspect(&mut self, failures: &mut u32, event: &Event) -> Outcome<State> {
+        match event.sign {
+            Sign::Failure => {
+                *failures += 1;
+                if *failures < FAILURES {
+                    return Handled;
+                }
+                self.eject(event.now)
+            }
+            Sign::Unreachable => self.eject(event.now),
+            Sign::Leaving => Transition(State::leaving()),
+            Sign::Success => Transition(State::healthy()),
+            Sign::Placed | Sign::Present => Handled,
+        }
+    }
+
+    #[state]
+    fn ejected(&mut self, until: &Duration, event: &Event) -> Outcome<State> {
+        match event.sign {
+            Sign::Placed if event.now >= *until => {
+                Transition(State::probing(event.now + PROBE_TIMEOUT))
+            }
+            Sign::Leaving => Transition(State::leaving()),
+            // An answer to work from before the ejection shows nothing new.
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn probing(&mut self, until: &mut Duration, event: &Event) -> Outcome<State> {
+        match event.sign {
+            Sign::Success => self.welcome(event.now),
+            Sign::Failure | Sign::Unreachable => self.eject(event.now),
+            Sign::Leaving => Transition(State::leaving()),
+            Sign::Placed => {
+                *until = event.now + PROBE_TIMEOUT;
+                Handled
+            }
+            Sign::Present => Handled,
+        }
+    }
+
+    #[state]
+    fn leaving(&mut self, event: &Event) -> Outcome<State> {
+        match event.sign {
+            Sign::Present => self.welcome(event.now),
+            _ => Handled,
+        }
+    }
+}
+
+/// The health of a target.
+#[derive(Default)]
+pub struct Health {
+    machine: StateMachine<Machine>,
+}
+
+impl fmt::Debug for Health {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Health").field(self.machine.state()).finish()
+    }
+}
+
+impl Health {
+    /// Takes note of a sign.
+    pub fn observe(&mut self, sign: Sign, now: Duration) {
+        self.machine.handle(&Event { sign, now });
+    }
+
+    /// Tells whether the target takes new work.
+    pub fn status(&self, now: Duration) -> Status {
+        match self.machine.state() {
+            State::Healthy {} => Status::Healthy,
+            State::Suspect { .. } => Status::Suspect,
+            State::Ejected { until } | State::Probing { until } if now >= *until => Status::Probe,
+            State::Ejected { .. } | State::Probing { .. } => Status::Ejected,
+            State::Leaving {} => Status::Leaving,
+        }
+    }
+
+    /// Begins a slow start, for a target whose cache is cold.
+    pub fn start_slowly(&mut self, now: Duration) {
+        self.machine.handle(&Event {
+            sign: Sign::Leaving,
+            now,
+        });
+        self.observe(Sign::Present, now);
+    }
+
+    /// Returns the target's share of its full load, in thousandths.
+    pub fn share(&self, now: Duration) -> u64 {
+        let Some(returned) = self.machine.inner().returned else {
+            return 1000;
+        };
+        let elapsed = now.saturating_sub(returned).min(SLOW_START);
+        let ramp = (1000 - FIRST_SHARE) * elapsed.as_millis() as u64;
+        FIRST_SHARE + ramp / SLOW_START.as_millis() as u64
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/placement/queue.rs
@@ -0,0 +1,176 @@
+//! A bounded queue that shares the slots of a pool fairly among accounts.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::Xxh3DefaultBuilder;
+
+use crate::names::Account;
+
+/// Weight of the newest interval in the measured throughput, in percent.
+const NEWEST: u64 = 30;
+
+/// The shortest interval over which throughput is measured.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// The queue holds as many requests as it may.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full;
+
+#[derive(Debug)]
+struct Entry<T> {
+    work: u64,
+    item: T,
+}
+
+/// An account's waiting requests.
+///
+/// # Invariants
+///
+/// `tag` is the work that the account was served, on the queue's virtual
+/// clock. `waiting` is ordered by work, plus the clock at arrival, so that
+/// short requests go first and none waits for ever. `work` is its sum.
+#[derive(Debug)]
+struct Lane<T> {
+    tag: u64,
+    work: u64,
+    waiting: BTreeMap<(u64, u64), Entry<T>>,
+}
+
+impl<T> Lane<T> {
+    fn rank(&self) -> Option<u64> {
+        let (_, first) = self.waiting.first_key_value()?;
+        Some(self.tag + first.work)
+    }
+}
+
+/// Waiting requests, taken by fair shares of work among accounts.
+///
+/// # Invariants
+///
+/// `len` counts the entries of all lanes and is at most `capacity`. `clock`
+/// never falls while requests wait. A lane without entries is kept only while
+/// its tag is ahead of the clock.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    capacity: usize,
+    len: usize,
+    arrivals: u64,
+    clock: u64,
+    taken: u64,
+    measured: Option<(Duration, u64)>,
+    rate: u64,
+    lanes: HashMap<Option<Account>, Lane<T>, Xxh3DefaultBuilder>,
+}
+
+impl<T> FairQueue<T> {
+    /// Makes an empty queue.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            len: 0,
+            arrivals: 0,
+            clock: 0,
+            taken: 0,
+            measured: None,
+            rate: 0,
+            lanes: HashMap::default(),
+        }
+    }
+
+    /// Counts the waiting requests.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Tells whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Lets a request wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the queue is full.
+    pub fn push(&mut self, account: Option<&Account>, work: u64, item: T) -> Result<(), Full> {
+        if self.len >= self.capacity {
+            return Err(Full);
+        }
+        let clock = self.clock;
+        let lane = self.lanes.entry(account.cloned()).or_insert_with(|| Lane {
+            tag: clock,
+            work: 0,
+            waiting: BTreeMap::new(),
+        });
+        lane.tag = lane.tag.max(clock);
+        lane.work += work;
+        let key = (work.saturating_add(clock), self.arrivals);
+        lane.waiting.insert(key, Entry { work, item });
+        self.arrivals += 1;
+        self.len += 1;
+        Ok(())
+    }
+
+    /// Takes the request whose turn it is.
+    pub fn pop(&mut self) -> Option<T> {
+        let next = self
+            .lanes
+            .iter()
+            .filter_map(|(account, lane)| Some((lane.rank()?, account)))
+            .min()?;
+        let account = next.1.clone();
+        let lane = self.lanes.get_mut(&account)?;
+        let (_, entry) = lane.waiting.pop_first()?;
+        self.clock = self.clock.max(lane.tag);
+        lane.tag += entry.work;
+        lane.work -= entry.work;
+        self.len -= 1;
+        self.taken += entry.work;
+        if self.len == 0 {
+            // Nobody waits, so nobody has been served before another.
+            self.lanes.clear();
+        } else if self.lanes[&account].waiting.is_empty() {
+            let clock = self.clock;
+            self.lanes
+                .retain(|_, l| !l.waiting.is_empty() || l.tag > clock);
+        }
+        Some(entry.item)
+    }
+
+    /// Measures the throughput since the last call.
+    pub fn measure(&mut self, now: Duration) {
+        let Some((at, taken)) = self.measured else {
+            self.measured = Some((now, self.taken));
+            return;
+        };
+        let elapsed = now.saturating_sub(at);
+        if elapsed < INTERVAL {
+            return;
+        }
+        let newest = (self.taken - taken) * 1000 / elapsed.as_millis() as u64;
+        self.rate = match self.rate {
+            0 => newest,
+            rate => (rate * (100 - NEWEST) + newest * NEWEST) / 100,
+        };
+        self.measured = Some((now, self.taken));
+    }
+
+    /// Returns the expected wait of another request; `None` before any
+    /// throughput was measured.
+    ///
+    /// No account is served more than this one before the request's turn.
+    pub fn expected_wait(&self, account: Option<&Account>, work: u64) -> Option<Duration> {
+        if self.rate == 0 {
+            return None;
+        }
+        let own = self.lanes.get(&account.cloned()).map_or(0, |l| {
+            let shorter = l.waiting.values().filter(|e| e.work <= work);
+            shorter.map(|e| e.work).sum()
+        });
+        let share = own + work;
+        let ahead: u64 = self.lanes.values().map(|l| l.work.min(share)).sum();
+        Some(Duration::from_millis(ahead * 1000 / self.rate))
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/placement/summary.rs
@@ -0,0 +1,40 @@
+//! What a region says of a pool to the other regions.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::Pool;
+
+/// The state of a pool's targets in one region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The pool.
+    pub pool: Pool,
+    /// Requests that the usable targets take at once.
+    pub slots: u32,
+    /// Requests that they have now.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Expected time to the first token of a small request, in milliseconds.
+    pub first_token_ms: u32,
+    /// Prompt tokens a second of one target.
+    pub prefill_rate: u32,
+}
+
+impl Summary {
+    /// Returns the expected time to the first token of a prompt that is not
+    /// cached there, without the way to the region.
+    pub fn first_token(&self, prompt_tokens: u64) -> Duration {
+        let rate = u64::from(self.prefill_rate.max(1));
+        let prefill = Duration::from_millis(prompt_tokens * 1000 / rate);
+        Duration::from_millis(u64::from(self.first_token_ms)) + prefill
+    }
+
+    /// Tells whether a slot is free.
+    pub fn has_room(&self) -> bool {
+        self.queued == 0 && self.running < self.slots
+    }
+}
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -191,11 +191,12 @@
 /// # Invariants
 ///
 /// `attempted` is set once any attempt was dispatched; a refusal after that
-/// never says "not run".
+/// never says "not run". `tried` lists every target that was chosen before.
 #[derive(Debug)]
 pub struct Request<S, O> {
     head: Arc<Head>,
     attempted: bool,
+    tried: Vec<Target>,
     state: S,
     origin: PhantomData<O>,
 }
@@ -206,10 +207,21 @@
         &self.head
     }
 
+    /// Returns the targets that were chosen before.
+    pub fn tried(&self) -> &[Target] {
+        &self.tried
+    }
+
+    /// Tells whether an attempt was dispatched.
+    pub fn attempted(&self) -> bool {
+        self.attempted
+    }
+
     fn with_state<T>(self, state: T) -> Request<T, O> {
         Request {
             head: self.head,
             attempted: self.attempted,
+            tried: self.tried,
             state,
             origin: PhantomData,
         }
@@ -256,6 +268,7 @@
         Self {
             head: Arc::new(head),
             attempted: false,
+            tried: Vec::new(),
             state: Received(()),
             origin: PhantomData,
         }
@@ -333,7 +346,8 @@
     }
 
     /// Goes back after a connection that failed before any byte was sent.
-    pub fn unplace(self) -> Request<Admitted, O> {
+    pub fn unplace(mut self) -> Request<Admitted, O> {
+        self.tried.push(self.state.target.clone());
         let grant = Arc::clone(&self.state.grant);
         self.with_state(Admitted { grant })
     }
@@ -341,6 +355,7 @@
     /// Marks that the first byte may now reach the target.
     pub fn dispatch(mut self) -> Request<Dispatched, O> {
         let earlier = std::mem::replace(&mut self.attempted, true);
+        self.tried.push(self.state.target.clone());
         let grant = Arc::clone(&self.state.grant);
         let peer = Peer::Target(self.state.target.clone());
         self.with_state(Dispatched {
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -4,6 +4,7 @@
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
+use chiverelay_decisions::placement::Summary;
 use chiverelay_decisions::refusal::Refusal;
 use serde::Deserialize;
 use serde::Serialize;
@@ -40,6 +41,8 @@
     pub serving: bool,
     /// The sender's configuration version.
     pub config_version: u64,
+    /// What the sender's region has of each pool.
+    pub summaries: Vec<Summary>,
 }
 
 /// A request passed on, with the account in place of the key.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
+mod health;
 mod path;
+mod queue;
 mod tables;
