Check residency again when a request is placed

A request was placed by the residency of its admission alone, so one that waited, was retried or was admitted under an older configuration could run in a region that the configuration in force excludes. Placement now takes what both allow, and dispatch drops a target that moved to another region since. The receiver of a forward checks by its own configuration, as before; tests now send it hand-made forwards over the sibling link.

The hand-made forwards to an excluded region were run with the receiver's check taken out. The stand-in engine reports its load, its cache events and the requests taken.

--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -35,7 +35,9 @@
     let entry = config
         .pools
         .get(&req.grant().pool)
-        .and_then(|pool| pool.targets.get(&target));
+        .and_then(|pool| pool.targets.get(&target))
+        // A target may have moved since the request was placed.
+        .filter(|entry| entry.region == *req.region());
     let Some(entry) = entry else {
         return Attempt::Again(req.unplace());
     };
--- a/crates/decisions/src/gateway/place.rs
+++ b/crates/decisions/src/gateway/place.rs
@@ -10,6 +10,7 @@
 use super::targets::peers;
 use crate::config::Config;
 use crate::config::PoolEntry;
+use crate::config::Residency;
 use crate::config::TargetEntry;
 use crate::names::Instance;
 use crate::names::Region;
@@ -27,6 +28,7 @@
 use crate::request::Away;
 use crate::request::Direct;
 use crate::request::Forwarded;
+use crate::request::Grant;
 use crate::request::Placed;
 use crate::request::Request;
 use crate::step::Peer;
@@ -83,6 +85,7 @@
 struct Scan<'a> {
     tables: &'a Tables,
     entry: &'a PoolEntry,
+    residency: Residency,
     here: &'a Region,
     zone: Option<&'a Zone>,
     peers: u64,
@@ -122,8 +125,11 @@
     let Some(entry) = config.pools.get(&req.grant().pool) else {
         return Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local));
     };
+    let Some(residency) = current_residency(&config, req.grant()) else {
+        return Err(req.refuse_not_run(Code::Forbidden, Step::Place, Peer::Local));
+    };
     let req = check_retry(tables, entry, req, turn)?;
-    let scan = Scan::new(tables, entry, here, now);
+    let scan = Scan::new(tables, entry, residency, here, now);
     let far = find_far(&scan, &config, &req);
     let Some(best) = scan.best(&req, far.is_none()) else {
         return match far {
@@ -161,8 +167,11 @@
     let Some(entry) = config.pools.get(&req.grant().pool) else {
         return Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local));
     };
+    let Some(residency) = current_residency(&config, req.grant()) else {
+        return Err(req.refuse_not_run(Code::Forbidden, Step::Place, Peer::Local));
+    };
     let req = check_retry(tables, entry, req, turn)?;
-    let scan = Scan::new(tables, entry, here, now);
+    let scan = Scan::new(tables, entry, residency, here, now);
     let Some(best) = scan.best(&req, true) else {
         return Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local));
     };
@@ -172,6 +181,20 @@
     scan.choose(req, &best).map(Local::Here)
 }
 
+/// Returns where a request may run by the configuration in force, which may
+/// have changed since its admission; `None` if it may not run at all.
+fn current_residency(config: &Config, grant: &Grant) -> Option<Residency> {
+    let route = config.routes.get(&grant.route)?;
+    let residency = grant.residency.and(&route.residency);
+    let Some(account) = &grant.account else {
+        return route.open.then_some(residency);
+    };
+    if !route.accounts.contains(account) {
+        return None;
+    }
+    Some(residency.and(&config.accounts.get(account)?.residency))
+}
+
 /// Earns a share of a retry with a first attempt; spends one with a retry.
 fn check_retry<O>(
     tables: &Tables,
@@ -260,7 +283,7 @@
         let has_target = || entry.targets.values().any(|t| t.region == *region);
         if !sibling.serving
             || region == scan.here
-            || !grant.residency.allows(region)
+            || !scan.residency.allows(region)
             || !has_target()
         {
             return;
@@ -292,10 +315,17 @@
 }
 
 impl<'a> Scan<'a> {
-    fn new(tables: &'a Tables, entry: &'a PoolEntry, here: &'a Region, now: Duration) -> Self {
+    fn new(
+        tables: &'a Tables,
+        entry: &'a PoolEntry,
+        residency: Residency,
+        here: &'a Region,
+        now: Duration,
+    ) -> Self {
         Self {
             tables,
             entry,
+            residency,
             here,
             zone: tables.network.zone.as_ref(),
             peers: peers(tables, here),
@@ -308,6 +338,9 @@
     /// `last_resort` tells that no other region can answer; then ejected
     /// targets are used if too few others are left.
     fn best<O>(&self, req: &Request<Admitted, O>, last_resort: bool) -> Option<Candidate<'a>> {
+        if !self.residency.allows(self.here) {
+            return None;
+        }
         let local: Vec<_> = self
             .entry
             .targets
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -25,6 +25,7 @@
 
 use crate::faults::ReceiverStream;
 use crate::faults::Script;
+use crate::reports::Reports;
 
 /// Largest request in bytes.
 const MAX_BODY: usize = 16 * 1024 * 1024;
@@ -37,6 +38,8 @@
 pub struct Engine {
     /// Scripted faults.
     pub script: Script,
+    /// What the engine says of itself.
+    pub reports: Reports,
     name: String,
     token_time: Duration,
     running: AtomicU64,
@@ -49,6 +52,8 @@
     #[serde(default)]
     stream: bool,
     max_tokens: Option<u64>,
+    #[serde(default)]
+    messages: serde_json::Value,
 }
 
 /// Counts a request as running for as long as it lives.
@@ -85,6 +90,7 @@
     pub fn new(name: &str, token_time: Duration) -> Self {
         Self {
             script: Script::default(),
+            reports: Reports::default(),
             name: name.to_owned(),
             token_time,
             running: AtomicU64::new(0),
@@ -92,14 +98,22 @@
         }
     }
 
+    /// Returns the number of requests taken.
+    pub fn taken(&self) -> u64 {
+        self.reports.taken()
+    }
+
     async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         if req.uri().path() == "/load" {
-            let load = json!({
-                "running": self.running.load(Ordering::Relaxed),
-                "cancelled": self.cancelled.load(Ordering::Relaxed),
-            });
+            let running = self.running.load(Ordering::Relaxed);
+            let cancelled = self.cancelled.load(Ordering::Relaxed);
+            let load = self.reports.load(running, cancelled);
             return chiverelay_http::json(StatusCode::OK, &load);
         }
+        if req.uri().path() == "/cache/events" {
+            let events = self.reports.cache_events(req.uri().query().unwrap_or(""));
+            return chiverelay_http::json(StatusCode::OK, &events);
+        }
         let req = match self.script.before(req).await {
             Ok(req) => req,
             Err(resp) => return resp,
@@ -109,6 +123,7 @@
             Err(resp) => return *resp,
         };
         let words = ask.max_tokens.unwrap_or(DEFAULT_WORDS);
+        self.reports.take(&ask.messages);
         let running = Running::new(&self);
         if ask.stream {
             return self.stream(&ask, words, running);
@@ -181,7 +196,8 @@
     tx.send(Ok(Frame::data(event))).await.is_ok()
 }
 
-/// Serves until `cancel`. `GET /load` gives the load.
+/// Serves until `cancel`. `GET /load` gives the load, `GET /cache/events` what
+/// entered and left the prefix cache.
 pub async fn serve(engine: Arc<Engine>, listener: TcpListener, cancel: CancellationToken) {
     chiverelay_http::run(listener, cancel, move |req| Arc::clone(&engine).answer(req)).await;
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod engine;
 pub mod faults;
+pub mod reports;
 pub mod service;
 pub mod store;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,4 +4,5 @@
 mod health;
 mod path;
 mod queue;
+mod residency;
 mod tables;
