--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -21,6 +21,7 @@
 use crate::serve::Serve;
 use crate::settings::Settings;
 use crate::sibling::Siblings;
+use crate::wait;
 
 /// Describes the subcommand.
 pub(crate) fn describe() -> &'static str {
@@ -60,6 +61,7 @@
     tokio::spawn(publish::run(Arc::clone(&cx)));
     tokio::spawn(members::run(Arc::clone(&cx)));
     tokio::spawn(keys::run(Arc::clone(&cx)));
+    tokio::spawn(wait::run(Arc::clone(&cx)));
     tokio::spawn(
         endpoint
             .clone()
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -5,6 +5,7 @@
 use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
+use chiverelay_decisions::placement::Summary;
 use chiverelay_decisions::refusal::Refusal;
 use serde::Deserialize;
 use serde::Serialize;
@@ -45,6 +46,8 @@
     pub config_version: u64,
     /// Digest of the withdrawals that are not durable yet.
     pub withdrawn: u64,
+    /// What the sender's region has of each pool.
+    pub summaries: Vec<Summary>,
 }
 
 /// A request passed on, with the account in place of the key.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,12 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
-
 mod cuts;
+mod health;
 mod keys;
 mod path;
+mod queue;
 mod registry;
+mod residency;
 mod store;
 mod tables;
