Publish the configuration in chunks under a manifest

One value held the whole configuration, which 26,000 accounts with a key each (6.4 MB) don't fit; every instance polled it each second; a write whose answer was lost stayed unknown.

The tables are divided by the hash of their names into chunks of about 32 KB. A manifest with their digests is switched last by compare-and-swap, in one transaction with the last chunks and with the deletion of chunks that were retired one change earlier, so that a reader of the version before still finds its own. The manifest names its latest writers: after a lost answer the writer knows its own change even if another follows it. Two instances a region, by rendezvous hashing, watch the manifest; the others hear of a version by heartbeat and fetch manifest and missing chunks from a sibling, or from the store after three failed tries. An edition that is not whole is refused with an event and read again later. An instance takes no work before the store or a sibling told it of the newest version. Content-addressed names were ruled out: a retired chunk written again could be deleted by another's switch.

Conclusion: discovery of siblings with the store out is still to come.

--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -1,6 +1,8 @@
 //! What the parts of the daemon share.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use chiverelay_decisions::event::Entry;
@@ -23,6 +25,7 @@
 use crate::members::Addresses;
 use crate::members::Member;
 use crate::metrics::Metrics;
+use crate::publish::Published;
 use crate::settings::Settings;
 use crate::workers::Pool;
 
@@ -60,6 +63,14 @@
     pub(crate) store: Store,
     /// The endpoint for siblings.
     pub(crate) endpoint: sibling::Endpoint,
+    /// The configuration's newest edition.
+    pub(crate) published: Published,
+    /// Whether this instance has had a word on the newest configuration from
+    /// the store or a sibling; before it takes no work.
+    pub(crate) synced: AtomicBool,
+    /// Incarnation of this instance, raised by a new process and after a
+    /// lease lapsed.
+    pub(crate) incarnation: AtomicU64,
     /// Links to siblings.
     pub(crate) links: Sharded<Instance, sibling::Link<sibling::Up>>,
     /// The other instances.
@@ -87,9 +98,10 @@
             settings.queue_depth,
             &stop,
         );
+        let clock = Clock::new();
         Ok(Self {
             addresses,
-            clock: Clock::new(),
+            clock,
             tables,
             pool,
             events: Ring::new(settings.instance.clone(), settings.events),
@@ -101,6 +113,9 @@
                 STORE_TIMEOUT,
             ),
             endpoint,
+            published: Published::new(),
+            synced: AtomicBool::new(false),
+            incarnation: AtomicU64::new(clock.wall().as_millis() as u64),
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
             drain: CancellationToken::new(),
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chiverelay_decisions::gateway::Sibling;
@@ -207,7 +208,7 @@
 /// Returns this instance's sign of life.
 pub(crate) fn heartbeat(cx: &Context) -> Heartbeat {
     Heartbeat {
-        serving: !cx.drain.is_cancelled(),
+        serving: !cx.drain.is_cancelled() && cx.synced.load(Ordering::Acquire),
         config_version: cx.tables.config.get().version,
     }
 }
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -33,6 +33,7 @@
 use crate::forward::read_headers;
 use crate::forward::write_headers;
 use crate::members;
+use crate::publish;
 use crate::relay;
 use crate::relay::Sink;
 use crate::relay::Source;
@@ -149,7 +150,8 @@
                 members::hear(&self.cx, &from.instance, &from.region, &beat);
                 Message::Heartbeat(members::heartbeat(&self.cx))
             }
-            Message::Forward(_) | Message::Done => Message::Done,
+            Message::ConfigRequest(req) => Message::Config(publish::answer(&self.cx, &req)),
+            Message::Forward(_) | Message::Config(_) | Message::Done => Message::Done,
         };
         Envelope {
             version: VERSION,
--- a/crates/decisions/src/names.rs
+++ b/crates/decisions/src/names.rs
@@ -41,6 +41,12 @@
                 }
             }
 
+            impl AsRef<str> for $name {
+                fn as_ref(&self) -> &str {
+                    &self.0
+                }
+            }
+
             impl fmt::Display for $name {
                 fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                     f.write_str(&self.0)
--- /dev/null
+++ b/crates/decisions/src/publication.rs
@@ -0,0 +1,20 @@
+//! How a configuration is published: in chunks under a manifest, read by a
+//! few watchers in each region and passed on among siblings.
+
+mod chunks;
+mod manifest;
+mod spread;
+
+pub use chunks::Chunk;
+pub use chunks::MAX_CHUNK;
+pub use chunks::split;
+pub use manifest::ChunkRef;
+pub use manifest::Fault;
+pub use manifest::Manifest;
+pub use manifest::Plan;
+pub use manifest::Writer;
+pub use spread::Heard;
+pub use spread::Source;
+pub use spread::WATCHERS;
+pub use spread::is_watcher;
+pub use spread::source;
--- /dev/null
+++ b/crates/decisions/src/publication/chunks.rs
@@ -0,0 +1,115 @@
+//! Divides a configuration into chunks that are small enough for one value.
+//!
+//! Each table is divided by the hash of its names, so that a change of one
+//! entry changes one chunk and leaves the others as they are.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Fault;
+use crate::config::Config;
+use crate::config::hex;
+
+/// Largest chunk in bytes; the store takes values up to a megabyte.
+pub const MAX_CHUNK: usize = 900 * 1024;
+
+/// Size in bytes that chunks have on average at most.
+const TARGET: usize = 32 * 1024;
+
+/// A part of a configuration.
+///
+/// # Invariants
+///
+/// `digest` is the SHA-256 of `data` in hexadecimal digits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chunk {
+    /// The part as a JSON document of [`Config`].
+    pub data: Arc<[u8]>,
+    /// Its digest.
+    pub digest: Arc<str>,
+}
+
+impl Chunk {
+    /// Wraps data that was encoded or received.
+    pub fn new(data: Vec<u8>) -> Self {
+        Self {
+            digest: hex(&Sha256::digest(&data)).into(),
+            data: data.into(),
+        }
+    }
+}
+
+/// Divides a configuration; the version is not part of any chunk.
+///
+/// # Errors
+///
+/// Fails if one entry is too large for a chunk.
+pub fn split(config: &Config) -> Result<Vec<Chunk>, Fault> {
+    let mut chunks = Vec::new();
+    for routes in divide(&config.routes)? {
+        chunks.push(Config {
+            routes,
+            ..Config::default()
+        });
+    }
+    for pools in divide(&config.pools)? {
+        chunks.push(Config {
+            pools,
+            ..Config::default()
+        });
+    }
+    for accounts in divide(&config.accounts)? {
+        chunks.push(Config {
+            accounts,
+            ..Config::default()
+        });
+    }
+    for keys in divide(&config.keys)? {
+        chunks.push(Config {
+            keys,
+            ..Config::default()
+        });
+    }
+    chunks.iter().map(encode).collect()
+}
+
+fn encode(part: &Config) -> Result<Chunk, Fault> {
+    let data = json(part)?;
+    if data.len() > MAX_CHUNK {
+        return Err(Fault::TooLarge { len: data.len() });
+    }
+    Ok(Chunk::new(data))
+}
+
+fn json<T>(value: &T) -> Result<Vec<u8>, Fault>
+where
+    T: Serialize,
+{
+    serde_json::to_vec(value).map_err(|e| Fault::Unreadable {
+        key: String::new(),
+        reason: e.to_string(),
+    })
+}
+
+fn divide<K, V>(table: &BTreeMap<K, V>) -> Result<Vec<BTreeMap<K, V>>, Fault>
+where
+    K: Clone + Ord + AsRef<str> + Serialize,
+    V: Clone + Serialize,
+{
+    if table.is_empty() {
+        return Ok(Vec::new());
+    }
+    let parts = json(table)?.len().div_ceil(TARGET).next_power_of_two();
+    let mut divided = vec![BTreeMap::new(); parts];
+    for (name, entry) in table {
+        let part = xxh3_64(name.as_ref().as_bytes()) as usize % parts;
+        divided[part].insert(name.clone(), entry.clone());
+    }
+    divided.retain(|part| !part.is_empty());
+    Ok(divided)
+}
--- /dev/null
+++ b/crates/decisions/src/rendezvous.rs
@@ -0,0 +1,29 @@
+//! Rendezvous hashing: which names are responsible for a key.
+
+use xxhash_rust::xxh3::Xxh3;
+
+fn weight(key: &str, name: &str) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(key.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(name.as_bytes());
+    hasher.digest()
+}
+
+/// Returns the `count` names responsible for a key, first the foremost.
+///
+/// A name that comes or goes changes the choice only for the keys that it is
+/// responsible for.
+pub fn choose<'a, N, I>(key: &str, names: I, count: usize) -> Vec<&'a N>
+where
+    N: AsRef<str> + Ord,
+    I: IntoIterator<Item = &'a N>,
+{
+    let mut names: Vec<_> = names
+        .into_iter()
+        .map(|name| (weight(key, name.as_ref()), name))
+        .collect();
+    names.sort_unstable_by(|a, b| b.cmp(a));
+    names.truncate(count);
+    names.into_iter().map(|(_, name)| name).collect()
+}
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -23,6 +23,8 @@
 /// The lock order, lowest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rank {
+    /// The chunks that the configuration was put together from.
+    Publication,
     /// The pointer to the configuration's snapshot.
     Config,
     /// Withdrawn keys and the streams that run under keys.
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Message`] and [`Frame`] are what goes over it. A sibling's name and
 //! region come from its certificate, never from a message.
 
+mod config;
 mod endpoint;
 mod error;
 mod identity;
@@ -12,6 +13,9 @@
 mod message;
 mod wire;
 
+pub use config::ConfigParts;
+pub use config::ConfigRequest;
+pub use config::MAX_PARTS;
 pub use endpoint::Endpoint;
 pub use endpoint::Handler;
 pub use error::Error;
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -8,6 +8,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ConfigParts;
+use crate::ConfigRequest;
+
 /// Version of the messages. Instances refuse any other.
 pub const VERSION: u16 = 1;
 
@@ -31,6 +34,10 @@
     Forward(Forward),
     /// The message was taken and needs no other answer.
     Done,
+    /// Asks for the configuration in force.
+    ConfigRequest(ConfigRequest),
+    /// Parts of the configuration in force.
+    Config(ConfigParts),
 }
 
 /// A sign of life and what siblings need to know of the sender.
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -25,6 +25,10 @@
     pub delay_ms: u64,
     /// Acts, then cuts the connection in place of an answer.
     pub lose_answer: bool,
+    /// As `lose_answer`, but only for requests that change something.
+    pub lose_writes: bool,
+    /// Says nothing more on open streams of changes.
+    pub freeze_watches: bool,
     /// Takes requests and neither acts nor answers.
     pub freeze: bool,
     /// Cuts a streamed answer after so many pieces.
@@ -98,7 +102,17 @@
 
     /// Applies the faults that strike after a request was acted on.
     pub fn after(&self, resp: Response<Body>) -> Response<Body> {
-        if !self.get().lose_answer {
+        self.lose_if(self.get().lose_answer, resp)
+    }
+
+    /// Is [`Script::after`] for a request that changed something.
+    pub fn after_change(&self, resp: Response<Body>) -> Response<Body> {
+        let faults = self.get();
+        self.lose_if(faults.lose_answer || faults.lose_writes, resp)
+    }
+
+    fn lose_if(&self, lost: bool, resp: Response<Body>) -> Response<Body> {
+        if !lost {
             return resp;
         }
         self.strike();
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -366,10 +366,15 @@
             Ok(req) => req,
             Err(resp) => return resp,
         };
+        let before = self.lock().revision;
         let resp = match self.act(req).await {
             Ok(resp) => resp,
             Err(resp) => return *resp,
         };
+        let changed = self.lock().revision != before;
+        if changed {
+            return self.script.after_change(resp);
+        }
         self.script.after(resp)
     }
 
@@ -485,7 +490,7 @@
     /// Tells of the changes since the last time; false once the watch ends.
     async fn tell(&mut self) -> bool {
         let faults = self.store.script.get();
-        if faults.freeze {
+        if faults.freeze || faults.freeze_watches {
             return true;
         }
         if faults.refuse {
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -12,6 +12,8 @@
     List,
     /// Writes keys by compare-and-swap.
     Swap,
+    /// Deletes keys.
+    Delete,
     /// Takes a lease.
     Grant,
     /// Renews a lease.
@@ -24,10 +26,11 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Get,
         Self::List,
         Self::Swap,
+        Self::Delete,
         Self::Grant,
         Self::Renew,
         Self::Revoke,
@@ -40,6 +43,7 @@
             Self::Get => "get",
             Self::List => "list",
             Self::Swap => "swap",
+            Self::Delete => "delete",
             Self::Grant => "grant",
             Self::Renew => "renew",
             Self::Revoke => "revoke",
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -27,6 +27,7 @@
 pub use lease::Lapsed;
 pub use lease::Lease;
 pub use lease::Renewal;
+pub use swap::Put;
 pub use swap::Settled;
 pub use swap::Swap;
 pub use swap::Write;
--- a/crates/store/src/swap.rs
+++ b/crates/store/src/swap.rs
@@ -1,5 +1,6 @@
 //! Compare-and-swap, settled after lost answers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chiverelay_decisions::backoff::Backoff;
@@ -41,7 +42,17 @@
     Unknown(Error),
 }
 
-/// A compare-and-swap of one key, with keys that are deleted along with it.
+/// A key and its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Put {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Arc<[u8]>,
+}
+
+/// A compare-and-swap of one key, with keys that are written or deleted along
+/// with it.
 #[derive(Clone, Copy, Debug)]
 pub struct Write<'a> {
     /// Key.
@@ -52,27 +63,37 @@
     pub value: &'a [u8],
     /// Lease on which the key is to hang.
     pub lease: Option<&'a Lease<Held>>,
-    /// Keys that are deleted if the value is written.
+    /// Further keys that are written with it.
+    pub puts: &'a [Put],
+    /// Keys that are deleted with it.
     pub deletes: &'a [String],
 }
 
+fn delete(key: &String) -> api::RequestOp {
+    api::RequestOp {
+        request_delete_range: Some(api::DeleteRequest {
+            key: api::encode(key.as_bytes()),
+        }),
+        ..api::RequestOp::default()
+    }
+}
+
+fn put(key: &str, value: &[u8], lease: i64) -> api::RequestOp {
+    api::RequestOp {
+        request_put: Some(api::PutRequest {
+            key: api::encode(key.as_bytes()),
+            value: api::encode(value),
+            lease: lease.to_string(),
+        }),
+        ..api::RequestOp::default()
+    }
+}
+
 impl Write<'_> {
     fn request(&self) -> api::TxnRequest {
         let key = api::encode(self.key.as_bytes());
-        let put = api::RequestOp {
-            request_put: Some(api::PutRequest {
-                key: key.clone(),
-                value: api::encode(self.value),
-                lease: self.lease.map_or(0, Lease::id).to_string(),
-            }),
-            ..api::RequestOp::default()
-        };
-        let delete = |key: &String| api::RequestOp {
-            request_delete_range: Some(api::DeleteRequest {
-                key: api::encode(key.as_bytes()),
-            }),
-            ..api::RequestOp::default()
-        };
+        let lease = self.lease.map_or(0, Lease::id);
+        let puts = self.puts.iter().map(|p| put(&p.key, &p.value, lease));
         let read = api::RequestOp {
             request_range: Some(api::RangeRequest {
                 key: key.clone(),
@@ -87,7 +108,8 @@
                 result: "EQUAL".to_owned(),
                 mod_revision: self.expected.to_string(),
             }],
-            success: std::iter::once(put)
+            success: std::iter::once(put(self.key, self.value, lease))
+                .chain(puts)
                 .chain(self.deletes.iter().map(delete))
                 .collect(),
             failure: vec![read],
@@ -114,11 +136,26 @@
             expected,
             value,
             lease,
+            puts: &[],
             deletes: &[],
         })
         .await
     }
 
+    /// Deletes keys in one call, whatever stands there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gives no answer; the keys may be gone nevertheless.
+    pub async fn delete(&self, keys: &[String]) -> Result<(), Error> {
+        let req = api::TxnRequest {
+            success: keys.iter().map(delete).collect(),
+            ..api::TxnRequest::default()
+        };
+        let _: api::TxnResponse = self.call(Kind::Delete, "/v3/kv/txn", &req).await?;
+        Ok(())
+    }
+
     /// Carries out a compare-and-swap.
     ///
     /// # Errors
@@ -194,6 +231,7 @@
             expected,
             value,
             lease,
+            puts: &[],
             deletes: &[],
         };
         self.write_settled(&write, |found| found == value).await
