--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chiverelay_decisions::gateway;
@@ -211,7 +212,7 @@
     // The lock must be gone before the summaries take theirs.
     let withdrawn = cx.tables.withdrawn.lock().digest();
     Heartbeat {
-        serving: !cx.drain.is_cancelled(),
+        serving: !cx.drain.is_cancelled() && cx.synced.load(Ordering::Acquire),
         config_version: cx.tables.config.get().version,
         withdrawn,
         summaries: gateway::summaries(&cx.tables, &cx.settings.region, cx.clock.now()),
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -36,6 +36,7 @@
 use crate::forward::write_headers;
 use crate::keys;
 use crate::members;
+use crate::publish;
 use crate::relay;
 use crate::relay::Sink;
 use crate::relay::Source;
@@ -169,7 +170,8 @@
                 keys::learn(&self.cx, ids, &peer);
                 Message::Withdrawn(self.cx.tables.withdrawn.lock().pending())
             }
-            Message::Forward(_) | Message::Done => Message::Done,
+            Message::ConfigRequest(req) => Message::Config(publish::answer(&self.cx, &req)),
+            Message::Forward(_) | Message::Config(_) | Message::Done => Message::Done,
         };
         Envelope {
             version: VERSION,
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -10,6 +10,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ConfigParts;
+use crate::ConfigRequest;
+
 /// Version of the messages. Instances refuse any other.
 pub const VERSION: u16 = 1;
 
@@ -35,6 +38,10 @@
     Done,
     /// Keys whose withdrawal may not be durable yet. Answered in kind.
     Withdrawn(Vec<KeyId>),
+    /// Asks for the configuration in force.
+    ConfigRequest(ConfigRequest),
+    /// Parts of the configuration in force.
+    Config(ConfigParts),
 }
 
 /// A sign of life and what siblings need to know of the sender.
