--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::step::Step;
 use http_body_util::combinators::BoxBody;
 use hyper::Request;
@@ -19,6 +20,8 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio_rustls::TlsAcceptor;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -27,10 +30,19 @@
 use crate::Inbound;
 use crate::Reply;
 
+/// Time before another try after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time between two signs of life on an HTTP/2 connection.
+const KEEP_ALIVE: Duration = Duration::from_secs(20);
+
 /// What answers callers' requests.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request.
     fn handle(&self, req: Inbound) -> impl Future<Output = Reply> + Send;
+
+    /// Takes note of a request that was refused while it was read.
+    fn refused(&self, refusal: &Refusal);
 }
 
 /// Bounds on what a caller may send.
@@ -38,7 +50,10 @@
 pub struct Limits {
     /// Largest body in bytes.
     pub max_body: usize,
-    /// Time for a request's headers.
+    /// Connections that may be open at once; others wait to be accepted.
+    pub max_connections: usize,
+    /// Time for a request's headers, and for the next request on a silent
+    /// connection.
     pub header_timeout: Duration,
     /// Time for a request's body.
     pub body_timeout: Duration,
@@ -48,6 +63,7 @@
     fn default() -> Self {
         Self {
             max_body: 4 * 1024 * 1024,
+            max_connections: 10_000,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
         }
@@ -100,42 +116,81 @@
         H: Handler,
     {
         let tracker = TaskTracker::new();
+        let slots = Arc::new(Semaphore::new(self.limits.max_connections));
         let acceptor = self.tls.map(TlsAcceptor::from);
-        loop {
-            let stream = tokio::select! {
-                () = cancel.cancelled() => break,
-                accepted = self.listener.accept() => match accepted {
-                    Ok((stream, _)) => stream,
-                    Err(e) => {
-                        log::warn!("caller: accept failed: {e}");
-                        continue;
+        let accepting = async {
+            loop {
+                // The semaphore is never closed.
+                let slot = Arc::clone(&slots).acquire_owned().await;
+                let stream = accept(&self.listener).await;
+                let conn = Connection {
+                    handler: Arc::clone(&handler),
+                    limits: self.limits,
+                    cancel: cancel.clone(),
+                };
+                let acceptor = acceptor.clone();
+                tracker.spawn(async move {
+                    match acceptor {
+                        None => conn.serve(stream).await,
+                        Some(acceptor) => conn.serve_tls(stream, acceptor).await,
                     }
-                },
-            };
-            // Streams are written piece by piece, so small writes must not wait.
-            let _ = stream.set_nodelay(true);
-            let handler = Arc::clone(&handler);
-            let cancel = cancel.clone();
-            let limits = self.limits;
-            match acceptor.clone() {
-                None => {
-                    tracker.spawn(serve(stream, handler, limits, cancel));
-                }
-                Some(acceptor) => {
-                    tracker.spawn(async move {
-                        match acceptor.accept(stream).await {
-                            Ok(stream) => serve(stream, handler, limits, cancel).await,
-                            Err(e) => log::debug!("caller: TLS handshake failed: {e}"),
-                        }
-                    });
-                }
+                    drop(slot);
+                });
             }
-        }
+        };
+        cancel.run_until_cancelled(accepting).await;
+        drop(self.listener);
         tracker.close();
         tracker.wait().await;
     }
 }
 
+/// Accepts a connection, however often that fails first.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Streams are written piece by piece, so small writes must not wait.
+                let _ = stream.set_nodelay(true);
+                return stream;
+            }
+            Err(e) => {
+                log::warn!("caller: accept failed: {e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// What a connection needs.
+struct Connection<H> {
+    handler: Arc<H>,
+    limits: Limits,
+    cancel: CancellationToken,
+}
+
+impl<H> Connection<H>
+where
+    H: Handler,
+{
+    async fn serve_tls(self, stream: TcpStream, acceptor: TlsAcceptor) {
+        let handshake = tokio::time::timeout(self.limits.header_timeout, acceptor.accept(stream));
+        match self.cancel.run_until_cancelled(handshake).await {
+            Some(Ok(Ok(stream))) => self.serve(stream).await,
+            Some(Ok(Err(e))) => log::debug!("caller: TLS handshake failed: {e}"),
+            Some(Err(_)) => log::debug!("caller: TLS handshake took too long"),
+            None => {}
+        }
+    }
+
+    async fn serve<S>(self, stream: S)
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        serve(stream, self.handler, self.limits, self.cancel).await;
+    }
+}
+
 async fn serve<H, S>(stream: S, handler: Arc<H>, limits: Limits, cancel: CancellationToken)
 where
     H: Handler,
@@ -146,7 +201,11 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout);
-    builder.http2().timer(TokioTimer::new());
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(Some(KEEP_ALIVE))
+        .keep_alive_timeout(limits.header_timeout);
     let service = service_fn(move |req| {
         let handler = Arc::clone(&handler);
         async move { answer(&*handler, req, limits).await }
@@ -175,7 +234,10 @@
 {
     let reply = match Inbound::read(req, limits.max_body, limits.body_timeout).await {
         Ok(req) => handler.handle(req).await,
-        Err(refusal) => Reply::refusal(&refusal),
+        Err(refusal) => {
+            handler.refused(&refusal);
+            Reply::refusal(&refusal)
+        }
     };
     Ok(reply.encode())
 }
--- a/crates/chiverelay/src/cmd/apply.rs
+++ b/crates/chiverelay/src/cmd/apply.rs
@@ -6,11 +6,15 @@
 
 use chiverelay_operator::Client;
 use chiverelay_operator::api::Apply;
-use chiverelay_operator::api::Document;
-use jsonc_parser::ParseOptions;
+use chiverelay_operator::api::Failure;
+use chiverelay_operator::api::Versioned;
+use chiverelay_operator::document;
+use serde_json::json;
 
 use super::Connection;
 use super::Error;
+use super::Output;
+use super::diff;
 
 /// Time in which every instance is to have a change.
 const WAIT: Duration = Duration::from_secs(17);
@@ -20,24 +24,44 @@
 
 /// Describes the subcommand.
 pub(crate) fn describe() -> &'static str {
-    "chiverelay apply --instance ADDRESS [--token-file FILE] FILE"
+    "chiverelay apply --instance ADDRESS [--token-file FILE] [--expect VERSION] FILE\n    \
+     Checks a configuration, puts it in force and waits until every live instance\n    \
+     has it. With --expect it replaces just that version; else the one in force."
 }
 
 /// Executes the subcommand.
-pub(crate) async fn execute(mut args: pico_args::Arguments) -> Result<(), Error> {
+pub(crate) async fn execute(mut args: pico_args::Arguments, out: Output) -> Result<(), Error> {
     let conn = Connection::from_args(&mut args)?;
+    let expect: Option<u64> = args.opt_value_from_str("--expect")?;
     let path: PathBuf = args.free_from_str()?;
-    let text = super::read(&path)?;
-    let document: Document = jsonc_parser::parse_to_serde_value(&text, &ParseOptions::default())
-        .map_err(|e| Error::Faulty {
-            path,
-            reason: e.to_string(),
-        })?;
-    let expected = conn.client().config().await?.version;
-    let applied = conn.client().apply(&Apply { expected, document }).await?;
+    super::finish(args)?;
+    let document = document::read(&path)?;
+    let before = conn.client().config().await?;
+    let expected = expect.unwrap_or(before.version);
+    let req = Apply { expected, document };
+    let applied = match conn.client().apply(&req).await {
+        Ok(applied) => applied,
+        Err(e) => return Err(explain(e, &before)?),
+    };
     wait(conn.client(), applied.version).await?;
-    println!("version {} is in force everywhere", applied.version);
-    Ok(())
+    out.print(&json!({"version": applied.version}), |_| {
+        println!("version {} is in force everywhere", applied.version);
+    })
+}
+
+/// Adds to a conflict what the other operator changed.
+fn explain(e: chiverelay_operator::Error, before: &Versioned) -> Result<Error, Error> {
+    use chiverelay_operator::Error as Call;
+    match e {
+        Call::Failed {
+            failure: Failure::Conflict { current },
+            ..
+        } => Ok(Error::Conflict {
+            version: current.version,
+            changes: diff::changes(&before.document, &current.document)?,
+        }),
+        e => Ok(e.into()),
+    }
 }
 
 /// Waits until every live instance reports a version.
@@ -49,7 +73,7 @@
             .siblings
             .iter()
             .filter(|s| s.config_version < version)
-            .map(|s| s.instance.to_string())
+            .map(|s| format!("{} ({})", s.instance, s.state))
             .collect();
         if missing.is_empty() {
             return Ok(());
--- a/crates/chiverelay/src/cmd/certs.rs
+++ b/crates/chiverelay/src/cmd/certs.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use chiverelay_decisions::names::check_label;
 use chiverelay_sibling::server_name;
 use rcgen::BasicConstraints;
 use rcgen::CertificateParams;
@@ -12,25 +13,42 @@
 use rcgen::Issuer;
 use rcgen::KeyPair;
 use rcgen::KeyUsagePurpose;
+use serde_json::json;
 
 use super::Error;
+use super::Output;
 
 /// Describes the subcommand.
 pub(crate) fn describe() -> &'static str {
-    "chiverelay certs --dir DIR [--instance NAME --region REGION]"
+    "chiverelay certs --dir DIR [--instance NAME --region REGION]\n    \
+     Makes the authority in DIR, or the certificate of one instance."
 }
 
 /// Executes the subcommand.
-pub(crate) fn execute(mut args: pico_args::Arguments) -> Result<(), Error> {
+pub(crate) fn execute(mut args: pico_args::Arguments, out: Output) -> Result<(), Error> {
     let dir: PathBuf = args.value_from_str("--dir")?;
     let instance: Option<String> = args.opt_value_from_str("--instance")?;
     match instance {
-        None => authority(&dir),
+        None => {
+            super::finish(args)?;
+            authority(&dir)?;
+        }
         Some(instance) => {
             let region: String = args.value_from_str("--region")?;
-            certificate(&dir, &instance, &region)
+            super::finish(args)?;
+            check(&instance)?;
+            check(&region)?;
+            certificate(&dir, &instance, &region)?;
         }
     }
+    out.print(&json!({"dir": dir}), |_| {})
+}
+
+fn check(name: &str) -> Result<(), Error> {
+    check_label(name).map_err(|reason| Error::Name {
+        name: name.to_owned(),
+        reason,
+    })
 }
 
 fn write(path: PathBuf, text: &str) -> Result<(), Error> {
--- a/crates/chiverelay/src/cmd/timeline.rs
+++ b/crates/chiverelay/src/cmd/timeline.rs
@@ -1,49 +1,91 @@
 //! `chiverelay timeline`: merges the events of all instances.
 
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
 use chiverelay_decisions::event::Event;
+use chiverelay_decisions::event::Filter;
+use chiverelay_decisions::event::Timeline;
+use chiverelay_decisions::names::Instance;
 
 use super::Connection;
 use super::Error;
+use super::Output;
 
 /// Describes the subcommand.
 pub(crate) fn describe() -> &'static str {
-    "chiverelay timeline --instance ADDRESS [--token-file FILE] [--request ID] [--account NAME]"
+    "chiverelay timeline --instance ADDRESS [--token-file FILE] [--request ID] [--account NAME]\n               \
+     [--at INSTANCE] [--from TIME] [--to TIME]\n    \
+     Merges the events of all instances by their clocks. A TIME is in milliseconds\n    \
+     since 1970, or in seconds before now as -SECONDS."
 }
 
 /// Executes the subcommand.
-pub(crate) async fn execute(mut args: pico_args::Arguments) -> Result<(), Error> {
+pub(crate) async fn execute(mut args: pico_args::Arguments, out: Output) -> Result<(), Error> {
     let conn = Connection::from_args(&mut args)?;
-    let request: Option<String> = args.opt_value_from_str("--request")?;
-    let account: Option<String> = args.opt_value_from_str("--account")?;
+    let filter = filter(&mut args)?;
+    super::finish(args)?;
     let status = conn.client().status().await?;
-    let mut events = conn.client().events().await?.events;
-    for client in conn.others(&status) {
-        match client.events().await {
-            Ok(page) => events.extend(page.events),
-            Err(e) => eprintln!("{e}"),
+    let mut timeline = Timeline::default();
+    let own = conn.client().events().await?;
+    timeline.add(&status.own.instance, own, &filter);
+    for sibling in &status.siblings {
+        match conn.to(sibling.operator).events().await {
+            Ok(page) => timeline.add(&sibling.instance, page, &filter),
+            Err(e) => timeline.miss(&sibling.instance, e.to_string()),
         }
     }
-    events.sort_by(|a, b| (a.stamp, &a.instance).cmp(&(b.stamp, &b.instance)));
-    let wanted = |e: &&Event| {
-        let req = e.request.as_ref().map(|r| r.as_str());
-        let acc = e.account.as_ref().map(|a| a.as_str());
-        (request.is_none() || request.as_deref() == req)
-            && (account.is_none() || account.as_deref() == acc)
+    timeline.sort();
+    out.print(&timeline, print)
+}
+
+fn filter(args: &mut pico_args::Arguments) -> Result<Filter, Error> {
+    let request: Option<String> = args.opt_value_from_str("--request")?;
+    let account: Option<String> = args.opt_value_from_str("--account")?;
+    let at: Option<String> = args.opt_value_from_str("--at")?;
+    Ok(Filter {
+        request: request.map(Into::into),
+        account: account.map(Into::into),
+        instance: at.map(Instance::from),
+        from_ms: args.opt_value_from_fn("--from", time)?.unwrap_or(0),
+        to_ms: args.opt_value_from_fn("--to", time)?.unwrap_or(u64::MAX),
+    })
+}
+
+/// Reads a time in milliseconds since 1970, or in seconds before now.
+fn time(text: &str) -> Result<u64, String> {
+    let wrong = |_| format!("{text:?} is not a time");
+    let Some(ago) = text.strip_prefix('-') else {
+        return text.parse().map_err(wrong);
     };
-    for event in events.iter().filter(wanted) {
-        print(event);
+    let ago = Duration::from_secs(ago.parse().map_err(wrong)?);
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Ok(now.saturating_sub(ago).as_millis() as u64)
+}
+
+fn print(timeline: &Timeline) {
+    for event in &timeline.events {
+        print_event(event);
+    }
+    for (instance, dropped) in timeline.dropped.iter().filter(|(_, n)| **n > 0) {
+        println!("# {instance} no longer holds {dropped} older events");
+    }
+    for (instance, reason) in &timeline.missing {
+        println!("# {instance} could not be asked: {reason}");
     }
-    Ok(())
 }
 
-fn print(event: &Event) {
+fn print_event(event: &Event) {
     let request = event.request.as_ref().map_or("-", |r| r.as_str());
+    let account = event.account.as_ref().map_or("-", |a| a.as_str());
     println!(
-        "{}.{:03}  {}  {}  {}  {}  {}",
+        "{}.{:03}  {}  {request}  {account}  {}  {}  {}",
         event.stamp.wall_ms,
         event.stamp.counter,
         event.instance,
-        request,
         event.step,
         event.peer,
         event.what
--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -12,6 +12,8 @@
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Ranked;
+use chiverelay_decisions::tables::Recent;
 use chiverelay_decisions::tables::Sharded;
 use chiverelay_sibling as sibling;
 use chiverelay_store::Store;
@@ -27,6 +29,9 @@
 use crate::settings::Settings;
 use crate::workers::Pool;
 
+/// Forwarded requests that are told from replays.
+const MAX_TAKEN: usize = 65_536;
+
 /// Time for a connection to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -51,6 +56,8 @@
     pub(crate) tables: Arc<Tables>,
     /// What runs under each key.
     pub(crate) running: Arc<Running>,
+    /// Requests taken from siblings, by who sent them.
+    pub(crate) taken: Ranked<Recent<(Instance, RequestId)>>,
     /// The workers.
     pub(crate) pool: Pool,
     /// The newest events.
@@ -95,6 +102,7 @@
             clock: Clock::new(),
             tables,
             running: Arc::new(Running::new()),
+            taken: Ranked::new(Rank::Tickets, Recent::new(MAX_TAKEN)),
             pool,
             events: Ring::new(settings.instance.clone(), settings.events),
             metrics: Metrics::new(settings.metrics.as_ref())?,
--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -49,7 +49,11 @@
         record("passed on");
         let head = async {
             let mut answer = link.forward(self.cx.events.latest(), message).await?;
-            let frame = answer.next().await?;
+            let mut frame = answer.next().await?;
+            if let Frame::Stamp(stamp) = frame {
+                self.cx.events.observe(stamp);
+                frame = answer.next().await?;
+            }
             Ok::<_, chiverelay_sibling::Error>((answer, frame))
         };
         let left = req.head().deadline.saturating_sub(self.cx.clock.now());
--- a/crates/chiverelayd/src/metrics.rs
+++ b/crates/chiverelayd/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and timers for a StatsD server.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::time::Duration;
@@ -12,6 +13,8 @@
 use cadence::Timed;
 use cadence::UdpMetricSink;
 use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Ranked;
 
 /// Prefix of every metric.
 const PREFIX: &str = "chiverelay";
@@ -19,47 +22,78 @@
 /// Metrics waiting to be sent.
 const QUEUE: usize = 4096;
 
-/// Sends metrics; to nowhere without an address in the settings.
+/// Sends metrics, to nowhere without an address in the settings, and keeps
+/// the sums of the counters for operators.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     client: StatsdClient,
+    counters: Ranked<BTreeMap<String, u64>>,
 }
 
 impl Metrics {
     /// Opens the socket.
     pub(crate) fn new(address: Option<&SocketAddr>) -> Result<Self, std::io::Error> {
-        let Some(address) = address else {
-            return Ok(Self {
-                client: StatsdClient::from_sink(PREFIX, NopMetricSink),
-            });
+        let client = match address {
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            Some(address) => {
+                let socket = UdpSocket::bind("0.0.0.0:0")?;
+                socket.set_nonblocking(true)?;
+                let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
+                let sink = QueuingMetricSink::with_capacity(sink, QUEUE);
+                StatsdClient::from_sink(PREFIX, sink)
+            }
         };
-        let socket = UdpSocket::bind("0.0.0.0:0")?;
-        socket.set_nonblocking(true)?;
-        let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
-        let sink = QueuingMetricSink::with_capacity(sink, QUEUE);
         Ok(Self {
-            client: StatsdClient::from_sink(PREFIX, sink),
+            client,
+            counters: Ranked::new(Rank::Events, BTreeMap::new()),
         })
     }
 
+    /// Returns the sums of the counters by name.
+    pub(crate) fn counters(&self) -> BTreeMap<String, u64> {
+        self.counters.lock().clone()
+    }
+
+    fn count(&self, name: &'static str, tags: &[(&'static str, &str)]) {
+        let mut counter = self.client.incr_with_tags(name);
+        let mut full = name.to_owned();
+        for (tag, value) in tags {
+            counter = counter.with_tag(tag, value);
+            full = format!("{full} {tag}={value}");
+        }
+        // A metric that can't be queued is lost, which costs no request.
+        counter.send();
+        *self.counters.lock().entry(full).or_default() += 1;
+    }
+
     /// Counts a request.
     pub(crate) fn request(&self) {
-        // A metric that can't be queued is lost, which costs no request.
-        let _ = self.client.incr("requests");
+        self.count("requests", &[]);
     }
 
     /// Counts a request that went to another region.
     pub(crate) fn spill(&self) {
-        let _ = self.client.incr("requests.spilled");
+        self.count("requests.spilled", &[]);
     }
 
     /// Counts a refusal by code and outcome.
     pub(crate) fn refusal(&self, refusal: &Refusal) {
-        self.client
-            .incr_with_tags("refusals")
-            .with_tag("code", refusal.code.as_str())
-            .with_tag("outcome", refusal.outcome.as_str())
-            .send();
+        let tags = [
+            ("code", refusal.code.as_str()),
+            ("outcome", refusal.outcome.as_str()),
+        ];
+        self.count("refusals", &tags);
+    }
+
+    /// Counts something that a sibling or whoever claims to be one sent and
+    /// that was refused.
+    pub(crate) fn sibling_refused(&self, reason: &str) {
+        self.count("sibling.refused", &[("reason", reason)]);
+    }
+
+    /// Counts a call of an operator that was refused.
+    pub(crate) fn operator_refused(&self, reason: &str) {
+        self.count("operator.refused", &[("reason", reason)]);
     }
 
     /// Records the time to the first piece of an answer.
--- a/crates/chiverelayd/src/operate.rs
+++ b/crates/chiverelayd/src/operate.rs
@@ -180,6 +180,7 @@
             own: self.own(),
             store: "unknown".to_owned(),
             siblings,
+            counters: self.cx.metrics.counters(),
         }
     }
 
@@ -190,4 +191,8 @@
     fn drain(&self) {
         self.cx.drain.cancel();
     }
+
+    fn refused(&self, reason: &'static str) {
+        self.cx.metrics.operator_refused(reason);
+    }
 }
--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -34,7 +34,7 @@
                 Ok(Frame::Data(data)) => Ok(Some(data.into())),
                 Ok(Frame::End) => Ok(None),
                 Ok(Frame::Refused(refusal)) => Err(refusal.code.as_str().to_owned()),
-                Ok(Frame::Head { .. }) => Err("a second head".to_owned()),
+                Ok(Frame::Head { .. } | Frame::Stamp(_)) => Err("a second head".to_owned()),
                 Err(e) => Err(e.to_string()),
             },
         }
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -11,6 +11,7 @@
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Placement;
 use chiverelay_decisions::keys::Shown;
+use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
@@ -47,17 +48,24 @@
     pub(crate) async fn relayed(&self, inbound: Inbound) -> Reply {
         let id = RequestId::from(Uuid::now_v7().to_string());
         self.cx.metrics.request();
+        let key = inbound.key.clone();
         let mut reply = match self.answer(&id, inbound).await {
             Ok(reply) => reply,
             Err(refusal) => {
                 self.cx.metrics.refusal(&refusal);
+                let account = self.account(key.as_ref());
                 let what = format!(
                     "refused: {}, {}",
                     refusal.code.as_str(),
                     refusal.outcome.as_str()
                 );
-                self.cx
-                    .record(&id, None, refusal.step, refusal.peer.clone(), what);
+                self.cx.record(
+                    &id,
+                    account.as_ref(),
+                    refusal.step,
+                    refusal.peer.clone(),
+                    what,
+                );
                 Reply::refusal(&refusal)
             }
         };
@@ -100,6 +108,12 @@
         reply
     }
 
+    fn account(&self, key: Option<&Shown>) -> Option<Account> {
+        let config = self.cx.tables.config.get();
+        let (_, account) = config.authenticate(key?)?;
+        Some(account.clone())
+    }
+
     fn refund(&self, grant: &chiverelay_decisions::request::Grant, refusal: &Refusal) {
         if refusal.outcome == chiverelay_decisions::refusal::Outcome::NotRun {
             gateway::settle(&self.cx.tables, grant, 0, self.cx.clock.now());
--- a/crates/chiverelayd/src/serve.rs
+++ b/crates/chiverelayd/src/serve.rs
@@ -5,6 +5,7 @@
 use chiverelay_caller::Handler;
 use chiverelay_caller::Inbound;
 use chiverelay_caller::Reply;
+use chiverelay_decisions::refusal::Refusal;
 use hyper::StatusCode;
 use serde_json::json;
 
@@ -72,4 +73,15 @@
             _ => self.relayed(req).await,
         }
     }
+
+    fn refused(&self, refusal: &Refusal) {
+        self.cx.metrics.request();
+        self.cx.metrics.refusal(refusal);
+        let what = format!(
+            "refused: {}, {}",
+            refusal.code.as_str(),
+            refusal.outcome.as_str()
+        );
+        self.cx.note(refusal.step, refusal.peer.clone(), what);
+    }
 }
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -4,46 +4,43 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chiverelay_caller::Limits;
+use chiverelay_decisions::config::Fault;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_operator::file;
+use chiverelay_operator::file::Value;
+use chiverelay_operator::read_struct;
 use chiverelay_sibling::Certificates;
-use jsonc_parser::ParseOptions;
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::PrivateKeyDer;
 use rustls::pki_types::pem::PemObject;
-use serde::Deserialize;
 use thiserror::Error as ThisError;
 
 /// Why settings can't be used.
 #[derive(Debug, ThisError)]
 pub(crate) enum Error {
-    /// A file can't be read.
-    #[error("configure: {}: {source}", path.display())]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// The cause.
-        source: std::io::Error,
-    },
-    /// The file is faulty.
+    /// The settings file can't be read or has faults.
+    #[error("{0}")]
+    File(#[from] file::Error),
+    /// Certificates or keys can't be used.
+    #[error("{0}")]
+    Certificates(#[from] chiverelay_sibling::Error),
+    /// A file that the settings name can't be used.
     #[error("configure: {}: {reason}", path.display())]
-    Faulty {
+    Named {
         /// The file.
         path: PathBuf,
-        /// What is wrong, and where.
+        /// What is wrong.
         reason: String,
     },
-    /// Certificates or keys can't be used.
-    #[error("{0}")]
-    Certificates(#[from] chiverelay_sibling::Error),
 }
 
 /// The settings of an instance.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct Settings {
     /// The instance's name.
     pub(crate) instance: Instance,
@@ -60,62 +57,39 @@
     /// The store.
     pub(crate) store: StoreSettings,
     /// Address of a StatsD server.
-    #[serde(default)]
     pub(crate) metrics: Option<SocketAddr>,
     /// Workers over the shared tables.
-    #[serde(default = "default_workers")]
     pub(crate) workers: usize,
     /// Threads that carry out I/O and run the workers.
-    #[serde(default = "default_threads")]
     pub(crate) threads: usize,
     /// Jobs that may wait for one worker.
-    #[serde(default = "default_queue_depth")]
     pub(crate) queue_depth: usize,
     /// Time for open requests to end at a drain, in milliseconds.
-    #[serde(default = "default_drain_timeout_ms")]
     pub(crate) drain_timeout_ms: u64,
     /// Events kept in memory.
-    #[serde(default = "default_events")]
     pub(crate) events: usize,
 }
 
-fn default_workers() -> usize {
-    4
-}
-
-fn default_threads() -> usize {
-    4
-}
-
-fn default_queue_depth() -> usize {
-    1024
-}
-
-fn default_drain_timeout_ms() -> u64 {
-    600_000
-}
-
-fn default_events() -> usize {
-    16_384
-}
-
 /// The listener for callers.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct CallerSettings {
     /// Address to listen on.
     pub(crate) listen: SocketAddr,
     /// Largest body in bytes.
-    #[serde(default)]
-    pub(crate) max_body: Option<usize>,
+    pub(crate) max_body: usize,
+    /// Connections that may be open at once; others wait to be accepted.
+    pub(crate) max_connections: usize,
+    /// Time for a request's headers, and for the next request on a silent
+    /// connection, in milliseconds.
+    pub(crate) header_timeout_ms: u64,
+    /// Time for a request's body, in milliseconds.
+    pub(crate) body_timeout_ms: u64,
     /// Certificate and key for TLS, as PEM files.
-    #[serde(default)]
     pub(crate) tls: Option<TlsSettings>,
 }
 
 /// Certificate and key files.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct TlsSettings {
     /// Certificate chain.
     pub(crate) cert: PathBuf,
@@ -124,8 +98,7 @@
 }
 
 /// The listener for operators.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct OperatorSettings {
     /// Address to listen on.
     pub(crate) listen: SocketAddr,
@@ -134,13 +107,11 @@
 }
 
 /// The endpoint for siblings.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct SiblingSettings {
     /// Address to listen on.
     pub(crate) listen: SocketAddr,
     /// Address that siblings connect to, if it is not the one listened on.
-    #[serde(default)]
     pub(crate) advertise: Option<SocketAddr>,
     /// Certificate of the authority.
     pub(crate) ca: PathBuf,
@@ -151,43 +122,125 @@
 }
 
 /// The store.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct StoreSettings {
     /// Its address.
     pub(crate) address: SocketAddr,
 }
 
+read_struct!(Settings {
+    instance,
+    region,
+    zone,
+    caller,
+    operator,
+    sibling,
+    store,
+    metrics = None,
+    workers = 4 => at_least_one,
+    threads = 4 => at_least_one,
+    queue_depth = 1024 => at_least_one,
+    drain_timeout_ms = 600_000,
+    events = 16_384 => at_least_one,
+});
+
+read_struct!(CallerSettings {
+    listen,
+    max_body = 4 * 1024 * 1024 => at_least_one,
+    max_connections = 10_000 => at_least_one,
+    header_timeout_ms = 10_000,
+    body_timeout_ms = 30_000,
+    tls = None,
+});
+
+read_struct!(TlsSettings { cert, key });
+
+read_struct!(OperatorSettings {
+    listen,
+    token_digest => |text: &String| digest(text),
+});
+
+read_struct!(SiblingSettings {
+    listen,
+    advertise = None,
+    ca,
+    cert,
+    key,
+});
+
+read_struct!(StoreSettings { address });
+
+fn at_least_one(n: &usize) -> Result<(), String> {
+    match n {
+        0 => Err("the value is at least 1".to_owned()),
+        _ => Ok(()),
+    }
+}
+
+/// Checks the form of a SHA-256.
+fn digest(text: &str) -> Result<(), String> {
+    let allowed = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    if text.len() != 64 || !text.bytes().all(allowed) {
+        return Err("a SHA-256 in 64 small hexadecimal digits is expected".to_owned());
+    }
+    Ok(())
+}
+
 fn read(path: &Path) -> Result<Vec<u8>, Error> {
-    std::fs::read(path).map_err(|source| Error::Read {
-        path: path.to_owned(),
-        source,
-    })
+    std::fs::read(path).map_err(|e| faulty(path, e))
 }
 
 fn faulty(path: &Path, e: impl ToString) -> Error {
-    Error::Faulty {
+    Error::Named {
         path: path.to_owned(),
         reason: e.to_string(),
     }
 }
 
+/// Lists the files that the settings name and that can't be read.
+fn check_files(settings: &Settings, _: &Value<'_>) -> Vec<Fault> {
+    let mut files = vec![
+        (["sibling", "ca"].as_slice(), &settings.sibling.ca),
+        (&["sibling", "cert"], &settings.sibling.cert),
+        (&["sibling", "key"], &settings.sibling.key),
+    ];
+    if let Some(tls) = &settings.caller.tls {
+        files.push((&["caller", "tls", "cert"], &tls.cert));
+        files.push((&["caller", "tls", "key"], &tls.key));
+    }
+    let faults = files.into_iter().filter_map(|(at, path)| {
+        let e = std::fs::File::open(path).err()?;
+        Some(Fault {
+            path: at.iter().map(|&s| s.to_owned()).collect(),
+            reason: format!("{}: {e}", path.display()),
+        })
+    });
+    faults.collect()
+}
+
 impl Settings {
-    /// Reads and checks a settings file.
+    /// Reads and checks a settings file, and the files that it names.
     pub(crate) fn read(path: &Path) -> Result<Self, Error> {
-        let text = String::from_utf8(read(path)?).map_err(|e| faulty(path, e))?;
-        let options = ParseOptions::default();
-        let settings: Self =
-            jsonc_parser::parse_to_serde_value(&text, &options).map_err(|e| faulty(path, e))?;
-        if settings.workers == 0 || settings.threads == 0 || settings.queue_depth == 0 {
-            return Err(faulty(
-                path,
-                "workers, threads and queue-depth are at least 1",
-            ));
-        }
+        let settings: Self = file::read(path, check_files)?;
+        settings.check_identity()?;
+        settings.tls()?;
         Ok(settings)
     }
 
+    /// Checks that the certificate names this instance.
+    fn check_identity(&self) -> Result<(), Error> {
+        let named = match self.certificates()?.identity() {
+            Some(id) if id.instance == self.instance && id.region == self.region => return Ok(()),
+            Some(id) => format!("{} in {}", id.instance, id.region),
+            None => "no instance".to_owned(),
+        };
+        let reason = format!(
+            "the certificate names {named}, the settings {} in {}",
+            self.instance, self.region
+        );
+        Err(faulty(&self.sibling.cert, reason))
+    }
+
     /// Reads the certificates for siblings.
     pub(crate) fn certificates(&self) -> Result<Certificates, Error> {
         let files = &self.sibling;
@@ -221,10 +274,11 @@
 impl CallerSettings {
     /// Returns the bounds on what callers may send.
     pub(crate) fn limits(&self) -> Limits {
-        let mut limits = Limits::default();
-        if let Some(max) = self.max_body {
-            limits.max_body = max;
+        Limits {
+            max_body: self.max_body,
+            max_connections: self.max_connections,
+            header_timeout: Duration::from_millis(self.header_timeout_ms),
+            body_timeout: Duration::from_millis(self.body_timeout_ms),
         }
-        limits
     }
 }
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -5,6 +5,8 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::gateway;
+use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -21,6 +23,7 @@
 use chiverelay_sibling::Handler;
 use chiverelay_sibling::Identity;
 use chiverelay_sibling::Message;
+use chiverelay_sibling::Refused;
 use chiverelay_sibling::VERSION;
 use chiverelay_target::Answer;
 use chiverelay_target::Outbound;
@@ -67,6 +70,12 @@
             peer.clone(),
             "taken",
         );
+        let known = (from.instance.clone(), req.id.clone());
+        if !self.cx.taken.lock().insert(known) {
+            log::warn!("sibling: {}: {} was taken before", from.instance, req.id);
+            self.refused(Refused::Replayed);
+            return Err(Refusal::unknown(Code::Malformed, Step::Receive, peer));
+        }
         let method = Method::from_bytes(req.method.as_bytes())
             .map_err(|_| Refusal::before_dispatch(Code::Malformed, Step::Receive, peer))?;
         let head = Head {
@@ -93,6 +102,16 @@
         self.run(admitted, &out).await
     }
 
+    fn refuse(&self, id: &RequestId, account: Option<&Account>, refusal: &Refusal) {
+        let what = format!(
+            "refused: {}, {}",
+            refusal.code.as_str(),
+            refusal.outcome.as_str()
+        );
+        self.cx
+            .record(id, account, refusal.step, refusal.peer.clone(), what);
+    }
+
     async fn run(
         &self,
         mut req: Request<Admitted, Forwarded>,
@@ -165,15 +184,26 @@
         }
     }
 
-    async fn forward(&self, from: &Identity, req: Forward, mut tx: FrameSender) {
+    async fn forward(&self, from: &Identity, stamp: Stamp, req: Forward, mut tx: FrameSender) {
         let open = self.cx.requests.token();
-        match self.answer(from, req).await {
+        self.cx.events.observe(stamp);
+        let id = req.id.clone();
+        let account = req.account.clone();
+        let answer = self.answer(from, req).await;
+        // If the sibling left, the relay finds out and cancels the request.
+        let _ = tx.send(&Frame::Stamp(self.cx.events.latest())).await;
+        match answer {
             Ok((req, answer)) => self.stream(req, answer, tx).await,
             Err(refusal) => {
+                self.refuse(&id, account.as_ref(), &refusal);
                 // The sibling may have left.
                 let _ = tx.send(&Frame::Refused(refusal)).await;
             }
         }
         drop(open);
     }
+
+    fn refused(&self, reason: Refused) {
+        self.cx.metrics.sibling_refused(reason.as_str());
+    }
 }
--- a/crates/decisions/src/config.rs
+++ b/crates/decisions/src/config.rs
@@ -2,6 +2,7 @@
 //! and keys, as one immutable snapshot.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::LazyLock;
 
 use serde::Deserialize;
@@ -19,6 +20,7 @@
 use crate::names::Route;
 use crate::names::Target;
 use crate::names::Zone;
+use crate::names::check_name;
 
 /// Tokens charged for an answer where neither request nor route states a limit.
 pub const DEFAULT_MAX_ANSWER_TOKENS: u64 = 1024;
@@ -268,50 +270,149 @@
 
     /// Lists every fault of the tables taken together.
     pub fn check(&self) -> Vec<Fault> {
-        let mut faults = Vec::new();
+        self.check_with(&Defined {
+            pools: self.pools.keys().map(ToString::to_string).collect(),
+            accounts: self.accounts.keys().map(ToString::to_string).collect(),
+        })
+    }
+
+    /// Like [`Config::check`], where entries that could not be read count as
+    /// defined.
+    pub fn check_with(&self, defined: &Defined) -> Vec<Fault> {
+        let mut faults = Faults(Vec::new());
         for (name, route) in &self.routes {
-            self.check_route(name, route, &mut faults);
+            let at = ["routes", name.as_str()];
+            faults.name(&at, name.as_str());
+            self.check_route(&at, route, defined, &mut faults);
+            self.check_reach(&at, route, &mut faults);
+        }
+        self.check_routes_differ(&mut faults);
+        for (name, pool) in &self.pools {
+            faults.name(&["pools", name.as_str()], name.as_str());
+            for target in pool.targets.keys() {
+                let at = ["pools", name.as_str(), "targets", target.as_str()];
+                faults.name(&at, target.as_str());
+            }
+        }
+        for (name, account) in &self.accounts {
+            check_account(name, account, &mut faults);
         }
         for (name, entry) in self.keys.iter().filter(|(_, key)| !key.withdrawn) {
             if !self.accounts.contains_key(&entry.account) {
-                faults.push(fault(
-                    &["keys", name.as_str(), "account"],
-                    format!("no account {}", entry.account),
-                ));
+                let reason = format!("no account {}; withdraw the key first", entry.account);
+                faults.push(&["keys", name.as_str(), "account"], reason);
             }
         }
-        faults
+        faults.0
     }
 
-    fn check_route(&self, name: &Route, route: &RouteEntry, faults: &mut Vec<Fault>) {
-        let at = ["routes", name.as_str()];
+    fn check_route(
+        &self,
+        at: &[&str; 2],
+        route: &RouteEntry,
+        defined: &Defined,
+        faults: &mut Faults,
+    ) {
         if !route.path.starts_with('/') {
-            faults.push(fault(
-                &[at[0], at[1], "path"],
-                "a path starts with /".to_owned(),
-            ));
+            faults.push(&[at[0], at[1], "path"], "a path starts with /");
         }
-        if !self.pools.contains_key(&route.pool) {
-            faults.push(fault(
-                &[at[0], at[1], "pool"],
-                format!("no pool {}", route.pool),
-            ));
+        if !defined.pools.contains(route.pool.as_str()) {
+            faults.push(&[at[0], at[1], "pool"], format!("no pool {}", route.pool));
         }
         if route.open && !route.accounts.is_empty() {
-            faults.push(fault(
-                &[at[0], at[1], "accounts"],
-                "an open route lists no accounts".to_owned(),
-            ));
+            let reason = "an open route lists no accounts";
+            faults.push(&[at[0], at[1], "accounts"], reason);
         }
         for account in &route.accounts {
-            if !self.accounts.contains_key(account) {
-                faults.push(fault(
-                    &[at[0], at[1], "accounts"],
-                    format!("no account {account}"),
-                ));
+            if !defined.accounts.contains(account.as_str()) {
+                let reason = format!("no account {account}");
+                faults.push(&[at[0], at[1], "accounts"], reason);
+            }
+        }
+        if route.deadline_ms == 0 {
+            faults.push(&[at[0], at[1], "deadline-ms"], "a deadline is at least 1");
+        }
+    }
+
+    /// Checks that the residency leaves the route a target.
+    fn check_reach(&self, at: &[&str; 2], route: &RouteEntry, faults: &mut Faults) {
+        let Some(pool) = self.pools.get(&route.pool) else {
+            return;
+        };
+        let reaches = |residency: &Residency| {
+            let mut regions = pool.targets.values().map(|t| &t.region);
+            regions.any(|region| residency.allows(region))
+        };
+        if pool.targets.is_empty() {
+            return;
+        }
+        if !reaches(&route.residency) {
+            let reason = format!("pool {} has no target in these regions", route.pool);
+            faults.push(&[at[0], at[1], "residency"], reason);
+            return;
+        }
+        for name in &route.accounts {
+            let Some(account) = self.accounts.get(name) else {
+                continue;
+            };
+            if !reaches(&route.residency.and(&account.residency)) {
+                let reason = format!(
+                    "pool {} has no target where account {name} may run",
+                    route.pool
+                );
+                faults.push(&[at[0], at[1], "accounts"], reason);
             }
         }
     }
+
+    /// Checks that no two routes match the same requests equally well.
+    fn check_routes_differ(&self, faults: &mut Faults) {
+        let mut seen = BTreeMap::new();
+        for (name, route) in &self.routes {
+            let asks = (&route.path, &route.model);
+            if let Some(other) = seen.insert(asks, name) {
+                let reason = format!("route {other} has the same path and model");
+                faults.push(&["routes", name.as_str(), "path"], reason);
+            }
+        }
+    }
+}
+
+fn check_account(name: &Account, account: &AccountEntry, faults: &mut Faults) {
+    let at = ["accounts", name.as_str()];
+    faults.name(&at, name.as_str());
+    if account.rate == 0 {
+        faults.push(&[at[0], at[1], "rate"], "a rate is at least 1");
+    }
+    if account.burst == 0 {
+        faults.push(&[at[0], at[1], "burst"], "a burst is at least 1");
+    }
+}
+
+/// The names that the tables define.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Defined {
+    /// Names of pools.
+    pub pools: BTreeSet<String>,
+    /// Names of accounts.
+    pub accounts: BTreeSet<String>,
+}
+
+struct Faults(Vec<Fault>);
+
+impl Faults {
+    fn push(&mut self, path: &[&str], reason: impl Into<String>) {
+        self.0.push(Fault {
+            path: path.iter().map(|&s| s.to_owned()).collect(),
+            reason: reason.into(),
+        });
+    }
+
+    fn name(&mut self, path: &[&str], name: &str) {
+        if let Err(reason) = check_name(name) {
+            self.push(path, reason);
+        }
+    }
 }
 
 fn path_matches(prefix: &str, path: &str) -> bool {
@@ -320,10 +421,3 @@
         Some(rest) => rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/'),
     }
 }
-
-fn fault(path: &[&str], reason: String) -> Fault {
-    Fault {
-        path: path.iter().map(|&s| s.to_owned()).collect(),
-        reason,
-    }
-}
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -1,5 +1,6 @@
 //! Events with hybrid logical clock stamps, kept in a bounded ring.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -166,3 +167,71 @@
         }
     }
 }
+
+/// Which events are wanted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Filter {
+    /// Of this request; any if absent.
+    pub request: Option<RequestId>,
+    /// Of this client account; any if absent.
+    pub account: Option<Account>,
+    /// At this instance; any if absent.
+    pub instance: Option<Instance>,
+    /// Not before this time, in milliseconds since the epoch.
+    pub from_ms: u64,
+    /// Not after this time, in milliseconds since the epoch.
+    pub to_ms: u64,
+}
+
+impl Default for Filter {
+    fn default() -> Self {
+        Self {
+            request: None,
+            account: None,
+            instance: None,
+            from_ms: 0,
+            to_ms: u64::MAX,
+        }
+    }
+}
+
+impl Filter {
+    /// Tells whether an event is wanted.
+    pub fn wants(&self, event: &Event) -> bool {
+        (self.request.is_none() || self.request == event.request)
+            && (self.account.is_none() || self.account == event.account)
+            && (self.instance.is_none() || self.instance.as_ref() == Some(&event.instance))
+            && (self.from_ms..=self.to_ms).contains(&event.stamp.wall_ms)
+    }
+}
+
+/// Events of several instances in the order of their stamps.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Timeline {
+    /// The events, oldest first.
+    pub events: Vec<Event>,
+    /// Events that each instance's ring no longer holds.
+    pub dropped: BTreeMap<Instance, u64>,
+    /// Instances that could not be asked, and why.
+    pub missing: BTreeMap<Instance, String>,
+}
+
+impl Timeline {
+    /// Adds the wanted events of an instance.
+    pub fn add(&mut self, instance: &Instance, page: Page, filter: &Filter) {
+        self.dropped.insert(instance.clone(), page.dropped);
+        self.events
+            .extend(page.events.into_iter().filter(|e| filter.wants(e)));
+    }
+
+    /// Notes an instance that could not be asked.
+    pub fn miss(&mut self, instance: &Instance, reason: String) {
+        self.missing.insert(instance.clone(), reason);
+    }
+
+    /// Puts the events in the order of their stamps.
+    pub fn sort(&mut self) {
+        self.events
+            .sort_by(|a, b| (a.stamp, &a.instance).cmp(&(b.stamp, &b.instance)));
+    }
+}
--- a/crates/decisions/src/names.rs
+++ b/crates/decisions/src/names.rs
@@ -72,3 +72,44 @@
     /// A request, unique over all instances.
     RequestId;
 }
+
+/// Longest name in characters.
+pub const MAX_NAME: usize = 128;
+
+/// Longest name that goes into certificates, in characters.
+pub const MAX_LABEL: usize = 63;
+
+/// Checks a name of the configuration.
+///
+/// # Errors
+///
+/// Says what is wrong with it.
+pub fn check_name(name: &str) -> Result<(), String> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:/@".contains(c);
+    if name.is_empty() || name.len() > MAX_NAME {
+        return Err(format!("a name has 1 to {MAX_NAME} characters"));
+    }
+    if !name.chars().all(allowed) {
+        return Err("a name has letters, digits and -_.:/@ only".to_owned());
+    }
+    Ok(())
+}
+
+/// Checks a name that goes into certificates.
+///
+/// # Errors
+///
+/// Says what is wrong with it.
+pub fn check_label(name: &str) -> Result<(), String> {
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    if name.is_empty() || name.len() > MAX_LABEL {
+        return Err(format!(
+            "a name in certificates has 1 to {MAX_LABEL} characters"
+        ));
+    }
+    if !name.chars().all(allowed) || name.starts_with('-') || name.ends_with('-') {
+        let reason = "a name in certificates has small letters, digits and inner hyphens only";
+        return Err(reason.to_owned());
+    }
+    Ok(())
+}
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -8,6 +8,8 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::hash::Hash;
 use std::ops::Deref;
 use std::ops::DerefMut;
@@ -232,6 +234,47 @@
     }
 }
 
+/// The newest values of many.
+///
+/// # Invariants
+///
+/// `order` has the members of `values`, oldest first, and at most `capacity`.
+#[derive(Debug)]
+pub struct Recent<T> {
+    capacity: usize,
+    values: HashSet<T, Xxh3DefaultBuilder>,
+    order: VecDeque<T>,
+}
+
+impl<T> Recent<T>
+where
+    T: Clone + Eq + Hash,
+{
+    /// Makes an empty set.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            values: HashSet::default(),
+            order: VecDeque::new(),
+        }
+    }
+
+    /// Adds a value, in place of the oldest if there is no room; false if the
+    /// set has it.
+    pub fn insert(&mut self, value: T) -> bool {
+        if !self.values.insert(value.clone()) {
+            return false;
+        }
+        if self.order.len() == self.capacity
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.values.remove(&oldest);
+        }
+        self.order.push_back(value);
+        true
+    }
+}
+
 /// The configuration in force, swapped whole.
 #[derive(Debug)]
 pub struct Snapshot {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,5 +1,6 @@
 //! A client for short exchanges, which never repeats a request by itself.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -47,13 +48,21 @@
 }
 
 /// A client.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Client {
     pool: Pool<HttpConnector, Full<Bytes>>,
     timeout: Duration,
     bearer: Option<String>,
 }
 
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client")
+            .field("timeout", &self.timeout)
+            .finish_non_exhaustive()
+    }
+}
+
 /// An answer read whole.
 #[derive(Clone, Debug)]
 pub struct Response {
--- a/crates/operator/src/api.rs
+++ b/crates/operator/src/api.rs
@@ -1,6 +1,7 @@
 //! The documents of the admin interface.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use chiverelay_decisions::config::AccountEntry;
@@ -75,6 +76,15 @@
     pub account: Account,
 }
 
+impl fmt::Debug for GrantedKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("GrantedKey")
+            .field("id", &self.id)
+            .field("version", &self.version)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Answer to [`GrantKey`]; the only place where a whole key is ever shown.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -115,6 +125,9 @@
     pub store: String,
     /// The other instances that it knows.
     pub siblings: Vec<InstanceStatus>,
+    /// What the instance has counted since it started, by name.
+    #[serde(default)]
+    pub counters: BTreeMap<String, u64>,
 }
 
 /// Why a call failed.
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -57,6 +57,9 @@
 
     /// Starts a graceful shutdown.
     fn drain(&self);
+
+    /// Takes note of a call that was refused before it was decoded.
+    fn refused(&self, reason: &'static str);
 }
 
 /// A bound listener for operators.
@@ -108,6 +111,7 @@
         .and_then(|v| v.strip_prefix("Bearer "));
     if !handler.authenticate(token) {
         log::warn!("operator: call without a valid token refused");
+        handler.refused("unauthenticated");
         return failed(&Failure::Unauthenticated);
     }
     let path = req.uri().path().to_owned();
@@ -115,12 +119,12 @@
         (Method::GET, "/v1/config") => ok(&handler.config()),
         (Method::PUT, "/v1/config") => match chiverelay_http::read_json(req, MAX_BODY).await {
             Ok(req) => done(handler.apply(req).await),
-            Err(resp) => *resp,
+            Err(resp) => malformed(handler, *resp),
         },
         (Method::GET, "/v1/keys") => ok(&handler.keys()),
         (Method::POST, "/v1/keys") => match chiverelay_http::read_json(req, MAX_BODY).await {
             Ok(req) => done(handler.grant(req).await),
-            Err(resp) => *resp,
+            Err(resp) => malformed(handler, *resp),
         },
         (Method::DELETE, path) => match path.strip_prefix("/v1/keys/") {
             Some(id) => done(handler.withdraw(id.into()).await),
@@ -136,6 +140,15 @@
     }
 }
 
+fn malformed<H>(handler: &H, resp: Response<Body>) -> Response<Body>
+where
+    H: Handler,
+{
+    log::warn!("operator: malformed call refused: {}", resp.status());
+    handler.refused("malformed");
+    resp
+}
+
 fn ok<T>(value: &T) -> Response<Body>
 where
     T: Serialize,
--- a/crates/sibling/src/endpoint.rs
+++ b/crates/sibling/src/endpoint.rs
@@ -24,7 +24,6 @@
 use crate::Link;
 use crate::Message;
 use crate::Up;
-use crate::VERSION;
 use crate::identity::server_name;
 use crate::wire;
 
@@ -40,6 +39,46 @@
 /// Requests and messages that one sibling may have open at once.
 const MAX_STREAMS: u32 = 4096;
 
+/// Why a connection or a message was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// No certificate of the authority was shown.
+    Handshake,
+    /// The certificate names no instance.
+    NoName,
+    /// The message can't be read.
+    Malformed,
+    /// The message is larger than [`crate::MAX_FRAME`].
+    Oversized,
+    /// The message is of another version.
+    Version,
+    /// The message was taken before.
+    Replayed,
+}
+
+impl Refused {
+    /// Returns the reason as it stands in metrics and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Handshake => "handshake",
+            Self::NoName => "no_name",
+            Self::Malformed => "malformed",
+            Self::Oversized => "oversized",
+            Self::Version => "version",
+            Self::Replayed => "replayed",
+        }
+    }
+
+    fn of(e: &Error) -> Option<Self> {
+        match e {
+            Error::Malformed { .. } => Some(Self::Malformed),
+            Error::Oversized { .. } => Some(Self::Oversized),
+            Error::Version { .. } => Some(Self::Version),
+            _ => None,
+        }
+    }
+}
+
 /// What answers siblings.
 pub trait Handler: Send + Sync + 'static {
     /// Answers a control message.
@@ -54,9 +93,13 @@
     fn forward(
         &self,
         from: &Identity,
+        stamp: Stamp,
         req: Forward,
         tx: FrameSender,
     ) -> impl Future<Output = ()> + Send;
+
+    /// Takes note of a connection or a message that was refused.
+    fn refused(&self, reason: Refused);
 }
 
 /// Listens for siblings and connects to them.
@@ -145,7 +188,10 @@
                 let served = async {
                     match incoming.await {
                         Ok(conn) => serve(conn, handler).await,
-                        Err(e) => log::warn!("sibling: connection refused: {e}"),
+                        Err(e) => {
+                            log::warn!("sibling: connection refused: {e}");
+                            handler.refused(Refused::Handshake);
+                        }
                     }
                 };
                 cancel.run_until_cancelled(served).await;
@@ -169,6 +215,7 @@
             "sibling: {}: certificate names no instance",
             conn.remote_address()
         );
+        handler.refused(Refused::NoName);
         conn.close(1_u32.into(), b"no name");
         return;
     };
@@ -185,6 +232,9 @@
         tokio::spawn(async move {
             if let Err(e) = exchange(&*handler, &peer, tx, rx).await {
                 log::warn!("sibling: {}: message refused: {e}", peer.instance);
+                if let Some(reason) = Refused::of(&e) {
+                    handler.refused(reason);
+                }
             }
         });
     }
@@ -199,14 +249,12 @@
 where
     H: Handler,
 {
-    let envelope: Envelope = wire::read(&mut rx).await?;
-    if envelope.version != VERSION {
-        return Err(Error::Version {
-            version: envelope.version,
-        });
-    }
+    let envelope: Envelope = wire::read_envelope(&mut rx).await?;
     match envelope.message {
-        Message::Forward(req) => handler.forward(peer, req, FrameSender::new(tx)).await,
+        Message::Forward(req) => {
+            let tx = FrameSender::new(tx);
+            handler.forward(peer, envelope.stamp, req, tx).await;
+        }
         message => {
             let reply = handler.control(peer, envelope.stamp, message).await;
             wire::write(&mut tx, &reply).await?;
--- a/crates/sibling/src/error.rs
+++ b/crates/sibling/src/error.rs
@@ -45,6 +45,18 @@
         /// What is wrong.
         reason: String,
     },
+    /// A message is larger than allowed.
+    #[error("{step}: sibling: message of {len} bytes", step = Step::Receive)]
+    Oversized {
+        /// Its length in bytes.
+        len: usize,
+    },
+    /// The stream ended within a message.
+    #[error("{step}: sibling: the message broke off: {reason}", step = Step::Receive)]
+    Truncated {
+        /// The cause.
+        reason: String,
+    },
     /// A message of a version that this instance does not speak.
     #[error("{step}: sibling: message of version {version}", step = Step::Receive)]
     Version {
--- a/crates/sibling/src/identity.rs
+++ b/crates/sibling/src/identity.rs
@@ -52,7 +52,11 @@
     pub(crate) fn of_connection(conn: &quinn::Connection) -> Option<Self> {
         let chain = conn.peer_identity()?;
         let chain = chain.downcast::<Vec<CertificateDer<'static>>>().ok()?;
-        let cert = EndEntityCert::try_from(chain.first()?).ok()?;
+        Self::of_certificate(chain.first()?)
+    }
+
+    fn of_certificate(cert: &CertificateDer<'_>) -> Option<Self> {
+        let cert = EndEntityCert::try_from(cert).ok()?;
         cert.valid_dns_names().find_map(Self::from_name)
     }
 }
@@ -90,6 +94,11 @@
         })
     }
 
+    /// Returns who the certificate names; `None` if it names no instance.
+    pub fn identity(&self) -> Option<Identity> {
+        Identity::of_certificate(self.chain.first()?)
+    }
+
     pub(crate) fn server(&self) -> Result<QuicServerConfig, Error> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let verifier = WebPkiClientVerifier::builder_with_provider(
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub use endpoint::Endpoint;
 pub use endpoint::Handler;
+pub use endpoint::Refused;
 pub use error::Error;
 pub use identity::Certificates;
 pub use identity::Identity;
@@ -31,4 +32,5 @@
 pub use wire::FrameSender;
 pub use wire::MAX_FRAME;
 pub use wire::decode;
+pub use wire::decode_envelope;
 pub use wire::encode;
--- a/crates/sibling/src/link.rs
+++ b/crates/sibling/src/link.rs
@@ -93,7 +93,7 @@
     /// After an error the sibling may have acted on the message.
     pub async fn ask(&self, stamp: Stamp, message: Message) -> Result<Envelope, Error> {
         let mut rx = self.open(Step::Forward, stamp, message).await?;
-        wire::read(&mut rx)
+        wire::read_envelope(&mut rx)
             .await
             .map_err(|e| self.broken(Step::Forward, e))
     }
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -90,4 +90,6 @@
     End,
     /// There is no answer, or no more of it.
     Refused(Refusal),
+    /// The sender's hybrid logical clock, before the head.
+    Stamp(Stamp),
 }
--- a/crates/sibling/src/wire.rs
+++ b/crates/sibling/src/wire.rs
@@ -5,12 +5,17 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::Envelope;
 use crate::Error;
 use crate::Frame;
+use crate::VERSION;
 
 /// Largest encoded message in bytes.
 pub const MAX_FRAME: usize = 8 * 1024 * 1024;
 
+/// Bytes that are set aside before any of a message has arrived.
+const CHUNK: usize = 64 * 1024;
+
 /// Bytes of the length before each message.
 const PREFIX: usize = 4;
 
@@ -31,7 +36,7 @@
 {
     let buf = postcard::to_stdvec(msg).map_err(malformed)?;
     if buf.len() > MAX_FRAME {
-        return Err(malformed("message too large"));
+        return Err(Error::Oversized { len: buf.len() });
     }
     Ok(buf)
 }
@@ -62,19 +67,54 @@
     tx.write_all(&buf).await.map_err(malformed)
 }
 
+fn truncated(e: impl ToString) -> Error {
+    Error::Truncated {
+        reason: e.to_string(),
+    }
+}
+
+async fn read_buf(rx: &mut RecvStream) -> Result<Vec<u8>, Error> {
+    let mut len = [0; PREFIX];
+    rx.read_exact(&mut len).await.map_err(truncated)?;
+    let len = u32::from_be_bytes(len) as usize;
+    if len > MAX_FRAME {
+        return Err(Error::Oversized { len });
+    }
+    // Memory grows with what arrives, not with what is announced.
+    let mut buf = Vec::with_capacity(len.min(CHUNK));
+    while buf.len() < len {
+        let chunk = rx.read_chunk(len - buf.len(), true).await;
+        match chunk.map_err(truncated)? {
+            Some(chunk) => buf.extend_from_slice(&chunk.bytes),
+            None => return Err(truncated("end of stream")),
+        }
+    }
+    Ok(buf)
+}
+
 pub(crate) async fn read<T>(rx: &mut RecvStream) -> Result<T, Error>
 where
     T: DeserializeOwned,
 {
-    let mut len = [0; PREFIX];
-    rx.read_exact(&mut len).await.map_err(malformed)?;
-    let len = u32::from_be_bytes(len) as usize;
-    if len > MAX_FRAME {
-        return Err(malformed("message too large"));
+    decode(&read_buf(rx).await?)
+}
+
+/// Reads an envelope, whose version is checked before the rest of it.
+pub(crate) async fn read_envelope(rx: &mut RecvStream) -> Result<Envelope, Error> {
+    decode_envelope(&read_buf(rx).await?)
+}
+
+/// Decodes an envelope, whose version is checked before the rest of it.
+///
+/// # Errors
+///
+/// Fails if `buf` is not exactly one envelope of [`VERSION`].
+pub fn decode_envelope(buf: &[u8]) -> Result<Envelope, Error> {
+    let (version, _) = postcard::take_from_bytes::<u16>(buf).map_err(malformed)?;
+    if version != VERSION {
+        return Err(Error::Version { version });
     }
-    let mut buf = vec![0; len];
-    rx.read_exact(&mut buf).await.map_err(malformed)?;
-    decode(&buf)
+    decode(buf)
 }
 
 /// Sends the parts of an answer to a forwarded request.
