--- a/crates/decisions/src/publication/manifest.rs
+++ b/crates/decisions/src/publication/manifest.rs
@@ -15,7 +15,18 @@
 const HISTORY: usize = 16;
 
 /// Who wrote a manifest: an instance's incarnation and a random number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Writer {
     /// The instance's incarnation.
     pub incarnation: u64,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,5 +9,6 @@
 mod queue;
 mod registry;
 mod residency;
+mod settings;
 mod store;
 mod tables;
