Poll the load and the caches of a region's engines

Placement knew only what its own instance had sent. Each engine of a region is now polled once a second by one instance, chosen by rendezvous hashing among those that serve; changed reports go to the region's other instances, so the messages grow with the region's engines and not with the fleet. A report says whether the engine is leaving, and its incarnation shows a restart, after which its cache counts as cold and it starts slowly. Cache events follow by number; a gap drops the view.

Weighed: every instance polls every engine (nodes x replicas polls), and two pollers each (twice the reports, for the second of silence after a poller failed); one poller was taken, the next takes over as soon as the sibling is missed.

The test of a leaving engine failed without the reports passed on. The test of warm prefixes passed at first without any view of the cache, as it asked in turns; it asks three times in a row now and fails without the view. A first version gave a target that took its leave back a slow start though its cache was warm; only a restart does so now.

--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 use crate::instance::Instance;
 use crate::instance::Starting;
+use crate::load;
 use crate::members;
 use crate::operate::Operate;
 use crate::publish;
@@ -60,6 +61,7 @@
     tokio::spawn(publish::run(Arc::clone(&cx)));
     tokio::spawn(members::run(Arc::clone(&cx)));
     tokio::spawn(wait::run(Arc::clone(&cx)));
+    tokio::spawn(load::run(Arc::clone(&cx)));
     tokio::spawn(
         endpoint
             .clone()
--- /dev/null
+++ b/crates/chiverelayd/src/load.rs
@@ -0,0 +1,186 @@
+//! Polls the load and the cache events of this region's engines.
+//!
+//! Each engine is polled by one instance of its region, chosen by rendezvous
+//! hashing among those that serve. It passes changed reports on to the others.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::config::PoolKind;
+use chiverelay_decisions::gateway;
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::placement::Report;
+use chiverelay_decisions::placement::prefix;
+use chiverelay_sibling::Message;
+use chiverelay_sibling::TargetLoad;
+use chiverelay_target as target;
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::context::Context;
+use crate::members;
+
+/// Time between two polls of an engine.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for an engine to answer a poll.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// An unchanged report is passed on with every so many polls.
+const REFRESH: u64 = 5;
+
+/// Time for siblings to take the reports.
+const PASS_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Reports passed on last, by target.
+type Passed = HashMap<Target, Report>;
+
+/// Polls until the instance stops.
+pub(crate) async fn run(cx: Arc<Context>) {
+    let mut ticks = tokio::time::interval(INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut passed = Passed::new();
+    for round in 0_u64.. {
+        tokio::select! {
+            () = cx.stop.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        let peers = peers(&cx);
+        let reports = poll(&cx, &peers).await;
+        if round.is_multiple_of(REFRESH) {
+            passed.clear();
+        }
+        let loads = changed(&mut passed, reports);
+        if !loads.is_empty() {
+            pass_on(&cx, &peers, loads).await;
+        }
+        gateway::pump(&cx.tables, &cx.settings.region, cx.clock.now());
+    }
+}
+
+/// Lists the other instances of the region that serve.
+fn peers(cx: &Context) -> Vec<Instance> {
+    let mut peers = Vec::new();
+    cx.tables.siblings.for_each(|name, sibling| {
+        if sibling.serving && sibling.region == cx.settings.region {
+            peers.push(name.clone());
+        }
+    });
+    peers
+}
+
+/// Tells whether this instance polls a target.
+fn is_mine(cx: &Context, peers: &[Instance], target: &Target) -> bool {
+    let key = xxh3_64(target.as_str().as_bytes());
+    let own = prefix::rendezvous(key, cx.settings.instance.as_str());
+    peers
+        .iter()
+        .all(|p| prefix::rendezvous(key, p.as_str()) <= own)
+}
+
+/// Polls the engines that are this instance's to poll.
+async fn poll(cx: &Arc<Context>, peers: &[Instance]) -> Vec<(Target, Report)> {
+    let config = cx.tables.config.get();
+    let mut polls = JoinSet::new();
+    let engines = config.pools.values().filter(|p| p.kind == PoolKind::Engine);
+    for (name, entry) in engines.flat_map(|p| &p.targets) {
+        if entry.region == cx.settings.region && is_mine(cx, peers, name) {
+            let (cx, name, address) = (Arc::clone(cx), name.clone(), entry.address);
+            polls.spawn(async move {
+                let report = poll_one(&cx, &name, address).await?;
+                Some((name, report))
+            });
+        }
+    }
+    polls.join_all().await.into_iter().flatten().collect()
+}
+
+async fn poll_one(cx: &Context, name: &Target, address: SocketAddr) -> Option<Report> {
+    let asked = cx.clock.now();
+    let report = match target::load(&cx.targets, name, address, TIMEOUT).await {
+        Ok(report) => report?,
+        Err(e) => {
+            log::debug!("load: {e}");
+            note_failure(cx, name, &e);
+            return None;
+        }
+    };
+    gateway::report(&cx.tables, name, report, asked);
+    let after = gateway::cache_sequence(&cx.tables, name);
+    match target::cache::events(&cx.targets, name, address, after, TIMEOUT).await {
+        Ok(page) => apply(cx, name, &page.events),
+        Err(e) => log::debug!("load: {e}"),
+    }
+    Some(report)
+}
+
+fn note_failure(cx: &Context, name: &Target, e: &target::Error) {
+    let now = cx.clock.now();
+    match e {
+        target::Error::Connect { .. } => gateway::eject(&cx.tables, name, now),
+        _ => gateway::fail(&cx.tables, name, now),
+    }
+}
+
+fn apply(cx: &Context, name: &Target, events: &[target::cache::Event]) {
+    for event in events {
+        let (stored, removed) = (&event.stored, &event.removed);
+        let applied = gateway::apply_cache_event(&cx.tables, name, event.sequence, stored, removed);
+        if let Err(gap) = applied {
+            log::debug!(
+                "load: target {name}: cache events {} to {} are missing",
+                gap.after + 1,
+                gap.found - 1
+            );
+        }
+    }
+}
+
+/// Returns the reports that say something new.
+fn changed(passed: &mut Passed, reports: Vec<(Target, Report)>) -> Vec<TargetLoad> {
+    let same =
+        |a: &Report, b: &Report| Report { sequence: 0, ..*a } == Report { sequence: 0, ..*b };
+    reports
+        .into_iter()
+        .filter(|(name, report)| {
+            let last = passed.insert(name.clone(), *report);
+            last.is_none_or(|last| !same(&last, report))
+        })
+        .map(|(target, report)| TargetLoad { target, report })
+        .collect()
+}
+
+async fn pass_on(cx: &Arc<Context>, peers: &[Instance], loads: Vec<TargetLoad>) {
+    let mut sends = JoinSet::new();
+    for peer in peers {
+        let (cx, peer) = (Arc::clone(cx), peer.clone());
+        let message = Message::Loads(loads.clone());
+        sends.spawn(async move {
+            let asked = async {
+                let link = members::link(&cx, &peer).await?;
+                link.ask(cx.events.latest(), message).await
+            };
+            if let Ok(Err(e)) = tokio::time::timeout(PASS_TIMEOUT, asked).await {
+                log::debug!("load: {e}");
+            }
+        });
+    }
+    sends.join_all().await;
+}
+
+/// Takes note of reports that a sibling of this region passed on.
+pub(crate) fn hear(cx: &Context, region: &Region, loads: &[TargetLoad]) {
+    if *region != cx.settings.region {
+        return;
+    }
+    let now = cx.clock.now();
+    for load in loads {
+        gateway::report(&cx.tables, &load.target, load.report, now);
+    }
+    gateway::pump(&cx.tables, &cx.settings.region, now);
+}
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod forward;
 mod instance;
+mod load;
 mod members;
 mod metrics;
 mod operate;
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -34,6 +34,7 @@
 use crate::dispatch::Attempt;
 use crate::forward::read_headers;
 use crate::forward::write_headers;
+use crate::load;
 use crate::members;
 use crate::relay;
 use crate::relay::Sink;
@@ -162,6 +163,10 @@
                 members::hear(&self.cx, &from.instance, &from.region, &beat);
                 Message::Heartbeat(members::heartbeat(&self.cx))
             }
+            Message::Loads(loads) => {
+                load::hear(&self.cx, &from.region, &loads);
+                Message::Done
+            }
             Message::Forward(_) | Message::Done => Message::Done,
         };
         Envelope {
--- a/crates/decisions/src/gateway/targets.rs
+++ b/crates/decisions/src/gateway/targets.rs
@@ -11,6 +11,7 @@
 use crate::placement::Estimate;
 use crate::placement::Gap;
 use crate::placement::Load;
+use crate::placement::Novelty;
 use crate::placement::Report;
 use crate::placement::Sign;
 use crate::placement::Status;
@@ -59,7 +60,11 @@
 /// Takes note of a target's load report, which was true at `at`.
 pub fn report(tables: &Tables, target: &Target, report: Report, at: Duration) {
     tables.targets.with_or(target, Load::default, |load| {
-        load.report(report, at);
+        match load.report(report, at) {
+            Novelty::Stale => return,
+            Novelty::Newer => {}
+            Novelty::Restarted => cold(load, at),
+        }
         let sign = if report.leaving {
             Sign::Leaving
         } else {
@@ -69,12 +74,17 @@
     });
 }
 
-/// Takes note that a target started anew, with a cold cache.
-pub fn restart(tables: &Tables, target: &Target, now: Duration) {
-    tables.targets.with_or(target, Load::default, |load| {
-        load.cache.reset();
-        load.health.start_slowly(now);
-    });
+/// Starts a target slowly whose cache is cold.
+fn cold(load: &mut Load, now: Duration) {
+    load.cache.reset();
+    load.health.observe(Sign::Restarted, now);
+}
+
+/// Returns the number of the last event applied of a target's prefix cache.
+pub fn cache_sequence(tables: &Tables, target: &Target) -> u64 {
+    tables
+        .targets
+        .with(target, |load| load.map_or(0, |l| l.cache.sequence()))
 }
 
 /// Applies one event of a target's prefix cache.
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -19,6 +19,7 @@
 pub use link::Link;
 pub use link::Network;
 pub use load::Load;
+pub use load::Novelty;
 pub use load::Report;
 pub use queue::FairQueue;
 pub use queue::Full;
--- a/crates/decisions/src/placement/health.rs
+++ b/crates/decisions/src/placement/health.rs
@@ -39,6 +39,8 @@
     Leaving,
     /// It says that it takes work.
     Present,
+    /// It started anew, with a cold cache.
+    Restarted,
 }
 
 /// Whether a target takes new work.
@@ -93,21 +95,20 @@
     visibility = "pub(crate)"
 )]
 impl Machine {
-    #[state]
+    #[state(superstate = "known")]
     fn healthy(&mut self, event: &Event) -> Outcome<State> {
         match event.sign {
             Sign::Failure => Transition(State::suspect(1)),
             Sign::Unreachable => self.eject(event.now),
-            Sign::Leaving => Transition(State::leaving()),
             Sign::Success => {
                 self.ejections = 0;
                 Handled
             }
-            Sign::Placed | Sign::Present => Handled,
+            _ => Super,
         }
     }
 
-    #[state]
+    #[state(superstate = "known")]
     fn suspect(&mut self, failures: &mut u32, event: &Event) -> Outcome<State> {
         match event.sign {
             Sign::Failure => {
@@ -118,42 +119,48 @@
                 self.eject(event.now)
             }
             Sign::Unreachable => self.eject(event.now),
-            Sign::Leaving => Transition(State::leaving()),
             Sign::Success => Transition(State::healthy()),
-            Sign::Placed | Sign::Present => Handled,
+            _ => Super,
         }
     }
 
-    #[state]
+    #[state(superstate = "known")]
     fn ejected(&mut self, until: &Duration, event: &Event) -> Outcome<State> {
         match event.sign {
             Sign::Placed if event.now >= *until => {
                 Transition(State::probing(event.now + PROBE_TIMEOUT))
             }
-            Sign::Leaving => Transition(State::leaving()),
             // An answer to work from before the ejection shows nothing new.
-            _ => Handled,
+            _ => Super,
         }
     }
 
-    #[state]
+    #[state(superstate = "known")]
     fn probing(&mut self, until: &mut Duration, event: &Event) -> Outcome<State> {
         match event.sign {
             Sign::Success => self.welcome(event.now),
             Sign::Failure | Sign::Unreachable => self.eject(event.now),
-            Sign::Leaving => Transition(State::leaving()),
             Sign::Placed => {
                 *until = event.now + PROBE_TIMEOUT;
                 Handled
             }
-            Sign::Present => Handled,
+            _ => Super,
         }
     }
 
-    #[state]
+    #[state(superstate = "known")]
     fn leaving(&mut self, event: &Event) -> Outcome<State> {
         match event.sign {
-            Sign::Present => self.welcome(event.now),
+            Sign::Present => Transition(State::healthy()),
+            _ => Super,
+        }
+    }
+
+    #[superstate]
+    fn known(&mut self, event: &Event) -> Outcome<State> {
+        match event.sign {
+            Sign::Leaving => Transition(State::leaving()),
+            Sign::Restarted => self.welcome(event.now),
             _ => Handled,
         }
     }
@@ -188,15 +195,6 @@
         }
     }
 
-    /// Begins a slow start, for a target whose cache is cold.
-    pub fn start_slowly(&mut self, now: Duration) {
-        self.machine.handle(&Event {
-            sign: Sign::Leaving,
-            now,
-        });
-        self.observe(Sign::Present, now);
-    }
-
     /// Returns the target's share of its full load, in thousandths.
     pub fn share(&self, now: Duration) -> u64 {
         let Some(returned) = self.machine.inner().returned else {
--- a/crates/decisions/src/placement/load.rs
+++ b/crates/decisions/src/placement/load.rs
@@ -19,7 +19,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Report {
-    /// Number of the report, raised by one with each; it starts anew with the target.
+    /// Changes when the target starts anew.
+    pub incarnation: u64,
+    /// Number of the report, raised by one with each.
     pub sequence: u64,
     /// Requests in the batch.
     pub running: u64,
@@ -31,6 +33,17 @@
     pub leaving: bool,
 }
 
+/// What a load report tells beside the load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Novelty {
+    /// A newer report came before.
+    Stale,
+    /// It follows the ones before.
+    Newer,
+    /// The target started anew since.
+    Restarted,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     at: Duration,
@@ -88,10 +101,18 @@
         self.pending += uncached;
     }
 
-    /// Takes note of a load report, which was true at `at`.
-    pub fn report(&mut self, report: Report, at: Duration) {
+    /// Takes note of a load report, which was true at `at`, unless a newer one
+    /// came first.
+    pub fn report(&mut self, report: Report, at: Duration) -> Novelty {
+        let novelty = match &self.seen {
+            None => Novelty::Newer,
+            Some(seen) if seen.report.incarnation != report.incarnation => Novelty::Restarted,
+            Some(seen) if seen.report.sequence >= report.sequence => return Novelty::Stale,
+            Some(_) => Novelty::Newer,
+        };
         let own = self.running;
         self.seen = Some(Seen { at, own, report });
+        novelty
     }
 
     /// Returns the report's weight in thousandths; it halves with each half-life.
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -27,6 +27,7 @@
 pub use message::Frame;
 pub use message::Heartbeat;
 pub use message::Message;
+pub use message::TargetLoad;
 pub use message::VERSION;
 pub use wire::FrameSender;
 pub use wire::MAX_FRAME;
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -4,6 +4,8 @@
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::placement::Report;
 use chiverelay_decisions::placement::Summary;
 use chiverelay_decisions::refusal::Refusal;
 use serde::Deserialize;
@@ -30,6 +32,8 @@
     Heartbeat(Heartbeat),
     /// A request passed on. Answered by [`Frame`]s.
     Forward(Forward),
+    /// Load reports of targets of the region that siblings share.
+    Loads(Vec<TargetLoad>),
     /// The message was taken and needs no other answer.
     Done,
 }
@@ -45,6 +49,15 @@
     pub summaries: Vec<Summary>,
 }
 
+/// A target's load report, as one instance passes it on to its region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// The target.
+    pub target: Target,
+    /// Its report.
+    pub report: Report,
+}
+
 /// A request passed on, with the account in place of the key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Forward {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -90,7 +90,7 @@
     pub fn new(name: &str, token_time: Duration) -> Self {
         Self {
             script: Script::default(),
-            reports: Reports::default(),
+            reports: Reports::new(),
             name: name.to_owned(),
             token_time,
             running: AtomicU64::new(0),
--- a/crates/standin/src/reports.rs
+++ b/crates/standin/src/reports.rs
@@ -71,6 +71,7 @@
 /// What an engine says of itself.
 #[derive(Debug, Default)]
 pub struct Reports {
+    incarnation: u64,
     sequence: AtomicU64,
     taken: AtomicU64,
     leaving: AtomicBool,
@@ -78,6 +79,14 @@
 }
 
 impl Reports {
+    /// Starts with a cold cache.
+    pub(crate) fn new() -> Self {
+        Self {
+            incarnation: rand::random(),
+            ..Self::default()
+        }
+    }
+
     fn cache(&self) -> MutexGuard<'_, Cache> {
         self.cache.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -105,6 +114,7 @@
     /// Returns a load report.
     pub(crate) fn load(&self, running: u64, cancelled: u64) -> Value {
         json!({
+            "incarnation": self.incarnation,
             "sequence": self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             "running": running,
             "cancelled": cancelled,
--- /dev/null
+++ b/crates/target/src/document.rs
@@ -0,0 +1,76 @@
+//! Small documents that engines publish.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::step::Step;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::StatusCode;
+use serde::de::DeserializeOwned;
+
+use crate::Client;
+use crate::Error;
+use crate::Outbound;
+
+/// Largest document in bytes.
+const MAX_BYTES: usize = 1024 * 1024;
+
+/// Gets a document; `None` if the engine has none at the path.
+pub(crate) async fn get<T>(
+    client: &Client,
+    target: &Target,
+    address: SocketAddr,
+    path: &str,
+    timeout: Duration,
+) -> Result<Option<T>, Error>
+where
+    T: DeserializeOwned,
+{
+    let exchange = read(client, target, address, path);
+    let Ok(read) = tokio::time::timeout(timeout, exchange).await else {
+        return Err(Error::Timeout {
+            step: Step::Answer,
+            target: target.clone(),
+        });
+    };
+    let Some(data) = read? else {
+        return Ok(None);
+    };
+    let document = serde_json::from_slice(&data).map_err(|e| Error::Answer {
+        target: target.clone(),
+        reason: format!("{path}: {e}"),
+    })?;
+    Ok(Some(document))
+}
+
+async fn read(
+    client: &Client,
+    target: &Target,
+    address: SocketAddr,
+    path: &str,
+) -> Result<Option<Vec<u8>>, Error> {
+    let conn = client.connect(target, address, false).await?;
+    let req = Outbound {
+        method: Method::GET,
+        path_and_query: path.to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let mut answer = conn.send(req).await?;
+    let status = answer.status();
+    let mut data = Vec::new();
+    while let Some(piece) = answer.next().await? {
+        if data.len() + piece.len() > MAX_BYTES {
+            return Err(Error::Answer {
+                target: target.clone(),
+                reason: format!("{path}: more than {MAX_BYTES} bytes"),
+            });
+        }
+        data.extend_from_slice(&piece);
+    }
+    answer.release();
+    Ok((status == StatusCode::OK).then_some(data))
+}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -3,12 +3,16 @@
 //! [`Client`] opens connections and sends a request once; nothing here
 //! repeats a request. [`headers`] lists what of a caller's headers may pass.
 
+pub mod cache;
 mod client;
+mod document;
 mod error;
 pub mod headers;
+mod load;
 
 pub use client::Answer;
 pub use client::Client;
 pub use client::Connection;
 pub use client::Outbound;
 pub use error::Error;
+pub use load::load;
--- /dev/null
+++ b/crates/target/src/load.rs
@@ -0,0 +1,25 @@
+//! Load reports of model engines: `GET /load`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::placement::Report;
+
+use crate::Client;
+use crate::Error;
+use crate::document;
+
+/// Asks an engine for its load; `None` if it reports none.
+///
+/// # Errors
+///
+/// Fails if the engine can't be reached or gives no whole answer in time.
+pub async fn load(
+    client: &Client,
+    target: &Target,
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<Option<Report>, Error> {
+    document::get(client, target, address, "/load", timeout).await
+}
--- a/tests/testsuite/health.rs
+++ b/tests/testsuite/health.rs
@@ -53,6 +53,12 @@
     );
     leaving_takes_nothing(&[(Sign::Leaving, 1), (Sign::Success, 2)], 60, Status::Leaving);
     leaving_from_an_ejection(&[(Sign::Unreachable, 1), (Sign::Leaving, 2)], 60, Status::Leaving);
+    an_ejection_outlasts_a_report(
+        &[(Sign::Unreachable, 1), (Sign::Present, 2)], 3, Status::Ejected,
+    );
+    a_restart_ends_an_ejection(
+        &[(Sign::Unreachable, 1), (Sign::Restarted, 2)], 3, Status::Healthy,
+    );
     present_again(&[(Sign::Leaving, 1), (Sign::Present, 2)], 2, Status::Healthy);
 }
 
@@ -68,6 +74,14 @@
     assert_eq!(health.share(secs(30)), 1000);
 }
 
+#[test]
+fn a_restarted_target_ramps_up() {
+    let mut health = Health::default();
+    health.observe(Sign::Restarted, secs(10));
+    assert_eq!(health.share(secs(10)), 100);
+    assert_eq!(health.share(secs(30)), 1000);
+}
+
 #[test]
 fn a_gap_drops_the_view() {
     let mut view = CacheView::default();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod cuts;
 mod health;
 mod path;
+mod placement;
 mod queue;
 mod residency;
 mod tables;
--- /dev/null
+++ b/tests/testsuite/placement.rs
@@ -0,0 +1,109 @@
+//! Placement by daemons before stand-in engines, and replayed traces.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use support::block_on;
+use support::caller;
+use support::site::Site;
+use support::site::document;
+use support::site::eventually;
+
+/// Asks with a long prompt and returns the engine that answered.
+async fn ask(address: SocketAddr, key: &str, prompt: &str) -> String {
+    let body = json!({
+        "model": "taller-llm", "max_tokens": 1,
+        "messages": [{"role": "user", "content": prompt.repeat(100)}],
+    });
+    let answer = caller::post(address, "/v1/chat/completions", key, &body)
+        .await
+        .expect("an answer");
+    let name = &answer.json()["system_fingerprint"];
+    name.as_str().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn a_prompt_goes_where_its_prefix_is_cached() {
+    block_on(async {
+        let site = Site::start(&[("lima-1", "lima")]).await;
+        let (_, one) = site.engine("engine-1", Duration::from_millis(1)).await;
+        let (_, two) = site.engine("engine-2", Duration::from_millis(1)).await;
+        let document = document(&[("engine-1", one, "lima"), ("engine-2", two, "lima")], &[]);
+        site.apply("lima-1", document).await;
+        let key = site.grant("lima-1", "encargos").await.key;
+        let address = site.daemon("lima-1").caller;
+        let lantern = ask(address, &key, "the catalogue of tin lanterns").await;
+        let frame = ask(address, &key, "the catalogue of retablo frames").await;
+        assert_ne!(lantern, frame);
+        // Without the view, the engine that has read less lately is chosen.
+        for _ in 0..3 {
+            for _ in 0..3 {
+                let again = ask(address, &key, "the catalogue of tin lanterns").await;
+                assert_eq!(again, lantern);
+            }
+            for _ in 0..3 {
+                let again = ask(address, &key, "the catalogue of retablo frames").await;
+                assert_eq!(again, frame);
+            }
+        }
+    });
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work_at_any_instance() {
+    block_on(async {
+        let site = Site::start(&[("lima-1", "lima"), ("lima-2", "lima")]).await;
+        let (leaving, one) = site.engine("engine-1", Duration::from_millis(1)).await;
+        let (_, two) = site.engine("engine-2", Duration::from_millis(1)).await;
+        let document = document(&[("engine-1", one, "lima"), ("engine-2", two, "lima")], &[]);
+        site.apply("lima-1", document).await;
+        let key = site.grant("lima-1", "encargos").await.key;
+        leaving.reports.set_leaving(true);
+        // Only one of the instances polls the engine.
+        for name in ["lima-1", "lima-2"] {
+            let address = site.daemon(name).caller;
+            eventually("the engine gets no more work", async || {
+                for i in 0..20 {
+                    if ask(address, &key, &format!("question {i}")).await == "engine-1" {
+                        return false;
+                    }
+                }
+                true
+            })
+            .await;
+        }
+        leaving.reports.set_leaving(false);
+        let address = site.daemon("lima-2").caller;
+        eventually("the engine gets work again", async || {
+            for i in 0..20 {
+                if ask(address, &key, &format!("late question {i}")).await == "engine-1" {
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_busy_target_lets_requests_wait_and_serves_them_all() {
+    block_on(async {
+        let site = Site::start(&[("lima-1", "lima")]).await;
+        let (engine, address) = site.engine("engine-1", Duration::from_millis(5)).await;
+        let mut document = document(&[("engine-1", address, "lima")], &[]);
+        document["pools"]["engines"]["slots"] = json!(1);
+        site.apply("lima-1", document).await;
+        let key = site.grant("lima-1", "encargos").await.key;
+        let address = site.daemon("lima-1").caller;
+        let mut asks = tokio::task::JoinSet::new();
+        for i in 0..20 {
+            let key = key.clone();
+            asks.spawn(async move { ask(address, &key, &format!("question {i}")).await });
+        }
+        let answers = asks.join_all().await;
+        assert!(answers.iter().all(|a| a == "engine-1"), "{answers:?}");
+        assert_eq!(engine.taken(), 20);
+    });
+}
