--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod instance;
 mod keys;
+mod load;
 mod members;
 mod metrics;
 mod operate;
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -38,6 +38,7 @@
 use crate::forward::read_headers;
 use crate::forward::write_headers;
 use crate::keys;
+use crate::load;
 use crate::members;
 use crate::publish;
 use crate::relay;
@@ -190,6 +191,10 @@
                 Message::Withdrawn(self.cx.tables.withdrawn.lock().pending())
             }
             Message::ConfigRequest(req) => Message::Config(publish::answer(&self.cx, &req)),
+            Message::Loads(loads) => {
+                load::hear(&self.cx, &from.region, &loads);
+                Message::Done
+            }
             Message::Forward(_) | Message::Config(_) | Message::Done => Message::Done,
         };
         Envelope {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operators: the admin interface of an instance, and the tool's side of it.
 //!
 //! [`Server`] decodes calls and hands them to a [`Handler`]; [`Client`] makes
-//! them. [`api`] has the documents that both sides share. [`file`] checks what
+//! them. [`api`] has the documents that both sides share. [`mod@file`] checks what
 //! operators write, [`document`] being their configuration.
 
 pub mod api;
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -5,6 +5,8 @@
 use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::placement::Report;
 use chiverelay_decisions::placement::Summary;
 use chiverelay_decisions::refusal::Refusal;
 use serde::Deserialize;
@@ -34,6 +36,8 @@
     Heartbeat(Heartbeat),
     /// A request passed on. Answered by [`Frame`]s.
     Forward(Forward),
+    /// Load reports of targets of the region that siblings share.
+    Loads(Vec<TargetLoad>),
     /// The message was taken and needs no other answer.
     Done,
     /// Keys whose withdrawal may not be durable yet. Answered in kind.
@@ -57,6 +61,15 @@
     pub summaries: Vec<Summary>,
 }
 
+/// A target's load report, as one instance passes it on to its region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// The target.
+    pub target: Target,
+    /// Its report.
+    pub report: Report,
+}
+
 /// A request passed on, with the account in place of the key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Forward {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod health;
 mod keys;
 mod path;
+mod placement;
 mod queue;
 mod registry;
 mod residency;
