--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -36,7 +36,9 @@
     let entry = config
         .pools
         .get(&req.grant().pool)
-        .and_then(|pool| pool.targets.get(&target));
+        .and_then(|pool| pool.targets.get(&target))
+        // A target may have moved since the request was placed.
+        .filter(|entry| entry.region == *req.region());
     let Some(entry) = entry else {
         return Attempt::Again(req.unplace());
     };
@@ -77,6 +79,7 @@
     let error = match sent {
         Ok(Ok(answer)) => {
             record(Step::Answer, format!("status {}", answer.status().as_u16()));
+            gateway::succeed(&cx.tables, &target, cx.clock.now());
             return Attempt::Answer(req, Box::new(answer));
         }
         Ok(Err(e)) => e.to_string(),
@@ -87,7 +90,7 @@
         }
     };
     gateway::finish(&cx.tables, &target);
-    gateway::eject(&cx.tables, &target, cx.clock.now());
+    gateway::fail(&cx.tables, &target, cx.clock.now());
     log::warn!("dispatch: {id}: {error}");
     record(Step::Dispatch, format!("no answer: {error}"));
     match req.repeat() {
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Sibling;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
@@ -13,6 +15,9 @@
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Message;
 use chiverelay_sibling::Up;
+use chiverelay_store::Held;
+use chiverelay_store::Lease;
+use chiverelay_store::Renewal;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::task::JoinSet;
@@ -73,6 +78,8 @@
         refresh(&cx).await;
         beat(&cx).await;
         cx.metrics.queue_depth(cx.pool.waiting());
+        cx.metrics.store_calls(cx.store.gate().calls());
+        cx.store.gate().set_fleet(cx.members.len() as u32 + 1);
         tokio::select! {
             () = cx.stop.cancelled() => return,
             () = tokio::time::sleep(INTERVAL) => {}
@@ -94,27 +101,32 @@
     }
 }
 
-async fn renew(cx: &Context, lease: Option<i64>) -> Option<i64> {
-    match try_renew(cx, lease).await {
+async fn renew(cx: &Context, lease: Option<Lease<Held>>) -> Option<Lease<Held>> {
+    if let Some(lease) = lease {
+        match lease.renew(&cx.store).await {
+            Renewal::Held(lease) => return Some(lease),
+            Renewal::Unanswered(lease, e) => {
+                log::warn!("members: {e}");
+                return Some(lease);
+            }
+            Renewal::Lapsed(_) => log::warn!("members: the lease lapsed"),
+        }
+    }
+    match record(cx).await {
         Ok(lease) => Some(lease),
         Err(e) => {
             log::warn!("members: {e}");
-            lease
+            None
         }
     }
 }
 
-async fn try_renew(cx: &Context, lease: Option<i64>) -> Result<i64, chiverelay_store::Error> {
-    if let Some(lease) = lease
-        && cx.store.renew_lease(lease).await?
-    {
-        return Ok(lease);
-    }
+async fn record(cx: &Context) -> Result<Lease<Held>, chiverelay_store::Error> {
     let lease = cx.store.grant_lease(LEASE).await?;
     let key = key(&cx.settings.instance);
     let value = serde_json::to_vec(&own(cx)).unwrap_or_default();
     let expected = cx.store.get(&key).await?.map_or(0, |e| e.revision);
-    cx.store.swap(&key, expected, &value, lease).await?;
+    cx.store.swap(&key, expected, &value, Some(&lease)).await?;
     Ok(lease)
 }
 
@@ -197,10 +209,13 @@
 
 /// Returns this instance's sign of life.
 pub(crate) fn heartbeat(cx: &Context) -> Heartbeat {
+    // The lock must be gone before the summaries take theirs.
+    let withdrawn = cx.tables.withdrawn.lock().digest();
     Heartbeat {
-        serving: !cx.drain.is_cancelled(),
+        serving: !cx.drain.is_cancelled() && cx.synced.load(Ordering::Acquire),
         config_version: cx.tables.config.get().version,
-        withdrawn: cx.tables.withdrawn.lock().digest(),
+        withdrawn,
+        summaries: gateway::summaries(&cx.tables, &cx.settings.region, cx.clock.now()),
     }
 }
 
@@ -210,6 +225,7 @@
         region: region.clone(),
         heard: cx.clock.now(),
         serving: beat.serving,
+        summaries: beat.summaries.clone(),
     };
     cx.tables.siblings.insert(instance.clone(), sibling);
     keys::compare(cx, instance, beat.withdrawn);
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -15,6 +15,7 @@
 use chiverelay_operator::file::Value;
 use chiverelay_operator::read_struct;
 use chiverelay_sibling::Certificates;
+use chiverelay_store::Budget;
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::PrivateKeyDer;
 use rustls::pki_types::pem::PemObject;
@@ -126,6 +127,22 @@
 pub(crate) struct StoreSettings {
     /// Its address.
     pub(crate) address: SocketAddr,
+    /// Reads a second that it takes from all instances, waiting watches
+    /// included.
+    pub(crate) reads_per_second: Option<u32>,
+    /// Writes a second that it takes from all instances.
+    pub(crate) writes_per_second: Option<u32>,
+}
+
+impl StoreSettings {
+    /// Returns the rates that the instances share.
+    pub(crate) fn budget(&self) -> Budget {
+        let default = Budget::default();
+        Budget {
+            reads: self.reads_per_second.map_or(default.reads, f64::from),
+            writes: self.writes_per_second.map_or(default.writes, f64::from),
+        }
+    }
 }
 
 read_struct!(Settings {
@@ -168,7 +185,11 @@
     key,
 });
 
-read_struct!(StoreSettings { address });
+read_struct!(StoreSettings {
+    address,
+    reads_per_second = None,
+    writes_per_second = None,
+});
 
 fn at_least_one(n: &usize) -> Result<(), String> {
     match n {
--- a/crates/decisions/src/config.rs
+++ b/crates/decisions/src/config.rs
@@ -21,6 +21,7 @@
 use crate::names::Target;
 use crate::names::Zone;
 use crate::names::check_name;
+use crate::placement::Weights;
 
 /// Tokens charged for an answer where neither request nor route states a limit.
 pub const DEFAULT_MAX_ANSWER_TOKENS: u64 = 1024;
@@ -28,6 +29,15 @@
 /// Time for a whole answer where the route states none, in milliseconds.
 pub const DEFAULT_DEADLINE_MS: u64 = 120_000;
 
+/// Requests that a target takes at once where the pool states none.
+pub const DEFAULT_SLOTS: u64 = 64;
+
+/// Prompt tokens a second that a target reads where the pool states none.
+pub const DEFAULT_PREFILL_RATE: u64 = 8000;
+
+/// Requests that may wait for a pool at an instance where the pool states none.
+pub const DEFAULT_QUEUE: usize = 1024;
+
 /// The whole configuration at one version.
 ///
 /// # Invariants
@@ -144,6 +154,30 @@
     pub kind: PoolKind,
     /// The targets by name.
     pub targets: BTreeMap<Target, TargetEntry>,
+    /// Requests that a target takes at once.
+    #[serde(default = "default_slots")]
+    pub slots: u64,
+    /// Prompt tokens a second that a target reads.
+    #[serde(default = "default_prefill_rate")]
+    pub prefill_rate: u64,
+    /// Requests that may wait at an instance.
+    #[serde(default = "default_queue")]
+    pub queue: usize,
+    /// What placement weighs more.
+    #[serde(default)]
+    pub weights: Weights,
+}
+
+fn default_slots() -> u64 {
+    DEFAULT_SLOTS
+}
+
+fn default_prefill_rate() -> u64 {
+    DEFAULT_PREFILL_RATE
+}
+
+fn default_queue() -> usize {
+    DEFAULT_QUEUE
 }
 
 /// A target of a pool.
@@ -227,7 +261,9 @@
 
 /// Writes bytes as hexadecimal digits.
 pub fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|b| format!("{b:02x}")).collect()
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    let digits = |b: &u8| [b >> 4, b & 15].map(|d| char::from(DIGITS[usize::from(d)]));
+    bytes.iter().flat_map(digits).collect()
 }
 
 /// Prefix of every key, so that leaked keys can be searched for.
@@ -284,11 +320,17 @@
             let at = ["routes", name.as_str()];
             faults.name(&at, name.as_str());
             self.check_route(&at, route, defined, &mut faults);
-            self.check_reach(&at, route, &mut faults);
         }
         self.check_routes_differ(&mut faults);
         for (name, pool) in &self.pools {
             faults.name(&["pools", name.as_str()], name.as_str());
+            if pool.slots == 0 {
+                faults.push(&["pools", name.as_str(), "slots"], "slots are at least 1");
+            }
+            if pool.prefill_rate == 0 {
+                let at = ["pools", name.as_str(), "prefill-rate"];
+                faults.push(&at, "a rate is at least 1");
+            }
             for target in pool.targets.keys() {
                 let at = ["pools", name.as_str(), "targets", target.as_str()];
                 faults.name(&at, target.as_str());
@@ -334,8 +376,17 @@
         }
     }
 
-    /// Checks that the residency leaves the route a target.
-    fn check_reach(&self, at: &[&str; 2], route: &RouteEntry, faults: &mut Faults) {
+    /// Lists the routes whose residency leaves them no target. A snapshot may
+    /// have such routes, as targets come and go; a file should not.
+    pub fn check_reach(&self) -> Vec<Fault> {
+        let mut faults = Faults(Vec::new());
+        for (name, route) in &self.routes {
+            self.check_route_reach(&["routes", name.as_str()], route, &mut faults);
+        }
+        faults.0
+    }
+
+    fn check_route_reach(&self, at: &[&str; 2], route: &RouteEntry, faults: &mut Faults) {
         let Some(pool) = self.pools.get(&route.pool) else {
             return;
         };
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -192,12 +192,13 @@
 /// # Invariants
 ///
 /// `attempted` is set once any attempt was dispatched; a refusal after that
-/// never says "not run".
+/// never says "not run". `tried` lists every target that was chosen before.
 #[derive(Debug)]
 pub struct Request<S, O> {
     head: Arc<Head>,
     key: Option<KeyId>,
     attempted: bool,
+    tried: Vec<Target>,
     state: S,
     origin: PhantomData<O>,
 }
@@ -214,11 +215,22 @@
         self.key.as_ref()
     }
 
+    /// Returns the targets that were chosen before.
+    pub fn tried(&self) -> &[Target] {
+        &self.tried
+    }
+
+    /// Tells whether an attempt was dispatched.
+    pub fn attempted(&self) -> bool {
+        self.attempted
+    }
+
     fn with_state<T>(self, state: T) -> Request<T, O> {
         Request {
             head: self.head,
             key: self.key,
             attempted: self.attempted,
+            tried: self.tried,
             state,
             origin: PhantomData,
         }
@@ -272,6 +284,7 @@
             head: Arc::new(head),
             key: None,
             attempted: false,
+            tried: Vec::new(),
             state: Received(()),
             origin: PhantomData,
         }
@@ -349,7 +362,8 @@
     }
 
     /// Goes back after a connection that failed before any byte was sent.
-    pub fn unplace(self) -> Request<Admitted, O> {
+    pub fn unplace(mut self) -> Request<Admitted, O> {
+        self.tried.push(self.state.target.clone());
         let grant = Arc::clone(&self.state.grant);
         self.with_state(Admitted { grant })
     }
@@ -357,6 +371,7 @@
     /// Marks that the first byte may now reach the target.
     pub fn dispatch(mut self) -> Request<Dispatched, O> {
         let earlier = std::mem::replace(&mut self.attempted, true);
+        self.tried.push(self.state.target.clone());
         let grant = Arc::clone(&self.state.grant);
         let peer = Peer::Target(self.state.target.clone());
         self.with_state(Dispatched {
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -8,6 +8,9 @@
 use chiverelay_decisions::config::AccountEntry;
 use chiverelay_decisions::config::DEFAULT_DEADLINE_MS;
 use chiverelay_decisions::config::DEFAULT_MAX_ANSWER_TOKENS;
+use chiverelay_decisions::config::DEFAULT_PREFILL_RATE;
+use chiverelay_decisions::config::DEFAULT_QUEUE;
+use chiverelay_decisions::config::DEFAULT_SLOTS;
 use chiverelay_decisions::config::Defined;
 use chiverelay_decisions::config::PoolEntry;
 use chiverelay_decisions::config::PoolKind;
@@ -15,6 +18,7 @@
 use chiverelay_decisions::config::RouteEntry;
 use chiverelay_decisions::config::TargetEntry;
 use chiverelay_decisions::names;
+use chiverelay_decisions::placement::Weights;
 
 use crate::api::Document;
 use crate::file;
@@ -69,7 +73,14 @@
     deadline_ms = DEFAULT_DEADLINE_MS,
 });
 
-read_struct!(PoolEntry { kind, targets });
+read_struct!(PoolEntry {
+    kind,
+    targets,
+    slots = DEFAULT_SLOTS,
+    prefill_rate = DEFAULT_PREFILL_RATE,
+    queue = DEFAULT_QUEUE,
+    weights = Weights::default(),
+});
 
 read_struct!(TargetEntry {
     address,
@@ -93,6 +104,16 @@
     }
 }
 
+impl Read for Weights {
+    fn read(value: &Value<'_>, reader: &mut Reader<'_>) -> Option<Self> {
+        file::parse_text(value, reader, |s| match s {
+            "latency" => Ok(Self::Latency),
+            "cost" => Ok(Self::Cost),
+            _ => Err(format!("{s:?} is neither \"latency\" nor \"cost\"")),
+        })
+    }
+}
+
 impl Read for Residency {
     fn read(value: &Value<'_>, reader: &mut Reader<'_>) -> Option<Self> {
         let regions: Option<Vec<names::Region>> = Read::read(value, reader)?;
@@ -120,7 +141,9 @@
         accounts: document.accounts.clone(),
         ..Config::default()
     };
-    config.check_with(&defined)
+    let mut faults = config.check_with(&defined);
+    faults.extend(config.check_reach());
+    faults
 }
 
 /// Reads a document out of its text.
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -5,10 +5,14 @@
 use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
+use chiverelay_decisions::placement::Summary;
 use chiverelay_decisions::refusal::Refusal;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ConfigParts;
+use crate::ConfigRequest;
+
 /// Version of the messages. Instances refuse any other.
 pub const VERSION: u16 = 1;
 
@@ -34,6 +38,10 @@
     Done,
     /// Keys whose withdrawal may not be durable yet. Answered in kind.
     Withdrawn(Vec<KeyId>),
+    /// Asks for the configuration in force.
+    ConfigRequest(ConfigRequest),
+    /// Parts of the configuration in force.
+    Config(ConfigParts),
 }
 
 /// A sign of life and what siblings need to know of the sender.
@@ -45,6 +53,8 @@
     pub config_version: u64,
     /// Digest of the withdrawals that are not durable yet.
     pub withdrawn: u64,
+    /// What the sender's region has of each pool.
+    pub summaries: Vec<Summary>,
 }
 
 /// A request passed on, with the account in place of the key.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,8 +1,15 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
+mod configuration;
 mod cuts;
+mod health;
 mod keys;
 mod path;
+mod queue;
+mod registry;
+mod residency;
 mod settings;
+mod store;
 mod tables;
+mod timeline;
