Let the tool's readers leave early

The quickstart failed in 2 of 5 runs: `status | grep -q` closes the pipe at the first match, and printing to a closed pipe panicked. A result is now written as one text, and a broken pipe is no error. Ruled out: a late heartbeat, as status had both instances in the log of the failed run.

--- a/crates/chiverelay/src/cmd.rs
+++ b/crates/chiverelay/src/cmd.rs
@@ -10,6 +10,8 @@
 pub(crate) mod status;
 pub(crate) mod timeline;
 
+use std::io::ErrorKind;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -154,8 +156,7 @@
 /// Executes the subcommand that the arguments name.
 pub(crate) async fn execute(mut args: pico_args::Arguments) -> Result<(), Error> {
     if args.contains("--version") {
-        println!("chiverelay {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
+        return write(concat!("chiverelay ", env!("CARGO_PKG_VERSION")));
     }
     let wants_help = args.contains("--help");
     let name = args.subcommand()?;
@@ -163,8 +164,7 @@
         let found = descriptions()
             .into_iter()
             .find(|(n, _)| Some(*n) == name.as_deref());
-        println!("{}", found.map_or_else(help, |(_, text)| text.to_owned()));
-        return Ok(());
+        return write(&found.map_or_else(help, |(_, text)| text.to_owned()));
     }
     let out = Output {
         json: args.contains("--json"),
@@ -190,18 +190,32 @@
 }
 
 impl Output {
-    /// Prints a result as JSON or with `text`.
+    /// Prints a result as JSON or as `text` writes it.
     pub(crate) fn print<T, F>(self, result: &T, text: F) -> Result<(), Error>
     where
         T: Serialize,
-        F: FnOnce(&T),
+        F: FnOnce(&T) -> String,
     {
         if self.json {
-            println!("{}", serde_json::to_string(result)?);
-        } else {
-            text(result);
+            return write(&serde_json::to_string(result)?);
         }
-        Ok(())
+        write(&text(result))
+    }
+}
+
+/// Writes lines to the standard output.
+fn write(text: &str) -> Result<(), Error> {
+    let text = text.trim_end();
+    if text.is_empty() {
+        return Ok(());
+    }
+    match writeln!(std::io::stdout(), "{text}") {
+        // Whoever reads may have seen enough.
+        Err(e) if e.kind() != ErrorKind::BrokenPipe => Err(Error::File {
+            path: "stdout".into(),
+            source: e,
+        }),
+        _ => Ok(()),
     }
 }
 
--- a/crates/chiverelay/src/cmd/apply.rs
+++ b/crates/chiverelay/src/cmd/apply.rs
@@ -45,7 +45,7 @@
     };
     wait(conn.client(), applied.version).await?;
     out.print(&json!({"version": applied.version}), |_| {
-        println!("version {} is in force everywhere", applied.version);
+        format!("version {} is in force everywhere", applied.version)
     })
 }
 
--- a/crates/chiverelay/src/cmd/certs.rs
+++ b/crates/chiverelay/src/cmd/certs.rs
@@ -41,7 +41,7 @@
             certificate(&dir, &instance, &region)?;
         }
     }
-    out.print(&json!({"dir": dir}), |_| {})
+    out.print(&json!({"dir": dir}), |_| String::new())
 }
 
 fn check(name: &str) -> Result<(), Error> {
--- a/crates/chiverelay/src/cmd/check.rs
+++ b/crates/chiverelay/src/cmd/check.rs
@@ -25,12 +25,12 @@
         "accounts": document.accounts.len(),
     });
     out.print(&counts, |counts| {
-        println!(
+        format!(
             "{}: no faults; {} routes, {} pools, {} accounts",
             path.display(),
             counts["routes"],
             counts["pools"],
             counts["accounts"]
-        );
+        )
     })
 }
--- a/crates/chiverelay/src/cmd/diff.rs
+++ b/crates/chiverelay/src/cmd/diff.rs
@@ -27,7 +27,7 @@
     let document = document::read(&path)?;
     let config = conn.client().config().await?;
     let changes = changes(&config.document, &document)?;
-    out.print(&changes, |changes| print(changes))
+    out.print(&changes, |changes| describe_changes(changes))
 }
 
 /// A value that differs.
@@ -100,17 +100,19 @@
     }
 }
 
-/// Prints changes, a line for each value that goes or comes.
-pub(crate) fn print(changes: &[Change]) {
+/// Writes changes, a line for each value that goes or comes.
+fn describe_changes(changes: &[Change]) -> String {
     if changes.is_empty() {
-        println!("no changes");
+        return "no changes".to_owned();
     }
+    let mut lines = Vec::new();
     for change in changes {
         if let Some(old) = &change.old {
-            println!("- {}: {old}", change.path);
+            lines.push(format!("- {}: {old}", change.path));
         }
         if let Some(new) = &change.new {
-            println!("+ {}: {new}", change.path);
+            lines.push(format!("+ {}: {new}", change.path));
         }
     }
+    lines.join("\n")
 }
--- a/crates/chiverelay/src/cmd/drain.rs
+++ b/crates/chiverelay/src/cmd/drain.rs
@@ -17,5 +17,5 @@
     let conn = Connection::from_args(&mut args)?;
     super::finish(args)?;
     conn.client().drain().await?;
-    out.print(&json!({"state": "draining"}), |_| println!("draining"))
+    out.print(&json!({"state": "draining"}), |_| "draining".to_owned())
 }
--- a/crates/chiverelay/src/cmd/keys.rs
+++ b/crates/chiverelay/src/cmd/keys.rs
@@ -39,7 +39,7 @@
     };
     let granted = conn.client().grant(&req).await?;
     // The key is printed first: it can't be shown again if the wait fails.
-    out.print(&granted, |granted| println!("{}", granted.key))?;
+    out.print(&granted, |granted| granted.key.clone())?;
     super::apply::wait(conn.client(), granted.version).await
 }
 
@@ -56,16 +56,15 @@
         None => KeyId::from(id),
     };
     let info = conn.client().withdraw(&id).await?;
-    out.print(&info, |info| println!("{}", describe_key(info)))
+    out.print(&info, describe_key)
 }
 
 async fn list(conn: &Connection, args: pico_args::Arguments, out: Output) -> Result<(), Error> {
     super::finish(args)?;
     let keys = conn.client().keys().await?;
     out.print(&keys, |keys| {
-        for key in keys {
-            println!("{}", describe_key(key));
-        }
+        let lines: Vec<String> = keys.iter().map(describe_key).collect();
+        lines.join("\n")
     })
 }
 
--- a/crates/chiverelay/src/cmd/show.rs
+++ b/crates/chiverelay/src/cmd/show.rs
@@ -17,7 +17,6 @@
     let config = conn.client().config().await?;
     let document = serde_json::to_string_pretty(&config.document)?;
     out.print(&config, |config| {
-        println!("// Version {}.", config.version);
-        println!("{document}");
+        format!("// Version {}.\n{document}", config.version)
     })
 }
--- a/crates/chiverelay/src/cmd/status.rs
+++ b/crates/chiverelay/src/cmd/status.rs
@@ -1,5 +1,7 @@
 //! `chiverelay status`: shows the instances.
 
+use chiverelay_operator::api::Status;
+
 use super::Connection;
 use super::Error;
 use super::Output;
@@ -15,16 +17,20 @@
     let conn = Connection::from_args(&mut args)?;
     super::finish(args)?;
     let status = conn.client().status().await?;
-    out.print(&status, |status| {
-        for s in std::iter::once(&status.own).chain(&status.siblings) {
-            println!(
+    out.print(&status, text)
+}
+
+fn text(status: &Status) -> String {
+    let mut lines: Vec<String> = std::iter::once(&status.own)
+        .chain(&status.siblings)
+        .map(|s| {
+            format!(
                 "{}  {}  {}  {}  version {}",
                 s.instance, s.region, s.zone, s.state, s.config_version
-            );
-        }
-        println!("store: {}", status.store);
-        for (name, count) in &status.counters {
-            println!("{name}: {count}");
-        }
-    })
+            )
+        })
+        .collect();
+    lines.push(format!("store: {}", status.store));
+    lines.extend(status.counters.iter().map(|(k, v)| format!("{k}: {v}")));
+    lines.join("\n")
 }
--- a/crates/chiverelay/src/cmd/timeline.rs
+++ b/crates/chiverelay/src/cmd/timeline.rs
@@ -37,7 +37,7 @@
         }
     }
     timeline.sort();
-    out.print(&timeline, print)
+    out.print(&timeline, text)
 }
 
 fn filter(args: &mut pico_args::Arguments) -> Result<Filter, Error> {
@@ -66,22 +66,23 @@
     Ok(now.saturating_sub(ago).as_millis() as u64)
 }
 
-fn print(timeline: &Timeline) {
-    for event in &timeline.events {
-        print_event(event);
-    }
+fn text(timeline: &Timeline) -> String {
+    let mut lines: Vec<String> = timeline.events.iter().map(line).collect();
     for (instance, dropped) in timeline.dropped.iter().filter(|(_, n)| **n > 0) {
-        println!("# {instance} no longer holds {dropped} older events");
+        lines.push(format!(
+            "# {instance} no longer holds {dropped} older events"
+        ));
     }
     for (instance, reason) in &timeline.missing {
-        println!("# {instance} could not be asked: {reason}");
+        lines.push(format!("# {instance} could not be asked: {reason}"));
     }
+    lines.join("\n")
 }
 
-fn print_event(event: &Event) {
+fn line(event: &Event) -> String {
     let request = event.request.as_ref().map_or("-", |r| r.as_str());
     let account = event.account.as_ref().map_or("-", |a| a.as_str());
-    println!(
+    format!(
         "{}.{:03}  {}  {request}  {account}  {}  {}  {}",
         event.stamp.wall_ms,
         event.stamp.counter,
@@ -89,5 +90,5 @@
         event.step,
         event.peer,
         event.what
-    );
+    )
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,3 +13,4 @@
 mod store;
 mod tables;
 mod timeline;
+mod tool;
