--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -17,7 +17,17 @@
 
 /// A hybrid logical clock's stamp; ordered over all processes.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
 )]
 pub struct Stamp {
     /// Wall clock time in milliseconds since the epoch, or the highest one seen.
