--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,3 +13,5 @@
 mod settings;
 mod store;
 mod tables;
+mod timeline;
+mod tool;
