Decide who lives from heartbeats and digests

Each instance sent every other one a heartbeat a second and listed the store each second: messages and store calls grew with the square of the fleet, and a dead instance was known only by silence.

The roster is a join of words by incarnation and status, so the order of digests does not matter.

Tried first and dropped: digests with the age of each instance.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod event;
 pub mod gateway;
 pub mod limits;
+pub mod membership;
 pub mod names;
 pub mod pacing;
 pub mod placement;
--- /dev/null
+++ b/crates/decisions/src/membership/digest.rs
@@ -0,0 +1,79 @@
+//! What instances say of each other.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::Instance;
+use crate::names::Region;
+use crate::names::Zone;
+
+/// Status of one incarnation of an instance. It only ever rises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Status {
+    /// It does not take work yet.
+    Starting,
+    /// It takes work.
+    Serving,
+    /// It takes no new work.
+    Leaving,
+    /// It gave no answer; it may raise its incarnation.
+    Suspect,
+    /// It gave no answer for too long, or has ended.
+    Dead,
+}
+
+/// Where an instance is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Profile {
+    /// Region.
+    pub region: Region,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    /// Address for siblings.
+    pub sibling: SocketAddr,
+}
+
+/// What is said of one instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Word {
+    /// The instance.
+    pub instance: Instance,
+    /// Its incarnation; a higher one makes all words on lower ones void.
+    pub incarnation: u64,
+    /// Status of the incarnation.
+    pub status: Status,
+    /// Its configuration version.
+    pub config_version: u64,
+    /// Where it is, unless the listener is taken to know.
+    pub profile: Option<Profile>,
+}
+
+/// How long ago a region was heard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegionAge {
+    /// The region.
+    pub region: Region,
+    /// Milliseconds since any instance of it was heard, by anyone in a chain
+    /// of tellers.
+    pub age_ms: u64,
+}
+
+/// What an instance tells another with a heartbeat.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Words on instances, the teller's own first.
+    pub words: Vec<Word>,
+    /// Ages of regions.
+    pub regions: Vec<RegionAge>,
+    /// Whether the teller wants a digest of all instances in return.
+    pub wants_all: bool,
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bucket;
 mod configuration;
 mod cuts;
+mod membership;
 mod path;
 mod registry;
 mod store;
