--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -14,12 +14,15 @@
 use crate::context::Context;
 use crate::instance::Instance;
 use crate::instance::Starting;
+use crate::keys;
+use crate::load;
 use crate::members;
 use crate::operate::Operate;
 use crate::publish;
 use crate::serve::Serve;
 use crate::settings::Settings;
 use crate::sibling::Siblings;
+use crate::wait;
 
 /// Describes the subcommand.
 pub(crate) fn describe() -> &'static str {
@@ -58,6 +61,9 @@
     let cx = Arc::new(Context::new(settings, endpoint.clone(), addresses)?);
     tokio::spawn(publish::run(Arc::clone(&cx)));
     tokio::spawn(members::run(Arc::clone(&cx)));
+    tokio::spawn(keys::run(Arc::clone(&cx)));
+    tokio::spawn(wait::run(Arc::clone(&cx)));
+    tokio::spawn(load::run(Arc::clone(&cx)));
     tokio::spawn(
         endpoint
             .clone()
--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -14,6 +14,8 @@
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Ranked;
+use chiverelay_decisions::tables::Recent;
 use chiverelay_decisions::tables::Sharded;
 use chiverelay_sibling as sibling;
 use chiverelay_store::Store;
@@ -22,6 +24,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
+use crate::keys::Running;
 use crate::members::Addresses;
 use crate::members::Member;
 use crate::metrics::Metrics;
@@ -29,6 +32,9 @@
 use crate::settings::Settings;
 use crate::workers::Pool;
 
+/// Forwarded requests that are told from replays.
+const MAX_TAKEN: usize = 65_536;
+
 /// Time for a connection to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -51,6 +57,10 @@
     pub(crate) clock: Clock,
     /// The tables that the workers share.
     pub(crate) tables: Arc<Tables>,
+    /// What runs under each key.
+    pub(crate) running: Arc<Running>,
+    /// Requests taken from siblings, by who sent them.
+    pub(crate) taken: Ranked<Recent<(Instance, RequestId)>>,
     /// The workers.
     pub(crate) pool: Pool,
     /// The newest events.
@@ -103,6 +113,8 @@
             addresses,
             clock,
             tables,
+            running: Arc::new(Running::new()),
+            taken: Ranked::new(Rank::Tickets, Recent::new(MAX_TAKEN)),
             pool,
             events: Ring::new(settings.instance.clone(), settings.events),
             metrics: Metrics::new(settings.metrics.as_ref())?,
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -6,6 +6,8 @@
 mod dispatch;
 mod forward;
 mod instance;
+mod keys;
+mod load;
 mod members;
 mod metrics;
 mod operate;
@@ -15,6 +17,7 @@
 mod serve;
 mod settings;
 mod sibling;
+mod wait;
 mod workers;
 
 use std::process::ExitCode;
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Sibling;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
@@ -22,6 +23,7 @@
 use tokio::task::JoinSet;
 
 use crate::context::Context;
+use crate::keys;
 
 /// Prefix of the keys that hold the instances' records.
 const PREFIX: &str = "chiverelay/instances/";
@@ -185,7 +187,7 @@
     beats.join_all().await;
 }
 
-async fn beat_one(cx: &Context, member: &Member) {
+async fn beat_one(cx: &Arc<Context>, member: &Member) {
     let message = Message::Heartbeat(heartbeat(cx));
     let asked = async {
         let link = link(cx, &member.instance).await?;
@@ -207,20 +209,26 @@
 
 /// Returns this instance's sign of life.
 pub(crate) fn heartbeat(cx: &Context) -> Heartbeat {
+    // The lock must be gone before the summaries take theirs.
+    let withdrawn = cx.tables.withdrawn.lock().digest();
     Heartbeat {
         serving: !cx.drain.is_cancelled() && cx.synced.load(Ordering::Acquire),
         config_version: cx.tables.config.get().version,
+        withdrawn,
+        summaries: gateway::summaries(&cx.tables, &cx.settings.region, cx.clock.now()),
     }
 }
 
 /// Takes note of a sibling's sign of life.
-pub(crate) fn hear(cx: &Context, instance: &Instance, region: &Region, beat: &Heartbeat) {
+pub(crate) fn hear(cx: &Arc<Context>, instance: &Instance, region: &Region, beat: &Heartbeat) {
     let sibling = Sibling {
         region: region.clone(),
         heard: cx.clock.now(),
         serving: beat.serving,
+        summaries: beat.summaries.clone(),
     };
     cx.tables.siblings.insert(instance.clone(), sibling);
+    keys::compare(cx, instance, beat.withdrawn);
     cx.members.with(instance, |m| {
         if let Some(m) = m {
             m.config_version = beat.config_version;
--- a/crates/decisions/src/membership/digest.rs
+++ b/crates/decisions/src/membership/digest.rs
@@ -10,7 +10,18 @@
 use crate::names::Zone;
 
 /// Status of one incarnation of an instance. It only ever rises.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum Status {
     /// It does not take work yet.
@@ -26,7 +37,17 @@
 }
 
 /// Where an instance is.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "kebab-case")]
 pub struct Profile {
     /// Region.
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -2,8 +2,12 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::placement::Report;
+use chiverelay_decisions::placement::Summary;
 use chiverelay_decisions::refusal::Refusal;
 use serde::Deserialize;
 use serde::Serialize;
@@ -32,8 +36,12 @@
     Heartbeat(Heartbeat),
     /// A request passed on. Answered by [`Frame`]s.
     Forward(Forward),
+    /// Load reports of targets of the region that siblings share.
+    Loads(Vec<TargetLoad>),
     /// The message was taken and needs no other answer.
     Done,
+    /// Keys whose withdrawal may not be durable yet. Answered in kind.
+    Withdrawn(Vec<KeyId>),
     /// Asks for the configuration in force.
     ConfigRequest(ConfigRequest),
     /// Parts of the configuration in force.
@@ -47,6 +55,19 @@
     pub serving: bool,
     /// The sender's configuration version.
     pub config_version: u64,
+    /// Digest of the withdrawals that are not durable yet.
+    pub withdrawn: u64,
+    /// What the sender's region has of each pool.
+    pub summaries: Vec<Summary>,
+}
+
+/// A target's load report, as one instance passes it on to its region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// The target.
+    pub target: Target,
+    /// Its report.
+    pub report: Report,
 }
 
 /// A request passed on, with the account in place of the key.
@@ -92,4 +113,6 @@
     End,
     /// There is no answer, or no more of it.
     Refused(Refusal),
+    /// The sender's hybrid logical clock, before the head.
+    Stamp(Stamp),
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod faults;
 pub mod link;
 pub mod registry;
+pub mod reports;
 pub mod service;
 pub mod store;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,8 +3,14 @@
 mod bucket;
 mod configuration;
 mod cuts;
+mod health;
+mod keys;
 mod membership;
 mod path;
+mod placement;
+mod queue;
 mod registry;
+mod residency;
+mod settings;
 mod store;
 mod tables;
