--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod cuts;
 mod health;
 mod keys;
+mod membership;
 mod path;
 mod placement;
 mod queue;
