--- a/tests/support/lib.rs
+++ b/tests/support/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod process;
+pub mod replay;
 pub mod site;
 
 /// Makes one test of each named case by calling a check with its arguments.
