Compare regions by the same expected time

A target of this region was compared with another region by its score, which adds what its prefill costs others, while the other region's time had no such part: a long prompt read anew seemed cheaper 55 ms away at any load. Both are now expected times to the first token.

--- a/crates/decisions/src/gateway/place.rs
+++ b/crates/decisions/src/gateway/place.rs
@@ -97,6 +97,7 @@
     name: &'a Target,
     status: Status,
     estimate: Estimate,
+    expected: Duration,
     score: Duration,
 }
 
@@ -137,10 +138,10 @@
             None => Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local)),
         };
     };
-    let margin = entry.weights.spill_margin();
+    let local = best.expected.max(scan.queue_wait(&req));
     if let Some(far) = far
         && far.has_room
-        && far.first_token + margin < best.score.max(scan.queue_wait(&req))
+        && far.first_token + entry.weights.spill_margin() < local
         && spend(&scan, &req, &far.region).is_ok()
     {
         return go(req, far);
@@ -386,6 +387,7 @@
                 round_trip,
                 self.now,
             );
+            let expected = estimate.first_token();
             let score = estimate.score(self.entry.weights);
             let factor = match status {
                 Status::Suspect => SUSPECT_FACTOR,
@@ -395,6 +397,7 @@
                 name,
                 status,
                 estimate,
+                expected,
                 score: score * factor,
             }
         })
