Keep blocks from before a gap of cache events as unsure

A gap dropped the view of a cache to nothing. The engine still held its blocks, and announced none of them again, so the next prompts went anywhere and were read anew: prefix hashing alone, which believes without knowing, was cheaper. Blocks from before the last gap now count half until they are seen again or leave; a second gap drops them.

Ruled out first: the weight of the prefill in the score.

--- a/crates/decisions/src/placement/cache.rs
+++ b/crates/decisions/src/placement/cache.rs
@@ -27,12 +27,14 @@
 ///
 /// `recent` and `older` together hold at most [`CAPACITY`] blocks: when
 /// `recent` reaches half of it, `older` is dropped and replaced by `recent`.
-/// `sequence` is the last event applied, without a gap since the view began.
+/// `unsure` holds at most as many, from before the last gap. `sequence` is the
+/// last event applied, without a gap for the blocks in `recent` and `older`.
 #[derive(Clone, Debug, Default)]
 pub struct CacheView {
     sequence: u64,
     recent: Blocks,
     older: Blocks,
+    unsure: Blocks,
 }
 
 impl CacheView {
@@ -43,7 +45,7 @@
 
     /// Counts the blocks held.
     pub fn len(&self) -> usize {
-        self.recent.len() + self.older.len()
+        self.recent.len() + self.older.len() + self.unsure.len()
     }
 
     /// Tells whether nothing is known to be cached.
@@ -58,6 +60,7 @@
     {
         for block in blocks {
             self.older.remove(&block);
+            self.unsure.remove(&block);
             self.recent.insert(block);
             if self.recent.len() >= CAPACITY / 2 {
                 self.older = mem::take(&mut self.recent);
@@ -69,8 +72,8 @@
     ///
     /// # Errors
     ///
-    /// A gap in the sequence drops the view, since blocks may have left the
-    /// cache unseen; the event is then applied to the empty view.
+    /// A gap in the sequence makes the whole view unsure, since blocks may have
+    /// left the cache unseen. The event is applied all the same.
     pub fn apply(&mut self, sequence: u64, stored: &[u64], removed: &[u64]) -> Result<(), Gap> {
         if sequence <= self.sequence {
             return Ok(());
@@ -78,11 +81,12 @@
         let after = mem::replace(&mut self.sequence, sequence);
         let gap = sequence != after + 1;
         if gap {
-            self.clear();
+            self.doubt();
         }
         for block in removed {
             self.recent.remove(block);
             self.older.remove(block);
+            self.unsure.remove(block);
         }
         self.insert(stored.iter().copied());
         if gap {
@@ -99,17 +103,26 @@
         *self = Self::default();
     }
 
-    fn clear(&mut self) {
-        self.recent.clear();
-        self.older.clear();
+    fn doubt(&mut self) {
+        self.unsure = mem::take(&mut self.recent);
+        self.unsure.extend(self.older.drain());
     }
 
-    /// Counts the tokens of a prompt's prefix that the target has cached.
+    /// Estimates the tokens of a prompt's prefix that the target has cached.
+    ///
+    /// Blocks from before a gap count half.
     pub fn cached_tokens(&self, chain: &[u64]) -> u64 {
-        // The hashes are chained, so the last block held covers all before it.
-        let held = chain
-            .iter()
-            .rposition(|b| self.recent.contains(b) || self.older.contains(b));
-        held.map_or(0, |at| (at as u64 + 1) * BLOCK_TOKENS)
+        let sure = last_held(chain, |b| self.recent.contains(b) || self.older.contains(b));
+        let unsure = last_held(chain, |b| self.unsure.contains(b));
+        sure.max((sure + unsure) / 2) * BLOCK_TOKENS
     }
 }
+
+/// Counts the blocks up to the last one held; as the hashes are chained, it
+/// covers all before it.
+fn last_held<F>(chain: &[u64], held: F) -> u64
+where
+    F: Fn(&u64) -> bool,
+{
+    chain.iter().rposition(held).map_or(0, |at| at as u64 + 1)
+}
