--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -59,13 +59,19 @@
 /// Makes a body and its sending end.
 pub fn channel() -> (Sender, StreamBody) {
     let (tx, rx) = mpsc::channel(PIECES);
-    (Sender { tx }, StreamBody { rx, ended: false })
+    let body = StreamBody {
+        rx,
+        broken: None,
+        ended: false,
+    };
+    (Sender { tx }, body)
 }
 
 /// A body whose pieces come from a [`Sender`].
 #[derive(Debug)]
 pub struct StreamBody {
     rx: mpsc::Receiver<Message>,
+    broken: Option<String>,
     ended: bool,
 }
 
@@ -109,9 +115,21 @@
         if self.ended {
             return Poll::Ready(None);
         }
+        if let Some(reason) = self.broken.take() {
+            self.ended = true;
+            let step = Step::Answer;
+            return Poll::Ready(Some(Err(Error::Broken { step, reason })));
+        }
         let Poll::Ready(msg) = self.rx.poll_recv(cx) else {
             return Poll::Pending;
         };
+        if let Some(Message::Broken(reason)) = msg {
+            // The connection writes out earlier pieces while it waits, and
+            // would drop them if it saw the error along with them.
+            self.broken = Some(reason);
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         Poll::Ready(self.take(msg).map(|piece| {
             piece.map(Frame::data).map_err(|reason| Error::Broken {
                 step: Step::Answer,
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -17,6 +17,7 @@
 pub use inbound::Inbound;
 pub use reply::Reply;
 pub use reply::ReplyBody;
+pub use reply::error_event;
 pub use server::Handler;
 pub use server::Limits;
 pub use server::Server;
--- a/crates/caller/src/reply.rs
+++ b/crates/caller/src/reply.rs
@@ -87,6 +87,14 @@
     }
 }
 
+/// Returns a server-sent event that ends a stream with a refusal.
+pub fn error_event(refusal: &Refusal) -> Bytes {
+    let mut event = b"event: error\ndata: ".to_vec();
+    event.extend(refusal_json(refusal));
+    event.extend(b"\n\n");
+    event.into()
+}
+
 /// Returns the JSON document of a refusal.
 pub(crate) fn refusal_json(refusal: &Refusal) -> Vec<u8> {
     let envelope = Envelope {
--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -23,6 +23,7 @@
 use crate::members::Addresses;
 use crate::members::Member;
 use crate::metrics::Metrics;
+use crate::operations::Operations;
 use crate::settings::Settings;
 use crate::workers::Pool;
 
@@ -60,6 +61,8 @@
     pub(crate) store: Store,
     /// The endpoint for siblings.
     pub(crate) endpoint: sibling::Endpoint,
+    /// Operations that run at most once.
+    pub(crate) operations: Operations,
     /// Links to siblings.
     pub(crate) links: Sharded<Instance, sibling::Link<sibling::Up>>,
     /// The other instances.
@@ -87,6 +90,8 @@
             settings.queue_depth,
             &stop,
         );
+        let store = Store::new(settings.store.address, STORE_TIMEOUT);
+        let operations = Operations::start(settings.instance.clone(), store.clone(), stop.clone());
         Ok(Self {
             addresses,
             clock: Clock::new(),
@@ -95,7 +100,8 @@
             events: Ring::new(settings.instance.clone(), settings.events),
             metrics: Metrics::new(settings.metrics.as_ref())?,
             targets: Client::new(CONNECT_TIMEOUT),
-            store: Store::new(settings.store.address, STORE_TIMEOUT),
+            store,
+            operations,
             endpoint,
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! One attempt at a target of this region.
 
 use chiverelay_decisions::gateway;
+use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -14,6 +15,37 @@
 
 use crate::context::Context;
 
+/// Counts a request as running at its target until it is dropped.
+struct Running<'a> {
+    cx: &'a Context,
+    target: Target,
+    handed_over: bool,
+}
+
+impl<'a> Running<'a> {
+    fn start(cx: &'a Context, target: Target) -> Self {
+        gateway::start(&cx.tables, &target);
+        Self {
+            cx,
+            target,
+            handed_over: false,
+        }
+    }
+
+    /// Leaves it to the answer to count the request as ended.
+    fn hand_over(mut self) {
+        self.handed_over = true;
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        if !self.handed_over {
+            gateway::finish(&self.cx.tables, &self.target);
+        }
+    }
+}
+
 /// What became of an attempt.
 pub(crate) enum Attempt<O> {
     /// The head of an answer arrived.
@@ -63,20 +95,20 @@
     let left = req.head().deadline.saturating_sub(cx.clock.now());
     let req = req.dispatch();
     record(Step::Dispatch, "sent".to_owned());
-    gateway::start(&cx.tables, &target);
+    let running = Running::start(cx, target.clone());
     let error = match tokio::time::timeout(left, conn.send(out.clone())).await {
         Ok(Ok(answer)) => {
             record(Step::Answer, format!("status {}", answer.status().as_u16()));
+            running.hand_over();
             return Attempt::Answer(req, Box::new(answer));
         }
         Ok(Err(e)) => e.to_string(),
         Err(_) => {
-            gateway::finish(&cx.tables, &target);
             record(Step::Dispatch, "no answer in time".to_owned());
             return Attempt::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Dispatch));
         }
     };
-    gateway::finish(&cx.tables, &target);
+    drop(running);
     gateway::eject(&cx.tables, &target, cx.clock.now());
     log::warn!("dispatch: {id}: {error}");
     record(Step::Dispatch, format!("no answer: {error}"));
--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -18,7 +18,10 @@
 use hyper::header::HeaderValue;
 
 use crate::members;
+use crate::operations::Claim;
+use crate::relay;
 use crate::relay::Source;
+use crate::request::ReplyHead;
 use crate::serve::Serve;
 
 impl Serve {
@@ -26,6 +29,7 @@
         &self,
         req: Request<Away, Direct>,
         out: Outbound,
+        claim: &mut Option<Claim>,
     ) -> Result<Reply, Refusal> {
         let id = req.head().id.clone();
         let account = req.grant().account.clone();
@@ -61,7 +65,14 @@
             Ok(Ok((answer, Frame::Head { status, headers }))) => {
                 let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
                 let source = Source::Sibling(answer);
-                Ok(self.stream(req, status, read_headers(&headers), source))
+                let headers = read_headers(&headers);
+                let framing = relay::sibling_framing(&self.cx, req.grant(), &headers);
+                let head = ReplyHead {
+                    status,
+                    headers,
+                    framing,
+                };
+                Ok(self.stream(req, head, source, claim))
             }
             Ok(Ok((_, Frame::Refused(refusal)))) => Err(req.refuse_as_sibling(refusal)),
             Ok(Ok(_)) => Err(req.refuse_unknown(Code::SiblingFailed, Step::Forward)),
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -1,5 +1,6 @@
 //! The daemon of an entry instance.
 
+mod bind;
 mod clock;
 mod cmd;
 mod context;
@@ -9,6 +10,7 @@
 mod members;
 mod metrics;
 mod operate;
+mod operations;
 mod publish;
 mod relay;
 mod request;
--- /dev/null
+++ b/crates/chiverelayd/src/operations.rs
@@ -0,0 +1,342 @@
+//! Operations that run at most once: tickets issued here, and claims of
+//! tickets issued here or by siblings.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use chiverelay_decisions::idempotency;
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Grant;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Ranked;
+use chiverelay_decisions::tickets;
+use chiverelay_decisions::tickets::Bounds;
+use chiverelay_decisions::tickets::Granted;
+use chiverelay_decisions::tickets::Issuer;
+use chiverelay_decisions::tickets::Nonce;
+use chiverelay_decisions::tickets::Operation;
+use chiverelay_decisions::tickets::Recorded;
+use chiverelay_decisions::tickets::Reply;
+use chiverelay_decisions::tickets::Settlement;
+use chiverelay_decisions::tickets::Ticket;
+use chiverelay_decisions::tickets::Used;
+use chiverelay_sibling as sibling;
+use chiverelay_sibling::Message;
+use chiverelay_store::Store;
+use chiverelay_target::Outbound;
+use hyper::HeaderMap;
+use rand::Rng;
+use tokio_util::sync::CancellationToken;
+
+use crate::bind;
+use crate::bind::Binder;
+use crate::context::Context;
+use crate::members;
+
+/// Header with an operation ticket.
+const TICKET: &str = "x-operation-ticket";
+
+/// Header with a caller's own key.
+const KEY: &str = "idempotency-key";
+
+/// Time for which a ticket handed to callers can be used.
+pub(crate) const TICKET_LIFE: Duration = Duration::from_secs(600);
+
+/// Time for one try to reach a ticket's issuer or a writer of the store.
+const TRY: Duration = Duration::from_millis(1500);
+
+/// Tries to reach a ticket's issuer.
+const TRIES: usize = 2;
+
+/// Time for a settlement to reach the issuer.
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// Instances that write idempotency keys to the store.
+const WRITERS: usize = 4;
+
+/// When a caller may ask again for an operation that may be running.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Longest recorded answer, in bytes.
+pub(crate) const MAX_RECORDED: usize = 16 * 1024;
+
+/// Bounds of the table of used tickets.
+const BOUNDS: Bounds = Bounds {
+    records: 65_536,
+    answer_bytes: MAX_RECORDED,
+    total_bytes: 16 * 1024 * 1024,
+};
+
+/// The tickets of this incarnation.
+#[derive(Debug)]
+pub(crate) struct Operations {
+    issuer: Issuer,
+    serial: AtomicU64,
+    used: Ranked<Used>,
+    binder: Binder,
+}
+
+impl Operations {
+    /// Takes a key and an incarnation that no other process has.
+    pub(crate) fn start(instance: Instance, store: Store, cancel: CancellationToken) -> Self {
+        let mut key = [0; tickets::KEY_BYTES];
+        let mut incarnation = [0; size_of::<u64>()];
+        rand::rng().fill_bytes(&mut key);
+        rand::rng().fill_bytes(&mut incarnation);
+        Self {
+            issuer: Issuer::new(instance, u64::from_be_bytes(incarnation), key),
+            serial: AtomicU64::new(0),
+            used: Ranked::new(Rank::Tickets, Used::new(BOUNDS)),
+            binder: Binder::start(store, cancel),
+        }
+    }
+
+    /// Issues a ticket.
+    pub(crate) fn issue(&self, expires: Duration) -> Ticket {
+        let serial = self.serial.fetch_add(1, Ordering::Relaxed);
+        self.issuer.issue(serial, expires)
+    }
+
+    /// Decides on a claim of a ticket issued here.
+    pub(crate) fn claim(&self, claim: &sibling::Claim, now: Duration) -> Reply {
+        match self.issuer.check(&claim.ticket, now) {
+            None => Reply::Invalid,
+            Some(ticket) => self
+                .used
+                .lock()
+                .claim(ticket, claim.nonce, claim.operation, now),
+        }
+    }
+
+    /// Records what became of a claim of a ticket issued here.
+    pub(crate) fn settle(&self, settle: sibling::Settle, now: Duration) {
+        if let Some(ticket) = self.issuer.check(&settle.ticket, now) {
+            self.used
+                .lock()
+                .settle(ticket, settle.nonce, settle.settlement);
+        }
+    }
+
+    /// Returns the ticket that the store has for a name.
+    pub(crate) async fn bind(&self, bind: sibling::Bind) -> Option<Ticket> {
+        self.binder.bind(bind.name, bind.ticket).await
+    }
+}
+
+/// How a caller marks requests as attempts at one operation.
+#[derive(Clone, Debug)]
+pub(crate) enum Mark {
+    /// By a ticket of an instance.
+    Ticket(Ticket),
+    /// By a key of its own.
+    Key(String),
+}
+
+/// Reads the mark of a request.
+///
+/// # Errors
+///
+/// Refuses a mark that can't be read, and more than one.
+pub(crate) fn read_mark(headers: &HeaderMap) -> Result<Option<Mark>, Refusal> {
+    let malformed = || Refusal::unknown(Code::Malformed, Step::Claim, Peer::Caller);
+    let tickets = headers.get_all(TICKET).iter().map(|v| (true, v));
+    let keys = headers.get_all(KEY).iter().map(|v| (false, v));
+    let marks: Vec<_> = tickets.chain(keys).collect();
+    let (is_ticket, text) = match marks[..] {
+        [] => return Ok(None),
+        [(is_ticket, value)] => (is_ticket, value.to_str().map_err(|_| malformed())?),
+        _ => return Err(malformed()),
+    };
+    if is_ticket {
+        let ticket = text.parse().map_err(|_| malformed())?;
+        return Ok(Some(Mark::Ticket(ticket)));
+    }
+    if text.is_empty() || text.len() > idempotency::MAX_KEY_BYTES {
+        return Err(malformed());
+    }
+    Ok(Some(Mark::Key(text.to_owned())))
+}
+
+/// A granted claim, to be settled when its operation has ended.
+#[derive(Debug)]
+pub(crate) struct Claim {
+    ticket: Ticket,
+    nonce: Nonce,
+}
+
+/// What the issuer of an operation's ticket said.
+#[derive(Debug)]
+pub(crate) enum Claimed {
+    /// The operation may run.
+    Run(Claim, Granted),
+    /// The operation ran and has this answer.
+    Answered(Recorded),
+}
+
+/// Claims the operation that a request is an attempt at.
+///
+/// # Errors
+///
+/// Refuses an operation that may have run, or of which that isn't known.
+pub(crate) async fn claim(
+    cx: &Context,
+    mark: Mark,
+    grant: &Grant,
+    out: &Outbound,
+    deadline: Duration,
+) -> Result<Claimed, Refusal> {
+    let account = grant.account.as_ref();
+    let operation = Operation::new(account, &grant.route, &out.path_and_query, &out.body);
+    let ticket = match mark {
+        Mark::Ticket(ticket) => ticket,
+        Mark::Key(key) => bound(cx, idempotency::name(account, &grant.route, &key)).await?,
+    };
+    let claim = sibling::Claim {
+        nonce: Nonce(uuid::Uuid::now_v7().as_u128()),
+        ticket,
+        operation,
+    };
+    let issuer = claim.ticket.issuer().clone();
+    let peer = peer(cx, &issuer);
+    let reply = ask(cx, &claim).await;
+    if cx.clock.now() >= deadline {
+        // A late grant is not used, and the issuer learns that.
+        if matches!(reply, Some(Reply::Granted)) {
+            settle(cx, claim.into(), Settlement::NotRun).await;
+        }
+        return Err(Refusal::unknown(Code::DeadlineExceeded, Step::Claim, peer));
+    }
+    let Some(reply) = reply else {
+        return Err(Refusal::unknown(Code::StateUnavailable, Step::Claim, peer));
+    };
+    match reply.granted() {
+        Ok(granted) => Ok(Claimed::Run(claim.into(), granted)),
+        Err(Reply::Recorded(answer)) => Ok(Claimed::Answered(answer)),
+        Err(Reply::Full) => Err(Refusal::unknown(Code::StateUnavailable, Step::Claim, peer)),
+        Err(Reply::Used) => {
+            let refusal = Refusal::unknown(Code::AlreadyUsed, Step::Claim, peer);
+            Err(refusal.retry_after(RETRY_AFTER))
+        }
+        Err(_) => Err(Refusal::unknown(Code::AlreadyUsed, Step::Claim, peer)),
+    }
+}
+
+impl From<sibling::Claim> for Claim {
+    fn from(claim: sibling::Claim) -> Self {
+        Self {
+            ticket: claim.ticket,
+            nonce: claim.nonce,
+        }
+    }
+}
+
+fn peer(cx: &Context, instance: &Instance) -> Peer {
+    if *instance == cx.settings.instance {
+        return Peer::Local;
+    }
+    Peer::Sibling(instance.clone())
+}
+
+/// Asks the issuer; `None` if it gave no reply in time.
+async fn ask(cx: &Context, claim: &sibling::Claim) -> Option<Reply> {
+    let issuer = claim.ticket.issuer();
+    if *issuer == cx.settings.instance {
+        return Some(cx.operations.claim(claim, cx.clock.now()));
+    }
+    for _ in 0..TRIES {
+        let message = Message::Claim(claim.clone());
+        if let Some(Message::Claimed(reply)) = send(cx, issuer, message, TRY).await {
+            return Some(reply);
+        }
+    }
+    None
+}
+
+/// Sends a message to a sibling and returns its answer, if that is in time.
+async fn send(
+    cx: &Context,
+    instance: &Instance,
+    message: Message,
+    limit: Duration,
+) -> Option<Message> {
+    let exchange = async {
+        let link = members::link(cx, instance).await?;
+        link.ask(cx.events.latest(), message).await
+    };
+    match tokio::time::timeout(limit, exchange).await {
+        Ok(Ok(envelope)) => {
+            cx.events.observe(envelope.stamp);
+            Some(envelope.message)
+        }
+        Ok(Err(e)) => {
+            log::warn!("operations: {e}");
+            cx.links.remove(instance);
+            None
+        }
+        Err(_) => {
+            log::warn!("operations: sibling {instance}: timeout");
+            // The sibling may have been replaced at another address.
+            cx.links.remove(instance);
+            None
+        }
+    }
+}
+
+/// Returns the ticket bound to an idempotency key, a new one at first use.
+async fn bound(cx: &Context, name: String) -> Result<Ticket, Refusal> {
+    let ticket = cx.operations.issue(cx.clock.now() + bind::RETENTION);
+    let message = sibling::Bind { name, ticket };
+    if let Some(writer) = writer(cx, &message.name) {
+        let message = Message::Bind(message.clone());
+        if let Some(Message::Bound(Some(ticket))) = send(cx, &writer, message, TRY).await {
+            return Ok(ticket);
+        }
+    }
+    let binding = cx.operations.bind(message);
+    match tokio::time::timeout(TRY, binding).await {
+        Ok(Some(ticket)) => Ok(ticket),
+        _ => Err(Refusal::unknown(
+            Code::StateUnavailable,
+            Step::Claim,
+            Peer::Store,
+        )),
+    }
+}
+
+/// Returns the sibling that writes a name to the store, unless that is here.
+fn writer(cx: &Context, name: &str) -> Option<Instance> {
+    let mut live = vec![cx.settings.instance.clone()];
+    cx.tables.siblings.for_each(|instance, s| {
+        if s.serving {
+            live.push(instance.clone());
+        }
+    });
+    let writer = idempotency::writer(name, &live, WRITERS)?;
+    (*writer != cx.settings.instance).then(|| writer.clone())
+}
+
+/// Tells the issuer what became of a claim; if that is lost, the operation
+/// counts as used.
+pub(crate) async fn settle(cx: &Context, claim: Claim, settlement: Settlement) {
+    let issuer = claim.ticket.issuer().clone();
+    let settle = sibling::Settle {
+        ticket: claim.ticket,
+        nonce: claim.nonce,
+        settlement,
+    };
+    if issuer == cx.settings.instance {
+        cx.operations.settle(settle, cx.clock.now());
+        return;
+    }
+    if send(cx, &issuer, Message::Settle(settle), SETTLE)
+        .await
+        .is_none()
+    {
+        log::warn!("operations: a settlement is lost");
+    }
+}
--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -5,17 +5,22 @@
 
 use bytes::Bytes;
 use chiverelay_caller as caller;
+use chiverelay_decisions::answer::Checker;
+use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::names::Target;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Grant;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use chiverelay_decisions::tickets::Recorded;
 use chiverelay_sibling as sibling;
 use chiverelay_sibling::Frame;
 use chiverelay_target as target;
 
 use crate::context::Context;
-
-/// Bytes of an answer that count as one token where the engine counts none.
-const BYTES_PER_TOKEN: u64 = 4;
+use crate::operations::MAX_RECORDED;
 
 /// Where an answer comes from.
 pub(crate) enum Source {
@@ -26,17 +31,31 @@
 }
 
 impl Source {
-    async fn next(&mut self) -> Result<Option<Bytes>, String> {
-        match self {
-            Self::Target(answer, _) => answer.next().await.map_err(|e| e.to_string()),
-            Self::Sibling(answer) => match answer.next().await {
-                Ok(Frame::Data(data)) => Ok(Some(data.into())),
-                Ok(Frame::End) => Ok(None),
-                Ok(Frame::Refused(refusal)) => Err(refusal.code.as_str().to_owned()),
-                Ok(Frame::Head { .. }) => Err("a second head".to_owned()),
-                Err(e) => Err(e.to_string()),
+    async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
+        let (code, peer, error) = match self {
+            Self::Target(answer, target) => match answer.next().await {
+                Ok(piece) => return Ok(piece),
+                Err(e) => (
+                    Code::TargetFailed,
+                    Peer::Target(target.clone()),
+                    e.to_string(),
+                ),
             },
-        }
+            Self::Sibling(answer) => {
+                let peer = Peer::Sibling(answer.peer().instance.clone());
+                match answer.next().await {
+                    Ok(Frame::Data(data)) => return Ok(Some(data.into())),
+                    Ok(Frame::End) => return Ok(None),
+                    Ok(Frame::Refused(refusal)) => return Err(refusal),
+                    Ok(Frame::Head { .. }) => {
+                        (Code::SiblingFailed, peer, "a second head".to_owned())
+                    }
+                    Err(e) => (Code::SiblingFailed, peer, e.to_string()),
+                }
+            }
+        };
+        log::warn!("relay: {error}");
+        Err(Refusal::unknown(code, Step::Answer, peer))
     }
 
     fn finish(self, cx: &Context, whole: bool) {
@@ -84,63 +103,162 @@
         }
     }
 
-    async fn abort(self, reason: String) {
-        // A sibling sees the missing end.
-        if let Self::Caller(tx) = self {
-            tx.abort(reason).await;
+    async fn abort(self, refusal: Refusal, framing: Framing) {
+        match self {
+            Self::Caller(tx) => {
+                if framing == Framing::Events {
+                    tx.send(caller::error_event(&refusal)).await;
+                }
+                tx.abort(refusal.code.as_str().to_owned()).await;
+            }
+            Self::Sibling(mut tx) => {
+                // The sibling may have left.
+                let _ = tx.send(&Frame::Refused(refusal)).await;
+            }
         }
     }
 }
 
-enum End {
+/// How a relayed answer ended.
+#[derive(Debug)]
+pub(crate) enum End {
+    /// All of it went out, or was recorded.
     Whole,
+    /// Nobody waits for it any more.
     Left,
-    Broken(String),
+    /// It is not whole.
+    Broken(Refusal),
 }
 
-/// Relays until the answer is whole, breaks off or nobody waits for it.
-/// Returns whether it went out whole.
-pub(crate) async fn run(
-    cx: Arc<Context>,
-    grant: Arc<Grant>,
-    prompt_tokens: u64,
-    deadline: Duration,
-    mut source: Source,
-    mut sink: Sink,
-) -> bool {
-    let mut bytes = 0;
-    let left = deadline.saturating_sub(cx.clock.now());
-    let piped = pipe(&mut source, &mut sink, &mut bytes);
-    let end = tokio::time::timeout(left, piped)
-        .await
-        .unwrap_or_else(|_| End::Broken("deadline".to_owned()));
-    let whole = matches!(end, End::Whole);
-    source.finish(&cx, whole);
-    let used = prompt_tokens + bytes / BYTES_PER_TOKEN;
-    gateway::settle(&cx.tables, &grant, used, cx.clock.now());
+/// Says how an answer ended, for the time line.
+pub(crate) fn describe(end: &End) -> &'static str {
     match end {
-        End::Whole => sink.finish().await,
-        End::Left => {}
-        End::Broken(reason) => sink.abort(reason).await,
+        End::Whole => "whole answer",
+        End::Left => "cancelled, nobody waits",
+        End::Broken(_) => "answer not whole",
     }
-    whole
 }
 
-async fn pipe(source: &mut Source, sink: &mut Sink, bytes: &mut u64) -> End {
-    loop {
-        let piece = tokio::select! {
-            piece = source.next() => piece,
-            () = sink.closed() => return End::Left,
+/// An answer on its way.
+pub(crate) struct Relay {
+    /// What the request may do.
+    pub(crate) grant: Arc<Grant>,
+    /// Estimated tokens of the prompt.
+    pub(crate) prompt_tokens: u64,
+    /// When the answer must be complete.
+    pub(crate) deadline: Duration,
+    /// How the end of the answer is known.
+    pub(crate) framing: Framing,
+    /// Where the answer comes from.
+    pub(crate) source: Source,
+    /// Who waits for it.
+    pub(crate) sink: Sink,
+    /// The head of an answer that is to be kept.
+    ///
+    /// Such an answer is read to its end even if nobody waits for it.
+    pub(crate) record: Option<Recorded>,
+}
+
+impl Relay {
+    /// Relays until the answer is whole, breaks off or nobody waits for it.
+    /// Returns the end, and the answer if it is to be kept and is whole.
+    pub(crate) async fn run(mut self, cx: &Context) -> (End, Option<Recorded>) {
+        let mut checker = Checker::new(self.framing);
+        let left = self.deadline.saturating_sub(cx.clock.now());
+        let end = match tokio::time::timeout(left, self.pipe(&mut checker)).await {
+            Ok(end) => end,
+            Err(_) => End::Broken(self.refuse(Code::DeadlineExceeded)),
         };
-        match piece {
-            Ok(Some(data)) => {
-                *bytes += data.len() as u64;
-                if !sink.send(data).await {
+        let whole = matches!(end, End::Whole);
+        let used = checker.tokens(self.prompt_tokens);
+        gateway::settle(&cx.tables, &self.grant, used, cx.clock.now());
+        self.source.finish(cx, whole);
+        match &end {
+            End::Whole => self.sink.finish().await,
+            End::Left => {}
+            End::Broken(refusal) => self.sink.abort(refusal.clone(), self.framing).await,
+        }
+        (end, self.record.filter(|_| whole))
+    }
+
+    fn refuse(&self, code: Code) -> Refusal {
+        let peer = match &self.source {
+            Source::Target(_, target) => Peer::Target(target.clone()),
+            Source::Sibling(answer) => Peer::Sibling(answer.peer().instance.clone()),
+        };
+        Refusal::unknown(code, Step::Answer, peer)
+    }
+
+    async fn pipe(&mut self, checker: &mut Checker) -> End {
+        let mut waited_for = true;
+        loop {
+            let piece = tokio::select! {
+                piece = self.source.next() => piece,
+                () = self.sink.closed(), if waited_for => {
+                    waited_for = false;
+                    if self.record.is_none() {
+                        return End::Left;
+                    }
+                    continue;
+                }
+            };
+            let checked = match piece {
+                Ok(Some(data)) => checker.push(data),
+                Ok(None) => match checker.end() {
+                    Ok(()) => return End::Whole,
+                    Err(fault) => Err(fault),
+                },
+                Err(refusal) => return End::Broken(refusal),
+            };
+            let data = match checked {
+                Ok(data) => data,
+                Err(fault) => {
+                    log::warn!("relay: {fault}");
+                    return End::Broken(self.refuse(Code::TargetFailed));
+                }
+            };
+            self.keep(&data);
+            if waited_for && !data.is_empty() && !self.sink.send(data).await {
+                waited_for = false;
+                if self.record.is_none() {
                     return End::Left;
                 }
             }
-            Ok(None) => return End::Whole,
-            Err(reason) => return End::Broken(reason),
         }
     }
+
+    /// Adds a piece to the answer that is kept, unless it grows too long.
+    fn keep(&mut self, data: &Bytes) {
+        if let Some(record) = &mut self.record
+            && record.body.len() <= MAX_RECORDED
+        {
+            record.body.extend_from_slice(data);
+        }
+    }
+}
+
+/// Returns how the end of a target's answer is known.
+pub(crate) fn framing(cx: &Context, grant: &Grant, answer: &target::Answer) -> Framing {
+    if answer.is_event_stream() && is_engine(cx, grant) {
+        return Framing::Events;
+    }
+    if answer.is_delimited() {
+        return Framing::Delimited;
+    }
+    Framing::Open
+}
+
+/// Returns how the end of a sibling's answer is known.
+pub(crate) fn sibling_framing(cx: &Context, grant: &Grant, headers: &hyper::HeaderMap) -> Framing {
+    if target::headers::is_event_stream(headers) && is_engine(cx, grant) {
+        return Framing::Events;
+    }
+    Framing::Delimited
+}
+
+fn is_engine(cx: &Context, grant: &Grant) -> bool {
+    use chiverelay_decisions::config::PoolKind;
+    let config = cx.tables.config.get();
+    let pool = config.pools.get(&grant.pool);
+    pool.is_none_or(|pool| pool.kind == PoolKind::Engine)
 }
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -6,20 +6,25 @@
 use chiverelay_caller::Inbound;
 use chiverelay_caller::Reply;
 use chiverelay_caller::ReplyBody;
+use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::config::DEFAULT_DEADLINE_MS;
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Placement;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Outcome;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::Grant;
 use chiverelay_decisions::request::Head;
 use chiverelay_decisions::request::Request;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
+use chiverelay_decisions::tickets::Recorded;
+use chiverelay_decisions::tickets::Settlement;
 use chiverelay_target::Outbound;
 use chiverelay_target::headers;
 use hyper::HeaderMap;
@@ -30,7 +35,14 @@
 
 use crate::dispatch;
 use crate::dispatch::Attempt;
+use crate::forward;
+use crate::operations;
+use crate::operations::Claim;
+use crate::operations::Claimed;
+use crate::operations::Mark;
 use crate::relay;
+use crate::relay::End;
+use crate::relay::Relay;
 use crate::relay::Sink;
 use crate::relay::Source;
 use crate::serve::Serve;
@@ -41,6 +53,41 @@
 /// Header that names the request in the time line.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
+/// Marks an answer that was given before.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotent-replayed");
+
+/// The head of an answer to a caller.
+#[derive(Debug)]
+pub(crate) struct ReplyHead {
+    /// Status code.
+    pub(crate) status: StatusCode,
+    /// Headers that may reach a caller.
+    pub(crate) headers: HeaderMap,
+    /// How the end of the answer is known.
+    pub(crate) framing: Framing,
+}
+
+impl ReplyHead {
+    /// Starts a record of the answer.
+    fn record(&self) -> Recorded {
+        Recorded {
+            status: self.status.as_u16(),
+            headers: forward::write_headers(&self.headers),
+            body: Vec::new(),
+        }
+    }
+}
+
+fn replay(recorded: Recorded) -> Reply {
+    let mut headers = forward::read_headers(&recorded.headers);
+    headers.insert(REPLAYED, HeaderValue::from_static("true"));
+    Reply {
+        status: StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::BAD_GATEWAY),
+        headers,
+        body: ReplyBody::Full(recorded.body.into()),
+    }
+}
+
 impl Serve {
     pub(crate) async fn relayed(&self, inbound: Inbound) -> Reply {
         let id = RequestId::from(Uuid::now_v7().to_string());
@@ -67,6 +114,7 @@
 
     async fn answer(&self, id: &RequestId, inbound: Inbound) -> Result<Reply, Refusal> {
         let started = self.cx.clock.now();
+        let mark = operations::read_mark(&inbound.headers)?;
         self.cx
             .record(id, None, Step::Receive, Peer::Caller, inbound.path.as_str());
         let head = Head {
@@ -83,14 +131,25 @@
             headers: inbound.headers,
             body: inbound.body,
         };
-        let req = self.admit(head, inbound.path, inbound.key).await?;
+        let marked = mark.is_some();
+        let req = self
+            .admit(head, inbound.path, inbound.key, marked)
+            .await
+            .map_err(|refusal| match marked {
+                true => refusal.after_attempt(),
+                false => refusal,
+            })?;
+        let req = self.due(req, started);
         let charge = req.grant().charge;
         let what = format!("admitted by route {}, {charge} tokens", req.grant().route);
         let account = req.grant().account.clone();
         self.cx
             .record(id, account.as_ref(), Step::Admit, Peer::Local, what);
         let grant = Arc::clone(req.grant());
-        let reply = self.run(req, out).await;
+        let reply = match mark {
+            None => self.run(req, out, &mut None).await,
+            Some(mark) => self.run_marked(req, out, mark).await,
+        };
         match &reply {
             Ok(_) => self.cx.metrics.first_token(self.cx.clock.now() - started),
             Err(refusal) => self.refund(&grant, refusal),
@@ -98,9 +157,69 @@
         reply
     }
 
-    fn refund(&self, grant: &chiverelay_decisions::request::Grant, refusal: &Refusal) {
-        if refusal.outcome == chiverelay_decisions::refusal::Outcome::NotRun {
-            gateway::settle(&self.cx.tables, grant, 0, self.cx.clock.now());
+    /// Runs an attempt at an operation, even if the caller leaves meanwhile.
+    async fn run_marked(
+        &self,
+        req: Request<Admitted, Direct>,
+        out: Outbound,
+        mark: Mark,
+    ) -> Result<Reply, Refusal> {
+        let req = match req.disregard_attempts() {
+            Ok(req) => return self.run(req, out, &mut None).await,
+            Err(req) => req,
+        };
+        let serve = self.clone();
+        let run = async move { serve.run_once(req, out, mark).await };
+        match self.cx.requests.spawn(run).await {
+            Ok(reply) => reply,
+            Err(e) => {
+                log::error!("serve: {e}");
+                Err(Refusal::unknown(
+                    Code::StateUnavailable,
+                    Step::Claim,
+                    Peer::Local,
+                ))
+            }
+        }
+    }
+
+    async fn run_once(
+        &self,
+        req: Request<Admitted, Direct>,
+        out: Outbound,
+        mark: Mark,
+    ) -> Result<Reply, Refusal> {
+        let deadline = req.head().deadline;
+        let claimed = operations::claim(&self.cx, mark, req.grant(), &out, deadline).await;
+        let (claim, granted) = match claimed {
+            Ok(Claimed::Run(claim, granted)) => (claim, granted),
+            Ok(Claimed::Answered(recorded)) => {
+                self.give_back(req.grant());
+                return Ok(replay(recorded));
+            }
+            Err(refusal) => {
+                self.give_back(req.grant());
+                return Err(refusal);
+            }
+        };
+        let mut claim = Some(claim);
+        let reply = self.run(req.claimed(granted), out, &mut claim).await;
+        if let (Err(refusal), Some(claim)) = (&reply, claim)
+            && refusal.outcome == Outcome::NotRun
+        {
+            operations::settle(&self.cx, claim, Settlement::NotRun).await;
+        }
+        reply
+    }
+
+    /// Gives the account back the charge of an attempt that did not run.
+    fn give_back(&self, grant: &Grant) {
+        gateway::settle(&self.cx.tables, grant, 0, self.cx.clock.now());
+    }
+
+    fn refund(&self, grant: &Grant, refusal: &Refusal) {
+        if refusal.outcome == Outcome::NotRun {
+            self.give_back(grant);
         }
     }
 
@@ -109,6 +228,7 @@
         head: Head,
         path: String,
         key: Option<String>,
+        marked: bool,
     ) -> Result<Request<Admitted, Direct>, Refusal> {
         let now = self.cx.clock.now();
         let by = key.clone().unwrap_or_default();
@@ -117,7 +237,11 @@
                 path: &path,
                 key: key.as_deref(),
             };
-            gateway::admit(tables, Request::from_caller(head), &ask, now)
+            let req = match marked {
+                true => Request::from_retrying_caller(head),
+                false => Request::from_caller(head),
+            };
+            gateway::admit(tables, req, &ask, now)
         };
         match self.cx.pool.run(&by, job).await {
             Ok(result) => result,
@@ -129,21 +253,31 @@
         }
     }
 
+    /// Sets the route's deadline.
+    fn due(&self, req: Request<Admitted, Direct>, started: Duration) -> Request<Admitted, Direct> {
+        let config = self.cx.tables.config.get();
+        match config.routes.get(&req.grant().route) {
+            Some(route) => req.due(started + Duration::from_millis(route.deadline_ms)),
+            None => req,
+        }
+    }
+
     async fn run(
         &self,
         mut req: Request<Admitted, Direct>,
         out: Outbound,
+        claim: &mut Option<Claim>,
     ) -> Result<Reply, Refusal> {
         for _ in 0..ATTEMPTS {
             let here = &self.cx.settings.region;
             let placement = gateway::place(&self.cx.tables, req, here, self.cx.clock.now())?;
             req = match placement {
                 Placement::Here(placed) => match dispatch::attempt(&self.cx, placed, &out).await {
-                    Attempt::Answer(req, answer) => return Ok(self.reply(req, answer)),
+                    Attempt::Answer(req, answer) => return Ok(self.reply(req, answer, claim)),
                     Attempt::Again(req) => req,
                     Attempt::Refused(refusal) => return Err(refusal),
                 },
-                Placement::Away(away) => return self.forward(away, out).await,
+                Placement::Away(away) => return self.forward(away, out, claim).await,
             };
         }
         Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
@@ -153,50 +287,56 @@
         &self,
         req: Request<Dispatched, Direct>,
         answer: Box<chiverelay_target::Answer>,
+        claim: &mut Option<Claim>,
     ) -> Reply {
-        let status = answer.status();
-        let headers = headers::to_caller(answer.headers());
+        let head = ReplyHead {
+            status: answer.status(),
+            headers: headers::to_caller(answer.headers()),
+            framing: relay::framing(&self.cx, req.grant(), &answer),
+        };
         let target = match req.peer() {
             Peer::Target(target) => target.clone(),
             _ => "".into(),
         };
-        self.stream(req, status, headers, Source::Target(answer, target))
+        self.stream(req, head, Source::Target(answer, target), claim)
     }
 
     pub(crate) fn stream(
         &self,
         req: Request<Dispatched, Direct>,
-        status: StatusCode,
-        headers: HeaderMap,
+        head: ReplyHead,
         source: Source,
+        claim: &mut Option<Claim>,
     ) -> Reply {
+        let claim = claim.take();
         let (tx, body) = chiverelay_caller::channel();
+        let relay = Relay {
+            grant: Arc::clone(req.grant()),
+            prompt_tokens: req.head().prompt_tokens,
+            deadline: req.head().deadline,
+            framing: head.framing,
+            source,
+            sink: Sink::Caller(tx),
+            record: claim.as_ref().map(|_| head.record()),
+        };
         let cx = Arc::clone(&self.cx);
         self.cx.requests.spawn(async move {
-            let head = Arc::clone(req.head());
-            let grant = Arc::clone(req.grant());
-            let sink = Sink::Caller(tx);
-            let whole = relay::run(
-                Arc::clone(&cx),
-                Arc::clone(&grant),
-                head.prompt_tokens,
-                head.deadline,
-                source,
-                sink,
-            )
-            .await;
+            let (end, record) = relay.run(&cx).await;
+            if let (Some(claim), Some(record)) = (claim, record) {
+                operations::settle(&cx, claim, Settlement::Answered(record)).await;
+            }
+            let id = req.head().id.clone();
+            let account = req.grant().account.clone();
             let peer = req.peer().clone();
-            let what = if whole {
+            let what = relay::describe(&end);
+            if matches!(end, End::Whole) {
                 drop(req.answered());
-                "whole answer"
-            } else {
-                "answer not whole"
-            };
-            cx.record(&head.id, grant.account.as_ref(), Step::Answer, peer, what);
+            }
+            cx.record(&id, account.as_ref(), Step::Answer, peer, what);
         });
         Reply {
-            status,
-            headers,
+            status: head.status,
+            headers: head.headers,
             body: ReplyBody::Stream(body),
         }
     }
--- a/crates/chiverelayd/src/serve.rs
+++ b/crates/chiverelayd/src/serve.rs
@@ -9,9 +9,13 @@
 use serde_json::json;
 
 use crate::context::Context;
+use crate::operations::TICKET_LIFE;
+
+/// Operation tickets handed out with the list of instances.
+const TICKETS: usize = 4;
 
 /// Answers callers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Serve {
     pub(crate) cx: Arc<Context>,
 }
@@ -23,11 +27,14 @@
     }
 
     fn instances(&self) -> Reply {
-        let own = json!({
-            "instance": self.cx.settings.instance,
-            "address": self.cx.addresses.caller,
-        });
-        let mut list = vec![own];
+        let drains = self.cx.drain.is_cancelled();
+        let mut list = Vec::new();
+        if !drains {
+            list.push(json!({
+                "instance": self.cx.settings.instance,
+                "address": self.cx.addresses.caller,
+            }));
+        }
         self.cx.members.for_each(|name, m| {
             if self
                 .cx
@@ -38,7 +45,18 @@
                 list.push(json!({"instance": name, "address": m.addresses.caller}));
             }
         });
-        let body = json!({"ttl_ms": 5000, "instances": list});
+        // A draining instance may be gone before its tickets are used.
+        let tickets = if drains { 0 } else { TICKETS };
+        let expires = self.cx.clock.now() + TICKET_LIFE;
+        let tickets: Vec<String> = (0..tickets)
+            .map(|_| self.cx.operations.issue(expires).to_string())
+            .collect();
+        let body = json!({
+            "ttl_ms": 5000,
+            "instances": list,
+            "tickets": tickets,
+            "ticket_ttl_ms": TICKET_LIFE.as_millis() as u64,
+        });
         Reply::json(StatusCode::OK, body.to_string().into_bytes())
     }
 
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -34,6 +34,8 @@
 use crate::forward::write_headers;
 use crate::members;
 use crate::relay;
+use crate::relay::End;
+use crate::relay::Relay;
 use crate::relay::Sink;
 use crate::relay::Source;
 
@@ -120,24 +122,31 @@
             status: answer.status().as_u16(),
             headers: write_headers(&headers::to_caller(answer.headers())),
         };
+        let id = req.head().id.clone();
+        let account = req.grant().account.clone();
+        let peer = req.peer().clone();
         // If the sibling left, the relay finds out and cancels the request.
         let _ = tx.send(&head).await;
         let target = match req.peer() {
             Peer::Target(target) => target.clone(),
             _ => "".into(),
         };
-        let whole = relay::run(
-            Arc::clone(&self.cx),
-            Arc::clone(req.grant()),
-            req.head().prompt_tokens,
-            req.head().deadline,
-            Source::Target(answer, target),
-            Sink::Sibling(tx),
-        )
-        .await;
-        if whole {
+        let relay = Relay {
+            grant: Arc::clone(req.grant()),
+            prompt_tokens: req.head().prompt_tokens,
+            deadline: req.head().deadline,
+            framing: relay::framing(&self.cx, req.grant(), &answer),
+            source: Source::Target(answer, target),
+            sink: Sink::Sibling(tx),
+            record: None,
+        };
+        let (end, _) = relay.run(&self.cx).await;
+        let what = relay::describe(&end);
+        if matches!(end, End::Whole) {
             drop(req.answered());
         }
+        self.cx
+            .record(&id, account.as_ref(), Step::Answer, peer, what);
     }
 }
 
@@ -149,7 +158,17 @@
                 members::hear(&self.cx, &from.instance, &from.region, &beat);
                 Message::Heartbeat(members::heartbeat(&self.cx))
             }
-            Message::Forward(_) | Message::Done => Message::Done,
+            Message::Claim(claim) => {
+                Message::Claimed(self.cx.operations.claim(&claim, self.cx.clock.now()))
+            }
+            Message::Settle(settle) => {
+                self.cx.operations.settle(settle, self.cx.clock.now());
+                Message::Done
+            }
+            Message::Bind(bind) => Message::Bound(self.cx.operations.bind(bind).await),
+            Message::Forward(_) | Message::Claimed(_) | Message::Bound(_) | Message::Done => {
+                Message::Done
+            }
         };
         Envelope {
             version: VERSION,
@@ -160,7 +179,12 @@
 
     async fn forward(&self, from: &Identity, req: Forward, mut tx: FrameSender) {
         let open = self.cx.requests.token();
-        match self.answer(from, req).await {
+        let answer = tokio::select! {
+            answer = self.answer(from, req) => answer,
+            // Dropping the request cancels it at the target.
+            () = tx.closed() => return,
+        };
+        match answer {
             Ok((req, answer)) => self.stream(req, answer, tx).await,
             Err(refusal) => {
                 // The sibling may have left.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,9 +4,11 @@
 //! and random numbers come from the caller. The peer packages encode and
 //! carry what is decided here, so a further front end uses the same code.
 
+pub mod answer;
 pub mod config;
 pub mod event;
 pub mod gateway;
+pub mod idempotency;
 pub mod limits;
 pub mod names;
 pub mod placement;
@@ -14,6 +16,7 @@
 pub mod request;
 pub mod step;
 pub mod tables;
+pub mod tickets;
 
 pub use config::Config;
 pub use refusal::Refusal;
--- a/crates/decisions/src/refusal.rs
+++ b/crates/decisions/src/refusal.rs
@@ -131,6 +131,12 @@
         }
     }
 
+    /// Says that an earlier attempt at the same operation may have run.
+    pub fn after_attempt(mut self) -> Self {
+        self.outcome = Outcome::Unknown;
+        self
+    }
+
     /// Says when another try may succeed.
     pub fn retry_after(mut self, delay: Duration) -> Self {
         self.retry_after = Some(delay);
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -73,6 +73,7 @@
 use crate::refusal::Refusal;
 use crate::step::Peer;
 use crate::step::Step;
+use crate::tickets::Granted;
 
 /// What decisions need to know of a request, apart from its body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -190,8 +191,9 @@
 ///
 /// # Invariants
 ///
-/// `attempted` is set once any attempt was dispatched; a refusal after that
-/// never says "not run".
+/// `attempted` is set once any attempt was dispatched, and from the start if
+/// an earlier request may have been an attempt at the same operation; a
+/// refusal after that never says "not run".
 #[derive(Debug)]
 pub struct Request<S, O> {
     head: Arc<Head>,
@@ -242,6 +244,15 @@
     pub fn from_caller(head: Head) -> Self {
         Self::new(head)
     }
+
+    /// Starts the life cycle of a request of which an earlier attempt may
+    /// have run, as its ticket or idempotency key shows.
+    pub fn from_retrying_caller(head: Head) -> Self {
+        Self {
+            attempted: true,
+            ..Self::new(head)
+        }
+    }
 }
 
 impl Request<Received, Forwarded> {
@@ -294,6 +305,31 @@
 }
 
 impl Request<Admitted, Direct> {
+    /// Sets when the answer must be complete, as the route says.
+    pub fn due(mut self, deadline: Duration) -> Self {
+        Arc::make_mut(&mut self.head).deadline = deadline;
+        self
+    }
+
+    /// Drops the doubt over earlier attempts if the request may run twice.
+    ///
+    /// # Errors
+    ///
+    /// Gives the request back if it may not be repeated.
+    pub fn disregard_attempts(mut self) -> Result<Self, Self> {
+        if !self.state.grant.repeatable {
+            return Err(self);
+        }
+        self.attempted = false;
+        Ok(self)
+    }
+
+    /// Records that no earlier attempt ran, as the ticket's issuer says.
+    pub fn claimed(mut self, _: Granted) -> Self {
+        self.attempted = false;
+        self
+    }
+
     /// Chooses a sibling in another region, which then places the request.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/decisions/src/tickets.rs
@@ -0,0 +1,389 @@
+//! Operation tickets: who may run a request that must not run twice.
+//!
+//! An [`Issuer`] signs tickets and alone decides on them. It keeps a record
+//! in [`Used`] from the first claim of a ticket until the ticket expires. A
+//! claim is answered by [`Reply`]; only [`Reply::Granted`] lets the claimer
+//! run the operation, and at most one claim has a grant that was not settled
+//! as not run.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+use crate::config::hex;
+use crate::names::Account;
+use crate::names::Instance;
+use crate::names::Route;
+
+/// Bytes of a signing key.
+pub const KEY_BYTES: usize = 32;
+
+/// Bytes of a signature.
+const TAG_BYTES: usize = 32;
+
+/// Claims settled as not run that a ticket's record remembers.
+const RELEASES: usize = 16;
+
+/// A ticket, whose signature is not yet checked.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Ticket {
+    issuer: Instance,
+    incarnation: u64,
+    serial: u64,
+    expires_ms: u64,
+    tag: [u8; TAG_BYTES],
+}
+
+impl Ticket {
+    /// Returns the instance that signed the ticket.
+    pub fn issuer(&self) -> &Instance {
+        &self.issuer
+    }
+}
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (issuer, tag) = (&self.issuer, hex(&self.tag));
+        let (incarnation, serial, expires) = (self.incarnation, self.serial, self.expires_ms);
+        write!(f, "{issuer}.{incarnation:x}.{serial:x}.{expires:x}.{tag}")
+    }
+}
+
+/// A text that is not a ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotATicket;
+
+impl FromStr for Ticket {
+    type Err = NotATicket;
+
+    fn from_str(s: &str) -> Result<Self, NotATicket> {
+        let number = |s: &str| u64::from_str_radix(s, 16).map_err(|_| NotATicket);
+        let parts: Vec<&str> = s.split('.').collect();
+        let [issuer, incarnation, serial, expires, tag] = parts[..] else {
+            return Err(NotATicket);
+        };
+        Ok(Self {
+            issuer: issuer.into(),
+            incarnation: number(incarnation)?,
+            serial: number(serial)?,
+            expires_ms: number(expires)?,
+            tag: unhex(tag).ok_or(NotATicket)?,
+        })
+    }
+}
+
+fn unhex(s: &str) -> Option<[u8; TAG_BYTES]> {
+    if s.len() != 2 * TAG_BYTES || !s.is_ascii() {
+        return None;
+    }
+    let mut bytes = [0; TAG_BYTES];
+    for (i, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&s[2 * i..2 * i + 2], 16).ok()?;
+    }
+    Some(bytes)
+}
+
+/// Names one claim of a ticket, so that its reply can be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Nonce(pub u128);
+
+/// A digest of what a ticket is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Operation([u8; 32]);
+
+impl Operation {
+    /// Digests an account's request on a route.
+    pub fn new(account: Option<&Account>, route: &Route, path: &str, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in [
+            account.map_or("", Account::as_str).as_bytes(),
+            route.as_str().as_bytes(),
+            path.as_bytes(),
+            body,
+        ] {
+            hasher.update((part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+}
+
+/// Signs and checks the tickets of one incarnation of an instance.
+#[derive(Debug)]
+pub struct Issuer {
+    instance: Instance,
+    incarnation: u64,
+    key: [u8; KEY_BYTES],
+}
+
+/// A ticket whose signature and expiry were checked by its issuer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Checked {
+    serial: u64,
+    expires: Duration,
+}
+
+impl Issuer {
+    /// Makes an issuer with a key that no other incarnation has.
+    pub fn new(instance: Instance, incarnation: u64, key: [u8; KEY_BYTES]) -> Self {
+        Self {
+            instance,
+            incarnation,
+            key,
+        }
+    }
+
+    /// Signs a ticket that expires on the local monotonic clock.
+    pub fn issue(&self, serial: u64, expires: Duration) -> Ticket {
+        let expires_ms = expires.as_millis() as u64;
+        Ticket {
+            issuer: self.instance.clone(),
+            incarnation: self.incarnation,
+            serial,
+            expires_ms,
+            tag: self.tag(serial, expires_ms),
+        }
+    }
+
+    /// Checks that this incarnation signed the ticket and that it is in time.
+    pub fn check(&self, ticket: &Ticket, now: Duration) -> Option<Checked> {
+        let want = self.tag(ticket.serial, ticket.expires_ms);
+        let expires = Duration::from_millis(ticket.expires_ms);
+        let signed = bool::from(want.ct_eq(&ticket.tag));
+        let own = ticket.issuer == self.instance && ticket.incarnation == self.incarnation;
+        (signed && own && now < expires).then_some(Checked {
+            serial: ticket.serial,
+            expires,
+        })
+    }
+
+    fn tag(&self, serial: u64, expires_ms: u64) -> [u8; TAG_BYTES] {
+        let mut inner = Sha256::new();
+        inner.update(self.key);
+        inner.update(self.incarnation.to_be_bytes());
+        inner.update(serial.to_be_bytes());
+        inner.update(expires_ms.to_be_bytes());
+        let mut outer = Sha256::new();
+        outer.update(self.key);
+        outer.update(inner.finalize());
+        outer.finalize().into()
+    }
+}
+
+/// An answer kept for callers that ask again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Recorded {
+    /// Status code.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// What became of an operation that was granted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Settlement {
+    /// No target has seen any byte of it.
+    NotRun,
+    /// It ran and was answered.
+    Answered(Recorded),
+}
+
+/// The issuer's reply to a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The claimer may run the operation; no earlier attempt ran.
+    Granted,
+    /// The operation ran and was answered before.
+    Recorded(Recorded),
+    /// The operation may have run, or may run now.
+    Used,
+    /// The ticket was used for another operation.
+    Mismatch,
+    /// The ticket is not of this incarnation, has expired or is forged.
+    Invalid,
+    /// The table is full; the ticket was not used.
+    Full,
+}
+
+/// Leave to run an operation, as no earlier attempt at it ran.
+#[derive(Debug)]
+pub struct Granted(());
+
+impl Reply {
+    /// Returns the leave that a grant gives.
+    ///
+    /// # Errors
+    ///
+    /// Gives back any other reply.
+    pub fn granted(self) -> Result<Granted, Self> {
+        match self {
+            Self::Granted => Ok(Granted(())),
+            other => Err(other),
+        }
+    }
+}
+
+#[derive(Debug)]
+enum State {
+    Granted(Nonce),
+    Answered(Recorded),
+    Free,
+}
+
+/// What is known of a claimed ticket.
+///
+/// # Invariants
+///
+/// A nonce in `released` gets no other grant, so that a delayed copy of a
+/// settled claim does not take the ticket from callers. If it is forgotten,
+/// such a copy leaves the ticket unused, which is safe.
+#[derive(Debug)]
+struct Record {
+    operation: Operation,
+    state: State,
+    released: VecDeque<Nonce>,
+}
+
+/// Bounds of a table of used tickets.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Most records.
+    pub records: usize,
+    /// Most bytes of one recorded answer.
+    pub answer_bytes: usize,
+    /// Most bytes of all recorded answers.
+    pub total_bytes: usize,
+}
+
+/// The tickets of this incarnation that were claimed.
+///
+/// # Invariants
+///
+/// A ticket's record stays until the ticket has expired, so that an unexpired
+/// ticket without a record was never granted. `by_expiry` has one entry for
+/// each record. `bytes` counts the recorded answers and stays within the
+/// bounds.
+#[derive(Debug)]
+pub struct Used {
+    records: HashMap<u64, Record>,
+    by_expiry: BTreeSet<(Duration, u64)>,
+    bytes: usize,
+    bounds: Bounds,
+}
+
+impl Used {
+    /// Makes an empty table.
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            records: HashMap::new(),
+            by_expiry: BTreeSet::new(),
+            bytes: 0,
+            bounds,
+        }
+    }
+
+    /// Decides on a claim. The same nonce gets the same reply.
+    pub fn claim(
+        &mut self,
+        ticket: Checked,
+        nonce: Nonce,
+        operation: Operation,
+        now: Duration,
+    ) -> Reply {
+        self.expire(now);
+        if now >= ticket.expires {
+            return Reply::Invalid;
+        }
+        let full = self.records.len() >= self.bounds.records;
+        let Some(record) = self.records.get_mut(&ticket.serial) else {
+            if full {
+                return Reply::Full;
+            }
+            self.insert(ticket, nonce, operation);
+            return Reply::Granted;
+        };
+        if record.operation != operation {
+            return Reply::Mismatch;
+        }
+        match &record.state {
+            State::Granted(holder) if *holder == nonce => Reply::Granted,
+            State::Granted(_) => Reply::Used,
+            State::Answered(answer) => Reply::Recorded(answer.clone()),
+            State::Free if record.released.contains(&nonce) => Reply::Used,
+            State::Free => {
+                record.state = State::Granted(nonce);
+                Reply::Granted
+            }
+        }
+    }
+
+    fn insert(&mut self, ticket: Checked, nonce: Nonce, operation: Operation) {
+        let record = Record {
+            operation,
+            state: State::Granted(nonce),
+            released: VecDeque::new(),
+        };
+        self.records.insert(ticket.serial, record);
+        self.by_expiry.insert((ticket.expires, ticket.serial));
+    }
+
+    /// Records what became of a granted claim; of any other claim, nothing.
+    pub fn settle(&mut self, ticket: Checked, nonce: Nonce, settlement: Settlement) {
+        let Some(record) = self.records.get_mut(&ticket.serial) else {
+            return;
+        };
+        if !matches!(record.state, State::Granted(holder) if holder == nonce) {
+            return;
+        }
+        match settlement {
+            Settlement::NotRun => {
+                record.released.truncate(RELEASES - 1);
+                record.released.push_front(nonce);
+                record.state = State::Free;
+            }
+            Settlement::Answered(answer) => {
+                let bytes = answer.body.len();
+                let total = self.bytes + bytes;
+                if bytes <= self.bounds.answer_bytes && total <= self.bounds.total_bytes {
+                    self.bytes = total;
+                    record.state = State::Answered(answer);
+                }
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Duration) {
+        while let Some(&(expires, serial)) = self.by_expiry.first() {
+            if expires > now {
+                return;
+            }
+            self.by_expiry.pop_first();
+            if let Some(record) = self.records.remove(&serial)
+                && let State::Answered(answer) = record.state
+            {
+                self.bytes -= answer.body.len();
+            }
+        }
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 pub use client::Error;
 pub use client::Response;
 pub use server::Body;
+pub use server::Reset;
 pub use server::empty;
 pub use server::full;
 pub use server::json;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,5 @@
 //! A server loop for short exchanges and event streams.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
 
@@ -24,6 +23,11 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+/// Marks, among an answer's extensions, that the connection is to be reset in
+/// place of sending the answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Reset;
+
 /// A body of an answer. An error in it cuts the connection.
 pub type Body = BoxBody<Bytes, std::io::Error>;
 
@@ -96,7 +100,13 @@
         tokio::spawn(async move {
             let service = service_fn(move |req| {
                 let resp = answer(req);
-                async move { Ok::<_, Infallible>(resp.await) }
+                async move {
+                    let resp = resp.await;
+                    if resp.extensions().get::<Reset>().is_some() {
+                        return Err(std::io::Error::other("reset"));
+                    }
+                    Ok(resp)
+                }
             });
             let builder = auto::Builder::new(TokioExecutor::new());
             let conn = builder.serve_connection(TokioIo::new(stream), service);
--- a/crates/sibling/src/link.rs
+++ b/crates/sibling/src/link.rs
@@ -121,6 +121,11 @@
 }
 
 impl Answer {
+    /// Returns who answers.
+    pub fn peer(&self) -> &Identity {
+        &self.peer
+    }
+
     /// Returns the next part.
     ///
     /// # Errors
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -5,6 +5,11 @@
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
 use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::tickets::Nonce;
+use chiverelay_decisions::tickets::Operation;
+use chiverelay_decisions::tickets::Reply;
+use chiverelay_decisions::tickets::Settlement;
+use chiverelay_decisions::tickets::Ticket;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -31,6 +36,47 @@
     Forward(Forward),
     /// The message was taken and needs no other answer.
     Done,
+    /// Asks a ticket's issuer for leave to run an operation.
+    Claim(Claim),
+    /// The issuer's reply to a claim.
+    Claimed(Reply),
+    /// Tells a ticket's issuer what became of a granted claim.
+    Settle(Settle),
+    /// Asks to bind a ticket to a name in the store, if none is bound.
+    Bind(Bind),
+    /// The ticket bound to the name; `None` if the store can't be reached.
+    Bound(Option<Ticket>),
+}
+
+/// A claim of a ticket.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The ticket.
+    pub ticket: Ticket,
+    /// Names the claim; a repeated claim has the same.
+    pub nonce: Nonce,
+    /// What the ticket is used for.
+    pub operation: Operation,
+}
+
+/// What became of a granted claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settle {
+    /// The ticket.
+    pub ticket: Ticket,
+    /// Names the claim.
+    pub nonce: Nonce,
+    /// What became of it.
+    pub settlement: Settlement,
+}
+
+/// A ticket to be bound to a name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bind {
+    /// The name.
+    pub name: String,
+    /// The ticket.
+    pub ticket: Ticket,
 }
 
 /// A sign of life and what siblings need to know of the sender.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -23,6 +23,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+use crate::faults::Flaw;
 use crate::faults::ReceiverStream;
 use crate::faults::Script;
 
@@ -81,6 +82,16 @@
 }
 
 impl Engine {
+    /// Returns the requests that run.
+    pub fn running(&self) -> u64 {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Returns the requests whose asker left before the end.
+    pub fn cancelled(&self) -> u64 {
+        self.cancelled.load(Ordering::Relaxed)
+    }
+
     /// Makes an engine that takes `token_time` for each word of an answer.
     pub fn new(name: &str, token_time: Duration) -> Self {
         Self {
@@ -104,6 +115,7 @@
             Ok(req) => req,
             Err(resp) => return resp,
         };
+        let first = first_word(&req);
         let ask: Ask = match chiverelay_http::read_json(req, MAX_BODY).await {
             Ok(ask) => ask,
             Err(resp) => return *resp,
@@ -111,7 +123,7 @@
         let words = ask.max_tokens.unwrap_or(DEFAULT_WORDS);
         let running = Running::new(&self);
         if ask.stream {
-            return self.stream(&ask, words, running);
+            return self.stream(&ask, first, running);
         }
         self.whole(&ask, words, running).await
     }
@@ -132,12 +144,13 @@
             .after(chiverelay_http::json(StatusCode::OK, &answer))
     }
 
-    fn stream(self: &Arc<Self>, ask: &Ask, words: u64, running: Running) -> Response<Body> {
+    fn stream(self: &Arc<Self>, ask: &Ask, first: u64, running: Running) -> Response<Body> {
+        let words = ask.max_tokens.unwrap_or(DEFAULT_WORDS);
         let (tx, rx) = mpsc::channel(1);
         let engine = Arc::clone(self);
         let model = ask.model.clone();
         tokio::spawn(async move {
-            if engine.send_words(&tx, &model, words).await {
+            if engine.send_words(&tx, &model, first, words).await {
                 running.finish();
             }
         });
@@ -148,10 +161,11 @@
     }
 
     /// Sends an answer word by word; true if all of it went out.
-    async fn send_words(&self, tx: &Pieces, model: &str, words: u64) -> bool {
-        for i in 0..words {
+    async fn send_words(&self, tx: &Pieces, model: &str, first: u64, words: u64) -> bool {
+        let flaw = self.script.get().flaw;
+        for i in first..words {
             tokio::time::sleep(self.token_time).await;
-            if self.script.get().cut_after == Some(i) {
+            if self.script.get().cut_after == Some(i - first) {
                 // The receiver may be gone already.
                 let _ = tx.send(Err(std::io::Error::other("cut"))).await;
                 return false;
@@ -162,7 +176,17 @@
                 "system_fingerprint": self.name,
                 "choices": [{"index": 0, "delta": {"content": format!("word{i} ")}}],
             });
-            if !send(tx, &chunk.to_string()).await {
+            let event = format!("id: {i}\ndata: {chunk}\n\n");
+            if flaw == Some(Flaw::CutEvent) && i + 1 == words {
+                return send(tx, &event[..event.len() / 2]).await;
+            }
+            if flaw == Some(Flaw::Missing) && i + 2 == words {
+                continue;
+            }
+            if flaw == Some(Flaw::Doubled) && !send(tx, &event).await {
+                return false;
+            }
+            if !send(tx, &event).await {
                 return false;
             }
         }
@@ -170,15 +194,29 @@
             "object": "chat.completion.chunk", "choices": [],
             "usage": {"completion_tokens": words},
         });
-        send(tx, &usage.to_string()).await && send(tx, "[DONE]").await
+        let mut end = format!("data: {usage}\n\n");
+        if flaw != Some(Flaw::NoDone) {
+            end.push_str("data: [DONE]\n\n");
+        }
+        if flaw == Some(Flaw::AfterDone) {
+            end.push_str("data: {}\n\n");
+        }
+        send(tx, &end).await
     }
 }
 
+/// Returns the word that follows the last event that the asker has.
+fn first_word(req: &Request<Incoming>) -> u64 {
+    let last = req.headers().get("last-event-id");
+    last.and_then(|v| v.to_str().ok()?.parse::<u64>().ok())
+        .map_or(0, |last| last + 1)
+}
+
 type Pieces = mpsc::Sender<std::io::Result<Frame<Bytes>>>;
 
-async fn send(tx: &Pieces, data: &str) -> bool {
-    let event = Bytes::from(format!("data: {data}\n\n"));
-    tx.send(Ok(Frame::data(event))).await.is_ok()
+async fn send(tx: &Pieces, text: &str) -> bool {
+    let piece = Bytes::from(text.to_owned());
+    tx.send(Ok(Frame::data(piece))).await.is_ok()
 }
 
 /// Serves until `cancel`. `GET /load` gives the load.
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -13,6 +13,34 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// When a service resets the connection in place of answering.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reset {
+    /// Before it reads the body; it does not act.
+    BeforeBody,
+    /// Within the body; it does not act.
+    WithinBody,
+    /// After the whole body; it acts.
+    AfterBody,
+}
+
+/// What is wrong with a streamed answer that comes to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Flaw {
+    /// The last event, `[DONE]`, is missing.
+    NoDone,
+    /// The last event is cut within.
+    CutEvent,
+    /// Events follow `[DONE]`.
+    AfterDone,
+    /// An event comes twice.
+    Doubled,
+    /// An event is left out.
+    Missing,
+}
+
 /// What goes wrong, until it is changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
@@ -27,6 +55,12 @@
     pub freeze: bool,
     /// Cuts a streamed answer after so many pieces.
     pub cut_after: Option<u64>,
+    /// Resets the connection.
+    pub reset: Option<Reset>,
+    /// Acts, then waits before answering, in milliseconds.
+    pub answer_delay_ms: u64,
+    /// Ends a streamed answer wrongly.
+    pub flaw: Option<Flaw>,
 }
 
 /// The faults in force at a stand-in.
@@ -95,6 +129,13 @@
     }
 }
 
+/// Returns an answer in place of which the connection is reset.
+pub(crate) fn reset() -> Response<Body> {
+    let mut resp = chiverelay_http::empty(StatusCode::INTERNAL_SERVER_ERROR);
+    resp.extensions_mut().insert(chiverelay_http::Reset);
+    resp
+}
+
 /// Returns a body that cuts the connection.
 pub(crate) fn cut() -> Body {
     use http_body_util::BodyExt;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use chiverelay_http::Body;
 use http_body_util::BodyExt;
@@ -15,6 +16,8 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::faults;
+use crate::faults::Reset;
 use crate::faults::Script;
 
 /// A service's state.
@@ -67,11 +70,26 @@
             req.uri(),
             req.headers()
         ));
-        let Ok(body) = req.into_body().collect().await else {
+        let reset = self.script.get().reset;
+        let mut body = req.into_body();
+        if reset == Some(Reset::BeforeBody) {
+            return faults::reset();
+        }
+        if reset == Some(Reset::WithinBody) {
+            // The piece that was read is thrown away with the rest.
+            let _ = body.frame().await;
+            return faults::reset();
+        }
+        let Ok(body) = body.collect().await else {
             return chiverelay_http::empty(StatusCode::BAD_REQUEST);
         };
         let operation = String::from_utf8_lossy(&body.to_bytes()).into_owned();
         let count = self.count(operation.clone());
+        if reset == Some(Reset::AfterBody) {
+            return faults::reset();
+        }
+        let delay = Duration::from_millis(self.script.get().answer_delay_ms);
+        tokio::time::sleep(delay).await;
         let answer = serde_json::json!({"operation": operation, "runs": count});
         self.script
             .after(chiverelay_http::json(StatusCode::OK, &answer))
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -52,7 +52,7 @@
 }
 
 impl Entry {
-    fn read(kv: &api::KeyValue) -> Result<Self, Error> {
+    pub(crate) fn read(kv: &api::KeyValue) -> Result<Self, Error> {
         let key = api::decode(&kv.key).ok_or_else(|| malformed("key"))?;
         Ok(Self {
             key: String::from_utf8(key).map_err(|_| malformed("key"))?,
@@ -71,7 +71,7 @@
         }
     }
 
-    async fn call<Q, R>(&self, path: &str, req: &Q) -> Result<R, Error>
+    pub(crate) async fn call<Q, R>(&self, path: &str, req: &Q) -> Result<R, Error>
     where
         Q: Serialize,
         R: DeserializeOwned,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,9 +4,12 @@
 //! [`Store`] is the client; [`api`] has the documents that go over the wire.
 
 pub mod api;
+mod batch;
 mod client;
 mod error;
 
+pub use batch::Created;
+pub use batch::MAX_BATCH;
 pub use client::Entry;
 pub use client::Store;
 pub use client::Swap;
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -16,9 +16,12 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::header::CONTENT_LENGTH;
 use hyper::header::HOST;
+use hyper::header::TRANSFER_ENCODING;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -220,6 +223,19 @@
         &self.headers
     }
 
+    /// Tells whether the body is a stream of server-sent events.
+    pub fn is_event_stream(&self) -> bool {
+        self.status.is_success() && headers::is_event_stream(&self.headers)
+    }
+
+    /// Tells whether the body's end is stated, rather than left to the end of
+    /// the connection.
+    pub fn is_delimited(&self) -> bool {
+        self.body.is_end_stream()
+            || self.headers.contains_key(CONTENT_LENGTH)
+            || self.headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns the next piece of the body; `None` after its stated end.
     ///
     /// # Errors
--- a/crates/target/src/headers.rs
+++ b/crates/target/src/headers.rs
@@ -48,6 +48,12 @@
     keep(headers, &TO_CALLER)
 }
 
+/// Tells whether an answer is a stream of server-sent events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    kind.is_some_and(|kind| kind.trim_start().starts_with("text/event-stream"))
+}
+
 fn keep(headers: &HeaderMap, allowed: &[HeaderName]) -> HeaderMap {
     let mut kept = HeaderMap::new();
     for name in allowed {
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -99,10 +99,29 @@
     key: &str,
     body: &serde_json::Value,
 ) -> Result<Answer, String> {
-    let req = Request::post(path)
+    post_with(address, path, key, &[], body).await
+}
+
+/// Posts a JSON document with a key and further headers.
+///
+/// # Errors
+///
+/// Fails if the head of an answer does not come.
+pub async fn post_with(
+    address: SocketAddr,
+    path: &str,
+    key: &str,
+    headers: &[(&str, &str)],
+    body: &serde_json::Value,
+) -> Result<Answer, String> {
+    let mut req = Request::post(path)
         .header("host", address.to_string())
         .header("authorization", format!("Bearer {key}"))
-        .header("content-type", "application/json")
+        .header("content-type", "application/json");
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let req = req
         .body(Full::new(Bytes::from(body.to_string())))
         .map_err(|e| e.to_string())?;
     send(address, req).await
