--- a/crates/chiverelayd/src/bind.rs
+++ b/crates/chiverelayd/src/bind.rs
@@ -136,7 +136,7 @@
             return Ok(lease.id);
         }
         let taken = Instant::now();
-        let id = self.store.grant_lease(RETENTION + LEASE_USE).await?;
+        let id = self.store.grant_lease(RETENTION + LEASE_USE).await?.id();
         self.lease = Some(Lease { id, taken });
         Ok(id)
     }
--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 use crate::instance::Instance;
 use crate::instance::Starting;
+use crate::keys;
 use crate::members;
 use crate::operate::Operate;
 use crate::publish;
@@ -52,11 +53,13 @@
     let addresses = members::Addresses {
         caller: callers.address(),
         operator: operators.address(),
-        sibling: endpoint.address(),
+        sibling: settings.sibling.advertise.unwrap_or(endpoint.address()),
+        listening: endpoint.address(),
     };
     let cx = Arc::new(Context::new(settings, endpoint.clone(), addresses)?);
     tokio::spawn(publish::run(Arc::clone(&cx)));
     tokio::spawn(members::run(Arc::clone(&cx)));
+    tokio::spawn(keys::run(Arc::clone(&cx)));
     tokio::spawn(
         endpoint
             .clone()
--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -20,6 +20,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
+use crate::keys::Running;
 use crate::members::Addresses;
 use crate::members::Member;
 use crate::metrics::Metrics;
@@ -49,6 +50,8 @@
     pub(crate) clock: Clock,
     /// The tables that the workers share.
     pub(crate) tables: Arc<Tables>,
+    /// What runs under each key.
+    pub(crate) running: Arc<Running>,
     /// The workers.
     pub(crate) pool: Pool,
     /// The newest events.
@@ -90,12 +93,17 @@
             settings.queue_depth,
             &stop,
         );
-        let store = Store::new(settings.store.address, STORE_TIMEOUT);
+        let store = Store::new(
+            settings.store.address,
+            settings.store.budget(),
+            STORE_TIMEOUT,
+        );
         let operations = Operations::start(settings.instance.clone(), store.clone(), stop.clone());
         Ok(Self {
             addresses,
             clock: Clock::new(),
             tables,
+            running: Arc::new(Running::new()),
             pool,
             events: Ring::new(settings.instance.clone(), settings.events),
             metrics: Metrics::new(settings.metrics.as_ref())?,
--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -20,6 +20,7 @@
 use chiverelay_target as target;
 
 use crate::context::Context;
+use crate::keys::Under;
 use crate::operations::MAX_RECORDED;
 
 /// Where an answer comes from.
@@ -162,13 +163,14 @@
 impl Relay {
     /// Relays until the answer is whole, breaks off or nobody waits for it.
     /// Returns the end, and the answer if it is to be kept and is whole.
-    pub(crate) async fn run(mut self, cx: &Context) -> (End, Option<Recorded>) {
+    pub(crate) async fn run(mut self, cx: &Context, under: &Under) -> (End, Option<Recorded>) {
         let mut checker = Checker::new(self.framing);
         let left = self.deadline.saturating_sub(cx.clock.now());
-        let end = match tokio::time::timeout(left, self.pipe(&mut checker)).await {
-            Ok(end) => end,
-            Err(_) => End::Broken(self.refuse(Code::DeadlineExceeded)),
+        let end = tokio::select! {
+            end = tokio::time::timeout(left, self.pipe(&mut checker)) => end.ok(),
+            () = under.withdrawn() => Some(End::Broken(withdrawn())),
         };
+        let end = end.unwrap_or_else(|| End::Broken(self.refuse(Code::DeadlineExceeded)));
         let whole = matches!(end, End::Whole);
         let used = checker.tokens(self.prompt_tokens);
         gateway::settle(&cx.tables, &self.grant, used, cx.clock.now());
@@ -237,6 +239,10 @@
     }
 }
 
+fn withdrawn() -> Refusal {
+    Refusal::unknown(Code::Unauthenticated, Step::Authenticate, Peer::Caller)
+}
+
 /// Returns how the end of a target's answer is known.
 pub(crate) fn framing(cx: &Context, grant: &Grant, answer: &target::Answer) -> Framing {
     if answer.is_event_stream() && is_engine(cx, grant) {
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -11,6 +11,7 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Placement;
+use chiverelay_decisions::keys::Shown;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Outcome;
@@ -36,6 +37,7 @@
 use crate::dispatch;
 use crate::dispatch::Attempt;
 use crate::forward;
+use crate::keys;
 use crate::operations;
 use crate::operations::Claim;
 use crate::operations::Claimed;
@@ -227,7 +229,7 @@
         &self,
         head: Head,
         path: String,
-        key: Option<String>,
+        key: Option<Shown>,
         marked: bool,
     ) -> Result<Request<Admitted, Direct>, Refusal> {
         let now = self.cx.clock.now();
@@ -320,8 +322,9 @@
             record: claim.as_ref().map(|_| head.record()),
         };
         let cx = Arc::clone(&self.cx);
+        let under = keys::enter(&self.cx, req.key());
         self.cx.requests.spawn(async move {
-            let (end, record) = relay.run(&cx).await;
+            let (end, record) = relay.run(&cx, &under).await;
             if let (Some(claim), Some(record)) = (claim, record) {
                 operations::settle(&cx, claim, Settlement::Answered(record)).await;
             }
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -32,6 +32,7 @@
 use crate::dispatch::Attempt;
 use crate::forward::read_headers;
 use crate::forward::write_headers;
+use crate::keys;
 use crate::members;
 use crate::relay;
 use crate::relay::End;
@@ -140,7 +141,8 @@
             sink: Sink::Sibling(tx),
             record: None,
         };
-        let (end, _) = relay.run(&self.cx).await;
+        let under = keys::enter(&self.cx, req.key());
+        let (end, _) = relay.run(&self.cx, &under).await;
         let what = relay::describe(&end);
         if matches!(end, End::Whole) {
             drop(req.answered());
@@ -166,6 +168,11 @@
                 Message::Done
             }
             Message::Bind(bind) => Message::Bound(self.cx.operations.bind(bind).await),
+            Message::Withdrawn(ids) => {
+                let peer = Peer::Sibling(from.instance.clone());
+                keys::learn(&self.cx, ids, &peer);
+                Message::Withdrawn(self.cx.tables.withdrawn.lock().pending())
+            }
             Message::Forward(_) | Message::Claimed(_) | Message::Bound(_) | Message::Done => {
                 Message::Done
             }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,16 +5,20 @@
 //! carry what is decided here, so a further front end uses the same code.
 
 pub mod answer;
+pub mod backoff;
 pub mod config;
 pub mod event;
 pub mod gateway;
 pub mod idempotency;
+pub mod keys;
 pub mod limits;
 pub mod names;
+pub mod pacing;
 pub mod placement;
 pub mod refusal;
 pub mod request;
 pub mod step;
+pub mod store_session;
 pub mod tables;
 pub mod tickets;
 
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -2,6 +2,7 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
 use chiverelay_decisions::refusal::Refusal;
@@ -46,6 +47,8 @@
     Bind(Bind),
     /// The ticket bound to the name; `None` if the store can't be reached.
     Bound(Option<Ticket>),
+    /// Keys whose withdrawal may not be durable yet. Answered in kind.
+    Withdrawn(Vec<KeyId>),
 }
 
 /// A claim of a ticket.
@@ -86,6 +89,8 @@
     pub serving: bool,
     /// The sender's configuration version.
     pub config_version: u64,
+    /// Digest of the withdrawals that are not durable yet.
+    pub withdrawn: u64,
 }
 
 /// A request passed on, with the account in place of the key.
--- a/crates/store/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -2,6 +2,7 @@
 
 use crate::Entry;
 use crate::Error;
+use crate::Kind;
 use crate::Store;
 use crate::api;
 
@@ -33,7 +34,7 @@
         for (key, value) in keys {
             add(&mut req, &api::encode(key.as_bytes()), value, lease);
         }
-        let resp: api::TxnResponse = self.call("/v3/kv/txn", &req).await?;
+        let resp: api::TxnResponse = self.call(Kind::Swap, "/v3/kv/txn", &req).await?;
         if resp.succeeded {
             return Ok(Created::All);
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,8 +1,12 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
+mod cuts;
+mod keys;
 mod once;
 mod path;
+mod registry;
+mod store;
 mod tables;
 mod tickets;
 mod whole;
