Let instances leave without cutting a request

Cause: at a drain the listener closed at once and so did idle connections, so a request on its way was lost; callers weren't told which instance to use; what was open at the drain timeout was cut without a word.

A drain now has a notice: the instance leaves its own and its siblings' lists, takes requests for drain-notice-ms more, marks each HTTP/1.1 answer with Connection: close and sends GOAWAY over HTTP/2; then it takes no more and ends what is open. At drain-timeout-ms the rest ends with an error that says draining and unknown. Tickets must be used first within 5 s, less than the notice, so that a stopped instance has no unused ones out.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -21,3 +21,4 @@
 pub use server::Handler;
 pub use server::Limits;
 pub use server::Server;
+pub use server::Shutdown;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -1,8 +1,11 @@
 //! The listener for callers.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +13,10 @@
 use http_body_util::combinators::BoxBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
@@ -54,6 +60,19 @@
     }
 }
 
+/// How a server is told to stop.
+///
+/// # Invariants
+///
+/// `notice` is cancelled before `close`.
+#[derive(Clone, Debug)]
+pub struct Shutdown {
+    /// Requests are still taken, but each answer asks its caller to leave.
+    pub notice: CancellationToken,
+    /// No more requests are taken.
+    pub close: CancellationToken,
+}
+
 /// A bound listener for callers.
 #[derive(Debug)]
 pub struct Server {
@@ -94,8 +113,9 @@
         self.address
     }
 
-    /// Serves until `cancel`, then until every open request has its answer.
-    pub async fn run<H>(self, handler: Arc<H>, cancel: CancellationToken)
+    /// Serves until it is told to close, then until every open request has its
+    /// answer.
+    pub async fn run<H>(self, handler: Arc<H>, shutdown: Shutdown)
     where
         H: Handler,
     {
@@ -103,7 +123,7 @@
         let acceptor = self.tls.map(TlsAcceptor::from);
         loop {
             let stream = tokio::select! {
-                () = cancel.cancelled() => break,
+                () = shutdown.close.cancelled() => break,
                 accepted = self.listener.accept() => match accepted {
                     Ok((stream, _)) => stream,
                     Err(e) => {
@@ -115,16 +135,16 @@
             // Streams are written piece by piece, so small writes must not wait.
             let _ = stream.set_nodelay(true);
             let handler = Arc::clone(&handler);
-            let cancel = cancel.clone();
+            let shutdown = shutdown.clone();
             let limits = self.limits;
             match acceptor.clone() {
                 None => {
-                    tracker.spawn(serve(stream, handler, limits, cancel));
+                    tracker.spawn(serve(stream, handler, limits, shutdown));
                 }
                 Some(acceptor) => {
                     tracker.spawn(async move {
                         match acceptor.accept(stream).await {
-                            Ok(stream) => serve(stream, handler, limits, cancel).await,
+                            Ok(stream) => serve(stream, handler, limits, shutdown).await,
                             Err(e) => log::debug!("caller: TLS handshake failed: {e}"),
                         }
                     });
@@ -136,7 +156,7 @@
     }
 }
 
-async fn serve<H, S>(stream: S, handler: Arc<H>, limits: Limits, cancel: CancellationToken)
+async fn serve<H, S>(stream: S, handler: Arc<H>, limits: Limits, shutdown: Shutdown)
 where
     H: Handler,
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
@@ -147,15 +167,28 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout);
     builder.http2().timer(TokioTimer::new());
-    let service = service_fn(move |req| {
+    let multiplexed = Arc::new(AtomicBool::new(false));
+    let notice = shutdown.notice.clone();
+    let seen = Arc::clone(&multiplexed);
+    let service = service_fn(move |req: Request<Incoming>| {
         let handler = Arc::clone(&handler);
-        async move { answer(&*handler, req, limits).await }
+        let notice = notice.clone();
+        let is_http2 = req.version() == Version::HTTP_2;
+        seen.store(is_http2, Ordering::Relaxed);
+        async move {
+            let mut resp = answer(&*handler, req, limits).await?;
+            if notice.is_cancelled() && !is_http2 {
+                let close = HeaderValue::from_static("close");
+                resp.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(resp)
+        }
     });
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     let result = tokio::select! {
         result = conn.as_mut() => result,
-        () = cancel.cancelled() => {
+        () = leave(&shutdown, &multiplexed) => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
@@ -165,11 +198,23 @@
     }
 }
 
+/// Waits until a connection is to be closed.
+///
+/// HTTP/2 can tell its caller at once, and no request is lost. Over HTTP/1.1
+/// an answer says it, as closing an idle connection loses a request that is
+/// on its way.
+async fn leave(shutdown: &Shutdown, multiplexed: &AtomicBool) {
+    shutdown.notice.cancelled().await;
+    if !multiplexed.load(Ordering::Relaxed) {
+        shutdown.close.cancelled().await;
+    }
+}
+
 async fn answer<H>(
     handler: &H,
     req: Request<Incoming>,
     limits: Limits,
-) -> Result<Response<BoxBody<Bytes, Error>>, std::convert::Infallible>
+) -> Result<Response<BoxBody<Bytes, Error>>, Infallible>
 where
     H: Handler,
 {
--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -22,6 +22,9 @@
 use crate::settings::Settings;
 use crate::sibling::Siblings;
 
+/// Time for the requests that are cut to tell their callers.
+const CUT_TIME: Duration = Duration::from_secs(2);
+
 /// Describes the subcommand.
 pub(crate) fn describe() -> &'static str {
     "chiverelayd run SETTINGS      runs the daemon"
@@ -67,7 +70,11 @@
     );
     tokio::spawn(operators.run(Arc::new(Operate::new(Arc::clone(&cx))), cx.stop.clone()));
     let serving = starting.serve();
-    let serve = callers.run(Arc::new(Serve::new(Arc::clone(&cx))), cx.drain.clone());
+    let shutdown = caller::Shutdown {
+        notice: cx.drain.clone(),
+        close: cx.close.clone(),
+    };
+    let serve = callers.run(Arc::new(Serve::new(Arc::clone(&cx))), shutdown);
     let served = tokio::spawn(serve);
     println!("ready {}", serde_json::to_string(&cx.addresses)?);
     log::info!(
@@ -83,12 +90,19 @@
         draining.stop(&cx).await;
         Ok::<_, tokio::task::JoinError>(())
     };
-    match tokio::time::timeout(timeout, ended).await {
+    tokio::pin!(ended);
+    match tokio::time::timeout(timeout, &mut ended).await {
         Ok(ended) => ended?,
-        Err(_) => log::error!(
-            "daemon: {} requests are cut at the drain timeout",
-            cx.requests.len()
-        ),
+        Err(_) => {
+            log::error!(
+                "daemon: {} requests are cut at the drain timeout",
+                cx.requests.len()
+            );
+            cx.cut.cancel();
+            if tokio::time::timeout(CUT_TIME, ended).await.is_err() {
+                log::error!("daemon: callers are slow to take their errors");
+            }
+        }
     }
     endpoint.close().await;
     log::info!("daemon: stopped");
--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -38,7 +38,7 @@
 ///
 /// # Invariants
 ///
-/// `drain` is cancelled before `stop`; `requests` counts every open request
+/// `drain` is cancelled before `close`, and that before `stop`; `requests` counts every open request
 /// of callers and siblings, so that `stop` comes after the last of them.
 #[derive(Debug)]
 pub(crate) struct Context {
@@ -70,8 +70,12 @@
     pub(crate) links: Sharded<Instance, sibling::Link<sibling::Up>>,
     /// The other instances.
     pub(crate) members: Sharded<Instance, Member>,
-    /// Cancelled when no new requests are taken.
+    /// Cancelled when the instance leaves; requests are still taken.
     pub(crate) drain: CancellationToken,
+    /// Cancelled when no new requests are taken.
+    pub(crate) close: CancellationToken,
+    /// Cancelled when open requests are cut, at the drain timeout.
+    pub(crate) cut: CancellationToken,
     /// Cancelled when the last request has ended.
     pub(crate) stop: CancellationToken,
     /// Open requests.
@@ -114,6 +118,8 @@
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
             drain: CancellationToken::new(),
+            close: CancellationToken::new(),
+            cut: CancellationToken::new(),
             stop,
             requests: TaskTracker::new(),
             settings,
--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -104,6 +104,10 @@
             record(Step::Authenticate, "cut: the key was withdrawn".to_owned());
             return Attempt::Refused(req.refuse_unknown(Code::Unauthenticated, Step::Authenticate));
         }
+        () = cx.cut.cancelled() => {
+            record(Step::Drain, "cut at the drain timeout".to_owned());
+            return Attempt::Refused(req.refuse_unknown(Code::Draining, Step::Drain));
+        }
     };
     let error = match sent {
         Ok(Ok(answer)) => {
--- a/crates/chiverelayd/src/instance.rs
+++ b/crates/chiverelayd/src/instance.rs
@@ -1,6 +1,7 @@
 //! The life cycle of the instance as a typestate.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chiverelay_decisions::names::Instance as Name;
 
@@ -46,12 +47,16 @@
 }
 
 impl Instance<Serving> {
-    /// Leaves the list of instances and takes no new connections.
+    /// Leaves the lists of instances, and takes no new requests once callers
+    /// and siblings had time to learn it.
     pub(crate) async fn drain(self, cx: &Arc<Context>) -> Instance<Draining> {
         let name: &Name = &cx.settings.instance;
         log::info!("daemon: {name} drains");
         cx.drain.cancel();
         members::leave(cx).await;
+        let notice = Duration::from_millis(cx.settings.drain_notice_ms);
+        tokio::time::sleep(notice).await;
+        cx.close.cancel();
         Instance {
             _state: Draining(()),
         }
--- a/crates/chiverelayd/src/operations.rs
+++ b/crates/chiverelayd/src/operations.rs
@@ -25,6 +25,7 @@
 use chiverelay_decisions::tickets::Settlement;
 use chiverelay_decisions::tickets::Ticket;
 use chiverelay_decisions::tickets::Used;
+use chiverelay_decisions::tickets::Validity;
 use chiverelay_sibling as sibling;
 use chiverelay_sibling::Message;
 use chiverelay_store::Store;
@@ -44,7 +45,13 @@
 /// Header with a caller's own key.
 const KEY: &str = "idempotency-key";
 
-/// Time for which a ticket handed to callers can be used.
+/// Time in which a ticket handed to callers can be used first.
+///
+/// It is shorter than the notice of a drain, so that an instance has no unused
+/// tickets out when it stops.
+pub(crate) const TICKET_USE: Duration = Duration::from_secs(5);
+
+/// Time for which it is known what became of such a ticket.
 pub(crate) const TICKET_LIFE: Duration = Duration::from_secs(600);
 
 /// Time for one try to reach a ticket's issuer or a writer of the store.
@@ -97,9 +104,9 @@
     }
 
     /// Issues a ticket.
-    pub(crate) fn issue(&self, expires: Duration) -> Ticket {
+    pub(crate) fn issue(&self, validity: Validity) -> Ticket {
         let serial = self.serial.fetch_add(1, Ordering::Relaxed);
-        self.issuer.issue(serial, expires)
+        self.issuer.issue(serial, validity)
     }
 
     /// Decides on a claim of a ticket issued here.
@@ -289,7 +296,11 @@
 
 /// Returns the ticket bound to an idempotency key, a new one at first use.
 async fn bound(cx: &Context, name: String) -> Result<Ticket, Refusal> {
-    let ticket = cx.operations.issue(cx.clock.now() + bind::RETENTION);
+    let expires = cx.clock.now() + bind::RETENTION;
+    let ticket = cx.operations.issue(Validity {
+        use_by: expires,
+        expires,
+    });
     let message = sibling::Bind { name, ticket };
     if let Some(writer) = writer(cx, &message.name) {
         let message = Message::Bind(message.clone());
--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -169,6 +169,7 @@
         let end = tokio::select! {
             end = tokio::time::timeout(left, self.pipe(&mut checker)) => end.ok(),
             () = under.withdrawn() => Some(End::Broken(withdrawn())),
+            () = cx.cut.cancelled() => Some(End::Broken(draining())),
         };
         let end = end.unwrap_or_else(|| End::Broken(self.refuse(Code::DeadlineExceeded)));
         let whole = matches!(end, End::Whole);
@@ -243,6 +244,10 @@
     Refusal::unknown(Code::Unauthenticated, Step::Authenticate, Peer::Caller)
 }
 
+fn draining() -> Refusal {
+    Refusal::unknown(Code::Draining, Step::Drain, Peer::Local)
+}
+
 /// Returns how the end of a target's answer is known.
 pub(crate) fn framing(cx: &Context, grant: &Grant, answer: &target::Answer) -> Framing {
     if answer.is_event_stream() && is_engine(cx, grant) {
--- a/crates/chiverelayd/src/serve.rs
+++ b/crates/chiverelayd/src/serve.rs
@@ -5,11 +5,13 @@
 use chiverelay_caller::Handler;
 use chiverelay_caller::Inbound;
 use chiverelay_caller::Reply;
+use chiverelay_decisions::tickets::Validity;
 use hyper::StatusCode;
 use serde_json::json;
 
 use crate::context::Context;
 use crate::operations::TICKET_LIFE;
+use crate::operations::TICKET_USE;
 
 /// Operation tickets handed out with the list of instances.
 const TICKETS: usize = 4;
@@ -47,15 +49,19 @@
         });
         // A draining instance may be gone before its tickets are used.
         let tickets = if drains { 0 } else { TICKETS };
-        let expires = self.cx.clock.now() + TICKET_LIFE;
+        let now = self.cx.clock.now();
+        let validity = Validity {
+            use_by: now + TICKET_USE,
+            expires: now + TICKET_LIFE,
+        };
         let tickets: Vec<String> = (0..tickets)
-            .map(|_| self.cx.operations.issue(expires).to_string())
+            .map(|_| self.cx.operations.issue(validity).to_string())
             .collect();
         let body = json!({
             "ttl_ms": 5000,
             "instances": list,
             "tickets": tickets,
-            "ticket_ttl_ms": TICKET_LIFE.as_millis() as u64,
+            "ticket_ttl_ms": TICKET_USE.as_millis() as u64,
         });
         Reply::json(StatusCode::OK, body.to_string().into_bytes())
     }
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -72,6 +72,10 @@
     /// Jobs that may wait for one worker.
     #[serde(default = "default_queue_depth")]
     pub(crate) queue_depth: usize,
+    /// Time for callers and siblings to learn of a drain before requests are
+    /// no longer taken, in milliseconds.
+    #[serde(default = "default_drain_notice_ms")]
+    pub(crate) drain_notice_ms: u64,
     /// Time for open requests to end at a drain, in milliseconds.
     #[serde(default = "default_drain_timeout_ms")]
     pub(crate) drain_timeout_ms: u64,
@@ -92,6 +96,10 @@
     1024
 }
 
+fn default_drain_notice_ms() -> u64 {
+    6_000
+}
+
 fn default_drain_timeout_ms() -> u64 {
     600_000
 }
--- a/crates/decisions/src/tickets.rs
+++ b/crates/decisions/src/tickets.rs
@@ -39,6 +39,7 @@
     issuer: Instance,
     incarnation: u64,
     serial: u64,
+    use_by_ms: u64,
     expires_ms: u64,
     tag: [u8; TAG_BYTES],
 }
@@ -53,8 +54,12 @@
 impl fmt::Display for Ticket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (issuer, tag) = (&self.issuer, hex(&self.tag));
-        let (incarnation, serial, expires) = (self.incarnation, self.serial, self.expires_ms);
-        write!(f, "{issuer}.{incarnation:x}.{serial:x}.{expires:x}.{tag}")
+        let (incarnation, serial) = (self.incarnation, self.serial);
+        let (use_by, expires) = (self.use_by_ms, self.expires_ms);
+        write!(
+            f,
+            "{issuer}.{incarnation:x}.{serial:x}.{use_by:x}.{expires:x}.{tag}"
+        )
     }
 }
 
@@ -68,13 +73,14 @@
     fn from_str(s: &str) -> Result<Self, NotATicket> {
         let number = |s: &str| u64::from_str_radix(s, 16).map_err(|_| NotATicket);
         let parts: Vec<&str> = s.split('.').collect();
-        let [issuer, incarnation, serial, expires, tag] = parts[..] else {
+        let [issuer, incarnation, serial, use_by, expires, tag] = parts[..] else {
             return Err(NotATicket);
         };
         Ok(Self {
             issuer: issuer.into(),
             incarnation: number(incarnation)?,
             serial: number(serial)?,
+            use_by_ms: number(use_by)?,
             expires_ms: number(expires)?,
             tag: unhex(tag).ok_or(NotATicket)?,
         })
@@ -129,9 +135,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Checked {
     serial: u64,
+    use_by: Duration,
     expires: Duration,
 }
 
+/// Until when a ticket counts, on its issuer's monotonic clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Validity {
+    /// Until when it can be claimed for the first time.
+    pub use_by: Duration,
+    /// Until when its record is kept.
+    pub expires: Duration,
+}
+
 impl Issuer {
     /// Makes an issuer with a key that no other incarnation has.
     pub fn new(instance: Instance, incarnation: u64, key: [u8; KEY_BYTES]) -> Self {
@@ -142,35 +158,39 @@
         }
     }
 
-    /// Signs a ticket that expires on the local monotonic clock.
-    pub fn issue(&self, serial: u64, expires: Duration) -> Ticket {
-        let expires_ms = expires.as_millis() as u64;
+    /// Signs a ticket.
+    pub fn issue(&self, serial: u64, validity: Validity) -> Ticket {
+        let use_by_ms = validity.use_by.as_millis() as u64;
+        let expires_ms = validity.expires.as_millis() as u64;
         Ticket {
             issuer: self.instance.clone(),
             incarnation: self.incarnation,
             serial,
+            use_by_ms,
             expires_ms,
-            tag: self.tag(serial, expires_ms),
+            tag: self.tag(serial, use_by_ms, expires_ms),
         }
     }
 
     /// Checks that this incarnation signed the ticket and that it is in time.
     pub fn check(&self, ticket: &Ticket, now: Duration) -> Option<Checked> {
-        let want = self.tag(ticket.serial, ticket.expires_ms);
+        let want = self.tag(ticket.serial, ticket.use_by_ms, ticket.expires_ms);
         let expires = Duration::from_millis(ticket.expires_ms);
         let signed = bool::from(want.ct_eq(&ticket.tag));
         let own = ticket.issuer == self.instance && ticket.incarnation == self.incarnation;
         (signed && own && now < expires).then_some(Checked {
             serial: ticket.serial,
+            use_by: Duration::from_millis(ticket.use_by_ms),
             expires,
         })
     }
 
-    fn tag(&self, serial: u64, expires_ms: u64) -> [u8; TAG_BYTES] {
+    fn tag(&self, serial: u64, use_by_ms: u64, expires_ms: u64) -> [u8; TAG_BYTES] {
         let mut inner = Sha256::new();
         inner.update(self.key);
         inner.update(self.incarnation.to_be_bytes());
         inner.update(serial.to_be_bytes());
+        inner.update(use_by_ms.to_be_bytes());
         inner.update(expires_ms.to_be_bytes());
         let mut outer = Sha256::new();
         outer.update(self.key);
@@ -212,6 +232,8 @@
     Mismatch,
     /// The ticket is not of this incarnation, has expired or is forged.
     Invalid,
+    /// The ticket was never claimed, and it is too late for its first claim.
+    Late,
     /// The table is full; the ticket was not used.
     Full,
 }
@@ -307,6 +329,9 @@
         }
         let full = self.records.len() >= self.bounds.records;
         let Some(record) = self.records.get_mut(&ticket.serial) else {
+            if now >= ticket.use_by {
+                return Reply::Late;
+            }
             if full {
                 return Reply::Full;
             }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bucket;
 mod cuts;
+mod drain;
 mod keys;
 mod once;
 mod path;
--- a/tests/testsuite/tickets.rs
+++ b/tests/testsuite/tickets.rs
@@ -13,6 +13,7 @@
 use chiverelay_decisions::tickets::Settlement;
 use chiverelay_decisions::tickets::Ticket;
 use chiverelay_decisions::tickets::Used;
+use chiverelay_decisions::tickets::Validity;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -26,6 +27,11 @@
 
 const LIFE: Duration = Duration::from_secs(10);
 
+const VALIDITY: Validity = Validity {
+    use_by: Duration::from_secs(5),
+    expires: LIFE,
+};
+
 fn issuer(incarnation: u64) -> Issuer {
     Issuer::new("lima-1".into(), incarnation, [7; 32])
 }
@@ -40,7 +46,7 @@
 }
 
 fn check_text(change: fn(&str) -> String, valid: bool) {
-    let ticket = issuer(1).issue(5, LIFE);
+    let ticket = issuer(1).issue(5, VALIDITY);
     let read = change(&ticket.to_string()).parse::<Ticket>();
     let checked = read.ok().and_then(|t| issuer(1).check(&t, Duration::ZERO));
     assert_eq!(checked.is_some(), valid);
@@ -55,12 +61,13 @@
     other_issuer(|s| s.replace("lima-1", "lima-2"), false);
     other_incarnation(|s| s.replace("lima-1.1.", "lima-1.2."), false);
     other_serial(|s| s.replace(".5.", ".6."), false);
+    other_use_by(|s| s.replace(".1388.", ".1389."), false);
     other_expiry(|s| s.replace(".2710.", ".2711."), false);
     not_ascii(|s| format!("{}\u{e9}", &s[..s.len() - 2]), false);
 }
 
 fn check_time(incarnation: u64, now: Duration, valid: bool) {
-    let ticket = issuer(1).issue(5, LIFE);
+    let ticket = issuer(1).issue(5, VALIDITY);
     assert_eq!(issuer(incarnation).check(&ticket, now).is_some(), valid);
 }
 
@@ -74,7 +81,7 @@
 /// A record of claims by nonce, and what each is to be answered.
 fn check_claims(steps: &[(u128, Option<Settlement>, Reply)]) {
     let mut used = Used::new(BOUNDS);
-    let ticket = issuer(1).issue(5, LIFE);
+    let ticket = issuer(1).issue(5, VALIDITY);
     let ticket = issuer(1)
         .check(&ticket, Duration::ZERO)
         .expect("a valid ticket");
@@ -127,7 +134,7 @@
 }
 
 fn claim_at(used: &mut Used, serial: u64, body: &[u8], now: Duration) -> Reply {
-    let ticket = issuer(1).issue(serial, LIFE);
+    let ticket = issuer(1).issue(serial, VALIDITY);
     match issuer(1).check(&ticket, now) {
         None => Reply::Invalid,
         Some(ticket) => used.claim(ticket, Nonce(u128::from(serial)), operation(body), now),
@@ -157,12 +164,25 @@
     assert_eq!(used.len(), 8);
 }
 
+#[test]
+fn a_first_claim_can_come_too_late() {
+    let mut used = Used::new(BOUNDS);
+    let late = VALIDITY.use_by;
+    assert_eq!(claim_at(&mut used, 1, b"a", Duration::ZERO), Reply::Granted);
+    assert_eq!(claim_at(&mut used, 1, b"a", late), Reply::Granted);
+    assert_eq!(claim_at(&mut used, 2, b"a", late), Reply::Late);
+}
+
 #[test]
 fn records_end_with_their_tickets() {
     let mut used = Used::new(BOUNDS);
     assert_eq!(claim_at(&mut used, 1, b"a", Duration::ZERO), Reply::Granted);
     assert_eq!(claim_at(&mut used, 1, b"a", LIFE), Reply::Invalid);
-    let later = issuer(1).issue(2, LIFE * 2);
+    let later = Validity {
+        use_by: LIFE * 2,
+        expires: LIFE * 2,
+    };
+    let later = issuer(1).issue(2, later);
     let later = issuer(1).check(&later, LIFE).expect("a valid ticket");
     used.claim(later, Nonce(2), operation(b"a"), LIFE);
     assert_eq!(used.len(), 1);
@@ -292,7 +312,7 @@
     D: Decide,
 {
     const CLAIMERS: usize = 5;
-    let ticket = issuer(0).issue(1, LIFE);
+    let ticket = issuer(0).issue(1, VALIDITY);
     let mut now = Duration::ZERO;
     let mut claimers = [Claimer::Waiting; CLAIMERS];
     let mut mail: Vec<Mail> = Vec::new();
