--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -15,12 +15,14 @@
 use crate::instance::Instance;
 use crate::instance::Starting;
 use crate::keys;
+use crate::load;
 use crate::members;
 use crate::operate::Operate;
 use crate::publish;
 use crate::serve::Serve;
 use crate::settings::Settings;
 use crate::sibling::Siblings;
+use crate::wait;
 
 /// Time for the requests that are cut to tell their callers.
 const CUT_TIME: Duration = Duration::from_secs(2);
@@ -63,6 +65,8 @@
     tokio::spawn(publish::run(Arc::clone(&cx)));
     tokio::spawn(members::run(Arc::clone(&cx)));
     tokio::spawn(keys::run(Arc::clone(&cx)));
+    tokio::spawn(wait::run(Arc::clone(&cx)));
+    tokio::spawn(load::run(Arc::clone(&cx)));
     tokio::spawn(
         endpoint
             .clone()
--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -1,6 +1,8 @@
 //! What the parts of the daemon share.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use chiverelay_decisions::event::Entry;
@@ -12,6 +14,8 @@
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Ranked;
+use chiverelay_decisions::tables::Recent;
 use chiverelay_decisions::tables::Sharded;
 use chiverelay_sibling as sibling;
 use chiverelay_store::Store;
@@ -25,9 +29,13 @@
 use crate::members::Member;
 use crate::metrics::Metrics;
 use crate::operations::Operations;
+use crate::publish::Published;
 use crate::settings::Settings;
 use crate::workers::Pool;
 
+/// Forwarded requests that are told from replays.
+const MAX_TAKEN: usize = 65_536;
+
 /// Time for a connection to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -52,6 +60,8 @@
     pub(crate) tables: Arc<Tables>,
     /// What runs under each key.
     pub(crate) running: Arc<Running>,
+    /// Requests taken from siblings, by who sent them.
+    pub(crate) taken: Ranked<Recent<(Instance, RequestId)>>,
     /// The workers.
     pub(crate) pool: Pool,
     /// The newest events.
@@ -66,6 +76,14 @@
     pub(crate) endpoint: sibling::Endpoint,
     /// Operations that run at most once.
     pub(crate) operations: Operations,
+    /// The configuration's newest edition.
+    pub(crate) published: Published,
+    /// Whether this instance has had a word on the newest configuration from
+    /// the store or a sibling; before it takes no work.
+    pub(crate) synced: AtomicBool,
+    /// Incarnation of this instance, raised by a new process and after a
+    /// lease lapsed.
+    pub(crate) incarnation: AtomicU64,
     /// Links to siblings.
     pub(crate) links: Sharded<Instance, sibling::Link<sibling::Up>>,
     /// The other instances.
@@ -97,6 +115,7 @@
             settings.queue_depth,
             &stop,
         );
+        let clock = Clock::new();
         let store = Store::new(
             settings.store.address,
             settings.store.budget(),
@@ -105,9 +124,10 @@
         let operations = Operations::start(settings.instance.clone(), store.clone(), stop.clone());
         Ok(Self {
             addresses,
-            clock: Clock::new(),
+            clock,
             tables,
             running: Arc::new(Running::new()),
+            taken: Ranked::new(Rank::Tickets, Recent::new(MAX_TAKEN)),
             pool,
             events: Ring::new(settings.instance.clone(), settings.events),
             metrics: Metrics::new(settings.metrics.as_ref())?,
@@ -115,6 +135,9 @@
             store,
             operations,
             endpoint,
+            published: Published::new(),
+            synced: AtomicBool::new(false),
+            incarnation: AtomicU64::new(clock.wall().as_millis() as u64),
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
             drain: CancellationToken::new(),
--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -68,7 +68,9 @@
     let entry = config
         .pools
         .get(&req.grant().pool)
-        .and_then(|pool| pool.targets.get(&target));
+        .and_then(|pool| pool.targets.get(&target))
+        // A target may have moved since the request was placed.
+        .filter(|entry| entry.region == *req.region());
     let Some(entry) = entry else {
         return Attempt::Again(req.unplace());
     };
@@ -113,6 +115,7 @@
         Ok(Ok(answer)) => {
             record(Step::Answer, format!("status {}", answer.status().as_u16()));
             running.hand_over();
+            gateway::succeed(&cx.tables, &target, cx.clock.now());
             return Attempt::Answer(req, Box::new(answer));
         }
         Ok(Err(e)) => e.to_string(),
@@ -122,7 +125,7 @@
         }
     };
     drop(running);
-    gateway::eject(&cx.tables, &target, cx.clock.now());
+    gateway::fail(&cx.tables, &target, cx.clock.now());
     log::warn!("dispatch: {id}: {error}");
     record(Step::Dispatch, format!("no answer: {error}"));
     match req.repeat() {
--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -53,7 +53,11 @@
         record("passed on");
         let head = async {
             let mut answer = link.forward(self.cx.events.latest(), message).await?;
-            let frame = answer.next().await?;
+            let mut frame = answer.next().await?;
+            if let Frame::Stamp(stamp) = frame {
+                self.cx.events.observe(stamp);
+                frame = answer.next().await?;
+            }
             Ok::<_, chiverelay_sibling::Error>((answer, frame))
         };
         let left = req.head().deadline.saturating_sub(self.cx.clock.now());
@@ -64,6 +68,10 @@
                 record("cut: the key was withdrawn");
                 return Err(req.refuse_unknown(Code::Unauthenticated, Step::Authenticate));
             }
+            () = self.cx.cut.cancelled() => {
+                record("cut at the drain timeout");
+                return Err(req.refuse_unknown(Code::Draining, Step::Drain));
+            }
         };
         match head {
             Err(_) => Err(req.refuse_unknown(Code::DeadlineExceeded, Step::Forward)),
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -8,8 +8,10 @@
 mod forward;
 mod instance;
 mod keys;
+mod load;
 mod members;
 mod metrics;
+mod once;
 mod operate;
 mod operations;
 mod publish;
@@ -18,6 +20,7 @@
 mod serve;
 mod settings;
 mod sibling;
+mod wait;
 mod workers;
 
 use std::process::ExitCode;
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Sibling;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
@@ -207,10 +209,13 @@
 
 /// Returns this instance's sign of life.
 pub(crate) fn heartbeat(cx: &Context) -> Heartbeat {
+    // The lock must be gone before the summaries take theirs.
+    let withdrawn = cx.tables.withdrawn.lock().digest();
     Heartbeat {
-        serving: !cx.drain.is_cancelled(),
+        serving: !cx.drain.is_cancelled() && cx.synced.load(Ordering::Acquire),
         config_version: cx.tables.config.get().version,
-        withdrawn: cx.tables.withdrawn.lock().digest(),
+        withdrawn,
+        summaries: gateway::summaries(&cx.tables, &cx.settings.region, cx.clock.now()),
     }
 }
 
@@ -220,6 +225,7 @@
         region: region.clone(),
         heard: cx.clock.now(),
         serving: beat.serving,
+        summaries: beat.summaries.clone(),
     };
     cx.tables.siblings.insert(instance.clone(), sibling);
     keys::compare(cx, instance, beat.withdrawn);
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -11,7 +11,9 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Placement;
+use chiverelay_decisions::gateway::Turn;
 use chiverelay_decisions::keys::Shown;
+use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Outcome;
@@ -40,14 +42,13 @@
 use crate::keys;
 use crate::operations;
 use crate::operations::Claim;
-use crate::operations::Claimed;
-use crate::operations::Mark;
 use crate::relay;
 use crate::relay::End;
 use crate::relay::Relay;
 use crate::relay::Sink;
 use crate::relay::Source;
 use crate::serve::Serve;
+use crate::wait;
 
 /// Attempts at a request before it is refused.
 const ATTEMPTS: usize = 4;
@@ -55,9 +56,6 @@
 /// Header that names the request in the time line.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
-/// Marks an answer that was given before.
-const REPLAYED: HeaderName = HeaderName::from_static("idempotent-replayed");
-
 /// The head of an answer to a caller.
 #[derive(Debug)]
 pub(crate) struct ReplyHead {
@@ -80,31 +78,28 @@
     }
 }
 
-fn replay(recorded: Recorded) -> Reply {
-    let mut headers = forward::read_headers(&recorded.headers);
-    headers.insert(REPLAYED, HeaderValue::from_static("true"));
-    Reply {
-        status: StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::BAD_GATEWAY),
-        headers,
-        body: ReplyBody::Full(recorded.body.into()),
-    }
-}
-
 impl Serve {
     pub(crate) async fn relayed(&self, inbound: Inbound) -> Reply {
         let id = RequestId::from(Uuid::now_v7().to_string());
         self.cx.metrics.request();
+        let key = inbound.key.clone();
         let mut reply = match self.answer(&id, inbound).await {
             Ok(reply) => reply,
             Err(refusal) => {
                 self.cx.metrics.refusal(&refusal);
+                let account = self.account(key.as_ref());
                 let what = format!(
                     "refused: {}, {}",
                     refusal.code.as_str(),
                     refusal.outcome.as_str()
                 );
-                self.cx
-                    .record(&id, None, refusal.step, refusal.peer.clone(), what);
+                self.cx.record(
+                    &id,
+                    account.as_ref(),
+                    refusal.step,
+                    refusal.peer.clone(),
+                    what,
+                );
                 Reply::refusal(&refusal)
             }
         };
@@ -125,7 +120,7 @@
             model: inbound.model,
             prompt_tokens: inbound.prompt_tokens,
             max_answer_tokens: inbound.max_answer_tokens,
-            prefix: Vec::new(),
+            prefix: inbound.prefix,
         };
         let out = Outbound {
             method: inbound.method,
@@ -159,66 +154,17 @@
         reply
     }
 
-    /// Runs an attempt at an operation, even if the caller leaves meanwhile.
-    async fn run_marked(
-        &self,
-        req: Request<Admitted, Direct>,
-        out: Outbound,
-        mark: Mark,
-    ) -> Result<Reply, Refusal> {
-        let req = match req.disregard_attempts() {
-            Ok(req) => return self.run(req, out, &mut None).await,
-            Err(req) => req,
-        };
-        let serve = self.clone();
-        let run = async move { serve.run_once(req, out, mark).await };
-        match self.cx.requests.spawn(run).await {
-            Ok(reply) => reply,
-            Err(e) => {
-                log::error!("serve: {e}");
-                Err(Refusal::unknown(
-                    Code::StateUnavailable,
-                    Step::Claim,
-                    Peer::Local,
-                ))
-            }
-        }
-    }
-
-    async fn run_once(
-        &self,
-        req: Request<Admitted, Direct>,
-        out: Outbound,
-        mark: Mark,
-    ) -> Result<Reply, Refusal> {
-        let deadline = req.head().deadline;
-        let claimed = operations::claim(&self.cx, mark, req.grant(), &out, deadline).await;
-        let (claim, granted) = match claimed {
-            Ok(Claimed::Run(claim, granted)) => (claim, granted),
-            Ok(Claimed::Answered(recorded)) => {
-                self.give_back(req.grant());
-                return Ok(replay(recorded));
-            }
-            Err(refusal) => {
-                self.give_back(req.grant());
-                return Err(refusal);
-            }
-        };
-        let mut claim = Some(claim);
-        let reply = self.run(req.claimed(granted), out, &mut claim).await;
-        if let (Err(refusal), Some(claim)) = (&reply, claim)
-            && refusal.outcome == Outcome::NotRun
-        {
-            operations::settle(&self.cx, claim, Settlement::NotRun).await;
-        }
-        reply
-    }
-
     /// Gives the account back the charge of an attempt that did not run.
-    fn give_back(&self, grant: &Grant) {
+    pub(crate) fn give_back(&self, grant: &Grant) {
         gateway::settle(&self.cx.tables, grant, 0, self.cx.clock.now());
     }
 
+    fn account(&self, key: Option<&Shown>) -> Option<Account> {
+        let config = self.cx.tables.config.get();
+        let (_, account) = config.authenticate(key?)?;
+        Some(account.clone())
+    }
+
     fn refund(&self, grant: &Grant, refusal: &Refusal) {
         if refusal.outcome == Outcome::NotRun {
             self.give_back(grant);
@@ -264,19 +210,28 @@
         }
     }
 
-    async fn run(
+    pub(crate) async fn run(
         &self,
         mut req: Request<Admitted, Direct>,
         out: Outbound,
         claim: &mut Option<Claim>,
     ) -> Result<Reply, Refusal> {
-        for _ in 0..ATTEMPTS {
+        let mut turn = Turn::New;
+        let mut attempts = 0;
+        while attempts < ATTEMPTS {
             let here = &self.cx.settings.region;
-            let placement = gateway::place(&self.cx.tables, req, here, self.cx.clock.now())?;
-            req = match placement {
+            let now = self.cx.clock.now();
+            req = match gateway::place(&self.cx.tables, req, here, turn, now)? {
+                Placement::Wait(req) => {
+                    turn = Turn::Woken;
+                    wait::slot(&self.cx, req).await?
+                }
                 Placement::Here(placed) => match dispatch::attempt(&self.cx, placed, &out).await {
                     Attempt::Answer(req, answer) => return Ok(self.reply(req, answer, claim)),
-                    Attempt::Again(req) => req,
+                    Attempt::Again(req) => {
+                        (turn, attempts) = (Turn::New, attempts + 1);
+                        req
+                    }
                     Attempt::Refused(refusal) => return Err(refusal),
                 },
                 Placement::Away(away) => return self.forward(away, out, claim).await,
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -5,6 +5,10 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::gateway;
+use chiverelay_decisions::gateway::Local;
+use chiverelay_decisions::gateway::Turn;
+use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -21,6 +25,7 @@
 use chiverelay_sibling::Handler;
 use chiverelay_sibling::Identity;
 use chiverelay_sibling::Message;
+use chiverelay_sibling::Refused;
 use chiverelay_sibling::VERSION;
 use chiverelay_target::Answer;
 use chiverelay_target::Outbound;
@@ -33,12 +38,15 @@
 use crate::forward::read_headers;
 use crate::forward::write_headers;
 use crate::keys;
+use crate::load;
 use crate::members;
+use crate::publish;
 use crate::relay;
 use crate::relay::End;
 use crate::relay::Relay;
 use crate::relay::Sink;
 use crate::relay::Source;
+use crate::wait;
 
 /// Attempts at a forwarded request before it is refused.
 const ATTEMPTS: usize = 3;
@@ -69,6 +77,12 @@
             peer.clone(),
             "taken",
         );
+        let known = (from.instance.clone(), req.id.clone());
+        if !self.cx.taken.lock().insert(known) {
+            log::warn!("sibling: {}: {} was taken before", from.instance, req.id);
+            self.refused(Refused::Replayed);
+            return Err(Refusal::unknown(Code::Malformed, Step::Receive, peer));
+        }
         let method = Method::from_bytes(req.method.as_bytes())
             .map_err(|_| Refusal::before_dispatch(Code::Malformed, Step::Receive, peer))?;
         let head = Head {
@@ -95,20 +109,40 @@
         self.run(admitted, &out).await
     }
 
+    fn refuse(&self, id: &RequestId, account: Option<&Account>, refusal: &Refusal) {
+        let what = format!(
+            "refused: {}, {}",
+            refusal.code.as_str(),
+            refusal.outcome.as_str()
+        );
+        self.cx
+            .record(id, account, refusal.step, refusal.peer.clone(), what);
+    }
+
     async fn run(
         &self,
         mut req: Request<Admitted, Forwarded>,
         out: &Outbound,
     ) -> Result<(Request<Dispatched, Forwarded>, Box<Answer>), Refusal> {
-        for _ in 0..ATTEMPTS {
+        let mut turn = Turn::New;
+        let mut attempts = 0;
+        while attempts < ATTEMPTS {
             let here = &self.cx.settings.region;
             let now = self.cx.clock.now();
-            let placed = gateway::place_forwarded(&self.cx.tables, req, here, now)?;
+            let placed = match gateway::place_forwarded(&self.cx.tables, req, here, turn, now)? {
+                Local::Here(placed) => placed,
+                Local::Wait(waiting) => {
+                    turn = Turn::Woken;
+                    req = wait::slot(&self.cx, waiting).await?;
+                    continue;
+                }
+            };
             req = match dispatch::attempt(&self.cx, placed, out).await {
                 Attempt::Answer(req, answer) => return Ok((req, answer)),
                 Attempt::Again(req) => req,
                 Attempt::Refused(refusal) => return Err(refusal),
             };
+            (turn, attempts) = (Turn::New, attempts + 1);
         }
         Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
     }
@@ -173,9 +207,16 @@
                 keys::learn(&self.cx, ids, &peer);
                 Message::Withdrawn(self.cx.tables.withdrawn.lock().pending())
             }
-            Message::Forward(_) | Message::Claimed(_) | Message::Bound(_) | Message::Done => {
+            Message::ConfigRequest(req) => Message::Config(publish::answer(&self.cx, &req)),
+            Message::Loads(loads) => {
+                load::hear(&self.cx, &from.region, &loads);
                 Message::Done
             }
+            Message::Forward(_)
+            | Message::Config(_)
+            | Message::Claimed(_)
+            | Message::Bound(_)
+            | Message::Done => Message::Done,
         };
         Envelope {
             version: VERSION,
@@ -184,20 +225,30 @@
         }
     }
 
-    async fn forward(&self, from: &Identity, req: Forward, mut tx: FrameSender) {
+    async fn forward(&self, from: &Identity, stamp: Stamp, req: Forward, mut tx: FrameSender) {
         let open = self.cx.requests.token();
+        self.cx.events.observe(stamp);
+        let id = req.id.clone();
+        let account = req.account.clone();
         let answer = tokio::select! {
             answer = self.answer(from, req) => answer,
             // Dropping the request cancels it at the target.
             () = tx.closed() => return,
         };
+        // If the sibling left, the relay finds out and cancels the request.
+        let _ = tx.send(&Frame::Stamp(self.cx.events.latest())).await;
         match answer {
             Ok((req, answer)) => self.stream(req, answer, tx).await,
             Err(refusal) => {
+                self.refuse(&id, account.as_ref(), &refusal);
                 // The sibling may have left.
                 let _ = tx.send(&Frame::Refused(refusal)).await;
             }
         }
         drop(open);
     }
+
+    fn refused(&self, reason: Refused) {
+        self.cx.metrics.sibling_refused(reason.as_str());
+    }
 }
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -55,6 +55,8 @@
 //! }
 //! ```
 
+mod operation;
+
 use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,7 +76,6 @@
 use crate::refusal::Refusal;
 use crate::step::Peer;
 use crate::step::Step;
-use crate::tickets::Granted;
 
 /// What decisions need to know of a request, apart from its body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -194,12 +195,14 @@
 ///
 /// `attempted` is set once any attempt was dispatched, and from the start if
 /// an earlier request may have been an attempt at the same operation; a
-/// refusal after that never says "not run".
+/// refusal after that never says "not run". `tried` lists every target that
+/// was chosen before.
 #[derive(Debug)]
 pub struct Request<S, O> {
     head: Arc<Head>,
     key: Option<KeyId>,
     attempted: bool,
+    tried: Vec<Target>,
     state: S,
     origin: PhantomData<O>,
 }
@@ -216,11 +219,22 @@
         self.key.as_ref()
     }
 
+    /// Returns the targets that were chosen before.
+    pub fn tried(&self) -> &[Target] {
+        &self.tried
+    }
+
+    /// Tells whether an attempt was dispatched.
+    pub fn attempted(&self) -> bool {
+        self.attempted
+    }
+
     fn with_state<T>(self, state: T) -> Request<T, O> {
         Request {
             head: self.head,
             key: self.key,
             attempted: self.attempted,
+            tried: self.tried,
             state,
             origin: PhantomData,
         }
@@ -254,15 +268,6 @@
         Self::new(head)
     }
 
-    /// Starts the life cycle of a request of which an earlier attempt may
-    /// have run, as its ticket or idempotency key shows.
-    pub fn from_retrying_caller(head: Head) -> Self {
-        Self {
-            attempted: true,
-            ..Self::new(head)
-        }
-    }
-
     /// Notes the key that the request runs under.
     pub(crate) fn with_key(mut self, key: KeyId) -> Self {
         self.key = Some(key);
@@ -283,6 +288,7 @@
             head: Arc::new(head),
             key: None,
             attempted: false,
+            tried: Vec::new(),
             state: Received(()),
             origin: PhantomData,
         }
@@ -321,31 +327,6 @@
 }
 
 impl Request<Admitted, Direct> {
-    /// Sets when the answer must be complete, as the route says.
-    pub fn due(mut self, deadline: Duration) -> Self {
-        Arc::make_mut(&mut self.head).deadline = deadline;
-        self
-    }
-
-    /// Drops the doubt over earlier attempts if the request may run twice.
-    ///
-    /// # Errors
-    ///
-    /// Gives the request back if it may not be repeated.
-    pub fn disregard_attempts(mut self) -> Result<Self, Self> {
-        if !self.state.grant.repeatable {
-            return Err(self);
-        }
-        self.attempted = false;
-        Ok(self)
-    }
-
-    /// Records that no earlier attempt ran, as the ticket's issuer says.
-    pub fn claimed(mut self, _: Granted) -> Self {
-        self.attempted = false;
-        self
-    }
-
     /// Chooses a sibling in another region, which then places the request.
     ///
     /// # Errors
@@ -385,7 +366,8 @@
     }
 
     /// Goes back after a connection that failed before any byte was sent.
-    pub fn unplace(self) -> Request<Admitted, O> {
+    pub fn unplace(mut self) -> Request<Admitted, O> {
+        self.tried.push(self.state.target.clone());
         let grant = Arc::clone(&self.state.grant);
         self.with_state(Admitted { grant })
     }
@@ -393,6 +375,7 @@
     /// Marks that the first byte may now reach the target.
     pub fn dispatch(mut self) -> Request<Dispatched, O> {
         let earlier = std::mem::replace(&mut self.attempted, true);
+        self.tried.push(self.state.target.clone());
         let grant = Arc::clone(&self.state.grant);
         let peer = Peer::Target(self.state.target.clone());
         self.with_state(Dispatched {
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -5,6 +5,9 @@
 use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::placement::Report;
+use chiverelay_decisions::placement::Summary;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::tickets::Nonce;
 use chiverelay_decisions::tickets::Operation;
@@ -14,6 +17,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ConfigParts;
+use crate::ConfigRequest;
+
 /// Version of the messages. Instances refuse any other.
 pub const VERSION: u16 = 1;
 
@@ -35,6 +41,8 @@
     Heartbeat(Heartbeat),
     /// A request passed on. Answered by [`Frame`]s.
     Forward(Forward),
+    /// Load reports of targets of the region that siblings share.
+    Loads(Vec<TargetLoad>),
     /// The message was taken and needs no other answer.
     Done,
     /// Asks a ticket's issuer for leave to run an operation.
@@ -49,6 +57,10 @@
     Bound(Option<Ticket>),
     /// Keys whose withdrawal may not be durable yet. Answered in kind.
     Withdrawn(Vec<KeyId>),
+    /// Asks for the configuration in force.
+    ConfigRequest(ConfigRequest),
+    /// Parts of the configuration in force.
+    Config(ConfigParts),
 }
 
 /// A claim of a ticket.
@@ -91,6 +103,17 @@
     pub config_version: u64,
     /// Digest of the withdrawals that are not durable yet.
     pub withdrawn: u64,
+    /// What the sender's region has of each pool.
+    pub summaries: Vec<Summary>,
+}
+
+/// A target's load report, as one instance passes it on to its region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// The target.
+    pub target: Target,
+    /// Its report.
+    pub report: Report,
 }
 
 /// A request passed on, with the account in place of the key.
@@ -136,4 +159,6 @@
     End,
     /// There is no answer, or no more of it.
     Refused(Refusal),
+    /// The sender's hybrid logical clock, before the head.
+    Stamp(Stamp),
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,12 +1,18 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
+mod configuration;
 mod cuts;
 mod drain;
+mod health;
 mod keys;
 mod once;
 mod path;
+mod placement;
+mod queue;
 mod registry;
+mod residency;
+mod settings;
 mod store;
 mod tables;
 mod tickets;
