--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -1,8 +1,11 @@
 //! The listener for callers.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +14,10 @@
 use http_body_util::combinators::BoxBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
@@ -70,6 +76,19 @@
     }
 }
 
+/// How a server is told to stop.
+///
+/// # Invariants
+///
+/// `notice` is cancelled before `close`.
+#[derive(Clone, Debug)]
+pub struct Shutdown {
+    /// Requests are still taken, but each answer asks its caller to leave.
+    pub notice: CancellationToken,
+    /// No more requests are taken.
+    pub close: CancellationToken,
+}
+
 /// A bound listener for callers.
 #[derive(Debug)]
 pub struct Server {
@@ -110,8 +129,9 @@
         self.address
     }
 
-    /// Serves until `cancel`, then until every open request has its answer.
-    pub async fn run<H>(self, handler: Arc<H>, cancel: CancellationToken)
+    /// Serves until it is told to close, then until every open request has its
+    /// answer.
+    pub async fn run<H>(self, handler: Arc<H>, shutdown: Shutdown)
     where
         H: Handler,
     {
@@ -126,7 +146,7 @@
                 let conn = Connection {
                     handler: Arc::clone(&handler),
                     limits: self.limits,
-                    cancel: cancel.clone(),
+                    shutdown: shutdown.clone(),
                 };
                 let acceptor = acceptor.clone();
                 tracker.spawn(async move {
@@ -138,7 +158,7 @@
                 });
             }
         };
-        cancel.run_until_cancelled(accepting).await;
+        shutdown.close.run_until_cancelled(accepting).await;
         drop(self.listener);
         tracker.close();
         tracker.wait().await;
@@ -166,7 +186,7 @@
 struct Connection<H> {
     handler: Arc<H>,
     limits: Limits,
-    cancel: CancellationToken,
+    shutdown: Shutdown,
 }
 
 impl<H> Connection<H>
@@ -175,7 +195,7 @@
 {
     async fn serve_tls(self, stream: TcpStream, acceptor: TlsAcceptor) {
         let handshake = tokio::time::timeout(self.limits.header_timeout, acceptor.accept(stream));
-        match self.cancel.run_until_cancelled(handshake).await {
+        match self.shutdown.close.run_until_cancelled(handshake).await {
             Some(Ok(Ok(stream))) => self.serve(stream).await,
             Some(Ok(Err(e))) => log::debug!("caller: TLS handshake failed: {e}"),
             Some(Err(_)) => log::debug!("caller: TLS handshake took too long"),
@@ -187,11 +207,11 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        serve(stream, self.handler, self.limits, self.cancel).await;
+        serve(stream, self.handler, self.limits, self.shutdown).await;
     }
 }
 
-async fn serve<H, S>(stream: S, handler: Arc<H>, limits: Limits, cancel: CancellationToken)
+async fn serve<H, S>(stream: S, handler: Arc<H>, limits: Limits, shutdown: Shutdown)
 where
     H: Handler,
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
@@ -206,15 +226,28 @@
         .timer(TokioTimer::new())
         .keep_alive_interval(Some(KEEP_ALIVE))
         .keep_alive_timeout(limits.header_timeout);
-    let service = service_fn(move |req| {
+    let multiplexed = Arc::new(AtomicBool::new(false));
+    let notice = shutdown.notice.clone();
+    let seen = Arc::clone(&multiplexed);
+    let service = service_fn(move |req: Request<Incoming>| {
         let handler = Arc::clone(&handler);
-        async move { answer(&*handler, req, limits).await }
+        let notice = notice.clone();
+        let is_http2 = req.version() == Version::HTTP_2;
+        seen.store(is_http2, Ordering::Relaxed);
+        async move {
+            let mut resp = answer(&*handler, req, limits).await?;
+            if notice.is_cancelled() && !is_http2 {
+                let close = HeaderValue::from_static("close");
+                resp.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(resp)
+        }
     });
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     let result = tokio::select! {
         result = conn.as_mut() => result,
-        () = cancel.cancelled() => {
+        () = leave(&shutdown, &multiplexed) => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
@@ -224,11 +257,23 @@
     }
 }
 
+/// Waits until a connection is to be closed.
+///
+/// HTTP/2 can tell its caller at once, and no request is lost. Over HTTP/1.1
+/// an answer says it, as closing an idle connection loses a request that is
+/// on its way.
+async fn leave(shutdown: &Shutdown, multiplexed: &AtomicBool) {
+    shutdown.notice.cancelled().await;
+    if !multiplexed.load(Ordering::Relaxed) {
+        shutdown.close.cancelled().await;
+    }
+}
+
 async fn answer<H>(
     handler: &H,
     req: Request<Incoming>,
     limits: Limits,
-) -> Result<Response<BoxBody<Bytes, Error>>, std::convert::Infallible>
+) -> Result<Response<BoxBody<Bytes, Error>>, Infallible>
 where
     H: Handler,
 {
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -65,6 +65,9 @@
     pub(crate) threads: usize,
     /// Jobs that may wait for one worker.
     pub(crate) queue_depth: usize,
+    /// Time for callers and siblings to learn of a drain before requests are
+    /// no longer taken, in milliseconds.
+    pub(crate) drain_notice_ms: u64,
     /// Time for open requests to end at a drain, in milliseconds.
     pub(crate) drain_timeout_ms: u64,
     /// Events kept in memory.
@@ -157,6 +160,7 @@
     workers = 4 => at_least_one,
     threads = 4 => at_least_one,
     queue_depth = 1024 => at_least_one,
+    drain_notice_ms = 6_000,
     drain_timeout_ms = 600_000,
     events = 16_384 => at_least_one,
 });
