Place a request again when a sibling is gone or has no room

Cause: a forward to a killed or frozen sibling ended the request with sibling_failed, though another instance of the same region could take it; a failed connection, with nothing sent, ended it too. Seen failing first: combined::one_sibling_killed_and_store_out and one_sibling_frozen_and_store_out (502, sibling_failed, unknown). Ruled out: the store outage of the same tests (the other two of the four passed with it).

A request now keeps the siblings it was sent to and goes to another one, if it may be repeated or the sibling itself says that it did not run. Each attempt still crosses one link at most, by type and at the receiver. A sibling that broke off takes no requests until it is heard again. The refusal that a sibling gave is kept for the caller if nothing else is left.

--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -1,15 +1,21 @@
 //! Passes a caller's request on to a sibling.
 
-use chiverelay_caller::Reply;
+use chiverelay_decisions::gateway;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Away;
 use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::Granted;
 use chiverelay_decisions::request::Request;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
+use chiverelay_sibling::Answer;
 use chiverelay_sibling::Forward;
 use chiverelay_sibling::Frame;
+use chiverelay_sibling::Link;
+use chiverelay_sibling::Up;
 use chiverelay_target::Outbound;
 use chiverelay_target::headers;
 use hyper::HeaderMap;
@@ -19,77 +25,146 @@
 
 use crate::keys;
 use crate::members;
-use crate::operations::Claim;
 use crate::relay;
 use crate::relay::Source;
 use crate::request::ReplyHead;
 use crate::serve::Serve;
 
+/// What became of a forward.
+pub(crate) enum Forwarded {
+    /// The head of an answer arrived.
+    Answer(Request<Dispatched, Direct>, ReplyHead, Source),
+    /// The request may be placed again; else this refusal stands.
+    Again(Request<Admitted, Direct>, Refusal),
+    /// The request is over.
+    Refused(Refusal),
+}
+
+/// Why no head of an answer came.
+enum Failure {
+    /// The exchange broke off.
+    Broken(chiverelay_sibling::Error),
+    /// There was no head in time.
+    Late,
+    /// The key was withdrawn meanwhile.
+    Withdrawn,
+    /// The drain took too long.
+    Cut,
+}
+
 impl Serve {
-    pub(crate) async fn forward(
-        &self,
-        req: Request<Away, Direct>,
-        out: Outbound,
-        claim: &mut Option<Claim>,
-    ) -> Result<Reply, Refusal> {
-        let id = req.head().id.clone();
-        let account = req.grant().account.clone();
-        let peer = Peer::Sibling(req.instance().clone());
-        let record = |what: &str| {
-            self.cx
-                .record(&id, account.as_ref(), Step::Forward, peer.clone(), what);
-        };
-        let link = match members::link(&self.cx, req.instance()).await {
+    /// Passes a request on, once, to the sibling that was chosen.
+    ///
+    /// A request that may be repeated, or that the sibling says did not run,
+    /// may then be placed elsewhere. Each attempt crosses one link at most.
+    pub(crate) async fn forward(&self, req: Request<Away, Direct>, out: &Outbound) -> Forwarded {
+        let instance = req.instance().clone();
+        let peer = Peer::Sibling(instance.clone());
+        let link = match members::link(&self.cx, &instance).await {
             Ok(link) => link,
             Err(e) => {
-                log::warn!("serve: {id}: {e}");
-                record("no connection");
-                return Err(req.refuse_not_run(Code::Unavailable, Step::Connect, peer.clone()));
+                self.note(&req, &peer, &format!("no connection: {e}"));
+                gateway::miss(&self.cx.tables, &instance);
+                let refusal = Refusal::before_dispatch(Code::Unavailable, Step::Connect, peer);
+                return Forwarded::Again(req.unplace(), refusal);
             }
         };
-        let message = self.forward_message(&req, out);
+        let message = self.forward_message(&req, out.clone());
         let req = req.dispatch();
         self.cx.metrics.spill();
-        record("passed on");
+        self.note(&req, &peer, "passed on");
+        match self.exchange(&req, &link, message).await {
+            Ok((answer, Frame::Head { status, headers })) => {
+                let headers = read_headers(&headers);
+                let head = ReplyHead {
+                    status: StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY),
+                    framing: relay::sibling_framing(&self.cx, req.grant(), &headers),
+                    headers,
+                };
+                Forwarded::Answer(req, head, Source::Sibling(answer))
+            }
+            Ok((_, Frame::Refused(refusal))) => self.refused(req, refusal, &peer),
+            Ok(_) => Forwarded::Refused(req.refuse_unknown(Code::SiblingFailed, Step::Forward)),
+            Err(failure) => self.failed(req, failure, &peer),
+        }
+    }
+
+    fn note<S>(&self, req: &Request<S, Direct>, peer: &Peer, what: &str)
+    where
+        S: Granted,
+    {
+        let account = req.account();
+        self.cx
+            .record(&req.head().id, account, Step::Forward, peer.clone(), what);
+    }
+
+    async fn exchange(
+        &self,
+        req: &Request<Dispatched, Direct>,
+        link: &Link<Up>,
+        message: Forward,
+    ) -> Result<(Answer, Frame), Failure> {
         let head = async {
             let mut answer = link.forward(self.cx.events.latest(), message).await?;
             let frame = answer.next().await?;
             self.cx.events.observe(answer.stamp());
-            Ok::<_, chiverelay_sibling::Error>((answer, frame))
+            Ok((answer, frame))
         };
         let left = req.head().deadline.saturating_sub(self.cx.clock.now());
         let under = keys::enter(&self.cx, req.key());
-        let head = tokio::select! {
-            head = tokio::time::timeout(left, head) => head,
-            () = under.withdrawn() => {
-                record("cut: the key was withdrawn");
-                return Err(req.refuse_unknown(Code::Unauthenticated, Step::Authenticate));
-            }
-            () = self.cx.cut.cancelled() => {
-                record("cut at the drain timeout");
-                return Err(req.refuse_unknown(Code::Draining, Step::Drain));
-            }
+        tokio::select! {
+            head = tokio::time::timeout(left, head) => match head {
+                Ok(head) => head.map_err(Failure::Broken),
+                Err(_) => Err(Failure::Late),
+            },
+            () = under.withdrawn() => Err(Failure::Withdrawn),
+            () = self.cx.cut.cancelled() => Err(Failure::Cut),
+        }
+    }
+
+    /// Takes a sibling's word on what it did with a request.
+    fn refused(
+        &self,
+        req: Request<Dispatched, Direct>,
+        refusal: Refusal,
+        peer: &Peer,
+    ) -> Forwarded {
+        self.note(
+            &req,
+            peer,
+            &format!("refused there: {}", refusal.code.as_str()),
+        );
+        let elsewhere = matches!(
+            refusal.code,
+            Code::Unavailable | Code::Overloaded | Code::Draining
+        );
+        if !elsewhere {
+            return Forwarded::Refused(req.refuse_as_sibling(refusal));
+        }
+        match req.retract(&refusal) {
+            Ok(req) => Forwarded::Again(req, refusal),
+            Err(req) => Forwarded::Refused(req.refuse_as_sibling(refusal)),
+        }
+    }
+
+    fn failed(&self, req: Request<Dispatched, Direct>, failure: Failure, peer: &Peer) -> Forwarded {
+        let (code, step) = match &failure {
+            Failure::Broken(_) => (Code::SiblingFailed, Step::Forward),
+            Failure::Late => (Code::DeadlineExceeded, Step::Forward),
+            Failure::Withdrawn => (Code::Unauthenticated, Step::Authenticate),
+            Failure::Cut => (Code::Draining, Step::Drain),
         };
-        match head {
-            Err(_) => Err(req.refuse_unknown(Code::DeadlineExceeded, Step::Forward)),
-            Ok(Err(e)) => {
-                log::warn!("serve: {id}: {e}");
-                Err(req.refuse_unknown(Code::SiblingFailed, Step::Forward))
-            }
-            Ok(Ok((answer, Frame::Head { status, headers }))) => {
-                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-                let source = Source::Sibling(answer);
-                let headers = read_headers(&headers);
-                let framing = relay::sibling_framing(&self.cx, req.grant(), &headers);
-                let head = ReplyHead {
-                    status,
-                    headers,
-                    framing,
-                };
-                Ok(self.stream(req, head, source, claim))
-            }
-            Ok(Ok((_, Frame::Refused(refusal)))) => Err(req.refuse_as_sibling(refusal)),
-            Ok(Ok(_)) => Err(req.refuse_unknown(Code::SiblingFailed, Step::Forward)),
+        self.note(&req, peer, &format!("no answer: {}", code.as_str()));
+        let Failure::Broken(e) = failure else {
+            return Forwarded::Refused(req.refuse_unknown(code, step));
+        };
+        log::warn!("forward: {}: {e}", req.head().id);
+        if let Peer::Sibling(instance) = peer {
+            gateway::miss(&self.cx.tables, instance);
+        }
+        match req.repeat() {
+            Ok(req) => Forwarded::Again(req, Refusal::unknown(code, step, peer.clone())),
+            Err(req) => Forwarded::Refused(req.refuse_unknown(code, step)),
         }
     }
 
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -39,6 +39,7 @@
 use crate::dispatch;
 use crate::dispatch::Attempt;
 use crate::forward;
+use crate::forward::Forwarded;
 use crate::keys;
 use crate::operations;
 use crate::operations::Claim;
@@ -78,6 +79,18 @@
     }
 }
 
+/// Prefers a sibling's reason to the mere fact that nothing else is left. The
+/// outcome is that of the whole request.
+fn more_telling(refusal: Refusal, last: Option<&Refusal>) -> Refusal {
+    match last {
+        Some(last) if refusal.code == Code::Unavailable => Refusal {
+            outcome: refusal.outcome,
+            ..last.clone()
+        },
+        _ => refusal,
+    }
+}
+
 impl Serve {
     pub(crate) async fn relayed(&self, inbound: Inbound) -> Reply {
         let id = RequestId::from(Uuid::now_v7().to_string());
@@ -218,10 +231,12 @@
     ) -> Result<Reply, Refusal> {
         let mut turn = Turn::New;
         let mut attempts = 0;
+        let mut last = None;
         while attempts < ATTEMPTS {
             let here = &self.cx.settings.region;
             let now = self.cx.clock.now();
-            req = match gateway::place(&self.cx.tables, req, here, turn, now)? {
+            let placed = gateway::place(&self.cx.tables, req, here, turn, now);
+            req = match placed.map_err(|refusal| more_telling(refusal, last.as_ref()))? {
                 Placement::Wait(req) => {
                     turn = Turn::Woken;
                     wait::slot(&self.cx, req).await?
@@ -234,10 +249,21 @@
                     }
                     Attempt::Refused(refusal) => return Err(refusal),
                 },
-                Placement::Away(away) => return self.forward(away, out, claim).await,
+                Placement::Away(away) => match self.forward(away, &out).await {
+                    Forwarded::Answer(req, head, source) => {
+                        return Ok(self.stream(req, head, source, claim));
+                    }
+                    Forwarded::Again(req, refusal) => {
+                        (turn, attempts) = (Turn::New, attempts + 1);
+                        last = Some(refusal);
+                        req
+                    }
+                    Forwarded::Refused(refusal) => return Err(refusal),
+                },
             };
         }
-        Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
+        let refusal = req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local);
+        Err(more_telling(refusal, last.as_ref()))
     }
 
     fn reply(
--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -34,6 +34,7 @@
 pub use place::Local;
 pub use place::Placement;
 pub use place::Turn;
+pub use place::miss;
 pub use place::place;
 pub use place::place_forwarded;
 pub use targets::apply_cache_event;
--- a/crates/decisions/src/gateway/place.rs
+++ b/crates/decisions/src/gateway/place.rs
@@ -109,6 +109,15 @@
     has_room: bool,
 }
 
+/// Sends no requests to a sibling until it is heard again.
+pub fn miss(tables: &Tables, instance: &Instance) {
+    tables.siblings.with(instance, |sibling| {
+        if let Some(sibling) = sibling {
+            sibling.serving = false;
+        }
+    });
+}
+
 /// Chooses a target of this region, a sibling of another one, or a wait.
 ///
 /// # Errors
@@ -283,6 +292,7 @@
         let region = &sibling.region;
         let has_target = || entry.targets.values().any(|t| t.region == *region);
         if !sibling.serving
+            || req.asked().contains(name)
             || region == scan.here
             || !scan.residency.allows(region)
             || !has_target()
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -189,6 +189,26 @@
 
 not_run!(Received, Admitted, Placed, Away);
 
+/// States that have a grant.
+pub trait Granted {
+    /// Returns the grant.
+    fn grant(&self) -> &Arc<Grant>;
+}
+
+macro_rules! granted {
+    ($($state:ty),*) => {
+        $(
+            impl Granted for $state {
+                fn grant(&self) -> &Arc<Grant> {
+                    &self.grant
+                }
+            }
+        )*
+    };
+}
+
+granted!(Admitted, Placed, Away, Dispatched, Answered);
+
 /// A request in state `S` that came by `O`.
 ///
 /// # Invariants
@@ -196,13 +216,14 @@
 /// `attempted` is set once any attempt was dispatched, and from the start if
 /// an earlier request may have been an attempt at the same operation; a
 /// refusal after that never says "not run". `tried` lists every target that
-/// was chosen before.
+/// was chosen before, and `asked` every sibling, so that none is chosen twice.
 #[derive(Debug)]
 pub struct Request<S, O> {
     head: Arc<Head>,
     key: Option<KeyId>,
     attempted: bool,
     tried: Vec<Target>,
+    asked: Vec<Instance>,
     state: S,
     origin: PhantomData<O>,
 }
@@ -224,6 +245,11 @@
         &self.tried
     }
 
+    /// Returns the siblings that were chosen before.
+    pub fn asked(&self) -> &[Instance] {
+        &self.asked
+    }
+
     /// Tells whether an attempt was dispatched.
     pub fn attempted(&self) -> bool {
         self.attempted
@@ -235,12 +261,28 @@
             key: self.key,
             attempted: self.attempted,
             tried: self.tried,
+            asked: self.asked,
             state,
             origin: PhantomData,
         }
     }
 }
 
+impl<S, O> Request<S, O>
+where
+    S: Granted,
+{
+    /// Returns the grant.
+    pub fn grant(&self) -> &Arc<Grant> {
+        self.state.grant()
+    }
+
+    /// Returns the client account that the request runs for.
+    pub fn account(&self) -> Option<&Account> {
+        self.grant().account.as_ref()
+    }
+}
+
 impl<S, O> Request<S, O>
 where
     S: NotRun,
@@ -289,6 +331,7 @@
             key: None,
             attempted: false,
             tried: Vec::new(),
+            asked: Vec::new(),
             state: Received(()),
             origin: PhantomData,
         }
@@ -303,11 +346,6 @@
 }
 
 impl<O> Request<Admitted, O> {
-    /// Returns the grant.
-    pub fn grant(&self) -> &Arc<Grant> {
-        &self.state.grant
-    }
-
     /// Chooses a target of this region.
     ///
     /// # Errors
@@ -333,13 +371,14 @@
     ///
     /// Gives the request back if its residency does not allow `region`.
     pub fn place_away(
-        self,
+        mut self,
         instance: Instance,
         region: Region,
     ) -> Result<Request<Away, Direct>, Self> {
         if !self.state.grant.residency.allows(&region) {
             return Err(self);
         }
+        self.asked.push(instance.clone());
         let grant = Arc::clone(&self.state.grant);
         Ok(self.with_state(Away {
             grant,
@@ -360,11 +399,6 @@
         &self.state.region
     }
 
-    /// Returns the grant.
-    pub fn grant(&self) -> &Arc<Grant> {
-        &self.state.grant
-    }
-
     /// Goes back after a connection that failed before any byte was sent.
     pub fn unplace(mut self) -> Request<Admitted, O> {
         self.tried.push(self.state.target.clone());
@@ -397,11 +431,6 @@
         &self.state.region
     }
 
-    /// Returns the grant.
-    pub fn grant(&self) -> &Arc<Grant> {
-        &self.state.grant
-    }
-
     /// Goes back after a sibling refused the request as "not run".
     pub fn unplace(self) -> Request<Admitted, Direct> {
         let grant = Arc::clone(&self.state.grant);
@@ -422,11 +451,6 @@
 }
 
 impl<O> Request<Dispatched, O> {
-    /// Returns the grant.
-    pub fn grant(&self) -> &Arc<Grant> {
-        &self.state.grant
-    }
-
     /// Returns the peer that has the request.
     pub fn peer(&self) -> &Peer {
         &self.state.peer
@@ -443,6 +467,20 @@
         Refusal::unknown(code, step, self.state.peer)
     }
 
+    /// Goes back on a sibling's own word that this attempt did not run.
+    ///
+    /// # Errors
+    ///
+    /// Gives the request back if that is not what the refusal says.
+    pub fn retract(mut self, refusal: &Refusal) -> Result<Request<Admitted, O>, Self> {
+        if refusal.outcome != Outcome::NotRun {
+            return Err(self);
+        }
+        self.attempted = self.state.earlier;
+        let grant = Arc::clone(&self.state.grant);
+        Ok(self.with_state(Admitted { grant }))
+    }
+
     /// Ends the life cycle with a sibling's own refusal.
     ///
     /// Its "not run" speaks of this attempt alone, so it does not stand where
@@ -467,10 +505,3 @@
         Ok(self.with_state(Admitted { grant }))
     }
 }
-
-impl<O> Request<Answered, O> {
-    /// Returns the grant.
-    pub fn grant(&self) -> &Arc<Grant> {
-        &self.state.grant
-    }
-}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -174,6 +174,17 @@
         }
     }
 
+    /// Cuts the links between two groups of daemons.
+    pub fn cut_between(&self, some: &[&str], others: &[&str]) {
+        for a in some {
+            for b in others {
+                let (a, b) = (*a, *b);
+                self.links[a].sibling.block(self.daemons[b].listening);
+                self.links[b].sibling.block(self.daemons[a].listening);
+            }
+        }
+    }
+
     /// Mends what [`Site::cut_store`] cut.
     pub fn mend_store(&self, name: &str) {
         self.links[name].store.mend();
