Divide limits by escrow, in decisions without I/O

An account's limit was one bucket an instance, so n instances gave it n times its rate. A limit is now divided into weights: the ledger (a page changed by compare-and-swap) says who holds what, a book keeps one instance's shares under its lease, and loans move rate, burst and tokens by consent until a time that ends before whatever backs them. Past its lease a holder goes on only while a majority of its recorded roster vouches for it; a reclaimer needs so many releases that no majority is left.

Ten variants that each leave out one rule (giver keeps, loan applied twice, lease trusted, reclaimed part starts full, read taken for a write, record before giving up, reclaim by another region, nobody asked, own vouch, loan counted from arrival) each overspend in a schedule or a script of the same tests.

--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -27,6 +27,8 @@
     Config,
     /// Withdrawn keys and the streams that run under keys.
     Keys,
+    /// What this instance holds of the accounts' limits.
+    Shares,
     /// Limits of client accounts.
     Accounts,
     /// Waiting requests.
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,775 @@
+//! The limits' decision objects of several instances under a scripted order
+//! of steps: no I/O, no processes, and clocks that the script moves.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::Config;
+use chiverelay_decisions::config::AccountEntry;
+use chiverelay_decisions::limits::Ask;
+use chiverelay_decisions::limits::Book;
+use chiverelay_decisions::limits::Holder;
+use chiverelay_decisions::limits::Keeper;
+use chiverelay_decisions::limits::Lease;
+use chiverelay_decisions::limits::Lend;
+use chiverelay_decisions::limits::LoanId;
+use chiverelay_decisions::limits::NANOS;
+use chiverelay_decisions::limits::Receipt;
+use chiverelay_decisions::limits::Return;
+use chiverelay_decisions::limits::Slot;
+use chiverelay_decisions::limits::keeper::RECORD_TTL;
+use chiverelay_decisions::limits::ledger::Page;
+use chiverelay_decisions::limits::ledger::View;
+use chiverelay_decisions::limits::quorum;
+use chiverelay_decisions::limits::quorum::Witness;
+use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
+
+/// A rule left out, to show that the check notices.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    /// Every rule is kept.
+    None,
+    /// The giver of a loan keeps what it lends.
+    GiverKeeps,
+    /// A loan is applied as often as it arrives.
+    AppliesTwice,
+    /// A holder trusts that its lease goes on.
+    TrustsLease,
+    /// A reclaimed part starts full.
+    StartsFull,
+    /// A holder uses what it reads, without a write of its own.
+    AdoptsRead,
+    /// A reclaimer asks nobody.
+    AsksNobody,
+    /// A holder past its lease needs only its own word.
+    VouchesForItself,
+    /// A loan's time counts from its arrival.
+    CountsFromArrival,
+    /// The ledger records less before the holder gives it up.
+    RecordsFirst,
+    /// Another region may reclaim a part.
+    AnyRegion,
+}
+
+/// What travels between instances.
+#[derive(Clone, Debug)]
+enum Message {
+    Ask(Ask),
+    Lend(Lend),
+    Return(Return),
+}
+
+#[derive(Clone, Debug)]
+struct Post {
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+struct Charge {
+    receipt: Receipt,
+    used: u64,
+}
+
+/// One instance.
+struct Node {
+    name: Instance,
+    region: Region,
+    /// Parts in a thousand by which its clock is fast or slow.
+    drift: i64,
+    born: Duration,
+    frozen: bool,
+    up: bool,
+    config: Arc<Config>,
+    book: Book,
+    keeper: Keeper,
+    witness: Witness,
+    charges: Vec<Charge>,
+    reached_store: Option<Duration>,
+    asked: BTreeMap<LoanId, Duration>,
+}
+
+#[derive(Default)]
+struct Store {
+    out: bool,
+    revision: u64,
+    page: Page,
+    records: BTreeMap<Holder, Duration>,
+    /// Writes that arrive later: the revision expected and the page.
+    late: Vec<(u64, Page)>,
+}
+
+/// What becomes of a call of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// It is answered.
+    Answered,
+    /// It has its effect and the answer is lost.
+    AnswerLost,
+    /// It has its effect later and no answer.
+    Late,
+    /// It is lost.
+    Lost,
+}
+
+impl Call {
+    /// Chooses by a number.
+    pub fn of(n: u8) -> Self {
+        match n % 16 {
+            0 | 1 => Self::AnswerLost,
+            2 => Self::Late,
+            3 => Self::Lost,
+            _ => Self::Answered,
+        }
+    }
+}
+
+/// The bound on what may be spent: a bucket that no instance knows of.
+struct Bound {
+    level: i128,
+    burst: u64,
+    rate: u64,
+    at: Duration,
+}
+
+impl Bound {
+    fn advance(&mut self, now: Duration, rate: u64, burst: u64) {
+        let filled = (now - self.at).as_nanos() * u128::from(self.rate);
+        let cap = i128::from(self.burst) * NANOS as i128;
+        self.level = cap.min(self.level + filled as i128);
+        let raise = i128::from(burst) - i128::from(self.burst);
+        self.level =
+            (self.level + raise.max(0) * NANOS as i128).min(i128::from(burst) * NANOS as i128);
+        (self.at, self.rate, self.burst) = (now, rate, burst);
+    }
+}
+
+/// What a schedule came to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// Tokens spent beyond the bound, at the worst moment.
+    pub overshoot: u64,
+    /// Tokens spent.
+    pub spent: u64,
+    /// Charges that were made.
+    pub taken: u64,
+    /// Charges that were refused.
+    pub refused: u64,
+}
+
+/// Several instances of two regions, the first of which has the store.
+pub struct Fleet {
+    flaw: Flaw,
+    account: Account,
+    page: u16,
+    now: Duration,
+    nodes: Vec<Node>,
+    store: Store,
+    cut: bool,
+    /// Instances that reach nobody and nothing.
+    alone: BTreeSet<usize>,
+    /// Instances that don't reach the store.
+    without_store: BTreeSet<usize>,
+    posts: Vec<Post>,
+    config: Arc<Config>,
+    bound: Bound,
+    incarnations: u64,
+    outcome: Outcome,
+}
+
+fn config(account: &Account, version: u64, rate: u64, burst: u64) -> Arc<Config> {
+    let mut config = Config {
+        version,
+        ..Config::default()
+    };
+    let entry = AccountEntry {
+        rate,
+        burst,
+        residency: Default::default(),
+    };
+    config.accounts.insert(account.clone(), entry);
+    Arc::new(config)
+}
+
+impl Fleet {
+    /// Starts instances with their regions and lets them take their shares.
+    pub fn new(regions: &[&str], drifts: &[i64], rate: u64, burst: u64, flaw: Flaw) -> Self {
+        let account = Account::from("encargos");
+        let config = config(&account, 1, rate, burst);
+        let mut fleet = Self {
+            flaw,
+            page: Slot::of(&account).page(),
+            account,
+            now: Duration::from_secs(100),
+            nodes: Vec::new(),
+            store: Store::default(),
+            cut: false,
+            alone: BTreeSet::new(),
+            without_store: BTreeSet::new(),
+            posts: Vec::new(),
+            config,
+            bound: Bound {
+                level: i128::from(burst) * NANOS as i128,
+                burst,
+                rate,
+                at: Duration::from_secs(100),
+            },
+            incarnations: 0,
+            outcome: Outcome::default(),
+        };
+        for (i, region) in regions.iter().enumerate() {
+            let name = Instance::from(format!("{region}-{i}"));
+            let drift = drifts.get(i % drifts.len().max(1)).copied().unwrap_or(0);
+            let node = fleet.node(name, Region::from(*region), drift);
+            fleet.nodes.push(node);
+        }
+        for _ in 0..8 {
+            fleet.round(0);
+            fleet.pass(Duration::from_millis(1500));
+        }
+        fleet
+    }
+
+    fn node(&mut self, name: Instance, region: Region, drift: i64) -> Node {
+        self.incarnations += 1;
+        let node = Node {
+            keeper: Keeper::new(name.clone(), self.incarnations << 32),
+            book: Book::new(self.incarnations),
+            witness: Witness::new(Duration::ZERO),
+            name,
+            region,
+            drift,
+            born: self.now,
+            frozen: false,
+            up: true,
+            config: Arc::clone(&self.config),
+            charges: Vec::new(),
+            reached_store: None,
+            asked: BTreeMap::new(),
+        };
+        node.book.configure(&self.config, Duration::ZERO);
+        node
+    }
+
+    /// Returns the number of instances.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Tells whether there is no instance.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// Returns what came of it so far.
+    pub fn outcome(&self) -> Outcome {
+        self.outcome
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    fn clock(&self, i: usize) -> Duration {
+        let node = &self.nodes[i];
+        let age = (self.now - node.born).as_nanos() as i128;
+        Duration::from_nanos((age * (1000 + i128::from(node.drift)) / 1000) as u64)
+    }
+
+    fn runs(&self, i: usize) -> bool {
+        self.nodes[i].up && !self.nodes[i].frozen
+    }
+
+    fn is_connected(&self, a: usize, b: usize) -> bool {
+        if a != b && (self.alone.contains(&a) || self.alone.contains(&b)) {
+            return false;
+        }
+        !self.cut || self.nodes[a].region == self.nodes[b].region
+    }
+
+    fn reaches_store(&self, i: usize) -> bool {
+        if self.alone.contains(&i) || self.without_store.contains(&i) {
+            return false;
+        }
+        !self.store.out && (!self.cut || self.nodes[i].region == self.nodes[0].region)
+    }
+
+    /// Moves the bound to now, under the highest limits that any instance has.
+    fn measure(&mut self) {
+        let limits = self.nodes.iter().filter(|n| n.up);
+        let entries = limits.filter_map(|n| n.config.accounts.get(&self.account));
+        let (rate, burst) = entries.fold((0, 0), |(rate, burst), e| {
+            (rate.max(e.rate), burst.max(e.burst))
+        });
+        self.bound.advance(self.now, rate, burst);
+    }
+
+    fn spend(&mut self, tokens: u64) {
+        self.measure();
+        self.bound.level -= i128::from(tokens) * NANOS as i128;
+        self.outcome.spent += tokens;
+        let over = (-self.bound.level).max(0).div_ceil_tokens();
+        self.outcome.overshoot = self.outcome.overshoot.max(over);
+    }
+
+    /// Charges the account at an instance, which asks the others if need be.
+    /// Of the tokens `used` are used in the end.
+    pub fn request(&mut self, i: usize, tokens: u64, used: u64) -> bool {
+        if !self.runs(i) {
+            return false;
+        }
+        let now = self.clock(i);
+        if self.flaw == Flaw::TrustsLease {
+            let until = now + Duration::from_secs(3600);
+            self.nodes[i].book.extend(Lease { until }, now);
+        }
+        let node = &mut self.nodes[i];
+        match node.book.take(&self.account, tokens, now) {
+            Ok(receipt) => {
+                let used = used.min(tokens);
+                node.charges.push(Charge { receipt, used });
+                self.outcome.taken += 1;
+                self.spend(used);
+                true
+            }
+            Err(short) => {
+                self.ask(i, short.missing);
+                false
+            }
+        }
+    }
+
+    /// Charges the account all that an instance holds of it.
+    pub fn drain(&mut self, i: usize) {
+        if !self.runs(i) {
+            return;
+        }
+        let level = self.nodes[i].book.level(&self.account, self.clock(i));
+        let tokens = (level / NANOS) as u64;
+        self.request(i, tokens, tokens);
+    }
+
+    /// Charges the account all that the running instances hold of it.
+    pub fn drain_all(&mut self) {
+        (0..self.len()).for_each(|i| self.drain(i));
+    }
+
+    /// Charges the account; whoever lacks tokens asks the others in turn, each
+    /// of which answers at once.
+    pub fn request_with_asks(&mut self, i: usize, tokens: u64, used: u64) -> bool {
+        if self.request(i, tokens, used) {
+            return true;
+        }
+        for to in (0..self.len()).filter(|to| *to != i) {
+            let now = self.clock(i);
+            let level = self.nodes[i].book.level(&self.account, now);
+            let missing = (u128::from(tokens) * NANOS).saturating_sub(level);
+            self.posts.clear();
+            self.ask_one(i, to, missing);
+            self.deliver(0, false, false);
+            self.deliver(0, false, false);
+            if self.request(i, tokens, used) {
+                self.posts.clear();
+                return true;
+            }
+        }
+        self.posts.clear();
+        self.outcome.refused += 1;
+        false
+    }
+
+    fn ask(&mut self, from: usize, missing: u128) {
+        for to in 0..self.len() {
+            if to != from {
+                self.ask_one(from, to, missing);
+            }
+        }
+    }
+
+    fn ask_one(&mut self, from: usize, to: usize, missing: u128) {
+        let now = self.clock(from);
+        let name = self.nodes[to].name.clone();
+        let node = &mut self.nodes[from];
+        let ask = node.book.ask(&self.account, &name, missing, now);
+        node.asked.insert(ask.id, now);
+        let message = Message::Ask(ask);
+        self.posts.push(Post { from, to, message });
+    }
+
+    /// Ends the oldest charge of an instance.
+    pub fn settle(&mut self, i: usize) {
+        if !self.runs(i) || self.nodes[i].charges.is_empty() {
+            return;
+        }
+        let now = self.clock(i);
+        let charge = self.nodes[i].charges.remove(0);
+        let book = &self.nodes[i].book;
+        book.settle(&self.account, &charge.receipt, charge.used, now);
+    }
+
+    /// Delivers the messages on their way, in their order, until there are none.
+    pub fn deliver_all(&mut self) {
+        while !self.posts.is_empty() {
+            let post = self.posts.remove(0);
+            if self.runs(post.to) && self.is_connected(post.from, post.to) {
+                self.receive(post);
+            }
+        }
+    }
+
+    /// Delivers one of the messages on their way, and keeps it if `again`.
+    pub fn deliver(&mut self, n: usize, again: bool, lose: bool) {
+        if self.posts.is_empty() {
+            return;
+        }
+        let n = n % self.posts.len();
+        let post = if again {
+            self.posts[n].clone()
+        } else {
+            self.posts.swap_remove(n)
+        };
+        if lose || !self.runs(post.to) || !self.is_connected(post.from, post.to) {
+            return;
+        }
+        self.receive(post);
+    }
+
+    fn receive(&mut self, post: Post) {
+        let Post { from, to, message } = post;
+        let now = self.clock(to);
+        let sender = self.nodes[from].name.clone();
+        match message {
+            Message::Ask(ask) => {
+                let Some(lend) = self.nodes[to].book.lend(&sender, &ask, now) else {
+                    return;
+                };
+                if self.flaw == Flaw::GiverKeeps {
+                    let back = Return {
+                        id: lend.id,
+                        account: lend.account.clone(),
+                        tokens: lend.tokens,
+                    };
+                    self.nodes[to].book.restore(&back, now);
+                }
+                let message = Message::Lend(lend);
+                self.posts.push(Post {
+                    from: to,
+                    to: from,
+                    message,
+                });
+            }
+            Message::Lend(lend) => self.accept(to, &sender, lend, now),
+            Message::Return(back) => {
+                self.nodes[to].book.restore(&back, now);
+            }
+        }
+    }
+
+    fn accept(&mut self, to: usize, sender: &Instance, mut lend: Lend, now: Duration) {
+        let node = &mut self.nodes[to];
+        let sent = node.asked.get(&lend.id).copied().unwrap_or(now);
+        if self.flaw == Flaw::CountsFromArrival {
+            lend.valid += now.saturating_sub(sent);
+        }
+        if node.book.accept(&lend, now) || self.flaw != Flaw::AppliesTwice {
+            return;
+        }
+        lend.id = node.book.ask(&self.account, sender, 0, now).id;
+        node.book.accept(&lend, now);
+    }
+
+    /// Lets every running instance do its periodic work. `faults` chooses what
+    /// becomes of the calls of the store.
+    pub fn round(&mut self, faults: u64) {
+        for i in 0..self.len() {
+            let fault = (faults >> (i * 8)) as u8;
+            self.tick(
+                i,
+                if faults == 0 {
+                    Call::Answered
+                } else {
+                    Call::of(fault)
+                },
+            );
+        }
+    }
+
+    /// Lets an instance do its periodic work.
+    pub fn tick(&mut self, i: usize, call: Call) {
+        if !self.runs(i) {
+            return;
+        }
+        let now = self.clock(i);
+        let node = &mut self.nodes[i];
+        node.keeper.check(&node.book, now);
+        let returns = node.book.sweep(now);
+        for (lender, back) in returns {
+            if let Some(to) = self.nodes.iter().position(|n| n.name == lender) {
+                let message = Message::Return(back);
+                self.posts.push(Post {
+                    from: i,
+                    to,
+                    message,
+                });
+            }
+        }
+        if self.reaches_store(i) && call != Call::Lost {
+            self.renew(i, call);
+            self.write(i, call);
+        } else {
+            self.vouch(i);
+        }
+    }
+
+    fn renew(&mut self, i: usize, call: Call) {
+        let sent = self.clock(i);
+        let until = self.now + RECORD_TTL;
+        let now = self.now;
+        self.store.records.retain(|_, end| *end > now);
+        let node = &mut self.nodes[i];
+        node.reached_store = Some(sent);
+        let holder = node.keeper.holder().clone();
+        let known = self.store.records.contains_key(&holder);
+        if node.keeper.is_recorded() && !known {
+            node.keeper.record_lost();
+        }
+        self.store.records.insert(holder, until);
+        if call != Call::Answered {
+            return;
+        }
+        if node.keeper.is_recorded() {
+            node.keeper.renewed(&node.book, sent, sent);
+        } else {
+            node.keeper.put(&node.book, sent, sent);
+        }
+    }
+
+    fn live(&self, i: usize) -> (Vec<Instance>, BTreeSet<Region>) {
+        let recorded = |n: &&Node| {
+            let names = self.store.records.keys();
+            names.into_iter().any(|h| h.instance == n.name)
+        };
+        let live: Vec<&Node> = self.nodes.iter().filter(recorded).collect();
+        let region = &self.nodes[i].region;
+        let roster = live.iter().filter(|n| n.region == *region);
+        (
+            roster.map(|n| n.name.clone()).collect(),
+            live.iter().map(|n| n.region.clone()).collect(),
+        )
+    }
+
+    fn lapsed(&mut self, i: usize, page: &Page) -> BTreeSet<Holder> {
+        let me = self.nodes[i].keeper.holder().clone();
+        let region = self.nodes[i].region.clone();
+        let mut others = page.others(&region, &me);
+        if self.flaw == Flaw::AnyRegion {
+            let holds = page.slots.values().flatten();
+            others.extend(holds.map(|h| h.holder.clone()).filter(|h| *h != me));
+        }
+        others.retain(|h| !self.store.records.contains_key(h));
+        let all: Vec<Holder> = others.into_iter().collect();
+        let free = |f: &mut Self, h: &Holder| f.is_released(i, h, page);
+        all.into_iter().filter(|h| free(self, h)).collect()
+    }
+
+    fn is_released(&mut self, i: usize, holder: &Holder, page: &Page) -> bool {
+        if matches!(self.flaw, Flaw::AsksNobody | Flaw::AnyRegion) {
+            return true;
+        }
+        let roster = page
+            .rosters
+            .get(&holder.instance)
+            .cloned()
+            .unwrap_or_default();
+        let mut released = 0;
+        for j in 0..self.len() {
+            if roster.contains(&self.nodes[j].name) && self.runs(j) && self.is_connected(i, j) {
+                let now = self.clock(j);
+                released += usize::from(self.nodes[j].witness.release(holder, now));
+            }
+        }
+        released >= quorum::blocking(roster.len())
+    }
+
+    fn write(&mut self, i: usize, call: Call) {
+        let (revision, page) = (self.store.revision, self.store.page.clone());
+        let lapsed = self.lapsed(i, &page);
+        let (roster, regions) = self.live(i);
+        let now = self.clock(i);
+        let node = &mut self.nodes[i];
+        let me = node.keeper.holder().clone();
+        let mut region = node.region.clone();
+        let mut page = page;
+        if self.flaw == Flaw::AnyRegion {
+            region = node.region.clone();
+            for holds in page.slots.values_mut() {
+                holds.retain(|h| !lapsed.contains(&h.holder));
+            }
+        }
+        let view = View {
+            me: &me,
+            region: &region,
+            roster: &roster,
+            regions: &regions,
+            lapsed: &lapsed,
+        };
+        let planned = if self.flaw == Flaw::RecordsFirst {
+            Some(page.plan(self.page, &view, |_, weight| weight))
+        } else {
+            node.keeper.plan(&node.book, self.page, &page, &view, now)
+        };
+        let Some(mut plan) = planned else {
+            return;
+        };
+        if self.flaw == Flaw::AdoptsRead {
+            for growth in &plan.growth {
+                let read = page.weight(growth.slot, &me);
+                node.book.grow(growth.slot, read, false, now);
+            }
+        }
+        if self.flaw == Flaw::StartsFull {
+            plan.growth.iter_mut().for_each(|g| g.first = true);
+        }
+        if !plan.write {
+            return;
+        }
+        if call == Call::Late {
+            self.store.late.push((revision, plan.page));
+            return;
+        }
+        if self.store.revision == revision {
+            self.store.revision += 1;
+            self.store.page = plan.page.clone();
+            if call == Call::Answered {
+                node.keeper.written(&node.book, self.page, &plan, now);
+            }
+        }
+    }
+
+    /// Lets a late write of the ledger arrive.
+    pub fn arrive(&mut self) {
+        if self.store.late.is_empty() {
+            return;
+        }
+        let (expected, page) = self.store.late.remove(0);
+        if expected == self.store.revision {
+            self.store.revision += 1;
+            self.store.page = page;
+        }
+    }
+
+    fn vouch(&mut self, i: usize) {
+        let sent = self.clock(i);
+        let node = &self.nodes[i];
+        let holder = node.keeper.holder().clone();
+        let rosters = &self.store.page.rosters;
+        let roster = rosters.get(&node.name).cloned().unwrap_or_default();
+        let mut vouches = 0;
+        for j in 0..self.len() {
+            if roster.contains(&self.nodes[j].name) && self.runs(j) && self.is_connected(i, j) {
+                let now = self.clock(j);
+                let recent = Duration::from_secs(3);
+                let reaches = self.nodes[j]
+                    .reached_store
+                    .is_some_and(|at| at + recent > now);
+                let node = &mut self.nodes[j];
+                vouches += usize::from(node.witness.vouch(&holder, reaches, now));
+            }
+        }
+        if self.flaw == Flaw::VouchesForItself {
+            vouches = roster.len();
+        }
+        let node = &self.nodes[i];
+        node.keeper
+            .vouched(&node.book, sent, vouches, roster.len(), sent);
+    }
+
+    /// Freezes an instance, or lets it go on.
+    pub fn freeze(&mut self, i: usize, frozen: bool) {
+        self.nodes[i].frozen = frozen;
+    }
+
+    /// Kills an instance and starts it again under its name.
+    pub fn restart(&mut self, i: usize) {
+        self.measure();
+        let node = &self.nodes[i];
+        let (name, region, drift) = (node.name.clone(), node.region.clone(), node.drift);
+        self.nodes[i] = self.node(name, region, drift);
+    }
+
+    /// Kills an instance for good.
+    pub fn kill(&mut self, i: usize) {
+        self.measure();
+        self.nodes[i].up = false;
+    }
+
+    /// Takes the store away, or gives it back.
+    pub fn store_out(&mut self, out: bool) {
+        self.store.out = out;
+    }
+
+    /// Cuts the regions from each other, or joins them.
+    pub fn cut(&mut self, cut: bool) {
+        self.cut = cut;
+    }
+
+    /// Cuts an instance off from everything, or joins it.
+    pub fn alone(&mut self, i: usize, alone: bool) {
+        if alone {
+            self.alone.insert(i);
+        } else {
+            self.alone.remove(&i);
+        }
+    }
+
+    /// Cuts an instance off from the store only, or joins it.
+    pub fn without_store(&mut self, i: usize, without: bool) {
+        if without {
+            self.without_store.insert(i);
+        } else {
+            self.without_store.remove(&i);
+        }
+    }
+
+    /// Accepts another limit.
+    pub fn limit(&mut self, rate: u64, burst: u64) {
+        self.config = config(&self.account, self.config.version + 1, rate, burst);
+    }
+
+    /// Puts the newest limit in force at an instance.
+    pub fn configure(&mut self, i: usize) {
+        if !self.runs(i) {
+            return;
+        }
+        self.measure();
+        let now = self.clock(i);
+        let config = Arc::clone(&self.config);
+        let node = &mut self.nodes[i];
+        node.book.configure(&config, now);
+        node.config = config;
+        self.measure();
+    }
+
+    /// Returns the tokens that all running instances hold.
+    pub fn held(&self) -> u64 {
+        let running = (0..self.len()).filter(|i| self.runs(*i));
+        let level = |i: usize| self.nodes[i].book.level(&self.account, self.clock(i));
+        (running.map(level).sum::<u128>() / NANOS) as u64
+    }
+}
+
+trait Tokens {
+    fn div_ceil_tokens(self) -> u64;
+}
+
+impl Tokens for i128 {
+    fn div_ceil_tokens(self) -> u64 {
+        let nanos = self.unsigned_abs();
+        u64::try_from(nanos.div_ceil(NANOS)).unwrap_or(u64::MAX)
+    }
+}
