--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -17,6 +17,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
+use crate::keys;
 use crate::members;
 use crate::relay::Source;
 use crate::serve::Serve;
@@ -49,10 +50,19 @@
         let head = async {
             let mut answer = link.forward(self.cx.events.latest(), message).await?;
             let frame = answer.next().await?;
+            self.cx.events.observe(answer.stamp());
             Ok::<_, chiverelay_sibling::Error>((answer, frame))
         };
         let left = req.head().deadline.saturating_sub(self.cx.clock.now());
-        match tokio::time::timeout(left, head).await {
+        let under = keys::enter(&self.cx, req.key());
+        let head = tokio::select! {
+            head = tokio::time::timeout(left, head) => head,
+            () = under.withdrawn() => {
+                record("cut: the key was withdrawn");
+                return Err(req.refuse_unknown(Code::Unauthenticated, Step::Authenticate));
+            }
+        };
+        match head {
             Err(_) => Err(req.refuse_unknown(Code::DeadlineExceeded, Step::Forward)),
             Ok(Err(e)) => {
                 log::warn!("serve: {id}: {e}");
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -10,6 +10,9 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Placement;
+use chiverelay_decisions::gateway::Turn;
+use chiverelay_decisions::keys::Shown;
+use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
@@ -30,10 +33,12 @@
 
 use crate::dispatch;
 use crate::dispatch::Attempt;
+use crate::keys;
 use crate::relay;
 use crate::relay::Sink;
 use crate::relay::Source;
 use crate::serve::Serve;
+use crate::wait;
 
 /// Attempts at a request before it is refused.
 const ATTEMPTS: usize = 4;
@@ -45,17 +50,24 @@
     pub(crate) async fn relayed(&self, inbound: Inbound) -> Reply {
         let id = RequestId::from(Uuid::now_v7().to_string());
         self.cx.metrics.request();
+        let key = inbound.key.clone();
         let mut reply = match self.answer(&id, inbound).await {
             Ok(reply) => reply,
             Err(refusal) => {
                 self.cx.metrics.refusal(&refusal);
+                let account = self.account(key.as_ref());
                 let what = format!(
                     "refused: {}, {}",
                     refusal.code.as_str(),
                     refusal.outcome.as_str()
                 );
-                self.cx
-                    .record(&id, None, refusal.step, refusal.peer.clone(), what);
+                self.cx.record(
+                    &id,
+                    account.as_ref(),
+                    refusal.step,
+                    refusal.peer.clone(),
+                    what,
+                );
                 Reply::refusal(&refusal)
             }
         };
@@ -75,7 +87,7 @@
             model: inbound.model,
             prompt_tokens: inbound.prompt_tokens,
             max_answer_tokens: inbound.max_answer_tokens,
-            prefix: Vec::new(),
+            prefix: inbound.prefix,
         };
         let out = Outbound {
             method: inbound.method,
@@ -98,6 +110,12 @@
         reply
     }
 
+    fn account(&self, key: Option<&Shown>) -> Option<Account> {
+        let config = self.cx.tables.config.get();
+        let (_, account) = config.authenticate(key?)?;
+        Some(account.clone())
+    }
+
     fn refund(&self, grant: &chiverelay_decisions::request::Grant, refusal: &Refusal) {
         if refusal.outcome == chiverelay_decisions::refusal::Outcome::NotRun {
             gateway::settle(&self.cx.tables, grant, 0, self.cx.clock.now());
@@ -108,7 +126,7 @@
         &self,
         head: Head,
         path: String,
-        key: Option<String>,
+        key: Option<Shown>,
     ) -> Result<Request<Admitted, Direct>, Refusal> {
         let now = self.cx.clock.now();
         let by = key.clone().unwrap_or_default();
@@ -134,13 +152,22 @@
         mut req: Request<Admitted, Direct>,
         out: Outbound,
     ) -> Result<Reply, Refusal> {
-        for _ in 0..ATTEMPTS {
+        let mut turn = Turn::New;
+        let mut attempts = 0;
+        while attempts < ATTEMPTS {
             let here = &self.cx.settings.region;
-            let placement = gateway::place(&self.cx.tables, req, here, self.cx.clock.now())?;
-            req = match placement {
+            let now = self.cx.clock.now();
+            req = match gateway::place(&self.cx.tables, req, here, turn, now)? {
+                Placement::Wait(req) => {
+                    turn = Turn::Woken;
+                    wait::slot(&self.cx, req).await?
+                }
                 Placement::Here(placed) => match dispatch::attempt(&self.cx, placed, &out).await {
                     Attempt::Answer(req, answer) => return Ok(self.reply(req, answer)),
-                    Attempt::Again(req) => req,
+                    Attempt::Again(req) => {
+                        (turn, attempts) = (Turn::New, attempts + 1);
+                        req
+                    }
                     Attempt::Refused(refusal) => return Err(refusal),
                 },
                 Placement::Away(away) => return self.forward(away, out).await,
@@ -172,6 +199,7 @@
     ) -> Reply {
         let (tx, body) = chiverelay_caller::channel();
         let cx = Arc::clone(&self.cx);
+        let under = keys::enter(&self.cx, req.key());
         self.cx.requests.spawn(async move {
             let head = Arc::clone(req.head());
             let grant = Arc::clone(req.grant());
@@ -183,6 +211,7 @@
                 head.deadline,
                 source,
                 sink,
+                &under,
             )
             .await;
             let peer = req.peer().clone();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,19 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
+mod configuration;
+mod cuts;
+mod health;
+mod keys;
 mod limits;
+mod membership;
 mod path;
+mod placement;
+mod queue;
+mod registry;
+mod residency;
+mod settings;
+mod store;
 mod tables;
+mod timeline;
+mod tool;
