--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod health;
 mod keys;
+mod limits;
 mod membership;
 mod once;
 mod path;
