Feed membership from the roster, and find siblings without the store

The daemon listed the store each second, sent heartbeats to everyone and wrote a record on a lease that nobody checked; with the store out a new instance knew nobody.

Heartbeats now carry the roster's digest; the tables of members and siblings are brought in line with the roster. The record hangs on a lease of 30 s (setting `lease-seconds`), renewed three times in that span; an instance that finds it lapsed starts a new incarnation before it says anything else. The store is listed once a minute, each second while nobody is heard. With the setting `registry` an instance registers in the directory for clients, learns of others from the platform's list, and gives no new work to what that list calls leaving. On a graceful stop the siblings are told, and record and registration removed. A word on its speaker that disagrees with the certificate is refused.

--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use chiverelay_decisions::event::Entry;
@@ -17,6 +16,7 @@
 use chiverelay_decisions::tables::Ranked;
 use chiverelay_decisions::tables::Recent;
 use chiverelay_decisions::tables::Sharded;
+use chiverelay_registry::Registry;
 use chiverelay_sibling as sibling;
 use chiverelay_store::Store;
 use chiverelay_target::Client;
@@ -27,6 +27,7 @@
 use crate::keys::Running;
 use crate::members::Addresses;
 use crate::members::Member;
+use crate::members::Membership;
 use crate::metrics::Metrics;
 use crate::publish::Published;
 use crate::settings::Settings;
@@ -41,6 +42,9 @@
 /// Time for a call of the store.
 const STORE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time for a call of the registry.
+const REGISTRY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// What the parts of the daemon share.
 ///
 /// # Invariants
@@ -78,9 +82,10 @@
     /// Whether this instance has had a word on the newest configuration from
     /// the store or a sibling; before it takes no work.
     pub(crate) synced: AtomicBool,
-    /// Incarnation of this instance, raised by a new process and after a
-    /// lease lapsed.
-    pub(crate) incarnation: AtomicU64,
+    /// Who the instances are and which of them live.
+    pub(crate) membership: Membership,
+    /// The platform's list of instances and directory for clients.
+    pub(crate) registry: Option<Registry>,
     /// Links to siblings.
     pub(crate) links: Sharded<Instance, sibling::Link<sibling::Up>>,
     /// The other instances.
@@ -110,7 +115,6 @@
         );
         let clock = Clock::new();
         Ok(Self {
-            addresses,
             clock,
             tables,
             running: Arc::new(Running::new()),
@@ -127,12 +131,17 @@
             endpoint,
             published: Published::new(),
             synced: AtomicBool::new(false),
-            incarnation: AtomicU64::new(clock.wall().as_millis() as u64),
+            membership: Membership::new(&settings, &addresses, clock.wall()),
+            registry: settings
+                .registry
+                .as_ref()
+                .map(|r| Registry::new(r.address, REGISTRY_TIMEOUT)),
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
             drain: CancellationToken::new(),
             stop,
             requests: TaskTracker::new(),
+            addresses,
             settings,
         })
     }
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -1,42 +1,40 @@
-//! The other instances: who they are, and signs of life between them.
+//! The other instances: who they are, which of them live, and links to them.
 
+mod discover;
+mod heartbeat;
+mod record;
+
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Sibling;
+use chiverelay_decisions::membership;
+use chiverelay_decisions::membership::Profile;
+use chiverelay_decisions::membership::Roster;
+use chiverelay_decisions::membership::Status;
 use chiverelay_decisions::names::Instance;
-use chiverelay_decisions::names::Region;
-use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Ranked;
 use chiverelay_sibling as sibling;
-use chiverelay_sibling::Heartbeat;
 use chiverelay_sibling::Link;
-use chiverelay_sibling::Message;
 use chiverelay_sibling::Up;
-use chiverelay_store::Held;
-use chiverelay_store::Lease;
-use chiverelay_store::Renewal;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 
 use crate::context::Context;
-use crate::keys;
-
-/// Prefix of the keys that hold the instances' records.
-const PREFIX: &str = "chiverelay/instances/";
+use crate::settings::Settings;
 
-/// Time after which a record of a dead instance is gone.
-const LEASE: Duration = Duration::from_secs(10);
+pub(crate) use heartbeat::answer;
+pub(crate) use heartbeat::leave;
 
-/// Time between two signs of life.
+/// Time between two rounds of heartbeats.
 const INTERVAL: Duration = Duration::from_secs(1);
 
-/// A sibling that was not heard for so long takes no new work.
-pub(crate) const SILENCE: Duration = Duration::from_secs(3);
-
 /// The addresses that an instance listens on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -51,105 +49,167 @@
     pub(crate) listening: SocketAddr,
 }
 
-/// An instance's record in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+/// An instance that is not known to be dead.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Member {
     /// Name.
     pub(crate) instance: Instance,
-    /// Region.
-    pub(crate) region: Region,
-    /// Availability zone.
-    pub(crate) zone: Zone,
-    /// Addresses.
-    pub(crate) addresses: Addresses,
+    /// Where it is.
+    pub(crate) profile: Profile,
     /// Configuration version, as last heard.
-    #[serde(default)]
     pub(crate) config_version: u64,
 }
 
-/// Keeps the record and the links until the instance stops.
+/// What this instance knows of membership.
+///
+/// # Invariants
+///
+/// The locks here are of one rank and never held together.
+#[derive(Debug)]
+pub(crate) struct Membership {
+    roster: Ranked<Roster>,
+    /// Instances that the registry lists as leaving.
+    leaving: Ranked<HashSet<Instance>>,
+    /// When the lease of the record lapses, in milliseconds on the clock; 0
+    /// without a lease.
+    lease_until: AtomicU64,
+}
+
+impl Membership {
+    /// Starts with this instance alone.
+    pub(crate) fn new(settings: &Settings, addresses: &Addresses, wall: Duration) -> Self {
+        let profile = Profile {
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            caller: addresses.caller,
+            operator: addresses.operator,
+            sibling: addresses.sibling,
+        };
+        let incarnation = wall.as_millis() as u64;
+        let roster = Roster::new(settings.instance.clone(), incarnation, profile);
+        Self {
+            roster: Ranked::new(Rank::Members, roster),
+            leaving: Ranked::new(Rank::Members, HashSet::new()),
+            lease_until: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the incarnation of this instance.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.roster.lock().own().incarnation
+    }
+}
+
+/// Keeps the record and the roster until the instance stops.
 pub(crate) async fn run(cx: Arc<Context>) {
-    let mut lease = None;
+    tokio::spawn(record::run(Arc::clone(&cx)));
+    tokio::spawn(discover::run(Arc::clone(&cx)));
+    tokio::spawn(discover::follow_registry(Arc::clone(&cx)));
+    let mut rounds = tokio::time::interval(INTERVAL);
+    // A round that waited for answers is not made up for.
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        if !cx.drain.is_cancelled() {
-            lease = renew(&cx, lease).await;
-        }
-        refresh(&cx).await;
-        beat(&cx).await;
-        cx.metrics.queue_depth(cx.pool.waiting());
-        cx.metrics.store_calls(cx.store.gate().calls());
-        cx.store.gate().set_fleet(cx.members.len() as u32 + 1);
         tokio::select! {
             () = cx.stop.cancelled() => return,
-            () = tokio::time::sleep(INTERVAL) => {}
+            _ = rounds.tick() => {}
         }
+        record::check(&cx);
+        let now = cx.clock.now();
+        cx.membership.roster.lock().tick(now);
+        heartbeat::round(&cx).await;
+        cx.metrics.queue_depth(cx.pool.waiting());
+        cx.metrics.store_calls(cx.store.gate().calls());
     }
 }
 
-fn key(instance: &Instance) -> String {
-    format!("{PREFIX}{instance}")
+/// Sets the own status and version in the roster.
+fn refresh_own(cx: &Context) {
+    let version = cx.tables.config.get().version;
+    let status = if cx.drain.is_cancelled() {
+        Status::Leaving
+    } else if cx.synced.load(Ordering::Acquire) {
+        Status::Serving
+    } else {
+        Status::Starting
+    };
+    cx.membership.roster.lock().set_own(status, version);
 }
 
-fn own(cx: &Context) -> Member {
-    Member {
-        instance: cx.settings.instance.clone(),
-        region: cx.settings.region.clone(),
-        zone: cx.settings.zone.clone(),
-        addresses: cx.addresses.clone(),
-        config_version: 0,
-    }
+/// An instance as the tables are to have it.
+struct Row {
+    member: Member,
+    dead: bool,
+    reached: bool,
+    serving: bool,
 }
 
-async fn renew(cx: &Context, lease: Option<Lease<Held>>) -> Option<Lease<Held>> {
-    if let Some(lease) = lease {
-        match lease.renew(&cx.store).await {
-            Renewal::Held(lease) => return Some(lease),
-            Renewal::Unanswered(lease, e) => {
-                log::warn!("members: {e}");
-                return Some(lease);
-            }
-            Renewal::Lapsed(_) => log::warn!("members: the lease lapsed"),
-        }
+fn row(roster: &Roster, name: &Instance, known: &membership::Member, now: Duration) -> Row {
+    Row {
+        member: Member {
+            instance: name.clone(),
+            profile: known.profile.clone(),
+            config_version: known.config_version,
+        },
+        dead: known.status == Status::Dead,
+        reached: roster.is_reached(known, now),
+        serving: roster.is_live(known, now),
     }
-    match record(cx).await {
-        Ok(lease) => Some(lease),
-        Err(e) => {
-            log::warn!("members: {e}");
-            None
-        }
+}
+
+/// Brings the tables in line with the roster.
+fn update_tables(cx: &Context) {
+    let now = cx.clock.now();
+    let roster = cx.membership.roster.lock();
+    let members = roster.members().iter();
+    let rows: Vec<_> = members
+        .map(|(name, known)| row(&roster, name, known, now))
+        .collect();
+    drop(roster);
+    let up = rows.iter().filter(|row| !row.dead).count();
+    cx.store.gate().set_fleet(up as u32 + 1);
+    for row in rows {
+        update_row(cx, row, now);
     }
 }
 
-async fn record(cx: &Context) -> Result<Lease<Held>, chiverelay_store::Error> {
-    let lease = cx.store.grant_lease(LEASE).await?;
-    let key = key(&cx.settings.instance);
-    let value = serde_json::to_vec(&own(cx)).unwrap_or_default();
-    let expected = cx.store.get(&key).await?.map_or(0, |e| e.revision);
-    cx.store.swap(&key, expected, &value, Some(&lease)).await?;
-    Ok(lease)
+/// Brings the tables in line with what the roster has of one instance.
+fn update_one(cx: &Context, name: &Instance) {
+    let now = cx.clock.now();
+    let roster = cx.membership.roster.lock();
+    let known = roster.members().get(name);
+    let row = known.map(|known| row(&roster, name, known, now));
+    drop(roster);
+    if let Some(row) = row {
+        update_row(cx, row, now);
+    }
 }
 
-async fn refresh(cx: &Context) {
-    let Ok(entries) = cx.store.list(PREFIX).await else {
+fn update_row(cx: &Context, row: Row, now: Duration) {
+    let name = row.member.instance.clone();
+    let serving = row.serving && !cx.membership.leaving.lock().contains(&name);
+    if row.reached {
+        let make = || Sibling {
+            region: row.member.profile.region.clone(),
+            heard: now,
+            serving,
+            summaries: Vec::new(),
+        };
+        cx.tables.siblings.with_or(&name, make, |sibling| {
+            sibling.heard = now;
+            sibling.serving = serving;
+        });
+    } else {
+        cx.tables.siblings.remove(&name);
+    }
+    if !row.dead {
+        cx.members.insert(name, row.member);
         return;
-    };
-    let members: Vec<Member> = entries
-        .iter()
-        .filter_map(|e| serde_json::from_slice(&e.value).ok())
-        .filter(|m: &Member| m.instance != cx.settings.instance)
-        .collect();
-    cx.members
-        .retain(|name, _| members.iter().any(|m| m.instance == *name));
-    for member in members {
-        let name = member.instance.clone();
-        cx.members.with_or(
-            &name,
-            || member.clone(),
-            |m| {
-                m.addresses = member.addresses.clone();
-            },
-        );
+    }
+    if cx.members.remove(&name).is_some() {
+        log::info!("members: {name} is dead");
+    }
+    if let Some(link) = cx.links.remove(&name) {
+        link.close();
     }
 }
 
@@ -161,8 +221,8 @@
     {
         return Ok(link);
     }
-    let member = cx.members.with(instance, |m| m.cloned());
-    let Some(member) = member else {
+    let profile = cx.members.with(instance, |m| m.map(|m| m.profile.clone()));
+    let Some(profile) = profile else {
         return Err(sibling::Error::Connect {
             instance: instance.clone(),
             reason: "no such instance".to_owned(),
@@ -170,73 +230,8 @@
     };
     let link = cx
         .endpoint
-        .connect(instance, &member.region, member.addresses.sibling)
+        .connect(instance, &profile.region, profile.sibling)
         .await?;
     cx.links.insert(instance.clone(), link.clone());
     Ok(link)
 }
-
-async fn beat(cx: &Arc<Context>) {
-    let mut members = Vec::new();
-    cx.members.for_each(|_, m| members.push(m.clone()));
-    let mut beats = JoinSet::new();
-    for member in members {
-        let cx = Arc::clone(cx);
-        beats.spawn(async move { beat_one(&cx, &member).await });
-    }
-    beats.join_all().await;
-}
-
-async fn beat_one(cx: &Arc<Context>, member: &Member) {
-    let message = Message::Heartbeat(heartbeat(cx));
-    let asked = async {
-        let link = link(cx, &member.instance).await?;
-        link.ask(cx.events.latest(), message).await
-    };
-    match tokio::time::timeout(SILENCE, asked).await {
-        Ok(Ok(reply)) => {
-            cx.events.observe(reply.stamp);
-            if let Message::Heartbeat(beat) = reply.message {
-                hear(cx, &member.instance, &member.region, &beat);
-            }
-        }
-        Ok(Err(e)) => log::debug!("members: {e}"),
-        Err(_) => log::debug!("members: {} is silent", member.instance),
-    }
-    let now = cx.clock.now();
-    cx.tables.siblings.retain(|_, s| s.heard + SILENCE > now);
-}
-
-/// Returns this instance's sign of life.
-pub(crate) fn heartbeat(cx: &Context) -> Heartbeat {
-    // The lock must be gone before the summaries take theirs.
-    let withdrawn = cx.tables.withdrawn.lock().digest();
-    Heartbeat {
-        serving: !cx.drain.is_cancelled() && cx.synced.load(Ordering::Acquire),
-        config_version: cx.tables.config.get().version,
-        withdrawn,
-        summaries: gateway::summaries(&cx.tables, &cx.settings.region, cx.clock.now()),
-    }
-}
-
-/// Takes note of a sibling's sign of life.
-pub(crate) fn hear(cx: &Arc<Context>, instance: &Instance, region: &Region, beat: &Heartbeat) {
-    let sibling = Sibling {
-        region: region.clone(),
-        heard: cx.clock.now(),
-        serving: beat.serving,
-        summaries: beat.summaries.clone(),
-    };
-    cx.tables.siblings.insert(instance.clone(), sibling);
-    keys::compare(cx, instance, beat.withdrawn);
-    cx.members.with(instance, |m| {
-        if let Some(m) = m {
-            m.config_version = beat.config_version;
-        }
-    });
-}
-
-/// Takes this instance's record out of the store and tells the siblings.
-pub(crate) async fn leave(cx: &Arc<Context>) {
-    beat(cx).await;
-}
--- /dev/null
+++ b/crates/chiverelayd/src/members/heartbeat.rs
@@ -0,0 +1,135 @@
+//! Heartbeats between instances.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::gateway;
+use chiverelay_decisions::membership::Digest;
+use chiverelay_decisions::names::Instance;
+use chiverelay_sibling as sibling;
+use chiverelay_sibling::Heartbeat;
+use chiverelay_sibling::Identity;
+use chiverelay_sibling::Message;
+use tokio::task::JoinSet;
+
+use super::link;
+use super::record;
+use super::refresh_own;
+use super::update_one;
+use super::update_tables;
+use crate::context::Context;
+use crate::keys;
+
+/// Time for the answer to a heartbeat.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Sends this round's heartbeats and waits for their answers.
+pub(super) async fn round(cx: &Arc<Context>) {
+    refresh_own(cx);
+    update_tables(cx);
+    let now = cx.clock.now();
+    let peers = cx.membership.roster.lock().peers(now);
+    let mut beats = JoinSet::new();
+    for peer in peers {
+        let cx = Arc::clone(cx);
+        beats.spawn(async move { beat(&cx, &peer).await });
+    }
+    beats.join_all().await;
+}
+
+async fn beat(cx: &Arc<Context>, peer: &Instance) {
+    let now = cx.clock.now();
+    let digest = cx.membership.roster.lock().beat(peer, now);
+    let message = Message::Heartbeat(heartbeat(cx, digest));
+    let asked = async {
+        let link = link(cx, peer).await?;
+        let reply = link.ask(cx.events.latest(), message).await?;
+        Ok::<_, sibling::Error>((link.peer().clone(), reply))
+    };
+    match tokio::time::timeout(TIMEOUT, asked).await {
+        Ok(Ok((from, reply))) => {
+            cx.events.observe(reply.stamp);
+            if let Message::Heartbeat(beat) = reply.message {
+                hear(cx, &from, &beat);
+            }
+        }
+        Ok(Err(e)) => miss(cx, peer, &e.to_string()),
+        Err(_) => miss(cx, peer, "no answer in time"),
+    }
+}
+
+fn miss(cx: &Context, peer: &Instance, reason: &str) {
+    log::debug!("members: {peer}: {reason}");
+    let now = cx.clock.now();
+    cx.membership.roster.lock().miss(peer, now);
+    update_one(cx, peer);
+}
+
+fn heartbeat(cx: &Context, digest: Digest) -> Heartbeat {
+    // The lock must be gone before the summaries take theirs.
+    let withdrawn = cx.tables.withdrawn.lock().digest();
+    Heartbeat {
+        digest,
+        withdrawn,
+        summaries: gateway::summaries(&cx.tables, &cx.settings.region, cx.clock.now()),
+    }
+}
+
+/// Takes note of a sibling's heartbeat and returns the answer to it.
+pub(crate) fn answer(cx: &Arc<Context>, from: &Identity, beat: &Heartbeat) -> Heartbeat {
+    record::check(cx);
+    hear(cx, from, beat);
+    refresh_own(cx);
+    let now = cx.clock.now();
+    let digest = {
+        let mut roster = cx.membership.roster.lock();
+        roster.reply(&from.instance, &beat.digest, now)
+    };
+    heartbeat(cx, digest)
+}
+
+/// Tells whether a digest's word on its speaker agrees with the certificate.
+fn agrees(from: &Identity, digest: &Digest) -> bool {
+    let own = digest.words.first();
+    own.is_some_and(|word| {
+        let profile = word.profile.as_ref();
+        word.instance == from.instance && profile.is_some_and(|p| p.region == from.region)
+    })
+}
+
+fn hear(cx: &Arc<Context>, from: &Identity, beat: &Heartbeat) {
+    let name = &from.instance;
+    if !agrees(from, &beat.digest) {
+        log::warn!("members: {name}: the digest is not its own");
+        return;
+    }
+    let now = cx.clock.now();
+    cx.membership
+        .roster
+        .lock()
+        .hear(Some(name), &beat.digest, now);
+    match beat.digest.words.len() {
+        1 => update_one(cx, name),
+        _ => update_tables(cx),
+    }
+    cx.tables.siblings.with(name, |sibling| {
+        if let Some(sibling) = sibling {
+            sibling.summaries = beat.summaries.clone();
+        }
+    });
+    keys::compare(cx, name, beat.withdrawn);
+}
+
+/// Tells siblings, the store and the registry that this instance leaves.
+pub(crate) async fn leave(cx: &Arc<Context>) {
+    let told = round(cx);
+    let removed = record::remove(cx);
+    let deregistered = async {
+        if let Some(registry) = &cx.registry
+            && let Err(e) = registry.deregister(&cx.settings.instance).await
+        {
+            log::warn!("members: {e}");
+        }
+    };
+    tokio::join!(told, removed, deregistered);
+}
--- a/crates/chiverelayd/src/operate.rs
+++ b/crates/chiverelayd/src/operate.rs
@@ -156,9 +156,9 @@
         self.cx.members.for_each(|_, m| {
             siblings.push(InstanceStatus {
                 instance: m.instance.clone(),
-                region: m.region.clone(),
-                zone: m.zone.clone(),
-                operator: m.addresses.operator,
+                region: m.profile.region.clone(),
+                zone: m.profile.zone.clone(),
+                operator: m.profile.operator,
                 state: String::new(),
                 config_version: m.config_version,
             });
--- a/crates/chiverelayd/src/publish/change.rs
+++ b/crates/chiverelayd/src/publish/change.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use chiverelay_decisions::Config;
 use chiverelay_decisions::publication::Chunk;
@@ -62,7 +61,7 @@
     check(&config)?;
     let chunks = split(&config).map_err(faulty)?;
     let writer = Writer {
-        incarnation: cx.incarnation.load(Ordering::Acquire),
+        incarnation: cx.membership.incarnation(),
         nonce: rand::random(),
     };
     let plan = stored
--- a/crates/chiverelayd/src/publish/keep.rs
+++ b/crates/chiverelayd/src/publish/keep.rs
@@ -213,7 +213,7 @@
             heard.push(Heard {
                 instance: name.clone(),
                 version: member.config_version,
-                near: member.region == cx.settings.region,
+                near: member.profile.region == cx.settings.region,
             });
         });
         heard.retain(|h| cx.tables.siblings.with(&h.instance, |s| s.is_some()));
--- a/crates/chiverelayd/src/serve.rs
+++ b/crates/chiverelayd/src/serve.rs
@@ -36,7 +36,7 @@
                 .siblings
                 .with(name, |s| s.is_some_and(|s| s.serving))
             {
-                list.push(json!({"instance": name, "address": m.addresses.caller}));
+                list.push(json!({"instance": name, "address": m.profile.caller}));
             }
         });
         let body = json!({"ttl_ms": 5000, "instances": list});
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -57,6 +57,8 @@
     pub(crate) sibling: SiblingSettings,
     /// The store.
     pub(crate) store: StoreSettings,
+    /// The platform's list of instances and directory for clients.
+    pub(crate) registry: Option<RegistrySettings>,
     /// Address of a StatsD server.
     pub(crate) metrics: Option<SocketAddr>,
     /// Workers over the shared tables.
@@ -132,6 +134,15 @@
     pub(crate) reads_per_second: Option<u32>,
     /// Writes a second that it takes from all instances.
     pub(crate) writes_per_second: Option<u32>,
+    /// Time to live of this instance's lease, in seconds.
+    pub(crate) lease_seconds: usize,
+}
+
+/// The platform's list of instances and directory for clients.
+#[derive(Clone, Debug)]
+pub(crate) struct RegistrySettings {
+    /// Its address.
+    pub(crate) address: SocketAddr,
 }
 
 impl StoreSettings {
@@ -153,6 +164,7 @@
     operator,
     sibling,
     store,
+    registry = None,
     metrics = None,
     workers = 4 => at_least_one,
     threads = 4 => at_least_one,
@@ -189,8 +201,11 @@
     address,
     reads_per_second = None,
     writes_per_second = None,
+    lease_seconds = 30 => at_least_one,
 });
 
+read_struct!(RegistrySettings { address });
+
 fn at_least_one(n: &usize) -> Result<(), String> {
     match n {
         0 => Err("the value is at least 1".to_owned()),
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -181,10 +181,7 @@
     async fn control(&self, from: &Identity, stamp: Stamp, message: Message) -> Envelope {
         self.cx.events.observe(stamp);
         let message = match message {
-            Message::Heartbeat(beat) => {
-                members::hear(&self.cx, &from.instance, &from.region, &beat);
-                Message::Heartbeat(members::heartbeat(&self.cx))
-            }
+            Message::Heartbeat(beat) => Message::Heartbeat(members::answer(&self.cx, from, &beat)),
             Message::Withdrawn(ids) => {
                 let peer = Peer::Sibling(from.instance.clone());
                 keys::learn(&self.cx, ids, &peer);
--- a/crates/decisions/src/membership/roster.rs
+++ b/crates/decisions/src/membership/roster.rs
@@ -27,7 +27,7 @@
 const FAR_NEWS: Duration = Duration::from_secs(30);
 
 /// A gap between two ticks by which the own process was paused.
-const PAUSE: Duration = Duration::from_secs(2);
+const PAUSE: Duration = Duration::from_secs(4);
 
 /// Words on changes in a digest that is not of all instances.
 pub const MAX_NEWS: usize = 16;
--- a/crates/registry/src/api.rs
+++ b/crates/registry/src/api.rs
@@ -22,6 +22,24 @@
     pub address: String,
     /// Port.
     pub port: u16,
+    /// What else the instance says of itself.
+    pub meta: Meta,
+}
+
+/// What an instance says of itself beyond its address for clients.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Meta {
+    /// Incarnation, as a number.
+    pub incarnation: String,
+    /// Region.
+    pub region: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for operators.
+    pub operator: String,
+    /// Address for siblings.
+    pub sibling: String,
 }
 
 /// An instance in `GET /v1/health/service/NAME`.
@@ -45,6 +63,8 @@
     pub address: String,
     /// Port.
     pub port: u16,
+    /// What else the instance says of itself.
+    pub meta: Meta,
 }
 
 /// A health check.
--- a/crates/registry/src/client.rs
+++ b/crates/registry/src/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chiverelay_decisions::membership::Profile;
 use chiverelay_decisions::names::Instance;
 use chiverelay_http::Client;
 use chiverelay_http::Response;
@@ -20,6 +21,10 @@
 pub struct Listed {
     /// Its name.
     pub instance: Instance,
+    /// Its incarnation, when it registered.
+    pub incarnation: u64,
+    /// Where it is, if it said so.
+    pub profile: Option<Profile>,
     /// Whether the platform says that it is leaving or dead.
     pub leaving: bool,
 }
@@ -31,6 +36,29 @@
     address: SocketAddr,
 }
 
+fn profile(service: &api::Service) -> Option<Profile> {
+    let meta = &service.meta;
+    let ip = service.address.parse().ok()?;
+    Some(Profile {
+        region: meta.region.as_str().into(),
+        zone: meta.zone.as_str().into(),
+        caller: SocketAddr::new(ip, service.port),
+        operator: meta.operator.parse().ok()?,
+        sibling: meta.sibling.parse().ok()?,
+    })
+}
+
+impl From<api::HealthEntry> for Listed {
+    fn from(entry: api::HealthEntry) -> Self {
+        Self {
+            incarnation: entry.service.meta.incarnation.parse().unwrap_or(0),
+            profile: profile(&entry.service),
+            leaving: entry.checks.iter().any(|c| c.status == api::CRITICAL),
+            instance: entry.service.id.into(),
+        }
+    }
+}
+
 fn accepted(resp: Response) -> Result<Response, Error> {
     if resp.status.is_success() {
         return Ok(resp);
@@ -61,11 +89,7 @@
             .send(Method::GET, self.address, &path, Bytes::new())
             .await?;
         let entries: Vec<api::HealthEntry> = accepted(resp)?.json()?;
-        let listed = |entry: api::HealthEntry| Listed {
-            instance: entry.service.id.into(),
-            leaving: entry.checks.iter().any(|c| c.status == api::CRITICAL),
-        };
-        Ok(entries.into_iter().map(listed).collect())
+        Ok(entries.into_iter().map(Listed::from).collect())
     }
 
     /// Puts this instance into the directory for clients.
@@ -73,12 +97,24 @@
     /// # Errors
     ///
     /// Fails if the registry gives no answer.
-    pub async fn register(&self, instance: &Instance, address: SocketAddr) -> Result<(), Error> {
+    pub async fn register(
+        &self,
+        instance: &Instance,
+        incarnation: u64,
+        profile: &Profile,
+    ) -> Result<(), Error> {
         let req = api::Registration {
             id: instance.to_string(),
             name: SERVICE.to_owned(),
-            address: address.ip().to_string(),
-            port: address.port(),
+            address: profile.caller.ip().to_string(),
+            port: profile.caller.port(),
+            meta: api::Meta {
+                incarnation: incarnation.to_string(),
+                region: profile.region.to_string(),
+                zone: profile.zone.to_string(),
+                operator: profile.operator.to_string(),
+                sibling: profile.sibling.to_string(),
+            },
         };
         let path = "/v1/agent/service/register";
         let resp = self
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -1,6 +1,7 @@
 //! What instances say to each other.
 
 use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::membership::Digest;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
@@ -51,10 +52,8 @@
 /// A sign of life and what siblings need to know of the sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// Whether the sender takes new work.
-    pub serving: bool,
-    /// The sender's configuration version.
-    pub config_version: u64,
+    /// What the sender knows of the instances, itself first.
+    pub digest: Digest,
     /// Digest of the withdrawals that are not durable yet.
     pub withdrawn: u64,
     /// What the sender's region has of each pool.
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -97,6 +97,7 @@
                 id: req.id.clone(),
                 address: req.address,
                 port: req.port,
+                meta: req.meta,
             },
             checks: vec![api::Check {
                 status: api::PASSING.to_owned(),
--- a/crates/store/src/swap.rs
+++ b/crates/store/src/swap.rs
@@ -69,7 +69,16 @@
     pub deletes: &'a [String],
 }
 
-fn delete(key: &String) -> api::RequestOp {
+fn compare(key: &str, expected: i64) -> api::Compare {
+    api::Compare {
+        key: api::encode(key.as_bytes()),
+        target: "MOD".to_owned(),
+        result: "EQUAL".to_owned(),
+        mod_revision: expected.to_string(),
+    }
+}
+
+fn delete(key: &str) -> api::RequestOp {
     api::RequestOp {
         request_delete_range: Some(api::DeleteRequest {
             key: api::encode(key.as_bytes()),
@@ -96,21 +105,16 @@
         let puts = self.puts.iter().map(|p| put(&p.key, &p.value, lease));
         let read = api::RequestOp {
             request_range: Some(api::RangeRequest {
-                key: key.clone(),
+                key,
                 range_end: String::new(),
             }),
             ..api::RequestOp::default()
         };
         api::TxnRequest {
-            compare: vec![api::Compare {
-                key,
-                target: "MOD".to_owned(),
-                result: "EQUAL".to_owned(),
-                mod_revision: self.expected.to_string(),
-            }],
+            compare: vec![compare(self.key, self.expected)],
             success: std::iter::once(put(self.key, self.value, lease))
                 .chain(puts)
-                .chain(self.deletes.iter().map(delete))
+                .chain(self.deletes.iter().map(|key| delete(key)))
                 .collect(),
             failure: vec![read],
         }
@@ -149,13 +153,28 @@
     /// Fails if the store gives no answer; the keys may be gone nevertheless.
     pub async fn delete(&self, keys: &[String]) -> Result<(), Error> {
         let req = api::TxnRequest {
-            success: keys.iter().map(delete).collect(),
+            success: keys.iter().map(|key| delete(key)).collect(),
             ..api::TxnRequest::default()
         };
         let _: api::TxnResponse = self.call(Kind::Delete, "/v3/kv/txn", &req).await?;
         Ok(())
     }
 
+    /// Deletes a key if its last change was at `expected`; false if not.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gives no answer; the key may be gone nevertheless.
+    pub async fn remove(&self, key: &str, expected: i64) -> Result<bool, Error> {
+        let req = api::TxnRequest {
+            compare: vec![compare(key, expected)],
+            success: vec![delete(key)],
+            failure: Vec::new(),
+        };
+        let resp: api::TxnResponse = self.call(Kind::Delete, "/v3/kv/txn", &req).await?;
+        Ok(resp.succeeded)
+    }
+
     /// Carries out a compare-and-swap.
     ///
     /// # Errors
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -208,6 +208,21 @@
     assert!(roster.is_live(member, at(60)));
 }
 
+/// Rounds that wait for answers are late, and yet no pauses.
+#[test]
+fn late_ticks_are_no_pause() {
+    let mut roster = roster("own", "lima");
+    roster.tick(at(10));
+    let said = Word {
+        profile: Some(profile("cusco")),
+        ..word("a", 1, Status::Serving)
+    };
+    roster.hear(Some(&"a".into()), &digest(vec![said]), at(10));
+    (1..=3).for_each(|round| roster.tick(at(10 + 3 * round)));
+    let member = &roster.members()[&Instance::from("a")];
+    assert!(!roster.is_live(member, at(19)));
+}
+
 #[test]
 fn a_lapsed_lease_raises_the_incarnation() {
     let mut roster = roster("own", "lima");
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::membership::Profile;
+use chiverelay_registry::Listed;
 use chiverelay_registry::Registry;
 use chiverelay_registry::api::CRITICAL;
 use chiverelay_registry::api::PASSING;
@@ -21,12 +23,23 @@
     (state, Registry::new(address, Duration::from_secs(20)))
 }
 
+fn profile() -> Profile {
+    let address = |text: &str| text.parse().expect("an address");
+    Profile {
+        region: "lima".into(),
+        zone: "lima-a".into(),
+        caller: address("10.0.0.1:8080"),
+        operator: address("10.0.0.1:8081"),
+        sibling: address("10.0.0.1:8082"),
+    }
+}
+
 fn check_listed(status: Option<&'static str>, lag: Duration, want: Option<bool>) {
     block_on(async {
         let (state, registry) = start(lag).await;
-        let address = "10.0.0.1:8080".parse().expect("an address");
+        let profile = profile();
         registry
-            .register(&"lima-1".into(), address)
+            .register(&"lima-1".into(), 7, &profile)
             .await
             .expect("an answer");
         match status {
@@ -38,6 +51,8 @@
         }
         let listed = registry.list().await.expect("an answer");
         assert_eq!(listed.first().map(|l| l.leaving), want);
+        let whole = |l: &Listed| l.incarnation == 7 && l.profile == Some(profile.clone());
+        assert!(listed.iter().all(whole), "{listed:?}");
     });
 }
 
