--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -141,7 +141,9 @@
         accounts: document.accounts.clone(),
         ..Config::default()
     };
-    config.check_with(&defined)
+    let mut faults = config.check_with(&defined);
+    faults.extend(config.check_reach());
+    faults
 }
 
 /// Reads a document out of its text.
--- a/crates/sibling/src/link.rs
+++ b/crates/sibling/src/link.rs
@@ -108,6 +108,7 @@
         let rx = self.open(Step::Forward, stamp, message).await?;
         Ok(Answer {
             peer: self.peer.clone(),
+            stamp: Stamp::default(),
             rx,
         })
     }
@@ -117,6 +118,7 @@
 #[derive(Debug)]
 pub struct Answer {
     peer: Identity,
+    stamp: Stamp,
     rx: RecvStream,
 }
 
@@ -127,10 +129,23 @@
     ///
     /// Fails if the answer broke off.
     pub async fn next(&mut self) -> Result<Frame, Error> {
-        wire::read(&mut self.rx).await.map_err(|e| Error::Broken {
-            step: Step::Answer,
-            instance: self.peer.instance.clone(),
-            reason: e.to_string(),
-        })
+        loop {
+            match wire::read(&mut self.rx).await {
+                Ok(Frame::Stamp(stamp)) => self.stamp = stamp,
+                Ok(frame) => return Ok(frame),
+                Err(e) => {
+                    return Err(Error::Broken {
+                        step: Step::Answer,
+                        instance: self.peer.instance.clone(),
+                        reason: e.to_string(),
+                    });
+                }
+            }
+        }
+    }
+
+    /// Returns the sibling's hybrid logical clock as far as it was read.
+    pub fn stamp(&self) -> Stamp {
+        self.stamp
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,3 +14,5 @@
 mod settings;
 mod store;
 mod tables;
+mod timeline;
+mod tool;
