Kill, pause and stop instances as processes

Cause: the roster's decisions were shown on objects only. Processes before stand-ins now show that a killed, frozen or stopped instance is no longer named by GET /v1/instances in its own and in another region, also with the store out; that one paused past its lease of 2 s comes back as a new incarnation, once; that a graceful stop takes record and registration away; that what the platform calls leaving gets no new work; and that an instance started with the store out finds its siblings in the registry, takes their configuration and serves, without one answer of the store.

--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_standin::registry::Registry;
 use chiverelay_standin::store::Store;
 use chiverelay_store as store;
 use tokio::net::TcpListener;
@@ -52,3 +53,32 @@
         client
     }
 }
+
+/// A running stand-in registry.
+#[derive(Debug)]
+pub struct RunningRegistry {
+    /// Its state and faults.
+    pub state: Arc<Registry>,
+    /// Its address.
+    pub address: SocketAddr,
+    _guard: DropGuard,
+}
+
+impl RunningRegistry {
+    /// Starts an empty registry whose list is behind by `lag`.
+    pub async fn start(lag: Duration) -> Self {
+        let state = Arc::new(Registry::new(lag));
+        let (listener, address) = listener().await;
+        let cancel = CancellationToken::new();
+        tokio::spawn(chiverelay_standin::registry::serve(
+            Arc::clone(&state),
+            listener,
+            cancel.clone(),
+        ));
+        Self {
+            state,
+            address,
+            _guard: cancel.drop_guard(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/instances.rs
@@ -0,0 +1,193 @@
+//! Instances as processes: killed, paused, stopped, and started without the
+//! store.
+
+use std::time::Duration;
+
+use chiverelay_registry::api::CRITICAL;
+use chiverelay_standin::faults::Faults;
+use serde_json::json;
+use support::block_on;
+use support::caller;
+use support::cases;
+use support::platform::RunningRegistry;
+use support::site::Site;
+use support::site::document;
+use support::site::eventually;
+
+/// Prefix of the instances' records in the store.
+const RECORDS: &str = "chiverelay/instances/";
+
+/// Returns the instances that a daemon names to callers.
+async fn named(site: &Site, daemon: &str) -> Vec<String> {
+    let address = site.daemon(daemon).caller;
+    let Ok(answer) = caller::get(address, "/v1/instances").await else {
+        return Vec::new();
+    };
+    let list = answer.json()["instances"].as_array().cloned();
+    let name = |entry: serde_json::Value| Some(entry["instance"].as_str()?.to_owned());
+    list.unwrap_or_default()
+        .into_iter()
+        .filter_map(name)
+        .collect()
+}
+
+async fn until_named(site: &Site, daemon: &str, other: &str, want: bool) {
+    let what = format!("{other} is named by {daemon}: {want}");
+    eventually(&what, async || {
+        let names = named(site, daemon).await;
+        names.iter().any(|name| name == other) == want
+    })
+    .await;
+}
+
+fn refuse() -> Faults {
+    Faults {
+        refuse: true,
+        ..Faults::default()
+    }
+}
+
+/// An instance that dies or stops is no longer named to callers.
+fn check_gone(end: fn(&mut Site), store: Faults) {
+    block_on(async {
+        let daemons = [("lima-1", "lima"), ("lima-2", "lima"), ("cusco-1", "cusco")];
+        let mut site = Site::start(&daemons).await;
+        until_named(&site, "lima-1", "lima-2", true).await;
+        site.store.script.set(store);
+        end(&mut site);
+        until_named(&site, "lima-1", "lima-2", false).await;
+        until_named(&site, "cusco-1", "lima-2", false).await;
+        assert!(named(&site, "lima-1").await.contains(&"cusco-1".to_owned()));
+    });
+}
+
+fn kill(site: &mut Site) {
+    site.daemon_mut("lima-2").process.kill();
+}
+
+fn freeze(site: &mut Site) {
+    site.daemon("lima-2").process.freeze();
+}
+
+fn terminate(site: &mut Site) {
+    site.daemon("lima-2").process.terminate();
+}
+
+cases! {
+    check_gone:
+    a_killed_instance_is_not_named(kill, Faults::default());
+    a_frozen_instance_is_not_named(freeze, Faults::default());
+    a_stopped_instance_is_not_named(terminate, Faults::default());
+    a_killed_instance_is_not_named_without_the_store(kill, refuse());
+}
+
+#[test]
+fn a_stopped_instance_takes_its_record_and_registration_away() {
+    block_on(async {
+        let registry = RunningRegistry::start(Duration::ZERO).await;
+        let mut site = Site::empty().await;
+        let settings = json!({"registry": {"address": registry.address}});
+        site.start_daemon("lima-1", "lima", &settings);
+        eventually("the instance is recorded", async || {
+            registry.state.registered() == ["lima-1"] && site.store.keys(RECORDS).len() == 1
+        })
+        .await;
+        site.daemon("lima-1").process.terminate();
+        assert!(site.daemon_mut("lima-1").process.wait());
+        assert_eq!(registry.state.registered(), Vec::<String>::new());
+        assert_eq!(site.store.keys(RECORDS), Vec::<String>::new());
+    });
+}
+
+#[test]
+fn an_instance_paused_past_its_lease_comes_back_as_another_incarnation() {
+    block_on(async {
+        let mut site = Site::empty().await;
+        site.start_daemon("lima-1", "lima", &json!({}));
+        let store = json!({"address": site.store_address, "lease-seconds": 2});
+        site.start_daemon("lima-2", "lima", &json!({"store": store}));
+        site.joined().await;
+        let record = format!("{RECORDS}lima-2");
+        let incarnation = || {
+            let value = site.store.value(&record)?;
+            let value: serde_json::Value = serde_json::from_slice(&value).ok()?;
+            value["incarnation"].as_u64()
+        };
+        let before = incarnation().expect("a record");
+        site.daemon("lima-2").process.freeze();
+        eventually("the lease lapses", async || incarnation().is_none()).await;
+        until_named(&site, "lima-1", "lima-2", false).await;
+        site.daemon("lima-2").process.thaw();
+        eventually("a new incarnation is recorded", async || {
+            incarnation().is_some_and(|new| new > before)
+        })
+        .await;
+        until_named(&site, "lima-1", "lima-2", true).await;
+        let events = site.daemon("lima-2").client().events().await;
+        let events = events.expect("events").events;
+        let lapsed = events.iter().filter(|e| e.what.starts_with("lease lapsed"));
+        assert_eq!(lapsed.count(), 1);
+    });
+}
+
+#[test]
+fn what_the_platform_calls_leaving_gets_no_new_work() {
+    block_on(async {
+        let registry = RunningRegistry::start(Duration::ZERO).await;
+        let mut site = Site::empty().await;
+        let settings = json!({"registry": {"address": registry.address}});
+        site.start_daemon("lima-1", "lima", &settings);
+        site.start_daemon("lima-2", "lima", &settings);
+        site.joined().await;
+        until_named(&site, "lima-1", "lima-2", true).await;
+        registry.state.set_status("lima-2", CRITICAL);
+        until_named(&site, "lima-1", "lima-2", false).await;
+    });
+}
+
+/// With the store out, a new instance finds its siblings in the registry and
+/// takes the configuration from them; before that it is not ready.
+#[test]
+fn an_instance_started_without_the_store_serves_what_its_siblings_have() {
+    block_on(async {
+        let registry = RunningRegistry::start(Duration::ZERO).await;
+        let mut site = Site::empty().await;
+        let settings = json!({"registry": {"address": registry.address}});
+        site.start_daemon("lima-1", "lima", &settings);
+        site.joined().await;
+        let (_, engine) = site.engine("engine-1", Duration::from_millis(1)).await;
+        site.apply("lima-1", document(&[("engine-1", engine, "lima")], &[]))
+            .await;
+        let key = site.grant("lima-1", "encargos").await;
+        site.store.script.set(refuse());
+        let calls = site.store.calls();
+        site.start_daemon("lima-2", "lima", &settings);
+        site.in_force(key.version).await;
+        let address = site.daemon("lima-2").caller;
+        let ready = caller::get(address, "/readyz").await.expect("an answer");
+        assert!(ready.status.is_success());
+        let body = json!({"model": "taller-llm", "max_tokens": 2, "messages": []});
+        let answer = caller::post(address, "/v1/chat/completions", &key.key, &body).await;
+        assert!(answer.expect("an answer").whole);
+        assert_eq!(site.store.calls(), calls, "the store answered nothing");
+    });
+}
+
+#[test]
+fn an_instance_that_reaches_neither_store_nor_siblings_is_not_ready() {
+    block_on(async {
+        let mut site = Site::empty().await;
+        site.store.script.set(refuse());
+        site.start_daemon("lima-1", "lima", &json!({}));
+        let address = site.daemon("lima-1").caller;
+        let ready = caller::get(address, "/readyz").await.expect("an answer");
+        assert!(!ready.status.is_success());
+        site.store.script.set(Faults::default());
+        site.apply("lima-1", document(&[], &[])).await;
+        eventually("the instance is ready", async || {
+            let ready = caller::get(address, "/readyz").await;
+            ready.is_ok_and(|ready| ready.status.is_success())
+        })
+        .await;
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod cuts;
 mod health;
+mod instances;
 mod keys;
 mod membership;
 mod path;
