--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,10 +4,12 @@
 //! and random numbers come from the caller. The peer packages encode and
 //! carry what is decided here, so a further front end uses the same code.
 
+pub mod answer;
 pub mod backoff;
 pub mod config;
 pub mod event;
 pub mod gateway;
+pub mod idempotency;
 pub mod keys;
 pub mod limits;
 pub mod membership;
@@ -21,6 +23,7 @@
 pub mod step;
 pub mod store_session;
 pub mod tables;
+pub mod tickets;
 
 pub use config::Config;
 pub use refusal::Refusal;
