--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod cuts;
 mod drain;
 mod health;
+mod instances;
 mod keys;
 mod limits;
 mod membership;
