Bound silent and announced callers, and test their input

A connection that sent nothing, or a few bytes that might become either version of HTTP, stayed open for ever: the version is told before any time limit of it applies. Eight such connections at a bound of four kept every other caller out. The first bytes now have the time limit of headers. A body that announces more than is allowed is refused before it is read; it used to be read until the time limit and refused as too slow.

A request with both a length and chunks is read as chunks, as RFC 9112 has it, and sent on with its own length; the library hides the length, so it can't be refused. Headers that don't arrive in time end the connection without an answer, as the library drops it.

--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -17,6 +17,7 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::header::CONNECTION;
@@ -134,6 +135,9 @@
         timeout: Duration,
     ) -> Result<Self, Refusal> {
         let (parts, body) = req.into_parts();
+        if body.size_hint().lower() > max_body as u64 {
+            return Err(refuse(Code::TooLarge));
+        }
         let read = Limited::new(body, max_body).collect();
         let body = match tokio::time::timeout(timeout, read).await {
             Err(_) => return Err(refuse(Code::ReceiveTimeout)),
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 mod error;
 mod inbound;
+mod opening;
 mod reply;
 mod server;
 
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -29,6 +29,7 @@
 use crate::Error;
 use crate::Inbound;
 use crate::Reply;
+use crate::opening::Opening;
 
 /// Time before another try after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -187,6 +188,7 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
+        let stream = Opening::new(stream, self.limits.header_timeout);
         serve(stream, self.handler, self.limits, self.cancel).await;
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
+mod callers;
 mod configuration;
 mod cuts;
 mod health;
