--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -15,6 +15,7 @@
 use crate::instance::Instance;
 use crate::instance::Starting;
 use crate::keys;
+use crate::load;
 use crate::members;
 use crate::operate::Operate;
 use crate::publish;
@@ -62,6 +63,7 @@
     tokio::spawn(members::run(Arc::clone(&cx)));
     tokio::spawn(keys::run(Arc::clone(&cx)));
     tokio::spawn(wait::run(Arc::clone(&cx)));
+    tokio::spawn(load::run(Arc::clone(&cx)));
     tokio::spawn(
         endpoint
             .clone()
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gateway;
 pub mod keys;
 pub mod limits;
+pub mod membership;
 pub mod names;
 pub mod pacing;
 pub mod placement;
