Test a withdrawal in a region that is cut off

An instance without store and siblings takes a withdrawal, refuses the key, and after the links are back every instance refuses it and it becomes durable.

--- a/tests/testsuite/keys.rs
+++ b/tests/testsuite/keys.rs
@@ -408,3 +408,34 @@
         .tests(2000)
         .quickcheck(never_undone as fn(Vec<(u8, u8, u8)>) -> bool);
 }
+
+/// An operator who reaches one instance of a region that is cut off can still
+/// withdraw a key there; the rest of the fleet learns of it afterwards.
+#[test]
+fn a_withdrawal_counts_in_a_region_that_is_cut_off() {
+    block_on(async {
+        let names = [
+            ("lima-1", "lima"),
+            ("cusco-1", "cusco"),
+            ("cusco-2", "cusco"),
+        ];
+        let site = Site::start_linked(&names).await;
+        let (_, service) = site.service().await;
+        site.apply("lima-1", document(&[], &[("orders-1", service, "cusco")]))
+            .await;
+        let granted = site.grant("lima-1", "encargos").await;
+        site.cut("cusco-1");
+        let client = site.daemon("cusco-1").client();
+        let info = client.withdraw(&granted.id).await.expect("a withdrawal");
+        assert!(info.withdrawn && !info.durable, "{info:?}");
+        refused(&site, "cusco-1", &granted.key).await;
+        site.mend("cusco-1");
+        refused(&site, "cusco-2", &granted.key).await;
+        refused(&site, "lima-1", &granted.key).await;
+        eventually("the withdrawal is durable", async || {
+            let keys = client.keys().await.expect("the keys");
+            keys.iter().all(|k| k.withdrawn && k.durable)
+        })
+        .await;
+    });
+}
