Check the example configurations and the metrics that go out

Operators had no configuration of either user to start from, and nothing checked what a StatsD server receives. The two examples are read by the tests; a server of the test's own receives counts of requests and refusals by code and outcome, first_token_ms, queue_depth and store_calls, and status shows the same counts.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod hostile;
 mod keys;
 mod membership;
+mod metrics;
 mod path;
 mod placement;
 mod queue;
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -176,3 +176,17 @@
            hyphens only"]
     );
 }
+
+/// The example configurations of the operators' page have no faults.
+fn check_example(name: &str) {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/configurations");
+    if let Err(e) = document::read(&dir.join(name)) {
+        panic!("{e}");
+    }
+}
+
+cases! {
+    check_example:
+    example_of_hojalateria("hojalateria.jsonc");
+    example_of_pochoirs("pochoirs.jsonc");
+}
