--- a/crates/chiverelayd/src/cmd/check.rs
+++ b/crates/chiverelayd/src/cmd/check.rs
@@ -1,7 +1,5 @@
 //! `chiverelayd check`: checks a settings file.
 
-use std::path::PathBuf;
-
 use super::Error;
 use crate::settings::Settings;
 
@@ -11,8 +9,8 @@
 }
 
 /// Executes the subcommand.
-pub(crate) fn execute(mut args: pico_args::Arguments) -> Result<(), Error> {
-    let path: PathBuf = args.free_from_str()?;
+pub(crate) fn execute(args: pico_args::Arguments) -> Result<(), Error> {
+    let path = super::only_path(args)?;
     Settings::read(&path)?;
     println!("{}: no faults", path.display());
     Ok(())
--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -1,6 +1,5 @@
 //! `chiverelayd run`: runs the daemon.
 
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,8 +29,8 @@
 }
 
 /// Executes the subcommand.
-pub(crate) fn execute(mut args: pico_args::Arguments) -> Result<(), Error> {
-    let path: PathBuf = args.free_from_str()?;
+pub(crate) fn execute(args: pico_args::Arguments) -> Result<(), Error> {
+    let path = super::only_path(args)?;
     let settings = Settings::read(&path)?;
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -23,16 +23,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let mut args = pico_args::Arguments::from_env();
-    let result = match args.subcommand() {
-        Ok(Some(name)) => match name.as_str() {
-            "run" => cmd::run::execute(args),
-            "check" => cmd::check::execute(args),
-            _ => Err(cmd::Error::Usage),
-        },
-        _ => Err(cmd::Error::Usage),
-    };
-    match result {
+    match cmd::execute(pico_args::Arguments::from_env()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("{e}");
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -110,10 +110,11 @@
         reply
     }
 
+    /// Finds the account of a key for the time line, also of a withdrawn key.
     fn account(&self, key: Option<&Shown>) -> Option<Account> {
         let config = self.cx.tables.config.get();
-        let (_, account) = config.authenticate(key?)?;
-        Some(account.clone())
+        let (_, entry) = config.identify(key?)?;
+        Some(entry.account.clone())
     }
 
     fn refund(&self, grant: &chiverelay_decisions::request::Grant, refusal: &Refusal) {
--- a/crates/decisions/src/config.rs
+++ b/crates/decisions/src/config.rs
@@ -286,13 +286,19 @@
 impl Config {
     /// Finds the account that a key shows.
     pub fn authenticate(&self, key: &str) -> Option<(&KeyId, &Account)> {
+        let (id, entry) = self.identify(key)?;
+        (!entry.withdrawn).then_some((id, &entry.account))
+    }
+
+    /// Finds the record of a key, also if it is withdrawn.
+    pub fn identify(&self, key: &str) -> Option<(&KeyId, &KeyEntry)> {
         let (id, secret) = split_key(key)?;
         let Some((id, entry)) = self.keys.get_key_value(id) else {
             // An unknown key takes as long as a known one with a wrong secret.
             let _ = KeyEntry::absent().matches(secret);
             return None;
         };
-        (entry.matches(secret) && !entry.withdrawn).then_some((id, &entry.account))
+        entry.matches(secret).then_some((id, entry))
     }
 
     /// Finds the route of a request: the longest path, then the one that names the model.
--- a/tests/testsuite/timeline.rs
+++ b/tests/testsuite/timeline.rs
@@ -189,6 +189,21 @@
     });
 }
 
+#[test]
+fn a_withdrawn_key_still_names_its_account() {
+    block_on(async {
+        let (site, granted) = two_regions().await;
+        let client = site.daemon("lima-1").client();
+        client.withdraw(&granted.id).await.expect("a withdrawal");
+        let address = site.daemon("lima-1").caller;
+        let answer = caller::post(address, "/orders", &granted.key, &json!({})).await;
+        assert_eq!(answer.expect("an answer").status.as_u16(), 401);
+        let timeline = timeline(&site, "lima-1", &["--account", "encargos"]);
+        let mut events = timeline.events.iter();
+        assert!(events.any(|e| e.what == "refused: unauthenticated, not_run"));
+    });
+}
+
 #[test]
 fn an_instance_that_cannot_be_asked_is_named() {
     block_on(async {
--- a/tests/testsuite/tool.rs
+++ b/tests/testsuite/tool.rs
@@ -57,6 +57,24 @@
     );
 }
 
+/// Checks exit code and a part of the output of the daemon's program.
+fn check_daemon(args: &[&str], code: i32, part: &str) {
+    let output = process::output("chiverelayd", args);
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+    let text = stdout(&output) + &stderr(&output);
+    assert!(text.contains(part), "{text}");
+}
+
+cases! {
+    check_daemon:
+    daemon_without_arguments(&[], 2, "Exit codes:");
+    daemon_help(&["--help"], 0, "chiverelayd run SETTINGS");
+    daemon_help_of_run(&["run", "--help"], 0, "chiverelayd run SETTINGS");
+    daemon_version(&["--version"], 0, "chiverelayd 0.1.0");
+    daemon_without_settings(&["run"], 2, "");
+    daemon_unknown_argument(&["check", "/nonexistent", "--fast"], 2, "--fast");
+}
+
 /// Calls the tool at a daemon with the operators' token.
 fn tool(site: &Site, name: &str, args: &[&str]) -> Output {
     let token = site.path("token");
