--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -172,10 +172,11 @@
         gateway::settle(&self.cx.tables, grant, 0, self.cx.clock.now());
     }
 
+    /// Finds the account of a key for the time line, also of a withdrawn key.
     fn account(&self, key: Option<&Shown>) -> Option<Account> {
         let config = self.cx.tables.config.get();
-        let (_, account) = config.authenticate(key?)?;
-        Some(account.clone())
+        let (_, entry) = config.identify(key?)?;
+        Some(entry.account.clone())
     }
 
     fn refund(&self, grant: &Grant, refusal: &Refusal) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,15 +1,19 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
+mod callers;
 mod combined;
 mod configuration;
 mod cuts;
+mod decoders;
 mod drain;
 mod health;
+mod hostile;
 mod instances;
 mod keys;
 mod limits;
 mod membership;
+mod metrics;
 mod once;
 mod path;
 mod placement;
