--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -9,6 +9,7 @@
 
 use crate::config::Config;
 use crate::config::PoolEntry;
+use crate::keys::Withdrawn;
 use crate::limits::Bucket;
 use crate::names::Account;
 use crate::names::Instance;
@@ -22,6 +23,7 @@
 use crate::placement::RetryBudget;
 use crate::placement::Summary;
 use crate::tables::Rank;
+use crate::tables::Ranked;
 use crate::tables::Sharded;
 use crate::tables::Snapshot;
 
@@ -83,6 +85,8 @@
 pub struct Tables {
     /// The configuration in force.
     pub config: Snapshot,
+    /// Keys that are withdrawn.
+    pub withdrawn: Ranked<Withdrawn>,
     /// Limits by account.
     pub accounts: Sharded<Account, Bucket>,
     /// Waiting requests by pool.
@@ -102,6 +106,7 @@
     pub fn new() -> Self {
         Self {
             config: Snapshot::new(Config::default()),
+            withdrawn: Ranked::new(Rank::Keys, Withdrawn::default()),
             accounts: Sharded::new(Rank::Accounts),
             queues: Sharded::new(Rank::Queues),
             targets: Sharded::new(Rank::Targets),
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -8,6 +8,8 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::hash::Hash;
 use std::ops::Deref;
 use std::ops::DerefMut;
@@ -23,6 +25,8 @@
 /// The lock order, lowest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rank {
+    /// The chunks that the configuration was put together from.
+    Publication,
     /// The pointer to the configuration's snapshot.
     Config,
     /// Withdrawn keys and the streams that run under keys.
@@ -187,6 +191,18 @@
         self.shard(key).lock().remove(key)
     }
 
+    /// Removes the entry of `key` if `f` returns true for it, under its lock.
+    pub fn remove_if<F>(&self, key: &K, f: F) -> Option<V>
+    where
+        F: FnOnce(&mut V) -> bool,
+    {
+        let mut shard = self.shard(key).lock();
+        if f(shard.get_mut(key)?) {
+            return shard.remove(key);
+        }
+        None
+    }
+
     /// Runs `f` on every entry, one shard's lock at a time.
     pub fn for_each<F>(&self, mut f: F)
     where
@@ -220,6 +236,47 @@
     }
 }
 
+/// The newest values of many.
+///
+/// # Invariants
+///
+/// `order` has the members of `values`, oldest first, and at most `capacity`.
+#[derive(Debug)]
+pub struct Recent<T> {
+    capacity: usize,
+    values: HashSet<T, Xxh3DefaultBuilder>,
+    order: VecDeque<T>,
+}
+
+impl<T> Recent<T>
+where
+    T: Clone + Eq + Hash,
+{
+    /// Makes an empty set.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            values: HashSet::default(),
+            order: VecDeque::new(),
+        }
+    }
+
+    /// Adds a value, in place of the oldest if there is no room; false if the
+    /// set has it.
+    pub fn insert(&mut self, value: T) -> bool {
+        if !self.values.insert(value.clone()) {
+            return false;
+        }
+        if self.order.len() == self.capacity
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.values.remove(&oldest);
+        }
+        self.order.push_back(value);
+        true
+    }
+}
+
 /// The configuration in force, swapped whole.
 #[derive(Debug)]
 pub struct Snapshot {
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Message`] and [`Frame`] are what goes over it. A sibling's name and
 //! region come from its certificate, never from a message.
 
+mod config;
 mod endpoint;
 mod error;
 mod identity;
@@ -12,8 +13,12 @@
 mod message;
 mod wire;
 
+pub use config::ConfigParts;
+pub use config::ConfigRequest;
+pub use config::MAX_PARTS;
 pub use endpoint::Endpoint;
 pub use endpoint::Handler;
+pub use endpoint::Refused;
 pub use error::Error;
 pub use identity::Certificates;
 pub use identity::Identity;
@@ -32,4 +37,5 @@
 pub use wire::FrameSender;
 pub use wire::MAX_FRAME;
 pub use wire::decode;
+pub use wire::decode_envelope;
 pub use wire::encode;
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chiverelay_http::Body;
@@ -23,6 +25,10 @@
     pub delay_ms: u64,
     /// Acts, then cuts the connection in place of an answer.
     pub lose_answer: bool,
+    /// As `lose_answer`, but only for requests that change something.
+    pub lose_writes: bool,
+    /// Says nothing more on open streams of changes.
+    pub freeze_watches: bool,
     /// Takes requests and neither acts nor answers.
     pub freeze: bool,
     /// Cuts a streamed answer after so many pieces.
@@ -33,6 +39,7 @@
 #[derive(Debug, Default)]
 pub struct Script {
     current: Mutex<Faults>,
+    struck: AtomicU64,
 }
 
 impl Script {
@@ -44,6 +51,15 @@
             .clone()
     }
 
+    /// Returns how many requests a fault has struck so far.
+    pub fn struck(&self) -> u64 {
+        self.struck.load(Ordering::Relaxed)
+    }
+
+    fn strike(&self) {
+        self.struck.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Puts other faults in force.
     pub fn set(&self, faults: Faults) {
         *self.current.lock().unwrap_or_else(PoisonError::into_inner) = faults;
@@ -69,6 +85,9 @@
             });
         }
         let faults = self.get();
+        if faults.freeze || faults.delay_ms > 0 || faults.refuse {
+            self.strike();
+        }
         if faults.freeze {
             std::future::pending::<()>().await;
         }
@@ -83,9 +102,20 @@
 
     /// Applies the faults that strike after a request was acted on.
     pub fn after(&self, resp: Response<Body>) -> Response<Body> {
-        if !self.get().lose_answer {
+        self.lose_if(self.get().lose_answer, resp)
+    }
+
+    /// Is [`Script::after`] for a request that changed something.
+    pub fn after_change(&self, resp: Response<Body>) -> Response<Body> {
+        let faults = self.get();
+        self.lose_if(faults.lose_answer || faults.lose_writes, resp)
+    }
+
+    fn lose_if(&self, lost: bool, resp: Response<Body>) -> Response<Body> {
+        if !lost {
             return resp;
         }
+        self.strike();
         let (mut parts, _) = resp.into_parts();
         // The length says more than what comes before the connection is cut.
         parts
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the systems that the gateway talks to, for tests, benches
-//! and examples: a store, a model engine, a plain service and links that can be cut.
+//! and examples: a store, a registry, a model engine, a plain service and links
+//! that can be cut.
 //!
 //! Each has a `serve` function and is a subcommand of the package's program.
 //! [`faults`] scripts what goes wrong; nothing here simulates a cluster.
@@ -7,6 +8,7 @@
 pub mod engine;
 pub mod faults;
 pub mod link;
+pub mod registry;
 pub mod reports;
 pub mod service;
 pub mod store;
