Spill to another region at a smaller margin

Another region was taken only when it was 600 ms better (200 ms with the weights for latency), so requests queued up while it had room. The margin is now 100 ms and 50 ms.

--- a/crates/decisions/src/placement/score.rs
+++ b/crates/decisions/src/placement/score.rs
@@ -32,8 +32,8 @@
     /// Returns by how much another region must be better than this one.
     pub fn spill_margin(self) -> Duration {
         match self {
-            Self::Latency => Duration::from_millis(200),
-            Self::Cost => Duration::from_millis(600),
+            Self::Latency => Duration::from_millis(50),
+            Self::Cost => Duration::from_millis(100),
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod placement;
 mod queue;
 mod registry;
+mod replay;
 mod residency;
 mod settings;
 mod store;
