Read a new prefix at the same target from every instance

Prefix hashing alone still cost less a request: two instances of a region that get prompts with the same new beginning chose by load, read it twice and pushed other prefixes out of two caches. The target that rendezvous hashing names for the prompt's first eight blocks is now taken to be 20% better.

--- a/crates/decisions/src/gateway/place.rs
+++ b/crates/decisions/src/gateway/place.rs
@@ -49,6 +49,9 @@
 /// Expected time to the first token in a region that said nothing yet.
 const UNKNOWN_REGION: Duration = Duration::from_secs(1);
 
+/// How much better the home of a prompt's prefix is taken to be, in percent.
+const HOME_PERCENT: u32 = 20;
+
 /// Factor on the score of a target that failed lately.
 const SUSPECT_FACTOR: u32 = 2;
 
@@ -274,7 +277,7 @@
 /// Finds the best of the other regions that may answer.
 fn find_far(scan: &Scan<'_>, config: &Config, req: &Request<Admitted, Direct>) -> Option<Far> {
     let grant = req.grant();
-    let home = req.head().prefix.first().copied().unwrap_or_default();
+    let home = req.head().affinity().unwrap_or_default();
     let network = &scan.tables.network;
     let transfer = Duration::from_micros(link_bytes(req) * 8 / network.link_mbits.max(1));
     let entry = config.pools.get(&grant.pool)?;
@@ -349,9 +352,10 @@
             .filter(|(name, t)| t.region == *self.here && !req.tried().contains(name))
             .collect();
         let chosen = sample(&local, req);
+        let home = home(&local, req);
         let scored: Vec<_> = chosen
             .into_iter()
-            .map(|(name, t)| self.score(req, name, t))
+            .map(|(name, t)| self.score(req, name, t, home == Some(name)))
             .filter(|c| c.status != Status::Leaving)
             .collect();
         let usable = scored
@@ -370,6 +374,7 @@
         req: &Request<Admitted, O>,
         name: &'a Target,
         target: &TargetEntry,
+        is_home: bool,
     ) -> Candidate<'a> {
         let head = req.head();
         let round_trip = match self.zone {
@@ -389,16 +394,19 @@
             );
             let expected = estimate.first_token();
             let score = estimate.score(self.entry.weights);
-            let factor = match status {
-                Status::Suspect => SUSPECT_FACTOR,
-                _ => 1,
-            };
+            let mut percent = 100;
+            if is_home {
+                percent -= HOME_PERCENT;
+            }
+            if status == Status::Suspect {
+                percent *= SUSPECT_FACTOR;
+            }
             Candidate {
                 name,
                 status,
                 estimate,
                 expected,
-                score: score * factor,
+                score: score * percent / 100,
             }
         })
     }
@@ -465,8 +473,8 @@
         return local.to_vec();
     }
     let mut chosen = Vec::with_capacity(HOMES + SAMPLES);
-    if let Some(first) = req.head().prefix.first() {
-        let weight = |t: &(&Target, &TargetEntry)| prefix::rendezvous(*first, t.0.as_str());
+    if let Some(key) = req.head().affinity() {
+        let weight = |t: &(&Target, &TargetEntry)| prefix::rendezvous(key, t.0.as_str());
         let mut homes: Vec<_> = local.iter().map(|t| (weight(t), *t)).collect();
         homes.select_nth_unstable_by(HOMES, |a, b| b.0.cmp(&a.0));
         chosen.extend(homes.into_iter().take(HOMES).map(|(_, t)| t));
@@ -478,3 +486,16 @@
     }
     chosen
 }
+
+/// Finds the target that a prompt goes to if all else is equal, so that all
+/// instances read a new prefix at the same target.
+fn home<'a, O>(
+    local: &[(&'a Target, &'a TargetEntry)],
+    req: &Request<Admitted, O>,
+) -> Option<&'a Target> {
+    let key = req.head().affinity()?;
+    local
+        .iter()
+        .map(|t| t.0)
+        .max_by_key(|t| prefix::rendezvous(key, t.as_str()))
+}
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -92,6 +92,17 @@
     pub prefix: Vec<u64>,
 }
 
+/// Blocks of a prompt that decide where it is read first.
+const AFFINITY_BLOCKS: usize = 8;
+
+impl Head {
+    /// Returns what prompts with the same beginning have in common.
+    pub fn affinity(&self) -> Option<u64> {
+        let block = self.prefix.get(AFFINITY_BLOCKS - 1);
+        block.or(self.prefix.last()).copied()
+    }
+}
+
 /// Origin of a request that came from a caller.
 #[derive(Debug)]
 pub struct Direct(());
