--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -1,5 +1,6 @@
 //! The daemon of an entry instance.
 
+mod bind;
 mod clock;
 mod cmd;
 mod context;
@@ -10,7 +11,9 @@
 mod load;
 mod members;
 mod metrics;
+mod once;
 mod operate;
+mod operations;
 mod publish;
 mod relay;
 mod request;
--- a/crates/chiverelayd/src/serve.rs
+++ b/crates/chiverelayd/src/serve.rs
@@ -6,13 +6,19 @@
 use chiverelay_caller::Inbound;
 use chiverelay_caller::Reply;
 use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::tickets::Validity;
 use hyper::StatusCode;
 use serde_json::json;
 
 use crate::context::Context;
+use crate::operations::TICKET_LIFE;
+use crate::operations::TICKET_USE;
+
+/// Operation tickets handed out with the list of instances.
+const TICKETS: usize = 4;
 
 /// Answers callers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Serve {
     pub(crate) cx: Arc<Context>,
 }
@@ -24,11 +30,14 @@
     }
 
     fn instances(&self) -> Reply {
-        let own = json!({
-            "instance": self.cx.settings.instance,
-            "address": self.cx.addresses.caller,
-        });
-        let mut list = vec![own];
+        let drains = self.cx.drain.is_cancelled();
+        let mut list = Vec::new();
+        if !drains {
+            list.push(json!({
+                "instance": self.cx.settings.instance,
+                "address": self.cx.addresses.caller,
+            }));
+        }
         self.cx.members.for_each(|name, m| {
             if self
                 .cx
@@ -39,7 +48,22 @@
                 list.push(json!({"instance": name, "address": m.addresses.caller}));
             }
         });
-        let body = json!({"ttl_ms": 5000, "instances": list});
+        // A draining instance may be gone before its tickets are used.
+        let tickets = if drains { 0 } else { TICKETS };
+        let now = self.cx.clock.now();
+        let validity = Validity {
+            use_by: now + TICKET_USE,
+            expires: now + TICKET_LIFE,
+        };
+        let tickets: Vec<String> = (0..tickets)
+            .map(|_| self.cx.operations.issue(validity).to_string())
+            .collect();
+        let body = json!({
+            "ttl_ms": 5000,
+            "instances": list,
+            "tickets": tickets,
+            "ticket_ttl_ms": TICKET_USE.as_millis() as u64,
+        });
         Reply::json(StatusCode::OK, body.to_string().into_bytes())
     }
 
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -55,6 +55,8 @@
 //! }
 //! ```
 
+mod operation;
+
 use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
@@ -202,8 +204,10 @@
 ///
 /// # Invariants
 ///
-/// `attempted` is set once any attempt was dispatched; a refusal after that
-/// never says "not run". `tried` lists every target that was chosen before.
+/// `attempted` is set once any attempt was dispatched, and from the start if
+/// an earlier request may have been an attempt at the same operation; a
+/// refusal after that never says "not run". `tried` lists every target that
+/// was chosen before.
 #[derive(Debug)]
 pub struct Request<S, O> {
     head: Arc<Head>,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,7 @@
 //! documents that go over the wire.
 
 pub mod api;
+mod batch;
 mod calls;
 mod client;
 mod error;
@@ -14,6 +15,8 @@
 mod swap;
 mod watch;
 
+pub use batch::Created;
+pub use batch::MAX_BATCH;
 pub use calls::Calls;
 pub use calls::Kind;
 pub use client::Entry;
