--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod queue;
 mod registry;
+mod replay;
 mod residency;
 mod settings;
 mod store;
