--- a/crates/decisions/src/config.rs
+++ b/crates/decisions/src/config.rs
@@ -320,11 +320,17 @@
             let at = ["routes", name.as_str()];
             faults.name(&at, name.as_str());
             self.check_route(&at, route, defined, &mut faults);
-            self.check_reach(&at, route, &mut faults);
         }
         self.check_routes_differ(&mut faults);
         for (name, pool) in &self.pools {
             faults.name(&["pools", name.as_str()], name.as_str());
+            if pool.slots == 0 {
+                faults.push(&["pools", name.as_str(), "slots"], "slots are at least 1");
+            }
+            if pool.prefill_rate == 0 {
+                let at = ["pools", name.as_str(), "prefill-rate"];
+                faults.push(&at, "a rate is at least 1");
+            }
             for target in pool.targets.keys() {
                 let at = ["pools", name.as_str(), "targets", target.as_str()];
                 faults.name(&at, target.as_str());
@@ -333,14 +339,6 @@
         for (name, account) in &self.accounts {
             check_account(name, account, &mut faults);
         }
-        for (name, pool) in &self.pools {
-            if pool.slots == 0 || pool.prefill_rate == 0 {
-                faults.push(
-                    &["pools", name.as_str()],
-                    "slots and prefill-rate are at least 1",
-                );
-            }
-        }
         for (name, entry) in self.keys.iter().filter(|(_, key)| !key.withdrawn) {
             if !self.accounts.contains_key(&entry.account) {
                 let reason = format!("no account {}; withdraw the key first", entry.account);
@@ -378,8 +376,17 @@
         }
     }
 
-    /// Checks that the residency leaves the route a target.
-    fn check_reach(&self, at: &[&str; 2], route: &RouteEntry, faults: &mut Faults) {
+    /// Lists the routes whose residency leaves them no target. A snapshot may
+    /// have such routes, as targets come and go; a file should not.
+    pub fn check_reach(&self) -> Vec<Fault> {
+        let mut faults = Faults(Vec::new());
+        for (name, route) in &self.routes {
+            self.check_route_reach(&["routes", name.as_str()], route, &mut faults);
+        }
+        faults.0
+    }
+
+    fn check_route_reach(&self, at: &[&str; 2], route: &RouteEntry, faults: &mut Faults) {
         let Some(pool) = self.pools.get(&route.pool) else {
             return;
         };
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod idempotency;
 pub mod keys;
 pub mod limits;
+pub mod membership;
 pub mod names;
 pub mod pacing;
 pub mod placement;
