Go on with a cut stream at another target

Cause: a stream of a repeatable request that broke off ended in an error, though another engine of the pool could go on with it.

Where a pool says resume, the relay asks another target of the same region for the rest after the last whole event. The transitions are those of a retry: Dispatched -> Admitted by repeat, so a request that may not be repeated can't. Weighed: to start the stream again and drop what the caller has (engines don't repeat themselves word for word); to leave it to callers (they see an error).

Failed first, with no resumption: the four resumed_* rows of whole, each with the words up to the cut.

once::issuer_paused_and_resumed failed in a full run under load: its request ran after the issuer was told to stop, as a process that is stopped goes on for a moment.

--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -86,7 +86,7 @@
                     headers,
                     framing,
                 };
-                Ok(self.stream(req, head, source, claim))
+                Ok(self.stream(req, None, head, source, claim))
             }
             Ok(Ok((_, Frame::Refused(refusal)))) => Err(req.refuse_as_sibling(refusal)),
             Ok(Ok(_)) => Err(req.refuse_unknown(Code::SiblingFailed, Step::Forward)),
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -17,6 +17,7 @@
 mod publish;
 mod relay;
 mod request;
+mod resume;
 mod serve;
 mod settings;
 mod sibling;
--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -22,6 +22,10 @@
 use crate::context::Context;
 use crate::keys::Under;
 use crate::operations::MAX_RECORDED;
+use crate::resume::Resume;
+
+/// Times that one stream goes on elsewhere.
+const RESUMES: usize = 3;
 
 /// Where an answer comes from.
 pub(crate) enum Source {
@@ -125,7 +129,9 @@
     Whole,
     /// Nobody waits for it any more.
     Left,
-    /// It is not whole.
+    /// It ended early.
+    Cut(Refusal),
+    /// It can't be whole.
     Broken(Refusal),
 }
 
@@ -134,7 +140,7 @@
     match end {
         End::Whole => "whole answer",
         End::Left => "cancelled, nobody waits",
-        End::Broken(_) => "answer not whole",
+        End::Cut(_) | End::Broken(_) => "answer not whole",
     }
 }
 
@@ -161,11 +167,19 @@
 impl Relay {
     /// Relays until the answer is whole, breaks off or nobody waits for it.
     /// Returns the end, and the answer if it is to be kept and is whole.
-    pub(crate) async fn run(mut self, cx: &Context, under: &Under) -> (End, Option<Recorded>) {
+    pub(crate) async fn run<R>(
+        mut self,
+        cx: &Context,
+        under: &Under,
+        resume: &mut R,
+    ) -> (End, Option<Recorded>)
+    where
+        R: Resume,
+    {
         let mut checker = Checker::new(self.framing);
         let left = self.deadline.saturating_sub(cx.clock.now());
         let end = tokio::select! {
-            end = tokio::time::timeout(left, self.pipe(&mut checker)) => end.ok(),
+            end = tokio::time::timeout(left, self.pipe_all(cx, &mut checker, resume)) => end.ok(),
             () = under.withdrawn() => Some(End::Broken(withdrawn())),
             () = cx.cut.cancelled() => Some(End::Broken(draining())),
         };
@@ -177,7 +191,9 @@
         match &end {
             End::Whole => self.sink.finish().await,
             End::Left => {}
-            End::Broken(refusal) => self.sink.abort(refusal.clone(), self.framing).await,
+            End::Cut(refusal) | End::Broken(refusal) => {
+                self.sink.abort(refusal.clone(), self.framing).await
+            }
         }
         (end, self.record.filter(|_| whole))
     }
@@ -190,6 +206,26 @@
         Refusal::unknown(code, Step::Answer, peer)
     }
 
+    /// Relays, and goes on elsewhere with a stream that was cut.
+    async fn pipe_all<R>(&mut self, cx: &Context, checker: &mut Checker, resume: &mut R) -> End
+    where
+        R: Resume,
+    {
+        for _ in 0..RESUMES {
+            let end = self.pipe(checker).await;
+            let Some(last_id) = resume_after(&end, checker) else {
+                return end;
+            };
+            let Some(source) = resume.resume(cx, last_id).await else {
+                return end;
+            };
+            log::info!("relay: a stream goes on after event {last_id}");
+            std::mem::replace(&mut self.source, source).finish(cx);
+            checker.resume();
+        }
+        self.pipe(checker).await
+    }
+
     async fn pipe(&mut self, checker: &mut Checker) -> End {
         let mut waited_for = true;
         loop {
@@ -207,9 +243,12 @@
                 Ok(Some(data)) => checker.push(data),
                 Ok(None) => match checker.end() {
                     Ok(()) => return End::Whole,
+                    Err(_) if checker.last_id().is_some() => {
+                        return End::Cut(self.refuse(Code::TargetFailed));
+                    }
                     Err(fault) => Err(fault),
                 },
-                Err(refusal) => return End::Broken(refusal),
+                Err(refusal) => return End::Cut(refusal),
             };
             let data = match checked {
                 Ok(data) => data,
@@ -246,6 +285,14 @@
     Refusal::unknown(Code::Draining, Step::Drain, Peer::Local)
 }
 
+/// Returns the event after which a stream that was cut can go on.
+fn resume_after(end: &End, checker: &Checker) -> Option<u64> {
+    match end {
+        End::Cut(_) if !checker.is_done() => checker.last_id(),
+        _ => None,
+    }
+}
+
 /// Returns how the end of a target's answer is known.
 pub(crate) fn framing(cx: &Context, grant: &Grant, answer: &target::Answer) -> Framing {
     if answer.is_event_stream() && is_engine(cx, grant) {
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -47,6 +47,7 @@
 use crate::relay::Relay;
 use crate::relay::Sink;
 use crate::relay::Source;
+use crate::resume::Resumable;
 use crate::serve::Serve;
 use crate::wait;
 
@@ -227,7 +228,7 @@
                     wait::slot(&self.cx, req).await?
                 }
                 Placement::Here(placed) => match dispatch::attempt(&self.cx, placed, &out).await {
-                    Attempt::Answer(req, answer) => return Ok(self.reply(req, answer, claim)),
+                    Attempt::Answer(req, answer) => return Ok(self.reply(req, answer, &out, claim)),
                     Attempt::Again(req) => {
                         (turn, attempts) = (Turn::New, attempts + 1);
                         req
@@ -244,6 +245,7 @@
         &self,
         req: Request<Dispatched, Direct>,
         answer: Box<chiverelay_target::Answer>,
+        out: &Outbound,
         claim: &mut Option<Claim>,
     ) -> Reply {
         let head = ReplyHead {
@@ -255,12 +257,14 @@
             Peer::Target(target) => target.clone(),
             _ => "".into(),
         };
-        self.stream(req, head, Source::Target(answer, target), claim)
+        let source = Source::Target(answer, target);
+        self.stream(req, Some(out), head, source, claim)
     }
 
     pub(crate) fn stream(
         &self,
         req: Request<Dispatched, Direct>,
+        out: Option<&Outbound>,
         head: ReplyHead,
         source: Source,
         claim: &mut Option<Claim>,
@@ -278,17 +282,18 @@
         };
         let cx = Arc::clone(&self.cx);
         let under = keys::enter(&self.cx, req.key());
+        let id = req.head().id.clone();
+        let account = req.grant().account.clone();
+        let peer = req.peer().clone();
+        let mut resumable = Resumable::new(req, out);
         self.cx.requests.spawn(async move {
-            let (end, record) = relay.run(&cx, &under).await;
+            let (end, record) = relay.run(&cx, &under, &mut resumable).await;
             if let (Some(claim), Some(record)) = (claim, record) {
                 operations::settle(&cx, claim, Settlement::Answered(record)).await;
             }
-            let id = req.head().id.clone();
-            let account = req.grant().account.clone();
-            let peer = req.peer().clone();
             let what = relay::describe(&end);
             if matches!(end, End::Whole) {
-                drop(req.answered());
+                resumable.answered();
             }
             cx.record(&id, account.as_ref(), Step::Answer, peer, what);
         });
--- /dev/null
+++ b/crates/chiverelayd/src/resume.rs
@@ -0,0 +1,124 @@
+//! Goes on with a stream that was cut, at another target of the region.
+
+use std::future::Future;
+
+use chiverelay_decisions::gateway;
+use chiverelay_decisions::gateway::Local;
+use chiverelay_decisions::gateway::Placement;
+use chiverelay_decisions::gateway::Turn;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::Forwarded;
+use chiverelay_decisions::request::Placed;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_target::Outbound;
+use chiverelay_target::headers::LAST_EVENT_ID;
+use hyper::header::HeaderValue;
+
+use crate::context::Context;
+use crate::dispatch;
+use crate::dispatch::Attempt;
+use crate::relay::Source;
+use crate::wait;
+
+/// What can go on with a stream that was cut.
+pub(crate) trait Resume {
+    /// Returns the rest of the stream after an event, if it can be had.
+    fn resume(&mut self, cx: &Context, last_id: u64)
+    -> impl Future<Output = Option<Source>> + Send;
+}
+
+/// A dispatched request with what another attempt at it needs.
+///
+/// # Invariants
+///
+/// `req` is `None` after an attempt to resume that failed. `out` is `None`
+/// where the stream comes from a sibling, which resumes it itself.
+#[derive(Debug)]
+pub(crate) struct Resumable<O> {
+    req: Option<Request<Dispatched, O>>,
+    out: Option<Outbound>,
+}
+
+impl<O> Resumable<O> {
+    /// Wraps a dispatched request.
+    pub(crate) fn new(req: Request<Dispatched, O>, out: Option<&Outbound>) -> Self {
+        Self {
+            req: Some(req),
+            out: out.cloned(),
+        }
+    }
+
+    /// Ends the life cycle with a whole answer.
+    pub(crate) fn answered(self) {
+        if let Some(req) = self.req {
+            drop(req.answered());
+        }
+    }
+
+    /// Returns the request for another attempt, and what to send.
+    fn repeat(&mut self, cx: &Context, last_id: u64) -> Option<(Request<Admitted, O>, Outbound)> {
+        let mut out = self.out.clone()?;
+        let config = cx.tables.config.get();
+        let req = self.req.take()?;
+        if !config.pools.get(&req.grant().pool)?.resume {
+            return None;
+        }
+        out.headers
+            .insert(LAST_EVENT_ID, HeaderValue::from(last_id));
+        Some((req.repeat().ok()?, out))
+    }
+
+    async fn attempt(
+        &mut self,
+        cx: &Context,
+        placed: Request<Placed, O>,
+        out: &Outbound,
+    ) -> Option<Source> {
+        let Attempt::Answer(req, answer) = dispatch::attempt(cx, placed, out).await else {
+            return None;
+        };
+        let Peer::Target(target) = req.peer().clone() else {
+            return None;
+        };
+        self.req = Some(req);
+        if !answer.is_event_stream() {
+            gateway::finish(&cx.tables, &target);
+            return None;
+        }
+        Some(Source::Target(answer, target))
+    }
+}
+
+impl Resume for Resumable<Direct> {
+    async fn resume(&mut self, cx: &Context, last_id: u64) -> Option<Source> {
+        let (mut req, out) = self.repeat(cx, last_id)?;
+        let mut turn = Turn::New;
+        loop {
+            let (here, now) = (&cx.settings.region, cx.clock.now());
+            match gateway::place(&cx.tables, req, here, turn, now).ok()? {
+                Placement::Here(placed) => return self.attempt(cx, placed, &out).await,
+                Placement::Wait(waiting) => req = wait::slot(cx, waiting).await.ok()?,
+                Placement::Away(_) => return None,
+            }
+            turn = Turn::Woken;
+        }
+    }
+}
+
+impl Resume for Resumable<Forwarded> {
+    async fn resume(&mut self, cx: &Context, last_id: u64) -> Option<Source> {
+        let (mut req, out) = self.repeat(cx, last_id)?;
+        let mut turn = Turn::New;
+        loop {
+            let (here, now) = (&cx.settings.region, cx.clock.now());
+            match gateway::place_forwarded(&cx.tables, req, here, turn, now).ok()? {
+                Local::Here(placed) => return self.attempt(cx, placed, &out).await,
+                Local::Wait(waiting) => req = wait::slot(cx, waiting).await.ok()?,
+            }
+            turn = Turn::Woken;
+        }
+    }
+}
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -46,6 +46,7 @@
 use crate::relay::Relay;
 use crate::relay::Sink;
 use crate::relay::Source;
+use crate::resume::Resumable;
 use crate::wait;
 
 /// Attempts at a forwarded request before it is refused.
@@ -67,7 +68,7 @@
         &self,
         from: &Identity,
         req: Forward,
-    ) -> Result<(Request<Dispatched, Forwarded>, Box<Answer>), Refusal> {
+    ) -> Result<(Request<Dispatched, Forwarded>, Box<Answer>, Outbound), Refusal> {
         let now = self.cx.clock.now();
         let peer = Peer::Sibling(from.instance.clone());
         self.cx.record(
@@ -106,7 +107,8 @@
             &req.route,
             &self.cx.settings.region,
         )?;
-        self.run(admitted, &out).await
+        let (req, answer) = self.run(admitted, &out).await?;
+        Ok((req, answer, out))
     }
 
     fn refuse(&self, id: &RequestId, account: Option<&Account>, refusal: &Refusal) {
@@ -151,6 +153,7 @@
         &self,
         req: Request<Dispatched, Forwarded>,
         answer: Box<Answer>,
+        out: &Outbound,
         mut tx: FrameSender,
     ) {
         let head = Frame::Head {
@@ -176,10 +179,11 @@
             record: None,
         };
         let under = keys::enter(&self.cx, req.key());
-        let (end, _) = relay.run(&self.cx, &under).await;
+        let mut resumable = Resumable::new(req, Some(out));
+        let (end, _) = relay.run(&self.cx, &under, &mut resumable).await;
         let what = relay::describe(&end);
         if matches!(end, End::Whole) {
-            drop(req.answered());
+            resumable.answered();
         }
         self.cx
             .record(&id, account.as_ref(), Step::Answer, peer, what);
@@ -238,7 +242,7 @@
         // If the sibling left, the relay finds out and cancels the request.
         let _ = tx.send(&Frame::Stamp(self.cx.events.latest())).await;
         match answer {
-            Ok((req, answer)) => self.stream(req, answer, tx).await,
+            Ok((req, answer, out)) => self.stream(req, answer, &out, tx).await,
             Err(refusal) => {
                 self.refuse(&id, account.as_ref(), &refusal);
                 // The sibling may have left.
--- a/crates/decisions/src/config.rs
+++ b/crates/decisions/src/config.rs
@@ -163,6 +163,10 @@
     /// Requests that may wait at an instance.
     #[serde(default = "default_queue")]
     pub queue: usize,
+    /// Whether a target goes on with a stream that another one began, after
+    /// the event that `Last-Event-ID` names.
+    #[serde(default)]
+    pub resume: bool,
     /// What placement weighs more.
     #[serde(default)]
     pub weights: Weights,
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -79,6 +79,7 @@
     slots = DEFAULT_SLOTS,
     prefill_rate = DEFAULT_PREFILL_RATE,
     queue = DEFAULT_QUEUE,
+    resume = false,
     weights = Weights::default(),
 });
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -216,7 +216,10 @@
             "object": "chat.completion.chunk", "choices": [],
             "usage": {"completion_tokens": words},
         });
-        let mut end = format!("data: {usage}\n\n");
+        let mut end = String::new();
+        if first <= words {
+            end.push_str(&format!("id: {words}\ndata: {usage}\n\n"));
+        }
         if flaw != Some(Flaw::NoDone) {
             end.push_str("data: [DONE]\n\n");
         }
--- a/crates/target/src/headers.rs
+++ b/crates/target/src/headers.rs
@@ -15,8 +15,11 @@
 use hyper::header::LOCATION;
 use hyper::header::USER_AGENT;
 
+/// Header that names the last event that the asker of a stream has.
+pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+
 /// Headers of a caller's request that reach a target. Keys are not among them.
-const TO_TARGET: [HeaderName; 8] = [
+const TO_TARGET: [HeaderName; 9] = [
     ACCEPT,
     ACCEPT_LANGUAGE,
     CONTENT_TYPE,
@@ -24,6 +27,7 @@
     CONTENT_LANGUAGE,
     IF_MATCH,
     IF_NONE_MATCH,
+    LAST_EVENT_ID,
     USER_AGENT,
 ];
 
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -13,7 +13,9 @@
 
 use rustix::process::Pid;
 use rustix::process::Signal;
+use rustix::process::WaitOptions;
 use rustix::process::kill_process;
+use rustix::process::waitpid;
 
 /// Time in which a process must print a line or end.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -113,9 +115,11 @@
         self.child.wait().expect("the process ends");
     }
 
-    /// Stops the process in its tracks.
+    /// Stops the process in its tracks, and returns once all of it has stopped.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
+        let pid = Pid::from_child(&self.child);
+        waitpid(Some(pid), WaitOptions::UNTRACED).expect("the process is a child");
     }
 
     /// Lets a frozen process go on.
--- a/tests/testsuite/whole.rs
+++ b/tests/testsuite/whole.rs
@@ -265,3 +265,52 @@
         eventually("it is cancelled", async || engine.cancelled() == 1).await;
     });
 }
+
+fn numbered(text: &str) -> Vec<String> {
+    let words = text.lines().filter_map(|l| {
+        let event: serde_json::Value = serde_json::from_str(l.strip_prefix("data: ")?).ok()?;
+        let word = event["choices"][0]["delta"]["content"].as_str()?;
+        Some(word.trim().to_owned())
+    });
+    words.collect()
+}
+
+/// An engine cuts its stream; another one of the region goes on with it.
+fn check_resumed(region: &str, faults: Faults) {
+    block_on(async {
+        let site = Site::start(&[("lima-1", "lima"), ("cusco-1", "cusco")]).await;
+        let (one, first) = site.engine("engine-1", Duration::from_millis(1)).await;
+        let (two, second) = site.engine("engine-2", Duration::from_millis(1)).await;
+        let engines = [("engine-1", first, region), ("engine-2", second, region)];
+        let mut doc = document(&engines, &[]);
+        doc["pools"]["engines"]["resume"] = json!(true);
+        site.apply("lima-1", doc).await;
+        let key = site.grant("lima-1", "encargos").await.key;
+        let caller = site.daemon("lima-1").caller;
+        // The first to be asked is cut, the other is not.
+        one.script.set(faults.clone());
+        two.script.set(faults);
+        let body = ask(200);
+        let asked = caller::post(caller, "/v1/chat/completions", &key, &body);
+        let mend = async {
+            eventually("one runs", async || one.running() + two.running() > 0).await;
+            let other = if one.running() > 0 { &two } else { &one };
+            other.script.set(Faults::default());
+        };
+        let (answer, ()) = tokio::join!(asked, mend);
+        let answer = answer.expect("an answer");
+        let text = answer.text();
+        let want: Vec<String> = (0..200).map(|i| format!("word{i}")).collect();
+        assert_eq!(numbered(&text), want, "{text}");
+        assert!(answer.whole && text.ends_with("data: [DONE]\n\n"), "{text}");
+        assert_eq!(text.matches("\"usage\"").count(), 1, "{text}");
+    });
+}
+
+cases! {
+    check_resumed:
+    resumed_after_a_cut("lima", cut_after(100));
+    resumed_after_a_cut_in_another_region("cusco", cut_after(100));
+    resumed_after_a_cut_event("lima", flaw(Flaw::CutEvent));
+    resumed_after_no_done("lima", flaw(Flaw::NoDone));
+}
