Place a request again when its sibling or target refuses it

A request that went to another region was lost with the sibling: no connection was refused as not run and a broken link as unknown, though the request could run elsewhere. It is placed again now, never to a sibling it was passed to before; after a byte was sent only if it may be repeated, and out of the retry budget. A target that answers 503 takes no work: it is ejected, and requests that may be repeated go to another target.

The test of a frozen sibling failed without the second placement, with refusals in place of answers, and the test of a refusing target with its 503.

--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -12,6 +12,7 @@
 use chiverelay_decisions::step::Step;
 use chiverelay_target::Answer;
 use chiverelay_target::Outbound;
+use hyper::StatusCode;
 
 use crate::context::Context;
 use crate::keys;
@@ -114,6 +115,17 @@
     let error = match sent {
         Ok(Ok(answer)) => {
             record(Step::Answer, format!("status {}", answer.status().as_u16()));
+            if answer.status() == StatusCode::SERVICE_UNAVAILABLE {
+                // The target takes no work, as one that leaves.
+                gateway::eject(&cx.tables, &target, cx.clock.now());
+                return match req.repeat() {
+                    Ok(req) => Attempt::Again(req),
+                    Err(req) => {
+                        running.hand_over();
+                        Attempt::Answer(req, Box::new(answer))
+                    }
+                };
+            }
             running.hand_over();
             gateway::succeed(&cx.tables, &target, cx.clock.now());
             return Attempt::Answer(req, Box::new(answer));
--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -3,8 +3,10 @@
 use chiverelay_caller::Reply;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Away;
 use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Dispatched;
 use chiverelay_decisions::request::Request;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
@@ -25,13 +27,31 @@
 use crate::request::ReplyHead;
 use crate::serve::Serve;
 
+/// What became of a request that was passed on.
+pub(crate) enum Passed {
+    /// The head of an answer arrived.
+    Reply(Reply),
+    /// It may be placed again.
+    Again(Request<Admitted, Direct>),
+    /// The request is over.
+    Refused(Refusal),
+}
+
+/// Places a request again that its sibling may have run, if it may be repeated.
+fn again(req: Request<Dispatched, Direct>) -> Passed {
+    match req.repeat() {
+        Ok(req) => Passed::Again(req),
+        Err(req) => Passed::Refused(req.refuse_unknown(Code::SiblingFailed, Step::Forward)),
+    }
+}
+
 impl Serve {
     pub(crate) async fn forward(
         &self,
         req: Request<Away, Direct>,
-        out: Outbound,
+        out: &Outbound,
         claim: &mut Option<Claim>,
-    ) -> Result<Reply, Refusal> {
+    ) -> Passed {
         let id = req.head().id.clone();
         let account = req.grant().account.clone();
         let peer = Peer::Sibling(req.instance().clone());
@@ -44,7 +64,7 @@
             Err(e) => {
                 log::warn!("serve: {id}: {e}");
                 record("no connection");
-                return Err(req.refuse_not_run(Code::Unavailable, Step::Connect, peer.clone()));
+                return Passed::Again(req.unplace());
             }
         };
         let message = self.forward_message(&req, out);
@@ -63,18 +83,21 @@
             head = tokio::time::timeout(left, head) => head,
             () = under.withdrawn() => {
                 record("cut: the key was withdrawn");
-                return Err(req.refuse_unknown(Code::Unauthenticated, Step::Authenticate));
+                return Passed::Refused(
+                    req.refuse_unknown(Code::Unauthenticated, Step::Authenticate),
+                );
             }
             () = self.cx.cut.cancelled() => {
                 record("cut at the drain timeout");
-                return Err(req.refuse_unknown(Code::Draining, Step::Drain));
+                return Passed::Refused(req.refuse_unknown(Code::Draining, Step::Drain));
             }
         };
         match head {
-            Err(_) => Err(req.refuse_unknown(Code::DeadlineExceeded, Step::Forward)),
+            Err(_) => Passed::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Forward)),
             Ok(Err(e)) => {
                 log::warn!("serve: {id}: {e}");
-                Err(req.refuse_unknown(Code::SiblingFailed, Step::Forward))
+                record("no answer");
+                again(req)
             }
             Ok(Ok((answer, Frame::Head { status, headers }))) => {
                 let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -86,14 +109,14 @@
                     headers,
                     framing,
                 };
-                Ok(self.stream(req, head, source, claim))
+                Passed::Reply(self.stream(req, head, source, claim))
             }
-            Ok(Ok((_, Frame::Refused(refusal)))) => Err(req.refuse_as_sibling(refusal)),
-            Ok(Ok(_)) => Err(req.refuse_unknown(Code::SiblingFailed, Step::Forward)),
+            Ok(Ok((_, Frame::Refused(refusal)))) => Passed::Refused(req.refuse_as_sibling(refusal)),
+            Ok(Ok(_)) => again(req),
         }
     }
 
-    fn forward_message(&self, req: &Request<Away, Direct>, out: Outbound) -> Forward {
+    fn forward_message(&self, req: &Request<Away, Direct>, out: &Outbound) -> Forward {
         let head = req.head();
         let left = head.deadline.saturating_sub(self.cx.clock.now());
         Forward {
@@ -105,7 +128,7 @@
             max_answer_tokens: head.max_answer_tokens,
             prefix: head.prefix.clone(),
             method: out.method.to_string(),
-            path_and_query: out.path_and_query,
+            path_and_query: out.path_and_query.clone(),
             headers: write_headers(&headers::to_target(&out.headers)),
             body: out.body.to_vec(),
         }
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -39,6 +39,7 @@
 use crate::dispatch;
 use crate::dispatch::Attempt;
 use crate::forward;
+use crate::forward::Passed;
 use crate::keys;
 use crate::operations;
 use crate::operations::Claim;
@@ -234,7 +235,14 @@
                     }
                     Attempt::Refused(refusal) => return Err(refusal),
                 },
-                Placement::Away(away) => return self.forward(away, out, claim).await,
+                Placement::Away(away) => match self.forward(away, &out, claim).await {
+                    Passed::Reply(reply) => return Ok(reply),
+                    Passed::Again(req) => {
+                        (turn, attempts) = (Turn::New, attempts + 1);
+                        req
+                    }
+                    Passed::Refused(refusal) => return Err(refusal),
+                },
             };
         }
         Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
--- a/crates/decisions/src/gateway/place.rs
+++ b/crates/decisions/src/gateway/place.rs
@@ -287,6 +287,7 @@
         let has_target = || entry.targets.values().any(|t| t.region == *region);
         if !sibling.serving
             || region == scan.here
+            || req.passed().contains(name)
             || !scan.residency.allows(region)
             || !has_target()
         {
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -207,13 +207,14 @@
 /// `attempted` is set once any attempt was dispatched, and from the start if
 /// an earlier request may have been an attempt at the same operation; a
 /// refusal after that never says "not run". `tried` lists every target that
-/// was chosen before.
+/// was chosen before, `passed` every sibling.
 #[derive(Debug)]
 pub struct Request<S, O> {
     head: Arc<Head>,
     key: Option<KeyId>,
     attempted: bool,
     tried: Vec<Target>,
+    passed: Vec<Instance>,
     state: S,
     origin: PhantomData<O>,
 }
@@ -235,6 +236,11 @@
         &self.tried
     }
 
+    /// Returns the siblings that were chosen before.
+    pub fn passed(&self) -> &[Instance] {
+        &self.passed
+    }
+
     /// Tells whether an attempt was dispatched.
     pub fn attempted(&self) -> bool {
         self.attempted
@@ -246,6 +252,7 @@
             key: self.key,
             attempted: self.attempted,
             tried: self.tried,
+            passed: self.passed,
             state,
             origin: PhantomData,
         }
@@ -300,6 +307,7 @@
             key: None,
             attempted: false,
             tried: Vec::new(),
+            passed: Vec::new(),
             state: Received(()),
             origin: PhantomData,
         }
@@ -413,8 +421,9 @@
         &self.state.grant
     }
 
-    /// Goes back after a sibling refused the request as "not run".
-    pub fn unplace(self) -> Request<Admitted, Direct> {
+    /// Goes back after a connection that failed before any byte was sent.
+    pub fn unplace(mut self) -> Request<Admitted, Direct> {
+        self.passed.push(self.state.instance.clone());
         let grant = Arc::clone(&self.state.grant);
         self.with_state(Admitted { grant })
     }
@@ -422,6 +431,7 @@
     /// Marks that the sibling may now pass the request to a target.
     pub fn dispatch(mut self) -> Request<Dispatched, Direct> {
         let earlier = std::mem::replace(&mut self.attempted, true);
+        self.passed.push(self.state.instance.clone());
         let grant = Arc::clone(&self.state.grant);
         let peer = Peer::Sibling(self.state.instance.clone());
         self.with_state(Dispatched {
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chiverelay_standin::faults::Faults;
 use serde_json::json;
 use support::block_on;
 use support::caller;
@@ -107,3 +108,56 @@
         assert_eq!(engine.taken(), 20);
     });
 }
+
+#[test]
+fn a_target_that_refuses_is_left_out() {
+    block_on(async {
+        let site = Site::start(&[("lima-1", "lima")]).await;
+        let (refusing, one) = site.engine("engine-1", Duration::from_millis(1)).await;
+        let (_, two) = site.engine("engine-2", Duration::from_millis(1)).await;
+        let document = document(&[("engine-1", one, "lima"), ("engine-2", two, "lima")], &[]);
+        site.apply("lima-1", document).await;
+        let key = site.grant("lima-1", "encargos").await.key;
+        refusing.script.set(Faults {
+            refuse: true,
+            ..Faults::default()
+        });
+        let address = site.daemon("lima-1").caller;
+        for i in 0..20 {
+            let name = ask(address, &key, &format!("question {i}")).await;
+            assert_eq!(name, "engine-2");
+        }
+        assert_eq!(refusing.taken(), 0);
+    });
+}
+
+/// A request that may be repeated goes elsewhere when its sibling is silent.
+#[test]
+fn a_frozen_sibling_costs_no_repeatable_request() {
+    block_on(async {
+        let daemons = [
+            ("lima-1", "lima"),
+            ("cusco-1", "cusco"),
+            ("arequipa-1", "arequipa"),
+        ];
+        let site = Site::start(&daemons).await;
+        let (_, one) = site.engine("engine-1", Duration::from_millis(1)).await;
+        let (_, two) = site.engine("engine-2", Duration::from_millis(1)).await;
+        let document = document(
+            &[("engine-1", one, "cusco"), ("engine-2", two, "arequipa")],
+            &[],
+        );
+        site.apply("lima-1", document).await;
+        let key = site.grant("lima-1", "encargos").await.key;
+        let address = site.daemon("lima-1").caller;
+        site.daemon("cusco-1").process.freeze();
+        let mut asks = tokio::task::JoinSet::new();
+        for i in 0..8 {
+            let key = key.clone();
+            asks.spawn(async move { ask(address, &key, &format!("question {i}")).await });
+        }
+        let answers = asks.join_all().await;
+        site.daemon("cusco-1").process.thaw();
+        assert!(answers.iter().all(|a| a == "engine-2"), "{answers:?}");
+    });
+}
