--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use chiverelay_decisions::event::Entry;
@@ -17,6 +16,7 @@
 use chiverelay_decisions::tables::Ranked;
 use chiverelay_decisions::tables::Recent;
 use chiverelay_decisions::tables::Sharded;
+use chiverelay_registry::Registry;
 use chiverelay_sibling as sibling;
 use chiverelay_store::Store;
 use chiverelay_target::Client;
@@ -27,7 +27,9 @@
 use crate::keys::Running;
 use crate::members::Addresses;
 use crate::members::Member;
+use crate::members::Membership;
 use crate::metrics::Metrics;
+use crate::operations::Operations;
 use crate::publish::Published;
 use crate::settings::Settings;
 use crate::workers::Pool;
@@ -41,11 +43,14 @@
 /// Time for a call of the store.
 const STORE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time for a call of the registry.
+const REGISTRY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// What the parts of the daemon share.
 ///
 /// # Invariants
 ///
-/// `drain` is cancelled before `stop`; `requests` counts every open request
+/// `drain` is cancelled before `close`, and that before `stop`; `requests` counts every open request
 /// of callers and siblings, so that `stop` comes after the last of them.
 #[derive(Debug)]
 pub(crate) struct Context {
@@ -73,20 +78,27 @@
     pub(crate) store: Store,
     /// The endpoint for siblings.
     pub(crate) endpoint: sibling::Endpoint,
+    /// Operations that run at most once.
+    pub(crate) operations: Operations,
     /// The configuration's newest edition.
     pub(crate) published: Published,
     /// Whether this instance has had a word on the newest configuration from
     /// the store or a sibling; before it takes no work.
     pub(crate) synced: AtomicBool,
-    /// Incarnation of this instance, raised by a new process and after a
-    /// lease lapsed.
-    pub(crate) incarnation: AtomicU64,
+    /// Who the instances are and which of them live.
+    pub(crate) membership: Membership,
+    /// The platform's list of instances and directory for clients.
+    pub(crate) registry: Option<Registry>,
     /// Links to siblings.
     pub(crate) links: Sharded<Instance, sibling::Link<sibling::Up>>,
     /// The other instances.
     pub(crate) members: Sharded<Instance, Member>,
-    /// Cancelled when no new requests are taken.
+    /// Cancelled when the instance leaves; requests are still taken.
     pub(crate) drain: CancellationToken,
+    /// Cancelled when no new requests are taken.
+    pub(crate) close: CancellationToken,
+    /// Cancelled when open requests are cut, at the drain timeout.
+    pub(crate) cut: CancellationToken,
     /// Cancelled when the last request has ended.
     pub(crate) stop: CancellationToken,
     /// Open requests.
@@ -109,8 +121,13 @@
             &stop,
         );
         let clock = Clock::new();
+        let store = Store::new(
+            settings.store.address,
+            settings.store.budget(),
+            STORE_TIMEOUT,
+        );
+        let operations = Operations::start(settings.instance.clone(), store.clone(), stop.clone());
         Ok(Self {
-            addresses,
             clock,
             tables,
             running: Arc::new(Running::new()),
@@ -119,20 +136,24 @@
             events: Ring::new(settings.instance.clone(), settings.events),
             metrics: Metrics::new(settings.metrics.as_ref())?,
             targets: Client::new(CONNECT_TIMEOUT),
-            store: Store::new(
-                settings.store.address,
-                settings.store.budget(),
-                STORE_TIMEOUT,
-            ),
+            store,
+            operations,
             endpoint,
             published: Published::new(),
             synced: AtomicBool::new(false),
-            incarnation: AtomicU64::new(clock.wall().as_millis() as u64),
+            membership: Membership::new(&settings, &addresses, clock.wall()),
+            registry: settings
+                .registry
+                .as_ref()
+                .map(|r| Registry::new(r.address, REGISTRY_TIMEOUT)),
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
             drain: CancellationToken::new(),
+            close: CancellationToken::new(),
+            cut: CancellationToken::new(),
             stop,
             requests: TaskTracker::new(),
+            addresses,
             settings,
         })
     }
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -57,6 +57,8 @@
     pub(crate) sibling: SiblingSettings,
     /// The store.
     pub(crate) store: StoreSettings,
+    /// The platform's list of instances and directory for clients.
+    pub(crate) registry: Option<RegistrySettings>,
     /// Address of a StatsD server.
     pub(crate) metrics: Option<SocketAddr>,
     /// Workers over the shared tables.
@@ -65,6 +67,9 @@
     pub(crate) threads: usize,
     /// Jobs that may wait for one worker.
     pub(crate) queue_depth: usize,
+    /// Time for callers and siblings to learn of a drain before requests are
+    /// no longer taken, in milliseconds.
+    pub(crate) drain_notice_ms: u64,
     /// Time for open requests to end at a drain, in milliseconds.
     pub(crate) drain_timeout_ms: u64,
     /// Events kept in memory.
@@ -132,6 +137,15 @@
     pub(crate) reads_per_second: Option<u32>,
     /// Writes a second that it takes from all instances.
     pub(crate) writes_per_second: Option<u32>,
+    /// Time to live of this instance's lease, in seconds.
+    pub(crate) lease_seconds: usize,
+}
+
+/// The platform's list of instances and directory for clients.
+#[derive(Clone, Debug)]
+pub(crate) struct RegistrySettings {
+    /// Its address.
+    pub(crate) address: SocketAddr,
 }
 
 impl StoreSettings {
@@ -153,10 +167,12 @@
     operator,
     sibling,
     store,
+    registry = None,
     metrics = None,
     workers = 4 => at_least_one,
     threads = 4 => at_least_one,
     queue_depth = 1024 => at_least_one,
+    drain_notice_ms = 6_000,
     drain_timeout_ms = 600_000,
     events = 16_384 => at_least_one,
 });
@@ -189,8 +205,11 @@
     address,
     reads_per_second = None,
     writes_per_second = None,
+    lease_seconds = 30 => at_least_one,
 });
 
+read_struct!(RegistrySettings { address });
+
 fn at_least_one(n: &usize) -> Result<(), String> {
     match n {
         0 => Err("the value is at least 1".to_owned()),
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -1,6 +1,7 @@
 //! What instances say to each other.
 
 use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::membership::Digest;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
@@ -9,6 +10,11 @@
 use chiverelay_decisions::placement::Report;
 use chiverelay_decisions::placement::Summary;
 use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::tickets::Nonce;
+use chiverelay_decisions::tickets::Operation;
+use chiverelay_decisions::tickets::Reply;
+use chiverelay_decisions::tickets::Settlement;
+use chiverelay_decisions::tickets::Ticket;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -40,6 +46,16 @@
     Loads(Vec<TargetLoad>),
     /// The message was taken and needs no other answer.
     Done,
+    /// Asks a ticket's issuer for leave to run an operation.
+    Claim(Claim),
+    /// The issuer's reply to a claim.
+    Claimed(Reply),
+    /// Tells a ticket's issuer what became of a granted claim.
+    Settle(Settle),
+    /// Asks to bind a ticket to a name in the store, if none is bound.
+    Bind(Bind),
+    /// The ticket bound to the name; `None` if the store can't be reached.
+    Bound(Option<Ticket>),
     /// Keys whose withdrawal may not be durable yet. Answered in kind.
     Withdrawn(Vec<KeyId>),
     /// Asks for the configuration in force.
@@ -48,13 +64,42 @@
     Config(ConfigParts),
 }
 
+/// A claim of a ticket.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The ticket.
+    pub ticket: Ticket,
+    /// Names the claim; a repeated claim has the same.
+    pub nonce: Nonce,
+    /// What the ticket is used for.
+    pub operation: Operation,
+}
+
+/// What became of a granted claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settle {
+    /// The ticket.
+    pub ticket: Ticket,
+    /// Names the claim.
+    pub nonce: Nonce,
+    /// What became of it.
+    pub settlement: Settlement,
+}
+
+/// A ticket to be bound to a name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bind {
+    /// The name.
+    pub name: String,
+    /// The ticket.
+    pub ticket: Ticket,
+}
+
 /// A sign of life and what siblings need to know of the sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// Whether the sender takes new work.
-    pub serving: bool,
-    /// The sender's configuration version.
-    pub config_version: u64,
+    /// What the sender knows of the instances, itself first.
+    pub digest: Digest,
     /// Digest of the withdrawals that are not durable yet.
     pub withdrawn: u64,
     /// What the sender's region has of each pool.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,14 +2,19 @@
 
 mod bucket;
 mod callers;
+mod combined;
 mod configuration;
 mod cuts;
 mod decoders;
+mod drain;
 mod health;
 mod hostile;
+mod instances;
 mod keys;
+mod limits;
 mod membership;
 mod metrics;
+mod once;
 mod path;
 mod placement;
 mod queue;
@@ -18,5 +23,7 @@
 mod settings;
 mod store;
 mod tables;
+mod tickets;
 mod timeline;
 mod tool;
+mod whole;
