Admit out of shares that the ledger records

The admission still charged a bucket of its own at each instance. It now takes from the book: own share first, then the region's siblings in their rank, then other regions' if the deadline leaves a round trip, and only then rate_limited with the time in which the account fills. The lease is checked by the clock inside the worker, as a job may wait in its queue.

Failed first with this wiring: 12 tests of the suite were refused as rate_limited right after the start, since a share that was looked at before its first hold stayed empty; such shares are now made anew, full, when a slot is held for the first time. cuts::store_outage_stops_no_request took the store away before any share was held: an instance now counts as serving once it holds its shares or finds the store out, and one that has just started lets requests wait up to 5 s for them.

--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -21,6 +21,7 @@
 use crate::publish;
 use crate::serve::Serve;
 use crate::settings::Settings;
+use crate::shares;
 use crate::sibling::Siblings;
 use crate::wait;
 
@@ -61,6 +62,7 @@
     let cx = Arc::new(Context::new(settings, endpoint.clone(), addresses)?);
     tokio::spawn(publish::run(Arc::clone(&cx)));
     tokio::spawn(members::run(Arc::clone(&cx)));
+    tokio::spawn(shares::run(Arc::clone(&cx)));
     tokio::spawn(keys::run(Arc::clone(&cx)));
     tokio::spawn(wait::run(Arc::clone(&cx)));
     tokio::spawn(load::run(Arc::clone(&cx)));
--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -8,6 +8,7 @@
 use chiverelay_decisions::event::Entry;
 use chiverelay_decisions::event::Ring;
 use chiverelay_decisions::gateway::Tables;
+use chiverelay_decisions::limits::quorum::Witness;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::RequestId;
@@ -81,6 +82,10 @@
     /// Incarnation of this instance, raised by a new process and after a
     /// lease lapsed.
     pub(crate) incarnation: AtomicU64,
+    /// Cancelled when this instance first holds the shares that it should.
+    pub(crate) holding: CancellationToken,
+    /// What this instance told holders of shares and reclaimers.
+    pub(crate) witness: Ranked<Witness>,
     /// Links to siblings.
     pub(crate) links: Sharded<Instance, sibling::Link<sibling::Up>>,
     /// The other instances.
@@ -100,7 +105,7 @@
         endpoint: sibling::Endpoint,
         addresses: Addresses,
     ) -> Result<Self, std::io::Error> {
-        let tables = Arc::new(Tables::new());
+        let tables = Arc::new(Tables::of_incarnation(rand::random()));
         let stop = CancellationToken::new();
         let pool = Pool::start(
             Arc::clone(&tables),
@@ -128,6 +133,8 @@
             published: Published::new(),
             synced: AtomicBool::new(false),
             incarnation: AtomicU64::new(clock.wall().as_millis() as u64),
+            holding: CancellationToken::new(),
+            witness: Ranked::new(Rank::Members, Witness::new(clock.now())),
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
             drain: CancellationToken::new(),
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -16,6 +16,7 @@
 mod request;
 mod serve;
 mod settings;
+mod shares;
 mod sibling;
 mod wait;
 mod workers;
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -24,6 +24,7 @@
 
 use crate::context::Context;
 use crate::keys;
+use crate::shares;
 
 /// Prefix of the keys that hold the instances' records.
 const PREFIX: &str = "chiverelay/instances/";
@@ -212,7 +213,9 @@
     // The lock must be gone before the summaries take theirs.
     let withdrawn = cx.tables.withdrawn.lock().digest();
     Heartbeat {
-        serving: !cx.drain.is_cancelled() && cx.synced.load(Ordering::Acquire),
+        serving: !cx.drain.is_cancelled()
+            && cx.synced.load(Ordering::Acquire)
+            && shares::is_ready(cx),
         config_version: cx.tables.config.get().version,
         withdrawn,
         summaries: gateway::summaries(&cx.tables, &cx.settings.region, cx.clock.now()),
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -8,6 +8,7 @@
 use chiverelay_caller::ReplyBody;
 use chiverelay_decisions::config::DEFAULT_DEADLINE_MS;
 use chiverelay_decisions::gateway;
+use chiverelay_decisions::gateway::Admission;
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Placement;
 use chiverelay_decisions::gateway::Turn;
@@ -38,6 +39,7 @@
 use crate::relay::Sink;
 use crate::relay::Source;
 use crate::serve::Serve;
+use crate::shares;
 use crate::wait;
 
 /// Attempts at a request before it is refused.
@@ -128,17 +130,20 @@
         path: String,
         key: Option<Shown>,
     ) -> Result<Request<Admitted, Direct>, Refusal> {
-        let now = self.cx.clock.now();
+        // The share's lease is checked by the clock at that moment.
+        let clock = self.cx.clock;
         let by = key.clone().unwrap_or_default();
         let job = move |tables: &gateway::Tables| {
             let ask = Ask {
                 path: &path,
                 key: key.as_deref(),
             };
-            gateway::admit(tables, Request::from_caller(head), &ask, now)
+            gateway::admit(tables, Request::from_caller(head), &ask, clock.now())
         };
         match self.cx.pool.run(&by, job).await {
-            Ok(result) => result,
+            Ok(Ok(Admission::Admitted(req))) => Ok(req),
+            Ok(Ok(Admission::Short(short))) => shares::gather(&self.cx, *short).await,
+            Ok(Err(refusal)) => Err(refusal),
             Err(_) => Err(Refusal::before_dispatch(
                 Code::Overloaded,
                 Step::Admit,
--- /dev/null
+++ b/crates/chiverelayd/src/shares/ledger.rs
@@ -0,0 +1,189 @@
+//! This instance's changes of the ledger.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use chiverelay_decisions::limits::Holder;
+use chiverelay_decisions::limits::homes::PAGES;
+use chiverelay_decisions::limits::ledger::Page;
+use chiverelay_decisions::limits::ledger::View;
+use chiverelay_decisions::limits::quorum;
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
+use chiverelay_sibling::Message;
+use chiverelay_store::Error;
+use chiverelay_store::Swap;
+
+use super::Job;
+use super::RECORDS;
+use super::ask_all;
+
+/// Prefix of the keys that hold the pages of the ledger.
+const LEDGER: &str = "chiverelay/shares/";
+
+/// The holders that have a record, with their regions.
+type Live = BTreeMap<Holder, Region>;
+
+/// The pages by number, with their revisions.
+type Pages = BTreeMap<u16, (i64, Page)>;
+
+fn key(number: u16) -> String {
+    format!("{LEDGER}{number}")
+}
+
+impl Job {
+    /// Writes what this instance should hold, page by page.
+    pub(super) async fn write_pages(&mut self) {
+        if self.record.is_none() {
+            return;
+        }
+        match self.try_write_pages().await {
+            Ok(true) => {
+                self.settled = Some(self.members());
+                self.cx.holding.cancel();
+            }
+            Ok(false) => {}
+            Err(e) => log::warn!("shares: {e}"),
+        }
+    }
+
+    async fn try_write_pages(&mut self) -> Result<bool, Error> {
+        // The records are read after the pages: whoever is on a page had a
+        // record before.
+        let pages = self.read_pages().await?;
+        let live = self.read_live().await?;
+        let names: BTreeSet<_> = live.keys().map(|h| h.instance.clone()).collect();
+        let mut settled = names == self.members();
+        let lapsed = self.lapsed(&pages, &live).await;
+        for number in 0..PAGES {
+            let (revision, page) = pages.get(&number).cloned().unwrap_or_default();
+            settled &= self
+                .write_page(number, revision, &page, &live, &lapsed)
+                .await?;
+        }
+        Ok(settled)
+    }
+
+    async fn read_pages(&self) -> Result<Pages, Error> {
+        let entries = self.cx.store.list(LEDGER).await?;
+        let mut pages = Pages::new();
+        for entry in entries {
+            let number = entry
+                .key
+                .strip_prefix(LEDGER)
+                .and_then(|n| n.parse::<u16>().ok());
+            match (number, serde_json::from_slice(&entry.value)) {
+                (Some(number), Ok(page)) => {
+                    pages.insert(number, (entry.revision, page));
+                }
+                (_, Err(e)) => log::error!("shares: {} is refused: {e}", entry.key),
+                (None, _) => log::error!("shares: {} is no page", entry.key),
+            }
+        }
+        Ok(pages)
+    }
+
+    async fn read_live(&self) -> Result<Live, Error> {
+        let mut live = Live::new();
+        for entry in self.cx.store.list(RECORDS).await? {
+            let holder = entry
+                .key
+                .strip_prefix(RECORDS)
+                .and_then(|rest| rest.rsplit_once('/'))
+                .and_then(|(instance, term)| {
+                    Some(Holder {
+                        instance: instance.into(),
+                        term: term.parse().ok()?,
+                    })
+                });
+            if let Some(holder) = holder {
+                let region = String::from_utf8_lossy(&entry.value);
+                live.insert(holder, Region::from(region.as_ref()));
+            }
+        }
+        Ok(live)
+    }
+
+    /// Returns the holders of this region that may be reclaimed.
+    async fn lapsed(&self, pages: &Pages, live: &Live) -> BTreeSet<Holder> {
+        let me = self.keeper.holder();
+        let mut gone: BTreeMap<Holder, Vec<&Vec<Instance>>> = BTreeMap::new();
+        for (_, page) in pages.values() {
+            for holder in page.others(&self.cx.settings.region, me) {
+                if !live.contains_key(&holder) {
+                    let roster = page.rosters.get(&holder.instance);
+                    gone.entry(holder).or_default().extend(roster);
+                }
+            }
+        }
+        let mut lapsed = BTreeSet::new();
+        for (holder, rosters) in gone {
+            if self.is_released(&holder, &rosters).await {
+                log::info!("shares: {} is reclaimed", holder.instance);
+                lapsed.insert(holder);
+            }
+        }
+        lapsed
+    }
+
+    async fn is_released(&self, holder: &Holder, rosters: &[&Vec<Instance>]) -> bool {
+        let members: BTreeSet<&Instance> = rosters.iter().copied().flatten().collect();
+        let members: Vec<Instance> = members.into_iter().cloned().collect();
+        let message = Message::Release(holder.clone());
+        let by = ask_all(&self.cx, &members, &message).await;
+        !rosters.is_empty()
+            && rosters.iter().all(|roster| {
+                let released = roster.iter().filter(|name| by.contains(*name)).count();
+                released >= quorum::blocking(roster.len())
+            })
+    }
+
+    /// Writes a page if need be; returns whether this instance holds on it
+    /// what it should, and nobody else does who is gone.
+    async fn write_page(
+        &mut self,
+        number: u16,
+        revision: i64,
+        page: &Page,
+        live: &Live,
+        lapsed: &BTreeSet<Holder>,
+    ) -> Result<bool, Error> {
+        let here = self.cx.settings.region.clone();
+        let names = live.iter().filter(|(_, region)| **region == here);
+        let roster: BTreeSet<Instance> = names.map(|(h, _)| h.instance.clone()).collect();
+        let roster: Vec<Instance> = roster.into_iter().collect();
+        let regions: BTreeSet<Region> = live.values().cloned().collect();
+        let me = self.keeper.holder().clone();
+        let view = View {
+            me: &me,
+            region: &here,
+            roster: &roster,
+            regions: &regions,
+            lapsed,
+        };
+        let (book, now) = (&self.cx.tables.book, self.cx.clock.now());
+        let Some(plan) = self.keeper.plan(book, number, page, &view, now) else {
+            self.record = None;
+            return Ok(false);
+        };
+        let others = plan.page.others(&here, &me);
+        let settled = plan.settled && others.iter().all(|h| live.contains_key(h));
+        if !plan.write {
+            return Ok(settled);
+        }
+        let value = serde_json::to_vec(&plan.page).unwrap_or_default();
+        match self
+            .cx
+            .store
+            .swap(&key(number), revision, &value, None)
+            .await?
+        {
+            Swap::Done(_) => {
+                let (book, now) = (&self.cx.tables.book, self.cx.clock.now());
+                self.keeper.written(book, number, &plan, now);
+                Ok(settled)
+            }
+            Swap::Conflict(_) => Ok(false),
+        }
+    }
+}
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -44,6 +44,7 @@
 use crate::relay;
 use crate::relay::Sink;
 use crate::relay::Source;
+use crate::shares;
 use crate::wait;
 
 /// Attempts at a forwarded request before it is refused.
@@ -195,7 +196,12 @@
                 load::hear(&self.cx, &from.region, &loads);
                 Message::Done
             }
-            Message::Forward(_) | Message::Config(_) | Message::Done => Message::Done,
+            Message::Forward(_)
+            | Message::Config(_)
+            | Message::Lend(_)
+            | Message::Word(_)
+            | Message::Done => Message::Done,
+            message => shares::answer(&self.cx, from, &message),
         };
         Envelope {
             version: VERSION,
--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -10,8 +10,7 @@
 use crate::config::Config;
 use crate::config::PoolEntry;
 use crate::keys::Withdrawn;
-use crate::limits::Bucket;
-use crate::names::Account;
+use crate::limits::Book;
 use crate::names::Instance;
 use crate::names::Pool;
 use crate::names::Region;
@@ -27,9 +26,12 @@
 use crate::tables::Sharded;
 use crate::tables::Snapshot;
 
+pub use admit::Admission;
 pub use admit::Ask;
+pub use admit::Short;
 pub use admit::admit;
 pub use admit::admit_forwarded;
+pub use admit::retry;
 pub use admit::settle;
 pub use place::Local;
 pub use place::Placement;
@@ -87,8 +89,8 @@
     pub config: Snapshot,
     /// Keys that are withdrawn.
     pub withdrawn: Ranked<Withdrawn>,
-    /// Limits by account.
-    pub accounts: Sharded<Account, Bucket>,
+    /// Shares of the accounts' limits.
+    pub book: Book,
     /// Waiting requests by pool.
     pub queues: Sharded<Pool, Waiting>,
     /// Load by target.
@@ -104,10 +106,15 @@
 impl Tables {
     /// Makes tables with an empty configuration.
     pub fn new() -> Self {
+        Self::of_incarnation(0)
+    }
+
+    /// Makes the tables of a process, whose incarnation no other one has.
+    pub fn of_incarnation(incarnation: u64) -> Self {
         Self {
             config: Snapshot::new(Config::default()),
             withdrawn: Ranked::new(Rank::Keys, Withdrawn::default()),
-            accounts: Sharded::new(Rank::Accounts),
+            book: Book::new(incarnation),
             queues: Sharded::new(Rank::Queues),
             targets: Sharded::new(Rank::Targets),
             siblings: Sharded::new(Rank::Siblings),
--- a/crates/decisions/src/gateway/admit.rs
+++ b/crates/decisions/src/gateway/admit.rs
@@ -5,7 +5,7 @@
 use super::Tables;
 use crate::config::AccountEntry;
 use crate::config::RouteEntry;
-use crate::limits::Bucket;
+use crate::limits::NANOS;
 use crate::names::Account;
 use crate::names::Region;
 use crate::names::Route;
@@ -29,6 +29,29 @@
     pub key: Option<&'a str>,
 }
 
+/// Shortest time after which a refused caller is told to try again.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(1);
+
+/// What became of a request that may be admitted.
+#[derive(Debug)]
+pub enum Admission {
+    /// The account was charged.
+    Admitted(Request<Admitted, Direct>),
+    /// The share held here has too few tokens; others may have them.
+    Short(Box<Short>),
+}
+
+/// A request that may run once its account can be charged.
+#[derive(Debug)]
+pub struct Short {
+    req: Request<Received, Direct>,
+    grant: Grant,
+    account: Account,
+    rate: u64,
+    burst: u64,
+    missing: u128,
+}
+
 fn refuse<O>(req: Request<Received, O>, code: Code, step: Step) -> Refusal {
     req.refuse_not_run(code, step, Peer::Local)
 }
@@ -43,7 +66,7 @@
     req: Request<Received, Direct>,
     ask: &Ask<'_>,
     now: Duration,
-) -> Result<Request<Admitted, Direct>, Refusal> {
+) -> Result<Admission, Refusal> {
     let config = tables.config.get();
     let shown = ask
         .key
@@ -57,7 +80,8 @@
         return Err(refuse(req, Code::NoRoute, Step::Route));
     };
     if route.open {
-        return Ok(req.admit(grant(name, route, None, 0)));
+        let grant = grant(name, route, None, 0);
+        return Ok(Admission::Admitted(req.admit(grant)));
     }
     let Some((key, account)) = shown else {
         return Err(refuse(req, Code::Unauthenticated, Step::Authenticate));
@@ -69,16 +93,68 @@
         return Err(refuse(req, Code::Forbidden, Step::Admit));
     };
     let charge = charge(&req, route);
-    take(tables, account, limit, charge, now).map_err(limited)?;
-    let req = req.with_key(key.clone());
-    Ok(req.admit(grant(name, route, Some((account, limit)), charge)))
+    tables.book.configure(&config, now);
+    let short = Short {
+        req: req.with_key(key.clone()),
+        grant: grant(name, route, Some((account, limit)), charge),
+        account: account.clone(),
+        rate: limit.rate,
+        burst: limit.burst,
+        missing: 0,
+    };
+    Ok(retry(tables, short, now))
 }
 
-fn limited(wait: Option<Duration>) -> Refusal {
-    let refusal = Refusal::before_dispatch(Code::RateLimited, Step::Admit, Peer::Local);
-    match wait {
-        Some(wait) => refusal.retry_after(wait),
-        None => refusal,
+/// Charges the account of a request that was short of tokens.
+pub fn retry(tables: &Tables, mut short: Short, now: Duration) -> Admission {
+    match tables.book.take(&short.account, short.grant.charge, now) {
+        Ok(receipt) => {
+            short.grant.receipt = Some(receipt);
+            Admission::Admitted(short.req.admit(short.grant))
+        }
+        Err(lacks) => {
+            short.missing = lacks.missing;
+            Admission::Short(Box::new(short))
+        }
+    }
+}
+
+impl Short {
+    /// Returns the account.
+    pub fn account(&self) -> &Account {
+        &self.account
+    }
+
+    /// Returns the nano-tokens that are missing.
+    pub fn missing(&self) -> u128 {
+        self.missing
+    }
+
+    /// Tells whether the account can ever have so many tokens at once.
+    pub fn is_possible(&self) -> bool {
+        self.grant.charge <= self.burst
+    }
+
+    /// Returns when the request must be answered.
+    pub fn deadline(&self) -> Duration {
+        self.req.head().deadline
+    }
+
+    /// Refuses the request; another try may succeed once the account has
+    /// filled by what is missing.
+    pub fn refuse(self) -> Refusal {
+        let possible = self.is_possible() && self.rate > 0;
+        let refusal = self
+            .req
+            .refuse_not_run(Code::RateLimited, Step::Admit, Peer::Local);
+        if !possible {
+            return refusal;
+        }
+        let nanos = self
+            .missing
+            .div_ceil(u128::from(self.rate))
+            .min(NANOS * NANOS);
+        refusal.retry_after(Duration::from_nanos(nanos as u64).max(MIN_RETRY_AFTER))
     }
 }
 
@@ -89,22 +165,6 @@
     head.prompt_tokens.saturating_add(answer)
 }
 
-fn take(
-    tables: &Tables,
-    account: &Account,
-    limit: &AccountEntry,
-    charge: u64,
-    now: Duration,
-) -> Result<(), Option<Duration>> {
-    let make = || Bucket::full(limit.rate, limit.burst, now);
-    tables.accounts.with_or(account, make, |bucket| {
-        if bucket.take(charge, now) {
-            return Ok(());
-        }
-        Err(bucket.wait(charge, now))
-    })
-}
-
 fn grant(
     name: &Route,
     route: &RouteEntry,
@@ -122,6 +182,7 @@
         residency,
         repeatable: route.repeatable,
         charge,
+        receipt: None,
     }
 }
 
@@ -159,9 +220,7 @@
     let Some(account) = &grant.account else {
         return;
     };
-    tables.accounts.with(account, |bucket| {
-        if let Some(bucket) = bucket {
-            bucket.refund(grant.charge.saturating_sub(used), now);
-        }
-    });
+    if let Some(receipt) = &grant.receipt {
+        tables.book.settle(account, receipt, used, now);
+    }
 }
--- a/crates/decisions/src/limits/book.rs
+++ b/crates/decisions/src/limits/book.rs
@@ -352,6 +352,11 @@
         part.full = full && part.weight.is_none();
         part.weight = weight;
         part.closing = false;
+        if part.full {
+            // Shares that hold nothing are made anew, full, when used.
+            self.shares
+                .retain(|account, share| Slot::of(account) != slot || !share.is_spent());
+        }
         self.set_base(&state, slot, weight, now);
     }
 
--- a/crates/decisions/src/limits/homes.rs
+++ b/crates/decisions/src/limits/homes.rs
@@ -10,7 +10,7 @@
 pub const SLOTS: u16 = 256;
 
 /// Number of store values that the slots are spread over.
-pub const PAGES: u16 = 16;
+pub const PAGES: u16 = 8;
 
 /// Instances of a region that hold shares of one account.
 pub const HOMES: usize = 2;
--- a/crates/decisions/src/limits/keeper.rs
+++ b/crates/decisions/src/limits/keeper.rs
@@ -3,6 +3,7 @@
 //! The caller does the I/O and reports what became of it: renewals, vouches
 //! and pages read and written, each with the time before it was sent.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -27,12 +28,14 @@
 /// `lease` is that of the record in the store. It backs the book only while
 /// `unfenced` is empty: after the record was gone, a write that reclaims a
 /// hold may be on its way until this instance has written the page itself.
+/// `rosters` has every roster that each page may show for this instance.
 #[derive(Debug)]
 pub struct Keeper {
     me: Holder,
     recorded: bool,
     lease: Lease,
     unfenced: BTreeSet<u16>,
+    rosters: BTreeMap<u16, BTreeSet<Vec<Instance>>>,
 }
 
 impl Keeper {
@@ -43,6 +46,7 @@
             recorded: false,
             lease: Lease::default(),
             unfenced: BTreeSet::new(),
+            rosters: BTreeMap::new(),
         }
     }
 
@@ -71,12 +75,13 @@
         self.me.term += 1;
         self.recorded = false;
         self.unfenced.clear();
+        self.rosters.clear();
     }
 
-    /// Notes that the record was renewed by a call sent at `sent`.
-    pub fn renewed(&mut self, book: &Book, sent: Duration, now: Duration) {
+    /// Notes that the record was renewed.
+    pub fn renewed(&mut self, book: &Book, lease: Lease, now: Duration) {
         self.recorded = true;
-        self.lease = Lease::granted(sent, RECORD_TTL);
+        self.lease = lease;
         self.extend(book, now);
     }
 
@@ -85,24 +90,27 @@
         self.recorded = false;
     }
 
-    /// Notes that the record was put, by a call sent at `sent`, where none was.
-    pub fn put(&mut self, book: &Book, sent: Duration, now: Duration) {
+    /// Notes that the record was put where none was.
+    pub fn put(&mut self, book: &Book, lease: Lease, now: Duration) {
         let held = (0..SLOTS).map(Slot).filter(|s| !book.weight(*s).is_none());
         self.unfenced = held.map(Slot::page).collect();
-        self.renewed(book, sent, now);
+        self.renewed(book, lease, now);
     }
 
-    /// Notes the vouches of a round of asks sent at `sent`.
-    pub fn vouched(
-        &self,
-        book: &Book,
-        sent: Duration,
-        vouches: usize,
-        roster: usize,
-        now: Duration,
-    ) {
-        if let Some(lease) = quorum::vouched(sent, vouches, roster) {
-            book.extend(lease, now);
+    /// Lists the members that could vouch for this instance.
+    pub fn members(&self) -> BTreeSet<&Instance> {
+        self.rosters.values().flatten().flatten().collect()
+    }
+
+    /// Notes who vouched in a round of asks sent at `sent`.
+    pub fn vouched(&self, book: &Book, sent: Duration, by: &BTreeSet<Instance>, now: Duration) {
+        let mut rosters = self.rosters.values().flatten();
+        let enough = rosters.all(|roster| {
+            let vouches = roster.iter().filter(|name| by.contains(*name)).count();
+            vouches >= quorum::majority(roster.len())
+        });
+        if enough && !self.rosters.is_empty() {
+            book.extend(Lease::granted(sent, quorum::VOUCH_TIME), now);
         }
     }
 
@@ -131,6 +139,10 @@
         }
         let mut plan = page.plan(number, view, |slot, weight| book.shrink(slot, weight, now));
         plan.write |= self.unfenced.contains(&number);
+        if plan.write {
+            let rosters = self.rosters.entry(number).or_default();
+            rosters.extend(plan.page.rosters.get(&self.me.instance).cloned());
+        }
         Some(plan)
     }
 
@@ -140,6 +152,8 @@
             book.grow(growth.slot, growth.weight, growth.first, now);
         }
         self.unfenced.remove(&number);
+        let roster = plan.page.rosters.get(&self.me.instance).cloned();
+        self.rosters.insert(number, roster.into_iter().collect());
         self.extend(book, now);
     }
 }
--- a/crates/decisions/src/limits/ledger.rs
+++ b/crates/decisions/src/limits/ledger.rs
@@ -20,7 +20,17 @@
 /// A holder: an instance in one term.
 ///
 /// A term ends when the instance's lease lapses, and never comes back.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "kebab-case")]
 pub struct Holder {
     /// The instance.
--- a/crates/decisions/src/limits/loan.rs
+++ b/crates/decisions/src/limits/loan.rs
@@ -10,7 +10,18 @@
 use crate::names::Instance;
 
 /// Identifies a loan: the asker's incarnation and a number of its own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct LoanId {
     /// Incarnation of the asker.
     pub incarnation: u64,
--- a/crates/decisions/src/limits/quorum.rs
+++ b/crates/decisions/src/limits/quorum.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use super::Holder;
-use super::Lease;
 use super::weight::DRIFT_PARTS;
 
 /// Time for which a member vouches.
@@ -30,11 +29,6 @@
     n.saturating_sub(majority(n)) + 1
 }
 
-/// Returns the lease that vouches asked for at `sent` extend to.
-pub fn vouched(sent: Duration, vouches: usize, roster: usize) -> Option<Lease> {
-    (roster > 0 && vouches >= majority(roster)).then(|| Lease::granted(sent, VOUCH_TIME))
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Word {
     Vouched(Duration),
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -60,6 +60,7 @@
 use std::time::Duration;
 
 use crate::config::Residency;
+use crate::limits::Receipt;
 use crate::names::Account;
 use crate::names::Instance;
 use crate::names::KeyId;
@@ -119,6 +120,8 @@
     pub repeatable: bool,
     /// Tokens charged to the account at admission.
     pub charge: u64,
+    /// Proof of the charge at the instance that made it.
+    pub receipt: Option<Receipt>,
 }
 
 /// State of a request whose client account was charged.
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -1,6 +1,10 @@
 //! What instances say to each other.
 
 use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::limits::Ask;
+use chiverelay_decisions::limits::Holder;
+use chiverelay_decisions::limits::Lend;
+use chiverelay_decisions::limits::Return;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
@@ -46,6 +50,20 @@
     ConfigRequest(ConfigRequest),
     /// Parts of the configuration in force.
     Config(ConfigParts),
+    /// Asks for tokens of an account. Answered by [`Message::Lend`].
+    ShareAsk(Ask),
+    /// Tokens on loan, if there are any to lend.
+    Lend(Option<Lend>),
+    /// A loan that is given back before its time.
+    Return(Return),
+    /// Asks to vouch for the sender while the store is out. Answered by
+    /// [`Message::Word`].
+    Vouch(Holder),
+    /// Asks to let a holder of the region be reclaimed, whose record is gone.
+    /// Answered by [`Message::Word`].
+    Release(Holder),
+    /// Whether the sender agrees.
+    Word(bool),
 }
 
 /// A sign of life and what siblings need to know of the sender.
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -542,10 +542,11 @@
         if call != Call::Answered {
             return;
         }
+        let lease = Lease::granted(sent, RECORD_TTL);
         if node.keeper.is_recorded() {
-            node.keeper.renewed(&node.book, sent, sent);
+            node.keeper.renewed(&node.book, lease, sent);
         } else {
-            node.keeper.put(&node.book, sent, sent);
+            node.keeper.put(&node.book, lease, sent);
         }
     }
 
@@ -667,26 +668,25 @@
         let sent = self.clock(i);
         let node = &self.nodes[i];
         let holder = node.keeper.holder().clone();
-        let rosters = &self.store.page.rosters;
-        let roster = rosters.get(&node.name).cloned().unwrap_or_default();
-        let mut vouches = 0;
+        let members: BTreeSet<Instance> = node.keeper.members().into_iter().cloned().collect();
+        let mut by = BTreeSet::new();
         for j in 0..self.len() {
-            if roster.contains(&self.nodes[j].name) && self.runs(j) && self.is_connected(i, j) {
+            if members.contains(&self.nodes[j].name) && self.runs(j) && self.is_connected(i, j) {
                 let now = self.clock(j);
                 let recent = Duration::from_secs(3);
-                let reaches = self.nodes[j]
-                    .reached_store
-                    .is_some_and(|at| at + recent > now);
+                let reached = self.nodes[j].reached_store;
+                let reaches = reached.is_some_and(|at| at + recent > now);
                 let node = &mut self.nodes[j];
-                vouches += usize::from(node.witness.vouch(&holder, reaches, now));
+                if node.witness.vouch(&holder, reaches, now) {
+                    by.insert(node.name.clone());
+                }
             }
         }
         if self.flaw == Flaw::VouchesForItself {
-            vouches = roster.len();
+            by = members;
         }
         let node = &self.nodes[i];
-        node.keeper
-            .vouched(&node.book, sent, vouches, roster.len(), sent);
+        node.keeper.vouched(&node.book, sent, &by, sent);
     }
 
     /// Freezes an instance, or lets it go on.
--- a/tests/support/replay/gateway.rs
+++ b/tests/support/replay/gateway.rs
@@ -135,6 +135,7 @@
             residency: Residency::anywhere(),
             repeatable: true,
             charge: ask.prompt + ask.answer,
+            receipt: None,
         }
     }
 
--- a/tests/testsuite/residency.rs
+++ b/tests/testsuite/residency.rs
@@ -90,6 +90,7 @@
         pool: "p".into(),
         repeatable: true,
         charge: 100,
+        receipt: None,
     }
 }
 
