--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -29,6 +29,7 @@
 use crate::members::Addresses;
 use crate::members::Member;
 use crate::metrics::Metrics;
+use crate::operations::Operations;
 use crate::publish::Published;
 use crate::settings::Settings;
 use crate::workers::Pool;
@@ -46,7 +47,7 @@
 ///
 /// # Invariants
 ///
-/// `drain` is cancelled before `stop`; `requests` counts every open request
+/// `drain` is cancelled before `close`, and that before `stop`; `requests` counts every open request
 /// of callers and siblings, so that `stop` comes after the last of them.
 #[derive(Debug)]
 pub(crate) struct Context {
@@ -74,6 +75,8 @@
     pub(crate) store: Store,
     /// The endpoint for siblings.
     pub(crate) endpoint: sibling::Endpoint,
+    /// Operations that run at most once.
+    pub(crate) operations: Operations,
     /// The configuration's newest edition.
     pub(crate) published: Published,
     /// Whether this instance has had a word on the newest configuration from
@@ -90,8 +93,12 @@
     pub(crate) links: Sharded<Instance, sibling::Link<sibling::Up>>,
     /// The other instances.
     pub(crate) members: Sharded<Instance, Member>,
-    /// Cancelled when no new requests are taken.
+    /// Cancelled when the instance leaves; requests are still taken.
     pub(crate) drain: CancellationToken,
+    /// Cancelled when no new requests are taken.
+    pub(crate) close: CancellationToken,
+    /// Cancelled when open requests are cut, at the drain timeout.
+    pub(crate) cut: CancellationToken,
     /// Cancelled when the last request has ended.
     pub(crate) stop: CancellationToken,
     /// Open requests.
@@ -114,6 +121,12 @@
             &stop,
         );
         let clock = Clock::new();
+        let store = Store::new(
+            settings.store.address,
+            settings.store.budget(),
+            STORE_TIMEOUT,
+        );
+        let operations = Operations::start(settings.instance.clone(), store.clone(), stop.clone());
         Ok(Self {
             addresses,
             clock,
@@ -124,11 +137,8 @@
             events: Ring::new(settings.instance.clone(), settings.events),
             metrics: Metrics::new(settings.metrics.as_ref())?,
             targets: Client::new(CONNECT_TIMEOUT),
-            store: Store::new(
-                settings.store.address,
-                settings.store.budget(),
-                STORE_TIMEOUT,
-            ),
+            store,
+            operations,
             endpoint,
             published: Published::new(),
             synced: AtomicBool::new(false),
@@ -138,6 +148,8 @@
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
             drain: CancellationToken::new(),
+            close: CancellationToken::new(),
+            cut: CancellationToken::new(),
             stop,
             requests: TaskTracker::new(),
             settings,
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -42,6 +42,8 @@
 use crate::members;
 use crate::publish;
 use crate::relay;
+use crate::relay::End;
+use crate::relay::Relay;
 use crate::relay::Sink;
 use crate::relay::Source;
 use crate::shares;
@@ -156,25 +158,32 @@
             status: answer.status().as_u16(),
             headers: write_headers(&headers::to_caller(answer.headers())),
         };
+        let id = req.head().id.clone();
+        let account = req.grant().account.clone();
+        let peer = req.peer().clone();
         // If the sibling left, the relay finds out and cancels the request.
         let _ = tx.send(&head).await;
         let target = match req.peer() {
             Peer::Target(target) => target.clone(),
             _ => "".into(),
         };
-        let whole = relay::run(
-            Arc::clone(&self.cx),
-            Arc::clone(req.grant()),
-            req.head().prompt_tokens,
-            req.head().deadline,
-            Source::Target(answer, target),
-            Sink::Sibling(tx),
-            &keys::enter(&self.cx, req.key()),
-        )
-        .await;
-        if whole {
+        let relay = Relay {
+            grant: Arc::clone(req.grant()),
+            prompt_tokens: req.head().prompt_tokens,
+            deadline: req.head().deadline,
+            framing: relay::framing(&self.cx, req.grant(), &answer),
+            source: Source::Target(answer, target),
+            sink: Sink::Sibling(tx),
+            record: None,
+        };
+        let under = keys::enter(&self.cx, req.key());
+        let (end, _) = relay.run(&self.cx, &under).await;
+        let what = relay::describe(&end);
+        if matches!(end, End::Whole) {
             drop(req.answered());
         }
+        self.cx
+            .record(&id, account.as_ref(), Step::Answer, peer, what);
     }
 }
 
@@ -186,6 +195,14 @@
                 members::hear(&self.cx, &from.instance, &from.region, &beat);
                 Message::Heartbeat(members::heartbeat(&self.cx))
             }
+            Message::Claim(claim) => {
+                Message::Claimed(self.cx.operations.claim(&claim, self.cx.clock.now()))
+            }
+            Message::Settle(settle) => {
+                self.cx.operations.settle(settle, self.cx.clock.now());
+                Message::Done
+            }
+            Message::Bind(bind) => Message::Bound(self.cx.operations.bind(bind).await),
             Message::Withdrawn(ids) => {
                 let peer = Peer::Sibling(from.instance.clone());
                 keys::learn(&self.cx, ids, &peer);
@@ -200,6 +217,8 @@
             | Message::Config(_)
             | Message::Lend(_)
             | Message::Word(_)
+            | Message::Claimed(_)
+            | Message::Bound(_)
             | Message::Done => Message::Done,
             message => shares::answer(&self.cx, from, &message),
         };
@@ -215,7 +234,11 @@
         self.cx.events.observe(stamp);
         let id = req.id.clone();
         let account = req.account.clone();
-        let answer = self.answer(from, req).await;
+        let answer = tokio::select! {
+            answer = self.answer(from, req) => answer,
+            // Dropping the request cancels it at the target.
+            () = tx.closed() => return,
+        };
         // If the sibling left, the relay finds out and cancels the request.
         let _ = tx.send(&Frame::Stamp(self.cx.events.latest())).await;
         match answer {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,12 +1,15 @@
 //! The tests of the whole workspace, a module for each area.
 
 mod bucket;
+mod combined;
 mod configuration;
 mod cuts;
+mod drain;
 mod health;
 mod keys;
 mod limits;
 mod membership;
+mod once;
 mod path;
 mod placement;
 mod queue;
@@ -15,5 +18,7 @@
 mod settings;
 mod store;
 mod tables;
+mod tickets;
 mod timeline;
 mod tool;
+mod whole;
