--- a/crates/decisions/src/limits/share.rs
+++ b/crates/decisions/src/limits/share.rs
@@ -19,6 +19,7 @@
 //! }
 //! ```
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::Limit;
@@ -102,7 +103,8 @@
 ///
 /// `level + credit` is at most the weight's part of the burst. `credit` is at
 /// least what may still be refunded, and `written_off` counts the credit that
-/// had to make room for tokens. All count nano-tokens.
+/// had to make room for tokens. All count nano-tokens. `open` has the charges
+/// that have not ended; each ends once.
 #[derive(Debug)]
 pub struct Share<S> {
     generation: u64,
@@ -113,6 +115,8 @@
     written_off: u128,
     at: Duration,
     last_take: Option<Duration>,
+    open: BTreeSet<u64>,
+    charges: u64,
     state: S,
 }
 
@@ -120,6 +124,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Receipt {
     generation: u64,
+    charge: u64,
     tokens: u64,
     written_off: u128,
 }
@@ -165,6 +170,8 @@
             written_off: 0,
             at: since,
             last_take: None,
+            open: BTreeSet::new(),
+            charges: 0,
             state: Held {
                 base,
                 taken: Vec::new(),
@@ -250,8 +257,11 @@
         }
         self.level -= want;
         self.credit += want;
+        self.charges += 1;
+        self.open.insert(self.charges);
         Ok(Receipt {
             generation: self.generation,
+            charge: self.charges,
             tokens,
             written_off: self.written_off,
         })
@@ -263,7 +273,7 @@
     /// while, else a late refund would add to a burst that filled meanwhile.
     pub fn settle(&mut self, receipt: &Receipt, used: u64, at: Moment) {
         self.advance(at);
-        if receipt.generation != self.generation {
+        if receipt.generation != self.generation || !self.open.remove(&receipt.charge) {
             return;
         }
         let charged = u128::from(receipt.tokens) * NANOS;
@@ -449,6 +459,8 @@
             written_off: 0,
             at: self.at,
             last_take: None,
+            open: BTreeSet::new(),
+            charges: 0,
             state: Lapsed { lost: self.level },
         }
     }
--- a/tests/testsuite/limits.rs
+++ b/tests/testsuite/limits.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+use chiverelay_decisions::limits::Lease;
+use chiverelay_decisions::limits::Limit;
+use chiverelay_decisions::limits::Moment;
+use chiverelay_decisions::limits::NANOS;
+use chiverelay_decisions::limits::Share;
+use chiverelay_decisions::limits::Weight;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -204,3 +210,25 @@
     a_holder_alone(isolated, Flaw::VouchesForItself);
     a_holder_that_others_vouched_for(store_returns_to_others_first, Flaw::AsksNobody);
 }
+
+/// A charge that is settled twice is refunded once.
+#[test]
+fn a_charge_ends_once() {
+    let limit = Limit {
+        rate: 1,
+        burst: 100,
+    };
+    let lease = Lease {
+        until: Duration::from_secs(1),
+    };
+    let now = Duration::ZERO;
+    let at = Moment { limit, lease, now };
+    let mut share = Share::full(0, Weight::WHOLE, limit, now);
+    let first = share.take(40, at).expect("the share is full");
+    let second = share.take(40, at).expect("20 are left over");
+    share.settle(&first, 0, at);
+    share.settle(&first, 0, at);
+    assert_eq!(share.level(), 60 * NANOS);
+    share.settle(&second, 40, at);
+    assert_eq!(share.level(), 60 * NANOS);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod health;
 mod keys;
 mod limits;
+mod limits_site;
 mod membership;
 mod once;
 mod path;
