--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -18,6 +18,7 @@
 use chiverelay_decisions::event::Ring;
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::gateway;
+use chiverelay_decisions::gateway::Admission;
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Tables;
 use chiverelay_decisions::gateway::Turn;
@@ -217,7 +218,9 @@
     let (here, now) = (region(0), Duration::from_secs(1));
     time("admission and placement, 26 pools", || {
         let req = gateway::admit(&tables, Request::from_caller(head()), &ask, now);
-        let req = req.expect("an open route");
+        let Ok(Admission::Admitted(req)) = req else {
+            unreachable!("an open route admits every request");
+        };
         let placed = gateway::place(&tables, req, &here, Turn::New, now);
         black_box(placed.expect("a target of the region"));
     });
--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -7,6 +7,7 @@
 use chiverelay_decisions::event::Entry;
 use chiverelay_decisions::event::Ring;
 use chiverelay_decisions::gateway::Tables;
+use chiverelay_decisions::limits::quorum::Witness;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::RequestId;
@@ -89,6 +90,10 @@
     pub(crate) membership: Membership,
     /// The platform's list of instances and directory for clients.
     pub(crate) registry: Option<Registry>,
+    /// Cancelled when this instance first holds the shares that it should.
+    pub(crate) holding: CancellationToken,
+    /// What this instance told holders of shares and reclaimers.
+    pub(crate) witness: Ranked<Witness>,
     /// Links to siblings.
     pub(crate) links: Sharded<Instance, sibling::Link<sibling::Up>>,
     /// The other instances.
@@ -112,7 +117,7 @@
         endpoint: sibling::Endpoint,
         addresses: Addresses,
     ) -> Result<Self, std::io::Error> {
-        let tables = Arc::new(Tables::new());
+        let tables = Arc::new(Tables::of_incarnation(rand::random()));
         let stop = CancellationToken::new();
         let pool = Pool::start(
             Arc::clone(&tables),
@@ -146,6 +151,8 @@
                 .registry
                 .as_ref()
                 .map(|r| Registry::new(r.address, REGISTRY_TIMEOUT)),
+            holding: CancellationToken::new(),
+            witness: Ranked::new(Rank::Members, Witness::new(clock.now())),
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
             drain: CancellationToken::new(),
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -20,6 +20,7 @@
 mod resume;
 mod serve;
 mod settings;
+mod shares;
 mod sibling;
 mod wait;
 mod workers;
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -28,6 +28,7 @@
 
 use crate::context::Context;
 use crate::settings::Settings;
+use crate::shares;
 
 pub(crate) use heartbeat::answer;
 pub(crate) use heartbeat::leave;
@@ -127,7 +128,7 @@
     let version = cx.tables.config.get().version;
     let status = if cx.drain.is_cancelled() {
         Status::Leaving
-    } else if cx.synced.load(Ordering::Acquire) {
+    } else if cx.synced.load(Ordering::Acquire) && shares::is_ready(cx) {
         Status::Serving
     } else {
         Status::Starting
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -9,6 +9,7 @@
 use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::config::DEFAULT_DEADLINE_MS;
 use chiverelay_decisions::gateway;
+use chiverelay_decisions::gateway::Admission;
 use chiverelay_decisions::gateway::Ask;
 use chiverelay_decisions::gateway::Placement;
 use chiverelay_decisions::gateway::Turn;
@@ -50,6 +51,7 @@
 use crate::relay::Source;
 use crate::resume::Resumable;
 use crate::serve::Serve;
+use crate::shares;
 use crate::wait;
 
 /// Attempts at a request before it is refused.
@@ -193,7 +195,8 @@
         key: Option<Shown>,
         marked: bool,
     ) -> Result<Request<Admitted, Direct>, Refusal> {
-        let now = self.cx.clock.now();
+        // The share's lease is checked by the clock at that moment.
+        let clock = self.cx.clock;
         let by = key.clone().unwrap_or_default();
         let job = move |tables: &gateway::Tables| {
             let ask = Ask {
@@ -204,10 +207,12 @@
                 true => Request::from_retrying_caller(head),
                 false => Request::from_caller(head),
             };
-            gateway::admit(tables, req, &ask, now)
+            gateway::admit(tables, req, &ask, clock.now())
         };
         match self.cx.pool.run(&by, job).await {
-            Ok(result) => result,
+            Ok(Ok(Admission::Admitted(req))) => Ok(req),
+            Ok(Ok(Admission::Short(short))) => shares::gather(&self.cx, *short).await,
+            Ok(Err(refusal)) => Err(refusal),
             Err(_) => Err(Refusal::before_dispatch(
                 Code::Overloaded,
                 Step::Admit,
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -47,6 +47,7 @@
 use crate::relay::Sink;
 use crate::relay::Source;
 use crate::resume::Resumable;
+use crate::shares;
 use crate::wait;
 
 /// Attempts at a forwarded request before it is refused.
@@ -215,9 +216,12 @@
             }
             Message::Forward(_)
             | Message::Config(_)
+            | Message::Lend(_)
+            | Message::Word(_)
             | Message::Claimed(_)
             | Message::Bound(_)
             | Message::Done => Message::Done,
+            message => shares::answer(&self.cx, from, &message),
         };
         Envelope {
             version: VERSION,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod instances;
 mod keys;
 mod limits;
+mod limits_site;
 mod membership;
 mod metrics;
 mod once;
