--- a/tests/support/lib.rs
+++ b/tests/support/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod platform;
 pub mod process;
+pub mod raw;
 pub mod replay;
 pub mod site;
 
