--- a/crates/chiverelayd/src/serve.rs
+++ b/crates/chiverelayd/src/serve.rs
@@ -45,7 +45,7 @@
                 .siblings
                 .with(name, |s| s.is_some_and(|s| s.serving))
             {
-                list.push(json!({"instance": name, "address": m.addresses.caller}));
+                list.push(json!({"instance": name, "address": m.profile.caller}));
             }
         });
         // A draining instance may be gone before its tickets are used.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,11 +2,14 @@
 
 mod answer;
 mod bucket;
+mod combined;
 mod configuration;
 mod cuts;
 mod drain;
 mod health;
+mod instances;
 mod keys;
+mod limits;
 mod membership;
 mod once;
 mod path;
