Say unknown of unreadable attempts at an operation

Cause: a request that was refused while it was read (two keys, too large, too slow) said not_run even if its ticket or idempotency key had been used by an earlier attempt that ran. Ruled out: refusals after reading, which took the mark into account already.

Failed first: once::unreadable_attempt_says_unknown, not_run after one run.

--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -117,6 +117,17 @@
     }
 }
 
+/// Header with an operation ticket.
+pub const TICKET: &str = "x-operation-ticket";
+
+/// Header with a caller's own idempotency key.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Tells whether a request may be a further attempt at an operation.
+pub(crate) fn is_marked(headers: &HeaderMap) -> bool {
+    headers.contains_key(TICKET) || headers.contains_key(IDEMPOTENCY_KEY)
+}
+
 fn refuse(code: Code) -> Refusal {
     Refusal::before_dispatch(code, Step::Receive, Peer::Caller)
 }
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -35,6 +35,7 @@
 use crate::Error;
 use crate::Inbound;
 use crate::Reply;
+use crate::inbound;
 
 /// Time before another try after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -277,9 +278,13 @@
 where
     H: Handler,
 {
+    let marked = inbound::is_marked(req.headers());
     let reply = match Inbound::read(req, limits.max_body, limits.body_timeout).await {
         Ok(req) => handler.handle(req).await,
-        Err(refusal) => {
+        Err(mut refusal) => {
+            if marked {
+                refusal = refusal.after_attempt();
+            }
             handler.refused(&refusal);
             Reply::refusal(&refusal)
         }
--- a/crates/chiverelayd/src/operations.rs
+++ b/crates/chiverelayd/src/operations.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chiverelay_caller::IDEMPOTENCY_KEY;
+use chiverelay_caller::TICKET;
 use chiverelay_decisions::idempotency;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::refusal::Code;
@@ -39,12 +41,6 @@
 use crate::context::Context;
 use crate::members;
 
-/// Header with an operation ticket.
-const TICKET: &str = "x-operation-ticket";
-
-/// Header with a caller's own key.
-const KEY: &str = "idempotency-key";
-
 /// Time in which a ticket handed to callers can be used first.
 ///
 /// It is shorter than the notice of a drain, so that an instance has no unused
@@ -152,7 +148,7 @@
 pub(crate) fn read_mark(headers: &HeaderMap) -> Result<Option<Mark>, Refusal> {
     let malformed = || Refusal::unknown(Code::Malformed, Step::Claim, Peer::Caller);
     let tickets = headers.get_all(TICKET).iter().map(|v| (true, v));
-    let keys = headers.get_all(KEY).iter().map(|v| (false, v));
+    let keys = headers.get_all(IDEMPOTENCY_KEY).iter().map(|v| (false, v));
     let marks: Vec<_> = tickets.chain(keys).collect();
     let (is_ticket, text) = match marks[..] {
         [] => return Ok(None),
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -56,6 +56,7 @@
 //! ```
 
 mod operation;
+mod sibling;
 
 use std::marker::PhantomData;
 use std::sync::Arc;
@@ -467,31 +468,6 @@
         Refusal::unknown(code, step, self.state.peer)
     }
 
-    /// Goes back on a sibling's own word that this attempt did not run.
-    ///
-    /// # Errors
-    ///
-    /// Gives the request back if that is not what the refusal says.
-    pub fn retract(mut self, refusal: &Refusal) -> Result<Request<Admitted, O>, Self> {
-        if refusal.outcome != Outcome::NotRun {
-            return Err(self);
-        }
-        self.attempted = self.state.earlier;
-        let grant = Arc::clone(&self.state.grant);
-        Ok(self.with_state(Admitted { grant }))
-    }
-
-    /// Ends the life cycle with a sibling's own refusal.
-    ///
-    /// Its "not run" speaks of this attempt alone, so it does not stand where
-    /// an earlier attempt was dispatched.
-    pub fn refuse_as_sibling(self, mut refusal: Refusal) -> Refusal {
-        if self.state.earlier {
-            refusal.outcome = Outcome::Unknown;
-        }
-        refusal
-    }
-
     /// Starts another attempt at a request that may run more than once.
     ///
     /// # Errors
--- a/tests/testsuite/once.rs
+++ b/tests/testsuite/once.rs
@@ -487,3 +487,22 @@
         assert_eq!(shop.runs(), 1);
     });
 }
+
+/// A later attempt that is refused before it is routed says nothing of the
+/// first one.
+#[test]
+fn unreadable_attempt_says_unknown() {
+    block_on(async {
+        let mut shop = Shop::open(&BOTH, "lima").await;
+        shop.mark(Mark::Key, "lima-1").await;
+        let first = shop.deposit("lima-1").await.expect("an answer");
+        assert_eq!(first.status, 200, "{}", first.text());
+        let headers = [("idempotency-key", "deposit-1"), ("x-api-key", "another")];
+        let address = shop.site.daemon("lima-1").caller;
+        let body = json!({"order": 1});
+        let answer = caller::post_with(address, "/deposits", &shop.key, &headers, &body)
+            .await
+            .expect("an answer");
+        assert_eq!(answer.refusal(), refusal("unauthenticated", "unknown"));
+    });
+}
