Refuse a waiting request when its key is withdrawn

A request that waited for a slot while its key was withdrawn was sent to its target when the slot came free, and cut only then: the cut was a race against the send, and the answer said "unknown". The wait now ends with the withdrawal, and a request is looked at once more right before it is dispatched or passed on; it is refused as not run.

That two requests placed at the same moment can share the last slot is a fault of placement, not touched here.

--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -96,6 +96,9 @@
         }
     };
     let under = keys::enter(cx, req.key());
+    if under.is_withdrawn() {
+        return Attempt::Refused(keys::refuse(req));
+    }
     let left = req.head().deadline.saturating_sub(cx.clock.now());
     let req = req.dispatch();
     record(Step::Dispatch, "sent".to_owned());
--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -24,6 +24,7 @@
 use hyper::header::HeaderValue;
 
 use crate::keys;
+use crate::keys::Under;
 use crate::members;
 use crate::relay;
 use crate::relay::Source;
@@ -70,10 +71,14 @@
             }
         };
         let message = self.forward_message(&req, out.clone());
+        let under = keys::enter(&self.cx, req.key());
+        if under.is_withdrawn() {
+            return Forwarded::Refused(keys::refuse(req));
+        }
         let req = req.dispatch();
         self.cx.metrics.spill();
         self.note(&req, &peer, "passed on");
-        match self.exchange(&req, &link, message).await {
+        match self.exchange(&req, &under, &link, message).await {
             Ok((answer, Frame::Head { status, headers })) => {
                 let headers = read_headers(&headers);
                 let head = ReplyHead {
@@ -101,6 +106,7 @@
     async fn exchange(
         &self,
         req: &Request<Dispatched, Direct>,
+        under: &Under,
         link: &Link<Up>,
         message: Forward,
     ) -> Result<(Answer, Frame), Failure> {
@@ -111,7 +117,6 @@
             Ok((answer, frame))
         };
         let left = req.head().deadline.saturating_sub(self.cx.clock.now());
-        let under = keys::enter(&self.cx, req.key());
         tokio::select! {
             head = tokio::time::timeout(left, head) => match head {
                 Ok(head) => head.map_err(Failure::Broken),
--- a/crates/chiverelayd/src/keys.rs
+++ b/crates/chiverelayd/src/keys.rs
@@ -10,6 +10,10 @@
 use chiverelay_decisions::keys;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::KeyId;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::NotRun;
+use chiverelay_decisions::request::Request;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::tables::Rank;
@@ -82,12 +86,25 @@
 }
 
 impl Under {
+    /// Tells whether the key is withdrawn.
+    pub(crate) fn is_withdrawn(&self) -> bool {
+        self.cut.is_cancelled()
+    }
+
     /// Waits until the key is withdrawn; forever without a key.
     pub(crate) async fn withdrawn(&self) {
         self.cut.cancelled().await;
     }
 }
 
+/// Refuses a request whose key was withdrawn before it was dispatched.
+pub(crate) fn refuse<S, O>(req: Request<S, O>) -> Refusal
+where
+    S: NotRun,
+{
+    req.refuse_not_run(Code::Unauthenticated, Step::Authenticate, Peer::Local)
+}
+
 impl Drop for Under {
     fn drop(&mut self) {
         let Some(id) = &self.id else {
--- a/crates/chiverelayd/src/wait.rs
+++ b/crates/chiverelayd/src/wait.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::context::Context;
+use crate::keys;
 
 /// Time between two looks for slots that other instances gave up.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -36,7 +37,12 @@
         "waits for a slot",
     );
     let left = req.head().deadline.saturating_sub(now);
-    match tokio::time::timeout(left, rx).await {
+    let under = keys::enter(cx, req.key());
+    let turn = tokio::select! {
+        turn = tokio::time::timeout(left, rx) => turn,
+        () = under.withdrawn() => return Err(keys::refuse(req)),
+    };
+    match turn {
         Ok(Ok(())) => Ok(req),
         _ => Err(req.refuse_not_run(Code::DeadlineExceeded, Step::Place, Peer::Local)),
     }
