--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The tests of the whole workspace, a module for each area.
 
+mod answer;
 mod bucket;
 mod callers;
 mod combined;
@@ -19,6 +20,7 @@
 mod placement;
 mod queue;
 mod registry;
+mod replay;
 mod residency;
 mod settings;
 mod store;
