--- a/crates/decisions/src/limits/share.rs
+++ b/crates/decisions/src/limits/share.rs
@@ -44,7 +44,7 @@
 const IDLE: Duration = Duration::from_secs(1);
 
 /// Most loans that a share takes, and most that it gives.
-const MAX_LOANS: usize = 64;
+const MAX_LOANS: usize = 256;
 
 /// The time until which an instance may spend what the ledger says it holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -412,6 +412,11 @@
         book.settle(&self.account, &charge.receipt, charge.used, now);
     }
 
+    /// Loses the messages on their way.
+    pub fn lose_all(&mut self) {
+        self.posts.clear();
+    }
+
     /// Delivers the messages on their way, in their order, until there are none.
     pub fn deliver_all(&mut self) {
         while !self.posts.is_empty() {
