--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,20 +2,25 @@
 
 mod answer;
 mod bucket;
+mod callers;
 mod combined;
 mod configuration;
 mod cuts;
+mod decoders;
 mod drain;
 mod health;
+mod hostile;
 mod instances;
 mod keys;
 mod limits;
 mod membership;
+mod metrics;
 mod once;
 mod path;
 mod placement;
 mod queue;
 mod registry;
+mod replay;
 mod residency;
 mod settings;
 mod store;
