Settle the ledger for the members that its pages were planned for

Cause: an instance noted, after it wrote its pages, the members it knew by then. One that joined while the pages were written was taken to be on them, so the first instance never gave up its part and the second stayed at its start.

--- a/crates/chiverelayd/src/shares/ledger.rs
+++ b/crates/chiverelayd/src/shares/ledger.rs
@@ -37,9 +37,11 @@
         if self.record.is_none() {
             return;
         }
-        match self.try_write_pages().await {
+        // Whoever joins while the pages are written is not on them yet.
+        let members = self.members();
+        match self.try_write_pages(&members).await {
             Ok(true) => {
-                self.settled = Some(self.members());
+                self.settled = Some(members);
                 self.cx.holding.cancel();
             }
             Ok(false) => {}
@@ -47,13 +49,13 @@
         }
     }
 
-    async fn try_write_pages(&mut self) -> Result<bool, Error> {
+    async fn try_write_pages(&mut self, members: &BTreeSet<Instance>) -> Result<bool, Error> {
         // The records are read after the pages: whoever is on a page had a
         // record before.
         let pages = self.read_pages().await?;
         let live = self.read_live().await?;
         let names: BTreeSet<_> = live.keys().map(|h| h.instance.clone()).collect();
-        let mut settled = names == self.members();
+        let mut settled = names == *members;
         let lapsed = self.lapsed(&pages, &live).await;
         for number in 0..PAGES {
             let (revision, page) = pages.get(&number).cloned().unwrap_or_default();
