--- a/crates/caller/src/error.rs
+++ b/crates/caller/src/error.rs
@@ -4,7 +4,8 @@
 use thiserror::Error as ThisError;
 
 /// An error at a caller's connection.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// The listener can't be opened.
     #[error("{step}: caller: can't listen on {address}: {source}")]
--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -80,7 +80,8 @@
 }
 
 /// The fields of an OpenAI-compatible body that decisions use.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct Fields {
     model: Option<String>,
     max_tokens: Option<u64>,
@@ -92,7 +93,8 @@
 }
 
 /// A message of a chat.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Turn {
     #[serde(default)]
     role: String,
--- a/crates/caller/src/reply.rs
+++ b/crates/caller/src/reply.rs
@@ -38,12 +38,14 @@
 }
 
 /// The JSON form of a refusal.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Envelope<'a> {
     error: ErrorBody<'a>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ErrorBody<'a> {
     code: Code,
     outcome: chiverelay_decisions::refusal::Outcome,
--- a/crates/chiverelay/src/cmd.rs
+++ b/crates/chiverelay/src/cmd.rs
@@ -44,7 +44,8 @@
 ";
 
 /// Why a subcommand failed.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub(crate) enum Error {
     /// The arguments name no action.
     #[error("usage:\n  {0}")]
--- a/crates/chiverelay/src/cmd/diff.rs
+++ b/crates/chiverelay/src/cmd/diff.rs
@@ -31,7 +31,8 @@
 }
 
 /// A value that differs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub(crate) struct Change {
     /// Path of keys.
     path: String,
--- a/crates/chiverelayd/src/cmd.rs
+++ b/crates/chiverelayd/src/cmd.rs
@@ -17,7 +17,8 @@
 const EXIT_START: u8 = 1;
 
 /// Why a subcommand failed.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub(crate) enum Error {
     /// The arguments name no subcommand.
     #[error("{}", help())]
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -37,7 +37,8 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 
 /// The addresses that an instance listens on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) struct Addresses {
     /// For callers.
--- a/crates/chiverelayd/src/members/record.rs
+++ b/crates/chiverelayd/src/members/record.rs
@@ -28,7 +28,8 @@
 const RETRY: Duration = Duration::from_secs(2);
 
 /// An instance's record.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(super) struct Record {
     /// The instance.
--- a/crates/chiverelayd/src/publish/fetch.rs
+++ b/crates/chiverelayd/src/publish/fetch.rs
@@ -28,7 +28,8 @@
 const LIST_FROM: usize = 4;
 
 /// Why an edition could not be read.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub(super) enum Error {
     /// The store gave no answer.
     #[error("{0}")]
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -22,7 +22,8 @@
 use thiserror::Error as ThisError;
 
 /// Why settings can't be used.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub(crate) enum Error {
     /// The settings file can't be read or has faults.
     #[error("{0}")]
--- a/crates/decisions/src/answer.rs
+++ b/crates/decisions/src/answer.rs
@@ -28,7 +28,8 @@
 }
 
 /// Why an answer is not whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, ThisError)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(ThisError)]
 pub enum Fault {
     /// The stream ended within an event.
     #[error("the stream ends within an event")]
@@ -50,12 +51,14 @@
     NoLength,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Counted {
     usage: Option<Usage>,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 struct Usage {
     completion_tokens: Option<u64>,
     total_tokens: Option<u64>,
--- a/crates/decisions/src/config.rs
+++ b/crates/decisions/src/config.rs
@@ -44,7 +44,8 @@
 ///
 /// A snapshot is never changed after it was published; a new version is a new
 /// snapshot. [`Config::check`] holds for every published snapshot.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
 pub struct Config {
     /// The version, raised by one with each accepted change.
@@ -60,7 +61,8 @@
 }
 
 /// A route: who may ask for what, and which pool answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct RouteEntry {
     /// Prefix of the request's path.
@@ -103,7 +105,8 @@
 }
 
 /// The regions in which a request may run.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Residency(Option<Vec<Region>>);
 
@@ -137,7 +140,8 @@
 }
 
 /// What a pool's targets are.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PoolKind {
     /// Model engines, which answer in tokens.
@@ -147,7 +151,8 @@
 }
 
 /// A pool: which targets, in which regions, may answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct PoolEntry {
     /// What the targets are.
@@ -185,7 +190,8 @@
 }
 
 /// A target of a pool.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct TargetEntry {
     /// IP address and port.
@@ -197,7 +203,8 @@
 }
 
 /// A client account's limit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct AccountEntry {
     /// Tokens a second over all instances.
@@ -210,7 +217,8 @@
 }
 
 /// A key's record, which does not hold the key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct KeyEntry {
     /// The account that the key shows.
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -16,19 +16,8 @@
 use crate::tables::Ranked;
 
 /// A hybrid logical clock's stamp; ordered over all processes.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Stamp {
     /// Wall clock time in milliseconds since the epoch, or the highest one seen.
     pub wall_ms: u64,
@@ -54,7 +43,8 @@
 }
 
 /// Something that happened to a request or to the instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Event {
     /// When it happened.
     pub stamp: Stamp,
@@ -108,7 +98,8 @@
 }
 
 /// Events read from a ring.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Page {
     /// The events, oldest first.
     pub events: Vec<Event>,
@@ -216,7 +207,8 @@
 }
 
 /// Events of several instances in the order of their stamps.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Timeline {
     /// The events, oldest first.
     pub events: Vec<Event>,
--- a/crates/decisions/src/limits/ledger.rs
+++ b/crates/decisions/src/limits/ledger.rs
@@ -20,17 +20,8 @@
 /// A holder: an instance in one term.
 ///
 /// A term ends when the instance's lease lapses, and never comes back.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Holder {
     /// The instance.
@@ -40,7 +31,8 @@
 }
 
 /// A part of a slot that an instance holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Hold {
     /// Who holds it.
@@ -57,7 +49,8 @@
 ///
 /// The weights of a slot's holds sum up to at most the whole. A slot that is
 /// absent was never held.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
 pub struct Page {
     /// Raised by every change, so that no two values are equal.
--- a/crates/decisions/src/limits/loan.rs
+++ b/crates/decisions/src/limits/loan.rs
@@ -10,18 +10,8 @@
 use crate::names::Instance;
 
 /// Identifies a loan: the asker's incarnation and a number of its own.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct LoanId {
     /// Incarnation of the asker.
     pub incarnation: u64,
@@ -30,7 +20,8 @@
 }
 
 /// Asks a holder for tokens.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Ask {
     /// The loan asked for.
     pub id: LoanId,
@@ -41,7 +32,8 @@
 }
 
 /// Lends capacity. The giver has subtracted it already.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Lend {
     /// The loan.
     pub id: LoanId,
@@ -56,7 +48,8 @@
 }
 
 /// Gives capacity back before its time. The asker has subtracted it already.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Return {
     /// The loan.
     pub id: LoanId,
--- a/crates/decisions/src/limits/weight.rs
+++ b/crates/decisions/src/limits/weight.rs
@@ -35,19 +35,8 @@
 }
 
 /// A part of a whole, counted in units of one part in 2^32.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Weight(u64);
 
--- a/crates/decisions/src/membership/digest.rs
+++ b/crates/decisions/src/membership/digest.rs
@@ -10,18 +10,8 @@
 use crate::names::Zone;
 
 /// Status of one incarnation of an instance. It only ever rises.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Status {
     /// It does not take work yet.
@@ -37,17 +27,8 @@
 }
 
 /// Where an instance is.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Profile {
     /// Region.
@@ -63,7 +44,8 @@
 }
 
 /// What is said of one instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Word {
     /// The instance.
@@ -79,7 +61,8 @@
 }
 
 /// How long ago a region was heard.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RegionAge {
     /// The region.
     pub region: Region,
@@ -89,7 +72,8 @@
 }
 
 /// What an instance tells another with a heartbeat.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Digest {
     /// Words on instances, the teller's own first.
     pub words: Vec<Word>,
--- a/crates/decisions/src/placement/load.rs
+++ b/crates/decisions/src/placement/load.rs
@@ -16,7 +16,8 @@
 const SERVICE: Duration = Duration::from_secs(3);
 
 /// A target's own word on its load.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Report {
     /// Changes when the target starts anew.
--- a/crates/decisions/src/placement/score.rs
+++ b/crates/decisions/src/placement/score.rs
@@ -10,7 +10,8 @@
 const DECODE_SHARE: u64 = 30;
 
 /// What placement weighs more.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Weights {
     /// Tail latency and wrong refusals.
--- a/crates/decisions/src/placement/summary.rs
+++ b/crates/decisions/src/placement/summary.rs
@@ -8,7 +8,8 @@
 use crate::names::Pool;
 
 /// The state of a pool's targets in one region.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Summary {
     /// The pool.
     pub pool: Pool,
--- a/crates/decisions/src/publication/manifest.rs
+++ b/crates/decisions/src/publication/manifest.rs
@@ -15,18 +15,8 @@
 const HISTORY: usize = 16;
 
 /// Who wrote a manifest: an instance's incarnation and a random number.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Writer {
     /// The instance's incarnation.
     pub incarnation: u64,
@@ -35,7 +25,8 @@
 }
 
 /// A chunk as a manifest names it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChunkRef {
     /// Name of the chunk's value, never used twice.
     pub key: String,
@@ -44,7 +35,8 @@
 }
 
 /// Why a configuration is refused. The last good one stays in force.
-#[derive(Clone, Debug, PartialEq, Eq, ThisError)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(ThisError)]
 pub enum Fault {
     /// A chunk is missing.
     #[error("chunk {key} is missing")]
@@ -90,7 +82,8 @@
 /// manifest no longer names is in its `retired` and deleted with the one
 /// after, so that a reader has time. `history` holds the latest writers,
 /// newest first, this manifest's own among them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Manifest {
     /// The configuration's version.
     pub version: u64,
--- a/crates/decisions/src/refusal.rs
+++ b/crates/decisions/src/refusal.rs
@@ -9,7 +9,8 @@
 use crate::step::Step;
 
 /// Why a request was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Code {
     /// The request can't be read.
@@ -68,7 +69,8 @@
 }
 
 /// What is known of the refused request's execution.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// No target ran any part of the request or of an earlier attempt at it.
@@ -94,7 +96,8 @@
 /// Outside this package a refusal with [`Outcome::NotRun`] comes only from
 /// [`Refusal::before_dispatch`] or from a request whose type shows that it
 /// was never dispatched.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refusal {
     /// Why the request was refused.
     pub code: Code,
--- a/crates/decisions/src/step.rs
+++ b/crates/decisions/src/step.rs
@@ -9,7 +9,8 @@
 use crate::names::Target;
 
 /// A step on the way of a request or of a control message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Step {
     /// Reading a request from its sender.
@@ -68,7 +69,8 @@
 }
 
 /// The peer that a step talked to.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Peer {
     /// This instance itself.
--- a/crates/decisions/src/store_session.rs
+++ b/crates/decisions/src/store_session.rs
@@ -26,7 +26,8 @@
 };
 
 /// State of the session.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum State {
     /// Calls are answered.
--- a/crates/decisions/src/tickets.rs
+++ b/crates/decisions/src/tickets.rs
@@ -34,7 +34,8 @@
 const RELEASES: usize = 16;
 
 /// A ticket, whose signature is not yet checked.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Ticket {
     issuer: Instance,
     incarnation: u64,
@@ -99,11 +100,13 @@
 }
 
 /// Names one claim of a ticket, so that its reply can be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Nonce(pub u128);
 
 /// A digest of what a ticket is used for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Operation([u8; 32]);
 
 impl Operation {
@@ -200,7 +203,8 @@
 }
 
 /// An answer kept for callers that ask again.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Recorded {
     /// Status code.
     pub status: u16,
@@ -211,7 +215,8 @@
 }
 
 /// What became of an operation that was granted.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Settlement {
     /// No target has seen any byte of it.
     NotRun,
@@ -220,7 +225,8 @@
 }
 
 /// The issuer's reply to a claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Reply {
     /// The claimer may run the operation; no earlier attempt ran.
     Granted,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -25,7 +25,8 @@
 const MAX_BODY: usize = 64 * 1024 * 1024;
 
 /// An error of an exchange.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// The server has seen nothing of the request.
     #[error("can't connect to {address}: {reason}")]
--- a/crates/operator/src/api.rs
+++ b/crates/operator/src/api.rs
@@ -19,7 +19,8 @@
 use thiserror::Error as ThisError;
 
 /// The part of the configuration that operators write as a whole.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Document {
     /// Who may ask for what.
@@ -34,7 +35,8 @@
 }
 
 /// `GET /v1/config`, and the answer to an accepted change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Versioned {
     /// The version.
@@ -44,7 +46,8 @@
 }
 
 /// `PUT /v1/config`: replaces the configuration if its version is `expected`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Apply {
     /// The version that the operator saw.
@@ -54,7 +57,8 @@
 }
 
 /// A key without its secret, as `GET /v1/keys` lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct KeyInfo {
     /// The public part.
@@ -69,7 +73,8 @@
 }
 
 /// `POST /v1/keys`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct GrantKey {
     /// The account that the key is to show.
@@ -86,7 +91,8 @@
 }
 
 /// Answer to [`GrantKey`]; the only place where a whole key is ever shown.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct GrantedKey {
     /// The public part.
@@ -98,7 +104,8 @@
 }
 
 /// An instance as another one or an operator knows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct InstanceStatus {
     /// Name.
@@ -116,7 +123,8 @@
 }
 
 /// `GET /v1/status`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Status {
     /// The instance that answers.
@@ -131,7 +139,8 @@
 }
 
 /// Why a call failed.
-#[derive(Clone, Debug, PartialEq, Eq, ThisError, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(ThisError, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "failure")]
 pub enum Failure {
     /// The operator's token is missing or wrong.
--- a/crates/operator/src/error.rs
+++ b/crates/operator/src/error.rs
@@ -6,7 +6,8 @@
 use crate::api::Failure;
 
 /// An error of a call.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// The listener can't be opened.
     #[error("{step}: operator: can't listen on {address}: {source}", step = Step::Connect)]
--- a/crates/operator/src/file.rs
+++ b/crates/operator/src/file.rs
@@ -45,7 +45,8 @@
 }
 
 /// Why a file can't be used.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// The file can't be read.
     #[error("configure: {}: {source}", path.display())]
--- a/crates/registry/src/api.rs
+++ b/crates/registry/src/api.rs
@@ -10,7 +10,8 @@
 pub const CRITICAL: &str = "critical";
 
 /// `PUT /v1/agent/service/register`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Registration {
     /// Identifier of the instance.
@@ -27,7 +28,8 @@
 }
 
 /// What an instance says of itself beyond its address for clients.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct Meta {
     /// Incarnation, as a number.
@@ -43,7 +45,8 @@
 }
 
 /// An instance in `GET /v1/health/service/NAME`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct HealthEntry {
     /// The instance.
@@ -53,7 +56,8 @@
 }
 
 /// An instance of a service.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Service {
     /// Identifier of the instance.
@@ -68,7 +72,8 @@
 }
 
 /// A health check.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Check {
     /// [`PASSING`], [`CRITICAL`] or another status.
--- a/crates/registry/src/error.rs
+++ b/crates/registry/src/error.rs
@@ -4,7 +4,8 @@
 use thiserror::Error as ThisError;
 
 /// An error at the registry.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// There was no answer.
     #[error("{step}: registry: {source}", step = Step::Configure)]
--- a/crates/sibling/src/config.rs
+++ b/crates/sibling/src/config.rs
@@ -7,14 +7,16 @@
 pub const MAX_PARTS: usize = 2 * 1024 * 1024;
 
 /// Asks for the manifest in force, or for chunks of it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigRequest {
     /// Digests of the chunks asked for; none to ask for the manifest.
     pub digests: Vec<String>,
 }
 
 /// Answer to [`ConfigRequest`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigParts {
     /// The manifest, if it was asked for and there is one.
     pub manifest: Option<Vec<u8>>,
--- a/crates/sibling/src/error.rs
+++ b/crates/sibling/src/error.rs
@@ -5,7 +5,8 @@
 use thiserror::Error as ThisError;
 
 /// An error between this instance and a sibling.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// Certificates or keys can't be used.
     #[error("{step}: sibling: certificates: {reason}", step = Step::Configure)]
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -29,7 +29,8 @@
 pub const VERSION: u16 = 1;
 
 /// A message with what goes along with every message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Envelope {
     /// [`VERSION`] of the sender.
     pub version: u16,
@@ -40,7 +41,8 @@
 }
 
 /// A message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Message {
     /// A sign of life.
     Heartbeat(Heartbeat),
@@ -83,7 +85,8 @@
 }
 
 /// A claim of a ticket.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Claim {
     /// The ticket.
     pub ticket: Ticket,
@@ -94,7 +97,8 @@
 }
 
 /// What became of a granted claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Settle {
     /// The ticket.
     pub ticket: Ticket,
@@ -105,7 +109,8 @@
 }
 
 /// A ticket to be bound to a name.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Bind {
     /// The name.
     pub name: String,
@@ -114,7 +119,8 @@
 }
 
 /// A sign of life and what siblings need to know of the sender.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Heartbeat {
     /// What the sender knows of the instances, itself first.
     pub digest: Digest,
@@ -125,7 +131,8 @@
 }
 
 /// A target's load report, as one instance passes it on to its region.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TargetLoad {
     /// The target.
     pub target: Target,
@@ -134,7 +141,8 @@
 }
 
 /// A request passed on, with the account in place of the key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Forward {
     /// The request's identifier.
     pub id: RequestId,
@@ -161,7 +169,8 @@
 }
 
 /// A part of the answer to a forwarded request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Frame {
     /// Status code and headers.
     Head {
--- a/crates/standin/src/cmd.rs
+++ b/crates/standin/src/cmd.rs
@@ -11,7 +11,8 @@
 use tokio::net::TcpListener;
 
 /// Why a stand-in did not start.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub(crate) enum Error {
     /// The arguments are wrong.
     #[error("{0}")]
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -47,7 +47,8 @@
     cancelled: AtomicU64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Ask {
     model: String,
     #[serde(default)]
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -16,7 +16,8 @@
 use serde::Serialize;
 
 /// When a service resets the connection in place of answering.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reset {
     /// Before it reads the body; it does not act.
@@ -28,7 +29,8 @@
 }
 
 /// What is wrong with a streamed answer that comes to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Flaw {
     /// The last event, `[DONE]`, is missing.
@@ -44,7 +46,8 @@
 }
 
 /// What goes wrong, until it is changed.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
 pub struct Faults {
     /// Answers with status 503 before acting.
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -52,7 +52,8 @@
 }
 
 /// Calls so far by path, and the watches that wait now.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counts {
     /// Calls by path.
     pub calls: BTreeMap<String, u64>,
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -45,7 +45,8 @@
 }
 
 /// A key with its value and revisions.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct KeyValue {
     /// Key, in base64.
@@ -59,7 +60,8 @@
 }
 
 /// The store's state with each answer.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Header {
     /// The store's revision.
@@ -67,7 +69,8 @@
 }
 
 /// `POST /v3/kv/range`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct RangeRequest {
     /// First key, in base64.
@@ -77,7 +80,8 @@
 }
 
 /// Answer to [`RangeRequest`].
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct RangeResponse {
     /// The store's state.
@@ -87,7 +91,8 @@
 }
 
 /// A condition of a transaction.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Compare {
     /// Key, in base64.
@@ -101,7 +106,8 @@
 }
 
 /// Puts a key.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct PutRequest {
     /// Key, in base64.
@@ -113,7 +119,8 @@
 }
 
 /// Deletes a key.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct DeleteRequest {
     /// Key, in base64.
@@ -121,7 +128,8 @@
 }
 
 /// An operation of a transaction; one field is set.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct RequestOp {
     /// Puts a key.
@@ -136,7 +144,8 @@
 }
 
 /// `POST /v3/kv/txn`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct TxnRequest {
     /// Conditions, all of which must hold.
@@ -148,7 +157,8 @@
 }
 
 /// The answer to one operation.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct ResponseOp {
     /// Answer to a read.
@@ -157,7 +167,8 @@
 }
 
 /// Answer to [`TxnRequest`].
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct TxnResponse {
     /// The store's state.
@@ -169,7 +180,8 @@
 }
 
 /// `POST /v3/kv/compaction`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct CompactionRequest {
     /// Changes before this revision are forgotten.
@@ -177,7 +189,8 @@
 }
 
 /// `POST /v3/lease/grant`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 #[allow(non_snake_case, reason = "the API's own names")]
 pub struct LeaseGrantRequest {
@@ -186,7 +199,8 @@
 }
 
 /// Answer to [`LeaseGrantRequest`] and to a keep-alive.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 #[allow(non_snake_case, reason = "the API's own names")]
 pub struct LeaseGrantResponse {
@@ -197,7 +211,8 @@
 }
 
 /// `POST /v3/lease/keepalive` and `POST /v3/lease/revoke`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 #[allow(non_snake_case, reason = "the API's own names")]
 pub struct LeaseRequest {
@@ -206,7 +221,8 @@
 }
 
 /// Answer to a keep-alive.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct LeaseKeepAliveResponse {
     /// The lease's state.
@@ -214,7 +230,8 @@
 }
 
 /// `POST /v3/watch`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchRequest {
     /// What to watch.
@@ -222,7 +239,8 @@
 }
 
 /// The keys of a watch and where it starts.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchCreate {
     /// First key, in base64.
@@ -234,7 +252,8 @@
 }
 
 /// One line of a watch's answer.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchResponse {
     /// What happened.
@@ -242,7 +261,8 @@
 }
 
 /// Changes of watched keys.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchResult {
     /// The store's state.
@@ -256,7 +276,8 @@
 }
 
 /// A change of a key.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchEvent {
     /// "PUT" (or empty) or "DELETE".
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -4,7 +4,8 @@
 use thiserror::Error as ThisError;
 
 /// An error at the store.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// The store is out; the call was not sent.
     #[error("{step}: store: out", step = Step::Store)]
--- a/crates/target/src/cache.rs
+++ b/crates/target/src/cache.rs
@@ -11,7 +11,8 @@
 use crate::document;
 
 /// What entered and left a prefix cache.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Event {
     /// Number of the event, raised by one with each.
     pub sequence: u64,
@@ -28,7 +29,8 @@
 /// # Invariants
 ///
 /// Events come in the order of their numbers; some may be missing.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Events {
     /// The events.
     pub events: Vec<Event>,
--- a/crates/target/src/error.rs
+++ b/crates/target/src/error.rs
@@ -5,7 +5,8 @@
 use thiserror::Error as ThisError;
 
 /// An error at a target.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// No connection; the target has seen nothing of the request.
     #[error("{step}: target {target}: can't connect: {source}", step = Step::Connect)]
