Lose the answers of just the writes that a test is about

Cause: configuration::a_change_whose_answer_is_lost_is_settled failed once in a full run ('store: out'). Its fault lost the answers of all writes, and since shares write to the store, too, three lost answers in a row put the session out before the change was written. The answer 'unknown' was true then, but not what the test is about. The fault now names the keys that it strikes; what the test requires is unchanged.

--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -56,8 +56,9 @@
     pub delay_ms: u64,
     /// Acts, then cuts the connection in place of an answer.
     pub lose_answer: bool,
-    /// As `lose_answer`, but only for requests that change something.
-    pub lose_writes: bool,
+    /// As `lose_answer`, but only for requests that change a key of the store
+    /// that starts with this.
+    pub lose_writes_of: Option<String>,
     /// Says nothing more on open streams of changes.
     pub freeze_watches: bool,
     /// Takes requests and neither acts nor answers.
@@ -142,10 +143,12 @@
         self.lose_if(self.get().lose_answer, resp)
     }
 
-    /// Is [`Script::after`] for a request that changed something.
-    pub fn after_change(&self, resp: Response<Body>) -> Response<Body> {
+    /// Is [`Script::after`] for a request that changed these keys.
+    pub fn after_change(&self, keys: &[String], resp: Response<Body>) -> Response<Body> {
         let faults = self.get();
-        self.lose_if(faults.lose_answer || faults.lose_writes, resp)
+        let prefix = faults.lose_writes_of.as_deref();
+        let struck = prefix.is_some_and(|p| keys.iter().any(|k| k.starts_with(p)));
+        self.lose_if(faults.lose_answer || struck, resp)
     }
 
     fn lose_if(&self, lost: bool, resp: Response<Body>) -> Response<Body> {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -145,11 +145,8 @@
             Ok(resp) => resp,
             Err(resp) => return *resp,
         };
-        let changed = self.lock().revision != before;
-        if changed {
-            return self.script.after_change(resp);
-        }
-        self.script.after(resp)
+        let changed = self.lock().changed_since(before);
+        self.script.after_change(&changed, resp)
     }
 
     async fn act(
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -136,6 +136,14 @@
         self.history.retain(|c| c.revision > revision);
     }
 
+    /// Lists the keys changed after a revision.
+    pub(super) fn changed_since(&self, revision: i64) -> Vec<String> {
+        let changes = self.history.iter().filter(|c| c.revision > revision);
+        changes
+            .map(|c| String::from_utf8_lossy(&c.key).into_owned())
+            .collect()
+    }
+
     pub(super) fn events(&self, range: &Range, from: i64) -> Vec<api::WatchEvent> {
         self.history
             .iter()
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -350,7 +350,7 @@
             state.script.set(Faults::default());
         };
         state.script.set(Faults {
-            lose_writes: true,
+            lose_writes_of: Some("chiverelay/config/".to_owned()),
             ..Faults::default()
         });
         let req = apply(1, 7);
