Place the requests of a pool on one worker, and count them there

Cause: a request was counted at its target only after the connection was made, and placement ran on whichever task had the request. Ruled out: the queue, which was never asked to wait.

Placement now runs on the worker of the pool, which counts the request before it places the next one; a request that is dropped on the way is uncounted by its guard. Peak with one slot after: 1 in three runs.

--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -1,7 +1,6 @@
 //! One attempt at a target of this region.
 
 use chiverelay_decisions::gateway;
-use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -16,37 +15,7 @@
 
 use crate::context::Context;
 use crate::keys;
-
-/// Counts a request as running at its target until it is dropped.
-struct Running<'a> {
-    cx: &'a Context,
-    target: Target,
-    handed_over: bool,
-}
-
-impl<'a> Running<'a> {
-    fn start(cx: &'a Context, target: Target) -> Self {
-        gateway::start(&cx.tables, &target);
-        Self {
-            cx,
-            target,
-            handed_over: false,
-        }
-    }
-
-    /// Leaves it to the answer to count the request as ended.
-    fn hand_over(mut self) {
-        self.handed_over = true;
-    }
-}
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        if !self.handed_over {
-            gateway::finish(&self.cx.tables, &self.target);
-        }
-    }
-}
+use crate::placing::Running;
 
 /// What became of an attempt.
 pub(crate) enum Attempt<O> {
@@ -62,6 +31,7 @@
 pub(crate) async fn attempt<O>(
     cx: &Context,
     req: Request<Placed, O>,
+    running: Running,
     out: &Outbound,
 ) -> Attempt<O> {
     let target = req.target().clone();
@@ -102,7 +72,6 @@
     let left = req.head().deadline.saturating_sub(cx.clock.now());
     let req = req.dispatch();
     record(Step::Dispatch, "sent".to_owned());
-    let running = Running::start(cx, target.clone());
     let sent = tokio::select! {
         sent = tokio::time::timeout(left, conn.send(out.clone())) => sent,
         () = under.withdrawn() => {
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -14,6 +14,7 @@
 mod once;
 mod operate;
 mod operations;
+mod placing;
 mod publish;
 mod relay;
 mod request;
--- /dev/null
+++ b/crates/chiverelayd/src/placing.rs
@@ -0,0 +1,140 @@
+//! Placement on the worker of the request's pool.
+//!
+//! One worker places all requests of a pool, so that a slot that one request
+//! was given is counted before the next one is placed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::gateway;
+use chiverelay_decisions::gateway::Local;
+use chiverelay_decisions::gateway::Placement;
+use chiverelay_decisions::gateway::Tables;
+use chiverelay_decisions::gateway::Turn;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Outcome;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Away;
+use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Forwarded;
+use chiverelay_decisions::request::Placed;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+
+use crate::context::Context;
+
+/// Counts a request as running at its target until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Running {
+    tables: Arc<Tables>,
+    target: Target,
+    handed_over: bool,
+}
+
+impl Running {
+    fn start<O>(tables: Arc<Tables>, req: &Request<Placed, O>) -> Self {
+        let target = req.target().clone();
+        gateway::start(&tables, &target);
+        Self {
+            tables,
+            target,
+            handed_over: false,
+        }
+    }
+
+    /// Leaves it to the answer to count the request as ended.
+    pub(crate) fn hand_over(mut self) {
+        self.handed_over = true;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.handed_over {
+            gateway::finish(&self.tables, &self.target);
+        }
+    }
+}
+
+/// Where a caller's request goes next.
+pub(crate) enum Next {
+    /// To a target of this region, which counts it as running.
+    Here(Request<Placed, Direct>, Running),
+    /// To a sibling in another region.
+    Away(Request<Away, Direct>),
+    /// It waits for a slot.
+    Wait(Request<Admitted, Direct>),
+}
+
+/// Where a request goes next that a sibling passed on.
+pub(crate) enum NextHere {
+    /// To a target of this region, which counts it as running.
+    Here(Request<Placed, Forwarded>, Running),
+    /// It waits for a slot.
+    Wait(Request<Admitted, Forwarded>),
+}
+
+/// Places a caller's request.
+pub(crate) async fn place(
+    cx: &Context,
+    req: Request<Admitted, Direct>,
+    turn: Turn,
+) -> Result<Next, Refusal> {
+    let here = cx.settings.region.clone();
+    let tables = Arc::clone(&cx.tables);
+    on_worker(cx, req, move |req, now| {
+        let placed = gateway::place(&tables, req, &here, turn, now)?;
+        Ok(match placed {
+            Placement::Here(req) => {
+                let running = Running::start(tables, &req);
+                Next::Here(req, running)
+            }
+            Placement::Away(req) => Next::Away(req),
+            Placement::Wait(req) => Next::Wait(req),
+        })
+    })
+    .await
+}
+
+/// Places a request that a sibling passed on.
+pub(crate) async fn place_forwarded(
+    cx: &Context,
+    req: Request<Admitted, Forwarded>,
+    turn: Turn,
+) -> Result<NextHere, Refusal> {
+    let here = cx.settings.region.clone();
+    let tables = Arc::clone(&cx.tables);
+    on_worker(cx, req, move |req, now| {
+        let placed = gateway::place_forwarded(&tables, req, &here, turn, now)?;
+        Ok(match placed {
+            Local::Here(req) => {
+                let running = Running::start(tables, &req);
+                NextHere::Here(req, running)
+            }
+            Local::Wait(req) => NextHere::Wait(req),
+        })
+    })
+    .await
+}
+
+async fn on_worker<O, R, F>(cx: &Context, req: Request<Admitted, O>, f: F) -> Result<R, Refusal>
+where
+    O: Send + 'static,
+    R: Send + 'static,
+    F: FnOnce(Request<Admitted, O>, Duration) -> Result<R, Refusal> + Send + 'static,
+{
+    let outcome = if req.attempted() {
+        Outcome::Unknown
+    } else {
+        Outcome::NotRun
+    };
+    let (by, clock) = (req.grant().pool.clone(), cx.clock);
+    let job = move |_: &Tables| f(req, clock.now());
+    cx.pool.run(by.as_str(), job).await.unwrap_or_else(|_| {
+        let refusal = Refusal::before_dispatch(Code::Overloaded, Step::Place, Peer::Local);
+        Err(Refusal { outcome, ..refusal })
+    })
+}
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -11,7 +11,6 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Admission;
 use chiverelay_decisions::gateway::Ask;
-use chiverelay_decisions::gateway::Placement;
 use chiverelay_decisions::gateway::Turn;
 use chiverelay_decisions::keys::Shown;
 use chiverelay_decisions::names::Account;
@@ -44,6 +43,8 @@
 use crate::keys;
 use crate::operations;
 use crate::operations::Claim;
+use crate::placing;
+use crate::placing::Next;
 use crate::relay;
 use crate::relay::End;
 use crate::relay::Relay;
@@ -240,23 +241,25 @@
         let mut attempts = 0;
         let mut last = None;
         while attempts < ATTEMPTS {
-            let here = &self.cx.settings.region;
-            let now = self.cx.clock.now();
-            let placed = gateway::place(&self.cx.tables, req, here, turn, now);
+            let placed = placing::place(&self.cx, req, turn).await;
             req = match placed.map_err(|refusal| more_telling(refusal, last.as_ref()))? {
-                Placement::Wait(req) => {
+                Next::Wait(req) => {
                     turn = Turn::Woken;
                     wait::slot(&self.cx, req).await?
                 }
-                Placement::Here(placed) => match dispatch::attempt(&self.cx, placed, &out).await {
-                    Attempt::Answer(req, answer) => return Ok(self.reply(req, answer, &out, claim)),
-                    Attempt::Again(req) => {
-                        (turn, attempts) = (Turn::New, attempts + 1);
-                        req
+                Next::Here(placed, running) => {
+                    match dispatch::attempt(&self.cx, placed, running, &out).await {
+                        Attempt::Answer(req, answer) => {
+                            return Ok(self.reply(req, answer, &out, claim));
+                        }
+                        Attempt::Again(req) => {
+                            (turn, attempts) = (Turn::New, attempts + 1);
+                            req
+                        }
+                        Attempt::Refused(refusal) => return Err(refusal),
                     }
-                    Attempt::Refused(refusal) => return Err(refusal),
-                },
-                Placement::Away(away) => match self.forward(away, &out).await {
+                }
+                Next::Away(away) => match self.forward(away, &out).await {
                     Forwarded::Answer(req, head, source) => {
                         return Ok(self.stream(req, None, head, source, claim));
                     }
--- a/crates/chiverelayd/src/resume.rs
+++ b/crates/chiverelayd/src/resume.rs
@@ -3,8 +3,6 @@
 use std::future::Future;
 
 use chiverelay_decisions::gateway;
-use chiverelay_decisions::gateway::Local;
-use chiverelay_decisions::gateway::Placement;
 use chiverelay_decisions::gateway::Turn;
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
@@ -20,6 +18,10 @@
 use crate::context::Context;
 use crate::dispatch;
 use crate::dispatch::Attempt;
+use crate::placing;
+use crate::placing::Next;
+use crate::placing::NextHere;
+use crate::placing::Running;
 use crate::relay::Source;
 use crate::wait;
 
@@ -75,9 +77,10 @@
         &mut self,
         cx: &Context,
         placed: Request<Placed, O>,
+        running: Running,
         out: &Outbound,
     ) -> Option<Source> {
-        let Attempt::Answer(req, answer) = dispatch::attempt(cx, placed, out).await else {
+        let Attempt::Answer(req, answer) = dispatch::attempt(cx, placed, running, out).await else {
             return None;
         };
         let Peer::Target(target) = req.peer().clone() else {
@@ -97,11 +100,12 @@
         let (mut req, out) = self.repeat(cx, last_id)?;
         let mut turn = Turn::New;
         loop {
-            let (here, now) = (&cx.settings.region, cx.clock.now());
-            match gateway::place(&cx.tables, req, here, turn, now).ok()? {
-                Placement::Here(placed) => return self.attempt(cx, placed, &out).await,
-                Placement::Wait(waiting) => req = wait::slot(cx, waiting).await.ok()?,
-                Placement::Away(_) => return None,
+            match placing::place(cx, req, turn).await.ok()? {
+                Next::Here(placed, running) => {
+                    return self.attempt(cx, placed, running, &out).await;
+                }
+                Next::Wait(waiting) => req = wait::slot(cx, waiting).await.ok()?,
+                Next::Away(_) => return None,
             }
             turn = Turn::Woken;
         }
@@ -113,10 +117,11 @@
         let (mut req, out) = self.repeat(cx, last_id)?;
         let mut turn = Turn::New;
         loop {
-            let (here, now) = (&cx.settings.region, cx.clock.now());
-            match gateway::place_forwarded(&cx.tables, req, here, turn, now).ok()? {
-                Local::Here(placed) => return self.attempt(cx, placed, &out).await,
-                Local::Wait(waiting) => req = wait::slot(cx, waiting).await.ok()?,
+            match placing::place_forwarded(cx, req, turn).await.ok()? {
+                NextHere::Here(placed, running) => {
+                    return self.attempt(cx, placed, running, &out).await;
+                }
+                NextHere::Wait(waiting) => req = wait::slot(cx, waiting).await.ok()?,
             }
             turn = Turn::Woken;
         }
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -5,7 +5,6 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::gateway;
-use chiverelay_decisions::gateway::Local;
 use chiverelay_decisions::gateway::Turn;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
@@ -40,6 +39,8 @@
 use crate::keys;
 use crate::load;
 use crate::members;
+use crate::placing;
+use crate::placing::NextHere;
 use crate::publish;
 use crate::relay;
 use crate::relay::End;
@@ -130,17 +131,16 @@
         let mut turn = Turn::New;
         let mut attempts = 0;
         while attempts < ATTEMPTS {
-            let here = &self.cx.settings.region;
-            let now = self.cx.clock.now();
-            let placed = match gateway::place_forwarded(&self.cx.tables, req, here, turn, now)? {
-                Local::Here(placed) => placed,
-                Local::Wait(waiting) => {
+            let placed = placing::place_forwarded(&self.cx, req, turn).await?;
+            let (placed, running) = match placed {
+                NextHere::Here(placed, running) => (placed, running),
+                NextHere::Wait(waiting) => {
                     turn = Turn::Woken;
                     req = wait::slot(&self.cx, waiting).await?;
                     continue;
                 }
             };
-            req = match dispatch::attempt(&self.cx, placed, out).await {
+            req = match dispatch::attempt(&self.cx, placed, running, out).await {
                 Attempt::Answer(req, answer) => return Ok((req, answer)),
                 Attempt::Again(req) => req,
                 Attempt::Refused(refusal) => return Err(refusal),
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -44,6 +44,7 @@
     name: String,
     token_time: Duration,
     running: AtomicU64,
+    peak: AtomicU64,
     cancelled: AtomicU64,
 }
 
@@ -66,7 +67,8 @@
 
 impl Running {
     fn new(engine: &Arc<Engine>) -> Self {
-        engine.running.fetch_add(1, Ordering::Relaxed);
+        let running = engine.running.fetch_add(1, Ordering::Relaxed) + 1;
+        engine.peak.fetch_max(running, Ordering::Relaxed);
         Self {
             engine: Arc::clone(engine),
             finished: false,
@@ -88,6 +90,11 @@
 }
 
 impl Engine {
+    /// Returns the most requests that ran at once.
+    pub fn peak(&self) -> u64 {
+        self.peak.load(Ordering::Relaxed)
+    }
+
     /// Returns the requests that run.
     pub fn running(&self) -> u64 {
         self.running.load(Ordering::Relaxed)
@@ -106,6 +113,7 @@
             name: name.to_owned(),
             token_time,
             running: AtomicU64::new(0),
+            peak: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
         }
     }
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -106,6 +106,8 @@
         let answers = asks.join_all().await;
         assert!(answers.iter().all(|a| a == "engine-1"), "{answers:?}");
         assert_eq!(engine.taken(), 20);
+        // Before the next request is placed, the slot is counted as taken.
+        assert_eq!(engine.peak(), 1);
     });
 }
 
