--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod place;
+mod scan;
 mod targets;
 mod wait;
 
--- a/crates/decisions/src/gateway/place.rs
+++ b/crates/decisions/src/gateway/place.rs
@@ -3,25 +3,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::Tables;
-use super::Waiting;
-use super::targets::estimate;
-use super::targets::peers;
+use super::scan::Scan;
 use crate::config::Config;
-use crate::config::PoolEntry;
-use crate::config::Residency;
-use crate::config::TargetEntry;
 use crate::names::Instance;
 use crate::names::Region;
-use crate::names::Target;
-use crate::names::Zone;
-use crate::placement::Estimate;
 use crate::placement::Link;
-use crate::placement::Load;
-use crate::placement::Sign;
-use crate::placement::Status;
 use crate::placement::prefix;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
@@ -29,33 +16,14 @@
 use crate::request::Away;
 use crate::request::Direct;
 use crate::request::Forwarded;
-use crate::request::Grant;
 use crate::request::Placed;
 use crate::request::Request;
 use crate::step::Peer;
 use crate::step::Step;
 
-/// A region's targets are all scored up to this number, else a sample of them.
-const SCORE_ALL: usize = 16;
-
-/// Targets scored by rendezvous hashing of the prefix.
-const HOMES: usize = 2;
-
-/// Targets scored at random.
-const SAMPLES: usize = 4;
-
-/// With fewer usable targets in a hundred, ejected ones are used too.
-const PANIC_PERCENT: usize = 30;
-
 /// Expected time to the first token in a region that said nothing yet.
 const UNKNOWN_REGION: Duration = Duration::from_secs(1);
 
-/// How much better the home of a prompt's prefix is taken to be, in percent.
-const HOME_PERCENT: u32 = 20;
-
-/// Factor on the score of a target that failed lately.
-const SUSPECT_FACTOR: u32 = 2;
-
 /// Where a caller's request goes.
 #[derive(Debug)]
 pub enum Placement {
@@ -85,26 +53,6 @@
     Woken,
 }
 
-/// What is the same for all targets while one request is placed.
-struct Scan<'a> {
-    tables: &'a Tables,
-    entry: &'a PoolEntry,
-    residency: Residency,
-    here: &'a Region,
-    zone: Option<&'a Zone>,
-    peers: u64,
-    now: Duration,
-}
-
-/// A target with its estimate.
-struct Candidate<'a> {
-    name: &'a Target,
-    status: Status,
-    estimate: Estimate,
-    expected: Duration,
-    score: Duration,
-}
-
 /// A sibling of another region with the region's expected time.
 struct Far {
     instance: Instance,
@@ -136,14 +84,7 @@
     now: Duration,
 ) -> Result<Placement, Refusal> {
     let config = tables.config.get();
-    let Some(entry) = config.pools.get(&req.grant().pool) else {
-        return Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local));
-    };
-    let Some(residency) = current_residency(&config, req.grant()) else {
-        return Err(req.refuse_not_run(Code::Forbidden, Step::Place, Peer::Local));
-    };
-    let req = check_retry(tables, entry, req, turn)?;
-    let scan = Scan::new(tables, entry, residency, here, now);
+    let (scan, req) = Scan::open(tables, &config, req, here, turn, now)?;
     let far = find_far(&scan, &config, &req);
     let Some(best) = scan.best(&req, far.is_none()) else {
         return match far {
@@ -154,7 +95,7 @@
     let local = best.expected.max(scan.queue_wait(&req));
     if let Some(far) = far
         && far.has_room
-        && far.first_token + entry.weights.spill_margin() < local
+        && far.first_token + scan.entry.weights.spill_margin() < local
         && spend(&scan, &req, &far.region).is_ok()
     {
         return go(req, far);
@@ -178,14 +119,7 @@
     now: Duration,
 ) -> Result<Local, Refusal> {
     let config = tables.config.get();
-    let Some(entry) = config.pools.get(&req.grant().pool) else {
-        return Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local));
-    };
-    let Some(residency) = current_residency(&config, req.grant()) else {
-        return Err(req.refuse_not_run(Code::Forbidden, Step::Place, Peer::Local));
-    };
-    let req = check_retry(tables, entry, req, turn)?;
-    let scan = Scan::new(tables, entry, residency, here, now);
+    let (scan, req) = Scan::open(tables, &config, req, here, turn, now)?;
     let Some(best) = scan.best(&req, true) else {
         return Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local));
     };
@@ -195,49 +129,6 @@
     scan.choose(req, &best).map(Local::Here)
 }
 
-/// Returns where a request may run by the configuration in force, which may
-/// have changed since its admission; `None` if it may not run at all.
-fn current_residency(config: &Config, grant: &Grant) -> Option<Residency> {
-    let route = config.routes.get(&grant.route)?;
-    let residency = grant.residency.and(&route.residency);
-    let Some(account) = &grant.account else {
-        return route.open.then_some(residency);
-    };
-    if !route.accounts.contains(account) {
-        return None;
-    }
-    Some(residency.and(&config.accounts.get(account)?.residency))
-}
-
-/// Earns a share of a retry with a first attempt; spends one with a retry.
-fn check_retry<O>(
-    tables: &Tables,
-    entry: &PoolEntry,
-    req: Request<Admitted, O>,
-    turn: Turn,
-) -> Result<Request<Admitted, O>, Refusal> {
-    if turn == Turn::Woken {
-        return Ok(req);
-    }
-    let retry = req.attempted();
-    let pool = req.grant().pool.clone();
-    let allowed = tables.queues.with_or(
-        &pool,
-        || Waiting::new(entry),
-        |waiting| {
-            if retry {
-                return waiting.retries.spend();
-            }
-            waiting.retries.earn();
-            true
-        },
-    );
-    if allowed {
-        return Ok(req);
-    }
-    Err(req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))
-}
-
 fn go(req: Request<Admitted, Direct>, far: Far) -> Result<Placement, Refusal> {
     req.place_away(far.instance, far.region)
         .map(Placement::Away)
@@ -328,185 +219,3 @@
     });
     found.map(|(_, far)| far)
 }
-
-impl<'a> Scan<'a> {
-    fn new(
-        tables: &'a Tables,
-        entry: &'a PoolEntry,
-        residency: Residency,
-        here: &'a Region,
-        now: Duration,
-    ) -> Self {
-        Self {
-            tables,
-            entry,
-            residency,
-            here,
-            zone: tables.network.zone.as_ref(),
-            peers: peers(tables, here),
-            now,
-        }
-    }
-
-    /// Returns the best target that takes new work.
-    ///
-    /// `last_resort` tells that no other region can answer; then ejected
-    /// targets are used if too few others are left.
-    fn best<O>(&self, req: &Request<Admitted, O>, last_resort: bool) -> Option<Candidate<'a>> {
-        if !self.residency.allows(self.here) {
-            return None;
-        }
-        let local: Vec<_> = self
-            .entry
-            .targets
-            .iter()
-            .filter(|(name, t)| t.region == *self.here && !req.tried().contains(name))
-            .collect();
-        let chosen = sample(&local, req);
-        let home = home(&local, req);
-        let scored: Vec<_> = chosen
-            .into_iter()
-            .map(|(name, t)| self.score(req, name, t, home == Some(name)))
-            .filter(|c| c.status != Status::Leaving)
-            .collect();
-        let usable = scored
-            .iter()
-            .filter(|c| c.status != Status::Ejected)
-            .count();
-        let panic = last_resort && usable * 100 < scored.len() * PANIC_PERCENT;
-        scored
-            .into_iter()
-            .filter(|c| panic || c.status != Status::Ejected)
-            .min_by(|a, b| (a.score, a.name).cmp(&(b.score, b.name)))
-    }
-
-    fn score<O>(
-        &self,
-        req: &Request<Admitted, O>,
-        name: &'a Target,
-        target: &TargetEntry,
-        is_home: bool,
-    ) -> Candidate<'a> {
-        let head = req.head();
-        let round_trip = match self.zone {
-            Some(zone) if *zone == target.zone => Duration::ZERO,
-            _ => self.tables.network.zone_round_trip,
-        };
-        self.tables.targets.with_or(name, Load::default, |load| {
-            let status = load.health.status(self.now);
-            let estimate = estimate(
-                load,
-                self.entry,
-                &head.prefix,
-                head.prompt_tokens,
-                self.peers,
-                round_trip,
-                self.now,
-            );
-            let expected = estimate.first_token();
-            let score = estimate.score(self.entry.weights);
-            let mut percent = 100;
-            if is_home {
-                percent -= HOME_PERCENT;
-            }
-            if status == Status::Suspect {
-                percent *= SUSPECT_FACTOR;
-            }
-            Candidate {
-                name,
-                status,
-                estimate,
-                expected,
-                score: score * percent / 100,
-            }
-        })
-    }
-
-    /// Tells whether a request may start now, ahead of none that waits.
-    fn may_start<O>(&self, req: &Request<Admitted, O>, best: &Candidate<'_>) -> bool {
-        let free = best.estimate.has_room() || best.status == Status::Probe;
-        let pool = &req.grant().pool;
-        free && self
-            .tables
-            .queues
-            .with(pool, |w| w.is_none_or(|w| w.queue.is_empty()))
-    }
-
-    /// Returns the expected wait in the queue of this region.
-    fn queue_wait<O>(&self, req: &Request<Admitted, O>) -> Duration {
-        let grant = req.grant();
-        self.tables.queues.with(&grant.pool, |waiting| {
-            let Some(waiting) = waiting else {
-                return Duration::ZERO;
-            };
-            if waiting.queue.is_empty() {
-                return Duration::ZERO;
-            }
-            let work = req.head().prompt_tokens;
-            waiting
-                .queue
-                .expected_wait(grant.account.as_ref(), work)
-                .unwrap_or_default()
-        })
-    }
-
-    /// Places the request and counts its prompt at the target.
-    fn choose<O>(
-        &self,
-        req: Request<Admitted, O>,
-        best: &Candidate<'_>,
-    ) -> Result<Request<Placed, O>, Refusal> {
-        let pool = req.grant().pool.clone();
-        let head = req.head().clone();
-        let placed = req
-            .place(best.name.clone(), self.here.clone())
-            .map_err(|req| req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local))?;
-        let rate = self.entry.prefill_rate;
-        self.tables
-            .targets
-            .with_or(best.name, Load::default, |load| {
-                load.health.observe(Sign::Placed, self.now);
-                load.add(best.estimate.uncached, rate, self.now);
-                // The target caches the prompt as it reads it.
-                load.cache.insert(head.prefix.iter().copied());
-                load.pool = Some(pool);
-            });
-        Ok(placed)
-    }
-}
-
-/// Bounds the targets that are scored: the homes of the prefix and a sample.
-fn sample<'a, O>(
-    local: &[(&'a Target, &'a TargetEntry)],
-    req: &Request<Admitted, O>,
-) -> Vec<(&'a Target, &'a TargetEntry)> {
-    if local.len() <= SCORE_ALL {
-        return local.to_vec();
-    }
-    let mut chosen = Vec::with_capacity(HOMES + SAMPLES);
-    if let Some(key) = req.head().affinity() {
-        let weight = |t: &(&Target, &TargetEntry)| prefix::rendezvous(key, t.0.as_str());
-        let mut homes: Vec<_> = local.iter().map(|t| (weight(t), *t)).collect();
-        homes.select_nth_unstable_by(HOMES, |a, b| b.0.cmp(&a.0));
-        chosen.extend(homes.into_iter().take(HOMES).map(|(_, t)| t));
-    }
-    let seed = xxh3_64(req.head().id.as_str().as_bytes());
-    for i in 0..SAMPLES as u64 {
-        let at = prefix::rendezvous(seed, &i.to_string()) as usize % local.len();
-        chosen.push(local[at]);
-    }
-    chosen
-}
-
-/// Finds the target that a prompt goes to if all else is equal, so that all
-/// instances read a new prefix at the same target.
-fn home<'a, O>(
-    local: &[(&'a Target, &'a TargetEntry)],
-    req: &Request<Admitted, O>,
-) -> Option<&'a Target> {
-    let key = req.head().affinity()?;
-    local
-        .iter()
-        .map(|t| t.0)
-        .max_by_key(|t| prefix::rendezvous(key, t.as_str()))
-}
