Ask targets to close the connection after their answer

Cause: the profile of the loaded daemon spent 35% of its time in connect, most of it in the search for a free port: a connection serves one request, this side closed it first, and so its ports waited. Ruled out: placement on the worker and the event ring (under 1% each).

--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -15,8 +15,10 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HOST;
+use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -131,6 +133,10 @@
         };
         *msg.uri_mut() = uri;
         msg.headers_mut().insert(HOST, host);
+        // Whoever closes first keeps the port for a while; a target has one for
+        // all its callers, this side needs another for each request.
+        let close = HeaderValue::from_static("close");
+        msg.headers_mut().insert(CONNECTION, close);
         let resp = self
             .sender
             .send_request(msg)
