--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -288,7 +288,7 @@
 }
 
 fn main() {
-    heartbeats();
+    // First, as memory that was freed before would be used again.
     let config = memory("configuration, an account with its key", ACCOUNTS, config);
     let encoded = serde_json::to_vec(&config).expect("a document");
     println!(
@@ -297,6 +297,7 @@
         encoded.len() / ACCOUNTS
     );
     keys(&config);
+    heartbeats();
     events();
     placement();
 }
