Tell words on instances where hashes of buckets differ

Cause: once in 16 ticks each instance asked for words on all instances, and every message carried the state of the own region's pools, also to instances of that region, which know it, and with both halves of an exchange.

Versions of other regions are told once for a region and hold for the instances of one hash only.

Dead ones are no part of the hashes, as they are forgotten at different times.

--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -246,11 +246,10 @@
         message: Message::Heartbeat(Heartbeat {
             digest: Digest {
                 words: vec![word(0)],
-                regions: Vec::new(),
-                wants_all: false,
+                ..Digest::default()
             },
             withdrawn: 0,
-            summaries: gateway::summaries(&tables, &here, Duration::from_secs(1)),
+            summaries: Some(gateway::summaries(&tables, &here, Duration::from_secs(1))),
         }),
     };
     let buf = encode(&beat).expect("a message");
--- a/crates/chiverelayd/src/members/heartbeat.rs
+++ b/crates/chiverelayd/src/members/heartbeat.rs
@@ -39,8 +39,14 @@
 
 async fn beat(cx: &Arc<Context>, peer: &Instance) {
     let now = cx.clock.now();
-    let digest = cx.membership.roster.lock().beat(peer, now);
-    let message = Message::Heartbeat(heartbeat(cx, digest));
+    let (digest, tells_pools) = {
+        let mut roster = cx.membership.roster.lock();
+        (roster.beat(peer, now), roster.tells_pools(peer))
+    };
+    let message = Message::Heartbeat(Heartbeat {
+        summaries: tells_pools.then(|| gateway::summaries(&cx.tables, &cx.settings.region, now)),
+        ..heartbeat(cx, digest)
+    });
     let asked = async {
         let link = link(cx, peer).await?;
         let reply = link.ask(cx.events.latest(), message).await?;
@@ -66,12 +72,10 @@
 }
 
 fn heartbeat(cx: &Context, digest: Digest) -> Heartbeat {
-    // The lock must be gone before the summaries take theirs.
-    let withdrawn = cx.tables.withdrawn.lock().digest();
     Heartbeat {
         digest,
-        withdrawn,
-        summaries: gateway::summaries(&cx.tables, &cx.settings.region, cx.clock.now()),
+        withdrawn: cx.tables.withdrawn.lock().digest(),
+        summaries: None,
     }
 }
 
@@ -112,11 +116,13 @@
         1 => update_one(cx, name),
         _ => update_tables(cx),
     }
-    cx.tables.siblings.with(name, |sibling| {
-        if let Some(sibling) = sibling {
-            sibling.summaries = beat.summaries.clone();
-        }
-    });
+    if let Some(summaries) = &beat.summaries {
+        cx.tables.siblings.with(name, |sibling| {
+            if let Some(sibling) = sibling {
+                sibling.summaries = summaries.clone();
+            }
+        });
+    }
     keys::compare(cx, name, beat.withdrawn);
 }
 
--- a/crates/decisions/src/membership/digest.rs
+++ b/crates/decisions/src/membership/digest.rs
@@ -71,6 +71,23 @@
     pub age_ms: u64,
 }
 
+/// Which configuration a region has.
+///
+/// It holds for the instances that `roster` is the hash of, whenever it is
+/// heard, as an incarnation's version never falls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RegionVersion {
+    /// The region.
+    pub region: Region,
+    /// Hash of the region's instances, their incarnations and statuses.
+    pub roster: u32,
+    /// Version that all serving instances have but those behind.
+    pub config_version: u64,
+    /// Serving instances that have an older version.
+    pub behind: Vec<Instance>,
+}
+
 /// What an instance tells another with a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -79,6 +96,9 @@
     pub words: Vec<Word>,
     /// Ages of regions.
     pub regions: Vec<RegionAge>,
-    /// Whether the teller wants a digest of all instances in return.
-    pub wants_all: bool,
+    /// Versions of regions, where they changed.
+    pub versions: Vec<RegionVersion>,
+    /// Hashes of the buckets of instances, if the teller wants the words of
+    /// those that differ; otherwise empty.
+    pub buckets: Vec<u32>,
 }
--- a/crates/decisions/src/membership/roster.rs
+++ b/crates/decisions/src/membership/roster.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use super::Digest;
+use super::Member;
 use super::Profile;
-use super::RegionAge;
 use super::Status;
 use super::Word;
+use super::versions::Versions;
 use crate::names::Instance;
 use crate::names::Region;
 
@@ -23,47 +24,9 @@
 /// A dead instance is remembered for so long, lest an old digest bring it back.
 const MEMORY: Duration = Duration::from_secs(3600);
 
-/// A change is told to other regions for so long.
-const FAR_NEWS: Duration = Duration::from_secs(30);
-
 /// A gap between two ticks by which the own process was paused.
 const PAUSE: Duration = Duration::from_secs(4);
 
-/// Words on changes in a digest that is not of all instances.
-pub const MAX_NEWS: usize = 16;
-
-/// Digests that carry a change.
-const NEWS_ROUNDS: u32 = 16;
-
-/// Ticks between two digests that ask for all instances in return.
-const FULL_EVERY: u64 = 16;
-
-/// What is known of an instance.
-///
-/// # Invariants
-///
-/// `incarnation` never falls; while it stays, neither `status` nor
-/// `config_version` falls. Times are on the local monotonic clock.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Member {
-    /// Incarnation.
-    pub incarnation: u64,
-    /// Status of the incarnation.
-    pub status: Status,
-    /// Configuration version, as last heard.
-    pub config_version: u64,
-    /// Where it is.
-    pub profile: Profile,
-    /// When it last spoke to this instance.
-    pub heard: Duration,
-    /// When incarnation or status last changed.
-    changed: Duration,
-    /// Heartbeats to it in a row that had no answer.
-    pub(super) misses: u32,
-    /// Digests that still carry the change.
-    news: u32,
-}
-
 /// The instances as one of them knows them.
 ///
 /// # Invariants
@@ -74,68 +37,12 @@
     pub(super) own: Word,
     pub(super) here: Region,
     pub(super) members: BTreeMap<Instance, Member>,
-    regions: BTreeMap<Region, Duration>,
+    pub(super) regions: BTreeMap<Region, Duration>,
     pub(super) ticks: u64,
     last_tick: Duration,
-    asked_all: u64,
-}
-
-impl Member {
-    fn new(word: &Word, profile: Profile, changed: Duration) -> Self {
-        Self {
-            incarnation: word.incarnation,
-            status: word.status,
-            config_version: word.config_version,
-            profile,
-            heard: Duration::ZERO,
-            changed,
-            misses: 0,
-            news: 0,
-        }
-    }
-
-    fn word(&self, instance: &Instance, with_profile: bool) -> Word {
-        Word {
-            instance: instance.clone(),
-            incarnation: self.incarnation,
-            status: self.status,
-            config_version: self.config_version,
-            profile: with_profile.then(|| self.profile.clone()),
-        }
-    }
-
-    /// Joins a word on the same instance; true if it changed what others
-    /// should know.
-    fn join(&mut self, word: &Word, now: Duration) -> bool {
-        if word.incarnation < self.incarnation {
-            return false;
-        }
-        let renewed = word.incarnation > self.incarnation;
-        let risen = word.status > self.status;
-        if renewed {
-            self.incarnation = word.incarnation;
-            self.status = word.status;
-            self.config_version = word.config_version;
-            self.profile = word.profile.clone().unwrap_or_else(|| self.profile.clone());
-        }
-        self.status = self.status.max(word.status);
-        self.config_version = self.config_version.max(word.config_version);
-        if renewed || risen {
-            self.changed = now;
-            self.misses = 0;
-        }
-        renewed || risen
-    }
-
-    fn raise(&mut self, status: Status, now: Duration) {
-        self.status = self.status.max(status);
-        self.changed = now;
-        self.news = NEWS_ROUNDS;
-    }
-
-    pub(super) fn is_up(&self) -> bool {
-        self.status < Status::Suspect
-    }
+    /// Tick of the last question to each region for what differs.
+    pub(super) asked: BTreeMap<Region, u64>,
+    pub(super) versions: Versions,
 }
 
 impl Roster {
@@ -154,7 +61,8 @@
             regions: BTreeMap::new(),
             ticks: 0,
             last_tick: Duration::ZERO,
-            asked_all: 0,
+            asked: BTreeMap::new(),
+            versions: Versions::default(),
         }
     }
 
@@ -206,6 +114,7 @@
             let age = Duration::from_millis(region.age_ms);
             self.hear_region(&region.region, now.saturating_sub(age));
         }
+        digest.versions.iter().for_each(|v| self.hear_version(v));
         let Some(speaker) = from.and_then(|name| self.members.get_mut(name)) else {
             return;
         };
@@ -246,7 +155,7 @@
             && changed
             && is_news
         {
-            member.news = NEWS_ROUNDS;
+            member.tell();
         }
     }
 
@@ -289,82 +198,6 @@
         }
         self.members
             .retain(|_, m| m.status != Status::Dead || m.changed + MEMORY > now);
-    }
-
-    /// Returns what to tell with a heartbeat to `to`.
-    pub fn beat(&mut self, to: &Instance, now: Duration) -> Digest {
-        let names = self.told(to, now);
-        let wants_all = self.wants_all();
-        self.digest_of(names.iter(), wants_all, now)
-    }
-
-    fn told(&mut self, to: &Instance, now: Duration) -> Vec<Instance> {
-        let region = self.members.get(to).map(|m| &m.profile.region);
-        match region {
-            Some(region) if *region != self.here => self.far_news(now),
-            _ => self.news(to),
-        }
-    }
-
-    /// Tells, for one heartbeat of each so many ticks, to ask for everything.
-    fn wants_all(&mut self) -> bool {
-        let due = self.asked_all + FULL_EVERY <= self.ticks;
-        if due {
-            self.asked_all = self.ticks;
-        }
-        due
-    }
-
-    /// Returns the answer to a heartbeat of `to`.
-    pub fn reply(&mut self, to: &Instance, heard: &Digest, now: Duration) -> Digest {
-        if heard.wants_all {
-            return self.digest_of(self.members.keys(), false, now);
-        }
-        let names = self.told(to, now);
-        self.digest_of(names.iter(), false, now)
-    }
-
-    /// Takes the changes that were told least often. One that is taken for
-    /// dead is told so, that it may raise its incarnation.
-    fn news(&mut self, to: &Instance) -> Vec<Instance> {
-        let members = self.members.iter();
-        let mut changed: Vec<_> = members
-            .map(|(name, m)| (to == name && !m.is_up(), m.news, name.clone()))
-            .filter(|(asks, news, _)| *asks || *news > 0)
-            .collect();
-        changed.sort_unstable_by(|a, b| b.cmp(a));
-        changed.truncate(MAX_NEWS);
-        let names: Vec<_> = changed.into_iter().map(|(.., name)| name).collect();
-        for name in &names {
-            if let Some(member) = self.members.get_mut(name) {
-                member.news = member.news.saturating_sub(1);
-            }
-        }
-        names
-    }
-
-    /// Returns what changed in the own region lately.
-    fn far_news(&self, now: Duration) -> Vec<Instance> {
-        let members = self.members.iter();
-        members
-            .filter(|(_, m)| m.profile.region == self.here && m.changed + FAR_NEWS > now)
-            .map(|(name, _)| name.clone())
-            .collect()
-    }
-
-    fn digest_of<'a, I>(&self, names: I, wants_all: bool, now: Duration) -> Digest
-    where
-        I: Iterator<Item = &'a Instance>,
-    {
-        let known = names.filter_map(|name| Some(self.members.get(name)?.word(name, true)));
-        let regions = self.regions.iter().map(|(region, heard)| RegionAge {
-            region: region.clone(),
-            age_ms: now.saturating_sub(*heard).as_millis() as u64,
-        });
-        Digest {
-            words: std::iter::once(self.own.clone()).chain(known).collect(),
-            regions: regions.collect(),
-            wants_all,
-        }
+        self.apply_versions();
     }
 }
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -26,7 +26,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -126,8 +126,8 @@
     pub digest: Digest,
     /// Digest of the withdrawals that are not durable yet.
     pub withdrawn: u64,
-    /// What the sender's region has of each pool.
-    pub summaries: Vec<Summary>,
+    /// What the sender's region has of each pool, if it is told.
+    pub summaries: Option<Vec<Summary>>,
 }
 
 /// A target's load report, as one instance passes it on to its region.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod limits_site;
 mod membership;
+mod membership_fleet;
 mod metrics;
 mod once;
 mod path;
