Record an answer before its end goes to the caller

Cause: the landing's test run failed on once::recorded_answer_by_ticket_of_a_sibling (409 already_used for 200). The relay finished the caller's answer first and told the issuer of the ticket after that, so a caller that asked the issuer at once was told "unknown" of an operation whose whole answer it had.

Ruled out: a lost settlement or a claim that timed out (no warning of either in the failing runs), a ticket past its use (first answer was 200).

The property of what is held fails if the hold passes its input on.

Conclusion: who has the whole answer finds it at every instance.

--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -7,6 +7,7 @@
 use chiverelay_caller as caller;
 use chiverelay_decisions::answer::Checker;
 use chiverelay_decisions::answer::Framing;
+use chiverelay_decisions::answer::Hold;
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
@@ -15,12 +16,15 @@
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::tickets::Recorded;
+use chiverelay_decisions::tickets::Settlement;
 use chiverelay_sibling as sibling;
 use chiverelay_sibling::Frame;
 use chiverelay_target as target;
 
 use crate::context::Context;
 use crate::keys::Under;
+use crate::operations;
+use crate::operations::Claim;
 use crate::operations::MAX_RECORDED;
 use crate::resume::Resume;
 
@@ -158,21 +162,55 @@
     pub(crate) source: Source,
     /// Who waits for it.
     pub(crate) sink: Sink,
-    /// The head of an answer that is to be kept.
+    /// How the answer is kept, if it is.
     ///
     /// Such an answer is read to its end even if nobody waits for it.
-    pub(crate) record: Option<Recorded>,
+    pub(crate) kept: Option<Kept>,
+}
+
+/// An answer that is kept for callers that ask again.
+///
+/// # Invariants
+///
+/// The end of the answer goes out after the issuer of the operation's ticket
+/// has taken it, or could not be told: a caller that has the whole answer
+/// finds it at every instance.
+pub(crate) struct Kept {
+    claim: Claim,
+    record: Recorded,
+    hold: Hold,
+}
+
+impl Kept {
+    /// Starts with the head of an answer.
+    pub(crate) fn new(claim: Claim, head: Recorded, framing: Framing) -> Self {
+        Self {
+            claim,
+            record: head,
+            hold: Hold::new(framing),
+        }
+    }
+
+    /// Adds a piece, unless the answer grows too long, and returns what may
+    /// go out.
+    fn push(&mut self, data: Bytes, done: bool) -> Bytes {
+        if self.record.body.len() <= MAX_RECORDED {
+            self.record.body.extend_from_slice(&data);
+        }
+        self.hold.pass(data, done)
+    }
+
+    /// Records the whole answer and returns its end.
+    async fn settle(self, cx: &Context) -> Bytes {
+        let settlement = Settlement::Answered(self.record);
+        operations::settle(cx, self.claim, settlement).await;
+        self.hold.end()
+    }
 }
 
 impl Relay {
     /// Relays until the answer is whole, breaks off or nobody waits for it.
-    /// Returns the end, and the answer if it is to be kept and is whole.
-    pub(crate) async fn run<R>(
-        mut self,
-        cx: &Context,
-        under: &Under,
-        resume: &mut R,
-    ) -> (End, Option<Recorded>)
+    pub(crate) async fn run<R>(mut self, cx: &Context, under: &Under, resume: &mut R) -> End
     where
         R: Resume,
     {
@@ -184,18 +222,22 @@
             () = cx.cut.cancelled() => Some(End::Broken(draining())),
         };
         let end = end.unwrap_or_else(|| End::Broken(self.refuse(Code::DeadlineExceeded)));
-        let whole = matches!(end, End::Whole);
         let used = checker.tokens(self.prompt_tokens);
         gateway::settle(&cx.tables, &self.grant, used, cx.clock.now());
         self.source.finish(cx);
         match &end {
-            End::Whole => self.sink.finish().await,
+            End::Whole => {
+                if let Some(kept) = self.kept {
+                    self.sink.send(kept.settle(cx).await).await;
+                }
+                self.sink.finish().await;
+            }
             End::Left => {}
             End::Cut(refusal) | End::Broken(refusal) => {
                 self.sink.abort(refusal.clone(), self.framing).await
             }
         }
-        (end, self.record.filter(|_| whole))
+        end
     }
 
     fn refuse(&self, code: Code) -> Refusal {
@@ -233,7 +275,7 @@
                 piece = self.source.next() => piece,
                 () = self.sink.closed(), if waited_for => {
                     waited_for = false;
-                    if self.record.is_none() {
+                    if self.kept.is_none() {
                         return End::Left;
                     }
                     continue;
@@ -257,24 +299,18 @@
                     return End::Broken(self.refuse(Code::TargetFailed));
                 }
             };
-            self.keep(&data);
+            let data = match &mut self.kept {
+                Some(kept) => kept.push(data, checker.is_done()),
+                None => data,
+            };
             if waited_for && !data.is_empty() && !self.sink.send(data).await {
                 waited_for = false;
-                if self.record.is_none() {
+                if self.kept.is_none() {
                     return End::Left;
                 }
             }
         }
     }
-
-    /// Adds a piece to the answer that is kept, unless it grows too long.
-    fn keep(&mut self, data: &Bytes) {
-        if let Some(record) = &mut self.record
-            && record.body.len() <= MAX_RECORDED
-        {
-            record.body.extend_from_slice(data);
-        }
-    }
 }
 
 fn withdrawn() -> Refusal {
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -27,7 +27,6 @@
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::tickets::Recorded;
-use chiverelay_decisions::tickets::Settlement;
 use chiverelay_target::Outbound;
 use chiverelay_target::headers;
 use hyper::HeaderMap;
@@ -47,6 +46,7 @@
 use crate::placing::Next;
 use crate::relay;
 use crate::relay::End;
+use crate::relay::Kept;
 use crate::relay::Relay;
 use crate::relay::Sink;
 use crate::relay::Source;
@@ -304,7 +304,8 @@
         source: Source,
         claim: &mut Option<Claim>,
     ) -> Reply {
-        let claim = claim.take();
+        let kept = claim.take();
+        let kept = kept.map(|claim| Kept::new(claim, head.record(), head.framing));
         let (tx, body) = chiverelay_caller::channel();
         let relay = Relay {
             grant: Arc::clone(req.grant()),
@@ -313,7 +314,7 @@
             framing: head.framing,
             source,
             sink: Sink::Caller(tx),
-            record: claim.as_ref().map(|_| head.record()),
+            kept,
         };
         let cx = Arc::clone(&self.cx);
         let under = keys::enter(&self.cx, req.key());
@@ -322,10 +323,7 @@
         let peer = req.peer().clone();
         let mut resumable = Resumable::new(req, out);
         self.cx.requests.spawn(async move {
-            let (end, record) = relay.run(&cx, &under, &mut resumable).await;
-            if let (Some(claim), Some(record)) = (claim, record) {
-                operations::settle(&cx, claim, Settlement::Answered(record)).await;
-            }
+            let end = relay.run(&cx, &under, &mut resumable).await;
             let what = relay::describe(&end);
             if matches!(end, End::Whole) {
                 resumable.answered();
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -177,11 +177,11 @@
             framing: relay::framing(&self.cx, req.grant(), &answer),
             source: Source::Target(answer, target),
             sink: Sink::Sibling(tx),
-            record: None,
+            kept: None,
         };
         let under = keys::enter(&self.cx, req.key());
         let mut resumable = Resumable::new(req, Some(out));
-        let (end, _) = relay.run(&self.cx, &under, &mut resumable).await;
+        let end = relay.run(&self.cx, &under, &mut resumable).await;
         let what = relay::describe(&end);
         if matches!(end, End::Whole) {
             resumable.answered();
--- a/crates/decisions/src/answer.rs
+++ b/crates/decisions/src/answer.rs
@@ -238,6 +238,52 @@
     }
 }
 
+/// Holds back the end of an answer.
+///
+/// # Invariants
+///
+/// What [`Hold::pass`] gave out is never the whole answer: of a stream its
+/// last event is held, of any other answer its last piece.
+#[derive(Debug)]
+pub struct Hold {
+    framing: Framing,
+    held: Bytes,
+}
+
+impl Hold {
+    /// Starts with the first byte of an answer.
+    pub fn new(framing: Framing) -> Self {
+        Self {
+            framing,
+            held: Bytes::new(),
+        }
+    }
+
+    /// Takes a checked piece and returns what may go out before the end.
+    ///
+    /// `done` tells whether the last event of a stream has come.
+    pub fn pass(&mut self, data: Bytes, done: bool) -> Bytes {
+        if data.is_empty() || (self.framing == Framing::Events && !done) {
+            return data;
+        }
+        if self.framing != Framing::Events {
+            return std::mem::replace(&mut self.held, data);
+        }
+        // Only comments can follow the last event, so they may be dropped.
+        if self.held.is_empty() {
+            self.held = data;
+        } else if self.held.len() + data.len() <= MAX_EVENT {
+            self.held = [&self.held[..], &data[..]].concat().into();
+        }
+        Bytes::new()
+    }
+
+    /// Returns what was held.
+    pub fn end(self) -> Bytes {
+        self.held
+    }
+}
+
 /// Bytes before a line feed that tell whether it ends an event.
 const EVENT_END_OVERLAP: usize = 3;
 
--- a/tests/testsuite/answer.rs
+++ b/tests/testsuite/answer.rs
@@ -4,6 +4,7 @@
 use chiverelay_decisions::answer::Checker;
 use chiverelay_decisions::answer::Fault;
 use chiverelay_decisions::answer::Framing;
+use chiverelay_decisions::answer::Hold;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use support::cases;
@@ -73,6 +74,32 @@
     assert_eq!(checker.push(piece), Err(Fault::LongEvent));
 }
 
+/// The end of an answer is held, however it comes, and nothing is lost.
+fn check_hold(framing: Framing, answer: &'static str) {
+    for size in 1..=answer.len() {
+        let mut checker = Checker::new(framing);
+        let mut hold = Hold::new(framing);
+        let mut passed = Vec::new();
+        for piece in answer.as_bytes().chunks(size) {
+            let data = checker
+                .push(Bytes::copy_from_slice(piece))
+                .expect("no fault");
+            passed.extend(hold.pass(data, checker.is_done()));
+        }
+        let out = String::from_utf8(passed.clone()).expect("text");
+        assert!(out.len() < answer.len() && !out.contains("[DONE]"));
+        passed.extend(hold.end());
+        assert_eq!(passed, answer.as_bytes(), "in pieces of {size}");
+    }
+}
+
+cases! {
+    check_hold:
+    held_stream(Framing::Events, "data: a\n\ndata: b\n\ndata: [DONE]\n\n");
+    held_stream_with_comments(Framing::Events, "data: a\n\ndata: [DONE]\n\n: b\n\n: c\n\n");
+    held_document(Framing::Delimited, "{\"order\":1}");
+}
+
 fn check_tokens(framing: Framing, answer: &'static str, want: u64) {
     let mut checker = Checker::new(framing);
     checker
