Fuzz tickets and damaged streams with seeds

Damaged tickets are refused or are the one issued; a damaged stream gets one verdict in whatever pieces it comes. The error of a text that is no ticket has a message now; the property found that it had none.

--- a/crates/decisions/src/tickets.rs
+++ b/crates/decisions/src/tickets.rs
@@ -18,6 +18,7 @@
 use sha2::Digest;
 use sha2::Sha256;
 use subtle::ConstantTimeEq;
+use thiserror::Error;
 
 use crate::config::hex;
 use crate::names::Account;
@@ -66,6 +67,8 @@
 
 /// A text that is not a ticket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
+#[error("not an operation ticket")]
 pub struct NotATicket;
 
 impl FromStr for Ticket {
--- a/tests/testsuite/decoders.rs
+++ b/tests/testsuite/decoders.rs
@@ -1,14 +1,22 @@
 //! Seeded input for every decoder: no panic, and a clear error or a value.
 
+use bytes::Bytes;
 use chiverelay_decisions::Config;
+use chiverelay_decisions::answer::Checker;
+use chiverelay_decisions::answer::Fault;
+use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::config::split_key;
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::keys::Detector;
 use chiverelay_decisions::keys::Shown;
 use chiverelay_decisions::publication::Manifest;
+use chiverelay_decisions::tickets::Issuer;
+use chiverelay_decisions::tickets::KEY_BYTES;
+use chiverelay_decisions::tickets::Ticket;
+use chiverelay_decisions::tickets::Validity;
 use chiverelay_operator::api::Apply;
 use chiverelay_operator::document;
-use chiverelay_operator::file::Fault;
+use chiverelay_operator::file;
 use chiverelay_sibling::Envelope;
 use chiverelay_sibling::Forward;
 use chiverelay_sibling::Frame;
@@ -18,6 +26,8 @@
 use chiverelay_sibling::decode;
 use chiverelay_sibling::decode_envelope;
 use chiverelay_sibling::encode;
+use std::time::Duration;
+
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -104,7 +114,7 @@
     match document::parse(text) {
         Ok(_) => true,
         Err(faults) => {
-            let within = |f: &Fault| (1..=lines).contains(&f.line) && f.column > 0;
+            let within = |f: &file::Fault| (1..=lines).contains(&f.line) && f.column > 0;
             !faults.is_empty() && faults.iter().all(|f| within(f) && !f.reason.is_empty())
         }
     }
@@ -271,3 +281,70 @@
     }
     check(9, property as fn(Vec<u8>) -> bool);
 }
+
+/// A ticket is refused, or its issuer issued just this one.
+fn ticket_is_issued_or_refused(text: &str) -> bool {
+    let now = Duration::from_secs(1);
+    let validity = Validity {
+        use_by: 2 * now,
+        expires: 3 * now,
+    };
+    let issuer = Issuer::new("lima-1".into(), 5, [6; KEY_BYTES]);
+    let issued = issuer.issue(7, validity);
+    match text.parse::<Ticket>() {
+        Ok(ticket) => issuer.check(&ticket, now).is_some() == (ticket == issued),
+        Err(e) => !e.to_string().is_empty(),
+    }
+}
+
+#[test]
+fn tickets_of_any_text() {
+    fn property(text: String) -> bool {
+        ticket_is_issued_or_refused(&text)
+    }
+    check(10, property as fn(String) -> bool);
+}
+
+#[test]
+fn tickets_that_were_damaged() {
+    fn property(damages: Vec<Damage>) -> bool {
+        let validity = Validity {
+            use_by: Duration::from_secs(2),
+            expires: Duration::from_secs(3),
+        };
+        let issuer = Issuer::new("lima-1".into(), 5, [6; KEY_BYTES]);
+        let valid = issuer.issue(7, validity).to_string();
+        let data = damaged(valid.as_bytes(), &damages);
+        ticket_is_issued_or_refused(&valid)
+            && ticket_is_issued_or_refused(&String::from_utf8_lossy(&data))
+    }
+    check(11, property as fn(Vec<Damage>) -> bool);
+}
+
+const STREAM: &str = "id: 1\r\ndata: {\"usage\":{\"total_tokens\":3}}\r\n\r\n\
+    : comment\n\nid: 2\ndata: a\ndata: b\n\ndata: [DONE]\n\n";
+
+/// Passes a stream on in pieces; what passes is a start of it.
+fn pass_stream(data: &[u8], size: usize) -> (Result<(), Fault>, u64) {
+    let mut checker = Checker::new(Framing::Events);
+    let mut passed = Vec::new();
+    for piece in data.chunks(size) {
+        match checker.push(Bytes::copy_from_slice(piece)) {
+            Ok(data) => passed.extend(data),
+            Err(fault) => return (Err(fault), 0),
+        }
+        assert!(data.starts_with(&passed));
+    }
+    (checker.end(), checker.tokens(1))
+}
+
+/// A stream gets one verdict, in whatever pieces it comes.
+#[test]
+fn streams_that_were_damaged() {
+    fn property(damages: Vec<Damage>, size: usize) -> bool {
+        let data = damaged(STREAM.as_bytes(), &damages);
+        pass_stream(&data, size % 32 + 1) == pass_stream(&data, data.len().max(1))
+    }
+    assert_eq!(pass_stream(STREAM.as_bytes(), 1), (Ok(()), 3));
+    check(12, property as fn(Vec<Damage>, usize) -> bool);
+}
