--- a/crates/chiverelayd/src/publish.rs
+++ b/crates/chiverelayd/src/publish.rs
@@ -4,10 +4,13 @@
 mod change;
 mod fetch;
 mod keep;
+mod sweep;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use chiverelay_decisions::Config;
 use chiverelay_decisions::publication::Chunk;
@@ -47,6 +50,8 @@
 #[derive(Debug)]
 pub(crate) struct Published {
     current: Ranked<Arc<Edition>>,
+    /// Whether this instance is to sweep the store.
+    sweep: AtomicBool,
 }
 
 impl Published {
@@ -54,6 +59,7 @@
     pub(crate) fn new() -> Self {
         Self {
             current: Ranked::new(Rank::Publication, Arc::default()),
+            sweep: AtomicBool::new(false),
         }
     }
 
@@ -61,6 +67,10 @@
         Arc::clone(&self.current.lock())
     }
 
+    fn take_sweep(&self) -> bool {
+        self.sweep.swap(false, Ordering::AcqRel)
+    }
+
     fn advance(&self, edition: Edition) {
         let mut current = self.current.lock();
         if edition.manifest.root.version > current.manifest.root.version {
--- a/crates/chiverelayd/src/publish/change.rs
+++ b/crates/chiverelayd/src/publish/change.rs
@@ -1,11 +1,13 @@
 //! Changes the stored configuration.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use chiverelay_decisions::Config;
 use chiverelay_decisions::publication::Plan;
 use chiverelay_decisions::publication::Root;
 use chiverelay_decisions::publication::Writer;
+use chiverelay_decisions::publication::is_sweep_due;
 use chiverelay_decisions::publication::split;
 use chiverelay_decisions::step::Peer;
 use chiverelay_operator::api::Failure;
@@ -74,6 +76,9 @@
             chunks.extend(written.map(|(_, chunk)| (Arc::clone(&chunk.digest), chunk)));
             let edition = Edition::new(plan.manifest, chunks);
             put_in_force(cx, Arc::clone(&config), edition, Peer::Operator);
+            if is_sweep_due(config.version) {
+                cx.published.sweep.store(true, Ordering::Release);
+            }
             Ok(config)
         }
         Settled::Conflict(found) => {
--- a/crates/chiverelayd/src/publish/keep.rs
+++ b/crates/chiverelayd/src/publish/keep.rs
@@ -25,6 +25,7 @@
 use super::MANIFEST_KEY;
 use super::fetch;
 use super::install;
+use super::sweep::Sweeper;
 use crate::context::Context;
 
 /// Time between two looks at what siblings have.
@@ -66,6 +67,7 @@
 struct Keeper {
     cx: Arc<Context>,
     following: Option<Following>,
+    sweeper: Sweeper,
     pending: Option<Root>,
     failures: u32,
     retry_at: Duration,
@@ -76,6 +78,7 @@
         Self {
             cx,
             following: None,
+            sweeper: Sweeper::default(),
             pending: None,
             failures: 0,
             retry_at: Duration::ZERO,
@@ -188,6 +191,7 @@
 
     /// Fetches what siblings have, or what could not be read before.
     async fn look(&mut self) {
+        self.sweeper.step(&self.cx).await;
         if self.cx.clock.now() < self.retry_at {
             return;
         }
--- a/crates/decisions/src/publication.rs
+++ b/crates/decisions/src/publication.rs
@@ -5,6 +5,7 @@
 mod fault;
 mod manifest;
 mod spread;
+mod sweep;
 
 pub use chunks::Chunk;
 pub use chunks::MAX_CHUNK;
@@ -20,3 +21,4 @@
 pub use spread::WATCHERS;
 pub use spread::is_watcher;
 pub use spread::source;
+pub use sweep::is_sweep_due;
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -159,6 +159,13 @@
             .iter()
             .filter(|(k, _)| range.contains(k))
             .map(|(k, v)| v.key_value(k))
+            .map(|kv| match req.keys_only {
+                true => api::KeyValue {
+                    value: String::new(),
+                    ..kv
+                },
+                false => kv,
+            })
             .collect();
         api::RangeResponse {
             header: self.header(),
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -77,6 +77,8 @@
     pub key: String,
     /// Key after the last one, in base64; empty for a single key.
     pub range_end: String,
+    /// Whether the values are left out.
+    pub keys_only: bool,
 }
 
 /// Answer to [`RangeRequest`].
--- a/crates/store/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -67,7 +67,7 @@
     req.failure.push(api::RequestOp {
         request_range: Some(api::RangeRequest {
             key: key.to_owned(),
-            range_end: String::new(),
+            ..api::RangeRequest::default()
         }),
         ..api::RequestOp::default()
     });
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -121,7 +121,7 @@
     pub async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         let req = api::RangeRequest {
             key: api::encode(key.as_bytes()),
-            range_end: String::new(),
+            ..api::RangeRequest::default()
         };
         let resp: api::RangeResponse = self.call(Kind::Get, "/v3/kv/range", &req).await?;
         resp.kvs.first().map(Entry::read).transpose()
@@ -143,9 +143,24 @@
     ///
     /// Fails if the store gives no answer.
     pub async fn list_at(&self, prefix: &str) -> Result<Listing, Error> {
+        self.range(prefix, false).await
+    }
+
+    /// Reads every key that starts with `prefix`, with its revision and
+    /// without its value.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gives no answer.
+    pub async fn list_keys(&self, prefix: &str) -> Result<Vec<Entry>, Error> {
+        Ok(self.range(prefix, true).await?.entries)
+    }
+
+    async fn range(&self, prefix: &str, keys_only: bool) -> Result<Listing, Error> {
         let req = api::RangeRequest {
             key: api::encode(prefix.as_bytes()),
             range_end: api::encode(&api::range_end(prefix.as_bytes())),
+            keys_only,
         };
         let resp: api::RangeResponse = self.call(Kind::List, "/v3/kv/range", &req).await?;
         let entries: Result<_, _> = resp.kvs.iter().map(Entry::read).collect();
--- a/crates/store/src/swap.rs
+++ b/crates/store/src/swap.rs
@@ -106,7 +106,7 @@
         let read = api::RequestOp {
             request_range: Some(api::RangeRequest {
                 key,
-                range_end: String::new(),
+                ..api::RangeRequest::default()
             }),
             ..api::RequestOp::default()
         };
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -228,6 +228,28 @@
     })
 }
 
+/// A stored value is swept only if it is older than the root and not named by
+/// it.
+fn check_left_behind(revision: i64, which: fn(&Plan) -> String, want: bool) {
+    let mut config = config(10);
+    let (first, _) = publish(&Manifest::default(), &config, 1);
+    config.version = 2;
+    config.accounts.insert("account-00007".into(), account(5));
+    let (second, _) = publish(&first.manifest, &config, 2);
+    let key = which(&second);
+    let left = second.manifest.left_behind(20, [(key.clone(), revision)]);
+    assert_eq!(left == [key], want);
+}
+
+cases! {
+    check_left_behind:
+    a_chunk_of_a_dead_writer(10, |_| format!("{CHUNKS}2-dead-0"), true);
+    a_chunk_of_a_writer_at_work(21, |_| format!("{CHUNKS}3-fresh-0"), false);
+    a_chunk_that_stands(10, |plan| plan.manifest.chunks[0].key.clone(), false);
+    a_part_that_stands(10, |plan| plan.manifest.root.parts[0].key.clone(), false);
+    a_chunk_just_retired(10, |plan| plan.manifest.root.retired[0].clone(), false);
+}
+
 #[test]
 fn chunks_are_deleted_one_change_later() {
     QuickCheck::new()
@@ -414,6 +436,33 @@
     an_older_version(1, |_| json!([]), false);
 }
 
+#[test]
+fn what_a_dead_writer_left_is_swept() {
+    block_on(async {
+        let site = Site::start(&[("lima-1", "lima")]).await;
+        let left = format!("{CHUNKS}2-dead-0");
+        let fresh = format!("{CHUNKS}17-fresh-0");
+        for version in 1..=16 {
+            if version == 3 {
+                site.store.put(&left, Some(b"{}"));
+            }
+            site.apply("lima-1", document(&[], &[])).await;
+        }
+        // A writer that races with the sweep has written, but not switched.
+        site.store.put(&fresh, Some(b"{}"));
+        eventually("the chunk is swept", async || {
+            site.store.value(&left).is_none()
+        })
+        .await;
+        assert!(site.store.value(&fresh).is_some());
+        site.daemon("lima-1")
+            .client()
+            .apply(&apply(16, 3))
+            .await
+            .expect("a change");
+    });
+}
+
 #[test]
 fn a_restarted_instance_takes_the_stored_version() {
     block_on(async {
