Make the life of a sibling a state machine

The house style asks for statig where outside events drive a life. Tests call status() and incarnation() where they read fields; nothing else of them changed. 33 cases of membership and instances passed.

--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -152,7 +152,7 @@
             profile: known.profile.clone(),
             config_version: known.config_version,
         },
-        dead: known.status == Status::Dead,
+        dead: known.status() == Status::Dead,
         reached: roster.is_reached(known, now),
         serving: roster.is_live(known, now),
     }
--- a/crates/decisions/src/membership.rs
+++ b/crates/decisions/src/membership.rs
@@ -11,6 +11,7 @@
 
 mod buckets;
 mod digest;
+mod life;
 mod member;
 mod peers;
 mod roster;
@@ -23,11 +24,11 @@
 pub use digest::RegionVersion;
 pub use digest::Status;
 pub use digest::Word;
+pub use life::SUSPICION;
 pub use member::Member;
 pub use peers::FANOUT;
 pub use peers::MESH;
 pub use peers::RELAYS;
 pub use roster::FAR_SILENCE;
 pub use roster::Roster;
-pub use roster::SUSPICION;
 pub use tell::MAX_NEWS;
--- a/crates/decisions/src/membership/buckets.rs
+++ b/crates/decisions/src/membership/buckets.rs
@@ -31,9 +31,9 @@
         let own = &self.own;
         let members = self.members.iter();
         let known = members
-            .filter(|(_, m)| m.status < Status::Dead)
+            .filter(|(_, m)| m.status() < Status::Dead)
             .map(|(name, m)| {
-                let hash = hash(name, m.incarnation, m.status);
+                let hash = hash(name, m.incarnation(), m.status());
                 (name, &m.profile.region, hash)
             });
         let hash = hash(&own.instance, own.incarnation, own.status);
--- a/crates/decisions/src/membership/peers.rs
+++ b/crates/decisions/src/membership/peers.rs
@@ -38,7 +38,7 @@
     fn up(&self) -> impl Iterator<Item = &Instance> {
         let members = self.members.iter();
         members
-            .filter(|(_, m)| m.status != Status::Dead)
+            .filter(|(_, m)| m.status() != Status::Dead)
             .map(|(name, _)| name)
     }
 
@@ -58,7 +58,7 @@
     fn missed(&self) -> Vec<Instance> {
         let members = self.members.iter();
         members
-            .filter(|(_, m)| m.misses > 0 && m.is_up() && m.profile.region == self.here)
+            .filter(|(_, m)| m.life.has_missed() && m.is_up() && m.profile.region == self.here)
             .map(|(name, _)| name.clone())
             .collect()
     }
--- a/crates/decisions/src/membership/roster.rs
+++ b/crates/decisions/src/membership/roster.rs
@@ -8,19 +8,14 @@
 use super::Profile;
 use super::Status;
 use super::Word;
+use super::life::Event;
 use super::versions::Versions;
 use crate::names::Instance;
 use crate::names::Region;
 
-/// A suspect that has not raised its incarnation for so long is dead.
-pub const SUSPICION: Duration = Duration::from_secs(3);
-
 /// The instances of a region that was not heard for so long get no work.
 pub const FAR_SILENCE: Duration = Duration::from_secs(8);
 
-/// Heartbeats in a row without an answer that make an instance suspect.
-const MISSES: u32 = 2;
-
 /// A dead instance is remembered for so long, lest an old digest bring it back.
 const MEMORY: Duration = Duration::from_secs(3600);
 
@@ -91,7 +86,7 @@
 
     /// Tells whether an instance gets work.
     pub fn is_live(&self, member: &Member, now: Duration) -> bool {
-        member.status == Status::Serving && self.is_reached(member, now)
+        member.status() == Status::Serving && self.is_reached(member, now)
     }
 
     /// Tells whether an instance answers, as far as it is known here.
@@ -119,7 +114,7 @@
             return;
         };
         speaker.heard = now;
-        speaker.misses = 0;
+        speaker.handle(Event::Spoke);
         let region = speaker.profile.region.clone();
         self.hear_region(&region, now);
     }
@@ -171,13 +166,9 @@
 
     /// Takes note of a heartbeat that had no answer.
     pub fn miss(&mut self, name: &Instance, now: Duration) {
-        let here = &self.here;
-        let Some(member) = self.members.get_mut(name) else {
-            return;
-        };
-        member.misses = member.misses.saturating_add(1);
-        if member.misses >= MISSES && member.is_up() && member.profile.region == *here {
-            member.raise(Status::Suspect, now);
+        let member = self.members.get_mut(name);
+        if let Some(member) = member.filter(|m| m.profile.region == self.here) {
+            member.handle(Event::Missed { at: now });
         }
     }
 
@@ -188,16 +179,14 @@
         self.last_tick = now;
         self.ticks += 1;
         if gap > PAUSE {
-            self.members.values_mut().for_each(|m| m.changed += gap);
+            let members = self.members.values_mut();
+            members.for_each(|m| m.handle(Event::Paused { gap }));
             self.regions.values_mut().for_each(|heard| *heard += gap);
         }
-        for member in self.members.values_mut() {
-            if member.status == Status::Suspect && member.changed + SUSPICION <= now {
-                member.raise(Status::Dead, now);
-            }
-        }
+        let members = self.members.values_mut();
+        members.for_each(|m| m.handle(Event::Elapsed { now }));
         self.members
-            .retain(|_, m| m.status != Status::Dead || m.changed + MEMORY > now);
+            .retain(|_, m| m.status() != Status::Dead || m.life.changed() + MEMORY > now);
         self.apply_versions();
     }
 }
--- a/crates/decisions/src/membership/tell.rs
+++ b/crates/decisions/src/membership/tell.rs
@@ -96,8 +96,8 @@
     fn far_news(&self, now: Duration) -> Vec<Instance> {
         let members = self.members.iter();
         let mut changed: Vec<_> = members
-            .filter(|(_, m)| m.profile.region == self.here && m.changed + FAR_NEWS > now)
-            .map(|(name, m)| (m.changed, name.clone()))
+            .filter(|(_, m)| m.profile.region == self.here && m.life.changed() + FAR_NEWS > now)
+            .map(|(name, m)| (m.life.changed(), name.clone()))
             .collect();
         changed.sort_unstable_by(|a, b| b.cmp(a));
         changed.truncate(MAX_NEWS);
@@ -107,7 +107,7 @@
     fn digest_of(&mut self, to: &Instance, told: &[Instance], now: Duration) -> Digest {
         let versions = self.tell_versions(self.is_near(to));
         let known = told.iter();
-        let known = known.filter_map(|name| Some(self.members.get(name)?.word(name, true)));
+        let known = known.filter_map(|name| Some(self.members.get(name)?.word(name)));
         let regions = self.regions.iter().map(|(region, heard)| RegionAge {
             region: region.clone(),
             age_ms: now.saturating_sub(*heard).as_millis() as u64,
--- a/crates/decisions/src/membership/versions.rs
+++ b/crates/decisions/src/membership/versions.rs
@@ -76,7 +76,7 @@
     fn own_version(&self) -> RegionVersion {
         let members = self.members.iter();
         let near = members.filter(|(_, m)| m.profile.region == self.here);
-        let known = near.map(|(name, m)| (name, m.status, m.config_version));
+        let known = near.map(|(name, m)| (name, m.status(), m.config_version));
         let own = (&self.own.instance, self.own.status, self.own.config_version);
         let serving = known.chain([own]);
         let serving = serving.filter(|(_, status, _)| *status == Status::Serving);
@@ -120,7 +120,7 @@
             return;
         }
         for (name, member) in &mut self.members {
-            let holds = member.status == Status::Serving && !version.behind.contains(name);
+            let holds = member.status() == Status::Serving && !version.behind.contains(name);
             if member.profile.region == version.region && holds {
                 member.config_version = member.config_version.max(version.config_version);
             }
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -66,7 +66,7 @@
 fn known(roster: &Roster) -> Known {
     let members = roster.members().iter();
     members
-        .map(|(n, m)| (n.clone(), (m.incarnation, m.status, m.config_version)))
+        .map(|(n, m)| (n.clone(), (m.incarnation(), m.status(), m.config_version)))
         .collect()
 }
 
@@ -118,7 +118,7 @@
     roster.miss(&name, at(1));
     roster.miss(&name, at(1));
     (1..=4).for_each(|second| roster.tick(at(second)));
-    assert_eq!(roster.members()[&name].status, Status::Dead);
+    assert_eq!(roster.members()[&name].status(), Status::Dead);
     old.into_iter().all(|(incarnation, number)| {
         let said = word("a", u64::from(incarnation % 6), status(number));
         roster.hear(Some(&name), &digest(vec![said]), at(9));
@@ -174,11 +174,11 @@
     b.hear(Some(&names[0]), &a.beat(&names[1], at(1)), at(1));
     (0..2).for_each(|_| b.miss(&names[0], at(1)));
     (1..=9).for_each(|second| b.tick(at(second)));
-    assert_eq!(b.members()[&names[0]].status, Status::Dead);
+    assert_eq!(b.members()[&names[0]].status(), Status::Dead);
     let asked = a.beat(&names[1], at(9));
     b.hear(Some(&names[0]), &asked, at(9));
     assert_eq!(
-        b.members()[&names[0]].status,
+        b.members()[&names[0]].status(),
         Status::Dead,
         "the same incarnation"
     );
