--- a/tests/testsuite/combined.rs
+++ b/tests/testsuite/combined.rs
@@ -1,9 +1,11 @@
 //! Two faults at once, over separate processes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chiverelay_operator::api::Apply;
 use chiverelay_operator::api::Document;
+use chiverelay_standin::engine::Engine;
 use chiverelay_standin::faults::Faults;
 use serde_json::json;
 use support::block_on;
@@ -66,6 +68,125 @@
     other_sibling_frozen_and_store_out(|site| site.daemon("cusco-2").process.freeze());
 }
 
+/// A site of two regions, each with a target, and what can fail in it.
+struct Pair {
+    site: Site,
+    here: Arc<Engine>,
+}
+
+impl Pair {
+    fn store(&self, faults: Faults) {
+        self.site.store.script.set(faults);
+    }
+}
+
+fn refuse() -> Faults {
+    Faults {
+        refuse: true,
+        ..Faults::default()
+    }
+}
+
+fn lose_answers() -> Faults {
+    Faults {
+        lose_answer: true,
+        ..Faults::default()
+    }
+}
+
+/// Applies a change, again until it is accepted, and waits for it.
+async fn change(site: &Site, burst: u64, doc: &serde_json::Value) {
+    let client = site.daemon("lima-1").client();
+    let mut doc = doc.clone();
+    doc["accounts"]["encargos"]["burst"] = json!(burst);
+    let document: Document = serde_json::from_value(doc).expect("a document");
+    eventually("the change is accepted", async || {
+        let Ok(config) = client.config().await else {
+            return false;
+        };
+        let apply = Apply {
+            expected: config.version,
+            document: document.clone(),
+        };
+        client.apply(&apply).await.is_ok()
+    })
+    .await;
+    let version = client.config().await.expect("a configuration").version;
+    site.in_force(version).await;
+}
+
+/// Two faults strike at once: an instance that both leave alone goes on
+/// answering its callers, from any target that is left, and after the faults
+/// a change is in force everywhere.
+fn check_pair(one: fn(&mut Pair), two: fn(&mut Pair), mend: fn(&mut Pair)) {
+    block_on(async {
+        let daemons = [("lima-1", "lima"), ("lima-2", "lima"), ("cusco-1", "cusco")];
+        let site = Site::start_linked(&daemons).await;
+        let (here, lima) = site.engine("engine-1", Duration::from_millis(1)).await;
+        let (_, cusco) = site.engine("engine-2", Duration::from_millis(1)).await;
+        let targets = [("engine-1", lima, "lima"), ("engine-2", cusco, "cusco")];
+        let doc = document(&targets, &[]);
+        site.apply("lima-1", doc.clone()).await;
+        let key = site.grant("lima-1", "encargos").await.key;
+        assert_whole(&ask(&site, "lima-1", &key).await);
+        let mut pair = Pair { site, here };
+        one(&mut pair);
+        two(&mut pair);
+        for _ in 0..REQUESTS {
+            assert_whole(&ask(&pair.site, "lima-1", &key).await);
+        }
+        mend(&mut pair);
+        change(&pair.site, 8888, &doc).await;
+        assert_whole(&ask(&pair.site, "cusco-1", &key).await);
+    });
+}
+
+support::cases! {
+    check_pair:
+    target_out_and_sibling_frozen(
+        |pair| pair.here.script.set(refuse()),
+        |pair| pair.site.daemon("lima-2").process.freeze(),
+        |pair| pair.site.daemon("lima-2").process.thaw(),
+    );
+    target_out_and_store_out(
+        |pair| pair.here.script.set(refuse()),
+        |pair| pair.store(refuse()),
+        |pair| pair.store(Faults::default()),
+    );
+    region_cut_and_sibling_frozen(
+        |pair| pair.site.cut_between(&["lima-1", "lima-2"], &["cusco-1"]),
+        |pair| pair.site.daemon("lima-2").process.freeze(),
+        |pair| {
+            pair.site.mend("cusco-1");
+            pair.site.daemon("lima-2").process.thaw();
+        },
+    );
+    region_cut_and_store_out(
+        |pair| pair.site.cut_between(&["lima-1", "lima-2"], &["cusco-1"]),
+        |pair| pair.store(refuse()),
+        |pair| {
+            pair.site.mend("cusco-1");
+            pair.store(Faults::default());
+        },
+    );
+    region_cut_and_answers_lost(
+        |pair| pair.site.cut_between(&["lima-1", "lima-2"], &["cusco-1"]),
+        |pair| pair.store(lose_answers()),
+        |pair| {
+            pair.site.mend("cusco-1");
+            pair.store(Faults::default());
+        },
+    );
+    sibling_frozen_and_answers_lost(
+        |pair| pair.site.daemon("lima-2").process.freeze(),
+        |pair| pair.store(lose_answers()),
+        |pair| {
+            pair.site.daemon("lima-2").process.thaw();
+            pair.store(Faults::default());
+        },
+    );
+}
+
 fn with_burst(engine: std::net::SocketAddr, burst: u64) -> Document {
     let mut doc = document(&[("engine-1", engine, "lima")], &[]);
     doc["accounts"]["encargos"]["burst"] = json!(burst);
