Test a store that is out for longer than the instances' leases

Three processes with leases of two seconds: requests are served by each all the while, none takes another for gone though every lease lapses and every record goes, a withdrawal made meanwhile stays, and the records come back. Passed at once: the behaviour was there, the test was not.

--- a/tests/testsuite/instances.rs
+++ b/tests/testsuite/instances.rs
@@ -191,3 +191,83 @@
         .await;
     });
 }
+
+async fn has_event(site: &Site, daemon: &str, start: &str) -> bool {
+    let events = site.daemon(daemon).client().events().await;
+    let events = events.expect("events").events;
+    events.iter().any(|e| e.what.starts_with(start))
+}
+
+/// Checks that each daemon serves a request, names the others and takes none
+/// of them for gone.
+async fn check_whole(site: &Site, key: &str) {
+    let body = json!({"model": "taller-llm", "max_tokens": 2, "messages": []});
+    for (name, daemon) in &site.daemons {
+        let answer = caller::post(daemon.caller, "/v1/chat/completions", key, &body).await;
+        let answer = answer.expect("an answer");
+        assert!(
+            answer.whole && answer.status.is_success(),
+            "{name}: {answer:?}"
+        );
+        let status = daemon.client().status().await.expect("a status");
+        let serving = status.siblings.iter().filter(|s| s.state == "serving");
+        assert_eq!(
+            serving.count(),
+            site.daemons.len() - 1,
+            "{name}: {status:?}"
+        );
+        assert_eq!(named(site, name).await.len(), site.daemons.len(), "{name}");
+    }
+}
+
+/// The store is out for longer than the leases of the instances' records: all
+/// go on, what was withdrawn meanwhile stays so, and nothing reverts after.
+#[test]
+fn a_store_out_for_longer_than_the_leases_marks_nothing_dead() {
+    block_on(async {
+        let mut site = Site::empty().await;
+        let store = json!({"address": site.store_address, "lease-seconds": 2});
+        let names = [("lima-1", "lima"), ("lima-2", "lima"), ("cusco-1", "cusco")];
+        for (name, region) in names {
+            site.start_daemon(name, region, &json!({"store": store}));
+        }
+        site.joined().await;
+        let (_, engine) = site.engine("engine-1", Duration::from_millis(1)).await;
+        site.apply("lima-1", document(&[("engine-1", engine, "lima")], &[]))
+            .await;
+        let key = site.grant("lima-1", "encargos").await;
+        let other = site.grant("lima-1", "encargos").await;
+        check_whole(&site, &key.key).await;
+
+        site.store.script.set(refuse());
+        for (name, _) in names {
+            eventually("the lease lapses", async || {
+                check_whole(&site, &key.key).await;
+                has_event(&site, name, "lease lapsed").await
+            })
+            .await;
+        }
+        eventually("the records are gone", async || {
+            site.store.keys(RECORDS).is_empty()
+        })
+        .await;
+        let withdrawn = site.daemon("cusco-1").client().withdraw(&other.id).await;
+        assert!(!withdrawn.expect("a withdrawal").durable);
+        check_whole(&site, &key.key).await;
+
+        site.store.script.set(Faults::default());
+        eventually("the records are back", async || {
+            check_whole(&site, &key.key).await;
+            site.store.keys(RECORDS).len() == names.len()
+        })
+        .await;
+        site.in_force(other.version + 1).await;
+        check_whole(&site, &key.key).await;
+        let body = json!({"model": "taller-llm", "max_tokens": 2, "messages": []});
+        for daemon in site.daemons.values() {
+            let answer =
+                caller::post(daemon.caller, "/v1/chat/completions", &other.key, &body).await;
+            assert!(!answer.expect("an answer").status.is_success());
+        }
+    });
+}
