Ask seeds while neither store nor registry tells of anyone

Cause: an instance started with the store out and without a registry stayed alone until the store came back.

The setting seeds names siblings with their regions, as links check the name in the certificate. The seed's answer has every instance: a digest to an instance that is not known yet asks with the hashes of all buckets.

--- a/crates/chiverelayd/src/members/discover.rs
+++ b/crates/chiverelayd/src/members/discover.rs
@@ -1,4 +1,5 @@
-//! Finds other instances: in the store, and in the registry's list.
+//! Finds other instances: in the store, in the registry's list, and by asking
+//! seeds.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use chiverelay_registry as registry;
 use chiverelay_registry::Listed;
 
+use super::heartbeat;
 use super::record;
 use super::update_tables;
 use crate::context::Context;
@@ -65,6 +67,9 @@
             }
             Err(e) => log::debug!("members: {e}"),
         }
+        if cx.tables.siblings.is_empty() {
+            heartbeat::ask_seeds(&cx).await;
+        }
         let pause = match cx.tables.siblings.is_empty() {
             true => ALONE,
             false => INTERVAL,
--- a/crates/chiverelayd/src/members/heartbeat.rs
+++ b/crates/chiverelayd/src/members/heartbeat.rs
@@ -9,7 +9,9 @@
 use chiverelay_sibling as sibling;
 use chiverelay_sibling::Heartbeat;
 use chiverelay_sibling::Identity;
+use chiverelay_sibling::Link;
 use chiverelay_sibling::Message;
+use chiverelay_sibling::Up;
 use tokio::task::JoinSet;
 
 use super::link;
@@ -47,23 +49,49 @@
         summaries: tells_pools.then(|| gateway::summaries(&cx.tables, &cx.settings.region, now)),
         ..heartbeat(cx, digest)
     });
-    let asked = async {
-        let link = link(cx, peer).await?;
-        let reply = link.ask(cx.events.latest(), message).await?;
-        Ok::<_, sibling::Error>((link.peer().clone(), reply))
-    };
+    let asked = async { exchange(cx, &link(cx, peer).await?, message).await };
     match tokio::time::timeout(TIMEOUT, asked).await {
-        Ok(Ok((from, reply))) => {
-            cx.events.observe(reply.stamp);
-            if let Message::Heartbeat(beat) = reply.message {
-                hear(cx, &from, &beat);
-            }
-        }
+        Ok(Ok(())) => {}
         Ok(Err(e)) => miss(cx, peer, &e.to_string()),
         Err(_) => miss(cx, peer, "no answer in time"),
     }
 }
 
+async fn exchange(
+    cx: &Arc<Context>,
+    link: &Link<Up>,
+    message: Message,
+) -> Result<(), sibling::Error> {
+    let reply = link.ask(cx.events.latest(), message).await?;
+    cx.events.observe(reply.stamp);
+    if let Message::Heartbeat(beat) = reply.message {
+        hear(cx, link.peer(), &beat);
+    }
+    Ok(())
+}
+
+/// Asks seeds, one after the other, until one of them answers. Its answer has
+/// every instance that it knows.
+pub(super) async fn ask_seeds(cx: &Arc<Context>) {
+    for seed in &cx.settings.seeds {
+        let name = &seed.instance;
+        if *name == cx.settings.instance {
+            continue;
+        }
+        let digest = cx.membership.roster.lock().beat(name, cx.clock.now());
+        let message = Message::Heartbeat(heartbeat(cx, digest));
+        let asked = async {
+            let link = cx.endpoint.connect(name, &seed.region, seed.address);
+            exchange(cx, &link.await?, message).await
+        };
+        match tokio::time::timeout(TIMEOUT, asked).await {
+            Ok(Ok(())) => return,
+            Ok(Err(e)) => log::debug!("members: seed {name}: {e}"),
+            Err(_) => log::debug!("members: seed {name}: no answer in time"),
+        }
+    }
+}
+
 fn miss(cx: &Context, peer: &Instance, reason: &str) {
     log::debug!("members: {peer}: {reason}");
     let now = cx.clock.now();
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -60,6 +60,8 @@
     pub(crate) store: StoreSettings,
     /// The platform's list of instances and directory for clients.
     pub(crate) registry: Option<RegistrySettings>,
+    /// Siblings to ask while none is heard of in another way.
+    pub(crate) seeds: Vec<SeedSettings>,
     /// Address of a StatsD server.
     pub(crate) metrics: Option<SocketAddr>,
     /// Workers over the shared tables.
@@ -149,6 +151,17 @@
     pub(crate) address: SocketAddr,
 }
 
+/// A sibling to ask, whose certificate must carry the name.
+#[derive(Clone, Debug)]
+pub(crate) struct SeedSettings {
+    /// Its name.
+    pub(crate) instance: Instance,
+    /// Its region.
+    pub(crate) region: Region,
+    /// Its address for siblings.
+    pub(crate) address: SocketAddr,
+}
+
 impl StoreSettings {
     /// Returns the rates that the instances share.
     pub(crate) fn budget(&self) -> Budget {
@@ -169,6 +182,7 @@
     sibling,
     store,
     registry = None,
+    seeds = Vec::new(),
     metrics = None,
     workers = 4 => at_least_one,
     threads = 4 => at_least_one,
@@ -211,6 +225,12 @@
 
 read_struct!(RegistrySettings { address });
 
+read_struct!(SeedSettings {
+    instance,
+    region,
+    address,
+});
+
 fn at_least_one(n: &usize) -> Result<(), String> {
     match n {
         0 => Err("the value is at least 1".to_owned()),
--- a/crates/decisions/src/membership/tell.rs
+++ b/crates/decisions/src/membership/tell.rs
@@ -62,7 +62,8 @@
     /// what differs.
     fn asks(&mut self, to: &Instance) -> bool {
         let Some(member) = self.members.get(to) else {
-            return false;
+            // A seed, asked because nobody is known.
+            return true;
         };
         let region = &member.profile.region;
         let asked = self.asked.get(region);
--- a/tests/testsuite/instances.rs
+++ b/tests/testsuite/instances.rs
@@ -145,15 +145,13 @@
     });
 }
 
-/// With the store out, a new instance finds its siblings in the registry and
+/// With the store out, a new instance finds its siblings in another way and
 /// takes the configuration from them; before that it is not ready.
-#[test]
-fn an_instance_started_without_the_store_serves_what_its_siblings_have() {
+fn check_started_without_the_store(settings: fn(&Site, &RunningRegistry) -> serde_json::Value) {
     block_on(async {
         let registry = RunningRegistry::start(Duration::ZERO).await;
         let mut site = Site::empty().await;
-        let settings = json!({"registry": {"address": registry.address}});
-        site.start_daemon("lima-1", "lima", &settings);
+        site.start_daemon("lima-1", "lima", &in_registry(&site, &registry));
         site.joined().await;
         let (_, engine) = site.engine("engine-1", Duration::from_millis(1)).await;
         site.apply("lima-1", document(&[("engine-1", engine, "lima")], &[]))
@@ -161,7 +159,7 @@
         let key = site.grant("lima-1", "encargos").await;
         site.store.script.set(refuse());
         let calls = site.store.calls();
-        site.start_daemon("lima-2", "lima", &settings);
+        site.start_daemon("lima-2", "lima", &settings(&site, &registry));
         site.in_force(key.version).await;
         let address = site.daemon("lima-2").caller;
         let ready = caller::get(address, "/readyz").await.expect("an answer");
@@ -173,6 +171,24 @@
     });
 }
 
+fn in_registry(_: &Site, registry: &RunningRegistry) -> serde_json::Value {
+    json!({"registry": {"address": registry.address}})
+}
+
+/// Names a seed that is gone and one that answers.
+fn by_seeds(site: &Site, _: &RunningRegistry) -> serde_json::Value {
+    let gone = json!({"instance": "lima-9", "region": "lima", "address": "127.0.0.1:9"});
+    let address = site.daemon("lima-1").sibling;
+    let seed = json!({"instance": "lima-1", "region": "lima", "address": address});
+    json!({"seeds": [gone, seed]})
+}
+
+cases! {
+    check_started_without_the_store:
+    an_instance_started_without_the_store_serves_what_its_siblings_have(in_registry);
+    an_instance_started_with_nothing_but_seeds_serves_what_its_siblings_have(by_seeds);
+}
+
 #[test]
 fn an_instance_that_reaches_neither_store_nor_siblings_is_not_ready() {
     block_on(async {
