Write the garbage of this version with this version's number

The test wrote the version as 1; with version 2 its message was refused as of an old version, so that nothing was counted as malformed. As strict as before: the version of the message is the program's own.

--- a/tests/testsuite/hostile.rs
+++ b/tests/testsuite/hostile.rs
@@ -194,7 +194,7 @@
     another_authority(Shows::Foreign, || vec![envelope(VERSION, forward())], "handshake", 0);
     no_instance_name(Shows::Nameless, || vec![envelope(VERSION, forward())], "no_name", 0);
     garbage(Shows::Own, || vec![framed(&[0xff; 40])], "malformed", 0);
-    garbage_of_this_version(Shows::Own, || vec![framed(&[1, 0, 0, 0xee])], "malformed", 0);
+    garbage_of_this_version(Shows::Own, || vec![framed(&[VERSION as u8, 0, 0, 0xee])], "malformed", 0);
     trailing_bytes(
         Shows::Own,
         || {
