Put the figures of network and pools into settings and configuration

Link speed, share, round trips (a default and by region) are settings of an instance, checked by `chiverelayd check`; the panic threshold and the ramp are keys of a pool, checked by `chiverelay check`. The instance's zone now reaches placement, where it was never set. A lower `queue` counts at once: the queue kept the bound of the configuration in which it was made.

Tests of the decision alone, tables and configuration in (place::*). Seen failing first: - panic_of_sixty, no_panic_of_sixty_while_another_region_answers: the threshold was taken of the 6 targets scored, so with 17 of 60 usable a sample of healthy ones hid the panic, and with 8 of 60 usable requests went to another region because the sample held ejected ones only. Now it is taken of all targets of the region. - refused_if_it_comes_late, waits_if_its_turn_comes_in_time: a wait that equals the time left was refused, so whoever came back after Retry-After was refused again. Now only a longer wait is refused. Passed at once: the link's budget, early refusals but for the boundary.

--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -117,7 +117,10 @@
         endpoint: sibling::Endpoint,
         addresses: Addresses,
     ) -> Result<Self, std::io::Error> {
-        let tables = Arc::new(Tables::of_incarnation(rand::random()));
+        let tables = Arc::new(Tables {
+            network: settings.network.network(&settings.zone),
+            ..Tables::of_incarnation(rand::random())
+        });
         let stop = CancellationToken::new();
         let pool = Pool::start(
             Arc::clone(&tables),
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -1,5 +1,7 @@
 //! The settings file, JSON with comments.
 
+mod network;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -21,6 +23,8 @@
 use rustls::pki_types::pem::PemObject;
 use thiserror::Error as ThisError;
 
+use network::NetworkSettings;
+
 /// Why settings can't be used.
 #[derive(Debug)]
 #[derive(ThisError)]
@@ -60,6 +64,8 @@
     pub(crate) store: StoreSettings,
     /// The platform's list of instances and directory for clients.
     pub(crate) registry: Option<RegistrySettings>,
+    /// The network that the instance stands in.
+    pub(crate) network: NetworkSettings,
     /// Address of a StatsD server.
     pub(crate) metrics: Option<SocketAddr>,
     /// Workers over the shared tables.
@@ -169,6 +175,7 @@
     sibling,
     store,
     registry = None,
+    network = NetworkSettings::default(),
     metrics = None,
     workers = 4 => at_least_one,
     threads = 4 => at_least_one,
@@ -211,11 +218,14 @@
 
 read_struct!(RegistrySettings { address });
 
-fn at_least_one(n: &usize) -> Result<(), String> {
-    match n {
-        0 => Err("the value is at least 1".to_owned()),
-        _ => Ok(()),
+fn at_least_one<N>(n: &N) -> Result<(), String>
+where
+    N: Default + PartialEq,
+{
+    if *n == N::default() {
+        return Err("the value is at least 1".to_owned());
     }
+    Ok(())
 }
 
 /// Checks the form of a SHA-256.
--- a/crates/decisions/src/config.rs
+++ b/crates/decisions/src/config.rs
@@ -1,6 +1,8 @@
 //! The operators' configuration: routes and pools joined by name, accounts
 //! and keys, as one immutable snapshot.
 
+mod pool;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::LazyLock;
@@ -18,10 +20,16 @@
 use crate::names::Pool;
 use crate::names::Region;
 use crate::names::Route;
-use crate::names::Target;
-use crate::names::Zone;
 use crate::names::check_name;
-use crate::placement::Weights;
+
+pub use pool::DEFAULT_PANIC_PERCENT;
+pub use pool::DEFAULT_PREFILL_RATE;
+pub use pool::DEFAULT_QUEUE;
+pub use pool::DEFAULT_RAMP_MS;
+pub use pool::DEFAULT_SLOTS;
+pub use pool::PoolEntry;
+pub use pool::PoolKind;
+pub use pool::TargetEntry;
 
 /// Tokens charged for an answer where neither request nor route states a limit.
 pub const DEFAULT_MAX_ANSWER_TOKENS: u64 = 1024;
@@ -29,15 +37,6 @@
 /// Time for a whole answer where the route states none, in milliseconds.
 pub const DEFAULT_DEADLINE_MS: u64 = 120_000;
 
-/// Requests that a target takes at once where the pool states none.
-pub const DEFAULT_SLOTS: u64 = 64;
-
-/// Prompt tokens a second that a target reads where the pool states none.
-pub const DEFAULT_PREFILL_RATE: u64 = 8000;
-
-/// Requests that may wait for a pool at an instance where the pool states none.
-pub const DEFAULT_QUEUE: usize = 1024;
-
 /// The whole configuration at one version.
 ///
 /// # Invariants
@@ -139,69 +138,6 @@
     }
 }
 
-/// What a pool's targets are.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum PoolKind {
-    /// Model engines, which answer in tokens.
-    Engine,
-    /// Plain services.
-    Service,
-}
-
-/// A pool: which targets, in which regions, may answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct PoolEntry {
-    /// What the targets are.
-    pub kind: PoolKind,
-    /// The targets by name.
-    pub targets: BTreeMap<Target, TargetEntry>,
-    /// Requests that a target takes at once.
-    #[serde(default = "default_slots")]
-    pub slots: u64,
-    /// Prompt tokens a second that a target reads.
-    #[serde(default = "default_prefill_rate")]
-    pub prefill_rate: u64,
-    /// Requests that may wait at an instance.
-    #[serde(default = "default_queue")]
-    pub queue: usize,
-    /// Whether a target goes on with a stream that another one began, after
-    /// the event that `Last-Event-ID` names.
-    #[serde(default)]
-    pub resume: bool,
-    /// What placement weighs more.
-    #[serde(default)]
-    pub weights: Weights,
-}
-
-fn default_slots() -> u64 {
-    DEFAULT_SLOTS
-}
-
-fn default_prefill_rate() -> u64 {
-    DEFAULT_PREFILL_RATE
-}
-
-fn default_queue() -> usize {
-    DEFAULT_QUEUE
-}
-
-/// A target of a pool.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct TargetEntry {
-    /// IP address and port.
-    pub address: std::net::SocketAddr,
-    /// The target's region.
-    pub region: Region,
-    /// The target's availability zone.
-    pub zone: Zone,
-}
-
 /// A client account's limit.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -341,18 +277,7 @@
         }
         self.check_routes_differ(&mut faults);
         for (name, pool) in &self.pools {
-            faults.name(&["pools", name.as_str()], name.as_str());
-            if pool.slots == 0 {
-                faults.push(&["pools", name.as_str(), "slots"], "slots are at least 1");
-            }
-            if pool.prefill_rate == 0 {
-                let at = ["pools", name.as_str(), "prefill-rate"];
-                faults.push(&at, "a rate is at least 1");
-            }
-            for target in pool.targets.keys() {
-                let at = ["pools", name.as_str(), "targets", target.as_str()];
-                faults.name(&at, target.as_str());
-            }
+            pool.check(name, &mut faults);
         }
         for (name, account) in &self.accounts {
             check_account(name, account, &mut faults);
--- a/crates/decisions/src/gateway/place.rs
+++ b/crates/decisions/src/gateway/place.rs
@@ -166,7 +166,7 @@
     region: &Region,
 ) -> Result<(), Option<Duration>> {
     let bytes = link_bytes(req);
-    let make = || Link::new(&scan.tables.network, scan.now);
+    let make = || Link::new(scan.tables.network.link_to(region), scan.now);
     scan.tables.links.with_or(region, make, |link| {
         if link.take(bytes, scan.now) {
             return Ok(());
@@ -180,7 +180,7 @@
     let grant = req.grant();
     let home = req.head().affinity().unwrap_or_default();
     let network = &scan.tables.network;
-    let transfer = Duration::from_micros(link_bytes(req) * 8 / network.link_mbits.max(1));
+    let bytes = link_bytes(req);
     let entry = config.pools.get(&grant.pool)?;
     let regions: BTreeSet<&Region> = entry.targets.values().map(|t| &t.region).collect();
     let mut found: Option<(u64, Far)> = None;
@@ -200,10 +200,11 @@
             return;
         }
         let there = summary.map_or(UNKNOWN_REGION, |s| s.first_token(req.head().prompt_tokens));
+        let link = network.link_to(region);
         let far = Far {
             instance: name.clone(),
             region: region.clone(),
-            first_token: network.round_trip + transfer + there,
+            first_token: link.round_trip + link.transfer(bytes) + there,
             has_room: summary.is_some_and(|s| s.has_room()),
         };
         let weight = prefix::rendezvous(home, name.as_str());
--- a/crates/decisions/src/gateway/scan.rs
+++ b/crates/decisions/src/gateway/scan.rs
@@ -39,9 +39,6 @@
 /// Targets scored at random.
 const SAMPLES: usize = 4;
 
-/// With fewer usable targets in a hundred, ejected ones are used too.
-const PANIC_PERCENT: usize = 30;
-
 /// How much better the home of a prompt's prefix is taken to be, in percent.
 const HOME_PERCENT: u32 = 20;
 
@@ -162,28 +159,45 @@
         if !self.residency.allows(self.here) {
             return None;
         }
+        let open = self.open_targets(req, last_resort);
+        let home = home(&open, req);
+        sample(&open, req)
+            .into_iter()
+            .map(|(name, t)| self.score(req, name, t, home == Some(name)))
+            .min_by(|a, b| (a.score, a.name).cmp(&(b.score, b.name)))
+    }
+
+    /// Lists the targets of this region that the request may go to.
+    ///
+    /// The threshold for ejected ones is taken of all targets and not of a
+    /// sample, which may by chance hold ejected ones only.
+    fn open_targets<O>(
+        &self,
+        req: &Request<Admitted, O>,
+        last_resort: bool,
+    ) -> Vec<(&'a Target, &'a TargetEntry)> {
         let local: Vec<_> = self
             .entry
             .targets
             .iter()
             .filter(|(name, t)| t.region == *self.here && !req.tried().contains(name))
+            .map(|(name, t)| (self.status(name), name, t))
+            .filter(|(status, ..)| *status != Status::Leaving)
             .collect();
-        let chosen = sample(&local, req);
-        let home = home(&local, req);
-        let scored: Vec<_> = chosen
-            .into_iter()
-            .map(|(name, t)| self.score(req, name, t, home == Some(name)))
-            .filter(|c| c.status != Status::Leaving)
-            .collect();
-        let usable = scored
-            .iter()
-            .filter(|c| c.status != Status::Ejected)
-            .count();
-        let panic = last_resort && usable * 100 < scored.len() * PANIC_PERCENT;
-        scored
+        let usable = local.iter().filter(|t| t.0 != Status::Ejected).count();
+        let threshold = local.len() as u64 * self.entry.panic_percent;
+        let panic = last_resort && usable as u64 * 100 < threshold;
+        local
             .into_iter()
-            .filter(|c| panic || c.status != Status::Ejected)
-            .min_by(|a, b| (a.score, a.name).cmp(&(b.score, b.name)))
+            .filter(|(status, ..)| panic || *status != Status::Ejected)
+            .map(|(_, name, t)| (name, t))
+            .collect()
+    }
+
+    fn status(&self, name: &Target) -> Status {
+        self.tables.targets.with(name, |load| {
+            load.map_or(Status::Healthy, |l| l.health.status(self.now))
+        })
     }
 
     fn score<O>(
--- a/crates/decisions/src/gateway/targets.rs
+++ b/crates/decisions/src/gateway/targets.rs
@@ -178,7 +178,7 @@
         }
         let found = tables.targets.with_or(target, Load::default, |load| {
             let usable = !matches!(load.health.status(now), Status::Ejected | Status::Leaving);
-            let slots = entry.slots * load.health.share(now) / 1000;
+            let slots = entry.slots * load.health.share(entry.ramp(), now) / 1000;
             usable.then(|| slots.saturating_sub(load.running(peers, now)))
         });
         if let Some(found) = found {
@@ -206,6 +206,6 @@
         prefill_rate: entry.prefill_rate,
         service: load.service(),
         round_trip,
-        share: load.health.share(now),
+        share: load.health.share(entry.ramp(), now),
     }
 }
--- a/crates/decisions/src/gateway/wait.rs
+++ b/crates/decisions/src/gateway/wait.rs
@@ -63,10 +63,11 @@
     let make = || Waiting::new(entry);
     let taken = tables.queues.with_or(&grant.pool, make, |waiting| {
         let queue = &mut waiting.queue;
+        queue.set_capacity(entry.queue);
         queue.measure(now);
         let expected = queue.expected_wait(grant.account.as_ref(), work);
-        if let Some(over) = expected.and_then(|wait| wait.checked_sub(left)) {
-            return Err((Code::DeadlineExceeded, over));
+        if let Some(wait) = expected.filter(|wait| *wait > left) {
+            return Err((Code::DeadlineExceeded, wait - left));
         }
         queue
             .push(grant.account.as_ref(), work, waker)
--- a/crates/decisions/src/placement/health.rs
+++ b/crates/decisions/src/placement/health.rs
@@ -18,9 +18,6 @@
 /// Time for a probe to succeed before another one is sent.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time in which a returning target comes back to its full share.
-const SLOW_START: Duration = Duration::from_secs(20);
-
 /// The share of a target that just returned, in thousandths.
 const FIRST_SHARE: u64 = 100;
 
@@ -195,13 +192,17 @@
         }
     }
 
-    /// Returns the target's share of its full load, in thousandths.
-    pub fn share(&self, now: Duration) -> u64 {
+    /// Returns the target's share of its full load, in thousandths, which it
+    /// has again `ramp` after it returned.
+    pub fn share(&self, ramp: Duration, now: Duration) -> u64 {
         let Some(returned) = self.machine.inner().returned else {
             return 1000;
         };
-        let elapsed = now.saturating_sub(returned).min(SLOW_START);
-        let ramp = (1000 - FIRST_SHARE) * elapsed.as_millis() as u64;
-        FIRST_SHARE + ramp / SLOW_START.as_millis() as u64
+        let elapsed = now.saturating_sub(returned);
+        if elapsed >= ramp {
+            return 1000;
+        }
+        let gained = (1000 - FIRST_SHARE) * elapsed.as_millis() as u64;
+        FIRST_SHARE + gained / (ramp.as_millis() as u64).max(1)
     }
 }
--- a/crates/decisions/src/placement/link.rs
+++ b/crates/decisions/src/placement/link.rs
@@ -1,8 +1,10 @@
 //! The budget for requests on the shared link to another region.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::limits::Bucket;
+use crate::names::Region;
 use crate::names::Zone;
 
 /// Bytes on the link for one token of an answer that streams.
@@ -14,15 +16,60 @@
 /// Seconds of the budget that may be spent at once.
 const BURST_SECONDS: u64 = 2;
 
-/// What is known of the network between regions.
+/// Megabits a second of a link where the settings state none.
+pub const DEFAULT_MBITS: u64 = 140;
+
+/// Share of a link that an instance's requests may take where the settings
+/// state none, in percent.
+pub const DEFAULT_SHARE_PERCENT: u64 = 10;
+
+/// Round trip between regions where the settings state none, in milliseconds.
+pub const DEFAULT_ROUND_TRIP_MS: u64 = 110;
+
+/// Round trip between availability zones of a region where the settings state
+/// none, in milliseconds.
+pub const DEFAULT_ZONE_ROUND_TRIP_MS: u64 = 2;
+
+/// What is known of the link to another region.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Network {
-    /// Megabits a second of each way between two regions.
-    pub link_mbits: u64,
-    /// Share of a link that this instance's requests may take, in percent.
+pub struct LinkSpec {
+    /// Megabits a second of each way.
+    pub mbits: u64,
+    /// Share of the link that this instance's requests may take, in percent.
     pub share_percent: u64,
-    /// Round trip between regions.
+    /// Round trip.
     pub round_trip: Duration,
+}
+
+impl Default for LinkSpec {
+    fn default() -> Self {
+        Self {
+            mbits: DEFAULT_MBITS,
+            share_percent: DEFAULT_SHARE_PERCENT,
+            round_trip: Duration::from_millis(DEFAULT_ROUND_TRIP_MS),
+        }
+    }
+}
+
+impl LinkSpec {
+    /// Returns the bytes a second that requests of this instance may take.
+    pub fn budget(&self) -> u64 {
+        self.mbits.saturating_mul(1_000_000 / 8) / 100 * self.share_percent
+    }
+
+    /// Returns the time that bytes take on the way.
+    pub fn transfer(&self, bytes: u64) -> Duration {
+        Duration::from_micros(bytes.saturating_mul(8) / self.mbits.max(1))
+    }
+}
+
+/// What is known of the network.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Network {
+    /// Links to regions that differ from `link`.
+    pub links: BTreeMap<Region, LinkSpec>,
+    /// The link to any other region.
+    pub link: LinkSpec,
     /// Round trip between availability zones of a region.
     pub zone_round_trip: Duration,
     /// The availability zone of this instance.
@@ -32,19 +79,18 @@
 impl Default for Network {
     fn default() -> Self {
         Self {
-            link_mbits: 140,
-            share_percent: 10,
-            round_trip: Duration::from_millis(110),
-            zone_round_trip: Duration::from_millis(2),
+            links: BTreeMap::new(),
+            link: LinkSpec::default(),
+            zone_round_trip: Duration::from_millis(DEFAULT_ZONE_ROUND_TRIP_MS),
             zone: None,
         }
     }
 }
 
 impl Network {
-    /// Returns the bytes a second that requests of this instance may take.
-    pub fn budget(&self) -> u64 {
-        self.link_mbits * 1_000_000 / 8 * self.share_percent / 100
+    /// Returns what is known of the link to a region.
+    pub fn link_to(&self, region: &Region) -> &LinkSpec {
+        self.links.get(region).unwrap_or(&self.link)
     }
 }
 
@@ -56,8 +102,8 @@
 
 impl Link {
     /// Makes a link with its whole budget.
-    pub fn new(network: &Network, now: Duration) -> Self {
-        let rate = network.budget();
+    pub fn new(spec: &LinkSpec, now: Duration) -> Self {
+        let rate = spec.budget();
         Self {
             budget: Bucket::full(rate, rate * BURST_SECONDS, now),
         }
--- a/crates/decisions/src/placement/queue.rs
+++ b/crates/decisions/src/placement/queue.rs
@@ -49,8 +49,8 @@
 ///
 /// # Invariants
 ///
-/// `len` counts the entries of all lanes and is at most `capacity`. `clock`
-/// never falls while requests wait. A lane without entries is kept only while
+/// `len` counts the entries of all lanes; none is added once it reaches
+/// `capacity`. `clock` never falls while requests wait. A lane without entries is kept only while
 /// its tag is ahead of the clock.
 #[derive(Debug)]
 pub struct FairQueue<T> {
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Changes how many requests may wait; those that wait already stay.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.capacity = capacity;
+    }
+
     /// Counts the waiting requests.
     pub fn len(&self) -> usize {
         self.len
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -8,8 +8,10 @@
 use chiverelay_decisions::config::AccountEntry;
 use chiverelay_decisions::config::DEFAULT_DEADLINE_MS;
 use chiverelay_decisions::config::DEFAULT_MAX_ANSWER_TOKENS;
+use chiverelay_decisions::config::DEFAULT_PANIC_PERCENT;
 use chiverelay_decisions::config::DEFAULT_PREFILL_RATE;
 use chiverelay_decisions::config::DEFAULT_QUEUE;
+use chiverelay_decisions::config::DEFAULT_RAMP_MS;
 use chiverelay_decisions::config::DEFAULT_SLOTS;
 use chiverelay_decisions::config::Defined;
 use chiverelay_decisions::config::PoolEntry;
@@ -81,6 +83,8 @@
     queue = DEFAULT_QUEUE,
     resume = false,
     weights = Weights::default(),
+    panic_percent = DEFAULT_PANIC_PERCENT,
+    ramp_ms = DEFAULT_RAMP_MS,
 });
 
 read_struct!(TargetEntry {
--- a/tests/support/replay/gateway.rs
+++ b/tests/support/replay/gateway.rs
@@ -19,6 +19,7 @@
 use chiverelay_decisions::gateway::Waker;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Target;
+use chiverelay_decisions::placement::LinkSpec;
 use chiverelay_decisions::placement::Network;
 use chiverelay_decisions::placement::Report;
 use chiverelay_decisions::placement::Summary;
@@ -99,7 +100,10 @@
         let region = index / INSTANCES;
         let tables = Tables {
             network: Network {
-                link_mbits: user.link_mbits(),
+                link: LinkSpec {
+                    mbits: user.link_mbits(),
+                    ..LinkSpec::default()
+                },
                 ..Network::default()
             },
             ..Tables::new()
--- a/tests/testsuite/health.rs
+++ b/tests/testsuite/health.rs
@@ -6,8 +6,8 @@
 use chiverelay_decisions::placement::Gap;
 use chiverelay_decisions::placement::Health;
 use chiverelay_decisions::placement::Link;
+use chiverelay_decisions::placement::LinkSpec;
 use chiverelay_decisions::placement::Load;
-use chiverelay_decisions::placement::Network;
 use chiverelay_decisions::placement::Report;
 use chiverelay_decisions::placement::RetryBudget;
 use chiverelay_decisions::placement::Sign;
@@ -17,6 +17,8 @@
 use quickcheck::QuickCheck;
 use support::cases;
 
+const RAMP: Duration = Duration::from_secs(20);
+
 fn secs(s: u64) -> Duration {
     Duration::from_secs(s)
 }
@@ -65,21 +67,21 @@
 #[test]
 fn a_returned_target_ramps_up() {
     let mut health = Health::default();
-    assert_eq!(health.share(secs(0)), 1000);
+    assert_eq!(health.share(RAMP, secs(0)), 1000);
     health.observe(Sign::Unreachable, secs(1));
     health.observe(Sign::Placed, secs(6));
     health.observe(Sign::Success, secs(10));
-    assert_eq!(health.share(secs(10)), 100);
-    assert_eq!(health.share(secs(20)), 550);
-    assert_eq!(health.share(secs(30)), 1000);
+    assert_eq!(health.share(RAMP, secs(10)), 100);
+    assert_eq!(health.share(RAMP, secs(20)), 550);
+    assert_eq!(health.share(RAMP, secs(30)), 1000);
 }
 
 #[test]
 fn a_restarted_target_ramps_up() {
     let mut health = Health::default();
     health.observe(Sign::Restarted, secs(10));
-    assert_eq!(health.share(secs(10)), 100);
-    assert_eq!(health.share(secs(30)), 1000);
+    assert_eq!(health.share(RAMP, secs(10)), 100);
+    assert_eq!(health.share(RAMP, secs(30)), 1000);
 }
 
 #[test]
@@ -195,14 +197,14 @@
 
 #[test]
 fn a_link_never_carries_more_than_its_share() {
-    let network = Network::default();
-    let mut link = Link::new(&network, secs(0));
+    let spec = LinkSpec::default();
+    let mut link = Link::new(&spec, secs(0));
     let mut sent = 0;
     for ms in 0..10_000 {
         if link.take(20_000, Duration::from_millis(ms)) {
             sent += 20_000;
         }
     }
-    assert!(sent <= network.budget() * 12, "{sent} bytes");
-    assert!(sent >= network.budget() * 11, "{sent} bytes");
+    assert!(sent <= spec.budget() * 12, "{sent} bytes");
+    assert!(sent >= spec.budget() * 11, "{sent} bytes");
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod once;
 mod path;
+mod place;
 mod placement;
 mod queue;
 mod registry;
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -107,6 +107,17 @@
         "{\"accounts\": {\"a b\": {\"rate\": 1, \"burst\": 1}}}",
         &["1:15: accounts: a name has letters, digits and -_.:/@ only"]
     );
+    pools_out_of_bounds(
+        r#"{"pools": {"p": {"kind": "engine", "targets": {},
+"panic-percent": 101,
+"ramp-ms": 3600001,
+"slots": 0}}}"#,
+        &[
+            "2:18: pools.p.panic-percent: a share is at most 100 percent",
+            "3:12: pools.p.ramp-ms: a ramp is at most 3600000 ms",
+            "4:10: pools.p.slots: slots are at least 1",
+        ]
+    );
     open_route_with_accounts(
         r#"{"routes": {"a": {"path": "/x", "pool": "p", "open": true, "accounts": ["c"]}},
 "pools": {"p": {"kind": "engine", "targets": {}}}, "accounts": {"c": {"rate": 1, "burst": 1}}}"#,
@@ -156,6 +167,31 @@
             "checked.jsonc:21:14: workers: the value is at least 1",
         ]
     );
+    a_network_of_its_own(
+        |s| s["network"] = serde_json::json!({
+            "zone-round-trip-ms": 3,
+            "link": {"mbits": 2000, "share-percent": 20, "round-trip-ms": 110},
+            "links": {"cusco": {"mbits": 140}},
+        }),
+        &[]
+    );
+    faults_of_the_network(
+        |s| s["network"] = serde_json::json!({
+            "link": {"mbits": 0, "share-percent": 101},
+            "links": {"cusco": {"round-trip-ms": 10001, "mbit": 1}, "Cusco Sur": {}},
+            "zone-round-trip-ms": -1,
+        }),
+        &[
+            "checked.jsonc:8:16: network.link.mbits: the value is at least 1",
+            "checked.jsonc:9:24: network.link.share-percent: a share is 1 to 100 percent",
+            "checked.jsonc:12:7: network.links: a name in certificates has small letters, digits and \
+             inner hyphens only",
+            "checked.jsonc:14:9: network.links.cusco: unknown key mbit",
+            "checked.jsonc:15:26: network.links.cusco.round-trip-ms: a round trip is at most 10000 ms",
+            "checked.jsonc:18:27: network.zone-round-trip-ms: a whole number up to \
+             18446744073709551615 is expected",
+        ]
+    );
     missing_files(
         |s| {
             s["sibling"]["ca"] = "/nonexistent/ca".into();
