Give no new work to targets that the platform's list calls leaving

The list was a sign for instances alone. The word holds against the target's own report, and for 30 s once the list can't be had.

--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -11,6 +11,7 @@
 
 use super::Error;
 use crate::context::Context;
+use crate::hints;
 use crate::instance::Instance;
 use crate::instance::Starting;
 use crate::keys;
@@ -68,6 +69,7 @@
     tokio::spawn(keys::run(Arc::clone(&cx)));
     tokio::spawn(wait::run(Arc::clone(&cx)));
     tokio::spawn(load::run(Arc::clone(&cx)));
+    tokio::spawn(hints::run(Arc::clone(&cx)));
     tokio::spawn(
         endpoint
             .clone()
--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -45,6 +45,7 @@
 pub use targets::eject;
 pub use targets::fail;
 pub use targets::finish;
+pub use targets::list_leaving;
 pub use targets::report;
 pub use targets::start;
 pub use targets::succeed;
--- a/crates/decisions/src/gateway/scan.rs
+++ b/crates/decisions/src/gateway/scan.rs
@@ -196,7 +196,7 @@
 
     fn status(&self, name: &Target) -> Status {
         self.tables.targets.with(name, |load| {
-            load.map_or(Status::Healthy, |l| l.health.status(self.now))
+            load.map_or(Status::Healthy, |l| l.status(self.now))
         })
     }
 
@@ -213,7 +213,7 @@
             _ => self.tables.network.zone_round_trip,
         };
         self.tables.targets.with_or(name, Load::default, |load| {
-            let status = load.health.status(self.now);
+            let status = load.status(self.now);
             let estimate = estimate(
                 load,
                 self.entry,
--- a/crates/decisions/src/gateway/targets.rs
+++ b/crates/decisions/src/gateway/targets.rs
@@ -1,5 +1,6 @@
 //! What is seen of targets: load, health and caches.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::Tables;
@@ -17,6 +18,9 @@
 use crate::placement::Status;
 use crate::placement::Summary;
 
+/// Time for which the platform's list holds without a newer one.
+const LISTED: Duration = Duration::from_secs(30);
+
 fn observe(tables: &Tables, target: &Target, sign: Sign, now: Duration) {
     tables.targets.with_or(target, Load::default, |load| {
         load.health.observe(sign, now);
@@ -80,6 +84,27 @@
     load.health.observe(Sign::Restarted, now);
 }
 
+/// Takes note of which targets the platform's list calls leaving.
+///
+/// A target that the list no longer calls so takes new work again, and also
+/// when no list was had for [`LISTED`].
+pub fn list_leaving(tables: &Tables, leaving: &BTreeSet<Target>, now: Duration) {
+    let config = tables.config.get();
+    for target in config.pools.values().flat_map(|p| p.targets.keys()) {
+        if leaving.contains(target) {
+            tables.targets.with_or(target, Load::default, |load| {
+                load.list_leaving(Some(now + LISTED));
+            });
+            continue;
+        }
+        tables.targets.with(target, |load| {
+            if let Some(load) = load {
+                load.list_leaving(None);
+            }
+        });
+    }
+}
+
 /// Returns the number of the last event applied of a target's prefix cache.
 pub fn cache_sequence(tables: &Tables, target: &Target) -> u64 {
     tables
@@ -141,7 +166,7 @@
             continue;
         }
         let estimate = tables.targets.with_or(target, Load::default, |load| {
-            let usable = matches!(load.health.status(now), Status::Healthy | Status::Suspect);
+            let usable = matches!(load.status(now), Status::Healthy | Status::Suspect);
             usable.then(|| estimate(load, entry, &[], 0, peers, Duration::ZERO, now))
         });
         if let Some(estimate) = estimate {
@@ -177,7 +202,7 @@
             continue;
         }
         let found = tables.targets.with_or(target, Load::default, |load| {
-            let usable = !matches!(load.health.status(now), Status::Ejected | Status::Leaving);
+            let usable = !matches!(load.status(now), Status::Ejected | Status::Leaving);
             let slots = entry.slots * load.health.share(entry.ramp(), now) / 1000;
             usable.then(|| slots.saturating_sub(load.running(peers, now)))
         });
--- a/crates/decisions/src/placement/load.rs
+++ b/crates/decisions/src/placement/load.rs
@@ -7,6 +7,7 @@
 
 use super::CacheView;
 use super::Health;
+use super::Status;
 use crate::names::Pool;
 
 /// Age at which a load report counts half.
@@ -58,7 +59,8 @@
 ///
 /// `running` counts the requests that this instance has at the target now.
 /// `pending` are the prompt tokens that it sent there and that were not yet
-/// read at `drained`, by the target's prefill rate.
+/// read at `drained`, by the target's prefill rate. Until `listed` the
+/// platform's list calls the target leaving, whatever the target says.
 #[derive(Debug)]
 pub struct Load {
     /// Requests of this instance at the target.
@@ -72,6 +74,7 @@
     drained: Duration,
     seen: Option<Seen>,
     service: Duration,
+    listed: Option<Duration>,
 }
 
 impl Default for Load {
@@ -85,11 +88,25 @@
             drained: Duration::ZERO,
             seen: None,
             service: SERVICE,
+            listed: None,
         }
     }
 }
 
 impl Load {
+    /// Tells whether the target takes new work.
+    pub fn status(&self, now: Duration) -> Status {
+        if self.listed.is_some_and(|until| now < until) {
+            return Status::Leaving;
+        }
+        self.health.status(now)
+    }
+
+    /// Takes note until when the platform's list calls the target leaving.
+    pub fn list_leaving(&mut self, until: Option<Duration>) {
+        self.listed = until;
+    }
+
     fn drain(&mut self, rate: u64, now: Duration) {
         let elapsed = now.saturating_sub(self.drained).as_millis() as u64;
         self.pending = self.pending.saturating_sub(elapsed * rate / 1000);
--- a/crates/registry/src/api.rs
+++ b/crates/registry/src/api.rs
@@ -79,3 +79,15 @@
     /// [`PASSING`], [`CRITICAL`] or another status.
     pub status: String,
 }
+
+/// A check in `GET /v1/health/state/critical`, of any service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub struct StateEntry {
+    /// Identifier of what is checked.
+    #[serde(rename = "ServiceID")]
+    pub service_id: String,
+    /// [`CRITICAL`].
+    pub status: String,
+}
--- a/crates/registry/src/client.rs
+++ b/crates/registry/src/client.rs
@@ -1,11 +1,13 @@
 //! Calls of the registry.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use chiverelay_decisions::membership::Profile;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Target;
 use chiverelay_http::Client;
 use chiverelay_http::Response;
 use hyper::Method;
@@ -92,6 +94,22 @@
         Ok(entries.into_iter().map(Listed::from).collect())
     }
 
+    /// Lists the targets that are leaving or dead, as of some time ago.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the registry gives no answer.
+    pub async fn leaving_targets(&self) -> Result<BTreeSet<Target>, Error> {
+        let path = format!("/v1/health/state/{}", api::CRITICAL);
+        let resp = self
+            .http
+            .send(Method::GET, self.address, &path, Bytes::new())
+            .await?;
+        let entries: Vec<api::StateEntry> = accepted(resp)?.json()?;
+        let leaving = entries.into_iter().filter(|e| e.status == api::CRITICAL);
+        Ok(leaving.map(|e| e.service_id.into()).collect())
+    }
+
     /// Puts this instance into the directory for clients.
     ///
     /// # Errors
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -75,6 +75,19 @@
         list
     }
 
+    /// Lists what is leaving or dead, as of the lag ago.
+    fn critical(&self) -> Vec<api::StateEntry> {
+        let list = self.list(Instant::now().checked_sub(self.lag));
+        let entries = list.into_iter().filter_map(|(id, entry)| {
+            let status = entry.checks.into_iter().next()?.status;
+            (status == api::CRITICAL).then_some(api::StateEntry {
+                service_id: id,
+                status,
+            })
+        });
+        entries.collect()
+    }
+
     /// Returns the names registered now, without the lag.
     pub fn registered(&self) -> Vec<String> {
         self.list(Some(Instant::now())).into_keys().collect()
@@ -126,6 +139,9 @@
             let list: Vec<_> = list.into_values().collect();
             return Ok(chiverelay_http::json(StatusCode::OK, &list));
         }
+        if path == "/v1/health/state/critical" && !put {
+            return Ok(chiverelay_http::json(StatusCode::OK, &self.critical()));
+        }
         if path == "/v1/agent/service/register" && put {
             self.register(chiverelay_http::read_json(req, MAX_BODY).await?);
             return Ok(chiverelay_http::empty(StatusCode::OK));
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -3,10 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chiverelay_registry::api::CRITICAL;
+use chiverelay_registry::api::PASSING;
 use chiverelay_standin::faults::Faults;
 use serde_json::json;
 use support::block_on;
 use support::caller;
+use support::platform::RunningRegistry;
 use support::site::Site;
 use support::site::document;
 use support::site::eventually;
@@ -88,6 +91,44 @@
     });
 }
 
+/// The platform's list alone says that an engine leaves, which itself says
+/// nothing of it.
+#[test]
+fn a_target_that_the_platform_calls_leaving_gets_no_new_work() {
+    block_on(async {
+        let registry = RunningRegistry::start(Duration::ZERO).await;
+        let mut site = Site::empty().await;
+        let settings = json!({"registry": {"address": registry.address}});
+        site.start_daemon("lima-1", "lima", &settings);
+        let (_, one) = site.engine("engine-1", Duration::from_millis(1)).await;
+        let (_, two) = site.engine("engine-2", Duration::from_millis(1)).await;
+        let document = document(&[("engine-1", one, "lima"), ("engine-2", two, "lima")], &[]);
+        site.apply("lima-1", document).await;
+        let key = site.grant("lima-1", "encargos").await.key;
+        registry.state.set_status("engine-1", CRITICAL);
+        let address = site.daemon("lima-1").caller;
+        eventually("the engine gets no more work", async || {
+            for i in 0..20 {
+                if ask(address, &key, &format!("question {i}")).await == "engine-1" {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+        registry.state.set_status("engine-1", PASSING);
+        eventually("the engine gets work again", async || {
+            for i in 0..20 {
+                if ask(address, &key, &format!("late question {i}")).await == "engine-1" {
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+    });
+}
+
 #[test]
 fn a_busy_target_lets_requests_wait_and_serves_them_all() {
     block_on(async {
