--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod once;
 mod path;
+mod place;
 mod placement;
 mod queue;
 mod registry;
