Pass on what regions have of each pool within a region

Cause: above nine instances only relays hear other regions, so all others placed requests there without knowing what stands free.

Relays pass on what changed by much; each who hears of it tells it in four heartbeats; a heartbeat carries at most 24 pools. The age goes along, so that of two relays the later word wins.

--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -250,6 +250,7 @@
             },
             withdrawn: 0,
             summaries: Some(gateway::summaries(&tables, &here, Duration::from_secs(1))),
+            passed: Vec::new(),
         }),
     };
     let buf = encode(&beat).expect("a message");
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -16,6 +16,7 @@
 use chiverelay_decisions::membership::Profile;
 use chiverelay_decisions::membership::Roster;
 use chiverelay_decisions::membership::Status;
+use chiverelay_decisions::membership::Summaries;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::tables::Rank;
 use chiverelay_decisions::tables::Ranked;
@@ -70,6 +71,8 @@
 #[derive(Debug)]
 pub(crate) struct Membership {
     roster: Ranked<Roster>,
+    /// What other regions have of each pool.
+    summaries: Ranked<Summaries>,
     /// Instances that the registry lists as leaving.
     leaving: Ranked<HashSet<Instance>>,
     /// When the lease of the record lapses, in milliseconds on the clock; 0
@@ -91,6 +94,7 @@
         let roster = Roster::new(settings.instance.clone(), incarnation, profile);
         Self {
             roster: Ranked::new(Rank::Members, roster),
+            summaries: Ranked::new(Rank::Members, Summaries::default()),
             leaving: Ranked::new(Rank::Members, HashSet::new()),
             lease_until: AtomicU64::new(0),
         }
@@ -190,11 +194,17 @@
     let name = row.member.instance.clone();
     let serving = row.serving && !cx.membership.leaving.lock().contains(&name);
     if row.reached {
+        let region = &row.member.profile.region;
+        let is_known = cx.tables.siblings.with(&name, |s| s.is_some());
+        let summaries = match is_known {
+            true => Vec::new(),
+            false => cx.membership.summaries.lock().of(region),
+        };
         let make = || Sibling {
-            region: row.member.profile.region.clone(),
+            region: region.clone(),
             heard: now,
             serving,
-            summaries: Vec::new(),
+            summaries,
         };
         cx.tables.siblings.with_or(&name, make, |sibling| {
             sibling.heard = now;
--- a/crates/chiverelayd/src/members/heartbeat.rs
+++ b/crates/chiverelayd/src/members/heartbeat.rs
@@ -6,6 +6,7 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::membership::Digest;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
 use chiverelay_sibling as sibling;
 use chiverelay_sibling::Heartbeat;
 use chiverelay_sibling::Identity;
@@ -41,12 +42,15 @@
 
 async fn beat(cx: &Arc<Context>, peer: &Instance) {
     let now = cx.clock.now();
-    let (digest, tells_pools) = {
+    let (digest, tells_pools, passes_pools) = {
         let mut roster = cx.membership.roster.lock();
-        (roster.beat(peer, now), roster.tells_pools(peer))
+        let digest = roster.beat(peer, now);
+        (digest, roster.tells_pools(peer), roster.passes_pools(peer))
     };
+    let pass = || cx.membership.summaries.lock().pass(now);
     let message = Message::Heartbeat(Heartbeat {
         summaries: tells_pools.then(|| gateway::summaries(&cx.tables, &cx.settings.region, now)),
+        passed: passes_pools.then(pass).unwrap_or_default(),
         ..heartbeat(cx, digest)
     });
     let asked = async { exchange(cx, &link(cx, peer).await?, message).await };
@@ -104,6 +108,7 @@
         digest,
         withdrawn: cx.tables.withdrawn.lock().digest(),
         summaries: None,
+        passed: Vec::new(),
     }
 }
 
@@ -144,14 +149,46 @@
         1 => update_one(cx, name),
         _ => update_tables(cx),
     }
-    if let Some(summaries) = &beat.summaries {
-        cx.tables.siblings.with(name, |sibling| {
+    hear_summaries(cx, from, beat, now);
+    keys::compare(cx, name, beat.withdrawn);
+}
+
+/// Takes note of what regions have of each pool. Only an instance of this
+/// region may speak for others.
+fn hear_summaries(cx: &Context, from: &Identity, beat: &Heartbeat, now: Duration) {
+    let here = &cx.settings.region;
+    let mut regions = Vec::new();
+    {
+        let mut known = cx.membership.summaries.lock();
+        if from.region == *here {
+            known.hear_passed(&beat.passed, now);
+            regions.extend(beat.passed.iter().map(|p| p.region.clone()));
+        } else if let Some(summaries) = &beat.summaries {
+            known.hear(&from.region, summaries, now);
+            regions.push(from.region.clone());
+        }
+    }
+    for region in regions {
+        update_summaries(cx, &region);
+    }
+}
+
+/// Brings what the table of siblings has of a region's pools up to date.
+fn update_summaries(cx: &Context, region: &Region) {
+    let summaries = cx.membership.summaries.lock().of(region);
+    let mut names = Vec::new();
+    cx.tables.siblings.for_each(|name, sibling| {
+        if sibling.region == *region {
+            names.push(name.clone());
+        }
+    });
+    for name in names {
+        cx.tables.siblings.with(&name, |sibling| {
             if let Some(sibling) = sibling {
                 sibling.summaries = summaries.clone();
             }
         });
     }
-    keys::compare(cx, name, beat.withdrawn);
 }
 
 /// Tells siblings, the store and the registry that this instance leaves.
--- a/crates/decisions/src/membership.rs
+++ b/crates/decisions/src/membership.rs
@@ -15,6 +15,7 @@
 mod member;
 mod peers;
 mod roster;
+mod summaries;
 mod tell;
 mod versions;
 
@@ -31,4 +32,8 @@
 pub use peers::RELAYS;
 pub use roster::FAR_SILENCE;
 pub use roster::Roster;
+pub use summaries::Aged;
+pub use summaries::MAX_PASSED;
+pub use summaries::RegionSummaries;
+pub use summaries::Summaries;
 pub use tell::MAX_NEWS;
--- a/crates/decisions/src/membership/peers.rs
+++ b/crates/decisions/src/membership/peers.rs
@@ -23,9 +23,8 @@
 impl Roster {
     /// Returns the instances to send heartbeats to in this tick.
     pub fn peers(&self, now: Duration) -> Vec<Instance> {
-        let up: Vec<_> = self.up().cloned().collect();
-        if up.len() <= MESH {
-            return up;
+        if !self.is_large() {
+            return self.up().cloned().collect();
         }
         let mut peers = self.near_peers();
         peers.extend(self.far_peers(now));
@@ -35,6 +34,11 @@
         peers
     }
 
+    /// Tells whether there are too many others to hear each one directly.
+    pub(super) fn is_large(&self) -> bool {
+        self.up().count() > MESH
+    }
+
     fn up(&self) -> impl Iterator<Item = &Instance> {
         let members = self.members.iter();
         members
--- a/crates/decisions/src/membership/tell.rs
+++ b/crates/decisions/src/membership/tell.rs
@@ -46,6 +46,12 @@
         !self.is_near(to)
     }
 
+    /// Tells whether a heartbeat to `to` passes on what other regions have of
+    /// each pool. In a small fleet everyone hears it from them.
+    pub fn passes_pools(&self, to: &Instance) -> bool {
+        self.is_near(to) && self.is_large()
+    }
+
     fn is_near(&self, instance: &Instance) -> bool {
         let member = self.members.get(instance);
         member.is_none_or(|m| m.profile.region == self.here)
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -6,6 +6,7 @@
 use chiverelay_decisions::limits::Lend;
 use chiverelay_decisions::limits::Return;
 use chiverelay_decisions::membership::Digest;
+use chiverelay_decisions::membership::RegionSummaries;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
@@ -120,6 +121,8 @@
     pub withdrawn: u64,
     /// What the sender's region has of each pool, if it is told.
     pub summaries: Option<Vec<Summary>>,
+    /// What other regions have of each pool, passed on within the region.
+    pub passed: Vec<RegionSummaries>,
 }
 
 /// A target's load report, as one instance passes it on to its region.
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -7,8 +7,11 @@
 use chiverelay_decisions::membership::Profile;
 use chiverelay_decisions::membership::Roster;
 use chiverelay_decisions::membership::Status;
+use chiverelay_decisions::membership::Summaries;
 use chiverelay_decisions::membership::Word;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
+use chiverelay_decisions::placement::Summary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use support::cases;
@@ -223,3 +226,49 @@
     assert_eq!(roster.reincarnate(Duration::from_millis(700)), 700);
     assert_eq!(roster.reincarnate(Duration::from_millis(600)), 701);
 }
+
+fn summary(slots: u32, running: u32) -> Summary {
+    Summary {
+        pool: "p".into(),
+        slots,
+        running,
+        queued: 0,
+        first_token_ms: 400,
+        prefill_rate: 9000,
+    }
+}
+
+/// Whether a change at second 10 of what a region told at second 0 is passed
+/// on.
+fn check_passed_on(told: &[Summary], want: bool) {
+    let region = Region::from("cusco");
+    let mut relay = Summaries::default();
+    relay.hear(&region, &[summary(80, 40)], at(0));
+    while !relay.pass(at(0)).is_empty() {}
+    relay.hear(&region, told, at(10));
+    let mut other = Summaries::default();
+    other.hear_passed(&relay.pass(at(10)), at(10));
+    assert_eq!(relay.of(&region), told);
+    let passed = if want { told } else { &[] };
+    assert_eq!(other.of(&region), passed);
+}
+
+cases! {
+    check_passed_on:
+    a_pool_as_it_was(&[summary(80, 40)], false);
+    a_pool_with_a_little_more_load(&[summary(80, 45)], false);
+    a_pool_with_much_more_load(&[summary(80, 60)], true);
+    a_pool_that_is_full(&[summary(80, 80)], true);
+}
+
+#[test]
+fn a_pool_that_a_region_no_longer_has_is_forgotten_by_all() {
+    let region = Region::from("cusco");
+    let (mut relay, mut other) = (Summaries::default(), Summaries::default());
+    relay.hear(&region, &[summary(80, 40)], at(0));
+    other.hear_passed(&relay.pass(at(0)), at(0));
+    assert_eq!(other.of(&region), [summary(80, 40)]);
+    relay.hear(&region, &[], at(10));
+    other.hear_passed(&relay.pass(at(10)), at(10));
+    assert_eq!(other.of(&region), []);
+}
--- a/tests/testsuite/membership_fleet.rs
+++ b/tests/testsuite/membership_fleet.rs
@@ -9,11 +9,14 @@
 use chiverelay_decisions::membership::FANOUT;
 use chiverelay_decisions::membership::FAR_SILENCE;
 use chiverelay_decisions::membership::RegionAge;
+use chiverelay_decisions::membership::RegionSummaries;
 use chiverelay_decisions::membership::Roster;
 use chiverelay_decisions::membership::SUSPICION;
 use chiverelay_decisions::membership::Status;
+use chiverelay_decisions::membership::Summaries;
 use chiverelay_decisions::membership::Word;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
 use chiverelay_decisions::placement::Summary;
 use chiverelay_sibling::Envelope;
 use chiverelay_sibling::Heartbeat;
@@ -37,15 +40,17 @@
     taken: Vec<u64>,
     words: Vec<u64>,
     bytes: Vec<u64>,
-    summaries: Vec<Summary>,
+    pools: Vec<Summaries>,
 }
 
-/// Returns what a region says of 26 pools.
-fn summaries() -> Vec<Summary> {
+/// Returns what a region says of 26 pools, whose load all rises and falls by
+/// much.
+fn summaries(second: u64) -> Vec<Summary> {
+    let wave = (second % 8) as u32 * 400;
     let summary = |i: u32| Summary {
         pool: format!("pool-{i:02}").as_str().into(),
         slots: 3000 + i,
-        running: 1500 + i,
+        running: wave + i,
         queued: i,
         first_token_ms: 400 + i,
         prefill_rate: 9000 + i,
@@ -112,7 +117,7 @@
             taken: vec![0; count],
             words: vec![0; count],
             bytes: vec![0; count],
-            summaries: summaries(),
+            pools: vec![Summaries::default(); count],
         }
     }
 
@@ -168,15 +173,36 @@
         self.rosters[from].hear(Some(&names[1]), &told, now);
         self.taken[to] += 1;
         let words = (asked.words.len() + told.words.len()) as u64;
-        let pools = self.rosters[from].tells_pools(&names[1]);
-        let pools = pools.then(|| self.summaries.clone());
-        let bytes = encoded(asked, pools) + encoded(told, None);
+        let (pools, passed) = self.tell_pools(from, to, now);
+        let bytes = encoded(asked, pools, passed) + encoded(told, None, Vec::new());
         for i in [from, to] {
             self.words[i] += words;
             self.bytes[i] += bytes;
         }
     }
 
+    /// Tells of pools with a heartbeat; returns what it carried.
+    fn tell_pools(
+        &mut self,
+        from: usize,
+        to: usize,
+        now: Duration,
+    ) -> (Option<Vec<Summary>>, Vec<RegionSummaries>) {
+        let name = &self.rosters[to].own().instance;
+        let roster = &self.rosters[from];
+        let told = roster.tells_pools(name).then(|| summaries(self.second));
+        let passed = match roster.passes_pools(name) {
+            true => self.pools[from].pass(now),
+            false => Vec::new(),
+        };
+        if let Some(told) = &told {
+            let region = Region::from(self.region(from));
+            self.pools[to].hear(&region, told, now);
+        }
+        self.pools[to].hear_passed(&passed, now);
+        (told, passed)
+    }
+
     /// Counts the pairs in which a running instance takes `of` for live.
     fn live(&self, of: usize) -> usize {
         let name = &self.rosters[of].own().instance;
@@ -205,7 +231,14 @@
 }
 
 /// Returns the encoded size of a heartbeat.
-fn encoded(mut digest: Digest, summaries: Option<Vec<Summary>>) -> u64 {
+fn encoded(
+    mut digest: Digest,
+    summaries: Option<Vec<Summary>>,
+    mut passed: Vec<RegionSummaries>,
+) -> u64 {
+    passed.iter_mut().for_each(|passed| {
+        passed.region = LONG_REGION.into();
+    });
     digest.words.iter_mut().for_each(lengthen);
     digest.regions.iter_mut().for_each(|age| {
         age.region = LONG_REGION.into();
@@ -217,6 +250,7 @@
             digest,
             withdrawn: u64::MAX,
             summaries,
+            passed,
         }),
     };
     encode(&beat).expect("a heartbeat").len() as u64
@@ -262,6 +296,21 @@
     assert!(fleet.all_live());
 }
 
+/// Every instance knows the pools of every region as they lately were.
+#[test]
+fn what_regions_have_of_pools_reaches_all() {
+    let mut fleet = Fleet::start(&SIZES);
+    fleet.run(30);
+    let lately: Vec<_> = (0..20).flat_map(|s| summaries(fleet.second - s)).collect();
+    for (i, pools) in fleet.pools.iter().enumerate() {
+        for region in REGIONS.iter().filter(|r| **r != fleet.region(i)) {
+            let known = pools.of(&Region::from(*region));
+            assert_eq!(known.len(), 26, "{i}: {region}");
+            assert!(known.iter().all(|s| lately.contains(s)), "{i}: {region}");
+        }
+    }
+}
+
 #[test]
 fn a_region_tells_its_version_once_for_all() {
     let mut fleet = Fleet::start(&[12, 12, 12]);
