Hand used tickets over to a sibling at a planned stop

The records of used tickets ended with their issuer, so that a caller that asked again after a planned stop was told unknown. The issuer now seals its table after its last request and hands it, its key and its clock to one heir of its region, which decides from then on and hands on what it took when it stops. Claims and settlements that the issuer does not decide on go to the heir.

One decider at a time: handover::no_hand_over_makes_two_deciders runs 20,000 sequences of claims, stops, kills, lost, doubled and late messages; a hand-over that goes on deciding fails it. The property first failed on a commit without parts that arrived doubled at the heir's successor process: a message can't do that, as its connection ends with the process, and the model now says so. Parts name their round, as parts of an earlier hand-over of the same origin could otherwise be mixed in (handover::a_part_of_an_earlier_round_comes_late).

restarts::deposits_run_once_and_are_answered_again: rolling restarts of two instances under deposits with tickets, 0 failed, each ran once, each answered with its record again at both; it fails ('never: the recorded answer') with the call of the hand-over taken out.

--- a/crates/chiverelayd/src/instance.rs
+++ b/crates/chiverelayd/src/instance.rs
@@ -6,6 +6,7 @@
 use chiverelay_decisions::names::Instance as Name;
 
 use crate::context::Context;
+use crate::handover;
 use crate::members;
 use crate::settle;
 
@@ -65,12 +66,13 @@
 }
 
 impl Instance<Draining> {
-    /// Waits for the open requests, tells issuers what became of their tickets
-    /// and ends all tasks.
+    /// Waits for the open requests, tells issuers what became of their tickets,
+    /// hands the own ones over and ends all tasks.
     pub(crate) async fn stop(self, cx: &Arc<Context>) -> Instance<Stopped> {
         cx.requests.close();
         cx.requests.wait().await;
         settle::flush(cx).await;
+        handover::run(cx).await;
         cx.stop.cancel();
         Instance {
             _state: Stopped(()),
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -6,6 +6,7 @@
 mod context;
 mod dispatch;
 mod forward;
+mod handover;
 mod instance;
 mod keys;
 mod load;
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -17,6 +17,7 @@
 use chiverelay_decisions::membership::Roster;
 use chiverelay_decisions::membership::Status;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
 use chiverelay_decisions::tables::Rank;
 use chiverelay_decisions::tables::Ranked;
 use chiverelay_sibling as sibling;
@@ -215,6 +216,16 @@
     }
 }
 
+/// Returns the region of an instance, also of one that is dead.
+pub(crate) fn region(cx: &Context, instance: &Instance) -> Option<Region> {
+    if *instance == cx.settings.instance {
+        return Some(cx.settings.region.clone());
+    }
+    let roster = cx.membership.roster.lock();
+    let known = roster.members().get(instance);
+    known.map(|known| known.profile.region.clone())
+}
+
 /// Returns a link to an instance, made if there is none.
 pub(crate) async fn link(cx: &Context, instance: &Instance) -> Result<Link<Up>, sibling::Error> {
     let open = cx.links.with(instance, |link| link.cloned());
--- a/crates/chiverelayd/src/operations.rs
+++ b/crates/chiverelayd/src/operations.rs
@@ -7,6 +7,7 @@
 
 use chiverelay_caller::IDEMPOTENCY_KEY;
 use chiverelay_caller::TICKET;
+use chiverelay_decisions::handover::Deciders;
 use chiverelay_decisions::idempotency;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::refusal::Code;
@@ -15,6 +16,7 @@
 use chiverelay_decisions::settlements::Settle;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
+use chiverelay_decisions::tables::Guard;
 use chiverelay_decisions::tables::Rank;
 use chiverelay_decisions::tables::Ranked;
 use chiverelay_decisions::tickets;
@@ -27,7 +29,6 @@
 use chiverelay_decisions::tickets::Reply;
 use chiverelay_decisions::tickets::Settlement;
 use chiverelay_decisions::tickets::Ticket;
-use chiverelay_decisions::tickets::Used;
 use chiverelay_decisions::tickets::Validity;
 use chiverelay_sibling as sibling;
 use chiverelay_sibling::Message;
@@ -40,6 +41,7 @@
 use crate::bind;
 use crate::bind::Binder;
 use crate::context::Context;
+use crate::handover;
 use crate::members;
 use crate::settle;
 use crate::settle::Settler;
@@ -75,12 +77,13 @@
     total_bytes: 16 * 1024 * 1024,
 };
 
-/// The tickets of this incarnation.
+/// The tickets of this incarnation and of those whose deciders handed theirs
+/// over to it.
 #[derive(Debug)]
 pub(crate) struct Operations {
     issuer: Issuer,
     serial: AtomicU64,
-    used: Ranked<Used>,
+    deciders: Ranked<Deciders>,
     binder: Binder,
     settler: Settler,
 }
@@ -92,10 +95,12 @@
         let mut incarnation = [0; size_of::<u64>()];
         rand::rng().fill_bytes(&mut key);
         rand::rng().fill_bytes(&mut incarnation);
+        let issuer = Issuer::new(instance, u64::from_be_bytes(incarnation), key);
+        let deciders = Deciders::new(issuer.clone(), BOUNDS);
         Self {
-            issuer: Issuer::new(instance, u64::from_be_bytes(incarnation), key),
+            issuer,
             serial: AtomicU64::new(0),
-            used: Ranked::new(Rank::Tickets, Used::new(BOUNDS)),
+            deciders: Ranked::new(Rank::Tickets, deciders),
             binder: Binder::start(store, cancel),
             settler: Settler::new(),
         }
@@ -107,25 +112,15 @@
         self.issuer.issue(serial, validity)
     }
 
-    /// Decides on a claim of a ticket issued here.
-    pub(crate) fn claim(&self, claim: &sibling::Claim, now: Duration) -> Reply {
-        match self.issuer.check(&claim.ticket, now) {
-            None => Reply::Invalid,
-            Some(ticket) => self
-                .used
-                .lock()
-                .claim(ticket, claim.nonce, claim.operation, now),
-        }
+    /// Returns the origins that are decided for here.
+    pub(crate) fn deciders(&self) -> Guard<'_, Deciders> {
+        self.deciders.lock()
     }
 
-    /// Records what became of a claim of a ticket issued here; false if the
-    /// ticket was not.
-    pub(crate) fn settle(&self, settle: &Settle, now: Duration) -> bool {
-        if let Some(ticket) = self.issuer.check(&settle.ticket, now) {
-            let settlement = settle.settlement.clone();
-            self.used.lock().settle(ticket, settle.nonce, settlement);
-        }
-        settle.ticket.origin() == self.issuer.origin()
+    /// Decides on a claim, if that is done here.
+    pub(crate) fn claim(&self, claim: &sibling::Claim, now: Duration) -> Reply {
+        let mut deciders = self.deciders.lock();
+        deciders.claim(&claim.ticket, claim.nonce, claim.operation, now)
     }
 
     /// Returns what tells issuers of settlements.
@@ -253,15 +248,34 @@
     Peer::Sibling(instance.clone())
 }
 
-/// Asks the issuer; `None` if it gave no reply in time.
+/// Asks the issuer and, if it does not decide, who may have its tickets by
+/// now; `None` if the issuer gave no reply in time.
 async fn ask(cx: &Context, claim: &sibling::Claim) -> Option<Reply> {
-    let issuer = claim.ticket.issuer();
-    if *issuer == cx.settings.instance {
+    let reply = ask_at(cx, claim.ticket.issuer(), claim, TRIES).await;
+    if !matches!(reply, None | Some(Reply::Elsewhere)) {
+        return reply;
+    }
+    for heir in handover::heirs(cx, &claim.ticket.origin()) {
+        match ask_at(cx, &heir, claim, 1).await {
+            None | Some(Reply::Elsewhere) => {}
+            reply => return reply,
+        }
+    }
+    reply
+}
+
+async fn ask_at(
+    cx: &Context,
+    instance: &Instance,
+    claim: &sibling::Claim,
+    tries: usize,
+) -> Option<Reply> {
+    if *instance == cx.settings.instance {
         return Some(cx.operations.claim(claim, cx.clock.now()));
     }
-    for _ in 0..TRIES {
+    for _ in 0..tries {
         let message = Message::Claim(claim.clone());
-        if let Some(Message::Claimed(reply)) = send(cx, issuer, message, TRY).await {
+        if let Some(Message::Claimed(reply)) = send(cx, instance, message, TRY).await {
             return Some(reply);
         }
     }
--- a/crates/chiverelayd/src/settle.rs
+++ b/crates/chiverelayd/src/settle.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::backoff::Backoff;
+use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::settlements::Bounds;
 use chiverelay_decisions::settlements::Settle;
 use chiverelay_decisions::settlements::Told;
@@ -18,6 +19,7 @@
 use tokio::task::JoinSet;
 
 use crate::context::Context;
+use crate::handover;
 use crate::operations;
 use crate::operations::TICKET_LIFE;
 
@@ -77,16 +79,30 @@
     }
 }
 
+/// Tells the issuer and, if it does not decide, who may have its tickets.
 async fn tell_once(cx: &Context, settle: &Settle) -> Told {
-    let issuer = settle.ticket.issuer();
-    if *issuer == cx.settings.instance {
-        return match cx.operations.settle(settle, cx.clock.now()) {
+    let told = tell_at(cx, settle.ticket.issuer(), settle).await;
+    if told == Told::Taken {
+        return told;
+    }
+    for heir in handover::heirs(cx, &settle.ticket.origin()) {
+        if tell_at(cx, &heir, settle).await == Told::Taken {
+            return Told::Taken;
+        }
+    }
+    told
+}
+
+async fn tell_at(cx: &Context, instance: &Instance, settle: &Settle) -> Told {
+    if *instance == cx.settings.instance {
+        let now = cx.clock.now();
+        return match cx.operations.deciders().settle(settle, now) {
             true => Told::Taken,
             false => Told::Gone,
         };
     }
     let message = Message::Settle(settle.clone());
-    match operations::send(cx, issuer, message, TRY).await {
+    match operations::send(cx, instance, message, TRY).await {
         Some(Message::Settled(true)) => Told::Taken,
         Some(_) => Told::Gone,
         None => Told::Lost,
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -36,6 +36,7 @@
 use crate::dispatch::Attempt;
 use crate::forward::read_headers;
 use crate::forward::write_headers;
+use crate::handover;
 use crate::keys;
 use crate::load;
 use crate::members;
@@ -201,8 +202,10 @@
             }
             Message::Settle(settle) => {
                 let now = self.cx.clock.now();
-                Message::Settled(self.cx.operations.settle(&settle, now))
+                Message::Settled(self.cx.operations.deciders().settle(&settle, now))
             }
+            Message::Part(part) => Message::Word(handover::take_part(&self.cx, from, part)),
+            Message::Commit(commit) => Message::Word(handover::take_commit(&self.cx, from, commit)),
             Message::Bind(bind) => Message::Bound(self.cx.operations.bind(bind).await),
             Message::Withdrawn(ids) => {
                 let peer = Peer::Sibling(from.instance.clone());
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod event;
 pub mod gateway;
+pub mod handover;
 pub mod idempotency;
 pub mod keys;
 pub mod limits;
--- a/crates/decisions/src/tickets.rs
+++ b/crates/decisions/src/tickets.rs
@@ -154,7 +154,8 @@
 }
 
 /// Signs and checks the tickets of one incarnation of an instance.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Issuer {
     instance: Instance,
     incarnation: u64,
@@ -271,12 +272,14 @@
     Used,
     /// The ticket was used for another operation.
     Mismatch,
-    /// The ticket is not of this incarnation, has expired or is forged.
+    /// The ticket has expired or is forged.
     Invalid,
     /// The ticket was never claimed, and it is too late for its first claim.
     Late,
     /// The table is full; the ticket was not used.
     Full,
+    /// The ticket is not decided on here.
+    Elsewhere,
 }
 
 /// Leave to run an operation, as no earlier attempt at it ran.
@@ -297,7 +300,8 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 enum State {
     Granted(Nonce),
     Answered(Recorded),
@@ -311,13 +315,39 @@
 /// A nonce in `released` gets no other grant, so that a delayed copy of a
 /// settled claim does not take the ticket from callers. If it is forgotten,
 /// such a copy leaves the ticket unused, which is safe.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Record {
     operation: Operation,
     state: State,
     released: VecDeque<Nonce>,
 }
 
+impl Record {
+    fn bytes(&self) -> usize {
+        match &self.state {
+            State::Answered(answer) => answer.body.len(),
+            State::Granted(_) | State::Free => 0,
+        }
+    }
+}
+
+/// A record as it is handed over to another decider.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Handed {
+    serial: u64,
+    expires: Duration,
+    record: Record,
+}
+
+impl Handed {
+    /// Returns the bytes of its answer.
+    pub fn bytes(&self) -> usize {
+        self.record.bytes()
+    }
+}
+
 /// Bounds of a table of used tickets.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -337,7 +367,7 @@
 /// ticket without a record was never granted. `by_expiry` has one entry for
 /// each record. `bytes` counts the recorded answers and stays within the
 /// bounds.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Used {
     records: HashMap<u64, Record>,
     by_expiry: BTreeSet<(Duration, u64)>,
@@ -356,6 +386,30 @@
         }
     }
 
+    /// Makes a table of all records of another one.
+    pub fn from_records(records: Vec<Handed>, bounds: Bounds) -> Self {
+        let mut used = Self::new(bounds);
+        for handed in records {
+            used.bytes += handed.bytes();
+            used.by_expiry.insert((handed.expires, handed.serial));
+            used.records.insert(handed.serial, handed.record);
+        }
+        used
+    }
+
+    /// Returns all records, the first to expire first.
+    pub fn into_records(mut self) -> Vec<Handed> {
+        let by_expiry = std::mem::take(&mut self.by_expiry);
+        let handed = by_expiry.into_iter().filter_map(|(expires, serial)| {
+            self.records.remove(&serial).map(|record| Handed {
+                serial,
+                expires,
+                record,
+            })
+        });
+        handed.collect()
+    }
+
     /// Decides on a claim. The same nonce gets the same reply.
     pub fn claim(
         &mut self,
@@ -435,14 +489,17 @@
                 return;
             }
             self.by_expiry.pop_first();
-            if let Some(record) = self.records.remove(&serial)
-                && let State::Answered(answer) = record.state
-            {
-                self.bytes -= answer.body.len();
+            if let Some(record) = self.records.remove(&serial) {
+                self.bytes -= record.bytes();
             }
         }
     }
 
+    /// Returns the bytes of the recorded answers.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the number of records.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -1,6 +1,8 @@
 //! What instances say to each other.
 
 use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::handover::Commit;
+use chiverelay_decisions::handover::Part;
 use chiverelay_decisions::limits::Ask;
 use chiverelay_decisions::limits::Holder;
 use chiverelay_decisions::limits::Lend;
@@ -86,6 +88,12 @@
     Release(Holder),
     /// Whether the sender agrees.
     Word(bool),
+    /// Used tickets of an origin whose decider stops. Answered by
+    /// [`Message::Word`].
+    Part(Part),
+    /// Makes the receiver the decider of an origin. Answered by
+    /// [`Message::Word`].
+    Commit(Commit),
 }
 
 /// A claim of a ticket.
