--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 mod forward;
 mod handover;
+mod hints;
 mod instance;
 mod keys;
 mod load;
