Settle, count and take reports on the workers

Cause: settling a charge, ends and failures at targets, load reports, waits and the admission of forwarded requests ran on the tasks that learned of them, where the shape asks for a pool of workers. They now run on the worker of the account or of the pool; admission is by the account of the key rather than by the key, so that a charge is settled where it was made.

What has happened can't be refused, so it goes past the bounded queue. Ruled out: sending it through that queue. With that in its place (a trial) the new test workers::a_full_queue_loses_no_end fails: requests get no answer, as the slots are never freed.

Load reports for targets that the configuration doesn't have are dropped; they made entries of a table without bound.

--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -34,7 +34,7 @@
     running: Running,
     out: &Outbound,
 ) -> Attempt<O> {
-    let target = req.target().clone();
+    let (pool, target) = (req.grant().pool.clone(), req.target().clone());
     let config = cx.tables.config.get();
     let entry = config
         .pools
@@ -61,7 +61,7 @@
         Err(e) => {
             log::warn!("dispatch: {id}: {e}");
             record(Step::Connect, format!("no connection: {e}"));
-            gateway::eject(&cx.tables, &target, cx.clock.now());
+            cx.observe(&pool, &target, gateway::eject);
             return Attempt::Again(req.unplace());
         }
     };
@@ -88,7 +88,7 @@
             record(Step::Answer, format!("status {}", answer.status().as_u16()));
             if answer.status() == StatusCode::SERVICE_UNAVAILABLE {
                 // The target takes no work, as one that leaves.
-                gateway::eject(&cx.tables, &target, cx.clock.now());
+                cx.observe(&pool, &target, gateway::eject);
                 return match req.repeat() {
                     Ok(req) => Attempt::Again(req),
                     Err(req) => {
@@ -98,7 +98,7 @@
                 };
             }
             running.hand_over();
-            gateway::succeed(&cx.tables, &target, cx.clock.now());
+            cx.observe(&pool, &target, gateway::succeed);
             return Attempt::Answer(req, Box::new(answer));
         }
         Ok(Err(e)) => e.to_string(),
@@ -108,7 +108,7 @@
         }
     };
     drop(running);
-    gateway::fail(&cx.tables, &target, cx.clock.now());
+    cx.observe(&pool, &target, gateway::fail);
     log::warn!("dispatch: {id}: {error}");
     record(Step::Dispatch, format!("no answer: {error}"));
     match req.repeat() {
--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -1,6 +1,5 @@
 //! Passes a caller's request on to a sibling.
 
-use chiverelay_decisions::gateway;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -65,7 +64,7 @@
             Ok(link) => link,
             Err(e) => {
                 self.note(&req, &peer, &format!("no connection: {e}"));
-                gateway::miss(&self.cx.tables, &instance);
+                self.cx.miss(&req.grant().pool, &instance);
                 let refusal = Refusal::before_dispatch(Code::Unavailable, Step::Connect, peer);
                 return Forwarded::Again(req.unplace(), refusal);
             }
@@ -165,7 +164,7 @@
         };
         log::warn!("forward: {}: {e}", req.head().id);
         if let Peer::Sibling(instance) = peer {
-            gateway::miss(&self.cx.tables, instance);
+            self.cx.miss(&req.grant().pool, instance);
         }
         match req.repeat() {
             Ok(req) => Forwarded::Again(req, Refusal::unknown(code, step, peer.clone())),
--- a/crates/chiverelayd/src/load.rs
+++ b/crates/chiverelayd/src/load.rs
@@ -8,9 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::config::PoolEntry;
 use chiverelay_decisions::config::PoolKind;
 use chiverelay_decisions::gateway;
+use chiverelay_decisions::gateway::Tables;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Pool;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::placement::Report;
@@ -59,7 +62,7 @@
         if !loads.is_empty() {
             pass_on(&cx, &peers, loads).await;
         }
-        gateway::pump(&cx.tables, &cx.settings.region, cx.clock.now());
+        cx.pump();
     }
 }
 
@@ -87,12 +90,18 @@
 async fn poll(cx: &Arc<Context>, peers: &[Instance]) -> Vec<(Target, Report)> {
     let config = cx.tables.config.get();
     let mut polls = JoinSet::new();
-    let engines = config.pools.values().filter(|p| p.kind == PoolKind::Engine);
-    for (name, entry) in engines.flat_map(|p| &p.targets) {
-        if entry.region == cx.settings.region && is_mine(cx, peers, name) {
-            let (cx, name, address) = (Arc::clone(cx), name.clone(), entry.address);
+    for (pool, entry) in &config.pools {
+        if entry.kind != PoolKind::Engine {
+            continue;
+        }
+        for (name, entry) in &entry.targets {
+            if entry.region != cx.settings.region || !is_mine(cx, peers, name) {
+                continue;
+            }
+            let (cx, pool, name) = (Arc::clone(cx), pool.clone(), name.clone());
+            let address = entry.address;
             polls.spawn(async move {
-                let report = poll_one(&cx, &name, address).await?;
+                let report = poll_one(&cx, &pool, &name, address).await?;
                 Some((name, report))
             });
         }
@@ -100,45 +109,52 @@
     polls.join_all().await.into_iter().flatten().collect()
 }
 
-async fn poll_one(cx: &Context, name: &Target, address: SocketAddr) -> Option<Report> {
+async fn poll_one(cx: &Context, pool: &Pool, name: &Target, address: SocketAddr) -> Option<Report> {
     let asked = cx.clock.now();
     let report = match target::load(&cx.targets, name, address, TIMEOUT).await {
         Ok(report) => report?,
         Err(e) => {
             log::debug!("load: {e}");
-            note_failure(cx, name, &e);
+            note_failure(cx, pool, name, &e);
             return None;
         }
     };
-    gateway::report(&cx.tables, name, report, asked);
-    let after = gateway::cache_sequence(&cx.tables, name);
+    let target = name.clone();
+    let taken = move |tables: &Tables| {
+        gateway::report(tables, &target, report, asked);
+        gateway::cache_sequence(tables, &target)
+    };
+    let after = cx.pool.consult(pool.as_str(), taken).await?;
     match target::cache::events(&cx.targets, name, address, after, TIMEOUT).await {
-        Ok(page) => apply(cx, name, &page.events),
+        Ok(page) => apply(cx, pool, name, page.events),
         Err(e) => log::debug!("load: {e}"),
     }
     Some(report)
 }
 
-fn note_failure(cx: &Context, name: &Target, e: &target::Error) {
-    let now = cx.clock.now();
+fn note_failure(cx: &Context, pool: &Pool, name: &Target, e: &target::Error) {
     match e {
-        target::Error::Connect { .. } => gateway::eject(&cx.tables, name, now),
-        _ => gateway::fail(&cx.tables, name, now),
+        target::Error::Connect { .. } => cx.observe(pool, name, gateway::eject),
+        _ => cx.observe(pool, name, gateway::fail),
     }
 }
 
-fn apply(cx: &Context, name: &Target, events: &[target::cache::Event]) {
-    for event in events {
-        let (stored, removed) = (&event.stored, &event.removed);
-        let applied = gateway::apply_cache_event(&cx.tables, name, event.sequence, stored, removed);
-        if let Err(gap) = applied {
-            log::debug!(
-                "load: target {name}: cache events {} to {} are missing",
-                gap.after + 1,
-                gap.found - 1
-            );
+fn apply(cx: &Context, pool: &Pool, name: &Target, events: Vec<target::cache::Event>) {
+    let name = name.clone();
+    cx.pool.tell(pool.as_str(), move |tables| {
+        for event in &events {
+            let (stored, removed) = (&event.stored, &event.removed);
+            let applied =
+                gateway::apply_cache_event(tables, &name, event.sequence, stored, removed);
+            if let Err(gap) = applied {
+                log::debug!(
+                    "load: target {name}: cache events {} to {} are missing",
+                    gap.after + 1,
+                    gap.found - 1
+                );
+            }
         }
-    }
+    });
 }
 
 /// Returns the reports that say something new.
@@ -178,9 +194,17 @@
     if *region != cx.settings.region {
         return;
     }
-    let now = cx.clock.now();
+    let (config, now) = (cx.tables.config.get(), cx.clock.now());
     for load in loads {
-        gateway::report(&cx.tables, &load.target, load.report, now);
+        let has = |entry: &PoolEntry| entry.targets.contains_key(&load.target);
+        // A target that is not known here yet is reported again soon.
+        let Some((pool, _)) = config.pools.iter().find(|(_, entry)| has(entry)) else {
+            continue;
+        };
+        let load = load.clone();
+        cx.pool.tell(pool.as_str(), move |tables| {
+            gateway::report(tables, &load.target, load.report, now);
+        });
     }
-    gateway::pump(&cx.tables, &cx.settings.region, now);
+    cx.pump();
 }
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -11,6 +11,7 @@
 mod load;
 mod members;
 mod metrics;
+mod notes;
 mod once;
 mod operate;
 mod operations;
--- a/crates/chiverelayd/src/placing.rs
+++ b/crates/chiverelayd/src/placing.rs
@@ -3,7 +3,6 @@
 //! One worker places all requests of a pool, so that a slot that one request
 //! was given is counted before the next one is placed.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use chiverelay_decisions::gateway;
@@ -11,6 +10,7 @@
 use chiverelay_decisions::gateway::Placement;
 use chiverelay_decisions::gateway::Tables;
 use chiverelay_decisions::gateway::Turn;
+use chiverelay_decisions::names::Pool;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Outcome;
@@ -25,21 +25,25 @@
 use chiverelay_decisions::step::Step;
 
 use crate::context::Context;
+use crate::notes;
+use crate::workers;
 
 /// Counts a request as running at its target until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Running {
-    tables: Arc<Tables>,
+    workers: workers::Pool,
+    pool: Pool,
     target: Target,
     handed_over: bool,
 }
 
 impl Running {
-    fn start<O>(tables: Arc<Tables>, req: &Request<Placed, O>) -> Self {
+    fn start<O>(tables: &Tables, workers: workers::Pool, req: &Request<Placed, O>) -> Self {
         let target = req.target().clone();
-        gateway::start(&tables, &target);
+        gateway::start(tables, &target);
         Self {
-            tables,
+            workers,
+            pool: req.grant().pool.clone(),
             target,
             handed_over: false,
         }
@@ -54,7 +58,7 @@
 impl Drop for Running {
     fn drop(&mut self) {
         if !self.handed_over {
-            gateway::finish(&self.tables, &self.target);
+            notes::finish(&self.workers, &self.pool, &self.target);
         }
     }
 }
@@ -84,12 +88,12 @@
     turn: Turn,
 ) -> Result<Next, Refusal> {
     let here = cx.settings.region.clone();
-    let tables = Arc::clone(&cx.tables);
-    on_worker(cx, req, move |req, now| {
-        let placed = gateway::place(&tables, req, &here, turn, now)?;
+    let workers = cx.pool.clone();
+    on_worker(cx, req, move |tables, req, now| {
+        let placed = gateway::place(tables, req, &here, turn, now)?;
         Ok(match placed {
             Placement::Here(req) => {
-                let running = Running::start(tables, &req);
+                let running = Running::start(tables, workers, &req);
                 Next::Here(req, running)
             }
             Placement::Away(req) => Next::Away(req),
@@ -106,12 +110,12 @@
     turn: Turn,
 ) -> Result<NextHere, Refusal> {
     let here = cx.settings.region.clone();
-    let tables = Arc::clone(&cx.tables);
-    on_worker(cx, req, move |req, now| {
-        let placed = gateway::place_forwarded(&tables, req, &here, turn, now)?;
+    let workers = cx.pool.clone();
+    on_worker(cx, req, move |tables, req, now| {
+        let placed = gateway::place_forwarded(tables, req, &here, turn, now)?;
         Ok(match placed {
             Local::Here(req) => {
-                let running = Running::start(tables, &req);
+                let running = Running::start(tables, workers, &req);
                 NextHere::Here(req, running)
             }
             Local::Wait(req) => NextHere::Wait(req),
@@ -120,11 +124,20 @@
     .await
 }
 
-async fn on_worker<O, R, F>(cx: &Context, req: Request<Admitted, O>, f: F) -> Result<R, Refusal>
+/// Decides on the worker of the request's pool.
+///
+/// # Errors
+///
+/// Refuses the request if `f` does, or if the worker's queue is full.
+pub(crate) async fn on_worker<O, R, F>(
+    cx: &Context,
+    req: Request<Admitted, O>,
+    f: F,
+) -> Result<R, Refusal>
 where
     O: Send + 'static,
     R: Send + 'static,
-    F: FnOnce(Request<Admitted, O>, Duration) -> Result<R, Refusal> + Send + 'static,
+    F: FnOnce(&Tables, Request<Admitted, O>, Duration) -> Result<R, Refusal> + Send + 'static,
 {
     let outcome = if req.attempted() {
         Outcome::Unknown
@@ -132,7 +145,7 @@
         Outcome::NotRun
     };
     let (by, clock) = (req.grant().pool.clone(), cx.clock);
-    let job = move |_: &Tables| f(req, clock.now());
+    let job = move |tables: &Tables| f(tables, req, clock.now());
     cx.pool.run(by.as_str(), job).await.unwrap_or_else(|_| {
         let refusal = Refusal::before_dispatch(Code::Overloaded, Step::Place, Peer::Local);
         Err(Refusal { outcome, ..refusal })
--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -8,7 +8,6 @@
 use chiverelay_decisions::answer::Checker;
 use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::answer::Hold;
-use chiverelay_decisions::gateway;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
@@ -68,9 +67,9 @@
     }
 
     /// Closes the source, which cancels what still runs there.
-    fn finish(self, cx: &Context) {
+    fn finish(self, cx: &Context, grant: &Grant) {
         if let Self::Target(_, target) = self {
-            gateway::finish(&cx.tables, &target);
+            cx.finish(&grant.pool, &target);
         }
     }
 }
@@ -223,8 +222,8 @@
         };
         let end = end.unwrap_or_else(|| End::Broken(self.refuse(Code::DeadlineExceeded)));
         let used = checker.tokens(self.prompt_tokens);
-        gateway::settle(&cx.tables, &self.grant, used, cx.clock.now());
-        self.source.finish(cx);
+        cx.settle(&self.grant, used);
+        self.source.finish(cx, &self.grant);
         match &end {
             End::Whole => {
                 if let Some(kept) = self.kept {
@@ -262,7 +261,7 @@
                 return end;
             };
             log::info!("relay: a stream goes on after event {last_id}");
-            std::mem::replace(&mut self.source, source).finish(cx);
+            std::mem::replace(&mut self.source, source).finish(cx, &self.grant);
             checker.resume();
         }
         self.pipe(checker).await
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -172,8 +172,8 @@
     }
 
     /// Gives the account back the charge of an attempt that did not run.
-    pub(crate) fn give_back(&self, grant: &Grant) {
-        gateway::settle(&self.cx.tables, grant, 0, self.cx.clock.now());
+    pub(crate) fn give_back(&self, grant: &Arc<Grant>) {
+        self.cx.settle(grant, 0);
     }
 
     /// Finds the account of a key for the time line, also of a withdrawn key.
@@ -183,7 +183,7 @@
         Some(entry.account.clone())
     }
 
-    fn refund(&self, grant: &Grant, refusal: &Refusal) {
+    fn refund(&self, grant: &Arc<Grant>, refusal: &Refusal) {
         if refusal.outcome == Outcome::NotRun {
             self.give_back(grant);
         }
@@ -198,7 +198,7 @@
     ) -> Result<Request<Admitted, Direct>, Refusal> {
         // The share's lease is checked by the clock at that moment.
         let clock = self.cx.clock;
-        let by = key.clone().unwrap_or_default();
+        let account = self.account(key.as_ref());
         let job = move |tables: &gateway::Tables| {
             let ask = Ask {
                 path: &path,
@@ -210,7 +210,9 @@
             };
             gateway::admit(tables, req, &ask, clock.now())
         };
-        match self.cx.pool.run(&by, job).await {
+        // A key of no account meets no limit; any worker refuses it.
+        let by = account.as_ref().map_or("", |account| account.as_str());
+        match self.cx.pool.run(by, job).await {
             Ok(Ok(Admission::Admitted(req))) => Ok(req),
             Ok(Ok(Admission::Short(short))) => shares::gather(&self.cx, *short).await,
             Ok(Err(refusal)) => Err(refusal),
--- a/crates/chiverelayd/src/resume.rs
+++ b/crates/chiverelayd/src/resume.rs
@@ -2,7 +2,6 @@
 
 use std::future::Future;
 
-use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Turn;
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
@@ -86,9 +85,10 @@
         let Peer::Target(target) = req.peer().clone() else {
             return None;
         };
+        let pool = req.grant().pool.clone();
         self.req = Some(req);
         if !answer.is_event_stream() {
-            gateway::finish(&cx.tables, &target);
+            cx.finish(&pool, &target);
             return None;
         }
         Some(Source::Target(answer, target))
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -8,6 +8,7 @@
 use chiverelay_decisions::gateway::Turn;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::names::Route;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -102,17 +103,30 @@
             headers: read_headers(&req.headers),
             body: req.body.into(),
         };
-        let admitted = gateway::admit_forwarded(
-            &self.cx.tables,
-            Request::from_sibling(head),
-            req.account.as_ref(),
-            &req.route,
-            &self.cx.settings.region,
-        )?;
+        let admitted = self.admit(head, req.account, req.route).await?;
         let (req, answer) = self.run(admitted, &out).await?;
         Ok((req, answer, out))
     }
 
+    async fn admit(
+        &self,
+        head: Head,
+        account: Option<Account>,
+        route: Route,
+    ) -> Result<Request<Admitted, Forwarded>, Refusal> {
+        let here = self.cx.settings.region.clone();
+        let by = account.clone();
+        let job = move |tables: &gateway::Tables| {
+            let req = Request::from_sibling(head);
+            gateway::admit_forwarded(tables, req, account.as_ref(), &route, &here)
+        };
+        let by = by.as_ref().map_or("", |account| account.as_str());
+        self.cx.pool.run(by, job).await.unwrap_or_else(|_| {
+            let (code, step) = (Code::Overloaded, Step::Admit);
+            Err(Refusal::before_dispatch(code, step, Peer::Local))
+        })
+    }
+
     fn refuse(&self, id: &RequestId, account: Option<&Account>, refusal: &Refusal) {
         let what = format!(
             "refused: {}, {}",
--- a/crates/chiverelayd/src/wait.rs
+++ b/crates/chiverelayd/src/wait.rs
@@ -15,6 +15,7 @@
 
 use crate::context::Context;
 use crate::keys;
+use crate::placing;
 
 /// Time between two looks for slots that other instances gave up.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -23,11 +24,17 @@
 pub(crate) async fn slot<O>(
     cx: &Context,
     req: Request<Admitted, O>,
-) -> Result<Request<Admitted, O>, Refusal> {
+) -> Result<Request<Admitted, O>, Refusal>
+where
+    O: Send + 'static,
+{
     let (tx, rx) = oneshot::channel();
     let waker = Waker::new(move || tx.send(()).is_ok());
     let now = cx.clock.now();
-    let req = gateway::wait(&cx.tables, req, waker, now)?;
+    let req = placing::on_worker(cx, req, move |tables, req, now| {
+        gateway::wait(tables, req, waker, now)
+    })
+    .await?;
     let account = req.grant().account.clone();
     cx.record(
         &req.head().id,
@@ -56,6 +63,6 @@
             () = cx.stop.cancelled() => return,
             _ = ticks.tick() => {}
         }
-        gateway::pump(&cx.tables, &cx.settings.region, cx.clock.now());
+        cx.pump();
     }
 }
--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -51,7 +51,9 @@
 pub use targets::summaries;
 pub use wait::Waker;
 pub use wait::pump;
+pub use wait::pump_pool;
 pub use wait::wait;
+pub use wait::waiting_pools;
 
 /// A sibling that can take forwarded requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/decisions/src/gateway/wait.rs
+++ b/crates/decisions/src/gateway/wait.rs
@@ -93,18 +93,36 @@
 /// Slots that other instances gave up are seen in load reports only, so this
 /// is called with each report, and now and then.
 pub fn pump(tables: &Tables, here: &Region, now: Duration) {
-    let config = tables.config.get();
-    let mut peers = None;
-    for (name, entry) in &config.pools {
-        let waiting = tables.queues.with(name, |w| w.map_or(0, |w| w.queue.len()));
-        if waiting == 0 {
-            continue;
-        }
-        let peers = *peers.get_or_insert_with(|| targets::peers(tables, here));
-        let free = targets::free_slots(tables, entry, here, peers, now);
-        for _ in 0..free.unwrap_or(u64::MAX).min(waiting as u64) {
-            wake_next(tables, name);
+    for pool in waiting_pools(tables) {
+        pump_pool(tables, &pool, here, now);
+    }
+}
+
+/// Lists the pools for which requests wait.
+pub fn waiting_pools(tables: &Tables) -> Vec<Pool> {
+    let mut pools = Vec::new();
+    tables.queues.for_each(|name, waiting| {
+        if !waiting.queue.is_empty() {
+            pools.push(name.clone());
         }
+    });
+    pools
+}
+
+/// Wakes requests that wait for one pool, as [`pump`] does.
+pub fn pump_pool(tables: &Tables, pool: &Pool, here: &Region, now: Duration) {
+    let config = tables.config.get();
+    let Some(entry) = config.pools.get(pool) else {
+        return;
+    };
+    let waiting = tables.queues.with(pool, |w| w.map_or(0, |w| w.queue.len()));
+    if waiting == 0 {
+        return;
+    }
+    let peers = targets::peers(tables, here);
+    let free = targets::free_slots(tables, entry, here, peers, now);
+    for _ in 0..free.unwrap_or(u64::MAX).min(waiting as u64) {
+        wake_next(tables, pool);
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,3 +32,4 @@
 mod timeline;
 mod tool;
 mod whole;
+mod workers;
