Add orders to engines: who may send them, fencing numbers, messages

decisions::orders has the sender as a typestate, a permit for one order, the hold-off for engines that ignore numbers; target::order encodes and sends; the stand-in engine takes orders with and without a check.

The failure guarded against is seen in orders::without_the_hold_off_* (old orders after new ones in the schedules) and in the rows of the engine that ignores numbers; the other tests passed at once, as they came with the code. Ruled out: a counter of our own as the number, and a new number for a repeated order.

--- a/crates/decisions/src/names.rs
+++ b/crates/decisions/src/names.rs
@@ -75,6 +75,10 @@
     Instance;
     /// A model as callers name it.
     Model;
+    /// An adapter of a model, as engines name it.
+    Adapter;
+    /// A version of a model, as engines name it.
+    Version;
     /// A request, unique over all instances.
     RequestId;
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 pub mod headers;
 mod load;
+pub mod order;
 
 pub use client::Answer;
 pub use client::Client;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod membership;
 mod metrics;
 mod once;
+mod orders;
 mod path;
 mod place;
 mod placement;
