--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -22,6 +22,7 @@
 mod resume;
 mod serve;
 mod settings;
+mod settle;
 mod shares;
 mod sibling;
 mod wait;
