--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -198,7 +198,7 @@
     ) -> Result<Request<Admitted, Direct>, Refusal> {
         // The share's lease is checked by the clock at that moment.
         let clock = self.cx.clock;
-        let account = self.account(key.as_ref());
+        let (account, by) = (self.account(key.as_ref()), key.clone());
         let job = move |tables: &gateway::Tables| {
             let ask = Ask {
                 path: &path,
@@ -210,8 +210,12 @@
             };
             gateway::admit(tables, req, &ask, clock.now())
         };
-        // A key of no account meets no limit; any worker refuses it.
-        let by = account.as_ref().map_or("", |account| account.as_str());
+        // Keys of no account are spread, so that many of them fill no one queue.
+        let by = match (&account, &by) {
+            (Some(account), _) => account.as_str(),
+            (None, Some(key)) => key,
+            (None, None) => "",
+        };
         match self.cx.pool.run(by, job).await {
             Ok(Ok(Admission::Admitted(req))) => Ok(req),
             Ok(Ok(Admission::Short(short))) => shares::gather(&self.cx, *short).await,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod membership_fleet;
 mod metrics;
 mod once;
+mod orders;
 mod path;
 mod place;
 mod placement;
