Hang the holders' records on the instances' own leases

Cause: a holder of shares renewed a lease of its own every 3 s beside the lease of the instance's record: worked out, 110 writes a second at 330 instances.

The lease that members renews is now published in Membership, and the shares' job keeps its record on it; a new lease is a new record, fenced as before by a write of every page. The book's lease is the same measure as before: from before the renewal was sent, less a fifth, on the monotonic clock. The lease goes on until the instance stops, no longer only until it drains. A renewal without an answer is tried again after 2 s.

lease-seconds is 15 in place of 30, as the shares of a dead instance now wait for it (12 s before). Tried with 30: drain::rolling_restarts_fail_no_request took 116 s, as a restarted instance waited for the lease of the old one.

Only instances of the same region look at the ledger again after a death, once a second; before, all did so every 300 ms until the record was gone.

--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -7,7 +7,6 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -22,8 +21,10 @@
 use chiverelay_sibling as sibling;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
+use chiverelay_store as store;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
 use crate::context::Context;
@@ -72,9 +73,9 @@
     roster: Ranked<Roster>,
     /// Instances that the registry lists as leaving.
     leaving: Ranked<HashSet<Instance>>,
-    /// When the lease of the record lapses, in milliseconds on the clock; 0
-    /// without a lease.
-    lease_until: AtomicU64,
+    /// The lease of the record, on which the record of a holder of shares
+    /// hangs too. It is renewed in one place only.
+    lease: watch::Sender<Option<store::Lease<store::Held>>>,
 }
 
 impl Membership {
@@ -92,7 +93,7 @@
         Self {
             roster: Ranked::new(Rank::Members, roster),
             leaving: Ranked::new(Rank::Members, HashSet::new()),
-            lease_until: AtomicU64::new(0),
+            lease: watch::Sender::new(None),
         }
     }
 
@@ -100,6 +101,11 @@
     pub(crate) fn incarnation(&self) -> u64 {
         self.roster.lock().own().incarnation
     }
+
+    /// Follows the instance's lease in the store.
+    pub(crate) fn lease(&self) -> watch::Receiver<Option<store::Lease<store::Held>>> {
+        self.lease.subscribe()
+    }
 }
 
 /// Keeps the record and the roster until the instance stops.
--- a/crates/chiverelayd/src/members/record.rs
+++ b/crates/chiverelayd/src/members/record.rs
@@ -1,7 +1,6 @@
 //! This instance's record in the store, which hangs on a lease.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chiverelay_decisions::membership::Profile;
@@ -58,13 +57,14 @@
 /// Starts a new incarnation if the lease has lapsed since it was last looked
 /// at, as after a pause. Nothing is said in the name of the old one after.
 pub(super) fn check(cx: &Context) {
-    let lease_until = &cx.membership.lease_until;
-    let until = lease_until.load(Ordering::Acquire);
-    if until == 0 || (cx.clock.now().as_millis() as u64) < until {
-        return;
-    }
-    let taken = lease_until.compare_exchange(until, 0, Ordering::AcqRel, Ordering::Acquire);
-    if taken.is_err() {
+    let lapse = |lease: &mut Option<Lease<Held>>| {
+        let lapsed = lease.as_ref().is_some_and(|lease| !lease.is_valid());
+        if lapsed {
+            *lease = None;
+        }
+        lapsed
+    };
+    if !cx.membership.lease.send_if_modified(lapse) {
         return;
     }
     let wall = cx.clock.wall();
@@ -74,53 +74,50 @@
     cx.note(Step::Store, Peer::Store, what);
 }
 
-fn note_lease(cx: &Context, lease: &Lease<Held>) {
-    let left = lease
-        .until()
-        .saturating_duration_since(tokio::time::Instant::now());
-    let until = (cx.clock.now() + left).as_millis() as u64;
-    cx.membership.lease_until.store(until, Ordering::Release);
-}
-
-/// Keeps the record until the instance drains.
+/// Keeps the lease until the instance stops, and the record until it drains.
 pub(super) async fn run(cx: Arc<Context>) {
     let ttl = Duration::from_secs(cx.settings.store.lease_seconds as u64);
     let mut lease = None;
     loop {
         check(&cx);
-        lease = renew(&cx, lease, ttl).await;
-        let pause = match &lease {
-            Some(lease) => {
-                note_lease(&cx, lease);
-                ttl / RENEWALS
-            }
-            None => RETRY,
-        };
+        let pause;
+        (lease, pause) = renew(&cx, lease, ttl).await;
+        if lease.is_some() {
+            cx.membership.lease.send_replace(lease.clone());
+        }
         // Instances that started together do not call together for long.
         let pause = pause.mul_f64(0.75 + rand::random::<f64>() / 4.0);
         tokio::select! {
-            () = cx.drain.cancelled() => return,
+            () = cx.stop.cancelled() => return,
             () = tokio::time::sleep(pause) => {}
         }
     }
 }
 
-async fn renew(cx: &Context, lease: Option<Lease<Held>>, ttl: Duration) -> Option<Lease<Held>> {
+/// Renews the lease or writes the record anew, and says when to do so again.
+async fn renew(
+    cx: &Context,
+    lease: Option<Lease<Held>>,
+    ttl: Duration,
+) -> (Option<Lease<Held>>, Duration) {
     if let Some(lease) = lease {
         match lease.renew(&cx.store).await {
-            Renewal::Held(lease) => return Some(lease),
+            Renewal::Held(lease) => return (Some(lease), ttl / RENEWALS),
             Renewal::Unanswered(lease, e) => {
                 log::warn!("members: {e}");
-                return Some(lease);
+                return (Some(lease), RETRY.min(ttl / RENEWALS));
             }
             Renewal::Lapsed(_) => check(cx),
         }
     }
+    if cx.drain.is_cancelled() {
+        return (None, RETRY);
+    }
     match write(cx, ttl).await {
-        Ok(lease) => Some(lease),
+        Ok(lease) => (Some(lease), ttl / RENEWALS),
         Err(e) => {
             log::warn!("members: {e}");
-            None
+            (None, RETRY)
         }
     }
 }
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -206,7 +206,7 @@
     address,
     reads_per_second = None,
     writes_per_second = None,
-    lease_seconds = 30 => at_least_one,
+    lease_seconds = 15 => at_least_one,
 });
 
 read_struct!(RegistrySettings { address });
--- a/crates/chiverelayd/src/shares.rs
+++ b/crates/chiverelayd/src/shares.rs
@@ -13,12 +13,14 @@
 use chiverelay_decisions::limits::Keeper;
 use chiverelay_decisions::limits::Lease;
 use chiverelay_decisions::limits::Return;
-use chiverelay_decisions::limits::keeper::RECORD_TTL;
+use chiverelay_decisions::limits::quorum::VOUCH_TIME;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
 use chiverelay_decisions::store_session::State;
 use chiverelay_sibling::Identity;
 use chiverelay_sibling::Message;
 use chiverelay_store as store;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -30,12 +32,9 @@
 /// Time between two rounds of the periodic work.
 const INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time between two rounds while the ledger is not as it should be.
+/// Time between two rounds of an instance that has no shares yet.
 const UNSETTLED_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time between two renewals of the record.
-const RENEWAL: Duration = Duration::from_secs(3);
-
 /// Time for a sibling's answer about leases.
 const WORD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -43,21 +42,35 @@
 const RECORDS: &str = "chiverelay/holders/";
 
 /// The periodic work on the shares.
+///
+/// # Invariants
+///
+/// `record` is the lease that the holder's record hangs on. Its identifier is
+/// that of the instance's lease, else the record counts as lost.
 struct Job {
     cx: Arc<Context>,
     keeper: Keeper,
+    lease: watch::Receiver<Option<store::Lease<store::Held>>>,
     record: Option<store::Lease<store::Held>>,
-    renewed: Duration,
-    settled: Option<BTreeSet<Instance>>,
+    settled: Option<Neighbours>,
+}
+
+/// The instances among which the shares of a region are divided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Neighbours {
+    /// Instances of the region, this one included.
+    near: BTreeSet<Instance>,
+    /// Regions with instances.
+    regions: BTreeSet<Region>,
 }
 
 /// Keeps the lease and the ledger until the instance stops.
 pub(crate) async fn run(cx: Arc<Context>) {
     let mut job = Job {
         keeper: Keeper::new(cx.settings.instance.clone(), rand::random()),
+        lease: cx.membership.lease(),
         cx: Arc::clone(&cx),
         record: None,
-        renewed: Duration::ZERO,
         settled: None,
     };
     loop {
@@ -68,6 +81,7 @@
         tokio::select! {
             () = cx.stop.cancelled() => return,
             () = tokio::time::sleep(job.interval()) => {}
+            Ok(()) = job.lease.changed() => {}
         }
     }
 }
@@ -86,9 +100,9 @@
     }
 
     fn interval(&self) -> Duration {
-        match self.settled {
-            Some(_) => INTERVAL,
-            None => UNSETTLED_INTERVAL,
+        match self.settled.is_some() || self.cx.holding.is_cancelled() {
+            true => INTERVAL,
+            false => UNSETTLED_INTERVAL,
         }
     }
 
@@ -101,21 +115,28 @@
             self.settled = None;
         }
         self.give_back();
-        let due = self.record.is_none() || self.renewed + RENEWAL <= now;
-        let reached = !due || self.renew().await;
-        if !reached || self.cx.store.gate().state() == State::Out {
+        let recorded = self.follow_lease().await;
+        let reached = recorded && self.cx.store.gate().state() != State::Out;
+        if !reached || self.is_lapsing() {
             self.ask_for_vouches().await;
-        } else if self.settled.as_ref() != Some(&self.members()) {
+        }
+        if reached && self.settled.as_ref() != Some(&self.neighbours()) {
             self.write_pages().await;
         }
     }
 
-    fn members(&self) -> BTreeSet<Instance> {
-        let mut names = BTreeSet::from([self.cx.settings.instance.clone()]);
-        self.cx.members.for_each(|name, _| {
-            names.insert(name.clone());
+    fn neighbours(&self) -> Neighbours {
+        let here = &self.cx.settings.region;
+        let mut near = BTreeSet::from([self.cx.settings.instance.clone()]);
+        let mut regions = BTreeSet::from([here.clone()]);
+        self.cx.members.for_each(|name, member| {
+            let region = &member.profile.region;
+            regions.insert(region.clone());
+            if region == here {
+                near.insert(name.clone());
+            }
         });
-        names
+        Neighbours { near, regions }
     }
 
     fn give_back(&self) {
@@ -125,31 +146,29 @@
         }
     }
 
-    /// Renews the record or puts another one; false if the store gave no answer.
-    async fn renew(&mut self) -> bool {
-        if let Some(record) = self.record.take() {
-            match record.renew(&self.cx.store).await {
-                store::Renewal::Held(record) => {
-                    let lease = self.lease(&record);
-                    let now = self.now();
-                    self.keeper.renewed(&self.cx.tables.book, lease, now);
-                    self.record = Some(record);
-                    self.renewed = now;
-                    return true;
-                }
-                store::Renewal::Unanswered(record, e) => {
-                    log::warn!("shares: {e}");
-                    self.record = Some(record);
-                    return false;
-                }
-                store::Renewal::Lapsed(_) => {
-                    log::warn!("shares: the record lapsed");
-                    self.keeper.record_lost();
-                }
-            }
+    /// Tells whether the lease was not renewed for long, and ends soon.
+    fn is_lapsing(&self) -> bool {
+        self.book().holds() && self.book().lease().has_lapsed(self.now() + VOUCH_TIME / 2)
+    }
+
+    /// Keeps the record on the instance's lease; false if there is none.
+    async fn follow_lease(&mut self) -> bool {
+        let lease = self.lease.borrow_and_update().clone();
+        let lease = lease.filter(store::Lease::is_valid);
+        let Some(lease) = lease else {
+            self.lose_record();
+            return false;
+        };
+        let id = self.record.as_ref().map(store::Lease::id);
+        if id == Some(lease.id()) {
+            let (until, now) = (self.on_clock(&lease), self.now());
+            self.keeper.renewed(&self.cx.tables.book, until, now);
+            self.record = Some(lease);
+            return true;
         }
-        match self.put_record().await {
-            Ok(()) => true,
+        self.lose_record();
+        match self.put_record(lease).await {
+            Ok(recorded) => recorded,
             Err(e) => {
                 log::warn!("shares: {e}");
                 false
@@ -157,25 +176,32 @@
         }
     }
 
-    async fn put_record(&mut self) -> Result<(), store::Error> {
-        let record = self.cx.store.grant_lease(RECORD_TTL).await?;
+    fn lose_record(&mut self) {
+        if self.record.take().is_some() {
+            log::warn!("shares: the record lapsed");
+            self.keeper.record_lost();
+        }
+    }
+
+    /// Puts the record on a lease; false if another one stands there.
+    async fn put_record(&mut self, lease: store::Lease<store::Held>) -> Result<bool, store::Error> {
         let key = record_key(self.keeper.holder());
         let expected = self.cx.store.get(&key).await?.map_or(0, |e| e.revision);
         let region = self.cx.settings.region.as_str().as_bytes();
-        let swap = self.cx.store.swap(&key, expected, region, Some(&record));
-        if let store::Swap::Done(_) = swap.await? {
-            let (lease, now) = (self.lease(&record), self.now());
-            self.keeper.put(&self.cx.tables.book, lease, now);
-            self.record = Some(record);
-            self.renewed = now;
-            self.settled = None;
-        }
-        Ok(())
+        let swap = self.cx.store.swap(&key, expected, region, Some(&lease));
+        let store::Swap::Done(_) = swap.await? else {
+            return Ok(false);
+        };
+        let (until, now) = (self.on_clock(&lease), self.now());
+        self.keeper.put(&self.cx.tables.book, until, now);
+        self.record = Some(lease);
+        self.settled = None;
+        Ok(true)
     }
 
-    /// Returns the record's lease on the clock of the decisions.
-    fn lease(&self, record: &store::Lease<store::Held>) -> Lease {
-        let left = record.until().saturating_duration_since(Instant::now());
+    /// Returns a lease on the clock of the decisions.
+    fn on_clock(&self, lease: &store::Lease<store::Held>) -> Lease {
+        let left = lease.until().saturating_duration_since(Instant::now());
         Lease {
             until: self.now() + left,
         }
--- a/crates/chiverelayd/src/shares/ledger.rs
+++ b/crates/chiverelayd/src/shares/ledger.rs
@@ -15,6 +15,7 @@
 use chiverelay_store::Swap;
 
 use super::Job;
+use super::Neighbours;
 use super::RECORDS;
 use super::ask_all;
 
@@ -38,10 +39,10 @@
             return;
         }
         // Whoever joins while the pages are written is not on them yet.
-        let members = self.members();
-        match self.try_write_pages(&members).await {
+        let neighbours = self.neighbours();
+        match self.try_write_pages(&neighbours).await {
             Ok(true) => {
-                self.settled = Some(members);
+                self.settled = Some(neighbours);
                 self.cx.holding.cancel();
             }
             Ok(false) => {}
@@ -49,13 +50,18 @@
         }
     }
 
-    async fn try_write_pages(&mut self, members: &BTreeSet<Instance>) -> Result<bool, Error> {
+    async fn try_write_pages(&mut self, neighbours: &Neighbours) -> Result<bool, Error> {
         // The records are read after the pages: whoever is on a page had a
         // record before.
         let pages = self.read_pages().await?;
         let live = self.read_live().await?;
-        let names: BTreeSet<_> = live.keys().map(|h| h.instance.clone()).collect();
-        let mut settled = names == *members;
+        let here = &self.cx.settings.region;
+        let near = live.iter().filter(|(_, region)| *region == here);
+        let found = Neighbours {
+            near: near.map(|(h, _)| h.instance.clone()).collect(),
+            regions: live.values().cloned().collect(),
+        };
+        let mut settled = found == *neighbours;
         let lapsed = self.lapsed(&pages, &live).await;
         for number in 0..PAGES {
             let (revision, page) = pages.get(&number).cloned().unwrap_or_default();
--- a/crates/decisions/src/limits/keeper.rs
+++ b/crates/decisions/src/limits/keeper.rs
@@ -18,9 +18,6 @@
 use super::quorum;
 use crate::names::Instance;
 
-/// Time to live of a holder's record in the store.
-pub const RECORD_TTL: Duration = Duration::from_secs(12);
-
 /// The state of an instance's term.
 ///
 /// # Invariants
--- a/crates/store/src/lease.rs
+++ b/crates/store/src/lease.rs
@@ -27,7 +27,10 @@
 pub struct Lapsed(());
 
 /// A lease in state `S`.
-#[derive(Debug, PartialEq, Eq)]
+///
+/// A copy of a held one is held for no longer than it was when copied, so it
+/// can be shown with writes of other parts than the one that renews it.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Lease<S> {
     id: i64,
     ttl: Duration,
--- a/tests/support/fleet/upkeep.rs
+++ b/tests/support/fleet/upkeep.rs
@@ -5,7 +5,6 @@
 
 use chiverelay_decisions::limits::Holder;
 use chiverelay_decisions::limits::Lease;
-use chiverelay_decisions::limits::keeper::RECORD_TTL;
 use chiverelay_decisions::limits::ledger::Page;
 use chiverelay_decisions::limits::ledger::View;
 use chiverelay_decisions::limits::quorum;
@@ -19,6 +18,9 @@
 use super::Node;
 use super::Post;
 
+/// Time to live of a holder's record in the store.
+const RECORD_TTL: Duration = Duration::from_secs(12);
+
 impl Fleet {
     /// Lets every running instance do its periodic work. `faults` chooses what
     /// becomes of the calls of the store.
