Hand shares over at a planned stop

Cause: the shares of a stopped instance waited for its lease to lapse, 12 to 15 s in which the others refused what it held, and a restarted instance was not ready for as long.

After the last request the instance returns its loans, gives up what is not on loan, then the rest as the loans end, removes its record and tells the region, whose instances take their parts at once. A slot that shrinks now keeps only what is on loan of it, no longer all of it.

limits_site::a_stopped_instance_hands_its_shares_over failed before (never served by one, leases of 600 s) and passes.

--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -21,6 +21,7 @@
 use chiverelay_sibling as sibling;
 use chiverelay_store::Store;
 use chiverelay_target::Client;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -51,8 +52,9 @@
 ///
 /// # Invariants
 ///
-/// `drain` is cancelled before `close`, and that before `stop`; `requests` counts every open request
-/// of callers and siblings, so that `stop` comes after the last of them.
+/// `drain` is cancelled before `close`, that before `idle`, and that before
+/// `stop`; `requests` counts every open request of callers and siblings, so
+/// that `idle` comes after the last of them.
 #[derive(Debug)]
 pub(crate) struct Context {
     /// The settings.
@@ -92,6 +94,10 @@
     pub(crate) registry: Option<Registry>,
     /// Cancelled when this instance first holds the shares that it should.
     pub(crate) holding: CancellationToken,
+    /// Notified when a sibling of the region has handed its shares over.
+    pub(crate) vacated: Notify,
+    /// Cancelled when this instance has handed its shares over, or gave up.
+    pub(crate) handed_over: CancellationToken,
     /// What this instance told holders of shares and reclaimers.
     pub(crate) witness: Ranked<Witness>,
     /// Links to siblings.
@@ -105,6 +111,8 @@
     /// Cancelled when open requests are cut, at the drain timeout.
     pub(crate) cut: CancellationToken,
     /// Cancelled when the last request has ended.
+    pub(crate) idle: CancellationToken,
+    /// Cancelled when the tasks are to end.
     pub(crate) stop: CancellationToken,
     /// Open requests.
     pub(crate) requests: TaskTracker,
@@ -152,12 +160,15 @@
                 .as_ref()
                 .map(|r| Registry::new(r.address, REGISTRY_TIMEOUT)),
             holding: CancellationToken::new(),
+            vacated: Notify::new(),
+            handed_over: CancellationToken::new(),
             witness: Ranked::new(Rank::Members, Witness::new(clock.now())),
             links: Sharded::new(Rank::Links),
             members: Sharded::new(Rank::Members),
             drain: CancellationToken::new(),
             close: CancellationToken::new(),
             cut: CancellationToken::new(),
+            idle: CancellationToken::new(),
             stop,
             requests: TaskTracker::new(),
             addresses,
--- a/crates/chiverelayd/src/instance.rs
+++ b/crates/chiverelayd/src/instance.rs
@@ -65,12 +65,14 @@
 }
 
 impl Instance<Draining> {
-    /// Waits for the open requests, tells issuers what became of their tickets
-    /// and ends all tasks.
+    /// Waits for the open requests, tells issuers what became of their tickets,
+    /// hands the shares over and ends all tasks.
     pub(crate) async fn stop(self, cx: &Arc<Context>) -> Instance<Stopped> {
         cx.requests.close();
         cx.requests.wait().await;
+        cx.idle.cancel();
         settle::flush(cx).await;
+        cx.handed_over.cancelled().await;
         cx.stop.cancel();
         Instance {
             _state: Stopped(()),
--- a/crates/chiverelayd/src/shares.rs
+++ b/crates/chiverelayd/src/shares.rs
@@ -2,6 +2,7 @@
 //! and the messages that move tokens between instances.
 
 mod gather;
+mod handover;
 mod ledger;
 
 use std::collections::BTreeSet;
@@ -73,17 +74,23 @@
         record: None,
         settled: None,
     };
-    loop {
+    while !cx.idle.is_cancelled() {
         tokio::select! {
-            () = cx.stop.cancelled() => return,
+            () = cx.idle.cancelled() => {}
             () = job.step() => {}
         }
         tokio::select! {
-            () = cx.stop.cancelled() => return,
+            () = cx.idle.cancelled() => {}
+            () = cx.vacated.notified() => job.settled = None,
             () = tokio::time::sleep(job.interval()) => {}
             Ok(()) = job.lease.changed() => {}
         }
     }
+    tokio::select! {
+        () = cx.stop.cancelled() => {}
+        () = job.hand_over() => {}
+    }
+    cx.handed_over.cancel();
 }
 
 fn record_key(holder: &Holder) -> String {
@@ -300,6 +307,10 @@
             Message::Word(agrees)
         }
         Message::Release(_) => Message::Word(near && word(cx, message)),
+        Message::Vacated(holder) if near && holder.instance == from.instance => {
+            cx.vacated.notify_one();
+            Message::Done
+        }
         _ => Message::Done,
     }
 }
--- a/crates/chiverelayd/src/shares/ledger.rs
+++ b/crates/chiverelayd/src/shares/ledger.rs
@@ -23,10 +23,10 @@
 const LEDGER: &str = "chiverelay/shares/";
 
 /// The holders that have a record, with their regions.
-type Live = BTreeMap<Holder, Region>;
+pub(super) type Live = BTreeMap<Holder, Region>;
 
 /// The pages by number, with their revisions.
-type Pages = BTreeMap<u16, (i64, Page)>;
+pub(super) type Pages = BTreeMap<u16, (i64, Page)>;
 
 fn key(number: u16) -> String {
     format!("{LEDGER}{number}")
@@ -72,7 +72,7 @@
         Ok(settled)
     }
 
-    async fn read_pages(&self) -> Result<Pages, Error> {
+    pub(super) async fn read_pages(&self) -> Result<Pages, Error> {
         let entries = self.cx.store.list(LEDGER).await?;
         let mut pages = Pages::new();
         for entry in entries {
@@ -91,7 +91,7 @@
         Ok(pages)
     }
 
-    async fn read_live(&self) -> Result<Live, Error> {
+    pub(super) async fn read_live(&self) -> Result<Live, Error> {
         let mut live = Live::new();
         for entry in self.cx.store.list(RECORDS).await? {
             let holder = entry
@@ -148,7 +148,7 @@
 
     /// Writes a page if need be; returns whether this instance holds on it
     /// what it should, and nobody else does who is gone.
-    async fn write_page(
+    pub(super) async fn write_page(
         &mut self,
         number: u16,
         revision: i64,
--- a/crates/decisions/src/limits/book.rs
+++ b/crates/decisions/src/limits/book.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::Ask;
+use super::GivenBack;
 use super::Held;
 use super::LOAN_TIME;
 use super::Lease;
@@ -273,14 +274,20 @@
         })
     }
 
-    /// Gives back the loans that near their end or are not used, and forgets
-    /// shares that hold nothing of note.
-    pub fn sweep(&self, now: Duration) -> Vec<(Instance, Return)> {
-        let mut returns = Vec::new();
+    /// Gives back every loan that is not lent on.
+    pub fn give_back_all(&self, now: Duration) -> Vec<(Instance, Return)> {
         let state = self.state.lock();
+        self.give_back(&state, now, Share::give_back_any)
+    }
+
+    fn give_back<F>(&self, state: &State, now: Duration, give: F) -> Vec<(Instance, Return)>
+    where
+        F: Fn(&mut Share<Held>, Moment) -> Option<GivenBack>,
+    {
+        let mut returns = Vec::new();
         self.shares.for_each(|account, share| {
             let at = state.moment(account, now);
-            while let Some(back) = share.give_back(at) {
+            while let Some(back) = give(share, at) {
                 let message = Return {
                     id: back.id,
                     account: account.clone(),
@@ -289,6 +296,14 @@
                 returns.push((back.lender, message));
             }
         });
+        returns
+    }
+
+    /// Gives back the loans that near their end or are not used, and forgets
+    /// shares that hold nothing of note.
+    pub fn sweep(&self, now: Duration) -> Vec<(Instance, Return)> {
+        let state = self.state.lock();
+        let returns = self.give_back(&state, now, Share::give_back);
         self.shares.retain(|account, share| {
             let full = share.is_untouched() && state.config.accounts.contains_key(account);
             let settled = state.part(account).since + share.time_to_fill() <= now;
@@ -362,8 +377,8 @@
 
     /// Gives up what is held of a slot above `weight`, before the ledger says so.
     ///
-    /// While part of it is on loan nothing is given up and nothing more is
-    /// lent. Returns the weight still held.
+    /// What is on loan of any account is kept until the loan ends, and nothing
+    /// more is lent. Returns the weight still held.
     pub fn shrink(&self, slot: Slot, weight: Weight, now: Duration) -> Weight {
         let mut state = self.state.lock();
         let part = &mut state.parts[usize::from(slot.0)];
@@ -372,21 +387,19 @@
         if weight >= held {
             return held;
         }
-        let mut on_loan = false;
+        let mut left = weight;
         self.shares.for_each(|account, share| {
             if Slot::of(account) == slot {
                 share.advance(state.moment(account, now));
-                on_loan |= share.has_given();
+                left = left.max(share.given());
             }
         });
-        if on_loan {
-            return held;
-        }
+        let left = left.min(held);
         let part = &mut state.parts[usize::from(slot.0)];
-        part.weight = weight;
-        part.closing = false;
-        self.set_base(&state, slot, weight, now);
-        weight
+        part.weight = left;
+        part.closing = left > weight;
+        self.set_base(&state, slot, left, now);
+        left
     }
 
     fn set_base(&self, state: &State, slot: Slot, weight: Weight, now: Duration) {
--- a/crates/decisions/src/limits/ledger.rs
+++ b/crates/decisions/src/limits/ledger.rs
@@ -109,6 +109,11 @@
         own.map(|h| h.weight).sum()
     }
 
+    /// Tells whether a holder has a part of any slot.
+    pub fn has(&self, holder: &Holder) -> bool {
+        self.slots.values().flatten().any(|h| h.holder == *holder)
+    }
+
     /// Lists the holders of a region other than `me`.
     pub fn others(&self, region: &Region, me: &Holder) -> BTreeSet<Holder> {
         let holds = self.slots.values().flatten();
--- a/crates/decisions/src/limits/share.rs
+++ b/crates/decisions/src/limits/share.rs
@@ -190,8 +190,7 @@
     /// Returns the part of the whole that may be spent here.
     fn weight(&self) -> Weight {
         let taken: Weight = self.state.taken.iter().map(|l| l.weight).sum();
-        let given: Weight = self.state.given.iter().map(|l| l.weight).sum();
-        (self.state.base + taken).saturating_sub(given)
+        (self.state.base + taken).saturating_sub(self.given())
     }
 
     fn cap(&self) -> u128 {
@@ -397,8 +396,21 @@
     pub fn give_back(&mut self, at: Moment) -> Option<GivenBack> {
         self.advance(at);
         let idle = self.is_idle(at.now) && self.credit == 0;
+        self.give_back_if(|l| idle || l.until < at.now + CLOSING)
+    }
+
+    /// Gives back one loan, also if it is in use.
+    pub fn give_back_any(&mut self, at: Moment) -> Option<GivenBack> {
+        self.advance(at);
+        self.give_back_if(|_| true)
+    }
+
+    fn give_back_if<F>(&mut self, due: F) -> Option<GivenBack>
+    where
+        F: Fn(&Loan) -> bool,
+    {
         let whole = self.weight();
-        let due = |l: &Loan| l.weight <= whole && (idle || l.until < at.now + CLOSING);
+        let due = |l: &Loan| l.weight <= whole && due(l);
         let i = self.state.taken.iter().position(due)?;
         let loan = self.state.taken.remove(i);
         let burst = u128::from(self.limit.burst) * NANOS;
@@ -431,9 +443,9 @@
         Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX))
     }
 
-    /// Tells whether any part is on loan to others.
-    pub fn has_given(&self) -> bool {
-        !self.state.given.is_empty()
+    /// Returns the part that is on loan to others.
+    pub fn given(&self) -> Weight {
+        self.state.given.iter().map(|l| l.weight).sum()
     }
 
     /// Tells whether a share made anew would be the same as this one.
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -86,6 +86,8 @@
     Release(Holder),
     /// Whether the sender agrees.
     Word(bool),
+    /// The sender holds no shares any more and has no record.
+    Vacated(Holder),
 }
 
 /// A claim of a ticket.
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -52,6 +52,8 @@
     RecordsFirst,
     /// Another region may reclaim a part.
     AnyRegion,
+    /// A leaving holder doesn't wait for its loans to end.
+    LeavesEarly,
 }
 
 /// What travels between instances.
@@ -83,6 +85,7 @@
     born: Duration,
     frozen: bool,
     up: bool,
+    leaving: bool,
     config: Arc<Config>,
     book: Book,
     keeper: Keeper,
@@ -245,6 +248,7 @@
             born: self.now,
             frozen: false,
             up: true,
+            leaving: false,
             config: Arc::clone(&self.config),
             charges: Vec::new(),
             reached_store: None,
@@ -500,6 +504,11 @@
         self.nodes[i] = self.node(name, region, drift);
     }
 
+    /// Lets an instance hand its shares over and stop.
+    pub fn leave(&mut self, i: usize) {
+        self.nodes[i].leaving = true;
+    }
+
     /// Kills an instance for good.
     pub fn kill(&mut self, i: usize) {
         self.measure();
--- a/tests/support/fleet/upkeep.rs
+++ b/tests/support/fleet/upkeep.rs
@@ -46,7 +46,10 @@
         let now = self.clock(i);
         let node = &mut self.nodes[i];
         node.keeper.check(&node.book, now);
-        let returns = node.book.sweep(now);
+        let returns = match node.leaving {
+            true => node.book.give_back_all(now),
+            false => node.book.sweep(now),
+        };
         for (lender, back) in returns {
             if let Some(to) = self.nodes.iter().position(|n| n.name == lender) {
                 let message = Message::Return(back);
@@ -60,6 +63,7 @@
         if self.reaches_store(i) && call != Call::Lost {
             self.renew(i, call);
             self.write(i, call);
+            self.depart(i);
         } else {
             self.vouch(i);
         }
@@ -90,7 +94,11 @@
     }
 
     fn live(&self, i: usize) -> (Vec<Instance>, BTreeSet<Region>) {
+        let leaver = self.nodes[i].leaving.then(|| &self.nodes[i].name);
         let recorded = |n: &&Node| {
+            if leaver == Some(&n.name) {
+                return false;
+            }
             let names = self.store.records.keys();
             names.into_iter().any(|h| h.instance == n.name)
         };
@@ -158,7 +166,8 @@
             regions: &regions,
             lapsed: &lapsed,
         };
-        let planned = if self.flaw == Flaw::RecordsFirst {
+        let early = self.flaw == Flaw::LeavesEarly && node.leaving;
+        let planned = if early || self.flaw == Flaw::RecordsFirst {
             Some(page.plan(self.page, &view, |_, weight| weight))
         } else {
             node.keeper.plan(&node.book, self.page, &page, &view, now)
@@ -191,6 +200,17 @@
         }
     }
 
+    /// Stops a leaving instance that the ledger shows nothing of.
+    fn depart(&mut self, i: usize) {
+        let node = &self.nodes[i];
+        let holder = node.keeper.holder().clone();
+        let holds = node.book.holds() && self.flaw != Flaw::LeavesEarly;
+        if node.leaving && !holds && !self.store.page.has(&holder) {
+            self.store.records.remove(&holder);
+            self.kill(i);
+        }
+    }
+
     /// Lets a late write of the ledger arrive.
     pub fn arrive(&mut self) {
         if self.store.late.is_empty() {
--- a/tests/testsuite/limits.rs
+++ b/tests/testsuite/limits.rs
@@ -65,7 +65,7 @@
         let tokens = u64::from(self.amount) % 3000 + 1;
         let post = usize::from(self.amount);
         let allowed = |n: u32| faults >> n & 1 == 1;
-        match self.kind % 64 {
+        match self.kind % 66 {
             0..=9 => drop(fleet.request(i, tokens, tokens)),
             10..=15 => drop(fleet.request(i, tokens, self.faults % (tokens + 1))),
             16..=19 => fleet.drain(i),
@@ -85,6 +85,8 @@
             61 if allowed(7) => fleet.limit(tokens / 2, tokens * 2),
             62 => fleet.configure(i),
             63 if allowed(8) => fleet.alone(i, flag),
+            64 if allowed(9) => fleet.leave(i),
+            65 if allowed(9) => fleet.restart(i),
             _ => fleet.round(0),
         }
     }
@@ -187,6 +189,21 @@
     fleet.drain_all();
 }
 
+fn leaves_with_loans(fleet: &mut Fleet) {
+    fleet.request(0, 4000, 1);
+    fleet.deliver_all();
+    (0..fleet.len()).for_each(|i| fleet.settle(i));
+    fleet.leave(1);
+    fleet.leave(2);
+    // What was lent is spent at the taker while the others grow.
+    for _ in 0..8 {
+        fleet.round(0);
+        fleet.pass(Duration::from_millis(300));
+        fleet.drain_all();
+    }
+    spend_for(fleet, 30);
+}
+
 fn isolated(fleet: &mut Fleet) {
     fleet.alone(0, true);
     spend_for(fleet, 120);
@@ -207,6 +224,7 @@
     check_script:
     a_doubled_loan(doubled, Flaw::AppliesTwice);
     a_late_loan(late, Flaw::CountsFromArrival);
+    a_holder_that_leaves(leaves_with_loans, Flaw::LeavesEarly);
     a_holder_alone(isolated, Flaw::VouchesForItself);
     a_holder_that_others_vouched_for(store_returns_to_others_first, Flaw::AsksNobody);
 }
--- a/tests/testsuite/limits_site.rs
+++ b/tests/testsuite/limits_site.rs
@@ -107,3 +107,32 @@
         .await;
     });
 }
+
+/// No lease lapses in the time of the test.
+#[test]
+fn a_stopped_instance_hands_its_shares_over() {
+    block_on(async {
+        let mut site = Site::empty().await;
+        let store = json!({"address": site.store_address, "lease-seconds": 600});
+        for name in ["lima-1", "lima-2"] {
+            site.start_daemon(name, "lima", &json!({"store": store}));
+        }
+        site.joined().await;
+        let (_, address) = site.engine("engine-1", Duration::ZERO).await;
+        let mut document = document(&[("engine-1", address, "lima")], &[]);
+        document["accounts"]["encargos"] = json!({"rate": BURST, "burst": BURST});
+        site.apply("lima-1", document).await;
+        let key = site.grant("lima-1", "encargos").await.key;
+        // More than either holds: the other lends.
+        let body = json!({"model": "taller-llm", "max_tokens": 1500, "messages": []});
+        let address = site.daemon("lima-1").caller;
+        let served = async || {
+            let answer = caller::post(address, PATH, &key, &body).await;
+            answer.is_ok_and(|a| a.status.is_success())
+        };
+        eventually("a request is served by both", served).await;
+        site.daemon("lima-2").process.terminate();
+        assert!(site.daemon_mut("lima-2").process.wait());
+        eventually("a request is served by one", served).await;
+    });
+}
