--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -94,6 +94,8 @@
     /// Makes the receiver the decider of an origin. Answered by
     /// [`Message::Word`].
     Commit(Commit),
+    /// The sender holds no shares any more and has no record.
+    Vacated(Holder),
 }
 
 /// A claim of a ticket.
