Give the writers of idempotency keys a larger part of the store's writes

The store's writes were shared evenly, so that each of four writers among 330 instances had 0.36 calls a second where 60 are needed, and keys were refused as state_unavailable. A writer now takes one of four places in the store under a lease, and a place gives 0.17 / 4 of the writes above an even part of 0.25. Weights by each instance's own view were ruled out: regions cut from each other would each have four.

The batch needed no change: it holds what came while the last call waited for its turn.

The even part falls from 0.4 to 0.25 of the writes, 75 a second at 330: room for one lease an instance, not for two.

--- a/crates/chiverelayd/src/cmd/run.rs
+++ b/crates/chiverelayd/src/cmd/run.rs
@@ -25,6 +25,7 @@
 use crate::shares;
 use crate::sibling::Siblings;
 use crate::wait;
+use crate::writers;
 
 /// Time for the requests that are cut to tell their callers.
 const CUT_TIME: Duration = Duration::from_secs(2);
@@ -71,6 +72,7 @@
     tokio::spawn(wait::run(Arc::clone(&cx)));
     tokio::spawn(load::run(Arc::clone(&cx)));
     tokio::spawn(settle::run(Arc::clone(&cx)));
+    tokio::spawn(writers::run(Arc::clone(&cx)));
     tokio::spawn(hints::run(Arc::clone(&cx)));
     tokio::spawn(
         endpoint
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -28,6 +28,7 @@
 mod sibling;
 mod wait;
 mod workers;
+mod writers;
 
 use std::process::ExitCode;
 
--- a/crates/chiverelayd/src/operations.rs
+++ b/crates/chiverelayd/src/operations.rs
@@ -10,6 +10,7 @@
 use chiverelay_decisions::handover::Deciders;
 use chiverelay_decisions::idempotency;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::pacing::PLACES;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Grant;
@@ -61,9 +62,6 @@
 /// Tries to reach a ticket's issuer.
 const TRIES: usize = 2;
 
-/// Instances that write idempotency keys to the store.
-const WRITERS: usize = 4;
-
 /// When a caller may ask again for an operation that may be running.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -339,14 +337,20 @@
 
 /// Returns the sibling that writes a name to the store, unless that is here.
 fn writer(cx: &Context, name: &str) -> Option<Instance> {
+    let live = live(cx);
+    let writer = idempotency::writer(name, &live, PLACES)?;
+    (*writer != cx.settings.instance).then(|| writer.clone())
+}
+
+/// Returns the instances that serve, with this one.
+pub(crate) fn live(cx: &Context) -> Vec<Instance> {
     let mut live = vec![cx.settings.instance.clone()];
     cx.tables.siblings.for_each(|instance, s| {
         if s.serving {
             live.push(instance.clone());
         }
     });
-    let writer = idempotency::writer(name, &live, WRITERS)?;
-    (*writer != cx.settings.instance).then(|| writer.clone())
+    live
 }
 
 /// Tells the issuer what became of a claim, and keeps it if that is lost.
--- a/crates/decisions/src/idempotency.rs
+++ b/crates/decisions/src/idempotency.rs
@@ -32,10 +32,15 @@
 /// Few writers make large batches: the writes a second are bounded by the
 /// writers and their batch time, not by the requests.
 pub fn writer<'a>(name: &str, live: &'a [Instance], writers: usize) -> Option<&'a Instance> {
+    chosen(live, writers)
+        .into_iter()
+        .max_by_key(|i| xxh3_64(format!("{name}/{i}").as_bytes()))
+}
+
+/// Chooses the instances that write names to the store.
+pub fn chosen(live: &[Instance], writers: usize) -> Vec<&Instance> {
     let mut chosen: Vec<&Instance> = live.iter().collect();
     chosen.sort_by_key(|i| std::cmp::Reverse((xxh3_64(i.as_str().as_bytes()), i.as_str())));
     chosen.truncate(writers);
     chosen
-        .into_iter()
-        .max_by_key(|i| xxh3_64(format!("{name}/{i}").as_bytes()))
 }
--- a/crates/decisions/src/pacing.rs
+++ b/crates/decisions/src/pacing.rs
@@ -8,6 +8,42 @@
 /// Time whose calls may start at once after a pause.
 const CREDIT: Duration = Duration::from_secs(1);
 
+/// Instances that may hold a writer's place at once.
+pub const PLACES: usize = 4;
+
+/// The part of the store's reads that the instances share.
+const READS: f64 = 0.4;
+
+/// The part of the store's writes that the instances share.
+const WRITES: f64 = 0.25;
+
+/// The part of the store's writes that the places share.
+const PLACED: f64 = 0.17;
+
+/// Returns an instance's part of the store's reads.
+pub fn part_of_reads(fleet: u32) -> f64 {
+    READS / f64::from(fleet.max(1))
+}
+
+/// Returns an instance's part of the store's writes.
+///
+/// The places are held under leases in the store, so that there are never
+/// more than [`PLACES`], whoever takes himself for a writer. All parts
+/// together stay under half as long as each instance knows four fifths of the
+/// fleet. In a fleet smaller than the places nobody holds one.
+pub fn part_of_writes(fleet: u32, placed: bool) -> f64 {
+    let fleet = fleet.max(1);
+    let shared = match fleet < PLACES as u32 {
+        true => WRITES + PLACED,
+        false => WRITES,
+    };
+    let even = shared / f64::from(fleet);
+    match placed {
+        true => even + PLACED / PLACES as f64,
+        false => even,
+    }
+}
+
 /// Gives out start times of calls, in order.
 ///
 /// # Invariants
--- a/crates/store/src/gate.rs
+++ b/crates/store/src/gate.rs
@@ -4,6 +4,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use chiverelay_decisions::pacing;
 use chiverelay_decisions::pacing::Pacer;
 use chiverelay_decisions::store_session::Event;
 use chiverelay_decisions::store_session::Session;
@@ -20,9 +21,6 @@
 /// Instances assumed to share the store before their number is known.
 const UNKNOWN_FLEET: u32 = 32;
 
-/// The part of the store's rates that the instances together may use.
-const SHARE: f64 = 0.4;
-
 /// The store's rates, which all instances share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
@@ -56,9 +54,23 @@
     session: Session,
     reads: Pacer,
     writes: Pacer,
+    fleet: u32,
+    /// Until when a writer's place is held.
+    placed_until: Option<Instant>,
 }
 
 impl Inner {
+    /// Sets the rates to this instance's parts.
+    fn set_rates(&mut self, budget: &Budget) {
+        let placed = self
+            .placed_until
+            .is_some_and(|until| Instant::now() < until);
+        let writes = pacing::part_of_writes(self.fleet, placed);
+        self.writes.set_rate(budget.writes * writes);
+        let reads = pacing::part_of_reads(self.fleet);
+        self.reads.set_rate(budget.reads * reads);
+    }
+
     /// Lets calls start anew after an outage, without a burst.
     fn restart(&mut self, now: Duration) {
         let random = self.rng.next_u64();
@@ -78,17 +90,20 @@
 impl Gate {
     /// Makes a gate for one instance; `seed` sets its jitter.
     pub fn new(budget: Budget, seed: u64) -> Self {
-        let part = SHARE / f64::from(UNKNOWN_FLEET);
+        let mut inner = Inner {
+            rng: StdRng::seed_from_u64(seed),
+            session: Session::new(),
+            reads: Pacer::new(budget.reads),
+            writes: Pacer::new(budget.writes),
+            fleet: UNKNOWN_FLEET,
+            placed_until: None,
+        };
+        inner.set_rates(&budget);
         Self {
             start: Instant::now(),
             budget,
             calls: Calls::default(),
-            inner: Mutex::new(Inner {
-                rng: StdRng::seed_from_u64(seed),
-                session: Session::new(),
-                reads: Pacer::new(budget.reads * part),
-                writes: Pacer::new(budget.writes * part),
-            }),
+            inner: Mutex::new(inner),
         }
     }
 
@@ -98,10 +113,12 @@
 
     /// Sets the number of instances that share the store.
     pub fn set_fleet(&self, instances: u32) {
-        let part = SHARE / f64::from(instances.max(1));
-        let mut inner = self.lock();
-        inner.reads.set_rate(self.budget.reads * part);
-        inner.writes.set_rate(self.budget.writes * part);
+        self.lock().fleet = instances;
+    }
+
+    /// Sets until when a writer's place is held, if it is.
+    pub fn set_place(&self, until: Option<Instant>) {
+        self.lock().placed_until = until;
     }
 
     /// Returns the session's state.
@@ -121,6 +138,7 @@
         if !inner.session.may_call(now, random) {
             return Err(Error::Out);
         }
+        inner.set_rates(&self.budget);
         let pacer = match kind.is_write() {
             true => &mut inner.writes,
             false => &mut inner.reads,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,3 +35,4 @@
 mod timeline;
 mod tool;
 mod whole;
+mod writers;
