--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -13,6 +13,7 @@
 mod load;
 mod members;
 mod metrics;
+mod notes;
 mod once;
 mod operate;
 mod operations;
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -66,6 +66,8 @@
     pub(crate) registry: Option<RegistrySettings>,
     /// The network that the instance stands in.
     pub(crate) network: NetworkSettings,
+    /// Siblings to ask while none is heard of in another way.
+    pub(crate) seeds: Vec<SeedSettings>,
     /// Address of a StatsD server.
     pub(crate) metrics: Option<SocketAddr>,
     /// Workers over the shared tables.
@@ -155,6 +157,17 @@
     pub(crate) address: SocketAddr,
 }
 
+/// A sibling to ask, whose certificate must carry the name.
+#[derive(Clone, Debug)]
+pub(crate) struct SeedSettings {
+    /// Its name.
+    pub(crate) instance: Instance,
+    /// Its region.
+    pub(crate) region: Region,
+    /// Its address for siblings.
+    pub(crate) address: SocketAddr,
+}
+
 impl StoreSettings {
     /// Returns the rates that the instances share.
     pub(crate) fn budget(&self) -> Budget {
@@ -176,6 +189,7 @@
     store,
     registry = None,
     network = NetworkSettings::default(),
+    seeds = Vec::new(),
     metrics = None,
     workers = 4 => at_least_one,
     threads = 4 => at_least_one,
@@ -218,6 +232,12 @@
 
 read_struct!(RegistrySettings { address });
 
+read_struct!(SeedSettings {
+    instance,
+    region,
+    address,
+});
+
 fn at_least_one<N>(n: &N) -> Result<(), String>
 where
     N: Default + PartialEq,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,4 +35,5 @@
 mod timeline;
 mod tool;
 mod whole;
+mod workers;
 mod writers;
