--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,3 +37,4 @@
 mod tool;
 mod whole;
 mod workers;
+mod writers;
