Measure the time to the first piece that is passed on

Cause: first_token_ms was taken when the head of an answer came, which for a stream is long before its first event. It is now taken when the first piece goes to the caller; an answer that was recorded before is not counted, as no token is made for it.

--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -173,6 +173,7 @@
 
 fn request(id: u64) -> Request<Admitted, Direct> {
     let head = Head {
+        received: Duration::ZERO,
         id: id.to_string().into(),
         deadline: Duration::from_secs(3600),
         model: None,
--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -76,30 +76,43 @@
 
 /// Who waits for an answer.
 pub(crate) enum Sink {
-    /// A caller.
-    Caller(caller::Sender),
+    /// A caller, which waits for the first piece since then.
+    Caller {
+        tx: caller::Sender,
+        since: Option<Duration>,
+    },
     /// A sibling.
     Sibling(sibling::FrameSender),
 }
 
 impl Sink {
-    async fn send(&mut self, data: Bytes) -> bool {
+    /// Passes a piece on; false if nobody waits for it any more.
+    async fn send(&mut self, cx: &Context, data: Bytes) -> bool {
+        if data.is_empty() {
+            return true;
+        }
         match self {
-            Self::Caller(tx) => tx.send(data).await,
+            Self::Caller { tx, since } => {
+                let sent = tx.send(data).await;
+                if sent && let Some(since) = since.take() {
+                    cx.metrics.first_token(cx.clock.now() - since);
+                }
+                sent
+            }
             Self::Sibling(tx) => tx.send(&Frame::Data(data.to_vec())).await.is_ok(),
         }
     }
 
     async fn closed(&mut self) {
         match self {
-            Self::Caller(tx) => tx.closed().await,
+            Self::Caller { tx, .. } => tx.closed().await,
             Self::Sibling(tx) => tx.closed().await,
         }
     }
 
     async fn finish(self) {
         match self {
-            Self::Caller(tx) => {
+            Self::Caller { tx, .. } => {
                 tx.finish().await;
             }
             Self::Sibling(mut tx) => {
@@ -111,7 +124,7 @@
 
     async fn abort(self, refusal: Refusal, framing: Framing) {
         match self {
-            Self::Caller(tx) => {
+            Self::Caller { tx, .. } => {
                 if framing == Framing::Events {
                     tx.send(caller::error_event(&refusal)).await;
                 }
@@ -227,7 +240,7 @@
         match &end {
             End::Whole => {
                 if let Some(kept) = self.kept {
-                    self.sink.send(kept.settle(cx).await).await;
+                    self.sink.send(cx, kept.settle(cx).await).await;
                 }
                 self.sink.finish().await;
             }
@@ -253,7 +266,7 @@
         R: Resume,
     {
         for _ in 0..RESUMES {
-            let end = self.pipe(checker).await;
+            let end = self.pipe(cx, checker).await;
             let Some(last_id) = resume_after(&end, checker) else {
                 return end;
             };
@@ -264,10 +277,10 @@
             std::mem::replace(&mut self.source, source).finish(cx, &self.grant);
             checker.resume();
         }
-        self.pipe(checker).await
+        self.pipe(cx, checker).await
     }
 
-    async fn pipe(&mut self, checker: &mut Checker) -> End {
+    async fn pipe(&mut self, cx: &Context, checker: &mut Checker) -> End {
         let mut waited_for = true;
         loop {
             let piece = tokio::select! {
@@ -302,7 +315,7 @@
                 Some(kept) => kept.push(data, checker.is_done()),
                 None => data,
             };
-            if waited_for && !data.is_empty() && !self.sink.send(data).await {
+            if waited_for && !self.sink.send(cx, data).await {
                 waited_for = false;
                 if self.kept.is_none() {
                     return End::Left;
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -133,6 +133,7 @@
             .record(id, None, Step::Receive, Peer::Caller, inbound.path.as_str());
         let head = Head {
             id: id.clone(),
+            received: started,
             deadline: started + Duration::from_millis(DEFAULT_DEADLINE_MS),
             model: inbound.model,
             prompt_tokens: inbound.prompt_tokens,
@@ -164,9 +165,8 @@
             None => self.run(req, out, &mut None).await,
             Some(mark) => self.run_marked(req, out, mark).await,
         };
-        match &reply {
-            Ok(_) => self.cx.metrics.first_token(self.cx.clock.now() - started),
-            Err(refusal) => self.refund(&grant, refusal),
+        if let Err(refusal) = &reply {
+            self.refund(&grant, refusal);
         }
         reply
     }
@@ -315,7 +315,10 @@
             deadline: req.head().deadline,
             framing: head.framing,
             source,
-            sink: Sink::Caller(tx),
+            sink: Sink::Caller {
+                tx,
+                since: Some(req.head().received),
+            },
             kept,
         };
         let cx = Arc::clone(&self.cx);
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -91,6 +91,7 @@
             .map_err(|_| Refusal::before_dispatch(Code::Malformed, Step::Receive, peer))?;
         let head = Head {
             id: req.id,
+            received: now,
             deadline: now + Duration::from_millis(req.remaining_ms),
             model: None,
             prompt_tokens: req.prompt_tokens,
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -84,6 +84,8 @@
 pub struct Head {
     /// The request's identifier.
     pub id: RequestId,
+    /// When the request came in, on the local monotonic clock.
+    pub received: Duration,
     /// When the answer must be complete, on the local monotonic clock.
     pub deadline: Duration,
     /// The model asked for, if any.
--- a/tests/support/replay/gateway.rs
+++ b/tests/support/replay/gateway.rs
@@ -118,6 +118,7 @@
 
     fn head(ask: &Ask, id: usize) -> Head {
         Head {
+            received: Duration::ZERO,
             id: id.to_string().into(),
             deadline: ask.at + DEADLINE,
             model: None,
--- a/tests/testsuite/residency.rs
+++ b/tests/testsuite/residency.rs
@@ -96,6 +96,7 @@
 
 fn head(id: u64) -> Head {
     Head {
+        received: Duration::ZERO,
         id: id.to_string().into(),
         deadline: Duration::from_secs(60),
         model: None,
