Test that no secret is logged or told, and hide the issuer's key

Two daemons log at RUST_LOG=debug into files while a key is granted, used, passed on, misused in a body, in a path and with a wrong secret, withdrawn and used again, and an operator's token is refused. Neither the logs nor the time line may have the key's secret, the wrong one, the operators' token or a line of a private key.

The signing key of tickets is made within the process and can't be searched for, so its type is tested: Issuer's derived Debug printed the key, which nothing logged; it is left out now.

--- a/crates/decisions/src/tickets.rs
+++ b/crates/decisions/src/tickets.rs
@@ -154,13 +154,21 @@
 }
 
 /// Signs and checks the tickets of one incarnation of an instance.
-#[derive(Debug)]
 pub struct Issuer {
     instance: Instance,
     incarnation: u64,
     key: [u8; KEY_BYTES],
 }
 
+impl fmt::Debug for Issuer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Issuer")
+            .field("instance", &self.instance)
+            .field("incarnation", &self.incarnation)
+            .finish_non_exhaustive()
+    }
+}
+
 /// A ticket whose signature and expiry were checked by its issuer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Checked {
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -1,7 +1,9 @@
 //! The project's programs as processes.
 
+use std::fs::File;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -68,8 +70,19 @@
 impl Process {
     /// Starts a program.
     pub fn start(program: &str, args: &[&str]) -> Self {
-        let mut child = Command::new(programs().join(program))
-            .args(args)
+        let mut command = Command::new(programs().join(program));
+        Self::spawn(command.args(args))
+    }
+
+    /// Starts a program that logs all that it can into a file.
+    pub fn start_logged(program: &str, args: &[&str], log: &Path) -> Self {
+        let log = File::create(log).expect("a file for the log");
+        let mut command = Command::new(programs().join(program));
+        Self::spawn(command.args(args).env("RUST_LOG", "debug").stderr(log))
+    }
+
+    fn spawn(command: &mut Command) -> Self {
+        let mut child = command
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -76,6 +77,7 @@
     /// The daemons by name.
     pub daemons: BTreeMap<String, Daemon>,
     links: BTreeMap<String, Links>,
+    logged: bool,
     dir: TempDir,
     cancel: CancellationToken,
     _guard: DropGuard,
@@ -129,12 +131,33 @@
             store_address,
             daemons: BTreeMap::new(),
             links: BTreeMap::new(),
+            logged: false,
             dir,
             _guard: cancel.clone().drop_guard(),
             cancel,
         }
     }
 
+    /// Like [`Site::start`], with daemons that log all that they can.
+    pub async fn start_logged(daemons: &[(&str, &str)]) -> Self {
+        let mut site = Self::empty().await;
+        site.logged = true;
+        for (name, region) in daemons {
+            site.start_daemon(name, region, &json!({}));
+        }
+        site.joined().await;
+        site
+    }
+
+    fn log_path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(format!("{name}.log"))
+    }
+
+    /// Returns what a daemon has logged.
+    pub fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.log_path(name)).expect("a log")
+    }
+
     async fn link(&mut self, name: &str) {
         let sibling = UdpLink::bind().await.expect("a free port");
         tokio::spawn(Arc::clone(&sibling).run(self.cancel.clone()));
@@ -223,7 +246,10 @@
         }
         let path = self.path(&format!("{name}.jsonc"));
         std::fs::write(&path, settings.to_string()).expect("settings can be written");
-        let process = Process::start("chiverelayd", &["run", &path]);
+        let process = match self.logged {
+            true => Process::start_logged("chiverelayd", &["run", &path], &self.log_path(name)),
+            false => Process::start("chiverelayd", &["run", &path]),
+        };
         let ready: BTreeMap<String, SocketAddr> =
             serde_json::from_str(&process.line("ready")).expect("the addresses");
         if let Some(links) = self.links.get(name) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod registry;
 mod replay;
 mod residency;
+mod secrets;
 mod settings;
 mod settlements;
 mod store;
