Start stand-ins and write single keys in one place each

RunningStore and RunningRegistry started their listener alike, and swap and swap_settled filled in the same write. No change in behaviour.

--- a/crates/store/src/swap.rs
+++ b/crates/store/src/swap.rs
@@ -98,7 +98,19 @@
     }
 }
 
-impl Write<'_> {
+impl<'a> Write<'a> {
+    /// Makes a write of one key alone.
+    fn alone(key: &'a str, expected: i64, value: &'a [u8], lease: Option<&'a Lease<Held>>) -> Self {
+        Self {
+            key,
+            expected,
+            value,
+            lease,
+            puts: &[],
+            deletes: &[],
+        }
+    }
+
     fn request(&self) -> api::TxnRequest {
         let key = api::encode(self.key.as_bytes());
         let lease = self.lease.map_or(0, Lease::id);
@@ -135,15 +147,7 @@
         value: &[u8],
         lease: Option<&Lease<Held>>,
     ) -> Result<Swap, Error> {
-        self.write(&Write {
-            key,
-            expected,
-            value,
-            lease,
-            puts: &[],
-            deletes: &[],
-        })
-        .await
+        self.write(&Write::alone(key, expected, value, lease)).await
     }
 
     /// Deletes keys in one call, whatever stands there.
@@ -245,14 +249,7 @@
         value: &[u8],
         lease: Option<&Lease<Held>>,
     ) -> Result<Settled, Error> {
-        let write = Write {
-            key,
-            expected,
-            value,
-            lease,
-            puts: &[],
-            deletes: &[],
-        };
+        let write = Write::alone(key, expected, value, lease);
         self.write_settled(&write, |found| found == value).await
     }
 }
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's stand-ins in the test's own process.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,33 +19,45 @@
     (listener, address)
 }
 
-/// A running stand-in store.
+/// A stand-in that runs until this is dropped.
 #[derive(Debug)]
-pub struct RunningStore {
+pub struct Running<S> {
     /// Its state and faults.
-    pub state: Arc<Store>,
+    pub state: Arc<S>,
     /// Its address.
     pub address: SocketAddr,
     _guard: DropGuard,
 }
 
-impl RunningStore {
-    /// Starts an empty store.
-    pub async fn start() -> Self {
-        let state = Arc::new(Store::default());
+/// A running stand-in store.
+pub type RunningStore = Running<Store>;
+
+/// A running stand-in registry.
+pub type RunningRegistry = Running<Registry>;
+
+impl<S> Running<S> {
+    async fn serve<F, R>(state: S, serve: F) -> Self
+    where
+        F: FnOnce(Arc<S>, TcpListener, CancellationToken) -> R,
+        R: Future<Output = ()> + Send + 'static,
+    {
+        let state = Arc::new(state);
         let (listener, address) = listener().await;
         let cancel = CancellationToken::new();
-        tokio::spawn(chiverelay_standin::store::serve(
-            Arc::clone(&state),
-            listener,
-            cancel.clone(),
-        ));
+        tokio::spawn(serve(Arc::clone(&state), listener, cancel.clone()));
         Self {
             state,
             address,
             _guard: cancel.drop_guard(),
         }
     }
+}
+
+impl Running<Store> {
+    /// Starts an empty store.
+    pub async fn start() -> Self {
+        Self::serve(Store::default(), chiverelay_standin::store::serve).await
+    }
 
     /// Returns a client whose calls end within `timeout`.
     pub fn client(&self, timeout: Duration) -> store::Store {
@@ -54,31 +67,9 @@
     }
 }
 
-/// A running stand-in registry.
-#[derive(Debug)]
-pub struct RunningRegistry {
-    /// Its state and faults.
-    pub state: Arc<Registry>,
-    /// Its address.
-    pub address: SocketAddr,
-    _guard: DropGuard,
-}
-
-impl RunningRegistry {
+impl Running<Registry> {
     /// Starts an empty registry whose list is behind by `lag`.
     pub async fn start(lag: Duration) -> Self {
-        let state = Arc::new(Registry::new(lag));
-        let (listener, address) = listener().await;
-        let cancel = CancellationToken::new();
-        tokio::spawn(chiverelay_standin::registry::serve(
-            Arc::clone(&state),
-            listener,
-            cancel.clone(),
-        ));
-        Self {
-            state,
-            address,
-            _guard: cancel.drop_guard(),
-        }
+        Self::serve(Registry::new(lag), chiverelay_standin::registry::serve).await
     }
 }
