--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -6,6 +6,8 @@
 mod context;
 mod dispatch;
 mod forward;
+mod handover;
+mod hints;
 mod instance;
 mod keys;
 mod load;
--- a/crates/store/src/swap.rs
+++ b/crates/store/src/swap.rs
@@ -118,7 +118,7 @@
         let read = api::RequestOp {
             request_range: Some(api::RangeRequest {
                 key,
-                range_end: String::new(),
+                ..api::RangeRequest::default()
             }),
             ..api::RequestOp::default()
         };
