--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod replay;
 mod residency;
 mod restarts;
+mod secrets;
 mod settings;
 mod settlements;
 mod store;
