Test that a resumed stream stays within its residency

A property over 500 random configurations before and after the cut, and cut streams end to end whose only other target is in another region, bound by route, by account and by nothing.

--- a/tests/testsuite/residency.rs
+++ b/tests/testsuite/residency.rs
@@ -28,6 +28,7 @@
 use chiverelay_sibling::Endpoint;
 use chiverelay_sibling::Forward;
 use chiverelay_sibling::Frame;
+use chiverelay_standin::faults::Faults;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use rand::RngExt;
@@ -183,6 +184,90 @@
         .quickcheck(stays_within as fn(u64) -> bool);
 }
 
+/// Whatever becomes of the configuration while a stream runs, its attempt to
+/// resume is placed where admission and the configuration then allow, at a
+/// target that did not have it, or is refused as one that may have run.
+fn resumes_within(seed: u64) -> bool {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let tables = tables(&mut rng);
+    let here = Region::from(REGIONS[rng.random_range(0..3)]);
+    (1..40).all(|step| {
+        let now = Duration::from_millis(step * 500);
+        let before = some_config(step * 2, &mut rng);
+        tables.config.advance(Arc::new(before.clone()));
+        let grant = grant(&before);
+        let req = Request::from_caller(head(step)).admit(grant.clone());
+        let Ok(Placement::Here(req)) = gateway::place(&tables, req, &here, Turn::New, now) else {
+            return true;
+        };
+        let cut = req.target().clone();
+        let Ok(again) = req.dispatch().repeat() else {
+            return false;
+        };
+        let after = some_config(step * 2 + 1, &mut rng);
+        tables.config.advance(Arc::new(after.clone()));
+        match gateway::place(&tables, again, &here, Turn::New, now) {
+            Ok(Placement::Here(req)) => {
+                *req.target() != cut
+                    && after.pools["p"].targets[req.target()].region == here
+                    && allowed(&grant, &after, &here)
+            }
+            Ok(Placement::Away(req)) => allowed(&grant, &after, req.region()),
+            Ok(Placement::Wait(_)) => allowed(&grant, &after, &here),
+            Err(refusal) => refusal.outcome == Outcome::Unknown,
+        }
+    })
+}
+
+#[test]
+fn resumed_streams_stay_within_their_residency() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 5))
+        .tests(500)
+        .quickcheck(resumes_within as fn(u64) -> bool);
+}
+
+/// A stream that is cut has no other target in the regions that its route, or
+/// its account, allows: it ends as cut, and the target elsewhere gets nothing.
+fn check_cut(bound: fn(&mut Value)) {
+    block_on(async {
+        let site = Site::start(&[("lima-1", "lima"), ("cusco-1", "cusco")]).await;
+        let (one, first) = site.engine("engine-1", Duration::from_millis(1)).await;
+        let (two, second) = site.engine("engine-2", Duration::from_millis(1)).await;
+        let engines = [("engine-1", first, "lima"), ("engine-2", second, "cusco")];
+        let mut doc = document(&engines, &[]);
+        doc["pools"]["engines"]["resume"] = json!(true);
+        bound(&mut doc);
+        site.apply("lima-1", doc).await;
+        let key = site.grant("lima-1", "encargos").await.key;
+        one.script.set(Faults {
+            cut_after: Some(10),
+            ..Faults::default()
+        });
+        let body = json!({
+            "model": "taller-llm", "stream": true, "max_tokens": 50,
+            "messages": [{"role": "user", "content": "a quote"}],
+        });
+        let caller = site.daemon("lima-1").caller;
+        let answer = caller::post(caller, "/v1/chat/completions", &key, &body).await;
+        let text = answer.expect("an answer").text();
+        assert!(
+            text.contains("word9 ") && !text.contains("word10 "),
+            "{text}"
+        );
+        assert!(!text.contains("[DONE]"), "{text}");
+        assert_eq!((one.taken(), two.taken()), (1, 0));
+    });
+}
+
+cases! {
+    check_cut:
+    a_cut_stream_bound_by_its_route(|d| d["routes"]["chat"]["residency"] = json!(["lima"]));
+    a_cut_stream_bound_by_its_account(|d| d["accounts"]["encargos"]["residency"] = json!(["lima"]));
+    /// It is resumed in the region or not at all.
+    a_cut_stream_bound_by_nothing(|_| {});
+}
+
 /// Returns a request that a sibling might pass on, for a route.
 fn forward(route: &str) -> Forward {
     let body = json!({"model": "taller-llm", "max_tokens": 2, "messages": []});
