--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -7,7 +7,6 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -18,13 +17,16 @@
 use chiverelay_decisions::membership::Status;
 use chiverelay_decisions::membership::Summaries;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
 use chiverelay_decisions::tables::Rank;
 use chiverelay_decisions::tables::Ranked;
 use chiverelay_sibling as sibling;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
+use chiverelay_store as store;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
 use crate::context::Context;
@@ -75,9 +77,9 @@
     summaries: Ranked<Summaries>,
     /// Instances that the registry lists as leaving.
     leaving: Ranked<HashSet<Instance>>,
-    /// When the lease of the record lapses, in milliseconds on the clock; 0
-    /// without a lease.
-    lease_until: AtomicU64,
+    /// The lease of the record, on which the record of a holder of shares
+    /// hangs too. It is renewed in one place only.
+    lease: watch::Sender<Option<store::Lease<store::Held>>>,
 }
 
 impl Membership {
@@ -96,7 +98,7 @@
             roster: Ranked::new(Rank::Members, roster),
             summaries: Ranked::new(Rank::Members, Summaries::default()),
             leaving: Ranked::new(Rank::Members, HashSet::new()),
-            lease_until: AtomicU64::new(0),
+            lease: watch::Sender::new(None),
         }
     }
 
@@ -104,6 +106,11 @@
     pub(crate) fn incarnation(&self) -> u64 {
         self.roster.lock().own().incarnation
     }
+
+    /// Follows the instance's lease in the store.
+    pub(crate) fn lease(&self) -> watch::Receiver<Option<store::Lease<store::Held>>> {
+        self.lease.subscribe()
+    }
 }
 
 /// Keeps the record and the roster until the instance stops.
@@ -225,6 +232,16 @@
     }
 }
 
+/// Returns the region of an instance, also of one that is dead.
+pub(crate) fn region(cx: &Context, instance: &Instance) -> Option<Region> {
+    if *instance == cx.settings.instance {
+        return Some(cx.settings.region.clone());
+    }
+    let roster = cx.membership.roster.lock();
+    let known = roster.members().get(instance);
+    known.map(|known| known.profile.region.clone())
+}
+
 /// Returns a link to an instance, made if there is none.
 pub(crate) async fn link(cx: &Context, instance: &Instance) -> Result<Link<Up>, sibling::Error> {
     let open = cx.links.with(instance, |link| link.cloned());
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -133,6 +133,7 @@
             .record(id, None, Step::Receive, Peer::Caller, inbound.path.as_str());
         let head = Head {
             id: id.clone(),
+            received: started,
             deadline: started + Duration::from_millis(DEFAULT_DEADLINE_MS),
             model: inbound.model,
             prompt_tokens: inbound.prompt_tokens,
@@ -164,16 +165,15 @@
             None => self.run(req, out, &mut None).await,
             Some(mark) => self.run_marked(req, out, mark).await,
         };
-        match &reply {
-            Ok(_) => self.cx.metrics.first_token(self.cx.clock.now() - started),
-            Err(refusal) => self.refund(&grant, refusal),
+        if let Err(refusal) = &reply {
+            self.refund(&grant, refusal);
         }
         reply
     }
 
     /// Gives the account back the charge of an attempt that did not run.
-    pub(crate) fn give_back(&self, grant: &Grant) {
-        gateway::settle(&self.cx.tables, grant, 0, self.cx.clock.now());
+    pub(crate) fn give_back(&self, grant: &Arc<Grant>) {
+        self.cx.settle(grant, 0);
     }
 
     /// Finds the account of a key for the time line, also of a withdrawn key.
@@ -183,7 +183,7 @@
         Some(entry.account.clone())
     }
 
-    fn refund(&self, grant: &Grant, refusal: &Refusal) {
+    fn refund(&self, grant: &Arc<Grant>, refusal: &Refusal) {
         if refusal.outcome == Outcome::NotRun {
             self.give_back(grant);
         }
@@ -198,7 +198,7 @@
     ) -> Result<Request<Admitted, Direct>, Refusal> {
         // The share's lease is checked by the clock at that moment.
         let clock = self.cx.clock;
-        let by = key.clone().unwrap_or_default();
+        let (account, by) = (self.account(key.as_ref()), key.clone());
         let job = move |tables: &gateway::Tables| {
             let ask = Ask {
                 path: &path,
@@ -210,7 +210,13 @@
             };
             gateway::admit(tables, req, &ask, clock.now())
         };
-        match self.cx.pool.run(&by, job).await {
+        // Keys of no account are spread, so that many of them fill no one queue.
+        let by = match (&account, &by) {
+            (Some(account), _) => account.as_str(),
+            (None, Some(key)) => key,
+            (None, None) => "",
+        };
+        match self.cx.pool.run(by, job).await {
             Ok(Ok(Admission::Admitted(req))) => Ok(req),
             Ok(Ok(Admission::Short(short))) => shares::gather(&self.cx, *short).await,
             Ok(Err(refusal)) => Err(refusal),
@@ -313,7 +319,10 @@
             deadline: req.head().deadline,
             framing: head.framing,
             source,
-            sink: Sink::Caller(tx),
+            sink: Sink::Caller {
+                tx,
+                since: Some(req.head().received),
+            },
             kept,
         };
         let cx = Arc::clone(&self.cx);
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -64,10 +64,10 @@
     pub(crate) store: StoreSettings,
     /// The platform's list of instances and directory for clients.
     pub(crate) registry: Option<RegistrySettings>,
-    /// Siblings to ask while none is heard of in another way.
-    pub(crate) seeds: Vec<SeedSettings>,
     /// The network that the instance stands in.
     pub(crate) network: NetworkSettings,
+    /// Siblings to ask while none is heard of in another way.
+    pub(crate) seeds: Vec<SeedSettings>,
     /// Address of a StatsD server.
     pub(crate) metrics: Option<SocketAddr>,
     /// Workers over the shared tables.
@@ -188,8 +188,8 @@
     sibling,
     store,
     registry = None,
-    seeds = Vec::new(),
     network = NetworkSettings::default(),
+    seeds = Vec::new(),
     metrics = None,
     workers = 4 => at_least_one,
     threads = 4 => at_least_one,
@@ -227,7 +227,7 @@
     address,
     reads_per_second = None,
     writes_per_second = None,
-    lease_seconds = 30 => at_least_one,
+    lease_seconds = 15 => at_least_one,
 });
 
 read_struct!(RegistrySettings { address });
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -8,6 +8,7 @@
 use chiverelay_decisions::gateway::Turn;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::names::Route;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -36,6 +37,7 @@
 use crate::dispatch::Attempt;
 use crate::forward::read_headers;
 use crate::forward::write_headers;
+use crate::handover;
 use crate::keys;
 use crate::load;
 use crate::members;
@@ -90,6 +92,7 @@
             .map_err(|_| Refusal::before_dispatch(Code::Malformed, Step::Receive, peer))?;
         let head = Head {
             id: req.id,
+            received: now,
             deadline: now + Duration::from_millis(req.remaining_ms),
             model: None,
             prompt_tokens: req.prompt_tokens,
@@ -102,17 +105,30 @@
             headers: read_headers(&req.headers),
             body: req.body.into(),
         };
-        let admitted = gateway::admit_forwarded(
-            &self.cx.tables,
-            Request::from_sibling(head),
-            req.account.as_ref(),
-            &req.route,
-            &self.cx.settings.region,
-        )?;
+        let admitted = self.admit(head, req.account, req.route).await?;
         let (req, answer) = self.run(admitted, &out).await?;
         Ok((req, answer, out))
     }
 
+    async fn admit(
+        &self,
+        head: Head,
+        account: Option<Account>,
+        route: Route,
+    ) -> Result<Request<Admitted, Forwarded>, Refusal> {
+        let here = self.cx.settings.region.clone();
+        let by = account.clone();
+        let job = move |tables: &gateway::Tables| {
+            let req = Request::from_sibling(head);
+            gateway::admit_forwarded(tables, req, account.as_ref(), &route, &here)
+        };
+        let by = by.as_ref().map_or("", |account| account.as_str());
+        self.cx.pool.run(by, job).await.unwrap_or_else(|_| {
+            let (code, step) = (Code::Overloaded, Step::Admit);
+            Err(Refusal::before_dispatch(code, step, Peer::Local))
+        })
+    }
+
     fn refuse(&self, id: &RequestId, account: Option<&Account>, refusal: &Refusal) {
         let what = format!(
             "refused: {}, {}",
@@ -201,8 +217,10 @@
             }
             Message::Settle(settle) => {
                 let now = self.cx.clock.now();
-                Message::Settled(self.cx.operations.settle(&settle, now))
+                Message::Settled(self.cx.operations.deciders().settle(&settle, now))
             }
+            Message::Part(part) => Message::Word(handover::take_part(&self.cx, from, part)),
+            Message::Commit(commit) => Message::Word(handover::take_commit(&self.cx, from, commit)),
             Message::Bind(bind) => Message::Bound(self.cx.operations.bind(bind).await),
             Message::Withdrawn(ids) => {
                 let peer = Peer::Sibling(from.instance.clone());
