--- a/crates/chiverelayd/src/instance.rs
+++ b/crates/chiverelayd/src/instance.rs
@@ -6,6 +6,7 @@
 use chiverelay_decisions::names::Instance as Name;
 
 use crate::context::Context;
+use crate::handover;
 use crate::members;
 use crate::settle;
 
@@ -66,12 +67,13 @@
 
 impl Instance<Draining> {
     /// Waits for the open requests, tells issuers what became of their tickets,
-    /// hands the shares over and ends all tasks.
+    /// hands them and the shares over and ends all tasks.
     pub(crate) async fn stop(self, cx: &Arc<Context>) -> Instance<Stopped> {
         cx.requests.close();
         cx.requests.wait().await;
         cx.idle.cancel();
         settle::flush(cx).await;
+        handover::run(cx).await;
         cx.handed_over.cancelled().await;
         cx.stop.cancel();
         Instance {
--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -45,13 +45,16 @@
 pub use targets::eject;
 pub use targets::fail;
 pub use targets::finish;
+pub use targets::list_leaving;
 pub use targets::report;
 pub use targets::start;
 pub use targets::succeed;
 pub use targets::summaries;
 pub use wait::Waker;
 pub use wait::pump;
+pub use wait::pump_pool;
 pub use wait::wait;
+pub use wait::waiting_pools;
 
 /// A sibling that can take forwarded requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
