Count the moves of shares

Cadence counters shares.moves and shares.tokens by kind (loan, return), where the tokens arrive; on the operators' page. limits_site::tokens_that_lie_elsewhere_are_used_before_a_refusal asks for them and failed before ({"requests": 1}).

--- a/crates/chiverelayd/src/metrics.rs
+++ b/crates/chiverelayd/src/metrics.rs
@@ -5,13 +5,14 @@
 use std::net::UdpSocket;
 use std::time::Duration;
 
-use cadence::CountedExt;
+use cadence::Counted;
 use cadence::Gauged;
 use cadence::NopMetricSink;
 use cadence::QueuingMetricSink;
 use cadence::StatsdClient;
 use cadence::Timed;
 use cadence::UdpMetricSink;
+use chiverelay_decisions::limits::NANOS;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::tables::Rank;
 use chiverelay_decisions::tables::Ranked;
@@ -57,7 +58,11 @@
     }
 
     fn count(&self, name: &'static str, tags: &[(&'static str, &str)]) {
-        let mut counter = self.client.incr_with_tags(name);
+        self.add(name, 1, tags);
+    }
+
+    fn add(&self, name: &'static str, n: u64, tags: &[(&'static str, &str)]) {
+        let mut counter = self.client.count_with_tags(name, n);
         let mut full = name.to_owned();
         for (tag, value) in tags {
             counter = counter.with_tag(tag, value);
@@ -65,7 +70,7 @@
         }
         // A metric that can't be queued is lost, which costs no request.
         counter.send();
-        *self.counters.lock().entry(full).or_default() += 1;
+        *self.counters.lock().entry(full).or_default() += n;
     }
 
     /// Counts a request.
@@ -98,6 +103,13 @@
         self.count("operator.refused", &[("reason", reason)]);
     }
 
+    /// Counts tokens that came with a loan or came back.
+    pub(crate) fn share_move(&self, kind: &str, nano_tokens: u128) {
+        let tokens = u64::try_from(nano_tokens / NANOS).unwrap_or(u64::MAX);
+        self.count("shares.moves", &[("kind", kind)]);
+        self.add("shares.tokens", tokens, &[("kind", kind)]);
+    }
+
     /// Records the time to the first piece of an answer.
     pub(crate) fn first_token(&self, time: Duration) {
         let _ = self.client.time("first_token_ms", time);
--- a/crates/chiverelayd/src/shares.rs
+++ b/crates/chiverelayd/src/shares.rs
@@ -299,7 +299,9 @@
             Message::Lend(book.lend(&from.instance, ask, now))
         }
         Message::Return(back) => {
-            book.restore(back, now);
+            if book.restore(back, now) {
+                cx.metrics.share_move("return", back.tokens);
+            }
             Message::Done
         }
         Message::Vouch(holder) => {
--- a/crates/chiverelayd/src/shares/gather.rs
+++ b/crates/chiverelayd/src/shares/gather.rs
@@ -109,7 +109,9 @@
 async fn take_loan(cx: &Context, sibling: &Instance, message: Message, timeout: Duration) {
     match tokio::time::timeout(timeout, ask(cx, sibling, message)).await {
         Ok(Ok(Message::Lend(Some(lend)))) => {
-            cx.tables.book.accept(&lend, cx.clock.now());
+            if cx.tables.book.accept(&lend, cx.clock.now()) {
+                cx.metrics.share_move("loan", lend.tokens);
+            }
         }
         Ok(Ok(_)) => {}
         Ok(Err(e)) => log::debug!("shares: {e}"),
--- a/tests/testsuite/limits_site.rs
+++ b/tests/testsuite/limits_site.rs
@@ -105,6 +105,12 @@
             answer.is_ok_and(|a| a.status.is_success())
         })
         .await;
+        let status = site.daemon("lima-1").client().status().await;
+        let counters = status.expect("a status").counters;
+        let count = |name: &str| counters.get(name).copied().unwrap_or(0);
+        assert!(count("shares.moves kind=loan") > 0, "{counters:?}");
+        // lima-1 has a quarter of its own, and the other home as much at most.
+        assert!(count("shares.tokens kind=loan") >= 4000, "{counters:?}");
     });
 }
 
