--- a/crates/chiverelayd/src/instance.rs
+++ b/crates/chiverelayd/src/instance.rs
@@ -67,7 +67,7 @@
 
 impl Instance<Draining> {
     /// Waits for the open requests, tells issuers what became of their tickets,
-    /// hands them and the shares over and ends all tasks.
+    /// hands the own ones and the shares over, and ends all tasks.
     pub(crate) async fn stop(self, cx: &Arc<Context>) -> Instance<Stopped> {
         cx.requests.close();
         cx.requests.wait().await;
--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -29,6 +29,7 @@
 mod sibling;
 mod wait;
 mod workers;
+mod writers;
 
 use std::process::ExitCode;
 
--- a/tests/testsuite/place.rs
+++ b/tests/testsuite/place.rs
@@ -93,6 +93,7 @@
 impl Ask {
     fn admit(self) -> Request<Admitted, Direct> {
         let head = Head {
+            received: Duration::ZERO,
             id: "r".into(),
             deadline: self.deadline,
             model: None,
