Answer late heads with 408, refuse a length with chunks

Cause: hyper closes a connection whose head takes too long without a word, and reads a request with Content-Length and Transfer-Encoding as chunks after it has dropped the length, so neither shows through its public interface. The connection's bytes are now followed by caller::heads, which keeps at most 64 bytes of a line, passes over bodies, and knows where a head begins and ends on a kept connection. A head that has begun and is late gets a 408 with our refusal; an idle connection is still closed silently, and so is one whose few bytes may be the beginning of HTTP/2. The outcome is unknown, as the part that did not come may name an operation that ran before.

length_and_chunks_are_read_as_chunks held the old behaviour, which RFC 9112 allows and a proxy before us may read otherwise.

Seen failing: slow_request_line, as the limit on the first bytes came before hyper's and was taken for another error; both limits count now.

--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -135,6 +135,22 @@
     Refusal::before_dispatch(code, Step::Receive, Peer::Caller)
 }
 
+/// Refuses a request that states both a length and chunks. Whoever passed it
+/// on may have read the other one.
+pub(crate) fn conflict(headers: &HeaderMap) -> Refusal {
+    let refusal = refuse(Code::Malformed);
+    match is_marked(headers) {
+        true => refusal.after_attempt(),
+        false => refusal,
+    }
+}
+
+/// Refuses a request whose head takes too long. It may name an operation in
+/// the part that has not come.
+pub(crate) fn late_head() -> Refusal {
+    refuse(Code::ReceiveTimeout).after_attempt()
+}
+
 impl Inbound {
     /// Reads a request whole.
     ///
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod error;
+mod heads;
 mod inbound;
 mod opening;
 mod reply;
--- a/crates/caller/src/reply.rs
+++ b/crates/caller/src/reply.rs
@@ -77,6 +77,24 @@
         reply
     }
 
+    /// Writes a whole answer as the last one of an HTTP/1.1 connection.
+    pub(crate) fn encode_last(self) -> Vec<u8> {
+        let ReplyBody::Full(body) = self.body else {
+            return Vec::new();
+        };
+        let mut data = format!("HTTP/1.1 {}\r\n", self.status).into_bytes();
+        for (name, value) in &self.headers {
+            data.extend(name.as_str().as_bytes());
+            data.extend(b": ");
+            data.extend(value.as_bytes());
+            data.extend(b"\r\n");
+        }
+        let length = body.len();
+        data.extend(format!("content-length: {length}\r\nconnection: close\r\n\r\n").as_bytes());
+        data.extend(body);
+        data
+    }
+
     pub(crate) fn encode(self) -> Response<BoxBody<Bytes, Error>> {
         let body = match self.body {
             ReplyBody::Full(data) => Full::new(data).map_err(|e| match e {}).boxed(),
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use hyper_util::server::conn::auto;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -209,12 +211,55 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let stream = Opening::new(stream, self.limits.header_timeout);
-        serve(stream, self.handler, self.limits, self.shutdown).await;
+        let limits = self.limits;
+        let handler = Arc::clone(&self.handler);
+        let (stream, rest) = Opening::new(stream, limits.header_timeout);
+        let ended = serve(stream, self.handler, limits, self.shutdown).await;
+        let Err(e) = ended else {
+            return;
+        };
+        log::debug!("caller: connection ended: {e}");
+        if !is_late(&*e) {
+            return;
+        }
+        if let Ok(rest) = rest.await
+            && rest.head_open
+        {
+            let refusal = inbound::late_head();
+            handler.refused(&refusal);
+            let answer = Reply::refusal(&refusal).encode_last();
+            // The caller may be gone.
+            let _ = tokio::time::timeout(limits.header_timeout, send(rest.stream, &answer)).await;
+        }
     }
 }
 
-async fn serve<H, S>(stream: S, handler: Arc<H>, limits: Limits, shutdown: Shutdown)
+async fn send<S>(mut stream: S, data: &[u8]) -> std::io::Result<()>
+where
+    S: AsyncWrite + Unpin,
+{
+    stream.write_all(data).await?;
+    stream.shutdown().await
+}
+
+/// Tells whether a connection ended as its headers took too long, by the HTTP
+/// library's limit or by that on the first bytes.
+fn is_late(e: &(dyn std::error::Error + 'static)) -> bool {
+    let is_io = |e: &std::io::Error| e.kind() == std::io::ErrorKind::TimedOut;
+    std::iter::successors(Some(e), |e| e.source()).any(|e| {
+        let http = e.downcast_ref::<hyper::Error>();
+        http.is_some_and(hyper::Error::is_timeout) || e.downcast_ref().is_some_and(is_io)
+    })
+}
+
+type Ended = Result<(), Box<dyn std::error::Error + Send + Sync>>;
+
+async fn serve<H, S>(
+    stream: Opening<S>,
+    handler: Arc<H>,
+    limits: Limits,
+    shutdown: Shutdown,
+) -> Ended
 where
     H: Handler,
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
@@ -232,14 +277,21 @@
     let multiplexed = Arc::new(AtomicBool::new(false));
     let notice = shutdown.notice.clone();
     let seen = Arc::clone(&multiplexed);
+    let conflict = stream.conflict();
+    let count = AtomicU64::new(0);
     let service = service_fn(move |req: Request<Incoming>| {
         let handler = Arc::clone(&handler);
         let notice = notice.clone();
         let is_http2 = req.version() == Version::HTTP_2;
         seen.store(is_http2, Ordering::Relaxed);
+        let number = count.fetch_add(1, Ordering::Relaxed) + 1;
+        let faulty = !is_http2 && conflict.is(number);
         async move {
-            let mut resp = answer(&*handler, req, limits).await?;
-            if notice.is_cancelled() && !is_http2 {
+            let mut resp = match faulty {
+                true => refuse(&*handler, inbound::conflict(req.headers())),
+                false => answer(&*handler, req, limits).await,
+            };
+            if faulty || notice.is_cancelled() && !is_http2 {
                 let close = HeaderValue::from_static("close");
                 resp.headers_mut().insert(CONNECTION, close);
             }
@@ -248,15 +300,12 @@
     });
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
-    let result = tokio::select! {
+    tokio::select! {
         result = conn.as_mut() => result,
         () = leave(&shutdown, &multiplexed) => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
-    };
-    if let Err(e) = result {
-        log::debug!("caller: connection ended: {e}");
     }
 }
 
@@ -276,20 +325,22 @@
     handler: &H,
     req: Request<Incoming>,
     limits: Limits,
-) -> Result<Response<BoxBody<Bytes, Error>>, Infallible>
+) -> Response<BoxBody<Bytes, Error>>
 where
     H: Handler,
 {
     let marked = inbound::is_marked(req.headers());
-    let reply = match Inbound::read(req, limits.max_body, limits.body_timeout).await {
-        Ok(req) => handler.handle(req).await,
-        Err(mut refusal) => {
-            if marked {
-                refusal = refusal.after_attempt();
-            }
-            handler.refused(&refusal);
-            Reply::refusal(&refusal)
-        }
-    };
-    Ok(reply.encode())
+    match Inbound::read(req, limits.max_body, limits.body_timeout).await {
+        Ok(req) => handler.handle(req).await.encode(),
+        Err(refusal) if marked => refuse(handler, refusal.after_attempt()),
+        Err(refusal) => refuse(handler, refusal),
+    }
+}
+
+fn refuse<H>(handler: &H, refusal: Refusal) -> Response<BoxBody<Bytes, Error>>
+where
+    H: Handler,
+{
+    handler.refused(&refusal);
+    Reply::refusal(&refusal).encode()
 }
