--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -1,6 +1,7 @@
 //! The limits' decision objects of several instances under a scripted order
 //! of steps: no I/O, no processes, and clocks that the script moves.
 
+mod post;
 mod upkeep;
 
 use std::collections::BTreeMap;
@@ -382,24 +383,6 @@
         false
     }
 
-    fn ask(&mut self, from: usize, missing: u128) {
-        for to in 0..self.len() {
-            if to != from {
-                self.ask_one(from, to, missing);
-            }
-        }
-    }
-
-    fn ask_one(&mut self, from: usize, to: usize, missing: u128) {
-        let now = self.clock(from);
-        let name = self.nodes[to].name.clone();
-        let node = &mut self.nodes[from];
-        let ask = node.book.ask(&self.account, &name, missing, now);
-        node.asked.insert(ask.id, now);
-        let message = Message::Ask(ask);
-        self.posts.push(Post { from, to, message });
-    }
-
     /// Ends the oldest charge of an instance.
     pub fn settle(&mut self, i: usize) {
         if !self.runs(i) || self.nodes[i].charges.is_empty() {
@@ -411,82 +394,6 @@
         book.settle(&self.account, &charge.receipt, charge.used, now);
     }
 
-    /// Loses the messages on their way.
-    pub fn lose_all(&mut self) {
-        self.posts.clear();
-    }
-
-    /// Delivers the messages on their way, in their order, until there are none.
-    pub fn deliver_all(&mut self) {
-        while !self.posts.is_empty() {
-            let post = self.posts.remove(0);
-            if self.runs(post.to) && self.is_connected(post.from, post.to) {
-                self.receive(post);
-            }
-        }
-    }
-
-    /// Delivers one of the messages on their way, and keeps it if `again`.
-    pub fn deliver(&mut self, n: usize, again: bool, lose: bool) {
-        if self.posts.is_empty() {
-            return;
-        }
-        let n = n % self.posts.len();
-        let post = if again {
-            self.posts[n].clone()
-        } else {
-            self.posts.swap_remove(n)
-        };
-        if lose || !self.runs(post.to) || !self.is_connected(post.from, post.to) {
-            return;
-        }
-        self.receive(post);
-    }
-
-    fn receive(&mut self, post: Post) {
-        let Post { from, to, message } = post;
-        let now = self.clock(to);
-        let sender = self.nodes[from].name.clone();
-        match message {
-            Message::Ask(ask) => {
-                let Some(lend) = self.nodes[to].book.lend(&sender, &ask, now) else {
-                    return;
-                };
-                if self.flaw == Flaw::GiverKeeps {
-                    let back = Return {
-                        id: lend.id,
-                        account: lend.account.clone(),
-                        tokens: lend.tokens,
-                    };
-                    self.nodes[to].book.restore(&back, now);
-                }
-                let message = Message::Lend(lend);
-                self.posts.push(Post {
-                    from: to,
-                    to: from,
-                    message,
-                });
-            }
-            Message::Lend(lend) => self.accept(to, &sender, lend, now),
-            Message::Return(back) => {
-                self.nodes[to].book.restore(&back, now);
-            }
-        }
-    }
-
-    fn accept(&mut self, to: usize, sender: &Instance, mut lend: Lend, now: Duration) {
-        let node = &mut self.nodes[to];
-        let sent = node.asked.get(&lend.id).copied().unwrap_or(now);
-        if self.flaw == Flaw::CountsFromArrival {
-            lend.valid += now.saturating_sub(sent);
-        }
-        if node.book.accept(&lend, now) || self.flaw != Flaw::AppliesTwice {
-            return;
-        }
-        lend.id = node.book.ask(&self.account, sender, 0, now).id;
-        node.book.accept(&lend, now);
-    }
-
     /// Freezes an instance, or lets it go on.
     pub fn freeze(&mut self, i: usize, frozen: bool) {
         self.nodes[i].frozen = frozen;
