--- a/tests/support/replay/engine.rs
+++ b/tests/support/replay/engine.rs
@@ -15,6 +15,9 @@
 /// Time between two tokens of an answer with an empty batch.
 const TOKEN_TIME: Duration = Duration::from_millis(20);
 
+/// How much slower a slow engine reads.
+const SLOWNESS: u64 = 5;
+
 /// Blocks that the prefix cache holds.
 const BLOCKS: usize = 1200;
 
@@ -45,6 +48,8 @@
     pub(super) up: bool,
     /// Whether it says that it leaves.
     pub(super) leaving: bool,
+    /// Whether it is several times slower than it should be.
+    pub(super) slow: bool,
     /// Changes with each start.
     pub(super) incarnation: u64,
     /// Requests that wait for the batch.
@@ -69,6 +74,7 @@
             region,
             up: true,
             leaving: false,
+            slow: false,
             incarnation: 1,
             waiting: VecDeque::new(),
             batch: Vec::new(),
@@ -110,7 +116,8 @@
         self.read += uncached;
         let busy = self.batch.len() as u64;
         self.batch.push(ask);
-        let rate = PREFILL_RATE * (100 - 30 * busy / SLOTS) / 100;
+        let slowness = if self.slow { SLOWNESS } else { 1 };
+        let rate = PREFILL_RATE * (100 - 30 * busy / SLOTS) / 100 / slowness;
         let prefill = Duration::from_micros(uncached * 1_000_000 / rate);
         let first = self.prefill_free.max(now) + prefill + TOKEN_TIME;
         self.prefill_free = first;
--- a/tests/support/replay/run.rs
+++ b/tests/support/replay/run.rs
@@ -27,7 +27,6 @@
 use super::trace::ACCOUNTS;
 use super::trace::FAULT_FROM;
 use super::trace::FAULT_TO;
-use super::trace::Fault;
 use super::trace::LENGTH;
 use super::trace::Trace;
 
@@ -59,7 +58,7 @@
 const DECODE: Duration = Duration::from_micros(1900);
 
 #[derive(Debug)]
-enum Event {
+pub(super) enum Event {
     Arrive(usize),
     Lost(usize),
     Forwarded {
@@ -85,6 +84,7 @@
         report: Report,
         events: Vec<CacheEvent>,
     },
+    Hedge(usize),
     Tick(u64),
     FaultBegins,
     EngineGone(usize),
@@ -108,14 +108,15 @@
 }
 
 #[derive(Debug, Default)]
-struct Job {
-    held: Held,
-    instance: usize,
+pub(super) struct Job {
+    pub(super) held: Held,
+    pub(super) instance: usize,
+    pub(super) copies: Vec<usize>,
     attempts: usize,
     away: bool,
     refused: bool,
     limited: bool,
-    first: Option<Duration>,
+    pub(super) first: Option<Duration>,
 }
 
 /// What a decision asks for.
@@ -137,10 +138,12 @@
     pub(super) engines: Vec<Engine>,
     pub(super) names: Vec<Target>,
     pub(super) cut: Option<usize>,
+    pub(super) hedge_after: Option<Duration>,
+    pub(super) hedged: usize,
     policy: Policy,
-    gateways: Vec<Gateway>,
+    pub(super) gateways: Vec<Gateway>,
     woken: Arc<Mutex<Vec<usize>>>,
-    jobs: Vec<Job>,
+    pub(super) jobs: Vec<Job>,
     running: Vec<Vec<u64>>,
     down: Vec<Vec<Duration>>,
     turns: Vec<usize>,
@@ -159,7 +162,7 @@
 }
 
 impl<'a> World<'a> {
-    fn new(trace: &'a Trace, policy: Policy) -> Self {
+    pub(super) fn new(trace: &'a Trace, policy: Policy) -> Self {
         let mut engines = Vec::new();
         for (region, (_, n)) in trace.user.regions().into_iter().enumerate() {
             engines.extend((0..n).map(|_| Engine::new(region)));
@@ -183,6 +186,8 @@
             engines,
             names,
             cut: None,
+            hedge_after: None,
+            hedged: 0,
             policy,
             gateways,
             woken,
@@ -201,12 +206,12 @@
         }
     }
 
-    fn at(&mut self, at: Duration, event: Event) {
+    pub(super) fn at(&mut self, at: Duration, event: Event) {
         self.heap.push(Reverse((at, self.events.len())));
         self.events.push(Some(event));
     }
 
-    fn run(&mut self) {
+    pub(super) fn run(&mut self) {
         for ask in 0..self.trace.asks.len() {
             self.at(self.trace.asks[ask].at, Event::Arrive(ask));
         }
@@ -236,7 +241,11 @@
                 engine,
                 incarnation,
             } => {
-                if self.engines[engine].incarnation == incarnation {
+                if self.engines[engine].incarnation == incarnation
+                    && self.engines[engine].batch.contains(&ask)
+                {
+                    self.jobs[ask].first.get_or_insert(self.now + NEAR);
+                    self.cancel_others(ask, engine);
                     let g = self.jobs[ask].instance;
                     if let Some(gateway) = self.gateways.get(g) {
                         gateway.succeed(&self.names[engine], self.now);
@@ -248,7 +257,9 @@
                 engine,
                 incarnation,
             } => {
-                if self.engines[engine].incarnation == incarnation {
+                if self.engines[engine].incarnation == incarnation
+                    && self.engines[engine].batch.contains(&ask)
+                {
                     self.engines[engine].batch.retain(|a| *a != ask);
                     self.finish(ask, engine);
                     self.fill(engine);
@@ -264,6 +275,7 @@
                     gateway.hear(&self.names[engine], report, &events, self.now);
                 }
             }
+            Event::Hedge(ask) => self.hedge(ask),
             Event::Tick(tick) => self.tick(tick),
             Event::FaultBegins => self.fault_begins(),
             Event::EngineGone(engine) => self.take_down(engine),
@@ -331,7 +343,7 @@
     }
 
     /// Returns the way of a prompt over the link, which is busy meanwhile.
-    fn transfer(&mut self, ask: usize, from: usize, to: usize) -> Duration {
+    pub(super) fn transfer(&mut self, ask: usize, from: usize, to: usize) -> Duration {
         if from == to {
             return NEAR;
         }
@@ -358,6 +370,7 @@
                 self.start(ask, engine);
                 let way = self.transfer(ask, from, to);
                 self.at(self.now + way, Event::Submit { ask, engine });
+                self.plan_hedge(ask);
             }
             Action::PassOn(to, held) => {
                 let (from, region) = (g / INSTANCES, to / INSTANCES);
@@ -374,29 +387,35 @@
         }
     }
 
-    fn start(&mut self, ask: usize, engine: usize) {
+    pub(super) fn start(&mut self, ask: usize, engine: usize) {
         let g = self.jobs[ask].instance;
         self.running[g][engine] += 1;
+        self.jobs[ask].copies.push(engine);
         if let Some(gateway) = self.gateways.get(g) {
             gateway.start(&self.names[engine]);
         }
     }
 
-    fn finish(&mut self, ask: usize, engine: usize) {
+    pub(super) fn finish(&mut self, ask: usize, engine: usize) {
         let g = self.jobs[ask].instance;
         self.running[g][engine] -= 1;
+        self.jobs[ask].copies.retain(|e| *e != engine);
         if let Some(gateway) = self.gateways.get(g) {
             gateway.finish(&self.names[engine]);
         }
     }
 
     /// Tries a request again after its engine failed or refused it.
-    fn fail(&mut self, ask: usize, engine: usize, unreachable: bool) {
+    pub(super) fn fail(&mut self, ask: usize, engine: usize, unreachable: bool) {
         let g = self.jobs[ask].instance;
         self.down[g][engine] = self.now + DOWN;
         if let Some(gateway) = self.gateways.get(g) {
             gateway.fail(&self.names[engine], unreachable, self.now);
         }
+        if !self.jobs[ask].copies.is_empty() {
+            // Another engine has it too.
+            return;
+        }
         if self.jobs[ask].attempts >= ATTEMPTS {
             self.jobs[ask].refused = true;
             return;
@@ -405,6 +424,10 @@
     }
 
     fn submit(&mut self, ask: usize, engine: usize) {
+        if !self.jobs[ask].copies.contains(&engine) {
+            // It was cancelled on its way.
+            return;
+        }
         if !self.engines[engine].up {
             self.finish(ask, engine);
             self.fail(ask, engine, false);
@@ -415,7 +438,7 @@
     }
 
     /// Takes waiting requests into the batch.
-    fn fill(&mut self, engine: usize) {
+    pub(super) fn fill(&mut self, engine: usize) {
         while self.engines[engine].has_room() {
             let Some(ask) = self.engines[engine].waiting.pop_front() else {
                 return;
@@ -433,7 +456,8 @@
                 true => NEAR,
                 false => FAR,
             };
-            self.jobs[ask].first = Some(first + back);
+            let earlier = self.jobs[ask].first.unwrap_or(first + back);
+            self.jobs[ask].first = Some(earlier.min(first + back));
             self.at(
                 first,
                 Event::First {
@@ -498,59 +522,6 @@
         }
     }
 
-    fn fault_begins(&mut self) {
-        match self.trace.fault {
-            Fault::None | Fault::Restart { .. } => {}
-            Fault::Crash { region } => {
-                let some = self.engines_of(region).into_iter().step_by(2);
-                for engine in some.collect::<Vec<_>>() {
-                    self.take_down(engine);
-                }
-            }
-            Fault::Cut { region } => self.cut = Some(region),
-            Fault::Leave { engine } => {
-                self.engines[engine].leaving = true;
-                self.at(self.now + Duration::from_secs(3), Event::EngineGone(engine));
-            }
-        }
-    }
-
-    fn fault_ends(&mut self) {
-        self.cut = None;
-        if let Fault::Restart { region } = self.trace.fault {
-            for engine in self.engines_of(region) {
-                self.take_down(engine);
-            }
-        }
-        for engine in &mut self.engines {
-            engine.up = true;
-            engine.leaving = false;
-        }
-    }
-
-    fn engines_of(&self, region: usize) -> Vec<usize> {
-        (0..self.engines.len())
-            .filter(|e| self.engines[*e].region == region)
-            .collect()
-    }
-
-    /// Takes an engine down, with its requests and its cache.
-    ///
-    /// An engine that leaves ends its running work.
-    fn take_down(&mut self, engine: usize) {
-        self.engines[engine].up = false;
-        if self.engines[engine].leaving {
-            return;
-        }
-        for ask in self.engines[engine].restart() {
-            self.finish(ask, engine);
-            if self.jobs[ask].first.is_none_or(|first| first > self.now) {
-                self.jobs[ask].first = None;
-                self.fail(ask, engine, false);
-            }
-        }
-    }
-
     fn wake(&mut self) {
         loop {
             let mut woken = self.woken.lock().unwrap_or_else(PoisonError::into_inner);
@@ -558,11 +529,14 @@
                 return;
             };
             drop(woken);
-            self.place(ask);
+            // A hedged request that runs already needs no slot.
+            if self.jobs[ask].copies.is_empty() {
+                self.place(ask);
+            }
         }
     }
 
-    fn measures(&self) -> Measures {
+    pub(super) fn measures(&self) -> Measures {
         let outcomes: Vec<Outcome> = self
             .jobs
             .iter()
--- a/tests/support/replay/trace.rs
+++ b/tests/support/replay/trace.rs
@@ -6,7 +6,8 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::record::Record;
 
 /// Length of every trace.
 pub(super) const LENGTH: Duration = Duration::from_secs(120);
@@ -36,6 +37,9 @@
 }
 
 impl User {
+    /// Both users.
+    pub const ALL: [Self; 2] = [Self::Hojalateria, Self::Pochoirs];
+
     /// Returns the regions and their engines.
     pub fn regions(self) -> [(&'static str, usize); 3] {
         match self {
@@ -121,6 +125,11 @@
         /// The region.
         region: usize,
     },
+    /// An engine reads prompts several times slower and doesn't say so.
+    Slow {
+        /// The engine.
+        engine: usize,
+    },
     /// An engine says that it leaves, and is gone three seconds later.
     Leave {
         /// The engine.
@@ -146,10 +155,16 @@
 }
 
 /// A request trace.
+///
+/// # Invariants
+///
+/// `asks` has the requests of `records`, in the same order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Trace {
     /// Whose sizes it has.
     pub user: User,
+    /// What was recorded of the requests.
+    pub records: Vec<Record>,
     /// What goes wrong.
     pub fault: Fault,
     /// The requests, by time.
@@ -159,43 +174,39 @@
 /// Requests a second that one engine bears, as the traces have them.
 const PER_ENGINE: f64 = 2.2;
 
-/// Tokens in one block of a prompt.
-const BLOCK: u64 = 64;
-
 impl Trace {
     /// Generates a trace.
     pub fn generate(user: User, kind: Kind, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut asks = Vec::new();
+        let mut records = Vec::new();
         for (region, (_, engines)) in user.regions().into_iter().enumerate() {
             let mut at = 0.0;
             while at < LENGTH.as_secs_f64() {
                 let rate = engines as f64 * PER_ENGINE * level(kind, region, at);
                 at += -(1.0 - rng.random::<f64>()).ln() / rate.max(0.05);
-                let ask = some_ask(region, at, seed, &mut rng);
-                if kind == Kind::Surge && ask.account == 1 && is_faulty(at) {
+                let record = some_record(region, at, &mut rng);
+                if kind == Kind::Surge && record.account == 1 && is_faulty(at) {
                     for _ in 0..4 {
-                        asks.push(some_ask_of(1, region, at, seed, &mut rng));
+                        records.push(some_record_of(1, region, at, &mut rng));
                     }
                 }
-                asks.push(ask);
+                records.push(record);
             }
         }
-        asks.sort_by_key(|a| a.at);
+        records.sort_by_key(|r| r.at_ms);
+        Self::new(user, kind, seed, records)
+    }
+
+    /// Makes a trace of what was recorded.
+    pub(super) fn new(user: User, kind: Kind, seed: u64, records: Vec<Record>) -> Self {
+        let asks = (0..).zip(&records).map(|(i, r)| r.ask(seed, i));
         Self {
             user,
             fault: kind.fault(),
-            asks,
+            asks: asks.collect(),
+            records,
         }
     }
-
-    /// Returns a digest, by which a change of the traces is noticed.
-    pub fn digest(&self) -> u64 {
-        self.asks.iter().fold(0, |seed, ask| {
-            let text = format!("{ask:?}");
-            xxh3_64_with_seed(text.as_bytes(), seed)
-        })
-    }
 }
 
 fn is_faulty(at: f64) -> bool {
@@ -218,45 +229,32 @@
     }
 }
 
-fn some_ask(region: usize, at: f64, seed: u64, rng: &mut SmallRng) -> Ask {
+fn some_record(region: usize, at: f64, rng: &mut SmallRng) -> Record {
     let mut pick = rng.random_range(0..100);
     let account = SHARES.iter().position(|share| {
         let found = pick < *share;
         pick = pick.saturating_sub(*share);
         found
     });
-    some_ask_of(account.unwrap_or(0), region, at, seed, rng)
+    some_record_of(account.unwrap_or(0), region, at, rng)
 }
 
 /// Makes a short question or a long draft of an account.
-fn some_ask_of(account: usize, region: usize, at: f64, seed: u64, rng: &mut SmallRng) -> Ask {
+fn some_record_of(account: usize, region: usize, at: f64, rng: &mut SmallRng) -> Record {
     let long = rng.random_bool(0.35);
     let document = rng.random_range(0..DOCUMENTS);
-    let shared = match long {
-        true => 3000 + document * 900,
-        false => 256,
-    };
     let own = rng.random_range(30..400);
     let answer = match long {
         true => rng.random_range(120..400),
         false => rng.random_range(20..120),
     };
-    let prompt = shared + own;
-    let family = xxh3_64_with_seed(format!("{account} {long} {document}").as_bytes(), seed);
-    let nonce: u64 = rng.random();
-    let chain = (0..prompt / BLOCK)
-        .scan(family, |hash, i| {
-            let mix = if i < shared / BLOCK { 0 } else { nonce };
-            *hash = xxh3_64_with_seed(&hash.to_le_bytes(), mix);
-            Some(*hash)
-        })
-        .collect();
-    Ask {
-        at: Duration::from_secs_f64(at),
+    Record {
+        at_ms: (at * 1000.0) as u64,
         region,
         account,
-        prompt,
+        long,
+        document,
+        own,
         answer,
-        chain,
     }
 }
--- a/tests/testsuite/replay.rs
+++ b/tests/testsuite/replay.rs
@@ -7,8 +7,10 @@
 use support::replay::Kind;
 use support::replay::Measures;
 use support::replay::Policy;
+use support::replay::RECORDED_SEED;
 use support::replay::Trace;
 use support::replay::User;
+use support::replay::path;
 use support::replay::replay;
 
 /// Seeds of the traces.
@@ -67,3 +69,20 @@
     let policy = Policy::Gateway(User::Hojalateria.weights());
     assert_eq!(replay(&trace, policy), replay(&trace, policy));
 }
+
+/// The recorded traces are what the generator makes; else
+/// `cargo bench --bench replay -- --record` writes them anew.
+fn check_recorded(user: User) {
+    for kind in Kind::ALL {
+        let generated = Trace::generate(user, kind, RECORDED_SEED);
+        assert_eq!(Trace::recorded(user, kind), generated, "{kind:?}");
+        let text = std::fs::read_to_string(path(user, kind)).expect("a trace");
+        assert_eq!(text, generated.text(), "{kind:?}");
+    }
+}
+
+cases! {
+    check_recorded:
+    recorded_traces_of_hojalateria(User::Hojalateria);
+    recorded_traces_of_pochoirs(User::Pochoirs);
+}
