--- a/crates/decisions/src/gateway/place.rs
+++ b/crates/decisions/src/gateway/place.rs
@@ -24,6 +24,9 @@
 /// Expected time to the first token in a region that said nothing yet.
 const UNKNOWN_REGION: Duration = Duration::from_secs(1);
 
+/// By how much another region must be better than this one.
+const SPILL_MARGIN: Duration = Duration::from_millis(50);
+
 /// Where a caller's request goes.
 #[derive(Debug)]
 pub enum Placement {
@@ -95,7 +98,7 @@
     let local = best.expected.max(scan.queue_wait(&req));
     if let Some(far) = far
         && far.has_room
-        && far.first_token + scan.entry.weights.spill_margin() < local
+        && far.first_token + SPILL_MARGIN < local
         && spend(&scan, &req, &far.region).is_ok()
     {
         return go(req, far);
--- a/crates/decisions/src/placement/score.rs
+++ b/crates/decisions/src/placement/score.rs
@@ -29,14 +29,6 @@
             Self::Cost => 150,
         }
     }
-
-    /// Returns by how much another region must be better than this one.
-    pub fn spill_margin(self) -> Duration {
-        match self {
-            Self::Latency => Duration::from_millis(50),
-            Self::Cost => Duration::from_millis(100),
-        }
-    }
 }
 
 /// What the score of a target is made of.
