--- a/tests/testsuite/once.rs
+++ b/tests/testsuite/once.rs
@@ -8,6 +8,7 @@
 use support::cases;
 use support::shop::Mark;
 use support::shop::Shop;
+use support::site::document;
 use support::site::eventually;
 
 fn refusal(code: &str, outcome: &str) -> (String, String) {
@@ -290,6 +291,64 @@
     holder_paused_and_resumed_with_key(Mark::Key, Loss::Frozen);
 }
 
+/// The instance that was granted the deposit is paused while it waits for a
+/// slot of the target, which another deposit has. It issued the ticket of a
+/// key itself, so that nobody decides on that meanwhile.
+fn check_frozen_before_dispatch(mark: Mark, code: &str) {
+    block_on(async {
+        let mut shop = Shop::open(&BOTH, "lima").await;
+        let (service, address) = shop.site.service().await;
+        let mut doc = document(&[], &[("orders-1", address, "lima")]);
+        doc["pools"]["orders"]["slots"] = json!(1);
+        shop.site.apply("lima-1", doc).await;
+        shop.mark(mark, "lima-2").await;
+        service.script.set(Faults {
+            answer_delay_ms: 1500,
+            ..Faults::default()
+        });
+        let runs = |order: u64| {
+            let runs = service.runs();
+            runs.get(&json!({"order": order}).to_string()).copied()
+        };
+        let holder = shop.site.daemon("lima-1");
+        let first = json!({"order": 0});
+        let first = caller::post(holder.caller, "/deposits", &shop.key, &first);
+        let steps = async {
+            eventually("the slot is taken", async || runs(0) == Some(1)).await;
+            let waits = async {
+                eventually("the deposit waits", async || {
+                    let page = holder.client().events().await.expect("the newest events");
+                    page.events.iter().any(|e| e.what == "waits for a slot")
+                })
+                .await;
+                holder.process.freeze();
+                assert_eq!(runs(1), None);
+                let again = shop.deposit("lima-2").await.expect("an answer");
+                assert_eq!(again.refusal(), refusal(code, "unknown"));
+                assert_eq!(runs(1), None);
+                holder.process.thaw();
+            };
+            let (answer, ()) = tokio::join!(shop.deposit("lima-1"), waits);
+            if answer.expect("an answer").refusal().1 == "not_run" {
+                assert_eq!(runs(1), None);
+            }
+        };
+        let (_, ()) = tokio::join!(first, steps);
+        eventually("the recorded answer", async || {
+            let again = shop.deposit("lima-2").await.expect("an answer");
+            again.status == 200
+        })
+        .await;
+        assert_eq!(runs(1), Some(1));
+    });
+}
+
+cases! {
+    check_frozen_before_dispatch:
+    frozen_before_dispatch_with_ticket(Mark::Ticket, "already_used");
+    frozen_before_dispatch_with_key(Mark::Key, "state_unavailable");
+}
+
 /// The sibling that has the forwarded deposit is killed.
 fn check_sibling_killed(dispatched: bool, mark: Mark) {
     block_on(async {
@@ -335,6 +394,8 @@
     sibling_killed_after_dispatch(true, Mark::None);
     sibling_killed_before_dispatch_with_ticket(false, Mark::Ticket);
     sibling_killed_after_dispatch_with_ticket(true, Mark::Ticket);
+    sibling_killed_before_dispatch_with_key(false, Mark::Key);
+    sibling_killed_after_dispatch_with_key(true, Mark::Key);
 }
 
 /// Faults of the store under a deposit with an idempotency key.
