--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -173,6 +173,7 @@
 
 fn request(id: u64) -> Request<Admitted, Direct> {
     let head = Head {
+        received: Duration::ZERO,
         id: id.to_string().into(),
         deadline: Duration::from_secs(3600),
         model: None,
@@ -250,6 +251,7 @@
             },
             withdrawn: 0,
             summaries: Some(gateway::summaries(&tables, &here, Duration::from_secs(1))),
+            passed: Vec::new(),
         }),
     };
     let buf = encode(&beat).expect("a message");
--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -7,7 +7,6 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use chiverelay_decisions::membership::Profile;
 use chiverelay_decisions::membership::Roster;
 use chiverelay_decisions::membership::Status;
+use chiverelay_decisions::membership::Summaries;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::tables::Rank;
@@ -23,8 +23,10 @@
 use chiverelay_sibling as sibling;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
+use chiverelay_store as store;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
 use crate::context::Context;
@@ -71,11 +73,13 @@
 #[derive(Debug)]
 pub(crate) struct Membership {
     roster: Ranked<Roster>,
+    /// What other regions have of each pool.
+    summaries: Ranked<Summaries>,
     /// Instances that the registry lists as leaving.
     leaving: Ranked<HashSet<Instance>>,
-    /// When the lease of the record lapses, in milliseconds on the clock; 0
-    /// without a lease.
-    lease_until: AtomicU64,
+    /// The lease of the record, on which the record of a holder of shares
+    /// hangs too. It is renewed in one place only.
+    lease: watch::Sender<Option<store::Lease<store::Held>>>,
 }
 
 impl Membership {
@@ -92,8 +96,9 @@
         let roster = Roster::new(settings.instance.clone(), incarnation, profile);
         Self {
             roster: Ranked::new(Rank::Members, roster),
+            summaries: Ranked::new(Rank::Members, Summaries::default()),
             leaving: Ranked::new(Rank::Members, HashSet::new()),
-            lease_until: AtomicU64::new(0),
+            lease: watch::Sender::new(None),
         }
     }
 
@@ -101,6 +106,11 @@
     pub(crate) fn incarnation(&self) -> u64 {
         self.roster.lock().own().incarnation
     }
+
+    /// Follows the instance's lease in the store.
+    pub(crate) fn lease(&self) -> watch::Receiver<Option<store::Lease<store::Held>>> {
+        self.lease.subscribe()
+    }
 }
 
 /// Keeps the record and the roster until the instance stops.
@@ -191,11 +201,17 @@
     let name = row.member.instance.clone();
     let serving = row.serving && !cx.membership.leaving.lock().contains(&name);
     if row.reached {
+        let region = &row.member.profile.region;
+        let is_known = cx.tables.siblings.with(&name, |s| s.is_some());
+        let summaries = match is_known {
+            true => Vec::new(),
+            false => cx.membership.summaries.lock().of(region),
+        };
         let make = || Sibling {
-            region: row.member.profile.region.clone(),
+            region: region.clone(),
             heard: now,
             serving,
-            summaries: Vec::new(),
+            summaries,
         };
         cx.tables.siblings.with_or(&name, make, |sibling| {
             sibling.heard = now;
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -133,6 +133,7 @@
             .record(id, None, Step::Receive, Peer::Caller, inbound.path.as_str());
         let head = Head {
             id: id.clone(),
+            received: started,
             deadline: started + Duration::from_millis(DEFAULT_DEADLINE_MS),
             model: inbound.model,
             prompt_tokens: inbound.prompt_tokens,
@@ -164,9 +165,8 @@
             None => self.run(req, out, &mut None).await,
             Some(mark) => self.run_marked(req, out, mark).await,
         };
-        match &reply {
-            Ok(_) => self.cx.metrics.first_token(self.cx.clock.now() - started),
-            Err(refusal) => self.refund(&grant, refusal),
+        if let Err(refusal) = &reply {
+            self.refund(&grant, refusal);
         }
         reply
     }
@@ -198,7 +198,7 @@
     ) -> Result<Request<Admitted, Direct>, Refusal> {
         // The share's lease is checked by the clock at that moment.
         let clock = self.cx.clock;
-        let account = self.account(key.as_ref());
+        let (account, by) = (self.account(key.as_ref()), key.clone());
         let job = move |tables: &gateway::Tables| {
             let ask = Ask {
                 path: &path,
@@ -210,8 +210,12 @@
             };
             gateway::admit(tables, req, &ask, clock.now())
         };
-        // A key of no account meets no limit; any worker refuses it.
-        let by = account.as_ref().map_or("", |account| account.as_str());
+        // Keys of no account are spread, so that many of them fill no one queue.
+        let by = match (&account, &by) {
+            (Some(account), _) => account.as_str(),
+            (None, Some(key)) => key,
+            (None, None) => "",
+        };
         match self.cx.pool.run(by, job).await {
             Ok(Ok(Admission::Admitted(req))) => Ok(req),
             Ok(Ok(Admission::Short(short))) => shares::gather(&self.cx, *short).await,
@@ -315,7 +319,10 @@
             deadline: req.head().deadline,
             framing: head.framing,
             source,
-            sink: Sink::Caller(tx),
+            sink: Sink::Caller {
+                tx,
+                since: Some(req.head().received),
+            },
             kept,
         };
         let cx = Arc::clone(&self.cx);
--- a/crates/chiverelayd/src/shares/ledger.rs
+++ b/crates/chiverelayd/src/shares/ledger.rs
@@ -15,6 +15,7 @@
 use chiverelay_store::Swap;
 
 use super::Job;
+use super::Neighbours;
 use super::RECORDS;
 use super::ask_all;
 
@@ -22,10 +23,10 @@
 const LEDGER: &str = "chiverelay/shares/";
 
 /// The holders that have a record, with their regions.
-type Live = BTreeMap<Holder, Region>;
+pub(super) type Live = BTreeMap<Holder, Region>;
 
 /// The pages by number, with their revisions.
-type Pages = BTreeMap<u16, (i64, Page)>;
+pub(super) type Pages = BTreeMap<u16, (i64, Page)>;
 
 fn key(number: u16) -> String {
     format!("{LEDGER}{number}")
@@ -38,10 +39,10 @@
             return;
         }
         // Whoever joins while the pages are written is not on them yet.
-        let members = self.members();
-        match self.try_write_pages(&members).await {
+        let neighbours = self.neighbours();
+        match self.try_write_pages(&neighbours).await {
             Ok(true) => {
-                self.settled = Some(members);
+                self.settled = Some(neighbours);
                 self.cx.holding.cancel();
             }
             Ok(false) => {}
@@ -49,13 +50,18 @@
         }
     }
 
-    async fn try_write_pages(&mut self, members: &BTreeSet<Instance>) -> Result<bool, Error> {
+    async fn try_write_pages(&mut self, neighbours: &Neighbours) -> Result<bool, Error> {
         // The records are read after the pages: whoever is on a page had a
         // record before.
         let pages = self.read_pages().await?;
         let live = self.read_live().await?;
-        let names: BTreeSet<_> = live.keys().map(|h| h.instance.clone()).collect();
-        let mut settled = names == *members;
+        let here = &self.cx.settings.region;
+        let near = live.iter().filter(|(_, region)| *region == here);
+        let found = Neighbours {
+            near: near.map(|(h, _)| h.instance.clone()).collect(),
+            regions: live.values().cloned().collect(),
+        };
+        let mut settled = found == *neighbours;
         let lapsed = self.lapsed(&pages, &live).await;
         for number in 0..PAGES {
             let (revision, page) = pages.get(&number).cloned().unwrap_or_default();
@@ -66,7 +72,7 @@
         Ok(settled)
     }
 
-    async fn read_pages(&self) -> Result<Pages, Error> {
+    pub(super) async fn read_pages(&self) -> Result<Pages, Error> {
         let entries = self.cx.store.list(LEDGER).await?;
         let mut pages = Pages::new();
         for entry in entries {
@@ -85,7 +91,7 @@
         Ok(pages)
     }
 
-    async fn read_live(&self) -> Result<Live, Error> {
+    pub(super) async fn read_live(&self) -> Result<Live, Error> {
         let mut live = Live::new();
         for entry in self.cx.store.list(RECORDS).await? {
             let holder = entry
@@ -142,7 +148,7 @@
 
     /// Writes a page if need be; returns whether this instance holds on it
     /// what it should, and nobody else does who is gone.
-    async fn write_page(
+    pub(super) async fn write_page(
         &mut self,
         number: u16,
         revision: i64,
--- a/crates/decisions/src/tickets.rs
+++ b/crates/decisions/src/tickets.rs
@@ -154,7 +154,7 @@
 }
 
 /// Signs and checks the tickets of one incarnation of an instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Issuer {
     instance: Instance,
@@ -162,6 +162,15 @@
     key: [u8; KEY_BYTES],
 }
 
+impl fmt::Debug for Issuer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Issuer")
+            .field("instance", &self.instance)
+            .field("incarnation", &self.incarnation)
+            .finish_non_exhaustive()
+    }
+}
+
 /// A ticket whose signature and expiry were checked by its issuer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Checked {
