--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -1,15 +1,29 @@
 //! Compares ways to divide a limit on the same schedules: refusals while a
-//! shared bucket would have admitted, and overshoot; and the cost of a charge.
+//! shared bucket would have admitted, and overshoot; the cost of a charge; and
+//! the bytes of a move of tokens between instances.
 
 use std::time::Duration;
 use std::time::Instant;
 
+use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::limits::Ask;
 use chiverelay_decisions::limits::Bucket;
+use chiverelay_decisions::limits::LOAN_TIME;
 use chiverelay_decisions::limits::Lease;
+use chiverelay_decisions::limits::Lend;
 use chiverelay_decisions::limits::Limit;
+use chiverelay_decisions::limits::LoanId;
 use chiverelay_decisions::limits::Moment;
+use chiverelay_decisions::limits::NANOS;
+use chiverelay_decisions::limits::Return;
 use chiverelay_decisions::limits::Share;
 use chiverelay_decisions::limits::Weight;
+use chiverelay_decisions::limits::with_margin;
+use chiverelay_decisions::names::Account;
+use chiverelay_sibling::Envelope;
+use chiverelay_sibling::Message;
+use chiverelay_sibling::VERSION;
+use chiverelay_sibling::encode;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -20,6 +34,12 @@
 const RATE: u64 = 5000;
 const BURST: u64 = 20_000;
 
+/// A stamp as of today.
+const STAMP: Stamp = Stamp {
+    wall_ms: 1_800_000_000_000,
+    counter: 0,
+};
+
 /// Requests of a schedule.
 const REQUESTS: usize = 4000;
 
@@ -133,7 +153,48 @@
     println!("a share: {} bytes", size_of_val(&share));
 }
 
+/// Prints the bytes of a loan that is asked for, made, and given back.
+fn bytes_of_a_move() {
+    let id = LoanId {
+        incarnation: u64::MAX,
+        sequence: 1_000_000,
+    };
+    let account = Account::from("account-26000");
+    let tokens = u128::from(BURST) * NANOS;
+    let messages = [
+        Message::ShareAsk(Ask {
+            id,
+            account: account.clone(),
+            tokens,
+        }),
+        Message::Lend(Some(Lend {
+            id,
+            account: account.clone(),
+            weight: Weight::WHOLE,
+            tokens,
+            valid: with_margin(LOAN_TIME),
+        })),
+        Message::Return(Return {
+            id,
+            account,
+            tokens,
+        }),
+        Message::Done,
+    ];
+    let sizes = messages.map(|message| {
+        let envelope = Envelope {
+            version: VERSION,
+            stamp: STAMP,
+            message,
+        };
+        encode(&envelope).expect("a message").len()
+    });
+    let all: usize = sizes.iter().sum();
+    println!("a move of tokens: {all} bytes (ask, loan, return, done: {sizes:?})");
+}
+
 fn main() {
+    bytes_of_a_move();
     for load in LOADS {
         for skew in SKEWS {
             compare(skew, load);
