--- a/crates/chiverelayd/src/main.rs
+++ b/crates/chiverelayd/src/main.rs
@@ -6,12 +6,14 @@
 mod context;
 mod dispatch;
 mod forward;
+mod handover;
 mod hints;
 mod instance;
 mod keys;
 mod load;
 mod members;
 mod metrics;
+mod notes;
 mod once;
 mod operate;
 mod operations;
@@ -27,6 +29,7 @@
 mod sibling;
 mod wait;
 mod workers;
+mod writers;
 
 use std::process::ExitCode;
 
--- a/crates/chiverelayd/src/members/heartbeat.rs
+++ b/crates/chiverelayd/src/members/heartbeat.rs
@@ -6,10 +6,13 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::membership::Digest;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
 use chiverelay_sibling as sibling;
 use chiverelay_sibling::Heartbeat;
 use chiverelay_sibling::Identity;
+use chiverelay_sibling::Link;
 use chiverelay_sibling::Message;
+use chiverelay_sibling::Up;
 use tokio::task::JoinSet;
 
 use super::link;
@@ -39,31 +42,60 @@
 
 async fn beat(cx: &Arc<Context>, peer: &Instance) {
     let now = cx.clock.now();
-    let (digest, tells_pools) = {
+    let (digest, tells_pools, passes_pools) = {
         let mut roster = cx.membership.roster.lock();
-        (roster.beat(peer, now), roster.tells_pools(peer))
+        let digest = roster.beat(peer, now);
+        (digest, roster.tells_pools(peer), roster.passes_pools(peer))
     };
+    let pass = || cx.membership.summaries.lock().pass(now);
     let message = Message::Heartbeat(Heartbeat {
         summaries: tells_pools.then(|| gateway::summaries(&cx.tables, &cx.settings.region, now)),
+        passed: passes_pools.then(pass).unwrap_or_default(),
         ..heartbeat(cx, digest)
     });
-    let asked = async {
-        let link = link(cx, peer).await?;
-        let reply = link.ask(cx.events.latest(), message).await?;
-        Ok::<_, sibling::Error>((link.peer().clone(), reply))
-    };
+    let asked = async { exchange(cx, &link(cx, peer).await?, message).await };
     match tokio::time::timeout(TIMEOUT, asked).await {
-        Ok(Ok((from, reply))) => {
-            cx.events.observe(reply.stamp);
-            if let Message::Heartbeat(beat) = reply.message {
-                hear(cx, &from, &beat);
-            }
-        }
+        Ok(Ok(())) => {}
         Ok(Err(e)) => miss(cx, peer, &e.to_string()),
         Err(_) => miss(cx, peer, "no answer in time"),
     }
 }
 
+async fn exchange(
+    cx: &Arc<Context>,
+    link: &Link<Up>,
+    message: Message,
+) -> Result<(), sibling::Error> {
+    let reply = link.ask(cx.events.latest(), message).await?;
+    cx.events.observe(reply.stamp);
+    if let Message::Heartbeat(beat) = reply.message {
+        hear(cx, link.peer(), &beat);
+    }
+    Ok(())
+}
+
+/// Asks seeds, one after the other, until one of them answers. Its answer has
+/// every instance that it knows.
+pub(super) async fn ask_seeds(cx: &Arc<Context>) {
+    for seed in &cx.settings.seeds {
+        let name = &seed.instance;
+        if *name == cx.settings.instance {
+            continue;
+        }
+        let digest = cx.membership.roster.lock().beat(name, cx.clock.now());
+        let message = Message::Heartbeat(heartbeat(cx, digest));
+        let asked = async {
+            let link = cx.endpoint.connect(name, &seed.region, seed.address);
+            exchange(cx, &link.await?, message).await
+        };
+        match tokio::time::timeout(TIMEOUT, asked).await {
+            Ok(Ok(())) => return,
+            Ok(Err(e)) => log::debug!("members: seed {name}: {e}"),
+            Err(_) => log::debug!("members: seed {name}: no answer in time"),
+        }
+    }
+}
+
 fn miss(cx: &Context, peer: &Instance, reason: &str) {
     log::debug!("members: {peer}: {reason}");
     let now = cx.clock.now();
@@ -76,6 +108,7 @@
         digest,
         withdrawn: cx.tables.withdrawn.lock().digest(),
         summaries: None,
+        passed: Vec::new(),
     }
 }
 
@@ -116,14 +149,46 @@
         1 => update_one(cx, name),
         _ => update_tables(cx),
     }
-    if let Some(summaries) = &beat.summaries {
-        cx.tables.siblings.with(name, |sibling| {
+    hear_summaries(cx, from, beat, now);
+    keys::compare(cx, name, beat.withdrawn);
+}
+
+/// Takes note of what regions have of each pool. Only an instance of this
+/// region may speak for others.
+fn hear_summaries(cx: &Context, from: &Identity, beat: &Heartbeat, now: Duration) {
+    let here = &cx.settings.region;
+    let mut regions = Vec::new();
+    {
+        let mut known = cx.membership.summaries.lock();
+        if from.region == *here {
+            known.hear_passed(&beat.passed, now);
+            regions.extend(beat.passed.iter().map(|p| p.region.clone()));
+        } else if let Some(summaries) = &beat.summaries {
+            known.hear(&from.region, summaries, now);
+            regions.push(from.region.clone());
+        }
+    }
+    for region in regions {
+        update_summaries(cx, &region);
+    }
+}
+
+/// Brings what the table of siblings has of a region's pools up to date.
+fn update_summaries(cx: &Context, region: &Region) {
+    let summaries = cx.membership.summaries.lock().of(region);
+    let mut names = Vec::new();
+    cx.tables.siblings.for_each(|name, sibling| {
+        if sibling.region == *region {
+            names.push(name.clone());
+        }
+    });
+    for name in names {
+        cx.tables.siblings.with(&name, |sibling| {
             if let Some(sibling) = sibling {
                 sibling.summaries = summaries.clone();
             }
         });
     }
-    keys::compare(cx, name, beat.withdrawn);
 }
 
 /// Tells siblings, the store and the registry that this instance leaves.
--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -8,7 +8,6 @@
 use chiverelay_decisions::answer::Checker;
 use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::answer::Hold;
-use chiverelay_decisions::gateway;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
@@ -68,39 +67,52 @@
     }
 
     /// Closes the source, which cancels what still runs there.
-    fn finish(self, cx: &Context) {
+    fn finish(self, cx: &Context, grant: &Grant) {
         if let Self::Target(_, target) = self {
-            gateway::finish(&cx.tables, &target);
+            cx.finish(&grant.pool, &target);
         }
     }
 }
 
 /// Who waits for an answer.
 pub(crate) enum Sink {
-    /// A caller.
-    Caller(caller::Sender),
+    /// A caller, which waits for the first piece since then.
+    Caller {
+        tx: caller::Sender,
+        since: Option<Duration>,
+    },
     /// A sibling.
     Sibling(sibling::FrameSender),
 }
 
 impl Sink {
-    async fn send(&mut self, data: Bytes) -> bool {
+    /// Passes a piece on; false if nobody waits for it any more.
+    async fn send(&mut self, cx: &Context, data: Bytes) -> bool {
+        if data.is_empty() {
+            return true;
+        }
         match self {
-            Self::Caller(tx) => tx.send(data).await,
+            Self::Caller { tx, since } => {
+                let sent = tx.send(data).await;
+                if sent && let Some(since) = since.take() {
+                    cx.metrics.first_token(cx.clock.now() - since);
+                }
+                sent
+            }
             Self::Sibling(tx) => tx.send(&Frame::Data(data.to_vec())).await.is_ok(),
         }
     }
 
     async fn closed(&mut self) {
         match self {
-            Self::Caller(tx) => tx.closed().await,
+            Self::Caller { tx, .. } => tx.closed().await,
             Self::Sibling(tx) => tx.closed().await,
         }
     }
 
     async fn finish(self) {
         match self {
-            Self::Caller(tx) => {
+            Self::Caller { tx, .. } => {
                 tx.finish().await;
             }
             Self::Sibling(mut tx) => {
@@ -112,7 +124,7 @@
 
     async fn abort(self, refusal: Refusal, framing: Framing) {
         match self {
-            Self::Caller(tx) => {
+            Self::Caller { tx, .. } => {
                 if framing == Framing::Events {
                     tx.send(caller::error_event(&refusal)).await;
                 }
@@ -223,12 +235,12 @@
         };
         let end = end.unwrap_or_else(|| End::Broken(self.refuse(Code::DeadlineExceeded)));
         let used = checker.tokens(self.prompt_tokens);
-        gateway::settle(&cx.tables, &self.grant, used, cx.clock.now());
-        self.source.finish(cx);
+        cx.settle(&self.grant, used);
+        self.source.finish(cx, &self.grant);
         match &end {
             End::Whole => {
                 if let Some(kept) = self.kept {
-                    self.sink.send(kept.settle(cx).await).await;
+                    self.sink.send(cx, kept.settle(cx).await).await;
                 }
                 self.sink.finish().await;
             }
@@ -254,7 +266,7 @@
         R: Resume,
     {
         for _ in 0..RESUMES {
-            let end = self.pipe(checker).await;
+            let end = self.pipe(cx, checker).await;
             let Some(last_id) = resume_after(&end, checker) else {
                 return end;
             };
@@ -262,13 +274,13 @@
                 return end;
             };
             log::info!("relay: a stream goes on after event {last_id}");
-            std::mem::replace(&mut self.source, source).finish(cx);
+            std::mem::replace(&mut self.source, source).finish(cx, &self.grant);
             checker.resume();
         }
-        self.pipe(checker).await
+        self.pipe(cx, checker).await
     }
 
-    async fn pipe(&mut self, checker: &mut Checker) -> End {
+    async fn pipe(&mut self, cx: &Context, checker: &mut Checker) -> End {
         let mut waited_for = true;
         loop {
             let piece = tokio::select! {
@@ -303,7 +315,7 @@
                 Some(kept) => kept.push(data, checker.is_done()),
                 None => data,
             };
-            if waited_for && !data.is_empty() && !self.sink.send(data).await {
+            if waited_for && !self.sink.send(cx, data).await {
                 waited_for = false;
                 if self.kept.is_none() {
                     return End::Left;
--- a/crates/decisions/src/membership.rs
+++ b/crates/decisions/src/membership.rs
@@ -11,9 +11,11 @@
 
 mod buckets;
 mod digest;
+mod life;
 mod member;
 mod peers;
 mod roster;
+mod summaries;
 mod tell;
 mod versions;
 
@@ -23,11 +25,15 @@
 pub use digest::RegionVersion;
 pub use digest::Status;
 pub use digest::Word;
+pub use life::SUSPICION;
 pub use member::Member;
 pub use peers::FANOUT;
 pub use peers::MESH;
 pub use peers::RELAYS;
 pub use roster::FAR_SILENCE;
 pub use roster::Roster;
-pub use roster::SUSPICION;
+pub use summaries::Aged;
+pub use summaries::MAX_PASSED;
+pub use summaries::RegionSummaries;
+pub use summaries::Summaries;
 pub use tell::MAX_NEWS;
--- a/crates/decisions/src/membership/tell.rs
+++ b/crates/decisions/src/membership/tell.rs
@@ -46,6 +46,12 @@
         !self.is_near(to)
     }
 
+    /// Tells whether a heartbeat to `to` passes on what other regions have of
+    /// each pool. In a small fleet everyone hears it from them.
+    pub fn passes_pools(&self, to: &Instance) -> bool {
+        self.is_near(to) && self.is_large()
+    }
+
     fn is_near(&self, instance: &Instance) -> bool {
         let member = self.members.get(instance);
         member.is_none_or(|m| m.profile.region == self.here)
@@ -62,7 +68,8 @@
     /// what differs.
     fn asks(&mut self, to: &Instance) -> bool {
         let Some(member) = self.members.get(to) else {
-            return false;
+            // A seed, asked because nobody is known.
+            return true;
         };
         let region = &member.profile.region;
         let asked = self.asked.get(region);
@@ -96,8 +103,8 @@
     fn far_news(&self, now: Duration) -> Vec<Instance> {
         let members = self.members.iter();
         let mut changed: Vec<_> = members
-            .filter(|(_, m)| m.profile.region == self.here && m.changed + FAR_NEWS > now)
-            .map(|(name, m)| (m.changed, name.clone()))
+            .filter(|(_, m)| m.profile.region == self.here && m.life.changed() + FAR_NEWS > now)
+            .map(|(name, m)| (m.life.changed(), name.clone()))
             .collect();
         changed.sort_unstable_by(|a, b| b.cmp(a));
         changed.truncate(MAX_NEWS);
@@ -107,7 +114,7 @@
     fn digest_of(&mut self, to: &Instance, told: &[Instance], now: Duration) -> Digest {
         let versions = self.tell_versions(self.is_near(to));
         let known = told.iter();
-        let known = known.filter_map(|name| Some(self.members.get(name)?.word(name, true)));
+        let known = known.filter_map(|name| Some(self.members.get(name)?.word(name)));
         let regions = self.regions.iter().map(|(region, heard)| RegionAge {
             region: region.clone(),
             age_ms: now.saturating_sub(*heard).as_millis() as u64,
