--- a/tests/testsuite/place.rs
+++ b/tests/testsuite/place.rs
@@ -280,8 +280,7 @@
     no_ramp(0, 0, 9, Went::Here("t1".into()));
 }
 
-/// Ejects some of the targets, gives work to the others, and tells for every
-/// number of each whether an ejected target is used.
+/// Tells for every number of ejected targets whether one of them is used.
 fn check_panic(targets: usize, percent: u64, far: bool) {
     let names: Vec<String> = (0..targets).map(|t| format!("t{t:02}")).collect();
     let mut list: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), HERE)).collect();
@@ -385,11 +384,12 @@
 fn check_queue_bound(before: usize, after: usize, want: Option<Code>) {
     let tables = busy_queue(before);
     let pool = json!({"slots": 1, "queue": after});
-    let config = config(2, &[("t1", HERE)], pool);
-    tables.config.advance(Arc::new(config));
-    let found = wait(&tables, ASK, ms(2000));
-    assert_eq!(found.as_ref().err().map(|r| r.code), want);
-    if let Err(refusal) = found {
+    tables
+        .config
+        .advance(Arc::new(config(2, &[("t1", HERE)], pool)));
+    let refusal = wait(&tables, ASK, ms(2000)).err();
+    assert_eq!(refusal.as_ref().map(|r| r.code), want);
+    if let Some(refusal) = refusal {
         assert_eq!(refusal.outcome, Outcome::NotRun);
         // The 40 that wait are served in 4 s.
         assert_eq!(refusal.retry_after, Some(ms(4000)));
@@ -437,8 +437,7 @@
     }
 }
 
-/// Shows a sign with work running, and places requests from then on; none may
-/// go to the leaving target, also if an older report or list comes late.
+/// From the sign on no request goes to the leaving target; its work ends.
 fn check_leaving(sign: Leaves, until: u64) {
     let targets = [("t1", HERE), ("t2", HERE), ("t3", HERE)];
     let tables = tables(config(1, &targets, json!({})), Network::default());
