Name a Retry-After that holds behind other accounts

Cause: a request refused for its deadline was told to come back after the excess of its wait. Where another account's queue makes the wait, that does not shrink in step with the queue: the fair share ahead of it stays the same until the other account has less than that left, so the request was refused again. Found while the queue's bounds were tested.

Now the delay is the time after which, if nobody else comes, the expected wait is within the deadline: the least service to each account for which the rest ahead is small enough, found by bisection at a refusal only.

The test serves whole requests for the delay, rounded up; for the older rows that is the same number.

The charge of gathered shares is tried on the account's worker, as the first try is. The tests of leaving targets have a file of their own.

--- a/crates/chiverelayd/src/shares/gather.rs
+++ b/crates/chiverelayd/src/shares/gather.rs
@@ -6,14 +6,18 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Admission;
 use chiverelay_decisions::gateway::Short;
+use chiverelay_decisions::gateway::Tables;
 use chiverelay_decisions::limits::Slot;
 use chiverelay_decisions::limits::homes::ranked;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
+use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
 use chiverelay_sibling::Message;
 use tokio::task::JoinSet;
 
@@ -53,7 +57,7 @@
     let mut short = short;
     for sibling in near {
         lend(cx, &short, &sibling, NEAR_TIMEOUT).await;
-        match gateway::retry(&cx.tables, short, cx.clock.now()) {
+        match retry(cx, short).await? {
             Admission::Admitted(req) => return Ok(req),
             Admission::Short(again) => short = *again,
         }
@@ -65,12 +69,22 @@
         // An instance that has just started is about to get its shares.
         let _ = tokio::time::timeout(START_TIMEOUT, cx.holding.cancelled()).await;
     }
-    match gateway::retry(&cx.tables, short, cx.clock.now()) {
+    match retry(cx, short).await? {
         Admission::Admitted(req) => Ok(req),
         Admission::Short(short) => Err(short.refuse()),
     }
 }
 
+/// Charges the account on its worker, if it has the tokens now.
+async fn retry(cx: &Context, short: Short) -> Result<Admission, Refusal> {
+    let (account, clock) = (short.account().clone(), cx.clock);
+    let job = move |tables: &Tables| gateway::retry(tables, short, clock.now());
+    cx.pool.run(account.as_str(), job).await.map_err(|_| {
+        let (code, step) = (Code::Overloaded, Step::Admit);
+        Refusal::before_dispatch(code, step, Peer::Local)
+    })
+}
+
 /// Returns the siblings to ask, of the own region and of the others.
 fn siblings(cx: &Context, slot: Slot) -> (Vec<Instance>, Vec<Instance>) {
     let mut regions: std::collections::BTreeMap<Region, Vec<Instance>> = Default::default();
--- a/crates/decisions/src/gateway/wait.rs
+++ b/crates/decisions/src/gateway/wait.rs
@@ -66,8 +66,9 @@
         queue.set_capacity(entry.queue);
         queue.measure(now);
         let expected = queue.expected_wait(grant.account.as_ref(), work);
-        if let Some(wait) = expected.filter(|wait| *wait > left) {
-            return Err((Code::DeadlineExceeded, wait - left));
+        if expected.is_some_and(|wait| wait > left) {
+            let delay = queue.delay_until(grant.account.as_ref(), work, left);
+            return Err((Code::DeadlineExceeded, delay.unwrap_or(FULL_RETRY)));
         }
         queue
             .push(grant.account.as_ref(), work, waker)
--- a/crates/decisions/src/placement/queue.rs
+++ b/crates/decisions/src/placement/queue.rs
@@ -167,15 +167,51 @@
     ///
     /// No account is served more than this one before the request's turn.
     pub fn expected_wait(&self, account: Option<&Account>, work: u64) -> Option<Duration> {
-        if self.rate == 0 {
-            return None;
+        let share = self.share(account, work);
+        self.time_for(self.ahead(share, 0))
+    }
+
+    /// Returns after how long such a request is expected to wait no longer than
+    /// `limit`, if no other comes; `None` before any throughput was measured.
+    pub fn delay_until(
+        &self,
+        account: Option<&Account>,
+        work: u64,
+        limit: Duration,
+    ) -> Option<Duration> {
+        let share = self.share(account, work);
+        let room = (limit.as_millis() as u64).saturating_mul(self.rate) / 1000;
+        // The work that each account is served until then.
+        let (mut low, mut high) = (0, self.lanes.values().map(|l| l.work).max().unwrap_or(0));
+        while low < high {
+            let served = low + (high - low) / 2;
+            if self.ahead(share, served) <= room {
+                high = served;
+            } else {
+                low = served + 1;
+            }
         }
-        let own = self.lanes.get(&account.cloned()).map_or(0, |l| {
+        self.time_for(self.lanes.values().map(|l| l.work.min(low)).sum())
+    }
+
+    /// Returns the work that an account is served with its next request.
+    fn share(&self, account: Option<&Account>, work: u64) -> u64 {
+        let own: u64 = self.lanes.get(&account.cloned()).map_or(0, |l| {
             let shorter = l.waiting.values().filter(|e| e.work <= work);
             shorter.map(|e| e.work).sum()
         });
-        let share = own + work;
-        let ahead: u64 = self.lanes.values().map(|l| l.work.min(share)).sum();
-        Some(Duration::from_millis(ahead * 1000 / self.rate))
+        own + work
+    }
+
+    /// Returns the work before an account's share, once each account was
+    /// served so much.
+    fn ahead(&self, share: u64, served: u64) -> u64 {
+        let left = self.lanes.values().map(|l| l.work.saturating_sub(served));
+        left.map(|work| work.min(share)).sum()
+    }
+
+    fn time_for(&self, work: u64) -> Option<Duration> {
+        let millis = (work * 1000).checked_div(self.rate)?;
+        Some(Duration::from_millis(millis))
     }
 }
--- a/tests/testsuite/place.rs
+++ b/tests/testsuite/place.rs
@@ -1,8 +1,9 @@
 //! The decision where a request goes: tables and a configuration in, a
 //! placement or a refusal out, on injected time.
 
+mod leaving;
+
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,7 +22,6 @@
 use chiverelay_decisions::placement::LinkSpec;
 use chiverelay_decisions::placement::Network;
 use chiverelay_decisions::placement::Report;
-use chiverelay_decisions::placement::Status;
 use chiverelay_decisions::placement::Summary;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Outcome;
@@ -367,7 +367,7 @@
     assert_eq!(refusal.code, Code::DeadlineExceeded);
     assert_eq!(refusal.outcome, Outcome::NotRun);
     assert_eq!(refusal.retry_after, Some(ms(delay)));
-    serve(&tables, delay as usize / 100);
+    serve(&tables, delay.div_ceil(100) as usize);
     let later = now + ms(delay);
     assert_eq!(wait(&tables, ask(later), later), Ok(()));
 }
@@ -378,6 +378,8 @@
     refused_if_it_comes_a_little_late("encargos", 3500, Err(1000));
     refused_if_it_comes_late("encargos", 1000, Err(3000));
     another_account_waits_for_its_share("caja", 1000, Ok(()));
+    /// Its share takes 100 ms until the other account has next to nothing left.
+    another_account_in_a_hurry("caja", 50, Err(3950));
 }
 
 /// A bound that the configuration lowers counts from the next request on.
@@ -401,100 +403,3 @@
     a_full_queue(60, 40, Some(Code::Overloaded));
     a_raised_bound(60, 41, None);
 }
-
-/// What tells that a target leaves.
-#[derive(Clone, Copy)]
-enum Leaves {
-    Report,
-    List,
-    Removed,
-    Refuses,
-    Fails,
-}
-
-const AT: Duration = Duration::from_secs(10);
-
-fn report(sequence: u64, leaving: bool) -> Report {
-    Report {
-        incarnation: 1,
-        sequence,
-        leaving,
-        ..Report::default()
-    }
-}
-
-fn show(tables: &Tables, sign: Leaves) {
-    let target = Target::from("t1");
-    match sign {
-        Leaves::Report => gateway::report(tables, &target, report(2, true), AT),
-        Leaves::List => gateway::list_leaving(tables, &BTreeSet::from([target]), AT),
-        Leaves::Refuses => gateway::eject(tables, &target, AT),
-        Leaves::Fails => (0..2).for_each(|_| gateway::fail(tables, &target, AT)),
-        Leaves::Removed => {
-            let config = config(2, &[("t2", HERE), ("t3", HERE)], json!({}));
-            tables.config.advance(Arc::new(config));
-        }
-    }
-}
-
-/// From the sign on no request goes to the leaving target; its work ends.
-fn check_leaving(sign: Leaves, until: u64) {
-    let targets = [("t1", HERE), ("t2", HERE), ("t3", HERE)];
-    let tables = tables(config(1, &targets, json!({})), Network::default());
-    let target = Target::from("t1");
-    gateway::report(&tables, &target, report(1, false), ms(0));
-    // The others are so busy that the leaving target would be the best.
-    for name in ["t2", "t3"] {
-        (0..30).for_each(|_| gateway::start(&tables, &name.into()));
-    }
-    assert_eq!(place(&tables, ASK, AT), Ok(Went::Here(target.clone())));
-    show(&tables, sign);
-    for passed in (0..=until).step_by(500) {
-        gateway::report(&tables, &target, report(1, false), AT + ms(passed));
-        let went = place(&tables, ASK, AT + ms(passed));
-        assert!(
-            matches!(&went, Ok(Went::Here(t)) if *t != target),
-            "{went:?}"
-        );
-        if let Ok(Went::Here(other)) = went {
-            gateway::finish(&tables, &other);
-        }
-    }
-    gateway::finish(&tables, &target);
-    let running = tables.targets.with(&target, |l| l.map(|l| l.running));
-    assert_eq!(running, Some(0));
-}
-
-cases! {
-    check_leaving:
-    leaving_by_its_load_report(Leaves::Report, 60_000);
-    leaving_by_the_platforms_list(Leaves::List, 29_500);
-    leaving_by_the_configuration(Leaves::Removed, 60_000);
-    // Then a probe shows whether it came back.
-    leaving_by_refused_connections(Leaves::Refuses, 4_500);
-    leaving_by_failures(Leaves::Fails, 4_500);
-}
-
-/// A list that no longer calls the target leaving, or that is not had for
-/// long, gives it new work.
-fn check_list(later: Option<&[&str]>, at: u64, want: Status) {
-    let tables = tables(config(1, &[("t1", HERE)], json!({})), Network::default());
-    let target = Target::from("t1");
-    gateway::list_leaving(&tables, &BTreeSet::from([target.clone()]), ms(0));
-    if let Some(later) = later {
-        let later = later.iter().map(|name| Target::from(*name)).collect();
-        gateway::list_leaving(&tables, &later, ms(20_000));
-    }
-    let status = tables
-        .targets
-        .with(&target, |l| l.map(|l| l.status(ms(at))));
-    assert_eq!(status, Some(want));
-}
-
-cases! {
-    check_list:
-    still_listed(Some(&["t1", "t2"]), 40_000, Status::Leaving);
-    no_longer_listed(Some(&["t2"]), 20_000, Status::Healthy);
-    no_list_for_a_while(None, 29_000, Status::Leaving);
-    no_list_for_long(None, 30_000, Status::Healthy);
-}
