Write three pairs of like tests once

The waits for a target's work, for a recorded event, and the two cases of late ticks; what they assert is as before.

--- a/tests/testsuite/keys.rs
+++ b/tests/testsuite/keys.rs
@@ -235,9 +235,14 @@
 
 /// Waits until an answer begins.
 async fn running(site: &Site, name: &str) {
-    eventually("the request is dispatched", async || {
+    recorded(site, name, "status 200").await;
+}
+
+/// Waits until an instance has recorded an event.
+async fn recorded(site: &Site, name: &str, what: &str) {
+    eventually("the event is recorded", async || {
         let page = site.daemon(name).client().events().await.expect("events");
-        page.events.iter().any(|e| e.what.starts_with("status 200"))
+        page.events.iter().any(|e| e.what == what)
     })
     .await;
 }
@@ -251,12 +256,7 @@
         body["stream"] = json!(false);
         let request = caller::post(address, "/v1/chat/completions", &granted.key, &body);
         let withdraw = async {
-            eventually("the request is dispatched", async || {
-                let page = site.daemon("lima-1").client().events().await;
-                let page = page.expect("events");
-                page.events.iter().any(|e| e.what == "sent")
-            })
-            .await;
+            recorded(&site, "lima-1", "sent").await;
             let info = site.daemon("lima-2").client().withdraw(&granted.id).await;
             assert!(info.expect("a withdrawal").withdrawn);
         };
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -191,8 +191,8 @@
     assert!(b.is_live(&b.members()[&names[0]], at(9)));
 }
 
-#[test]
-fn an_instance_that_was_paused_holds_no_silence_against_others() {
+/// Tells whether another region counts as live, heard at 10 s, after ticks.
+fn check_ticks(ticks: &[u64], live: bool) {
     let mut roster = roster("own", "lima");
     roster.tick(at(10));
     let said = Word {
@@ -200,24 +200,17 @@
         ..word("a", 1, Status::Serving)
     };
     roster.hear(Some(&"a".into()), &digest(vec![said]), at(10));
-    roster.tick(at(60));
+    ticks.iter().for_each(|tick| roster.tick(at(*tick)));
     let member = &roster.members()[&Instance::from("a")];
-    assert!(roster.is_live(member, at(60)));
+    let last = ticks.last().expect("a tick");
+    assert_eq!(roster.is_live(member, at(*last)), live);
 }
 
-/// Rounds that wait for answers are late, and yet no pauses.
-#[test]
-fn late_ticks_are_no_pause() {
-    let mut roster = roster("own", "lima");
-    roster.tick(at(10));
-    let said = Word {
-        profile: Some(profile("cusco")),
-        ..word("a", 1, Status::Serving)
-    };
-    roster.hear(Some(&"a".into()), &digest(vec![said]), at(10));
-    (1..=3).for_each(|round| roster.tick(at(10 + 3 * round)));
-    let member = &roster.members()[&Instance::from("a")];
-    assert!(!roster.is_live(member, at(19)));
+cases! {
+    check_ticks:
+    an_instance_that_was_paused_holds_no_silence_against_others(&[60], true);
+    /// Rounds that wait for answers are late, and yet no pauses.
+    late_ticks_are_no_pause(&[13, 16, 19], false);
 }
 
 #[test]
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -67,30 +67,27 @@
         // Only one of the instances polls the engine.
         for name in ["lima-1", "lima-2"] {
             let address = site.daemon(name).caller;
-            eventually("the engine gets no more work", async || {
-                for i in 0..20 {
-                    if ask(address, &key, &format!("question {i}")).await == "engine-1" {
-                        return false;
-                    }
-                }
-                true
-            })
-            .await;
+            gets_work(address, &key, false).await;
         }
         leaving.reports.set_leaving(false);
         let address = site.daemon("lima-2").caller;
-        eventually("the engine gets work again", async || {
-            for i in 0..20 {
-                if ask(address, &key, &format!("late question {i}")).await == "engine-1" {
-                    return true;
-                }
-            }
-            false
-        })
-        .await;
+        gets_work(address, &key, true).await;
     });
 }
 
+/// Waits until the first engine gets some of twenty requests, or none.
+async fn gets_work(address: SocketAddr, key: &str, want: bool) {
+    eventually("the engine gets work, or none", async || {
+        for i in 0..20 {
+            if ask(address, key, &format!("question {want} {i}")).await == "engine-1" {
+                return want;
+            }
+        }
+        !want
+    })
+    .await;
+}
+
 /// The platform's list alone says that an engine leaves, which itself says
 /// nothing of it.
 #[test]
@@ -107,25 +104,9 @@
         let key = site.grant("lima-1", "encargos").await.key;
         registry.state.set_status("engine-1", CRITICAL);
         let address = site.daemon("lima-1").caller;
-        eventually("the engine gets no more work", async || {
-            for i in 0..20 {
-                if ask(address, &key, &format!("question {i}")).await == "engine-1" {
-                    return false;
-                }
-            }
-            true
-        })
-        .await;
+        gets_work(address, &key, false).await;
         registry.state.set_status("engine-1", PASSING);
-        eventually("the engine gets work again", async || {
-            for i in 0..20 {
-                if ask(address, &key, &format!("late question {i}")).await == "engine-1" {
-                    return true;
-                }
-            }
-            false
-        })
-        .await;
+        gets_work(address, &key, true).await;
     });
 }
 
