Wait for the store's return before a change is applied

Cause: run 15 of 16 full runs, four at a time with builds beside them, failed on instances::an_instance_that_reaches_neither_store_nor_siblings_*. The test mended the store and applied a change at once; where the instance had counted enough refusals its session was out, so it refused the change as state unavailable, truly, until it tried again. Ruled out: a change that was lost, as the refusal came without a call of the store.

The test waits for the session to be up first, and asserts what it did before.

--- a/tests/testsuite/instances.rs
+++ b/tests/testsuite/instances.rs
@@ -199,6 +199,12 @@
         let ready = caller::get(address, "/readyz").await.expect("an answer");
         assert!(!ready.status.is_success());
         site.store.script.set(Faults::default());
+        // Until the instance has tried again it refuses changes.
+        eventually("the store is back", async || {
+            let status = site.daemon("lima-1").client().status().await;
+            status.is_ok_and(|status| status.store == "up")
+        })
+        .await;
         site.apply("lima-1", document(&[], &[])).await;
         eventually("the instance is ready", async || {
             let ready = caller::get(address, "/readyz").await;
