--- a/tests/support/replay.rs
+++ b/tests/support/replay.rs
@@ -1,6 +1,7 @@
 //! Replays request traces through the decisions on a virtual clock, before
 //! small fakes of engines.
 
+mod batch;
 mod engine;
 mod fault;
 mod gateway;
--- a/tests/support/replay/run.rs
+++ b/tests/support/replay/run.rs
@@ -34,10 +34,10 @@
 pub(super) const INSTANCES: usize = 2;
 
 /// One way between regions.
-const FAR: Duration = Duration::from_millis(55);
+pub(super) const FAR: Duration = Duration::from_millis(55);
 
 /// One way within a region.
-const NEAR: Duration = Duration::from_millis(1);
+pub(super) const NEAR: Duration = Duration::from_millis(1);
 
 /// Lag of load reports and cache events.
 const LAG: Duration = Duration::from_millis(300);
@@ -240,31 +240,12 @@
                 ask,
                 engine,
                 incarnation,
-            } => {
-                if self.engines[engine].incarnation == incarnation
-                    && self.engines[engine].batch.contains(&ask)
-                {
-                    self.jobs[ask].first.get_or_insert(self.now + NEAR);
-                    self.cancel_others(ask, engine);
-                    let g = self.jobs[ask].instance;
-                    if let Some(gateway) = self.gateways.get(g) {
-                        gateway.succeed(&self.names[engine], self.now);
-                    }
-                }
-            }
+            } => self.first(ask, engine, incarnation),
             Event::Done {
                 ask,
                 engine,
                 incarnation,
-            } => {
-                if self.engines[engine].incarnation == incarnation
-                    && self.engines[engine].batch.contains(&ask)
-                {
-                    self.engines[engine].batch.retain(|a| *a != ask);
-                    self.finish(ask, engine);
-                    self.fill(engine);
-                }
-            }
+            } => self.done(ask, engine, incarnation),
             Event::Deliver {
                 engine,
                 report,
@@ -423,60 +404,6 @@
         self.place(ask);
     }
 
-    fn submit(&mut self, ask: usize, engine: usize) {
-        if !self.jobs[ask].copies.contains(&engine) {
-            // It was cancelled on its way.
-            return;
-        }
-        if !self.engines[engine].up {
-            self.finish(ask, engine);
-            self.fail(ask, engine, false);
-            return;
-        }
-        self.engines[engine].waiting.push_back(ask);
-        self.fill(engine);
-    }
-
-    /// Takes waiting requests into the batch.
-    pub(super) fn fill(&mut self, engine: usize) {
-        while self.engines[engine].has_room() {
-            let Some(ask) = self.engines[engine].waiting.pop_front() else {
-                return;
-            };
-            let it = &self.trace.asks[ask];
-            if self.now > it.at + DEADLINE {
-                // Its caller has left.
-                self.finish(ask, engine);
-                continue;
-            }
-            let e = &mut self.engines[engine];
-            let (first, done) = e.admit(ask, it.prompt, it.answer, &it.chain, self.now);
-            let incarnation = e.incarnation;
-            let back = match e.region == it.region {
-                true => NEAR,
-                false => FAR,
-            };
-            let earlier = self.jobs[ask].first.unwrap_or(first + back);
-            self.jobs[ask].first = Some(earlier.min(first + back));
-            self.at(
-                first,
-                Event::First {
-                    ask,
-                    engine,
-                    incarnation,
-                },
-            );
-            self.at(
-                done,
-                Event::Done {
-                    ask,
-                    engine,
-                    incarnation,
-                },
-            );
-        }
-    }
-
     fn tick(&mut self, tick: u64) {
         for gateway in &mut self.gateways {
             gateway.pump(self.now);
