--- /dev/null
+++ b/crates/decisions/src/allowance.rs
@@ -0,0 +1,237 @@
+//! Each instance's part of the client accounts' token limits.
+//!
+//! Every instance has an equal part that is safe without a word from the
+//! others. Tokens move between instances as gifts: the giver takes them from
+//! its own part first, so a gift that is lost costs tokens and never makes
+//! any. A gift is spent within [`GIFT_LIFE`] or lapses, which bounds what is
+//! saved up twice.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::catalog::TokenLimit;
+use crate::names::Account;
+use crate::names::Instance;
+use crate::window::Divisor;
+
+/// Time in which a gift is to be spent.
+pub const GIFT_LIFE: Duration = Duration::from_millis(1000);
+
+/// How far ahead instances look when they compare what they have with what
+/// they are asked for.
+const HORIZON_S: f64 = 0.8;
+
+/// Share of its part that a giver keeps for itself.
+const KEPT_SHARE: f64 = 0.15;
+
+/// Time over which demand is averaged.
+const DEMAND_S: f64 = 1.0;
+
+/// Share of the tolerated overrun that is used.
+const USED_TOLERANCE: f64 = 0.8;
+
+/// How far the instances together may overrun a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// Share of the limit.
+    pub overage: f64,
+    /// Tokens beside that.
+    pub slack: f64,
+}
+
+/// What an instance tells the others of its part.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct PartStatus {
+    /// Tokens at hand.
+    pub level: f32,
+    /// Tokens a second that are asked for.
+    pub demand: f32,
+}
+
+/// Tokens for another instance.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Gift {
+    /// The account whose tokens they are.
+    pub account: Account,
+    /// How many.
+    pub tokens: f32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Received {
+    lapses: Duration,
+    tokens: f64,
+}
+
+/// One instance's part of one account's limit.
+///
+/// # Invariants
+///
+/// `level` is at most `capacity`. Over any span, the tokens taken are at most
+/// `capacity` plus `rate` for its length plus the gifts received.
+#[derive(Clone, Debug)]
+pub struct Part {
+    rate: f64,
+    capacity: f64,
+    level: f64,
+    gifts: VecDeque<Received>,
+    updated: Duration,
+    demand: f64,
+    asked: f64,
+    asked_since: Duration,
+}
+
+impl Part {
+    /// Starts with nothing saved up, as a restart must not refill what was
+    /// spent before it.
+    pub fn empty(limit: TokenLimit, tolerance: Tolerance, divisor: Divisor, now: Duration) -> Self {
+        let mut part = Self {
+            rate: 0.0,
+            capacity: 0.0,
+            level: 0.0,
+            gifts: VecDeque::new(),
+            updated: now,
+            demand: 0.0,
+            asked: 0.0,
+            asked_since: now,
+        };
+        part.configure(limit, tolerance, divisor, now);
+        part
+    }
+
+    /// Takes over a changed limit or number of instances.
+    pub fn configure(
+        &mut self,
+        limit: TokenLimit,
+        tolerance: Tolerance,
+        divisor: Divisor,
+        now: Duration,
+    ) {
+        self.fill(now);
+        let overage = 1.0 + tolerance.overage * USED_TOLERANCE;
+        self.rate = divisor.part(limit.rate * overage);
+        self.capacity = divisor.part(limit.burst * overage + tolerance.slack * USED_TOLERANCE);
+        self.level = self.level.min(self.capacity);
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.updated).as_secs_f64();
+        self.level = (self.level + elapsed * self.rate).min(self.capacity);
+        self.updated = self.updated.max(now);
+        while self.gifts.front().is_some_and(|gift| gift.lapses <= now) {
+            self.gifts.pop_front();
+        }
+    }
+
+    fn given(&self) -> f64 {
+        self.gifts.iter().map(|gift| gift.tokens).sum()
+    }
+
+    /// Takes tokens for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns how long it takes until this part has filled so far; `None` if
+    /// it never does.
+    pub fn take(&mut self, tokens: f64, now: Duration) -> Result<(), Option<Duration>> {
+        self.fill(now);
+        self.note_demand(tokens, now);
+        let missing = tokens - self.level - self.given();
+        if missing > 0.0 {
+            if self.rate <= 0.0 || tokens > self.capacity {
+                return Err(None);
+            }
+            return Err(Some(Duration::from_secs_f64(missing / self.rate)));
+        }
+        let mut left = tokens;
+        while left > 0.0 {
+            let Some(gift) = self.gifts.front_mut() else {
+                break;
+            };
+            let spent = gift.tokens.min(left);
+            gift.tokens -= spent;
+            left -= spent;
+            if gift.tokens <= 0.0 {
+                self.gifts.pop_front();
+            }
+        }
+        self.level -= left;
+        Ok(())
+    }
+
+    /// Gives back the tokens of a request that did not run.
+    pub fn refund(&mut self, tokens: f64, now: Duration) {
+        self.fill(now);
+        self.level = (self.level + tokens).min(self.capacity);
+    }
+
+    fn note_demand(&mut self, tokens: f64, now: Duration) {
+        self.settle_demand(now);
+        self.asked += tokens;
+    }
+
+    fn settle_demand(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.asked_since).as_secs_f64();
+        if elapsed < DEMAND_S / 4.0 {
+            return;
+        }
+        let weight = (elapsed / DEMAND_S).min(1.0);
+        self.demand += (self.asked / elapsed - self.demand) * weight;
+        self.asked = 0.0;
+        self.asked_since = now;
+    }
+
+    /// Returns what the other instances are told.
+    pub fn status(&mut self, now: Duration) -> PartStatus {
+        self.fill(now);
+        self.settle_demand(now);
+        PartStatus {
+            level: (self.level + self.given()) as f32,
+            demand: self.demand as f32,
+        }
+    }
+
+    /// Takes tokens from this part for the instances that are short of them.
+    ///
+    /// Each giver covers the share of a need that its own surplus is of all
+    /// surplus, so that the gifts of all givers together meet the need once.
+    pub fn give(&mut self, others: &[(&Instance, PartStatus)], now: Duration) -> Vec<(usize, f64)> {
+        let own = self.status(now);
+        let kept = self.capacity * KEPT_SHARE;
+        let surplus = |status: &PartStatus| {
+            let needed = f64::from(status.demand) * HORIZON_S;
+            f64::from(status.level) - needed - kept
+        };
+        let mine = surplus(&own).min(self.level);
+        if mine <= 0.0 {
+            return Vec::new();
+        }
+        let theirs: f64 = others.iter().map(|(_, s)| surplus(s).max(0.0)).sum();
+        let need = |s: &PartStatus| (f64::from(s.demand) * HORIZON_S - f64::from(s.level)).max(0.0);
+        let needed: f64 = others.iter().map(|(_, s)| need(s)).sum();
+        let share = (mine / (mine + theirs)).min(mine / needed.max(1.0));
+        let mut gifts = Vec::new();
+        for (at, (_, status)) in others.iter().enumerate() {
+            let tokens = (need(status) * share).min(self.level);
+            if tokens >= 1.0 {
+                self.level -= tokens;
+                gifts.push((at, tokens));
+            }
+        }
+        gifts
+    }
+
+    /// Takes a gift of another instance.
+    pub fn receive(&mut self, tokens: f64, now: Duration) {
+        self.fill(now);
+        self.gifts.push_back(Received {
+            lapses: now + GIFT_LIFE,
+            tokens,
+        });
+    }
+}
--- a/crates/decisions/src/answer.rs
+++ b/crates/decisions/src/answer.rs
@@ -21,12 +21,21 @@
 pub enum Framing {
     /// Server-sent events, the last of which is `[DONE]`.
     Events,
+    /// Server-sent events with ids; the transport states the end.
+    NumberedEvents,
     /// The transport states the length or the last chunk.
     Delimited,
     /// Only the end of the connection, which a cut looks like too.
     Open,
 }
 
+impl Framing {
+    /// Tells whether the answer is a stream of events.
+    pub fn is_events(self) -> bool {
+        matches!(self, Self::Events | Self::NumberedEvents)
+    }
+}
+
 /// Why an answer is not whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(ThisError)]
@@ -97,6 +106,14 @@
         }
     }
 
+    /// Starts a stream of numbered events behind those that the caller has.
+    pub fn after(framing: Framing, last_id: Option<u64>) -> Self {
+        Self {
+            last_id,
+            ..Self::new(framing)
+        }
+    }
+
     /// Takes a piece and returns what may be passed on.
     ///
     /// # Errors
@@ -104,7 +121,7 @@
     /// Fails if the answer can't become whole any more.
     pub fn push(&mut self, data: Bytes) -> Result<Bytes, Fault> {
         self.bytes += data.len() as u64;
-        if self.framing != Framing::Events {
+        if !self.framing.is_events() {
             let room = MAX_USAGE.saturating_sub(self.pending.len());
             self.pending
                 .extend_from_slice(&data[..data.len().min(room)]);
@@ -190,6 +207,8 @@
         match self.framing {
             Framing::Delimited => Ok(()),
             Framing::Open => Err(Fault::NoLength),
+            Framing::NumberedEvents if !self.pending.is_empty() => Err(Fault::CutEvent),
+            Framing::NumberedEvents => Ok(()),
             Framing::Events if !self.pending.is_empty() => Err(Fault::CutEvent),
             Framing::Events if !self.done => Err(Fault::NoDone),
             Framing::Events => Ok(()),
@@ -214,13 +233,13 @@
 
     /// Returns the tokens used, of prompt and answer together.
     pub fn tokens(&mut self, prompt_tokens: u64) -> u64 {
-        if self.framing != Framing::Events {
+        if !self.framing.is_events() {
             let body = std::mem::take(&mut self.pending);
             self.read_usage(&body);
         }
         let counted = match (self.usage, self.framing) {
             (Some(usage), _) => usage,
-            (None, Framing::Events) => Usage {
+            (None, Framing::Events | Framing::NumberedEvents) => Usage {
                 completion_tokens: Some(self.events),
                 total_tokens: None,
             },
--- /dev/null
+++ b/crates/decisions/src/catalog.rs
@@ -0,0 +1,240 @@
+//! Routes, pools and client accounts as an operator publishes them whole.
+//!
+//! A [`Catalog`] is one immutable snapshot. A front end decodes it from the
+//! operator's document; [`CurrentCatalog`] holds the newest one and never goes
+//! back to an older version.
+
+mod terms;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::names::Account;
+use crate::names::Pool;
+use crate::tables::Rank;
+use crate::tables::Ranked;
+
+pub use terms::AccountTerms;
+pub use terms::Backend;
+pub use terms::ClientLimits;
+pub use terms::ColdLimit;
+pub use terms::EngineTerms;
+pub use terms::Kind;
+pub use terms::PoolTerms;
+pub use terms::RouteTerms;
+pub use terms::TokenLimit;
+
+/// Routes, pools and client accounts at one version.
+///
+/// # Invariants
+///
+/// The routes of a host stand longest path prefix first, so that the first
+/// match is the route of a request.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    /// The operator's version.
+    pub version: u64,
+    /// What callers may send and how long they may take.
+    pub limits: ClientLimits,
+    routes: HashMap<Box<str>, Vec<Arc<RouteTerms>>>,
+    pools: HashMap<Pool, Arc<PoolTerms>>,
+    accounts: HashMap<Box<str>, Arc<AccountTerms>>,
+    has_accounts: bool,
+}
+
+/// Why a request is not covered by the catalog.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotCovered {
+    /// No route has this host and path.
+    NoRoute,
+    /// The route needs a key, and none or an unknown one was shown.
+    NoAccount,
+}
+
+/// What the catalog allows a request.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// The route.
+    pub route: Arc<RouteTerms>,
+    /// The client account; `None` on public routes and without accounts.
+    pub account: Option<Arc<AccountTerms>>,
+}
+
+impl Terms {
+    /// Tells whether the request may run in `region`: both route and account
+    /// must allow it.
+    pub fn allows(&self, region: &crate::names::Region) -> bool {
+        let account = self.account.as_ref();
+        self.route.residency.allows(region) && account.is_none_or(|a| a.residency.allows(region))
+    }
+
+    /// Returns the request's priority, 0 first; the account's goes first.
+    pub fn priority(&self) -> u8 {
+        let account = self.account.as_ref().and_then(|a| a.priority);
+        account.unwrap_or(self.route.priority)
+    }
+}
+
+impl Catalog {
+    /// Puts routes, pools and accounts together.
+    pub fn new(
+        version: u64,
+        routes: Vec<RouteTerms>,
+        pools: Vec<PoolTerms>,
+        accounts: Vec<AccountTerms>,
+        limits: ClientLimits,
+    ) -> Self {
+        let mut by_host: HashMap<Box<str>, Vec<Arc<RouteTerms>>> = HashMap::new();
+        for route in routes {
+            let host = route.host.as_ref().into();
+            by_host.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let has_accounts = !accounts.is_empty();
+        let mut by_key = HashMap::new();
+        for account in accounts {
+            let account = Arc::new(account);
+            for key in &account.keys {
+                by_key.insert(key.clone(), Arc::clone(&account));
+            }
+        }
+        let by_name = |pool: PoolTerms| (pool.name.clone(), Arc::new(pool));
+        Self {
+            version,
+            limits,
+            routes: by_host,
+            pools: pools.into_iter().map(by_name).collect(),
+            accounts: by_key,
+            has_accounts,
+        }
+    }
+
+    /// Finds what a request may do by its host, path and key.
+    ///
+    /// # Errors
+    ///
+    /// Says which part of the request the catalog does not know.
+    pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Result<Terms, NotCovered> {
+        let route = self.find_route(host, path).ok_or(NotCovered::NoRoute)?;
+        if route.public || !self.has_accounts {
+            return Ok(Terms {
+                route,
+                account: None,
+            });
+        }
+        let account = key.and_then(|key| self.accounts.get(key));
+        let account = account.ok_or(NotCovered::NoAccount)?;
+        Ok(Terms {
+            route,
+            account: Some(Arc::clone(account)),
+        })
+    }
+
+    /// Finds the route with the longest prefix of `path`.
+    pub fn find_route(&self, host: &str, path: &str) -> Option<Arc<RouteTerms>> {
+        let mut routes = self.routes.get(host)?.iter();
+        let found = routes.find(|route| path.starts_with(route.path_prefix.as_ref()));
+        found.map(Arc::clone)
+    }
+
+    /// Finds a pool.
+    pub fn pool(&self, name: &Pool) -> Option<&Arc<PoolTerms>> {
+        self.pools.get(name)
+    }
+
+    /// Finds a client account by its name.
+    pub fn account(&self, name: &Account) -> Option<&Arc<AccountTerms>> {
+        self.accounts.values().find(|account| account.name == *name)
+    }
+
+    /// Lists the client accounts, some more than once.
+    pub fn accounts(&self) -> impl Iterator<Item = &AccountTerms> {
+        self.accounts.values().map(Arc::as_ref)
+    }
+
+    /// Counts the routes.
+    pub fn len(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+
+    /// Tells whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+}
+
+impl RouteTerms {
+    /// Chooses the pool of a request by the backends' weights. The same
+    /// request always gets the same pool.
+    pub fn choose_pool(&self, request: &str) -> Option<&Pool> {
+        let total: u64 = self.backends.iter().map(|b| u64::from(b.weight)).sum();
+        if total == 0 {
+            return self.backends.first().map(|b| &b.pool);
+        }
+        let mut at = xxh3_64(request.as_bytes()) % total;
+        for backend in &self.backends {
+            let weight = u64::from(backend.weight);
+            if at < weight {
+                return Some(&backend.pool);
+            }
+            at -= weight;
+        }
+        None
+    }
+}
+
+/// The newest catalog that this instance knows.
+///
+/// # Invariants
+///
+/// The revision only grows, so that a late or repeated message of the store
+/// never brings an older catalog back.
+#[derive(Debug)]
+pub struct CurrentCatalog {
+    state: Ranked<Option<Current>>,
+}
+
+/// A catalog with where and when it was read.
+#[derive(Clone, Debug)]
+pub struct Current {
+    /// The catalog.
+    pub catalog: Arc<Catalog>,
+    /// The store's revision of the catalog.
+    pub revision: u64,
+    /// When it was read, on the local monotonic clock.
+    pub learned: Duration,
+}
+
+impl Default for CurrentCatalog {
+    fn default() -> Self {
+        Self {
+            state: Ranked::new(Rank::Config, None),
+        }
+    }
+}
+
+impl CurrentCatalog {
+    /// Returns the newest catalog; `None` before the first one.
+    pub fn get(&self) -> Option<Current> {
+        self.state.lock().clone()
+    }
+
+    /// Puts a catalog in force; one of an older or equal revision is ignored.
+    pub fn advance(&self, catalog: Arc<Catalog>, revision: u64, now: Duration) -> bool {
+        let mut state = self.state.lock();
+        if state.as_ref().is_some_and(|old| old.revision >= revision) {
+            return false;
+        }
+        *state = Some(Current {
+            catalog,
+            revision,
+            learned: now,
+        });
+        true
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/fleet.rs
@@ -0,0 +1,331 @@
+//! What an instance believes of the targets, the availability zones and the
+//! store that tells it of them.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::names::Pool;
+use crate::names::Region;
+use crate::names::Target;
+use crate::names::Zone;
+
+/// Time after the store's return in which entries that vanished with it may
+/// come back.
+pub const RETURN_GRACE: Duration = Duration::from_millis(2000);
+
+/// A target as its own record describes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetRecord {
+    /// The pool that the target belongs to.
+    pub pool: Pool,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The zone's region.
+    pub region: Region,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to stop.
+    pub draining: bool,
+    /// When it started, in milliseconds of Unix time; 0 if it does not say.
+    pub started_ms: u64,
+    /// How much longer it is cold, as of the record.
+    pub cold: Duration,
+}
+
+/// A target with where the belief comes from.
+#[derive(Clone, Debug)]
+pub struct KnownTarget {
+    /// The target's record.
+    pub record: TargetRecord,
+    /// The store's revision of the record.
+    pub revision: u64,
+    /// When the record was read, on the local monotonic clock.
+    pub learned: Duration,
+    /// Until when it is cold, on the local monotonic clock.
+    pub cold_until: Duration,
+    missing_since: Option<Duration>,
+}
+
+impl KnownTarget {
+    /// Tells whether the target is cold.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+}
+
+/// What changed of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetChange {
+    /// Nothing that matters.
+    Same,
+    /// The target is new.
+    Added,
+    /// It started anew under its old name.
+    Restarted,
+    /// It began to stop, or to take work again.
+    Moved,
+    /// Its record vanished while the store was not settled; it is still used.
+    Held,
+    /// It is gone.
+    Gone,
+}
+
+/// How the store's state bears on what it tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StoreState {
+    /// It answers, and has done so for a while.
+    Settled,
+    /// It does not answer.
+    Lost,
+    /// It answers again since then.
+    Returned(Duration),
+}
+
+/// Targets, evacuated zones and the store's state.
+///
+/// # Invariants
+///
+/// A record replaces one of a lower revision only. `missing_since` is set only
+/// while the record's absence may be due to the store's own outage.
+#[derive(Debug)]
+pub struct Fleet {
+    targets: HashMap<Target, KnownTarget>,
+    by_pool: HashMap<Pool, Vec<Target>>,
+    evacuated: HashSet<Zone>,
+    store: StoreState,
+    heard: Duration,
+    zones: HashMap<Zone, Region>,
+}
+
+impl Fleet {
+    /// Starts with no targets.
+    pub fn new(zones: HashMap<Zone, Region>) -> Self {
+        Self {
+            targets: HashMap::new(),
+            by_pool: HashMap::new(),
+            evacuated: HashSet::new(),
+            store: StoreState::Settled,
+            heard: Duration::ZERO,
+            zones,
+        }
+    }
+
+    /// Returns the region of a zone.
+    pub fn region(&self, zone: &Zone) -> Option<&Region> {
+        self.zones.get(zone)
+    }
+
+    /// Returns when the store last answered.
+    pub fn heard(&self) -> Duration {
+        self.heard
+    }
+
+    /// Notes that the store answered; true if it had been lost.
+    pub fn store_answered(&mut self, now: Duration) -> bool {
+        self.heard = now;
+        match self.store {
+            StoreState::Lost => {
+                self.store = StoreState::Returned(now);
+                true
+            }
+            StoreState::Returned(since) if now >= since + RETURN_GRACE => {
+                self.store = StoreState::Settled;
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// Notes that the store does not answer; true if it had been answering.
+    pub fn store_lost(&mut self) -> bool {
+        let was = std::mem::replace(&mut self.store, StoreState::Lost);
+        was != StoreState::Lost
+    }
+
+    fn is_settled(&self, now: Duration) -> bool {
+        match self.store {
+            StoreState::Settled => true,
+            StoreState::Lost => false,
+            StoreState::Returned(since) => now >= since + RETURN_GRACE,
+        }
+    }
+
+    /// Takes a target's record.
+    pub fn put(
+        &mut self,
+        name: &Target,
+        record: TargetRecord,
+        revision: u64,
+        now: Duration,
+    ) -> TargetChange {
+        let cold_until = match record.cold {
+            Duration::ZERO => Duration::ZERO,
+            cold => now + cold,
+        };
+        let known = KnownTarget {
+            cold_until,
+            revision,
+            learned: now,
+            missing_since: None,
+            record,
+        };
+        let Some(old) = self.targets.get_mut(name) else {
+            let pool = known.record.pool.clone();
+            self.by_pool.entry(pool).or_default().push(name.clone());
+            self.targets.insert(name.clone(), known);
+            return TargetChange::Added;
+        };
+        if revision < old.revision {
+            return TargetChange::Same;
+        }
+        let change = compare(&old.record, &known.record);
+        let pool = std::mem::replace(old, known).record.pool;
+        let new_pool = old.record.pool.clone();
+        if pool != new_pool {
+            self.unlist(&pool, name);
+            self.by_pool.entry(new_pool).or_default().push(name.clone());
+        }
+        change
+    }
+
+    /// Takes the word that a target has no record any more.
+    pub fn vanish(&mut self, name: &Target, now: Duration) -> TargetChange {
+        let settled = self.is_settled(now);
+        let Some(known) = self.targets.get_mut(name) else {
+            return TargetChange::Same;
+        };
+        if settled || known.record.draining {
+            self.remove(name);
+            return TargetChange::Gone;
+        }
+        if known.missing_since.is_some() {
+            return TargetChange::Same;
+        }
+        known.missing_since = Some(now);
+        TargetChange::Held
+    }
+
+    /// Takes a whole listing: targets that it lacks have vanished.
+    pub fn reconcile(&mut self, listed: &HashSet<Target>, now: Duration) -> Vec<Target> {
+        let missing: Vec<_> = self
+            .targets
+            .keys()
+            .filter(|t| !listed.contains(*t))
+            .cloned()
+            .collect();
+        let gone = |name: &Target| self.vanish(name, now) == TargetChange::Gone;
+        missing.into_iter().filter(gone).collect()
+    }
+
+    /// Removes the targets whose records have not come back in time.
+    pub fn expire(&mut self, now: Duration) -> Vec<Target> {
+        let StoreState::Returned(since) = self.store else {
+            return if self.store == StoreState::Settled {
+                self.remove_missing()
+            } else {
+                Vec::new()
+            };
+        };
+        if now < since + RETURN_GRACE {
+            return Vec::new();
+        }
+        self.store = StoreState::Settled;
+        self.remove_missing()
+    }
+
+    fn remove_missing(&mut self) -> Vec<Target> {
+        let missing = |(name, known): (&Target, &KnownTarget)| {
+            known.missing_since.is_some().then(|| name.clone())
+        };
+        let gone: Vec<Target> = self.targets.iter().filter_map(missing).collect();
+        for name in &gone {
+            self.remove(name);
+        }
+        gone
+    }
+
+    fn remove(&mut self, name: &Target) {
+        if let Some(known) = self.targets.remove(name) {
+            self.unlist(&known.record.pool, name);
+        }
+    }
+
+    fn unlist(&mut self, pool: &Pool, name: &Target) {
+        if let Some(names) = self.by_pool.get_mut(pool) {
+            names.retain(|other| other != name);
+        }
+    }
+
+    /// Notes whether a zone is being evacuated.
+    pub fn evacuate(&mut self, zone: &Zone, evacuated: bool) -> bool {
+        match evacuated {
+            true => self.evacuated.insert(zone.clone()),
+            false => self.evacuated.remove(zone),
+        }
+    }
+
+    /// Returns the zones that are being evacuated.
+    pub fn evacuated(&self) -> &HashSet<Zone> {
+        &self.evacuated
+    }
+
+    /// Finds a target.
+    pub fn get(&self, name: &Target) -> Option<&KnownTarget> {
+        self.targets.get(name)
+    }
+
+    /// Tells whether a target may get new work now.
+    pub fn takes_work(&self, name: &Target) -> bool {
+        let usable = |known: &KnownTarget| {
+            !known.record.draining && !self.evacuated.contains(&known.record.zone)
+        };
+        self.targets.get(name).is_some_and(usable)
+    }
+
+    /// Lists the targets of a pool that may get new work.
+    pub fn targets<'a>(
+        &'a self,
+        pool: &Pool,
+    ) -> impl Iterator<Item = (&'a Target, &'a KnownTarget)> + use<'a> {
+        let names = self.by_pool.get(pool).map_or(&[][..], Vec::as_slice);
+        names
+            .iter()
+            .filter(|name| self.takes_work(name))
+            .filter_map(|name| Some((name, self.targets.get(name)?)))
+    }
+
+    /// Lists the regions in which a pool has targets that may get new work.
+    pub fn regions(&self, pool: &Pool) -> Vec<Region> {
+        let mut regions = Vec::new();
+        for (_, known) in self.targets(pool) {
+            if !regions.contains(&known.record.region) {
+                regions.push(known.record.region.clone());
+            }
+        }
+        regions
+    }
+
+    /// Counts the targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Tells whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+}
+
+fn compare(old: &TargetRecord, new: &TargetRecord) -> TargetChange {
+    if old.started_ms != new.started_ms || old.address != new.address {
+        return TargetChange::Restarted;
+    }
+    if old.draining != new.draining || old.pool != new.pool {
+        return TargetChange::Moved;
+    }
+    TargetChange::Same
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,10 +4,13 @@
 //! and random numbers come from the caller. The peer packages encode and
 //! carry what is decided here, so a further front end uses the same code.
 
+pub mod allowance;
 pub mod answer;
 pub mod backoff;
+pub mod catalog;
 pub mod config;
 pub mod event;
+pub mod fleet;
 pub mod gateway;
 pub mod handover;
 pub mod idempotency;
@@ -27,7 +30,10 @@
 pub mod store_session;
 pub mod tables;
 pub mod tickets;
+pub mod traffic;
+pub mod window;
 
+pub use catalog::Catalog;
 pub use config::Config;
 pub use refusal::Refusal;
 pub use request::Request;
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -306,6 +306,12 @@
 {
     /// Refuses the request; "not run" unless an earlier attempt was dispatched.
     pub fn refuse_not_run(self, code: Code, step: Step, peer: Peer) -> Refusal {
+        self.refuse_as(code, step, peer)
+    }
+
+    /// Returns the refusal of [`Request::refuse_not_run`], for whoever still
+    /// looks for another way.
+    pub fn refuse_as(&self, code: Code, step: Step, peer: Peer) -> Refusal {
         let outcome = if self.attempted {
             Outcome::Unknown
         } else {
@@ -484,6 +490,14 @@
         Refusal::unknown(code, step, self.state.peer)
     }
 
+    /// Goes back on proof that this attempt did not run: no byte was written,
+    /// or the target said so itself.
+    pub fn withdraw(mut self) -> Request<Admitted, O> {
+        self.attempted = self.state.earlier;
+        let grant = Arc::clone(&self.state.grant);
+        self.with_state(Admitted { grant })
+    }
+
     /// Starts another attempt at a request that may run more than once.
     ///
     /// # Errors
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -37,6 +37,8 @@
     Accounts,
     /// Waiting requests.
     Queues,
+    /// What the store says of the targets and itself.
+    Fleet,
     /// Load and health of targets.
     Targets,
     /// Records of the other instances.
--- /dev/null
+++ b/crates/decisions/src/traffic.rs
@@ -0,0 +1,379 @@
+//! What runs at the targets, by this instance's own count and by what the
+//! other instances tell, and the choice of a target from it.
+
+mod cached;
+mod choose;
+mod meter;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::catalog::PoolTerms;
+use crate::fleet::KnownTarget;
+use crate::names::Instance;
+use crate::names::Pool;
+use crate::names::Region;
+use crate::names::Target;
+use crate::placement::Health;
+use crate::placement::Sign;
+use crate::placement::Status;
+use crate::window::Divisor;
+use crate::window::RetryLimit;
+use crate::window::RetryWindow;
+use crate::window::Window;
+
+pub use cached::CachedParts;
+pub use cached::PromptPart;
+pub use choose::Choice;
+pub use choose::Demand;
+pub use choose::Estimate;
+pub use choose::Nowhere;
+pub use choose::RegionChoice;
+pub use choose::SPILL_GAIN;
+pub use meter::Meter;
+
+/// Time without a word after which another instance's counts are dropped.
+const COUNTS_LIFE: Duration = Duration::from_secs(3);
+
+/// Time until the instances of another region have told of a request that was
+/// sent there.
+const UNCOUNTED: Duration = Duration::from_millis(400);
+
+/// Window in which a cold target's requests are counted.
+const COLD_WINDOW: Duration = Duration::from_millis(1030);
+
+/// What one instance has at one target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Count {
+    /// Requests that run or wait there.
+    pub running: u32,
+    /// Prompt tokens of them that are still to be read.
+    pub unread_tokens: u32,
+}
+
+impl Count {
+    /// Adds an equal share of what goes to one of so many targets.
+    fn plus_share(self, other: Self, targets: usize) -> Self {
+        let targets = u32::try_from(targets.max(1)).unwrap_or(u32::MAX);
+        Self {
+            running: self.running + other.running / targets,
+            unread_tokens: self
+                .unread_tokens
+                .saturating_add(other.unread_tokens / targets),
+        }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.running += other.running;
+        self.unread_tokens += other.unread_tokens;
+    }
+}
+
+/// What an instance has at a target, as told to the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TargetCount {
+    /// The target.
+    pub target: Target,
+    /// What is there.
+    pub count: Count,
+}
+
+#[derive(Debug, Default)]
+struct OwnCount {
+    count: Count,
+    health: Health,
+    cached: CachedParts,
+    cold: Option<Window>,
+    failing: f64,
+}
+
+#[derive(Debug)]
+struct Told {
+    heard: Duration,
+    counts: Vec<TargetCount>,
+}
+
+/// A place at a target, from the choice until the request has ended there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The target.
+    pub target: Target,
+    /// The pool.
+    pub pool: Pool,
+    /// Prompt tokens that the target has to read.
+    pub unread_tokens: u32,
+    /// Prompt tokens ahead of them when the place was taken.
+    pub ahead_tokens: u32,
+}
+
+/// How a request at a target went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The target answered.
+    Answered,
+    /// The target said that it did not run the request, as it is full.
+    Full,
+    /// Another target has the address.
+    Misdirected,
+    /// The target answered with an error of its own.
+    Failed,
+    /// No connection could be made.
+    Unreachable,
+    /// There was no answer, or not all of it.
+    Lost,
+    /// The caller left, or the request was given up here.
+    Cancelled,
+}
+
+/// Weight of the newest answer in a target's share of failures.
+const FAILING_WEIGHT: f64 = 0.08;
+
+/// Time for which a full target is passed over.
+const FULL_PAUSE: Duration = Duration::from_millis(250);
+
+/// Everything that is counted at the targets.
+///
+/// # Invariants
+///
+/// `told_sum` is the sum of the counts in `told`. Each [`Place`] given out is
+/// counted in `own` until it is given back by [`Traffic::end`].
+#[derive(Debug)]
+pub struct Traffic {
+    own: HashMap<Target, OwnCount>,
+    told: HashMap<Instance, Told>,
+    told_sum: HashMap<Target, Count>,
+    meters: HashMap<Pool, Meter>,
+    retries: HashMap<Pool, RetryWindow>,
+    full_until: HashMap<Target, Duration>,
+    sent_away: HashMap<(Region, Pool), Window>,
+    retry_limit: RetryLimit,
+    cold_slack: ColdSlack,
+}
+
+/// How far all instances together may overrun a cold target's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdSlack {
+    /// Factor on the limit.
+    pub factor: f64,
+    /// Requests beside that.
+    pub slack: f64,
+}
+
+impl Traffic {
+    /// Starts with nothing counted.
+    pub fn new(retry_limit: RetryLimit, cold_slack: ColdSlack) -> Self {
+        Self {
+            own: HashMap::new(),
+            told: HashMap::new(),
+            told_sum: HashMap::new(),
+            meters: HashMap::new(),
+            retries: HashMap::new(),
+            full_until: HashMap::new(),
+            sent_away: HashMap::new(),
+            retry_limit,
+            cold_slack,
+        }
+    }
+
+    /// Returns what all instances have at a target, as far as is known.
+    pub fn count(&self, target: &Target) -> Count {
+        let mut count = self.own.get(target).map(|o| o.count).unwrap_or_default();
+        if let Some(told) = self.told_sum.get(target) {
+            count.add(*told);
+        }
+        count
+    }
+
+    /// Returns the meter of a pool.
+    pub fn meter(&self, pool: &Pool) -> Meter {
+        self.meters.get(pool).copied().unwrap_or_default()
+    }
+
+    /// Returns the meter of a pool, to be fed.
+    pub fn meter_mut(&mut self, pool: &Pool) -> &mut Meter {
+        self.meters.entry(pool.clone()).or_default()
+    }
+
+    /// Lists what this instance has at the targets, for the others.
+    pub fn counts(&self) -> Vec<TargetCount> {
+        let busy = |(target, own): (&Target, &OwnCount)| {
+            (own.count.running > 0).then(|| TargetCount {
+                target: target.clone(),
+                count: own.count,
+            })
+        };
+        self.own.iter().filter_map(busy).collect()
+    }
+
+    /// Takes another instance's counts.
+    pub fn tell(&mut self, from: &Instance, counts: Vec<TargetCount>, now: Duration) {
+        let told = Told { heard: now, counts };
+        self.told.insert(from.clone(), told);
+        self.sum_up(now);
+    }
+
+    /// Drops the counts of an instance that has ended.
+    pub fn forget(&mut self, from: &Instance, now: Duration) {
+        if self.told.remove(from).is_some() {
+            self.sum_up(now);
+        }
+    }
+
+    fn sum_up(&mut self, now: Duration) {
+        self.told.retain(|_, told| told.heard + COUNTS_LIFE > now);
+        self.told_sum.clear();
+        for told in self.told.values().flat_map(|told| &told.counts) {
+            let sum = self.told_sum.entry(told.target.clone()).or_default();
+            sum.add(told.count);
+        }
+    }
+
+    /// Counts a request for a pool.
+    pub fn request(&mut self, pool: &Pool, now: Duration) {
+        self.retry_window(pool).request(now);
+    }
+
+    /// Tells whether a request may be sent to a further target, and counts it
+    /// if so.
+    pub fn may_retry(&mut self, pool: &Pool, divisor: Divisor, now: Duration) -> bool {
+        let limit = self.retry_limit;
+        self.retry_window(pool).retry(limit, divisor, now)
+    }
+
+    fn retry_window(&mut self, pool: &Pool) -> &mut RetryWindow {
+        let limit = self.retry_limit;
+        let make = || RetryWindow::new(limit);
+        self.retries.entry(pool.clone()).or_insert_with(make)
+    }
+
+    /// Takes a place at a target that was chosen; false if it is cold and this
+    /// instance's part of what it takes is used up.
+    pub fn take(
+        &mut self,
+        place: &Place,
+        parts: &[PromptPart],
+        known: &KnownTarget,
+        pool: &PoolTerms,
+        divisor: Divisor,
+        now: Duration,
+    ) -> bool {
+        let bound = self.cold_bound(pool, divisor);
+        let own = self.own.entry(place.target.clone()).or_default();
+        if let Some(bound) = bound.filter(|_| known.is_cold(now)) {
+            let window = own.cold.get_or_insert_with(|| Window::new(COLD_WINDOW));
+            if !window.take(1.0, bound, now) {
+                return false;
+            }
+        }
+        own.health.observe(Sign::Placed, now);
+        own.count.running += 1;
+        own.count.unread_tokens += place.unread_tokens;
+        if let Some(engine) = &pool.engine {
+            own.cached.insert(parts, engine.cache_tokens, now);
+        }
+        true
+    }
+
+    fn cold_bound(&self, pool: &PoolTerms, divisor: Divisor) -> Option<f64> {
+        let per_s = pool.cold.requests_per_s;
+        let bound = per_s * self.cold_slack.factor + self.cold_slack.slack;
+        (per_s > 0.0).then(|| divisor.part(bound).floor())
+    }
+
+    /// Notes a request that goes to another region, whose instances have not
+    /// counted it yet.
+    pub fn sent_away(&mut self, region: &Region, pool: &Pool, tokens: u32, now: Duration) {
+        let key = (region.clone(), pool.clone());
+        let make = || Window::new(UNCOUNTED);
+        let window = self.sent_away.entry(key).or_insert_with(make);
+        window.add(f64::from(tokens.max(1)), now);
+    }
+
+    /// Returns the requests and the prompt tokens that went to a region and
+    /// are not counted there yet.
+    fn uncounted(&mut self, region: &Region, pool: &Pool, now: Duration) -> Count {
+        let key = (region.clone(), pool.clone());
+        let Some(window) = self.sent_away.get_mut(&key) else {
+            return Count::default();
+        };
+        Count {
+            unread_tokens: window.sum(now) as u32,
+            running: u32::try_from(window.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Notes that a target has read a request's prompt.
+    pub fn read(&mut self, place: &mut Place) {
+        let tokens = std::mem::take(&mut place.unread_tokens);
+        if let Some(own) = self.own.get_mut(&place.target) {
+            own.count.unread_tokens = own.count.unread_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Gives a place back.
+    pub fn end(&mut self, mut place: Place, ended: Ended, now: Duration) {
+        self.read(&mut place);
+        let Some(own) = self.own.get_mut(&place.target) else {
+            return;
+        };
+        own.count.running = own.count.running.saturating_sub(1);
+        let (sign, failed) = match ended {
+            Ended::Answered => (Some(Sign::Success), Some(0.0)),
+            Ended::Failed => (None, Some(1.0)),
+            Ended::Lost => (Some(Sign::Failure), Some(1.0)),
+            Ended::Unreachable | Ended::Misdirected => (Some(Sign::Unreachable), None),
+            Ended::Full | Ended::Cancelled => (None, None),
+        };
+        if let Some(sign) = sign {
+            own.health.observe(sign, now);
+        }
+        if let Some(failed) = failed {
+            own.failing += (failed - own.failing) * FAILING_WEIGHT;
+        }
+        if ended == Ended::Full {
+            self.full_until.insert(place.target, now + FULL_PAUSE);
+        }
+    }
+
+    /// Forgets what a target had before it started anew.
+    pub fn restarted(&mut self, target: &Target, now: Duration) {
+        if let Some(own) = self.own.get_mut(target) {
+            own.cached = CachedParts::default();
+            own.failing = 0.0;
+            own.health.observe(Sign::Restarted, now);
+        }
+    }
+
+    /// Drops a target that is gone, unless requests still run there.
+    pub fn gone(&mut self, target: &Target) {
+        self.full_until.remove(target);
+        if self.own.get(target).is_some_and(|o| o.count.running == 0) {
+            self.own.remove(target);
+        }
+    }
+
+    fn status(&self, target: &Target, now: Duration) -> Status {
+        let own = self.own.get(target);
+        own.map_or(Status::Healthy, |own| own.health.status(now))
+    }
+}
+
+impl Ended {
+    /// Returns the name as it stands in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Full => "full",
+            Self::Misdirected => "misdirected",
+            Self::Failed => "failed",
+            Self::Unreachable => "unreachable",
+            Self::Lost => "lost",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/traffic/cached.rs
@@ -0,0 +1,87 @@
+//! Which parts of prompts a target keeps in its memory, by what was sent there.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3DefaultBuilder;
+
+/// A part of a prompt that other prompts may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PromptPart {
+    /// Names the part.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// Share of a target's memory that is taken to hold parts.
+const PARTS_SHARE: f64 = 0.7;
+
+/// Parts that are kept of one target at most.
+const MAX_PARTS: usize = 4096;
+
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    tokens: u32,
+    used: Duration,
+}
+
+/// The parts that a target is taken to have in memory.
+///
+/// # Invariants
+///
+/// `tokens` is the sum of the parts' tokens. The parts used longest ago yield
+/// first, as at the target itself.
+#[derive(Clone, Debug, Default)]
+pub struct CachedParts {
+    parts: HashMap<u64, Kept, Xxh3DefaultBuilder>,
+    tokens: u64,
+}
+
+impl CachedParts {
+    /// Returns the tokens at the beginning of a prompt that are in memory. A
+    /// part counts only if all parts before it do.
+    pub fn cached_tokens(&self, parts: &[PromptPart]) -> u64 {
+        let cached = parts.iter().take_while(|p| self.parts.contains_key(&p.id));
+        cached.map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// Notes that the target reads a prompt.
+    pub fn insert(&mut self, parts: &[PromptPart], capacity: u64, now: Duration) {
+        for part in parts {
+            let kept = Kept {
+                tokens: part.tokens,
+                used: now,
+            };
+            match self.parts.insert(part.id, kept) {
+                Some(old) => {
+                    self.tokens = self.tokens - u64::from(old.tokens) + u64::from(part.tokens)
+                }
+                None => self.tokens += u64::from(part.tokens),
+            }
+        }
+        let capacity = (capacity as f64 * PARTS_SHARE) as u64;
+        if self.tokens > capacity || self.parts.len() > MAX_PARTS {
+            self.evict(capacity);
+        }
+    }
+
+    /// Drops the parts used longest ago until an eighth of the room is free,
+    /// so that this is seldom done.
+    fn evict(&mut self, capacity: u64) {
+        let mut oldest: Vec<(Duration, u64)> =
+            self.parts.iter().map(|(id, k)| (k.used, *id)).collect();
+        oldest.sort_unstable();
+        for (_, id) in oldest {
+            if self.tokens <= capacity / 8 * 7 && self.parts.len() <= MAX_PARTS / 8 * 7 {
+                return;
+            }
+            if let Some(kept) = self.parts.remove(&id) {
+                self.tokens -= u64::from(kept.tokens);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/traffic/choose.rs
@@ -0,0 +1,252 @@
+//! The choice of a target within a region, and between regions.
+
+use std::time::Duration;
+
+use super::Count;
+use super::PromptPart;
+use super::Traffic;
+use crate::catalog::PoolTerms;
+use crate::fleet::Fleet;
+use crate::fleet::KnownTarget;
+use crate::names::Region;
+use crate::names::Target;
+use crate::placement::Status;
+use crate::placement::prefix;
+use crate::window::Divisor;
+
+/// By how much another region must be faster than this one.
+pub const SPILL_GAIN: Duration = Duration::from_millis(60);
+
+/// Delay that a share of failed answers counts as.
+const FAILING_COST: Duration = Duration::from_millis(800);
+
+/// Share of a prompt's parts that counts as cached at the target that all
+/// instances of the region send it to, where this instance has not seen it.
+const HOME_CACHED: f64 = 0.5;
+
+/// Tokens from which on a prompt has a target that it is sent to first.
+const HOME_TOKENS: u64 = 1_000;
+
+/// Delay that a running request adds for the others in its batch.
+const CROWDING: Duration = Duration::from_micros(400);
+
+/// Weight of reading parts again that are cached elsewhere, as it also holds
+/// up the other requests of the target.
+const READ_WEIGHT: f64 = 1.5;
+
+/// Time of a short generation.
+const GENERATION: Duration = Duration::from_millis(600);
+
+/// What a request asks of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u64,
+    /// The prompt's parts, in order.
+    pub parts: &'a [PromptPart],
+    /// Targets that were tried before.
+    pub tried: &'a [Target],
+}
+
+/// What is expected of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Estimate {
+    /// Time until the first event, or until a plain answer begins.
+    pub wait: Duration,
+    /// Time until then as it bears on the choice, with what the request costs
+    /// others.
+    pub cost: Duration,
+    /// Whether a slot is free.
+    pub has_slot: bool,
+    /// Prompt tokens that the target has to read.
+    pub unread_tokens: u32,
+    /// Prompt tokens ahead of them.
+    pub ahead_tokens: u32,
+}
+
+/// A target that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The target.
+    pub target: Target,
+    /// What is expected of it.
+    pub estimate: Estimate,
+}
+
+/// Why no target can be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Nowhere {
+    /// No target of the pool is there.
+    NoTarget,
+    /// All targets fail or were tried.
+    NoneHealthy,
+    /// All targets that are left are cold and have had their part.
+    AllCold,
+}
+
+/// The best of a region, for the choice between regions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegionChoice {
+    /// The region.
+    pub region: Region,
+    /// What is expected of its best target.
+    pub estimate: Estimate,
+}
+
+impl Traffic {
+    /// Chooses the target of a region with the lowest cost.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is none.
+    pub fn choose(
+        &mut self,
+        fleet: &Fleet,
+        pool: &PoolTerms,
+        region: &Region,
+        demand: &Demand<'_>,
+        divisor: Divisor,
+        now: Duration,
+    ) -> Result<Choice, Nowhere> {
+        let home = self.home(fleet, pool, region, demand, now);
+        let uncounted = self.uncounted(region, &pool.name, now);
+        let targets = fleet.targets(&pool.name);
+        let targets = targets
+            .filter(|(_, known)| known.record.region == *region)
+            .count();
+        let mut nowhere = Nowhere::NoTarget;
+        let mut best: Option<Choice> = None;
+        for (target, known) in fleet.targets(&pool.name) {
+            if known.record.region != *region {
+                continue;
+            }
+            let status = self.status(target, now);
+            if demand.tried.contains(target) || status == Status::Ejected {
+                nowhere = Nowhere::NoneHealthy;
+                continue;
+            }
+            if known.is_cold(now) && !self.has_cold_room(target, pool, divisor, now) {
+                nowhere = Nowhere::AllCold;
+                continue;
+            }
+            let count = self.count(target).plus_share(uncounted, targets);
+            let mut estimate = self.estimate(target, known, pool, demand, home.as_ref(), count);
+            if self
+                .full_until
+                .get(target)
+                .is_some_and(|until| now < *until)
+            {
+                estimate.has_slot = false;
+                estimate.cost += estimate.wait.max(GENERATION);
+            }
+            if status == Status::Suspect {
+                estimate.cost += FAILING_COST;
+            }
+            if best
+                .as_ref()
+                .is_none_or(|b| estimate.cost < b.estimate.cost)
+            {
+                best = Some(Choice {
+                    target: target.clone(),
+                    estimate,
+                });
+            }
+        }
+        best.ok_or(nowhere)
+    }
+
+    fn has_cold_room(
+        &mut self,
+        target: &Target,
+        pool: &PoolTerms,
+        divisor: Divisor,
+        now: Duration,
+    ) -> bool {
+        let Some(bound) = self.cold_bound(pool, divisor) else {
+            return true;
+        };
+        let own = self.own.get_mut(target).and_then(|own| own.cold.as_mut());
+        own.is_none_or(|window| window.sum(now) + 1.0 <= bound)
+    }
+
+    /// Finds the target that all instances send a long prompt to first.
+    fn home(
+        &self,
+        fleet: &Fleet,
+        pool: &PoolTerms,
+        region: &Region,
+        demand: &Demand<'_>,
+        now: Duration,
+    ) -> Option<Target> {
+        let first = demand
+            .parts
+            .iter()
+            .find(|p| u64::from(p.tokens) >= HOME_TOKENS)?;
+        pool.engine.as_ref()?;
+        fleet
+            .targets(&pool.name)
+            .filter(|(_, known)| known.record.region == *region)
+            .filter(|(target, _)| self.status(target, now) != Status::Ejected)
+            .max_by_key(|(target, _)| prefix::rendezvous(first.id, target.as_str()))
+            .map(|(target, _)| target.clone())
+    }
+
+    fn estimate(
+        &self,
+        target: &Target,
+        known: &KnownTarget,
+        pool: &PoolTerms,
+        demand: &Demand<'_>,
+        home: Option<&Target>,
+        count: Count,
+    ) -> Estimate {
+        let meter = self.meter(&pool.name);
+        let slots = match &pool.engine {
+            Some(engine) => engine.slots,
+            None => known.record.slots,
+        };
+        let slots = slots.max(1);
+        let has_slot = count.running < slots;
+        let behind = (count.running + 1).saturating_sub(slots);
+        let own = self.own.get(target);
+        let failing = own.map_or(0.0, |own| own.failing);
+        let penalty = FAILING_COST.mul_f64(failing);
+        if pool.engine.is_none() {
+            let wait = meter
+                .service()
+                .mul_f64(f64::from(behind) / f64::from(slots));
+            let crowding = CROWDING * count.running;
+            return Estimate {
+                wait,
+                cost: wait + penalty + crowding,
+                has_slot,
+                unread_tokens: 0,
+                ahead_tokens: 0,
+            };
+        }
+        let seen = own.map_or(0, |own| own.cached.cached_tokens(demand.parts));
+        let cached = match home == Some(target) {
+            true => seen.max((shared_tokens(demand.parts) as f64 * HOME_CACHED) as u64),
+            false => seen,
+        };
+        let unread = demand.prompt_tokens.saturating_sub(cached);
+        let ahead = u64::from(count.unread_tokens);
+        let queue = GENERATION.mul_f64(f64::from(behind) / f64::from(slots));
+        let wait = meter.reading(ahead + unread) + queue;
+        let read = meter.reading(unread).mul_f64(READ_WEIGHT);
+        let crowding = CROWDING * count.running;
+        Estimate {
+            wait,
+            cost: meter.reading(ahead) + read + queue + crowding + penalty,
+            has_slot,
+            unread_tokens: u32::try_from(unread).unwrap_or(u32::MAX),
+            ahead_tokens: count.unread_tokens,
+        }
+    }
+}
+
+/// Counts the tokens of all parts but the last, which is the request's own.
+fn shared_tokens(parts: &[PromptPart]) -> u64 {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| u64::from(part.tokens)).sum()
+}
--- /dev/null
+++ b/crates/decisions/src/traffic/meter.rs
@@ -0,0 +1,69 @@
+//! How fast the targets of a pool work, as seen from their answers.
+
+use std::time::Duration;
+
+/// Prompt tokens that an engine reads in a millisecond, before any was seen.
+const READ_RATE: f64 = 60.0;
+
+/// Time for a plain service's answer, before any was seen.
+const SERVICE_TIME: Duration = Duration::from_millis(60);
+
+/// Prompt tokens from which on the time to the first event tells the rate.
+const TELLING_TOKENS: u32 = 2_000;
+
+/// Time to the first event of a short prompt at an idle engine.
+const FIRST_EVENT: Duration = Duration::from_millis(40);
+
+/// Weight of the newest answer.
+const WEIGHT: f64 = 0.05;
+
+/// Bounds of the rate at which prompts are read, in tokens a millisecond.
+const READ_RATES: (f64, f64) = (10.0, 400.0);
+
+/// How fast the targets of a pool work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Meter {
+    read_rate: f64,
+    service: Duration,
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        Self {
+            read_rate: READ_RATE,
+            service: SERVICE_TIME,
+        }
+    }
+}
+
+impl Meter {
+    /// Returns the time that an engine needs to read prompt tokens.
+    pub fn reading(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / self.read_rate / 1000.0)
+    }
+
+    /// Returns the time of a whole answer.
+    pub fn service(&self) -> Duration {
+        self.service
+    }
+
+    /// Takes the time to the first event of a prompt with so many tokens to
+    /// read, ahead of it and its own.
+    pub fn first_event(&mut self, tokens: u32, took: Duration) {
+        if tokens < TELLING_TOKENS {
+            return;
+        }
+        let reading = took
+            .saturating_sub(FIRST_EVENT)
+            .max(Duration::from_millis(1));
+        let rate = f64::from(tokens) / (reading.as_secs_f64() * 1000.0);
+        let rate = rate.clamp(READ_RATES.0, READ_RATES.1);
+        self.read_rate += (rate - self.read_rate) * WEIGHT;
+    }
+
+    /// Takes the time of a whole answer.
+    pub fn answered(&mut self, took: Duration) {
+        let (old, new) = (self.service.as_secs_f64(), took.as_secs_f64());
+        self.service = Duration::from_secs_f64(old + (new - old) * WEIGHT);
+    }
+}
