Keep connections to targets, and probe idle ones

Cause: the platform prices each new connection to a target, and open connections may fall silent without a reset. A kept connection is used only if it is quiet, its last answer was whole and the target's stated idle time is not used up; whoever uses it checks that the answer names the request.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -21,6 +21,9 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error as ThisError;
 
+use crate::probe::PROBE_INTERVAL;
+use crate::probe::PROBES;
+
 /// Largest body that is read, in bytes.
 const MAX_BODY: usize = 64 * 1024 * 1024;
 
@@ -94,6 +97,9 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(timeout));
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(PROBE_INTERVAL));
+        connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+        connector.set_keepalive_retries(Some(PROBES));
         let pool = Pool::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
             .build(connector);
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -32,7 +32,7 @@
 use crate::Error;
 use crate::headers;
 
-type Sender = http1::SendRequest<Full<Bytes>>;
+pub(crate) type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Carries the bytes of a connection while something is awaited of it.
 ///
@@ -43,14 +43,24 @@
 ///
 /// `conn` is `None` once the connection has ended, as it may not be polled then.
 #[derive(Debug)]
-struct Driver {
+pub(crate) struct Driver {
     target: Target,
     conn: Option<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>,
 }
 
 impl Driver {
+    /// Returns the target at the other end.
+    pub(crate) fn target(&self) -> &Target {
+        &self.target
+    }
+
+    /// Tells whether the connection has not ended.
+    pub(crate) fn is_open(&self) -> bool {
+        self.conn.is_some()
+    }
+
     /// Awaits `f`, and drives the connection meanwhile.
-    async fn along<F>(&mut self, f: F) -> F::Output
+    pub(crate) async fn along<F>(&mut self, f: F) -> F::Output
     where
         F: Future,
     {
@@ -67,7 +77,8 @@
         .await
     }
 
-    fn poll(&mut self, cx: &mut Context<'_>) {
+    /// Carries what bytes there are.
+    pub(crate) fn poll(&mut self, cx: &mut Context<'_>) {
         let Some(conn) = &mut self.conn else {
             return;
         };
@@ -125,7 +136,11 @@
         })
     }
 
-    async fn open(&self, target: &Target, address: SocketAddr) -> Result<(Sender, Driver), Error> {
+    pub(crate) async fn open(
+        &self,
+        target: &Target,
+        address: SocketAddr,
+    ) -> Result<(Sender, Driver), Error> {
         let connect = TcpStream::connect(address);
         let stream = match tokio::time::timeout(self.connect_timeout, connect).await {
             Ok(Ok(stream)) => stream,
@@ -144,6 +159,7 @@
         };
         // Requests are written whole, so they must not wait for more data.
         let _ = stream.set_nodelay(true);
+        chiverelay_http::probe_idle(&stream);
         let (sender, conn) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|source| Error::Handshake {
--- /dev/null
+++ b/crates/target/src/kept.rs
@@ -0,0 +1,316 @@
+//! Connections to targets that are kept for further requests.
+//!
+//! A kept connection may have been closed by the target without this side
+//! knowing, and an answer that comes late or twice may stand where the next
+//! one is expected. So a connection is used again only if it was idle for less
+//! than the target says and than the request allows, if nothing came meanwhile,
+//! and if its last answer was whole; whoever uses it checks that the answer
+//! names the request.
+
+use std::net::SocketAddr;
+use std::task::Context;
+use std::task::Waker;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::step::Step;
+use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Sharded;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HeaderName;
+use hyper::header::TRANSFER_ENCODING;
+use tokio::time::Instant;
+
+use crate::Client;
+use crate::Error;
+use crate::client::Driver;
+use crate::client::Sender;
+
+/// Idle connections that are kept for each target.
+const MAX_IDLE: usize = 24;
+
+/// Time that a connection is kept to a target that states none.
+const DEFAULT_IDLE: Duration = Duration::from_millis(300);
+
+/// Share of the stated idle time that is used, as the target's clock started
+/// when it sent the answer.
+const USED_IDLE: f64 = 0.6;
+
+/// Header with the time that a target keeps an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// A connection that waits for its next request.
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    driver: Driver,
+    since: Instant,
+    until: Instant,
+}
+
+impl Idle {
+    /// Tells whether nothing has come over the connection since its last
+    /// answer, neither bytes nor its end.
+    fn is_quiet(&mut self) -> bool {
+        self.driver.poll(&mut Context::from_waker(Waker::noop()));
+        self.driver.is_open() && self.sender.is_ready()
+    }
+}
+
+/// Keeps connections to targets.
+#[derive(Debug)]
+pub struct Kept {
+    client: Client,
+    idle: Sharded<SocketAddr, Vec<Idle>>,
+}
+
+impl Kept {
+    /// Makes a keeper whose connections come up within `connect_timeout`.
+    pub fn new(connect_timeout: Duration) -> Self {
+        Self {
+            client: Client::new(connect_timeout),
+            idle: Sharded::new(Rank::Links),
+        }
+    }
+
+    /// Takes a connection that was idle for at most `max_idle`, else opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target can't be reached in time; it has seen nothing then.
+    pub async fn take(
+        &self,
+        target: &Target,
+        address: SocketAddr,
+        max_idle: Duration,
+    ) -> Result<Connection, Error> {
+        if let Some(idle) = self.take_idle(address, max_idle) {
+            return Ok(Connection {
+                address,
+                sender: idle.sender,
+                driver: idle.driver,
+                is_new: false,
+            });
+        }
+        let (sender, driver) = self.client.open(target, address).await?;
+        Ok(Connection {
+            address,
+            sender,
+            driver,
+            is_new: true,
+        })
+    }
+
+    fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<Idle> {
+        let now = Instant::now();
+        self.idle.with(&address, |idle| {
+            let idle = idle?;
+            while let Some(mut last) = idle.pop() {
+                if now >= last.until {
+                    continue;
+                }
+                if now - last.since > max_idle {
+                    // Those below it have been idle for longer.
+                    idle.push(last);
+                    return None;
+                }
+                if last.is_quiet() {
+                    return Some(last);
+                }
+            }
+            None
+        })
+    }
+
+    fn put(&self, address: SocketAddr, idle: Idle) {
+        let now = Instant::now();
+        self.idle.with_or(&address, Vec::new, |kept| {
+            kept.retain(|old| now < old.until);
+            if kept.len() >= MAX_IDLE {
+                kept.remove(0);
+            }
+            kept.push(idle);
+        });
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn close(&self, address: SocketAddr) {
+        self.idle.remove(&address);
+    }
+}
+
+/// A connection for one request.
+#[derive(Debug)]
+pub struct Connection {
+    address: SocketAddr,
+    sender: Sender,
+    driver: Driver,
+    is_new: bool,
+}
+
+/// Why no answer came.
+#[derive(Debug)]
+pub enum SendError {
+    /// No byte of the request was written.
+    NotSent(Error),
+    /// The target may have seen the request.
+    Lost(Error),
+}
+
+impl Connection {
+    /// Tells whether the connection was opened for this request.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
+    /// Sends the request, once, and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the target may have seen the request.
+    pub async fn send(mut self, req: Request<Full<Bytes>>) -> Result<Answer, SendError> {
+        let target = self.driver.target().clone();
+        let ready = self.driver.along(self.sender.ready()).await;
+        ready.map_err(|source| {
+            SendError::NotSent(Error::Handshake {
+                target: target.clone(),
+                source,
+            })
+        })?;
+        let sent = self.sender.try_send_request(req);
+        let resp = match self.driver.along(sent).await {
+            Ok(resp) => resp,
+            Err(mut e) => {
+                let unsent = e.take_message().is_some();
+                let source = e.into_error();
+                let error = Error::Dispatch { target, source };
+                return Err(match unsent {
+                    true => SendError::NotSent(error),
+                    false => SendError::Lost(error),
+                });
+            }
+        };
+        let (parts, body) = resp.into_parts();
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            whole: false,
+            conn: self,
+        })
+    }
+}
+
+/// An answer whose body is still to be read. Dropping it closes the
+/// connection, which cancels the request at the target.
+#[derive(Debug)]
+pub struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Incoming,
+    whole: bool,
+    conn: Connection,
+}
+
+impl Answer {
+    /// Returns the status code.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Returns the headers as the target sent them.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    /// Returns the length of the body, if it is stated.
+    pub fn length(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
+    /// Returns the next piece of the body; `None` after its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off before its end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        loop {
+            match self.conn.driver.along(self.body.frame()).await {
+                None => {
+                    self.whole = true;
+                    return Ok(None);
+                }
+                Some(Err(e)) => {
+                    return Err(Error::Answer {
+                        target: self.conn.driver.target().clone(),
+                        reason: e.to_string(),
+                    });
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Keeps the connection for the next request, if the answer was read whole
+    /// and nothing speaks against it.
+    pub fn keep(mut self, kept: &Kept) {
+        let Some(idle_time) = self.idle_time() else {
+            return;
+        };
+        let now = Instant::now();
+        let mut idle = Idle {
+            sender: self.conn.sender,
+            driver: self.conn.driver,
+            since: now,
+            until: now + idle_time,
+        };
+        drop(std::mem::take(&mut self.headers));
+        if idle.is_quiet() {
+            kept.put(self.conn.address, idle);
+        }
+    }
+
+    /// Returns how long the connection may be kept.
+    fn idle_time(&self) -> Option<Duration> {
+        let closes = |v: &hyper::header::HeaderValue| {
+            let v = v.to_str().unwrap_or("close");
+            v.split(',').any(|v| v.trim().eq_ignore_ascii_case("close"))
+        };
+        let is_delimited = self.headers.contains_key(CONTENT_LENGTH)
+            || self.headers.contains_key(TRANSFER_ENCODING)
+            || self.body.is_end_stream();
+        if !self.whole || !is_delimited || self.headers.get_all(CONNECTION).iter().any(closes) {
+            return None;
+        }
+        let Some(stated) = self.headers.get(KEEP_ALIVE) else {
+            return Some(DEFAULT_IDLE);
+        };
+        let stated = stated.to_str().ok()?;
+        let timeout = stated
+            .split(',')
+            .find_map(|v| v.trim().strip_prefix("timeout="))?;
+        let timeout: u64 = timeout.trim().parse().ok()?;
+        (timeout > 0).then(|| Duration::from_secs(timeout).mul_f64(USED_IDLE))
+    }
+}
+
+/// Says at which step a request failed that was not answered in time.
+pub fn timeout(target: &Target, step: Step) -> Error {
+    Error::Timeout {
+        step,
+        target: target.clone(),
+    }
+}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -8,6 +8,7 @@
 mod document;
 mod error;
 pub mod headers;
+pub mod kept;
 mod load;
 pub mod order;
 
