Pin siblings' certificates, and tell statuses without an answer

Cause: the platform's settings carry no certificates. Each process makes a key at its start and publishes the digest of its certificate; both ends accept exactly the digests that are published. Messages are of version 3.

--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -239,6 +239,7 @@
             | Message::Claimed(_)
             | Message::Bound(_)
             | Message::Settled(_)
+            | Message::Status(_)
             | Message::Done => Message::Done,
             message => shares::answer(&self.cx, from, &message),
         };
--- a/crates/sibling/src/endpoint.rs
+++ b/crates/sibling/src/endpoint.rs
@@ -39,6 +39,19 @@
 /// Requests and messages that one sibling may have open at once.
 const MAX_STREAMS: u32 = 4096;
 
+/// Messages without an answer that one sibling may have open at once.
+const MAX_UNI_STREAMS: u32 = 64;
+
+/// Round trip that is expected of a new connection.
+const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(120);
+
+/// Bytes that may be under way on a new connection: a few long prompts, so
+/// that the first forward needs no further round trips.
+const INITIAL_WINDOW: u64 = 256 * 1024;
+
+/// Bytes that a sibling may send ahead on a stream.
+const STREAM_WINDOW: u32 = 1024 * 1024;
+
 /// Why a connection or a message was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refused {
@@ -121,7 +134,12 @@
             .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
             .keep_alive_interval(Some(KEEP_ALIVE))
             .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
-            .max_concurrent_uni_streams(VarInt::from_u32(0));
+            .max_concurrent_uni_streams(VarInt::from_u32(MAX_UNI_STREAMS))
+            .initial_rtt(INITIAL_ROUND_TRIP)
+            .stream_receive_window(VarInt::from_u32(STREAM_WINDOW));
+        let mut congestion = quinn::congestion::CubicConfig::default();
+        congestion.initial_window(INITIAL_WINDOW);
+        transport.congestion_controller_factory(Arc::new(congestion));
         let transport = Arc::new(transport);
         let mut server = quinn::ServerConfig::with_crypto(Arc::new(certs.server()?));
         server.transport_config(Arc::clone(&transport));
@@ -220,7 +238,26 @@
         return;
     };
     loop {
-        let (tx, rx) = match conn.accept_bi().await {
+        let accepted = tokio::select! {
+            accepted = conn.accept_bi() => accepted,
+            datagram = conn.read_datagram() => {
+                match datagram {
+                    Ok(buf) => hear(&*handler, &peer, wire::decode_envelope(&buf)).await,
+                    Err(e) => {
+                        log::debug!("sibling: {}: connection ended: {e}", peer.instance);
+                        return;
+                    }
+                }
+                continue;
+            }
+            stream = conn.accept_uni() => {
+                if let Ok(mut rx) = stream {
+                    hear(&*handler, &peer, wire::read_envelope(&mut rx).await).await;
+                }
+                continue;
+            }
+        };
+        let (tx, rx) = match accepted {
             Ok(streams) => streams,
             Err(e) => {
                 log::debug!("sibling: {}: connection ended: {e}", peer.instance);
@@ -240,6 +277,26 @@
     }
 }
 
+/// Takes a message that needs no answer.
+async fn hear<H>(handler: &H, peer: &Identity, envelope: Result<Envelope, Error>)
+where
+    H: Handler,
+{
+    match envelope {
+        Ok(envelope) => {
+            handler
+                .control(peer, envelope.stamp, envelope.message)
+                .await;
+        }
+        Err(e) => {
+            log::warn!("sibling: {}: message refused: {e}", peer.instance);
+            if let Some(reason) = Refused::of(&e) {
+                handler.refused(reason);
+            }
+        }
+    }
+}
+
 async fn exchange<H>(
     handler: &H,
     peer: &Identity,
--- a/crates/sibling/src/identity.rs
+++ b/crates/sibling/src/identity.rs
@@ -9,11 +9,16 @@
 use rustls::RootCertStore;
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::PrivateKeyDer;
+use rustls::pki_types::PrivatePkcs8KeyDer;
 use rustls::pki_types::pem::PemObject;
 use rustls::server::WebPkiClientVerifier;
+use rustls::server::danger::ClientCertVerifier;
 use webpki::EndEntityCert;
 
 use crate::Error;
+use crate::Pins;
+use crate::pins;
+use crate::pins::Verifier;
 
 /// Last label of the names in certificates.
 const DOMAIN: &str = "chiverelay";
@@ -55,7 +60,12 @@
         Self::of_certificate(chain.first()?)
     }
 
-    fn of_certificate(cert: &CertificateDer<'_>) -> Option<Self> {
+    /// Returns the name that the identity's certificate carries.
+    pub(crate) fn server_name(&self) -> String {
+        server_name(&self.instance, &self.region)
+    }
+
+    pub(crate) fn of_certificate(cert: &CertificateDer<'_>) -> Option<Self> {
         let cert = EndEntityCert::try_from(cert).ok()?;
         cert.valid_dns_names().find_map(Self::from_name)
     }
@@ -67,10 +77,19 @@
     }
 }
 
-/// The authority's certificate and this instance's own certificate and key.
+/// Whose certificates are accepted.
+#[derive(Debug)]
+enum Trust {
+    /// Those that the authority issued.
+    Authority(Arc<RootCertStore>),
+    /// Those that the instances' records name.
+    Pinned(Pins),
+}
+
+/// This instance's own certificate and key, and whose certificates it accepts.
 #[derive(Debug)]
 pub struct Certificates {
-    roots: Arc<RootCertStore>,
+    trust: Trust,
     chain: Vec<CertificateDer<'static>>,
     key: PrivateKeyDer<'static>,
 }
@@ -88,12 +107,34 @@
         }
         let chain: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(cert).collect();
         Ok(Self {
-            roots: Arc::new(roots),
+            trust: Trust::Authority(Arc::new(roots)),
             chain: chain.map_err(fault)?,
             key: PrivateKeyDer::from_pem_slice(key).map_err(fault)?,
         })
     }
 
+    /// Makes a key and a certificate for this process, which accepts the
+    /// certificates that are pinned.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the names can't stand in a certificate.
+    pub fn generate(identity: &Identity, pins: Pins) -> Result<Self, Error> {
+        let made = rcgen::generate_simple_self_signed(vec![identity.server_name()]);
+        let made = made.map_err(fault)?;
+        let key = PrivatePkcs8KeyDer::from(made.signing_key.serialize_der());
+        Ok(Self {
+            trust: Trust::Pinned(pins),
+            chain: vec![made.cert.der().clone()],
+            key: key.into(),
+        })
+    }
+
+    /// Returns the digest by which other instances pin the certificate.
+    pub fn digest(&self) -> String {
+        self.chain.first().map(pins::digest).unwrap_or_default()
+    }
+
     /// Returns who the certificate names; `None` if it names no instance.
     pub fn identity(&self) -> Option<Identity> {
         Identity::of_certificate(self.chain.first()?)
@@ -101,12 +142,15 @@
 
     pub(crate) fn server(&self) -> Result<QuicServerConfig, Error> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let verifier = WebPkiClientVerifier::builder_with_provider(
-            Arc::clone(&self.roots),
-            Arc::clone(&provider),
-        )
-        .build()
-        .map_err(fault)?;
+        let verifier: Arc<dyn ClientCertVerifier> = match &self.trust {
+            Trust::Authority(roots) => WebPkiClientVerifier::builder_with_provider(
+                Arc::clone(roots),
+                Arc::clone(&provider),
+            )
+            .build()
+            .map_err(fault)?,
+            Trust::Pinned(pins) => Arc::new(Verifier::new(pins.clone(), Arc::clone(&provider))),
+        };
         let mut cfg = rustls::ServerConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(fault)?
@@ -119,10 +163,19 @@
 
     pub(crate) fn client(&self) -> Result<QuicClientConfig, Error> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let mut cfg = rustls::ClientConfig::builder_with_provider(provider)
+        let builder = rustls::ClientConfig::builder_with_provider(Arc::clone(&provider))
             .with_protocol_versions(&[&rustls::version::TLS13])
-            .map_err(fault)?
-            .with_root_certificates(Arc::clone(&self.roots))
+            .map_err(fault)?;
+        let builder = match &self.trust {
+            Trust::Authority(roots) => builder.with_root_certificates(Arc::clone(roots)),
+            Trust::Pinned(pins) => {
+                let verifier = Verifier::new(pins.clone(), provider);
+                builder
+                    .dangerous()
+                    .with_custom_certificate_verifier(Arc::new(verifier))
+            }
+        };
+        let mut cfg = builder
             .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
             .map_err(fault)?;
         cfg.alpn_protocols = vec![ALPN.to_vec()];
--- a/crates/sibling/src/link.rs
+++ b/crates/sibling/src/link.rs
@@ -98,6 +98,38 @@
             .map_err(|e| self.broken(Step::Forward, e))
     }
 
+    /// Sends a message that needs no answer and may be lost. Messages that no
+    /// datagram holds go on a stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended.
+    pub async fn tell(&self, message: Message) -> Result<(), Error> {
+        let envelope = Envelope {
+            version: VERSION,
+            stamp: Stamp::default(),
+            message,
+        };
+        let broken = |e: &dyn std::fmt::Display| self.broken(Step::Forward, e);
+        let buf = wire::encode(&envelope)?;
+        let room = self.state.conn.max_datagram_size().unwrap_or(0);
+        if buf.len() <= room {
+            return self
+                .state
+                .conn
+                .send_datagram(buf.into())
+                .map_err(|e| broken(&e));
+        }
+        let mut tx = self.state.conn.open_uni().await.map_err(|e| broken(&e))?;
+        wire::write(&mut tx, &envelope).await?;
+        tx.finish().map_err(|e| broken(&e))
+    }
+
+    /// Waits until the connection has ended.
+    pub async fn ended(&self) {
+        self.state.conn.closed().await;
+    }
+
     /// Passes a request on.
     ///
     /// # Errors
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -1,5 +1,7 @@
 //! What instances say to each other.
 
+use chiverelay_decisions::allowance::Gift;
+use chiverelay_decisions::allowance::PartStatus;
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::handover::Commit;
 use chiverelay_decisions::handover::Part;
@@ -22,6 +24,8 @@
 use chiverelay_decisions::tickets::Operation;
 use chiverelay_decisions::tickets::Reply;
 use chiverelay_decisions::tickets::Ticket;
+use chiverelay_decisions::traffic::PromptPart;
+use chiverelay_decisions::traffic::TargetCount;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -29,10 +33,10 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 
 /// A message with what goes along with every message.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Envelope {
     /// [`VERSION`] of the sender.
@@ -44,13 +48,15 @@
 }
 
 /// A message.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum Message {
     /// A sign of life.
     Heartbeat(Heartbeat),
     /// A request passed on. Answered by [`Frame`]s.
     Forward(Forward),
+    /// What the sender has at the targets and of the accounts' limits.
+    Status(Status),
     /// Load reports of targets of the region that siblings share.
     Loads(Vec<TargetLoad>),
     /// The message was taken and needs no other answer.
@@ -135,6 +141,35 @@
     pub passed: Vec<RegionSummaries>,
 }
 
+/// What an instance has at the targets and of the accounts' limits, told often
+/// and without an answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Status {
+    /// Counts the sender's statuses, so that an older one is told.
+    pub sequence: u64,
+    /// Names the sender's process.
+    pub incarnation: u64,
+    /// Whether the sender takes new work.
+    pub ready: bool,
+    /// What the sender has at the targets of its region.
+    pub counts: Vec<TargetCount>,
+    /// What the sender has of the accounts' limits.
+    pub parts: Vec<AccountPart>,
+    /// Tokens that are the receiver's from now on.
+    pub gifts: Vec<Gift>,
+}
+
+/// What an instance has of an account's limit.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct AccountPart {
+    /// The account.
+    pub account: Account,
+    /// Its state there.
+    pub status: PartStatus,
+}
+
 /// A target's load report, as one instance passes it on to its region.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -163,6 +198,12 @@
     pub max_answer_tokens: Option<u64>,
     /// Chained hashes of the prompt's blocks.
     pub prefix: Vec<u64>,
+    /// The prompt's parts, where the caller names them.
+    pub parts: Vec<PromptPart>,
+    /// Targets to which the request may still go.
+    pub attempts: u32,
+    /// Id of the last event that the caller has.
+    pub last_event_id: Option<u64>,
     /// Method.
     pub method: String,
     /// Path with its query.
