--- /dev/null
+++ b/crates/gateway/src/allowances.rs
@@ -0,0 +1,147 @@
+//! This instance's parts of the client accounts' limits.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use chiverelay_decisions::allowance::Gift;
+use chiverelay_decisions::allowance::Part;
+use chiverelay_decisions::allowance::PartStatus;
+use chiverelay_decisions::allowance::Tolerance;
+use chiverelay_decisions::catalog::AccountTerms;
+use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Ranked;
+use chiverelay_decisions::window::Divisor;
+use chiverelay_sibling::AccountPart;
+
+/// Time after which what an instance said of its parts is of no use.
+const TOLD_LIFE: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Default)]
+struct State {
+    parts: HashMap<Account, Part>,
+    told: HashMap<Instance, Told>,
+}
+
+#[derive(Debug)]
+struct Told {
+    heard: Duration,
+    parts: HashMap<Account, PartStatus>,
+}
+
+/// This instance's parts of the client accounts' limits.
+#[derive(Debug)]
+pub(crate) struct Allowances {
+    tolerance: Tolerance,
+    state: Ranked<State>,
+}
+
+impl Allowances {
+    pub(crate) fn new(tolerance: Tolerance) -> Self {
+        Self {
+            tolerance,
+            state: Ranked::new(Rank::Accounts, State::default()),
+        }
+    }
+
+    /// Takes a request's tokens from an account.
+    ///
+    /// # Errors
+    ///
+    /// Returns how long it takes until there are so many; `None` if there
+    /// never are.
+    pub(crate) fn take(
+        &self,
+        account: &AccountTerms,
+        tokens: u64,
+        divisor: Divisor,
+        now: Duration,
+    ) -> Result<(), Option<Duration>> {
+        let Some(limit) = account.limit else {
+            return Ok(());
+        };
+        let mut state = self.state.lock();
+        let make = || Part::empty(limit, self.tolerance, divisor, now);
+        let part = state.parts.entry(account.name.clone()).or_insert_with(make);
+        part.take(tokens as f64, now)
+    }
+
+    /// Gives back the tokens of a request that did not run.
+    pub(crate) fn refund(&self, account: &Account, tokens: u64, now: Duration) {
+        if let Some(part) = self.state.lock().parts.get_mut(account) {
+            part.refund(tokens as f64, now);
+        }
+    }
+
+    /// Takes over the limits of a catalog, and the number of instances.
+    pub(crate) fn configure<'a, I>(&self, accounts: I, divisor: Divisor, now: Duration)
+    where
+        I: IntoIterator<Item = &'a AccountTerms>,
+    {
+        let mut state = self.state.lock();
+        for account in accounts {
+            let Some(limit) = account.limit else {
+                state.parts.remove(&account.name);
+                continue;
+            };
+            let make = || Part::empty(limit, self.tolerance, divisor, now);
+            let part = state.parts.entry(account.name.clone()).or_insert_with(make);
+            part.configure(limit, self.tolerance, divisor, now);
+        }
+    }
+
+    /// Returns what the other instances are told.
+    pub(crate) fn status(&self, now: Duration) -> Vec<AccountPart> {
+        let mut state = self.state.lock();
+        let status = |(account, part): (&Account, &mut Part)| AccountPart {
+            account: account.clone(),
+            status: part.status(now),
+        };
+        state.parts.iter_mut().map(status).collect()
+    }
+
+    /// Notes what another instance says of its parts.
+    pub(crate) fn tell(&self, from: &Instance, parts: Vec<AccountPart>, now: Duration) {
+        let parts = parts.into_iter().map(|p| (p.account, p.status)).collect();
+        let told = Told { heard: now, parts };
+        self.state.lock().told.insert(from.clone(), told);
+    }
+
+    /// Takes tokens that another instance gives.
+    pub(crate) fn receive(&self, gifts: Vec<Gift>, now: Duration) {
+        let mut state = self.state.lock();
+        for gift in gifts {
+            if let Some(part) = state.parts.get_mut(&gift.account) {
+                part.receive(f64::from(gift.tokens), now);
+            }
+        }
+    }
+
+    /// Takes tokens from the own parts for the instances that are short.
+    pub(crate) fn give(&self, now: Duration) -> HashMap<Instance, Vec<Gift>> {
+        let mut state = self.state.lock();
+        let State { parts, told } = &mut *state;
+        told.retain(|_, told| told.heard + TOLD_LIFE > now);
+        let mut gifts: HashMap<Instance, Vec<Gift>> = HashMap::new();
+        for (account, part) in parts {
+            let said = |(name, told): (&'_ Instance, &'_ Told)| {
+                told.parts
+                    .get(account)
+                    .map(|status| (name.clone(), *status))
+            };
+            let others: Vec<_> = told.iter().filter_map(said).collect();
+            let others: Vec<_> = others
+                .iter()
+                .map(|(name, status)| (name, *status))
+                .collect();
+            for (at, tokens) in part.give(&others, now) {
+                gifts.entry(others[at].0.clone()).or_default().push(Gift {
+                    account: account.clone(),
+                    tokens: tokens as f32,
+                });
+            }
+        }
+        gifts
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/beliefs.rs
@@ -0,0 +1,154 @@
+//! What the store tells, applied to the tables.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::catalog::Catalog;
+use chiverelay_decisions::catalog::Current;
+use chiverelay_decisions::catalog::CurrentCatalog;
+use chiverelay_decisions::fleet::Fleet;
+use chiverelay_decisions::fleet::TargetChange;
+use chiverelay_decisions::fleet::TargetRecord;
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Ranked;
+use chiverelay_decisions::traffic::Traffic;
+
+use crate::MemberRecord;
+use crate::Settings;
+
+/// Something that the store tells.
+#[derive(Clone, Debug)]
+pub enum Fact {
+    /// The operator's catalog.
+    Catalog(Arc<Catalog>),
+    /// A target's record.
+    Target(Target, TargetRecord),
+    /// A target has no record any more.
+    TargetGone(Target),
+    /// All targets that have records; others have none any more.
+    TargetsListed(HashSet<Target>),
+    /// Whether nothing new may go to a zone's targets.
+    Evacuated(Zone, bool),
+    /// All zones that are evacuated; others are not.
+    EvacuatedListed(HashSet<Zone>),
+    /// An instance's record.
+    Member(MemberRecord),
+    /// An instance has no record any more.
+    MemberGone(Instance),
+    /// All instances that have records; others have none any more.
+    MembersListed(HashSet<Instance>),
+    /// The store answered.
+    StoreAnswered,
+    /// The store does not answer.
+    StoreLost,
+}
+
+/// The tables that facts and requests meet in.
+///
+/// Locked in this order: `catalog`, `fleet`, `traffic`.
+#[derive(Debug)]
+pub(crate) struct Beliefs {
+    pub(crate) catalog: CurrentCatalog,
+    pub(crate) fleet: Ranked<Fleet>,
+    pub(crate) traffic: Ranked<Traffic>,
+}
+
+impl Beliefs {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let zones: HashMap<Zone, Region> = settings.zones.clone();
+        Self {
+            catalog: CurrentCatalog::default(),
+            fleet: Ranked::new(Rank::Fleet, Fleet::new(zones)),
+            traffic: Ranked::new(
+                Rank::Targets,
+                Traffic::new(settings.retries, settings.cold_slack),
+            ),
+        }
+    }
+
+    /// Returns the catalog in force, if one is known.
+    pub(crate) fn current(&self) -> Option<Current> {
+        self.catalog.get()
+    }
+
+    /// Returns how long ago the store answered.
+    pub(crate) fn store_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.fleet.lock().heard())
+    }
+
+    pub(crate) fn put_target(
+        &self,
+        name: &Target,
+        record: TargetRecord,
+        revision: u64,
+        now: Duration,
+    ) {
+        let (draining, cold) = (record.draining, record.cold);
+        let change = self.fleet.lock().put(name, record, revision, now);
+        match change {
+            TargetChange::Same => return,
+            TargetChange::Restarted => self.traffic.lock().restarted(name, now),
+            _ => {}
+        }
+        log::info!(
+            target: "fleet",
+            name = name.as_str(),
+            change:? = change,
+            draining,
+            cold_ms = cold.as_millis() as u64,
+            revision;
+            "target record"
+        );
+    }
+
+    pub(crate) fn remove_target(&self, name: &Target, now: Duration) {
+        let change = self.fleet.lock().vanish(name, now);
+        self.note_gone(name, change);
+    }
+
+    pub(crate) fn list_targets(&self, listed: &HashSet<Target>, now: Duration) {
+        let gone = self.fleet.lock().reconcile(listed, now);
+        for name in &gone {
+            self.note_gone(name, TargetChange::Gone);
+        }
+    }
+
+    /// Removes the targets whose records have not come back in time.
+    pub(crate) fn expire(&self, now: Duration) {
+        let gone = self.fleet.lock().expire(now);
+        for name in &gone {
+            self.note_gone(name, TargetChange::Gone);
+        }
+    }
+
+    fn note_gone(&self, name: &Target, change: TargetChange) {
+        if change == TargetChange::Gone {
+            self.traffic.lock().gone(name);
+        }
+        if change != TargetChange::Same {
+            log::info!(target: "fleet", name = name.as_str(), change:? = change; "target has no record");
+        }
+    }
+
+    pub(crate) fn evacuate(&self, zone: &Zone, evacuated: bool) {
+        if self.fleet.lock().evacuate(zone, evacuated) {
+            log::info!(target: "fleet", zone = zone.as_str(), evacuated; "evacuation");
+        }
+    }
+
+    pub(crate) fn list_evacuated(&self, listed: &HashSet<Zone>) {
+        let old: Vec<Zone> = self.fleet.lock().evacuated().iter().cloned().collect();
+        for zone in old.iter().filter(|zone| !listed.contains(*zone)) {
+            self.evacuate(zone, false);
+        }
+        for zone in listed {
+            self.evacuate(zone, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,229 @@
+//! Passes a caller's request on to an instance of another region.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Away;
+use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use chiverelay_sibling::Answer;
+use chiverelay_sibling::Forward;
+use chiverelay_sibling::Frame;
+use chiverelay_sibling::Link;
+use chiverelay_sibling::Up;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+
+use crate::Dialect;
+use crate::Gateway;
+use crate::Outbound;
+use crate::Reply;
+use crate::ReplyBody;
+use crate::place::Job;
+use crate::relay::FarRelay;
+
+/// What became of a forward.
+pub(crate) enum Forwarded {
+    /// An answer has begun.
+    Answered(Reply),
+    /// Another place may be tried; else this refusal stands.
+    Again(Request<Admitted, Direct>, Refusal),
+    /// The request is over.
+    Refused(Refusal),
+}
+
+/// The head of an answer through another instance.
+struct FarHead {
+    status: StatusCode,
+    headers: HeaderMap,
+    answer: Answer,
+}
+
+/// Why no head of an answer came.
+enum Failure {
+    /// The instance's own refusal.
+    Refused(Refusal),
+    /// The exchange broke off.
+    Broken(String),
+    /// There was no head in time.
+    Late,
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Passes a request on, once, to the instance that was chosen.
+    pub(crate) async fn forward(
+        self: &Arc<Self>,
+        req: Request<Away, Direct>,
+        job: &mut Job,
+        out: &Outbound,
+    ) -> Forwarded {
+        let instance = req.instance().clone();
+        let peer = Peer::Sibling(instance.clone());
+        let Some(link) = self.links.get(&instance) else {
+            let refusal = req.refuse_as(Code::Unavailable, Step::Connect, peer);
+            return Forwarded::Again(req.unplace(), refusal);
+        };
+        let deadline = req.head().deadline;
+        let left = deadline.saturating_sub(self.clock.now());
+        let message = message(&req, job, out, left);
+        let req = req.dispatch();
+        self.metrics.forward();
+        let head = tokio::time::timeout(left, open(&link, message)).await;
+        match head.unwrap_or(Err(Failure::Late)) {
+            Ok(head) => self.far_reply(req, job, head).await,
+            Err(failure) => self.not_answered(req, job, out, failure),
+        }
+    }
+
+    async fn far_reply(
+        self: &Arc<Self>,
+        req: Request<Dispatched, Direct>,
+        job: &mut Job,
+        head: FarHead,
+    ) -> Forwarded {
+        let mut relay = FarRelay::new(Arc::clone(self), &req, head.answer);
+        if job.route.kind.is_stream() && head.status.is_success() {
+            drop(req.answered());
+            return Forwarded::Answered(Reply {
+                status: head.status,
+                headers: head.headers,
+                body: ReplyBody::Pieces(relay.pieces()),
+            });
+        }
+        let mut data = BytesMut::new();
+        loop {
+            match relay.next().await {
+                None => break,
+                Some(Ok(piece)) => data.extend_from_slice(&piece),
+                Some(Err(broken)) => {
+                    log::info!(target: "forward", id = req.head().id.as_str(), peer:% = req.peer(), reason:% = broken; "answer cut");
+                    return self.repeat_elsewhere(req, job, Code::SiblingFailed);
+                }
+            }
+        }
+        drop(req.answered());
+        Forwarded::Answered(Reply {
+            status: head.status,
+            headers: head.headers,
+            body: ReplyBody::Full(data.freeze()),
+        })
+    }
+
+    fn not_answered(
+        &self,
+        req: Request<Dispatched, Direct>,
+        job: &mut Job,
+        out: &Outbound,
+        failure: Failure,
+    ) -> Forwarded {
+        let (what, reason) = match &failure {
+            Failure::Refused(refusal) => ("refused there", refusal.code.as_str()),
+            Failure::Broken(reason) => ("broken off", reason.as_str()),
+            Failure::Late => ("late", "no answer in time"),
+        };
+        log::info!(
+            target: "forward",
+            id = out.id.as_str(),
+            peer:% = req.peer(),
+            outcome = what,
+            reason;
+            "forward without an answer"
+        );
+        match failure {
+            Failure::Refused(refusal) => match req.retract(&refusal) {
+                Ok(req) => Forwarded::Again(req, refusal),
+                Err(req) => Forwarded::Refused(req.refuse_as_sibling(refusal)),
+            },
+            Failure::Broken(_) => self.repeat_elsewhere(req, job, Code::SiblingFailed),
+            Failure::Late => {
+                Forwarded::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Forward))
+            }
+        }
+    }
+
+    /// Starts another attempt at a request that may have run, if it may.
+    fn repeat_elsewhere(
+        &self,
+        req: Request<Dispatched, Direct>,
+        job: &mut Job,
+        code: Code,
+    ) -> Forwarded {
+        job.attempts = job.attempts.saturating_sub(1);
+        if job.attempts == 0 || !self.may_retry(job) {
+            return Forwarded::Refused(req.refuse_unknown(code, Step::Forward));
+        }
+        let peer = req.peer().clone();
+        match req.repeat() {
+            Ok(req) => {
+                let refusal = req.refuse_as(code, Step::Forward, peer);
+                Forwarded::Again(req, refusal)
+            }
+            Err(req) => Forwarded::Refused(req.refuse_unknown(code, Step::Forward)),
+        }
+    }
+}
+
+async fn open(link: &Link<Up>, message: Forward) -> Result<FarHead, Failure> {
+    let broken = |e: chiverelay_sibling::Error| Failure::Broken(e.to_string());
+    let mut answer = link
+        .forward(Stamp::default(), message)
+        .await
+        .map_err(broken)?;
+    match answer.next().await.map_err(broken)? {
+        Frame::Head { status, headers } => Ok(FarHead {
+            status: StatusCode::from_u16(status).map_err(|e| Failure::Broken(e.to_string()))?,
+            headers: read_headers(&headers),
+            answer,
+        }),
+        Frame::Refused(refusal) => Err(Failure::Refused(refusal)),
+        Frame::Data(_) | Frame::End | Frame::Stamp(_) => Err(Failure::Broken("no head".to_owned())),
+    }
+}
+
+fn message(req: &Request<Away, Direct>, job: &Job, out: &Outbound, left: Duration) -> Forward {
+    let head = req.head();
+    Forward {
+        id: head.id.clone(),
+        account: req.grant().account.clone(),
+        route: req.grant().route.clone(),
+        remaining_ms: left.as_millis() as u64,
+        prompt_tokens: head.prompt_tokens,
+        max_answer_tokens: head.max_answer_tokens,
+        prefix: Vec::new(),
+        parts: job.parts.to_vec(),
+        attempts: job.attempts,
+        last_event_id: out.last_event_id,
+        method: out.method.to_string(),
+        path_and_query: out.path_and_query.clone(),
+        headers: write_headers(&out.headers),
+        body: out.body.to_vec(),
+    }
+}
+
+/// Writes headers as they go between instances.
+pub(crate) fn write_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let pair = |(k, v): (&HeaderName, &HeaderValue)| (k.as_str().to_owned(), v.as_bytes().to_vec());
+    headers.iter().map(pair).collect()
+}
+
+/// Reads headers as they come from instances.
+pub(crate) fn read_headers(headers: &[(String, Vec<u8>)]) -> HeaderMap {
+    let pair = |(k, v): &(String, Vec<u8>)| {
+        let name = HeaderName::from_bytes(k.as_bytes()).ok()?;
+        Some((name, HeaderValue::from_bytes(v).ok()?))
+    };
+    headers.iter().filter_map(pair).collect()
+}
--- /dev/null
+++ b/crates/gateway/src/intake.rs
@@ -0,0 +1,311 @@
+//! A caller's request, from the catalog to the beginning of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::catalog::AccountTerms;
+use chiverelay_decisions::catalog::Current;
+use chiverelay_decisions::catalog::NotCovered;
+use chiverelay_decisions::catalog::Terms;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Outcome;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Grant;
+use chiverelay_decisions::request::Head;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use chiverelay_decisions::traffic::Ended;
+use hyper::StatusCode;
+
+use crate::Dialect;
+use crate::Gateway;
+use crate::Inbound;
+use crate::Outbound;
+use crate::Reply;
+use crate::ReplyBody;
+use crate::dispatch::Answered;
+use crate::dispatch::Tried;
+use crate::forward::Forwarded;
+use crate::message::Handled;
+use crate::place::Job;
+use crate::place::Next;
+use crate::relay::Relay;
+
+/// Places that one request is tried at, those included that did not run it.
+const MAX_PLACES: usize = 5;
+
+/// Time after which an instance that knows no catalog may know one.
+const NO_CATALOG_RETRY: Duration = Duration::from_millis(500);
+
+/// Time after which a client account that can never have enough may have more.
+const NEVER_RETRY: Duration = Duration::from_secs(2);
+
+/// Largest rank among the requests of a target.
+pub(crate) const LAST_PRIORITY: u8 = 9;
+
+/// Returns what decisions need to know of a request.
+fn head(inbound: &Inbound, received: Duration, deadline: Duration) -> Head {
+    Head {
+        id: inbound.id.clone(),
+        received,
+        deadline,
+        model: inbound.model.clone(),
+        prompt_tokens: inbound.prompt_tokens.unwrap_or_default(),
+        max_answer_tokens: inbound.max_answer_tokens,
+        prefix: Vec::new(),
+    }
+}
+
+/// Returns what the terms allow a request.
+pub(crate) fn grant(terms: &Terms, pool: &chiverelay_decisions::names::Pool, charge: u64) -> Grant {
+    let account = terms.account.as_ref();
+    let residency = match account {
+        Some(account) => terms.route.residency.and(&account.residency),
+        None => terms.route.residency.clone(),
+    };
+    Grant {
+        account: account.map(|account| account.name.clone()),
+        route: terms.route.name.clone(),
+        pool: pool.clone(),
+        residency,
+        repeatable: terms.route.kind.is_repeatable(),
+        charge,
+        receipt: None,
+    }
+}
+
+/// Returns the tokens to charge for a request.
+fn charge(account: &AccountTerms, inbound: &Inbound) -> u64 {
+    let Some(limit) = account.limit else {
+        return 0;
+    };
+    match inbound.prompt_tokens {
+        Some(prompt) => prompt.saturating_add(inbound.max_answer_tokens.unwrap_or_default()),
+        None => limit.default_charge,
+    }
+}
+
+fn not_covered(why: NotCovered) -> Refusal {
+    let (code, step) = match why {
+        NotCovered::NoRoute => (Code::NoRoute, Step::Route),
+        NotCovered::NoAccount => (Code::Unauthenticated, Step::Authenticate),
+    };
+    Refusal::before_dispatch(code, step, Peer::Local)
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Takes a caller's request to the beginning of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request, and says whether it may have run.
+    pub async fn handle(self: &Arc<Self>, inbound: Inbound) -> Handled {
+        let received = self.clock.now();
+        let (id, patience) = (inbound.id.clone(), inbound.patience);
+        let _open = self.requests.token();
+        let current = self.beliefs.current();
+        let version = current.as_ref().map_or(0, |c| c.catalog.version);
+        let handled = match current {
+            Some(current) => self.admit(inbound, received, &current).await,
+            None => Err(no_catalog()),
+        };
+        let took = self.clock.now().saturating_sub(received);
+        match handled {
+            Ok(reply) => {
+                self.metrics.replied(reply.status, took);
+                log::info!(
+                    target: "request",
+                    id = id.as_str(),
+                    status = reply.status.as_u16(),
+                    took_ms = took.as_millis() as u64,
+                    catalog = version;
+                    "answered"
+                );
+                Ok(reply)
+            }
+            Err(refusal) => {
+                let refusal = bound_retry(refusal, patience.map(|p| p.saturating_sub(took)));
+                self.metrics.refused(&refusal, took);
+                log::info!(
+                    target: "request",
+                    id = id.as_str(),
+                    code = refusal.code.as_str(),
+                    ran = refusal.outcome.as_str(),
+                    step = refusal.step.as_str(),
+                    peer:% = refusal.peer,
+                    retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64,
+                    took_ms = took.as_millis() as u64,
+                    catalog = version,
+                    store_age_ms = self.beliefs.store_age(received).as_millis() as u64;
+                    "refused"
+                );
+                Err(refusal)
+            }
+        }
+    }
+
+    async fn admit(
+        self: &Arc<Self>,
+        inbound: Inbound,
+        now: Duration,
+        current: &Current,
+    ) -> Handled {
+        let catalog = &current.catalog;
+        let terms = catalog
+            .find(&inbound.host, inbound.path(), inbound.key.as_deref())
+            .map_err(not_covered)?;
+        let pool = terms.route.choose_pool(inbound.id.as_str());
+        let pool = pool.and_then(|name| catalog.pool(name));
+        let Some(pool) = pool.cloned() else {
+            let refusal = Refusal::before_dispatch(Code::Unavailable, Step::Route, Peer::Local);
+            return Err(refusal);
+        };
+        let tokens = terms.account.as_ref().map_or(0, |a| charge(a, &inbound));
+        if let Some(account) = &terms.account {
+            self.charge(account, tokens, now)?;
+        }
+        let wait = inbound.patience.unwrap_or(terms.route.timeout);
+        let deadline = now + wait.min(terms.route.timeout);
+        let grant = grant(&terms, &pool.name, tokens);
+        let head = head(&inbound, now, deadline);
+        let account = grant.account.clone();
+        let req = Request::from_caller(head).admit(grant);
+        self.beliefs.traffic.lock().request(&pool.name, now);
+        let job = Job {
+            prompt_tokens: inbound.prompt_tokens.unwrap_or_default(),
+            parts: inbound.parts.into(),
+            attempts: terms.route.max_attempts.max(1),
+            route: Arc::clone(&terms.route),
+            pool,
+        };
+        let out = Outbound {
+            id: inbound.id,
+            method: inbound.method,
+            path_and_query: inbound.path_and_query,
+            headers: inbound.headers,
+            body: inbound.body,
+            account: account.clone(),
+            priority: terms.priority().min(LAST_PRIORITY),
+            stream: terms.route.kind.is_stream(),
+            last_event_id: inbound.last_event_id,
+        };
+        let handled = self.run(req, job, out).await;
+        if let (Err(refusal), Some(account)) = (&handled, &account)
+            && refusal.outcome == Outcome::NotRun
+        {
+            self.allowances.refund(account, tokens, self.clock.now());
+        }
+        handled
+    }
+
+    fn charge(&self, account: &AccountTerms, tokens: u64, now: Duration) -> Result<(), Refusal> {
+        let divisor = self.members.divisor();
+        let taken = self.allowances.take(account, tokens, divisor, now);
+        taken.map_err(|wait| {
+            let refusal = Refusal::before_dispatch(Code::RateLimited, Step::Admit, Peer::Local);
+            refusal.retry_after(wait.unwrap_or(NEVER_RETRY))
+        })
+    }
+
+    async fn run(
+        self: &Arc<Self>,
+        mut req: Request<Admitted, Direct>,
+        mut job: Job,
+        out: Outbound,
+    ) -> Handled {
+        let mut last: Option<Refusal> = None;
+        for _ in 0..MAX_PLACES {
+            let next = self
+                .place(req, &job)
+                .map_err(|r| more_telling(r, last.take()))?;
+            req = match next {
+                Next::Here(placed) => match self.attempt(*placed, &mut job, &out).await {
+                    Tried::Answered(answered) => return Ok(self.reply(job, out, *answered)),
+                    Tried::Refused(refusal) => return Err(refusal),
+                    Tried::Again(req, refusal) => {
+                        last = Some(refusal);
+                        req
+                    }
+                },
+                Next::Away(away) => match self.forward(away, &mut job, &out).await {
+                    Forwarded::Answered(reply) => return Ok(reply),
+                    Forwarded::Refused(refusal) => return Err(refusal),
+                    Forwarded::Again(req, refusal) => {
+                        last = Some(refusal);
+                        req
+                    }
+                },
+            };
+        }
+        let refusal = req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local);
+        Err(more_telling(refusal, last))
+    }
+
+    /// Makes the reply of an answer that has begun.
+    pub(crate) fn reply<O>(
+        self: &Arc<Self>,
+        job: Job,
+        out: Outbound,
+        answered: Answered<D, O>,
+    ) -> Reply
+    where
+        O: Send + 'static,
+    {
+        let status = answered.answer.status();
+        let headers = self.reply_headers(&answered.answer);
+        let body = if answered.beginning.whole {
+            ReplyBody::Full(self.finish(status, answered))
+        } else {
+            ReplyBody::Pieces(Relay::new(Arc::clone(self), job, out, answered).pieces())
+        };
+        Reply {
+            status,
+            headers,
+            body,
+        }
+    }
+
+    /// Ends a request whose answer was read whole.
+    fn finish<O>(&self, status: StatusCode, answered: Answered<D, O>) -> bytes::Bytes {
+        let ended = match status.is_server_error() {
+            true => Ended::Failed,
+            false => Ended::Answered,
+        };
+        drop(answered.req.answered());
+        answered.held.end(ended);
+        answered.answer.keep(&self.kept);
+        answered.beginning.data
+    }
+}
+
+fn no_catalog() -> Refusal {
+    Refusal::before_dispatch(Code::StateUnavailable, Step::Configure, Peer::Store)
+        .retry_after(NO_CATALOG_RETRY)
+}
+
+/// Prefers the reason of the last attempt to the mere fact that nothing else is
+/// left. The outcome is that of the whole request.
+fn more_telling(refusal: Refusal, last: Option<Refusal>) -> Refusal {
+    match last {
+        Some(last) if refusal.code == Code::Unavailable => Refusal {
+            outcome: refusal.outcome,
+            retry_after: last.retry_after.or(refusal.retry_after),
+            ..last
+        },
+        _ => refusal,
+    }
+}
+
+/// A caller follows a delay only up to a third of the time that it has left.
+fn bound_retry(mut refusal: Refusal, left: Option<Duration>) -> Refusal {
+    if let (Some(delay), Some(left)) = (refusal.retry_after, left) {
+        refusal.retry_after = Some(delay.min(left / 3));
+    }
+    refusal
+}
--- /dev/null
+++ b/crates/gateway/src/members.rs
@@ -0,0 +1,293 @@
+//! The instances of the gateway, as the store's records and the instances'
+//! own words tell of them.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
+use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::tables::Rank;
+use chiverelay_decisions::tables::Ranked;
+use chiverelay_decisions::window::Divisor;
+use chiverelay_sibling::Pins;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+
+/// Time without a word after which an instance is not named to callers.
+const SILENT: Duration = Duration::from_secs(3);
+
+/// How far an instance is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberState {
+    /// It does not take requests yet.
+    Starting,
+    /// It takes requests.
+    Ready,
+    /// It takes no new requests and will stop.
+    Leaving,
+}
+
+/// An instance's record in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// The instance.
+    pub instance: Instance,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Its region.
+    pub region: Region,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the other instances connect.
+    pub siblings: SocketAddr,
+    /// Digest of the certificate that it shows to the other instances.
+    pub certificate: String,
+    /// Names its process.
+    pub incarnation: u64,
+    /// How far it is in its life.
+    pub state: MemberState,
+}
+
+#[derive(Debug)]
+struct Member {
+    record: MemberRecord,
+    revision: u64,
+    learned: Duration,
+    heard: Option<Duration>,
+    told_ready: bool,
+    has_record: bool,
+}
+
+impl Member {
+    /// Returns when there was last a sign of the instance.
+    fn last_sign(&self) -> Duration {
+        self.heard.unwrap_or_default().max(self.learned)
+    }
+
+    fn is_ready(&self, now: Duration) -> bool {
+        self.record.state == MemberState::Ready
+            && self.told_ready
+            && self.last_sign() + SILENT > now
+    }
+}
+
+/// The other instances by name.
+///
+/// # Invariants
+///
+/// A member without a record is kept only as long as it is heard. `most` and
+/// `most_of` never shrink, so that no part of a bound grows while an instance
+/// that is not known any more may still use its own.
+#[derive(Debug, Default)]
+struct State {
+    members: HashMap<Instance, Member>,
+    most: usize,
+    most_of: HashMap<Region, usize>,
+}
+
+impl State {
+    fn count(&mut self, own: &Region) {
+        self.most = self.most.max(self.members.len() + 1);
+        let mut regions: HashMap<&Region, usize> = HashMap::from([(own, 1)]);
+        for member in self.members.values() {
+            *regions.entry(&member.record.region).or_default() += 1;
+        }
+        for (region, count) in regions {
+            let most = self.most_of.entry(region.clone()).or_default();
+            *most = count.max(*most);
+        }
+    }
+}
+
+/// The instances of the gateway.
+#[derive(Debug)]
+pub(crate) struct Members {
+    state: Ranked<State>,
+    pins: Pins,
+    own: watch::Sender<MemberRecord>,
+}
+
+impl Members {
+    pub(crate) fn new(own: MemberRecord, pins: Pins) -> Self {
+        pins.set(&own.instance, &own.certificate);
+        Self {
+            state: Ranked::new(Rank::Members, State::default()),
+            pins,
+            own: watch::Sender::new(own),
+        }
+    }
+
+    /// Returns this instance's own record, as it changes.
+    pub(crate) fn own(&self) -> watch::Receiver<MemberRecord> {
+        self.own.subscribe()
+    }
+
+    /// Returns how far this instance is in its life.
+    pub(crate) fn own_state(&self) -> MemberState {
+        self.own.borrow().state
+    }
+
+    /// Changes how far this instance is in its life.
+    pub(crate) fn advance(&self, state: MemberState) {
+        self.own.send_if_modified(|own| {
+            let changes = own.state != state && own.state != MemberState::Leaving;
+            if changes {
+                own.state = state;
+            }
+            changes
+        });
+    }
+
+    /// Takes an instance's record.
+    pub(crate) fn put(&self, record: MemberRecord, revision: u64, now: Duration) {
+        let own = self.own.borrow().clone();
+        if record.instance == own.instance {
+            return;
+        }
+        let mut state = self.state.lock();
+        if let Some(old) = state.members.get_mut(&record.instance) {
+            if revision < old.revision {
+                return;
+            }
+            if old.record.incarnation != record.incarnation {
+                old.heard = None;
+                old.told_ready = true;
+            }
+        }
+        self.pins.set(&record.instance, &record.certificate);
+        log::info!(
+            target: "members",
+            instance = record.instance.as_str(),
+            state:? = record.state,
+            incarnation = record.incarnation,
+            revision;
+            "instance record"
+        );
+        let old = state.members.remove(&record.instance);
+        let member = Member {
+            revision,
+            learned: now,
+            heard: old.as_ref().and_then(|old| old.heard),
+            told_ready: old.as_ref().is_none_or(|old| old.told_ready),
+            has_record: true,
+            record,
+        };
+        let name = member.record.instance.clone();
+        state.members.insert(name, member);
+        state.count(&own.region);
+    }
+
+    /// Takes the word that an instance has no record any more.
+    pub(crate) fn vanish(&self, name: &Instance) {
+        let mut state = self.state.lock();
+        if let Some(member) = state.members.get_mut(name) {
+            member.has_record = false;
+            log::info!(target: "members", instance = name.as_str(); "instance has no record");
+        }
+    }
+
+    /// Takes a whole listing: instances that it lacks have no record.
+    pub(crate) fn reconcile(&self, listed: &HashSet<Instance>) {
+        let state = self.state.lock();
+        let missing = |(name, member): (&Instance, &Member)| {
+            (member.has_record && !listed.contains(name)).then(|| name.clone())
+        };
+        let missing: Vec<_> = state.members.iter().filter_map(missing).collect();
+        drop(state);
+        for name in missing {
+            self.vanish(&name);
+        }
+    }
+
+    /// Takes a word of an instance itself; false if it is of another process
+    /// than the one in the record.
+    pub(crate) fn hear(
+        &self,
+        from: &Instance,
+        incarnation: u64,
+        ready: bool,
+        now: Duration,
+    ) -> bool {
+        let mut state = self.state.lock();
+        let Some(member) = state.members.get_mut(from) else {
+            return false;
+        };
+        if member.record.incarnation != incarnation {
+            return false;
+        }
+        member.heard = Some(now);
+        member.told_ready = ready;
+        true
+    }
+
+    /// Drops the instances that have neither a record nor a voice, and returns
+    /// their names.
+    pub(crate) fn expire(&self, now: Duration) -> Vec<Instance> {
+        let mut state = self.state.lock();
+        let silent = |member: &Member| !member.has_record && member.last_sign() + SILENT <= now;
+        let gone = |(name, member): (&Instance, &Member)| silent(member).then(|| name.clone());
+        let gone: Vec<_> = state.members.iter().filter_map(gone).collect();
+        for name in &gone {
+            state.members.remove(name);
+            self.pins.remove(name);
+        }
+        gone
+    }
+
+    /// Lists the instances to keep a link to.
+    pub(crate) fn others(&self) -> Vec<MemberRecord> {
+        let state = self.state.lock();
+        state.members.values().map(|m| m.record.clone()).collect()
+    }
+
+    /// Lists the instances of a region that take requests.
+    pub(crate) fn ready_in(&self, region: &Region, now: Duration) -> Vec<Instance> {
+        let state = self.state.lock();
+        let ready = state.members.values().filter(|m| m.is_ready(now));
+        let here = ready.filter(|m| m.record.region == *region);
+        here.map(|m| m.record.instance.clone()).collect()
+    }
+
+    /// Divides a bound between all instances.
+    pub(crate) fn divisor(&self) -> Divisor {
+        Divisor::new(self.state.lock().most)
+    }
+
+    /// Divides a bound between the instances of a region.
+    pub(crate) fn divisor_in(&self, region: &Region) -> Divisor {
+        let state = self.state.lock();
+        Divisor::new(state.most_of.get(region).copied().unwrap_or(1))
+    }
+
+    /// Lists where a caller of a zone may connect: ready instances of its
+    /// zone, else of its region, else of others.
+    pub(crate) fn directory(&self, zone: &Zone, region: &Region, now: Duration) -> Vec<SocketAddr> {
+        let own = self.own.borrow().clone();
+        let state = self.state.lock();
+        let others = state.members.values().filter(|m| m.is_ready(now));
+        let mut ready: Vec<&MemberRecord> = others.map(|m| &m.record).collect();
+        if own.state == MemberState::Ready {
+            ready.push(&own);
+        }
+        let near = |distance: fn(&MemberRecord, &Zone, &Region) -> bool| {
+            let found = ready.iter().filter(|r| distance(r, zone, region));
+            found.map(|r| r.callers).collect::<Vec<_>>()
+        };
+        let in_zone = near(|r, zone, _| r.zone == *zone);
+        if !in_zone.is_empty() {
+            return in_zone;
+        }
+        let in_region = near(|r, _, region| r.region == *region);
+        if !in_region.is_empty() {
+            return in_region;
+        }
+        near(|_, _, _| true)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,220 @@
+//! Counters and latency histograms in the Prometheus text form.
+
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use chiverelay_decisions::refusal::Refusal;
+use hyper::StatusCode;
+use prometheus::Encoder;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::journal::Counts;
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0,
+];
+
+/// Every metric of the gateway.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    refusals: IntCounterVec,
+    attempts: IntCounterVec,
+    connections: IntCounterVec,
+    forwards: IntCounterVec,
+    sibling_refusals: IntCounterVec,
+    store_calls: IntCounterVec,
+    log_counts: OnceLock<Arc<Counts>>,
+    log_written: IntGauge,
+    log_dropped: IntGauge,
+    first_byte: HistogramVec,
+    streams: HistogramVec,
+    store: HistogramVec,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        Self {
+            requests: counter(
+                &registry,
+                "requests_total",
+                "Answers by status class.",
+                &["status"],
+            ),
+            refusals: counter(
+                &registry,
+                "refusals_total",
+                "Refusals by code, and whether the request may have run.",
+                &["code", "ran"],
+            ),
+            attempts: counter(
+                &registry,
+                "attempts_total",
+                "Attempts at targets by outcome.",
+                &["outcome"],
+            ),
+            connections: counter(
+                &registry,
+                "target_connections_total",
+                "Connections used for requests, by whether they were new.",
+                &["kind"],
+            ),
+            forwards: counter(
+                &registry,
+                "forwards_total",
+                "Requests passed on to other regions.",
+                &[],
+            ),
+            sibling_refusals: counter(
+                &registry,
+                "sibling_refusals_total",
+                "Connections and messages of other instances that were refused.",
+                &["reason"],
+            ),
+            store_calls: counter(
+                &registry,
+                "store_calls_total",
+                "Calls of the store by kind and result.",
+                &["kind", "result"],
+            ),
+            log_counts: OnceLock::new(),
+            log_written: gauge(
+                &registry,
+                "log_lines_written",
+                "Log lines written since the start.",
+            ),
+            log_dropped: gauge(
+                &registry,
+                "log_lines_dropped",
+                "Log lines dropped since the start.",
+            ),
+            first_byte: histogram(
+                &registry,
+                "first_byte_seconds",
+                "Time to the beginning of an answer.",
+                &["result"],
+            ),
+            streams: histogram(
+                &registry,
+                "stream_seconds",
+                "Time to the end of a stream, by outcome.",
+                &["outcome"],
+            ),
+            store: histogram(
+                &registry,
+                "store_call_seconds",
+                "Time of a call of the store.",
+                &["kind"],
+            ),
+            registry,
+        }
+    }
+
+    /// Writes all metrics as text.
+    pub fn text(&self) -> String {
+        if let Some(counts) = self.log_counts.get() {
+            self.log_written.set(counts.written() as i64);
+            self.log_dropped.set(counts.dropped() as i64);
+        }
+        let mut buf = Vec::new();
+        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            log::warn!(target: "metrics", error:% = e; "metrics can't be written");
+        }
+        String::from_utf8_lossy(&buf).into_owned()
+    }
+
+    pub(crate) fn replied(&self, status: StatusCode, took: Duration) {
+        let class = match status.as_u16() {
+            200..300 => "2xx",
+            300..400 => "3xx",
+            400..500 => "4xx",
+            _ => "5xx",
+        };
+        self.requests.with_label_values(&[class]).inc();
+        let histogram = self.first_byte.with_label_values(&["answered"]);
+        histogram.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn refused(&self, refusal: &Refusal, took: Duration) {
+        let labels = [refusal.code.as_str(), refusal.outcome.as_str()];
+        self.refusals.with_label_values(&labels).inc();
+        let histogram = self.first_byte.with_label_values(&["refused"]);
+        histogram.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn attempt(&self, outcome: &str) {
+        self.attempts.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn connection(&self, is_new: bool) {
+        let kind = if is_new { "new" } else { "kept" };
+        self.connections.with_label_values(&[kind]).inc();
+    }
+
+    pub(crate) fn forward(&self) {
+        self.forwards.with_label_values::<&str>(&[]).inc();
+    }
+
+    pub(crate) fn sibling_refused(&self, reason: &str) {
+        self.sibling_refusals.with_label_values(&[reason]).inc();
+    }
+
+    pub(crate) fn streamed(&self, outcome: &str, took: Duration) {
+        let histogram = self.streams.with_label_values(&[outcome]);
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// Counts a call of the store.
+    pub fn store_call(&self, kind: &str, result: &str, took: Duration) {
+        self.store_calls.with_label_values(&[kind, result]).inc();
+        let histogram = self.store.with_label_values(&[kind]);
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// Shows the counts of log lines.
+    pub(crate) fn follow_log(&self, counts: Arc<Counts>) {
+        if self.log_counts.set(counts).is_err() {
+            log::debug!(target: "metrics", "the log is followed already");
+        }
+    }
+}
+
+/// Prefix of every metric.
+const PREFIX: &str = "chiverelay";
+
+fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let opts = Opts::new(format!("{PREFIX}_{name}"), help);
+    let counter = IntCounterVec::new(opts, labels).expect("names and labels are well formed");
+    registry
+        .register(Box::new(counter.clone()))
+        .expect("names are distinct");
+    counter
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(format!("{PREFIX}_{name}"), help).expect("the name is well formed");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("names are distinct");
+    gauge
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let opts =
+        HistogramOpts::new(format!("{PREFIX}_{name}"), help).buckets(LATENCY_BUCKETS.to_vec());
+    let histogram = HistogramVec::new(opts, labels).expect("names and labels are well formed");
+    registry
+        .register(Box::new(histogram.clone()))
+        .expect("names are distinct");
+    histogram
+}
--- /dev/null
+++ b/crates/gateway/src/place.rs
@@ -0,0 +1,364 @@
+//! Where a request goes: a target of this region, or an instance of another.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::catalog::PoolTerms;
+use chiverelay_decisions::catalog::RouteTerms;
+use chiverelay_decisions::fleet::KnownTarget;
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Away;
+use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Placed;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use chiverelay_decisions::traffic::Choice;
+use chiverelay_decisions::traffic::Demand;
+use chiverelay_decisions::traffic::Ended;
+use chiverelay_decisions::traffic::Nowhere;
+use chiverelay_decisions::traffic::Place;
+use chiverelay_decisions::traffic::PromptPart;
+use chiverelay_decisions::traffic::RegionChoice;
+use chiverelay_decisions::traffic::SPILL_GAIN;
+
+use crate::Dialect;
+use crate::Gateway;
+
+/// Round trip that is expected to another region, beside what its targets take.
+const FAR_ROUND_TRIP: Duration = Duration::from_millis(115);
+
+/// Shortest time after which a refused caller is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// What placing a request needs to know of it, beside its life cycle.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    /// The route.
+    pub(crate) route: Arc<RouteTerms>,
+    /// The pool.
+    pub(crate) pool: Arc<PoolTerms>,
+    /// The prompt's parts.
+    pub(crate) parts: Arc<[PromptPart]>,
+    /// Tokens of the prompt.
+    pub(crate) prompt_tokens: u64,
+    /// Targets that may still run the request.
+    pub(crate) attempts: u32,
+}
+
+/// A place at a target, given back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Held<D>
+where
+    D: Dialect,
+{
+    gateway: Arc<Gateway<D>>,
+    place: Option<Place>,
+    since: Duration,
+    ahead: u32,
+    own: u32,
+    expected: Duration,
+}
+
+impl<D> Held<D>
+where
+    D: Dialect,
+{
+    /// Returns how long the target was expected to take until it answers.
+    pub(crate) fn expected(&self) -> Duration {
+        self.expected
+    }
+
+    /// Notes that the target has read the prompt.
+    pub(crate) fn read(&mut self) {
+        let Some(place) = &mut self.place else {
+            return;
+        };
+        let took = self.gateway.clock.now().saturating_sub(self.since);
+        let mut traffic = self.gateway.beliefs.traffic.lock();
+        let tokens = self.ahead.saturating_add(self.own);
+        traffic.meter_mut(&place.pool).first_event(tokens, took);
+        traffic.read(place);
+    }
+
+    /// Notes that the target gave a whole plain answer.
+    pub(crate) fn answered(&self) {
+        if let Some(place) = &self.place {
+            let took = self.gateway.clock.now().saturating_sub(self.since);
+            let mut traffic = self.gateway.beliefs.traffic.lock();
+            traffic.meter_mut(&place.pool).answered(took);
+        }
+    }
+
+    /// Gives the place back.
+    pub(crate) fn end(mut self, ended: Ended) {
+        self.release(ended);
+    }
+
+    fn release(&mut self, ended: Ended) {
+        if let Some(place) = self.place.take() {
+            let now = self.gateway.clock.now();
+            self.gateway.beliefs.traffic.lock().end(place, ended, now);
+        }
+    }
+}
+
+impl<D> Drop for Held<D>
+where
+    D: Dialect,
+{
+    fn drop(&mut self) {
+        self.release(Ended::Cancelled);
+    }
+}
+
+/// Where a caller's request goes next.
+#[derive(Debug)]
+pub(crate) enum Next<D>
+where
+    D: Dialect,
+{
+    /// To a target of this region.
+    Here(Box<PlacedHere<D, Direct>>),
+    /// To an instance of another region.
+    Away(Request<Away, Direct>),
+}
+
+/// A place at a target of this region.
+pub(crate) type PlacedHere<D, O> = (Request<Placed, O>, Held<D>, KnownTarget);
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Chooses a target of this region or an instance of another one.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request that has nowhere to go, or that can't be in time.
+    pub(crate) fn place(
+        self: &Arc<Self>,
+        req: Request<Admitted, Direct>,
+        job: &Job,
+    ) -> Result<Next<D>, Refusal> {
+        let now = self.clock.now();
+        let here = &self.settings.region;
+        let allowed = req.grant().residency.allows(here);
+        let local = match allowed {
+            true => self.choose(here, job, req.tried(), now),
+            false => Err(Nowhere::NoTarget),
+        };
+        let far = self.choose_far(&req, job, now);
+        let left = req.head().deadline.saturating_sub(now);
+        let far = match (&local, far) {
+            (Ok(local), Some(far)) if !is_worth_it(local, &far) => None,
+            (_, far) => far,
+        };
+        if let Some(far) = far {
+            if far.estimate.wait > left {
+                return Err(too_late(req, far.estimate.wait, left));
+            }
+            return self.go(req, job, &far, now).or_else(|req| {
+                let local = local.map_err(|why| nowhere(&req, why));
+                self.stay(*req, job, local, left, now)
+            });
+        }
+        let local = local.map_err(|why| nowhere(&req, why));
+        self.stay(req, job, local, left, now)
+    }
+
+    fn stay(
+        self: &Arc<Self>,
+        req: Request<Admitted, Direct>,
+        job: &Job,
+        local: Result<Choice, Refusal>,
+        left: Duration,
+        now: Duration,
+    ) -> Result<Next<D>, Refusal> {
+        let choice = local?;
+        if choice.estimate.wait > left {
+            return Err(too_late(req, choice.estimate.wait, left));
+        }
+        let placed = self.take(req, job, &choice, now)?;
+        Ok(Next::Here(Box::new(placed)))
+    }
+
+    /// Chooses a target of this region.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request that has nowhere to go, or that can't be in time.
+    pub(crate) fn place_here<O>(
+        self: &Arc<Self>,
+        req: Request<Admitted, O>,
+        job: &Job,
+    ) -> Result<PlacedHere<D, O>, Refusal> {
+        let now = self.clock.now();
+        let choice = self
+            .choose(&self.settings.region, job, req.tried(), now)
+            .map_err(|why| nowhere(&req, why))?;
+        let left = req.head().deadline.saturating_sub(now);
+        if choice.estimate.wait > left {
+            return Err(too_late(req, choice.estimate.wait, left));
+        }
+        self.take(req, job, &choice, now)
+    }
+
+    fn choose(
+        &self,
+        region: &Region,
+        job: &Job,
+        tried: &[Target],
+        now: Duration,
+    ) -> Result<Choice, Nowhere> {
+        let divisor = self.members.divisor_in(region);
+        let demand = Demand {
+            prompt_tokens: job.prompt_tokens,
+            parts: &job.parts,
+            tried,
+        };
+        let fleet = self.beliefs.fleet.lock();
+        let mut traffic = self.beliefs.traffic.lock();
+        traffic.choose(&fleet, &job.pool, region, &demand, divisor, now)
+    }
+
+    /// Finds the best of the other regions that may answer and have an
+    /// instance to ask.
+    fn choose_far(
+        &self,
+        req: &Request<Admitted, Direct>,
+        job: &Job,
+        now: Duration,
+    ) -> Option<RegionChoice> {
+        let regions = self.beliefs.fleet.lock().regions(&job.pool.name);
+        let mut best: Option<RegionChoice> = None;
+        for region in regions {
+            let residency = &req.grant().residency;
+            if region == self.settings.region
+                || !residency.allows(&region)
+                || self.ask_in(&region, req, now).is_none()
+            {
+                continue;
+            }
+            let Ok(choice) = self.choose(&region, job, req.tried(), now) else {
+                continue;
+            };
+            let mut estimate = choice.estimate;
+            estimate.wait += FAR_ROUND_TRIP;
+            estimate.cost += FAR_ROUND_TRIP;
+            if best
+                .as_ref()
+                .is_none_or(|b| estimate.cost < b.estimate.cost)
+            {
+                best = Some(RegionChoice { region, estimate });
+            }
+        }
+        best
+    }
+
+    /// Chooses the instance of a region to ask.
+    fn ask_in(
+        &self,
+        region: &Region,
+        req: &Request<Admitted, Direct>,
+        now: Duration,
+    ) -> Option<Instance> {
+        let mut ready = self.members.ready_in(region, now);
+        ready.retain(|name| !req.asked().contains(name) && self.links.get(name).is_some());
+        if ready.is_empty() {
+            return None;
+        }
+        let at = rand::random::<u32>() as usize % ready.len();
+        Some(ready.swap_remove(at))
+    }
+
+    /// Places a request at an instance of a region.
+    ///
+    /// # Errors
+    ///
+    /// Gives the request back if no instance there can be asked.
+    fn go(
+        self: &Arc<Self>,
+        req: Request<Admitted, Direct>,
+        job: &Job,
+        far: &RegionChoice,
+        now: Duration,
+    ) -> Result<Next<D>, Box<Request<Admitted, Direct>>> {
+        let Some(instance) = self.ask_in(&far.region, &req, now) else {
+            return Err(Box::new(req));
+        };
+        let req = req.place_away(instance, far.region.clone())?;
+        let tokens = far.estimate.unread_tokens;
+        let mut traffic = self.beliefs.traffic.lock();
+        traffic.sent_away(&far.region, &job.pool.name, tokens, now);
+        Ok(Next::Away(req))
+    }
+
+    fn take<O>(
+        self: &Arc<Self>,
+        req: Request<Admitted, O>,
+        job: &Job,
+        choice: &Choice,
+        now: Duration,
+    ) -> Result<PlacedHere<D, O>, Refusal> {
+        let region = self.settings.region.clone();
+        let known = self.beliefs.fleet.lock().get(&choice.target).cloned();
+        let place = Place {
+            target: choice.target.clone(),
+            pool: job.pool.name.clone(),
+            unread_tokens: choice.estimate.unread_tokens,
+            ahead_tokens: choice.estimate.ahead_tokens,
+        };
+        let divisor = self.members.divisor_in(&region);
+        let taken = known.as_ref().is_some_and(|known| {
+            let mut traffic = self.beliefs.traffic.lock();
+            traffic.take(&place, &job.parts, known, &job.pool, divisor, now)
+        });
+        let Some(known) = known.filter(|_| taken) else {
+            return Err(nowhere(&req, Nowhere::AllCold));
+        };
+        let held = Held {
+            gateway: Arc::clone(self),
+            ahead: place.ahead_tokens,
+            own: place.unread_tokens,
+            place: Some(place),
+            since: now,
+            expected: choice.estimate.wait,
+        };
+        match req.place(choice.target.clone(), region) {
+            Ok(req) => Ok((req, held, known)),
+            Err(req) => Err(nowhere(&req, Nowhere::NoTarget)),
+        }
+    }
+}
+
+/// Tells whether another region is so much faster that the way there pays.
+fn is_worth_it(local: &Choice, far: &RegionChoice) -> bool {
+    let local = &local.estimate;
+    let gained = local.cost > far.estimate.cost + SPILL_GAIN;
+    gained && (far.estimate.has_slot || !local.has_slot)
+}
+
+fn nowhere<O>(req: &Request<Admitted, O>, why: Nowhere) -> Refusal {
+    let code = match why {
+        Nowhere::NoTarget | Nowhere::NoneHealthy => Code::Unavailable,
+        Nowhere::AllCold => Code::Overloaded,
+    };
+    req.refuse_as(code, Step::Place, Peer::Local)
+        .retry_after(NOWHERE_RETRY)
+}
+
+/// Time after which a request that had nowhere to go is worth another try.
+const NOWHERE_RETRY: Duration = Duration::from_millis(500);
+
+/// Refuses a request that would wait past its deadline.
+fn too_late<O>(req: Request<Admitted, O>, wait: Duration, left: Duration) -> Refusal {
+    let over = wait.saturating_sub(left).max(MIN_RETRY_AFTER);
+    req.refuse_as(Code::DeadlineExceeded, Step::Place, Peer::Local)
+        .retry_after(over)
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,234 @@
+//! What this instance does for the others: takes their statuses, and runs
+//! requests that they pass on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::catalog::Terms;
+use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Head;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use chiverelay_sibling::Envelope;
+use chiverelay_sibling::Forward;
+use chiverelay_sibling::Frame;
+use chiverelay_sibling::FrameSender;
+use chiverelay_sibling::Handler;
+use chiverelay_sibling::Identity;
+use chiverelay_sibling::Message;
+use chiverelay_sibling::Refused;
+use chiverelay_sibling::VERSION;
+use futures_util::StreamExt;
+use hyper::header::HOST;
+
+use crate::Dialect;
+use crate::Gateway;
+use crate::Outbound;
+use crate::Reply;
+use crate::ReplyBody;
+use crate::dispatch::Tried;
+use crate::forward;
+use crate::intake;
+use crate::message::Handled;
+use crate::place::Job;
+
+/// Targets that a request that was passed on is tried at.
+const MAX_PLACES: usize = 3;
+
+/// Answers the other instances.
+pub(crate) struct Siblings<D>
+where
+    D: Dialect,
+{
+    gateway: Arc<Gateway<D>>,
+}
+
+impl<D> Siblings<D>
+where
+    D: Dialect,
+{
+    pub(crate) fn new(gateway: Arc<Gateway<D>>) -> Self {
+        Self { gateway }
+    }
+}
+
+impl<D> Handler for Siblings<D>
+where
+    D: Dialect,
+{
+    async fn control(&self, from: &Identity, _stamp: Stamp, message: Message) -> Envelope {
+        if let Message::Status(status) = message {
+            self.gateway.hear(from, status);
+        }
+        Envelope {
+            version: VERSION,
+            stamp: Stamp::default(),
+            message: Message::Done,
+        }
+    }
+
+    async fn forward(&self, from: &Identity, _stamp: Stamp, req: Forward, mut tx: FrameSender) {
+        let gateway = &self.gateway;
+        let _open = gateway.requests.token();
+        let id = req.id.clone();
+        let running = gateway.run_forwarded(req);
+        let handled = tokio::select! {
+            handled = running => handled,
+            () = tx.closed() => return,
+        };
+        log::info!(
+            target: "forward",
+            id = id.as_str(),
+            from = from.instance.as_str(),
+            outcome = match &handled {
+                Ok(_) => "answered",
+                Err(refusal) => refusal.code.as_str(),
+            };
+            "request of another instance"
+        );
+        // The other instance may have given the request up.
+        let _ = send(&mut tx, handled).await;
+    }
+
+    fn refused(&self, reason: Refused) {
+        self.gateway.metrics.sibling_refused(reason.as_str());
+    }
+}
+
+async fn send(tx: &mut FrameSender, handled: Handled) -> Result<(), chiverelay_sibling::Error> {
+    let reply = match handled {
+        Ok(reply) => reply,
+        Err(refusal) => return tx.send(&Frame::Refused(refusal)).await,
+    };
+    let Reply {
+        status,
+        headers,
+        body,
+    } = reply;
+    let head = Frame::Head {
+        status: status.as_u16(),
+        headers: forward::write_headers(&headers),
+    };
+    tx.send(&head).await?;
+    let mut pieces = match body {
+        ReplyBody::Full(data) => {
+            tx.send(&Frame::Data(data.to_vec())).await?;
+            return tx.send(&Frame::End).await;
+        }
+        ReplyBody::Pieces(pieces) => pieces,
+    };
+    loop {
+        let piece = tokio::select! {
+            piece = pieces.next() => piece,
+            () = tx.closed() => return Ok(()),
+        };
+        match piece {
+            None => return tx.send(&Frame::End).await,
+            Some(Ok(data)) => tx.send(&Frame::Data(data.to_vec())).await?,
+            Some(Err(broken)) => {
+                log::debug!(target: "forward", error:% = broken; "answer not whole");
+                let refusal = Refusal::unknown(Code::TargetFailed, Step::Answer, Peer::Local);
+                return tx.send(&Frame::Refused(refusal)).await;
+            }
+        }
+    }
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    async fn run_forwarded(self: &Arc<Self>, forward: Forward) -> Handled {
+        let now = self.clock.now();
+        let (req, mut job, out) = self.admit_forwarded(forward, now)?;
+        let mut req = req;
+        let mut last = None;
+        for _ in 0..MAX_PLACES {
+            let placed = match self.place_here(req, &job) {
+                Ok(placed) => placed,
+                Err(refusal) => return Err(last.unwrap_or(refusal)),
+            };
+            req = match self.attempt(placed, &mut job, &out).await {
+                Tried::Answered(answered) => return Ok(self.reply(job, out, *answered)),
+                Tried::Refused(refusal) => return Err(refusal),
+                Tried::Again(req, refusal) => {
+                    last = Some(refusal);
+                    req
+                }
+            };
+        }
+        let refusal = req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local);
+        Err(last.unwrap_or(refusal))
+    }
+
+    /// Checks a request that was passed on against this instance's own catalog.
+    fn admit_forwarded(
+        &self,
+        forward: Forward,
+        now: Duration,
+    ) -> Result<(Request<Admitted, request::Forwarded>, Job, Outbound), Refusal> {
+        let refuse = |code, step| Refusal::before_dispatch(code, step, Peer::Local);
+        let Some(current) = self.beliefs.current() else {
+            return Err(refuse(Code::StateUnavailable, Step::Configure));
+        };
+        let headers = forward::read_headers(&forward.headers);
+        let host = headers.get(HOST).and_then(|v| v.to_str().ok());
+        let path = forward.path_and_query.split('?').next().unwrap_or_default();
+        let route = current.catalog.find_route(host.unwrap_or_default(), path);
+        let Some(route) = route else {
+            return Err(refuse(Code::Unavailable, Step::Route));
+        };
+        let account = match &forward.account {
+            None => None,
+            Some(name) => {
+                let known = current.catalog.account(name);
+                let known = known.ok_or_else(|| refuse(Code::Unavailable, Step::Authenticate))?;
+                Some(Arc::clone(known))
+            }
+        };
+        let terms = Terms { route, account };
+        let pool = terms.route.choose_pool(forward.id.as_str());
+        let Some(pool) = pool.and_then(|name| current.catalog.pool(name)).cloned() else {
+            return Err(refuse(Code::Unavailable, Step::Route));
+        };
+        let grant = intake::grant(&terms, &pool.name, 0);
+        if !grant.residency.allows(&self.settings.region) {
+            return Err(refuse(Code::Unavailable, Step::Place));
+        }
+        let method = forward.method.parse();
+        let method = method.map_err(|_| refuse(Code::Malformed, Step::Receive))?;
+        let out = Outbound {
+            id: forward.id.clone(),
+            method,
+            path_and_query: forward.path_and_query,
+            headers,
+            body: forward.body.into(),
+            account: grant.account.clone(),
+            priority: terms.priority().min(intake::LAST_PRIORITY),
+            stream: terms.route.kind.is_stream(),
+            last_event_id: forward.last_event_id,
+        };
+        let job = Job {
+            route: terms.route,
+            pool,
+            parts: forward.parts.into(),
+            prompt_tokens: forward.prompt_tokens,
+            attempts: forward.attempts.max(1),
+        };
+        let head = Head {
+            id: forward.id,
+            received: now,
+            deadline: now + Duration::from_millis(forward.remaining_ms),
+            model: None,
+            prompt_tokens: forward.prompt_tokens,
+            max_answer_tokens: forward.max_answer_tokens,
+            prefix: Vec::new(),
+        };
+        Ok((Request::from_sibling(head).admit(grant), job, out))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/status.rs
@@ -0,0 +1,107 @@
+//! What instances tell each other several times a second: what they have at
+//! the targets and of the accounts' limits.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::names::Instance;
+use chiverelay_sibling::Identity;
+use chiverelay_sibling::Message;
+use chiverelay_sibling::Status;
+
+use crate::Dialect;
+use crate::Gateway;
+use crate::MemberState;
+
+/// Time between two statuses among few instances.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Instances up to which statuses go out at [`INTERVAL`]; among more they go
+/// out more seldom, so that each instance hears as many a second.
+const FEW: u32 = 8;
+
+/// Longest time between two statuses.
+const MAX_INTERVAL: Duration = Duration::from_millis(1000);
+
+fn interval(others: usize) -> Duration {
+    let others = u32::try_from(others).unwrap_or(u32::MAX);
+    (INTERVAL * others.max(FEW) / FEW).min(MAX_INTERVAL)
+}
+
+/// Keeps links to the others and tells them this instance's status.
+pub(crate) async fn run<D>(gateway: Arc<Gateway<D>>)
+where
+    D: Dialect,
+{
+    let mut sequence = 0;
+    let telling = async {
+        loop {
+            let others = gateway.members.others();
+            let pause = interval(others.len());
+            let now = gateway.clock.now();
+            gateway.expire(now);
+            for record in gateway.links.start_dialing(others, now) {
+                let gateway = Arc::clone(&gateway);
+                tokio::spawn(async move { gateway.links.dial(&record, now).await });
+            }
+            sequence += 1;
+            gateway.tell_all(sequence, now).await;
+            tokio::time::sleep(pause).await;
+        }
+    };
+    gateway.stop.run_until_cancelled(telling).await;
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    fn expire(&self, now: Duration) {
+        self.beliefs.expire(now);
+        for name in self.members.expire(now) {
+            log::info!(target: "members", instance = name.as_str(); "instance is gone");
+            self.beliefs.traffic.lock().forget(&name, now);
+        }
+    }
+
+    async fn tell_all(&self, sequence: u64, now: Duration) {
+        let links = self.links.open();
+        if links.is_empty() {
+            return;
+        }
+        let mut gifts = self.allowances.give(now);
+        let status = Status {
+            sequence,
+            incarnation: self.incarnation,
+            ready: self.members.own_state() == MemberState::Ready,
+            counts: self.beliefs.traffic.lock().counts(),
+            parts: self.allowances.status(now),
+            gifts: Vec::new(),
+        };
+        for link in links {
+            let gifts = gifts.remove(&link.peer().instance).unwrap_or_default();
+            let status = Status {
+                gifts,
+                ..status.clone()
+            };
+            if let Err(e) = link.tell(Message::Status(status)).await {
+                log::debug!(target: "links", error:% = e; "status not sent");
+            }
+        }
+    }
+
+    /// Takes another instance's status.
+    pub(crate) fn hear(&self, from: &Identity, status: Status) {
+        let now = self.clock.now();
+        let name: &Instance = &from.instance;
+        if !self
+            .members
+            .hear(name, status.incarnation, status.ready, now)
+        {
+            return;
+        }
+        self.beliefs.traffic.lock().tell(name, status.counts, now);
+        self.allowances.tell(name, status.parts, now);
+        self.allowances.receive(status.gifts, now);
+    }
+}
