--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -62,6 +62,19 @@
     pub tokens: f32,
 }
 
+/// What a part lacks for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Lacking {
+    /// Tokens at hand.
+    pub level: f64,
+    /// Tokens that are missing.
+    pub missing: f64,
+    /// Tokens a second that the part fills with.
+    pub rate: f64,
+    /// Time until the part has filled so far; `None` if it never does.
+    pub wait: Option<Duration>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Received {
     lapses: Duration,
@@ -136,17 +149,20 @@
     ///
     /// # Errors
     ///
-    /// Returns how long it takes until this part has filled so far; `None` if
-    /// it never does.
-    pub fn take(&mut self, tokens: f64, now: Duration) -> Result<(), Option<Duration>> {
+    /// Says what this part lacks.
+    pub fn take(&mut self, tokens: f64, now: Duration) -> Result<(), Lacking> {
         self.fill(now);
         self.note_demand(tokens, now);
-        let missing = tokens - self.level - self.given();
+        let level = self.level + self.given();
+        let missing = tokens - level;
         if missing > 0.0 {
-            if self.rate <= 0.0 || tokens > self.capacity {
-                return Err(None);
-            }
-            return Err(Some(Duration::from_secs_f64(missing / self.rate)));
+            let fits = self.rate > 0.0 && tokens <= self.capacity;
+            return Err(Lacking {
+                level,
+                missing,
+                rate: self.rate,
+                wait: fits.then(|| Duration::from_secs_f64(missing / self.rate)),
+            });
         }
         let mut left = tokens;
         while left > 0.0 {
@@ -226,6 +242,15 @@
         gifts
     }
 
+    /// Takes tokens from this part for an instance that asks for them, at most
+    /// as many as are at hand.
+    pub fn lend(&mut self, asked: f64, now: Duration) -> f64 {
+        self.fill(now);
+        let tokens = asked.min(self.level).max(0.0);
+        self.level -= tokens;
+        tokens
+    }
+
     /// Takes a gift of another instance.
     pub fn receive(&mut self, tokens: f64, now: Duration) {
         self.fill(now);
--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -14,6 +14,7 @@
 
 use crate::names::Account;
 use crate::names::Pool;
+use crate::names::Region;
 use crate::tables::Rank;
 use crate::tables::Ranked;
 
@@ -66,7 +67,7 @@
 impl Terms {
     /// Tells whether the request may run in `region`: both route and account
     /// must allow it.
-    pub fn allows(&self, region: &crate::names::Region) -> bool {
+    pub fn allows(&self, region: &Region) -> bool {
         let account = self.account.as_ref();
         self.route.residency.allows(region) && account.is_none_or(|a| a.residency.allows(region))
     }
@@ -142,6 +143,12 @@
         found.map(Arc::clone)
     }
 
+    /// Tells whether the requests of every route of a host may run in a region.
+    pub fn may_run_in(&self, host: &str, region: &Region) -> bool {
+        let routes = self.routes.get(host).map_or(&[][..], Vec::as_slice);
+        routes.iter().all(|route| route.residency.allows(region))
+    }
+
     /// Finds a pool.
     pub fn pool(&self, name: &Pool) -> Option<&Arc<PoolTerms>> {
         self.pools.get(name)
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -6,12 +6,14 @@
 mod meter;
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::catalog::PoolTerms;
+use crate::fleet::Fleet;
 use crate::fleet::KnownTarget;
 use crate::names::Instance;
 use crate::names::Pool;
@@ -87,7 +89,6 @@
 struct OwnCount {
     count: Count,
     health: Health,
-    cached: CachedParts,
     cold: Option<Window>,
     failing: f64,
 }
@@ -109,6 +110,8 @@
     pub unread_tokens: u32,
     /// Prompt tokens ahead of them when the place was taken.
     pub ahead_tokens: u32,
+    /// Where the target can copy parts of the prompt from that it lacks.
+    pub source: Option<SocketAddr>,
 }
 
 /// How a request at a target went.
@@ -136,15 +139,34 @@
 /// Time for which a full target is passed over.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
 
+/// A part of a prompt that a target reads or has in memory, as told to the
+/// other instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PartUse {
+    /// The target.
+    pub target: Target,
+    /// The part.
+    pub part: PromptPart,
+}
+
+/// Parts of which the other instances are told at once.
+const MAX_USES: usize = 128;
+
+/// Parts from which on others are told of them, in tokens.
+const TOLD_TOKENS: u32 = 500;
+
 /// Everything that is counted at the targets.
 ///
 /// # Invariants
 ///
-/// `told_sum` is the sum of the counts in `told`. Each [`Place`] given out is
+/// `uses` has at most [`MAX_USES`] entries. `told_sum` is the sum of the counts in `told`. Each [`Place`] given out is
 /// counted in `own` until it is given back by [`Traffic::end`].
 #[derive(Debug)]
 pub struct Traffic {
     own: HashMap<Target, OwnCount>,
+    cached: HashMap<Target, CachedParts>,
+    uses: Vec<PartUse>,
     told: HashMap<Instance, Told>,
     told_sum: HashMap<Target, Count>,
     meters: HashMap<Pool, Meter>,
@@ -169,6 +191,8 @@
     pub fn new(retry_limit: RetryLimit, cold_slack: ColdSlack) -> Self {
         Self {
             own: HashMap::new(),
+            cached: HashMap::new(),
+            uses: Vec::new(),
             told: HashMap::new(),
             told_sum: HashMap::new(),
             meters: HashMap::new(),
@@ -274,11 +298,60 @@
         own.count.running += 1;
         own.count.unread_tokens += place.unread_tokens;
         if let Some(engine) = &pool.engine {
-            own.cached.insert(parts, engine.cache_tokens, now);
+            let cached = self.cached.entry(place.target.clone()).or_default();
+            cached.set_capacity(engine.cache_tokens);
+            cached.insert(parts, now);
+            self.note_uses(&place.target, parts);
         }
         true
     }
 
+    fn note_uses(&mut self, target: &Target, parts: &[PromptPart]) {
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        for part in shared.iter().filter(|part| part.tokens >= TOLD_TOKENS) {
+            if self.uses.len() < MAX_USES {
+                self.uses.push(PartUse {
+                    target: target.clone(),
+                    part: *part,
+                });
+            }
+        }
+    }
+
+    /// Returns the parts that went to targets since the last call, for the
+    /// other instances.
+    pub fn take_uses(&mut self) -> Vec<PartUse> {
+        std::mem::take(&mut self.uses)
+    }
+
+    /// Takes what another instance says of the parts that it sent.
+    pub fn tell_uses(&mut self, uses: Vec<PartUse>, now: Duration) {
+        for PartUse { target, part } in uses {
+            let cached = self.cached.entry(target).or_default();
+            cached.insert(&[part], now);
+        }
+    }
+
+    /// Finds the target that has most of a prompt's shared parts in memory,
+    /// other than `target`, if it has at least `tokens` more than it.
+    fn best_source<'a>(
+        &'a self,
+        fleet: &Fleet,
+        target: &Target,
+        parts: &[PromptPart],
+        tokens: u64,
+    ) -> Option<(&'a Target, u64)> {
+        let has = self
+            .cached
+            .get(target)
+            .map_or(0, |c| c.cached_tokens(parts));
+        let others = self.cached.iter().filter(|(name, _)| *name != target);
+        let known = others.filter(|(name, _)| fleet.takes_work(name));
+        let tokens_of = known.map(|(name, cached)| (name, cached.cached_tokens(parts)));
+        let best = tokens_of.max_by_key(|(_, cached)| *cached)?;
+        (best.1 >= has + tokens).then_some(best)
+    }
+
     fn cold_bound(&self, pool: &PoolTerms, divisor: Divisor) -> Option<f64> {
         let per_s = pool.cold.requests_per_s;
         let bound = per_s * self.cold_slack.factor + self.cold_slack.slack;
@@ -342,8 +415,8 @@
 
     /// Forgets what a target had before it started anew.
     pub fn restarted(&mut self, target: &Target, now: Duration) {
+        self.cached.remove(target);
         if let Some(own) = self.own.get_mut(target) {
-            own.cached = CachedParts::default();
             own.failing = 0.0;
             own.health.observe(Sign::Restarted, now);
         }
@@ -352,6 +425,7 @@
     /// Drops a target that is gone, unless requests still run there.
     pub fn gone(&mut self, target: &Target) {
         self.full_until.remove(target);
+        self.cached.remove(target);
         if self.own.get(target).is_some_and(|o| o.count.running == 0) {
             self.own.remove(target);
         }
--- a/crates/decisions/src/traffic/cached.rs
+++ b/crates/decisions/src/traffic/cached.rs
@@ -35,10 +35,24 @@
 ///
 /// `tokens` is the sum of the parts' tokens. The parts used longest ago yield
 /// first, as at the target itself.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CachedParts {
     parts: HashMap<u64, Kept, Xxh3DefaultBuilder>,
     tokens: u64,
+    capacity: u64,
+}
+
+/// Tokens of a target's memory before its size is known.
+const DEFAULT_CAPACITY: u64 = 300_000;
+
+impl Default for CachedParts {
+    fn default() -> Self {
+        Self {
+            parts: HashMap::default(),
+            tokens: 0,
+            capacity: (DEFAULT_CAPACITY as f64 * PARTS_SHARE) as u64,
+        }
+    }
 }
 
 impl CachedParts {
@@ -49,8 +63,13 @@
         cached.map(|part| u64::from(part.tokens)).sum()
     }
 
+    /// Notes how many tokens the target's memory has.
+    pub fn set_capacity(&mut self, tokens: u64) {
+        self.capacity = (tokens as f64 * PARTS_SHARE) as u64;
+    }
+
     /// Notes that the target reads a prompt.
-    pub fn insert(&mut self, parts: &[PromptPart], capacity: u64, now: Duration) {
+    pub fn insert(&mut self, parts: &[PromptPart], now: Duration) {
         for part in parts {
             let kept = Kept {
                 tokens: part.tokens,
@@ -63,20 +82,19 @@
                 None => self.tokens += u64::from(part.tokens),
             }
         }
-        let capacity = (capacity as f64 * PARTS_SHARE) as u64;
-        if self.tokens > capacity || self.parts.len() > MAX_PARTS {
-            self.evict(capacity);
+        if self.tokens > self.capacity || self.parts.len() > MAX_PARTS {
+            self.evict();
         }
     }
 
     /// Drops the parts used longest ago until an eighth of the room is free,
     /// so that this is seldom done.
-    fn evict(&mut self, capacity: u64) {
+    fn evict(&mut self) {
         let mut oldest: Vec<(Duration, u64)> =
             self.parts.iter().map(|(id, k)| (k.used, *id)).collect();
         oldest.sort_unstable();
         for (_, id) in oldest {
-            if self.tokens <= capacity / 8 * 7 && self.parts.len() <= MAX_PARTS / 8 * 7 {
+            if self.tokens <= self.capacity / 8 * 7 && self.parts.len() <= MAX_PARTS / 8 * 7 {
                 return;
             }
             if let Some(kept) = self.parts.remove(&id) {
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -1,5 +1,6 @@
 //! The choice of a target within a region, and between regions.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Count;
@@ -27,6 +28,12 @@
 /// Tokens from which on a prompt has a target that it is sent to first.
 const HOME_TOKENS: u64 = 1_000;
 
+/// Tokens of parts that a target lacks from which on copying them pays.
+const COPIED_TOKENS: u64 = 1_000;
+
+/// Delay that copying parts from another target counts as.
+const COPYING: Duration = Duration::from_millis(15);
+
 /// Delay that a running request adds for the others in its batch.
 const CROWDING: Duration = Duration::from_micros(400);
 
@@ -62,6 +69,8 @@
     pub unread_tokens: u32,
     /// Prompt tokens ahead of them.
     pub ahead_tokens: u32,
+    /// Where the target can copy parts of the prompt from that it lacks.
+    pub source: Option<SocketAddr>,
 }
 
 /// A target that was chosen.
@@ -80,6 +89,8 @@
     NoTarget,
     /// All targets fail or were tried.
     NoneHealthy,
+    /// All targets that are left have just said that they are full.
+    AllFull,
     /// All targets that are left are cold and have had their part.
     AllCold,
 }
@@ -125,20 +136,21 @@
                 nowhere = Nowhere::NoneHealthy;
                 continue;
             }
-            if known.is_cold(now) && !self.has_cold_room(target, pool, divisor, now) {
-                nowhere = Nowhere::AllCold;
-                continue;
-            }
-            let count = self.count(target).plus_share(uncounted, targets);
-            let mut estimate = self.estimate(target, known, pool, demand, home.as_ref(), count);
             if self
                 .full_until
                 .get(target)
                 .is_some_and(|until| now < *until)
             {
-                estimate.has_slot = false;
-                estimate.cost += estimate.wait.max(GENERATION);
+                nowhere = Nowhere::AllFull;
+                continue;
             }
+            if known.is_cold(now) && !self.has_cold_room(target, pool, divisor, now) {
+                nowhere = Nowhere::AllCold;
+                continue;
+            }
+            let count = self.count(target).plus_share(uncounted, targets);
+            let mut estimate =
+                self.estimate(fleet, target, known, pool, demand, home.as_ref(), count);
             if status == Status::Suspect {
                 estimate.cost += FAILING_COST;
             }
@@ -191,8 +203,10 @@
             .map(|(target, _)| target.clone())
     }
 
+    #[expect(clippy::too_many_arguments, reason = "one decision's inputs")]
     fn estimate(
         &self,
+        fleet: &Fleet,
         target: &Target,
         known: &KnownTarget,
         pool: &PoolTerms,
@@ -222,18 +236,27 @@
                 has_slot,
                 unread_tokens: 0,
                 ahead_tokens: 0,
+                source: None,
             };
         }
-        let seen = own.map_or(0, |own| own.cached.cached_tokens(demand.parts));
-        let cached = match home == Some(target) {
-            true => seen.max((shared_tokens(demand.parts) as f64 * HOME_CACHED) as u64),
-            false => seen,
+        let seen = self.cached.get(target);
+        let seen = seen.map_or(0, |cached| cached.cached_tokens(demand.parts));
+        let best = self.best_source(fleet, target, demand.parts, COPIED_TOKENS);
+        let source = best.and_then(|(name, _)| Some(fleet.get(name)?.record.address));
+        let cached = match (best, home == Some(target)) {
+            (Some((_, there)), _) => there,
+            (None, true) => seen.max((shared_tokens(demand.parts) as f64 * HOME_CACHED) as u64),
+            (None, false) => seen,
         };
         let unread = demand.prompt_tokens.saturating_sub(cached);
         let ahead = u64::from(count.unread_tokens);
         let queue = GENERATION.mul_f64(f64::from(behind) / f64::from(slots));
         let wait = meter.reading(ahead + unread) + queue;
-        let read = meter.reading(unread).mul_f64(READ_WEIGHT);
+        let copying = match source {
+            Some(_) => COPYING,
+            None => Duration::ZERO,
+        };
+        let read = meter.reading(unread).mul_f64(READ_WEIGHT) + copying;
         let crowding = CROWDING * count.running;
         Estimate {
             wait,
@@ -241,6 +264,7 @@
             has_slot,
             unread_tokens: u32::try_from(unread).unwrap_or(u32::MAX),
             ahead_tokens: count.unread_tokens,
+            source,
         }
     }
 }
--- a/crates/gateway/src/allowances.rs
+++ b/crates/gateway/src/allowances.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::allowance::Gift;
+use chiverelay_decisions::allowance::Lacking;
 use chiverelay_decisions::allowance::Part;
 use chiverelay_decisions::allowance::PartStatus;
 use chiverelay_decisions::allowance::Tolerance;
@@ -49,15 +50,14 @@
     ///
     /// # Errors
     ///
-    /// Returns how long it takes until there are so many; `None` if there
-    /// never are.
+    /// Says what the own part lacks.
     pub(crate) fn take(
         &self,
         account: &AccountTerms,
         tokens: u64,
         divisor: Divisor,
         now: Duration,
-    ) -> Result<(), Option<Duration>> {
+    ) -> Result<(), Lacking> {
         let Some(limit) = account.limit else {
             return Ok(());
         };
@@ -108,6 +108,31 @@
         self.state.lock().told.insert(from.clone(), told);
     }
 
+    /// Takes tokens from the own part for an instance that asks for them.
+    pub(crate) fn lend(&self, asked: &Gift, now: Duration) -> Gift {
+        let mut state = self.state.lock();
+        let part = state.parts.get_mut(&asked.account);
+        let tokens = part.map_or(0.0, |part| part.lend(f64::from(asked.tokens), now));
+        Gift {
+            account: asked.account.clone(),
+            tokens: tokens as f32,
+        }
+    }
+
+    /// Lists the instances that said they have tokens of an account, those
+    /// with most first.
+    pub(crate) fn lenders(&self, account: &Account, now: Duration) -> Vec<(Instance, f32)> {
+        let state = self.state.lock();
+        let fresh = state.told.iter().filter(|(_, t)| t.heard + TOLD_LIFE > now);
+        let level = |(name, told): (&Instance, &Told)| {
+            let status = told.parts.get(account)?;
+            (status.level >= 1.0).then(|| (name.clone(), status.level))
+        };
+        let mut lenders: Vec<_> = fresh.filter_map(level).collect();
+        lenders.sort_by(|a, b| b.1.total_cmp(&a.1));
+        lenders
+    }
+
     /// Takes tokens that another instance gives.
     pub(crate) fn receive(&self, gifts: Vec<Gift>, now: Duration) {
         let mut state = self.state.lock();
--- /dev/null
+++ b/crates/gateway/src/charge.rs
@@ -0,0 +1,119 @@
+//! Charges a client account, with tokens of other instances if the own part is
+//! short of them.
+
+use std::time::Duration;
+
+use chiverelay_decisions::allowance::Gift;
+use chiverelay_decisions::allowance::Lacking;
+use chiverelay_decisions::catalog::AccountTerms;
+use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+use chiverelay_sibling::Message;
+
+use crate::Dialect;
+use crate::Gateway;
+
+/// Time after which a client account that can never have enough may have more.
+const NEVER_RETRY: Duration = Duration::from_secs(2);
+
+/// Instances of the own region that are asked for one request.
+const NEAR_LENDERS: usize = 3;
+
+/// Instances of other regions that are asked for one request.
+const FAR_LENDERS: usize = 2;
+
+/// Time for an instance to answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Charges an account for a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if there are too few tokens here and at the
+    /// instances that were asked.
+    pub(crate) async fn charge(
+        &self,
+        account: &AccountTerms,
+        id: &RequestId,
+        tokens: u64,
+    ) -> Result<(), Refusal> {
+        let Err(mut lacking) = self.take_tokens(account, tokens) else {
+            return Ok(());
+        };
+        for lender in self.lenders(&account.name) {
+            let asked = Gift {
+                account: account.name.clone(),
+                tokens: lacking.missing as f32 + 1.0,
+            };
+            if !self.borrow(&lender, asked).await {
+                continue;
+            }
+            match self.take_tokens(account, tokens) {
+                Ok(()) => return Ok(()),
+                Err(still) => lacking = still,
+            }
+        }
+        Err(over_limit(account, id, tokens, &lacking))
+    }
+
+    fn take_tokens(&self, account: &AccountTerms, tokens: u64) -> Result<(), Lacking> {
+        let divisor = self.members.divisor();
+        let now = self.clock.now();
+        self.allowances.take(account, tokens, divisor, now)
+    }
+
+    /// Lists the instances to ask, the nearest first.
+    fn lenders(&self, account: &Account) -> Vec<Instance> {
+        let now = self.clock.now();
+        let near = self.members.ready_in(&self.settings.region, now);
+        let lenders = self.allowances.lenders(account, now);
+        let (near, far): (Vec<_>, Vec<_>) = lenders
+            .into_iter()
+            .map(|(name, _)| name)
+            .partition(|name| near.contains(name));
+        let near = near.into_iter().take(NEAR_LENDERS);
+        near.chain(far.into_iter().take(FAR_LENDERS)).collect()
+    }
+
+    /// Asks an instance for tokens; true if it gave some.
+    async fn borrow(&self, lender: &Instance, asked: Gift) -> bool {
+        let Some(link) = self.links.get(lender) else {
+            return false;
+        };
+        let asking = link.ask(Stamp::default(), Message::AskTokens(asked));
+        let Ok(Ok(envelope)) = tokio::time::timeout(ASK_TIMEOUT, asking).await else {
+            return false;
+        };
+        let Message::Tokens(gift) = envelope.message else {
+            return false;
+        };
+        let gave = gift.tokens > 0.0;
+        self.allowances.receive(vec![gift], self.clock.now());
+        gave
+    }
+}
+
+fn over_limit(account: &AccountTerms, id: &RequestId, tokens: u64, lacking: &Lacking) -> Refusal {
+    log::info!(
+        target: "limits",
+        id = id.as_str(),
+        account = account.name.as_str(),
+        tokens,
+        level = lacking.level as u64,
+        part_per_s = lacking.rate as u64,
+        limit_per_s = account.limit.map_or(0, |limit| limit.rate as u64);
+        "over the limit"
+    );
+    let refusal = Refusal::before_dispatch(Code::RateLimited, Step::Admit, Peer::Local);
+    refusal.retry_after(lacking.wait.unwrap_or(NEVER_RETRY))
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -26,6 +26,7 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::Outbound;
+use crate::Sending;
 use crate::Verdict;
 use crate::answer;
 use crate::answer::Beginning;
@@ -129,7 +130,12 @@
             return Tried::Again(req.unplace(), refusal);
         }
         let patience = self.patience(job, &held, left);
-        let msg = self.encode(out, &known, &target, left);
+        let sending = Sending {
+            target: &target,
+            left,
+            source: held.source(),
+        };
+        let msg = self.encode(out, &sending);
         let req = req.dispatch();
         let sending = self.exchange(conn, msg, out, job);
         let sent = match tokio::time::timeout(patience, sending).await {
@@ -173,20 +179,14 @@
         (expected * PATIENCE).min(left.mul_f64(0.6))
     }
 
-    fn encode(
-        &self,
-        out: &Outbound,
-        known: &KnownTarget,
-        target: &Target,
-        left: Duration,
-    ) -> hyper::Request<Full<Bytes>> {
+    fn encode(&self, out: &Outbound, sending: &Sending<'_>) -> hyper::Request<Full<Bytes>> {
         let mut msg = hyper::Request::new(Full::new(out.body.clone()));
         *msg.method_mut() = out.method.clone();
-        *msg.headers_mut() = self.dialect.encode(out, target, left);
+        *msg.headers_mut() = self.dialect.encode(out, sending);
         match out.path_and_query.parse() {
             Ok(uri) => *msg.uri_mut() = uri,
             Err(e) => {
-                log::warn!(target: "dispatch", id = out.id.as_str(), address:% = known.record.address, error:% = e; "path can't be sent");
+                log::warn!(target: "dispatch", id = out.id.as_str(), error:% = e; "path can't be sent");
             }
         }
         msg
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -144,7 +144,14 @@
         );
         match failure {
             Failure::Refused(refusal) => match req.retract(&refusal) {
+                // It came to a target there, so the next one is a retry.
+                Ok(_) if refusal.step == Step::Dispatch && !self.may_retry(job) => {
+                    Forwarded::Refused(refusal)
+                }
                 Ok(req) => Forwarded::Again(req, refusal),
+                Err(req) if refusal.code == Code::TargetFailed => {
+                    self.repeat_elsewhere(req, job, refusal.code)
+                }
                 Err(req) => Forwarded::Refused(req.refuse_as_sibling(refusal)),
             },
             Failure::Broken(_) => self.repeat_elsewhere(req, job, Code::SiblingFailed),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -152,9 +152,15 @@
         self.members.own_state() == MemberState::Ready
     }
 
-    /// Lists where a caller of a zone may connect.
-    pub fn directory(&self, zone: &Zone, region: &Region) -> Vec<SocketAddr> {
-        self.members.directory(zone, region, self.clock.now())
+    /// Lists where a caller of a zone may connect that asks for a host.
+    pub fn directory(&self, host: &str, zone: &Zone, region: &Region) -> Vec<SocketAddr> {
+        let current = self.beliefs.current();
+        let is_home = |region: &Region| {
+            let catalog = current.as_ref().map(|c| &c.catalog);
+            catalog.is_some_and(|catalog| catalog.may_run_in(host, region))
+        };
+        let now = self.clock.now();
+        self.members.directory(zone, region, is_home, now)
     }
 
     /// Takes something that the store tells, as of a revision.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -7,6 +7,8 @@
 use chiverelay_decisions::catalog::Current;
 use chiverelay_decisions::catalog::NotCovered;
 use chiverelay_decisions::catalog::Terms;
+use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::Route;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Outcome;
 use chiverelay_decisions::refusal::Refusal;
@@ -40,9 +42,6 @@
 /// Time after which an instance that knows no catalog may know one.
 const NO_CATALOG_RETRY: Duration = Duration::from_millis(500);
 
-/// Time after which a client account that can never have enough may have more.
-const NEVER_RETRY: Duration = Duration::from_secs(2);
-
 /// Largest rank among the requests of a target.
 pub(crate) const LAST_PRIORITY: u8 = 9;
 
@@ -96,6 +95,23 @@
     Refusal::before_dispatch(code, step, Peer::Local)
 }
 
+/// What was found of a request, for its log line.
+#[derive(Debug, Default)]
+struct Found {
+    route: Option<Route>,
+    account: Option<Account>,
+}
+
+impl Found {
+    fn route(&self) -> &str {
+        self.route.as_ref().map_or("", Route::as_str)
+    }
+
+    fn account(&self) -> &str {
+        self.account.as_ref().map_or("", Account::as_str)
+    }
+}
+
 impl<D> Gateway<D>
 where
     D: Dialect,
@@ -111,8 +127,9 @@
         let _open = self.requests.token();
         let current = self.beliefs.current();
         let version = current.as_ref().map_or(0, |c| c.catalog.version);
+        let mut found = Found::default();
         let handled = match current {
-            Some(current) => self.admit(inbound, received, &current).await,
+            Some(current) => self.admit(inbound, received, &current, &mut found).await,
             None => Err(no_catalog()),
         };
         let took = self.clock.now().saturating_sub(received);
@@ -122,6 +139,8 @@
                 log::info!(
                     target: "request",
                     id = id.as_str(),
+                    route = found.route(),
+                    account = found.account(),
                     status = reply.status.as_u16(),
                     took_ms = took.as_millis() as u64,
                     catalog = version;
@@ -135,6 +154,8 @@
                 log::info!(
                     target: "request",
                     id = id.as_str(),
+                    route = found.route(),
+                    account = found.account(),
                     code = refusal.code.as_str(),
                     ran = refusal.outcome.as_str(),
                     step = refusal.step.as_str(),
@@ -155,20 +176,32 @@
         inbound: Inbound,
         now: Duration,
         current: &Current,
+        found: &mut Found,
     ) -> Handled {
         let catalog = &current.catalog;
         let terms = catalog
             .find(&inbound.host, inbound.path(), inbound.key.as_deref())
             .map_err(not_covered)?;
+        found.route = Some(terms.route.name.clone());
+        found.account = terms.account.as_ref().map(|account| account.name.clone());
         let pool = terms.route.choose_pool(inbound.id.as_str());
         let pool = pool.and_then(|name| catalog.pool(name));
         let Some(pool) = pool.cloned() else {
             let refusal = Refusal::before_dispatch(Code::Unavailable, Step::Route, Peer::Local);
             return Err(refusal);
         };
+        if !self
+            .settings
+            .zones
+            .values()
+            .any(|region| terms.allows(region))
+        {
+            let refusal = Refusal::before_dispatch(Code::Unavailable, Step::Route, Peer::Local);
+            return Err(refusal);
+        }
         let tokens = terms.account.as_ref().map_or(0, |a| charge(a, &inbound));
         if let Some(account) = &terms.account {
-            self.charge(account, tokens, now)?;
+            self.charge(account, &inbound.id, tokens).await?;
         }
         let wait = inbound.patience.unwrap_or(terms.route.timeout);
         let deadline = now + wait.min(terms.route.timeout);
@@ -204,15 +237,6 @@
         handled
     }
 
-    fn charge(&self, account: &AccountTerms, tokens: u64, now: Duration) -> Result<(), Refusal> {
-        let divisor = self.members.divisor();
-        let taken = self.allowances.take(account, tokens, divisor, now);
-        taken.map_err(|wait| {
-            let refusal = Refusal::before_dispatch(Code::RateLimited, Step::Admit, Peer::Local);
-            refusal.retry_after(wait.unwrap_or(NEVER_RETRY))
-        })
-    }
-
     async fn run(
         self: &Arc<Self>,
         mut req: Request<Admitted, Direct>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod allowances;
 mod answer;
 mod beliefs;
+mod charge;
 mod clock;
 mod dispatch;
 mod forward;
@@ -43,6 +44,7 @@
 pub use message::Pieces;
 pub use message::Reply;
 pub use message::ReplyBody;
+pub use message::Sending;
 pub use message::Verdict;
 pub use metrics::Metrics;
 pub use relay::Broken;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -267,8 +267,18 @@
     }
 
     /// Lists where a caller of a zone may connect: ready instances of its
-    /// zone, else of its region, else of others.
-    pub(crate) fn directory(&self, zone: &Zone, region: &Region, now: Duration) -> Vec<SocketAddr> {
+    /// zone, else of its region, else of regions in which the caller's
+    /// requests may run, else of others.
+    pub(crate) fn directory<F>(
+        &self,
+        zone: &Zone,
+        region: &Region,
+        is_home: F,
+        now: Duration,
+    ) -> Vec<SocketAddr>
+    where
+        F: Fn(&Region) -> bool,
+    {
         let own = self.own.borrow().clone();
         let state = self.state.lock();
         let others = state.members.values().filter(|m| m.is_ready(now));
@@ -276,18 +286,20 @@
         if own.state == MemberState::Ready {
             ready.push(&own);
         }
-        let near = |distance: fn(&MemberRecord, &Zone, &Region) -> bool| {
-            let found = ready.iter().filter(|r| distance(r, zone, region));
-            found.map(|r| r.callers).collect::<Vec<_>>()
+        let distance = |record: &MemberRecord| {
+            if record.zone == *zone {
+                return 0;
+            }
+            match (record.region == *region, is_home(&record.region)) {
+                (true, _) => 1,
+                (false, true) => 2,
+                (false, false) => 3,
+            }
         };
-        let in_zone = near(|r, zone, _| r.zone == *zone);
-        if !in_zone.is_empty() {
-            return in_zone;
-        }
-        let in_region = near(|r, _, region| r.region == *region);
-        if !in_region.is_empty() {
-            return in_region;
-        }
-        near(|_, _, _| true)
+        let nearest = ready.iter().map(|record| distance(record)).min();
+        let near = ready
+            .iter()
+            .filter(|record| Some(distance(record)) == nearest);
+        near.map(|record| record.callers).collect()
     }
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,6 +1,7 @@
 //! Requests and answers between a front end and the gateway's parts.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::Duration;
 
@@ -80,6 +81,17 @@
     pub last_event_id: Option<u64>,
 }
 
+/// What one sending of a request tells its target.
+#[derive(Clone, Copy, Debug)]
+pub struct Sending<'a> {
+    /// The target that is meant.
+    pub target: &'a Target,
+    /// Time that the target has.
+    pub left: Duration,
+    /// Where it can copy parts of the prompt from that it lacks.
+    pub source: Option<SocketAddr>,
+}
+
 /// What the head of a target's answer says of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -95,8 +107,8 @@
 
 /// How requests and answers are written at the targets.
 pub trait Dialect: Send + Sync + 'static {
-    /// Returns the headers of a request for a target that has so much time.
-    fn encode(&self, req: &Outbound, target: &Target, left: Duration) -> HeaderMap;
+    /// Returns the headers of a request as it goes to a target.
+    fn encode(&self, req: &Outbound, sending: &Sending<'_>) -> HeaderMap;
 
     /// Reads the head of an answer.
     fn read(&self, req: &Outbound, status: StatusCode, headers: &HeaderMap) -> Verdict;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -1,5 +1,6 @@
 //! Where a request goes: a target of this region, or an instance of another.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -63,12 +64,18 @@
     ahead: u32,
     own: u32,
     expected: Duration,
+    source: Option<SocketAddr>,
 }
 
 impl<D> Held<D>
 where
     D: Dialect,
 {
+    /// Returns where the target can copy parts of the prompt from.
+    pub(crate) fn source(&self) -> Option<SocketAddr> {
+        self.source
+    }
+
     /// Returns how long the target was expected to take until it answers.
     pub(crate) fn expected(&self) -> Duration {
         self.expected
@@ -313,6 +320,7 @@
             pool: job.pool.name.clone(),
             unread_tokens: choice.estimate.unread_tokens,
             ahead_tokens: choice.estimate.ahead_tokens,
+            source: choice.estimate.source,
         };
         let divisor = self.members.divisor_in(&region);
         let taken = known.as_ref().is_some_and(|known| {
@@ -329,6 +337,7 @@
             place: Some(place),
             since: now,
             expected: choice.estimate.wait,
+            source: choice.estimate.source,
         };
         match req.place(choice.target.clone(), region) {
             Ok(req) => Ok((req, held, known)),
@@ -345,9 +354,17 @@
 }
 
 fn nowhere<O>(req: &Request<Admitted, O>, why: Nowhere) -> Refusal {
+    log::info!(
+        target: "place",
+        id = req.head().id.as_str(),
+        pool = req.grant().pool.as_str(),
+        tried = req.tried().len(),
+        why:? = why;
+        "no target"
+    );
     let code = match why {
         Nowhere::NoTarget | Nowhere::NoneHealthy => Code::Unavailable,
-        Nowhere::AllCold => Code::Overloaded,
+        Nowhere::AllFull | Nowhere::AllCold => Code::Overloaded,
     };
     req.refuse_as(code, Step::Place, Peer::Local)
         .retry_after(NOWHERE_RETRY)
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -62,13 +62,21 @@
     D: Dialect,
 {
     async fn control(&self, from: &Identity, _stamp: Stamp, message: Message) -> Envelope {
-        if let Message::Status(status) = message {
-            self.gateway.hear(from, status);
-        }
+        let reply = match message {
+            Message::Status(status) => {
+                self.gateway.hear(from, status);
+                Message::Done
+            }
+            Message::AskTokens(asked) => {
+                let now = self.gateway.clock.now();
+                Message::Tokens(self.gateway.allowances.lend(&asked, now))
+            }
+            _ => Message::Done,
+        };
         Envelope {
             version: VERSION,
             stamp: Stamp::default(),
-            message: Message::Done,
+            message: reply,
         }
     }
 
@@ -77,9 +85,12 @@
         let _open = gateway.requests.token();
         let id = req.id.clone();
         let running = gateway.run_forwarded(req);
+        // A request that comes late was often given up before, which is told
+        // apart from it, so that is looked at first.
         let handled = tokio::select! {
-            handled = running => handled,
+            biased;
             () = tx.closed() => return,
+            handled = running => handled,
         };
         log::info!(
             target: "forward",
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -70,14 +70,7 @@
             return;
         }
         let mut gifts = self.allowances.give(now);
-        let status = Status {
-            sequence,
-            incarnation: self.incarnation,
-            ready: self.members.own_state() == MemberState::Ready,
-            counts: self.beliefs.traffic.lock().counts(),
-            parts: self.allowances.status(now),
-            gifts: Vec::new(),
-        };
+        let status = self.own_status(sequence, now);
         for link in links {
             let gifts = gifts.remove(&link.peer().instance).unwrap_or_default();
             let status = Status {
@@ -90,6 +83,20 @@
         }
     }
 
+    fn own_status(&self, sequence: u64, now: Duration) -> Status {
+        let parts = self.allowances.status(now);
+        let mut traffic = self.beliefs.traffic.lock();
+        Status {
+            sequence,
+            incarnation: self.incarnation,
+            ready: self.members.own_state() == MemberState::Ready,
+            counts: traffic.counts(),
+            uses: traffic.take_uses(),
+            parts,
+            gifts: Vec::new(),
+        }
+    }
+
     /// Takes another instance's status.
     pub(crate) fn hear(&self, from: &Identity, status: Status) {
         let now = self.clock.now();
@@ -100,7 +107,10 @@
         {
             return;
         }
-        self.beliefs.traffic.lock().tell(name, status.counts, now);
+        let mut traffic = self.beliefs.traffic.lock();
+        traffic.tell(name, status.counts, now);
+        traffic.tell_uses(status.uses, now);
+        drop(traffic);
         self.allowances.tell(name, status.parts, now);
         self.allowances.receive(status.gifts, now);
     }
