--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -240,6 +240,8 @@
             | Message::Bound(_)
             | Message::Settled(_)
             | Message::Status(_)
+            | Message::AskTokens(_)
+            | Message::Tokens(_)
             | Message::Done => Message::Done,
             message => shares::answer(&self.cx, from, &message),
         };
