--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -26,10 +26,13 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::Outbound;
+use crate::Reply;
+use crate::ReplyBody;
 use crate::Sending;
 use crate::Verdict;
 use crate::answer;
 use crate::answer::Beginning;
+use crate::message::Handled;
 use crate::place::Held;
 use crate::place::Job;
 use crate::place::PlacedHere;
@@ -64,6 +67,34 @@
     pub(crate) beginning: Beginning,
 }
 
+/// What stands if no other place is found for a request.
+#[derive(Debug)]
+pub(crate) struct Setback {
+    /// The refusal.
+    pub(crate) refusal: Refusal,
+    /// The failure that a target answered, which goes before the refusal.
+    pub(crate) reply: Option<Box<Reply>>,
+}
+
+impl From<Refusal> for Setback {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            reply: None,
+        }
+    }
+}
+
+impl Setback {
+    /// Ends the request.
+    pub(crate) fn end(self) -> Handled {
+        match self.reply {
+            Some(reply) => Ok(*reply),
+            None => Err(self.refusal),
+        }
+    }
+}
+
 /// What became of an attempt.
 #[derive(Debug)]
 pub(crate) enum Tried<D, O>
@@ -72,8 +103,8 @@
 {
     /// An answer has begun.
     Answered(Box<Answered<D, O>>),
-    /// Another target may be tried; else this refusal stands.
-    Again(Request<Admitted, O>, Refusal),
+    /// Another target may be tried; else this setback stands.
+    Again(Request<Admitted, O>, Setback),
     /// The request is over.
     Refused(Refusal),
 }
@@ -114,7 +145,7 @@
                 self.note_attempt(out, &target, "unreachable", &reason);
                 held.end(Ended::Unreachable);
                 let refusal = req.refuse_as(Code::Unavailable, Step::Connect, req_peer(&req));
-                return Tried::Again(req.unplace(), refusal);
+                return Tried::Again(req.unplace(), refusal.into());
             }
         };
         // The target may have begun to leave while the request waited.
@@ -127,7 +158,7 @@
                 "the target leaves, or no time is left",
             );
             let refusal = req.refuse_as(Code::Unavailable, Step::Place, req_peer(&req));
-            return Tried::Again(req.unplace(), refusal);
+            return Tried::Again(req.unplace(), refusal.into());
         }
         let patience = self.patience(job, &held, left);
         let sending = Sending {
@@ -271,7 +302,7 @@
                 held.end(Ended::Cancelled);
                 let req = req.withdraw();
                 let refusal = req.refuse_as(Code::Unavailable, Step::Dispatch, peer);
-                Tried::Again(req, refusal)
+                Tried::Again(req, refusal.into())
             }
             Failure::NotRun(ended) => {
                 self.note_failure(out, &peer, "not run", ended.as_str());
@@ -309,15 +340,30 @@
         }
         held.end(Ended::Failed);
         job.attempts -= 1;
+        let reply = self.failure(answer, beginning);
         match req.repeat() {
             Ok(req) => {
                 let refusal = req.refuse_as(Code::TargetFailed, Step::Dispatch, peer);
-                Tried::Again(req, refusal)
+                Tried::Again(req, Setback { refusal, reply })
             }
             Err(req) => Tried::Refused(req.refuse_unknown(Code::TargetFailed, Step::Dispatch)),
         }
     }
 
+    /// Keeps a target's failure, in case no other target answers.
+    fn failure(&self, answer: Answer, beginning: Beginning) -> Option<Box<Reply>> {
+        if !beginning.whole {
+            return None;
+        }
+        let reply = Reply {
+            status: answer.status(),
+            headers: self.reply_headers(&answer),
+            body: ReplyBody::Full(beginning.data),
+        };
+        answer.keep(&self.kept);
+        Some(Box::new(reply))
+    }
+
     /// Starts another attempt at a request that may have run, if it may.
     fn repeat<O>(&self, req: Request<Dispatched, O>, job: &mut Job, code: Code) -> Tried<D, O> {
         job.attempts = job.attempts.saturating_sub(1);
@@ -328,7 +374,7 @@
         match req.repeat() {
             Ok(req) => {
                 let refusal = req.refuse_as(code, Step::Dispatch, peer);
-                Tried::Again(req, refusal)
+                Tried::Again(req, refusal.into())
             }
             Err(req) => Tried::Refused(req.refuse_unknown(code, Step::Dispatch)),
         }
@@ -346,7 +392,7 @@
             .refuse_as(code, Step::Dispatch, peer.clone())
             .retry_after(FULL_RETRY);
         match self.may_retry(job) {
-            true => Tried::Again(req, refusal),
+            true => Tried::Again(req, refusal.into()),
             false => Tried::Refused(refusal),
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -29,6 +29,7 @@
 use crate::Outbound;
 use crate::Reply;
 use crate::ReplyBody;
+use crate::dispatch::Setback;
 use crate::place::Job;
 use crate::relay::FarRelay;
 
@@ -36,8 +37,8 @@
 pub(crate) enum Forwarded {
     /// An answer has begun.
     Answered(Reply),
-    /// Another place may be tried; else this refusal stands.
-    Again(Request<Admitted, Direct>, Refusal),
+    /// Another place may be tried; else this setback stands.
+    Again(Request<Admitted, Direct>, Setback),
     /// The request is over.
     Refused(Refusal),
 }
@@ -74,7 +75,7 @@
         let peer = Peer::Sibling(instance.clone());
         let Some(link) = self.links.get(&instance) else {
             let refusal = req.refuse_as(Code::Unavailable, Step::Connect, peer);
-            return Forwarded::Again(req.unplace(), refusal);
+            return Forwarded::Again(req.unplace(), refusal.into());
         };
         let deadline = req.head().deadline;
         let left = deadline.saturating_sub(self.clock.now());
@@ -114,12 +115,40 @@
                 }
             }
         }
-        drop(req.answered());
-        Forwarded::Answered(Reply {
+        let reply = Reply {
             status: head.status,
             headers: head.headers,
             body: ReplyBody::Full(data.freeze()),
-        })
+        };
+        if !reply.status.is_server_error() {
+            drop(req.answered());
+            return Forwarded::Answered(reply);
+        }
+        self.failed_there(req, job, reply)
+    }
+
+    /// Tries a request again that a target of another region failed, or passes
+    /// its answer on.
+    fn failed_there(
+        &self,
+        req: Request<Dispatched, Direct>,
+        job: &mut Job,
+        reply: Reply,
+    ) -> Forwarded {
+        let peer = req.peer().clone();
+        if job.attempts < 2 || !job.route.kind.is_repeatable() || !self.may_retry(job) {
+            drop(req.answered());
+            return Forwarded::Answered(reply);
+        }
+        job.attempts -= 1;
+        match req.repeat() {
+            Ok(req) => {
+                let refusal = req.refuse_as(Code::TargetFailed, Step::Forward, peer);
+                let reply = Some(Box::new(reply));
+                Forwarded::Again(req, Setback { refusal, reply })
+            }
+            Err(req) => Forwarded::Refused(req.refuse_unknown(Code::TargetFailed, Step::Forward)),
+        }
     }
 
     fn not_answered(
@@ -148,7 +177,7 @@
                 Ok(_) if refusal.step == Step::Dispatch && !self.may_retry(job) => {
                     Forwarded::Refused(refusal)
                 }
-                Ok(req) => Forwarded::Again(req, refusal),
+                Ok(req) => Forwarded::Again(req, refusal.into()),
                 Err(req) if refusal.code == Code::TargetFailed => {
                     self.repeat_elsewhere(req, job, refusal.code)
                 }
@@ -176,7 +205,7 @@
         match req.repeat() {
             Ok(req) => {
                 let refusal = req.refuse_as(code, Step::Forward, peer);
-                Forwarded::Again(req, refusal)
+                Forwarded::Again(req, refusal.into())
             }
             Err(req) => Forwarded::Refused(req.refuse_unknown(code, Step::Forward)),
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -244,6 +244,21 @@
         }
     }
 
+    /// Waits until another instance of the region takes requests, for at most
+    /// `time`. Instances that are stopped in turn would else leave the region's
+    /// callers to other regions.
+    pub async fn wait_for_relief(&self, time: Duration) {
+        let region = &self.settings.region;
+        let until = self.clock.now() + time;
+        while self.clock.now() < until {
+            if !self.members.ready_in(region, self.clock.now()).is_empty() {
+                return;
+            }
+            tokio::time::sleep(RELIEF_LOOK).await;
+        }
+        log::info!(target: "gateway", region = region.as_str(); "no other instance of the region is ready");
+    }
+
     /// Tells the other instances and the store that this instance leaves.
     pub fn leave(&self) {
         log::info!(target: "gateway", open = self.requests.len(); "leaving");
@@ -267,5 +282,8 @@
     }
 }
 
+/// Pause between two looks for another instance of the region.
+const RELIEF_LOOK: Duration = Duration::from_millis(100);
+
 /// Time for the other instances to take note that the links are closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -29,6 +29,7 @@
 use crate::Reply;
 use crate::ReplyBody;
 use crate::dispatch::Answered;
+use crate::dispatch::Setback;
 use crate::dispatch::Tried;
 use crate::forward::Forwarded;
 use crate::message::Handled;
@@ -243,32 +244,33 @@
         mut job: Job,
         out: Outbound,
     ) -> Handled {
-        let mut last: Option<Refusal> = None;
+        let mut last: Option<Setback> = None;
         for _ in 0..MAX_PLACES {
-            let next = self
-                .place(req, &job)
-                .map_err(|r| more_telling(r, last.take()))?;
+            let next = match self.place(req, &job) {
+                Ok(next) => next,
+                Err(refusal) => return more_telling(refusal, last),
+            };
             req = match next {
                 Next::Here(placed) => match self.attempt(*placed, &mut job, &out).await {
                     Tried::Answered(answered) => return Ok(self.reply(job, out, *answered)),
                     Tried::Refused(refusal) => return Err(refusal),
-                    Tried::Again(req, refusal) => {
-                        last = Some(refusal);
+                    Tried::Again(req, setback) => {
+                        last = Some(setback);
                         req
                     }
                 },
                 Next::Away(away) => match self.forward(away, &mut job, &out).await {
                     Forwarded::Answered(reply) => return Ok(reply),
                     Forwarded::Refused(refusal) => return Err(refusal),
-                    Forwarded::Again(req, refusal) => {
-                        last = Some(refusal);
+                    Forwarded::Again(req, setback) => {
+                        last = Some(setback);
                         req
                     }
                 },
             };
         }
         let refusal = req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local);
-        Err(more_telling(refusal, last))
+        more_telling(refusal, last)
     }
 
     /// Makes the reply of an answer that has begun.
@@ -313,16 +315,21 @@
         .retry_after(NO_CATALOG_RETRY)
 }
 
-/// Prefers the reason of the last attempt to the mere fact that nothing else is
-/// left. The outcome is that of the whole request.
-fn more_telling(refusal: Refusal, last: Option<Refusal>) -> Refusal {
+/// Prefers what the last attempt brought to the mere fact that nothing else is
+/// left: a target's failure, or its reason. The outcome is that of the whole
+/// request.
+fn more_telling(refusal: Refusal, last: Option<Setback>) -> Handled {
     match last {
-        Some(last) if refusal.code == Code::Unavailable => Refusal {
-            outcome: refusal.outcome,
-            retry_after: last.retry_after.or(refusal.retry_after),
-            ..last
-        },
-        _ => refusal,
+        Some(last) if refusal.code == Code::Unavailable || last.reply.is_some() => Setback {
+            refusal: Refusal {
+                outcome: refusal.outcome,
+                retry_after: last.refusal.retry_after.or(refusal.retry_after),
+                ..last.refusal
+            },
+            reply: last.reply,
+        }
+        .end(),
+        _ => Err(refusal),
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,8 +41,15 @@
     store: HistogramVec,
 }
 
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Metrics {
-    pub(crate) fn new() -> Self {
+    /// Makes metrics that count from nothing.
+    pub fn new() -> Self {
         let registry = Registry::new();
         Self {
             requests: counter(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -31,6 +31,7 @@
 use crate::Outbound;
 use crate::Reply;
 use crate::ReplyBody;
+use crate::dispatch::Setback;
 use crate::dispatch::Tried;
 use crate::forward;
 use crate::intake;
@@ -158,23 +159,23 @@
         let now = self.clock.now();
         let (req, mut job, out) = self.admit_forwarded(forward, now)?;
         let mut req = req;
-        let mut last = None;
+        let mut last: Option<Setback> = None;
         for _ in 0..MAX_PLACES {
             let placed = match self.place_here(req, &job) {
                 Ok(placed) => placed,
-                Err(refusal) => return Err(last.unwrap_or(refusal)),
+                Err(refusal) => return last.unwrap_or(refusal.into()).end(),
             };
             req = match self.attempt(placed, &mut job, &out).await {
                 Tried::Answered(answered) => return Ok(self.reply(job, out, *answered)),
                 Tried::Refused(refusal) => return Err(refusal),
-                Tried::Again(req, refusal) => {
-                    last = Some(refusal);
+                Tried::Again(req, setback) => {
+                    last = Some(setback);
                     req
                 }
             };
         }
         let refusal = req.refuse_not_run(Code::Unavailable, Step::Place, Peer::Local);
-        Err(last.unwrap_or(refusal))
+        last.unwrap_or(refusal.into()).end()
     }
 
     /// Checks a request that was passed on against this instance's own catalog.
--- a/tests/support/lib.rs
+++ b/tests/support/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod node;
 pub mod platform;
 pub mod process;
 pub mod raw;
--- /dev/null
+++ b/tests/support/node.rs
@@ -0,0 +1,14 @@
+//! The gateway on the users' platform: its program as processes before a
+//! stand-in of the platform's store and stand-in targets.
+
+pub mod call;
+pub mod site;
+pub mod store;
+pub mod target;
+
+pub use call::Got;
+pub use site::Node;
+pub use site::Site;
+pub use store::PlatformStore;
+pub use target::Mode;
+pub use target::PlatformTarget;
--- /dev/null
+++ b/tests/support/node/call.rs
@@ -0,0 +1,143 @@
+//! Requests of the platform's callers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Time in which a call must end.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    method: Method,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Bytes,
+}
+
+/// An answer, as far as it came.
+#[derive(Clone, Debug)]
+pub struct Got {
+    /// Status code.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: String,
+    /// Whether the body came to its stated end.
+    pub whole: bool,
+}
+
+impl Got {
+    /// Returns a header's value, empty if there is none.
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name).and_then(|v| v.to_str().ok());
+        value.unwrap_or_default()
+    }
+
+    /// Returns the ids of a stream's events.
+    pub fn event_ids(&self) -> Vec<u64> {
+        let ids = self.body.lines().filter_map(|l| l.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+}
+
+impl Call {
+    /// Makes a request with an id, for a path of the test host.
+    pub fn new(id: &str, path: &str) -> Self {
+        Self {
+            method: Method::POST,
+            path: path.to_owned(),
+            headers: vec![
+                ("host".to_owned(), "desk.example".to_owned()),
+                ("request-id".to_owned(), id.to_owned()),
+                ("request-deadline".to_owned(), "6000".to_owned()),
+            ],
+            body: Bytes::from_static(b"question"),
+        }
+    }
+
+    /// Shows a key.
+    pub fn key(self, key: &str) -> Self {
+        self.header("authorization", &format!("Bearer {key}"))
+    }
+
+    /// Adds a header, in place of one of the same name.
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.retain(|(k, _)| k != name);
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Sends the request on a connection of its own and reads the answer.
+    pub async fn send(&self, to: SocketAddr) -> Got {
+        let sent = tokio::time::timeout(PATIENCE, self.exchange(to)).await;
+        sent.expect("the call ends in time")
+            .unwrap_or_else(|e| panic!("{}: no answer: {e}", self.path))
+    }
+
+    /// Sends the request; an error is a connection that broke off without an
+    /// answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no head of an answer.
+    pub async fn exchange(&self, to: SocketAddr) -> Result<Got, String> {
+        let stream = TcpStream::connect(to).await.map_err(|e| e.to_string())?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, conn) = handshake.map_err(|e| e.to_string())?;
+        let driver = tokio::spawn(conn);
+        let mut req = Request::builder().method(&self.method).uri(&self.path);
+        for (name, value) in &self.headers {
+            req = req.header(name, value);
+        }
+        let req = req
+            .body(Full::new(self.body.clone()))
+            .map_err(|e| e.to_string())?;
+        let resp = sender.send_request(req).await.map_err(|e| e.to_string())?;
+        let (parts, mut body) = resp.into_parts();
+        let (mut data, mut whole) = (Vec::new(), true);
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => data.extend(frame.into_data().unwrap_or_default()),
+                Err(_) => {
+                    whole = false;
+                    break;
+                }
+            }
+        }
+        driver.abort();
+        Ok(Got {
+            status: parts.status,
+            headers: parts.headers,
+            body: String::from_utf8_lossy(&data).into_owned(),
+            whole,
+        })
+    }
+}
+
+/// Reads a path of an instance's other addresses.
+///
+/// # Errors
+///
+/// Fails if there is no answer.
+pub async fn get(to: SocketAddr, path: &str) -> Result<Got, String> {
+    let call = Call {
+        method: Method::GET,
+        path: path.to_owned(),
+        headers: vec![("host".to_owned(), to.to_string())],
+        body: Bytes::new(),
+    };
+    call.exchange(to).await
+}
--- /dev/null
+++ b/tests/support/node/site.rs
@@ -0,0 +1,232 @@
+//! Instances on the platform, each a process with a loopback address of its
+//! own, before one store.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use tempfile::TempDir;
+
+use super::PlatformStore;
+use super::PlatformTarget;
+use super::call;
+use crate::process::Process;
+
+/// Time in which an instance gets ready or something else becomes true.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// The key of the test account.
+pub const KEY: &str = "key-of-parish";
+
+/// A store, and instances before it.
+#[derive(Debug)]
+pub struct Site {
+    /// The platform's store.
+    pub store: PlatformStore,
+    dir: TempDir,
+}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Node {
+    /// Its process.
+    pub process: Process,
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where the platform asks whether it takes requests.
+    pub ready: SocketAddr,
+    /// Where callers ask where to connect.
+    pub directory: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    /// Where it writes its log.
+    pub log: PathBuf,
+}
+
+/// Returns a loopback address that no other instance of this process has.
+fn next_address() -> String {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed) + 1;
+    let process = std::process::id();
+    let (a, b) = (process as u8 | 1, (process >> 8) as u8);
+    format!("127.{a}.{b}.{n}")
+}
+
+/// The settings file of an instance, as the platform writes it.
+pub fn settings(name: &str, ip: &str, zone: &str, region: &str, store: SocketAddr) -> String {
+    format!(
+        r#"
+node_name = "{name}"
+role = "entry"
+ip = "{ip}"
+zone = "{zone}"
+region = "{region}"
+port_range = [7600, 7615]
+heartbeat_ms = 1200
+contracts = ["base", "platform"]
+a_field_of_tomorrow = true
+[zones]
+north-a = "north"
+south-a = "south"
+[listen]
+front = "{ip}:8221"
+ready = "{ip}:8224"
+control = "{ip}:8229"
+directory = "{ip}:8220"
+[limits]
+cores = 1
+memory_mb = 260
+[bounds]
+contact_ms = 5000
+drain_ms = 3000
+grace_s = 8
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 56
+quota_window_s = 8
+quota_overage = 0.1
+quota_slack = 190000
+cold_overage = 1.5
+cold_slack = 3
+ttl_max_s = 5
+[platform]
+address = "{store}"
+form = "kv"
+writes_per_s = 400
+reads_per_s = 2000
+history_s = 20
+value_bytes = 1048576
+ttl_min_ms = 1000
+"#
+    )
+}
+
+/// A configuration with a route of each kind, at a version.
+pub fn configuration(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "hostname": "desk.example", "path_prefix": format!("/{name}/"),
+            "type": kind, "timeout_ms": 4000, "target_latency_ms": 500, "priority": 1,
+            "service": service, "max_attempts": 2, "public": false, "resumable": name == "quote",
+            "gap_aim_ms": 200, "allowed_regions": [],
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("status", "idempotent", "orders"),
+            route("deposit", "non_idempotent", "orders"),
+            route("quote", "streaming", "model"),
+            route("chat", "streaming", "model"),
+        ],
+        "services": [
+            {"name": "orders", "health_path": "/health", "max_connections": 100},
+            {"name": "model", "health_path": "/health", "max_connections": 100,
+             "warmup_s": 3.0, "cold_per_s": 13.0,
+             "engine": {"slots": 64, "kv_cache_tokens": 600000, "models": [{"name": "m"}]}},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "parish", "api_keys": [KEY], "priority": 1, "unit": "tokens",
+                     "plain_tokens": 200, "rate_per_s": 1e6, "burst": 1e6,
+                     "allowed_regions": []}],
+    })
+}
+
+impl Site {
+    /// Starts a store with a configuration.
+    pub async fn start() -> Self {
+        let store = PlatformStore::start().await;
+        store.put("op/config", &configuration(3));
+        Self {
+            store,
+            dir: TempDir::new().expect("a folder for settings"),
+        }
+    }
+
+    /// Registers a target as it does itself.
+    pub fn register(&self, target: &PlatformTarget, service: &str, zone: &str) {
+        self.register_as(target, service, zone, "ready", 0);
+    }
+
+    /// Registers a target in a state, cold for a while.
+    pub fn register_as(
+        &self,
+        target: &PlatformTarget,
+        service: &str,
+        zone: &str,
+        state: &str,
+        cold_ms: u64,
+    ) {
+        let record = json!({
+            "service": service, "address": target.address.to_string(), "zone": zone,
+            "version": "v1", "slots": 6, "state": state, "warmup_left_ms": cold_ms,
+            "sequence": 1, "born": 1_700_000_000_000_u64,
+        });
+        self.store.put(&format!("servers/{}", target.name), &record);
+    }
+
+    /// Starts an instance and waits until it takes requests.
+    pub async fn instance(&self, name: &str, zone: &str, region: &str) -> Node {
+        let node = self.spawn(name, zone, region);
+        node.until_ready(true).await;
+        node
+    }
+
+    /// Starts an instance.
+    pub fn spawn(&self, name: &str, zone: &str, region: &str) -> Node {
+        let ip = next_address();
+        let text = settings(name, &ip, zone, region, self.store.address);
+        let path = self.dir.path().join(format!("{name}.toml"));
+        std::fs::write(&path, text).expect("settings can be written");
+        let log = self.dir.path().join(format!("{name}.log"));
+        let at = |port| format!("{ip}:{port}").parse().expect("an address");
+        Node {
+            process: Process::start_node(&path, &log),
+            front: at(8221),
+            ready: at(8224),
+            directory: at(8220),
+            metrics: at(9464),
+            log,
+        }
+    }
+}
+
+impl Node {
+    /// Waits until the instance says that it takes requests, or that it does
+    /// not.
+    pub async fn until_ready(&self, ready: bool) {
+        let what = if ready { "ready" } else { "not ready" };
+        until(what, async || {
+            let got = call::get(self.ready, "/v1/ready").await;
+            got.is_ok_and(|got| got.status.is_success()) == ready
+        })
+        .await;
+    }
+
+    /// Returns what the instance has logged.
+    pub fn logged(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+/// Waits until something is true.
+pub async fn until<F>(what: &str, mut check: F)
+where
+    F: AsyncFnMut() -> bool,
+{
+    let looking = async {
+        while !check().await {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    let found = tokio::time::timeout(PATIENCE, looking).await;
+    assert!(found.is_ok(), "never: {what}");
+}
--- /dev/null
+++ b/tests/support/node/store.rs
@@ -0,0 +1,401 @@
+//! A stand-in of the platform's store, with its faults.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use chiverelay_http as http;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+
+/// Largest body of a call, in bytes.
+const MAX_BODY: usize = 4 * 1024 * 1024;
+
+#[derive(Clone, Debug)]
+struct Stored {
+    value: Vec<u8>,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    key: String,
+    revision: u64,
+    stored: Option<Stored>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    ends: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, Stored>,
+    history: Vec<Change>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    leases: HashMap<u64, Lease>,
+    next_lease: u64,
+    refusing: Option<StatusCode>,
+    mute: bool,
+    calls: HashMap<String, usize>,
+}
+
+/// A stand-in of the platform's store.
+#[derive(Debug)]
+pub struct PlatformStore {
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+    cut: Arc<watch::Sender<u64>>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    _guard: DropGuard,
+}
+
+type Shared = (
+    Arc<Mutex<State>>,
+    Arc<watch::Sender<u64>>,
+    Arc<watch::Sender<u64>>,
+);
+
+impl PlatformStore {
+    /// Starts an empty store.
+    pub async fn start() -> Self {
+        let (listener, address) = crate::platform::listener().await;
+        let state = Arc::new(Mutex::new(State::default()));
+        let changed = Arc::new(watch::Sender::new(0));
+        let cut = Arc::new(watch::Sender::new(0));
+        let stop = CancellationToken::new();
+        let shared = (Arc::clone(&state), Arc::clone(&changed), Arc::clone(&cut));
+        tokio::spawn(http::run(listener, stop.clone(), move |req| {
+            let shared = shared.clone();
+            async move { answer(shared, req).await }
+        }));
+        let (leases, told) = (Arc::clone(&state), Arc::clone(&changed));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                end_leases(&leases, &told);
+            }
+        }));
+        Self {
+            state,
+            changed,
+            cut,
+            address,
+            _guard: stop.drop_guard(),
+        }
+    }
+
+    /// Writes a key as its owner would.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes a key whose value need not be readable.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        put(&mut state, key, value.to_vec(), 0);
+        tell(&state, &self.changed);
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        remove(&mut state, key);
+        tell(&state, &self.changed);
+    }
+
+    /// Lists the keys of a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.state.lock().expect("no panic under the lock");
+        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
+    /// Counts the calls of a path.
+    pub fn calls(&self, path: &str) -> usize {
+        let state = self.state.lock().expect("no panic under the lock");
+        state.calls.get(path).copied().unwrap_or_default()
+    }
+
+    /// Refuses every call with a status, or serves them again.
+    pub fn refuse(&self, status: Option<StatusCode>) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        state.refusing = status;
+    }
+
+    /// Has watches hear nothing of what changes, or hear again.
+    pub fn mute(&self, mute: bool) {
+        self.state.lock().expect("no panic under the lock").mute = mute;
+    }
+
+    /// Forgets the history so far and cuts the watches that wait.
+    pub fn forget(&self) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        state.forgotten = state.revision;
+        state.history.clear();
+        drop(state);
+        self.cut.send_modify(|n| *n += 1);
+    }
+
+    /// Ends every lease at once, as an outage may.
+    pub fn end_all_leases(&self) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        let now = Instant::now();
+        for lease in state.leases.values_mut() {
+            lease.ends = now;
+        }
+        drop(state);
+        end_leases(&self.state, &self.changed);
+    }
+}
+
+fn tell(state: &State, changed: &watch::Sender<u64>) {
+    if !state.mute {
+        changed.send_replace(state.revision);
+    }
+}
+
+fn put(state: &mut State, key: &str, value: Vec<u8>, lease: u64) -> u64 {
+    state.revision += 1;
+    let stored = Stored {
+        value,
+        revision: state.revision,
+        lease,
+    };
+    state.items.insert(key.to_owned(), stored.clone());
+    state.history.push(Change {
+        key: key.to_owned(),
+        revision: state.revision,
+        stored: Some(stored),
+    });
+    state.revision
+}
+
+fn remove(state: &mut State, key: &str) {
+    if state.items.remove(key).is_some() {
+        state.revision += 1;
+        state.history.push(Change {
+            key: key.to_owned(),
+            revision: state.revision,
+            stored: None,
+        });
+    }
+}
+
+fn end_leases(state: &Mutex<State>, changed: &watch::Sender<u64>) {
+    let mut state = state.lock().expect("no panic under the lock");
+    let now = Instant::now();
+    let ended: Vec<u64> = state
+        .leases
+        .iter()
+        .filter(|(_, lease)| lease.ends <= now)
+        .map(|(id, _)| *id)
+        .collect();
+    for id in ended {
+        end_lease(&mut state, id);
+    }
+    tell(&state, changed);
+}
+
+fn end_lease(state: &mut State, id: u64) {
+    state.leases.remove(&id);
+    let held = state.items.iter().filter(|(_, item)| item.lease == id);
+    let keys: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+    for key in keys {
+        remove(state, &key);
+    }
+}
+
+fn item(key: &str, stored: &Stored) -> Value {
+    json!({
+        "key": key,
+        "value": BASE64_STANDARD.encode(&stored.value),
+        "revision": stored.revision,
+        "create_rev": stored.revision,
+        "lease": stored.lease,
+    })
+}
+
+fn parameter(req: &Request<Incoming>, name: &str) -> String {
+    let query = req.uri().query().unwrap_or_default();
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut values = pairs.filter(|(key, _)| *key == name);
+    values.next().map_or(String::new(), |(_, v)| v.to_owned())
+}
+
+async fn answer(shared: Shared, req: Request<Incoming>) -> Response<http::Body> {
+    let (state, changed, cut) = shared;
+    let path = req.uri().path().to_owned();
+    {
+        let mut state = state.lock().expect("no panic under the lock");
+        *state.calls.entry(path.clone()).or_default() += 1;
+        if let Some(status) = state.refusing {
+            return http::empty(status);
+        }
+    }
+    match path.as_str() {
+        "/v1/kv-range" => range(&state, &req),
+        "/v1/kv-watch" => wait(&state, &changed, &cut, &req).await,
+        "/v1/kv-txn" => change(&state, &changed, req).await,
+        "/v1/kv-lease" => grant(&state, req).await,
+        _ => lease_call(&state, &changed, &path),
+    }
+}
+
+/// Items in one page, few enough that tests see several pages.
+const PAGE: usize = 4;
+
+fn range(state: &Mutex<State>, req: &Request<Incoming>) -> Response<http::Body> {
+    let state = state.lock().expect("no panic under the lock");
+    let (prefix, after) = (parameter(req, "path_prefix"), parameter(req, "after"));
+    let found = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(&prefix) && (after.is_empty() || **key > after));
+    let found: Vec<Value> = found.map(|(key, stored)| item(key, stored)).collect();
+    let more = found.len() > PAGE;
+    let items: Vec<Value> = found.into_iter().take(PAGE).collect();
+    http::json(
+        StatusCode::OK,
+        &json!({"items": items, "more_pages": more, "store_revision": state.revision}),
+    )
+}
+
+async fn wait(
+    state: &Mutex<State>,
+    changed: &watch::Sender<u64>,
+    cut: &watch::Sender<u64>,
+    req: &Request<Incoming>,
+) -> Response<http::Body> {
+    let prefix = parameter(req, "path_prefix");
+    let after: u64 = parameter(req, "after").parse().unwrap_or_default();
+    let wait_ms: u64 = parameter(req, "wait_ms").parse().unwrap_or_default();
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    let (mut told, mut cuts) = (changed.subscribe(), cut.subscribe());
+    told.mark_unchanged();
+    cuts.mark_unchanged();
+    loop {
+        let (events, revision) = {
+            let state = state.lock().expect("no panic under the lock");
+            // A watch that began before the history went may hear of it late.
+            if after < state.forgotten && !state.mute {
+                return http::empty(StatusCode::GONE);
+            }
+            (events(&state, &prefix, after), state.revision)
+        };
+        if !events.is_empty() || Instant::now() >= until {
+            let body = json!({"events": events, "store_revision": revision.max(after)});
+            return http::json(StatusCode::OK, &body);
+        }
+        tokio::select! {
+            _ = told.changed() => {}
+            _ = cuts.changed() => {
+                let mut resp = http::empty(StatusCode::OK);
+                resp.extensions_mut().insert(http::Reset);
+                return resp;
+            }
+            () = tokio::time::sleep_until(until) => {}
+        }
+    }
+}
+
+fn events(state: &State, prefix: &str, after: u64) -> Vec<Value> {
+    if state.mute {
+        return Vec::new();
+    }
+    let new = state.history.iter();
+    let new = new.filter(|c| c.revision > after && c.key.starts_with(prefix));
+    new.map(|change| match &change.stored {
+        Some(stored) => item(&change.key, stored),
+        None => json!({"key": change.key, "revision": change.revision, "tombstone": true}),
+    })
+    .collect()
+}
+
+async fn change(
+    state: &Mutex<State>,
+    changed: &watch::Sender<u64>,
+    req: Request<Incoming>,
+) -> Response<http::Body> {
+    let body: Value = match http::read_json(req, MAX_BODY).await {
+        Ok(body) => body,
+        Err(resp) => return *resp,
+    };
+    let mut state = state.lock().expect("no panic under the lock");
+    let none = Vec::new();
+    for entry in body["puts"].as_array().unwrap_or(&none) {
+        let lease = entry["lease"].as_u64().unwrap_or_default();
+        if lease != 0 && !state.leases.contains_key(&lease) {
+            return http::empty(StatusCode::NOT_FOUND);
+        }
+    }
+    for entry in body["puts"].as_array().unwrap_or(&none) {
+        let key = entry["key"].as_str().unwrap_or_default();
+        let value = entry["value"].as_str().unwrap_or_default();
+        let value = BASE64_STANDARD.decode(value).unwrap_or_default();
+        put(
+            &mut state,
+            key,
+            value,
+            entry["lease"].as_u64().unwrap_or_default(),
+        );
+    }
+    tell(&state, changed);
+    http::json(StatusCode::OK, &json!({"revision": state.revision}))
+}
+
+async fn grant(state: &Mutex<State>, req: Request<Incoming>) -> Response<http::Body> {
+    let body: Value = match http::read_json(req, MAX_BODY).await {
+        Ok(body) => body,
+        Err(resp) => return *resp,
+    };
+    let ttl_ms = body["ttl_ms"].as_u64().unwrap_or_default();
+    let ttl = Duration::from_millis(ttl_ms);
+    let mut state = state.lock().expect("no panic under the lock");
+    state.next_lease += 1;
+    let id = state.next_lease;
+    let ends = Instant::now() + ttl;
+    state.leases.insert(id, Lease { ttl, ends });
+    http::json(StatusCode::OK, &json!({"lease": id, "ttl_ms": ttl_ms}))
+}
+
+fn lease_call(
+    state: &Mutex<State>,
+    changed: &watch::Sender<u64>,
+    path: &str,
+) -> Response<http::Body> {
+    let mut state = state.lock().expect("no panic under the lock");
+    let id = |prefix: &str| path.strip_prefix(prefix)?.parse::<u64>().ok();
+    if let Some(lease) = id("/v1/kv-keep/").and_then(|id| state.leases.get_mut(&id)) {
+        lease.ends = Instant::now() + lease.ttl;
+        return http::json(
+            StatusCode::OK,
+            &json!({"ttl_ms": lease.ttl.as_millis() as u64}),
+        );
+    }
+    if let Some(id) = id("/v1/kv-lease-end/") {
+        end_lease(&mut state, id);
+        tell(&state, changed);
+        return http::json(StatusCode::OK, &json!({}));
+    }
+    http::empty(StatusCode::NOT_FOUND)
+}
--- /dev/null
+++ b/tests/support/node/target.rs
@@ -0,0 +1,197 @@
+//! A stand-in target of the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chiverelay_http as http;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+
+/// How the target treats requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers.
+    Answer,
+    /// It answers after a while.
+    Slow(Duration),
+    /// It fails.
+    Fail,
+    /// It says that it did not run the request.
+    Full,
+    /// It breaks the connection off after it has run the request.
+    Lose,
+    /// It answers with another request's id.
+    Foreign,
+    /// It sends so many events of a stream.
+    Events(u64),
+    /// It sends so many events of a stream and breaks off.
+    Cut(u64),
+}
+
+/// A request as it reached the target.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Method and path.
+    pub line: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Arrival {
+    /// Returns a header's value, empty if there is none.
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name).and_then(|v| v.to_str().ok());
+        value.unwrap_or_default()
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    mode: Mode,
+    arrivals: Vec<Arrival>,
+}
+
+/// A stand-in target.
+#[derive(Debug)]
+pub struct PlatformTarget {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    _guard: DropGuard,
+}
+
+impl PlatformTarget {
+    /// Starts a target that answers.
+    pub async fn start(name: &str) -> Self {
+        let (listener, address) = crate::platform::listener().await;
+        let state = Arc::new(Mutex::new(State {
+            mode: Mode::Answer,
+            arrivals: Vec::new(),
+        }));
+        let stop = CancellationToken::new();
+        let (shared, own) = (Arc::clone(&state), name.to_owned());
+        tokio::spawn(http::run(listener, stop.clone(), move |req| {
+            let (state, name) = (Arc::clone(&shared), own.clone());
+            async move { answer(&state, &name, req).await }
+        }));
+        Self {
+            name: name.to_owned(),
+            address,
+            state,
+            _guard: stop.drop_guard(),
+        }
+    }
+
+    /// Changes how the target treats requests.
+    pub fn set(&self, mode: Mode) {
+        self.state.lock().expect("no panic under the lock").mode = mode;
+    }
+
+    /// Returns the requests that reached the target.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        let state = self.state.lock().expect("no panic under the lock");
+        state.arrivals.clone()
+    }
+}
+
+async fn answer(state: &Mutex<State>, name: &str, req: Request<Incoming>) -> Response<http::Body> {
+    let (parts, body) = req.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map(|b| b.to_bytes())
+        .unwrap_or_default();
+    let arrival = Arrival {
+        line: format!("{} {}", parts.method, parts.uri),
+        headers: parts.headers,
+        body,
+    };
+    let id = arrival.header("request-id").to_owned();
+    let meant = arrival.header("target-instance").to_owned();
+    let after: u64 = arrival.header("last-event-id").parse().unwrap_or_default();
+    let mode = {
+        let mut state = state.lock().expect("no panic under the lock");
+        state.arrivals.push(arrival);
+        state.mode
+    };
+    if meant != name {
+        return http::empty(StatusCode::MISDIRECTED_REQUEST);
+    }
+    if let Mode::Slow(time) = mode {
+        tokio::time::sleep(time).await;
+    }
+    let mut resp = match mode {
+        Mode::Answer | Mode::Slow(_) | Mode::Foreign => text(StatusCode::OK, name),
+        Mode::Fail => text(StatusCode::INTERNAL_SERVER_ERROR, name),
+        Mode::Full => {
+            let mut resp = http::empty(StatusCode::SERVICE_UNAVAILABLE);
+            let value = HeaderValue::from_static("1");
+            resp.headers_mut().insert("not-executed", value);
+            resp
+        }
+        Mode::Lose => {
+            let mut resp = http::empty(StatusCode::OK);
+            resp.extensions_mut().insert(http::Reset);
+            return resp;
+        }
+        Mode::Events(count) => events(after, count, false),
+        Mode::Cut(count) => events(after, count, true),
+    };
+    let id = if mode == Mode::Foreign {
+        "another"
+    } else {
+        &id
+    };
+    let headers = resp.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(id) {
+        headers.insert("request-id", value);
+    }
+    if mode != Mode::Full {
+        let stamp = HeaderValue::from_str(&format!("stamp-of-{name}")).expect("a plain name");
+        headers.insert("server-stamp", stamp);
+    }
+    resp
+}
+
+fn text(status: StatusCode, name: &str) -> Response<http::Body> {
+    let mut resp = Response::new(http::full(format!("answer of {name}")));
+    *resp.status_mut() = status;
+    resp
+}
+
+/// Sends numbered events, with half of one more at the end if it breaks off.
+fn events(after: u64, count: u64, cut: bool) -> Response<http::Body> {
+    let event = |n: u64| Ok(Bytes::from(format!("id: {n}\ndata: piece {n}\n\n")));
+    let mut pieces: Vec<Result<Bytes, std::io::Error>> =
+        (after + 1..=after + count).map(event).collect();
+    if cut {
+        pieces.push(Ok(Bytes::from("id: 99\nda")));
+        pieces.push(Err(std::io::Error::other("cut")));
+    }
+    let pieces = futures_util::stream::iter(pieces);
+    // Each piece goes out by itself, so that a cut comes after what was sent.
+    let pieces = futures_util::StreamExt::then(pieces, |piece| async {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        piece.map(Frame::data)
+    });
+    let mut resp = Response::new(BodyExt::boxed(StreamBody::new(pieces)));
+    let kind = HeaderValue::from_static("text/event-stream");
+    resp.headers_mut().insert("content-type", kind);
+    resp
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -81,6 +81,20 @@
         Self::spawn(command.args(args).env("RUST_LOG", "debug").stderr(log))
     }
 
+    /// Starts an instance on the platform, which logs into a file.
+    pub fn start_node(settings: &Path, log: &Path) -> Self {
+        let log = File::create(log).expect("a file for the log");
+        let mut command = Command::new(programs().join("chiverelay-node"));
+        let child = command
+            .env("CHIVERELAY_SETTINGS", settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .spawn()
+            .expect("the program starts");
+        let (_, lines) = mpsc::channel();
+        Self { child, lines }
+    }
+
     fn spawn(command: &mut Command) -> Self {
         let mut child = command
             .stdin(Stdio::null())
--- /dev/null
+++ b/tests/testsuite/catalog.rs
@@ -0,0 +1,149 @@
+//! Routes, pools and accounts of a catalog.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::Catalog;
+use chiverelay_decisions::catalog::AccountTerms;
+use chiverelay_decisions::catalog::Backend;
+use chiverelay_decisions::catalog::ClientLimits;
+use chiverelay_decisions::catalog::CurrentCatalog;
+use chiverelay_decisions::catalog::Kind;
+use chiverelay_decisions::catalog::NotCovered;
+use chiverelay_decisions::catalog::RouteTerms;
+use chiverelay_decisions::config::Residency;
+use support::cases;
+
+fn route(name: &str, path: &str) -> RouteTerms {
+    RouteTerms {
+        name: name.into(),
+        host: "desk.example".into(),
+        path_prefix: path.into(),
+        kind: Kind::Idempotent,
+        backends: vec![Backend {
+            pool: "orders".into(),
+            weight: 1,
+        }],
+        timeout: Duration::from_secs(4),
+        target_latency: Duration::from_millis(500),
+        target_pause: Duration::from_millis(200),
+        max_attempts: 2,
+        priority: 2,
+        public: name == "open",
+        residency: match name {
+            "bound" => Residency::only(vec!["north".into()]),
+            _ => Residency::anywhere(),
+        },
+    }
+}
+
+fn account(name: &str, key: &str) -> AccountTerms {
+    AccountTerms {
+        name: name.into(),
+        keys: vec![key.into()],
+        limit: None,
+        priority: (name == "parish").then_some(0),
+        residency: match name {
+            "parish" => Residency::only(vec!["south".into()]),
+            _ => Residency::anywhere(),
+        },
+    }
+}
+
+fn catalog(version: u64) -> Catalog {
+    let routes = vec![
+        route("short", "/a/"),
+        route("long", "/a/b/"),
+        route("open", "/open/"),
+        route("bound", "/bound/"),
+    ];
+    let accounts = vec![account("parish", "k1"), account("shop", "k2")];
+    Catalog::new(
+        version,
+        routes,
+        Vec::new(),
+        accounts,
+        ClientLimits::default(),
+    )
+}
+
+fn check_find(host: &str, path: &str, key: Option<&str>, want: Result<&str, NotCovered>) {
+    let found = catalog(1).find(host, path, key);
+    let found = found.map(|terms| terms.route.name.to_string());
+    assert_eq!(found, want.map(str::to_owned));
+}
+
+cases! {
+    check_find:
+    the_longest_prefix_wins("desk.example", "/a/b/c", Some("k1"), Ok("long"));
+    a_shorter_prefix_takes_the_rest("desk.example", "/a/bc", Some("k1"), Ok("short"));
+    another_host_has_no_route("other.example", "/a/b/c", Some("k1"), Err(NotCovered::NoRoute));
+    another_path_has_no_route("desk.example", "/b/", Some("k1"), Err(NotCovered::NoRoute));
+    a_route_is_looked_for_before_the_key("desk.example", "/b/", None, Err(NotCovered::NoRoute));
+    no_key("desk.example", "/a/", None, Err(NotCovered::NoAccount));
+    an_unknown_key("desk.example", "/a/", Some("k3"), Err(NotCovered::NoAccount));
+    a_public_route_needs_no_key("desk.example", "/open/", None, Ok("open"));
+}
+
+#[test]
+fn route_and_account_bind_both() {
+    let terms = |key| {
+        catalog(1)
+            .find("desk.example", "/bound/", Some(key))
+            .expect("covered")
+    };
+    assert!(terms("k2").allows(&"north".into()));
+    assert!(!terms("k2").allows(&"south".into()));
+    assert!(!terms("k1").allows(&"north".into()));
+    assert!(!terms("k1").allows(&"south".into()));
+}
+
+#[test]
+fn an_accounts_priority_goes_before_its_routes() {
+    let priority = |key| {
+        let terms = catalog(1).find("desk.example", "/a/", Some(key));
+        terms.expect("covered").priority()
+    };
+    assert_eq!((priority("k1"), priority("k2")), (0, 2));
+}
+
+#[test]
+fn a_host_may_run_where_all_of_its_routes_may() {
+    let catalog = catalog(1);
+    assert!(catalog.may_run_in("desk.example", &"north".into()));
+    assert!(!catalog.may_run_in("desk.example", &"south".into()));
+}
+
+#[test]
+fn weights_share_the_requests_out() {
+    let mut split = route("split", "/s/");
+    let backend = |pool: &str, weight| Backend {
+        pool: pool.into(),
+        weight,
+    };
+    split.backends = vec![backend("old", 90), backend("new", 10), backend("none", 0)];
+    let pool = |id: &str| split.choose_pool(id).expect("a pool").to_string();
+    let ids: Vec<String> = (0..2000).map(|n| format!("request-{n}")).collect();
+    let new = ids.iter().filter(|id| pool(id) == "new").count();
+    assert!((120..280).contains(&new), "{new} of 2000");
+    assert!(ids.iter().all(|id| pool(id) != "none"));
+    assert!(ids.iter().all(|id| pool(id) == pool(id)));
+}
+
+/// Reads catalogs of these revisions and expects the versions in force.
+fn check_current(revisions: &[(u64, u64)], in_force: &[u64]) {
+    let current = CurrentCatalog::default();
+    let mut seen = Vec::new();
+    for (revision, version) in revisions {
+        current.advance(Arc::new(catalog(*version)), *revision, Duration::ZERO);
+        seen.push(current.get().expect("a catalog").catalog.version);
+    }
+    assert_eq!(seen, in_force);
+}
+
+cases! {
+    check_current:
+    newer_ones_replace_older(&[(1, 10), (2, 14)], &[10, 14]);
+    a_late_one_changes_nothing(&[(5, 10), (3, 8)], &[10, 10]);
+    the_same_revision_changes_nothing(&[(5, 10), (5, 11)], &[10, 10]);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,13 +1,16 @@
 //! The tests of the whole workspace, a module for each area.
 
+mod allowance;
 mod answer;
 mod bucket;
 mod callers;
+mod catalog;
 mod combined;
 mod configuration;
 mod cuts;
 mod decoders;
 mod drain;
+mod fleet;
 mod handover;
 mod health;
 mod hostile;
@@ -18,6 +21,7 @@
 mod membership;
 mod membership_fleet;
 mod metrics;
+mod node;
 mod once;
 mod orders;
 mod path;
@@ -36,6 +40,8 @@
 mod tickets;
 mod timeline;
 mod tool;
+mod traffic;
 mod whole;
+mod windows;
 mod workers;
 mod writers;
--- /dev/null
+++ b/tests/testsuite/node.rs
@@ -0,0 +1,7 @@
+//! The gateway on the users' platform.
+
+mod decode;
+mod names;
+mod path;
+mod settings;
+mod store;
--- /dev/null
+++ b/tests/testsuite/node/settings.rs
@@ -0,0 +1,79 @@
+//! The platform's settings file.
+
+use chiverelay_platform::settings::Error;
+use chiverelay_platform::settings::Settings;
+use support::cases;
+use support::node::site::settings;
+
+fn good() -> String {
+    let store = "10.200.1.7:8225".parse().expect("an address");
+    settings("one", "10.1.0.25", "north-a", "north", store)
+}
+
+#[test]
+fn a_good_file_is_read_and_unknown_fields_are_ignored() {
+    let settings: Settings = good().parse().expect("good settings");
+    assert_eq!(settings.gateway.instance.as_str(), "one");
+    assert_eq!(settings.gateway.siblings.to_string(), "10.1.0.25:7600");
+    assert_eq!(settings.gateway.zones.len(), 2);
+    assert_eq!(settings.gateway.retries.slack, 56.0);
+    assert_eq!(settings.store.to_string(), "10.200.1.7:8225");
+}
+
+/// Replaces parts of a good file and expects a fault of each field.
+fn check_faults(changes: &[(&str, &str)], fields: &[&str]) {
+    let mut text = good();
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from} is not in the file");
+        text = text.replace(from, to);
+    }
+    let Err(Error::Faults(faults)) = text.parse::<Settings>() else {
+        panic!("the faults are not told");
+    };
+    let found: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+    assert_eq!(found, fields);
+}
+
+cases! {
+    check_faults:
+    a_missing_name(&[("node_name = \"one\"", "")], &["node_name"]);
+    an_address_without_a_port(&[("10.1.0.25:8224", "10.1.0.25")], &["listen.ready"]);
+    a_number_that_is_a_text(&[("grace_s = 8", "grace_s = \"8\"")], &["bounds.grace_s"]);
+    a_negative_number(&[("cold_slack = 3", "cold_slack = -3")], &["bounds.cold_slack"]);
+    all_at_once(
+        &[
+            ("ttl_max_s = 5", ""),
+            ("zone = \"north-a\"", "zone = 4"),
+            ("port_range = [7600, 7615]", "port_range = []")
+        ],
+        &["port_range", "zone", "bounds.ttl_max_s"]
+    );
+}
+
+#[test]
+fn a_file_that_is_not_toml_is_told_with_its_place() {
+    let e = "node_name = "
+        .parse::<Settings>()
+        .expect_err("a syntax error");
+    assert!(e.to_string().contains("line 1"), "{e}");
+}
+
+#[test]
+fn the_program_exits_with_2_and_names_every_fault() {
+    let dir = tempfile::TempDir::new().expect("a folder");
+    let path = dir.path().join("bad.toml");
+    std::fs::write(&path, "node_name = \"one\"\nzone = 7\n").expect("written");
+    let program = support::process::programs().join("chiverelay-node");
+    let mut command = std::process::Command::new(program);
+    let command = command.arg("check").env("CHIVERELAY_SETTINGS", &path);
+    let output = command.output().expect("the program runs");
+    assert_eq!(output.status.code(), Some(2));
+    let said = String::from_utf8_lossy(&output.stderr);
+    for field in [
+        "zone: not a text",
+        "region: missing",
+        "listen.front: missing",
+    ] {
+        assert!(said.contains(field), "{field} is not in {said}");
+    }
+}
--- /dev/null
+++ b/tests/testsuite/node/store.rs
@@ -0,0 +1,140 @@
+//! The client of the platform's store, and following a prefix through its
+//! faults.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use chiverelay_gateway::Metrics;
+use chiverelay_platform::store::Client;
+use chiverelay_platform::store::Error;
+use chiverelay_platform::store::Put;
+use chiverelay_platform::store::Told;
+use chiverelay_platform::store::follow;
+use hyper::StatusCode;
+use serde_json::json;
+use support::block_on;
+use support::node::PlatformStore;
+use support::node::site::until;
+
+fn client(store: &PlatformStore) -> Client {
+    Client::new(store.address, Arc::new(Metrics::new()))
+}
+
+#[test]
+fn a_listing_has_all_pages_and_the_first_ones_revision() {
+    block_on(async {
+        let store = PlatformStore::start().await;
+        for n in 0..11 {
+            store.put(&format!("servers/i-{n:02}"), &json!({"n": n}));
+        }
+        store.put("op/config", &json!({}));
+        let listing = client(&store).list("servers/").await.expect("a listing");
+        assert_eq!(listing.items.len(), 11);
+        assert_eq!(listing.revision, 12);
+        assert_eq!(listing.items[10].key, "servers/i-10");
+    });
+}
+
+#[test]
+fn a_lost_lease_is_told_from_a_refusal() {
+    block_on(async {
+        let store = PlatformStore::start().await;
+        let client = client(&store);
+        let lease = client.grant(Duration::from_secs(4)).await.expect("a lease");
+        let put = Put {
+            key: "chiverelay/x".to_owned(),
+            value: b"v".to_vec(),
+            lease: lease.id,
+        };
+        client.put(vec![put.clone()]).await.expect("written");
+        store.end_all_leases();
+        assert!(store.keys("chiverelay/").is_empty());
+        assert!(matches!(
+            client.renew(lease.id).await,
+            Err(Error::LeaseEnded)
+        ));
+        assert!(matches!(
+            client.put(vec![put]).await,
+            Err(Error::LeaseEnded)
+        ));
+        store.refuse(Some(StatusCode::TOO_MANY_REQUESTS));
+        assert!(matches!(
+            client.renew(lease.id).await,
+            Err(Error::Refused(429))
+        ));
+    });
+}
+
+/// Follows a prefix and notes what is told.
+fn follow_into(store: &PlatformStore, prefix: &'static str) -> Arc<Mutex<Vec<String>>> {
+    let told = Arc::new(Mutex::new(Vec::new()));
+    let (client, notes) = (client(store), Arc::clone(&told));
+    tokio::spawn(async move {
+        let tell = |t: Told| {
+            let note = match t {
+                Told::Listed(listing) => format!("listed {}", listing.items.len()),
+                Told::Changed(item) => format!("changed {} {}", item.key, item.value.is_some()),
+                Told::Answered => return,
+                Told::Lost => "lost".to_owned(),
+            };
+            notes.lock().expect("no panic").push(note);
+        };
+        follow(&client, prefix, tell).await;
+    });
+    told
+}
+
+fn has(told: &Arc<Mutex<Vec<String>>>, note: &str) -> usize {
+    let told = told.lock().expect("no panic");
+    told.iter().filter(|t| *t == note).count()
+}
+
+#[test]
+fn changes_follow_a_listing() {
+    block_on(async {
+        let store = PlatformStore::start().await;
+        store.put("op/config", &json!(1));
+        let told = follow_into(&store, "op/");
+        until("listed", async || has(&told, "listed 1") == 1).await;
+        store.put("op/evacuate/a", &json!({}));
+        until("changed", async || {
+            has(&told, "changed op/evacuate/a true") == 1
+        })
+        .await;
+        store.remove("op/evacuate/a");
+        until("removed", async || {
+            has(&told, "changed op/evacuate/a false") == 1
+        })
+        .await;
+        store.put("servers/i", &json!(1));
+        assert_eq!(has(&told, "listed 1"), 1);
+    });
+}
+
+#[test]
+fn a_cut_watch_is_followed_by_a_listing() {
+    block_on(async {
+        let store = PlatformStore::start().await;
+        store.put("op/config", &json!(1));
+        let told = follow_into(&store, "op/");
+        until("listed", async || has(&told, "listed 1") == 1).await;
+        store.mute(true);
+        store.put("op/evacuate/a", &json!({}));
+        store.forget();
+        until("listed again", async || has(&told, "listed 2") == 1).await;
+    });
+}
+
+#[test]
+fn an_outage_is_told_and_its_end_too() {
+    block_on(async {
+        let store = PlatformStore::start().await;
+        store.put("op/config", &json!(1));
+        store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
+        let told = follow_into(&store, "op/");
+        until("lost", async || has(&told, "lost") >= 2).await;
+        store.refuse(None);
+        until("listed", async || has(&told, "listed 1") == 1).await;
+    });
+}
--- /dev/null
+++ b/tests/testsuite/traffic.rs
@@ -0,0 +1,344 @@
+//! The choice of targets, under the load patterns that it answers.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use chiverelay_decisions::catalog::ColdLimit;
+use chiverelay_decisions::catalog::EngineTerms;
+use chiverelay_decisions::catalog::PoolTerms;
+use chiverelay_decisions::fleet::Fleet;
+use chiverelay_decisions::fleet::TargetRecord;
+use chiverelay_decisions::names::Region;
+use chiverelay_decisions::names::Target;
+use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::traffic::Choice;
+use chiverelay_decisions::traffic::ColdSlack;
+use chiverelay_decisions::traffic::Count;
+use chiverelay_decisions::traffic::Demand;
+use chiverelay_decisions::traffic::Ended;
+use chiverelay_decisions::traffic::Nowhere;
+use chiverelay_decisions::traffic::PartUse;
+use chiverelay_decisions::traffic::Place;
+use chiverelay_decisions::traffic::PromptPart;
+use chiverelay_decisions::traffic::TargetCount;
+use chiverelay_decisions::traffic::Traffic;
+use chiverelay_decisions::window::Divisor;
+use chiverelay_decisions::window::RetryLimit;
+
+/// Divides for the only instance that is known.
+fn lone() -> Divisor {
+    Divisor::new(1)
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A region's targets of one pool, and the traffic of one instance.
+struct World {
+    fleet: Fleet,
+    traffic: Traffic,
+    pool: PoolTerms,
+    region: Region,
+}
+
+impl World {
+    fn new(targets: usize, engine: bool) -> Self {
+        let zones = HashMap::from([(Zone::from("north-a"), Region::from("north"))]);
+        let limit = RetryLimit {
+            window: ms(10_000),
+            ratio: 0.2,
+            slack: 56.0,
+        };
+        let cold = ColdSlack {
+            factor: 1.5,
+            slack: 3.0,
+        };
+        let mut world = Self {
+            fleet: Fleet::new(zones),
+            traffic: Traffic::new(limit, cold),
+            pool: PoolTerms {
+                name: "pool".into(),
+                max_connections: 100,
+                cold: ColdLimit {
+                    warmup: ms(3_000),
+                    requests_per_s: 13.0,
+                },
+                engine: engine.then(|| EngineTerms {
+                    slots: 64,
+                    cache_tokens: 600_000,
+                    models: vec!["m".into()],
+                }),
+            },
+            region: "north".into(),
+        };
+        for n in 0..targets {
+            world.add(&format!("i-{n}"), Duration::ZERO);
+        }
+        world
+    }
+
+    fn add(&mut self, name: &str, cold: Duration) {
+        let record = TargetRecord {
+            pool: "pool".into(),
+            address: format!("10.1.0.{}:80", self.fleet.len() + 1)
+                .parse()
+                .expect("an address"),
+            zone: "north-a".into(),
+            region: "north".into(),
+            slots: 6,
+            draining: false,
+            started_ms: 1,
+            cold,
+        };
+        self.fleet.put(&name.into(), record, 1, ms(0));
+    }
+
+    fn choose(
+        &mut self,
+        parts: &[PromptPart],
+        tokens: u64,
+        tried: &[Target],
+        now: Duration,
+    ) -> Result<Choice, Nowhere> {
+        let demand = Demand {
+            prompt_tokens: tokens,
+            parts,
+            tried,
+        };
+        self.traffic
+            .choose(&self.fleet, &self.pool, &self.region, &demand, lone(), now)
+    }
+
+    /// Sends a request and returns its place, or nothing if the target is cold
+    /// and has had its part.
+    fn send(&mut self, parts: &[PromptPart], tokens: u64, now: Duration) -> Option<Place> {
+        let choice = self.choose(parts, tokens, &[], now).ok()?;
+        let place = Place {
+            target: choice.target.clone(),
+            pool: "pool".into(),
+            unread_tokens: choice.estimate.unread_tokens,
+            ahead_tokens: choice.estimate.ahead_tokens,
+            source: choice.estimate.source,
+        };
+        let known = self.fleet.get(&choice.target)?.clone();
+        let taken = self
+            .traffic
+            .take(&place, parts, &known, &self.pool, lone(), now);
+        taken.then_some(place)
+    }
+}
+
+fn part(id: u64, tokens: u32) -> PromptPart {
+    PromptPart { id, tokens }
+}
+
+/// Pattern: burst on plain services.
+#[test]
+fn a_burst_is_spread_evenly_over_plain_targets() {
+    let mut world = World::new(3, false);
+    let places: Vec<Place> = (0..18).filter_map(|_| world.send(&[], 0, ms(0))).collect();
+    for n in 0..3 {
+        let name = Target::from(format!("i-{n}"));
+        let here = places.iter().filter(|p| p.target == name).count();
+        assert_eq!(here, 6, "{name}");
+    }
+}
+
+/// Pattern: long prompts that share a catalogue of 13,000 tokens.
+#[test]
+fn prompts_that_share_a_part_go_where_it_is_cached() {
+    let mut world = World::new(4, true);
+    let mut seen: HashMap<u64, Target> = HashMap::new();
+    for round in 0..5 {
+        for catalogue in 0..20_u64 {
+            let parts = [
+                part(catalogue + 1, 13_000),
+                part(1_000 + round * 100 + catalogue, 3_000),
+            ];
+            let now = ms(round * 4_000 + catalogue * 200);
+            let mut place = world.send(&parts, 16_000, now).expect("a place");
+            if let Some(first) = seen.get(&catalogue) {
+                assert_eq!(*first, place.target, "catalogue {catalogue}, round {round}");
+                assert!(
+                    place.unread_tokens <= 3_000,
+                    "{} tokens",
+                    place.unread_tokens
+                );
+            }
+            seen.insert(catalogue, place.target.clone());
+            world.traffic.read(&mut place);
+            world.traffic.end(place, Ended::Answered, now + ms(150));
+        }
+    }
+    let used: std::collections::HashSet<_> = seen.values().collect();
+    assert!(
+        used.len() >= 3,
+        "20 catalogues lie at {} of 4 targets",
+        used.len()
+    );
+}
+
+/// Pattern: one catalogue that everybody asks for at once.
+#[test]
+fn a_hot_part_spreads_when_its_target_is_busy_and_is_copied() {
+    let mut world = World::new(3, true);
+    let parts = |n: u64| [part(7, 13_000), part(100 + n, 3_700)];
+    let first = world.send(&parts(0), 16_700, ms(0)).expect("a place");
+    let holder = world
+        .fleet
+        .get(&first.target)
+        .expect("known")
+        .record
+        .address;
+    let places: Vec<Place> = (1..12)
+        .filter_map(|n| world.send(&parts(n), 16_700, ms(1)))
+        .collect();
+    let elsewhere: Vec<&Place> = places.iter().filter(|p| p.target != first.target).collect();
+    assert!(!elsewhere.is_empty(), "all twelve wait at one target");
+    assert_eq!(elsewhere[0].source, Some(holder));
+    assert!(elsewhere[0].unread_tokens <= 3_700);
+}
+
+#[test]
+fn what_another_instance_sent_counts_as_cached_too() {
+    let mut world = World::new(3, true);
+    let uses = vec![PartUse {
+        target: "i-2".into(),
+        part: part(7, 13_000),
+    }];
+    world.traffic.tell_uses(uses, ms(0));
+    let parts = [part(7, 13_000), part(8, 3_000)];
+    let choice = world.choose(&parts, 16_000, &[], ms(10)).expect("a choice");
+    assert_eq!(choice.target.as_str(), "i-2");
+    assert_eq!(choice.estimate.unread_tokens, 3_000);
+}
+
+#[test]
+fn what_other_instances_have_at_a_target_counts() {
+    let mut world = World::new(2, false);
+    let counts = vec![TargetCount {
+        target: "i-0".into(),
+        count: Count {
+            running: 20,
+            unread_tokens: 0,
+        },
+    }];
+    world.traffic.tell(&"two".into(), counts, ms(0));
+    let chosen = |world: &mut World, now| world.choose(&[], 0, &[], now).expect("a choice").target;
+    assert_eq!(chosen(&mut world, ms(1)).as_str(), "i-1");
+    world.traffic.forget(&"two".into(), ms(2));
+    assert_eq!(world.traffic.count(&"i-0".into()), Count::default());
+}
+
+/// Pattern: a region that comes back cold.
+#[test]
+fn a_cold_target_gets_no_more_than_the_own_part() {
+    let mut world = World::new(0, true);
+    world.add("cold", ms(3_000));
+    let sent = (0..100)
+        .filter(|_| world.send(&[], 300, ms(10)).is_some())
+        .count();
+    // 13 a second, half as many again, and 3, for the one instance that is
+    // known and one that may join.
+    assert_eq!(sent, 11);
+    assert_eq!(world.choose(&[], 300, &[], ms(20)), Err(Nowhere::AllCold));
+    let next = (0..100)
+        .filter(|_| world.send(&[], 300, ms(1_100)).is_some())
+        .count();
+    assert_eq!(next, 11, "a second later");
+    let warm = (0..100)
+        .filter(|_| world.send(&[], 300, ms(3_100)).is_some())
+        .count();
+    assert_eq!(warm, 100);
+}
+
+/// Pattern: herd at a plain service whose queue is full.
+#[test]
+fn a_target_that_says_it_is_full_is_passed_over_for_a_moment() {
+    let mut world = World::new(1, false);
+    let place = world.send(&[], 0, ms(0)).expect("a place");
+    world.traffic.end(place, Ended::Full, ms(5));
+    assert_eq!(world.choose(&[], 0, &[], ms(10)), Err(Nowhere::AllFull));
+    assert!(world.choose(&[], 0, &[], ms(300)).is_ok());
+}
+
+#[test]
+fn a_target_that_was_tried_is_not_chosen_again() {
+    let mut world = World::new(2, false);
+    let tried = vec![Target::from("i-0")];
+    let choice = world.choose(&[], 0, &tried, ms(0)).expect("a choice");
+    assert_eq!(choice.target.as_str(), "i-1");
+    let tried = vec!["i-0".into(), "i-1".into()];
+    assert_eq!(
+        world.choose(&[], 0, &tried, ms(0)),
+        Err(Nowhere::NoneHealthy)
+    );
+}
+
+/// Pattern: a target that fails part of its requests while it looks healthy.
+#[test]
+fn a_target_that_often_fails_gets_less() {
+    let mut world = World::new(2, false);
+    for n in 0..200_u64 {
+        let now = ms(n * 10);
+        let place = world.send(&[], 0, now).expect("a place");
+        let fails = place.target.as_str() == "i-0" && n % 2 == 0;
+        let ended = if fails {
+            Ended::Failed
+        } else {
+            Ended::Answered
+        };
+        world.traffic.end(place, ended, now + ms(5));
+    }
+    let mut at_bad = 0;
+    for n in 0..40_u64 {
+        let now = ms(3_000 + n);
+        let place = world.send(&[], 0, now).expect("a place");
+        at_bad += usize::from(place.target.as_str() == "i-0");
+        world.traffic.end(place, Ended::Answered, now);
+    }
+    assert!(at_bad <= 4, "{at_bad} of 40");
+}
+
+#[test]
+fn a_restart_forgets_what_was_cached() {
+    let mut world = World::new(1, true);
+    let parts = [part(7, 13_000), part(8, 3_000)];
+    let place = world.send(&parts, 16_000, ms(0)).expect("a place");
+    world.traffic.end(place, Ended::Answered, ms(100));
+    let unread = |world: &mut World| {
+        let choice = world
+            .choose(&parts, 16_000, &[], ms(200))
+            .expect("a choice");
+        choice.estimate.unread_tokens
+    };
+    assert_eq!(unread(&mut world), 0);
+    world.traffic.restarted(&"i-0".into(), ms(150));
+    assert!(unread(&mut world) > 3_000);
+}
+
+/// Pattern: a regional peak that spills; statuses come back late.
+#[test]
+fn what_was_just_sent_away_counts_until_it_is_told() {
+    let mut world = World::new(2, true);
+    let before = world
+        .choose(&[], 5_000, &[], ms(0))
+        .expect("a choice")
+        .estimate
+        .wait;
+    for _ in 0..10 {
+        world
+            .traffic
+            .sent_away(&"north".into(), &"pool".into(), 5_000, ms(0));
+    }
+    let wait = |world: &mut World, now| {
+        world
+            .choose(&[], 5_000, &[], now)
+            .expect("a choice")
+            .estimate
+            .wait
+    };
+    assert!(wait(&mut world, ms(10)) > before * 3);
+    assert_eq!(wait(&mut world, ms(500)), before);
+}
--- /dev/null
+++ b/tests/testsuite/windows.rs
@@ -0,0 +1,96 @@
+//! Bounds over sliding windows, and their division between instances.
+
+use std::time::Duration;
+
+use chiverelay_decisions::window::Divisor;
+use chiverelay_decisions::window::RetryLimit;
+use chiverelay_decisions::window::RetryWindow;
+use chiverelay_decisions::window::Window;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// No span of the window's length ever has more than the bound.
+fn slides(bound: u8, steps: Vec<u8>) -> bool {
+    let length = ms(100);
+    let bound = f64::from(bound % 20);
+    let mut window = Window::new(length);
+    let mut now = Duration::ZERO;
+    let mut taken: Vec<Duration> = Vec::new();
+    for step in steps {
+        now += ms(u64::from(step % 40));
+        if window.take(1.0, bound, now) {
+            taken.push(now);
+        }
+    }
+    taken.iter().all(|from| {
+        let within = taken
+            .iter()
+            .filter(|at| **at >= *from && **at < *from + length);
+        within.count() as f64 <= bound
+    })
+}
+
+#[test]
+fn any_span_keeps_the_bound() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 3))
+        .tests(500)
+        .quickcheck(slides as fn(u8, Vec<u8>) -> bool);
+}
+
+#[test]
+fn the_wait_is_when_enough_has_left_the_window() {
+    let mut window = Window::new(ms(100));
+    assert!(window.take(2.0, 3.0, ms(0)));
+    assert!(window.take(1.0, 3.0, ms(40)));
+    assert_eq!(window.wait(1.0, 3.0, ms(50)), Some(ms(50)));
+    assert_eq!(window.wait(3.0, 3.0, ms(50)), Some(ms(90)));
+    assert_eq!(window.wait(4.0, 3.0, ms(50)), None);
+    assert_eq!(window.wait(1.0, 3.0, ms(120)), Some(ms(0)));
+}
+
+/// What so many instances take apart from one another stays within the whole.
+fn parts_fit(instances: u8, bound: u16) -> bool {
+    let instances = usize::from(instances % 60) + 1;
+    let part = Divisor::new(instances).part(f64::from(bound));
+    // One more instance may have joined that the others don't know yet.
+    part * (instances + 1) as f64 <= f64::from(bound) + 1e-6
+}
+
+#[test]
+fn parts_leave_room_for_one_that_joins() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 4))
+        .quickcheck(parts_fit as fn(u8, u16) -> bool);
+}
+
+#[test]
+fn retries_follow_the_requests_and_a_part_of_the_slack() {
+    let limit = RetryLimit {
+        window: ms(10_000),
+        ratio: 0.2,
+        slack: 18.0,
+    };
+    let divisor = Divisor::new(8);
+    let mut window = RetryWindow::new(limit);
+    let retries = |window: &mut RetryWindow, now| {
+        (0..1000)
+            .take_while(|_| window.retry(limit, divisor, now))
+            .count()
+    };
+    assert_eq!(retries(&mut window, ms(0)), 2, "a ninth of the slack");
+    for _ in 0..50 {
+        window.request(ms(10));
+    }
+    assert_eq!(retries(&mut window, ms(20)), 10, "a fifth of the requests");
+    assert_eq!(retries(&mut window, ms(9_000)), 0);
+    assert_eq!(
+        retries(&mut window, ms(10_030)),
+        2,
+        "all of it has left the window"
+    );
+}
