--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod limits;
 pub mod membership;
 pub mod names;
-pub mod orders;
 pub mod pacing;
 pub mod placement;
 pub mod publication;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -26,7 +26,6 @@
 use crate::faults::Flaw;
 use crate::faults::ReceiverStream;
 use crate::faults::Script;
-use crate::orders::Orders;
 use crate::reports::Reports;
 
 /// Largest request in bytes.
@@ -42,8 +41,6 @@
     pub script: Script,
     /// What the engine says of itself.
     pub reports: Reports,
-    /// Orders that the engine took.
-    pub orders: Orders,
     name: String,
     token_time: Duration,
     running: AtomicU64,
@@ -113,7 +110,6 @@
         Self {
             script: Script::default(),
             reports: Reports::new(),
-            orders: Orders::default(),
             name: name.to_owned(),
             token_time,
             running: AtomicU64::new(0),
@@ -142,10 +138,6 @@
             Ok(req) => req,
             Err(resp) => return resp,
         };
-        if req.uri().path() == chiverelay_target::order::PATH {
-            let resp = self.orders.answer(req).await;
-            return self.script.after(resp);
-        }
         let first = first_word(&req);
         let ask: Ask = match chiverelay_http::read_json(req, MAX_BODY).await {
             Ok(ask) => ask,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod engine;
 pub mod faults;
 pub mod link;
-pub mod orders;
 pub mod registry;
 pub mod reports;
 pub mod service;
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod headers;
 pub mod kept;
 mod load;
-pub mod order;
 
 pub use client::Answer;
 pub use client::Client;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,7 +23,6 @@
 mod metrics;
 mod node;
 mod once;
-mod orders;
 mod path;
 mod place;
 mod placement;
