Count the targets of another region as attempts; sample successes in the log

The answer to a forward now says how many targets may have run the request. Ruled out: one target a forward, which would end streams that could go on. The timeline command reads log files.

--- a/crates/chiverelay/src/cmd.rs
+++ b/crates/chiverelay/src/cmd.rs
@@ -6,6 +6,7 @@
 pub(crate) mod diff;
 pub(crate) mod drain;
 pub(crate) mod keys;
+pub(crate) mod logs;
 pub(crate) mod show;
 pub(crate) mod status;
 pub(crate) mod timeline;
--- a/crates/chiverelay/src/cmd/timeline.rs
+++ b/crates/chiverelay/src/cmd/timeline.rs
@@ -1,5 +1,6 @@
 //! `chiverelay timeline`: merges the events of all instances.
 
+use std::path::PathBuf;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -12,17 +13,32 @@
 use super::Connection;
 use super::Error;
 use super::Output;
+use super::logs;
+use super::logs::Line;
+use super::logs::Wanted;
 
 /// Describes the subcommand.
 pub(crate) fn describe() -> &'static str {
     "chiverelay timeline --instance ADDRESS [--token-file FILE] [--request ID] [--account NAME]\n               \
-     [--at INSTANCE] [--from TIME] [--to TIME]\n    \
-     Merges the events of all instances by their clocks. A TIME is in milliseconds\n    \
-     since 1970, or in seconds before now as -SECONDS."
+     [--at INSTANCE] [--from TIME] [--to TIME]\n  \
+     chiverelay timeline --log FILE [--log FILE]... [--target NAME] and the options above\n    \
+     Merges the events of all instances by their clocks, or the lines of their\n    \
+     log files. A TIME is in milliseconds since 1970, or in seconds before now\n    \
+     as -SECONDS."
 }
 
 /// Executes the subcommand.
 pub(crate) async fn execute(mut args: pico_args::Arguments, out: Output) -> Result<(), Error> {
+    let files: Vec<PathBuf> = args.values_from_str("--log")?;
+    if !files.is_empty() {
+        let wanted = Wanted {
+            filter: filter(&mut args)?,
+            target: args.opt_value_from_str("--target")?,
+        };
+        super::finish(args)?;
+        let lines = logs::merge(&files, &wanted)?;
+        return out.print(&lines, |lines| log_text(lines));
+    }
     let conn = Connection::from_args(&mut args)?;
     let filter = filter(&mut args)?;
     super::finish(args)?;
@@ -66,6 +82,11 @@
     Ok(now.saturating_sub(ago).as_millis() as u64)
 }
 
+fn log_text(lines: &[Line]) -> String {
+    let lines: Vec<String> = lines.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
 fn text(timeline: &Timeline) -> String {
     let mut lines: Vec<String> = timeline.events.iter().map(line).collect();
     for (instance, dropped) in timeline.dropped.iter().filter(|(_, n)| **n > 0) {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -48,12 +48,15 @@
     status: StatusCode,
     headers: HeaderMap,
     answer: Answer,
+    /// Targets that may have run the request.
+    ran: u32,
 }
 
 /// Why no head of an answer came.
 enum Failure {
-    /// The instance's own refusal.
-    Refused(Refusal),
+    /// The instance's own refusal, after so many targets that may have run the
+    /// request.
+    Refused(Refusal, u32),
     /// The exchange broke off.
     Broken(String),
     /// There was no head in time.
@@ -95,6 +98,7 @@
         job: &mut Job,
         head: FarHead,
     ) -> Forwarded {
+        let ran = head.ran.max(1);
         let mut relay = FarRelay::new(Arc::clone(self), &req, head.answer);
         if job.route.kind.is_stream() && head.status.is_success() {
             drop(req.answered());
@@ -111,7 +115,7 @@
                 Some(Ok(piece)) => data.extend_from_slice(&piece),
                 Some(Err(broken)) => {
                     log::info!(target: "forward", id = req.head().id.as_str(), peer:% = req.peer(), reason:% = broken; "answer cut");
-                    return self.repeat_elsewhere(req, job, Code::SiblingFailed);
+                    return self.repeat_elsewhere(req, job, Code::SiblingFailed, ran);
                 }
             }
         }
@@ -124,7 +128,7 @@
             drop(req.answered());
             return Forwarded::Answered(reply);
         }
-        self.failed_there(req, job, reply)
+        self.failed_there(req, job, reply, ran)
     }
 
     /// Tries a request again that a target of another region failed, or passes
@@ -134,13 +138,14 @@
         req: Request<Dispatched, Direct>,
         job: &mut Job,
         reply: Reply,
+        ran: u32,
     ) -> Forwarded {
         let peer = req.peer().clone();
-        if job.attempts < 2 || !job.route.kind.is_repeatable() || !self.may_retry(job) {
+        job.attempts = job.attempts.saturating_sub(ran);
+        if job.attempts == 0 || !job.route.kind.is_repeatable() || !self.may_retry(job) {
             drop(req.answered());
             return Forwarded::Answered(reply);
         }
-        job.attempts -= 1;
         match req.repeat() {
             Ok(req) => {
                 let refusal = req.refuse_as(Code::TargetFailed, Step::Forward, peer);
@@ -159,7 +164,7 @@
         failure: Failure,
     ) -> Forwarded {
         let (what, reason) = match &failure {
-            Failure::Refused(refusal) => ("refused there", refusal.code.as_str()),
+            Failure::Refused(refusal, _) => ("refused there", refusal.code.as_str()),
             Failure::Broken(reason) => ("broken off", reason.as_str()),
             Failure::Late => ("late", "no answer in time"),
         };
@@ -172,18 +177,18 @@
             "forward without an answer"
         );
         match failure {
-            Failure::Refused(refusal) => match req.retract(&refusal) {
+            Failure::Refused(refusal, ran) => match req.retract(&refusal) {
                 // It came to a target there, so the next one is a retry.
                 Ok(_) if refusal.step == Step::Dispatch && !self.may_retry(job) => {
                     Forwarded::Refused(refusal)
                 }
                 Ok(req) => Forwarded::Again(req, refusal.into()),
                 Err(req) if refusal.code == Code::TargetFailed => {
-                    self.repeat_elsewhere(req, job, refusal.code)
+                    self.repeat_elsewhere(req, job, refusal.code, ran)
                 }
                 Err(req) => Forwarded::Refused(req.refuse_as_sibling(refusal)),
             },
-            Failure::Broken(_) => self.repeat_elsewhere(req, job, Code::SiblingFailed),
+            Failure::Broken(_) => self.repeat_elsewhere(req, job, Code::SiblingFailed, 1),
             Failure::Late => {
                 Forwarded::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Forward))
             }
@@ -196,8 +201,9 @@
         req: Request<Dispatched, Direct>,
         job: &mut Job,
         code: Code,
+        ran: u32,
     ) -> Forwarded {
-        job.attempts = job.attempts.saturating_sub(1);
+        job.attempts = job.attempts.saturating_sub(ran);
         if job.attempts == 0 || !self.may_retry(job) {
             return Forwarded::Refused(req.refuse_unknown(code, Step::Forward));
         }
@@ -218,14 +224,24 @@
         .forward(Stamp::default(), message)
         .await
         .map_err(broken)?;
-    match answer.next().await.map_err(broken)? {
-        Frame::Head { status, headers } => Ok(FarHead {
-            status: StatusCode::from_u16(status).map_err(|e| Failure::Broken(e.to_string()))?,
-            headers: read_headers(&headers),
-            answer,
-        }),
-        Frame::Refused(refusal) => Err(Failure::Refused(refusal)),
-        Frame::Data(_) | Frame::End | Frame::Stamp(_) => Err(Failure::Broken("no head".to_owned())),
+    let mut ran = 0;
+    loop {
+        match answer.next().await.map_err(broken)? {
+            Frame::Ran(targets) => ran = targets,
+            Frame::Head { status, headers } => {
+                let status = StatusCode::from_u16(status);
+                return Ok(FarHead {
+                    status: status.map_err(|e| Failure::Broken(e.to_string()))?,
+                    headers: read_headers(&headers),
+                    answer,
+                    ran,
+                });
+            }
+            Frame::Refused(refusal) => return Err(Failure::Refused(refusal, ran)),
+            Frame::Data(_) | Frame::End | Frame::Stamp(_) => {
+                return Err(Failure::Broken("no head".to_owned()));
+            }
+        }
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 use crate::journal::Counts;
 use crate::links::Links;
 use crate::members::Members;
+use crate::sampler::Sampler;
 use crate::serve::Siblings;
 use crate::status;
 
@@ -53,6 +54,7 @@
     pub(crate) links: Links,
     pub(crate) kept: Kept,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) sampler: Sampler,
     pub(crate) incarnation: u64,
     pub(crate) stop: CancellationToken,
     pub(crate) requests: TaskTracker,
@@ -105,6 +107,7 @@
             stop: CancellationToken::new(),
             requests: TaskTracker::new(),
             listed: Listed::default(),
+            sampler: Sampler::default(),
             incarnation,
             clock,
             dialect,
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -137,16 +137,19 @@
         match handled {
             Ok(reply) => {
                 self.metrics.replied(reply.status, took);
-                log::info!(
-                    target: "request",
-                    id = id.as_str(),
-                    route = found.route(),
-                    account = found.account(),
-                    status = reply.status.as_u16(),
-                    took_ms = took.as_millis() as u64,
-                    catalog = version;
-                    "answered"
-                );
+                let failed = reply.status.is_server_error();
+                if failed || self.sampler.admits(received) {
+                    log::info!(
+                        target: "request",
+                        id = id.as_str(),
+                        route = found.route(),
+                        account = found.account(),
+                        status = reply.status.as_u16(),
+                        took_ms = took.as_millis() as u64,
+                        catalog = version;
+                        "answered"
+                    );
+                }
                 Ok(reply)
             }
             Err(refusal) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod metrics;
 mod place;
 mod relay;
+mod sampler;
 mod serve;
 mod settings;
 mod status;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,6 +33,9 @@
 /// Factor on the pause that is on time, after which a stream counts as cut.
 const STALL_PAUSES: u32 = 5;
 
+/// Outcome of a stream that came to its end.
+const WHOLE: &str = "whole";
+
 /// The rest of an answer never comes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(ThisError)]
@@ -177,7 +180,7 @@
     }
 
     fn finish(&mut self) {
-        self.outcome = "whole";
+        self.outcome = WHOLE;
         if let Some(live) = self.live.take() {
             drop(live.req.answered());
             live.held.end(Ended::Answered);
@@ -266,6 +269,9 @@
 {
     let took = gateway.clock.now().saturating_sub(started);
     gateway.metrics.streamed(outcome, took);
+    if outcome == WHOLE && !gateway.sampler.admits(gateway.clock.now()) {
+        return;
+    }
     log::info!(
         target: "relay",
         id = id.as_str(),
@@ -329,12 +335,14 @@
         let broken = match frame {
             Ok(Frame::Data(data)) => return Some(Ok(data.into())),
             Ok(Frame::End) => {
-                self.outcome = "whole";
+                self.outcome = WHOLE;
                 self.answer = None;
                 return None;
             }
             Ok(Frame::Refused(refusal)) => Broken::new(refusal.code.as_str()),
-            Ok(Frame::Head { .. } | Frame::Stamp(_)) => Broken::new("a second head"),
+            Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Ran(_)) => {
+                Broken::new("a second head")
+            }
             Err(broken) => broken,
         };
         self.answer = None;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -85,7 +85,8 @@
         let gateway = &self.gateway;
         let _open = gateway.requests.token();
         let id = req.id.clone();
-        let running = gateway.run_forwarded(req);
+        let mut ran = 0;
+        let running = gateway.run_forwarded(req, &mut ran);
         // A request that comes late was often given up before, which is told
         // apart from it, so that is looked at first.
         let handled = tokio::select! {
@@ -104,7 +105,7 @@
             "request of another instance"
         );
         // The other instance may have given the request up.
-        let _ = send(&mut tx, handled).await;
+        let _ = send(&mut tx, handled, ran).await;
     }
 
     fn refused(&self, reason: Refused) {
@@ -112,7 +113,12 @@
     }
 }
 
-async fn send(tx: &mut FrameSender, handled: Handled) -> Result<(), chiverelay_sibling::Error> {
+async fn send(
+    tx: &mut FrameSender,
+    handled: Handled,
+    ran: u32,
+) -> Result<(), chiverelay_sibling::Error> {
+    tx.send(&Frame::Ran(ran)).await?;
     let reply = match handled {
         Ok(reply) => reply,
         Err(refusal) => return tx.send(&Frame::Refused(refusal)).await,
@@ -155,17 +161,21 @@
 where
     D: Dialect,
 {
-    async fn run_forwarded(self: &Arc<Self>, forward: Forward) -> Handled {
+    /// Runs a request that was passed on, and counts the targets that may have
+    /// run it.
+    async fn run_forwarded(self: &Arc<Self>, forward: Forward, ran: &mut u32) -> Handled {
         let now = self.clock.now();
-        let (req, mut job, out) = self.admit_forwarded(forward, now)?;
-        let mut req = req;
+        let (mut req, mut job, out) = self.admit_forwarded(forward, now)?;
+        let allowed = job.attempts;
         let mut last: Option<Setback> = None;
         for _ in 0..MAX_PLACES {
             let placed = match self.place_here(req, &job) {
                 Ok(placed) => placed,
                 Err(refusal) => return last.unwrap_or(refusal.into()).end(),
             };
-            req = match self.attempt(placed, &mut job, &out).await {
+            let tried = self.attempt(placed, &mut job, &out).await;
+            *ran = allowed - job.attempts;
+            req = match tried {
                 Tried::Answered(answered) => return Ok(self.reply(job, out, *answered)),
                 Tried::Refused(refusal) => return Err(refusal),
                 Tried::Again(req, setback) => {
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -238,6 +238,8 @@
     End,
     /// There is no answer, or no more of it.
     Refused(Refusal),
+    /// Targets that may have run the request, before the head or a refusal.
+    Ran(u32),
     /// The sender's hybrid logical clock, before the head.
     Stamp(Stamp),
 }
--- a/tests/testsuite/node/path.rs
+++ b/tests/testsuite/node/path.rs
@@ -171,6 +171,43 @@
     });
 }
 
+#[test]
+fn targets_of_another_region_count_as_attempts() {
+    block_on(async {
+        let site = Site::start().await;
+        let one = PlatformTarget::start("i-one").await;
+        let two = PlatformTarget::start("i-two").await;
+        site.register(&one, "orders", "south-a");
+        site.register(&two, "orders", "south-a");
+        let near = site.instance("near", "north-a", "north").await;
+        let _far = site.instance("far", "south-a", "south").await;
+        let _farther = site.instance("farther", "south-a", "south").await;
+        until("forwards are answered", async || {
+            let got = Call::new("r-0", "/status/1")
+                .key(KEY)
+                .send(near.front)
+                .await;
+            got.status == StatusCode::OK
+        })
+        .await;
+        // Both instances of the other region can be asked by now.
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        one.set(Mode::Fail);
+        two.set(Mode::Fail);
+        let got = Call::new("r-1", "/status/1")
+            .key(KEY)
+            .send(near.front)
+            .await;
+        assert_eq!(got.status, StatusCode::INTERNAL_SERVER_ERROR);
+        let arrivals = [one.arrivals(), two.arrivals()].concat();
+        let runs = arrivals
+            .iter()
+            .filter(|a| a.header("request-id") == "r-1")
+            .count();
+        assert_eq!(runs, 2, "the route allows two targets");
+    });
+}
+
 #[test]
 fn a_withdrawn_key_is_refused_though_the_watch_heard_nothing() {
     block_on(async {
