--- a/tests/testsuite/node/path.rs
+++ b/tests/testsuite/node/path.rs
@@ -346,6 +346,31 @@
     });
 }
 
+/// What is taken later may be cut at the end of the time for a stop.
+#[test]
+fn a_stop_takes_no_request_after_three_seconds() {
+    block_on(async {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-1").await;
+        site.register(&target, "orders", "north-a");
+        let node = site.instance("one", "north-a", "north").await;
+        node.process.terminate();
+        let stopped = std::time::Instant::now();
+        let mut last = Duration::ZERO;
+        while stopped.elapsed() < Duration::from_millis(4500) {
+            let call = Call::new("r-1", "/status/1").key(KEY);
+            if call.exchange(node.front).await.is_ok() {
+                last = stopped.elapsed();
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert!(
+            last < Duration::from_secs(3),
+            "taken {last:?} after the signal"
+        );
+    });
+}
+
 #[test]
 fn an_instance_that_knows_no_configuration_refuses_and_says_so() {
     block_on(async {
