Tell the engineer on call how to get from a request's id to its cause

The lines of an answer name the place that was chosen with what that rested on: expected time, the record's revision and age. A lost link has its line. Found while writing it: a request whose account the other region no longer knows went to five instances one after another (608 ms); it is refused at the first such answer now.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -177,6 +177,13 @@
             "forward without an answer"
         );
         match failure {
+            // The other instance has another catalog, and others there likely
+            // have it too.
+            Failure::Refused(refusal, _)
+                if matches!(refusal.step, Step::Authenticate | Step::Route) =>
+            {
+                Forwarded::Refused(req.refuse_as_sibling(refusal))
+            }
             Failure::Refused(refusal, ran) => match req.retract(&refusal) {
                 // It came to a target there, so the next one is a retry.
                 Ok(_) if refusal.step == Step::Dispatch && !self.may_retry(job) => {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -101,6 +101,17 @@
 struct Found {
     route: Option<Route>,
     account: Option<Account>,
+    place: Option<FoundPlace>,
+    places: u32,
+}
+
+/// The last place that a request was given, and what that rested on.
+#[derive(Debug)]
+struct FoundPlace {
+    peer: Peer,
+    expected: Duration,
+    revision: u64,
+    record_age: Duration,
 }
 
 impl Found {
@@ -111,6 +122,47 @@
     fn account(&self) -> &str {
         self.account.as_ref().map_or("", Account::as_str)
     }
+
+    fn peer(&self) -> String {
+        let place = self.place.as_ref();
+        place.map_or(String::new(), |place| place.peer.to_string())
+    }
+
+    fn expected_ms(&self) -> u64 {
+        let place = self.place.as_ref();
+        place.map_or(0, |place| place.expected.as_millis() as u64)
+    }
+
+    fn revision(&self) -> u64 {
+        self.place.as_ref().map_or(0, |place| place.revision)
+    }
+
+    fn record_age_ms(&self) -> u64 {
+        let place = self.place.as_ref();
+        place.map_or(0, |place| place.record_age.as_millis() as u64)
+    }
+
+    /// Notes where a request goes next.
+    fn placed<D>(&mut self, next: &Next<D>, now: Duration)
+    where
+        D: Dialect,
+    {
+        self.places += 1;
+        self.place = Some(match next {
+            Next::Here(placed) => FoundPlace {
+                peer: Peer::Target(placed.0.target().clone()),
+                expected: placed.1.expected(),
+                revision: placed.2.revision,
+                record_age: now.saturating_sub(placed.2.learned),
+            },
+            Next::Away(req) => FoundPlace {
+                peer: Peer::Sibling(req.instance().clone()),
+                expected: Duration::ZERO,
+                revision: 0,
+                record_age: Duration::ZERO,
+            },
+        });
+    }
 }
 
 impl<D> Gateway<D>
@@ -145,6 +197,11 @@
                         route = found.route(),
                         account = found.account(),
                         status = reply.status.as_u16(),
+                        peer = found.peer(),
+                        places = found.places,
+                        expected_ms = found.expected_ms(),
+                        record = found.revision(),
+                        record_age_ms = found.record_age_ms(),
                         took_ms = took.as_millis() as u64,
                         catalog = version;
                         "answered"
@@ -164,6 +221,7 @@
                     ran = refusal.outcome.as_str(),
                     step = refusal.step.as_str(),
                     peer:% = refusal.peer,
+                    places = found.places,
                     retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64,
                     took_ms = took.as_millis() as u64,
                     catalog = version,
@@ -232,7 +290,7 @@
             stream: terms.route.kind.is_stream(),
             last_event_id: inbound.last_event_id,
         };
-        let handled = self.run(req, job, out).await;
+        let handled = self.run(req, job, out, found).await;
         if let (Err(refusal), Some(account)) = (&handled, &account)
             && refusal.outcome == Outcome::NotRun
         {
@@ -246,6 +304,7 @@
         mut req: Request<Admitted, Direct>,
         mut job: Job,
         out: Outbound,
+        found: &mut Found,
     ) -> Handled {
         let mut last: Option<Setback> = None;
         for _ in 0..MAX_PLACES {
@@ -253,6 +312,7 @@
                 Ok(next) => next,
                 Err(refusal) => return more_telling(refusal, last),
             };
+            found.placed(&next, self.clock.now());
             req = match next {
                 Next::Here(placed) => match self.attempt(*placed, &mut job, &out).await {
                     Tried::Answered(answered) => return Ok(self.reply(job, out, *answered)),
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -82,6 +82,12 @@
                 Some(Slot::Up(link, process)) => link.is_lost() || *process != record.incarnation,
                 Some(Slot::Failed(at)) => now >= *at + RETRY_PAUSE,
             };
+            if let Some(Slot::Up(link, _)) = slots.get(&record.instance)
+                && is_due
+            {
+                let was = link.peer().instance.as_str();
+                log::info!(target: "links", dependency = "sibling", instance = was; "link is lost");
+            }
             if is_due {
                 slots.insert(record.instance.clone(), Slot::Dialing);
                 to_dial.push(record);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -127,6 +127,24 @@
         }
     }
 
+    /// Shows every metric, those too that have counted nothing yet.
+    pub fn show_all(&self) {
+        for counter in [
+            &self.requests,
+            &self.attempts,
+            &self.connections,
+            &self.sibling_refusals,
+        ] {
+            counter.with_label_values(&["none"]);
+        }
+        self.refusals.with_label_values(&["none", "none"]);
+        self.store_calls.with_label_values(&["none", "none"]);
+        self.forwards.with_label_values::<&str>(&[]);
+        for histogram in [&self.first_byte, &self.streams, &self.store] {
+            histogram.with_label_values(&["none"]);
+        }
+    }
+
     /// Writes all metrics as text.
     pub fn text(&self) -> String {
         if let Some(counts) = self.log_counts.get() {
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -2,6 +2,7 @@
 
 mod decode;
 mod names;
+mod operations;
 mod path;
 mod settings;
 mod store;
