Let a request at the start wait for the first listings

In the first two seconds a request waits up to 0.6 s. Later an instance without a catalog refuses at once, as before.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -43,6 +43,12 @@
 /// Time after which an instance that knows no catalog may know one.
 const NO_CATALOG_RETRY: Duration = Duration::from_millis(500);
 
+/// Time after the start in which the first listings are on their way.
+const STARTING: Duration = Duration::from_secs(2);
+
+/// Time for which a request waits for them.
+const START_WAIT: Duration = Duration::from_millis(600);
+
 /// Largest rank among the requests of a target.
 pub(crate) const LAST_PRIORITY: u8 = 9;
 
@@ -178,6 +184,9 @@
         let received = self.clock.now();
         let (id, patience) = (inbound.id.clone(), inbound.patience);
         let _open = self.requests.token();
+        if received < STARTING && !self.is_ready() {
+            self.members.started(START_WAIT).await;
+        }
         let current = self.beliefs.current();
         let version = current.as_ref().map_or(0, |c| c.catalog.version);
         let mut found = Found::default();
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -134,6 +134,15 @@
         self.own.borrow().state
     }
 
+    /// Waits until this instance takes requests, for at most `time`.
+    pub(crate) async fn started(&self, time: Duration) {
+        let mut own = self.own.subscribe();
+        let started = own.wait_for(|own| own.state != MemberState::Starting);
+        if tokio::time::timeout(time, started).await.is_err() {
+            log::debug!(target: "members", "not started in time");
+        }
+    }
+
     /// Changes how far this instance is in its life.
     pub(crate) fn advance(&self, state: MemberState) {
         self.own.send_if_modified(|own| {
--- a/tests/testsuite/node/path.rs
+++ b/tests/testsuite/node/path.rs
@@ -392,6 +392,29 @@
     });
 }
 
+/// Pattern: all instances start at once while callers keep coming.
+#[test]
+fn a_request_at_the_start_waits_for_the_first_listings() {
+    block_on(async {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-1").await;
+        site.register(&target, "orders", "north-a");
+        site.store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
+        let node = site.spawn("one", "north-a", "north");
+        until("the instance listens", async || {
+            call::get(node.ready, "/v1/ready").await.is_ok()
+        })
+        .await;
+        let call = Call::new("r-1", "/status/1").key(KEY);
+        let returning = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            site.store.refuse(None);
+        };
+        let (got, ()) = tokio::join!(call.send(node.front), returning);
+        assert_eq!(got.status, StatusCode::OK, "{got:?}");
+    });
+}
+
 #[test]
 fn the_directory_drops_an_instance_that_was_killed() {
     block_on(async {
