--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -143,10 +143,11 @@
         found.map(Arc::clone)
     }
 
-    /// Tells whether the requests of every route of a host may run in a region.
-    pub fn may_run_in(&self, host: &str, region: &Region) -> bool {
+    /// Counts the routes of a host whose requests may not run in a region.
+    pub fn count_barred(&self, host: &str, region: &Region) -> usize {
         let routes = self.routes.get(host).map_or(&[][..], Vec::as_slice);
-        routes.iter().all(|route| route.residency.allows(region))
+        let barred = routes.iter().filter(|r| !r.residency.allows(region));
+        barred.count()
     }
 
     /// Finds a pool.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -158,12 +158,12 @@
     /// Lists where a caller of a zone may connect that asks for a host.
     pub fn directory(&self, host: &str, zone: &Zone, region: &Region) -> Vec<SocketAddr> {
         let current = self.beliefs.current();
-        let is_home = |region: &Region| {
+        let barred = |region: &Region| {
             let catalog = current.as_ref().map(|c| &c.catalog);
-            catalog.is_some_and(|catalog| catalog.may_run_in(host, region))
+            catalog.map_or(0, |catalog| catalog.count_barred(host, region))
         };
         let now = self.clock.now();
-        self.members.directory(zone, region, is_home, now)
+        self.members.directory(zone, region, barred, now)
     }
 
     /// Takes something that the store tells, as of a revision.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -276,17 +276,17 @@
     }
 
     /// Lists where a caller of a zone may connect: ready instances of its
-    /// zone, else of its region, else of regions in which the caller's
-    /// requests may run, else of others.
+    /// zone, else of its region, else of the regions that bar the fewest of
+    /// the routes that it may ask for.
     pub(crate) fn directory<F>(
         &self,
         zone: &Zone,
         region: &Region,
-        is_home: F,
+        barred: F,
         now: Duration,
     ) -> Vec<SocketAddr>
     where
-        F: Fn(&Region) -> bool,
+        F: Fn(&Region) -> usize,
     {
         let own = self.own.borrow().clone();
         let state = self.state.lock();
@@ -299,10 +299,9 @@
             if record.zone == *zone {
                 return 0;
             }
-            match (record.region == *region, is_home(&record.region)) {
-                (true, _) => 1,
-                (false, true) => 2,
-                (false, false) => 3,
+            match record.region == *region {
+                true => 1,
+                false => 2 + barred(&record.region),
             }
         };
         let nearest = ready.iter().map(|record| distance(record)).min();
--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -75,6 +75,7 @@
 [zones]
 north-a = "north"
 south-a = "south"
+west-a = "west"
 [listen]
 front = "{ip}:8221"
 ready = "{ip}:8224"
--- a/tests/testsuite/catalog.rs
+++ b/tests/testsuite/catalog.rs
@@ -108,10 +108,11 @@
 }
 
 #[test]
-fn a_host_may_run_where_all_of_its_routes_may() {
+fn a_region_bars_the_routes_that_are_bound_to_others() {
     let catalog = catalog(1);
-    assert!(catalog.may_run_in("desk.example", &"north".into()));
-    assert!(!catalog.may_run_in("desk.example", &"south".into()));
+    assert_eq!(catalog.count_barred("desk.example", &"north".into()), 0);
+    assert_eq!(catalog.count_barred("desk.example", &"south".into()), 1);
+    assert_eq!(catalog.count_barred("other.example", &"south".into()), 0);
 }
 
 #[test]
--- a/tests/testsuite/node/path.rs
+++ b/tests/testsuite/node/path.rs
@@ -445,6 +445,30 @@
     });
 }
 
+/// Found on a day on which both instances of a region were being stopped.
+#[test]
+fn a_region_without_an_instance_is_sent_where_most_routes_may_run() {
+    block_on(async {
+        let site = Site::start().await;
+        let mut bound = configuration(5);
+        bound["routes"][0]["allowed_regions"] = json!(["north", "west"]);
+        bound["routes"][2]["allowed_regions"] = json!(["north", "south"]);
+        bound["routes"][3]["allowed_regions"] = json!(["north", "south"]);
+        site.store.put("op/config", &bound);
+        let south = site.instance("south-one", "south-a", "south").await;
+        let west = site.instance("west-one", "west-a", "west").await;
+        for asked in [&south, &west] {
+            let path = "/v1/resolve?name=desk.example&region=north&zone=north-a";
+            until("only the south is named", async || {
+                let got = call::get(asked.directory, path).await.expect("an answer");
+                got.body.contains(&south.front.to_string())
+                    && !got.body.contains(&west.front.to_string())
+            })
+            .await;
+        }
+    });
+}
+
 #[test]
 fn metrics_count_answers_and_refusals() {
     block_on(async {
