--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -38,11 +38,11 @@
 pub use meter::Meter;
 
 /// Time without a word after which another instance's counts are dropped.
-const COUNTS_LIFE: Duration = Duration::from_secs(3);
+const COUNTS_LIFE: Duration = Duration::from_secs(5);
 
 /// Time until the instances of another region have told of a request that was
 /// sent there.
-const UNCOUNTED: Duration = Duration::from_millis(400);
+const UNCOUNTED: Duration = Duration::from_millis(800);
 
 /// Window in which a cold target's requests are counted.
 const COLD_WINDOW: Duration = Duration::from_millis(1030);
--- a/crates/gateway/src/charge.rs
+++ b/crates/gateway/src/charge.rs
@@ -15,6 +15,7 @@
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_sibling::Message;
+use futures_util::future::join_all;
 
 use crate::Dialect;
 use crate::Gateway;
@@ -22,11 +23,11 @@
 /// Time after which a client account that can never have enough may have more.
 const NEVER_RETRY: Duration = Duration::from_secs(2);
 
-/// Instances of the own region that are asked for one request.
-const NEAR_LENDERS: usize = 3;
+/// Instances of the own region, or of others, that are asked for one request.
+const MAX_LENDERS: usize = 16;
 
-/// Instances of other regions that are asked for one request.
-const FAR_LENDERS: usize = 2;
+/// Factor on what is asked for.
+const SPARE: f64 = 1.25;
 
 /// Time for an instance to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -59,14 +60,12 @@
         let Err(mut lacking) = self.take_tokens(account, tokens) else {
             return Ok(());
         };
-        for lender in self.lenders(&account.name) {
-            let asked = Gift {
-                account: account.name.clone(),
-                tokens: lacking.missing as f32 + 1.0,
-            };
-            if !self.borrow(&lender, asked).await {
-                continue;
-            }
+        for group in self.lenders(&account.name, lacking.missing) {
+            let asks = group.into_iter().map(|(lender, tokens)| {
+                let account = account.name.clone();
+                self.borrow(lender, Gift { account, tokens })
+            });
+            join_all(asks).await;
             match self.take_tokens(account, tokens) {
                 Ok(()) => return Ok(()),
                 Err(still) => lacking = still,
@@ -92,35 +91,53 @@
         self.allowances.take(account, tokens, divisor, now)
     }
 
-    /// Lists the instances to ask, the nearest first.
-    fn lenders(&self, account: &Account) -> Vec<Instance> {
+    /// Lists the instances to ask and for how much: a group of the own region,
+    /// then one of others. Each group said that it has enough, if it can.
+    fn lenders(&self, account: &Account, missing: f64) -> [Vec<(Instance, f32)>; 2] {
         let now = self.clock.now();
         let near = self.members.ready_in(&self.settings.region, now);
         let lenders = self.allowances.lenders(account, now);
         let (near, far): (Vec<_>, Vec<_>) = lenders
             .into_iter()
-            .map(|(name, _)| name)
-            .partition(|name| near.contains(name));
-        let near = near.into_iter().take(NEAR_LENDERS);
-        near.chain(far.into_iter().take(FAR_LENDERS)).collect()
+            .partition(|(name, _)| near.contains(name));
+        [enough(near, missing), enough(far, missing)]
     }
 
-    /// Asks an instance for tokens; true if it gave some.
-    async fn borrow(&self, lender: &Instance, asked: Gift) -> bool {
-        let Some(link) = self.links.get(lender) else {
-            return false;
+    /// Asks an instance for tokens.
+    async fn borrow(&self, lender: Instance, asked: Gift) {
+        let Some(link) = self.links.get(&lender) else {
+            return;
         };
         let asking = link.ask(Stamp::default(), Message::AskTokens(asked));
-        let Ok(Ok(envelope)) = tokio::time::timeout(ASK_TIMEOUT, asking).await else {
-            return false;
-        };
-        let Message::Tokens(gift) = envelope.message else {
-            return false;
-        };
-        let gave = gift.tokens > 0.0;
-        self.allowances.receive(vec![gift], self.clock.now());
-        gave
+        let answer = tokio::time::timeout(ASK_TIMEOUT, asking).await;
+        match answer {
+            Ok(Ok(envelope)) => {
+                if let Message::Tokens(gift) = envelope.message {
+                    self.allowances.receive(vec![gift], self.clock.now());
+                }
+            }
+            Ok(Err(e)) => log::debug!(target: "limits", error:% = e; "no loan"),
+            Err(_) => {
+                log::debug!(target: "limits", instance = lender.as_str(); "no loan in time");
+            }
+        }
+    }
+}
+
+/// Takes lenders until they have what is missing with something to spare, as
+/// what they said is not new. Those with most come first.
+fn enough(lenders: Vec<(Instance, f32)>, missing: f64) -> Vec<(Instance, f32)> {
+    let mut wanted = missing * SPARE + 1.0;
+    let mut asked = Vec::new();
+    for (name, level) in lenders.into_iter().take(MAX_LENDERS) {
+        if wanted <= 0.0 {
+            break;
+        }
+        let tokens = f64::from(level).min(wanted);
+        wanted -= tokens;
+        asked.push((name, tokens as f32));
     }
+    asked
 }
 
 fn over_limit(account: &AccountTerms, id: &RequestId, tokens: u64, lacking: &Lacking) -> Refusal {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::traffic::PartUse;
 use chiverelay_sibling::Identity;
 use chiverelay_sibling::Message;
 use chiverelay_sibling::Status;
@@ -21,11 +22,23 @@
 const FEW: u32 = 8;
 
 /// Longest time between two statuses.
-const MAX_INTERVAL: Duration = Duration::from_millis(1000);
+const MAX_INTERVAL: Duration = Duration::from_millis(600);
 
-fn interval(others: usize) -> Duration {
-    let others = u32::try_from(others).unwrap_or(u32::MAX);
-    (INTERVAL * others.max(FEW) / FEW).min(MAX_INTERVAL)
+/// Statuses to the own region for each that goes to other regions, whose links
+/// are slow and shared.
+const FAR_EVERY: u64 = 3;
+
+/// Statuses to other regions for each that says what is left of the accounts'
+/// limits.
+const FAR_PARTS_EVERY: u64 = 3;
+
+/// Parts of prompts of which other regions are told at once.
+const MAX_FAR_USES: usize = 256;
+
+/// Returns the time between two statuses to so many instances of the region.
+fn interval(near: usize) -> Duration {
+    let near = u32::try_from(near).unwrap_or(u32::MAX);
+    (INTERVAL * near.max(FEW) / FEW).min(MAX_INTERVAL)
 }
 
 /// Keeps links to the others and tells them this instance's status.
@@ -34,10 +47,12 @@
     D: Dialect,
 {
     let mut sequence = 0;
+    let mut far_uses = Vec::new();
     let telling = async {
         loop {
             let others = gateway.members.others();
-            let pause = interval(others.len());
+            let here = &gateway.settings.region;
+            let pause = interval(others.iter().filter(|r| r.region == *here).count());
             let now = gateway.clock.now();
             gateway.expire(now);
             for record in gateway.links.start_dialing(others, now) {
@@ -45,7 +60,7 @@
                 tokio::spawn(async move { gateway.links.dial(&record, now).await });
             }
             sequence += 1;
-            gateway.tell_all(sequence, now).await;
+            gateway.tell_all(sequence, &mut far_uses, now).await;
             tokio::time::sleep(pause).await;
         }
     };
@@ -64,23 +79,43 @@
         }
     }
 
-    async fn tell_all(&self, sequence: u64, now: Duration) {
+    async fn tell_all(&self, sequence: u64, far_uses: &mut Vec<PartUse>, now: Duration) {
         let links = self.links.open();
         if links.is_empty() {
             return;
         }
         let mut gifts = self.allowances.give(now);
         let status = self.own_status(sequence, now);
+        let is_far_turn = sequence.is_multiple_of(FAR_EVERY);
+        let room = MAX_FAR_USES.saturating_sub(far_uses.len());
+        far_uses.extend(status.uses.iter().take(room).cloned());
         for link in links {
             let gifts = gifts.remove(&link.peer().instance).unwrap_or_default();
-            let status = Status {
+            let is_far = link.peer().region != self.settings.region;
+            if is_far && gifts.is_empty() && !is_far_turn {
+                continue;
+            }
+            let mut status = Status {
                 gifts,
                 ..status.clone()
             };
+            if is_far {
+                status.uses = if is_far_turn {
+                    far_uses.clone()
+                } else {
+                    Vec::new()
+                };
+            }
+            if is_far && !(sequence / FAR_EVERY).is_multiple_of(FAR_PARTS_EVERY) {
+                status.parts.clear();
+            }
             if let Err(e) = link.tell(Message::Status(status)).await {
                 log::debug!(target: "links", error:% = e; "status not sent");
             }
         }
+        if is_far_turn {
+            far_uses.clear();
+        }
     }
 
     fn own_status(&self, sequence: u64, now: Duration) -> Status {
@@ -111,7 +146,9 @@
         traffic.tell(name, status.counts, now);
         traffic.tell_uses(status.uses, now);
         drop(traffic);
-        self.allowances.tell(name, status.parts, now);
+        if !status.parts.is_empty() {
+            self.allowances.tell(name, status.parts, now);
+        }
         self.allowances.receive(status.gifts, now);
     }
 }
