--- a/crates/gateway/src/allowances.rs
+++ b/crates/gateway/src/allowances.rs
@@ -17,7 +17,7 @@
 use chiverelay_sibling::AccountPart;
 
 /// Time after which what an instance said of its parts is of no use.
-const TOLD_LIFE: Duration = Duration::from_secs(6);
+const TOLD_LIFE: Duration = Duration::from_secs(15);
 
 #[derive(Debug, Default)]
 struct State {
--- a/crates/gateway/src/charge.rs
+++ b/crates/gateway/src/charge.rs
@@ -1,6 +1,7 @@
 //! Charges a client account, with tokens of other instances if the own part is
 //! short of them.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use chiverelay_decisions::allowance::Gift;
@@ -23,8 +24,14 @@
 /// Time after which a client account that can never have enough may have more.
 const NEVER_RETRY: Duration = Duration::from_secs(2);
 
-/// Instances of the own region, or of others, that are asked for one request.
-const MAX_LENDERS: usize = 16;
+/// Instances that are asked at once for one request.
+const MAX_LENDERS: usize = 12;
+
+/// Rounds of asking for one request.
+const ROUNDS: usize = 5;
+
+/// The first rounds, which ask instances of the own region.
+const NEAR_ROUNDS: usize = 3;
 
 /// Factor on what is asked for.
 const SPARE: f64 = 1.25;
@@ -60,8 +67,15 @@
         let Err(mut lacking) = self.take_tokens(account, tokens) else {
             return Ok(());
         };
-        for group in self.lenders(&account.name, lacking.missing) {
-            let asks = group.into_iter().map(|(lender, tokens)| {
+        let mut asked = HashSet::new();
+        for round in 0..ROUNDS {
+            let is_near = round < NEAR_ROUNDS;
+            let lenders = self.lenders(&account.name, is_near, &asked, lacking.missing);
+            if lenders.is_empty() {
+                continue;
+            }
+            asked.extend(lenders.iter().map(|(lender, _)| lender.clone()));
+            let asks = lenders.into_iter().map(|(lender, tokens)| {
                 let account = account.name.clone();
                 self.borrow(lender, Gift { account, tokens })
             });
@@ -91,16 +105,20 @@
         self.allowances.take(account, tokens, divisor, now)
     }
 
-    /// Lists the instances to ask and for how much: a group of the own region,
-    /// then one of others. Each group said that it has enough, if it can.
-    fn lenders(&self, account: &Account, missing: f64) -> [Vec<(Instance, f32)>; 2] {
+    /// Lists instances of the own region, or of others, that said they have
+    /// tokens and were not asked yet, and how many to ask each for.
+    fn lenders(
+        &self,
+        account: &Account,
+        is_near: bool,
+        asked: &HashSet<Instance>,
+        missing: f64,
+    ) -> Vec<(Instance, f32)> {
         let now = self.clock.now();
         let near = self.members.ready_in(&self.settings.region, now);
-        let lenders = self.allowances.lenders(account, now);
-        let (near, far): (Vec<_>, Vec<_>) = lenders
-            .into_iter()
-            .partition(|(name, _)| near.contains(name));
-        [enough(near, missing), enough(far, missing)]
+        let mut lenders = self.allowances.lenders(account, now);
+        lenders.retain(|(name, _)| near.contains(name) == is_near && !asked.contains(name));
+        enough(lenders, missing)
     }
 
     /// Asks an instance for tokens.
