--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -15,12 +15,11 @@
 use chiverelay_sibling::Frame;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
+use chiverelay_sibling::read_headers;
+use chiverelay_sibling::write_headers;
 use chiverelay_target::Outbound;
 use chiverelay_target::headers;
-use hyper::HeaderMap;
 use hyper::StatusCode;
-use hyper::header::HeaderName;
-use hyper::header::HeaderValue;
 
 use crate::keys;
 use crate::keys::Under;
@@ -193,22 +192,3 @@
         }
     }
 }
-
-/// Writes headers as they go between siblings.
-pub(crate) fn write_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
-    headers
-        .iter()
-        .map(|(k, v)| (k.as_str().to_owned(), v.as_bytes().to_vec()))
-        .collect()
-}
-
-/// Reads headers as they come from siblings.
-pub(crate) fn read_headers(headers: &[(String, Vec<u8>)]) -> HeaderMap {
-    headers
-        .iter()
-        .filter_map(|(k, v)| {
-            let name = HeaderName::from_bytes(k.as_bytes()).ok()?;
-            Some((name, HeaderValue::from_bytes(v).ok()?))
-        })
-        .collect()
-}
--- a/crates/chiverelayd/src/once.rs
+++ b/crates/chiverelayd/src/once.rs
@@ -17,7 +17,6 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
-use crate::forward;
 use crate::operations;
 use crate::operations::Claimed;
 use crate::operations::Mark;
@@ -27,7 +26,7 @@
 const REPLAYED: HeaderName = HeaderName::from_static("idempotent-replayed");
 
 fn replay(recorded: Recorded) -> Reply {
-    let mut headers = forward::read_headers(&recorded.headers);
+    let mut headers = chiverelay_sibling::read_headers(&recorded.headers);
     headers.insert(REPLAYED, HeaderValue::from_static("true"));
     Reply {
         status: StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::BAD_GATEWAY),
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -37,7 +37,6 @@
 
 use crate::dispatch;
 use crate::dispatch::Attempt;
-use crate::forward;
 use crate::forward::Forwarded;
 use crate::keys;
 use crate::operations;
@@ -77,7 +76,7 @@
     fn record(&self) -> Recorded {
         Recorded {
             status: self.status.as_u16(),
-            headers: forward::write_headers(&self.headers),
+            headers: chiverelay_sibling::write_headers(&self.headers),
             body: Vec::new(),
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,10 +19,10 @@
 use chiverelay_sibling::Frame;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
+use chiverelay_sibling::read_headers;
+use chiverelay_sibling::write_headers;
 use hyper::HeaderMap;
 use hyper::StatusCode;
-use hyper::header::HeaderName;
-use hyper::header::HeaderValue;
 
 use crate::Dialect;
 use crate::Gateway;
@@ -30,8 +30,9 @@
 use crate::Reply;
 use crate::ReplyBody;
 use crate::dispatch::Setback;
+use crate::far_relay::FarRelay;
 use crate::place::Job;
-use crate::relay::FarRelay;
+use crate::relay::Source;
 
 /// What became of a forward.
 pub(crate) enum Forwarded {
@@ -271,18 +272,3 @@
         body: out.body.to_vec(),
     }
 }
-
-/// Writes headers as they go between instances.
-pub(crate) fn write_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
-    let pair = |(k, v): (&HeaderName, &HeaderValue)| (k.as_str().to_owned(), v.as_bytes().to_vec());
-    headers.iter().map(pair).collect()
-}
-
-/// Reads headers as they come from instances.
-pub(crate) fn read_headers(headers: &[(String, Vec<u8>)]) -> HeaderMap {
-    let pair = |(k, v): &(String, Vec<u8>)| {
-        let name = HeaderName::from_bytes(k.as_bytes()).ok()?;
-        Some((name, HeaderValue::from_bytes(v).ok()?))
-    };
-    headers.iter().filter_map(pair).collect()
-}
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -7,8 +7,6 @@
 use chiverelay_decisions::catalog::Current;
 use chiverelay_decisions::catalog::NotCovered;
 use chiverelay_decisions::catalog::Terms;
-use chiverelay_decisions::names::Account;
-use chiverelay_decisions::names::Route;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Outcome;
 use chiverelay_decisions::refusal::Refusal;
@@ -32,10 +30,12 @@
 use crate::dispatch::Setback;
 use crate::dispatch::Tried;
 use crate::forward::Forwarded;
+use crate::found::Found;
 use crate::message::Handled;
 use crate::place::Job;
 use crate::place::Next;
 use crate::relay::Relay;
+use crate::relay::Source;
 
 /// Places that one request is tried at, those included that did not run it.
 const MAX_PLACES: usize = 5;
@@ -102,75 +102,6 @@
     Refusal::before_dispatch(code, step, Peer::Local)
 }
 
-/// What was found of a request, for its log line.
-#[derive(Debug, Default)]
-struct Found {
-    route: Option<Route>,
-    account: Option<Account>,
-    place: Option<FoundPlace>,
-    places: u32,
-}
-
-/// The last place that a request was given, and what that rested on.
-#[derive(Debug)]
-struct FoundPlace {
-    peer: Peer,
-    expected: Duration,
-    revision: u64,
-    record_age: Duration,
-}
-
-impl Found {
-    fn route(&self) -> &str {
-        self.route.as_ref().map_or("", Route::as_str)
-    }
-
-    fn account(&self) -> &str {
-        self.account.as_ref().map_or("", Account::as_str)
-    }
-
-    fn peer(&self) -> String {
-        let place = self.place.as_ref();
-        place.map_or(String::new(), |place| place.peer.to_string())
-    }
-
-    fn expected_ms(&self) -> u64 {
-        let place = self.place.as_ref();
-        place.map_or(0, |place| place.expected.as_millis() as u64)
-    }
-
-    fn revision(&self) -> u64 {
-        self.place.as_ref().map_or(0, |place| place.revision)
-    }
-
-    fn record_age_ms(&self) -> u64 {
-        let place = self.place.as_ref();
-        place.map_or(0, |place| place.record_age.as_millis() as u64)
-    }
-
-    /// Notes where a request goes next.
-    fn placed<D>(&mut self, next: &Next<D>, now: Duration)
-    where
-        D: Dialect,
-    {
-        self.places += 1;
-        self.place = Some(match next {
-            Next::Here(placed) => FoundPlace {
-                peer: Peer::Target(placed.0.target().clone()),
-                expected: placed.1.expected(),
-                revision: placed.2.revision,
-                record_age: now.saturating_sub(placed.2.learned),
-            },
-            Next::Away(req) => FoundPlace {
-                peer: Peer::Sibling(req.instance().clone()),
-                expected: Duration::ZERO,
-                revision: 0,
-                record_age: Duration::ZERO,
-            },
-        });
-    }
-}
-
 impl<D> Gateway<D>
 where
     D: Dialect,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,15 +1,12 @@
 //! Passes an answer on as it comes, and goes on with a cut stream elsewhere.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use chiverelay_decisions::names::RequestId;
-use chiverelay_decisions::request::Dispatched;
-use chiverelay_decisions::request::Request;
 use chiverelay_decisions::traffic::Ended;
-use chiverelay_sibling::Frame;
-use chiverelay_target::kept::Answer;
 use futures_util::stream;
 use thiserror::Error as ThisError;
 use tokio_util::task::task_tracker::TaskTrackerToken;
@@ -17,11 +14,9 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::Outbound;
-use crate::answer::Beginning;
 use crate::dispatch::Answered;
 use crate::dispatch::Tried;
 use crate::message::Pieces;
-use crate::place::Held;
 use crate::place::Job;
 
 /// Tries at going on with one cut stream.
@@ -34,7 +29,13 @@
 const STALL_PAUSES: u32 = 5;
 
 /// Outcome of a stream that came to its end.
-const WHOLE: &str = "whole";
+pub(crate) const WHOLE: &str = "whole";
+
+/// Outcome of a stream that broke off.
+pub(crate) const BROKEN_OFF: &str = "broken off";
+
+/// Outcome of a stream whose caller left.
+pub(crate) const CALLER_LEFT: &str = "caller left";
 
 /// The rest of an answer never comes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,6 +53,21 @@
     }
 }
 
+/// Where the pieces of an answer come from.
+pub(crate) trait Source: Send + Sized + 'static {
+    /// Returns the next piece; `None` after the whole answer.
+    fn next(&mut self) -> impl Future<Output = Option<Result<Bytes, Broken>>> + Send;
+
+    /// Turns the rest of the answer into a stream of pieces.
+    fn pieces(self) -> Pieces {
+        let next = |mut source: Self| async move {
+            let piece = source.next().await?;
+            Some((piece, source))
+        };
+        Box::pin(stream::unfold(self, next))
+    }
+}
+
 /// An answer of a target of this region on its way.
 ///
 /// # Invariants
@@ -64,23 +80,13 @@
     gateway: Arc<Gateway<D>>,
     job: Job,
     out: Outbound,
-    live: Option<Live<D, O>>,
+    live: Option<Answered<D, O>>,
     first: Bytes,
     started: Duration,
     outcome: &'static str,
     _open: TaskTrackerToken,
 }
 
-struct Live<D, O>
-where
-    D: Dialect,
-{
-    req: Request<Dispatched, O>,
-    held: Held<D>,
-    answer: Answer,
-    beginning: Beginning,
-}
-
 impl<D, O> Relay<D, O>
 where
     D: Dialect,
@@ -90,68 +96,18 @@
         gateway: Arc<Gateway<D>>,
         job: Job,
         out: Outbound,
-        answered: Answered<D, O>,
+        mut answered: Answered<D, O>,
     ) -> Self {
-        let Answered {
-            req,
-            held,
-            answer,
-            mut beginning,
-        } = answered;
-        let first = std::mem::take(&mut beginning.data);
+        let first = std::mem::take(&mut answered.beginning.data);
         Self {
-            started: req.head().received,
+            started: answered.req.head().received,
             _open: gateway.requests.token(),
             gateway,
             job,
             out,
-            live: Some(Live {
-                req,
-                held,
-                answer,
-                beginning,
-            }),
+            live: Some(answered),
             first,
-            outcome: "caller left",
-        }
-    }
-
-    /// Turns the rest of the answer into a stream of pieces.
-    pub(crate) fn pieces(self) -> Pieces {
-        let next = |mut relay: Self| async move {
-            let piece = relay.next().await?;
-            Some((piece, relay))
-        };
-        Box::pin(stream::unfold(self, next))
-    }
-
-    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
-        if !self.first.is_empty() {
-            return Some(Ok(std::mem::take(&mut self.first)));
-        }
-        loop {
-            let live = self.live.as_mut()?;
-            if live.beginning.whole {
-                self.finish();
-                return None;
-            }
-            match self.piece().await {
-                Ok(Some(data)) if data.is_empty() => {}
-                Ok(Some(data)) => return Some(Ok(data)),
-                Ok(None) => {
-                    self.finish();
-                    return None;
-                }
-                Err(broken) => {
-                    if let Err(broken) = self.resume(broken).await {
-                        self.outcome = "broken off";
-                        return Some(Err(broken));
-                    }
-                    if !self.first.is_empty() {
-                        return Some(Ok(std::mem::take(&mut self.first)));
-                    }
-                }
-            }
+            outcome: CALLER_LEFT,
         }
     }
 
@@ -237,20 +193,45 @@
         Err(broken)
     }
 
-    fn adopt(&mut self, answered: Answered<D, O>) {
-        let Answered {
-            req,
-            held,
-            answer,
-            mut beginning,
-        } = answered;
-        self.first = std::mem::take(&mut beginning.data);
-        self.live = Some(Live {
-            req,
-            held,
-            answer,
-            beginning,
-        });
+    fn adopt(&mut self, mut answered: Answered<D, O>) {
+        self.first = std::mem::take(&mut answered.beginning.data);
+        self.live = Some(answered);
+    }
+}
+
+impl<D, O> Source for Relay<D, O>
+where
+    D: Dialect,
+    O: Send + 'static,
+{
+    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        if !self.first.is_empty() {
+            return Some(Ok(std::mem::take(&mut self.first)));
+        }
+        loop {
+            let live = self.live.as_mut()?;
+            if live.beginning.whole {
+                self.finish();
+                return None;
+            }
+            match self.piece().await {
+                Ok(Some(data)) if data.is_empty() => {}
+                Ok(Some(data)) => return Some(Ok(data)),
+                Ok(None) => {
+                    self.finish();
+                    return None;
+                }
+                Err(broken) => {
+                    if let Err(broken) = self.resume(broken).await {
+                        self.outcome = BROKEN_OFF;
+                        return Some(Err(broken));
+                    }
+                    if !self.first.is_empty() {
+                        return Some(Ok(std::mem::take(&mut self.first)));
+                    }
+                }
+            }
+        }
     }
 }
 
@@ -263,8 +244,13 @@
     }
 }
 
-fn note_end<D>(gateway: &Gateway<D>, id: &RequestId, started: Duration, outcome: &'static str)
-where
+/// Notes the end of a stream.
+pub(crate) fn note_end<D>(
+    gateway: &Gateway<D>,
+    id: &RequestId,
+    started: Duration,
+    outcome: &'static str,
+) where
     D: Dialect,
 {
     let took = gateway.clock.now().saturating_sub(started);
@@ -280,82 +266,3 @@
         "stream ended"
     );
 }
-
-/// An answer that comes through another instance.
-pub(crate) struct FarRelay<D>
-where
-    D: Dialect,
-{
-    gateway: Arc<Gateway<D>>,
-    id: RequestId,
-    answer: Option<chiverelay_sibling::Answer>,
-    deadline: Duration,
-    started: Duration,
-    outcome: &'static str,
-    _open: TaskTrackerToken,
-}
-
-impl<D> FarRelay<D>
-where
-    D: Dialect,
-{
-    pub(crate) fn new(
-        gateway: Arc<Gateway<D>>,
-        req: &Request<Dispatched, chiverelay_decisions::request::Direct>,
-        answer: chiverelay_sibling::Answer,
-    ) -> Self {
-        Self {
-            _open: gateway.requests.token(),
-            gateway,
-            id: req.head().id.clone(),
-            answer: Some(answer),
-            deadline: req.head().deadline,
-            started: req.head().received,
-            outcome: "caller left",
-        }
-    }
-
-    /// Turns the rest of the answer into a stream of pieces.
-    pub(crate) fn pieces(self) -> Pieces {
-        let next = |mut relay: Self| async move {
-            let piece = relay.next().await?;
-            Some((piece, relay))
-        };
-        Box::pin(stream::unfold(self, next))
-    }
-
-    /// Returns the next piece; `None` after the whole answer.
-    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
-        let answer = self.answer.as_mut()?;
-        let left = self.deadline.saturating_sub(self.gateway.clock.now());
-        let frame = match tokio::time::timeout(left, answer.next()).await {
-            Ok(frame) => frame.map_err(Broken::new),
-            Err(_) => Err(Broken::new("timeout")),
-        };
-        let broken = match frame {
-            Ok(Frame::Data(data)) => return Some(Ok(data.into())),
-            Ok(Frame::End) => {
-                self.outcome = WHOLE;
-                self.answer = None;
-                return None;
-            }
-            Ok(Frame::Refused(refusal)) => Broken::new(refusal.code.as_str()),
-            Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Ran(_)) => {
-                Broken::new("a second head")
-            }
-            Err(broken) => broken,
-        };
-        self.answer = None;
-        self.outcome = "broken off";
-        Some(Err(broken))
-    }
-}
-
-impl<D> Drop for FarRelay<D>
-where
-    D: Dialect,
-{
-    fn drop(&mut self) {
-        note_end(&self.gateway, &self.id, self.started, self.outcome);
-    }
-}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -23,6 +23,8 @@
 use chiverelay_sibling::Message;
 use chiverelay_sibling::Refused;
 use chiverelay_sibling::VERSION;
+use chiverelay_sibling::read_headers;
+use chiverelay_sibling::write_headers;
 use futures_util::StreamExt;
 use hyper::header::HOST;
 
@@ -33,7 +35,6 @@
 use crate::ReplyBody;
 use crate::dispatch::Setback;
 use crate::dispatch::Tried;
-use crate::forward;
 use crate::intake;
 use crate::message::Handled;
 use crate::place::Job;
@@ -130,7 +131,7 @@
     } = reply;
     let head = Frame::Head {
         status: status.as_u16(),
-        headers: forward::write_headers(&headers),
+        headers: write_headers(&headers),
     };
     tx.send(&head).await?;
     let mut pieces = match body {
@@ -198,7 +199,7 @@
         let Some(current) = self.beliefs.current() else {
             return Err(refuse(Code::StateUnavailable, Step::Configure));
         };
-        let headers = forward::read_headers(&forward.headers);
+        let headers = read_headers(&forward.headers);
         let host = headers.get(HOST).and_then(|v| v.to_str().ok());
         let path = forward.path_and_query.split('?').next().unwrap_or_default();
         let route = current.catalog.find_route(host.unwrap_or_default(), path);
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -77,6 +77,30 @@
         .await
     }
 
+    /// Returns the next piece of an answer's body; `None` after its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off before its end.
+    pub(crate) async fn next_piece(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Error> {
+        loop {
+            match self.along(body.frame()).await {
+                None => return Ok(None),
+                Some(Err(e)) => {
+                    return Err(Error::Answer {
+                        target: self.target.clone(),
+                        reason: e.to_string(),
+                    });
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
     /// Carries what bytes there are.
     pub(crate) fn poll(&mut self, cx: &mut Context<'_>) {
         let Some(conn) = &mut self.conn else {
@@ -264,21 +288,6 @@
     ///
     /// Fails if the body breaks off before its stated end.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
-        loop {
-            match self.conn.driver.along(self.body.frame()).await {
-                None => return Ok(None),
-                Some(Err(e)) => {
-                    return Err(Error::Answer {
-                        target: self.conn.driver.target.clone(),
-                        reason: e.to_string(),
-                    });
-                }
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
-            }
-        }
+        self.conn.driver.next_piece(&mut self.body).await
     }
 }
--- a/crates/target/src/kept.rs
+++ b/crates/target/src/kept.rs
@@ -14,10 +14,8 @@
 
 use bytes::Bytes;
 use chiverelay_decisions::names::Target;
-use chiverelay_decisions::step::Step;
 use chiverelay_decisions::tables::Rank;
 use chiverelay_decisions::tables::Sharded;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -243,25 +241,9 @@
     ///
     /// Fails if the body breaks off before its end.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
-        loop {
-            match self.conn.driver.along(self.body.frame()).await {
-                None => {
-                    self.whole = true;
-                    return Ok(None);
-                }
-                Some(Err(e)) => {
-                    return Err(Error::Answer {
-                        target: self.conn.driver.target().clone(),
-                        reason: e.to_string(),
-                    });
-                }
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
-            }
-        }
+        let piece = self.conn.driver.next_piece(&mut self.body).await?;
+        self.whole = piece.is_none();
+        Ok(piece)
     }
 
     /// Keeps the connection for the next request, if the answer was read whole
@@ -306,11 +288,3 @@
         (timeout > 0).then(|| Duration::from_secs(timeout).mul_f64(USED_IDLE))
     }
 }
-
-/// Says at which step a request failed that was not answered in time.
-pub fn timeout(target: &Target, step: Step) -> Error {
-    Error::Timeout {
-        step,
-        target: target.clone(),
-    }
-}
