Start the desk of the path tests in one place

Four lines stood seven times, and a second target of the outcome cases was never used; the cases check the same statuses and arrivals as before.

--- a/tests/testsuite/node/path.rs
+++ b/tests/testsuite/node/path.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 use support::block_on;
 use support::node::Mode;
+use support::node::Node;
 use support::node::PlatformTarget;
 use support::node::Site;
 use support::node::call;
@@ -14,13 +15,19 @@
 use support::node::site::configuration;
 use support::node::site::until;
 
+/// Starts one instance before one target of the order desk.
+async fn desk() -> (Site, PlatformTarget, Node) {
+    let site = Site::start().await;
+    let target = PlatformTarget::start("i-1").await;
+    site.register(&target, "orders", "north-a");
+    let node = site.instance("one", "north-a", "north").await;
+    (site, target, node)
+}
+
 #[test]
 fn a_request_reaches_its_target_without_the_key() {
     block_on(async {
-        let site = Site::start().await;
-        let target = PlatformTarget::start("i-1").await;
-        site.register(&target, "orders", "north-a");
-        let node = site.instance("one", "north-a", "north").await;
+        let (_site, target, node) = desk().await;
         let call = Call::new("r-1", "/status/7?lang=es")
             .key(KEY)
             .header("tenant-id", "somebody-else")
@@ -54,54 +61,28 @@
 }
 
 /// Sends one request to a target in a mode and checks status and arrivals.
-fn check_outcome(path: &str, mode: Mode, status: u16, arrivals: usize, second_arrivals: usize) {
+fn check_outcome(path: &str, mode: Mode, status: u16, arrivals: usize) {
     block_on(async {
         let site = Site::start().await;
-        let service = if path.starts_with("/quote") || path.starts_with("/chat") {
-            "model"
-        } else {
-            "orders"
-        };
-        let first = PlatformTarget::start("i-1").await;
-        first.set(mode);
-        site.register(&first, service, "north-a");
+        let target = PlatformTarget::start("i-1").await;
+        target.set(mode);
+        let is_model = path.starts_with("/quote") || path.starts_with("/chat");
+        let service = if is_model { "model" } else { "orders" };
+        site.register(&target, service, "north-a");
         let node = site.instance("one", "north-a", "north").await;
-        let second = PlatformTarget::start("i-2").await;
-        second.set(Mode::Events(3));
-        if service == "orders" {
-            second.set(Mode::Answer);
-        }
-        // The second target is full of other requests, so the first is chosen.
-        let got = if second_arrivals > 0 {
-            site.register_as(&second, service, "north-a", "ready", 0);
-            first_then_second(&node, &first, path).await
-        } else {
-            Call::new("r-1", path).key(KEY).send(node.front).await
-        };
+        let got = Call::new("r-1", path).key(KEY).send(node.front).await;
         assert_eq!(got.status.as_u16(), status, "{got:?}");
-        assert_eq!(first.arrivals().len(), arrivals);
-        assert_eq!(second.arrivals().len(), second_arrivals);
+        assert_eq!(target.arrivals().len(), arrivals);
     });
 }
 
-/// Sends requests until one has reached the first target.
-async fn first_then_second(
-    node: &support::node::Node,
-    first: &PlatformTarget,
-    path: &str,
-) -> support::node::Got {
-    Call::new("r-1", path).key(KEY).send(node.front).await;
-    let _ = first;
-    Call::new("r-2", path).key(KEY).send(node.front).await
-}
-
 support::cases! {
     check_outcome:
-    an_idempotent_request_that_fails_is_passed_on_as_it_failed("/status/1", Mode::Fail, 500, 1, 0);
-    a_request_once_only_that_is_lost_is_not_sent_again("/deposit/1", Mode::Lose, 502, 1, 0);
-    a_request_once_only_with_a_foreign_answer_is_unknown("/deposit/1", Mode::Foreign, 502, 1, 0);
-    a_request_that_no_target_ran_is_refused_as_not_run("/deposit/1", Mode::Full, 503, 1, 0);
-    a_stream_that_may_not_go_on_elsewhere_is_not_sent_again("/chat/1", Mode::Lose, 502, 1, 0);
+    an_idempotent_request_that_fails_is_passed_on_as_it_failed("/status/1", Mode::Fail, 500, 1);
+    a_request_once_only_that_is_lost_is_not_sent_again("/deposit/1", Mode::Lose, 502, 1);
+    a_request_once_only_with_a_foreign_answer_is_unknown("/deposit/1", Mode::Foreign, 502, 1);
+    a_request_that_no_target_ran_is_refused_as_not_run("/deposit/1", Mode::Full, 503, 1);
+    a_stream_that_may_not_go_on_elsewhere_is_not_sent_again("/chat/1", Mode::Lose, 502, 1);
 }
 
 #[test]
@@ -211,10 +192,7 @@
 #[test]
 fn a_withdrawn_key_is_refused_though_the_watch_heard_nothing() {
     block_on(async {
-        let site = Site::start().await;
-        let target = PlatformTarget::start("i-1").await;
-        site.register(&target, "orders", "north-a");
-        let node = site.instance("one", "north-a", "north").await;
+        let (site, _target, node) = desk().await;
         let call = Call::new("r-1", "/status/1").key(KEY);
         assert_eq!(call.send(node.front).await.status, StatusCode::OK);
         // The store drops its history: watches hear nothing of the change, are
@@ -240,10 +218,7 @@
 #[test]
 fn a_draining_target_gets_nothing_more() {
     block_on(async {
-        let site = Site::start().await;
-        let target = PlatformTarget::start("i-1").await;
-        site.register(&target, "orders", "north-a");
-        let node = site.instance("one", "north-a", "north").await;
+        let (site, target, node) = desk().await;
         let call = Call::new("r-1", "/status/1").key(KEY);
         assert_eq!(call.send(node.front).await.status, StatusCode::OK);
         site.register_as(&target, "orders", "north-a", "draining", 0);
@@ -260,10 +235,7 @@
 #[test]
 fn an_evacuated_zone_gets_nothing_until_it_is_taken_back() {
     block_on(async {
-        let site = Site::start().await;
-        let target = PlatformTarget::start("i-1").await;
-        site.register(&target, "orders", "north-a");
-        let node = site.instance("one", "north-a", "north").await;
+        let (site, _target, node) = desk().await;
         let call = Call::new("r-1", "/status/1").key(KEY);
         site.store.put("op/evacuate/north-a", &json!({}));
         until("the zone is passed over", async || {
@@ -281,10 +253,7 @@
 #[test]
 fn an_unreadable_configuration_leaves_the_last_one_in_force() {
     block_on(async {
-        let site = Site::start().await;
-        let target = PlatformTarget::start("i-1").await;
-        site.register(&target, "orders", "north-a");
-        let node = site.instance("one", "north-a", "north").await;
+        let (site, _target, node) = desk().await;
         site.store
             .put_bytes("op/config", b"{\"version\": 4, \"routes\": 7}");
         site.store.put_bytes("servers/stranger", b"\xff\xfe");
@@ -350,10 +319,7 @@
 #[test]
 fn a_stop_takes_no_request_after_three_seconds() {
     block_on(async {
-        let site = Site::start().await;
-        let target = PlatformTarget::start("i-1").await;
-        site.register(&target, "orders", "north-a");
-        let node = site.instance("one", "north-a", "north").await;
+        let (_site, _target, node) = desk().await;
         node.process.terminate();
         let stopped = std::time::Instant::now();
         let mut last = Duration::ZERO;
@@ -421,7 +387,7 @@
         let site = Site::start().await;
         let one = site.instance("one", "north-a", "north").await;
         let mut two = site.instance("two", "north-a", "north").await;
-        let names = async |node: &support::node::Node| {
+        let names = async |node: &Node| {
             let path = "/v1/resolve?name=desk.example&region=north&zone=north-a";
             let got = call::get(node.directory, path).await.expect("an answer");
             got.body
@@ -472,10 +438,7 @@
 #[test]
 fn metrics_count_answers_and_refusals() {
     block_on(async {
-        let site = Site::start().await;
-        let target = PlatformTarget::start("i-1").await;
-        site.register(&target, "orders", "north-a");
-        let node = site.instance("one", "north-a", "north").await;
+        let (_site, _target, node) = desk().await;
         Call::new("r-1", "/status/1")
             .key(KEY)
             .send(node.front)
