--- a/crates/gateway/src/found.rs
+++ b/crates/gateway/src/found.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
+use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::step::Peer;
+use hyper::StatusCode;
 
 use crate::Dialect;
 use crate::place::Next;
@@ -17,7 +20,7 @@
     /// The client account.
     pub(crate) account: Option<Account>,
     /// Places that the request was given.
-    pub(crate) places: u32,
+    places: u32,
     place: Option<FoundPlace>,
 }
 
@@ -31,29 +34,29 @@
 }
 
 impl Found {
-    pub(crate) fn route(&self) -> &str {
+    fn route(&self) -> &str {
         self.route.as_ref().map_or("", Route::as_str)
     }
 
-    pub(crate) fn account(&self) -> &str {
+    fn account(&self) -> &str {
         self.account.as_ref().map_or("", Account::as_str)
     }
 
-    pub(crate) fn peer(&self) -> String {
+    fn peer(&self) -> String {
         let place = self.place.as_ref();
         place.map_or(String::new(), |place| place.peer.to_string())
     }
 
-    pub(crate) fn expected_ms(&self) -> u64 {
+    fn expected_ms(&self) -> u64 {
         let place = self.place.as_ref();
         place.map_or(0, |place| place.expected.as_millis() as u64)
     }
 
-    pub(crate) fn revision(&self) -> u64 {
+    fn revision(&self) -> u64 {
         self.place.as_ref().map_or(0, |place| place.revision)
     }
 
-    pub(crate) fn record_age_ms(&self) -> u64 {
+    fn record_age_ms(&self) -> u64 {
         let place = self.place.as_ref();
         place.map_or(0, |place| place.record_age.as_millis() as u64)
     }
@@ -79,4 +82,56 @@
             },
         });
     }
+
+    /// Writes the line of an answer that has begun.
+    pub(crate) fn note_answer(
+        &self,
+        id: &RequestId,
+        status: StatusCode,
+        took: Duration,
+        catalog: u64,
+    ) {
+        log::info!(
+            target: "request",
+            id = id.as_str(),
+            route = self.route(),
+            account = self.account(),
+            status = status.as_u16(),
+            peer = self.peer(),
+            places = self.places,
+            expected_ms = self.expected_ms(),
+            record = self.revision(),
+            record_age_ms = self.record_age_ms(),
+            took_ms = took.as_millis() as u64,
+            catalog;
+            "answered"
+        );
+    }
+
+    /// Writes the line of a refusal.
+    pub(crate) fn note_refusal(
+        &self,
+        id: &RequestId,
+        refusal: &Refusal,
+        took: Duration,
+        catalog: u64,
+        store_age: Duration,
+    ) {
+        log::info!(
+            target: "request",
+            id = id.as_str(),
+            route = self.route(),
+            account = self.account(),
+            code = refusal.code.as_str(),
+            ran = refusal.outcome.as_str(),
+            step = refusal.step.as_str(),
+            peer:% = refusal.peer,
+            places = self.places,
+            retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64,
+            took_ms = took.as_millis() as u64,
+            catalog,
+            store_age_ms = store_age.as_millis() as u64;
+            "refused"
+        );
+    }
 }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -3,10 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::Catalog;
 use chiverelay_decisions::catalog::AccountTerms;
 use chiverelay_decisions::catalog::Current;
 use chiverelay_decisions::catalog::NotCovered;
+use chiverelay_decisions::catalog::PoolTerms;
 use chiverelay_decisions::catalog::Terms;
+use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Outcome;
 use chiverelay_decisions::refusal::Refusal;
@@ -94,6 +98,34 @@
     }
 }
 
+/// Splits a request into what places it and what is sent.
+fn prepare(
+    terms: &Terms,
+    pool: Arc<PoolTerms>,
+    inbound: Inbound,
+    account: Option<Account>,
+) -> (Job, Outbound) {
+    let job = Job {
+        prompt_tokens: inbound.prompt_tokens.unwrap_or_default(),
+        parts: inbound.parts.into(),
+        attempts: terms.route.max_attempts.max(1),
+        route: Arc::clone(&terms.route),
+        pool,
+    };
+    let out = Outbound {
+        id: inbound.id,
+        method: inbound.method,
+        path_and_query: inbound.path_and_query,
+        headers: inbound.headers,
+        body: inbound.body,
+        account,
+        priority: terms.priority().min(LAST_PRIORITY),
+        stream: terms.route.kind.is_stream(),
+        last_event_id: inbound.last_event_id,
+    };
+    (job, out)
+}
+
 fn not_covered(why: NotCovered) -> Refusal {
     let (code, step) = match why {
         NotCovered::NoRoute => (Code::NoRoute, Step::Route),
@@ -129,45 +161,16 @@
         match handled {
             Ok(reply) => {
                 self.metrics.replied(reply.status, took);
-                let failed = reply.status.is_server_error();
-                if failed || self.sampler.admits(received) {
-                    log::info!(
-                        target: "request",
-                        id = id.as_str(),
-                        route = found.route(),
-                        account = found.account(),
-                        status = reply.status.as_u16(),
-                        peer = found.peer(),
-                        places = found.places,
-                        expected_ms = found.expected_ms(),
-                        record = found.revision(),
-                        record_age_ms = found.record_age_ms(),
-                        took_ms = took.as_millis() as u64,
-                        catalog = version;
-                        "answered"
-                    );
+                if reply.status.is_server_error() || self.sampler.admits(received) {
+                    found.note_answer(&id, reply.status, took, version);
                 }
                 Ok(reply)
             }
             Err(refusal) => {
                 let refusal = bound_retry(refusal, patience.map(|p| p.saturating_sub(took)));
                 self.metrics.refused(&refusal, took);
-                log::info!(
-                    target: "request",
-                    id = id.as_str(),
-                    route = found.route(),
-                    account = found.account(),
-                    code = refusal.code.as_str(),
-                    ran = refusal.outcome.as_str(),
-                    step = refusal.step.as_str(),
-                    peer:% = refusal.peer,
-                    places = found.places,
-                    retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64,
-                    took_ms = took.as_millis() as u64,
-                    catalog = version,
-                    store_age_ms = self.beliefs.store_age(received).as_millis() as u64;
-                    "refused"
-                );
+                let store_age = self.beliefs.store_age(received);
+                found.note_refusal(&id, &refusal, took, version, store_age);
                 Err(refusal)
             }
         }
@@ -186,21 +189,7 @@
             .map_err(not_covered)?;
         found.route = Some(terms.route.name.clone());
         found.account = terms.account.as_ref().map(|account| account.name.clone());
-        let pool = terms.route.choose_pool(inbound.id.as_str());
-        let pool = pool.and_then(|name| catalog.pool(name));
-        let Some(pool) = pool.cloned() else {
-            let refusal = Refusal::before_dispatch(Code::Unavailable, Step::Route, Peer::Local);
-            return Err(refusal);
-        };
-        if !self
-            .settings
-            .zones
-            .values()
-            .any(|region| terms.allows(region))
-        {
-            let refusal = Refusal::before_dispatch(Code::Unavailable, Step::Route, Peer::Local);
-            return Err(refusal);
-        }
+        let pool = self.find_pool(&terms, &inbound.id, catalog)?;
         let tokens = terms.account.as_ref().map_or(0, |a| charge(a, &inbound));
         if let Some(account) = &terms.account {
             self.charge(account, &inbound.id, tokens).await?;
@@ -212,24 +201,7 @@
         let account = grant.account.clone();
         let req = Request::from_caller(head).admit(grant);
         self.beliefs.traffic.lock().request(&pool.name, now);
-        let job = Job {
-            prompt_tokens: inbound.prompt_tokens.unwrap_or_default(),
-            parts: inbound.parts.into(),
-            attempts: terms.route.max_attempts.max(1),
-            route: Arc::clone(&terms.route),
-            pool,
-        };
-        let out = Outbound {
-            id: inbound.id,
-            method: inbound.method,
-            path_and_query: inbound.path_and_query,
-            headers: inbound.headers,
-            body: inbound.body,
-            account: account.clone(),
-            priority: terms.priority().min(LAST_PRIORITY),
-            stream: terms.route.kind.is_stream(),
-            last_event_id: inbound.last_event_id,
-        };
+        let (job, out) = prepare(&terms, pool, inbound, account.clone());
         let handled = self.run(req, job, out, found).await;
         if let (Err(refusal), Some(account)) = (&handled, &account)
             && refusal.outcome == Outcome::NotRun
@@ -239,6 +211,21 @@
         handled
     }
 
+    /// Finds the pool of a request, if any region may answer it.
+    fn find_pool(
+        &self,
+        terms: &Terms,
+        id: &RequestId,
+        catalog: &Catalog,
+    ) -> Result<Arc<PoolTerms>, Refusal> {
+        let pool = terms.route.choose_pool(id.as_str());
+        let pool = pool.and_then(|name| catalog.pool(name));
+        let mut regions = self.settings.zones.values();
+        let pool = pool.filter(|_| regions.any(|region| terms.allows(region)));
+        pool.cloned()
+            .ok_or_else(|| Refusal::before_dispatch(Code::Unavailable, Step::Route, Peer::Local))
+    }
+
     async fn run(
         self: &Arc<Self>,
         mut req: Request<Admitted, Direct>,
