Count no queue as service time, and share what cold targets take from the start

In the first 4 s cold targets' rates and the retries' slack are divided by 24 at least. The time of an answer includes its wait in the target's queue, and was multiplied by the queue again: 1.2 s were expected where 0.24 s are waited. An answer's time is divided by the requests a slot had. Ruled out: the catalog (in force in time everywhere), the targets (they served the first routes).

--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -100,7 +100,7 @@
 }
 
 /// A place at a target, from the choice until the request has ended there.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Place {
     /// The target.
     pub target: Target,
@@ -112,6 +112,9 @@
     pub ahead_tokens: u32,
     /// Where the target can copy parts of the prompt from that it lacks.
     pub source: Option<SocketAddr>,
+    /// Requests that ran or waited for each slot when the place was taken, at
+    /// least 1.
+    pub crowd: f64,
 }
 
 /// How a request at a target went.
@@ -137,7 +140,7 @@
 const FAILING_WEIGHT: f64 = 0.08;
 
 /// Time for which a full target is passed over.
-const FULL_PAUSE: Duration = Duration::from_millis(250);
+const FULL_PAUSE: Duration = Duration::from_millis(50);
 
 /// A part of a prompt that a target reads or has in memory, as told to the
 /// other instances.
@@ -388,6 +391,12 @@
         }
     }
 
+    /// Notes the time of a whole plain answer.
+    pub fn answered(&mut self, place: &Place, took: Duration) {
+        let service = took.div_f64(place.crowd.max(1.0));
+        self.meter_mut(&place.pool).answered(service);
+    }
+
     /// Gives a place back.
     pub fn end(&mut self, mut place: Place, ended: Ended, now: Duration) {
         self.read(&mut place);
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -56,7 +56,7 @@
 }
 
 /// What is expected of a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
     /// Time until the first event, or until a plain answer begins.
     pub wait: Duration,
@@ -65,6 +65,8 @@
     pub cost: Duration,
     /// Whether a slot is free.
     pub has_slot: bool,
+    /// Requests for each slot with this one, at least 1.
+    pub crowd: f64,
     /// Prompt tokens that the target has to read.
     pub unread_tokens: u32,
     /// Prompt tokens ahead of them.
@@ -74,7 +76,7 @@
 }
 
 /// A target that was chosen.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
     /// The target.
     pub target: Target,
@@ -96,7 +98,7 @@
 }
 
 /// The best of a region, for the choice between regions.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RegionChoice {
     /// The region.
     pub region: Region,
@@ -222,6 +224,7 @@
         let slots = slots.max(1);
         let has_slot = count.running < slots;
         let behind = (count.running + 1).saturating_sub(slots);
+        let crowd = 1.0 + f64::from(behind) / f64::from(slots);
         let own = self.own.get(target);
         let failing = own.map_or(0.0, |own| own.failing);
         let penalty = FAILING_COST.mul_f64(failing);
@@ -234,6 +237,7 @@
                 wait,
                 cost: wait + penalty + crowding,
                 has_slot,
+                crowd,
                 unread_tokens: 0,
                 ahead_tokens: 0,
                 source: None,
@@ -262,6 +266,7 @@
             wait,
             cost: meter.reading(ahead) + read + queue + crowding + penalty,
             has_slot,
+            crowd,
             unread_tokens: u32::try_from(unread).unwrap_or(u32::MAX),
             ahead_tokens: count.unread_tokens,
             source,
--- a/crates/decisions/src/window.rs
+++ b/crates/decisions/src/window.rs
@@ -93,6 +93,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Divisor(usize);
 
+/// Instances that there may be while their number is not known.
+const UNSETTLED: usize = 24;
+
 /// Instances that may join before the others have heard of them.
 const JOINING: usize = 1;
 
@@ -103,6 +106,12 @@
         Self(most_known.max(1) + JOINING)
     }
 
+    /// Divides while it is not known yet how many instances there are, as right
+    /// after a start at which all may have started.
+    pub fn unsettled(most_known: usize) -> Self {
+        Self::new(most_known.max(UNSETTLED))
+    }
+
     /// Returns one instance's part.
     pub fn part(self, bound: f64) -> f64 {
         bound / self.0 as f64
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -398,8 +398,8 @@
     }
 
     pub(crate) fn may_retry(&self, job: &Job) -> bool {
-        let divisor = self.members.divisor();
         let now = self.clock.now();
+        let divisor = self.members.strict_divisor(now);
         let mut traffic = self.beliefs.traffic.lock();
         traffic.may_retry(&job.pool.name, divisor, now)
     }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -20,6 +20,18 @@
 /// Time without a word after which an instance is not named to callers.
 const SILENT: Duration = Duration::from_secs(3);
 
+/// Time after the start in which the other instances may not be known yet, as
+/// they may have started at the same moment.
+const SETTLING: Duration = Duration::from_secs(4);
+
+/// Divides a bound between so many instances, or more while that may be wrong.
+fn strict(most_known: usize, now: Duration) -> Divisor {
+    match now < SETTLING {
+        true => Divisor::unsettled(most_known),
+        false => Divisor::new(most_known),
+    }
+}
+
 /// How far an instance is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -269,10 +281,16 @@
         Divisor::new(self.state.lock().most)
     }
 
-    /// Divides a bound between the instances of a region.
-    pub(crate) fn divisor_in(&self, region: &Region) -> Divisor {
+    /// Divides a bound between all instances that no instance may overrun even
+    /// right after its start.
+    pub(crate) fn strict_divisor(&self, now: Duration) -> Divisor {
+        strict(self.state.lock().most, now)
+    }
+
+    /// Divides such a bound between the instances of a region.
+    pub(crate) fn strict_divisor_in(&self, region: &Region, now: Duration) -> Divisor {
         let state = self.state.lock();
-        Divisor::new(state.most_of.get(region).copied().unwrap_or(1))
+        strict(state.most_of.get(region).copied().unwrap_or(1), now)
     }
 
     /// Lists where a caller of a zone may connect: ready instances of its
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -97,8 +97,7 @@
     pub(crate) fn answered(&self) {
         if let Some(place) = &self.place {
             let took = self.gateway.clock.now().saturating_sub(self.since);
-            let mut traffic = self.gateway.beliefs.traffic.lock();
-            traffic.meter_mut(&place.pool).answered(took);
+            self.gateway.beliefs.traffic.lock().answered(place, took);
         }
     }
 
@@ -223,7 +222,7 @@
         tried: &[Target],
         now: Duration,
     ) -> Result<Choice, Nowhere> {
-        let divisor = self.members.divisor_in(region);
+        let divisor = self.members.strict_divisor_in(region, now);
         let demand = Demand {
             prompt_tokens: job.prompt_tokens,
             parts: &job.parts,
@@ -321,8 +320,9 @@
             unread_tokens: choice.estimate.unread_tokens,
             ahead_tokens: choice.estimate.ahead_tokens,
             source: choice.estimate.source,
+            crowd: choice.estimate.crowd,
         };
-        let divisor = self.members.divisor_in(&region);
+        let divisor = self.members.strict_divisor_in(&region, now);
         let taken = known.as_ref().is_some_and(|known| {
             let mut traffic = self.beliefs.traffic.lock();
             traffic.take(&place, &job.parts, known, &job.pool, divisor, now)
--- a/tests/testsuite/node/path.rs
+++ b/tests/testsuite/node/path.rs
@@ -411,6 +411,32 @@
     });
 }
 
+/// Pattern: a region comes back whole, and its targets are cold.
+#[test]
+fn instances_that_start_together_share_what_cold_targets_take() {
+    block_on(async {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-1").await;
+        target.set(Mode::Events(1));
+        site.register_as(&target, "model", "north-a", "ready", 60_000);
+        let names = ["one", "two", "three"];
+        let nodes = names.map(|name| site.spawn(name, "north-a", "north"));
+        for node in &nodes {
+            node.until_ready(true).await;
+        }
+        // All three ask at once, within a second of their start.
+        let calls = (0..30).flat_map(|n| nodes.iter().map(move |node| (n, node)));
+        let calls = calls.map(|(n, node)| async move {
+            let id = format!("r-{n}-{}", node.front);
+            Call::new(&id, "/chat/1").key(KEY).send(node.front).await
+        });
+        futures_util::future::join_all(calls).await;
+        // 13 a second, half as many again, and 3.
+        let arrivals = target.arrivals().len();
+        assert!(arrivals <= 22, "{arrivals} requests in one second");
+    });
+}
+
 /// Found on a day on which both instances of a region were being stopped.
 #[test]
 fn a_region_without_an_instance_is_sent_where_most_routes_may_run() {
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -120,6 +120,7 @@
             unread_tokens: choice.estimate.unread_tokens,
             ahead_tokens: choice.estimate.ahead_tokens,
             source: choice.estimate.source,
+            crowd: choice.estimate.crowd,
         };
         let known = self.fleet.get(&choice.target)?.clone();
         let taken = self
@@ -253,6 +254,37 @@
     assert_eq!(warm, 100);
 }
 
+/// Pattern: a plain service in overload, and requests with little time. Time in
+/// the queue is no service time, else the queue would be counted twice and
+/// requests be refused that are in time.
+#[test]
+fn time_in_a_queue_is_not_taken_for_service_time() {
+    let mut world = World::new(1, false);
+    let mut places = Vec::new();
+    for n in 0..400_u64 {
+        let now = ms(n * 10);
+        if let Some(place) = world.send(&[], 0, now) {
+            places.push((now, place));
+        }
+        // Six slots of 60 ms each, and 24 that wait: an answer takes 300 ms.
+        if places.len() == 30 {
+            let (since, place) = places.remove(0);
+            let took = (now - since).max(ms(300));
+            world.traffic.answered(&place, took);
+            world.traffic.end(place, Ended::Answered, now);
+        }
+    }
+    let wait = world
+        .choose(&[], 0, &[], ms(4_000))
+        .expect("a choice")
+        .estimate
+        .wait;
+    assert!(
+        (ms(180)..ms(320)).contains(&wait),
+        "{wait:?} for 24 that wait"
+    );
+}
+
 /// Pattern: herd at a plain service whose queue is full.
 #[test]
 fn a_target_that_says_it_is_full_is_passed_over_for_a_moment() {
