Say in a refusal what was wrong, where, and what the caller can do

Cause: a refusal's message repeated its code, so a caller that was told 'malformed' had to guess which header, field or byte was meant, and a key used again with another body looked like one that ran before. Messages between instances go to version 4, as refusals pass through them. Ruled out: a free text in the refusal, since decisions are kept apart from wording and a text could carry a key or another account's name. Before: message = code in all cases.

--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -5,9 +5,12 @@
 use bytes::Bytes;
 use chiverelay_decisions::keys::Detector;
 use chiverelay_decisions::keys::Shown;
+use chiverelay_decisions::names::Field;
 use chiverelay_decisions::names::Model;
 use chiverelay_decisions::placement::prefix;
 use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Detail;
+use chiverelay_decisions::refusal::Part;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
@@ -23,6 +26,7 @@
 use hyper::header::CONNECTION;
 use hyper::header::COOKIE;
 use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use hyper::header::PROXY_AUTHORIZATION;
 use hyper::header::TE;
 use hyper::header::TRAILER;
@@ -131,14 +135,14 @@
     headers.contains_key(TICKET) || headers.contains_key(IDEMPOTENCY_KEY)
 }
 
-fn refuse(code: Code) -> Refusal {
-    Refusal::before_dispatch(code, Step::Receive, Peer::Caller)
+fn refuse(code: Code, detail: Detail) -> Refusal {
+    Refusal::before_dispatch(code, Step::Receive, Peer::Caller).detail(detail)
 }
 
 /// Refuses a request that states both a length and chunks. Whoever passed it
 /// on may have read the other one.
 pub(crate) fn conflict(headers: &HeaderMap) -> Refusal {
-    let refusal = refuse(Code::Malformed);
+    let refusal = refuse(Code::Malformed, Detail::LengthAndChunks);
     match is_marked(headers) {
         true => refusal.after_attempt(),
         false => refusal,
@@ -148,7 +152,7 @@
 /// Refuses a request whose head takes too long. It may name an operation in
 /// the part that has not come.
 pub(crate) fn late_head() -> Refusal {
-    refuse(Code::ReceiveTimeout).after_attempt()
+    refuse(Code::ReceiveTimeout, Detail::SlowHead).after_attempt()
 }
 
 impl Inbound {
@@ -164,16 +168,7 @@
         timeout: Duration,
     ) -> Result<Self, Refusal> {
         let (parts, body) = req.into_parts();
-        if body.size_hint().lower() > max_body as u64 {
-            return Err(refuse(Code::TooLarge));
-        }
-        let read = Limited::new(body, max_body).collect();
-        let body = match tokio::time::timeout(timeout, read).await {
-            Err(_) => return Err(refuse(Code::ReceiveTimeout)),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(refuse(Code::TooLarge)),
-            Ok(Err(_)) => return Err(refuse(Code::Malformed)),
-            Ok(Ok(body)) => body.to_bytes(),
-        };
+        let body = read_body(body, max_body, timeout).await?;
         let path = parts.uri.path().to_owned();
         let path_and_query = match parts.uri.path_and_query() {
             Some(p) => p.as_str().to_owned(),
@@ -182,13 +177,9 @@
         let key = read_key(&parts.headers)?;
         let headers = without_credentials(parts.headers);
         let detector = Detector::new(key.as_ref());
-        let in_headers = headers.values().any(|v| detector.finds(v.as_bytes()));
-        if in_headers
-            || names_credential(parts.uri.query().unwrap_or_default())
-            || detector.finds(path_and_query.as_bytes())
-            || detector.finds(&body)
-        {
-            return Err(refuse(Code::Malformed));
+        let query = parts.uri.query().unwrap_or_default();
+        if let Some(part) = find_key(&detector, &headers, &path_and_query, query, &body) {
+            return Err(refuse(Code::Malformed, Detail::KeyIn(part)));
         }
         let fields = read_fields(&path, &body)?;
         Ok(Self {
@@ -206,13 +197,55 @@
     }
 }
 
+async fn read_body(body: Incoming, max: usize, timeout: Duration) -> Result<Bytes, Refusal> {
+    let too_large = || refuse(Code::TooLarge, Detail::BodyOver(max as u64));
+    if body.size_hint().lower() > max as u64 {
+        return Err(too_large());
+    }
+    let reading = Limited::new(body, max).collect();
+    match tokio::time::timeout(timeout, reading).await {
+        Err(_) => Err(refuse(Code::ReceiveTimeout, Detail::SlowBody)),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(_)) => Err(refuse(Code::Malformed, Detail::BodyCutOff)),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+    }
+}
+
+/// Finds a key where it would reach a target.
+fn find_key(
+    detector: &Detector<'_>,
+    headers: &HeaderMap,
+    path_and_query: &str,
+    query: &str,
+    body: &Bytes,
+) -> Option<Part> {
+    let holds = |(_, value): &(_, &HeaderValue)| detector.finds(value.as_bytes());
+    if let Some((name, _)) = headers.iter().find(holds) {
+        return Some(Part::Header(Field::from(name.as_str())));
+    }
+    if names_credential(query) || detector.finds(query.as_bytes()) {
+        return Some(Part::Query);
+    }
+    if detector.finds(path_and_query.as_bytes()) {
+        return Some(Part::Path);
+    }
+    detector.finds(body).then_some(Part::Body)
+}
+
 fn read_fields(path: &str, body: &Bytes) -> Result<Fields, Refusal> {
     if path != "/v1/chat/completions" && path != "/v1/completions" {
         return Ok(Fields::default());
     }
-    let fields: Fields = serde_json::from_slice(body).map_err(|_| refuse(Code::Malformed))?;
+    let fields: Fields = serde_json::from_slice(body).map_err(|e| {
+        let place = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let (line, column) = (place(e.line()), place(e.column()));
+        refuse(Code::Malformed, Detail::NotJson { line, column })
+    })?;
     if fields.model.is_none() {
-        return Err(refuse(Code::Malformed));
+        return Err(refuse(
+            Code::Malformed,
+            Detail::NoField(Field::from("model")),
+        ));
     }
     Ok(fields)
 }
@@ -236,11 +269,11 @@
     match keys[..] {
         [] => Ok(None),
         [Some(key)] => Ok(Some(Shown::from(key))),
-        _ => Err(Refusal::before_dispatch(
-            Code::Unauthenticated,
-            Step::Authenticate,
-            Peer::Caller,
-        )),
+        _ => {
+            let refusal =
+                Refusal::before_dispatch(Code::Unauthenticated, Step::Authenticate, Peer::Caller);
+            Err(refusal.detail(Detail::KeyUnclear))
+        }
     }
 }
 
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod error;
+mod explain;
 mod heads;
 mod inbound;
 mod opening;
--- a/crates/caller/src/reply.rs
+++ b/crates/caller/src/reply.rs
@@ -16,6 +16,7 @@
 
 use crate::Error;
 use crate::body::StreamBody;
+use crate::explain;
 
 /// An answer to a caller.
 #[derive(Debug)]
@@ -40,19 +41,19 @@
 /// The JSON form of a refusal.
 #[derive(Debug)]
 #[derive(Serialize)]
-struct Envelope<'a> {
-    error: ErrorBody<'a>,
+struct Envelope {
+    error: ErrorBody,
 }
 
 #[derive(Debug)]
 #[derive(Serialize)]
-struct ErrorBody<'a> {
+struct ErrorBody {
     code: Code,
     outcome: chiverelay_decisions::refusal::Outcome,
     retry_after_ms: Option<u64>,
     step: chiverelay_decisions::step::Step,
     peer: String,
-    message: &'a str,
+    message: String,
 }
 
 impl Reply {
@@ -124,7 +125,7 @@
             retry_after_ms: refusal.retry_after.map(|d| d.as_millis() as u64),
             step: refusal.step,
             peer: refusal.peer.to_string(),
-            message: refusal.code.as_str(),
+            message: explain::message(refusal),
         },
     };
     serde_json::to_vec(&envelope).unwrap_or_default()
--- a/crates/chiverelayd/src/operations.rs
+++ b/crates/chiverelayd/src/operations.rs
@@ -12,6 +12,7 @@
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::pacing::PLACES;
 use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Detail;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Grant;
 use chiverelay_decisions::settlements::Settle;
@@ -147,21 +148,23 @@
 ///
 /// Refuses a mark that can't be read, and more than one.
 pub(crate) fn read_mark(headers: &HeaderMap) -> Result<Option<Mark>, Refusal> {
-    let malformed = || Refusal::unknown(Code::Malformed, Step::Claim, Peer::Caller);
+    let malformed =
+        |detail| Refusal::unknown(Code::Malformed, Step::Claim, Peer::Caller).detail(detail);
+    let key_length = || Detail::KeyLength(idempotency::MAX_KEY_BYTES as u64);
     let tickets = headers.get_all(TICKET).iter().map(|v| (true, v));
     let keys = headers.get_all(IDEMPOTENCY_KEY).iter().map(|v| (false, v));
     let marks: Vec<_> = tickets.chain(keys).collect();
     let (is_ticket, text) = match marks[..] {
         [] => return Ok(None),
-        [(is_ticket, value)] => (is_ticket, value.to_str().map_err(|_| malformed())?),
-        _ => return Err(malformed()),
+        [(is_ticket, value)] => (is_ticket, value.to_str().unwrap_or_default()),
+        _ => return Err(malformed(Detail::ManyOperations)),
     };
     if is_ticket {
-        let ticket = text.parse().map_err(|_| malformed())?;
+        let ticket = text.parse().map_err(|_| malformed(Detail::NotATicket))?;
         return Ok(Some(Mark::Ticket(ticket)));
     }
     if text.is_empty() || text.len() > idempotency::MAX_KEY_BYTES {
-        return Err(malformed());
+        return Err(malformed(key_length()));
     }
     Ok(Some(Mark::Key(text.to_owned())))
 }
@@ -226,7 +229,22 @@
             let refusal = Refusal::unknown(Code::AlreadyUsed, Step::Claim, peer);
             Err(refusal.retry_after(RETRY_AFTER))
         }
-        Err(_) => Err(Refusal::unknown(Code::AlreadyUsed, Step::Claim, peer)),
+        Err(reply) => {
+            let refusal = Refusal::unknown(Code::AlreadyUsed, Step::Claim, peer);
+            Err(match why_unusable(&reply) {
+                Some(detail) => refusal.detail(detail),
+                None => refusal,
+            })
+        }
+    }
+}
+
+fn why_unusable(reply: &Reply) -> Option<Detail> {
+    match reply {
+        Reply::Mismatch => Some(Detail::OtherRequest),
+        Reply::Invalid => Some(Detail::TicketInvalid),
+        Reply::Late => Some(Detail::TicketLate),
+        _ => None,
     }
 }
 
--- a/crates/decisions/src/names.rs
+++ b/crates/decisions/src/names.rs
@@ -81,6 +81,8 @@
     Version;
     /// A request, unique over all instances.
     RequestId;
+    /// A header or a field of a body.
+    Field;
 }
 
 /// Longest name in characters.
--- a/crates/decisions/src/refusal.rs
+++ b/crates/decisions/src/refusal.rs
@@ -1,5 +1,7 @@
 //! Refusals, which say honestly whether the request may have run.
 
+mod detail;
+
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -8,6 +10,9 @@
 use crate::step::Peer;
 use crate::step::Step;
 
+pub use detail::Detail;
+pub use detail::Part;
+
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -109,6 +114,8 @@
     pub step: Step,
     /// The peer that the step talked to.
     pub peer: Peer,
+    /// What was wrong with the request, where the code leaves that open.
+    pub detail: Option<Detail>,
 }
 
 impl Refusal {
@@ -120,6 +127,7 @@
             retry_after: None,
             step,
             peer,
+            detail: None,
         }
     }
 
@@ -131,6 +139,7 @@
             retry_after: None,
             step,
             peer,
+            detail: None,
         }
     }
 
@@ -140,6 +149,12 @@
         self
     }
 
+    /// Says what was wrong with the request.
+    pub fn detail(mut self, detail: Detail) -> Self {
+        self.detail = Some(detail);
+        self
+    }
+
     /// Says when another try may succeed.
     pub fn retry_after(mut self, delay: Duration) -> Self {
         self.retry_after = Some(delay);
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -74,7 +74,7 @@
 use crate::names::Route;
 use crate::names::Target;
 use crate::refusal::Code;
-use crate::refusal::Outcome;
+
 use crate::refusal::Refusal;
 use crate::step::Peer;
 use crate::step::Step;
@@ -312,17 +312,9 @@
     /// Returns the refusal of [`Request::refuse_not_run`], for whoever still
     /// looks for another way.
     pub fn refuse_as(&self, code: Code, step: Step, peer: Peer) -> Refusal {
-        let outcome = if self.attempted {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
-        Refusal {
-            code,
-            outcome,
-            retry_after: None,
-            step,
-            peer,
+        match self.attempted {
+            true => Refusal::unknown(code, step, peer),
+            false => Refusal::before_dispatch(code, step, peer),
         }
     }
 }
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -34,7 +34,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 3;
+pub const VERSION: u16 = 4;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod place;
 mod placement;
 mod queue;
+mod refusals;
 mod registry;
 mod replay;
 mod residency;
--- a/tests/testsuite/once.rs
+++ b/tests/testsuite/once.rs
@@ -146,6 +146,9 @@
             .await
             .expect("an answer");
         assert_eq!(other.refusal(), refusal("already_used", "unknown"));
+        let message = &other.json()["error"]["message"];
+        let message = message.as_str().unwrap_or_default();
+        assert!(message.contains("another path or body"), "{message}");
         assert_eq!(shop.runs(), 1);
     });
 }
