Show the ages of beliefs, open work and times of attempts in the metrics

Cause: on call one could count refusals, but not see from the metrics that an instance decided on a stale store, an old catalog or a silent sibling, nor how long targets and other regions took. Gauges are read when they are asked for, from one reading of the tables; attempts and forwards get histograms by outcome, and their log lines the time. Ruled out: gauges set where things change, which puts metrics into each table. Before: 63 tests of the node, none of gauges. After: 63 passed, the one of the metrics also reads the gauges, and the page's list holds against the code.

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -309,6 +309,12 @@
         regions
     }
 
+    /// Counts the targets that may get new work.
+    pub fn count_usable(&self) -> usize {
+        let usable = self.targets.keys().filter(|name| self.takes_work(name));
+        usable.count()
+    }
+
     /// Counts the targets.
     pub fn len(&self) -> usize {
         self.targets.len()
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,7 +9,6 @@
 use chiverelay_decisions::fleet::KnownTarget;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
-use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Dispatched;
 use chiverelay_decisions::request::Placed;
@@ -32,7 +31,9 @@
 use crate::Verdict;
 use crate::answer;
 use crate::answer::Beginning;
-use crate::message::Handled;
+use crate::outcome::Answered;
+use crate::outcome::Setback;
+use crate::outcome::Tried;
 use crate::place::Held;
 use crate::place::Job;
 use crate::place::PlacedHere;
@@ -51,64 +52,6 @@
 /// request may be repeated.
 const PATIENCE: u32 = 3;
 
-/// An answer whose beginning was read.
-#[derive(Debug)]
-pub(crate) struct Answered<D, O>
-where
-    D: Dialect,
-{
-    /// The request.
-    pub(crate) req: Request<Dispatched, O>,
-    /// Its place at the target.
-    pub(crate) held: Held<D>,
-    /// The answer.
-    pub(crate) answer: Answer,
-    /// What was read of it.
-    pub(crate) beginning: Beginning,
-}
-
-/// What stands if no other place is found for a request.
-#[derive(Debug)]
-pub(crate) struct Setback {
-    /// The refusal.
-    pub(crate) refusal: Refusal,
-    /// The failure that a target answered, which goes before the refusal.
-    pub(crate) reply: Option<Box<Reply>>,
-}
-
-impl From<Refusal> for Setback {
-    fn from(refusal: Refusal) -> Self {
-        Self {
-            refusal,
-            reply: None,
-        }
-    }
-}
-
-impl Setback {
-    /// Ends the request.
-    pub(crate) fn end(self) -> Handled {
-        match self.reply {
-            Some(reply) => Ok(*reply),
-            None => Err(self.refusal),
-        }
-    }
-}
-
-/// What became of an attempt.
-#[derive(Debug)]
-pub(crate) enum Tried<D, O>
-where
-    D: Dialect,
-{
-    /// An answer has begun.
-    Answered(Box<Answered<D, O>>),
-    /// Another target may be tried; else this setback stands.
-    Again(Request<Admitted, O>, Setback),
-    /// The request is over.
-    Refused(Refusal),
-}
-
 /// Why an attempt gave no answer.
 #[derive(Debug)]
 enum Failure {
@@ -135,14 +78,14 @@
         job: &mut Job,
         out: &Outbound,
     ) -> Tried<D, O> {
-        let (req, held, known) = placed;
+        let PlacedHere { req, held, known } = placed;
         let target = req.target().clone();
         let deadline = req.head().deadline;
         let connecting = self.connect(&target, &known, deadline, job.route.kind);
         let conn = match connecting.await {
             Ok(conn) => conn,
             Err(reason) => {
-                self.note_attempt(out, &target, "unreachable", &reason);
+                self.note_attempt(out, &target, held.age(), "unreachable", &reason);
                 held.end(Ended::Unreachable);
                 let refusal = req.refuse_as(Code::Unavailable, Step::Connect, req_peer(&req));
                 return Tried::Again(req.unplace(), refusal.into());
@@ -154,6 +97,7 @@
             self.note_attempt(
                 out,
                 &target,
+                held.age(),
                 "not sent",
                 "the target leaves, or no time is left",
             );
@@ -278,7 +222,7 @@
             true => held.read(),
             false => held.answered(),
         }
-        self.metrics.attempt("answered");
+        self.metrics.attempt("answered", held.age());
         Tried::Answered(Box::new(Answered {
             req,
             held,
@@ -298,24 +242,24 @@
         let peer = req.peer().clone();
         match failure {
             Failure::NotSent(reason) => {
-                self.note_failure(out, &peer, "not sent", &reason);
+                self.note_failure(out, &peer, held.age(), "not sent", &reason);
                 held.end(Ended::Cancelled);
                 let req = req.withdraw();
                 let refusal = req.refuse_as(Code::Unavailable, Step::Dispatch, peer);
                 Tried::Again(req, refusal.into())
             }
             Failure::NotRun(ended) => {
-                self.note_failure(out, &peer, "not run", ended.as_str());
+                self.note_failure(out, &peer, held.age(), "not run", ended.as_str());
                 held.end(ended);
                 self.again(req.withdraw(), job, Code::Overloaded, &peer)
             }
             Failure::Lost(reason) => {
-                self.note_failure(out, &peer, "lost", &reason);
+                self.note_failure(out, &peer, held.age(), "lost", &reason);
                 held.end(Ended::Lost);
                 self.repeat(req, job, Code::TargetFailed)
             }
             Failure::Late => {
-                self.note_failure(out, &peer, "late", "no answer in time");
+                self.note_failure(out, &peer, held.age(), "late", "no answer in time");
                 held.end(Ended::Lost);
                 self.repeat(req, job, Code::DeadlineExceeded)
             }
@@ -333,7 +277,7 @@
         (answer, beginning): (Answer, Beginning),
     ) -> Tried<D, O> {
         let peer = req.peer().clone();
-        self.note_failure(out, &peer, "failed", answer.status().as_str());
+        self.note_failure(out, &peer, held.age(), "failed", answer.status().as_str());
         let another = job.attempts >= 2 && self.may_retry(job);
         if !another {
             return self.succeed(req, held, job, answer, beginning);
@@ -404,20 +348,35 @@
         traffic.may_retry(&job.pool.name, divisor, now)
     }
 
-    fn note_failure(&self, out: &Outbound, peer: &Peer, what: &'static str, reason: &str) {
+    fn note_failure(
+        &self,
+        out: &Outbound,
+        peer: &Peer,
+        took: Duration,
+        what: &'static str,
+        reason: &str,
+    ) {
         if let Peer::Target(target) = peer {
-            self.note_attempt(out, target, what, reason);
+            self.note_attempt(out, target, took, what, reason);
         }
     }
 
-    fn note_attempt(&self, out: &Outbound, target: &Target, what: &'static str, reason: &str) {
-        self.metrics.attempt(what);
+    fn note_attempt(
+        &self,
+        out: &Outbound,
+        target: &Target,
+        took: Duration,
+        what: &'static str,
+        reason: &str,
+    ) {
+        self.metrics.attempt(what, took);
         log::info!(
             target: "dispatch",
             id = out.id.as_str(),
             to = target.as_str(),
             outcome = what,
             reason,
+            took_ms = took.as_millis() as u64,
             store_age_ms = self.beliefs.store_age(self.clock.now()).as_millis() as u64;
             "attempt without an answer"
         );
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -29,8 +29,8 @@
 use crate::Outbound;
 use crate::Reply;
 use crate::ReplyBody;
-use crate::dispatch::Setback;
 use crate::far_relay::FarRelay;
+use crate::outcome::Setback;
 use crate::place::Job;
 use crate::relay::Source;
 
@@ -86,10 +86,15 @@
         let message = message(&req, job, out, left);
         let req = req.dispatch();
         self.metrics.forward();
+        let sent = self.clock.now();
         let head = tokio::time::timeout(left, open(&link, message)).await;
+        let took = self.clock.now().saturating_sub(sent);
+        if matches!(head, Ok(Ok(_))) {
+            self.metrics.forwarded("answered", took);
+        }
         match head.unwrap_or(Err(Failure::Late)) {
             Ok(head) => self.far_reply(req, job, head).await,
-            Err(failure) => self.not_answered(req, job, out, failure),
+            Err(failure) => self.not_answered(req, job, out, failure, took),
         }
     }
 
@@ -163,18 +168,21 @@
         job: &mut Job,
         out: &Outbound,
         failure: Failure,
+        took: Duration,
     ) -> Forwarded {
         let (what, reason) = match &failure {
             Failure::Refused(refusal, _) => ("refused there", refusal.code.as_str()),
             Failure::Broken(reason) => ("broken off", reason.as_str()),
             Failure::Late => ("late", "no answer in time"),
         };
+        self.metrics.forwarded(what, took);
         log::info!(
             target: "forward",
             id = out.id.as_str(),
             peer:% = req.peer(),
             outcome = what,
-            reason;
+            reason,
+            took_ms = took.as_millis() as u64;
             "forward without an answer"
         );
         match failure {
--- a/crates/gateway/src/found.rs
+++ b/crates/gateway/src/found.rs
@@ -69,10 +69,10 @@
         self.places += 1;
         self.place = Some(match next {
             Next::Here(placed) => FoundPlace {
-                peer: Peer::Target(placed.0.target().clone()),
-                expected: placed.1.expected(),
-                revision: placed.2.revision,
-                record_age: now.saturating_sub(placed.2.learned),
+                peer: Peer::Target(placed.req.target().clone()),
+                expected: placed.held.expected(),
+                revision: placed.known.revision,
+                record_age: now.saturating_sub(placed.known.learned),
             },
             Next::Away(req) => FoundPlace {
                 peer: Peer::Sibling(req.instance().clone()),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::MemberRecord;
 use crate::MemberState;
 use crate::Metrics;
+use crate::Readings;
 use crate::Settings;
 use crate::allowances::Allowances;
 use crate::beliefs::Beliefs;
@@ -134,9 +135,28 @@
         self.clock
     }
 
-    /// Returns the metrics.
-    pub fn metrics(&self) -> &Metrics {
-        &self.metrics
+    /// Writes the metrics as they are now.
+    pub fn metrics_text(&self) -> String {
+        self.metrics.text(&self.readings())
+    }
+
+    fn readings(&self) -> Readings {
+        let now = self.clock.now();
+        let members = self.members.summary(now);
+        let current = self.beliefs.current();
+        let fleet = self.beliefs.fleet.lock();
+        Readings {
+            store_age: now.saturating_sub(fleet.heard()),
+            catalog_version: current.as_ref().map_or(0, |c| c.catalog.version),
+            catalog_age: current.map_or(now, |c| now.saturating_sub(c.learned)),
+            targets: fleet.len(),
+            usable_targets: fleet.count_usable(),
+            instances: members.known,
+            ready_instances: members.ready,
+            oldest_word: members.oldest_word,
+            links: self.links.open().len(),
+            open_requests: self.requests.len(),
+        }
     }
 
     /// Returns the metrics, for parts that outlive a borrow.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -90,6 +90,17 @@
     }
 }
 
+/// What is known of the other instances, summed up.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Summary {
+    /// Those with a record or a voice.
+    pub(crate) known: usize,
+    /// Those that take requests.
+    pub(crate) ready: usize,
+    /// Longest time since a sign of one of these.
+    pub(crate) oldest_word: Duration,
+}
+
 /// The other instances by name.
 ///
 /// # Invariants
@@ -276,6 +287,20 @@
         here.map(|m| m.record.instance.clone()).collect()
     }
 
+    /// Sums up what is known of the others.
+    pub(crate) fn summary(&self, now: Duration) -> Summary {
+        let state = self.state.lock();
+        let ready = state.members.values().filter(|m| m.is_ready(now));
+        let ages: Vec<_> = ready
+            .map(|member| now.saturating_sub(member.last_sign()))
+            .collect();
+        Summary {
+            known: state.members.len(),
+            ready: ages.len(),
+            oldest_word: ages.into_iter().max().unwrap_or_default(),
+        }
+    }
+
     /// Divides a bound between all instances.
     pub(crate) fn divisor(&self) -> Divisor {
         Divisor::new(self.state.lock().most)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and latency histograms in the Prometheus text form.
 
+mod gauges;
+
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::time::Duration;
@@ -10,13 +12,16 @@
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
-use prometheus::IntGauge;
+
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
 use crate::journal::Counts;
 
+use gauges::Gauges;
+pub use gauges::Readings;
+
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0,
@@ -34,9 +39,10 @@
     sibling_refusals: IntCounterVec,
     store_calls: IntCounterVec,
     log_counts: OnceLock<Arc<Counts>>,
-    log_written: IntGauge,
-    log_dropped: IntGauge,
+    gauges: Gauges,
     first_byte: HistogramVec,
+    attempt_times: HistogramVec,
+    forward_times: HistogramVec,
     streams: HistogramVec,
     store: HistogramVec,
 }
@@ -95,22 +101,25 @@
                 &["kind", "result"],
             ),
             log_counts: OnceLock::new(),
-            log_written: gauge(
-                &registry,
-                "log_lines_written",
-                "Log lines written since the start.",
-            ),
-            log_dropped: gauge(
-                &registry,
-                "log_lines_dropped",
-                "Log lines dropped since the start.",
-            ),
+            gauges: Gauges::new(&registry),
             first_byte: histogram(
                 &registry,
                 "first_byte_seconds",
                 "Time to the beginning of an answer.",
                 &["result"],
             ),
+            attempt_times: histogram(
+                &registry,
+                "attempt_seconds",
+                "Time until a target's answer begins, or until it fails to, by outcome.",
+                &["outcome"],
+            ),
+            forward_times: histogram(
+                &registry,
+                "forward_seconds",
+                "Time until another instance's answer begins, or until it fails to.",
+                &["outcome"],
+            ),
             streams: histogram(
                 &registry,
                 "stream_seconds",
@@ -140,16 +149,22 @@
         self.refusals.with_label_values(&["none", "none"]);
         self.store_calls.with_label_values(&["none", "none"]);
         self.forwards.with_label_values::<&str>(&[]);
-        for histogram in [&self.first_byte, &self.streams, &self.store] {
+        for histogram in [
+            &self.first_byte,
+            &self.attempt_times,
+            &self.forward_times,
+            &self.streams,
+            &self.store,
+        ] {
             histogram.with_label_values(&["none"]);
         }
     }
 
-    /// Writes all metrics as text.
-    pub fn text(&self) -> String {
+    /// Writes all metrics as text, with gauges of these readings.
+    pub fn text(&self, now: &Readings) -> String {
+        self.gauges.set(now);
         if let Some(counts) = self.log_counts.get() {
-            self.log_written.set(counts.written() as i64);
-            self.log_dropped.set(counts.dropped() as i64);
+            self.gauges.set_log(counts);
         }
         let mut buf = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
@@ -177,8 +192,12 @@
         histogram.observe(took.as_secs_f64());
     }
 
-    pub(crate) fn attempt(&self, outcome: &str) {
+    /// Counts an attempt at a target, which took so long until its answer
+    /// began or until it failed to.
+    pub(crate) fn attempt(&self, outcome: &str, took: Duration) {
         self.attempts.with_label_values(&[outcome]).inc();
+        let histogram = self.attempt_times.with_label_values(&[outcome]);
+        histogram.observe(took.as_secs_f64());
     }
 
     pub(crate) fn connection(&self, is_new: bool) {
@@ -186,10 +205,18 @@
         self.connections.with_label_values(&[kind]).inc();
     }
 
+    /// Counts a request that was passed on.
     pub(crate) fn forward(&self) {
         self.forwards.with_label_values::<&str>(&[]).inc();
     }
 
+    /// Takes how long another instance took until its answer began or until it
+    /// failed to.
+    pub(crate) fn forwarded(&self, outcome: &str, took: Duration) {
+        let histogram = self.forward_times.with_label_values(&[outcome]);
+        histogram.observe(took.as_secs_f64());
+    }
+
     pub(crate) fn sibling_refused(&self, reason: &str) {
         self.sibling_refusals.with_label_values(&[reason]).inc();
     }
@@ -226,14 +253,6 @@
     counter
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let gauge = IntGauge::new(format!("{PREFIX}_{name}"), help).expect("the name is well formed");
-    registry
-        .register(Box::new(gauge.clone()))
-        .expect("names are distinct");
-    gauge
-}
-
 fn histogram(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
     let opts =
         HistogramOpts::new(format!("{PREFIX}_{name}"), help).buckets(LATENCY_BUCKETS.to_vec());
--- /dev/null
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -0,0 +1,123 @@
+//! Gauges of what an instance holds and believes, read when they are asked
+//! for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus::Gauge;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+
+use super::PREFIX;
+use crate::journal::Counts;
+
+/// What an instance holds and believes at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Readings {
+    /// Time since the store last answered.
+    pub store_age: Duration,
+    /// Version of the catalog in force, 0 for none.
+    pub catalog_version: u64,
+    /// Time since that catalog was read.
+    pub catalog_age: Duration,
+    /// Targets that have a record.
+    pub targets: usize,
+    /// Targets that may get new requests.
+    pub usable_targets: usize,
+    /// Other instances that have a record or a voice.
+    pub instances: usize,
+    /// Other instances that take requests.
+    pub ready_instances: usize,
+    /// Longest time since one of those last told of itself.
+    pub oldest_word: Duration,
+    /// Open links to other instances.
+    pub links: usize,
+    /// Requests and streams that have not ended.
+    pub open_requests: usize,
+}
+
+/// The gauges.
+#[derive(Debug)]
+pub(super) struct Gauges {
+    store_age: Gauge,
+    catalog_version: IntGauge,
+    catalog_age: Gauge,
+    targets: IntGauge,
+    usable_targets: IntGauge,
+    instances: IntGauge,
+    ready_instances: IntGauge,
+    oldest_word: Gauge,
+    links: IntGauge,
+    open_requests: IntGauge,
+    log_written: IntGauge,
+    log_dropped: IntGauge,
+}
+
+impl Gauges {
+    pub(super) fn new(registry: &Registry) -> Self {
+        let count = |name, help| count(registry, name, help);
+        let seconds = |name, help| seconds(registry, name, help);
+        Self {
+            store_age: seconds("store_age_seconds", "Time since the store last answered."),
+            catalog_version: count("catalog_version", "Version of the catalog in force."),
+            catalog_age: seconds("catalog_age_seconds", "Time since it was read."),
+            targets: count("targets", "Targets that have a record."),
+            usable_targets: count("targets_usable", "Targets that may get new requests."),
+            instances: count("instances", "Other instances with a record or a voice."),
+            ready_instances: count("instances_ready", "Those of them that take requests."),
+            oldest_word: seconds(
+                "instances_oldest_word_seconds",
+                "Longest time since one of those told of itself.",
+            ),
+            links: count("links_open", "Open links to other instances."),
+            open_requests: count("requests_open", "Requests and streams that have not ended."),
+            log_written: count("log_lines_written", "Log lines written since the start."),
+            log_dropped: count("log_lines_dropped", "Log lines dropped since the start."),
+        }
+    }
+
+    pub(super) fn set(&self, now: &Readings) {
+        self.store_age.set(now.store_age.as_secs_f64());
+        self.catalog_version.set(signed(now.catalog_version));
+        self.catalog_age.set(now.catalog_age.as_secs_f64());
+        self.targets.set(signed(now.targets));
+        self.usable_targets.set(signed(now.usable_targets));
+        self.instances.set(signed(now.instances));
+        self.ready_instances.set(signed(now.ready_instances));
+        self.oldest_word.set(now.oldest_word.as_secs_f64());
+        self.links.set(signed(now.links));
+        self.open_requests.set(signed(now.open_requests));
+    }
+
+    pub(super) fn set_log(&self, counts: &Arc<Counts>) {
+        self.log_written.set(signed(counts.written()));
+        self.log_dropped.set(signed(counts.dropped()));
+    }
+}
+
+/// Returns a count as gauges hold it.
+fn signed<N>(count: N) -> i64
+where
+    N: TryInto<i64>,
+{
+    count.try_into().unwrap_or(i64::MAX)
+}
+
+fn count(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let opts = Opts::new(format!("{PREFIX}_{name}"), help);
+    let gauge = IntGauge::with_opts(opts).expect("the name is well formed");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("names are distinct");
+    gauge
+}
+
+fn seconds(registry: &Registry, name: &str, help: &str) -> Gauge {
+    let opts = Opts::new(format!("{PREFIX}_{name}"), help);
+    let gauge = Gauge::with_opts(opts).expect("the name is well formed");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("names are distinct");
+    gauge
+}
--- /dev/null
+++ b/crates/gateway/src/outcome.rs
@@ -0,0 +1,71 @@
+//! What becomes of a request at one place.
+
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::Request;
+use chiverelay_target::kept::Answer;
+
+use crate::Dialect;
+use crate::Reply;
+use crate::answer::Beginning;
+use crate::message::Handled;
+use crate::place::Held;
+
+/// An answer whose beginning was read.
+#[derive(Debug)]
+pub(crate) struct Answered<D, O>
+where
+    D: Dialect,
+{
+    /// The request.
+    pub(crate) req: Request<Dispatched, O>,
+    /// Its place at the target.
+    pub(crate) held: Held<D>,
+    /// The answer.
+    pub(crate) answer: Answer,
+    /// What was read of it.
+    pub(crate) beginning: Beginning,
+}
+
+/// What stands if no other place is found for a request.
+#[derive(Debug)]
+pub(crate) struct Setback {
+    /// The refusal.
+    pub(crate) refusal: Refusal,
+    /// The failure that a target answered, which goes before the refusal.
+    pub(crate) reply: Option<Box<Reply>>,
+}
+
+impl From<Refusal> for Setback {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            reply: None,
+        }
+    }
+}
+
+impl Setback {
+    /// Ends the request.
+    pub(crate) fn end(self) -> Handled {
+        match self.reply {
+            Some(reply) => Ok(*reply),
+            None => Err(self.refusal),
+        }
+    }
+}
+
+/// What became of an attempt.
+#[derive(Debug)]
+pub(crate) enum Tried<D, O>
+where
+    D: Dialect,
+{
+    /// An answer has begun.
+    Answered(Box<Answered<D, O>>),
+    /// Another target may be tried; else this setback stands.
+    Again(Request<Admitted, O>, Setback),
+    /// The request is over.
+    Refused(Refusal),
+}
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -81,12 +81,17 @@
         self.expected
     }
 
+    /// Returns the time since the target was chosen.
+    pub(crate) fn age(&self) -> Duration {
+        self.gateway.clock.now().saturating_sub(self.since)
+    }
+
     /// Notes that the target has read the prompt.
     pub(crate) fn read(&mut self) {
+        let took = self.age();
         let Some(place) = &mut self.place else {
             return;
         };
-        let took = self.gateway.clock.now().saturating_sub(self.since);
         let mut traffic = self.gateway.beliefs.traffic.lock();
         let tokens = self.ahead.saturating_add(self.own);
         traffic.meter_mut(&place.pool).first_event(tokens, took);
@@ -96,7 +101,7 @@
     /// Notes that the target gave a whole plain answer.
     pub(crate) fn answered(&self) {
         if let Some(place) = &self.place {
-            let took = self.gateway.clock.now().saturating_sub(self.since);
+            let took = self.age();
             self.gateway.beliefs.traffic.lock().answered(place, took);
         }
     }
@@ -135,8 +140,19 @@
     Away(Request<Away, Direct>),
 }
 
-/// A place at a target of this region.
-pub(crate) type PlacedHere<D, O> = (Request<Placed, O>, Held<D>, KnownTarget);
+/// A request that has a place at a target of this region.
+#[derive(Debug)]
+pub(crate) struct PlacedHere<D, O>
+where
+    D: Dialect,
+{
+    /// The request.
+    pub(crate) req: Request<Placed, O>,
+    /// Its place.
+    pub(crate) held: Held<D>,
+    /// The target.
+    pub(crate) known: KnownTarget,
+}
 
 impl<D> Gateway<D>
 where
@@ -340,7 +356,7 @@
             source: choice.estimate.source,
         };
         match req.place(choice.target.clone(), region) {
-            Ok(req) => Ok((req, held, known)),
+            Ok(req) => Ok(PlacedHere { req, held, known }),
             Err(req) => Err(nowhere(&req, Nowhere::NoTarget)),
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,9 +14,9 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::Outbound;
-use crate::dispatch::Answered;
-use crate::dispatch::Tried;
 use crate::message::Pieces;
+use crate::outcome::Answered;
+use crate::outcome::Tried;
 use crate::place::Job;
 
 /// Tries at going on with one cut stream.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -33,10 +33,10 @@
 use crate::Outbound;
 use crate::Reply;
 use crate::ReplyBody;
-use crate::dispatch::Setback;
-use crate::dispatch::Tried;
 use crate::intake;
 use crate::message::Handled;
+use crate::outcome::Setback;
+use crate::outcome::Tried;
 use crate::place::Job;
 
 /// Targets that a request that was passed on is tried at.
--- a/tests/testsuite/node/operations.rs
+++ b/tests/testsuite/node/operations.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use chiverelay_gateway::Metrics;
+use chiverelay_gateway::Readings;
 use chiverelay_gateway::journal;
 
 type Line = (String, String);
@@ -86,7 +87,7 @@
         .collect();
     let metrics = Metrics::new();
     metrics.show_all();
-    let text = metrics.text();
+    let text = metrics.text(&Readings::default());
     let helps = text.lines().filter_map(|l| l.strip_prefix("# HELP "));
     let code: BTreeSet<String> = helps
         .filter_map(|l| l.split(' ').next())
--- a/tests/testsuite/node/path.rs
+++ b/tests/testsuite/node/path.rs
@@ -485,5 +485,18 @@
             "{}",
             got.body
         );
+        let read = |name: &str| {
+            let lines = got.body.lines();
+            let value = lines.filter_map(|line| line.strip_prefix(name)).next();
+            let value = value.and_then(|value| value.trim().parse::<f64>().ok());
+            value.unwrap_or_else(|| panic!("no {name} in {}", got.body))
+        };
+        assert_eq!(read("chiverelay_targets "), 1.0);
+        assert_eq!(read("chiverelay_targets_usable "), 1.0);
+        assert_eq!(read("chiverelay_instances_ready "), 0.0);
+        assert_eq!(read("chiverelay_requests_open "), 0.0);
+        assert!(read("chiverelay_catalog_version ") >= 1.0);
+        assert!(read("chiverelay_store_age_seconds ") < 2.0);
+        assert!(read("chiverelay_catalog_age_seconds ") < 60.0);
     });
 }
