--- a/tests/testsuite/node/store.rs
+++ b/tests/testsuite/node/store.rs
@@ -68,8 +68,12 @@
 
 /// Follows a prefix and notes what is told.
 fn follow_into(store: &PlatformStore, prefix: &'static str) -> Arc<Mutex<Vec<String>>> {
+    follow_with(client(store), prefix)
+}
+
+fn follow_with(client: Client, prefix: &'static str) -> Arc<Mutex<Vec<String>>> {
     let told = Arc::new(Mutex::new(Vec::new()));
-    let (client, notes) = (client(store), Arc::clone(&told));
+    let notes = Arc::clone(&told);
     tokio::spawn(async move {
         let tell = |t: Told| {
             let note = match t {
@@ -138,3 +142,26 @@
         until("listed", async || has(&told, "listed 1") == 1).await;
     });
 }
+
+/// Pattern: the store is away for all uses of an instance at once.
+#[test]
+fn uses_of_a_silent_store_share_one_pace_and_all_go_on_at_its_return() {
+    block_on(async {
+        let store = PlatformStore::start().await;
+        store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
+        let client = client(&store);
+        let told: Vec<_> = ["servers/", "op/", "chiverelay/"]
+            .into_iter()
+            .map(|prefix| follow_with(client.clone(), prefix))
+            .collect();
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let calls = store.calls("/v1/kv-range");
+        // One call of each use at the start, then one every 350 ms.
+        assert!((5..=12).contains(&calls), "{calls} calls");
+        store.refuse(None);
+        until("all list again", async || {
+            told.iter().all(|told| has(told, "listed 0") == 1)
+        })
+        .await;
+    });
+}
