Spread requests by what told counts leave open, and refuse what only others make late

Cause: on the grown sites counts told by others are some hundred milliseconds old, in which as many requests come and go as were told of. Costs now differ at random by the time that the told load may have shifted; a target that said it was full counts as full for 600 ms; the time of a generation is metered instead of 600 ms; the read rate is metered at targets with a free slot only; a request that would be late only for others before it is refused at once; one that hangs until its caller leaves counts against a target that answers nobody.

--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -91,6 +91,8 @@
     health: Health,
     cold: Option<Window>,
     failing: f64,
+    /// When an answer last began or ended there.
+    answered: Duration,
 }
 
 #[derive(Debug)]
@@ -110,6 +112,8 @@
     pub unread_tokens: u32,
     /// Prompt tokens ahead of them when the place was taken.
     pub ahead_tokens: u32,
+    /// When it was taken, on the local monotonic clock.
+    pub since: Duration,
     /// Where the target can copy parts of the prompt from that it lacks.
     pub source: Option<SocketAddr>,
     /// Requests that ran or waited for each slot when the place was taken, at
@@ -139,9 +143,19 @@
 /// Weight of the newest answer in a target's share of failures.
 const FAILING_WEIGHT: f64 = 0.08;
 
+/// Time without any answer of a target after which a request that was given up
+/// there counts as failed.
+const HANGING: Duration = Duration::from_millis(1500);
+
 /// Time for which a full target is passed over.
 const FULL_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time in which a full target's queue is taken to run empty.
+const FULL_LIFE: Duration = Duration::from_millis(600);
+
+/// Requests for each slot that a full target is taken to have.
+const FULL_CROWD: f64 = 3.0;
+
 /// A part of a prompt that a target reads or has in memory, as told to the
 /// other instances.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -216,6 +230,17 @@
         count
     }
 
+    /// Returns how many requests a target with so many slots has at least, as
+    /// it said that it was full not long ago.
+    fn least_running(&self, target: &Target, slots: u32, now: Duration) -> u32 {
+        let Some(until) = self.full_until.get(target) else {
+            return 0;
+        };
+        let since = (now + FULL_PAUSE).saturating_sub(*until);
+        let left = 1.0 - since.as_secs_f64() / FULL_LIFE.as_secs_f64();
+        (f64::from(slots) * FULL_CROWD * left.max(0.0)) as u32
+    }
+
     /// Returns the meter of a pool.
     pub fn meter(&self, pool: &Pool) -> Meter {
         self.meters.get(pool).copied().unwrap_or_default()
@@ -397,6 +422,23 @@
         self.meter_mut(&place.pool).answered(service);
     }
 
+    /// Notes the time to the first event of a stream, which tells how fast the
+    /// target reads if it began at once.
+    pub fn first_event(&mut self, place: &Place, took: Duration) {
+        if let Some(own) = self.own.get_mut(&place.target) {
+            own.answered = place.since + took;
+        }
+        if place.crowd <= 1.0 {
+            let tokens = place.ahead_tokens.saturating_add(place.unread_tokens);
+            self.meter_mut(&place.pool).first_event(tokens, took);
+        }
+    }
+
+    /// Notes the time from a stream's first event to its end.
+    pub fn generated(&mut self, place: &Place, took: Duration) {
+        self.meter_mut(&place.pool).generated(took);
+    }
+
     /// Gives a place back.
     pub fn end(&mut self, mut place: Place, ended: Ended, now: Duration) {
         self.read(&mut place);
@@ -409,8 +451,14 @@
             Ended::Failed => (None, Some(1.0)),
             Ended::Lost => (Some(Sign::Failure), Some(1.0)),
             Ended::Unreachable | Ended::Misdirected => (Some(Sign::Unreachable), None),
+            Ended::Cancelled if now >= own.answered.max(place.since) + HANGING => {
+                (Some(Sign::Failure), Some(1.0))
+            }
             Ended::Full | Ended::Cancelled => (None, None),
         };
+        if ended == Ended::Answered {
+            own.answered = now;
+        }
         if let Some(sign) = sign {
             own.health.observe(sign, now);
         }
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -41,8 +41,18 @@
 /// up the other requests of the target.
 const READ_WEIGHT: f64 = 1.5;
 
-/// Time of a short generation.
-const GENERATION: Duration = Duration::from_millis(600);
+/// Share of the time in which an answer is on time that others may take before
+/// a request's turn. The rest is for its own prompt, and for what is not known
+/// yet of the others.
+const TURN_SHARE: f64 = 0.5;
+
+/// Least by which the costs of targets are made to differ at random, so that
+/// not all instances choose the same of several equal ones.
+const MIN_SPREAD: Duration = Duration::from_millis(1);
+
+/// Most of it for a prompt whose parts are cached at some targets and not at
+/// others.
+const MAX_CACHED_SPREAD: Duration = Duration::from_millis(40);
 
 /// What a request asks of a target.
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +63,8 @@
     pub parts: &'a [PromptPart],
     /// Targets that were tried before.
     pub tried: &'a [Target],
+    /// Random number that spreads equal requests over equal targets.
+    pub draw: u64,
 }
 
 /// What is expected of a target.
@@ -60,9 +72,13 @@
 pub struct Estimate {
     /// Time until the first event, or until a plain answer begins.
     pub wait: Duration,
+    /// The part of it that others take before the request's turn.
+    pub turn: Duration,
     /// Time until then as it bears on the choice, with what the request costs
     /// others.
     pub cost: Duration,
+    /// Requests that run or wait at the target, as far as is known.
+    pub running: u32,
     /// Whether a slot is free.
     pub has_slot: bool,
     /// Requests for each slot with this one, at least 1.
@@ -75,6 +91,15 @@
     pub source: Option<SocketAddr>,
 }
 
+impl Estimate {
+    /// Tells whether a request that is on time within `on_time` would come too
+    /// late only as others are before it. Serving it then makes those late that
+    /// come after it, and it is better off elsewhere or later.
+    pub fn is_crowded_out(&self, on_time: Duration) -> bool {
+        !self.has_slot && self.turn > on_time.mul_f64(TURN_SHARE)
+    }
+}
+
 /// A target that was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -128,6 +153,7 @@
             .filter(|(_, known)| known.record.region == *region)
             .count();
         let mut nowhere = Nowhere::NoTarget;
+        let spread = self.spread(fleet, pool, region, demand);
         let mut best: Option<Choice> = None;
         for (target, known) in fleet.targets(&pool.name) {
             if known.record.region != *region {
@@ -150,12 +176,16 @@
                 nowhere = Nowhere::AllCold;
                 continue;
             }
-            let count = self.count(target).plus_share(uncounted, targets);
+            let mut count = self.count(target).plus_share(uncounted, targets);
+            let least = self.least_running(target, slots_of(pool, known), now);
+            count.running = count.running.max(least);
             let mut estimate =
                 self.estimate(fleet, target, known, pool, demand, home.as_ref(), count);
             if status == Status::Suspect {
                 estimate.cost += FAILING_COST;
             }
+            let rank = prefix::rendezvous(demand.draw, target.as_str());
+            estimate.cost += spread.mul_f64(rank as f64 / u64::MAX as f64);
             if best
                 .as_ref()
                 .is_none_or(|b| estimate.cost < b.estimate.cost)
@@ -169,6 +199,42 @@
         best.ok_or(nowhere)
     }
 
+    /// Returns by how much the costs of a region's targets are made to differ
+    /// at random.
+    ///
+    /// What the other instances told of is some hundred milliseconds old: about
+    /// as many of their requests may have come or gone since. If each instance
+    /// trusted it, all would send theirs to the target that had fewest, and to
+    /// another one a moment later.
+    fn spread(
+        &self,
+        fleet: &Fleet,
+        pool: &PoolTerms,
+        region: &Region,
+        demand: &Demand<'_>,
+    ) -> Duration {
+        let here = fleet.targets(&pool.name);
+        let here = here.filter(|(_, known)| known.record.region == *region);
+        let (mut told, mut slots) = (0, 0);
+        for (target, known) in here {
+            told += self.told_sum.get(target).map_or(0, |count| count.running);
+            slots += slots_of(pool, known);
+        }
+        let meter = self.meter(&pool.name);
+        let holding = match pool.engine {
+            Some(_) => meter.generation(),
+            None => meter.service(),
+        };
+        let taken = f64::from(told) / f64::from(slots.max(1));
+        // A request more holds another one up only where the slots are taken.
+        let spread = holding.mul_f64(taken * taken);
+        let spread = spread.max(MIN_SPREAD);
+        match has_long_part(demand) {
+            true => spread.min(MAX_CACHED_SPREAD),
+            false => spread,
+        }
+    }
+
     fn has_cold_room(
         &mut self,
         target: &Target,
@@ -217,11 +283,7 @@
         count: Count,
     ) -> Estimate {
         let meter = self.meter(&pool.name);
-        let slots = match &pool.engine {
-            Some(engine) => engine.slots,
-            None => known.record.slots,
-        };
-        let slots = slots.max(1);
+        let slots = slots_of(pool, known);
         let has_slot = count.running < slots;
         let behind = (count.running + 1).saturating_sub(slots);
         let crowd = 1.0 + f64::from(behind) / f64::from(slots);
@@ -235,7 +297,9 @@
             let crowding = CROWDING * count.running;
             return Estimate {
                 wait,
+                turn: wait,
                 cost: wait + penalty + crowding,
+                running: count.running,
                 has_slot,
                 crowd,
                 unread_tokens: 0,
@@ -254,8 +318,11 @@
         };
         let unread = demand.prompt_tokens.saturating_sub(cached);
         let ahead = u64::from(count.unread_tokens);
-        let queue = GENERATION.mul_f64(f64::from(behind) / f64::from(slots));
-        let wait = meter.reading(ahead + unread) + queue;
+        let queue = meter
+            .generation()
+            .mul_f64(f64::from(behind) / f64::from(slots));
+        let turn = meter.reading(ahead) + queue;
+        let wait = turn + meter.reading(unread);
         let copying = match source {
             Some(_) => COPYING,
             None => Duration::ZERO,
@@ -264,7 +331,9 @@
         let crowding = CROWDING * count.running;
         Estimate {
             wait,
-            cost: meter.reading(ahead) + read + queue + crowding + penalty,
+            turn,
+            cost: turn + read + crowding + penalty,
+            running: count.running,
             has_slot,
             crowd,
             unread_tokens: u32::try_from(unread).unwrap_or(u32::MAX),
@@ -274,6 +343,20 @@
     }
 }
 
+/// Returns how many requests a target runs at once, at least 1.
+fn slots_of(pool: &PoolTerms, known: &KnownTarget) -> u32 {
+    let slots = match &pool.engine {
+        Some(engine) => engine.slots,
+        None => known.record.slots,
+    };
+    slots.max(1)
+}
+
+fn has_long_part(demand: &Demand<'_>) -> bool {
+    let mut tokens = demand.parts.iter().map(|part| u64::from(part.tokens));
+    tokens.any(|tokens| tokens >= HOME_TOKENS)
+}
+
 /// Counts the tokens of all parts but the last, which is the request's own.
 fn shared_tokens(parts: &[PromptPart]) -> u64 {
     let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
--- a/crates/decisions/src/traffic/meter.rs
+++ b/crates/decisions/src/traffic/meter.rs
@@ -14,6 +14,9 @@
 /// Time to the first event of a short prompt at an idle engine.
 const FIRST_EVENT: Duration = Duration::from_millis(40);
 
+/// Time from a stream's first event to its end, before any was seen.
+const GENERATION: Duration = Duration::from_millis(600);
+
 /// Weight of the newest answer.
 const WEIGHT: f64 = 0.05;
 
@@ -25,6 +28,7 @@
 pub struct Meter {
     read_rate: f64,
     service: Duration,
+    generation: Duration,
 }
 
 impl Default for Meter {
@@ -32,6 +36,7 @@
         Self {
             read_rate: READ_RATE,
             service: SERVICE_TIME,
+            generation: GENERATION,
         }
     }
 }
@@ -47,6 +52,11 @@
         self.service
     }
 
+    /// Returns the time from a stream's first event to its end.
+    pub fn generation(&self) -> Duration {
+        self.generation
+    }
+
     /// Takes the time to the first event of a prompt with so many tokens to
     /// read, ahead of it and its own.
     pub fn first_event(&mut self, tokens: u32, took: Duration) {
@@ -63,7 +73,17 @@
 
     /// Takes the time of a whole answer.
     pub fn answered(&mut self, took: Duration) {
-        let (old, new) = (self.service.as_secs_f64(), took.as_secs_f64());
-        self.service = Duration::from_secs_f64(old + (new - old) * WEIGHT);
+        self.service = weigh(self.service, took);
     }
+
+    /// Takes the time from a stream's first event to its end.
+    pub fn generated(&mut self, took: Duration) {
+        self.generation = weigh(self.generation, took);
+    }
+}
+
+/// Moves an average towards the newest value.
+fn weigh(old: Duration, new: Duration) -> Duration {
+    let (old, new) = (old.as_secs_f64(), new.as_secs_f64());
+    Duration::from_secs_f64(old + (new - old) * WEIGHT)
 }
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -22,9 +22,4 @@
     pub fn now(self) -> Duration {
         self.started.elapsed()
     }
-
-    /// Returns the instant of a time since the start.
-    pub fn at(self, time: Duration) -> Instant {
-        self.started + time
-    }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -150,7 +150,7 @@
         if !job.route.kind.is_repeatable() || job.attempts < 2 {
             return left;
         }
-        let expected = held.expected() + job.route.target_latency;
+        let expected = held.estimate().wait + job.route.target_latency;
         (expected * PATIENCE).min(left.mul_f64(0.6))
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -145,14 +145,14 @@
     /// Refuses the request, and says whether it may have run.
     pub async fn handle(self: &Arc<Self>, inbound: Inbound) -> Handled {
         let received = self.clock.now();
-        let (id, patience) = (inbound.id.clone(), inbound.patience);
+        let patience = inbound.patience;
         let _open = self.requests.token();
         if received < STARTING && !self.is_ready() {
             self.members.started(START_WAIT).await;
         }
         let current = self.beliefs.current();
         let version = current.as_ref().map_or(0, |c| c.catalog.version);
-        let mut found = Found::default();
+        let mut found = Found::new(inbound.id.clone(), self.clock);
         let handled = match current {
             Some(current) => self.admit(inbound, received, &current, &mut found).await,
             None => Err(no_catalog()),
@@ -161,16 +161,15 @@
         match handled {
             Ok(reply) => {
                 self.metrics.replied(reply.status, took);
-                if reply.status.is_server_error() || self.sampler.admits(received) {
-                    found.note_answer(&id, reply.status, took, version);
-                }
+                let is_wanted = reply.status.is_server_error() || self.sampler.admits(received);
+                found.answered(reply.status, version, is_wanted);
                 Ok(reply)
             }
             Err(refusal) => {
                 let refusal = bound_retry(refusal, patience.map(|p| p.saturating_sub(took)));
                 self.metrics.refused(&refusal, took);
                 let store_age = self.beliefs.store_age(received);
-                found.note_refusal(&id, &refusal, took, version, store_age);
+                found.note_refusal(&refusal, version, store_age);
                 Err(refusal)
             }
         }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -22,6 +22,7 @@
 use chiverelay_decisions::traffic::Choice;
 use chiverelay_decisions::traffic::Demand;
 use chiverelay_decisions::traffic::Ended;
+use chiverelay_decisions::traffic::Estimate;
 use chiverelay_decisions::traffic::Nowhere;
 use chiverelay_decisions::traffic::Place;
 use chiverelay_decisions::traffic::PromptPart;
@@ -61,10 +62,8 @@
     gateway: Arc<Gateway<D>>,
     place: Option<Place>,
     since: Duration,
-    ahead: u32,
-    own: u32,
-    expected: Duration,
-    source: Option<SocketAddr>,
+    read_at: Option<Duration>,
+    estimate: Estimate,
 }
 
 impl<D> Held<D>
@@ -73,12 +72,12 @@
 {
     /// Returns where the target can copy parts of the prompt from.
     pub(crate) fn source(&self) -> Option<SocketAddr> {
-        self.source
+        self.estimate.source
     }
 
-    /// Returns how long the target was expected to take until it answers.
-    pub(crate) fn expected(&self) -> Duration {
-        self.expected
+    /// Returns what was expected of the target.
+    pub(crate) fn estimate(&self) -> &Estimate {
+        &self.estimate
     }
 
     /// Returns the time since the target was chosen.
@@ -92,9 +91,9 @@
         let Some(place) = &mut self.place else {
             return;
         };
+        self.read_at = Some(self.since + took);
         let mut traffic = self.gateway.beliefs.traffic.lock();
-        let tokens = self.ahead.saturating_add(self.own);
-        traffic.meter_mut(&place.pool).first_event(tokens, took);
+        traffic.first_event(place, took);
         traffic.read(place);
     }
 
@@ -114,7 +113,11 @@
     fn release(&mut self, ended: Ended) {
         if let Some(place) = self.place.take() {
             let now = self.gateway.clock.now();
-            self.gateway.beliefs.traffic.lock().end(place, ended, now);
+            let mut traffic = self.gateway.beliefs.traffic.lock();
+            if let (Ended::Answered, Some(read_at)) = (ended, self.read_at) {
+                traffic.generated(&place, now.saturating_sub(read_at));
+            }
+            traffic.end(place, ended, now);
         }
     }
 }
@@ -182,9 +185,7 @@
             (_, far) => far,
         };
         if let Some(far) = far {
-            if far.estimate.wait > left {
-                return Err(too_late(req, far.estimate.wait, left));
-            }
+            check_turn(&req, job, &far.estimate, left)?;
             return self.go(req, job, &far, now).or_else(|req| {
                 let local = local.map_err(|why| nowhere(&req, why));
                 self.stay(*req, job, local, left, now)
@@ -203,9 +204,7 @@
         now: Duration,
     ) -> Result<Next<D>, Refusal> {
         let choice = local?;
-        if choice.estimate.wait > left {
-            return Err(too_late(req, choice.estimate.wait, left));
-        }
+        check_turn(&req, job, &choice.estimate, left)?;
         let placed = self.take(req, job, &choice, now)?;
         Ok(Next::Here(Box::new(placed)))
     }
@@ -226,7 +225,7 @@
             .map_err(|why| nowhere(&req, why))?;
         let left = req.head().deadline.saturating_sub(now);
         if choice.estimate.wait > left {
-            return Err(too_late(req, choice.estimate.wait, left));
+            return Err(too_late(&req, choice.estimate.wait, left));
         }
         self.take(req, job, &choice, now)
     }
@@ -243,6 +242,7 @@
             prompt_tokens: job.prompt_tokens,
             parts: &job.parts,
             tried,
+            draw: rand::random(),
         };
         let fleet = self.beliefs.fleet.lock();
         let mut traffic = self.beliefs.traffic.lock();
@@ -335,6 +335,7 @@
             pool: job.pool.name.clone(),
             unread_tokens: choice.estimate.unread_tokens,
             ahead_tokens: choice.estimate.ahead_tokens,
+            since: now,
             source: choice.estimate.source,
             crowd: choice.estimate.crowd,
         };
@@ -348,12 +349,10 @@
         };
         let held = Held {
             gateway: Arc::clone(self),
-            ahead: place.ahead_tokens,
-            own: place.unread_tokens,
+            read_at: None,
             place: Some(place),
             since: now,
-            expected: choice.estimate.wait,
-            source: choice.estimate.source,
+            estimate: choice.estimate,
         };
         match req.place(choice.target.clone(), region) {
             Ok(req) => Ok(PlacedHere { req, held, known }),
@@ -389,8 +388,30 @@
 /// Time after which a request that had nowhere to go is worth another try.
 const NOWHERE_RETRY: Duration = Duration::from_millis(500);
 
+/// Checks that a request's turn comes in time.
+///
+/// # Errors
+///
+/// Refuses a request that would wait past its deadline, or that would be late
+/// only as too many are before it.
+fn check_turn<O>(
+    req: &Request<Admitted, O>,
+    job: &Job,
+    estimate: &Estimate,
+    left: Duration,
+) -> Result<(), Refusal> {
+    if estimate.wait > left {
+        return Err(too_late(req, estimate.wait, left));
+    }
+    if estimate.is_crowded_out(job.route.target_latency) {
+        let refusal = req.refuse_as(Code::Overloaded, Step::Place, Peer::Local);
+        return Err(refusal.retry_after(estimate.turn.max(MIN_RETRY_AFTER)));
+    }
+    Ok(())
+}
+
 /// Refuses a request that would wait past its deadline.
-fn too_late<O>(req: Request<Admitted, O>, wait: Duration, left: Duration) -> Refusal {
+fn too_late<O>(req: &Request<Admitted, O>, wait: Duration, left: Duration) -> Refusal {
     let over = wait.saturating_sub(left).max(MIN_RETRY_AFTER);
     req.refuse_as(Code::DeadlineExceeded, Step::Place, Peer::Local)
         .retry_after(over)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod metrics;
 mod node;
 mod once;
+mod overload;
 mod path;
 mod place;
 mod placement;
--- a/tests/testsuite/node/path.rs
+++ b/tests/testsuite/node/path.rs
@@ -500,3 +500,20 @@
         assert!(read("chiverelay_catalog_age_seconds ") < 60.0);
     });
 }
+
+#[test]
+fn a_caller_that_leaves_before_an_answer_is_logged() {
+    block_on(async {
+        let (_site, target, node) = desk().await;
+        target.set(Mode::Slow(Duration::from_secs(5)));
+        let call = Call::new("r-left", "/status/1").key(KEY);
+        let leaving = tokio::time::timeout(Duration::from_millis(300), call.exchange(node.front));
+        assert!(leaving.await.is_err());
+        until("a line of the caller that left", async || {
+            let log = node.logged();
+            let mut lines = log.lines().filter(|line| line.contains("r-left"));
+            lines.any(|line| line.contains("caller left before an answer"))
+        })
+        .await;
+    });
+}
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -24,6 +24,7 @@
 use chiverelay_decisions::traffic::Traffic;
 use chiverelay_decisions::window::Divisor;
 use chiverelay_decisions::window::RetryLimit;
+use support::cases;
 
 /// Divides for the only instance that is known.
 fn lone() -> Divisor {
@@ -40,6 +41,7 @@
     traffic: Traffic,
     pool: PoolTerms,
     region: Region,
+    draw: u64,
 }
 
 impl World {
@@ -71,6 +73,7 @@
                 }),
             },
             region: "north".into(),
+            draw: 1,
         };
         for n in 0..targets {
             world.add(&format!("i-{n}"), Duration::ZERO);
@@ -105,7 +108,9 @@
             prompt_tokens: tokens,
             parts,
             tried,
+            draw: self.draw,
         };
+        self.draw += 1;
         self.traffic
             .choose(&self.fleet, &self.pool, &self.region, &demand, lone(), now)
     }
@@ -114,11 +119,22 @@
     /// and has had its part.
     fn send(&mut self, parts: &[PromptPart], tokens: u64, now: Duration) -> Option<Place> {
         let choice = self.choose(parts, tokens, &[], now).ok()?;
+        self.take(choice, parts, now)
+    }
+
+    /// Sends a short request that some targets were tried for.
+    fn send_past(&mut self, tried: &[Target], now: Duration) -> Place {
+        let choice = self.choose(&[], 300, tried, now).expect("a target");
+        self.take(choice, &[], now).expect("a place")
+    }
+
+    fn take(&mut self, choice: Choice, parts: &[PromptPart], now: Duration) -> Option<Place> {
         let place = Place {
             target: choice.target.clone(),
             pool: "pool".into(),
             unread_tokens: choice.estimate.unread_tokens,
             ahead_tokens: choice.estimate.ahead_tokens,
+            since: now,
             source: choice.estimate.source,
             crowd: choice.estimate.crowd,
         };
@@ -134,6 +150,30 @@
     PromptPart { id, tokens }
 }
 
+/// Pattern: a wave of short prompts at many instances at once, none of which
+/// has heard yet what the others sent.
+#[test]
+fn a_wave_at_all_instances_is_spread_over_many_targets() {
+    const INSTANCES: u64 = 24;
+    const TARGETS: usize = 26;
+    const SLOTS: u32 = 12;
+    let mut sent: HashMap<Target, u32> = HashMap::new();
+    for instance in 0..INSTANCES {
+        let mut world = World::new(TARGETS, true);
+        world.draw = instance << 32;
+        if let Some(engine) = &mut world.pool.engine {
+            engine.slots = SLOTS;
+        }
+        for _ in 0..8 {
+            let place = world.send(&[part(1, 90)], 380, ms(0)).expect("a place");
+            *sent.entry(place.target).or_default() += 1;
+        }
+    }
+    let most = sent.values().max().copied().unwrap_or_default();
+    assert!(most <= SLOTS + SLOTS / 2, "{most} at one target: {sent:?}");
+    assert_eq!(sent.len(), TARGETS);
+}
+
 /// Pattern: burst on plain services.
 #[test]
 fn a_burst_is_spread_evenly_over_plain_targets() {
@@ -374,3 +414,38 @@
     assert!(wait(&mut world, ms(10)) > before * 3);
     assert_eq!(wait(&mut world, ms(900)), before);
 }
+
+/// Pattern: a target that takes requests and never answers, until their callers
+/// leave.
+fn check_given_up(answers_meanwhile: bool, chosen: &str) {
+    let mut world = World::new(2, true);
+    let mut held: Vec<Place> = (0..3)
+        .map(|_| world.send_past(&["i-1".into()], ms(0)))
+        .collect();
+    if answers_meanwhile {
+        let place = held.pop().expect("a request");
+        world.traffic.first_event(&place, ms(2400));
+        world.traffic.end(place, Ended::Answered, ms(2400));
+    }
+    for place in held {
+        world.traffic.end(place, Ended::Cancelled, ms(2500));
+    }
+    // Another request runs at the other target.
+    let count = Count {
+        running: 8,
+        unread_tokens: 300,
+    };
+    let counts = vec![TargetCount {
+        target: "i-1".into(),
+        count,
+    }];
+    world.traffic.tell(&"front-2".into(), counts, ms(2500));
+    let choice = world.choose(&[], 300, &[], ms(2510)).expect("a target");
+    assert_eq!(choice.target.as_str(), chosen);
+}
+
+cases! {
+    check_given_up:
+    a_target_that_answers_nobody_is_passed_over(false, "i-1");
+    a_target_that_answered_another_is_not(true, "i-0");
+}
