Add a soak of random faults around real processes

Five instances of the program run before a stand-in store and six targets, the store and the targets behind loopback proxies that delay, reset, silence or cut one way; instances are frozen, killed, stopped and started again; the store refuses and forgets its history; zones are evacuated. Three series of faults overlap. Callers check that a request that may run once did, that what was said not to have run did not, that events come in order, that a stop ends well within its grace, and that all instances serve again within 15 s. Ruled out: faults on the links between instances by proxy, as their addresses are in the instances' own records; they are met by freezing and killing.

--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -2,6 +2,7 @@
 //! stand-in of the platform's store and stand-in targets.
 
 pub mod call;
+pub mod proxy;
 pub mod site;
 pub mod store;
 pub mod target;
--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -30,6 +30,8 @@
 pub struct Site {
     /// The platform's store.
     pub store: PlatformStore,
+    /// Where instances reach it.
+    reached_at: SocketAddr,
     dir: TempDir,
 }
 
@@ -141,13 +143,28 @@
     })
 }
 
+fn record(address: SocketAddr, service: &str, zone: &str, state: &str, cold_ms: u64) -> Value {
+    json!({
+        "service": service, "address": address.to_string(), "zone": zone,
+        "version": "v1", "slots": 6, "state": state, "warmup_left_ms": cold_ms,
+        "sequence": 1, "born": 1_700_000_000_000_u64,
+    })
+}
+
 impl Site {
     /// Starts a store with a configuration.
     pub async fn start() -> Self {
         let store = PlatformStore::start().await;
+        let reached_at = store.address;
+        Self::before(store, reached_at)
+    }
+
+    /// Gives a store a configuration, which instances reach at an address.
+    pub fn before(store: PlatformStore, reached_at: SocketAddr) -> Self {
         store.put("op/config", &configuration(3));
         Self {
             store,
+            reached_at,
             dir: TempDir::new().expect("a folder for settings"),
         }
     }
@@ -166,14 +183,16 @@
         state: &str,
         cold_ms: u64,
     ) {
-        let record = json!({
-            "service": service, "address": target.address.to_string(), "zone": zone,
-            "version": "v1", "slots": 6, "state": state, "warmup_left_ms": cold_ms,
-            "sequence": 1, "born": 1_700_000_000_000_u64,
-        });
+        let record = record(target.address, service, zone, state, cold_ms);
         self.store.put(&format!("servers/{}", target.name), &record);
     }
 
+    /// Registers a target that instances reach at an address.
+    pub fn register_at(&self, name: &str, address: SocketAddr, service: &str, zone: &str) {
+        let record = record(address, service, zone, "ready", 0);
+        self.store.put(&format!("servers/{name}"), &record);
+    }
+
     /// Starts an instance and waits until it takes requests.
     pub async fn instance(&self, name: &str, zone: &str, region: &str) -> Node {
         let node = self.spawn(name, zone, region);
@@ -184,7 +203,7 @@
     /// Starts an instance.
     pub fn spawn(&self, name: &str, zone: &str, region: &str) -> Node {
         let ip = next_address();
-        let text = settings(name, &ip, zone, region, self.store.address);
+        let text = settings(name, &ip, zone, region, self.reached_at);
         let path = self.dir.path().join(format!("{name}.toml"));
         std::fs::write(&path, text).expect("settings can be written");
         let log = self.dir.path().join(format!("{name}.log"));
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -5,4 +5,5 @@
 mod operations;
 mod path;
 mod settings;
+mod soak;
 mod store;
