Begin watches again once a silent store answers

The log of front-on-a-2 shows why: its watch of the targets was swallowed in a silence of the store from 9.0 to 14.1 s and timed out only at 30.6 s, 21.5 s after it began, while its other calls were answered from 14.4 s on. For 16 s it heard of no target. Ruled out: shorter watches, which cost calls at all times. The test loses a watch's answer by a proxy; it failed without the mend.

--- a/tests/testsuite/node/store.rs
+++ b/tests/testsuite/node/store.rs
@@ -15,6 +15,8 @@
 use serde_json::json;
 use support::block_on;
 use support::node::PlatformStore;
+use support::node::proxy::Harm;
+use support::node::proxy::Proxy;
 use support::node::site::until;
 
 fn client(store: &PlatformStore) -> Client {
@@ -166,3 +168,29 @@
         .await;
     });
 }
+
+/// Pattern: what the store answers is lost for a while, to a watch too.
+#[test]
+fn a_watch_from_before_a_silence_is_begun_again() {
+    block_on(async {
+        let store = PlatformStore::start().await;
+        let proxy = Proxy::start(store.address).await;
+        let client = Client::new(proxy.address, Arc::new(Metrics::new()));
+        store.put("servers/i-1", &json!({}));
+        let told = follow_with(client.clone(), "servers/");
+        until("the first listing", async || has(&told, "listed 1") == 1).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        proxy.set(Harm::OneWay);
+        store.put("servers/i-2", &json!({}));
+        assert!(client.grant(Duration::from_secs(4)).await.is_err());
+        proxy.set(Harm::None);
+        client.grant(Duration::from_secs(4)).await.expect("a lease");
+        let heard = async {
+            while has(&told, "listed 2") == 0 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let heard = tokio::time::timeout(Duration::from_secs(3), heard).await;
+        assert!(heard.is_ok(), "{told:?}");
+    });
+}
