Let the soak's faults meet requests that run

Plain answers take 60 ms now, resets and lost answers are more frequent, and a connection that lost something ends with the harm. Ruled out: a target that breaks off by itself, which the tests of the path have already.

--- a/tests/support/node/proxy.rs
+++ b/tests/support/node/proxy.rs
@@ -25,7 +25,8 @@
     Reset,
     /// Nothing passes, and nothing is closed.
     Silence,
-    /// What comes from behind is lost, so requests arrive without an answer.
+    /// What comes from behind is lost, so requests arrive without an answer; a
+    /// connection that lost something ends with the harm.
     OneWay,
 }
 
@@ -99,15 +100,17 @@
 ) {
     let mut buf = vec![0; 16 * 1024];
     while let Ok(len @ 1..) = from.read(&mut buf).await {
-        let is_silent = |harm: &Harm| *harm == Harm::Silence || (*harm == Harm::OneWay && is_back);
         let now = *harm.borrow();
         match now {
             Harm::Delay(time) => tokio::time::sleep(time).await,
-            // What was lost one way does not come later.
-            Harm::OneWay if is_back => continue,
+            // What was lost does not come later: the connection is of no use.
+            Harm::OneWay if is_back => {
+                let _ = harm.wait_for(|harm| *harm != Harm::OneWay).await;
+                break;
+            }
             _ => {}
         }
-        if harm.wait_for(|harm| !is_silent(harm)).await.is_err() {
+        if harm.wait_for(|harm| *harm != Harm::Silence).await.is_err() {
             break;
         }
         if to.write_all(&buf[..len]).await.is_err() {
--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -47,6 +47,9 @@
 /// Callers that send requests one after another.
 const CALLERS: u64 = 8;
 
+/// Time of a plain answer, so that faults meet requests at the targets.
+const SERVICE: Duration = Duration::from_millis(60);
+
 /// Events of a stream.
 const EVENTS: u64 = 5;
 
@@ -97,9 +100,10 @@
         let mut targets = Vec::new();
         for (name, service, zone) in TARGETS {
             let target = PlatformTarget::start(name).await;
-            if service == "model" {
-                target.set(Mode::Events(EVENTS));
-            }
+            target.set(match service {
+                "model" => Mode::Events(EVENTS),
+                _ => Mode::Slow(SERVICE),
+            });
             let proxy = Proxy::start(target.address).await;
             site.register_at(name, proxy.address, service, zone);
             targets.push((target, proxy));
@@ -128,20 +132,20 @@
     /// Does one fault and undoes it after `time`.
     async fn fault(&self, rng: &mut StdRng, time: Duration) {
         let at = rng.random_range(0..self.nodes.len());
-        match rng.random_range(0..9) {
+        match rng.random_range(0..12) {
             0 => self.freeze(at, time).await,
             1 => self.replace(at, true, time).await,
             2 => self.replace(at, false, time).await,
             3 => harm(&self.store, rng, time).await,
-            4 | 5 => {
+            4..=8 => {
                 let target = rng.random_range(0..self.targets.len());
                 harm(&self.targets[target].1, rng, time).await;
             }
-            6 => {
+            9 => {
                 self.site.store.forget();
                 tokio::time::sleep(time).await;
             }
-            7 => {
+            10 => {
                 let status = StatusCode::SERVICE_UNAVAILABLE;
                 self.site.store.refuse(Some(status));
                 tokio::time::sleep(time).await;
@@ -272,11 +276,11 @@
 }
 
 async fn harm(proxy: &Proxy, rng: &mut StdRng, time: Duration) {
-    proxy.set(match rng.random_range(0..4) {
+    proxy.set(match rng.random_range(0..6) {
         0 => Harm::Delay(Duration::from_millis(rng.random_range(20..400))),
-        1 => Harm::Reset,
-        2 => Harm::Silence,
-        _ => Harm::OneWay,
+        1 => Harm::Silence,
+        2 | 3 => Harm::OneWay,
+        _ => Harm::Reset,
     });
     tokio::time::sleep(time).await;
     proxy.set(Harm::None);
