Log and count each decision of the retry budget

The lines could not tell whether a retry was granted, on which counts, nor how many targets one instance sent a request to. Added: the line 'retry budget checked' with the counts of the window, the field 'sent' on 'answered', 'refused' and 'forwarded request handled', and the counter chiverelay_retries_total by decision. No decision changes.

--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -26,6 +26,7 @@
 use crate::placement::HealthEvent;
 use crate::placement::HealthStatus;
 use crate::window::Divisor;
+use crate::window::RetryDecision;
 use crate::window::RetryLimit;
 use crate::window::RetryWindow;
 use crate::window::SlidingWindow;
@@ -289,9 +290,14 @@
         self.retry_window(pool).record_request(now);
     }
 
-    /// Counts a retry if the pool's retry limit allows it, and tells whether
-    /// it does.
-    pub fn try_consume_retry(&mut self, pool: &Pool, divisor: Divisor, now: Duration) -> bool {
+    /// Counts a retry if the pool's retry limit allows it, and returns the
+    /// decision with the counts that led to it.
+    pub fn try_consume_retry(
+        &mut self,
+        pool: &Pool,
+        divisor: Divisor,
+        now: Duration,
+    ) -> RetryDecision {
         let limit = self.retry_limit;
         self.retry_window(pool).try_retry(limit, divisor, now)
     }
--- a/crates/decisions/src/window.rs
+++ b/crates/decisions/src/window.rs
@@ -143,6 +143,19 @@
     pub slack: f64,
 }
 
+/// Whether a retry is allowed, and the counts that led to the decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryDecision {
+    /// Whether the retry is allowed.
+    pub is_allowed: bool,
+    /// This instance's retries in the window, without this one.
+    pub retries: f64,
+    /// This instance's requests in the window.
+    pub requests: f64,
+    /// Retries that this instance may send in the window.
+    pub max_retries: f64,
+}
+
 impl RetryWindow {
     /// Creates a window without requests and retries.
     pub fn new(limit: RetryLimit) -> Self {
@@ -159,9 +172,21 @@
     }
 
     /// Counts a retry if this instance's share of the limit allows it, and
-    /// tells whether it does.
-    pub fn try_retry(&mut self, limit: RetryLimit, divisor: Divisor, now: Duration) -> bool {
-        let max_retries = self.requests.sum(now) * limit.ratio + divisor.share(limit.slack);
-        self.retries.try_add(1.0, max_retries, now)
+    /// returns the decision with the counts that led to it.
+    pub fn try_retry(
+        &mut self,
+        limit: RetryLimit,
+        divisor: Divisor,
+        now: Duration,
+    ) -> RetryDecision {
+        let requests = self.requests.sum(now);
+        let max_retries = requests * limit.ratio + divisor.share(limit.slack);
+        let retries = self.retries.sum(now);
+        RetryDecision {
+            is_allowed: self.retries.try_add(1.0, max_retries, now),
+            retries,
+            requests,
+            max_retries,
+        }
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,6 +8,7 @@
 use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::catalog::RouteKind;
 use chiverelay_decisions::fleet::KnownTarget;
+use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::request::Admitted;
@@ -125,6 +126,7 @@
         };
         let msg = self.encode(out, &attempt);
         let req = req.dispatch();
+        cx.sent_count += 1;
         let exchange = self.exchange(conn, msg, out, cx);
         let sent = match tokio::time::timeout(timeout, exchange).await {
             Ok(sent) => sent,
@@ -345,7 +347,7 @@
             answer.status().as_str(),
         );
         // `attempts_left` still includes this attempt.
-        let can_retry = cx.attempts_left >= 2 && self.try_consume_retry(cx);
+        let can_retry = cx.attempts_left >= 2 && self.try_consume_retry(cx, &out.id);
         if !can_retry {
             return self.accept_answer(req, reservation, cx, answer, start);
         }
@@ -387,7 +389,10 @@
         code: Code,
     ) -> AttemptOutcome<D, O> {
         cx.attempts_left = cx.attempts_left.saturating_sub(1);
-        if cx.attempts_left == 0 || !cx.route.kind.is_repeatable() || !self.try_consume_retry(cx) {
+        if cx.attempts_left == 0
+            || !cx.route.kind.is_repeatable()
+            || !self.try_consume_retry(cx, &req.meta().id)
+        {
             return AttemptOutcome::Refused(req.refuse_unknown(code, Step::Dispatch));
         }
         let peer = req.peer().clone();
@@ -411,7 +416,7 @@
         let refusal = req
             .refusal(code, Step::Dispatch, peer.clone())
             .with_retry_after(NOT_RUN_RETRY_AFTER);
-        match self.try_consume_retry(cx) {
+        match self.try_consume_retry(cx, &req.meta().id) {
             true => AttemptOutcome::Retry(req, refusal.into()),
             false => AttemptOutcome::Refused(refusal),
         }
@@ -419,11 +424,24 @@
 
     /// Takes one retry from the pool's retry budget. Returns whether the budget
     /// allowed it.
-    pub(crate) fn try_consume_retry(&self, cx: &PlacementContext) -> bool {
+    pub(crate) fn try_consume_retry(&self, cx: &PlacementContext, id: &RequestId) -> bool {
         let now = self.clock.now();
         let divisor = self.members.conservative_divisor(now);
         let mut traffic = self.tables.traffic.lock();
-        traffic.try_consume_retry(&cx.pool.name, divisor, now)
+        let decision = traffic.try_consume_retry(&cx.pool.name, divisor, now);
+        drop(traffic);
+        self.metrics.count_retry_decision(decision.is_allowed);
+        log::info!(
+            target: "dispatch",
+            id = id.as_str(),
+            pool = cx.pool.name.as_str(),
+            allowed = decision.is_allowed,
+            retries = decision.retries,
+            requests = decision.requests,
+            max_retries = decision.max_retries;
+            "retry budget checked"
+        );
+        decision.is_allowed
     }
 
     /// Records a failed attempt in metrics and log, if `peer` is a target.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -161,7 +161,10 @@
     ) -> ForwardOutcome {
         let peer = req.peer().clone();
         cx.attempts_left = cx.attempts_left.saturating_sub(attempts_used);
-        if cx.attempts_left == 0 || !cx.route.kind.is_repeatable() || !self.try_consume_retry(cx) {
+        if cx.attempts_left == 0
+            || !cx.route.kind.is_repeatable()
+            || !self.try_consume_retry(cx, &req.meta().id)
+        {
             // Ends the request's life cycle.
             drop(req.answered());
             return ForwardOutcome::Answered(reply);
@@ -215,7 +218,7 @@
             ForwardFailure::Refused(refusal, attempts_used) => match req.undo_forward(&refusal) {
                 // A target there turned the request down, so the next attempt
                 // counts against the retry budget.
-                Ok(_) if refusal.step == Step::Dispatch && !self.try_consume_retry(cx) => {
+                Ok(_) if refusal.step == Step::Dispatch && !self.try_consume_retry(cx, &out.id) => {
                     ForwardOutcome::Refused(refusal)
                 }
                 Ok(req) => ForwardOutcome::Retry(req, refusal.into()),
@@ -245,7 +248,7 @@
         attempts_used: u32,
     ) -> ForwardOutcome {
         cx.attempts_left = cx.attempts_left.saturating_sub(attempts_used);
-        if cx.attempts_left == 0 || !self.try_consume_retry(cx) {
+        if cx.attempts_left == 0 || !self.try_consume_retry(cx, &req.meta().id) {
             return ForwardOutcome::Refused(req.refuse_unknown(code, Step::Forward));
         }
         let peer = req.peer().clone();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -119,6 +119,7 @@
         prompt_tokens: inbound.prompt_tokens.unwrap_or_default(),
         parts: inbound.parts.into(),
         attempts_left: matched.route.max_attempts.max(1),
+        sent_count: 0,
         route: Arc::clone(&matched.route),
         pool,
     };
@@ -267,16 +268,20 @@
             };
             request_log.record_destination(&next, self.clock.now());
             req = match next {
-                Destination::Local(placed) => match self.attempt(*placed, &mut cx, &out).await {
-                    AttemptOutcome::Answered(started) => {
-                        return Ok(self.build_reply(cx, out, *started));
+                Destination::Local(placed) => {
+                    let tried = self.attempt(*placed, &mut cx, &out).await;
+                    request_log.sent_count = cx.sent_count;
+                    match tried {
+                        AttemptOutcome::Answered(started) => {
+                            return Ok(self.build_reply(cx, out, *started));
+                        }
+                        AttemptOutcome::Refused(refusal) => return Err(refusal),
+                        AttemptOutcome::Retry(req, latest) => {
+                            fallback = Some(latest);
+                            req
+                        }
                     }
-                    AttemptOutcome::Refused(refusal) => return Err(refusal),
-                    AttemptOutcome::Retry(req, latest) => {
-                        fallback = Some(latest);
-                        req
-                    }
-                },
+                }
                 Destination::Remote(placed) => match self.forward(placed, &mut cx, &out).await {
                     ForwardOutcome::Answered(reply) => return Ok(reply),
                     ForwardOutcome::Refused(refusal) => return Err(refusal),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     requests: IntCounterVec,
     refusals: IntCounterVec,
     attempts: IntCounterVec,
+    retry_decisions: IntCounterVec,
     connection_uses: IntCounterVec,
     forwards: IntCounterVec,
     sibling_refusals: IntCounterVec,
@@ -76,6 +77,12 @@
                 "Attempts at targets by outcome.",
                 &["outcome"],
             ),
+            retry_decisions: counter(
+                &registry,
+                "retries_total",
+                "Retries that the retry budget allowed or denied.",
+                &["decision"],
+            ),
             connection_uses: counter(
                 &registry,
                 "target_connections_total",
@@ -143,6 +150,7 @@
         for counter in [
             &self.requests,
             &self.attempts,
+            &self.retry_decisions,
             &self.connection_uses,
             &self.sibling_refusals,
         ] {
@@ -219,6 +227,14 @@
         histogram.observe(took.as_secs_f64());
     }
 
+    pub(crate) fn count_retry_decision(&self, is_allowed: bool) {
+        let label = match is_allowed {
+            true => "allowed",
+            false => "denied",
+        };
+        self.retry_decisions.with_label_values(&[label]).inc();
+    }
+
     pub(crate) fn count_sibling_refusal(&self, reason: &str) {
         self.sibling_refusals.with_label_values(&[reason]).inc();
     }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -54,6 +54,8 @@
     pub(crate) prompt_tokens: u64,
     /// Number of targets that may still run the request.
     pub(crate) attempts_left: u32,
+    /// Number of targets that this instance sent the request to.
+    pub(crate) sent_count: u32,
 }
 
 /// A reservation at a target. Dropping it releases the reservation as
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -186,7 +186,7 @@
             return Err(cause);
         };
         for _ in 0..MAX_RESUMES {
-            if !self.gateway.try_consume_retry(&self.cx) {
+            if !self.gateway.try_consume_retry(&self.cx, &self.out.id) {
                 return Err(cause);
             }
             let Ok(placed) = self.gateway.place_locally(req, &self.cx) else {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -31,6 +31,9 @@
     /// Number of destinations that were chosen for the request, logged as
     /// `places`.
     destinations: u32,
+    /// Number of targets that this instance sent the request to, logged as
+    /// `sent`.
+    pub(crate) sent_count: u32,
     last_destination: Option<LoggedDestination>,
 }
 
@@ -54,6 +57,7 @@
             route: None,
             account: None,
             destinations: 0,
+            sent_count: 0,
             last_destination: None,
         }
     }
@@ -140,6 +144,7 @@
             status = status.as_u16(),
             peer = self.peer(),
             places = self.destinations,
+            sent = self.sent_count,
             expected_ms = self.expected_ms(),
             running = self.estimate().map_or(0, |e| e.running),
             // Tokens that the target must process before this request, and for
@@ -172,6 +177,7 @@
             step = refusal.step.as_str(),
             peer:% = refusal.peer,
             places = self.destinations,
+            sent = self.sent_count,
             retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64,
             took_ms = self.took().as_millis() as u64,
             catalog = catalog_version,
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -87,8 +87,8 @@
         let gateway = &self.gateway;
         let _open = gateway.open_requests.token();
         let id = req.id.clone();
-        let mut attempts_used = 0;
-        let running = gateway.run_forwarded(req, &mut attempts_used);
+        let mut usage = TargetUsage::default();
+        let running = gateway.run_forwarded(req, &mut usage);
         // Check for the cancellation first: if the request arrived late, its
         // cancellation has often arrived too.
         let handled = tokio::select! {
@@ -100,6 +100,7 @@
             target: "forward",
             id = id.as_str(),
             from = from.instance.as_str(),
+            sent = usage.sent,
             outcome = match &handled {
                 Ok(_) => "answered",
                 Err(refusal) => refusal.code.as_str(),
@@ -107,7 +108,7 @@
             "forwarded request handled"
         );
         // The other instance may have cancelled the request.
-        let _ = send_reply(&mut tx, handled, attempts_used).await;
+        let _ = send_reply(&mut tx, handled, usage.may_have_run).await;
     }
 
     fn refused(&self, reason: Refused) {
@@ -115,6 +116,15 @@
     }
 }
 
+/// How many targets were sent a forwarded request.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetUsage {
+    /// Targets that the request was sent to.
+    sent: u32,
+    /// Those of them that may have run the request.
+    may_have_run: u32,
+}
+
 /// Sends a reply or refusal to the instance that forwarded the request, after
 /// the number of targets that may have run it.
 async fn send_reply(
@@ -165,12 +175,12 @@
 where
     D: Dialect,
 {
-    /// Runs a forwarded request. `attempts_used` is set to the number of
-    /// targets that may have run it.
+    /// Runs a forwarded request, and counts in `usage` the targets that it was
+    /// sent to.
     async fn run_forwarded(
         self: &Arc<Self>,
         forward: Forward,
-        attempts_used: &mut u32,
+        usage: &mut TargetUsage,
     ) -> HandleResult {
         let now = self.clock.now();
         let (mut req, mut cx, out) = self.admit_forwarded(forward, now)?;
@@ -182,7 +192,8 @@
                 Err(refusal) => return fallback.unwrap_or(refusal.into()).into_result(),
             };
             let tried = self.attempt(placed, &mut cx, &out).await;
-            *attempts_used = max_attempts - cx.attempts_left;
+            usage.may_have_run = max_attempts - cx.attempts_left;
+            usage.sent = cx.sent_count;
             req = match tried {
                 AttemptOutcome::Answered(started) => {
                     return Ok(self.build_reply(cx, out, *started));
@@ -260,6 +271,7 @@
             parts: forward.parts.into(),
             prompt_tokens: forward.prompt_tokens,
             attempts_left: forward.attempts.max(1),
+            sent_count: 0,
         };
         let meta = RequestMeta {
             id: forward.id,
--- a/tests/testsuite/windows.rs
+++ b/tests/testsuite/windows.rs
@@ -79,7 +79,7 @@
     let mut window = RetryWindow::new(limit);
     let retries = |window: &mut RetryWindow, now| {
         (0..1000)
-            .take_while(|_| window.try_retry(limit, divisor, now))
+            .take_while(|_| window.try_retry(limit, divisor, now).is_allowed)
             .count()
     };
     assert_eq!(retries(&mut window, ms(0)), 2, "a ninth of the slack");
