Bound the retries of all instances by a budget that adds up

Cause: each instance allowed a fifth of its requests of the last ten seconds at the moment of each retry. Instances whose callers leave still spend on what they served before, those whose callers come already spend on what they serve now, and the users' rule sees one window over all: a sum of best windows is more than the best window of the sum. A restart also forgot the retries of the process before, and instances that join had a share of the slack before the others had reduced theirs.

Now an instance's retries in each span are at most a share of half the slack and the ratio times the mean of its requests in that span and in the one before. This is linear, so it adds up over instances wherever the callers go, and a mean is at most the larger window. Nothing of an earlier process counts for a new one, and the undivided half of the slack covers what that one sent. Spans are longer than the window by a twentieth, as a retry arrives later than it is allowed.

The test of the old window is replaced by three that are as strict: the share of the slack, what is allowed at once, and that a steady need gets nine tenths of the ratio. node, traffic, overload, windows and fleet tests pass (122).

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod refusal;
 pub mod rendezvous;
 pub mod request;
+pub mod retry_budget;
 pub mod settlements;
 pub mod step;
 pub mod store_session;
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -25,10 +25,10 @@
 use crate::placement::Health;
 use crate::placement::HealthEvent;
 use crate::placement::HealthStatus;
+use crate::retry_budget::RetryBudget;
+use crate::retry_budget::RetryDecision;
+use crate::retry_budget::RetryLimit;
 use crate::window::Divisor;
-use crate::window::RetryDecision;
-use crate::window::RetryLimit;
-use crate::window::RetryWindow;
 use crate::window::SlidingWindow;
 
 pub use cached::CachedParts;
@@ -171,7 +171,7 @@
     remote: HashMap<Instance, RemoteCounts>,
     remote_total: HashMap<Target, InFlight>,
     performance: HashMap<Pool, PoolPerformance>,
-    retry_windows: HashMap<Pool, RetryWindow>,
+    retry_budgets: HashMap<Pool, RetryBudget>,
     full_until: HashMap<Target, Duration>,
     forwarded: HashMap<(Region, Pool), SlidingWindow>,
     retry_limit: RetryLimit,
@@ -197,7 +197,7 @@
             remote: HashMap::new(),
             remote_total: HashMap::new(),
             performance: HashMap::new(),
-            retry_windows: HashMap::new(),
+            retry_budgets: HashMap::new(),
             full_until: HashMap::new(),
             forwarded: HashMap::new(),
             retry_limit,
@@ -287,7 +287,7 @@
 
     /// Counts a request to a pool, which allows more retries.
     pub fn record_request(&mut self, pool: &Pool, now: Duration) {
-        self.retry_window(pool).record_request(now);
+        self.retry_budget(pool).record_request(now);
     }
 
     /// Counts a retry if the pool's retry limit allows it, and returns the
@@ -298,14 +298,13 @@
         divisor: Divisor,
         now: Duration,
     ) -> RetryDecision {
-        let limit = self.retry_limit;
-        self.retry_window(pool).try_retry(limit, divisor, now)
+        self.retry_budget(pool).try_retry(divisor, now)
     }
 
-    fn retry_window(&mut self, pool: &Pool) -> &mut RetryWindow {
+    fn retry_budget(&mut self, pool: &Pool) -> &mut RetryBudget {
         let limit = self.retry_limit;
-        let make = || RetryWindow::new(limit);
-        self.retry_windows.entry(pool.clone()).or_insert_with(make)
+        let make = || RetryBudget::new(limit);
+        self.retry_budgets.entry(pool.clone()).or_insert_with(make)
     }
 
     /// Reserves the chosen target for a request. Returns false if the target is
--- a/crates/decisions/src/window.rs
+++ b/crates/decisions/src/window.rs
@@ -1,4 +1,4 @@
-//! Limits over a sliding window, of which each instance enforces a share.
+//! Sums over a sliding window, and the division of a limit between instances.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -124,69 +124,3 @@
         limit / self.0 as f64
     }
 }
-
-/// This instance's requests and retries to one pool within the window.
-#[derive(Clone, Debug)]
-pub struct RetryWindow {
-    requests: SlidingWindow,
-    retries: SlidingWindow,
-}
-
-/// How many retries all instances together may send to a pool.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RetryLimit {
-    /// Length of the window over which retries are counted.
-    pub window: Duration,
-    /// Retries allowed per request.
-    pub ratio: f64,
-    /// Retries allowed in addition, whatever the number of requests.
-    pub slack: f64,
-}
-
-/// Whether a retry is allowed, and the counts that led to the decision.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RetryDecision {
-    /// Whether the retry is allowed.
-    pub is_allowed: bool,
-    /// This instance's retries in the window, without this one.
-    pub retries: f64,
-    /// This instance's requests in the window.
-    pub requests: f64,
-    /// Retries that this instance may send in the window.
-    pub max_retries: f64,
-}
-
-impl RetryWindow {
-    /// Creates a window without requests and retries.
-    pub fn new(limit: RetryLimit) -> Self {
-        Self {
-            requests: SlidingWindow::new(limit.window),
-            retries: SlidingWindow::new(limit.window),
-        }
-    }
-
-    /// Counts a request to the pool, which allows [`RetryLimit::ratio`] more
-    /// retries.
-    pub fn record_request(&mut self, now: Duration) {
-        self.requests.add(1.0, now);
-    }
-
-    /// Counts a retry if this instance's share of the limit allows it, and
-    /// returns the decision with the counts that led to it.
-    pub fn try_retry(
-        &mut self,
-        limit: RetryLimit,
-        divisor: Divisor,
-        now: Duration,
-    ) -> RetryDecision {
-        let requests = self.requests.sum(now);
-        let max_retries = requests * limit.ratio + divisor.share(limit.slack);
-        let retries = self.retries.sum(now);
-        RetryDecision {
-            is_allowed: self.retries.try_add(1.0, max_retries, now),
-            retries,
-            requests,
-            max_retries,
-        }
-    }
-}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,8 +8,8 @@
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::retry_budget::RetryLimit;
 use chiverelay_decisions::traffic::ColdLimitTolerance;
-use chiverelay_decisions::window::RetryLimit;
 
 /// Settings that a front end passes to the gateway.
 #[derive(Clone, Debug)]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod replay;
 mod residency;
 mod restarts;
+mod retry_budget;
 mod secrets;
 mod settings;
 mod settlements;
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -15,13 +15,13 @@
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::placement::prefix;
+use chiverelay_decisions::retry_budget::RetryLimit;
 use chiverelay_decisions::traffic::ColdLimitTolerance;
 use chiverelay_decisions::traffic::Reservation;
 use chiverelay_decisions::traffic::TargetOutcome;
 use chiverelay_decisions::traffic::TargetQuery;
 use chiverelay_decisions::traffic::Traffic;
 use chiverelay_decisions::window::Divisor;
-use chiverelay_decisions::window::RetryLimit;
 use support::cases;
 
 /// Requests that a target runs at once.
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -11,6 +11,7 @@
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::retry_budget::RetryLimit;
 use chiverelay_decisions::traffic::ColdLimitTolerance;
 use chiverelay_decisions::traffic::InFlight;
 use chiverelay_decisions::traffic::NoTargetReason;
@@ -23,7 +24,6 @@
 use chiverelay_decisions::traffic::TargetQuery;
 use chiverelay_decisions::traffic::Traffic;
 use chiverelay_decisions::window::Divisor;
-use chiverelay_decisions::window::RetryLimit;
 use support::cases;
 
 /// Divides for the only instance that is known.
--- a/tests/testsuite/windows.rs
+++ b/tests/testsuite/windows.rs
@@ -3,8 +3,6 @@
 use std::time::Duration;
 
 use chiverelay_decisions::window::Divisor;
-use chiverelay_decisions::window::RetryLimit;
-use chiverelay_decisions::window::RetryWindow;
 use chiverelay_decisions::window::SlidingWindow;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -67,30 +65,3 @@
         .rng(Gen::from_size_and_seed(100, 4))
         .quickcheck(parts_fit as fn(u8, u16) -> bool);
 }
-
-#[test]
-fn retries_follow_the_requests_and_a_part_of_the_slack() {
-    let limit = RetryLimit {
-        window: ms(10_000),
-        ratio: 0.2,
-        slack: 18.0,
-    };
-    let divisor = Divisor::new(8);
-    let mut window = RetryWindow::new(limit);
-    let retries = |window: &mut RetryWindow, now| {
-        (0..1000)
-            .take_while(|_| window.try_retry(limit, divisor, now).is_allowed)
-            .count()
-    };
-    assert_eq!(retries(&mut window, ms(0)), 2, "a ninth of the slack");
-    for _ in 0..50 {
-        window.record_request(ms(10));
-    }
-    assert_eq!(retries(&mut window, ms(20)), 10, "a fifth of the requests");
-    assert_eq!(retries(&mut window, ms(9_000)), 0);
-    assert_eq!(
-        retries(&mut window, ms(10_030)),
-        2,
-        "all of it has left the window"
-    );
-}
