End an answer at its deadline though more of it is always there

A timeout polls the read first, so a read that always finds bytes is never late: with a target that writes without end, callers got bytes for as long as they read on, past the deadline and past the route's timeout. Heads, interim responses, garbage, rejections and events without end passed before.

The relays now compare the clock with the deadline before each read.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -125,6 +125,10 @@
         };
         let now = self.gateway.clock.now();
         let left = current.req.meta().deadline.saturating_sub(now);
+        // A timeout of zero would still return chunks that have arrived.
+        if left.is_zero() {
+            return Err(IncompleteAnswer::new("timeout"));
+        }
         let stall = (self.cx.route.target_event_gap * STALL_FACTOR).max(MIN_STALL_TIMEOUT);
         let wait = match self.cx.route.kind.is_repeatable() {
             true => left.min(stall),
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -58,18 +58,30 @@
     }
 }
 
-impl<D> AnswerSource for RemoteRelay<D>
+impl<D> RemoteRelay<D>
 where
     D: Dialect,
 {
-    async fn next_chunk(&mut self) -> Option<Result<Bytes, IncompleteAnswer>> {
+    async fn next_frame(&mut self) -> Option<Result<Frame, IncompleteAnswer>> {
         let answer = self.answer.as_mut()?;
         let left = self.deadline.saturating_sub(self.gateway.clock.now());
-        let frame = match tokio::time::timeout(left, answer.next()).await {
+        // A timeout of zero would still return frames that have arrived.
+        if left.is_zero() {
+            return Some(Err(IncompleteAnswer::new("timeout")));
+        }
+        Some(match tokio::time::timeout(left, answer.next()).await {
             Ok(frame) => frame.map_err(IncompleteAnswer::new),
             Err(_) => Err(IncompleteAnswer::new("timeout")),
-        };
-        let cause = match frame {
+        })
+    }
+}
+
+impl<D> AnswerSource for RemoteRelay<D>
+where
+    D: Dialect,
+{
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, IncompleteAnswer>> {
+        let cause = match self.next_frame().await? {
             Ok(Frame::Data(data)) => return Some(Ok(data.into())),
             Ok(Frame::End) => {
                 self.outcome = RELAY_COMPLETE;
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -2,12 +2,15 @@
 //! stand-in of the platform's store and stand-in targets.
 
 pub mod call;
+pub mod endless;
 pub mod proxy;
 pub mod site;
 pub mod store;
 pub mod target;
 
 pub use call::Got;
+pub use endless::Endless;
+pub use endless::EndlessTarget;
 pub use site::Node;
 pub use site::Site;
 pub use store::PlatformStore;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -1,6 +1,7 @@
 //! The gateway on the users' platform.
 
 mod decode;
+mod endless;
 mod names;
 mod operations;
 mod path;
--- /dev/null
+++ b/tests/testsuite/node/endless.rs
@@ -0,0 +1,167 @@
+//! Targets in trouble that write without end: each request must end by its
+//! deadline, and the memory of an instance must not grow with what they write.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use support::block_on;
+use support::node::Endless;
+use support::node::EndlessTarget;
+use support::node::Node;
+use support::node::Site;
+use support::node::site::KEY;
+use support::node::site::until;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// Requests at once.
+const REQUESTS: usize = 32;
+
+/// Most memory of an instance, in kB: what a node may spend by the size to
+/// design for.
+const MAX_RESIDENT_KB: u64 = 128_000_000 / 1024;
+
+/// Time in which a request must end; its deadline is much earlier.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Where the target is that a request reaches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// In the region of the instance that the caller asks.
+    Near,
+    /// In another region.
+    Far,
+}
+
+/// Returns the most memory that a process has had, in kB.
+fn peak_resident_kb(node: &Node) -> u64 {
+    let path = format!("/proc/{}/status", node.process.id());
+    let status = std::fs::read_to_string(path).expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kb = line.and_then(|line| line.split_whitespace().next());
+    kb.and_then(|kb| kb.parse().ok()).expect("a size")
+}
+
+/// Sends a request and waits until the connection ends, with a pause after
+/// each read. Returns the start of what came.
+async fn read_all(
+    to: SocketAddr,
+    id: usize,
+    path: &str,
+    pause: Duration,
+) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(to).await?;
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: desk.example\r\nrequest-id: r-{id}\r\n\
+         authorization: Bearer {KEY}\r\nrequest-deadline: 4000\r\n\
+         connection: close\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let mut buf = vec![0; 16 * 1024];
+    let mut start = None;
+    loop {
+        let len = stream.read(&mut buf).await?;
+        let start = start.get_or_insert_with(|| String::from_utf8_lossy(&buf[..len]).into_owned());
+        if len == 0 {
+            return Ok(std::mem::take(start));
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Sends a request, which has to end in time, and returns the start of what
+/// came; nothing if the connection was reset.
+async fn call(to: SocketAddr, id: usize, path: &str, pause: Duration) -> String {
+    let ended = tokio::time::timeout(PATIENCE, read_all(to, id, path, pause)).await;
+    let ended = ended.unwrap_or_else(|_| panic!("request {id} goes on after its deadline"));
+    ended.unwrap_or_default()
+}
+
+/// Two instances of two regions, and a target in one of them.
+struct World {
+    _site: Site,
+    target: EndlessTarget,
+    near: Node,
+    far: Node,
+}
+
+/// Starts the instances and waits until requests reach the target.
+async fn start(path: &str, kind: Endless, place: Place) -> World {
+    let site = Site::start().await;
+    let target = EndlessTarget::start(kind).await;
+    let service = match path {
+        "/quote/1" => "model",
+        _ => "orders",
+    };
+    let zone = match place {
+        Place::Near => "north-a",
+        Place::Far => "south-a",
+    };
+    site.register_at("i-1", target.address, service, zone);
+    let near = site.instance("near", "north-a", "north").await;
+    let far = site.instance("far", "south-a", "south").await;
+    until("a request reaches the target", async || {
+        call(near.front, 0, path, Duration::ZERO).await;
+        target.requests() > 0
+    })
+    .await;
+    World {
+        _site: site,
+        target,
+        near,
+        far,
+    }
+}
+
+fn an_endless_answer_ends_and_is_not_kept(path: &str, kind: Endless, place: Place) {
+    block_on(async {
+        let world = start(path, kind, place).await;
+        let front = world.near.front;
+        let calls = (1..=REQUESTS).map(|id| call(front, id, path, Duration::ZERO));
+        futures_util::future::join_all(calls).await;
+        until("the connections to the target are closed", async || {
+            world.target.open() == 0
+        })
+        .await;
+        for node in [&world.near, &world.far] {
+            let peak = peak_resident_kb(node);
+            assert!(peak < MAX_RESIDENT_KB, "{peak} kB of memory");
+        }
+    });
+}
+
+support::cases! {
+    an_endless_answer_ends_and_is_not_kept:
+    garbage_without_end("/status/1", Endless::Garbage, Place::Near);
+    a_header_without_end("/status/1", Endless::Header, Place::Near);
+    interim_responses_without_end("/status/1", Endless::InterimResponses, Place::Near);
+    a_chunked_body_without_end("/status/1", Endless::ChunkedBody, Place::Near);
+    a_body_without_length_or_end("/status/1", Endless::BodyUntilClose, Place::Near);
+    a_rejection_without_end("/status/1", Endless::RejectionBody, Place::Near);
+    an_event_without_end("/quote/1", Endless::Event, Place::Near);
+    comments_without_end("/quote/1", Endless::Comments, Place::Near);
+    a_far_chunked_body_without_end("/status/1", Endless::ChunkedBody, Place::Far);
+    a_far_body_without_length_or_end("/status/1", Endless::BodyUntilClose, Place::Far);
+    a_far_event_without_end("/quote/1", Endless::Event, Place::Far);
+    far_comments_without_end("/quote/1", Endless::Comments, Place::Far);
+}
+
+/// Pause between two reads, in which more of the answer arrives than is read,
+/// so that the instance never has to wait for the target.
+const SLOW_READER_PAUSE: Duration = Duration::from_millis(20);
+
+fn a_slow_reader_of_an_endless_answer_is_cut_off(path: &str, kind: Endless, place: Place) {
+    block_on(async {
+        let world = start(path, kind, place).await;
+        call(world.near.front, 1, path, SLOW_READER_PAUSE).await;
+    });
+}
+
+support::cases! {
+    a_slow_reader_of_an_endless_answer_is_cut_off:
+    a_slow_reader_of_a_body("/status/1", Endless::ChunkedBody, Place::Near);
+    a_slow_reader_of_a_far_body("/status/1", Endless::ChunkedBody, Place::Far);
+    a_slow_reader_of_comments("/quote/1", Endless::Comments, Place::Near);
+    a_slow_reader_of_far_comments("/quote/1", Endless::Comments, Place::Far);
+}
