Pass a long answer of another region on as it comes

Now the first 256 KiB are kept, as for targets of the own region, and the rest is passed on.

node::endless::a_long_far_answer_begins_before_its_end failed before with 502.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -9,7 +9,7 @@
 
 /// Size, in bytes, up to which an answer that is not a stream is read
 /// completely before it is sent to the caller.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+pub(crate) const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
 /// The start of an answer.
 #[derive(Debug)]
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
@@ -33,6 +32,7 @@
 use crate::place::PlacementContext;
 use crate::relay::AnswerSource;
 use crate::remote_relay::RemoteRelay;
+use crate::remote_relay::RemoteStart;
 
 /// Result of forwarding a request.
 pub(crate) enum ForwardOutcome {
@@ -100,9 +100,9 @@
         }
     }
 
-    /// Relays a stream as it arrives. Any other answer is read completely, so
-    /// that the request can still be retried if it breaks off or is a server
-    /// error.
+    /// Relays a stream as it arrives. Any other answer is read first, unless it
+    /// is long, so that the request can still be retried if the answer breaks
+    /// off or is a server error.
     async fn relay_remote_reply(
         self: &Arc<Self>,
         req: Request<Dispatched, Direct>,
@@ -112,21 +112,12 @@
         // An answer means that at least one target ran the request.
         let attempts_used = head.attempts_used.max(1);
         let mut relay = RemoteRelay::new(Arc::clone(self), &req, head.answer);
-        if cx.route.kind.is_stream() && head.status.is_success() {
-            // Ends the request's life cycle.
-            drop(req.answered());
-            return ForwardOutcome::Answered(Reply {
-                status: head.status,
-                headers: head.headers,
-                body: ReplyBody::Chunks(relay.into_stream()),
-            });
-        }
-        let mut data = BytesMut::new();
-        loop {
-            match relay.next_chunk().await {
-                None => break,
-                Some(Ok(chunk)) => data.extend_from_slice(&chunk),
-                Some(Err(e)) => {
+        let is_stream = cx.route.kind.is_stream() && head.status.is_success();
+        let start = match is_stream {
+            true => RemoteStart::Longer,
+            false => match relay.read_start().await {
+                Ok(start) => start,
+                Err(e) => {
                     log::info!(target: "forward", id = req.meta().id.as_str(), peer:% = req.peer(), reason:% = e; "answer ended early");
                     return self.retry_possibly_run_remotely(
                         req,
@@ -135,14 +126,18 @@
                         attempts_used,
                     );
                 }
-            }
-        }
+            },
+        };
+        let (body, is_complete) = match start {
+            RemoteStart::Complete(data) => (ReplyBody::Full(data), true),
+            RemoteStart::Longer => (ReplyBody::Chunks(relay.into_stream()), false),
+        };
         let reply = Reply {
             status: head.status,
             headers: head.headers,
-            body: ReplyBody::Full(data.freeze()),
+            body,
         };
-        if !reply.status.is_server_error() {
+        if !is_complete || !reply.status.is_server_error() {
             // Ends the request's life cycle.
             drop(req.answered());
             return ForwardOutcome::Answered(reply);
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Dispatched;
@@ -15,6 +16,7 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::IncompleteAnswer;
+use crate::answer::MAX_BUFFERED_BYTES;
 use crate::relay::AnswerSource;
 use crate::relay::RELAY_ABANDONED;
 use crate::relay::RELAY_BROKEN;
@@ -30,6 +32,7 @@
     gateway: Arc<Gateway<D>>,
     id: RequestId,
     answer: Option<Answer>,
+    buffered: Bytes,
     deadline: Duration,
     received_at: Duration,
     outcome: &'static str,
@@ -51,6 +54,7 @@
             gateway,
             id: req.meta().id.clone(),
             answer: Some(answer),
+            buffered: Bytes::new(),
             deadline: req.meta().deadline,
             received_at: req.meta().received,
             outcome: RELAY_ABANDONED,
@@ -58,10 +62,37 @@
     }
 }
 
+/// The start of an answer that was read before any of it goes to the caller.
+#[derive(Debug)]
+pub(crate) enum RemoteStart {
+    /// The whole answer.
+    Complete(Bytes),
+    /// The answer is longer than [`MAX_BUFFERED_BYTES`]. What was read is
+    /// returned again by the relay.
+    Longer,
+}
+
 impl<D> RemoteRelay<D>
 where
     D: Dialect,
 {
+    /// Reads the answer up to its end or to [`MAX_BUFFERED_BYTES`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer ends early.
+    pub(crate) async fn read_start(&mut self) -> Result<RemoteStart, IncompleteAnswer> {
+        let mut data = BytesMut::new();
+        while data.len() < MAX_BUFFERED_BYTES {
+            let Some(chunk) = self.next_chunk().await else {
+                return Ok(RemoteStart::Complete(data.freeze()));
+            };
+            data.extend_from_slice(&chunk?);
+        }
+        self.buffered = data.freeze();
+        Ok(RemoteStart::Longer)
+    }
+
     async fn next_frame(&mut self) -> Option<Result<Frame, IncompleteAnswer>> {
         let answer = self.answer.as_mut()?;
         let left = self.deadline.saturating_sub(self.gateway.clock.now());
@@ -81,6 +112,9 @@
     D: Dialect,
 {
     async fn next_chunk(&mut self) -> Option<Result<Bytes, IncompleteAnswer>> {
+        if !self.buffered.is_empty() {
+            return Some(Ok(std::mem::take(&mut self.buffered)));
+        }
         let cause = match self.next_frame().await? {
             Ok(Frame::Data(data)) => return Some(Ok(data.into())),
             Ok(Frame::End) => {
--- a/tests/testsuite/node/endless.rs
+++ b/tests/testsuite/node/endless.rs
@@ -165,3 +165,14 @@
     a_slow_reader_of_comments("/quote/1", Endless::Comments, Place::Near);
     a_slow_reader_of_far_comments("/quote/1", Endless::Comments, Place::Far);
 }
+
+/// A long answer of another region is passed on as it comes. If it were kept
+/// until its end, an endless one would fill the memory and reach nobody.
+#[test]
+fn a_long_far_answer_begins_before_its_end() {
+    block_on(async {
+        let world = start("/status/1", Endless::BodyUntilClose, Place::Far).await;
+        let got = call(world.near.front, 1, "/status/1", Duration::ZERO).await;
+        assert!(got.starts_with("HTTP/1.1 200"), "{got}");
+    });
+}
