Stop sending a forwarded answer when the other instance stops reading

Each write now waits for the end of reading beside it, and the whole answer is bounded by the request's deadline, for an instance that neither reads nor says so.

Why a waiting write is not woken inside the transport library is not known.

--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -43,6 +43,9 @@
 /// those that did not run it.
 const MAX_TARGETS: usize = 3;
 
+/// Shortest time for sending a reply, which may be ready only at the deadline.
+const MIN_REPLY_TIME: Duration = Duration::from_millis(100);
+
 /// Handler of the messages and forwarded requests of other instances.
 pub(crate) struct SiblingHandler<D>
 where
@@ -87,6 +90,7 @@
         let gateway = &self.gateway;
         let _open = gateway.open_requests.token();
         let id = req.id.clone();
+        let deadline = gateway.clock.now() + Duration::from_millis(req.remaining_ms);
         let mut usage = TargetUsage::default();
         let running = gateway.run_forwarded(req, &mut usage);
         // Check for the cancellation first: if the request arrived late, its
@@ -107,8 +111,11 @@
             };
             "forwarded request handled"
         );
-        // The other instance may have cancelled the request.
-        let _ = send_reply(&mut tx, handled, usage.may_have_run).await;
+        // The other instance may have cancelled the request, or have stopped
+        // reading without a word.
+        let left = deadline.saturating_sub(gateway.clock.now());
+        let sending = send_reply(&mut tx, handled, usage.may_have_run);
+        let _ = tokio::time::timeout(left.max(MIN_REPLY_TIME), sending).await;
     }
 
     fn refused(&self, reason: Refused) {
--- a/crates/sibling/src/wire.rs
+++ b/crates/sibling/src/wire.rs
@@ -134,7 +134,13 @@
     ///
     /// Fails once the sibling no longer waits for the answer.
     pub async fn send(&mut self, frame: &Frame) -> Result<(), Error> {
-        write(&mut self.tx, frame).await
+        // A write that waits for room may not notice that the sibling stopped
+        // reading.
+        let stopped = self.tx.stopped();
+        tokio::select! {
+            written = write(&mut self.tx, frame) => written,
+            _ = stopped => Err(truncated("the sibling stopped reading")),
+        }
     }
 
     /// Waits until the sibling no longer waits for the answer.
