Give a new process no share of a cold target in its first window

traffic::a_restart_gives_no_new_part_of_a_cold_target failed before: three instances that are killed and start at once sent 30 requests in one second where 22 are allowed; 15 now. Callers of a target that many are killed around saw it crash, as it takes no more. a_cold_target_gets_no_more_than_the_own_part checks the same at times after the first window. traffic, allowance, overload and node::path pass (54).

--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -156,7 +156,8 @@
 /// Shortest prompt part that is reported to the other instances, in tokens.
 const MIN_REPORTED_TOKENS: u32 = 500;
 
-/// Load, health, cached prompts and performance of the targets.
+/// Load, health, cached prompts and performance of the targets. All times are
+/// since the start of the process, on the local monotonic clock.
 ///
 /// # Invariants
 ///
@@ -318,7 +319,7 @@
         divisor: Divisor,
         now: Duration,
     ) -> bool {
-        let bound = self.cold_limit_share(pool, divisor);
+        let bound = self.cold_limit_share(pool, divisor, now);
         let local = self.local.entry(reservation.target.clone()).or_default();
         if let Some(bound) = bound.filter(|_| known.is_cold(now)) {
             let window = local
@@ -393,10 +394,19 @@
         (best.1 >= cached_here + min_extra_tokens).then_some(best)
     }
 
-    fn cold_limit_share(&self, pool: &PoolSpec, divisor: Divisor) -> Option<f64> {
+    /// Returns this instance's share of the rate limit of a cold target, or
+    /// `None` if the pool has no such limit. The share is 0 in the first window
+    /// of the process, as an earlier process of the instance may have used it.
+    fn cold_limit_share(&self, pool: &PoolSpec, divisor: Divisor, now: Duration) -> Option<f64> {
         let per_s = pool.cold.requests_per_s;
+        if per_s <= 0.0 {
+            return None;
+        }
+        if now < COLD_LIMIT_WINDOW {
+            return Some(0.0);
+        }
         let bound = per_s * self.cold_tolerance.factor + self.cold_tolerance.slack;
-        (per_s > 0.0).then(|| divisor.share(bound).floor())
+        Some(divisor.share(bound).floor())
     }
 
     /// Records a request forwarded to another region, as the instances there
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -268,7 +268,7 @@
         divisor: Divisor,
         now: Duration,
     ) -> bool {
-        let Some(bound) = self.cold_limit_share(pool, divisor) else {
+        let Some(bound) = self.cold_limit_share(pool, divisor, now) else {
             return true;
         };
         let local = self
