--- a/tests/testsuite/allowance.rs
+++ b/tests/testsuite/allowance.rs
@@ -172,3 +172,45 @@
     part.configure(low, none, Divisor::new(INSTANCES), ms(10_000));
     assert_eq!(part.status(ms(10_000)).level, 20.0);
 }
+
+/// Tokens of each request in `instances_that_join_stay_within_the_limit`.
+const SMALL_REQUEST: f64 = 200.0;
+
+/// Many instances join at once, and the others learn of them a second later.
+/// All take what they have, so that shares which add up to more than the whole
+/// would show. The same cause broke the retry budget in issue 18.
+#[test]
+fn instances_that_join_stay_within_the_limit() {
+    let (old, all) = (24, 48);
+    let (joined, known) = (ms(20_000), ms(21_000));
+    let start =
+        |divisor: usize, now| LocalAllowance::empty(LIMIT, TOLERANCE, Divisor::new(divisor), now);
+    let mut parts: Vec<_> = (0..old).map(|_| start(old, ms(0))).collect();
+    let mut taken: Vec<(u64, f64)> = Vec::new();
+    for step in 0..1_000_u64 {
+        let now = ms(step * 50);
+        if now == joined {
+            parts.extend((old..all).map(|_| start(all, now)));
+        }
+        if now == known {
+            for part in &mut parts[..old] {
+                part.configure(LIMIT, TOLERANCE, Divisor::new(all), now);
+            }
+        }
+        let mut tokens = 0.0;
+        for part in &mut parts {
+            while part.take(SMALL_REQUEST, now).is_ok() {
+                tokens += SMALL_REQUEST;
+            }
+        }
+        taken.push((step * 50, tokens));
+    }
+    let bound = (LIMIT.rate * WINDOW_MS as f64 / 1000.0 + LIMIT.burst) * 1.1 + TOLERANCE.slack;
+    for (from, _) in &taken {
+        let within = taken
+            .iter()
+            .filter(|(at, _)| at >= from && *at < from + WINDOW_MS);
+        let sum: f64 = within.map(|(_, tokens)| tokens).sum();
+        assert!(sum <= bound, "{sum} of {bound} tokens from {from} ms");
+    }
+}
