Split the traffic table and the failures of attempts into modules

Nothing but places and visibility changes; traffic, retry_budget, allowance, overload, windows and node::path pass.

--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -261,23 +261,6 @@
         }
     }
 
-    fn has_cold_capacity(
-        &mut self,
-        target: &Target,
-        pool: &PoolSpec,
-        divisor: Divisor,
-        now: Duration,
-    ) -> bool {
-        let Some(bound) = self.cold_limit_share(pool, divisor, now) else {
-            return true;
-        };
-        let local = self
-            .local
-            .get_mut(target)
-            .and_then(|local| local.cold_requests.as_mut());
-        local.is_none_or(|window| window.sum(now) + 1.0 <= bound)
-    }
-
     /// Finds the target that all instances prefer for a prompt with a long
     /// part.
     fn affinity_target(
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,5 +1,5 @@
-//! Sends a request to one target in this region and handles the failure of
-//! that attempt.
+//! Sends a request to one target in this region and reads the start of its
+//! answer.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,10 +8,8 @@
 use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::catalog::RouteKind;
 use chiverelay_decisions::fleet::KnownTarget;
-use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
-use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Dispatched;
 use chiverelay_decisions::request::Placed;
 use chiverelay_decisions::request::Request;
@@ -28,13 +26,11 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::Outbound;
-use crate::Reply;
-use crate::ReplyBody;
 use crate::ResponseVerdict;
 use crate::answer;
 use crate::answer::AnswerStart;
+use crate::attempt_failure::AttemptFailure;
 use crate::outcome::AttemptOutcome;
-use crate::outcome::Fallback;
 use crate::outcome::StartedAnswer;
 use crate::place::LocalPlacement;
 use crate::place::PlacementContext;
@@ -59,23 +55,6 @@
 /// request can be retried.
 const MAX_SHARE_OF_TIME_LEFT: f64 = 0.6;
 
-/// Reason why an attempt returned no usable answer.
-#[derive(Debug)]
-enum AttemptFailure {
-    /// No byte of the request was written.
-    NotSent(String),
-    /// The target did not run the request.
-    NotRun(TargetOutcome),
-    /// The exchange failed after the request was sent, or the answer was
-    /// malformed or belonged to another request. The target may have run the
-    /// request.
-    ExchangeFailed(String),
-    /// The target ran the request and answered with a server error.
-    ServerError(Box<(PooledResponse, AnswerStart)>),
-    /// No answer began before the timeout of the attempt.
-    TimedOut,
-}
-
 impl<D> Gateway<D>
 where
     D: Dialect,
@@ -250,7 +229,7 @@
 
     /// Counts the attempt and returns the answer, which may be a server error
     /// that is not retried.
-    fn accept_answer<O>(
+    pub(crate) fn accept_answer<O>(
         &self,
         req: Request<Dispatched, O>,
         mut reservation: ReservationGuard<D>,
@@ -272,214 +251,6 @@
         }))
     }
 
-    fn handle_attempt_failure<O>(
-        &self,
-        req: Request<Dispatched, O>,
-        reservation: ReservationGuard<D>,
-        cx: &mut PlacementContext,
-        out: &Outbound,
-        failure: AttemptFailure,
-    ) -> AttemptOutcome<D, O> {
-        let peer = req.peer().clone();
-        match failure {
-            AttemptFailure::NotSent(reason) => {
-                self.record_failed_attempt_at_peer(
-                    out,
-                    &peer,
-                    reservation.age(),
-                    "not sent",
-                    &reason,
-                );
-                reservation.finish(TargetOutcome::Cancelled);
-                let req = req.undo_dispatch();
-                let refusal = req.refusal(Code::Unavailable, Step::Dispatch, peer);
-                AttemptOutcome::Retry(req, refusal.into())
-            }
-            AttemptFailure::NotRun(outcome) => {
-                self.record_failed_attempt_at_peer(
-                    out,
-                    &peer,
-                    reservation.age(),
-                    "not run",
-                    outcome.as_str(),
-                );
-                reservation.finish(outcome);
-                self.retry_not_run(req.undo_dispatch(), cx, Code::Overloaded, &peer)
-            }
-            AttemptFailure::ExchangeFailed(reason) => {
-                self.record_failed_attempt_at_peer(out, &peer, reservation.age(), "lost", &reason);
-                reservation.finish(TargetOutcome::Lost);
-                self.retry_possibly_run(req, cx, Code::TargetFailed)
-            }
-            AttemptFailure::TimedOut => {
-                self.record_failed_attempt_at_peer(
-                    out,
-                    &peer,
-                    reservation.age(),
-                    "late",
-                    "no answer in time",
-                );
-                reservation.finish(TargetOutcome::Lost);
-                self.retry_possibly_run(req, cx, Code::DeadlineExceeded)
-            }
-            AttemptFailure::ServerError(answer) => {
-                self.handle_server_error(req, reservation, cx, out, *answer)
-            }
-        }
-    }
-
-    /// Retries a request that a target answered with a server error, or passes
-    /// that answer on if no retry is allowed.
-    fn handle_server_error<O>(
-        &self,
-        req: Request<Dispatched, O>,
-        reservation: ReservationGuard<D>,
-        cx: &mut PlacementContext,
-        out: &Outbound,
-        (answer, start): (PooledResponse, AnswerStart),
-    ) -> AttemptOutcome<D, O> {
-        let peer = req.peer().clone();
-        self.record_failed_attempt_at_peer(
-            out,
-            &peer,
-            reservation.age(),
-            "failed",
-            answer.status().as_str(),
-        );
-        // `attempts_left` still includes this attempt.
-        let can_retry = cx.attempts_left >= 2 && self.try_consume_retry(cx, &out.id);
-        if !can_retry {
-            return self.accept_answer(req, reservation, cx, answer, start);
-        }
-        reservation.finish(TargetOutcome::Failed);
-        cx.attempts_left -= 1;
-        let reply = self.buffer_error_reply(answer, start);
-        match req.retry() {
-            Ok(req) => {
-                let refusal = req.refusal(Code::TargetFailed, Step::Dispatch, peer);
-                AttemptOutcome::Retry(req, Fallback { refusal, reply })
-            }
-            Err(req) => {
-                AttemptOutcome::Refused(req.refuse_unknown(Code::TargetFailed, Step::Dispatch))
-            }
-        }
-    }
-
-    /// Converts a target's server error into a reply to use if no other target
-    /// answers. Returns `None` if the error was not read completely.
-    fn buffer_error_reply(&self, answer: PooledResponse, start: AnswerStart) -> Option<Box<Reply>> {
-        if !start.is_complete {
-            return None;
-        }
-        let reply = Reply {
-            status: answer.status(),
-            headers: self.reply_headers(&answer),
-            body: ReplyBody::Full(start.data),
-        };
-        answer.release(&self.connections);
-        Some(Box::new(reply))
-    }
-
-    /// Retries a request that may have run, if it is repeatable, has attempts
-    /// left and the retry budget allows it.
-    fn retry_possibly_run<O>(
-        &self,
-        req: Request<Dispatched, O>,
-        cx: &mut PlacementContext,
-        code: Code,
-    ) -> AttemptOutcome<D, O> {
-        cx.attempts_left = cx.attempts_left.saturating_sub(1);
-        if cx.attempts_left == 0
-            || !cx.route.kind.is_repeatable()
-            || !self.try_consume_retry(cx, &req.meta().id)
-        {
-            return AttemptOutcome::Refused(req.refuse_unknown(code, Step::Dispatch));
-        }
-        let peer = req.peer().clone();
-        match req.retry() {
-            Ok(req) => {
-                let refusal = req.refusal(code, Step::Dispatch, peer);
-                AttemptOutcome::Retry(req, refusal.into())
-            }
-            Err(req) => AttemptOutcome::Refused(req.refuse_unknown(code, Step::Dispatch)),
-        }
-    }
-
-    /// Retries a request that did not run, if the retry budget allows it.
-    fn retry_not_run<O>(
-        &self,
-        req: Request<Admitted, O>,
-        cx: &PlacementContext,
-        code: Code,
-        peer: &Peer,
-    ) -> AttemptOutcome<D, O> {
-        let refusal = req
-            .refusal(code, Step::Dispatch, peer.clone())
-            .with_retry_after(NOT_RUN_RETRY_AFTER);
-        match self.try_consume_retry(cx, &req.meta().id) {
-            true => AttemptOutcome::Retry(req, refusal.into()),
-            false => AttemptOutcome::Refused(refusal),
-        }
-    }
-
-    /// Takes one retry from the pool's retry budget. Returns whether the budget
-    /// allowed it.
-    pub(crate) fn try_consume_retry(&self, cx: &PlacementContext, id: &RequestId) -> bool {
-        let now = self.clock.now();
-        let divisor = self.members.conservative_divisor(now);
-        let mut traffic = self.tables.traffic.lock();
-        let decision = traffic.try_consume_retry(&cx.pool.name, divisor, now);
-        drop(traffic);
-        self.metrics.count_retry_decision(decision.is_allowed);
-        log::info!(
-            target: "dispatch",
-            id = id.as_str(),
-            pool = cx.pool.name.as_str(),
-            allowed = decision.is_allowed,
-            retries = decision.retries,
-            requests = decision.requests,
-            max_retries = decision.max_retries;
-            "retry budget checked"
-        );
-        decision.is_allowed
-    }
-
-    /// Records a failed attempt in metrics and log, if `peer` is a target.
-    fn record_failed_attempt_at_peer(
-        &self,
-        out: &Outbound,
-        peer: &Peer,
-        took: Duration,
-        outcome: &'static str,
-        reason: &str,
-    ) {
-        if let Peer::Target(target) = peer {
-            self.record_failed_attempt(out, target, took, outcome, reason);
-        }
-    }
-
-    /// Records a failed attempt at a target in metrics and log.
-    fn record_failed_attempt(
-        &self,
-        out: &Outbound,
-        target: &Target,
-        took: Duration,
-        outcome: &'static str,
-        reason: &str,
-    ) {
-        self.metrics.record_attempt(outcome, took);
-        log::info!(
-            target: "dispatch",
-            id = out.id.as_str(),
-            to = target.as_str(),
-            outcome,
-            reason,
-            took_ms = took.as_millis() as u64,
-            store_age_ms = self.tables.store_age(self.clock.now()).as_millis() as u64;
-            "attempt failed"
-        );
-    }
-
     /// Returns those headers of a target's answer that are passed on to the
     /// caller.
     pub(crate) fn reply_headers(&self, answer: &PooledResponse) -> HeaderMap {
@@ -487,10 +258,6 @@
     }
 }
 
-/// Retry delay for a request that a target did not run: it was full or
-/// draining, or another target uses its address now.
-const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// Longest answer, in bytes, that is read only to reuse its connection.
 const MAX_DRAINED_BYTES: u64 = 4096;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! holds one across a wait.
 
 mod answer;
+mod attempt_failure;
 mod charge;
 mod clock;
 mod dispatch;
