--- a/tests/testsuite/retry_budget.rs
+++ b/tests/testsuite/retry_budget.rs
@@ -219,6 +219,12 @@
     (0..72).map(delayed).collect()
 }
 
+/// Requests come so fast that those of half a second are more than the slack.
+fn requests_are_many() -> Vec<Course> {
+    let course = Course::steady(10.0 * BUSY_PER_S);
+    vec![course.failing(2 * WINDOW_STEPS, STEPS); 72]
+}
+
 // Guards against issue 18: targets got more retries in ten seconds than the
 // budget allows, as each instance counted over a window of its own.
 fn retries_of_all_instances_stay_within_the_budget(courses: &[Course]) {
@@ -234,6 +240,7 @@
     all_instances_restart_and_the_budget_holds(&all_instances_restart());
     instances_restart_in_turn_and_the_budget_holds(&instances_restart_in_turn());
     retries_are_delayed_and_the_budget_holds(&retries_are_delayed());
+    requests_are_many_and_the_budget_holds(&requests_are_many());
 }
 
 impl Arbitrary for Course {
