Name what a reader of the retry and relay changes stumbles over

A remote answer that goes on is Partial, no longer Longer, as streams are relayed without reading their start.

--- a/crates/decisions/src/retry_budget.rs
+++ b/crates/decisions/src/retry_budget.rs
@@ -13,6 +13,7 @@
 //! before it allow a new one nothing, and of the slack only a part is divided.
 
 use std::collections::VecDeque;
+use std::ops::Range;
 use std::time::Duration;
 
 use crate::window::Divisor;
@@ -95,7 +96,8 @@
 
     /// Counts a request to the pool, which allows more retries.
     pub fn record_request(&mut self, now: Duration) {
-        self.current_interval(now).requests += 1;
+        self.advance(now);
+        self.intervals[0].requests += 1;
     }
 
     /// Counts a retry if this instance's budget allows it, and returns the
@@ -109,11 +111,6 @@
         decision
     }
 
-    fn current_interval(&mut self, now: Duration) -> &mut Counts {
-        self.advance(now);
-        &mut self.intervals[0]
-    }
-
     /// Starts the intervals that have begun since the last call.
     fn advance(&mut self, now: Duration) {
         let length = self.limit.window / INTERVALS_PER_WINDOW as u32;
@@ -127,13 +124,12 @@
     }
 
     /// Looks for the span that leaves room for the fewest retries, among those
-    /// that end with the current interval. A span is at first compared with the
-    /// requests that it has so far.
+    /// that begin up to [`SPAN`] ago and have not ended. Only the requests that
+    /// have come so far count.
     fn decide(&self, divisor: Divisor) -> RetryDecision {
         let slack = divisor.share(self.limit.slack * DIVIDED_SLACK_RATIO);
-        let requests = |ages: std::ops::Range<usize>| -> u32 {
-            self.intervals.range(ages).map(|c| c.requests).sum()
-        };
+        let requests =
+            |ages: Range<usize>| -> u32 { self.intervals.range(ages).map(|c| c.requests).sum() };
         // A span may begin at any moment of its oldest interval, so that
         // interval's requests are left out of both sums.
         let mut requests_within = 0;
--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -50,6 +50,8 @@
 where
     D: Dialect,
 {
+    /// Releases the reservation of a failed attempt, and returns the request if
+    /// it may be tried at another target.
     pub(crate) fn handle_attempt_failure<O>(
         &self,
         req: Request<Dispatched, O>,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -112,9 +112,9 @@
         // An answer means that at least one target ran the request.
         let attempts_used = head.attempts_used.max(1);
         let mut relay = RemoteRelay::new(Arc::clone(self), &req, head.answer);
-        let is_stream = cx.route.kind.is_stream() && head.status.is_success();
-        let start = match is_stream {
-            true => RemoteStart::Longer,
+        let is_relayed_at_once = cx.route.kind.is_stream() && head.status.is_success();
+        let start = match is_relayed_at_once {
+            true => RemoteStart::Partial,
             false => match relay.read_start().await {
                 Ok(start) => start,
                 Err(e) => {
@@ -130,7 +130,7 @@
         };
         let (body, is_complete) = match start {
             RemoteStart::Complete(data) => (ReplyBody::Full(data), true),
-            RemoteStart::Longer => (ReplyBody::Chunks(relay.into_stream()), false),
+            RemoteStart::Partial => (ReplyBody::Chunks(relay.into_stream()), false),
         };
         let reply = Reply {
             status: head.status,
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -32,6 +32,7 @@
     gateway: Arc<Gateway<D>>,
     id: RequestId,
     answer: Option<Answer>,
+    /// Start of the answer that was read but not returned yet.
     buffered: Bytes,
     deadline: Duration,
     received_at: Duration,
@@ -67,9 +68,8 @@
 pub(crate) enum RemoteStart {
     /// The whole answer.
     Complete(Bytes),
-    /// The answer is longer than [`MAX_BUFFERED_BYTES`]. What was read is
-    /// returned again by the relay.
-    Longer,
+    /// The answer goes on. The relay returns what was read of it again.
+    Partial,
 }
 
 impl<D> RemoteRelay<D>
@@ -90,7 +90,7 @@
             data.extend_from_slice(&chunk?);
         }
         self.buffered = data.freeze();
-        Ok(RemoteStart::Longer)
+        Ok(RemoteStart::Partial)
     }
 
     async fn next_frame(&mut self) -> Option<Result<Frame, IncompleteAnswer>> {
