--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -23,7 +23,7 @@
 use crate::outcome::AttemptOutcome;
 use crate::outcome::Fallback;
 use crate::place::PlacementContext;
-use crate::place::ReservationGuard;
+use crate::reservation_guard::ReservationGuard;
 
 /// Retry delay for a request that a target did not run: it was full or
 /// draining, or another target uses its address now.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -34,7 +34,7 @@
 use crate::outcome::StartedAnswer;
 use crate::place::LocalPlacement;
 use crate::place::PlacementContext;
-use crate::place::ReservationGuard;
+use crate::reservation_guard::ReservationGuard;
 
 /// Maximum idle time of a reused connection for a request that may run at most
 /// once. The limit is short because the outcome is unknown if the target closes
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod relay;
 mod remote_relay;
 mod request_log;
+mod reservation_guard;
 mod settings;
 mod sibling_handler;
 mod status;
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -10,7 +10,7 @@
 use crate::Reply;
 use crate::answer::AnswerStart;
 use crate::message::HandleResult;
-use crate::place::ReservationGuard;
+use crate::reservation_guard::ReservationGuard;
 
 /// An answer of a target whose start was read. `O` is the origin of the
 /// request: a caller (`Direct`) or another instance (`Forwarded`).
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -1,7 +1,6 @@
 //! Placement of a request: selects a target in this region, or an instance in
 //! another region to forward the request to.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,11 +26,11 @@
 use chiverelay_decisions::traffic::RegionChoice;
 use chiverelay_decisions::traffic::Reservation;
 use chiverelay_decisions::traffic::TargetChoice;
-use chiverelay_decisions::traffic::TargetOutcome;
 use chiverelay_decisions::traffic::TargetQuery;
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::reservation_guard::ReservationGuard;
 
 /// Assumed network round trip to any other region. It is added to the estimated
 /// wait at that region's targets.
@@ -58,93 +57,6 @@
     pub(crate) sent_count: u32,
 }
 
-/// A reservation at a target. Dropping it releases the reservation as
-/// cancelled.
-#[derive(Debug)]
-pub(crate) struct ReservationGuard<D>
-where
-    D: Dialect,
-{
-    gateway: Arc<Gateway<D>>,
-    reservation: Option<Reservation>,
-    reserved_at: Duration,
-    first_event_at: Option<Duration>,
-    estimate: Estimate,
-}
-
-impl<D> ReservationGuard<D>
-where
-    D: Dialect,
-{
-    /// Returns the address from which the target can copy cached parts of the
-    /// prompt, if there is one.
-    pub(crate) fn cache_source(&self) -> Option<SocketAddr> {
-        self.estimate.cache_source
-    }
-
-    /// Returns the load and latency that were estimated for the target when
-    /// the capacity was reserved.
-    pub(crate) fn estimate(&self) -> &Estimate {
-        &self.estimate
-    }
-
-    /// Returns the time that has passed since the capacity was reserved.
-    pub(crate) fn age(&self) -> Duration {
-        self.gateway.clock.now().saturating_sub(self.reserved_at)
-    }
-
-    /// Records that the answer on a stream route has begun, which is taken to
-    /// mean that the target has processed the prompt.
-    pub(crate) fn record_first_event(&mut self) {
-        let took = self.age();
-        let Some(reservation) = &mut self.reservation else {
-            return;
-        };
-        self.first_event_at = Some(self.reserved_at + took);
-        let mut traffic = self.gateway.tables.traffic.lock();
-        traffic.record_first_event(reservation, took);
-        traffic.record_prefill(reservation);
-    }
-
-    /// Records that the start of an answer that is not a stream was read.
-    pub(crate) fn record_answer(&self) {
-        if let Some(reservation) = &self.reservation {
-            let took = self.age();
-            self.gateway
-                .tables
-                .traffic
-                .lock()
-                .record_answer(reservation, took);
-        }
-    }
-
-    /// Releases the reservation, and records how the request ended.
-    pub(crate) fn finish(mut self, outcome: TargetOutcome) {
-        self.release(outcome);
-    }
-
-    fn release(&mut self, outcome: TargetOutcome) {
-        if let Some(reservation) = self.reservation.take() {
-            let now = self.gateway.clock.now();
-            let mut traffic = self.gateway.tables.traffic.lock();
-            if let (TargetOutcome::Answered, Some(first_event_at)) = (outcome, self.first_event_at)
-            {
-                traffic.record_generation(&reservation, now.saturating_sub(first_event_at));
-            }
-            traffic.release(reservation, outcome, now);
-        }
-    }
-}
-
-impl<D> Drop for ReservationGuard<D>
-where
-    D: Dialect,
-{
-    fn drop(&mut self) {
-        self.release(TargetOutcome::Cancelled);
-    }
-}
-
 /// Destination of the next attempt at a caller's request.
 #[derive(Debug)]
 pub(crate) enum Destination<D>
@@ -381,13 +293,7 @@
             // Any failed reservation is reported with this reason.
             return Err(refuse_no_target(&req, NoTargetReason::AllCold));
         };
-        let guard = ReservationGuard {
-            gateway: Arc::clone(self),
-            first_event_at: None,
-            reservation: Some(reservation),
-            reserved_at: now,
-            estimate: choice.estimate,
-        };
+        let guard = ReservationGuard::new(Arc::clone(self), reservation, choice.estimate);
         match req.place(choice.target.clone(), region) {
             Ok(req) => Ok(LocalPlacement {
                 req,
