--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -52,13 +52,22 @@
     pub log: PathBuf,
 }
 
+/// Addresses used in the last byte before the byte before it changes.
+const ADDRESSES_PER_NET: u16 = 254;
+
+/// Step of the byte before the last, which leaves the networks of tests with
+/// neighbouring process ids alone.
+const NET_STEP: u8 = 61;
+
 /// Returns a loopback address that no other instance of this process has.
 fn next_address() -> String {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let n = NEXT.fetch_add(1, Ordering::Relaxed) + 1;
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let (net, host) = (n / ADDRESSES_PER_NET, n % ADDRESSES_PER_NET + 1);
     let process = std::process::id();
     let (a, b) = (process as u8 | 1, (process >> 8) as u8);
-    format!("127.{a}.{b}.{n}")
+    let b = b.wrapping_add(NET_STEP.wrapping_mul(net as u8));
+    format!("127.{a}.{b}.{host}")
 }
 
 /// The settings file of an instance, as the platform writes it.
