Choose a warm target while the share of a cold one is 0

A target was taken to have room before its first request whatever the share: with a share of 0, in the first second of a process or where instances are more than the requests a cold target takes, the cold target could be chosen, its reservation failed, and the request was refused though a warm target was free.

traffic::a_restart_sends_to_the_warm_target_beside_a_cold_one failed before (the cold target was chosen); traffic passes (17).

--- a/crates/decisions/src/traffic/cold_limit.rs
+++ b/crates/decisions/src/traffic/cold_limit.rs
@@ -41,6 +41,8 @@
         Some(divisor.share(bound).floor())
     }
 
+    /// Returns whether this instance's share of a cold target's rate limit
+    /// allows another request now.
     pub(super) fn has_cold_capacity(
         &mut self,
         target: &Target,
@@ -55,6 +57,7 @@
             .local
             .get_mut(target)
             .and_then(|local| local.cold_requests.as_mut());
-        local.is_none_or(|window| window.sum(now) + 1.0 <= bound)
+        let sent = local.map_or(0.0, |window| window.sum(now));
+        sent + 1.0 <= bound
     }
 }
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -340,6 +340,28 @@
     assert!(sent <= 22, "{sent} requests in one second");
 }
 
+/// A new process may send nothing to a cold target yet, but the warm one next
+/// to it is free.
+#[test]
+fn a_restart_sends_to_the_warm_target_beside_a_cold_one() {
+    let mut world = World::new(0, true);
+    world.add("cold", ms(30_000));
+    world.add("warm", ms(0));
+    // The warm target has more to do, so the cold one is the cheaper.
+    let warm = TargetInFlight {
+        target: "warm".into(),
+        in_flight: InFlight {
+            running: 10,
+            prefill_tokens: 0,
+        },
+    };
+    world
+        .traffic
+        .update_remote_counts(&"two".into(), vec![warm], ms(50));
+    let choice = world.choose(&[], 300, &[], ms(100));
+    assert_eq!(choice.map(|c| c.target), Ok("warm".into()));
+}
+
 /// Pattern: a plain service in overload, and requests with little time. Time in
 /// the queue is no service time, else the queue would be counted twice and
 /// requests be refused that are in time.
