Ask for no retry when a stream has reached its deadline

A stream that may be resumed and was cut at its deadline asked the retry budget up to three times, chose a target and gave up, as too little time was left to send anything. Callers saw nothing of it, but the retries were missing elsewhere. Found while looking for retries that are counted and never sent.

node::endless::a_stream_at_its_deadline_asks_for_no_retry failed before (the line 'retry budget checked' after 4,002 ms of 4,000); endless, traffic and node::path pass (59).

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -45,7 +45,7 @@
 const MAX_IDLE: Duration = Duration::from_secs(4);
 
 /// Shortest time to the deadline at which a request is still sent.
-const MIN_TIME_TO_SEND: Duration = Duration::from_millis(20);
+pub(crate) const MIN_TIME_TO_SEND: Duration = Duration::from_millis(20);
 
 /// Multiple of the expected time to the start of an answer after which a
 /// repeatable request is tried at another target.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::Outbound;
+use crate::dispatch::MIN_TIME_TO_SEND;
 use crate::message::BodyStream;
 use crate::outcome::AttemptOutcome;
 use crate::outcome::StartedAnswer;
@@ -182,7 +183,9 @@
             reason = cause.reason.as_str();
             "answer ended early"
         );
-        if !is_resumable || self.cx.attempts_left == 0 {
+        let now = self.gateway.clock.now();
+        let left = current.req.meta().deadline.saturating_sub(now);
+        if !is_resumable || self.cx.attempts_left == 0 || left < MIN_TIME_TO_SEND {
             return Err(cause);
         }
         self.out.last_event_id = last_event_id.or(self.out.last_event_id);
--- a/tests/testsuite/node/endless.rs
+++ b/tests/testsuite/node/endless.rs
@@ -166,6 +166,22 @@
     a_slow_reader_of_far_comments("/quote/1", Endless::Comments, Place::Far);
 }
 
+/// A stream that has reached its deadline is not tried at another target, which
+/// would use up retries that other requests need.
+#[test]
+fn a_stream_at_its_deadline_asks_for_no_retry() {
+    block_on(async {
+        let world = start("/quote/1", Endless::Comments, Place::Near).await;
+        call(world.near.front, 1, "/quote/1", Duration::ZERO).await;
+        until("the end of the stream is logged", async || {
+            world.near.logged().contains("relayed answer ended")
+        })
+        .await;
+        let logged = world.near.logged();
+        assert!(!logged.contains("retry budget checked"), "{logged}");
+    });
+}
+
 /// A long answer of another region is passed on as it comes. If it were kept
 /// until its end, an endless one would fill the memory and reach nobody.
 #[test]
