--- a/crates/decisions/src/retry_budget.rs
+++ b/crates/decisions/src/retry_budget.rs
@@ -3,7 +3,7 @@
 //!
 //! Each instance enforces a budget of its own and needs no communication for
 //! it. In every span of the window's length, its retries are at most its share
-//! of the slack, plus [`RetryLimit::ratio`] times the mean of its requests in
+//! of half the slack, plus [`RetryLimit::ratio`] times the mean of its requests in
 //! that span and in the span before. A mean is linear, so for each span these
 //! budgets add up to the same formula over the requests of all instances, no
 //! matter how the requests move between instances. If each instance used the
--- a/tests/testsuite/retry_budget.rs
+++ b/tests/testsuite/retry_budget.rs
@@ -23,6 +23,9 @@
 /// Steps in the window of the limit.
 const WINDOW_STEPS: usize = 200;
 
+/// Steps of a run.
+const STEPS: usize = 5 * WINDOW_STEPS;
+
 /// Steps after which an instance that joins is known to all others.
 const STEPS_UNTIL_KNOWN: usize = 20;
 
@@ -79,10 +82,10 @@
 }
 
 impl Totals {
-    fn new(steps: usize) -> Self {
+    fn new() -> Self {
         Self {
-            requests: vec![0; steps],
-            retries: vec![0; steps],
+            requests: vec![0; STEPS],
+            retries: vec![0; STEPS],
         }
     }
 
@@ -112,11 +115,11 @@
 
 /// Runs one instance alone, as the shares need no communication, and adds what
 /// it sends.
-fn run(course: &Course, all: &[Course], steps: usize, totals: &mut Totals) {
+fn run(course: &Course, all: &[Course], totals: &mut Totals) {
     let mut budget = RetryBudget::new(LIMIT);
     let mut started = course.joins;
     let mut due = 0.0;
-    for step in course.joins..steps {
+    for step in course.joins..STEPS {
         if course.restarts.contains(&step) {
             budget = RetryBudget::new(LIMIT);
             started = step;
@@ -143,16 +146,15 @@
     }
 }
 
-fn excess_of(courses: &[Course], steps: usize) -> f64 {
-    let mut totals = Totals::new(steps);
+/// Runs all instances and returns the largest excess over the limit.
+fn excess_of(courses: &[Course]) -> f64 {
+    let mut totals = Totals::new();
     for course in courses {
-        run(course, courses, steps, &mut totals);
+        run(course, courses, &mut totals);
     }
     totals.worst_excess()
 }
 
-const STEPS: usize = 5 * WINDOW_STEPS;
-
 /// Half of the instances lose their callers to the other half while targets
 /// fail.
 fn callers_move_to_another_region() -> Vec<Course> {
@@ -228,7 +230,7 @@
 // Guards against issue 18: targets got more retries in ten seconds than the
 // budget allows, as each instance counted over a window of its own.
 fn retries_of_all_instances_stay_within_the_budget(courses: &[Course]) {
-    let excess = excess_of(courses, STEPS);
+    let excess = excess_of(courses);
     assert!(excess <= 0.0, "{excess} retries over the budget");
 }
 
@@ -268,7 +270,7 @@
 }
 
 fn keeps_the_budget(courses: Vec<Course>) -> bool {
-    excess_of(&courses, STEPS) <= 0.0
+    excess_of(&courses) <= 0.0
 }
 
 #[test]
