--- a/crates/decisions/src/retry_budget.rs
+++ b/crates/decisions/src/retry_budget.rs
@@ -52,10 +52,10 @@
 const DELAY_INTERVALS: usize = 5;
 
 /// Length of a counted span, in intervals.
-const SPAN: usize = INTERVALS_PER_WINDOW + DELAY_INTERVALS;
+const SPAN_INTERVALS: usize = INTERVALS_PER_WINDOW + DELAY_INTERVALS;
 
 /// Intervals whose counts are kept: a span and the window before it.
-const KEPT_INTERVALS: usize = SPAN + INTERVALS_PER_WINDOW;
+const KEPT_INTERVALS: usize = SPAN_INTERVALS + INTERVALS_PER_WINDOW;
 
 /// Fraction of the slack that is divided among the instances. A process does
 /// not know what the process before it sent, and an instance may join before
@@ -65,7 +65,7 @@
 
 /// Requests and retries counted in one interval.
 #[derive(Clone, Copy, Debug, Default)]
-struct Counts {
+struct IntervalCounts {
     requests: u32,
     retries: u32,
 }
@@ -80,7 +80,7 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     limit: RetryLimit,
-    intervals: VecDeque<Counts>,
+    intervals: VecDeque<IntervalCounts>,
     newest: u128,
 }
 
@@ -89,18 +89,18 @@
     pub fn new(limit: RetryLimit) -> Self {
         Self {
             limit,
-            intervals: VecDeque::from(vec![Counts::default(); KEPT_INTERVALS]),
+            intervals: VecDeque::from(vec![IntervalCounts::default(); KEPT_INTERVALS]),
             newest: 0,
         }
     }
 
-    /// Counts a request to the pool, which allows more retries.
+    /// IntervalCounts a request to the pool, which allows more retries.
     pub fn record_request(&mut self, now: Duration) {
         self.advance(now);
         self.intervals[0].requests += 1;
     }
 
-    /// Counts a retry if this instance's budget allows it, and returns the
+    /// IntervalCounts a retry if this instance's budget allows it, and returns the
     /// decision with the counts that led to it.
     pub fn try_retry(&mut self, divisor: Divisor, now: Duration) -> RetryDecision {
         self.advance(now);
@@ -118,13 +118,13 @@
         let begun = current.saturating_sub(self.newest);
         for _ in 0..begun.min(KEPT_INTERVALS as u128) {
             self.intervals.pop_back();
-            self.intervals.push_front(Counts::default());
+            self.intervals.push_front(IntervalCounts::default());
         }
         self.newest = self.newest.max(current);
     }
 
     /// Looks for the span that leaves room for the fewest retries, among those
-    /// that begin up to [`SPAN`] ago and have not ended. Only the requests that
+    /// that begin up to [`SPAN_INTERVALS`] ago and have not ended. Only the requests that
     /// have come so far count.
     fn decide(&self, divisor: Divisor) -> RetryDecision {
         let slack = divisor.share(self.limit.slack * DIVIDED_SLACK_RATIO);
@@ -141,7 +141,7 @@
             max_retries: f64::INFINITY,
             requests: requests(0..INTERVALS_PER_WINDOW),
         };
-        for age in 0..SPAN {
+        for age in 0..SPAN_INTERVALS {
             retries += self.intervals[age].retries;
             let mean = f64::from(requests_within + requests_before) / 2.0;
             let max_retries = slack + self.limit.ratio * mean;
