--- a/crates/decisions/src/retry_budget.rs
+++ b/crates/decisions/src/retry_budget.rs
@@ -9,8 +9,9 @@
 //! matter how the requests move between instances. If each instance used the
 //! requests of whichever span suits it, the sum would have no such bound.
 //!
-//! A process forgets what it sent when it ends. The requests of the process
-//! before it allow a new one nothing, and of the slack only a part is divided.
+//! A process loses these counts when it ends. The next one therefore starts
+//! without requests that would allow it retries, and the undivided half of the
+//! slack covers the retries that the earlier process sent.
 
 use std::collections::VecDeque;
 use std::ops::Range;
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -111,8 +111,8 @@
             };
             "forwarded request handled"
         );
-        // The other instance may have cancelled the request, or have stopped
-        // reading without a word.
+        // The other instance may have cancelled the request, or may be frozen
+        // and not read the reply at all.
         let left = deadline.saturating_sub(gateway.clock.now());
         let sending = send_reply(&mut tx, handled, usage.may_have_run);
         let _ = tokio::time::timeout(left.max(MIN_REPLY_TIME), sending).await;
--- a/tests/testsuite/allowance.rs
+++ b/tests/testsuite/allowance.rs
@@ -178,7 +178,7 @@
 
 /// Many instances join at once, and the others learn of them a second later.
 /// All take what they have, so that shares which add up to more than the whole
-/// would show. The same cause broke the retry budget in issue 18.
+/// would show.
 #[test]
 fn instances_that_join_stay_within_the_limit() {
     let (old, all) = (24, 48);
