Tell a crashed target from a lost connection in the log

When requests broke off at a target, no line said whether the target had ended or only that connection, nor which prompt parts were in flight there, so nothing could single out a request that ends its targets.

An attempt that timed out is told from a lost one, as it is no sign of a crash.

--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -41,6 +41,8 @@
     Fleet,
     /// Load, health and statistics of the targets.
     Targets,
+    /// Requests lost at targets that are checked for a crash.
+    Losses,
     /// What is known of the other instances.
     Members,
     /// What each sibling last reported of itself.
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -204,9 +204,7 @@
     }
 
     fn record_part_uses(&mut self, target: &Target, parts: &[PromptPart]) {
-        // The last part is the request's own, so no other request shares it.
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        for part in shared
+        for part in PromptPart::shared(parts)
             .iter()
             .filter(|part| part.tokens >= MIN_REPORTED_TOKENS)
         {
--- a/crates/decisions/src/traffic/cached.rs
+++ b/crates/decisions/src/traffic/cached.rs
@@ -20,6 +20,14 @@
     pub tokens: u32,
 }
 
+impl PromptPart {
+    /// Returns the parts of a prompt that other prompts may share: all but the
+    /// last, which is the request's own.
+    pub fn shared(parts: &[Self]) -> &[Self] {
+        parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// A prompt part sent to a target, as reported to the other instances.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -378,8 +378,8 @@
     tokens.any(|tokens| tokens >= MIN_AFFINITY_TOKENS)
 }
 
-/// Counts the tokens of all parts but the last, which is the request's own.
+/// Counts the tokens of the parts that other prompts may share.
 fn shared_tokens(parts: &[PromptPart]) -> u64 {
-    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let shared = PromptPart::shared(parts);
     shared.iter().map(|part| u64::from(part.tokens)).sum()
 }
--- a/crates/decisions/src/traffic/outcome.rs
+++ b/crates/decisions/src/traffic/outcome.rs
@@ -14,8 +14,11 @@
     Failed,
     /// No connection could be established.
     Unreachable,
-    /// The answer is missing or incomplete.
+    /// The connection ended before the answer was complete, or the answer is
+    /// malformed.
     Lost,
+    /// The answer did not begin in time.
+    TimedOut,
     /// The caller disconnected, or this instance abandoned the request.
     Cancelled,
 }
@@ -30,6 +33,7 @@
             Self::Failed => "failed",
             Self::Unreachable => "unreachable",
             Self::Lost => "lost",
+            Self::TimedOut => "timed out",
             Self::Cancelled => "cancelled",
         }
     }
--- a/crates/decisions/src/traffic/reservation.rs
+++ b/crates/decisions/src/traffic/reservation.rs
@@ -131,7 +131,9 @@
             TargetOutcome::Answered => (Some(HealthEvent::Success), Some(0.0)),
             // Raises the target's cost, but can't eject it.
             TargetOutcome::Failed => (None, Some(1.0)),
-            TargetOutcome::Lost => (Some(HealthEvent::Failure), Some(1.0)),
+            TargetOutcome::Lost | TargetOutcome::TimedOut => {
+                (Some(HealthEvent::Failure), Some(1.0))
+            }
             TargetOutcome::Unreachable | TargetOutcome::Misdirected => {
                 (Some(HealthEvent::Unreachable), None)
             }
--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -99,7 +99,7 @@
                     "late",
                     "no answer in time",
                 );
-                reservation.finish(TargetOutcome::Lost);
+                reservation.finish(TargetOutcome::TimedOut);
                 self.retry_possibly_run(req, cx, Code::DeadlineExceeded)
             }
             AttemptFailure::ServerError(answer) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::Metrics;
 use crate::Settings;
 use crate::StoreUpdate;
+use crate::crash_check::PendingLosses;
 use crate::links::Links;
 use crate::log_rate_limit::LogRateLimit;
 use crate::log_writer::LineCounts;
@@ -56,6 +57,7 @@
     pub(crate) members: Members,
     pub(crate) links: Links,
     pub(crate) connections: ConnectionPool,
+    pub(crate) pending_losses: PendingLosses,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) log_rate_limit: LogRateLimit,
     pub(crate) incarnation: u64,
@@ -107,6 +109,7 @@
             members: Members::new(own, pins),
             links: Links::new(endpoint),
             connections: ConnectionPool::new(CONNECT_TIMEOUT),
+            pending_losses: PendingLosses::default(),
             metrics: Arc::new(Metrics::new()),
             stop: CancellationToken::new(),
             open_requests: TaskTracker::new(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,7 @@
     refusals: IntCounterVec,
     attempts: IntCounterVec,
     retry_decisions: IntCounterVec,
+    crash_checks: IntCounterVec,
     connection_uses: IntCounterVec,
     forwards: IntCounterVec,
     sibling_refusals: IntCounterVec,
@@ -83,6 +84,12 @@
                 "Retries that the retry budget allowed or denied.",
                 &["decision"],
             ),
+            crash_checks: counter(
+                &registry,
+                "crash_checks_total",
+                "Checks of targets that lost requests, by whether they had crashed.",
+                &["result"],
+            ),
             connection_uses: counter(
                 &registry,
                 "target_connections_total",
@@ -151,6 +158,7 @@
             &self.requests,
             &self.attempts,
             &self.retry_decisions,
+            &self.crash_checks,
             &self.connection_uses,
             &self.sibling_refusals,
         ] {
@@ -235,6 +243,15 @@
         self.retry_decisions.with_label_values(&[label]).inc();
     }
 
+    /// Counts a check of a target that lost requests.
+    pub(crate) fn count_crash_check(&self, has_crashed: bool) {
+        let label = match has_crashed {
+            true => "crashed",
+            false => "running",
+        };
+        self.crash_checks.with_label_values(&[label]).inc();
+    }
+
     pub(crate) fn count_sibling_refusal(&self, reason: &str) {
         self.sibling_refusals.with_label_values(&[reason]).inc();
     }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -31,6 +31,7 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::reservation_guard::ReservationGuard;
+use crate::reservation_guard::ReservedRequest;
 
 /// Assumed network round trip to any other region. It is added to the estimated
 /// wait at that region's targets.
@@ -293,7 +294,12 @@
             // Any failed reservation is reported with this reason.
             return Err(refuse_no_target(&req, NoTargetReason::AllCold));
         };
-        let guard = ReservationGuard::new(Arc::clone(self), reservation, choice.estimate);
+        let request = ReservedRequest {
+            id: req.meta().id.clone(),
+            parts: Arc::clone(&cx.parts),
+            address: known_target.record.address,
+        };
+        let guard = ReservationGuard::new(Arc::clone(self), request, reservation, choice.estimate);
         match req.place(choice.target.clone(), region) {
             Ok(req) => Ok(LocalPlacement {
                 req,
--- a/crates/gateway/src/reservation_guard.rs
+++ b/crates/gateway/src/reservation_guard.rs
@@ -5,12 +5,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::names::Target;
 use chiverelay_decisions::traffic::Estimate;
+use chiverelay_decisions::traffic::PromptPart;
 use chiverelay_decisions::traffic::Reservation;
 use chiverelay_decisions::traffic::TargetOutcome;
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::crash_check::LostRequest;
+
+/// The request that a reservation was made for, as far as its outcome is
+/// evidence about its prompt.
+#[derive(Clone, Debug)]
+pub(crate) struct ReservedRequest {
+    pub(crate) id: RequestId,
+    /// Parts of the prompt, in order.
+    pub(crate) parts: Arc<[PromptPart]>,
+    /// Address of the target.
+    pub(crate) address: SocketAddr,
+}
 
 /// A reservation at a target. Dropping it releases the reservation as
 /// cancelled.
@@ -20,6 +35,7 @@
     D: Dialect,
 {
     gateway: Arc<Gateway<D>>,
+    request: ReservedRequest,
     reservation: Option<Reservation>,
     reserved_at: Duration,
     first_event_at: Option<Duration>,
@@ -33,11 +49,13 @@
     /// Guards a reservation that was just made with an estimate.
     pub(crate) fn new(
         gateway: Arc<Gateway<D>>,
+        request: ReservedRequest,
         reservation: Reservation,
         estimate: Estimate,
     ) -> Self {
         Self {
             gateway,
+            request,
             reserved_at: reservation.reserved_at,
             reservation: Some(reservation),
             first_event_at: None,
@@ -93,15 +111,29 @@
     }
 
     fn release(&mut self, outcome: TargetOutcome) {
-        if let Some(reservation) = self.reservation.take() {
-            let now = self.gateway.clock.now();
-            let mut traffic = self.gateway.tables.traffic.lock();
-            if let (TargetOutcome::Answered, Some(first_event_at)) = (outcome, self.first_event_at)
-            {
-                traffic.record_generation(&reservation, now.saturating_sub(first_event_at));
-            }
-            traffic.release(reservation, outcome, now);
+        let Some(reservation) = self.reservation.take() else {
+            return;
+        };
+        let now = self.gateway.clock.now();
+        let answered_for = self.first_event_at.map(|at| now.saturating_sub(at));
+        if outcome == TargetOutcome::Lost {
+            self.record_loss(&reservation.target, answered_for);
         }
+        let mut traffic = self.gateway.tables.traffic.lock();
+        if let (TargetOutcome::Answered, Some(answered_for)) = (outcome, answered_for) {
+            traffic.record_generation(&reservation, answered_for);
+        }
+        traffic.release(reservation, outcome, now);
+    }
+
+    fn record_loss(&self, target: &Target, answered_for: Option<Duration>) {
+        let lost = LostRequest {
+            id: self.request.id.clone(),
+            parts: Arc::clone(&self.request.parts),
+            answered_for,
+        };
+        self.gateway
+            .record_lost_request(target, self.request.address, lost);
     }
 }
 
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cache;
 mod client;
 pub mod connection_pool;
+mod crash;
 mod document;
 mod error;
 pub mod headers;
@@ -17,5 +18,6 @@
 pub use client::Connection;
 pub use client::TargetRequest;
 pub use client::TargetResponse;
+pub use crash::refuses_connections;
 pub use error::Error;
 pub use load::fetch_load;
