Refuse requests with a prompt part that crashes targets

Callers saw one target after the other end: of nine, seven were gone within two seconds and whatever came back ended again, so that sound requests of the same model got 502 and 503 (15 of 57 served).

The cause: a target's end counted against the target and never against the request, which was retried at the next one, and nothing kept later requests with the same part away. Its class is harm that a request carries to each target it is sent to. No instance can tell alone: it sees a few of the crashes, and each crash accuses all parts in flight there.

Instances now report lost requests and answers by prompt part, and judge by all of them together (decisions::quarantine). Answers clear the parts that sound requests share.

Evidence: node::quarantine::requests_with_a_part_that_crashes_targets_ are_refused_in_all_regions runs out of its time on the code before, as no request is ever refused, and passes now.

--- a/crates/caller/src/explain.rs
+++ b/crates/caller/src/explain.rs
@@ -62,6 +62,9 @@
         Detail::TicketLate => {
             "the ticket is too old to be used for the first time; ask for a new one".to_owned()
         }
+        Detail::QuarantinedPart(part) => {
+            format!("the prompt part {part:x} crashed several targets; leave it out")
+        }
     }
 }
 
@@ -91,6 +94,7 @@
         }
         Code::TargetFailed => "the target broke off or answered wrongly",
         Code::SiblingFailed => "the instance that passed the request on lost its way to another",
+        Code::Quarantined => "a part of the prompt crashed several targets; leave it out",
         Code::Draining => "the instance is stopping; ask another one",
     }
 }
--- a/crates/caller/src/reply.rs
+++ b/crates/caller/src/reply.rs
@@ -141,6 +141,7 @@
         Code::NoRoute => StatusCode::NOT_FOUND,
         Code::RateLimited => StatusCode::TOO_MANY_REQUESTS,
         Code::AlreadyUsed => StatusCode::CONFLICT,
+        Code::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
         Code::Overloaded | Code::Unavailable | Code::StateUnavailable | Code::Draining => {
             StatusCode::SERVICE_UNAVAILABLE
         }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod publication;
+pub mod quarantine;
 pub mod refusal;
 pub mod rendezvous;
 pub mod request;
--- a/crates/decisions/src/refusal.rs
+++ b/crates/decisions/src/refusal.rs
@@ -50,6 +50,8 @@
     SiblingFailed,
     /// The instance is shutting down.
     Draining,
+    /// A part of the prompt crashed several targets.
+    Quarantined,
 }
 
 impl Code {
@@ -71,6 +73,7 @@
             Self::TargetFailed => "target_failed",
             Self::SiblingFailed => "sibling_failed",
             Self::Draining => "draining",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/decisions/src/refusal/detail.rs
+++ b/crates/decisions/src/refusal/detail.rs
@@ -54,6 +54,8 @@
     TicketInvalid,
     /// The ticket was never used, and is too old for a first use.
     TicketLate,
+    /// The part of the prompt with this identifier crashed several targets.
+    QuarantinedPart(u64),
 }
 
 /// The part of a request in which a key was found.
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -43,6 +43,8 @@
     Targets,
     /// Requests lost at targets that are checked for a crash.
     Losses,
+    /// Prompt parts that crash targets, and the evidence about others.
+    Quarantine,
     /// What is known of the other instances.
     Members,
     /// What each sibling last reported of itself.
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -111,6 +111,9 @@
         let losses = self.pending_losses.take(target);
         self.metrics.count_crash_check(has_crashed);
         self.log_crash_check(target, has_crashed, &losses);
+        if has_crashed {
+            self.record_crash(target, &losses);
+        }
     }
 
     fn log_crash_check(&self, target: &Target, has_crashed: bool, losses: &[LostRequest]) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -152,6 +152,7 @@
         let now = self.clock.now();
         let members = self.members.summarize(now);
         let current = self.tables.current_catalog();
+        let quarantined_parts = self.tables.quarantine.lock().len();
         let fleet = self.tables.fleet.lock();
         GaugeValues {
             store_age: now.saturating_sub(fleet.last_store_answer()),
@@ -164,6 +165,7 @@
             max_silence: members.max_silence,
             links: self.links.list_open().len(),
             open_requests: self.open_requests.len(),
+            quarantined_parts,
         }
     }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -37,6 +37,7 @@
 use crate::outcome::StartedAnswer;
 use crate::place::Destination;
 use crate::place::PlacementContext;
+use crate::quarantine;
 use crate::relay::AnswerSource;
 use crate::relay::Relay;
 use crate::request_log::RequestLog;
@@ -207,6 +208,10 @@
         request_log.route = Some(matched.route.name.clone());
         request_log.account = matched.account.as_ref().map(|account| account.name.clone());
         let pool = self.find_pool(&matched, &inbound.id, catalog)?;
+        if let Some(part) = self.find_quarantined_part(&inbound.id, &inbound.parts, now) {
+            let refusal = Refusal::not_run(Code::Quarantined, Step::Admit, Peer::Local);
+            return Err(quarantine::name_part(refusal, part));
+        }
         let tokens = matched
             .account
             .as_ref()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod metrics;
 mod outcome;
 mod place;
+mod quarantine;
 mod rate_limiter;
 mod relay;
 mod remote_relay;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -9,6 +9,7 @@
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::placement::prefix::rendezvous_weight;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_decisions::window::Divisor;
@@ -303,6 +304,17 @@
         in_region.map(|m| m.record.instance.clone()).collect()
     }
 
+    /// Returns the position of this instance among the ready ones, in an order
+    /// that all instances derive from `key`.
+    pub(crate) fn rank_for(&self, key: u64, now: Duration) -> u32 {
+        let own = self.own.borrow().instance.clone();
+        let own_weight = rendezvous_weight(key, own.as_str());
+        let table = self.table.lock();
+        let ready = table.members.iter().filter(|(_, m)| m.is_ready(now));
+        let before = ready.filter(|(name, _)| rendezvous_weight(key, name.as_str()) > own_weight);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
     /// Counts the other known instances.
     pub(crate) fn summarize(&self, now: Duration) -> MembersSummary {
         let table = self.table.lock();
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -35,6 +35,8 @@
     pub links: usize,
     /// Number of requests and streams that have not ended.
     pub open_requests: usize,
+    /// Number of quarantined prompt parts.
+    pub quarantined_parts: usize,
 }
 
 /// The gauges.
@@ -50,6 +52,7 @@
     max_silence: Gauge,
     links: IntGauge,
     open_requests: IntGauge,
+    quarantined_parts: IntGauge,
     log_written: IntGauge,
     log_dropped: IntGauge,
 }
@@ -77,6 +80,10 @@
             ),
             links: count("links_open", "Open links to other instances."),
             open_requests: count("requests_open", "Requests and streams that have not ended."),
+            quarantined_parts: count(
+                "quarantined_parts",
+                "Prompt parts that are quarantined, as they crashed targets.",
+            ),
             log_written: count("log_lines_written", "Log lines written since the start."),
             log_dropped: count("log_lines_dropped", "Log lines dropped since the start."),
         }
@@ -93,6 +100,7 @@
         self.max_silence.set(values.max_silence.as_secs_f64());
         self.links.set(signed(values.links));
         self.open_requests.set(signed(values.open_requests));
+        self.quarantined_parts.set(signed(values.quarantined_parts));
     }
 
     pub(super) fn set_log_counts(&self, counts: &Arc<LineCounts>) {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -30,6 +30,7 @@
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::quarantine;
 use crate::reservation_guard::ReservationGuard;
 use crate::reservation_guard::ReservedRequest;
 
@@ -103,6 +104,7 @@
         cx: &PlacementContext,
     ) -> Result<Destination<D>, Refusal> {
         let now = self.clock.now();
+        self.check_quarantine(&req, cx, now)?;
         let own_region = &self.settings.region;
         let allowed = req.grant().residency.allows(own_region);
         let local = match allowed {
@@ -154,6 +156,7 @@
         cx: &PlacementContext,
     ) -> Result<LocalPlacement<D, O>, Refusal> {
         let now = self.clock.now();
+        self.check_quarantine(&req, cx, now)?;
         let choice = self
             .choose_target(&self.settings.region, cx, req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason))?;
@@ -167,6 +170,20 @@
         self.reserve(req, cx, &choice, now)
     }
 
+    /// Checks that no part of the prompt is quarantined.
+    fn check_quarantine<O>(
+        &self,
+        req: &Request<Admitted, O>,
+        cx: &PlacementContext,
+        now: Duration,
+    ) -> Result<(), Refusal> {
+        let Some(part) = self.find_quarantined_part(&req.meta().id, &cx.parts, now) else {
+            return Ok(());
+        };
+        let refusal = req.refusal(Code::Quarantined, Step::Place, Peer::Local);
+        Err(quarantine::name_part(refusal, part))
+    }
+
     /// Chooses the best target of a region that was not tried yet.
     fn choose_target(
         &self,
--- a/crates/gateway/src/reservation_guard.rs
+++ b/crates/gateway/src/reservation_guard.rs
@@ -116,8 +116,10 @@
         };
         let now = self.gateway.clock.now();
         let answered_for = self.first_event_at.map(|at| now.saturating_sub(at));
-        if outcome == TargetOutcome::Lost {
-            self.record_loss(&reservation.target, answered_for);
+        match outcome {
+            TargetOutcome::Lost => self.record_loss(&reservation.target, answered_for),
+            TargetOutcome::Answered => self.gateway.record_sound_answer(&self.request.parts, now),
+            _ => {}
         }
         let mut traffic = self.gateway.tables.traffic.lock();
         if let (TargetOutcome::Answered, Some(answered_for)) = (outcome, answered_for) {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,5 +1,6 @@
 //! Status messages, which instances send each other at regular intervals:
-//! their requests at each target and their allowances for client accounts.
+//! their requests at each target, their allowances for client accounts, and the
+//! crashes of targets that they saw.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -81,6 +82,7 @@
 {
     fn remove_expired(&self, now: Duration) {
         self.tables.remove_expired_targets(now);
+        self.update_quarantine(now);
         for name in self.members.remove_expired(now) {
             log::info!(target: "members", instance = name.as_str(); "instance removed");
             self.tables.traffic.lock().remove_instance(&name, now);
@@ -108,7 +110,7 @@
         for link in links {
             let transfers = transfers.remove(&link.peer().instance).unwrap_or_default();
             let is_remote = link.peer().region != self.settings.region;
-            if is_remote && transfers.is_empty() && !is_remote_turn {
+            if is_remote && transfers.is_empty() && !is_remote_turn && !status.crashes.is_urgent() {
                 continue;
             }
             let mut status = Status {
@@ -137,6 +139,7 @@
 
     fn own_status(&self, sequence: u64, now: Duration) -> Status {
         let allowances = self.rate_limiter.allowance_statuses(now);
+        let crashes = self.tables.quarantine.lock().report(now);
         let mut traffic = self.tables.traffic.lock();
         Status {
             sequence,
@@ -147,6 +150,7 @@
             // The sender's allowances for client accounts.
             parts: allowances,
             gifts: Vec::new(),
+            crashes,
         }
     }
 
@@ -170,5 +174,6 @@
                 .record_reported_allowances(name, status.parts, now);
         }
         self.rate_limiter.receive_transfers(status.gifts, now);
+        self.merge_crash_report(name, status.crashes, now);
     }
 }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -15,6 +15,7 @@
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::quarantine::Quarantine;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_decisions::traffic::Traffic;
@@ -52,13 +53,14 @@
 
 /// Tables shared by requests and updates from the store.
 ///
-/// Locked in this order: `catalog`, `fleet`, `traffic`. Their ranks in
+/// Locked in this order: `catalog`, `fleet`, `traffic`, `quarantine`. Their ranks in
 /// [`LockRank`] increase in the same order.
 #[derive(Debug)]
 pub(crate) struct SharedTables {
     pub(crate) catalog: CurrentCatalog,
     pub(crate) fleet: RankedMutex<Fleet>,
     pub(crate) traffic: RankedMutex<Traffic>,
+    pub(crate) quarantine: RankedMutex<Quarantine>,
 }
 
 impl SharedTables {
@@ -73,6 +75,7 @@
                 LockRank::Targets,
                 Traffic::new(settings.retry_limit, settings.cold_limit_tolerance),
             ),
+            quarantine: RankedMutex::new(LockRank::Quarantine, Quarantine::default()),
         }
     }
 
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -18,6 +18,7 @@
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::placement::LoadReport;
 use chiverelay_decisions::placement::PoolSummary;
+use chiverelay_decisions::quarantine::CrashReport;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::settlements::ClaimSettlement;
 use chiverelay_decisions::tickets::ClaimReply;
@@ -34,7 +35,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 4;
+pub const VERSION: u16 = 5;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
@@ -165,6 +166,9 @@
     pub parts: Vec<AccountPart>,
     /// Tokens that are the receiver's from now on.
     pub gifts: Vec<TokenTransfer>,
+    /// Crashes of targets that the sender saw, and the prompt parts that it
+    /// knows to be quarantined.
+    pub crashes: CrashReport,
 }
 
 /// What an instance has of an account's limit.
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -2,6 +2,7 @@
 //! stand-in of the platform's store and stand-in targets.
 
 pub mod call;
+pub mod crashing;
 pub mod endless;
 pub mod proxy;
 pub mod site;
@@ -9,6 +10,7 @@
 pub mod target;
 
 pub use call::Got;
+pub use crashing::CrashingTarget;
 pub use endless::Endless;
 pub use endless::EndlessTarget;
 pub use site::Node;
--- a/tests/support/node/endless.rs
+++ b/tests/support/node/endless.rs
@@ -139,7 +139,7 @@
     open.fetch_sub(1, Ordering::SeqCst);
 }
 
-async fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
+pub(super) async fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
     let mut head = String::new();
     let mut buf = [0; 4096];
     while !head.contains("\r\n\r\n") {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod path;
 mod place;
 mod placement;
+mod quarantine;
 mod queue;
 mod refusals;
 mod registry;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -5,6 +5,7 @@
 mod names;
 mod operations;
 mod path;
+mod quarantine;
 mod settings;
 mod soak;
 mod store;
