Log the request limits that targets state in their answers

A target in need states in its answers how many requests it takes from all instances together. No part of the gateway read that, so neither the log nor a decision knew of it.

The header is decoded in the adapter, and a line says when a target states another limit than before, or none.

--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -10,6 +10,7 @@
 mod performance;
 mod remote;
 mod reservation;
+mod stated_limit;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -122,6 +123,8 @@
     performance: HashMap<Pool, PoolPerformance>,
     retry_budgets: HashMap<Pool, RetryBudget>,
     full_until: HashMap<Target, Duration>,
+    /// Requests per second that targets state as their limits.
+    stated_limits: HashMap<Target, f64>,
     forwarded: HashMap<(Region, Pool), SlidingWindow>,
     retry_limit: RetryLimit,
     cold_tolerance: ColdLimitTolerance,
@@ -139,6 +142,7 @@
             performance: HashMap::new(),
             retry_budgets: HashMap::new(),
             full_until: HashMap::new(),
+            stated_limits: HashMap::new(),
             forwarded: HashMap::new(),
             retry_limit,
             cold_tolerance,
@@ -254,6 +258,7 @@
     /// Drops the cached prompts and failures of a target that has restarted.
     pub fn reset_target(&mut self, target: &Target, now: Duration) {
         self.cached_parts.remove(target);
+        self.stated_limits.remove(target);
         if let Some(local) = self.local.get_mut(target) {
             local.failure_rate = 0.0;
             local.health.observe(HealthEvent::Restarted, now);
@@ -263,6 +268,7 @@
     /// Forgets a removed target. Load and health stay while requests run there.
     pub fn remove_target(&mut self, target: &Target) {
         self.full_until.remove(target);
+        self.stated_limits.remove(target);
         self.cached_parts.remove(target);
         if self
             .local
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -183,10 +183,13 @@
             SendError::NotSent(e) => AttemptFailure::NotSent(e.to_string()),
             SendError::MaybeSent(e) => AttemptFailure::ExchangeFailed(e.to_string()),
         })?;
-        match self
+        let verdict = self
             .dialect
-            .classify_response(out, answer.status(), answer.headers())
-        {
+            .classify_response(out, answer.status(), answer.headers());
+        if matches!(verdict, ResponseVerdict::Ran | ResponseVerdict::Rejected) {
+            self.record_stated_limit(answer.target(), answer.headers());
+        }
+        match verdict {
             ResponseVerdict::Ran => {}
             // A draining target is treated like a full one.
             ResponseVerdict::Rejected => {
@@ -214,6 +217,24 @@
         Ok((answer, start))
     }
 
+    /// Records the limit on requests that a target states in an answer, or that
+    /// it states none.
+    fn record_stated_limit(&self, target: &Target, headers: &HeaderMap) {
+        let per_s = self.dialect.stated_limit(headers);
+        let mut traffic = self.tables.traffic.lock();
+        let has_changed = traffic.record_stated_limit(target, per_s);
+        drop(traffic);
+        if has_changed {
+            log::info!(
+                target: "dispatch",
+                to = target.as_str(),
+                limited = per_s.is_some(),
+                limit_per_s:% = per_s.unwrap_or_default();
+                "target states another request limit"
+            );
+        }
+    }
+
     /// Reads a short rejection to its end, so that its connection can be
     /// reused.
     async fn drain_rejection(&self, mut answer: PooledResponse) {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -124,6 +124,10 @@
         headers: &HeaderMap,
     ) -> ResponseVerdict;
 
+    /// Returns the limit that the target states in an answer, in requests per
+    /// second from all instances together; `None` if it states none.
+    fn stated_limit(&self, headers: &HeaderMap) -> Option<f64>;
+
     /// Returns those headers of an answer that are passed on to the caller.
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap;
 }
--- a/crates/target/src/connection_pool.rs
+++ b/crates/target/src/connection_pool.rs
@@ -229,6 +229,11 @@
 }
 
 impl PooledResponse {
+    /// Returns the target that sent the response.
+    pub fn target(&self) -> &Target {
+        self.conn.driver.target()
+    }
+
     /// Returns the status code.
     pub fn status(&self) -> StatusCode {
         self.status
