Keep the limits that targets state over all instances

A target in need states in its answers the requests a second that it takes from all instances together, and got as many as before: up to 2.5 times what the users tolerate in four seconds, and a target of 1.7 a second got 20 where 15 are tolerated.

The cause: nothing read the limit. Its class is a limit over all instances, which has to add up while they join, restart and forward; the cold rate is of the same class, and small limits are less than one request each.

A stated limit is divided among as many instances of the target's region as it allows requests a second, in the rendezvous order of the target's name. Each has a token bucket that starts empty, so together they send at most the limit and one second's worth. What an answer stated is reported to the others, so the end reaches instances that send nothing there. The choice of a target sees an empty share before it picks.

Evidence: node::stated_limit::a_limit_that_a_target_names_holds_over_all_ instances had 200 requests arrive on the code before, where 17 are allowed, and passes now; traffic::stated_limit has the shares of one to 110 instances, falling limits, restarts and the end.

--- a/crates/decisions/src/rendezvous.rs
+++ b/crates/decisions/src/rendezvous.rs
@@ -2,7 +2,8 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-fn weight(key: &str, name: &str) -> u64 {
+/// Returns the weight of a name for a key.
+pub fn weight(key: &str, name: &str) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.update(key.as_bytes());
     hasher.update(&[0]);
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -32,6 +32,7 @@
 use crate::window::Divisor;
 use crate::window::SlidingWindow;
 use remote::RemoteCounts;
+use stated_limit::StatedLimit;
 
 pub use cached::CachedParts;
 pub use cached::PromptPart;
@@ -47,6 +48,17 @@
 pub use performance::PoolPerformance;
 pub use remote::TargetInFlight;
 pub use reservation::Reservation;
+pub use stated_limit::StatedLimitRecord;
+pub use stated_limit::StatedLimitUse;
+
+/// How the limits of a region's targets are divided among instances.
+#[derive(Clone, Copy)]
+pub struct RegionShares<'a> {
+    /// Divides the limits that hold whatever an instance knows of the others.
+    pub divisor: Divisor,
+    /// Applies the limits that targets state.
+    pub stated: StatedLimitUse<'a>,
+}
 
 /// Requests in flight from one instance to one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -123,8 +135,7 @@
     performance: HashMap<Pool, PoolPerformance>,
     retry_budgets: HashMap<Pool, RetryBudget>,
     full_until: HashMap<Target, Duration>,
-    /// Requests per second that targets state as their limits.
-    stated_limits: HashMap<Target, f64>,
+    stated_limits: HashMap<Target, StatedLimit>,
     forwarded: HashMap<(Region, Pool), SlidingWindow>,
     retry_limit: RetryLimit,
     cold_tolerance: ColdLimitTolerance,
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -5,6 +5,7 @@
 
 use super::InFlight;
 use super::PromptPart;
+use super::RegionShares;
 use super::Traffic;
 use crate::catalog::PoolSpec;
 use crate::fleet::Fleet;
@@ -13,7 +14,6 @@
 use crate::names::Target;
 use crate::placement::HealthStatus;
 use crate::placement::prefix;
-use crate::window::Divisor;
 
 /// Least reduction of the cost for which a request is forwarded to another
 /// region.
@@ -132,6 +132,8 @@
     /// The target is cold, and this instance's share of its rate limit is used
     /// up.
     AllCold,
+    /// The target stated a limit, and this instance's share of it is used up.
+    AllLimited,
 }
 
 /// The best target of a region, for the choice between regions.
@@ -155,7 +157,7 @@
         pool: &PoolSpec,
         region: &Region,
         query: &TargetQuery<'_>,
-        divisor: Divisor,
+        shares: RegionShares<'_>,
         now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
         let affinity_target = self.affinity_target(fleet, pool, region, query, now);
@@ -184,10 +186,14 @@
                 reason = NoTargetReason::AllFull;
                 continue;
             }
-            if known.is_cold(now) && !self.has_cold_capacity(target, pool, divisor, now) {
+            if known.is_cold(now) && !self.has_cold_capacity(target, pool, shares.divisor, now) {
                 reason = NoTargetReason::AllCold;
                 continue;
             }
+            if !self.has_stated_room(target, shares.stated, now) {
+                reason = NoTargetReason::AllLimited;
+                continue;
+            }
             let mut in_flight = self
                 .in_flight(target)
                 .plus_share_of(forwarded, target_count);
--- a/crates/decisions/src/traffic/reservation.rs
+++ b/crates/decisions/src/traffic/reservation.rs
@@ -6,6 +6,7 @@
 
 use super::FULL_BACKOFF;
 use super::PromptPart;
+use super::RegionShares;
 use super::TargetOutcome;
 use super::Traffic;
 use super::cold_limit::COLD_LIMIT_WINDOW;
@@ -14,7 +15,6 @@
 use crate::names::Pool;
 use crate::names::Target;
 use crate::placement::HealthEvent;
-use crate::window::Divisor;
 use crate::window::SlidingWindow;
 
 /// A request's reservation at a target, from the choice of the target until
@@ -55,10 +55,14 @@
         parts: &[PromptPart],
         known: &KnownTarget,
         pool: &PoolSpec,
-        divisor: Divisor,
+        shares: RegionShares<'_>,
         now: Duration,
     ) -> bool {
-        let bound = self.cold_limit_share(pool, divisor, now);
+        let target = &reservation.target;
+        if !self.has_stated_room(target, shares.stated, now) {
+            return false;
+        }
+        let bound = self.cold_limit_share(pool, shares.divisor, now);
         let local = self.local.entry(reservation.target.clone()).or_default();
         if let Some(bound) = bound.filter(|_| known.is_cold(now)) {
             let window = local
@@ -80,6 +84,7 @@
             cached.insert(parts, now);
             self.record_part_uses(&reservation.target, parts);
         }
+        self.take_stated_room(target);
         true
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -221,8 +221,9 @@
     /// it states none.
     fn record_stated_limit(&self, target: &Target, headers: &HeaderMap) {
         let per_s = self.dialect.stated_limit(headers);
+        let now = self.clock.now();
         let mut traffic = self.tables.traffic.lock();
-        let has_changed = traffic.record_stated_limit(target, per_s);
+        let has_changed = traffic.record_stated_limit(target, per_s, now);
         drop(traffic);
         if has_changed {
             log::info!(
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -9,7 +9,7 @@
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
-use chiverelay_decisions::placement::prefix::rendezvous_weight;
+use chiverelay_decisions::rendezvous;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_decisions::window::Divisor;
@@ -306,13 +306,37 @@
 
     /// Returns the position of this instance among the ready ones, in an order
     /// that all instances derive from `key`.
-    pub(crate) fn rank_for(&self, key: u64, now: Duration) -> u32 {
+    pub(crate) fn rank_for(&self, key: &str, now: Duration) -> usize {
+        self.rank_among(key, |member| member.is_ready(now))
+    }
+
+    /// Returns the position of this instance among the ready ones of its region,
+    /// in an order that all instances derive from `key`.
+    pub(crate) fn rank_in_region(&self, key: &str, now: Duration) -> usize {
+        let region = self.own.borrow().region.clone();
+        self.rank_among(key, |member| {
+            member.is_ready(now) && member.record.region == region
+        })
+    }
+
+    fn rank_among<F>(&self, key: &str, is_eligible: F) -> usize
+    where
+        F: Fn(&Member) -> bool,
+    {
         let own = self.own.borrow().instance.clone();
-        let own_weight = rendezvous_weight(key, own.as_str());
+        let own_weight = rendezvous::weight(key, own.as_str());
+        let table = self.table.lock();
+        let eligible = table.members.iter().filter(|(_, m)| is_eligible(m));
+        eligible
+            .filter(|(name, _)| rendezvous::weight(key, name.as_str()) > own_weight)
+            .count()
+    }
+
+    /// Returns the largest number of instances of a region that were known at
+    /// once.
+    pub(crate) fn max_known_in(&self, region: &Region) -> usize {
         let table = self.table.lock();
-        let ready = table.members.iter().filter(|(_, m)| m.is_ready(now));
-        let before = ready.filter(|(name, _)| rendezvous_weight(key, name.as_str()) > own_weight);
-        u32::try_from(before.count()).unwrap_or(u32::MAX)
+        table.max_known_by_region.get(region).copied().unwrap_or(1)
     }
 
     /// Counts the other known instances.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -24,7 +24,9 @@
 use chiverelay_decisions::traffic::NoTargetReason;
 use chiverelay_decisions::traffic::PromptPart;
 use chiverelay_decisions::traffic::RegionChoice;
+use chiverelay_decisions::traffic::RegionShares;
 use chiverelay_decisions::traffic::Reservation;
+use chiverelay_decisions::traffic::StatedLimitUse;
 use chiverelay_decisions::traffic::TargetChoice;
 use chiverelay_decisions::traffic::TargetQuery;
 
@@ -108,10 +110,16 @@
         let own_region = &self.settings.region;
         let allowed = req.grant().residency.allows(own_region);
         let local = match allowed {
-            true => self.choose_target(own_region, cx, req.tried_targets(), now),
+            true => self.choose_local_target(cx, req.tried_targets(), now),
             false => Err(NoTargetReason::NoTarget),
         };
-        let remote = self.choose_remote_region(&req, cx, now);
+        // Limited targets of other regions are left to the instances there, but
+        // they are better than none.
+        let remote = self.choose_remote_region(&req, cx, StatedLimitUse::Avoid, now);
+        let remote = match (&local, remote) {
+            (Err(_), None) => self.choose_remote_region(&req, cx, StatedLimitUse::Ignore, now),
+            (_, remote) => remote,
+        };
         let left = req.meta().deadline.saturating_sub(now);
         let remote = match (&local, remote) {
             (Ok(local), Some(remote)) if !is_remote_worthwhile(local, &remote) => None,
@@ -158,7 +166,7 @@
         let now = self.clock.now();
         self.check_quarantine(&req, cx, now)?;
         let choice = self
-            .choose_target(&self.settings.region, cx, req.tried_targets(), now)
+            .choose_local_target(cx, req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason))?;
         // Only forwarded and resumed requests are placed here. One that is late
         // from queueing is not refused, in contrast to `check_wait`; only the
@@ -184,15 +192,35 @@
         Err(quarantine::name_part(refusal, part))
     }
 
+    /// Chooses the best target of this region that was not tried yet.
+    fn choose_local_target(
+        &self,
+        cx: &PlacementContext,
+        tried: &[Target],
+        now: Duration,
+    ) -> Result<TargetChoice, NoTargetReason> {
+        let region = &self.settings.region;
+        let rank = |target: &Target| self.members.rank_in_region(target.as_str(), now);
+        let stated = StatedLimitUse::Share {
+            instances: self.members.max_known_in(region),
+            rank: &rank,
+        };
+        self.choose_target(region, cx, tried, stated, now)
+    }
+
     /// Chooses the best target of a region that was not tried yet.
     fn choose_target(
         &self,
         region: &Region,
         cx: &PlacementContext,
         tried: &[Target],
+        stated: StatedLimitUse<'_>,
         now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
-        let divisor = self.members.conservative_divisor_in(region, now);
+        let shares = RegionShares {
+            divisor: self.members.conservative_divisor_in(region, now),
+            stated,
+        };
         let query = TargetQuery {
             prompt_tokens: cx.prompt_tokens,
             parts: &cx.parts,
@@ -201,7 +229,7 @@
         };
         let fleet = self.tables.fleet.lock();
         let mut traffic = self.tables.traffic.lock();
-        traffic.choose_target(&fleet, &cx.pool, region, &query, divisor, now)
+        traffic.choose_target(&fleet, &cx.pool, region, &query, shares, now)
     }
 
     /// Returns the other region with the lowest estimated cost, among those
@@ -211,6 +239,7 @@
         &self,
         req: &Request<Admitted, Direct>,
         cx: &PlacementContext,
+        stated: StatedLimitUse<'_>,
         now: Duration,
     ) -> Option<RegionChoice> {
         let regions = self.tables.fleet.lock().usable_regions(&cx.pool.name);
@@ -223,7 +252,8 @@
             {
                 continue;
             }
-            let Ok(choice) = self.choose_target(&region, cx, req.tried_targets(), now) else {
+            let Ok(choice) = self.choose_target(&region, cx, req.tried_targets(), stated, now)
+            else {
                 continue;
             };
             let mut estimate = choice.estimate;
@@ -302,10 +332,17 @@
             cache_source: choice.estimate.cache_source,
             requests_per_slot: choice.estimate.requests_per_slot,
         };
-        let divisor = self.members.conservative_divisor_in(&region, now);
+        let rank = |target: &Target| self.members.rank_in_region(target.as_str(), now);
+        let shares = RegionShares {
+            divisor: self.members.conservative_divisor_in(&region, now),
+            stated: StatedLimitUse::Share {
+                instances: self.members.max_known_in(&region),
+                rank: &rank,
+            },
+        };
         let is_reserved = known.as_ref().is_some_and(|known| {
             let mut traffic = self.tables.traffic.lock();
-            traffic.try_reserve(&reservation, &cx.parts, known, &cx.pool, divisor, now)
+            traffic.try_reserve(&reservation, &cx.parts, known, &cx.pool, shares, now)
         });
         let Some(known_target) = known.filter(|_| is_reserved) else {
             // Any failed reservation is reported with this reason.
@@ -349,7 +386,9 @@
     );
     let code = match reason {
         NoTargetReason::NoTarget | NoTargetReason::NoneHealthy => Code::Unavailable,
-        NoTargetReason::AllFull | NoTargetReason::AllCold => Code::Overloaded,
+        NoTargetReason::AllFull | NoTargetReason::AllCold | NoTargetReason::AllLimited => {
+            Code::Overloaded
+        }
     };
     req.refusal(code, Step::Place, Peer::Local)
         .with_retry_after(NO_TARGET_RETRY_AFTER)
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -46,7 +46,8 @@
             Admission::Allowed => None,
             Admission::Quarantined(part) => Some(part),
             Admission::ProbeDue(part, overdue) => {
-                let turn = PROBE_TURN * self.members.rank_for(part, now);
+                let rank = self.members.rank_for(&hex(part), now);
+                let turn = PROBE_TURN * u32::try_from(rank).unwrap_or(u32::MAX);
                 let is_probe =
                     overdue >= turn && self.tables.quarantine.lock().try_probe(part, id, now);
                 (!is_probe).then_some(part)
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,6 +1,6 @@
 //! Status messages, which instances send each other at regular intervals:
-//! their requests at each target, their allowances for client accounts, and the
-//! crashes of targets that they saw.
+//! their requests at each target, their allowances for client accounts, the
+//! crashes of targets that they saw and the limits that targets stated.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -151,6 +151,7 @@
             parts: allowances,
             gifts: Vec::new(),
             crashes,
+            limits: traffic.stated_limit_records(now),
         }
     }
 
@@ -168,6 +169,7 @@
         let mut traffic = self.tables.traffic.lock();
         traffic.update_remote_counts(name, status.counts, now);
         traffic.record_remote_part_uses(status.uses, now);
+        traffic.merge_stated_limits(status.limits, now);
         drop(traffic);
         if !status.parts.is_empty() {
             self.rate_limiter
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -27,6 +27,7 @@
 use chiverelay_decisions::tickets::Ticket;
 use chiverelay_decisions::traffic::PromptPart;
 use chiverelay_decisions::traffic::PromptPartUse;
+use chiverelay_decisions::traffic::StatedLimitRecord;
 use chiverelay_decisions::traffic::TargetInFlight;
 use serde::Deserialize;
 use serde::Serialize;
@@ -35,7 +36,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 5;
+pub const VERSION: u16 = 6;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
@@ -169,6 +170,8 @@
     /// Crashes of targets that the sender saw, and the prompt parts that it
     /// knows to be quarantined.
     pub crashes: CrashReport,
+    /// Limits that targets stated to the sender.
+    pub limits: Vec<StatedLimitRecord>,
 }
 
 /// What an instance has of an account's limit.
--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -34,6 +34,8 @@
     Lose,
     /// It answers with another request's id.
     Foreign,
+    /// It answers and names a limit, in requests a second.
+    Limited(u32),
     /// It sends so many events of a stream.
     Events(u64),
     /// It sends so many events of a stream and breaks off.
@@ -137,7 +139,9 @@
         tokio::time::sleep(time).await;
     }
     let mut resp = match mode {
-        Mode::Answer | Mode::Slow(_) | Mode::Foreign => text(StatusCode::OK, name),
+        Mode::Answer | Mode::Slow(_) | Mode::Foreign | Mode::Limited(_) => {
+            text(StatusCode::OK, name)
+        }
         Mode::Fail => text(StatusCode::INTERNAL_SERVER_ERROR, name),
         Mode::Full => {
             let mut resp = http::empty_response(StatusCode::SERVICE_UNAVAILABLE);
@@ -162,6 +166,9 @@
     if let Ok(value) = HeaderValue::from_str(id) {
         headers.insert("request-id", value);
     }
+    if let Mode::Limited(per_s) = mode {
+        headers.insert("server-limit", HeaderValue::from(per_s));
+    }
     if mode != Mode::Full {
         let stamp = HeaderValue::from_str(&format!("stamp-of-{name}")).expect("a plain name");
         headers.insert("server-stamp", stamp);
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -8,4 +8,5 @@
 mod quarantine;
 mod settings;
 mod soak;
+mod stated_limit;
 mod store;
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -17,7 +17,9 @@
 use chiverelay_decisions::placement::prefix;
 use chiverelay_decisions::retry_budget::RetryLimit;
 use chiverelay_decisions::traffic::ColdLimitTolerance;
+use chiverelay_decisions::traffic::RegionShares;
 use chiverelay_decisions::traffic::Reservation;
+use chiverelay_decisions::traffic::StatedLimitUse;
 use chiverelay_decisions::traffic::TargetOutcome;
 use chiverelay_decisions::traffic::TargetQuery;
 use chiverelay_decisions::traffic::Traffic;
@@ -150,7 +152,11 @@
             excluded: &[],
             random: 0,
         };
-        let (region, divisor) = (Region::from("north"), Divisor::new(1));
+        let region = Region::from("north");
+        let shares = RegionShares {
+            divisor: Divisor::new(1),
+            stated: StatedLimitUse::Ignore,
+        };
         let draw = prefix::rendezvous_weight(at, &self.arrived.to_string());
         self.arrived += 1;
         let instance = draw as usize % self.instances.len();
@@ -160,7 +166,7 @@
         };
         let traffic = &mut self.instances[instance];
         let choice =
-            traffic.choose_target(&self.fleet, &self.pool, &region, &demand, divisor, ms(at));
+            traffic.choose_target(&self.fleet, &self.pool, &region, &demand, shares, ms(at));
         let choice = choice.expect("a target");
         if choice.estimate.is_late_from_queueing(on_time) {
             self.outcome.refused += 1;
@@ -176,7 +182,7 @@
             requests_per_slot: choice.estimate.requests_per_slot,
         };
         let known = self.fleet.get(&choice.target).expect("known").clone();
-        assert!(traffic.try_reserve(&place, &[], &known, &self.pool, divisor, ms(at)));
+        assert!(traffic.try_reserve(&place, &[], &known, &self.pool, shares, ms(at)));
         let server = self.servers.get_mut(&choice.target).expect("a server");
         server.waiting.push_back(Waiting {
             instance,
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -1,6 +1,7 @@
 //! The choice of targets, under the load patterns that it answers.
 
 mod cold_limit;
+mod stated_limit;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -19,7 +20,9 @@
 use chiverelay_decisions::traffic::NoTargetReason;
 use chiverelay_decisions::traffic::PromptPart;
 use chiverelay_decisions::traffic::PromptPartUse;
+use chiverelay_decisions::traffic::RegionShares;
 use chiverelay_decisions::traffic::Reservation;
+use chiverelay_decisions::traffic::StatedLimitUse;
 use chiverelay_decisions::traffic::TargetChoice;
 use chiverelay_decisions::traffic::TargetInFlight;
 use chiverelay_decisions::traffic::TargetOutcome;
@@ -101,12 +104,34 @@
         self.fleet.upsert(&name.into(), record, 1, ms(0));
     }
 
+    /// Returns the shares of the only instance that knows of stated limits.
+    fn shares(&self) -> RegionShares<'static> {
+        RegionShares {
+            divisor: self.divisor,
+            stated: StatedLimitUse::Share {
+                instances: 1,
+                rank: &|_| 0,
+            },
+        }
+    }
+
     fn choose(
         &mut self,
         parts: &[PromptPart],
         tokens: u64,
         tried: &[Target],
         now: Duration,
+    ) -> Result<TargetChoice, NoTargetReason> {
+        self.choose_sharing(parts, tokens, tried, self.shares(), now)
+    }
+
+    fn choose_sharing(
+        &mut self,
+        parts: &[PromptPart],
+        tokens: u64,
+        tried: &[Target],
+        shares: RegionShares<'_>,
+        now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
         let demand = TargetQuery {
             prompt_tokens: tokens,
@@ -115,14 +140,14 @@
             random: self.draw,
         };
         self.draw += 1;
-        self.traffic.choose_target(
-            &self.fleet,
-            &self.pool,
-            &self.region,
-            &demand,
-            self.divisor,
-            now,
-        )
+        self.traffic
+            .choose_target(&self.fleet, &self.pool, &self.region, &demand, shares, now)
+    }
+
+    /// Sends a short request as an instance with these shares.
+    fn send_sharing(&mut self, shares: RegionShares<'_>, now: Duration) -> Option<Reservation> {
+        let choice = self.choose_sharing(&[], 300, &[], shares, now).ok()?;
+        self.take_sharing(choice, &[], shares, now)
     }
 
     /// Sends a request and returns its place, or nothing if the target is cold
@@ -143,6 +168,16 @@
         choice: TargetChoice,
         parts: &[PromptPart],
         now: Duration,
+    ) -> Option<Reservation> {
+        self.take_sharing(choice, parts, self.shares(), now)
+    }
+
+    fn take_sharing(
+        &mut self,
+        choice: TargetChoice,
+        parts: &[PromptPart],
+        shares: RegionShares<'_>,
+        now: Duration,
     ) -> Option<Reservation> {
         let place = Reservation {
             target: choice.target.clone(),
@@ -156,7 +191,7 @@
         let known = self.fleet.get(&choice.target)?.clone();
         let taken = self
             .traffic
-            .try_reserve(&place, parts, &known, &self.pool, self.divisor, now);
+            .try_reserve(&place, parts, &known, &self.pool, shares, now);
         taken.then_some(place)
     }
 }
