Take no refusal on a kept connection that does not name the request

The caller got 503, not run, for a request that the target had run or was running, and it could run at a second target.

The cause: on a kept connection the place of an answer proves nothing, only its id does. A refusal that names no request is now believed only on a new connection, and one that names another request never.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -183,9 +183,12 @@
             SendError::NotSent(e) => AttemptFailure::NotSent(e.to_string()),
             SendError::MaybeSent(e) => AttemptFailure::ExchangeFailed(e.to_string()),
         })?;
-        let verdict = self
-            .dialect
-            .classify_response(out, answer.status(), answer.headers());
+        let verdict = self.dialect.classify_response(
+            out,
+            answer.status(),
+            answer.headers(),
+            answer.is_connection_reused(),
+        );
         if matches!(verdict, ResponseVerdict::Ran | ResponseVerdict::Rejected) {
             self.record_stated_limit(answer.target(), answer.headers());
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -116,12 +116,14 @@
     fn encode_headers(&self, req: &Outbound, attempt: &AttemptContext<'_>) -> HeaderMap;
 
     /// Tells from the status and headers of an answer whether the target ran
-    /// the request.
+    /// the request. `is_reused` tells whether the connection carried an earlier
+    /// request, whose answer may come again.
     fn classify_response(
         &self,
         req: &Outbound,
         status: StatusCode,
         headers: &HeaderMap,
+        is_reused: bool,
     ) -> ResponseVerdict;
 
     /// Returns the limit that the target states in an answer, in requests per
--- a/crates/target/src/connection_pool.rs
+++ b/crates/target/src/connection_pool.rs
@@ -234,6 +234,11 @@
         self.conn.driver.target()
     }
 
+    /// Tells whether the connection carried an earlier request.
+    pub fn is_connection_reused(&self) -> bool {
+        !self.conn.is_new
+    }
+
     /// Returns the status code.
     pub fn status(&self) -> StatusCode {
         self.status
--- a/tests/testsuite/node/decode.rs
+++ b/tests/testsuite/node/decode.rs
@@ -92,7 +92,11 @@
     }
 }
 
-fn check_verdict(status: u16, headers: &[(&'static str, &'static str)], want: ResponseVerdict) {
+fn classify(
+    status: u16,
+    headers: &[(&'static str, &'static str)],
+    is_reused: bool,
+) -> ResponseVerdict {
     let mut map = HeaderMap::new();
     for (name, value) in headers {
         map.insert(
@@ -101,10 +105,11 @@
         );
     }
     let status = StatusCode::from_u16(status).expect("a status");
-    assert_eq!(
-        PlatformCodec.classify_response(&outbound(), status, &map),
-        want
-    );
+    PlatformCodec.classify_response(&outbound(), status, &map, is_reused)
+}
+
+fn check_verdict(status: u16, headers: &[(&'static str, &'static str)], want: ResponseVerdict) {
+    assert_eq!(classify(status, headers, false), want);
 }
 
 cases! {
@@ -117,6 +122,25 @@
     a_full_target(503, &[("not-executed", "1")], ResponseVerdict::Rejected);
     a_late_word_on_another_request(503, &[("request-id", "r-2"), ("not-executed", "1")], ResponseVerdict::Mismatched);
     another_target(421, &[("instance-id", "i-9")], ResponseVerdict::Misdirected);
+    another_target_for_another_request(421, &[("request-id", "r-2")], ResponseVerdict::Mismatched);
+}
+
+/// What comes on a connection that carried an earlier request may be a repeated
+/// answer to that.
+fn check_verdict_on_a_kept_connection(
+    status: u16,
+    headers: &[(&'static str, &'static str)],
+    want: ResponseVerdict,
+) {
+    assert_eq!(classify(status, headers, true), want);
+}
+
+cases! {
+    check_verdict_on_a_kept_connection:
+    a_full_target_that_names_the_request(503, &[("request-id", "r-1"), ("not-executed", "1")], ResponseVerdict::Rejected);
+    another_target_that_names_the_request(421, &[("request-id", "r-1")], ResponseVerdict::Misdirected);
+    a_full_target_that_names_no_request(503, &[("not-executed", "1")], ResponseVerdict::Mismatched);
+    another_target_that_names_no_request(421, &[("instance-id", "i-9")], ResponseVerdict::Mismatched);
 }
 
 #[test]
