Bound the time for reading a refusal to its end

A target that wrote the head of a refusal and then nothing held a request up that was known not to have run: it waited until its deadline and got a 504 in place of a 503, or of an answer from another target.

Seen by reading; node::broken_answers:: a_refusal_that_does_not_end_holds_nobody_up got 504 on the code before and gets 503 now.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -248,8 +248,10 @@
         {
             return;
         }
-        while let Ok(Some(_)) = answer.next_chunk().await {}
-        answer.release(&self.connections);
+        let draining = async { while let Ok(Some(_)) = answer.next_chunk().await {} };
+        if tokio::time::timeout(DRAIN_TIMEOUT, draining).await.is_ok() {
+            answer.release(&self.connections);
+        }
     }
 
     /// Counts the attempt and returns the answer, which may be a server error
@@ -283,6 +285,9 @@
     }
 }
 
+/// Longest time to read an answer only to reuse its connection.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Longest answer, in bytes, that is read only to reuse its connection.
 const MAX_DRAINED_BYTES: u64 = 4096;
 
--- a/tests/testsuite/node/broken_answers.rs
+++ b/tests/testsuite/node/broken_answers.rs
@@ -125,6 +125,20 @@
     a_redirection_that_names_no_request("421 Gone");
 }
 
+/// A target that writes the head of a refusal and then nothing holds up a
+/// request that is known not to have run.
+#[test]
+fn a_refusal_that_does_not_end_holds_nobody_up() {
+    block_on(async {
+        let head = "HTTP/1.1 503 Full\r\nrequest-id: {id}\r\nnot-executed: 1\r\n\
+                    content-length: 10\r\n\r\n";
+        let script = vec![Scripted::new(head, After::Silent)];
+        let world = start("orders", Place::Near, vec![script]).await;
+        let got = world.call("r", "/deposit/1").await.expect("an answer");
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+    });
+}
+
 /// The head of a stream of events.
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-stamp: s\r\n\
                            content-type: text/event-stream\r\n";
