Continue a stream only with events of the same kind of answer

Other operators' clients found an error's text, at times its whole head, in the middle of a stream, or a stream that ended as if complete, where one had broken off and the next target answered with an error. Here a 5xx or 4xx never continued a stream, but a success of another kind did: after a cut, a 200 with a plain text was appended to the events, and one with no body, or a 204, ended the stream as complete. A target that wrote an error's head or text into its own stream had it passed on too.

The cause: a successful status was taken for a stream, and lines that are no part of an event were passed on as if they were comments. An answer now continues a stream only with the same status and content type, a line has to be a field or a comment, and numbered events need ids.

Evidence: nine cases of node::broken_answers (not_with_*, its_*) failed on the code before, near and through a forward, and pass now.

--- a/crates/decisions/src/answer.rs
+++ b/crates/decisions/src/answer.rs
@@ -60,6 +60,13 @@
     /// were lost, repeated or reordered.
     #[error("an event is missing or doubled")]
     EventIdOutOfOrder,
+    /// A line is neither a field nor a comment of an event, such as the text of
+    /// an error.
+    #[error("a line is no part of an event")]
+    NotAnEvent,
+    /// An event of a stream with numbered events has no id.
+    #[error("an event has no id")]
+    MissingEventId,
     /// The answer ends with the connection, as it has neither a length nor a
     /// last chunk.
     #[error("the answer states no length")]
@@ -174,6 +181,8 @@
                 data.extend_from_slice(value);
             } else if let Some(value) = field_value(line, b"id") {
                 id = std::str::from_utf8(value).ok().and_then(|v| v.parse().ok());
+            } else if !is_field_or_comment(line) {
+                return Err(AnswerError::NotAnEvent);
             }
         }
         if data.is_empty() {
@@ -194,7 +203,10 @@
 
     fn check_id(&mut self, id: Option<u64>) -> Result<(), AnswerError> {
         let Some(id) = id else {
-            return Ok(());
+            return match self.framing {
+                Framing::NumberedEvents => Err(AnswerError::MissingEventId),
+                _ => Ok(()),
+            };
         };
         if self.last_id.is_some_and(|last| id != last + 1) {
             return Err(AnswerError::EventIdOutOfOrder);
@@ -330,6 +342,16 @@
     event.is_empty() || event.ends_with(b"\n")
 }
 
+/// Tells whether a line of a server-sent event is empty, a comment, or a field
+/// with a name and a colon.
+fn is_field_or_comment(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|b| *b == b':') else {
+        return line.is_empty();
+    };
+    let is_name_byte = |b: &u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_');
+    line[..colon].iter().all(is_name_byte)
+}
+
 /// Returns the value of a server-sent event's line if its field is `name`.
 fn field_value<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     let value = line.strip_prefix(name)?.strip_prefix(b":")?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,11 @@
 use bytes::Bytes;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::traffic::TargetOutcome;
+use chiverelay_target::connection_pool::PooledResponse;
 use futures_util::stream;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 use thiserror::Error as ThisError;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
@@ -74,6 +78,26 @@
     }
 }
 
+/// What two answers must have in common for one to continue the other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct AnswerKind {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl AnswerKind {
+    fn of(answer: &PooledResponse) -> Self {
+        Self {
+            status: answer.status(),
+            content_type: answer.headers().get(CONTENT_TYPE).cloned(),
+        }
+    }
+
+    fn matches(&self, answer: &PooledResponse) -> bool {
+        *self == Self::of(answer)
+    }
+}
+
 /// Relay of an answer from a target in this region.
 ///
 /// # Invariants
@@ -86,6 +110,7 @@
     gateway: Arc<Gateway<D>>,
     cx: PlacementContext,
     out: Outbound,
+    kind: AnswerKind,
     current: Option<StartedAnswer<D, O>>,
     buffered: Bytes,
     received_at: Duration,
@@ -112,6 +137,7 @@
             gateway,
             cx,
             out,
+            kind: AnswerKind::of(&started.answer),
             current: Some(started),
             buffered,
             outcome: RELAY_ABANDONED,
@@ -200,12 +226,13 @@
                 return Err(cause);
             };
             match self.gateway.attempt(placed, &mut self.cx, &self.out).await {
-                AttemptOutcome::Answered(started) if started.answer.status().is_success() => {
+                AttemptOutcome::Answered(started) if self.kind.matches(&started.answer) => {
                     self.continue_with(*started);
                     return Ok(());
                 }
                 AttemptOutcome::Retry(admitted, _) => req = admitted,
-                // An error answer can't continue the stream.
+                // An answer of another kind, such as an error, can't continue
+                // the stream.
                 AttemptOutcome::Answered(_) | AttemptOutcome::Refused(_) => return Err(cause),
             }
         }
--- a/tests/testsuite/node/broken_answers.rs
+++ b/tests/testsuite/node/broken_answers.rs
@@ -188,7 +188,36 @@
     not_with_a_server_error(&error("500 Failed", "text/plain", "failed"), Place::Near);
     not_with_a_client_error(&error("404 None", "text/plain", "none\n\n"), Place::Near);
     not_with_an_error_in_events(&error("500 Failed", "text/event-stream", "id: 3\ndata: x\n\n"), Place::Near);
+    not_with_a_plain_text(&error("200 OK", "text/plain", "failed\n\n"), Place::Near);
+    not_with_an_empty_text(&error("200 OK", "text/plain", ""), Place::Near);
+    not_with_no_content(&error("204 None", "text/event-stream", ""), Place::Near);
     not_with_a_far_server_error(&error("500 Failed", "text/plain", "failed"), Place::Far);
+    not_with_a_far_plain_text(&error("200 OK", "text/plain", "failed\n\n"), Place::Far);
+    not_with_a_far_empty_text(&error("200 OK", "text/plain", ""), Place::Far);
+}
+
+/// A target writes the head of an error into its stream, which has neither a
+/// length nor chunks, and closes.
+fn an_error_within_a_stream_is_not_passed_on(text: &str, place: Place) {
+    block_on(async {
+        let body = format!("id: 1\ndata: a\n\n{{pause}}{text}");
+        let answer = format!("{STREAM_HEAD}connection: close\r\n\r\n{body}");
+        let script = vec![Scripted::new(&answer, After::Close)];
+        let world = start("model", place, vec![script]).await;
+        // The route of this path can't be resumed.
+        let got = world.call("r", "/chat/1").await.expect("an answer");
+        assert!(!got.whole, "{got:?}");
+        assert_eq!(got.body, "id: 1\ndata: a\n\n");
+    });
+}
+
+support::cases! {
+    an_error_within_a_stream_is_not_passed_on:
+    its_whole_head("HTTP/1.1 500 Failed\r\ncontent-length: 6\r\n\r\nfailed", Place::Near);
+    its_text("internal error\n\n", Place::Near);
+    its_text_as_data("data: internal error\n\n", Place::Near);
+    half_an_event("id: 2\ndata: b\n", Place::Near);
+    its_far_head("HTTP/1.1 500 Failed\r\ncontent-length: 6\r\n\r\nfailed", Place::Far);
 }
 
 /// A target closes in the middle of its answer's head. Callers got a 200 with an
