Give requests with a suspected prompt part no second target

A request that was lost and has a part with two unanswered crashes is not sent on, and a part is quarantined when chance explains its crashes with less than a hundredth instead of a thousandth. One answer is now evidence even some seconds old; it fell under the limit of 1 at once.

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -26,6 +26,7 @@
 use entry::Entry;
 use entry::State;
 use evidence::Evidence;
+use evidence::MIN_ANSWERS;
 use xxhash_rust::xxh3::xxh3_64;
 
 pub use report::AnswersRecord;
@@ -39,7 +40,10 @@
 
 /// Highest probability that any of the suspected parts was in flight at so many
 /// crashes by chance.
-const MAX_CHANCE: f64 = 1e-3;
+const MAX_CHANCE: f64 = 1e-2;
+
+/// Fewest crashes in excess of the answers for which a part is suspected.
+const MIN_SUSPECTED_EXCESS: i64 = 2;
 
 /// Time from the first crash with a part to its earliest quarantine, in which
 /// the other instances report the answers to requests with it.
@@ -127,6 +131,19 @@
         }
     }
 
+    /// Tells whether a part of the prompt is suspected, so that a request that
+    /// was lost in a crash may crash the next target too.
+    pub fn is_suspected(&self, parts: &[PromptPart], now: Duration) -> bool {
+        let mut shared = PromptPart::shared(parts).iter();
+        shared.any(|part| {
+            self.evidence.suspect(part.id).is_some_and(|suspect| {
+                let crashes = suspect.count_crashes(|_| false);
+                let excess = self.evidence.excess(part.id, suspect, crashes, now);
+                excess >= MIN_SUSPECTED_EXCESS
+            })
+        })
+    }
+
     /// Makes a request the probe of a part, unless another request is. Returns
     /// whether it is the probe.
     pub fn try_probe(&mut self, part: u64, id: &RequestId, now: Duration) -> bool {
@@ -270,7 +287,7 @@
             let is_refuted = self.evidence.suspect(*part).is_some_and(|suspect| {
                 let answers = self.evidence.answers(*part, suspect, now);
                 let crashes = suspect.count_crashes(|_| false);
-                answers >= 1.0 && self.evidence.excess(*part, suspect, crashes, now) <= 0
+                answers >= MIN_ANSWERS && self.evidence.excess(*part, suspect, crashes, now) <= 0
             });
             if is_refuted && entry.lift(now) {
                 refuted.push(*part);
--- a/crates/decisions/src/quarantine/evidence.rs
+++ b/crates/decisions/src/quarantine/evidence.rs
@@ -43,6 +43,9 @@
 /// Largest number of losses of one part in a report.
 const MAX_REPORTED_LOSSES: usize = 6;
 
+/// Smallest count of answers that is evidence: one answer, after some time.
+pub(super) const MIN_ANSWERS: f64 = 0.5;
+
 /// Number of crashes that one answered request with a part outweighs.
 const CRASHES_PER_ANSWER: f64 = 4.0;
 
@@ -379,7 +382,7 @@
                 let excess = self.excess(*part, suspect, crashes, now);
                 accused.push((excess, suspect.last_at(), *part, suspect));
             }
-            if self.own_answers(*part, now) >= 1.0 {
+            if self.own_answers(*part, now) >= MIN_ANSWERS {
                 answered.push((crashes, *part));
             }
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -19,6 +19,7 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::crash_check::LostRequest;
+use crate::place::PlacementContext;
 
 /// Time after which an answer that still arrives shows that its prompt did not
 /// crash the target.
@@ -55,6 +56,13 @@
         }
     }
 
+    /// Tells whether a part of the prompt is suspected to crash targets. Such a
+    /// request is not sent to another target once it was lost.
+    pub(crate) fn is_prompt_suspected(&self, cx: &PlacementContext) -> bool {
+        let quarantine = self.tables.quarantine.lock();
+        quarantine.is_suspected(&cx.parts, self.clock.now())
+    }
+
     /// Records a complete answer, or one that had been arriving for
     /// [`SOUND_AFTER`].
     pub(crate) fn record_sound_answer(&self, parts: &[PromptPart], now: Duration) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -211,7 +211,11 @@
         );
         let now = self.gateway.clock.now();
         let left = current.req.meta().deadline.saturating_sub(now);
-        if !is_resumable || self.cx.attempts_left == 0 || left < MIN_TIME_TO_SEND {
+        if !is_resumable
+            || self.cx.attempts_left == 0
+            || left < MIN_TIME_TO_SEND
+            || self.gateway.is_prompt_suspected(&self.cx)
+        {
             return Err(cause);
         }
         self.out.last_event_id = last_event_id.or(self.out.last_event_id);
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -207,6 +207,27 @@
     }
 }
 
+/// A lost request was sent to the next target and crashed that too, before the
+/// part was known.
+#[test]
+fn a_part_is_suspected_after_two_crashes_until_it_is_answered() {
+    let mut world = World::new(2, 1);
+    world.answer_sound(400);
+    let parts = world.deadly_prompt();
+    for crashes in 0..2 {
+        let suspecting = |q: &Quarantine| q.is_suspected(&parts, world.now);
+        assert!(!world.instances.iter().any(suspecting), "{crashes} crashes");
+        world.send_deadly(3);
+        world.pass(REPORT_INTERVAL);
+    }
+    let now = world.now;
+    assert!(world.instances.iter().all(|q| q.is_suspected(&parts, now)));
+    world.answer(&parts);
+    world.pass(REPORT_INTERVAL);
+    let now = world.now;
+    assert!(!world.instances.iter().any(|q| q.is_suspected(&parts, now)));
+}
+
 /// Where nothing tells two parts apart, the one that fewer prompts can share is
 /// refused.
 #[test]
