--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -27,6 +27,7 @@
 use entry::State;
 use evidence::Evidence;
 use evidence::MIN_ANSWERS;
+use evidence::Suspect;
 use xxhash_rust::xxh3::xxh3_64;
 
 pub use report::AnswersRecord;
@@ -306,42 +307,48 @@
     /// requests have it.
     fn find_culprit(&self, now: Duration) -> Option<Verdict> {
         let active = self.entries.iter().filter(|(_, entry)| entry.is_active());
-        let culprits: Vec<_> = active
+        let culprits: Vec<&Suspect> = active
             .filter_map(|(part, _)| self.evidence.suspect(*part))
             .collect();
-        let suspects = self.evidence.suspect_count() as f64;
-        let mut best: Option<((i64, u16, u64), Verdict)> = None;
-        for (part, suspect) in self.evidence.suspects() {
-            let entry = self.entries.get(part);
-            if entry.is_some_and(Entry::is_active) || now < suspect.first_at() + REPORT_TIME {
-                continue;
-            }
-            let lifted_at = entry.map(Entry::changed_at);
-            let crashes = suspect.count_crashes(|loss| {
-                lifted_at.is_some_and(|at| loss.at() <= at)
-                    || culprits.iter().any(|culprit| culprit.explains(loss))
-            });
-            if crashes < MIN_CRASHES {
-                continue;
-            }
-            let answers = self.evidence.answers(*part, suspect, now);
-            let chance = self.evidence.chance(answers, crashes, now) * suspects;
-            let excess = self.evidence.excess(*part, suspect, crashes, now);
-            if excess <= 0 || chance > MAX_CHANCE {
-                continue;
-            }
-            let rank = (excess, suspect.position(), *part);
-            if best.as_ref().is_none_or(|(most, _)| rank > *most) {
-                let verdict = Verdict {
-                    part: *part,
-                    crashes,
-                    answers,
-                    chance,
-                };
-                best = Some((rank, verdict));
-            }
+        let accused = self.evidence.suspects().filter_map(|(part, suspect)| {
+            let verdict = self.judge_suspect(*part, suspect, &culprits, now)?;
+            let excess = self.evidence.excess(*part, suspect, verdict.crashes, now);
+            Some(((excess, suspect.position(), *part), verdict))
+        });
+        let worst = accused.max_by_key(|(rank, _)| *rank);
+        worst.map(|(_, verdict)| verdict)
+    }
+
+    /// Returns the verdict on a part that is not quarantined, if it is accused
+    /// by enough crashes that none of the `culprits` explains.
+    fn judge_suspect(
+        &self,
+        part: u64,
+        suspect: &Suspect,
+        culprits: &[&Suspect],
+        now: Duration,
+    ) -> Option<Verdict> {
+        let entry = self.entries.get(&part);
+        if entry.is_some_and(Entry::is_active) || now < suspect.first_at() + REPORT_TIME {
+            return None;
         }
-        best.map(|(_, verdict)| verdict)
+        let lifted_at = entry.map(Entry::changed_at);
+        let crashes = suspect.count_crashes(|loss| {
+            lifted_at.is_some_and(|at| loss.at() <= at)
+                || culprits.iter().any(|culprit| culprit.explains(loss))
+        });
+        if crashes < MIN_CRASHES || self.evidence.excess(part, suspect, crashes, now) <= 0 {
+            return None;
+        }
+        let answers = self.evidence.answers(part, suspect, now);
+        let suspects = self.evidence.suspect_count() as f64;
+        let chance = self.evidence.chance(answers, crashes, now) * suspects;
+        (chance <= MAX_CHANCE).then_some(Verdict {
+            part,
+            crashes,
+            answers,
+            chance,
+        })
     }
 }
 
--- a/crates/decisions/src/retry_budget.rs
+++ b/crates/decisions/src/retry_budget.rs
@@ -95,13 +95,13 @@
         }
     }
 
-    /// IntervalCounts a request to the pool, which allows more retries.
+    /// Counts a request to the pool, which allows more retries.
     pub fn record_request(&mut self, now: Duration) {
         self.advance(now);
         self.intervals[0].requests += 1;
     }
 
-    /// IntervalCounts a retry if this instance's budget allows it, and returns the
+    /// Counts a retry if this instance's budget allows it, and returns the
     /// decision with the counts that led to it.
     pub fn try_retry(&mut self, divisor: Divisor, now: Duration) -> RetryDecision {
         self.advance(now);
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -1,6 +1,7 @@
 //! The gateway on the users' platform: its program as processes before a
 //! stand-in of the platform's store and stand-in targets.
 
+pub mod accept;
 pub mod call;
 pub mod crashing;
 pub mod endless;
--- a/tests/support/node/endless.rs
+++ b/tests/support/node/endless.rs
@@ -9,9 +9,10 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
+use super::accept::serve_each;
+
 /// What such a target writes after it has read a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Endless {
@@ -86,25 +87,16 @@
         let (listener, address) = crate::platform::listener().await;
         let requests = Arc::new(AtomicUsize::new(0));
         let open = Arc::new(AtomicUsize::new(0));
-        let stop = CancellationToken::new();
-        let (counted, writing, stopped) = (Arc::clone(&requests), Arc::clone(&open), stop.clone());
-        let accept = async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (counted, writing) = (Arc::clone(&counted), Arc::clone(&writing));
-                let stop = stopped.clone();
-                tokio::spawn(async move {
-                    let serving = serve(stream, kind, &counted, &writing);
-                    stop.run_until_cancelled(serving).await;
-                });
-            }
-        };
-        let stopped = stop.clone();
-        tokio::spawn(async move { stopped.run_until_cancelled(accept).await });
+        let (counted, writing) = (Arc::clone(&requests), Arc::clone(&open));
+        let guard = serve_each(listener, move |stream| {
+            let (counted, writing) = (Arc::clone(&counted), Arc::clone(&writing));
+            async move { serve(stream, kind, &counted, &writing).await }
+        });
         Self {
             address,
             requests,
             open,
-            _guard: stop.drop_guard(),
+            _guard: guard,
         }
     }
 
--- a/tests/support/node/scripted.rs
+++ b/tests/support/node/scripted.rs
@@ -8,9 +8,10 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
+use super::accept::serve_each;
+
 /// Stands for a pause between two pieces of an answer.
 pub const PAUSE_MARK: &str = "{pause}";
 
@@ -65,25 +66,16 @@
     pub async fn start(script: Vec<Scripted>) -> Self {
         let (listener, address) = crate::platform::listener().await;
         let requests = Arc::new(Mutex::new(Vec::new()));
-        let stop = CancellationToken::new();
-        let (seen, stopped) = (Arc::clone(&requests), stop.clone());
+        let seen = Arc::clone(&requests);
         let script = Arc::new(script);
-        let accept = async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (seen, script) = (Arc::clone(&seen), Arc::clone(&script));
-                let stop = stopped.clone();
-                tokio::spawn(async move {
-                    let serving = serve(stream, &script, &seen);
-                    stop.run_until_cancelled(serving).await;
-                });
-            }
-        };
-        let stopped = stop.clone();
-        tokio::spawn(async move { stopped.run_until_cancelled(accept).await });
+        let guard = serve_each(listener, move |stream| {
+            let (seen, script) = (Arc::clone(&seen), Arc::clone(&script));
+            async move { serve(stream, &script, &seen).await }
+        });
         Self {
             address,
             requests,
-            _guard: stop.drop_guard(),
+            _guard: guard,
         }
     }
 
