Give the pinned certificates a lock rank of their own

They were locked under the rank of the event ring buffer, so the stated lock order named the wrong table. The new rank is above Members, whose lock is held while a digest is set.

--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -53,6 +53,8 @@
     Links,
     /// Operation tickets and claims.
     Tickets,
+    /// Digests of the certificates that siblings may present.
+    Pins,
     /// The ring buffer of events.
     Events,
 }
--- a/crates/sibling/src/pins.rs
+++ b/crates/sibling/src/pins.rs
@@ -46,7 +46,7 @@
 impl Default for Pins {
     fn default() -> Self {
         Self {
-            digests: Arc::new(RankedMutex::new(LockRank::Events, HashMap::new())),
+            digests: Arc::new(RankedMutex::new(LockRank::Pins, HashMap::new())),
         }
     }
 }
