--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -56,40 +56,50 @@
 ///
 /// Fails if the head of an answer does not come.
 pub async fn send(address: SocketAddr, req: Request<Full<Bytes>>) -> Result<Answer, String> {
-    let exchange = async {
-        let stream = TcpStream::connect(address)
-            .await
-            .map_err(|e| e.to_string())?;
-        let (mut sender, conn) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| e.to_string())?;
-        let conn = tokio::spawn(conn);
-        let resp = sender.send_request(req).await.map_err(|e| e.to_string())?;
-        let (parts, mut body) = resp.into_parts();
-        let mut data = Vec::new();
-        let mut whole = true;
-        while let Some(frame) = body.frame().await {
-            match frame {
-                Ok(frame) => data.extend(frame.into_data().unwrap_or_default()),
-                Err(_) => {
-                    whole = false;
-                    break;
-                }
-            }
-        }
-        conn.abort();
-        Ok(Answer {
-            status: parts.status,
-            headers: parts.headers,
-            body: data.into(),
-            whole,
-        })
-    };
-    tokio::time::timeout(PATIENCE, exchange)
+    tokio::time::timeout(PATIENCE, exchange(address, req))
         .await
         .unwrap_or_else(|_| Err("no answer in time".to_owned()))
 }
 
+/// Sends a request on a connection of its own and reads the answer, without a
+/// time limit.
+///
+/// # Errors
+///
+/// Fails if the head of an answer does not come.
+pub(crate) async fn exchange(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Result<Answer, String> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|e| e.to_string())?;
+    let (mut sender, conn) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| e.to_string())?;
+    let conn = tokio::spawn(conn);
+    let resp = sender.send_request(req).await.map_err(|e| e.to_string())?;
+    let (parts, mut body) = resp.into_parts();
+    let mut data = Vec::new();
+    let mut whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => data.extend(frame.into_data().unwrap_or_default()),
+            Err(_) => {
+                whole = false;
+                break;
+            }
+        }
+    }
+    conn.abort();
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: data.into(),
+        whole,
+    })
+}
+
 /// Posts a JSON document with a key.
 ///
 /// # Errors
--- a/tests/support/node/call.rs
+++ b/tests/support/node/call.rs
@@ -4,15 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+
+use crate::caller;
 
 /// Time in which a call must end.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -94,10 +92,6 @@
     ///
     /// Fails if there is no head of an answer.
     pub async fn exchange(&self, to: SocketAddr) -> Result<Got, String> {
-        let stream = TcpStream::connect(to).await.map_err(|e| e.to_string())?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (mut sender, conn) = handshake.map_err(|e| e.to_string())?;
-        let driver = tokio::spawn(conn);
         let mut req = Request::builder().method(&self.method).uri(&self.path);
         for (name, value) in &self.headers {
             req = req.header(name, value);
@@ -105,24 +99,12 @@
         let req = req
             .body(Full::new(self.body.clone()))
             .map_err(|e| e.to_string())?;
-        let resp = sender.send_request(req).await.map_err(|e| e.to_string())?;
-        let (parts, mut body) = resp.into_parts();
-        let (mut data, mut whole) = (Vec::new(), true);
-        while let Some(frame) = body.frame().await {
-            match frame {
-                Ok(frame) => data.extend(frame.into_data().unwrap_or_default()),
-                Err(_) => {
-                    whole = false;
-                    break;
-                }
-            }
-        }
-        driver.abort();
+        let answer = caller::exchange(to, req).await?;
         Ok(Got {
-            status: parts.status,
-            headers: parts.headers,
-            body: String::from_utf8_lossy(&data).into_owned(),
-            whole,
+            status: answer.status,
+            body: answer.text(),
+            headers: answer.headers,
+            whole: answer.whole,
         })
     }
 }
