--- /dev/null
+++ b/tests/testsuite/node/forwards.rs
@@ -0,0 +1,104 @@
+//! Requests that instances of other regions serve.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use serde_json::json;
+use support::block_on;
+use support::node::Mode;
+use support::node::PlatformTarget;
+use support::node::Site;
+use support::node::call;
+use support::node::call::Call;
+use support::node::site::KEY;
+use support::node::site::configuration;
+use support::node::site::until;
+
+#[test]
+fn a_request_bound_to_another_region_goes_there_once() {
+    block_on(async {
+        let site = Site::start().await;
+        let mut bound = configuration(5);
+        bound["routes"][0]["allowed_regions"] = json!(["south"]);
+        site.store.put("op/config", &bound);
+        let north = PlatformTarget::start("i-north").await;
+        let south = PlatformTarget::start("i-south").await;
+        site.register(&north, "orders", "north-a");
+        site.register(&south, "orders", "south-a");
+        let near = site.instance("near", "north-a", "north").await;
+        let _far = site.instance("far", "south-a", "south").await;
+        until("the forward is answered", async || {
+            let got = Call::new("r-1", "/status/1")
+                .key(KEY)
+                .send(near.front)
+                .await;
+            got.status == StatusCode::OK && got.body == "answer of i-south"
+        })
+        .await;
+        assert!(north.arrivals().is_empty());
+        let last = south.arrivals().pop().expect("an arrival");
+        assert_eq!(last.header("tenant-id"), "parish");
+        assert_eq!(last.header("host"), "desk.example");
+    });
+}
+
+#[test]
+fn targets_of_another_region_count_as_attempts() {
+    block_on(async {
+        let site = Site::start().await;
+        let one = PlatformTarget::start("i-one").await;
+        let two = PlatformTarget::start("i-two").await;
+        site.register(&one, "orders", "south-a");
+        site.register(&two, "orders", "south-a");
+        let near = site.instance("near", "north-a", "north").await;
+        let _far = site.instance("far", "south-a", "south").await;
+        let _farther = site.instance("farther", "south-a", "south").await;
+        until("forwards are answered", async || {
+            let got = Call::new("r-0", "/status/1")
+                .key(KEY)
+                .send(near.front)
+                .await;
+            got.status == StatusCode::OK
+        })
+        .await;
+        // Both instances of the other region can be asked by now.
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        one.set(Mode::Fail);
+        two.set(Mode::Fail);
+        let got = Call::new("r-1", "/status/1")
+            .key(KEY)
+            .send(near.front)
+            .await;
+        assert_eq!(got.status, StatusCode::INTERNAL_SERVER_ERROR);
+        let arrivals = [one.arrivals(), two.arrivals()].concat();
+        let runs = arrivals
+            .iter()
+            .filter(|a| a.header("request-id") == "r-1")
+            .count();
+        assert_eq!(runs, 2, "the route allows two targets");
+    });
+}
+
+/// Found on a day on which both instances of a region were being stopped.
+#[test]
+fn a_region_without_an_instance_is_sent_where_most_routes_may_run() {
+    block_on(async {
+        let site = Site::start().await;
+        let mut bound = configuration(5);
+        bound["routes"][0]["allowed_regions"] = json!(["north", "west"]);
+        bound["routes"][2]["allowed_regions"] = json!(["north", "south"]);
+        bound["routes"][3]["allowed_regions"] = json!(["north", "south"]);
+        site.store.put("op/config", &bound);
+        let south = site.instance("south-one", "south-a", "south").await;
+        let west = site.instance("west-one", "west-a", "west").await;
+        for asked in [&south, &west] {
+            let path = "/v1/resolve?name=desk.example&region=north&zone=north-a";
+            until("only the south is named", async || {
+                let got = call::get(asked.directory, path).await.expect("an answer");
+                got.body.contains(&south.front.to_string())
+                    && !got.body.contains(&west.front.to_string())
+            })
+            .await;
+        }
+    });
+}
