--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -228,7 +228,7 @@
         req: &api::LeaseGrantRequest,
         now: Instant,
     ) -> api::LeaseGrantResponse {
-        let ttl = Duration::from_secs(req.TTL.parse().unwrap_or(1));
+        let ttl = Duration::from_secs(req.ttl.parse().unwrap_or(1));
         self.next_lease += 1;
         let lease = Lease {
             ttl,
@@ -236,8 +236,8 @@
         };
         self.leases.insert(self.next_lease, lease);
         api::LeaseGrantResponse {
-            ID: self.next_lease.to_string(),
-            TTL: ttl.as_secs().to_string(),
+            id: self.next_lease.to_string(),
+            ttl: ttl.as_secs().to_string(),
         }
     }
 
@@ -246,7 +246,7 @@
         req: &api::LeaseRequest,
         now: Instant,
     ) -> api::LeaseKeepAliveResponse {
-        let ttl = match self.leases.get_mut(&req.ID.parse().unwrap_or(0)) {
+        let ttl = match self.leases.get_mut(&req.id.parse().unwrap_or(0)) {
             Some(lease) => {
                 lease.until = now + lease.ttl;
                 lease.ttl.as_secs()
@@ -255,13 +255,13 @@
         };
         api::LeaseKeepAliveResponse {
             result: api::LeaseGrantResponse {
-                ID: req.ID.clone(),
-                TTL: ttl.to_string(),
+                id: req.id.clone(),
+                ttl: ttl.to_string(),
             },
         }
     }
 
     pub(super) fn revoke(&mut self, req: &api::LeaseRequest) {
-        self.leases.remove(&req.ID.parse().unwrap_or(0));
+        self.leases.remove(&req.id.parse().unwrap_or(0));
     }
 }
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -194,32 +194,33 @@
 #[derive(Clone, Debug, Default)]
 #[derive(Serialize, Deserialize)]
 #[serde(default)]
-#[allow(non_snake_case, reason = "the API's own names")]
 pub struct LeaseGrantRequest {
     /// Time to live in seconds.
-    pub TTL: String,
+    #[serde(rename = "TTL")]
+    pub ttl: String,
 }
 
 /// Answer to [`LeaseGrantRequest`] and to a keep-alive.
 #[derive(Clone, Debug, Default)]
 #[derive(Serialize, Deserialize)]
 #[serde(default)]
-#[allow(non_snake_case, reason = "the API's own names")]
 pub struct LeaseGrantResponse {
     /// The lease.
-    pub ID: String,
+    #[serde(rename = "ID")]
+    pub id: String,
     /// Time to live in seconds; "0" or absent if the lease is gone.
-    pub TTL: String,
+    #[serde(rename = "TTL")]
+    pub ttl: String,
 }
 
 /// `POST /v3/lease/keepalive` and `POST /v3/lease/revoke`.
 #[derive(Clone, Debug, Default)]
 #[derive(Serialize, Deserialize)]
 #[serde(default)]
-#[allow(non_snake_case, reason = "the API's own names")]
 pub struct LeaseRequest {
     /// The lease.
-    pub ID: String,
+    #[serde(rename = "ID")]
+    pub id: String,
 }
 
 /// Answer to a keep-alive.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -178,29 +178,29 @@
     pub async fn grant_lease(&self, ttl: Duration) -> Result<Lease<Held>, Error> {
         let ttl = Duration::from_secs(ttl.as_secs().max(1));
         let req = api::LeaseGrantRequest {
-            TTL: ttl.as_secs().to_string(),
+            ttl: ttl.as_secs().to_string(),
         };
         let (sent, resp): (_, api::LeaseGrantResponse) = self
             .timed_call(Kind::Grant, "/v3/lease/grant", &req)
             .await?;
-        Ok(Lease::new(api::number(&resp.ID)?, ttl, sent))
+        Ok(Lease::new(api::number(&resp.id)?, ttl, sent))
     }
 
     /// Renews a lease; `None` if it is gone, else when the call was sent.
     pub(crate) async fn renew(&self, lease: i64) -> Result<Option<Instant>, Error> {
         let req = api::LeaseRequest {
-            ID: lease.to_string(),
+            id: lease.to_string(),
         };
         let (sent, resp): (_, api::LeaseKeepAliveResponse) = self
             .timed_call(Kind::Renew, "/v3/lease/keepalive", &req)
             .await?;
-        Ok((api::number(&resp.result.TTL)? > 0).then_some(sent))
+        Ok((api::number(&resp.result.ttl)? > 0).then_some(sent))
     }
 
     /// Gives a lease back, and with it every key that hangs on it.
     pub(crate) async fn revoke(&self, lease: i64) -> Result<(), Error> {
         let req = api::LeaseRequest {
-            ID: lease.to_string(),
+            id: lease.to_string(),
         };
         let _: serde_json::Value = self.call(Kind::Revoke, "/v3/lease/revoke", &req).await?;
         Ok(())
