Count requests that were read whole and got no complete answer

A whole request that ended with neither an answer nor a refusal was counted nowhere: a caller that left, a failed connection, a panic and a cancelled task all were logged as a caller that left, and an answer that was given up with nothing of it sent looked like one that broke off in the middle.

Each connection now knows its open request. If it ends first, the metric chiverelay_unanswered_requests_total counts the cause; all but a caller that left are logged with the request's id.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     registry: Registry,
     requests: IntCounterVec,
     refusals: IntCounterVec,
+    unanswered: IntCounterVec,
     attempts: IntCounterVec,
     retry_decisions: IntCounterVec,
     crash_checks: IntCounterVec,
@@ -72,6 +73,12 @@
                 "Refusals by code, and whether the request may have run.",
                 &["code", "ran"],
             ),
+            unanswered: counter(
+                &registry,
+                "unanswered_requests_total",
+                "Requests that were read completely and got no complete answer, by cause.",
+                &["cause"],
+            ),
             attempts: counter(
                 &registry,
                 "attempts_total",
@@ -156,6 +163,7 @@
     pub fn create_all_series(&self) {
         for counter in [
             &self.requests,
+            &self.unanswered,
             &self.attempts,
             &self.retry_decisions,
             &self.crash_checks,
@@ -210,6 +218,11 @@
         histogram.observe(took.as_secs_f64());
     }
 
+    /// Counts a request that was read completely and got no complete answer.
+    pub fn count_unanswered(&self, cause: &str) {
+        self.unanswered.with_label_values(&[cause]).inc();
+    }
+
     /// Records an attempt at a target and the time until its answer began or
     /// the attempt failed.
     pub(crate) fn record_attempt(&self, outcome: &str, took: Duration) {
--- /dev/null
+++ b/tests/testsuite/node/unanswered.rs
@@ -0,0 +1,88 @@
+//! Requests that were read whole get an answer, or an end that can be told.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_gateway::GaugeValues;
+use chiverelay_gateway::Metrics;
+use chiverelay_platform::exchange::Exchange;
+use chiverelay_platform::exchange::ExchangeGuard;
+use support::block_on;
+use support::node::Mode;
+use support::node::PlatformTarget;
+use support::node::Site;
+use support::node::call;
+use support::node::call::Call;
+use support::node::site::KEY;
+use support::node::site::until;
+
+/// Failure: a request that ended without an answer was counted nowhere.
+#[test]
+fn a_caller_that_leaves_is_told_from_an_answer_that_is_broken_off() {
+    block_on(async {
+        let site = Site::start().await;
+        let slow = PlatformTarget::start("i-1").await;
+        slow.set(Mode::Slow(Duration::from_secs(5)));
+        site.register(&slow, "orders", "north-a");
+        let cut = PlatformTarget::start("i-2").await;
+        cut.set(Mode::Cut(1));
+        site.register(&cut, "model", "north-a");
+        let node = site.instance("one", "north-a", "north").await;
+        let leaving = Call::new("r-left", "/status/1").key(KEY);
+        let leaving =
+            tokio::time::timeout(Duration::from_millis(300), leaving.exchange(node.front));
+        assert!(leaving.await.is_err());
+        let got = Call::new("r-cut", "/chat/1")
+            .key(KEY)
+            .send(node.front)
+            .await;
+        assert!(!got.whole);
+        for cause in ["caller left", "broken off"] {
+            let series = format!("chiverelay_unanswered_requests_total{{cause=\"{cause}\"}} 1");
+            until("the end is counted", async || {
+                let got = call::get(node.metrics, "/metrics").await;
+                got.is_ok_and(|got| got.body.contains(&series))
+            })
+            .await;
+        }
+        let log = node.logged();
+        let mut ends = log.lines().filter(|l| l.contains("got no complete answer"));
+        assert!(ends.all(|line| line.contains("r-cut")), "{log}");
+    });
+}
+
+/// How a task ends that has an open request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TaskEnd {
+    Panic,
+    Cancel,
+}
+
+/// Ends a task with an open request, and checks the cause that is counted.
+fn check_task_end(end: TaskEnd, cause: &str) {
+    block_on(async {
+        let metrics = Arc::new(Metrics::new());
+        let exchange = Exchange::default();
+        let guard = ExchangeGuard::new(exchange.clone(), Arc::clone(&metrics));
+        let task = tokio::spawn(async move {
+            let _guard = guard;
+            exchange.request_read("r-1".into());
+            assert_eq!(end, TaskEnd::Cancel);
+            std::future::pending::<()>().await;
+        });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        task.abort();
+        assert!(task.await.is_err());
+        let text = metrics.render(&GaugeValues::default());
+        let series = format!("chiverelay_unanswered_requests_total{{cause=\"{cause}\"}} 1");
+        assert!(text.contains(&series), "{text}");
+    });
+}
+
+// Failure: a panic or a cancelled task ended a request, and the log blamed its
+// caller or said nothing.
+support::cases! {
+    check_task_end:
+    a_request_whose_task_panics_is_counted(TaskEnd::Panic, "panicked");
+    a_request_whose_task_is_cancelled_is_counted(TaskEnd::Cancel, "cancelled");
+}
