--- a/tests/testsuite/node/unanswered.rs
+++ b/tests/testsuite/node/unanswered.rs
@@ -7,15 +7,49 @@
 use chiverelay_gateway::Metrics;
 use chiverelay_platform::exchange::Exchange;
 use chiverelay_platform::exchange::ExchangeGuard;
+use hyper::StatusCode;
 use support::block_on;
+use support::node::After;
 use support::node::Mode;
+use support::node::Node;
 use support::node::PlatformTarget;
+use support::node::Scripted;
+use support::node::ScriptedTarget;
 use support::node::Site;
 use support::node::call;
 use support::node::call::Call;
 use support::node::site::KEY;
 use support::node::site::until;
 
+/// Head of a stream, and a first event in a chunk of its own.
+const FIRST_EVENT: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-stamp: s\r\n\
+     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+     f\r\nid: 1\ndata: a\n\n\r\n";
+
+/// Starts an instance before one scripted target of the model.
+async fn model(script: Scripted) -> (Site, ScriptedTarget, Node) {
+    let site = Site::start().await;
+    let target = ScriptedTarget::start(vec![script]).await;
+    site.register_at("i-1", target.address, "model", "north-a");
+    let node = site.instance("one", "north-a", "north").await;
+    (site, target, node)
+}
+
+/// Failure: the caller got a closed connection and no byte of an answer whose
+/// first event had arrived, as the next bytes of the target were malformed.
+#[test]
+fn what_came_of_an_answer_goes_out_before_it_breaks_off() {
+    block_on(async {
+        let text = [FIRST_EVENT, "no chunk\r\n"].concat();
+        let (_site, _target, node) = model(Scripted::new(&text, After::Close)).await;
+        let call = Call::new("r-1", "/chat/1").key(KEY);
+        let got = call.exchange(node.front).await.expect("a head");
+        assert_eq!(got.status, StatusCode::OK);
+        assert!(!got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1]);
+    });
+}
+
 /// Failure: a request that ended without an answer was counted nowhere.
 #[test]
 fn a_caller_that_leaves_is_told_from_an_answer_that_is_broken_off() {
