Leave a target that pauses only for another one that takes the stream

Callers of streams that can be resumed got an answer cut in its middle after a pause of 1.2 s, though the target went on and the caller still waited: a sound target may fall silent for a second or so.

The relay gave up the target first and then looked whether the stream may go on elsewhere. With no attempt left, an empty retry budget, a suspected prompt or no other target in the region the stream was cut although nothing was wrong with it. Now these are asked first; otherwise the relay stays with the target until the deadline, and asks again after each further pause.

node::unanswered failed before: with one target, and with a second one as the last that the route allows, 'whole: false' after the event before the pause. The third test keeps that a silent target is left where another one can take the stream; it passes before and after.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -14,6 +14,7 @@
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Dispatched;
 use chiverelay_decisions::request::Placed;
 use chiverelay_decisions::request::PlacedRemote;
 use chiverelay_decisions::request::Request;
@@ -208,6 +209,23 @@
         self.choose_target(region, cx, tried, stated, now)
     }
 
+    /// Tells whether another target of this region could take over a request
+    /// from the one that it was sent to.
+    pub(crate) fn has_other_local_target<O>(
+        &self,
+        req: &Request<Dispatched, O>,
+        cx: &PlacementContext,
+    ) -> bool {
+        let mut tried = req.tried_targets().to_vec();
+        if let Peer::Target(current) = req.peer() {
+            tried.push(current.clone());
+        }
+        let now = self.clock.now();
+        let left = req.meta().deadline.saturating_sub(now);
+        let choice = self.choose_local_target(cx, &tried, now);
+        choice.is_ok_and(|choice| choice.estimate.wait <= left)
+    }
+
     /// Chooses the best target of a region that was not tried yet.
     fn choose_target(
         &self,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,12 +28,12 @@
 /// Maximum number of attempts to resume a stream after one interruption.
 const MAX_RESUMES: u32 = 3;
 
-/// Lower bound for the pause between events after which a stream counts as
-/// interrupted.
+/// Lower bound for the pause between events after which a stream may move to
+/// another target.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// Multiple of the route's intended pause between events after which a stream
-/// counts as interrupted.
+/// may move to another target.
 const STALL_FACTOR: u32 = 5;
 
 /// Outcome of an answer that was relayed completely.
@@ -61,6 +61,28 @@
     }
 }
 
+/// Why no chunk of an answer was read.
+#[derive(Debug)]
+enum Interruption {
+    /// The target sent nothing for the stall timeout.
+    Stalled,
+    /// The answer has ended early, or its deadline has passed.
+    Ended(IncompleteAnswer),
+}
+
+impl From<IncompleteAnswer> for Interruption {
+    fn from(cause: IncompleteAnswer) -> Self {
+        Self::Ended(cause)
+    }
+}
+
+/// Whether the retry budget has granted the next attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Retry {
+    Granted,
+    Needed,
+}
+
 /// Source of the body of an answer.
 pub(crate) trait AnswerSource: Send + Sized + 'static {
     /// Returns the next chunk, or `None` after the end of the answer.
@@ -146,32 +168,32 @@
 
     /// Reads and checks the next chunk of the current attempt, within the time
     /// that is left and, for a repeatable request, within the stall timeout.
-    async fn read_chunk(&mut self) -> Result<Option<Bytes>, IncompleteAnswer> {
+    async fn read_chunk(&mut self) -> Result<Option<Bytes>, Interruption> {
         let Some(current) = &mut self.current else {
-            return Err(IncompleteAnswer::new("no attempt is running"));
+            return Err(IncompleteAnswer::new("no attempt is running").into());
         };
         let now = self.gateway.clock.now();
         let left = current.req.meta().deadline.saturating_sub(now);
         // A timeout of zero would still return chunks that have arrived.
         if left.is_zero() {
-            return Err(IncompleteAnswer::new("timeout"));
+            return Err(IncompleteAnswer::new("timeout").into());
         }
         let stall = (self.cx.route.target_event_gap * STALL_FACTOR).max(MIN_STALL_TIMEOUT);
-        let wait = match self.cx.route.kind.is_repeatable() {
-            true => left.min(stall),
-            false => left,
-        };
+        let is_stall_limited = self.cx.route.kind.is_repeatable() && stall < left;
+        let wait = if is_stall_limited { stall } else { left };
         let next = tokio::time::timeout(wait, current.answer.next_chunk());
         let chunk = match next.await {
             Ok(chunk) => chunk.map_err(IncompleteAnswer::new)?,
-            Err(_) => return Err(IncompleteAnswer::new("timeout")),
+            Err(_) if is_stall_limited => return Err(Interruption::Stalled),
+            Err(_) => return Err(IncompleteAnswer::new("timeout").into()),
         };
         let checker = &mut current.start.checker;
         let Some(chunk) = chunk else {
             checker.check_end().map_err(IncompleteAnswer::new)?;
             return Ok(None);
         };
-        checker.push(chunk).map(Some).map_err(IncompleteAnswer::new)
+        let chunk = checker.push(chunk).map_err(IncompleteAnswer::new)?;
+        Ok(Some(chunk))
     }
 
     fn finish(&mut self) {
@@ -184,6 +206,41 @@
         }
     }
 
+    /// Tells whether route, attempts and deadline allow the answer to continue at
+    /// another target.
+    fn is_resumable(&self) -> bool {
+        let Some(current) = &self.current else {
+            return false;
+        };
+        let now = self.gateway.clock.now();
+        let left = current.req.meta().deadline.saturating_sub(now);
+        self.cx.route.kind.is_stream()
+            && self.cx.route.kind.is_repeatable()
+            && self.cx.attempts_left > 0
+            && left >= MIN_TIME_TO_SEND
+    }
+
+    /// Moves a stream from a target that pauses to another one. Stays with the
+    /// target if no other one may take the stream now, as the target may go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the other target doesn't take the stream after all.
+    async fn leave_stalled(&mut self) -> Result<(), IncompleteAnswer> {
+        let Some(current) = &self.current else {
+            return Ok(());
+        };
+        if !self.is_resumable()
+            || self.gateway.is_prompt_suspected(&self.cx)
+            || !self.gateway.has_other_local_target(&current.req, &self.cx)
+            || !self.gateway.try_consume_retry(&self.cx, &self.out.id)
+        {
+            return Ok(());
+        }
+        self.resume(IncompleteAnswer::new("no event in time"), Retry::Granted)
+            .await
+    }
+
     /// Resumes an interrupted stream at another target in the region, after the
     /// last event that was received.
     ///
@@ -191,14 +248,18 @@
     ///
     /// Returns the cause of the interruption if the stream may not be resumed
     /// or no target takes it.
-    async fn resume(&mut self, cause: IncompleteAnswer) -> Result<(), IncompleteAnswer> {
+    async fn resume(
+        &mut self,
+        cause: IncompleteAnswer,
+        mut retry: Retry,
+    ) -> Result<(), IncompleteAnswer> {
+        let is_resumable = self.is_resumable();
         let Some(current) = self.current.take() else {
             return Err(cause);
         };
         // Cancel the request at this target before another target gets it.
         drop(current.answer);
         current.reservation.finish(TargetOutcome::Lost);
-        let is_resumable = self.cx.route.kind.is_stream() && self.cx.route.kind.is_repeatable();
         let last_event_id = current.start.checker.last_id();
         log::info!(
             target: "relay",
@@ -209,13 +270,8 @@
             reason = cause.reason.as_str();
             "answer ended early"
         );
-        let now = self.gateway.clock.now();
-        let left = current.req.meta().deadline.saturating_sub(now);
-        if !is_resumable
-            || self.cx.attempts_left == 0
-            || left < MIN_TIME_TO_SEND
-            || self.gateway.is_prompt_suspected(&self.cx)
-        {
+        // The loss that was just recorded may have raised the suspicion.
+        if !is_resumable || self.gateway.is_prompt_suspected(&self.cx) {
             return Err(cause);
         }
         self.out.last_event_id = last_event_id.or(self.out.last_event_id);
@@ -223,7 +279,8 @@
             return Err(cause);
         };
         for _ in 0..MAX_RESUMES {
-            if !self.gateway.try_consume_retry(&self.cx, &self.out.id) {
+            let is_granted = std::mem::replace(&mut retry, Retry::Needed) == Retry::Granted;
+            if !is_granted && !self.gateway.try_consume_retry(&self.cx, &self.out.id) {
                 return Err(cause);
             }
             let Ok(placed) = self.gateway.place_locally(req, &self.cx) else {
@@ -272,8 +329,12 @@
                     self.finish();
                     return None;
                 }
-                Err(cause) => {
-                    if let Err(cause) = self.resume(cause).await {
+                Err(interruption) => {
+                    let resumed = match interruption {
+                        Interruption::Stalled => self.leave_stalled().await,
+                        Interruption::Ended(cause) => self.resume(cause, Retry::Needed).await,
+                    };
+                    if let Err(cause) = resumed {
                         self.outcome = RELAY_BROKEN;
                         return Some(Err(cause));
                     }
--- a/tests/testsuite/node/unanswered.rs
+++ b/tests/testsuite/node/unanswered.rs
@@ -18,6 +18,7 @@
 use support::node::Site;
 use support::node::call;
 use support::node::call::Call;
+use support::node::scripted::PAUSE_MARK;
 use support::node::site::KEY;
 use support::node::site::until;
 
@@ -26,6 +27,18 @@
      content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
      f\r\nid: 1\ndata: a\n\n\r\n";
 
+/// The second event, and the end of the stream.
+const LAST_EVENT: &str = "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+
+/// Marks of a silence between two events, of two seconds or somewhat more.
+const SILENCE_MARKS: usize = 34;
+
+/// An answer with two events, and a silence between them.
+fn silent_for_a_while() -> Scripted {
+    let text = [FIRST_EVENT, &PAUSE_MARK.repeat(SILENCE_MARKS), LAST_EVENT].concat();
+    Scripted::new(&text, After::Keep)
+}
+
 /// Starts an instance before one scripted target of the model.
 async fn model(script: Scripted) -> (Site, ScriptedTarget, Node) {
     let site = Site::start().await;
@@ -35,6 +48,77 @@
     (site, target, node)
 }
 
+/// Failure: a stream was cut as its target paused, with no other target to go
+/// on at, though the target went on.
+#[test]
+fn a_stream_whose_target_pauses_goes_on_if_there_is_no_other_target() {
+    block_on(async {
+        let (_site, target, node) = model(silent_for_a_while()).await;
+        let got = Call::new("r-1", "/quote/1").key(KEY).send(node.front).await;
+        assert_eq!(got.status, StatusCode::OK);
+        assert!(got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1, 2]);
+        assert_eq!(target.requests().len(), 1);
+    });
+}
+
+/// Failure: a stream was cut as its target paused, with no attempt left, though
+/// the target went on.
+#[test]
+fn a_stream_whose_last_target_pauses_goes_on() {
+    block_on(async {
+        let site = Site::start().await;
+        let cut = PlatformTarget::start("i-1").await;
+        cut.set(Mode::Cut(1));
+        site.register(&cut, "model", "north-a");
+        let node = site.instance("one", "north-a", "north").await;
+        let resumed = FIRST_EVENT.replace("id: 1", "id: 2") + &PAUSE_MARK.repeat(SILENCE_MARKS);
+        let resumed = resumed + &LAST_EVENT.replace("id: 2", "id: 3");
+        let pausing = ScriptedTarget::start(vec![Scripted::new(&resumed, After::Keep)]).await;
+        let third = PlatformTarget::start("i-3").await;
+        let streaming = Call::new("r-1", "/quote/1").key(KEY);
+        let streaming = streaming.send(node.front);
+        let joining = async {
+            until("the stream has begun", async || !cut.arrivals().is_empty()).await;
+            site.register_at("i-2", pausing.address, "model", "north-a");
+            until("the stream goes on", async || {
+                !pausing.requests().is_empty()
+            })
+            .await;
+            site.register(&third, "model", "north-a");
+        };
+        let (got, ()) = tokio::join!(streaming, joining);
+        assert!(got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1, 2, 3]);
+        assert!(third.arrivals().is_empty(), "the route allows two targets");
+    });
+}
+
+/// Failure: a stream stayed with a target that had fallen silent, though
+/// another target could take it over.
+#[test]
+fn a_stream_whose_target_falls_silent_moves_to_another_target() {
+    block_on(async {
+        let silent = Scripted::new(FIRST_EVENT, After::Silent);
+        let (site, target, node) = model(silent).await;
+        let other = PlatformTarget::start("i-2").await;
+        other.set(Mode::Events(2));
+        let streaming = Call::new("r-1", "/quote/1").key(KEY);
+        let streaming = streaming.send(node.front);
+        let joining = async {
+            until("the stream has begun", async || {
+                !target.requests().is_empty()
+            })
+            .await;
+            site.register(&other, "model", "north-a");
+        };
+        let (got, ()) = tokio::join!(streaming, joining);
+        assert!(got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1, 2, 3]);
+        assert_eq!(other.arrivals()[0].header("last-event-id"), "1");
+    });
+}
+
 /// Failure: the caller got a closed connection and no byte of an answer whose
 /// first event had arrived, as the next bytes of the target were malformed.
 #[test]
