--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -178,7 +178,7 @@
     ) -> TargetChange {
         let cold_until = match record.cold_remaining {
             Duration::ZERO => Duration::ZERO,
-            cold => now + cold,
+            cold => now.saturating_add(cold),
         };
         let known = KnownTarget {
             cold_until,
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -150,3 +150,15 @@
     assert!(known.is_cold(ms(3_099)));
     assert!(!known.is_cold(ms(3_100)));
 }
+
+/// Guards against a panic of the task that follows the targets, by a record
+/// whose warm-up ends later than any time.
+#[test]
+fn a_target_that_stays_cold_for_ever_is_cold() {
+    let (mut fleet, name) = fleet();
+    let mut cold = record();
+    cold.cold_remaining = Duration::MAX;
+    fleet.upsert(&name, cold, 6, ms(1));
+    let known = fleet.get(&name).expect("known");
+    assert!(known.is_cold(ms(u64::MAX)));
+}
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -4,6 +4,7 @@
 mod decode;
 mod endless;
 mod names;
+mod odd_entries;
 mod operations;
 mod path;
 mod quarantine;
--- /dev/null
+++ b/tests/testsuite/node/odd_entries.rs
@@ -0,0 +1,120 @@
+//! Odd entries that another writer left in the store, at the decoders and at
+//! a running instance.
+
+use std::collections::HashMap;
+
+use chiverelay_decisions::names::Region;
+use chiverelay_decisions::names::Zone;
+use chiverelay_platform::records;
+use hyper::StatusCode;
+use support::block_on;
+use support::cases;
+use support::node::PlatformTarget;
+use support::node::Site;
+use support::node::call::Call;
+use support::node::site::KEY;
+use support::node::site::until;
+
+/// Levels of nesting beyond what any decoder of the project reads.
+const DEEP: usize = 100_000;
+
+fn nested(open: &str, close: &str) -> String {
+    format!("{}{}", open.repeat(DEEP), close.repeat(DEEP))
+}
+
+/// A target's record whose field has this JSON text as its value.
+fn record_with(field: &str, value: &str) -> String {
+    let fields = [
+        ("service", "\"orders\""),
+        ("address", "\"10.128.0.9:8080\""),
+        ("zone", "\"north-a\""),
+        ("slots", "6"),
+        ("state", "\"ready\""),
+        ("warmup_left_ms", "0"),
+        ("born", "1700000000000"),
+        ("sequence", "4"),
+    ];
+    let kept = fields.iter().filter(|(name, _)| *name != field);
+    let kept: Vec<String> = kept.map(|(name, v)| format!("\"{name}\":{v}")).collect();
+    format!("{{\"{field}\":{value},{}}}", kept.join(","))
+}
+
+/// Guards against a record whose decoding panics, which ended the task that
+/// follows the targets.
+fn check_odd_record(field: &str, value: &str) {
+    let zones = HashMap::from([(Zone::from("north-a"), Region::from("north"))]);
+    let decoded = records::decode_target(record_with(field, value).as_bytes(), &zones);
+    assert!(decoded.is_err(), "{decoded:?}");
+}
+
+cases! {
+    check_odd_record:
+    a_warmup_too_large("warmup_left_ms", "1e300");
+    a_warmup_beyond_every_number("warmup_left_ms", "1e999");
+    a_warmup_of_more_seconds_than_a_duration_holds("warmup_left_ms", "2e22");
+    a_warmup_that_ends_after_every_clock("warmup_left_ms", "1.844674407370955e22");
+    a_warmup_nested_deeply("warmup_left_ms", &nested("[", "]"));
+    a_port_out_of_range("address", "\"10.128.0.9:65536\"");
+    a_port_with_many_digits("address", "\"10.128.0.9:99999999999999999999\"");
+    a_port_of_zero("address", "\"10.128.0.9:0\"");
+    an_address_of_no_machine("address", "\"0.0.0.0:8080\"");
+    an_address_of_many_machines("address", "\"224.0.0.1:8080\"");
+    an_address_with_a_negative_port("address", "\"10.128.0.9:-1\"");
+    more_slots_than_a_number_holds("slots", "4294967296");
+    negative_slots("slots", "-1");
+    slots_with_a_fraction("slots", "6.5");
+    a_start_too_large("born", "18446744073709551616");
+    a_sequence_too_large("sequence", "1e300");
+    a_zone_nested_deeply("zone", &nested("{\"a\":", "}").replace(":}", ":1}"));
+    a_state_of_null("state", "null");
+}
+
+/// Guards against a record that is lost for a field that nothing reads.
+#[test]
+fn a_field_of_tomorrow_may_nest_deeply() {
+    let zones = HashMap::from([(Zone::from("north-a"), Region::from("north"))]);
+    let record = record_with("tomorrow", &nested("[", "]"));
+    let decoded = records::decode_target(record.as_bytes(), &zones);
+    assert!(decoded.is_ok(), "{decoded:?}");
+}
+
+/// Guards against an odd entry after which an instance no longer hears of
+/// targets: the entry is there at the start, or comes while it is followed.
+fn check_odd_entry(key: &str, value: &[u8], is_listed: bool) {
+    block_on(async {
+        let site = Site::start().await;
+        let put_odd = || site.store.put_bytes(key, value);
+        if is_listed {
+            put_odd();
+        }
+        let first = PlatformTarget::start("i-1").await;
+        site.register(&first, "orders", "north-a");
+        let node = site.instance("one", "north-a", "north").await;
+        if !is_listed {
+            put_odd();
+        }
+        let call = Call::new("r-1", "/status/1").key(KEY);
+        assert_eq!(call.send(node.front).await.status, StatusCode::OK);
+        let later = PlatformTarget::start("i-2").await;
+        site.register(&later, "orders", "north-a");
+        site.store.remove("servers/i-1");
+        until("the later target serves", async || {
+            call.send(node.front).await.body == "answer of i-2"
+        })
+        .await;
+        assert!(!node.logged().contains("\"level\":\"ERROR\""));
+    });
+}
+
+cases! {
+    check_odd_entry:
+    a_listed_entry_with_a_number_too_large("servers/i-0", record_with("warmup_left_ms", "1e300").as_bytes(), true);
+    a_written_entry_with_a_number_too_large("servers/i-0", record_with("warmup_left_ms", "1e300").as_bytes(), false);
+    a_listed_entry_nested_deeply("servers/i-0", nested("[", "]").as_bytes(), true);
+    a_written_entry_nested_deeply("servers/i-0", nested("{\"a\":", "}").as_bytes(), false);
+    a_listed_entry_with_a_port_out_of_range("servers/i-0", record_with("address", "\"10.0.0.1:70000\"").as_bytes(), true);
+    a_listed_entry_of_other_bytes("servers/i-0", b"\xff\xfe\x00", true);
+    a_listed_entry_of_nothing("servers/i-0", b"", true);
+    an_entry_under_an_odd_key("servers/an odd&key#1%zz+?", b"{}", true);
+    an_entry_under_a_key_in_another_script("servers/\u{e9}\u{4e2d}", b"{}", true);
+}
