--- a/tests/testsuite/node/odd_entries.rs
+++ b/tests/testsuite/node/odd_entries.rs
@@ -5,14 +5,18 @@
 
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_platform::catalog;
 use chiverelay_platform::records;
 use hyper::StatusCode;
+use serde_json::Value;
+use serde_json::json;
 use support::block_on;
 use support::cases;
 use support::node::PlatformTarget;
 use support::node::Site;
 use support::node::call::Call;
 use support::node::site::KEY;
+use support::node::site::configuration;
 use support::node::site::until;
 
 /// Levels of nesting beyond what any decoder of the project reads.
@@ -78,6 +82,26 @@
     assert!(decoded.is_ok(), "{decoded:?}");
 }
 
+/// Guards against a configuration whose decoding panics, which ended the task
+/// that follows the operator's keys.
+fn check_odd_configuration(pointer: &str, value: Value) {
+    let mut document = configuration(7);
+    *document.pointer_mut(pointer).expect("a field") = value;
+    let decoded = catalog::decode(document.to_string().as_bytes());
+    assert!(decoded.is_ok(), "{decoded:?}");
+}
+
+cases! {
+    check_odd_configuration:
+    a_timeout_too_large("/routes/0/timeout_ms", json!(1e300));
+    a_latency_target_too_large("/routes/0/target_latency_ms", json!(1e300));
+    an_event_gap_too_large("/routes/0/gap_aim_ms", json!(1e300));
+    a_pool_that_warms_up_for_ever("/services/1/warmup_s", json!(1e300));
+    a_cold_limit_too_large("/services/1/cold_per_s", json!(1e300));
+    a_rate_too_large("/tenants/0/rate_per_s", json!(1e300));
+    an_idle_timeout_too_large("/limits/idle_timeout_ms", json!(u64::MAX));
+}
+
 /// Guards against an odd entry after which an instance no longer hears of
 /// targets: the entry is there at the start, or comes while it is followed.
 fn check_odd_entry(key: &str, value: &[u8], is_listed: bool) {
