Bound the idle timeout that a target states

What callers saw: a whole request, run and answered by its target, ended with a closed connection: neither an answer nor a refusal. Seen in a test only.

The `Keep-Alive` header's timeout was added to the clock when the connection went back to the pool; a number that is too large overflows the time and panics in the caller's connection task, after the answer was read and before it was passed on.

Evidence: `node::broken_answers:: an_answer_with_an_endless_idle_timeout_reaches_the_caller` failed on the code before with "connection closed before message completed", and the instance printed a panic in `std/src/time.rs`.

Why this works: no connection is kept idle for longer than an hour, whatever the target states.

--- a/crates/target/src/connection_pool.rs
+++ b/crates/target/src/connection_pool.rs
@@ -47,6 +47,9 @@
 /// earlier than its arrival here.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
 
+/// Longest time that a connection is kept idle.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_hours(1);
+
 /// Header in which a target states its timeout for idle connections.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -310,6 +313,7 @@
             .split(',')
             .find_map(|v| v.trim().strip_prefix("timeout="))?;
         let timeout: u64 = timeout.trim().parse().ok()?;
-        (timeout > 0).then(|| Duration::from_secs(timeout).mul_f64(IDLE_TIMEOUT_FRACTION))
+        let timeout = Duration::from_secs(timeout).min(MAX_IDLE_TIMEOUT);
+        (!timeout.is_zero()).then(|| timeout.mul_f64(IDLE_TIMEOUT_FRACTION))
     }
 }
--- a/tests/testsuite/node/broken_answers.rs
+++ b/tests/testsuite/node/broken_answers.rs
@@ -289,3 +289,19 @@
     of_a_far_service("/deposit/1", "quoted", Place::Far);
     of_a_far_model("/chat/1", "id: 1\ndata: a\n\n", Place::Far);
 }
+
+/// Guards against a whole answer that is lost with its connection, as the
+/// target states an idle timeout that no clock reaches.
+#[test]
+fn an_answer_with_an_endless_idle_timeout_reaches_the_caller() {
+    block_on(async {
+        let answer = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-stamp: s\r\n\
+             keep-alive: timeout=18446744073709551615\r\ncontent-length: 2\r\n\r\nok";
+        let script = vec![Scripted::new(answer, After::Keep)];
+        let world = start("orders", Place::Near, vec![script]).await;
+        for id in ["first", "second"] {
+            let got = world.call(id, "/deposit/1").await.expect("an answer");
+            assert_eq!(got.status, StatusCode::OK);
+        }
+    });
+}
