Take only requests that can end before a planned stop does

What callers saw: an operator of a similar system reports that in a planned stop of one instance, in calm, requests that came late in the grace period were passed on and cut at its end with no answer, among them requests that may not be repeated.

Cause: nothing compared the time that a request may take with the time that was left, neither for callers' requests (one whose body ends late, on a connection that was open before) nor for those that other instances forward or that are tried again. And at the limit the process just ended, so a request without an answer got none.

Why this works: once an instance announces its leaving, each choice of a destination asks `ShutdownDeadline` whether the request can end in time. One that may run only once needs a deadline in time; others need twice the time that such requests usually take. All others are refused at once as not run, with `Connection: close` and a short retry delay. Attempts get the shutdown's deadline if theirs is later, so their targets stop in time too. What is still open at the limit is refused as unknown (504), or as not run (503) if it had no destination yet; an answer that had begun breaks off.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod request;
 pub mod retry_budget;
 pub mod settlements;
+pub mod shutdown;
 pub mod step;
 pub mod store_session;
 pub mod tables;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -73,7 +73,7 @@
             known_target,
         } = placed;
         let target = req.target().clone();
-        let deadline = req.meta().deadline;
+        let deadline = self.shutdown.limit(req.meta().deadline);
         let connecting = self.connect(&target, &known_target, deadline, cx.route.kind);
         let conn = match connecting.await {
             Ok(conn) => conn,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -83,7 +83,7 @@
             let refusal = req.refusal(Code::Unavailable, Step::Connect, peer);
             return ForwardOutcome::Retry(req.unplace(), refusal.into());
         };
-        let deadline = req.meta().deadline;
+        let deadline = self.shutdown.limit(req.meta().deadline);
         let left = deadline.saturating_sub(self.clock.now());
         let message = forward_message(&req, cx, out, left);
         let req = req.dispatch();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::shutdown::ShutdownDeadline;
 use chiverelay_sibling::Certificates;
 use chiverelay_sibling::Endpoint;
 use chiverelay_sibling::Error;
@@ -33,6 +34,7 @@
 use crate::log_writer::LineCounts;
 use crate::members::Members;
 use crate::rate_limiter::RateLimiter;
+use crate::shutdown::Shutdown;
 use crate::sibling_handler::SiblingHandler;
 use crate::status;
 use crate::tables::SharedTables;
@@ -61,6 +63,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) log_rate_limit: LogRateLimit,
     pub(crate) incarnation: u64,
+    pub(crate) shutdown: Shutdown,
     pub(crate) stop: CancellationToken,
     pub(crate) open_requests: TaskTracker,
     listings: ReceivedListings,
@@ -111,6 +114,7 @@
             connections: ConnectionPool::new(CONNECT_TIMEOUT),
             pending_losses: PendingLosses::default(),
             metrics: Arc::new(Metrics::new()),
+            shutdown: Shutdown::default(),
             stop: CancellationToken::new(),
             open_requests: TaskTracker::new(),
             listings: ReceivedListings::default(),
@@ -307,12 +311,22 @@
     }
 
     /// Announces to the other instances and the store that this instance is
-    /// shutting down.
-    pub fn leave(&self) {
+    /// shutting down. From now on it takes only requests that can end within
+    /// `time_left`.
+    pub fn leave(&self, time_left: Duration) {
+        let deadline = ShutdownDeadline::new(self.clock.now() + time_left);
+        self.shutdown.begin(deadline);
         log::info!(target: "gateway", open = self.open_requests.len(); "leaving");
         self.members.set_own_state(MemberState::Leaving);
     }
 
+    /// Ends the open requests. Callers whose answers have not begun get a
+    /// refusal, and the others see their answers break off.
+    pub fn end_open_requests(&self) {
+        log::warn!(target: "gateway", open = self.open_requests.len(); "time limit for open requests is over; they are cancelled");
+        self.shutdown.end();
+    }
+
     /// Waits until all open requests have ended.
     pub async fn wait_for_open_requests(&self) {
         self.open_requests.close();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -41,6 +41,7 @@
 use crate::relay::AnswerSource;
 use crate::relay::Relay;
 use crate::request_log::RequestLog;
+use crate::shutdown::refuse_open_request;
 
 /// Maximum number of destinations that one request is tried at, including
 /// those that did not run it.
@@ -167,8 +168,9 @@
         let mut request_log = RequestLog::new(inbound.id.clone(), self.clock);
         let handled = match current {
             Some(current) => {
-                self.admit_and_run(inbound, received, &current, &mut request_log)
-                    .await
+                let running = self.admit_and_run(inbound, received, &current, &mut request_log);
+                let handled = self.shutdown.run_until_over(running).await;
+                handled.unwrap_or_else(|| Err(refuse_open_request(request_log.is_placed())))
             }
             None => Err(refuse_no_catalog()),
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod request_log;
 mod reservation_guard;
 mod settings;
+mod shutdown;
 mod sibling_handler;
 mod status;
 mod tables;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -98,14 +98,15 @@
     ///
     /// # Errors
     ///
-    /// Refuses the request if no target can take it or if it could not be
-    /// answered before its deadline.
+    /// Refuses the request if no target can take it, or if it could not be
+    /// answered before its deadline or the end of a shutdown.
     pub(crate) fn choose_destination(
         self: &Arc<Self>,
         req: Request<Admitted, Direct>,
         cx: &PlacementContext,
     ) -> Result<Destination<D>, Refusal> {
         let now = self.clock.now();
+        self.check_shutdown(&req, cx, now)?;
         self.check_quarantine(&req, cx, now)?;
         let own_region = &self.settings.region;
         let allowed = req.grant().residency.allows(own_region);
@@ -156,14 +157,15 @@
     ///
     /// # Errors
     ///
-    /// Refuses the request if no target can take it or if it could not be
-    /// answered before its deadline.
+    /// Refuses the request if no target can take it, or if it could not be
+    /// answered before its deadline or the end of a shutdown.
     pub(crate) fn place_locally<O>(
         self: &Arc<Self>,
         req: Request<Admitted, O>,
         cx: &PlacementContext,
     ) -> Result<LocalPlacement<D, O>, Refusal> {
         let now = self.clock.now();
+        self.check_shutdown(&req, cx, now)?;
         self.check_quarantine(&req, cx, now)?;
         let choice = self
             .choose_local_target(cx, req.tried_targets(), now)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -162,9 +162,10 @@
             false => left,
         };
         let next = tokio::time::timeout(wait, current.answer.next_chunk());
-        let chunk = match next.await {
-            Ok(chunk) => chunk.map_err(IncompleteAnswer::new)?,
-            Err(_) => return Err(IncompleteAnswer::new("timeout")),
+        let chunk = match self.gateway.shutdown.run_until_over(next).await {
+            Some(Ok(chunk)) => chunk.map_err(IncompleteAnswer::new)?,
+            Some(Err(_)) => return Err(IncompleteAnswer::new("timeout")),
+            None => return Err(IncompleteAnswer::new("shutdown")),
         };
         let checker = &mut current.start.checker;
         let Some(chunk) = chunk else {
@@ -214,6 +215,7 @@
         if !is_resumable
             || self.cx.attempts_left == 0
             || left < MIN_TIME_TO_SEND
+            || self.gateway.shutdown.is_over()
             || self.gateway.is_prompt_suspected(&self.cx)
         {
             return Err(cause);
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -100,9 +100,11 @@
         if left.is_zero() {
             return Some(Err(IncompleteAnswer::new("timeout")));
         }
-        Some(match tokio::time::timeout(left, answer.next()).await {
-            Ok(frame) => frame.map_err(IncompleteAnswer::new),
-            Err(_) => Err(IncompleteAnswer::new("timeout")),
+        let next = tokio::time::timeout(left, answer.next());
+        Some(match self.gateway.shutdown.run_until_over(next).await {
+            Some(Ok(frame)) => frame.map_err(IncompleteAnswer::new),
+            Some(Err(_)) => Err(IncompleteAnswer::new("timeout")),
+            None => Err(IncompleteAnswer::new("shutdown")),
         })
     }
 }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Tells whether a destination was chosen for the request.
+    pub(crate) fn is_placed(&self) -> bool {
+        self.destinations > 0
+    }
+
     fn took(&self) -> Duration {
         self.clock.now().saturating_sub(self.received)
     }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -93,6 +93,7 @@
         let deadline = gateway.clock.now() + Duration::from_millis(req.remaining_ms);
         let mut usage = TargetUsage::default();
         let running = gateway.run_forwarded(req, &mut usage);
+        let running = gateway.shutdown.run_until_over(running);
         // Check for the cancellation first: if the request arrived late, its
         // cancellation has often arrived too.
         let handled = tokio::select! {
@@ -100,6 +101,9 @@
             () = tx.closed() => return,
             handled = running => handled,
         };
+        // Whether a target ran it is unknown, so it counts as one that may have.
+        let lost = || Refusal::unknown(Code::TargetFailed, Step::Answer, Peer::Local);
+        let handled = handled.unwrap_or_else(|| Err(lost()));
         log::info!(
             target: "forward",
             id = id.as_str(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -38,6 +38,7 @@
 mod secrets;
 mod settings;
 mod settlements;
+mod shutdown;
 mod store;
 mod tables;
 mod tickets;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -9,6 +9,7 @@
 mod path;
 mod quarantine;
 mod settings;
+mod shutdown;
 mod soak;
 mod stated_limit;
 mod store;
--- /dev/null
+++ b/tests/testsuite/node/shutdown.rs
@@ -0,0 +1,126 @@
+//! Requests around the end of a planned stop, at running instances.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::StatusCode;
+use serde_json::json;
+use support::block_on;
+use support::cases;
+use support::node::Mode;
+use support::node::Node;
+use support::node::PlatformTarget;
+use support::node::Site;
+use support::node::call::Call;
+use support::node::site::KEY;
+use support::node::site::configuration;
+use support::node::site::until;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// Time after which the platform kills an instance that it told to stop.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Time of the late requests: too late for the slow target, and before the
+/// last of the grace period.
+const LATE: Duration = Duration::from_millis(6500);
+
+/// Time that the slow target takes.
+const SLOW: Duration = Duration::from_secs(20);
+
+/// Starts an instance before a slow target of both pools, and another one that
+/// callers can move to. Routes allow more time than the grace period.
+async fn start() -> (Site, PlatformTarget, PlatformTarget, Node, Node) {
+    let site = Site::start().await;
+    let mut document = configuration(4);
+    for route in document["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = json!(30_000);
+    }
+    site.store.put("op/config", &document);
+    let orders = PlatformTarget::start("i-1").await;
+    let model = PlatformTarget::start("i-2").await;
+    site.register(&orders, "orders", "north-a");
+    site.register(&model, "model", "north-a");
+    for target in [&orders, &model] {
+        target.set(Mode::Slow(SLOW));
+    }
+    let node = site.instance("one", "north-a", "north").await;
+    let other = site.instance("two", "north-a", "north").await;
+    (site, orders, model, node, other)
+}
+
+/// Sends the head of a request and half of its body.
+async fn begin(to: SocketAddr, path: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.expect("a connection");
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: desk.example\r\nrequest-id: late\r\n\
+         request-deadline: 20000\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 8\r\n\r\nques"
+    );
+    let sent = stream.write_all(head.as_bytes()).await;
+    sent.expect("half a request is sent");
+    stream
+}
+
+/// Sends the rest of the body and reads up to the end of the connection.
+async fn finish(mut stream: TcpStream) -> String {
+    let sent = stream.write_all(b"tion").await;
+    sent.expect("the rest is sent");
+    let mut answer = Vec::new();
+    // A connection that is reset ends too; what came before it counts.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against a request that comes late in the grace period, is passed on
+/// to a target that can't end in time, and is cut without an answer.
+fn check_late_request(path: &str, status: u16, arrivals: usize) {
+    block_on(async {
+        let (_site, orders, model, node, _other) = start().await;
+        let stream = begin(node.front, path).await;
+        node.process.terminate();
+        tokio::time::sleep(LATE).await;
+        let sent = Instant::now();
+        let answer = finish(stream).await;
+        let took = sent.elapsed();
+        let line = format!("HTTP/1.1 {status} ");
+        assert!(answer.starts_with(&line), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+        assert_eq!(orders.arrivals().len() + model.arrivals().len(), arrivals);
+        assert!(took < GRACE - LATE, "answered after {took:?}");
+    });
+}
+
+cases! {
+    check_late_request:
+    a_late_request_once_only_is_refused_as_not_run("/deposit/1", 503, 0);
+    a_late_stream_that_may_not_go_on_is_refused_as_not_run("/chat/1", 503, 0);
+    a_late_stream_that_may_go_on_is_refused_as_not_run("/quote/1", 503, 0);
+    a_late_request_that_is_mostly_fast_ends_in_time("/status/1", 504, 1);
+}
+
+/// Guards against an open request whose connection closes without an answer as
+/// the time for open requests is over.
+#[test]
+fn a_request_open_at_the_limit_is_answered_as_unknown() {
+    block_on(async {
+        let (_site, orders, _model, mut node, _other) = start().await;
+        let call = Call::new("r-1", "/deposit/1")
+            .key(KEY)
+            .header("request-deadline", "20000");
+        let stopping = async {
+            until("the request runs", async || !orders.arrivals().is_empty()).await;
+            node.process.terminate();
+            let stopped = Instant::now();
+            assert!(tokio::task::block_in_place(|| node.process.wait()));
+            stopped.elapsed()
+        };
+        let (got, took) = tokio::join!(call.exchange(node.front), stopping);
+        let got = got.expect("an answer");
+        assert_eq!(got.status, StatusCode::GATEWAY_TIMEOUT);
+        assert_eq!(got.header("connection"), "close");
+        assert!(took < GRACE, "ended after {took:?}");
+    });
+}
