Start background tasks again that end unexpectedly

A panic in the task that follows the targets ended it, and the instance went on as if nothing had happened: it stayed ready, and served by records that grew older and older.

Cause: the tasks that an instance can't do without (one for each prefix of the store, the instance's record, status messages, the endpoint for other instances, the servers of callers, look-ups, readiness and metrics) were spawned and never looked at again.

`node::supervise` holds the new behaviour for a task that panics, that panics as it starts, and that returns; the module is new, so the test could not fail before it.

Why this works: `supervise::spawn` runs the task and starts it again after a pause unless its shutdown has begun. Each such end is an error line with the task's name and reason, and counts in `chiverelay_task_restarts_total`. The process is not ended instead, as that would cut every open request for a fault that may concern none of them.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway of an instance: construction, updates from the store, readiness
 //! and shutdown.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -37,6 +38,7 @@
 use crate::shutdown::Shutdown;
 use crate::sibling_handler::SiblingHandler;
 use crate::status;
+use crate::supervise;
 use crate::tables::SharedTables;
 
 /// Time limit for connecting to a target.
@@ -132,11 +134,24 @@
     pub fn start(self: &Arc<Self>, line_counts: Arc<LineCounts>) {
         let siblings = Arc::new(SiblingHandler::new(Arc::clone(self)));
         let endpoint = self.links.endpoint().clone();
-        tokio::spawn(endpoint.run(siblings, self.stop.clone()));
-        tokio::spawn(status::run(Arc::clone(self)));
+        let stop = self.stop.clone();
+        self.supervise("siblings", move || {
+            endpoint.clone().run(Arc::clone(&siblings), stop.clone())
+        });
+        let gateway = Arc::clone(self);
+        self.supervise("status", move || status::run(Arc::clone(&gateway)));
         self.metrics.set_log_counts(line_counts);
     }
 
+    fn supervise<F, T>(&self, name: &'static str, start: F)
+    where
+        F: FnMut() -> T + Send + 'static,
+        T: Future<Output = ()> + Send,
+    {
+        let metrics = Arc::clone(&self.metrics);
+        supervise::spawn(name, metrics, self.stop.clone(), start);
+    }
+
     /// Returns a receiver of this instance's own record and its changes.
     pub fn watch_own_record(&self) -> watch::Receiver<MemberRecord> {
         self.members.watch_own_record()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod shutdown;
 mod sibling_handler;
 mod status;
+pub mod supervise;
 mod tables;
 
 pub use chiverelay_sibling::Error as SiblingError;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     forwards: IntCounterVec,
     sibling_refusals: IntCounterVec,
     store_calls: IntCounterVec,
+    task_restarts: IntCounterVec,
     log_counts: OnceLock<Arc<LineCounts>>,
     gauges: Gauges,
     first_byte_times: HistogramVec,
@@ -114,6 +115,12 @@
                 "Calls of the store by kind and result.",
                 &["kind", "result"],
             ),
+            task_restarts: counter(
+                &registry,
+                "task_restarts_total",
+                "Background tasks that ended unexpectedly and were started again.",
+                &["task"],
+            ),
             log_counts: OnceLock::new(),
             gauges: Gauges::new(&registry),
             first_byte_times: histogram(
@@ -161,6 +168,7 @@
             &self.crash_checks,
             &self.connection_uses,
             &self.sibling_refusals,
+            &self.task_restarts,
         ] {
             counter.with_label_values(&["none"]);
         }
@@ -269,6 +277,11 @@
         histogram.observe(took.as_secs_f64());
     }
 
+    /// Counts a background task that ended unexpectedly.
+    pub(crate) fn count_task_restart(&self, task: &str) {
+        self.task_restarts.with_label_values(&[task]).inc();
+    }
+
     /// Sets the counts of log lines to show as gauges.
     pub(crate) fn set_log_counts(&self, counts: Arc<LineCounts>) {
         if self.log_counts.set(counts).is_err() {
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -13,3 +13,4 @@
 mod soak;
 mod stated_limit;
 mod store;
+mod supervise;
