--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway of an instance: construction, updates from the store, readiness
 //! and shutdown.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -9,6 +10,7 @@
 
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::shutdown::ShutdownDeadline;
 use chiverelay_sibling::Certificates;
 use chiverelay_sibling::Endpoint;
 use chiverelay_sibling::Error;
@@ -33,8 +35,10 @@
 use crate::log_writer::LineCounts;
 use crate::members::Members;
 use crate::rate_limiter::RateLimiter;
+use crate::shutdown::Shutdown;
 use crate::sibling_handler::SiblingHandler;
 use crate::status;
+use crate::supervise;
 use crate::tables::SharedTables;
 
 /// Time limit for connecting to a target.
@@ -61,6 +65,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) log_rate_limit: LogRateLimit,
     pub(crate) incarnation: u64,
+    pub(crate) shutdown: Shutdown,
     pub(crate) stop: CancellationToken,
     pub(crate) open_requests: TaskTracker,
     listings: ReceivedListings,
@@ -111,6 +116,7 @@
             connections: ConnectionPool::new(CONNECT_TIMEOUT),
             pending_losses: PendingLosses::default(),
             metrics: Arc::new(Metrics::new()),
+            shutdown: Shutdown::default(),
             stop: CancellationToken::new(),
             open_requests: TaskTracker::new(),
             listings: ReceivedListings::default(),
@@ -128,11 +134,24 @@
     pub fn start(self: &Arc<Self>, line_counts: Arc<LineCounts>) {
         let siblings = Arc::new(SiblingHandler::new(Arc::clone(self)));
         let endpoint = self.links.endpoint().clone();
-        tokio::spawn(endpoint.run(siblings, self.stop.clone()));
-        tokio::spawn(status::run(Arc::clone(self)));
+        let stop = self.stop.clone();
+        self.supervise("siblings", move || {
+            endpoint.clone().run(Arc::clone(&siblings), stop.clone())
+        });
+        let gateway = Arc::clone(self);
+        self.supervise("status", move || status::run(Arc::clone(&gateway)));
         self.metrics.set_log_counts(line_counts);
     }
 
+    fn supervise<F, T>(&self, name: &'static str, start: F)
+    where
+        F: FnMut() -> T + Send + 'static,
+        T: Future<Output = ()> + Send,
+    {
+        let metrics = Arc::clone(&self.metrics);
+        supervise::spawn(name, metrics, self.stop.clone(), start);
+    }
+
     /// Returns a receiver of this instance's own record and its changes.
     pub fn watch_own_record(&self) -> watch::Receiver<MemberRecord> {
         self.members.watch_own_record()
@@ -307,12 +326,22 @@
     }
 
     /// Announces to the other instances and the store that this instance is
-    /// shutting down.
-    pub fn leave(&self) {
+    /// shutting down. From now on it takes only requests that can end within
+    /// `time_left`.
+    pub fn leave(&self, time_left: Duration) {
+        let deadline = ShutdownDeadline::new(self.clock.now() + time_left);
+        self.shutdown.begin(deadline);
         log::info!(target: "gateway", open = self.open_requests.len(); "leaving");
         self.members.set_own_state(MemberState::Leaving);
     }
 
+    /// Ends the open requests. Callers whose answers have not begun get a
+    /// refusal, and the others see their answers break off.
+    pub fn end_open_requests(&self) {
+        log::warn!(target: "gateway", open = self.open_requests.len(); "time limit for open requests is over; they are cancelled");
+        self.shutdown.end();
+    }
+
     /// Waits until all open requests have ended.
     pub async fn wait_for_open_requests(&self) {
         self.open_requests.close();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,8 +36,10 @@
 mod request_log;
 mod reservation_guard;
 mod settings;
+mod shutdown;
 mod sibling_handler;
 mod status;
+pub mod supervise;
 mod tables;
 
 pub use chiverelay_sibling::Error as SiblingError;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -182,10 +182,11 @@
         let is_stall_limited = self.cx.route.kind.is_repeatable() && stall < left;
         let wait = if is_stall_limited { stall } else { left };
         let next = tokio::time::timeout(wait, current.answer.next_chunk());
-        let chunk = match next.await {
-            Ok(chunk) => chunk.map_err(IncompleteAnswer::new)?,
-            Err(_) if is_stall_limited => return Err(Interruption::Stalled),
-            Err(_) => return Err(IncompleteAnswer::new("timeout").into()),
+        let chunk = match self.gateway.shutdown.run_until_over(next).await {
+            Some(Ok(chunk)) => chunk.map_err(IncompleteAnswer::new)?,
+            Some(Err(_)) if is_stall_limited => return Err(Interruption::Stalled),
+            Some(Err(_)) => return Err(IncompleteAnswer::new("timeout").into()),
+            None => return Err(IncompleteAnswer::new("shutdown").into()),
         };
         let checker = &mut current.start.checker;
         let Some(chunk) = chunk else {
@@ -218,6 +219,7 @@
             && self.cx.route.kind.is_repeatable()
             && self.cx.attempts_left > 0
             && left >= MIN_TIME_TO_SEND
+            && !self.gateway.shutdown.is_over()
     }
 
     /// Moves a stream from a target that pauses to another one. Stays with the
