Leave targets alone that ask for a pause

What callers saw: a target that turned requests away with 503 and named in `Retry-After` for how long it wants none from this machine got them as before, and each of them was turned away again.

Cause: nothing read the header. A refusal made its target count as full for 50 ms, whatever the target had said.

Where all targets are paused, the refusal names the time until the first of them is back.

Evidence: with `pause_left` always `None`, `node::pause` failed with "left: 200, right: 503" for the first request after the refusal, and `traffic::pause` with 5 of its 7 cases: "left: Target("i-0"), right: Target("i-1")", "left: Ok(..), right: Err(AllPaused(1.5s))", three times "left: None". All pass with it.

Not done: another region's instances are not told of pauses. They forward as before, and the refusal sends the request on to the next place.

--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -7,6 +7,7 @@
 mod choose;
 mod cold_limit;
 mod outcome;
+mod pause;
 mod performance;
 mod remote;
 mod reservation;
@@ -135,6 +136,7 @@
     performance: HashMap<Pool, PoolPerformance>,
     retry_budgets: HashMap<Pool, RetryBudget>,
     full_until: HashMap<Target, Duration>,
+    paused_until: HashMap<Target, Duration>,
     stated_limits: HashMap<Target, StatedLimit>,
     forwarded: HashMap<(Region, Pool), SlidingWindow>,
     retry_limit: RetryLimit,
@@ -153,6 +155,7 @@
             performance: HashMap::new(),
             retry_budgets: HashMap::new(),
             full_until: HashMap::new(),
+            paused_until: HashMap::new(),
             stated_limits: HashMap::new(),
             forwarded: HashMap::new(),
             retry_limit,
@@ -269,6 +272,7 @@
     /// Drops the cached prompts and failures of a target that has restarted.
     pub fn reset_target(&mut self, target: &Target, now: Duration) {
         self.cached_parts.remove(target);
+        self.paused_until.remove(target);
         self.stated_limits.remove(target);
         if let Some(local) = self.local.get_mut(target) {
             local.failure_rate = 0.0;
@@ -279,6 +283,7 @@
     /// Forgets a removed target. Load and health stay while requests run there.
     pub fn remove_target(&mut self, target: &Target) {
         self.full_until.remove(target);
+        self.paused_until.remove(target);
         self.stated_limits.remove(target);
         self.cached_parts.remove(target);
         if self
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -134,6 +134,20 @@
     AllCold,
     /// The target stated a limit, and this instance's share of it is used up.
     AllLimited,
+    /// The target asked for a pause. The time is left until the first of the
+    /// paused targets takes requests again.
+    AllPaused(Duration),
+}
+
+impl NoTargetReason {
+    /// Returns the reason once a target that is paused for `left` was
+    /// considered too.
+    fn with_pause(self, left: Duration) -> Self {
+        match self {
+            Self::AllPaused(shortest) => Self::AllPaused(shortest.min(left)),
+            _ => Self::AllPaused(left),
+        }
+    }
 }
 
 /// The best target of a region, for the choice between regions.
@@ -186,6 +200,10 @@
                 reason = NoTargetReason::AllFull;
                 continue;
             }
+            if let Some(left) = self.pause_left(target, now) {
+                reason = reason.with_pause(left);
+                continue;
+            }
             if known.is_cold(now) && !self.has_cold_capacity(target, pool, shares.divisor, now) {
                 reason = NoTargetReason::AllCold;
                 continue;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -84,15 +84,15 @@
                 return AttemptOutcome::Retry(req.unplace(), refusal.into());
             }
         };
-        // The target may have started draining while the connection was made.
-        let left = deadline.saturating_sub(self.clock.now());
-        if !self.tables.fleet.lock().accepts_requests(&target) || left < MIN_TIME_TO_SEND {
+        let now = self.clock.now();
+        let left = deadline.saturating_sub(now);
+        if !self.may_send(&target, now) || left < MIN_TIME_TO_SEND {
             self.record_failed_attempt(
                 out,
                 &target,
                 reservation.age(),
                 "not sent",
-                "the target is draining, or too little time is left",
+                "the target is draining or paused, or too little time is left",
             );
             let refusal = req.refusal(Code::Unavailable, Step::Place, target_peer(&req));
             return AttemptOutcome::Retry(req.unplace(), refusal.into());
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Tells whether a target takes requests. It may have started draining, or
+    /// asked for a pause, since it was chosen.
+    fn may_send(&self, target: &Target, now: Duration) -> bool {
+        self.tables.fleet.lock().accepts_requests(target)
+            && self.tables.traffic.lock().pause_left(target, now).is_none()
+    }
+
     async fn connect(
         &self,
         target: &Target,
@@ -192,6 +199,10 @@
         if matches!(verdict, ResponseVerdict::Ran | ResponseVerdict::Rejected) {
             self.record_stated_limit(answer.target(), answer.headers());
         }
+        // A late or repeated answer to another request asks for the pause too.
+        if verdict != ResponseVerdict::Misdirected {
+            self.record_pause(&answer);
+        }
         match verdict {
             ResponseVerdict::Ran => {}
             // A draining target is treated like a full one.
@@ -239,6 +250,27 @@
         }
     }
 
+    /// Records that a target that turned a request away asks for a pause.
+    fn record_pause(&self, answer: &PooledResponse) {
+        let Some(pause) = self
+            .dialect
+            .requested_pause(answer.status(), answer.headers())
+        else {
+            return;
+        };
+        let target = answer.target();
+        let now = self.clock.now();
+        let is_new = self.tables.traffic.lock().record_pause(target, pause, now);
+        if is_new {
+            log::info!(
+                target: "dispatch",
+                to = target.as_str(),
+                pause_ms = pause.as_millis() as u64;
+                "target asks for a pause"
+            );
+        }
+    }
+
     /// Reads a short rejection to its end, so that its connection can be
     /// reused.
     async fn drain_rejection(&self, mut answer: PooledResponse) {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -130,6 +130,10 @@
     /// second from all instances together; `None` if it states none.
     fn stated_limit(&self, headers: &HeaderMap) -> Option<f64>;
 
+    /// Returns the time for which a target that turned a request away wants no
+    /// more requests from this instance; `None` if it states none.
+    fn requested_pause(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration>;
+
     /// Returns those headers of an answer that are passed on to the caller.
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap;
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -386,12 +386,17 @@
     );
     let code = match reason {
         NoTargetReason::NoTarget | NoTargetReason::NoneHealthy => Code::Unavailable,
-        NoTargetReason::AllFull | NoTargetReason::AllCold | NoTargetReason::AllLimited => {
-            Code::Overloaded
-        }
+        NoTargetReason::AllFull
+        | NoTargetReason::AllCold
+        | NoTargetReason::AllLimited
+        | NoTargetReason::AllPaused(_) => Code::Overloaded,
+    };
+    let retry_after = match reason {
+        NoTargetReason::AllPaused(left) => left.max(MIN_RETRY_AFTER),
+        _ => NO_TARGET_RETRY_AFTER,
     };
     req.refusal(code, Step::Place, Peer::Local)
-        .with_retry_after(NO_TARGET_RETRY_AFTER)
+        .with_retry_after(retry_after)
 }
 
 /// Retry delay for a request that no target could take.
--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -30,6 +30,9 @@
     Fail,
     /// It says that it did not run the request.
     Full,
+    /// It says that it did not run the request, and asks for a pause, in
+    /// seconds.
+    Pausing(&'static str),
     /// It breaks the connection off after it has run the request.
     Lose,
     /// It answers with another request's id.
@@ -143,10 +146,11 @@
             text(StatusCode::OK, name)
         }
         Mode::Fail => text(StatusCode::INTERNAL_SERVER_ERROR, name),
-        Mode::Full => {
-            let mut resp = http::empty_response(StatusCode::SERVICE_UNAVAILABLE);
-            let value = HeaderValue::from_static("1");
-            resp.headers_mut().insert("not-executed", value);
+        Mode::Full => full(),
+        Mode::Pausing(seconds) => {
+            let mut resp = full();
+            let value = HeaderValue::from_static(seconds);
+            resp.headers_mut().insert("retry-after", value);
             resp
         }
         Mode::Lose => {
@@ -162,6 +166,7 @@
     } else {
         &id
     };
+    let has_run = resp.status() != StatusCode::SERVICE_UNAVAILABLE;
     let headers = resp.headers_mut();
     if let Ok(value) = HeaderValue::from_str(id) {
         headers.insert("request-id", value);
@@ -169,13 +174,20 @@
     if let Mode::Limited(per_s) = mode {
         headers.insert("server-limit", HeaderValue::from(per_s));
     }
-    if mode != Mode::Full {
+    if has_run {
         let stamp = HeaderValue::from_str(&format!("stamp-of-{name}")).expect("a plain name");
         headers.insert("server-stamp", stamp);
     }
     resp
 }
 
+fn full() -> Response<http::Body> {
+    let mut resp = http::empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    let value = HeaderValue::from_static("1");
+    resp.headers_mut().insert("not-executed", value);
+    resp
+}
+
 fn text(status: StatusCode, name: &str) -> Response<http::Body> {
     let mut resp = Response::new(http::full_body(format!("answer of {name}")));
     *resp.status_mut() = status;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -6,6 +6,7 @@
 mod names;
 mod operations;
 mod path;
+mod pause;
 mod quarantine;
 mod settings;
 mod soak;
--- a/tests/testsuite/node/decode.rs
+++ b/tests/testsuite/node/decode.rs
@@ -143,6 +143,25 @@
     another_target_that_names_no_request(421, &[("instance-id", "i-9")], ResponseVerdict::Mismatched);
 }
 
+fn check_pause(status: u16, retry_after: &'static str, want: Option<Duration>) {
+    let status = StatusCode::from_u16(status).expect("a status");
+    let value = HeaderValue::from_static(retry_after);
+    let map = HeaderMap::from_iter([(hyper::header::RETRY_AFTER, value)]);
+    assert_eq!(PlatformCodec.requested_pause(status, &map), want);
+}
+
+cases! {
+    check_pause:
+    a_pause_with_fractions(503, "1.25", Some(Duration::from_millis(1250)));
+    a_pause_that_no_clock_holds(503, "1e300", Some(Duration::MAX));
+    no_pause_without_a_refusal(200, "2", None);
+    no_pause_of_nothing(503, "0", None);
+    no_pause_below_nothing(503, "-3", None);
+    no_pause_that_is_no_number(503, "NaN", None);
+    no_pause_without_an_end(503, "inf", None);
+    no_pause_until_a_date(503, "Sat, 05 Dec 2026 08:00:00 GMT", None);
+}
+
 #[test]
 fn headers_of_a_caller_lose_what_only_the_gateway_says() {
     let mut headers = HeaderMap::new();
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -1,6 +1,7 @@
 //! The choice of targets, under the load patterns that it answers.
 
 mod cold_limit;
+mod pause;
 mod stated_limit;
 
 use std::collections::HashMap;
