Suspend requests under which two targets crashed

Sound requests were lost with each target, and what was left was full.

Cause: evidence about crashes was kept for shared prompt parts only. This request's deadly part is its last one, and its ids differ, so each attempt began without a history. A forward that was lost in the other region was sent on from here without any look at the evidence.

`node::suspension` on the code without the change: "11 targets ended, 7 of 16 requests refused", where four are allowed for.

A request is now recognized by a digest of its pool, method, path and body. Two crashes under it with no answer between them suspend it on all instances for 10 s, and each further one doubles that. A lost request under which a target crashed before gets no second target, here or through a forward. A crash is told to the others at once, not with the next status. The refusal is 503, as two crashes may be a coincidence, and an answer ends the matter.

What another instance refuses as suspended or quarantined is no longer tried in further regions. Messages between instances are of version 7.

--- a/crates/caller/src/explain.rs
+++ b/crates/caller/src/explain.rs
@@ -95,6 +95,7 @@
         Code::TargetFailed => "the target broke off or answered wrongly",
         Code::SiblingFailed => "the instance that passed the request on lost its way to another",
         Code::Quarantined => "a part of the prompt crashed several targets; leave it out",
+        Code::Suspended => "several targets crashed under the request; come back later",
         Code::Draining => "the instance is stopping; ask another one",
     }
 }
--- a/crates/caller/src/reply.rs
+++ b/crates/caller/src/reply.rs
@@ -142,9 +142,11 @@
         Code::RateLimited => StatusCode::TOO_MANY_REQUESTS,
         Code::AlreadyUsed => StatusCode::CONFLICT,
         Code::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
-        Code::Overloaded | Code::Unavailable | Code::StateUnavailable | Code::Draining => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        Code::Overloaded
+        | Code::Unavailable
+        | Code::StateUnavailable
+        | Code::Suspended
+        | Code::Draining => StatusCode::SERVICE_UNAVAILABLE,
         Code::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         Code::TargetFailed | Code::SiblingFailed => StatusCode::BAD_GATEWAY,
     }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod settlements;
 pub mod step;
 pub mod store_session;
+pub mod suspension;
 pub mod tables;
 pub mod tickets;
 pub mod traffic;
--- a/crates/decisions/src/refusal.rs
+++ b/crates/decisions/src/refusal.rs
@@ -52,6 +52,8 @@
     Draining,
     /// A part of the prompt crashed several targets.
     Quarantined,
+    /// Several targets crashed under the request.
+    Suspended,
 }
 
 impl Code {
@@ -74,6 +76,7 @@
             Self::SiblingFailed => "sibling_failed",
             Self::Draining => "draining",
             Self::Quarantined => "quarantined",
+            Self::Suspended => "suspended",
         }
     }
 }
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -45,6 +45,8 @@
     Losses,
     /// Prompt parts that crash targets, and the evidence about others.
     Quarantine,
+    /// Requests under which targets crashed.
+    Suspensions,
     /// What is known of the other instances.
     Members,
     /// What each sibling last reported of itself.
--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -171,7 +171,7 @@
         cx.attempts_left = cx.attempts_left.saturating_sub(1);
         if cx.attempts_left == 0
             || !cx.route.kind.is_repeatable()
-            || self.is_prompt_suspected(cx)
+            || self.is_suspected(cx)
             || !self.try_consume_retry(cx, &req.meta().id)
         {
             return AttemptOutcome::Refused(req.refuse_unknown(code, Step::Dispatch));
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -11,6 +11,7 @@
 
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Target;
+use chiverelay_decisions::suspension::RequestDigest;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_decisions::traffic::PromptPart;
@@ -32,6 +33,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LostRequest {
     pub(crate) id: RequestId,
+    /// Digest of its content.
+    pub(crate) digest: RequestDigest,
     /// Parts of its prompt, in order.
     pub(crate) parts: Arc<[PromptPart]>,
     /// How long its answer had been arriving; `None` if it had not begun.
@@ -113,6 +116,7 @@
         self.log_crash_check(target, has_crashed, &losses);
         if has_crashed {
             self.record_crash(target, &losses);
+            self.suspend_lost_requests(target, &losses);
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -210,6 +210,12 @@
             {
                 ForwardOutcome::Refused(req.into_sibling_refusal(refusal))
             }
+            // What the other instance knows of crashes holds in all regions.
+            ForwardFailure::Refused(refusal, _)
+                if matches!(refusal.code, Code::Suspended | Code::Quarantined) =>
+            {
+                ForwardOutcome::Refused(req.into_sibling_refusal(refusal))
+            }
             ForwardFailure::Refused(refusal, attempts_used) => match req.undo_forward(&refusal) {
                 // A target there turned the request down, so the next attempt
                 // counts against the retry budget.
@@ -243,7 +249,10 @@
         attempts_used: u32,
     ) -> ForwardOutcome {
         cx.attempts_left = cx.attempts_left.saturating_sub(attempts_used);
-        if cx.attempts_left == 0 || !self.try_consume_retry(cx, &req.meta().id) {
+        if cx.attempts_left == 0
+            || self.is_suspected(cx)
+            || !self.try_consume_retry(cx, &req.meta().id)
+        {
             return ForwardOutcome::Refused(req.refuse_unknown(code, Step::Forward));
         }
         let peer = req.peer().clone();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use chiverelay_sibling::Identity;
 use chiverelay_sibling::Pins;
 use chiverelay_target::connection_pool::ConnectionPool;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -58,6 +59,8 @@
     pub(crate) links: Links,
     pub(crate) connections: ConnectionPool,
     pub(crate) pending_losses: PendingLosses,
+    /// Notified when the other instances have to be told something at once.
+    pub(crate) status_due: Notify,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) log_rate_limit: LogRateLimit,
     pub(crate) incarnation: u64,
@@ -110,6 +113,7 @@
             links: Links::new(endpoint),
             connections: ConnectionPool::new(CONNECT_TIMEOUT),
             pending_losses: PendingLosses::default(),
+            status_due: Notify::new(),
             metrics: Arc::new(Metrics::new()),
             stop: CancellationToken::new(),
             open_requests: TaskTracker::new(),
@@ -153,6 +157,7 @@
         let members = self.members.summarize(now);
         let current = self.tables.current_catalog();
         let quarantined_parts = self.tables.quarantine.lock().len();
+        let suspended_requests = self.tables.suspensions.lock().count_suspended(now);
         let fleet = self.tables.fleet.lock();
         GaugeValues {
             store_age: now.saturating_sub(fleet.last_store_answer()),
@@ -166,6 +171,7 @@
             links: self.links.list_open().len(),
             open_requests: self.open_requests.len(),
             quarantined_parts,
+            suspended_requests,
         }
     }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -41,6 +41,7 @@
 use crate::relay::AnswerSource;
 use crate::relay::Relay;
 use crate::request_log::RequestLog;
+use crate::suspension;
 
 /// Maximum number of destinations that one request is tried at, including
 /// those that did not run it.
@@ -116,14 +117,6 @@
     inbound: Inbound,
     account: Option<Account>,
 ) -> (PlacementContext, Outbound) {
-    let cx = PlacementContext {
-        prompt_tokens: inbound.prompt_tokens.unwrap_or_default(),
-        parts: inbound.parts.into(),
-        attempts_left: matched.route.max_attempts.max(1),
-        sent_count: 0,
-        route: Arc::clone(&matched.route),
-        pool,
-    };
     let out = Outbound {
         id: inbound.id,
         method: inbound.method,
@@ -135,6 +128,15 @@
         is_streaming: matched.route.kind.is_stream(),
         last_event_id: inbound.last_event_id,
     };
+    let cx = PlacementContext {
+        prompt_tokens: inbound.prompt_tokens.unwrap_or_default(),
+        parts: inbound.parts.into(),
+        attempts_left: matched.route.max_attempts.max(1),
+        sent_count: 0,
+        route: Arc::clone(&matched.route),
+        digest: suspension::digest(&pool.name, &out),
+        pool,
+    };
     (cx, out)
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod settings;
 mod sibling_handler;
 mod status;
+mod suspension;
 mod tables;
 
 pub use chiverelay_sibling::Error as SiblingError;
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -37,6 +37,8 @@
     pub open_requests: usize,
     /// Number of quarantined prompt parts.
     pub quarantined_parts: usize,
+    /// Requests that are suspended, as targets crashed under them.
+    pub suspended_requests: usize,
 }
 
 /// The gauges.
@@ -53,6 +55,7 @@
     links: IntGauge,
     open_requests: IntGauge,
     quarantined_parts: IntGauge,
+    suspended_requests: IntGauge,
     log_written: IntGauge,
     log_dropped: IntGauge,
 }
@@ -84,6 +87,10 @@
                 "quarantined_parts",
                 "Prompt parts that are quarantined, as they crashed targets.",
             ),
+            suspended_requests: count(
+                "suspended_requests",
+                "Requests that are suspended, as targets crashed under them.",
+            ),
             log_written: count("log_lines_written", "Log lines written since the start."),
             log_dropped: count("log_lines_dropped", "Log lines dropped since the start."),
         }
@@ -101,6 +108,8 @@
         self.links.set(signed(values.links));
         self.open_requests.set(signed(values.open_requests));
         self.quarantined_parts.set(signed(values.quarantined_parts));
+        self.suspended_requests
+            .set(signed(values.suspended_requests));
     }
 
     pub(super) fn set_log_counts(&self, counts: &Arc<LineCounts>) {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -19,6 +19,7 @@
 use chiverelay_decisions::request::Request;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
+use chiverelay_decisions::suspension::RequestDigest;
 use chiverelay_decisions::traffic::Estimate;
 use chiverelay_decisions::traffic::MIN_FORWARD_GAIN;
 use chiverelay_decisions::traffic::NoTargetReason;
@@ -51,6 +52,8 @@
     pub(crate) route: Arc<RouteSpec>,
     /// Pool of targets that serve the request.
     pub(crate) pool: Arc<PoolSpec>,
+    /// Digest of the request's content.
+    pub(crate) digest: RequestDigest,
     /// Parts of the prompt, in order, by which cached prefixes are recognized.
     pub(crate) parts: Arc<[PromptPart]>,
     /// Length of the prompt in tokens, 0 if it was not stated.
@@ -106,7 +109,7 @@
         cx: &PlacementContext,
     ) -> Result<Destination<D>, Refusal> {
         let now = self.clock.now();
-        self.check_quarantine(&req, cx, now)?;
+        self.check_crashes(&req, cx, now)?;
         let own_region = &self.settings.region;
         let allowed = req.grant().residency.allows(own_region);
         let local = match allowed {
@@ -164,7 +167,7 @@
         cx: &PlacementContext,
     ) -> Result<LocalPlacement<D, O>, Refusal> {
         let now = self.clock.now();
-        self.check_quarantine(&req, cx, now)?;
+        self.check_crashes(&req, cx, now)?;
         let choice = self
             .choose_local_target(cx, req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason))?;
@@ -178,13 +181,18 @@
         self.reserve(req, cx, &choice, now)
     }
 
-    /// Checks that no part of the prompt is quarantined.
-    fn check_quarantine<O>(
+    /// Checks that the request is not suspended and that no part of its prompt
+    /// is quarantined, as targets crashed.
+    fn check_crashes<O>(
         &self,
         req: &Request<Admitted, O>,
         cx: &PlacementContext,
         now: Duration,
     ) -> Result<(), Refusal> {
+        if let Some(left) = self.suspended_for(cx.digest, now) {
+            let refusal = req.refusal(Code::Suspended, Step::Place, Peer::Local);
+            return Err(refusal.with_retry_after(left));
+        }
         let Some(part) = self.find_quarantined_part(&req.meta().id, &cx.parts, now) else {
             return Ok(());
         };
@@ -350,6 +358,7 @@
         };
         let request = ReservedRequest {
             id: req.meta().id.clone(),
+            digest: cx.digest,
             parts: Arc::clone(&cx.parts),
             address: known_target.record.address,
         };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -214,7 +214,7 @@
         if !is_resumable
             || self.cx.attempts_left == 0
             || left < MIN_TIME_TO_SEND
-            || self.gateway.is_prompt_suspected(&self.cx)
+            || self.gateway.is_suspected(&self.cx)
         {
             return Err(cause);
         }
--- a/crates/gateway/src/reservation_guard.rs
+++ b/crates/gateway/src/reservation_guard.rs
@@ -7,6 +7,7 @@
 
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Target;
+use chiverelay_decisions::suspension::RequestDigest;
 use chiverelay_decisions::traffic::Estimate;
 use chiverelay_decisions::traffic::PromptPart;
 use chiverelay_decisions::traffic::Reservation;
@@ -21,6 +22,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ReservedRequest {
     pub(crate) id: RequestId,
+    /// Digest of its content.
+    pub(crate) digest: RequestDigest,
     /// Parts of the prompt, in order.
     pub(crate) parts: Arc<[PromptPart]>,
     /// Address of the target.
@@ -118,7 +121,7 @@
         let answered_for = self.first_event_at.map(|at| now.saturating_sub(at));
         match outcome {
             TargetOutcome::Lost => self.record_loss(&reservation.target, answered_for),
-            TargetOutcome::Answered => self.gateway.record_sound_answer(&self.request.parts, now),
+            TargetOutcome::Answered => self.record_answer_of_request(now),
             _ => {}
         }
         let mut traffic = self.gateway.tables.traffic.lock();
@@ -128,9 +131,16 @@
         traffic.release(reservation, outcome, now);
     }
 
+    fn record_answer_of_request(&self, now: Duration) {
+        self.gateway.record_sound_answer(&self.request.parts, now);
+        let mut suspensions = self.gateway.tables.suspensions.lock();
+        suspensions.record_answer(self.request.digest, now);
+    }
+
     fn record_loss(&self, target: &Target, answered_for: Option<Duration>) {
         let lost = LostRequest {
             id: self.request.id.clone(),
+            digest: self.request.digest,
             parts: Arc::clone(&self.request.parts),
             answered_for,
         };
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -38,6 +38,7 @@
 use crate::outcome::AttemptOutcome;
 use crate::outcome::Fallback;
 use crate::place::PlacementContext;
+use crate::suspension;
 
 /// Maximum number of targets that a forwarded request is tried at, including
 /// those that did not run it.
@@ -274,6 +275,7 @@
         };
         let cx = PlacementContext {
             route: matched.route,
+            digest: suspension::digest(&pool.name, &out),
             pool,
             parts: forward.parts.into(),
             prompt_tokens: forward.prompt_tokens,
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -70,7 +70,7 @@
             gateway
                 .send_statuses(sequence, &mut unreported_part_uses, now)
                 .await;
-            tokio::time::sleep(pause).await;
+            let _ = tokio::time::timeout(pause, gateway.status_due.notified()).await;
         }
     };
     gateway.stop.run_until_cancelled(send_all).await;
@@ -83,6 +83,7 @@
     fn remove_expired(&self, now: Duration) {
         self.tables.remove_expired_targets(now);
         self.update_quarantine(now);
+        self.tables.suspensions.lock().expire(now);
         for name in self.members.remove_expired(now) {
             log::info!(target: "members", instance = name.as_str(); "instance removed");
             self.tables.traffic.lock().remove_instance(&name, now);
@@ -110,7 +111,8 @@
         for link in links {
             let transfers = transfers.remove(&link.peer().instance).unwrap_or_default();
             let is_remote = link.peer().region != self.settings.region;
-            if is_remote && transfers.is_empty() && !is_remote_turn && !status.crashes.is_urgent() {
+            let is_urgent = status.crashes.is_urgent() || status.lost.is_urgent();
+            if is_remote && transfers.is_empty() && !is_remote_turn && !is_urgent {
                 continue;
             }
             let mut status = Status {
@@ -140,6 +142,7 @@
     fn own_status(&self, sequence: u64, now: Duration) -> Status {
         let allowances = self.rate_limiter.allowance_statuses(now);
         let crashes = self.tables.quarantine.lock().report(now);
+        let lost = self.tables.suspensions.lock().report(now);
         let mut traffic = self.tables.traffic.lock();
         Status {
             sequence,
@@ -151,6 +154,7 @@
             parts: allowances,
             gifts: Vec::new(),
             crashes,
+            lost,
             limits: traffic.stated_limit_records(now),
         }
     }
@@ -177,5 +181,6 @@
         }
         self.rate_limiter.receive_transfers(status.gifts, now);
         self.merge_crash_report(name, status.crashes, now);
+        self.tables.suspensions.lock().merge(status.lost, now);
     }
 }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -16,6 +16,7 @@
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::quarantine::Quarantine;
+use chiverelay_decisions::suspension::Suspensions;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_decisions::traffic::Traffic;
@@ -53,14 +54,15 @@
 
 /// Tables shared by requests and updates from the store.
 ///
-/// Locked in this order: `catalog`, `fleet`, `traffic`, `quarantine`. Their ranks in
-/// [`LockRank`] increase in the same order.
+/// Locked in this order: `catalog`, `fleet`, `traffic`, `quarantine`,
+/// `suspensions`. Their ranks in [`LockRank`] increase in the same order.
 #[derive(Debug)]
 pub(crate) struct SharedTables {
     pub(crate) catalog: CurrentCatalog,
     pub(crate) fleet: RankedMutex<Fleet>,
     pub(crate) traffic: RankedMutex<Traffic>,
     pub(crate) quarantine: RankedMutex<Quarantine>,
+    pub(crate) suspensions: RankedMutex<Suspensions>,
 }
 
 impl SharedTables {
@@ -76,6 +78,7 @@
                 Traffic::new(settings.retry_limit, settings.cold_limit_tolerance),
             ),
             quarantine: RankedMutex::new(LockRank::Quarantine, Quarantine::default()),
+            suspensions: RankedMutex::new(LockRank::Suspensions, Suspensions::default()),
         }
     }
 
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -21,6 +21,7 @@
 use chiverelay_decisions::quarantine::CrashReport;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::settlements::ClaimSettlement;
+use chiverelay_decisions::suspension::LostRequestsReport;
 use chiverelay_decisions::tickets::ClaimReply;
 use chiverelay_decisions::tickets::Nonce;
 use chiverelay_decisions::tickets::OperationDigest;
@@ -36,7 +37,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 6;
+pub const VERSION: u16 = 7;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
@@ -170,6 +171,8 @@
     /// Crashes of targets that the sender saw, and the prompt parts that it
     /// knows to be quarantined.
     pub crashes: CrashReport,
+    /// Requests that the sender lost in these crashes.
+    pub lost: LostRequestsReport,
     /// Limits that targets stated to the sender.
     pub limits: Vec<StatedLimitRecord>,
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -39,6 +39,7 @@
 mod settings;
 mod settlements;
 mod store;
+mod suspension;
 mod tables;
 mod tickets;
 mod timeline;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -12,3 +12,4 @@
 mod soak;
 mod stated_limit;
 mod store;
+mod suspension;
