Let one probe at a time through after a suspension

Cause: all instances derive the same end of a suspension from the same crashes, and each let through whatever came after it.

The first request after a suspension is now a probe: no other passes until it is answered, lost, or ten seconds have gone by, and the instances take turns in an order that they derive from the request, as with quarantined prompt parts.

Evidence: `one_request_at_a_time_passes_after_a_suspension` needs the probe to exist, so it could not run on the code before.

--- a/crates/decisions/src/suspension.rs
+++ b/crates/decisions/src/suspension.rs
@@ -4,12 +4,14 @@
 //! request that crashes targets is recognized by its content. Instances share
 //! the crashes that they saw as [`LostRequestsReport`]s. A request that was in
 //! flight at two targets when these crashed, with no answer since, is refused
-//! for a while everywhere; each further crash doubles that time.
+//! for a while everywhere; each further crash doubles that time. After it one
+//! request at a time is let through as a probe.
 
 mod report;
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::fmt;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -17,6 +19,7 @@
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::names::Pool;
+use crate::names::RequestId;
 use crate::names::Target;
 
 pub use report::CrashRecord;
@@ -32,6 +35,10 @@
 /// Longest suspension.
 const MAX_LENGTH: Duration = Duration::from_secs(80);
 
+/// Time after which another request may be the probe if the last one has no
+/// result.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time for which a request's crashes are remembered after the last one, and
 /// for which its answer is.
 const MEMORY: Duration = Duration::from_secs(120);
@@ -73,6 +80,12 @@
     }
 }
 
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// A crash of a target in which a request was lost.
 #[derive(Clone, Debug)]
 struct Crash {
@@ -90,6 +103,25 @@
     is_own: bool,
 }
 
+/// A request that was let through after a suspension.
+#[derive(Clone, Debug)]
+struct Probe {
+    id: RequestId,
+    sent_at: Duration,
+}
+
+/// Whether a request may be sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is not suspended.
+    Allowed,
+    /// It is suspended for that much longer.
+    Suspended(Duration),
+    /// Its suspension ended that long ago. It may become the probe, see
+    /// [`Suspensions::try_probe`].
+    ProbeDue(Duration),
+}
+
 /// The crashes under one request since it was last answered.
 ///
 /// # Invariants
@@ -100,6 +132,7 @@
 struct History {
     crashes: Vec<Crash>,
     answer: Option<Answer>,
+    probe: Option<Probe>,
 }
 
 impl History {
@@ -126,6 +159,25 @@
         self.crashes.retain(|crash| crash.at > answer.at);
     }
 
+    fn admit(&self, id: &RequestId, now: Duration) -> Admission {
+        let Some(until) = self.suspended_until() else {
+            return Admission::Allowed;
+        };
+        let Some(overdue) = now.checked_sub(until) else {
+            return Admission::Suspended(until - now);
+        };
+        match self.running_probe(now) {
+            Some(probe) if probe.id == *id => Admission::Allowed,
+            Some(probe) => Admission::Suspended(probe.sent_at + PROBE_TIMEOUT - now),
+            None => Admission::ProbeDue(overdue),
+        }
+    }
+
+    fn running_probe(&self, now: Duration) -> Option<&Probe> {
+        let probe = self.probe.as_ref();
+        probe.filter(|probe| now < probe.sent_at + PROBE_TIMEOUT)
+    }
+
     fn last_at(&self) -> Duration {
         let answered_at = self.answer.map(|answer| answer.at);
         let crashed_at = self.crashes.last().map(|crash| crash.at);
@@ -170,7 +222,7 @@
                 is_own: true,
             };
             self.history_mut(digest).add_crash(crash);
-            if self.suspended_for(digest, now).is_some() && !suspended.contains(&digest) {
+            if self.is_suspended(digest, now) && !suspended.contains(&digest) {
                 suspended.push(digest);
             }
         }
@@ -187,12 +239,35 @@
         }
     }
 
-    /// Returns for how much longer a request is suspended; `None` if it may be
-    /// sent to a target.
-    pub fn suspended_for(&self, digest: RequestDigest, now: Duration) -> Option<Duration> {
-        let until = self.requests.get(&digest)?.suspended_until()?;
-        let left = until.checked_sub(now)?;
-        (!left.is_zero()).then_some(left)
+    /// Tells whether a request may be sent to a target.
+    pub fn admit(&self, digest: RequestDigest, id: &RequestId, now: Duration) -> Admission {
+        let history = self.requests.get(&digest);
+        history.map_or(Admission::Allowed, |history| history.admit(id, now))
+    }
+
+    /// Makes a request the probe, if one is due. Returns whether it is the
+    /// probe.
+    pub fn try_probe(&mut self, digest: RequestDigest, id: &RequestId, now: Duration) -> bool {
+        let Some(history) = self.requests.get_mut(&digest) else {
+            return true;
+        };
+        match history.admit(id, now) {
+            Admission::Allowed => true,
+            Admission::Suspended(_) => false,
+            Admission::ProbeDue(_) => {
+                let (id, sent_at) = (id.clone(), now);
+                history.probe = Some(Probe { id, sent_at });
+                true
+            }
+        }
+    }
+
+    fn is_suspended(&self, digest: RequestDigest, now: Duration) -> bool {
+        let until = self
+            .requests
+            .get(&digest)
+            .and_then(History::suspended_until);
+        until.is_some_and(|until| now < until)
     }
 
     /// Tells whether a target crashed under the request, which was not answered
@@ -212,7 +287,7 @@
     pub fn count_suspended(&self, now: Duration) -> usize {
         let digests = self.requests.keys();
         digests
-            .filter(|digest| self.suspended_for(**digest, now).is_some())
+            .filter(|digest| self.is_suspended(**digest, now))
             .count()
     }
 
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -189,7 +189,7 @@
         cx: &PlacementContext,
         now: Duration,
     ) -> Result<(), Refusal> {
-        if let Some(left) = self.suspended_for(cx.digest, now) {
+        if let Some(left) = self.suspended_for(cx.digest, &req.meta().id, now) {
             let refusal = req.refusal(Code::Suspended, Step::Place, Peer::Local);
             return Err(refusal.with_retry_after(left));
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -28,7 +28,7 @@
 /// Time that each instance leaves to the ones before it, in an order that all
 /// of them derive from the part, to send its probe. It is longer than the
 /// result takes to reach all instances.
-const PROBE_TURN: Duration = Duration::from_secs(2);
+pub(crate) const PROBE_TURN: Duration = Duration::from_secs(2);
 
 impl<D> Gateway<D>
 where
--- a/crates/gateway/src/suspension.rs
+++ b/crates/gateway/src/suspension.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Target;
+use chiverelay_decisions::suspension::Admission;
 use chiverelay_decisions::suspension::RequestDigest;
 
 use crate::Dialect;
@@ -10,14 +12,32 @@
 use crate::Outbound;
 use crate::crash_check::LostRequest;
 use crate::place::PlacementContext;
+use crate::quarantine::PROBE_TURN;
 
 impl<D> Gateway<D>
 where
     D: Dialect,
 {
-    /// Returns for how much longer a request may not be sent to any target.
-    pub(crate) fn suspended_for(&self, digest: RequestDigest, now: Duration) -> Option<Duration> {
-        self.tables.suspensions.lock().suspended_for(digest, now)
+    /// Returns for how much longer a request may not be sent to any target. If
+    /// a probe is due, the request may become it.
+    pub(crate) fn suspended_for(
+        &self,
+        digest: RequestDigest,
+        id: &RequestId,
+        now: Duration,
+    ) -> Option<Duration> {
+        let admission = self.tables.suspensions.lock().admit(digest, id, now);
+        match admission {
+            Admission::Allowed => None,
+            Admission::Suspended(left) => Some(left),
+            Admission::ProbeDue(overdue) => {
+                let rank = self.members.rank_for(&digest.to_string(), now);
+                let turn = PROBE_TURN * u32::try_from(rank).unwrap_or(u32::MAX);
+                let mut suspensions = self.tables.suspensions.lock();
+                let is_probe = overdue >= turn && suspensions.try_probe(digest, id, now);
+                (!is_probe).then(|| turn.saturating_sub(overdue))
+            }
+        }
     }
 
     /// Tells whether a request that was just lost is suspected to crash targets,
--- a/tests/testsuite/suspension.rs
+++ b/tests/testsuite/suspension.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::names::Target;
+use chiverelay_decisions::suspension::Admission;
 use chiverelay_decisions::suspension::RequestDigest;
 use chiverelay_decisions::suspension::Suspensions;
 use support::cases;
@@ -62,7 +63,9 @@
 
     /// Counts the instances that refuse a request.
     fn refusing(&self, digest: RequestDigest) -> usize {
-        let is_refusing = |s: &&Suspensions| s.suspended_for(digest, self.now).is_some();
+        let id = "asked".into();
+        let is_refusing =
+            |s: &&Suspensions| matches!(s.admit(digest, &id, self.now), Admission::Suspended(_));
         self.instances.iter().filter(is_refusing).count()
     }
 }
@@ -134,6 +137,30 @@
     assert_eq!(world.refusing(deadly()), 0);
 }
 
+/// Several callers asked at the moment at which a suspension ended, and each
+/// ended a target.
+#[test]
+fn one_request_at_a_time_passes_after_a_suspension() {
+    let mut world = World::new(1);
+    world.crash(0, 1, &[deadly()]);
+    world.crash(0, 2, &[deadly()]);
+    world.pass(FIRST + secs(3));
+    let (probe, other) = ("probe".into(), "other".into());
+    let now = world.now;
+    let table = &mut world.instances[0];
+    let due = table.admit(deadly(), &probe, now);
+    assert_eq!(due, Admission::ProbeDue(secs(3)));
+    assert!(table.try_probe(deadly(), &probe, now));
+    assert_eq!(table.admit(deadly(), &probe, now), Admission::Allowed);
+    assert!(!table.try_probe(deadly(), &other, now));
+    // The probe was lost without a trace: the caller left.
+    assert!(table.try_probe(deadly(), &other, now + secs(10)));
+
+    table.record_answer(deadly(), now + secs(11));
+    let admitted = table.admit(deadly(), &probe, now + secs(11));
+    assert_eq!(admitted, Admission::Allowed);
+}
+
 /// An instance that starts hears of a suspension that began before.
 #[test]
 fn a_suspension_reaches_an_instance_that_starts() {
