--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod shutdown;
 pub mod step;
 pub mod store_session;
+pub mod suspension;
 pub mod tables;
 pub mod tickets;
 pub mod traffic;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod sibling_handler;
 mod status;
 pub mod supervise;
+mod suspension;
 mod tables;
 
 pub use chiverelay_sibling::Error as SiblingError;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -233,7 +233,7 @@
             return Ok(());
         };
         if !self.is_resumable()
-            || self.gateway.is_prompt_suspected(&self.cx)
+            || self.gateway.is_suspected(&self.cx)
             || !self.gateway.has_other_local_target(&current.req, &self.cx)
             || !self.gateway.try_consume_retry(&self.cx, &self.out.id)
         {
@@ -273,7 +273,7 @@
             "answer ended early"
         );
         // The loss that was just recorded may have raised the suspicion.
-        if !is_resumable || self.gateway.is_prompt_suspected(&self.cx) {
+        if !is_resumable || self.gateway.is_suspected(&self.cx) {
             return Err(cause);
         }
         self.out.last_event_id = last_event_id.or(self.out.last_event_id);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -40,6 +40,7 @@
 mod settlements;
 mod shutdown;
 mod store;
+mod suspension;
 mod tables;
 mod tickets;
 mod timeline;
