Keep a target that drains from new requests until it restarts

Callers would see requests sent to a target that had announced its shutdown: when the store comes back from an older copy, the target is listed as ready again, under a later revision. The fleet took any record of a later revision, so the target accepted requests again.

The same holds for a target that is marked as leaving by `Fleet::mark_leaving`.

Without the fix a_draining_target_drains_until_it_restarts fails: panicked at tests/testsuite/fleet.rs:163:5: its record is outdated

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -4,12 +4,18 @@
 //! A target whose record disappears while the store is unreachable, or within
 //! [`STORE_RECOVERY_GRACE`] after its return, stays in use unless it was
 //! draining: the record may be missing only because of the outage.
+//!
+//! A target that drains does so until it restarts: no later record of the same
+//! process ends it.
+
+mod departures;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use self::departures::Departures;
 use crate::names::Pool;
 use crate::names::Region;
 use crate::names::Target;
@@ -33,6 +39,10 @@
     /// Requests that the target runs at once.
     pub slots: u32,
     /// Whether the target is shutting down and accepts no new requests.
+    ///
+    /// # Invariants
+    ///
+    /// In a [`KnownTarget`] this stays true until the target restarts.
     pub draining: bool,
     /// Time of the target's start in milliseconds of Unix time; 0 if unknown. A
     /// changed time means that the target restarted.
@@ -42,6 +52,22 @@
     pub cold_remaining: Duration,
 }
 
+/// What tells the processes that run under one target's name apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Incarnation {
+    started_ms: u64,
+    address: SocketAddr,
+}
+
+impl TargetRecord {
+    fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            started_ms: self.started_ms,
+            address: self.address,
+        }
+    }
+}
+
 /// A target's record with when and at which revision it was read.
 #[derive(Clone, Debug)]
 pub struct KnownTarget {
@@ -77,7 +103,7 @@
     /// The target's start time or address changed, so a new process has its
     /// name.
     Restarted,
-    /// The target's pool changed, or it began or ceased to drain.
+    /// The target's pool changed, or it began to drain.
     Moved,
     /// The record was removed while the store was unreachable or had just
     /// returned; the target is still used.
@@ -108,6 +134,7 @@
 pub struct Fleet {
     targets: HashMap<Target, KnownTarget>,
     by_pool: HashMap<Pool, Vec<Target>>,
+    departures: Departures,
     evacuated_zones: HashSet<Zone>,
     store: StoreHealth,
     last_store_answer: Duration,
@@ -120,6 +147,7 @@
         Self {
             targets: HashMap::new(),
             by_pool: HashMap::new(),
+            departures: Departures::default(),
             evacuated_zones: HashSet::new(),
             store: StoreHealth::Stable,
             last_store_answer: Duration::ZERO,
@@ -172,10 +200,11 @@
     pub fn upsert(
         &mut self,
         name: &Target,
-        record: TargetRecord,
+        mut record: TargetRecord,
         revision: u64,
         now: Duration,
     ) -> TargetChange {
+        record.draining |= self.is_leaving(name, record.incarnation());
         let cold_until = match record.cold_remaining {
             Duration::ZERO => Duration::ZERO,
             cold => now + cold,
@@ -188,6 +217,7 @@
             record,
         };
         let Some(old) = self.targets.get_mut(name) else {
+            self.departures.forget(name);
             let pool = known.record.pool.clone();
             self.by_pool.entry(pool).or_default().push(name.clone());
             self.targets.insert(name.clone(), known);
@@ -206,6 +236,23 @@
         change
     }
 
+    /// Tells whether this incarnation of a target announced its shutdown.
+    fn is_leaving(&self, name: &Target, incarnation: Incarnation) -> bool {
+        match self.targets.get(name) {
+            Some(known) => known.record.draining && known.record.incarnation() == incarnation,
+            None => self.departures.includes(name, incarnation),
+        }
+    }
+
+    /// Marks a target as shutting down until it restarts, as its own
+    /// announcement does. Returns true if that is news.
+    pub fn mark_leaving(&mut self, name: &Target) -> bool {
+        let Some(known) = self.targets.get_mut(name) else {
+            return false;
+        };
+        !std::mem::replace(&mut known.record.draining, true)
+    }
+
     /// Handles the removal of a target's record from the store. The target
     /// itself is removed at once only if the store is stable or the target was
     /// draining.
@@ -215,7 +262,7 @@
             return TargetChange::Same;
         };
         if is_stable || known.record.draining {
-            self.remove(name);
+            self.remove(name, now);
             return TargetChange::Gone;
         }
         if known.missing_since.is_some() {
@@ -244,7 +291,7 @@
     pub fn remove_missing_after_recovery(&mut self, now: Duration) -> Vec<Target> {
         let StoreHealth::Recovering(since) = self.store else {
             return if self.store == StoreHealth::Stable {
-                self.remove_all_missing()
+                self.remove_all_missing(now)
             } else {
                 Vec::new()
             };
@@ -253,23 +300,28 @@
             return Vec::new();
         }
         self.store = StoreHealth::Stable;
-        self.remove_all_missing()
+        self.remove_all_missing(now)
     }
 
-    fn remove_all_missing(&mut self) -> Vec<Target> {
+    fn remove_all_missing(&mut self, now: Duration) -> Vec<Target> {
         let missing = |(name, known): (&Target, &KnownTarget)| {
             known.missing_since.is_some().then(|| name.clone())
         };
         let removed: Vec<Target> = self.targets.iter().filter_map(missing).collect();
         for name in &removed {
-            self.remove(name);
+            self.remove(name, now);
         }
         removed
     }
 
-    fn remove(&mut self, name: &Target) {
-        if let Some(known) = self.targets.remove(name) {
-            self.remove_from_pool(&known.record.pool, name);
+    fn remove(&mut self, name: &Target, now: Duration) {
+        let Some(known) = self.targets.remove(name) else {
+            return;
+        };
+        self.remove_from_pool(&known.record.pool, name);
+        if known.record.draining {
+            self.departures
+                .insert(name, known.record.incarnation(), now);
         }
     }
 
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -150,3 +150,37 @@
     assert!(known.is_cold(ms(3_099)));
     assert!(!known.is_cold(ms(3_100)));
 }
+
+/// Guards against a target that left coming back into use with an outdated
+/// record of the same process.
+#[test]
+fn a_draining_target_drains_until_it_restarts() {
+    let (mut fleet, name) = fleet();
+    let mut leaving = record();
+    leaving.draining = true;
+    fleet.upsert(&name, leaving, 6, ms(10));
+    fleet.upsert(&name, record(), 7, ms(20));
+    assert!(!fleet.accepts_requests(&name), "its record is outdated");
+    fleet.handle_record_removal(&name, ms(30));
+    fleet.upsert(&name, record(), 8, ms(40));
+    assert!(!fleet.accepts_requests(&name), "removed and listed again");
+    let mut again = record();
+    again.started_ms = 2;
+    fleet.upsert(&name, again, 9, ms(50));
+    assert!(fleet.accepts_requests(&name), "another process");
+}
+
+/// Guards against requests to a target that announced its shutdown itself.
+#[test]
+fn a_target_marked_as_leaving_gets_nothing_until_it_restarts() {
+    let (mut fleet, name) = fleet();
+    assert!(fleet.mark_leaving(&name));
+    assert!(!fleet.mark_leaving(&name), "told once");
+    assert!(!fleet.mark_leaving(&"i-2".into()), "unknown");
+    fleet.upsert(&name, record(), 7, ms(20));
+    assert!(!fleet.accepts_requests(&name), "its record is outdated");
+    let mut again = record();
+    again.started_ms = 2;
+    fleet.upsert(&name, again, 8, ms(30));
+    assert!(fleet.accepts_requests(&name), "another process");
+}
