--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -7,6 +7,7 @@
 
 mod specs;
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -232,6 +233,17 @@
     pub loaded_at: Duration,
 }
 
+/// What reading a catalog changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CatalogChange {
+    /// The catalog is in force now.
+    Replaced,
+    /// The catalog was in force before.
+    Same,
+    /// The catalog is older than the one in force, and was ignored.
+    Outdated,
+}
+
 impl Default for CurrentCatalog {
     fn default() -> Self {
         Self {
@@ -247,16 +259,24 @@
     }
 
     /// Replaces the catalog if `revision` is newer, and tells whether it is.
-    pub fn replace_if_newer(&self, catalog: Arc<Catalog>, revision: u64, now: Duration) -> bool {
+    pub fn replace_if_newer(
+        &self,
+        catalog: Arc<Catalog>,
+        revision: u64,
+        now: Duration,
+    ) -> CatalogChange {
         let mut state = self.state.lock();
-        if state.as_ref().is_some_and(|old| old.revision >= revision) {
-            return false;
+        let known = state.as_ref().map(|known| known.revision);
+        match known.map(|known| revision.cmp(&known)) {
+            Some(Ordering::Less) => return CatalogChange::Outdated,
+            Some(Ordering::Equal) => return CatalogChange::Same,
+            Some(Ordering::Greater) | None => {}
         }
         *state = Some(LoadedCatalog {
             catalog,
             revision,
             loaded_at: now,
         });
-        true
+        CatalogChange::Replaced
     }
 }
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -94,10 +94,12 @@
 /// How a new or removed record changes a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetChange {
-    /// Nothing changed that requires an action: the record is outdated, the
-    /// target is unknown or already known to be missing, or the record's pool,
-    /// address, start time and draining flag are the same.
+    /// Nothing changed that requires an action: the target is unknown or
+    /// already known to be missing, or the record's pool, address, start time
+    /// and draining flag are the same.
     Same,
+    /// The record is older than the known one, and was ignored.
+    Outdated,
     /// The target is new.
     Added,
     /// The target's start time or address changed, so a new process has its
@@ -224,7 +226,7 @@
             return TargetChange::Added;
         };
         if revision < old.revision {
-            return TargetChange::Same;
+            return TargetChange::Outdated;
         }
         let change = classify_change(&old.record, &known.record);
         let pool = std::mem::replace(old, known).record.pool;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chiverelay_decisions::catalog::CatalogChange;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
 use chiverelay_sibling::Certificates;
@@ -250,12 +251,17 @@
         now: Duration,
     ) {
         let (version, routes) = (catalog.version, catalog.route_count());
-        if !self
+        let change = self
             .tables
             .catalog
-            .replace_if_newer(Arc::clone(&catalog), revision, now)
-        {
-            return;
+            .replace_if_newer(Arc::clone(&catalog), revision, now);
+        match change {
+            CatalogChange::Replaced => {}
+            CatalogChange::Same => return,
+            CatalogChange::Outdated => {
+                log::warn!(target: "catalog", version, revision; "outdated catalog ignored");
+                return;
+            }
         }
         log::info!(target: "catalog", version, revision, routes; "catalog applied");
         self.rate_limiter
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -269,6 +269,12 @@
         histogram.observe(took.as_secs_f64());
     }
 
+    /// Sets the era of the store's data, which rises each time the store comes
+    /// back from an older copy.
+    pub fn set_store_era(&self, era: u64) {
+        self.gauges.set_store_era(era);
+    }
+
     /// Sets the counts of log lines to show as gauges.
     pub(crate) fn set_log_counts(&self, counts: Arc<LineCounts>) {
         if self.log_counts.set(counts).is_err() {
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -43,6 +43,7 @@
 #[derive(Debug)]
 pub(super) struct Gauges {
     store_age: Gauge,
+    store_era: IntGauge,
     catalog_version: IntGauge,
     catalog_age: Gauge,
     targets: IntGauge,
@@ -63,6 +64,7 @@
         let seconds = |name, help| register_seconds(registry, name, help);
         Self {
             store_age: seconds("store_age_seconds", "Time since the store last answered."),
+            store_era: count("store_era", "Era of the store's data."),
             catalog_version: count("catalog_version", "Version of the catalog in force."),
             // "It" is the catalog in force.
             catalog_age: seconds("catalog_age_seconds", "Time since it was read."),
@@ -103,6 +105,10 @@
         self.quarantined_parts.set(signed(values.quarantined_parts));
     }
 
+    pub(super) fn set_store_era(&self, era: u64) {
+        self.store_era.set(signed(era));
+    }
+
     pub(super) fn set_log_counts(&self, counts: &Arc<LineCounts>) {
         self.log_written.set(signed(counts.written()));
         self.log_dropped.set(signed(counts.dropped()));
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -100,6 +100,10 @@
         let change = self.fleet.lock().upsert(name, record, revision, now);
         match change {
             TargetChange::Same => return,
+            TargetChange::Outdated => {
+                log::info!(target: "fleet", name = name.as_str(), revision; "outdated target record ignored");
+                return;
+            }
             TargetChange::Restarted => self.traffic.lock().reset_target(name, now),
             // Other changes leave the traffic data of the target as it is.
             _ => {}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
@@ -75,6 +76,8 @@
 pub struct BufferedResponse {
     /// HTTP status code.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -217,13 +220,17 @@
         let req = self.build_request(method, address, path, body)?;
         let exchange = async {
             let resp = self.send_request(address, req).await?;
-            let status = resp.status();
-            let body = Limited::new(resp.into_body(), MAX_BODY_BYTES)
+            let (head, body) = resp.into_parts();
+            let body = Limited::new(body, MAX_BODY_BYTES)
                 .collect()
                 .await
                 .map_err(|e| no_response(e.to_string()))?
                 .to_bytes();
-            Ok(BufferedResponse { status, body })
+            Ok(BufferedResponse {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
         };
         tokio::time::timeout(self.timeout, exchange)
             .await
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -104,7 +104,10 @@
     let (mut fleet, name) = fleet();
     let mut leaving = record();
     leaving.draining = true;
-    assert_eq!(fleet.upsert(&name, leaving, 4, ms(10)), TargetChange::Same);
+    assert_eq!(
+        fleet.upsert(&name, leaving, 4, ms(10)),
+        TargetChange::Outdated
+    );
     assert!(fleet.accepts_requests(&name));
 }
 
