Order the store's revisions by its era first

Revisions were compared as bare numbers that only grow. Targets' and instances' records and watches have the same fault.

`StoreRevision` orders by era before number, and everything that compares revisions takes it. A response of a new era makes all followers list again, also while a watch waits; a response of an earlier era is dropped. Targets that the copy lacks are held from the new era on, whether or not a call failed.

Without it: node::restored::a_configuration_written_after_a_restore_is_served: the route is not served node::restored::a_target_that_drains_after_a_restore_gets_nothing_more: the target still gets requests node::store::a_waiting_watch_ends_when_a_call_shows_that_the_store_was_restored (only the watch's line taken out): Mutex { data: ["listed 3"] }

Existing tests of the fleet, the catalog and the traffic name revisions with an era now; what they expect is the same.

--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -7,7 +7,6 @@
 
 mod specs;
 
-use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +16,7 @@
 use crate::names::Account;
 use crate::names::Pool;
 use crate::names::Region;
+use crate::revision::StoreRevision;
 use crate::tables::LockRank;
 use crate::tables::RankedMutex;
 
@@ -228,7 +228,7 @@
     /// The catalog.
     pub catalog: Arc<Catalog>,
     /// The store's revision of the catalog.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// When the catalog was read, on the local monotonic clock.
     pub loaded_at: Duration,
 }
@@ -262,15 +262,17 @@
     pub fn replace_if_newer(
         &self,
         catalog: Arc<Catalog>,
-        revision: u64,
+        revision: StoreRevision,
         now: Duration,
     ) -> CatalogChange {
         let mut state = self.state.lock();
-        let known = state.as_ref().map(|known| known.revision);
-        match known.map(|known| revision.cmp(&known)) {
-            Some(Ordering::Less) => return CatalogChange::Outdated,
-            Some(Ordering::Equal) => return CatalogChange::Same,
-            Some(Ordering::Greater) | None => {}
+        if let Some(known) = state.as_ref() {
+            if known.revision == revision {
+                return CatalogChange::Same;
+            }
+            if revision < known.revision {
+                return CatalogChange::Outdated;
+            }
         }
         *state = Some(LoadedCatalog {
             catalog,
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::names::Region;
 use crate::names::Target;
 use crate::names::Zone;
+use crate::revision::StoreRevision;
 
 /// Time after the store's return in which targets can write their records
 /// again before missing ones are removed.
@@ -74,7 +75,7 @@
     /// The target's record.
     pub record: TargetRecord,
     /// The store's revision of the record.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// When the record was read, on the local monotonic clock.
     pub read_at: Duration,
     /// When the target stops being cold, on the local monotonic clock.
@@ -130,8 +131,8 @@
 ///
 /// # Invariants
 ///
-/// A record never replaces one of a higher revision. `missing_since` is set
-/// only while the record's absence may be due to an outage of the store.
+/// A record never replaces one of a higher revision. `missing_since` is set only while the record's
+/// absence may be due to an outage of the store.
 #[derive(Debug)]
 pub struct Fleet {
     targets: HashMap<Target, KnownTarget>,
@@ -140,6 +141,8 @@
     evacuated_zones: HashSet<Zone>,
     store: StoreHealth,
     last_store_answer: Duration,
+    /// The store's era; `None` before its first answer.
+    era: Option<u64>,
     zones: HashMap<Zone, Region>,
 }
 
@@ -153,6 +156,7 @@
             evacuated_zones: HashSet::new(),
             store: StoreHealth::Stable,
             last_store_answer: Duration::ZERO,
+            era: None,
             zones,
         }
     }
@@ -168,8 +172,17 @@
     }
 
     /// Records that the store answered; returns true if it was unreachable.
-    pub fn store_answered(&mut self, now: Duration) -> bool {
+    ///
+    /// A higher `era` than before means that the store came back from an older
+    /// copy, even if no outage was noticed.
+    pub fn store_answered(&mut self, era: u64, now: Duration) -> bool {
         self.last_store_answer = now;
+        if self.era.is_some_and(|known| era > known) {
+            let previous = std::mem::replace(&mut self.store, StoreHealth::Recovering(now));
+            self.era = Some(era);
+            return previous == StoreHealth::Unreachable;
+        }
+        self.era = self.era.or(Some(era));
         match self.store {
             StoreHealth::Unreachable => {
                 self.store = StoreHealth::Recovering(now);
@@ -203,7 +216,7 @@
         &mut self,
         name: &Target,
         mut record: TargetRecord,
-        revision: u64,
+        revision: StoreRevision,
         now: Duration,
     ) -> TargetChange {
         record.draining |= self.is_leaving(name, record.incarnation());
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod rendezvous;
 pub mod request;
 pub mod retry_budget;
+pub mod revision;
 pub mod settlements;
 pub mod step;
 pub mod store_session;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use chiverelay_decisions::catalog::CatalogChange;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_sibling::Certificates;
 use chiverelay_sibling::Endpoint;
 use chiverelay_sibling::Error;
@@ -205,7 +206,7 @@
 
     /// Applies an update that was read from the store at `revision`. A catalog
     /// or record older than the one in use is ignored.
-    pub fn apply(&self, update: StoreUpdate, revision: u64) {
+    pub fn apply(&self, update: StoreUpdate, revision: StoreRevision) {
         let now = self.clock.now();
         let tables = &self.tables;
         match update {
@@ -232,7 +233,7 @@
                 self.set_ready_if_synced();
             }
             StoreUpdate::StoreAnswered => {
-                if tables.fleet.lock().store_answered(now) {
+                if tables.fleet.lock().store_answered(revision.era, now) {
                     log::info!(target: "store", dependency = "store"; "the store answers again");
                 }
             }
@@ -247,7 +248,7 @@
     fn apply_catalog(
         &self,
         catalog: Arc<chiverelay_decisions::Catalog>,
-        revision: u64,
+        revision: StoreRevision,
         now: Duration,
     ) {
         let (version, routes) = (catalog.version, catalog.route_count());
@@ -259,11 +260,11 @@
             CatalogChange::Replaced => {}
             CatalogChange::Same => return,
             CatalogChange::Outdated => {
-                log::warn!(target: "catalog", version, revision; "outdated catalog ignored");
+                log::warn!(target: "catalog", version, era = revision.era, revision = revision.number; "outdated catalog ignored");
                 return;
             }
         }
-        log::info!(target: "catalog", version, revision, routes; "catalog applied");
+        log::info!(target: "catalog", version, era = revision.era, revision = revision.number, routes; "catalog applied");
         self.rate_limiter
             .configure(catalog.accounts(), self.members.divisor(), now);
         self.set_ready_if_synced();
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -10,6 +10,7 @@
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::rendezvous;
+use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_decisions::window::Divisor;
@@ -75,7 +76,7 @@
 #[derive(Debug)]
 struct Member {
     record: MemberRecord,
-    revision: u64,
+    revision: StoreRevision,
     record_received_at: Duration,
     last_status_at: Option<Duration>,
     /// Whether the last status message said that the instance is ready; true
@@ -191,7 +192,7 @@
     }
 
     /// Stores the record of another instance, unless a newer one is known.
-    pub(crate) fn put_record(&self, record: MemberRecord, revision: u64, now: Duration) {
+    pub(crate) fn put_record(&self, record: MemberRecord, revision: StoreRevision, now: Duration) {
         let own = self.own.borrow().clone();
         if record.instance == own.instance {
             return;
@@ -199,6 +200,7 @@
         let mut table = self.table.lock();
         if let Some(old) = table.members.get_mut(&record.instance) {
             if revision < old.revision {
+                log::info!(target: "members", instance = record.instance.as_str(), era = revision.era, revision = revision.number; "outdated instance record ignored");
                 return;
             }
             if old.record.incarnation != record.incarnation {
@@ -212,7 +214,8 @@
             instance = record.instance.as_str(),
             state:? = record.state,
             incarnation = record.incarnation,
-            revision;
+            era = revision.era,
+            revision = revision.number;
             "instance record received"
         );
         let old = table.members.remove(&record.instance);
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -122,7 +122,7 @@
             Destination::Local(placed) => LoggedDestination {
                 peer: Peer::Target(placed.req.target().clone()),
                 estimate: Some(*placed.reservation.estimate()),
-                record_revision: placed.known_target.revision,
+                record_revision: placed.known_target.revision.number,
                 record_age: now.saturating_sub(placed.known_target.read_at),
             },
             Destination::Remote(req) => LoggedDestination {
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -16,6 +16,7 @@
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::quarantine::Quarantine;
+use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_decisions::traffic::Traffic;
@@ -93,7 +94,7 @@
         &self,
         name: &Target,
         record: TargetRecord,
-        revision: u64,
+        revision: StoreRevision,
         now: Duration,
     ) {
         let (draining, cold_remaining) = (record.draining, record.cold_remaining);
@@ -101,7 +102,7 @@
         match change {
             TargetChange::Same => return,
             TargetChange::Outdated => {
-                log::info!(target: "fleet", name = name.as_str(), revision; "outdated target record ignored");
+                log::info!(target: "fleet", name = name.as_str(), era = revision.era, revision = revision.number; "outdated target record ignored");
                 return;
             }
             TargetChange::Restarted => self.traffic.lock().reset_target(name, now),
@@ -114,7 +115,8 @@
             change:? = change,
             draining,
             cold_ms = cold_remaining.as_millis() as u64,
-            revision;
+            era = revision.era,
+            revision = revision.number;
             "target record received"
         );
     }
--- a/tests/support/node/store.rs
+++ b/tests/support/node/store.rs
@@ -14,6 +14,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::watch;
@@ -21,6 +22,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
+/// Header with the number of times that the data was replaced by an older copy.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Largest body of a call, in bytes.
 const MAX_BODY: usize = 4 * 1024 * 1024;
 
@@ -38,14 +42,15 @@
     stored: Option<Stored>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lease {
     ttl: Duration,
     ends: Instant,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// The data of the store, as it was at some moment.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
     revision: u64,
     items: BTreeMap<String, Stored>,
     history: Vec<Change>,
@@ -53,6 +58,13 @@
     forgotten: u64,
     leases: HashMap<u64, Lease>,
     next_lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    data: StoreCopy,
+    /// How often the data was replaced by an older copy.
+    era: u64,
     refusing: Option<StatusCode>,
     mute: bool,
     calls: HashMap<String, usize>,
@@ -126,7 +138,11 @@
     /// Lists the keys of a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.lock().expect("no panic under the lock");
-        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
+        let keys = state
+            .data
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix));
         keys.cloned().collect()
     }
 
@@ -150,9 +166,33 @@
     /// Forgets the history so far and cuts the watches that wait.
     pub fn forget(&self) {
         let mut state = self.state.lock().expect("no panic under the lock");
-        state.forgotten = state.revision;
-        state.history.clear();
+        state.data.forgotten = state.data.revision;
+        state.data.history.clear();
         drop(state);
+        self.cut_watches();
+    }
+
+    /// Copies the data.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.lock().expect("no panic under the lock");
+        state.data.clone()
+    }
+
+    /// Comes back from an older copy: what was written since is gone, and its
+    /// revisions and lease ids are given out again. Watches that wait go on
+    /// waiting.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        let now = Instant::now();
+        state.data = copy;
+        state.era += 1;
+        for lease in state.data.leases.values_mut() {
+            lease.ends = now + lease.ttl;
+        }
+    }
+
+    /// Cuts the watches that wait.
+    pub fn cut_watches(&self) {
         self.cut.send_modify(|n| *n += 1);
     }
 
@@ -160,7 +200,7 @@
     pub fn end_all_leases(&self) {
         let mut state = self.state.lock().expect("no panic under the lock");
         let now = Instant::now();
-        for lease in state.leases.values_mut() {
+        for lease in state.data.leases.values_mut() {
             lease.ends = now;
         }
         drop(state);
@@ -170,32 +210,32 @@
 
 fn tell(state: &State, changed: &watch::Sender<u64>) {
     if !state.mute {
-        changed.send_replace(state.revision);
+        changed.send_replace(state.data.revision);
     }
 }
 
 fn put(state: &mut State, key: &str, value: Vec<u8>, lease: u64) -> u64 {
-    state.revision += 1;
+    state.data.revision += 1;
     let stored = Stored {
         value,
-        revision: state.revision,
+        revision: state.data.revision,
         lease,
     };
-    state.items.insert(key.to_owned(), stored.clone());
-    state.history.push(Change {
+    state.data.items.insert(key.to_owned(), stored.clone());
+    state.data.history.push(Change {
         key: key.to_owned(),
-        revision: state.revision,
+        revision: state.data.revision,
         stored: Some(stored),
     });
-    state.revision
+    state.data.revision
 }
 
 fn remove(state: &mut State, key: &str) {
-    if state.items.remove(key).is_some() {
-        state.revision += 1;
-        state.history.push(Change {
+    if state.data.items.remove(key).is_some() {
+        state.data.revision += 1;
+        state.data.history.push(Change {
             key: key.to_owned(),
-            revision: state.revision,
+            revision: state.data.revision,
             stored: None,
         });
     }
@@ -205,6 +245,7 @@
     let mut state = state.lock().expect("no panic under the lock");
     let now = Instant::now();
     let ended: Vec<u64> = state
+        .data
         .leases
         .iter()
         .filter(|(_, lease)| lease.ends <= now)
@@ -217,8 +258,8 @@
 }
 
 fn end_lease(state: &mut State, id: u64) {
-    state.leases.remove(&id);
-    let held = state.items.iter().filter(|(_, item)| item.lease == id);
+    state.data.leases.remove(&id);
+    let held = state.data.items.iter().filter(|(_, item)| item.lease == id);
     let keys: Vec<String> = held.map(|(key, _)| key.clone()).collect();
     for key in keys {
         remove(state, &key);
@@ -243,6 +284,14 @@
 }
 
 async fn answer(shared: Shared, req: Request<Incoming>) -> Response<http::Body> {
+    let state = Arc::clone(&shared.0);
+    let mut resp = execute(shared, req).await;
+    let era = state.lock().expect("no panic under the lock").era;
+    resp.headers_mut().insert(ERA, era.into());
+    resp
+}
+
+async fn execute(shared: Shared, req: Request<Incoming>) -> Response<http::Body> {
     let (state, changed, cut) = shared;
     let path = req.uri().path().to_owned();
     {
@@ -268,6 +317,7 @@
     let state = state.lock().expect("no panic under the lock");
     let (prefix, after) = (parameter(req, "path_prefix"), parameter(req, "after"));
     let found = state
+        .data
         .items
         .iter()
         .filter(|(key, _)| key.starts_with(&prefix) && (after.is_empty() || **key > after));
@@ -276,7 +326,7 @@
     let items: Vec<Value> = found.into_iter().take(PAGE).collect();
     http::json_response(
         StatusCode::OK,
-        &json!({"items": items, "more_pages": more, "store_revision": state.revision}),
+        &json!({"items": items, "more_pages": more, "store_revision": state.data.revision}),
     )
 }
 
@@ -291,16 +341,20 @@
     let wait_ms: u64 = parameter(req, "wait_ms").parse().unwrap_or_default();
     let until = Instant::now() + Duration::from_millis(wait_ms);
     let (mut told, mut cuts) = (changed.subscribe(), cut.subscribe());
+    // A watch that waits isn't told when an older copy replaces the data.
+    if after > state.lock().expect("no panic under the lock").data.revision {
+        return http::empty_response(StatusCode::GONE);
+    }
     told.mark_unchanged();
     cuts.mark_unchanged();
     loop {
         let (events, revision) = {
             let state = state.lock().expect("no panic under the lock");
             // A watch that began before the history went may hear of it late.
-            if after < state.forgotten && !state.mute {
+            if after < state.data.forgotten && !state.mute {
                 return http::empty_response(StatusCode::GONE);
             }
-            (events(&state, &prefix, after), state.revision)
+            (events(&state, &prefix, after), state.data.revision)
         };
         if !events.is_empty() || Instant::now() >= until {
             let body = json!({"events": events, "store_revision": revision.max(after)});
@@ -322,7 +376,7 @@
     if state.mute {
         return Vec::new();
     }
-    let new = state.history.iter();
+    let new = state.data.history.iter();
     let new = new.filter(|c| c.revision > after && c.key.starts_with(prefix));
     new.map(|change| match &change.stored {
         Some(stored) => item(&change.key, stored),
@@ -344,7 +398,7 @@
     let none = Vec::new();
     for entry in body["puts"].as_array().unwrap_or(&none) {
         let lease = entry["lease"].as_u64().unwrap_or_default();
-        if lease != 0 && !state.leases.contains_key(&lease) {
+        if lease != 0 && !state.data.leases.contains_key(&lease) {
             return http::empty_response(StatusCode::NOT_FOUND);
         }
     }
@@ -360,7 +414,7 @@
         );
     }
     tell(&state, changed);
-    http::json_response(StatusCode::OK, &json!({"revision": state.revision}))
+    http::json_response(StatusCode::OK, &json!({"revision": state.data.revision}))
 }
 
 async fn grant(state: &Mutex<State>, req: Request<Incoming>) -> Response<http::Body> {
@@ -371,10 +425,10 @@
     let ttl_ms = body["ttl_ms"].as_u64().unwrap_or_default();
     let ttl = Duration::from_millis(ttl_ms);
     let mut state = state.lock().expect("no panic under the lock");
-    state.next_lease += 1;
-    let id = state.next_lease;
+    state.data.next_lease += 1;
+    let id = state.data.next_lease;
     let ends = Instant::now() + ttl;
-    state.leases.insert(id, Lease { ttl, ends });
+    state.data.leases.insert(id, Lease { ttl, ends });
     http::json_response(StatusCode::OK, &json!({"lease": id, "ttl_ms": ttl_ms}))
 }
 
@@ -385,7 +439,7 @@
 ) -> Response<http::Body> {
     let mut state = state.lock().expect("no panic under the lock");
     let id = |prefix: &str| path.strip_prefix(prefix)?.parse::<u64>().ok();
-    if let Some(lease) = id("/v1/kv-keep/").and_then(|id| state.leases.get_mut(&id)) {
+    if let Some(lease) = id("/v1/kv-keep/").and_then(|id| state.data.leases.get_mut(&id)) {
         lease.ends = Instant::now() + lease.ttl;
         return http::json_response(
             StatusCode::OK,
--- a/tests/testsuite/catalog.rs
+++ b/tests/testsuite/catalog.rs
@@ -12,6 +12,7 @@
 use chiverelay_decisions::catalog::RouteKind;
 use chiverelay_decisions::catalog::RouteSpec;
 use chiverelay_decisions::config::Residency;
+use chiverelay_decisions::revision::StoreRevision;
 use support::cases;
 
 fn route(name: &str, path: &str) -> RouteSpec {
@@ -141,11 +142,12 @@
 }
 
 /// Reads catalogs of these revisions and expects the versions in force.
-fn check_current(revisions: &[(u64, u64)], in_force: &[u64]) {
+fn check_current(revisions: &[((u64, u64), u64)], in_force: &[u64]) {
     let current = CurrentCatalog::default();
     let mut seen = Vec::new();
-    for (revision, version) in revisions {
-        current.replace_if_newer(Arc::new(catalog(*version)), *revision, Duration::ZERO);
+    for ((era, number), version) in revisions.iter().copied() {
+        let revision = StoreRevision { era, number };
+        current.replace_if_newer(Arc::new(catalog(version)), revision, Duration::ZERO);
         seen.push(current.get().expect("a catalog").catalog.version);
     }
     assert_eq!(seen, in_force);
@@ -153,7 +155,8 @@
 
 cases! {
     check_current:
-    newer_ones_replace_older(&[(1, 10), (2, 14)], &[10, 14]);
-    a_late_one_changes_nothing(&[(5, 10), (3, 8)], &[10, 10]);
-    the_same_revision_changes_nothing(&[(5, 10), (5, 11)], &[10, 10]);
+    newer_ones_replace_older(&[((1, 1), 10), ((1, 2), 14)], &[10, 14]);
+    a_late_one_changes_nothing(&[((1, 5), 10), ((1, 3), 8)], &[10, 10]);
+    the_same_revision_changes_nothing(&[((1, 5), 10), ((1, 5), 11)], &[10, 10]);
+    a_number_given_out_again_is_another_revision(&[((1, 5), 10), ((2, 5), 11)], &[10, 11]);
 }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -11,11 +11,22 @@
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::revision::StoreRevision;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
+/// A revision of the store's first era.
+fn at(number: u64) -> StoreRevision {
+    StoreRevision { era: 1, number }
+}
+
+/// A revision after the store came back from an older copy.
+fn restored_at(number: u64) -> StoreRevision {
+    StoreRevision { era: 2, number }
+}
+
 fn record() -> TargetRecord {
     TargetRecord {
         pool: "orders".into(),
@@ -33,7 +44,10 @@
     let zones = HashMap::from([(Zone::from("north-a"), Region::from("north"))]);
     let mut fleet = Fleet::new(zones);
     let name = Target::from("i-1");
-    assert_eq!(fleet.upsert(&name, record(), 5, ms(0)), TargetChange::Added);
+    assert_eq!(
+        fleet.upsert(&name, record(), at(5), ms(0)),
+        TargetChange::Added
+    );
     (fleet, name)
 }
 
@@ -51,7 +65,7 @@
 fn a_target_that_vanishes_with_the_stores_return_is_held() {
     let (mut fleet, name) = fleet();
     assert!(fleet.store_lost());
-    assert!(fleet.store_answered(ms(1_000)));
+    assert!(fleet.store_answered(1, ms(1_000)));
     let none = HashSet::new();
     assert!(fleet.reconcile(&none, ms(1_010)).is_empty());
     assert!(fleet.accepts_requests(&name), "it may come back");
@@ -71,12 +85,12 @@
 fn a_target_that_comes_back_after_the_return_stays() {
     let (mut fleet, name) = fleet();
     fleet.store_lost();
-    fleet.store_answered(ms(1_000));
+    fleet.store_answered(1, ms(1_000));
     assert_eq!(
         fleet.handle_record_removal(&name, ms(1_010)),
         TargetChange::Held
     );
-    fleet.upsert(&name, record(), 9, ms(1_500));
+    fleet.upsert(&name, record(), at(9), ms(1_500));
     assert!(fleet.remove_missing_after_recovery(ms(9_000)).is_empty());
     assert!(fleet.accepts_requests(&name));
 }
@@ -85,11 +99,11 @@
 fn a_draining_target_is_not_held() {
     let (mut fleet, name) = fleet();
     fleet.store_lost();
-    fleet.store_answered(ms(1_000));
+    fleet.store_answered(1, ms(1_000));
     let mut leaving = record();
     leaving.draining = true;
     assert_eq!(
-        fleet.upsert(&name, leaving, 8, ms(1_001)),
+        fleet.upsert(&name, leaving, at(8), ms(1_001)),
         TargetChange::Moved
     );
     assert!(!fleet.accepts_requests(&name));
@@ -105,7 +119,7 @@
     let mut leaving = record();
     leaving.draining = true;
     assert_eq!(
-        fleet.upsert(&name, leaving, 4, ms(10)),
+        fleet.upsert(&name, leaving, at(4), ms(10)),
         TargetChange::Outdated
     );
     assert!(fleet.accepts_requests(&name));
@@ -117,7 +131,7 @@
     let mut again = record();
     again.started_ms = 2;
     assert_eq!(
-        fleet.upsert(&name, again, 6, ms(10)),
+        fleet.upsert(&name, again, at(6), ms(10)),
         TargetChange::Restarted
     );
 }
@@ -127,7 +141,7 @@
     let (mut fleet, name) = fleet();
     let mut moved = record();
     moved.pool = "model".into();
-    fleet.upsert(&name, moved, 6, ms(10));
+    fleet.upsert(&name, moved, at(6), ms(10));
     assert_eq!(fleet.usable_targets(&"orders".into()).count(), 0);
     assert_eq!(fleet.usable_targets(&"model".into()).count(), 1);
 }
@@ -148,7 +162,7 @@
     let (mut fleet, name) = fleet();
     let mut cold = record();
     cold.cold_remaining = ms(3_000);
-    fleet.upsert(&name, cold, 6, ms(100));
+    fleet.upsert(&name, cold, at(6), ms(100));
     let known = fleet.get(&name).expect("known");
     assert!(known.is_cold(ms(3_099)));
     assert!(!known.is_cold(ms(3_100)));
@@ -161,15 +175,15 @@
     let (mut fleet, name) = fleet();
     let mut leaving = record();
     leaving.draining = true;
-    fleet.upsert(&name, leaving, 6, ms(10));
-    fleet.upsert(&name, record(), 7, ms(20));
+    fleet.upsert(&name, leaving, at(6), ms(10));
+    fleet.upsert(&name, record(), at(7), ms(20));
     assert!(!fleet.accepts_requests(&name), "its record is outdated");
     fleet.handle_record_removal(&name, ms(30));
-    fleet.upsert(&name, record(), 8, ms(40));
+    fleet.upsert(&name, record(), at(8), ms(40));
     assert!(!fleet.accepts_requests(&name), "removed and listed again");
     let mut again = record();
     again.started_ms = 2;
-    fleet.upsert(&name, again, 9, ms(50));
+    fleet.upsert(&name, again, at(9), ms(50));
     assert!(fleet.accepts_requests(&name), "another process");
 }
 
@@ -180,10 +194,36 @@
     assert!(fleet.mark_leaving(&name));
     assert!(!fleet.mark_leaving(&name), "told once");
     assert!(!fleet.mark_leaving(&"i-2".into()), "unknown");
-    fleet.upsert(&name, record(), 7, ms(20));
+    fleet.upsert(&name, record(), at(7), ms(20));
     assert!(!fleet.accepts_requests(&name), "its record is outdated");
     let mut again = record();
     again.started_ms = 2;
-    fleet.upsert(&name, again, 8, ms(30));
+    fleet.upsert(&name, again, at(8), ms(30));
     assert!(fleet.accepts_requests(&name), "another process");
 }
+
+/// Guards against a record that is ignored, as its revision was given out
+/// before the store came back from an older copy.
+#[test]
+fn a_record_of_a_later_era_replaces_one_of_a_higher_number() {
+    let (mut fleet, name) = fleet();
+    let mut leaving = record();
+    leaving.draining = true;
+    fleet.upsert(&name, leaving, restored_at(2), ms(10));
+    assert!(!fleet.accepts_requests(&name));
+}
+
+/// Guards against losing the targets that an older copy lacks, if no call
+/// failed while the store was away.
+#[test]
+fn a_target_that_vanishes_with_a_new_era_is_held() {
+    let (mut fleet, name) = fleet();
+    fleet.store_answered(1, ms(0));
+    assert!(!fleet.store_answered(2, ms(1_000)), "no outage was noticed");
+    assert!(fleet.reconcile(&HashSet::new(), ms(1_010)).is_empty());
+    assert!(fleet.accepts_requests(&name));
+    assert_eq!(
+        fleet.remove_missing_after_recovery(ms(1_000) + STORE_RECOVERY_GRACE),
+        vec![name]
+    );
+}
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -7,6 +7,7 @@
 mod operations;
 mod path;
 mod quarantine;
+mod restored;
 mod settings;
 mod soak;
 mod stated_limit;
--- /dev/null
+++ b/tests/testsuite/node/restored.rs
@@ -0,0 +1,132 @@
+//! The store comes back from an older copy: what was written since is gone,
+//! and revisions and leases are given out again.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+use support::block_on;
+use support::node::Node;
+use support::node::PlatformTarget;
+use support::node::Site;
+use support::node::call;
+use support::node::call::Call;
+use support::node::site::KEY;
+use support::node::site::configuration;
+use support::node::site::until;
+
+/// Time in which a configuration has to be in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
+
+/// Starts one instance before one target of the order desk.
+async fn desk() -> (Site, PlatformTarget, Node) {
+    let site = Site::start().await;
+    let target = PlatformTarget::start("i-1").await;
+    site.register(&target, "orders", "north-a");
+    let node = site.instance("one", "north-a", "north").await;
+    (site, target, node)
+}
+
+/// A configuration with one more route.
+fn with_route(version: u64, name: &str) -> Value {
+    let mut more = configuration(version);
+    let mut route = more["routes"][0].clone();
+    route["name"] = json!(name);
+    route["path_prefix"] = json!(format!("/{name}/"));
+    more["routes"]
+        .as_array_mut()
+        .expect("a list of routes")
+        .push(route);
+    more
+}
+
+async fn status_of(node: &Node, path: &str) -> StatusCode {
+    let call = Call::new("r-1", path).key(KEY);
+    call.send(node.front).await.status
+}
+
+async fn metric(node: &Node, name: &str) -> String {
+    let got = call::get(node.metrics, "/metrics").await;
+    let text = got.map(|got| got.body).unwrap_or_default();
+    let mut lines = text.lines();
+    let value = lines.find_map(|line| line.strip_prefix(&format!("{name} ")));
+    value.unwrap_or_default().to_owned()
+}
+
+async fn until_version(node: &Node, version: &str) {
+    until("the version is in force", async || {
+        metric(node, "chiverelay_catalog_version").await == version
+    })
+    .await;
+}
+
+async fn until_restore_known(node: &Node) {
+    until("the store's new era is known", async || {
+        metric(node, "chiverelay_store_era").await == "1"
+    })
+    .await;
+}
+
+async fn until_targets(node: &Node, count: &str) {
+    until("the targets are known", async || {
+        metric(node, "chiverelay_targets").await == count
+    })
+    .await;
+}
+
+/// Brings the instance to version 6, and the store back to version 3.
+async fn lose_three_versions(site: &Site, node: &Node) {
+    let copy = site.store.copy();
+    for version in [4, 5, 6] {
+        site.store
+            .put("op/config", &with_route(version, "confirmed"));
+        until_version(node, &version.to_string()).await;
+    }
+    site.store.restore(copy);
+    site.store.cut_watches();
+}
+
+/// Guards against a confirmed configuration that is never in force, as its
+/// revision was given out before the store came back from an older copy.
+#[test]
+fn a_configuration_written_after_a_restore_is_served() {
+    block_on(async {
+        let (site, _target, node) = desk().await;
+        lose_three_versions(&site, &node).await;
+        site.store.put("op/config", &with_route(9, "later"));
+        let served = async {
+            while status_of(&node, "/later/1").await != StatusCode::OK {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let served = tokio::time::timeout(APPLY_LIMIT, served).await;
+        assert!(served.is_ok(), "the route is not served");
+    });
+}
+
+/// Guards against a target's record that is ignored, as its revision was given
+/// out before the store came back from an older copy.
+#[test]
+fn a_target_that_drains_after_a_restore_gets_nothing_more() {
+    block_on(async {
+        let (site, target, node) = desk().await;
+        let copy = site.store.copy();
+        for cold_ms in [3, 2, 1] {
+            site.register_as(&target, "orders", "north-a", "ready", cold_ms);
+        }
+        until_targets(&node, "1").await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        site.store.restore(copy);
+        site.store.cut_watches();
+        until_restore_known(&node).await;
+        site.register_as(&target, "orders", "north-a", "draining", 0);
+        let passed_over = async {
+            while status_of(&node, "/status/1").await == StatusCode::OK {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let passed_over = tokio::time::timeout(APPLY_LIMIT, passed_over).await;
+        assert!(passed_over.is_ok(), "the target still gets requests");
+    });
+}
--- a/tests/testsuite/node/store.rs
+++ b/tests/testsuite/node/store.rs
@@ -33,7 +33,7 @@
         store.put("op/config", &json!({}));
         let listing = client(&store).list("servers/").await.expect("a listing");
         assert_eq!(listing.entries.len(), 11);
-        assert_eq!(listing.revision, 12);
+        assert_eq!(listing.revision.number, 12);
         assert_eq!(listing.entries[10].key, "servers/i-10");
     });
 }
@@ -50,13 +50,13 @@
         let put = Put {
             key: "chiverelay/x".to_owned(),
             value: b"v".to_vec(),
-            lease: lease.id,
+            lease,
         };
         client.put(vec![put.clone()]).await.expect("written");
         store.end_all_leases();
         assert!(store.keys("chiverelay/").is_empty());
         assert!(matches!(
-            client.renew_lease(lease.id).await,
+            client.renew_lease(lease).await,
             Err(Error::LeaseEnded)
         ));
         assert!(matches!(
@@ -65,7 +65,7 @@
         ));
         store.refuse(Some(StatusCode::TOO_MANY_REQUESTS));
         assert!(matches!(
-            client.renew_lease(lease.id).await,
+            client.renew_lease(lease).await,
             Err(Error::Refused(429))
         ));
     });
@@ -86,7 +86,7 @@
                 PrefixEvent::Changed(item) => {
                     format!("changed {} {}", item.key, item.value.is_some())
                 }
-                PrefixEvent::Reachable => return,
+                PrefixEvent::Reachable(_) => return,
                 PrefixEvent::Unreachable => "lost".to_owned(),
             };
             notes.lock().expect("no panic").push(note);
@@ -202,3 +202,33 @@
         assert!(heard.is_ok(), "{told:?}");
     });
 }
+
+/// Guards against a watch that waits for revisions of data that the store has
+/// lost.
+#[test]
+fn a_waiting_watch_ends_when_a_call_shows_that_the_store_was_restored() {
+    block_on(async {
+        let store = PlatformStore::start().await;
+        store.put("op/config", &json!(1));
+        let copy = store.copy();
+        store.put("op/evacuate/a", &json!({}));
+        store.put("op/evacuate/b", &json!({}));
+        let client = client(&store);
+        let told = follow_with(client.clone(), "op/");
+        until("listed", async || has(&told, "listed 3") == 1).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        store.restore(copy);
+        client
+            .grant_lease(Duration::from_secs(4))
+            .await
+            .expect("a lease");
+        store.put("op/evacuate/c", &json!({}));
+        let heard = async {
+            while has(&told, "changed op/evacuate/c true") + has(&told, "listed 2") == 0 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let heard = tokio::time::timeout(Duration::from_secs(3), heard).await;
+        assert!(heard.is_ok(), "{told:?}");
+    });
+}
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -16,6 +16,7 @@
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::placement::prefix;
 use chiverelay_decisions::retry_budget::RetryLimit;
+use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::traffic::ColdLimitTolerance;
 use chiverelay_decisions::traffic::RegionShares;
 use chiverelay_decisions::traffic::Reservation;
@@ -118,7 +119,7 @@
                 started_ms: 1,
                 cold_remaining: Duration::ZERO,
             };
-            fleet.upsert(&name, record, 1, ms(0));
+            fleet.upsert(&name, record, StoreRevision::default(), ms(0));
             servers.insert(name, Server::default());
         }
         Self {
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -15,6 +15,7 @@
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::retry_budget::RetryLimit;
+use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::traffic::ColdLimitTolerance;
 use chiverelay_decisions::traffic::InFlight;
 use chiverelay_decisions::traffic::NoTargetReason;
@@ -101,7 +102,8 @@
             started_ms: 1,
             cold_remaining: cold,
         };
-        self.fleet.upsert(&name.into(), record, 1, ms(0));
+        self.fleet
+            .upsert(&name.into(), record, StoreRevision::default(), ms(0));
     }
 
     /// Returns the shares of the only instance that knows of stated limits.
