Order catalogs by their own version

Callers would be served by an older configuration, or with keys withdrawn before the loss: when the store comes back from an older copy, that copy's catalog has a newer revision than the one in force.

The catalog's own version only grows, in the store's older copy too. A catalog of a lower version is ignored now, and the store's revision decides between two writes of the same version.

With revisions ordered by era alone: catalog::an_older_copys_version_changes_nothing: left: [10, 8] right: [10, 10] catalog::versions_written_again_replace_only_older_ones: left: [10, 8, 9, 11] right: [10, 10, 10, 11] node::restored::a_restored_configuration_does_not_replace_a_later_version: left: "5" right: "6"

--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -215,8 +215,8 @@
 ///
 /// # Invariants
 ///
-/// The revision only grows, so that a delayed or repeated message from the
-/// store never replaces the catalog by an older one.
+/// The version never shrinks, so that neither a delayed message from the store
+/// nor an older copy of the store's data replaces the catalog by an older one.
 #[derive(Debug)]
 pub struct CurrentCatalog {
     state: RankedMutex<Option<LoadedCatalog>>,
@@ -258,7 +258,8 @@
         self.state.lock().clone()
     }
 
-    /// Replaces the catalog if `revision` is newer, and tells whether it is.
+    /// Replaces the catalog by one of a higher version, or by one of the same
+    /// version that was written later.
     pub fn replace_if_newer(
         &self,
         catalog: Arc<Catalog>,
@@ -270,7 +271,7 @@
             if known.revision == revision {
                 return CatalogChange::Same;
             }
-            if revision < known.revision {
+            if (catalog.version, revision) < (known.catalog.version, known.revision) {
                 return CatalogChange::Outdated;
             }
         }
--- a/tests/testsuite/catalog.rs
+++ b/tests/testsuite/catalog.rs
@@ -158,5 +158,8 @@
     newer_ones_replace_older(&[((1, 1), 10), ((1, 2), 14)], &[10, 14]);
     a_late_one_changes_nothing(&[((1, 5), 10), ((1, 3), 8)], &[10, 10]);
     the_same_revision_changes_nothing(&[((1, 5), 10), ((1, 5), 11)], &[10, 10]);
+    an_older_copys_version_changes_nothing(&[((1, 5), 10), ((2, 3), 8)], &[10, 10]);
+    versions_written_again_replace_only_older_ones(
+        &[((1, 5), 10), ((2, 3), 8), ((2, 4), 9), ((2, 5), 11)], &[10, 10, 10, 11]);
     a_number_given_out_again_is_another_revision(&[((1, 5), 10), ((2, 5), 11)], &[10, 11]);
 }
--- a/tests/testsuite/node/restored.rs
+++ b/tests/testsuite/node/restored.rs
@@ -105,6 +105,23 @@
     });
 }
 
+/// Guards against a configuration that goes back to an older version with the
+/// store.
+#[test]
+fn a_restored_configuration_does_not_replace_a_later_version() {
+    block_on(async {
+        let (site, _target, node) = desk().await;
+        lose_three_versions(&site, &node).await;
+        until_restore_known(&node).await;
+        site.store.put("op/config", &with_route(5, "confirmed"));
+        for _ in 0..20 {
+            assert_eq!(status_of(&node, "/confirmed/1").await, StatusCode::OK);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(metric(&node, "chiverelay_catalog_version").await, "6");
+    });
+}
+
 /// Guards against a target's record that is ignored, as its revision was given
 /// out before the store came back from an older copy.
 #[test]
