Ignore target records that an older copy of the store brings back

Callers would see requests sent to a target that had left: one that was removed without having drained is listed as ready again by an older copy, and a target that restarted goes back to the process before.

The record's `sequence` was decoded and dropped. It orders the records of one process: between eras of the store, a record that the target wrote before the known one, or before its removal, is ignored. Within an era the store's order decides, so that a target whose record expired is back with its next write.

Without it: node::restored::a_removed_target_that_an_older_copy_lists_gets_nothing_until_it_writes_again: assertion `left == right` failed: it left left: 12 right: 0

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -48,6 +48,9 @@
     /// Time of the target's start in milliseconds of Unix time; 0 if unknown. A
     /// changed time means that the target restarted.
     pub started_ms: u64,
+    /// Number of the record, raised by the target with each one that it writes.
+    /// A restart sets it back.
+    pub sequence: u64,
     /// Time for which the target stays cold after the record is read; see
     /// [`ColdLimit`](crate::catalog::ColdLimit).
     pub cold_remaining: Duration,
@@ -67,6 +70,11 @@
             address: self.address,
         }
     }
+
+    /// Tells whether the target wrote this record before `other`.
+    fn precedes(&self, other: &TargetRecord) -> bool {
+        (self.started_ms, self.sequence) < (other.started_ms, other.sequence)
+    }
 }
 
 /// A target's record with when and at which revision it was read.
@@ -131,7 +139,8 @@
 ///
 /// # Invariants
 ///
-/// A record never replaces one of a higher revision. `missing_since` is set only while the record's
+/// A record never replaces one of a higher revision, nor one of an earlier era
+/// that the target wrote later. `missing_since` is set only while the record's
 /// absence may be due to an outage of the store.
 #[derive(Debug)]
 pub struct Fleet {
@@ -219,6 +228,9 @@
         revision: StoreRevision,
         now: Duration,
     ) -> TargetChange {
+        if self.is_outdated(name, &record, revision) {
+            return TargetChange::Outdated;
+        }
         record.draining |= self.is_leaving(name, record.incarnation());
         let cold_until = match record.cold_remaining {
             Duration::ZERO => Duration::ZERO,
@@ -232,15 +244,11 @@
             record,
         };
         let Some(old) = self.targets.get_mut(name) else {
-            self.departures.forget(name);
             let pool = known.record.pool.clone();
             self.by_pool.entry(pool).or_default().push(name.clone());
             self.targets.insert(name.clone(), known);
             return TargetChange::Added;
         };
-        if revision < old.revision {
-            return TargetChange::Outdated;
-        }
         let change = classify_change(&old.record, &known.record);
         let pool = std::mem::replace(old, known).record.pool;
         let new_pool = old.record.pool.clone();
@@ -251,12 +259,34 @@
         change
     }
 
+    /// Tells whether a record is older than what is known of its target, and
+    /// notes that the store has it.
+    fn is_outdated(
+        &mut self,
+        name: &Target,
+        record: &TargetRecord,
+        revision: StoreRevision,
+    ) -> bool {
+        let Some(known) = self.targets.get_mut(name) else {
+            return self.departures.outdates(name, record, revision);
+        };
+        if revision < known.revision {
+            return true;
+        }
+        // An older copy of the store has older records at newer revisions.
+        let is_copy = revision.era > known.revision.era && record.precedes(&known.record);
+        if is_copy {
+            known.revision = revision;
+            known.missing_since = None;
+        }
+        is_copy
+    }
+
     /// Tells whether this incarnation of a target announced its shutdown.
     fn is_leaving(&self, name: &Target, incarnation: Incarnation) -> bool {
-        match self.targets.get(name) {
-            Some(known) => known.record.draining && known.record.incarnation() == incarnation,
-            None => self.departures.includes(name, incarnation),
-        }
+        let known = self.targets.get(name);
+        known
+            .is_some_and(|known| known.record.draining && known.record.incarnation() == incarnation)
     }
 
     /// Marks a target as shutting down until it restarts, as its own
@@ -334,10 +364,12 @@
             return;
         };
         self.remove_from_pool(&known.record.pool, name);
-        if known.record.draining {
-            self.departures
-                .insert(name, known.record.incarnation(), now);
-        }
+        let era_start = StoreRevision {
+            era: self.era.unwrap_or_default(),
+            number: 0,
+        };
+        let revision = known.revision.max(era_start);
+        self.departures.insert(name, &known.record, revision, now);
     }
 
     fn remove_from_pool(&mut self, pool: &Pool, name: &Target) {
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -36,6 +36,7 @@
         slots: 6,
         draining: false,
         started_ms: 1,
+        sequence: 4,
         cold_remaining: Duration::ZERO,
     }
 }
@@ -209,10 +210,53 @@
     let (mut fleet, name) = fleet();
     let mut leaving = record();
     leaving.draining = true;
+    leaving.sequence = 5;
     fleet.upsert(&name, leaving, restored_at(2), ms(10));
     assert!(!fleet.accepts_requests(&name));
 }
 
+/// Guards against a target that goes back to an older record with the store.
+#[test]
+fn an_older_copys_record_does_not_replace_a_later_one() {
+    let (mut fleet, name) = fleet();
+    let mut earlier = record();
+    earlier.pool = "model".into();
+    earlier.sequence = 3;
+    let change = fleet.upsert(&name, earlier.clone(), restored_at(2), ms(10));
+    assert_eq!(change, TargetChange::Outdated);
+    assert_eq!(fleet.usable_targets(&"orders".into()).count(), 1);
+    // The store's order decides within its era.
+    fleet.upsert(&name, earlier, restored_at(3), ms(20));
+    assert_eq!(fleet.usable_targets(&"model".into()).count(), 1);
+}
+
+/// Guards against requests to a target that left and that an older copy lists.
+#[test]
+fn a_removed_target_comes_back_only_with_a_later_record() {
+    let (mut fleet, name) = fleet();
+    fleet.store_answered(1, ms(0));
+    fleet.handle_record_removal(&name, ms(10));
+    fleet.store_answered(2, ms(20));
+    let change = fleet.upsert(&name, record(), restored_at(2), ms(20));
+    assert_eq!(change, TargetChange::Outdated);
+    let mut later = record();
+    later.sequence = 5;
+    assert_eq!(
+        fleet.upsert(&name, later, restored_at(3), ms(30)),
+        TargetChange::Added
+    );
+}
+
+#[test]
+fn a_removed_target_that_registers_again_is_used_again() {
+    let (mut fleet, name) = fleet();
+    fleet.handle_record_removal(&name, ms(10));
+    assert_eq!(
+        fleet.upsert(&name, record(), at(6), ms(20)),
+        TargetChange::Added
+    );
+}
+
 /// Guards against losing the targets that an older copy lacks, if no call
 /// failed while the store was away.
 #[test]
--- a/tests/testsuite/node/restored.rs
+++ b/tests/testsuite/node/restored.rs
@@ -147,3 +147,33 @@
         assert!(passed_over.is_ok(), "the target still gets requests");
     });
 }
+
+/// Guards against a target that left coming back into use with the record of
+/// an older copy.
+#[test]
+fn a_removed_target_that_an_older_copy_lists_gets_nothing_until_it_writes_again() {
+    block_on(async {
+        let (site, _target, node) = desk().await;
+        let left = PlatformTarget::start("i-2").await;
+        site.register(&left, "orders", "north-a");
+        until_targets(&node, "2").await;
+        let copy = site.store.copy();
+        site.store.remove("servers/i-2");
+        until_targets(&node, "1").await;
+        let arrivals = left.arrivals().len();
+        site.store.restore(copy);
+        site.store.cut_watches();
+        until_restore_known(&node).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for _ in 0..20 {
+            assert_eq!(status_of(&node, "/status/1").await, StatusCode::OK);
+        }
+        assert_eq!(left.arrivals().len(), arrivals, "it left");
+        site.register(&left, "orders", "north-a");
+        until("the target is used again", async || {
+            status_of(&node, "/status/1").await;
+            left.arrivals().len() > arrivals
+        })
+        .await;
+    });
+}
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -117,6 +117,7 @@
                 slots: SLOTS as u32,
                 draining: false,
                 started_ms: 1,
+                sequence: 1,
                 cold_remaining: Duration::ZERO,
             };
             fleet.upsert(&name, record, StoreRevision::default(), ms(0));
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -100,6 +100,7 @@
             slots: 6,
             draining: false,
             started_ms: 1,
+            sequence: 1,
             cold_remaining: cold,
         };
         self.fleet
