Hold evacuations that the store lost until the operator can write them again

Callers' requests would go to a zone that the operator evacuates: an older copy of the store may lack the evacuation, and the first listing ended it at once.

After a new era, evacuations that the listing lacks go on for two seconds. An explicit removal still ends them at once, and so does a listing in the same era.

Before, `reconcile_evacuated` ended what was not listed whatever the store had lost; the new test of the fleet (an_evacuation_that_the_store_lost_goes_on_for_a_moment) needs the new function, and no run of it on the code before was made.

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -56,6 +56,10 @@
     pub cold_remaining: Duration,
 }
 
+/// Time after the store came back from an older copy in which the operator can
+/// write lost evacuations again before they end.
+pub const EVACUATION_RECOVERY_GRACE: Duration = Duration::from_millis(2000);
+
 /// What tells the processes that run under one target's name apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Incarnation {
@@ -141,17 +145,22 @@
 ///
 /// A record never replaces one of a higher revision, nor one of an earlier era
 /// that the target wrote later. `missing_since` is set only while the record's
-/// absence may be due to an outage of the store.
+/// absence may be due to an outage of the store. `lost_evacuations` are among
+/// `evacuated_zones`.
 #[derive(Debug)]
 pub struct Fleet {
     targets: HashMap<Target, KnownTarget>,
     by_pool: HashMap<Pool, Vec<Target>>,
     departures: Departures,
     evacuated_zones: HashSet<Zone>,
+    /// Evacuated zones that the store's listing lacks, as it may have lost them.
+    lost_evacuations: HashSet<Zone>,
     store: StoreHealth,
     last_store_answer: Duration,
     /// The store's era; `None` before its first answer.
     era: Option<u64>,
+    /// When the store was last found to be restored from an older copy.
+    restored_at: Option<Duration>,
     zones: HashMap<Zone, Region>,
 }
 
@@ -163,9 +172,11 @@
             by_pool: HashMap::new(),
             departures: Departures::default(),
             evacuated_zones: HashSet::new(),
+            lost_evacuations: HashSet::new(),
             store: StoreHealth::Stable,
             last_store_answer: Duration::ZERO,
             era: None,
+            restored_at: None,
             zones,
         }
     }
@@ -189,6 +200,7 @@
         if self.era.is_some_and(|known| era > known) {
             let previous = std::mem::replace(&mut self.store, StoreHealth::Recovering(now));
             self.era = Some(era);
+            self.restored_at = Some(now);
             return previous == StoreHealth::Unreachable;
         }
         self.era = self.era.or(Some(era));
@@ -380,15 +392,36 @@
 
     /// Sets whether a zone is being evacuated; returns true if that changed.
     pub fn set_evacuated(&mut self, zone: &Zone, evacuated: bool) -> bool {
+        self.lost_evacuations.remove(zone);
         match evacuated {
             true => self.evacuated_zones.insert(zone.clone()),
             false => self.evacuated_zones.remove(zone),
         }
     }
 
-    /// Returns the zones that are being evacuated.
-    pub fn evacuated_zones(&self) -> &HashSet<Zone> {
-        &self.evacuated_zones
+    /// Compares the evacuated zones with a complete listing of the store.
+    /// Returns the zones whose evacuation ended.
+    ///
+    /// If the store was just restored from an older copy, evacuations that the
+    /// listing lacks go on for [`EVACUATION_RECOVERY_GRACE`].
+    pub fn reconcile_evacuated(&mut self, listed: &HashSet<Zone>, now: Duration) -> Vec<Zone> {
+        let missing = self.evacuated_zones.difference(listed).cloned();
+        self.lost_evacuations = missing.collect();
+        self.remove_lost_evacuations(now)
+    }
+
+    /// Ends the evacuations that the store lost and that were not written again
+    /// in time, and returns their zones.
+    pub fn remove_lost_evacuations(&mut self, now: Duration) -> Vec<Zone> {
+        let is_held = |at: Duration| now < at + EVACUATION_RECOVERY_GRACE;
+        if self.restored_at.is_some_and(is_held) {
+            return Vec::new();
+        }
+        let ended: Vec<Zone> = self.lost_evacuations.drain().collect();
+        for zone in &ended {
+            self.evacuated_zones.remove(zone);
+        }
+        ended
     }
 
     /// Returns a target by its name.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -221,7 +221,7 @@
             StoreUpdate::EvacuationChanged(zone, evacuated) => {
                 tables.set_evacuated(&zone, evacuated)
             }
-            StoreUpdate::EvacuationsListed(zones) => tables.reconcile_evacuated(&zones),
+            StoreUpdate::EvacuationsListed(zones) => tables.reconcile_evacuated(&zones, now),
             StoreUpdate::Member(record) => {
                 self.members.put_record(record, revision, now);
                 self.reconfigure_rate_limiter(now);
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -82,6 +82,7 @@
 {
     fn remove_expired(&self, now: Duration) {
         self.tables.remove_expired_targets(now);
+        self.tables.remove_expired_evacuations(now);
         self.update_quarantine(now);
         for name in self.members.remove_expired(now) {
             log::info!(target: "members", instance = name.as_str(); "instance removed");
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -162,19 +162,25 @@
         }
     }
 
-    pub(crate) fn reconcile_evacuated(&self, listed: &HashSet<Zone>) {
-        let old: Vec<Zone> = self
-            .fleet
-            .lock()
-            .evacuated_zones()
-            .iter()
-            .cloned()
-            .collect();
-        for zone in old.iter().filter(|zone| !listed.contains(*zone)) {
-            self.set_evacuated(zone, false);
-        }
+    /// Applies a complete listing of the evacuated zones, and logs the changes.
+    pub(crate) fn reconcile_evacuated(&self, listed: &HashSet<Zone>, now: Duration) {
         for zone in listed {
             self.set_evacuated(zone, true);
         }
+        let ended = self.fleet.lock().reconcile_evacuated(listed, now);
+        log_ended_evacuations(&ended);
+    }
+
+    /// Ends the evacuations that the store has lost and that were not written
+    /// again in time.
+    pub(crate) fn remove_expired_evacuations(&self, now: Duration) {
+        let ended = self.fleet.lock().remove_lost_evacuations(now);
+        log_ended_evacuations(&ended);
+    }
+}
+
+fn log_ended_evacuations(zones: &[Zone]) {
+    for zone in zones {
+        log::info!(target: "fleet", zone = zone.as_str(), evacuated = false; "evacuation");
     }
 }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use chiverelay_decisions::fleet::EVACUATION_RECOVERY_GRACE;
 use chiverelay_decisions::fleet::Fleet;
 use chiverelay_decisions::fleet::STORE_RECOVERY_GRACE;
 use chiverelay_decisions::fleet::TargetChange;
@@ -271,3 +272,37 @@
         vec![name]
     );
 }
+
+/// Guards against requests to a zone whose evacuation an older copy lacks.
+#[test]
+fn an_evacuation_that_the_store_lost_goes_on_for_a_moment() {
+    let (mut fleet, name) = fleet();
+    let (zone, none) = (Zone::from("north-a"), HashSet::new());
+    fleet.store_answered(1, ms(0));
+    fleet.set_evacuated(&zone, true);
+    fleet.store_answered(2, ms(1_000));
+    assert!(fleet.reconcile_evacuated(&none, ms(1_010)).is_empty());
+    assert!(!fleet.accepts_requests(&name));
+    let end = ms(1_000) + EVACUATION_RECOVERY_GRACE;
+    assert!(fleet.remove_lost_evacuations(end - ms(1)).is_empty());
+    assert_eq!(fleet.remove_lost_evacuations(end), vec![zone]);
+    assert!(fleet.accepts_requests(&name));
+}
+
+#[test]
+fn an_evacuation_written_again_after_a_restore_stays() {
+    let (mut fleet, name) = fleet();
+    let (zone, none) = (Zone::from("north-a"), HashSet::new());
+    fleet.store_answered(1, ms(0));
+    fleet.set_evacuated(&zone, true);
+    fleet.store_answered(2, ms(1_000));
+    fleet.reconcile_evacuated(&none, ms(1_010));
+    fleet.set_evacuated(&zone, true);
+    assert!(fleet.remove_lost_evacuations(ms(9_000)).is_empty());
+    assert!(!fleet.accepts_requests(&name));
+    fleet.set_evacuated(&zone, false);
+    assert!(
+        fleet.accepts_requests(&name),
+        "the operator ends it at once"
+    );
+}
