--- a/tests/testsuite/node/restored.rs
+++ b/tests/testsuite/node/restored.rs
@@ -1,8 +1,12 @@
 //! The store comes back from an older copy: what was written since is gone,
 //! and revisions and leases are given out again.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_gateway::Metrics;
+use chiverelay_platform::store::Put;
+use chiverelay_platform::store::StoreClient;
 use hyper::StatusCode;
 use serde_json::Value;
 use serde_json::json;
@@ -177,3 +181,42 @@
         .await;
     });
 }
+
+/// Guards against an instance that keeps another's lease alive and has no
+/// record itself, as the lease's id was given out again.
+#[test]
+fn an_instance_takes_a_new_lease_after_a_restore() {
+    block_on(async {
+        let site = Site::start().await;
+        let copy = site.store.copy();
+        let node = site.instance("one", "north-a", "north").await;
+        let own = "chiverelay/instances/one";
+        until("the record is written", async || {
+            !site.store.keys(own).is_empty()
+        })
+        .await;
+        site.store.restore(copy);
+        let other = StoreClient::new(site.store.address, Arc::new(Metrics::new()));
+        let ttl = Duration::from_secs(2);
+        let lease = other.grant_lease(ttl).await.expect("a lease");
+        let put = Put {
+            key: "other/record".to_owned(),
+            value: b"v".to_vec(),
+            lease,
+        };
+        other.put(vec![put]).await.expect("written");
+        site.store.cut_watches();
+        let written = async {
+            while site.store.keys(own).is_empty() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let written = tokio::time::timeout(Duration::from_secs(3), written).await;
+        assert!(written.is_ok(), "the instance has no record");
+        until("the other's lease ends", async || {
+            site.store.keys("other/").is_empty()
+        })
+        .await;
+        node.until_ready(true).await;
+    });
+}
