--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -16,6 +16,7 @@
 use crate::names::Account;
 use crate::names::Pool;
 use crate::names::Region;
+use crate::revision::StoreRevision;
 use crate::tables::LockRank;
 use crate::tables::RankedMutex;
 
@@ -214,8 +215,8 @@
 ///
 /// # Invariants
 ///
-/// The revision only grows, so that a delayed or repeated message from the
-/// store never replaces the catalog by an older one.
+/// The version never shrinks, so that neither a delayed message from the store
+/// nor an older copy of the store's data replaces the catalog by an older one.
 #[derive(Debug)]
 pub struct CurrentCatalog {
     state: RankedMutex<Option<LoadedCatalog>>,
@@ -227,11 +228,22 @@
     /// The catalog.
     pub catalog: Arc<Catalog>,
     /// The store's revision of the catalog.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// When the catalog was read, on the local monotonic clock.
     pub loaded_at: Duration,
 }
 
+/// What reading a catalog changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CatalogChange {
+    /// The catalog is in force now.
+    Replaced,
+    /// The catalog was in force before.
+    Same,
+    /// The catalog is older than the one in force, and was ignored.
+    Outdated,
+}
+
 impl Default for CurrentCatalog {
     fn default() -> Self {
         Self {
@@ -246,17 +258,28 @@
         self.state.lock().clone()
     }
 
-    /// Replaces the catalog if `revision` is newer, and tells whether it is.
-    pub fn replace_if_newer(&self, catalog: Arc<Catalog>, revision: u64, now: Duration) -> bool {
+    /// Replaces the catalog by one of a higher version, or by one of the same
+    /// version that was written later.
+    pub fn replace_if_newer(
+        &self,
+        catalog: Arc<Catalog>,
+        revision: StoreRevision,
+        now: Duration,
+    ) -> CatalogChange {
         let mut state = self.state.lock();
-        if state.as_ref().is_some_and(|old| old.revision >= revision) {
-            return false;
+        if let Some(known) = state.as_ref() {
+            if known.revision == revision {
+                return CatalogChange::Same;
+            }
+            if (catalog.version, revision) < (known.catalog.version, known.revision) {
+                return CatalogChange::Outdated;
+            }
         }
         *state = Some(LoadedCatalog {
             catalog,
             revision,
             loaded_at: now,
         });
-        true
+        CatalogChange::Replaced
     }
 }
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::names::Region;
 use crate::names::Target;
 use crate::names::Zone;
+use crate::revision::StoreRevision;
 
 /// Time after the store's return in which targets can write their records
 /// again before missing ones are removed.
@@ -47,11 +48,18 @@
     /// Time of the target's start in milliseconds of Unix time; 0 if unknown. A
     /// changed time means that the target restarted.
     pub started_ms: u64,
+    /// Number of the record, raised by the target with each one that it writes.
+    /// A restart sets it back.
+    pub sequence: u64,
     /// Time for which the target stays cold after the record is read; see
     /// [`ColdLimit`](crate::catalog::ColdLimit).
     pub cold_remaining: Duration,
 }
 
+/// Time after the store came back from an older copy in which the operator can
+/// write lost evacuations again before they end.
+pub const EVACUATION_RECOVERY_GRACE: Duration = Duration::from_millis(2000);
+
 /// What tells the processes that run under one target's name apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Incarnation {
@@ -66,6 +74,11 @@
             address: self.address,
         }
     }
+
+    /// Tells whether the target wrote this record before `other`.
+    fn precedes(&self, other: &TargetRecord) -> bool {
+        (self.started_ms, self.sequence) < (other.started_ms, other.sequence)
+    }
 }
 
 /// A target's record with when and at which revision it was read.
@@ -74,7 +87,7 @@
     /// The target's record.
     pub record: TargetRecord,
     /// The store's revision of the record.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// When the record was read, on the local monotonic clock.
     pub read_at: Duration,
     /// When the target stops being cold, on the local monotonic clock.
@@ -94,10 +107,12 @@
 /// How a new or removed record changes a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetChange {
-    /// Nothing changed that requires an action: the record is outdated, the
-    /// target is unknown or already known to be missing, or the record's pool,
-    /// address, start time and draining flag are the same.
+    /// Nothing changed that requires an action: the target is unknown or
+    /// already known to be missing, or the record's pool, address, start time
+    /// and draining flag are the same.
     Same,
+    /// The record is older than the known one, and was ignored.
+    Outdated,
     /// The target is new.
     Added,
     /// The target's start time or address changed, so a new process has its
@@ -128,16 +143,24 @@
 ///
 /// # Invariants
 ///
-/// A record never replaces one of a higher revision. `missing_since` is set
-/// only while the record's absence may be due to an outage of the store.
+/// A record never replaces one of a higher revision, nor one of an earlier era
+/// that the target wrote later. `missing_since` is set only while the record's
+/// absence may be due to an outage of the store. `lost_evacuations` are among
+/// `evacuated_zones`.
 #[derive(Debug)]
 pub struct Fleet {
     targets: HashMap<Target, KnownTarget>,
     by_pool: HashMap<Pool, Vec<Target>>,
     departures: Departures,
     evacuated_zones: HashSet<Zone>,
+    /// Evacuated zones that the store's listing lacks, as it may have lost them.
+    lost_evacuations: HashSet<Zone>,
     store: StoreHealth,
     last_store_answer: Duration,
+    /// The store's era; `None` before its first answer.
+    era: Option<u64>,
+    /// When the store was last found to be restored from an older copy.
+    restored_at: Option<Duration>,
     zones: HashMap<Zone, Region>,
 }
 
@@ -149,8 +172,11 @@
             by_pool: HashMap::new(),
             departures: Departures::default(),
             evacuated_zones: HashSet::new(),
+            lost_evacuations: HashSet::new(),
             store: StoreHealth::Stable,
             last_store_answer: Duration::ZERO,
+            era: None,
+            restored_at: None,
             zones,
         }
     }
@@ -166,8 +192,18 @@
     }
 
     /// Records that the store answered; returns true if it was unreachable.
-    pub fn store_answered(&mut self, now: Duration) -> bool {
+    ///
+    /// A higher `era` than before means that the store came back from an older
+    /// copy, even if no outage was noticed.
+    pub fn store_answered(&mut self, era: u64, now: Duration) -> bool {
         self.last_store_answer = now;
+        if self.era.is_some_and(|known| era > known) {
+            let previous = std::mem::replace(&mut self.store, StoreHealth::Recovering(now));
+            self.era = Some(era);
+            self.restored_at = Some(now);
+            return previous == StoreHealth::Unreachable;
+        }
+        self.era = self.era.or(Some(era));
         match self.store {
             StoreHealth::Unreachable => {
                 self.store = StoreHealth::Recovering(now);
@@ -201,9 +237,12 @@
         &mut self,
         name: &Target,
         mut record: TargetRecord,
-        revision: u64,
+        revision: StoreRevision,
         now: Duration,
     ) -> TargetChange {
+        if self.is_outdated(name, &record, revision) {
+            return TargetChange::Outdated;
+        }
         record.draining |= self.is_leaving(name, record.incarnation());
         let cold_until = match record.cold_remaining {
             Duration::ZERO => Duration::ZERO,
@@ -217,15 +256,11 @@
             record,
         };
         let Some(old) = self.targets.get_mut(name) else {
-            self.departures.forget(name);
             let pool = known.record.pool.clone();
             self.by_pool.entry(pool).or_default().push(name.clone());
             self.targets.insert(name.clone(), known);
             return TargetChange::Added;
         };
-        if revision < old.revision {
-            return TargetChange::Same;
-        }
         let change = classify_change(&old.record, &known.record);
         let pool = std::mem::replace(old, known).record.pool;
         let new_pool = old.record.pool.clone();
@@ -236,12 +271,34 @@
         change
     }
 
+    /// Tells whether a record is older than what is known of its target, and
+    /// notes that the store has it.
+    fn is_outdated(
+        &mut self,
+        name: &Target,
+        record: &TargetRecord,
+        revision: StoreRevision,
+    ) -> bool {
+        let Some(known) = self.targets.get_mut(name) else {
+            return self.departures.outdates(name, record, revision);
+        };
+        if revision < known.revision {
+            return true;
+        }
+        // An older copy of the store has older records at newer revisions.
+        let is_copy = revision.era > known.revision.era && record.precedes(&known.record);
+        if is_copy {
+            known.revision = revision;
+            known.missing_since = None;
+        }
+        is_copy
+    }
+
     /// Tells whether this incarnation of a target announced its shutdown.
     fn is_leaving(&self, name: &Target, incarnation: Incarnation) -> bool {
-        match self.targets.get(name) {
-            Some(known) => known.record.draining && known.record.incarnation() == incarnation,
-            None => self.departures.includes(name, incarnation),
-        }
+        let known = self.targets.get(name);
+        known
+            .is_some_and(|known| known.record.draining && known.record.incarnation() == incarnation)
     }
 
     /// Marks a target as shutting down until it restarts, as its own
@@ -319,10 +376,12 @@
             return;
         };
         self.remove_from_pool(&known.record.pool, name);
-        if known.record.draining {
-            self.departures
-                .insert(name, known.record.incarnation(), now);
-        }
+        let era_start = StoreRevision {
+            era: self.era.unwrap_or_default(),
+            number: 0,
+        };
+        let revision = known.revision.max(era_start);
+        self.departures.insert(name, &known.record, revision, now);
     }
 
     fn remove_from_pool(&mut self, pool: &Pool, name: &Target) {
@@ -333,15 +392,36 @@
 
     /// Sets whether a zone is being evacuated; returns true if that changed.
     pub fn set_evacuated(&mut self, zone: &Zone, evacuated: bool) -> bool {
+        self.lost_evacuations.remove(zone);
         match evacuated {
             true => self.evacuated_zones.insert(zone.clone()),
             false => self.evacuated_zones.remove(zone),
         }
     }
 
-    /// Returns the zones that are being evacuated.
-    pub fn evacuated_zones(&self) -> &HashSet<Zone> {
-        &self.evacuated_zones
+    /// Compares the evacuated zones with a complete listing of the store.
+    /// Returns the zones whose evacuation ended.
+    ///
+    /// If the store was just restored from an older copy, evacuations that the
+    /// listing lacks go on for [`EVACUATION_RECOVERY_GRACE`].
+    pub fn reconcile_evacuated(&mut self, listed: &HashSet<Zone>, now: Duration) -> Vec<Zone> {
+        let missing = self.evacuated_zones.difference(listed).cloned();
+        self.lost_evacuations = missing.collect();
+        self.remove_lost_evacuations(now)
+    }
+
+    /// Ends the evacuations that the store lost and that were not written again
+    /// in time, and returns their zones.
+    pub fn remove_lost_evacuations(&mut self, now: Duration) -> Vec<Zone> {
+        let is_held = |at: Duration| now < at + EVACUATION_RECOVERY_GRACE;
+        if self.restored_at.is_some_and(is_held) {
+            return Vec::new();
+        }
+        let ended: Vec<Zone> = self.lost_evacuations.drain().collect();
+        for zone in &ended {
+            self.evacuated_zones.remove(zone);
+        }
+        ended
     }
 
     /// Returns a target by its name.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,8 +8,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chiverelay_decisions::catalog::CatalogChange;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::shutdown::ShutdownDeadline;
 use chiverelay_sibling::Certificates;
 use chiverelay_sibling::Endpoint;
@@ -229,7 +231,7 @@
 
     /// Applies an update that was read from the store at `revision`. A catalog
     /// or record older than the one in use is ignored.
-    pub fn apply(&self, update: StoreUpdate, revision: u64) {
+    pub fn apply(&self, update: StoreUpdate, revision: StoreRevision) {
         let now = self.clock.now();
         let tables = &self.tables;
         match update {
@@ -244,7 +246,7 @@
             StoreUpdate::EvacuationChanged(zone, evacuated) => {
                 tables.set_evacuated(&zone, evacuated)
             }
-            StoreUpdate::EvacuationsListed(zones) => tables.reconcile_evacuated(&zones),
+            StoreUpdate::EvacuationsListed(zones) => tables.reconcile_evacuated(&zones, now),
             StoreUpdate::Member(record) => {
                 self.members.put_record(record, revision, now);
                 self.reconfigure_rate_limiter(now);
@@ -256,7 +258,7 @@
                 self.set_ready_if_synced();
             }
             StoreUpdate::StoreAnswered => {
-                if tables.fleet.lock().store_answered(now) {
+                if tables.fleet.lock().store_answered(revision.era, now) {
                     log::info!(target: "store", dependency = "store"; "the store answers again");
                 }
             }
@@ -271,18 +273,23 @@
     fn apply_catalog(
         &self,
         catalog: Arc<chiverelay_decisions::Catalog>,
-        revision: u64,
+        revision: StoreRevision,
         now: Duration,
     ) {
         let (version, routes) = (catalog.version, catalog.route_count());
-        if !self
+        let change = self
             .tables
             .catalog
-            .replace_if_newer(Arc::clone(&catalog), revision, now)
-        {
-            return;
+            .replace_if_newer(Arc::clone(&catalog), revision, now);
+        match change {
+            CatalogChange::Replaced => {}
+            CatalogChange::Same => return,
+            CatalogChange::Outdated => {
+                log::warn!(target: "catalog", version, era = revision.era, revision = revision.number; "outdated catalog ignored");
+                return;
+            }
         }
-        log::info!(target: "catalog", version, revision, routes; "catalog applied");
+        log::info!(target: "catalog", version, era = revision.era, revision = revision.number, routes; "catalog applied");
         self.rate_limiter
             .configure(catalog.accounts(), self.members.divisor(), now);
         self.set_ready_if_synced();
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -16,6 +16,7 @@
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::quarantine::Quarantine;
+use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::suspension::Suspensions;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
@@ -96,13 +97,17 @@
         &self,
         name: &Target,
         record: TargetRecord,
-        revision: u64,
+        revision: StoreRevision,
         now: Duration,
     ) {
         let (draining, cold_remaining) = (record.draining, record.cold_remaining);
         let change = self.fleet.lock().upsert(name, record, revision, now);
         match change {
             TargetChange::Same => return,
+            TargetChange::Outdated => {
+                log::info!(target: "fleet", name = name.as_str(), era = revision.era, revision = revision.number; "outdated target record ignored");
+                return;
+            }
             TargetChange::Restarted => self.traffic.lock().reset_target(name, now),
             // Other changes leave the traffic data of the target as it is.
             _ => {}
@@ -113,7 +118,8 @@
             change:? = change,
             draining,
             cold_ms = cold_remaining.as_millis() as u64,
-            revision;
+            era = revision.era,
+            revision = revision.number;
             "target record received"
         );
     }
@@ -159,19 +165,25 @@
         }
     }
 
-    pub(crate) fn reconcile_evacuated(&self, listed: &HashSet<Zone>) {
-        let old: Vec<Zone> = self
-            .fleet
-            .lock()
-            .evacuated_zones()
-            .iter()
-            .cloned()
-            .collect();
-        for zone in old.iter().filter(|zone| !listed.contains(*zone)) {
-            self.set_evacuated(zone, false);
-        }
+    /// Applies a complete listing of the evacuated zones, and logs the changes.
+    pub(crate) fn reconcile_evacuated(&self, listed: &HashSet<Zone>, now: Duration) {
         for zone in listed {
             self.set_evacuated(zone, true);
         }
+        let ended = self.fleet.lock().reconcile_evacuated(listed, now);
+        log_ended_evacuations(&ended);
+    }
+
+    /// Ends the evacuations that the store has lost and that were not written
+    /// again in time.
+    pub(crate) fn remove_expired_evacuations(&self, now: Duration) {
+        let ended = self.fleet.lock().remove_lost_evacuations(now);
+        log_ended_evacuations(&ended);
+    }
+}
+
+fn log_ended_evacuations(zones: &[Zone]) {
+    for zone in zones {
+        log::info!(target: "fleet", zone = zone.as_str(), evacuated = false; "evacuation");
     }
 }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use chiverelay_decisions::fleet::EVACUATION_RECOVERY_GRACE;
 use chiverelay_decisions::fleet::Fleet;
 use chiverelay_decisions::fleet::STORE_RECOVERY_GRACE;
 use chiverelay_decisions::fleet::TargetChange;
@@ -11,11 +12,22 @@
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::revision::StoreRevision;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
+/// A revision of the store's first era.
+fn at(number: u64) -> StoreRevision {
+    StoreRevision { era: 1, number }
+}
+
+/// A revision after the store came back from an older copy.
+fn restored_at(number: u64) -> StoreRevision {
+    StoreRevision { era: 2, number }
+}
+
 fn record() -> TargetRecord {
     TargetRecord {
         pool: "orders".into(),
@@ -25,6 +37,7 @@
         slots: 6,
         draining: false,
         started_ms: 1,
+        sequence: 4,
         cold_remaining: Duration::ZERO,
     }
 }
@@ -33,7 +46,10 @@
     let zones = HashMap::from([(Zone::from("north-a"), Region::from("north"))]);
     let mut fleet = Fleet::new(zones);
     let name = Target::from("i-1");
-    assert_eq!(fleet.upsert(&name, record(), 5, ms(0)), TargetChange::Added);
+    assert_eq!(
+        fleet.upsert(&name, record(), at(5), ms(0)),
+        TargetChange::Added
+    );
     (fleet, name)
 }
 
@@ -51,7 +67,7 @@
 fn a_target_that_vanishes_with_the_stores_return_is_held() {
     let (mut fleet, name) = fleet();
     assert!(fleet.store_lost());
-    assert!(fleet.store_answered(ms(1_000)));
+    assert!(fleet.store_answered(1, ms(1_000)));
     let none = HashSet::new();
     assert!(fleet.reconcile(&none, ms(1_010)).is_empty());
     assert!(fleet.accepts_requests(&name), "it may come back");
@@ -71,12 +87,12 @@
 fn a_target_that_comes_back_after_the_return_stays() {
     let (mut fleet, name) = fleet();
     fleet.store_lost();
-    fleet.store_answered(ms(1_000));
+    fleet.store_answered(1, ms(1_000));
     assert_eq!(
         fleet.handle_record_removal(&name, ms(1_010)),
         TargetChange::Held
     );
-    fleet.upsert(&name, record(), 9, ms(1_500));
+    fleet.upsert(&name, record(), at(9), ms(1_500));
     assert!(fleet.remove_missing_after_recovery(ms(9_000)).is_empty());
     assert!(fleet.accepts_requests(&name));
 }
@@ -85,11 +101,11 @@
 fn a_draining_target_is_not_held() {
     let (mut fleet, name) = fleet();
     fleet.store_lost();
-    fleet.store_answered(ms(1_000));
+    fleet.store_answered(1, ms(1_000));
     let mut leaving = record();
     leaving.draining = true;
     assert_eq!(
-        fleet.upsert(&name, leaving, 8, ms(1_001)),
+        fleet.upsert(&name, leaving, at(8), ms(1_001)),
         TargetChange::Moved
     );
     assert!(!fleet.accepts_requests(&name));
@@ -104,7 +120,10 @@
     let (mut fleet, name) = fleet();
     let mut leaving = record();
     leaving.draining = true;
-    assert_eq!(fleet.upsert(&name, leaving, 4, ms(10)), TargetChange::Same);
+    assert_eq!(
+        fleet.upsert(&name, leaving, at(4), ms(10)),
+        TargetChange::Outdated
+    );
     assert!(fleet.accepts_requests(&name));
 }
 
@@ -114,7 +133,7 @@
     let mut again = record();
     again.started_ms = 2;
     assert_eq!(
-        fleet.upsert(&name, again, 6, ms(10)),
+        fleet.upsert(&name, again, at(6), ms(10)),
         TargetChange::Restarted
     );
 }
@@ -124,7 +143,7 @@
     let (mut fleet, name) = fleet();
     let mut moved = record();
     moved.pool = "model".into();
-    fleet.upsert(&name, moved, 6, ms(10));
+    fleet.upsert(&name, moved, at(6), ms(10));
     assert_eq!(fleet.usable_targets(&"orders".into()).count(), 0);
     assert_eq!(fleet.usable_targets(&"model".into()).count(), 1);
 }
@@ -145,7 +164,7 @@
     let (mut fleet, name) = fleet();
     let mut cold = record();
     cold.cold_remaining = ms(3_000);
-    fleet.upsert(&name, cold, 6, ms(100));
+    fleet.upsert(&name, cold, at(6), ms(100));
     let known = fleet.get(&name).expect("known");
     assert!(known.is_cold(ms(3_099)));
     assert!(!known.is_cold(ms(3_100)));
@@ -158,7 +177,7 @@
     let (mut fleet, name) = fleet();
     let mut cold = record();
     cold.cold_remaining = Duration::MAX;
-    fleet.upsert(&name, cold, 6, ms(1));
+    fleet.upsert(&name, cold, at(6), ms(1));
     let known = fleet.get(&name).expect("known");
     assert!(known.is_cold(ms(u64::MAX)));
 }
@@ -170,15 +189,15 @@
     let (mut fleet, name) = fleet();
     let mut leaving = record();
     leaving.draining = true;
-    fleet.upsert(&name, leaving, 6, ms(10));
-    fleet.upsert(&name, record(), 7, ms(20));
+    fleet.upsert(&name, leaving, at(6), ms(10));
+    fleet.upsert(&name, record(), at(7), ms(20));
     assert!(!fleet.accepts_requests(&name), "its record is outdated");
     fleet.handle_record_removal(&name, ms(30));
-    fleet.upsert(&name, record(), 8, ms(40));
+    fleet.upsert(&name, record(), at(8), ms(40));
     assert!(!fleet.accepts_requests(&name), "removed and listed again");
     let mut again = record();
     again.started_ms = 2;
-    fleet.upsert(&name, again, 9, ms(50));
+    fleet.upsert(&name, again, at(9), ms(50));
     assert!(fleet.accepts_requests(&name), "another process");
 }
 
@@ -189,10 +208,113 @@
     assert!(fleet.mark_leaving(&name));
     assert!(!fleet.mark_leaving(&name), "told once");
     assert!(!fleet.mark_leaving(&"i-2".into()), "unknown");
-    fleet.upsert(&name, record(), 7, ms(20));
+    fleet.upsert(&name, record(), at(7), ms(20));
     assert!(!fleet.accepts_requests(&name), "its record is outdated");
     let mut again = record();
     again.started_ms = 2;
-    fleet.upsert(&name, again, 8, ms(30));
+    fleet.upsert(&name, again, at(8), ms(30));
     assert!(fleet.accepts_requests(&name), "another process");
 }
+
+/// Guards against a record that is ignored, as its revision was given out
+/// before the store came back from an older copy.
+#[test]
+fn a_record_of_a_later_era_replaces_one_of_a_higher_number() {
+    let (mut fleet, name) = fleet();
+    let mut leaving = record();
+    leaving.draining = true;
+    leaving.sequence = 5;
+    fleet.upsert(&name, leaving, restored_at(2), ms(10));
+    assert!(!fleet.accepts_requests(&name));
+}
+
+/// Guards against a target that goes back to an older record with the store.
+#[test]
+fn an_older_copys_record_does_not_replace_a_later_one() {
+    let (mut fleet, name) = fleet();
+    let mut earlier = record();
+    earlier.pool = "model".into();
+    earlier.sequence = 3;
+    let change = fleet.upsert(&name, earlier.clone(), restored_at(2), ms(10));
+    assert_eq!(change, TargetChange::Outdated);
+    assert_eq!(fleet.usable_targets(&"orders".into()).count(), 1);
+    // The store's order decides within its era.
+    fleet.upsert(&name, earlier, restored_at(3), ms(20));
+    assert_eq!(fleet.usable_targets(&"model".into()).count(), 1);
+}
+
+/// Guards against requests to a target that left and that an older copy lists.
+#[test]
+fn a_removed_target_comes_back_only_with_a_later_record() {
+    let (mut fleet, name) = fleet();
+    fleet.store_answered(1, ms(0));
+    fleet.handle_record_removal(&name, ms(10));
+    fleet.store_answered(2, ms(20));
+    let change = fleet.upsert(&name, record(), restored_at(2), ms(20));
+    assert_eq!(change, TargetChange::Outdated);
+    let mut later = record();
+    later.sequence = 5;
+    assert_eq!(
+        fleet.upsert(&name, later, restored_at(3), ms(30)),
+        TargetChange::Added
+    );
+}
+
+#[test]
+fn a_removed_target_that_registers_again_is_used_again() {
+    let (mut fleet, name) = fleet();
+    fleet.handle_record_removal(&name, ms(10));
+    assert_eq!(
+        fleet.upsert(&name, record(), at(6), ms(20)),
+        TargetChange::Added
+    );
+}
+
+/// Guards against losing the targets that an older copy lacks, if no call
+/// failed while the store was away.
+#[test]
+fn a_target_that_vanishes_with_a_new_era_is_held() {
+    let (mut fleet, name) = fleet();
+    fleet.store_answered(1, ms(0));
+    assert!(!fleet.store_answered(2, ms(1_000)), "no outage was noticed");
+    assert!(fleet.reconcile(&HashSet::new(), ms(1_010)).is_empty());
+    assert!(fleet.accepts_requests(&name));
+    assert_eq!(
+        fleet.remove_missing_after_recovery(ms(1_000) + STORE_RECOVERY_GRACE),
+        vec![name]
+    );
+}
+
+/// Guards against requests to a zone whose evacuation an older copy lacks.
+#[test]
+fn an_evacuation_that_the_store_lost_goes_on_for_a_moment() {
+    let (mut fleet, name) = fleet();
+    let (zone, none) = (Zone::from("north-a"), HashSet::new());
+    fleet.store_answered(1, ms(0));
+    fleet.set_evacuated(&zone, true);
+    fleet.store_answered(2, ms(1_000));
+    assert!(fleet.reconcile_evacuated(&none, ms(1_010)).is_empty());
+    assert!(!fleet.accepts_requests(&name));
+    let end = ms(1_000) + EVACUATION_RECOVERY_GRACE;
+    assert!(fleet.remove_lost_evacuations(end - ms(1)).is_empty());
+    assert_eq!(fleet.remove_lost_evacuations(end), vec![zone]);
+    assert!(fleet.accepts_requests(&name));
+}
+
+#[test]
+fn an_evacuation_written_again_after_a_restore_stays() {
+    let (mut fleet, name) = fleet();
+    let (zone, none) = (Zone::from("north-a"), HashSet::new());
+    fleet.store_answered(1, ms(0));
+    fleet.set_evacuated(&zone, true);
+    fleet.store_answered(2, ms(1_000));
+    fleet.reconcile_evacuated(&none, ms(1_010));
+    fleet.set_evacuated(&zone, true);
+    assert!(fleet.remove_lost_evacuations(ms(9_000)).is_empty());
+    assert!(!fleet.accepts_requests(&name));
+    fleet.set_evacuated(&zone, false);
+    assert!(
+        fleet.accepts_requests(&name),
+        "the operator ends it at once"
+    );
+}
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -10,6 +10,7 @@
 mod path;
 mod pause;
 mod quarantine;
+mod restored;
 mod settings;
 mod shutdown;
 mod soak;
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -16,6 +16,7 @@
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::placement::prefix;
 use chiverelay_decisions::retry_budget::RetryLimit;
+use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::traffic::ColdLimitTolerance;
 use chiverelay_decisions::traffic::RegionShares;
 use chiverelay_decisions::traffic::Reservation;
@@ -116,9 +117,10 @@
                 slots: SLOTS as u32,
                 draining: false,
                 started_ms: 1,
+                sequence: 1,
                 cold_remaining: Duration::ZERO,
             };
-            fleet.upsert(&name, record, 1, ms(0));
+            fleet.upsert(&name, record, StoreRevision::default(), ms(0));
             servers.insert(name, Server::default());
         }
         Self {
