Keep a stalled stream where it is if a stop leaves no time elsewhere

What callers saw: in a planned stop a stream whose target fell silent for a second was cut, though the target was sound and went on.

Cause: the relay asks whether another target could take the stream before it gives its own up, but not whether the stop leaves the time for it. The choice that followed refused the stream, which then had no target at all.

Evidence: node::shutdown::a_stream_whose_target_pauses_in_a_stop_stays_with_it failed before with the first event and whole: false. It passes now, as the question is the same one that the choice of a target asks.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -231,7 +231,11 @@
             tried.push(current.clone());
         }
         let now = self.clock.now();
-        let left = req.meta().deadline.saturating_sub(now);
+        let deadline = req.meta().deadline;
+        if !self.can_end_before_shutdown(cx, deadline, now) {
+            return false;
+        }
+        let left = deadline.saturating_sub(now);
         let choice = self.choose_local_target(cx, &tried, now);
         choice.is_ok_and(|choice| choice.estimate.wait <= left)
     }
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -77,18 +77,29 @@
         cx: &PlacementContext,
         now: Duration,
     ) -> Result<(), Refusal> {
-        let Some(shutdown) = self.shutdown.deadline.get() else {
+        if self.can_end_before_shutdown(cx, req.meta().deadline, now) {
             return Ok(());
+        }
+        let refusal = req.refusal(Code::Draining, Step::Place, Peer::Local);
+        Err(refusal.with_retry_after(RETRY_AFTER))
+    }
+
+    /// Tells whether a request with this deadline that is given to a target now
+    /// can end before the instance does.
+    pub(crate) fn can_end_before_shutdown(
+        &self,
+        cx: &PlacementContext,
+        deadline: Duration,
+        now: Duration,
+    ) -> bool {
+        let Some(shutdown) = self.shutdown.deadline.get() else {
+            return true;
         };
         let times = RequestTimes {
-            deadline: req.meta().deadline,
+            deadline,
             usual: self.usual_time(cx),
         };
-        if shutdown.accepts(cx.route.kind, times, now) {
-            return Ok(());
-        }
-        let refusal = req.refusal(Code::Draining, Step::Place, Peer::Local);
-        Err(refusal.with_retry_after(RETRY_AFTER))
+        shutdown.accepts(cx.route.kind, times, now)
     }
 
     fn usual_time(&self, cx: &PlacementContext) -> Duration {
--- a/tests/testsuite/node/shutdown.rs
+++ b/tests/testsuite/node/shutdown.rs
@@ -11,8 +11,12 @@
 use support::node::Mode;
 use support::node::Node;
 use support::node::PlatformTarget;
+use support::node::Scripted;
+use support::node::ScriptedTarget;
 use support::node::Site;
 use support::node::call::Call;
+use support::node::scripted::After;
+use support::node::scripted::PAUSE_MARK;
 use support::node::site::KEY;
 use support::node::site::configuration;
 use support::node::site::until;
@@ -124,3 +128,53 @@
         assert!(took < GRACE, "ended after {took:?}");
     });
 }
+
+/// Marks of a silence that ends before the open requests are ended.
+const SILENCE_MARKS: usize = 90;
+
+/// Guards against a stream that is cut in a planned stop as its target pauses:
+/// another target is there, and the stream may not begin there any more.
+#[test]
+fn a_stream_whose_target_pauses_in_a_stop_stays_with_it() {
+    block_on(async {
+        let (site, _orders, model, node, _other) = start().await;
+        site.store.remove("servers/i-2");
+        let text = [
+            "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-stamp: s\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+             f\r\nid: 1\ndata: a\n\n\r\n",
+            &PAUSE_MARK.repeat(SILENCE_MARKS),
+            "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+        ];
+        let pausing = Scripted::new(&text.concat(), After::Keep);
+        let pausing = ScriptedTarget::start(vec![pausing]).await;
+        site.register_at("i-3", pausing.address, "model", "north-a");
+        // A prompt whose prefill takes longer than the stop leaves later on.
+        let call = Call::new("r-1", "/quote/1")
+            .key(KEY)
+            .header("request-deadline", "20000")
+            .header("token-usage", "120000,40");
+        let stopping = async {
+            until("the stream has begun", async || {
+                !pausing.requests().is_empty()
+            })
+            .await;
+            node.process.terminate();
+            tokio::time::sleep(Duration::from_millis(2600)).await;
+            site.register(&model, "model", "north-a");
+        };
+        let sending = async {
+            let refused = async || call.exchange(node.front).await;
+            let mut got = refused().await;
+            while got.as_ref().is_ok_and(|got| got.status != StatusCode::OK) {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                got = refused().await;
+            }
+            got.expect("an answer")
+        };
+        let (got, ()) = tokio::join!(sending, stopping);
+        assert!(got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1, 2]);
+        assert!(model.arrivals().is_empty());
+    });
+}
