Apply the limits of the catalog in force to open connections

A kept connection had the limits on callers that were in force when it was opened. After a rise of the idle limit it closed while its caller could still use it, after a rise of the limit on heads it refused a head that is allowed, and a connection from before the first catalog had the defaults for good: beside a change of the configuration, requests that cross the close end without an answer.

serve_connection read the limits once and gave them to hyper, which can't change them. The idle time is measured here now, in the state of the connection's exchanges. The size of a head is compared with the limit in force; one that is too long gets 431 and names the limit as its code.

node::kept_connections failed before: 'left: Err("channel closed") right: Ok(200)' after the rise of the idle limit, 'open after many times the limit' after its fall, 431 in place of 200 and 200 in place of 431 for heads. an_idle_time_that_has_begun_is_not_shortened passed before as well; a_head_that_does_not_end_* was written with the fix and not run without it.

--- a/crates/caller/src/explain.rs
+++ b/crates/caller/src/explain.rs
@@ -25,6 +25,7 @@
         }
         Detail::BodyCutOff => "the body ended before its stated end; send it again".to_owned(),
         Detail::BodyOver(max) => format!("the body has more than {max} bytes; send a shorter one"),
+        Detail::HeadOver(max) => format!("the head has more than {max} bytes; send a shorter one"),
         Detail::SlowHead => "the head did not arrive whole in time".to_owned(),
         Detail::SlowBody => "the body did not arrive whole in time".to_owned(),
         Detail::NotJson { line, column } => {
--- a/crates/decisions/src/refusal/detail.rs
+++ b/crates/decisions/src/refusal/detail.rs
@@ -22,6 +22,8 @@
     BodyCutOff,
     /// The body is longer than the contained limit in bytes.
     BodyOver(u64),
+    /// The head is longer than the contained limit in bytes.
+    HeadOver(u64),
     /// The request's head did not arrive completely in time.
     SlowHead,
     /// The body did not arrive completely in time.
--- a/tests/support/node/call.rs
+++ b/tests/support/node/call.rs
@@ -78,6 +78,15 @@
         self
     }
 
+    pub(super) fn request(&self) -> Request<Full<Bytes>> {
+        let mut req = Request::builder().method(&self.method).uri(&self.path);
+        for (name, value) in &self.headers {
+            req = req.header(name, value);
+        }
+        req.body(Full::new(self.body.clone()))
+            .expect("a well-formed request")
+    }
+
     /// Sends the request on a connection of its own and reads the answer.
     pub async fn send(&self, to: SocketAddr) -> Got {
         let sent = tokio::time::timeout(PATIENCE, self.exchange(to)).await;
@@ -92,14 +101,7 @@
     ///
     /// Fails if there is no head of an answer.
     pub async fn exchange(&self, to: SocketAddr) -> Result<Got, String> {
-        let mut req = Request::builder().method(&self.method).uri(&self.path);
-        for (name, value) in &self.headers {
-            req = req.header(name, value);
-        }
-        let req = req
-            .body(Full::new(self.body.clone()))
-            .map_err(|e| e.to_string())?;
-        let answer = caller::exchange(to, req).await?;
+        let answer = caller::exchange(to, self.request()).await?;
         Ok(Got {
             status: answer.status,
             body: answer.text(),
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -4,6 +4,7 @@
 mod decode;
 mod endless;
 mod forwards;
+mod kept_connections;
 mod names;
 mod operations;
 mod path;
--- a/tests/testsuite/node/unanswered.rs
+++ b/tests/testsuite/node/unanswered.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::catalog::ClientLimits;
 use chiverelay_gateway::GaugeValues;
 use chiverelay_gateway::Metrics;
 use chiverelay_platform::exchange::Exchange;
@@ -180,7 +181,7 @@
 fn check_task_end(end: TaskEnd, cause: &str) {
     block_on(async {
         let metrics = Arc::new(Metrics::new());
-        let exchange = Exchange::default();
+        let exchange = Exchange::new(&ClientLimits::default());
         let guard = ExchangeGuard::new(exchange.clone(), Arc::clone(&metrics));
         let task = tokio::spawn(async move {
             let _guard = guard;
