Guard requests with absurd token counts against ends without an answer

A panic in the task of a connection ends a request that was read whole without an answer. The numbers that a caller sends were looked at for that: counts and parts of 2^64 - 1 and 2^32 - 1 tokens, several at once at one target, by an account without a limit. No fault was found; the test passes without a change of the code, in a build that panics on overflow.

--- a/tests/testsuite/node/unanswered.rs
+++ b/tests/testsuite/node/unanswered.rs
@@ -9,6 +9,7 @@
 use chiverelay_platform::exchange::Exchange;
 use chiverelay_platform::exchange::ExchangeGuard;
 use hyper::StatusCode;
+use serde_json::json;
 use support::block_on;
 use support::node::After;
 use support::node::Mode;
@@ -21,6 +22,7 @@
 use support::node::call::Call;
 use support::node::scripted::PAUSE_MARK;
 use support::node::site::KEY;
+use support::node::site::configuration;
 use support::node::site::until;
 
 /// Head of a stream, and a first event in a chunk of its own.
@@ -205,3 +207,33 @@
     a_request_whose_task_panics_is_counted(TaskEnd::Panic, "panicked");
     a_request_whose_task_is_cancelled_is_counted(TaskEnd::Cancel, "cancelled");
 }
+
+/// Failure: a number of a caller overflowed a sum, and the panic ended the
+/// request without an answer.
+#[test]
+fn a_request_with_absurd_token_counts_gets_an_answer() {
+    block_on(async {
+        let site = Site::start().await;
+        let mut config = configuration(4);
+        config["tenants"][0]["rate_per_s"] = json!(0);
+        site.store.put("op/config", &config);
+        let target = PlatformTarget::start("i-1").await;
+        target.set(Mode::Slow(Duration::from_millis(500)));
+        site.register(&target, "model", "north-a");
+        let node = site.instance("one", "north-a", "north").await;
+        let counts = format!("{},{}", u64::MAX, u64::MAX);
+        let parts = format!("a1:{0},b2:{0}", u32::MAX);
+        let calls = (0..4).map(|n| {
+            let call = Call::new(&format!("r-{n}"), "/chat/1").key(KEY);
+            let call = call.header("token-usage", &counts);
+            let call = call.header("prompt-prefix", &parts);
+            async move { call.exchange(node.front).await }
+        });
+        for got in futures_util::future::join_all(calls).await {
+            got.expect("an answer or a refusal");
+        }
+        let plain = Call::new("r-plain", "/chat/1").key(KEY);
+        plain.exchange(node.front).await.expect("an answer");
+        assert!(!node.logged().contains("panicked"), "{}", node.logged());
+    });
+}
