Write what came of an answer also if its sender stops

Callers of the daemon got a closed connection and not a byte of an answer that had begun, if the part that sends its body ended without finishing it, as after a panic.

A body that is aborted already waited for that to be written; one whose sending end is dropped did not. Both now end in the same way.

callers::what_came_of_an_answer_goes_out_though_its_sender_stops failed before: "the head of an answer: connection closed before message completed".

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -21,6 +21,9 @@
 /// Time for a connection to write earlier pieces before a body breaks off.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 
+/// Why a body breaks off whose sending end was dropped.
+const SENDER_STOPPED: &str = "the sender stopped";
+
 /// A piece of a body, or the reason why no more of it comes.
 pub type Piece = Result<Bytes, String>;
 
@@ -111,7 +114,7 @@
             }
             None => {
                 self.ended = true;
-                Some(Err("the sender stopped".to_owned()))
+                Some(Err(SENDER_STOPPED.to_owned()))
             }
         }
     }
@@ -138,20 +141,19 @@
         let Poll::Ready(msg) = self.rx.poll_recv(cx) else {
             return Poll::Pending;
         };
-        if let Some(Message::Broken(reason)) = msg {
-            // The connection writes out earlier pieces while it waits, and
-            // would drop them if it saw the error along with them.
-            self.broken = Some(Broken {
-                reason,
-                pause: Box::pin(tokio::time::sleep(FLUSH_TIME)),
-            });
-            return self.poll_frame(cx);
+        match self.take(msg) {
+            Some(Ok(data)) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Some(Err(reason)) => {
+                // The connection writes out earlier pieces while it waits, and
+                // would drop them if it saw the error along with them.
+                self.ended = false;
+                self.broken = Some(Broken {
+                    reason,
+                    pause: Box::pin(tokio::time::sleep(FLUSH_TIME)),
+                });
+                self.poll_frame(cx)
+            }
+            None => Poll::Ready(None),
         }
-        Poll::Ready(self.take(msg).map(|piece| {
-            piece.map(Frame::data).map_err(|reason| Error::Broken {
-                step: Step::Answer,
-                reason,
-            })
-        }))
     }
 }
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -4,10 +4,20 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use chiverelay_caller::Handler;
+use chiverelay_caller::Inbound;
+use chiverelay_caller::Limits;
+use chiverelay_caller::Reply;
+use chiverelay_caller::ReplyBody;
+use chiverelay_caller::Server;
+use chiverelay_caller::Shutdown;
+use chiverelay_decisions::refusal::Refusal;
 use chiverelay_operator::api::GrantedKey;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
 use rcgen::CertificateParams;
@@ -27,6 +37,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio_rustls::TlsConnector;
+use tokio_util::sync::CancellationToken;
 
 /// Settings of callers whose bounds are reached at once.
 fn tight() -> serde_json::Value {
@@ -329,3 +340,41 @@
         assert!(!answer.contains("200"), "{answer}");
     });
 }
+
+/// Answers with one piece, and drops the sending end at once.
+struct Stopping;
+
+impl Handler for Stopping {
+    async fn handle(&self, _: Inbound) -> Reply {
+        let (tx, body) = chiverelay_caller::channel();
+        assert!(tx.send(Bytes::from_static(b"piece")).await);
+        Reply {
+            status: StatusCode::OK,
+            headers: HeaderMap::new(),
+            body: ReplyBody::Stream(body),
+        }
+    }
+
+    fn refused(&self, _: &Refusal) {}
+}
+
+/// Failure: the caller got a closed connection and no byte of an answer that had
+/// begun, as the part that sent it ended.
+#[test]
+fn what_came_of_an_answer_goes_out_though_its_sender_stops() {
+    block_on(async {
+        let address = "127.0.0.1:0".parse().expect("an address");
+        let server = Server::bind(address, Limits::default(), None).await;
+        let server = server.expect("a listener");
+        let address = server.address();
+        let shutdown = Shutdown {
+            notice: CancellationToken::new(),
+            close: CancellationToken::new(),
+        };
+        tokio::spawn(server.run(Arc::new(Stopping), shutdown));
+        let answer = caller::post(address, "/orders", "key", &json!({})).await;
+        let answer = answer.expect("the head of an answer");
+        assert_eq!(answer.text(), "piece");
+        assert!(!answer.whole);
+    });
+}
