Let no number of another writer overflow a sum or a duration

What callers saw: nothing yet; found while looking for the cause of the odd target records elsewhere. Each case panics in the task of a caller's connection, which closes it without an answer (for a build with checks of overflow; a release build wraps around to a wrong number, but for the wait for tokens, which panics in each).

Cause: numbers that others state went unchecked into sums and durations: the operator's rate (the wait for tokens), the slots of records and the counts that other instances report (the load of a region), the event numbers of a stream.

Evidence: on the code before, `allowance::a_wait_beyond_every_duration_is_no_wait` panicked with "cannot convert float seconds to Duration: value is either too big or NaN", `traffic::sums_of_odd_numbers_do_not_overflow` and `answer::no_event_follows_the_last_number` with "attempt to add with overflow". The cases of `node::odd_entries::check_odd_header`, which send such numbers as a caller, passed before and hold that.

Why this works: the conversion is checked, and a wait longer than any duration counts as none; the sums saturate; after the largest number no event is next.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -172,11 +172,12 @@
         let missing = tokens - level;
         if missing > 0.0 {
             let fits = self.rate > 0.0 && tokens <= self.capacity;
+            let wait = Duration::try_from_secs_f64(missing / self.rate).ok();
             return Err(Shortfall {
                 level,
                 missing,
                 rate: self.rate,
-                wait: fits.then(|| Duration::from_secs_f64(missing / self.rate)),
+                wait: wait.filter(|_| fits),
             });
         }
         let mut remaining = tokens;
--- a/crates/decisions/src/answer.rs
+++ b/crates/decisions/src/answer.rs
@@ -208,7 +208,8 @@
                 _ => Ok(()),
             };
         };
-        if self.last_id.is_some_and(|last| id != last + 1) {
+        let is_next = |last: u64| last.checked_add(1) == Some(id);
+        if !self.last_id.is_none_or(is_next) {
             return Err(AnswerError::EventIdOutOfOrder);
         }
         self.last_id = Some(id);
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -75,7 +75,7 @@
     fn plus_share_of(self, other: Self, targets: usize) -> Self {
         let targets = u32::try_from(targets.max(1)).unwrap_or(u32::MAX);
         Self {
-            running: self.running + other.running / targets,
+            running: self.running.saturating_add(other.running / targets),
             prefill_tokens: self
                 .prefill_tokens
                 .saturating_add(other.prefill_tokens / targets),
@@ -83,8 +83,8 @@
     }
 
     fn add(&mut self, other: Self) {
-        self.running += other.running;
-        self.prefill_tokens += other.prefill_tokens;
+        self.running = self.running.saturating_add(other.running);
+        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
     }
 }
 
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -242,13 +242,11 @@
     ) -> Duration {
         let pool_targets = fleet.usable_targets(&pool.name);
         let region_targets = pool_targets.filter(|(_, known)| known.record.region == *region);
-        let (mut remote_running, mut slots) = (0, 0);
+        let (mut remote_running, mut slots) = (0_u32, 0_u32);
         for (target, known) in region_targets {
-            remote_running += self
-                .remote_total
-                .get(target)
-                .map_or(0, |in_flight| in_flight.running);
-            slots += slots_of(pool, known);
+            let remote = self.remote_total.get(target).copied().unwrap_or_default();
+            remote_running = remote_running.saturating_add(remote.running);
+            slots = slots.saturating_add(slots_of(pool, known));
         }
         let performance = self.performance(&pool.name);
         let time_per_request = match pool.engine {
@@ -307,7 +305,7 @@
         let performance = self.performance(&pool.name);
         let slots = slots_of(pool, known);
         let has_free_slot = in_flight.running < slots;
-        let waiting_with_this = (in_flight.running + 1).saturating_sub(slots);
+        let waiting_with_this = in_flight.running.saturating_add(1).saturating_sub(slots);
         let requests_per_slot = 1.0 + f64::from(waiting_with_this) / f64::from(slots);
         let local = self.local.get(target);
         let failure_rate = local.map_or(0.0, |local| local.failure_rate);
--- a/tests/testsuite/allowance.rs
+++ b/tests/testsuite/allowance.rs
@@ -214,3 +214,16 @@
         assert!(sum <= bound, "{sum} of {bound} tokens from {from} ms");
     }
 }
+
+/// Guards against a request that ends without an answer, as the wait for its
+/// tokens at a tiny rate is longer than any duration.
+#[test]
+fn a_wait_beyond_every_duration_is_no_wait() {
+    let limit = TokenLimit {
+        rate: 1e-300,
+        ..LIMIT
+    };
+    let mut part = LocalAllowance::empty(limit, TOLERANCE, Divisor::new(1), ms(0));
+    let shortfall = part.take(10.0, ms(1)).expect_err("an empty allowance");
+    assert_eq!(shortfall.wait, None);
+}
--- a/tests/testsuite/answer.rs
+++ b/tests/testsuite/answer.rs
@@ -147,3 +147,12 @@
         .tests(5000)
         .quickcheck(passes_whole_events as fn(Vec<u8>, usize, usize) -> bool);
 }
+
+/// Guards against a stream that ends without a reason, as the number of its
+/// next event overflows.
+#[test]
+fn no_event_follows_the_last_number() {
+    let mut checker = AnswerChecker::resume_after(Framing::NumberedEvents, Some(u64::MAX));
+    let pushed = checker.push(Bytes::from_static(b"id: 0\ndata: a\n\n"));
+    assert_eq!(pushed, Err(AnswerError::EventIdOutOfOrder));
+}
--- a/tests/testsuite/node/odd_entries.rs
+++ b/tests/testsuite/node/odd_entries.rs
@@ -222,3 +222,28 @@
         assert_eq!(call.send(node.front).await.body, "answer of i-1");
     });
 }
+
+/// Guards against a request that ends without an answer, as a number in its
+/// head overflows a sum.
+fn check_odd_header(path: &str, name: &str, value: &str) {
+    block_on(async {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-1").await;
+        for service in ["orders", "model"] {
+            site.register_at(&format!("i-{service}"), target.address, service, "north-a");
+        }
+        let node = site.instance("one", "north-a", "north").await;
+        let call = Call::new("r-1", path).key(KEY).header(name, value);
+        let got = call.exchange(node.front).await;
+        assert!(got.is_ok(), "{got:?}");
+    });
+}
+
+cases! {
+    check_odd_header:
+    a_deadline_too_large("/status/1", "request-deadline", "18446744073709551615");
+    token_counts_too_large("/status/1", "token-usage", "18446744073709551615,18446744073709551615");
+    a_prompt_too_large("/quote/1", "token-usage", "18446744073709551615,1");
+    prompt_parts_too_large("/quote/1", "prompt-prefix", "a:4294967295,b:4294967295,c:4294967295");
+    a_last_event_too_late("/quote/1", "last-event-id", "18446744073709551615");
+}
