--- a/tests/testsuite/node/odd_entries.rs
+++ b/tests/testsuite/node/odd_entries.rs
@@ -14,6 +14,7 @@
 use support::cases;
 use support::node::PlatformTarget;
 use support::node::Site;
+use support::node::call;
 use support::node::call::Call;
 use support::node::site::KEY;
 use support::node::site::configuration;
@@ -247,3 +248,34 @@
     prompt_parts_too_large("/quote/1", "prompt-prefix", "a:4294967295,b:4294967295,c:4294967295");
     a_last_event_too_late("/quote/1", "last-event-id", "18446744073709551615");
 }
+
+/// Guards against an entry that takes the place of another instance's record,
+/// so that callers are sent to an address of the entry.
+#[test]
+fn a_record_under_another_name_replaces_no_instance() {
+    block_on(async {
+        let site = Site::start().await;
+        let one = site.instance("one", "north-a", "north").await;
+        let two = site.instance("two", "north-a", "north").await;
+        let asked = "/v1/resolve?name=desk.example&region=north&zone=north-a";
+        let named = async || {
+            let got = call::get(one.directory, asked).await.expect("an answer");
+            got.body
+        };
+        until("both are named", async || {
+            named().await.contains(&two.front.to_string())
+        })
+        .await;
+        let odd = json!({
+            "instance": "two", "zone": "north-a", "region": "north", "callers": "127.0.0.9:1",
+            "siblings": "127.0.0.9:2", "certificate": "", "incarnation": 1, "state": "ready",
+        });
+        site.store.put("chiverelay/instances/odd", &odd);
+        until("the entry was read", async || {
+            let logged = one.logged();
+            logged.contains("under another name") || logged.contains("\"incarnation\":1,")
+        })
+        .await;
+        assert!(named().await.contains(&two.front.to_string()));
+    });
+}
