Tell requests apart by their prompts too when they are suspended

What callers would see: two requests with the same path and body but different prompts are taken for one, so that a sound one is refused once targets have crashed under the other.

Cause: the digest left the prompt's parts out, which callers state in a header of their own and need not repeat in the body.

--- a/crates/decisions/src/suspension.rs
+++ b/crates/decisions/src/suspension.rs
@@ -21,6 +21,7 @@
 use crate::names::Pool;
 use crate::names::RequestId;
 use crate::names::Target;
+use crate::traffic::PromptPart;
 
 pub use report::CrashRecord;
 pub use report::LostRequestsReport;
@@ -67,14 +68,24 @@
 pub struct RequestDigest(u64);
 
 impl RequestDigest {
-    /// Returns the digest of a request to a pool.
-    pub fn new(pool: &Pool, method: &str, path_and_query: &str, body: &[u8]) -> Self {
+    /// Returns the digest of a request to a pool. `parts` are the parts of its
+    /// prompt, which need not be in the body.
+    pub fn new(
+        pool: &Pool,
+        method: &str,
+        path_and_query: &str,
+        parts: &[PromptPart],
+        body: &[u8],
+    ) -> Self {
         let mut hasher = Xxh3Default::new();
         for text in [pool.as_str(), method, path_and_query] {
             hasher.update(text.as_bytes());
             // No name and no path has this byte.
             hasher.update(&[0]);
         }
+        for part in parts {
+            hasher.update(&part.id.to_be_bytes());
+        }
         hasher.update(body);
         Self(hasher.digest())
     }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -130,11 +130,11 @@
     };
     let cx = PlacementContext {
         prompt_tokens: inbound.prompt_tokens.unwrap_or_default(),
+        digest: suspension::digest(&pool.name, &inbound.parts, &out),
         parts: inbound.parts.into(),
         attempts_left: matched.route.max_attempts.max(1),
         sent_count: 0,
         route: Arc::clone(&matched.route),
-        digest: suspension::digest(&pool.name, &out),
         pool,
     };
     (cx, out)
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -275,7 +275,7 @@
         };
         let cx = PlacementContext {
             route: matched.route,
-            digest: suspension::digest(&pool.name, &out),
+            digest: suspension::digest(&pool.name, &forward.parts, &out),
             pool,
             parts: forward.parts.into(),
             prompt_tokens: forward.prompt_tokens,
--- a/crates/gateway/src/suspension.rs
+++ b/crates/gateway/src/suspension.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use chiverelay_decisions::names::Pool;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::suspension::Admission;
 use chiverelay_decisions::suspension::RequestDigest;
+use chiverelay_decisions::traffic::PromptPart;
 
 use crate::Dialect;
 use crate::Gateway;
@@ -71,7 +73,7 @@
 
 /// Returns the digest by which a request is recognized when its caller asks
 /// again.
-pub(crate) fn digest(pool: &chiverelay_decisions::names::Pool, out: &Outbound) -> RequestDigest {
+pub(crate) fn digest(pool: &Pool, parts: &[PromptPart], out: &Outbound) -> RequestDigest {
     let method = out.method.as_str();
-    RequestDigest::new(pool, method, &out.path_and_query, &out.body)
+    RequestDigest::new(pool, method, &out.path_and_query, parts, &out.body)
 }
--- a/tests/testsuite/suspension.rs
+++ b/tests/testsuite/suspension.rs
@@ -7,6 +7,7 @@
 use chiverelay_decisions::suspension::Admission;
 use chiverelay_decisions::suspension::RequestDigest;
 use chiverelay_decisions::suspension::Suspensions;
+use chiverelay_decisions::traffic::PromptPart;
 use support::cases;
 
 const START: Duration = Duration::from_secs(10);
@@ -19,7 +20,7 @@
 }
 
 fn request(body: &str) -> RequestDigest {
-    RequestDigest::new(&"pool".into(), "POST", "/quote/1", body.as_bytes())
+    RequestDigest::new(&"pool".into(), "POST", "/quote/1", &[], body.as_bytes())
 }
 
 fn deadly() -> RequestDigest {
@@ -193,17 +194,20 @@
 }
 
 #[test]
-fn requests_differ_by_pool_path_and_body() {
-    let digest = |pool: &str, path: &str, body: &str| {
-        RequestDigest::new(&pool.into(), "POST", path, body.as_bytes())
+fn requests_differ_by_pool_path_prompt_and_body() {
+    let digest = |pool: &str, path: &str, prompt: &[u64], body: &str| {
+        let part = |id: &u64| PromptPart { id: *id, tokens: 9 };
+        let parts: Vec<_> = prompt.iter().map(part).collect();
+        RequestDigest::new(&pool.into(), "POST", path, &parts, body.as_bytes())
     };
-    let one = digest("pool", "/quote/1", "body");
-    assert_eq!(one, digest("pool", "/quote/1", "body"));
+    let one = digest("pool", "/quote/1", &[1, 2], "body");
+    assert_eq!(one, digest("pool", "/quote/1", &[1, 2], "body"));
     for other in [
-        digest("pool-2", "/quote/1", "body"),
-        digest("pool", "/quote/12", "body"),
-        digest("pool", "/quote/1", "other"),
-        digest("pool/", "quote/1", "body"),
+        digest("pool-2", "/quote/1", &[1, 2], "body"),
+        digest("pool", "/quote/12", &[1, 2], "body"),
+        digest("pool", "/quote/1", &[1, 3], "body"),
+        digest("pool", "/quote/1", &[1, 2], "other"),
+        digest("pool/", "quote/1", &[1, 2], "body"),
     ] {
         assert_ne!(one, other);
     }
