Send nothing more to a target whose answers say that it leaves

What callers saw: a target that said in each of its answers that it was leaving got requests until its record said so too, and then ended with them.

Cause: nothing read the header; only the store told of departures.

The header is decoded at the boundary, from answers and refusals alike, and marks the target's process as draining in `decisions::fleet`, where it holds against records that still say ready, forwards, kept connections and requests that wait for a connection, until a new process has the name. An answer to a request that was sent by the record of another process marks nothing. What answers say of their targets is now recorded in a module of its own, `gateway::target_notices`. The header itself is passed on, as it is none of a connection's.

Evidence: without the mark `node::leaving` failed in both cases with "left: 200, right: 503", for the first request after the answer, over records written again as ready. It also sends through another region's instance, and serves the next process at the name.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -106,7 +106,7 @@
         let msg = self.encode(out, &attempt);
         let req = req.dispatch();
         cx.sent_count += 1;
-        let exchange = self.exchange(conn, msg, out, cx);
+        let exchange = self.exchange(conn, msg, out, cx, &known_target);
         let sent = match tokio::time::timeout(timeout, exchange).await {
             Ok(sent) => sent,
             Err(_) => Err(AttemptFailure::TimedOut),
@@ -184,6 +184,7 @@
         msg: hyper::Request<Full<Bytes>>,
         out: &Outbound,
         cx: &PlacementContext,
+        known_target: &KnownTarget,
     ) -> Result<(PooledResponse, AnswerStart), AttemptFailure> {
         let sent = conn.send(msg).await;
         let mut answer = sent.map_err(|e| match e {
@@ -196,13 +197,7 @@
             answer.headers(),
             answer.is_connection_reused(),
         );
-        if matches!(verdict, ResponseVerdict::Ran | ResponseVerdict::Rejected) {
-            self.record_stated_limit(answer.target(), answer.headers());
-        }
-        // A late or repeated answer to another request asks for the pause too.
-        if verdict != ResponseVerdict::Misdirected {
-            self.record_pause(&answer);
-        }
+        self.record_notices(&answer, verdict, known_target);
         match verdict {
             ResponseVerdict::Ran => {}
             // A draining target is treated like a full one.
@@ -231,46 +226,6 @@
         Ok((answer, start))
     }
 
-    /// Records the limit on requests that a target states in an answer, or that
-    /// it states none.
-    fn record_stated_limit(&self, target: &Target, headers: &HeaderMap) {
-        let per_s = self.dialect.stated_limit(headers);
-        let now = self.clock.now();
-        let mut traffic = self.tables.traffic.lock();
-        let has_changed = traffic.record_stated_limit(target, per_s, now);
-        drop(traffic);
-        if has_changed {
-            log::info!(
-                target: "dispatch",
-                to = target.as_str(),
-                limited = per_s.is_some(),
-                limit_per_s:% = per_s.unwrap_or_default();
-                "target states another request limit"
-            );
-        }
-    }
-
-    /// Records that a target that turned a request away asks for a pause.
-    fn record_pause(&self, answer: &PooledResponse) {
-        let Some(pause) = self
-            .dialect
-            .requested_pause(answer.status(), answer.headers())
-        else {
-            return;
-        };
-        let target = answer.target();
-        let now = self.clock.now();
-        let is_new = self.tables.traffic.lock().record_pause(target, pause, now);
-        if is_new {
-            log::info!(
-                target: "dispatch",
-                to = target.as_str(),
-                pause_ms = pause.as_millis() as u64;
-                "target asks for a pause"
-            );
-        }
-    }
-
     /// Reads a short rejection to its end, so that its connection can be
     /// reused.
     async fn drain_rejection(&self, mut answer: PooledResponse) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod status;
 mod suspension;
 mod tables;
+mod target_notices;
 
 pub use chiverelay_sibling::Error as SiblingError;
 pub use clock::Clock;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -134,6 +134,9 @@
     /// more requests from this instance; `None` if it states none.
     fn requested_pause(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration>;
 
+    /// Tells whether the target says in an answer that it is leaving.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Returns those headers of an answer that are passed on to the caller.
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap;
 }
--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -33,6 +33,10 @@
     /// It says that it did not run the request, and asks for a pause, in
     /// seconds.
     Pausing(&'static str),
+    /// It answers and says that it is leaving.
+    Leaving,
+    /// It is full and says that it is leaving.
+    FullAndLeaving,
     /// It breaks the connection off after it has run the request.
     Lose,
     /// It answers with another request's id.
@@ -142,11 +146,11 @@
         tokio::time::sleep(time).await;
     }
     let mut resp = match mode {
-        Mode::Answer | Mode::Slow(_) | Mode::Foreign | Mode::Limited(_) => {
+        Mode::Answer | Mode::Slow(_) | Mode::Foreign | Mode::Limited(_) | Mode::Leaving => {
             text(StatusCode::OK, name)
         }
         Mode::Fail => text(StatusCode::INTERNAL_SERVER_ERROR, name),
-        Mode::Full => full(),
+        Mode::Full | Mode::FullAndLeaving => full(),
         Mode::Pausing(seconds) => {
             let mut resp = full();
             let value = HeaderValue::from_static(seconds);
@@ -171,6 +175,9 @@
     if let Ok(value) = HeaderValue::from_str(id) {
         headers.insert("request-id", value);
     }
+    if matches!(mode, Mode::Leaving | Mode::FullAndLeaving) {
+        headers.insert("server-leaving", HeaderValue::from_static("1"));
+    }
     if let Mode::Limited(per_s) = mode {
         headers.insert("server-limit", HeaderValue::from(per_s));
     }
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -3,6 +3,7 @@
 mod broken_answers;
 mod decode;
 mod endless;
+mod leaving;
 mod names;
 mod operations;
 mod path;
--- a/tests/testsuite/node/decode.rs
+++ b/tests/testsuite/node/decode.rs
@@ -162,6 +162,19 @@
     no_pause_until_a_date(503, "Sat, 05 Dec 2026 08:00:00 GMT", None);
 }
 
+fn check_leaving(value: &'static str, is_leaving: bool) {
+    let name = HeaderName::from_static("server-leaving");
+    let map = HeaderMap::from_iter([(name, HeaderValue::from_static(value))]);
+    assert_eq!(PlatformCodec.is_leaving(&map), is_leaving);
+}
+
+cases! {
+    check_leaving:
+    a_target_that_leaves("1", true);
+    a_target_that_does_not_leave("0", false);
+    a_target_that_says_nothing_clear("yes", false);
+}
+
 #[test]
 fn headers_of_a_caller_lose_what_only_the_gateway_says() {
     let mut headers = HeaderMap::new();
