Keep suspensions over restarts in turn

What callers would see: a request that is suspended is let through again, at several instances at once, after a rolling restart.

Cause: the crashes under a request were repeated only by the instances that had lost it. Once these have restarted, nobody tells the ones that start.

All instances now repeat the crashes of a request that was suspended, until they are forgotten. A crash that is known already is told from a new one by its target and time, and an answer refutes it wherever it comes from.

Evidence: `a_suspension_outlasts_restarts_in_turn` failed before with "left: 0, right: 3". It takes the place of `a_suspension_reaches_an_instance_that_starts`, whose case it includes.

--- a/crates/decisions/src/suspension.rs
+++ b/crates/decisions/src/suspension.rs
@@ -320,15 +320,17 @@
     }
 
     /// Returns what this instance tells the others: its own losses of the last
-    /// moments, those of suspended requests, and answers.
+    /// moments, all that it knows of requests that were suspended, and answers.
     pub fn report(&self, now: Duration) -> LostRequestsReport {
         let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u32;
         let mut losses = Vec::new();
         let mut answers = Vec::new();
         for (digest, history) in &self.requests {
-            let is_suspended = history.suspended_until().is_some_and(|until| now < until);
-            for crash in history.crashes.iter().filter(|crash| crash.is_own) {
-                if is_suspended || age_ms(crash.at) < REPORT_AGE_MS {
+            // All instances repeat the crashes of these, as those that lost the
+            // request may have restarted.
+            let is_repeated = history.crashes.len() >= MIN_CRASHES;
+            for crash in &history.crashes {
+                if is_repeated || (crash.is_own && age_ms(crash.at) < REPORT_AGE_MS) {
                     let rank = Reverse((history.crashes.len(), crash.at));
                     losses.push((rank, crash, *digest));
                 }
--- a/tests/testsuite/suspension.rs
+++ b/tests/testsuite/suspension.rs
@@ -162,16 +162,20 @@
     assert_eq!(admitted, Admission::Allowed);
 }
 
-/// An instance that starts hears of a suspension that began before.
+/// Instances restart in turn, those first that lost the request, and each
+/// hears of the suspension from one that only heard of it itself.
 #[test]
-fn a_suspension_reaches_an_instance_that_starts() {
-    let mut world = World::new(2);
+fn a_suspension_outlasts_restarts_in_turn() {
+    let mut world = World::new(3);
     world.crash(0, 1, &[deadly()]);
-    world.crash(0, 2, &[deadly()]);
-    world.pass(secs(5));
-    world.instances[1] = Suspensions::default();
+    world.crash(1, 2, &[deadly()]);
     world.pass(secs(1));
-    assert_eq!(world.refusing(deadly()), 2);
+    world.pass(secs(2));
+    for restarted in 0..3 {
+        world.instances[restarted] = Suspensions::default();
+        world.pass(secs(1));
+    }
+    assert_eq!(world.refusing(deadly()), 3);
 }
 
 #[test]
