--- a/crates/decisions/src/suspension.rs
+++ b/crates/decisions/src/suspension.rs
@@ -21,6 +21,7 @@
 use crate::names::Pool;
 use crate::names::RequestId;
 use crate::names::Target;
+use crate::traffic::PromptPart;
 
 pub use report::CrashRecord;
 pub use report::LostRequestsReport;
@@ -67,14 +68,24 @@
 pub struct RequestDigest(u64);
 
 impl RequestDigest {
-    /// Returns the digest of a request to a pool.
-    pub fn new(pool: &Pool, method: &str, path_and_query: &str, body: &[u8]) -> Self {
+    /// Returns the digest of a request to a pool. `parts` are the parts of its
+    /// prompt, which need not be in the body.
+    pub fn new(
+        pool: &Pool,
+        method: &str,
+        path_and_query: &str,
+        parts: &[PromptPart],
+        body: &[u8],
+    ) -> Self {
         let mut hasher = Xxh3Default::new();
         for text in [pool.as_str(), method, path_and_query] {
             hasher.update(text.as_bytes());
             // No name and no path has this byte.
             hasher.update(&[0]);
         }
+        for part in parts {
+            hasher.update(&part.id.to_be_bytes());
+        }
         hasher.update(body);
         Self(hasher.digest())
     }
@@ -309,15 +320,17 @@
     }
 
     /// Returns what this instance tells the others: its own losses of the last
-    /// moments, those of suspended requests, and answers.
+    /// moments, all that it knows of requests that were suspended, and answers.
     pub fn report(&self, now: Duration) -> LostRequestsReport {
         let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u32;
         let mut losses = Vec::new();
         let mut answers = Vec::new();
         for (digest, history) in &self.requests {
-            let is_suspended = history.suspended_until().is_some_and(|until| now < until);
-            for crash in history.crashes.iter().filter(|crash| crash.is_own) {
-                if is_suspended || age_ms(crash.at) < REPORT_AGE_MS {
+            // All instances repeat the crashes of these, as those that lost the
+            // request may have restarted.
+            let is_repeated = history.crashes.len() >= MIN_CRASHES;
+            for crash in &history.crashes {
+                if is_repeated || (crash.is_own && age_ms(crash.at) < REPORT_AGE_MS) {
                     let rank = Reverse((history.crashes.len(), crash.at));
                     losses.push((rank, crash, *digest));
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod supervise;
 mod suspension;
 mod tables;
+mod target_notices;
 
 pub use chiverelay_sibling::Error as SiblingError;
 pub use clock::Clock;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod forwards;
 mod kept_connections;
+mod leaving;
 mod names;
 mod odd_entries;
 mod operations;
--- a/tests/testsuite/suspension.rs
+++ b/tests/testsuite/suspension.rs
@@ -7,6 +7,7 @@
 use chiverelay_decisions::suspension::Admission;
 use chiverelay_decisions::suspension::RequestDigest;
 use chiverelay_decisions::suspension::Suspensions;
+use chiverelay_decisions::traffic::PromptPart;
 use support::cases;
 
 const START: Duration = Duration::from_secs(10);
@@ -19,7 +20,7 @@
 }
 
 fn request(body: &str) -> RequestDigest {
-    RequestDigest::new(&"pool".into(), "POST", "/quote/1", body.as_bytes())
+    RequestDigest::new(&"pool".into(), "POST", "/quote/1", &[], body.as_bytes())
 }
 
 fn deadly() -> RequestDigest {
@@ -161,16 +162,20 @@
     assert_eq!(admitted, Admission::Allowed);
 }
 
-/// An instance that starts hears of a suspension that began before.
+/// Instances restart in turn, those first that lost the request, and each
+/// hears of the suspension from one that only heard of it itself.
 #[test]
-fn a_suspension_reaches_an_instance_that_starts() {
-    let mut world = World::new(2);
+fn a_suspension_outlasts_restarts_in_turn() {
+    let mut world = World::new(3);
     world.crash(0, 1, &[deadly()]);
-    world.crash(0, 2, &[deadly()]);
-    world.pass(secs(5));
-    world.instances[1] = Suspensions::default();
+    world.crash(1, 2, &[deadly()]);
     world.pass(secs(1));
-    assert_eq!(world.refusing(deadly()), 2);
+    world.pass(secs(2));
+    for restarted in 0..3 {
+        world.instances[restarted] = Suspensions::default();
+        world.pass(secs(1));
+    }
+    assert_eq!(world.refusing(deadly()), 3);
 }
 
 #[test]
@@ -193,17 +198,20 @@
 }
 
 #[test]
-fn requests_differ_by_pool_path_and_body() {
-    let digest = |pool: &str, path: &str, body: &str| {
-        RequestDigest::new(&pool.into(), "POST", path, body.as_bytes())
+fn requests_differ_by_pool_path_prompt_and_body() {
+    let digest = |pool: &str, path: &str, prompt: &[u64], body: &str| {
+        let part = |id: &u64| PromptPart { id: *id, tokens: 9 };
+        let parts: Vec<_> = prompt.iter().map(part).collect();
+        RequestDigest::new(&pool.into(), "POST", path, &parts, body.as_bytes())
     };
-    let one = digest("pool", "/quote/1", "body");
-    assert_eq!(one, digest("pool", "/quote/1", "body"));
+    let one = digest("pool", "/quote/1", &[1, 2], "body");
+    assert_eq!(one, digest("pool", "/quote/1", &[1, 2], "body"));
     for other in [
-        digest("pool-2", "/quote/1", "body"),
-        digest("pool", "/quote/12", "body"),
-        digest("pool", "/quote/1", "other"),
-        digest("pool/", "quote/1", "body"),
+        digest("pool-2", "/quote/1", &[1, 2], "body"),
+        digest("pool", "/quote/12", &[1, 2], "body"),
+        digest("pool", "/quote/1", &[1, 3], "body"),
+        digest("pool", "/quote/1", &[1, 2], "other"),
+        digest("pool/", "quote/1", &[1, 2], "body"),
     ] {
         assert_ne!(one, other);
     }
