Take no restored record for a sign of life of an instance

Callers would be sent to an instance that had ended: an older copy of the store has its record, and reading the record made the instance count as ready for three seconds.

The incarnations of removed instances are remembered, and a record of one of them is no sign of life; nor is a record that a known instance had written before the store came back.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -125,9 +125,32 @@
     members: HashMap<Instance, Member>,
     max_known: usize,
     max_known_by_region: HashMap<Region, usize>,
+    /// Incarnations of the instances that were removed. A record of one of them
+    /// is no sign of life, as an older copy of the store may bring it back.
+    removed: HashMap<Instance, u64>,
 }
 
 impl MemberTable {
+    /// Returns when the process of a record was last known to run, apart from
+    /// its status messages. `now` is when the record was read.
+    fn last_sign_of_life(
+        &self,
+        record: &MemberRecord,
+        revision: StoreRevision,
+        now: Duration,
+    ) -> Duration {
+        if self.removed.get(&record.instance) == Some(&record.incarnation) {
+            return Duration::ZERO;
+        }
+        let known = self.members.get(&record.instance);
+        let is_copy = |known: &&Member| {
+            known.record.incarnation == record.incarnation && known.revision.era < revision.era
+        };
+        known
+            .filter(is_copy)
+            .map_or(now, |known| known.record_received_at)
+    }
+
     fn update_max_known(&mut self, own: &Region) {
         self.max_known = self.max_known.max(self.members.len() + 1);
         let mut regions: HashMap<&Region, usize> = HashMap::from([(own, 1)]);
@@ -218,10 +241,11 @@
             revision = revision.number;
             "instance record received"
         );
+        let record_received_at = table.last_sign_of_life(&record, revision, now);
         let old = table.members.remove(&record.instance);
         let member = Member {
             revision,
-            record_received_at: now,
+            record_received_at,
             last_status_at: old.as_ref().and_then(|old| old.last_status_at),
             is_ready_by_status: old.as_ref().is_none_or(|old| old.is_ready_by_status),
             is_record_in_store: true,
@@ -287,7 +311,10 @@
         let gone = |(name, member): (&Instance, &Member)| is_expired(member).then(|| name.clone());
         let gone: Vec<_> = table.members.iter().filter_map(gone).collect();
         for name in &gone {
-            table.members.remove(name);
+            if let Some(member) = table.members.remove(name) {
+                let incarnation = member.record.incarnation;
+                table.removed.insert(name.clone(), incarnation);
+            }
             self.pins.remove(name);
         }
         gone
--- a/tests/testsuite/node/restored.rs
+++ b/tests/testsuite/node/restored.rs
@@ -79,6 +79,13 @@
     .await;
 }
 
+async fn until_instances(node: &Node, count: &str) {
+    until("the other instances are known", async || {
+        metric(node, "chiverelay_instances").await == count
+    })
+    .await;
+}
+
 /// Brings the instance to version 6, and the store back to version 3.
 async fn lose_three_versions(site: &Site, node: &Node) {
     let copy = site.store.copy();
@@ -220,3 +227,26 @@
         node.until_ready(true).await;
     });
 }
+
+/// Guards against callers that are sent to an instance that ended, as an older
+/// copy of the store has its record.
+#[test]
+fn an_instance_that_ended_is_not_named_again_after_a_restore() {
+    block_on(async {
+        let site = Site::start().await;
+        let node = site.instance("one", "north-a", "north").await;
+        let mut ended = site.instance("two", "north-a", "north").await;
+        until_instances(&node, "1").await;
+        let copy = site.store.copy();
+        ended.process.kill();
+        site.store.end_all_leases();
+        until_instances(&node, "0").await;
+        site.store.restore(copy);
+        site.store.cut_watches();
+        until_instances(&node, "1").await;
+        let path = "/v1/resolve?name=desk.example&region=north&zone=north-a";
+        let named = call::get(node.directory, path).await.expect("an answer");
+        assert!(!named.body.contains(&ended.front.to_string()), "{named:?}");
+        assert!(named.body.contains(&node.front.to_string()), "{named:?}");
+    });
+}
