Let the soak's store come back from an older copy

One of the soak's faults copies the store's data, waits, and has the store come back from the copy; the operator's and the targets' keys are written again, the instances' records are not.

--- a/tests/support/node/store.rs
+++ b/tests/support/node/store.rs
@@ -191,6 +191,27 @@
         }
     }
 
+    /// Comes back from an older copy, and has the operator and the targets
+    /// write again what it lost.
+    pub fn restore_and_write_again(&self, copy: StoreCopy) {
+        let latest = self.copy();
+        self.restore(copy);
+        let mut state = self.state.lock().expect("no panic under the lock");
+        let old = state.data.items.clone();
+        let is_written_again = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
+        for key in old.keys().filter(|key| is_written_again(key)) {
+            if !latest.items.contains_key(key) {
+                remove(&mut state, key);
+            }
+        }
+        for (key, item) in latest.items.iter().filter(|(key, _)| is_written_again(key)) {
+            if old.get(key).is_none_or(|old| old.value != item.value) {
+                put(&mut state, key, item.value.clone(), 0);
+            }
+        }
+        tell(&state, &self.changed);
+    }
+
     /// Cuts the watches that wait.
     pub fn cut_watches(&self) {
         self.cut.send_modify(|n| *n += 1);
--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -132,7 +132,7 @@
     /// Does one fault and undoes it after `time`.
     async fn fault(&self, rng: &mut StdRng, time: Duration) {
         let at = rng.random_range(0..self.nodes.len());
-        match rng.random_range(0..12) {
+        match rng.random_range(0..13) {
             0 => self.freeze(at, time).await,
             1 => self.replace(at, true, time).await,
             2 => self.replace(at, false, time).await,
@@ -151,6 +151,11 @@
                 tokio::time::sleep(time).await;
                 self.site.store.refuse(None);
             }
+            11 => {
+                let copy = self.site.store.copy();
+                tokio::time::sleep(time).await;
+                self.site.store.restore_and_write_again(copy);
+            }
             _ => {
                 let (_, _, zone) = TARGETS[rng.random_range(0..TARGETS.len())];
                 let key = format!("op/evacuate/{zone}");
