--- a/tests/support/node/store.rs
+++ b/tests/support/node/store.rs
@@ -306,22 +306,27 @@
 
 async fn answer(shared: Shared, req: Request<Incoming>) -> Response<http::Body> {
     let state = Arc::clone(&shared.0);
+    if let Some(status) = note_call(&state, &req) {
+        // Something between the caller and the store refuses.
+        return http::empty_response(status);
+    }
     let mut resp = execute(shared, req).await;
     let era = state.lock().expect("no panic under the lock").era;
     resp.headers_mut().insert(ERA, era.into());
     resp
 }
 
+/// Counts a call, and returns the status with which it is to be refused.
+fn note_call(state: &Mutex<State>, req: &Request<Incoming>) -> Option<StatusCode> {
+    let mut state = state.lock().expect("no panic under the lock");
+    let path = req.uri().path().to_owned();
+    *state.calls.entry(path).or_default() += 1;
+    state.refusing
+}
+
 async fn execute(shared: Shared, req: Request<Incoming>) -> Response<http::Body> {
     let (state, changed, cut) = shared;
     let path = req.uri().path().to_owned();
-    {
-        let mut state = state.lock().expect("no panic under the lock");
-        *state.calls.entry(path.clone()).or_default() += 1;
-        if let Some(status) = state.refusing {
-            return http::empty_response(status);
-        }
-    }
     match path.as_str() {
         "/v1/kv-range" => range(&state, &req),
         "/v1/kv-watch" => wait(&state, &changed, &cut, &req).await,
--- a/tests/testsuite/node/store.rs
+++ b/tests/testsuite/node/store.rs
@@ -203,6 +203,21 @@
     });
 }
 
+/// Guards against a refusal of something before the store that is taken for a
+/// late response of the store, and not for an outage.
+#[test]
+fn a_refusal_that_states_no_era_is_not_outdated() {
+    block_on(async {
+        let store = PlatformStore::start().await;
+        store.restore(store.copy());
+        let client = client(&store);
+        client.list("op/").await.expect("a listing");
+        store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
+        let refused = client.list("op/").await;
+        assert!(matches!(refused, Err(Error::Refused(503))), "{refused:?}");
+    });
+}
+
 /// Guards against a watch that waits for revisions of data that the store has
 /// lost.
 #[test]
