--- a/tests/support/node/store.rs
+++ b/tests/support/node/store.rs
@@ -200,6 +200,27 @@
         }
     }
 
+    /// Comes back from an older copy, and has the operator and the targets
+    /// write again what it lost.
+    pub fn restore_and_write_again(&self, copy: StoreCopy) {
+        let latest = self.copy();
+        self.restore(copy);
+        let mut state = self.state.lock().expect("no panic under the lock");
+        let old = state.data.items.clone();
+        let is_written_again = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
+        for key in old.keys().filter(|key| is_written_again(key)) {
+            if !latest.items.contains_key(key) {
+                remove(&mut state, key);
+            }
+        }
+        for (key, item) in latest.items.iter().filter(|(key, _)| is_written_again(key)) {
+            if old.get(key).is_none_or(|old| old.value != item.value) {
+                put(&mut state, key, item.value.clone(), 0);
+            }
+        }
+        tell(&state, &self.changed);
+    }
+
     /// Cuts the watches that wait.
     pub fn cut_watches(&self) {
         self.cut.send_modify(|n| *n += 1);
@@ -306,22 +327,27 @@
 
 async fn answer(shared: Shared, req: Request<Incoming>) -> Response<http::Body> {
     let state = Arc::clone(&shared.0);
+    if let Some(status) = note_call(&state, &req) {
+        // Something between the caller and the store refuses.
+        return http::empty_response(status);
+    }
     let mut resp = execute(shared, req).await;
     let era = state.lock().expect("no panic under the lock").era;
     resp.headers_mut().insert(ERA, era.into());
     resp
 }
 
+/// Counts a call, and returns the status with which it is to be refused.
+fn note_call(state: &Mutex<State>, req: &Request<Incoming>) -> Option<StatusCode> {
+    let mut state = state.lock().expect("no panic under the lock");
+    let path = req.uri().path().to_owned();
+    *state.calls.entry(path).or_default() += 1;
+    state.refusing
+}
+
 async fn execute(shared: Shared, req: Request<Incoming>) -> Response<http::Body> {
     let (state, changed, cut) = shared;
     let path = req.uri().path().to_owned();
-    {
-        let mut state = state.lock().expect("no panic under the lock");
-        *state.calls.entry(path.clone()).or_default() += 1;
-        if let Some(status) = state.refusing {
-            return http::empty_response(status);
-        }
-    }
     match path.as_str() {
         "/v1/kv-range" => range(&state, &req),
         "/v1/kv-watch" => wait(&state, &changed, &cut, &req).await,
