--- a/crates/gateway/src/suspension.rs
+++ b/crates/gateway/src/suspension.rs
@@ -46,7 +46,8 @@
     /// by its content or by a part of its prompt. It is not sent to another one
     /// then.
     pub(crate) fn is_suspected(&self, cx: &PlacementContext) -> bool {
-        self.tables.suspensions.lock().has_crashed(cx.digest) || self.is_prompt_suspected(cx)
+        let has_crashed = self.tables.suspensions.lock().has_crashed(cx.digest);
+        has_crashed || self.is_prompt_suspected(cx)
     }
 
     /// Records the requests that were lost in a crash of a target, and tells the
