--- a/tests/testsuite/node/unanswered.rs
+++ b/tests/testsuite/node/unanswered.rs
@@ -166,6 +166,9 @@
             })
             .await;
         }
+        let page = call::get(node.metrics, "/metrics").await.expect("metrics");
+        let counted = page.body.matches("chiverelay_unanswered_requests_total{");
+        assert_eq!(counted.count(), 2, "{}", page.body);
         let log = node.logged();
         let mut ends = log.lines().filter(|l| l.contains("got no complete answer"));
         assert!(ends.all(|line| line.contains("r-cut")), "{log}");
