Show that chiverelayd's store client can't tell a restored store

A follower opens its watch at the revision after the last one that it was told of, also if the store's own revision is lower, so nothing that is written until the counter has passed reaches it. A compare-and-swap compares revisions only, so it replaces another value that was written at the same revision since.

The stand-in can come back from a copy, and no longer tells a watch that starts at a later revision of changes before it.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -51,6 +51,10 @@
     changed: watch::Sender<i64>,
 }
 
+/// What a store held at some moment.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(Inner);
+
 /// Calls so far by path, and the watches that wait now.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -98,6 +102,21 @@
         inner.compact(revision);
     }
 
+    /// Copies what the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().clone())
+    }
+
+    /// Comes back from an older copy: what was written since is gone, and its
+    /// revisions and leases are given out again. Watches end.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut inner = self.lock();
+        let restores = inner.restores + 1;
+        *inner = copy.0;
+        inner.restores = restores;
+        self.changed.send_replace(inner.revision);
+    }
+
     /// Returns the keys that start with `prefix`.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let inner = self.lock();
@@ -222,6 +241,7 @@
             store: Arc::clone(self),
             range,
             next: from,
+            restores: inner.restores,
             tx,
         };
         tokio::spawn(watcher.run(self.changed.subscribe()));
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -14,7 +14,7 @@
 ///
 /// `history` holds the changes after `compacted` in the order of their
 /// revisions.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Inner {
     pub(super) revision: i64,
     pub(super) compacted: i64,
@@ -23,6 +23,8 @@
     leases: BTreeMap<i64, Lease>,
     next_lease: i64,
     pub(super) counts: Counts,
+    /// How often the state was replaced by an older copy.
+    pub(super) restores: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -56,7 +58,7 @@
     pub(super) lease: i64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Lease {
     ttl: Duration,
     until: Instant,
--- a/crates/standin/src/store/watcher.rs
+++ b/crates/standin/src/store/watcher.rs
@@ -16,10 +16,17 @@
 pub(super) const WATCH_DEPTH: usize = 16;
 
 /// Tells one watch of changes.
+///
+/// # Invariants
+///
+/// `next` never shrinks: a watch that starts at a later revision than the
+/// store's is told of nothing before that revision.
 pub(super) struct Watcher {
     pub(super) store: Arc<Store>,
     pub(super) range: Range,
     pub(super) next: i64,
+    /// How often the store had come back from an older copy at the start.
+    pub(super) restores: u64,
     pub(super) tx: mpsc::Sender<std::io::Result<Frame<Bytes>>>,
 }
 
@@ -51,13 +58,16 @@
         }
         let result = {
             let inner = self.store.lock();
+            if inner.restores != self.restores {
+                return false;
+            }
             let result = api::WatchResult {
                 header: inner.header(),
                 canceled: self.next <= inner.compacted,
                 events: inner.events(&self.range, self.next),
                 created: false,
             };
-            self.next = inner.revision + 1;
+            self.next = self.next.max(inner.revision + 1);
             result
         };
         if result.events.is_empty() && !result.canceled {
--- a/tests/testsuite/store.rs
+++ b/tests/testsuite/store.rs
@@ -210,6 +210,53 @@
     watch_lists_anew_after_compaction(refuse(), true);
 }
 
+fn tells_of(update: &Update, key: &str) -> bool {
+    match update {
+        Update::All(entries) => entries.iter().any(|entry| entry.key == key),
+        Update::One(Change::Put(entry)) => entry.key == key,
+        Update::One(Change::Delete { .. }) => false,
+    }
+}
+
+/// Guards against a follower that is told of nothing more, as it waits for a
+/// revision of data that the store has lost.
+#[test]
+fn a_follower_is_told_what_is_written_after_the_store_came_back_from_a_copy() {
+    block_on(async {
+        let running = RunningStore::start().await;
+        let mut follower = running.client(LONG).follow("a/");
+        follower.next().await;
+        let copy = running.state.copy();
+        for key in ["a/1", "a/2", "a/3"] {
+            running.state.put(key, Some(b"lost"));
+            follower.next().await;
+        }
+        running.state.restore(copy);
+        running.state.put("a/4", Some(b"kept"));
+        let told = async { while !tells_of(&follower.next().await, "a/4") {} };
+        let told = tokio::time::timeout(LONG, told).await;
+        assert!(told.is_ok(), "it waits for a revision that was lost");
+    });
+}
+
+/// Guards against a lost update: a value that was read before the store came
+/// back from a copy has the revision of another that was written since.
+#[test]
+fn a_swap_conflicts_with_another_value_of_the_same_revision() {
+    block_on(async {
+        let running = RunningStore::start().await;
+        let client = running.client(LONG);
+        let copy = running.state.copy();
+        running.state.put("k", Some(b"lost"));
+        let read = client.get("k").await.expect("an answer");
+        let read = read.expect("an entry");
+        running.state.restore(copy);
+        running.state.put("k", Some(b"another"));
+        let swap = client.swap("k", read.revision, b"mine", None).await;
+        assert!(matches!(swap, Ok(Swap::Conflict(_))), "{swap:?}");
+    });
+}
+
 #[test]
 fn a_waiting_watch_is_counted() {
     block_on(async {
