Ignore an older copy's record also when it is listed again

Callers would be sent to the address that a target had before it restarted: when the store comes back from an older copy, the copy's record of the target was ignored at the first listing, but its revision was kept as the known one. Listed again at the same revision, as after each outage or failed watch, the record counted as no older and replaced the later one.

The revision of the ignored record is kept apart now. On the code before fleet::an_older_copys_record_listed_twice_does_not_replace_a_later_one fails: assertion `left == right` failed: it restarted since left: 1 right: 2

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -94,6 +94,9 @@
     pub cold_until: Duration,
     /// When the record was found missing; `None` while it exists.
     missing_since: Option<Duration>,
+    /// Revision of an older record of an older copy of the store, which was
+    /// ignored. It may be listed again.
+    restored_revision: Option<StoreRevision>,
 }
 
 impl KnownTarget {
@@ -253,6 +256,7 @@
             revision,
             read_at: now,
             missing_since: None,
+            restored_revision: None,
             record,
         };
         let Some(old) = self.targets.get_mut(name) else {
@@ -286,9 +290,13 @@
             return true;
         }
         // An older copy of the store has older records at newer revisions.
-        let is_copy = revision.era > known.revision.era && record.precedes(&known.record);
+        let is_of_copy = known
+            .restored_revision
+            .is_none_or(|first| revision.era > first.era || revision <= first);
+        let is_copy =
+            is_of_copy && revision.era > known.revision.era && record.precedes(&known.record);
         if is_copy {
-            known.revision = revision;
+            known.restored_revision = Some(revision);
             known.missing_since = None;
         }
         is_copy
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -318,3 +318,20 @@
         "the operator ends it at once"
     );
 }
+
+/// Guards against an older copy's record that replaces a later one when it is
+/// listed a second time.
+#[test]
+fn an_older_copys_record_listed_twice_does_not_replace_a_later_one() {
+    let (mut fleet, name) = fleet();
+    let mut again = record();
+    again.started_ms = 2;
+    again.sequence = 1;
+    again.address = "127.0.0.1:4002".parse().expect("an address");
+    fleet.upsert(&name, again, at(6), ms(10));
+    for _ in 0..2 {
+        fleet.upsert(&name, record(), restored_at(2), ms(20));
+        let known = fleet.get(&name).expect("known");
+        assert_eq!(known.record.started_ms, 2, "it restarted since");
+    }
+}
