Ignore a removal that is older than the known record

Callers would lose a sound target until its record changes: a listing of several pages may show a record that was written after the first page, and the watch from the first page's revision repeats what came before, the removal and the record. The removal took the target away, and since departures are remembered the record was taken for one from before the departure.

A removal has a revision, which is compared with the record's now. On the code before fleet::a_repeated_removal_and_record_leave_the_target_in_use fails (with handle_record_removal, as the method with a revision is new): assertion failed: fleet.accepts_requests(&name)

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -318,7 +318,23 @@
         !std::mem::replace(&mut known.record.draining, true)
     }
 
-    /// Handles the removal of a target's record from the store. The target
+    /// Handles the removal of a target's record at `revision`. A removal older
+    /// than the known record changes nothing: a watch may repeat what a listing
+    /// of several pages has shown.
+    pub fn handle_removal(
+        &mut self,
+        name: &Target,
+        revision: StoreRevision,
+        now: Duration,
+    ) -> TargetChange {
+        let known = self.targets.get(name);
+        if known.is_some_and(|known| revision < known.revision) {
+            return TargetChange::Outdated;
+        }
+        self.handle_record_removal(name, now)
+    }
+
+    /// Handles the absence of a target's record from the store. The target
     /// itself is removed at once only if the store is stable or the target was
     /// draining.
     pub fn handle_record_removal(&mut self, name: &Target, now: Duration) -> TargetChange {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -237,7 +237,7 @@
         match update {
             StoreUpdate::Catalog(catalog) => self.apply_catalog(catalog, revision, now),
             StoreUpdate::Target(name, record) => tables.put_target(&name, record, revision, now),
-            StoreUpdate::TargetRemoved(name) => tables.remove_target(&name, now),
+            StoreUpdate::TargetRemoved(name) => tables.remove_target(&name, revision, now),
             StoreUpdate::TargetsListed(names) => {
                 tables.reconcile_targets(&names, now);
                 self.listings.targets.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -124,9 +124,11 @@
         );
     }
 
-    pub(crate) fn remove_target(&self, name: &Target, now: Duration) {
-        let change = self.fleet.lock().handle_record_removal(name, now);
-        self.handle_target_removal(name, change);
+    pub(crate) fn remove_target(&self, name: &Target, revision: StoreRevision, now: Duration) {
+        let change = self.fleet.lock().handle_removal(name, revision, now);
+        if change != TargetChange::Outdated {
+            self.handle_target_removal(name, change);
+        }
     }
 
     /// Applies a complete listing of the store: targets that are not listed
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -335,3 +335,17 @@
         assert_eq!(known.record.started_ms, 2, "it restarted since");
     }
 }
+
+/// Guards against a target that is lost when a watch repeats what a listing of
+/// several pages has shown.
+#[test]
+fn a_repeated_removal_and_record_leave_the_target_in_use() {
+    let (mut fleet, name) = fleet();
+    fleet.store_answered(1, ms(0));
+    fleet.upsert(&name, record(), at(8), ms(10));
+    fleet.handle_removal(&name, at(7), ms(20));
+    fleet.upsert(&name, record(), at(8), ms(20));
+    assert!(fleet.accepts_requests(&name));
+    let change = fleet.handle_removal(&name, at(9), ms(30));
+    assert_eq!(change, TargetChange::Gone);
+}
