--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -506,7 +506,9 @@
         world.add(name, Duration::ZERO);
         let mut record = world.fleet.get(&name.into()).expect("known").record.clone();
         record.slots = u32::MAX;
-        world.fleet.upsert(&name.into(), record, StoreRevision::default(), ms(0));
+        world
+            .fleet
+            .upsert(&name.into(), record, StoreRevision::default(), ms(0));
     }
     for instance in ["a", "b"] {
         let count = |name: &str| TargetInFlight {
