Keep a target's pause while its record is missing

Callers would get refusals of a target that asked for a pause: its record goes missing for longer than the grace after an outage, the pause was forgotten with it, and once the same process is listed again it got requests within its pause.

A pause now ends by its time or with the process. A record of another process at a removed target's name counts as a restart, which drops what was known of the process before.

traffic::pause::a_pause_outlasts_the_absence_of_the_targets_record failed before: left: Ok(TargetChoice { target: Target("i-0"), .. }), right: Err(AllPaused(2s)). fleet::a_removed_target_that_comes_back_as_another_process_has_restarted failed before: left: Added, right: Restarted.

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -118,8 +118,8 @@
     Outdated,
     /// The target is new.
     Added,
-    /// The target's start time or address changed, so a new process has its
-    /// name.
+    /// The target's start time or address changed, also while it was removed, so
+    /// a new process has its name.
     Restarted,
     /// The target's pool changed, or it began to drain.
     Moved,
@@ -243,6 +243,7 @@
         revision: StoreRevision,
         now: Duration,
     ) -> TargetChange {
+        let is_restart = self.departures.is_restart(name, &record);
         if self.is_outdated(name, &record, revision) {
             return TargetChange::Outdated;
         }
@@ -263,7 +264,10 @@
             let pool = known.record.pool.clone();
             self.by_pool.entry(pool).or_default().push(name.clone());
             self.targets.insert(name.clone(), known);
-            return TargetChange::Added;
+            return match is_restart {
+                true => TargetChange::Restarted,
+                false => TargetChange::Added,
+            };
         };
         let change = classify_change(&old.record, &known.record);
         let pool = std::mem::replace(old, known).record.pool;
--- a/crates/decisions/src/fleet/departures.rs
+++ b/crates/decisions/src/fleet/departures.rs
@@ -75,6 +75,12 @@
         self.by_target.insert(name.clone(), departure);
     }
 
+    /// Tells whether a record is of another process than the one that departed.
+    pub(super) fn is_restart(&self, name: &Target, record: &TargetRecord) -> bool {
+        let departure = self.by_target.get(name);
+        departure.is_some_and(|departure| departure.incarnation != record.incarnation())
+    }
+
     /// Tells whether a record was written before the target departed. A later
     /// record ends the departure.
     pub(super) fn outdates(
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -281,9 +281,9 @@
     }
 
     /// Forgets a removed target. Load and health stay while requests run there.
+    /// A pause stays, as the target's process may still run and be listed again.
     pub fn remove_target(&mut self, target: &Target) {
         self.full_until.remove(target);
-        self.paused_until.remove(target);
         self.stated_limits.remove(target);
         self.cached_parts.remove(target);
         if self
--- a/crates/decisions/src/traffic/pause.rs
+++ b/crates/decisions/src/traffic/pause.rs
@@ -16,6 +16,7 @@
     /// time. A shorter pause never ends a longer one. Returns whether the
     /// target was not paused before.
     pub fn record_pause(&mut self, target: &Target, pause: Duration, now: Duration) -> bool {
+        self.paused_until.retain(|_, until| *until > now);
         let until = now + pause.min(MAX_PAUSE);
         let known = self.paused_until.entry(target.clone()).or_default();
         let is_new = *known <= now;
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -349,3 +349,15 @@
     let change = fleet.handle_removal(&name, at(9), ms(30));
     assert_eq!(change, TargetChange::Gone);
 }
+
+/// Guards against what is known of a process, such as its pause, that is held
+/// against the next one at the target's name.
+#[test]
+fn a_removed_target_that_comes_back_as_another_process_has_restarted() {
+    let (mut fleet, name) = fleet();
+    fleet.handle_removal(&name, at(7), ms(10));
+    let mut again = record();
+    again.started_ms = 2;
+    let change = fleet.upsert(&name, again, at(8), ms(20));
+    assert_eq!(change, TargetChange::Restarted);
+}
--- a/tests/testsuite/traffic/pause.rs
+++ b/tests/testsuite/traffic/pause.rs
@@ -65,3 +65,16 @@
     world.traffic.reset_target(&"i-0".into(), ASKED_AT);
     assert!(world.choose(&[], 300, &[], ASKED_AT).is_ok());
 }
+
+/// Guards against requests within a target's pause after its record was missing
+/// for a while and is listed again.
+#[test]
+fn a_pause_outlasts_the_absence_of_the_targets_record() {
+    let mut world = World::new(1, true);
+    world
+        .traffic
+        .record_pause(&"i-0".into(), ms(2_000), ASKED_AT);
+    world.traffic.remove_target(&"i-0".into());
+    let refused = world.choose(&[], 300, &[], ASKED_AT);
+    assert_eq!(refused, Err(NoTargetReason::AllPaused(ms(2_000))));
+}
