Move the evacuated zones out of the fleet's module

The evacuations keep their own state, also through a restored store; the absence of a record and its removal at a revision have names of their own. Behaviour is the same; fleet:: and node::restored pass.

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -9,6 +9,7 @@
 //! process ends it.
 
 mod departures;
+mod evacuations;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -16,12 +17,15 @@
 use std::time::Duration;
 
 use self::departures::Departures;
+use self::evacuations::Evacuations;
 use crate::names::Pool;
 use crate::names::Region;
 use crate::names::Target;
 use crate::names::Zone;
 use crate::revision::StoreRevision;
 
+pub use self::evacuations::EVACUATION_RECOVERY_GRACE;
+
 /// Time after the store's return in which targets can write their records
 /// again before missing ones are removed.
 pub const STORE_RECOVERY_GRACE: Duration = Duration::from_millis(2000);
@@ -56,10 +60,6 @@
     pub cold_remaining: Duration,
 }
 
-/// Time after the store came back from an older copy in which the operator can
-/// write lost evacuations again before they end.
-pub const EVACUATION_RECOVERY_GRACE: Duration = Duration::from_millis(2000);
-
 /// What tells the processes that run under one target's name apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Incarnation {
@@ -148,22 +148,17 @@
 ///
 /// A record never replaces one of a higher revision, nor one of an earlier era
 /// that the target wrote later. `missing_since` is set only while the record's
-/// absence may be due to an outage of the store. `lost_evacuations` are among
-/// `evacuated_zones`.
+/// absence may be due to an outage of the store.
 #[derive(Debug)]
 pub struct Fleet {
     targets: HashMap<Target, KnownTarget>,
     by_pool: HashMap<Pool, Vec<Target>>,
     departures: Departures,
-    evacuated_zones: HashSet<Zone>,
-    /// Evacuated zones that the store's listing lacks, as it may have lost them.
-    lost_evacuations: HashSet<Zone>,
+    evacuations: Evacuations,
     store: StoreHealth,
     last_store_answer: Duration,
     /// The store's era; `None` before its first answer.
     era: Option<u64>,
-    /// When the store was last found to be restored from an older copy.
-    restored_at: Option<Duration>,
     zones: HashMap<Zone, Region>,
 }
 
@@ -174,12 +169,10 @@
             targets: HashMap::new(),
             by_pool: HashMap::new(),
             departures: Departures::default(),
-            evacuated_zones: HashSet::new(),
-            lost_evacuations: HashSet::new(),
+            evacuations: Evacuations::default(),
             store: StoreHealth::Stable,
             last_store_answer: Duration::ZERO,
             era: None,
-            restored_at: None,
             zones,
         }
     }
@@ -203,7 +196,7 @@
         if self.era.is_some_and(|known| era > known) {
             let previous = std::mem::replace(&mut self.store, StoreHealth::Recovering(now));
             self.era = Some(era);
-            self.restored_at = Some(now);
+            self.evacuations.store_restored(now);
             return previous == StoreHealth::Unreachable;
         }
         self.era = self.era.or(Some(era));
@@ -335,13 +328,13 @@
         if known.is_some_and(|known| revision < known.revision) {
             return TargetChange::Outdated;
         }
-        self.handle_record_removal(name, now)
+        self.handle_absence(name, now)
     }
 
     /// Handles the absence of a target's record from the store. The target
     /// itself is removed at once only if the store is stable or the target was
     /// draining.
-    pub fn handle_record_removal(&mut self, name: &Target, now: Duration) -> TargetChange {
+    pub fn handle_absence(&mut self, name: &Target, now: Duration) -> TargetChange {
         let is_stable = self.is_store_stable(now);
         let Some(known) = self.targets.get_mut(name) else {
             return TargetChange::Same;
@@ -366,8 +359,7 @@
             .filter(|t| !listed.contains(*t))
             .cloned()
             .collect();
-        let is_removed =
-            |name: &Target| self.handle_record_removal(name, now) == TargetChange::Gone;
+        let is_removed = |name: &Target| self.handle_absence(name, now) == TargetChange::Gone;
         missing.into_iter().filter(is_removed).collect()
     }
 
@@ -420,11 +412,7 @@
 
     /// Sets whether a zone is being evacuated; returns true if that changed.
     pub fn set_evacuated(&mut self, zone: &Zone, evacuated: bool) -> bool {
-        self.lost_evacuations.remove(zone);
-        match evacuated {
-            true => self.evacuated_zones.insert(zone.clone()),
-            false => self.evacuated_zones.remove(zone),
-        }
+        self.evacuations.set(zone, evacuated)
     }
 
     /// Compares the evacuated zones with a complete listing of the store.
@@ -433,23 +421,13 @@
     /// If the store was just restored from an older copy, evacuations that the
     /// listing lacks go on for [`EVACUATION_RECOVERY_GRACE`].
     pub fn reconcile_evacuated(&mut self, listed: &HashSet<Zone>, now: Duration) -> Vec<Zone> {
-        let missing = self.evacuated_zones.difference(listed).cloned();
-        self.lost_evacuations = missing.collect();
-        self.remove_lost_evacuations(now)
+        self.evacuations.reconcile(listed, now)
     }
 
     /// Ends the evacuations that the store lost and that were not written again
     /// in time, and returns their zones.
     pub fn remove_lost_evacuations(&mut self, now: Duration) -> Vec<Zone> {
-        let is_held = |at: Duration| now < at + EVACUATION_RECOVERY_GRACE;
-        if self.restored_at.is_some_and(is_held) {
-            return Vec::new();
-        }
-        let ended: Vec<Zone> = self.lost_evacuations.drain().collect();
-        for zone in &ended {
-            self.evacuated_zones.remove(zone);
-        }
-        ended
+        self.evacuations.remove_lost(now)
     }
 
     /// Returns a target by its name.
@@ -461,7 +439,7 @@
     /// in an evacuated zone.
     pub fn accepts_requests(&self, name: &Target) -> bool {
         let usable = |known: &KnownTarget| {
-            !known.record.draining && !self.evacuated_zones.contains(&known.record.zone)
+            !known.record.draining && !self.evacuations.includes(&known.record.zone)
         };
         self.targets.get(name).is_some_and(usable)
     }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -56,10 +56,7 @@
 #[test]
 fn a_target_that_vanishes_in_calm_is_gone_at_once() {
     let (mut fleet, name) = fleet();
-    assert_eq!(
-        fleet.handle_record_removal(&name, ms(10)),
-        TargetChange::Gone
-    );
+    assert_eq!(fleet.handle_absence(&name, ms(10)), TargetChange::Gone);
     assert!(!fleet.accepts_requests(&name));
 }
 
@@ -88,10 +85,7 @@
     let (mut fleet, name) = fleet();
     fleet.store_lost();
     fleet.store_answered(1, ms(1_000));
-    assert_eq!(
-        fleet.handle_record_removal(&name, ms(1_010)),
-        TargetChange::Held
-    );
+    assert_eq!(fleet.handle_absence(&name, ms(1_010)), TargetChange::Held);
     fleet.upsert(&name, record(), at(9), ms(1_500));
     assert!(fleet.remove_missing_after_recovery(ms(9_000)).is_empty());
     assert!(fleet.accepts_requests(&name));
@@ -109,10 +103,7 @@
         TargetChange::Moved
     );
     assert!(!fleet.accepts_requests(&name));
-    assert_eq!(
-        fleet.handle_record_removal(&name, ms(1_010)),
-        TargetChange::Gone
-    );
+    assert_eq!(fleet.handle_absence(&name, ms(1_010)), TargetChange::Gone);
 }
 
 #[test]
@@ -192,7 +183,7 @@
     fleet.upsert(&name, leaving, at(6), ms(10));
     fleet.upsert(&name, record(), at(7), ms(20));
     assert!(!fleet.accepts_requests(&name), "its record is outdated");
-    fleet.handle_record_removal(&name, ms(30));
+    fleet.handle_absence(&name, ms(30));
     fleet.upsert(&name, record(), at(8), ms(40));
     assert!(!fleet.accepts_requests(&name), "removed and listed again");
     let mut again = record();
@@ -248,7 +239,7 @@
 fn a_removed_target_comes_back_only_with_a_later_record() {
     let (mut fleet, name) = fleet();
     fleet.store_answered(1, ms(0));
-    fleet.handle_record_removal(&name, ms(10));
+    fleet.handle_absence(&name, ms(10));
     fleet.store_answered(2, ms(20));
     let change = fleet.upsert(&name, record(), restored_at(2), ms(20));
     assert_eq!(change, TargetChange::Outdated);
@@ -263,7 +254,7 @@
 #[test]
 fn a_removed_target_that_registers_again_is_used_again() {
     let (mut fleet, name) = fleet();
-    fleet.handle_record_removal(&name, ms(10));
+    fleet.handle_absence(&name, ms(10));
     assert_eq!(
         fleet.upsert(&name, record(), at(6), ms(20)),
         TargetChange::Added
