--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -1,6 +1,7 @@
 //! The choice of targets, under the load patterns that it answers.
 
 mod cold_limit;
+mod odd_numbers;
 mod pause;
 mod stated_limit;
 
@@ -496,32 +497,3 @@
     a_target_that_answers_nobody_is_passed_over(false, "i-1");
     a_target_that_answered_another_is_not(true, "i-0");
 }
-
-/// Guards against a request that ends without an answer, as the slots that
-/// records state, or the counts that instances report, overflow a sum.
-#[test]
-fn sums_of_odd_numbers_do_not_overflow() {
-    let mut world = World::new(1, false);
-    for name in ["i-0", "i-1"] {
-        world.add(name, Duration::ZERO);
-        let mut record = world.fleet.get(&name.into()).expect("known").record.clone();
-        record.slots = u32::MAX;
-        world
-            .fleet
-            .upsert(&name.into(), record, StoreRevision::default(), ms(0));
-    }
-    for instance in ["a", "b"] {
-        let count = |name: &str| TargetInFlight {
-            target: name.into(),
-            in_flight: InFlight {
-                running: u32::MAX,
-                prefill_tokens: u32::MAX,
-            },
-        };
-        let counts = vec![count("i-0"), count("i-1")];
-        world
-            .traffic
-            .update_remote_counts(&instance.into(), counts, ms(1));
-    }
-    assert!(world.send(&[], 10, ms(2)).is_some());
-}
