Tell silent targets, forwarded answers and time limits apart in log and metrics

Log and metrics could not distinguish the hypotheses of the incident: a cut stream's line did not say how long its target had been silent, the end of a relayed answer did not say whether it came through another instance, and a connection that its own time limit ended was counted as failed. No decision changes. node::unanswered, node::operations and node::names pass.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,8 @@
 use prometheus::TextEncoder;
 
 use crate::log_writer::LineCounts;
+use crate::relay::AnswerOrigin;
+use crate::relay::EndCause;
 
 pub use gauges::GaugeValues;
 use gauges::Gauges;
@@ -34,6 +36,7 @@
     requests: IntCounterVec,
     refusals: IntCounterVec,
     unanswered: IntCounterVec,
+    interruptions: IntCounterVec,
     attempts: IntCounterVec,
     retry_decisions: IntCounterVec,
     crash_checks: IntCounterVec,
@@ -80,6 +83,12 @@
                 "Requests that were read completely and got no complete answer, by cause.",
                 &["cause"],
             ),
+            interruptions: counter(
+                &registry,
+                "answer_interruptions_total",
+                "Answers that ended early, by where they came from and why.",
+                &["origin", "cause"],
+            ),
             attempts: counter(
                 &registry,
                 "attempts_total",
@@ -181,6 +190,7 @@
             counter.with_label_values(&["none"]);
         }
         self.refusals.with_label_values(&["none", "none"]);
+        self.interruptions.with_label_values(&["none", "none"]);
         self.store_calls.with_label_values(&["none", "none"]);
         self.forwards.with_label_values::<&str>(&[]);
         for histogram in [
@@ -226,6 +236,12 @@
         histogram.observe(took.as_secs_f64());
     }
 
+    /// Counts an answer that ended early, whether or not it was resumed.
+    pub(crate) fn count_interruption(&self, origin: AnswerOrigin, cause: EndCause) {
+        let labels = [origin.as_str(), cause.as_str()];
+        self.interruptions.with_label_values(&labels).inc();
+    }
+
     /// Counts a request that was read completely and got no complete answer.
     pub fn count_unanswered(&self, cause: &str) {
         self.unanswered.with_label_values(&[cause]).inc();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -45,20 +45,91 @@
 /// Outcome of an answer whose caller disconnected.
 pub(crate) const RELAY_ABANDONED: &str = "caller left";
 
+/// Where a relayed answer comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerOrigin {
+    /// A target in this region.
+    Target,
+    /// An instance in another region.
+    Instance,
+}
+
+impl AnswerOrigin {
+    /// Returns the origin's name in the log and in metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Target => "target",
+            Self::Instance => "instance",
+        }
+    }
+}
+
+/// Class of the reasons why an answer ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndCause {
+    /// The target or instance broke the answer off, or the answer is malformed.
+    Failed,
+    /// The target sent nothing for too long.
+    Silent,
+    /// The deadline of the request passed.
+    TimedOut,
+    /// The time for open requests of a shutdown was over.
+    Shutdown,
+}
+
+impl EndCause {
+    /// Returns the cause's name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Failed => "failed",
+            Self::Silent => "silent",
+            Self::TimedOut => "timed out",
+            Self::Shutdown => "shutdown",
+        }
+    }
+}
+
 /// An answer ended before it was complete.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(ThisError)]
 #[error("the answer ended early: {reason}")]
 pub struct IncompleteAnswer {
+    cause: EndCause,
     reason: String,
 }
 
 impl IncompleteAnswer {
-    pub(crate) fn new(reason: impl ToString) -> Self {
+    /// The answer was broken off or is malformed.
+    pub(crate) fn failed(reason: impl ToString) -> Self {
+        Self::new(EndCause::Failed, reason)
+    }
+
+    /// The target sent nothing for too long.
+    pub(crate) fn silent() -> Self {
+        Self::new(EndCause::Silent, "no event in time")
+    }
+
+    /// The deadline of the request has passed.
+    pub(crate) fn timed_out() -> Self {
+        Self::new(EndCause::TimedOut, "timeout")
+    }
+
+    /// The time for open requests of a shutdown is over.
+    pub(crate) fn shutdown() -> Self {
+        Self::new(EndCause::Shutdown, "shutdown")
+    }
+
+    fn new(cause: EndCause, reason: impl ToString) -> Self {
         Self {
+            cause,
             reason: reason.to_string(),
         }
     }
+
+    /// Returns the class of the reason.
+    pub fn cause(&self) -> EndCause {
+        self.cause
+    }
 }
 
 /// Why no chunk of an answer was read.
@@ -136,6 +207,8 @@
     current: Option<StartedAnswer<D, O>>,
     buffered: Bytes,
     received_at: Duration,
+    /// When the last chunk arrived, on the local monotonic clock.
+    last_chunk_at: Duration,
     outcome: &'static str,
     /// Counts this answer as an open request until it is dropped.
     _open: TaskTrackerToken,
@@ -155,6 +228,7 @@
         let buffered = std::mem::take(&mut started.start.data);
         Self {
             received_at: started.req.meta().received,
+            last_chunk_at: gateway.clock.now(),
             _open: gateway.open_requests.token(),
             gateway,
             cx,
@@ -170,30 +244,31 @@
     /// that is left and, for a repeatable request, within the stall timeout.
     async fn read_chunk(&mut self) -> Result<Option<Bytes>, Interruption> {
         let Some(current) = &mut self.current else {
-            return Err(IncompleteAnswer::new("no attempt is running").into());
+            return Err(IncompleteAnswer::failed("no attempt is running").into());
         };
         let now = self.gateway.clock.now();
         let left = current.req.meta().deadline.saturating_sub(now);
         // A timeout of zero would still return chunks that have arrived.
         if left.is_zero() {
-            return Err(IncompleteAnswer::new("timeout").into());
+            return Err(IncompleteAnswer::timed_out().into());
         }
         let stall = (self.cx.route.target_event_gap * STALL_FACTOR).max(MIN_STALL_TIMEOUT);
         let is_stall_limited = self.cx.route.kind.is_repeatable() && stall < left;
         let wait = if is_stall_limited { stall } else { left };
         let next = tokio::time::timeout(wait, current.answer.next_chunk());
         let chunk = match self.gateway.shutdown.run_until_over(next).await {
-            Some(Ok(chunk)) => chunk.map_err(IncompleteAnswer::new)?,
+            Some(Ok(chunk)) => chunk.map_err(IncompleteAnswer::failed)?,
             Some(Err(_)) if is_stall_limited => return Err(Interruption::Stalled),
-            Some(Err(_)) => return Err(IncompleteAnswer::new("timeout").into()),
-            None => return Err(IncompleteAnswer::new("shutdown").into()),
+            Some(Err(_)) => return Err(IncompleteAnswer::timed_out().into()),
+            None => return Err(IncompleteAnswer::shutdown().into()),
         };
         let checker = &mut current.start.checker;
         let Some(chunk) = chunk else {
-            checker.check_end().map_err(IncompleteAnswer::new)?;
+            checker.check_end().map_err(IncompleteAnswer::failed)?;
             return Ok(None);
         };
-        let chunk = checker.push(chunk).map_err(IncompleteAnswer::new)?;
+        let chunk = checker.push(chunk).map_err(IncompleteAnswer::failed)?;
+        self.last_chunk_at = self.gateway.clock.now();
         Ok(Some(chunk))
     }
 
@@ -239,7 +314,7 @@
         {
             return Ok(());
         }
-        self.resume(IncompleteAnswer::new("no event in time"), Retry::Granted)
+        self.resume(IncompleteAnswer::silent(), Retry::Granted)
             .await
     }
 
@@ -263,12 +338,17 @@
         drop(current.answer);
         current.reservation.finish(TargetOutcome::Lost);
         let last_event_id = current.start.checker.last_id();
+        let silent_for = self.gateway.clock.now().saturating_sub(self.last_chunk_at);
+        self.gateway
+            .metrics
+            .count_interruption(AnswerOrigin::Target, cause.cause());
         log::info!(
             target: "relay",
             id = self.out.id.as_str(),
             peer:% = current.req.peer(),
             last_event = last_event_id.unwrap_or_default(),
             resumable = is_resumable,
+            silent_ms = silent_for.as_millis() as u64,
             reason = cause.reason.as_str();
             "answer ended early"
         );
@@ -304,6 +384,7 @@
 
     /// Continues the stream with the answer of another attempt.
     fn continue_with(&mut self, mut started: StartedAnswer<D, O>) {
+        self.last_chunk_at = self.gateway.clock.now();
         self.buffered = std::mem::take(&mut started.start.data);
         self.current = Some(started);
     }
@@ -354,30 +435,44 @@
     D: Dialect,
 {
     fn drop(&mut self) {
-        record_relay_end(&self.gateway, &self.out.id, self.received_at, self.outcome);
+        let end = RelayEnd {
+            origin: AnswerOrigin::Target,
+            received_at: self.received_at,
+            outcome: self.outcome,
+        };
+        end.record(&self.gateway, &self.out.id);
     }
 }
 
-/// Records the end of a relayed answer in metrics and log. The log lines of
-/// complete answers are rate-limited.
-pub(crate) fn record_relay_end<D>(
-    gateway: &Gateway<D>,
-    id: &RequestId,
-    received_at: Duration,
-    outcome: &'static str,
-) where
-    D: Dialect,
-{
-    let took = gateway.clock.now().saturating_sub(received_at);
-    gateway.metrics.record_stream(outcome, took);
-    if outcome == RELAY_COMPLETE && !gateway.log_rate_limit.should_log(gateway.clock.now()) {
-        return;
+/// How a relayed answer ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RelayEnd {
+    pub(crate) origin: AnswerOrigin,
+    /// When the request was received, on the local monotonic clock.
+    pub(crate) received_at: Duration,
+    pub(crate) outcome: &'static str,
+}
+
+impl RelayEnd {
+    /// Records the end in metrics and log. The log lines of complete answers
+    /// are rate-limited.
+    pub(crate) fn record<D>(self, gateway: &Gateway<D>, id: &RequestId)
+    where
+        D: Dialect,
+    {
+        let now = gateway.clock.now();
+        let took = now.saturating_sub(self.received_at);
+        gateway.metrics.record_stream(self.outcome, took);
+        if self.outcome == RELAY_COMPLETE && !gateway.log_rate_limit.should_log(now) {
+            return;
+        }
+        log::info!(
+            target: "relay",
+            id = id.as_str(),
+            origin = self.origin.as_str(),
+            outcome = self.outcome,
+            took_ms = took.as_millis() as u64;
+            "relayed answer ended"
+        );
     }
-    log::info!(
-        target: "relay",
-        id = id.as_str(),
-        outcome,
-        took_ms = took.as_millis() as u64;
-        "relayed answer ended"
-    );
 }
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -17,11 +17,12 @@
 use crate::Gateway;
 use crate::IncompleteAnswer;
 use crate::answer::MAX_BUFFERED_BYTES;
+use crate::relay::AnswerOrigin;
 use crate::relay::AnswerSource;
 use crate::relay::RELAY_ABANDONED;
 use crate::relay::RELAY_BROKEN;
 use crate::relay::RELAY_COMPLETE;
-use crate::relay::record_relay_end;
+use crate::relay::RelayEnd;
 
 /// Relay of an answer from an instance in another region. That instance
 /// resumes interrupted streams itself, so this instance does not.
@@ -98,13 +99,13 @@
         let left = self.deadline.saturating_sub(self.gateway.clock.now());
         // A timeout of zero would still return frames that have arrived.
         if left.is_zero() {
-            return Some(Err(IncompleteAnswer::new("timeout")));
+            return Some(Err(IncompleteAnswer::timed_out()));
         }
         let next = tokio::time::timeout(left, answer.next());
         Some(match self.gateway.shutdown.run_until_over(next).await {
-            Some(Ok(frame)) => frame.map_err(IncompleteAnswer::new),
-            Some(Err(_)) => Err(IncompleteAnswer::new("timeout")),
-            None => Err(IncompleteAnswer::new("shutdown")),
+            Some(Ok(frame)) => frame.map_err(IncompleteAnswer::failed),
+            Some(Err(_)) => Err(IncompleteAnswer::timed_out()),
+            None => Err(IncompleteAnswer::shutdown()),
         })
     }
 }
@@ -124,14 +125,17 @@
                 self.answer = None;
                 return None;
             }
-            Ok(Frame::Refused(refusal)) => IncompleteAnswer::new(refusal.code.as_str()),
+            Ok(Frame::Refused(refusal)) => IncompleteAnswer::failed(refusal.code.as_str()),
             Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Ran(_)) => {
-                IncompleteAnswer::new("unexpected frame")
+                IncompleteAnswer::failed("unexpected frame")
             }
             Err(cause) => cause,
         };
         self.answer = None;
         self.outcome = RELAY_BROKEN;
+        self.gateway
+            .metrics
+            .count_interruption(AnswerOrigin::Instance, cause.cause());
         Some(Err(cause))
     }
 }
@@ -141,6 +145,11 @@
     D: Dialect,
 {
     fn drop(&mut self) {
-        record_relay_end(&self.gateway, &self.id, self.received_at, self.outcome);
+        let end = RelayEnd {
+            origin: AnswerOrigin::Instance,
+            received_at: self.received_at,
+            outcome: self.outcome,
+        };
+        end.record(&self.gateway, &self.id);
     }
 }
