--- a/crates/decisions/src/config/pool.rs
+++ b/crates/decisions/src/config/pool.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::ConfigFaults;
+use super::check::ConfigFaults;
 use crate::names::Pool;
 use crate::names::Region;
 use crate::names::Target;
--- /dev/null
+++ b/crates/decisions/src/config/residency.rs
@@ -0,0 +1,41 @@
+//! The regions in which requests may run.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::Region;
+
+/// Regions in which a request may run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Residency(Option<Vec<Region>>);
+
+impl Residency {
+    /// Allows any region.
+    pub fn anywhere() -> Self {
+        Self(None)
+    }
+
+    /// Allows only the given regions.
+    pub fn only(regions: Vec<Region>) -> Self {
+        Self(Some(regions))
+    }
+
+    /// Returns true if a request may run in `region`.
+    pub fn allows(&self, region: &Region) -> bool {
+        match &self.0 {
+            None => true,
+            Some(regions) => regions.contains(region),
+        }
+    }
+
+    /// Returns the intersection of two residencies.
+    pub fn and(&self, other: &Self) -> Self {
+        match (&self.0, &other.0) {
+            (None, _) => other.clone(),
+            (_, None) => self.clone(),
+            (Some(a), Some(b)) => Self(Some(a.iter().filter(|r| b.contains(r)).cloned().collect())),
+        }
+    }
+}
