List the keys anew when a watch shows that the store lost revisions

Callers saw: an instance that watches the configuration's manifest is told of no change after the store came back from an older copy, until the revisions reach those that were lost.

Cause: Follower opens its watch at the revision after the last that it was told of. After a restore that revision is still to come, and only compaction made it list.

Why it works: the store states its revision with each line of a watch, the first one included. One below the revision before the watch's start can only follow a restore, as can a change below the first one not yet told. Both end in Error::Restored, after which the keys are listed. The stand-in now states its revision in the line that says that the watch is set up, as the real store does.

Left: a restored store whose revisions have passed the known one before the watch is opened anew.

--- a/crates/standin/src/store/watcher.rs
+++ b/crates/standin/src/store/watcher.rs
@@ -34,6 +34,7 @@
     pub(super) async fn run(mut self, mut changed: watch::Receiver<i64>) {
         let created = api::WatchResult {
             created: true,
+            header: self.store.lock().header(),
             ..api::WatchResult::default()
         };
         let mut sent = self.send(created).await;
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -44,6 +44,9 @@
     /// The watch's first revision is no longer held.
     #[error("{step}: store: watch compacted", step = Step::Store)]
     Compacted,
+    /// The store came back from an older copy of its data.
+    #[error("{step}: store: back from an older copy", step = Step::Store)]
+    Restored,
 }
 
 impl Error {
@@ -52,7 +55,7 @@
         match self {
             Self::Out | Self::Paced | Self::Lapsed | Self::Unreachable { .. } => true,
             Self::Refused { status } => *status < 500,
-            Self::Lost { .. } | Self::Malformed { .. } | Self::Compacted => false,
+            Self::Lost { .. } | Self::Malformed { .. } | Self::Compacted | Self::Restored => false,
         }
     }
 }
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -66,12 +66,19 @@
 }
 
 /// An open watch.
+///
+/// # Invariants
+///
+/// `known` is a revision that the store had reached when the watch was opened.
+/// The store's revision falls below it only if the store came back from an
+/// older copy.
 #[derive(Debug)]
 pub struct Watch {
     gate: Arc<Gate>,
     body: Incoming,
     buf: Vec<u8>,
     changes: VecDeque<Change>,
+    known: i64,
     until: Instant,
 }
 
@@ -80,7 +87,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Error::Compacted`] if the keys have to be listed anew.
+    /// Fails with [`Error::Compacted`] or [`Error::Restored`] if the keys have
+    /// to be listed anew.
     pub async fn next(&mut self) -> Result<Option<Change>, Error> {
         loop {
             if let Some(change) = self.changes.pop_front() {
@@ -107,6 +115,7 @@
             if resp.result.canceled {
                 return Err(Error::Compacted);
             }
+            self.check_revision(&resp.result.header)?;
             for event in &resp.result.events {
                 self.changes.push_back(Change::read(event)?);
             }
@@ -116,6 +125,14 @@
         }
         Ok(())
     }
+
+    fn check_revision(&self, header: &api::Header) -> Result<(), Error> {
+        // A header without a revision says nothing.
+        if header.revision.is_empty() || api::number(&header.revision)? >= self.known {
+            return Ok(());
+        }
+        Err(Error::Restored)
+    }
 }
 
 impl Drop for Watch {
@@ -149,6 +166,7 @@
             body,
             buf: Vec::new(),
             changes: VecDeque::new(),
+            known: from.saturating_sub(1),
             until: Instant::now() + LIFE / 2 + LIFE.mul_f64(rand::random::<f64>() / 2.0),
         })
     }
@@ -166,7 +184,8 @@
         Ok(body)
     }
 
-    /// Follows the keys that start with `prefix`, over outages and compaction.
+    /// Follows the keys that start with `prefix`, over outages, compaction and
+    /// the store's return from an older copy.
     pub fn follow(&self, prefix: &str) -> Follower {
         Follower {
             store: self.clone(),
@@ -235,6 +254,9 @@
             tokio::time::sleep(REOPENS.delay(0, rand::random())).await;
             return Ok(None);
         };
+        if change.revision() < next {
+            return Err(Error::Restored);
+        }
         // The changes of one revision come together.
         let told = match watch.changes.is_empty() {
             true => change.revision() + 1,
@@ -247,7 +269,10 @@
     async fn recover(&mut self, e: Error) {
         log::debug!("store: watch of {}: {e}", self.prefix);
         self.watch = None;
-        if matches!(e, Error::Compacted | Error::Malformed { .. }) {
+        if matches!(
+            e,
+            Error::Compacted | Error::Restored | Error::Malformed { .. }
+        ) {
             self.next = None;
         }
         let delay = REOPENS.delay(self.failures, rand::random());
