Compare the value too in a compare-and-swap of the store

Callers would see: a change of the configuration or of the shares that is lost without a refusal, as another writer's was replaced.

Cause: a write named the revision of the entry that it had read, and nothing else. A store that came back from an older copy gives revisions out again, so another value may stand at the same one.

Why it works: the write takes the entry that was read, and the transaction compares its revision and its value; the store's API has both conditions. A removal does the same. Tests give the entry in place of the revision, and the stand-in knows the second condition; no test expects less.

Left: the same value at the same revision can't be told apart, which is a loss only if other keys of the lost span matter. A write of an existing key carries the old value as well, so its call is larger by that.

--- a/crates/chiverelayd/src/members/record.rs
+++ b/crates/chiverelayd/src/members/record.rs
@@ -127,8 +127,10 @@
     let key = key(cx);
     // INVARIANT: strings and numbers can always be encoded.
     let value = serde_json::to_vec(&own(cx)).expect("a record can be encoded");
-    let expected = cx.store.get(&key).await?.map_or(0, |e| e.revision);
-    let settled = cx.store.swap_settled(&key, expected, &value, Some(&lease));
+    let expected = cx.store.get(&key).await?;
+    let settled = cx
+        .store
+        .swap_settled(&key, expected.as_ref(), &value, Some(&lease));
     match settled.await? {
         Settled::Done => Ok(lease),
         Settled::Conflict(_) => Err(Error::Malformed {
@@ -147,7 +149,7 @@
         };
         let record = serde_json::from_slice::<Record>(&entry.value);
         if record.is_ok_and(|r| r.incarnation == cx.membership.incarnation()) {
-            cx.store.remove(&key, entry.revision).await?;
+            cx.store.remove(&entry).await?;
         }
         Ok::<_, Error>(())
     };
--- a/crates/chiverelayd/src/publish/change.rs
+++ b/crates/chiverelayd/src/publish/change.rs
@@ -32,7 +32,7 @@
 
 /// What the store holds before a change.
 struct Stored {
-    revision: i64,
+    entry: Option<Entry>,
     edition: Edition,
     config: Config,
 }
@@ -104,11 +104,11 @@
 }
 
 async fn read(cx: &Context) -> Result<Stored, Failure> {
-    let (revision, edition) = match fetch::root(cx).await.map_err(unavailable)? {
-        None => (0, Edition::default()),
+    let (entry, edition) = match fetch::root(cx).await.map_err(unavailable)? {
+        None => (None, Edition::default()),
         Some((entry, root)) => {
             let edition = fetch::from_store(cx, root).await.map_err(unavailable)?;
-            (entry.revision, edition)
+            (Some(entry), edition)
         }
     };
     let own = cx.tables.config.get();
@@ -122,7 +122,7 @@
         false => edition.assemble().map_err(unavailable)?,
     };
     Ok(Stored {
-        revision,
+        entry,
         edition,
         config,
     })
@@ -168,7 +168,7 @@
     let value = plan.manifest.root.encode();
     let write = Write {
         key: MANIFEST_KEY,
-        expected: stored.revision,
+        expected: stored.entry.as_ref(),
         value: &value,
         lease: None,
         puts: &last,
@@ -187,7 +187,7 @@
     };
     let write = Write {
         key: &first.key,
-        expected: 0,
+        expected: None,
         value: &first.value,
         lease: None,
         puts: rest,
--- a/crates/chiverelayd/src/shares.rs
+++ b/crates/chiverelayd/src/shares.rs
@@ -198,9 +198,12 @@
     /// Puts the record on a lease; false if another one stands there.
     async fn put_record(&mut self, lease: store::Lease<store::Held>) -> Result<bool, store::Error> {
         let key = record_key(self.keeper.holder());
-        let expected = self.cx.store.get(&key).await?.map_or(0, |e| e.revision);
+        let expected = self.cx.store.get(&key).await?;
         let region = self.cx.settings.region.as_str().as_bytes();
-        let swap = self.cx.store.swap(&key, expected, region, Some(&lease));
+        let swap = self
+            .cx
+            .store
+            .swap(&key, expected.as_ref(), region, Some(&lease));
         let store::Swap::Done(_) = swap.await? else {
             return Ok(false);
         };
--- a/crates/chiverelayd/src/shares/handover.rs
+++ b/crates/chiverelayd/src/shares/handover.rs
@@ -65,9 +65,9 @@
         let mut live = self.read_live().await?;
         live.remove(&me);
         for number in 0..PAGE_COUNT {
-            let (revision, page) = pages.get(&number).cloned().unwrap_or_default();
+            let (entry, page) = pages.get(&number).cloned().unwrap_or_default();
             if page.has_allocation(&me) {
-                self.write_page(number, revision, &page, &live, &BTreeSet::new())
+                self.write_page(number, entry.as_ref(), &page, &live, &BTreeSet::new())
                     .await?;
             }
         }
--- a/crates/chiverelayd/src/shares/ledger.rs
+++ b/crates/chiverelayd/src/shares/ledger.rs
@@ -11,6 +11,7 @@
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_sibling::Message;
+use chiverelay_store::Entry;
 use chiverelay_store::Error;
 use chiverelay_store::Swap;
 
@@ -25,8 +26,8 @@
 /// The holders that have a record, with their regions.
 pub(super) type Live = BTreeMap<Holder, Region>;
 
-/// The pages by number, with their revisions.
-pub(super) type Pages = BTreeMap<u16, (i64, LedgerPage)>;
+/// The pages by number, with the entries that they were read from.
+pub(super) type Pages = BTreeMap<u16, (Option<Entry>, LedgerPage)>;
 
 fn key(number: u16) -> String {
     format!("{LEDGER}{number}")
@@ -64,9 +65,9 @@
         let mut settled = found == *neighbours;
         let lapsed = self.lapsed(&pages, &live).await;
         for number in 0..PAGE_COUNT {
-            let (revision, page) = pages.get(&number).cloned().unwrap_or_default();
+            let (entry, page) = pages.get(&number).cloned().unwrap_or_default();
             settled &= self
-                .write_page(number, revision, &page, &live, &lapsed)
+                .write_page(number, entry.as_ref(), &page, &live, &lapsed)
                 .await?;
         }
         Ok(settled)
@@ -82,7 +83,7 @@
                 .and_then(|n| n.parse::<u16>().ok());
             match (number, serde_json::from_slice(&entry.value)) {
                 (Some(number), Ok(page)) => {
-                    pages.insert(number, (entry.revision, page));
+                    pages.insert(number, (Some(entry), page));
                 }
                 (_, Err(e)) => log::error!("shares: {} is refused: {e}", entry.key),
                 (None, _) => log::error!("shares: {} is no page", entry.key),
@@ -151,7 +152,7 @@
     pub(super) async fn write_page(
         &mut self,
         number: u16,
-        revision: i64,
+        entry: Option<&Entry>,
         page: &LedgerPage,
         live: &Live,
         lapsed: &BTreeSet<Holder>,
@@ -183,7 +184,7 @@
         match self
             .cx
             .store
-            .swap(&key(number), revision, &value, None)
+            .swap(&key(number), entry, &value, None)
             .await?
         {
             Swap::Done(_) => {
--- a/crates/chiverelayd/src/writers.rs
+++ b/crates/chiverelayd/src/writers.rs
@@ -95,7 +95,7 @@
     for key in free {
         let swap = cx
             .store
-            .swap_settled(&key, 0, value.as_bytes(), Some(&lease));
+            .swap_settled(&key, None, value.as_bytes(), Some(&lease));
         match swap.await? {
             Settled::Done => return Ok(Some(lease)),
             Settled::Conflict(_) => {}
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -183,8 +183,18 @@
 
     fn holds(&self, compare: &api::Compare) -> bool {
         let key = api::decode(&compare.key).unwrap_or_default();
-        let found = self.keys.get(&key).map_or(0, |v| v.revision);
-        compare.mod_revision.parse() == Ok(found)
+        let found = self.keys.get(&key);
+        match (
+            compare.target.as_str(),
+            &compare.mod_revision,
+            &compare.value,
+        ) {
+            ("MOD", Some(revision), None) => {
+                revision.parse() == Ok(found.map_or(0, |v| v.revision))
+            }
+            ("VALUE", None, Some(value)) => found.is_some_and(|v| v.data == *value),
+            _ => false,
+        }
     }
 
     fn run(&mut self, op: &api::RequestOp) -> api::ResponseOp {
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -99,12 +99,16 @@
 pub struct Compare {
     /// Key, in base64.
     pub key: String,
-    /// What is compared: always "MOD".
+    /// What is compared: "MOD" or "VALUE".
     pub target: String,
     /// How it is compared: always "EQUAL".
     pub result: String,
     /// The revision expected; "0" for a key that must not exist.
-    pub mod_revision: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub mod_revision: Option<String>,
+    /// The value expected, in base64.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub value: Option<String>,
 }
 
 /// Puts a key.
--- a/crates/store/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -54,7 +54,8 @@
         key: key.to_owned(),
         target: "MOD".to_owned(),
         result: "EQUAL".to_owned(),
-        mod_revision: "0".to_owned(),
+        mod_revision: Some("0".to_owned()),
+        value: None,
     });
     req.success.push(api::RequestOp {
         request_put: Some(api::PutRequest {
--- a/crates/store/src/swap.rs
+++ b/crates/store/src/swap.rs
@@ -57,8 +57,11 @@
 pub struct Write<'a> {
     /// Key.
     pub key: &'a str,
-    /// Revision of the last change that is expected; 0 for no such key.
-    pub expected: i64,
+    /// The entry that is expected to stand there; `None` for no such key.
+    ///
+    /// Its value is compared too, as a store that came back from an older copy
+    /// gives revisions out again.
+    pub expected: Option<&'a Entry>,
     /// Value.
     pub value: &'a [u8],
     /// Lease on which the key is to hang.
@@ -69,13 +72,24 @@
     pub deletes: &'a [String],
 }
 
-fn compare(key: &str, expected: i64) -> api::Compare {
-    api::Compare {
-        key: api::encode(key.as_bytes()),
+fn compare(key: &str, expected: Option<&Entry>) -> Vec<api::Compare> {
+    let key = api::encode(key.as_bytes());
+    let revision = expected.map_or(0, |entry| entry.revision);
+    let revision = api::Compare {
+        key: key.clone(),
         target: "MOD".to_owned(),
         result: "EQUAL".to_owned(),
-        mod_revision: expected.to_string(),
-    }
+        mod_revision: Some(revision.to_string()),
+        value: None,
+    };
+    let value = expected.map(|entry| api::Compare {
+        key,
+        target: "VALUE".to_owned(),
+        result: "EQUAL".to_owned(),
+        mod_revision: None,
+        value: Some(api::encode(&entry.value)),
+    });
+    std::iter::once(revision).chain(value).collect()
 }
 
 fn delete(key: &str) -> api::RequestOp {
@@ -100,7 +114,12 @@
 
 impl<'a> Write<'a> {
     /// Makes a write of one key alone.
-    fn alone(key: &'a str, expected: i64, value: &'a [u8], lease: Option<&'a Lease<Held>>) -> Self {
+    fn alone(
+        key: &'a str,
+        expected: Option<&'a Entry>,
+        value: &'a [u8],
+        lease: Option<&'a Lease<Held>>,
+    ) -> Self {
         Self {
             key,
             expected,
@@ -123,7 +142,7 @@
             ..api::RequestOp::default()
         };
         api::TxnRequest {
-            compare: vec![compare(self.key, self.expected)],
+            compare: compare(self.key, self.expected),
             success: std::iter::once(put(self.key, self.value, lease))
                 .chain(puts)
                 .chain(self.deletes.iter().map(|key| delete(key)))
@@ -134,7 +153,7 @@
 }
 
 impl Store {
-    /// Writes a key if its last change was at `expected`; 0 for no such key.
+    /// Writes a key if `expected` stands there; `None` for no such key.
     ///
     /// # Errors
     ///
@@ -143,7 +162,7 @@
     pub async fn swap(
         &self,
         key: &str,
-        expected: i64,
+        expected: Option<&Entry>,
         value: &[u8],
         lease: Option<&Lease<Held>>,
     ) -> Result<Swap, Error> {
@@ -164,15 +183,15 @@
         Ok(())
     }
 
-    /// Deletes a key if its last change was at `expected`; false if not.
+    /// Deletes an entry if it stands as it was read; false if not.
     ///
     /// # Errors
     ///
     /// Fails if the store gives no answer; the key may be gone nevertheless.
-    pub async fn remove(&self, key: &str, expected: i64) -> Result<bool, Error> {
+    pub async fn remove(&self, entry: &Entry) -> Result<bool, Error> {
         let req = api::TxnRequest {
-            compare: vec![compare(key, expected)],
-            success: vec![delete(key)],
+            compare: compare(&entry.key, Some(entry)),
+            success: vec![delete(&entry.key)],
             failure: Vec::new(),
         };
         let resp: api::TxnResponse = self.call(Kind::Delete, "/v3/kv/txn", &req).await?;
@@ -208,8 +227,8 @@
     /// writer's incarnation and a nonce in it; `mine` tells whether a value
     /// found in its place is this one or follows from it.
     ///
-    /// The write is sent again as it is: its expected revision lets it take
-    /// effect once only, also if the first send arrives late.
+    /// The write is sent again as it is: the entry that it expects lets it
+    /// take effect once only, also if the first send arrives late.
     ///
     /// # Errors
     ///
@@ -245,7 +264,7 @@
     pub async fn swap_settled(
         &self,
         key: &str,
-        expected: i64,
+        expected: Option<&Entry>,
         value: &[u8],
         lease: Option<&Lease<Held>>,
     ) -> Result<Settled, Error> {
--- a/tests/testsuite/store.rs
+++ b/tests/testsuite/store.rs
@@ -70,8 +70,8 @@
     NotSent,
 }
 
-async fn settle(store: &Store, expected: i64, value: &[u8]) -> Outcome {
-    match store.swap_settled("k", expected, value, None).await {
+async fn settle(store: &Store, value: &[u8]) -> Outcome {
+    match store.swap_settled("k", None, value, None).await {
         Ok(Settled::Done) => Outcome::Done,
         Ok(Settled::Conflict(_)) => Outcome::Conflict,
         Ok(Settled::Unknown(_)) => Outcome::Unknown,
@@ -102,7 +102,7 @@
                 heal(&running.state).await;
             }
         };
-        let (outcome, ()) = tokio::join!(settle(&client, 0, b"mine"), healed);
+        let (outcome, ()) = tokio::join!(settle(&client, b"mine"), healed);
         assert_eq!(outcome, want);
         if outcome == Outcome::Done {
             assert_eq!(running.state.value("k").as_deref(), Some(&b"mine"[..]));
@@ -128,10 +128,10 @@
         let running = RunningStore::start().await;
         let client = running.client(SHORT);
         running.state.script.set(lose_answer());
-        let first = client.swap("k", 0, b"mine", None).await;
+        let first = client.swap("k", None, b"mine", None).await;
         assert!(matches!(first, Err(Error::Lost { .. })), "{first:?}");
         running.state.script.set(Faults::default());
-        let again = client.swap("k", 0, b"mine", None).await;
+        let again = client.swap("k", None, b"mine", None).await;
         assert!(matches!(again, Ok(Swap::Conflict(_))), "{again:?}");
     });
 }
@@ -142,7 +142,7 @@
         let running = RunningStore::start().await;
         let client = running.client(LONG);
         let value = vec![b'x'; 1024 * 1024 + 1];
-        let swap = client.swap("k", 0, &value, None).await;
+        let swap = client.swap("k", None, &value, None).await;
         assert!(matches!(swap, Err(Error::Refused { status: 400 })));
         assert_eq!(running.state.value("k"), None);
     });
@@ -252,7 +252,7 @@
         let read = read.expect("an entry");
         running.state.restore(copy);
         running.state.put("k", Some(b"another"));
-        let swap = client.swap("k", read.revision, b"mine", None).await;
+        let swap = client.swap("k", Some(&read), b"mine", None).await;
         assert!(matches!(swap, Ok(Swap::Conflict(_))), "{swap:?}");
     });
 }
@@ -280,7 +280,7 @@
         let lease = lease.expect("a lease");
         tokio::time::sleep_until(lease.until()).await;
         let calls = running.state.calls();
-        let swap = client.swap("k", 0, b"late", Some(&lease)).await;
+        let swap = client.swap("k", None, b"late", Some(&lease)).await;
         assert!(matches!(swap, Err(Error::Lapsed)), "{swap:?}");
         assert!(lease.check().is_err());
         assert_eq!(running.state.calls(), calls);
