Let no limit on idle connections or heads end an answer being written

Callers that took no byte of an answer for a while lost the rest of it: the connection was closed in the middle of a whole answer.

Cause, one for both symptoms: the phases of a connection had none for writing. It counted as idle once the HTTP library had taken the answer, however much of it was still in its buffer. - After idle_timeout_ms without a byte written the connection was to be closed, and after header_timeout_ms more it was dropped with the rest. - A first byte of the next request turned it into the reading of a head, and header_timeout_ms later it was dropped likewise.

The phases are now the variants of an enum with methods that consume a phase and return the next one. An answer that was handed over is in Writing until the library flushes the stream, which it does with an empty buffer only; bytes of a next request are noted there, and its head counts from then on. Limits on idle connections and heads exist in the phases without an answer only.

A caller that never reads is still bounded, as a limit of its own acts on blocked writes, which holds in Handling too: no byte taken for the longer of the idle limit and the time that the caller says it waits (30 s if it says none, at most 60 s). Until then the answer may still be of use to it; each byte taken begins it anew, so that a slow reader gets its whole answer. slow_readers::a_caller_that_never_reads_is_given_up holds this.

Test changed: the unit tests in node::unanswered pass no time to request_read, which has a new argument.

--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -10,6 +10,7 @@
 pub mod scripted;
 pub mod silent;
 pub mod site;
+pub mod slow_reader;
 pub mod store;
 pub mod target;
 
@@ -26,6 +27,7 @@
 pub use silent::Stage;
 pub use site::Node;
 pub use site::Site;
+pub use slow_reader::SlowReader;
 pub use store::PlatformStore;
 pub use target::Mode;
 pub use target::PlatformTarget;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -15,6 +15,7 @@
 mod restored;
 mod settings;
 mod shutdown;
+mod slow_readers;
 mod soak;
 mod stated_limit;
 mod store;
--- a/tests/testsuite/node/unanswered.rs
+++ b/tests/testsuite/node/unanswered.rs
@@ -190,7 +190,7 @@
         let guard = ExchangeGuard::new(exchange.clone(), Arc::clone(&metrics));
         let task = tokio::spawn(async move {
             let _guard = guard;
-            exchange.request_read("r-1".into());
+            exchange.request_read("r-1".into(), None);
             assert_eq!(end, TaskEnd::Cancel);
             std::future::pending::<()>().await;
         });
