Let the kernel keep a caller that leaves its answer unread

Callers that read nothing of an answer for some seconds got a reset connection, which takes what had arrived along.

Cause: connections of callers had TCP_USER_TIMEOUT set to 4 s, as those to targets have. Linux counts it from the first probe of a closed window too, and closes the connection although the peer acknowledges each probe.

Evidence: slow_readers::an_answer_outlasts_a_caller_that_takes_nothing_for_long (nothing read for 8 s, limits of 30 s, deadline 15 s) printed 'only 4800 bytes came' of 250,007, and passes with this change.

Connections of callers keep the probes of idle connections, which find a caller that has vanished while it waits within a few seconds. The limit on blocked writes and the deadline of the request bound the others: a caller that vanishes with bytes of a stream on their way is noticed by the deadline instead of after 4 s. Connections to targets are as before.

--- a/crates/http/src/keepalive.rs
+++ b/crates/http/src/keepalive.rs
@@ -17,8 +17,19 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Makes the kernel close a connection within a few seconds after its peer has
-/// vanished. Failures are logged only, as the connection works without it.
+/// vanished. A peer that leaves data unread for that time loses it too.
+/// Failures are logged only, as the connection works without it.
 pub fn enable_keepalive(stream: &TcpStream) {
+    enable_idle_keepalive(stream);
+    let socket = SockRef::from(stream);
+    if let Err(e) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)) {
+        log::debug!("http: setting the TCP user timeout failed: {e}");
+    }
+}
+
+/// Makes the kernel close a connection within a few seconds after its peer has
+/// vanished, unless data is on its way. Failures are logged only.
+pub fn enable_idle_keepalive(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -27,7 +38,4 @@
     if let Err(e) = socket.set_tcp_keepalive(&keepalive) {
         log::debug!("http: enabling TCP keepalive failed: {e}");
     }
-    if let Err(e) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)) {
-        log::debug!("http: setting the TCP user timeout failed: {e}");
-    }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,6 +12,7 @@
 pub use client::BufferedResponse;
 pub use client::Client;
 pub use client::Error;
+pub use keepalive::enable_idle_keepalive;
 pub use keepalive::enable_keepalive;
 pub use server::Body;
 pub use server::ResetConnection;
--- a/tests/testsuite/node/slow_readers.rs
+++ b/tests/testsuite/node/slow_readers.rs
@@ -27,6 +27,10 @@
 /// Time in which a caller reads nothing, many times the short limit.
 const UNREAD: Duration = Duration::from_millis(2500);
 
+/// Time in which a caller reads nothing, longer than the kernel waits for an
+/// acknowledgement of a target.
+const LONG_UNREAD: Duration = Duration::from_secs(8);
+
 /// Time that a caller waits for an answer.
 const DEADLINE: Duration = Duration::from_secs(15);
 
@@ -59,15 +63,15 @@
 }
 
 /// Reads nothing of an answer for longer than a limit on idle connections or
-/// heads, then all of it. `next` is sent in between.
-fn check_pause(idle_ms: u64, head_ms: u64, next: &str) {
+/// heads, then all of it. `next` is sent before the pause.
+fn check_pause(idle_ms: u64, head_ms: u64, next: &str, unread: Duration) {
     block_on(async {
         let (_site, _target, node) = start(long_answer(), idle_ms, head_ms).await;
         let mut caller = SlowReader::open(node.front).await;
         caller.send("r-1", "/status/1", DEADLINE).await;
         caller.until_answered().await;
         caller.write(next).await;
-        tokio::time::sleep(UNREAD).await;
+        tokio::time::sleep(unread).await;
         let got = caller.read_to(END).await;
         let came = |e: String| format!("only {} bytes came", e.len());
         assert_eq!(got.map(|_| ()).map_err(came), Ok(()));
@@ -78,8 +82,9 @@
 // a limit that is meant for connections without an open request passed.
 support::cases! {
     check_pause:
-    an_answer_outlasts_the_limits_on_idle_connections_and_heads(SHORT_MS, SHORT_MS, "");
-    an_answer_outlasts_the_limit_on_the_next_head(LONG_MS, SHORT_MS, "POST /st");
+    an_answer_outlasts_the_limits_on_idle_connections_and_heads(SHORT_MS, SHORT_MS, "", UNREAD);
+    an_answer_outlasts_the_limit_on_the_next_head(LONG_MS, SHORT_MS, "POST /st", UNREAD);
+    an_answer_outlasts_a_caller_that_takes_nothing_for_long(LONG_MS, LONG_MS, "", LONG_UNREAD);
 }
 
 /// Failure: a caller that never read its answer held its connection for ever.
