--- a/tests/testsuite/node/slow_readers.rs
+++ b/tests/testsuite/node/slow_readers.rs
@@ -34,6 +34,10 @@
 /// Time that a caller waits for an answer.
 const DEADLINE: Duration = Duration::from_secs(15);
 
+/// Events of a stream: more than a connection takes that nobody reads, and less
+/// than it takes together with the HTTP library.
+const EVENTS: usize = 130;
+
 /// Text at the end of an answer.
 const END: &str = "the end";
 
@@ -48,6 +52,20 @@
     Scripted::new(&text, After::Keep)
 }
 
+/// A stream of long events whose target breaks off behind the last one.
+fn broken_stream() -> Scripted {
+    let data = "a".repeat(1000);
+    let event = |n: usize| format!("id: {n}\ndata: {data}\n\n");
+    let events: String = (1..=EVENTS).map(event).collect();
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {{id}}\r\nserver-stamp: s\r\n\
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+         {:x}\r\n{events}\r\nno chunk\r\n",
+        events.len()
+    );
+    Scripted::new(&text, After::Close)
+}
+
 /// Starts an instance with limits on idle connections and on heads, in
 /// milliseconds.
 async fn start(script: Scripted, idle_ms: u64, head_ms: u64) -> (Site, ScriptedTarget, Node) {
@@ -58,6 +76,7 @@
     site.store.put("op/config", &config);
     let target = ScriptedTarget::start(vec![script]).await;
     site.register_at("i-1", target.address, "orders", "north-a");
+    site.register_at("i-2", target.address, "model", "north-a");
     let node = site.instance("one", "north-a", "north").await;
     (site, target, node)
 }
@@ -104,3 +123,20 @@
         assert!(caller.read_to(END).await.is_err());
     });
 }
+
+/// Failure: a caller that read slowly lost events of a stream that had come
+/// before its target broke off.
+#[test]
+fn what_came_of_a_stream_reaches_a_caller_that_pauses() {
+    block_on(async {
+        let (_site, _target, node) = start(broken_stream(), LONG_MS, LONG_MS).await;
+        let mut caller = SlowReader::open(node.front).await;
+        caller.send("r-1", "/chat/1", DEADLINE).await;
+        caller.until_answered().await;
+        tokio::time::sleep(UNREAD).await;
+        let got = caller.read_to(END).await;
+        let came = got.expect_err("the stream breaks off");
+        assert!(came.starts_with("HTTP/1.1 200"), "{came}");
+        assert_eq!(came.matches("\ndata: ").count(), EVENTS);
+    });
+}
