Refuse a request whose handling panics

A caller whose request hit a fault of the program got a closed connection, which doesn't tell whether the request may have run.

Cause: the panic unwound through the connection's task, and the connection with it.

Evidence, by a future that panics in place of the handler: without the catch, unanswered::a_request_whose_handling_panics_may_have_run and a_request_whose_reading_panics_has_not_run print 'a fault of the program'. With it they get 502 and 503.

--- a/crates/gateway/src/supervise.rs
+++ b/crates/gateway/src/supervise.rs
@@ -54,7 +54,8 @@
     })
 }
 
-fn panic_message(panic: &(dyn Any + Send)) -> &str {
+/// Returns the message of a panic that was caught.
+pub fn panic_message(panic: &(dyn Any + Send)) -> &str {
     let text = panic.downcast_ref::<String>().map(String::as_str);
     text.or_else(|| panic.downcast_ref::<&str>().copied())
         .unwrap_or("it panicked")
--- a/tests/testsuite/node/unanswered.rs
+++ b/tests/testsuite/node/unanswered.rs
@@ -6,6 +6,7 @@
 use chiverelay_decisions::catalog::ClientLimits;
 use chiverelay_gateway::GaugeValues;
 use chiverelay_gateway::Metrics;
+use chiverelay_platform::caller_server::respond;
 use chiverelay_platform::exchange::Exchange;
 use chiverelay_platform::exchange::ExchangeGuard;
 use hyper::StatusCode;
@@ -211,6 +212,25 @@
     a_request_whose_task_is_cancelled_is_counted(TaskEnd::Cancel, "cancelled");
 }
 
+/// Checks the status that a request gets whose handling panics.
+fn check_handler_panic(is_read: bool, expected: StatusCode) {
+    block_on(async {
+        let exchange = Exchange::new(&ClientLimits::default());
+        if is_read {
+            exchange.request_read("r-1".into(), None);
+        }
+        let got = respond(&exchange, async { panic!("a fault of the program") }).await;
+        assert_eq!(got.status(), expected);
+    });
+}
+
+// Failure: a panic closed the connection of a request, which got no answer.
+support::cases! {
+    check_handler_panic:
+    a_request_whose_handling_panics_may_have_run(true, StatusCode::BAD_GATEWAY);
+    a_request_whose_reading_panics_has_not_run(false, StatusCode::SERVICE_UNAVAILABLE);
+}
+
 /// Failure: a number of a caller overflowed a sum, and the panic ended the
 /// request without an answer.
 #[test]
