Keep the slot of a woken request until it is placed

Callers saw: two requests at once at a target with one slot, which then makes both slower; seen once in a test beside load (peak 2, 1 expected).

Cause: a request that ends wakes the next one that waits, whose task then asks the worker to place it. Until that is done the target counts as free, and a woken request is placed without a look at its slots. So a look at the queue in between, each 100 ms and after each load report, wakes a second request for the same slot, and a new request may start there too. On a busy machine the time in between is longer.

Why it works: the pool's queue counts who was woken and neither placed nor given up. Waking and new requests leave that many slots alone. The turn is a value that goes from the queue to the placement; if it is dropped on the way, as the caller left or the worker is full, the slot goes to the next.

--- a/crates/chiverelayd/src/placing.rs
+++ b/crates/chiverelayd/src/placing.rs
@@ -26,6 +26,7 @@
 
 use crate::context::Context;
 use crate::notes;
+use crate::wait::Turn;
 use crate::workers;
 
 /// Counts a request as running at its target until it is dropped.
@@ -81,16 +82,16 @@
     Wait(Request<Admitted, Forwarded>),
 }
 
-/// Places a caller's request.
+/// Places a caller's request, with its turn if it has waited.
 pub(crate) async fn place(
     cx: &Context,
     req: Request<Admitted, Direct>,
-    turn: QueueStatus,
+    turn: Option<Turn>,
 ) -> Result<Next, Refusal> {
     let here = cx.settings.region.clone();
     let workers = cx.pool.clone();
     on_worker(cx, req, move |tables, req, now| {
-        let placed = gateway::place(tables, req, &here, turn, now)?;
+        let placed = gateway::place(tables, req, &here, status(turn), now)?;
         Ok(match placed {
             Placement::Local(req) => {
                 let running = Running::start(tables, workers, &req);
@@ -103,16 +104,16 @@
     .await
 }
 
-/// Places a request that a sibling passed on.
+/// Places a request that a sibling passed on, with its turn if it has waited.
 pub(crate) async fn place_forwarded(
     cx: &Context,
     req: Request<Admitted, Forwarded>,
-    turn: QueueStatus,
+    turn: Option<Turn>,
 ) -> Result<NextHere, Refusal> {
     let here = cx.settings.region.clone();
     let workers = cx.pool.clone();
     on_worker(cx, req, move |tables, req, now| {
-        let placed = gateway::place_forwarded(tables, req, &here, turn, now)?;
+        let placed = gateway::place_forwarded(tables, req, &here, status(turn), now)?;
         Ok(match placed {
             ForwardedPlacement::Local(req) => {
                 let running = Running::start(tables, workers, &req);
@@ -124,6 +125,10 @@
     .await
 }
 
+fn status(turn: Option<Turn>) -> QueueStatus {
+    turn.map_or(QueueStatus::New, Turn::place)
+}
+
 /// Decides on the worker of the request's pool.
 ///
 /// # Errors
--- a/crates/chiverelayd/src/request.rs
+++ b/crates/chiverelayd/src/request.rs
@@ -11,7 +11,6 @@
 use chiverelay_decisions::gateway;
 use chiverelay_decisions::gateway::Admission;
 use chiverelay_decisions::gateway::AdmissionInput;
-use chiverelay_decisions::gateway::QueueStatus;
 use chiverelay_decisions::keys::PresentedKey;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
@@ -238,15 +237,16 @@
         out: TargetRequest,
         claim: &mut Option<Claim>,
     ) -> Result<Reply, Refusal> {
-        let mut turn = QueueStatus::New;
+        let mut turn = None;
         let mut attempts = 0;
         let mut last = None;
         while attempts < ATTEMPTS {
-            let placed = placing::place(&self.cx, req, turn).await;
+            let placed = placing::place(&self.cx, req, turn.take()).await;
             req = match placed.map_err(|refusal| more_telling(refusal, last.as_ref()))? {
                 Next::Wait(req) => {
-                    turn = QueueStatus::Woken;
-                    wait::slot(&self.cx, req).await?
+                    let (req, woken) = wait::slot(&self.cx, req).await?;
+                    turn = Some(woken);
+                    req
                 }
                 Next::Here(placed, running) => {
                     match dispatch::attempt(&self.cx, placed, running, &out).await {
@@ -254,7 +254,7 @@
                             return Ok(self.reply(req, answer, &out, claim));
                         }
                         Attempt::Again(req) => {
-                            (turn, attempts) = (QueueStatus::New, attempts + 1);
+                            attempts += 1;
                             req
                         }
                         Attempt::Refused(refusal) => return Err(refusal),
@@ -265,7 +265,7 @@
                         return Ok(self.stream(req, None, head, source, claim));
                     }
                     Forwarded::Again(req, refusal) => {
-                        (turn, attempts) = (QueueStatus::New, attempts + 1);
+                        attempts += 1;
                         last = Some(refusal);
                         req
                     }
--- a/crates/chiverelayd/src/resume.rs
+++ b/crates/chiverelayd/src/resume.rs
@@ -2,7 +2,6 @@
 
 use std::future::Future;
 
-use chiverelay_decisions::gateway::QueueStatus;
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Dispatched;
@@ -102,16 +101,18 @@
 impl Resume for Resumable<Direct> {
     async fn resume(&mut self, cx: &Context, last_id: u64) -> Option<Source> {
         let (mut req, out) = self.repeat(cx, last_id)?;
-        let mut turn = QueueStatus::New;
+        let mut turn = None;
         loop {
-            match placing::place(cx, req, turn).await.ok()? {
+            match placing::place(cx, req, turn.take()).await.ok()? {
                 Next::Here(placed, running) => {
                     return self.attempt(cx, placed, running, &out).await;
                 }
-                Next::Wait(waiting) => req = wait::slot(cx, waiting).await.ok()?,
+                Next::Wait(waiting) => {
+                    let (woken, its_turn) = wait::slot(cx, waiting).await.ok()?;
+                    (req, turn) = (woken, Some(its_turn));
+                }
                 Next::Away(_) => return None,
             }
-            turn = QueueStatus::Woken;
         }
     }
 }
@@ -119,15 +120,17 @@
 impl Resume for Resumable<Forwarded> {
     async fn resume(&mut self, cx: &Context, last_id: u64) -> Option<Source> {
         let (mut req, out) = self.repeat(cx, last_id)?;
-        let mut turn = QueueStatus::New;
+        let mut turn = None;
         loop {
-            match placing::place_forwarded(cx, req, turn).await.ok()? {
+            match placing::place_forwarded(cx, req, turn.take()).await.ok()? {
                 NextHere::Here(placed, running) => {
                     return self.attempt(cx, placed, running, &out).await;
                 }
-                NextHere::Wait(waiting) => req = wait::slot(cx, waiting).await.ok()?,
+                NextHere::Wait(waiting) => {
+                    let (woken, its_turn) = wait::slot(cx, waiting).await.ok()?;
+                    (req, turn) = (woken, Some(its_turn));
+                }
             }
-            turn = QueueStatus::Woken;
         }
     }
 }
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -5,7 +5,6 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::gateway;
-use chiverelay_decisions::gateway::QueueStatus;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
@@ -151,15 +150,15 @@
         mut req: Request<Admitted, Forwarded>,
         out: &TargetRequest,
     ) -> Result<(Request<Dispatched, Forwarded>, Box<TargetResponse>), Refusal> {
-        let mut turn = QueueStatus::New;
+        let mut turn = None;
         let mut attempts = 0;
         while attempts < ATTEMPTS {
-            let placed = placing::place_forwarded(&self.cx, req, turn).await?;
+            let placed = placing::place_forwarded(&self.cx, req, turn.take()).await?;
             let (placed, running) = match placed {
                 NextHere::Here(placed, running) => (placed, running),
                 NextHere::Wait(waiting) => {
-                    turn = QueueStatus::Woken;
-                    req = wait::slot(&self.cx, waiting).await?;
+                    let (woken, its_turn) = wait::slot(&self.cx, waiting).await?;
+                    (req, turn) = (woken, Some(its_turn));
                     continue;
                 }
             };
@@ -168,7 +167,7 @@
                 Attempt::Again(req) => req,
                 Attempt::Refused(refusal) => return Err(refusal),
             };
-            (turn, attempts) = (QueueStatus::New, attempts + 1);
+            attempts += 1;
         }
         Err(req.refuse(Code::Unavailable, Step::Place, Peer::Local))
     }
--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -52,6 +52,7 @@
 pub use targets::request_started;
 pub use targets::set_leaving_targets;
 pub use wait::QueueWaker;
+pub use wait::abandon_turn;
 pub use wait::enqueue;
 pub use wait::waiting_pools;
 pub use wait::wake_pool;
@@ -73,11 +74,17 @@
 
 /// The waiting requests and the retry budget of a pool.
 #[derive(Debug)]
+///
+/// # Invariants
+///
+/// `woken` counts the requests that were woken for a slot and were neither
+/// placed nor given up since. Each keeps a slot from the others.
 pub struct PoolQueue {
     /// Wakers of the requests that wait for a slot.
     pub queue: FairQueue<QueueWaker>,
     /// Budget for retries of requests to the pool.
     pub retry_budget: RetryBudget,
+    woken: u64,
 }
 
 impl PoolQueue {
@@ -85,6 +92,7 @@
         Self {
             queue: FairQueue::new(entry.queue),
             retry_budget: RetryBudget::default(),
+            woken: 0,
         }
     }
 }
--- a/crates/decisions/src/gateway/local_placer.rs
+++ b/crates/decisions/src/gateway/local_placer.rs
@@ -9,6 +9,8 @@
 use super::Tables;
 use super::targets::count_peers;
 use super::targets::estimate_target;
+use super::targets::free_slots;
+use super::wait::end_turn;
 use crate::config::Config;
 use crate::config::PoolEntry;
 use crate::config::Residency;
@@ -126,6 +128,9 @@
         queue_status: QueueStatus,
         now: Duration,
     ) -> Result<(Self, Request<Admitted, O>), Refusal> {
+        if queue_status == QueueStatus::Woken {
+            end_turn(tables, &req.grant().pool);
+        }
         let Some(entry) = config.pools.get(&req.grant().pool) else {
             return Err(req.refuse(Code::Unavailable, Step::Place, Peer::Local));
         };
@@ -257,14 +262,26 @@
             })
     }
 
-    /// Returns whether a request may start now: its target has a free slot, and
-    /// no other request waits.
+    /// Returns whether a request may start now: its target has a free slot that
+    /// no woken request needs, and no other request waits.
     pub(super) fn may_start<O>(&self, req: &Request<Admitted, O>, best: &Candidate<'_>) -> bool {
         let free = best.estimate.has_free_slot() || best.status == HealthStatus::Probe;
         let pool = &req.grant().pool;
-        free && self.tables.queues.with(pool, |pool_queue| {
-            pool_queue.is_none_or(|p| p.queue.is_empty())
-        })
+        let (waits, woken) = self.tables.queues.with(pool, |pool_queue| {
+            pool_queue.map_or((false, 0), |p| (!p.queue.is_empty(), p.woken))
+        });
+        free && !waits && (woken == 0 || self.has_slot_beside(woken))
+    }
+
+    fn has_slot_beside(&self, woken: u64) -> bool {
+        let free = free_slots(
+            self.tables,
+            self.entry,
+            self.own_region,
+            self.peers,
+            self.now,
+        );
+        free.is_none_or(|free| free > woken)
     }
 
     /// Returns the expected wait of a request in the queue.
--- a/crates/decisions/src/gateway/wait.rs
+++ b/crates/decisions/src/gateway/wait.rs
@@ -100,7 +100,8 @@
     meta.prompt_tokens + meta.max_answer_tokens.unwrap_or(answer)
 }
 
-/// Wakes as many waiting requests as there are free slots by the estimates.
+/// Wakes as many waiting requests as there are free slots by the estimates,
+/// less those that were woken before and are not placed yet.
 ///
 /// Slots freed by requests of other instances are only seen in load reports, so
 /// this must be called after each report, and periodically.
@@ -127,7 +128,9 @@
     let Some(entry) = config.pools.get(pool) else {
         return;
     };
-    let waiting = tables.queues.with(pool, |w| w.map_or(0, |w| w.queue.len()));
+    let (waiting, woken) = tables
+        .queues
+        .with(pool, |w| w.map_or((0, 0), |w| (w.queue.len(), w.woken)));
     if waiting == 0 {
         return;
     }
@@ -135,24 +138,43 @@
     let free = targets::free_slots(tables, entry, own_region, peers, now);
     // If no target is usable, all requests are woken, to be placed elsewhere or
     // refused.
-    for _ in 0..free.unwrap_or(u64::MAX).min(waiting as u64) {
+    let free = free.map_or(u64::MAX, |free| free.saturating_sub(woken));
+    for _ in 0..free.min(waiting as u64) {
         wake_next(tables, pool);
     }
 }
 
+/// Gives up the slot of a woken request that won't be placed, and wakes others
+/// for it.
+pub fn abandon_turn(tables: &Tables, pool: &Pool, own_region: &Region, now: Duration) {
+    end_turn(tables, pool);
+    wake_pool(tables, pool, own_region, now);
+}
+
+/// Counts a woken request as placed or given up.
+pub(super) fn end_turn(tables: &Tables, pool: &Pool) {
+    tables.queues.with(pool, |pool_queue| {
+        if let Some(pool_queue) = pool_queue {
+            pool_queue.woken = pool_queue.woken.saturating_sub(1);
+        }
+    });
+}
+
 /// Wakes the next request in a pool's queue that still waits.
 pub(super) fn wake_next(tables: &Tables, pool: &Pool) {
     loop {
-        let next = tables
-            .queues
-            .with(pool, |waiting| waiting.and_then(|w| w.queue.pop()));
-        match next {
-            Some(waker) => {
-                if waker.wake() {
-                    return;
-                }
-            }
-            None => return,
+        let next = tables.queues.with(pool, |pool_queue| {
+            let pool_queue = pool_queue?;
+            let waker = pool_queue.queue.pop()?;
+            pool_queue.woken += 1;
+            Some(waker)
+        });
+        let Some(waker) = next else {
+            return;
+        };
+        if waker.wake() {
+            return;
         }
+        end_turn(tables, pool);
     }
 }
--- a/tests/testsuite/place.rs
+++ b/tests/testsuite/place.rs
@@ -2,6 +2,7 @@
 //! placement or a refusal out, on injected time.
 
 mod leaving;
+mod turns;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
