End a dial or a crash check whose task panics

Callers would see: after a panic while a link is being established, no request is forwarded to that instance until it leaves; after one in a crash check, no crash of that target is found any more, so requests that crash targets are not suspended for it.

Cause: the entry that marks the task as running was removed by its last step only.

Evidence: by reading. No panic is known in these tasks and none can be forced from outside, so the test is of the guard alone: tables::an_entry_ends_with_a_task_that_panics.

Why it works: the task holds a guard that removes the entry when it is dropped. An instance without an entry is dialed at the next round, and the next loss at a target begins a new check.

--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -5,6 +5,8 @@
 //! A lock is held for one short decision and never across an await: guards
 //! are not `Send`, and the closures passed to the tables are not asynchronous.
 
+mod entry_guard;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -21,6 +23,8 @@
 
 use crate::config::Config;
 
+pub use entry_guard::EntryGuard;
+
 /// The lock order, lowest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LockRank {
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -12,6 +12,7 @@
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::suspension::RequestDigest;
+use chiverelay_decisions::tables::EntryGuard;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_decisions::traffic::PromptPart;
@@ -77,8 +78,9 @@
         }
     }
 
-    fn take(&self, target: &Target) -> Vec<LostRequest> {
-        self.by_target.lock().remove(target).unwrap_or_default()
+    /// Forgets the losses at a target once its check has ended.
+    fn begin_check(&self, target: &Target) -> EntryGuard<'_, Target, Vec<LostRequest>> {
+        EntryGuard::new(&self.by_target, target.clone())
     }
 }
 
@@ -105,13 +107,14 @@
     }
 
     async fn check_for_crash(&self, target: &Target, address: SocketAddr) {
+        let check = self.pending_losses.begin_check(target);
         let connecting = async {
             tokio::time::sleep(COLLECT_TIME).await;
             refuses_connections(address, CONNECT_TIMEOUT).await
         };
         let checked = self.stop.run_until_cancelled(connecting).await;
         let has_crashed = checked.unwrap_or(false);
-        let losses = self.pending_losses.take(target);
+        let losses = check.take().unwrap_or_default();
         self.metrics.count_crash_check(has_crashed);
         self.log_crash_check(target, has_crashed, &losses);
         if has_crashed {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::tables::EntryGuard;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_sibling::Endpoint;
@@ -102,6 +103,8 @@
     /// Connects to an instance that was marked as dialing. Returns whether the
     /// connection was established.
     pub(crate) async fn dial(&self, record: &MemberRecord, now: Duration) -> bool {
+        // Without an outcome the instance is due for dialing again.
+        let dialing = EntryGuard::new(&self.states, record.instance.clone());
         let connecting = self
             .endpoint
             .connect(&record.instance, &record.region, record.siblings);
@@ -115,7 +118,7 @@
                 (LinkState::Failed(now), false)
             }
         };
-        self.states.lock().insert(record.instance.clone(), state);
+        dialing.replace(state);
         is_up
     }
 }
