Count a target's cold time from the first reading of its record

Callers would see: requests kept from a cold target for longer than it is cold, or refused with all targets cold, when the records are listed anew during its warm-up (an outage of the store, a restore, a failed watch).

Cause: the time was counted from each reading of the record, so a listing of an unchanged record began it again.

Evidence: fleet::a_record_listed_again_does_not_begin_the_cold_time_again failed before at "assertion failed: !...is_cold(ms(3_100))".

Why it works: the record at the known revision is the same write, so its time goes on. The first reading is never before the write, so the target is not taken for warm too early. A new write counts from its own reading, and so does any record in a new era of the store, as before.

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -241,9 +241,10 @@
             return TargetChange::Outdated;
         }
         record.draining |= self.is_leaving(name, record.incarnation());
-        let cold_until = match record.cold_remaining {
-            Duration::ZERO => Duration::ZERO,
-            cold => now.saturating_add(cold),
+        let cold_until = match self.targets.get(name) {
+            // A listing that repeats a record does not begin its time again.
+            Some(known) if known.revision == revision => known.cold_until,
+            _ => now.saturating_add(record.cold_remaining),
         };
         let known = KnownTarget {
             cold_until,
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -310,6 +310,20 @@
     );
 }
 
+/// Failure: a target stays limited as a cold one while its record is listed
+/// again and again.
+#[test]
+fn a_record_listed_again_does_not_begin_the_cold_time_again() {
+    let (mut fleet, name) = fleet();
+    let mut cold = record();
+    cold.cold_remaining = ms(3_000);
+    fleet.upsert(&name, cold.clone(), at(6), ms(100));
+    fleet.upsert(&name, cold.clone(), at(6), ms(2_000));
+    assert!(!fleet.get(&name).expect("known").is_cold(ms(3_100)));
+    fleet.upsert(&name, cold, at(7), ms(3_200));
+    assert!(fleet.get(&name).expect("known").is_cold(ms(6_199)));
+}
+
 /// Guards against an older copy's record that replaces a later one when it is
 /// listed a second time.
 #[test]
