Read the first event of a forwarded stream before its head goes out

Callers saw a 200 whose body was cut with no event in it, when the instance in the other region or the link to it failed between the head and the first event. A request that could have been tried elsewhere was lost, and one that may run only once got a success that wasn't one.

Cause: a successful stream was passed on with its head; only other answers were read first. The body was also passed on byte by byte, so half an event could reach the caller.

The answer is now read by the same `read_start` as a target's: a stream up to its first whole event, any other answer as before. A failure up to there is a failed forward, with the attempts that the other instance reported counted. The deadline is still the only limit. A plain answer that isn't whole by the deadline is now 504, as at a target, not 502.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,6 +1,8 @@
-//! Reads the start of a target's answer before anything is sent to the caller,
+//! Reads the start of an answer before anything is sent to the caller,
 //! so that a failure up to that point can still be retried.
 
+use std::future::Future;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use chiverelay_decisions::answer::AnswerChecker;
@@ -22,21 +24,41 @@
     pub(crate) checker: AnswerChecker,
 }
 
+/// An answer whose body arrives in chunks.
+pub(crate) trait ChunkedAnswer {
+    /// Returns the next chunk, or `None` after the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the answer broke off.
+    fn next_chunk(&mut self) -> impl Future<Output = Result<Option<Bytes>, String>> + Send;
+}
+
+impl ChunkedAnswer for PooledResponse {
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, String> {
+        let chunk = PooledResponse::next_chunk(self).await;
+        chunk.map_err(|e| e.to_string())
+    }
+}
+
 /// Reads a stream up to its first event, or any other answer up to
 /// [`MAX_BUFFERED_BYTES`].
 ///
 /// # Errors
 ///
 /// Returns the reason if the answer broke off or is malformed.
-pub(crate) async fn read_start(
-    answer: &mut PooledResponse,
+pub(crate) async fn read_start<A>(
+    answer: &mut A,
     framing: Framing,
     last_event_id: Option<u64>,
-) -> Result<AnswerStart, String> {
+) -> Result<AnswerStart, String>
+where
+    A: ChunkedAnswer,
+{
     let mut checker = AnswerChecker::resume_after(framing, last_event_id);
     let mut data = BytesMut::new();
     loop {
-        let chunk = answer.next_chunk().await.map_err(|e| e.to_string())?;
+        let chunk = answer.next_chunk().await?;
         let Some(chunk) = chunk else {
             checker.check_end().map_err(|e| e.to_string())?;
             return Ok(AnswerStart {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -13,31 +13,28 @@
 use chiverelay_decisions::request::Request;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
-use chiverelay_sibling::Answer;
 use chiverelay_sibling::Forward;
-use chiverelay_sibling::Frame;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
-use chiverelay_sibling::read_headers;
 use chiverelay_sibling::write_headers;
-use hyper::HeaderMap;
-use hyper::StatusCode;
 
 use crate::Dialect;
 use crate::Gateway;
 use crate::Outbound;
 use crate::Reply;
 use crate::ReplyBody;
+use crate::answer;
+use crate::answer::AnswerStart;
 use crate::outcome::Fallback;
 use crate::place::PlacementContext;
-use crate::relay::AnswerSource;
-use crate::remote_relay::RemoteRelay;
-use crate::remote_relay::RemoteStart;
+use crate::remote_answer::ForwardFailure;
+use crate::remote_answer::RemoteAnswer;
+use crate::remote_answer::StartedForward;
 
 /// Result of forwarding a request.
 pub(crate) enum ForwardOutcome {
     /// The other instance has started to answer.
-    Answered(Reply),
+    Answered(Box<StartedForward>),
     /// The request may be tried at another destination. The fallback is
     /// returned if there is none.
     Retry(Request<Admitted, Direct>, Fallback),
@@ -45,27 +42,6 @@
     Refused(Refusal),
 }
 
-/// Status and headers of an answer that another instance relays, with the
-/// stream of its body.
-struct RemoteHead {
-    status: StatusCode,
-    headers: HeaderMap,
-    answer: Answer,
-    /// Number of targets in the other region that may have run the request.
-    attempts_used: u32,
-}
-
-/// Reason why the status and headers of an answer did not arrive.
-enum ForwardFailure {
-    /// The other instance refused the request. The number counts the targets
-    /// in its region that may have run the request.
-    Refused(Refusal, u32),
-    /// The exchange with the other instance failed.
-    ExchangeFailed(String),
-    /// No answer began before the request's deadline.
-    TimedOut,
-}
-
 impl<D> Gateway<D>
 where
     D: Dialect,
@@ -89,90 +65,36 @@
         let req = req.dispatch();
         self.metrics.count_forward();
         let sent = self.clock.now();
-        let head = tokio::time::timeout(left, send_forward(&link, message)).await;
+        let exchange = exchange_with_sibling(&link, message, out);
+        let started = tokio::time::timeout(left, exchange).await;
         let took = self.clock.now().saturating_sub(sent);
-        if matches!(head, Ok(Ok(_))) {
-            self.metrics.record_forward("answered", took);
-        }
-        match head.unwrap_or(Err(ForwardFailure::TimedOut)) {
-            Ok(head) => self.relay_remote_reply(req, cx, head).await,
+        match started.unwrap_or(Err(ForwardFailure::TimedOut)) {
+            Ok((answer, start)) => {
+                self.metrics.record_forward("answered", took);
+                self.accept_remote_answer(StartedForward { req, answer, start }, cx)
+            }
             Err(failure) => self.handle_forward_failure(req, cx, out, failure, took),
         }
     }
 
-    /// Relays a stream as it arrives. Any other answer is read first, unless it
-    /// is long, so that the request can still be retried if the answer breaks
-    /// off or is a server error.
-    async fn relay_remote_reply(
-        self: &Arc<Self>,
-        req: Request<Dispatched, Direct>,
-        cx: &mut PlacementContext,
-        head: RemoteHead,
-    ) -> ForwardOutcome {
-        // An answer means that at least one target ran the request.
-        let attempts_used = head.attempts_used.max(1);
-        let mut relay = RemoteRelay::new(Arc::clone(self), &req, head.answer);
-        let is_relayed_at_once = cx.route.kind.is_stream() && head.status.is_success();
-        let start = match is_relayed_at_once {
-            true => RemoteStart::Partial,
-            false => match relay.read_start().await {
-                Ok(start) => start,
-                Err(e) => {
-                    log::info!(target: "forward", id = req.meta().id.as_str(), peer:% = req.peer(), reason:% = e; "answer ended early");
-                    return self.retry_possibly_run_remotely(
-                        req,
-                        cx,
-                        Code::SiblingFailed,
-                        attempts_used,
-                    );
-                }
-            },
-        };
-        let (body, is_complete) = match start {
-            RemoteStart::Complete(data) => (ReplyBody::Full(data), true),
-            RemoteStart::Partial => (ReplyBody::Chunks(relay.into_stream()), false),
-        };
-        let reply = Reply {
-            status: head.status,
-            headers: head.headers,
-            body,
-        };
-        if !is_complete || !reply.status.is_server_error() {
-            // Ends the request's life cycle.
-            drop(req.answered());
-            return ForwardOutcome::Answered(reply);
-        }
-        self.handle_remote_error(req, cx, reply, attempts_used)
-    }
-
-    /// Retries a request that a target in another region answered with a server
-    /// error, or passes that answer on if no retry is allowed.
-    fn handle_remote_error(
+    /// Counts the attempts at targets of the other region, and returns the
+    /// answer unless it is a server error that is retried.
+    fn accept_remote_answer(
         &self,
-        req: Request<Dispatched, Direct>,
+        started: StartedForward,
         cx: &mut PlacementContext,
-        reply: Reply,
-        attempts_used: u32,
     ) -> ForwardOutcome {
-        let peer = req.peer().clone();
-        cx.attempts_left = cx.attempts_left.saturating_sub(attempts_used);
-        if cx.attempts_left == 0
-            || !cx.route.kind.is_repeatable()
-            || !self.try_consume_retry(cx, &req.meta().id)
-        {
-            // Ends the request's life cycle.
-            drop(req.answered());
-            return ForwardOutcome::Answered(reply);
-        }
-        match req.retry() {
-            Ok(req) => {
-                let refusal = req.refusal(Code::TargetFailed, Step::Forward, peer);
-                let reply = Some(Box::new(reply));
-                ForwardOutcome::Retry(req, Fallback { refusal, reply })
-            }
-            Err(req) => {
-                ForwardOutcome::Refused(req.refuse_unknown(Code::TargetFailed, Step::Forward))
-            }
+        cx.attempts_left = cx
+            .attempts_left
+            .saturating_sub(started.answer.attempts_used);
+        let is_retried = started.start.is_complete
+            && started.answer.status.is_server_error()
+            && cx.attempts_left > 0
+            && cx.route.kind.is_repeatable()
+            && self.try_consume_retry(cx, &started.req.meta().id);
+        match is_retried {
+            true => retry_server_error(started),
+            false => ForwardOutcome::Answered(Box::new(started)),
         }
     }
 
@@ -188,7 +110,7 @@
         let (label, reason) = match &failure {
             // Refused by the other instance.
             ForwardFailure::Refused(refusal, _) => ("refused there", refusal.code.as_str()),
-            ForwardFailure::ExchangeFailed(reason) => ("broken off", reason.as_str()),
+            ForwardFailure::ExchangeFailed(reason, _) => ("broken off", reason.as_str()),
             ForwardFailure::TimedOut => ("late", "no answer in time"),
         };
         self.metrics.record_forward(label, took);
@@ -228,10 +150,8 @@
                 }
                 Err(req) => ForwardOutcome::Refused(req.into_sibling_refusal(refusal)),
             },
-            // The number of targets there that may have run the request is
-            // unknown; one is assumed.
-            ForwardFailure::ExchangeFailed(_) => {
-                self.retry_possibly_run_remotely(req, cx, Code::SiblingFailed, 1)
+            ForwardFailure::ExchangeFailed(_, attempts_used) => {
+                self.retry_possibly_run_remotely(req, cx, Code::SiblingFailed, attempts_used)
             }
             ForwardFailure::TimedOut => {
                 ForwardOutcome::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Forward))
@@ -266,35 +186,41 @@
     }
 }
 
-/// Sends a forwarded request and waits for the status and headers of its
-/// answer.
-async fn send_forward(link: &Link<Up>, message: Forward) -> Result<RemoteHead, ForwardFailure> {
-    let exchange_failed =
-        |e: chiverelay_sibling::Error| ForwardFailure::ExchangeFailed(e.to_string());
-    let mut answer = link
-        .forward(Stamp::default(), message)
-        .await
-        .map_err(exchange_failed)?;
-    let mut attempts_used = 0;
-    loop {
-        match answer.next().await.map_err(exchange_failed)? {
-            Frame::Ran(count) => attempts_used = count,
-            Frame::Head { status, headers } => {
-                let status = StatusCode::from_u16(status);
-                return Ok(RemoteHead {
-                    status: status.map_err(|e| ForwardFailure::ExchangeFailed(e.to_string()))?,
-                    headers: read_headers(&headers),
-                    answer,
-                    attempts_used,
-                });
-            }
-            Frame::Refused(refusal) => return Err(ForwardFailure::Refused(refusal, attempts_used)),
-            Frame::Data(_) | Frame::End | Frame::Stamp(_) => {
-                return Err(ForwardFailure::ExchangeFailed(
-                    "unexpected frame before the head of the answer".to_owned(),
-                ));
-            }
+/// Retries a request that a target in another region answered with a server
+/// error. That answer is returned if there is no other destination.
+fn retry_server_error(started: StartedForward) -> ForwardOutcome {
+    let peer = started.req.peer().clone();
+    let reply = Reply {
+        status: started.answer.status,
+        headers: started.answer.headers,
+        body: ReplyBody::Full(started.start.data),
+    };
+    match started.req.retry() {
+        Ok(req) => {
+            let refusal = req.refusal(Code::TargetFailed, Step::Forward, peer);
+            let reply = Some(Box::new(reply));
+            ForwardOutcome::Retry(req, Fallback { refusal, reply })
         }
+        Err(req) => ForwardOutcome::Refused(req.refuse_unknown(Code::TargetFailed, Step::Forward)),
+    }
+}
+
+/// Sends a forwarded request and reads the start of its answer: a stream up to
+/// its first event, and any other answer to its end unless it is long. Up to
+/// there the request can still be retried.
+async fn exchange_with_sibling(
+    link: &Link<Up>,
+    message: Forward,
+    out: &Outbound,
+) -> Result<(RemoteAnswer, AnswerStart), ForwardFailure> {
+    let mut answer = RemoteAnswer::request(link, message).await?;
+    let framing = match out.is_streaming && answer.status.is_success() {
+        true => Framing::NumberedEvents,
+        false => Framing::Delimited,
+    };
+    match answer::read_start(&mut answer, framing, out.last_event_id).await {
+        Ok(start) => Ok((answer, start)),
+        Err(reason) => Err(ForwardFailure::ExchangeFailed(reason, answer.attempts_used)),
     }
 }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -292,7 +292,9 @@
                     }
                 }
                 Destination::Remote(placed) => match self.forward(placed, &mut cx, &out).await {
-                    ForwardOutcome::Answered(reply) => return Ok(reply),
+                    ForwardOutcome::Answered(started) => {
+                        return Ok(self.build_forwarded_reply(*started));
+                    }
                     ForwardOutcome::Refused(refusal) => return Err(refusal),
                     ForwardOutcome::Retry(req, latest) => {
                         fallback = Some(latest);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod quarantine;
 mod rate_limiter;
 mod relay;
+mod remote_answer;
 mod remote_relay;
 mod request_log;
 mod reservation_guard;
--- /dev/null
+++ b/crates/gateway/src/remote_answer.rs
@@ -0,0 +1,116 @@
+//! Reads the answer to a forwarded request.
+
+use bytes::Bytes;
+use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::Request;
+use chiverelay_sibling::Answer;
+use chiverelay_sibling::Forward;
+use chiverelay_sibling::Frame;
+use chiverelay_sibling::Link;
+use chiverelay_sibling::Up;
+use chiverelay_sibling::read_headers;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+
+use crate::answer::AnswerStart;
+use crate::answer::ChunkedAnswer;
+
+/// Answer that another instance relays. Dropping it cancels the request there.
+#[derive(Debug)]
+pub(crate) struct RemoteAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    /// Number of targets in the other region that may have run the request, 1
+    /// at least.
+    pub(crate) attempts_used: u32,
+    frames: Answer,
+}
+
+/// An answer of another instance whose start was read.
+#[derive(Debug)]
+pub(crate) struct StartedForward {
+    /// The request, which was sent to the other instance.
+    pub(crate) req: Request<Dispatched, Direct>,
+    /// The answer, of whose body `start` was read already.
+    pub(crate) answer: RemoteAnswer,
+    /// The start of the answer's body.
+    pub(crate) start: AnswerStart,
+}
+
+/// Reason why the start of an answer did not arrive.
+#[derive(Debug)]
+pub(crate) enum ForwardFailure {
+    /// The other instance refused the request. The number counts the targets
+    /// in its region that may have run the request.
+    Refused(Refusal, u32),
+    /// The exchange with the other instance failed. The number counts the
+    /// targets in its region that may have run the request, 1 at least.
+    ExchangeFailed(String, u32),
+    /// The answer did not begin before the request's deadline.
+    TimedOut,
+}
+
+impl ForwardFailure {
+    /// The exchange failed before the number of targets was known, so that one
+    /// is assumed.
+    fn before_head(reason: impl ToString) -> Self {
+        Self::ExchangeFailed(reason.to_string(), 1)
+    }
+}
+
+impl RemoteAnswer {
+    /// Sends a forwarded request and waits for the status and headers of its
+    /// answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the other instance refused the request, or if the exchange with
+    /// it failed.
+    pub(crate) async fn request(link: &Link<Up>, message: Forward) -> Result<Self, ForwardFailure> {
+        let mut frames = link
+            .forward(Stamp::default(), message)
+            .await
+            .map_err(ForwardFailure::before_head)?;
+        let mut attempts_used = 0;
+        loop {
+            match frames.next().await.map_err(ForwardFailure::before_head)? {
+                Frame::Ran(count) => attempts_used = count,
+                Frame::Head { status, headers } => {
+                    let status = StatusCode::from_u16(status);
+                    return Ok(Self {
+                        status: status.map_err(ForwardFailure::before_head)?,
+                        headers: read_headers(&headers),
+                        // An answer means that at least one target ran the
+                        // request.
+                        attempts_used: attempts_used.max(1),
+                        frames,
+                    });
+                }
+                Frame::Refused(refusal) => {
+                    return Err(ForwardFailure::Refused(refusal, attempts_used));
+                }
+                Frame::Data(_) | Frame::End | Frame::Stamp(_) => {
+                    let reason = "unexpected frame before the head of the answer";
+                    return Err(ForwardFailure::before_head(reason));
+                }
+            }
+        }
+    }
+}
+
+impl ChunkedAnswer for RemoteAnswer {
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, String> {
+        match self.frames.next().await {
+            Ok(Frame::Data(data)) => Ok(Some(data.into())),
+            Ok(Frame::End) => Ok(None),
+            Ok(Frame::Refused(refusal)) => Err(refusal.code.as_str().to_owned()),
+            Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Ran(_)) => {
+                Err("unexpected frame".to_owned())
+            }
+            Err(e) => Err(e.to_string()),
+        }
+    }
+}
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -4,38 +4,38 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use chiverelay_decisions::names::RequestId;
-use chiverelay_decisions::request::Direct;
-use chiverelay_decisions::request::Dispatched;
-use chiverelay_decisions::request::Request;
-use chiverelay_sibling::Answer;
-use chiverelay_sibling::Frame;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::Dialect;
 use crate::Gateway;
 use crate::IncompleteAnswer;
-use crate::answer::MAX_BUFFERED_BYTES;
+use crate::Reply;
+use crate::ReplyBody;
+use crate::answer::ChunkedAnswer;
 use crate::relay::AnswerOrigin;
 use crate::relay::AnswerSource;
 use crate::relay::RELAY_ABANDONED;
 use crate::relay::RELAY_BROKEN;
 use crate::relay::RELAY_COMPLETE;
 use crate::relay::RelayEnd;
+use crate::remote_answer::StartedForward;
 
 /// Relay of an answer from an instance in another region. That instance
 /// resumes interrupted streams itself, so this instance does not.
+///
+/// # Invariants
+///
+/// `current` is `None` once the answer has ended.
 pub(crate) struct RemoteRelay<D>
 where
     D: Dialect,
 {
     gateway: Arc<Gateway<D>>,
     id: RequestId,
-    answer: Option<Answer>,
+    current: Option<StartedForward>,
     /// Start of the answer that was read but not returned yet.
     buffered: Bytes,
-    deadline: Duration,
     received_at: Duration,
     outcome: &'static str,
     /// Counts this answer as an open request until it is dropped.
@@ -46,67 +46,69 @@
 where
     D: Dialect,
 {
-    pub(crate) fn new(
-        gateway: Arc<Gateway<D>>,
-        req: &Request<Dispatched, Direct>,
-        answer: Answer,
-    ) -> Self {
+    fn new(gateway: Arc<Gateway<D>>, mut started: StartedForward) -> Self {
+        let buffered = std::mem::take(&mut started.start.data);
         Self {
             _open: gateway.open_requests.token(),
             gateway,
-            id: req.meta().id.clone(),
-            answer: Some(answer),
-            buffered: Bytes::new(),
-            deadline: req.meta().deadline,
-            received_at: req.meta().received,
+            id: started.req.meta().id.clone(),
+            received_at: started.req.meta().received,
+            current: Some(started),
+            buffered,
             outcome: RELAY_ABANDONED,
         }
     }
-}
 
-/// The start of an answer that was read before any of it goes to the caller.
-#[derive(Debug)]
-pub(crate) enum RemoteStart {
-    /// The whole answer.
-    Complete(Bytes),
-    /// The answer goes on. The relay returns what was read of it again.
-    Partial,
-}
+    /// Reads and checks the next chunk within the time that is left.
+    async fn read_chunk(&mut self) -> Result<Option<Bytes>, IncompleteAnswer> {
+        let Some(current) = &mut self.current else {
+            return Err(IncompleteAnswer::failed("no attempt is running"));
+        };
+        let now = self.gateway.clock.now();
+        let left = current.req.meta().deadline.saturating_sub(now);
+        // A timeout of zero would still return chunks that have arrived.
+        if left.is_zero() {
+            return Err(IncompleteAnswer::timed_out());
+        }
+        let next = tokio::time::timeout(left, current.answer.next_chunk());
+        let chunk = match self.gateway.shutdown.run_until_over(next).await {
+            Some(Ok(chunk)) => chunk.map_err(IncompleteAnswer::failed)?,
+            Some(Err(_)) => return Err(IncompleteAnswer::timed_out()),
+            None => return Err(IncompleteAnswer::shutdown()),
+        };
+        let checker = &mut current.start.checker;
+        let Some(chunk) = chunk else {
+            checker.check_end().map_err(IncompleteAnswer::failed)?;
+            return Ok(None);
+        };
+        let chunk = checker.push(chunk).map_err(IncompleteAnswer::failed)?;
+        Ok(Some(chunk))
+    }
 
-impl<D> RemoteRelay<D>
-where
-    D: Dialect,
-{
-    /// Reads the answer up to its end or to [`MAX_BUFFERED_BYTES`].
-    ///
-    /// # Errors
-    ///
-    /// Fails if the answer ends early.
-    pub(crate) async fn read_start(&mut self) -> Result<RemoteStart, IncompleteAnswer> {
-        let mut data = BytesMut::new();
-        while data.len() < MAX_BUFFERED_BYTES {
-            let Some(chunk) = self.next_chunk().await else {
-                return Ok(RemoteStart::Complete(data.freeze()));
-            };
-            data.extend_from_slice(&chunk?);
+    /// Records that the answer ended early, and cancels the request.
+    fn end_early(&mut self, cause: &IncompleteAnswer) {
+        self.outcome = RELAY_BROKEN;
+        self.gateway
+            .metrics
+            .count_interruption(AnswerOrigin::Instance, cause.cause());
+        if let Some(current) = self.current.take() {
+            log::info!(
+                target: "forward",
+                id = self.id.as_str(),
+                peer:% = current.req.peer(),
+                last_event = current.start.checker.last_id().unwrap_or_default(),
+                reason:% = cause;
+                "answer ended early"
+            );
         }
-        self.buffered = data.freeze();
-        Ok(RemoteStart::Partial)
     }
 
-    async fn next_frame(&mut self) -> Option<Result<Frame, IncompleteAnswer>> {
-        let answer = self.answer.as_mut()?;
-        let left = self.deadline.saturating_sub(self.gateway.clock.now());
-        // A timeout of zero would still return frames that have arrived.
-        if left.is_zero() {
-            return Some(Err(IncompleteAnswer::timed_out()));
+    fn finish(&mut self) {
+        self.outcome = RELAY_COMPLETE;
+        if let Some(current) = self.current.take() {
+            // Ends the request's life cycle.
+            drop(current.req.answered());
         }
-        let next = tokio::time::timeout(left, answer.next());
-        Some(match self.gateway.shutdown.run_until_over(next).await {
-            Some(Ok(frame)) => frame.map_err(IncompleteAnswer::failed),
-            Some(Err(_)) => Err(IncompleteAnswer::timed_out()),
-            None => Err(IncompleteAnswer::shutdown()),
-        })
     }
 }
 
@@ -118,25 +120,18 @@
         if !self.buffered.is_empty() {
             return Some(Ok(std::mem::take(&mut self.buffered)));
         }
-        let cause = match self.next_frame().await? {
-            Ok(Frame::Data(data)) => return Some(Ok(data.into())),
-            Ok(Frame::End) => {
-                self.outcome = RELAY_COMPLETE;
-                self.answer = None;
-                return None;
+        while self.current.is_some() {
+            match self.read_chunk().await {
+                Ok(Some(data)) if data.is_empty() => {}
+                Ok(Some(data)) => return Some(Ok(data)),
+                Ok(None) => self.finish(),
+                Err(cause) => {
+                    self.end_early(&cause);
+                    return Some(Err(cause));
+                }
             }
-            Ok(Frame::Refused(refusal)) => IncompleteAnswer::failed(refusal.code.as_str()),
-            Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Ran(_)) => {
-                IncompleteAnswer::failed("unexpected frame")
-            }
-            Err(cause) => cause,
-        };
-        self.answer = None;
-        self.outcome = RELAY_BROKEN;
-        self.gateway
-            .metrics
-            .count_interruption(AnswerOrigin::Instance, cause.cause());
-        Some(Err(cause))
+        }
+        None
     }
 }
 
@@ -153,3 +148,28 @@
         end.record(&self.gateway, &self.id);
     }
 }
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Builds the reply from an answer of another instance whose start was
+    /// read.
+    pub(crate) fn build_forwarded_reply(self: &Arc<Self>, started: StartedForward) -> Reply {
+        let status = started.answer.status;
+        let headers = started.answer.headers.clone();
+        let body = match started.start.is_complete {
+            true => {
+                // Ends the request's life cycle.
+                drop(started.req.answered());
+                ReplyBody::Full(started.start.data)
+            }
+            false => ReplyBody::Chunks(RemoteRelay::new(Arc::clone(self), started).into_stream()),
+        };
+        Reply {
+            status,
+            headers,
+            body,
+        }
+    }
+}
--- a/tests/support/node/store.rs
+++ b/tests/support/node/store.rs
@@ -148,6 +148,12 @@
         keys.cloned().collect()
     }
 
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.lock().expect("no panic under the lock");
+        state.data.items.get(key).map(|item| item.value.clone())
+    }
+
     /// Counts the calls of a path.
     pub fn calls(&self, path: &str) -> usize {
         let state = self.state.lock().expect("no panic under the lock");
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -3,6 +3,7 @@
 mod broken_answers;
 mod decode;
 mod endless;
+mod forwarded_streams;
 mod forwards;
 mod kept_connections;
 mod leaving;
