Resume a forwarded stream at the instance that took the request

Callers saw a stream through another region cut between or within events when the instance there, its stop or the link failed, although its target or another destination could have gone on.

Cause: only the receiving instance resumed streams, at its own targets; the instance before the caller passed on what came and then broke off.

Only an answer of the same status and content type goes on. A stream that has begun isn't refused for being late from queueing, as in the local relay.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -135,6 +135,7 @@
         parts: inbound.parts.into(),
         attempts_left: matched.route.max_attempts.max(1),
         sent_count: 0,
+        is_resumed: false,
         route: Arc::clone(&matched.route),
         pool,
     };
@@ -293,7 +294,7 @@
                 }
                 Destination::Remote(placed) => match self.forward(placed, &mut cx, &out).await {
                     ForwardOutcome::Answered(started) => {
-                        return Ok(self.build_forwarded_reply(*started));
+                        return Ok(self.build_forwarded_reply(cx, out, started));
                     }
                     ForwardOutcome::Refused(refusal) => return Err(refusal),
                     ForwardOutcome::Retry(req, latest) => {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -63,6 +63,8 @@
     pub(crate) attempts_left: u32,
     /// Number of targets that this instance sent the request to.
     pub(crate) sent_count: u32,
+    /// Whether the answer has begun and is to be continued.
+    pub(crate) is_resumed: bool,
 }
 
 /// Destination of the next attempt at a caller's request.
@@ -440,7 +442,8 @@
 /// # Errors
 ///
 /// Refuses a request that would wait past its deadline, or that would miss its
-/// route's target latency because of the requests queued ahead of it.
+/// route's target latency because of the requests queued ahead of it. An answer
+/// that has begun is continued even if its next event is late.
 fn check_wait<O>(
     req: &Request<Admitted, O>,
     cx: &PlacementContext,
@@ -450,7 +453,7 @@
     if estimate.wait > left {
         return Err(refuse_past_deadline(req, estimate.wait, left));
     }
-    if estimate.is_late_from_queueing(cx.route.target_latency) {
+    if !cx.is_resumed && estimate.is_late_from_queueing(cx.route.target_latency) {
         let refusal = req.refusal(Code::Overloaded, Step::Place, Peer::Local);
         return Err(refusal.with_retry_after(estimate.queue_delay.max(MIN_RETRY_AFTER)));
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use chiverelay_decisions::traffic::TargetOutcome;
 use chiverelay_target::connection_pool::PooledResponse;
 use futures_util::stream;
+use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
@@ -26,7 +27,7 @@
 use crate::place::PlacementContext;
 
 /// Maximum number of attempts to resume a stream after one interruption.
-const MAX_RESUMES: u32 = 3;
+pub(crate) const MAX_RESUMES: u32 = 3;
 
 /// Lower bound for the pause between events after which a stream may move to
 /// another target.
@@ -173,20 +174,24 @@
 
 /// What two answers must have in common for one to continue the other.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct AnswerKind {
+pub(crate) struct AnswerKind {
     status: StatusCode,
     content_type: Option<HeaderValue>,
 }
 
 impl AnswerKind {
-    fn of(answer: &PooledResponse) -> Self {
+    pub(crate) fn new(status: StatusCode, headers: &HeaderMap) -> Self {
         Self {
-            status: answer.status(),
-            content_type: answer.headers().get(CONTENT_TYPE).cloned(),
+            status,
+            content_type: headers.get(CONTENT_TYPE).cloned(),
         }
     }
 
-    fn matches(&self, answer: &PooledResponse) -> bool {
+    fn of(answer: &PooledResponse) -> Self {
+        Self::new(answer.status(), answer.headers())
+    }
+
+    pub(crate) fn matches(&self, answer: &PooledResponse) -> bool {
         *self == Self::of(answer)
     }
 }
@@ -288,13 +293,8 @@
         let Some(current) = &self.current else {
             return false;
         };
-        let now = self.gateway.clock.now();
-        let left = current.req.meta().deadline.saturating_sub(now);
-        self.cx.route.kind.is_stream()
-            && self.cx.route.kind.is_repeatable()
-            && self.cx.attempts_left > 0
-            && left >= MIN_TIME_TO_SEND
-            && !self.gateway.shutdown.is_over()
+        let deadline = current.req.meta().deadline;
+        self.gateway.allows_resume(&self.cx, deadline)
     }
 
     /// Moves a stream from a target that pauses to another one. Stays with the
@@ -390,6 +390,22 @@
     }
 }
 
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Tells whether an interrupted answer of a request with this deadline may
+    /// be resumed.
+    pub(crate) fn allows_resume(&self, cx: &PlacementContext, deadline: Duration) -> bool {
+        let left = deadline.saturating_sub(self.clock.now());
+        cx.route.kind.is_stream()
+            && cx.route.kind.is_repeatable()
+            && cx.attempts_left > 0
+            && left >= MIN_TIME_TO_SEND
+            && !self.shutdown.is_over()
+    }
+}
+
 impl<D, O> AnswerSource for Relay<D, O>
 where
     D: Dialect,
--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -17,6 +17,7 @@
 
 use crate::answer::AnswerStart;
 use crate::answer::ChunkedAnswer;
+use crate::relay::AnswerKind;
 
 /// Answer that another instance relays. Dropping it cancels the request there.
 #[derive(Debug)]
@@ -62,6 +63,12 @@
 }
 
 impl RemoteAnswer {
+    /// Returns what an answer that continues this one must have in common with
+    /// it.
+    pub(crate) fn kind(&self) -> AnswerKind {
+        AnswerKind::new(self.status, &self.headers)
+    }
+
     /// Sends a forwarded request and waits for the status and headers of its
     /// answer.
     ///
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -285,6 +285,7 @@
             prompt_tokens: forward.prompt_tokens,
             attempts_left: forward.attempts.max(1),
             sent_count: 0,
+            is_resumed: false,
         };
         let meta = RequestMeta {
             id: forward.id,
--- a/tests/testsuite/node/forwarded_streams.rs
+++ b/tests/testsuite/node/forwarded_streams.rs
@@ -3,11 +3,16 @@
 
 use std::time::Duration;
 
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::step;
+use chiverelay_decisions::step::Peer;
 use chiverelay_sibling::Frame;
 use hyper::StatusCode;
 use support::block_on;
 use support::cases;
 use support::node::Got;
+use support::node::Mode;
 use support::node::Node;
 use support::node::PlatformTarget;
 use support::node::ScriptedInstance;
@@ -17,6 +22,9 @@
 use support::node::site::KEY;
 use support::node::site::until;
 
+/// Time in which a new record reaches a running instance.
+const RECORD_TIME: Duration = Duration::from_millis(800);
+
 /// Starts an answer after `ran` attempts.
 fn head(ran: u32, content_type: &str) -> Vec<Step> {
     let header = |name: &str, value: &str| (name.to_owned(), value.as_bytes().to_vec());
@@ -47,9 +55,14 @@
     Step::Send(Frame::End)
 }
 
+fn lost() -> Step {
+    let refusal = Refusal::unknown(Code::TargetFailed, step::Step::Answer, Peer::Local);
+    Step::Send(Frame::Refused(refusal))
+}
+
 /// An instance, and two scripted ones of the region that has the only target.
 struct Regions {
-    _site: Site,
+    site: Site,
     near: Node,
     far: ScriptedInstance,
     _target: PlatformTarget,
@@ -67,7 +80,7 @@
         })
         .await;
         Self {
-            _site: site,
+            site,
             near,
             far,
             _target: target,
@@ -130,3 +143,205 @@
         assert_eq!(regions.far.forwards().len(), 1);
     });
 }
+
+/// How a forwarded stream breaks off after its first event.
+fn broken(ran: u32, by: Vec<Step>) -> Vec<Step> {
+    [stream(ran), vec![event(1)], by].concat()
+}
+
+fn check_resumed_at_another_instance(by: Vec<Step>) {
+    block_on(async {
+        let rest = [stream(1), vec![event(2), event(3), end()]].concat();
+        let regions = Regions::start(vec![broken(1, by), rest]).await;
+        let got = regions.call("/quote/1").await;
+        assert!(got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1, 2, 3]);
+        let forwards = regions.far.forwards();
+        assert_eq!(forwards.len(), 2);
+        assert_eq!(forwards[1].last_event_id, Some(1));
+        assert_eq!(forwards[1].attempts, 1);
+    });
+}
+
+// Failure: a forwarded stream was cut at the caller as the other instance or
+// the link to it failed, though it could go on through another instance.
+cases! {
+    check_resumed_at_another_instance:
+    a_stream_cut_between_events_goes_on_elsewhere(vec![]);
+    a_stream_cut_within_an_event_goes_on_elsewhere(vec![half_an_event()]);
+    a_stream_given_up_there_goes_on_elsewhere(vec![lost()]);
+}
+
+/// Failure: a forwarded stream was cut at the caller, though a target of the
+/// own region could take it.
+#[test]
+fn a_forwarded_stream_goes_on_at_home() {
+    block_on(async {
+        let cut = broken(1, vec![Step::Pause(2 * RECORD_TIME)]);
+        let regions = Regions::start(vec![cut]).await;
+        let home = PlatformTarget::start("i-north").await;
+        home.set(Mode::Events(2));
+        let joining = async {
+            regions.far.until_forwards(1).await;
+            regions.site.register(&home, "model", "north-a");
+        };
+        let (got, ()) = tokio::join!(regions.call("/quote/1"), joining);
+        assert!(got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1, 2, 3]);
+        assert_eq!(home.arrivals()[0].header("last-event-id"), "1");
+    });
+}
+
+fn check_not_resumed(path: &str, scripts: Vec<Vec<Step>>, forwards: usize) {
+    block_on(async {
+        let regions = Regions::start(scripts).await;
+        let got = regions.call(path).await;
+        assert_eq!(got.status, StatusCode::OK);
+        assert!(!got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1]);
+        assert_eq!(regions.far.forwards().len(), forwards);
+    });
+}
+
+/// The rest of a stream as an answer of another kind.
+fn plain_rest() -> Vec<Step> {
+    [head(1, "text/plain"), vec![event(2), end()]].concat()
+}
+
+// Failure: a forwarded stream went on though it may not be repeated or had no
+// attempt left, or with an answer of another kind.
+cases! {
+    check_not_resumed:
+    a_stream_that_may_not_be_repeated_stays_cut(
+        "/chat/1",
+        vec![broken(1, vec![])],
+        1,
+    );
+    a_stream_without_attempts_left_stays_cut(
+        "/quote/1",
+        vec![broken(2, vec![])],
+        1,
+    );
+    a_stream_does_not_go_on_with_an_answer_of_another_kind(
+        "/quote/1",
+        vec![broken(1, vec![]), plain_rest()],
+        2,
+    );
+}
+
+/// Length of a stream of the real instances, in events. It lasts longer than
+/// what is done to an instance meanwhile.
+const EVENTS: u64 = 250;
+
+/// Time for which an instance is frozen.
+const FREEZE: Duration = Duration::from_secs(2);
+
+/// An instance that forwards to two others, one of which relays a stream.
+struct RealRegions {
+    _site: Site,
+    near: Node,
+    far: Vec<Node>,
+    target: PlatformTarget,
+}
+
+impl RealRegions {
+    async fn start() -> Self {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-south").await;
+        target.set(Mode::Events(EVENTS));
+        site.register(&target, "model", "south-a");
+        let near = site.instance("near", "north-a", "north").await;
+        let mut far = Vec::new();
+        for name in ["far", "farther"] {
+            far.push(site.instance(name, "south-a", "south").await);
+        }
+        until("both links are up", async || {
+            near.logged().matches("link is up").count() >= 2
+        })
+        .await;
+        Self {
+            _site: site,
+            near,
+            far,
+            target,
+        }
+    }
+
+    /// Waits until one of the instances relays the stream, and returns it.
+    async fn until_relayed(&mut self) -> &mut Node {
+        let is_relaying = |node: &Node| node.logged().contains("forwarded request handled");
+        until("the stream is relayed", async || {
+            self.far.iter().any(is_relaying)
+        })
+        .await;
+        let relaying = self.far.iter_mut().find(|node| is_relaying(node));
+        relaying.expect("one of them relays it")
+    }
+}
+
+/// What is done to the instance that relays a stream.
+#[derive(Clone, Copy, Debug)]
+enum Disruption {
+    Freeze,
+    Terminate,
+}
+
+impl Disruption {
+    async fn apply(self, node: &mut Node) {
+        match self {
+            Self::Freeze => {
+                node.process.freeze();
+                tokio::time::sleep(FREEZE).await;
+                node.process.thaw();
+            }
+            Self::Terminate => node.process.terminate(),
+        }
+    }
+}
+
+fn check_disrupted_relay(disruption: Disruption, runs: usize) {
+    block_on(async {
+        let mut regions = RealRegions::start().await;
+        let call = Call::new("r-1", "/quote/1").key(KEY);
+        let front = regions.near.front;
+        let streaming = call.send(front);
+        let disrupting = async {
+            let node = regions.until_relayed().await;
+            disruption.apply(node).await;
+        };
+        let (got, ()) = tokio::join!(streaming, disrupting);
+        assert!(got.whole, "{:?}", got.event_ids());
+        let ids = got.event_ids();
+        let expected: Vec<u64> = (1..=ids.len() as u64).collect();
+        assert_eq!(ids, expected);
+        assert_eq!(regions.target.arrivals().len(), runs);
+    });
+}
+
+// Failure: a stream was cut or run again as the instance that relayed it was
+// frozen for a while or told to stop.
+cases! {
+    check_disrupted_relay:
+    a_stream_through_an_instance_that_freezes_goes_on(Disruption::Freeze, 1);
+    a_stream_through_an_instance_that_stops_ends_whole(Disruption::Terminate, 1);
+}
+
+/// Failure: a request that came as an instance of the other region was told to
+/// stop got no answer, though the other one there could serve it.
+#[test]
+fn requests_are_served_as_an_instance_of_the_other_region_stops() {
+    block_on(async {
+        let regions = RealRegions::start().await;
+        regions.target.set(Mode::Events(3));
+        for n in 0..40 {
+            if n == 10 {
+                regions.far[0].process.terminate();
+            }
+            let call = Call::new(&format!("r-{n}"), "/chat/1").key(KEY);
+            let got = call.send(regions.near.front).await;
+            assert_eq!(got.status, StatusCode::OK, "{n}: {got:?}");
+            assert!(got.whole, "{n}: {got:?}");
+        }
+        assert_eq!(regions.target.arrivals().len(), 40);
+    });
+}
