Count the attempts of resumes in another region

A resumable stream could run at more targets than its route allows: an instance resumed it at a second target, gave up, and the instance that had forwarded it placed it once more, as it knew only of the attempts before the head.

The receiver now sends `Frame::Ran` again when the count has changed, before the next piece or the refusal. It counts targets that the stream was sent to after its head, so a target that turned it down counts too: the count may be too high, never too low. An instance that is killed between a resume and the next frame still reports too few.

Frames in this place are new, so the version of the messages is 8.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -105,7 +105,7 @@
         };
         let msg = self.encode(out, &attempt);
         let req = req.dispatch();
-        cx.sent_count += 1;
+        cx.sent_count.increment();
         let exchange = self.exchange(conn, msg, out, cx, &known_target);
         let sent = match tokio::time::timeout(timeout, exchange).await {
             Ok(sent) => sent,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -81,12 +81,11 @@
     /// answer unless it is a server error that is retried.
     fn accept_remote_answer(
         &self,
-        started: StartedForward,
+        mut started: StartedForward,
         cx: &mut PlacementContext,
     ) -> ForwardOutcome {
-        cx.attempts_left = cx
-            .attempts_left
-            .saturating_sub(started.answer.attempts_used);
+        let attempts_used = started.answer.take_new_attempts();
+        cx.attempts_left = cx.attempts_left.saturating_sub(attempts_used);
         let is_retried = started.start.is_complete
             && started.answer.status.is_server_error()
             && cx.attempts_left > 0
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -41,6 +41,7 @@
 use crate::relay::AnswerSource;
 use crate::relay::Relay;
 use crate::request_log::RequestLog;
+use crate::sent_count::SentCount;
 use crate::shutdown::refuse_open_request;
 use crate::suspension;
 
@@ -134,7 +135,7 @@
         digest: suspension::digest(&pool.name, &inbound.parts, &out),
         parts: inbound.parts.into(),
         attempts_left: matched.route.max_attempts.max(1),
-        sent_count: 0,
+        sent_count: SentCount::default(),
         is_resumed: false,
         route: Arc::clone(&matched.route),
         pool,
@@ -280,7 +281,7 @@
             req = match next {
                 Destination::Local(placed) => {
                     let tried = self.attempt(*placed, &mut cx, &out).await;
-                    request_log.sent_count = cx.sent_count;
+                    request_log.sent_count = cx.sent_count.get();
                     match tried {
                         AttemptOutcome::Answered(started) => {
                             return Ok(self.build_reply(cx, out, *started));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod remote_relay;
 mod request_log;
 mod reservation_guard;
+mod sent_count;
 mod settings;
 mod shutdown;
 mod sibling_handler;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -37,6 +37,7 @@
 use crate::quarantine;
 use crate::reservation_guard::ReservationGuard;
 use crate::reservation_guard::ReservedRequest;
+use crate::sent_count::SentCount;
 
 /// Assumed network round trip to any other region. It is added to the estimated
 /// wait at that region's targets.
@@ -62,7 +63,7 @@
     /// Number of targets that may still run the request.
     pub(crate) attempts_left: u32,
     /// Number of targets that this instance sent the request to.
-    pub(crate) sent_count: u32,
+    pub(crate) sent_count: SentCount,
     /// Whether the answer has begun and is to be continued.
     pub(crate) is_resumed: bool,
 }
--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -27,6 +27,9 @@
     /// Number of targets in the other region that may have run the request, 1
     /// at least.
     pub(crate) attempts_used: u32,
+    /// Those of `attempts_used` that the caller of
+    /// [`RemoteAnswer::take_new_attempts`] has counted.
+    attempts_counted: u32,
     frames: Answer,
 }
 
@@ -63,6 +66,12 @@
 }
 
 impl RemoteAnswer {
+    /// Returns the number of attempts since the last call.
+    pub(crate) fn take_new_attempts(&mut self) -> u32 {
+        let counted = std::mem::replace(&mut self.attempts_counted, self.attempts_used);
+        self.attempts_used.saturating_sub(counted)
+    }
+
     /// Returns what an answer that continues this one must have in common with
     /// it.
     pub(crate) fn kind(&self) -> AnswerKind {
@@ -93,6 +102,7 @@
                         // An answer means that at least one target ran the
                         // request.
                         attempts_used: attempts_used.max(1),
+                        attempts_counted: 0,
                         frames,
                     });
                 }
@@ -110,14 +120,19 @@
 
 impl ChunkedAnswer for RemoteAnswer {
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, String> {
-        match self.frames.next().await {
-            Ok(Frame::Data(data)) => Ok(Some(data.into())),
-            Ok(Frame::End) => Ok(None),
-            Ok(Frame::Refused(refusal)) => Err(refusal.code.as_str().to_owned()),
-            Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Ran(_)) => {
-                Err("unexpected frame".to_owned())
-            }
-            Err(e) => Err(e.to_string()),
+        loop {
+            return match self.frames.next().await {
+                // The answer was resumed at another target there.
+                Ok(Frame::Ran(count)) => {
+                    self.attempts_used = self.attempts_used.max(count);
+                    continue;
+                }
+                Ok(Frame::Data(data)) => Ok(Some(data.into())),
+                Ok(Frame::End) => Ok(None),
+                Ok(Frame::Refused(refusal)) => Err(refusal.code.as_str().to_owned()),
+                Ok(Frame::Head { .. } | Frame::Stamp(_)) => Err("unexpected frame".to_owned()),
+                Err(e) => Err(e.to_string()),
+            };
         }
     }
 }
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -153,7 +153,13 @@
         let AnswerRest::Remote(current) = self.take_rest() else {
             return Err(cause);
         };
-        let StartedForward { req, answer, start } = *current;
+        let StartedForward {
+            req,
+            mut answer,
+            start,
+        } = *current;
+        let attempts_used = answer.take_new_attempts();
+        self.cx.attempts_left = self.cx.attempts_left.saturating_sub(attempts_used);
         let deadline = req.meta().deadline;
         let is_resumable =
             answer.status.is_success() && self.gateway.allows_resume(&self.cx, deadline);
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -38,6 +38,7 @@
 use crate::outcome::AttemptOutcome;
 use crate::outcome::Fallback;
 use crate::place::PlacementContext;
+use crate::sent_count::SentCount;
 use crate::suspension;
 
 /// Maximum number of targets that a forwarded request is tried at, including
@@ -109,7 +110,7 @@
             target: "forward",
             id = id.as_str(),
             from = from.instance.as_str(),
-            sent = usage.sent,
+            sent = usage.sent_before_head,
             outcome = match &handled {
                 Ok(_) => "answered",
                 Err(refusal) => refusal.code.as_str(),
@@ -119,7 +120,7 @@
         // The other instance may have cancelled the request, or may be frozen
         // and not read the reply at all.
         let left = deadline.saturating_sub(gateway.clock.now());
-        let sending = send_reply(&mut tx, handled, usage.may_have_run);
+        let sending = send_reply(&mut tx, handled, &usage);
         let _ = tokio::time::timeout(left.max(MIN_REPLY_TIME), sending).await;
     }
 
@@ -129,22 +130,35 @@
 }
 
 /// How many targets were sent a forwarded request.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 struct TargetUsage {
-    /// Targets that the request was sent to.
-    sent: u32,
+    /// Targets that the request was sent to. The count goes on while the answer
+    /// is resumed at other targets.
+    sent_count: SentCount,
+    /// Targets that the request was sent to before the head of the answer.
+    sent_before_head: u32,
     /// Those of them that may have run the request.
-    may_have_run: u32,
+    ran_before_head: u32,
 }
 
-/// Sends a reply or refusal to the instance that forwarded the request, after
-/// the number of targets that may have run it.
+impl TargetUsage {
+    /// Returns the largest number of targets that may have run the request.
+    fn max_ran(&self) -> u32 {
+        let resumes = self.sent_count.get().saturating_sub(self.sent_before_head);
+        self.ran_before_head + resumes
+    }
+}
+
+/// Sends a reply or refusal to the instance that forwarded the request. The
+/// number of targets that may have run it is sent first, and again when it has
+/// changed.
 async fn send_reply(
     tx: &mut FrameSender,
     handled: HandleResult,
-    attempts_used: u32,
+    usage: &TargetUsage,
 ) -> Result<(), chiverelay_sibling::Error> {
-    tx.send(&Frame::Ran(attempts_used)).await?;
+    let mut reported = usage.max_ran();
+    tx.send(&Frame::Ran(reported)).await?;
     let reply = match handled {
         Ok(reply) => reply,
         Err(refusal) => return tx.send(&Frame::Refused(refusal)).await,
@@ -171,6 +185,11 @@
             chunk = stream.next() => chunk,
             () = tx.closed() => return Ok(()),
         };
+        let ran = usage.max_ran();
+        if ran != reported {
+            tx.send(&Frame::Ran(ran)).await?;
+            reported = ran;
+        }
         match chunk {
             None => return tx.send(&Frame::End).await,
             Some(Ok(data)) => tx.send(&Frame::Data(data.to_vec())).await?,
@@ -204,8 +223,9 @@
                 Err(refusal) => return fallback.unwrap_or(refusal.into()).into_result(),
             };
             let tried = self.attempt(placed, &mut cx, &out).await;
-            usage.may_have_run = max_attempts - cx.attempts_left;
-            usage.sent = cx.sent_count;
+            usage.ran_before_head = max_attempts - cx.attempts_left;
+            usage.sent_count = cx.sent_count.clone();
+            usage.sent_before_head = cx.sent_count.get();
             req = match tried {
                 AttemptOutcome::Answered(started) => {
                     return Ok(self.build_reply(cx, out, *started));
@@ -284,7 +304,7 @@
             parts: forward.parts.into(),
             prompt_tokens: forward.prompt_tokens,
             attempts_left: forward.attempts.max(1),
-            sent_count: 0,
+            sent_count: SentCount::default(),
             is_resumed: false,
         };
         let meta = RequestMeta {
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -37,7 +37,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 7;
+pub const VERSION: u16 = 8;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
@@ -248,7 +248,8 @@
     End,
     /// There is no answer, or no more of it.
     Refused(Refusal),
-    /// Targets that may have run the request, before the head or a refusal.
+    /// Targets that may have run the request, before the head or a refusal, and
+    /// again when the answer was resumed at another target.
     Ran(u32),
     /// The sender's hybrid logical clock, before the head.
     Stamp(Stamp),
--- a/tests/testsuite/node/forwarded_streams.rs
+++ b/tests/testsuite/node/forwarded_streams.rs
@@ -222,6 +222,11 @@
         vec![broken(2, vec![])],
         1,
     );
+    a_stream_resumed_there_without_attempts_left_stays_cut(
+        "/quote/1",
+        vec![broken(1, vec![Step::Send(Frame::Ran(2))])],
+        1,
+    );
     a_stream_does_not_go_on_with_an_answer_of_another_kind(
         "/quote/1",
         vec![broken(1, vec![]), plain_rest()],
@@ -238,7 +243,7 @@
 
 /// An instance that forwards to two others, one of which relays a stream.
 struct RealRegions {
-    _site: Site,
+    site: Site,
     near: Node,
     far: Vec<Node>,
     target: PlatformTarget,
@@ -260,7 +265,7 @@
         })
         .await;
         Self {
-            _site: site,
+            site,
             near,
             far,
             target,
@@ -279,6 +284,27 @@
     }
 }
 
+/// Failure: a stream ran at more targets than its route allows, as the other
+/// instance had resumed it before it gave up.
+#[test]
+fn resumes_in_the_other_region_count_as_attempts() {
+    block_on(async {
+        let regions = RealRegions::start().await;
+        let second = PlatformTarget::start("i-second").await;
+        regions.site.register(&second, "model", "south-a");
+        tokio::time::sleep(RECORD_TIME).await;
+        for target in [&regions.target, &second] {
+            target.set(Mode::Cut(1));
+        }
+        let call = Call::new("r-1", "/quote/1").key(KEY);
+        let got = call.send(regions.near.front).await;
+        assert!(!got.whole);
+        assert_eq!(got.event_ids(), [1, 2]);
+        let runs = regions.target.arrivals().len() + second.arrivals().len();
+        assert_eq!(runs, 2, "the route allows two targets");
+    });
+}
+
 /// What is done to the instance that relays a stream.
 #[derive(Clone, Copy, Debug)]
 enum Disruption {
