Close the link to an instance whose process has ended

Callers saw a stream through another region cut at their deadline after the instance that relayed it was killed: the end was noticed only as the connection's idle limit of 5 s passed, after the route's 4 s.

Silence is no evidence, so the idle limit stays. An instance that is silent for 1.5 s is sent a datagram on a connected socket; if its host replies that nothing listens on the port, the process has ended, and the link is closed. All that waits for an answer from there fails at once, and is retried or resumed as after any other break. A frozen or cut off instance gives no such reply. Where a network drops these replies, the idle limit acts as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod forward;
 mod gateway;
 mod handle;
+mod link_check;
 mod links;
 mod log_rate_limit;
 pub mod log_writer;
--- /dev/null
+++ b/crates/gateway/src/link_check.rs
@@ -0,0 +1,59 @@
+//! Closes links to instances whose process has ended, so that what waits for an
+//! answer from there fails at once.
+//!
+//! Silence alone is no evidence, as an instance may go on after it. A closed
+//! port is: the instances listen on theirs until they end.
+
+use std::io::ErrorKind;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+
+use crate::Dialect;
+use crate::Gateway;
+
+/// Time without a status message after which an instance is checked.
+const CHECK_AFTER: Duration = Duration::from_millis(1500);
+
+/// Time to wait for the reply to a check. An open port gives none.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Content of a check, which is too short for a QUIC packet and ignored.
+const CHECK: &[u8] = &[0];
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Starts a check of each linked instance that is silent.
+    pub(crate) fn check_silent_links(self: &Arc<Self>, now: Duration) {
+        let local = self.settings.sibling_address.ip();
+        for record in self.members.list_silent(CHECK_AFTER, now) {
+            let Some(link) = self.links.get(&record.instance) else {
+                continue;
+            };
+            tokio::spawn(async move {
+                if is_port_closed(local, record.siblings).await {
+                    log::info!(target: "links", dependency = "sibling", instance = record.instance.as_str(); "link closed, as the instance has ended");
+                    link.close();
+                }
+            });
+        }
+    }
+}
+
+/// Tells whether the host at `address` replies that nothing listens on the
+/// port. A check that fails in any other way says nothing.
+async fn is_port_closed(local: IpAddr, address: SocketAddr) -> bool {
+    let checking = async {
+        let socket = UdpSocket::bind((local, 0)).await?;
+        socket.connect(address).await?;
+        socket.send(CHECK).await?;
+        socket.recv(&mut [0; 1]).await
+    };
+    let checked = tokio::time::timeout(REPLY_TIMEOUT, checking).await;
+    matches!(checked, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
+}
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -48,7 +48,7 @@
 }
 
 /// Keeps links to the other instances open, sends them this instance's status,
-/// and removes expired targets and instances.
+/// checks silent instances, and removes expired targets and instances.
 pub(crate) async fn run<D>(gateway: Arc<Gateway<D>>)
 where
     D: Dialect,
@@ -62,6 +62,7 @@
             let pause = status_interval(others.iter().filter(|r| r.region == *own_region).count());
             let now = gateway.clock.now();
             gateway.remove_expired(now);
+            gateway.check_silent_links(now);
             for record in gateway.links.mark_due_for_dialing(others, now) {
                 let gateway = Arc::clone(&gateway);
                 tokio::spawn(async move { gateway.links.dial(&record, now).await });
--- a/tests/testsuite/node/forwarded_streams.rs
+++ b/tests/testsuite/node/forwarded_streams.rs
@@ -308,6 +308,7 @@
 /// What is done to the instance that relays a stream.
 #[derive(Clone, Copy, Debug)]
 enum Disruption {
+    Kill,
     Freeze,
     Terminate,
 }
@@ -315,6 +316,7 @@
 impl Disruption {
     async fn apply(self, node: &mut Node) {
         match self {
+            Self::Kill => node.process.kill(),
             Self::Freeze => {
                 node.process.freeze();
                 tokio::time::sleep(FREEZE).await;
@@ -345,9 +347,10 @@
 }
 
 // Failure: a stream was cut or run again as the instance that relayed it was
-// frozen for a while or told to stop.
+// killed, frozen for a while or told to stop.
 cases! {
     check_disrupted_relay:
+    a_stream_through_an_instance_that_is_killed_goes_on(Disruption::Kill, 2);
     a_stream_through_an_instance_that_freezes_goes_on(Disruption::Freeze, 1);
     a_stream_through_an_instance_that_stops_ends_whole(Disruption::Terminate, 1);
 }
