--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -4,38 +4,72 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
-use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Dispatched;
 use chiverelay_decisions::request::Request;
-use chiverelay_sibling::Answer;
-use chiverelay_sibling::Frame;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::Dialect;
 use crate::Gateway;
 use crate::IncompleteAnswer;
-use crate::answer::MAX_BUFFERED_BYTES;
+use crate::Outbound;
+use crate::Reply;
+use crate::ReplyBody;
+use crate::answer::ChunkedAnswer;
+use crate::forward::ForwardOutcome;
+use crate::outcome::AttemptOutcome;
+use crate::outcome::StartedAnswer;
+use crate::place::Destination;
+use crate::place::PlacementContext;
+use crate::relay::AnswerKind;
 use crate::relay::AnswerOrigin;
 use crate::relay::AnswerSource;
+use crate::relay::MAX_RESUMES;
 use crate::relay::RELAY_ABANDONED;
 use crate::relay::RELAY_BROKEN;
 use crate::relay::RELAY_COMPLETE;
+use crate::relay::Relay;
 use crate::relay::RelayEnd;
+use crate::remote_answer::StartedForward;
+
+/// Where the rest of an answer comes from.
+enum AnswerRest<D>
+where
+    D: Dialect,
+{
+    /// Another instance relays it.
+    Remote(Box<StartedForward>),
+    /// A target in this region sends it.
+    Local(Box<Relay<D, Direct>>),
+    /// The answer has ended or can't be resumed.
+    Ended,
+}
+
+/// Result of an attempt to continue an answer.
+enum ResumeOutcome {
+    /// The answer goes on.
+    Resumed,
+    /// The request may be tried at another destination.
+    Retry(Request<Admitted, Direct>),
+    /// The answer can't be resumed.
+    Failed,
+}
 
 /// Relay of an answer from an instance in another region. That instance
-/// resumes interrupted streams itself, so this instance does not.
+/// resumes a stream whose target fails. If it fails itself, this instance
+/// resumes the stream, at any destination that the request may go to.
 pub(crate) struct RemoteRelay<D>
 where
     D: Dialect,
 {
     gateway: Arc<Gateway<D>>,
-    id: RequestId,
-    answer: Option<Answer>,
+    cx: PlacementContext,
+    out: Outbound,
+    kind: AnswerKind,
+    rest: AnswerRest<D>,
     /// Start of the answer that was read but not returned yet.
     buffered: Bytes,
-    deadline: Duration,
     received_at: Duration,
     outcome: &'static str,
     /// Counts this answer as an open request until it is dropped.
@@ -46,67 +80,179 @@
 where
     D: Dialect,
 {
-    pub(crate) fn new(
+    fn new(
         gateway: Arc<Gateway<D>>,
-        req: &Request<Dispatched, Direct>,
-        answer: Answer,
+        mut cx: PlacementContext,
+        out: Outbound,
+        mut started: Box<StartedForward>,
     ) -> Self {
+        cx.is_resumed = true;
+        let buffered = std::mem::take(&mut started.start.data);
         Self {
             _open: gateway.open_requests.token(),
             gateway,
-            id: req.meta().id.clone(),
-            answer: Some(answer),
-            buffered: Bytes::new(),
-            deadline: req.meta().deadline,
-            received_at: req.meta().received,
+            cx,
+            out,
+            kind: started.answer.kind(),
+            received_at: started.req.meta().received,
+            rest: AnswerRest::Remote(started),
+            buffered,
             outcome: RELAY_ABANDONED,
         }
     }
-}
 
-/// The start of an answer that was read before any of it goes to the caller.
-#[derive(Debug)]
-pub(crate) enum RemoteStart {
-    /// The whole answer.
-    Complete(Bytes),
-    /// The answer goes on. The relay returns what was read of it again.
-    Partial,
-}
+    /// Reads and checks the next chunk within the time that is left.
+    async fn read_chunk(&mut self) -> Result<Option<Bytes>, IncompleteAnswer> {
+        let AnswerRest::Remote(current) = &mut self.rest else {
+            return Err(IncompleteAnswer::failed("no attempt is running"));
+        };
+        if current.start.is_complete {
+            return Ok(None);
+        }
+        let now = self.gateway.clock.now();
+        let left = current.req.meta().deadline.saturating_sub(now);
+        // A timeout of zero would still return chunks that have arrived.
+        if left.is_zero() {
+            return Err(IncompleteAnswer::timed_out());
+        }
+        let next = tokio::time::timeout(left, current.answer.next_chunk());
+        let chunk = match self.gateway.shutdown.run_until_over(next).await {
+            Some(Ok(chunk)) => chunk.map_err(IncompleteAnswer::failed)?,
+            Some(Err(_)) => return Err(IncompleteAnswer::timed_out()),
+            None => return Err(IncompleteAnswer::shutdown()),
+        };
+        let checker = &mut current.start.checker;
+        let Some(chunk) = chunk else {
+            checker.check_end().map_err(IncompleteAnswer::failed)?;
+            return Ok(None);
+        };
+        let chunk = checker.push(chunk).map_err(IncompleteAnswer::failed)?;
+        Ok(Some(chunk))
+    }
 
-impl<D> RemoteRelay<D>
-where
-    D: Dialect,
-{
-    /// Reads the answer up to its end or to [`MAX_BUFFERED_BYTES`].
+    fn finish(&mut self) {
+        self.outcome = RELAY_COMPLETE;
+        if let AnswerRest::Remote(current) = self.take_rest() {
+            // Ends the request's life cycle.
+            drop(current.req.answered());
+        }
+    }
+
+    fn take_rest(&mut self) -> AnswerRest<D> {
+        std::mem::replace(&mut self.rest, AnswerRest::Ended)
+    }
+
+    /// Resumes an interrupted stream after the last event that was received:
+    /// through another instance, or at a target in this region.
     ///
     /// # Errors
     ///
-    /// Fails if the answer ends early.
-    pub(crate) async fn read_start(&mut self) -> Result<RemoteStart, IncompleteAnswer> {
-        let mut data = BytesMut::new();
-        while data.len() < MAX_BUFFERED_BYTES {
-            let Some(chunk) = self.next_chunk().await else {
-                return Ok(RemoteStart::Complete(data.freeze()));
+    /// Returns the cause of the interruption if the stream may not be resumed
+    /// or no destination takes it.
+    async fn resume(&mut self, cause: IncompleteAnswer) -> Result<(), IncompleteAnswer> {
+        let AnswerRest::Remote(current) = self.take_rest() else {
+            return Err(cause);
+        };
+        let StartedForward {
+            req,
+            mut answer,
+            start,
+        } = *current;
+        let attempts_used = answer.take_new_attempts();
+        self.cx.attempts_left = self.cx.attempts_left.saturating_sub(attempts_used);
+        let deadline = req.meta().deadline;
+        let is_resumable =
+            answer.status.is_success() && self.gateway.allows_resume(&self.cx, deadline);
+        // Cancel the request at this instance before another destination gets
+        // it.
+        drop(answer);
+        let last_event_id = start.checker.last_id();
+        self.log_interruption(&req, &cause, last_event_id, is_resumable);
+        if !is_resumable || self.gateway.is_suspected(&self.cx) {
+            return Err(cause);
+        }
+        self.out.last_event_id = last_event_id.or(self.out.last_event_id);
+        let Ok(mut req) = req.retry() else {
+            return Err(cause);
+        };
+        for _ in 0..MAX_RESUMES {
+            if !self.gateway.try_consume_retry(&self.cx, &self.out.id) {
+                return Err(cause);
+            }
+            req = match self.continue_elsewhere(req).await {
+                ResumeOutcome::Resumed => return Ok(()),
+                ResumeOutcome::Retry(admitted) => admitted,
+                ResumeOutcome::Failed => return Err(cause),
             };
-            data.extend_from_slice(&chunk?);
         }
-        self.buffered = data.freeze();
-        Ok(RemoteStart::Partial)
+        Err(cause)
     }
 
-    async fn next_frame(&mut self) -> Option<Result<Frame, IncompleteAnswer>> {
-        let answer = self.answer.as_mut()?;
-        let left = self.deadline.saturating_sub(self.gateway.clock.now());
-        // A timeout of zero would still return frames that have arrived.
-        if left.is_zero() {
-            return Some(Err(IncompleteAnswer::timed_out()));
+    /// Tries to continue the answer at the best destination. An answer of
+    /// another kind, such as an error, can't continue it.
+    async fn continue_elsewhere(&mut self, req: Request<Admitted, Direct>) -> ResumeOutcome {
+        match self.gateway.choose_destination(req, &self.cx) {
+            Ok(Destination::Local(placed)) => {
+                match self.gateway.attempt(*placed, &mut self.cx, &self.out).await {
+                    AttemptOutcome::Answered(started) if self.kind.matches(&started.answer) => {
+                        self.continue_locally(*started);
+                        ResumeOutcome::Resumed
+                    }
+                    AttemptOutcome::Retry(req, _) => ResumeOutcome::Retry(req),
+                    AttemptOutcome::Answered(_) | AttemptOutcome::Refused(_) => {
+                        ResumeOutcome::Failed
+                    }
+                }
+            }
+            Ok(Destination::Remote(placed)) => {
+                match self.gateway.forward(placed, &mut self.cx, &self.out).await {
+                    ForwardOutcome::Answered(started) if self.kind == started.answer.kind() => {
+                        self.continue_remotely(started);
+                        ResumeOutcome::Resumed
+                    }
+                    ForwardOutcome::Retry(req, _) => ResumeOutcome::Retry(req),
+                    ForwardOutcome::Answered(_) | ForwardOutcome::Refused(_) => {
+                        ResumeOutcome::Failed
+                    }
+                }
+            }
+            Err(_) => ResumeOutcome::Failed,
         }
-        let next = tokio::time::timeout(left, answer.next());
-        Some(match self.gateway.shutdown.run_until_over(next).await {
-            Some(Ok(frame)) => frame.map_err(IncompleteAnswer::failed),
-            Some(Err(_)) => Err(IncompleteAnswer::timed_out()),
-            None => Err(IncompleteAnswer::shutdown()),
-        })
+    }
+
+    /// Continues with the answer of a target in this region, whose relay
+    /// resumes it from then on.
+    fn continue_locally(&mut self, started: StartedAnswer<D, Direct>) {
+        let gateway = Arc::clone(&self.gateway);
+        let relay = Relay::new(gateway, self.cx.clone(), self.out.clone(), started);
+        self.rest = AnswerRest::Local(Box::new(relay));
+    }
+
+    /// Continues with the answer that another instance relays.
+    fn continue_remotely(&mut self, mut started: Box<StartedForward>) {
+        self.buffered = std::mem::take(&mut started.start.data);
+        self.rest = AnswerRest::Remote(started);
+    }
+
+    fn log_interruption(
+        &self,
+        req: &Request<Dispatched, Direct>,
+        cause: &IncompleteAnswer,
+        last_event_id: Option<u64>,
+        is_resumable: bool,
+    ) {
+        self.gateway
+            .metrics
+            .count_interruption(AnswerOrigin::Instance, cause.cause());
+        log::info!(
+            target: "forward",
+            id = self.out.id.as_str(),
+            peer:% = req.peer(),
+            last_event = last_event_id.unwrap_or_default(),
+            resumable = is_resumable,
+            reason:% = cause;
+            "answer ended early"
+        );
     }
 }
 
@@ -115,28 +261,26 @@
     D: Dialect,
 {
     async fn next_chunk(&mut self) -> Option<Result<Bytes, IncompleteAnswer>> {
-        if !self.buffered.is_empty() {
-            return Some(Ok(std::mem::take(&mut self.buffered)));
-        }
-        let cause = match self.next_frame().await? {
-            Ok(Frame::Data(data)) => return Some(Ok(data.into())),
-            Ok(Frame::End) => {
-                self.outcome = RELAY_COMPLETE;
-                self.answer = None;
-                return None;
+        loop {
+            if !self.buffered.is_empty() {
+                return Some(Ok(std::mem::take(&mut self.buffered)));
             }
-            Ok(Frame::Refused(refusal)) => IncompleteAnswer::failed(refusal.code.as_str()),
-            Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Ran(_)) => {
-                IncompleteAnswer::failed("unexpected frame")
+            match &mut self.rest {
+                AnswerRest::Remote(_) => {}
+                AnswerRest::Local(relay) => return relay.next_chunk().await,
+                AnswerRest::Ended => return None,
             }
-            Err(cause) => cause,
-        };
-        self.answer = None;
-        self.outcome = RELAY_BROKEN;
-        self.gateway
-            .metrics
-            .count_interruption(AnswerOrigin::Instance, cause.cause());
-        Some(Err(cause))
+            match self.read_chunk().await {
+                Ok(Some(data)) => self.buffered = data,
+                Ok(None) => self.finish(),
+                Err(cause) => {
+                    if let Err(cause) = self.resume(cause).await {
+                        self.outcome = RELAY_BROKEN;
+                        return Some(Err(cause));
+                    }
+                }
+            }
+        }
     }
 }
 
@@ -145,11 +289,48 @@
     D: Dialect,
 {
     fn drop(&mut self) {
+        // The relay of a local target's answer records its own end.
+        if matches!(self.rest, AnswerRest::Local(_)) {
+            return;
+        }
         let end = RelayEnd {
             origin: AnswerOrigin::Instance,
             received_at: self.received_at,
             outcome: self.outcome,
         };
-        end.record(&self.gateway, &self.id);
+        end.record(&self.gateway, &self.out.id);
+    }
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Builds the reply from an answer of another instance whose start was
+    /// read.
+    pub(crate) fn build_forwarded_reply(
+        self: &Arc<Self>,
+        cx: PlacementContext,
+        out: Outbound,
+        started: Box<StartedForward>,
+    ) -> Reply {
+        let status = started.answer.status;
+        let headers = started.answer.headers.clone();
+        let body = match started.start.is_complete {
+            true => {
+                // Ends the request's life cycle.
+                drop(started.req.answered());
+                ReplyBody::Full(started.start.data)
+            }
+            false => {
+                let relay = RemoteRelay::new(Arc::clone(self), cx, out, started);
+                ReplyBody::Chunks(relay.into_stream())
+            }
+        };
+        Reply {
+            status,
+            headers,
+            body,
+        }
     }
 }
