Close the link to a process that another one has replaced

Callers saw a stream through another region cut at their deadline, as an instance had restarted there: the link to the process before was replaced in the table, but stayed open for what still waited on it, until the connection's idle limit of 5 s.

Evidence: the new test, with a record of another incarnation while the stream pauses, printed `body: "id: 1\ndata: piece 1\n\n", whole: false` before; with the change it has events 1 and 2 and is whole.

A record of another incarnation shows that the process has ended. Its link is closed as it is taken out of the table, so that what waits for an answer fails at once, and is retried or resumed.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -65,8 +65,9 @@
         up.collect()
     }
 
-    /// Drops the links to instances that are not in `others`. Marks those that
-    /// need a new connection as dialing, and returns them.
+    /// Drops the links to instances that are not in `others`. Closes the links
+    /// to processes that were replaced. Marks the instances that need a new
+    /// connection as dialing, and returns them.
     pub(crate) fn mark_due_for_dialing(
         &self,
         others: Vec<MemberRecord>,
@@ -90,6 +91,8 @@
             {
                 let name = link.peer().instance.as_str();
                 log::info!(target: "links", dependency = "sibling", instance = name; "link is lost, or the instance has restarted");
+                // What waits for an answer of the process before fails at once.
+                link.clone().close();
             }
             if is_due {
                 states.insert(record.instance.clone(), LinkState::Dialing);
--- a/tests/testsuite/node/forwarded_streams.rs
+++ b/tests/testsuite/node/forwarded_streams.rs
@@ -192,6 +192,24 @@
     });
 }
 
+/// Failure: a forwarded stream waited for a process that had been replaced by
+/// another one of the same name, until its deadline.
+#[test]
+fn a_stream_through_an_instance_that_restarts_goes_on_elsewhere() {
+    block_on(async {
+        let silent = broken(1, vec![Step::Pause(Duration::from_secs(20))]);
+        let rest = [stream(1), vec![event(2), end()]].concat();
+        let regions = Regions::start(vec![silent, rest]).await;
+        let restarting = async {
+            regions.far.until_forwards(1).await;
+            regions.far.announce_restart(&regions.site);
+        };
+        let (got, ()) = tokio::join!(regions.call("/quote/1"), restarting);
+        assert!(got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1, 2]);
+    });
+}
+
 fn check_not_resumed(path: &str, scripts: Vec<Vec<Step>>, forwards: usize) {
     block_on(async {
         let regions = Regions::start(scripts).await;
