Leave a silent target before its answer only for another one

Callers saw: 504 (502 beside a full target) for a repeatable request, or a resumable stream, whose sound target was silent for two seconds before the start of its answer and was about to go on.

Cause: the attempt was ended at three times its expected time or 0.6 of the time left, and only then were attempts, budget and other targets asked.

Evidence: node::silence before this change, 20 of its then 35 cases failed: repeatable_* (all but the one of a second) printed for each stage "refused with 504 Gateway Timeout", in the cases beside a full target one stage "refused with 502 Bad Gateway"; resumable_* printed the same for BeforeHead and AfterHead.

After that another target, of this region or of another one, the attempts and the budget are asked before the first target is left; without a grant the request stays to its deadline.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod revision;
 pub mod settlements;
 pub mod shutdown;
+pub mod silence;
 pub mod step;
 pub mod store_session;
 pub mod suspension;
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -128,6 +128,24 @@
 #[derive(Debug)]
 pub struct Forwarded(());
 
+/// Origin of a request.
+pub trait Origin: sealed::Origin + Send + Sync + 'static {
+    /// Whether the request may be forwarded to a sibling.
+    const MAY_BE_FORWARDED: bool;
+}
+
+impl sealed::Origin for Direct {}
+
+impl Origin for Direct {
+    const MAY_BE_FORWARDED: bool = true;
+}
+
+impl sealed::Origin for Forwarded {}
+
+impl Origin for Forwarded {
+    const MAY_BE_FORWARDED: bool = false;
+}
+
 /// State of a request that was received and not yet admitted.
 #[derive(Debug)]
 pub struct Received(());
@@ -204,6 +222,7 @@
 
 mod sealed {
     pub trait NotDispatched {}
+    pub trait Origin {}
 }
 
 /// States in which the current attempt has sent no byte to a target.
--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -42,8 +42,11 @@
     ExchangeFailed(String),
     /// The target ran the request and answered with a server error.
     ServerError(Box<(PooledResponse, AnswerStart)>),
-    /// No answer began before the timeout of the attempt.
+    /// No answer began before the deadline.
     TimedOut,
+    /// The target was silent for longer than a sound one may be, and the retry
+    /// budget has granted an attempt at another one.
+    Silent,
 }
 
 impl<D> Gateway<D>
@@ -89,7 +92,7 @@
             AttemptFailure::ExchangeFailed(reason) => {
                 self.record_failed_attempt_at_peer(out, &peer, reservation.age(), "lost", &reason);
                 reservation.finish(TargetOutcome::Lost);
-                self.retry_possibly_run(req, cx, Code::TargetFailed)
+                self.retry_possibly_run(req, cx)
             }
             AttemptFailure::TimedOut => {
                 self.record_failed_attempt_at_peer(
@@ -100,7 +103,20 @@
                     "no answer in time",
                 );
                 reservation.finish(TargetOutcome::TimedOut);
-                self.retry_possibly_run(req, cx, Code::DeadlineExceeded)
+                // No time is left for another attempt.
+                AttemptOutcome::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Dispatch))
+            }
+            AttemptFailure::Silent => {
+                self.record_failed_attempt_at_peer(
+                    out,
+                    &peer,
+                    reservation.age(),
+                    "silent",
+                    "another target may answer",
+                );
+                reservation.finish(TargetOutcome::TimedOut);
+                cx.attempts_left = cx.attempts_left.saturating_sub(1);
+                retry_granted(req, Code::DeadlineExceeded)
             }
             AttemptFailure::ServerError(answer) => {
                 self.handle_server_error(req, reservation, cx, out, *answer)
@@ -166,7 +182,6 @@
         &self,
         req: Request<Dispatched, O>,
         cx: &mut PlacementContext,
-        code: Code,
     ) -> AttemptOutcome<D, O> {
         cx.attempts_left = cx.attempts_left.saturating_sub(1);
         if cx.attempts_left == 0
@@ -174,16 +189,9 @@
             || self.is_suspected(cx)
             || !self.try_consume_retry(cx, &req.meta().id)
         {
-            return AttemptOutcome::Refused(req.refuse_unknown(code, Step::Dispatch));
-        }
-        let peer = req.peer().clone();
-        match req.retry() {
-            Ok(req) => {
-                let refusal = req.refusal(code, Step::Dispatch, peer);
-                AttemptOutcome::Retry(req, refusal.into())
-            }
-            Err(req) => AttemptOutcome::Refused(req.refuse_unknown(code, Step::Dispatch)),
+            return AttemptOutcome::Refused(req.refuse_unknown(Code::TargetFailed, Step::Dispatch));
         }
+        retry_granted(req, Code::TargetFailed)
     }
 
     /// Retries a request that did not run, if the retry budget allows it.
@@ -261,3 +269,18 @@
         );
     }
 }
+
+/// Retries a request that may have run, after the retry budget has allowed it.
+fn retry_granted<D, O>(req: Request<Dispatched, O>, code: Code) -> AttemptOutcome<D, O>
+where
+    D: Dialect,
+{
+    let peer = req.peer().clone();
+    match req.retry() {
+        Ok(req) => {
+            let refusal = req.refusal(code, Step::Dispatch, peer);
+            AttemptOutcome::Retry(req, refusal.into())
+        }
+        Err(req) => AttemptOutcome::Refused(req.refuse_unknown(code, Step::Dispatch)),
+    }
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one target in this region and reads the start of its
 //! answer.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,8 +12,10 @@
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::Origin;
 use chiverelay_decisions::request::Placed;
 use chiverelay_decisions::request::Request;
+use chiverelay_decisions::silence;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::traffic::TargetOutcome;
@@ -47,14 +50,6 @@
 /// Shortest time to the deadline at which a request is still sent.
 pub(crate) const MIN_TIME_TO_SEND: Duration = Duration::from_millis(20);
 
-/// Multiple of the expected time to the start of an answer after which a
-/// repeatable request is tried at another target.
-const ATTEMPT_TIMEOUT_FACTOR: u32 = 3;
-
-/// Largest share of the time to the deadline that an attempt may take if the
-/// request can be retried.
-const MAX_SHARE_OF_TIME_LEFT: f64 = 0.6;
-
 impl<D> Gateway<D>
 where
     D: Dialect,
@@ -66,7 +61,10 @@
         placed: LocalPlacement<D, O>,
         cx: &mut PlacementContext,
         out: &Outbound,
-    ) -> AttemptOutcome<D, O> {
+    ) -> AttemptOutcome<D, O>
+    where
+        O: Origin,
+    {
         let LocalPlacement {
             req,
             reservation,
@@ -97,7 +95,7 @@
             let refusal = req.refusal(Code::Unavailable, Step::Place, target_peer(&req));
             return AttemptOutcome::Retry(req.unplace(), refusal.into());
         }
-        let timeout = self.attempt_timeout(cx, &reservation, left);
+        let silence_limit = silence_limit(cx, &reservation, left);
         let attempt = AttemptContext {
             target: &target,
             remaining: left,
@@ -107,7 +105,8 @@
         let req = req.dispatch();
         cx.sent_count += 1;
         let exchange = self.exchange(conn, msg, out, cx, &known_target);
-        let sent = match tokio::time::timeout(timeout, exchange).await {
+        let waiting = self.wait_for_start(exchange, &req, cx, silence_limit);
+        let sent = match tokio::time::timeout(left, waiting).await {
             Ok(sent) => sent,
             Err(_) => Err(AttemptFailure::TimedOut),
         };
@@ -149,20 +148,41 @@
         }
     }
 
-    /// Returns the time to wait for the start of an answer. A request that can
-    /// be retried keeps time for another attempt.
-    fn attempt_timeout(
+    /// Waits for the start of an answer. A target that is silent for longer
+    /// than `silence_limit` is left if the request may go to another one, and
+    /// waited for otherwise.
+    async fn wait_for_start<O, F>(
         &self,
+        exchange: F,
+        req: &Request<Dispatched, O>,
         cx: &PlacementContext,
-        reservation: &ReservationGuard<D>,
-        left: Duration,
-    ) -> Duration {
-        // `attempts_left` still includes this attempt.
-        if !cx.route.kind.is_repeatable() || cx.attempts_left < 2 {
-            return left;
+        silence_limit: Option<Duration>,
+    ) -> Result<(PooledResponse, AnswerStart), AttemptFailure>
+    where
+        O: Origin,
+        F: Future<Output = Result<(PooledResponse, AnswerStart), AttemptFailure>>,
+    {
+        let mut exchange = std::pin::pin!(exchange);
+        if let Some(limit) = silence_limit {
+            if let Ok(sent) = tokio::time::timeout(limit, &mut exchange).await {
+                return sent;
+            }
+            if self.may_leave_silent(req, cx) {
+                return Err(AttemptFailure::Silent);
+            }
         }
-        let expected = reservation.estimate().wait + cx.route.target_latency;
-        (expected * ATTEMPT_TIMEOUT_FACTOR).min(left.mul_f64(MAX_SHARE_OF_TIME_LEFT))
+        exchange.await
+    }
+
+    /// Tells whether a request may go from a silent target to another one. If
+    /// so, the retry budget has granted the next attempt.
+    fn may_leave_silent<O>(&self, req: &Request<Dispatched, O>, cx: &PlacementContext) -> bool
+    where
+        O: Origin,
+    {
+        !self.is_suspected(cx)
+            && self.has_other_destination(req, cx)
+            && self.try_consume_retry(cx, &req.meta().id)
     }
 
     fn encode(&self, out: &Outbound, attempt: &AttemptContext<'_>) -> hyper::Request<Full<Bytes>> {
@@ -278,6 +298,24 @@
 /// Longest answer, in bytes, that is read only to reuse its connection.
 const MAX_DRAINED_BYTES: u64 = 4096;
 
+/// Returns the time after which a silent target may be left before its answer
+/// has begun: `None` if the request has to stay.
+fn silence_limit<D>(
+    cx: &PlacementContext,
+    reservation: &ReservationGuard<D>,
+    left: Duration,
+) -> Option<Duration>
+where
+    D: Dialect,
+{
+    // `attempts_left` still includes this attempt.
+    if !cx.route.kind.is_repeatable() || cx.attempts_left < 2 {
+        return None;
+    }
+    let expected = reservation.estimate().wait + cx.route.target_latency;
+    silence::start_limit(expected, left)
+}
+
 fn target_peer<O>(req: &Request<Placed, O>) -> Peer {
     Peer::Target(req.target().clone())
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -17,6 +17,7 @@
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Grant;
+use chiverelay_decisions::request::Origin;
 use chiverelay_decisions::request::Request;
 use chiverelay_decisions::request::RequestMeta;
 use chiverelay_decisions::step::Peer;
@@ -313,7 +314,7 @@
         started: StartedAnswer<D, O>,
     ) -> Reply
     where
-        O: Send + 'static,
+        O: Origin,
     {
         let status = started.answer.status();
         let headers = self.reply_headers(&started.answer);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -15,6 +15,8 @@
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::HasGrant;
+use chiverelay_decisions::request::Origin;
 use chiverelay_decisions::request::Placed;
 use chiverelay_decisions::request::PlacedRemote;
 use chiverelay_decisions::request::Request;
@@ -219,6 +221,29 @@
         self.choose_target(region, cx, tried, stated, now)
     }
 
+    /// Tells whether another target, of this region or of another one, could
+    /// answer a request in place of the one that it was sent to.
+    pub(crate) fn has_other_destination<O>(
+        &self,
+        req: &Request<Dispatched, O>,
+        cx: &PlacementContext,
+    ) -> bool
+    where
+        O: Origin,
+    {
+        if self.has_other_local_target(req, cx) {
+            return true;
+        }
+        let now = self.clock.now();
+        let deadline = req.meta().deadline;
+        if !O::MAY_BE_FORWARDED || !self.can_end_before_shutdown(cx, deadline, now) {
+            return false;
+        }
+        let left = deadline.saturating_sub(now);
+        let remote = self.choose_remote_region(req, cx, StatedLimitUse::Ignore, now);
+        remote.is_some_and(|remote| remote.estimate.wait <= left)
+    }
+
     /// Tells whether another target of this region could take over a request
     /// from the one that it was sent to.
     pub(crate) fn has_other_local_target<O>(
@@ -267,13 +292,16 @@
     /// Returns the other region with the lowest estimated cost, among those
     /// that the request's residency allows and in which an instance can be
     /// reached. The instance itself is chosen in `place_remotely`.
-    fn choose_remote_region(
+    fn choose_remote_region<S, O>(
         &self,
-        req: &Request<Admitted, Direct>,
+        req: &Request<S, O>,
         cx: &PlacementContext,
         stated: StatedLimitUse<'_>,
         now: Duration,
-    ) -> Option<RegionChoice> {
+    ) -> Option<RegionChoice>
+    where
+        S: HasGrant,
+    {
         let regions = self.tables.fleet.lock().usable_regions(&cx.pool.name);
         let mut best: Option<RegionChoice> = None;
         for region in regions {
@@ -303,10 +331,10 @@
 
     /// Chooses a ready and connected instance of a region at random, leaving
     /// out those that were asked before.
-    fn choose_instance(
+    fn choose_instance<S, O>(
         &self,
         region: &Region,
-        req: &Request<Admitted, Direct>,
+        req: &Request<S, O>,
         now: Duration,
     ) -> Option<Instance> {
         let mut ready = self.members.list_ready_in(region, now);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::request::Origin;
 use chiverelay_decisions::traffic::TargetOutcome;
 use chiverelay_target::connection_pool::PooledResponse;
 use futures_util::stream;
@@ -217,7 +218,7 @@
 impl<D, O> Relay<D, O>
 where
     D: Dialect,
-    O: Send + 'static,
+    O: Origin,
 {
     pub(crate) fn new(
         gateway: Arc<Gateway<D>>,
@@ -393,7 +394,7 @@
 impl<D, O> AnswerSource for Relay<D, O>
 where
     D: Dialect,
-    O: Send + 'static,
+    O: Origin,
 {
     async fn next_chunk(&mut self) -> Option<Result<Bytes, IncompleteAnswer>> {
         if !self.buffered.is_empty() {
--- a/tests/support/node/silent.rs
+++ b/tests/support/node/silent.rs
@@ -25,6 +25,34 @@
     BeforeEnd,
 }
 
+impl Stage {
+    /// All stages, in the order of an answer.
+    pub const ALL: [Self; 4] = [
+        Self::BeforeHead,
+        Self::AfterHead,
+        Self::WithinBody,
+        Self::BeforeEnd,
+    ];
+
+    /// Returns the last segment of the paths for which a target falls silent at
+    /// this stage if it was started with [`SilentTarget::start_by_path`].
+    pub fn segment(self) -> &'static str {
+        match self {
+            Self::BeforeHead => "before-head",
+            Self::AfterHead => "after-head",
+            Self::WithinBody => "within-body",
+            Self::BeforeEnd => "before-end",
+        }
+    }
+
+    fn of_path(path: &str) -> Option<Self> {
+        let segment = path.rsplit('/').next()?;
+        Self::ALL
+            .into_iter()
+            .find(|stage| stage.segment() == segment)
+    }
+}
+
 /// What a target answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SilentAnswer {
@@ -60,6 +88,16 @@
 impl SilentTarget {
     /// Starts a target that is silent for `silence` at a stage of its answers.
     pub async fn start(answer: SilentAnswer, stage: Stage, silence: Duration) -> Self {
+        Self::start_with(answer, Some(stage), silence).await
+    }
+
+    /// Starts a target that is silent for `silence` at the stage that the last
+    /// segment of a request's path names, if it names one.
+    pub async fn start_by_path(answer: SilentAnswer, silence: Duration) -> Self {
+        Self::start_with(answer, None, silence).await
+    }
+
+    async fn start_with(answer: SilentAnswer, stage: Option<Stage>, silence: Duration) -> Self {
         let (listener, address) = crate::platform::listener().await;
         let seen = Arc::new(Mutex::new(Seen::default()));
         let shared = Arc::clone(&seen);
@@ -93,13 +131,14 @@
 /// A request, as far as the target looks at it.
 struct Request {
     id: String,
+    path: String,
     last_event_id: u64,
 }
 
 async fn serve(
     mut stream: TcpStream,
     answer: SilentAnswer,
-    stage: Stage,
+    stage: Option<Stage>,
     silence: Duration,
     seen: &Mutex<Seen>,
 ) -> std::io::Result<()> {
@@ -108,12 +147,13 @@
     loop {
         let req = read_request(&mut stream, &mut buf).await?;
         let id = req.id.clone();
+        let silent_at = stage.or_else(|| Stage::of_path(&req.path));
         seen.lock()
             .expect("no panic under the lock")
             .requests
             .push(id.clone());
         for (at, piece) in pieces(answer, &req) {
-            if at == Some(stage) {
+            if at.is_some() && at == silent_at {
                 wait_unless_closed(&mut stream, silence).await?;
             }
             stream.write_all(piece.as_bytes()).await?;
@@ -180,6 +220,7 @@
                 buf.drain(..whole);
                 return Ok(Request {
                     id: header("request-id").unwrap_or_default().to_owned(),
+                    path: head.split(' ').nth(1).unwrap_or_default().to_owned(),
                     last_event_id: number("last-event-id"),
                 });
             }
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -15,6 +15,7 @@
 mod restored;
 mod settings;
 mod shutdown;
+mod silence;
 mod soak;
 mod stated_limit;
 mod store;
