Let a silent stream's target go on until another one has taken it

Callers saw: a resumable stream cut after its last event, as its sound target was silent for over 1.2 s and the target that was to take it refused.

Cause: after 1.2 s the first target was cancelled before the other one had been asked.

Why it works: a stream stays for the longest sound silence. Then the other target is chosen, reserved, connected and sent to while the first is still read, for at most 300 ms from the sending. If the first sends, the second is dropped and counted as an attempt; if the second refuses, the stream stays, and is next moved after another such silence; only an answer of the same kind, or the end of the overlap, cancels the first. Request::duplicate gives the second attempt its request. Leaving a silent target counts as a timeout of it, no longer as a lost connection.

--- a/crates/decisions/src/request/dispatched.rs
+++ b/crates/decisions/src/request/dispatched.rs
@@ -1,11 +1,13 @@
 //! Transitions of a request after it was dispatched.
 
+use std::marker::PhantomData;
 use std::sync::Arc;
 
 use super::Admitted;
 use super::Answered;
 use super::Dispatched;
 use super::Request;
+use crate::names::Target;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::step::Peer;
@@ -17,6 +19,33 @@
         &self.state.peer
     }
 
+    /// Returns the request for another attempt beside this one, if it may run
+    /// more than once: `None` if it may not.
+    ///
+    /// Only one of the two may go on to an answer; the other one is dropped with
+    /// its attempt.
+    pub fn duplicate(&self) -> Option<Request<Admitted, O>> {
+        if !self.state.grant.repeatable {
+            return None;
+        }
+        Some(Request {
+            meta: Arc::clone(&self.meta),
+            key: self.key.clone(),
+            was_dispatched: self.was_dispatched,
+            tried_targets: self.tried_targets.clone(),
+            asked_siblings: self.asked_siblings.clone(),
+            state: Admitted {
+                grant: Arc::clone(&self.state.grant),
+            },
+            origin: PhantomData,
+        })
+    }
+
+    /// Marks a target as tried that a duplicate of this request was placed at.
+    pub fn mark_tried(&mut self, target: Target) {
+        self.tried_targets.push(target);
+    }
+
     /// Ends the life cycle with a complete answer.
     pub fn answered(self) -> Request<Answered, O> {
         let grant = Arc::clone(&self.state.grant);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -11,6 +11,7 @@
 use chiverelay_decisions::fleet::KnownTarget;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Dispatched;
 use chiverelay_decisions::request::Origin;
 use chiverelay_decisions::request::Placed;
@@ -34,6 +35,7 @@
 use crate::answer::AnswerStart;
 use crate::attempt_failure::AttemptFailure;
 use crate::outcome::AttemptOutcome;
+use crate::outcome::Fallback;
 use crate::outcome::StartedAnswer;
 use crate::place::LocalPlacement;
 use crate::place::PlacementContext;
@@ -50,6 +52,26 @@
 /// Shortest time to the deadline at which a request is still sent.
 pub(crate) const MIN_TIME_TO_SEND: Duration = Duration::from_millis(20);
 
+/// A placed request with a connection to its target, on which nothing was sent.
+#[derive(Debug)]
+pub(crate) struct Opened<D, O>
+where
+    D: Dialect,
+{
+    placed: LocalPlacement<D, O>,
+    conn: PooledConnection,
+}
+
+impl<D, O> Opened<D, O>
+where
+    D: Dialect,
+{
+    /// Returns the target.
+    pub(crate) fn target(&self) -> &Target {
+        self.placed.req.target()
+    }
+}
+
 impl<D> Gateway<D>
 where
     D: Dialect,
@@ -65,6 +87,23 @@
     where
         O: Origin,
     {
+        match self.open(placed, cx, out).await {
+            Ok(opened) => self.send(opened, cx, out).await,
+            Err((req, fallback)) => AttemptOutcome::Retry(req, *fallback),
+        }
+    }
+
+    /// Connects to the target that was chosen for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request if there is no connection.
+    pub(crate) async fn open<O>(
+        self: &Arc<Self>,
+        placed: LocalPlacement<D, O>,
+        cx: &PlacementContext,
+        out: &Outbound,
+    ) -> Result<Opened<D, O>, (Request<Admitted, O>, Box<Fallback>)> {
         let LocalPlacement {
             req,
             reservation,
@@ -73,15 +112,43 @@
         let target = req.target().clone();
         let deadline = self.shutdown.limit(req.meta().deadline);
         let connecting = self.connect(&target, &known_target, deadline, cx.route.kind);
-        let conn = match connecting.await {
-            Ok(conn) => conn,
+        match connecting.await {
+            Ok(conn) => Ok(Opened {
+                placed: LocalPlacement {
+                    req,
+                    reservation,
+                    known_target,
+                },
+                conn,
+            }),
             Err(reason) => {
                 self.record_failed_attempt(out, &target, reservation.age(), "unreachable", &reason);
                 reservation.finish(TargetOutcome::Unreachable);
                 let refusal = req.refusal(Code::Unavailable, Step::Connect, target_peer(&req));
-                return AttemptOutcome::Retry(req.unplace(), refusal.into());
+                Err((req.unplace(), Box::new(refusal.into())))
             }
-        };
+        }
+    }
+
+    /// Sends a request on the connection that was made for it and reads the
+    /// start of the answer.
+    pub(crate) async fn send<O>(
+        self: &Arc<Self>,
+        opened: Opened<D, O>,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+    ) -> AttemptOutcome<D, O>
+    where
+        O: Origin,
+    {
+        let Opened { placed, conn } = opened;
+        let LocalPlacement {
+            req,
+            reservation,
+            known_target,
+        } = placed;
+        let target = req.target().clone();
+        let deadline = self.shutdown.limit(req.meta().deadline);
         let now = self.clock.now();
         let left = deadline.saturating_sub(now);
         if !self.may_send(&target, now) || left < MIN_TIME_TO_SEND {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,6 @@
-//! Relays a target's answer to the caller as it arrives, and resumes an
-//! interrupted stream at another target.
+//! Relays a target's answer to the caller as it arrives.
+
+mod resume;
 
 use std::future::Future;
 use std::sync::Arc;
@@ -8,6 +9,7 @@
 use bytes::Bytes;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::request::Origin;
+use chiverelay_decisions::silence;
 use chiverelay_decisions::traffic::TargetOutcome;
 use chiverelay_target::connection_pool::PooledResponse;
 use futures_util::stream;
@@ -20,22 +22,10 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::Outbound;
-use crate::dispatch::MIN_TIME_TO_SEND;
 use crate::message::BodyStream;
-use crate::outcome::AttemptOutcome;
 use crate::outcome::StartedAnswer;
 use crate::place::PlacementContext;
-
-/// Maximum number of attempts to resume a stream after one interruption.
-const MAX_RESUMES: u32 = 3;
-
-/// Lower bound for the pause between events after which a stream may move to
-/// another target.
-const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1200);
-
-/// Multiple of the route's intended pause between events after which a stream
-/// may move to another target.
-const STALL_FACTOR: u32 = 5;
+use resume::Retry;
 
 /// Outcome of an answer that was relayed completely.
 pub(crate) const RELAY_COMPLETE: &str = "whole";
@@ -148,13 +138,6 @@
     }
 }
 
-/// Whether the retry budget has granted the next attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Retry {
-    Granted,
-    Needed,
-}
-
 /// Source of the body of an answer.
 pub(crate) trait AnswerSource: Send + Sized + 'static {
     /// Returns the next chunk, or `None` after the end of the answer.
@@ -192,11 +175,15 @@
     }
 }
 
+/// A chunk of a target's answer: `None` at the end.
+type TargetChunk = Option<Bytes>;
+
 /// Relay of an answer from a target in this region.
 ///
 /// # Invariants
 ///
-/// `current` is `None` once the answer has ended or can't be resumed.
+/// `current` is `None` once the answer has ended or can't be resumed. `early`
+/// is a chunk of `current`.
 pub(crate) struct Relay<D, O>
 where
     D: Dialect,
@@ -207,6 +194,8 @@
     kind: AnswerKind,
     current: Option<StartedAnswer<D, O>>,
     buffered: Bytes,
+    /// Chunk that the target sent while another target was asked.
+    early: Option<TargetChunk>,
     received_at: Duration,
     /// When the last chunk arrived, on the local monotonic clock.
     last_chunk_at: Duration,
@@ -237,13 +226,33 @@
             kind: AnswerKind::of(&started.answer),
             current: Some(started),
             buffered,
+            early: None,
             outcome: RELAY_ABANDONED,
         }
     }
 
-    /// Reads and checks the next chunk of the current attempt, within the time
-    /// that is left and, for a repeatable request, within the stall timeout.
+    /// Reads and checks the next chunk of the current attempt.
     async fn read_chunk(&mut self) -> Result<Option<Bytes>, Interruption> {
+        let chunk = match self.early.take() {
+            Some(chunk) => chunk,
+            None => self.receive_chunk().await?,
+        };
+        let Some(current) = &mut self.current else {
+            return Err(IncompleteAnswer::failed("no attempt is running").into());
+        };
+        let checker = &mut current.start.checker;
+        let Some(chunk) = chunk else {
+            checker.check_end().map_err(IncompleteAnswer::failed)?;
+            return Ok(None);
+        };
+        let chunk = checker.push(chunk).map_err(IncompleteAnswer::failed)?;
+        self.last_chunk_at = self.gateway.clock.now();
+        Ok(Some(chunk))
+    }
+
+    /// Receives the next chunk within the time that is left and, for a
+    /// repeatable request, within the silence of a sound target.
+    async fn receive_chunk(&mut self) -> Result<TargetChunk, Interruption> {
         let Some(current) = &mut self.current else {
             return Err(IncompleteAnswer::failed("no attempt is running").into());
         };
@@ -253,24 +262,16 @@
         if left.is_zero() {
             return Err(IncompleteAnswer::timed_out().into());
         }
-        let stall = (self.cx.route.target_event_gap * STALL_FACTOR).max(MIN_STALL_TIMEOUT);
+        let stall = silence::event_limit(self.cx.route.target_event_gap);
         let is_stall_limited = self.cx.route.kind.is_repeatable() && stall < left;
         let wait = if is_stall_limited { stall } else { left };
         let next = tokio::time::timeout(wait, current.answer.next_chunk());
-        let chunk = match self.gateway.shutdown.run_until_over(next).await {
-            Some(Ok(chunk)) => chunk.map_err(IncompleteAnswer::failed)?,
-            Some(Err(_)) if is_stall_limited => return Err(Interruption::Stalled),
-            Some(Err(_)) => return Err(IncompleteAnswer::timed_out().into()),
-            None => return Err(IncompleteAnswer::shutdown().into()),
-        };
-        let checker = &mut current.start.checker;
-        let Some(chunk) = chunk else {
-            checker.check_end().map_err(IncompleteAnswer::failed)?;
-            return Ok(None);
-        };
-        let chunk = checker.push(chunk).map_err(IncompleteAnswer::failed)?;
-        self.last_chunk_at = self.gateway.clock.now();
-        Ok(Some(chunk))
+        match self.gateway.shutdown.run_until_over(next).await {
+            Some(Ok(chunk)) => Ok(chunk.map_err(IncompleteAnswer::failed)?),
+            Some(Err(_)) if is_stall_limited => Err(Interruption::Stalled),
+            Some(Err(_)) => Err(IncompleteAnswer::timed_out().into()),
+            None => Err(IncompleteAnswer::shutdown().into()),
+        }
     }
 
     fn finish(&mut self) {
@@ -282,113 +283,6 @@
             current.answer.release(&self.gateway.connections);
         }
     }
-
-    /// Tells whether route, attempts and deadline allow the answer to continue at
-    /// another target.
-    fn is_resumable(&self) -> bool {
-        let Some(current) = &self.current else {
-            return false;
-        };
-        let now = self.gateway.clock.now();
-        let left = current.req.meta().deadline.saturating_sub(now);
-        self.cx.route.kind.is_stream()
-            && self.cx.route.kind.is_repeatable()
-            && self.cx.attempts_left > 0
-            && left >= MIN_TIME_TO_SEND
-            && !self.gateway.shutdown.is_over()
-    }
-
-    /// Moves a stream from a target that pauses to another one. Stays with the
-    /// target if no other one may take the stream now, as the target may go on.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the other target doesn't take the stream after all.
-    async fn leave_stalled(&mut self) -> Result<(), IncompleteAnswer> {
-        let Some(current) = &self.current else {
-            return Ok(());
-        };
-        if !self.is_resumable()
-            || self.gateway.is_suspected(&self.cx)
-            || !self.gateway.has_other_local_target(&current.req, &self.cx)
-            || !self.gateway.try_consume_retry(&self.cx, &self.out.id)
-        {
-            return Ok(());
-        }
-        self.resume(IncompleteAnswer::silent(), Retry::Granted)
-            .await
-    }
-
-    /// Resumes an interrupted stream at another target in the region, after the
-    /// last event that was received.
-    ///
-    /// # Errors
-    ///
-    /// Returns the cause of the interruption if the stream may not be resumed
-    /// or no target takes it.
-    async fn resume(
-        &mut self,
-        cause: IncompleteAnswer,
-        mut retry: Retry,
-    ) -> Result<(), IncompleteAnswer> {
-        let is_resumable = self.is_resumable();
-        let Some(current) = self.current.take() else {
-            return Err(cause);
-        };
-        // Cancel the request at this target before another target gets it.
-        drop(current.answer);
-        current.reservation.finish(TargetOutcome::Lost);
-        let last_event_id = current.start.checker.last_id();
-        let silent_for = self.gateway.clock.now().saturating_sub(self.last_chunk_at);
-        self.gateway
-            .metrics
-            .count_interruption(AnswerOrigin::Target, cause.cause());
-        log::info!(
-            target: "relay",
-            id = self.out.id.as_str(),
-            peer:% = current.req.peer(),
-            last_event = last_event_id.unwrap_or_default(),
-            resumable = is_resumable,
-            silent_ms = silent_for.as_millis() as u64,
-            reason = cause.reason.as_str();
-            "answer ended early"
-        );
-        // The loss that was just recorded may have raised the suspicion.
-        if !is_resumable || self.gateway.is_suspected(&self.cx) {
-            return Err(cause);
-        }
-        self.out.last_event_id = last_event_id.or(self.out.last_event_id);
-        let Ok(mut req) = current.req.retry() else {
-            return Err(cause);
-        };
-        for _ in 0..MAX_RESUMES {
-            let is_granted = std::mem::replace(&mut retry, Retry::Needed) == Retry::Granted;
-            if !is_granted && !self.gateway.try_consume_retry(&self.cx, &self.out.id) {
-                return Err(cause);
-            }
-            let Ok(placed) = self.gateway.place_locally(req, &self.cx) else {
-                return Err(cause);
-            };
-            match self.gateway.attempt(placed, &mut self.cx, &self.out).await {
-                AttemptOutcome::Answered(started) if self.kind.matches(&started.answer) => {
-                    self.continue_with(*started);
-                    return Ok(());
-                }
-                AttemptOutcome::Retry(admitted, _) => req = admitted,
-                // An answer of another kind, such as an error, can't continue
-                // the stream.
-                AttemptOutcome::Answered(_) | AttemptOutcome::Refused(_) => return Err(cause),
-            }
-        }
-        Err(cause)
-    }
-
-    /// Continues the stream with the answer of another attempt.
-    fn continue_with(&mut self, mut started: StartedAnswer<D, O>) {
-        self.last_chunk_at = self.gateway.clock.now();
-        self.buffered = std::mem::take(&mut started.start.data);
-        self.current = Some(started);
-    }
 }
 
 impl<D, O> AnswerSource for Relay<D, O>
