Count a target's silence as a failure only beyond that of a sound one

Callers saw: a target that was silent for one or two seconds was ejected for 5 s, with all later requests, if two requests ended meanwhile: two callers that left after 1.5 s, or two deadlines that passed. Two callers that left streams whose events came, or whose deadline passed, ejected it as well.

Cause: a passed deadline always counted as a failure, a caller that left after 1.5 s without an answer too, and the events of a stream weren't taken as a sign of life.

Why it works: a request that ran out of time counts as a failure once its target has had requests for 2.25 s and sent nothing to anybody. The silences of successive requests add up, so that a target that hangs is ejected though each deadline is shorter. A caller that leaves counts by its own request's silence. Events, rejections and failures are signs of life.

--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -64,6 +64,7 @@
 
 mod dispatched;
 mod operation;
+mod origin;
 mod sibling;
 
 use std::marker::PhantomData;
@@ -87,6 +88,8 @@
 use crate::step::Peer;
 use crate::step::Step;
 
+pub use self::origin::Origin;
+
 /// The properties of a request that decisions depend on, apart from its body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestMeta {
@@ -128,24 +131,6 @@
 #[derive(Debug)]
 pub struct Forwarded(());
 
-/// Origin of a request.
-pub trait Origin: sealed::Origin + Send + Sync + 'static {
-    /// Whether the request may be forwarded to a sibling.
-    const MAY_BE_FORWARDED: bool;
-}
-
-impl sealed::Origin for Direct {}
-
-impl Origin for Direct {
-    const MAY_BE_FORWARDED: bool = true;
-}
-
-impl sealed::Origin for Forwarded {}
-
-impl Origin for Forwarded {
-    const MAY_BE_FORWARDED: bool = false;
-}
-
 /// State of a request that was received and not yet admitted.
 #[derive(Debug)]
 pub struct Received(());
@@ -222,7 +207,6 @@
 
 mod sealed {
     pub trait NotDispatched {}
-    pub trait Origin {}
 }
 
 /// States in which the current attempt has sent no byte to a target.
--- a/crates/decisions/src/silence.rs
+++ b/crates/decisions/src/silence.rs
@@ -52,3 +52,50 @@
 pub fn is_failure(silent_for: Duration) -> bool {
     silent_for >= SILENCE_LIMIT
 }
+
+/// Time for which a target has had requests and shown no sign of life.
+///
+/// # Invariants
+///
+/// `busy_since` is set while the target has requests. `before` is the silence
+/// up to the last moment without requests, since `heard_at`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UnansweredTime {
+    heard_at: Duration,
+    busy_since: Option<Duration>,
+    before: Duration,
+}
+
+impl UnansweredTime {
+    /// Records that the target has got a request.
+    pub fn begin(&mut self, now: Duration) {
+        self.busy_since.get_or_insert(now);
+    }
+
+    /// Records that the target has sent something at `at`.
+    pub fn hear(&mut self, at: Duration) {
+        if at > self.heard_at {
+            self.heard_at = at;
+            self.before = Duration::ZERO;
+        }
+    }
+
+    /// Records that the target has no request left.
+    pub fn pause(&mut self, now: Duration) {
+        self.before = self.total(now);
+        self.busy_since = None;
+    }
+
+    /// Returns when the target last sent something.
+    pub fn heard_at(&self) -> Duration {
+        self.heard_at
+    }
+
+    /// Returns the time for which the target has had requests and sent nothing.
+    pub fn total(&self, now: Duration) -> Duration {
+        let busy = self
+            .busy_since
+            .map(|since| now.saturating_sub(since.max(self.heard_at)));
+        self.before.saturating_add(busy.unwrap_or_default())
+    }
+}
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -30,6 +30,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryDecision;
 use crate::retry_budget::RetryLimit;
+use crate::silence::UnansweredTime;
 use crate::window::Divisor;
 use crate::window::SlidingWindow;
 use remote::RemoteCounts;
@@ -97,9 +98,8 @@
     cold_requests: Option<SlidingWindow>,
     /// Moving average of failed attempts, from 0 to 1.
     failure_rate: f64,
-    /// When the target last sent the first event of a stream or completed an
-    /// answer, on the local monotonic clock.
-    last_answer_at: Duration,
+    /// How long the target has left its requests unanswered.
+    unanswered: UnansweredTime,
 }
 
 /// Time for which no request is sent to a target that reported itself full.
--- a/crates/decisions/src/traffic/outcome.rs
+++ b/crates/decisions/src/traffic/outcome.rs
@@ -17,13 +17,21 @@
     /// The connection ended before the answer was complete, or the answer is
     /// malformed.
     Lost,
-    /// The answer did not begin in time.
+    /// The answer did not begin, or did not go on, in time.
     TimedOut,
     /// The caller disconnected, or this instance abandoned the request.
     Cancelled,
 }
 
 impl TargetOutcome {
+    /// Tells whether the target has sent something at the end of the attempt.
+    pub(super) fn is_sign_of_life(self) -> bool {
+        matches!(
+            self,
+            Self::Answered | Self::Full | Self::Misdirected | Self::Failed
+        )
+    }
+
     /// Returns the outcome's name in log lines.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/decisions/src/traffic/reservation.rs
+++ b/crates/decisions/src/traffic/reservation.rs
@@ -15,6 +15,7 @@
 use crate::names::Pool;
 use crate::names::Target;
 use crate::placement::HealthEvent;
+use crate::silence;
 use crate::window::SlidingWindow;
 
 /// A request's reservation at a target, from the choice of the target until
@@ -42,10 +43,6 @@
 /// Weight of the newest attempt in the moving average of a target's failures.
 const FAILURE_RATE_WEIGHT: f64 = 0.08;
 
-/// Time without any answer from a target after which a cancelled request
-/// counts as a failure of the target.
-const HANG_TIMEOUT: Duration = Duration::from_millis(1500);
-
 impl Traffic {
     /// Reserves the chosen target for a request. Returns false if the target is
     /// cold and this instance has used up its share of the target's rate limit.
@@ -73,6 +70,7 @@
             }
         }
         local.health.observe(HealthEvent::RequestPlaced, now);
+        local.unanswered.begin(now);
         local.in_flight.running += 1;
         local.in_flight.prefill_tokens += reservation.prefill_tokens;
         if let Some(engine) = &pool.engine {
@@ -108,7 +106,7 @@
     /// slot at once, the time is also a sample of the prefill rate.
     pub fn record_first_event(&mut self, reservation: &Reservation, elapsed: Duration) {
         if let Some(local) = self.local.get_mut(&reservation.target) {
-            local.last_answer_at = reservation.reserved_at + elapsed;
+            local.unanswered.hear(reservation.reserved_at + elapsed);
         }
         if reservation.requests_per_slot <= 1.0 {
             let tokens = reservation
@@ -125,33 +123,46 @@
             .record_generation(elapsed);
     }
 
+    /// Records when a target last sent a part of an answer.
+    pub fn record_sign_of_life(&mut self, reservation: &Reservation, at: Duration) {
+        if let Some(local) = self.local.get_mut(&reservation.target) {
+            local.unanswered.hear(at);
+        }
+    }
+
     /// Ends a reservation and updates the target's health and failure rate.
     pub fn release(&mut self, mut reservation: Reservation, outcome: TargetOutcome, now: Duration) {
         self.record_prefill(&mut reservation);
         let Some(local) = self.local.get_mut(&reservation.target) else {
             return;
         };
+        if outcome.is_sign_of_life() {
+            local.unanswered.hear(now);
+        }
+        let since = local.unanswered.heard_at().max(reservation.reserved_at);
+        let is_silent = match outcome {
+            TargetOutcome::TimedOut => silence::is_failure(local.unanswered.total(now)),
+            _ => silence::is_failure(now.saturating_sub(since)),
+        };
         local.in_flight.running = local.in_flight.running.saturating_sub(1);
+        if local.in_flight.running == 0 {
+            local.unanswered.pause(now);
+        }
         let (health_event, failed) = match outcome {
             TargetOutcome::Answered => (Some(HealthEvent::Success), Some(0.0)),
             // Raises the target's cost, but can't eject it.
             TargetOutcome::Failed => (None, Some(1.0)),
-            TargetOutcome::Lost | TargetOutcome::TimedOut => {
-                (Some(HealthEvent::Failure), Some(1.0))
-            }
+            TargetOutcome::Lost => (Some(HealthEvent::Failure), Some(1.0)),
             TargetOutcome::Unreachable | TargetOutcome::Misdirected => {
                 (Some(HealthEvent::Unreachable), None)
             }
-            TargetOutcome::Cancelled
-                if now >= local.last_answer_at.max(reservation.reserved_at) + HANG_TIMEOUT =>
-            {
+            TargetOutcome::TimedOut | TargetOutcome::Cancelled if is_silent => {
                 (Some(HealthEvent::Failure), Some(1.0))
             }
-            TargetOutcome::Full | TargetOutcome::Cancelled => (None, None),
+            TargetOutcome::Full | TargetOutcome::TimedOut | TargetOutcome::Cancelled => {
+                (None, None)
+            }
         };
-        if outcome == TargetOutcome::Answered {
-            local.last_answer_at = now;
-        }
         if let Some(health_event) = health_event {
             local.health.observe(health_event, now);
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -247,6 +247,7 @@
         };
         let chunk = checker.push(chunk).map_err(IncompleteAnswer::failed)?;
         self.last_chunk_at = self.gateway.clock.now();
+        current.reservation.record_sign_of_life(self.last_chunk_at);
         Ok(Some(chunk))
     }
 
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -194,8 +194,9 @@
         let current = self.current.take()?;
         drop(current.answer);
         current.reservation.finish(match cause.cause() {
-            EndCause::Silent => TargetOutcome::TimedOut,
-            EndCause::Failed | EndCause::TimedOut | EndCause::Shutdown => TargetOutcome::Lost,
+            EndCause::Failed => TargetOutcome::Lost,
+            EndCause::Silent | EndCause::TimedOut => TargetOutcome::TimedOut,
+            EndCause::Shutdown => TargetOutcome::Cancelled,
         });
         let silent_for = self.gateway.clock.now().saturating_sub(self.last_chunk_at);
         self.gateway
--- a/crates/gateway/src/reservation_guard.rs
+++ b/crates/gateway/src/reservation_guard.rs
@@ -42,6 +42,8 @@
     reservation: Option<Reservation>,
     reserved_at: Duration,
     first_event_at: Option<Duration>,
+    /// When the last part of the answer arrived.
+    heard_at: Option<Duration>,
     estimate: Estimate,
 }
 
@@ -62,6 +64,7 @@
             reserved_at: reservation.reserved_at,
             reservation: Some(reservation),
             first_event_at: None,
+            heard_at: None,
             estimate,
         }
     }
@@ -96,6 +99,11 @@
         traffic.record_prefill(reservation);
     }
 
+    /// Records that a part of the answer has arrived.
+    pub(crate) fn record_sign_of_life(&mut self, now: Duration) {
+        self.heard_at = Some(now);
+    }
+
     /// Records that the start of an answer that is not a stream was read.
     pub(crate) fn record_answer(&self) {
         if let Some(reservation) = &self.reservation {
@@ -128,6 +136,9 @@
         if let (TargetOutcome::Answered, Some(answered_for)) = (outcome, answered_for) {
             traffic.record_generation(&reservation, answered_for);
         }
+        if let Some(heard_at) = self.heard_at {
+            traffic.record_sign_of_life(&reservation, heard_at);
+        }
         traffic.release(reservation, outcome, now);
     }
 
