--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -64,6 +64,7 @@
 
 mod dispatched;
 mod operation;
+mod origin;
 mod sibling;
 
 use std::marker::PhantomData;
@@ -87,6 +88,8 @@
 use crate::step::Peer;
 use crate::step::Step;
 
+pub use self::origin::Origin;
+
 /// The properties of a request that decisions depend on, apart from its body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestMeta {
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -16,6 +16,7 @@
 mod restored;
 mod settings;
 mod shutdown;
+mod silence;
 mod slow_readers;
 mod soak;
 mod stated_limit;
