Ignore an ended incarnation's record from an older copy of the store

Callers would see: requests that are not forwarded, or fail on the way, to an instance that restarted shortly before the store came back from an older copy, until it has written its record again; the directory names its old address for that time.

Cause: the copy has the record of the process before the restart, at a newer revision. It replaced the known one, and its certificate was pinned again, so the links and messages of the running process were refused.

Why it works: an incarnation is a random number, so one that another followed within an era never comes back. It is remembered, and a record of it is ignored with the known line. Between eras the revisions don't tell which is older, so nothing is remembered there.

Left: an instance that has not seen the change of incarnations takes the copy's record as before.

--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -288,6 +288,11 @@
         }
     }
 
+    /// Tells whether the set has a value.
+    pub fn contains(&self, value: &T) -> bool {
+        self.values.contains(value)
+    }
+
     /// Inserts a value, and removes the oldest one if the set is full. Returns
     /// false if the set already had the value.
     pub fn insert(&mut self, value: T) -> bool {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -13,6 +13,7 @@
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
+use chiverelay_decisions::tables::RecentSet;
 use chiverelay_decisions::window::Divisor;
 use chiverelay_sibling::Pins;
 use serde::Deserialize;
@@ -23,6 +24,9 @@
 /// longer counts as ready.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Number of ended incarnations that are remembered.
+const MAX_REPLACED: usize = 4096;
+
 /// Time after the start of the process during which instances that started at
 /// the same time may not be known yet.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
@@ -120,7 +124,7 @@
 /// `max_known` and `max_known_by_region` never shrink: an instance that is no
 /// longer known may still use its share of a limit, so the shares of the others
 /// must not grow.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct MemberTable {
     members: HashMap<Instance, Member>,
     max_known: usize,
@@ -128,6 +132,21 @@
     /// Incarnations of the instances that were removed. A record of one of them
     /// is no sign of life, as an older copy of the store may bring it back.
     removed: HashMap<Instance, u64>,
+    /// Incarnations that ended, as another of the same name followed. Only an
+    /// older copy of the store has a record of one of them.
+    replaced: RecentSet<u64>,
+}
+
+impl Default for MemberTable {
+    fn default() -> Self {
+        Self {
+            members: HashMap::new(),
+            max_known: 0,
+            max_known_by_region: HashMap::new(),
+            removed: HashMap::new(),
+            replaced: RecentSet::new(MAX_REPLACED),
+        }
+    }
 }
 
 impl MemberTable {
@@ -221,12 +240,17 @@
             return;
         }
         let mut table = self.table.lock();
+        let table = &mut *table;
         if let Some(old) = table.members.get_mut(&record.instance) {
-            if revision < old.revision {
+            if revision < old.revision || table.replaced.contains(&record.incarnation) {
                 log::info!(target: "members", instance = record.instance.as_str(), era = revision.era, revision = revision.number; "outdated instance record ignored");
                 return;
             }
             if old.record.incarnation != record.incarnation {
+                // Between eras the revisions don't tell which one is older.
+                if old.revision.era == revision.era {
+                    table.replaced.insert(old.record.incarnation);
+                }
                 old.last_status_at = None;
                 old.is_ready_by_status = true;
             }
--- a/tests/testsuite/node/restored.rs
+++ b/tests/testsuite/node/restored.rs
@@ -228,6 +228,60 @@
     });
 }
 
+/// Returns the lines on records of an instance that another has taken, by era.
+fn records_taken(node: &Node, instance: &str, era: u64) -> Vec<Value> {
+    let log = node.logged();
+    let lines = log
+        .lines()
+        .filter_map(|line| serde_json::from_str(line).ok());
+    lines
+        .filter(|line: &Value| line["text"] == "instance record received")
+        .filter(|line| line["instance"] == instance && line["era"] == era)
+        .collect()
+}
+
+/// Failure: an instance that restarted has its old address and certificate
+/// again, as an older copy of the store has its old record.
+#[test]
+fn an_instance_that_restarted_keeps_its_new_record_after_a_restore() {
+    block_on(async {
+        let site = Site::start().await;
+        let node = site.instance("one", "north-a", "north").await;
+        let mut ended = site.instance("two", "north-a", "north").await;
+        until_instances(&node, "1").await;
+        let copy = site.store.copy();
+        ended.process.kill();
+        until("its first record is logged", async || {
+            !records_taken(&node, "two", 0).is_empty()
+        })
+        .await;
+        let old = records_taken(&node, "two", 0);
+        let old = &old.first().expect("a record")["incarnation"];
+        let restarted = site.instance("two", "north-a", "north").await;
+        until("its new record is read", async || {
+            let taken = records_taken(&node, "two", 0);
+            taken.iter().any(|line| line["incarnation"] != *old)
+        })
+        .await;
+        restarted.process.freeze();
+        site.store.restore(copy);
+        site.store.cut_watches();
+        until("the old record is read", async || {
+            node.logged().contains("outdated instance record ignored")
+                || !records_taken(&node, "two", 1).is_empty()
+        })
+        .await;
+        assert_eq!(records_taken(&node, "two", 1), Vec::<Value>::new());
+        restarted.process.thaw();
+        until("its new record is read again", async || {
+            !records_taken(&node, "two", 1).is_empty()
+        })
+        .await;
+        let taken = records_taken(&node, "two", 1);
+        assert!(taken.iter().all(|line| line["incarnation"] != *old));
+    });
+}
+
 /// Guards against callers that are sent to an instance that ended, as an older
 /// copy of the store has its record.
 #[test]
