Let callers of the soak keep connections, and add a calm profile

The users ask for a soak in which clients keep open connections and signals, restarts and changes of the configuration come in series and overlap. The soak opened a connection for each request, had no changes and no SIGHUP, and didn't check that answers come whole.

New faults: silences of sound targets of 0.8 to 1.8 s, series of configurations, SIGHUP, and further signals to an instance that stops. A request that was read whole has to be answered or refused honestly, unless its time is over or a recorded fault touched it. The calm profile has no such faults: planned work and silences only.

The soak's checks of before stay (at most one run, refusals that are true, answers by a target that ran the request, events in order, stops in time, recovery); they are stricter in these points: the answer names the request, its body is that of a target that ran it, and a stream that ends whole has all its events.

--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -18,6 +18,7 @@
 pub use endless::Endless;
 pub use endless::EndlessTarget;
 pub use kept::KeptConnection;
+pub use kept::NoAnswer;
 pub use scripted::After;
 pub use scripted::Scripted;
 pub use scripted::ScriptedTarget;
--- a/tests/support/node/kept.rs
+++ b/tests/support/node/kept.rs
@@ -14,10 +14,20 @@
 use tokio::task::JoinHandle;
 
 use super::call::Call;
+use super::call::Got;
 
 /// Time in which a call must end.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Why a kept connection brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// The connection was closed before anything of the request was sent.
+    NotSent(String),
+    /// The connection ended before the head of an answer.
+    Unanswered(String),
+}
+
 /// An open connection to an instance.
 #[derive(Debug)]
 pub struct KeptConnection {
@@ -28,13 +38,22 @@
 impl KeptConnection {
     /// Connects to an instance.
     pub async fn open(to: SocketAddr) -> Self {
-        let stream = TcpStream::connect(to).await.expect("a connection");
+        Self::try_open(to).await.expect("a connection")
+    }
+
+    /// Connects to an instance that may be gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance accepts no connection.
+    pub async fn try_open(to: SocketAddr) -> Result<Self, String> {
+        let stream = TcpStream::connect(to).await.map_err(|e| e.to_string())?;
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
-        let (sender, conn) = handshake.await.expect("a handshake");
-        Self {
+        let (sender, conn) = handshake.await.map_err(|e| e.to_string())?;
+        Ok(Self {
             sender,
             driver: tokio::spawn(conn),
-        }
+        })
     }
 
     /// Sends a request and reads the answer to its end.
@@ -43,15 +62,45 @@
     ///
     /// Fails if the connection ends without a whole answer.
     pub async fn send(&mut self, call: &Call) -> Result<StatusCode, String> {
-        let exchange = async {
-            self.sender.ready().await.map_err(|e| e.to_string())?;
-            let sent = self.sender.send_request(call.request()).await;
-            let (parts, body) = sent.map_err(|e| e.to_string())?.into_parts();
-            body.collect().await.map_err(|e| e.to_string())?;
-            Ok(parts.status)
-        };
-        let sent = tokio::time::timeout(PATIENCE, exchange).await;
-        sent.unwrap_or_else(|_| Err("no answer in time".to_owned()))
+        let sent = tokio::time::timeout(PATIENCE, self.exchange(call)).await;
+        match sent {
+            Ok(Ok(got)) if got.whole => Ok(got.status),
+            Ok(Ok(_)) => Err("the answer broke off".to_owned()),
+            Ok(Err(e)) => Err(format!("{e:?}")),
+            Err(_) => Err("no answer in time".to_owned()),
+        }
+    }
+
+    /// Sends a request and reads the answer as far as it comes, without a time
+    /// limit.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no head of an answer.
+    pub async fn exchange(&mut self, call: &Call) -> Result<Got, NoAnswer> {
+        let not_sent = |e: hyper::Error| NoAnswer::NotSent(e.to_string());
+        self.sender.ready().await.map_err(not_sent)?;
+        let sent = self.sender.try_send_request(call.request()).await;
+        let resp = sent.map_err(|mut e| match e.take_message() {
+            Some(_) => NoAnswer::NotSent(e.into_error().to_string()),
+            None => NoAnswer::Unanswered(e.into_error().to_string()),
+        })?;
+        let (parts, mut body) = resp.into_parts();
+        let mut data = Vec::new();
+        let mut whole = true;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                whole = false;
+                break;
+            };
+            data.extend(frame.into_data().unwrap_or_default());
+        }
+        Ok(Got {
+            status: parts.status,
+            headers: parts.headers,
+            body: String::from_utf8_lossy(&data).into_owned(),
+            whole,
+        })
     }
 
     /// Returns whether the instance has closed the connection.
--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -19,6 +19,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
+/// Pause before each event of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
+
 /// How the target treats requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -47,6 +50,8 @@
     Events(u64),
     /// It sends so many events of a stream and breaks off.
     Cut(u64),
+    /// It sends the events of a stream up to this one, with a pause before each.
+    Paced(u64, Duration),
 }
 
 /// A request as it reached the target.
@@ -162,8 +167,9 @@
             resp.extensions_mut().insert(http::ResetConnection);
             return resp;
         }
-        Mode::Events(count) => events(after, count, false),
-        Mode::Cut(count) => events(after, count, true),
+        Mode::Events(count) => events(after, after + count, false, EVENT_PAUSE),
+        Mode::Cut(count) => events(after, after + count, true, EVENT_PAUSE),
+        Mode::Paced(last, pause) => events(after, last, false, pause),
     };
     let id = if mode == Mode::Foreign {
         "another"
@@ -201,19 +207,19 @@
     resp
 }
 
-/// Sends numbered events, with half of one more at the end if it breaks off.
-fn events(after: u64, count: u64, cut: bool) -> Response<http::Body> {
+/// Sends the events of a stream after `after` up to `last`, with half of one
+/// more at the end if it breaks off.
+fn events(after: u64, last: u64, cut: bool, pause: Duration) -> Response<http::Body> {
     let event = |n: u64| Ok(Bytes::from(format!("id: {n}\ndata: piece {n}\n\n")));
-    let mut pieces: Vec<Result<Bytes, std::io::Error>> =
-        (after + 1..=after + count).map(event).collect();
+    let mut pieces: Vec<Result<Bytes, std::io::Error>> = (after + 1..=last).map(event).collect();
     if cut {
         pieces.push(Ok(Bytes::from("id: 99\nda")));
         pieces.push(Err(std::io::Error::other("cut")));
     }
     let pieces = futures_util::stream::iter(pieces);
     // Each piece goes out by itself, so that a cut comes after what was sent.
-    let pieces = futures_util::StreamExt::then(pieces, |piece| async {
-        tokio::time::sleep(Duration::from_millis(10)).await;
+    let pieces = futures_util::StreamExt::then(pieces, move |piece| async move {
+        tokio::time::sleep(pause).await;
         piece.map(Frame::data)
     });
     let mut resp = Response::new(BodyExt::boxed(StreamBody::new(pieces)));
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -159,6 +159,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells the process that its settings file has changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Waits until the process has ended; true if it ended well.
     pub fn wait(&mut self) -> bool {
         self.child.wait().expect("the process ends").success()
--- /dev/null
+++ b/tests/testsuite/node/soak/faults.rs
@@ -0,0 +1,226 @@
+//! The faults of a run.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::StatusCode;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use serde_json::json;
+use support::node::Node;
+use support::node::call;
+use support::node::proxy::Harm;
+use support::node::proxy::Proxy;
+
+use super::GRACE;
+use super::Profile;
+use super::SLACK;
+use super::record::Scope;
+use super::world::Soak;
+use super::world::TARGETS;
+
+/// Length of the silence of a sound target, in ms.
+const SILENCE_MS: std::ops::Range<u64> = 800..1800;
+
+/// Time between two silences of a target.
+const SOUND_TIME: Duration = Duration::from_millis(700);
+
+/// Time in which a running instance tells whether it is ready.
+const READY_TIME: Duration = Duration::from_millis(500);
+
+/// Begins a random fault of a profile, and ends it after a random time.
+pub(super) async fn strike(soak: &Soak, profile: Profile, rng: &mut StdRng) {
+    match profile {
+        Profile::Mixed => strike_mixed(soak, rng).await,
+        Profile::Calm => strike_calm(soak, rng).await,
+    }
+}
+
+async fn strike_calm(soak: &Soak, rng: &mut StdRng) {
+    match rng.random_range(0..20) {
+        0..=13 => fall_silent(soak, rng).await,
+        14..=16 => change(soak, rng).await,
+        17 => hang_up(soak, rng).await,
+        _ => stop(soak, rng).await,
+    }
+}
+
+async fn strike_mixed(soak: &Soak, rng: &mut StdRng) {
+    let time = Duration::from_millis(rng.random_range(200..2500));
+    match rng.random_range(0..20) {
+        0 => freeze(soak, rng, time).await,
+        1 => kill(soak, rng, time).await,
+        2 | 3 => stop(soak, rng).await,
+        4 => {
+            soak.store.set(random_harm(rng));
+            tokio::time::sleep(time).await;
+            soak.store.set(Harm::None);
+        }
+        5..=9 => harm_target(soak, rng, time).await,
+        10..=12 => fall_silent(soak, rng).await,
+        13 | 14 => change(soak, rng).await,
+        15 => hang_up(soak, rng).await,
+        _ => strike_store(soak, rng, time).await,
+    }
+}
+
+/// Strikes the store itself, or evacuates a zone.
+async fn strike_store(soak: &Soak, rng: &mut StdRng, time: Duration) {
+    let store = &soak.site.store;
+    match rng.random_range(0..4) {
+        0 => {
+            store.forget();
+            tokio::time::sleep(time).await;
+        }
+        1 => {
+            store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
+            tokio::time::sleep(time).await;
+            store.refuse(None);
+        }
+        2 => {
+            let copy = store.copy();
+            tokio::time::sleep(time).await;
+            store.restore_and_write_again(copy);
+        }
+        _ => {
+            let (_, _, zone) = TARGETS[rng.random_range(0..TARGETS.len())];
+            let key = format!("op/evacuate/{zone}");
+            store.put(&key, &json!({}));
+            tokio::time::sleep(time).await;
+            store.remove(&key);
+        }
+    }
+}
+
+/// Lets a sound target be silent for a while and go on.
+async fn fall_silent(soak: &Soak, rng: &mut StdRng) {
+    let target = &soak.targets[rng.random_range(0..soak.targets.len())];
+    let time = Duration::from_millis(rng.random_range(SILENCE_MS));
+    // Another fault may have the target now.
+    let Ok(_fault) = target.fault.try_lock() else {
+        return;
+    };
+    silence(&target.proxy, time).await;
+    tokio::time::sleep(SOUND_TIME).await;
+}
+
+async fn silence(proxy: &Proxy, time: Duration) {
+    proxy.set(Harm::Silence);
+    tokio::time::sleep(time).await;
+    proxy.set(Harm::None);
+}
+
+/// Harms the link to a target. A delay is the only harm that a request
+/// survives.
+async fn harm_target(soak: &Soak, rng: &mut StdRng, time: Duration) {
+    let at = rng.random_range(0..soak.targets.len());
+    let target = &soak.targets[at];
+    let harm = random_harm(rng);
+    let Ok(_fault) = target.fault.try_lock() else {
+        return;
+    };
+    let fault = (!matches!(harm, Harm::Delay(_))).then(|| soak.record.begin(Scope::Target(at)));
+    target.proxy.set(harm);
+    tokio::time::sleep(time).await;
+    target.proxy.set(Harm::None);
+    if let Some(fault) = fault {
+        soak.record.end(fault);
+    }
+}
+
+fn random_harm(rng: &mut StdRng) -> Harm {
+    match rng.random_range(0..6) {
+        0 => Harm::Delay(Duration::from_millis(rng.random_range(20..400))),
+        1 => Harm::Silence,
+        2 | 3 => Harm::OneWay,
+        _ => Harm::Reset,
+    }
+}
+
+/// Writes configurations one after another.
+async fn change(soak: &Soak, rng: &mut StdRng) {
+    for _ in 0..rng.random_range(1..5) {
+        soak.changes.change(&soak.site.store, rng);
+        let pause = Duration::from_millis(rng.random_range(20..500));
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Tells an instance several times that its settings have changed.
+async fn hang_up(soak: &Soak, rng: &mut StdRng) {
+    let at = rng.random_range(0..soak.nodes.len());
+    let times = rng.random_range(1..4);
+    let Ok(node) = soak.nodes[at].try_lock() else {
+        return;
+    };
+    // A process that has just started doesn't know the signal yet.
+    let asked = tokio::time::timeout(READY_TIME, call::get(node.ready, "/v1/ready")).await;
+    if !asked.is_ok_and(|got| got.is_ok()) {
+        return;
+    }
+    for _ in 0..times {
+        node.process.hang_up();
+        tokio::time::sleep(Duration::from_millis(rng.random_range(5..300))).await;
+    }
+}
+
+async fn freeze(soak: &Soak, rng: &mut StdRng, time: Duration) {
+    let at = rng.random_range(0..soak.nodes.len());
+    let Ok(node) = soak.nodes[at].try_lock() else {
+        return;
+    };
+    let fault = soak.record.begin(Scope::Instance(at));
+    node.process.freeze();
+    tokio::time::sleep(time).await;
+    node.process.thaw();
+    soak.record.end(fault);
+}
+
+/// Kills an instance and starts it again after `time`.
+async fn kill(soak: &Soak, rng: &mut StdRng, time: Duration) {
+    let at = rng.random_range(0..soak.nodes.len());
+    let Ok(mut node) = soak.nodes[at].try_lock() else {
+        return;
+    };
+    let fault = soak.record.begin(Scope::Instance(at));
+    node.process.kill();
+    tokio::time::sleep(time).await;
+    soak.respawn(at, &mut node);
+    soak.record.end(fault);
+}
+
+/// Tells an instance to stop, with further signals while it does so, and starts
+/// it again.
+async fn stop(soak: &Soak, rng: &mut StdRng) {
+    let at = rng.random_range(0..soak.nodes.len());
+    let signals: Vec<bool> = (0..rng.random_range(0..4)).map(|_| rng.random()).collect();
+    let pause = Duration::from_millis(rng.random_range(50..1200));
+    let Ok(mut node) = Arc::clone(&soak.nodes[at]).try_lock_owned() else {
+        return;
+    };
+    let told = Instant::now();
+    node.process.terminate();
+    for is_hang_up in signals {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(5..300))).await;
+        signal_again(&node, is_hang_up);
+    }
+    let ending = tokio::task::spawn_blocking(move || {
+        let well = node.process.wait();
+        (node, well)
+    });
+    let (ended, well) = ending.await.expect("no panic");
+    node = ended;
+    let took = told.elapsed();
+    assert!(well, "instance {at} did not stop well");
+    assert!(took <= GRACE + SLACK, "instance {at} took {took:?} to stop");
+    tokio::time::sleep(pause).await;
+    soak.respawn(at, &mut node);
+}
+
+fn signal_again(node: &Node, is_hang_up: bool) {
+    match is_hang_up {
+        true => node.process.hang_up(),
+        false => node.process.terminate(),
+    }
+}
--- /dev/null
+++ b/tests/testsuite/node/soak/world.rs
@@ -0,0 +1,197 @@
+//! The processes, stand-ins and proxies of a run.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use support::node::Mode;
+use support::node::Node;
+use support::node::PlatformStore;
+use support::node::PlatformTarget;
+use support::node::Site;
+use support::node::proxy::Proxy;
+
+use super::callers;
+use super::callers::Seen;
+use super::changes::Changes;
+use super::record::Record;
+
+/// Time in which everything works again once the last fault has ended.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// Time of a plain answer, so that faults meet requests at the targets.
+const SERVICE: Duration = Duration::from_millis(60);
+
+/// Number of the last event of a stream.
+pub(super) const EVENTS: u64 = 5;
+
+/// Pause between the events of a stream, so that faults meet streams midway.
+const EVENT_PAUSE: Duration = Duration::from_millis(80);
+
+/// Zones and their regions.
+const ZONES: [(&str, &str); 3] = [
+    ("north-a", "north"),
+    ("south-a", "south"),
+    ("west-a", "west"),
+];
+
+/// Targets with their service and zone.
+pub(super) const TARGETS: [(&str, &str, &str); 13] = [
+    ("i-orders-1", "orders", "north-a"),
+    ("i-orders-2", "orders", "north-a"),
+    ("i-orders-3", "orders", "south-a"),
+    ("i-orders-4", "orders", "south-a"),
+    ("i-orders-5", "orders", "west-a"),
+    ("i-spare-1", "spare", "north-a"),
+    ("i-spare-2", "spare", "south-a"),
+    ("i-spare-3", "spare", "west-a"),
+    ("i-model-1", "model", "north-a"),
+    ("i-model-2", "model", "north-a"),
+    ("i-model-3", "model", "south-a"),
+    ("i-model-4", "model", "south-a"),
+    ("i-model-5", "model", "west-a"),
+];
+
+/// Where an instance runs.
+#[derive(Clone, Debug)]
+pub(super) struct Place {
+    pub(super) name: String,
+    pub(super) zone: &'static str,
+    region: &'static str,
+}
+
+impl Place {
+    fn new(at: usize) -> Self {
+        let (zone, region) = ZONES[at % ZONES.len()];
+        Self {
+            name: format!("front-{region}-{at}"),
+            zone,
+            region,
+        }
+    }
+}
+
+/// A target behind a proxy.
+#[derive(Debug)]
+pub(super) struct SoakTarget {
+    pub(super) target: PlatformTarget,
+    pub(super) proxy: Proxy,
+    /// Locked by the fault that the target suffers.
+    pub(super) fault: tokio::sync::Mutex<()>,
+}
+
+/// A run.
+pub(super) struct Soak {
+    pub(super) site: Site,
+    pub(super) targets: Vec<SoakTarget>,
+    pub(super) store: Proxy,
+    pub(super) places: Vec<Place>,
+    /// Locked by the fault that an instance suffers.
+    pub(super) nodes: Vec<Arc<tokio::sync::Mutex<Node>>>,
+    pub(super) fronts: Arc<Vec<Mutex<SocketAddr>>>,
+    pub(super) changes: Arc<Changes>,
+    pub(super) record: Record,
+    pub(super) seen: Arc<Mutex<Vec<Seen>>>,
+    /// Logs of the instances that have ended.
+    ended_logs: Mutex<Vec<(String, String)>>,
+}
+
+impl Soak {
+    pub(super) async fn start(instances: usize) -> Self {
+        let store = PlatformStore::start().await;
+        let proxy = Proxy::start(store.address).await;
+        let site = Site::before(store, proxy.address);
+        let changes = Changes::begin(&site.store);
+        let mut targets = Vec::new();
+        for (name, service, zone) in TARGETS {
+            let target = SoakTarget::start(name, service).await;
+            site.register_at(name, target.proxy.address, service, zone);
+            targets.push(target);
+        }
+        let places: Vec<_> = (0..instances).map(Place::new).collect();
+        let mut nodes = Vec::new();
+        for place in &places {
+            nodes.push(site.spawn(&place.name, place.zone, place.region));
+        }
+        for node in &nodes {
+            node.until_ready(true).await;
+        }
+        let fronts = nodes.iter().map(|node| Mutex::new(node.front)).collect();
+        let nodes = nodes.into_iter().map(tokio::sync::Mutex::new);
+        Self {
+            site,
+            targets,
+            store: proxy,
+            places,
+            nodes: nodes.map(Arc::new).collect(),
+            fronts: Arc::new(fronts),
+            changes: Arc::new(changes),
+            record: Record::default(),
+            seen: Arc::default(),
+            ended_logs: Mutex::default(),
+        }
+    }
+
+    /// Starts an instance in place of one that has ended.
+    pub(super) fn respawn(&self, at: usize, node: &mut Node) {
+        let place = &self.places[at];
+        let mut logs = self.ended_logs.lock().expect("no panic under the lock");
+        logs.push((place.name.clone(), node.logged()));
+        drop(logs);
+        *node = self.site.spawn(&place.name, place.zone, place.region);
+        *self.fronts[at].lock().expect("no panic under the lock") = node.front;
+    }
+
+    /// Returns the logs of all instances, with their names.
+    pub(super) async fn logs(&self) -> Vec<(String, String)> {
+        let mut logs = self
+            .ended_logs
+            .lock()
+            .expect("no panic under the lock")
+            .clone();
+        for (place, node) in self.places.iter().zip(&self.nodes) {
+            logs.push((place.name.clone(), node.lock().await.logged()));
+        }
+        logs
+    }
+
+    /// Waits until every instance answers each kind of request.
+    pub(super) async fn recover(&self) {
+        let until = Instant::now() + RECOVERY;
+        for (at, front) in self.fronts.iter().enumerate() {
+            let front = *front.lock().expect("no panic under the lock");
+            for path in callers::PATHS {
+                let mut n = 0;
+                loop {
+                    n += 1;
+                    let id = format!("end-{at}-{path}-{n}");
+                    let one = callers::attempt_once(at, front, &id, path).await;
+                    if one.is_success() {
+                        break;
+                    }
+                    let name = &self.places[at].name;
+                    assert!(Instant::now() < until, "no answer at {name}: {one:?}");
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+}
+
+impl SoakTarget {
+    async fn start(name: &str, service: &str) -> Self {
+        let target = PlatformTarget::start(name).await;
+        target.set(match service {
+            "model" => Mode::Paced(EVENTS, EVENT_PAUSE),
+            _ => Mode::Slow(SERVICE),
+        });
+        let proxy = Proxy::start(target.address).await;
+        Self {
+            target,
+            proxy,
+            fault: tokio::sync::Mutex::default(),
+        }
+    }
+}
