Add a failing test of requests lost on a link that is then refused

Cause: an instance that started while its view of the store was cut knows no certificates of the others, and refuses theirs ("invalid peer certificate: ApplicationVerificationFailure"). In TLS 1.3 the connecting side has finished its handshake by then, so sibling::endpoint's connect returns a link, gateway::links::dial marks it as up, and a request that is forwarded before the refusal arrives fails as an exchange that broke off (gateway::forward::handle_forward_failure). It is connected anew each 250 ms.

The test has no other fault than a store that one instance doesn't hear.

--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -211,8 +211,13 @@
 
     /// Starts an instance.
     pub fn spawn(&self, name: &str, zone: &str, region: &str) -> Node {
+        self.spawn_before(name, zone, region, self.reached_at)
+    }
+
+    /// Starts an instance that reaches the store at an address of its own.
+    pub fn spawn_before(&self, name: &str, zone: &str, region: &str, store: SocketAddr) -> Node {
         let ip = next_address();
-        let text = settings(name, &ip, zone, region, self.reached_at);
+        let text = settings(name, &ip, zone, region, store);
         let path = self.dir.path().join(format!("{name}.toml"));
         std::fs::write(&path, text).expect("settings can be written");
         let log = self.dir.path().join(format!("{name}.log"));
--- a/tests/testsuite/node/forwards.rs
+++ b/tests/testsuite/node/forwards.rs
@@ -1,6 +1,7 @@
 //! Requests that instances of other regions serve.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::StatusCode;
 use serde_json::json;
@@ -10,10 +11,15 @@
 use support::node::Site;
 use support::node::call;
 use support::node::call::Call;
+use support::node::proxy::Harm;
+use support::node::proxy::Proxy;
 use support::node::site::KEY;
 use support::node::site::configuration;
 use support::node::site::until;
 
+/// Time in which an instance keeps connecting to one that doesn't know it.
+const UNKNOWN_TIME: Duration = Duration::from_millis(2000);
+
 #[test]
 fn a_request_bound_to_another_region_goes_there_once() {
     block_on(async {
@@ -102,3 +108,36 @@
         }
     });
 }
+
+/// Failure: an instance that the other one doesn't know yet took its link as up
+/// before the other one had refused it, and answered 502 to requests that it
+/// forwarded on that link.
+#[test]
+fn a_request_is_not_lost_on_a_link_that_the_other_instance_refuses() {
+    block_on(async {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-south").await;
+        site.register(&target, "orders", "south-a");
+        let store = Proxy::start(site.store.address).await;
+        let far = site.spawn_before("far", "south-a", "south", store.address);
+        far.until_ready(true).await;
+        until("the far instance is registered", async || {
+            site.store.keys("chiverelay/instances/").len() == 1
+        })
+        .await;
+        // From here on the far instance hears of no others.
+        store.set(Harm::Silence);
+        let near = site.instance("near", "north-a", "north").await;
+        let until = Instant::now() + UNKNOWN_TIME;
+        let mut n = 0;
+        while Instant::now() < until {
+            n += 1;
+            let call = Call::new(&format!("r-{n}"), "/deposit/1").key(KEY);
+            let got = call.send(near.front).await;
+            let is_refused = got.status == StatusCode::SERVICE_UNAVAILABLE;
+            assert!(is_refused || got.status == StatusCode::OK, "{n}: {got:?}");
+        }
+        let log = near.logged();
+        assert!(log.contains("link is up"), "the near instance connects");
+    });
+}
