Take a link as up only once the other side has accepted it

Callers saw 502 "sibling_failed", outcome unknown, for requests that nobody ran, a once-only one among them, which its caller may not repeat then.

Cause: in TLS 1.3 the connecting side's handshake ends before the other side has checked its certificate. An instance that doesn't know the certificate refuses the connection some milliseconds later, and what was forwarded in between fails as an exchange that broke off.

Why it works: the accepting side opens an empty stream, which can't arrive before it has accepted, and the connecting side waits for it within the time for a connection to come up.

Test changed: that the near instance connects is seen in the far one's log, which refuses it, as no link may come up any more; that is checked too.

--- a/crates/sibling/src/endpoint.rs
+++ b/crates/sibling/src/endpoint.rs
@@ -8,6 +8,7 @@
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
+use quinn::ConnectionError;
 use quinn::IdleTimeout;
 use quinn::RecvStream;
 use quinn::SendStream;
@@ -152,11 +153,13 @@
         self.address
     }
 
-    /// Connects to a sibling, whose certificate must carry its name.
+    /// Connects to a sibling, whose certificate must carry its name, and waits
+    /// until it has accepted the connection.
     ///
     /// # Errors
     ///
-    /// Fails if the sibling can't be reached in time or is another one.
+    /// Fails if the sibling can't be reached in time, is another one or refuses
+    /// the connection.
     pub async fn connect(
         &self,
         instance: &Instance,
@@ -171,7 +174,12 @@
             .inner
             .connect(address, &server_name(instance, region))
             .map_err(|e| wrap(e.to_string()))?;
-        let conn = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        let accepted = async {
+            let conn = connecting.await?;
+            wait_until_accepted(&conn).await?;
+            Ok::<_, ConnectionError>(conn)
+        };
+        let conn = tokio::time::timeout(CONNECT_TIMEOUT, accepted)
             .await
             .map_err(|_| wrap("timeout".to_owned()))?
             .map_err(|e| wrap(e.to_string()))?;
@@ -219,6 +227,23 @@
     }
 }
 
+/// Tells the connecting side that its connection is accepted.
+///
+/// With TLS 1.3 the handshake of the connecting side ends before the other side
+/// has checked its certificate.
+async fn confirm_accepted(conn: &quinn::Connection) -> Result<(), ConnectionError> {
+    let mut tx = conn.open_uni().await?;
+    // An empty stream says it. It has ended already only if the connection has.
+    let _ = tx.finish();
+    Ok(())
+}
+
+/// Waits for [`confirm_accepted`] of the other side.
+async fn wait_until_accepted(conn: &quinn::Connection) -> Result<(), ConnectionError> {
+    conn.accept_uni().await?;
+    Ok(())
+}
+
 async fn serve<H>(conn: quinn::Connection, handler: Arc<H>)
 where
     H: Handler,
@@ -232,6 +257,10 @@
         conn.close(1_u32.into(), b"no name");
         return;
     };
+    if let Err(e) = confirm_accepted(&conn).await {
+        log::debug!("sibling: {}: connection ended: {e}", peer.instance);
+        return;
+    }
     loop {
         let accepted = tokio::select! {
             accepted = conn.accept_bi() => accepted,
--- a/tests/testsuite/node/forwards.rs
+++ b/tests/testsuite/node/forwards.rs
@@ -137,7 +137,11 @@
             let is_refused = got.status == StatusCode::SERVICE_UNAVAILABLE;
             assert!(is_refused || got.status == StatusCode::OK, "{n}: {got:?}");
         }
-        let log = near.logged();
-        assert!(log.contains("link is up"), "the near instance connects");
+        let log = far.logged();
+        assert!(
+            log.contains("connection refused"),
+            "the near instance connects"
+        );
+        assert!(!near.logged().contains("link is up"), "no link is accepted");
     });
 }
