--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,7 +1,9 @@
 //! The known instances of the gateway, called members, from the records in the
 //! store and the status messages that instances send each other.
 
-use std::collections::HashMap;
+mod record;
+mod table;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,19 +15,15 @@
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
-use chiverelay_decisions::tables::RecentSet;
 use chiverelay_decisions::window::Divisor;
 use chiverelay_sibling::Pins;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::sync::watch;
 
-/// Time without a record update or status message after which an instance no
-/// longer counts as ready.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Number of ended incarnations that are remembered.
-const MAX_REPLACED: usize = 4096;
+pub use record::MemberRecord;
+pub use record::MemberState;
+use table::Member;
+use table::MemberTable;
+use table::SILENCE_TIMEOUT;
 
 /// Time after the start of the process during which instances that started at
 /// the same time may not be known yet.
@@ -41,70 +39,6 @@
     }
 }
 
-/// Lifecycle state of an instance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum MemberState {
-    /// The instance does not accept requests yet.
-    Starting,
-    /// The instance accepts requests.
-    Ready,
-    /// The instance is shutting down and accepts no new requests.
-    Leaving,
-}
-
-/// An instance's record in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct MemberRecord {
-    /// Name of the instance.
-    pub instance: Instance,
-    /// Availability zone of the instance.
-    pub zone: Zone,
-    /// Region of the instance.
-    pub region: Region,
-    /// Address at which callers connect.
-    pub callers: SocketAddr,
-    /// Address at which the other instances connect.
-    pub siblings: SocketAddr,
-    /// Digest of the certificate that the instance presents to the others.
-    pub certificate: String,
-    /// Random number that identifies the process, so that a restart under the
-    /// same name is recognized.
-    pub incarnation: u64,
-    /// Lifecycle state.
-    pub state: MemberState,
-}
-
-#[derive(Debug)]
-struct Member {
-    record: MemberRecord,
-    revision: StoreRevision,
-    record_received_at: Duration,
-    last_status_at: Option<Duration>,
-    /// Whether the last status message said that the instance is ready; true
-    /// before the first message of the process.
-    is_ready_by_status: bool,
-    /// Whether the record is still in the store.
-    is_record_in_store: bool,
-}
-
-impl Member {
-    /// Returns the time of the last record update or status message.
-    fn last_seen(&self) -> Duration {
-        self.last_status_at
-            .unwrap_or_default()
-            .max(self.record_received_at)
-    }
-
-    fn is_ready(&self, now: Duration) -> bool {
-        self.record.state == MemberState::Ready
-            && self.is_ready_by_status
-            && self.last_seen() + SILENCE_TIMEOUT > now
-    }
-}
-
 /// Counts of the other instances, for metrics.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct MembersSummary {
@@ -116,73 +50,6 @@
     pub(crate) max_silence: Duration,
 }
 
-/// The other instances by name.
-///
-/// # Invariants
-///
-/// A member without a record is kept only while it sends status messages.
-/// `max_known` and `max_known_by_region` never shrink: an instance that is no
-/// longer known may still use its share of a limit, so the shares of the others
-/// must not grow.
-#[derive(Debug)]
-struct MemberTable {
-    members: HashMap<Instance, Member>,
-    max_known: usize,
-    max_known_by_region: HashMap<Region, usize>,
-    /// Incarnations of the instances that were removed. A record of one of them
-    /// is no sign of life, as an older copy of the store may bring it back.
-    removed: HashMap<Instance, u64>,
-    /// Incarnations that ended, as another of the same name followed. Only an
-    /// older copy of the store has a record of one of them.
-    replaced: RecentSet<u64>,
-}
-
-impl Default for MemberTable {
-    fn default() -> Self {
-        Self {
-            members: HashMap::new(),
-            max_known: 0,
-            max_known_by_region: HashMap::new(),
-            removed: HashMap::new(),
-            replaced: RecentSet::new(MAX_REPLACED),
-        }
-    }
-}
-
-impl MemberTable {
-    /// Returns when the process of a record was last known to run, apart from
-    /// its status messages. `now` is when the record was read.
-    fn last_sign_of_life(
-        &self,
-        record: &MemberRecord,
-        revision: StoreRevision,
-        now: Duration,
-    ) -> Duration {
-        if self.removed.get(&record.instance) == Some(&record.incarnation) {
-            return Duration::ZERO;
-        }
-        let known = self.members.get(&record.instance);
-        let is_copy = |known: &&Member| {
-            known.record.incarnation == record.incarnation && known.revision.era < revision.era
-        };
-        known
-            .filter(is_copy)
-            .map_or(now, |known| known.record_received_at)
-    }
-
-    fn update_max_known(&mut self, own: &Region) {
-        self.max_known = self.max_known.max(self.members.len() + 1);
-        let mut regions: HashMap<&Region, usize> = HashMap::from([(own, 1)]);
-        for member in self.members.values() {
-            *regions.entry(&member.record.region).or_default() += 1;
-        }
-        for (region, count) in regions {
-            let known = self.max_known_by_region.entry(region.clone()).or_default();
-            *known = count.max(*known);
-        }
-    }
-}
-
 /// The other instances, and this instance's own record.
 #[derive(Debug)]
 pub(crate) struct Members {
