Leave a silent target only for one that the placement would take

Cause: whether another target could take over looked at the wait alone, while the placement also refuses a target whose queue is too long for the route. The request was given up at the first target and then refused at the second.

Both now ask the same questions: the choice of region is one function, and so is the check of the wait.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -117,33 +117,48 @@
         let now = self.clock.now();
         self.check_shutdown(&req, cx, now)?;
         self.check_crashes(&req, cx, now)?;
-        let own_region = &self.settings.region;
-        let allowed = req.grant().residency.allows(own_region);
+        let left = req.meta().deadline.saturating_sub(now);
+        let (local, remote) = self.choose_regions(&req, cx, req.tried_targets(), now);
+        if let Some(remote) = remote {
+            check_wait(&req, cx, &remote.estimate, left)?;
+            return self.place_remotely(req, cx, &remote, now).or_else(|req| {
+                let local = local.map_err(|reason| refuse_no_target(&req, reason));
+                self.reserve_if_in_time(*req, cx, local, left, now)
+            });
+        }
+        let local = local.map_err(|reason| refuse_no_target(&req, reason));
+        self.reserve_if_in_time(req, cx, local, left, now)
+    }
+
+    /// Chooses the best target of this region that was not tried, and another
+    /// region if that is better or there is no such target.
+    fn choose_regions<S, O>(
+        &self,
+        req: &Request<S, O>,
+        cx: &PlacementContext,
+        tried: &[Target],
+        now: Duration,
+    ) -> (Result<TargetChoice, NoTargetReason>, Option<RegionChoice>)
+    where
+        S: HasGrant,
+    {
+        let allowed = req.grant().residency.allows(&self.settings.region);
         let local = match allowed {
-            true => self.choose_local_target(cx, req.tried_targets(), now),
+            true => self.choose_local_target(cx, tried, now),
             false => Err(NoTargetReason::NoTarget),
         };
         // Limited targets of other regions are left to the instances there, but
         // they are better than none.
-        let remote = self.choose_remote_region(&req, cx, StatedLimitUse::Avoid, now);
+        let remote = self.choose_remote_region(req, cx, StatedLimitUse::Avoid, now);
         let remote = match (&local, remote) {
-            (Err(_), None) => self.choose_remote_region(&req, cx, StatedLimitUse::Ignore, now),
+            (Err(_), None) => self.choose_remote_region(req, cx, StatedLimitUse::Ignore, now),
             (_, remote) => remote,
         };
-        let left = req.meta().deadline.saturating_sub(now);
         let remote = match (&local, remote) {
             (Ok(local), Some(remote)) if !is_remote_worthwhile(local, &remote) => None,
             (_, remote) => remote,
         };
-        if let Some(remote) = remote {
-            check_wait(&req, cx, &remote.estimate, left)?;
-            return self.place_remotely(req, cx, &remote, now).or_else(|req| {
-                let local = local.map_err(|reason| refuse_no_target(&req, reason));
-                self.reserve_if_in_time(*req, cx, local, left, now)
-            });
-        }
-        let local = local.map_err(|reason| refuse_no_target(&req, reason));
-        self.reserve_if_in_time(req, cx, local, left, now)
+        (local, remote)
     }
 
     /// Reserves capacity at the local target that was chosen, if it can answer
@@ -234,17 +249,21 @@
     where
         O: Origin,
     {
-        if self.has_other_local_target(req, cx) {
-            return true;
+        if !O::MAY_BE_FORWARDED {
+            return self.has_other_local_target(req, cx);
         }
         let now = self.clock.now();
         let deadline = req.meta().deadline;
-        if !O::MAY_BE_FORWARDED || !self.can_end_before_shutdown(cx, deadline, now) {
+        if !self.can_end_before_shutdown(cx, deadline, now) {
             return false;
         }
         let left = deadline.saturating_sub(now);
-        let remote = self.choose_remote_region(req, cx, StatedLimitUse::Ignore, now);
-        remote.is_some_and(|remote| remote.estimate.wait <= left)
+        // The same conditions as of `choose_destination`.
+        match self.choose_regions(req, cx, &tried_with_current(req), now) {
+            (_, Some(remote)) => is_timely(cx, &remote.estimate, left),
+            (Ok(local), None) => is_timely(cx, &local.estimate, left),
+            (Err(_), None) => false,
+        }
     }
 
     /// Tells whether another target of this region could take over a request
@@ -254,17 +273,14 @@
         req: &Request<Dispatched, O>,
         cx: &PlacementContext,
     ) -> bool {
-        let mut tried = req.tried_targets().to_vec();
-        if let Peer::Target(current) = req.peer() {
-            tried.push(current.clone());
-        }
         let now = self.clock.now();
         let deadline = req.meta().deadline;
         if !self.can_end_before_shutdown(cx, deadline, now) {
             return false;
         }
         let left = deadline.saturating_sub(now);
-        let choice = self.choose_local_target(cx, &tried, now);
+        // The same conditions as of `place_locally`.
+        let choice = self.choose_local_target(cx, &tried_with_current(req), now);
         choice.is_ok_and(|choice| choice.estimate.wait <= left)
     }
 
@@ -471,8 +487,7 @@
 /// # Errors
 ///
 /// Refuses a request that would wait past its deadline, or that would miss its
-/// route's target latency because of the requests queued ahead of it. An answer
-/// that has begun is continued even if its next event is late.
+/// route's target latency because of the requests queued ahead of it.
 fn check_wait<O>(
     req: &Request<Admitted, O>,
     cx: &PlacementContext,
@@ -482,13 +497,29 @@
     if estimate.wait > left {
         return Err(refuse_past_deadline(req, estimate.wait, left));
     }
-    if !cx.is_resumed && estimate.is_late_from_queueing(cx.route.target_latency) {
+    if !is_timely(cx, estimate, left) {
         let refusal = req.refusal(Code::Overloaded, Step::Place, Peer::Local);
         return Err(refusal.with_retry_after(estimate.queue_delay.max(MIN_RETRY_AFTER)));
     }
     Ok(())
 }
 
+/// Tells whether a request can be answered in time at the estimated wait. An
+/// answer that has begun is continued even if its next event is late.
+fn is_timely(cx: &PlacementContext, estimate: &Estimate, left: Duration) -> bool {
+    let is_late = !cx.is_resumed && estimate.is_late_from_queueing(cx.route.target_latency);
+    estimate.wait <= left && !is_late
+}
+
+/// Returns the targets that were tried, with the one that has the request.
+fn tried_with_current<O>(req: &Request<Dispatched, O>) -> Vec<Target> {
+    let mut tried = req.tried_targets().to_vec();
+    if let Peer::Target(current) = req.peer() {
+        tried.push(current.clone());
+    }
+    tried
+}
+
 /// Refuses a request that would wait past its deadline. The retry delay is the
 /// time by which it would be late.
 fn refuse_past_deadline<O>(req: &Request<Admitted, O>, wait: Duration, left: Duration) -> Refusal {
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -17,6 +17,7 @@
 mod settings;
 mod shutdown;
 mod silence;
+mod silent_first_bytes;
 mod slow_readers;
 mod soak;
 mod stated_limit;
--- /dev/null
+++ b/tests/testsuite/node/silent_first_bytes.rs
@@ -0,0 +1,67 @@
+//! Sound targets that are silent before the first bytes of an answer, for
+//! longer than after which their request may go to another target.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use hyper::StatusCode;
+use support::block_on;
+use support::node::Got;
+use support::node::Node;
+use support::node::SilentAnswer;
+use support::node::SilentTarget;
+use support::node::Site;
+use support::node::call::Call;
+use support::node::site::KEY;
+use support::node::site::until;
+
+/// A silence after which a request may move, and that ends soon after.
+const BEYOND: Duration = Duration::from_millis(2600);
+
+/// Time for which a busy target runs each of its requests.
+const BUSY: Duration = Duration::from_millis(3600);
+
+/// Number of requests that are sent to a target to make it busy. It gets as
+/// many of them as its queue admits.
+const BUSY_REQUESTS: usize = 64;
+
+/// Sends a request until it is not refused for want of a target.
+async fn send_until_placed(node: &Node, path: &str) -> Got {
+    let mut got = None;
+    until("a target takes the request", async || {
+        let call = Call::new("moved", path).key(KEY);
+        let answer = call.exchange(node.front).await.expect("an answer");
+        let is_placed = answer.status != StatusCode::SERVICE_UNAVAILABLE;
+        got = Some(answer);
+        is_placed
+    })
+    .await;
+    got.expect("an answer")
+}
+
+// Failure: the gateway gave up a sound target for one whose queue was too long
+// for the request, and the caller got a 504.
+#[test]
+fn a_request_stays_while_the_queue_of_the_other_target_is_too_long() {
+    block_on(async {
+        let site = Site::start().await;
+        let busy = SilentTarget::start_by_path(SilentAnswer::Plain, BUSY).await;
+        site.register_at("i-2", busy.address, "orders", "north-a");
+        let node = site.instance("near", "north-a", "north").await;
+        let others = (0..BUSY_REQUESTS).map(|i| {
+            let call = Call::new(&format!("other-{i}"), "/deposit/before-head").key(KEY);
+            let front = node.front;
+            async move { call.exchange(front).await }
+        });
+        let asking = async {
+            until("the target is busy", async || !busy.requests().is_empty()).await;
+            let silent = SilentTarget::start_by_path(SilentAnswer::Plain, BEYOND).await;
+            site.register_at("i-1", silent.address, "orders", "north-a");
+            let got = send_until_placed(&node, "/status/before-head").await;
+            (got, silent.requests())
+        };
+        let (_, (got, arrivals)) = tokio::join!(join_all(others), asking);
+        assert_eq!(arrivals.iter().filter(|id| *id == "moved").count(), 1);
+        assert_eq!(got.status, StatusCode::OK, "{}", node.logged());
+    });
+}
