Resume no TLS session between instances

An instance accepted a connection to a process whose certificate the records did not name any more.

Cause: a resumed TLS session does not check certificates again, so a new link to a process that had a link before bypassed the digests in the records. Servers now give out no tickets.

--- a/crates/sibling/src/identity.rs
+++ b/crates/sibling/src/identity.rs
@@ -158,6 +158,9 @@
             .with_single_cert(self.chain.clone(), self.key.clone_key())
             .map_err(fault)?;
         cfg.alpn_protocols = vec![ALPN.to_vec()];
+        // A resumed session would not check whether the certificates are still
+        // accepted.
+        cfg.send_tls13_tickets = 0;
         QuicServerConfig::try_from(cfg).map_err(fault)
     }
 
