Keep the link to a process until the one that replaced it is reached

A forwarded answer of a sound instance was cut as a store came back from an older copy.

Cause: the record of another incarnation was taken as evidence that the process had ended, and the link with all its forwards was closed at once. A store that came back may hold the record of the process before. The link is closed now once the process that the record names is connected; if that fails, answers on the old link go on, and the link is used again when its record is back.

The test of an instance that restarts passes unchanged.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -18,15 +18,39 @@
 /// Delay before a failed connection is tried again.
 const REDIAL_DELAY: Duration = Duration::from_millis(700);
 
+/// An open connection to a process.
+#[derive(Clone, Debug)]
+struct OpenLink {
+    /// `Up` marks a link that can carry messages.
+    link: Link<Up>,
+    /// Incarnation of the process.
+    incarnation: u64,
+}
+
+/// The connection to the process before, which is closed once the one that has
+/// replaced it is reached. The record of another process alone is no evidence,
+/// as it may be older than the connection.
+type FormerLink = Option<OpenLink>;
+
 #[derive(Debug)]
 enum LinkState {
     /// A connection is being established.
-    Dialing,
-    /// An open connection, and the incarnation of the process it leads to.
-    /// `Up` marks a link that can carry messages.
-    Open(Link<Up>, u64),
+    Dialing(FormerLink),
+    /// The connection is open.
+    Open(OpenLink),
     /// The attempt to connect failed. It began at this time.
-    Failed(Duration),
+    Failed(Duration, FormerLink),
+}
+
+impl LinkState {
+    /// Returns the open connection of this state, or that to the process
+    /// before.
+    fn into_link(self) -> FormerLink {
+        match self {
+            Self::Open(open) => Some(open),
+            Self::Dialing(former) | Self::Failed(_, former) => former,
+        }
+    }
 }
 
 /// Connections to the other instances, one for each.
@@ -51,7 +75,7 @@
     /// Returns the open link to an instance, if there is one.
     pub(crate) fn get(&self, name: &Instance) -> Option<Link<Up>> {
         match self.states.lock().get(name) {
-            Some(LinkState::Open(link, _)) if !link.is_lost() => Some(link.clone()),
+            Some(LinkState::Open(open)) if !open.link.is_lost() => Some(open.link.clone()),
             _ => None,
         }
     }
@@ -60,15 +84,14 @@
     pub(crate) fn list_open(&self) -> Vec<Link<Up>> {
         let states = self.states.lock();
         let up = states.values().filter_map(|state| match state {
-            LinkState::Open(link, _) if !link.is_lost() => Some(link.clone()),
+            LinkState::Open(open) if !open.link.is_lost() => Some(open.link.clone()),
             _ => None,
         });
         up.collect()
     }
 
-    /// Drops the links to instances that are not in `others`. Closes the links
-    /// to processes that were replaced. Marks the instances that need a new
-    /// connection as dialing, and returns them.
+    /// Drops the links to instances that are not in `others`. Marks the
+    /// instances that need a new connection as dialing, and returns them.
     pub(crate) fn mark_due_for_dialing(
         &self,
         others: Vec<MemberRecord>,
@@ -81,47 +104,63 @@
         for record in others {
             let is_due = match states.get(&record.instance) {
                 None => true,
-                Some(LinkState::Dialing) => false,
-                Some(LinkState::Open(link, incarnation)) => {
-                    link.is_lost() || *incarnation != record.incarnation
-                }
-                Some(LinkState::Failed(at)) => now >= *at + REDIAL_DELAY,
+                Some(LinkState::Dialing(_)) => false,
+                Some(LinkState::Open(open)) => !open.leads_to(&record),
+                Some(LinkState::Failed(at, _)) => now >= *at + REDIAL_DELAY,
             };
-            if let Some(LinkState::Open(link, _)) = states.get(&record.instance)
-                && is_due
-            {
-                let name = link.peer().instance.as_str();
-                log::info!(target: "links", dependency = "sibling", instance = name; "link is lost, or the instance has restarted");
-                // What waits for an answer of the process before fails at once.
-                link.clone().close();
+            if !is_due {
+                continue;
             }
-            if is_due {
-                states.insert(record.instance.clone(), LinkState::Dialing);
-                to_dial.push(record);
+            let state = states.remove(&record.instance);
+            if let Some(LinkState::Open(_)) = state {
+                let name = record.instance.as_str();
+                log::info!(target: "links", dependency = "sibling", instance = name; "link is lost, or the instance has restarted");
             }
+            let state = match state.and_then(LinkState::into_link) {
+                Some(open) if open.leads_to(&record) => LinkState::Open(open),
+                former => {
+                    to_dial.push(record.clone());
+                    LinkState::Dialing(former)
+                }
+            };
+            states.insert(record.instance, state);
         }
         to_dial
     }
 
-    /// Connects to an instance that was marked as dialing. Returns whether the
-    /// connection was established.
+    /// Connects to an instance that was marked as dialing, and closes the link
+    /// to the process before. Returns whether the connection was established.
     pub(crate) async fn dial(&self, record: &MemberRecord, now: Duration) -> bool {
         // Without an outcome the instance is due for dialing again.
         let dialing = EntryGuard::new(&self.states, record.instance.clone());
         let connecting = self
             .endpoint
             .connect(&record.instance, &record.region, record.siblings);
-        let (state, is_up) = match connecting.await {
+        let connected = connecting.await;
+        let former = dialing.take().and_then(LinkState::into_link);
+        let (state, is_up) = match connected {
             Ok(link) => {
                 log::info!(target: "links", dependency = "sibling", instance = record.instance.as_str(); "link is up");
-                (LinkState::Open(link, record.incarnation), true)
+                if let Some(former) = former {
+                    // What waits for an answer of that process fails at once.
+                    former.link.close();
+                }
+                let incarnation = record.incarnation;
+                (LinkState::Open(OpenLink { link, incarnation }), true)
             }
             Err(e) => {
                 log::debug!(target: "links", error:% = e; "connection to instance failed");
-                (LinkState::Failed(now), false)
+                (LinkState::Failed(now, former), false)
             }
         };
-        dialing.replace(state);
+        self.states.lock().insert(record.instance.clone(), state);
         is_up
     }
 }
+
+impl OpenLink {
+    /// Tells whether the link is usable and leads to the process of a record.
+    fn leads_to(&self, record: &MemberRecord) -> bool {
+        !self.link.is_lost() && self.incarnation == record.incarnation
+    }
+}
--- a/tests/support/node/scripted_instance.rs
+++ b/tests/support/node/scripted_instance.rs
@@ -98,6 +98,26 @@
         announce(site, &record);
     }
 
+    /// Writes the records of the instances.
+    pub fn announce(&self, site: &Site) {
+        self.records
+            .iter()
+            .for_each(|record| announce(site, record));
+    }
+
+    /// Writes the records of the processes that had the instances' names before
+    /// these.
+    pub fn announce_former(&self, site: &Site) {
+        for record in &self.records {
+            let former = MemberRecord {
+                certificate: "0".repeat(record.certificate.len()),
+                incarnation: 0,
+                ..record.clone()
+            };
+            announce(site, &former);
+        }
+    }
+
     /// Returns the requests that were forwarded to the instances.
     pub fn forwards(&self) -> Vec<Forward> {
         let forwards = self.shared.forwards.lock();
--- a/tests/testsuite/node/forwarded_streams.rs
+++ b/tests/testsuite/node/forwarded_streams.rs
@@ -210,6 +210,39 @@
     });
 }
 
+/// Failure: a forwarded answer was cut as a store that came back from an older
+/// copy had the record of the process before.
+#[test]
+fn an_answer_outlasts_the_return_of_an_older_record() {
+    block_on(async {
+        let whole = [stream(1), vec![event(1), end()]].concat();
+        let mut slow = stream(1);
+        slow.extend([event(1), Step::Pause(Duration::from_secs(2))]);
+        slow.extend([event(2), end()]);
+        let regions = Regions::start(vec![whole, slow]).await;
+        regions.far.announce_former(&regions.site);
+        let copy = regions.site.store.copy();
+        regions.far.announce(&regions.site);
+        until("forwards are answered", async || {
+            regions.call("/chat/1").await.status == StatusCode::OK
+        })
+        .await;
+        let restoring = async {
+            regions.far.until_forwards(2).await;
+            regions.site.store.restore(copy);
+            regions.site.store.cut_watches();
+        };
+        let (got, ()) = tokio::join!(regions.call("/chat/1"), restoring);
+        assert!(
+            got.whole,
+            "{:?}\n{}",
+            got.event_ids(),
+            regions.near.logged()
+        );
+        assert_eq!(got.event_ids(), [1, 2]);
+    });
+}
+
 fn check_not_resumed(path: &str, scripts: Vec<Vec<Step>>, forwards: usize) {
     block_on(async {
         let regions = Regions::start(scripts).await;
