Add tests of moves that end a request or take a retry too many

A request or stream whose sound target is silent for 2.6 s before its first byte gets 502 beside a full target: it leaves the one before the other has taken it. A stream that stays where it is takes two retries from the budget for one request that another target refused.

The test of a full queue waits now until the queue is full.

--- a/tests/testsuite/node/silent_first_bytes.rs
+++ b/tests/testsuite/node/silent_first_bytes.rs
@@ -1,5 +1,5 @@
-//! Sound targets that are silent before the first bytes of an answer, for
-//! longer than after which their request may go to another target.
+//! Sound targets that are silent for longer than after which their request may
+//! go to another target, mostly before the first bytes of an answer.
 
 use std::time::Duration;
 
@@ -7,10 +7,13 @@
 use hyper::StatusCode;
 use support::block_on;
 use support::node::Got;
+use support::node::Mode;
 use support::node::Node;
+use support::node::PlatformTarget;
 use support::node::SilentAnswer;
 use support::node::SilentTarget;
 use support::node::Site;
+use support::node::Stage;
 use support::node::call::Call;
 use support::node::site::KEY;
 use support::node::site::until;
@@ -25,6 +28,9 @@
 /// many of them as its queue admits.
 const BUSY_REQUESTS: usize = 64;
 
+/// Time in which a request that is sent reaches its target.
+const SETTLE: Duration = Duration::from_millis(200);
+
 /// Sends a request until it is not refused for want of a target.
 async fn send_until_placed(node: &Node, path: &str) -> Got {
     let mut got = None;
@@ -54,7 +60,12 @@
             async move { call.exchange(front).await }
         });
         let asking = async {
-            until("the target is busy", async || !busy.requests().is_empty()).await;
+            until("the queue is full", async || {
+                let count = busy.requests().len();
+                tokio::time::sleep(SETTLE).await;
+                count > 0 && busy.requests().len() == count
+            })
+            .await;
             let silent = SilentTarget::start_by_path(SilentAnswer::Plain, BEYOND).await;
             site.register_at("i-1", silent.address, "orders", "north-a");
             let got = send_until_placed(&node, "/status/before-head").await;
@@ -65,3 +76,68 @@
         assert_eq!(got.status, StatusCode::OK, "{}", node.logged());
     });
 }
+
+/// Asks a silent target, beside one that refuses every request as not run.
+fn check_beside_full(answer: SilentAnswer, service: &str, route: &str, stage: Stage) {
+    block_on(async {
+        let site = Site::start().await;
+        let silent = SilentTarget::start_by_path(answer, BEYOND).await;
+        site.register_at("i-1", silent.address, service, "north-a");
+        let node = site.instance("near", "north-a", "north").await;
+        let full = PlatformTarget::start("i-3").await;
+        full.set(Mode::Full);
+        let path = format!("/{route}/{}", stage.segment());
+        let asking = send_until_placed(&node, &path);
+        let joining = async {
+            until("the target has the request", async || {
+                !silent.requests().is_empty()
+            })
+            .await;
+            site.register(&full, service, "north-a");
+        };
+        let (got, ()) = tokio::join!(asking, joining);
+        assert_eq!(got.status, StatusCode::OK, "{}", node.logged());
+    });
+}
+
+// Failure: a request left a sound target before another one had taken it, and
+// was refused as that one was full.
+support::cases! {
+    check_beside_full:
+    plain_request_beside_a_full_target(
+        SilentAnswer::Plain, "orders", "status", Stage::BeforeHead
+    );
+    stream_beside_a_full_target(SilentAnswer::Events, "model", "quote", Stage::AfterHead);
+}
+
+/// Failure: a stream that stayed at its target took two retries from the budget
+/// for the one request that the other target refused.
+#[test]
+fn a_stream_that_stays_takes_one_retry_for_each_request_sent() {
+    block_on(async {
+        let site = Site::start().await;
+        let silent = SilentTarget::start_by_path(SilentAnswer::Events, BEYOND).await;
+        site.register_at("i-1", silent.address, "model", "north-a");
+        let node = site.instance("near", "north-a", "north").await;
+        let full = PlatformTarget::start("i-3").await;
+        full.set(Mode::Full);
+        let path = format!("/quote/{}", Stage::WithinBody.segment());
+        let asking = send_until_placed(&node, &path);
+        let joining = async {
+            until("the target has the request", async || {
+                !silent.requests().is_empty()
+            })
+            .await;
+            site.register(&full, "model", "north-a");
+        };
+        let (got, ()) = tokio::join!(asking, joining);
+        assert!(got.whole, "{got:?}");
+        assert_eq!(full.arrivals().len(), 1);
+        until("the log is written", async || {
+            node.logged().contains("relayed answer ended")
+        })
+        .await;
+        let taken = node.logged().matches("retry budget checked").count();
+        assert_eq!(taken, 1, "{}", node.logged());
+    });
+}
