Count an unanswered poll as a failure only after a sound silence

A sound engine that was silent for two seconds got no requests for the next five and more.

Cause: the daemon polls each engine every second and waits 800 ms, and counted a late answer like a lost request; two in a row eject the engine. The polls of a target without an answer are now taken together, and count from the time on at which they show a longer silence than that of a sound target.

--- a/crates/chiverelayd/src/load.rs
+++ b/crates/chiverelayd/src/load.rs
@@ -18,6 +18,7 @@
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::placement::LoadReport;
 use chiverelay_decisions::placement::prefix;
+use chiverelay_decisions::silence;
 use chiverelay_sibling::Message;
 use chiverelay_sibling::TargetLoad;
 use chiverelay_target as target;
@@ -43,18 +44,33 @@
 /// Reports passed on last, by target.
 type Passed = HashMap<Target, LoadReport>;
 
+/// When the first of the polls was sent that a target has not answered since.
+type Silences = HashMap<Target, Duration>;
+
+/// What came of a poll.
+enum Polled {
+    /// The engine's report.
+    Report(LoadReport),
+    /// No answer came in time. The poll was sent at this time.
+    Unanswered(Duration),
+    /// The engine publishes no report, or the poll failed.
+    Nothing,
+}
+
 /// Polls until the instance stops.
 pub(crate) async fn run(cx: Arc<Context>) {
     let mut ticks = tokio::time::interval(INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut passed = Passed::new();
+    let mut silences = Silences::new();
     for round in 0_u64.. {
         tokio::select! {
             () = cx.stop.cancelled() => return,
             _ = ticks.tick() => {}
         }
         let peers = peers(&cx);
-        let reports = poll(&cx, &peers).await;
+        let polled = poll(&cx, &peers).await;
+        let reports = note_silences(&cx, &mut silences, polled);
         if round.is_multiple_of(REFRESH) {
             passed.clear();
         }
@@ -87,7 +103,7 @@
 }
 
 /// Polls the engines that are this instance's to poll.
-async fn poll(cx: &Arc<Context>, peers: &[Instance]) -> Vec<(Target, LoadReport)> {
+async fn poll(cx: &Arc<Context>, peers: &[Instance]) -> Vec<(Pool, Target, Polled)> {
     let config = cx.tables.config.get();
     let mut polls = JoinSet::new();
     for (pool, entry) in &config.pools {
@@ -101,27 +117,54 @@
             let (cx, pool, name) = (Arc::clone(cx), pool.clone(), name.clone());
             let address = entry.address;
             polls.spawn(async move {
-                let report = poll_one(&cx, &pool, &name, address).await?;
-                Some((name, report))
+                let polled = poll_one(&cx, &pool, &name, address).await;
+                (pool, name, polled)
             });
         }
     }
-    polls.join_all().await.into_iter().flatten().collect()
+    polls.join_all().await
 }
 
-async fn poll_one(
+/// Returns the reports. A poll without an answer counts as a failure once the
+/// engine was silent for longer than a sound one.
+fn note_silences(
     cx: &Context,
-    pool: &Pool,
-    name: &Target,
-    address: SocketAddr,
-) -> Option<LoadReport> {
+    silences: &mut Silences,
+    polled: Vec<(Pool, Target, Polled)>,
+) -> Vec<(Target, LoadReport)> {
+    let now = cx.clock.now();
+    let mut next = Silences::new();
+    let mut reports = Vec::new();
+    for (pool, name, polled) in polled {
+        match polled {
+            Polled::Report(report) => reports.push((name, report)),
+            Polled::Unanswered(at) => {
+                let since = silences.get(&name).copied().unwrap_or(at);
+                if silence::is_failure(now.saturating_sub(since)) {
+                    cx.observe(&pool, &name, gateway::record_failure);
+                }
+                next.insert(name, since);
+            }
+            Polled::Nothing => {}
+        }
+    }
+    *silences = next;
+    reports
+}
+
+async fn poll_one(cx: &Context, pool: &Pool, name: &Target, address: SocketAddr) -> Polled {
     let asked = cx.clock.now();
     let report = match target::fetch_load(&cx.targets, name, address, TIMEOUT).await {
-        Ok(report) => report?,
+        Ok(Some(report)) => report,
+        Ok(None) => return Polled::Nothing,
+        Err(target::Error::Timeout { .. }) => {
+            log::debug!("load: {name}: no answer in time");
+            return Polled::Unanswered(asked);
+        }
         Err(e) => {
             log::debug!("load: {e}");
             note_failure(cx, pool, name, &e);
-            return None;
+            return Polled::Nothing;
         }
     };
     let target = name.clone();
@@ -129,12 +172,14 @@
         gateway::apply_load_report(tables, &target, report, asked);
         gateway::cache_sequence(tables, &target)
     };
-    let after = cx.pool.consult(pool.as_str(), taken).await?;
+    let Some(after) = cx.pool.consult(pool.as_str(), taken).await else {
+        return Polled::Nothing;
+    };
     match target::cache::fetch_events(&cx.targets, name, address, after, TIMEOUT).await {
         Ok(page) => apply(cx, pool, name, page.events),
         Err(e) => log::debug!("load: {e}"),
     }
-    Some(report)
+    Polled::Report(report)
 }
 
 fn note_failure(cx: &Context, pool: &Pool, name: &Target, e: &target::Error) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -39,6 +39,7 @@
 mod settings;
 mod settlements;
 mod shutdown;
+mod silent_engines;
 mod store;
 mod suspension;
 mod tables;
