Split the refusals of the placement out of its module

The refusals of requests that can't be placed, with the check of the wait, have a file of their own; nothing but visibility changes.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -1,6 +1,8 @@
 //! Placement of a request: selects a target in this region, or an instance in
 //! another region to forward the request to.
 
+mod refusals;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,7 +25,6 @@
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::suspension::RequestDigest;
-use chiverelay_decisions::traffic::Estimate;
 use chiverelay_decisions::traffic::MIN_FORWARD_GAIN;
 use chiverelay_decisions::traffic::NoTargetReason;
 use chiverelay_decisions::traffic::PromptPart;
@@ -40,14 +41,15 @@
 use crate::reservation_guard::ReservationGuard;
 use crate::reservation_guard::ReservedRequest;
 use crate::sent_count::SentCount;
+use refusals::check_wait;
+use refusals::is_timely;
+use refusals::refuse_no_target;
+use refusals::refuse_past_deadline;
 
 /// Assumed network round trip to any other region. It is added to the estimated
 /// wait at that region's targets.
 const REMOTE_ROUND_TRIP: Duration = Duration::from_millis(115);
 
-/// Lower bound for the retry delay of a refusal.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
-
 /// Properties of a request that its placement depends on, in addition to those
 /// in [`Request`].
 #[derive(Clone, Debug)]
@@ -455,62 +457,6 @@
     is_faster && (remote.estimate.has_free_slot || !local.has_free_slot)
 }
 
-fn refuse_no_target<O>(req: &Request<Admitted, O>, reason: NoTargetReason) -> Refusal {
-    log::info!(
-        target: "place",
-        id = req.meta().id.as_str(),
-        pool = req.grant().pool.as_str(),
-        tried = req.tried_targets().len(),
-        why:? = reason;
-        "no target can take the request"
-    );
-    let code = match reason {
-        NoTargetReason::NoTarget | NoTargetReason::NoneHealthy => Code::Unavailable,
-        NoTargetReason::AllFull
-        | NoTargetReason::AllCold
-        | NoTargetReason::AllLimited
-        | NoTargetReason::AllPaused(_) => Code::Overloaded,
-    };
-    let retry_after = match reason {
-        NoTargetReason::AllPaused(left) => left.max(MIN_RETRY_AFTER),
-        _ => NO_TARGET_RETRY_AFTER,
-    };
-    req.refusal(code, Step::Place, Peer::Local)
-        .with_retry_after(retry_after)
-}
-
-/// Retry delay for a request that no target could take.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
-
-/// Checks that a request can be answered in time at the estimated wait.
-///
-/// # Errors
-///
-/// Refuses a request that would wait past its deadline, or that would miss its
-/// route's target latency because of the requests queued ahead of it.
-fn check_wait<O>(
-    req: &Request<Admitted, O>,
-    cx: &PlacementContext,
-    estimate: &Estimate,
-    left: Duration,
-) -> Result<(), Refusal> {
-    if estimate.wait > left {
-        return Err(refuse_past_deadline(req, estimate.wait, left));
-    }
-    if !is_timely(cx, estimate, left) {
-        let refusal = req.refusal(Code::Overloaded, Step::Place, Peer::Local);
-        return Err(refusal.with_retry_after(estimate.queue_delay.max(MIN_RETRY_AFTER)));
-    }
-    Ok(())
-}
-
-/// Tells whether a request can be answered in time at the estimated wait. An
-/// answer that has begun is continued even if its next event is late.
-fn is_timely(cx: &PlacementContext, estimate: &Estimate, left: Duration) -> bool {
-    let is_late = !cx.is_resumed && estimate.is_late_from_queueing(cx.route.target_latency);
-    estimate.wait <= left && !is_late
-}
-
 /// Returns the targets that were tried, with the one that has the request.
 fn tried_with_current<O>(req: &Request<Dispatched, O>) -> Vec<Target> {
     let mut tried = req.tried_targets().to_vec();
@@ -519,11 +465,3 @@
     }
     tried
 }
-
-/// Refuses a request that would wait past its deadline. The retry delay is the
-/// time by which it would be late.
-fn refuse_past_deadline<O>(req: &Request<Admitted, O>, wait: Duration, left: Duration) -> Refusal {
-    let late_by = wait.saturating_sub(left).max(MIN_RETRY_AFTER);
-    req.refusal(Code::DeadlineExceeded, Step::Place, Peer::Local)
-        .with_retry_after(late_by)
-}
