Hedge a request at a silent target instead of leaving it

Callers saw: 502 in place of 200. After 2.25 s without a first byte a request left a sound target before the other one, which was full, had taken it; and a stream that stayed took two retries from the budget for one request sent.

Cause: an attempt's failure decided at once on the next attempt and charged the retry budget for it, and silence was such a failure. So there was no way to try another target beside the first one.

Change: sending and deciding are two steps. gateway::hedge sends the request to another target while the first is read on, and moves it once that one has answered, or after 300 ms of silence of both. An attempt whose request goes on elsewhere takes no further retry, and a resumed stream takes one retry for each request sent (it took two after a refusal). A request for which only another region has a target still leaves before that region has taken it; listed.

node::silent_first_bytes: 3 of 5 failed before, none of 58 cases of node::silent, forwarded_streams, broken_answers, stated and pause after.

--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -20,8 +20,10 @@
 use crate::Reply;
 use crate::ReplyBody;
 use crate::answer::AnswerStart;
+use crate::dispatch::Sent;
 use crate::outcome::AttemptOutcome;
 use crate::outcome::Fallback;
+use crate::outcome::StartedAnswer;
 use crate::place::PlacementContext;
 use crate::reservation_guard::ReservationGuard;
 
@@ -49,78 +51,165 @@
     Silent,
 }
 
+impl AttemptFailure {
+    /// Returns the name of the failure in metrics and log.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not sent",
+            Self::NotRun(_) => "not run",
+            Self::ExchangeFailed(_) => "lost",
+            Self::ServerError(_) => "failed",
+            Self::TimedOut => "late",
+            Self::Silent => "silent",
+        }
+    }
+
+    /// Returns the reason for the log.
+    fn reason(&self) -> &str {
+        match self {
+            Self::NotSent(reason) | Self::ExchangeFailed(reason) => reason,
+            Self::NotRun(outcome) => outcome.as_str(),
+            Self::ServerError(_) => "server error",
+            Self::TimedOut => "no answer in time",
+            Self::Silent => "another target may answer",
+        }
+    }
+
+    /// Returns the outcome of the attempt at the target.
+    fn outcome(&self) -> TargetOutcome {
+        match self {
+            Self::NotSent(_) => TargetOutcome::Cancelled,
+            Self::NotRun(outcome) => *outcome,
+            Self::ExchangeFailed(_) => TargetOutcome::Lost,
+            Self::ServerError(_) => TargetOutcome::Failed,
+            Self::TimedOut | Self::Silent => TargetOutcome::TimedOut,
+        }
+    }
+
+    /// Tells whether the target may have run the request.
+    fn may_have_run(&self) -> bool {
+        !matches!(self, Self::NotSent(_) | Self::NotRun(_))
+    }
+}
+
+/// An attempt that brought no usable answer.
+#[derive(Debug)]
+pub(crate) enum FailedAttempt<D, O>
+where
+    D: Dialect,
+{
+    /// The request was not sent. The fallback is returned if no other
+    /// destination takes it.
+    NotSent(Request<Admitted, O>, Box<Fallback>),
+    /// The request counts as sent.
+    Sent(Box<SentFailure<D, O>>),
+}
+
+/// A request that counts as sent and got no usable answer.
+#[derive(Debug)]
+pub(crate) struct SentFailure<D, O>
+where
+    D: Dialect,
+{
+    /// The request.
+    pub(crate) req: Request<Dispatched, O>,
+    /// Reservation at the target.
+    pub(crate) reservation: ReservationGuard<D>,
+    /// Why there is no usable answer.
+    pub(crate) failure: AttemptFailure,
+}
+
 impl<D> Gateway<D>
 where
     D: Dialect,
 {
-    /// Releases the reservation of a failed attempt, and returns the request if
-    /// it may be tried at another target.
-    pub(crate) fn handle_attempt_failure<O>(
+    /// Decides what becomes of a request after an attempt: its answer is used,
+    /// it may be tried at another target, or it is refused.
+    pub(crate) fn conclude_attempt<O>(
+        &self,
+        sent: Sent<D, O>,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+    ) -> AttemptOutcome<D, O> {
+        match sent {
+            Ok(started) => AttemptOutcome::Answered(Box::new(self.accept_answer(started, cx))),
+            Err(FailedAttempt::NotSent(req, fallback)) => AttemptOutcome::Retry(req, *fallback),
+            Err(FailedAttempt::Sent(failed)) => self.retry_or_refuse(*failed, cx, out),
+        }
+    }
+
+    /// Ends a failed attempt whose request goes on at another target.
+    pub(crate) fn abandon_attempt<O>(
+        &self,
+        failed: FailedAttempt<D, O>,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+    ) {
+        if let FailedAttempt::Sent(failed) = failed {
+            let SentFailure {
+                req,
+                reservation,
+                failure,
+            } = *failed;
+            self.end_failed_attempt(reservation, req.peer(), &failure, cx, out);
+        }
+    }
+
+    /// Records a failed attempt and releases its reservation. An attempt that
+    /// may have run is counted.
+    pub(crate) fn end_failed_attempt(
         &self,
-        req: Request<Dispatched, O>,
         reservation: ReservationGuard<D>,
+        peer: &Peer,
+        failure: &AttemptFailure,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+    ) {
+        self.record_attempt_failure(&reservation, peer, failure, out);
+        reservation.finish(failure.outcome());
+        if failure.may_have_run() {
+            cx.attempts_left = cx.attempts_left.saturating_sub(1);
+        }
+    }
+
+    /// Ends a failed attempt, and returns the request if it may be tried at
+    /// another target.
+    fn retry_or_refuse<O>(
+        &self,
+        failed: SentFailure<D, O>,
         cx: &mut PlacementContext,
         out: &Outbound,
-        failure: AttemptFailure,
     ) -> AttemptOutcome<D, O> {
+        let SentFailure {
+            req,
+            reservation,
+            failure,
+        } = failed;
+        let failure = match failure {
+            AttemptFailure::ServerError(answer) => {
+                return self.handle_server_error(req, reservation, cx, out, *answer);
+            }
+            failure => failure,
+        };
         let peer = req.peer().clone();
+        self.end_failed_attempt(reservation, &peer, &failure, cx, out);
         match failure {
-            AttemptFailure::NotSent(reason) => {
-                self.record_failed_attempt_at_peer(
-                    out,
-                    &peer,
-                    reservation.age(),
-                    "not sent",
-                    &reason,
-                );
-                reservation.finish(TargetOutcome::Cancelled);
+            AttemptFailure::NotSent(_) => {
                 let req = req.undo_dispatch();
                 let refusal = req.refusal(Code::Unavailable, Step::Dispatch, peer);
                 AttemptOutcome::Retry(req, refusal.into())
             }
-            AttemptFailure::NotRun(outcome) => {
-                self.record_failed_attempt_at_peer(
-                    out,
-                    &peer,
-                    reservation.age(),
-                    "not run",
-                    outcome.as_str(),
-                );
-                reservation.finish(outcome);
+            AttemptFailure::NotRun(_) => {
                 self.retry_not_run(req.undo_dispatch(), cx, Code::Overloaded, &peer)
             }
-            AttemptFailure::ExchangeFailed(reason) => {
-                self.record_failed_attempt_at_peer(out, &peer, reservation.age(), "lost", &reason);
-                reservation.finish(TargetOutcome::Lost);
+            AttemptFailure::ExchangeFailed(_) | AttemptFailure::ServerError(_) => {
                 self.retry_possibly_run(req, cx)
             }
             AttemptFailure::TimedOut => {
-                self.record_failed_attempt_at_peer(
-                    out,
-                    &peer,
-                    reservation.age(),
-                    "late",
-                    "no answer in time",
-                );
-                reservation.finish(TargetOutcome::TimedOut);
                 // No time is left for another attempt.
                 AttemptOutcome::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Dispatch))
             }
-            AttemptFailure::Silent => {
-                self.record_failed_attempt_at_peer(
-                    out,
-                    &peer,
-                    reservation.age(),
-                    "silent",
-                    "another target may answer",
-                );
-                reservation.finish(TargetOutcome::TimedOut);
-                cx.attempts_left = cx.attempts_left.saturating_sub(1);
-                retry_granted(req, Code::DeadlineExceeded)
-            }
-            AttemptFailure::ServerError(answer) => {
-                self.handle_server_error(req, reservation, cx, out, *answer)
-            }
+            AttemptFailure::Silent => retry_granted(req, Code::DeadlineExceeded),
         }
     }
 
@@ -145,7 +234,13 @@
         // `attempts_left` still includes this attempt.
         let can_retry = cx.attempts_left >= 2 && self.try_consume_retry(cx, &out.id);
         if !can_retry {
-            return self.accept_answer(req, reservation, cx, answer, start);
+            let started = StartedAnswer {
+                req,
+                reservation,
+                answer,
+                start,
+            };
+            return AttemptOutcome::Answered(Box::new(self.accept_answer(started, cx)));
         }
         reservation.finish(TargetOutcome::Failed);
         cx.attempts_left -= 1;
@@ -181,9 +276,8 @@
     fn retry_possibly_run<O>(
         &self,
         req: Request<Dispatched, O>,
-        cx: &mut PlacementContext,
+        cx: &PlacementContext,
     ) -> AttemptOutcome<D, O> {
-        cx.attempts_left = cx.attempts_left.saturating_sub(1);
         if cx.attempts_left == 0
             || !cx.route.kind.is_repeatable()
             || self.is_suspected(cx)
@@ -233,6 +327,17 @@
         decision.is_allowed
     }
 
+    fn record_attempt_failure(
+        &self,
+        reservation: &ReservationGuard<D>,
+        peer: &Peer,
+        failure: &AttemptFailure,
+        out: &Outbound,
+    ) {
+        let took = reservation.age();
+        self.record_failed_attempt_at_peer(out, peer, took, failure.label(), failure.reason());
+    }
+
     /// Records a failed attempt in metrics and log, if `peer` is a target.
     fn record_failed_attempt_at_peer(
         &self,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,7 +1,6 @@
 //! Sends a request to one target in this region and reads the start of its
 //! answer.
 
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +15,6 @@
 use chiverelay_decisions::request::Origin;
 use chiverelay_decisions::request::Placed;
 use chiverelay_decisions::request::Request;
-use chiverelay_decisions::silence;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::traffic::TargetOutcome;
@@ -34,6 +32,8 @@
 use crate::answer;
 use crate::answer::AnswerStart;
 use crate::attempt_failure::AttemptFailure;
+use crate::attempt_failure::FailedAttempt;
+use crate::attempt_failure::SentFailure;
 use crate::outcome::AttemptOutcome;
 use crate::outcome::Fallback;
 use crate::outcome::StartedAnswer;
@@ -52,6 +52,12 @@
 /// Shortest time to the deadline at which a request is still sent.
 pub(crate) const MIN_TIME_TO_SEND: Duration = Duration::from_millis(20);
 
+/// Result of the exchange with a target: an answer whose start was read.
+pub(crate) type Exchanged = Result<(PooledResponse, AnswerStart), AttemptFailure>;
+
+/// Result of an attempt to get an answer from a target.
+pub(crate) type Sent<D, O> = Result<StartedAnswer<D, O>, FailedAttempt<D, O>>;
+
 /// A placed request with a connection to its target, on which nothing was sent.
 #[derive(Debug)]
 pub(crate) struct Opened<D, O>
@@ -70,6 +76,40 @@
     pub(crate) fn target(&self) -> &Target {
         self.placed.req.target()
     }
+
+    /// Returns the reservation at the target.
+    pub(crate) fn reservation(&self) -> &ReservationGuard<D> {
+        &self.placed.reservation
+    }
+
+    /// Returns the deadline of the request, on the local monotonic clock.
+    pub(crate) fn deadline(&self) -> Duration {
+        self.placed.req.meta().deadline
+    }
+}
+
+/// A request that counts as sent to its target, before the exchange.
+#[derive(Debug)]
+pub(crate) struct SentAttempt<D, O>
+where
+    D: Dialect,
+{
+    /// The request.
+    pub(crate) req: Request<Dispatched, O>,
+    /// Reservation at the target.
+    pub(crate) reservation: ReservationGuard<D>,
+    /// What is sent, and on which connection.
+    pub(crate) exchange: Exchange,
+}
+
+/// A message for a target and the connection that it goes on.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    conn: PooledConnection,
+    msg: hyper::Request<Full<Bytes>>,
+    known_target: KnownTarget,
+    /// Time for the start of the answer to arrive.
+    left: Duration,
 }
 
 impl<D> Gateway<D>
@@ -77,7 +117,7 @@
     D: Dialect,
 {
     /// Sends a request to the target that was chosen for it and reads the start
-    /// of the answer.
+    /// of the answer. A target that stays silent may be replaced by another one.
     pub(crate) async fn attempt<O>(
         self: &Arc<Self>,
         placed: LocalPlacement<D, O>,
@@ -87,10 +127,12 @@
     where
         O: Origin,
     {
-        match self.open(placed, cx, out).await {
-            Ok(opened) => self.send(opened, cx, out).await,
-            Err((req, fallback)) => AttemptOutcome::Retry(req, *fallback),
-        }
+        let opened = match self.open(placed, cx, out).await {
+            Ok(opened) => opened,
+            Err((req, fallback)) => return AttemptOutcome::Retry(req, *fallback),
+        };
+        let sent = self.send_hedged(opened, cx, out).await;
+        self.conclude_attempt(sent, cx, out)
     }
 
     /// Connects to the target that was chosen for a request.
@@ -132,15 +174,36 @@
 
     /// Sends a request on the connection that was made for it and reads the
     /// start of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request and why there is no usable answer.
     pub(crate) async fn send<O>(
-        self: &Arc<Self>,
+        &self,
         opened: Opened<D, O>,
-        cx: &mut PlacementContext,
+        cx: &PlacementContext,
         out: &Outbound,
-    ) -> AttemptOutcome<D, O>
-    where
-        O: Origin,
-    {
+    ) -> Sent<D, O> {
+        let SentAttempt {
+            req,
+            reservation,
+            exchange,
+        } = self.dispatch(opened, cx, out)?;
+        let exchanged = self.run_exchange(exchange, cx, out).await;
+        finish_exchange(req, reservation, exchanged)
+    }
+
+    /// Checks that a request may still go to its target, and marks it as sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request if it may not be sent any more.
+    pub(crate) fn dispatch<O>(
+        &self,
+        opened: Opened<D, O>,
+        cx: &PlacementContext,
+        out: &Outbound,
+    ) -> Result<SentAttempt<D, O>, FailedAttempt<D, O>> {
         let Opened { placed, conn } = opened;
         let LocalPlacement {
             req,
@@ -160,9 +223,11 @@
                 "the target is draining or paused, or too little time is left",
             );
             let refusal = req.refusal(Code::Unavailable, Step::Place, target_peer(&req));
-            return AttemptOutcome::Retry(req.unplace(), refusal.into());
+            return Err(FailedAttempt::NotSent(
+                req.unplace(),
+                Box::new(refusal.into()),
+            ));
         }
-        let silence_limit = silence_limit(cx, &reservation, left);
         let attempt = AttemptContext {
             target: &target,
             remaining: left,
@@ -171,15 +236,31 @@
         let msg = self.encode(out, &attempt);
         let req = req.dispatch();
         cx.sent_count.increment();
-        let exchange = self.exchange(conn, msg, out, cx, &known_target);
-        let waiting = self.wait_for_start(exchange, &req, cx, silence_limit);
-        let sent = match tokio::time::timeout(left, waiting).await {
+        Ok(SentAttempt {
+            req,
+            reservation,
+            exchange: Exchange {
+                conn,
+                msg,
+                known_target,
+                left,
+            },
+        })
+    }
+
+    /// Sends a message and reads the start of the answer, within the time that
+    /// is left.
+    pub(crate) async fn run_exchange(
+        &self,
+        exchange: Exchange,
+        cx: &PlacementContext,
+        out: &Outbound,
+    ) -> Exchanged {
+        let left = exchange.left;
+        let exchanging = self.exchange(exchange, out, cx.route.kind);
+        match tokio::time::timeout(left, exchanging).await {
             Ok(sent) => sent,
             Err(_) => Err(AttemptFailure::TimedOut),
-        };
-        match sent {
-            Ok((answer, start)) => self.accept_answer(req, reservation, cx, answer, start),
-            Err(failure) => self.handle_attempt_failure(req, reservation, cx, out, failure),
         }
     }
 
@@ -215,43 +296,6 @@
         }
     }
 
-    /// Waits for the start of an answer. A target that is silent for longer
-    /// than `silence_limit` is left if the request may go to another one, and
-    /// waited for otherwise.
-    async fn wait_for_start<O, F>(
-        &self,
-        exchange: F,
-        req: &Request<Dispatched, O>,
-        cx: &PlacementContext,
-        silence_limit: Option<Duration>,
-    ) -> Result<(PooledResponse, AnswerStart), AttemptFailure>
-    where
-        O: Origin,
-        F: Future<Output = Result<(PooledResponse, AnswerStart), AttemptFailure>>,
-    {
-        let mut exchange = std::pin::pin!(exchange);
-        if let Some(limit) = silence_limit {
-            if let Ok(sent) = tokio::time::timeout(limit, &mut exchange).await {
-                return sent;
-            }
-            if self.may_leave_silent(req, cx) {
-                return Err(AttemptFailure::Silent);
-            }
-        }
-        exchange.await
-    }
-
-    /// Tells whether a request may go from a silent target to another one. If
-    /// so, the retry budget has granted the next attempt.
-    fn may_leave_silent<O>(&self, req: &Request<Dispatched, O>, cx: &PlacementContext) -> bool
-    where
-        O: Origin,
-    {
-        !self.is_suspected(cx)
-            && self.has_other_destination(req, cx)
-            && self.try_consume_retry(cx, &req.meta().id)
-    }
-
     fn encode(&self, out: &Outbound, attempt: &AttemptContext<'_>) -> hyper::Request<Full<Bytes>> {
         let mut msg = hyper::Request::new(Full::new(out.body.clone()));
         *msg.method_mut() = out.method.clone();
@@ -265,15 +309,8 @@
         msg
     }
 
-    async fn exchange(
-        &self,
-        conn: PooledConnection,
-        msg: hyper::Request<Full<Bytes>>,
-        out: &Outbound,
-        cx: &PlacementContext,
-        known_target: &KnownTarget,
-    ) -> Result<(PooledResponse, AnswerStart), AttemptFailure> {
-        let sent = conn.send(msg).await;
+    async fn exchange(&self, exchange: Exchange, out: &Outbound, kind: RouteKind) -> Exchanged {
+        let sent = exchange.conn.send(exchange.msg).await;
         let mut answer = sent.map_err(|e| match e {
             SendError::NotSent(e) => AttemptFailure::NotSent(e.to_string()),
             SendError::MaybeSent(e) => AttemptFailure::ExchangeFailed(e.to_string()),
@@ -284,7 +321,7 @@
             answer.headers(),
             answer.is_connection_reused(),
         );
-        self.record_notices(&answer, verdict, known_target);
+        self.record_notices(&answer, verdict, &exchange.known_target);
         match verdict {
             ResponseVerdict::Ran => {}
             // A draining target is treated like a full one.
@@ -307,7 +344,7 @@
         };
         let start = answer::read_start(&mut answer, framing, out.last_event_id).await;
         let start = start.map_err(AttemptFailure::ExchangeFailed)?;
-        if answer.status().is_server_error() && cx.route.kind.is_repeatable() {
+        if answer.status().is_server_error() && kind.is_repeatable() {
             return Err(AttemptFailure::ServerError(Box::new((answer, start))));
         }
         Ok((answer, start))
@@ -332,24 +369,17 @@
     /// that is not retried.
     pub(crate) fn accept_answer<O>(
         &self,
-        req: Request<Dispatched, O>,
-        mut reservation: ReservationGuard<D>,
+        mut started: StartedAnswer<D, O>,
         cx: &mut PlacementContext,
-        answer: PooledResponse,
-        start: AnswerStart,
-    ) -> AttemptOutcome<D, O> {
+    ) -> StartedAnswer<D, O> {
         cx.attempts_left = cx.attempts_left.saturating_sub(1);
+        let reservation = &mut started.reservation;
         match cx.route.kind.is_stream() {
             true => reservation.record_first_event(),
             false => reservation.record_answer(),
         }
         self.metrics.record_attempt("answered", reservation.age());
-        AttemptOutcome::Answered(Box::new(StartedAnswer {
-            req,
-            reservation,
-            answer,
-            start,
-        }))
+        started
     }
 
     /// Returns those headers of a target's answer that are passed on to the
@@ -365,22 +395,28 @@
 /// Longest answer, in bytes, that is read only to reuse its connection.
 const MAX_DRAINED_BYTES: u64 = 4096;
 
-/// Returns the time after which a silent target may be left before its answer
-/// has begun: `None` if the request has to stay.
-fn silence_limit<D>(
-    cx: &PlacementContext,
-    reservation: &ReservationGuard<D>,
-    left: Duration,
-) -> Option<Duration>
+/// Returns the result of an attempt whose exchange has ended.
+pub(crate) fn finish_exchange<D, O>(
+    req: Request<Dispatched, O>,
+    reservation: ReservationGuard<D>,
+    exchanged: Exchanged,
+) -> Sent<D, O>
 where
     D: Dialect,
 {
-    // `attempts_left` still includes this attempt.
-    if !cx.route.kind.is_repeatable() || cx.attempts_left < 2 {
-        return None;
+    match exchanged {
+        Ok((answer, start)) => Ok(StartedAnswer {
+            req,
+            reservation,
+            answer,
+            start,
+        }),
+        Err(failure) => Err(FailedAttempt::Sent(Box::new(SentFailure {
+            req,
+            reservation,
+            failure,
+        }))),
     }
-    let expected = reservation.estimate().wait + cx.route.target_latency;
-    silence::start_limit(expected, left)
 }
 
 fn target_peer<O>(req: &Request<Placed, O>) -> Peer {
--- /dev/null
+++ b/crates/gateway/src/hedge.rs
@@ -0,0 +1,202 @@
+//! Hedges a request whose target is silent before its answer has begun: the
+//! request is sent to another target while the first one is still awaited.
+//!
+//! A silent target may be sound and another one may refuse, so the request
+//! leaves the first target only once the second one has taken it.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Dispatched;
+use chiverelay_decisions::request::Origin;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::silence;
+
+use crate::Dialect;
+use crate::Gateway;
+use crate::Outbound;
+use crate::attempt_failure::AttemptFailure;
+use crate::dispatch::Exchanged;
+use crate::dispatch::Opened;
+use crate::dispatch::Sent;
+use crate::dispatch::SentAttempt;
+use crate::dispatch::finish_exchange;
+use crate::place::PlacementContext;
+
+/// Longest time for which two targets run a request that moves from a silent
+/// one.
+pub(crate) const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+/// What became of a request whose target was silent.
+enum Hedged<D, O>
+where
+    D: Dialect,
+{
+    /// The first target has ended the exchange.
+    First(Exchanged),
+    /// No other target has taken the request.
+    Stays,
+    /// The request is another target's now. The failure is that of the first.
+    Moved(AttemptFailure, Sent<D, O>),
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Sends a request and reads the start of the answer. While the target is
+    /// silent for longer than a sound one may be, other targets are tried.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request and why there is no usable answer.
+    pub(crate) async fn send_hedged<O>(
+        self: &Arc<Self>,
+        opened: Opened<D, O>,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+    ) -> Sent<D, O>
+    where
+        O: Origin,
+    {
+        let Some(limit) = self.silence_limit(&opened, cx) else {
+            return self.send(opened, cx, out).await;
+        };
+        let SentAttempt {
+            mut req,
+            reservation,
+            exchange,
+        } = self.dispatch(opened, cx, out)?;
+        let cx_at_start = cx.clone();
+        let mut exchanging = Box::pin(self.run_exchange(exchange, &cx_at_start, out));
+        let exchanged = loop {
+            if let Ok(exchanged) = tokio::time::timeout(limit, &mut exchanging).await {
+                break exchanged;
+            }
+            match self.hedge(&mut req, exchanging.as_mut(), cx, out).await {
+                Hedged::First(exchanged) => break exchanged,
+                Hedged::Stays if self.may_move_to_other_region(&req, cx) => {
+                    break Err(AttemptFailure::Silent);
+                }
+                Hedged::Stays => {}
+                Hedged::Moved(failure, sent) => {
+                    // Cancels the request at the first target.
+                    drop(exchanging);
+                    self.end_failed_attempt(reservation, req.peer(), &failure, cx, out);
+                    return sent;
+                }
+            }
+        };
+        finish_exchange(req, reservation, exchanged)
+    }
+
+    /// Returns the time after which a silent target may be left before its
+    /// answer has begun: `None` if the request has to stay.
+    fn silence_limit<O>(&self, opened: &Opened<D, O>, cx: &PlacementContext) -> Option<Duration> {
+        // `attempts_left` still includes this attempt.
+        if !cx.route.kind.is_repeatable() || cx.attempts_left < 2 {
+            return None;
+        }
+        let expected = opened.reservation().estimate().wait + cx.route.target_latency;
+        let deadline = self.shutdown.limit(opened.deadline());
+        let left = deadline.saturating_sub(self.clock.now());
+        silence::start_limit(expected, left)
+    }
+
+    /// Tries to move a request from its silent target to another one of this
+    /// region. The exchange with the first target goes on meanwhile, and for at
+    /// most [`MAX_OVERLAP`] after the other one got the request.
+    async fn hedge<O, F>(
+        self: &Arc<Self>,
+        req: &mut Request<Dispatched, O>,
+        mut exchanging: Pin<&mut F>,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+    ) -> Hedged<D, O>
+    where
+        O: Origin,
+        F: Future<Output = Exchanged>,
+    {
+        // `attempts_left` still includes the first attempt.
+        let may_hedge = cx.attempts_left >= 2 && self.has_other_timely_local_target(req, cx);
+        let copy = may_hedge.then(|| self.copy_for_other_target(req, cx, out));
+        let Some(copy) = copy.flatten() else {
+            return Hedged::Stays;
+        };
+        let opening = self.open_at_other_target(copy, cx, out);
+        let opened = tokio::select! {
+            biased;
+            exchanged = exchanging.as_mut() => return Hedged::First(exchanged),
+            opened = opening => match opened {
+                Some(opened) => opened,
+                None => return Hedged::Stays,
+            },
+        };
+        req.mark_tried(opened.target().clone());
+        let cx_of_second = cx.clone();
+        let mut sending = Box::pin(self.send(opened, &cx_of_second, out));
+        tokio::select! {
+            biased;
+            exchanged = exchanging.as_mut() => match exchanged {
+                Ok(_) => {
+                    // The second target may have run the request.
+                    cx.attempts_left = cx.attempts_left.saturating_sub(1);
+                    Hedged::First(exchanged)
+                }
+                Err(failure) => Hedged::Moved(failure, sending.await),
+            },
+            sent = tokio::time::timeout(MAX_OVERLAP, &mut sending) => match sent {
+                Ok(Ok(started)) => Hedged::Moved(AttemptFailure::Silent, Ok(started)),
+                Ok(Err(failed)) => {
+                    self.abandon_attempt(failed, cx, out);
+                    Hedged::Stays
+                }
+                Err(_) => Hedged::Moved(AttemptFailure::Silent, sending.await),
+            },
+        }
+    }
+
+    /// Returns a copy of a request for another target of this region, if the
+    /// crashes of targets allow that. The retry budget has granted the attempt
+    /// then.
+    pub(crate) fn copy_for_other_target<O>(
+        &self,
+        req: &Request<Dispatched, O>,
+        cx: &PlacementContext,
+        out: &Outbound,
+    ) -> Option<Request<Admitted, O>> {
+        let may_move = !self.is_suspected(cx) && self.try_consume_retry(cx, &out.id);
+        may_move.then(|| req.duplicate()).flatten()
+    }
+
+    /// Chooses another target of this region for a request and connects to it.
+    pub(crate) async fn open_at_other_target<O>(
+        self: &Arc<Self>,
+        req: Request<Admitted, O>,
+        cx: &PlacementContext,
+        out: &Outbound,
+    ) -> Option<Opened<D, O>> {
+        let placed = self.place_locally(req, cx).ok()?;
+        self.open(placed, cx, out).await.ok()
+    }
+
+    /// Tells whether a request may go from a silent target to another region.
+    /// If so, the retry budget has granted the next attempt.
+    fn may_move_to_other_region<O>(
+        &self,
+        req: &Request<Dispatched, O>,
+        cx: &PlacementContext,
+    ) -> bool
+    where
+        O: Origin,
+    {
+        cx.attempts_left >= 2
+            && !self.is_suspected(cx)
+            && !self.has_other_timely_local_target(req, cx)
+            && self.has_other_destination(req, cx)
+            && self.try_consume_retry(cx, &req.meta().id)
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod forward;
 mod gateway;
 mod handle;
+mod hedge;
 mod link_check;
 mod links;
 mod log_rate_limit;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -25,6 +25,7 @@
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::suspension::RequestDigest;
+use chiverelay_decisions::traffic::Estimate;
 use chiverelay_decisions::traffic::MIN_FORWARD_GAIN;
 use chiverelay_decisions::traffic::NoTargetReason;
 use chiverelay_decisions::traffic::PromptPart;
@@ -268,22 +269,46 @@
         }
     }
 
-    /// Tells whether another target of this region could take over a request
-    /// from the one that it was sent to.
+    /// Tells whether another target of this region could continue an answer in
+    /// place of the one that it was sent to.
     pub(crate) fn has_other_local_target<O>(
         &self,
         req: &Request<Dispatched, O>,
         cx: &PlacementContext,
     ) -> bool {
+        // The same condition as of `place_locally`.
+        self.is_other_local_target(req, cx, |estimate, left| estimate.wait <= left)
+    }
+
+    /// Tells whether another target of this region could begin an answer in
+    /// time in place of the one that the request was sent to.
+    pub(crate) fn has_other_timely_local_target<O>(
+        &self,
+        req: &Request<Dispatched, O>,
+        cx: &PlacementContext,
+    ) -> bool {
+        self.is_other_local_target(req, cx, |estimate, left| is_timely(cx, estimate, left))
+    }
+
+    /// Tells whether the best of the other targets of this region is suitable,
+    /// given its estimate and the time to the deadline.
+    fn is_other_local_target<O, F>(
+        &self,
+        req: &Request<Dispatched, O>,
+        cx: &PlacementContext,
+        is_suitable: F,
+    ) -> bool
+    where
+        F: FnOnce(&Estimate, Duration) -> bool,
+    {
         let now = self.clock.now();
         let deadline = req.meta().deadline;
         if !self.can_end_before_shutdown(cx, deadline, now) {
             return false;
         }
         let left = deadline.saturating_sub(now);
-        // The same conditions as of `place_locally`.
         let choice = self.choose_local_target(cx, &tried_with_current(req), now);
-        choice.is_ok_and(|choice| choice.estimate.wait <= left)
+        choice.is_ok_and(|choice| is_suitable(&choice.estimate, left))
     }
 
     /// Chooses the best target of a region that was not tried yet.
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -20,7 +20,8 @@
 use crate::Gateway;
 use crate::Outbound;
 use crate::dispatch::MIN_TIME_TO_SEND;
-use crate::dispatch::Opened;
+use crate::dispatch::Sent;
+use crate::hedge::MAX_OVERLAP;
 use crate::outcome::AttemptOutcome;
 use crate::outcome::StartedAnswer;
 use crate::place::PlacementContext;
@@ -28,10 +29,6 @@
 /// Maximum number of attempts to resume a stream after one interruption.
 pub(crate) const MAX_RESUMES: u32 = 3;
 
-/// Longest time for which two targets run a stream that moves from a silent
-/// one.
-const MAX_OVERLAP: Duration = Duration::from_millis(300);
-
 /// Whether the retry budget has granted the next attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Retry {
@@ -64,11 +61,13 @@
     /// leave its silent one. The retry budget has granted the attempt then.
     fn request_to_move(&self) -> Option<Request<Admitted, O>> {
         let current = self.current.as_ref()?;
-        let may_move = self.is_resumable()
-            && !self.gateway.is_suspected(&self.cx)
-            && self.gateway.has_other_local_target(&current.req, &self.cx)
-            && self.gateway.try_consume_retry(&self.cx, &self.out.id);
-        may_move.then(|| current.req.duplicate()).flatten()
+        let may_move =
+            self.is_resumable() && self.gateway.has_other_local_target(&current.req, &self.cx);
+        if !may_move {
+            return None;
+        }
+        self.gateway
+            .copy_for_other_target(&current.req, &self.cx, &self.out)
     }
 
     /// Moves a stream from a silent target to another one, if one takes it. The
@@ -84,9 +83,9 @@
             return Ok(());
         };
         let gateway = Arc::clone(&self.gateway);
-        let mut cx = self.cx.clone();
+        let cx = self.cx.clone();
         let out = self.outbound_after_last_event();
-        let opening = open_local(&gateway, req, &cx, &out);
+        let opening = gateway.open_at_other_target(req, &cx, &out);
         let opened = match self.race(opening).await {
             Raced::Chunk(Ok(chunk)) => {
                 self.early = Some(chunk);
@@ -99,16 +98,16 @@
         if let Some(current) = &mut self.current {
             current.req.mark_tried(opened.target().clone());
         }
-        let mut sending = Box::pin(gateway.send(opened, &mut cx, &out));
+        let mut sending = Box::pin(gateway.send(opened, &cx, &out));
         let overlap = tokio::time::timeout(MAX_OVERLAP, &mut sending);
-        let (outcome, cause) = match self.race(overlap).await {
+        let (sent, cause) = match self.race(overlap).await {
             Raced::Chunk(Ok(chunk)) => {
                 drop(sending);
                 self.count_dropped_attempt();
                 self.early = Some(chunk);
                 return Ok(());
             }
-            Raced::Other(Ok(outcome)) => (outcome, IncompleteAnswer::silent()),
+            Raced::Other(Ok(sent)) => (sent, IncompleteAnswer::silent()),
             Raced::Other(Err(_)) => {
                 let cause = IncompleteAnswer::silent();
                 self.end_current(&cause);
@@ -120,30 +119,43 @@
             }
         };
         drop(sending);
-        self.cx = cx;
-        self.conclude_move(outcome, cause, out).await
+        self.conclude_move(sent, cause, out).await
     }
 
     /// Goes on with what became of the attempt at another target.
     async fn conclude_move(
         &mut self,
-        outcome: AttemptOutcome<D, O>,
+        sent: Sent<D, O>,
         cause: IncompleteAnswer,
         out: Outbound,
     ) -> Result<(), IncompleteAnswer> {
-        match outcome {
-            AttemptOutcome::Answered(started) if self.kind.matches(&started.answer) => {
+        match sent {
+            Ok(started) if self.kind.matches(&started.answer) => {
+                let started = self.gateway.accept_answer(started, &mut self.cx);
                 self.end_current(&cause);
                 self.out = out;
-                self.continue_with(*started);
+                self.continue_with(started);
                 Ok(())
             }
-            _ if self.current.is_some() => Ok(()),
-            AttemptOutcome::Retry(req, _) => {
-                self.out = out;
-                self.resume_elsewhere(req, cause, Retry::Granted).await
+            Ok(_) if self.current.is_some() => {
+                self.count_dropped_attempt();
+                Ok(())
+            }
+            Err(failed) if self.current.is_some() => {
+                self.gateway.abandon_attempt(failed, &mut self.cx, &out);
+                Ok(())
+            }
+            Ok(_) => Err(cause),
+            Err(failed) => {
+                let gateway = Arc::clone(&self.gateway);
+                match gateway.conclude_attempt(Err(failed), &mut self.cx, &out) {
+                    AttemptOutcome::Retry(req, _) => {
+                        self.out = out;
+                        self.resume_elsewhere(req, cause).await
+                    }
+                    AttemptOutcome::Answered(_) | AttemptOutcome::Refused(_) => Err(cause),
+                }
             }
-            AttemptOutcome::Answered(_) | AttemptOutcome::Refused(_) => Err(cause),
         }
     }
 
@@ -231,23 +243,24 @@
         if !is_resumable || self.gateway.is_suspected(&self.cx) {
             return Err(cause);
         }
+        if retry == Retry::Needed && !self.gateway.try_consume_retry(&self.cx, &self.out.id) {
+            return Err(cause);
+        }
         match req.retry() {
-            Ok(req) => self.resume_elsewhere(req, cause, retry).await,
+            Ok(req) => self.resume_elsewhere(req, cause).await,
             Err(_) => Err(cause),
         }
     }
 
+    /// Continues a stream at another target of the region. The retry budget has
+    /// granted the first attempt, and grants each further one with the failure
+    /// of the attempt before it.
     async fn resume_elsewhere(
         &mut self,
         mut req: Request<Admitted, O>,
         cause: IncompleteAnswer,
-        mut retry: Retry,
     ) -> Result<(), IncompleteAnswer> {
         for _ in 0..MAX_RESUMES {
-            let is_granted = std::mem::replace(&mut retry, Retry::Needed) == Retry::Granted;
-            if !is_granted && !self.gateway.try_consume_retry(&self.cx, &self.out.id) {
-                return Err(cause);
-            }
             let Ok(placed) = self.gateway.place_locally(req, &self.cx) else {
                 return Err(cause);
             };
@@ -288,17 +301,3 @@
             && !self.shutdown.is_over()
     }
 }
-
-/// Chooses another target for a request and connects to it.
-async fn open_local<D, O>(
-    gateway: &Arc<Gateway<D>>,
-    req: Request<Admitted, O>,
-    cx: &PlacementContext,
-    out: &Outbound,
-) -> Option<Opened<D, O>>
-where
-    D: Dialect,
-{
-    let placed = gateway.place_locally(req, cx).ok()?;
-    gateway.open(placed, cx, out).await.ok()
-}
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -175,10 +175,11 @@
         let Ok(mut req) = req.retry() else {
             return Err(cause);
         };
+        // Further attempts are granted with the failure of the one before.
+        if !self.gateway.try_consume_retry(&self.cx, &self.out.id) {
+            return Err(cause);
+        }
         for _ in 0..MAX_RESUMES {
-            if !self.gateway.try_consume_retry(&self.cx, &self.out.id) {
-                return Err(cause);
-            }
             req = match self.continue_elsewhere(req).await {
                 ResumeOutcome::Resumed => return Ok(()),
                 ResumeOutcome::Retry(admitted) => admitted,
