Let a link's streams grow with their use, and wait for none

Each end of a QUIC connection keeps state for every stream that the other end may open.

A message that finds no stream free fails at once: before, it waited unseen. A forward counts as not sent then and goes over another link.

Tests: links::*. They name an error that there was not before, so they can't be run on the code before.

--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -11,6 +11,7 @@
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_sibling::Answer;
+use chiverelay_sibling::Error;
 use chiverelay_sibling::Forward;
 use chiverelay_sibling::Frame;
 use chiverelay_sibling::Link;
@@ -169,6 +170,11 @@
         if let Peer::Sibling(instance) = peer {
             self.cx.miss(&req.grant().pool, instance);
         }
+        if let Error::NoFreeStream { .. } = e {
+            let req = req.undo_dispatch();
+            let refusal = req.refusal(Code::Unavailable, step, peer.clone());
+            return Forwarded::Again(req, refusal);
+        }
         match req.retry() {
             Ok(req) => Forwarded::Again(req, Refusal::unknown(code, step, peer.clone())),
             Err(req) => Forwarded::Refused(req.refuse_unknown(code, step)),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -110,6 +110,7 @@
             // Refused by the other instance.
             ForwardFailure::Refused(refusal, _) => ("refused there", refusal.code.as_str()),
             ForwardFailure::ExchangeFailed(reason, _) => ("broken off", reason.as_str()),
+            ForwardFailure::NotSent => ("not sent", "no stream is free"),
             ForwardFailure::TimedOut => ("late", "no answer in time"),
         };
         self.metrics.record_forward(label, took);
@@ -152,6 +153,12 @@
             ForwardFailure::ExchangeFailed(_, attempts_used) => {
                 self.retry_possibly_run_remotely(req, cx, Code::SiblingFailed, attempts_used)
             }
+            ForwardFailure::NotSent => {
+                let peer = req.peer().clone();
+                let req = req.undo_dispatch();
+                let refusal = req.refusal(Code::Overloaded, Step::Forward, peer);
+                ForwardOutcome::Retry(req, refusal.into())
+            }
             ForwardFailure::TimedOut => {
                 ForwardOutcome::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Forward))
             }
--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -7,6 +7,7 @@
 use chiverelay_decisions::request::Dispatched;
 use chiverelay_decisions::request::Request;
 use chiverelay_sibling::Answer;
+use chiverelay_sibling::Error;
 use chiverelay_sibling::Forward;
 use chiverelay_sibling::Frame;
 use chiverelay_sibling::Link;
@@ -53,6 +54,8 @@
     /// The exchange with the other instance failed. The number counts the
     /// targets in its region that may have run the request, 1 at least.
     ExchangeFailed(String, u32),
+    /// No stream to the other instance was free, so nothing was sent.
+    NotSent,
     /// The answer did not begin before the request's deadline.
     TimedOut,
 }
@@ -89,7 +92,10 @@
         let mut frames = link
             .forward(Stamp::default(), message)
             .await
-            .map_err(ForwardFailure::before_head)?;
+            .map_err(|e| match e {
+                Error::NoFreeStream { .. } => ForwardFailure::NotSent,
+                e => ForwardFailure::before_head(e),
+            })?;
         let mut attempts_used = 0;
         loop {
             match frames.next().await.map_err(ForwardFailure::before_head)? {
--- a/crates/sibling/src/endpoint.rs
+++ b/crates/sibling/src/endpoint.rs
@@ -15,6 +15,7 @@
 use quinn::TransportConfig;
 use quinn::VarInt;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::Certificates;
 use crate::Envelope;
@@ -27,6 +28,8 @@
 use crate::Up;
 use crate::congestion::LossTolerant;
 use crate::identity::server_name;
+use crate::stream_limit;
+use crate::stream_limit::StreamLimit;
 use crate::wire;
 
 /// A connection that is silent for so long has ended, in milliseconds.
@@ -38,11 +41,8 @@
 /// Time for a connection to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Requests and messages that one sibling may have open at once.
-const MAX_STREAMS: u32 = 4096;
-
 /// Messages without an answer that one sibling may have open at once.
-const MAX_UNI_STREAMS: u32 = 64;
+const MAX_UNI_STREAMS: u32 = 16;
 
 /// Round trip that is expected of a new connection.
 const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(120);
@@ -131,7 +131,7 @@
         transport
             .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
             .keep_alive_interval(Some(KEEP_ALIVE))
-            .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
+            .max_concurrent_bidi_streams(VarInt::from_u32(stream_limit::INITIAL_STREAMS))
             .max_concurrent_uni_streams(VarInt::from_u32(MAX_UNI_STREAMS))
             .initial_rtt(INITIAL_ROUND_TRIP)
             .stream_receive_window(VarInt::from_u32(STREAM_WINDOW));
@@ -261,6 +261,8 @@
         log::debug!("sibling: {}: connection ended: {e}", peer.instance);
         return;
     }
+    let exchanges = TaskTracker::new();
+    let mut stream_limit = StreamLimit::default();
     loop {
         let accepted = tokio::select! {
             accepted = conn.accept_bi() => accepted,
@@ -290,7 +292,11 @@
         };
         let handler = Arc::clone(&handler);
         let peer = peer.clone();
-        tokio::spawn(async move {
+        if let Some(raised) = stream_limit.raise(exchanges.len() + 1) {
+            log::debug!("sibling: {}: up to {raised} streams", peer.instance);
+            conn.set_max_concurrent_bi_streams(VarInt::from_u32(raised));
+        }
+        exchanges.spawn(async move {
             if let Err(e) = exchange(&*handler, &peer, tx, rx).await {
                 log::warn!("sibling: {}: message refused: {e}", peer.instance);
                 if let Some(reason) = Refused::of(&e) {
--- a/crates/sibling/src/error.rs
+++ b/crates/sibling/src/error.rs
@@ -30,6 +30,14 @@
         /// The cause.
         reason: String,
     },
+    /// All streams of the connection are in use; the sibling has seen nothing.
+    #[error("{step}: sibling {instance}: no stream is free")]
+    NoFreeStream {
+        /// The step.
+        step: Step,
+        /// The sibling.
+        instance: Instance,
+    },
     /// The exchange broke off; the sibling may have seen the message.
     #[error("{step}: sibling {instance}: the exchange broke off: {reason}")]
     Broken {
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -14,6 +14,7 @@
 mod link;
 mod message;
 mod pins;
+mod stream_limit;
 mod wire;
 
 pub use config::ConfigParts;
--- a/crates/sibling/src/link.rs
+++ b/crates/sibling/src/link.rs
@@ -2,6 +2,7 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::step::Step;
+use futures_util::FutureExt;
 use quinn::RecvStream;
 
 use crate::Envelope;
@@ -67,12 +68,18 @@
         }
     }
 
+    fn no_free_stream(&self, step: Step) -> Error {
+        Error::NoFreeStream {
+            step,
+            instance: self.peer.instance.clone(),
+        }
+    }
+
     async fn open(&self, step: Step, stamp: Stamp, message: Message) -> Result<RecvStream, Error> {
-        let (mut tx, rx) = self
-            .state
-            .conn
-            .open_bi()
-            .await
+        // Whoever waits for a stream could use another link meanwhile.
+        let opened = self.state.conn.open_bi().now_or_never();
+        let (mut tx, rx) = opened
+            .ok_or_else(|| self.no_free_stream(step))?
             .map_err(|e| self.broken(step, e))?;
         let envelope = Envelope {
             version: VERSION,
@@ -90,7 +97,8 @@
     ///
     /// # Errors
     ///
-    /// After an error the sibling may have acted on the message.
+    /// After an error the sibling may have acted on the message, unless it is
+    /// [`Error::NoFreeStream`].
     pub async fn ask(&self, stamp: Stamp, message: Message) -> Result<Envelope, Error> {
         let mut rx = self.open(Step::Forward, stamp, message).await?;
         wire::read_envelope(&mut rx)
@@ -103,7 +111,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection has ended.
+    /// Fails if the connection has ended, or if no stream is free for a message
+    /// that no datagram holds.
     pub async fn tell(&self, message: Message) -> Result<(), Error> {
         let envelope = Envelope {
             version: VERSION,
@@ -120,7 +129,10 @@
                 .send_datagram(buf.into())
                 .map_err(|e| broken(&e));
         }
-        let mut tx = self.state.conn.open_uni().await.map_err(|e| broken(&e))?;
+        let opened = self.state.conn.open_uni().now_or_never();
+        let mut tx = opened
+            .ok_or_else(|| self.no_free_stream(Step::Forward))?
+            .map_err(|e| broken(&e))?;
         wire::write(&mut tx, &envelope).await?;
         tx.finish().map_err(|e| broken(&e))
     }
@@ -134,7 +146,8 @@
     ///
     /// # Errors
     ///
-    /// After an error the sibling may have run the request.
+    /// After an error the sibling may have run the request, unless it is
+    /// [`Error::NoFreeStream`].
     pub async fn forward(&self, stamp: Stamp, req: Forward) -> Result<Answer, Error> {
         let message = Message::Forward(req);
         let rx = self.open(Step::Forward, stamp, message).await?;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod keys;
 mod limits;
 mod limits_site;
+mod links;
 mod membership;
 mod membership_fleet;
 mod metrics;
