--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod allowance;
 pub mod answer;
+pub mod audience;
 pub mod backoff;
 pub mod catalog;
 pub mod config;
@@ -36,6 +37,7 @@
 pub mod suspension;
 pub mod tables;
 pub mod tickets;
+pub mod topology;
 pub mod traffic;
 pub mod window;
 
--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -19,6 +19,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::audience::Audience;
 use crate::names::Instance;
 use crate::names::RequestId;
 use crate::names::Target;
@@ -207,14 +208,25 @@
         self.judge(now)
     }
 
-    /// Returns what this instance tells the others.
-    pub fn report(&self, now: Duration) -> CrashReport {
+    /// Forgets the counts that another instance reported, as it has stopped or
+    /// they come another way. Losses stay, as each is known by its request.
+    pub fn remove_instance(&mut self, from: &Instance) {
+        self.evidence.remove_instance(from);
+    }
+
+    /// Forgets the counts that all other instances reported.
+    pub fn remove_all_instances(&mut self) {
+        self.evidence.remove_all_instances();
+    }
+
+    /// Returns what an audience is told.
+    pub fn report(&self, audience: Audience<'_>, now: Duration) -> CrashReport {
         let quarantined = self.entries.iter();
         CrashReport {
             quarantined: quarantined
                 .map(|(part, entry)| entry.to_record(*part, now))
                 .collect(),
-            ..self.evidence.report(now)
+            ..self.evidence.report(audience, now)
         }
     }
 
--- a/crates/decisions/src/quarantine/evidence.rs
+++ b/crates/decisions/src/quarantine/evidence.rs
@@ -11,6 +11,8 @@
 use super::report::CrashReport;
 use super::report::LossRecord;
 use super::report::SuspectRecord;
+use crate::audience::Audience;
+use crate::audience::Source;
 use crate::names::Instance;
 use crate::names::Target;
 use crate::traffic::PromptPart;
@@ -68,8 +70,8 @@
     request: u64,
     position: u16,
     at: Duration,
-    /// Whether this instance lost it.
-    is_own: bool,
+    /// The instance that lost it, or told of it.
+    source: Source,
 }
 
 /// The crash of a target.
@@ -164,8 +166,15 @@
         crashes.len().min(requests.len())
     }
 
-    fn to_record(&self, part: u64, now: Duration) -> SuspectRecord {
-        let own_losses = self.losses.iter().rev().filter(|loss| loss.is_own);
+    /// Returns the newest losses that an audience is told of, one of each crash.
+    fn to_record(&self, part: u64, audience: Audience<'_>, now: Duration) -> SuspectRecord {
+        let mut told: Vec<&Loss> = Vec::new();
+        let losses = self.losses.iter().rev();
+        for loss in losses.filter(|loss| audience.includes(&loss.source)) {
+            if !told.iter().any(|other| other.is_same_crash(loss)) {
+                told.push(loss);
+            }
+        }
         let to_record = |loss: &Loss| LossRecord {
             target: loss.target.clone(),
             request: loss.request,
@@ -174,7 +183,8 @@
         };
         SuspectRecord {
             part,
-            losses: own_losses
+            losses: told
+                .into_iter()
                 .take(MAX_REPORTED_LOSSES)
                 .map(to_record)
                 .collect(),
@@ -251,7 +261,7 @@
                 request,
                 position,
                 at: now,
-                is_own: true,
+                source: Source::Own,
             };
             self.record_crash_of(&loss);
             self.suspect_mut(part.id, now).add(loss);
@@ -371,36 +381,75 @@
         (crashes as f64 - answers * CRASHES_PER_ANSWER).ceil() as i64
     }
 
-    /// Returns what this instance saw itself: the losses with the parts that
-    /// are accused most, and the answers that speak for others.
-    pub(super) fn report(&self, now: Duration) -> CrashReport {
+    /// Forgets the counts that another instance reported.
+    pub(super) fn remove_instance(&mut self, from: &Instance) {
+        self.totals_elsewhere.remove(from);
+        for suspect in self.suspects.values_mut() {
+            suspect.answers_elsewhere.remove(from);
+        }
+    }
+
+    /// Forgets the counts that all other instances reported.
+    pub(super) fn remove_all_instances(&mut self) {
+        self.totals_elsewhere.clear();
+        for suspect in self.suspects.values_mut() {
+            suspect.answers_elsewhere.clear();
+        }
+    }
+
+    /// Returns the recent answered requests with a part that an audience is
+    /// told of.
+    fn answers_for(
+        &self,
+        part: u64,
+        suspect: &Suspect,
+        audience: Audience<'_>,
+        now: Duration,
+    ) -> f64 {
+        let told = suspect.answers_elsewhere.iter();
+        let told = told.filter(|(name, _)| audience.includes_instance(name));
+        let elsewhere: f64 = told.map(|(_, count)| count.get(now)).sum();
+        self.own_answers(part, now) + elsewhere
+    }
+
+    /// Returns what an audience is told: the losses with the parts that are
+    /// accused most, and the answers that speak for others.
+    pub(super) fn report(&self, audience: Audience<'_>, now: Duration) -> CrashReport {
         let mut accused = Vec::new();
         let mut answered = Vec::new();
         for (part, suspect) in &self.suspects {
             let crashes = suspect.count_crashes(|_| false);
-            if suspect.losses.iter().any(|loss| loss.is_own) {
+            let mut losses = suspect.losses.iter();
+            if losses.any(|loss| audience.includes(&loss.source)) {
                 let excess = self.excess(*part, suspect, crashes, now);
                 accused.push((excess, suspect.last_at(), *part, suspect));
             }
-            if self.own_answers(*part, now) >= MIN_ANSWERS {
-                answered.push((crashes, *part));
+            let answers = self.answers_for(*part, suspect, audience, now);
+            if answers >= MIN_ANSWERS {
+                answered.push((crashes, *part, answers));
             }
         }
         accused
             .sort_unstable_by_key(|(excess, last_at, part, _)| Reverse((*excess, *last_at, *part)));
-        answered.sort_unstable_by_key(|ranked| Reverse(*ranked));
+        answered.sort_unstable_by_key(|(crashes, part, _)| Reverse((*crashes, *part)));
         let accused = accused.into_iter().take(MAX_REPORTED_SUSPECTS);
         let answered = answered.into_iter().take(MAX_REPORTED_ANSWERS);
+        let (mut lost, mut answered_in_all) = (self.lost.get(now), self.answered.get(now));
+        let told = self.totals_elsewhere.iter();
+        for (_, totals) in told.filter(|(name, _)| audience.includes_instance(name)) {
+            lost += totals.lost.get(now);
+            answered_in_all += totals.answered.get(now);
+        }
         CrashReport {
-            lost: self.lost.get(now) as f32,
-            answered: self.answered.get(now) as f32,
+            lost: lost as f32,
+            answered: answered_in_all as f32,
             losses: accused
-                .map(|(_, _, part, suspect)| suspect.to_record(part, now))
+                .map(|(_, _, part, suspect)| suspect.to_record(part, audience, now))
                 .collect(),
             answers: answered
-                .map(|(_, part)| AnswersRecord {
+                .map(|(_, part, answers)| AnswersRecord {
                     part,
-                    answers: self.own_answers(part, now) as f32,
+                    answers: answers as f32,
                 })
                 .collect(),
             quarantined: Vec::new(),
@@ -424,7 +473,7 @@
                     request: loss.request,
                     position: loss.position,
                     at: now.saturating_sub(age),
-                    is_own: false,
+                    source: Source::Other(from.clone()),
                 };
                 self.record_crash_of(&loss);
                 has_news |= self.suspect_mut(record.part, now).add(loss);
--- a/crates/decisions/src/suspension.rs
+++ b/crates/decisions/src/suspension.rs
@@ -18,6 +18,9 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::audience::Audience;
+use crate::audience::Source;
+use crate::names::Instance;
 use crate::names::Pool;
 use crate::names::RequestId;
 use crate::names::Target;
@@ -102,16 +105,16 @@
 struct Crash {
     target: Target,
     at: Duration,
-    /// Whether this instance lost the request.
-    is_own: bool,
+    /// The instance that lost the request, or told of it.
+    source: Source,
 }
 
 /// An answer to a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Answer {
     at: Duration,
-    /// Whether this instance passed it on.
-    is_own: bool,
+    /// The instance that passed it on, or told of it.
+    source: Source,
 }
 
 /// A request that was let through after a suspension.
@@ -148,7 +151,8 @@
 
 impl History {
     fn add_crash(&mut self, crash: Crash) {
-        let is_refuted = self.answer.is_some_and(|answer| crash.at <= answer.at);
+        let answer = self.answer.as_ref();
+        let is_refuted = answer.is_some_and(|answer| crash.at <= answer.at);
         let is_known = |known: &Crash| {
             known.target == crash.target && known.at.abs_diff(crash.at) < CRASH_SPAN
         };
@@ -163,11 +167,15 @@
     }
 
     fn add_answer(&mut self, answer: Answer) {
-        if self.answer.is_some_and(|known| known.at >= answer.at) {
+        if self
+            .answer
+            .as_ref()
+            .is_some_and(|known| known.at >= answer.at)
+        {
             return;
         }
-        self.answer = Some(answer);
         self.crashes.retain(|crash| crash.at > answer.at);
+        self.answer = Some(answer);
     }
 
     fn admit(&self, id: &RequestId, now: Duration) -> Admission {
@@ -190,7 +198,7 @@
     }
 
     fn last_at(&self) -> Duration {
-        let answered_at = self.answer.map(|answer| answer.at);
+        let answered_at = self.answer.as_ref().map(|answer| answer.at);
         let crashed_at = self.crashes.last().map(|crash| crash.at);
         crashed_at.max(answered_at).unwrap_or_default()
     }
@@ -230,7 +238,7 @@
             let crash = Crash {
                 target: target.clone(),
                 at: now,
-                is_own: true,
+                source: Source::Own,
             };
             self.history_mut(digest).add_crash(crash);
             if self.is_suspended(digest, now) && !suspended.contains(&digest) {
@@ -245,7 +253,7 @@
         if let Some(history) = self.requests.get_mut(&digest) {
             history.add_answer(Answer {
                 at: now,
-                is_own: true,
+                source: Source::Own,
             });
         }
     }
@@ -319,9 +327,9 @@
         }
     }
 
-    /// Returns what this instance tells the others: its own losses of the last
-    /// moments, all that it knows of requests that were suspended, and answers.
-    pub fn report(&self, now: Duration) -> LostRequestsReport {
+    /// Returns what an audience is told: losses of the last moments, all that
+    /// this instance knows of requests that were suspended, and answers.
+    pub fn report(&self, audience: Audience<'_>, now: Duration) -> LostRequestsReport {
         let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u32;
         let mut losses = Vec::new();
         let mut answers = Vec::new();
@@ -330,12 +338,14 @@
             // request may have restarted.
             let is_repeated = history.crashes.len() >= MIN_CRASHES;
             for crash in &history.crashes {
-                if is_repeated || (crash.is_own && age_ms(crash.at) < REPORT_AGE_MS) {
+                let is_news = audience.includes(&crash.source) && age_ms(crash.at) < REPORT_AGE_MS;
+                if is_repeated || is_news {
                     let rank = Reverse((history.crashes.len(), crash.at));
                     losses.push((rank, crash, *digest));
                 }
             }
-            if let Some(answer) = history.answer.filter(|answer| answer.is_own)
+            let answer = history.answer.as_ref();
+            if let Some(answer) = answer.filter(|answer| audience.includes(&answer.source))
                 && age_ms(answer.at) < REPORT_AGE_MS
             {
                 answers.push(RequestAnswer {
@@ -357,13 +367,13 @@
     }
 
     /// Applies the report of another instance.
-    pub fn merge(&mut self, report: LostRequestsReport, now: Duration) {
+    pub fn merge(&mut self, from: &Instance, report: LostRequestsReport, now: Duration) {
         let at = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         for answer in report.answers {
             if let Some(history) = self.requests.get_mut(&answer.request) {
                 history.add_answer(Answer {
                     at: at(answer.age_ms),
-                    is_own: false,
+                    source: Source::Other(from.clone()),
                 });
             }
         }
@@ -372,7 +382,7 @@
                 self.history_mut(digest).add_crash(Crash {
                     target: record.target.clone(),
                     at: at(record.age_ms),
-                    is_own: false,
+                    source: Source::Other(from.clone()),
                 });
             }
         }
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -57,6 +57,10 @@
     Siblings,
     /// Open links to siblings.
     Links,
+    /// Which instances this one exchanges messages with.
+    Topology,
+    /// The instances that report to this one.
+    Reporters,
     /// Operation tickets and claims.
     Tickets,
     /// Digests of the certificates that siblings may present.
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -7,6 +7,7 @@
 mod choose;
 mod cold_limit;
 mod outcome;
+mod part_uses;
 mod pause;
 mod performance;
 mod remote;
@@ -19,6 +20,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::audience::Audience;
+use crate::audience::Source;
 use crate::fleet::Fleet;
 use crate::names::Instance;
 use crate::names::Pool;
@@ -33,6 +36,8 @@
 use crate::silence::UnansweredTime;
 use crate::window::Divisor;
 use crate::window::SlidingWindow;
+use cached::CacheSources;
+use part_uses::PartUseLog;
 use remote::RemoteCounts;
 use stated_limit::StatedLimit;
 
@@ -47,6 +52,7 @@
 pub use choose::TargetQuery;
 pub use cold_limit::ColdLimitTolerance;
 pub use outcome::TargetOutcome;
+pub use part_uses::PartUseCursor;
 pub use performance::PoolPerformance;
 pub use remote::TargetInFlight;
 pub use reservation::Reservation;
@@ -58,6 +64,9 @@
 pub struct RegionShares<'a> {
     /// Divides the limits that hold whatever an instance knows of the others.
     pub divisor: Divisor,
+    /// Returns the position of this instance among those of the region, in an
+    /// order that all of them derive from the target; `None` if it is not known.
+    pub rank: Option<&'a dyn Fn(&Target) -> usize>,
     /// Applies the limits that targets state.
     pub stated: StatedLimitUse<'a>,
 }
@@ -88,6 +97,11 @@
         self.running = self.running.saturating_add(other.running);
         self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
     }
+
+    fn subtract(&mut self, other: Self) {
+        self.running = self.running.saturating_sub(other.running);
+        self.prefill_tokens = self.prefill_tokens.saturating_sub(other.prefill_tokens);
+    }
 }
 
 #[derive(Debug, Default)]
@@ -112,9 +126,6 @@
 /// full.
 const FULL_REQUESTS_PER_SLOT: f64 = 3.0;
 
-/// Largest number of prompt parts reported to the other instances at once.
-const MAX_PART_USES: usize = 128;
-
 /// Shortest prompt part that is reported to the other instances, in tokens.
 const MIN_REPORTED_TOKENS: u32 = 500;
 
@@ -123,14 +134,14 @@
 ///
 /// # Invariants
 ///
-/// `part_uses` has at most [`MAX_PART_USES`] entries. `remote_total` is the sum
-/// of the counts in `remote`. Each [`Reservation`] is counted in `local` until
+/// `remote_total` is the sum of the counts in `remote`, unless a count is so
+/// large that it was cut off. Each [`Reservation`] is counted in `local` until
 /// [`Traffic::release`] ends it.
 #[derive(Debug)]
 pub struct Traffic {
     local: HashMap<Target, LocalTargetState>,
     cached_parts: HashMap<Target, CachedParts>,
-    part_uses: Vec<PromptPartUse>,
+    part_uses: PartUseLog,
     remote: HashMap<Instance, RemoteCounts>,
     remote_total: HashMap<Target, InFlight>,
     performance: HashMap<Pool, PoolPerformance>,
@@ -149,7 +160,7 @@
         Self {
             local: HashMap::new(),
             cached_parts: HashMap::new(),
-            part_uses: Vec::new(),
+            part_uses: PartUseLog::default(),
             remote: HashMap::new(),
             remote_total: HashMap::new(),
             performance: HashMap::new(),
@@ -226,47 +237,51 @@
             .iter()
             .filter(|part| part.tokens >= MIN_REPORTED_TOKENS)
         {
-            if self.part_uses.len() < MAX_PART_USES {
-                self.part_uses.push(PromptPartUse {
-                    target: target.clone(),
-                    part: *part,
-                });
-            }
+            let part_use = PromptPartUse {
+                target: target.clone(),
+                part: *part,
+            };
+            self.part_uses.push(part_use, Source::Own);
         }
     }
 
-    /// Returns the prompt parts sent to targets since the last call, to be
-    /// reported to the other instances.
-    pub fn take_part_uses(&mut self) -> Vec<PromptPartUse> {
-        std::mem::take(&mut self.part_uses)
+    /// Returns the prompt parts sent to targets since `cursor` that an audience
+    /// is told of, the newest ones if there are many. Moves the cursor.
+    pub fn part_uses_since(
+        &self,
+        cursor: &mut PartUseCursor,
+        audience: Audience<'_>,
+    ) -> Vec<PromptPartUse> {
+        self.part_uses.since(cursor, audience)
     }
 
-    /// Records the prompt parts that another instance sent to targets.
-    pub fn record_remote_part_uses(&mut self, uses: Vec<PromptPartUse>, now: Duration) {
-        for PromptPartUse { target, part } in uses {
-            let cached = self.cached_parts.entry(target).or_default();
-            cached.insert(&[part], now);
+    /// Records the prompt parts that another instance sent to targets, or told
+    /// of.
+    pub fn record_remote_part_uses(
+        &mut self,
+        from: &Instance,
+        uses: Vec<PromptPartUse>,
+        now: Duration,
+    ) {
+        for part_use in uses {
+            let cached = self
+                .cached_parts
+                .entry(part_use.target.clone())
+                .or_default();
+            cached.insert(&[part_use.part], now);
+            self.part_uses.push(part_use, Source::Other(from.clone()));
         }
     }
 
-    /// Finds the target other than `target` that has most of a prompt cached,
-    /// if it has at least `min_extra_tokens` more cached tokens than `target`.
-    fn best_cache_source<'a>(
-        &'a self,
-        fleet: &Fleet,
-        target: &Target,
-        parts: &[PromptPart],
-        min_extra_tokens: u64,
-    ) -> Option<(&'a Target, u64)> {
-        let cached_here = self
-            .cached_parts
-            .get(target)
-            .map_or(0, |c| c.cached_tokens(parts));
-        let others = self.cached_parts.iter().filter(|(name, _)| *name != target);
-        let known = others.filter(|(name, _)| fleet.accepts_requests(name));
-        let tokens_of = known.map(|(name, cached)| (name, cached.cached_tokens(parts)));
-        let best = tokens_of.max_by_key(|(_, cached)| *cached)?;
-        (best.1 >= cached_here + min_extra_tokens).then_some(best)
+    /// Finds the targets that have most of a prompt cached.
+    fn cache_sources(&self, fleet: &Fleet, parts: &[PromptPart]) -> CacheSources {
+        let known = self.cached_parts.iter();
+        let known = known.filter(|(name, _)| fleet.accepts_requests(name));
+        let mut sources = CacheSources::default();
+        for (name, cached) in known {
+            sources.add(name, cached.cached_tokens(parts));
+        }
+        sources
     }
 
     /// Drops the cached prompts and failures of a target that has restarted.
--- a/crates/decisions/src/traffic/cached.rs
+++ b/crates/decisions/src/traffic/cached.rs
@@ -129,3 +129,34 @@
         }
     }
 }
+
+/// The two targets that have most of a prompt cached, so that there is one
+/// beside any target.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CacheSources {
+    best: Option<(Target, u64)>,
+    second: Option<(Target, u64)>,
+}
+
+impl CacheSources {
+    pub(super) fn add(&mut self, target: &Target, tokens: u64) {
+        let is_more = |than: &Option<(Target, u64)>| {
+            tokens > 0 && than.as_ref().is_none_or(|(_, most)| tokens > *most)
+        };
+        if is_more(&self.best) {
+            self.second = self.best.replace((target.clone(), tokens));
+        } else if is_more(&self.second) {
+            self.second = Some((target.clone(), tokens));
+        }
+    }
+
+    /// Returns the target other than `target` that has most of the prompt
+    /// cached, and its cached tokens.
+    pub(super) fn beside(&self, target: &Target) -> Option<&(Target, u64)> {
+        let best = self.best.as_ref()?;
+        match best.0 == *target {
+            true => self.second.as_ref(),
+            false => Some(best),
+        }
+    }
+}
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::CacheSources;
 use super::InFlight;
 use super::PromptPart;
 use super::RegionShares;
@@ -182,6 +183,7 @@
             .count();
         let mut reason = NoTargetReason::NoTarget;
         let jitter = self.cost_jitter(fleet, pool, region, query);
+        let sources = self.cache_sources(fleet, query.parts);
         let mut best: Option<TargetChoice> = None;
         for (target, known) in fleet.usable_targets(&pool.name) {
             if known.record.region != *region {
@@ -204,7 +206,7 @@
                 reason = reason.with_pause(left);
                 continue;
             }
-            if known.is_cold(now) && !self.has_cold_capacity(target, pool, shares.divisor, now) {
+            if known.is_cold(now) && !self.has_cold_capacity(target, pool, shares, now) {
                 reason = NoTargetReason::AllCold;
                 continue;
             }
@@ -223,6 +225,7 @@
                 known,
                 pool,
                 query,
+                &sources,
                 affinity_target.as_ref(),
                 in_flight,
             );
@@ -317,6 +320,7 @@
         known: &KnownTarget,
         pool: &PoolSpec,
         query: &TargetQuery<'_>,
+        sources: &CacheSources,
         affinity_target: Option<&Target>,
         in_flight: InFlight,
     ) -> Estimate {
@@ -347,10 +351,11 @@
         }
         let cached_parts = self.cached_parts.get(target);
         let cached_here = cached_parts.map_or(0, |cached| cached.cached_tokens(query.parts));
-        let best = self.best_cache_source(fleet, target, query.parts, MIN_COPY_TOKENS);
+        let best = sources.beside(target);
+        let best = best.filter(|(_, cached)| *cached >= cached_here + MIN_COPY_TOKENS);
         let cache_source = best.and_then(|(name, _)| Some(fleet.get(name)?.record.address));
         let cached = match (best, affinity_target == Some(target)) {
-            (Some((_, cached_at_source)), _) => cached_at_source,
+            (Some((_, cached_at_source)), _) => *cached_at_source,
             (None, true) => {
                 cached_here.max((shared_tokens(query.parts) as f64 * AFFINITY_CACHED_RATIO) as u64)
             }
--- a/crates/decisions/src/traffic/cold_limit.rs
+++ b/crates/decisions/src/traffic/cold_limit.rs
@@ -1,11 +1,17 @@
 //! The rate limit of cold targets, of which each instance enforces a share.
+//!
+//! Where there are so many instances that an equal share is less than one
+//! request, as many instances as the limit allows requests per second may send
+//! one each, so that a cold target is not left without any. Which instances
+//! these are follows from the target's name. The tolerated overrun covers the
+//! moments in which not all know the same instances.
 
 use std::time::Duration;
 
+use super::RegionShares;
 use super::Traffic;
 use crate::catalog::PoolSpec;
 use crate::names::Target;
-use crate::window::Divisor;
 
 /// Length of the window over which the rate limit of a cold target, which is
 /// per second, is counted. It is slightly longer than a second.
@@ -26,8 +32,9 @@
     /// of the process, as an earlier process of the instance may have used it.
     pub(super) fn cold_limit_share(
         &self,
+        target: &Target,
         pool: &PoolSpec,
-        divisor: Divisor,
+        shares: RegionShares<'_>,
         now: Duration,
     ) -> Option<f64> {
         let per_s = pool.cold.requests_per_s;
@@ -38,7 +45,13 @@
             return Some(0.0);
         }
         let bound = per_s * self.cold_tolerance.factor + self.cold_tolerance.slack;
-        Some(divisor.share(bound).floor())
+        let equal = shares.divisor.share(bound).floor();
+        if equal >= 1.0 {
+            return Some(equal);
+        }
+        let senders = per_s.floor() as usize;
+        let is_sender = shares.rank.is_some_and(|rank| rank(target) < senders);
+        Some(if is_sender { 1.0 } else { 0.0 })
     }
 
     /// Returns whether this instance's share of a cold target's rate limit
@@ -47,10 +60,10 @@
         &mut self,
         target: &Target,
         pool: &PoolSpec,
-        divisor: Divisor,
+        shares: RegionShares<'_>,
         now: Duration,
     ) -> bool {
-        let Some(bound) = self.cold_limit_share(pool, divisor, now) else {
+        let Some(bound) = self.cold_limit_share(target, pool, shares, now) else {
             return true;
         };
         let local = self
--- a/crates/decisions/src/traffic/remote.rs
+++ b/crates/decisions/src/traffic/remote.rs
@@ -1,13 +1,14 @@
 //! Requests in flight from other instances, as far as they have reported them.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::InFlight;
-use super::LocalTargetState;
 use super::Traffic;
+use crate::audience::Audience;
 use crate::names::Instance;
 use crate::names::Pool;
 use crate::names::Region;
@@ -38,16 +39,25 @@
 }
 
 impl Traffic {
-    /// Lists this instance's requests in flight by target, to be reported to
-    /// the other instances.
-    pub fn local_counts(&self) -> Vec<TargetInFlight> {
-        let busy = |(target, local): (&Target, &LocalTargetState)| {
-            (local.in_flight.running > 0).then(|| TargetInFlight {
-                target: target.clone(),
-                in_flight: local.in_flight,
-            })
+    /// Lists the requests in flight by target that an audience is told of.
+    pub fn in_flight_for(&self, audience: Audience<'_>) -> Vec<TargetInFlight> {
+        let mut sums: HashMap<&Target, InFlight> = HashMap::new();
+        for (target, local) in &self.local {
+            sums.entry(target).or_default().add(local.in_flight);
+        }
+        let told = self.remote.iter();
+        let told = told.filter(|(name, _)| audience.includes_instance(name));
+        for counts in told.flat_map(|(_, remote)| &remote.counts) {
+            sums.entry(&counts.target)
+                .or_default()
+                .add(counts.in_flight);
+        }
+        let busy = sums.into_iter().filter(|(_, sum)| sum.running > 0);
+        let to_record = |(target, in_flight): (&Target, InFlight)| TargetInFlight {
+            target: target.clone(),
+            in_flight,
         };
-        self.local.iter().filter_map(busy).collect()
+        busy.map(to_record).collect()
     }
 
     /// Replaces the counts that another instance reported.
@@ -61,24 +71,45 @@
             received_at: now,
             counts,
         };
-        self.remote.insert(from.clone(), remote);
-        self.update_remote_total(now);
+        for counts in &remote.counts {
+            let sum = self.remote_total.entry(counts.target.clone()).or_default();
+            sum.add(counts.in_flight);
+        }
+        let replaced = self.remote.insert(from.clone(), remote);
+        self.subtract_from_total(replaced);
+        self.expire_remote_counts(now);
     }
 
-    /// Drops the counts of an instance that has stopped.
-    pub fn remove_instance(&mut self, from: &Instance, now: Duration) {
-        if self.remote.remove(from).is_some() {
-            self.update_remote_total(now);
-        }
+    /// Drops what an instance reported, as it has stopped or reports elsewhere.
+    pub fn remove_instance(&mut self, from: &Instance) {
+        let removed = self.remote.remove(from);
+        self.subtract_from_total(removed);
     }
 
-    fn update_remote_total(&mut self, now: Duration) {
-        self.remote
-            .retain(|_, remote| remote.received_at + REMOTE_COUNTS_TTL > now);
+    /// Drops what all other instances reported.
+    pub fn remove_all_instances(&mut self) {
+        self.remote.clear();
         self.remote_total.clear();
-        for remote in self.remote.values().flat_map(|remote| &remote.counts) {
-            let sum = self.remote_total.entry(remote.target.clone()).or_default();
-            sum.add(remote.in_flight);
+    }
+
+    /// Drops counts that are too old.
+    pub fn expire_remote_counts(&mut self, now: Duration) {
+        let is_old = |remote: &RemoteCounts| remote.received_at + REMOTE_COUNTS_TTL <= now;
+        let old = self.remote.iter().filter(|(_, remote)| is_old(remote));
+        let old: Vec<Instance> = old.map(|(name, _)| name.clone()).collect();
+        for name in old {
+            self.remove_instance(&name);
+        }
+    }
+
+    fn subtract_from_total(&mut self, removed: Option<RemoteCounts>) {
+        for counts in removed.into_iter().flat_map(|removed| removed.counts) {
+            if let Some(sum) = self.remote_total.get_mut(&counts.target) {
+                sum.subtract(counts.in_flight);
+                if *sum == InFlight::default() {
+                    self.remote_total.remove(&counts.target);
+                }
+            }
         }
     }
 
--- a/crates/decisions/src/traffic/reservation.rs
+++ b/crates/decisions/src/traffic/reservation.rs
@@ -59,9 +59,12 @@
         if !self.has_stated_room(target, shares.stated, now) {
             return false;
         }
-        let bound = self.cold_limit_share(pool, shares.divisor, now);
+        let bound = match known.is_cold(now) {
+            true => self.cold_limit_share(target, pool, shares, now),
+            false => None,
+        };
         let local = self.local.entry(reservation.target.clone()).or_default();
-        if let Some(bound) = bound.filter(|_| known.is_cold(now)) {
+        if let Some(bound) = bound {
             let window = local
                 .cold_requests
                 .get_or_insert_with(|| SlidingWindow::new(COLD_LIMIT_WINDOW));
--- a/crates/decisions/src/traffic/stated_limit.rs
+++ b/crates/decisions/src/traffic/stated_limit.rs
@@ -12,6 +12,9 @@
 use serde::Serialize;
 
 use super::Traffic;
+use crate::audience::Audience;
+use crate::audience::Source;
+use crate::names::Instance;
 use crate::names::Target;
 
 /// Smallest limit that is divided, in requests per second. It lets a request
@@ -67,8 +70,8 @@
 pub(super) struct StatedLimit {
     per_s: Option<f64>,
     observed_at: Duration,
-    /// Whether an answer to this instance stated it.
-    is_own: bool,
+    /// The instance that was told by the target, or that told this one.
+    source: Source,
     /// Requests that this instance may send now.
     tokens: f64,
     filled_at: Duration,
@@ -118,16 +121,22 @@
         per_s: Option<f64>,
         now: Duration,
     ) -> bool {
-        self.put_stated_limit(target, per_s, now, true, now)
+        self.put_stated_limit(target, per_s, now, Source::Own, now)
     }
 
-    /// Applies the limits that another instance was told.
-    pub fn merge_stated_limits(&mut self, records: Vec<StatedLimitRecord>, now: Duration) {
+    /// Applies the limits that another instance reports.
+    pub fn merge_stated_limits(
+        &mut self,
+        from: &Instance,
+        records: Vec<StatedLimitRecord>,
+        now: Duration,
+    ) {
         for record in records {
             let age = Duration::from_millis(record.age_ms.into());
             let observed_at = now.saturating_sub(age);
             let per_s = record.per_s.map(f64::from);
-            self.put_stated_limit(&record.target, per_s, observed_at, false, now);
+            let source = Source::Other(from.clone());
+            self.put_stated_limit(&record.target, per_s, observed_at, source, now);
         }
     }
 
@@ -136,7 +145,7 @@
         target: &Target,
         per_s: Option<f64>,
         observed_at: Duration,
-        is_own: bool,
+        source: Source,
         now: Duration,
     ) -> bool {
         let Some(known) = self.stated_limits.get_mut(target) else {
@@ -144,7 +153,7 @@
                 let limit = StatedLimit {
                     per_s,
                     observed_at,
-                    is_own,
+                    source,
                     tokens: 0.0,
                     filled_at: now,
                 };
@@ -158,17 +167,21 @@
         let has_changed = known.per_s != per_s;
         known.per_s = per_s;
         known.observed_at = observed_at;
-        known.is_own = is_own;
+        known.source = source;
         has_changed
     }
 
-    /// Returns the limits that targets stated to this instance itself, to be
-    /// reported to the others.
-    pub fn stated_limit_records(&self, now: Duration) -> Vec<StatedLimitRecord> {
-        let own = self.stated_limits.iter().filter(|(_, limit)| {
-            limit.is_own && (limit.per_s.is_some() || now < limit.observed_at + ENDED_REPORT_TIME)
+    /// Returns the stated limits that an audience is told of.
+    pub fn stated_limit_records(
+        &self,
+        audience: Audience<'_>,
+        now: Duration,
+    ) -> Vec<StatedLimitRecord> {
+        let told = self.stated_limits.iter().filter(|(_, limit)| {
+            let is_recent = limit.per_s.is_some() || now < limit.observed_at + ENDED_REPORT_TIME;
+            is_recent && audience.includes(&limit.source)
         });
-        own.map(|(target, limit)| StatedLimitRecord {
+        told.map(|(target, limit)| StatedLimitRecord {
             target: target.clone(),
             per_s: limit.per_s.map(|per_s| per_s as f32),
             age_ms: now.saturating_sub(limit.observed_at).as_millis() as u32,
--- a/crates/decisions/src/window.rs
+++ b/crates/decisions/src/window.rs
@@ -96,7 +96,7 @@
 /// Each instance enforces its share of the limit on its own. The whole limit
 /// holds without communication as long as no more instances than this exist.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Divisor(usize);
+pub struct Divisor(Option<usize>);
 
 /// Smallest number of instances that a limit is divided by while the real
 /// number is not known.
@@ -109,7 +109,17 @@
     /// Creates a divisor from the largest number of instances known so far,
     /// plus a reserve for instances that are joining.
     pub fn new(most_known: usize) -> Self {
-        Self(most_known.max(1) + JOIN_RESERVE)
+        Self(Some(most_known.max(1) + JOIN_RESERVE))
+    }
+
+    /// Creates the divisor of an instance that has no share of the limit.
+    pub fn without_share() -> Self {
+        Self(None)
+    }
+
+    /// Tells whether this instance has a share of the limit.
+    pub fn has_share(self) -> bool {
+        self.0.is_some()
     }
 
     /// Creates a divisor of at least [`ASSUMED_INSTANCES`]. It is used right
@@ -121,6 +131,6 @@
 
     /// Returns one instance's share of a limit.
     pub fn share(self, limit: f64) -> f64 {
-        limit / self.0 as f64
+        self.0.map_or(0.0, |instances| limit / instances as f64)
     }
 }
--- a/crates/gateway/src/charge.rs
+++ b/crates/gateway/src/charge.rs
@@ -2,6 +2,7 @@
 //! instances if this instance's allowance for the account is too small.
 
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chiverelay_decisions::allowance::Shortfall;
@@ -15,6 +16,7 @@
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
+use chiverelay_sibling::ChargeReply;
 use chiverelay_sibling::Message;
 use futures_util::future::join_all;
 
@@ -52,6 +54,25 @@
 /// Maximum number of waits for a refill for one request.
 const MAX_REFILL_WAITS: usize = 3;
 
+/// Time limit for a hub to answer a charge, in which it may ask other hubs.
+const CHARGE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Number of hubs that are asked for one charge.
+const MAX_HUBS: usize = 2;
+
+/// Retry delay for a request that no hub could charge. By then another hub has
+/// taken over.
+const NO_HUB_RETRY_AFTER: Duration = Duration::from_millis(600);
+
+/// Tokens that were charged to an account for a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Charge {
+    account: Account,
+    tokens: u64,
+    /// The hub that charged the account; `None` if this instance did.
+    hub: Option<Instance>,
+}
+
 impl<D> Gateway<D>
 where
     D: Dialect,
@@ -60,14 +81,125 @@
     ///
     /// # Errors
     ///
-    /// Refuses the request if this instance and those it asked have too few
-    /// tokens, and the allowance does not refill within [`MAX_REFILL_WAIT`].
+    /// Refuses the request if there are too few tokens, or if this instance has
+    /// no share of the limit and no hub answers.
     pub(crate) async fn charge_account(
         &self,
         account: &AccountSpec,
         id: &RequestId,
         tokens: u64,
-    ) -> Result<(), Refusal> {
+    ) -> Result<Charge, Refusal> {
+        let has_share = self.account_limit_divisor(self.clock.now()).has_share();
+        if account.limit.is_some() && !has_share {
+            return self.charge_at_hub(account, id, tokens).await;
+        }
+        match self.take_or_borrow(account, tokens).await {
+            Ok(()) => Ok(Charge {
+                account: account.name.clone(),
+                tokens,
+                hub: None,
+            }),
+            Err(shortfall) => {
+                log_shortfall(account, id, tokens, &shortfall);
+                Err(refuse_over_limit(shortfall.wait))
+            }
+        }
+    }
+
+    /// Gives back what was charged for a request that did not run.
+    pub(crate) async fn refund(&self, charge: Charge) {
+        let Some(hub) = &charge.hub else {
+            self.rate_limiter
+                .refund(&charge.account, charge.tokens, self.clock.now());
+            return;
+        };
+        let refund = Message::Refund(TokenTransfer {
+            account: charge.account,
+            tokens: charge.tokens as f32,
+        });
+        if let Some(link) = self.links.get(hub)
+            && let Err(e) = link.tell(refund).await
+        {
+            log::debug!(target: "limits", error:% = e; "tokens not given back");
+        }
+    }
+
+    /// Has a hub charge an account.
+    async fn charge_at_hub(
+        &self,
+        account: &AccountSpec,
+        id: &RequestId,
+        tokens: u64,
+    ) -> Result<Charge, Refusal> {
+        let topology = Arc::clone(&self.topology.lock());
+        let linked = |hub| self.links.get(hub);
+        for link in topology.upstream.iter().filter_map(linked).take(MAX_HUBS) {
+            let message = Message::Charge(TokenTransfer {
+                account: account.name.clone(),
+                tokens: tokens as f32,
+            });
+            let asking = link.ask(Stamp::default(), message);
+            let reply = tokio::time::timeout(CHARGE_TIMEOUT, asking).await;
+            match reply.map(|reply| reply.map(|envelope| envelope.message)) {
+                Ok(Ok(Message::Charged(ChargeReply::Granted))) => {
+                    return Ok(Charge {
+                        account: account.name.clone(),
+                        tokens,
+                        hub: Some(link.peer().instance.clone()),
+                    });
+                }
+                Ok(Ok(Message::Charged(ChargeReply::Refused { wait_ms }))) => {
+                    let wait = wait_ms.map(|ms| Duration::from_millis(ms.into()));
+                    log::info!(target: "limits", id = id.as_str(), account = account.name.as_str(), tokens, instance = link.peer().instance.as_str(); "too few tokens at the hub");
+                    return Err(refuse_over_limit(wait));
+                }
+                Ok(Ok(_)) => {}
+                Ok(Err(e)) => log::debug!(target: "limits", error:% = e; "hub could not be asked"),
+                Err(_) => {
+                    log::info!(target: "limits", id = id.as_str(), instance = link.peer().instance.as_str(); "hub did not answer a charge");
+                }
+            }
+        }
+        log::info!(target: "limits", id = id.as_str(), account = account.name.as_str(), hubs = topology.upstream.len(); "no hub charged the account");
+        let refusal = Refusal::not_run(Code::StateUnavailable, Step::Admit, Peer::Local);
+        Err(refusal.with_retry_after(NO_HUB_RETRY_AFTER))
+    }
+
+    /// Charges an account for a request of an instance without a share of the
+    /// limit.
+    pub(crate) async fn charge_for_other(&self, charge: &TokenTransfer) -> ChargeReply {
+        let has_share = self.account_limit_divisor(self.clock.now()).has_share();
+        let current = self.tables.current_catalog().filter(|_| has_share);
+        let account = current
+            .as_ref()
+            .and_then(|c| c.catalog.account(&charge.account));
+        let Some(account) = account.cloned() else {
+            return ChargeReply::NoShare;
+        };
+        match self.take_or_borrow(&account, charge.tokens as u64).await {
+            Ok(()) => ChargeReply::Granted,
+            Err(shortfall) => ChargeReply::Refused {
+                wait_ms: shortfall.wait.map(|wait| wait.as_millis() as u32),
+            },
+        }
+    }
+
+    /// Takes back the tokens of a request that another instance had charged
+    /// here.
+    pub(crate) fn receive_refund(&self, refund: &TokenTransfer) {
+        let now = self.clock.now();
+        self.rate_limiter
+            .refund(&refund.account, refund.tokens as u64, now);
+    }
+
+    /// Takes the tokens of a request from this instance's allowance, and
+    /// borrows what is missing from other instances.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this instance and those it asked have too few tokens, and the
+    /// allowance does not refill within [`MAX_REFILL_WAIT`].
+    async fn take_or_borrow(&self, account: &AccountSpec, tokens: u64) -> Result<(), Shortfall> {
         let Err(mut shortfall) = self.try_take_tokens(account, tokens) else {
             return Ok(());
         };
@@ -105,12 +237,12 @@
                 Err(e) => shortfall = e,
             }
         }
-        Err(refuse_over_limit(account, id, tokens, &shortfall))
+        Err(shortfall)
     }
 
     fn try_take_tokens(&self, account: &AccountSpec, tokens: u64) -> Result<(), Shortfall> {
-        let divisor = self.members.divisor();
         let now = self.clock.now();
+        let divisor = self.account_limit_divisor(now);
         self.rate_limiter.try_take(account, tokens, divisor, now)
     }
 
@@ -172,12 +304,7 @@
     shares
 }
 
-fn refuse_over_limit(
-    account: &AccountSpec,
-    id: &RequestId,
-    tokens: u64,
-    shortfall: &Shortfall,
-) -> Refusal {
+fn log_shortfall(account: &AccountSpec, id: &RequestId, tokens: u64, shortfall: &Shortfall) {
     log::info!(
         target: "limits",
         id = id.as_str(),
@@ -189,6 +316,11 @@
         limit_per_s = account.limit.map_or(0, |limit| limit.rate as u64);
         "too few tokens for the request"
     );
+}
+
+/// Refuses a request, with the time until there are enough tokens if it is
+/// known.
+fn refuse_over_limit(wait: Option<Duration>) -> Refusal {
     let refusal = Refusal::not_run(Code::RateLimited, Step::Admit, Peer::Local);
-    refusal.with_retry_after(shortfall.wait.unwrap_or(OVERSIZED_RETRY_AFTER))
+    refusal.with_retry_after(wait.unwrap_or(OVERSIZED_RETRY_AFTER))
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,10 @@
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::shutdown::ShutdownDeadline;
+use chiverelay_decisions::tables::LockRank;
+use chiverelay_decisions::tables::RankedMutex;
+use chiverelay_decisions::traffic::PartUseCursor;
+use chiverelay_decisions::window::Divisor;
 use chiverelay_sibling::Certificates;
 use chiverelay_sibling::Endpoint;
 use chiverelay_sibling::Error;
@@ -38,11 +42,17 @@
 use crate::log_writer::LineCounts;
 use crate::members::Members;
 use crate::rate_limiter::RateLimiter;
+use crate::reporters::Reporters;
 use crate::shutdown::Shutdown;
 use crate::sibling_handler::SiblingHandler;
 use crate::status;
 use crate::supervise;
 use crate::tables::SharedTables;
+use crate::topology::Topology;
+
+/// Time after the start of the process in which the instances that started at
+/// the same time become known.
+const HUBS_SETTLING_TIME: Duration = Duration::from_millis(1500);
 
 /// Time limit for connecting to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -63,6 +73,12 @@
     pub(crate) rate_limiter: RateLimiter,
     pub(crate) members: Members,
     pub(crate) links: Links,
+    /// This instance's place among the others.
+    pub(crate) topology: RankedMutex<Arc<Topology>>,
+    /// The instances that report to this one.
+    pub(crate) reporters: Reporters,
+    /// Up to where this instance reported the uses of prompt parts to a hub.
+    pub(crate) reported_uses: RankedMutex<PartUseCursor>,
     pub(crate) connections: ConnectionPool,
     pub(crate) pending_losses: PendingLosses,
     /// Notified when the other instances have to be told something at once.
@@ -112,12 +128,16 @@
             certificate: certificates.digest(),
             incarnation,
             state: MemberState::Starting,
+            capacity: settings.capacity,
         };
         Ok(Arc::new(Self {
             tables: SharedTables::new(&settings),
             rate_limiter: RateLimiter::new(settings.account_limit_tolerance),
             members: Members::new(own, pins),
             links: Links::new(endpoint),
+            topology: RankedMutex::new(LockRank::Topology, Arc::default()),
+            reporters: Reporters::default(),
+            reported_uses: RankedMutex::new(LockRank::Reporters, PartUseCursor::default()),
             connections: ConnectionPool::new(CONNECT_TIMEOUT),
             pending_losses: PendingLosses::default(),
             status_due: Notify::new(),
@@ -249,7 +269,6 @@
             StoreUpdate::EvacuationsListed(zones) => tables.reconcile_evacuated(&zones, now),
             StoreUpdate::Member(record) => {
                 self.members.put_record(record, revision, now);
-                self.reconfigure_rate_limiter(now);
             }
             StoreUpdate::MemberRemoved(name) => self.members.remove_record(&name),
             StoreUpdate::MembersListed(names) => {
@@ -290,20 +309,35 @@
             }
         }
         log::info!(target: "catalog", version, era = revision.era, revision = revision.number, routes; "catalog applied");
+        let divisor = self.account_limit_divisor(now);
         self.rate_limiter
-            .configure(catalog.accounts(), self.members.divisor(), now);
+            .configure(catalog.accounts(), divisor, now);
         self.set_ready_if_synced();
     }
 
-    /// Divides the current catalog's account limits among the known instances.
-    fn reconfigure_rate_limiter(&self, now: Duration) {
+    /// Divides the current catalog's account limits among the hubs.
+    pub(crate) fn reconfigure_rate_limiter(&self, now: Duration) {
         if let Some(current) = self.tables.current_catalog() {
-            let divisor = self.members.divisor();
+            let divisor = self.account_limit_divisor(now);
             self.rate_limiter
                 .configure(current.catalog.accounts(), divisor, now);
         }
     }
 
+    /// Returns the divisor for the limits of client accounts, of which hubs
+    /// have shares.
+    pub(crate) fn account_limit_divisor(&self, now: Duration) -> Divisor {
+        let topology = Arc::clone(&self.topology.lock());
+        if !topology.is_hub {
+            return Divisor::without_share();
+        }
+        // While few instances are known, too many take themselves for hubs.
+        match now < HUBS_SETTLING_TIME {
+            true => Divisor::new(topology.hub_count.max(self.members.max_known())),
+            false => Divisor::new(topology.hub_count),
+        }
+    }
+
     /// Makes this instance ready once a catalog and the first listings of
     /// targets and instances have arrived.
     fn set_ready_if_synced(&self) {
@@ -316,6 +350,7 @@
             self.members.set_own_state(MemberState::Ready);
             let took_ms = self.clock.now().as_millis() as u64;
             log::info!(target: "gateway", took_ms; "ready");
+            self.status_due.notify_one();
         }
     }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -223,9 +223,10 @@
             .account
             .as_ref()
             .map_or(0, |a| tokens_to_charge(a, &inbound));
-        if let Some(account) = &matched.account {
-            self.charge_account(account, &inbound.id, tokens).await?;
-        }
+        let charge = match &matched.account {
+            Some(account) => Some(self.charge_account(account, &inbound.id, tokens).await?),
+            None => None,
+        };
         let timeout = inbound.timeout.unwrap_or(matched.route.timeout);
         let deadline = now + timeout.min(matched.route.timeout);
         let grant = build_grant(&matched, &pool.name, tokens);
@@ -233,12 +234,11 @@
         let account = grant.account.clone();
         let req = Request::from_caller(meta).admit(grant);
         self.tables.traffic.lock().record_request(&pool.name, now);
-        let (cx, out) = split_request(&matched, pool, inbound, account.clone());
+        let (cx, out) = split_request(&matched, pool, inbound, account);
         let handled = self.run_attempts(req, cx, out, request_log).await;
-        if let (Err(refusal), Some(account)) = (&handled, &account)
-            && refusal.outcome == Outcome::NotRun
-        {
-            self.rate_limiter.refund(account, tokens, self.clock.now());
+        let has_not_run = matches!(&handled, Err(refusal) if refusal.outcome == Outcome::NotRun);
+        if let Some(charge) = charge.filter(|_| has_not_run) {
+            self.refund(charge).await;
         }
         handled
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,8 @@
 mod relay;
 mod remote_answer;
 mod remote_relay;
+mod report;
+mod reporters;
 mod request_log;
 mod reservation_guard;
 mod sent_count;
@@ -47,6 +49,7 @@
 mod suspension;
 mod tables;
 mod target_notices;
+mod topology;
 
 pub use chiverelay_sibling::Error as SiblingError;
 pub use clock::Clock;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::names::Region;
 use chiverelay_decisions::tables::EntryGuard;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
@@ -25,6 +26,8 @@
     link: Link<Up>,
     /// Incarnation of the process.
     incarnation: u64,
+    /// Number of datagrams that had arrived at the last look.
+    received_datagrams: u64,
 }
 
 /// The connection to the process before, which is closed once the one that has
@@ -53,7 +56,7 @@
     }
 }
 
-/// Connections to the other instances, one for each.
+/// Connections to other instances.
 #[derive(Debug)]
 pub(crate) struct Links {
     endpoint: Endpoint,
@@ -90,18 +93,44 @@
         up.collect()
     }
 
-    /// Drops the links to instances that are not in `others`. Marks the
+    /// Lists the instances of a region to which there is an open link.
+    pub(crate) fn list_open_in(&self, region: &Region) -> Vec<Instance> {
+        let states = self.states.lock();
+        let up = states.values().filter_map(|state| match state {
+            LinkState::Open(open) if !open.link.is_lost() => Some(open.link.peer()),
+            _ => None,
+        });
+        let in_region = up.filter(|peer| peer.region == *region);
+        in_region.map(|peer| peer.instance.clone()).collect()
+    }
+
+    /// Lists the processes from which datagrams have arrived since the last
+    /// call.
+    pub(crate) fn take_contacts(&self) -> Vec<(Instance, u64)> {
+        let mut states = self.states.lock();
+        let mut contacts = Vec::new();
+        for (name, state) in states.iter_mut() {
+            if let LinkState::Open(open) = state
+                && open.take_contact()
+            {
+                contacts.push((name.clone(), open.incarnation));
+            }
+        }
+        contacts
+    }
+
+    /// Drops the links to instances that are not in `linked`. Marks the
     /// instances that need a new connection as dialing, and returns them.
     pub(crate) fn mark_due_for_dialing(
         &self,
-        others: Vec<MemberRecord>,
+        linked: Vec<MemberRecord>,
         now: Duration,
     ) -> Vec<MemberRecord> {
         let mut states = self.states.lock();
-        let known: HashSet<Instance> = others.iter().map(|r| r.instance.clone()).collect();
+        let known: HashSet<Instance> = linked.iter().map(|r| r.instance.clone()).collect();
         states.retain(|name, _| known.contains(name));
         let mut to_dial = Vec::new();
-        for record in others {
+        for record in linked {
             let is_due = match states.get(&record.instance) {
                 None => true,
                 Some(LinkState::Dialing(_)) => false,
@@ -145,8 +174,12 @@
                     // What waits for an answer of that process fails at once.
                     former.link.close();
                 }
-                let incarnation = record.incarnation;
-                (LinkState::Open(OpenLink { link, incarnation }), true)
+                let open = OpenLink {
+                    link,
+                    incarnation: record.incarnation,
+                    received_datagrams: 0,
+                };
+                (LinkState::Open(open), true)
             }
             Err(e) => {
                 log::debug!(target: "links", error:% = e; "connection to instance failed");
@@ -159,6 +192,12 @@
 }
 
 impl OpenLink {
+    /// Tells whether datagrams have arrived since the last call.
+    fn take_contact(&mut self) -> bool {
+        let received = self.link.received_datagrams();
+        std::mem::replace(&mut self.received_datagrams, received) != received
+    }
+
     /// Tells whether the link is usable and leads to the process of a record.
     fn leads_to(&self, record: &MemberRecord) -> bool {
         !self.link.is_lost() && self.incarnation == record.incarnation
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -3,6 +3,7 @@
 
 mod record;
 mod table;
+mod topology;
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -27,7 +28,7 @@
 
 /// Time after the start of the process during which instances that started at
 /// the same time may not be known yet.
-const SETTLING_TIME: Duration = Duration::from_secs(4);
+pub(crate) const SETTLING_TIME: Duration = Duration::from_secs(4);
 
 /// Returns the number to divide a shared limit by to get this instance's share.
 /// During [`SETTLING_TIME`] there may be more instances than `max_known`, and
@@ -211,12 +212,6 @@
         gone
     }
 
-    /// Lists the records of all other known instances.
-    pub(crate) fn list_others(&self) -> Vec<MemberRecord> {
-        let table = self.table.lock();
-        table.members.values().map(|m| m.record.clone()).collect()
-    }
-
     /// Lists the records of the other instances that have been silent for
     /// `time`.
     pub(crate) fn list_silent(&self, time: Duration, now: Duration) -> Vec<MemberRecord> {
@@ -229,34 +224,44 @@
     /// Lists the other instances in a region that are ready.
     pub(crate) fn list_ready_in(&self, region: &Region, now: Duration) -> Vec<Instance> {
         let table = self.table.lock();
-        let ready = table.members.values().filter(|m| m.is_ready(now));
+        let ready = table.members.values().filter(|m| table.is_ready(m, now));
         let in_region = ready.filter(|m| m.record.region == *region);
         in_region.map(|m| m.record.instance.clone()).collect()
     }
 
+    /// Returns those of the other instances `names` that are ready.
+    pub(crate) fn filter_ready(&self, mut names: Vec<Instance>, now: Duration) -> Vec<Instance> {
+        let table = self.table.lock();
+        names.retain(|name| {
+            let member = table.members.get(name);
+            member.is_some_and(|member| table.is_ready(member, now))
+        });
+        names
+    }
+
     /// Returns the position of this instance among the ready ones, in an order
     /// that all instances derive from `key`.
     pub(crate) fn rank_for(&self, key: &str, now: Duration) -> usize {
-        self.rank_among(key, |member| member.is_ready(now))
+        self.rank_among(key, |table, member| table.is_ready(member, now))
     }
 
     /// Returns the position of this instance among the ready ones of its region,
     /// in an order that all instances derive from `key`.
     pub(crate) fn rank_in_region(&self, key: &str, now: Duration) -> usize {
         let region = self.own.borrow().region.clone();
-        self.rank_among(key, |member| {
-            member.is_ready(now) && member.record.region == region
+        self.rank_among(key, |table, member| {
+            table.is_ready(member, now) && member.record.region == region
         })
     }
 
     fn rank_among<F>(&self, key: &str, is_eligible: F) -> usize
     where
-        F: Fn(&Member) -> bool,
+        F: Fn(&MemberTable, &Member) -> bool,
     {
         let own = self.own.borrow().instance.clone();
         let own_weight = rendezvous::weight(key, own.as_str());
         let table = self.table.lock();
-        let eligible = table.members.iter().filter(|(_, m)| is_eligible(m));
+        let eligible = table.members.iter().filter(|(_, m)| is_eligible(&table, m));
         eligible
             .filter(|(name, _)| rendezvous::weight(key, name.as_str()) > own_weight)
             .count()
@@ -272,7 +277,7 @@
     /// Counts the other known instances.
     pub(crate) fn summarize(&self, now: Duration) -> MembersSummary {
         let table = self.table.lock();
-        let ready = table.members.values().filter(|m| m.is_ready(now));
+        let ready = table.members.values().filter(|m| table.is_ready(m, now));
         let ages: Vec<_> = ready
             .map(|member| now.saturating_sub(member.last_seen()))
             .collect();
@@ -283,9 +288,10 @@
         }
     }
 
-    /// Returns the divisor for a limit that all instances share.
-    pub(crate) fn divisor(&self) -> Divisor {
-        Divisor::new(self.table.lock().max_known)
+    /// Returns the largest number of instances that were known at once, with
+    /// this one.
+    pub(crate) fn max_known(&self) -> usize {
+        self.table.lock().max_known
     }
 
     /// Returns the divisor for a limit that all instances share and that must
@@ -319,7 +325,7 @@
     {
         let own = self.own.borrow().clone();
         let table = self.table.lock();
-        let others = table.members.values().filter(|m| m.is_ready(now));
+        let others = table.members.values().filter(|m| table.is_ready(m, now));
         let mut ready: Vec<&MemberRecord> = others.map(|m| &m.record).collect();
         if own.state == MemberState::Ready {
             ready.push(&own);
--- a/crates/gateway/src/members/record.rs
+++ b/crates/gateway/src/members/record.rs
@@ -42,4 +42,7 @@
     pub incarnation: u64,
     /// Lifecycle state.
     pub state: MemberState,
+    /// Processor time that the instance has, in thousandths of a core.
+    #[serde(default)]
+    pub capacity: u32,
 }
--- a/crates/gateway/src/members/table.rs
+++ b/crates/gateway/src/members/table.rs
@@ -38,12 +38,6 @@
             .unwrap_or_default()
             .max(self.record_received_at)
     }
-
-    pub(super) fn is_ready(&self, now: Duration) -> bool {
-        self.record.state == MemberState::Ready
-            && self.is_ready_by_status
-            && self.last_seen() + SILENCE_TIMEOUT > now
-    }
 }
 
 /// The other instances by name.
@@ -65,6 +59,9 @@
     /// Incarnations that ended, as another of the same name followed. Only an
     /// older copy of the store has a record of one of them.
     pub(super) replaced: RecentSet<u64>,
+    /// Up to when the silence of an instance counts, as others are heard
+    /// through a hub that may be silent itself.
+    pub(super) informed_at: Duration,
 }
 
 impl Default for MemberTable {
@@ -75,11 +72,18 @@
             max_known_by_region: HashMap::new(),
             removed: HashMap::new(),
             replaced: RecentSet::new(MAX_REPLACED),
+            informed_at: Duration::ZERO,
         }
     }
 }
 
 impl MemberTable {
+    pub(super) fn is_ready(&self, member: &Member, now: Duration) -> bool {
+        member.record.state == MemberState::Ready
+            && member.is_ready_by_status
+            && member.last_seen() + SILENCE_TIMEOUT > now.min(self.informed_at)
+    }
+
     /// Returns when the process of a record was last known to run, apart from
     /// its status messages. `now` is when the record was read.
     pub(super) fn last_sign_of_life(
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -38,6 +38,7 @@
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::members::SETTLING_TIME;
 use crate::quarantine;
 use crate::reservation_guard::ReservationGuard;
 use crate::reservation_guard::ReservedRequest;
@@ -235,11 +236,28 @@
     ) -> Result<TargetChoice, NoTargetReason> {
         let region = &self.settings.region;
         let rank = |target: &Target| self.members.rank_in_region(target.as_str(), now);
-        let stated = StatedLimitUse::Share {
-            instances: self.members.max_known_in(region),
-            rank: &rank,
-        };
-        self.choose_target(region, cx, tried, stated, now)
+        let shares = self.local_shares(&rank, now);
+        self.choose_target(region, cx, tried, shares, now)
+    }
+
+    /// Returns how the limits of the targets of this region are divided. `rank`
+    /// returns the position of this instance for a target among the instances
+    /// of the region.
+    fn local_shares<'a>(
+        &self,
+        rank: &'a dyn Fn(&Target) -> usize,
+        now: Duration,
+    ) -> RegionShares<'a> {
+        let region = &self.settings.region;
+        RegionShares {
+            divisor: self.members.conservative_divisor_in(region, now),
+            // Right after the start too few instances are known to tell.
+            rank: (now >= SETTLING_TIME).then_some(rank),
+            stated: StatedLimitUse::Share {
+                instances: self.members.max_known_in(region),
+                rank,
+            },
+        }
     }
 
     /// Tells whether another target, of this region or of another one, could
@@ -317,13 +335,9 @@
         region: &Region,
         cx: &PlacementContext,
         tried: &[Target],
-        stated: StatedLimitUse<'_>,
+        shares: RegionShares<'_>,
         now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
-        let shares = RegionShares {
-            divisor: self.members.conservative_divisor_in(region, now),
-            stated,
-        };
         let query = TargetQuery {
             prompt_tokens: cx.prompt_tokens,
             parts: &cx.parts,
@@ -358,7 +372,12 @@
             {
                 continue;
             }
-            let Ok(choice) = self.choose_target(&region, cx, req.tried_targets(), stated, now)
+            let shares = RegionShares {
+                divisor: self.members.conservative_divisor_in(&region, now),
+                rank: None,
+                stated,
+            };
+            let Ok(choice) = self.choose_target(&region, cx, req.tried_targets(), shares, now)
             else {
                 continue;
             };
@@ -383,8 +402,9 @@
         req: &Request<S, O>,
         now: Duration,
     ) -> Option<Instance> {
-        let mut ready = self.members.list_ready_in(region, now);
-        ready.retain(|name| !req.asked_siblings().contains(name) && self.links.get(name).is_some());
+        let mut linked = self.links.list_open_in(region);
+        linked.retain(|name| !req.asked_siblings().contains(name));
+        let mut ready = self.members.filter_ready(linked, now);
         if ready.is_empty() {
             return None;
         }
@@ -439,13 +459,7 @@
             requests_per_slot: choice.estimate.requests_per_slot,
         };
         let rank = |target: &Target| self.members.rank_in_region(target.as_str(), now);
-        let shares = RegionShares {
-            divisor: self.members.conservative_divisor_in(&region, now),
-            stated: StatedLimitUse::Share {
-                instances: self.members.max_known_in(&region),
-                rank: &rank,
-            },
-        };
+        let shares = self.local_shares(&rank, now);
         let is_reserved = known.as_ref().is_some_and(|known| {
             let mut traffic = self.tables.traffic.lock();
             traffic.try_reserve(&reservation, &cx.parts, known, &cx.pool, shares, now)
--- a/crates/gateway/src/rate_limiter.rs
+++ b/crates/gateway/src/rate_limiter.rs
@@ -129,6 +129,11 @@
         self.state.lock().reports.insert(from.clone(), report);
     }
 
+    /// Forgets the reports of other instances, which are no longer sent here.
+    pub(crate) fn forget_reports(&self) {
+        self.state.lock().reports.clear();
+    }
+
     /// Takes tokens from this instance's allowance for another instance that
     /// asks for them. The result may hold fewer tokens than requested, or none.
     pub(crate) fn lend(&self, requested: &TokenTransfer, now: Duration) -> TokenTransfer {
--- /dev/null
+++ b/crates/gateway/src/report.rs
@@ -0,0 +1,140 @@
+//! Reports of instances that are no hubs: each sends its status to one hub,
+//! whose answer is the status of all other instances.
+
+use std::time::Duration;
+
+use chiverelay_decisions::audience::Audience;
+use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::names::Instance;
+use chiverelay_sibling::Identity;
+use chiverelay_sibling::Link;
+use chiverelay_sibling::Message;
+use chiverelay_sibling::Status;
+use chiverelay_sibling::Up;
+
+use crate::Dialect;
+use crate::Gateway;
+use crate::topology::Topology;
+
+/// Time limit for a hub to answer a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Time for which a hub that gave no answer is left out.
+const FAILED_HUB_PAUSE: Duration = Duration::from_secs(2);
+
+/// Age up to which the loss of a request is passed on at once, in milliseconds.
+const NEWS_AGE_MS: u32 = 1_000;
+
+/// The hub that this instance reports to.
+#[derive(Debug, Default)]
+pub(crate) struct Upstream {
+    hub: Option<Instance>,
+    /// The hub that gave no answer last, and when it is asked again.
+    failed: Option<(Instance, Duration)>,
+}
+
+impl Upstream {
+    fn may_ask(&self, hub: &Instance, now: Duration) -> bool {
+        let failed = self.failed.as_ref();
+        failed.is_none_or(|(name, until)| name != hub || *until <= now)
+    }
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Reports to the first hub that may be asked and is linked, and applies
+    /// its answer.
+    pub(crate) async fn report(&self, sequence: u64, upstream: &mut Upstream, topology: &Topology) {
+        let now = self.clock.now();
+        let mut hubs = topology.upstream.iter();
+        let linked = |hub: &Instance| self.links.get(hub).filter(|_| upstream.may_ask(hub, now));
+        let Some(link) = hubs.find_map(linked) else {
+            log::debug!(target: "members", hubs = topology.upstream.len(); "no hub to report to");
+            return;
+        };
+        let hub = link.peer().instance.clone();
+        match self.exchange_report(sequence, &link, now).await {
+            Some(status) => self.receive_overview(upstream, &hub, status),
+            None => {
+                log::info!(target: "members", instance = hub.as_str(); "hub did not answer a report");
+                upstream.failed = Some((hub, now + FAILED_HUB_PAUSE));
+                self.status_due.notify_one();
+            }
+        }
+    }
+
+    async fn exchange_report(
+        &self,
+        sequence: u64,
+        link: &Link<Up>,
+        now: Duration,
+    ) -> Option<Status> {
+        let mut status = self.status_for(sequence, Audience::Direct, now);
+        let mut cursor = *self.reported_uses.lock();
+        status.uses = self.part_uses_since(&mut cursor, Audience::Direct);
+        let asking = link.ask(Stamp::default(), Message::Report(status));
+        let reply = tokio::time::timeout(REPORT_TIMEOUT, asking).await;
+        match reply.ok()?.ok()?.message {
+            Message::Status(status) => {
+                *self.reported_uses.lock() = cursor;
+                Some(status)
+            }
+            _ => None,
+        }
+    }
+
+    /// Applies the status of all other instances that a hub answered with.
+    fn receive_overview(&self, upstream: &mut Upstream, hub: &Instance, status: Status) {
+        let now = self.clock.now();
+        if !self
+            .members
+            .record_status(hub, status.incarnation, status.ready, now)
+            || self.topology.lock().is_hub
+        {
+            return;
+        }
+        let former = upstream.hub.replace(hub.clone());
+        if let Some(former) = former.filter(|former| former != hub) {
+            log::info!(target: "members", from = former.as_str(), to = hub.as_str(); "reports go to another hub");
+            self.forget_reports_of(&former);
+        }
+        self.members.record_informed(now);
+        self.merge_status(hub, status, now);
+    }
+
+    /// Applies a report, and returns the status of all other instances for the
+    /// one that sent it: `None` if the report is from a process that is not the
+    /// one in the instance's record.
+    pub(crate) fn receive_report(&self, from: &Identity, status: Status) -> Option<Status> {
+        let now = self.clock.now();
+        let name = &from.instance;
+        let sequence = status.sequence;
+        if !self
+            .members
+            .record_status(name, status.incarnation, status.ready, now)
+        {
+            return None;
+        }
+        let mut cursor = self.reporters.record(name, now);
+        if has_news_of_crashes(&status) {
+            self.status_due.notify_one();
+        }
+        self.merge_status(name, status, now);
+        let audience = Audience::Reporter(name);
+        let mut overview = self.status_for(sequence, audience, now);
+        overview.uses = self.part_uses_since(&mut cursor, audience);
+        self.reporters.set_cursor(name, cursor);
+        Some(overview)
+    }
+}
+
+/// Tells whether a report has a loss so new that the other hubs are told at
+/// once.
+fn has_news_of_crashes(status: &Status) -> bool {
+    let suspects = status.crashes.losses.iter();
+    let mut losses = suspects.flat_map(|suspect| &suspect.losses);
+    let mut lost = status.lost.crashes.iter();
+    losses.any(|loss| loss.age_ms < NEWS_AGE_MS) || lost.any(|crash| crash.age_ms < NEWS_AGE_MS)
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub region: Region,
     /// Region of each availability zone.
     pub zone_regions: HashMap<Zone, Region>,
+    /// Processor time that this instance has, in thousandths of a core.
+    pub capacity: u32,
     /// Address at which callers connect.
     pub caller_address: SocketAddr,
     /// Address at which the other instances connect.
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -75,6 +75,17 @@
                 self.gateway.receive_status(from, status);
                 Message::Done
             }
+            Message::Report(status) => match self.gateway.receive_report(from, status) {
+                Some(overview) => Message::Status(overview),
+                None => Message::Done,
+            },
+            Message::Charge(charge) => {
+                Message::Charged(self.gateway.charge_for_other(&charge).await)
+            }
+            Message::Refund(refund) => {
+                self.gateway.receive_refund(&refund);
+                Message::Done
+            }
             Message::AskTokens(requested) => {
                 let now = self.gateway.clock.now();
                 Message::Tokens(self.gateway.rate_limiter.lend(&requested, now))
--- a/crates/sibling/src/link.rs
+++ b/crates/sibling/src/link.rs
@@ -51,6 +51,12 @@
         self.state.conn.close_reason().is_some()
     }
 
+    /// Returns the number of UDP datagrams that have arrived, which shows
+    /// whether the sibling's process is alive.
+    pub fn received_datagrams(&self) -> u64 {
+        self.state.conn.stats().udp_rx.datagrams
+    }
+
     /// Closes the connection.
     pub fn close(self) -> Link<Closed> {
         self.state.conn.close(0_u32.into(), b"closed");
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -37,7 +37,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 8;
+pub const VERSION: u16 = 9;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,6 +61,16 @@
     Forward(Forward),
     /// What the sender has at the targets and of the accounts' limits.
     Status(Status),
+    /// The sender's status, for a hub that passes it on. Answered by a
+    /// [`Message::Status`] of all other instances.
+    Report(Status),
+    /// Asks a hub to charge an account for a request of the sender. Answered by
+    /// [`Message::Charged`].
+    Charge(TokenTransfer),
+    /// The outcome of a charge.
+    Charged(ChargeReply),
+    /// Tokens of a request that was charged and did not run.
+    Refund(TokenTransfer),
     /// Asks for tokens of an account. Answered by [`Message::Tokens`].
     AskTokens(TokenTransfer),
     /// Tokens that are the receiver's from now on.
@@ -175,6 +185,37 @@
     pub lost: LostRequestsReport,
     /// Limits that targets stated to the sender.
     pub limits: Vec<StatedLimitRecord>,
+    /// Other instances that the sender heard. Together with the sender they are
+    /// those whose requests, crashes and limits this status has.
+    pub heard: Vec<HeardInstance>,
+}
+
+/// An instance that the sender of a status heard lately.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct HeardInstance {
+    /// Names the instance's process.
+    pub incarnation: u64,
+    /// Whether it takes new work.
+    pub is_ready: bool,
+    /// Time since it was heard, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// The outcome of a charge at a hub.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum ChargeReply {
+    /// The account was charged.
+    Granted,
+    /// The account has too few tokens.
+    Refused {
+        /// Time until it is expected to have enough, in milliseconds; `None` if
+        /// that can't be told.
+        wait_ms: Option<u32>,
+    },
+    /// The receiver has no share of the account's limit.
+    NoShare,
 }
 
 /// What an instance has of an account's limit.
--- a/tests/support/node/scripted_instance.rs
+++ b/tests/support/node/scripted_instance.rs
@@ -182,6 +182,7 @@
         certificate: certificates.digest(),
         incarnation: 1,
         state: MemberState::Ready,
+        capacity: 0,
     }
 }
 
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use chiverelay_decisions::audience::Audience;
 use chiverelay_decisions::catalog::ColdLimit;
 use chiverelay_decisions::catalog::EngineSpec;
 use chiverelay_decisions::catalog::PoolSpec;
@@ -157,6 +158,7 @@
         let region = Region::from("north");
         let shares = RegionShares {
             divisor: Divisor::new(1),
+            rank: None,
             stated: StatedLimitUse::Ignore,
         };
         let draw = prefix::rendezvous_weight(at, &self.arrived.to_string());
@@ -226,7 +228,7 @@
                 continue;
             }
             let name = Instance::from(format!("front-{from}"));
-            let counts = self.instances[from].local_counts();
+            let counts = self.instances[from].in_flight_for(Audience::Direct);
             let others = self.instances.iter_mut().enumerate();
             for (_, other) in others.filter(|(n, _)| *n != from) {
                 other.update_remote_counts(&name, counts.clone(), ms(at));
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use chiverelay_decisions::audience::Audience;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Target;
@@ -130,7 +131,7 @@
     fn exchange(&mut self) {
         for from in 0..self.instances.len() {
             self.instances[from].update(self.now);
-            let report = self.instances[from].report(self.now);
+            let report = self.instances[from].report(Audience::Direct, self.now);
             let name = Instance::from(format!("i-{from}"));
             for to in (0..self.instances.len()).filter(|to| *to != from) {
                 self.instances[to].merge(&name, report.clone(), self.now);
@@ -396,7 +397,7 @@
         world.answer(&prompt(&ids.iter().map(|id| id + 1).collect::<Vec<_>>()));
     }
     world.pass(REPORT_INTERVAL);
-    let report = world.instances[0].report(world.now);
+    let report = world.instances[0].report(Audience::Direct, world.now);
     let size = postcard::to_stdvec(&report).expect("a report").len();
     assert!(size < 8_192, "{size} bytes");
     assert_eq!(world.quarantined(), 0);
--- a/tests/testsuite/suspension.rs
+++ b/tests/testsuite/suspension.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use chiverelay_decisions::audience::Audience;
+use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::suspension::Admission;
 use chiverelay_decisions::suspension::RequestDigest;
@@ -55,9 +57,10 @@
         self.now += time;
         for from in 0..self.instances.len() {
             self.instances[from].expire(self.now);
-            let report = self.instances[from].report(self.now);
+            let report = self.instances[from].report(Audience::Direct, self.now);
+            let name = Instance::from(format!("i-{from}"));
             for to in (0..self.instances.len()).filter(|to| *to != from) {
-                self.instances[to].merge(report.clone(), self.now);
+                self.instances[to].merge(&name, report.clone(), self.now);
             }
         }
     }
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -114,6 +114,7 @@
     fn shares(&self) -> RegionShares<'static> {
         RegionShares {
             divisor: self.divisor,
+            rank: None,
             stated: StatedLimitUse::Share {
                 instances: 1,
                 rank: &|_| 0,
@@ -306,7 +307,9 @@
         target: "i-2".into(),
         part: part(7, 13_000),
     }];
-    world.traffic.record_remote_part_uses(uses, ms(0));
+    world
+        .traffic
+        .record_remote_part_uses(&"two".into(), uses, ms(0));
     let parts = [part(7, 13_000), part(8, 3_000)];
     let choice = world.choose(&parts, 16_000, &[], ms(10)).expect("a choice");
     assert_eq!(choice.target.as_str(), "i-2");
@@ -328,7 +331,7 @@
         .update_remote_counts(&"two".into(), counts, ms(0));
     let chosen = |world: &mut World, now| world.choose(&[], 0, &[], now).expect("a choice").target;
     assert_eq!(chosen(&mut world, ms(1)).as_str(), "i-1");
-    world.traffic.remove_instance(&"two".into(), ms(2));
+    world.traffic.remove_instance(&"two".into());
     assert_eq!(world.traffic.in_flight(&"i-0".into()), InFlight::default());
 }
 
--- a/tests/testsuite/traffic/cold_limit.rs
+++ b/tests/testsuite/traffic/cold_limit.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use chiverelay_decisions::names::Target;
 use chiverelay_decisions::traffic::InFlight;
 use chiverelay_decisions::traffic::NoTargetReason;
+use chiverelay_decisions::traffic::RegionShares;
 use chiverelay_decisions::traffic::TargetInFlight;
 use chiverelay_decisions::window::Divisor;
 
@@ -82,3 +84,36 @@
     let choice = world.choose(&[], 300, &[], ms(100));
     assert_eq!(choice.map(|c| c.target), Ok("warm".into()));
 }
+
+/// Pattern: targets that come back cold in a region of many instances, among
+/// which an equal share of a target's limit is less than one request.
+///
+/// Failure: no instance sent anything to a cold target, and its requests were
+/// refused until it was warm.
+#[test]
+fn a_cold_target_is_used_in_a_large_region() {
+    const INSTANCES: usize = 69;
+    let send = |position: usize, now: Duration| {
+        let mut world = World::new(0, true);
+        world.add("cold", ms(30_000));
+        world.divisor = Divisor::new(INSTANCES);
+        let rank = |_: &Target| position;
+        let shares = RegionShares {
+            rank: Some(&rank),
+            ..world.shares()
+        };
+        let sent = (0..20).filter(|_| world.send_sharing(shares, now).is_some());
+        sent.count()
+    };
+    let sent: usize = (0..INSTANCES).map(|n| send(n, ms(10_000))).sum();
+    assert_eq!(sent, 13, "as many as the target takes in a second");
+}
+
+/// Right after its start an instance knows too few others to tell its position.
+#[test]
+fn a_cold_target_gets_nothing_from_an_instance_without_a_position() {
+    let mut world = World::new(0, true);
+    world.add("cold", ms(30_000));
+    world.divisor = Divisor::new(69);
+    assert_eq!(send_to_cold_target(&mut world, ms(10_000)), 0);
+}
--- a/tests/testsuite/traffic/stated_limit.rs
+++ b/tests/testsuite/traffic/stated_limit.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use chiverelay_decisions::audience::Audience;
+use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::rendezvous;
 use chiverelay_decisions::traffic::NoTargetReason;
@@ -72,6 +74,7 @@
         };
         let shares = RegionShares {
             divisor: Divisor::new(count),
+            rank: None,
             stated: StatedLimitUse::Share {
                 instances: count,
                 rank: &position,
@@ -101,10 +104,12 @@
 
     fn report(&mut self) {
         for from in 0..self.instances.len() {
-            let records = self.instances[from].traffic.stated_limit_records(self.now);
+            let traffic = &self.instances[from].traffic;
+            let records = traffic.stated_limit_records(Audience::Direct, self.now);
+            let name = Instance::from(format!("front-{from}"));
             for to in (0..self.instances.len()).filter(|to| *to != from) {
                 let traffic = &mut self.instances[to].traffic;
-                traffic.merge_stated_limits(records.clone(), self.now);
+                traffic.merge_stated_limits(&name, records.clone(), self.now);
             }
         }
     }
@@ -248,9 +253,13 @@
     world
         .traffic
         .record_stated_limit(&target, Some(1.0), ms(10_000));
-    let mut records = world.traffic.stated_limit_records(ms(10_000));
+    let mut records = world
+        .traffic
+        .stated_limit_records(Audience::Direct, ms(10_000));
     world.traffic.record_stated_limit(&target, None, ms(10_100));
     records[0].age_ms = 150;
-    world.traffic.merge_stated_limits(records, ms(10_150));
+    world
+        .traffic
+        .merge_stated_limits(&"two".into(), records, ms(10_150));
     assert!(world.choose(&[], 300, &[], ms(10_160)).is_ok());
 }
