--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -277,6 +277,23 @@
         tokens
     }
 
+    /// Removes transferred tokens that are given back, the newest first, and
+    /// returns their number, which is lower if some were spent or have expired.
+    pub fn give_back(&mut self, tokens: f64, now: Duration) -> f64 {
+        self.advance(now);
+        let mut given = 0.0;
+        while let Some(transfer) = self.transfers.back_mut() {
+            let part = transfer.tokens.min(tokens - given);
+            transfer.tokens -= part;
+            given += part;
+            if transfer.tokens > 0.0 {
+                break;
+            }
+            self.transfers.pop_back();
+        }
+        given
+    }
+
     /// Adds tokens transferred from another instance.
     pub fn receive(&mut self, tokens: f64, now: Duration) {
         self.advance(now);
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -59,6 +59,8 @@
     Links,
     /// Which instances this one exchanges messages with.
     Topology,
+    /// The hub that this instance reports to.
+    Upstream,
     /// The instances that report to this one.
     Reporters,
     /// Operation tickets and claims.
--- a/crates/gateway/src/charge.rs
+++ b/crates/gateway/src/charge.rs
@@ -2,7 +2,6 @@
 //! instances if this instance's allowance for the account is too small.
 
 use std::collections::HashSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use chiverelay_decisions::allowance::Shortfall;
@@ -17,7 +16,9 @@
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use chiverelay_sibling::ChargeReply;
+use chiverelay_sibling::Link;
 use chiverelay_sibling::Message;
+use chiverelay_sibling::Up;
 use futures_util::future::join_all;
 
 use crate::Dialect;
@@ -55,7 +56,7 @@
 const MAX_REFILL_WAITS: usize = 3;
 
 /// Time limit for a hub to answer a charge, in which it may ask other hubs.
-const CHARGE_TIMEOUT: Duration = Duration::from_millis(700);
+const CHARGE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Number of hubs that are asked for one charge.
 const MAX_HUBS: usize = 2;
@@ -131,36 +132,33 @@
         id: &RequestId,
         tokens: u64,
     ) -> Result<Charge, Refusal> {
-        let topology = Arc::clone(&self.topology.lock());
-        let linked = |hub| self.links.get(hub);
-        for link in topology.upstream.iter().filter_map(linked).take(MAX_HUBS) {
-            let message = Message::Charge(TokenTransfer {
+        for link in self.links_to_hubs(self.clock.now()).iter().take(MAX_HUBS) {
+            let hub = &link.peer().instance;
+            let charge = TokenTransfer {
                 account: account.name.clone(),
                 tokens: tokens as f32,
-            });
-            let asking = link.ask(Stamp::default(), message);
-            let reply = tokio::time::timeout(CHARGE_TIMEOUT, asking).await;
-            match reply.map(|reply| reply.map(|envelope| envelope.message)) {
-                Ok(Ok(Message::Charged(ChargeReply::Granted))) => {
+            };
+            match ask_to_charge(link, charge).await {
+                Some(ChargeReply::Granted) => {
                     return Ok(Charge {
                         account: account.name.clone(),
                         tokens,
-                        hub: Some(link.peer().instance.clone()),
+                        hub: Some(hub.clone()),
                     });
                 }
-                Ok(Ok(Message::Charged(ChargeReply::Refused { wait_ms }))) => {
+                Some(ChargeReply::Refused { wait_ms }) => {
+                    log::info!(target: "limits", id = id.as_str(), account = account.name.as_str(), tokens, instance = hub.as_str(); "too few tokens at the hub");
                     let wait = wait_ms.map(|ms| Duration::from_millis(ms.into()));
-                    log::info!(target: "limits", id = id.as_str(), account = account.name.as_str(), tokens, instance = link.peer().instance.as_str(); "too few tokens at the hub");
                     return Err(refuse_over_limit(wait));
                 }
-                Ok(Ok(_)) => {}
-                Ok(Err(e)) => log::debug!(target: "limits", error:% = e; "hub could not be asked"),
-                Err(_) => {
-                    log::info!(target: "limits", id = id.as_str(), instance = link.peer().instance.as_str(); "hub did not answer a charge");
+                Some(ChargeReply::NoShare) => {}
+                None => {
+                    log::info!(target: "limits", id = id.as_str(), instance = hub.as_str(); "hub did not answer a charge");
+                    self.record_hub_failure(hub);
                 }
             }
         }
-        log::info!(target: "limits", id = id.as_str(), account = account.name.as_str(), hubs = topology.upstream.len(); "no hub charged the account");
+        log::info!(target: "limits", id = id.as_str(), account = account.name.as_str(); "no hub charged the account");
         let refusal = Refusal::not_run(Code::StateUnavailable, Step::Admit, Peer::Local);
         Err(refusal.with_retry_after(NO_HUB_RETRY_AFTER))
     }
@@ -197,13 +195,53 @@
     ///
     /// # Errors
     ///
-    /// Fails if this instance and those it asked have too few tokens, and the
-    /// allowance does not refill within [`MAX_REFILL_WAIT`].
+    /// Fails if this instance and those it asked have too few tokens, and these
+    /// are not refilled within [`MAX_REFILL_WAIT`].
     async fn take_or_borrow(&self, account: &AccountSpec, tokens: u64) -> Result<(), Shortfall> {
-        let Err(mut shortfall) = self.try_take_tokens(account, tokens) else {
-            return Ok(());
-        };
+        let mut refill_waits = 0;
+        loop {
+            let Err(shortfall) = self.try_take_tokens(account, tokens) else {
+                return Ok(());
+            };
+            let Err(shortfall) = self.borrow_and_take(account, tokens, shortfall).await else {
+                return Ok(());
+            };
+            // A short wait for a refill is better than a refusal.
+            let wait = shortfall.wait.filter(|wait| *wait <= MAX_REFILL_WAIT);
+            let Some(wait) = wait.filter(|_| refill_waits < MAX_REFILL_WAITS) else {
+                return Err(shortfall);
+            };
+            refill_waits += 1;
+            tokio::time::sleep(wait.max(MIN_REFILL_WAIT)).await;
+        }
+    }
+
+    /// Borrows what is missing for a request, and takes its tokens. What was
+    /// borrowed in vain is given back.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this instance and those it asked have too few tokens. Where all
+    /// together are known to have too few, none is asked, and the wait is that
+    /// until they have enough.
+    async fn borrow_and_take(
+        &self,
+        account: &AccountSpec,
+        tokens: u64,
+        mut shortfall: Shortfall,
+    ) -> Result<(), Shortfall> {
+        let lenders = self
+            .rate_limiter
+            .list_lenders(&account.name, self.clock.now());
+        let lendable: f64 = lenders.iter().map(|(_, tokens)| f64::from(*tokens)).sum();
+        let missing = shortfall.missing - lendable;
+        if missing > 0.0 {
+            let rate = account.limit.map_or(0.0, |limit| limit.rate);
+            let wait = Duration::try_from_secs_f64(missing / rate).ok();
+            return Err(Shortfall { wait, ..shortfall });
+        }
         let mut asked_instances = HashSet::new();
+        let mut borrowed = Vec::new();
         for round in 0..MAX_ROUNDS {
             let ask_own_region = round < OWN_REGION_ROUNDS;
             let lenders = self.choose_lenders(
@@ -220,24 +258,26 @@
                 let account = account.name.clone();
                 self.borrow(lender, TokenTransfer { account, tokens })
             });
-            join_all(requests).await;
+            borrowed.extend(join_all(requests).await.into_iter().flatten());
             match self.try_take_tokens(account, tokens) {
                 Ok(()) => return Ok(()),
                 Err(e) => shortfall = e,
             }
         }
-        // A short wait for the allowance to refill is better than a refusal.
-        for _ in 0..MAX_REFILL_WAITS {
-            let Some(wait) = shortfall.wait.filter(|wait| *wait <= MAX_REFILL_WAIT) else {
-                break;
-            };
-            tokio::time::sleep(wait.max(MIN_REFILL_WAIT)).await;
-            match self.try_take_tokens(account, tokens) {
-                Ok(()) => return Ok(()),
-                Err(e) => shortfall = e,
+        self.give_back(borrowed).await;
+        Err(shortfall)
+    }
+
+    /// Gives tokens back that were borrowed in vain, as they would expire here.
+    async fn give_back(&self, borrowed: Vec<(Instance, TokenTransfer)>) {
+        for (lender, transfer) in borrowed {
+            let unused = self.rate_limiter.give_back(&transfer, self.clock.now());
+            if let (Some(unused), Some(link)) = (unused, self.links.get(&lender))
+                && let Err(e) = link.tell(Message::Refund(unused)).await
+            {
+                log::debug!(target: "limits", error:% = e; "tokens not given back");
             }
         }
-        Err(shortfall)
     }
 
     fn try_take_tokens(&self, account: &AccountSpec, tokens: u64) -> Result<(), Shortfall> {
@@ -265,25 +305,41 @@
         divide_among_lenders(lenders, missing)
     }
 
-    /// Asks an instance for tokens and adds what it gives to the allowance.
-    async fn borrow(&self, lender: Instance, requested: TokenTransfer) {
-        let Some(link) = self.links.get(&lender) else {
-            return;
-        };
+    /// Asks an instance for tokens, adds what it gives to the allowance and
+    /// returns it.
+    async fn borrow(
+        &self,
+        lender: Instance,
+        requested: TokenTransfer,
+    ) -> Option<(Instance, TokenTransfer)> {
+        let link = self.links.get(&lender)?;
         let request = link.ask(Stamp::default(), Message::AskTokens(requested));
         let answer = tokio::time::timeout(BORROW_TIMEOUT, request).await;
         match answer {
             Ok(Ok(envelope)) => {
-                if let Message::Tokens(transfer) = envelope.message {
-                    self.rate_limiter
-                        .receive_transfers(vec![transfer], self.clock.now());
-                }
+                let Message::Tokens(transfer) = envelope.message else {
+                    return None;
+                };
+                self.rate_limiter
+                    .receive_transfers(vec![transfer.clone()], self.clock.now());
+                return Some((lender, transfer));
             }
             Ok(Err(e)) => log::debug!(target: "limits", error:% = e; "could not borrow tokens"),
             Err(_) => {
                 log::debug!(target: "limits", instance = lender.as_str(); "request for tokens timed out");
             }
         }
+        None
+    }
+}
+
+/// Asks a hub to charge an account. Returns `None` if it gives no answer.
+async fn ask_to_charge(link: &Link<Up>, charge: TokenTransfer) -> Option<ChargeReply> {
+    let asking = link.ask(Stamp::default(), Message::Charge(charge));
+    let reply = tokio::time::timeout(CHARGE_TIMEOUT, asking).await;
+    match reply.ok()?.ok()?.message {
+        Message::Charged(reply) => Some(reply),
+        _ => None,
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use chiverelay_decisions::catalog::CatalogChange;
+use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::shutdown::ShutdownDeadline;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
-use chiverelay_decisions::traffic::PartUseCursor;
 use chiverelay_decisions::window::Divisor;
 use chiverelay_sibling::Certificates;
 use chiverelay_sibling::Endpoint;
@@ -42,6 +42,7 @@
 use crate::log_writer::LineCounts;
 use crate::members::Members;
 use crate::rate_limiter::RateLimiter;
+use crate::report::Upstream;
 use crate::reporters::Reporters;
 use crate::shutdown::Shutdown;
 use crate::sibling_handler::SiblingHandler;
@@ -54,6 +55,10 @@
 /// the same time become known.
 const HUBS_SETTLING_TIME: Duration = Duration::from_millis(1500);
 
+/// Time after the start of the process from which on the instance becomes ready
+/// without having heard of the others.
+const MAX_HUB_WAIT: Duration = Duration::from_secs(3);
+
 /// Time limit for connecting to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -77,8 +82,8 @@
     pub(crate) topology: RankedMutex<Arc<Topology>>,
     /// The instances that report to this one.
     pub(crate) reporters: Reporters,
-    /// Up to where this instance reported the uses of prompt parts to a hub.
-    pub(crate) reported_uses: RankedMutex<PartUseCursor>,
+    /// The hub that this instance reports to.
+    pub(crate) upstream: RankedMutex<Upstream>,
     pub(crate) connections: ConnectionPool,
     pub(crate) pending_losses: PendingLosses,
     /// Notified when the other instances have to be told something at once.
@@ -137,7 +142,7 @@
             links: Links::new(endpoint),
             topology: RankedMutex::new(LockRank::Topology, Arc::default()),
             reporters: Reporters::default(),
-            reported_uses: RankedMutex::new(LockRank::Reporters, PartUseCursor::default()),
+            upstream: RankedMutex::new(LockRank::Upstream, Upstream::default()),
             connections: ConnectionPool::new(CONNECT_TIMEOUT),
             pending_losses: PendingLosses::default(),
             status_due: Notify::new(),
@@ -199,6 +204,8 @@
         let current = self.tables.current_catalog();
         let quarantined_parts = self.tables.quarantine.lock().len();
         let suspended_requests = self.tables.suspensions.lock().count_suspended(now);
+        let is_hub = self.topology.lock().is_hub;
+        let reporters = self.reporters.names().len();
         let fleet = self.tables.fleet.lock();
         GaugeValues {
             store_age: now.saturating_sub(fleet.last_store_answer()),
@@ -210,6 +217,8 @@
             ready_instances: members.ready,
             max_silence: members.max_silence,
             links: self.links.list_open().len(),
+            is_hub,
+            reporters,
             open_requests: self.open_requests.len(),
             quarantined_parts,
             suspended_requests,
@@ -228,6 +237,16 @@
         current.map(|c| c.catalog.limits).unwrap_or_default()
     }
 
+    /// Returns the name of this instance.
+    pub fn instance(&self) -> &Instance {
+        &self.settings.instance
+    }
+
+    /// Returns the number of known instances, with this one.
+    pub fn count_known_instances(&self) -> usize {
+        self.members.max_known()
+    }
+
     /// Returns whether this instance accepts requests.
     pub fn is_ready(&self) -> bool {
         self.members.own_state() == MemberState::Ready
@@ -339,11 +358,15 @@
     }
 
     /// Makes this instance ready once a catalog and the first listings of
-    /// targets and instances have arrived.
-    fn set_ready_if_synced(&self) {
+    /// targets and instances have arrived, and it is a hub or has heard of the
+    /// others through one.
+    pub(crate) fn set_ready_if_synced(&self) {
+        let now = self.clock.now();
+        let has_hub =
+            self.topology.lock().is_hub || self.members.has_been_informed() || now >= MAX_HUB_WAIT;
         let is_synced = self.listings.targets.load(Ordering::Relaxed)
             && self.listings.members.load(Ordering::Relaxed);
-        if !is_synced || self.tables.current_catalog().is_none() {
+        if !has_hub || !is_synced || self.tables.current_catalog().is_none() {
             return;
         }
         if self.members.own_state() == MemberState::Starting {
--- a/crates/gateway/src/members/topology.rs
+++ b/crates/gateway/src/members/topology.rs
@@ -68,6 +68,11 @@
         self.table.lock().informed_at = now;
     }
 
+    /// Tells whether [`Members::record_informed`] was called.
+    pub(crate) fn has_been_informed(&self) -> bool {
+        !self.table.lock().informed_at.is_zero()
+    }
+
     /// Lists the instances that were heard lately and that an audience is told
     /// of.
     pub(crate) fn list_heard(&self, audience: Audience<'_>, now: Duration) -> Vec<HeardInstance> {
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -33,6 +33,10 @@
     pub max_silence: Duration,
     /// Number of open links to other instances.
     pub links: usize,
+    /// Whether this instance is a hub.
+    pub is_hub: bool,
+    /// Number of instances that report to this one.
+    pub reporters: usize,
     /// Number of requests and streams that have not ended.
     pub open_requests: usize,
     /// Number of quarantined prompt parts.
@@ -54,6 +58,8 @@
     ready_instances: IntGauge,
     max_silence: Gauge,
     links: IntGauge,
+    is_hub: IntGauge,
+    reporters: IntGauge,
     open_requests: IntGauge,
     quarantined_parts: IntGauge,
     suspended_requests: IntGauge,
@@ -84,6 +90,8 @@
                 "Longest time since one of those told of itself.",
             ),
             links: count("links_open", "Open links to other instances."),
+            is_hub: count("is_hub", "1 if this instance is a hub."),
+            reporters: count("reporters", "Instances that report to this one."),
             open_requests: count("requests_open", "Requests and streams that have not ended."),
             quarantined_parts: count(
                 "quarantined_parts",
@@ -108,6 +116,8 @@
         self.ready_instances.set(signed(values.ready_instances));
         self.max_silence.set(values.max_silence.as_secs_f64());
         self.links.set(signed(values.links));
+        self.is_hub.set(i64::from(values.is_hub));
+        self.reporters.set(signed(values.reporters));
         self.open_requests.set(signed(values.open_requests));
         self.quarantined_parts.set(signed(values.quarantined_parts));
         self.suspended_requests
--- a/crates/gateway/src/rate_limiter.rs
+++ b/crates/gateway/src/rate_limiter.rs
@@ -148,6 +148,22 @@
         }
     }
 
+    /// Takes borrowed tokens from this instance's allowance that are given back
+    /// to their lender: `None` if none are left.
+    pub(crate) fn give_back(
+        &self,
+        borrowed: &TokenTransfer,
+        now: Duration,
+    ) -> Option<TokenTransfer> {
+        let mut state = self.state.lock();
+        let allowance = state.allowances.get_mut(&borrowed.account)?;
+        let tokens = allowance.give_back(f64::from(borrowed.tokens), now);
+        (tokens >= 1.0).then(|| TokenTransfer {
+            account: borrowed.account.clone(),
+            tokens: tokens as f32,
+        })
+    }
+
     /// Lists the instances that recently reported available tokens for an
     /// account, with their token counts, in descending order of these.
     pub(crate) fn list_lenders(&self, account: &Account, now: Duration) -> Vec<(Instance, f32)> {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -1,11 +1,13 @@
 //! Reports of instances that are no hubs: each sends its status to one hub,
 //! whose answer is the status of all other instances.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use chiverelay_decisions::audience::Audience;
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::traffic::PartUseCursor;
 use chiverelay_sibling::Identity;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Message;
@@ -14,7 +16,6 @@
 
 use crate::Dialect;
 use crate::Gateway;
-use crate::topology::Topology;
 
 /// Time limit for a hub to answer a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -25,18 +26,19 @@
 /// Age up to which the loss of a request is passed on at once, in milliseconds.
 const NEWS_AGE_MS: u32 = 1_000;
 
-/// The hub that this instance reports to.
+/// The hub that this instance reports to, and those that failed.
 #[derive(Debug, Default)]
 pub(crate) struct Upstream {
     hub: Option<Instance>,
-    /// The hub that gave no answer last, and when it is asked again.
-    failed: Option<(Instance, Duration)>,
+    /// Hubs that gave no answer lately, and when each is asked again.
+    failed: HashMap<Instance, Duration>,
+    /// Up to where the hub was told the uses of prompt parts.
+    reported_uses: PartUseCursor,
 }
 
 impl Upstream {
     fn may_ask(&self, hub: &Instance, now: Duration) -> bool {
-        let failed = self.failed.as_ref();
-        failed.is_none_or(|(name, until)| name != hub || *until <= now)
+        self.failed.get(hub).is_none_or(|until| *until <= now)
     }
 }
 
@@ -44,23 +46,38 @@
 where
     D: Dialect,
 {
-    /// Reports to the first hub that may be asked and is linked, and applies
-    /// its answer.
-    pub(crate) async fn report(&self, sequence: u64, upstream: &mut Upstream, topology: &Topology) {
+    /// Lists the links to the hubs that may be asked, in order.
+    pub(crate) fn links_to_hubs(&self, now: Duration) -> Vec<Link<Up>> {
+        let mut hubs = self.topology.lock().upstream.clone();
+        let upstream = self.upstream.lock();
+        hubs.retain(|hub| upstream.may_ask(hub, now));
+        drop(upstream);
+        hubs.iter().filter_map(|hub| self.links.get(hub)).collect()
+    }
+
+    /// Leaves out a hub that gave no answer for a while.
+    pub(crate) fn record_hub_failure(&self, hub: &Instance) {
+        let now = self.clock.now();
+        let mut upstream = self.upstream.lock();
+        upstream.failed.retain(|_, until| *until > now);
+        upstream.failed.insert(hub.clone(), now + FAILED_HUB_PAUSE);
+        drop(upstream);
+        self.status_due.notify_one();
+    }
+
+    /// Reports to the first hub that may be asked, and applies its answer.
+    pub(crate) async fn report(&self, sequence: u64) {
         let now = self.clock.now();
-        let mut hubs = topology.upstream.iter();
-        let linked = |hub: &Instance| self.links.get(hub).filter(|_| upstream.may_ask(hub, now));
-        let Some(link) = hubs.find_map(linked) else {
-            log::debug!(target: "members", hubs = topology.upstream.len(); "no hub to report to");
+        let Some(link) = self.links_to_hubs(now).into_iter().next() else {
+            log::debug!(target: "members", "no hub to report to");
             return;
         };
         let hub = link.peer().instance.clone();
         match self.exchange_report(sequence, &link, now).await {
-            Some(status) => self.receive_overview(upstream, &hub, status),
+            Some(status) => self.receive_overview(&hub, status),
             None => {
                 log::info!(target: "members", instance = hub.as_str(); "hub did not answer a report");
-                upstream.failed = Some((hub, now + FAILED_HUB_PAUSE));
-                self.status_due.notify_one();
+                self.record_hub_failure(&hub);
             }
         }
     }
@@ -72,13 +89,13 @@
         now: Duration,
     ) -> Option<Status> {
         let mut status = self.status_for(sequence, Audience::Direct, now);
-        let mut cursor = *self.reported_uses.lock();
+        let mut cursor = self.upstream.lock().reported_uses;
         status.uses = self.part_uses_since(&mut cursor, Audience::Direct);
         let asking = link.ask(Stamp::default(), Message::Report(status));
         let reply = tokio::time::timeout(REPORT_TIMEOUT, asking).await;
         match reply.ok()?.ok()?.message {
             Message::Status(status) => {
-                *self.reported_uses.lock() = cursor;
+                self.upstream.lock().reported_uses = cursor;
                 Some(status)
             }
             _ => None,
@@ -86,7 +103,7 @@
     }
 
     /// Applies the status of all other instances that a hub answered with.
-    fn receive_overview(&self, upstream: &mut Upstream, hub: &Instance, status: Status) {
+    fn receive_overview(&self, hub: &Instance, status: Status) {
         let now = self.clock.now();
         if !self
             .members
@@ -95,13 +112,14 @@
         {
             return;
         }
-        let former = upstream.hub.replace(hub.clone());
+        let former = self.upstream.lock().hub.replace(hub.clone());
         if let Some(former) = former.filter(|former| former != hub) {
             log::info!(target: "members", from = former.as_str(), to = hub.as_str(); "reports go to another hub");
             self.forget_reports_of(&former);
         }
         self.members.record_informed(now);
         self.merge_status(hub, status, now);
+        self.set_ready_if_synced();
     }
 
     /// Applies a report, and returns the status of all other instances for the
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -22,7 +22,6 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::MemberState;
-use crate::report::Upstream;
 use crate::topology::Topology;
 
 /// Shortest interval between status messages of hubs, used in a region with few
@@ -64,8 +63,6 @@
     sequence: u64,
     /// Up to where each hub was told the uses of prompt parts.
     cursors: HashMap<Instance, PartUseCursor>,
-    /// The hub that this instance reports to.
-    upstream: Upstream,
 }
 
 /// Keeps links to the other instances open, exchanges status with them, checks
@@ -87,10 +84,7 @@
             let pause = match topology.is_hub {
                 true => gateway.send_statuses(&mut exchange, &topology, now).await,
                 false => {
-                    let sequence = exchange.sequence;
-                    gateway
-                        .report(sequence, &mut exchange.upstream, &topology)
-                        .await;
+                    gateway.report(exchange.sequence).await;
                     REPORT_INTERVAL
                 }
             };
@@ -131,8 +125,14 @@
     /// when this one becomes a hub or stops to be one, as it comes other ways
     /// from then on.
     fn update_topology(&self, now: Duration) -> Arc<Topology> {
-        let new = Arc::new(self.members.topology(now));
-        let old = std::mem::replace(&mut *self.topology.lock(), Arc::clone(&new));
+        let mut new = self.members.topology(now);
+        let old = Arc::clone(&self.topology.lock());
+        if old.is_hub && !new.is_hub && !self.is_linked_to_any(&new.upstream) {
+            // Until another hub can charge accounts for it.
+            new.remain_hub(&old);
+        }
+        let new = Arc::new(new);
+        *self.topology.lock() = Arc::clone(&new);
         if old.is_hub != new.is_hub {
             log::info!(target: "members", is_hub = new.is_hub, hubs = new.hub_count; "place among the instances changed");
             self.tables.traffic.lock().remove_all_instances();
@@ -143,9 +143,14 @@
             self.members.record_informed(now);
         }
         self.reconfigure_rate_limiter(now);
+        self.set_ready_if_synced();
         new
     }
 
+    fn is_linked_to_any(&self, hubs: &[Instance]) -> bool {
+        hubs.iter().any(|hub| self.links.get(hub).is_some())
+    }
+
     fn dial_due(self: &Arc<Self>, topology: &Topology, now: Duration) {
         let linked = self.members.list_records(&topology.linked);
         for record in self.links.mark_due_for_dialing(linked, now) {
--- a/crates/gateway/src/topology.rs
+++ b/crates/gateway/src/topology.rs
@@ -41,6 +41,15 @@
 }
 
 impl Topology {
+    /// Makes this instance remain the hub that it was, with the links that it
+    /// needs as one and those that it is to have.
+    pub(crate) fn remain_hub(&mut self, old: &Self) {
+        self.is_hub = true;
+        self.upstream.clear();
+        self.other_hubs.clone_from(&old.other_hubs);
+        self.linked.extend(old.linked.iter().cloned());
+    }
+
     /// Determines the place of `own`, an instance of the region `own_region`.
     pub(crate) fn new(
         own: &Instance,
--- a/tests/testsuite/allowance.rs
+++ b/tests/testsuite/allowance.rs
@@ -52,7 +52,14 @@
         let who = usize::from(who) % INSTANCES;
         let other = (who + 1) % INSTANCES;
         let tokens = f64::from(tokens);
-        match how % 8 {
+        match how % 9 {
+            // A loan that is given back, wholly or in part.
+            8 => {
+                let lent = parts[other].transfer_requested(tokens, now);
+                parts[who].receive(lent, now);
+                let unused = parts[who].give_back(lent / 2.0, now);
+                parts[other].refund(unused, now);
+            }
             0 => {
                 let gone = parts[other].transfer_requested(tokens, now);
                 parts[who].receive(gone, now);
@@ -97,6 +104,25 @@
         .quickcheck(keeps_the_limit as fn(Vec<Step>) -> bool);
 }
 
+/// Failure: what was borrowed for a request that needed more expired at the
+/// borrower, so that instances that borrowed from each other lost the account's
+/// tokens.
+#[test]
+fn what_was_borrowed_in_vain_is_given_back() {
+    let mut parts = parts();
+    let now = ms(10_000);
+    let before: f32 = parts.iter_mut().map(|part| part.status(now).level).sum();
+    let lent = parts[1].transfer_requested(1_000.0, now);
+    parts[0].receive(lent, now);
+    let unused = parts[0].give_back(lent, now);
+    assert_eq!(unused, lent);
+    parts[1].refund(unused, now);
+    assert_eq!(parts[0].give_back(1_000.0, now), 0.0, "nothing is left");
+    let later = now + TRANSFER_TTL;
+    let after: f32 = parts.iter_mut().map(|part| part.status(later).level).sum();
+    assert!(after >= before, "{after} of {before}");
+}
+
 #[test]
 fn a_restart_begins_with_nothing() {
     let mut part = parts_at(ms(5_000));
--- /dev/null
+++ b/tests/testsuite/node/hubs.rs
@@ -0,0 +1,268 @@
+//! Regions of so many instances that they hear of each other through hubs.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::topology::Candidate;
+use chiverelay_decisions::topology::choose_forward_peers;
+use chiverelay_decisions::topology::choose_hubs;
+use chiverelay_decisions::topology::rank_hubs;
+use hyper::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+use support::block_on;
+use support::node::Node;
+use support::node::PlatformTarget;
+use support::node::Site;
+use support::node::call;
+use support::node::call::Call;
+use support::node::site::KEY;
+use support::node::site::configuration;
+use support::node::site::until;
+
+/// Instances of the large region.
+const INSTANCES: usize = 10;
+
+/// Time after which an instance that nothing is heard of counts as silent.
+const SILENCE: Duration = Duration::from_secs(3);
+
+fn name(n: usize) -> Instance {
+    Instance::from(format!("front-{n}"))
+}
+
+fn hubs() -> Vec<Instance> {
+    let candidate = |n| Candidate {
+        instance: name(n),
+        capacity: 1000,
+    };
+    choose_hubs((0..INSTANCES).map(candidate).collect(), INSTANCES)
+}
+
+/// Returns the number of an instance that is no hub, and of its hub.
+fn reporter_and_hub() -> (usize, usize) {
+    let hubs = hubs();
+    let numbers = 0..INSTANCES;
+    let number = numbers.clone().find(|n| !hubs.contains(&name(*n)));
+    let number = number.expect("not all are hubs");
+    let hub = &rank_hubs(&name(number), &hubs)[0];
+    let hub = numbers.clone().find(|n| name(*n) == *hub);
+    (number, hub.expect("a hub is an instance"))
+}
+
+/// Starts the instances of the large region.
+async fn start(site: &Site, zone: &str, region: &str) -> Vec<Node> {
+    let spawn = |n| site.spawn(name(n).as_str(), zone, region);
+    let nodes: Vec<Node> = (0..INSTANCES).map(spawn).collect();
+    for node in &nodes {
+        node.until_ready(true).await;
+    }
+    nodes
+}
+
+async fn listed(node: &Node) -> HashSet<SocketAddr> {
+    let path = "/v1/resolve?name=desk.example&region=north&zone=north-a";
+    let got = call::get(node.directory, path).await.expect("an answer");
+    let answer: Value = serde_json::from_str(&got.body).expect("JSON");
+    let addresses = answer["addresses"].as_array().expect("addresses");
+    let parse = |address: &Value| address.as_str()?.parse().ok();
+    addresses.iter().filter_map(parse).collect()
+}
+
+/// Waits until the hubs are those that follow from all instances, and each other
+/// instance reports to one.
+async fn until_settled(nodes: &[Node]) {
+    let hubs = hubs().len();
+    until("the hubs have all reporters", async || {
+        let mut counts = (0, 0);
+        for node in nodes {
+            counts.0 += gauge(node, "chiverelay_is_hub").await;
+            counts.1 += gauge(node, "chiverelay_reporters").await;
+        }
+        counts == (hubs, INSTANCES - hubs)
+    })
+    .await;
+}
+
+async fn gauge(node: &Node, name: &str) -> usize {
+    let got = call::get(node.metrics, "/metrics").await;
+    let text = got.map(|got| got.body).unwrap_or_default();
+    let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+    let value = lines.find(|(found, _)| *found == name);
+    value.and_then(|(_, n)| n.parse().ok()).unwrap_or_default()
+}
+
+async fn until_all_are_listed(nodes: &[Node]) {
+    until("all instances are listed by all", async || {
+        for node in nodes {
+            if listed(node).await.len() != INSTANCES {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+}
+
+/// Failure: an instance that is told of the others by one that is silent itself
+/// takes all of them for silent, and lists only itself.
+#[test]
+fn instances_are_heard_through_hubs() {
+    block_on(async {
+        let site = Site::start().await;
+        let nodes = start(&site, "north-a", "north").await;
+        until_all_are_listed(&nodes).await;
+        tokio::time::sleep(SILENCE + Duration::from_secs(1)).await;
+        for node in &nodes {
+            assert_eq!(listed(node).await.len(), INSTANCES, "{}", node.logged());
+        }
+    });
+}
+
+#[test]
+fn an_instance_that_is_frozen_leaves_the_list_of_all() {
+    block_on(async {
+        let site = Site::start().await;
+        let nodes = start(&site, "north-a", "north").await;
+        until_all_are_listed(&nodes).await;
+        let (frozen, _) = reporter_and_hub();
+        nodes[frozen].process.freeze();
+        let others = || nodes.iter().enumerate().filter(|(n, _)| *n != frozen);
+        until("the frozen one is not listed", async || {
+            for (_, node) in others() {
+                if listed(node).await.contains(&nodes[frozen].front) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    });
+}
+
+/// What happens to the hub of an instance.
+#[derive(Clone, Copy)]
+enum Fate {
+    Killed,
+    Frozen,
+    Stopped,
+}
+
+/// Every request at an instance is charged and answered, whatever becomes of
+/// its hub.
+fn check_charges(fate: Fate) {
+    block_on(async {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-1").await;
+        site.register(&target, "orders", "north-a");
+        let mut nodes = start(&site, "north-a", "north").await;
+        until_settled(&nodes).await;
+        let (number, hub) = reporter_and_hub();
+        let front = nodes[number].front;
+        let ask = async |n: usize| {
+            let call = Call::new(&format!("r-{n}"), "/status/1").key(KEY);
+            call.send(front).await.status
+        };
+        until("the shares have tokens", async || {
+            ask(0).await == StatusCode::OK
+        })
+        .await;
+        match fate {
+            Fate::Killed => nodes[hub].process.kill(),
+            Fate::Frozen => nodes[hub].process.freeze(),
+            Fate::Stopped => nodes[hub].process.terminate(),
+        }
+        let since = Instant::now();
+        let mut n = 1;
+        while since.elapsed() < SILENCE * 2 {
+            assert_eq!(ask(n).await, StatusCode::OK, "{}", nodes[number].logged());
+            n += 1;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
+
+support::cases! {
+    check_charges:
+    accounts_are_charged_after_the_hub_is_killed(Fate::Killed);
+    accounts_are_charged_while_the_hub_is_frozen(Fate::Frozen);
+    accounts_are_charged_while_the_hub_stops(Fate::Stopped);
+}
+
+/// Tokens that a request without a stated size takes in the test of limits.
+const TOKENS: u32 = 20_000;
+
+/// Pattern: a hot account whose requests come to all instances of a large
+/// region.
+#[test]
+fn a_limit_holds_over_all_instances_and_is_not_lost_in_shares() {
+    block_on(async {
+        let site = Site::start().await;
+        let (rate, burst) = (40_000.0, 40_000.0);
+        let mut limited = configuration(5);
+        limited["tenants"][0]["plain_tokens"] = json!(TOKENS);
+        limited["tenants"][0]["rate_per_s"] = json!(rate);
+        limited["tenants"][0]["burst"] = json!(burst);
+        site.store.put("op/config", &limited);
+        let target = PlatformTarget::start("i-1").await;
+        site.register(&target, "orders", "north-a");
+        let nodes = start(&site, "north-a", "north").await;
+        until_settled(&nodes).await;
+        let since = Instant::now();
+        let length = Duration::from_secs(6);
+        let ask = async |(at, node): (usize, &Node)| {
+            let mut served = 0_u32;
+            let mut n = 0;
+            while since.elapsed() < length {
+                let call = Call::new(&format!("r-{at}-{n}"), "/status/1").key(KEY);
+                served += u32::from(call.send(node.front).await.status == StatusCode::OK);
+                n += 1;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            served
+        };
+        let asks = nodes.iter().enumerate().map(ask);
+        let served: u32 = futures_util::future::join_all(asks).await.into_iter().sum();
+        let used = f64::from(served) * f64::from(TOKENS);
+        // With the tokens saved up before, which the burst and the slack bound.
+        let limit = (rate * since.elapsed().as_secs_f64() + burst) * 1.1 + 190_000.0;
+        assert!(used <= limit, "{used} of {limit}");
+        let owed = rate * length.as_secs_f64() / 2.0;
+        assert!(used >= owed, "{used} of {owed}");
+    });
+}
+
+/// Failure: the links to another region lead to the same few instances, and no
+/// others are tried once these are gone.
+#[test]
+fn forwards_find_other_instances_when_all_linked_ones_are_killed() {
+    block_on(async {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-north").await;
+        site.register(&target, "orders", "north-a");
+        let mut nodes = start(&site, "north-a", "north").await;
+        let far = site.instance("far", "south-a", "south").await;
+        let ask = async || {
+            let call = Call::new("r-1", "/status/1").key(KEY);
+            call.send(far.front).await.status
+        };
+        until("a request is forwarded", async || {
+            ask().await == StatusCode::OK
+        })
+        .await;
+        let all: Vec<Instance> = (0..INSTANCES).map(name).collect();
+        let linked = choose_forward_peers(&Instance::from("far"), &all);
+        let hubs = hubs();
+        for (n, node) in nodes.iter_mut().enumerate() {
+            if linked.contains(&name(n)) || hubs.contains(&name(n)) {
+                node.process.kill();
+            }
+        }
+        until("a request is forwarded again", async || {
+            ask().await == StatusCode::OK
+        })
+        .await;
+    });
+}
--- a/tests/testsuite/node/store.rs
+++ b/tests/testsuite/node/store.rs
@@ -19,6 +19,9 @@
 use support::node::proxy::Proxy;
 use support::node::site::until;
 
+/// Time between a watch that returned changes and the next.
+const PAUSE: Duration = Duration::from_millis(50);
+
 fn client(store: &PlatformStore) -> StoreClient {
     StoreClient::new(store.address, Arc::new(Metrics::new()))
 }
@@ -91,7 +94,7 @@
             };
             notes.lock().expect("no panic").push(note);
         };
-        follow_prefix(&client, prefix, Duration::from_millis(50), tell).await;
+        follow_prefix(&client, prefix, |_| PAUSE, tell).await;
     });
     told
 }
