Copy cached prompts where that saves more than it costs

A copy now costs half of the time to prefill what is copied, 15 ms at least, and the addition for prompts with a long part is at most 10 ms.

--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -37,8 +37,13 @@
 /// is worth its cost.
 const MIN_COPY_TOKENS: u64 = 1_000;
 
-/// Cost of copying prompt parts from another target's KV cache.
-const COPY_COST: Duration = Duration::from_millis(15);
+/// Least cost of copying prompt parts from another target's KV cache.
+const MIN_COPY_COST: Duration = Duration::from_millis(15);
+
+/// Cost of copying prompt parts, as a fraction of the time to prefill them. It
+/// is below 1, as a copy is cheaper than prefilling them again, and large enough
+/// that a prompt stays where it is cached for the sake of a short queue.
+const COPY_COST_RATIO: f64 = 0.5;
 
 /// Cost of a new request per request that already runs or waits at the target,
 /// as running requests delay each other.
@@ -57,8 +62,9 @@
 const MIN_JITTER: Duration = Duration::from_millis(1);
 
 /// Largest upper bound of the random addition for a prompt with a long part,
-/// which some targets have cached and others have not.
-const MAX_CACHED_JITTER: Duration = Duration::from_millis(40);
+/// which some targets have cached and others have not. It is below the cost of a
+/// copy, so that it doesn't move prompts between targets that are as busy.
+const MAX_CACHED_JITTER: Duration = Duration::from_millis(10);
 
 /// The properties of a request that the choice of its target depends on.
 #[derive(Clone, Copy, Debug)]
@@ -369,7 +375,10 @@
         let queue_delay = performance.prefill_time(queued_prefill_tokens) + queue;
         let wait = queue_delay + performance.prefill_time(prefill_tokens);
         let copy_cost = match cache_source {
-            Some(_) => COPY_COST,
+            Some(_) => performance
+                .prefill_time(cached.saturating_sub(cached_here))
+                .mul_f64(COPY_COST_RATIO)
+                .max(MIN_COPY_COST),
             None => Duration::ZERO,
         };
         let prefill_cost = performance
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -15,6 +15,7 @@
 mod pause;
 mod quarantine;
 mod restored;
+mod retries;
 mod settings;
 mod shutdown;
 mod silence;
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -1,5 +1,6 @@
 //! The choice of targets, under the load patterns that it answers.
 
+mod cached_prompts;
 mod cold_limit;
 mod odd_numbers;
 mod pause;
