--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -36,11 +36,11 @@
     D: Dialect,
 {
     /// The first target has ended the exchange.
-    First(Exchanged),
+    First(Box<Exchanged>),
     /// No other target has taken the request.
     Stays,
     /// The request is another target's now. The failure is that of the first.
-    Moved(AttemptFailure, Sent<D, O>),
+    Moved(AttemptFailure, Box<Sent<D, O>>),
 }
 
 impl<D> Gateway<D>
@@ -77,7 +77,7 @@
                 break exchanged;
             }
             match self.hedge(&mut req, exchanging.as_mut(), cx, out).await {
-                Hedged::First(exchanged) => break exchanged,
+                Hedged::First(exchanged) => break *exchanged,
                 Hedged::Stays if self.may_move_to_other_region(&req, cx) => {
                     break Err(AttemptFailure::Silent);
                 }
@@ -86,7 +86,7 @@
                     // Cancels the request at the first target.
                     drop(exchanging);
                     self.end_failed_attempt(reservation, req.peer(), &failure, cx, out);
-                    return sent;
+                    return *sent;
                 }
             }
         };
@@ -129,7 +129,7 @@
         let opening = self.open_at_other_target(copy, cx, out);
         let opened = tokio::select! {
             biased;
-            exchanged = exchanging.as_mut() => return Hedged::First(exchanged),
+            exchanged = exchanging.as_mut() => return Hedged::First(Box::new(exchanged)),
             opened = opening => match opened {
                 Some(opened) => opened,
                 None => return Hedged::Stays,
@@ -144,17 +144,17 @@
                 Ok(_) => {
                     // The second target may have run the request.
                     cx.attempts_left = cx.attempts_left.saturating_sub(1);
-                    Hedged::First(exchanged)
+                    Hedged::First(Box::new(exchanged))
                 }
-                Err(failure) => Hedged::Moved(failure, sending.await),
+                Err(failure) => Hedged::Moved(failure, Box::new(sending.await)),
             },
             sent = tokio::time::timeout(MAX_OVERLAP, &mut sending) => match sent {
-                Ok(Ok(started)) => Hedged::Moved(AttemptFailure::Silent, Ok(started)),
+                Ok(Ok(started)) => Hedged::Moved(AttemptFailure::Silent, Box::new(Ok(started))),
                 Ok(Err(failed)) => {
                     self.abandon_attempt(failed, cx, out);
                     Hedged::Stays
                 }
-                Err(_) => Hedged::Moved(AttemptFailure::Silent, sending.await),
+                Err(_) => Hedged::Moved(AttemptFailure::Silent, Box::new(sending.await)),
             },
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod hedge;
 mod link_check;
 mod links;
+mod loan;
 mod log_rate_limit;
 pub mod log_writer;
 mod members;
--- a/crates/gateway/src/members/topology.rs
+++ b/crates/gateway/src/members/topology.rs
@@ -81,7 +81,7 @@
         let told = told.filter(|(name, _)| audience.includes_instance(name));
         let heard = told.filter_map(|(_, member)| {
             let age = now.saturating_sub(member.last_status_at?);
-            (age < SILENCE_TIMEOUT).then(|| HeardInstance {
+            (age < SILENCE_TIMEOUT).then_some(HeardInstance {
                 incarnation: member.record.incarnation,
                 is_ready: member.is_ready_by_status,
                 age_ms: age.as_millis() as u32,
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -58,7 +58,7 @@
 
 /// What the exchange of status messages remembers from one to the next.
 #[derive(Debug, Default)]
-struct Exchange {
+struct ExchangeState {
     /// Number of the last status message.
     sequence: u64,
     /// Up to where each hub was told the uses of prompt parts.
@@ -71,7 +71,7 @@
 where
     D: Dialect,
 {
-    let mut exchange = Exchange::default();
+    let mut exchange = ExchangeState::default();
     let send_all = async {
         loop {
             let now = gateway.clock.now();
@@ -163,7 +163,7 @@
     /// until the next one.
     async fn send_statuses(
         &self,
-        exchange: &mut Exchange,
+        exchange: &mut ExchangeState,
         topology: &Topology,
         now: Duration,
     ) -> Duration {
