Cancel a request at its silent target before the other one is awaited

Callers saw nothing, but a request that had moved from a silent target ran on at both until the second one answered: gateway::hedge awaited the second attempt while the exchange with the first was still held, so the overlap had no end. It was found on reading the diff. The exchange is dropped before now.

node::silent_first_bytes::a_request_that_has_moved_is_cancelled_at_the_first_target failed before.

--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -31,14 +31,14 @@
 pub(crate) const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// What became of a request whose target was silent.
-enum Hedged<D, O>
+enum Hedged<D, O, F>
 where
     D: Dialect,
 {
     /// The first target has ended the exchange.
     First(Box<Exchanged>),
-    /// No other target has taken the request.
-    Stays,
+    /// No other target has taken the request. The exchange goes on.
+    Stays(Pin<Box<F>>),
     /// The request is another target's now. The failure is that of the first.
     Moved(AttemptFailure, Box<Sent<D, O>>),
 }
@@ -76,15 +76,13 @@
             if let Ok(exchanged) = tokio::time::timeout(limit, &mut exchanging).await {
                 break exchanged;
             }
-            match self.hedge(&mut req, exchanging.as_mut(), cx, out).await {
+            exchanging = match self.hedge(&mut req, exchanging, cx, out).await {
                 Hedged::First(exchanged) => break *exchanged,
-                Hedged::Stays if self.may_move_to_other_region(&req, cx) => {
+                Hedged::Stays(_) if self.may_move_to_other_region(&req, cx) => {
                     break Err(AttemptFailure::Silent);
                 }
-                Hedged::Stays => {}
+                Hedged::Stays(exchanging) => exchanging,
                 Hedged::Moved(failure, sent) => {
-                    // Cancels the request at the first target.
-                    drop(exchanging);
                     self.end_failed_attempt(reservation, req.peer(), &failure, cx, out);
                     return *sent;
                 }
@@ -108,14 +106,15 @@
 
     /// Tries to move a request from its silent target to another one of this
     /// region. The exchange with the first target goes on meanwhile, and for at
-    /// most [`MAX_OVERLAP`] after the other one got the request.
+    /// most [`MAX_OVERLAP`] after the other one got the request: dropping it
+    /// cancels the request there.
     async fn hedge<O, F>(
         self: &Arc<Self>,
         req: &mut Request<Dispatched, O>,
-        mut exchanging: Pin<&mut F>,
+        mut exchanging: Pin<Box<F>>,
         cx: &mut PlacementContext,
         out: &Outbound,
-    ) -> Hedged<D, O>
+    ) -> Hedged<D, O, F>
     where
         O: Origin,
         F: Future<Output = Exchanged>,
@@ -124,15 +123,15 @@
         let may_hedge = cx.attempts_left >= 2 && self.has_other_timely_local_target(req, cx);
         let copy = may_hedge.then(|| self.copy_for_other_target(req, cx, out));
         let Some(copy) = copy.flatten() else {
-            return Hedged::Stays;
+            return Hedged::Stays(exchanging);
         };
         let opening = self.open_at_other_target(copy, cx, out);
         let opened = tokio::select! {
             biased;
-            exchanged = exchanging.as_mut() => return Hedged::First(Box::new(exchanged)),
+            exchanged = &mut exchanging => return Hedged::First(Box::new(exchanged)),
             opened = opening => match opened {
                 Some(opened) => opened,
-                None => return Hedged::Stays,
+                None => return Hedged::Stays(exchanging),
             },
         };
         req.mark_tried(opened.target().clone());
@@ -140,7 +139,7 @@
         let mut sending = Box::pin(self.send(opened, &cx_of_second, out));
         tokio::select! {
             biased;
-            exchanged = exchanging.as_mut() => match exchanged {
+            exchanged = &mut exchanging => match exchanged {
                 Ok(_) => {
                     // The second target may have run the request.
                     cx.attempts_left = cx.attempts_left.saturating_sub(1);
@@ -152,9 +151,12 @@
                 Ok(Ok(started)) => Hedged::Moved(AttemptFailure::Silent, Box::new(Ok(started))),
                 Ok(Err(failed)) => {
                     self.abandon_attempt(failed, cx, out);
-                    Hedged::Stays
+                    Hedged::Stays(exchanging)
+                }
+                Err(_) => {
+                    drop(exchanging);
+                    Hedged::Moved(AttemptFailure::Silent, Box::new(sending.await))
                 }
-                Err(_) => Hedged::Moved(AttemptFailure::Silent, Box::new(sending.await)),
             },
         }
     }
--- a/tests/testsuite/node/silent_first_bytes.rs
+++ b/tests/testsuite/node/silent_first_bytes.rs
@@ -141,3 +141,34 @@
         assert_eq!(taken, 1, "{}", node.logged());
     });
 }
+
+/// Silence of a target that both a move and a time limit outlast.
+const LONG: Duration = Duration::from_millis(3000);
+
+/// Silence of the target that a request moves to.
+const SHORTER: Duration = Duration::from_millis(1200);
+
+/// Failure: a request that had moved went on at the silent target that it had
+/// left, until the other one answered.
+#[test]
+fn a_request_that_has_moved_is_cancelled_at_the_first_target() {
+    block_on(async {
+        let site = Site::start().await;
+        let first = SilentTarget::start_by_path(SilentAnswer::Plain, LONG).await;
+        site.register_at("i-1", first.address, "orders", "north-a");
+        let node = site.instance("near", "north-a", "north").await;
+        let second = SilentTarget::start_by_path(SilentAnswer::Plain, SHORTER).await;
+        let asking = send_until_placed(&node, "/status/before-head");
+        let joining = async {
+            until("the target has the request", async || {
+                !first.requests().is_empty()
+            })
+            .await;
+            site.register_at("i-2", second.address, "orders", "north-a");
+        };
+        let (got, ()) = tokio::join!(asking, joining);
+        assert_eq!(got.status, StatusCode::OK, "{}", node.logged());
+        assert_eq!(second.completed(), ["moved"]);
+        assert!(first.completed().is_empty(), "{}", node.logged());
+    });
+}
