Read the limits of memory and descriptors from the settings

An instance knows neither how much memory nor how many descriptors it has, so nothing that it takes on can be bounded by them. The settings file states both; they are read into one type with defaults. Nothing uses them yet, which leaves the behaviour as it is.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod refusal;
 pub mod rendezvous;
 pub mod request;
+pub mod resources;
 pub mod retry_budget;
 pub mod revision;
 pub mod settlements;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,6 +8,7 @@
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::resources::ResourceLimits;
 use chiverelay_decisions::retry_budget::RetryLimit;
 use chiverelay_decisions::traffic::ColdLimitTolerance;
 
@@ -24,6 +25,8 @@
     pub zone_regions: HashMap<Zone, Region>,
     /// Processor time that this instance has, in thousandths of a core.
     pub capacity: u32,
+    /// Memory and descriptors that this instance has.
+    pub resources: ResourceLimits,
     /// Address at which callers connect.
     pub caller_address: SocketAddr,
     /// Address at which the other instances connect.
--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -95,6 +95,7 @@
 [limits]
 cores = 1
 memory_mb = 260
+max_fds = 4100
 [bounds]
 contact_ms = 5000
 drain_ms = 3000
--- a/tests/testsuite/node/settings.rs
+++ b/tests/testsuite/node/settings.rs
@@ -1,5 +1,6 @@
 //! The platform's settings file.
 
+use chiverelay_decisions::resources::ResourceLimits;
 use chiverelay_platform::settings::Error;
 use chiverelay_platform::settings::Settings;
 use support::cases;
@@ -23,6 +24,25 @@
     assert_eq!(settings.store_address.to_string(), "10.200.1.7:8225");
 }
 
+fn check_resources(changes: &[(&str, &str)], expected: ResourceLimits) {
+    let mut text = good();
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from} is not in the file");
+        text = text.replace(from, to);
+    }
+    let settings: Settings = text.parse().expect("good settings");
+    assert_eq!(settings.gateway.resources, expected);
+}
+
+cases! {
+    check_resources:
+    stated_resources(&[], ResourceLimits { memory: 260 * 1024 * 1024, descriptors: 4100 });
+    resources_by_default(
+        &[("memory_mb = 260", ""), ("max_fds = 4100", "")],
+        ResourceLimits::default()
+    );
+}
+
 /// Replaces parts of a good file and expects a fault of each field.
 fn check_faults(changes: &[(&str, &str)], fields: &[&str]) {
     let mut text = good();
