Split records and the store's health out of the fleet's view

Each has a module of its own now; the era and the last answer belong to the store's health. No change of behaviour.

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -10,14 +10,17 @@
 
 mod departures;
 mod evacuations;
+mod record;
+mod store_health;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use self::departures::Departures;
 use self::evacuations::Evacuations;
+use self::record::Incarnation;
+use self::store_health::StoreHealth;
 use crate::names::Pool;
 use crate::names::Region;
 use crate::names::Target;
@@ -25,122 +28,10 @@
 use crate::revision::StoreRevision;
 
 pub use self::evacuations::EVACUATION_RECOVERY_GRACE;
-
-/// Time after the store's return in which targets can write their records
-/// again before missing ones are removed.
-pub const STORE_RECOVERY_GRACE: Duration = Duration::from_millis(2000);
-
-/// A target's record in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TargetRecord {
-    /// The pool that the target belongs to.
-    pub pool: Pool,
-    /// The address on which the target listens.
-    pub address: SocketAddr,
-    /// The target's availability zone.
-    pub zone: Zone,
-    /// The zone's region.
-    pub region: Region,
-    /// Requests that the target runs at once.
-    pub slots: u32,
-    /// Whether the target is shutting down and accepts no new requests.
-    ///
-    /// # Invariants
-    ///
-    /// In a [`KnownTarget`] this stays true until the target restarts.
-    pub draining: bool,
-    /// Time of the target's start in milliseconds of Unix time; 0 if unknown. A
-    /// changed time means that the target restarted.
-    pub started_ms: u64,
-    /// Number of the record, raised by the target with each one that it writes.
-    /// A restart sets it back.
-    pub sequence: u64,
-    /// Time for which the target stays cold after the record is read; see
-    /// [`ColdLimit`](crate::catalog::ColdLimit).
-    pub cold_remaining: Duration,
-}
-
-/// What tells the processes that run under one target's name apart.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Incarnation {
-    started_ms: u64,
-    address: SocketAddr,
-}
-
-impl TargetRecord {
-    fn incarnation(&self) -> Incarnation {
-        Incarnation {
-            started_ms: self.started_ms,
-            address: self.address,
-        }
-    }
-
-    /// Tells whether the target wrote this record before `other`.
-    fn precedes(&self, other: &TargetRecord) -> bool {
-        (self.started_ms, self.sequence) < (other.started_ms, other.sequence)
-    }
-}
-
-/// A target's record with when and at which revision it was read.
-#[derive(Clone, Debug)]
-pub struct KnownTarget {
-    /// The target's record.
-    pub record: TargetRecord,
-    /// The store's revision of the record.
-    pub revision: StoreRevision,
-    /// When the record was read, on the local monotonic clock.
-    pub read_at: Duration,
-    /// When the target stops being cold, on the local monotonic clock.
-    pub cold_until: Duration,
-    /// When the record was found missing; `None` while it exists.
-    missing_since: Option<Duration>,
-    /// Revision of an older record of an older copy of the store, which was
-    /// ignored. It may be listed again.
-    restored_revision: Option<StoreRevision>,
-}
-
-impl KnownTarget {
-    /// Tells whether the target is still cold, so that its request rate is
-    /// limited.
-    pub fn is_cold(&self, now: Duration) -> bool {
-        now < self.cold_until
-    }
-}
-
-/// How a new or removed record changes a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TargetChange {
-    /// Nothing changed that requires an action: the target is unknown or
-    /// already known to be missing, or the record's pool, address, start time
-    /// and draining flag are the same.
-    Same,
-    /// The record is older than the known one, and was ignored.
-    Outdated,
-    /// The target is new.
-    Added,
-    /// The target's start time or address changed, also while it was removed, so
-    /// a new process has its name.
-    Restarted,
-    /// The target's pool changed, or it began to drain.
-    Moved,
-    /// The record was removed while the store was unreachable or had just
-    /// returned; the target is still used.
-    Held,
-    /// The target was removed.
-    Gone,
-}
-
-/// Whether a record's absence from the store can be relied on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StoreHealth {
-    /// The store answers, and no outage ended within the last
-    /// [`STORE_RECOVERY_GRACE`]. Also assumed before its first answer.
-    Stable,
-    /// The store does not answer.
-    Unreachable,
-    /// The store has answered again since this time.
-    Recovering(Duration),
-}
+pub use self::record::KnownTarget;
+pub use self::record::TargetChange;
+pub use self::record::TargetRecord;
+pub use self::store_health::STORE_RECOVERY_GRACE;
 
 /// The known targets, the evacuated zones and the store's health.
 ///
@@ -156,9 +47,6 @@
     departures: Departures,
     evacuations: Evacuations,
     store: StoreHealth,
-    last_store_answer: Duration,
-    /// The store's era; `None` before its first answer.
-    era: Option<u64>,
     zones: HashMap<Zone, Region>,
 }
 
@@ -170,9 +58,7 @@
             by_pool: HashMap::new(),
             departures: Departures::default(),
             evacuations: Evacuations::default(),
-            store: StoreHealth::Stable,
-            last_store_answer: Duration::ZERO,
-            era: None,
+            store: StoreHealth::default(),
             zones,
         }
     }
@@ -184,7 +70,7 @@
 
     /// Returns when the store last answered, on the local monotonic clock.
     pub fn last_store_answer(&self) -> Duration {
-        self.last_store_answer
+        self.store.last_answer()
     }
 
     /// Records that the store answered; returns true if it was unreachable.
@@ -192,40 +78,17 @@
     /// A higher `era` than before means that the store came back from an older
     /// copy, even if no outage was noticed.
     pub fn store_answered(&mut self, era: u64, now: Duration) -> bool {
-        self.last_store_answer = now;
-        if self.era.is_some_and(|known| era > known) {
-            let previous = std::mem::replace(&mut self.store, StoreHealth::Recovering(now));
-            self.era = Some(era);
+        let answered = self.store.answered(era, now);
+        if answered.is_restored {
             self.evacuations.store_restored(now);
-            return previous == StoreHealth::Unreachable;
-        }
-        self.era = self.era.or(Some(era));
-        match self.store {
-            StoreHealth::Unreachable => {
-                self.store = StoreHealth::Recovering(now);
-                true
-            }
-            StoreHealth::Recovering(since) if now >= since + STORE_RECOVERY_GRACE => {
-                self.store = StoreHealth::Stable;
-                false
-            }
-            _ => false,
         }
+        answered.was_unreachable
     }
 
     /// Records that the store does not answer; returns true if it was
     /// reachable before.
     pub fn store_lost(&mut self) -> bool {
-        let previous = std::mem::replace(&mut self.store, StoreHealth::Unreachable);
-        previous != StoreHealth::Unreachable
-    }
-
-    fn is_store_stable(&self, now: Duration) -> bool {
-        match self.store {
-            StoreHealth::Stable => true,
-            StoreHealth::Unreachable => false,
-            StoreHealth::Recovering(since) => now >= since + STORE_RECOVERY_GRACE,
-        }
+        self.store.lost()
     }
 
     /// Inserts or replaces a target's record.
@@ -263,7 +126,7 @@
                 false => TargetChange::Added,
             };
         };
-        let change = classify_change(&old.record, &known.record);
+        let change = TargetChange::between(&old.record, &known.record);
         let pool = std::mem::replace(old, known).record.pool;
         let new_pool = old.record.pool.clone();
         if pool != new_pool {
@@ -336,7 +199,7 @@
     /// itself is removed at once only if the store is stable or the target was
     /// draining.
     pub fn handle_absence(&mut self, name: &Target, now: Duration) -> TargetChange {
-        let is_stable = self.is_store_stable(now);
+        let is_stable = self.store.is_stable(now);
         let Some(known) = self.targets.get_mut(name) else {
             return TargetChange::Same;
         };
@@ -367,18 +230,10 @@
     /// Removes the targets whose records are still missing
     /// [`STORE_RECOVERY_GRACE`] after the store's return, and returns them.
     pub fn remove_missing_after_recovery(&mut self, now: Duration) -> Vec<Target> {
-        let StoreHealth::Recovering(since) = self.store else {
-            return if self.store == StoreHealth::Stable {
-                self.remove_all_missing(now)
-            } else {
-                Vec::new()
-            };
-        };
-        if now < since + STORE_RECOVERY_GRACE {
-            return Vec::new();
+        match self.store.settle(now) {
+            true => self.remove_all_missing(now),
+            false => Vec::new(),
         }
-        self.store = StoreHealth::Stable;
-        self.remove_all_missing(now)
     }
 
     fn remove_all_missing(&mut self, now: Duration) -> Vec<Target> {
@@ -398,7 +253,7 @@
         };
         self.remove_from_pool(&known.record.pool, name);
         let era_start = StoreRevision {
-            era: self.era.unwrap_or_default(),
+            era: self.store.era(),
             number: 0,
         };
         let revision = known.revision.max(era_start);
@@ -487,13 +342,3 @@
         self.targets.is_empty()
     }
 }
-
-fn classify_change(old: &TargetRecord, new: &TargetRecord) -> TargetChange {
-    if old.started_ms != new.started_ms || old.address != new.address {
-        return TargetChange::Restarted;
-    }
-    if old.draining != new.draining || old.pool != new.pool {
-        return TargetChange::Moved;
-    }
-    TargetChange::Same
-}
--- a/crates/decisions/src/fleet/departures.rs
+++ b/crates/decisions/src/fleet/departures.rs
@@ -4,8 +4,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::Incarnation;
 use super::TargetRecord;
+use super::record::Incarnation;
 use crate::names::Target;
 use crate::revision::StoreRevision;
 
--- /dev/null
+++ b/crates/decisions/src/fleet/record.rs
@@ -0,0 +1,123 @@
+//! The records of targets, and how they change.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::names::Pool;
+use crate::names::Region;
+use crate::names::Zone;
+use crate::revision::StoreRevision;
+
+/// A target's record in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetRecord {
+    /// The pool that the target belongs to.
+    pub pool: Pool,
+    /// The address on which the target listens.
+    pub address: SocketAddr,
+    /// The target's availability zone.
+    pub zone: Zone,
+    /// The zone's region.
+    pub region: Region,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// Whether the target is shutting down and accepts no new requests.
+    ///
+    /// # Invariants
+    ///
+    /// In a [`KnownTarget`] this stays true until the target restarts.
+    pub draining: bool,
+    /// Time of the target's start in milliseconds of Unix time; 0 if unknown. A
+    /// changed time means that the target restarted.
+    pub started_ms: u64,
+    /// Number of the record, raised by the target with each one that it writes.
+    /// A restart sets it back.
+    pub sequence: u64,
+    /// Time for which the target stays cold after the record is read; see
+    /// [`ColdLimit`](crate::catalog::ColdLimit).
+    pub cold_remaining: Duration,
+}
+
+/// What tells the processes that run under one target's name apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Incarnation {
+    pub(super) started_ms: u64,
+    pub(super) address: SocketAddr,
+}
+
+impl TargetRecord {
+    /// Returns what tells the process that wrote the record from others.
+    pub(super) fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            started_ms: self.started_ms,
+            address: self.address,
+        }
+    }
+
+    /// Tells whether the target wrote this record before `other`.
+    pub(super) fn precedes(&self, other: &TargetRecord) -> bool {
+        (self.started_ms, self.sequence) < (other.started_ms, other.sequence)
+    }
+}
+
+/// A target's record with when and at which revision it was read.
+#[derive(Clone, Debug)]
+pub struct KnownTarget {
+    /// The target's record.
+    pub record: TargetRecord,
+    /// The store's revision of the record.
+    pub revision: StoreRevision,
+    /// When the record was read, on the local monotonic clock.
+    pub read_at: Duration,
+    /// When the target stops being cold, on the local monotonic clock.
+    pub cold_until: Duration,
+    /// When the record was found missing; `None` while it exists.
+    pub(super) missing_since: Option<Duration>,
+    /// Revision of an older record of an older copy of the store, which was
+    /// ignored. It may be listed again.
+    pub(super) restored_revision: Option<StoreRevision>,
+}
+
+impl KnownTarget {
+    /// Tells whether the target is still cold, so that its request rate is
+    /// limited.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+}
+
+/// How a new or removed record changes a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetChange {
+    /// Nothing changed that requires an action: the target is unknown or
+    /// already known to be missing, or the record's pool, address, start time
+    /// and draining flag are the same.
+    Same,
+    /// The record is older than the known one, and was ignored.
+    Outdated,
+    /// The target is new.
+    Added,
+    /// The target's start time or address changed, also while it was removed, so
+    /// a new process has its name.
+    Restarted,
+    /// The target's pool changed, or it began to drain.
+    Moved,
+    /// The record was removed while the store was unreachable or had just
+    /// returned; the target is still used.
+    Held,
+    /// The target was removed.
+    Gone,
+}
+
+impl TargetChange {
+    /// Tells how a record differs from the one that it replaces.
+    pub(super) fn between(old: &TargetRecord, new: &TargetRecord) -> Self {
+        if old.started_ms != new.started_ms || old.address != new.address {
+            return Self::Restarted;
+        }
+        if old.draining != new.draining || old.pool != new.pool {
+            return Self::Moved;
+        }
+        Self::Same
+    }
+}
