Count the answers that break off as an instance closes a link

The logs couldn't tell a link that leads to the process of a record from one that leads to its successor: 'link is up' named neither, and a closed link did not say what it carried. The lines now name the incarnation and certificate of the record and the certificate of the process reached; a link that is closed says why and how many open answers that breaks off, which chiverelay_cut_answers_total counts by cause.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -135,18 +135,19 @@
             state: MemberState::Starting,
             capacity: settings.capacity,
         };
+        let metrics = Arc::new(Metrics::new());
         Ok(Arc::new(Self {
             tables: SharedTables::new(&settings),
             rate_limiter: RateLimiter::new(settings.account_limit_tolerance),
             members: Members::new(own, pins),
-            links: Links::new(endpoint),
+            links: Links::new(endpoint, Arc::clone(&metrics)),
             topology: RankedMutex::new(LockRank::Topology, Arc::default()),
             reporters: Reporters::default(),
             upstream: RankedMutex::new(LockRank::Upstream, Upstream::default()),
             connections: ConnectionPool::new(CONNECT_TIMEOUT),
             pending_losses: PendingLosses::default(),
             status_due: Notify::new(),
-            metrics: Arc::new(Metrics::new()),
+            metrics,
             shutdown: Shutdown::default(),
             stop: CancellationToken::new(),
             open_requests: TaskTracker::new(),
@@ -422,7 +423,7 @@
     /// Stops the background tasks and closes the links to other instances.
     pub async fn stop(&self) {
         self.stop.cancel();
-        let closing = self.links.endpoint().close();
+        let closing = self.links.close_all();
         if tokio::time::timeout(CLOSE_TIMEOUT, closing).await.is_err() {
             log::debug!(target: "gateway", "links closed without confirmation from the other instances");
         }
--- a/crates/gateway/src/link_check.rs
+++ b/crates/gateway/src/link_check.rs
@@ -14,6 +14,7 @@
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::links::CloseCause;
 
 /// Time without a status message after which an instance is checked.
 const CHECK_AFTER: Duration = Duration::from_millis(1500);
@@ -35,10 +36,10 @@
             let Some(link) = self.links.get(&record.instance) else {
                 continue;
             };
+            let gateway = Arc::clone(self);
             tokio::spawn(async move {
                 if is_port_closed(local, record.siblings).await {
-                    log::info!(target: "links", dependency = "sibling", instance = record.instance.as_str(); "link closed, as the instance has ended");
-                    link.close();
+                    gateway.links.close(link, CloseCause::InstanceEnded);
                 }
             });
         }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chiverelay_decisions::names::Instance;
@@ -10,11 +11,13 @@
 use chiverelay_decisions::tables::EntryGuard;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
+use chiverelay_sibling::Connected;
 use chiverelay_sibling::Endpoint;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
 
 use crate::MemberRecord;
+use crate::Metrics;
 
 /// Delay before a failed connection is tried again.
 const REDIAL_DELAY: Duration = Duration::from_millis(700);
@@ -56,17 +59,41 @@
     }
 }
 
+/// Why this instance closes a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseCause {
+    /// Nothing listens at the address of the other process any more.
+    InstanceEnded,
+    /// Another process was reached in its place.
+    InstanceReplaced,
+    /// This instance stops.
+    OwnStop,
+}
+
+impl CloseCause {
+    /// Returns the cause's name in metrics and log lines.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::InstanceEnded => "instance ended",
+            Self::InstanceReplaced => "instance replaced",
+            Self::OwnStop => "own stop",
+        }
+    }
+}
+
 /// Connections to other instances.
 #[derive(Debug)]
 pub(crate) struct Links {
     endpoint: Endpoint,
+    metrics: Arc<Metrics>,
     states: RankedMutex<HashMap<Instance, LinkState>>,
 }
 
 impl Links {
-    pub(crate) fn new(endpoint: Endpoint) -> Self {
+    pub(crate) fn new(endpoint: Endpoint, metrics: Arc<Metrics>) -> Self {
         Self {
             endpoint,
+            metrics,
             states: RankedMutex::new(LockRank::Links, HashMap::new()),
         }
     }
@@ -75,6 +102,35 @@
         &self.endpoint
     }
 
+    /// Closes a link, which breaks off the answers that it carries.
+    pub(crate) fn close<S>(&self, link: Link<S>, cause: CloseCause)
+    where
+        S: Connected,
+    {
+        let cut = link.open_answers();
+        self.metrics.count_cut_answers(cause, cut);
+        let instance = link.peer().instance.clone();
+        log::info!(
+            target: "links",
+            dependency = "sibling",
+            instance = instance.as_str(),
+            certificate = link.certificate(),
+            cause = cause.as_str(),
+            cut;
+            "link closed"
+        );
+        link.close();
+    }
+
+    /// Closes all links and waits until the other instances know.
+    pub(crate) async fn close_all(&self) {
+        let open = self.list_open();
+        let cut = open.iter().map(Link::open_answers).sum();
+        self.metrics.count_cut_answers(CloseCause::OwnStop, cut);
+        log::info!(target: "links", cut; "all links closed");
+        self.endpoint.close().await;
+    }
+
     /// Returns the open link to an instance, if there is one.
     pub(crate) fn get(&self, name: &Instance) -> Option<Link<Up>> {
         match self.states.lock().get(name) {
@@ -141,9 +197,8 @@
                 continue;
             }
             let state = states.remove(&record.instance);
-            if let Some(LinkState::Open(_)) = state {
-                let name = record.instance.as_str();
-                log::info!(target: "links", dependency = "sibling", instance = name; "link is lost, or the instance has restarted");
+            if let Some(LinkState::Open(open)) = &state {
+                open.log_unusable(&record);
             }
             let state = match state.and_then(LinkState::into_link) {
                 Some(open) if open.leads_to(&record) => LinkState::Open(open),
@@ -169,10 +224,10 @@
         let former = dialing.take().and_then(LinkState::into_link);
         let (state, is_up) = match connected {
             Ok(link) => {
-                log::info!(target: "links", dependency = "sibling", instance = record.instance.as_str(); "link is up");
+                log_up(record, &link);
                 if let Some(former) = former {
                     // What waits for an answer of that process fails at once.
-                    former.link.close();
+                    self.close(former.link, CloseCause::InstanceReplaced);
                 }
                 let open = OpenLink {
                     link,
@@ -191,7 +246,38 @@
     }
 }
 
+fn log_up(record: &MemberRecord, link: &Link<Up>) {
+    log::info!(
+        target: "links",
+        dependency = "sibling",
+        instance = record.instance.as_str(),
+        incarnation = record.incarnation,
+        expected = record.certificate.as_str(),
+        certificate = link.certificate();
+        "link is up"
+    );
+}
+
 impl OpenLink {
+    /// Logs why the link is dialed again under a record.
+    fn log_unusable(&self, record: &MemberRecord) {
+        let reason = match self.link.is_lost() {
+            true => "lost",
+            false => "leads to another process",
+        };
+        log::info!(
+            target: "links",
+            dependency = "sibling",
+            instance = record.instance.as_str(),
+            incarnation = record.incarnation,
+            expected = record.certificate.as_str(),
+            certificate = self.link.certificate(),
+            reason,
+            open = self.link.open_answers();
+            "link is given up"
+        );
+    }
+
     /// Tells whether datagrams have arrived since the last call.
     fn take_contact(&mut self) -> bool {
         let received = self.link.received_datagrams();
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -129,6 +129,7 @@
             instance = record.instance.as_str(),
             state:? = record.state,
             incarnation = record.incarnation,
+            certificate = record.certificate.as_str(),
             era = revision.era,
             revision = revision.number;
             "instance record received"
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::links::CloseCause;
 use crate::log_writer::LineCounts;
 use crate::relay::AnswerOrigin;
 use crate::relay::EndCause;
@@ -37,6 +38,7 @@
     refusals: IntCounterVec,
     unanswered: IntCounterVec,
     interruptions: IntCounterVec,
+    cut_answers: IntCounterVec,
     attempts: IntCounterVec,
     retry_decisions: IntCounterVec,
     crash_checks: IntCounterVec,
@@ -89,6 +91,12 @@
                 "Answers that ended early, by where they came from and why.",
                 &["origin", "cause"],
             ),
+            cut_answers: counter(
+                &registry,
+                "cut_answers_total",
+                "Answers of other instances that ended as this one closed the link, by cause.",
+                &["cause"],
+            ),
             attempts: counter(
                 &registry,
                 "attempts_total",
@@ -180,6 +188,7 @@
         for counter in [
             &self.requests,
             &self.unanswered,
+            &self.cut_answers,
             &self.attempts,
             &self.retry_decisions,
             &self.crash_checks,
@@ -242,6 +251,12 @@
         self.interruptions.with_label_values(&labels).inc();
     }
 
+    /// Counts answers that a link carried when this instance closed it.
+    pub(crate) fn count_cut_answers(&self, cause: CloseCause, count: usize) {
+        let counter = self.cut_answers.with_label_values(&[cause.as_str()]);
+        counter.inc_by(count as u64);
+    }
+
     /// Counts a request that was read completely and got no complete answer.
     pub fn count_unanswered(&self, cause: &str) {
         self.unanswered.with_label_values(&[cause]).inc();
--- a/crates/sibling/src/endpoint.rs
+++ b/crates/sibling/src/endpoint.rs
@@ -28,6 +28,7 @@
 use crate::Up;
 use crate::congestion::LossTolerant;
 use crate::identity::server_name;
+use crate::identity::shown_digest;
 use crate::stream_limit;
 use crate::stream_limit::StreamLimit;
 use crate::wire;
@@ -183,11 +184,12 @@
             .await
             .map_err(|_| wrap("timeout".to_owned()))?
             .map_err(|e| wrap(e.to_string()))?;
+        let certificate = shown_digest(&conn).ok_or_else(|| wrap("no certificate".to_owned()))?;
         let peer = Identity {
             instance: instance.clone(),
             region: region.clone(),
         };
-        Ok(Link::new(peer, conn))
+        Ok(Link::new(peer, conn, certificate.into()))
     }
 
     /// Serves siblings until `cancel`.
--- a/crates/sibling/src/identity.rs
+++ b/crates/sibling/src/identity.rs
@@ -55,9 +55,7 @@
     }
 
     pub(crate) fn of_connection(conn: &quinn::Connection) -> Option<Self> {
-        let chain = conn.peer_identity()?;
-        let chain = chain.downcast::<Vec<CertificateDer<'static>>>().ok()?;
-        Self::of_certificate(chain.first()?)
+        Self::of_certificate(shown_chain(conn)?.first()?)
     }
 
     /// Returns the name that the identity's certificate carries.
@@ -71,6 +69,16 @@
     }
 }
 
+/// Returns the certificates that the other side of a connection has shown.
+fn shown_chain(conn: &quinn::Connection) -> Option<Box<Vec<CertificateDer<'static>>>> {
+    conn.peer_identity()?.downcast().ok()
+}
+
+/// Returns the digest of the certificate that the other side has shown.
+pub(crate) fn shown_digest(conn: &quinn::Connection) -> Option<String> {
+    shown_chain(conn)?.first().map(pins::digest)
+}
+
 fn fault(e: impl ToString) -> Error {
     Error::Certificates {
         reason: e.to_string(),
--- a/crates/sibling/src/link.rs
+++ b/crates/sibling/src/link.rs
@@ -1,9 +1,15 @@
 //! A connection to one sibling, as a typestate.
 
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::step::Step;
 use futures_util::FutureExt;
 use quinn::RecvStream;
+use tokio_util::task::TaskTracker;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::Envelope;
 use crate::Error;
@@ -15,20 +21,28 @@
 use crate::wire;
 
 /// State of a link that can carry messages.
-#[derive(Clone, Debug)]
-pub struct Up {
-    conn: quinn::Connection,
-}
+#[derive(Clone, Copy, Debug)]
+pub struct Up(());
 
 /// State of a link that carries no more messages.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Closed(());
 
+/// States of a link whose connection is open.
+pub trait Connected {}
+
+impl Connected for Up {}
+
 /// A link to a sibling in state `S`.
 #[derive(Clone, Debug)]
 pub struct Link<S> {
     peer: Identity,
-    state: S,
+    conn: quinn::Connection,
+    /// Digest of the certificate that the sibling's process has shown.
+    certificate: Arc<str>,
+    /// What waits for an answer.
+    answers: TaskTracker,
+    state: PhantomData<S>,
 }
 
 impl<S> Link<S> {
@@ -36,33 +50,64 @@
     pub fn peer(&self) -> &Identity {
         &self.peer
     }
-}
 
-impl Link<Up> {
-    pub(crate) fn new(peer: Identity, conn: quinn::Connection) -> Self {
-        Self {
-            peer,
-            state: Up { conn },
+    fn into_state<T>(self) -> Link<T> {
+        Link {
+            peer: self.peer,
+            conn: self.conn,
+            certificate: self.certificate,
+            answers: self.answers,
+            state: PhantomData,
         }
     }
+}
+
+impl<S> Link<S>
+where
+    S: Connected,
+{
+    /// Returns the digest of the certificate that the process at the other end
+    /// has shown.
+    pub fn certificate(&self) -> &str {
+        &self.certificate
+    }
+
+    /// Returns the address of the process at the other end.
+    pub fn address(&self) -> SocketAddr {
+        self.conn.remote_address()
+    }
 
     /// Tells whether the connection has ended by itself.
     pub fn is_lost(&self) -> bool {
-        self.state.conn.close_reason().is_some()
+        self.conn.close_reason().is_some()
     }
 
     /// Returns the number of UDP datagrams that have arrived, which shows
     /// whether the sibling's process is alive.
     pub fn received_datagrams(&self) -> u64 {
-        self.state.conn.stats().udp_rx.datagrams
+        self.conn.stats().udp_rx.datagrams
     }
 
-    /// Closes the connection.
+    /// Returns the number of answers that are awaited or being read.
+    pub fn open_answers(&self) -> usize {
+        self.answers.len()
+    }
+
+    /// Closes the connection, which breaks off the open answers.
     pub fn close(self) -> Link<Closed> {
-        self.state.conn.close(0_u32.into(), b"closed");
-        Link {
-            peer: self.peer,
-            state: Closed(()),
+        self.conn.close(0_u32.into(), b"closed");
+        self.into_state()
+    }
+}
+
+impl Link<Up> {
+    pub(crate) fn new(peer: Identity, conn: quinn::Connection, certificate: Arc<str>) -> Self {
+        Self {
+            peer,
+            conn,
+            certificate,
+            answers: TaskTracker::new(),
+            state: PhantomData,
         }
     }
 
@@ -83,7 +128,7 @@
 
     async fn open(&self, step: Step, stamp: Stamp, message: Message) -> Result<RecvStream, Error> {
         // Whoever waits for a stream could use another link meanwhile.
-        let opened = self.state.conn.open_bi().now_or_never();
+        let opened = self.conn.open_bi().now_or_never();
         let (mut tx, rx) = opened
             .ok_or_else(|| self.no_free_stream(step))?
             .map_err(|e| self.broken(step, e))?;
@@ -106,6 +151,7 @@
     /// After an error the sibling may have acted on the message, unless it is
     /// [`Error::NoFreeStream`].
     pub async fn ask(&self, stamp: Stamp, message: Message) -> Result<Envelope, Error> {
+        let _open = self.answers.token();
         let mut rx = self.open(Step::Forward, stamp, message).await?;
         wire::read_envelope(&mut rx)
             .await
@@ -127,15 +173,11 @@
         };
         let broken = |e: &dyn std::fmt::Display| self.broken(Step::Forward, e);
         let buf = wire::encode(&envelope)?;
-        let room = self.state.conn.max_datagram_size().unwrap_or(0);
+        let room = self.conn.max_datagram_size().unwrap_or(0);
         if buf.len() <= room {
-            return self
-                .state
-                .conn
-                .send_datagram(buf.into())
-                .map_err(|e| broken(&e));
+            return self.conn.send_datagram(buf.into()).map_err(|e| broken(&e));
         }
-        let opened = self.state.conn.open_uni().now_or_never();
+        let opened = self.conn.open_uni().now_or_never();
         let mut tx = opened
             .ok_or_else(|| self.no_free_stream(Step::Forward))?
             .map_err(|e| broken(&e))?;
@@ -145,7 +187,7 @@
 
     /// Waits until the connection has ended.
     pub async fn ended(&self) {
-        self.state.conn.closed().await;
+        self.conn.closed().await;
     }
 
     /// Passes a request on.
@@ -155,12 +197,14 @@
     /// After an error the sibling may have run the request, unless it is
     /// [`Error::NoFreeStream`].
     pub async fn forward(&self, stamp: Stamp, req: Forward) -> Result<Answer, Error> {
+        let open = self.answers.token();
         let message = Message::Forward(req);
         let rx = self.open(Step::Forward, stamp, message).await?;
         Ok(Answer {
             peer: self.peer.clone(),
             stamp: Stamp::default(),
             rx,
+            _open: open,
         })
     }
 }
@@ -171,6 +215,8 @@
     peer: Identity,
     stamp: Stamp,
     rx: RecvStream,
+    /// Counts the answer among those of the link.
+    _open: TaskTrackerToken,
 }
 
 impl Answer {
