Let a replaced link carry its answers to their end

Callers saw answers break off as a link was closed by what a record said. A link to the process before was closed as soon as another process of the same name was reached, though it may go on at another address and still sends answers. A silent link was closed if nothing listened at the address in the instance's record, which need not be the link's.

A link that is replaced, or that the topology no longer needs, is now drained: it takes nothing new and ends with its last answer (Up, Draining, Closed). It is closed under open answers only if the process at its other end is known to have ended: another process has its address, or nothing listens there any more after the link itself has been silent. That holds for draining links too, which no check looked at before.

Before: a_replaced_link_carries_its_streams_to_their_end Got { status: 200, ... body: "id: 1\ndata: piece 1\n\n", whole: false }

--- a/crates/gateway/src/link_check.rs
+++ b/crates/gateway/src/link_check.rs
@@ -10,13 +10,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_sibling::Connected;
+use chiverelay_sibling::Link;
 use tokio::net::UdpSocket;
 
 use crate::Dialect;
 use crate::Gateway;
 use crate::links::CloseCause;
 
-/// Time without a status message after which an instance is checked.
+/// Time without a datagram after which a link is checked, longer than between
+/// two signs of life on it.
 const CHECK_AFTER: Duration = Duration::from_millis(1500);
 
 /// Time to wait for the reply to a check. An open port gives none.
@@ -29,19 +32,26 @@
 where
     D: Dialect,
 {
-    /// Starts a check of each linked instance that is silent.
+    /// Starts a check of each link on which nothing arrives.
     pub(crate) fn check_silent_links(self: &Arc<Self>, now: Duration) {
+        let silent = self.links.list_silent(CHECK_AFTER, now);
+        for link in silent.up {
+            tokio::spawn(Arc::clone(self).check_link(link));
+        }
+        for link in silent.draining {
+            tokio::spawn(Arc::clone(self).check_link(link));
+        }
+    }
+
+    /// Closes the link if nothing listens any more at the address that it leads
+    /// to, whatever the instance's record says.
+    async fn check_link<S>(self: Arc<Self>, link: Link<S>)
+    where
+        S: Connected,
+    {
         let local = self.settings.sibling_address.ip();
-        for record in self.members.list_silent(CHECK_AFTER, now) {
-            let Some(link) = self.links.get(&record.instance) else {
-                continue;
-            };
-            let gateway = Arc::clone(self);
-            tokio::spawn(async move {
-                if is_port_closed(local, record.siblings).await {
-                    gateway.links.close(link, CloseCause::InstanceEnded);
-                }
-            });
+        if is_port_closed(local, link.address()).await {
+            self.links.close(link, CloseCause::InstanceEnded);
         }
     }
 }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,6 +1,9 @@
 //! Connections to the other instances, kept open so that forwarding a request
 //! needs no handshake.
 
+mod draining;
+mod watched;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -12,41 +15,42 @@
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_sibling::Connected;
+use chiverelay_sibling::Draining;
 use chiverelay_sibling::Endpoint;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
 
 use crate::MemberRecord;
 use crate::Metrics;
+use draining::DrainingLinks;
+use watched::WatchedLink;
 
 /// Delay before a failed connection is tried again.
 const REDIAL_DELAY: Duration = Duration::from_millis(700);
 
-/// An open connection to a process.
-#[derive(Clone, Debug)]
-struct OpenLink {
-    /// `Up` marks a link that can carry messages.
-    link: Link<Up>,
-    /// Number of datagrams that had arrived at the last look.
-    received_datagrams: u64,
-}
-
-/// The connection to the process before, which is closed once the one that has
-/// replaced it is reached. The record of another process alone is no evidence,
-/// as it may be older than the connection.
-type FormerLink = Option<OpenLink>;
+/// The connection to the process before, which takes no new requests. The
+/// record of another process alone is no evidence that its own has ended, as the
+/// record may be older than the connection.
+type FormerLink = Option<WatchedLink<Up>>;
 
 #[derive(Debug)]
 enum LinkState {
     /// A connection is being established.
     Dialing(FormerLink),
     /// The connection is open.
-    Open(OpenLink),
+    Open(WatchedLink<Up>),
     /// The attempt to connect failed. It began at this time.
     Failed(Duration, FormerLink),
 }
 
 impl LinkState {
+    fn link_mut(&mut self) -> Option<&mut WatchedLink<Up>> {
+        match self {
+            Self::Open(open) => Some(open),
+            Self::Dialing(former) | Self::Failed(_, former) => former.as_mut(),
+        }
+    }
+
     /// Returns the open connection of this state, or that to the process
     /// before.
     fn into_link(self) -> FormerLink {
@@ -79,12 +83,20 @@
     }
 }
 
+/// Links on which nothing arrives.
+#[derive(Debug)]
+pub(crate) struct SilentLinks {
+    pub(crate) up: Vec<Link<Up>>,
+    pub(crate) draining: Vec<Link<Draining>>,
+}
+
 /// Connections to other instances.
 #[derive(Debug)]
 pub(crate) struct Links {
     endpoint: Endpoint,
     metrics: Arc<Metrics>,
     states: RankedMutex<HashMap<Instance, LinkState>>,
+    draining: DrainingLinks,
 }
 
 impl Links {
@@ -93,6 +105,7 @@
             endpoint,
             metrics,
             states: RankedMutex::new(LockRank::Links, HashMap::new()),
+            draining: DrainingLinks::default(),
         }
     }
 
@@ -123,7 +136,8 @@
     /// Closes all links and waits until the other instances know.
     pub(crate) async fn close_all(&self) {
         let open = self.list_open();
-        let cut = open.iter().map(Link::open_answers).sum();
+        let cut: usize = open.iter().map(Link::open_answers).sum();
+        let cut = cut + self.draining.open_answers();
         self.metrics.count_cut_answers(CloseCause::OwnStop, cut);
         log::info!(target: "links", cut; "all links closed");
         self.endpoint.close().await;
@@ -160,29 +174,59 @@
 
     /// Lists the processes from which datagrams have arrived since the last
     /// call, by the digests of their certificates.
-    pub(crate) fn take_contacts(&self) -> Vec<(Instance, Arc<str>)> {
+    pub(crate) fn take_contacts(&self, now: Duration) -> Vec<(Instance, Arc<str>)> {
         let mut states = self.states.lock();
         let mut contacts = Vec::new();
         for (name, state) in states.iter_mut() {
-            if let LinkState::Open(open) = state
-                && open.take_contact()
+            if let Some(watched) = state.link_mut()
+                && watched.take_contact(now)
             {
-                contacts.push((name.clone(), Arc::clone(open.link.certificate())));
+                let certificate = Arc::clone(watched.link.certificate());
+                contacts.push((name.clone(), certificate));
             }
         }
         contacts
     }
 
-    /// Drops the links to instances that are not in `linked`. Marks the
+    /// Drops the draining links that carry no answer any more.
+    pub(crate) fn remove_drained(&self, now: Duration) {
+        self.draining.remove_ended(now);
+    }
+
+    /// Lists the links on which nothing has arrived for `time`.
+    pub(crate) fn list_silent(&self, time: Duration, now: Duration) -> SilentLinks {
+        let mut states = self.states.lock();
+        let up = states.values_mut().filter_map(LinkState::link_mut);
+        let silent = up.filter(|watched| watched.is_silent(time, now));
+        let up = silent.map(|watched| watched.link.clone()).collect();
+        drop(states);
+        SilentLinks {
+            up,
+            draining: self.draining.list_silent(time, now),
+        }
+    }
+
+    /// Drains the links to instances that are not in `linked`.
+    fn drain_others(&self, linked: &[MemberRecord]) {
+        let known: HashSet<&Instance> = linked.iter().map(|r| &r.instance).collect();
+        let mut states = self.states.lock();
+        let others = states.extract_if(|name, _| !known.contains(name));
+        let links: Vec<_> = others.filter_map(|(_, state)| state.into_link()).collect();
+        drop(states);
+        for link in links {
+            self.draining.push(link);
+        }
+    }
+
+    /// Drains the links to instances that are not in `linked`. Marks the
     /// instances that need a new connection as dialing, and returns them.
     pub(crate) fn mark_due_for_dialing(
         &self,
         linked: Vec<MemberRecord>,
         now: Duration,
     ) -> Vec<MemberRecord> {
+        self.drain_others(&linked);
         let mut states = self.states.lock();
-        let known: HashSet<Instance> = linked.iter().map(|r| r.instance.clone()).collect();
-        states.retain(|name, _| known.contains(name));
         let mut to_dial = Vec::new();
         for record in linked {
             let is_due = match states.get(&record.instance) {
@@ -210,7 +254,7 @@
         to_dial
     }
 
-    /// Connects to an instance that was marked as dialing, and closes the link
+    /// Connects to an instance that was marked as dialing, and drains the link
     /// to the process before. Returns whether the connection was established.
     pub(crate) async fn dial(&self, record: &MemberRecord, now: Duration) -> bool {
         // Without an outcome the instance is due for dialing again.
@@ -223,7 +267,7 @@
         let (state, is_up) = match connected {
             Ok(link) => {
                 log_up(record, &link);
-                (LinkState::Open(self.choose(former, link)), true)
+                (LinkState::Open(self.choose(former, link, now)), true)
             }
             Err(e) => {
                 log::debug!(target: "links", error:% = e; "connection to instance failed");
@@ -236,16 +280,21 @@
 
     /// Returns the link to use from now on: the former one if the new one leads
     /// to the same process, which the new one has carried nothing to yet.
-    fn choose(&self, former: FormerLink, link: Link<Up>) -> OpenLink {
+    fn choose(&self, former: FormerLink, link: Link<Up>, now: Duration) -> WatchedLink<Up> {
         let Some(former) = former.filter(|former| !former.link.is_lost()) else {
-            return OpenLink::new(link);
+            return WatchedLink::new(link, now);
         };
         if former.link.certificate() == link.certificate() {
             return former;
         }
-        // What waits for an answer of that process fails at once.
-        self.close(former.link, CloseCause::InstanceReplaced);
-        OpenLink::new(link)
+        if former.link.address() == link.address() {
+            // The process before has ended, as two can't have one address. What
+            // waits for an answer of it fails at once.
+            self.close(former.link, CloseCause::InstanceReplaced);
+        } else {
+            self.draining.push(former);
+        }
+        WatchedLink::new(link, now)
     }
 }
 
@@ -260,42 +309,3 @@
         "link is up"
     );
 }
-
-impl OpenLink {
-    fn new(link: Link<Up>) -> Self {
-        Self {
-            link,
-            received_datagrams: 0,
-        }
-    }
-
-    /// Logs why the link is dialed again under a record.
-    fn log_unusable(&self, record: &MemberRecord) {
-        let reason = match self.link.is_lost() {
-            true => "lost",
-            false => "leads to another process",
-        };
-        log::info!(
-            target: "links",
-            dependency = "sibling",
-            instance = record.instance.as_str(),
-            incarnation = record.incarnation,
-            expected = record.certificate.as_str(),
-            certificate:% = self.link.certificate(),
-            reason,
-            open = self.link.open_answers();
-            "link is given up"
-        );
-    }
-
-    /// Tells whether datagrams have arrived since the last call.
-    fn take_contact(&mut self) -> bool {
-        let received = self.link.received_datagrams();
-        std::mem::replace(&mut self.received_datagrams, received) != received
-    }
-
-    /// Tells whether the link is usable and leads to the process of a record.
-    fn leads_to(&self, record: &MemberRecord) -> bool {
-        !self.link.is_lost() && **self.link.certificate() == *record.certificate
-    }
-}
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -213,15 +213,6 @@
         gone
     }
 
-    /// Lists the records of the other instances that have been silent for
-    /// `time`.
-    pub(crate) fn list_silent(&self, time: Duration, now: Duration) -> Vec<MemberRecord> {
-        let table = self.table.lock();
-        let silent = |m: &&Member| m.last_seen() + time <= now;
-        let silent = table.members.values().filter(silent);
-        silent.map(|m| m.record.clone()).collect()
-    }
-
     /// Lists the other instances in a region that are ready.
     pub(crate) fn list_ready_in(&self, region: &Region, now: Duration) -> Vec<Instance> {
         let table = self.table.lock();
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -77,6 +77,7 @@
             let now = gateway.clock.now();
             gateway.record_contacts(now);
             gateway.remove_expired(now);
+            gateway.links.remove_drained(now);
             gateway.check_silent_links(now);
             let topology = gateway.update_topology(now);
             gateway.dial_due(&topology, now);
@@ -101,7 +102,7 @@
     /// Records the instances from which packets have arrived since the last
     /// call.
     fn record_contacts(&self, now: Duration) {
-        for (name, certificate) in self.links.take_contacts() {
+        for (name, certificate) in self.links.take_contacts(now) {
             self.members.record_contact(&name, &certificate, now);
         }
     }
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -32,6 +32,7 @@
 pub use link::Answer;
 pub use link::Closed;
 pub use link::Connected;
+pub use link::Draining;
 pub use link::Link;
 pub use link::Up;
 pub use message::AccountPart;
--- a/crates/sibling/src/link.rs
+++ b/crates/sibling/src/link.rs
@@ -24,6 +24,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Up(());
 
+/// State of a link that carries no new messages, only the answers to earlier
+/// ones.
+#[derive(Clone, Copy, Debug)]
+pub struct Draining(());
+
 /// State of a link that carries no more messages.
 #[derive(Clone, Copy, Debug)]
 pub struct Closed(());
@@ -33,6 +38,8 @@
 
 impl Connected for Up {}
 
+impl Connected for Draining {}
+
 /// A link to a sibling in state `S`.
 #[derive(Clone, Debug)]
 pub struct Link<S> {
@@ -111,6 +118,12 @@
         }
     }
 
+    /// Lets the link carry its answers to their end, but nothing new. The
+    /// connection ends once the link is dropped and no answer is open.
+    pub fn drain(self) -> Link<Draining> {
+        self.into_state()
+    }
+
     fn broken(&self, step: Step, e: impl ToString) -> Error {
         Error::Broken {
             step,
--- a/tests/testsuite/node/links.rs
+++ b/tests/testsuite/node/links.rs
@@ -96,3 +96,44 @@
         assert!(taken.count() > 0, "{got:?}");
     });
 }
+
+/// Failure: streams were cut as another process of the same instance was
+/// reached, though the process that sent them went on.
+#[test]
+fn a_replaced_link_carries_its_streams_to_their_end() {
+    block_on(async {
+        let (site, near, _target) = start().await;
+        let scripts = vec![slow_stream()];
+        let mut far = ScriptedInstance::start(&site, "near", &["far"], scripts).await;
+        until("the link is up", async || {
+            near.logged().contains("link is up")
+        })
+        .await;
+        let replacing = async {
+            far.until_forwards(1).await;
+            let successor = far.start_successor(&site);
+            until("the link to the successor is up", async || {
+                is_up(&near, &successor.certificate)
+            })
+            .await;
+            stream(&near, 2).await
+        };
+        let (first, second) = tokio::join!(stream(&near, 1), replacing);
+        assert!(first.whole, "{first:?}");
+        assert_eq!(first.event_ids(), [1, 2]);
+        assert!(second.whole, "{second:?}");
+        assert_eq!(cut_answers(&near).await, [""; 0]);
+        until("the link before has ended", async || {
+            near.logged().contains("link has carried its last answer")
+        })
+        .await;
+    });
+}
+
+/// Tells whether the instance has a link to the process with a certificate.
+fn is_up(near: &Node, certificate: &str) -> bool {
+    let shown = format!("\"certificate\":\"{certificate}\"");
+    let logged = near.logged();
+    let mut lines = logged.lines().filter(|line| line.contains("link is up"));
+    lines.any(|line| line.contains(&shown))
+}
