Show the memory that an instance uses, and its limit

An instance that is killed for its memory says nothing: no line and no metric tells how much it had in use. Two gauges do from now on, of the resident size as the system counts it and of the limit in the settings.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -41,6 +41,7 @@
 use crate::log_rate_limit::LogRateLimit;
 use crate::log_writer::LineCounts;
 use crate::members::Members;
+use crate::memory;
 use crate::rate_limiter::RateLimiter;
 use crate::report::Upstream;
 use crate::reporters::Reporters;
@@ -220,6 +221,8 @@
             is_hub,
             reporters,
             open_requests: self.open_requests.len(),
+            resident_memory: memory::resident_bytes(),
+            memory_limit: self.settings.resources.memory,
             quarantined_parts,
             suspended_requests,
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod log_rate_limit;
 pub mod log_writer;
 mod members;
+mod memory;
 mod message;
 mod metrics;
 mod outcome;
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -39,6 +39,10 @@
     pub reporters: usize,
     /// Number of requests and streams that have not ended.
     pub open_requests: usize,
+    /// Bytes of memory that the process has in use.
+    pub resident_memory: u64,
+    /// Bytes of memory that the process may use.
+    pub memory_limit: u64,
     /// Number of quarantined prompt parts.
     pub quarantined_parts: usize,
     /// Requests that are suspended, as targets crashed under them.
@@ -61,6 +65,8 @@
     is_hub: IntGauge,
     reporters: IntGauge,
     open_requests: IntGauge,
+    resident_memory: IntGauge,
+    memory_limit: IntGauge,
     quarantined_parts: IntGauge,
     suspended_requests: IntGauge,
     log_written: IntGauge,
@@ -93,6 +99,8 @@
             is_hub: count("is_hub", "1 if this instance is a hub."),
             reporters: count("reporters", "Instances that report to this one."),
             open_requests: count("requests_open", "Requests and streams that have not ended."),
+            resident_memory: count("resident_memory_bytes", "Memory that the process uses."),
+            memory_limit: count("memory_limit_bytes", "Memory that the process may use."),
             quarantined_parts: count(
                 "quarantined_parts",
                 "Prompt parts that are quarantined, as they crashed targets.",
@@ -119,6 +127,8 @@
         self.is_hub.set(i64::from(values.is_hub));
         self.reporters.set(signed(values.reporters));
         self.open_requests.set(signed(values.open_requests));
+        self.resident_memory.set(signed(values.resident_memory));
+        self.memory_limit.set(signed(values.memory_limit));
         self.quarantined_parts.set(signed(values.quarantined_parts));
         self.suspended_requests
             .set(signed(values.suspended_requests));
