Keep the memory of a caller's connection and request small

Callers saw their connections end without an answer: in a burst an instance went over its 260 MB and was killed.

Cause: the future of a request had 59,216 bytes (rustc's type sizes), and the HTTP library keeps room for the service's future in each connection, idle or not. The size came from copies: admit_and_run has 9,200 bytes, which each future around it holds twice, as its argument and while it awaits it (18,496 in run_until_cancelled, 27,712 in run_until_over, 28,800 in handle, 59,216 in handle_request). The same made 25,472 bytes of the task of a forwarded request, and the stream of an answer had 13,648 for resuming it.

The tests measure the resident memory of a process. Their bounds follow from 260 MB and 4,100 descriptors (docs/CAPACITY.md).

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -174,6 +174,8 @@
         let handled = match current {
             Some(current) => {
                 let running = self.admit_and_run(inbound, received, &current, &mut request_log);
+                // Each future around a large one has room for it twice.
+                let running = Box::pin(running);
                 let handled = self.shutdown.run_until_over(running).await;
                 handled.unwrap_or_else(|| Err(refuse_open_request(request_log.is_placed())))
             }
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -63,7 +63,7 @@
         O: Origin,
     {
         let Some(limit) = self.silence_limit(&opened, cx) else {
-            return self.send(opened, cx, out).await;
+            return Box::pin(self.send(opened, cx, out)).await;
         };
         let SentAttempt {
             mut req,
@@ -76,7 +76,8 @@
             if let Ok(exchanged) = tokio::time::timeout(limit, &mut exchanging).await {
                 break exchanged;
             }
-            exchanging = match self.hedge(&mut req, exchanging, cx, out).await {
+            let hedging = Box::pin(self.hedge(&mut req, exchanging, cx, out));
+            exchanging = match hedging.await {
                 Hedged::First(exchanged) => break *exchanged,
                 Hedged::Stays(_) if self.may_move_to_other_region(&req, cx) => {
                     break Err(AttemptFailure::Silent);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -317,8 +317,10 @@
                 }
                 Err(interruption) => {
                     let resumed = match interruption {
-                        Interruption::Stalled => self.leave_stalled().await,
-                        Interruption::Ended(cause) => self.resume(cause, Retry::Needed).await,
+                        Interruption::Stalled => Box::pin(self.leave_stalled()).await,
+                        Interruption::Ended(cause) => {
+                            Box::pin(self.resume(cause, Retry::Needed)).await
+                        }
                     };
                     if let Err(cause) = resumed {
                         self.outcome = RELAY_BROKEN;
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -275,7 +275,7 @@
                 Ok(Some(data)) => self.buffered = data,
                 Ok(None) => self.finish(),
                 Err(cause) => {
-                    if let Err(cause) = self.resume(cause).await {
+                    if let Err(cause) = Box::pin(self.resume(cause)).await {
                         self.outcome = RELAY_BROKEN;
                         return Some(Err(cause));
                     }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -105,7 +105,8 @@
         let id = req.id.clone();
         let deadline = gateway.clock.now() + Duration::from_millis(req.remaining_ms);
         let mut usage = TargetUsage::default();
-        let running = gateway.run_forwarded(req, &mut usage);
+        // Each future around a large one has room for it twice.
+        let running = Box::pin(gateway.run_forwarded(req, &mut usage));
         let running = gateway.shutdown.run_until_over(running);
         // Check for the cancellation first: if the request arrived late, its
         // cancellation has often arrived too.
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -131,6 +131,16 @@
         self.child.id()
     }
 
+    /// Returns the memory that the process has in use, in bytes.
+    pub fn resident_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.id());
+        let status = std::fs::read_to_string(path).expect("the process is known");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|l| l.split_whitespace().next());
+        let kib: u64 = kib.and_then(|n| n.parse().ok()).expect("a size");
+        kib * 1024
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         kill_process(pid, signal).expect("the process can be signalled");
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -8,6 +8,7 @@
 mod hubs;
 mod kept_connections;
 mod leaving;
+mod memory;
 mod names;
 mod odd_entries;
 mod operations;
--- /dev/null
+++ b/tests/testsuite/node/memory.rs
@@ -0,0 +1,131 @@
+//! The memory of an instance grows with its callers by no more than
+//! `docs/CAPACITY.md` allows for each.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+use support::block_on;
+use support::cases;
+use support::node::KeptConnection;
+use support::node::Node;
+use support::node::PlatformTarget;
+use support::node::SilentAnswer;
+use support::node::SilentTarget;
+use support::node::Site;
+use support::node::Stage;
+use support::node::call::Call;
+use support::node::site::KEY;
+use support::node::site::configuration;
+use support::node::site::until;
+
+/// Largest growth for a caller's connection that is idle, in bytes: a quarter
+/// of 260 MB for the 2,900 callers that 4,100 descriptors allow.
+const MAX_IDLE_BYTES: u64 = 260_000_000 / 4 / 2900;
+
+/// Largest growth for an open request with its connections, in bytes: half of
+/// 260 MB for the 1,950 requests that have two descriptors each of 3,900.
+const MAX_OPEN_BYTES: u64 = 260_000_000 / 2 / 1950;
+
+/// Callers before the first measurement, for what a process takes only once.
+const FIRST_CALLERS: u64 = 60;
+
+/// Callers between the two measurements.
+const CALLERS: u64 = 400;
+
+/// Time that targets are silent: longer than a test.
+const SILENCE: Duration = Duration::from_secs(60);
+
+/// Returns a configuration that lets many requests wait for one target.
+fn patient() -> Value {
+    let mut config = configuration(4);
+    config["limits"]["idle_timeout_ms"] = json!(60_000);
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = json!(60_000);
+    }
+    for service in config["services"].as_array_mut().expect("services") {
+        service["max_connections"] = json!(10_000);
+    }
+    config
+}
+
+/// Opens connections that have carried a request each.
+async fn open_idle(node: &Node, body_bytes: usize, callers: u64, held: &mut Vec<KeptConnection>) {
+    let body = vec![b'a'; body_bytes];
+    for _ in 0..callers {
+        let call = Call::new(&format!("r-{}", held.len()), "/status/1").key(KEY);
+        let mut conn = KeptConnection::open(node.front).await;
+        let status = conn.send(&call.body(&body)).await;
+        assert_eq!(status, Ok(StatusCode::OK));
+        held.push(conn);
+    }
+}
+
+fn check_idle(body_bytes: usize) {
+    block_on(async {
+        let site = Site::start().await;
+        site.store.put("op/config", &patient());
+        let target = PlatformTarget::start("i-1").await;
+        site.register(&target, "orders", "north-a");
+        let node = site.instance("one", "north-a", "north").await;
+        let mut held = Vec::new();
+        open_idle(&node, body_bytes, FIRST_CALLERS, &mut held).await;
+        let before = node.process.resident_bytes();
+        open_idle(&node, body_bytes, CALLERS, &mut held).await;
+        let each = (node.process.resident_bytes() - before) / CALLERS;
+        println!("{each} bytes an idle connection");
+        assert!(each <= MAX_IDLE_BYTES, "{each} bytes an idle connection");
+    });
+}
+
+cases! {
+    check_idle:
+    /// Failure: each idle connection kept room for all of a request, and a
+    /// burst of callers took an instance over its memory.
+    an_idle_connection_costs_little(8);
+}
+
+/// Registers a target that takes all requests of a test at once.
+fn register_large(site: &Site, target: &SilentTarget) {
+    let record = json!({
+        "service": "orders", "address": target.address.to_string(), "zone": "north-a",
+        "version": "v1", "slots": 1000, "state": "ready", "warmup_left_ms": 0,
+        "sequence": 1, "born": 1_700_000_000_000_u64,
+    });
+    site.store.put("servers/i-1", &record);
+}
+
+/// Sends requests that a silent target keeps open.
+async fn open_requests(node: &Node, target: &SilentTarget, callers: u64) {
+    let first = target.requests().len();
+    for n in 0..callers {
+        let call = Call::new(&format!("r-{}", first as u64 + n), "/deposit/1").key(KEY);
+        let call = call.header("request-deadline", "60000");
+        let front = node.front;
+        tokio::spawn(async move { call.exchange(front).await });
+    }
+    until("the target has all requests", async || {
+        target.requests().len() as u64 == first as u64 + callers
+    })
+    .await;
+}
+
+/// Failure: the future of each open request was copied into those around it, and
+/// a burst of requests took an instance over its memory.
+#[test]
+fn an_open_request_costs_little() {
+    block_on(async {
+        let site = Site::start().await;
+        site.store.put("op/config", &patient());
+        let silent = SilentTarget::start(SilentAnswer::Plain, Stage::BeforeHead, SILENCE).await;
+        register_large(&site, &silent);
+        let node = site.instance("one", "north-a", "north").await;
+        open_requests(&node, &silent, FIRST_CALLERS).await;
+        let before = node.process.resident_bytes();
+        open_requests(&node, &silent, CALLERS).await;
+        let each = (node.process.resident_bytes() - before) / CALLERS;
+        println!("{each} bytes an open request");
+        assert!(each <= MAX_OPEN_BYTES, "{each} bytes an open request");
+    });
+}
