--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -9,6 +9,7 @@
 mod kept_connections;
 mod leaving;
 mod links;
+mod memory;
 mod names;
 mod odd_entries;
 mod operations;
