--- a/tests/testsuite/node/memory.rs
+++ b/tests/testsuite/node/memory.rs
@@ -84,6 +84,8 @@
     /// Failure: each idle connection kept room for all of a request, and a
     /// burst of callers took an instance over its memory.
     an_idle_connection_costs_little(8);
+    /// Failure: an idle connection kept the read buffer of its largest request.
+    an_idle_connection_costs_little_after_a_large_body(60_000);
 }
 
 /// Registers a target that takes all requests of a test at once.
