Bound the memory of bodies and buffered answers

What an instance took on was not bounded by what it has: any number of bodies of up to max_body_bytes each was read at once, every plain answer was buffered up to 256 KiB for as long as its caller read slowly, and a forwarded body was copied twice more. With enough callers the process is killed for its memory, and all requests of its connections go without an answer.

A budget of a quarter of the memory in the settings is shared by them. The stated length of a body is reserved before any of it is read, a body of no stated length as it grows; the bytes are returned when the last copy is dropped, so those of a retry, of a slow reader or of a stream that may be resumed count until then. A body that does not fit is refused as not run, with 503 and a Retry-After that differs between callers; what it has sent is read and dropped first, as a connection that is closed with unread bytes is reset and the refusal lost. A forwarded body is refused in the same way, a message to another region goes to another destination, and an answer that finds no room is sent on unbuffered: it has run, and refusing it would lose it. A complete reply to another instance is copied in parts of 16 KiB, not as a whole.

Bodies are copied out of the read buffer, so a short one does not keep a large buffer alive.

Two gauges tell what is used and the limit, a counter what did not fit, and a line is written when the budget is nearly used up, used up, and free again.

On the code before, 20 callers that state 4 MiB each and send nothing:

a_body_over_the_memory_is_refused_as_not_run: assertion `left == right` failed: [] left: 0 right: 4

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod keys;
 pub mod limits;
 pub mod membership;
+pub mod memory_budget;
 pub mod names;
 pub mod pacing;
 pub mod placement;
--- /dev/null
+++ b/crates/decisions/src/memory_budget.rs
@@ -0,0 +1,256 @@
+//! A budget of bytes that the bodies and buffered answers of a process share.
+//!
+//! Bytes are reserved before they are read, and returned when the last copy of
+//! what was read is dropped, as after an answer was written to a slow caller.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use thiserror::Error as ThisError;
+
+/// The budget has too few bytes left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(ThisError)]
+#[error("too little memory is left for requests")]
+pub struct Exhausted;
+
+/// How much of a budget is in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Level {
+    /// Not near the limit.
+    Ample,
+    /// At least three quarters are in use.
+    Near,
+    /// A reservation was denied.
+    Exhausted,
+}
+
+/// Use of a budget at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetUse {
+    /// Bytes that may be reserved in all.
+    pub limit: u64,
+    /// Bytes that are reserved.
+    pub used: u64,
+}
+
+/// # Invariants
+///
+/// `used` is the sum of all reservations, and at most `limit`.
+#[derive(Debug)]
+struct Shared {
+    limit: u64,
+    used: AtomicU64,
+    /// A [`Level`], the last one that was returned by
+    /// [`MemoryBudget::level_change`].
+    noted: AtomicU8,
+    denied: AtomicU64,
+    /// Value of `denied` at the last call of [`MemoryBudget::level_change`].
+    noted_denied: AtomicU64,
+}
+
+impl Shared {
+    fn take(&self, bytes: u64) -> Result<(), Exhausted> {
+        let add = |used: u64| used.checked_add(bytes).filter(|sum| *sum <= self.limit);
+        let taken = self
+            .used
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+        taken.map(|_| ()).map_err(|_| {
+            self.denied.fetch_add(1, Ordering::Relaxed);
+            Exhausted
+        })
+    }
+
+    fn give_back(&self, bytes: u64) {
+        self.used.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
+/// A budget of bytes. Clones share it.
+#[derive(Clone, Debug)]
+pub struct MemoryBudget {
+    shared: Arc<Shared>,
+}
+
+impl MemoryBudget {
+    /// Creates a budget of `limit` bytes.
+    pub fn new(limit: u64) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                limit,
+                used: AtomicU64::new(0),
+                noted: AtomicU8::new(Level::Ample as u8),
+                denied: AtomicU64::new(0),
+                noted_denied: AtomicU64::new(0),
+            }),
+        }
+    }
+
+    /// Reserves bytes until the reservation is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too few bytes are left.
+    pub fn reserve(&self, bytes: usize) -> Result<Reservation, Exhausted> {
+        let mut reservation = Reservation {
+            shared: Arc::clone(&self.shared),
+            bytes: 0,
+        };
+        reservation.grow_to(bytes)?;
+        Ok(reservation)
+    }
+
+    /// Reserves bytes for data that was read, until its last copy is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too few bytes are left.
+    pub fn hold(&self, data: Vec<u8>) -> Result<Bytes, Exhausted> {
+        let reservation = self.reserve(data.capacity())?;
+        Ok(HeldBuffer { data, reservation }.freeze())
+    }
+
+    /// Returns a buffer with room for `capacity` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too few bytes are left.
+    pub fn buffer(&self, capacity: usize) -> Result<HeldBuffer, Exhausted> {
+        let reservation = self.reserve(capacity)?;
+        Ok(HeldBuffer {
+            data: Vec::with_capacity(capacity),
+            reservation,
+        })
+    }
+
+    /// Returns a buffer without room.
+    pub fn empty_buffer(&self) -> HeldBuffer {
+        HeldBuffer {
+            data: Vec::new(),
+            reservation: Reservation {
+                shared: Arc::clone(&self.shared),
+                bytes: 0,
+            },
+        }
+    }
+
+    /// Returns the limit and the bytes in use.
+    pub fn usage(&self) -> BudgetUse {
+        BudgetUse {
+            limit: self.shared.limit,
+            used: self.shared.used.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Returns the level if it differs from what the last call returned. A level
+    /// ends once no more than half of the budget is in use.
+    pub fn level_change(&self) -> Option<Level> {
+        let shared = &self.shared;
+        let BudgetUse { limit, used } = self.usage();
+        let denied = shared.denied.load(Ordering::Relaxed);
+        let was_denied = shared.noted_denied.swap(denied, Ordering::Relaxed) != denied;
+        let noted = shared.noted.load(Ordering::Relaxed);
+        let level = if was_denied {
+            Level::Exhausted
+        } else if used <= limit / 2 {
+            Level::Ample
+        } else if used >= limit - limit / 4 && noted == Level::Ample as u8 {
+            Level::Near
+        } else {
+            return None;
+        };
+        let former = shared.noted.swap(level as u8, Ordering::Relaxed);
+        (former != level as u8).then_some(level)
+    }
+}
+
+/// Bytes of a budget, which are returned when it is dropped.
+#[derive(Debug)]
+pub struct Reservation {
+    shared: Arc<Shared>,
+    bytes: u64,
+}
+
+impl Reservation {
+    /// Raises the reservation to `bytes` if it is smaller.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too few bytes are left. The reservation is unchanged then.
+    pub fn grow_to(&mut self, bytes: usize) -> Result<(), Exhausted> {
+        let more = (bytes as u64).saturating_sub(self.bytes);
+        self.shared.take(more)?;
+        self.bytes += more;
+        Ok(())
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.shared.give_back(self.bytes);
+    }
+}
+
+/// A buffer whose room is reserved.
+///
+/// # Invariants
+///
+/// `reservation` covers the capacity of `data`, but for what
+/// [`HeldBuffer::extend_unreserved`] has added.
+#[derive(Debug)]
+pub struct HeldBuffer {
+    data: Vec<u8>,
+    reservation: Reservation,
+}
+
+impl HeldBuffer {
+    /// Adds data, for which room is reserved first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too few bytes are left. Nothing is added then.
+    pub fn extend(&mut self, data: &[u8]) -> Result<(), Exhausted> {
+        let len = self.data.len() + data.len();
+        if len > self.data.capacity() {
+            let capacity = len.max(2 * self.data.capacity());
+            self.reservation.grow_to(capacity)?;
+            self.data.reserve_exact(capacity - self.data.len());
+        }
+        self.data.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Adds data that was received already and can't be refused any more.
+    pub fn extend_unreserved(&mut self, data: &[u8]) {
+        self.data.extend_from_slice(data);
+    }
+
+    /// Returns the number of bytes of data.
+    pub fn len(&self) -> usize {
+        self.data.len()
+    }
+
+    /// Tells whether there is no data.
+    pub fn is_empty(&self) -> bool {
+        self.data.is_empty()
+    }
+
+    /// Returns the data. Its bytes are returned to the budget when the last
+    /// copy is dropped.
+    pub fn freeze(self) -> Bytes {
+        match self.data.is_empty() {
+            true => Bytes::new(),
+            false => Bytes::from_owner(self),
+        }
+    }
+}
+
+impl AsRef<[u8]> for HeldBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -4,11 +4,12 @@
 use std::future::Future;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use chiverelay_decisions::answer::AnswerChecker;
 use chiverelay_decisions::answer::Framing;
 use chiverelay_target::connection_pool::PooledResponse;
 
+use crate::memory::RequestMemory;
+
 /// Size, in bytes, up to which an answer that is not a stream is read
 /// completely before it is sent to the caller.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 256 * 1024;
@@ -42,7 +43,7 @@
 }
 
 /// Reads a stream up to its first event, or any other answer up to
-/// [`MAX_BUFFERED_BYTES`].
+/// [`MAX_BUFFERED_BYTES`], or as far as there is memory for it.
 ///
 /// # Errors
 ///
@@ -51,12 +52,13 @@
     answer: &mut A,
     framing: Framing,
     last_event_id: Option<u64>,
+    memory: &RequestMemory,
 ) -> Result<AnswerStart, String>
 where
     A: ChunkedAnswer,
 {
     let mut checker = AnswerChecker::resume_after(framing, last_event_id);
-    let mut data = BytesMut::new();
+    let mut data = memory.budget().empty_buffer();
     loop {
         let chunk = answer.next_chunk().await?;
         let Some(chunk) = chunk else {
@@ -68,7 +70,7 @@
             });
         };
         let chunk = checker.push(chunk).map_err(|e| e.to_string())?;
-        data.extend_from_slice(&chunk);
+        let has_room = memory.extend_answer(&mut data, &chunk);
         // The checker returns only complete events, so any data contains the
         // first event.
         let limit = if framing.is_events() {
@@ -76,7 +78,7 @@
         } else {
             MAX_BUFFERED_BYTES
         };
-        if data.len() >= limit {
+        if data.len() >= limit || !(has_room || data.is_empty()) {
             return Ok(AnswerStart {
                 data: data.freeze(),
                 is_complete: false,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -342,7 +342,8 @@
             true => Framing::NumberedEvents,
             false => Framing::Delimited,
         };
-        let start = answer::read_start(&mut answer, framing, out.last_event_id).await;
+        let reading = answer::read_start(&mut answer, framing, out.last_event_id, &self.memory);
+        let start = reading.await;
         let start = start.map_err(AttemptFailure::ExchangeFailed)?;
         if answer.status().is_server_error() && kind.is_repeatable() {
             return Err(AttemptFailure::ServerError(Box::new((answer, start))));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::answer::Framing;
+use chiverelay_decisions::memory_budget::Reservation;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -25,6 +26,7 @@
 use crate::ReplyBody;
 use crate::answer;
 use crate::answer::AnswerStart;
+use crate::memory::RequestMemory;
 use crate::outcome::Fallback;
 use crate::place::PlacementContext;
 use crate::remote_answer::ForwardFailure;
@@ -61,11 +63,16 @@
         };
         let deadline = self.shutdown.limit(req.meta().deadline);
         let left = deadline.saturating_sub(self.clock.now());
+        // The message and its encoding have a copy of the body each.
+        let held = match self.memory.reserve_message(2 * out.body.len()) {
+            Ok(held) => held,
+            Err(refusal) => return ForwardOutcome::Retry(req.unplace(), refusal.into()),
+        };
         let message = forward_message(&req, cx, out, left);
         let req = req.dispatch();
         self.metrics.count_forward();
         let sent = self.clock.now();
-        let exchange = exchange_with_sibling(&link, message, out);
+        let exchange = exchange_with_sibling(&link, message, held, out, &self.memory);
         let started = tokio::time::timeout(left, exchange).await;
         let took = self.clock.now().saturating_sub(sent);
         match started.unwrap_or(Err(ForwardFailure::TimedOut)) {
@@ -217,14 +224,17 @@
 async fn exchange_with_sibling(
     link: &Link<Up>,
     message: Forward,
+    held: Reservation,
     out: &Outbound,
+    memory: &RequestMemory,
 ) -> Result<(RemoteAnswer, AnswerStart), ForwardFailure> {
     let mut answer = RemoteAnswer::request(link, message).await?;
+    drop(held);
     let framing = match out.is_streaming && answer.status.is_success() {
         true => Framing::NumberedEvents,
         false => Framing::Delimited,
     };
-    match answer::read_start(&mut answer, framing, out.last_event_id).await {
+    match answer::read_start(&mut answer, framing, out.last_event_id, memory).await {
         Ok(start) => Ok((answer, start)),
         Err(reason) => Err(ForwardFailure::ExchangeFailed(reason, answer.attempts_used)),
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -42,6 +42,7 @@
 use crate::log_writer::LineCounts;
 use crate::members::Members;
 use crate::memory;
+use crate::memory::RequestMemory;
 use crate::rate_limiter::RateLimiter;
 use crate::report::Upstream;
 use crate::reporters::Reporters;
@@ -90,6 +91,7 @@
     /// Notified when the other instances have to be told something at once.
     pub(crate) status_due: Notify,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) memory: RequestMemory,
     pub(crate) log_rate_limit: LogRateLimit,
     pub(crate) incarnation: u64,
     pub(crate) shutdown: Shutdown,
@@ -125,6 +127,7 @@
         let certificates = Certificates::generate(&identity, pins.clone())?;
         let endpoint = Endpoint::bind(settings.sibling_address, &certificates)?;
         let incarnation = rand::random();
+        let metrics = Arc::new(Metrics::new());
         let own = MemberRecord {
             instance: settings.instance.clone(),
             zone: settings.zone.clone(),
@@ -147,7 +150,8 @@
             connections: ConnectionPool::new(CONNECT_TIMEOUT),
             pending_losses: PendingLosses::default(),
             status_due: Notify::new(),
-            metrics: Arc::new(Metrics::new()),
+            memory: RequestMemory::new(settings.resources, Arc::clone(&metrics)),
+            metrics,
             shutdown: Shutdown::default(),
             stop: CancellationToken::new(),
             open_requests: TaskTracker::new(),
@@ -207,6 +211,7 @@
         let suspended_requests = self.tables.suspensions.lock().count_suspended(now);
         let is_hub = self.topology.lock().is_hub;
         let reporters = self.reporters.names().len();
+        let request_memory = self.memory.budget().usage();
         let fleet = self.tables.fleet.lock();
         GaugeValues {
             store_age: now.saturating_sub(fleet.last_store_answer()),
@@ -221,6 +226,8 @@
             is_hub,
             reporters,
             open_requests: self.open_requests.len(),
+            request_memory: request_memory.used,
+            request_memory_limit: request_memory.limit,
             resident_memory: memory::resident_bytes(),
             memory_limit: self.settings.resources.memory,
             quarantined_parts,
@@ -233,6 +240,11 @@
         Arc::clone(&self.metrics)
     }
 
+    /// Returns the memory that requests share.
+    pub fn memory(&self) -> &RequestMemory {
+        &self.memory
+    }
+
     /// Returns the current catalog's limits on the requests of callers, or
     /// the defaults if there is no catalog yet.
     pub fn client_limits(&self) -> chiverelay_decisions::catalog::ClientLimits {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -165,6 +165,7 @@
         let received = self.clock.now();
         let timeout = inbound.timeout;
         let _open = self.open_requests.token();
+        self.memory.log_level();
         if received < LISTINGS_EXPECTED_WITHIN && !self.is_ready() {
             self.members.wait_until_started(MAX_LISTINGS_WAIT).await;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -58,6 +58,7 @@
 pub use gateway::Gateway;
 pub use members::MemberRecord;
 pub use members::MemberState;
+pub use memory::RequestMemory;
 pub use message::AttemptContext;
 pub use message::BodyStream;
 pub use message::Dialect;
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -1,8 +1,122 @@
-//! The memory of the process.
+//! The memory that requests hold: bodies and buffered answers share a budget,
+//! and what doesn't fit is refused before it is read.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chiverelay_decisions::memory_budget::Exhausted;
+use chiverelay_decisions::memory_budget::HeldBuffer;
+use chiverelay_decisions::memory_budget::Level;
+use chiverelay_decisions::memory_budget::MemoryBudget;
+use chiverelay_decisions::memory_budget::Reservation;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::resources::ResourceLimits;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
+
+use crate::Metrics;
+
+/// Bodies and buffered answers have one part in this number of the process's
+/// memory.
+const PARTS_OF_MEMORY: u64 = 4;
+
+/// Shortest retry delay of a request that there is no memory for.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// Longest retry delay of a request that there is no memory for. Delays differ,
+/// so that callers that were refused together don't come back together.
+const MAX_RETRY_AFTER: Duration = Duration::from_millis(1600);
 
 /// File in which the system states the memory of the process.
 const STATUS_FILE: &str = "/proc/self/status";
 
+/// Memory that bodies and buffered answers share.
+#[derive(Debug)]
+pub struct RequestMemory {
+    budget: MemoryBudget,
+    metrics: Arc<Metrics>,
+}
+
+impl RequestMemory {
+    /// Creates the budget of a process with these limits.
+    pub fn new(limits: ResourceLimits, metrics: Arc<Metrics>) -> Self {
+        Self {
+            budget: MemoryBudget::new(limits.memory / PARTS_OF_MEMORY),
+            metrics,
+        }
+    }
+
+    /// Returns the budget.
+    pub fn budget(&self) -> &MemoryBudget {
+        &self.budget
+    }
+
+    /// Refuses a caller's request whose body there is no memory for.
+    pub fn refuse_body(&self) -> Refusal {
+        self.refuse("body", Step::Receive)
+    }
+
+    /// Holds the body of a request that another instance has forwarded.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if too little memory is left.
+    pub(crate) fn hold_forwarded(&self, body: Vec<u8>) -> Result<Bytes, Refusal> {
+        let held = self.budget.hold(body);
+        held.map_err(|Exhausted| self.refuse("forwarded body", Step::Receive))
+    }
+
+    /// Reserves the bytes of a message to another instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too little memory is left.
+    pub(crate) fn reserve_message(&self, bytes: usize) -> Result<Reservation, Refusal> {
+        let reservation = self.budget.reserve(bytes);
+        reservation.map_err(|Exhausted| self.refuse("message", Step::Forward))
+    }
+
+    /// Adds a part of an answer that is buffered. Returns false if too little
+    /// memory is left to buffer more; the part is added nevertheless.
+    pub(crate) fn extend_answer(&self, answer: &mut HeldBuffer, part: &[u8]) -> bool {
+        if answer.extend(part).is_ok() {
+            return true;
+        }
+        self.metrics.count_memory_denial("answer");
+        answer.extend_unreserved(part);
+        false
+    }
+
+    /// Logs that the budget is near its limit, has reached it, or is free again.
+    pub(crate) fn log_level(&self) {
+        let Some(level) = self.budget.level_change() else {
+            return;
+        };
+        let usage = self.budget.usage();
+        let (used, limit) = (usage.used, usage.limit);
+        match level {
+            Level::Near => {
+                log::warn!(target: "memory", used, limit; "memory of requests is nearly used up");
+            }
+            Level::Exhausted => {
+                log::warn!(target: "memory", used, limit; "memory of requests is used up; what does not fit is refused");
+            }
+            Level::Ample => {
+                log::info!(target: "memory", used, limit; "memory of requests is free again");
+            }
+        }
+    }
+
+    fn refuse(&self, what: &str, step: Step) -> Refusal {
+        self.metrics.count_memory_denial(what);
+        self.log_level();
+        let delay = rand::random_range(MIN_RETRY_AFTER..=MAX_RETRY_AFTER);
+        Refusal::not_run(Code::Overloaded, step, Peer::Local).with_retry_after(delay)
+    }
+}
+
 /// Returns the memory that the process has in use, in bytes; 0 if the system
 /// doesn't tell.
 pub(crate) fn resident_bytes() -> u64 {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,7 @@
     connection_uses: IntCounterVec,
     forwards: IntCounterVec,
     sibling_refusals: IntCounterVec,
+    memory_denials: IntCounterVec,
     store_calls: IntCounterVec,
     task_restarts: IntCounterVec,
     log_counts: OnceLock<Arc<LineCounts>>,
@@ -125,6 +126,12 @@
                 "Connections and messages of other instances that were refused.",
                 &["reason"],
             ),
+            memory_denials: counter(
+                &registry,
+                "memory_denials_total",
+                "What did not fit into the memory of requests.",
+                &["what"],
+            ),
             store_calls: counter(
                 &registry,
                 "store_calls_total",
@@ -185,6 +192,7 @@
             &self.crash_checks,
             &self.connection_uses,
             &self.sibling_refusals,
+            &self.memory_denials,
             &self.task_restarts,
         ] {
             counter.with_label_values(&["none"]);
@@ -293,6 +301,11 @@
         self.sibling_refusals.with_label_values(&[reason]).inc();
     }
 
+    /// Counts what was refused or not buffered for lack of memory.
+    pub(crate) fn count_memory_denial(&self, what: &str) {
+        self.memory_denials.with_label_values(&[what]).inc();
+    }
+
     /// Records the end of a relayed answer, which need not be a stream.
     pub(crate) fn record_stream(&self, outcome: &str, took: Duration) {
         let histogram = self.stream_times.with_label_values(&[outcome]);
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -39,6 +39,10 @@
     pub reporters: usize,
     /// Number of requests and streams that have not ended.
     pub open_requests: usize,
+    /// Bytes of bodies and buffered answers.
+    pub request_memory: u64,
+    /// Limit on the bytes of bodies and buffered answers.
+    pub request_memory_limit: u64,
     /// Bytes of memory that the process has in use.
     pub resident_memory: u64,
     /// Bytes of memory that the process may use.
@@ -65,6 +69,8 @@
     is_hub: IntGauge,
     reporters: IntGauge,
     open_requests: IntGauge,
+    request_memory: IntGauge,
+    request_memory_limit: IntGauge,
     resident_memory: IntGauge,
     memory_limit: IntGauge,
     quarantined_parts: IntGauge,
@@ -99,6 +105,14 @@
             is_hub: count("is_hub", "1 if this instance is a hub."),
             reporters: count("reporters", "Instances that report to this one."),
             open_requests: count("requests_open", "Requests and streams that have not ended."),
+            request_memory: count(
+                "request_memory_bytes",
+                "Bytes of bodies and buffered answers.",
+            ),
+            request_memory_limit: count(
+                "request_memory_limit_bytes",
+                "Limit on the bytes of bodies and buffered answers.",
+            ),
             resident_memory: count("resident_memory_bytes", "Memory that the process uses."),
             memory_limit: count("memory_limit_bytes", "Memory that the process may use."),
             quarantined_parts: count(
@@ -127,6 +141,9 @@
         self.is_hub.set(i64::from(values.is_hub));
         self.reporters.set(signed(values.reporters));
         self.open_requests.set(signed(values.open_requests));
+        self.request_memory.set(signed(values.request_memory));
+        self.request_memory_limit
+            .set(signed(values.request_memory_limit));
         self.resident_memory.set(signed(values.resident_memory));
         self.memory_limit.set(signed(values.memory_limit));
         self.quarantined_parts.set(signed(values.quarantined_parts));
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -48,6 +48,9 @@
 /// Shortest time for sending a reply, which may be ready only at the deadline.
 const MIN_REPLY_TIME: Duration = Duration::from_millis(100);
 
+/// Largest part of a complete reply that is copied and sent at once, in bytes.
+const REPLY_PART_BYTES: usize = 16 * 1024;
+
 /// Handler of the messages and forwarded requests of other instances.
 pub(crate) struct SiblingHandler<D>
 where
@@ -187,7 +190,9 @@
     tx.send(&head).await?;
     let mut stream = match body {
         ReplyBody::Full(data) => {
-            tx.send(&Frame::Data(data.to_vec())).await?;
+            for part in data.chunks(REPLY_PART_BYTES) {
+                tx.send(&Frame::Data(part.to_vec())).await?;
+            }
             return tx.send(&Frame::End).await;
         }
         ReplyBody::Chunks(stream) => stream,
@@ -303,7 +308,7 @@
             method,
             path_and_query: forward.path_and_query,
             headers,
-            body: forward.body.into(),
+            body: self.memory.hold_forwarded(forward.body)?,
             account: grant.account.clone(),
             priority: matched.priority().min(handle::LOWEST_PRIORITY),
             is_streaming: matched.route.kind.is_stream(),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,12 +6,15 @@
 //! these arrive.
 
 mod client;
+mod held_body;
 mod keepalive;
 mod server;
 
 pub use client::BufferedResponse;
 pub use client::Client;
 pub use client::Error;
+pub use held_body::BodyError;
+pub use held_body::read_held_body;
 pub use keepalive::enable_idle_keepalive;
 pub use keepalive::enable_keepalive;
 pub use server::Body;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod links;
 mod membership;
 mod membership_fleet;
+mod memory_budget;
 mod metrics;
 mod node;
 mod once;
--- /dev/null
+++ b/tests/testsuite/memory_budget.rs
@@ -0,0 +1,67 @@
+//! The budget of bytes that bodies and buffered answers share.
+
+use chiverelay_decisions::memory_budget::Exhausted;
+use chiverelay_decisions::memory_budget::Level;
+use chiverelay_decisions::memory_budget::MemoryBudget;
+use support::cases;
+
+const LIMIT: u64 = 1000;
+
+/// Reserves sizes in turn, and compares which fit.
+fn check_reserve(sizes: &[usize], fit: &[bool]) {
+    let budget = MemoryBudget::new(LIMIT);
+    let held: Vec<_> = sizes.iter().map(|n| budget.reserve(*n)).collect();
+    let found: Vec<bool> = held.iter().map(Result::is_ok).collect();
+    assert_eq!(found, fit);
+    drop(held);
+    assert_eq!(budget.usage().used, 0);
+}
+
+cases! {
+    check_reserve:
+    nothing_fits_always(&[1000, 0], &[true, true]);
+    up_to_the_limit(&[400, 600], &[true, true]);
+    one_byte_over_the_limit(&[400, 601], &[true, false]);
+    smaller_ones_fit_after_a_denial(&[900, 200, 100], &[true, false, true]);
+    a_size_that_overflows(&[1, usize::MAX], &[true, false]);
+}
+
+#[test]
+fn a_buffer_reserves_its_room_before_it_grows() {
+    let budget = MemoryBudget::new(LIMIT);
+    let mut buffer = budget.buffer(100).expect("room");
+    assert_eq!(budget.usage().used, 100);
+    assert_eq!(buffer.extend(&[1; 100]), Ok(()));
+    assert_eq!(budget.usage().used, 100);
+    assert_eq!(buffer.extend(&[2; 50]), Ok(()));
+    assert_eq!(budget.usage().used, 200);
+    assert_eq!(buffer.extend(&[3; 900]), Err(Exhausted));
+    assert_eq!((buffer.len(), budget.usage().used), (150, 200));
+}
+
+#[test]
+fn the_last_copy_of_the_data_returns_its_bytes() {
+    let budget = MemoryBudget::new(LIMIT);
+    let data = budget.hold(vec![7; 300]).expect("room");
+    let slice = data.slice(10..20);
+    drop(data);
+    assert_eq!(budget.usage().used, 300);
+    drop(slice);
+    assert_eq!(budget.usage().used, 0);
+}
+
+#[test]
+fn each_change_of_level_is_told_once() {
+    let budget = MemoryBudget::new(LIMIT);
+    assert_eq!(budget.level_change(), None);
+    let most = budget.reserve(750).expect("room");
+    assert_eq!(budget.level_change(), Some(Level::Near));
+    assert_eq!(budget.level_change(), None);
+    assert_eq!(budget.reserve(251).err(), Some(Exhausted));
+    assert_eq!(budget.level_change(), Some(Level::Exhausted));
+    assert_eq!(budget.reserve(251).err(), Some(Exhausted));
+    assert_eq!(budget.level_change(), None);
+    drop(most);
+    assert_eq!(budget.level_change(), Some(Level::Ample));
+    assert_eq!(budget.level_change(), None);
+}
--- a/tests/testsuite/node/memory.rs
+++ b/tests/testsuite/node/memory.rs
@@ -14,7 +14,9 @@
 use support::node::SilentAnswer;
 use support::node::SilentTarget;
 use support::node::Site;
+use support::node::SlowReader;
 use support::node::Stage;
+use support::node::call;
 use support::node::call::Call;
 use support::node::site::KEY;
 use support::node::site::configuration;
@@ -34,6 +36,15 @@
 /// Callers between the two measurements.
 const CALLERS: u64 = 400;
 
+/// Size of a body that is stated and not sent: 16 fit into a quarter of 260 MiB.
+const STATED_BYTES: usize = 4 * 1024 * 1024;
+
+/// Callers that state such a body, and how many of them there is no memory for.
+const STATING: (usize, usize) = (20, 4);
+
+/// Time in which a refusal arrives whose caller sends no more of its body.
+const REFUSED_WITHIN: Duration = Duration::from_secs(4);
+
 /// Time that targets are silent: longer than a test.
 const SILENCE: Duration = Duration::from_secs(60);
 
@@ -131,3 +142,45 @@
         assert!(each <= MAX_OPEN_BYTES, "{each} bytes an open request");
     });
 }
+
+/// States a long body and sends none of it; returns the head of a refusal.
+async fn state_body(node: &Node, n: usize) -> (SlowReader, Option<String>) {
+    let mut caller = SlowReader::open(node.front).await;
+    let head = format!(
+        "POST /status/1 HTTP/1.1\r\nhost: desk.example\r\nrequest-id: r-{n}\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: {STATED_BYTES}\r\n\r\n"
+    );
+    caller.write(&head).await;
+    let answer = tokio::time::timeout(REFUSED_WITHIN, caller.read_to("\r\n\r\n")).await;
+    let head = answer.ok().map(|head| head.expect("a head"));
+    (caller, head)
+}
+
+/// Failure: any number of bodies was read at once, and the memory that they took
+/// had no bound.
+#[test]
+fn a_body_over_the_memory_is_refused_as_not_run() {
+    block_on(async {
+        let site = Site::start().await;
+        let mut config = patient();
+        config["limits"]["max_body_bytes"] = json!(STATED_BYTES);
+        site.store.put("op/config", &config);
+        let node = site.instance("one", "north-a", "north").await;
+        let stating = (0..STATING.0).map(|n| state_body(&node, n));
+        let callers = futures_util::future::join_all(stating).await;
+        let refusals: Vec<_> = callers.iter().filter_map(|c| c.1.as_deref()).collect();
+        assert_eq!(refusals.len(), STATING.1, "{refusals:?}");
+        for head in refusals {
+            assert!(head.starts_with("HTTP/1.1 503"), "{head}");
+            assert!(head.contains("retry-after: "), "{head}");
+        }
+        let line = "memory of requests is used up";
+        assert!(node.logged().contains(line), "{}", node.logged());
+        drop(callers);
+        until("the bytes are returned", async || {
+            let page = call::get(node.metrics, "/metrics").await;
+            page.is_ok_and(|page| page.body.contains("chiverelay_request_memory_bytes 0\n"))
+        })
+        .await;
+    });
+}
