Bound the log lines that wait for the writer by their bytes

The queue of log lines was bounded by their number alone. A line has text of the caller, such as the id of its request, which may be as long as a head. While standard output is not read, 4,096 lines of 16 KiB took 64 MiB of the 260 MB that an instance has.

The queue holds at most 2 MiB now; what goes beyond is dropped and counted as before.

--- a/crates/gateway/src/log_writer.rs
+++ b/crates/gateway/src/log_writer.rs
@@ -1,8 +1,8 @@
 //! Writes log lines as JSON objects to standard output without blocking the
 //! process.
 //!
-//! Lines go through a bounded queue to a single writer thread. If the queue is
-//! full, lines are dropped, and the writer later logs how many.
+//! Lines go through a queue to a single writer thread. The queue is bounded by
+//! lines and by bytes. If it is full, lines are dropped, and the writer later logs how many.
 
 use std::io;
 use std::io::Write;
@@ -18,6 +18,8 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use bytes::Bytes;
+use chiverelay_decisions::memory_budget::MemoryBudget;
 use env_logger::Target;
 use log::Record;
 use log::kv;
@@ -26,6 +28,10 @@
 /// Maximum number of lines that wait for the writer.
 const QUEUE_CAPACITY: usize = 4096;
 
+/// Maximum size of the lines that wait for the writer, in bytes. A line may have
+/// text of a caller, as long as its head may be.
+const QUEUE_BYTES: u64 = 2 * 1024 * 1024;
+
 /// Size in bytes from which a batch is written without waiting for more lines.
 const FULL_BATCH_BYTES: usize = 32 * 1024;
 
@@ -53,13 +59,16 @@
 
 /// Sends lines to the writer thread, and drops them if its queue is full.
 struct QueueWriter {
-    tx: SyncSender<Vec<u8>>,
+    tx: SyncSender<Bytes>,
+    memory: MemoryBudget,
     counts: Arc<LineCounts>,
 }
 
 impl Write for QueueWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if self.tx.try_send(line.to_vec()).is_err() {
+        let held = self.memory.hold(line.to_vec());
+        let is_queued = held.is_ok_and(|line| self.tx.try_send(line).is_ok());
+        if !is_queued {
             self.counts.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -101,7 +110,8 @@
         // The log is called journal in the names that leave the process.
         .name("journal".to_owned())
         .spawn(move || write_batches(&rx, to, &writer_counts))?;
-    Ok(QueueWriter { tx, counts })
+    let memory = MemoryBudget::new(QUEUE_BYTES);
+    Ok(QueueWriter { tx, memory, counts })
 }
 
 /// Starts a writer thread for any output, and returns the writer to its queue.
@@ -118,7 +128,7 @@
     Ok((start_writer(to, Arc::clone(&counts))?, counts))
 }
 
-fn write_batches<W>(rx: &Receiver<Vec<u8>>, mut to: W, counts: &LineCounts)
+fn write_batches<W>(rx: &Receiver<Bytes>, mut to: W, counts: &LineCounts)
 where
     W: Write,
 {
@@ -147,9 +157,9 @@
 
 /// Collects lines until the batch is full or its first line has waited for
 /// [`MAX_BATCH_DELAY`]. Returns the batch and its number of lines.
-fn collect_batch(rx: &Receiver<Vec<u8>>, first: Vec<u8>) -> (Vec<u8>, u64) {
+fn collect_batch(rx: &Receiver<Bytes>, first: Bytes) -> (Vec<u8>, u64) {
     let until = Instant::now() + MAX_BATCH_DELAY;
-    let (mut batch, mut lines) = (first, 1);
+    let (mut batch, mut lines) = (first.to_vec(), 1);
     while batch.len() < FULL_BATCH_BYTES {
         let left = until.saturating_duration_since(Instant::now());
         match rx.recv_timeout(left) {
--- a/tests/testsuite/node/operations.rs
+++ b/tests/testsuite/node/operations.rs
@@ -146,6 +146,21 @@
     drop(tx);
 }
 
+/// Failure: lines that wait for the writer were bounded by number only, and long
+/// ones took the memory of the instance.
+#[test]
+fn long_lines_that_nobody_reads_take_little_memory() {
+    let (tx, rx) = mpsc::channel();
+    let (mut queue, counts) = log_writer::start_queue_writer(Unread(rx)).expect("a queue");
+    let line = vec![b'a'; 16 * 1024];
+    for _ in 0..4096 {
+        queue.write_all(&line).expect("the queue takes lines");
+    }
+    let kept = (4096 - counts.dropped()) * line.len() as u64;
+    assert!(kept <= 4 * 1024 * 1024, "{kept} bytes kept");
+    drop(tx);
+}
+
 #[test]
 fn an_output_that_is_closed_counts_its_lines_as_dropped() {
     let (mut queue, counts) = log_writer::start_queue_writer(Closed).expect("a queue");
