Wait until another instance has received the end of its answer

Callers saw an answer that came through an instance of another region break off as that instance stopped. The end of an answer was written into the buffer of its stream and counted as sent; the request was no longer open, so the stop went on and closed the endpoint, which drops what is buffered or lost on the way. That needs a full window, a slow path or one lost packet in the last round trip.

An answer now ends with FrameSender::finish, which returns once the other side has acknowledged all of it or no longer waits for it. The instance counts the request as open until then, within the time that the reply has anyway. The daemon's relay does the same.

--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -118,6 +118,7 @@
             Self::Sibling(mut tx) => {
                 // The sibling may have left.
                 let _ = tx.send(&Frame::End).await;
+                tx.finish().await;
             }
         }
     }
@@ -133,6 +134,7 @@
             Self::Sibling(mut tx) => {
                 // The sibling may have left.
                 let _ = tx.send(&Frame::Refused(refusal)).await;
+                tx.finish().await;
             }
         }
     }
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -276,6 +276,7 @@
                 self.refuse(&id, account.as_ref(), &refusal);
                 // The sibling may have left.
                 let _ = tx.send(&Frame::Refused(refusal)).await;
+                tx.finish().await;
             }
         }
         drop(open);
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -131,7 +131,11 @@
         // The other instance may have cancelled the request, or may be frozen
         // and not read the reply at all.
         let left = deadline.saturating_sub(gateway.clock.now());
-        let sending = send_reply(&mut tx, handled, &usage);
+        let sending = async {
+            // The other instance may have left.
+            let _ = send_reply(&mut tx, handled, &usage).await;
+            tx.finish().await;
+        };
         let _ = tokio::time::timeout(left.max(MIN_REPLY_TIME), sending).await;
     }
 
--- a/crates/sibling/src/wire.rs
+++ b/crates/sibling/src/wire.rs
@@ -143,6 +143,14 @@
         }
     }
 
+    /// Ends the answer, and waits until the sibling has all of it or no longer
+    /// waits for it. Until then, closing the endpoint would break it off.
+    pub async fn finish(mut self) {
+        // It may have ended already.
+        let _ = self.tx.finish();
+        self.closed().await;
+    }
+
     /// Waits until the sibling no longer waits for the answer.
     pub async fn closed(&mut self) {
         // Any result means that the sibling stopped reading or is gone.
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -11,6 +11,7 @@
 use chiverelay_sibling::Envelope;
 use chiverelay_sibling::Error;
 use chiverelay_sibling::Forward;
+use chiverelay_sibling::Frame;
 use chiverelay_sibling::FrameSender;
 use chiverelay_sibling::Handler;
 use chiverelay_sibling::Identity;
@@ -22,6 +23,7 @@
 use chiverelay_sibling::VERSION;
 use futures_util::future::join_all;
 use support::block_on;
+use tokio::runtime::Runtime;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
@@ -32,11 +34,21 @@
 /// Streams that a new link carries at once.
 const AT_FIRST: usize = 128;
 
-/// Answers control messages once it is released.
+/// Bytes of an answer that takes more than one flight.
+const LARGE: usize = 960 * 1024;
+
+fn large_frame() -> Frame {
+    Frame::Data(vec![7; LARGE])
+}
+
+/// Answers control messages once it is released, and forwarded requests with a
+/// large answer.
 #[derive(Default)]
 struct Holding {
     held: AtomicUsize,
     release: Notify,
+    /// An answer to a forwarded request has been finished.
+    finished: Notify,
 }
 
 impl Handler for Holding {
@@ -51,7 +63,12 @@
         }
     }
 
-    async fn forward(&self, _: &Identity, _: Stamp, _: Forward, _: FrameSender) {}
+    async fn forward(&self, _: &Identity, _: Stamp, _: Forward, mut tx: FrameSender) {
+        tx.send(&large_frame()).await.expect("it is awaited");
+        tx.send(&Frame::End).await.expect("it is awaited");
+        tx.finish().await;
+        self.finished.notify_one();
+    }
 
     fn refused(&self, _: Refused) {}
 }
@@ -59,6 +76,7 @@
 /// Two instances of which the first one has a link to the second.
 struct Pair {
     link: Link<Up>,
+    far: Endpoint,
     holding: Arc<Holding>,
     _guard: DropGuard,
 }
@@ -85,13 +103,14 @@
         let address = far.address();
         let holding = Arc::new(Holding::default());
         let stop = CancellationToken::new();
-        tokio::spawn(far.run(Arc::clone(&holding), stop.clone()));
+        tokio::spawn(far.clone().run(Arc::clone(&holding), stop.clone()));
         let link = near
             .connect(&identity.instance, &identity.region, address)
             .await
             .expect("a link");
         Self {
             link,
+            far,
             holding,
             _guard: stop.drop_guard(),
         }
@@ -120,16 +139,18 @@
     }
 }
 
+fn one_thread() -> Runtime {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_all().build().expect("a runtime")
+}
+
 /// Failure: a message that found no stream free waited for one, with nothing in
 /// log or metrics.
 #[test]
 fn a_message_that_finds_no_stream_free_fails_at_once() {
     // On one thread the other instance can't raise the limit while the messages
     // are sent.
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
+    let runtime = one_thread();
     runtime.block_on(async {
         let pair = Pair::start().await;
         let asks = join_all((0..2 * AT_FIRST).map(|_| pair.ask()));
@@ -150,3 +171,42 @@
         assert!(replies.iter().all(Result::is_ok), "{replies:?}");
     });
 }
+
+fn request() -> Forward {
+    Forward {
+        id: "r-1".into(),
+        account: None,
+        route: "chat".into(),
+        remaining_ms: 1000,
+        prompt_tokens: 1,
+        max_answer_tokens: None,
+        prefix: Vec::new(),
+        parts: Vec::new(),
+        attempts: 1,
+        last_event_id: None,
+        method: "POST".to_owned(),
+        path_and_query: "/chat/1".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+    }
+}
+
+/// Failure: the end of a forwarded answer was lost, as the instance that had
+/// written it closed its links before the other one had received it.
+#[test]
+fn an_answer_that_is_finished_outlasts_the_close_of_the_endpoint() {
+    // On one thread the answer isn't read while it is written.
+    one_thread().block_on(async {
+        let pair = Pair::start().await;
+        let answer = pair.link.forward(Stamp::default(), request()).await;
+        let mut answer = answer.expect("an answer");
+        let closing = async {
+            pair.holding.finished.notified().await;
+            pair.far.close().await;
+        };
+        let reading = async { (answer.next().await, answer.next().await) };
+        let ((data, end), ()) = tokio::join!(reading, closing);
+        assert_eq!(data.expect("the data"), large_frame());
+        assert_eq!(end.expect("the end"), Frame::End);
+    });
+}
