Keep a request at its silent target until another one begins to answer

Callers saw 502 beside a sound target: a request whose target had been silent for 2.25 s went to a second one too, and 300 ms later it was cancelled at the first, although the second had not taken it. If the second refused after that, nobody had the request any more. The same held for a stream before its first event.

Cause: gateway::hedge limited the time for which both run a request by MAX_OVERLAP, and chose by it instead of by an answer: a promise was given up before its replacement was sure. The limit is needed for a stream that goes on after an event (Last-Event-Id), which may not run at two targets for long. A request that starts anew may: its caller has nothing of either answer.

Now the first exchange is dropped when the second target has begun to answer.

node::silent_first_bytes::a_request_that_has_moved_is_cancelled_at_the_first_target required that a plain request is cancelled at the first target before the second answers, which is this fault. It is replaced by two cases with the same assertions: a plain request is cancelled at the first target once the second has begun, and a stream that goes on is cancelled there before the second answers. PlatformTarget has a mode FullAfter.

--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -253,7 +253,7 @@
 /// attempt or the earlier request did not run, or for a request that may run
 /// more than once. `tried_targets` lists every target at which an attempt was
 /// made, and `asked_siblings` every sibling that was chosen, so that none is
-/// chosen twice.
+/// chosen twice unless [`Request::allow_return`] says so.
 #[derive(Debug)]
 pub struct Request<S, O> {
     meta: Arc<RequestMeta>,
@@ -293,6 +293,12 @@
         self.was_dispatched
     }
 
+    /// Allows another attempt at a target that the request has left, as no other
+    /// one has taken it.
+    pub fn allow_return(&mut self, target: &Target) {
+        self.tried_targets.retain(|tried| tried != target);
+    }
+
     fn with_state<T>(self, state: T) -> Request<T, O> {
         Request {
             meta: self.meta,
--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -105,6 +105,23 @@
     Sent(Box<SentFailure<D, O>>),
 }
 
+impl<D, O> FailedAttempt<D, O>
+where
+    D: Dialect,
+{
+    /// Allows the request to return to the target that it had left for this
+    /// attempt.
+    pub(crate) fn allow_return(&mut self, peer: &Peer) {
+        let Peer::Target(target) = peer else {
+            return;
+        };
+        match self {
+            Self::NotSent(req, _) => req.allow_return(target),
+            Self::Sent(failed) => failed.req.allow_return(target),
+        }
+    }
+}
+
 /// A request that counts as sent and got no usable answer.
 #[derive(Debug)]
 pub(crate) struct SentFailure<D, O>
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -26,8 +26,8 @@
 use crate::dispatch::finish_exchange;
 use crate::place::PlacementContext;
 
-/// Longest time for which two targets run a request that moves from a silent
-/// one.
+/// Longest time for which two targets run a stream that goes on at another one.
+/// Until then the first one may still send an event.
 pub(crate) const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// What became of a request whose target was silent.
@@ -105,9 +105,12 @@
     }
 
     /// Tries to move a request from its silent target to another one of this
-    /// region. The exchange with the first target goes on meanwhile, and for at
-    /// most [`MAX_OVERLAP`] after the other one got the request: dropping it
-    /// cancels the request there.
+    /// region. The exchange with the first target goes on until the other one
+    /// has begun to answer: dropping it cancels the request there.
+    ///
+    /// A stream that goes on after an event may not run at two targets for
+    /// longer than [`MAX_OVERLAP`]. It leaves the first one then, and may
+    /// return if the other one refuses it.
     async fn hedge<O, F>(
         self: &Arc<Self>,
         req: &mut Request<Dispatched, O>,
@@ -137,6 +140,7 @@
         req.mark_tried(opened.target().clone());
         let cx_of_second = cx.clone();
         let mut sending = Box::pin(self.send(opened, &cx_of_second, out));
+        let max_overlap = out.last_event_id.map_or(Duration::MAX, |_| MAX_OVERLAP);
         tokio::select! {
             biased;
             exchanged = &mut exchanging => match exchanged {
@@ -147,7 +151,7 @@
                 }
                 Err(failure) => Hedged::Moved(failure, Box::new(sending.await)),
             },
-            sent = tokio::time::timeout(MAX_OVERLAP, &mut sending) => match sent {
+            sent = tokio::time::timeout(max_overlap, &mut sending) => match sent {
                 Ok(Ok(started)) => Hedged::Moved(AttemptFailure::Silent, Box::new(Ok(started))),
                 Ok(Err(failed)) => {
                     self.abandon_attempt(failed, cx, out);
@@ -155,7 +159,11 @@
                 }
                 Err(_) => {
                     drop(exchanging);
-                    Hedged::Moved(AttemptFailure::Silent, Box::new(sending.await))
+                    let mut sent = sending.await;
+                    if let Err(failed) = &mut sent {
+                        failed.allow_return(req.peer());
+                    }
+                    Hedged::Moved(AttemptFailure::Silent, Box::new(sent))
                 }
             },
         }
--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -33,6 +33,8 @@
     Fail,
     /// It says that it did not run the request.
     Full,
+    /// It says after a while that it did not run the request.
+    FullAfter(Duration),
     /// It says that it did not run the request, and asks for a pause, in
     /// seconds.
     Pausing(&'static str),
@@ -147,7 +149,7 @@
     if meant != name {
         return http::empty_response(StatusCode::MISDIRECTED_REQUEST);
     }
-    if let Mode::Slow(time) = mode {
+    if let Mode::Slow(time) | Mode::FullAfter(time) = mode {
         tokio::time::sleep(time).await;
     }
     let mut resp = match mode {
@@ -155,7 +157,7 @@
             text(StatusCode::OK, name)
         }
         Mode::Fail => text(StatusCode::INTERNAL_SERVER_ERROR, name),
-        Mode::Full | Mode::FullAndLeaving => full(),
+        Mode::Full | Mode::FullAfter(_) | Mode::FullAndLeaving => full(),
         Mode::Pausing(seconds) => {
             let mut resp = full();
             let value = HeaderValue::from_static(seconds);
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod forwarded_streams;
 mod forwards;
+mod hedged;
 mod hubs;
 mod kept_connections;
 mod leaving;
--- a/tests/testsuite/node/silent_first_bytes.rs
+++ b/tests/testsuite/node/silent_first_bytes.rs
@@ -145,30 +145,54 @@
 /// Silence of a target that both a move and a time limit outlast.
 const LONG: Duration = Duration::from_millis(3000);
 
-/// Silence of the target that a request moves to.
+/// Silence of the target that a request moves to. It ends after that of the
+/// first one.
 const SHORTER: Duration = Duration::from_millis(1200);
 
-/// Failure: a request that had moved went on at the silent target that it had
-/// left, until the other one answered.
-#[test]
-fn a_request_that_has_moved_is_cancelled_at_the_first_target() {
+/// Silence of the target that a request moves to. It ends before that of the
+/// first one.
+const SOON: Duration = Duration::from_millis(400);
+
+/// Asks a target that is silent for [`LONG`], beside one that joins and is
+/// silent for a while before it answers.
+fn check_left_target(answer: SilentAnswer, service: &str, call: Call, silence: Duration) {
     block_on(async {
         let site = Site::start().await;
-        let first = SilentTarget::start_by_path(SilentAnswer::Plain, LONG).await;
-        site.register_at("i-1", first.address, "orders", "north-a");
+        let first = SilentTarget::start_by_path(answer, LONG).await;
+        site.register_at("i-1", first.address, service, "north-a");
         let node = site.instance("near", "north-a", "north").await;
-        let second = SilentTarget::start_by_path(SilentAnswer::Plain, SHORTER).await;
-        let asking = send_until_placed(&node, "/status/before-head");
+        let second = SilentTarget::start_by_path(answer, silence).await;
         let joining = async {
             until("the target has the request", async || {
                 !first.requests().is_empty()
             })
             .await;
-            site.register_at("i-2", second.address, "orders", "north-a");
+            site.register_at("i-2", second.address, service, "north-a");
         };
-        let (got, ()) = tokio::join!(asking, joining);
+        let (got, ()) = tokio::join!(call.send(node.front), joining);
         assert_eq!(got.status, StatusCode::OK, "{}", node.logged());
+        assert!(got.whole, "{got:?}");
         assert_eq!(second.completed(), ["moved"]);
         assert!(first.completed().is_empty(), "{}", node.logged());
     });
 }
+
+fn moved(path: &str) -> Call {
+    Call::new("moved", path).key(KEY)
+}
+
+// Failure: a request that had moved went on at the silent target that it had
+// left: one that starts anew until the caller had its answer, one that goes on
+// after an event until the other target answered.
+support::cases! {
+    check_left_target:
+    a_request_is_cancelled_at_the_first_target_once_another_has_begun(
+        SilentAnswer::Plain, "orders", moved("/status/before-head"), SOON
+    );
+    a_stream_that_goes_on_is_cancelled_at_the_first_target_before_the_other_answers(
+        SilentAnswer::Events,
+        "model",
+        moved("/quote/before-head").header("last-event-id", "1"),
+        SHORTER
+    );
+}
