Let a stream return to the target that it left, if the other one refuses it

Callers saw a stream cut in its middle: its target had been silent for 2.25 s, a second one got the stream, the first one was cancelled after MAX_OVERLAP, and the second one refused the stream later. The first one counted as tried, so that nobody could go on with the stream.

Cause: gateway::relay::resume gave up the first target as if the second had taken the stream. Two targets may not both go on with a stream for long, so one has to be cancelled; but the one that was left is no failed target, and a refusal says that the second one has not run the stream. It may return to the first one now, after its last event. docs/design/timers.md weighs the other way, to cancel the second target.

--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -73,7 +73,8 @@
     /// Moves a stream from a silent target to another one, if one takes it. The
     /// silent target is read until then, or until [`MAX_OVERLAP`] has passed
     /// since the other one got the request. If it goes on meanwhile, or the
-    /// other one refuses, the stream stays.
+    /// other one refuses, the stream stays. If the other one refuses later, the
+    /// stream may return.
     ///
     /// # Errors
     ///
@@ -110,8 +111,12 @@
             Raced::Other(Ok(sent)) => (sent, IncompleteAnswer::silent()),
             Raced::Other(Err(_)) => {
                 let cause = IncompleteAnswer::silent();
-                self.end_current(&cause);
-                (sending.as_mut().await, cause)
+                let left = self.end_current(&cause);
+                let mut sent = sending.as_mut().await;
+                if let (Some(req), Err(failed)) = (&left, &mut sent) {
+                    failed.allow_return(req.peer());
+                }
+                (sent, cause)
             }
             Raced::Chunk(Err(cause)) => {
                 self.end_current(&cause);
