Count the wait in the target's queue against the rest of a planned stop

Callers saw 504 or a cut answer on streams that an instance took after SIGTERM: the usual time of a request, from which an instance decides whether it can still end, left out the wait in the queue of the target that was chosen. Another instance would have taken them.

Cause: the check ran before a target was chosen. It runs again now with the estimated wait in the queue of the chosen target or region, for new requests, forwarded and resumed ones, and for those that leave a silent target. The first check stays, as it refuses what can't end anywhere before anything is looked up.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -119,12 +119,13 @@
         cx: &PlacementContext,
     ) -> Result<Destination<D>, Refusal> {
         let now = self.clock.now();
-        self.check_shutdown(&req, cx, now)?;
+        self.check_shutdown(&req, cx, Duration::ZERO, now)?;
         self.check_crashes(&req, cx, now)?;
         let left = req.meta().deadline.saturating_sub(now);
         let (local, remote) = self.choose_regions(&req, cx, req.tried_targets(), now);
         if let Some(remote) = remote {
             check_wait(&req, cx, &remote.estimate, left)?;
+            self.check_shutdown(&req, cx, remote.estimate.queue_delay, now)?;
             return self.place_remotely(req, cx, &remote, now).or_else(|req| {
                 let local = local.map_err(|reason| refuse_no_target(&req, reason));
                 self.reserve_if_in_time(*req, cx, local, left, now)
@@ -177,6 +178,7 @@
     ) -> Result<Destination<D>, Refusal> {
         let choice = local?;
         check_wait(&req, cx, &choice.estimate, left)?;
+        self.check_shutdown(&req, cx, choice.estimate.queue_delay, now)?;
         let placed = self.reserve(req, cx, &choice, now)?;
         Ok(Destination::Local(Box::new(placed)))
     }
@@ -193,7 +195,7 @@
         cx: &PlacementContext,
     ) -> Result<LocalPlacement<D, O>, Refusal> {
         let now = self.clock.now();
-        self.check_shutdown(&req, cx, now)?;
+        self.check_shutdown(&req, cx, Duration::ZERO, now)?;
         self.check_crashes(&req, cx, now)?;
         let choice = self
             .choose_local_target(cx, req.tried_targets(), now)
@@ -205,6 +207,7 @@
         if choice.estimate.wait > left {
             return Err(refuse_past_deadline(&req, choice.estimate.wait, left));
         }
+        self.check_shutdown(&req, cx, choice.estimate.queue_delay, now)?;
         self.reserve(req, cx, &choice, now)
     }
 
@@ -275,16 +278,15 @@
         }
         let now = self.clock.now();
         let deadline = req.meta().deadline;
-        if !self.can_end_before_shutdown(cx, deadline, now) {
-            return false;
-        }
         let left = deadline.saturating_sub(now);
         // The same conditions as of `choose_destination`.
-        match self.choose_regions(req, cx, &tried_with_current(req), now) {
-            (_, Some(remote)) => is_timely(cx, &remote.estimate, left),
-            (Ok(local), None) => is_timely(cx, &local.estimate, left),
-            (Err(_), None) => false,
-        }
+        let estimate = match self.choose_regions(req, cx, &tried_with_current(req), now) {
+            (_, Some(remote)) => remote.estimate,
+            (Ok(local), None) => local.estimate,
+            (Err(_), None) => return false,
+        };
+        is_timely(cx, &estimate, left)
+            && self.can_end_before_shutdown(cx, deadline, estimate.queue_delay, now)
     }
 
     /// Tells whether another target of this region could continue an answer in
@@ -321,12 +323,12 @@
     {
         let now = self.clock.now();
         let deadline = req.meta().deadline;
-        if !self.can_end_before_shutdown(cx, deadline, now) {
-            return false;
-        }
         let left = deadline.saturating_sub(now);
         let choice = self.choose_local_target(cx, &tried_with_current(req), now);
-        choice.is_ok_and(|choice| is_suitable(&choice.estimate, left))
+        choice.is_ok_and(|TargetChoice { estimate, .. }| {
+            is_suitable(&estimate, left)
+                && self.can_end_before_shutdown(cx, deadline, estimate.queue_delay, now)
+        })
     }
 
     /// Chooses the best target of a region that was not tried yet.
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -70,26 +70,29 @@
 where
     D: Dialect,
 {
-    /// Checks that a request can end before the instance does.
+    /// Checks that a request that waits for `queue_delay` in its target's queue
+    /// can end before the instance does.
     pub(crate) fn check_shutdown<O>(
         &self,
         req: &Request<Admitted, O>,
         cx: &PlacementContext,
+        queue_delay: Duration,
         now: Duration,
     ) -> Result<(), Refusal> {
-        if self.can_end_before_shutdown(cx, req.meta().deadline, now) {
+        if self.can_end_before_shutdown(cx, req.meta().deadline, queue_delay, now) {
             return Ok(());
         }
         let refusal = req.refusal(Code::Draining, Step::Place, Peer::Local);
         Err(refusal.with_retry_after(RETRY_AFTER))
     }
 
-    /// Tells whether a request with this deadline that is given to a target now
-    /// can end before the instance does.
+    /// Tells whether a request with this deadline that is given to a target now,
+    /// and waits for `queue_delay` there, can end before the instance does.
     pub(crate) fn can_end_before_shutdown(
         &self,
         cx: &PlacementContext,
         deadline: Duration,
+        queue_delay: Duration,
         now: Duration,
     ) -> bool {
         let Some(shutdown) = self.shutdown.deadline.get() else {
@@ -97,11 +100,12 @@
         };
         let times = RequestTimes {
             deadline,
-            usual: self.usual_time(cx),
+            usual: self.usual_time(cx).saturating_add(queue_delay),
         };
         shutdown.accepts(cx.route.kind, times, now)
     }
 
+    /// Returns the usual time of such a request, without the wait in a queue.
     fn usual_time(&self, cx: &PlacementContext) -> Duration {
         let performance = self.tables.traffic.lock().performance(&cx.pool.name);
         match cx.route.kind.is_stream() {
--- a/tests/testsuite/node/shutdown.rs
+++ b/tests/testsuite/node/shutdown.rs
@@ -129,6 +129,42 @@
     });
 }
 
+/// Length of a prompt whose prefill takes about two seconds, and of the answer.
+const LONG_PROMPT: &str = "120000,40";
+
+/// Long prompts that are queued at a target before the stop.
+const QUEUED_PROMPTS: usize = 2;
+
+/// Guards against a stream that is taken in a stop although the prompts queued
+/// at its target take longer than the rest of the stop.
+#[test]
+fn a_stream_behind_a_long_queue_is_refused_as_not_run() {
+    block_on(async {
+        let (_site, _orders, model, node, _other) = start().await;
+        let queued = (0..QUEUED_PROMPTS).map(|n| {
+            let call = Call::new(&format!("queued-{n}"), "/quote/1")
+                .key(KEY)
+                .header("request-deadline", "20000")
+                .header("token-usage", LONG_PROMPT);
+            let front = node.front;
+            // The account's share is small at first.
+            tokio::spawn(async move { while call.exchange(front).await.is_ok() {} })
+        });
+        let queued: Vec<_> = queued.collect();
+        until("the prompts are queued", async || {
+            model.arrivals().len() == QUEUED_PROMPTS
+        })
+        .await;
+        let stream = begin(node.front, "/quote/1").await;
+        node.process.terminate();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let answer = finish(stream).await;
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+        assert_eq!(model.arrivals().len(), QUEUED_PROMPTS);
+        queued.iter().for_each(tokio::task::JoinHandle::abort);
+    });
+}
+
 /// Marks of a silence that ends before the open requests are ended.
 const SILENCE_MARKS: usize = 90;
 
