Decide which connections of callers to take on

An instance takes on whatever comes: nothing relates the number of connections and requests to the memory and descriptors that it has.

`decisions::admission` divides memory and descriptors into shares for callers, targets and requests, and decides which idle connection gives way to a new one. It has no I/O and no clock. Nothing uses it yet.

--- /dev/null
+++ b/crates/decisions/src/admission.rs
@@ -0,0 +1,313 @@
+//! Decides which connections of callers an instance takes on, and which idle
+//! ones it closes for them, by the resources that it has.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::Xxh3DefaultBuilder;
+
+use crate::resources::ResourceLimits;
+
+/// Descriptors that are left to files and the runtime.
+const FILE_DESCRIPTORS: usize = 200;
+
+/// Part of the other descriptors that is left to links, the store and the
+/// endpoints for operators.
+const INTERNAL_FRACTION: usize = 8;
+
+/// Part of the other descriptors that connections to targets may have.
+const TARGET_FRACTION: usize = 4;
+
+/// Part of the callers' connections that exist only to be refused.
+const RESERVE_FRACTION: usize = 16;
+
+/// Smallest number of connections of a kind.
+const MIN_CONNECTIONS: usize = 4;
+
+/// Part of the memory that connections and their requests may have.
+const MEMORY_FRACTION: u64 = 2;
+
+/// Memory of an open connection, in bytes.
+const CONNECTION_BYTES: u64 = 48 * 1024;
+
+/// Memory of an open request without its body, in bytes.
+const REQUEST_BYTES: u64 = 64 * 1024;
+
+/// Shortest idle time after which a connection is closed for another one. The
+/// request on a younger one may be on its way.
+const MIN_IDLE: Duration = Duration::from_millis(500);
+
+/// Shortest delay before a refused caller comes back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Range over which refused callers are spread.
+const RETRY_SPREAD: Duration = Duration::from_millis(1500);
+
+/// How many connections and requests an instance may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shares {
+    /// Connections of callers that carry requests.
+    pub callers: usize,
+    /// Further connections of callers, whose requests are refused.
+    pub reserve: usize,
+    /// Connections to targets.
+    pub targets: usize,
+    /// Open requests, also those of other instances.
+    pub requests: usize,
+}
+
+impl Shares {
+    /// Divides the resources of a process.
+    pub fn of(limits: &ResourceLimits) -> Self {
+        let sockets = limits.descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let targets = (sockets / TARGET_FRACTION).max(MIN_CONNECTIONS);
+        let internal = sockets / INTERNAL_FRACTION;
+        let left = sockets.saturating_sub(targets + internal);
+        let total = left.min(fit(limits.memory, CONNECTION_BYTES));
+        let reserve = reserve_of(total);
+        Self {
+            callers: total.saturating_sub(reserve).max(MIN_CONNECTIONS),
+            reserve,
+            targets,
+            requests: fit(limits.memory, REQUEST_BYTES).max(MIN_CONNECTIONS),
+        }
+    }
+
+    /// Bounds only the connections of callers that carry requests.
+    pub fn of_callers(callers: usize) -> Self {
+        Self {
+            callers,
+            reserve: reserve_of(callers),
+            targets: usize::MAX,
+            requests: usize::MAX,
+        }
+    }
+}
+
+/// Returns how many connections may exist beside others only to be refused.
+fn reserve_of(connections: usize) -> usize {
+    (connections / RESERVE_FRACTION).max(MIN_CONNECTIONS)
+}
+
+/// Returns how many things of a size fit into their part of the memory.
+fn fit(memory: u64, bytes: u64) -> usize {
+    let count = memory / MEMORY_FRACTION / bytes;
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
+
+/// How far the connections of callers are from their limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// Far.
+    #[default]
+    Normal,
+    /// Near: idle connections are closed for new ones, and refusals end their
+    /// connections.
+    Tight,
+    /// Reached: requests on new connections are refused.
+    Full,
+}
+
+/// Returns a delay for a refused caller. `random`, from 0 to 1, spreads callers
+/// that were refused together.
+pub fn spread_retry_after(random: f64) -> Duration {
+    MIN_RETRY_AFTER + RETRY_SPREAD.mul_f64(random.clamp(0.0, 1.0))
+}
+
+/// Names an open connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(u64);
+
+/// A new connection, and what it means for the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opened {
+    /// Name of the new connection.
+    pub id: ConnectionId,
+    /// The idle connection that is closed for it.
+    pub evicted: Option<ConnectionId>,
+}
+
+/// What becomes of the requests of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Entry {
+    /// They are taken.
+    Admitted,
+    /// They are refused, unless there is a place for the connection by then.
+    RefuseOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Activity {
+    Idle(Duration),
+    Busy,
+    Closing,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Connection {
+    entry: Entry,
+    activity: Activity,
+}
+
+impl Connection {
+    fn takes_place(&self) -> bool {
+        self.entry == Entry::Admitted && self.activity != Activity::Closing
+    }
+}
+
+/// The open connections of callers.
+///
+/// # Invariants
+///
+/// - `idle` has exactly the admitted connections whose activity is idle, by the
+///   time since when.
+/// - `admitted` is the number of admitted connections that are not closing.
+/// - Only an idle connection is ever closed for another one.
+#[derive(Debug)]
+pub struct CallerConnections {
+    shares: Shares,
+    next: u64,
+    open: HashMap<ConnectionId, Connection, Xxh3DefaultBuilder>,
+    idle: BTreeSet<(Duration, ConnectionId)>,
+    admitted: usize,
+}
+
+impl CallerConnections {
+    /// Creates an empty table with these limits.
+    pub fn new(shares: Shares) -> Self {
+        Self {
+            shares,
+            next: 0,
+            open: HashMap::default(),
+            idle: BTreeSet::new(),
+            admitted: 0,
+        }
+    }
+
+    /// Tells whether another connection may be accepted, if only for a refusal.
+    pub fn has_room(&self) -> bool {
+        self.open.len() < self.shares.callers + self.shares.reserve
+    }
+
+    /// Adds a connection that was accepted and is idle.
+    pub fn open(&mut self, now: Duration) -> Opened {
+        let id = ConnectionId(self.next);
+        self.next += 1;
+        let conn = Connection {
+            entry: Entry::RefuseOnly,
+            activity: Activity::Idle(now),
+        };
+        self.open.insert(id, conn);
+        let evicted = self.admit(id, now);
+        Opened { id, evicted }
+    }
+
+    /// Admits a connection if there is a place for it. Returns the connection
+    /// that the caller of this method closes for it.
+    pub fn admit(&mut self, id: ConnectionId, now: Duration) -> Option<ConnectionId> {
+        if self.is_admitted(id) {
+            return None;
+        }
+        let evicted = match self.level() {
+            Level::Normal => None,
+            Level::Tight | Level::Full => self.evict(now),
+        };
+        if self.admitted >= self.shares.callers {
+            return evicted;
+        }
+        if let Some(conn) = self.open.get_mut(&id) {
+            conn.entry = Entry::Admitted;
+            self.admitted += 1;
+            if let Activity::Idle(since) = conn.activity {
+                self.idle.insert((since, id));
+            }
+        }
+        evicted
+    }
+
+    /// Tells whether the requests of a connection are taken.
+    pub fn is_admitted(&self, id: ConnectionId) -> bool {
+        let conn = self.open.get(&id);
+        conn.is_some_and(|conn| conn.entry == Entry::Admitted)
+    }
+
+    /// Chooses the connection that has been idle for longest, which the caller of
+    /// this method closes; `None` if none has been idle for long enough.
+    pub fn evict(&mut self, now: Duration) -> Option<ConnectionId> {
+        let (since, id) = *self.idle.first()?;
+        if now.saturating_sub(since) < MIN_IDLE {
+            return None;
+        }
+        self.stop_admitting(id);
+        Some(id)
+    }
+
+    /// Records that a connection carries no request.
+    pub fn set_idle(&mut self, id: ConnectionId, now: Duration) {
+        self.set_activity(id, Activity::Idle(now));
+    }
+
+    /// Records that a request began to arrive on a connection.
+    pub fn set_busy(&mut self, id: ConnectionId) {
+        self.set_activity(id, Activity::Busy);
+    }
+
+    /// Removes a connection that was closed.
+    pub fn close(&mut self, id: ConnectionId) {
+        self.stop_admitting(id);
+        self.open.remove(&id);
+    }
+
+    /// Gives the place of a connection to others.
+    fn stop_admitting(&mut self, id: ConnectionId) {
+        let conn = self.open.get(&id);
+        if conn.is_some_and(|conn| conn.takes_place()) {
+            self.admitted -= 1;
+        }
+        self.set_activity(id, Activity::Closing);
+    }
+
+    fn set_activity(&mut self, id: ConnectionId, activity: Activity) {
+        let Some(conn) = self.open.get_mut(&id) else {
+            return;
+        };
+        if conn.activity == Activity::Closing {
+            return;
+        }
+        if let Activity::Idle(since) = conn.activity {
+            self.idle.remove(&(since, id));
+        }
+        conn.activity = activity;
+        if let (Activity::Idle(since), Entry::Admitted) = (activity, conn.entry) {
+            self.idle.insert((since, id));
+        }
+    }
+
+    /// Returns how far the connections are from their limit.
+    pub fn level(&self) -> Level {
+        let limit = self.shares.callers;
+        if self.admitted >= limit {
+            return Level::Full;
+        }
+        match self.admitted >= limit - limit / 8 {
+            true => Level::Tight,
+            false => Level::Normal,
+        }
+    }
+
+    /// Counts the open connections.
+    pub fn count_open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Counts the connections that carry no request.
+    pub fn count_idle(&self) -> usize {
+        self.idle.len()
+    }
+
+    /// Returns the limits.
+    pub fn shares(&self) -> Shares {
+        self.shares
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 //! instances and the store encode and transmit what is decided here, so another
 //! front end can use the same code.
 
+pub mod admission;
 pub mod allowance;
 pub mod answer;
 pub mod audience;
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -67,6 +67,8 @@
     Tickets,
     /// Digests of the certificates that siblings may present.
     Pins,
+    /// The open connections of callers.
+    Callers,
     /// The ring buffer of events.
     Events,
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The tests of the whole workspace, a module for each area.
 
+mod admission;
 mod allowance;
 mod answer;
 mod bucket;
