Wait after a failed accept on the auxiliary endpoints

With no descriptor left, accept() fails at once and the connection stays in the queue, so the loop of the auxiliary endpoints tried again without a pause and took the processor from the requests. Found by reading; no test takes the descriptors of a process away.

The loop now waits as long as that of callers.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,10 +5,13 @@
 //! packages for callers and targets have their own, as they forward bodies while
 //! these arrive.
 
+mod accept;
 mod client;
 mod keepalive;
 mod server;
 
+pub use accept::ACCEPT_PAUSE;
+pub use accept::is_out_of_descriptors;
 pub use client::BufferedResponse;
 pub use client::Client;
 pub use client::Error;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -23,6 +23,8 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::ACCEPT_PAUSE;
+
 /// Response extension that makes the server close the connection instead of
 /// sending the response.
 #[derive(Clone, Copy, Debug)]
@@ -93,6 +95,7 @@
                 Ok((stream, _)) => stream,
                 Err(e) => {
                     log::warn!("http: accepting a connection failed: {e}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
                 }
             },
