Refuse the daemon's callers beyond the limit in place of letting them wait

Callers saw: connected, and no answer until another caller left. Cause: a semaphore of 10,000 places was taken before each accept, whatever the process has descriptors for, and idle connections kept their places.

The table of open connections knows which are idle. Near the limit the one that has been idle for longest is closed for a new one, by the library's graceful shutdown; a connection with a request is never closed. Beyond the limit a few connections exist to be refused at once, with 503 overloaded, not run, a Retry-After that spreads the callers, and Connection: close. The limit is never more than the process's descriptors allow. Two log lines say that the limit is near or reached.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -5,6 +5,7 @@
 //! the [`Handler`]; this package decides nothing about routing or limits.
 
 mod body;
+mod connections;
 mod error;
 mod explain;
 mod heads;
@@ -12,10 +13,15 @@
 mod opening;
 mod reply;
 mod server;
+mod tracked;
 
 pub use body::Piece;
 pub use body::Sender;
 pub use body::channel;
+pub use connections::ConnectionSlot;
+pub use connections::Connections;
+pub use connections::Opened;
+pub use connections::Usage;
 pub use error::Error;
 pub use inbound::IDEMPOTENCY_KEY;
 pub use inbound::Inbound;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -10,7 +10,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chiverelay_decisions::admission::Level;
+use chiverelay_decisions::admission::Shares;
+use chiverelay_decisions::admission::spread_retry_after;
+use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
 use http_body_util::combinators::BoxBody;
 use hyper::Request;
@@ -29,7 +34,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio_rustls::TlsAcceptor;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -37,8 +41,12 @@
 use crate::Error;
 use crate::Inbound;
 use crate::Reply;
+use crate::connections::Connections;
+use crate::connections::Usage;
 use crate::inbound;
 use crate::opening::Opening;
+use crate::tracked::Tracked;
+use crate::tracked::TrackedBody;
 
 /// Time before another try after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -46,6 +54,9 @@
 /// Time between two signs of life on an HTTP/2 connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(20);
 
+/// Time for the request on a connection that is open only to refuse it.
+const UNADMITTED_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What answers callers' requests.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request.
@@ -60,7 +71,8 @@
 pub struct Limits {
     /// Largest body in bytes.
     pub max_body: usize,
-    /// Connections that may be open at once; others wait to be accepted.
+    /// Connections that carry requests at once. Idle ones are closed for others,
+    /// and beyond them requests are refused.
     pub max_connections: usize,
     /// Time for a request's headers, and for the next request on a silent
     /// connection.
@@ -140,14 +152,18 @@
         H: Handler,
     {
         let tracker = TaskTracker::new();
-        let slots = Arc::new(Semaphore::new(self.limits.max_connections));
+        let connections = Connections::new(Shares::of_callers(self.limits.max_connections));
         let acceptor = self.tls.map(TlsAcceptor::from);
         let accepting = async {
             loop {
-                // The semaphore is never closed.
-                let slot = Arc::clone(&slots).acquire_owned().await;
-                let stream = accept(&self.listener).await;
+                connections.wait_for_room().await;
+                let stream = accept(&self.listener, &connections).await;
+                let opened = connections.open();
+                if let Some(level) = opened.reached {
+                    report(level, connections.usage());
+                }
                 let conn = Connection {
+                    tracked: Tracked::new(opened.slot),
                     handler: Arc::clone(&handler),
                     limits: self.limits,
                     shutdown: shutdown.clone(),
@@ -158,7 +174,6 @@
                         None => conn.serve(stream).await,
                         Some(acceptor) => conn.serve_tls(stream, acceptor).await,
                     }
-                    drop(slot);
                 });
             }
         };
@@ -169,8 +184,18 @@
     }
 }
 
+/// Writes to the log that connections are near their limit.
+fn report(level: Level, usage: Usage) {
+    let Usage { open, idle, limit } = usage;
+    let state = match level {
+        Level::Full => "the limit is reached, requests are refused",
+        Level::Normal | Level::Tight => "the limit is near, idle ones are closed",
+    };
+    log::warn!("caller: connections: {state} (open {open}, idle {idle}, limit {limit})");
+}
+
 /// Accepts a connection, however often that fails first.
-async fn accept(listener: &TcpListener) -> TcpStream {
+async fn accept(listener: &TcpListener, connections: &Connections) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -180,6 +205,7 @@
             }
             Err(e) => {
                 log::warn!("caller: accept failed: {e}");
+                connections.close_longest_idle();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -188,6 +214,7 @@
 
 /// What a connection needs.
 struct Connection<H> {
+    tracked: Arc<Tracked>,
     handler: Arc<H>,
     limits: Limits,
     shutdown: Shutdown,
@@ -207,14 +234,26 @@
         }
     }
 
+    /// Returns the limits, shortened for a connection without a place.
+    fn limits_for_slot(&self) -> Limits {
+        if self.tracked.slot().is_admitted() {
+            return self.limits;
+        }
+        Limits {
+            header_timeout: self.limits.header_timeout.min(UNADMITTED_TIMEOUT),
+            body_timeout: self.limits.body_timeout.min(UNADMITTED_TIMEOUT),
+            ..self.limits
+        }
+    }
+
     async fn serve<S>(self, stream: S)
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let limits = self.limits;
+        let limits = self.limits_for_slot();
         let handler = Arc::clone(&self.handler);
         let (stream, rest) = Opening::new(stream, limits.header_timeout);
-        let ended = serve(stream, self.handler, limits, self.shutdown).await;
+        let ended = serve(stream, self.handler, limits, self.shutdown, &self.tracked).await;
         let Err(e) = ended else {
             return;
         };
@@ -259,6 +298,7 @@
     handler: Arc<H>,
     limits: Limits,
     shutdown: Shutdown,
+    tracked: &Arc<Tracked>,
 ) -> Ended
 where
     H: Handler,
@@ -279,23 +319,30 @@
     let seen = Arc::clone(&multiplexed);
     let conflict = stream.conflict();
     let count = AtomicU64::new(0);
+    let shared = Arc::clone(tracked);
     let service = service_fn(move |req: Request<Incoming>| {
         let handler = Arc::clone(&handler);
+        let tracked = Arc::clone(&shared);
         let notice = notice.clone();
         let is_http2 = req.version() == Version::HTTP_2;
         seen.store(is_http2, Ordering::Relaxed);
         let number = count.fetch_add(1, Ordering::Relaxed) + 1;
         let faulty = !is_http2 && conflict.is(number);
         async move {
-            let mut resp = match faulty {
-                true => refuse(&*handler, inbound::conflict(req.headers())),
-                false => answer(&*handler, req, limits).await,
+            let open = tracked.begin();
+            let is_admitted = tracked.slot().admit();
+            let mut resp = match (faulty, is_admitted) {
+                (true, _) => refuse(&*handler, inbound::conflict(req.headers())),
+                (false, true) => answer(&*handler, req, limits).await,
+                (false, false) => refuse_unadmitted(&*handler, req, limits).await,
             };
-            if faulty || notice.is_cancelled() && !is_http2 {
+            let gives_way = !resp.status().is_success() && tracked.slot().ends_with_refusal();
+            let is_last = faulty || !is_admitted || gives_way || notice.is_cancelled();
+            if is_last && !is_http2 {
                 let close = HeaderValue::from_static("close");
                 resp.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(resp)
+            Ok::<_, Infallible>(resp.map(|body| TrackedBody::new(body, open)))
         }
     });
     let conn = builder.serve_connection(TokioIo::new(stream), service);
@@ -306,6 +353,10 @@
             conn.as_mut().graceful_shutdown();
             conn.await
         }
+        () = tracked.slot().evicted() => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
     }
 }
 
@@ -337,6 +388,28 @@
     }
 }
 
+/// Reads and refuses a request, as its connection has no place.
+async fn refuse_unadmitted<H>(
+    handler: &H,
+    req: Request<Incoming>,
+    limits: Limits,
+) -> Response<BoxBody<Bytes, Error>>
+where
+    H: Handler,
+{
+    let marked = inbound::is_marked(req.headers());
+    let read = Inbound::read(req, limits.max_body, limits.body_timeout).await;
+    let refusal = read.err().unwrap_or_else(|| {
+        let retry_after = spread_retry_after(rand::random());
+        Refusal::not_run(Code::Overloaded, Step::Receive, Peer::Caller)
+            .with_retry_after(retry_after)
+    });
+    match marked {
+        true => refuse(handler, refusal.with_unknown_outcome()),
+        false => refuse(handler, refusal),
+    }
+}
+
 fn refuse<H>(handler: &H, refusal: Refusal) -> Response<BoxBody<Bytes, Error>>
 where
     H: Handler,
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -9,10 +9,12 @@
 use std::time::Duration;
 
 use chiverelay_caller::Limits;
+use chiverelay_decisions::admission::Shares;
 use chiverelay_decisions::config::ConfigFault;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::resources::ResourceLimits;
 use chiverelay_operator::file;
 use chiverelay_operator::file::Value;
 use chiverelay_operator::read_struct;
@@ -347,9 +349,21 @@
     pub(crate) fn limits(&self) -> Limits {
         Limits {
             max_body: self.max_body,
-            max_connections: self.max_connections,
+            max_connections: self.max_connections.min(connections_of_process()),
             header_timeout: Duration::from_millis(self.header_timeout_ms),
             body_timeout: Duration::from_millis(self.body_timeout_ms),
         }
     }
 }
+
+/// Returns how many connections of callers the descriptors of this process
+/// allow.
+fn connections_of_process() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    let descriptors = limit.current.and_then(|n| usize::try_from(n).ok());
+    let limits = ResourceLimits {
+        memory: u64::MAX,
+        descriptors: descriptors.unwrap_or(usize::MAX),
+    };
+    Shares::of(&limits).callers
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod catalog;
 mod combined;
 mod configuration;
+mod connection_limit;
 mod cuts;
 mod decoders;
 mod drain;
