Bound the connections to targets and the open requests

Callers saw: at the last descriptor, attempts failed in connect(), and the targets were blamed and left out, although they were sound. Cause: neither idle nor used connections to targets had a bound, nor had the requests open at once, which other instances add to without a connection here.

The pool counts its connections, also those being opened. At its share the one that has been idle for longest gives way; with none, the attempt ends without blame on the target and the request goes elsewhere, or is refused as overloaded with a Retry-After that spreads callers. Requests beyond what the memory carries are refused the same way.

Metrics show each share beside its use, chiverelay_limit_hits_total what was closed, refused or delayed for want of which resource, and two log lines name the limit, each at most every 10 s.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chiverelay_decisions::admission::spread_retry_after;
 use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::catalog::RouteKind;
 use chiverelay_decisions::fleet::KnownTarget;
@@ -27,7 +28,9 @@
 use crate::AttemptContext;
 use crate::Dialect;
 use crate::Gateway;
+use crate::LimitAction;
 use crate::Outbound;
+use crate::Resource;
 use crate::ResponseVerdict;
 use crate::answer;
 use crate::answer::AnswerStart;
@@ -52,6 +55,15 @@
 /// Shortest time to the deadline at which a request is still sent.
 pub(crate) const MIN_TIME_TO_SEND: Duration = Duration::from_millis(20);
 
+/// Why there is no connection to a target, for the log.
+#[derive(Debug)]
+enum ConnectFailure {
+    /// The target can't be reached.
+    Unreachable(String),
+    /// This instance has no connection left.
+    LocalLimit(String),
+}
+
 /// Result of the exchange with a target: an answer whose start was read.
 pub(crate) type Exchanged = Result<(PooledResponse, AnswerStart), AttemptFailure>;
 
@@ -163,12 +175,21 @@
                 },
                 conn,
             }),
-            Err(reason) => {
+            Err(ConnectFailure::Unreachable(reason)) => {
                 self.record_failed_attempt(out, &target, reservation.age(), "unreachable", &reason);
                 reservation.finish(TargetOutcome::Unreachable);
                 let refusal = req.refusal(Code::Unavailable, Step::Connect, target_peer(&req));
                 Err((req.unplace(), Box::new(refusal.into())))
             }
+            Err(ConnectFailure::LocalLimit(reason)) => {
+                self.record_failed_attempt(out, &target, reservation.age(), "not sent", &reason);
+                self.record_limit(Resource::TargetConnections, LimitAction::Refused);
+                reservation.finish(TargetOutcome::Cancelled);
+                let refusal = req
+                    .refusal(Code::Overloaded, Step::Connect, Peer::Local)
+                    .with_retry_after(spread_retry_after(rand::random()));
+                Err((req.unplace(), Box::new(refusal.into())))
+            }
         }
     }
 
@@ -277,7 +298,7 @@
         known_target: &KnownTarget,
         deadline: Duration,
         kind: RouteKind,
-    ) -> Result<PooledConnection, String> {
+    ) -> Result<PooledConnection, ConnectFailure> {
         let max_idle = match kind.is_repeatable() {
             true => MAX_IDLE,
             false => MAX_IDLE_NON_REPEATABLE,
@@ -291,8 +312,9 @@
                 self.metrics.count_connection_use(conn.is_new());
                 Ok(conn)
             }
-            Ok(Err(e)) => Err(e.to_string()),
-            Err(_) => Err("timeout".to_owned()),
+            Ok(Err(e)) if e.is_local_limit() => Err(ConnectFailure::LocalLimit(e.to_string())),
+            Ok(Err(e)) => Err(ConnectFailure::Unreachable(e.to_string())),
+            Err(_) => Err(ConnectFailure::Unreachable("timeout".to_owned())),
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chiverelay_caller::Connections;
+use chiverelay_decisions::admission::Shares;
 use chiverelay_decisions::catalog::CatalogChange;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
@@ -44,6 +46,7 @@
 use crate::rate_limiter::RateLimiter;
 use crate::report::Upstream;
 use crate::reporters::Reporters;
+use crate::resources::LimitReports;
 use crate::shutdown::Shutdown;
 use crate::sibling_handler::SiblingHandler;
 use crate::status;
@@ -85,11 +88,15 @@
     /// The hub that this instance reports to.
     pub(crate) upstream: RankedMutex<Upstream>,
     pub(crate) connections: ConnectionPool,
+    pub(crate) caller_connections: Arc<Connections>,
+    /// What this instance may take on.
+    pub(crate) shares: Shares,
     pub(crate) pending_losses: PendingLosses,
     /// Notified when the other instances have to be told something at once.
     pub(crate) status_due: Notify,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) log_rate_limit: LogRateLimit,
+    pub(crate) limit_reports: LimitReports,
     pub(crate) incarnation: u64,
     pub(crate) shutdown: Shutdown,
     pub(crate) stop: CancellationToken,
@@ -116,6 +123,7 @@
     /// opened.
     pub fn new(settings: Settings, dialect: D) -> Result<Arc<Self>, Error> {
         let clock = Clock::start();
+        let shares = Shares::of(&settings.resources);
         let pins = Pins::default();
         let identity = Identity {
             instance: settings.instance.clone(),
@@ -143,7 +151,9 @@
             topology: RankedMutex::new(LockRank::Topology, Arc::default()),
             reporters: Reporters::default(),
             upstream: RankedMutex::new(LockRank::Upstream, Upstream::default()),
-            connections: ConnectionPool::new(CONNECT_TIMEOUT),
+            connections: ConnectionPool::new(CONNECT_TIMEOUT, shares.targets),
+            caller_connections: Connections::new(shares),
+            shares,
             pending_losses: PendingLosses::default(),
             status_due: Notify::new(),
             metrics: Arc::new(Metrics::new()),
@@ -152,6 +162,7 @@
             open_requests: TaskTracker::new(),
             listings: ReceivedListings::default(),
             log_rate_limit: LogRateLimit::default(),
+            limit_reports: LimitReports::default(),
             incarnation,
             clock,
             dialect,
@@ -206,6 +217,7 @@
         let suspended_requests = self.tables.suspensions.lock().count_suspended(now);
         let is_hub = self.topology.lock().is_hub;
         let reporters = self.reporters.names().len();
+        let callers = self.caller_connections.usage();
         let fleet = self.tables.fleet.lock();
         GaugeValues {
             store_age: now.saturating_sub(fleet.last_store_answer()),
@@ -220,6 +232,12 @@
             is_hub,
             reporters,
             open_requests: self.open_requests.len(),
+            max_requests: self.shares.requests,
+            caller_connections: callers.open,
+            idle_caller_connections: callers.idle,
+            max_caller_connections: callers.limit,
+            target_connections: self.connections.count_open(),
+            max_target_connections: self.shares.targets,
             quarantined_parts,
             suspended_requests,
         }
@@ -230,6 +248,11 @@
         Arc::clone(&self.metrics)
     }
 
+    /// Returns the table of the callers' connections.
+    pub fn caller_connections(&self) -> &Arc<Connections> {
+        &self.caller_connections
+    }
+
     /// Returns the current catalog's limits on the requests of callers, or
     /// the defaults if there is no catalog yet.
     pub fn client_limits(&self) -> chiverelay_decisions::catalog::ClientLimits {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -188,16 +188,29 @@
                 request_log.log_answer(reply.status, version, should_write);
                 Ok(reply)
             }
-            Err(refusal) => {
-                let refusal = cap_retry_after(refusal, timeout.map(|t| t.saturating_sub(took)));
-                self.metrics.record_refusal(&refusal, took);
-                let store_age = self.tables.store_age(received);
-                request_log.log_refusal(&refusal, version, store_age);
-                Err(refusal)
-            }
+            Err(refusal) => Err(self.finish_refused(refusal, timeout, received, &mut request_log)),
         }
     }
 
+    /// Records a refusal of a request that its caller waits for, and limits its
+    /// retry delay.
+    pub(crate) fn finish_refused(
+        &self,
+        refusal: Refusal,
+        timeout: Option<Duration>,
+        received: Duration,
+        request_log: &mut RequestLog,
+    ) -> Refusal {
+        let took = self.clock.now().saturating_sub(received);
+        let refusal = cap_retry_after(refusal, timeout.map(|t| t.saturating_sub(took)));
+        self.metrics.record_refusal(&refusal, took);
+        let current = self.tables.current_catalog();
+        let version = current.map_or(0, |c| c.catalog.version);
+        let store_age = self.tables.store_age(received);
+        request_log.log_refusal(&refusal, version, store_age);
+        refusal
+    }
+
     /// Authenticates a request against the catalog, charges its account, and
     /// runs it. The charge is refunded if the request was refused and no target
     /// ran it.
@@ -208,6 +221,7 @@
         current: &LoadedCatalog,
         request_log: &mut RequestLog,
     ) -> HandleResult {
+        self.check_open_requests()?;
         let catalog = &current.catalog;
         let matched = catalog
             .find(&inbound.host, inbound.path(), inbound.api_key.as_deref())
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and latency histograms in the Prometheus text format.
 
 mod gauges;
+mod limits;
 
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -23,6 +24,8 @@
 
 pub use gauges::GaugeValues;
 use gauges::Gauges;
+pub use limits::LimitAction;
+pub use limits::Resource;
 
 /// Upper bounds of the buckets of latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -45,6 +48,7 @@
     sibling_refusals: IntCounterVec,
     store_calls: IntCounterVec,
     task_restarts: IntCounterVec,
+    limit_hits: IntCounterVec,
     log_counts: OnceLock<Arc<LineCounts>>,
     gauges: Gauges,
     first_byte_times: HistogramVec,
@@ -137,6 +141,12 @@
                 "Background tasks that ended unexpectedly and were started again.",
                 &["task"],
             ),
+            limit_hits: counter(
+                &registry,
+                "limit_hits_total",
+                "What was refused, closed or delayed at a limit of a resource.",
+                &["resource", "action"],
+            ),
             log_counts: OnceLock::new(),
             gauges: Gauges::new(&registry),
             first_byte_times: histogram(
@@ -190,6 +200,7 @@
             counter.with_label_values(&["none"]);
         }
         self.refusals.with_label_values(&["none", "none"]);
+        self.limit_hits.with_label_values(&["none", "none"]);
         self.interruptions.with_label_values(&["none", "none"]);
         self.store_calls.with_label_values(&["none", "none"]);
         self.forwards.with_label_values::<&str>(&[]);
@@ -311,6 +322,12 @@
         self.task_restarts.with_label_values(&[task]).inc();
     }
 
+    /// Counts what was done at a limit of a resource.
+    pub fn count_limit_hit(&self, resource: Resource, action: LimitAction) {
+        let labels = [resource.as_str(), action.as_str()];
+        self.limit_hits.with_label_values(&labels).inc();
+    }
+
     /// Sets the era of the store's data, which rises each time the store comes
     /// back from an older copy.
     pub fn set_store_era(&self, era: u64) {
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -39,6 +39,19 @@
     pub reporters: usize,
     /// Number of requests and streams that have not ended.
     pub open_requests: usize,
+    /// Number of open requests from which on others are refused.
+    pub max_requests: usize,
+    /// Number of open connections of callers.
+    pub caller_connections: usize,
+    /// Number of those that carry no request.
+    pub idle_caller_connections: usize,
+    /// Number of callers' connections from which on requests of others are
+    /// refused.
+    pub max_caller_connections: usize,
+    /// Number of open connections to targets, also idle ones.
+    pub target_connections: usize,
+    /// Largest number of open connections to targets.
+    pub max_target_connections: usize,
     /// Number of quarantined prompt parts.
     pub quarantined_parts: usize,
     /// Requests that are suspended, as targets crashed under them.
@@ -61,6 +74,12 @@
     is_hub: IntGauge,
     reporters: IntGauge,
     open_requests: IntGauge,
+    max_requests: IntGauge,
+    caller_connections: IntGauge,
+    idle_caller_connections: IntGauge,
+    max_caller_connections: IntGauge,
+    target_connections: IntGauge,
+    max_target_connections: IntGauge,
     quarantined_parts: IntGauge,
     suspended_requests: IntGauge,
     log_written: IntGauge,
@@ -93,6 +112,24 @@
             is_hub: count("is_hub", "1 if this instance is a hub."),
             reporters: count("reporters", "Instances that report to this one."),
             open_requests: count("requests_open", "Requests and streams that have not ended."),
+            max_requests: count(
+                "requests_limit",
+                "Open requests from which on others are refused.",
+            ),
+            caller_connections: count("caller_connections_open", "Connections of callers."),
+            idle_caller_connections: count(
+                "caller_connections_idle",
+                "Connections of callers that carry no request.",
+            ),
+            max_caller_connections: count(
+                "caller_connections_limit",
+                "Connections of callers from which on requests of others are refused.",
+            ),
+            target_connections: count("target_connections_open", "Connections to targets."),
+            max_target_connections: count(
+                "target_connections_limit",
+                "Largest number of connections to targets.",
+            ),
             quarantined_parts: count(
                 "quarantined_parts",
                 "Prompt parts that are quarantined, as they crashed targets.",
@@ -119,6 +156,17 @@
         self.is_hub.set(i64::from(values.is_hub));
         self.reporters.set(signed(values.reporters));
         self.open_requests.set(signed(values.open_requests));
+        self.max_requests.set(signed(values.max_requests));
+        self.caller_connections
+            .set(signed(values.caller_connections));
+        self.idle_caller_connections
+            .set(signed(values.idle_caller_connections));
+        self.max_caller_connections
+            .set(signed(values.max_caller_connections));
+        self.target_connections
+            .set(signed(values.target_connections));
+        self.max_target_connections
+            .set(signed(values.max_target_connections));
         self.quarantined_parts.set(signed(values.quarantined_parts));
         self.suspended_requests
             .set(signed(values.suspended_requests));
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -224,6 +224,7 @@
         forward: Forward,
         usage: &mut TargetUsage,
     ) -> HandleResult {
+        self.check_open_requests()?;
         let now = self.clock.now();
         let (mut req, mut cx, out) = self.admit_forwarded(forward, now)?;
         let max_attempts = cx.attempts_left;
--- a/crates/target/src/connection_pool.rs
+++ b/crates/target/src/connection_pool.rs
@@ -11,6 +11,9 @@
 //! Callers of the pool have to check that a response names their request.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Waker;
 use std::time::Duration;
@@ -58,6 +61,7 @@
 struct IdleConnection {
     sender: RequestSender,
     driver: ConnectionDriver,
+    place: Place,
     idle_since: Instant,
     expires_at: Instant,
 }
@@ -71,31 +75,58 @@
     }
 }
 
+/// The place of an open connection among those that may be open; dropping it
+/// frees the place.
+#[derive(Debug)]
+struct Place {
+    open: Arc<AtomicUsize>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Opens connections to targets and keeps idle ones for reuse.
+///
+/// # Invariants
+///
+/// `open` is the number of connections that are open or being opened, and never
+/// exceeds `max_open`.
 #[derive(Debug)]
 pub struct ConnectionPool {
     client: Client,
     idle: ShardedMap<SocketAddr, Vec<IdleConnection>>,
+    open: Arc<AtomicUsize>,
+    max_open: usize,
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool. Opening a connection takes at most
-    /// `connect_timeout`.
-    pub fn new(connect_timeout: Duration) -> Self {
+    /// Creates an empty pool of at most `max_open` connections. Opening one
+    /// takes at most `connect_timeout`.
+    pub fn new(connect_timeout: Duration, max_open: usize) -> Self {
         Self {
             client: Client::new(connect_timeout),
             // Idle connections to targets share the rank of links to siblings.
             idle: ShardedMap::new(LockRank::Links),
+            open: Arc::default(),
+            max_open,
         }
     }
 
+    /// Counts the connections that are open or being opened.
+    pub fn count_open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Returns a connection that was idle for at most `max_idle`, or opens one
     /// if there is none.
     ///
     /// # Errors
     ///
-    /// Fails if the target can't be reached in time. It has received nothing of
-    /// the request then.
+    /// Fails if the target can't be reached in time, or if no more connections
+    /// may be open. The target has received nothing of the request then.
     pub async fn acquire(
         &self,
         target: &Target,
@@ -107,18 +138,64 @@
                 address,
                 sender: idle.sender,
                 driver: idle.driver,
+                place: idle.place,
                 is_new: false,
             });
         }
+        let place = self.take_place().ok_or_else(|| Error::NoConnectionLeft {
+            target: target.clone(),
+        })?;
         let (sender, driver) = self.client.open_http1(target, address).await?;
         Ok(PooledConnection {
             address,
             sender,
             driver,
+            place,
             is_new: true,
         })
     }
 
+    /// Takes a place for a new connection, if need be that of an idle one, which
+    /// is closed.
+    fn take_place(&self) -> Option<Place> {
+        self.try_take_place().or_else(|| {
+            self.close_longest_idle();
+            self.try_take_place()
+        })
+    }
+
+    fn try_take_place(&self) -> Option<Place> {
+        let add = |open| (open < self.max_open).then_some(open + 1);
+        let added = self
+            .open
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+        added.ok().map(|_| Place {
+            open: Arc::clone(&self.open),
+        })
+    }
+
+    /// Closes the connection that has been idle for longest.
+    fn close_longest_idle(&self) {
+        let mut longest: Option<(Instant, SocketAddr)> = None;
+        self.idle.for_each(|address, connections| {
+            // The first one has been idle for longest at its address.
+            let Some(first) = connections.first() else {
+                return;
+            };
+            if longest.is_none_or(|(since, _)| first.idle_since < since) {
+                longest = Some((first.idle_since, *address));
+            }
+        });
+        let Some((_, address)) = longest else {
+            return;
+        };
+        self.idle.with(&address, |connections| {
+            if let Some(connections) = connections.filter(|connections| !connections.is_empty()) {
+                connections.remove(0);
+            }
+        });
+    }
+
     fn pop_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<IdleConnection> {
         let now = Instant::now();
         self.idle.with(&address, |connections| {
@@ -163,6 +240,7 @@
     address: SocketAddr,
     sender: RequestSender,
     driver: ConnectionDriver,
+    place: Place,
     is_new: bool,
 }
 
@@ -278,6 +356,7 @@
         let mut idle = IdleConnection {
             sender: self.conn.sender,
             driver: self.conn.driver,
+            place: self.conn.place,
             idle_since: now,
             expires_at: now + idle_timeout,
         };
--- a/crates/target/src/error.rs
+++ b/crates/target/src/error.rs
@@ -42,6 +42,13 @@
         /// Description of the failure.
         reason: String,
     },
+    /// As many connections to targets are open as may be. The target has
+    /// received nothing of the request.
+    #[error("{step}: target {target}: no more connections may be open", step = Step::Connect)]
+    NoConnectionLeft {
+        /// The target of the request.
+        target: Target,
+    },
     /// A step exceeded its time limit.
     #[error("{step}: target {target}: timeout")]
     Timeout {
@@ -51,3 +58,15 @@
         target: Target,
     },
 }
+
+impl Error {
+    /// Tells whether this process has no connection or descriptor left, which
+    /// says nothing of the target.
+    pub fn is_local_limit(&self) -> bool {
+        match self {
+            Self::NoConnectionLeft { .. } => true,
+            Self::Connect { source, .. } => chiverelay_http::is_out_of_descriptors(source),
+            _ => false,
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -47,6 +47,7 @@
 mod store;
 mod suspension;
 mod tables;
+mod target_connections;
 mod tickets;
 mod timeline;
 mod tool;
