--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -215,10 +215,21 @@
         self.spawn_before(name, zone, region, self.reached_at)
     }
 
+    /// Starts an instance that has few descriptors.
+    pub fn spawn_limited(&self, name: &str, zone: &str, region: &str, descriptors: usize) -> Node {
+        let ip = next_address();
+        let text = settings(name, &ip, zone, region, self.reached_at);
+        let stated = format!("max_fds = {descriptors}");
+        self.spawn_with(name, &ip, &text.replace("max_fds = 4100", &stated))
+    }
+
     /// Starts an instance that reaches the store at an address of its own.
     pub fn spawn_before(&self, name: &str, zone: &str, region: &str, store: SocketAddr) -> Node {
         let ip = next_address();
-        let text = settings(name, &ip, zone, region, store);
+        self.spawn_with(name, &ip, &settings(name, &ip, zone, region, store))
+    }
+
+    fn spawn_with(&self, name: &str, ip: &str, text: &str) -> Node {
         let path = self.dir.path().join(format!("{name}.toml"));
         std::fs::write(&path, text).expect("settings can be written");
         let log = self.dir.path().join(format!("{name}.log"));
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -1,5 +1,6 @@
 //! The gateway on the users' platform.
 
+mod bounds;
 mod broken_answers;
 mod decode;
 mod endless;
