--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -1,8 +1,7 @@
 //! Requests as decoded from HTTP.
 
-use std::time::Duration;
-
 use bytes::Bytes;
+use chiverelay_decisions::admission::spread_retry_after;
 use chiverelay_decisions::keys::KeyDetector;
 use chiverelay_decisions::keys::PresentedKey;
 use chiverelay_decisions::memory_budget::MemoryBudget;
@@ -58,13 +57,6 @@
 const CREDENTIAL_PARAMETERS: [&str; 5] =
     ["access_token", "api-key", "api_key", "apikey", "x-api-key"];
 
-/// Shortest retry delay of a request whose body there is no memory for.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(400);
-
-/// Longest retry delay of such a request. Delays differ, so that callers that
-/// were refused together don't come back together.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(1600);
-
 /// A caller's request, read whole.
 #[derive(Debug)]
 pub struct Inbound {
@@ -214,7 +206,7 @@
         BodyError::TooLarge => refuse(Code::TooLarge, Detail::BodyOver(max as u64)),
         BodyError::Broken => refuse(Code::Malformed, Detail::BodyCutOff),
         BodyError::NoMemory(_) => {
-            let delay = rand::random_range(MIN_RETRY_AFTER..=MAX_RETRY_AFTER);
+            let delay = spread_retry_after(rand::random());
             Refusal::not_run(Code::Overloaded, Step::Receive, Peer::Local).with_retry_after(delay)
         }
     })
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -2,9 +2,9 @@
 //! and what doesn't fit is refused before it is read.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
+use chiverelay_decisions::admission::spread_retry_after;
 use chiverelay_decisions::memory_budget::Exhausted;
 use chiverelay_decisions::memory_budget::HeldBuffer;
 use chiverelay_decisions::memory_budget::Level;
@@ -22,13 +22,6 @@
 /// memory.
 const PARTS_OF_MEMORY: u64 = 4;
 
-/// Shortest retry delay of a request that there is no memory for.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(400);
-
-/// Longest retry delay of a request that there is no memory for. Delays differ,
-/// so that callers that were refused together don't come back together.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(1600);
-
 /// File in which the system states the memory of the process.
 const STATUS_FILE: &str = "/proc/self/status";
 
@@ -112,7 +105,7 @@
     fn refuse(&self, what: &str, step: Step) -> Refusal {
         self.metrics.count_memory_denial(what);
         self.log_level();
-        let delay = rand::random_range(MIN_RETRY_AFTER..=MAX_RETRY_AFTER);
+        let delay = spread_retry_after(rand::random());
         Refusal::not_run(Code::Overloaded, step, Peer::Local).with_retry_after(delay)
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The tests of the whole workspace, a module for each area.
 
+mod admission;
 mod allowance;
 mod answer;
 mod bucket;
@@ -7,6 +8,7 @@
 mod catalog;
 mod combined;
 mod configuration;
+mod connection_limit;
 mod cuts;
 mod decoders;
 mod drain;
@@ -46,6 +48,7 @@
 mod store;
 mod suspension;
 mod tables;
+mod target_connections;
 mod tickets;
 mod timeline;
 mod tool;
