Bound what is read ahead of callers that do not read

Callers that leave their answers unread took an instance over its memory, which ends all requests of its connections without an answer: 400 of them before targets of its region took over 260 MB, as did 200 whose answers another instance forwards.

What was held for each: a read buffer of the connection to the target, of up to 408 KiB by the HTTP library's default; up to 1 MiB that a link may send ahead on a stream, for any number of streams; three copies of a piece of an answer while it is written to a link; and the answer's first 256 KiB, in a buffer whose growth left as much behind.

The read buffer of a connection to a target has at most 32 KiB, a link sends at most 128 KiB ahead on a stream (1 MB/s at a round trip of 120 ms), a piece is copied to a link 16 KiB at once, and a buffer beyond 16 KiB grows by segments of that size. The first part of the answer is within the budget of bodies and buffered answers.

--- a/crates/decisions/src/memory_budget.rs
+++ b/crates/decisions/src/memory_budget.rs
@@ -11,6 +11,9 @@
 use bytes::Bytes;
 use thiserror::Error as ThisError;
 
+/// Size from which a buffer grows by segments, and of a segment, in bytes.
+const SEGMENT_BYTES: usize = 16 * 1024;
+
 /// The budget has too few bytes left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(ThisError)]
@@ -111,7 +114,10 @@
     /// Fails if too few bytes are left.
     pub fn hold(&self, data: Vec<u8>) -> Result<Bytes, Exhausted> {
         let reservation = self.reserve(data.capacity())?;
-        Ok(HeldBuffer { data, reservation }.freeze())
+        Ok(Bytes::from_owner(Held {
+            data,
+            _reservation: reservation,
+        }))
     }
 
     /// Returns a buffer with room for `capacity` bytes.
@@ -121,21 +127,16 @@
     /// Fails if too few bytes are left.
     pub fn buffer(&self, capacity: usize) -> Result<HeldBuffer, Exhausted> {
         let reservation = self.reserve(capacity)?;
-        Ok(HeldBuffer {
-            data: Vec::with_capacity(capacity),
-            reservation,
-        })
+        Ok(HeldBuffer::new(reservation, capacity))
     }
 
     /// Returns a buffer without room.
     pub fn empty_buffer(&self) -> HeldBuffer {
-        HeldBuffer {
-            data: Vec::new(),
-            reservation: Reservation {
-                shared: Arc::clone(&self.shared),
-                bytes: 0,
-            },
-        }
+        let reservation = Reservation {
+            shared: Arc::clone(&self.shared),
+            bytes: 0,
+        };
+        HeldBuffer::new(reservation, 0)
     }
 
     /// Returns the limit and the bytes in use.
@@ -187,6 +188,13 @@
         self.bytes += more;
         Ok(())
     }
+
+    /// Lowers the reservation to `bytes` if it is larger.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let less = self.bytes.saturating_sub(bytes as u64);
+        self.shared.give_back(less);
+        self.bytes -= less;
+    }
 }
 
 impl Drop for Reservation {
@@ -197,59 +205,112 @@
 
 /// A buffer whose room is reserved.
 ///
+/// A large one has segments: memory that a growing allocation leaves behind may
+/// stay with the process.
+///
 /// # Invariants
 ///
-/// `reservation` covers the capacity of `data`, but for what
+/// `reservation` covers the capacity of all segments, but for what
 /// [`HeldBuffer::extend_unreserved`] has added.
 #[derive(Debug)]
 pub struct HeldBuffer {
-    data: Vec<u8>,
+    full: Vec<Vec<u8>>,
+    last: Vec<u8>,
+    len: usize,
+    reserved: usize,
     reservation: Reservation,
 }
 
 impl HeldBuffer {
+    fn new(reservation: Reservation, capacity: usize) -> Self {
+        Self {
+            full: Vec::new(),
+            last: Vec::with_capacity(capacity),
+            len: 0,
+            reserved: capacity,
+            reservation,
+        }
+    }
+
     /// Adds data, for which room is reserved first.
     ///
     /// # Errors
     ///
     /// Fails if too few bytes are left. Nothing is added then.
     pub fn extend(&mut self, data: &[u8]) -> Result<(), Exhausted> {
-        let len = self.data.len() + data.len();
-        if len > self.data.capacity() {
-            let capacity = len.max(2 * self.data.capacity());
-            self.reservation.grow_to(capacity)?;
-            self.data.reserve_exact(capacity - self.data.len());
+        let len = self.last.len() + data.len();
+        if len > self.last.capacity() {
+            match len <= SEGMENT_BYTES {
+                true => self.grow_last(len.max(2 * self.last.capacity()))?,
+                false => self.add_segment(data.len().max(SEGMENT_BYTES))?,
+            }
         }
-        self.data.extend_from_slice(data);
+        self.extend_unreserved(data);
+        Ok(())
+    }
+
+    fn grow_last(&mut self, capacity: usize) -> Result<(), Exhausted> {
+        self.reserve(capacity - self.last.capacity())?;
+        self.last.reserve_exact(capacity - self.last.len());
+        Ok(())
+    }
+
+    fn add_segment(&mut self, capacity: usize) -> Result<(), Exhausted> {
+        self.reserve(capacity)?;
+        let last = std::mem::replace(&mut self.last, Vec::with_capacity(capacity));
+        self.full.push(last);
+        Ok(())
+    }
+
+    fn reserve(&mut self, more: usize) -> Result<(), Exhausted> {
+        self.reservation.grow_to(self.reserved + more)?;
+        self.reserved += more;
         Ok(())
     }
 
     /// Adds data that was received already and can't be refused any more.
     pub fn extend_unreserved(&mut self, data: &[u8]) {
-        self.data.extend_from_slice(data);
+        self.last.extend_from_slice(data);
+        self.len += data.len();
     }
 
     /// Returns the number of bytes of data.
     pub fn len(&self) -> usize {
-        self.data.len()
+        self.len
     }
 
     /// Tells whether there is no data.
     pub fn is_empty(&self) -> bool {
-        self.data.is_empty()
+        self.len == 0
     }
 
     /// Returns the data. Its bytes are returned to the budget when the last
     /// copy is dropped.
-    pub fn freeze(self) -> Bytes {
-        match self.data.is_empty() {
-            true => Bytes::new(),
-            false => Bytes::from_owner(self),
+    pub fn freeze(mut self) -> Bytes {
+        if self.is_empty() {
+            return Bytes::new();
         }
+        let data = if self.full.is_empty() {
+            self.last
+        } else {
+            self.full.push(self.last);
+            self.full.concat()
+        };
+        self.reservation.shrink_to(data.capacity());
+        Bytes::from_owner(Held {
+            data,
+            _reservation: self.reservation,
+        })
     }
 }
 
-impl AsRef<[u8]> for HeldBuffer {
+/// Data with the reservation of its memory.
+struct Held {
+    data: Vec<u8>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for Held {
     fn as_ref(&self) -> &[u8] {
         &self.data
     }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -48,7 +48,7 @@
 /// Shortest time for sending a reply, which may be ready only at the deadline.
 const MIN_REPLY_TIME: Duration = Duration::from_millis(100);
 
-/// Largest part of a complete reply that is copied and sent at once, in bytes.
+/// Largest part of an answer that is copied and sent at once, in bytes.
 const REPLY_PART_BYTES: usize = 16 * 1024;
 
 /// Handler of the messages and forwarded requests of other instances.
@@ -190,9 +190,7 @@
     tx.send(&head).await?;
     let mut stream = match body {
         ReplyBody::Full(data) => {
-            for part in data.chunks(REPLY_PART_BYTES) {
-                tx.send(&Frame::Data(part.to_vec())).await?;
-            }
+            send_data(tx, &data).await?;
             return tx.send(&Frame::End).await;
         }
         ReplyBody::Chunks(stream) => stream,
@@ -209,7 +207,7 @@
         }
         match chunk {
             None => return tx.send(&Frame::End).await,
-            Some(Ok(data)) => tx.send(&Frame::Data(data.to_vec())).await?,
+            Some(Ok(data)) => send_data(tx, &data).await?,
             Some(Err(e)) => {
                 log::debug!(target: "forward", error:% = e; "forwarded answer ended early");
                 let refusal = Refusal::unknown(Code::TargetFailed, Step::Answer, Peer::Local);
@@ -219,6 +217,14 @@
     }
 }
 
+/// Sends a part of an answer. A message has two copies of its data.
+async fn send_data(tx: &mut FrameSender, data: &[u8]) -> Result<(), chiverelay_sibling::Error> {
+    for part in data.chunks(REPLY_PART_BYTES) {
+        tx.send(&Frame::Data(part.to_vec())).await?;
+    }
+    Ok(())
+}
+
 impl<D> Gateway<D>
 where
     D: Dialect,
--- a/crates/sibling/src/endpoint.rs
+++ b/crates/sibling/src/endpoint.rs
@@ -47,8 +47,9 @@
 /// Round trip that is expected of a new connection.
 const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(120);
 
-/// Bytes that a sibling may send ahead on a stream.
-const STREAM_WINDOW: u32 = 1024 * 1024;
+/// Bytes that a sibling may send ahead on a stream, which are held here for a
+/// caller that does not read its answer.
+const STREAM_WINDOW: u32 = 128 * 1024;
 
 /// Why a connection or a message was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -32,6 +32,11 @@
 use crate::Error;
 use crate::headers;
 
+/// Largest size of a connection's read buffer, in bytes, which the head of an
+/// answer has to fit into. A connection reads so far ahead of a caller that does
+/// not read.
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
+
 pub(crate) type RequestSender = http1::SendRequest<Full<Bytes>>;
 
 /// Performs a connection's I/O within the task that awaits the response.
@@ -186,7 +191,9 @@
         // delay it.
         let _ = stream.set_nodelay(true);
         chiverelay_http::enable_keepalive(&stream);
-        let (sender, conn) = http1::handshake(TokioIo::new(stream))
+        let (sender, conn) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|source| Error::Handshake {
                 target: target.clone(),
--- a/tests/testsuite/memory_budget.rs
+++ b/tests/testsuite/memory_budget.rs
@@ -39,6 +39,21 @@
     assert_eq!((buffer.len(), budget.usage().used), (150, 200));
 }
 
+#[test]
+fn a_large_buffer_grows_by_segments_and_keeps_its_data() {
+    let budget = MemoryBudget::new(100_000);
+    let mut buffer = budget.empty_buffer();
+    let data: Vec<u8> = (0..60_000_u32).map(|n| n as u8).collect();
+    for part in data.chunks(700) {
+        buffer.extend(part).expect("room");
+    }
+    assert!(budget.usage().used <= 80_000, "{:?}", budget.usage());
+    let frozen = buffer.freeze();
+    assert_eq!((frozen.as_ref(), budget.usage().used), (&data[..], 60_000));
+    drop(frozen);
+    assert_eq!(budget.usage().used, 0);
+}
+
 #[test]
 fn the_last_copy_of_the_data_returns_its_bytes() {
     let budget = MemoryBudget::new(LIMIT);
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -28,3 +28,4 @@
 mod supervise;
 mod suspension;
 mod unanswered;
+mod unread_answers;
