--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -31,3 +31,4 @@
 mod supervise;
 mod suspension;
 mod unanswered;
+mod unread_answers;
