Keep a request at its silent target until another region has taken it

Callers saw 503 or 502 beside a sound target: a request whose target had been silent for 2.25 s, and which no other target of the region could take, left the target for another region before that region had been asked. If the region refused, nobody had the request any more. docs/design/fleet.md listed it as open. A stream that was resumed at a target of the region was cut in the same way: it left that target for another region too, and its loop asks only targets of its own region.

Cause: gateway::hedge ended the attempt with `Silent` and left it to the loop over destinations to find the other region: a promise was given up before its replacement was sure, in the second case before one that nobody would ask.

The forward is raced with the first exchange now, which is dropped once the region has begun to answer. Where a request may go is a type, hedge::Elsewhere: only the loops that can pass on an answer of another instance use OtherRegion, all others Nowhere. A region's server error doesn't count as taken. A stream that goes on after an event stays in its region while its target is only silent (docs/design/timers.md).

--- a/crates/decisions/src/request/dispatched.rs
+++ b/crates/decisions/src/request/dispatched.rs
@@ -7,6 +7,7 @@
 use super::Answered;
 use super::Dispatched;
 use super::Request;
+use crate::names::Instance;
 use crate::names::Target;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
@@ -46,6 +47,12 @@
         self.tried_targets.push(target);
     }
 
+    /// Marks a sibling as asked that a duplicate of this request was forwarded
+    /// to.
+    pub fn mark_asked(&mut self, sibling: Instance) {
+        self.asked_siblings.push(sibling);
+    }
+
     /// Ends the life cycle with a complete answer.
     pub fn answered(self) -> Request<Answered, O> {
         let grant = Arc::clone(&self.state.grant);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -34,6 +34,9 @@
 use crate::attempt_failure::AttemptFailure;
 use crate::attempt_failure::FailedAttempt;
 use crate::attempt_failure::SentFailure;
+use crate::hedge::Elsewhere;
+use crate::hedge::Hedge;
+use crate::hedge::Nowhere;
 use crate::outcome::AttemptOutcome;
 use crate::outcome::Fallback;
 use crate::outcome::StartedAnswer;
@@ -117,7 +120,8 @@
     D: Dialect,
 {
     /// Sends a request to the target that was chosen for it and reads the start
-    /// of the answer. A target that stays silent may be replaced by another one.
+    /// of the answer. A target that stays silent may be replaced by another one
+    /// of the region.
     pub(crate) async fn attempt<O>(
         self: &Arc<Self>,
         placed: LocalPlacement<D, O>,
@@ -126,13 +130,34 @@
     ) -> AttemptOutcome<D, O>
     where
         O: Origin,
+    {
+        match self.attempt_or(placed, &Nowhere, cx, out).await {
+            Hedge::Here(outcome) => outcome,
+            Hedge::Elsewhere(answer) => match answer {},
+        }
+    }
+
+    /// Like [`Gateway::attempt`], but a target that stays silent may also be
+    /// replaced by an answer from `elsewhere`.
+    pub(crate) async fn attempt_or<O, E>(
+        self: &Arc<Self>,
+        placed: LocalPlacement<D, O>,
+        elsewhere: &E,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+    ) -> Hedge<AttemptOutcome<D, O>, E::Answer>
+    where
+        O: Origin,
+        E: Elsewhere<D, O>,
     {
         let opened = match self.open(placed, cx, out).await {
             Ok(opened) => opened,
-            Err((req, fallback)) => return AttemptOutcome::Retry(req, *fallback),
+            Err((req, fallback)) => return Hedge::Here(AttemptOutcome::Retry(req, *fallback)),
         };
-        let sent = self.send_hedged(opened, cx, out).await;
-        self.conclude_attempt(sent, cx, out)
+        match self.send_hedged(opened, elsewhere, cx, out).await {
+            Hedge::Here(sent) => Hedge::Here(self.conclude_attempt(sent, cx, out)),
+            Hedge::Elsewhere(answer) => Hedge::Elsewhere(answer),
+        }
     }
 
     /// Connects to the target that was chosen for a request.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -59,21 +59,67 @@
             let refusal = req.refusal(Code::Unavailable, Step::Connect, peer);
             return ForwardOutcome::Retry(req.unplace(), refusal.into());
         };
+        match self.send_forward(req, &link, cx, out).await {
+            Ok(started) => self.accept_remote_answer(*started, cx),
+            Err((req, failure)) => self.handle_forward_failure(req, cx, out, failure),
+        }
+    }
+
+    /// Forwards a request on a link and reads the start of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request and why the start did not arrive.
+    async fn send_forward(
+        &self,
+        req: Request<PlacedRemote, Direct>,
+        link: &Link<Up>,
+        cx: &PlacementContext,
+        out: &Outbound,
+    ) -> Result<Box<StartedForward>, (Request<Dispatched, Direct>, ForwardFailure)> {
         let deadline = self.shutdown.limit(req.meta().deadline);
         let left = deadline.saturating_sub(self.clock.now());
         let message = forward_message(&req, cx, out, left);
         let req = req.dispatch();
         self.metrics.count_forward();
         let sent = self.clock.now();
-        let exchange = exchange_with_sibling(&link, message, out);
+        let exchange = exchange_with_sibling(link, message, out);
         let started = tokio::time::timeout(left, exchange).await;
         let took = self.clock.now().saturating_sub(sent);
         match started.unwrap_or(Err(ForwardFailure::TimedOut)) {
             Ok((answer, start)) => {
                 self.metrics.record_forward("answered", took);
-                self.accept_remote_answer(StartedForward { req, answer, start }, cx)
+                Ok(Box::new(StartedForward { req, answer, start }))
+            }
+            Err(failure) => {
+                self.record_forward_failure(req.peer(), out, &failure, took);
+                Err((req, failure))
+            }
+        }
+    }
+
+    /// Forwards a request that another target still has, and counts the
+    /// attempts at targets of the other region. `None` if that region has not
+    /// taken the request.
+    pub(crate) async fn forward_beside(
+        self: &Arc<Self>,
+        req: Request<PlacedRemote, Direct>,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+    ) -> Option<Box<StartedForward>> {
+        let link = self.links.get(req.instance())?;
+        match self.send_forward(req, &link, cx, out).await {
+            Ok(mut started) => {
+                let attempts_used = started.answer.take_new_attempts();
+                cx.attempts_left = cx.attempts_left.saturating_sub(attempts_used);
+                let is_taken = !started.answer.status.is_server_error();
+                is_taken.then_some(started)
+            }
+            Err((_, failure)) => {
+                let attempts_used = failure.attempts_used();
+                cx.attempts_left = cx.attempts_left.saturating_sub(attempts_used);
+                None
             }
-            Err(failure) => self.handle_forward_failure(req, cx, out, failure, took),
         }
     }
 
@@ -97,16 +143,15 @@
         }
     }
 
-    /// Logs the failure, and decides whether the request is retried.
-    fn handle_forward_failure(
+    /// Records a failed forward in metrics and log.
+    fn record_forward_failure(
         &self,
-        req: Request<Dispatched, Direct>,
-        cx: &mut PlacementContext,
+        peer: &Peer,
         out: &Outbound,
-        failure: ForwardFailure,
+        failure: &ForwardFailure,
         took: Duration,
-    ) -> ForwardOutcome {
-        let (label, reason) = match &failure {
+    ) {
+        let (label, reason) = match failure {
             // Refused by the other instance.
             ForwardFailure::Refused(refusal, _) => ("refused there", refusal.code.as_str()),
             ForwardFailure::ExchangeFailed(reason, _) => ("broken off", reason.as_str()),
@@ -117,12 +162,22 @@
         log::info!(
             target: "forward",
             id = out.id.as_str(),
-            peer:% = req.peer(),
+            peer:% = peer,
             outcome = label,
             reason,
             took_ms = took.as_millis() as u64;
             "forward failed"
         );
+    }
+
+    /// Decides whether a request whose forward has failed is retried.
+    fn handle_forward_failure(
+        &self,
+        req: Request<Dispatched, Direct>,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+        failure: ForwardFailure,
+    ) -> ForwardOutcome {
         match failure {
             // The catalogs of the two instances differ. Other instances of that
             // region likely use the same catalog as the one that refused, so a
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -32,6 +32,8 @@
 use crate::Reply;
 use crate::ReplyBody;
 use crate::forward::ForwardOutcome;
+use crate::hedge::Hedge;
+use crate::hedge::OtherRegion;
 use crate::message::HandleResult;
 use crate::outcome::AttemptOutcome;
 use crate::outcome::Fallback;
@@ -281,8 +283,15 @@
             request_log.record_destination(&next, self.clock.now());
             req = match next {
                 Destination::Local(placed) => {
-                    let tried = self.attempt(*placed, &mut cx, &out).await;
+                    let tried = self.attempt_or(*placed, &OtherRegion, &mut cx, &out).await;
                     request_log.sent_count = cx.sent_count.get();
+                    let tried = match tried {
+                        Hedge::Here(tried) => tried,
+                        Hedge::Elsewhere(started) => {
+                            request_log.record_forward(started.req.peer());
+                            return Ok(self.build_forwarded_reply(cx, out, started));
+                        }
+                    };
                     match tried {
                         AttemptOutcome::Answered(started) => {
                             return Ok(self.build_reply(cx, out, *started));
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -4,6 +4,8 @@
 //! A silent target may be sound and another one may refuse, so the request
 //! leaves the first target only once the second one has taken it.
 
+mod elsewhere;
+
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -26,6 +28,10 @@
 use crate::dispatch::finish_exchange;
 use crate::place::PlacementContext;
 
+pub(crate) use elsewhere::Elsewhere;
+pub(crate) use elsewhere::Nowhere;
+pub(crate) use elsewhere::OtherRegion;
+
 /// Longest time for which two targets run a stream that goes on at another one.
 /// Until then the first one may still send an event.
 pub(crate) const MAX_OVERLAP: Duration = Duration::from_millis(300);
@@ -43,33 +49,43 @@
     Moved(AttemptFailure, Box<Sent<D, O>>),
 }
 
+/// Who has answered a request, or why nobody has.
+pub(crate) enum Hedge<T, A> {
+    /// The result of an attempt in this region.
+    Here(T),
+    /// An answer from elsewhere.
+    Elsewhere(A),
+}
+
 impl<D> Gateway<D>
 where
     D: Dialect,
 {
     /// Sends a request and reads the start of the answer. While the target is
-    /// silent for longer than a sound one may be, other targets are tried.
-    ///
-    /// # Errors
-    ///
-    /// Returns the request and why there is no usable answer.
-    pub(crate) async fn send_hedged<O>(
+    /// silent for longer than a sound one may be, other targets are tried, and
+    /// then `elsewhere`.
+    pub(crate) async fn send_hedged<O, E>(
         self: &Arc<Self>,
         opened: Opened<D, O>,
+        elsewhere: &E,
         cx: &mut PlacementContext,
         out: &Outbound,
-    ) -> Sent<D, O>
+    ) -> Hedge<Sent<D, O>, E::Answer>
     where
         O: Origin,
+        E: Elsewhere<D, O>,
     {
         let Some(limit) = self.silence_limit(&opened, cx) else {
-            return self.send(opened, cx, out).await;
+            return Hedge::Here(self.send(opened, cx, out).await);
         };
         let SentAttempt {
             mut req,
             reservation,
             exchange,
-        } = self.dispatch(opened, cx, out)?;
+        } = match self.dispatch(opened, cx, out) {
+            Ok(attempt) => attempt,
+            Err(failed) => return Hedge::Here(Err(failed)),
+        };
         let cx_at_start = cx.clone();
         let mut exchanging = Box::pin(self.run_exchange(exchange, &cx_at_start, out));
         let exchanged = loop {
@@ -78,17 +94,26 @@
             }
             exchanging = match self.hedge(&mut req, exchanging, cx, out).await {
                 Hedged::First(exchanged) => break *exchanged,
-                Hedged::Stays(_) if self.may_move_to_other_region(&req, cx) => {
-                    break Err(AttemptFailure::Silent);
-                }
                 Hedged::Stays(exchanging) => exchanging,
                 Hedged::Moved(failure, sent) => {
                     self.end_failed_attempt(reservation, req.peer(), &failure, cx, out);
-                    return *sent;
+                    return Hedge::Here(*sent);
                 }
+            };
+            let asking = Box::pin(elsewhere.ask(self, &mut req, cx, out));
+            let answer = tokio::select! {
+                biased;
+                exchanged = &mut exchanging => break exchanged,
+                answer = asking => answer,
+            };
+            if let Some(answer) = answer {
+                drop(exchanging);
+                let failure = AttemptFailure::Silent;
+                self.end_failed_attempt(reservation, req.peer(), &failure, cx, out);
+                return Hedge::Elsewhere(answer);
             }
         };
-        finish_exchange(req, reservation, exchanged)
+        Hedge::Here(finish_exchange(req, reservation, exchanged))
     }
 
     /// Returns the time after which a silent target may be left before its
--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -61,6 +61,17 @@
 }
 
 impl ForwardFailure {
+    /// Returns the number of targets that may have run the request.
+    pub(crate) fn attempts_used(&self) -> u32 {
+        match self {
+            Self::Refused(_, attempts_used) | Self::ExchangeFailed(_, attempts_used) => {
+                *attempts_used
+            }
+            Self::NotSent => 0,
+            Self::TimedOut => 1,
+        }
+    }
+
     /// The exchange failed before the number of targets was known, so that one
     /// is assumed.
     fn before_head(reason: impl ToString) -> Self {
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -18,6 +18,8 @@
 use crate::ReplyBody;
 use crate::answer::ChunkedAnswer;
 use crate::forward::ForwardOutcome;
+use crate::hedge::Hedge;
+use crate::hedge::OtherRegion;
 use crate::outcome::AttemptOutcome;
 use crate::outcome::StartedAnswer;
 use crate::place::Destination;
@@ -194,7 +196,14 @@
     async fn continue_elsewhere(&mut self, req: Request<Admitted, Direct>) -> ResumeOutcome {
         match self.gateway.choose_destination(req, &self.cx) {
             Ok(Destination::Local(placed)) => {
-                match self.gateway.attempt(*placed, &mut self.cx, &self.out).await {
+                let trying =
+                    self.gateway
+                        .attempt_or(*placed, &OtherRegion, &mut self.cx, &self.out);
+                let tried = match trying.await {
+                    Hedge::Here(tried) => tried,
+                    Hedge::Elsewhere(started) => return self.continue_if_same(started),
+                };
+                match tried {
                     AttemptOutcome::Answered(started) if self.kind.matches(&started.answer) => {
                         self.continue_locally(*started);
                         ResumeOutcome::Resumed
@@ -207,14 +216,9 @@
             }
             Ok(Destination::Remote(placed)) => {
                 match self.gateway.forward(placed, &mut self.cx, &self.out).await {
-                    ForwardOutcome::Answered(started) if self.kind == started.answer.kind() => {
-                        self.continue_remotely(started);
-                        ResumeOutcome::Resumed
-                    }
+                    ForwardOutcome::Answered(started) => self.continue_if_same(started),
                     ForwardOutcome::Retry(req, _) => ResumeOutcome::Retry(req),
-                    ForwardOutcome::Answered(_) | ForwardOutcome::Refused(_) => {
-                        ResumeOutcome::Failed
-                    }
+                    ForwardOutcome::Refused(_) => ResumeOutcome::Failed,
                 }
             }
             Err(_) => ResumeOutcome::Failed,
@@ -229,10 +233,15 @@
         self.rest = AnswerRest::Local(Box::new(relay));
     }
 
-    /// Continues with the answer that another instance relays.
-    fn continue_remotely(&mut self, mut started: Box<StartedForward>) {
+    /// Continues with the answer that another instance relays, if it is of the
+    /// same kind.
+    fn continue_if_same(&mut self, mut started: Box<StartedForward>) -> ResumeOutcome {
+        if self.kind != started.answer.kind() {
+            return ResumeOutcome::Failed;
+        }
         self.buffered = std::mem::take(&mut started.start.data);
         self.rest = AnswerRest::Remote(started);
+        ResumeOutcome::Resumed
     }
 
     fn log_interruption(
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -46,6 +46,18 @@
     record_age: Duration,
 }
 
+impl LoggedDestination {
+    /// Describes an instance in another region.
+    fn forward(peer: Peer) -> Self {
+        Self {
+            peer,
+            estimate: None,
+            record_revision: 0,
+            record_age: Duration::ZERO,
+        }
+    }
+}
+
 impl RequestLog {
     /// Starts the log line of a request that was just received.
     pub(crate) fn new(id: RequestId, clock: Clock) -> Self {
@@ -130,15 +142,19 @@
                 record_revision: placed.known_target.revision.number,
                 record_age: now.saturating_sub(placed.known_target.read_at),
             },
-            Destination::Remote(req) => LoggedDestination {
-                peer: Peer::Sibling(req.instance().clone()),
-                estimate: None,
-                record_revision: 0,
-                record_age: Duration::ZERO,
-            },
+            Destination::Remote(req) => {
+                LoggedDestination::forward(Peer::Sibling(req.instance().clone()))
+            }
         });
     }
 
+    /// Records that an instance in another region has taken the request while a
+    /// target of this region had it.
+    pub(crate) fn record_forward(&mut self, peer: &Peer) {
+        self.destinations += 1;
+        self.last_destination = Some(LoggedDestination::forward(peer.clone()));
+    }
+
     /// Writes the log line of an answered request.
     fn write_answer(&self, status: StatusCode, catalog_version: u64) {
         log::info!(
