Test that a target sees at once that its caller has left

For GONE in KNOWN-RED.txt: a run at a target of another region went on for 0.5 s to 0.8 s after its caller had left. The cases cover a target that is silent before its head, before the first event and within the body, near and in another region, and two targets that have a request that was hedged.

The entry stays.

--- a/tests/support/node/silent.rs
+++ b/tests/support/node/silent.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -83,6 +84,7 @@
 struct Seen {
     requests: Vec<String>,
     completed: Vec<String>,
+    left: Vec<(String, Instant)>,
 }
 
 impl SilentTarget {
@@ -126,6 +128,13 @@
         let seen = self.seen.lock().expect("no panic under the lock");
         seen.completed.clone()
     }
+
+    /// Returns the ids of the requests whose connection was closed while it was
+    /// silent, and when it saw that.
+    pub fn left(&self) -> Vec<(String, Instant)> {
+        let seen = self.seen.lock().expect("no panic under the lock");
+        seen.left.clone()
+    }
 }
 
 /// A request, as far as the target looks at it.
@@ -154,7 +163,11 @@
             .push(id.clone());
         for (at, piece) in pieces(answer, &req) {
             if at.is_some() && at == silent_at {
-                wait_unless_closed(&mut stream, silence).await?;
+                let waited = wait_unless_closed(&mut stream, silence).await;
+                waited.inspect_err(|_| {
+                    let mut seen = seen.lock().expect("no panic under the lock");
+                    seen.left.push((id.clone(), Instant::now()));
+                })?;
             }
             stream.write_all(piece.as_bytes()).await?;
         }
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -9,6 +9,7 @@
 mod hubs;
 mod kept_connections;
 mod leaving;
+mod left_requests;
 mod names;
 mod odd_entries;
 mod operations;
