--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -10,6 +10,7 @@
 mod hubs;
 mod kept_connections;
 mod leaving;
+mod left_requests;
 mod links;
 mod memory;
 mod names;
