Bound admission by the deadline of the request

What callers saw: a request with a short deadline got its refusal long after it. Before any deadline applied, a request waited up to 0.6 s for the first listings, 0.5 s at each of two hubs for its charge, or for several rounds of borrowed tokens of 0.3 s each, whatever time its caller had left.

Cause: the deadline was computed once the account had been charged, and nothing awaited before looked at it.

Evidence, before the change:

node::hubs::a_charge_ends_with_the_time_of_its_request (hubs frozen, deadline of 250 ms): failed: after 1.00393883s left: String("state_unavailable") right: "deadline_exceeded" node::first_listings::a_request_waits_for_the_listings_no_longer_than_ its_deadline (store silent, deadline of 100 ms): after 604.238112ms

The wait for the listings is now at most the caller's time, and the charge ends as soon as the request could no longer be sent to a target; it is refused as not run. A hub that grants a charge later keeps it, as before with one that answered after its own timeout.

node::first_listings, hubs, shutdown, unanswered, retries: 26 passed.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -31,6 +31,7 @@
 use crate::Outbound;
 use crate::Reply;
 use crate::ReplyBody;
+use crate::dispatch::MIN_TIME_TO_SEND;
 use crate::forward::ForwardOutcome;
 use crate::message::HandleResult;
 use crate::outcome::AttemptOutcome;
@@ -166,7 +167,8 @@
         let timeout = inbound.timeout;
         let _open = self.open_requests.token();
         if received < LISTINGS_EXPECTED_WITHIN && !self.is_ready() {
-            self.members.wait_until_started(MAX_LISTINGS_WAIT).await;
+            let wait = timeout.map_or(MAX_LISTINGS_WAIT, |t| t.min(MAX_LISTINGS_WAIT));
+            self.members.wait_until_started(wait).await;
         }
         let current = self.tables.current_catalog();
         let version = current.as_ref().map_or(0, |c| c.catalog.version);
@@ -223,12 +225,16 @@
             .account
             .as_ref()
             .map_or(0, |a| tokens_to_charge(a, &inbound));
+        let timeout = inbound.timeout.unwrap_or(matched.route.timeout);
+        let deadline = now + timeout.min(matched.route.timeout);
         let charge = match &matched.account {
-            Some(account) => Some(self.charge_account(account, &inbound.id, tokens).await?),
+            Some(account) => {
+                let charging = self.charge_account(account, &inbound.id, tokens);
+                let charged = self.run_while_sendable(deadline, charging).await;
+                Some(charged.unwrap_or_else(|| Err(refuse_late_admission()))?)
+            }
             None => None,
         };
-        let timeout = inbound.timeout.unwrap_or(matched.route.timeout);
-        let deadline = now + timeout.min(matched.route.timeout);
         let grant = build_grant(&matched, &pool.name, tokens);
         let meta = request_meta(&inbound, now, deadline);
         let account = grant.account.clone();
@@ -243,6 +249,17 @@
         handled
     }
 
+    /// Runs a step of admission for as long as the request could still be sent
+    /// to a target. Returns `None` if the step is not done by then.
+    async fn run_while_sendable<F>(&self, deadline: Duration, step: F) -> Option<F::Output>
+    where
+        F: Future,
+    {
+        let left = deadline.saturating_sub(self.clock.now());
+        let step = tokio::time::timeout(left.saturating_sub(MIN_TIME_TO_SEND), step);
+        step.await.ok()
+    }
+
     /// Selects the pool for a request.
     ///
     /// # Errors
@@ -353,6 +370,10 @@
         .with_retry_after(NO_CATALOG_RETRY_AFTER)
 }
 
+fn refuse_late_admission() -> Refusal {
+    Refusal::not_run(Code::DeadlineExceeded, Step::Admit, Peer::Local)
+}
+
 /// Combines the final refusal with the result of the last attempt. Returns the
 /// target's error reply if there is one. Otherwise, if the code of the final
 /// refusal is [`Code::Unavailable`], which only says that no destination is
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -3,6 +3,7 @@
 mod broken_answers;
 mod decode;
 mod endless;
+mod first_listings;
 mod forwarded_streams;
 mod forwards;
 mod hubs;
--- a/tests/testsuite/node/hubs.rs
+++ b/tests/testsuite/node/hubs.rs
@@ -191,6 +191,36 @@
     accounts_are_charged_while_the_hub_stops(Fate::Stopped);
 }
 
+/// Failure: a request was held past its deadline while hubs that didn't answer
+/// were asked to charge its account.
+#[test]
+fn a_charge_ends_with_the_time_of_its_request() {
+    block_on(async {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-1").await;
+        site.register(&target, "orders", "north-a");
+        let nodes = start(&site, "north-a", "north").await;
+        until_settled(&nodes).await;
+        let (number, _) = reporter_and_hub();
+        let call = Call::new("r-1", "/status/1").key(KEY);
+        until("the shares have tokens", async || {
+            call.send(nodes[number].front).await.status == StatusCode::OK
+        })
+        .await;
+        let hubs = hubs();
+        let frozen = (0..INSTANCES).filter(|n| hubs.contains(&name(*n)));
+        frozen.for_each(|n| nodes[n].process.freeze());
+        let call = Call::new("r-2", "/status/1").key(KEY);
+        let call = call.header("request-deadline", "250");
+        let since = Instant::now();
+        let got = call.send(nodes[number].front).await;
+        let took = since.elapsed();
+        let refusal: Value = serde_json::from_str(&got.body).expect("JSON");
+        assert_eq!(refusal["error"], "deadline_exceeded", "after {took:?}");
+        assert_eq!(refusal["ran"], "not_run");
+    });
+}
+
 /// Tokens that a request without a stated size takes in the test of limits.
 const TOKENS: u32 = 20_000;
 
