--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -4,6 +4,7 @@
 mod broken_answers;
 mod decode;
 mod endless;
+mod first_listings;
 mod forwarded_streams;
 mod forwards;
 mod hedged;
--- a/tests/testsuite/node/bounds.rs
+++ b/tests/testsuite/node/bounds.rs
@@ -12,10 +12,11 @@
 use support::node::SlowReader;
 use support::node::call::Call;
 use support::node::site::KEY;
+use support::node::site::Limits;
 use support::node::site::until;
 
 /// Descriptors of an instance, 200 of which are for files.
-const DESCRIPTORS: usize = 320;
+const DESCRIPTORS: u64 = 320;
 
 /// Callers' connections that such an instance may have.
 const LIMIT: usize = 71;
@@ -28,10 +29,14 @@
 
 /// Starts a target, and an instance with few descriptors.
 async fn tight() -> (Site, PlatformTarget, Node) {
-    let site = Site::start().await;
+    let mut site = Site::start().await;
+    site.limit(Limits {
+        descriptors: DESCRIPTORS,
+        ..Limits::default()
+    });
     let target = PlatformTarget::start("i-1").await;
     site.register(&target, "orders", "north-a");
-    let node = site.spawn_limited("one", "north-a", "north", DESCRIPTORS);
+    let node = site.spawn("one", "north-a", "north");
     node.until_ready(true).await;
     (site, target, node)
 }
