--- a/tests/support/node/call.rs
+++ b/tests/support/node/call.rs
@@ -83,12 +83,6 @@
         self
     }
 
-    /// Sends a body, in place of the usual one.
-    pub fn body(mut self, body: &[u8]) -> Self {
-        self.body = Bytes::copy_from_slice(body);
-        self
-    }
-
     pub(super) fn request(&self) -> Request<Full<Bytes>> {
         let mut req = Request::builder().method(&self.method).uri(&self.path);
         for (name, value) in &self.headers {
--- a/tests/testsuite/node/memory.rs
+++ b/tests/testsuite/node/memory.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::StatusCode;
 use serde_json::Value;
 use serde_json::json;
@@ -63,11 +64,11 @@
 
 /// Opens connections that have carried a request each.
 async fn open_idle(node: &Node, body_bytes: usize, callers: u64, held: &mut Vec<KeptConnection>) {
-    let body = vec![b'a'; body_bytes];
+    let body = Bytes::from(vec![b'a'; body_bytes]);
     for _ in 0..callers {
         let call = Call::new(&format!("r-{}", held.len()), "/status/1").key(KEY);
         let mut conn = KeptConnection::open(node.front).await;
-        let status = conn.send(&call.body(&body)).await;
+        let status = conn.send(&call.body(body.clone())).await;
         assert_eq!(status, Ok(StatusCode::OK));
         held.push(conn);
     }
