--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -9,10 +9,12 @@
 use std::time::Duration;
 
 use chiverelay_caller::Limits;
+use chiverelay_decisions::admission::Shares;
 use chiverelay_decisions::config::ConfigFault;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::resources::ResourceLimits;
 use chiverelay_operator::file;
 use chiverelay_operator::file::Value;
 use chiverelay_operator::read_struct;
@@ -92,6 +94,8 @@
     pub(crate) listen: SocketAddr,
     /// Largest body in bytes.
     pub(crate) max_body: usize,
+    /// Bytes of all bodies that are held at once.
+    pub(crate) body_memory: usize,
     /// Connections that may be open at once; others wait to be accepted.
     pub(crate) max_connections: usize,
     /// Time for a request's headers, and for the next request on a silent
@@ -202,6 +206,7 @@
 read_struct!(CallerSettings {
     listen,
     max_body = 4 * 1024 * 1024 => at_least_one,
+    body_memory = 64 * 1024 * 1024 => at_least_one,
     max_connections = 10_000 => at_least_one,
     header_timeout_ms = 10_000,
     body_timeout_ms = 30_000,
@@ -347,9 +352,23 @@
     pub(crate) fn limits(&self) -> Limits {
         Limits {
             max_body: self.max_body,
-            max_connections: self.max_connections,
+            // The largest body is refused for its neighbours only.
+            body_memory: self.body_memory.max(self.max_body),
+            max_connections: self.max_connections.min(connections_of_process()),
             header_timeout: Duration::from_millis(self.header_timeout_ms),
             body_timeout: Duration::from_millis(self.body_timeout_ms),
         }
     }
 }
+
+/// Returns how many connections of callers the descriptors of this process
+/// allow.
+fn connections_of_process() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    let descriptors = limit.current.and_then(|n| usize::try_from(n).ok());
+    let limits = ResourceLimits {
+        memory: u64::MAX,
+        descriptors: descriptors.unwrap_or(usize::MAX),
+    };
+    Shares::of(&limits).callers
+}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -166,6 +166,7 @@
         let received = self.clock.now();
         let timeout = inbound.timeout;
         let _open = self.open_requests.token();
+        self.memory.log_level();
         if received < LISTINGS_EXPECTED_WITHIN && !self.is_ready() {
             let wait = timeout.map_or(MAX_LISTINGS_WAIT, |t| t.min(MAX_LISTINGS_WAIT));
             self.members.wait_until_started(wait).await;
@@ -176,6 +177,8 @@
         let handled = match current {
             Some(current) => {
                 let running = self.admit_and_run(inbound, received, &current, &mut request_log);
+                // Each future around a large one has room for it twice.
+                let running = Box::pin(running);
                 let handled = self.shutdown.run_until_over(running).await;
                 handled.unwrap_or_else(|| Err(refuse_open_request(request_log.is_placed())))
             }
@@ -190,16 +193,29 @@
                 request_log.log_answer(reply.status, version, should_write);
                 Ok(reply)
             }
-            Err(refusal) => {
-                let refusal = cap_retry_after(refusal, timeout.map(|t| t.saturating_sub(took)));
-                self.metrics.record_refusal(&refusal, took);
-                let store_age = self.tables.store_age(received);
-                request_log.log_refusal(&refusal, version, store_age);
-                Err(refusal)
-            }
+            Err(refusal) => Err(self.finish_refused(refusal, timeout, received, &mut request_log)),
         }
     }
 
+    /// Records a refusal of a request that its caller waits for, and limits its
+    /// retry delay.
+    pub(crate) fn finish_refused(
+        &self,
+        refusal: Refusal,
+        timeout: Option<Duration>,
+        received: Duration,
+        request_log: &mut RequestLog,
+    ) -> Refusal {
+        let took = self.clock.now().saturating_sub(received);
+        let refusal = cap_retry_after(refusal, timeout.map(|t| t.saturating_sub(took)));
+        self.metrics.record_refusal(&refusal, took);
+        let current = self.tables.current_catalog();
+        let version = current.map_or(0, |c| c.catalog.version);
+        let store_age = self.tables.store_age(received);
+        request_log.log_refusal(&refusal, version, store_age);
+        refusal
+    }
+
     /// Authenticates a request against the catalog, charges its account, and
     /// runs it. The charge is refunded if the request was refused and no target
     /// ran it.
@@ -210,6 +226,7 @@
         current: &LoadedCatalog,
         request_log: &mut RequestLog,
     ) -> HandleResult {
+        self.check_open_requests()?;
         let catalog = &current.catalog;
         let matched = catalog
             .find(&inbound.host, inbound.path(), inbound.api_key.as_deref())
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and latency histograms in the Prometheus text format.
 
 mod gauges;
+mod limits;
 
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -17,12 +18,15 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::links::CloseCause;
 use crate::log_writer::LineCounts;
 use crate::relay::AnswerOrigin;
 use crate::relay::EndCause;
 
 pub use gauges::GaugeValues;
 use gauges::Gauges;
+pub use limits::LimitAction;
+pub use limits::Resource;
 
 /// Upper bounds of the buckets of latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -37,14 +41,17 @@
     refusals: IntCounterVec,
     unanswered: IntCounterVec,
     interruptions: IntCounterVec,
+    cut_answers: IntCounterVec,
     attempts: IntCounterVec,
     retry_decisions: IntCounterVec,
     crash_checks: IntCounterVec,
     connection_uses: IntCounterVec,
     forwards: IntCounterVec,
     sibling_refusals: IntCounterVec,
+    memory_denials: IntCounterVec,
     store_calls: IntCounterVec,
     task_restarts: IntCounterVec,
+    limit_hits: IntCounterVec,
     log_counts: OnceLock<Arc<LineCounts>>,
     gauges: Gauges,
     first_byte_times: HistogramVec,
@@ -89,6 +96,12 @@
                 "Answers that ended early, by where they came from and why.",
                 &["origin", "cause"],
             ),
+            cut_answers: counter(
+                &registry,
+                "cut_answers_total",
+                "Answers of other instances that ended as this one closed the link, by cause.",
+                &["cause"],
+            ),
             attempts: counter(
                 &registry,
                 "attempts_total",
@@ -125,6 +138,12 @@
                 "Connections and messages of other instances that were refused.",
                 &["reason"],
             ),
+            memory_denials: counter(
+                &registry,
+                "memory_denials_total",
+                "What did not fit into the memory of requests.",
+                &["what"],
+            ),
             store_calls: counter(
                 &registry,
                 "store_calls_total",
@@ -137,6 +156,12 @@
                 "Background tasks that ended unexpectedly and were started again.",
                 &["task"],
             ),
+            limit_hits: counter(
+                &registry,
+                "limit_hits_total",
+                "What was refused, closed or delayed at a limit of a resource.",
+                &["resource", "action"],
+            ),
             log_counts: OnceLock::new(),
             gauges: Gauges::new(&registry),
             first_byte_times: histogram(
@@ -180,16 +205,19 @@
         for counter in [
             &self.requests,
             &self.unanswered,
+            &self.cut_answers,
             &self.attempts,
             &self.retry_decisions,
             &self.crash_checks,
             &self.connection_uses,
             &self.sibling_refusals,
+            &self.memory_denials,
             &self.task_restarts,
         ] {
             counter.with_label_values(&["none"]);
         }
         self.refusals.with_label_values(&["none", "none"]);
+        self.limit_hits.with_label_values(&["none", "none"]);
         self.interruptions.with_label_values(&["none", "none"]);
         self.store_calls.with_label_values(&["none", "none"]);
         self.forwards.with_label_values::<&str>(&[]);
@@ -242,6 +270,12 @@
         self.interruptions.with_label_values(&labels).inc();
     }
 
+    /// Counts answers that a link carried when this instance closed it.
+    pub(crate) fn count_cut_answers(&self, cause: CloseCause, count: usize) {
+        let counter = self.cut_answers.with_label_values(&[cause.as_str()]);
+        counter.inc_by(count as u64);
+    }
+
     /// Counts a request that was read completely and got no complete answer.
     pub fn count_unanswered(&self, cause: &str) {
         self.unanswered.with_label_values(&[cause]).inc();
@@ -293,6 +327,11 @@
         self.sibling_refusals.with_label_values(&[reason]).inc();
     }
 
+    /// Counts what was refused or not buffered for lack of memory.
+    pub(crate) fn count_memory_denial(&self, what: &str) {
+        self.memory_denials.with_label_values(&[what]).inc();
+    }
+
     /// Records the end of a relayed answer, which need not be a stream.
     pub(crate) fn record_stream(&self, outcome: &str, took: Duration) {
         let histogram = self.stream_times.with_label_values(&[outcome]);
@@ -311,6 +350,12 @@
         self.task_restarts.with_label_values(&[task]).inc();
     }
 
+    /// Counts what was done at a limit of a resource.
+    pub fn count_limit_hit(&self, resource: Resource, action: LimitAction) {
+        let labels = [resource.as_str(), action.as_str()];
+        self.limit_hits.with_label_values(&labels).inc();
+    }
+
     /// Sets the era of the store's data, which rises each time the store comes
     /// back from an older copy.
     pub fn set_store_era(&self, era: u64) {
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -48,6 +48,9 @@
 /// Shortest time for sending a reply, which may be ready only at the deadline.
 const MIN_REPLY_TIME: Duration = Duration::from_millis(100);
 
+/// Largest part of an answer that is copied and sent at once, in bytes.
+const REPLY_PART_BYTES: usize = 16 * 1024;
+
 /// Handler of the messages and forwarded requests of other instances.
 pub(crate) struct SiblingHandler<D>
 where
@@ -105,7 +108,8 @@
         let id = req.id.clone();
         let deadline = gateway.clock.now() + Duration::from_millis(req.remaining_ms);
         let mut usage = TargetUsage::default();
-        let running = gateway.run_forwarded(req, &mut usage);
+        // Each future around a large one has room for it twice.
+        let running = Box::pin(gateway.run_forwarded(req, &mut usage));
         let running = gateway.shutdown.run_until_over(running);
         // Check for the cancellation first: if the request arrived late, its
         // cancellation has often arrived too.
@@ -131,7 +135,11 @@
         // The other instance may have cancelled the request, or may be frozen
         // and not read the reply at all.
         let left = deadline.saturating_sub(gateway.clock.now());
-        let sending = send_reply(&mut tx, handled, &usage);
+        let sending = async {
+            // The other instance may have left.
+            let _ = send_reply(&mut tx, handled, &usage).await;
+            tx.finish().await;
+        };
         let _ = tokio::time::timeout(left.max(MIN_REPLY_TIME), sending).await;
     }
 
@@ -186,7 +194,7 @@
     tx.send(&head).await?;
     let mut stream = match body {
         ReplyBody::Full(data) => {
-            tx.send(&Frame::Data(data.to_vec())).await?;
+            send_data(tx, &data).await?;
             return tx.send(&Frame::End).await;
         }
         ReplyBody::Chunks(stream) => stream,
@@ -203,7 +211,7 @@
         }
         match chunk {
             None => return tx.send(&Frame::End).await,
-            Some(Ok(data)) => tx.send(&Frame::Data(data.to_vec())).await?,
+            Some(Ok(data)) => send_data(tx, &data).await?,
             Some(Err(e)) => {
                 log::debug!(target: "forward", error:% = e; "forwarded answer ended early");
                 let refusal = Refusal::unknown(Code::TargetFailed, Step::Answer, Peer::Local);
@@ -213,6 +221,14 @@
     }
 }
 
+/// Sends a part of an answer. A message has two copies of its data.
+async fn send_data(tx: &mut FrameSender, data: &[u8]) -> Result<(), chiverelay_sibling::Error> {
+    for part in data.chunks(REPLY_PART_BYTES) {
+        tx.send(&Frame::Data(part.to_vec())).await?;
+    }
+    Ok(())
+}
+
 impl<D> Gateway<D>
 where
     D: Dialect,
@@ -224,6 +240,7 @@
         forward: Forward,
         usage: &mut TargetUsage,
     ) -> HandleResult {
+        self.check_open_requests()?;
         let now = self.clock.now();
         let (mut req, mut cx, out) = self.admit_forwarded(forward, now)?;
         let max_attempts = cx.attempts_left;
@@ -302,7 +319,7 @@
             method,
             path_and_query: forward.path_and_query,
             headers,
-            body: forward.body.into(),
+            body: self.memory.hold_forwarded(forward.body)?,
             account: grant.account.clone(),
             priority: matched.priority().min(handle::LOWEST_PRIORITY),
             is_streaming: matched.route.kind.is_stream(),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,13 +5,19 @@
 //! packages for callers and targets have their own, as they forward bodies while
 //! these arrive.
 
+mod accept;
 mod client;
+mod held_body;
 mod keepalive;
 mod server;
 
+pub use accept::ACCEPT_PAUSE;
+pub use accept::is_out_of_descriptors;
 pub use client::BufferedResponse;
 pub use client::Client;
 pub use client::Error;
+pub use held_body::BodyError;
+pub use held_body::read_held_body;
 pub use keepalive::enable_idle_keepalive;
 pub use keepalive::enable_keepalive;
 pub use server::Body;
--- a/crates/sibling/src/endpoint.rs
+++ b/crates/sibling/src/endpoint.rs
@@ -28,6 +28,7 @@
 use crate::Up;
 use crate::congestion::LossTolerant;
 use crate::identity::server_name;
+use crate::identity::shown_digest;
 use crate::stream_limit;
 use crate::stream_limit::StreamLimit;
 use crate::wire;
@@ -47,8 +48,9 @@
 /// Round trip that is expected of a new connection.
 const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(120);
 
-/// Bytes that a sibling may send ahead on a stream.
-const STREAM_WINDOW: u32 = 1024 * 1024;
+/// Bytes that a sibling may send ahead on a stream, which are held here for a
+/// caller that does not read its answer.
+const STREAM_WINDOW: u32 = 128 * 1024;
 
 /// Why a connection or a message was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -183,11 +185,12 @@
             .await
             .map_err(|_| wrap("timeout".to_owned()))?
             .map_err(|e| wrap(e.to_string()))?;
+        let certificate = shown_digest(&conn).ok_or_else(|| wrap("no certificate".to_owned()))?;
         let peer = Identity {
             instance: instance.clone(),
             region: region.clone(),
         };
-        Ok(Link::new(peer, conn))
+        Ok(Link::new(peer, conn, certificate.into()))
     }
 
     /// Serves siblings until `cancel`.
--- a/tests/support/node/call.rs
+++ b/tests/support/node/call.rs
@@ -71,11 +71,6 @@
         self.header("authorization", &format!("Bearer {key}"))
     }
 
-    /// Sets the body.
-    pub fn body(self, body: Bytes) -> Self {
-        Self { body, ..self }
-    }
-
     /// Adds a header, in place of one of the same name.
     pub fn header(mut self, name: &str, value: &str) -> Self {
         self.headers.retain(|(k, _)| k != name);
@@ -83,6 +78,12 @@
         self
     }
 
+    /// Sends a body, in place of the usual one.
+    pub fn body(mut self, body: &[u8]) -> Self {
+        self.body = Bytes::copy_from_slice(body);
+        self
+    }
+
     pub(super) fn request(&self) -> Request<Full<Bytes>> {
         let mut req = Request::builder().method(&self.method).uri(&self.path);
         for (name, value) in &self.headers {
--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -257,12 +257,31 @@
         self.spawn_before(name, zone, region, self.reached_at)
     }
 
+    fn settings_path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(format!("{name}.toml"))
+    }
+
+    /// Kills an instance's process and starts another one in its place.
+    pub fn restart(&self, node: &mut Node) {
+        node.process.kill();
+        let name = node.log.file_stem().expect("the log has a name").to_owned();
+        let path = self.settings_path(&name.to_string_lossy());
+        node.process = Process::start_node(&path, &node.log);
+    }
+
+    /// Starts an instance that has few descriptors.
+    pub fn spawn_limited(&self, name: &str, zone: &str, region: &str, descriptors: usize) -> Node {
+        let ip = next_address();
+        let text = settings(name, &ip, zone, region, self.reached_at);
+        let stated = format!("max_fds = {descriptors}");
+        self.spawn_with(name, &ip, &text.replace("max_fds = 4100", &stated))
+    }
+
     /// Starts an instance that reaches the store at an address of its own.
     pub fn spawn_before(&self, name: &str, zone: &str, region: &str, store: SocketAddr) -> Node {
         let ip = next_address();
         let text = limited_settings(name, &ip, zone, region, store, self.limits);
-        std::fs::write(self.settings_file(name), text).expect("settings can be written");
-        self.start_process(name, &ip)
+        self.spawn_with(name, &ip, &text)
     }
 
     /// Starts an instance again on its machine, with the settings that it had.
@@ -270,15 +289,18 @@
         self.start_process(name, ip)
     }
 
-    fn settings_file(&self, name: &str) -> PathBuf {
-        self.dir.path().join(format!("{name}.toml"))
+    fn spawn_with(&self, name: &str, ip: &str, text: &str) -> Node {
+        let path = self.settings_path(name);
+        std::fs::write(path, text).expect("settings can be written");
+        self.start_process(name, ip)
     }
 
     fn start_process(&self, name: &str, ip: &str) -> Node {
+        let path = self.settings_path(name);
         let log = self.dir.path().join(format!("{name}.log"));
         let at = |port| format!("{ip}:{port}").parse().expect("an address");
         Node {
-            process: Process::start_node(&self.settings_file(name), &log),
+            process: Process::start_node(&path, &log),
             ip: ip.to_owned(),
             front: at(8221),
             ready: at(8224),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The tests of the whole workspace, a module for each area.
 
+mod admission;
 mod allowance;
 mod answer;
 mod bucket;
@@ -7,6 +8,7 @@
 mod catalog;
 mod combined;
 mod configuration;
+mod connection_limit;
 mod cuts;
 mod decoders;
 mod drain;
@@ -22,6 +24,7 @@
 mod links;
 mod membership;
 mod membership_fleet;
+mod memory_budget;
 mod metrics;
 mod node;
 mod once;
@@ -45,6 +48,7 @@
 mod store;
 mod suspension;
 mod tables;
+mod target_connections;
 mod tickets;
 mod timeline;
 mod tool;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -1,14 +1,18 @@
 //! The gateway on the users' platform.
 
+mod bounds;
 mod broken_answers;
 mod decode;
 mod endless;
 mod first_listings;
 mod forwarded_streams;
 mod forwards;
+mod hedged;
 mod hubs;
 mod kept_connections;
 mod leaving;
+mod links;
+mod memory;
 mod names;
 mod odd_entries;
 mod operations;
@@ -28,3 +32,4 @@
 mod supervise;
 mod suspension;
 mod unanswered;
+mod unread_answers;
