--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -261,7 +261,7 @@
     pub fn restart(&self, node: &mut Node) {
         node.process.kill();
         let name = node.log.file_stem().expect("the log has a name").to_owned();
-        let path = self.settings_file(&name.to_string_lossy());
+        let path = self.settings_path(&name.to_string_lossy());
         node.process = Process::start_node(&path, &node.log);
     }
 
@@ -269,7 +269,7 @@
     pub fn spawn_before(&self, name: &str, zone: &str, region: &str, store: SocketAddr) -> Node {
         let ip = next_address();
         let text = limited_settings(name, &ip, zone, region, store, self.limits);
-        std::fs::write(self.settings_file(name), text).expect("settings can be written");
+        std::fs::write(self.settings_path(name), text).expect("settings can be written");
         self.start_process(name, &ip)
     }
 
@@ -278,7 +278,7 @@
         self.start_process(name, ip)
     }
 
-    fn settings_file(&self, name: &str) -> PathBuf {
+    fn settings_path(&self, name: &str) -> PathBuf {
         self.dir.path().join(format!("{name}.toml"))
     }
 
@@ -286,7 +286,7 @@
         let log = self.dir.path().join(format!("{name}.log"));
         let at = |port| format!("{ip}:{port}").parse().expect("an address");
         Node {
-            process: Process::start_node(&self.settings_file(name), &log),
+            process: Process::start_node(&self.settings_path(name), &log),
             ip: ip.to_owned(),
             front: at(8221),
             ready: at(8224),
