Test that a caller is answered with no descriptor left

Callers saw: connected, and no answer for the idle time of others. Cause: accept() failed with EMFILE again and again, as nothing was closed for want of a descriptor. The test lowers the descriptors of a running process, as its settings may state more than the system gives.

--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -14,9 +14,12 @@
 use std::time::Duration;
 
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 use rustix::process::WaitOptions;
 use rustix::process::kill_process;
+use rustix::process::prlimit;
 use rustix::process::waitpid;
 
 /// Time in which a process must print a line or end.
@@ -131,6 +134,19 @@
         self.child.id()
     }
 
+    /// Lets the process open only so many descriptors beside those it has.
+    pub fn limit_descriptors(&self, spare: u64) {
+        let path = format!("/proc/{}/fd", self.id());
+        let open = std::fs::read_dir(path).expect("the process is known");
+        let limit = Some(open.count() as u64 + spare);
+        let limit = Rlimit {
+            current: limit,
+            maximum: limit,
+        };
+        let pid = Pid::from_child(&self.child);
+        prlimit(Some(pid), Resource::Nofile, limit).expect("a lower limit");
+    }
+
     /// Returns the memory that the process has in use, in bytes.
     pub fn resident_bytes(&self) -> u64 {
         let path = format!("/proc/{}/status", self.id());
--- a/tests/testsuite/node/bounds.rs
+++ b/tests/testsuite/node/bounds.rs
@@ -101,3 +101,30 @@
         assert_eq!(got.status, StatusCode::OK, "{got:?}");
     });
 }
+
+/// Failure: with no descriptor left, a new caller hung until others had gone.
+#[test]
+fn a_caller_is_answered_though_the_system_has_no_descriptors_left() {
+    block_on(async {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-1").await;
+        site.register(&target, "orders", "north-a");
+        let node = site.instance("one", "north-a", "north").await;
+        node.process.limit_descriptors(20);
+        let mut kept = Vec::new();
+        for _ in 0..30 {
+            kept.push(KeptConnection::open(node.front).await);
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let late = status("late");
+        let got = tokio::time::timeout(PROMPT, late.exchange(node.front)).await;
+        let got = got.expect("an answer in time").expect("an answer");
+        match got.status {
+            StatusCode::OK => {}
+            status => {
+                assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{got:?}");
+                assert!(!got.header("retry-after").is_empty(), "{got:?}");
+            }
+        }
+    });
+}
