Let the test of refused callers free all requests at once

connection_limit::a_caller_beyond_the_limit_is_refused_at_once failed once with "an answer in time: Elapsed(())".

--- a/tests/testsuite/connection_limit.rs
+++ b/tests/testsuite/connection_limit.rs
@@ -19,7 +19,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
 /// Number of connections that the server may have.
@@ -30,13 +30,13 @@
 
 const REQUEST: &[u8] = b"POST /orders HTTP/1.1\r\nhost: gateway\r\ncontent-length: 0\r\n\r\n";
 
-/// Answers once it is told to.
-#[derive(Debug, Default)]
-struct Waiting(Notify);
+/// Answers as many requests as it has permits for.
+#[derive(Debug)]
+struct Waiting(Semaphore);
 
 impl Handler for Waiting {
     async fn handle(&self, _: Inbound) -> Reply {
-        self.0.notified().await;
+        self.0.acquire().await.expect("never closed").forget();
         Reply {
             status: StatusCode::OK,
             headers: HeaderMap::new(),
@@ -60,7 +60,7 @@
         notice: CancellationToken::new(),
         close: CancellationToken::new(),
     };
-    let handler = Arc::new(Waiting::default());
+    let handler = Arc::new(Waiting(Semaphore::new(0)));
     tokio::spawn(server.run(Arc::clone(&handler), shutdown));
     (address, handler)
 }
@@ -71,10 +71,11 @@
     stream
 }
 
-async fn read_start(stream: &mut TcpStream) -> String {
+async fn read_start(stream: &mut TcpStream, what: &str) -> String {
     let mut buf = vec![0; 4096];
     let read = tokio::time::timeout(PROMPT, stream.read(&mut buf)).await;
-    let len = read.expect("an answer in time").expect("no reset");
+    let read = read.unwrap_or_else(|_| panic!("no answer in time: {what}"));
+    let len = read.expect("no reset");
     String::from_utf8_lossy(&buf[..len]).to_lowercase()
 }
 
@@ -88,7 +89,7 @@
             open.push(send(address).await);
         }
         tokio::time::sleep(Duration::from_millis(800)).await;
-        let refused = read_start(&mut send(address).await).await;
+        let refused = read_start(&mut send(address).await, "the caller beyond").await;
         assert!(refused.starts_with("http/1.1 503"), "{refused}");
         assert!(refused.contains("retry-after: "), "{refused}");
         assert!(refused.contains("connection: close"), "{refused}");
@@ -96,9 +97,10 @@
             refused.contains("\"overloaded\",\"outcome\":\"not_run\""),
             "{refused}"
         );
+        // Which request gets a permit first is not determined.
+        handler.0.add_permits(LIMIT);
         for mut stream in open {
-            handler.0.notify_one();
-            let answer = read_start(&mut stream).await;
+            let answer = read_start(&mut stream, "a caller within").await;
             assert!(answer.starts_with("http/1.1 200"), "{answer}");
         }
     });
@@ -111,16 +113,20 @@
         let (address, handler) = start().await;
         let mut kept = Vec::new();
         for _ in 0..LIMIT {
-            handler.0.notify_one();
+            handler.0.add_permits(1);
             let mut stream = send(address).await;
-            let answer = read_start(&mut stream).await;
+            let answer = read_start(&mut stream, "a caller within").await;
             assert!(answer.starts_with("http/1.1 200"), "{answer}");
             kept.push(stream);
         }
         tokio::time::sleep(Duration::from_millis(800)).await;
-        handler.0.notify_one();
-        let answer = read_start(&mut send(address).await).await;
+        handler.0.add_permits(1);
+        let answer = read_start(&mut send(address).await, "the caller beyond").await;
         assert!(answer.starts_with("http/1.1 200"), "{answer}");
-        assert_eq!(read_start(&mut kept[0]).await, "", "the first is open");
+        assert_eq!(
+            read_start(&mut kept[0], "the first caller").await,
+            "",
+            "the first is open"
+        );
     });
 }
