Spread refused callers that have little time left

A Retry-After is cut to a third of the caller's time, so the delays of callers with a few seconds left were mostly cut to the same one, and those that were refused together came back together. Found by reading. The delay is now drawn from a range that ends at the cut. This holds for refusals at the limits of connections and open requests; placement's refusals are as they were.

--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -115,6 +115,14 @@
     MIN_RETRY_AFTER + RETRY_SPREAD.mul_f64(random.clamp(0.0, 1.0))
 }
 
+/// Returns such a delay of at most `longest`. Delays that were only cut off
+/// there would bring the callers back together.
+pub fn spread_retry_after_within(random: f64, longest: Duration) -> Duration {
+    let last = longest.min(MIN_RETRY_AFTER + RETRY_SPREAD);
+    let first = MIN_RETRY_AFTER.min(last / 2);
+    first + (last - first).mul_f64(random.clamp(0.0, 1.0))
+}
+
 /// Names an open connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionId(u64);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chiverelay_decisions::admission::spread_retry_after;
+use chiverelay_decisions::admission::spread_retry_after_within;
 use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::catalog::RouteKind;
 use chiverelay_decisions::fleet::KnownTarget;
@@ -37,6 +37,7 @@
 use crate::attempt_failure::AttemptFailure;
 use crate::attempt_failure::FailedAttempt;
 use crate::attempt_failure::SentFailure;
+use crate::handle::max_retry_after;
 use crate::outcome::AttemptOutcome;
 use crate::outcome::Fallback;
 use crate::outcome::StartedAnswer;
@@ -185,9 +186,10 @@
                 self.record_failed_attempt(out, &target, reservation.age(), "not sent", &reason);
                 self.record_limit(Resource::TargetConnections, LimitAction::Refused);
                 reservation.finish(TargetOutcome::Cancelled);
+                let longest = max_retry_after(deadline.saturating_sub(self.clock.now()));
                 let refusal = req
                     .refusal(Code::Overloaded, Step::Connect, Peer::Local)
-                    .with_retry_after(spread_retry_after(rand::random()));
+                    .with_retry_after(spread_retry_after_within(rand::random(), longest));
                 Err((req.unplace(), Box::new(refusal.into())))
             }
         }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -224,7 +224,7 @@
         current: &LoadedCatalog,
         request_log: &mut RequestLog,
     ) -> HandleResult {
-        self.check_open_requests()?;
+        self.check_open_requests(inbound.timeout)?;
         let catalog = &current.catalog;
         let matched = catalog
             .find(&inbound.host, inbound.path(), inbound.api_key.as_deref())
@@ -396,7 +396,12 @@
 /// callers follow a retry delay only up to that length.
 fn cap_retry_after(mut refusal: Refusal, left: Option<Duration>) -> Refusal {
     if let (Some(delay), Some(left)) = (refusal.retry_after, left) {
-        refusal.retry_after = Some(delay.min(left / 3));
+        refusal.retry_after = Some(delay.min(max_retry_after(left)));
     }
     refusal
 }
+
+/// Returns the longest retry delay that a caller follows who has `left`.
+pub(crate) fn max_retry_after(left: Duration) -> Duration {
+    left / 3
+}
--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -16,6 +16,7 @@
 use crate::Inbound;
 use crate::LimitAction;
 use crate::Resource;
+use crate::handle::max_retry_after;
 use crate::request_log::RequestLog;
 
 /// Shortest time between two log lines on the same limit.
@@ -55,9 +56,14 @@
     }
 }
 
-/// Returns the refusal of a request for which a resource is missing.
-pub(crate) fn refuse_for_want(step: Step, peer: Peer) -> Refusal {
-    let retry_after = admission::spread_retry_after(rand::random());
+/// Returns the refusal of a request for which a resource is missing, whose
+/// caller waits for `left` if that is known.
+fn refuse_for_want(step: Step, peer: Peer, left: Option<Duration>) -> Refusal {
+    let random = rand::random();
+    let retry_after = match left {
+        Some(left) => admission::spread_retry_after_within(random, max_retry_after(left)),
+        None => admission::spread_retry_after(random),
+    };
     Refusal::not_run(Code::Overloaded, step, peer).with_retry_after(retry_after)
 }
 
@@ -101,18 +107,18 @@
     /// # Errors
     ///
     /// Refuses the request if as many are open as the memory allows.
-    pub(crate) fn check_open_requests(&self) -> Result<(), Refusal> {
+    pub(crate) fn check_open_requests(&self, left: Option<Duration>) -> Result<(), Refusal> {
         if self.open_requests.len() <= self.shares.requests {
             return Ok(());
         }
         self.record_limit(Resource::Requests, LimitAction::Refused);
-        Err(refuse_for_want(Step::Admit, Peer::Local))
+        Err(refuse_for_want(Step::Admit, Peer::Local, left))
     }
 
     /// Refuses a request that came on a connection for which there is no place.
     pub fn refuse_unplaced_connection(&self, inbound: &Inbound) -> Refusal {
         self.record_limit(Resource::CallerConnections, LimitAction::Refused);
-        let refusal = refuse_for_want(Step::Receive, Peer::Caller);
+        let refusal = refuse_for_want(Step::Receive, Peer::Caller, inbound.timeout);
         let mut request_log = RequestLog::new(inbound.id.clone(), self.clock);
         self.finish_refused(refusal, inbound.timeout, self.clock.now(), &mut request_log)
     }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -234,7 +234,7 @@
         forward: Forward,
         usage: &mut TargetUsage,
     ) -> HandleResult {
-        self.check_open_requests()?;
+        self.check_open_requests(Some(Duration::from_millis(forward.remaining_ms)))?;
         let now = self.clock.now();
         let (mut req, mut cx, out) = self.admit_forwarded(forward, now)?;
         let max_attempts = cx.attempts_left;
--- a/tests/testsuite/admission.rs
+++ b/tests/testsuite/admission.rs
@@ -7,6 +7,7 @@
 use chiverelay_decisions::admission::Level;
 use chiverelay_decisions::admission::Shares;
 use chiverelay_decisions::admission::spread_retry_after;
+use chiverelay_decisions::admission::spread_retry_after_within;
 use chiverelay_decisions::resources::ResourceLimits;
 use quickcheck::QuickCheck;
 use support::cases;
@@ -140,3 +141,15 @@
     assert!(first >= Duration::from_millis(200), "{first:?}");
     assert!(last - first >= SECOND, "{first:?} to {last:?}");
 }
+
+/// Failure: the delays of callers with little time left were all cut to the
+/// same one, so that they came back together.
+#[test]
+fn refused_callers_with_little_time_are_spread_too() {
+    for longest in [300, 700, 60_000].map(Duration::from_millis) {
+        let first = spread_retry_after_within(0.0, longest);
+        let last = spread_retry_after_within(1.0, longest);
+        assert!(last <= longest, "{last:?} of {longest:?}");
+        assert!(first <= last.mul_f64(0.75), "{first:?} to {last:?}");
+    }
+}
