--- a/crates/sibling/src/identity.rs
+++ b/crates/sibling/src/identity.rs
@@ -70,8 +70,9 @@
 }
 
 /// Returns the certificates that the other side of a connection has shown.
-fn shown_chain(conn: &quinn::Connection) -> Option<Box<Vec<CertificateDer<'static>>>> {
-    conn.peer_identity()?.downcast().ok()
+fn shown_chain(conn: &quinn::Connection) -> Option<Vec<CertificateDer<'static>>> {
+    let chain = conn.peer_identity()?.downcast().ok()?;
+    Some(*chain)
 }
 
 /// Returns the digest of the certificate that the other side has shown.
--- a/tests/support/node/call.rs
+++ b/tests/support/node/call.rs
@@ -71,6 +71,11 @@
         self.header("authorization", &format!("Bearer {key}"))
     }
 
+    /// Sends a body, in place of the usual one.
+    pub fn body(self, body: Bytes) -> Self {
+        Self { body, ..self }
+    }
+
     /// Adds a header, in place of one of the same name.
     pub fn header(mut self, name: &str, value: &str) -> Self {
         self.headers.retain(|(k, _)| k != name);
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -136,16 +136,10 @@
     }
 
     /// Lets the process open only so many descriptors beside those it has.
-    pub fn limit_descriptors(&self, spare: u64) {
+    pub fn limit_further_descriptors(&self, spare: u64) {
         let path = format!("/proc/{}/fd", self.id());
         let open = std::fs::read_dir(path).expect("the process is known");
-        let limit = Some(open.count() as u64 + spare);
-        let limit = Rlimit {
-            current: limit,
-            maximum: limit,
-        };
-        let pid = Pid::from_child(&self.child);
-        prlimit(Some(pid), Resource::Nofile, limit).expect("a lower limit");
+        self.limit_descriptors(open.count() as u64 + spare);
     }
 
     /// Returns the memory that the process has in use, in bytes.
--- a/tests/testsuite/node/bounds.rs
+++ b/tests/testsuite/node/bounds.rs
@@ -115,7 +115,7 @@
         let target = PlatformTarget::start("i-1").await;
         site.register(&target, "orders", "north-a");
         let node = site.instance("one", "north-a", "north").await;
-        node.process.limit_descriptors(20);
+        node.process.limit_further_descriptors(20);
         let mut kept = Vec::new();
         for _ in 0..30 {
             kept.push(KeptConnection::open(node.front).await);
--- a/tests/testsuite/node/soak/crowd.rs
+++ b/tests/testsuite/node/soak/crowd.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use rand::Rng;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -178,7 +179,7 @@
             n += 1;
             let id = format!("{}-left-{n}", self.id);
             let call = Call::new(&id, self.path()).key(KEY);
-            let call = call.body(&[b'a'; 4096]);
+            let call = call.body(Bytes::from_static(&[b'a'; 4096]));
             let (_, front) = self.front();
             let patience = Duration::from_millis(self.rng.random_range(0..MAX_PATIENCE_MS));
             let asking = async {
