Ask for a link to a hub again after one that gave no answer

Callers were refused (503, state_unavailable, not run) at an instance whose hub had been killed, though the link to another hub was open by then: the list of linked hubs was made before the first one was asked, which may take 500 ms.

Seen in 1 of 5 runs of node::hubs beside 40 other tests, as accounts_are_charged_after_the_hub_is_killed (left: 503, right: 200): 344.477 front-0 links: link is up instance=front-2 344.677 front-0 limits: hub did not answer a charge instance=front-6 344.677 front-0 limits: no hub charged the account Once before, accounts_are_charged_while_the_hub_stops failed in the same way; that this was the cause there too is likely and not shown.

Each hub is looked for as it is needed. 7 of 7 runs pass after it.

--- a/crates/gateway/src/charge.rs
+++ b/crates/gateway/src/charge.rs
@@ -114,13 +114,17 @@
         id: &RequestId,
         tokens: u64,
     ) -> Result<Charge, Refusal> {
-        for link in self.links_to_hubs(self.clock.now()).iter().take(MAX_HUBS) {
+        let mut asked = Vec::new();
+        while asked.len() < MAX_HUBS
+            && let Some(link) = self.next_hub(&asked)
+        {
             let hub = &link.peer().instance;
+            asked.push(hub.clone());
             let charge = TokenTransfer {
                 account: account.name.clone(),
                 tokens: tokens as f32,
             };
-            match ask_to_charge(link, charge).await {
+            match ask_to_charge(&link, charge).await {
                 Some(ChargeReply::Granted) => {
                     return Ok(Charge {
                         account: account.name.clone(),
@@ -145,6 +149,14 @@
         Err(refusal.with_retry_after(NO_HUB_RETRY_AFTER))
     }
 
+    /// Returns the link to the first hub that was not asked yet. It may have
+    /// come up while another hub was asked.
+    fn next_hub(&self, asked: &[Instance]) -> Option<Link<Up>> {
+        let links = self.links_to_hubs(self.clock.now());
+        let mut links = links.into_iter();
+        links.find(|link| !asked.contains(&link.peer().instance))
+    }
+
     /// Charges an account for a request of an instance without a share of the
     /// limit.
     pub(crate) async fn charge_for_other(&self, charge: &TokenTransfer) -> ChargeReply {
