--- a/crates/sibling/src/identity.rs
+++ b/crates/sibling/src/identity.rs
@@ -55,7 +55,7 @@
     }
 
     pub(crate) fn of_connection(conn: &quinn::Connection) -> Option<Self> {
-        Self::of_certificate(shown_chain(conn)?.first()?)
+        Self::of_certificate(&shown_certificate(conn)?)
     }
 
     /// Returns the name that the identity's certificate carries.
@@ -69,14 +69,16 @@
     }
 }
 
-/// Returns the certificates that the other side of a connection has shown.
-fn shown_chain(conn: &quinn::Connection) -> Option<Box<Vec<CertificateDer<'static>>>> {
-    conn.peer_identity()?.downcast().ok()
+/// Returns the certificate that the other side of a connection has shown.
+fn shown_certificate(conn: &quinn::Connection) -> Option<CertificateDer<'static>> {
+    let chain = conn.peer_identity()?;
+    let chain = chain.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    chain.into_iter().next()
 }
 
-/// Returns the digest of the certificate that the other side has shown.
+/// Returns the digest of that certificate.
 pub(crate) fn shown_digest(conn: &quinn::Connection) -> Option<String> {
-    shown_chain(conn)?.first().map(pins::digest)
+    shown_certificate(conn).as_ref().map(pins::digest)
 }
 
 fn fault(e: impl ToString) -> Error {
