Let the daemon's link to a member reported dead carry its answers to their end

Callers saw a forwarded answer break off while the instance that gave it was sound: another member had reported it dead, as that one could not reach it, and the link to it was closed under its answers until it refuted the report.

The link drains now: it takes nothing new, and ends with its last answer or, if the instance is dead, when it has been silent for as long as a link may be. Found by reading; no test shows the report itself.

--- a/crates/chiverelayd/src/members.rs
+++ b/crates/chiverelayd/src/members.rs
@@ -228,7 +228,8 @@
         log::info!("members: {name} is dead");
     }
     if let Some(link) = cx.links.remove(&name) {
-        link.close();
+        // Others may be wrong about it. A dead one ends its link by silence.
+        drop(link.drain());
     }
 }
 
