Leave connections to targets to requests that were sent before

Callers saw a stream cut at an instance that had all its connections to targets in use: a stream that had lost its target competed for a place with new requests, its attempts failed at once, and nothing else could go on with it. A new request in its place could still be refused as not run. Found by the review, by reading.

A first attempt leaves an eighth of the places to further ones.

target_connections::new_requests_leave_connections_to_those_that_go_on is about a parameter that was not there before, so it has no run on the code before.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,6 +21,7 @@
 use chiverelay_decisions::traffic::TargetOutcome;
 use chiverelay_target::connection_pool::PooledConnection;
 use chiverelay_target::connection_pool::PooledResponse;
+use chiverelay_target::connection_pool::Purpose;
 use chiverelay_target::connection_pool::SendError;
 use http_body_util::Full;
 use hyper::HeaderMap;
@@ -191,7 +192,7 @@
         } = placed;
         let target = req.target().clone();
         let deadline = self.shutdown.limit(req.meta().deadline);
-        let connecting = self.connect(&target, &known_target, deadline, cx.route.kind);
+        let connecting = self.connect(&target, &known_target, deadline, cx);
         match connecting.await {
             Ok(conn) => Ok(Opened {
                 placed: LocalPlacement {
@@ -324,16 +325,20 @@
         target: &Target,
         known_target: &KnownTarget,
         deadline: Duration,
-        kind: RouteKind,
+        cx: &PlacementContext,
     ) -> Result<PooledConnection, ConnectFailure> {
-        let max_idle = match kind.is_repeatable() {
+        let max_idle = match cx.route.kind.is_repeatable() {
             true => MAX_IDLE,
             false => MAX_IDLE_NON_REPEATABLE,
         };
+        let purpose = match cx.is_resumed || cx.sent_count.get() > 0 {
+            true => Purpose::FurtherAttempt,
+            false => Purpose::FirstAttempt,
+        };
         let left = deadline.saturating_sub(self.clock.now());
-        let connecting = self
-            .connections
-            .acquire(target, known_target.record.address, max_idle);
+        let connecting =
+            self.connections
+                .acquire(target, known_target.record.address, max_idle, purpose);
         match tokio::time::timeout(left, connecting).await {
             Ok(Ok(conn)) => {
                 self.metrics.count_connection_use(conn.is_new());
--- a/crates/target/src/connection_pool.rs
+++ b/crates/target/src/connection_pool.rs
@@ -39,6 +39,9 @@
 use crate::client::ConnectionDriver;
 use crate::client::RequestSender;
 
+/// Part of the connections that is left to further attempts at requests.
+const RESERVE_FRACTION: usize = 8;
+
 /// Largest number of idle connections for each target's address.
 const MAX_IDLE_PER_ADDRESS: usize = 24;
 
@@ -88,12 +91,21 @@
     }
 }
 
+/// What a connection is needed for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// The first attempt at a request, which can still be refused as not run.
+    FirstAttempt,
+    /// A further attempt, as the first one was sent and given up.
+    FurtherAttempt,
+}
+
 /// Opens connections to targets and keeps idle ones for reuse.
 ///
 /// # Invariants
 ///
 /// `open` is the number of connections that are open or being opened, and never
-/// exceeds `max_open`.
+/// exceeds `max_open`. First attempts leave the reserve of it to further ones.
 #[derive(Debug)]
 pub struct ConnectionPool {
     client: Client,
@@ -132,6 +144,7 @@
         target: &Target,
         address: SocketAddr,
         max_idle: Duration,
+        purpose: Purpose,
     ) -> Result<PooledConnection, Error> {
         if let Some(idle) = self.pop_idle(address, max_idle) {
             return Ok(PooledConnection {
@@ -142,9 +155,11 @@
                 is_new: false,
             });
         }
-        let place = self.take_place().ok_or_else(|| Error::NoConnectionLeft {
-            target: target.clone(),
-        })?;
+        let place = self
+            .take_place(purpose)
+            .ok_or_else(|| Error::NoConnectionLeft {
+                target: target.clone(),
+            })?;
         let (sender, driver) = self.client.open_http1(target, address).await?;
         Ok(PooledConnection {
             address,
@@ -157,15 +172,19 @@
 
     /// Takes a place for a new connection, if need be that of an idle one, which
     /// is closed.
-    fn take_place(&self) -> Option<Place> {
-        self.try_take_place().or_else(|| {
+    fn take_place(&self, purpose: Purpose) -> Option<Place> {
+        self.try_take_place(purpose).or_else(|| {
             self.close_longest_idle();
-            self.try_take_place()
+            self.try_take_place(purpose)
         })
     }
 
-    fn try_take_place(&self) -> Option<Place> {
-        let add = |open| (open < self.max_open).then_some(open + 1);
+    fn try_take_place(&self, purpose: Purpose) -> Option<Place> {
+        let limit = match purpose {
+            Purpose::FirstAttempt => self.max_open - self.max_open / RESERVE_FRACTION,
+            Purpose::FurtherAttempt => self.max_open,
+        };
+        let add = |open| (open < limit).then_some(open + 1);
         let added = self
             .open
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
--- a/tests/testsuite/target_connections.rs
+++ b/tests/testsuite/target_connections.rs
@@ -6,6 +6,7 @@
 use chiverelay_decisions::names::Target;
 use chiverelay_target::connection_pool::ConnectionPool;
 use chiverelay_target::connection_pool::PooledConnection;
+use chiverelay_target::connection_pool::Purpose;
 use http_body_util::Full;
 use hyper::Request;
 use support::block_on;
@@ -21,7 +22,8 @@
 
 async fn connect(pool: &ConnectionPool, to: &PlatformTarget) -> PooledConnection {
     let name = Target::from(to.name.as_str());
-    let acquired = pool.acquire(&name, to.address, MAX_IDLE).await;
+    let acquired = pool.acquire(&name, to.address, MAX_IDLE, Purpose::FirstAttempt);
+    let acquired = acquired.await;
     acquired.expect("a connection")
 }
 
@@ -49,8 +51,8 @@
         let first = connect(&pool, &one).await;
         let _second = connect(&pool, &two).await;
         let name = Target::from("i-1");
-        let third = pool.acquire(&name, one.address, MAX_IDLE).await;
-        assert!(third.expect_err("no place").is_local_limit());
+        let third = pool.acquire(&name, one.address, MAX_IDLE, Purpose::FurtherAttempt);
+        assert!(third.await.expect_err("no place").is_local_limit());
         drop(first);
         connect(&pool, &one).await;
     });
@@ -75,3 +77,22 @@
         }
     });
 }
+
+/// Failure: a stream that had lost its target competed with new requests for a
+/// connection to another one, and was cut where they could have been refused.
+#[test]
+fn new_requests_leave_connections_to_those_that_go_on() {
+    block_on(async {
+        let one = PlatformTarget::start("i-1").await;
+        let pool = ConnectionPool::new(Duration::from_secs(5), 8);
+        let mut open = Vec::new();
+        for _ in 0..7 {
+            open.push(connect(&pool, &one).await);
+        }
+        let name = Target::from("i-1");
+        let new = pool.acquire(&name, one.address, MAX_IDLE, Purpose::FirstAttempt);
+        assert!(new.await.expect_err("no place").is_local_limit());
+        let going_on = pool.acquire(&name, one.address, MAX_IDLE, Purpose::FurtherAttempt);
+        going_on.await.expect("a connection");
+    });
+}
