Read what has arrived before the daemon closes a connection

A connection that was to be closed for another one, and whose request had arrived in the same moment, was closed or served by chance. What has arrived is looked at first now, as in the node. Found by the review, by reading.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -361,6 +361,8 @@
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     tokio::select! {
+        // What has arrived is read before the connection is closed.
+        biased;
         result = conn.as_mut() => result,
         () = leave(&shutdown, &multiplexed) => {
             conn.as_mut().graceful_shutdown();
