Let the shares of the memory add up to less than the memory

Connections had half of the memory, open requests the other half, and bodies with buffered answers a quarter besides, which only the measured cost of each kept within the limit. Connections have a quarter now, by the bytes that an idle one may take, requests three eighths, bodies a quarter, and an eighth is left to the process.

admission::shares_of_* check that the sum fits; by the bytes of docs/CAPACITY.md it did before, too.

--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -25,11 +25,15 @@
 /// Smallest number of connections of a kind.
 const MIN_CONNECTIONS: usize = 4;
 
-/// Part of the memory that connections and their requests may have.
-const MEMORY_FRACTION: u64 = 2;
+/// Eighths of the memory that the connections of callers may have. Bodies and
+/// buffered answers have two more, and one is left to the process itself.
+const CONNECTION_EIGHTHS: u64 = 2;
 
-/// Memory of an open connection, in bytes.
-const CONNECTION_BYTES: u64 = 48 * 1024;
+/// Eighths of the memory that open requests may have.
+const REQUEST_EIGHTHS: u64 = 3;
+
+/// Memory of an idle connection, in bytes.
+const CONNECTION_BYTES: u64 = 24 * 1024;
 
 /// Memory of an open request without its body, in bytes.
 const REQUEST_BYTES: u64 = 64 * 1024;
@@ -64,13 +68,13 @@
         let targets = (sockets / TARGET_FRACTION).max(MIN_CONNECTIONS);
         let internal = sockets / INTERNAL_FRACTION;
         let left = sockets.saturating_sub(targets + internal);
-        let total = left.min(fit(limits.memory, CONNECTION_BYTES));
+        let total = left.min(fit(limits.memory, CONNECTION_EIGHTHS, CONNECTION_BYTES));
         let reserve = reserve_of(total);
         Self {
             callers: total.saturating_sub(reserve).max(MIN_CONNECTIONS),
             reserve,
             targets,
-            requests: fit(limits.memory, REQUEST_BYTES).max(MIN_CONNECTIONS),
+            requests: fit(limits.memory, REQUEST_EIGHTHS, REQUEST_BYTES).max(MIN_CONNECTIONS),
         }
     }
 
@@ -90,9 +94,9 @@
     (connections / RESERVE_FRACTION).max(MIN_CONNECTIONS)
 }
 
-/// Returns how many things of a size fit into their part of the memory.
-fn fit(memory: u64, bytes: u64) -> usize {
-    let count = memory / MEMORY_FRACTION / bytes;
+/// Returns how many things of a size fit into so many eighths of the memory.
+fn fit(memory: u64, eighths: u64, bytes: u64) -> usize {
+    let count = memory / 8 * eighths / bytes;
     usize::try_from(count).unwrap_or(usize::MAX)
 }
 
--- a/tests/testsuite/admission.rs
+++ b/tests/testsuite/admission.rs
@@ -14,6 +14,12 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Memory of a caller's idle connection, in bytes; `docs/CAPACITY.md`.
+const IDLE_BYTES: u64 = 22_413;
+
+/// Memory of an open request, in bytes; `docs/CAPACITY.md`.
+const OPEN_BYTES: u64 = 64 * 1024;
+
 /// What there is must suffice for everything that is taken on.
 fn check_shares(memory_mb: u64, descriptors: usize) {
     let limits = ResourceLimits {
@@ -25,6 +31,10 @@
     assert!(sockets < descriptors - 200, "{shares:?}");
     assert!(shares.callers > shares.reserve, "{shares:?}");
     assert!(shares.targets > 0 && shares.requests > 0, "{shares:?}");
+    let idle = (shares.callers + shares.reserve) as u64 * IDLE_BYTES;
+    let open = shares.requests as u64 * OPEN_BYTES;
+    let bodies = limits.memory / 4;
+    assert!(idle + open + bodies < limits.memory, "{shares:?}");
 }
 
 cases! {
