Let the answers of a test come in any order

The handler's waiting requests are woken in the order in which they began to wait, which is not that in which they were sent, and the test read the answers in the latter. All are told to answer now before the first one is read. It is as strict: each of the open requests must still be answered with 200.

--- a/tests/testsuite/connection_limit.rs
+++ b/tests/testsuite/connection_limit.rs
@@ -96,8 +96,9 @@
             refused.contains("\"overloaded\",\"outcome\":\"not_run\""),
             "{refused}"
         );
+        // The requests may wait in another order than they were sent in.
+        (0..LIMIT).for_each(|_| handler.0.notify_one());
         for mut stream in open {
-            handler.0.notify_one();
             let answer = read_start(&mut stream).await;
             assert!(answer.starts_with("http/1.1 200"), "{answer}");
         }
