Close the daemon's HTTP/2 connections that have no place

Callers of the daemon hung. A connection beyond the limit exists to be refused within a second, and over HTTP/1.1 the limit on heads ends it. Over HTTP/2 that limit doesn't apply, Connection: close can't be sent, and connections without a place are never idle ones to be closed for others. Once the reserve was full of them, nothing was accepted any more, whatever became idle.

A connection that has had no place for a second is shut down gracefully, and dropped a second later if it still has none: it carries refusals at most then, and a caller may never confirm the shutdown. One that got a place or was evicted is still waited for.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -42,6 +42,7 @@
 use crate::Error;
 use crate::Inbound;
 use crate::Reply;
+use crate::connections::ConnectionSlot;
 use crate::connections::Connections;
 use crate::connections::Usage;
 use crate::inbound;
@@ -365,10 +366,30 @@
             conn.as_mut().graceful_shutdown();
             conn.await
         }
-        () = tracked.slot().evicted() => {
+        () = lose_place(tracked.slot()) => {
             conn.as_mut().graceful_shutdown();
-            conn.await
+            match tokio::time::timeout(UNADMITTED_TIMEOUT, conn.as_mut()).await {
+                Ok(result) => result,
+                Err(_) if tracked.slot().is_admitted() => conn.await,
+                // It carries refusals at most, and a caller may never leave.
+                Err(_) => Ok(()),
+            }
+        }
+    }
+}
+
+/// Waits until a connection is closed for another one, or has had no place for
+/// too long. HTTP/2 can't be told so by an answer, and may send no request.
+async fn lose_place(slot: &ConnectionSlot) {
+    let unadmitted = async {
+        tokio::time::sleep(UNADMITTED_TIMEOUT).await;
+        if slot.is_admitted() {
+            std::future::pending::<()>().await;
         }
+    };
+    tokio::select! {
+        () = slot.evicted() => {}
+        () = unadmitted => {}
     }
 }
 
--- a/tests/testsuite/connection_limit.rs
+++ b/tests/testsuite/connection_limit.rs
@@ -28,6 +28,12 @@
 /// Time in which a request that can't be served is refused.
 const PROMPT: Duration = Duration::from_secs(3);
 
+/// Time in which a connection without a place is closed, with some to spare.
+const UNPLACED: Duration = Duration::from_millis(2500);
+
+/// The start of HTTP/2 with an empty frame of settings, but no request.
+const HTTP2_START: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+
 const REQUEST: &[u8] = b"POST /orders HTTP/1.1\r\nhost: gateway\r\ncontent-length: 0\r\n\r\n";
 
 /// Answers once it is told to.
@@ -125,3 +131,26 @@
         assert_eq!(read_start(&mut kept[0]).await, "", "the first is open");
     });
 }
+
+/// Failure: HTTP/2 connections without a place stayed open and unused, and all
+/// later callers hung.
+#[test]
+fn an_unused_http2_connection_without_a_place_is_closed() {
+    block_on(async {
+        let (address, _handler) = start().await;
+        let mut open = Vec::new();
+        for _ in 0..LIMIT {
+            open.push(send(address).await);
+        }
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        let mut unused = Vec::new();
+        for _ in 0..LIMIT {
+            let mut stream = TcpStream::connect(address).await.expect("a connection");
+            stream.write_all(HTTP2_START).await.expect("written");
+            unused.push(stream);
+        }
+        tokio::time::sleep(UNPLACED).await;
+        let refused = read_start(&mut send(address).await).await;
+        assert!(refused.starts_with("http/1.1 503"), "{refused}");
+    });
+}
