Await another region that runs a request whose first target breaks off

A caller got 502 for a request that may be repeated, though another region was about to answer it. A target was silent for so long that the request was also forwarded; then the target broke off. The forward was dropped at that moment, which cancels the run there, and the request went the way of a failed attempt, for which neither an attempt nor the retry budget had anything left, as the forward had taken both.

A failed first exchange waits for what has been asked elsewhere, and is taken up again only if nobody takes the request there. The time that is left bounds the forward, as before.

--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -101,17 +101,25 @@
                     return Hedge::Here(*sent);
                 }
             };
-            let asking = Box::pin(elsewhere.ask(self, &mut req, cx, out));
-            let answer = tokio::select! {
+            let mut asking = Box::pin(elsewhere.ask(self, &mut req, cx, out));
+            let (answer, failure) = tokio::select! {
                 biased;
-                exchanged = &mut exchanging => break exchanged,
-                answer = asking => answer,
+                exchanged = &mut exchanging => match exchanged {
+                    Ok(_) => break exchanged,
+                    Err(failure) => (asking.as_mut().await, Some(failure)),
+                },
+                answer = &mut asking => (answer, None),
             };
-            if let Some(answer) = answer {
-                drop(exchanging);
-                let failure = AttemptFailure::Silent;
-                self.end_failed_attempt(reservation, req.peer(), &failure, cx, out);
-                return Hedge::Elsewhere(answer);
+            drop(asking);
+            match (answer, failure) {
+                (Some(answer), failure) => {
+                    drop(exchanging);
+                    let failure = failure.unwrap_or(AttemptFailure::Silent);
+                    self.end_failed_attempt(reservation, req.peer(), &failure, cx, out);
+                    return Hedge::Elsewhere(answer);
+                }
+                (None, Some(failure)) => break Err(failure),
+                (None, None) => {}
             }
         };
         Hedge::Here(finish_exchange(req, reservation, exchanged))
--- a/tests/testsuite/node/hedged.rs
+++ b/tests/testsuite/node/hedged.rs
@@ -43,6 +43,14 @@
 /// after which a request may move.
 const RESUMED_SILENCE: Duration = Duration::from_millis(2700);
 
+/// Time after which another region answers a request, later than its first
+/// target breaks off.
+const ANSWERED_AFTER: Duration = Duration::from_millis(1500);
+
+/// Pauses after which a silent target breaks off, once the other region has the
+/// request.
+const BROKEN_AFTER_MARKS: usize = 45;
+
 /// Requests that the retry budget needs for two retries.
 const OTHER_REQUESTS: usize = 20;
 
@@ -213,3 +221,40 @@
         assert!(far.forwards().is_empty());
     });
 }
+
+/// Failure: a request was given up in the region that ran it, as the silent
+/// target that it had been sent to first broke off, and was refused.
+#[test]
+fn a_request_that_another_region_runs_outlasts_the_end_of_its_first_target() {
+    block_on(async {
+        let site = Site::start().await;
+        let pause = PAUSE_MARK.repeat(BROKEN_AFTER_MARKS);
+        let cut = Scripted::new(&pause, After::Reset);
+        let first = ScriptedTarget::start(vec![cut]).await;
+        site.register_at("i-1", first.address, "orders", "north-a");
+        let other = PlatformTarget::start("i-2").await;
+        site.register(&other, "orders", "south-a");
+        let node = site.instance("near", "north-a", "north").await;
+        let head = Frame::Head {
+            status: StatusCode::OK.as_u16(),
+            headers: Vec::new(),
+        };
+        let script = vec![
+            Step::Pause(ANSWERED_AFTER),
+            Step::Send(Frame::Ran(1)),
+            Step::Send(head),
+            Step::Send(Frame::End),
+        ];
+        let far = ScriptedInstance::start(&site, "near", &["far"], vec![script]).await;
+        until("the link is up", async || {
+            node.logged().contains("link is up")
+        })
+        .await;
+        let got = Call::new("r-1", "/status/1")
+            .key(KEY)
+            .send(node.front)
+            .await;
+        assert_eq!(far.forwards().len(), 1, "{}", node.logged());
+        assert_eq!(got.status, StatusCode::OK, "{}", node.logged());
+    });
+}
