--- a/tests/testsuite/node/left_requests.rs
+++ b/tests/testsuite/node/left_requests.rs
@@ -5,11 +5,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chiverelay_sibling::Frame;
+use hyper::StatusCode;
 use support::block_on;
+use support::node::PlatformTarget;
+use support::node::ScriptedInstance;
 use support::node::SilentAnswer;
 use support::node::SilentTarget;
 use support::node::Site;
 use support::node::Stage;
+use support::node::Step;
 use support::node::call::Call;
 use support::node::site::KEY;
 use support::node::site::until;
@@ -137,3 +142,33 @@
     hedged_before_the_head(Case::new("status", NEAR, Stage::BeforeHead).hedged());
     hedged_before_the_head_in_another_region(Case::new("status", FAR, Stage::BeforeHead).hedged());
 }
+
+/// Failure: a request whose caller had left before it was read was forwarded to
+/// another region and run there.
+#[test]
+fn a_request_that_is_read_after_its_caller_has_left_goes_nowhere() {
+    block_on(async {
+        let site = Site::start().await;
+        let other = PlatformTarget::start("i-1").await;
+        site.register(&other, "orders", "south-a");
+        let node = site.instance("near", "north-a", "north").await;
+        let head = Frame::Head {
+            status: StatusCode::OK.as_u16(),
+            headers: Vec::new(),
+        };
+        let script = vec![Step::Send(head), Step::Send(Frame::End)];
+        let far = ScriptedInstance::start(&site, "near", &["far"], vec![script]).await;
+        until("the link is up", async || {
+            node.logged().contains("link is up")
+        })
+        .await;
+        node.process.freeze();
+        drop(send(node.front, "/status/1").await);
+        tokio::time::sleep(STAY).await;
+        node.process.thaw();
+        let later = Call::new("later", "/status/1").key(KEY);
+        assert_eq!(later.send(node.front).await.status, StatusCode::OK);
+        let ids: Vec<_> = far.forwards().into_iter().map(|req| req.id).collect();
+        assert_eq!(ids, ["later".into()]);
+    });
+}
