Add a case: one lost answer keeps a dropped key in force

Cause: a watch whose answer is lost is given up only after 21.5 s, and nothing else ends it while other calls are answered.

Nothing outside review/ is changed.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod instance;
 mod limit;
+mod lost;
 mod replica;
 mod stale;
 mod store;
@@ -25,6 +26,7 @@
         "drain" => drain::run(&rec, trouble),
         "stale" => stale::run(&rec, trouble),
         "limit" => limit::run(&rec, trouble),
+        "lost" => lost::run(&rec, trouble),
         _ => Err(format!("no case {case}")),
     };
     let code = match verdict {
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -21,6 +21,9 @@
 
 const PAGE: usize = 500;
 
+/// Stands for an answer that is lost.
+const LOST: u16 = 0;
+
 #[derive(Clone)]
 struct Item {
     value: String,
@@ -38,8 +41,12 @@
     next_lease: u64,
     /// How often the watches that wait were cut.
     cuts: u64,
-    /// The entrances whose machines are turned away.
+    /// The entrances whose machines are cut off.
     closed: Vec<usize>,
+    /// The entrance and prefix of a watch whose next answer is lost.
+    losing: Option<(usize, String)>,
+    /// How many answers were lost.
+    lost: usize,
 }
 
 /// The store. Machines reach it through entrances, of which each can be closed.
@@ -109,6 +116,16 @@
         self.shared.1.notify_all();
     }
 
+    /// Loses the next answer of a watch of a prefix, by an entrance.
+    pub fn lose_next_watch(&self, entrance: usize, prefix: &str) {
+        self.lock().losing = Some((entrance, prefix.to_owned()));
+    }
+
+    /// Counts the answers that were lost.
+    pub fn count_lost(&self) -> usize {
+        self.lock().lost
+    }
+
     pub fn put(&self, key: &str, value: &str) {
         write(&mut self.lock(), key, base64(value.as_bytes()), 0);
         self.shared.1.notify_all();
@@ -162,6 +179,11 @@
                 "/v1/kv-lease" => Some((200, self.grant(&String::from_utf8_lossy(&req.body)))),
                 _ => Some(self.lease_call(path)),
             };
+            if matches!(answer, Some((LOST, _))) {
+                // The connection returns nothing further.
+                while read_message(&mut input).is_some() {}
+                return;
+            }
             let Some((status, body)) = answer else {
                 // A watch that was cut, or held up by a cut of its machine.
                 self.is_held(entrance);
@@ -211,6 +233,12 @@
                 })
                 .collect();
             let now = Instant::now();
+            let losing = state.losing.as_ref();
+            if !events.is_empty() && losing.is_some_and(|(n, p)| *n == entrance && *p == prefix) {
+                state.losing = None;
+                state.lost += 1;
+                return Some((LOST, String::new()));
+            }
             if !events.is_empty() || now >= until {
                 let revision = state.revision.max(after);
                 let events = events.join(",");
