--- a/tests/support/node/store.rs
+++ b/tests/support/node/store.rs
@@ -63,6 +63,15 @@
     next_lease: u64,
 }
 
+/// A response that is to be lost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Loss {
+    /// The next one of a watch of this prefix that tells changes.
+    Watch(String),
+    /// The next page of a listing of this prefix.
+    Page(String),
+}
+
 #[derive(Debug, Default)]
 struct State {
     data: StoreCopy,
@@ -70,8 +79,8 @@
     era: u64,
     refusing: Option<StatusCode>,
     mute: bool,
-    /// Prefixes of watches whose next response with changes is lost.
-    losing: Vec<String>,
+    /// Responses that are to be lost.
+    losing: Vec<Loss>,
     /// Items that each page and each watch that told changes have besides.
     odd_items: Vec<Value>,
     calls: HashMap<String, usize>,
@@ -180,7 +189,14 @@
     /// connection stays open and returns nothing further.
     pub fn lose_next_watch(&self, prefix: &str) {
         let mut state = self.state.lock().expect("no panic under the lock");
-        state.losing.push(prefix.to_owned());
+        state.losing.push(Loss::Watch(prefix.to_owned()));
+    }
+
+    /// Loses the next page of a listing of this prefix. Its connection stays open
+    /// and returns nothing further.
+    pub fn lose_next_page(&self, prefix: &str) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        state.losing.push(Loss::Page(prefix.to_owned()));
     }
 
     /// Tells whether all responses that were to be lost are.
@@ -348,6 +364,9 @@
     let (state, changed, cut) = shared;
     let path = req.uri().path().to_owned();
     match path.as_str() {
+        "/v1/kv-range" if is_lost(&state, &Loss::Page(parameter(&req, "path_prefix"))) => {
+            std::future::pending().await
+        }
         "/v1/kv-range" => range(&state, &req),
         "/v1/kv-watch" => wait(&state, &changed, &cut, &req).await,
         "/v1/kv-txn" => change(&state, &changed, req).await,
@@ -403,7 +422,7 @@
             }
             (events(&state, &prefix, after), state.data.revision)
         };
-        if !events.is_empty() && is_lost(state, &prefix) {
+        if !events.is_empty() && is_lost(state, &Loss::Watch(prefix.clone())) {
             return std::future::pending().await;
         }
         if !events.is_empty() || Instant::now() >= until {
@@ -422,10 +441,10 @@
     }
 }
 
-/// Takes the order to lose a response of a watch, if there is one.
-fn is_lost(state: &Mutex<State>, prefix: &str) -> bool {
+/// Takes the order to lose a response, if there is one.
+fn is_lost(state: &Mutex<State>, loss: &Loss) -> bool {
     let mut state = state.lock().expect("no panic under the lock");
-    let ordered = state.losing.iter().position(|losing| losing == prefix);
+    let ordered = state.losing.iter().position(|losing| losing == loss);
     ordered.map(|at| state.losing.remove(at)).is_some()
 }
 
