Decide on extra attempts at slow requests

A request is slow when its answer begins later than a quantile of the like answers of the last one to two minutes, each in relation to the time that was expected for it, so that long prompts compare with long ones. An extra attempt needs another target that is healthy, free and neither cold nor limited, less than 0.6 of the pool's slots in use, and a whole attempt saved up: each request adds the operator's ratio of one, and that ratio of its prefill tokens. It is a retry of the retry budget, of which half is left to failures.

The limits hold over all instances without a message, as each counts what it sends itself. Per request it is a few additions under the table's lock; the quantile is computed each 16 answers.

Before six targets, one of which is slow for a tenth of its requests, the 99th percentile of 6,000 requests falls from 900 ms to at most 300 ms with a ratio of 0.02, and the median stays (traffic::extra_attempts, 20 cases, no network).

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod catalog;
 pub mod config;
 pub mod event;
+pub mod extra_attempts;
 pub mod fleet;
 pub mod gateway;
 pub mod handover;
--- a/crates/decisions/src/retry_budget.rs
+++ b/crates/decisions/src/retry_budget.rs
@@ -64,6 +64,10 @@
 /// together stay within the whole.
 const DIVIDED_SLACK_RATIO: f64 = 0.5;
 
+/// Share of the retries in a span up to which a retry without a failure is
+/// allowed.
+const MAX_SPARE_SHARE: f64 = 0.5;
+
 /// Requests and retries counted in one interval.
 #[derive(Clone, Copy, Debug, Default)]
 struct IntervalCounts {
@@ -112,6 +116,19 @@
         decision
     }
 
+    /// Like [`RetryBudget::try_retry`], but at least half of the budget is left
+    /// to retries after failures.
+    pub fn try_spare_retry(&mut self, divisor: Divisor, now: Duration) -> RetryDecision {
+        self.advance(now);
+        let mut decision = self.decide(divisor);
+        let retries = f64::from(decision.retries) + 1.0;
+        decision.is_allowed &= retries <= decision.max_retries * MAX_SPARE_SHARE;
+        if decision.is_allowed {
+            self.intervals[0].retries += 1;
+        }
+        decision
+    }
+
     /// Starts the intervals that have begun since the last call.
     fn advance(&mut self, now: Duration) {
         let length = self.limit.window / INTERVALS_PER_WINDOW as u32;
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -6,6 +6,7 @@
 mod cached;
 mod choose;
 mod cold_limit;
+mod extra_attempts;
 mod outcome;
 mod part_uses;
 mod pause;
@@ -22,6 +23,8 @@
 
 use crate::audience::Audience;
 use crate::audience::Source;
+use crate::extra_attempts::ExtraAttemptLimit;
+use crate::extra_attempts::ExtraAttempts;
 use crate::fleet::Fleet;
 use crate::names::Instance;
 use crate::names::Pool;
@@ -151,6 +154,8 @@
     stated_limits: HashMap<Target, StatedLimit>,
     forwarded: HashMap<(Region, Pool), SlidingWindow>,
     retry_limit: RetryLimit,
+    extra_attempts: HashMap<Pool, ExtraAttempts>,
+    extra_attempt_limit: Option<ExtraAttemptLimit>,
     cold_tolerance: ColdLimitTolerance,
 }
 
@@ -170,6 +175,8 @@
             stated_limits: HashMap::new(),
             forwarded: HashMap::new(),
             retry_limit,
+            extra_attempts: HashMap::new(),
+            extra_attempt_limit: None,
             cold_tolerance,
         }
     }
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -401,7 +401,7 @@
 }
 
 /// Returns how many requests a target runs at once, at least 1.
-fn slots_of(pool: &PoolSpec, known: &KnownTarget) -> u32 {
+pub(super) fn slots_of(pool: &PoolSpec, known: &KnownTarget) -> u32 {
     let slots = match &pool.engine {
         Some(engine) => engine.slots,
         None => known.record.slots,
--- a/crates/decisions/src/traffic/stated_limit.rs
+++ b/crates/decisions/src/traffic/stated_limit.rs
@@ -189,6 +189,12 @@
         .collect()
     }
 
+    /// Returns whether a target states a limit now.
+    pub(super) fn states_limit(&self, target: &Target) -> bool {
+        let limit = self.stated_limits.get(target);
+        limit.is_some_and(|limit| limit.per_s.is_some())
+    }
+
     /// Returns whether the limit that a target stated leaves room for a request
     /// of this instance.
     pub(super) fn has_stated_room(
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -2,6 +2,7 @@
 
 mod cached_prompts;
 mod cold_limit;
+mod extra_attempts;
 mod odd_numbers;
 mod pause;
 mod silence;
