Make extra attempts at slow requests

Callers of a target that is slow, but not silent for 2.25 s, waited for it although another one was free. The hedge of a silent target now begins earlier where the operator's limit allows extra attempts, before the first byte of the answer; whoever begins to answer first has the request, and the other connection is closed at that moment. Only for requests that may be repeated, within max_attempts, not in a stop and not for requests that may have crashed a target.

CHIVERELAY_EXTRA_ATTEMPT_RATIO switches it on, and without it nothing changes: no lock more is taken and no sample kept. The metric extra_attempts_total, the log field extra, the line "extra attempt" and the outcome overtaken show what becomes of them. The daemon has none.

--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -49,6 +49,8 @@
     /// The target was silent for longer than a sound one may be, and the retry
     /// budget has granted an attempt at another one.
     Silent,
+    /// An extra attempt has brought an answer first.
+    Overtaken,
 }
 
 impl AttemptFailure {
@@ -61,6 +63,7 @@
             Self::ServerError(_) => "failed",
             Self::TimedOut => "late",
             Self::Silent => "silent",
+            Self::Overtaken => "overtaken",
         }
     }
 
@@ -72,13 +75,14 @@
             Self::ServerError(_) => "server error",
             Self::TimedOut => "no answer in time",
             Self::Silent => "another target may answer",
+            Self::Overtaken => "another target has answered first",
         }
     }
 
     /// Returns the outcome of the attempt at the target.
     fn outcome(&self) -> TargetOutcome {
         match self {
-            Self::NotSent(_) => TargetOutcome::Cancelled,
+            Self::NotSent(_) | Self::Overtaken => TargetOutcome::Cancelled,
             Self::NotRun(outcome) => *outcome,
             Self::ExchangeFailed(_) => TargetOutcome::Lost,
             Self::ServerError(_) => TargetOutcome::Failed,
@@ -86,6 +90,11 @@
         }
     }
 
+    /// Tells whether no answer had begun when the attempt was given up.
+    fn is_without_start(&self) -> bool {
+        matches!(self, Self::TimedOut | Self::Silent | Self::Overtaken)
+    }
+
     /// Tells whether the target may have run the request.
     fn may_have_run(&self) -> bool {
         !matches!(self, Self::NotSent(_) | Self::NotRun(_))
@@ -183,6 +192,9 @@
         out: &Outbound,
     ) {
         self.record_attempt_failure(&reservation, peer, failure, out);
+        if self.settings.extra_attempts.is_some() && failure.is_without_start() {
+            reservation.record_no_start(cx.route.kind.is_stream());
+        }
         reservation.finish(failure.outcome());
         if failure.may_have_run() {
             cx.attempts_left = cx.attempts_left.saturating_sub(1);
@@ -226,7 +238,9 @@
                 // No time is left for another attempt.
                 AttemptOutcome::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Dispatch))
             }
-            AttemptFailure::Silent => retry_granted(req, Code::DeadlineExceeded),
+            AttemptFailure::Silent | AttemptFailure::Overtaken => {
+                retry_granted(req, Code::DeadlineExceeded)
+            }
         }
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -184,6 +184,25 @@
         placed: LocalPlacement<D, O>,
         cx: &PlacementContext,
         out: &Outbound,
+    ) -> Result<Opened<D, O>, (Request<Admitted, O>, Box<Fallback>)> {
+        let purpose = match cx.is_resumed || cx.sent_count.get() > 0 {
+            true => Purpose::FurtherAttempt,
+            false => Purpose::FirstAttempt,
+        };
+        self.open_for(purpose, placed, cx, out).await
+    }
+
+    /// Like [`Gateway::open`], with a connection of those for a purpose.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request if there is no connection.
+    pub(crate) async fn open_for<O>(
+        self: &Arc<Self>,
+        purpose: Purpose,
+        placed: LocalPlacement<D, O>,
+        cx: &PlacementContext,
+        out: &Outbound,
     ) -> Result<Opened<D, O>, (Request<Admitted, O>, Box<Fallback>)> {
         let LocalPlacement {
             req,
@@ -192,7 +211,7 @@
         } = placed;
         let target = req.target().clone();
         let deadline = self.shutdown.limit(req.meta().deadline);
-        let connecting = self.connect(&target, &known_target, deadline, cx);
+        let connecting = self.connect(&target, &known_target, deadline, purpose, cx);
         match connecting.await {
             Ok(conn) => Ok(Opened {
                 placed: LocalPlacement {
@@ -325,16 +344,13 @@
         target: &Target,
         known_target: &KnownTarget,
         deadline: Duration,
+        purpose: Purpose,
         cx: &PlacementContext,
     ) -> Result<PooledConnection, ConnectFailure> {
         let max_idle = match cx.route.kind.is_repeatable() {
             true => MAX_IDLE,
             false => MAX_IDLE_NON_REPEATABLE,
         };
-        let purpose = match cx.is_resumed || cx.sent_count.get() > 0 {
-            true => Purpose::FurtherAttempt,
-            false => Purpose::FirstAttempt,
-        };
         let left = deadline.saturating_sub(self.clock.now());
         let connecting =
             self.connections
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -142,6 +142,7 @@
         attempts_left: matched.route.max_attempts.max(1),
         sent_count: SentCount::default(),
         is_resumed: false,
+        extra_attempt: None,
         route: Arc::clone(&matched.route),
         pool,
         catalog_version,
@@ -321,6 +322,7 @@
                 Destination::Local(placed) => {
                     let tried = self.attempt_or(*placed, &OtherRegion, &mut cx, &out).await;
                     request_log.sent_count = cx.sent_count.get();
+                    request_log.extra_attempt = cx.extra_attempt;
                     let tried = match tried {
                         Hedge::Here(tried) => tried,
                         Hedge::Elsewhere(started) => {
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -3,8 +3,13 @@
 //!
 //! A silent target may be sound and another one may refuse, so the request
 //! leaves the first target only once the second one has taken it.
+//!
+//! Where the operator's limit allows extra attempts, the request is first hedged
+//! as soon as its target is slow in comparison with others.
 
 mod elsewhere;
+mod limits;
+mod slow;
 
 use std::future::Future;
 use std::pin::Pin;
@@ -15,7 +20,6 @@
 use chiverelay_decisions::request::Dispatched;
 use chiverelay_decisions::request::Origin;
 use chiverelay_decisions::request::Request;
-use chiverelay_decisions::silence;
 
 use crate::Dialect;
 use crate::Gateway;
@@ -31,6 +35,7 @@
 pub(crate) use elsewhere::Elsewhere;
 pub(crate) use elsewhere::Nowhere;
 pub(crate) use elsewhere::OtherRegion;
+use limits::HedgeReason;
 
 /// Longest time for which two targets run a stream that goes on at another one.
 /// Until then the first one may still send an event.
@@ -75,9 +80,10 @@
         O: Origin,
         E: Elsewhere<D, O>,
     {
-        let Some(limit) = self.silence_limit(&opened, cx) else {
+        let mut limits = self.hedge_limits(&opened, cx, out);
+        if limits.is_empty() {
             return Hedge::Here(Box::pin(self.send(opened, cx, out)).await);
-        };
+        }
         let SentAttempt {
             mut req,
             reservation,
@@ -86,13 +92,18 @@
             Ok(attempt) => attempt,
             Err(failed) => return Hedge::Here(Err(failed)),
         };
+        let sent_at = self.clock.now();
         let cx_at_start = cx.clone();
         let mut exchanging = Box::pin(self.run_exchange(exchange, &cx_at_start, out));
         let exchanged = loop {
-            if let Ok(exchanged) = tokio::time::timeout(limit, &mut exchanging).await {
+            let waited = self.clock.now().saturating_sub(sent_at);
+            let Some((wait, reason)) = limits.next(waited) else {
+                break exchanging.await;
+            };
+            if let Ok(exchanged) = tokio::time::timeout(wait, &mut exchanging).await {
                 break exchanged;
             }
-            let hedging = Box::pin(self.hedge(&mut req, exchanging, cx, out));
+            let hedging = Box::pin(self.hedge(reason, &mut req, exchanging, cx, out));
             exchanging = match hedging.await {
                 Hedged::First(exchanged) => break *exchanged,
                 Hedged::Stays(exchanging) => exchanging,
@@ -101,6 +112,9 @@
                     return Hedge::Here(*sent);
                 }
             };
+            if reason == HedgeReason::Slow {
+                continue;
+            }
             let mut asking = Box::pin(elsewhere.ask(self, &mut req, cx, out));
             let (answer, failure) = tokio::select! {
                 biased;
@@ -125,27 +139,30 @@
         Hedge::Here(finish_exchange(req, reservation, exchanged))
     }
 
-    /// Returns the time after which a silent target may be left before its
-    /// answer has begun: `None` if the request has to stay.
-    fn silence_limit<O>(&self, opened: &Opened<D, O>, cx: &PlacementContext) -> Option<Duration> {
-        // `attempts_left` still includes this attempt.
-        if !cx.route.kind.is_repeatable() || cx.attempts_left < 2 {
-            return None;
+    /// Tries to move a request to another target of this region. The exchange
+    /// with the first target goes on until the other one has begun to answer:
+    /// dropping it cancels the request there.
+    async fn hedge<O, F>(
+        self: &Arc<Self>,
+        reason: HedgeReason,
+        req: &mut Request<Dispatched, O>,
+        exchanging: Pin<Box<F>>,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+    ) -> Hedged<D, O, F>
+    where
+        O: Origin,
+        F: Future<Output = Exchanged>,
+    {
+        match reason {
+            HedgeReason::Slow => self.hedge_slow(req, exchanging, cx, out).await,
+            HedgeReason::Silent => self.hedge_silent(req, exchanging, cx, out).await,
         }
-        let expected = opened.reservation().estimate().wait + cx.route.target_latency;
-        let deadline = self.shutdown.limit(opened.deadline());
-        let left = deadline.saturating_sub(self.clock.now());
-        silence::start_limit(expected, left)
     }
 
     /// Tries to move a request from its silent target to another one of this
-    /// region. The exchange with the first target goes on until the other one
-    /// has begun to answer: dropping it cancels the request there.
-    ///
-    /// A stream that goes on after an event may not run at two targets for
-    /// longer than [`MAX_OVERLAP`]. It leaves the first one then, and may
-    /// return if the other one refuses it.
-    async fn hedge<O, F>(
+    /// region.
+    async fn hedge_silent<O, F>(
         self: &Arc<Self>,
         req: &mut Request<Dispatched, O>,
         mut exchanging: Pin<Box<F>>,
@@ -163,13 +180,35 @@
             return Hedged::Stays(exchanging);
         };
         let opening = self.open_at_other_target(copy, cx, out);
-        let opened = tokio::select! {
-            biased;
-            exchanged = &mut exchanging => return Hedged::First(Box::new(exchanged)),
-            opened = opening => match opened {
-                Some(opened) => opened,
-                None => return Hedged::Stays(exchanging),
-            },
+        let opened = unless_answered(&mut exchanging, opening).await;
+        let failure = AttemptFailure::Silent;
+        self.race(opened, failure, req, exchanging, cx, out).await
+    }
+
+    /// Sends a request on the connection that was opened beside the exchange
+    /// with its first target. `failure` is that of the first target if the other
+    /// one has the request in the end.
+    ///
+    /// A stream that goes on after an event may not run at two targets for
+    /// longer than [`MAX_OVERLAP`]. It leaves the first one then, and may
+    /// return if the other one refuses it.
+    async fn race<O, F>(
+        self: &Arc<Self>,
+        opened: Result<Option<Opened<D, O>>, Exchanged>,
+        failure: AttemptFailure,
+        req: &mut Request<Dispatched, O>,
+        mut exchanging: Pin<Box<F>>,
+        cx: &mut PlacementContext,
+        out: &Outbound,
+    ) -> Hedged<D, O, F>
+    where
+        O: Origin,
+        F: Future<Output = Exchanged>,
+    {
+        let opened = match opened {
+            Ok(Some(opened)) => opened,
+            Ok(None) => return Hedged::Stays(exchanging),
+            Err(exchanged) => return Hedged::First(Box::new(exchanged)),
         };
         req.mark_tried(opened.target().clone());
         let cx_of_second = cx.clone();
@@ -186,7 +225,7 @@
                 Err(failure) => Hedged::Moved(failure, Box::new(sending.await)),
             },
             sent = tokio::time::timeout(max_overlap, &mut sending) => match sent {
-                Ok(Ok(started)) => Hedged::Moved(AttemptFailure::Silent, Box::new(Ok(started))),
+                Ok(Ok(started)) => Hedged::Moved(failure, Box::new(Ok(started))),
                 Ok(Err(failed)) => {
                     self.abandon_attempt(failed, cx, out);
                     Hedged::Stays(exchanging)
@@ -197,7 +236,7 @@
                     if let Err(failed) = &mut sent {
                         failed.allow_return(req.peer());
                     }
-                    Hedged::Moved(AttemptFailure::Silent, Box::new(sent))
+                    Hedged::Moved(failure, Box::new(sent))
                 }
             },
         }
@@ -244,3 +283,23 @@
             && self.try_consume_retry(cx, &req.meta().id)
     }
 }
+
+/// Opens a connection to another target while the first one is awaited.
+///
+/// # Errors
+///
+/// Returns the end of the exchange with the first target if it ends before.
+async fn unless_answered<F, P>(
+    exchanging: &mut Pin<Box<F>>,
+    opening: P,
+) -> Result<P::Output, Exchanged>
+where
+    F: Future<Output = Exchanged>,
+    P: Future,
+{
+    tokio::select! {
+        biased;
+        exchanged = exchanging => Err(exchanged),
+        opened = opening => Ok(opened),
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod clock;
 mod crash_check;
 mod dispatch;
+mod extra_attempt;
 mod fleet_copy;
 mod forward;
 mod gateway;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,7 @@
     cut_answers: IntCounterVec,
     attempts: IntCounterVec,
     retry_decisions: IntCounterVec,
+    extra_attempts: IntCounterVec,
     crash_checks: IntCounterVec,
     connection_uses: IntCounterVec,
     forwards: IntCounterVec,
@@ -114,6 +115,12 @@
                 "Retries that the retry budget allowed or denied.",
                 &["decision"],
             ),
+            extra_attempts: counter(
+                &registry,
+                "extra_attempts_total",
+                "Extra attempts at requests whose target was slow to answer, by what became of them.",
+                &["event"],
+            ),
             crash_checks: counter(
                 &registry,
                 "crash_checks_total",
@@ -208,6 +215,7 @@
             &self.cut_answers,
             &self.attempts,
             &self.retry_decisions,
+            &self.extra_attempts,
             &self.crash_checks,
             &self.connection_uses,
             &self.sibling_refusals,
@@ -314,6 +322,11 @@
         self.retry_decisions.with_label_values(&[label]).inc();
     }
 
+    /// Counts the start or the end of an extra attempt, or why there is none.
+    pub(crate) fn count_extra_attempt(&self, event: &str) {
+        self.extra_attempts.with_label_values(&[event]).inc();
+    }
+
     /// Counts a check of a target that lost requests.
     pub(crate) fn count_crash_check(&self, has_crashed: bool) {
         let label = match has_crashed {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -1,6 +1,7 @@
 //! Placement of a request: selects a target in this region, or an instance in
 //! another region to forward the request to.
 
+mod extra_attempt;
 mod refusals;
 
 use std::sync::Arc;
@@ -38,6 +39,7 @@
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::extra_attempt::ExtraAttemptOutcome;
 use crate::members::SETTLING_TIME;
 use crate::quarantine;
 use crate::reservation_guard::ReservationGuard;
@@ -74,6 +76,8 @@
     pub(crate) sent_count: SentCount,
     /// Whether the answer has begun and is to be continued.
     pub(crate) is_resumed: bool,
+    /// What became of the last extra attempt.
+    pub(crate) extra_attempt: Option<ExtraAttemptOutcome>,
 }
 
 /// Destination of the next attempt at a caller's request.
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -12,6 +12,7 @@
 
 use crate::Clock;
 use crate::Dialect;
+use crate::extra_attempt::ExtraAttemptOutcome;
 use crate::place::Destination;
 
 /// Collects the properties of a request for its log line.
@@ -34,6 +35,8 @@
     /// Number of targets that this instance sent the request to, logged as
     /// `sent`.
     pub(crate) sent_count: u32,
+    /// What became of the last extra attempt.
+    pub(crate) extra_attempt: Option<ExtraAttemptOutcome>,
     last_destination: Option<LoggedDestination>,
 }
 
@@ -70,6 +73,7 @@
             account: None,
             destinations: 0,
             sent_count: 0,
+            extra_attempt: None,
             last_destination: None,
         }
     }
@@ -110,6 +114,10 @@
         destination.map_or(String::new(), |destination| destination.peer.to_string())
     }
 
+    fn extra_attempt(&self) -> &'static str {
+        self.extra_attempt.map_or("", ExtraAttemptOutcome::as_str)
+    }
+
     fn estimate(&self) -> Option<&Estimate> {
         self.last_destination.as_ref()?.estimate.as_ref()
     }
@@ -166,6 +174,7 @@
             peer = self.peer(),
             places = self.destinations,
             sent = self.sent_count,
+            extra = self.extra_attempt(),
             expected_ms = self.expected_ms(),
             running = self.estimate().map_or(0, |e| e.running),
             // Tokens that the target must process before this request, and for
@@ -199,6 +208,7 @@
             peer:% = refusal.peer,
             places = self.destinations,
             sent = self.sent_count,
+            extra = self.extra_attempt(),
             retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64,
             took_ms = self.took().as_millis() as u64,
             catalog = catalog_version,
--- a/crates/gateway/src/reservation_guard.rs
+++ b/crates/gateway/src/reservation_guard.rs
@@ -97,6 +97,8 @@
         let mut traffic = self.gateway.tables.traffic.lock();
         traffic.record_first_event(reservation, took);
         traffic.record_prefill(reservation);
+        let now = self.reserved_at + took;
+        traffic.record_start(&reservation.pool, true, &self.estimate, took, now);
     }
 
     /// Records that a part of the answer has arrived.
@@ -108,11 +110,20 @@
     pub(crate) fn record_answer(&self) {
         if let Some(reservation) = &self.reservation {
             let took = self.age();
-            self.gateway
-                .tables
-                .traffic
-                .lock()
-                .record_answer(reservation, took);
+            let now = self.reserved_at + took;
+            let mut traffic = self.gateway.tables.traffic.lock();
+            traffic.record_answer(reservation, took);
+            traffic.record_start(&reservation.pool, false, &self.estimate, took, now);
+        }
+    }
+
+    /// Records that the attempt is given up as no answer has begun by now.
+    pub(crate) fn record_no_start(&self, is_stream: bool) {
+        if let Some(reservation) = &self.reservation {
+            let took = self.age();
+            let now = self.reserved_at + took;
+            let mut traffic = self.gateway.tables.traffic.lock();
+            traffic.record_start(&reservation.pool, is_stream, &self.estimate, took, now);
         }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::allowance::Tolerance;
+use chiverelay_decisions::extra_attempts::ExtraAttemptLimit;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
@@ -34,6 +35,9 @@
     /// Retry budget of each pool: how many retries are allowed in relation to
     /// the pool's requests.
     pub retry_limit: RetryLimit,
+    /// Limit on extra attempts at requests whose target is slow to answer.
+    /// `None` means no extra attempts.
+    pub extra_attempts: Option<ExtraAttemptLimit>,
     /// Tolerated overrun of client accounts' limits.
     pub account_limit_tolerance: Tolerance,
     /// Tolerated overrun of the limit on new requests to cold targets, which
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -40,6 +40,11 @@
         self.deadline.get_or_init(|| deadline);
     }
 
+    /// Tells whether the shutdown has begun.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.deadline.get().is_some()
+    }
+
     /// Ends what still runs under [`Shutdown::run_until_over`].
     pub(crate) fn end(&self) {
         self.over.cancel();
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -379,6 +379,7 @@
             attempts_left: forward.attempts.max(1),
             sent_count: SentCount::default(),
             is_resumed: false,
+            extra_attempt: None,
         };
         let meta = RequestMeta {
             id: forward.id,
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -84,7 +84,8 @@
                 // The rank for the load and health of targets, which `Traffic`
                 // holds.
                 LockRank::Targets,
-                Traffic::new(settings.retry_limit, settings.cold_limit_tolerance),
+                Traffic::new(settings.retry_limit, settings.cold_limit_tolerance)
+                    .with_extra_attempts(settings.extra_attempts),
             ),
             quarantine: RankedMutex::new(LockRank::Quarantine, Quarantine::default()),
             suspensions: RankedMutex::new(LockRank::Suspensions, Suspensions::default()),
--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -51,6 +51,7 @@
     /// Where instances reach it.
     reached_at: SocketAddr,
     limits: Limits,
+    variables: Vec<(&'static str, String)>,
     dir: TempDir,
 }
 
@@ -212,6 +213,7 @@
             store,
             reached_at,
             limits: Limits::default(),
+            variables: Vec::new(),
             dir: TempDir::new().expect("a folder for settings"),
         }
     }
@@ -221,6 +223,11 @@
         self.limits = limits;
     }
 
+    /// Sets an environment variable of the processes that start from now on.
+    pub fn set_variable(&mut self, name: &'static str, value: &str) {
+        self.variables.push((name, value.to_owned()));
+    }
+
     /// Registers a target as it does itself.
     pub fn register(&self, target: &PlatformTarget, service: &str, zone: &str) {
         self.register_as(target, service, zone, "ready", 0);
@@ -274,7 +281,7 @@
         node.process.kill();
         let name = node.log.file_stem().expect("the log has a name").to_owned();
         let path = self.settings_path(&name.to_string_lossy());
-        node.process = Process::start_node(&path, &node.log);
+        node.process = Process::start_node(&path, &node.log, &self.variables);
     }
 
     /// Starts an instance that reaches the store at an address of its own.
@@ -298,7 +305,7 @@
         let log = self.dir.path().join(format!("{name}.log"));
         let at = |port| format!("{ip}:{port}").parse().expect("an address");
         Node {
-            process: Process::start_node(&self.settings_path(name), &log),
+            process: Process::start_node(&self.settings_path(name), &log, &self.variables),
             ip: ip.to_owned(),
             front: at(8221),
             ready: at(8224),
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -86,11 +86,12 @@
     }
 
     /// Starts an instance on the platform, which logs into a file.
-    pub fn start_node(settings: &Path, log: &Path) -> Self {
+    pub fn start_node(settings: &Path, log: &Path, variables: &[(&str, String)]) -> Self {
         let log = File::create(log).expect("a file for the log");
         let mut command = Command::new(programs().join("chiverelay-node"));
         let child = command
             .env("CHIVERELAY_SETTINGS", settings)
+            .envs(variables.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(log)
             .spawn()
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -6,6 +6,7 @@
 mod cut_watches;
 mod decode;
 mod endless;
+mod extra_attempts;
 mod first_listings;
 mod forwarded_by_version;
 mod forwarded_streams;
--- a/tests/testsuite/node/settings.rs
+++ b/tests/testsuite/node/settings.rs
@@ -1,8 +1,11 @@
 //! The platform's settings file.
 
+use chiverelay_decisions::extra_attempts::ExtraAttemptLimit;
 use chiverelay_decisions::resources::ResourceLimits;
 use chiverelay_platform::settings::Error;
 use chiverelay_platform::settings::Settings;
+use chiverelay_platform::settings::environment::EXTRA_ATTEMPT_QUANTILE;
+use chiverelay_platform::settings::environment::EXTRA_ATTEMPT_RATIO;
 use support::cases;
 use support::node::site::settings;
 
@@ -100,3 +103,49 @@
         assert!(said.contains(field), "{field} is not in {said}");
     }
 }
+
+/// Reads good settings with environment variables.
+fn with_variables(variables: &[(&str, &str)]) -> Result<Settings, Error> {
+    let settings: Settings = good().parse().expect("good settings");
+    settings.with_environment(|name| {
+        let found = variables.iter().find(|(known, _)| *known == name);
+        found.map(|(_, value)| (*value).to_owned())
+    })
+}
+
+fn check_extra_attempts(variables: &[(&str, &str)], want: Option<(f64, f64)>) {
+    let settings = with_variables(variables).expect("good variables");
+    let want = want.map(|(ratio, quantile)| ExtraAttemptLimit { ratio, quantile });
+    assert_eq!(settings.gateway.extra_attempts, want);
+}
+
+cases! {
+    check_extra_attempts:
+    no_extra_attempts_by_default(&[], None);
+    no_extra_attempts_at_a_ratio_of_0(&[(EXTRA_ATTEMPT_RATIO, "0")], None);
+    extra_attempts_by_a_ratio(&[(EXTRA_ATTEMPT_RATIO, "0.02")], Some((0.02, 0.95)));
+    extra_attempts_after_a_quantile(
+        &[(EXTRA_ATTEMPT_RATIO, "0.05"), (EXTRA_ATTEMPT_QUANTILE, "0.99")],
+        Some((0.05, 0.99))
+    );
+    a_quantile_alone_allows_none(&[(EXTRA_ATTEMPT_QUANTILE, "0.99")], None);
+}
+
+fn check_variable_faults(variables: &[(&str, &str)], names: &[&str]) {
+    let Err(Error::InvalidFields(faults)) = with_variables(variables) else {
+        panic!("the faults are not told");
+    };
+    let found: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+    assert_eq!(found, names);
+}
+
+cases! {
+    check_variable_faults:
+    a_ratio_that_is_no_number(&[(EXTRA_ATTEMPT_RATIO, "some")], &[EXTRA_ATTEMPT_RATIO]);
+    a_ratio_above_1(&[(EXTRA_ATTEMPT_RATIO, "1.5")], &[EXTRA_ATTEMPT_RATIO]);
+    a_ratio_that_is_nan(&[(EXTRA_ATTEMPT_RATIO, "NaN")], &[EXTRA_ATTEMPT_RATIO]);
+    both_variables(
+        &[(EXTRA_ATTEMPT_RATIO, ""), (EXTRA_ATTEMPT_QUANTILE, "1")],
+        &[EXTRA_ATTEMPT_RATIO, EXTRA_ATTEMPT_QUANTILE]
+    );
+}
