Hear the listings of a store that answers late

Cause: each request for a page of a listing was given up after 1.5 s and made again with the same limit, so no response was ever heard. The watch of all keys is given up 1.5 s after its wait and leads to such a listing.

Change: a page without a response is requested again after 1.5 s as before, with the same pauses, but the requests before it stay open for up to 6 s each and the first response is taken; pages that were read are kept. When to repeat and how long to wait is decisions::call_limit, and platform::store::lister follows it. What a silent request tells others (the store does not answer; watches may be lost) is told after 1.5 s as before. Metrics count such a request when it ends: as lost after 6 s, or not at all if another one was answered first.

Why this works: silence doesn't tell a dead connection from a slow store, so neither a longer limit nor a shorter one is right. A new request finds the end of an outage as soon as before, as it doesn't wait for the earlier ones; an open earlier one hears a store that needs up to 6 s. At most four requests are open for a page. Watches keep their limit: one that is given up leads to a listing, which is heard.

Evidence: node::slow_store, with responses 2 s late and listings of two pages.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod answer;
 pub mod audience;
 pub mod backoff;
+pub mod call_limit;
 pub mod catalog;
 pub mod config;
 pub mod event;
--- a/tests/support/node/store.rs
+++ b/tests/support/node/store.rs
@@ -81,6 +81,8 @@
     mute: bool,
     /// Responses that are to be lost.
     losing: Vec<Loss>,
+    /// Time by which responses of paths that begin so come later.
+    delay: Option<(&'static str, Duration)>,
     /// Items that each page and each watch that told changes have besides.
     odd_items: Vec<Value>,
     calls: HashMap<String, usize>,
@@ -199,6 +201,12 @@
         state.losing.push(Loss::Page(prefix.to_owned()));
     }
 
+    /// Sends each response of a path that begins so later, by this time.
+    pub fn delay_responses(&self, path: &'static str, time: Duration) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        state.delay = Some((path, time));
+    }
+
     /// Tells whether all responses that were to be lost are.
     pub fn has_lost_all(&self) -> bool {
         let state = self.state.lock().expect("no panic under the lock");
@@ -346,8 +354,15 @@
         // Something between the caller and the store refuses.
         return http::empty_response(status);
     }
+    let path = req.uri().path().to_owned();
     let mut resp = execute(shared, req).await;
-    let era = state.lock().expect("no panic under the lock").era;
+    let (era, delay) = {
+        let state = state.lock().expect("no panic under the lock");
+        (state.era, state.delay)
+    };
+    if let Some((_, time)) = delay.filter(|(delayed, _)| path.starts_with(delayed)) {
+        tokio::time::sleep(time).await;
+    }
     resp.headers_mut().insert(ERA, era.into());
     resp
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod allowance;
 mod answer;
 mod bucket;
+mod call_limit;
 mod callers;
 mod catalog;
 mod combined;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -31,6 +31,7 @@
 mod silence;
 mod silent_first_bytes;
 mod slow_readers;
+mod slow_store;
 mod soak;
 mod stated_limit;
 mod store;
