--- a/tests/testsuite/node/extra_attempts.rs
+++ b/tests/testsuite/node/extra_attempts.rs
@@ -50,11 +50,13 @@
 #[derive(Clone, Copy)]
 struct Allowed {
     ratio: Option<&'static str>,
+    quantile: &'static str,
     max_attempts: u32,
 }
 
 const ALLOWED: Allowed = Allowed {
     ratio: Some("0.5"),
+    quantile: "0.9",
     max_attempts: 2,
 };
 
@@ -63,7 +65,7 @@
     let mut site = Site::start().await;
     if let Some(ratio) = allowed.ratio {
         site.set_variable(EXTRA_ATTEMPT_RATIO, ratio);
-        site.set_variable(EXTRA_ATTEMPT_QUANTILE, "0.9");
+        site.set_variable(EXTRA_ATTEMPT_QUANTILE, allowed.quantile);
     }
     let mut document = configuration(4);
     for route in document["routes"].as_array_mut().expect("routes") {
@@ -270,3 +272,59 @@
         assert_eq!(count(&node, "failed").await, 1, "{}", node.logged());
     });
 }
+
+/// Time to usual answers, long enough for a stop to begin before a request is
+/// slow.
+const USUAL_TIME: Duration = Duration::from_millis(600);
+
+/// Usual answers that are awaited at once, fewer than half of the slots.
+const AT_ONCE: usize = 4;
+
+/// A stop begins while a request waits at its target. Work that is left behind
+/// would end with the process.
+#[test]
+fn a_stop_starts_no_extra_attempt() {
+    block_on(async {
+        let (site, node) = start(Allowed {
+            quantile: "0.5",
+            ..ALLOWED
+        })
+        .await;
+        // With another instance a stop leaves at once.
+        let _other = site.instance("other", "north-a", "north").await;
+        until("the other instance is known", async || {
+            node.logged().contains("link is up")
+        })
+        .await;
+        let targets = [
+            PlatformTarget::start("i-1").await,
+            PlatformTarget::start("i-2").await,
+        ];
+        for target in &targets {
+            target.set(Mode::Slow(USUAL_TIME));
+            site.register(target, "orders", "north-a");
+        }
+        until_known(&node, 2).await;
+        for _ in 0..MOMENTS {
+            let usual = || Call::new("r-0", "/status/1").key(KEY);
+            let sent = (0..AT_ONCE).map(|_| async { usual().send(node.front).await });
+            futures_util::future::join_all(sent).await;
+        }
+        for target in &targets {
+            target.set(Mode::Slow(SLOW));
+        }
+        let arrived = || {
+            let arrivals = targets.iter().flat_map(PlatformTarget::arrivals);
+            let arrived = arrivals.filter(|a| a.header("request-id") == "r-1");
+            arrived.count()
+        };
+        let call = Call::new("r-1", "/status/1").key(KEY);
+        let stopping = async {
+            until("a target has the request", async || arrived() > 0).await;
+            node.process.terminate();
+        };
+        let (got, ()) = tokio::join!(call.send(node.front), stopping);
+        assert_eq!(got.status, StatusCode::OK, "{}", node.logged());
+        assert_eq!(arrived(), 1, "{}", node.logged());
+    });
+}
