Tell callers of instances by their capacity

Callers of a region at its peak waited at instances with 0.12 of a core while those with 0.5 had time left: an answer to a lookup listed all ready instances of the zone, and callers choose evenly among the addresses. Now the largest are always listed and each other one with a probability in proportion to its processor time. Nothing changes where a zone's instances are equally large or state nothing.

Tests: directory, without a network.

--- /dev/null
+++ b/crates/decisions/src/directory.rs
@@ -0,0 +1,68 @@
+//! Which of the nearest instances a caller is told of.
+//!
+//! Callers connect to the addresses that they are told of with equal
+//! probability. Where instances differ in processor time, an answer that always
+//! listed all of them would bring the small ones as many callers as the large
+//! ones. An answer therefore lists each instance with a probability in
+//! proportion to its capacity.
+
+use crate::names::Instance;
+use crate::rendezvous;
+
+/// Fewest instances in an answer, if there are as many: callers leave out those
+/// that have just failed them.
+const MIN_LISTED: usize = 3;
+
+/// An instance that callers may be told of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing<A> {
+    /// Its name.
+    pub instance: Instance,
+    /// Processor time that it has, in thousandths of a core; 0 if it is not
+    /// known.
+    pub capacity: u32,
+    /// Address at which callers connect.
+    pub address: A,
+}
+
+/// Chooses the instances of one answer, the largest of which are in every one.
+/// If all are equally large, all are chosen. `key` differs from answer to
+/// answer.
+pub fn choose_listed<A>(listings: Vec<Listing<A>>, key: &str) -> Vec<A> {
+    let largest = listings.iter().map(|l| l.capacity).max().unwrap_or(0);
+    let mut ranked: Vec<(f64, A)> = listings
+        .into_iter()
+        .map(|listing| (rank(&listing, largest, key), listing.address))
+        .collect();
+    ranked.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    let listed = ranked.iter().take_while(|(rank, _)| *rank < 1.0).count();
+    ranked.truncate(listed.max(MIN_LISTED));
+    ranked.into_iter().map(|(_, address)| address).collect()
+}
+
+/// Returns the rank of an instance, which is below 1 if the answer lists it:
+/// always for the largest instances, and for others with a probability in
+/// proportion to their capacity.
+fn rank<A>(listing: &Listing<A>, largest: u32, key: &str) -> f64 {
+    let random = rendezvous::weight(key, listing.instance.as_str());
+    // 53 bits are what a float holds, so the fraction stays below 1.
+    let fraction = (random >> 11) as f64 / (1_u64 << 53) as f64;
+    match listing.capacity {
+        0 => fraction,
+        capacity => fraction * f64::from(largest) / f64::from(capacity),
+    }
+}
+
+/// Returns by how much more callers several instances have together than one of
+/// them, given its capacity and those of the others.
+pub fn callers_beside<I>(own: u32, others: I) -> f64
+where
+    I: IntoIterator<Item = u32>,
+{
+    let of = |capacity: u32| match (own, capacity) {
+        // Where one is not known, both count as equally large.
+        (0, _) | (_, 0) => 1.0,
+        _ => f64::from(capacity) / f64::from(own),
+    };
+    1.0 + others.into_iter().map(of).sum::<f64>()
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod call_limit;
 pub mod catalog;
 pub mod config;
+pub mod directory;
 pub mod event;
 pub mod extra_attempts;
 pub mod fleet;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chiverelay_decisions::directory;
+use chiverelay_decisions::directory::Listing;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
@@ -221,6 +223,17 @@
         in_region.map(|m| m.record.instance.clone()).collect()
     }
 
+    /// Returns by how much more callers the ready instances of this region have
+    /// together than this one. Callers follow the instances' capacities.
+    pub(crate) fn callers_of_region(&self, now: Duration) -> f64 {
+        let own = self.own.borrow().clone();
+        let table = self.table.lock();
+        let ready = table.members.values().filter(|m| table.is_ready(m, now));
+        let in_region = ready.filter(|m| m.record.region == own.region);
+        let capacities = in_region.map(|m| m.record.capacity);
+        directory::callers_beside(own.capacity, capacities)
+    }
+
     /// Returns those of the other instances `names` that are ready.
     pub(crate) fn filter_ready(&self, mut names: Vec<Instance>, now: Duration) -> Vec<Instance> {
         let table = self.table.lock();
@@ -302,9 +315,10 @@
         )
     }
 
-    /// Lists the caller addresses of the ready instances nearest to a zone:
-    /// those in the zone, else those in its region, else those in the regions
-    /// that may answer the largest number of the caller's routes.
+    /// Lists the caller addresses of ready instances nearest to a zone: those
+    /// in the zone, else those in its region, else those in the regions that may
+    /// answer the largest number of the caller's routes. The larger an instance,
+    /// the more answers list it.
     pub(crate) fn nearest_ready<F>(
         &self,
         zone: &Zone,
@@ -335,6 +349,12 @@
         let near = ready
             .iter()
             .filter(|record| Some(distance(record)) == nearest);
-        near.map(|record| record.callers).collect()
+        let near = near.map(|record| Listing {
+            instance: record.instance.clone(),
+            capacity: record.capacity,
+            address: record.callers,
+        });
+        let key = format!("{:x}", rand::random::<u64>());
+        directory::choose_listed(near.collect(), &key)
     }
 }
--- /dev/null
+++ b/tests/testsuite/directory.rs
@@ -0,0 +1,77 @@
+//! Which instances callers are told of, where instances differ in size.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use chiverelay_decisions::directory::Listing;
+use chiverelay_decisions::directory::choose_listed;
+use support::cases;
+
+/// Number of answers that a share is counted over.
+const ANSWERS: usize = 4_000;
+
+/// Instances of a zone by their capacity in thousandths of a core.
+fn zone(capacities: &[u32]) -> Vec<Listing<usize>> {
+    let listing = |(n, capacity): (usize, &u32)| Listing {
+        instance: format!("front-{n}").into(),
+        capacity: *capacity,
+        address: n,
+    };
+    capacities.iter().enumerate().map(listing).collect()
+}
+
+/// Returns the share of callers of each instance, if each caller connects to
+/// one address of its answer at random.
+fn callers(capacities: &[u32]) -> Vec<f64> {
+    let mut shares: HashMap<usize, f64> = HashMap::new();
+    for key in 0..ANSWERS {
+        let listed = choose_listed(zone(capacities), &key.to_string());
+        for n in &listed {
+            *shares.entry(*n).or_default() += 1.0 / listed.len() as f64;
+        }
+    }
+    let share = |n: usize| shares.get(&n).copied().unwrap_or_default() / ANSWERS as f64;
+    (0..capacities.len()).map(share).collect()
+}
+
+/// Checks that no instance has more callers for its size than allowed.
+fn check_burden(capacities: &[u32], most: f64) {
+    let total: u32 = capacities.iter().sum();
+    for (share, capacity) in callers(capacities).into_iter().zip(capacities) {
+        let burden = share * f64::from(total) / f64::from(*capacity);
+        assert!(burden <= most, "{burden:.2} times its part for {capacity}");
+        assert!(share > 0.0, "an instance of {capacity} has no callers");
+    }
+}
+
+cases! {
+    check_burden:
+    a_peak_before_two_large_and_eight_small_instances(
+        &[500, 500, 120, 120, 120, 120, 120, 120, 120, 120], 1.25
+    );
+    a_peak_before_equal_instances(&[250; 12], 1.01);
+    a_zone_that_has_lost_its_large_instances(&[120; 9], 1.01);
+}
+
+/// Checks the fewest addresses of an answer.
+fn check_fewest(capacities: &[u32], fewest: usize) {
+    let listed = |key: usize| choose_listed(zone(capacities), &key.to_string()).len();
+    assert_eq!((0..200).map(listed).min(), Some(fewest));
+}
+
+cases! {
+    check_fewest:
+    equal_instances_are_all_listed(&[250; 12], 12);
+    an_instance_of_unknown_size_is_listed(&[500, 0, 0, 0, 0], 5);
+    at_least_three_instances_are_listed(&[1_000, 10, 10, 10], 3);
+    two_instances_are_listed_though_one_is_small(&[1_000, 10], 2);
+    nobody_is_ready(&[], 0);
+}
+
+#[test]
+fn the_small_instances_take_turns() {
+    let listed: HashSet<usize> = (0..ANSWERS)
+        .flat_map(|key| choose_listed(zone(&[500, 500, 50, 50, 50, 50]), &key.to_string()))
+        .collect();
+    assert_eq!(listed.len(), 6);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod connection_limit;
 mod cuts;
 mod decoders;
+mod directory;
 mod drain;
 mod fleet;
 mod fleet_copy;
