Admit by priority, by room and by what is forwarded

All instances of a region at its peak filled the same small region at once: its answers took four seconds, and callers left.

Requests in flight are counted by priority, and an estimate counts those that are admitted before. A forwarded request counts for those that the other instances of the region forward meanwhile, for as long as a target has them. What would begin after its latency target behind other prompts is refused at once, also by the instance that is forwarded a request.

Tests without a network: overload, traffic.

--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -46,6 +46,8 @@
     pools: HashMap<Pool, Arc<PoolSpec>>,
     accounts_by_key: HashMap<Box<str>, Arc<AccountSpec>>,
     has_accounts: bool,
+    /// The most urgent priority of the routes of each pool.
+    most_urgent: HashMap<Pool, u8>,
 }
 
 /// Why the catalog has no route or account for a request.
@@ -92,6 +94,14 @@
         accounts: Vec<AccountSpec>,
         limits: ClientLimits,
     ) -> Self {
+        let mut most_urgent: HashMap<Pool, u8> = HashMap::new();
+        for route in &routes {
+            for backend in &route.backends {
+                let known = most_urgent.entry(backend.pool.clone());
+                let known = known.or_insert(route.priority);
+                *known = route.priority.min(*known);
+            }
+        }
         let mut by_host: HashMap<Box<str>, Vec<Arc<RouteSpec>>> = HashMap::new();
         for route in routes {
             let host = route.host.as_ref().into();
@@ -116,9 +126,16 @@
             pools: pools.into_iter().map(keyed_by_name).collect(),
             accounts_by_key: by_key,
             has_accounts,
+            most_urgent,
         }
     }
 
+    /// Tells whether no route of a pool is more urgent than a priority.
+    pub fn is_most_urgent(&self, priority: u8, pool: &Pool) -> bool {
+        let most_urgent = self.most_urgent.get(pool);
+        most_urgent.is_none_or(|most_urgent| priority <= *most_urgent)
+    }
+
     /// Finds the route and the client account of a request by its host, path
     /// and key.
     ///
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -3,10 +3,12 @@
 //! The load of a target is the sum of what this instance sent there and what
 //! the other instances last reported.
 
+mod by_priority;
 mod cached;
 mod choose;
 mod cold_limit;
 mod extra_attempts;
+mod full_level;
 mod outcome;
 mod part_uses;
 mod pause;
@@ -39,9 +41,12 @@
 use crate::silence::UnansweredTime;
 use crate::window::Divisor;
 use crate::window::SlidingWindow;
+use by_priority::LoadByPriority;
 use cached::CacheSources;
+use full_level::FullLevel;
 use part_uses::PartUseLog;
 use remote::RemoteCounts;
+use remote::UnreportedForwards;
 use stated_limit::StatedLimit;
 
 pub use cached::CachedParts;
@@ -96,6 +101,14 @@
         }
     }
 
+    /// Raises the number of requests to a lower bound.
+    fn with_min_running(self, min: u32) -> Self {
+        Self {
+            running: self.running.max(min),
+            ..self
+        }
+    }
+
     fn add(&mut self, other: Self) {
         self.running = self.running.saturating_add(other.running);
         self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
@@ -109,7 +122,7 @@
 
 #[derive(Debug, Default)]
 struct LocalTargetState {
-    in_flight: InFlight,
+    in_flight: LoadByPriority,
     health: Health,
     /// Requests sent while the target was cold; `None` before the first one.
     cold_requests: Option<SlidingWindow>,
@@ -119,6 +132,9 @@
     unanswered: UnansweredTime,
 }
 
+/// The priority of the least urgent requests. 0 is the most urgent.
+pub const LOWEST_PRIORITY: u8 = 9;
+
 /// Time for which no request is sent to a target that reported itself full.
 const FULL_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -146,13 +162,14 @@
     cached_parts: HashMap<Target, CachedParts>,
     part_uses: PartUseLog,
     remote: HashMap<Instance, RemoteCounts>,
-    remote_total: HashMap<Target, InFlight>,
+    remote_total: HashMap<Target, LoadByPriority>,
     performance: HashMap<Pool, PoolPerformance>,
     retry_budgets: HashMap<Pool, RetryBudget>,
     full_until: HashMap<Target, Duration>,
+    full_levels: HashMap<Pool, FullLevel>,
     paused_until: HashMap<Target, Duration>,
     stated_limits: HashMap<Target, StatedLimit>,
-    forwarded: HashMap<(Region, Pool), SlidingWindow>,
+    forwarded: HashMap<(Region, Pool), UnreportedForwards>,
     retry_limit: RetryLimit,
     extra_attempts: HashMap<Pool, ExtraAttempts>,
     extra_attempt_limit: Option<ExtraAttemptLimit>,
@@ -171,6 +188,7 @@
             performance: HashMap::new(),
             retry_budgets: HashMap::new(),
             full_until: HashMap::new(),
+            full_levels: HashMap::new(),
             paused_until: HashMap::new(),
             stated_limits: HashMap::new(),
             forwarded: HashMap::new(),
@@ -184,15 +202,19 @@
     /// Returns the requests in flight at a target from all instances, as far
     /// as they are known.
     pub fn in_flight(&self, target: &Target) -> InFlight {
-        let mut in_flight = self
-            .local
-            .get(target)
-            .map(|local| local.in_flight)
-            .unwrap_or_default();
-        if let Some(remote) = self.remote_total.get(target) {
-            in_flight.add(*remote);
+        self.in_flight_ahead_of(target, LOWEST_PRIORITY)
+    }
+
+    /// Returns the requests in flight at a target that an engine admits before
+    /// a new one of this priority: those that are at least as urgent.
+    fn in_flight_ahead_of(&self, target: &Target, priority: u8) -> InFlight {
+        let local = self.local.get(target).map(|local| &local.in_flight);
+        let loads = [local, self.remote_total.get(target)];
+        let mut sum = InFlight::default();
+        for load in loads.into_iter().flatten() {
+            sum.add(load.ahead_of(priority));
         }
-        in_flight
+        sum
     }
 
     /// Returns the lower bound of a target's running requests if it recently
@@ -311,7 +333,7 @@
         if self
             .local
             .get(target)
-            .is_some_and(|local| local.in_flight.running == 0)
+            .is_some_and(|local| local.in_flight.is_idle())
         {
             self.local.remove(target);
         }
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -5,6 +5,7 @@
 
 use super::CacheSources;
 use super::InFlight;
+use super::LOWEST_PRIORITY;
 use super::PromptPart;
 use super::RegionShares;
 use super::Traffic;
@@ -69,6 +70,10 @@
 /// The properties of a request that the choice of its target depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct TargetQuery<'a> {
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
+    /// Whether no route of the pool has more urgent requests.
+    pub is_most_urgent: bool,
     /// Tokens of the whole prompt.
     pub prompt_tokens: u64,
     /// The prompt's parts, in order.
@@ -93,6 +98,10 @@
     pub cost: Duration,
     /// Requests that run or wait at the target, as far as they are known.
     pub running: u32,
+    /// Those of them that the target admits before this one.
+    pub ahead: u32,
+    /// Requests that the target runs at once.
+    pub slots: u32,
     /// Whether a slot is free.
     pub has_free_slot: bool,
     /// One plus the number of waiting requests per slot, counting this request.
@@ -108,12 +117,16 @@
 }
 
 impl Estimate {
-    /// Tells whether the request would wait for a slot and spend more than
-    /// [`MAX_QUEUE_SHARE`] of its latency target in the queue. To serve it here
-    /// would delay the requests behind it too, so it should go elsewhere or be
-    /// retried later.
+    /// Tells whether the request would be late because of the requests ahead of
+    /// it: it would wait for a slot and spend more than [`MAX_QUEUE_SHARE`] of
+    /// its latency target in the queue, or begin after its latency target as
+    /// other prompts are read first. To serve it here would delay the requests
+    /// behind it too, so it should go elsewhere or be retried later.
     pub fn is_late_from_queueing(&self, latency_target: Duration) -> bool {
-        !self.has_free_slot && self.queue_delay > latency_target.mul_f64(MAX_QUEUE_SHARE)
+        let is_slot_late =
+            !self.has_free_slot && self.queue_delay > latency_target.mul_f64(MAX_QUEUE_SHARE);
+        let is_prefill_late = self.queued_prefill_tokens > 0 && self.wait > latency_target;
+        is_slot_late || is_prefill_late
     }
 }
 
@@ -166,6 +179,27 @@
     pub estimate: Estimate,
 }
 
+/// The load of a target as a request finds it.
+#[derive(Clone, Copy, Debug)]
+struct FoundLoad {
+    /// All requests there.
+    all: InFlight,
+    /// The requests that the target admits before this one.
+    ahead: InFlight,
+}
+
+impl FoundLoad {
+    fn map<F>(self, f: F) -> Self
+    where
+        F: Fn(InFlight) -> InFlight,
+    {
+        Self {
+            all: f(self.all),
+            ahead: f(self.ahead),
+        }
+    }
+}
+
 impl Traffic {
     /// Chooses the target of a region with the lowest cost.
     ///
@@ -220,11 +254,15 @@
                 reason = NoTargetReason::AllLimited;
                 continue;
             }
-            let mut in_flight = self
-                .in_flight(target)
-                .plus_share_of(forwarded, target_count);
             let min_running = self.min_running(target, slots_of(pool, known), now);
-            in_flight.running = in_flight.running.max(min_running);
+            let load = self
+                .found_load(target, pool, query.priority)
+                .map(|in_flight| in_flight.plus_share_of(forwarded, target_count))
+                .map(|in_flight| in_flight.with_min_running(min_running));
+            if !self.has_queue_room(target, pool, query, now) {
+                reason = NoTargetReason::AllFull;
+                continue;
+            }
             let mut estimate = self.estimate(
                 fleet,
                 target,
@@ -233,7 +271,7 @@
                 query,
                 &sources,
                 affinity_target.as_ref(),
-                in_flight,
+                load,
             );
             if status == HealthStatus::Suspect {
                 estimate.cost += FAILURE_COST;
@@ -253,6 +291,31 @@
         best.ok_or(reason)
     }
 
+    /// Tells whether a target is expected to take a request into its queue.
+    fn has_queue_room(
+        &self,
+        target: &Target,
+        pool: &PoolSpec,
+        query: &TargetQuery<'_>,
+        now: Duration,
+    ) -> bool {
+        let known = self.in_flight(target).running;
+        let level = self.full_levels.get(&pool.name);
+        level.is_none_or(|level| level.has_room(known, query.is_most_urgent, now))
+    }
+
+    /// Returns the load of a target as a request of this priority finds it.
+    /// Engines admit the most urgent requests first, other services take them in
+    /// the order in which they come.
+    fn found_load(&self, target: &Target, pool: &PoolSpec, priority: u8) -> FoundLoad {
+        let all = self.in_flight(target);
+        let ahead = match pool.engine {
+            Some(_) => self.in_flight_ahead_of(target, priority),
+            None => all,
+        };
+        FoundLoad { all, ahead }
+    }
+
     /// Returns the upper bound of the random addition to the costs of a
     /// region's targets.
     ///
@@ -271,8 +334,9 @@
         let region_targets = pool_targets.filter(|(_, known)| known.record.region == *region);
         let (mut remote_running, mut slots) = (0_u32, 0_u32);
         for (target, known) in region_targets {
-            let remote = self.remote_total.get(target).copied().unwrap_or_default();
-            remote_running = remote_running.saturating_add(remote.running);
+            let remote = self.remote_total.get(target);
+            let remote = remote.map_or(0, |load| load.ahead_of(LOWEST_PRIORITY).running);
+            remote_running = remote_running.saturating_add(remote);
             slots = slots.saturating_add(slots_of(pool, known));
         }
         let performance = self.performance(&pool.name);
@@ -328,13 +392,15 @@
         query: &TargetQuery<'_>,
         sources: &CacheSources,
         affinity_target: Option<&Target>,
-        in_flight: InFlight,
+        load: FoundLoad,
     ) -> Estimate {
+        let FoundLoad { all, ahead } = load;
         let performance = self.performance(&pool.name);
         let slots = slots_of(pool, known);
-        let has_free_slot = in_flight.running < slots;
-        let waiting_with_this = in_flight.running.saturating_add(1).saturating_sub(slots);
-        let requests_per_slot = 1.0 + f64::from(waiting_with_this) / f64::from(slots);
+        let has_free_slot = ahead.running < slots;
+        let waiting_with_this = ahead.running.saturating_add(1).saturating_sub(slots);
+        let all_waiting = all.running.saturating_add(1).saturating_sub(slots);
+        let requests_per_slot = 1.0 + f64::from(all_waiting) / f64::from(slots);
         let local = self.local.get(target);
         let failure_rate = local.map_or(0.0, |local| local.failure_rate);
         let penalty = FAILURE_COST.mul_f64(failure_rate);
@@ -342,12 +408,14 @@
             let wait = performance
                 .service_time()
                 .mul_f64(f64::from(waiting_with_this) / f64::from(slots));
-            let batching_cost = BATCHING_COST * in_flight.running;
+            let batching_cost = BATCHING_COST * all.running;
             return Estimate {
                 wait,
                 queue_delay: wait,
                 cost: wait + penalty + batching_cost,
-                running: in_flight.running,
+                running: all.running,
+                ahead: ahead.running,
+                slots,
                 has_free_slot,
                 requests_per_slot,
                 prefill_tokens: 0,
@@ -368,11 +436,16 @@
             (None, false) => cached_here,
         };
         let prefill_tokens = query.prompt_tokens.saturating_sub(cached);
-        let queued_prefill_tokens = u64::from(in_flight.prefill_tokens);
+        let queued_prefill_tokens = u64::from(ahead.prefill_tokens);
         let queue = performance
             .generation_time()
             .mul_f64(f64::from(waiting_with_this) / f64::from(slots));
-        let queue_delay = performance.prefill_time(queued_prefill_tokens) + queue;
+        // The first slot that a less urgent request leaves is this one's.
+        let slot_turn = match has_free_slot && all.running >= slots {
+            true => performance.generation_time() / slots,
+            false => Duration::ZERO,
+        };
+        let queue_delay = performance.prefill_time(queued_prefill_tokens) + queue + slot_turn;
         let wait = queue_delay + performance.prefill_time(prefill_tokens);
         let copy_cost = match cache_source {
             Some(_) => performance
@@ -385,16 +458,18 @@
             .prefill_time(prefill_tokens)
             .mul_f64(PREFILL_COST_FACTOR)
             + copy_cost;
-        let batching_cost = BATCHING_COST * in_flight.running;
+        let batching_cost = BATCHING_COST * all.running;
         Estimate {
             wait,
             queue_delay,
             cost: queue_delay + prefill_cost + batching_cost + penalty,
-            running: in_flight.running,
+            running: all.running,
+            ahead: ahead.running,
+            slots,
             has_free_slot,
             requests_per_slot,
             prefill_tokens: u32::try_from(prefill_tokens).unwrap_or(u32::MAX),
-            queued_prefill_tokens: in_flight.prefill_tokens,
+            queued_prefill_tokens: ahead.prefill_tokens,
             cache_source,
         }
     }
--- a/crates/decisions/src/traffic/remote.rs
+++ b/crates/decisions/src/traffic/remote.rs
@@ -7,8 +7,10 @@
 use serde::Serialize;
 
 use super::InFlight;
+use super::LoadByPriority;
 use super::Traffic;
 use crate::audience::Audience;
+use crate::catalog::PoolSpec;
 use crate::names::Instance;
 use crate::names::Pool;
 use crate::names::Region;
@@ -22,16 +24,43 @@
 /// reported a request that was forwarded there.
 const FORWARD_REPORT_DELAY: Duration = Duration::from_millis(800);
 
-/// Requests in flight at one target, as reported to the other instances.
+/// Requests in flight at one target with one priority, as reported to the other
+/// instances.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct TargetInFlight {
     /// The target.
     pub target: Target,
+    /// Priority of the requests.
+    pub priority: u8,
     /// The reporting instance's requests there.
     pub in_flight: InFlight,
 }
 
+/// Requests forwarded to another region that its instances have not reported.
+#[derive(Debug)]
+pub(super) struct UnreportedForwards {
+    requests: SlidingWindow,
+    tokens: SlidingWindow,
+}
+
+impl Default for UnreportedForwards {
+    fn default() -> Self {
+        Self {
+            requests: SlidingWindow::new(FORWARD_REPORT_DELAY),
+            tokens: SlidingWindow::new(FORWARD_REPORT_DELAY),
+        }
+    }
+}
+
+/// Returns how many requests a forwarded one stands for. The others' requests
+/// were forwarded at any time since the last report, and those that took less
+/// have ended.
+fn count_with_others(alike: f64, time_at_target: Duration) -> f64 {
+    let unreported = time_at_target.as_secs_f64() / FORWARD_REPORT_DELAY.as_secs_f64();
+    1.0 + (alike - 1.0).max(0.0) * unreported.min(1.0)
+}
+
 #[derive(Debug)]
 pub(super) struct RemoteCounts {
     received_at: Duration,
@@ -41,22 +70,26 @@
 impl Traffic {
     /// Lists the requests in flight by target that an audience is told of.
     pub fn in_flight_for(&self, audience: Audience<'_>) -> Vec<TargetInFlight> {
-        let mut sums: HashMap<&Target, InFlight> = HashMap::new();
+        let mut sums: HashMap<(&Target, u8), InFlight> = HashMap::new();
         for (target, local) in &self.local {
-            sums.entry(target).or_default().add(local.in_flight);
+            for (priority, in_flight) in local.in_flight.levels() {
+                sums.entry((target, priority)).or_default().add(in_flight);
+            }
         }
         let told = self.remote.iter();
         let told = told.filter(|(name, _)| audience.includes_instance(name));
         for counts in told.flat_map(|(_, remote)| &remote.counts) {
-            sums.entry(&counts.target)
+            sums.entry((&counts.target, counts.priority))
                 .or_default()
                 .add(counts.in_flight);
         }
         let busy = sums.into_iter().filter(|(_, sum)| sum.running > 0);
-        let to_record = |(target, in_flight): (&Target, InFlight)| TargetInFlight {
-            target: target.clone(),
-            in_flight,
-        };
+        let to_record =
+            |((target, priority), in_flight): ((&Target, u8), InFlight)| TargetInFlight {
+                target: target.clone(),
+                priority,
+                in_flight,
+            };
         busy.map(to_record).collect()
     }
 
@@ -73,7 +106,7 @@
         };
         for counts in &remote.counts {
             let sum = self.remote_total.entry(counts.target.clone()).or_default();
-            sum.add(counts.in_flight);
+            sum.add(counts.priority, counts.in_flight);
         }
         let replaced = self.remote.insert(from.clone(), remote);
         self.subtract_from_total(replaced);
@@ -105,8 +138,8 @@
     fn subtract_from_total(&mut self, removed: Option<RemoteCounts>) {
         for counts in removed.into_iter().flat_map(|removed| removed.counts) {
             if let Some(sum) = self.remote_total.get_mut(&counts.target) {
-                sum.subtract(counts.in_flight);
-                if *sum == InFlight::default() {
+                sum.subtract(counts.priority, counts.in_flight);
+                if *sum == LoadByPriority::default() {
                     self.remote_total.remove(&counts.target);
                 }
             }
@@ -115,11 +148,31 @@
 
     /// Records a request forwarded to another region, as the instances there
     /// have not reported it yet.
-    pub fn record_forward(&mut self, region: &Region, pool: &Pool, tokens: u32, now: Duration) {
-        let key = (region.clone(), pool.clone());
-        let make = || SlidingWindow::new(FORWARD_REPORT_DELAY);
-        let window = self.forwarded.entry(key).or_insert_with(make);
-        window.add(f64::from(tokens.max(1)), now);
+    ///
+    /// The other instances of this region know the same of the other one, and
+    /// forward requests there for the same reason. `alike` is by how much more
+    /// callers they have, with this one. What they forward counts for as long as
+    /// a target has such a request.
+    pub fn record_forward(
+        &mut self,
+        region: &Region,
+        pool: &PoolSpec,
+        tokens: u32,
+        alike: f64,
+        now: Duration,
+    ) {
+        let performance = self.performance(&pool.name);
+        let prefill_time = performance.prefill_time(u64::from(tokens));
+        let time_at_target = match pool.engine {
+            Some(_) => prefill_time + performance.generation_time(),
+            None => performance.service_time(),
+        };
+        let key = (region.clone(), pool.name.clone());
+        let forwards = self.forwarded.entry(key).or_default();
+        let requests = count_with_others(alike, time_at_target);
+        let prompts = count_with_others(alike, prefill_time);
+        forwards.requests.add(requests, now);
+        forwards.tokens.add(f64::from(tokens) * prompts, now);
     }
 
     /// Returns the load forwarded to a region that its instances have not
@@ -131,12 +184,12 @@
         now: Duration,
     ) -> InFlight {
         let key = (region.clone(), pool.clone());
-        let Some(window) = self.forwarded.get_mut(&key) else {
+        let Some(forwards) = self.forwarded.get_mut(&key) else {
             return InFlight::default();
         };
         InFlight {
-            prefill_tokens: window.sum(now) as u32,
-            running: u32::try_from(window.len()).unwrap_or(u32::MAX),
+            prefill_tokens: forwards.tokens.sum(now) as u32,
+            running: forwards.requests.sum(now) as u32,
         }
     }
 }
--- a/crates/decisions/src/traffic/reservation.rs
+++ b/crates/decisions/src/traffic/reservation.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::FULL_BACKOFF;
+use super::InFlight;
 use super::PromptPart;
 use super::RegionShares;
 use super::TargetOutcome;
@@ -26,6 +27,15 @@
     pub target: Target,
     /// The pool.
     pub pool: Pool,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
+    /// Whether the target is a model engine.
+    pub is_at_engine: bool,
+    /// Requests that were known to be at the target when the reservation was
+    /// made.
+    pub running_before: u32,
+    /// Requests that the target runs at once.
+    pub slots: u32,
     /// Prompt tokens that the target has to prefill for this request.
     pub prefill_tokens: u32,
     /// Prompt tokens queued ahead of the request when the reservation was made.
@@ -74,8 +84,11 @@
         }
         local.health.observe(HealthEvent::RequestPlaced, now);
         local.unanswered.begin(now);
-        local.in_flight.running += 1;
-        local.in_flight.prefill_tokens += reservation.prefill_tokens;
+        let in_flight = InFlight {
+            running: 1,
+            prefill_tokens: reservation.prefill_tokens,
+        };
+        local.in_flight.add(reservation.priority, in_flight);
         if let Some(engine) = &pool.engine {
             let cached = self
                 .cached_parts
@@ -93,7 +106,11 @@
     pub fn record_prefill(&mut self, reservation: &mut Reservation) {
         let tokens = std::mem::take(&mut reservation.prefill_tokens);
         if let Some(local) = self.local.get_mut(&reservation.target) {
-            local.in_flight.prefill_tokens = local.in_flight.prefill_tokens.saturating_sub(tokens);
+            let prefilled = InFlight {
+                running: 0,
+                prefill_tokens: tokens,
+            };
+            local.in_flight.subtract(reservation.priority, prefilled);
         }
     }
 
@@ -147,8 +164,12 @@
             TargetOutcome::TimedOut => silence::is_failure(local.unanswered.total(now)),
             _ => silence::is_failure(now.saturating_sub(since)),
         };
-        local.in_flight.running = local.in_flight.running.saturating_sub(1);
-        if local.in_flight.running == 0 {
+        let ended = InFlight {
+            running: 1,
+            prefill_tokens: 0,
+        };
+        local.in_flight.subtract(reservation.priority, ended);
+        if local.in_flight.is_idle() {
             local.unanswered.pause(now);
         }
         let (health_event, failed) = match outcome {
@@ -172,6 +193,11 @@
         if let Some(failed) = failed {
             local.failure_rate += (failed - local.failure_rate) * FAILURE_RATE_WEIGHT;
         }
+        if outcome == TargetOutcome::Full && reservation.is_at_engine {
+            let level = self.full_levels.entry(reservation.pool.clone());
+            let (known, slots) = (reservation.running_before, reservation.slots);
+            level.or_default().record_rejection(known, slots, now);
+        }
         if outcome == TargetOutcome::Full {
             self.full_until
                 .insert(reservation.target, now + FULL_BACKOFF);
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -9,7 +9,6 @@
 use chiverelay_decisions::catalog::LookupError;
 use chiverelay_decisions::catalog::MatchedRoute;
 use chiverelay_decisions::catalog::PoolSpec;
-use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Outcome;
@@ -22,6 +21,7 @@
 use chiverelay_decisions::request::RequestMeta;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
+use chiverelay_decisions::traffic::LOWEST_PRIORITY;
 use chiverelay_decisions::traffic::TargetOutcome;
 use hyper::StatusCode;
 
@@ -64,9 +64,6 @@
 /// Longest time that one request waits for the first listings.
 const MAX_LISTINGS_WAIT: Duration = Duration::from_millis(600);
 
-/// Lowest priority of a request. 0 is the highest.
-pub(crate) const LOWEST_PRIORITY: u8 = 9;
-
 /// Returns the properties of a request that decisions depend on.
 fn request_meta(inbound: &Inbound, received: Duration, deadline: Duration) -> RequestMeta {
     RequestMeta {
@@ -120,10 +117,10 @@
 fn split_request(
     matched: &MatchedRoute,
     pool: Arc<PoolSpec>,
-    catalog_version: u64,
+    catalog: &Catalog,
     inbound: Inbound,
-    account: Option<Account>,
 ) -> (PlacementContext, Outbound) {
+    let account = matched.account.as_ref().map(|account| account.name.clone());
     let out = Outbound {
         id: inbound.id,
         method: inbound.method,
@@ -136,6 +133,8 @@
         last_event_id: inbound.last_event_id,
     };
     let cx = PlacementContext {
+        priority: out.priority,
+        is_most_urgent: catalog.is_most_urgent(matched.priority(), &pool.name),
         prompt_tokens: inbound.prompt_tokens.unwrap_or_default(),
         digest: suspension::digest(&pool.name, &inbound.parts, &out),
         parts: inbound.parts.into(),
@@ -145,7 +144,7 @@
         extra_attempt: None,
         route: Arc::clone(&matched.route),
         pool,
-        catalog_version,
+        catalog_version: catalog.version,
     };
     (cx, out)
 }
@@ -259,10 +258,9 @@
         };
         let grant = build_grant(&matched, &pool.name, tokens);
         let meta = request_meta(&inbound, now, deadline);
-        let account = grant.account.clone();
         let req = Request::from_caller(meta).admit(grant);
         self.tables.traffic.lock().record_request(&pool.name, now);
-        let (cx, out) = split_request(&matched, pool, catalog.version, inbound, account);
+        let (cx, out) = split_request(&matched, pool, catalog, inbound);
         let handled = self.run_attempts(req, cx, out, request_log).await;
         let has_not_run = matches!(&handled, Err(refusal) if refusal.outcome == Outcome::NotRun);
         if let Some(charge) = charge.filter(|_| has_not_run) {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -48,7 +48,6 @@
 use refusals::check_wait;
 use refusals::is_timely;
 use refusals::refuse_no_target;
-use refusals::refuse_past_deadline;
 
 /// Assumed network round trip to any other region. It is added to the estimated
 /// wait at that region's targets.
@@ -64,6 +63,10 @@
     pub(crate) pool: Arc<PoolSpec>,
     /// Version of that catalog.
     pub(crate) catalog_version: u64,
+    /// Priority of the request; 0 is the most urgent.
+    pub(crate) priority: u8,
+    /// Whether no route of the pool has more urgent requests.
+    pub(crate) is_most_urgent: bool,
     /// Digest of the request's content.
     pub(crate) digest: RequestDigest,
     /// Parts of the prompt, in order, by which cached prefixes are recognized.
@@ -206,13 +209,9 @@
         let choice = self
             .choose_local_target(cx, req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason))?;
-        // Only forwarded and resumed requests are placed here. One that is late
-        // from queueing is not refused, in contrast to `check_wait`; only the
-        // deadline counts.
+        // The instance that forwarded the request knew less of these targets.
         let left = req.meta().deadline.saturating_sub(now);
-        if choice.estimate.wait > left {
-            return Err(refuse_past_deadline(&req, choice.estimate.wait, left));
-        }
+        check_wait(&req, cx, &choice.estimate, left)?;
         self.check_shutdown(&req, cx, choice.estimate.queue_delay, now)?;
         self.reserve(req, cx, &choice, now)
     }
@@ -280,7 +279,7 @@
         O: Origin,
     {
         if !O::MAY_BE_FORWARDED {
-            return self.has_other_local_target(req, cx);
+            return self.has_other_timely_local_target(req, cx);
         }
         let now = self.clock.now();
         let deadline = req.meta().deadline;
@@ -302,7 +301,7 @@
         req: &Request<Dispatched, O>,
         cx: &PlacementContext,
     ) -> bool {
-        // The same condition as of `place_locally`.
+        // The same condition as of `place_locally` for an answer that goes on.
         self.is_other_local_target(req, cx, |estimate, left| estimate.wait <= left)
     }
 
@@ -347,6 +346,8 @@
         now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
         let query = TargetQuery {
+            priority: cx.priority,
+            is_most_urgent: cx.is_most_urgent,
             prompt_tokens: cx.prompt_tokens,
             parts: &cx.parts,
             excluded: tried,
@@ -437,8 +438,9 @@
         };
         let req = req.place_remote(instance, remote.region.clone())?;
         let tokens = remote.estimate.prefill_tokens;
+        let alike = self.members.callers_of_region(now);
         let mut traffic = self.tables.traffic.lock();
-        traffic.record_forward(&remote.region, &cx.pool.name, tokens, now);
+        traffic.record_forward(&remote.region, &cx.pool, tokens, alike, now);
         Ok(Destination::Remote(req))
     }
 
@@ -460,6 +462,10 @@
         let reservation = Reservation {
             target: choice.target.clone(),
             pool: cx.pool.name.clone(),
+            priority: cx.priority,
+            is_at_engine: cx.pool.engine.is_some(),
+            running_before: choice.estimate.running,
+            slots: choice.estimate.slots,
             prefill_tokens: choice.estimate.prefill_tokens,
             queued_prefill_tokens: choice.estimate.queued_prefill_tokens,
             reserved_at: now,
--- a/crates/gateway/src/place/refusals.rs
+++ b/crates/gateway/src/place/refusals.rs
@@ -74,11 +74,7 @@
 
 /// Refuses a request that would wait past its deadline. The retry delay is the
 /// time by which it would be late.
-pub(super) fn refuse_past_deadline<O>(
-    req: &Request<Admitted, O>,
-    wait: Duration,
-    left: Duration,
-) -> Refusal {
+fn refuse_past_deadline<O>(req: &Request<Admitted, O>, wait: Duration, left: Duration) -> Refusal {
     let late_by = wait.saturating_sub(left).max(MIN_RETRY_AFTER);
     req.refusal(Code::DeadlineExceeded, Step::Place, Peer::Local)
         .with_retry_after(late_by)
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -177,6 +177,7 @@
             extra = self.extra_attempt(),
             expected_ms = self.expected_ms(),
             running = self.estimate().map_or(0, |e| e.running),
+            ahead = self.estimate().map_or(0, |e| e.ahead),
             // Tokens that the target must process before this request, and for
             // it.
             ahead_tokens = self.estimate().map_or(0, |e| e.queued_prefill_tokens),
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -14,6 +14,7 @@
 use chiverelay_decisions::request::RequestMeta;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
+use chiverelay_decisions::traffic::LOWEST_PRIORITY;
 use chiverelay_sibling::Envelope;
 use chiverelay_sibling::Forward;
 use chiverelay_sibling::Frame;
@@ -356,6 +357,7 @@
         if !grant.residency.allows(&self.settings.region) {
             return Err(refuse(Code::Unavailable, Step::Place));
         }
+        let priority = matched.priority();
         let method = forward.method.parse();
         let method = method.map_err(|_| refuse(Code::Malformed, Step::Receive))?;
         let out = Outbound {
@@ -365,11 +367,13 @@
             headers,
             body: self.memory.hold_forwarded(forward.body)?,
             account: grant.account.clone(),
-            priority: matched.priority().min(handle::LOWEST_PRIORITY),
+            priority: priority.min(LOWEST_PRIORITY),
             is_streaming: matched.route.kind.is_stream(),
             last_event_id: forward.last_event_id,
         };
         let cx = PlacementContext {
+            priority: out.priority,
+            is_most_urgent: current.catalog.is_most_urgent(priority, &pool.name),
             route: matched.route,
             digest: suspension::digest(&pool.name, &forward.parts, &out),
             pool,
--- a/tests/testsuite/hubs.rs
+++ b/tests/testsuite/hubs.rs
@@ -134,6 +134,7 @@
         for member in &mut self.members {
             let counts = vec![TargetInFlight {
                 target: "t-1".into(),
+                priority: 0,
                 in_flight: InFlight {
                     running,
                     prefill_tokens: 100 * running,
@@ -159,6 +160,7 @@
     for n in 3..12 {
         let count = vec![TargetInFlight {
             target: "t-1".into(),
+            priority: 0,
             in_flight: InFlight {
                 running: 1,
                 prefill_tokens: 0,
@@ -204,6 +206,7 @@
     let mut fleet = Fleet::new(2, 6);
     let count = vec![TargetInFlight {
         target: "t-1".into(),
+        priority: 0,
         in_flight: InFlight {
             running: 4,
             prefill_tokens: 0,
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -37,6 +37,9 @@
 /// Time within which an answer is on time, in ms.
 const ON_TIME: u64 = 1000;
 
+/// Targets at which one request is tried.
+const MAX_TARGETS: usize = 2;
+
 /// Time of the play, in ms.
 const PLAY: u64 = 12_000;
 
@@ -64,13 +67,32 @@
     arrived: u64,
 }
 
-/// A target that runs requests in the order in which they came.
+/// A target that runs the most urgent requests first, and those of one priority
+/// in the order in which they came.
 #[derive(Default)]
 struct Server {
     waiting: VecDeque<Waiting>,
     running: Vec<(u64, usize, Reservation)>,
 }
 
+impl Server {
+    fn take_next(&mut self) -> Option<Waiting> {
+        let waiting = self.waiting.iter().enumerate();
+        // The first of the most urgent ones.
+        let (next, _) = waiting.min_by_key(|(_, waiting)| waiting.place.priority)?;
+        self.waiting.remove(next)
+    }
+}
+
+/// What became of an attempt.
+enum Sent {
+    Taken,
+    /// The target rejected it.
+    Rejected(Target),
+    /// No target can take the request.
+    Refused,
+}
+
 /// What became of the requests.
 #[derive(Debug, Default)]
 struct Outcome {
@@ -79,6 +101,8 @@
     refused: u64,
     /// Those served that waited for more than half of the time.
     slow: u64,
+    /// Attempts that targets rejected as their queues were full.
+    rejected: u64,
 }
 
 struct Play {
@@ -88,6 +112,8 @@
     servers: HashMap<Target, Server>,
     outcome: Outcome,
     arrived: u64,
+    /// Requests that may wait at a target; it rejects any more.
+    queue: usize,
 }
 
 fn ms(ms: u64) -> Duration {
@@ -145,15 +171,46 @@
             servers,
             outcome: Outcome::default(),
             arrived: 0,
+            queue: usize::MAX,
         }
     }
 
     fn arrive(&mut self, at: u64, on_time: Duration) {
+        self.arrive_with_priority(at, 0, on_time);
+    }
+
+    /// Lets a request arrive, and tells whether it was refused in the end. One
+    /// that a target rejects is tried at another one.
+    fn arrive_with_priority(&mut self, at: u64, priority: u8, on_time: Duration) -> bool {
+        let draw = prefix::rendezvous_weight(at, &self.arrived.to_string());
+        self.arrived += 1;
+        let mut tried = Vec::new();
+        while tried.len() < MAX_TARGETS {
+            match self.send(at, priority, on_time, draw, &tried) {
+                Sent::Taken => return false,
+                Sent::Rejected(target) => tried.push(target),
+                Sent::Refused => break,
+            }
+        }
+        self.outcome.refused += 1;
+        true
+    }
+
+    fn send(
+        &mut self,
+        at: u64,
+        priority: u8,
+        on_time: Duration,
+        draw: u64,
+        tried: &[Target],
+    ) -> Sent {
         let demand = TargetQuery {
+            priority,
+            is_most_urgent: priority == URGENT,
             prompt_tokens: 300,
             parts: &[],
-            excluded: &[],
-            random: 0,
+            excluded: tried,
+            random: draw,
         };
         let region = Region::from("north");
         let shares = RegionShares {
@@ -161,24 +218,22 @@
             rank: None,
             stated: StatedLimitUse::Ignore,
         };
-        let draw = prefix::rendezvous_weight(at, &self.arrived.to_string());
-        self.arrived += 1;
         let instance = draw as usize % self.instances.len();
-        let demand = TargetQuery {
-            random: draw,
-            ..demand
-        };
         let traffic = &mut self.instances[instance];
         let choice =
             traffic.choose_target(&self.fleet, &self.pool, &region, &demand, shares, ms(at));
-        let choice = choice.expect("a target");
-        if choice.estimate.is_late_from_queueing(on_time) {
-            self.outcome.refused += 1;
-            return;
-        }
+        let choice = choice.ok();
+        let choice = choice.filter(|choice| !choice.estimate.is_late_from_queueing(on_time));
+        let Some(choice) = choice else {
+            return Sent::Refused;
+        };
         let place = Reservation {
             target: choice.target.clone(),
             pool: "pool".into(),
+            priority,
+            is_at_engine: true,
+            running_before: choice.estimate.running,
+            slots: choice.estimate.slots,
             prefill_tokens: choice.estimate.prefill_tokens,
             queued_prefill_tokens: choice.estimate.queued_prefill_tokens,
             reserved_at: ms(at),
@@ -188,11 +243,17 @@
         let known = self.fleet.get(&choice.target).expect("known").clone();
         assert!(traffic.try_reserve(&place, &[], &known, &self.pool, shares, ms(at)));
         let server = self.servers.get_mut(&choice.target).expect("a server");
+        if server.waiting.len() >= self.queue {
+            traffic.release(place, TargetOutcome::Full, ms(at));
+            self.outcome.rejected += 1;
+            return Sent::Rejected(choice.target);
+        }
         server.waiting.push_back(Waiting {
             instance,
             place,
             arrived: at,
         });
+        Sent::Taken
     }
 
     fn run(&mut self, at: u64) {
@@ -204,7 +265,7 @@
                 traffic.release(place, TargetOutcome::Answered, ms(at));
             }
             while server.running.len() < SLOTS {
-                let Some(mut next) = server.waiting.pop_front() else {
+                let Some(mut next) = server.take_next() else {
                     break;
                 };
                 self.instances[next.instance].record_prefill(&mut next.place);
@@ -306,3 +367,110 @@
     assert!((outcome.late + outcome.refused) * 100 <= all, "{outcome:?}");
     assert!(outcome.slow * 20 <= all, "{outcome:?}");
 }
+
+/// Priorities of requests for a pool, and how late each may begin.
+const URGENT: u8 = 0;
+const LESS_URGENT: u8 = 2;
+const LESS_URGENT_ON_TIME: u64 = 3_000;
+
+/// Pattern: many requests that may wait fill the pool, while a few urgent ones
+/// come. No urgent one is refused for those that the engines put behind it, and
+/// the others still have the rest of the pool.
+fn check_urgent_among_many(size: Size, percent: u64, urgent_in_100: u64) {
+    let played = play_mixed(size, usize::MAX, percent, urgent_in_100);
+    played.check_urgent();
+    played.check_served(size);
+}
+
+cases! {
+    check_urgent_among_many:
+    a_tenth_is_urgent_at_twice_what_can_be_served(LONE, 200, 10);
+    a_third_is_urgent_at_twice_what_can_be_served(LONE, 200, 33);
+    a_tenth_is_urgent_before_many_instances(MANY, 200, 10);
+}
+
+/// Pattern: the same, at targets that reject what is beyond a queue of which
+/// they tell nothing. The instances find out how much a target takes: few
+/// attempts are rejected, and there is room for the urgent ones.
+fn check_short_queues(size: Size, percent: u64, urgent_in_100: u64) {
+    let played = play_mixed(size, 3 * SLOTS, percent, urgent_in_100);
+    played.check_urgent();
+    played.check_served(size);
+    let Outcome { rejected, .. } = played.outcome;
+    assert!(rejected * 20 <= played.all, "{:?}", played.outcome);
+}
+
+cases! {
+    check_short_queues:
+    short_queues_at_twice_what_can_be_served(LONE, 200, 10);
+    short_queues_at_three_times_what_can_be_served(LONE, 300, 10);
+    short_queues_before_many_instances(MANY, 200, 10);
+}
+
+/// Many instances that hear of each other's requests late.
+const MANY: Size = Size {
+    instances: 24,
+    targets: 26,
+};
+
+/// What became of a mix of urgent and other requests.
+struct Mixed {
+    outcome: Outcome,
+    all: u64,
+    urgent: u64,
+    urgent_refused: u64,
+}
+
+impl Mixed {
+    /// Checks that hardly any urgent request was refused.
+    fn check_urgent(&self) {
+        let Self {
+            urgent,
+            urgent_refused,
+            ..
+        } = self;
+        assert!(
+            urgent_refused * 100 <= *urgent,
+            "{urgent_refused} of {urgent}"
+        );
+    }
+
+    /// Checks that the pool was in use.
+    fn check_served(&self, size: Size) {
+        let served = self.outcome.on_time + self.outcome.late;
+        assert!(served >= size.capacity() * 9 / 10, "{:?}", self.outcome);
+    }
+}
+
+/// Plays urgent requests among others before targets with a queue.
+fn play_mixed(size: Size, queue: usize, percent: u64, urgent_in_100: u64) -> Mixed {
+    let mut play = Play::new(size);
+    play.queue = queue;
+    let per_s = rate(size, percent);
+    let (mut owed, mut turn) = (0, 0);
+    let (mut all, mut urgent, mut urgent_refused) = (0, 0, 0);
+    for at in 0..PLAY {
+        owed += per_s;
+        while owed >= 1000 {
+            owed -= 1000;
+            all += 1;
+            turn += urgent_in_100;
+            if turn >= 100 {
+                turn -= 100;
+                urgent += 1;
+                let refused = play.arrive_with_priority(at, URGENT, ms(ON_TIME));
+                urgent_refused += u64::from(refused);
+            } else {
+                play.arrive_with_priority(at, LESS_URGENT, ms(LESS_URGENT_ON_TIME));
+            }
+        }
+        play.run(at);
+        play.tell(at);
+    }
+    Mixed {
+        outcome: play.outcome,
+        all,
+        urgent,
+        urgent_refused,
+    }
+}
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -14,6 +14,7 @@
 use chiverelay_decisions::catalog::ColdLimit;
 use chiverelay_decisions::catalog::EngineSpec;
 use chiverelay_decisions::catalog::PoolSpec;
+use chiverelay_decisions::directory::callers_beside;
 use chiverelay_decisions::fleet::Fleet;
 use chiverelay_decisions::fleet::TargetRecord;
 use chiverelay_decisions::names::Region;
@@ -143,6 +144,8 @@
         now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
         let demand = TargetQuery {
+            priority: 0,
+            is_most_urgent: true,
             prompt_tokens: tokens,
             parts,
             excluded: tried,
@@ -191,6 +194,10 @@
         let place = Reservation {
             target: choice.target.clone(),
             pool: "pool".into(),
+            priority: 0,
+            is_at_engine: true,
+            running_before: choice.estimate.running,
+            slots: choice.estimate.slots,
             prefill_tokens: choice.estimate.prefill_tokens,
             queued_prefill_tokens: choice.estimate.queued_prefill_tokens,
             reserved_at: now,
@@ -323,6 +330,7 @@
     let mut world = World::new(2, false);
     let counts = vec![TargetInFlight {
         target: "i-0".into(),
+        priority: 0,
         in_flight: InFlight {
             running: 20,
             prefill_tokens: 0,
@@ -450,7 +458,7 @@
     for _ in 0..10 {
         world
             .traffic
-            .record_forward(&"north".into(), &"pool".into(), 5_000, ms(0));
+            .record_forward(&"north".into(), &world.pool, 5_000, 1.0, ms(0));
     }
     let wait = |world: &mut World, now| {
         world
@@ -462,3 +470,67 @@
     assert!(wait(&mut world, ms(10)) > before * 3);
     assert_eq!(wait(&mut world, ms(900)), before);
 }
+
+/// Pattern: a region at its peak sends work to a small one, before that one has
+/// told of any of it. All its instances see the same and act alike: together
+/// they send about as much as there is room for, not each of them.
+fn check_instances_that_act_alike(instances: usize) {
+    const TARGETS: usize = 4;
+    let mut sent = 0;
+    for n in 0..instances {
+        let mut world = World::new(TARGETS, true);
+        world.draw = n as u64 * 10_000;
+        for _ in 0..2_000 {
+            let choice = world.choose(&[], 300, &[], ms(0)).expect("a choice");
+            if !choice.estimate.has_free_slot {
+                break;
+            }
+            let others = vec![250; instances - 1];
+            let alike = callers_beside(250, others);
+            let region = "north".into();
+            world
+                .traffic
+                .record_forward(&region, &world.pool, 300, alike, ms(0));
+            sent += 1;
+        }
+    }
+    let slots = TARGETS * 64;
+    assert!(sent >= slots / 2, "{sent} for {slots} slots");
+    assert!(sent <= slots * 3 / 2, "{sent} for {slots} slots");
+}
+
+cases! {
+    check_instances_that_act_alike:
+    one_instance_that_forwards(1);
+    six_instances_that_forward_alike(6);
+    twenty_instances_that_forward_alike(20);
+}
+
+/// Checks whether a prompt of so many tokens is late within a second at a target
+/// that has a free slot, behind so many tokens of other prompts.
+fn check_late_behind_prompts(own: u64, queued: u32, is_late: bool) {
+    let mut world = World::new(1, true);
+    let counts = vec![TargetInFlight {
+        target: "i-0".into(),
+        priority: 0,
+        in_flight: InFlight {
+            running: u32::from(queued > 0),
+            prefill_tokens: queued,
+        },
+    }];
+    world
+        .traffic
+        .update_remote_counts(&"front-9".into(), counts, ms(0));
+    let choice = world.choose(&[], own, &[], ms(10)).expect("a choice");
+    assert!(choice.estimate.has_free_slot);
+    assert_eq!(choice.estimate.is_late_from_queueing(ms(1_000)), is_late);
+}
+
+cases! {
+    check_late_behind_prompts:
+    // A target reads 60 tokens in a millisecond until it has shown another rate.
+    a_long_prompt_alone_is_served_late(90_000, 0, false);
+    a_short_prompt_behind_a_few(300, 20_000, false);
+    a_short_prompt_behind_many(300, 90_000, true);
+    a_long_prompt_that_would_be_on_time_alone(40_000, 30_000, true);
+}
--- a/tests/testsuite/traffic/cached_prompts.rs
+++ b/tests/testsuite/traffic/cached_prompts.rs
@@ -24,6 +24,7 @@
     let mut world = World::new(TARGETS, true);
     let at = |n| TargetInFlight {
         target: target(n),
+        priority: 0,
         in_flight: InFlight {
             running: RUNNING,
             prefill_tokens: 0,
@@ -68,6 +69,7 @@
     let mut world = region();
     let queue = vec![TargetInFlight {
         target: target(0),
+        priority: 0,
         in_flight: InFlight {
             running: 80,
             prefill_tokens: 60_000,
--- a/tests/testsuite/traffic/cold_limit.rs
+++ b/tests/testsuite/traffic/cold_limit.rs
@@ -73,6 +73,7 @@
     // The warm target has more to do, so the cold one is the cheaper.
     let warm = TargetInFlight {
         target: "warm".into(),
+        priority: 0,
         in_flight: InFlight {
             running: 10,
             prefill_tokens: 0,
--- a/tests/testsuite/traffic/extra_attempts.rs
+++ b/tests/testsuite/traffic/extra_attempts.rs
@@ -42,6 +42,8 @@
         queue_delay: Duration::ZERO,
         cost: wait,
         running: 0,
+        ahead: 0,
+        slots: 64,
         has_free_slot: true,
         requests_per_slot: 1.0,
         prefill_tokens,
--- a/tests/testsuite/traffic/odd_numbers.rs
+++ b/tests/testsuite/traffic/odd_numbers.rs
@@ -24,6 +24,7 @@
     for instance in ["a", "b"] {
         let count = |name: &str| TargetInFlight {
             target: name.into(),
+            priority: 0,
             in_flight: InFlight {
                 running: u32::MAX,
                 prefill_tokens: u32::MAX,
--- a/tests/testsuite/traffic/silence.rs
+++ b/tests/testsuite/traffic/silence.rs
@@ -92,6 +92,7 @@
     };
     let counts = vec![TargetInFlight {
         target: "i-1".into(),
+        priority: 0,
         in_flight,
     }];
     world
