Add tests with crowds of unruly clients

Clients that nobody controls send bodies that stop short of their end, far too long ones, heads and JSON of very many short fields, requests ahead without reading, and send or read slowly. Nothing showed what that does to a process.

Crowds of 400 callers, 700 clients of other endpoints and 60 of HTTP/2 come to each door of an instance and of a daemon, whose settings allow them 64 MB and 600 descriptors. The process must live, stay within both, and serve an ordinary request afterwards. Crowds and bounds are fixed here, before anything is changed for them.

--- a/tests/support/lib.rs
+++ b/tests/support/lib.rs
@@ -2,6 +2,7 @@
 //! of the test, and a caller.
 
 pub mod caller;
+pub mod crowd;
 pub mod fleet;
 pub mod node;
 pub mod platform;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -137,21 +137,36 @@
 
     /// Lets the process open only so many descriptors beside those it has.
     pub fn limit_further_descriptors(&self, spare: u64) {
-        let path = format!("/proc/{}/fd", self.id());
-        let open = std::fs::read_dir(path).expect("the process is known");
-        self.limit_descriptors(open.count() as u64 + spare);
+        self.limit_descriptors(self.open_descriptors() + spare);
     }
 
     /// Returns the memory that the process has in use, in bytes.
     pub fn resident_bytes(&self) -> u64 {
+        self.status_bytes("VmRSS:")
+    }
+
+    /// Returns a size that the system states of the process, in bytes.
+    fn status_bytes(&self, name: &str) -> u64 {
         let path = format!("/proc/{}/status", self.id());
         let status = std::fs::read_to_string(path).expect("the process is known");
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|l| l.strip_prefix(name));
         let kib = line.and_then(|l| l.split_whitespace().next());
         let kib: u64 = kib.and_then(|n| n.parse().ok()).expect("a size");
         kib * 1024
     }
 
+    /// Returns the most memory that the process has had in use, in bytes.
+    pub fn peak_resident_bytes(&self) -> u64 {
+        self.status_bytes("VmHWM:")
+    }
+
+    /// Returns the number of descriptors that the process has open.
+    pub fn open_descriptors(&self) -> u64 {
+        let path = format!("/proc/{}/fd", self.id());
+        let open = std::fs::read_dir(path).expect("the process is known");
+        open.count() as u64
+    }
+
     /// Limits the descriptors that the process may have open.
     pub fn limit_descriptors(&self, count: u64) {
         let limit = Rlimit {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -56,6 +56,7 @@
 mod tool;
 mod topology;
 mod traffic;
+mod unruly;
 mod whole;
 mod windows;
 mod workers;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -38,3 +38,4 @@
 mod suspension;
 mod unanswered;
 mod unread_answers;
+mod unruly;
