Bound connections at the endpoints beside the callers' one

Readiness, lookup, metrics and the operators' interface took any number of connections, heads of 400 KiB, and HTTP/2 with 200 streams whose answers nobody had to read. Who came in numbers took the descriptors and the memory of the process, and with them those of callers.

For a new connection the one is closed that has been longest without a request in the handler, so an ordinary client finds its place behind any crowd. Documents of operators share 64 MiB and have 30 s.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -5,7 +5,6 @@
 //! the [`Handler`]; this package decides nothing about routing or limits.
 
 mod body;
-mod connections;
 mod error;
 mod explain;
 mod heads;
@@ -18,10 +17,10 @@
 pub use body::Piece;
 pub use body::Sender;
 pub use body::channel;
-pub use connections::ConnectionSlot;
-pub use connections::Connections;
-pub use connections::Opened;
-pub use connections::Usage;
+pub use chiverelay_http::ConnectionSlot;
+pub use chiverelay_http::Connections;
+pub use chiverelay_http::Opened;
+pub use chiverelay_http::Usage;
 pub use error::Error;
 pub use inbound::IDEMPOTENCY_KEY;
 pub use inbound::Inbound;
--- a/crates/caller/src/tracked.rs
+++ b/crates/caller/src/tracked.rs
@@ -8,13 +8,13 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use chiverelay_http::ConnectionSlot;
 use http_body_util::combinators::BoxBody;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
 use crate::Error;
-use crate::connections::ConnectionSlot;
 
 /// A connection and its open requests, of which HTTP/2 allows several.
 #[derive(Debug)]
--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -16,6 +16,9 @@
 /// endpoints for operators.
 const INTERNAL_FRACTION: usize = 8;
 
+/// Part of these that each endpoint beside that for callers may have.
+const ENDPOINT_FRACTION: usize = 4;
+
 /// Part of the other descriptors that connections to targets may have.
 const TARGET_FRACTION: usize = 4;
 
@@ -57,6 +60,8 @@
     pub reserve: usize,
     /// Connections to targets.
     pub targets: usize,
+    /// Connections at each endpoint beside that for callers.
+    pub endpoint: usize,
     /// Open requests, also those of other instances.
     pub requests: usize,
 }
@@ -74,6 +79,7 @@
             callers: total.saturating_sub(reserve).max(MIN_CONNECTIONS),
             reserve,
             targets,
+            endpoint: (internal / ENDPOINT_FRACTION).max(MIN_CONNECTIONS),
             requests: fit(limits.memory, REQUEST_EIGHTHS, REQUEST_BYTES).max(MIN_CONNECTIONS),
         }
     }
@@ -84,9 +90,19 @@
             callers,
             reserve: reserve_of(callers),
             targets: usize::MAX,
+            endpoint: usize::MAX,
             requests: usize::MAX,
         }
     }
+
+    /// Bounds only the connections of an endpoint, which refuses none of them but
+    /// closes others.
+    pub fn of_endpoint(connections: usize) -> Self {
+        Self {
+            reserve: 0,
+            ..Self::of_callers(connections.max(1))
+        }
+    }
 }
 
 /// Returns how many connections may exist beside others only to be refused.
--- a/crates/caller/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -14,6 +14,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Pause before another look for a connection to close for a new one.
+const ROOM_PAUSE: Duration = Duration::from_millis(50);
+
 /// Shortest time between two reports of the same level.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -113,6 +116,20 @@
         }
     }
 
+    /// Closes connections until there is room for another one.
+    pub async fn make_room(&self) {
+        loop {
+            let mut closed = pin!(self.room.notified());
+            closed.as_mut().enable();
+            if self.table.lock().connections.has_room() {
+                return;
+            }
+            self.close_longest_idle();
+            // None may have been idle for long enough yet.
+            let _ = tokio::time::timeout(ROOM_PAUSE, closed).await;
+        }
+    }
+
     /// Adds a connection that was accepted.
     pub fn open(self: &Arc<Self>) -> Opened {
         let now = Instant::now();
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod accept;
 mod client;
+mod connections;
+mod endpoint;
 mod held_body;
 mod keepalive;
 mod server;
@@ -16,6 +18,11 @@
 pub use client::BufferedResponse;
 pub use client::Client;
 pub use client::Error;
+pub use connections::ConnectionSlot;
+pub use connections::Connections;
+pub use connections::Opened;
+pub use connections::Usage;
+pub use endpoint::serve_endpoint;
 pub use held_body::BodyError;
 pub use held_body::read_held_body;
 pub use keepalive::enable_idle_keepalive;
@@ -25,5 +32,6 @@
 pub use server::empty_response;
 pub use server::full_body;
 pub use server::json_response;
+pub use server::read_held_json;
 pub use server::read_json;
 pub use server::serve;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use chiverelay_decisions::memory_budget::MemoryBudget;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -24,6 +25,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::ACCEPT_PAUSE;
+use crate::held_body::BodyError;
+use crate::held_body::read_held_body;
 
 /// Response extension that makes the server close the connection instead of
 /// sending the response.
@@ -80,6 +83,31 @@
         .map_err(|e| Box::new(json_response(StatusCode::BAD_REQUEST, &e.to_string())))
 }
 
+/// Decodes a request's body of at most `max` bytes as JSON, like [`read_json`],
+/// within a budget of memory.
+///
+/// # Errors
+///
+/// Returns the response to send, with status 503 if too little memory is left.
+pub async fn read_held_json<T>(
+    req: Request<Incoming>,
+    max: usize,
+    memory: &MemoryBudget,
+) -> Result<T, Box<Response<Body>>>
+where
+    T: DeserializeOwned,
+{
+    let body = read_held_body(req.into_body(), max, memory).await;
+    let body = body.map_err(|e| {
+        Box::new(empty_response(match e {
+            BodyError::NoMemory(_) => StatusCode::SERVICE_UNAVAILABLE,
+            BodyError::TooLarge | BodyError::Broken => StatusCode::PAYLOAD_TOO_LARGE,
+        }))
+    })?;
+    serde_json::from_slice(&body)
+        .map_err(|e| Box::new(json_response(StatusCode::BAD_REQUEST, &e.to_string())))
+}
+
 /// Accepts connections and responds to their requests with `handler` until
 /// `cancel` is cancelled, which also drops open connections.
 pub async fn serve<F, R>(listener: TcpListener, cancel: CancellationToken, handler: F)
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -3,8 +3,10 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chiverelay_decisions::event::EventPage;
+use chiverelay_decisions::memory_budget::MemoryBudget;
 use chiverelay_decisions::names::KeyId;
 use chiverelay_http::Body;
 use hyper::Method;
@@ -14,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -26,9 +29,15 @@
 use crate::api::Status;
 use crate::api::Versioned;
 
-/// Largest document in bytes.
+/// Largest document in bytes, and of all documents that are read at once.
 const MAX_BODY: usize = 64 * 1024 * 1024;
 
+/// Time for a document.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Connections that may be open at once. Idle ones are closed for others.
+const MAX_CONNECTIONS: usize = 64;
+
 /// What answers operators.
 pub trait Handler: Send + Sync + 'static {
     /// Tells whether a token is an operator's.
@@ -92,15 +101,16 @@
     where
         H: Handler,
     {
+        let memory = MemoryBudget::new(MAX_BODY as u64);
         let answer = move |req| {
-            let handler = Arc::clone(&handler);
-            async move { answer(&*handler, req).await }
+            let (handler, memory) = (Arc::clone(&handler), memory.clone());
+            async move { answer(&*handler, &memory, req).await }
         };
-        chiverelay_http::serve(self.listener, cancel, answer).await;
+        chiverelay_http::serve_endpoint(self.listener, MAX_CONNECTIONS, cancel, answer).await;
     }
 }
 
-async fn answer<H>(handler: &H, req: Request<Incoming>) -> Response<Body>
+async fn answer<H>(handler: &H, memory: &MemoryBudget, req: Request<Incoming>) -> Response<Body>
 where
     H: Handler,
 {
@@ -117,12 +127,12 @@
     let path = req.uri().path().to_owned();
     match (req.method().clone(), path.as_str()) {
         (Method::GET, "/v1/config") => ok(&handler.config()),
-        (Method::PUT, "/v1/config") => match chiverelay_http::read_json(req, MAX_BODY).await {
+        (Method::PUT, "/v1/config") => match read(req, memory).await {
             Ok(req) => done(handler.apply(req).await),
             Err(resp) => malformed(handler, *resp),
         },
         (Method::GET, "/v1/keys") => ok(&handler.keys()),
-        (Method::POST, "/v1/keys") => match chiverelay_http::read_json(req, MAX_BODY).await {
+        (Method::POST, "/v1/keys") => match read(req, memory).await {
             Ok(req) => done(handler.grant(req).await),
             Err(resp) => malformed(handler, *resp),
         },
@@ -140,6 +150,19 @@
     }
 }
 
+/// Reads the document of a call, within the memory that all of them share.
+async fn read<T>(req: Request<Incoming>, memory: &MemoryBudget) -> Result<T, Box<Response<Body>>>
+where
+    T: DeserializeOwned,
+{
+    let reading = chiverelay_http::read_held_json(req, MAX_BODY, memory);
+    let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
+    read.unwrap_or_else(|_| {
+        let late = chiverelay_http::empty_response(StatusCode::REQUEST_TIMEOUT);
+        Err(Box::new(late))
+    })
+}
+
 fn malformed<H>(handler: &H, resp: Response<Body>) -> Response<Body>
 where
     H: Handler,
