Hash a chat's JSON as it is read

The body of a chat was read into a tree of values before the request was known to have a key. Of `{},{},...` it takes more than twenty times the body, which the budget of bodies doesn't see: 400 callers with bodies of 256 KiB brought a daemon with 16 MiB for bodies to 136 MB.

The visitor hashes the prompt as it goes and keeps nothing of it. Text is hashed as before; parts that are not text count with their fields in the order of the request, no longer sorted.

--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -7,7 +7,6 @@
 use chiverelay_decisions::memory_budget::MemoryBudget;
 use chiverelay_decisions::names::FieldName;
 use chiverelay_decisions::names::Model;
-use chiverelay_decisions::placement::prefix;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Detail;
 use chiverelay_decisions::refusal::Refusal;
@@ -28,10 +27,9 @@
 use hyper::header::TE;
 use hyper::header::TRAILER;
 use hyper::header::UPGRADE;
-use serde::Deserialize;
-use serde_json::Value;
 
 use crate::Limits;
+use crate::fields::Fields;
 
 /// Bytes of prompt text that count as one token before the engine counts them.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -82,47 +80,6 @@
     pub prefix: Vec<u64>,
 }
 
-/// The fields of an OpenAI-compatible body that decisions use.
-#[derive(Debug, Default)]
-#[derive(Deserialize)]
-struct Fields {
-    model: Option<String>,
-    max_tokens: Option<u64>,
-    max_completion_tokens: Option<u64>,
-    #[serde(default)]
-    messages: Vec<Turn>,
-    #[serde(default)]
-    prompt: Option<Value>,
-}
-
-/// A message of a chat.
-#[derive(Debug)]
-#[derive(Deserialize)]
-struct Turn {
-    #[serde(default)]
-    role: String,
-    #[serde(default)]
-    content: Value,
-}
-
-impl Fields {
-    /// Hashes the prompt; the text of each part, or its JSON if it is not text.
-    fn prefix(&self) -> Vec<u64> {
-        let text = |v: &Value| match v {
-            Value::String(s) => s.clone(),
-            Value::Null => String::new(),
-            other => other.to_string(),
-        };
-        let mut parts: Vec<String> = Vec::new();
-        for turn in &self.messages {
-            parts.push(turn.role.clone());
-            parts.push(text(&turn.content));
-        }
-        parts.extend(self.prompt.as_ref().map(text));
-        prefix::block_hashes(parts.iter().map(String::as_str))
-    }
-}
-
 /// Header with an operation ticket.
 pub const TICKET: &str = "x-operation-ticket";
 
@@ -188,7 +145,7 @@
         Ok(Self {
             method: parts.method,
             key,
-            prefix: fields.prefix(),
+            prefix: fields.prefix,
             path_and_query,
             path,
             headers,
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 mod error;
 mod explain;
+mod fields;
 mod heads;
 mod inbound;
 mod opening;
--- a/crates/decisions/src/placement/prefix.rs
+++ b/crates/decisions/src/placement/prefix.rs
@@ -20,22 +20,53 @@
 where
     I: IntoIterator<Item = &'a str>,
 {
-    let mut chain = Vec::new();
-    let mut buf = Vec::with_capacity(BLOCK_BYTES);
+    let mut hasher = PrefixHasher::new();
     for part in parts {
+        hasher.push(part);
+    }
+    hasher.finish()
+}
+
+/// Hashes the complete blocks of a prompt part by part, as [`block_hashes`] does.
+///
+/// # Invariants
+///
+/// `buf` has less than [`BLOCK_BYTES`] bytes, `chain` at most [`MAX_BLOCKS`]
+/// hashes.
+#[derive(Debug, Default)]
+pub struct PrefixHasher {
+    chain: Vec<u64>,
+    buf: Vec<u8>,
+}
+
+impl PrefixHasher {
+    /// Starts a prompt.
+    pub fn new() -> Self {
+        Self {
+            chain: Vec::new(),
+            buf: Vec::with_capacity(BLOCK_BYTES),
+        }
+    }
+
+    /// Adds a part of the text.
+    pub fn push(&mut self, part: &str) {
         let mut rest = part.as_bytes();
-        while !rest.is_empty() && chain.len() < MAX_BLOCKS {
-            let (head, tail) = rest.split_at(rest.len().min(BLOCK_BYTES - buf.len()));
-            buf.extend_from_slice(head);
+        while !rest.is_empty() && self.chain.len() < MAX_BLOCKS {
+            let (head, tail) = rest.split_at(rest.len().min(BLOCK_BYTES - self.buf.len()));
+            self.buf.extend_from_slice(head);
             rest = tail;
-            if buf.len() == BLOCK_BYTES {
-                let seed = chain.last().copied().unwrap_or_default();
-                chain.push(xxh3_64_with_seed(&buf, seed));
-                buf.clear();
+            if self.buf.len() == BLOCK_BYTES {
+                let seed = self.chain.last().copied().unwrap_or_default();
+                self.chain.push(xxh3_64_with_seed(&self.buf, seed));
+                self.buf.clear();
             }
         }
     }
-    chain
+
+    /// Returns the hashes of the complete blocks.
+    pub fn finish(self) -> Vec<u64> {
+        self.chain
+    }
 }
 
 /// Returns the weight of `name` for `key` in rendezvous hashing. The name with
