Close the slowest callers while room is short

Callers that stop just short of the end of a body held its memory until a timeout, and their connection with it; with enough of them every other caller was refused. Over HTTP/2 a daemon took any number of requests whose answers nobody read.

The slowest caller who is behind goes first. No timer runs for it, and nothing is asked in calm. A request that was read whole is closed only if its caller leaves the answer. What is read at once has a function of its own, without filling the buffer first.

Load patterns are named in tests/testsuite/progress.rs.

--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -112,19 +112,24 @@
 }
 
 impl Inbound {
-    /// Reads a request whole.
+    /// Reads a request whole. While too little memory is left, `make_room` lets go
+    /// of another one; it returns whether there is one.
     ///
     /// # Errors
     ///
     /// Refuses a body that is too large, too slow, cut off or not the JSON
     /// that its path asks for.
-    pub(crate) async fn read(
+    pub(crate) async fn read<R>(
         req: Request<Incoming>,
         limits: Limits,
         memory: &MemoryBudget,
-    ) -> Result<Self, Refusal> {
+        make_room: R,
+    ) -> Result<Self, Refusal>
+    where
+        R: Fn() -> bool,
+    {
         let (parts, body) = req.into_parts();
-        let reading = read_body(body, limits.max_body, memory);
+        let reading = read_body(body, limits.max_body, memory, make_room);
         let body = match tokio::time::timeout(limits.body_timeout, reading).await {
             Ok(body) => body?,
             Err(_) => return Err(refuse(Code::ReceiveTimeout, Detail::SlowBody)),
@@ -157,8 +162,16 @@
     }
 }
 
-async fn read_body(body: Incoming, max: usize, memory: &MemoryBudget) -> Result<Bytes, Refusal> {
-    let read = chiverelay_http::read_held_body(body, max, memory).await;
+async fn read_body<R>(
+    body: Incoming,
+    max: usize,
+    memory: &MemoryBudget,
+    make_room: R,
+) -> Result<Bytes, Refusal>
+where
+    R: Fn() -> bool,
+{
+    let read = chiverelay_http::read_held_body(body, max, memory, make_room).await;
     read.map_err(|e| match e {
         BodyError::TooLarge => refuse(Code::TooLarge, Detail::BodyOver(max as u64)),
         BodyError::Broken => refuse(Code::Malformed, Detail::BodyCutOff),
--- a/crates/caller/src/opening.rs
+++ b/crates/caller/src/opening.rs
@@ -21,6 +21,7 @@
 use tokio::time::Sleep;
 
 use crate::heads::Heads;
+use crate::tracked::Tracked;
 
 /// Bytes that tell the version of HTTP.
 const OPENING: usize = 24;
@@ -53,6 +54,7 @@
 #[derive(Debug)]
 pub(crate) struct Opening<S> {
     stream: Option<S>,
+    tracked: Arc<Tracked>,
     read: usize,
     heads: Heads,
     conflict: Conflict,
@@ -63,10 +65,15 @@
 impl<S> Opening<S> {
     /// Wraps a stream and starts the time limit. The stream comes back once
     /// this is dropped.
-    pub(crate) fn new(stream: S, timeout: Duration) -> (Self, oneshot::Receiver<Rest<S>>) {
+    pub(crate) fn new(
+        stream: S,
+        tracked: Arc<Tracked>,
+        timeout: Duration,
+    ) -> (Self, oneshot::Receiver<Rest<S>>) {
         let (tx, rx) = oneshot::channel();
         let opening = Self {
             stream: Some(stream),
+            tracked,
             read: 0,
             heads: Heads::new(),
             conflict: Conflict::default(),
@@ -84,6 +91,7 @@
 
     fn take_note(&mut self, data: &[u8]) {
         self.read = self.read.saturating_add(data.len());
+        self.tracked.record_read(data.len());
         self.heads.push(data);
         if let Some(number) = self.heads.conflict() {
             self.conflict.0.store(number, Ordering::Relaxed);
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -47,6 +47,8 @@
 use crate::Reply;
 use crate::inbound;
 use crate::opening::Opening;
+use crate::tracked::OpenRequest;
+use crate::tracked::OpenRequests;
 use crate::tracked::Tracked;
 use crate::tracked::TrackedBody;
 
@@ -66,6 +68,10 @@
 
     /// Takes note of a request that was refused while it was read.
     fn refused(&self, refusal: &Refusal);
+
+    /// Takes note of a connection that was closed for others, as its caller was
+    /// behind the progress asked.
+    fn closed_slow(&self) {}
 }
 
 /// Bounds on what a caller may send.
@@ -79,6 +85,9 @@
     /// Connections that carry requests at once. Idle ones are closed for others,
     /// and beyond them requests are refused.
     pub max_connections: usize,
+    /// Requests that may be open at once, of which HTTP/2 allows several on a
+    /// connection; others are refused.
+    pub max_requests: usize,
     /// Time for a request's headers, and for the next request on a silent
     /// connection.
     pub header_timeout: Duration,
@@ -92,6 +101,7 @@
             max_body: 4 * 1024 * 1024,
             body_memory: 64 * 1024 * 1024,
             max_connections: 10_000,
+            max_requests: 10_000,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
         }
@@ -160,6 +170,7 @@
         let tracker = TaskTracker::new();
         let connections = Connections::new(Shares::of_callers(self.limits.max_connections));
         let memory = MemoryBudget::new(self.limits.body_memory as u64);
+        let requests = OpenRequests::new(self.limits.max_requests);
         let acceptor = self.tls.map(TlsAcceptor::from);
         let accepting = async {
             loop {
@@ -170,7 +181,7 @@
                     report(level, connections.usage());
                 }
                 let conn = Connection {
-                    tracked: Tracked::new(opened.slot),
+                    tracked: Tracked::new(opened.slot, Arc::clone(&requests)),
                     handler: Arc::clone(&handler),
                     limits: self.limits,
                     memory: memory.clone(),
@@ -213,7 +224,7 @@
             }
             Err(e) => {
                 log::warn!("caller: accept failed: {e}");
-                connections.close_longest_idle();
+                connections.close_one();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -262,7 +273,7 @@
     {
         let limits = self.limits_for_slot();
         let handler = Arc::clone(&self.handler);
-        let (stream, rest) = Opening::new(stream, limits.header_timeout);
+        let (stream, rest) = Opening::new(stream, Arc::clone(&self.tracked), limits.header_timeout);
         let ended = serve(stream, self, limits).await;
         let Err(e) = ended else {
             return;
@@ -331,6 +342,7 @@
     let conflict = stream.conflict();
     let count = AtomicU64::new(0);
     let shared = Arc::clone(&tracked);
+    let slow = Arc::clone(&handler);
     let service = service_fn(move |req: Request<Incoming>| {
         let handler = Arc::clone(&handler);
         let tracked = Arc::clone(&shared);
@@ -342,12 +354,18 @@
         let faulty = !is_http2 && conflict.is(number);
         // The library keeps room for the future in each connection, idle or not.
         Box::pin(async move {
-            let open = tracked.begin();
+            let mut open = tracked.begin();
             let is_admitted = tracked.slot().admit();
-            let mut resp = match (faulty, is_admitted) {
-                (true, _) => refuse(&*handler, inbound::conflict(req.headers())),
-                (false, true) => answer(&*handler, req, limits, &memory).await,
-                (false, false) => refuse_unadmitted(&*handler, req, limits, &memory).await,
+            let mut resp = if faulty {
+                refuse(&*handler, inbound::conflict(req.headers()))
+            } else if open.is_over_limit() {
+                // Answers that nobody takes leave no room to others.
+                tracked.slot().close_slowest();
+                refuse_overloaded(&*handler, inbound::is_marked(req.headers()))
+            } else if is_admitted {
+                answer(&*handler, req, limits, &memory, &mut open).await
+            } else {
+                refuse_unadmitted(&*handler, req, limits, &memory).await
             };
             let gives_way = !resp.status().is_success() && tracked.slot().ends_with_refusal();
             let is_last = faulty || !is_admitted || gives_way || notice.is_cancelled();
@@ -369,10 +387,16 @@
             conn.await
         }
         () = lose_place(tracked.slot()) => {
+            if tracked.slot().is_admitted() && tracked.slot().awaits_caller() {
+                // Nothing can happen before the caller does something.
+                log::info!("caller: a slow caller's connection was closed");
+                slow.closed_slow();
+                return Ok(());
+            }
             conn.as_mut().graceful_shutdown();
             match tokio::time::timeout(UNADMITTED_TIMEOUT, conn.as_mut()).await {
                 Ok(result) => result,
-                Err(_) if tracked.slot().is_admitted() => conn.await,
+                Err(_) if tracked.slot().is_admitted() && tracked.is_open() => conn.await,
                 // It carries refusals at most, and a caller may never leave.
                 Err(_) => Ok(()),
             }
@@ -412,12 +436,15 @@
     req: Request<Incoming>,
     limits: Limits,
     memory: &MemoryBudget,
+    open: &mut OpenRequest,
 ) -> Response<BoxBody<Bytes, Error>>
 where
     H: Handler,
 {
     let marked = inbound::is_marked(req.headers());
-    match Inbound::read(req, limits, memory).await {
+    let read = Inbound::read(req, limits, memory, || open.make_room()).await;
+    open.end_reading();
+    match read {
         Ok(req) => handler.handle(req).await.encode(),
         Err(refusal) if marked => refuse(handler, refusal.with_unknown_outcome()),
         Err(refusal) => refuse(handler, refusal),
@@ -435,12 +462,21 @@
     H: Handler,
 {
     let marked = inbound::is_marked(req.headers());
-    let read = Inbound::read(req, limits, memory).await;
-    let refusal = read.err().unwrap_or_else(|| {
-        let retry_after = spread_retry_after(rand::random());
-        Refusal::not_run(Code::Overloaded, Step::Receive, Peer::Caller)
-            .with_retry_after(retry_after)
-    });
+    match Inbound::read(req, limits, memory, || false).await {
+        Ok(_) => refuse_overloaded(handler, marked),
+        Err(refusal) if marked => refuse(handler, refusal.with_unknown_outcome()),
+        Err(refusal) => refuse(handler, refusal),
+    }
+}
+
+/// Refuses a request that there is no room for.
+fn refuse_overloaded<H>(handler: &H, marked: bool) -> Response<BoxBody<Bytes, Error>>
+where
+    H: Handler,
+{
+    let retry_after = spread_retry_after(rand::random());
+    let refusal = Refusal::not_run(Code::Overloaded, Step::Receive, Peer::Caller)
+        .with_retry_after(retry_after);
     match marked {
         true => refuse(handler, refusal.with_unknown_outcome()),
         false => refuse(handler, refusal),
--- a/crates/chiverelayd/src/metrics.rs
+++ b/crates/chiverelayd/src/metrics.rs
@@ -92,6 +92,11 @@
         self.count("refusals", &tags);
     }
 
+    /// Counts a slow caller's connection that was closed for others.
+    pub(crate) fn slow_caller_closed(&self) {
+        self.count("callers.closed_slow", &[]);
+    }
+
     /// Counts something that a sibling or whoever claims to be one sent and
     /// that was refused.
     pub(crate) fn sibling_refused(&self, reason: &str) {
--- a/crates/chiverelayd/src/serve.rs
+++ b/crates/chiverelayd/src/serve.rs
@@ -108,4 +108,8 @@
         );
         self.cx.note(refusal.step, refusal.peer.clone(), what);
     }
+
+    fn closed_slow(&self) {
+        self.cx.metrics.slow_caller_closed();
+    }
 }
--- a/crates/chiverelayd/src/settings.rs
+++ b/crates/chiverelayd/src/settings.rs
@@ -98,6 +98,8 @@
     pub(crate) body_memory: usize,
     /// Connections that may be open at once; others wait to be accepted.
     pub(crate) max_connections: usize,
+    /// Requests that may be open at once; as many as connections by default.
+    pub(crate) max_requests: Option<usize>,
     /// Time for a request's headers, and for the next request on a silent
     /// connection, in milliseconds.
     pub(crate) header_timeout_ms: u64,
@@ -208,6 +210,7 @@
     max_body = 4 * 1024 * 1024 => at_least_one,
     body_memory = 64 * 1024 * 1024 => at_least_one,
     max_connections = 10_000 => at_least_one,
+    max_requests = None,
     header_timeout_ms = 10_000,
     body_timeout_ms = 30_000,
     tls = None,
@@ -355,6 +358,7 @@
             // The largest body is refused for its neighbours only.
             body_memory: self.body_memory.max(self.max_body),
             max_connections: self.max_connections.min(connections_of_process()),
+            max_requests: self.max_requests.unwrap_or(self.max_connections).max(1),
             header_timeout: Duration::from_millis(self.header_timeout_ms),
             body_timeout: Duration::from_millis(self.body_timeout_ms),
         }
--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -3,10 +3,13 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::Xxh3DefaultBuilder;
 
+use crate::progress::Awaited;
+use crate::progress::Progress;
 use crate::resources::ResourceLimits;
 
 /// Descriptors that are left to files and the runtime.
@@ -152,7 +155,7 @@
 pub struct Opened {
     /// Name of the new connection.
     pub id: ConnectionId,
-    /// The idle connection that is closed for it.
+    /// The connection that is closed for it.
     pub evicted: Option<ConnectionId>,
 }
 
@@ -172,10 +175,11 @@
     Closing,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 struct Connection {
     entry: Entry,
     activity: Activity,
+    progress: Arc<Progress>,
 }
 
 impl Connection {
@@ -191,7 +195,8 @@
 /// - `idle` has exactly the admitted connections whose activity is idle, by the
 ///   time since when.
 /// - `admitted` is the number of admitted connections that are not closing.
-/// - Only an idle connection is ever closed for another one.
+/// - Only an idle connection is ever closed for another one, or one whose caller
+///   is behind the progress that is asked of it.
 #[derive(Debug)]
 pub struct CallerConnections {
     shares: Shares,
@@ -225,6 +230,7 @@
         let conn = Connection {
             entry: Entry::RefuseOnly,
             activity: Activity::Idle(now),
+            progress: Arc::default(),
         };
         self.open.insert(id, conn);
         let evicted = self.admit(id, now);
@@ -260,9 +266,21 @@
         conn.is_some_and(|conn| conn.entry == Entry::Admitted)
     }
 
-    /// Chooses the connection that has been idle for longest, which the caller of
-    /// this method closes; `None` if none has been idle for long enough.
+    /// Returns the progress of a connection's caller.
+    pub fn progress(&self, id: ConnectionId) -> Arc<Progress> {
+        let conn = self.open.get(&id);
+        conn.map(|conn| Arc::clone(&conn.progress))
+            .unwrap_or_default()
+    }
+
+    /// Chooses a connection that the caller of this method closes: that of the
+    /// slowest caller who is behind the progress asked, or else the one that has
+    /// been idle for longest. `None` if no caller is behind and no connection has
+    /// been idle for long enough.
     pub fn evict(&mut self, now: Duration) -> Option<ConnectionId> {
+        if let Some(id) = self.evict_slowest(now, None) {
+            return Some(id);
+        }
         let (since, id) = *self.idle.first()?;
         if now.saturating_sub(since) < MIN_IDLE {
             return None;
@@ -271,6 +289,21 @@
         Some(id)
     }
 
+    /// Chooses the connection of the slowest caller who is behind the progress
+    /// asked, in one respect if `only` names it. The caller of this method closes it.
+    pub fn evict_slowest(&mut self, now: Duration, only: Option<Awaited>) -> Option<ConnectionId> {
+        let behind = self.open.iter().filter_map(|(id, conn)| {
+            let is_meant = only.is_none_or(|only| conn.progress.awaited() == Some(only));
+            if conn.activity == Activity::Closing || !is_meant {
+                return None;
+            }
+            Some((conn.progress.behind_since(now)?, *id))
+        });
+        let (_, id) = behind.min()?;
+        self.stop_admitting(id);
+        Some(id)
+    }
+
     /// Records that a connection carries no request.
     pub fn set_idle(&mut self, id: ConnectionId, now: Duration) {
         self.set_activity(id, Activity::Idle(now));
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod names;
 pub mod pacing;
 pub mod placement;
+pub mod progress;
 pub mod publication;
 pub mod quarantine;
 pub mod refusal;
--- a/crates/gateway/src/metrics/limits.rs
+++ b/crates/gateway/src/metrics/limits.rs
@@ -9,6 +9,8 @@
     TargetConnections,
     /// Open requests.
     Requests,
+    /// Memory of bodies and buffered answers.
+    RequestMemory,
     /// Descriptors of the process.
     Descriptors,
 }
@@ -20,6 +22,7 @@
             Self::CallerConnections => "caller connections",
             Self::TargetConnections => "target connections",
             Self::Requests => "requests",
+            Self::RequestMemory => "request memory",
             Self::Descriptors => "descriptors",
         }
     }
@@ -28,7 +31,7 @@
 /// What is done at a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitAction {
-    /// An idle connection is closed for another one.
+    /// An idle or slow connection is closed for another one.
     Closed,
     /// A request is refused, or an attempt given up.
     Refused,
--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -102,6 +102,16 @@
         );
     }
 
+    /// Closes the connection of the slowest caller who is behind with a body, as
+    /// there is no memory for another body; returns whether there is one.
+    pub fn close_slowest_body(&self) -> bool {
+        let is_closed = self.caller_connections.close_slowest_body();
+        if is_closed {
+            self.record_limit(Resource::RequestMemory, LimitAction::Closed);
+        }
+        is_closed
+    }
+
     /// Checks that another request may be open.
     ///
     /// # Errors
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -9,6 +9,8 @@
 use chiverelay_decisions::admission::ConnectionId;
 use chiverelay_decisions::admission::Level;
 use chiverelay_decisions::admission::Shares;
+use chiverelay_decisions::progress::Awaited;
+use chiverelay_decisions::progress::Progress;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use tokio::sync::Notify;
@@ -79,7 +81,7 @@
 pub struct Opened {
     /// Its place in the table.
     pub slot: ConnectionSlot,
-    /// Whether an idle connection is closed for it.
+    /// Whether another connection is closed for it.
     pub has_evicted: bool,
     /// The level that was reached, if it is to be reported.
     pub reached: Option<Level>,
@@ -124,7 +126,7 @@
             if self.table.lock().connections.has_room() {
                 return;
             }
-            self.close_longest_idle();
+            self.close_one();
             // None may have been idle for long enough yet.
             let _ = tokio::time::timeout(ROOM_PAUSE, closed).await;
         }
@@ -136,6 +138,7 @@
         let evicted = Arc::new(Notify::new());
         let mut table = self.table.lock();
         let opened = table.connections.open(now - self.started);
+        let progress = table.connections.progress(opened.id);
         table.evictions.insert(opened.id, Arc::clone(&evicted));
         if let Some(id) = opened.evicted {
             table.notify_evicted(id);
@@ -147,18 +150,38 @@
                 connections: Arc::clone(self),
                 id: opened.id,
                 evicted,
+                progress,
             },
             has_evicted: opened.evicted.is_some(),
             reached,
         }
     }
 
-    /// Closes the connection that has been idle for longest, and returns whether
-    /// there is one.
-    pub fn close_longest_idle(&self) -> bool {
+    /// Closes the connection of a caller who is behind the progress asked, or the
+    /// one that has been idle for longest; returns whether there is one.
+    pub fn close_one(&self) -> bool {
+        self.close_chosen(CallerConnections::evict)
+    }
+
+    /// Closes the connection of the slowest caller who is behind with a body;
+    /// returns whether there is one.
+    pub fn close_slowest_body(&self) -> bool {
+        self.close_chosen(|open, now| open.evict_slowest(now, Some(Awaited::Body)))
+    }
+
+    /// Closes the connection of the slowest caller who is behind the progress asked;
+    /// returns whether there is one.
+    pub fn close_slowest(&self) -> bool {
+        self.close_chosen(|open, now| open.evict_slowest(now, None))
+    }
+
+    fn close_chosen<F>(&self, choose: F) -> bool
+    where
+        F: FnOnce(&mut CallerConnections, Duration) -> Option<ConnectionId>,
+    {
         let now = self.started.elapsed();
         let mut table = self.table.lock();
-        let evicted = table.connections.evict(now);
+        let evicted = choose(&mut table.connections, now);
         if let Some(id) = evicted {
             table.notify_evicted(id);
         }
@@ -187,9 +210,22 @@
     connections: Arc<Connections>,
     id: ConnectionId,
     evicted: Arc<Notify>,
+    progress: Arc<Progress>,
 }
 
 impl ConnectionSlot {
+    /// Closes the connection of the slowest caller who is behind with a body;
+    /// returns whether there is one.
+    pub fn close_slowest_body(&self) -> bool {
+        self.connections.close_slowest_body()
+    }
+
+    /// Closes the connection of the slowest caller who is behind the progress asked;
+    /// returns whether there is one.
+    pub fn close_slowest(&self) -> bool {
+        self.connections.close_slowest()
+    }
+
     /// Tells whether the connection has a place of its own. Others exist only to
     /// refuse their requests.
     pub fn is_admitted(&self) -> bool {
@@ -223,6 +259,29 @@
         table.connections.set_idle(self.id, now);
     }
 
+    /// Asks the caller for progress from now on, if anything; it counts while room
+    /// is short.
+    pub fn set_awaited(&self, awaited: Option<Awaited>) {
+        match awaited {
+            Some(awaited) => {
+                let now = self.connections.started.elapsed();
+                self.progress.begin(awaited, now);
+            }
+            None => self.progress.end(),
+        }
+    }
+
+    /// Tells whether progress is asked of the caller.
+    pub fn awaits_caller(&self) -> bool {
+        self.progress.awaited().is_some()
+    }
+
+    /// Records bytes that the caller has sent.
+    pub fn record_progress(&self, bytes: usize) {
+        let now = self.connections.started.elapsed();
+        self.progress.record(now, bytes);
+    }
+
     /// Records that a request began to arrive.
     pub fn set_busy(&self) {
         let mut table = self.connections.table.lock();
--- a/crates/http/src/endpoint.rs
+++ b/crates/http/src/endpoint.rs
@@ -45,7 +45,7 @@
                 Ok((stream, _)) => stream,
                 Err(e) => {
                     log::warn!("http: accepting a connection failed: {e}");
-                    connections.close_longest_idle();
+                    connections.close_one();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
                 }
--- a/crates/http/src/held_body.rs
+++ b/crates/http/src/held_body.rs
@@ -15,6 +15,13 @@
 /// Time to read the rest of a body that there is no memory for.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Pause in which a connection closes that was told to, before there is another
+/// look at what memory is left.
+const ROOM_PAUSE: Duration = Duration::from_millis(20);
+
+/// Connections that are closed at most for one piece of a body.
+const MAX_CLOSED: usize = 32;
+
 /// Why a body was not read.
 #[derive(Debug)]
 #[derive(ThisError)]
@@ -32,22 +39,27 @@
 
 /// Reads a body of at most `max` bytes. Memory for the stated length is reserved
 /// before any of it is read, and returned when the last copy of the body is
-/// dropped.
+/// dropped. While too little is left, `make_room` is asked to let go of another
+/// body; it returns whether there is one.
 ///
 /// # Errors
 ///
 /// Fails if the body is too large or breaks off, or if too little memory is
 /// left.
-pub async fn read_held_body(
+pub async fn read_held_body<R>(
     body: Incoming,
     max: usize,
     memory: &MemoryBudget,
-) -> Result<Bytes, BodyError> {
+    make_room: R,
+) -> Result<Bytes, BodyError>
+where
+    R: Fn() -> bool,
+{
     if body.size_hint().lower() > max as u64 {
         return Err(BodyError::TooLarge);
     }
     let mut body = Limited::new(body, max);
-    let read = collect(&mut body, max, memory).await;
+    let read = collect(&mut body, max, memory, make_room).await;
     if matches!(read, Err(BodyError::NoMemory(_))) {
         // A connection that is closed with unread bytes is reset, and its
         // caller may lose the answer.
@@ -56,13 +68,17 @@
     read
 }
 
-async fn collect(
+async fn collect<R>(
     body: &mut Limited<Incoming>,
     max: usize,
     memory: &MemoryBudget,
-) -> Result<Bytes, BodyError> {
+    make_room: R,
+) -> Result<Bytes, BodyError>
+where
+    R: Fn() -> bool,
+{
     let stated = usize::try_from(body.size_hint().lower()).unwrap_or(max);
-    let mut data = memory.buffer(stated)?;
+    let mut data = take(&make_room, || memory.buffer(stated)).await?;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| match e.is::<LengthLimitError>() {
             true => BodyError::TooLarge,
@@ -70,12 +86,29 @@
         })?;
         // Trailers are left out.
         if let Ok(part) = frame.into_data() {
-            data.extend(&part)?;
+            take(&make_room, || data.extend(&part)).await?;
         }
     }
     Ok(data.freeze())
 }
 
+/// Takes memory, for which room is made if too little is left.
+async fn take<T, R, F>(make_room: &R, mut take: F) -> Result<T, Exhausted>
+where
+    R: Fn() -> bool,
+    F: FnMut() -> Result<T, Exhausted>,
+{
+    let mut taken = take();
+    for _ in 0..MAX_CLOSED {
+        if taken.is_ok() || !make_room() {
+            break;
+        }
+        tokio::time::sleep(ROOM_PAUSE).await;
+        taken = take();
+    }
+    taken
+}
+
 /// Reads a body to its end without keeping it.
 async fn discard(body: &mut Limited<Incoming>) {
     while let Some(Ok(_)) = body.frame().await {}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,6 +11,7 @@
 mod endpoint;
 mod held_body;
 mod keepalive;
+mod read_part;
 mod server;
 
 pub use accept::ACCEPT_PAUSE;
@@ -27,6 +28,7 @@
 pub use held_body::read_held_body;
 pub use keepalive::enable_idle_keepalive;
 pub use keepalive::enable_keepalive;
+pub use read_part::poll_read_part;
 pub use server::Body;
 pub use server::ResetConnection;
 pub use server::empty_response;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -97,7 +97,7 @@
 where
     T: DeserializeOwned,
 {
-    let body = read_held_body(req.into_body(), max, memory).await;
+    let body = read_held_body(req.into_body(), max, memory, || false).await;
     let body = body.map_err(|e| {
         Box::new(empty_response(match e {
             BodyError::NoMemory(_) => StatusCode::SERVICE_UNAVAILABLE,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod path;
 mod place;
 mod placement;
+mod progress;
 mod quarantine;
 mod queue;
 mod refusals;
