Bound what a caller of a daemon sends ahead and leaves unread

The HTTP library kept up to 400 KiB of a head, or of unread answers, for each connection, and enlarged its read buffer for good with each full read; over HTTP/2 each of 200 streams had a window of 1 MiB. None of that stands in the budget of bodies: 400 callers brought a daemon to 94 MB, 60 over HTTP/2 to 182 MB, where settings and machine allow 64 MB.

A connection keeps at most 72 KiB, reads at most 8,191 bytes at once, and over HTTP/2 has 100 streams with windows of 128 KiB, 256 KiB in all, and 64 KiB of an answer.

--- a/crates/caller/src/opening.rs
+++ b/crates/caller/src/opening.rs
@@ -129,7 +129,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let polled = self.stream()?.poll_read(cx, buf);
+        let polled = chiverelay_http::poll_read_part(self.stream()?, cx, buf).map_ok(|_| ());
         self.take_note(&buf.filled()[before..]);
         if polled.is_pending() && self.read < OPENING && self.timeout.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -58,6 +58,22 @@
 /// Time between two signs of life on an HTTP/2 connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(20);
 
+/// Largest head of a request in HTTP/1.1, and what is kept of an answer that its
+/// caller doesn't read, in bytes.
+const MAX_HEAD_BYTES: usize = 72 * 1024;
+
+/// Requests at once on a connection of HTTP/2.
+const MAX_STREAMS: u32 = 100;
+
+/// Bytes of a body that a caller may send ahead over HTTP/2.
+const STREAM_WINDOW_BYTES: u32 = 128 * 1024;
+
+/// Bytes of all bodies that a caller may send ahead on a connection of HTTP/2.
+const CONNECTION_WINDOW_BYTES: u32 = 256 * 1024;
+
+/// Bytes of an answer that are kept for a caller over HTTP/2.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Time for the request on a connection that is open only to refuse it.
 const UNADMITTED_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -330,10 +346,15 @@
     builder
         .http1()
         .timer(TokioTimer::new())
+        .max_buf_size(MAX_HEAD_BYTES)
         .header_read_timeout(limits.header_timeout);
     builder
         .http2()
         .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_send_buf_size(SEND_BUFFER_BYTES)
         .keep_alive_interval(Some(KEEP_ALIVE))
         .keep_alive_timeout(limits.header_timeout);
     let multiplexed = Arc::new(AtomicBool::new(false));
