Test that slow and finely cut requests are served in calm

What is asked of callers while room is short must not be asked of one that is there alone: a body of 10 bytes a second, one in chunks of a byte, and a head of ninety fields.

--- a/tests/testsuite/node/unruly.rs
+++ b/tests/testsuite/node/unruly.rs
@@ -16,6 +16,7 @@
 use support::node::Node;
 use support::node::PlatformTarget;
 use support::node::Site;
+use support::node::SlowReader;
 use support::node::call;
 use support::node::call::Call;
 use support::node::site::KEY;
@@ -200,3 +201,46 @@
     unread_answers_over_http2(Unruly::Http2Unread, At::Others);
     bodies_over_http2(Unruly::Http2Bodies, At::Others);
 }
+
+/// Pieces of a body and the pause before each.
+type Pieces = (Vec<String>, Duration);
+
+/// Sends a body in pieces while nobody else is there; it must be served, however
+/// slow or small they are.
+fn check_calm(framing: &str, (pieces, pause): Pieces) {
+    block_on(async {
+        let _alone = CROWDING.lock().await;
+        let (_site, _targets, node) = start().await;
+        until_served(&node).await;
+        let mut caller = SlowReader::open(node.front).await;
+        let head = format!(
+            "POST /quote/1 HTTP/1.1\r\nhost: desk.example\r\nrequest-id: calm\r\n\
+             authorization: Bearer {KEY}\r\nrequest-deadline: 20000\r\n{framing}\r\n\r\n"
+        );
+        caller.write(&head).await;
+        for piece in pieces {
+            tokio::time::sleep(pause).await;
+            caller.write(&piece).await;
+        }
+        let answer = caller.read_to("\r\n\r\n").await;
+        let answer = answer.expect("the head of an answer");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
+cases! {
+    check_calm:
+    /// 4 s for 40 bytes: far below what is asked while room is short.
+    a_slow_body_in_calm(
+        "content-length: 40",
+        (vec!["a".to_owned(); 40], Duration::from_millis(100)),
+    );
+    a_body_in_tiny_chunks_in_calm(
+        "transfer-encoding: chunked",
+        (vec![format!("{}0\r\n\r\n", "1\r\na\r\n".repeat(64 * 1024))], Duration::ZERO),
+    );
+    a_head_of_ninety_fields_in_calm(
+        &format!("{}content-length: 0", "x: y\r\n".repeat(90)),
+        (Vec::new(), Duration::ZERO),
+    );
+}
--- a/tests/testsuite/unruly.rs
+++ b/tests/testsuite/unruly.rs
@@ -15,6 +15,7 @@
 use support::crowd::Crowd;
 use support::crowd::Door;
 use support::crowd::Unruly;
+use support::node::SlowReader;
 use support::site::Daemon;
 use support::site::Site;
 use support::site::TOKEN;
@@ -203,3 +204,31 @@
     bodies_of_operators(Unruly::ChunksOver, At::OperatorsWithToken);
     requests_ahead_of_operators(Unruly::Ahead, At::OperatorsWithToken);
 }
+
+/// Pause between two bytes of a slow body, of which 40 take 4 s.
+const CALM_PAUSE: Duration = Duration::from_millis(100);
+
+/// A body far below what is asked while room is short is served in calm.
+#[test]
+fn a_slow_body_in_calm() {
+    block_on(async {
+        let _alone = CROWDING.lock().await;
+        let (site, granted) = start().await;
+        let daemon = site.daemon("lima-1");
+        until_served(daemon, &granted.key).await;
+        let mut caller = SlowReader::open(daemon.caller).await;
+        let head = format!(
+            "POST /orders HTTP/1.1\r\nhost: gateway\r\nauthorization: Bearer {}\r\n\
+             content-length: 40\r\n\r\n",
+            granted.key
+        );
+        caller.write(&head).await;
+        for _ in 0..40 {
+            tokio::time::sleep(CALM_PAUSE).await;
+            caller.write(" ").await;
+        }
+        let answer = caller.read_to("\r\n\r\n").await;
+        let answer = answer.expect("the head of an answer");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
