--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -40,3 +40,4 @@
 mod suspension;
 mod unanswered;
 mod unread_answers;
+mod unruly;
