Mend what the review of admission found

Found by reading: a stream that goes on could be refused as late at another target, also through a forward, or find no room in an engine's queue; a long prompt that is late by itself was refused behind any other; a second rejection in a row raised the level of a full queue; forwards of less urgent requests delayed urgent ones, and those of a region without targets counted for all its instances; less urgent prompts that are being read while slots are free were left out.

--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -190,6 +190,7 @@
             route: req.grant().route.clone(),
             config_version: self.cx.tables.config.get().version,
             remaining_ms: left.as_millis() as u64,
+            is_resumed: false,
             prompt_tokens: head.prompt_tokens,
             max_answer_tokens: head.max_answer_tokens,
             prefix: head.prefix.clone(),
--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -11,7 +11,7 @@
 
 /// Fewest instances in an answer, if there are as many: callers leave out those
 /// that have just failed them.
-const MIN_LISTED: usize = 3;
+const MIN_LISTED: usize = 4;
 
 /// An instance that callers may be told of.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,9 +53,9 @@
     }
 }
 
-/// Returns by how much more callers several instances have together than one of
-/// them, given its capacity and those of the others.
-pub fn callers_beside<I>(own: u32, others: I) -> f64
+/// Returns how many times as many callers several instances have together as one
+/// of them, given its capacity and those of the others.
+pub fn callers_ratio<I>(own: u32, others: I) -> f64
 where
     I: IntoIterator<Item = u32>,
 {
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -17,6 +17,7 @@
 mod reservation;
 mod stated_limit;
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -62,6 +63,7 @@
 pub use outcome::TargetOutcome;
 pub use part_uses::PartUseCursor;
 pub use performance::PoolPerformance;
+pub use remote::ForwardedLoad;
 pub use remote::TargetInFlight;
 pub use reservation::Reservation;
 pub use stated_limit::StatedLimitRecord;
@@ -169,7 +171,8 @@
     full_levels: HashMap<Pool, FullLevel>,
     paused_until: HashMap<Target, Duration>,
     stated_limits: HashMap<Target, StatedLimit>,
-    forwarded: HashMap<(Region, Pool), UnreportedForwards>,
+    /// By the priority of the requests.
+    forwarded: HashMap<(Region, Pool), BTreeMap<u8, UnreportedForwards>>,
     retry_limit: RetryLimit,
     extra_attempts: HashMap<Pool, ExtraAttempts>,
     extra_attempt_limit: Option<ExtraAttemptLimit>,
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -98,7 +98,10 @@
     pub cost: Duration,
     /// Requests that run or wait at the target, as far as they are known.
     pub running: u32,
-    /// Those of them that the target admits before this one.
+    /// Those of them that are known by themselves, and not assumed as the target
+    /// has just rejected one.
+    pub known_running: u32,
+    /// Those that the target admits before this one.
     pub ahead: u32,
     /// Requests that the target runs at once.
     pub slots: u32,
@@ -122,11 +125,21 @@
     /// its latency target in the queue, or begin after its latency target as
     /// other prompts are read first. To serve it here would delay the requests
     /// behind it too, so it should go elsewhere or be retried later.
+    ///
+    /// A prompt that takes much of the time by itself may spend that share in
+    /// the queue all the same. Otherwise long ones would never be served under
+    /// load.
     pub fn is_late_from_queueing(&self, latency_target: Duration) -> bool {
-        let is_slot_late =
-            !self.has_free_slot && self.queue_delay > latency_target.mul_f64(MAX_QUEUE_SHARE);
-        let is_prefill_late = self.queued_prefill_tokens > 0 && self.wait > latency_target;
-        is_slot_late || is_prefill_late
+        let share = latency_target.mul_f64(MAX_QUEUE_SHARE);
+        let own = self.wait.saturating_sub(self.queue_delay);
+        let left = latency_target.saturating_sub(own).max(share);
+        let is_behind_prompts = self.queued_prefill_tokens > 0;
+        let allowed = match (self.has_free_slot, is_behind_prompts) {
+            (false, _) => share,
+            (true, true) => left,
+            (true, false) => return false,
+        };
+        self.queue_delay > allowed
     }
 }
 
@@ -186,18 +199,9 @@
     all: InFlight,
     /// The requests that the target admits before this one.
     ahead: InFlight,
-}
-
-impl FoundLoad {
-    fn map<F>(self, f: F) -> Self
-    where
-        F: Fn(InFlight) -> InFlight,
-    {
-        Self {
-            all: f(self.all),
-            ahead: f(self.ahead),
-        }
-    }
+    /// Number of the requests that are known by themselves, without those that
+    /// are assumed.
+    known_running: u32,
 }
 
 impl Traffic {
@@ -216,7 +220,16 @@
         now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
         let affinity_target = self.affinity_target(fleet, pool, region, query, now);
-        let forwarded = self.unreported_forwards(region, &pool.name, now);
+        let forwarded = self.unreported_forwards(region, &pool.name, LOWEST_PRIORITY, now);
+        let forwarded_ahead = match pool.engine {
+            Some(_) => self.unreported_forwards(region, &pool.name, query.priority, now),
+            None => forwarded,
+        };
+        let level = self
+            .full_levels
+            .get(&pool.name)
+            .copied()
+            .unwrap_or_default();
         let targets = fleet.usable_targets(&pool.name);
         let target_count = targets
             .filter(|(_, known)| known.record.region == *region)
@@ -255,14 +268,22 @@
                 continue;
             }
             let min_running = self.min_running(target, slots_of(pool, known), now);
-            let load = self
-                .found_load(target, pool, query.priority)
-                .map(|in_flight| in_flight.plus_share_of(forwarded, target_count))
-                .map(|in_flight| in_flight.with_min_running(min_running));
-            if !self.has_queue_room(target, pool, query, now) {
+            let found = self.found_load(target, pool, query.priority);
+            if !level.has_room(found.all.running, query.is_most_urgent, now) {
                 reason = NoTargetReason::AllFull;
                 continue;
             }
+            let load = FoundLoad {
+                all: found
+                    .all
+                    .plus_share_of(forwarded, target_count)
+                    .with_min_running(min_running),
+                ahead: found
+                    .ahead
+                    .plus_share_of(forwarded_ahead, target_count)
+                    .with_min_running(min_running),
+                ..found
+            };
             let mut estimate = self.estimate(
                 fleet,
                 target,
@@ -291,19 +312,6 @@
         best.ok_or(reason)
     }
 
-    /// Tells whether a target is expected to take a request into its queue.
-    fn has_queue_room(
-        &self,
-        target: &Target,
-        pool: &PoolSpec,
-        query: &TargetQuery<'_>,
-        now: Duration,
-    ) -> bool {
-        let known = self.in_flight(target).running;
-        let level = self.full_levels.get(&pool.name);
-        level.is_none_or(|level| level.has_room(known, query.is_most_urgent, now))
-    }
-
     /// Returns the load of a target as a request of this priority finds it.
     /// Engines admit the most urgent requests first, other services take them in
     /// the order in which they come.
@@ -313,7 +321,11 @@
             Some(_) => self.in_flight_ahead_of(target, priority),
             None => all,
         };
-        FoundLoad { all, ahead }
+        FoundLoad {
+            all,
+            ahead,
+            known_running: all.running,
+        }
     }
 
     /// Returns the upper bound of the random addition to the costs of a
@@ -394,7 +406,11 @@
         affinity_target: Option<&Target>,
         load: FoundLoad,
     ) -> Estimate {
-        let FoundLoad { all, ahead } = load;
+        let FoundLoad {
+            all,
+            ahead,
+            known_running,
+        } = load;
         let performance = self.performance(&pool.name);
         let slots = slots_of(pool, known);
         let has_free_slot = ahead.running < slots;
@@ -414,6 +430,7 @@
                 queue_delay: wait,
                 cost: wait + penalty + batching_cost,
                 running: all.running,
+                known_running,
                 ahead: ahead.running,
                 slots,
                 has_free_slot,
@@ -436,7 +453,12 @@
             (None, false) => cached_here,
         };
         let prefill_tokens = query.prompt_tokens.saturating_sub(cached);
-        let queued_prefill_tokens = u64::from(ahead.prefill_tokens);
+        // While a slot is free, the prompts of all requests are being read.
+        let queued = match all.running < slots {
+            true => all,
+            false => ahead,
+        };
+        let queued_prefill_tokens = u64::from(queued.prefill_tokens);
         let queue = performance
             .generation_time()
             .mul_f64(f64::from(waiting_with_this) / f64::from(slots));
@@ -464,12 +486,13 @@
             queue_delay,
             cost: queue_delay + prefill_cost + batching_cost + penalty,
             running: all.running,
+            known_running,
             ahead: ahead.running,
             slots,
             has_free_slot,
             requests_per_slot,
             prefill_tokens: u32::try_from(prefill_tokens).unwrap_or(u32::MAX),
-            queued_prefill_tokens: ahead.prefill_tokens,
+            queued_prefill_tokens: queued.prefill_tokens,
             cache_source,
         }
     }
--- a/crates/decisions/src/traffic/remote.rs
+++ b/crates/decisions/src/traffic/remote.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use super::InFlight;
+use super::LOWEST_PRIORITY;
 use super::LoadByPriority;
 use super::Traffic;
 use crate::audience::Audience;
@@ -53,12 +54,26 @@
     }
 }
 
-/// Returns how many requests a forwarded one stands for. The others' requests
-/// were forwarded at any time since the last report, and those that took less
-/// have ended.
-fn count_with_others(alike: f64, time_at_target: Duration) -> f64 {
-    let unreported = time_at_target.as_secs_f64() / FORWARD_REPORT_DELAY.as_secs_f64();
-    1.0 + (alike - 1.0).max(0.0) * unreported.min(1.0)
+/// A request that is forwarded to another region.
+#[derive(Clone, Copy, Debug)]
+pub struct ForwardedLoad {
+    /// Its priority.
+    pub priority: u8,
+    /// Prompt tokens that a target has to prefill for it.
+    pub tokens: u32,
+    /// How many times as many callers the instances of this region have together
+    /// as this one.
+    pub callers_ratio: f64,
+}
+
+impl ForwardedLoad {
+    /// Returns how many requests it stands for. The others' requests were
+    /// forwarded at any time since the last report, and those that a target has
+    /// had for longer than `time_at_target` have ended.
+    fn with_others(self, time_at_target: Duration) -> f64 {
+        let unreported = time_at_target.as_secs_f64() / FORWARD_REPORT_DELAY.as_secs_f64();
+        1.0 + (self.callers_ratio - 1.0).max(0.0) * unreported.min(1.0)
+    }
 }
 
 #[derive(Debug)]
@@ -106,7 +121,7 @@
         };
         for counts in &remote.counts {
             let sum = self.remote_total.entry(counts.target.clone()).or_default();
-            sum.add(counts.priority, counts.in_flight);
+            sum.add(counts.priority.min(LOWEST_PRIORITY), counts.in_flight);
         }
         let replaced = self.remote.insert(from.clone(), remote);
         self.subtract_from_total(replaced);
@@ -138,7 +153,7 @@
     fn subtract_from_total(&mut self, removed: Option<RemoteCounts>) {
         for counts in removed.into_iter().flat_map(|removed| removed.counts) {
             if let Some(sum) = self.remote_total.get_mut(&counts.target) {
-                sum.subtract(counts.priority, counts.in_flight);
+                sum.subtract(counts.priority.min(LOWEST_PRIORITY), counts.in_flight);
                 if *sum == LoadByPriority::default() {
                     self.remote_total.remove(&counts.target);
                 }
@@ -150,46 +165,50 @@
     /// have not reported it yet.
     ///
     /// The other instances of this region know the same of the other one, and
-    /// forward requests there for the same reason. `alike` is by how much more
-    /// callers they have, with this one. What they forward counts for as long as
-    /// a target has such a request.
+    /// forward requests there for the same reason. What they forward counts for
+    /// as long as a target has such a request.
     pub fn record_forward(
         &mut self,
         region: &Region,
         pool: &PoolSpec,
-        tokens: u32,
-        alike: f64,
+        load: ForwardedLoad,
         now: Duration,
     ) {
         let performance = self.performance(&pool.name);
-        let prefill_time = performance.prefill_time(u64::from(tokens));
+        let prefill_time = performance.prefill_time(u64::from(load.tokens));
         let time_at_target = match pool.engine {
             Some(_) => prefill_time + performance.generation_time(),
             None => performance.service_time(),
         };
+        let requests = load.with_others(time_at_target);
+        let prompts = load.with_others(prefill_time);
         let key = (region.clone(), pool.name.clone());
         let forwards = self.forwarded.entry(key).or_default();
-        let requests = count_with_others(alike, time_at_target);
-        let prompts = count_with_others(alike, prefill_time);
+        let forwards = forwards.entry(load.priority).or_default();
         forwards.requests.add(requests, now);
-        forwards.tokens.add(f64::from(tokens) * prompts, now);
+        forwards.tokens.add(f64::from(load.tokens) * prompts, now);
     }
 
     /// Returns the load forwarded to a region that its instances have not
-    /// reported yet.
+    /// reported yet, of requests that are at least as urgent.
     pub(super) fn unreported_forwards(
         &mut self,
         region: &Region,
         pool: &Pool,
+        priority: u8,
         now: Duration,
     ) -> InFlight {
         let key = (region.clone(), pool.clone());
+        let mut sum = InFlight::default();
         let Some(forwards) = self.forwarded.get_mut(&key) else {
-            return InFlight::default();
+            return sum;
         };
-        InFlight {
-            prefill_tokens: forwards.tokens.sum(now) as u32,
-            running: forwards.requests.sum(now) as u32,
+        for (_, forwards) in forwards.range_mut(..=priority) {
+            sum.add(InFlight {
+                prefill_tokens: forwards.tokens.sum(now) as u32,
+                running: forwards.requests.sum(now) as u32,
+            });
         }
+        sum
     }
 }
--- a/crates/decisions/src/traffic/reservation.rs
+++ b/crates/decisions/src/traffic/reservation.rs
@@ -33,7 +33,7 @@
     pub is_at_engine: bool,
     /// Requests that were known to be at the target when the reservation was
     /// made.
-    pub running_before: u32,
+    pub known_running: u32,
     /// Requests that the target runs at once.
     pub slots: u32,
     /// Prompt tokens that the target has to prefill for this request.
@@ -193,9 +193,11 @@
         if let Some(failed) = failed {
             local.failure_rate += (failed - local.failure_rate) * FAILURE_RATE_WEIGHT;
         }
-        if outcome == TargetOutcome::Full && reservation.is_at_engine {
+        // With a free slot the queue was not what it was rejected for.
+        let may_be_full = reservation.known_running >= reservation.slots;
+        if outcome == TargetOutcome::Full && reservation.is_at_engine && may_be_full {
             let level = self.full_levels.entry(reservation.pool.clone());
-            let (known, slots) = (reservation.running_before, reservation.slots);
+            let (known, slots) = (reservation.known_running, reservation.slots);
             level.or_default().record_rejection(known, slots, now);
         }
         if outcome == TargetOutcome::Full {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -316,6 +316,7 @@
         route: req.grant().route.clone(),
         config_version: cx.catalog_version,
         remaining_ms: left.as_millis() as u64,
+        is_resumed: cx.is_resumed,
         prompt_tokens: meta.prompt_tokens,
         max_answer_tokens: meta.max_answer_tokens,
         // Cached prefixes are recognized by `parts` instead.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -223,15 +223,15 @@
         in_region.map(|m| m.record.instance.clone()).collect()
     }
 
-    /// Returns by how much more callers the ready instances of this region have
-    /// together than this one. Callers follow the instances' capacities.
-    pub(crate) fn callers_of_region(&self, now: Duration) -> f64 {
+    /// Returns how many times as many callers the ready instances of this region
+    /// have together as this one. Callers follow the instances' capacities.
+    pub(crate) fn callers_ratio(&self, now: Duration) -> f64 {
         let own = self.own.borrow().clone();
         let table = self.table.lock();
         let ready = table.members.values().filter(|m| table.is_ready(m, now));
         let in_region = ready.filter(|m| m.record.region == own.region);
         let capacities = in_region.map(|m| m.record.capacity);
-        directory::callers_beside(own.capacity, capacities)
+        directory::callers_ratio(own.capacity, capacities)
     }
 
     /// Returns those of the other instances `names` that are ready.
@@ -354,7 +354,9 @@
             capacity: record.capacity,
             address: record.callers,
         });
+        let near: Vec<Listing<SocketAddr>> = near.collect();
+        drop(table);
         let key = format!("{:x}", rand::random::<u64>());
-        directory::choose_listed(near.collect(), &key)
+        directory::choose_listed(near, &key)
     }
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -27,6 +27,7 @@
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::suspension::RequestDigest;
 use chiverelay_decisions::traffic::Estimate;
+use chiverelay_decisions::traffic::ForwardedLoad;
 use chiverelay_decisions::traffic::MIN_FORWARD_GAIN;
 use chiverelay_decisions::traffic::NoTargetReason;
 use chiverelay_decisions::traffic::PromptPart;
@@ -135,7 +136,14 @@
         if let Some(remote) = remote {
             check_wait(&req, cx, &remote.estimate, left)?;
             self.check_shutdown(&req, cx, remote.estimate.queue_delay, now)?;
-            return self.place_remotely(req, cx, &remote, now).or_else(|req| {
+            // Where this region has no target, the others forward what they get
+            // at any time, and not for the same reason at once.
+            let callers_ratio = match local {
+                Ok(_) => self.members.callers_ratio(now),
+                Err(_) => 1.0,
+            };
+            let placed = self.place_remotely(req, cx, &remote, callers_ratio, now);
+            return placed.or_else(|req| {
                 let local = local.map_err(|reason| refuse_no_target(&req, reason));
                 self.reserve_if_in_time(*req, cx, local, left, now)
             });
@@ -209,7 +217,8 @@
         let choice = self
             .choose_local_target(cx, req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason))?;
-        // The instance that forwarded the request knew less of these targets.
+        // The instance that forwarded the request knew less of these targets. An
+        // answer that has begun goes on, however late.
         let left = req.meta().deadline.saturating_sub(now);
         check_wait(&req, cx, &choice.estimate, left)?;
         self.check_shutdown(&req, cx, choice.estimate.queue_delay, now)?;
@@ -347,7 +356,7 @@
     ) -> Result<TargetChoice, NoTargetReason> {
         let query = TargetQuery {
             priority: cx.priority,
-            is_most_urgent: cx.is_most_urgent,
+            is_most_urgent: cx.is_most_urgent || cx.is_resumed,
             prompt_tokens: cx.prompt_tokens,
             parts: &cx.parts,
             excluded: tried,
@@ -431,6 +440,7 @@
         req: Request<Admitted, Direct>,
         cx: &PlacementContext,
         remote: &RegionChoice,
+        callers_ratio: f64,
         now: Duration,
     ) -> Result<Destination<D>, Box<Request<Admitted, Direct>>> {
         let Some(instance) = self.choose_instance(&remote.region, &req, now) else {
@@ -438,9 +448,13 @@
         };
         let req = req.place_remote(instance, remote.region.clone())?;
         let tokens = remote.estimate.prefill_tokens;
-        let alike = self.members.callers_of_region(now);
         let mut traffic = self.tables.traffic.lock();
-        traffic.record_forward(&remote.region, &cx.pool, tokens, alike, now);
+        let load = ForwardedLoad {
+            priority: cx.priority,
+            tokens,
+            callers_ratio,
+        };
+        traffic.record_forward(&remote.region, &cx.pool, load, now);
         Ok(Destination::Remote(req))
     }
 
@@ -464,7 +478,7 @@
             pool: cx.pool.name.clone(),
             priority: cx.priority,
             is_at_engine: cx.pool.engine.is_some(),
-            running_before: choice.estimate.running,
+            known_running: choice.estimate.known_running,
             slots: choice.estimate.slots,
             prefill_tokens: choice.estimate.prefill_tokens,
             queued_prefill_tokens: choice.estimate.queued_prefill_tokens,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -218,10 +218,11 @@
 {
     pub(crate) fn new(
         gateway: Arc<Gateway<D>>,
-        cx: PlacementContext,
+        mut cx: PlacementContext,
         out: Outbound,
         mut started: StartedAnswer<D, O>,
     ) -> Self {
+        cx.is_resumed = true;
         let buffered = std::mem::take(&mut started.start.data);
         Self {
             received_at: started.req.meta().received,
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -382,7 +382,7 @@
             prompt_tokens: forward.prompt_tokens,
             attempts_left: forward.attempts.max(1),
             sent_count: SentCount::default(),
-            is_resumed: false,
+            is_resumed: forward.is_resumed,
             extra_attempt: None,
         };
         let meta = RequestMeta {
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -262,6 +262,8 @@
     pub config_version: u64,
     /// Time left until the deadline, in milliseconds.
     pub remaining_ms: u64,
+    /// Whether the answer has begun and is to be continued.
+    pub is_resumed: bool,
     /// Estimated tokens of the prompt.
     pub prompt_tokens: u64,
     /// The largest answer in tokens, if stated.
--- a/tests/testsuite/decoders.rs
+++ b/tests/testsuite/decoders.rs
@@ -176,6 +176,7 @@
             route: "r".into(),
             config_version: 1,
             remaining_ms: 1,
+            is_resumed: false,
             prompt_tokens: 2,
             max_answer_tokens: Some(3),
             prefix: vec![4, 5],
--- a/tests/testsuite/directory.rs
+++ b/tests/testsuite/directory.rs
@@ -63,7 +63,7 @@
     check_fewest:
     equal_instances_are_all_listed(&[250; 12], 12);
     an_instance_of_unknown_size_is_listed(&[500, 0, 0, 0, 0], 5);
-    at_least_three_instances_are_listed(&[1_000, 10, 10, 10], 3);
+    at_least_four_instances_are_listed(&[1_000, 10, 10, 10, 10, 10], 4);
     two_instances_are_listed_though_one_is_small(&[1_000, 10], 2);
     nobody_is_ready(&[], 0);
 }
--- a/tests/testsuite/hostile.rs
+++ b/tests/testsuite/hostile.rs
@@ -155,6 +155,7 @@
         route: "deposits".into(),
         config_version: 1,
         remaining_ms: 10_000,
+        is_resumed: false,
         prompt_tokens: 1,
         max_answer_tokens: None,
         prefix: Vec::new(),
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -179,6 +179,7 @@
         route: "chat".into(),
         config_version: 1,
         remaining_ms: 1000,
+        is_resumed: false,
         prompt_tokens: 1,
         max_answer_tokens: None,
         prefix: Vec::new(),
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -232,7 +232,7 @@
             pool: "pool".into(),
             priority,
             is_at_engine: true,
-            running_before: choice.estimate.running,
+            known_running: choice.estimate.known_running,
             slots: choice.estimate.slots,
             prefill_tokens: choice.estimate.prefill_tokens,
             queued_prefill_tokens: choice.estimate.queued_prefill_tokens,
--- a/tests/testsuite/residency.rs
+++ b/tests/testsuite/residency.rs
@@ -281,6 +281,7 @@
         route: route.into(),
         config_version: 1,
         remaining_ms: 20_000,
+        is_resumed: false,
         prompt_tokens: 10,
         max_answer_tokens: Some(2),
         prefix: Vec::new(),
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -14,7 +14,7 @@
 use chiverelay_decisions::catalog::ColdLimit;
 use chiverelay_decisions::catalog::EngineSpec;
 use chiverelay_decisions::catalog::PoolSpec;
-use chiverelay_decisions::directory::callers_beside;
+use chiverelay_decisions::directory::callers_ratio;
 use chiverelay_decisions::fleet::Fleet;
 use chiverelay_decisions::fleet::TargetRecord;
 use chiverelay_decisions::names::Region;
@@ -23,6 +23,7 @@
 use chiverelay_decisions::retry_budget::RetryLimit;
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::traffic::ColdLimitTolerance;
+use chiverelay_decisions::traffic::ForwardedLoad;
 use chiverelay_decisions::traffic::InFlight;
 use chiverelay_decisions::traffic::NoTargetReason;
 use chiverelay_decisions::traffic::PromptPart;
@@ -196,7 +197,7 @@
             pool: "pool".into(),
             priority: 0,
             is_at_engine: true,
-            running_before: choice.estimate.running,
+            known_running: choice.estimate.known_running,
             slots: choice.estimate.slots,
             prefill_tokens: choice.estimate.prefill_tokens,
             queued_prefill_tokens: choice.estimate.queued_prefill_tokens,
@@ -446,6 +447,15 @@
     assert!(unread(&mut world) > 3_000);
 }
 
+/// Returns a request of an instance whose region has so many times its callers.
+fn forwarded(tokens: u32, callers_ratio: f64) -> ForwardedLoad {
+    ForwardedLoad {
+        priority: 0,
+        tokens,
+        callers_ratio,
+    }
+}
+
 /// Pattern: a regional peak that spills; statuses come back late.
 #[test]
 fn what_was_just_sent_away_counts_until_it_is_told() {
@@ -458,7 +468,7 @@
     for _ in 0..10 {
         world
             .traffic
-            .record_forward(&"north".into(), &world.pool, 5_000, 1.0, ms(0));
+            .record_forward(&"north".into(), &world.pool, forwarded(5_000, 1.0), ms(0));
     }
     let wait = |world: &mut World, now| {
         world
@@ -486,11 +496,11 @@
                 break;
             }
             let others = vec![250; instances - 1];
-            let alike = callers_beside(250, others);
+            let ratio = callers_ratio(250, others);
             let region = "north".into();
             world
                 .traffic
-                .record_forward(&region, &world.pool, 300, alike, ms(0));
+                .record_forward(&region, &world.pool, forwarded(300, ratio), ms(0));
             sent += 1;
         }
     }
@@ -532,5 +542,6 @@
     a_long_prompt_alone_is_served_late(90_000, 0, false);
     a_short_prompt_behind_a_few(300, 20_000, false);
     a_short_prompt_behind_many(300, 90_000, true);
-    a_long_prompt_that_would_be_on_time_alone(40_000, 30_000, true);
+    a_long_prompt_that_would_be_on_time_alone(40_000, 40_000, true);
+    a_long_prompt_that_is_late_by_itself(90_000, 1_000, false);
 }
--- a/tests/testsuite/traffic/extra_attempts.rs
+++ b/tests/testsuite/traffic/extra_attempts.rs
@@ -42,6 +42,7 @@
         queue_delay: Duration::ZERO,
         cost: wait,
         running: 0,
+        known_running: 0,
         ahead: 0,
         slots: 64,
         has_free_slot: true,
