--- a/crates/decisions/src/traffic/extra_attempts.rs
+++ b/crates/decisions/src/traffic/extra_attempts.rs
@@ -22,6 +22,9 @@
 /// extra attempts.
 const MAX_UTILIZATION: f64 = 0.6;
 
+/// Time to the start of an answer beside the wait at its target.
+const MIN_START_TIME: Duration = Duration::from_millis(40);
+
 impl Traffic {
     /// Sets the operator's limit on extra attempts. Without one there are none.
     pub fn with_extra_attempts(mut self, limit: Option<ExtraAttemptLimit>) -> Self {
@@ -48,8 +51,7 @@
         now: Duration,
     ) -> Option<Duration> {
         let extra = self.extra_attempts.get(pool)?;
-        let expected = self.performance(pool).start_time(is_stream, estimate.wait);
-        extra.delay(is_stream, expected, now)
+        extra.delay(is_stream, expected_start(estimate), now)
     }
 
     /// Records that the answer to an attempt with this estimate began after
@@ -62,12 +64,8 @@
         took: Duration,
         now: Duration,
     ) {
-        if self.extra_attempt_limit.is_none() {
-            return;
-        }
-        let expected = self.performance(pool).start_time(is_stream, estimate.wait);
         if let Some(extra) = self.extra_attempts(pool) {
-            extra.record_start(is_stream, expected, took, now);
+            extra.record_start(is_stream, expected_start(estimate), took, now);
         }
     }
 
@@ -147,3 +145,9 @@
         self.in_flight(target).running.max(min_running)
     }
 }
+
+/// Returns the time in which an answer is expected to begin. It doesn't follow
+/// the average answer time, which a single slow answer changes.
+fn expected_start(estimate: &Estimate) -> Duration {
+    estimate.wait + MIN_START_TIME
+}
--- a/crates/decisions/src/traffic/performance.rs
+++ b/crates/decisions/src/traffic/performance.rs
@@ -9,10 +9,6 @@
 /// Answer time of a pool without engines assumed before the first sample.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(60);
 
-/// Lower bound of the answer time from which the time to the start of an answer
-/// is expected.
-const MIN_SERVICE_TIME: Duration = Duration::from_millis(1);
-
 /// Fewest prompt tokens for which the time to the first event is a sample of
 /// the prefill rate.
 const MIN_SAMPLE_TOKENS: u32 = 2_000;
@@ -67,15 +63,6 @@
         self.generation_time
     }
 
-    /// Returns the expected time to the start of an answer, given the estimated
-    /// wait at its target.
-    pub fn start_time(&self, is_stream: bool, wait: Duration) -> Duration {
-        match is_stream {
-            true => wait + FIRST_EVENT_OVERHEAD,
-            false => wait + self.service_time.max(MIN_SERVICE_TIME),
-        }
-    }
-
     /// Adds a sample of the time to the first event. `tokens` counts the
     /// prompt's own tokens and those queued ahead of it.
     pub fn record_first_event(&mut self, tokens: u32, took: Duration) {
--- a/tests/testsuite/traffic/extra_attempts.rs
+++ b/tests/testsuite/traffic/extra_attempts.rs
@@ -61,7 +61,6 @@
             let pool = "pool".into();
             self.traffic.record_first_attempt(&pool, &estimate);
             let took = ms(USUAL_MS + n % 7);
-            self.traffic.performance_mut(&pool).record_answer(took);
             self.traffic
                 .record_start(&pool, false, &estimate, took, now);
         }
@@ -330,7 +329,6 @@
     let mut world = world(2, false, Some(LIMIT));
     let pool = "pool".into();
     for n in 0..400 {
-        world.traffic.performance_mut(&pool).record_answer(ms(2));
         let estimate = waiting(Duration::ZERO, 0);
         world
             .traffic
@@ -411,3 +409,22 @@
     assert_eq!(world.delay(false, Duration::ZERO, now), None);
     assert_eq!(world.ask(now), Err(ExtraAttemptDenial::OverLimit));
 }
+
+/// Pattern: a few slow answers in a row, as of a grey target. The next request
+/// waits no longer for them.
+#[test]
+fn single_slow_answers_leave_the_delay_as_it_is() {
+    let mut world = world(4, false, Some(LIMIT));
+    let now = world.answer_as_usual(0, WARMUP);
+    let before = world.delay(false, Duration::ZERO, now);
+    let (pool, estimate) = ("pool".into(), waiting(Duration::ZERO, 0));
+    for _ in 0..5 {
+        let took = ms(SLOW_MS);
+        world.traffic.performance_mut(&pool).record_answer(took);
+        world
+            .traffic
+            .record_start(&pool, false, &estimate, took, now);
+    }
+    assert!(before.is_some());
+    assert_eq!(world.delay(false, Duration::ZERO, now), before);
+}
