Keep late prompts in their own region

A caller with 20 s was refused behind one prompt of two seconds while slots were free: node::shutdown::a_stream_behind_a_long_queue_is_refused_as_not_run failed. In the own region a request waits for other prompts as long as its deadline allows, as before; it is not forwarded to where it would be late behind them, and is turned back there.

--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -120,26 +120,25 @@
 }
 
 impl Estimate {
-    /// Tells whether the request would be late because of the requests ahead of
-    /// it: it would wait for a slot and spend more than [`MAX_QUEUE_SHARE`] of
-    /// its latency target in the queue, or begin after its latency target as
-    /// other prompts are read first. To serve it here would delay the requests
-    /// behind it too, so it should go elsewhere or be retried later.
-    ///
-    /// A prompt that takes much of the time by itself may spend that share in
-    /// the queue all the same. Otherwise long ones would never be served under
-    /// load.
+    /// Tells whether the request would wait for a slot and spend more than
+    /// [`MAX_QUEUE_SHARE`] of its latency target in the queue. To serve it here
+    /// would delay the requests behind it too, so it should go elsewhere or be
+    /// retried later.
     pub fn is_late_from_queueing(&self, latency_target: Duration) -> bool {
-        let share = latency_target.mul_f64(MAX_QUEUE_SHARE);
+        !self.has_free_slot && self.queue_delay > latency_target.mul_f64(MAX_QUEUE_SHARE)
+    }
+
+    /// Tells whether the request would begin after its latency target as other
+    /// prompts are read first, though a slot may be free. It should not leave its
+    /// region for such a target.
+    ///
+    /// A prompt that takes much of the time by itself may spend a share of it in
+    /// the queue all the same. Otherwise long ones would never go anywhere.
+    pub fn is_late_behind_prompts(&self, latency_target: Duration) -> bool {
         let own = self.wait.saturating_sub(self.queue_delay);
+        let share = latency_target.mul_f64(MAX_QUEUE_SHARE);
         let left = latency_target.saturating_sub(own).max(share);
-        let is_behind_prompts = self.queued_prefill_tokens > 0;
-        let allowed = match (self.has_free_slot, is_behind_prompts) {
-            (false, _) => share,
-            (true, true) => left,
-            (true, false) => return false,
-        };
-        self.queue_delay > allowed
+        self.queued_prefill_tokens > 0 && self.queue_delay > left
     }
 }
 
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -46,6 +46,7 @@
 use crate::reservation_guard::ReservationGuard;
 use crate::reservation_guard::ReservedRequest;
 use crate::sent_count::SentCount;
+use refusals::check_prompts;
 use refusals::check_wait;
 use refusals::is_timely;
 use refusals::refuse_no_target;
@@ -176,8 +177,10 @@
             (Err(_), None) => self.choose_remote_region(req, cx, StatedLimitUse::Ignore, now),
             (_, remote) => remote,
         };
+        let target_latency = cx.route.target_latency;
         let remote = match (&local, remote) {
             (Ok(local), Some(remote)) if !is_remote_worthwhile(local, &remote) => None,
+            (Ok(_), Some(remote)) if remote.estimate.is_late_behind_prompts(target_latency) => None,
             (_, remote) => remote,
         };
         (local, remote)
@@ -221,6 +224,7 @@
         // answer that has begun goes on, however late.
         let left = req.meta().deadline.saturating_sub(now);
         check_wait(&req, cx, &choice.estimate, left)?;
+        check_prompts(&req, cx, &choice.estimate)?;
         self.check_shutdown(&req, cx, choice.estimate.queue_delay, now)?;
         self.reserve(req, cx, &choice, now)
     }
--- a/crates/gateway/src/place/refusals.rs
+++ b/crates/gateway/src/place/refusals.rs
@@ -65,6 +65,24 @@
     Ok(())
 }
 
+/// Checks that a request that was forwarded does not wait for other prompts
+/// until it is late.
+///
+/// # Errors
+///
+/// Refuses it as not run, so that the sender may choose another place.
+pub(super) fn check_prompts<O>(
+    req: &Request<Admitted, O>,
+    cx: &PlacementContext,
+    estimate: &Estimate,
+) -> Result<(), Refusal> {
+    if cx.is_resumed || !estimate.is_late_behind_prompts(cx.route.target_latency) {
+        return Ok(());
+    }
+    let refusal = req.refusal(Code::Overloaded, Step::Place, Peer::Local);
+    Err(refusal.with_retry_after(estimate.queue_delay.max(MIN_RETRY_AFTER)))
+}
+
 /// Tells whether a request can be answered in time at the estimated wait. An
 /// answer that has begun is continued even if its next event is late.
 pub(super) fn is_timely(cx: &PlacementContext, estimate: &Estimate, left: Duration) -> bool {
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -533,7 +533,7 @@
         .update_remote_counts(&"front-9".into(), counts, ms(0));
     let choice = world.choose(&[], own, &[], ms(10)).expect("a choice");
     assert!(choice.estimate.has_free_slot);
-    assert_eq!(choice.estimate.is_late_from_queueing(ms(1_000)), is_late);
+    assert_eq!(choice.estimate.is_late_behind_prompts(ms(1_000)), is_late);
 }
 
 cases! {
