--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -27,6 +27,7 @@
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::suspension::RequestDigest;
 use chiverelay_decisions::traffic::Estimate;
+use chiverelay_decisions::traffic::ForwardedLoad;
 use chiverelay_decisions::traffic::MIN_FORWARD_GAIN;
 use chiverelay_decisions::traffic::NoTargetReason;
 use chiverelay_decisions::traffic::PromptPart;
@@ -45,10 +46,10 @@
 use crate::reservation_guard::ReservationGuard;
 use crate::reservation_guard::ReservedRequest;
 use crate::sent_count::SentCount;
+use refusals::check_prompts;
 use refusals::check_wait;
 use refusals::is_timely;
 use refusals::refuse_no_target;
-use refusals::refuse_past_deadline;
 
 /// Assumed network round trip to any other region. It is added to the estimated
 /// wait at that region's targets.
@@ -64,6 +65,10 @@
     pub(crate) pool: Arc<PoolSpec>,
     /// Version of that catalog.
     pub(crate) catalog_version: u64,
+    /// Priority of the request; 0 is the most urgent.
+    pub(crate) priority: u8,
+    /// Whether no route of the pool has more urgent requests.
+    pub(crate) is_most_urgent: bool,
     /// Digest of the request's content.
     pub(crate) digest: RequestDigest,
     /// Parts of the prompt, in order, by which cached prefixes are recognized.
@@ -132,7 +137,14 @@
         if let Some(remote) = remote {
             check_wait(&req, cx, &remote.estimate, left)?;
             self.check_shutdown(&req, cx, remote.estimate.queue_delay, now)?;
-            return self.place_remotely(req, cx, &remote, now).or_else(|req| {
+            // Where this region has no target, the others forward what they get
+            // at any time, and not for the same reason at once.
+            let callers_ratio = match local {
+                Ok(_) => self.members.callers_ratio(now),
+                Err(_) => 1.0,
+            };
+            let placed = self.place_remotely(req, cx, &remote, callers_ratio, now);
+            return placed.or_else(|req| {
                 let local = local.map_err(|reason| refuse_no_target(&req, reason));
                 self.reserve_if_in_time(*req, cx, local, left, now)
             });
@@ -165,8 +177,10 @@
             (Err(_), None) => self.choose_remote_region(req, cx, StatedLimitUse::Ignore, now),
             (_, remote) => remote,
         };
+        let target_latency = cx.route.target_latency;
         let remote = match (&local, remote) {
             (Ok(local), Some(remote)) if !is_remote_worthwhile(local, &remote) => None,
+            (Ok(_), Some(remote)) if remote.estimate.is_late_behind_prompts(target_latency) => None,
             (_, remote) => remote,
         };
         (local, remote)
@@ -206,13 +220,11 @@
         let choice = self
             .choose_local_target(cx, req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason))?;
-        // Only forwarded and resumed requests are placed here. One that is late
-        // from queueing is not refused, in contrast to `check_wait`; only the
-        // deadline counts.
+        // The instance that forwarded the request knew less of these targets. An
+        // answer that has begun goes on, however late.
         let left = req.meta().deadline.saturating_sub(now);
-        if choice.estimate.wait > left {
-            return Err(refuse_past_deadline(&req, choice.estimate.wait, left));
-        }
+        check_wait(&req, cx, &choice.estimate, left)?;
+        check_prompts(&req, cx, &choice.estimate)?;
         self.check_shutdown(&req, cx, choice.estimate.queue_delay, now)?;
         self.reserve(req, cx, &choice, now)
     }
@@ -280,7 +292,7 @@
         O: Origin,
     {
         if !O::MAY_BE_FORWARDED {
-            return self.has_other_local_target(req, cx);
+            return self.has_other_timely_local_target(req, cx);
         }
         let now = self.clock.now();
         let deadline = req.meta().deadline;
@@ -302,7 +314,7 @@
         req: &Request<Dispatched, O>,
         cx: &PlacementContext,
     ) -> bool {
-        // The same condition as of `place_locally`.
+        // The same condition as of `place_locally` for an answer that goes on.
         self.is_other_local_target(req, cx, |estimate, left| estimate.wait <= left)
     }
 
@@ -347,6 +359,8 @@
         now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
         let query = TargetQuery {
+            priority: cx.priority,
+            is_most_urgent: cx.is_most_urgent || cx.is_resumed,
             prompt_tokens: cx.prompt_tokens,
             parts: &cx.parts,
             excluded: tried,
@@ -430,6 +444,7 @@
         req: Request<Admitted, Direct>,
         cx: &PlacementContext,
         remote: &RegionChoice,
+        callers_ratio: f64,
         now: Duration,
     ) -> Result<Destination<D>, Box<Request<Admitted, Direct>>> {
         let Some(instance) = self.choose_instance(&remote.region, &req, now) else {
@@ -438,7 +453,12 @@
         let req = req.place_remote(instance, remote.region.clone())?;
         let tokens = remote.estimate.prefill_tokens;
         let mut traffic = self.tables.traffic.lock();
-        traffic.record_forward(&remote.region, &cx.pool.name, tokens, now);
+        let load = ForwardedLoad {
+            priority: cx.priority,
+            tokens,
+            callers_ratio,
+        };
+        traffic.record_forward(&remote.region, &cx.pool, load, now);
         Ok(Destination::Remote(req))
     }
 
@@ -460,6 +480,10 @@
         let reservation = Reservation {
             target: choice.target.clone(),
             pool: cx.pool.name.clone(),
+            priority: cx.priority,
+            is_at_engine: cx.pool.engine.is_some(),
+            known_running: choice.estimate.known_running,
+            slots: choice.estimate.slots,
             prefill_tokens: choice.estimate.prefill_tokens,
             queued_prefill_tokens: choice.estimate.queued_prefill_tokens,
             reserved_at: now,
