Name and split what the read-through stumbled on

A newcomer's read-through: a word with two meanings in the table of traffic, a query field whose doc was untrue, 'level' and 'listing' for four things, a function of 101 lines. Only less urgent requests are bound by it now; where a pool has one priority nothing is.

--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -11,15 +11,14 @@
 
 /// Fewest instances in an answer, if there are as many: callers leave out those
 /// that have just failed them.
-const MIN_LISTED: usize = 4;
+const MIN_ADVERTISED: usize = 4;
 
 /// An instance that callers may be told of.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Listing<A> {
+pub struct Candidate<A> {
     /// Its name.
     pub instance: Instance,
-    /// Processor time that it has, in thousandths of a core; 0 if it is not
-    /// known.
+    /// Processor time in thousandths of a core; 0 if it is not known.
     pub capacity: u32,
     /// Address at which callers connect.
     pub address: A,
@@ -28,26 +27,26 @@
 /// Chooses the instances of one answer, the largest of which are in every one.
 /// If all are equally large, all are chosen. `key` differs from answer to
 /// answer.
-pub fn choose_listed<A>(listings: Vec<Listing<A>>, key: &str) -> Vec<A> {
-    let largest = listings.iter().map(|l| l.capacity).max().unwrap_or(0);
-    let mut ranked: Vec<(f64, A)> = listings
+pub fn choose_advertised<A>(candidates: Vec<Candidate<A>>, key: &str) -> Vec<A> {
+    let largest = candidates.iter().map(|l| l.capacity).max().unwrap_or(0);
+    let mut ranked: Vec<(f64, A)> = candidates
         .into_iter()
-        .map(|listing| (rank(&listing, largest, key), listing.address))
+        .map(|candidate| (rank(&candidate, largest, key), candidate.address))
         .collect();
     ranked.sort_by(|(a, _), (b, _)| a.total_cmp(b));
     let listed = ranked.iter().take_while(|(rank, _)| *rank < 1.0).count();
-    ranked.truncate(listed.max(MIN_LISTED));
+    ranked.truncate(listed.max(MIN_ADVERTISED));
     ranked.into_iter().map(|(_, address)| address).collect()
 }
 
 /// Returns the rank of an instance, which is below 1 if the answer lists it:
 /// always for the largest instances, and for others with a probability in
 /// proportion to their capacity.
-fn rank<A>(listing: &Listing<A>, largest: u32, key: &str) -> f64 {
-    let random = rendezvous::weight(key, listing.instance.as_str());
+fn rank<A>(candidate: &Candidate<A>, largest: u32, key: &str) -> f64 {
+    let random = rendezvous::weight(key, candidate.instance.as_str());
     // 53 bits are what a float holds, so the fraction stays below 1.
     let fraction = (random >> 11) as f64 / (1_u64 << 53) as f64;
-    match listing.capacity {
+    match candidate.capacity {
         0 => fraction,
         capacity => fraction * f64::from(largest) / f64::from(capacity),
     }
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -8,11 +8,11 @@
 mod choose;
 mod cold_limit;
 mod extra_attempts;
-mod full_level;
 mod outcome;
 mod part_uses;
 mod pause;
 mod performance;
+mod queue_limit;
 mod remote;
 mod reservation;
 mod stated_limit;
@@ -44,8 +44,8 @@
 use crate::window::SlidingWindow;
 use by_priority::LoadByPriority;
 use cached::CacheSources;
-use full_level::FullLevel;
 use part_uses::PartUseLog;
+use queue_limit::QueueLimit;
 use remote::RemoteCounts;
 use remote::UnreportedForwards;
 use stated_limit::StatedLimit;
@@ -168,7 +168,7 @@
     performance: HashMap<Pool, PoolPerformance>,
     retry_budgets: HashMap<Pool, RetryBudget>,
     full_until: HashMap<Target, Duration>,
-    full_levels: HashMap<Pool, FullLevel>,
+    queue_limits: HashMap<Pool, QueueLimit>,
     paused_until: HashMap<Target, Duration>,
     stated_limits: HashMap<Target, StatedLimit>,
     /// By the priority of the requests.
@@ -191,7 +191,7 @@
             performance: HashMap::new(),
             retry_budgets: HashMap::new(),
             full_until: HashMap::new(),
-            full_levels: HashMap::new(),
+            queue_limits: HashMap::new(),
             paused_until: HashMap::new(),
             stated_limits: HashMap::new(),
             forwarded: HashMap::new(),
--- a/crates/decisions/src/traffic/by_priority.rs
+++ b/crates/decisions/src/traffic/by_priority.rs
@@ -4,7 +4,7 @@
 
 /// Requests in flight at one target with one priority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Level {
+struct PriorityLoad {
     priority: u8,
     in_flight: InFlight,
 }
@@ -16,10 +16,10 @@
 ///
 /// Each priority stands at most once, and only with requests or prompt tokens.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(super) struct LoadByPriority(Vec<Level>);
+pub(super) struct LoadByPriority(Vec<PriorityLoad>);
 
 impl LoadByPriority {
-    /// Tells whether there are no requests.
+    /// Tells whether there are no requests. Prompt tokens may be left of some.
     pub(super) fn is_idle(&self) -> bool {
         self.0.iter().all(|level| level.in_flight.running == 0)
     }
@@ -44,7 +44,7 @@
         }
         match self.0.iter_mut().find(|level| level.priority == priority) {
             Some(level) => level.in_flight.add(in_flight),
-            None => self.0.push(Level {
+            None => self.0.push(PriorityLoad {
                 priority,
                 in_flight,
             }),
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -72,8 +72,9 @@
 pub struct TargetQuery<'a> {
     /// Priority of the request; 0 is the most urgent.
     pub priority: u8,
-    /// Whether no route of the pool has more urgent requests.
-    pub is_most_urgent: bool,
+    /// Whether the request may fill the targets' queues: it has the pool's most
+    /// urgent priority, or its answer has begun.
+    pub may_fill_queue: bool,
     /// Tokens of the whole prompt.
     pub prompt_tokens: u64,
     /// The prompt's parts, in order.
@@ -224,11 +225,8 @@
             Some(_) => self.unreported_forwards(region, &pool.name, query.priority, now),
             None => forwarded,
         };
-        let level = self
-            .full_levels
-            .get(&pool.name)
-            .copied()
-            .unwrap_or_default();
+        let queue_limit = self.queue_limits.get(&pool.name);
+        let queue_limit = queue_limit.copied().unwrap_or_default();
         let targets = fleet.usable_targets(&pool.name);
         let target_count = targets
             .filter(|(_, known)| known.record.region == *region)
@@ -241,34 +239,17 @@
             if known.record.region != *region {
                 continue;
             }
-            let status = self.health_status(target, now);
-            if query.excluded.contains(target) || status == HealthStatus::Ejected {
-                reason = NoTargetReason::NoneHealthy;
-                continue;
-            }
-            if self
-                .full_until
-                .get(target)
-                .is_some_and(|until| now < *until)
-            {
-                reason = NoTargetReason::AllFull;
-                continue;
-            }
-            if let Some(left) = self.pause_left(target, now) {
-                reason = reason.with_pause(left);
-                continue;
-            }
-            if known.is_cold(now) && !self.has_cold_capacity(target, pool, shares, now) {
-                reason = NoTargetReason::AllCold;
-                continue;
-            }
-            if !self.has_stated_room(target, shares.stated, now) {
-                reason = NoTargetReason::AllLimited;
+            let unavailable = self.unavailability(target, known, pool, query, shares, now);
+            if let Some(why) = unavailable {
+                reason = match why {
+                    NoTargetReason::AllPaused(left) => reason.with_pause(left),
+                    why => why,
+                };
                 continue;
             }
             let min_running = self.min_running(target, slots_of(pool, known), now);
             let found = self.found_load(target, pool, query.priority);
-            if !level.has_room(found.all.running, query.is_most_urgent, now) {
+            if !query.may_fill_queue && !queue_limit.has_room(found.all.running, now) {
                 reason = NoTargetReason::AllFull;
                 continue;
             }
@@ -293,7 +274,7 @@
                 affinity_target.as_ref(),
                 load,
             );
-            if status == HealthStatus::Suspect {
+            if self.health_status(target, now) == HealthStatus::Suspect {
                 estimate.cost += FAILURE_COST;
             }
             let random_weight = prefix::rendezvous_weight(query.random, target.as_str());
@@ -311,6 +292,34 @@
         best.ok_or(reason)
     }
 
+    /// Returns why a target can't be chosen, apart from its load.
+    fn unavailability(
+        &mut self,
+        target: &Target,
+        known: &KnownTarget,
+        pool: &PoolSpec,
+        query: &TargetQuery<'_>,
+        shares: RegionShares<'_>,
+        now: Duration,
+    ) -> Option<NoTargetReason> {
+        let is_ejected = self.health_status(target, now) == HealthStatus::Ejected;
+        if query.excluded.contains(target) || is_ejected {
+            return Some(NoTargetReason::NoneHealthy);
+        }
+        let full_until = self.full_until.get(target);
+        if full_until.is_some_and(|until| now < *until) {
+            return Some(NoTargetReason::AllFull);
+        }
+        if let Some(left) = self.pause_left(target, now) {
+            return Some(NoTargetReason::AllPaused(left));
+        }
+        if known.is_cold(now) && !self.has_cold_capacity(target, pool, shares, now) {
+            return Some(NoTargetReason::AllCold);
+        }
+        let has_room = self.has_stated_room(target, shares.stated, now);
+        (!has_room).then_some(NoTargetReason::AllLimited)
+    }
+
     /// Returns the load of a target as a request of this priority finds it.
     /// Engines admit the most urgent requests first, other services take them in
     /// the order in which they come.
--- a/crates/decisions/src/traffic/extra_attempts.rs
+++ b/crates/decisions/src/traffic/extra_attempts.rs
@@ -132,7 +132,7 @@
         let (mut running, mut slots) = (0_u32, 0_u32);
         for (target, known) in targets.filter(|(_, known)| known.record.region == *region) {
             let here = slots_of(pool, known);
-            running = running.saturating_add(self.known_running(target, here, now));
+            running = running.saturating_add(self.assumed_running(target, here, now));
             slots = slots.saturating_add(here);
         }
         f64::from(running) / f64::from(slots.max(1))
@@ -140,7 +140,7 @@
 
     /// Returns the requests that run or wait at a target with so many slots,
     /// more if it has lately reported itself full.
-    fn known_running(&self, target: &Target, slots: u32, now: Duration) -> u32 {
+    fn assumed_running(&self, target: &Target, slots: u32, now: Duration) -> u32 {
         let min_running = self.min_running(target, slots, now);
         self.in_flight(target).running.max(min_running)
     }
--- a/crates/decisions/src/traffic/remote.rs
+++ b/crates/decisions/src/traffic/remote.rs
@@ -164,9 +164,9 @@
     /// Records a request forwarded to another region, as the instances there
     /// have not reported it yet.
     ///
-    /// The other instances of this region know the same of the other one, and
-    /// forward requests there for the same reason. What they forward counts for
-    /// as long as a target has such a request.
+    /// This region's other instances see the same load and are assumed to forward
+    /// as much, in proportion to their capacity, until a target has finished such
+    /// a request.
     pub fn record_forward(
         &mut self,
         region: &Region,
--- a/crates/decisions/src/traffic/reservation.rs
+++ b/crates/decisions/src/traffic/reservation.rs
@@ -193,12 +193,10 @@
         if let Some(failed) = failed {
             local.failure_rate += (failed - local.failure_rate) * FAILURE_RATE_WEIGHT;
         }
-        // With a free slot the queue was not what it was rejected for.
-        let may_be_full = reservation.known_running >= reservation.slots;
-        if outcome == TargetOutcome::Full && reservation.is_at_engine && may_be_full {
-            let level = self.full_levels.entry(reservation.pool.clone());
+        if outcome == TargetOutcome::Full && reservation.is_at_engine {
+            let limit = self.queue_limits.entry(reservation.pool.clone());
             let (known, slots) = (reservation.known_running, reservation.slots);
-            level.or_default().record_rejection(known, slots, now);
+            limit.or_default().record_rejection(known, slots, now);
         }
         if outcome == TargetOutcome::Full {
             self.full_until
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::directory;
-use chiverelay_decisions::directory::Listing;
+use chiverelay_decisions::directory::Candidate;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
@@ -160,7 +160,7 @@
         }
     }
 
-    /// Applies a complete listing of the store: instances that are not listed
+    /// Applies a complete candidate of the store: instances that are not listed
     /// have no record.
     pub(crate) fn reconcile_records(&self, listed: &HashSet<Instance>) {
         let table = self.table.lock();
@@ -349,14 +349,14 @@
         let near = ready
             .iter()
             .filter(|record| Some(distance(record)) == nearest);
-        let near = near.map(|record| Listing {
+        let near = near.map(|record| Candidate {
             instance: record.instance.clone(),
             capacity: record.capacity,
             address: record.callers,
         });
-        let near: Vec<Listing<SocketAddr>> = near.collect();
+        let near: Vec<Candidate<SocketAddr>> = near.collect();
         drop(table);
         let key = format!("{:x}", rand::random::<u64>());
-        directory::choose_listed(near, &key)
+        directory::choose_advertised(near, &key)
     }
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -137,8 +137,8 @@
         if let Some(remote) = remote {
             check_wait(&req, cx, &remote.estimate, left)?;
             self.check_shutdown(&req, cx, remote.estimate.queue_delay, now)?;
-            // Where this region has no target, the others forward what they get
-            // at any time, and not for the same reason at once.
+            // Without a local target, each instance forwards as its callers come,
+            // and not all at once when a region fills up.
             let callers_ratio = match local {
                 Ok(_) => self.members.callers_ratio(now),
                 Err(_) => 1.0,
@@ -360,7 +360,7 @@
     ) -> Result<TargetChoice, NoTargetReason> {
         let query = TargetQuery {
             priority: cx.priority,
-            is_most_urgent: cx.is_most_urgent || cx.is_resumed,
+            may_fill_queue: cx.is_most_urgent || cx.is_resumed,
             prompt_tokens: cx.prompt_tokens,
             parts: &cx.parts,
             excluded: tried,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -222,6 +222,7 @@
         out: Outbound,
         mut started: StartedAnswer<D, O>,
     ) -> Self {
+        // From here on a further attempt continues this answer.
         cx.is_resumed = true;
         let buffered = std::mem::take(&mut started.start.data);
         Self {
