--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -19,8 +19,9 @@
 /// endpoints for operators.
 const INTERNAL_FRACTION: usize = 8;
 
-/// Part of these that each endpoint beside that for callers may have.
-const ENDPOINT_FRACTION: usize = 4;
+/// Divisor that gives each auxiliary endpoint (readiness, lookup, metrics) its
+/// part of the internal descriptors.
+const ENDPOINT_DIVISOR: usize = 4;
 
 /// Part of the other descriptors that connections to targets may have.
 const TARGET_FRACTION: usize = 4;
@@ -82,7 +83,7 @@
             callers: total.saturating_sub(reserve).max(MIN_CONNECTIONS),
             reserve,
             targets,
-            endpoint: (internal / ENDPOINT_FRACTION).max(MIN_CONNECTIONS),
+            endpoint: (internal / ENDPOINT_DIVISOR).max(MIN_CONNECTIONS),
             requests: fit(limits.memory, REQUEST_EIGHTHS, REQUEST_BYTES).max(MIN_CONNECTIONS),
         }
     }
--- a/crates/decisions/src/extra_attempts/start_times.rs
+++ b/crates/decisions/src/extra_attempts/start_times.rs
@@ -6,17 +6,18 @@
 /// out of use.
 const PERIOD: Duration = Duration::from_secs(60);
 
-/// Fewest samples beyond the quantile.
+/// Fewest samples above the quantile from which it is estimated.
 const MIN_SAMPLES_BEYOND: f64 = 5.0;
 
 /// Samples after which the quantile is computed anew.
 const SAMPLES_PER_UPDATE: u32 = 16;
 
-/// Buckets in which the slowness doubles.
-const BUCKETS_PER_OCTAVE: f64 = 8.0;
+/// Buckets for each doubling of the slowness.
+const BUCKETS_PER_DOUBLING: f64 = 8.0;
 
-/// Binary logarithm of the lower bound of the second bucket.
-const LOWEST_OCTAVE: f64 = -2.0;
+/// Binary logarithm of the slowness where the second bucket begins: a quarter of
+/// the expected time.
+const MIN_LOG2_SLOWNESS: f64 = -2.0;
 
 /// Number of buckets. The last one has no upper bound.
 const BUCKETS: usize = 64;
@@ -127,12 +128,12 @@
 }
 
 fn bucket_of(slowness: f64) -> usize {
-    let octaves = slowness.log2() - LOWEST_OCTAVE;
+    let octaves = slowness.log2() - MIN_LOG2_SLOWNESS;
     // The conversion takes negative numbers and those that are none to 0.
-    let bucket = (octaves * BUCKETS_PER_OCTAVE).floor() + 1.0;
+    let bucket = (octaves * BUCKETS_PER_DOUBLING).floor() + 1.0;
     (bucket as usize).min(BUCKETS - 1)
 }
 
 fn upper_bound(bucket: usize) -> f64 {
-    (LOWEST_OCTAVE + bucket as f64 / BUCKETS_PER_OCTAVE).exp2()
+    (MIN_LOG2_SLOWNESS + bucket as f64 / BUCKETS_PER_DOUBLING).exp2()
 }
--- a/crates/decisions/src/retry_budget.rs
+++ b/crates/decisions/src/retry_budget.rs
@@ -64,9 +64,8 @@
 /// together stay within the whole.
 const DIVIDED_SLACK_RATIO: f64 = 0.5;
 
-/// Share of the retries in a span up to which a retry without a failure is
-/// allowed.
-const MAX_SPARE_SHARE: f64 = 0.5;
+/// Fraction of the retries in a span up to which extra attempts are allowed.
+const EXTRA_ATTEMPT_FRACTION: f64 = 0.5;
 
 /// Requests and retries counted in one interval.
 #[derive(Clone, Copy, Debug, Default)]
@@ -116,13 +115,13 @@
         decision
     }
 
-    /// Like [`RetryBudget::try_retry`], but at least half of the budget is left
-    /// to retries after failures.
+    /// Like [`RetryBudget::try_retry`], but allowed only up to half of the retries
+    /// of the span with least room.
     pub fn try_spare_retry(&mut self, divisor: Divisor, now: Duration) -> RetryDecision {
         self.advance(now);
         let mut decision = self.decide(divisor);
         let retries = f64::from(decision.retries) + 1.0;
-        decision.is_allowed &= retries <= decision.max_retries * MAX_SPARE_SHARE;
+        decision.is_allowed &= retries <= decision.max_retries * EXTRA_ATTEMPT_FRACTION;
         if decision.is_allowed {
             self.intervals[0].retries += 1;
         }
--- a/crates/gateway/src/reservation_guard.rs
+++ b/crates/gateway/src/reservation_guard.rs
@@ -117,7 +117,8 @@
         }
     }
 
-    /// Records that the attempt is given up as no answer has begun by now.
+    /// Records the age of an attempt that is given up before its answer began, as
+    /// a lower bound of the time to its start.
     pub(crate) fn record_no_start(&self, is_stream: bool) {
         if let Some(reservation) = &self.reservation {
             let took = self.age();
--- a/crates/http/src/held_body.rs
+++ b/crates/http/src/held_body.rs
@@ -15,11 +15,10 @@
 /// Time to read the rest of a body that there is no memory for.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Pause in which a connection closes that was told to, before there is another
-/// look at what memory is left.
-const ROOM_PAUSE: Duration = Duration::from_millis(20);
+/// Time for a connection that is closed to release its memory.
+const RELEASE_PAUSE: Duration = Duration::from_millis(20);
 
-/// Connections that are closed at most for one piece of a body.
+/// Most connections that are closed for one piece of a body.
 const MAX_CLOSED: usize = 32;
 
 /// Why a body was not read.
@@ -103,7 +102,7 @@
         if taken.is_ok() || !make_room() {
             break;
         }
-        tokio::time::sleep(ROOM_PAUSE).await;
+        tokio::time::sleep(RELEASE_PAUSE).await;
         taken = take();
     }
     taken
