--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -2,6 +2,7 @@
 mod base;
 mod memory;
 mod replica;
+mod stale;
 mod store;
 
 use std::sync::Arc;
@@ -14,6 +15,7 @@
     ));
     let code = match case.as_str() {
         "memory" => memory::run(&record, trouble),
+        "stale" => stale::run(&record, trouble),
         _ => base::COULD_NOT_RUN,
     };
     std::process::exit(code);
