--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and cases of the second review. `main CASE` runs one.
 mod base;
+mod cold;
 mod memory;
 mod replica;
 mod stale;
@@ -14,6 +15,7 @@
         &std::env::var("RECORD").unwrap_or("record.txt".into()),
     ));
     let code = match case.as_str() {
+        "cold" => cold::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
         "stale" => stale::run(&record, trouble),
         _ => base::COULD_NOT_RUN,
