Name the software of targets in logs, and the streams that go on elsewhere

No line told which software version began a stream or continued it, nor that a caller resumes one, so the hypotheses on ORDER could not be told apart. A target's record now carries its software version (empty where it states none), the header that names the caller's request which began the stream is read, and lines and the counter chiverelay_continued_streams_total say whether a stream went on at the same software. No decision asks for it yet. The message version between instances rises to 12, as copies of records carry the new field.

--- a/crates/decisions/src/fleet/record.rs
+++ b/crates/decisions/src/fleet/record.rs
@@ -9,6 +9,7 @@
 use super::store_health::ServedTime;
 use crate::names::Pool;
 use crate::names::Region;
+use crate::names::SoftwareVersion;
 use crate::names::Zone;
 use crate::revision::StoreRevision;
 
@@ -24,6 +25,9 @@
     pub zone: Zone,
     /// The zone's region.
     pub region: Region,
+    /// Version of the target's software. Only targets of the same version can
+    /// continue a stream that the target began.
+    pub software: SoftwareVersion,
     /// Requests that the target runs at once.
     pub slots: u32,
     /// Whether the target is shutting down and accepts no new requests.
--- a/crates/decisions/src/names.rs
+++ b/crates/decisions/src/names.rs
@@ -80,6 +80,9 @@
     Adapter;
     /// Version of a model as used by engines.
     ModelVersion;
+    /// Version of a target's software, as the target states it. Versions have no
+    /// order.
+    SoftwareVersion;
     /// Identifier of a request, unique over all instances.
     RequestId;
     /// Name of a header, or of a field in a JSON body.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -141,6 +141,7 @@
         attempts_left: matched.route.max_attempts.max(1),
         sent_count: SentCount::default(),
         is_resumed: false,
+        software: None,
         extra_attempt: None,
         route: Arc::clone(&matched.route),
         pool,
@@ -242,6 +243,7 @@
             let refusal = Refusal::not_run(Code::Quarantined, Step::Admit, Peer::Local);
             return Err(quarantine::name_part(refusal, part));
         }
+        log_resumed(&inbound);
         let tokens = matched
             .account
             .as_ref()
@@ -393,6 +395,20 @@
     }
 }
 
+/// Logs a request that resumes a stream which the caller has a part of.
+fn log_resumed(inbound: &Inbound) {
+    let Some(last_event_id) = inbound.last_event_id else {
+        return;
+    };
+    log::info!(
+        target: "request",
+        id = inbound.id.as_str(),
+        began_as = inbound.resumes.as_ref().map_or("", RequestId::as_str),
+        last_event = last_event_id;
+        "caller resumes a stream"
+    );
+}
+
 fn refuse_no_catalog() -> Refusal {
     Refusal::not_run(Code::StateUnavailable, Step::Configure, Peer::Store)
         .with_retry_after(NO_CATALOG_RETRY_AFTER)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod attempt_failure;
 mod charge;
 mod clock;
+mod continuation;
 mod crash_check;
 mod dispatch;
 mod extra_attempt;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -57,6 +57,9 @@
     /// Id of the last event that the caller has received, if the request
     /// resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's request whose answer had the first event of the stream
+    /// that this request resumes, if the caller names it.
+    pub resumes: Option<RequestId>,
 }
 
 impl Inbound {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::continuation::SoftwareMatch;
 use crate::links::CloseCause;
 use crate::log_writer::LineCounts;
 use crate::relay::AnswerOrigin;
@@ -41,6 +42,7 @@
     refusals: IntCounterVec,
     unanswered: IntCounterVec,
     interruptions: IntCounterVec,
+    continuations: IntCounterVec,
     cut_answers: IntCounterVec,
     attempts: IntCounterVec,
     retry_decisions: IntCounterVec,
@@ -97,6 +99,12 @@
                 "Answers that ended early, by where they came from and why.",
                 &["origin", "cause"],
             ),
+            continuations: counter(
+                &registry,
+                "continued_streams_total",
+                "Streams that went on at another target, by whether its software began them.",
+                &["software"],
+            ),
             cut_answers: counter(
                 &registry,
                 "cut_answers_total",
@@ -227,6 +235,7 @@
         self.refusals.with_label_values(&["none", "none"]);
         self.limit_hits.with_label_values(&["none", "none"]);
         self.interruptions.with_label_values(&["none", "none"]);
+        self.continuations.with_label_values(&["same"]);
         self.store_calls.with_label_values(&["none", "none"]);
         self.forwards.with_label_values::<&str>(&[]);
         for histogram in [
@@ -272,6 +281,12 @@
         histogram.observe(took.as_secs_f64());
     }
 
+    /// Counts a stream that goes on at another target.
+    pub(crate) fn count_continuation(&self, software: SoftwareMatch) {
+        let labels = [software.as_str()];
+        self.continuations.with_label_values(&labels).inc();
+    }
+
     /// Counts an answer that ended early, whether or not it was resumed.
     pub(crate) fn count_interruption(&self, origin: AnswerOrigin, cause: EndCause) {
         let labels = [origin.as_str(), cause.as_str()];
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -12,6 +12,7 @@
 use chiverelay_decisions::fleet::KnownTarget;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
+use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
@@ -81,6 +82,8 @@
     pub(crate) sent_count: SentCount,
     /// Whether the answer has begun and is to be continued.
     pub(crate) is_resumed: bool,
+    /// Software of the target that began the answer, once it has begun.
+    pub(crate) software: Option<SoftwareVersion>,
     /// What became of the last extra attempt.
     pub(crate) extra_attempt: Option<ExtraAttemptOutcome>,
 }
@@ -505,6 +508,7 @@
             digest: cx.digest,
             parts: Arc::clone(&cx.parts),
             address: known_target.record.address,
+            software: known_target.record.software.clone(),
         };
         let guard = ReservationGuard::new(Arc::clone(self), request, reservation, choice.estimate);
         match req.place(choice.target.clone(), region) {
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -19,6 +19,7 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::Outbound;
+use crate::continuation::Continuation;
 use crate::dispatch::MIN_TIME_TO_SEND;
 use crate::dispatch::Sent;
 use crate::hedge::MAX_OVERLAP;
@@ -285,6 +286,14 @@
 
     /// Continues the stream with the answer of another attempt.
     fn continue_with(&mut self, mut started: StartedAnswer<D, O>) {
+        let continuation = Continuation {
+            id: &self.out.id,
+            peer: started.req.peer(),
+            last_event_id: self.out.last_event_id,
+            began: self.cx.software.as_ref(),
+            next: Some(started.reservation.software()),
+        };
+        continuation.record(&self.gateway.metrics);
         self.last_chunk_at = self.gateway.clock.now();
         self.buffered = std::mem::take(&mut started.start.data);
         self.current = Some(started);
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Dispatched;
 use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::Dialect;
@@ -17,6 +19,7 @@
 use crate::Reply;
 use crate::ReplyBody;
 use crate::answer::ChunkedAnswer;
+use crate::continuation::Continuation;
 use crate::forward::ForwardOutcome;
 use crate::hedge::Hedge;
 use crate::hedge::OtherRegion;
@@ -228,6 +231,7 @@
     /// Continues with the answer of a target in this region, whose relay
     /// resumes it from then on.
     fn continue_locally(&mut self, started: StartedAnswer<D, Direct>) {
+        self.record_continuation(started.req.peer(), Some(started.reservation.software()));
         let gateway = Arc::clone(&self.gateway);
         let relay = Relay::new(gateway, self.cx.clone(), self.out.clone(), started);
         self.rest = AnswerRest::Local(Box::new(relay));
@@ -239,11 +243,23 @@
         if self.kind != started.answer.kind() {
             return ResumeOutcome::Failed;
         }
+        self.record_continuation(started.req.peer(), None);
         self.buffered = std::mem::take(&mut started.start.data);
         self.rest = AnswerRest::Remote(started);
         ResumeOutcome::Resumed
     }
 
+    fn record_continuation(&self, peer: &Peer, next: Option<&SoftwareVersion>) {
+        let continuation = Continuation {
+            id: &self.out.id,
+            peer,
+            last_event_id: self.out.last_event_id,
+            began: self.cx.software.as_ref(),
+            next,
+        };
+        continuation.record(&self.gateway.metrics);
+    }
+
     fn log_interruption(
         &self,
         req: &Request<Dispatched, Direct>,
--- a/crates/gateway/src/reservation_guard.rs
+++ b/crates/gateway/src/reservation_guard.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::suspension::RequestDigest;
 use chiverelay_decisions::traffic::Estimate;
@@ -28,6 +29,8 @@
     pub(crate) parts: Arc<[PromptPart]>,
     /// Address of the target.
     pub(crate) address: SocketAddr,
+    /// Version of the target's software.
+    pub(crate) software: SoftwareVersion,
 }
 
 /// A reservation at a target. Dropping it releases the reservation as
@@ -81,6 +84,11 @@
         &self.estimate
     }
 
+    /// Returns the version of the target's software.
+    pub(crate) fn software(&self) -> &SoftwareVersion {
+        &self.request.software
+    }
+
     /// Returns the time that has passed since the capacity was reserved.
     pub(crate) fn age(&self) -> Duration {
         self.gateway.clock.now().saturating_sub(self.reserved_at)
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -383,6 +383,7 @@
             attempts_left: forward.attempts.max(1),
             sent_count: SentCount::default(),
             is_resumed: forward.is_resumed,
+            software: None,
             extra_attempt: None,
         };
         let meta = RequestMeta {
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -110,6 +110,7 @@
         now: Duration,
     ) {
         let (draining, cold_remaining) = (record.draining, record.cold_remaining);
+        let software = record.software.clone();
         let change = self.fleet.lock().upsert(name, record, revision, now);
         match change {
             TargetChange::Same => return,
@@ -126,6 +127,7 @@
             name = name.as_str(),
             change:? = change,
             draining,
+            software = software.as_str(),
             cold_ms = cold_remaining.as_millis() as u64,
             era = revision.era,
             revision = revision.number;
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -39,7 +39,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 11;
+pub const VERSION: u16 = 12;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
--- a/tests/testsuite/fleet_copy.rs
+++ b/tests/testsuite/fleet_copy.rs
@@ -27,6 +27,7 @@
         address: "10.1.0.1:80".parse().expect("an address"),
         zone: "north-a".into(),
         region: "north".into(),
+        software: "v1".into(),
         slots: 6,
         draining: false,
         started_ms: 1,
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -141,6 +141,7 @@
                 address: format!("10.1.0.{n}:80").parse().expect("an address"),
                 zone: "north-a".into(),
                 region: "north".into(),
+                software: "v1".into(),
                 slots: SLOTS as u32,
                 draining: false,
                 started_ms: 1,
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -104,6 +104,7 @@
                 .expect("an address"),
             zone: "north-a".into(),
             region: "north".into(),
+            software: "v1".into(),
             slots: 6,
             draining: false,
             started_ms: 1,
