Continue a stream only at targets of the software that began it

Callers got one answer with events of two software versions: an instance that resumed a stream after an interruption, moved it away from a silent target, or continued it over another instance chose among the targets of all versions, as no decision asked for the version.

A stream that has begun now carries the version of its first target in its placement context. The choice of a target leaves out all others, the record is compared again when the request is sent, a forward names the version, and the answer of the other instance says which one began it.

--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -197,6 +197,7 @@
             parts: Vec::new(),
             attempts: 1,
             last_event_id: None,
+            software: None,
             method: out.method.to_string(),
             path_and_query: out.path_and_query,
             headers: write_headers(&headers::filter_request(&out.headers)),
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -13,6 +13,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::KnownTarget;
 use crate::names::Region;
+use crate::names::SoftwareVersion;
 use crate::names::Target;
 use crate::placement::HealthStatus;
 use crate::placement::prefix;
@@ -81,11 +82,22 @@
     pub parts: &'a [PromptPart],
     /// Targets that must not be chosen, as they were tried before.
     pub excluded: &'a [Target],
+    /// Software that began the answer. If it is set, only targets of the same
+    /// version may be chosen, as others can't continue what it wrote.
+    pub software: Option<&'a SoftwareVersion>,
     /// Random number from which the additions to the targets' costs are
     /// derived.
     pub random: u64,
 }
 
+impl TargetQuery<'_> {
+    /// Tells whether a target's software can answer the request.
+    fn is_compatible_with(&self, known: &KnownTarget) -> bool {
+        self.software
+            .is_none_or(|software| known.record.software == *software)
+    }
+}
+
 /// The expected latency and load of a request at a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
@@ -236,7 +248,7 @@
         let sources = self.cache_sources(fleet, query.parts);
         let mut best: Option<TargetChoice> = None;
         for (target, known) in fleet.usable_targets(&pool.name) {
-            if known.record.region != *region {
+            if known.record.region != *region || !query.is_compatible_with(known) {
                 continue;
             }
             let unavailable = self.unavailability(target, known, pool, query, shares, now);
@@ -394,6 +406,7 @@
         fleet
             .usable_targets(&pool.name)
             .filter(|(_, known)| known.record.region == *region)
+            .filter(|(_, known)| query.is_compatible_with(known))
             .filter(|(target, _)| self.health_status(target, now) != HealthStatus::Ejected)
             .max_by_key(|(target, _)| prefix::rendezvous_weight(first_long.id, target.as_str()))
             .map(|(target, _)| target.clone())
--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -297,6 +297,7 @@
             status: answer.status(),
             headers: self.reply_headers(&answer),
             body: ReplyBody::Full(start.data),
+            software: None,
         };
         answer.release(&self.connections);
         Some(Box::new(reply))
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -282,13 +282,13 @@
         let deadline = self.shutdown.limit(req.meta().deadline);
         let now = self.clock.now();
         let left = deadline.saturating_sub(now);
-        if !self.may_send(&target, now) || left < MIN_TIME_TO_SEND {
+        if !self.may_send(&target, cx, now) || left < MIN_TIME_TO_SEND {
             self.record_failed_attempt(
                 out,
                 &target,
                 reservation.age(),
                 "not sent",
-                "the target is draining or paused, or too little time is left",
+                "the target is draining, paused or of other software now, or too little time is left",
             );
             let refusal = req.refusal(Code::Unavailable, Step::Place, target_peer(&req));
             return Err(FailedAttempt::NotSent(
@@ -332,10 +332,15 @@
         }
     }
 
-    /// Tells whether a target takes requests. It may have started draining, or
-    /// asked for a pause, since it was chosen.
-    fn may_send(&self, target: &Target, now: Duration) -> bool {
-        self.tables.fleet.lock().accepts_requests(target)
+    /// Tells whether a target takes the request. It may have started draining,
+    /// asked for a pause, or begun anew with other software, since it was chosen.
+    fn may_send(&self, target: &Target, cx: &PlacementContext, now: Duration) -> bool {
+        let fleet = self.tables.fleet.lock();
+        let software = fleet.get(target).map(|known| &known.record.software);
+        let is_usable = fleet.accepts_requests(target)
+            && software.is_some_and(|software| cx.accepts_software(software));
+        drop(fleet);
+        is_usable
             && self.tables.traffic.lock().pause_left(target, now).is_none()
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -270,6 +270,7 @@
         status: started.answer.status,
         headers: started.answer.headers,
         body: ReplyBody::Full(started.start.data),
+        software: started.answer.software,
     };
     match started.req.retry() {
         Ok(req) => {
@@ -324,6 +325,7 @@
         parts: cx.parts.to_vec(),
         attempts: cx.attempts_left,
         last_event_id: out.last_event_id,
+        software: cx.software.clone(),
         method: out.method.to_string(),
         path_and_query: out.path_and_query.clone(),
         headers: write_headers(&out.headers),
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -9,6 +9,7 @@
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::Model;
 use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::traffic::PromptPart;
@@ -181,6 +182,8 @@
     pub headers: HeaderMap,
     /// Body of the answer.
     pub body: ReplyBody,
+    /// Software of the target that answers, if a target does.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Result of a request: an answer, or a refusal that says whether it ran.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -88,6 +88,13 @@
     pub(crate) extra_attempt: Option<ExtraAttemptOutcome>,
 }
 
+impl PlacementContext {
+    /// Tells whether a target of this software may answer the request.
+    pub(crate) fn accepts_software(&self, software: &SoftwareVersion) -> bool {
+        self.software.as_ref().is_none_or(|began| began == software)
+    }
+}
+
 /// Destination of the next attempt at a caller's request.
 #[derive(Debug)]
 pub(crate) enum Destination<D>
@@ -367,6 +374,7 @@
             prompt_tokens: cx.prompt_tokens,
             parts: &cx.parts,
             excluded: tried,
+            software: cx.software.as_ref(),
             random: rand::random(),
         };
         let fleet = self.tables.fleet.lock();
@@ -480,6 +488,9 @@
     ) -> Result<LocalPlacement<D, O>, Refusal> {
         let region = self.settings.region.clone();
         let known = self.tables.fleet.lock().get(&choice.target).cloned();
+        // A process with other software may have taken the target's name since
+        // the choice.
+        let known = known.filter(|known| cx.accepts_software(&known.record.software));
         let reservation = Reservation {
             target: choice.target.clone(),
             pool: cx.pool.name.clone(),
--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Dispatched;
@@ -25,6 +26,8 @@
 pub(crate) struct RemoteAnswer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    /// Software of the target that answers.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Number of targets in the other region that may have run the request, 1
     /// at least.
     pub(crate) attempts_used: u32,
@@ -108,14 +111,17 @@
                 e => ForwardFailure::before_head(e),
             })?;
         let mut attempts_used = 0;
+        let mut software = None;
         loop {
             match frames.next().await.map_err(ForwardFailure::before_head)? {
                 Frame::Ran(count) => attempts_used = count,
+                Frame::Software(version) => software = Some(version),
                 Frame::Head { status, headers } => {
                     let status = StatusCode::from_u16(status);
                     return Ok(Self {
                         status: status.map_err(ForwardFailure::before_head)?,
                         headers: read_headers(&headers),
+                        software,
                         // An answer means that at least one target ran the
                         // request.
                         attempts_used: attempts_used.max(1),
@@ -147,7 +153,7 @@
                 Ok(Frame::Data(data)) => Ok(Some(data.into())),
                 Ok(Frame::End) => Ok(None),
                 Ok(Frame::Refused(refusal)) => Err(refusal.code.as_str().to_owned()),
-                Ok(Frame::Head { .. } | Frame::Stamp(_)) => Err("unexpected frame".to_owned()),
+                Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Software(_)) => Err("unexpected frame".to_owned()),
                 Err(e) => Err(e.to_string()),
             };
         }
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -92,6 +92,7 @@
         mut started: Box<StartedForward>,
     ) -> Self {
         cx.is_resumed = true;
+        cx.software = cx.software.or_else(|| started.answer.software.clone());
         let buffered = std::mem::take(&mut started.start.data);
         Self {
             _open: gateway.open_requests.token(),
@@ -243,7 +244,8 @@
         if self.kind != started.answer.kind() {
             return ResumeOutcome::Failed;
         }
-        self.record_continuation(started.req.peer(), None);
+        let software = started.answer.software.as_ref();
+        self.record_continuation(started.req.peer(), software);
         self.buffered = std::mem::take(&mut started.start.data);
         self.rest = AnswerRest::Remote(started);
         ResumeOutcome::Resumed
@@ -342,6 +344,7 @@
     ) -> Reply {
         let status = started.answer.status;
         let headers = started.answer.headers.clone();
+        let software = started.answer.software.clone();
         let body = match started.start.is_complete {
             true => {
                 // Ends the request's life cycle.
@@ -357,6 +360,7 @@
             status,
             headers,
             body,
+            software,
         }
     }
 }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -196,7 +196,11 @@
         status,
         headers,
         body,
+        software,
     } = reply;
+    if let Some(software) = software {
+        tx.send(&Frame::Software(software)).await?;
+    }
     let head = Frame::Head {
         status: status.as_u16(),
         headers: write_headers(&headers),
@@ -383,7 +387,7 @@
             attempts_left: forward.attempts.max(1),
             sent_count: SentCount::default(),
             is_resumed: forward.is_resumed,
-            software: None,
+            software: forward.software,
             extra_attempt: None,
         };
         let meta = RequestMeta {
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -16,6 +16,7 @@
 use chiverelay_decisions::names::KeyId;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
+use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::placement::LoadReport;
 use chiverelay_decisions::placement::PoolSummary;
@@ -276,6 +277,9 @@
     pub attempts: u32,
     /// Id of the last event that the caller has.
     pub last_event_id: Option<u64>,
+    /// Software that began the answer, if it has begun. Only targets of the same
+    /// version may continue it.
+    pub software: Option<SoftwareVersion>,
     /// Method.
     pub method: String,
     /// Path with its query.
@@ -308,4 +312,6 @@
     Ran(u32),
     /// The sender's hybrid logical clock, before the head.
     Stamp(Stamp),
+    /// Software of the target that answers, before the head.
+    Software(SoftwareVersion),
 }
--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -190,10 +190,13 @@
     })
 }
 
+/// Software version of targets that are registered without one.
+const SOFTWARE: &str = "v1";
+
 fn record(address: SocketAddr, service: &str, zone: &str, state: &str, cold_ms: u64) -> Value {
     json!({
         "service": service, "address": address.to_string(), "zone": zone,
-        "version": "v1", "slots": 6, "state": state, "warmup_left_ms": cold_ms,
+        "version": SOFTWARE, "slots": 6, "state": state, "warmup_left_ms": cold_ms,
         "sequence": 1, "born": 1_700_000_000_000_u64,
     })
 }
@@ -246,6 +249,19 @@
         self.store.put(&format!("servers/{}", target.name), &record);
     }
 
+    /// Registers a target with a version of its software.
+    pub fn register_software(
+        &self,
+        target: &PlatformTarget,
+        service: &str,
+        zone: &str,
+        software: &str,
+    ) {
+        let mut record = record(target.address, service, zone, "ready", 0);
+        record["version"] = software.into();
+        self.store.put(&format!("servers/{}", target.name), &record);
+    }
+
     /// Registers a target that instances reach at an address.
     pub fn register_at(&self, name: &str, address: SocketAddr, service: &str, zone: &str) {
         self.register_cold_at(name, address, service, zone, 0);
--- a/tests/testsuite/decoders.rs
+++ b/tests/testsuite/decoders.rs
@@ -183,6 +183,7 @@
             parts: Vec::new(),
             attempts: 1,
             last_event_id: None,
+            software: None,
             method: "GET".to_owned(),
             path_and_query: "/".to_owned(),
             headers: vec![("accept".to_owned(), b"*".to_vec())],
--- a/tests/testsuite/hostile.rs
+++ b/tests/testsuite/hostile.rs
@@ -162,6 +162,7 @@
         parts: Vec::new(),
         attempts: 1,
         last_event_id: None,
+        software: None,
         method: "POST".to_owned(),
         path_and_query: "/deposits".to_owned(),
         headers: Vec::new(),
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -186,6 +186,7 @@
         parts: Vec::new(),
         attempts: 1,
         last_event_id: None,
+        software: None,
         method: "POST".to_owned(),
         path_and_query: "/chat/1".to_owned(),
         headers: Vec::new(),
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -34,6 +34,7 @@
 mod slow_readers;
 mod slow_store;
 mod soak;
+mod software;
 mod stated_limit;
 mod store;
 mod supervise;
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -211,6 +211,7 @@
             prompt_tokens: 300,
             parts: &[],
             excluded: tried,
+            software: None,
             random: draw,
         };
         let region = Region::from("north");
--- a/tests/testsuite/residency.rs
+++ b/tests/testsuite/residency.rs
@@ -288,6 +288,7 @@
         parts: Vec::new(),
         attempts: 1,
         last_event_id: None,
+        software: None,
         method: "POST".to_owned(),
         path_and_query: "/v1/chat/completions".to_owned(),
         headers: Vec::new(),
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -151,6 +151,7 @@
             prompt_tokens: tokens,
             parts,
             excluded: tried,
+            software: None,
             random: self.draw,
         };
         self.draw += 1;
