Let callers resume a stream only at targets of the software that began it

A caller that took a broken stream up again, at any instance, got its rest from a target of whichever version: the header that names the request which began the stream was not read, and what began it was known to nobody. After all instances were killed the same happened, and text of two versions ended as a whole answer.

Instances now remember what began each resumable stream, tell hubs of their own and one hub of each other region while the pool may have had several versions, and ask them when a caller resumes a stream that they don't know. The versions that a pool has or had lately are marked in the store, one key each, so that an instance that starts after all were killed knows of targets that have left. Where several versions are possible and nobody knows the stream, it is refused at once as not run (not_resumable, without Retry-After); so it is if its version has no target left. A weighted route chooses the pool of a resumed stream by the request that began it.

A stream that a caller resumes counts as an answer that has begun, as one that an instance resumes does, so that it isn't refused for being late.

--- a/crates/caller/src/explain.rs
+++ b/crates/caller/src/explain.rs
@@ -97,6 +97,10 @@
         Code::SiblingFailed => "the instance that passed the request on lost its way to another",
         Code::Quarantined => "a part of the prompt crashed several targets; leave it out",
         Code::Suspended => "several targets crashed under the request; come back later",
+        Code::NotResumable => {
+            "what began the stream is gone or not known, and nothing else can continue it; ask \
+             for it from its start"
+        }
         Code::Draining => "the instance is stopping; ask another one",
     }
 }
--- a/crates/caller/src/reply.rs
+++ b/crates/caller/src/reply.rs
@@ -146,6 +146,7 @@
         | Code::Unavailable
         | Code::StateUnavailable
         | Code::Suspended
+        | Code::NotResumable
         | Code::Draining => StatusCode::SERVICE_UNAVAILABLE,
         Code::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         Code::TargetFailed | Code::SiblingFailed => StatusCode::BAD_GATEWAY,
--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -186,6 +186,7 @@
         let left = head.deadline.saturating_sub(self.cx.clock.now());
         Forward {
             id: head.id.clone(),
+            stream: head.id.clone(),
             account: req.grant().account.clone(),
             route: req.grant().route.clone(),
             config_version: self.cx.tables.config.get().version,
--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -8,6 +8,7 @@
 mod specs;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,6 +49,8 @@
     has_accounts: bool,
     /// The most urgent priority of the routes of each pool.
     most_urgent: HashMap<Pool, u8>,
+    /// Pools with routes whose streams callers may resume.
+    resumable_pools: HashSet<Pool>,
 }
 
 /// Why the catalog has no route or account for a request.
@@ -102,6 +105,9 @@
                 *known = route.priority.min(*known);
             }
         }
+        let resumable = routes.iter().filter(|route| route.kind.is_resumable());
+        let resumable = resumable.flat_map(|route| &route.backends);
+        let resumable_pools = resumable.map(|backend| backend.pool.clone()).collect();
         let mut by_host: HashMap<Box<str>, Vec<Arc<RouteSpec>>> = HashMap::new();
         for route in routes {
             let host = route.host.as_ref().into();
@@ -127,9 +133,15 @@
             accounts_by_key: by_key,
             has_accounts,
             most_urgent,
+            resumable_pools,
         }
     }
 
+    /// Tells whether a route of a pool has streams that callers may resume.
+    pub fn has_resumable_streams(&self, pool: &Pool) -> bool {
+        self.resumable_pools.contains(pool)
+    }
+
     /// Tells whether no route of a pool is more urgent than a priority.
     pub fn is_most_urgent(&self, priority: u8, pool: &Pool) -> bool {
         let most_urgent = self.most_urgent.get(pool);
--- a/crates/decisions/src/catalog/specs.rs
+++ b/crates/decisions/src/catalog/specs.rs
@@ -40,6 +40,11 @@
         matches!(self, Self::Stream { .. })
     }
 
+    /// Tells whether the answer is a stream that can be resumed.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Returns the kind's name in log lines.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -26,9 +26,11 @@
 use self::store_health::StoreHealth;
 use crate::names::Pool;
 use crate::names::Region;
+use crate::names::SoftwareVersion;
 use crate::names::Target;
 use crate::names::Zone;
 use crate::revision::StoreRevision;
+use crate::streams::PoolSoftware;
 
 pub use self::copy::CopyChanges;
 pub use self::copy::EvacuationCopy;
@@ -351,6 +353,19 @@
         regions
     }
 
+    /// Lists the software of all targets, each with its pool.
+    pub fn list_software(&self) -> HashSet<PoolSoftware> {
+        let known = self.targets.values();
+        known.map(|known| known.record.pool_software()).collect()
+    }
+
+    /// Tells whether any target of a pool, in use or not, has the software.
+    pub fn has_software(&self, pool: &Pool, software: &SoftwareVersion) -> bool {
+        let names = self.by_pool.get(pool).map_or(&[][..], Vec::as_slice);
+        let mut known = names.iter().filter_map(|name| self.targets.get(name));
+        known.any(|known| known.record.software == *software)
+    }
+
     /// Counts the targets that may get new requests.
     pub fn count_usable(&self) -> usize {
         let usable = self
--- a/crates/decisions/src/fleet/record.rs
+++ b/crates/decisions/src/fleet/record.rs
@@ -12,6 +12,7 @@
 use crate::names::SoftwareVersion;
 use crate::names::Zone;
 use crate::revision::StoreRevision;
+use crate::streams::PoolSoftware;
 
 /// A target's record in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,6 +56,14 @@
 }
 
 impl TargetRecord {
+    /// Returns the target's software with its pool.
+    pub fn pool_software(&self) -> PoolSoftware {
+        PoolSoftware {
+            pool: self.pool.clone(),
+            software: self.software.clone(),
+        }
+    }
+
     /// Returns what tells the process that wrote the record from others.
     pub(super) fn incarnation(&self) -> Incarnation {
         Incarnation {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod step;
 pub mod store_lag;
 pub mod store_session;
+pub mod streams;
 pub mod suspension;
 pub mod tables;
 pub mod tickets;
--- a/crates/decisions/src/refusal.rs
+++ b/crates/decisions/src/refusal.rs
@@ -54,6 +54,9 @@
     Quarantined,
     /// Several targets crashed under the request.
     Suspended,
+    /// The request resumes a stream, and the software that began it is not known
+    /// or has no target left.
+    NotResumable,
 }
 
 impl Code {
@@ -77,6 +80,7 @@
             Self::Draining => "draining",
             Self::Quarantined => "quarantined",
             Self::Suspended => "suspended",
+            Self::NotResumable => "not_resumable",
         }
     }
 }
--- /dev/null
+++ b/crates/decisions/src/streams.rs
@@ -0,0 +1,43 @@
+//! Streams that callers may resume, and the software of the targets that began
+//! them. A stream can be continued only by targets of the same software.
+
+mod began;
+mod software;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::Pool;
+use crate::names::SoftwareVersion;
+
+pub use began::BeganStreams;
+pub use began::MAX_STREAMS;
+pub use began::STREAM_LIFETIME;
+pub use software::MARK_INTERVAL;
+pub use software::MarkChange;
+pub use software::MarkStep;
+pub use software::SOFTWARE_RETENTION;
+pub use software::SoftwareHistory;
+
+/// Software that targets of a pool have.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct PoolSoftware {
+    /// The pool.
+    pub pool: Pool,
+    /// Version of its targets' software.
+    pub software: SoftwareVersion,
+}
+
+/// Returns the software that began a stream: what is known of it, or the only
+/// software that its pool can have had since.
+pub fn software_of_stream(
+    known: Option<SoftwareVersion>,
+    possible: &[SoftwareVersion],
+) -> Option<SoftwareVersion> {
+    match (known, possible) {
+        (Some(software), _) => Some(software),
+        (None, [only]) => Some(only.clone()),
+        (None, _) => None,
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/streams/software.rs
@@ -0,0 +1,163 @@
+//! The software that a pool's targets have or had lately.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use super::PoolSoftware;
+use crate::names::Pool;
+use crate::names::SoftwareVersion;
+
+/// Time for which software counts after its last target has left the records.
+/// Streams that it began may be resumed meanwhile, and an instance that is cut
+/// off from the store may still begin some.
+pub const SOFTWARE_RETENTION: Duration = Duration::from_secs(30);
+
+/// Time between the instances of a region that may make the same change of a
+/// mark, one after the other.
+pub const MARK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What is known of some software of a pool.
+///
+/// # Invariants
+///
+/// `seen_at` and `unmarked_at` are on the local monotonic clock.
+#[derive(Clone, Debug)]
+struct Seen {
+    /// When a target was last on record, or the mark was first read.
+    seen_at: Duration,
+    /// When it was first seen, or its mark was removed.
+    unmarked_at: Duration,
+    /// Whether the store has a mark of it.
+    is_marked: bool,
+}
+
+/// A change of the marks in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MarkChange {
+    /// The software is in use and has no mark.
+    Add(PoolSoftware),
+    /// No target has had the software for [`SOFTWARE_RETENTION`].
+    Remove(PoolSoftware),
+}
+
+/// What to do about the marks next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MarkStep {
+    /// This change is due.
+    Due(MarkChange),
+    /// Nothing is due before this time on the local monotonic clock.
+    WaitUntil(Duration),
+    /// Nothing is due until something changes.
+    Wait,
+}
+
+/// The software that targets of each pool have or had lately.
+///
+/// Software in use is marked in the store, so that instances that start after
+/// its targets have left know of it: streams that it began may still be resumed.
+#[derive(Clone, Debug, Default)]
+pub struct SoftwareHistory {
+    seen: HashMap<PoolSoftware, Seen>,
+}
+
+impl SoftwareHistory {
+    /// Records that a target with the software is on record. Returns whether the
+    /// software is new.
+    pub fn observe(&mut self, software: &PoolSoftware, now: Duration) -> bool {
+        if let Some(seen) = self.seen.get_mut(software) {
+            seen.seen_at = now;
+            return false;
+        }
+        let seen = Seen {
+            seen_at: now,
+            unmarked_at: now,
+            is_marked: false,
+        };
+        self.seen.insert(software.clone(), seen);
+        true
+    }
+
+    /// Records a mark in the store. Returns whether the software is new.
+    pub fn record_mark(&mut self, software: PoolSoftware, now: Duration) -> bool {
+        let is_new = !self.seen.contains_key(&software);
+        let seen = self.seen.entry(software).or_insert(Seen {
+            seen_at: now,
+            unmarked_at: now,
+            is_marked: true,
+        });
+        seen.is_marked = true;
+        is_new
+    }
+
+    /// Records that the store has no mark of the software.
+    pub fn record_unmarked(&mut self, software: &PoolSoftware, now: Duration) {
+        if let Some(seen) = self.seen.get_mut(software)
+            && seen.is_marked
+        {
+            seen.is_marked = false;
+            seen.unmarked_at = now;
+        }
+    }
+
+    /// Applies a complete listing of the marks.
+    pub fn reconcile_marks(&mut self, listed: &HashSet<PoolSoftware>, now: Duration) {
+        for (software, seen) in &mut self.seen {
+            if seen.is_marked && !listed.contains(software) {
+                seen.is_marked = false;
+                seen.unmarked_at = now;
+            }
+        }
+        for software in listed {
+            self.record_mark(software.clone(), now);
+        }
+    }
+
+    /// Lists the software that may have begun streams of the pool that are still
+    /// resumed. What is on record was observed before.
+    pub fn possible(&self, pool: &Pool, now: Duration) -> Vec<SoftwareVersion> {
+        let of_pool = self.seen.iter().filter(|(key, _)| key.pool == *pool);
+        let possible = of_pool.filter(|(_, seen)| seen.is_marked || !seen.is_outdated(now));
+        possible.map(|(key, _)| key.software.clone()).collect()
+    }
+
+    /// Returns what to do about the marks of the pools that `needs_marks`
+    /// accepts. `rank` is this instance's place for a change among those that
+    /// may make it.
+    pub fn next_mark_step<P, R>(&mut self, needs_marks: P, rank: R, now: Duration) -> MarkStep
+    where
+        P: Fn(&Pool) -> bool,
+        R: Fn(&PoolSoftware) -> usize,
+    {
+        self.seen
+            .retain(|_, seen| seen.is_marked || !seen.is_outdated(now));
+        let mut next: Option<Duration> = None;
+        for (software, seen) in &self.seen {
+            if !needs_marks(&software.pool) {
+                continue;
+            }
+            let turn = u32::try_from(rank(software)).unwrap_or(u32::MAX);
+            let delay = MARK_INTERVAL.saturating_mul(turn);
+            let due_at = match seen.is_marked {
+                true => seen.seen_at + SOFTWARE_RETENTION + delay,
+                false => seen.unmarked_at + delay,
+            };
+            if due_at <= now {
+                let change = match seen.is_marked {
+                    true => MarkChange::Remove(software.clone()),
+                    false => MarkChange::Add(software.clone()),
+                };
+                return MarkStep::Due(change);
+            }
+            next = Some(next.map_or(due_at, |next| next.min(due_at)));
+        }
+        next.map_or(MarkStep::Wait, MarkStep::WaitUntil)
+    }
+}
+
+impl Seen {
+    /// Tells whether no target has had the software for long.
+    fn is_outdated(&self, now: Duration) -> bool {
+        now >= self.seen_at + SOFTWARE_RETENTION
+    }
+}
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -53,6 +53,8 @@
     Quarantine,
     /// Requests under which targets crashed.
     Suspensions,
+    /// The streams that began lately, and the software of pools.
+    Streams,
     /// What is known of the other instances.
     Members,
     /// What each sibling last reported of itself.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -313,6 +313,7 @@
     let meta = req.meta();
     Forward {
         id: meta.id.clone(),
+        stream: out.stream.clone(),
         account: req.grant().account.clone(),
         route: req.grant().route.clone(),
         config_version: cx.catalog_version,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -83,6 +83,8 @@
     pub(crate) clock: Clock,
     pub(crate) tables: SharedTables,
     pub(crate) store_lag: SharedStoreLag,
+    /// Notified when the software of a pool's targets or its marks change.
+    pub(crate) software_changed: Notify,
     /// Notified when another catalog is in force.
     pub(crate) catalog_changed: Notify,
     pub(crate) rate_limiter: RateLimiter,
@@ -155,6 +157,7 @@
         Ok(Arc::new(Self {
             tables: SharedTables::new(&settings),
             store_lag: SharedStoreLag::default(),
+            software_changed: Notify::new(),
             catalog_changed: Notify::new(),
             rate_limiter: RateLimiter::new(settings.account_limit_tolerance),
             members: Members::new(own, pins),
@@ -331,12 +334,15 @@
 
     /// Applies an update that was read from the store at `revision`. A catalog
     /// or record older than the one in use is ignored.
-    pub fn apply(&self, update: StoreUpdate, revision: StoreRevision) {
+    pub fn apply(self: &Arc<Self>, update: StoreUpdate, revision: StoreRevision) {
         let now = self.clock.now();
         let tables = &self.tables;
         match update {
             StoreUpdate::Catalog(catalog) => self.apply_catalog(catalog, revision, now),
-            StoreUpdate::Target(name, record) => tables.put_target(&name, record, revision, now),
+            StoreUpdate::Target(name, record) => {
+                tables.put_target(&name, record, revision, now);
+                self.observe_target(&name, now);
+            }
             StoreUpdate::TargetRemoved(name) => tables.remove_target(&name, revision, now),
             StoreUpdate::TargetsListed(names) => {
                 tables.reconcile_targets(&names, now);
@@ -358,6 +364,9 @@
                 self.listings.members.store(true, Ordering::Relaxed);
                 self.set_ready_if_synced();
             }
+            StoreUpdate::SoftwareMarked(software) => self.record_software_mark(software),
+            StoreUpdate::SoftwareUnmarked(software) => self.remove_software_mark(&software),
+            StoreUpdate::SoftwareMarksListed(marks) => self.reconcile_software_marks(&marks),
             StoreUpdate::CaughtUp => self.store_lag.record_read(revision),
             StoreUpdate::StoreAnswered => {
                 if tables.fleet.lock().store_answered(revision.era, now) {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -47,6 +47,7 @@
 use crate::request_log::RequestLog;
 use crate::sent_count::SentCount;
 use crate::shutdown::refuse_open_request;
+use crate::streams::StartedStream;
 use crate::suspension;
 
 /// Maximum number of destinations that one request is tried at, including
@@ -122,6 +123,7 @@
 ) -> (PlacementContext, Outbound) {
     let account = matched.account.as_ref().map(|account| account.name.clone());
     let out = Outbound {
+        stream: inbound.stream_id().clone(),
         id: inbound.id,
         method: inbound.method,
         path_and_query: inbound.path_and_query,
@@ -238,12 +240,15 @@
             .map_err(refuse_lookup_error)?;
         request_log.route = Some(matched.route.name.clone());
         request_log.account = matched.account.as_ref().map(|account| account.name.clone());
-        let pool = self.find_pool(&matched, &inbound.id, catalog)?;
+        let pool = self.find_pool(&matched, inbound.stream_id(), catalog)?;
         if let Some(part) = self.find_quarantined_part(&inbound.id, &inbound.parts, now) {
             let refusal = Refusal::not_run(Code::Quarantined, Step::Admit, Peer::Local);
             return Err(quarantine::name_part(refusal, part));
         }
-        log_resumed(&inbound);
+        let software = match matched.route.kind.is_resumable() && inbound.is_resuming() {
+            true => self.find_stream_software(&inbound, &pool.name).await?,
+            false => None,
+        };
         let tokens = matched
             .account
             .as_ref()
@@ -262,8 +267,17 @@
         let meta = request_meta(&inbound, now, deadline);
         let req = Request::from_caller(meta).admit(grant);
         self.tables.traffic.lock().record_request(&pool.name, now);
-        let (cx, out) = split_request(&matched, pool, catalog, inbound);
+        let (mut cx, out) = split_request(&matched, pool, catalog, inbound);
+        cx.is_resumed = software.is_some();
+        cx.software = software;
+        let stream = StartedStream::of(&out.stream, &cx);
         let handled = self.run_attempts(req, cx, out, request_log).await;
+        if let (Ok(reply), Some(stream)) = (&handled, stream)
+            && reply.status.is_success()
+            && let Some(software) = &reply.software
+        {
+            self.record_stream(stream, software);
+        }
         let has_not_run = matches!(&handled, Err(refusal) if refusal.outcome == Outcome::NotRun);
         if let Some(charge) = charge.filter(|_| has_not_run) {
             self.refund(charge).await;
@@ -291,10 +305,10 @@
     fn find_pool(
         &self,
         matched: &MatchedRoute,
-        id: &RequestId,
+        stream: &RequestId,
         catalog: &Catalog,
     ) -> Result<Arc<PoolSpec>, Refusal> {
-        let pool = matched.route.choose_pool(id.as_str());
+        let pool = matched.route.choose_pool(stream.as_str());
         let pool = pool.and_then(|name| catalog.pool(name));
         let mut regions = self.settings.zone_regions.values();
         let pool = pool.filter(|_| regions.any(|region| matched.allows(region)));
@@ -397,20 +411,6 @@
     }
 }
 
-/// Logs a request that resumes a stream which the caller has a part of.
-fn log_resumed(inbound: &Inbound) {
-    let Some(last_event_id) = inbound.last_event_id else {
-        return;
-    };
-    log::info!(
-        target: "request",
-        id = inbound.id.as_str(),
-        began_as = inbound.resumes.as_ref().map_or("", RequestId::as_str),
-        last_event = last_event_id;
-        "caller resumes a stream"
-    );
-}
-
 fn refuse_no_catalog() -> Refusal {
     Refusal::not_run(Code::StateUnavailable, Step::Configure, Peer::Store)
         .with_retry_after(NO_CATALOG_RETRY_AFTER)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod sibling_handler;
 mod status;
 mod store_lag;
+mod streams;
 pub mod supervise;
 mod suspension;
 mod tables;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -64,6 +64,17 @@
 }
 
 impl Inbound {
+    /// Returns the id of the request that began the stream which this one
+    /// resumes, or its own id.
+    pub fn stream_id(&self) -> &RequestId {
+        self.resumes.as_ref().unwrap_or(&self.id)
+    }
+
+    /// Tells whether the request resumes a stream.
+    pub fn is_resuming(&self) -> bool {
+        self.resumes.is_some() || self.last_event_id.is_some()
+    }
+
     /// Returns the path without the query.
     pub fn path(&self) -> &str {
         let path = self.path_and_query.split('?').next();
@@ -77,6 +88,9 @@
     /// Id that the caller chose for this request. The gateway's attempts at
     /// the request share it.
     pub id: RequestId,
+    /// Id of the caller's request that began the stream which this one resumes;
+    /// `id` if it resumes none.
+    pub stream: RequestId,
     /// HTTP method.
     pub method: Method,
     /// Path and query, as the caller sent them.
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -98,6 +98,13 @@
                 self.gateway.receive_refund(&refund);
                 Message::Done
             }
+            Message::StreamsBegan(told) => {
+                self.gateway.receive_streams(from, &told);
+                Message::Done
+            }
+            Message::AskStream(ask) => {
+                Message::StreamOrigin(self.gateway.answer_for_stream(from, &ask).await)
+            }
             Message::AskFleet => Message::Fleet(self.gateway.copy_fleet(&from.region)),
             Message::AskTokens(requested) => {
                 let now = self.gateway.clock.now();
@@ -353,7 +360,7 @@
             }
         };
         let matched = MatchedRoute { route, account };
-        let pool = matched.route.choose_pool(forward.id.as_str());
+        let pool = matched.route.choose_pool(forward.stream.as_str());
         let Some(pool) = pool.and_then(|name| current.catalog.pool(name)).cloned() else {
             return Err(refuse(Code::Unavailable, Step::Route));
         };
@@ -366,6 +373,7 @@
         let method = method.map_err(|_| refuse(Code::Malformed, Step::Receive))?;
         let out = Outbound {
             id: forward.id.clone(),
+            stream: forward.stream,
             method,
             path_and_query: forward.path_and_query,
             headers,
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -18,6 +18,7 @@
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::quarantine::Quarantine;
 use chiverelay_decisions::revision::StoreRevision;
+use chiverelay_decisions::streams::PoolSoftware;
 use chiverelay_decisions::suspension::Suspensions;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
@@ -25,6 +26,7 @@
 
 use crate::MemberRecord;
 use crate::Settings;
+use crate::streams::Streams;
 
 /// An update read from the store.
 #[derive(Clone, Debug)]
@@ -48,6 +50,12 @@
     MemberRemoved(Instance),
     /// The complete set of instances that have records.
     MembersListed(HashSet<Instance>),
+    /// The store has a mark that targets of a pool have or had software.
+    SoftwareMarked(PoolSoftware),
+    /// Such a mark was removed.
+    SoftwareUnmarked(PoolSoftware),
+    /// The complete set of these marks.
+    SoftwareMarksListed(HashSet<PoolSoftware>),
     /// All changes up to the revision were told.
     CaughtUp,
     /// The store answered a request.
@@ -61,7 +69,7 @@
 /// Tables shared by requests and updates from the store.
 ///
 /// Locked in this order: `catalog`, `fleet`, `traffic`, `quarantine`,
-/// `suspensions`. Their ranks in [`LockRank`] increase in the same order.
+/// `suspensions`, `streams`. Their ranks in [`LockRank`] increase in the same order.
 #[derive(Debug)]
 pub(crate) struct SharedTables {
     pub(crate) catalog: CurrentCatalog,
@@ -69,6 +77,7 @@
     pub(crate) traffic: RankedMutex<Traffic>,
     pub(crate) quarantine: RankedMutex<Quarantine>,
     pub(crate) suspensions: RankedMutex<Suspensions>,
+    pub(crate) streams: RankedMutex<Streams>,
 }
 
 impl SharedTables {
@@ -89,6 +98,7 @@
             ),
             quarantine: RankedMutex::new(LockRank::Quarantine, Quarantine::default()),
             suspensions: RankedMutex::new(LockRank::Suspensions, Suspensions::default()),
+            streams: RankedMutex::new(LockRank::Streams, Streams::default()),
         }
     }
 
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -14,6 +14,7 @@
 use chiverelay_decisions::membership::RegionSummaries;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::KeyId;
+use chiverelay_decisions::names::Pool;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
 use chiverelay_decisions::names::SoftwareVersion;
@@ -129,6 +130,44 @@
     AskFleet,
     /// What the sender has read from the store of the targets of a region.
     Fleet(FleetCopy),
+    /// Streams that began at the sender, or that it was told of.
+    StreamsBegan(StreamsBegan),
+    /// Asks what began a stream. Answered by [`Message::StreamOrigin`].
+    AskStream(AskStream),
+    /// What the sender knows of a stream.
+    StreamOrigin(StreamOrigin),
+}
+
+/// Streams of a pool and the software that began them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct StreamsBegan {
+    /// The pool.
+    pub pool: Pool,
+    /// The callers' requests that the streams began with.
+    pub streams: Vec<(RequestId, SoftwareVersion)>,
+    /// Whether the receiver tells the other regions.
+    pub is_for_other_regions: bool,
+}
+
+/// A stream that a caller resumes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AskStream {
+    /// The caller's request that the stream began with.
+    pub id: RequestId,
+    /// The pool that serves it.
+    pub pool: Pool,
+}
+
+/// What an instance knows of a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// The software that began the stream, if it is known.
+    pub software: Option<SoftwareVersion>,
+    /// All software that may have begun streams of the pool.
+    pub possible: Vec<SoftwareVersion>,
 }
 
 /// A claim of a ticket.
@@ -254,6 +293,9 @@
 pub struct Forward {
     /// The request's identifier.
     pub id: RequestId,
+    /// Identifier of the caller's request that began the stream which this one
+    /// resumes; `id` if it resumes none.
+    pub stream: RequestId,
     /// The account that the sender charged; `None` on open routes.
     pub account: Option<Account>,
     /// The route that the sender matched.
--- a/tests/testsuite/decoders.rs
+++ b/tests/testsuite/decoders.rs
@@ -172,6 +172,7 @@
         stamp: Stamp::default(),
         message: Message::Forward(Forward {
             id: "id".into(),
+            stream: "id".into(),
             account: Some("a".into()),
             route: "r".into(),
             config_version: 1,
--- a/tests/testsuite/hostile.rs
+++ b/tests/testsuite/hostile.rs
@@ -151,6 +151,7 @@
 fn forward() -> Message {
     Message::Forward(Forward {
         id: "one-of-a-kind".into(),
+        stream: "one-of-a-kind".into(),
         account: Some("encargos".into()),
         route: "deposits".into(),
         config_version: 1,
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -175,6 +175,7 @@
 fn request() -> Forward {
     Forward {
         id: "r-1".into(),
+        stream: "r-1".into(),
         account: None,
         route: "chat".into(),
         config_version: 1,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -51,6 +51,7 @@
 mod silent_engines;
 mod store;
 mod store_lag;
+mod streams;
 mod suspension;
 mod tables;
 mod target_connections;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -26,6 +26,7 @@
 mod pause;
 mod quarantine;
 mod restored;
+mod resumed_by_callers;
 mod retries;
 mod settings;
 mod shutdown;
--- a/tests/testsuite/residency.rs
+++ b/tests/testsuite/residency.rs
@@ -277,6 +277,7 @@
     let body = json!({"model": "taller-llm", "max_tokens": 2, "messages": []});
     Forward {
         id: "hand-made".into(),
+        stream: "hand-made".into(),
         account: Some("encargos".into()),
         route: route.into(),
         config_version: 1,
--- /dev/null
+++ b/tests/testsuite/streams.rs
@@ -0,0 +1,175 @@
+//! What is known of streams that callers may resume, and of the software that
+//! began them.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use chiverelay_decisions::names::Pool;
+use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::names::SoftwareVersion;
+use chiverelay_decisions::streams::BeganStreams;
+use chiverelay_decisions::streams::MARK_INTERVAL;
+use chiverelay_decisions::streams::MAX_STREAMS;
+use chiverelay_decisions::streams::MarkChange;
+use chiverelay_decisions::streams::MarkStep;
+use chiverelay_decisions::streams::PoolSoftware;
+use chiverelay_decisions::streams::SOFTWARE_RETENTION;
+use chiverelay_decisions::streams::STREAM_LIFETIME;
+use chiverelay_decisions::streams::SoftwareHistory;
+use chiverelay_decisions::streams::software_of_stream;
+use support::cases;
+
+const START: Duration = Duration::from_secs(100);
+
+fn of(software: &str) -> PoolSoftware {
+    PoolSoftware {
+        pool: "model".into(),
+        software: software.into(),
+    }
+}
+
+fn pool() -> Pool {
+    "model".into()
+}
+
+fn id(n: usize) -> RequestId {
+    format!("r-{n}").into()
+}
+
+fn check_software(known: Option<&str>, possible: &[&str], expected: Option<&str>) {
+    let possible: Vec<SoftwareVersion> = possible.iter().map(|s| (*s).into()).collect();
+    let found = software_of_stream(known.map(Into::into), &possible);
+    assert_eq!(found, expected.map(Into::into));
+}
+
+cases! {
+    check_software:
+    what_is_known_of_a_stream_counts(Some("a"), &["a", "b"], Some("a"));
+    what_is_known_counts_before_the_only_version(Some("a"), &["b"], Some("a"));
+    the_only_version_began_all_streams(None, &["b"], Some("b"));
+    one_of_several_versions_is_not_guessed(None, &["a", "b"], None);
+    without_a_target_nothing_is_known(None, &[], None);
+}
+
+#[test]
+fn a_stream_is_forgotten_after_its_lifetime() {
+    let mut streams = BeganStreams::default();
+    streams.record(&id(1), of("a"), START);
+    let last = START + STREAM_LIFETIME - Duration::from_millis(1);
+    assert_eq!(streams.find(&id(1), &pool(), last), Some("a".into()));
+    assert_eq!(streams.find(&id(1), &pool(), START + STREAM_LIFETIME), None);
+    streams.record(&id(2), of("a"), START + STREAM_LIFETIME);
+    assert_eq!(streams.len(), 1);
+}
+
+/// Failure: a stream that was resumed twice was bound to what continued it and
+/// not to what began it.
+#[test]
+fn what_continues_a_stream_has_not_begun_it() {
+    let mut streams = BeganStreams::default();
+    streams.record(&id(1), of("a"), START);
+    let later = START + STREAM_LIFETIME / 2;
+    streams.record(&id(1), of("b"), later);
+    assert_eq!(streams.find(&id(1), &pool(), later), Some("a".into()));
+    let kept_until = later + STREAM_LIFETIME - Duration::from_millis(1);
+    assert_eq!(streams.find(&id(1), &pool(), kept_until), Some("a".into()));
+}
+
+#[test]
+fn a_stream_of_another_pool_is_another_stream() {
+    let mut streams = BeganStreams::default();
+    streams.record(&id(1), of("a"), START);
+    assert_eq!(streams.find(&id(1), &"other".into(), START), None);
+    assert!(streams.list(&"other".into(), START).is_empty());
+    assert_eq!(streams.list(&pool(), START), [(id(1), "a".into())]);
+}
+
+/// Load pattern: callers begin more streams than are remembered.
+#[test]
+fn the_oldest_streams_make_room() {
+    let mut streams = BeganStreams::default();
+    for n in 0..=MAX_STREAMS {
+        streams.record(&id(n), of("a"), START);
+    }
+    assert_eq!(streams.len(), MAX_STREAMS);
+    assert_eq!(streams.find(&id(0), &pool(), START), None);
+    let last = streams.find(&id(MAX_STREAMS), &pool(), START);
+    assert_eq!(last, Some("a".into()));
+}
+
+/// Returns the next step of an instance of this rank.
+fn step(history: &mut SoftwareHistory, rank: usize, now: Duration) -> MarkStep {
+    history.next_mark_step(|_| true, |_| rank, now)
+}
+
+#[test]
+fn software_counts_for_a_while_after_its_last_target() {
+    let mut history = SoftwareHistory::default();
+    assert!(history.observe(&of("a"), START));
+    assert!(!history.observe(&of("a"), START));
+    let last = START + SOFTWARE_RETENTION - Duration::from_millis(1);
+    assert_eq!(history.possible(&pool(), last), ["a".into()]);
+    let gone = START + SOFTWARE_RETENTION;
+    assert!(history.possible(&pool(), gone).is_empty());
+    assert!(history.possible(&"other".into(), START).is_empty());
+}
+
+/// Failure: an instance that started after all were killed knew nothing of
+/// software whose targets had left, and continued its streams with another.
+#[test]
+fn marked_software_counts_until_its_mark_is_removed() {
+    let mut history = SoftwareHistory::default();
+    assert!(history.record_mark(of("a"), START));
+    let late = START + 10 * SOFTWARE_RETENTION;
+    assert_eq!(history.possible(&pool(), late), ["a".into()]);
+    history.record_unmarked(&of("a"), late);
+    assert!(history.possible(&pool(), late).is_empty());
+}
+
+#[test]
+fn software_in_use_is_marked_in_turn() {
+    let mut history = SoftwareHistory::default();
+    history.observe(&of("a"), START);
+    let add = MarkStep::Due(MarkChange::Add(of("a")));
+    assert_eq!(step(&mut history, 0, START), add);
+    let second = START + MARK_INTERVAL;
+    assert_eq!(step(&mut history, 1, START), MarkStep::WaitUntil(second));
+    assert_eq!(step(&mut history, 1, second), add);
+    history.record_mark(of("a"), second);
+    let unused = START + SOFTWARE_RETENTION;
+    assert_eq!(step(&mut history, 0, second), MarkStep::WaitUntil(unused));
+}
+
+#[test]
+fn a_mark_without_targets_is_removed_in_turn() {
+    let mut history = SoftwareHistory::default();
+    history.record_mark(of("a"), START);
+    let unused = START + SOFTWARE_RETENTION;
+    let remove = MarkStep::Due(MarkChange::Remove(of("a")));
+    assert_eq!(step(&mut history, 0, START), MarkStep::WaitUntil(unused));
+    assert_eq!(step(&mut history, 0, unused), remove);
+    assert_eq!(step(&mut history, 1, unused + MARK_INTERVAL), remove);
+    history.observe(&of("a"), unused);
+    let later = MarkStep::WaitUntil(unused + SOFTWARE_RETENTION);
+    assert_eq!(step(&mut history, 0, unused), later);
+}
+
+#[test]
+fn a_mark_that_the_store_lost_is_written_again() {
+    let mut history = SoftwareHistory::default();
+    history.observe(&of("a"), START);
+    history.record_mark(of("a"), START);
+    history.reconcile_marks(&HashSet::from([of("b")]), START);
+    let add = MarkStep::Due(MarkChange::Add(of("a")));
+    assert_eq!(step(&mut history, 0, START), add);
+    assert_eq!(history.possible(&pool(), START).len(), 2);
+}
+
+/// Pools without streams that callers may resume need no marks.
+#[test]
+fn other_pools_get_no_marks() {
+    let mut history = SoftwareHistory::default();
+    history.observe(&of("a"), START);
+    let step = history.next_mark_step(|_| false, |_| 0, START);
+    assert_eq!(step, MarkStep::Wait);
+}
