Remember streams for as long as callers may resume them

Streams and the software of pools were remembered for 30 s, whatever a route's timeout: the caller of a stream of minutes could have been joined to other software, once the version that began it had left for 30 s. Both are now remembered for 10 s longer than the longest timeout of a resumable route, 30 s at least. A hub that is asked before one version of software no longer waits for all others.

streams::what_lasts_longer_is_remembered_longer covers it; it can't be built on the code before, which had no such time.

--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -137,6 +137,14 @@
         }
     }
 
+    /// Returns the longest time that a stream which callers may resume takes.
+    pub fn longest_resumable(&self) -> Duration {
+        let routes = self.routes_by_host.values().flatten();
+        let resumable = routes.filter(|route| route.kind.is_resumable());
+        let longest = resumable.map(|route| route.timeout).max();
+        longest.unwrap_or_default()
+    }
+
     /// Tells whether a route of a pool has streams that callers may resume.
     pub fn has_resumable_streams(&self, pool: &Pool) -> bool {
         self.resumable_pools.contains(pool)
--- a/crates/decisions/src/streams.rs
+++ b/crates/decisions/src/streams.rs
@@ -4,6 +4,8 @@
 mod began;
 mod software;
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -12,13 +14,26 @@
 
 pub use began::BeganStreams;
 pub use began::MAX_STREAMS;
-pub use began::STREAM_LIFETIME;
 pub use software::MARK_INTERVAL;
 pub use software::MarkChange;
 pub use software::MarkStep;
-pub use software::SOFTWARE_RETENTION;
 pub use software::SoftwareHistory;
 
+/// Shortest time for which streams and the software of pools are remembered. An
+/// instance that is cut off from the store may begin streams at targets whose
+/// records are gone.
+pub const MIN_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Time beyond the longest answer for which they are remembered, in which a
+/// caller may come back.
+const RETURN_MARGIN: Duration = Duration::from_secs(10);
+
+/// Returns the time for which streams are remembered whose answers take at most
+/// `longest`.
+pub fn lifetime_for(longest: Duration) -> Duration {
+    MIN_LIFETIME.max(longest + RETURN_MARGIN)
+}
+
 /// Software that targets of a pool have.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
--- a/crates/decisions/src/streams/began.rs
+++ b/crates/decisions/src/streams/began.rs
@@ -4,15 +4,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::MIN_LIFETIME;
 use super::PoolSoftware;
 use crate::names::Pool;
 use crate::names::RequestId;
 use crate::names::SoftwareVersion;
 
-/// Time for which a stream is remembered after it began or was last resumed.
-/// Callers give up a request sooner.
-pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
-
 /// Largest number of streams that are remembered.
 pub const MAX_STREAMS: usize = 20_000;
 
@@ -23,25 +20,43 @@
     expires_at: Duration,
 }
 
-/// What began each stream of the last [`STREAM_LIFETIME`], by the id of the
-/// caller's request that it began with.
+/// What began each of the latest streams, by the id of the caller's request that
+/// it began with.
 ///
 /// # Invariants
 ///
 /// `by_age` has an element for each time that an entry of `by_id` was recorded,
 /// oldest first, and so at least one for each entry.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct BeganStreams {
     by_id: HashMap<RequestId, BeganStream>,
     by_age: VecDeque<(Duration, RequestId)>,
+    /// Time for which a stream is remembered after it began or was last resumed.
+    lifetime: Duration,
+}
+
+impl Default for BeganStreams {
+    fn default() -> Self {
+        Self {
+            by_id: HashMap::new(),
+            by_age: VecDeque::new(),
+            lifetime: MIN_LIFETIME,
+        }
+    }
 }
 
 impl BeganStreams {
+    /// Sets the time for which streams are remembered, for those that are
+    /// recorded from now on.
+    pub fn set_lifetime(&mut self, lifetime: Duration) {
+        self.lifetime = lifetime;
+    }
+
     /// Records what began a stream. What is known already stays, as later
     /// attempts continue the stream and don't begin it.
     pub fn record(&mut self, id: &RequestId, origin: PoolSoftware, now: Duration) {
         self.remove_expired(now);
-        let expires_at = now + STREAM_LIFETIME;
+        let expires_at = now + self.lifetime;
         let entry = self.by_id.entry(id.clone());
         let stream = entry.or_insert(BeganStream { origin, expires_at });
         stream.expires_at = expires_at;
--- a/crates/decisions/src/streams/software.rs
+++ b/crates/decisions/src/streams/software.rs
@@ -4,15 +4,11 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use super::MIN_LIFETIME;
 use super::PoolSoftware;
 use crate::names::Pool;
 use crate::names::SoftwareVersion;
 
-/// Time for which software counts after its last target has left the records.
-/// Streams that it began may be resumed meanwhile, and an instance that is cut
-/// off from the store may still begin some.
-pub const SOFTWARE_RETENTION: Duration = Duration::from_secs(30);
-
 /// Time between the instances of a region that may make the same change of a
 /// mark, one after the other.
 pub const MARK_INTERVAL: Duration = Duration::from_millis(250);
@@ -37,7 +33,7 @@
 pub enum MarkChange {
     /// The software is in use and has no mark.
     Add(PoolSoftware),
-    /// No target has had the software for [`SOFTWARE_RETENTION`].
+    /// No target has had the software for the lifetime of a stream.
     Remove(PoolSoftware),
 }
 
@@ -56,12 +52,30 @@
 ///
 /// Software in use is marked in the store, so that instances that start after
 /// its targets have left know of it: streams that it began may still be resumed.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct SoftwareHistory {
     seen: HashMap<PoolSoftware, Seen>,
+    /// Time for which software counts after its last target has left the
+    /// records. Streams that it began may be resumed meanwhile.
+    retention: Duration,
+}
+
+impl Default for SoftwareHistory {
+    fn default() -> Self {
+        Self {
+            seen: HashMap::new(),
+            retention: MIN_LIFETIME,
+        }
+    }
 }
 
 impl SoftwareHistory {
+    /// Sets the time for which software counts after its last target has left
+    /// the records.
+    pub fn set_retention(&mut self, retention: Duration) {
+        self.retention = retention;
+    }
+
     /// Records that a target with the software is on record. Returns whether the
     /// software is new.
     pub fn observe(&mut self, software: &PoolSoftware, now: Duration) -> bool {
@@ -117,7 +131,8 @@
     /// resumed. What is on record was observed before.
     pub fn possible(&self, pool: &Pool, now: Duration) -> Vec<SoftwareVersion> {
         let of_pool = self.seen.iter().filter(|(key, _)| key.pool == *pool);
-        let possible = of_pool.filter(|(_, seen)| seen.is_marked || !seen.is_outdated(now));
+        let possible =
+            of_pool.filter(|(_, seen)| seen.is_marked || !seen.is_outdated(self.retention, now));
         possible.map(|(key, _)| key.software.clone()).collect()
     }
 
@@ -129,8 +144,9 @@
         P: Fn(&Pool) -> bool,
         R: Fn(&PoolSoftware) -> usize,
     {
+        let retention = self.retention;
         self.seen
-            .retain(|_, seen| seen.is_marked || !seen.is_outdated(now));
+            .retain(|_, seen| seen.is_marked || !seen.is_outdated(retention, now));
         let mut next: Option<Duration> = None;
         for (software, seen) in &self.seen {
             if !needs_marks(&software.pool) {
@@ -139,7 +155,7 @@
             let turn = u32::try_from(rank(software)).unwrap_or(u32::MAX);
             let delay = MARK_INTERVAL.saturating_mul(turn);
             let due_at = match seen.is_marked {
-                true => seen.seen_at + SOFTWARE_RETENTION + delay,
+                true => seen.seen_at + retention + delay,
                 false => seen.unmarked_at + delay,
             };
             if due_at <= now {
@@ -156,8 +172,8 @@
 }
 
 impl Seen {
-    /// Tells whether no target has had the software for long.
-    fn is_outdated(&self, now: Duration) -> bool {
-        now >= self.seen_at + SOFTWARE_RETENTION
+    /// Tells whether no target has had the software for that long.
+    fn is_outdated(&self, retention: Duration, now: Duration) -> bool {
+        now >= self.seen_at + retention
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::shutdown::ShutdownDeadline;
+use chiverelay_decisions::streams;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_decisions::window::Divisor;
@@ -405,6 +406,8 @@
         let divisor = self.account_limit_divisor(now);
         self.rate_limiter
             .configure(catalog.accounts(), divisor, now);
+        let lifetime = streams::lifetime_for(catalog.longest_resumable());
+        self.tables.streams.lock().set_lifetime(lifetime);
         self.catalog_changed.notify_waiters();
         self.set_ready_if_synced();
     }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -39,6 +39,14 @@
     pub(crate) software: SoftwareHistory,
 }
 
+impl Streams {
+    /// Sets the time for which streams and software are remembered.
+    pub(crate) fn set_lifetime(&mut self, lifetime: Duration) {
+        self.began.set_lifetime(lifetime);
+        self.software.set_retention(lifetime);
+    }
+}
+
 /// A stream whose answer has begun.
 #[derive(Clone, Debug)]
 pub(crate) struct StartedStream {
--- a/crates/gateway/src/streams/origin.rs
+++ b/crates/gateway/src/streams/origin.rs
@@ -61,17 +61,10 @@
             pool: pool.clone(),
         };
         let mut origin = self.know_of_stream(&ask);
-        let is_named = inbound.resumes.is_some();
         if origin.software.is_none() {
-            let answers = match origin.possible.len() > 1 && is_named {
-                true => Answers::UntilKnown,
-                false => Answers::First,
-            };
             let links = self.links_for_streams();
-            merge(
-                &mut origin,
-                ask_for(&ask, links, answers, ASK_TIMEOUT).await,
-            );
+            let asked = ask_for(&ask, links, answers_needed(&origin), ASK_TIMEOUT).await;
+            merge(&mut origin, asked);
         }
         let software = streams::software_of_stream(origin.software, &origin.possible);
         log::info!(
@@ -109,7 +102,7 @@
         let is_asked_by_hub = topology.other_hubs.contains(&from.instance);
         if origin.software.is_none() && topology.is_hub && !is_asked_by_hub {
             let links = self.links_to_region_hubs();
-            let asked = ask_for(ask, links, Answers::UntilKnown, HUB_TIMEOUT).await;
+            let asked = ask_for(ask, links, answers_needed(&origin), HUB_TIMEOUT).await;
             merge(&mut origin, asked);
         }
         origin
@@ -136,6 +129,15 @@
     }
 }
 
+/// With one version of software, others are only asked whether they know of
+/// more.
+fn answers_needed(origin: &StreamOrigin) -> Answers {
+    match origin.possible.len() > 1 {
+        true => Answers::UntilKnown,
+        false => Answers::First,
+    }
+}
+
 /// Asks several instances at once.
 async fn ask_for(
     ask: &AskStream,
--- a/tests/testsuite/streams.rs
+++ b/tests/testsuite/streams.rs
@@ -10,12 +10,12 @@
 use chiverelay_decisions::streams::BeganStreams;
 use chiverelay_decisions::streams::MARK_INTERVAL;
 use chiverelay_decisions::streams::MAX_STREAMS;
+use chiverelay_decisions::streams::MIN_LIFETIME;
 use chiverelay_decisions::streams::MarkChange;
 use chiverelay_decisions::streams::MarkStep;
 use chiverelay_decisions::streams::PoolSoftware;
-use chiverelay_decisions::streams::SOFTWARE_RETENTION;
-use chiverelay_decisions::streams::STREAM_LIFETIME;
 use chiverelay_decisions::streams::SoftwareHistory;
+use chiverelay_decisions::streams::lifetime_for;
 use chiverelay_decisions::streams::software_of_stream;
 use support::cases;
 
@@ -55,10 +55,10 @@
 fn a_stream_is_forgotten_after_its_lifetime() {
     let mut streams = BeganStreams::default();
     streams.record(&id(1), of("a"), START);
-    let last = START + STREAM_LIFETIME - Duration::from_millis(1);
+    let last = START + MIN_LIFETIME - Duration::from_millis(1);
     assert_eq!(streams.find(&id(1), &pool(), last), Some("a".into()));
-    assert_eq!(streams.find(&id(1), &pool(), START + STREAM_LIFETIME), None);
-    streams.record(&id(2), of("a"), START + STREAM_LIFETIME);
+    assert_eq!(streams.find(&id(1), &pool(), START + MIN_LIFETIME), None);
+    streams.record(&id(2), of("a"), START + MIN_LIFETIME);
     assert_eq!(streams.len(), 1);
 }
 
@@ -68,10 +68,10 @@
 fn what_continues_a_stream_has_not_begun_it() {
     let mut streams = BeganStreams::default();
     streams.record(&id(1), of("a"), START);
-    let later = START + STREAM_LIFETIME / 2;
+    let later = START + MIN_LIFETIME / 2;
     streams.record(&id(1), of("b"), later);
     assert_eq!(streams.find(&id(1), &pool(), later), Some("a".into()));
-    let kept_until = later + STREAM_LIFETIME - Duration::from_millis(1);
+    let kept_until = later + MIN_LIFETIME - Duration::from_millis(1);
     assert_eq!(streams.find(&id(1), &pool(), kept_until), Some("a".into()));
 }
 
@@ -107,9 +107,9 @@
     let mut history = SoftwareHistory::default();
     assert!(history.observe(&of("a"), START));
     assert!(!history.observe(&of("a"), START));
-    let last = START + SOFTWARE_RETENTION - Duration::from_millis(1);
+    let last = START + MIN_LIFETIME - Duration::from_millis(1);
     assert_eq!(history.possible(&pool(), last), ["a".into()]);
-    let gone = START + SOFTWARE_RETENTION;
+    let gone = START + MIN_LIFETIME;
     assert!(history.possible(&pool(), gone).is_empty());
     assert!(history.possible(&"other".into(), START).is_empty());
 }
@@ -120,7 +120,7 @@
 fn marked_software_counts_until_its_mark_is_removed() {
     let mut history = SoftwareHistory::default();
     assert!(history.record_mark(of("a"), START));
-    let late = START + 10 * SOFTWARE_RETENTION;
+    let late = START + 10 * MIN_LIFETIME;
     assert_eq!(history.possible(&pool(), late), ["a".into()]);
     history.record_unmarked(&of("a"), late);
     assert!(history.possible(&pool(), late).is_empty());
@@ -136,7 +136,7 @@
     assert_eq!(step(&mut history, 1, START), MarkStep::WaitUntil(second));
     assert_eq!(step(&mut history, 1, second), add);
     history.record_mark(of("a"), second);
-    let unused = START + SOFTWARE_RETENTION;
+    let unused = START + MIN_LIFETIME;
     assert_eq!(step(&mut history, 0, second), MarkStep::WaitUntil(unused));
 }
 
@@ -144,13 +144,13 @@
 fn a_mark_without_targets_is_removed_in_turn() {
     let mut history = SoftwareHistory::default();
     history.record_mark(of("a"), START);
-    let unused = START + SOFTWARE_RETENTION;
+    let unused = START + MIN_LIFETIME;
     let remove = MarkStep::Due(MarkChange::Remove(of("a")));
     assert_eq!(step(&mut history, 0, START), MarkStep::WaitUntil(unused));
     assert_eq!(step(&mut history, 0, unused), remove);
     assert_eq!(step(&mut history, 1, unused + MARK_INTERVAL), remove);
     history.observe(&of("a"), unused);
-    let later = MarkStep::WaitUntil(unused + SOFTWARE_RETENTION);
+    let later = MarkStep::WaitUntil(unused + MIN_LIFETIME);
     assert_eq!(step(&mut history, 0, unused), later);
 }
 
@@ -173,3 +173,24 @@
     let step = history.next_mark_step(|_| false, |_| 0, START);
     assert_eq!(step, MarkStep::Wait);
 }
+
+/// Failure: a stream that lasted minutes was forgotten while it ran, and so was
+/// the software that began it.
+#[test]
+fn what_lasts_longer_is_remembered_longer() {
+    assert_eq!(lifetime_for(Duration::from_secs(5)), MIN_LIFETIME);
+    let longest = 4 * MIN_LIFETIME;
+    let lifetime = lifetime_for(longest);
+    assert!(lifetime > longest);
+    let mut streams = BeganStreams::default();
+    streams.set_lifetime(lifetime);
+    streams.record(&id(1), of("a"), START);
+    let mut history = SoftwareHistory::default();
+    history.set_retention(lifetime);
+    history.observe(&of("a"), START);
+    assert_eq!(
+        streams.find(&id(1), &pool(), START + longest),
+        Some("a".into())
+    );
+    assert_eq!(history.possible(&pool(), START + longest), ["a".into()]);
+}
