Ask longer for what began a stream, and tell a third hub

A caller has seconds left: the limit is 0.8 s now, and half of that for a hub that asks others. A hub that is told passes it on to one more hub of its region, as the instance and its two hubs may be killed together.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -101,12 +101,13 @@
         }
     }
 
-    /// Tells hubs of this region, and through one of them the other regions.
+    /// Tells hubs of this region, and through one of them a further hub and the
+    /// other regions.
     fn tell_streams(self: &Arc<Self>, pool: Pool, streams: Vec<(RequestId, SoftwareVersion)>) {
         let began = StreamsBegan {
             pool,
             streams,
-            is_for_other_regions: false,
+            is_passed_on: false,
         };
         if self.topology.lock().is_hub {
             let hubs = self.links_to_region_hubs().into_iter().take(TOLD_HUBS);
@@ -119,7 +120,7 @@
         let others = hubs.take(TOLD_HUBS - 1).collect();
         self.tell_each(others, &began);
         let passed_on = StreamsBegan {
-            is_for_other_regions: true,
+            is_passed_on: true,
             ..began
         };
         self.tell_each(first.into_iter().collect(), &passed_on);
@@ -163,8 +164,15 @@
             streams.began.record(id, origin, now);
         }
         drop(streams);
-        if told.is_for_other_regions && from.region == self.settings.region {
-            self.tell_other_regions(told);
+        if told.is_passed_on && from.region == self.settings.region {
+            let passed_on = StreamsBegan {
+                is_passed_on: false,
+                ..told.clone()
+            };
+            let mut hubs = self.links_to_region_hubs();
+            hubs.truncate(1);
+            self.tell_each(hubs, &passed_on);
+            self.tell_other_regions(&passed_on);
         }
     }
 
--- a/crates/gateway/src/streams/origin.rs
+++ b/crates/gateway/src/streams/origin.rs
@@ -25,11 +25,11 @@
 use crate::Inbound;
 
 /// Time limit for a hub to answer, in which it may ask the others of its region.
-const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time limit for a hub to answer another hub, or the part of [`ASK_TIMEOUT`] in
 /// which a hub asks the others for an instance that is none.
-const HUB_TIMEOUT: Duration = Duration::from_millis(150);
+const HUB_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Which answers of other instances are waited for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -146,8 +146,9 @@
     pub pool: Pool,
     /// The callers' requests that the streams began with.
     pub streams: Vec<(RequestId, SoftwareVersion)>,
-    /// Whether the receiver tells the other regions.
-    pub is_for_other_regions: bool,
+    /// Whether the receiver, a hub, tells another hub of its region and one of
+    /// each other region.
+    pub is_passed_on: bool,
 }
 
 /// A stream that a caller resumes.
