Add a test of streams that are told twice

Each record counts toward MAX_STREAMS, so that what hubs tell each other again pushes out streams long before there are that many.

--- a/tests/testsuite/streams.rs
+++ b/tests/testsuite/streams.rs
@@ -194,3 +194,18 @@
     );
     assert_eq!(history.possible(&pool(), START + longest), ["a".into()]);
 }
+
+/// Failure: hubs that told each other of the same streams pushed out others long
+/// before the largest number was reached.
+#[test]
+fn what_is_told_again_does_not_push_out_other_streams() {
+    let mut streams = BeganStreams::default();
+    streams.record(&id(0), of("a"), START);
+    for _ in 0..2 {
+        for n in 1..=MAX_STREAMS / 2 {
+            streams.record(&id(n), of("b"), START);
+        }
+    }
+    assert!(streams.len() <= MAX_STREAMS);
+    assert_eq!(streams.find(&id(0), &pool(), START), Some("a".into()));
+}
