Add a test of streams of software that is not on record

An instance that lags behind the store has a stream begun in another region by software that it has no record of.

--- a/tests/testsuite/node/resumed_by_callers.rs
+++ b/tests/testsuite/node/resumed_by_callers.rs
@@ -10,6 +10,8 @@
 use support::node::PlatformTarget;
 use support::node::Site;
 use support::node::call::Call;
+use support::node::proxy::Harm;
+use support::node::proxy::Proxy;
 use support::node::site::KEY;
 use support::node::site::until;
 use tokio::io::AsyncReadExt;
@@ -263,3 +265,65 @@
         assert!(world.asked("r-2").is_empty());
     });
 }
+
+/// Failure: instances that the store didn't tell of new software continued a
+/// stream that another region's target of that software had begun for them.
+#[test]
+fn a_stream_of_software_that_the_store_did_not_tell_of_is_not_continued_by_other() {
+    block_on(async {
+        let site = Site::start().await;
+        let targets = [
+            PlatformTarget::start("a").await,
+            PlatformTarget::start("b").await,
+        ];
+        for target in &targets {
+            target.set(LONG);
+        }
+        site.register_software(&targets[0], "model", "south-a", "a");
+        let store = Proxy::start(site.store.address).await;
+        let nodes = vec![
+            site.spawn_before("n-0", "north-a", "north", store.address),
+            site.spawn("n-1", "south-a", "south"),
+            site.spawn_before("n-2", "north-a", "north", store.address),
+        ];
+        for node in &nodes {
+            node.until_ready(true).await;
+        }
+        for node in &nodes {
+            until("the links are up", async || {
+                node.logged().matches("link is up").count() >= 2
+            })
+            .await;
+        }
+        let mut world = World {
+            site,
+            targets,
+            nodes,
+        };
+        store.set(Harm::Silence);
+        let targets = &world.targets;
+        world
+            .site
+            .register_software(&targets[1], "model", "south-a", "b");
+        until("the region has new software", async || {
+            world.nodes[1]
+                .logged()
+                .matches("pool has new software")
+                .count()
+                >= 2
+        })
+        .await;
+        for n in 0..STREAMS {
+            world.begin(&format!("r-{n}")).await;
+        }
+        world.kill(0);
+        world.shorten();
+        for n in 0..STREAMS {
+            let (id, began_as) = (format!("s-{n}"), format!("r-{n}"));
+            let got = world.resume(&world.nodes[2], &id, &began_as).await;
+            let asked = world.asked(&id);
+            let is_same = asked.is_empty() || asked == world.asked(&began_as);
+            assert!(is_same, "{id}: {asked:?}: {got:?}");
+        }
+    });
+}
