Add a test of streams after a restore of the store

All instances were killed and the store came back from a copy that lacks the mark and the targets of one version; its streams went on at the other one, answered 200.

--- a/tests/testsuite/node/resumed_by_callers.rs
+++ b/tests/testsuite/node/resumed_by_callers.rs
@@ -327,3 +327,50 @@
         }
     });
 }
+
+/// Failure: after all instances were killed and the store came back from an older
+/// copy, a stream went on at the only software that the copy had.
+#[test]
+fn a_stream_of_software_that_a_restored_store_lacks_is_not_continued_by_other() {
+    block_on(async {
+        let site = Site::start().await;
+        let targets = [
+            PlatformTarget::start("a").await,
+            PlatformTarget::start("b").await,
+        ];
+        for target in &targets {
+            target.set(LONG);
+        }
+        site.register_software(&targets[0], "model", "north-a", "a");
+        let nodes = vec![site.instance("n-0", "north-a", "north").await];
+        let mut world = World {
+            site,
+            targets,
+            nodes,
+        };
+        let copy = world.site.store.copy();
+        world
+            .site
+            .register_software(&world.targets[1], "model", "north-a", "b");
+        until("both are marked", async || {
+            world.site.store.keys("chiverelay/software/").len() == 2
+        })
+        .await;
+        for n in 0..STREAMS {
+            world.begin(&format!("r-{n}")).await;
+        }
+        world.shorten();
+        let mut node = world.nodes.remove(0);
+        node.process.kill();
+        world.site.store.restore(copy);
+        world.site.restart(&mut node);
+        node.until_ready(true).await;
+        for n in 0..STREAMS {
+            let (id, began_as) = (format!("s-{n}"), format!("r-{n}"));
+            let got = world.resume(&node, &id, &began_as).await;
+            let asked = world.asked(&id);
+            let is_same = asked.is_empty() || asked == world.asked(&began_as);
+            assert!(is_same, "{id}: {asked:?}: {got:?}");
+        }
+    });
+}
