Add a test of an id that begins a second stream

What is known of an id stays when a request without Resumes and Last-Event-Id begins a stream anew under it.

--- a/tests/testsuite/node/resumed_by_callers.rs
+++ b/tests/testsuite/node/resumed_by_callers.rs
@@ -374,3 +374,30 @@
         }
     });
 }
+
+/// Failure: the id of a request was used a second time, and the stream that it
+/// began then was continued by the software that had begun the first one.
+#[test]
+fn a_stream_that_begins_anew_is_bound_to_its_new_software() {
+    block_on(async {
+        let world = World::start(&[NORTH]).await;
+        let node = &world.nodes[0];
+        world.begin("r-1").await;
+        let first = world.asked("r-1").join(" ");
+        world.site.store.remove(&format!("servers/{first}"));
+        until("the record is gone", async || {
+            node.logged().contains("target record removed")
+        })
+        .await;
+        world.begin("r-1").await;
+        assert_eq!(world.asked("r-1").len(), 2, "{}", node.logged());
+        world.shorten();
+        let got = world.resume(node, "r-2", "r-1").await;
+        let second: Vec<&str> = ["a", "b"]
+            .into_iter()
+            .filter(|name| *name != first)
+            .collect();
+        assert_eq!(world.asked("r-2"), second, "{got:?}");
+        assert!(got.status.is_success(), "{got:?}");
+    });
+}
