Add a test of a request that resumes the id of a later one

A request may name any id in Resumes, also that of a later request of another account, and binds that stream: begun by b, it went on at a, answered 200.

--- a/tests/testsuite/node/resumed_by_callers.rs
+++ b/tests/testsuite/node/resumed_by_callers.rs
@@ -401,3 +401,49 @@
         assert!(got.status.is_success(), "{got:?}");
     });
 }
+
+/// Failure: a caller resumed a stream that nobody knew, by the id of a later
+/// request of another caller, whose stream was then continued by other software.
+#[test]
+fn a_stream_is_not_bound_by_a_request_that_resumed_it_before_it_began() {
+    block_on(async {
+        let site = Site::start().await;
+        let targets = [
+            PlatformTarget::start("a").await,
+            PlatformTarget::start("b").await,
+        ];
+        site.register_software(&targets[0], "model", "north-a", "a");
+        let nodes = vec![site.instance("n-0", "north-a", "north").await];
+        let world = World {
+            site,
+            targets,
+            nodes,
+        };
+        let node = &world.nodes[0];
+        world.shorten();
+        let got = world.resume(node, "r-1", "r-2").await;
+        assert!(got.status.is_success(), "{got:?}");
+        let targets = &world.targets;
+        world
+            .site
+            .register_software(&targets[1], "model", "north-a", "b");
+        world.site.store.remove("servers/a");
+        until("the record is gone", async || {
+            node.logged().contains("target record removed")
+        })
+        .await;
+        targets[1].set(LONG);
+        world.begin("r-2").await;
+        assert_eq!(world.asked("r-2"), ["b"]);
+        world
+            .site
+            .register_software(&targets[0], "model", "north-a", "a");
+        until("the record is back", async || {
+            node.logged().matches("target record received").count() >= 3
+        })
+        .await;
+        world.shorten();
+        let got = world.resume(node, "r-3", "r-2").await;
+        assert_eq!(world.asked("r-3"), ["b"], "{got:?}: {}", node.logged());
+    });
+}
