Add a test of a stream whose route moves to another pool

The stream is looked up in the new pool, where it is not known, and goes on at the only software there, answered 200.

--- a/tests/testsuite/node/resumed_by_callers.rs
+++ b/tests/testsuite/node/resumed_by_callers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use serde_json::json;
 use support::block_on;
 use support::cases;
 use support::node::Got;
@@ -13,6 +14,7 @@
 use support::node::proxy::Harm;
 use support::node::proxy::Proxy;
 use support::node::site::KEY;
+use support::node::site::configuration;
 use support::node::site::until;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -447,3 +449,46 @@
         assert_eq!(world.asked("r-3"), ["b"], "{got:?}: {}", node.logged());
     });
 }
+
+/// Failure: a stream whose route had moved to another pool was continued there,
+/// by other software than that which had begun it.
+#[test]
+fn a_stream_does_not_go_on_in_another_pool() {
+    block_on(async {
+        let site = Site::start().await;
+        let targets = [
+            PlatformTarget::start("a").await,
+            PlatformTarget::start("b").await,
+        ];
+        for target in &targets {
+            target.set(LONG);
+        }
+        site.register_software(&targets[0], "model", "north-a", "a");
+        site.register_software(&targets[1], "new-model", "north-a", "b");
+        let nodes = vec![site.instance("n-0", "north-a", "north").await];
+        let world = World {
+            site,
+            targets,
+            nodes,
+        };
+        let node = &world.nodes[0];
+        world.begin("r-1").await;
+        let mut config = configuration(9);
+        let mut service = config["services"][1].clone();
+        service["name"] = json!("new-model");
+        config["services"]
+            .as_array_mut()
+            .expect("a list of services")
+            .push(service);
+        config["routes"][2]["service"] = json!("new-model");
+        world.site.store.put("op/config", &config);
+        until("the version is in force", async || {
+            node.logged().contains(r#""version":9"#)
+        })
+        .await;
+        world.shorten();
+        let got = world.resume(node, "r-2", "r-1").await;
+        assert!(world.asked("r-2").is_empty(), "{got:?}");
+        assert_eq!(got.status.as_u16(), 503, "{got:?}");
+    });
+}
