--- a/tests/testsuite/node/resumed_by_callers.rs
+++ b/tests/testsuite/node/resumed_by_callers.rs
@@ -492,3 +492,24 @@
         assert_eq!(got.status.as_u16(), 503, "{got:?}");
     });
 }
+
+/// Failure: an instance that had just started refused streams that the others
+/// knew, as it had no link to them yet.
+#[test]
+fn a_stream_is_resumed_at_an_instance_that_has_just_started() {
+    block_on(async {
+        let mut world = World::start(&[NORTH, NORTH]).await;
+        for n in 0..STREAMS {
+            world.begin(&format!("r-{n}")).await;
+        }
+        world.shorten();
+        let mut node = world.nodes.remove(1);
+        world.site.restart(&mut node);
+        node.until_ready(true).await;
+        for n in 0..STREAMS {
+            let (id, began_as) = (format!("s-{n}"), format!("r-{n}"));
+            let got = world.resume(&node, &id, &began_as).await;
+            assert!(got.status.is_success(), "{got:?}: {}", node.logged());
+        }
+    });
+}
