Add a test of a last event that is not a number

The request counts as a new stream, at any software, but the header goes on to the target as it was sent.

--- a/tests/testsuite/node/resumed_by_callers.rs
+++ b/tests/testsuite/node/resumed_by_callers.rs
@@ -513,3 +513,21 @@
         }
     });
 }
+
+/// Failure: a request that stated its last event in a way that wasn't read was
+/// taken for a new one, and its target continued the stream.
+#[test]
+fn a_last_event_that_is_not_read_is_not_passed_on() {
+    block_on(async {
+        let world = World::start(&[NORTH]).await;
+        world.shorten();
+        let call = Call::new("r-1", "/quote/1").key(KEY);
+        let call = call.header("last-event-id", "2, 2");
+        call.send(world.nodes[0].front).await;
+        for target in &world.targets {
+            for arrival in target.arrivals() {
+                assert_eq!(arrival.header("last-event-id"), "");
+            }
+        }
+    });
+}
