--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -193,11 +193,17 @@
 /// Software version of targets that are registered without one.
 const SOFTWARE: &str = "v1";
 
+/// Start of a target, in milliseconds of Unix time.
+const BORN: u64 = 1_700_000_000_000;
+
+/// Start of a process that has taken the name of another one.
+const LATER_BORN: u64 = BORN + 60_000;
+
 fn record(address: SocketAddr, service: &str, zone: &str, state: &str, cold_ms: u64) -> Value {
     json!({
         "service": service, "address": address.to_string(), "zone": zone,
         "version": SOFTWARE, "slots": 6, "state": state, "warmup_left_ms": cold_ms,
-        "sequence": 1, "born": 1_700_000_000_000_u64,
+        "sequence": 1, "born": BORN,
     })
 }
 
@@ -257,9 +263,38 @@
         zone: &str,
         software: &str,
     ) {
-        let mut record = record(target.address, service, zone, "ready", 0);
+        self.register_software_at(&target.name, target.address, service, zone, software);
+    }
+
+    /// Registers a target that instances reach at an address, with a version of
+    /// its software.
+    pub fn register_software_at(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        service: &str,
+        zone: &str,
+        software: &str,
+    ) {
+        let mut record = record(address, service, zone, "ready", 0);
         record["version"] = software.into();
-        self.store.put(&format!("servers/{}", target.name), &record);
+        self.store.put(&format!("servers/{name}"), &record);
+    }
+
+    /// Registers a process that has taken the name and address of another one,
+    /// with a version of its software.
+    pub fn register_restarted(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        service: &str,
+        zone: &str,
+        software: &str,
+    ) {
+        let mut record = record(address, service, zone, "ready", 0);
+        record["version"] = software.into();
+        record["born"] = LATER_BORN.into();
+        self.store.put(&format!("servers/{name}"), &record);
     }
 
     /// Registers a target that instances reach at an address.
