Don't join a stream that began before its target's record changed

Callers got events of two software versions where a target had begun anew under its id with other software and the store told of it late: the stream was bound to the version that the record had named when the target was chosen, though the new process had written its events. The same for the rest of a stream: it was joined though the target's record had come to name another version before it answered.

The record is compared again when an answer begins and when a stream leaves its target. If it names another version than at the choice, nobody knows which process has answered: such an answer continues no stream (attempts that failed as 'other software'), and such a stream is continued nowhere. An instance that forwarded it isn't told a version.

--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -51,6 +51,8 @@
     Silent,
     /// An extra attempt has brought an answer first.
     Overtaken,
+    /// The answer may be of other software than the one that it has to continue.
+    OtherSoftware,
 }
 
 impl AttemptFailure {
@@ -64,6 +66,7 @@
             Self::TimedOut => "late",
             Self::Silent => "silent",
             Self::Overtaken => "overtaken",
+            Self::OtherSoftware => "other software",
         }
     }
 
@@ -76,13 +79,14 @@
             Self::TimedOut => "no answer in time",
             Self::Silent => "another target may answer",
             Self::Overtaken => "another target has answered first",
+            Self::OtherSoftware => "the target has begun anew with other software",
         }
     }
 
     /// Returns the outcome of the attempt at the target.
     fn outcome(&self) -> TargetOutcome {
         match self {
-            Self::NotSent(_) | Self::Overtaken => TargetOutcome::Cancelled,
+            Self::NotSent(_) | Self::Overtaken | Self::OtherSoftware => TargetOutcome::Cancelled,
             Self::NotRun(outcome) => *outcome,
             Self::ExchangeFailed(_) => TargetOutcome::Lost,
             Self::ServerError(_) => TargetOutcome::Failed,
@@ -231,9 +235,9 @@
             AttemptFailure::NotRun(_) => {
                 self.retry_not_run(req.undo_dispatch(), cx, Code::Overloaded, &peer)
             }
-            AttemptFailure::ExchangeFailed(_) | AttemptFailure::ServerError(_) => {
-                self.retry_possibly_run(req, cx)
-            }
+            AttemptFailure::ExchangeFailed(_)
+            | AttemptFailure::ServerError(_)
+            | AttemptFailure::OtherSoftware => self.retry_possibly_run(req, cx),
             AttemptFailure::TimedOut => {
                 // No time is left for another attempt.
                 AttemptOutcome::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Dispatch))
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -258,7 +258,7 @@
             exchange,
         } = self.dispatch(opened, cx, out)?;
         let exchanged = self.run_exchange(exchange, cx, out).await;
-        finish_exchange(req, reservation, exchanged)
+        finish_exchange(req, reservation, exchanged, cx)
     }
 
     /// Checks that a request may still go to its target, and marks it as sent.
@@ -470,15 +470,22 @@
 /// Longest answer, in bytes, that is read only to reuse its connection.
 const MAX_DRAINED_BYTES: u64 = 4096;
 
-/// Returns the result of an attempt whose exchange has ended.
+/// Returns the result of an attempt whose exchange has ended. An answer that may
+/// be of other software than the stream that it has to continue is none.
 pub(crate) fn finish_exchange<D, O>(
     req: Request<Dispatched, O>,
     reservation: ReservationGuard<D>,
     exchanged: Exchanged,
+    cx: &PlacementContext,
 ) -> Sent<D, O>
 where
     D: Dialect,
 {
+    let is_accepted = cx.accepts_answer_of(reservation.confirmed_software());
+    let exchanged = match exchanged {
+        Ok(_) if !is_accepted => Err(AttemptFailure::OtherSoftware),
+        exchanged => exchanged,
+    };
     match exchanged {
         Ok((answer, start)) => Ok(StartedAnswer {
             req,
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -369,7 +369,7 @@
     {
         let status = started.answer.status();
         let headers = self.reply_headers(&started.answer);
-        let software = started.reservation.software().clone();
+        let software = started.reservation.confirmed_software().cloned();
         let body = if started.start.is_complete {
             ReplyBody::Full(self.finish_buffered(status, started))
         } else {
@@ -379,7 +379,7 @@
             status,
             headers,
             body,
-            software: Some(software),
+            software,
         }
     }
 
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -136,7 +136,7 @@
                 (None, None) => {}
             }
         };
-        Hedge::Here(finish_exchange(req, reservation, exchanged))
+        Hedge::Here(finish_exchange(req, reservation, exchanged, cx))
     }
 
     /// Tries to move a request to another target of this region. The exchange
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -93,6 +93,12 @@
     pub(crate) fn accepts_software(&self, software: &SoftwareVersion) -> bool {
         self.software.as_ref().is_none_or(|began| began == software)
     }
+
+    /// Tells whether an answer of this software may be used; `None` if the
+    /// software is unknown.
+    pub(crate) fn accepts_answer_of(&self, software: Option<&SoftwareVersion>) -> bool {
+        self.software.is_none() || self.software.as_ref() == software
+    }
 }
 
 /// Destination of the next attempt at a caller's request.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -224,8 +224,8 @@
     ) -> Self {
         // From here on a further attempt continues this answer.
         cx.is_resumed = true;
-        let software = started.reservation.software();
-        cx.software.get_or_insert_with(|| software.clone());
+        let software = started.reservation.confirmed_software();
+        cx.software = cx.software.or_else(|| software.cloned());
         let buffered = std::mem::take(&mut started.start.data);
         Self {
             received_at: started.req.meta().received,
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -49,13 +49,15 @@
     O: Origin,
 {
     /// Tells whether route, attempts and deadline allow the answer to continue at
-    /// another target.
+    /// another target, and whether it is certain which software began it.
     fn is_resumable(&self) -> bool {
         let Some(current) = &self.current else {
             return false;
         };
         let deadline = current.req.meta().deadline;
         self.gateway.allows_resume(&self.cx, deadline)
+            && self.cx.software.is_some()
+            && current.reservation.confirmed_software().is_some()
     }
 
     /// Returns the request for an attempt at another target if the stream may
@@ -291,7 +293,7 @@
             peer: started.req.peer(),
             last_event_id: self.out.last_event_id,
             began: self.cx.software.as_ref(),
-            next: Some(started.reservation.software()),
+            next: started.reservation.confirmed_software(),
         };
         continuation.record(&self.gateway.metrics);
         self.last_chunk_at = self.gateway.clock.now();
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -232,7 +232,8 @@
     /// Continues with the answer of a target in this region, whose relay
     /// resumes it from then on.
     fn continue_locally(&mut self, started: StartedAnswer<D, Direct>) {
-        self.record_continuation(started.req.peer(), Some(started.reservation.software()));
+        let software = started.reservation.confirmed_software();
+        self.record_continuation(started.req.peer(), software);
         let gateway = Arc::clone(&self.gateway);
         let relay = Relay::new(gateway, self.cx.clone(), self.out.clone(), started);
         self.rest = AnswerRest::Local(Box::new(relay));
--- a/crates/gateway/src/reservation_guard.rs
+++ b/crates/gateway/src/reservation_guard.rs
@@ -84,9 +84,16 @@
         &self.estimate
     }
 
-    /// Returns the version of the target's software.
-    pub(crate) fn software(&self) -> &SoftwareVersion {
-        &self.request.software
+    /// Returns the version of the target's software. `None` if the target's
+    /// record has come to name another one since the choice: which of the two
+    /// processes has answered is unknown then.
+    pub(crate) fn confirmed_software(&self) -> Option<&SoftwareVersion> {
+        let chosen = &self.request.software;
+        let target = &self.reservation.as_ref()?.target;
+        let fleet = self.gateway.tables.fleet.lock();
+        let known = fleet.get(target);
+        let is_confirmed = known.is_none_or(|known| known.record.software == *chosen);
+        is_confirmed.then_some(chosen)
     }
 
     /// Returns the time that has passed since the capacity was reserved.
--- a/tests/testsuite/node/software.rs
+++ b/tests/testsuite/node/software.rs
@@ -3,6 +3,7 @@
 mod first_event;
 mod forwards;
 mod moves;
+mod restarts;
 
 use std::time::Duration;
 
