Take the rest of a forwarded stream only from known software

Callers got events of two software versions where a stream broke off on its way through another instance that had not named the version which began it, or where the other instance answered for a target of another version than it was asked for: the stream was bound to nothing, and the rest was taken as it came.

A stream of unknown software is continued only if all targets of its pool have one version, and is bound to that one. The rest of a stream is used only if the other instance names the version that was asked for; where it names none, only if the pool has but that version.

Before: three tests of node::software::forwards failed, those of a stream of unknown software and of a rest by other or unknown software; each caller got events 1 to 3 as a whole stream.

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -26,6 +26,7 @@
 use self::store_health::StoreHealth;
 use crate::names::Pool;
 use crate::names::Region;
+use crate::names::SoftwareVersion;
 use crate::names::Target;
 use crate::names::Zone;
 use crate::revision::StoreRevision;
@@ -351,6 +352,18 @@
         regions
     }
 
+    /// Returns the version of a pool's targets, whether they may get requests or
+    /// not. `None` if there is none, or more than one.
+    pub fn only_software(&self, pool: &Pool) -> Option<&SoftwareVersion> {
+        let names = self.by_pool.get(pool)?;
+        let mut versions = names
+            .iter()
+            .filter_map(|name| self.targets.get(name))
+            .map(|known| &known.record.software);
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
     /// Counts the targets that may get new requests.
     pub fn count_usable(&self) -> usize {
         let usable = self
--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -1,11 +1,15 @@
-//! Records that a stream that has begun goes on with the answer of another
-//! attempt.
+//! Streams that have begun and go on with the answer of another attempt: which
+//! answer that may be, and the record of it.
 
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::step::Peer;
+use hyper::StatusCode;
 
+use crate::Dialect;
+use crate::Gateway;
 use crate::Metrics;
+use crate::place::PlacementContext;
 
 /// Whether the software that continues a stream is that which began it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,3 +70,35 @@
         );
     }
 }
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Binds a stream of unknown software to that of its pool's targets, if they
+    /// have but one version. It is continued nowhere otherwise.
+    pub(crate) fn bind_to_only_software(&self, cx: &mut PlacementContext) {
+        if cx.software.is_none() {
+            cx.software = self.only_software(cx);
+        }
+    }
+
+    /// Tells whether an answer that another instance relays may be used: an
+    /// answer that begins, an error, or the rest of a stream by the software that
+    /// began it. Of a pool with one version, the instance need not state it.
+    pub(crate) fn may_use_remote_answer(
+        &self,
+        cx: &PlacementContext,
+        status: StatusCode,
+        software: Option<&SoftwareVersion>,
+    ) -> bool {
+        !status.is_success()
+            || cx.accepts_answer_of(software)
+            || (software.is_none() && cx.software == self.only_software(cx))
+    }
+
+    fn only_software(&self, cx: &PlacementContext) -> Option<SoftwareVersion> {
+        let fleet = self.tables.fleet.lock();
+        fleet.only_software(&cx.pool.name).cloned()
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -100,7 +100,8 @@
         let exchange = exchange_with_sibling(link, message, held, out, &self.memory);
         let started = tokio::time::timeout(left, exchange).await;
         let took = self.clock.now().saturating_sub(sent);
-        match started.unwrap_or(Err(ForwardFailure::TimedOut)) {
+        let started = started.unwrap_or(Err(ForwardFailure::TimedOut));
+        match self.check_software(started, cx) {
             Ok((answer, start)) => {
                 self.metrics.record_forward("answered", took);
                 Ok(Box::new(StartedForward { req, answer, start }))
@@ -112,6 +113,23 @@
         }
     }
 
+    /// Turns the start of an answer into a failure if the answer may be of other
+    /// software than the stream that it has to continue.
+    fn check_software(
+        &self,
+        started: Result<(RemoteAnswer, AnswerStart), ForwardFailure>,
+        cx: &PlacementContext,
+    ) -> Result<(RemoteAnswer, AnswerStart), ForwardFailure> {
+        let (answer, start) = started?;
+        match self.may_use_remote_answer(cx, answer.status, answer.software.as_ref()) {
+            true => Ok((answer, start)),
+            false => {
+                let reason = "the rest is of other software".to_owned();
+                Err(ForwardFailure::ExchangeFailed(reason, answer.attempts_used))
+            }
+        }
+    }
+
     /// Forwards a request that another target still has, and counts the
     /// attempts at targets of the other region. `None` if that region has not
     /// taken the request.
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -167,8 +167,10 @@
         let attempts_used = answer.take_new_attempts();
         self.cx.attempts_left = self.cx.attempts_left.saturating_sub(attempts_used);
         let deadline = req.meta().deadline;
-        let is_resumable =
-            answer.status.is_success() && self.gateway.allows_resume(&self.cx, deadline);
+        self.gateway.bind_to_only_software(&mut self.cx);
+        let is_resumable = answer.status.is_success()
+            && self.cx.software.is_some()
+            && self.gateway.allows_resume(&self.cx, deadline);
         // Cancel the request at this instance before another destination gets
         // it.
         drop(answer);
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -10,9 +10,11 @@
 use chiverelay_decisions::fleet::TargetChange;
 use chiverelay_decisions::fleet::TargetRecord;
 use chiverelay_decisions::names::Region;
+use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::revision::StoreRevision;
+use support::cases;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -54,6 +56,27 @@
     (fleet, name)
 }
 
+// A pool has one version only if no target has another, draining or not.
+cases! {
+    check_only_software:
+    one_target_has_the_only_software(None, Some("v1"));
+    two_targets_of_a_version_have_the_only_software(Some(("v1", false)), Some("v1"));
+    two_versions_are_none(Some(("v2", false)), None);
+    a_draining_target_of_another_version_counts(Some(("v2", true)), None);
+}
+
+fn check_only_software(second: Option<(&str, bool)>, expected: Option<&str>) {
+    let (mut fleet, _) = fleet();
+    if let Some((software, draining)) = second {
+        let mut other = record();
+        other.software = software.into();
+        other.draining = draining;
+        fleet.upsert(&"i-2".into(), other, at(6), ms(1));
+    }
+    let only = fleet.only_software(&"orders".into());
+    assert_eq!(only.map(SoftwareVersion::as_str), expected);
+}
+
 #[test]
 fn a_target_that_vanishes_in_calm_is_gone_at_once() {
     let (mut fleet, name) = fleet();
--- a/tests/testsuite/node/software/forwards.rs
+++ b/tests/testsuite/node/software/forwards.rs
@@ -125,3 +125,49 @@
     a_forwarded_stream_goes_on_beside_other_software("b", None, 0);
     a_stream_that_its_caller_resumes_is_bound_by_a_forward("b", Some("0"), 0);
 }
+
+/// A stream that "a" began far away, and whose rest another instance takes from
+/// a target of this software.
+fn check_rest(software: Option<&'static str>) {
+    block_on(async {
+        let scripts = vec![begun_by(Some("a")), rest_by(software)];
+        let regions = Regions::start("a", scripts).await;
+        let other = PlatformTarget::start("i-other").await;
+        regions
+            .site
+            .register_software(&other, "model", "south-a", "b");
+        until_records(&regions.near, 2).await;
+        let got = stream_call().send(regions.near.front).await;
+        assert!(!got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1], "{}", regions.near.logged());
+        assert!(regions.far.forwards().len() > 1);
+        assert_continued(&regions.near, 0).await;
+    });
+}
+
+// Failure: another instance answered for a target of other software, and that
+// was passed on as the rest of the stream.
+cases! {
+    check_rest:
+    the_rest_of_a_stream_by_other_software_is_not_used(Some("b"));
+    the_rest_of_a_stream_by_unknown_software_is_not_used(None);
+}
+
+/// Failure: nobody knew which software had begun a stream, and it went on at a
+/// target of any.
+#[test]
+fn a_stream_of_unknown_software_does_not_go_on_beside_several() {
+    block_on(async {
+        let scripts = vec![begun_by(None), rest_by(None)];
+        let regions = Regions::start("a", scripts).await;
+        let home = PlatformTarget::start("i-north").await;
+        let joining = regions.join_at_home(&home, "b");
+        let call = stream_call();
+        let (got, ()) = tokio::join!(call.send(regions.near.front), joining);
+        assert!(!got.whole, "{got:?}");
+        assert_eq!(got.event_ids(), [1]);
+        assert!(home.arrivals().is_empty());
+        assert_eq!(regions.far.forwards().len(), 1);
+        assert_continued(&regions.near, 0).await;
+    });
+}
