Tell the instance before that a stream's software has become uncertain

Callers got events of two software versions where another instance relayed a stream, found when its target broke off that the target's record had come to name another version, and ended the answer: the instance near the caller knew only the version that the record had named first, and went on with the stream at a target of that one.

The relaying instance now says before it ends the answer that the software is uncertain (Frame::SoftwareUnknown), and the other one continues it nowhere.

Before: node::software::restarts, the far target that begins anew after the first event beside near ones: the caller got events 1 to 4 as a whole stream, 3 and 4 of the version named first.

--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -56,7 +56,11 @@
                     Ok(Frame::End) => return Ok(None),
                     Ok(Frame::Refused(refusal)) => return Err(refusal),
                     Ok(
-                        Frame::Head { .. } | Frame::Stamp(_) | Frame::Ran(_) | Frame::Software(_),
+                        Frame::Head { .. }
+                        | Frame::Stamp(_)
+                        | Frame::Ran(_)
+                        | Frame::Software(_)
+                        | Frame::SoftwareUnknown,
                     ) => (Code::SiblingFailed, peer, "a second head".to_owned()),
                     Err(e) => (Code::SiblingFailed, peer, e.to_string()),
                 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -90,6 +90,8 @@
 pub struct IncompleteAnswer {
     cause: EndCause,
     reason: String,
+    /// Whether it is certain which software has answered.
+    is_software_certain: bool,
 }
 
 impl IncompleteAnswer {
@@ -117,9 +119,24 @@
         Self {
             cause,
             reason: reason.to_string(),
+            is_software_certain: true,
         }
     }
 
+    /// It is uncertain which software has answered, so that no target may go on
+    /// with the answer.
+    fn with_uncertain_software(self) -> Self {
+        Self {
+            is_software_certain: false,
+            ..self
+        }
+    }
+
+    /// Tells whether it is certain which software has answered.
+    pub(crate) fn is_software_certain(&self) -> bool {
+        self.is_software_certain
+    }
+
     /// Returns the class of the reason.
     pub fn cause(&self) -> EndCause {
         self.cause
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -55,9 +55,14 @@
             return false;
         };
         let deadline = current.req.meta().deadline;
-        self.gateway.allows_resume(&self.cx, deadline)
-            && self.cx.software.is_some()
-            && current.reservation.confirmed_software().is_some()
+        self.gateway.allows_resume(&self.cx, deadline) && self.is_software_certain()
+    }
+
+    /// Tells whether it is certain which software has answered so far.
+    fn is_software_certain(&self) -> bool {
+        let current = self.current.as_ref();
+        let confirmed = current.and_then(|current| current.reservation.confirmed_software());
+        self.cx.software.is_some() && confirmed.is_some()
     }
 
     /// Returns the request for an attempt at another target if the stream may
@@ -242,6 +247,10 @@
         retry: Retry,
     ) -> Result<(), IncompleteAnswer> {
         let is_resumable = self.is_resumable();
+        let cause = match self.is_software_certain() {
+            true => cause,
+            false => cause.with_uncertain_software(),
+        };
         self.out = self.outbound_after_last_event();
         // Cancel the request at this target before another target gets it.
         let Some(req) = self.end_current(&cause) else {
--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -28,6 +28,8 @@
     pub(crate) headers: HeaderMap,
     /// Software of the target that answers.
     pub(crate) software: Option<SoftwareVersion>,
+    /// Whether it has become uncertain which software has answered.
+    pub(crate) is_software_uncertain: bool,
     /// Number of targets in the other region that may have run the request, 1
     /// at least.
     pub(crate) attempts_used: u32,
@@ -122,6 +124,7 @@
                         status: status.map_err(ForwardFailure::before_head)?,
                         headers: read_headers(&headers),
                         software,
+                        is_software_uncertain: false,
                         // An answer means that at least one target ran the
                         // request.
                         attempts_used: attempts_used.max(1),
@@ -132,7 +135,7 @@
                 Frame::Refused(refusal) => {
                     return Err(ForwardFailure::Refused(refusal, attempts_used));
                 }
-                Frame::Data(_) | Frame::End | Frame::Stamp(_) => {
+                Frame::Data(_) | Frame::End | Frame::Stamp(_) | Frame::SoftwareUnknown => {
                     let reason = "unexpected frame before the head of the answer";
                     return Err(ForwardFailure::before_head(reason));
                 }
@@ -150,6 +153,10 @@
                     self.attempts_used = self.attempts_used.max(count);
                     continue;
                 }
+                Ok(Frame::SoftwareUnknown) => {
+                    self.is_software_uncertain = true;
+                    continue;
+                }
                 Ok(Frame::Data(data)) => Ok(Some(data.into())),
                 Ok(Frame::End) => Ok(None),
                 Ok(Frame::Refused(refusal)) => Err(refusal.code.as_str().to_owned()),
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -170,6 +170,7 @@
         self.gateway.bind_to_only_software(&mut self.cx);
         let is_resumable = answer.status.is_success()
             && self.cx.software.is_some()
+            && !answer.is_software_uncertain
             && self.gateway.allows_resume(&self.cx, deadline);
         // Cancel the request at this instance before another destination gets
         // it.
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -228,6 +228,9 @@
             Some(Ok(data)) => send_data(tx, &data).await?,
             Some(Err(e)) => {
                 log::debug!(target: "forward", error:% = e; "forwarded answer ended early");
+                if !e.is_software_certain() {
+                    tx.send(&Frame::SoftwareUnknown).await?;
+                }
                 let refusal = Refusal::unknown(Code::TargetFailed, Step::Answer, Peer::Local);
                 return tx.send(&Frame::Refused(refusal)).await;
             }
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -314,4 +314,7 @@
     Stamp(Stamp),
     /// Software of the target that answers, before the head.
     Software(SoftwareVersion),
+    /// It has become uncertain which software has answered, so that no target
+    /// may go on with the answer. The answer ends early.
+    SoftwareUnknown,
 }
--- a/tests/testsuite/node/software/restarts.rs
+++ b/tests/testsuite/node/software/restarts.rs
@@ -138,6 +138,9 @@
     a_far_target_that_begins_anew_before_the_first_event_beside_near_ones(
         Moment::BeforeFirstEvent, "south-a", "north-a"
     );
+    a_far_target_that_begins_anew_after_the_first_event_beside_near_ones(
+        Moment::AfterFirstEvent, "south-a", "north-a"
+    );
 }
 
 /// Failure: a stream was taken up at a target of its software, which had begun
