Test the choice of a target and extra attempts among several versions

At the decision: the version binds the choice, the affinity target of a long prompt included; a target that begins anew counts as its new version from its record on; a version whose targets all drain or are gone has none. With an instance: a stream that an extra attempt begins is bound to its target's version, not to that of the slow target that was asked first.

--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -6,6 +6,7 @@
 mod odd_numbers;
 mod pause;
 mod silence;
+mod software;
 mod stated_limit;
 
 use std::collections::HashMap;
