Say that a stream's software is unknown before its head

Callers got events of two software versions where an instance that relayed a stream of unknown software died or was cut off: the instance before it had been told nothing, took that for a pool of one version as soon as only one was left on record, and went on there. That one is just the version that the target had changed to.

The relaying instance now says Frame::SoftwareUnknown in place of Frame::Software, and the one before it continues the stream nowhere, nor takes the rest of another stream from such an answer. Nothing said means one version only for an answer that states neither.

--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -4,12 +4,12 @@
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::step::Peer;
-use hyper::StatusCode;
 
 use crate::Dialect;
 use crate::Gateway;
 use crate::Metrics;
 use crate::place::PlacementContext;
+use crate::remote_answer::RemoteAnswer;
 
 /// Whether the software that continues a stream is that which began it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,12 +89,12 @@
     pub(crate) fn may_use_remote_answer(
         &self,
         cx: &PlacementContext,
-        status: StatusCode,
-        software: Option<&SoftwareVersion>,
+        answer: &RemoteAnswer,
     ) -> bool {
-        !status.is_success()
-            || cx.accepts_answer_of(software)
-            || (software.is_none() && cx.software == self.only_software(cx))
+        let is_only = answer.software.is_none()
+            && !answer.is_software_uncertain
+            && cx.software == self.only_software(cx);
+        !answer.status.is_success() || cx.accepts_answer_of(answer.software.as_ref()) || is_only
     }
 
     fn only_software(&self, cx: &PlacementContext) -> Option<SoftwareVersion> {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -121,7 +121,7 @@
         cx: &PlacementContext,
     ) -> Result<(RemoteAnswer, AnswerStart), ForwardFailure> {
         let (answer, start) = started?;
-        match self.may_use_remote_answer(cx, answer.status, answer.software.as_ref()) {
+        match self.may_use_remote_answer(cx, &answer) {
             true => Ok((answer, start)),
             false => {
                 let reason = "the rest is of other software".to_owned();
--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -28,7 +28,7 @@
     pub(crate) headers: HeaderMap,
     /// Software of the target that answers.
     pub(crate) software: Option<SoftwareVersion>,
-    /// Whether it has become uncertain which software has answered.
+    /// Whether the other instance is uncertain which software has answered.
     pub(crate) is_software_uncertain: bool,
     /// Number of targets in the other region that may have run the request, 1
     /// at least.
@@ -114,17 +114,19 @@
             })?;
         let mut attempts_used = 0;
         let mut software = None;
+        let mut is_software_uncertain = false;
         loop {
             match frames.next().await.map_err(ForwardFailure::before_head)? {
                 Frame::Ran(count) => attempts_used = count,
                 Frame::Software(version) => software = Some(version),
+                Frame::SoftwareUnknown => is_software_uncertain = true,
                 Frame::Head { status, headers } => {
                     let status = StatusCode::from_u16(status);
                     return Ok(Self {
                         status: status.map_err(ForwardFailure::before_head)?,
                         headers: read_headers(&headers),
                         software,
-                        is_software_uncertain: false,
+                        is_software_uncertain,
                         // An answer means that at least one target ran the
                         // request.
                         attempts_used: attempts_used.max(1),
@@ -135,7 +137,7 @@
                 Frame::Refused(refusal) => {
                     return Err(ForwardFailure::Refused(refusal, attempts_used));
                 }
-                Frame::Data(_) | Frame::End | Frame::Stamp(_) | Frame::SoftwareUnknown => {
+                Frame::Data(_) | Frame::End | Frame::Stamp(_) => {
                     let reason = "unexpected frame before the head of the answer";
                     return Err(ForwardFailure::before_head(reason));
                 }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -198,9 +198,8 @@
         body,
         software,
     } = reply;
-    if let Some(software) = software {
-        tx.send(&Frame::Software(software)).await?;
-    }
+    let software = software.map_or(Frame::SoftwareUnknown, Frame::Software);
+    tx.send(&software).await?;
     let head = Frame::Head {
         status: status.as_u16(),
         headers: write_headers(&headers),
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -314,7 +314,8 @@
     Stamp(Stamp),
     /// Software of the target that answers, before the head.
     Software(SoftwareVersion),
-    /// It has become uncertain which software has answered, so that no target
-    /// may go on with the answer. The answer ends early.
+    /// It is uncertain which software has answered, so that no target may go on
+    /// with the answer: before the head in place of [`Frame::Software`], or
+    /// before the early end of an answer.
     SoftwareUnknown,
 }
--- a/tests/testsuite/node/software/first_event.rs
+++ b/tests/testsuite/node/software/first_event.rs
@@ -109,11 +109,11 @@
         let remote = PlatformTarget::start("b-1").await;
         site.register_software(&remote, "model", "south-a", "b");
         let begun = [
-            forwards::stream_of(Some("b")),
+            forwards::stream_of(forwards::Stated::Version("b")),
             vec![forwards::event(1), Step::Pause(RELAYED)],
         ];
         let rest = [
-            forwards::stream_of(Some("b")),
+            forwards::stream_of(forwards::Stated::Version("b")),
             vec![forwards::event(2), Step::Send(Frame::End)],
         ];
         let scripts = vec![begun.concat(), rest.concat()];
--- a/tests/testsuite/node/software/forwards.rs
+++ b/tests/testsuite/node/software/forwards.rs
@@ -21,8 +21,26 @@
 /// Time for which a stream is relayed until it breaks off.
 const RELAYED: Duration = Duration::from_millis(1600);
 
-/// Starts a stream of a target with this software, if the instance states one.
-pub(super) fn stream_of(software: Option<&str>) -> Vec<Step> {
+/// What an instance says of the software of a stream's target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stated {
+    Version(&'static str),
+    Unknown,
+    Nothing,
+}
+
+impl Stated {
+    fn frame(self) -> Option<Frame> {
+        match self {
+            Self::Version(software) => Some(Frame::Software(software.into())),
+            Self::Unknown => Some(Frame::SoftwareUnknown),
+            Self::Nothing => None,
+        }
+    }
+}
+
+/// Starts a stream.
+pub(super) fn stream_of(software: Stated) -> Vec<Step> {
     let header = |name: &str, value: &str| (name.to_owned(), value.as_bytes().to_vec());
     let head = Frame::Head {
         status: 200,
@@ -31,9 +49,8 @@
             header("content-type", "text/event-stream"),
         ],
     };
-    let software = software.map(|software| Step::Send(Frame::Software(software.into())));
     let mut steps = vec![Step::Send(Frame::Ran(1))];
-    steps.extend(software);
+    steps.extend(software.frame().map(Step::Send));
     steps.push(Step::Send(head));
     steps
 }
@@ -44,12 +61,12 @@
 }
 
 /// A stream that breaks off after its first event.
-fn begun_by(software: Option<&str>) -> Vec<Step> {
+fn begun_by(software: Stated) -> Vec<Step> {
     [stream_of(software), vec![event(1), Step::Pause(RELAYED)]].concat()
 }
 
 /// The rest of the stream.
-fn rest_by(software: Option<&str>) -> Vec<Step> {
+fn rest_by(software: Stated) -> Vec<Step> {
     let rest = vec![event(2), event(3), Step::Send(Frame::End)];
     [stream_of(software), rest].concat()
 }
@@ -96,7 +113,14 @@
 /// of the own region. `last_event` is what the caller has of it before.
 fn check_at_home(software: &'static str, last_event: Option<&'static str>, home_requests: usize) {
     block_on(async {
-        let regions = Regions::start("a", vec![begun_by(Some("a")), rest_by(Some("a"))]).await;
+        let regions = Regions::start(
+            "a",
+            vec![
+                begun_by(Stated::Version("a")),
+                rest_by(Stated::Version("a")),
+            ],
+        )
+        .await;
         let home = PlatformTarget::start("i-north").await;
         let mut call = stream_call();
         if let Some(last_event) = last_event {
@@ -128,15 +152,16 @@
 
 /// A stream that "a" began far away, and whose rest another instance takes from
 /// a target of this software.
-fn check_rest(software: Option<&'static str>) {
+fn check_rest(software: Stated, others: &[&str]) {
     block_on(async {
-        let scripts = vec![begun_by(Some("a")), rest_by(software)];
+        let scripts = vec![begun_by(Stated::Version("a")), rest_by(software)];
         let regions = Regions::start("a", scripts).await;
-        let other = PlatformTarget::start("i-other").await;
-        regions
-            .site
-            .register_software(&other, "model", "south-a", "b");
-        until_records(&regions.near, 2).await;
+        for software in others {
+            let other = PlatformTarget::start("i-other").await;
+            let site = &regions.site;
+            site.register_software(&other, "model", "south-a", software);
+            until_records(&regions.near, 2).await;
+        }
         let got = stream_call().send(regions.near.front).await;
         assert!(!got.whole, "{got:?}");
         assert_eq!(got.event_ids(), [1], "{}", regions.near.logged());
@@ -149,19 +174,20 @@
 // was passed on as the rest of the stream.
 cases! {
     check_rest:
-    the_rest_of_a_stream_by_other_software_is_not_used(Some("b"));
-    the_rest_of_a_stream_by_unknown_software_is_not_used(None);
+    the_rest_of_a_stream_by_other_software_is_not_used(Stated::Version("b"), &["b"]);
+    the_rest_of_a_stream_by_software_not_stated_is_not_used(Stated::Nothing, &["b"]);
+    the_rest_of_a_stream_by_unknown_software_is_not_used(Stated::Unknown, &["b"]);
+    the_rest_of_a_stream_by_unknown_software_is_not_used_beside_one(Stated::Unknown, &[]);
 }
 
-/// Failure: nobody knew which software had begun a stream, and it went on at a
-/// target of any.
-#[test]
-fn a_stream_of_unknown_software_does_not_go_on_beside_several() {
+/// A stream of which another instance states this, and that breaks off there
+/// beside a target of the own region.
+fn check_begun(stated: Stated, software: &'static str) {
     block_on(async {
-        let scripts = vec![begun_by(None), rest_by(None)];
+        let scripts = vec![begun_by(stated), rest_by(stated)];
         let regions = Regions::start("a", scripts).await;
         let home = PlatformTarget::start("i-north").await;
-        let joining = regions.join_at_home(&home, "b");
+        let joining = regions.join_at_home(&home, software);
         let call = stream_call();
         let (got, ()) = tokio::join!(call.send(regions.near.front), joining);
         assert!(!got.whole, "{got:?}");
@@ -171,3 +197,12 @@
         assert_continued(&regions.near, 0).await;
     });
 }
+
+// Failure: nobody knew which software had begun a stream, and it went on at a
+// target of any.
+cases! {
+    check_begun:
+    a_stream_of_software_not_stated_does_not_go_on_beside_several(Stated::Nothing, "b");
+    a_stream_of_unknown_software_does_not_go_on_beside_several(Stated::Unknown, "b");
+    a_stream_of_unknown_software_does_not_go_on_beside_one(Stated::Unknown, "a");
+}
--- a/tests/testsuite/node/software/restarts.rs
+++ b/tests/testsuite/node/software/restarts.rs
@@ -26,32 +26,15 @@
 /// a sound one.
 const CHANGING: usize = 20;
 
-/// Two targets that can go on with a stream, one of each software.
-struct Others {
-    targets: [PlatformTarget; 2],
-}
-
-impl Others {
-    async fn start() -> Self {
-        let targets = [
-            PlatformTarget::start("a-2").await,
-            PlatformTarget::start("b-2").await,
-        ];
-        targets
-            .iter()
-            .for_each(|target| target.set(Mode::Events(2)));
-        Self { targets }
-    }
-
-    fn register(&self, site: &Site, zone: &str) {
-        let [a, b] = &self.targets;
-        site.register_software(a, "model", zone, "a");
-        site.register_software(b, "model", zone, "b");
-    }
-
-    fn requests(&self) -> usize {
-        self.targets.iter().map(|t| t.arrivals().len()).sum()
+/// Targets that can go on with a stream, one of each of these versions.
+async fn start_others(versions: &[&'static str]) -> Vec<(&'static str, PlatformTarget)> {
+    let mut others = Vec::new();
+    for software in versions {
+        let target = PlatformTarget::start(&format!("{software}-2")).await;
+        target.set(Mode::Events(2));
+        others.push((*software, target));
     }
+    others
 }
 
 /// Where in an answer the record of its target changes.
@@ -87,7 +70,7 @@
 
 /// A target of a zone is asked as one of "a" and becomes one of "b" before it
 /// breaks its answer off, beside others in their zone.
-fn check_begun(moment: Moment, zone: &str, others_zone: &str) {
+fn check_begun(moment: Moment, zone: &str, others_zone: &str, versions: &[&'static str]) {
     block_on(async {
         let site = start_site().await;
         let (near, far) = start_instances(&site).await;
@@ -97,22 +80,25 @@
         site.register_software_at("i-1", first.address, "model", zone, "a");
         until_records(&near, 1).await;
         until_records(&far, 1).await;
-        let others = Others::start().await;
+        let others = start_others(versions).await;
         let changing = async {
             until_asked(&first).await;
             site.register_restarted("i-1", first.address, "model", zone, "b");
             until_records(&near, 2).await;
             until_records(&far, 2).await;
-            others.register(&site, others_zone);
-            until_records(&near, 4).await;
-            until_records(&far, 4).await;
+            for (software, target) in &others {
+                site.register_software(target, "model", others_zone, software);
+            }
+            until_records(&near, 2 + others.len()).await;
+            until_records(&far, 2 + others.len()).await;
         };
         let call = stream_call();
         let (got, ()) = tokio::join!(call.send(near.front), changing);
         let logs = near.logged() + &far.logged();
         assert!(!got.whole, "{got:?}\n{logs}");
         assert_eq!(got.event_ids(), [1, 2]);
-        assert_eq!(others.requests(), 0, "{logs}");
+        let requests = others.iter().map(|(_, target)| target.arrivals().len());
+        assert_eq!(requests.sum::<usize>(), 0, "{logs}");
         assert_continued(&near, 0).await;
         assert_continued(&far, 0).await;
     });
@@ -124,22 +110,25 @@
 cases! {
     check_begun:
     a_target_that_begins_anew_before_the_first_event(
-        Moment::BeforeFirstEvent, "north-a", "north-a"
+        Moment::BeforeFirstEvent, "north-a", "north-a", &["a", "b"]
     );
     a_target_that_begins_anew_after_the_first_event(
-        Moment::AfterFirstEvent, "north-a", "north-a"
+        Moment::AfterFirstEvent, "north-a", "north-a", &["a", "b"]
     );
     a_far_target_that_begins_anew_before_the_first_event(
-        Moment::BeforeFirstEvent, "south-a", "south-a"
+        Moment::BeforeFirstEvent, "south-a", "south-a", &["a", "b"]
     );
     a_far_target_that_begins_anew_after_the_first_event(
-        Moment::AfterFirstEvent, "south-a", "south-a"
+        Moment::AfterFirstEvent, "south-a", "south-a", &["a", "b"]
     );
     a_far_target_that_begins_anew_before_the_first_event_beside_near_ones(
-        Moment::BeforeFirstEvent, "south-a", "north-a"
+        Moment::BeforeFirstEvent, "south-a", "north-a", &["a", "b"]
     );
     a_far_target_that_begins_anew_after_the_first_event_beside_near_ones(
-        Moment::AfterFirstEvent, "south-a", "north-a"
+        Moment::AfterFirstEvent, "south-a", "north-a", &["a", "b"]
+    );
+    a_far_target_that_begins_anew_beside_its_new_software_alone(
+        Moment::BeforeFirstEvent, "south-a", "north-a", &["b"]
     );
 }
 
@@ -169,3 +158,40 @@
         assert_continued(&near, 0).await;
     });
 }
+
+/// Failure: an instance that relayed a stream of unknown software was killed, and
+/// the one near the caller went on at the only software that targets had by then.
+#[test]
+fn a_stream_of_unknown_software_ends_with_the_instance_that_relays_it() {
+    block_on(async {
+        let site = start_site().await;
+        let (near, mut far) = start_instances(&site).await;
+        send_without_target(&near).await;
+        let begun = format!("{HEAD}{}{}", pause(CHANGING), events(1, 2));
+        let script = vec![Scripted::new(&begun, After::Silent)];
+        let first = ScriptedTarget::start(script).await;
+        site.register_software_at("i-1", first.address, "model", "south-a", "a");
+        until_records(&near, 1).await;
+        until_records(&far, 1).await;
+        let other = PlatformTarget::start("b-2").await;
+        other.set(Mode::Events(2));
+        let changing = async {
+            until_asked(&first).await;
+            site.register_restarted("i-1", first.address, "model", "south-a", "b");
+            site.register_software(&other, "model", "north-a", "b");
+            until_records(&near, 3).await;
+            until_records(&far, 3).await;
+            until("the stream is relayed", async || {
+                far.logged().contains("forwarded request handled")
+            })
+            .await;
+            far.process.kill();
+        };
+        let call = stream_call();
+        let (got, ()) = tokio::join!(call.send(near.front), changing);
+        assert!(!got.whole, "{got:?}\n{}", near.logged());
+        assert_eq!(got.event_ids(), [1, 2]);
+        assert!(other.arrivals().is_empty());
+        assert_continued(&near, 0).await;
+    });
+}
