--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -366,6 +366,18 @@
         known.any(|known| known.record.software == *software)
     }
 
+    /// Returns the version of a pool's targets, whether they may get requests or
+    /// not. `None` if there is none, or more than one.
+    pub fn only_software(&self, pool: &Pool) -> Option<&SoftwareVersion> {
+        let names = self.by_pool.get(pool)?;
+        let mut versions = names
+            .iter()
+            .filter_map(|name| self.targets.get(name))
+            .map(|known| &known.record.software);
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
     /// Counts the targets that may get new requests.
     pub fn count_usable(&self) -> usize {
         let usable = self
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -49,13 +49,20 @@
     O: Origin,
 {
     /// Tells whether route, attempts and deadline allow the answer to continue at
-    /// another target.
+    /// another target, and whether it is certain which software began it.
     fn is_resumable(&self) -> bool {
         let Some(current) = &self.current else {
             return false;
         };
         let deadline = current.req.meta().deadline;
-        self.gateway.allows_resume(&self.cx, deadline)
+        self.gateway.allows_resume(&self.cx, deadline) && self.is_software_certain()
+    }
+
+    /// Tells whether it is certain which software has answered so far.
+    fn is_software_certain(&self) -> bool {
+        let current = self.current.as_ref();
+        let confirmed = current.and_then(|current| current.reservation.confirmed_software());
+        self.cx.software.is_some() && confirmed.is_some()
     }
 
     /// Returns the request for an attempt at another target if the stream may
@@ -240,6 +247,10 @@
         retry: Retry,
     ) -> Result<(), IncompleteAnswer> {
         let is_resumable = self.is_resumable();
+        let cause = match self.is_software_certain() {
+            true => cause,
+            false => cause.with_uncertain_software(),
+        };
         self.out = self.outbound_after_last_event();
         // Cancel the request at this target before another target gets it.
         let Some(req) = self.end_current(&cause) else {
@@ -291,7 +302,7 @@
             peer: started.req.peer(),
             last_event_id: self.out.last_event_id,
             began: self.cx.software.as_ref(),
-            next: Some(started.reservation.software()),
+            next: started.reservation.confirmed_software(),
         };
         continuation.record(&self.gateway.metrics);
         self.last_chunk_at = self.gateway.clock.now();
--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -28,6 +28,8 @@
     pub(crate) headers: HeaderMap,
     /// Software of the target that answers.
     pub(crate) software: Option<SoftwareVersion>,
+    /// Whether the other instance is uncertain which software has answered.
+    pub(crate) is_software_uncertain: bool,
     /// Number of targets in the other region that may have run the request, 1
     /// at least.
     pub(crate) attempts_used: u32,
@@ -112,16 +114,19 @@
             })?;
         let mut attempts_used = 0;
         let mut software = None;
+        let mut is_software_uncertain = false;
         loop {
             match frames.next().await.map_err(ForwardFailure::before_head)? {
                 Frame::Ran(count) => attempts_used = count,
                 Frame::Software(version) => software = Some(version),
+                Frame::SoftwareUnknown => is_software_uncertain = true,
                 Frame::Head { status, headers } => {
                     let status = StatusCode::from_u16(status);
                     return Ok(Self {
                         status: status.map_err(ForwardFailure::before_head)?,
                         headers: read_headers(&headers),
                         software,
+                        is_software_uncertain,
                         // An answer means that at least one target ran the
                         // request.
                         attempts_used: attempts_used.max(1),
@@ -150,6 +155,10 @@
                     self.attempts_used = self.attempts_used.max(count);
                     continue;
                 }
+                Ok(Frame::SoftwareUnknown) => {
+                    self.is_software_uncertain = true;
+                    continue;
+                }
                 Ok(Frame::Data(data)) => Ok(Some(data.into())),
                 Ok(Frame::End) => Ok(None),
                 Ok(Frame::Refused(refusal)) => Err(refusal.code.as_str().to_owned()),
--- a/crates/gateway/src/remote_relay.rs
+++ b/crates/gateway/src/remote_relay.rs
@@ -167,8 +167,11 @@
         let attempts_used = answer.take_new_attempts();
         self.cx.attempts_left = self.cx.attempts_left.saturating_sub(attempts_used);
         let deadline = req.meta().deadline;
-        let is_resumable =
-            answer.status.is_success() && self.gateway.allows_resume(&self.cx, deadline);
+        self.gateway.bind_to_only_software(&mut self.cx);
+        let is_resumable = answer.status.is_success()
+            && self.cx.software.is_some()
+            && !answer.is_software_uncertain
+            && self.gateway.allows_resume(&self.cx, deadline);
         // Cancel the request at this instance before another destination gets
         // it.
         drop(answer);
@@ -232,7 +235,8 @@
     /// Continues with the answer of a target in this region, whose relay
     /// resumes it from then on.
     fn continue_locally(&mut self, started: StartedAnswer<D, Direct>) {
-        self.record_continuation(started.req.peer(), Some(started.reservation.software()));
+        let software = started.reservation.confirmed_software();
+        self.record_continuation(started.req.peer(), software);
         let gateway = Arc::clone(&self.gateway);
         let relay = Relay::new(gateway, self.cx.clone(), self.out.clone(), started);
         self.rest = AnswerRest::Local(Box::new(relay));
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -205,9 +205,8 @@
         body,
         software,
     } = reply;
-    if let Some(software) = software {
-        tx.send(&Frame::Software(software)).await?;
-    }
+    let software = software.map_or(Frame::SoftwareUnknown, Frame::Software);
+    tx.send(&software).await?;
     let head = Frame::Head {
         status: status.as_u16(),
         headers: write_headers(&headers),
@@ -235,6 +234,9 @@
             Some(Ok(data)) => send_data(tx, &data).await?,
             Some(Err(e)) => {
                 log::debug!(target: "forward", error:% = e; "forwarded answer ended early");
+                if !e.is_software_certain() {
+                    tx.send(&Frame::SoftwareUnknown).await?;
+                }
                 let refusal = Refusal::unknown(Code::TargetFailed, Step::Answer, Peer::Local);
                 return tx.send(&Frame::Refused(refusal)).await;
             }
