Log where a request goes to a region that the catalog in force bars

Requests ran outside their home regions, and no line said which regions an attempt was held to, by which catalog, and which region and age the record of its target had.

Nothing is decided by it yet. The catalog knows where the requests of a route and an account may run by their names, also for an account whose keys were all withdrawn.

--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -5,6 +5,7 @@
 //! the document. [`CurrentCatalog`] holds the newest snapshot and never returns
 //! to an older one.
 
+mod residency;
 mod specs;
 
 use std::collections::HashMap;
@@ -13,9 +14,11 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::config::Residency;
 use crate::names::Account;
 use crate::names::Pool;
 use crate::names::Region;
+use crate::names::Route;
 use crate::revision::StoreRevision;
 use crate::tables::LockRank;
 use crate::tables::RankedMutex;
@@ -46,6 +49,10 @@
     pools: HashMap<Pool, Arc<PoolSpec>>,
     accounts_by_key: HashMap<Box<str>, Arc<AccountSpec>>,
     has_accounts: bool,
+    /// Where the requests of each route may run.
+    route_residencies: HashMap<Route, Residency>,
+    /// Where the requests of each account may run, whether it has a key or not.
+    account_residencies: HashMap<Account, Residency>,
     /// The most urgent priority of the routes of each pool.
     most_urgent: HashMap<Pool, u8>,
 }
@@ -102,6 +109,8 @@
                 *known = route.priority.min(*known);
             }
         }
+        let route_residencies = residency::by_route(&routes);
+        let account_residencies = residency::by_account(&accounts);
         let mut by_host: HashMap<Box<str>, Vec<Arc<RouteSpec>>> = HashMap::new();
         for route in routes {
             let host = route.host.as_ref().into();
@@ -126,6 +135,8 @@
             pools: pools.into_iter().map(keyed_by_name).collect(),
             accounts_by_key: by_key,
             has_accounts,
+            route_residencies,
+            account_residencies,
             most_urgent,
         }
     }
--- /dev/null
+++ b/crates/decisions/src/catalog/residency.rs
@@ -0,0 +1,35 @@
+//! The regions that a catalog allows to requests which another catalog may have
+//! admitted.
+
+use std::collections::HashMap;
+
+use super::AccountSpec;
+use super::Catalog;
+use super::RouteSpec;
+use crate::config::Residency;
+use crate::names::Account;
+use crate::names::Route;
+
+pub(super) fn by_route(routes: &[RouteSpec]) -> HashMap<Route, Residency> {
+    let residency = |route: &RouteSpec| (route.name.clone(), route.residency.clone());
+    routes.iter().map(residency).collect()
+}
+
+pub(super) fn by_account(accounts: &[AccountSpec]) -> HashMap<Account, Residency> {
+    let residency = |account: &AccountSpec| (account.name.clone(), account.residency.clone());
+    accounts.iter().map(residency).collect()
+}
+
+impl Catalog {
+    /// Returns the regions in which the requests of a route and an account may
+    /// run. A route or an account that the catalog lacks allows any region.
+    pub fn residency_of(&self, route: &Route, account: Option<&Account>) -> Residency {
+        let route = self.route_residencies.get(route);
+        let account = account.and_then(|name| self.account_residencies.get(name));
+        match (route, account) {
+            (Some(route), Some(account)) => route.and(account),
+            (Some(only), None) | (None, Some(only)) => only.clone(),
+            (None, None) => Residency::anywhere(),
+        }
+    }
+}
--- a/crates/decisions/src/config/residency.rs
+++ b/crates/decisions/src/config/residency.rs
@@ -1,5 +1,7 @@
 //! The regions in which requests may run.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -39,3 +41,17 @@
         }
     }
 }
+
+/// The regions, separated by commas, or `any`.
+impl fmt::Display for Residency {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(regions) = &self.0 else {
+            return f.write_str("any");
+        };
+        for (i, region) in regions.iter().enumerate() {
+            let separator = if i == 0 { "" } else { "," };
+            write!(f, "{separator}{region}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -93,6 +93,7 @@
     ) -> Result<Box<StartedForward>, (Request<Dispatched, Direct>, ForwardFailure)> {
         let deadline = self.shutdown.limit(req.meta().deadline);
         let left = deadline.saturating_sub(self.clock.now());
+        self.check_instance_region(&req, cx);
         let message = forward_message(&req, cx, out, left);
         let req = req.dispatch();
         self.metrics.count_forward();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod reporters;
 mod request_log;
 mod reservation_guard;
+mod residency;
 mod resources;
 mod sent_count;
 mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,7 @@
     interruptions: IntCounterVec,
     continuations: IntCounterVec,
     cut_answers: IntCounterVec,
+    region_conflicts: IntCounterVec,
     attempts: IntCounterVec,
     retry_decisions: IntCounterVec,
     extra_attempts: IntCounterVec,
@@ -105,6 +106,12 @@
                 "Streams that went on at another target, by whether its software began them.",
                 &["software"],
             ),
+            region_conflicts: counter(
+                &registry,
+                "region_conflicts_total",
+                "Attempts and forwards to a region that the catalog in force does not allow.",
+                &["to"],
+            ),
             cut_answers: counter(
                 &registry,
                 "cut_answers_total",
@@ -221,6 +228,7 @@
             &self.requests,
             &self.unanswered,
             &self.cut_answers,
+            &self.region_conflicts,
             &self.attempts,
             &self.retry_decisions,
             &self.extra_attempts,
@@ -293,6 +301,12 @@
         self.interruptions.with_label_values(&labels).inc();
     }
 
+    /// Counts an attempt or a forward to a region that the catalog in force does
+    /// not allow.
+    pub(crate) fn count_region_conflict(&self, to: &'static str) {
+        self.region_conflicts.with_label_values(&[to]).inc();
+    }
+
     /// Counts answers that a link carried when this instance closed it.
     pub(crate) fn count_cut_answers(&self, cause: CloseCause, count: usize) {
         let counter = self.cut_answers.with_label_values(&[cause.as_str()]);
--- /dev/null
+++ b/crates/gateway/src/residency.rs
@@ -0,0 +1,105 @@
+//! Compares where requests are sent with the regions that the catalog in force
+//! allows.
+
+use std::time::Duration;
+
+use chiverelay_decisions::config::Residency;
+use chiverelay_decisions::fleet::KnownTarget;
+use chiverelay_decisions::names::Account;
+use chiverelay_decisions::names::Region;
+use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Grant;
+use chiverelay_decisions::request::HasGrant;
+use chiverelay_decisions::request::Placed;
+use chiverelay_decisions::request::PlacedRemote;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+
+use crate::Dialect;
+use crate::Gateway;
+use crate::place::PlacementContext;
+
+/// Where a request is about to be sent.
+struct Destination<'a> {
+    peer: Peer,
+    region: &'a Region,
+    /// Time since the record of the target was read.
+    record_age: Duration,
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Returns the regions that the catalog in force allows to a request that
+    /// was admitted before.
+    fn current_residency(&self, grant: &Grant) -> Residency {
+        let current = self.tables.current_catalog();
+        current.map_or_else(Residency::anywhere, |current| {
+            let catalog = &current.catalog;
+            catalog.residency_of(&grant.route, grant.account.as_ref())
+        })
+    }
+
+    /// Warns of an attempt at a target in a region that the catalog in force
+    /// does not allow.
+    pub(crate) fn check_target_region<O>(
+        &self,
+        req: &Request<Placed, O>,
+        cx: &PlacementContext,
+        known: &KnownTarget,
+    ) {
+        let destination = Destination {
+            peer: Peer::Target(req.target().clone()),
+            region: &known.record.region,
+            record_age: self.clock.now().saturating_sub(known.read_at),
+        };
+        self.check_region(req, cx, &destination, "target");
+    }
+
+    /// Warns of a forward to a region that the catalog in force does not allow.
+    pub(crate) fn check_instance_region(
+        &self,
+        req: &Request<PlacedRemote, Direct>,
+        cx: &PlacementContext,
+    ) {
+        let destination = Destination {
+            peer: Peer::Sibling(req.instance().clone()),
+            region: req.region(),
+            record_age: Duration::ZERO,
+        };
+        self.check_region(req, cx, &destination, "instance");
+    }
+
+    fn check_region<S, O>(
+        &self,
+        req: &Request<S, O>,
+        cx: &PlacementContext,
+        to: &Destination<'_>,
+        label: &'static str,
+    ) where
+        S: HasGrant,
+    {
+        let grant = req.grant();
+        let current = self.current_residency(grant);
+        if current.allows(to.region) {
+            return;
+        }
+        self.metrics.count_region_conflict(label);
+        let in_force = self.tables.current_catalog();
+        log::warn!(
+            target: "place",
+            id = req.meta().id.as_str(),
+            route = grant.route.as_str(),
+            account = grant.account.as_ref().map_or("", Account::as_str),
+            peer:% = to.peer,
+            region = to.region.as_str(),
+            regions:% = grant.residency,
+            regions_now:% = current,
+            catalog = cx.catalog_version,
+            catalog_now = in_force.map_or(0, |current| current.catalog.version),
+            record_age_ms = to.record_age.as_millis() as u64;
+            "region is not allowed by the catalog in force"
+        );
+    }
+}
