Hold each attempt to the regions of the catalog in force

Cause: a request was held to the regions of the catalog that admitted it, however long ago that was. After a change, its retries, hedges, extra attempts and forwards and the attempts that continue its stream went where the catalog in force bars its route or account; a forwarded one did at the other instance, too.

A placement takes the residency of the catalog in force beside the grant, by the names of route and account, and needs both; a name that is gone adds nothing. A retry that another region may serve goes there. The daemon did so already (`current_residency`); its placements state it in the same way now.

--- a/crates/decisions/src/gateway/local_placer.rs
+++ b/crates/decisions/src/gateway/local_placer.rs
@@ -311,7 +311,7 @@
         let pool = req.grant().pool.clone();
         let meta = req.meta().clone();
         let placed = req
-            .place(best.name.clone(), self.own_region.clone())
+            .place(best.name.clone(), self.own_region.clone(), &self.residency)
             .map_err(|req| req.refuse(Code::Unavailable, Step::Place, Peer::Local))?;
         let rate = self.entry.prefill_rate;
         self.tables
--- a/crates/decisions/src/gateway/place.rs
+++ b/crates/decisions/src/gateway/place.rs
@@ -106,7 +106,7 @@
         && remote.time_to_first_token + FORWARD_MARGIN < local
         && spend_link_budget(&placer, &req, &remote.region).is_ok()
     {
-        return forward_to(req, remote);
+        return forward_to(&placer, req, remote);
     }
     if queue_status == QueueStatus::New && !placer.may_start(&req, &best) {
         return Ok(Placement::Wait(req));
@@ -141,10 +141,11 @@
 }
 
 fn forward_to(
+    placer: &LocalPlacer<'_>,
     req: Request<Admitted, Direct>,
     remote: RemoteCandidate,
 ) -> Result<Placement, Refusal> {
-    req.place_remote(remote.instance, remote.region)
+    req.place_remote(remote.instance, remote.region, &placer.residency)
         .map(Placement::Remote)
         .map_err(|req| req.refuse(Code::Unavailable, Step::Place, Peer::Local))
 }
@@ -157,7 +158,7 @@
     remote: RemoteCandidate,
 ) -> Result<Placement, Refusal> {
     match spend_link_budget(placer, &req, &remote.region) {
-        Ok(()) => forward_to(req, remote),
+        Ok(()) => forward_to(placer, req, remote),
         Err(wait) => {
             let refusal = req.refuse(Code::Overloaded, Step::Place, Peer::Local);
             Err(match wait {
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -44,10 +44,11 @@
 //! A forwarded request can't be forwarded again:
 //!
 //! ```compile_fail
+//! use chiverelay_decisions::config::Residency;
 //! use chiverelay_decisions::names::{Instance, Region};
 //! use chiverelay_decisions::request::{Admitted, Forwarded, Request};
 //! fn forward(req: Request<Admitted, Forwarded>, to: Instance, region: Region) {
-//!     let _ = req.place_remote(to, region);
+//!     let _ = req.place_remote(to, region, &Residency::anywhere());
 //! }
 //! ```
 //!
@@ -146,7 +147,8 @@
     pub route: Route,
     /// The pool whose targets answer the request.
     pub pool: Pool,
-    /// The regions where the request may run.
+    /// The regions where the request may run by the configuration that admitted
+    /// it.
     pub residency: Residency,
     /// Whether the request may run more than once.
     pub repeatable: bool,
@@ -167,7 +169,8 @@
 ///
 /// # Invariants
 ///
-/// `region` is allowed by the residency in `grant`.
+/// `region` is allowed by the residency in `grant`, and was by the configuration
+/// that was in force when the request was placed.
 #[derive(Debug)]
 pub struct Placed {
     grant: Arc<Grant>,
@@ -179,7 +182,8 @@
 ///
 /// # Invariants
 ///
-/// `region` is allowed by the residency in `grant`.
+/// `region` is allowed by the residency in `grant`, and was by the configuration
+/// that was in force when the request was placed.
 #[derive(Debug)]
 pub struct PlacedRemote {
     grant: Arc<Grant>,
@@ -321,6 +325,12 @@
         self.state.grant()
     }
 
+    /// Tells whether the request may be sent to `region`. `current` is its
+    /// residency by the configuration in force.
+    pub fn may_go_to(&self, region: &Region, current: &Residency) -> bool {
+        self.grant().residency.allows(region) && current.allows(region)
+    }
+
     /// Returns the client account that the request runs for.
     pub fn account(&self) -> Option<&Account> {
         self.grant().account.as_ref()
@@ -389,13 +399,20 @@
 }
 
 impl<O> Request<Admitted, O> {
-    /// Places the request at `target`, which is in `region`.
+    /// Places the request at `target`, which is in `region`. `current` is the
+    /// residency of the request by the configuration in force, which may have
+    /// replaced the one that admitted the request.
     ///
     /// # Errors
     ///
-    /// Returns the request if its residency does not allow `region`.
-    pub fn place(self, target: Target, region: Region) -> Result<Request<Placed, O>, Self> {
-        if !self.state.grant.residency.allows(&region) {
+    /// Returns the request unless both its grant and `current` allow `region`.
+    pub fn place(
+        self,
+        target: Target,
+        region: Region,
+        current: &Residency,
+    ) -> Result<Request<Placed, O>, Self> {
+        if !self.may_go_to(&region, current) {
             return Err(self);
         }
         let grant = Arc::clone(&self.state.grant);
@@ -409,17 +426,18 @@
 
 impl Request<Admitted, Direct> {
     /// Places the request at a sibling in another region, which chooses a
-    /// target there.
+    /// target there. `current` is as for [`Request::place`].
     ///
     /// # Errors
     ///
-    /// Returns the request if its residency does not allow `region`.
+    /// Returns the request unless both its grant and `current` allow `region`.
     pub fn place_remote(
         mut self,
         instance: Instance,
         region: Region,
+        current: &Residency,
     ) -> Result<Request<PlacedRemote, Direct>, Self> {
-        if !self.state.grant.residency.allows(&region) {
+        if !self.may_go_to(&region, current) {
             return Err(self);
         }
         self.asked_siblings.push(instance.clone());
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -282,13 +282,15 @@
         let deadline = self.shutdown.limit(req.meta().deadline);
         let now = self.clock.now();
         let left = deadline.saturating_sub(now);
-        if !self.may_send(&target, cx, now) || left < MIN_TIME_TO_SEND {
+        let may_send =
+            self.check_target_region(&req, cx, &known_target) && self.may_send(&target, cx, now);
+        if !may_send || left < MIN_TIME_TO_SEND {
             self.record_failed_attempt(
                 out,
                 &target,
                 reservation.age(),
                 "not sent",
-                "the target is draining, paused or of other software now, or too little time is left",
+                "the target is draining, paused, of other software or not allowed now, or too little time is left",
             );
             let refusal = req.refusal(Code::Unavailable, Step::Place, target_peer(&req));
             return Err(FailedAttempt::NotSent(
@@ -296,7 +298,6 @@
                 Box::new(refusal.into()),
             ));
         }
-        self.check_target_region(&req, cx, &known_target);
         let attempt = AttemptContext {
             target: &target,
             remaining: left,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -61,6 +61,10 @@
             let refusal = req.refusal(Code::Unavailable, Step::Connect, peer);
             return ForwardOutcome::Retry(req.unplace(), refusal.into());
         };
+        if !self.check_instance_region(&req, cx) {
+            let refusal = req.refusal(Code::Unavailable, Step::Place, peer);
+            return ForwardOutcome::Retry(req.unplace(), refusal.into());
+        }
         let held = match self.reserve_forward(out) {
             Ok(held) => held,
             Err(refusal) => return ForwardOutcome::Retry(req.unplace(), refusal.into()),
@@ -93,7 +97,6 @@
     ) -> Result<Box<StartedForward>, (Request<Dispatched, Direct>, ForwardFailure)> {
         let deadline = self.shutdown.limit(req.meta().deadline);
         let left = deadline.saturating_sub(self.clock.now());
-        self.check_instance_region(&req, cx);
         let message = forward_message(&req, cx, out, left);
         let req = req.dispatch();
         self.metrics.count_forward();
@@ -123,6 +126,9 @@
         out: &Outbound,
     ) -> Option<Box<StartedForward>> {
         let link = self.links.get(req.instance())?;
+        if !self.check_instance_region(&req, cx) {
+            return None;
+        }
         let held = self.reserve_forward(out).ok()?;
         match self.send_forward(req, &link, held, cx, out).await {
             Ok(mut started) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -109,7 +109,7 @@
             region_conflicts: counter(
                 &registry,
                 "region_conflicts_total",
-                "Attempts and forwards to a region that the catalog in force does not allow.",
+                "Attempts and forwards that were not sent, as the catalog in force bars the region.",
                 &["to"],
             ),
             cut_answers: counter(
@@ -301,8 +301,8 @@
         self.interruptions.with_label_values(&labels).inc();
     }
 
-    /// Counts an attempt or a forward to a region that the catalog in force does
-    /// not allow.
+    /// Counts an attempt or a forward that was not sent, as the catalog in force
+    /// bars the region.
     pub(crate) fn count_region_conflict(&self, to: &'static str) {
         self.region_conflicts.with_label_values(&[to]).inc();
     }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -9,6 +9,7 @@
 
 use chiverelay_decisions::catalog::PoolSpec;
 use chiverelay_decisions::catalog::RouteSpec;
+use chiverelay_decisions::config::Residency;
 use chiverelay_decisions::fleet::KnownTarget;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
@@ -175,16 +176,18 @@
     where
         S: HasGrant,
     {
-        let allowed = req.grant().residency.allows(&self.settings.region);
-        let local = match allowed {
+        let current = self.current_residency(req.grant());
+        let local = match req.may_go_to(&self.settings.region, &current) {
             true => self.choose_local_target(cx, tried, now),
             false => Err(NoTargetReason::NoTarget),
         };
         // Limited targets of other regions are left to the instances there, but
         // they are better than none.
-        let remote = self.choose_remote_region(req, cx, StatedLimitUse::Avoid, now);
+        let remote = self.choose_remote_region(req, cx, &current, StatedLimitUse::Avoid, now);
         let remote = match (&local, remote) {
-            (Err(_), None) => self.choose_remote_region(req, cx, StatedLimitUse::Ignore, now),
+            (Err(_), None) => {
+                self.choose_remote_region(req, cx, &current, StatedLimitUse::Ignore, now)
+            }
             (_, remote) => remote,
         };
         let target_latency = cx.route.target_latency;
@@ -349,6 +352,9 @@
     where
         F: FnOnce(&Estimate, Duration) -> bool,
     {
+        if !self.may_run_here(req) {
+            return false;
+        }
         let now = self.clock.now();
         let deadline = req.meta().deadline;
         let left = deadline.saturating_sub(now);
@@ -383,12 +389,13 @@
     }
 
     /// Returns the other region with the lowest estimated cost, among those
-    /// that the request's residency allows and in which an instance can be
-    /// reached. The instance itself is chosen in `place_remotely`.
+    /// that the request may go to and in which an instance can be reached.
+    /// `current` is its residency by the catalog in force. The instance itself is chosen in `place_remotely`.
     fn choose_remote_region<S, O>(
         &self,
         req: &Request<S, O>,
         cx: &PlacementContext,
+        current: &Residency,
         stated: StatedLimitUse<'_>,
         now: Duration,
     ) -> Option<RegionChoice>
@@ -398,9 +405,8 @@
         let regions = self.tables.fleet.lock().usable_regions(&cx.pool.name);
         let mut best: Option<RegionChoice> = None;
         for region in regions {
-            let residency = &req.grant().residency;
             if region == self.settings.region
-                || !residency.allows(&region)
+                || !req.may_go_to(&region, current)
                 || self.choose_instance(&region, req, now).is_none()
             {
                 continue;
@@ -461,7 +467,8 @@
         let Some(instance) = self.choose_instance(&remote.region, &req, now) else {
             return Err(Box::new(req));
         };
-        let req = req.place_remote(instance, remote.region.clone())?;
+        let current = self.current_residency(req.grant());
+        let req = req.place_remote(instance, remote.region.clone(), &current)?;
         let tokens = remote.estimate.prefill_tokens;
         let mut traffic = self.tables.traffic.lock();
         let load = ForwardedLoad {
@@ -487,6 +494,10 @@
         now: Duration,
     ) -> Result<LocalPlacement<D, O>, Refusal> {
         let region = self.settings.region.clone();
+        let current = self.current_residency(req.grant());
+        if !req.may_go_to(&region, &current) {
+            return Err(refuse_no_target(&req, NoTargetReason::NoTarget));
+        }
         let known = self.tables.fleet.lock().get(&choice.target).cloned();
         // A process with other software may have taken the target's name since
         // the choice.
@@ -522,13 +533,13 @@
             software: known_target.record.software.clone(),
         };
         let guard = ReservationGuard::new(Arc::clone(self), request, reservation, choice.estimate);
-        match req.place(choice.target.clone(), region) {
+        match req.place(choice.target.clone(), region, &current) {
             Ok(req) => Ok(LocalPlacement {
                 req,
                 reservation: guard,
                 known_target,
             }),
-            // The residency of the grant does not allow this region.
+            // The request may not run in this region.
             Err(req) => Err(refuse_no_target(&req, NoTargetReason::NoTarget)),
         }
     }
--- a/crates/gateway/src/place/extra_attempt.rs
+++ b/crates/gateway/src/place/extra_attempt.rs
@@ -30,6 +30,9 @@
         if cx.attempts_left < 2 || self.shutdown.has_begun() || self.is_suspected(cx) {
             return None;
         }
+        if !self.may_run_here(req) {
+            return None;
+        }
         let copy = req.duplicate()?;
         let now = self.clock.now();
         self.check_crashes(&copy, cx, now).ok()?;
--- a/crates/gateway/src/residency.rs
+++ b/crates/gateway/src/residency.rs
@@ -1,5 +1,5 @@
-//! Compares where requests are sent with the regions that the catalog in force
-//! allows.
+//! Holds requests to the regions that the catalog in force allows, beside those
+//! that the catalog allowed by which they were admitted.
 
 use std::time::Duration;
 
@@ -33,7 +33,7 @@
 {
     /// Returns the regions that the catalog in force allows to a request that
     /// was admitted before.
-    fn current_residency(&self, grant: &Grant) -> Residency {
+    pub(crate) fn current_residency(&self, grant: &Grant) -> Residency {
         let current = self.tables.current_catalog();
         current.map_or_else(Residency::anywhere, |current| {
             let catalog = &current.catalog;
@@ -41,34 +41,43 @@
         })
     }
 
-    /// Warns of an attempt at a target in a region that the catalog in force
-    /// does not allow.
+    /// Tells whether a request may run in this region.
+    pub(crate) fn may_run_here<S, O>(&self, req: &Request<S, O>) -> bool
+    where
+        S: HasGrant,
+    {
+        let current = self.current_residency(req.grant());
+        req.may_go_to(&self.settings.region, &current)
+    }
+
+    /// Tells whether a placed request may still go to its target, as another
+    /// catalog may have come into force since the choice.
     pub(crate) fn check_target_region<O>(
         &self,
         req: &Request<Placed, O>,
         cx: &PlacementContext,
         known: &KnownTarget,
-    ) {
+    ) -> bool {
         let destination = Destination {
             peer: Peer::Target(req.target().clone()),
             region: &known.record.region,
             record_age: self.clock.now().saturating_sub(known.read_at),
         };
-        self.check_region(req, cx, &destination, "target");
+        self.check_region(req, cx, &destination, "target")
     }
 
-    /// Warns of a forward to a region that the catalog in force does not allow.
+    /// Tells whether a request may still be forwarded to its instance.
     pub(crate) fn check_instance_region(
         &self,
         req: &Request<PlacedRemote, Direct>,
         cx: &PlacementContext,
-    ) {
+    ) -> bool {
         let destination = Destination {
             peer: Peer::Sibling(req.instance().clone()),
             region: req.region(),
             record_age: Duration::ZERO,
         };
-        self.check_region(req, cx, &destination, "instance");
+        self.check_region(req, cx, &destination, "instance")
     }
 
     fn check_region<S, O>(
@@ -77,13 +86,14 @@
         cx: &PlacementContext,
         to: &Destination<'_>,
         label: &'static str,
-    ) where
+    ) -> bool
+    where
         S: HasGrant,
     {
         let grant = req.grant();
         let current = self.current_residency(grant);
-        if current.allows(to.region) {
-            return;
+        if req.may_go_to(to.region, &current) {
+            return true;
         }
         self.metrics.count_region_conflict(label);
         let in_force = self.tables.current_catalog();
@@ -101,5 +111,6 @@
             record_age_ms = to.record_age.as_millis() as u64;
             "region is not allowed by the catalog in force"
         );
+        false
     }
 }
--- a/tests/testsuite/catalog.rs
+++ b/tests/testsuite/catalog.rs
@@ -163,3 +163,34 @@
         &[((1, 5), 10), ((2, 3), 8), ((2, 4), 9), ((2, 5), 11)], &[10, 10, 10, 11]);
     a_number_given_out_again_is_another_revision(&[((1, 5), 10), ((2, 5), 11)], &[10, 11]);
 }
+
+/// Guards requests against regions that a later catalog bars, also where an
+/// account has no key for a moment: it is found by its name.
+fn a_later_catalog_binds_what_it_names(
+    route_name: &str,
+    account_name: Option<&str>,
+    region: &'static str,
+    is_allowed: bool,
+) {
+    let mut keyless = account("keyless", "k3");
+    keyless.keys.clear();
+    keyless.residency = Residency::only(vec!["north".into()]);
+    let routes = vec![route("short", "/a/"), route("bound", "/bound/")];
+    let accounts = vec![account("parish", "k1"), keyless];
+    let catalog = Catalog::new(1, routes, Vec::new(), accounts, ClientLimits::default());
+    let name = account_name.map(Into::into);
+    let residency = catalog.residency_of(&route_name.into(), name.as_ref());
+    assert_eq!(residency.allows(&region.into()), is_allowed);
+}
+
+cases! {
+    a_later_catalog_binds_what_it_names:
+    by_its_route("bound", None, "south", false);
+    by_its_route_where_it_may_run("bound", None, "north", true);
+    by_its_account("short", Some("parish"), "north", false);
+    by_its_account_on_a_route_that_is_gone("gone", Some("parish"), "north", false);
+    by_its_account_without_a_key("short", Some("keyless"), "south", false);
+    by_its_route_with_an_account_that_is_gone("bound", Some("gone"), "south", false);
+    by_both_of_which_no_region_is_left("bound", Some("parish"), "north", false);
+    and_nothing_else("gone", Some("gone"), "south", true);
+}
--- a/tests/testsuite/residency.rs
+++ b/tests/testsuite/residency.rs
@@ -231,6 +231,34 @@
         .quickcheck(resumes_within as fn(u64) -> bool);
 }
 
+/// Guards a request against a region that one of two configurations bars: the one
+/// that admitted it, or the one in force.
+fn is_placed_as_both_allow(admitted: &[&str], current: &[&str], is_placed: bool) {
+    let only = |regions: &[&str]| Residency::only(regions.iter().map(|r| (*r).into()).collect());
+    let grant = Grant {
+        account: None,
+        route: "chat".into(),
+        pool: "p".into(),
+        residency: only(admitted),
+        repeatable: true,
+        charged_tokens: 0,
+        receipt: None,
+    };
+    let request = || Request::from_caller(head(1)).admit(grant.clone());
+    let (lima, current) = (Region::from("lima"), only(current));
+    let placed = request().place("engine-1".into(), lima.clone(), &current);
+    assert_eq!(placed.is_ok(), is_placed);
+    let placed = request().place_remote("lima-1".into(), lima, &current);
+    assert_eq!(placed.is_ok(), is_placed);
+}
+
+cases! {
+    is_placed_as_both_allow:
+    by_both(&["lima", "cusco"], &["lima"], true);
+    only_by_the_grant(&["lima"], &["cusco"], false);
+    only_by_the_configuration_in_force(&["cusco"], &["lima"], false);
+}
+
 /// A stream that is cut has no other target in the regions that its route, or
 /// its account, allows: it ends as cut, and the target elsewhere gets nothing.
 fn check_cut(bound: fn(&mut Value)) {
