Send a request only where its target was when it was chosen

What callers may have seen: a request that ran at a target of another pool or region. Suspected from reading, shown by no play: on the users' platform a target of another region resets the connection, and nothing is known to change the service or the zone of an id.

Cause: the record was read anew by the chosen name under a second lock, and the instance's own region was stated for it. While a connection was made, up to a second, a name could come back with another pool, region or address; only whether it drains, and its software, were looked at again.

Evidence: with the two new decisions reduced to what was asked before (known, not draining), five of the eight cases in `fleet` fail: `left: true, right: false` for another pool, region or address.

`Fleet::get_in` finds the chosen name only in its pool and region, and the region of that record is what the placement states. `Fleet::accepts_chosen` compares the record just before the request is sent.

--- a/crates/decisions/src/fleet/record.rs
+++ b/crates/decisions/src/fleet/record.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// Tells whether a later record of the target has it in the same pool and
+    /// region, at the same address.
+    pub(super) fn is_at_same_place(&self, later: &TargetRecord) -> bool {
+        self.pool == later.pool && self.region == later.region && self.address == later.address
+    }
+
     /// Tells whether the target wrote this record before `other`.
     pub(super) fn precedes(&self, other: &TargetRecord) -> bool {
         (self.started_ms, self.sequence) < (other.started_ms, other.sequence)
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -282,15 +282,15 @@
         let deadline = self.shutdown.limit(req.meta().deadline);
         let now = self.clock.now();
         let left = deadline.saturating_sub(now);
-        let may_send =
-            self.check_target_region(&req, cx, &known_target) && self.may_send(&target, cx, now);
+        let may_send = self.check_target_region(&req, cx, &known_target)
+            && self.may_send(&target, &known_target, cx, now);
         if !may_send || left < MIN_TIME_TO_SEND {
             self.record_failed_attempt(
                 out,
                 &target,
                 reservation.age(),
                 "not sent",
-                "the target is draining, paused, of other software or not allowed now, or too little time is left",
+                "the target is draining, paused, elsewhere, of other software or not allowed now, or too little time is left",
             );
             let refusal = req.refusal(Code::Unavailable, Step::Place, target_peer(&req));
             return Err(FailedAttempt::NotSent(
@@ -334,12 +334,19 @@
         }
     }
 
-    /// Tells whether a target takes the request. It may have started draining,
-    /// asked for a pause, or begun anew with other software, since it was chosen.
-    fn may_send(&self, target: &Target, cx: &PlacementContext, now: Duration) -> bool {
+    /// Tells whether a target takes the request. Since it was chosen it may have
+    /// started draining, asked for a pause, or come back elsewhere or with other
+    /// software.
+    fn may_send(
+        &self,
+        target: &Target,
+        chosen: &KnownTarget,
+        cx: &PlacementContext,
+        now: Duration,
+    ) -> bool {
         let fleet = self.tables.fleet.lock();
         let software = fleet.get(target).map(|known| &known.record.software);
-        let is_usable = fleet.accepts_requests(target)
+        let is_usable = fleet.accepts_chosen(target, &chosen.record)
             && software.is_some_and(|software| cx.accepts_software(software));
         drop(fleet);
         is_usable && self.tables.traffic.lock().pause_left(target, now).is_none()
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -498,7 +498,11 @@
         if !req.may_go_to(&region, &current) {
             return Err(refuse_no_target(&req, NoTargetReason::NoTarget));
         }
-        let known = self.tables.fleet.lock().get(&choice.target).cloned();
+        let known = {
+            let fleet = self.tables.fleet.lock();
+            let known = fleet.get_in(&choice.target, &cx.pool.name, &region);
+            known.cloned()
+        };
         // A process with other software may have taken the target's name since
         // the choice.
         let known = known.filter(|known| cx.accepts_software(&known.record.software));
@@ -533,6 +537,7 @@
             software: known_target.record.software.clone(),
         };
         let guard = ReservationGuard::new(Arc::clone(self), request, reservation, choice.estimate);
+        let region = known_target.record.region.clone();
         match req.place(choice.target.clone(), region, &current) {
             Ok(req) => Ok(LocalPlacement {
                 req,
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -13,6 +13,7 @@
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::revision::StoreRevision;
+use support::cases;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -485,3 +486,40 @@
         "the listing is from before it"
     );
 }
+
+/// Failure: a target that came back under its name while a connection to it was
+/// made got a request that was chosen for another pool, region or address.
+fn a_target_that_came_back_elsewhere(change: fn(&mut TargetRecord), is_accepted: bool) {
+    let (mut fleet, name) = fleet();
+    let chosen = fleet.get(&name).expect("known").record.clone();
+    let mut later = record();
+    later.started_ms += 1;
+    change(&mut later);
+    fleet.upsert(&name, later, at(6), ms(10));
+    assert_eq!(fleet.accepts_chosen(&name, &chosen), is_accepted);
+}
+
+cases! {
+    a_target_that_came_back_elsewhere:
+    gets_its_request_if_only_its_process_changed(|_| {}, true);
+    gets_no_request_of_its_former_pool(|r| r.pool = "model".into(), false);
+    gets_no_request_of_its_former_region(|r| r.region = "south".into(), false);
+    gets_no_request_at_its_former_address(
+        |r| r.address = "10.1.0.2:80".parse().expect("an address"), false);
+    gets_no_request_once_it_drains(|r| r.draining = true, false);
+}
+
+/// Failure: the record was read anew under the name that had been chosen, and its
+/// region was taken to be that of the instance.
+fn a_chosen_name_is_looked_up(pool: &str, region: &str, is_found: bool) {
+    let (fleet, name) = fleet();
+    let found = fleet.get_in(&name, &pool.into(), &region.into());
+    assert_eq!(found.is_some(), is_found);
+}
+
+cases! {
+    a_chosen_name_is_looked_up:
+    where_it_is("orders", "north", true);
+    in_another_pool("model", "north", false);
+    in_another_region("orders", "south", false);
+}
