Hand the catalog on to an instance that the store does not answer

The rule on homes makes no exception for an instance that is cut off.

Cause: an instance that the store does not answer went on by its last catalog for as long as that lasted. It asked the others for targets and evacuations, not for the catalog, though its requests are held to it.

Evidence: with the copy of the catalog left out, the three cases of `a_change_is_in_force` in `node::cut_off_from_store` failed: 10 of 10 requests ran in a region that a change had barred 3 s before (`left: 11, right: 1`), by its route or its account, and a withdrawn key was served. They pass now.

The question for what another instance has read states the version of the own catalog, and the answer has the catalog if it is a later one. It keeps its version and the store's revision, so that it is ordered as if the store had told of it, and the store's own answer is then the same and changes nothing. What is asked when, and whom, is as for targets: only once others have read what this instance has not. The catalog finds accounts by name at once, also those without a key.

--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -5,6 +5,7 @@
 //! the document. [`CurrentCatalog`] holds the newest snapshot and never returns
 //! to an older one.
 
+mod copy;
 mod residency;
 mod specs;
 
@@ -23,6 +24,7 @@
 use crate::tables::LockRank;
 use crate::tables::RankedMutex;
 
+pub use copy::CatalogCopy;
 pub use specs::AccountSpec;
 pub use specs::Backend;
 pub use specs::ClientLimits;
@@ -51,8 +53,8 @@
     has_accounts: bool,
     /// Where the requests of each route may run.
     route_residencies: HashMap<Route, Residency>,
-    /// Where the requests of each account may run, whether it has a key or not.
-    account_residencies: HashMap<Account, Residency>,
+    /// All accounts, whether they have a key or not.
+    accounts_by_name: HashMap<Account, Arc<AccountSpec>>,
     /// The most urgent priority of the routes of each pool.
     most_urgent: HashMap<Pool, u8>,
 }
@@ -110,7 +112,6 @@
             }
         }
         let route_residencies = residency::by_route(&routes);
-        let account_residencies = residency::by_account(&accounts);
         let mut by_host: HashMap<Box<str>, Vec<Arc<RouteSpec>>> = HashMap::new();
         for route in routes {
             let host = route.host.as_ref().into();
@@ -121,8 +122,10 @@
         }
         let has_accounts = !accounts.is_empty();
         let mut by_key = HashMap::new();
+        let mut by_name = HashMap::new();
         for account in accounts {
             let account = Arc::new(account);
+            by_name.insert(account.name.clone(), Arc::clone(&account));
             for key in &account.keys {
                 by_key.insert(key.clone(), Arc::clone(&account));
             }
@@ -136,7 +139,7 @@
             accounts_by_key: by_key,
             has_accounts,
             route_residencies,
-            account_residencies,
+            accounts_by_name: by_name,
             most_urgent,
         }
     }
@@ -195,11 +198,10 @@
         self.pools.get(name)
     }
 
-    /// Returns a client account by its name.
+    /// Returns a client account by its name, if it has a key.
     pub fn account(&self, name: &Account) -> Option<&Arc<AccountSpec>> {
-        self.accounts_by_key
-            .values()
-            .find(|account| account.name == *name)
+        let account = self.accounts_by_name.get(name);
+        account.filter(|account| !account.keys.is_empty())
     }
 
     /// Lists the client accounts. An account with several keys appears once per
--- a/crates/decisions/src/catalog/residency.rs
+++ b/crates/decisions/src/catalog/residency.rs
@@ -3,7 +3,6 @@
 
 use std::collections::HashMap;
 
-use super::AccountSpec;
 use super::Catalog;
 use super::RouteSpec;
 use crate::config::Residency;
@@ -15,18 +14,13 @@
     routes.iter().map(residency).collect()
 }
 
-pub(super) fn by_account(accounts: &[AccountSpec]) -> HashMap<Account, Residency> {
-    let residency = |account: &AccountSpec| (account.name.clone(), account.residency.clone());
-    accounts.iter().map(residency).collect()
-}
-
 impl Catalog {
     /// Returns the regions in which the requests of a route and an account may
     /// run. A route or an account that the catalog lacks allows any region.
     pub fn residency_of(&self, route: &Route, account: Option<&Account>) -> Residency {
         let route = self.route_residencies.get(route);
-        let account = account.and_then(|name| self.account_residencies.get(name));
-        match (route, account) {
+        let account = account.and_then(|name| self.accounts_by_name.get(name));
+        match (route, account.map(|account| &account.residency)) {
             (Some(route), Some(account)) => route.and(account),
             (Some(only), None) | (None, Some(only)) => only.clone(),
             (None, None) => Residency::anywhere(),
--- a/crates/decisions/src/catalog/specs.rs
+++ b/crates/decisions/src/catalog/specs.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::config::Residency;
 use crate::names::Account;
 use crate::names::Model;
@@ -12,6 +15,7 @@
 /// Whether the requests of a route may run more than once, and whether their
 /// answers are streams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RouteKind {
     /// A request may run more than once.
     Idempotent,
@@ -53,6 +57,7 @@
 
 /// A pool that receives a share of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Backend {
     /// The pool.
     pub pool: Pool,
@@ -62,7 +67,8 @@
 
 /// A route: the requests that it matches, the pools that answer them, and
 /// their timeout, latency targets and number of attempts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RouteSpec {
     /// The route's unique name.
     pub name: Route,
@@ -93,6 +99,7 @@
 /// Rate limit of a cold target, which is one that has started recently and is
 /// still warming up.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ColdLimit {
     /// Time after its start for which a target is cold.
     pub warmup: Duration,
@@ -103,6 +110,7 @@
 
 /// The model engines of a pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Requests that an engine runs at once.
     pub slots: u32,
@@ -113,7 +121,8 @@
 }
 
 /// A pool of interchangeable targets.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PoolSpec {
     /// The pool's unique name.
     pub name: Pool,
@@ -127,6 +136,7 @@
 
 /// Token limit of a client account over all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct TokenLimit {
     /// Refill rate in tokens per second.
     pub rate: f64,
@@ -138,7 +148,8 @@
 }
 
 /// A client account with its keys and limits.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct AccountSpec {
     /// The account's unique name.
     pub name: Account,
@@ -155,6 +166,7 @@
 
 /// Limits on the size of callers' requests and on the time to receive them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClientLimits {
     /// Largest request head in bytes.
     pub max_header_bytes: usize,
--- a/crates/gateway/src/fleet_copy.rs
+++ b/crates/gateway/src/fleet_copy.rs
@@ -1,19 +1,22 @@
 //! Learns from other instances what the store does not tell this one: while it
 //! is cut off from the store, they still hear of targets that turn cold, drain
-//! or leave, and of evacuated zones.
+//! or leave, of evacuated zones and of later catalogs.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::catalog::CatalogCopy;
 use chiverelay_decisions::event::Stamp;
-use chiverelay_decisions::fleet::FleetCopy;
+use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Message;
+use chiverelay_sibling::StoreCopy;
 use chiverelay_sibling::Up;
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::StoreUpdate;
 
 /// Time that the store has to tell this instance of overdue changes before
 /// another instance is asked. It covers the pause between two watches.
@@ -33,7 +36,7 @@
     let asking = async {
         loop {
             gateway.wait_until_others_know_more().await;
-            gateway.ask_for_fleet().await;
+            gateway.ask_for_copy().await;
             tokio::time::sleep(ASK_INTERVAL).await;
         }
     };
@@ -61,16 +64,20 @@
     }
 
     /// Asks one instance after another until one has answered.
-    async fn ask_for_fleet(&self) {
+    async fn ask_for_copy(&self) {
         for link in self.links_to_better_informed() {
-            let Some(copy) = ask(&link).await else {
+            let Some(copy) = ask(&link, self.catalog_version()).await else {
                 continue;
             };
             let from = &link.peer().instance;
-            let revision = copy.revision;
-            log::info!(target: "fleet", from = from.as_str(), era = revision.era, revision = revision.number, targets = copy.targets.len(); "targets learned from another instance");
+            let StoreCopy { fleet, catalog } = copy;
+            let revision = fleet.revision;
+            log::info!(target: "fleet", from = from.as_str(), era = revision.era, revision = revision.number, targets = fleet.targets.len(); "targets learned from another instance");
+            if let Some(catalog) = catalog {
+                self.apply_catalog_copy(catalog, from);
+            }
             self.tables
-                .merge_fleet(copy, &self.settings.region, self.clock.now());
+                .merge_fleet(fleet, &self.settings.region, self.clock.now());
             self.store_lag.record_told(revision);
             return;
         }
@@ -85,19 +92,37 @@
         links
     }
 
-    /// Returns what this instance knows of the targets of a region.
-    pub(crate) fn copy_fleet(&self, region: &Region) -> FleetCopy {
+    fn catalog_version(&self) -> u64 {
+        let current = self.tables.current_catalog();
+        current.map_or(0, |current| current.catalog.version)
+    }
+
+    /// Puts the catalog of another instance in force, if it is later than this
+    /// instance's, just as if the store had told of it.
+    fn apply_catalog_copy(&self, copy: CatalogCopy, from: &Instance) {
+        let (version, revision) = (copy.version, copy.revision);
+        log::info!(target: "catalog", from = from.as_str(), version; "catalog learned from another instance");
+        self.apply(StoreUpdate::Catalog(copy.into_catalog()), revision);
+    }
+
+    /// Returns what this instance has read from the store of the targets of a
+    /// region, with its catalog if that is of a later version than the one given.
+    pub(crate) fn copy_store(&self, region: &Region, catalog_version: u64) -> StoreCopy {
         let revision = self.store_lag.read_revision();
         let now = self.clock.now();
-        self.tables.fleet.lock().copy_of(region, revision, now)
+        StoreCopy {
+            catalog: self.tables.catalog.copy_if_later(catalog_version),
+            fleet: self.tables.fleet.lock().copy_of(region, revision, now),
+        }
     }
 }
 
-async fn ask(link: &Link<Up>) -> Option<FleetCopy> {
-    let asking = link.ask(Stamp::default(), Message::AskFleet);
+async fn ask(link: &Link<Up>, catalog_version: u64) -> Option<StoreCopy> {
+    let question = Message::AskStoreCopy { catalog_version };
+    let asking = link.ask(Stamp::default(), question);
     let reply = tokio::time::timeout(ASK_TIMEOUT, asking).await;
     match reply.ok()?.ok()?.message {
-        Message::Fleet(copy) => Some(copy),
+        Message::StoreCopy(copy) => Some(copy),
         _ => None,
     }
 }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -98,7 +98,10 @@
                 self.gateway.receive_refund(&refund);
                 Message::Done
             }
-            Message::AskFleet => Message::Fleet(self.gateway.copy_fleet(&from.region)),
+            Message::AskStoreCopy { catalog_version } => {
+                let copy = self.gateway.copy_store(&from.region, catalog_version);
+                Message::StoreCopy(copy)
+            }
             Message::AskTokens(requested) => {
                 let now = self.gateway.clock.now();
                 Message::Tokens(self.gateway.rate_limiter.lend(&requested, now))
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -46,6 +46,7 @@
 pub use message::Heartbeat;
 pub use message::Message;
 pub use message::Status;
+pub use message::StoreCopy;
 pub use message::TargetLoad;
 pub use message::VERSION;
 pub use pins::Pins;
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -2,6 +2,7 @@
 
 use chiverelay_decisions::allowance::AllowanceStatus;
 use chiverelay_decisions::allowance::TokenTransfer;
+use chiverelay_decisions::catalog::CatalogCopy;
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::fleet::FleetCopy;
 use chiverelay_decisions::handover::HandoverCommit;
@@ -40,7 +41,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 12;
+pub const VERSION: u16 = 13;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
@@ -124,11 +125,24 @@
     Commit(HandoverCommit),
     /// The sender holds no shares any more and has no record.
     Vacated(Holder),
-    /// Asks for what the receiver has read from the store of the targets of the
-    /// sender's region. Answered by [`Message::Fleet`].
-    AskFleet,
-    /// What the sender has read from the store of the targets of a region.
-    Fleet(FleetCopy),
+    /// Asks for what the receiver has read from the store. Answered by
+    /// [`Message::StoreCopy`].
+    AskStoreCopy {
+        /// Version of the catalog that the sender has, 0 for none.
+        catalog_version: u64,
+    },
+    /// What the sender has read from the store.
+    StoreCopy(StoreCopy),
+}
+
+/// What an instance has read from the store, for another one.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct StoreCopy {
+    /// The targets of the other one's region and the evacuated zones.
+    pub fleet: FleetCopy,
+    /// The catalog, if the other one has an older one.
+    pub catalog: Option<CatalogCopy>,
 }
 
 /// A claim of a ticket.
--- a/tests/testsuite/catalog.rs
+++ b/tests/testsuite/catalog.rs
@@ -194,3 +194,30 @@
     by_both_of_which_no_region_is_left("bound", Some("parish"), "north", false);
     and_nothing_else("gone", Some("gone"), "south", true);
 }
+
+/// Guards an instance that the store does not answer against a copy that lacks
+/// something, and against one of a version that it has.
+#[test]
+fn a_copy_is_the_catalog_for_one_that_has_an_earlier_version() {
+    let current = CurrentCatalog::default();
+    assert_eq!(current.copy_if_later(0), None);
+    let mut keyless = account("keyless", "k3");
+    keyless.keys.clear();
+    let routes = vec![route("short", "/a/"), route("bound", "/bound/")];
+    let accounts = vec![account("parish", "k1"), keyless];
+    let catalog = Catalog::new(4, routes, Vec::new(), accounts, ClientLimits::default());
+    let revision = StoreRevision { era: 1, number: 7 };
+    current.replace_if_newer(Arc::new(catalog), revision, Duration::ZERO);
+    assert_eq!(current.copy_if_later(4), None);
+    let copy = current.copy_if_later(3).expect("a later version");
+    assert_eq!(copy.revision, revision);
+    let other = CurrentCatalog::default();
+    other.replace_if_newer(copy.clone().into_catalog(), copy.revision, Duration::ZERO);
+    let mut again = other.copy_if_later(0).expect("a catalog");
+    let mut copy = copy;
+    for copy in [&mut again, &mut copy] {
+        copy.accounts.sort_by_key(|account| account.name.clone());
+    }
+    assert_eq!(again, copy);
+    assert_eq!(again.accounts.len(), 2, "also the one without a key");
+}
--- a/tests/testsuite/node/cut_off_from_store.rs
+++ b/tests/testsuite/node/cut_off_from_store.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde_json::Value;
 use serde_json::json;
 use support::block_on;
 use support::cases;
@@ -14,6 +15,7 @@
 use support::node::proxy::Harm;
 use support::node::proxy::Proxy;
 use support::node::site::KEY;
+use support::node::site::configuration;
 use support::node::site::until;
 
 /// Time in which an instance has to act on what the others hear, as one that the
@@ -177,3 +179,64 @@
         assert_eq!(first.arrivals().len(), before, "it left");
     });
 }
+
+/// A change of the configuration, after which requests go elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Change {
+    RouteBound,
+    AccountBound,
+    KeyWithdrawn,
+}
+
+impl Change {
+    fn configuration(self) -> Value {
+        let mut config = configuration(9);
+        match self {
+            Self::RouteBound => config["routes"][3]["allowed_regions"] = json!(["south"]),
+            Self::AccountBound => config["tenants"][0]["allowed_regions"] = json!(["south"]),
+            Self::KeyWithdrawn => config["tenants"][0]["api_keys"] = json!(["another-key"]),
+        }
+        config
+    }
+}
+
+/// Failure: an instance that was cut off from the store went on by its old
+/// configuration, for as long as it was cut off: it ran requests in a region that
+/// was barred meanwhile, and took keys that were withdrawn.
+fn a_change_is_in_force(change: Change) {
+    block_on(async {
+        let world = World::start().await;
+        let site = &world.site;
+        let far = site.instance("far", "south-a", "south").await;
+        let south = PlatformTarget::start("i-south").await;
+        south.set(Mode::Events(2));
+        site.register(&south, "model", "south-a");
+        until("the other region is linked", async || {
+            world.cut_off.logged().contains("i-south") && far.logged().contains("link is up")
+        })
+        .await;
+        let north = world.target("i-north", Mode::Events(2)).await;
+        until_used(&world.cut_off, &north).await;
+        world.store.set(Harm::Silence);
+        site.store.put("op/config", &change.configuration());
+        tokio::time::sleep(APPLY_LIMIT).await;
+        let before = north.arrivals().len();
+        for n in 0..10 {
+            let is_served = send(world.cut_off.front, &format!("r-{n}")).await;
+            assert_eq!(is_served, change != Change::KeyWithdrawn, "{n}");
+        }
+        assert_eq!(north.arrivals().len(), before, "run where it may not");
+        world.store.set(Harm::None);
+        tokio::time::sleep(APPLY_LIMIT).await;
+        let log = world.cut_off.logged();
+        assert!(!log.contains("outdated catalog"), "{log}");
+        assert_eq!(log.matches("catalog applied").count(), 2, "{log}");
+    });
+}
+
+cases! {
+    a_change_is_in_force:
+    that_binds_a_route_to_another_region(Change::RouteBound);
+    that_binds_an_account_to_another_region(Change::AccountBound);
+    that_withdraws_a_key(Change::KeyWithdrawn);
+}
