Copy prompt parts only from regions where the request may run

What callers may have seen: a request bound to regions made its target fetch parts of its prompt from a target of another region. Suspected from reading, shown by no play; the users' pages say that such requests are cached and stored only in their regions.

Cause: `Traffic::cache_sources` took any target with the parts for a source. Instances tell those of other regions which parts they sent where, so targets there are known.

Evidence: with the check left out, `traffic::cached_prompts::may_not_be_in_another_region` fails: `left: true, right: false`.

`TargetQuery` has the regions that both the grant and the catalog in force allow, and a source must be in one of them. Requests without homes copy as before. The choice of a target in this region checks them itself now, for all its callers.

Changes to existing tests: the two places that build a `TargetQuery` state the new field as any region.

--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -29,6 +29,7 @@
 use crate::extra_attempts::ExtraAttemptLimit;
 use crate::extra_attempts::ExtraAttempts;
 use crate::fleet::Fleet;
+use crate::fleet::KnownTarget;
 use crate::names::Instance;
 use crate::names::Pool;
 use crate::names::Region;
@@ -306,12 +307,15 @@
     }
 
     /// Finds the targets that have most of a prompt cached.
-    fn cache_sources(&self, fleet: &Fleet, parts: &[PromptPart]) -> CacheSources {
+    fn cache_sources(&self, fleet: &Fleet, query: &TargetQuery<'_>) -> CacheSources {
+        let is_allowed = |known: &KnownTarget| query.allowed_regions.allows(&known.record.region);
         let known = self.cached_parts.iter();
-        let known = known.filter(|(name, _)| fleet.accepts_requests(name));
+        let known = known.filter(|(name, _)| {
+            fleet.get(name).is_some_and(is_allowed) && fleet.accepts_requests(name)
+        });
         let mut sources = CacheSources::default();
         for (name, cached) in known {
-            sources.add(name, cached.cached_tokens(parts));
+            sources.add(name, cached.cached_tokens(query.parts));
         }
         sources
     }
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -10,6 +10,7 @@
 use super::RegionShares;
 use super::Traffic;
 use crate::catalog::PoolSpec;
+use crate::config::Residency;
 use crate::fleet::Fleet;
 use crate::fleet::KnownTarget;
 use crate::names::Region;
@@ -85,6 +86,9 @@
     /// Software that began the answer. If it is set, only targets of the same
     /// version may be chosen, as others can't continue what it wrote.
     pub software: Option<&'a SoftwareVersion>,
+    /// Regions in which the request may run. Cached parts of its prompt are
+    /// copied only from targets there.
+    pub allowed_regions: &'a Residency,
     /// Random number from which the additions to the targets' costs are
     /// derived.
     pub random: u64,
@@ -245,7 +249,7 @@
             .count();
         let mut reason = NoTargetReason::NoTarget;
         let jitter = self.cost_jitter(fleet, pool, region, query);
-        let sources = self.cache_sources(fleet, query.parts);
+        let sources = self.cache_sources(fleet, query);
         let mut best: Option<TargetChoice> = None;
         for (target, known) in fleet.usable_targets(&pool.name) {
             if known.record.region != *region || !query.is_compatible_with(known) {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -176,17 +176,14 @@
     where
         S: HasGrant,
     {
-        let current = self.current_residency(req.grant());
-        let local = match req.may_go_to(&self.settings.region, &current) {
-            true => self.choose_local_target(cx, tried, now),
-            false => Err(NoTargetReason::NoTarget),
-        };
+        let allowed = self.allowed_regions(req);
+        let local = self.choose_local_target(cx, &allowed, tried, now);
         // Limited targets of other regions are left to the instances there, but
         // they are better than none.
-        let remote = self.choose_remote_region(req, cx, &current, StatedLimitUse::Avoid, now);
+        let remote = self.choose_remote_region(req, cx, &allowed, StatedLimitUse::Avoid, now);
         let remote = match (&local, remote) {
             (Err(_), None) => {
-                self.choose_remote_region(req, cx, &current, StatedLimitUse::Ignore, now)
+                self.choose_remote_region(req, cx, &allowed, StatedLimitUse::Ignore, now)
             }
             (_, remote) => remote,
         };
@@ -231,7 +228,7 @@
         self.check_shutdown(&req, cx, Duration::ZERO, now)?;
         self.check_crashes(&req, cx, now)?;
         let choice = self
-            .choose_local_target(cx, req.tried_targets(), now)
+            .choose_local_target(cx, &self.allowed_regions(&req), req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason))?;
         // The instance that forwarded the request knew less of these targets. An
         // answer that has begun goes on, however late.
@@ -261,17 +258,22 @@
         Err(quarantine::name_part(refusal, part))
     }
 
-    /// Chooses the best target of this region that was not tried yet.
+    /// Chooses the best target of this region that was not tried yet, if this
+    /// region is among those that are allowed.
     fn choose_local_target(
         &self,
         cx: &PlacementContext,
+        allowed: &Residency,
         tried: &[Target],
         now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
         let region = &self.settings.region;
+        if !allowed.allows(region) {
+            return Err(NoTargetReason::NoTarget);
+        }
         let rank = |target: &Target| self.members.rank_in_region(target.as_str(), now);
         let shares = self.local_shares(&rank, now);
-        self.choose_target(region, cx, tried, shares, now)
+        self.choose_target(region, cx, allowed, tried, shares, now)
     }
 
     /// Returns how the limits of the targets of this region are divided. `rank`
@@ -352,13 +354,11 @@
     where
         F: FnOnce(&Estimate, Duration) -> bool,
     {
-        if !self.may_run_here(req) {
-            return false;
-        }
         let now = self.clock.now();
         let deadline = req.meta().deadline;
         let left = deadline.saturating_sub(now);
-        let choice = self.choose_local_target(cx, &tried_with_current(req), now);
+        let allowed = self.allowed_regions(req);
+        let choice = self.choose_local_target(cx, &allowed, &tried_with_current(req), now);
         choice.is_ok_and(|TargetChoice { estimate, .. }| {
             is_suitable(&estimate, left)
                 && self.can_end_before_shutdown(cx, deadline, estimate.queue_delay, now)
@@ -370,6 +370,7 @@
         &self,
         region: &Region,
         cx: &PlacementContext,
+        allowed: &Residency,
         tried: &[Target],
         shares: RegionShares<'_>,
         now: Duration,
@@ -381,6 +382,7 @@
             parts: &cx.parts,
             excluded: tried,
             software: cx.software.as_ref(),
+            allowed_regions: allowed,
             random: rand::random(),
         };
         let fleet = self.tables.fleet.lock();
@@ -390,12 +392,12 @@
 
     /// Returns the other region with the lowest estimated cost, among those
     /// that the request may go to and in which an instance can be reached.
-    /// `current` is its residency by the catalog in force. The instance itself is chosen in `place_remotely`.
+    /// The instance itself is chosen in `place_remotely`.
     fn choose_remote_region<S, O>(
         &self,
         req: &Request<S, O>,
         cx: &PlacementContext,
-        current: &Residency,
+        allowed: &Residency,
         stated: StatedLimitUse<'_>,
         now: Duration,
     ) -> Option<RegionChoice>
@@ -406,7 +408,7 @@
         let mut best: Option<RegionChoice> = None;
         for region in regions {
             if region == self.settings.region
-                || !req.may_go_to(&region, current)
+                || !allowed.allows(&region)
                 || self.choose_instance(&region, req, now).is_none()
             {
                 continue;
@@ -416,7 +418,8 @@
                 rank: None,
                 stated,
             };
-            let Ok(choice) = self.choose_target(&region, cx, req.tried_targets(), shares, now)
+            let Ok(choice) =
+                self.choose_target(&region, cx, allowed, req.tried_targets(), shares, now)
             else {
                 continue;
             };
--- a/crates/gateway/src/place/extra_attempt.rs
+++ b/crates/gateway/src/place/extra_attempt.rs
@@ -30,14 +30,16 @@
         if cx.attempts_left < 2 || self.shutdown.has_begun() || self.is_suspected(cx) {
             return None;
         }
-        if !self.may_run_here(req) {
-            return None;
-        }
         let copy = req.duplicate()?;
         let now = self.clock.now();
         self.check_crashes(&copy, cx, now).ok()?;
         let left = req.meta().deadline.saturating_sub(now);
-        let choice = self.choose_local_target(cx, &tried_with_current(req), now);
+        let choice = self.choose_local_target(
+            cx,
+            &self.allowed_regions(req),
+            &tried_with_current(req),
+            now,
+        );
         let choice = choice.ok().filter(|c| is_timely(cx, &c.estimate, left));
         let allowed = match &choice {
             Some(choice) => self.try_extra_attempt(cx, choice),
--- a/crates/gateway/src/residency.rs
+++ b/crates/gateway/src/residency.rs
@@ -41,13 +41,14 @@
         })
     }
 
-    /// Tells whether a request may run in this region.
-    pub(crate) fn may_run_here<S, O>(&self, req: &Request<S, O>) -> bool
+    /// Returns the regions in which a request may run by both the catalog that
+    /// admitted it and the one in force.
+    pub(crate) fn allowed_regions<S, O>(&self, req: &Request<S, O>) -> Residency
     where
         S: HasGrant,
     {
-        let current = self.current_residency(req.grant());
-        req.may_go_to(&self.settings.region, &current)
+        let grant = req.grant();
+        grant.residency.and(&self.current_residency(grant))
     }
 
     /// Tells whether a placed request may still go to its target, as another
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -9,6 +9,7 @@
 use chiverelay_decisions::catalog::ColdLimit;
 use chiverelay_decisions::catalog::EngineSpec;
 use chiverelay_decisions::catalog::PoolSpec;
+use chiverelay_decisions::config::Residency;
 use chiverelay_decisions::fleet::Fleet;
 use chiverelay_decisions::fleet::TargetRecord;
 use chiverelay_decisions::names::Instance;
@@ -212,6 +213,7 @@
             parts: &[],
             excluded: tried,
             software: None,
+            allowed_regions: &Residency::anywhere(),
             random: draw,
         };
         let region = Region::from("north");
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -14,6 +14,7 @@
 use chiverelay_decisions::catalog::ColdLimit;
 use chiverelay_decisions::catalog::EngineSpec;
 use chiverelay_decisions::catalog::PoolSpec;
+use chiverelay_decisions::config::Residency;
 use chiverelay_decisions::directory::callers_ratio;
 use chiverelay_decisions::fleet::Fleet;
 use chiverelay_decisions::fleet::TargetRecord;
@@ -55,6 +56,8 @@
     pool: PoolSpec,
     region: Region,
     divisor: Divisor,
+    /// Where the requests may run.
+    allowed_regions: Residency,
     draw: u64,
 }
 
@@ -88,6 +91,7 @@
             },
             region: "north".into(),
             divisor: lone(),
+            allowed_regions: Residency::anywhere(),
             draw: 1,
         };
         for n in 0..targets {
@@ -97,13 +101,17 @@
     }
 
     fn add(&mut self, name: &str, cold: Duration) {
+        self.add_in("north", name, cold);
+    }
+
+    fn add_in(&mut self, region: &str, name: &str, cold: Duration) {
         let record = TargetRecord {
             pool: "pool".into(),
             address: format!("10.1.0.{}:80", self.fleet.len() + 1)
                 .parse()
                 .expect("an address"),
-            zone: "north-a".into(),
-            region: "north".into(),
+            zone: format!("{region}-a").into(),
+            region: region.into(),
             software: "v1".into(),
             slots: 6,
             draining: false,
@@ -152,6 +160,7 @@
             parts,
             excluded: tried,
             software: None,
+            allowed_regions: &self.allowed_regions,
             random: self.draw,
         };
         self.draw += 1;
--- a/tests/testsuite/traffic/cached_prompts.rs
+++ b/tests/testsuite/traffic/cached_prompts.rs
@@ -1,9 +1,11 @@
 //! Prompts whose long parts some targets have cached.
 
+use chiverelay_decisions::config::Residency;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::traffic::InFlight;
 use chiverelay_decisions::traffic::PromptPartUse;
 use chiverelay_decisions::traffic::TargetInFlight;
+use support::cases;
 
 use super::World;
 use super::ms;
@@ -83,3 +85,31 @@
     assert_ne!(choice.target, target(0));
     assert!(choice.estimate.cache_source.is_some());
 }
+
+/// Pattern: a prompt whose parts only a target of another region has cached.
+///
+/// Failure: the parts were copied from there for requests that may not run in
+/// that region.
+fn the_source_of_a_copy(allowed: Residency, is_copied: bool) {
+    let mut world = World::new(2, true);
+    world.add_in("south", "i-south", ms(0));
+    let part_use = PromptPartUse {
+        target: "i-south".into(),
+        part: part(0, 13_000),
+    };
+    world
+        .traffic
+        .record_remote_part_uses(&"two".into(), vec![part_use], ms(0));
+    world.allowed_regions = allowed;
+    let parts = [part(0, 13_000), part(1_000, 3_700)];
+    let choice = world.choose(&parts, 16_700, &[], ms(10)).expect("a choice");
+    assert_eq!(choice.estimate.cache_source.is_some(), is_copied);
+}
+
+cases! {
+    the_source_of_a_copy:
+    may_be_in_any_region(Residency::anywhere(), true);
+    may_be_in_a_region_of_the_request(
+        Residency::only(vec!["north".into(), "south".into()]), true);
+    may_not_be_in_another_region(Residency::only(vec!["north".into()]), false);
+}
