Look again in the daemon whether a region is allowed once connected

What callers may see: a request of chiverelayd runs in a region that a new configuration has barred while a connection to its target or sibling was made. The same class as in `node::changed_regions`, found by reading, shown by no run of the daemon.

Cause: `dispatch::attempt` and `forward` wait for a connection between the placement and the sending, and the residency was looked at only at the placement.

`gateway::may_still_run` asks the configuration in force after the connection was made. The request goes back to placement, as one that was not sent.

--- a/crates/chiverelayd/src/dispatch.rs
+++ b/crates/chiverelayd/src/dispatch.rs
@@ -65,6 +65,13 @@
             return Attempt::Again(req.unplace());
         }
     };
+    if !gateway::may_still_run(&cx.tables, &req, req.region()) {
+        record(
+            Step::Place,
+            "not sent: the region is no longer allowed".to_owned(),
+        );
+        return Attempt::Again(req.unplace());
+    }
     let under = keys::enter(cx, req.key());
     if under.is_withdrawn() {
         return Attempt::Refused(keys::refuse(req));
--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -1,5 +1,6 @@
 //! Passes a caller's request on to a sibling.
 
+use chiverelay_decisions::gateway;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -73,6 +74,11 @@
                 return Forwarded::Again(req.unplace(), refusal);
             }
         };
+        if !gateway::may_still_run(&self.cx.tables, &req, req.region()) {
+            self.note(&req, &peer, "not sent: the region is no longer allowed");
+            let refusal = req.refusal(Code::Unavailable, Step::Place, peer);
+            return Forwarded::Again(req.unplace(), refusal);
+        }
         let message = self.forward_message(&req, out.clone());
         let under = keys::enter(&self.cx, req.key());
         if under.is_withdrawn() {
--- a/crates/decisions/src/gateway.rs
+++ b/crates/decisions/src/gateway.rs
@@ -35,6 +35,7 @@
 pub use admit::admit_forwarded;
 pub use admit::settle_charge;
 pub use admit::try_charge;
+pub use local_placer::may_still_run;
 pub use place::ForwardedPlacement;
 pub use place::Placement;
 pub use place::QueueStatus;
--- a/crates/decisions/src/gateway/local_placer.rs
+++ b/crates/decisions/src/gateway/local_placer.rs
@@ -27,6 +27,7 @@
 use crate::refusal::Refusal;
 use crate::request::Admitted;
 use crate::request::Grant;
+use crate::request::HasGrant;
 use crate::request::Placed;
 use crate::request::Request;
 use crate::step::Peer;
@@ -87,6 +88,16 @@
     Some(residency.and(&config.accounts.get(account)?.residency))
 }
 
+/// Tells whether a placed request may still be sent to its region. Another
+/// configuration may have come into force since, as while a connection was made.
+pub fn may_still_run<S, O>(tables: &Tables, req: &Request<S, O>, region: &Region) -> bool
+where
+    S: HasGrant,
+{
+    let current = current_residency(&tables.config.get(), req.grant());
+    current.is_some_and(|current| req.may_go_to(region, &current))
+}
+
 /// Updates the retry budget: a first attempt adds to it, a retry spends it and
 /// is refused if nothing is left. A request woken from the queue does neither.
 fn update_retry_budget<O>(
--- a/tests/testsuite/residency.rs
+++ b/tests/testsuite/residency.rs
@@ -259,6 +259,46 @@
     only_by_the_configuration_in_force(&["cusco"], &["lima"], false);
 }
 
+/// Failure: a connection was made while the configuration changed, and the request
+/// went to a region that was barred by then.
+fn is_sent_within(seed: u64) -> bool {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let tables = tables(&mut rng);
+    let here = Region::from(REGIONS[rng.random_range(0..3)]);
+    (1..40).all(|step| {
+        let now = Duration::from_millis(step * 500);
+        let before = some_config(step * 2, &mut rng);
+        tables.config.replace_if_newer(Arc::new(before.clone()));
+        let grant = grant(&before);
+        let req = Request::from_caller(head(step)).admit(grant.clone());
+        let placed = gateway::place(&tables, req, &here, QueueStatus::New, now);
+        let after = some_config(step * 2 + 1, &mut rng);
+        tables.config.replace_if_newer(Arc::new(after.clone()));
+        let (region, may_run) = match placed {
+            Ok(Placement::Local(req)) => {
+                (here.clone(), gateway::may_still_run(&tables, &req, &here))
+            }
+            Ok(Placement::Remote(req)) => {
+                let region = req.region().clone();
+                (
+                    region.clone(),
+                    gateway::may_still_run(&tables, &req, &region),
+                )
+            }
+            Ok(Placement::Wait(_)) | Err(_) => return true,
+        };
+        may_run == allowed(&grant, &after, &region)
+    })
+}
+
+#[test]
+fn requests_are_sent_within_their_residency() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 6))
+        .tests(500)
+        .quickcheck(is_sent_within as fn(u64) -> bool);
+}
+
 /// A stream that is cut has no other target in the regions that its route, or
 /// its account, allows: it ends as cut, and the target elsewhere gets nothing.
 fn check_cut(bound: fn(&mut Value)) {
