Pass on within a region what was learned from other instances

Cause: in a region of more than eight instances most hear of the others through one hub alone. A hub told up to where it had read the store itself, not what it had learned from other instances. Where the store answered neither an instance nor its hub, as when it turns a part of the instances away, the instance was told that nothing had changed, and went on by its old catalog, targets and evacuations until the store was back.

Evidence: with the hub telling what it has read, as before, `node::hubs::a_change_comes_through_a_hub_that_is_cut_off_from_the_store_too` fails: 6 s after a change that bars the region requests are still answered there (`left: 200, right: 503`).

A status states beside the revision that was read the one up to which the sender knows what its region depends on. It counts for what is asked of other instances, not for whether the store must be read again. Hubs of other regions are told the revision that was read, as nobody is told of the targets of another region.

--- a/crates/gateway/src/fleet_copy.rs
+++ b/crates/gateway/src/fleet_copy.rs
@@ -105,10 +105,15 @@
         self.apply(StoreUpdate::Catalog(copy.into_catalog()), revision);
     }
 
-    /// Returns what this instance has read from the store of the targets of a
-    /// region, with its catalog if that is of a later version than the one given.
+    /// Returns what this instance knows of the targets of a region, with its
+    /// catalog if that is of a later version than the one given. Of its own region
+    /// it passes on what others told, as they may reach the store when neither
+    /// this instance nor the one that asks does.
     pub(crate) fn copy_store(&self, region: &Region, catalog_version: u64) -> StoreCopy {
-        let revision = self.store_lag.read_revision();
+        let revision = match *region == self.settings.region {
+            true => self.store_lag.known_revision(),
+            false => self.store_lag.read_revision(),
+        };
         let now = self.clock.now();
         StoreCopy {
             catalog: self.tables.catalog.copy_if_later(catalog_version),
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -232,12 +232,14 @@
             Audience::Direct | Audience::Reporter(_) => Vec::new(),
         };
         let read_revision = self.store_lag.read_revision();
+        let known_revision = self.store_lag.known_revision();
         let traffic = self.tables.traffic.lock();
         Status {
             sequence,
             incarnation: self.incarnation,
             ready: self.members.own_state() == MemberState::Ready,
             read_revision,
+            known_revision,
             counts: traffic.in_flight_for(audience),
             uses: Vec::new(),
             parts,
@@ -274,8 +276,8 @@
     /// Applies what an instance tells of itself and of the instances that are
     /// heard through it.
     pub(crate) fn merge_status(&self, from: &Instance, status: Status, now: Duration) {
-        self.store_lag
-            .record_reported(from, status.read_revision, now);
+        let (read, known) = (status.read_revision, status.known_revision);
+        self.store_lag.record_reported(from, read, known, now);
         self.members.record_heard(&status.heard, now);
         let mut traffic = self.tables.traffic.lock();
         traffic.update_remote_counts(from, status.counts, now);
@@ -299,6 +301,8 @@
 /// Leaves out what hubs of other regions are told less often. Returns whether
 /// the status is sent to them at all.
 fn prepare_for_other_region(status: &mut Status) -> bool {
+    // This instance was told of the targets of its own region only.
+    status.known_revision = status.read_revision;
     let is_urgent = status.crashes.is_urgent() || status.lost.is_urgent();
     let is_turn = status.sequence.is_multiple_of(REMOTE_EVERY);
     let is_allowances_turn =
--- a/crates/gateway/src/store_lag.rs
+++ b/crates/gateway/src/store_lag.rs
@@ -29,7 +29,7 @@
     read: StoreLag,
     /// Lag of what it knows from the store or from other instances.
     known: StoreLag,
-    /// What each other instance last said that it has read.
+    /// Up to where each other instance last said that it knows all changes.
     reported: HashMap<Instance, StoreRevision>,
 }
 
@@ -49,6 +49,12 @@
         self.state.lock().read.own()
     }
 
+    /// Returns the revision up to which this instance knows all changes that its
+    /// region depends on, as it has read them or was told of them.
+    pub(crate) fn known_revision(&self) -> StoreRevision {
+        self.state.lock().known.own()
+    }
+
     /// Records the revision up to which this instance has read all changes.
     pub(crate) fn record_read(&self, revision: StoreRevision) {
         let mut state = self.state.lock();
@@ -62,13 +68,20 @@
         self.state.lock().known.record_own(revision);
     }
 
-    /// Records the revision up to which another instance has read all changes.
-    pub(crate) fn record_reported(&self, from: &Instance, revision: StoreRevision, now: Duration) {
+    /// Records the revisions up to which another instance has `read` all changes,
+    /// and up to which it has `known` those that this region depends on.
+    pub(crate) fn record_reported(
+        &self,
+        from: &Instance,
+        read: StoreRevision,
+        known: StoreRevision,
+        now: Duration,
+    ) {
         let mut state = self.state.lock();
-        state.reported.insert(from.clone(), revision);
+        state.reported.insert(from.clone(), known);
         let (read, known) = (
-            state.read.record_reported(revision, now),
-            state.known.record_reported(revision, now),
+            state.read.record_reported(read, now),
+            state.known.record_reported(known, now),
         );
         drop(state);
         if read {
@@ -84,7 +97,7 @@
         self.state.lock().reported.remove(name);
     }
 
-    /// Tells whether an instance has read changes that this one does not know.
+    /// Tells whether an instance knows changes that this one does not.
     pub(crate) fn is_ahead(&self, name: &Instance) -> bool {
         let state = self.state.lock();
         let reported = state.reported.get(name);
@@ -107,8 +120,7 @@
         }
     }
 
-    /// Waits until another instance has read changes that this one does not
-    /// know, and returns when they are overdue.
+    /// Waits until another instance knows changes that this one does not, and returns when they are overdue.
     pub(crate) async fn wait_until_unknown(&self) -> Duration {
         loop {
             let overdue_at = self.state.lock().known.overdue_at();
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -194,6 +194,10 @@
     pub ready: bool,
     /// Revision of the store up to which the sender has read all changes.
     pub read_revision: StoreRevision,
+    /// Revision of the store up to which the sender knows the catalog, the
+    /// evacuations and the targets of the receiver's region, as it has read them
+    /// or was told of them. It is not below `read_revision`.
+    pub known_revision: StoreRevision,
     /// What the sender has at the targets of its region.
     pub counts: Vec<TargetInFlight>,
     /// Parts of prompts that the sender sent to targets since its last status.
--- a/tests/testsuite/node/hubs.rs
+++ b/tests/testsuite/node/hubs.rs
@@ -19,6 +19,8 @@
 use support::node::Site;
 use support::node::call;
 use support::node::call::Call;
+use support::node::proxy::Harm;
+use support::node::proxy::Proxy;
 use support::node::site::KEY;
 use support::node::site::configuration;
 use support::node::site::until;
@@ -296,3 +298,48 @@
         .await;
     });
 }
+
+/// Time in which a change of the configuration has to be in force at an instance
+/// that learns of it through two others.
+const APPLY_LIMIT: Duration = Duration::from_secs(6);
+
+/// Failure: an instance that was cut off from the store and reported to a hub
+/// that was, too, heard of no change, as the hub told only what it had read
+/// itself: requests ran in a region that was barred meanwhile.
+#[test]
+fn a_change_comes_through_a_hub_that_is_cut_off_from_the_store_too() {
+    block_on(async {
+        let site = Site::start().await;
+        let store = Proxy::start(site.store.address).await;
+        let spawn = |n| site.spawn_before(name(n).as_str(), "north-a", "north", store.address);
+        let nodes: Vec<Node> = (0..INSTANCES).map(spawn).collect();
+        let far = site.spawn("far", "south-a", "south");
+        for node in nodes.iter().chain([&far]) {
+            node.until_ready(true).await;
+        }
+        until_settled(&nodes).await;
+        let target = PlatformTarget::start("i-north").await;
+        site.register(&target, "orders", "north-a");
+        let (reporter, _) = reporter_and_hub();
+        let front = nodes[reporter].front;
+        let send = async |id: &str| {
+            let call = Call::new(id, "/status/1").key(KEY);
+            call.send(front).await.status
+        };
+        until("the target is used", async || {
+            send("warm").await == StatusCode::OK
+        })
+        .await;
+        store.set(Harm::Silence);
+        let mut bound = configuration(9);
+        bound["routes"][0]["allowed_regions"] = json!(["south"]);
+        site.store.put("op/config", &bound);
+        tokio::time::sleep(APPLY_LIMIT).await;
+        let before = target.arrivals().len();
+        for n in 0..10 {
+            let status = send(&format!("r-{n}")).await;
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{n}");
+        }
+        assert_eq!(target.arrivals().len(), before, "run where it may not");
+    });
+}
