--- a/crates/gateway/src/fleet_copy.rs
+++ b/crates/gateway/src/fleet_copy.rs
@@ -64,7 +64,7 @@
     }
 
     /// Asks one instance after another until one has answered.
-    async fn ask_for_copy(&self) {
+    async fn ask_for_copy(self: &Arc<Self>) {
         for link in self.links_to_better_informed() {
             let Some(copy) = ask(&link, self.catalog_version()).await else {
                 continue;
@@ -99,7 +99,7 @@
 
     /// Puts the catalog of another instance in force, if it is later than this
     /// instance's, just as if the store had told of it.
-    fn apply_catalog_copy(&self, copy: CatalogCopy, from: &Instance) {
+    fn apply_catalog_copy(self: &Arc<Self>, copy: CatalogCopy, from: &Instance) {
         let (version, revision) = (copy.version, copy.revision);
         log::info!(target: "catalog", from = from.as_str(), version; "catalog learned from another instance");
         self.apply(StoreUpdate::Catalog(copy.into_catalog()), revision);
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -57,7 +57,7 @@
     region: Region,
     divisor: Divisor,
     /// Where the requests may run.
-    allowed_regions: Residency,
+    residency: Residency,
     draw: u64,
 }
 
@@ -91,7 +91,7 @@
             },
             region: "north".into(),
             divisor: lone(),
-            allowed_regions: Residency::anywhere(),
+            residency: Residency::anywhere(),
             draw: 1,
         };
         for n in 0..targets {
@@ -160,7 +160,7 @@
             parts,
             excluded: tried,
             software: None,
-            allowed_regions: &self.allowed_regions,
+            residency: &self.residency,
             random: self.draw,
         };
         self.draw += 1;
