--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -5,6 +5,8 @@
 //! the document. [`CurrentCatalog`] holds the newest snapshot and never returns
 //! to an older one.
 
+mod copy;
+mod residency;
 mod specs;
 
 use std::collections::HashMap;
@@ -14,13 +16,16 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::config::Residency;
 use crate::names::Account;
 use crate::names::Pool;
 use crate::names::Region;
+use crate::names::Route;
 use crate::revision::StoreRevision;
 use crate::tables::LockRank;
 use crate::tables::RankedMutex;
 
+pub use copy::CatalogCopy;
 pub use specs::AccountSpec;
 pub use specs::Backend;
 pub use specs::ClientLimits;
@@ -47,6 +52,10 @@
     pools: HashMap<Pool, Arc<PoolSpec>>,
     accounts_by_key: HashMap<Box<str>, Arc<AccountSpec>>,
     has_accounts: bool,
+    /// Where the requests of each route may run.
+    route_residencies: HashMap<Route, Residency>,
+    /// All accounts, whether they have a key or not.
+    accounts_by_name: HashMap<Account, Arc<AccountSpec>>,
     /// The most urgent priority of the routes of each pool.
     most_urgent: HashMap<Pool, u8>,
     /// Pools with routes whose streams callers may resume.
@@ -108,6 +117,7 @@
         let resumable = routes.iter().filter(|route| route.kind.is_resumable());
         let resumable = resumable.flat_map(|route| &route.backends);
         let resumable_pools = resumable.map(|backend| backend.pool.clone()).collect();
+        let route_residencies = residency::by_route(&routes);
         let mut by_host: HashMap<Box<str>, Vec<Arc<RouteSpec>>> = HashMap::new();
         for route in routes {
             let host = route.host.as_ref().into();
@@ -118,8 +128,10 @@
         }
         let has_accounts = !accounts.is_empty();
         let mut by_key = HashMap::new();
+        let mut by_name = HashMap::new();
         for account in accounts {
             let account = Arc::new(account);
+            by_name.insert(account.name.clone(), Arc::clone(&account));
             for key in &account.keys {
                 by_key.insert(key.clone(), Arc::clone(&account));
             }
@@ -132,6 +144,8 @@
             pools: pools.into_iter().map(keyed_by_name).collect(),
             accounts_by_key: by_key,
             has_accounts,
+            route_residencies,
+            accounts_by_name: by_name,
             most_urgent,
             resumable_pools,
         }
@@ -204,11 +218,10 @@
         self.pools.get(name)
     }
 
-    /// Returns a client account by its name.
+    /// Returns a client account by its name, if it has a key.
     pub fn account(&self, name: &Account) -> Option<&Arc<AccountSpec>> {
-        self.accounts_by_key
-            .values()
-            .find(|account| account.name == *name)
+        let account = self.accounts_by_name.get(name);
+        account.filter(|account| !account.keys.is_empty())
     }
 
     /// Lists the client accounts. An account with several keys appears once per
--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -103,6 +103,9 @@
         // Streams of software that has left may still go on.
         let streams = self.tables.streams.lock();
         let possible = streams.software.possible(pool, self.clock.now());
-        possible.iter().all(|software| *software == only).then_some(only)
+        possible
+            .iter()
+            .all(|software| *software == only)
+            .then_some(only)
     }
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -9,6 +9,7 @@
 
 use chiverelay_decisions::catalog::PoolSpec;
 use chiverelay_decisions::catalog::RouteSpec;
+use chiverelay_decisions::config::Residency;
 use chiverelay_decisions::fleet::KnownTarget;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
@@ -181,16 +182,15 @@
     where
         S: HasGrant,
     {
-        let allowed = req.grant().residency.allows(&self.settings.region);
-        let local = match allowed {
-            true => self.choose_local_target(cx, tried, now),
-            false => Err(NoTargetReason::NoTarget),
-        };
+        let allowed = self.permitted_regions(req);
+        let local = self.choose_local_target(cx, &allowed, tried, now);
         // Limited targets of other regions are left to the instances there, but
         // they are better than none.
-        let remote = self.choose_remote_region(req, cx, StatedLimitUse::Avoid, now);
+        let remote = self.choose_remote_region(req, cx, &allowed, StatedLimitUse::Avoid, now);
         let remote = match (&local, remote) {
-            (Err(_), None) => self.choose_remote_region(req, cx, StatedLimitUse::Ignore, now),
+            (Err(_), None) => {
+                self.choose_remote_region(req, cx, &allowed, StatedLimitUse::Ignore, now)
+            }
             (_, remote) => remote,
         };
         let target_latency = cx.route.target_latency;
@@ -234,7 +234,7 @@
         self.check_shutdown(&req, cx, Duration::ZERO, now)?;
         self.check_crashes(&req, cx, now)?;
         let choice = self
-            .choose_local_target(cx, req.tried_targets(), now)
+            .choose_local_target(cx, &self.permitted_regions(&req), req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason))?;
         // The instance that forwarded the request knew less of these targets. An
         // answer that has begun goes on, however late.
@@ -264,17 +264,22 @@
         Err(quarantine::name_part(refusal, part))
     }
 
-    /// Chooses the best target of this region that was not tried yet.
+    /// Chooses the best target of this region that was not tried yet, if this
+    /// region is among those that are allowed.
     fn choose_local_target(
         &self,
         cx: &PlacementContext,
+        allowed: &Residency,
         tried: &[Target],
         now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
         let region = &self.settings.region;
+        if !allowed.allows(region) {
+            return Err(NoTargetReason::NoTarget);
+        }
         let rank = |target: &Target| self.members.rank_in_region(target.as_str(), now);
         let shares = self.local_shares(&rank, now);
-        self.choose_target(region, cx, tried, shares, now)
+        self.choose_target(region, cx, allowed, tried, shares, now)
     }
 
     /// Returns how the limits of the targets of this region are divided. `rank`
@@ -358,7 +363,8 @@
         let now = self.clock.now();
         let deadline = req.meta().deadline;
         let left = deadline.saturating_sub(now);
-        let choice = self.choose_local_target(cx, &tried_with_current(req), now);
+        let allowed = self.permitted_regions(req);
+        let choice = self.choose_local_target(cx, &allowed, &tried_with_current(req), now);
         choice.is_ok_and(|TargetChoice { estimate, .. }| {
             is_suitable(&estimate, left)
                 && self.can_end_before_shutdown(cx, deadline, estimate.queue_delay, now)
@@ -370,6 +376,7 @@
         &self,
         region: &Region,
         cx: &PlacementContext,
+        allowed: &Residency,
         tried: &[Target],
         shares: RegionShares<'_>,
         now: Duration,
@@ -381,6 +388,7 @@
             parts: &cx.parts,
             excluded: tried,
             software: cx.software.as_ref(),
+            permitted_regions: allowed,
             random: rand::random(),
         };
         let fleet = self.tables.fleet.lock();
@@ -389,12 +397,13 @@
     }
 
     /// Returns the other region with the lowest estimated cost, among those
-    /// that the request's residency allows and in which an instance can be
-    /// reached. The instance itself is chosen in `place_remotely`.
+    /// that the request may go to and in which an instance can be reached.
+    /// The instance itself is chosen in `place_remotely`.
     fn choose_remote_region<S, O>(
         &self,
         req: &Request<S, O>,
         cx: &PlacementContext,
+        allowed: &Residency,
         stated: StatedLimitUse<'_>,
         now: Duration,
     ) -> Option<RegionChoice>
@@ -404,9 +413,8 @@
         let regions = self.tables.fleet.lock().usable_regions(&cx.pool.name);
         let mut best: Option<RegionChoice> = None;
         for region in regions {
-            let residency = &req.grant().residency;
             if region == self.settings.region
-                || !residency.allows(&region)
+                || !allowed.allows(&region)
                 || self.choose_instance(&region, req, now).is_none()
             {
                 continue;
@@ -416,7 +424,8 @@
                 rank: None,
                 stated,
             };
-            let Ok(choice) = self.choose_target(&region, cx, req.tried_targets(), shares, now)
+            let Ok(choice) =
+                self.choose_target(&region, cx, allowed, req.tried_targets(), shares, now)
             else {
                 continue;
             };
@@ -467,7 +476,8 @@
         let Some(instance) = self.choose_instance(&remote.region, &req, now) else {
             return Err(Box::new(req));
         };
-        let req = req.place_remote(instance, remote.region.clone())?;
+        let current = self.current_residency(req.grant());
+        let req = req.place_remote(instance, remote.region.clone(), &current)?;
         let tokens = remote.estimate.prefill_tokens;
         let mut traffic = self.tables.traffic.lock();
         let load = ForwardedLoad {
@@ -493,7 +503,15 @@
         now: Duration,
     ) -> Result<LocalPlacement<D, O>, Refusal> {
         let region = self.settings.region.clone();
-        let known = self.tables.fleet.lock().get(&choice.target).cloned();
+        let current = self.current_residency(req.grant());
+        if !req.may_go_to(&region, &current) {
+            return Err(refuse_no_target(&req, NoTargetReason::NoTarget));
+        }
+        let known = {
+            let fleet = self.tables.fleet.lock();
+            let known = fleet.get_in(&choice.target, &cx.pool.name, &region);
+            known.cloned()
+        };
         // A process with other software may have taken the target's name since
         // the choice.
         let known = known.filter(|known| cx.accepts_software(&known.record.software));
@@ -528,13 +546,14 @@
             software: known_target.record.software.clone(),
         };
         let guard = ReservationGuard::new(Arc::clone(self), request, reservation, choice.estimate);
-        match req.place(choice.target.clone(), region) {
+        let region = known_target.record.region.clone();
+        match req.place(choice.target.clone(), region, &current) {
             Ok(req) => Ok(LocalPlacement {
                 req,
                 reservation: guard,
                 known_target,
             }),
-            // The residency of the grant does not allow this region.
+            // The request may not run in this region.
             Err(req) => Err(refuse_no_target(&req, NoTargetReason::NoTarget)),
         }
     }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -105,7 +105,10 @@
             Message::AskStream(ask) => {
                 Message::StreamOrigin(self.gateway.answer_for_stream(from, &ask).await)
             }
-            Message::AskFleet => Message::Fleet(self.gateway.copy_fleet(&from.region)),
+            Message::AskStoreCopy { catalog_version } => {
+                let copy = self.gateway.copy_store(&from.region, catalog_version);
+                Message::StoreCopy(copy)
+            }
             Message::AskTokens(requested) => {
                 let now = self.gateway.clock.now();
                 Message::Tokens(self.gateway.rate_limiter.lend(&requested, now))
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -47,6 +47,7 @@
 pub use message::Heartbeat;
 pub use message::Message;
 pub use message::Status;
+pub use message::StoreCopy;
 pub use message::StreamOrigin;
 pub use message::StreamsBegan;
 pub use message::TargetLoad;
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -2,6 +2,7 @@
 
 use chiverelay_decisions::allowance::AllowanceStatus;
 use chiverelay_decisions::allowance::TokenTransfer;
+use chiverelay_decisions::catalog::CatalogCopy;
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::fleet::FleetCopy;
 use chiverelay_decisions::handover::HandoverCommit;
@@ -41,7 +42,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 12;
+pub const VERSION: u16 = 13;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
@@ -125,11 +126,14 @@
     Commit(HandoverCommit),
     /// The sender holds no shares any more and has no record.
     Vacated(Holder),
-    /// Asks for what the receiver has read from the store of the targets of the
-    /// sender's region. Answered by [`Message::Fleet`].
-    AskFleet,
-    /// What the sender has read from the store of the targets of a region.
-    Fleet(FleetCopy),
+    /// Asks for what the receiver has read from the store. Answered by
+    /// [`Message::StoreCopy`].
+    AskStoreCopy {
+        /// Version of the catalog that the sender has, 0 for none.
+        catalog_version: u64,
+    },
+    /// What the sender has read from the store.
+    StoreCopy(StoreCopy),
     /// Streams that began at the sender, or that it was told of.
     StreamsBegan(StreamsBegan),
     /// Asks what began a stream. Answered by [`Message::StreamOrigin`].
@@ -138,6 +142,16 @@
     StreamOrigin(StreamOrigin),
 }
 
+/// What an instance has read from the store, for another one.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct StoreCopy {
+    /// The targets of the other one's region and the evacuated zones.
+    pub fleet: FleetCopy,
+    /// The catalog, if the other one has an older one.
+    pub catalog: Option<CatalogCopy>,
+}
+
 /// Streams of a pool and the software that began them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -220,6 +234,10 @@
     pub ready: bool,
     /// Revision of the store up to which the sender has read all changes.
     pub read_revision: StoreRevision,
+    /// Revision of the store up to which the sender knows the catalog, the
+    /// evacuations and the targets of the receiver's region, as it has read them
+    /// or was told of them. It is not below `read_revision`.
+    pub known_revision: StoreRevision,
     /// What the sender has at the targets of its region.
     pub counts: Vec<TargetInFlight>,
     /// Parts of prompts that the sender sent to targets since its last status.
--- a/tests/testsuite/residency.rs
+++ b/tests/testsuite/residency.rs
@@ -231,6 +231,74 @@
         .quickcheck(resumes_within as fn(u64) -> bool);
 }
 
+/// Guards a request against a region that one of two configurations bars: the one
+/// that admitted it, or the one in force.
+fn is_placed_as_both_allow(admitted: &[&str], current: &[&str], is_placed: bool) {
+    let only = |regions: &[&str]| Residency::only(regions.iter().map(|r| (*r).into()).collect());
+    let grant = Grant {
+        account: None,
+        route: "chat".into(),
+        pool: "p".into(),
+        residency: only(admitted),
+        repeatable: true,
+        charged_tokens: 0,
+        receipt: None,
+    };
+    let request = || Request::from_caller(head(1)).admit(grant.clone());
+    let (lima, current) = (Region::from("lima"), only(current));
+    let placed = request().place("engine-1".into(), lima.clone(), &current);
+    assert_eq!(placed.is_ok(), is_placed);
+    let placed = request().place_remote("lima-1".into(), lima, &current);
+    assert_eq!(placed.is_ok(), is_placed);
+}
+
+cases! {
+    is_placed_as_both_allow:
+    by_both(&["lima", "cusco"], &["lima"], true);
+    only_by_the_grant(&["lima"], &["cusco"], false);
+    only_by_the_configuration_in_force(&["cusco"], &["lima"], false);
+}
+
+/// Failure: a connection was made while the configuration changed, and the request
+/// went to a region that was barred by then.
+fn is_sent_within(seed: u64) -> bool {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let tables = tables(&mut rng);
+    let here = Region::from(REGIONS[rng.random_range(0..3)]);
+    (1..40).all(|step| {
+        let now = Duration::from_millis(step * 500);
+        let before = some_config(step * 2, &mut rng);
+        tables.config.replace_if_newer(Arc::new(before.clone()));
+        let grant = grant(&before);
+        let req = Request::from_caller(head(step)).admit(grant.clone());
+        let placed = gateway::place(&tables, req, &here, QueueStatus::New, now);
+        let after = some_config(step * 2 + 1, &mut rng);
+        tables.config.replace_if_newer(Arc::new(after.clone()));
+        let (region, may_run) = match placed {
+            Ok(Placement::Local(req)) => {
+                (here.clone(), gateway::may_still_run(&tables, &req, &here))
+            }
+            Ok(Placement::Remote(req)) => {
+                let region = req.region().clone();
+                (
+                    region.clone(),
+                    gateway::may_still_run(&tables, &req, &region),
+                )
+            }
+            Ok(Placement::Wait(_)) | Err(_) => return true,
+        };
+        may_run == allowed(&grant, &after, &region)
+    })
+}
+
+#[test]
+fn requests_are_sent_within_their_residency() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 6))
+        .tests(500)
+        .quickcheck(is_sent_within as fn(u64) -> bool);
+}
+
 /// A stream that is cut has no other target in the regions that its route, or
 /// its account, allows: it ends as cut, and the target elsewhere gets nothing.
 fn check_cut(bound: fn(&mut Value)) {
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -15,6 +15,7 @@
 use chiverelay_decisions::catalog::ColdLimit;
 use chiverelay_decisions::catalog::EngineSpec;
 use chiverelay_decisions::catalog::PoolSpec;
+use chiverelay_decisions::config::Residency;
 use chiverelay_decisions::directory::callers_ratio;
 use chiverelay_decisions::fleet::Fleet;
 use chiverelay_decisions::fleet::TargetRecord;
@@ -56,6 +57,8 @@
     pool: PoolSpec,
     region: Region,
     divisor: Divisor,
+    /// Where the requests may run.
+    permitted_regions: Residency,
     draw: u64,
 }
 
@@ -89,6 +92,7 @@
             },
             region: "north".into(),
             divisor: lone(),
+            permitted_regions: Residency::anywhere(),
             draw: 1,
         };
         for n in 0..targets {
@@ -98,13 +102,17 @@
     }
 
     fn add(&mut self, name: &str, cold: Duration) {
+        self.add_in("north", name, cold);
+    }
+
+    fn add_in(&mut self, region: &str, name: &str, cold: Duration) {
         let record = TargetRecord {
             pool: "pool".into(),
             address: format!("10.1.0.{}:80", self.fleet.len() + 1)
                 .parse()
                 .expect("an address"),
-            zone: "north-a".into(),
-            region: "north".into(),
+            zone: format!("{region}-a").into(),
+            region: region.into(),
             software: "v1".into(),
             slots: 6,
             draining: false,
@@ -153,6 +161,7 @@
             parts,
             excluded: tried,
             software: None,
+            permitted_regions: &self.permitted_regions,
             random: self.draw,
         };
         self.draw += 1;
