Name no instance of a barred region while nearer ones restart

Cause: when no instance of the caller's region is ready, the directory named the region in which the fewest of the host's routes are barred, however many that are. While all instances of the regions that may answer are stopped for a restart, that is a region which may not. Callers are led there, their requests' bodies too, get 503, and stay for the time to live of the answer after their own instances are back.

Now the directory names nobody of a region that bars some of the host's routes for 10 s after an instance of the caller's region, or of one that may answer all routes, said that it stops. Without a stop, as in an outage, the best other region is named as before, for the routes that may run there.

--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -6,6 +6,8 @@
 //! ones. An answer therefore lists each instance with a probability in
 //! proportion to its capacity.
 
+use std::time::Duration;
+
 use crate::names::Instance;
 use crate::rendezvous;
 
@@ -13,6 +15,36 @@
 /// that have just failed them.
 const MIN_ADVERTISED: usize = 4;
 
+/// Time for which a region whose instances stop is expected to have some again.
+pub const RESTART_TIME: Duration = Duration::from_secs(10);
+
+/// How far an instance is from a caller. Nearer ones come first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the caller's availability zone.
+    SameZone,
+    /// In the caller's region.
+    SameRegion,
+    /// In another region, in which so many of the host's routes may not run.
+    OtherRegion(usize),
+}
+
+impl Distance {
+    /// Tells whether the caller may be told of the instance, if none is nearer.
+    /// `last_stop` is when an instance of the caller's region, or of one in which
+    /// all routes may run, last said that it stops.
+    ///
+    /// Requests that may not run in a region are not sent there. Callers keep the
+    /// instances that they know until their own are back. Only if these don't come
+    /// back, as after an outage, they are better served for the other routes.
+    pub fn may_be_named(self, last_stop: Option<Duration>, now: Duration) -> bool {
+        match self {
+            Self::SameZone | Self::SameRegion | Self::OtherRegion(0) => true,
+            Self::OtherRegion(_) => last_stop.is_none_or(|at| now >= at + RESTART_TIME),
+        }
+    }
+}
+
 /// An instance that callers may be told of.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate<A> {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -11,6 +11,7 @@
 
 use chiverelay_decisions::directory;
 use chiverelay_decisions::directory::Candidate;
+use chiverelay_decisions::directory::Distance;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
@@ -136,6 +137,9 @@
             revision = revision.number;
             "instance record received"
         );
+        if record.state == MemberState::Leaving {
+            table.last_stops.insert(record.region.clone(), now);
+        }
         let record_received_at = table.last_sign_of_life(&record, revision, now);
         let old = table.members.remove(&record.instance);
         let member = Member {
@@ -192,7 +196,12 @@
             return false;
         }
         member.last_status_at = Some(now);
+        let stops = member.is_ready_by_status && !ready;
         member.is_ready_by_status = ready;
+        let region = member.record.region.clone();
+        if stops {
+            table.last_stops.insert(region, now);
+        }
         true
     }
 
@@ -317,8 +326,9 @@
 
     /// Lists the caller addresses of ready instances nearest to a zone: those
     /// in the zone, else those in its region, else those in the regions that may
-    /// answer the largest number of the caller's routes. The larger an instance,
-    /// the more answers list it.
+    /// answer the largest number of the caller's routes. Nobody is listed of a
+    /// region that may not answer all of them while instances of a better one
+    /// restart. The larger an instance, the more answers list it.
     pub(crate) fn nearest_ready<F>(
         &self,
         zone: &Zone,
@@ -338,14 +348,24 @@
         }
         let distance = |record: &MemberRecord| {
             if record.zone == *zone {
-                return 0;
+                return Distance::SameZone;
             }
             match record.region == *region {
-                true => 1,
-                false => 2 + count_barred_routes(&record.region),
+                true => Distance::SameRegion,
+                false => Distance::OtherRegion(count_barred_routes(&record.region)),
             }
         };
+        let is_preferred = |other: &Region| other == region || count_barred_routes(other) == 0;
+        let stops = table.last_stops.iter();
+        let mut last_stop = stops
+            .filter(|(region, _)| is_preferred(region))
+            .map(|(_, at)| *at)
+            .max();
+        if own.state == MemberState::Leaving && is_preferred(&own.region) {
+            last_stop = Some(now);
+        }
         let nearest = ready.iter().map(|record| distance(record)).min();
+        let nearest = nearest.filter(|nearest| nearest.may_be_named(last_stop, now));
         let near = ready
             .iter()
             .filter(|record| Some(distance(record)) == nearest);
--- a/crates/gateway/src/members/table.rs
+++ b/crates/gateway/src/members/table.rs
@@ -59,6 +59,8 @@
     /// Incarnations that ended, as another of the same name followed. Only an
     /// older copy of the store has a record of one of them.
     pub(super) replaced: RecentSet<u64>,
+    /// When an instance of each region last said that it stops.
+    pub(super) last_stops: HashMap<Region, Duration>,
     /// Up to when the silence of an instance counts, as others are heard
     /// through a hub that may be silent itself.
     pub(super) informed_at: Duration,
@@ -72,6 +74,7 @@
             max_known_by_region: HashMap::new(),
             removed: HashMap::new(),
             replaced: RecentSet::new(MAX_REPLACED),
+            last_stops: HashMap::new(),
             informed_at: Duration::ZERO,
         }
     }
--- a/tests/testsuite/directory.rs
+++ b/tests/testsuite/directory.rs
@@ -2,8 +2,11 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::time::Duration;
 
 use chiverelay_decisions::directory::Candidate;
+use chiverelay_decisions::directory::Distance;
+use chiverelay_decisions::directory::RESTART_TIME;
 use chiverelay_decisions::directory::choose_advertised;
 use support::cases;
 
@@ -75,3 +78,22 @@
         .collect();
     assert_eq!(listed.len(), 6);
 }
+
+/// What the last stop of an instance that is nearer is ago.
+const LONG_AGO: Duration = RESTART_TIME;
+
+fn check_named(distance: Distance, last_stop_ago: Option<Duration>, expected: bool) {
+    let now = Duration::from_secs(100);
+    let last_stop = last_stop_ago.map(|ago| now - ago);
+    assert_eq!(distance.may_be_named(last_stop, now), expected);
+}
+
+cases! {
+    check_named:
+    the_own_zone(Distance::SameZone, Some(Duration::ZERO), true);
+    the_own_region(Distance::SameRegion, Some(Duration::ZERO), true);
+    a_region_for_all_routes(Distance::OtherRegion(0), Some(Duration::ZERO), true);
+    a_barred_region_beside_a_restart(Distance::OtherRegion(1), Some(Duration::ZERO), false);
+    a_barred_region_after_a_restart(Distance::OtherRegion(1), Some(LONG_AGO), true);
+    a_barred_region_without_a_stop(Distance::OtherRegion(1), None, true);
+}
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -20,6 +20,7 @@
 mod links;
 mod lost_responses;
 mod memory;
+mod named_instances;
 mod names;
 mod odd_entries;
 mod operations;
