Bind what callers resume by what is known, and ask before it is guessed

A stream that a caller resumed could still go on at other software, and others were refused that could go on.

- an instance that is behind the store had a stream begun elsewhere by new software and didn't count it among its pool's versions, so told nobody: what begins a stream, here or by what others tell, now counts as seen;
- one version in an instance's own view was trusted whoever answered first: all that can be asked are waited for, for 150 ms, and an instance that neither the store nor another instance answers refuses;
- after all were killed and the store came back from an older copy, marks were missing: where that can be, a version that is the only one known is trusted once some instance has run for the lifetime of a stream;
- streams were known by their id alone, and the first word won: the account belongs to the key, a stream that begins anew replaces what was known, and one that is resumed never does;
- a route that had moved continued its streams in another pool: refused;
- an instance without a link yet, or whose hubs were killed, asked nobody: it waits for a link, asks all it has, and says when to come back;
- streams told again pushed others out of the table: it is bounded by streams and not by records, only own streams are told again, 200 a message;

From reading: others are asked only after the account was charged, of 32 streams at once; a forged Resumes no longer gets the priority of an answer that has begun; ids over 128 bytes are not remembered; a forward names its pool; marks of pools without resumable routes are removed.

--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -192,9 +192,9 @@
         let left = head.deadline.saturating_sub(self.cx.clock.now());
         Forward {
             id: head.id.clone(),
-            stream: head.id.clone(),
             account: req.grant().account.clone(),
             route: req.grant().route.clone(),
+            pool: req.grant().pool.clone(),
             config_version: self.cx.tables.config.get().version,
             remaining_ms: left.as_millis() as u64,
             is_resumed: false,
--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -242,6 +242,11 @@
 }
 
 impl RouteSpec {
+    /// Tells whether the route's requests may go to a pool.
+    pub fn has_pool(&self, pool: &Pool) -> bool {
+        self.backends.iter().any(|backend| backend.pool == *pool)
+    }
+
     /// Chooses the pool of a request in proportion to the backends' weights.
     /// The same request id always gets the same pool.
     pub fn choose_pool(&self, request_id: &str) -> Option<&Pool> {
--- a/crates/decisions/src/streams.rs
+++ b/crates/decisions/src/streams.rs
@@ -9,11 +9,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::names::Account;
 use crate::names::Pool;
+use crate::names::RequestId;
 use crate::names::SoftwareVersion;
 
 pub use began::BeganStreams;
+pub use began::MAX_ID_BYTES;
 pub use began::MAX_STREAMS;
+pub use began::StreamSource;
 pub use software::MARK_INTERVAL;
 pub use software::MarkChange;
 pub use software::MarkStep;
@@ -34,6 +38,16 @@
     MIN_LIFETIME.max(longest + RETURN_MARGIN)
 }
 
+/// What tells a stream from all others.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct StreamKey {
+    /// The client account that it began for; `None` on open routes.
+    pub account: Option<Account>,
+    /// The caller's request that it began with.
+    pub id: RequestId,
+}
+
 /// Software that targets of a pool have.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -45,14 +59,15 @@
 }
 
 /// Returns the software that began a stream: what is known of it, or the only
-/// software that its pool can have had since.
+/// software that its pool can have had since, if all of it is known.
 pub fn software_of_stream(
     known: Option<SoftwareVersion>,
     possible: &[SoftwareVersion],
+    is_history_complete: bool,
 ) -> Option<SoftwareVersion> {
     match (known, possible) {
         (Some(software), _) => Some(software),
-        (None, [only]) => Some(only.clone()),
+        (None, [only]) if is_history_complete => Some(only.clone()),
         (None, _) => None,
     }
 }
--- a/crates/decisions/src/streams/began.rs
+++ b/crates/decisions/src/streams/began.rs
@@ -6,31 +6,45 @@
 
 use super::MIN_LIFETIME;
 use super::PoolSoftware;
+use super::StreamKey;
 use crate::names::Pool;
-use crate::names::RequestId;
 use crate::names::SoftwareVersion;
 
 /// Largest number of streams that are remembered.
-pub const MAX_STREAMS: usize = 20_000;
+pub const MAX_STREAMS: usize = 30_000;
+
+/// Largest id of a stream that is remembered, in bytes.
+pub const MAX_ID_BYTES: usize = 128;
+
+/// How a stream has come to be known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamSource {
+    /// It began here.
+    Own,
+    /// Another instance told that it began there.
+    Told,
+    /// It was resumed here.
+    Resumed,
+}
 
 #[derive(Clone, Debug)]
 struct BeganStream {
     origin: PoolSoftware,
+    source: StreamSource,
     /// When it is forgotten, on the local monotonic clock.
     expires_at: Duration,
 }
 
-/// What began each of the latest streams, by the id of the caller's request that
-/// it began with.
+/// What began each of the latest streams.
 ///
 /// # Invariants
 ///
-/// `by_age` has an element for each time that an entry of `by_id` was recorded,
-/// oldest first, and so at least one for each entry.
+/// `by_age` has one element for each entry of `by_key`. Its time is the entry's
+/// end, or an earlier one if the entry was recorded again since.
 #[derive(Clone, Debug)]
 pub struct BeganStreams {
-    by_id: HashMap<RequestId, BeganStream>,
-    by_age: VecDeque<(Duration, RequestId)>,
+    by_key: HashMap<StreamKey, BeganStream>,
+    by_age: VecDeque<(Duration, StreamKey)>,
     /// Time for which a stream is remembered after it began or was last resumed.
     lifetime: Duration,
 }
@@ -38,7 +52,7 @@
 impl Default for BeganStreams {
     fn default() -> Self {
         Self {
-            by_id: HashMap::new(),
+            by_key: HashMap::new(),
             by_age: VecDeque::new(),
             lifetime: MIN_LIFETIME,
         }
@@ -46,65 +60,96 @@
 }
 
 impl BeganStreams {
+    /// Returns the time for which streams are remembered.
+    pub fn lifetime(&self) -> Duration {
+        self.lifetime
+    }
+
     /// Sets the time for which streams are remembered, for those that are
     /// recorded from now on.
     pub fn set_lifetime(&mut self, lifetime: Duration) {
         self.lifetime = lifetime;
     }
 
-    /// Records what began a stream. What is known already stays, as later
-    /// attempts continue the stream and don't begin it.
-    pub fn record(&mut self, id: &RequestId, origin: PoolSoftware, now: Duration) {
+    /// Records a stream. What began it stays if it is only resumed.
+    pub fn record(
+        &mut self,
+        key: &StreamKey,
+        origin: PoolSoftware,
+        source: StreamSource,
+        now: Duration,
+    ) {
+        if key.id.as_str().len() > MAX_ID_BYTES {
+            return;
+        }
         self.remove_expired(now);
         let expires_at = now + self.lifetime;
-        let entry = self.by_id.entry(id.clone());
-        let stream = entry.or_insert(BeganStream { origin, expires_at });
-        stream.expires_at = expires_at;
-        self.by_age.push_back((expires_at, id.clone()));
-        while self.by_age.len() > MAX_STREAMS {
-            self.remove_oldest();
+        if let Some(known) = self.by_key.get_mut(key) {
+            known.expires_at = expires_at;
+            if source != StreamSource::Resumed {
+                known.origin = origin;
+                known.source = source;
+            }
+            return;
+        }
+        let stream = BeganStream {
+            origin,
+            source,
+            expires_at,
+        };
+        self.by_key.insert(key.clone(), stream);
+        self.by_age.push_back((expires_at, key.clone()));
+        while self.by_key.len() > MAX_STREAMS {
+            self.take_oldest();
         }
     }
 
-    /// Returns the software that began a stream of a pool, if it is known.
-    pub fn find(&self, id: &RequestId, pool: &Pool, now: Duration) -> Option<SoftwareVersion> {
-        let stream = self.by_id.get(id)?;
-        let is_valid = now < stream.expires_at && stream.origin.pool == *pool;
-        is_valid.then(|| stream.origin.software.clone())
+    /// Returns what began a stream, if it is known.
+    pub fn find(&self, key: &StreamKey, now: Duration) -> Option<&PoolSoftware> {
+        let stream = self.by_key.get(key)?;
+        (now < stream.expires_at).then_some(&stream.origin)
     }
 
-    /// Lists the streams of a pool.
-    pub fn list(&self, pool: &Pool, now: Duration) -> Vec<(RequestId, SoftwareVersion)> {
-        let streams = self.by_id.iter();
-        let of_pool = streams.filter(|(_, s)| now < s.expires_at && s.origin.pool == *pool);
-        let listed = of_pool.map(|(id, s)| (id.clone(), s.origin.software.clone()));
+    /// Lists the streams of a pool that began here.
+    pub fn list_own(&self, pool: &Pool, now: Duration) -> Vec<(StreamKey, SoftwareVersion)> {
+        let is_own = |stream: &BeganStream| {
+            stream.source == StreamSource::Own
+                && stream.origin.pool == *pool
+                && now < stream.expires_at
+        };
+        let own = self.by_key.iter().filter(|(_, stream)| is_own(stream));
+        let listed = own.map(|(key, stream)| (key.clone(), stream.origin.software.clone()));
         listed.collect()
     }
 
     /// Returns the number of streams that are remembered.
     pub fn len(&self) -> usize {
-        self.by_id.len()
+        self.by_key.len()
     }
 
     /// Tells whether no stream is remembered.
     pub fn is_empty(&self) -> bool {
-        self.by_id.is_empty()
+        self.by_key.is_empty()
     }
 
     fn remove_expired(&mut self, now: Duration) {
         while self.by_age.front().is_some_and(|(at, _)| *at <= now) {
-            self.remove_oldest();
+            self.take_oldest();
         }
     }
 
-    /// Removes the oldest record, and its stream unless that was recorded again.
-    fn remove_oldest(&mut self) {
-        let Some((expires_at, id)) = self.by_age.pop_front() else {
+    /// Removes the oldest stream, or moves it back if it was recorded again.
+    fn take_oldest(&mut self) {
+        let Some((queued_until, key)) = self.by_age.pop_front() else {
             return;
         };
-        let is_latest = |stream: &BeganStream| stream.expires_at == expires_at;
-        if self.by_id.get(&id).is_some_and(is_latest) {
-            self.by_id.remove(&id);
+        match self.by_key.get(&key) {
+            Some(stream) if stream.expires_at > queued_until => {
+                self.by_age.push_back((stream.expires_at, key));
+            }
+            _ => {
+                self.by_key.remove(&key);
+            }
         }
     }
 }
--- a/crates/decisions/src/streams/software.rs
+++ b/crates/decisions/src/streams/software.rs
@@ -149,7 +149,8 @@
             .retain(|_, seen| seen.is_marked || !seen.is_outdated(retention, now));
         let mut next: Option<Duration> = None;
         for (software, seen) in &self.seen {
-            if !needs_marks(&software.pool) {
+            // A mark that is no longer needed is removed, too.
+            if !seen.is_marked && !needs_marks(&software.pool) {
                 continue;
             }
             let turn = u32::try_from(rank(software)).unwrap_or(u32::MAX);
--- a/crates/gateway/src/fleet_copy.rs
+++ b/crates/gateway/src/fleet_copy.rs
@@ -78,6 +78,7 @@
             }
             self.tables
                 .merge_fleet(fleet, &self.settings.region, self.clock.now());
+            self.observe_software(self.clock.now());
             self.store_lag.record_told(revision);
             return;
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -338,9 +338,9 @@
     let meta = req.meta();
     Forward {
         id: meta.id.clone(),
-        stream: out.stream.clone(),
         account: req.grant().account.clone(),
         route: req.grant().route.clone(),
+        pool: req.grant().pool.clone(),
         config_version: cx.catalog_version,
         remaining_ms: left.as_millis() as u64,
         is_resumed: cx.is_resumed,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use chiverelay_sibling::Pins;
 use chiverelay_target::connection_pool::ConnectionPool;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -55,6 +56,7 @@
 use crate::sibling_handler::SiblingHandler;
 use crate::status;
 use crate::store_lag::SharedStoreLag;
+use crate::streams::MAX_ASKS;
 use crate::supervise;
 use crate::tables::SharedTables;
 use crate::topology::Topology;
@@ -84,6 +86,8 @@
     pub(crate) clock: Clock,
     pub(crate) tables: SharedTables,
     pub(crate) store_lag: SharedStoreLag,
+    /// Bounds how many streams others are asked about at once.
+    pub(crate) stream_asks: Semaphore,
     /// Notified when the software of a pool's targets or its marks change.
     pub(crate) software_changed: Notify,
     /// Notified when another catalog is in force.
@@ -158,6 +162,7 @@
         Ok(Arc::new(Self {
             tables: SharedTables::new(&settings),
             store_lag: SharedStoreLag::default(),
+            stream_asks: Semaphore::new(MAX_ASKS),
             software_changed: Notify::new(),
             catalog_changed: Notify::new(),
             rate_limiter: RateLimiter::new(settings.account_limit_tolerance),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -47,7 +47,7 @@
 use crate::request_log::RequestLog;
 use crate::sent_count::SentCount;
 use crate::shutdown::refuse_open_request;
-use crate::streams::StartedStream;
+use crate::streams::CallerStream;
 use crate::suspension;
 
 /// Maximum number of destinations that one request is tried at, including
@@ -123,7 +123,6 @@
 ) -> (PlacementContext, Outbound) {
     let account = matched.account.as_ref().map(|account| account.name.clone());
     let out = Outbound {
-        stream: inbound.stream_id().clone(),
         id: inbound.id,
         method: inbound.method,
         path_and_query: inbound.path_and_query,
@@ -240,15 +239,16 @@
             .map_err(refuse_lookup_error)?;
         request_log.route = Some(matched.route.name.clone());
         request_log.account = matched.account.as_ref().map(|account| account.name.clone());
-        let pool = self.find_pool(&matched, inbound.stream_id(), catalog)?;
+        // A stream stays with the pool that its first request chose.
+        let chosen_by = match matched.route.kind.is_resumable() {
+            true => inbound.stream_id(),
+            false => &inbound.id,
+        };
+        let pool = self.find_pool(&matched, chosen_by, catalog)?;
         if let Some(part) = self.find_quarantined_part(&inbound.id, &inbound.parts, now) {
             let refusal = Refusal::not_run(Code::Quarantined, Step::Admit, Peer::Local);
             return Err(quarantine::name_part(refusal, part));
         }
-        let software = match matched.route.kind.is_resumable() && inbound.is_resuming() {
-            true => self.find_stream_software(&inbound, &pool.name).await?,
-            false => None,
-        };
         let tokens = matched
             .account
             .as_ref()
@@ -267,17 +267,12 @@
         let meta = request_meta(&inbound, now, deadline);
         let req = Request::from_caller(meta).admit(grant);
         self.tables.traffic.lock().record_request(&pool.name, now);
-        let (mut cx, out) = split_request(&matched, pool, catalog, inbound);
-        cx.is_resumed = software.is_some();
-        cx.software = software;
-        let stream = StartedStream::of(&out.stream, &cx);
-        let handled = self.run_attempts(req, cx, out, request_log).await;
-        if let (Ok(reply), Some(stream)) = (&handled, stream)
-            && reply.status.is_success()
-            && let Some(software) = &reply.software
-        {
-            self.record_stream(stream, software);
-        }
+        let stream = CallerStream::of(&inbound, &matched, &pool.name);
+        let (cx, out) = split_request(&matched, pool, catalog, inbound);
+        let handled = match stream {
+            Some(stream) => self.run_stream(stream, req, cx, out, request_log).await,
+            None => self.run_attempts(req, cx, out, request_log).await,
+        };
         let has_not_run = matches!(&handled, Err(refusal) if refusal.outcome == Outcome::NotRun);
         if let Some(charge) = charge.filter(|_| has_not_run) {
             self.refund(charge).await;
@@ -305,10 +300,10 @@
     fn find_pool(
         &self,
         matched: &MatchedRoute,
-        stream: &RequestId,
+        chosen_by: &RequestId,
         catalog: &Catalog,
     ) -> Result<Arc<PoolSpec>, Refusal> {
-        let pool = matched.route.choose_pool(stream.as_str());
+        let pool = matched.route.choose_pool(chosen_by.as_str());
         let pool = pool.and_then(|name| catalog.pool(name));
         let mut regions = self.settings.zone_regions.values();
         let pool = pool.filter(|_| regions.any(|region| matched.allows(region)));
@@ -318,7 +313,7 @@
 
     /// Tries a request at one destination after another, until one answers or
     /// the request may not be retried.
-    async fn run_attempts(
+    pub(crate) async fn run_attempts(
         self: &Arc<Self>,
         mut req: Request<Admitted, Direct>,
         mut cx: PlacementContext,
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -72,7 +72,7 @@
 
     /// Tells whether the request resumes a stream.
     pub fn is_resuming(&self) -> bool {
-        self.resumes.is_some() || self.last_event_id.is_some()
+        self.resumes.is_some() || self.last_event_id.is_some_and(|id| id > 0)
     }
 
     /// Returns the path without the query.
@@ -88,9 +88,6 @@
     /// Id that the caller chose for this request. The gateway's attempts at
     /// the request share it.
     pub id: RequestId,
-    /// Id of the caller's request that began the stream which this one resumes;
-    /// `id` if it resumes none.
-    pub stream: RequestId,
     /// HTTP method.
     pub method: Method,
     /// Path and query, as the caller sent them.
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -365,8 +365,10 @@
             }
         };
         let matched = MatchedRoute { route, account };
-        let pool = matched.route.choose_pool(forward.stream.as_str());
-        let Some(pool) = pool.and_then(|name| current.catalog.pool(name)).cloned() else {
+        // A pool that the route no longer has may not answer.
+        let pool = matched.route.has_pool(&forward.pool);
+        let pool = pool.then(|| current.catalog.pool(&forward.pool));
+        let Some(pool) = pool.flatten().cloned() else {
             return Err(refuse(Code::Unavailable, Step::Route));
         };
         let grant = handle::build_grant(&matched, &pool.name, 0);
@@ -378,7 +380,6 @@
         let method = method.map_err(|_| refuse(Code::Malformed, Step::Receive))?;
         let out = Outbound {
             id: forward.id.clone(),
-            stream: forward.stream,
             method,
             path_and_query: forward.path_and_query,
             headers,
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -5,17 +5,27 @@
 mod marks;
 mod origin;
 
+pub(crate) use origin::MAX_ASKS;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::catalog::MatchedRoute;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Pool;
 use chiverelay_decisions::names::Region;
-use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::SoftwareVersion;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
 use chiverelay_decisions::streams::BeganStreams;
 use chiverelay_decisions::streams::PoolSoftware;
 use chiverelay_decisions::streams::SoftwareHistory;
+use chiverelay_decisions::streams::StreamKey;
+use chiverelay_decisions::streams::StreamSource;
 use chiverelay_sibling::Identity;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Message;
@@ -24,11 +34,19 @@
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::Inbound;
+use crate::Outbound;
+use crate::message::HandleResult;
 use crate::place::PlacementContext;
+use crate::request_log::RequestLog;
+use origin::StreamSoftware;
 
 /// Number of hubs of the region that are told of a stream, as one may fail.
 const TOLD_HUBS: usize = 2;
 
+/// Largest number of streams in one message.
+const MAX_TOLD_TOGETHER: usize = 200;
+
 /// Time for which a message waits at a busy link.
 const TELL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -47,21 +65,25 @@
     }
 }
 
-/// A stream whose answer has begun.
+/// The stream that a caller's request begins or resumes.
 #[derive(Clone, Debug)]
-pub(crate) struct StartedStream {
-    /// The caller's request that it began with.
-    pub(crate) id: RequestId,
+pub(crate) struct CallerStream {
+    pub(crate) key: StreamKey,
     pub(crate) pool: Pool,
+    pub(crate) is_resumed: bool,
 }
 
-impl StartedStream {
-    /// Returns the stream that a request begins or resumes, if callers may
-    /// resume it.
-    pub(crate) fn of(id: &RequestId, cx: &PlacementContext) -> Option<Self> {
-        cx.route.kind.is_resumable().then(|| Self {
-            id: id.clone(),
-            pool: cx.pool.name.clone(),
+impl CallerStream {
+    /// Returns the stream of a request, if callers may resume it.
+    pub(crate) fn of(inbound: &Inbound, matched: &MatchedRoute, pool: &Pool) -> Option<Self> {
+        let account = matched.account.as_ref().map(|account| account.name.clone());
+        matched.route.kind.is_resumable().then(|| Self {
+            key: StreamKey {
+                account,
+                id: inbound.stream_id().clone(),
+            },
+            pool: pool.clone(),
+            is_resumed: inbound.is_resuming(),
         })
     }
 }
@@ -70,43 +92,88 @@
 where
     D: Dialect,
 {
-    /// Records what began a stream, before its first event goes out. Others are
-    /// told while the pool may have had several versions of software.
-    pub(crate) fn record_stream(
+    /// Runs a request of a resumable stream. A stream that is resumed is bound to
+    /// the software that began it, and one that begins is recorded before its
+    /// first event goes out.
+    pub(crate) async fn run_stream(
         self: &Arc<Self>,
-        stream: StartedStream,
-        software: &SoftwareVersion,
-    ) {
+        stream: CallerStream,
+        req: Request<Admitted, Direct>,
+        mut cx: PlacementContext,
+        out: Outbound,
+        request_log: &mut RequestLog,
+    ) -> HandleResult {
+        if stream.is_resumed {
+            match self.find_stream_software(&stream, &out.id).await {
+                StreamSoftware::Known(software) => {
+                    cx.is_resumed = true;
+                    cx.software = Some(software);
+                }
+                StreamSoftware::Only(software) => cx.software = Some(software),
+                StreamSoftware::NoTarget => {}
+                StreamSoftware::Unusable(retry_after) => {
+                    let mut refusal = req.refuse(Code::NotResumable, Step::Place, Peer::Local);
+                    refusal.retry_after = retry_after;
+                    return Err(refusal);
+                }
+            }
+        }
+        let handled = self.run_attempts(req, cx, out, request_log).await;
+        if let Ok(reply) = &handled
+            && reply.status.is_success()
+            && let Some(software) = &reply.software
+        {
+            self.record_stream(stream, software);
+        }
+        handled
+    }
+
+    /// Records what began or continues a stream. Others are told of one that
+    /// began while the pool may have had several versions of software.
+    fn record_stream(self: &Arc<Self>, stream: CallerStream, software: &SoftwareVersion) {
         let now = self.clock.now();
+        let CallerStream {
+            key,
+            pool,
+            is_resumed,
+        } = stream;
+        let source = match is_resumed {
+            true => StreamSource::Resumed,
+            false => StreamSource::Own,
+        };
         let origin = PoolSoftware {
-            pool: stream.pool.clone(),
+            pool: pool.clone(),
             software: software.clone(),
         };
         let mut streams = self.tables.streams.lock();
-        streams.began.record(&stream.id, origin, now);
-        let possible = streams.software.possible(&stream.pool, now);
+        // The store may not have told this instance of it.
+        let is_new = streams.software.observe(&origin, now);
+        streams.began.record(&key, origin.clone(), source, now);
+        let possible = streams.software.possible(&pool, now);
         drop(streams);
-        if possible.len() > 1 {
-            self.tell_streams(stream.pool, vec![(stream.id, software.clone())]);
+        if is_new {
+            self.handle_new_software(&origin);
+        } else if possible.len() > 1 && !is_resumed {
+            self.tell_streams(&pool, &[(key, software.clone())]);
         }
     }
 
-    /// Tells others of all streams of a pool that are known here. They were not
-    /// told while the pool had one version of software only.
+    /// Tells others of all streams of a pool that began here. They were not told
+    /// while the pool had one version of software only.
     pub(crate) fn tell_all_streams(self: &Arc<Self>, pool: &Pool) {
         let now = self.clock.now();
-        let known = self.tables.streams.lock().began.list(pool, now);
-        if !known.is_empty() {
-            self.tell_streams(pool.clone(), known);
+        let own = self.tables.streams.lock().began.list_own(pool, now);
+        for streams in own.chunks(MAX_TOLD_TOGETHER) {
+            self.tell_streams(pool, streams);
         }
     }
 
     /// Tells hubs of this region, and through one of them a further hub and the
     /// other regions.
-    fn tell_streams(self: &Arc<Self>, pool: Pool, streams: Vec<(RequestId, SoftwareVersion)>) {
+    fn tell_streams(self: &Arc<Self>, pool: &Pool, streams: &[(StreamKey, SoftwareVersion)]) {
         let began = StreamsBegan {
-            pool,
-            streams,
+            pool: pool.clone(),
+            streams: streams.to_vec(),
             is_passed_on: false,
         };
         if self.topology.lock().is_hub {
@@ -155,15 +222,22 @@
     /// Records the streams that another instance tells of.
     pub(crate) fn receive_streams(self: &Arc<Self>, from: &Identity, told: &StreamsBegan) {
         let now = self.clock.now();
+        let mut new = Vec::new();
         let mut streams = self.tables.streams.lock();
-        for (id, software) in &told.streams {
+        for (key, software) in &told.streams {
             let origin = PoolSoftware {
                 pool: told.pool.clone(),
                 software: software.clone(),
             };
-            streams.began.record(id, origin, now);
+            if streams.software.observe(&origin, now) {
+                new.push(origin.clone());
+            }
+            streams.began.record(key, origin, StreamSource::Told, now);
         }
         drop(streams);
+        for software in &new {
+            self.handle_new_software(software);
+        }
         if told.is_passed_on && from.region == self.settings.region {
             let passed_on = StreamsBegan {
                 is_passed_on: false,
--- a/crates/gateway/src/streams/marks.rs
+++ b/crates/gateway/src/streams/marks.rs
@@ -109,7 +109,7 @@
         self.software_changed.notify_one();
     }
 
-    fn handle_new_software(self: &Arc<Self>, software: &PoolSoftware) {
+    pub(super) fn handle_new_software(self: &Arc<Self>, software: &PoolSoftware) {
         log::info!(
             target: "streams",
             pool = software.pool.as_str(),
--- a/crates/gateway/src/streams/origin.rs
+++ b/crates/gateway/src/streams/origin.rs
@@ -5,11 +5,8 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::names::Pool;
+use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::SoftwareVersion;
-use chiverelay_decisions::refusal::Code;
-use chiverelay_decisions::refusal::Refusal;
-use chiverelay_decisions::step::Peer;
-use chiverelay_decisions::step::Step;
 use chiverelay_decisions::streams;
 use chiverelay_sibling::AskStream;
 use chiverelay_sibling::Identity;
@@ -19,74 +16,121 @@
 use chiverelay_sibling::Up;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use tokio::time::Instant;
 
+use super::CallerStream;
 use crate::Dialect;
 use crate::Gateway;
-use crate::Inbound;
 
-/// Time limit for a hub to answer, in which it may ask the others of its region.
+/// Time limit for asking others what began a stream while its pool may have had
+/// several versions of software.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Time limit for a hub to answer another hub, or the part of [`ASK_TIMEOUT`] in
-/// which a hub asks the others for an instance that is none.
-const HUB_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Which answers of other instances are waited for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Answers {
-    /// The first one, whatever it says.
-    First,
-    /// The first one that knows the stream, or all.
-    UntilKnown,
+/// The same while it can have had one, and others are asked whether they know of
+/// more.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time between two looks for a link to ask on.
+const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Age of the last answer of the store from which on it may have told others of
+/// software that this instance doesn't know.
+const MAX_STORE_AGE: Duration = Duration::from_secs(3);
+
+/// Retry delay for a stream that no other instance could be asked about.
+const NOT_ASKED_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Largest number of streams that others are asked about at once. Asking shares
+/// the links with forwarded requests.
+pub(crate) const MAX_ASKS: usize = 32;
+
+/// The software that may continue a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum StreamSoftware {
+    /// The stream is known.
+    Known(SoftwareVersion),
+    /// The stream is not known, but the pool can have had no other software.
+    Only(SoftwareVersion),
+    /// The pool has had no target at all.
+    NoTarget,
+    /// Nothing can continue the stream, or it is not known what could. The delay
+    /// is set if another attempt may succeed.
+    Unusable(Option<Duration>),
+}
+
+/// What others know of a stream.
+#[derive(Debug, Default)]
+struct Asked {
+    origin: StreamOrigin,
+    /// Number of instances that answered.
+    answers: usize,
 }
 
 impl<D> Gateway<D>
 where
     D: Dialect,
 {
-    /// Returns the software that may continue the stream that a request resumes.
-    /// `None` if the pool has had no target at all.
-    ///
-    /// # Errors
-    ///
-    /// Refuses the request as not run if the software that began the stream is
-    /// not known, or has no target left.
-    pub(crate) async fn find_stream_software(
+    /// Finds the software that may continue a stream. `id` is that of the request
+    /// that resumes it.
+    pub(super) async fn find_stream_software(
         self: &Arc<Self>,
-        inbound: &Inbound,
-        pool: &Pool,
-    ) -> Result<Option<SoftwareVersion>, Refusal> {
+        stream: &CallerStream,
+        id: &RequestId,
+    ) -> StreamSoftware {
         let ask = AskStream {
-            id: inbound.stream_id().clone(),
-            pool: pool.clone(),
+            key: stream.key.clone(),
+            pool: stream.pool.clone(),
         };
         let mut origin = self.know_of_stream(&ask);
-        if origin.software.is_none() {
-            let links = self.links_for_streams();
-            let asked = ask_for(&ask, links, answers_needed(&origin), ASK_TIMEOUT).await;
-            merge(&mut origin, asked);
+        let mut answers = 0;
+        if origin.origin.is_none() {
+            let asked = self.ask_others(&ask, ask_limit(&origin)).await;
+            answers = asked.answers;
+            merge(&mut origin, asked.origin);
         }
-        let software = streams::software_of_stream(origin.software, &origin.possible);
+        origin.is_history_complete &= answers > 0 || self.is_well_informed();
+        let found = self.choose_stream_software(&stream.pool, &origin, answers);
         log::info!(
             target: "streams",
-            id = inbound.id.as_str(),
-            began_as = ask.id.as_str(),
-            software = software.as_ref().map_or("", SoftwareVersion::as_str),
-            possible = origin.possible.len();
+            id = id.as_str(),
+            began_as = stream.key.id.as_str(),
+            software = origin.origin.as_ref().map_or("", |known| known.software.as_str()),
+            possible = origin.possible.len(),
+            answers,
+            usable = !matches!(found, StreamSoftware::Unusable(_));
             "caller resumes a stream"
         );
-        let is_served = |software: &SoftwareVersion| {
+        found
+    }
+
+    fn choose_stream_software(
+        &self,
+        pool: &Pool,
+        origin: &StreamOrigin,
+        answers: usize,
+    ) -> StreamSoftware {
+        let known = origin.origin.as_ref();
+        // The route has moved to another pool since the stream began.
+        if known.is_some_and(|known| known.pool != *pool) {
+            return StreamSoftware::Unusable(None);
+        }
+        let known = known.map(|known| known.software.clone());
+        let is_known = known.is_some();
+        let is_complete = origin.is_history_complete;
+        let software = streams::software_of_stream(known, &origin.possible, is_complete);
+        let has_target = |software: &SoftwareVersion| {
             let fleet = self.tables.fleet.lock();
             fleet.has_software(pool, software)
         };
         match software {
-            Some(software) if is_served(&software) => Ok(Some(software)),
-            None if origin.possible.is_empty() => Ok(None),
-            _ => Err(Refusal::not_run(
-                Code::NotResumable,
-                Step::Place,
-                Peer::Local,
-            )),
+            Some(software) if !has_target(&software) => StreamSoftware::Unusable(None),
+            Some(software) if is_known => StreamSoftware::Known(software),
+            Some(software) => StreamSoftware::Only(software),
+            None if origin.possible.is_empty() => StreamSoftware::NoTarget,
+            None => {
+                let is_worth_a_retry = answers == 0 && self.has_others();
+                StreamSoftware::Unusable(is_worth_a_retry.then_some(NOT_ASKED_RETRY_AFTER))
+            }
         }
     }
 
@@ -100,10 +144,11 @@
         let mut origin = self.know_of_stream(ask);
         let topology = Arc::clone(&self.topology.lock());
         let is_asked_by_hub = topology.other_hubs.contains(&from.instance);
-        if origin.software.is_none() && topology.is_hub && !is_asked_by_hub {
+        if origin.origin.is_none() && topology.is_hub && !is_asked_by_hub {
             let links = self.links_to_region_hubs();
-            let asked = ask_for(ask, links, answers_needed(&origin), HUB_TIMEOUT).await;
-            merge(&mut origin, asked);
+            // The instance that asks waits for the whole limit.
+            let asked = ask_for(ask, links, ask_limit(&origin) / 2).await;
+            merge(&mut origin, asked.origin);
         }
         origin
     }
@@ -112,57 +157,97 @@
     fn know_of_stream(self: &Arc<Self>, ask: &AskStream) -> StreamOrigin {
         let now = self.clock.now();
         self.observe_software(now);
+        // A store that came back from an older copy may have lost marks.
+        let may_lack_marks = self.store_lag.read_revision().era > 0;
         let streams = self.tables.streams.lock();
         StreamOrigin {
-            software: streams.began.find(&ask.id, &ask.pool, now),
+            origin: streams.began.find(&ask.key, now).cloned(),
             possible: streams.software.possible(&ask.pool, now),
+            is_history_complete: !may_lack_marks || now >= streams.began.lifetime(),
         }
     }
 
-    /// Lists the links to the instances that were told of this region's streams.
-    fn links_for_streams(&self) -> Vec<Link<Up>> {
+    /// Tells whether no other instance can know more of the store than this one.
+    fn is_well_informed(&self) -> bool {
+        let store_age = self.tables.store_age(self.clock.now());
+        store_age < MAX_STORE_AGE || !self.has_others()
+    }
+
+    fn has_others(&self) -> bool {
+        self.members.summarize(self.clock.now()).known > 0
+    }
+
+    /// Asks the instances that were told of this region's streams. An instance
+    /// that has just started waits for its first link.
+    async fn ask_others(self: &Arc<Self>, ask: &AskStream, limit: Duration) -> Asked {
+        let started = Instant::now();
+        let asking = async {
+            // The semaphore is never closed.
+            let _permit = self.stream_asks.acquire().await.ok();
+            let links = self.wait_for_links_to_ask().await;
+            let left = limit.saturating_sub(started.elapsed());
+            ask_for(ask, links, left).await
+        };
+        let asked = tokio::time::timeout(limit + LINK_POLL_INTERVAL, asking).await;
+        asked.unwrap_or_default()
+    }
+
+    async fn wait_for_links_to_ask(&self) -> Vec<Link<Up>> {
+        loop {
+            let links = self.links_to_ask();
+            if !links.is_empty() || !self.has_others() {
+                return links;
+            }
+            tokio::time::sleep(LINK_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Lists the links to the hubs that were told of this region's streams, or
+    /// all links if there is none to these.
+    fn links_to_ask(&self) -> Vec<Link<Up>> {
         let is_hub = self.topology.lock().is_hub;
-        match is_hub {
+        let hubs = match is_hub {
             true => self.links_to_region_hubs(),
             false => self.links_to_hubs(self.clock.now()),
+        };
+        match hubs.is_empty() {
+            true => self.links.list_open(),
+            false => hubs,
         }
     }
 }
 
-/// With one version of software, others are only asked whether they know of
-/// more.
-fn answers_needed(origin: &StreamOrigin) -> Answers {
+/// Returns the time limit for asking others.
+fn ask_limit(origin: &StreamOrigin) -> Duration {
     match origin.possible.len() > 1 {
-        true => Answers::UntilKnown,
-        false => Answers::First,
+        true => ASK_TIMEOUT,
+        false => CONFIRM_TIMEOUT,
     }
 }
 
-/// Asks several instances at once.
-async fn ask_for(
-    ask: &AskStream,
-    links: Vec<Link<Up>>,
-    answers: Answers,
-    limit: Duration,
-) -> StreamOrigin {
-    let asked = links.iter().map(|link| ask_one(link, ask, limit));
-    let mut asked: FuturesUnordered<_> = asked.collect();
-    let mut origin = StreamOrigin::default();
-    while let Some(answer) = asked.next().await {
+/// Asks several instances at once, until one knows the stream, all have answered
+/// or the limit has passed.
+async fn ask_for(ask: &AskStream, links: Vec<Link<Up>>, limit: Duration) -> Asked {
+    let until = Instant::now() + limit;
+    let asking = links.iter().map(|link| ask_one(link, ask, until));
+    let mut asking: FuturesUnordered<_> = asking.collect();
+    let mut asked = Asked::default();
+    while let Some(answer) = asking.next().await {
         let Some(answer) = answer else {
             continue;
         };
-        merge(&mut origin, answer);
-        if origin.software.is_some() || answers == Answers::First {
+        asked.answers += 1;
+        merge(&mut asked.origin, answer);
+        if asked.origin.origin.is_some() {
             break;
         }
     }
-    origin
+    asked
 }
 
-async fn ask_one(link: &Link<Up>, ask: &AskStream, limit: Duration) -> Option<StreamOrigin> {
+async fn ask_one(link: &Link<Up>, ask: &AskStream, until: Instant) -> Option<StreamOrigin> {
     let asking = link.ask(Stamp::default(), Message::AskStream(ask.clone()));
-    let answer = tokio::time::timeout(limit, asking).await;
+    let answer = tokio::time::timeout_at(until, asking).await;
     match answer.ok()?.ok()?.message {
         Message::StreamOrigin(origin) => Some(origin),
         _ => None,
@@ -171,7 +256,8 @@
 
 /// Adds what another instance knows.
 fn merge(origin: &mut StreamOrigin, other: StreamOrigin) {
-    origin.software = origin.software.take().or(other.software);
+    origin.origin = origin.origin.take().or(other.origin);
+    origin.is_history_complete |= other.is_history_complete;
     for software in other.possible {
         if !origin.possible.contains(&software) {
             origin.possible.push(software);
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -26,6 +26,8 @@
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::settlements::ClaimSettlement;
+use chiverelay_decisions::streams::PoolSoftware;
+use chiverelay_decisions::streams::StreamKey;
 use chiverelay_decisions::suspension::LostRequestsReport;
 use chiverelay_decisions::tickets::ClaimReply;
 use chiverelay_decisions::tickets::Nonce;
@@ -158,8 +160,8 @@
 pub struct StreamsBegan {
     /// The pool.
     pub pool: Pool,
-    /// The callers' requests that the streams began with.
-    pub streams: Vec<(RequestId, SoftwareVersion)>,
+    /// The streams, and the software that began each.
+    pub streams: Vec<(StreamKey, SoftwareVersion)>,
     /// Whether the receiver, a hub, tells another hub of its region and one of
     /// each other region.
     pub is_passed_on: bool,
@@ -169,9 +171,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct AskStream {
-    /// The caller's request that the stream began with.
-    pub id: RequestId,
-    /// The pool that serves it.
+    /// The stream.
+    pub key: StreamKey,
+    /// The pool that is to serve it.
     pub pool: Pool,
 }
 
@@ -179,10 +181,12 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct StreamOrigin {
-    /// The software that began the stream, if it is known.
-    pub software: Option<SoftwareVersion>,
+    /// What began the stream, if it is known.
+    pub origin: Option<PoolSoftware>,
     /// All software that may have begun streams of the pool.
     pub possible: Vec<SoftwareVersion>,
+    /// Whether no other software can have begun one.
+    pub is_history_complete: bool,
 }
 
 /// A claim of a ticket.
@@ -312,13 +316,12 @@
 pub struct Forward {
     /// The request's identifier.
     pub id: RequestId,
-    /// Identifier of the caller's request that began the stream which this one
-    /// resumes; `id` if it resumes none.
-    pub stream: RequestId,
     /// The account that the sender charged; `None` on open routes.
     pub account: Option<Account>,
     /// The route that the sender matched.
     pub route: Route,
+    /// The pool that the sender chose.
+    pub pool: Pool,
     /// Version of the configuration by which the sender matched it. A receiver
     /// with an older one refuses the request if its own could run it otherwise.
     pub config_version: u64,
--- a/tests/testsuite/decoders.rs
+++ b/tests/testsuite/decoders.rs
@@ -172,9 +172,9 @@
         stamp: Stamp::default(),
         message: Message::Forward(Forward {
             id: "id".into(),
-            stream: "id".into(),
             account: Some("a".into()),
             route: "r".into(),
+            pool: "model".into(),
             config_version: 1,
             remaining_ms: 1,
             is_resumed: false,
--- a/tests/testsuite/hostile.rs
+++ b/tests/testsuite/hostile.rs
@@ -151,9 +151,9 @@
 fn forward() -> Message {
     Message::Forward(Forward {
         id: "one-of-a-kind".into(),
-        stream: "one-of-a-kind".into(),
         account: Some("encargos".into()),
         route: "deposits".into(),
+        pool: "model".into(),
         config_version: 1,
         remaining_ms: 10_000,
         is_resumed: false,
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -175,9 +175,9 @@
 fn request() -> Forward {
     Forward {
         id: "r-1".into(),
-        stream: "r-1".into(),
         account: None,
         route: "chat".into(),
+        pool: "model".into(),
         config_version: 1,
         remaining_ms: 1000,
         is_resumed: false,
--- a/tests/testsuite/node/decode.rs
+++ b/tests/testsuite/node/decode.rs
@@ -81,7 +81,6 @@
 fn outbound() -> Outbound {
     Outbound {
         id: "r-1".into(),
-        stream: "r-1".into(),
         method: Method::GET,
         path_and_query: "/status/1".to_owned(),
         headers: HeaderMap::new(),
--- a/tests/testsuite/residency.rs
+++ b/tests/testsuite/residency.rs
@@ -345,9 +345,9 @@
     let body = json!({"model": "taller-llm", "max_tokens": 2, "messages": []});
     Forward {
         id: "hand-made".into(),
-        stream: "hand-made".into(),
         account: Some("encargos".into()),
         route: route.into(),
+        pool: "model".into(),
         config_version: 1,
         remaining_ms: 20_000,
         is_resumed: false,
--- a/tests/testsuite/streams.rs
+++ b/tests/testsuite/streams.rs
@@ -5,16 +5,18 @@
 use std::time::Duration;
 
 use chiverelay_decisions::names::Pool;
-use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::streams::BeganStreams;
 use chiverelay_decisions::streams::MARK_INTERVAL;
+use chiverelay_decisions::streams::MAX_ID_BYTES;
 use chiverelay_decisions::streams::MAX_STREAMS;
 use chiverelay_decisions::streams::MIN_LIFETIME;
 use chiverelay_decisions::streams::MarkChange;
 use chiverelay_decisions::streams::MarkStep;
 use chiverelay_decisions::streams::PoolSoftware;
 use chiverelay_decisions::streams::SoftwareHistory;
+use chiverelay_decisions::streams::StreamKey;
+use chiverelay_decisions::streams::StreamSource;
 use chiverelay_decisions::streams::lifetime_for;
 use chiverelay_decisions::streams::software_of_stream;
 use support::cases;
@@ -32,33 +34,61 @@
     "model".into()
 }
 
-fn id(n: usize) -> RequestId {
-    format!("r-{n}").into()
+fn key(n: usize) -> StreamKey {
+    StreamKey {
+        account: Some("parish".into()),
+        id: format!("r-{n}").into(),
+    }
+}
+
+/// Records a stream that began here.
+fn begin(streams: &mut BeganStreams, n: usize, software: &str, now: Duration) {
+    streams.record(&key(n), of(software), StreamSource::Own, now);
+}
+
+/// Returns the software that began a stream.
+fn found(streams: &BeganStreams, n: usize, now: Duration) -> Option<&str> {
+    let origin = streams.find(&key(n), now)?;
+    Some(origin.software.as_str())
 }
 
-fn check_software(known: Option<&str>, possible: &[&str], expected: Option<&str>) {
+/// Whether all software that a pool can have had is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum History {
+    Complete,
+    Partial,
+}
+
+fn check_software(
+    known: Option<&str>,
+    possible: &[&str],
+    history: History,
+    expected: Option<&str>,
+) {
     let possible: Vec<SoftwareVersion> = possible.iter().map(|s| (*s).into()).collect();
-    let found = software_of_stream(known.map(Into::into), &possible);
+    let is_complete = history == History::Complete;
+    let found = software_of_stream(known.map(Into::into), &possible, is_complete);
     assert_eq!(found, expected.map(Into::into));
 }
 
 cases! {
     check_software:
-    what_is_known_of_a_stream_counts(Some("a"), &["a", "b"], Some("a"));
-    what_is_known_counts_before_the_only_version(Some("a"), &["b"], Some("a"));
-    the_only_version_began_all_streams(None, &["b"], Some("b"));
-    one_of_several_versions_is_not_guessed(None, &["a", "b"], None);
-    without_a_target_nothing_is_known(None, &[], None);
+    what_is_known_of_a_stream_counts(Some("a"), &["a", "b"], History::Partial, Some("a"));
+    what_is_known_counts_before_the_only_version(Some("a"), &["b"], History::Complete, Some("a"));
+    the_only_version_began_all_streams(None, &["b"], History::Complete, Some("b"));
+    the_only_version_known_may_not_be_the_only_one(None, &["b"], History::Partial, None);
+    one_of_several_versions_is_not_guessed(None, &["a", "b"], History::Complete, None);
+    without_a_target_nothing_is_known(None, &[], History::Complete, None);
 }
 
 #[test]
 fn a_stream_is_forgotten_after_its_lifetime() {
     let mut streams = BeganStreams::default();
-    streams.record(&id(1), of("a"), START);
+    begin(&mut streams, 1, "a", START);
     let last = START + MIN_LIFETIME - Duration::from_millis(1);
-    assert_eq!(streams.find(&id(1), &pool(), last), Some("a".into()));
-    assert_eq!(streams.find(&id(1), &pool(), START + MIN_LIFETIME), None);
-    streams.record(&id(2), of("a"), START + MIN_LIFETIME);
+    assert_eq!(found(&streams, 1, last), Some("a"));
+    assert_eq!(found(&streams, 1, START + MIN_LIFETIME), None);
+    begin(&mut streams, 2, "a", START + MIN_LIFETIME);
     assert_eq!(streams.len(), 1);
 }
 
@@ -67,21 +97,27 @@
 #[test]
 fn what_continues_a_stream_has_not_begun_it() {
     let mut streams = BeganStreams::default();
-    streams.record(&id(1), of("a"), START);
+    begin(&mut streams, 1, "a", START);
     let later = START + MIN_LIFETIME / 2;
-    streams.record(&id(1), of("b"), later);
-    assert_eq!(streams.find(&id(1), &pool(), later), Some("a".into()));
+    streams.record(&key(1), of("b"), StreamSource::Resumed, later);
+    assert_eq!(found(&streams, 1, later), Some("a"));
     let kept_until = later + MIN_LIFETIME - Duration::from_millis(1);
-    assert_eq!(streams.find(&id(1), &pool(), kept_until), Some("a".into()));
+    assert_eq!(found(&streams, 1, kept_until), Some("a"));
 }
 
 #[test]
-fn a_stream_of_another_pool_is_another_stream() {
+fn a_stream_of_another_account_is_another_stream() {
     let mut streams = BeganStreams::default();
-    streams.record(&id(1), of("a"), START);
-    assert_eq!(streams.find(&id(1), &"other".into(), START), None);
-    assert!(streams.list(&"other".into(), START).is_empty());
-    assert_eq!(streams.list(&pool(), START), [(id(1), "a".into())]);
+    begin(&mut streams, 1, "a", START);
+    let other = StreamKey {
+        account: Some("other".into()),
+        ..key(1)
+    };
+    assert!(streams.find(&other, START).is_none());
+    assert!(streams.list_own(&"other".into(), START).is_empty());
+    assert_eq!(streams.list_own(&pool(), START), [(key(1), "a".into())]);
+    streams.record(&key(2), of("a"), StreamSource::Told, START);
+    assert_eq!(streams.list_own(&pool(), START).len(), 1);
 }
 
 /// Load pattern: callers begin more streams than are remembered.
@@ -89,12 +125,12 @@
 fn the_oldest_streams_make_room() {
     let mut streams = BeganStreams::default();
     for n in 0..=MAX_STREAMS {
-        streams.record(&id(n), of("a"), START);
+        begin(&mut streams, n, "a", START);
     }
     assert_eq!(streams.len(), MAX_STREAMS);
-    assert_eq!(streams.find(&id(0), &pool(), START), None);
-    let last = streams.find(&id(MAX_STREAMS), &pool(), START);
-    assert_eq!(last, Some("a".into()));
+    assert_eq!(found(&streams, 0, START), None);
+    let last = found(&streams, MAX_STREAMS, START);
+    assert_eq!(last, Some("a"));
 }
 
 /// Returns the next step of an instance of this rank.
@@ -172,6 +208,9 @@
     history.observe(&of("a"), START);
     let step = history.next_mark_step(|_| false, |_| 0, START);
     assert_eq!(step, MarkStep::Wait);
+    history.record_mark(of("a"), START);
+    let step = history.next_mark_step(|_| false, |_| 0, START + MIN_LIFETIME);
+    assert_eq!(step, MarkStep::Due(MarkChange::Remove(of("a"))));
 }
 
 /// Failure: a stream that lasted minutes was forgotten while it ran, and so was
@@ -184,14 +223,11 @@
     assert!(lifetime > longest);
     let mut streams = BeganStreams::default();
     streams.set_lifetime(lifetime);
-    streams.record(&id(1), of("a"), START);
+    begin(&mut streams, 1, "a", START);
     let mut history = SoftwareHistory::default();
     history.set_retention(lifetime);
     history.observe(&of("a"), START);
-    assert_eq!(
-        streams.find(&id(1), &pool(), START + longest),
-        Some("a".into())
-    );
+    assert_eq!(found(&streams, 1, START + longest), Some("a"));
     assert_eq!(history.possible(&pool(), START + longest), ["a".into()]);
 }
 
@@ -200,12 +236,37 @@
 #[test]
 fn what_is_told_again_does_not_push_out_other_streams() {
     let mut streams = BeganStreams::default();
-    streams.record(&id(0), of("a"), START);
+    begin(&mut streams, 0, "a", START);
     for _ in 0..2 {
         for n in 1..=MAX_STREAMS / 2 {
-            streams.record(&id(n), of("b"), START);
+            begin(&mut streams, n, "b", START);
         }
     }
     assert!(streams.len() <= MAX_STREAMS);
-    assert_eq!(streams.find(&id(0), &pool(), START), Some("a".into()));
+    assert_eq!(found(&streams, 0, START), Some("a"));
+}
+
+/// Failure: a caller could fill the memory with ids as long as a request's head.
+#[test]
+fn a_stream_with_a_huge_id_is_not_remembered() {
+    let mut streams = BeganStreams::default();
+    let huge = StreamKey {
+        account: None,
+        id: "r".repeat(MAX_ID_BYTES + 1).into(),
+    };
+    streams.record(&huge, of("a"), StreamSource::Own, START);
+    assert!(streams.is_empty());
+}
+
+/// Load pattern: long streams are recorded again while others end.
+#[test]
+fn a_stream_that_was_recorded_again_outlives_older_ones() {
+    let mut streams = BeganStreams::default();
+    begin(&mut streams, 1, "a", START);
+    begin(&mut streams, 2, "a", START);
+    let later = START + MIN_LIFETIME / 2;
+    streams.record(&key(1), of("a"), StreamSource::Resumed, later);
+    begin(&mut streams, 3, "a", START + MIN_LIFETIME);
+    assert_eq!(streams.len(), 2);
+    assert_eq!(found(&streams, 1, START + MIN_LIFETIME), Some("a"));
 }
