Take no answer for whole whose upload could not be written

What callers saw: a target answered a long upload at once with a 200 that has no length, wrote a part of its body and ended its connection while the upload was still being written. Where it had read all that had arrived, callers got the part as a complete answer, also through a forward.

Cause: a body without a length ends with what can be read. hyper reports that end and gives the connection up, whether or not the request has been written, so the reset that answers the rest of the request is never seen.

Why it works: the stream of a connection to a target (target::stream) reports its end only when all that was given to it has been written, and an error of the connection that is known by then in its place. The rest of an upload to a target that has failed can't be written: the write fails, and with it the body. A target that closes its half and reads on takes the rest, so that its early answer is whole as before.

--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -34,6 +34,7 @@
 
 use crate::Error;
 use crate::headers;
+use crate::stream::TargetStream;
 
 /// Largest size of a connection's read buffer, in bytes, which the head of an
 /// answer has to fit into. A connection reads so far ahead of a caller that does
@@ -80,7 +81,7 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionDriver {
     target: Target,
-    conn: Option<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>,
+    conn: Option<Box<http1::Connection<TokioIo<TargetStream>, Full<Bytes>>>>,
 }
 
 impl ConnectionDriver {
@@ -250,7 +251,7 @@
         chiverelay_http::enable_keepalive(&stream);
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(TargetStream::new(stream)))
             .await
             .map_err(|source| Error::Handshake {
                 target: target.clone(),
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 pub mod headers;
 mod load;
+mod stream;
 
 pub use client::Client;
 pub use client::Connection;
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -4,6 +4,7 @@
 pub mod accept;
 pub mod call;
 pub mod crashing;
+pub mod early;
 pub mod endless;
 pub mod kept;
 pub mod proxy;
@@ -18,6 +19,8 @@
 
 pub use call::Got;
 pub use crashing::CrashingTarget;
+pub use early::EarlyEnd;
+pub use early::EarlyTarget;
 pub use endless::Endless;
 pub use endless::EndlessTarget;
 pub use kept::KeptConnection;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -5,6 +5,7 @@
 mod cut_off_from_store;
 mod cut_watches;
 mod decode;
+mod early_answers;
 mod endless;
 mod extra_attempts;
 mod first_listings;
