Take no status that HTTP doesn't have for that of an answer

What callers saw: a target answered with status 101, 600 or 999, and its caller got that as the answer, whole, also through a forward and at chiverelayd. A 600 that bore the header of a refusal was believed: the caller was told that its request had not run.

Cause: a status was taken for that of an answer if http::StatusCode can hold it, which is 100 to 999. 000 to 099 were refused already, as hyper fails to parse the head; those cases stay as a guard.

Evidence, on the code before: of 24 tests named status_*, 13 failed: node::broken_answers::{status_101, status_101_far, status_600, status_600_far, status_600_of_a_stream, status_999, status_999_far} ("left: 600, right: 502" and the like), status_600_as_a_refusal ("left: 503, right: 502"), node::forwarded_streams::{a_forwarded_status_101, a_forwarded_status_600} and whole::{status_101, status_600, status_999} ("passed on as whole").

Why it works: one decision, answer::is_final_status, says which statuses end an exchange. The client for targets, which both programs use, fails the exchange for any other status before the response is classified, as one that may have run; the heads that instances pass on are read by the same decision. All 24 pass with it.

--- a/crates/chiverelayd/src/forward.rs
+++ b/crates/chiverelayd/src/forward.rs
@@ -17,10 +17,10 @@
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
 use chiverelay_sibling::read_headers;
+use chiverelay_sibling::read_status;
 use chiverelay_sibling::write_headers;
 use chiverelay_target::TargetRequest;
 use chiverelay_target::headers;
-use hyper::StatusCode;
 
 use crate::keys;
 use crate::keys::Under;
@@ -83,9 +83,13 @@
         self.note(&req, &peer, "passed on");
         match self.exchange(&req, &under, &link, message).await {
             Ok((answer, Frame::Head { status, headers })) => {
+                let Some(status) = read_status(status) else {
+                    let refusal = req.refuse_unknown(Code::SiblingFailed, Step::Forward);
+                    return Forwarded::Refused(refusal);
+                };
                 let headers = read_headers(&headers);
                 let head = ReplyHead {
-                    status: StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY),
+                    status,
                     framing: relay::sibling_framing(&self.cx, req.grant(), &headers),
                     headers,
                 };
--- a/crates/decisions/src/answer.rs
+++ b/crates/decisions/src/answer.rs
@@ -1,5 +1,7 @@
 //! Incremental check that an answer is complete.
 
+use std::ops::RangeInclusive;
+
 use bytes::Bytes;
 use serde::Deserialize;
 use thiserror::Error as ThisError;
@@ -25,6 +27,15 @@
 /// Data of the last event of a stream.
 const DONE_DATA: &[u8] = b"[DONE]";
 
+/// Smallest and largest status of a final HTTP response.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Tells whether a status ends an exchange. Statuses below are of interim
+/// responses, which precede another one; HTTP has none above.
+pub fn is_final_status(status: u16) -> bool {
+    FINAL_STATUSES.contains(&status)
+}
+
 /// How the end of an answer is recognized.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -14,6 +14,7 @@
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
 use chiverelay_sibling::read_headers;
+use chiverelay_sibling::read_status;
 use hyper::HeaderMap;
 use hyper::StatusCode;
 
@@ -80,6 +81,12 @@
     fn before_head(reason: impl ToString) -> Self {
         Self::ExchangeFailed(reason.to_string(), 1)
     }
+
+    /// The head of the answer has a status that ends no exchange.
+    fn without_status(status: u16, attempts_used: u32) -> Self {
+        let reason = format!("status {status} ends no exchange");
+        Self::ExchangeFailed(reason, attempts_used.max(1))
+    }
 }
 
 impl RemoteAnswer {
@@ -117,9 +124,10 @@
                 Frame::Ran(count) => attempts_used = count,
                 Frame::Software(version) => software = Some(version),
                 Frame::Head { status, headers } => {
-                    let status = StatusCode::from_u16(status);
+                    let status = read_status(status)
+                        .ok_or_else(|| ForwardFailure::without_status(status, attempts_used))?;
                     return Ok(Self {
-                        status: status.map_err(ForwardFailure::before_head)?,
+                        status,
                         headers: read_headers(&headers),
                         software,
                         // An answer means that at least one target ran the
@@ -153,7 +161,9 @@
                 Ok(Frame::Data(data)) => Ok(Some(data.into())),
                 Ok(Frame::End) => Ok(None),
                 Ok(Frame::Refused(refusal)) => Err(refusal.code.as_str().to_owned()),
-                Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Software(_)) => Err("unexpected frame".to_owned()),
+                Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Software(_)) => {
+                    Err("unexpected frame".to_owned())
+                }
                 Err(e) => Err(e.to_string()),
             };
         }
--- a/crates/sibling/src/headers.rs
+++ b/crates/sibling/src/headers.rs
@@ -1,6 +1,8 @@
 //! HTTP headers as they go between instances.
 
+use chiverelay_decisions::answer::is_final_status;
 use hyper::HeaderMap;
+use hyper::StatusCode;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
@@ -12,6 +14,13 @@
         .collect()
 }
 
+/// Reads the status of an answer as it comes from instances; `None` if it ends no
+/// exchange.
+pub fn read_status(status: u16) -> Option<StatusCode> {
+    let status = StatusCode::from_u16(status).ok()?;
+    is_final_status(status.as_u16()).then_some(status)
+}
+
 /// Reads headers as they come from instances. What is no header is left out.
 pub fn read_headers(headers: &[(String, Vec<u8>)]) -> HeaderMap {
     headers
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -25,6 +25,7 @@
 pub use endpoint::Refused;
 pub use error::Error;
 pub use headers::read_headers;
+pub use headers::read_status;
 pub use headers::write_headers;
 pub use identity::Certificates;
 pub use identity::Identity;
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chiverelay_decisions::answer::is_final_status;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::step::Step;
 use http_body_util::BodyExt;
@@ -69,6 +70,21 @@
 
 pub(crate) type RequestSender = http1::SendRequest<Full<Bytes>>;
 
+/// Checks that a response with `status` is the final one to a request.
+///
+/// # Errors
+///
+/// Fails for any other status. The target may have executed the request.
+pub(crate) fn check_final(target: &Target, status: StatusCode) -> Result<(), Error> {
+    if is_final_status(status.as_u16()) {
+        return Ok(());
+    }
+    Err(Error::InvalidResponse {
+        target: target.clone(),
+        reason: format!("status {} ends no exchange", status.as_u16()),
+    })
+}
+
 /// Performs a connection's I/O within the task that awaits the response.
 ///
 /// A connection has no task of its own, as that task would have to be started
@@ -312,6 +328,7 @@
             target: self.driver.target.clone(),
             source,
         })?;
+        check_final(&self.driver.target, resp.status())?;
         let (parts, body) = resp.into_parts();
         Ok(TargetResponse {
             status: parts.status,
--- a/crates/target/src/connection_pool.rs
+++ b/crates/target/src/connection_pool.rs
@@ -36,6 +36,7 @@
 
 use crate::Client;
 use crate::Error;
+use crate::client;
 use crate::client::ConnectionDriver;
 use crate::client::InterimResponses;
 use crate::client::RequestSender;
@@ -317,6 +318,7 @@
                 });
             }
         };
+        client::check_final(&target, resp.status()).map_err(SendError::MaybeSent)?;
         let (parts, body) = resp.into_parts();
         Ok(PooledResponse {
             status: parts.status,
--- a/tests/testsuite/answer.rs
+++ b/tests/testsuite/answer.rs
@@ -5,6 +5,7 @@
 use chiverelay_decisions::answer::AnswerError;
 use chiverelay_decisions::answer::Framing;
 use chiverelay_decisions::answer::TailBuffer;
+use chiverelay_decisions::answer::is_final_status;
 use chiverelay_decisions::memory_budget::MemoryBudget;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -199,3 +200,12 @@
     assert_eq!(checker.check_end(), Ok(()));
     assert_eq!(memory.usage().used, 0);
 }
+
+/// Failure: a status that HTTP doesn't have was taken for that of an answer.
+#[test]
+fn a_final_status_has_a_class_of_http() {
+    for status in 0..=u16::MAX {
+        let is_final = matches!(status / 100, 2..=5);
+        assert_eq!(is_final_status(status), is_final, "{status}");
+    }
+}
--- a/tests/testsuite/node/broken_answers.rs
+++ b/tests/testsuite/node/broken_answers.rs
@@ -266,6 +266,55 @@
     of_a_far_stream(CUT_AFTER_LENGTH, After::Reset, "/quote/1", Place::Far);
 }
 
+/// Failure: a target in trouble answered with a status that HTTP doesn't have, or
+/// that no request asked for, and callers got it as an answer. The request may
+/// have run, whatever such an answer says.
+fn a_status_outside_the_protocol_is_no_answer(
+    status: &str,
+    headers: &str,
+    path: &str,
+    place: Place,
+) {
+    block_on(async {
+        let service = match path {
+            "/chat/1" => "model",
+            _ => "orders",
+        };
+        let text = format!(
+            "HTTP/1.1 {status} Odd\r\nrequest-id: {{id}}\r\nserver-stamp: s\r\n{headers}\
+             content-length: 4\r\nconnection: close\r\n\r\ntext"
+        );
+        let script = vec![Scripted::new(&text, After::Close)];
+        let world = start(service, place, vec![script]).await;
+        let got = world.call("r", path).await.expect("an answer");
+        assert_eq!(got.status, StatusCode::BAD_GATEWAY, "{got:?}");
+        assert_eq!(got.header("server-stamp"), "");
+        assert_eq!(world.requests(), ["r"]);
+    });
+}
+
+/// Header of a refusal.
+const NOT_RUN: &str = "not-executed: 1\r\n";
+
+support::cases! {
+    a_status_outside_the_protocol_is_no_answer:
+    status_000("000", "", "/deposit/1", Place::Near);
+    status_000_of_a_stream("000", "", "/chat/1", Place::Near);
+    status_000_far("000", "", "/deposit/1", Place::Far);
+    status_001("001", "", "/deposit/1", Place::Near);
+    status_099("099", NOT_RUN, "/deposit/1", Place::Near);
+    status_101("101", "", "/deposit/1", Place::Near);
+    status_101_far("101", "", "/deposit/1", Place::Far);
+    status_600("600", "", "/deposit/1", Place::Near);
+    status_600_as_a_refusal("600", NOT_RUN, "/deposit/1", Place::Near);
+    status_600_of_a_stream("600", "", "/chat/1", Place::Near);
+    status_600_far("600", "", "/deposit/1", Place::Far);
+    status_999("999", "", "/deposit/1", Place::Near);
+    status_999_far("999", "", "/chat/1", Place::Far);
+    status_of_two_digits("20", "", "/deposit/1", Place::Near);
+    status_of_four_digits("2000", "", "/deposit/1", Place::Near);
+}
+
 /// An answer may have neither a length nor chunks: the end of the connection is
 /// its end, and a reset is none.
 fn an_answer_that_ends_with_its_connection(path: &str, body: &str, place: Place) {
--- a/tests/testsuite/node/forwarded_streams.rs
+++ b/tests/testsuite/node/forwarded_streams.rs
@@ -113,6 +113,33 @@
     another_stream_without_an_event_is_answered_as_unknown("/chat/1", 502, 1);
 }
 
+/// Failure: an instance passed on a status that HTTP doesn't have, and callers got
+/// it as an answer.
+fn a_forwarded_status_outside_the_protocol_is_no_answer(status: u16) {
+    block_on(async {
+        let head = Frame::Head {
+            status,
+            headers: vec![("server-stamp".to_owned(), b"s".to_vec())],
+        };
+        let text = Frame::Data(b"text".to_vec());
+        let script = [Frame::Ran(1), head, text, Frame::End].map(Step::Send);
+        let regions = Regions::start(vec![script.to_vec()]).await;
+        let got = regions.call("/chat/1").await;
+        assert_eq!(got.status, StatusCode::BAD_GATEWAY, "{got:?}");
+        assert_eq!(got.header("server-stamp"), "");
+        assert_eq!(regions.far.forwards().len(), 1);
+    });
+}
+
+cases! {
+    a_forwarded_status_outside_the_protocol_is_no_answer:
+    a_forwarded_status_0(0);
+    a_forwarded_status_99(99);
+    a_forwarded_status_101(101);
+    a_forwarded_status_600(600);
+    a_forwarded_status_1000(1000);
+}
+
 /// Failure: a forwarded stream whose first event came late was cut or tried
 /// again.
 #[test]
--- a/tests/testsuite/whole.rs
+++ b/tests/testsuite/whole.rs
@@ -171,6 +171,10 @@
     wrong_chunk("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nxyz\r\nhalf\r\n0\r\n\r\n");
     no_length("HTTP/1.1 200 OK\r\n\r\nhalf");
     two_lengths("HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\nhalf!");
+    status_000("HTTP/1.1 000 Odd\r\ncontent-length: 4\r\n\r\ntext");
+    status_101("HTTP/1.1 101 Odd\r\ncontent-length: 4\r\n\r\ntext");
+    status_600("HTTP/1.1 600 Odd\r\ncontent-length: 4\r\n\r\ntext");
+    status_999("HTTP/1.1 999 Odd\r\ncontent-length: 4\r\n\r\ntext");
     no_http("half an answer\r\n\r\n");
     cut_head("HTTP/1.1 200 OK\r\ncontent-le");
 }
