Reserve the memory of a forwarded request before it is read

What callers saw: an instance that was forwarded large bodies by many others went over its memory and was ended, again and again. Requests on kept connections that targets had run got no answer.

Cause: the endpoint for other instances read a forwarded message whole, up to 8 MB for each stream, before the memory budget was asked for its body. Nothing bounded how many were being read.

Why it works: the length of a message and the kind of its content, which stand at its start, are read first. For a forward the handler reserves the length; if there is no room, the request is refused as not run at once, and the sender is told to stop writing and reads the refusal. The reservation goes over to the body. Other messages are read as before. chiverelayd has a budget of its own for forwards, as large as that for the bodies of callers.

The handlers of the tests' stand-ins have the new method of the trait; what they check is unchanged.

--- a/crates/chiverelayd/src/context.rs
+++ b/crates/chiverelayd/src/context.rs
@@ -84,6 +84,8 @@
     pub(crate) targets: Client,
     /// Memory for unfinished events of answers.
     pub(crate) answer_memory: MemoryBudget,
+    /// Memory for the requests that siblings pass on.
+    pub(crate) forward_memory: MemoryBudget,
     /// The store.
     pub(crate) store: Store,
     /// The endpoint for siblings.
@@ -160,6 +162,9 @@
             metrics: Metrics::new(settings.metrics.as_ref())?,
             targets: Client::new(CONNECT_TIMEOUT),
             answer_memory: MemoryBudget::new(settings.caller.body_memory as u64 / ANSWER_PARTS),
+            forward_memory: MemoryBudget::new(
+                settings.caller.body_memory.max(sibling::MAX_FRAME) as u64
+            ),
             store,
             operations,
             endpoint,
--- a/crates/chiverelayd/src/sibling.rs
+++ b/crates/chiverelayd/src/sibling.rs
@@ -5,6 +5,8 @@
 
 use chiverelay_decisions::event::Stamp;
 use chiverelay_decisions::gateway;
+use chiverelay_decisions::memory_budget::Exhausted;
+use chiverelay_decisions::memory_budget::Reservation;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::Route;
@@ -71,6 +73,7 @@
         &self,
         from: &Identity,
         req: Forward,
+        memory: Reservation,
     ) -> Result<
         (
             Request<Dispatched, Forwarded>,
@@ -109,7 +112,7 @@
             method,
             path_and_query: req.path_and_query,
             headers: read_headers(&req.headers),
-            body: req.body.into(),
+            body: memory.hold(req.body).map_err(refuse_memory)?,
         };
         let admitted = self.admit(head, req.account, req.route).await?;
         let (req, answer) = self.run(admitted, &out).await?;
@@ -213,6 +216,11 @@
     }
 }
 
+/// Refuses a forwarded request that there is no memory for.
+fn refuse_memory(_: Exhausted) -> Refusal {
+    Refusal::not_run(Code::Overloaded, Step::Receive, Peer::Local)
+}
+
 impl Handler for Siblings {
     async fn control(&self, from: &Identity, stamp: Stamp, message: Message) -> Envelope {
         self.cx.events.advance_clock(stamp);
@@ -258,13 +266,25 @@
         }
     }
 
-    async fn forward(&self, from: &Identity, stamp: Stamp, req: Forward, mut tx: FrameSender) {
+    fn reserve_forward(&self, bytes: usize) -> Result<Reservation, Refusal> {
+        let reserved = self.cx.forward_memory.reserve(bytes);
+        reserved.map_err(refuse_memory)
+    }
+
+    async fn forward(
+        &self,
+        from: &Identity,
+        stamp: Stamp,
+        req: Forward,
+        memory: Reservation,
+        mut tx: FrameSender,
+    ) {
         let open = self.cx.requests.token();
         self.cx.events.advance_clock(stamp);
         let id = req.id.clone();
         let account = req.account.clone();
         let answer = tokio::select! {
-            answer = self.answer(from, req) => answer,
+            answer = self.answer(from, req, memory) => answer,
             // Dropping the request cancels it at the target.
             () = tx.closed() => return,
         };
--- a/crates/decisions/src/memory_budget.rs
+++ b/crates/decisions/src/memory_budget.rs
@@ -146,11 +146,7 @@
     ///
     /// Fails if too few bytes are left.
     pub fn hold(&self, data: Vec<u8>) -> Result<Bytes, Exhausted> {
-        let reservation = self.reserve(data.capacity())?;
-        Ok(Bytes::from_owner(Held {
-            data,
-            _reservation: reservation,
-        }))
+        self.empty_reservation().hold(data)
     }
 
     /// Returns a buffer with room for `capacity` bytes.
@@ -218,6 +214,22 @@
         Ok(())
     }
 
+    /// Holds data that was read, until its last copy is dropped. Of the reservation
+    /// as much is kept as the data needs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it needs more and too few bytes are left.
+    pub fn hold(mut self, mut data: Vec<u8>) -> Result<Bytes, Exhausted> {
+        data.shrink_to_fit();
+        self.grow_to(data.capacity())?;
+        self.shrink_to(data.capacity());
+        Ok(Bytes::from_owner(Held {
+            data,
+            _reservation: self,
+        }))
+    }
+
     /// Lowers the reservation to `bytes` if it is larger.
     pub fn shrink_to(&mut self, bytes: usize) {
         let less = self.bytes.saturating_sub(bytes as u64);
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -89,13 +89,29 @@
         self.refuse("body", Step::Receive)
     }
 
-    /// Holds the body of a request that another instance has forwarded.
+    /// Reserves the bytes of a message by which another instance forwards a
+    /// request.
     ///
     /// # Errors
     ///
     /// Refuses the request if too little memory is left.
-    pub(crate) fn hold_forwarded(&self, body: Vec<u8>) -> Result<Bytes, Refusal> {
-        let held = self.budget.hold(body);
+    pub(crate) fn reserve_forwarded(&self, bytes: usize) -> Result<Reservation, Refusal> {
+        let reservation = self.budget.reserve(bytes);
+        reservation.map_err(|Exhausted| self.refuse("forwarded body", Step::Receive))
+    }
+
+    /// Holds the body of a request that another instance has forwarded, with the
+    /// memory of its message.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if it needs more memory and too little is left.
+    pub(crate) fn hold_forwarded(
+        &self,
+        body: Vec<u8>,
+        memory: Reservation,
+    ) -> Result<Bytes, Refusal> {
+        let held = memory.hold(body);
         held.map_err(|Exhausted| self.refuse("forwarded body", Step::Receive))
     }
 
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -6,6 +6,7 @@
 
 use chiverelay_decisions::catalog::MatchedRoute;
 use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::memory_budget::Reservation;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request;
@@ -112,14 +113,25 @@
         }
     }
 
-    async fn forward(&self, from: &Identity, _stamp: Stamp, req: Forward, mut tx: FrameSender) {
+    fn reserve_forward(&self, bytes: usize) -> Result<Reservation, Refusal> {
+        self.gateway.memory.reserve_forwarded(bytes)
+    }
+
+    async fn forward(
+        &self,
+        from: &Identity,
+        _stamp: Stamp,
+        req: Forward,
+        memory: Reservation,
+        mut tx: FrameSender,
+    ) {
         let gateway = &self.gateway;
         let _open = gateway.open_requests.token();
         let id = req.id.clone();
         let deadline = gateway.clock.now() + Duration::from_millis(req.remaining_ms);
         let mut usage = TargetUsage::default();
         // Each future around a large one has room for it twice.
-        let running = Box::pin(gateway.run_forwarded(req, &mut usage));
+        let running = Box::pin(gateway.run_forwarded(req, memory, &mut usage));
         let running = gateway.shutdown.run_until_over(running);
         // Check for the cancellation first: if the request arrived late, its
         // cancellation has often arrived too.
@@ -252,6 +264,7 @@
     async fn run_forwarded(
         self: &Arc<Self>,
         forward: Forward,
+        memory: Reservation,
         usage: &mut TargetUsage,
     ) -> HandleResult {
         let remaining = Duration::from_millis(forward.remaining_ms);
@@ -259,7 +272,7 @@
         let deadline = self.clock.now() + remaining;
         self.wait_for_catalog(forward.config_version).await;
         let now = self.clock.now();
-        let (mut req, mut cx, out) = self.admit_forwarded(forward, deadline, now)?;
+        let (mut req, mut cx, out) = self.admit_forwarded(forward, memory, deadline, now)?;
         let max_attempts = cx.attempts_left;
         let mut fallback: Option<Fallback> = None;
         for _ in 0..MAX_TARGETS {
@@ -316,6 +329,7 @@
     fn admit_forwarded(
         &self,
         forward: Forward,
+        memory: Reservation,
         deadline: Duration,
         now: Duration,
     ) -> Result<
@@ -369,7 +383,7 @@
             method,
             path_and_query: forward.path_and_query,
             headers,
-            body: self.memory.hold_forwarded(forward.body)?,
+            body: self.memory.hold_forwarded(forward.body, memory)?,
             account: grant.account.clone(),
             priority: priority.min(LOWEST_PRIORITY),
             is_streaming: matched.route.kind.is_stream(),
--- a/crates/sibling/src/endpoint.rs
+++ b/crates/sibling/src/endpoint.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::memory_budget::Reservation;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
+use chiverelay_decisions::refusal::Refusal;
 use quinn::ConnectionError;
 use quinn::IdleTimeout;
 use quinn::RecvStream;
@@ -21,6 +23,7 @@
 use crate::Envelope;
 use crate::Error;
 use crate::Forward;
+use crate::Frame;
 use crate::FrameSender;
 use crate::Identity;
 use crate::Link;
@@ -32,6 +35,7 @@
 use crate::stream_limit;
 use crate::stream_limit::StreamLimit;
 use crate::wire;
+use crate::wire::PartialMessage;
 
 /// A connection that is silent for so long has ended, in milliseconds.
 const IDLE_TIMEOUT_MS: u32 = 5_000;
@@ -102,12 +106,21 @@
         message: Message,
     ) -> impl Future<Output = Envelope> + Send;
 
-    /// Runs a request that a sibling passed on.
+    /// Reserves memory for a request that a sibling passes on, before more than the
+    /// start of its message is read.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if too little is left for `bytes`.
+    fn reserve_forward(&self, bytes: usize) -> Result<Reservation, Refusal>;
+
+    /// Runs a request that a sibling passed on, which `memory` is reserved for.
     fn forward(
         &self,
         from: &Identity,
         stamp: Stamp,
         req: Forward,
+        memory: Reservation,
         tx: FrameSender,
     ) -> impl Future<Output = ()> + Send;
 
@@ -339,13 +352,22 @@
 where
     H: Handler,
 {
-    let envelope: Envelope = wire::read_envelope(&mut rx).await?;
-    match envelope.message {
-        Message::Forward(req) => {
+    let mut partial = PartialMessage::begin(&mut rx).await?;
+    let memory = match partial.read_is_forward(&mut rx).await? {
+        true => match handler.reserve_forward(partial.len()) {
+            Ok(memory) => Some(memory),
+            Err(refusal) => return refuse(refusal, tx, rx).await,
+        },
+        false => None,
+    };
+    let envelope = wire::decode_envelope(&partial.finish(&mut rx).await?)?;
+    match (envelope.message, memory) {
+        (Message::Forward(req), Some(memory)) => {
             let tx = FrameSender::new(tx);
-            handler.forward(peer, envelope.stamp, req, tx).await;
+            let stamp = envelope.stamp;
+            handler.forward(peer, stamp, req, memory, tx).await;
         }
-        message => {
+        (message, _) => {
             let reply = handler.control(peer, envelope.stamp, message).await;
             wire::write(&mut tx, &reply).await?;
             // The reply is on its way; the sibling may be gone already.
@@ -354,3 +376,13 @@
     }
     Ok(())
 }
+
+/// Refuses a forwarded request without reading the rest of its message.
+async fn refuse(refusal: Refusal, tx: SendStream, mut rx: RecvStream) -> Result<(), Error> {
+    // The sibling may have left, and ended the stream.
+    let _ = rx.stop(VarInt::from_u32(0));
+    let mut tx = FrameSender::new(tx);
+    tx.send(&Frame::Refused(refusal)).await?;
+    tx.finish().await;
+    Ok(())
+}
--- a/crates/sibling/src/error.rs
+++ b/crates/sibling/src/error.rs
@@ -66,6 +66,9 @@
         /// The cause.
         reason: String,
     },
+    /// The sibling stopped reading a message.
+    #[error("{step}: sibling: it stopped reading", step = Step::Forward)]
+    Stopped,
     /// A message of a version that this instance does not speak.
     #[error("{step}: sibling: message of version {version}", step = Step::Receive)]
     Version {
--- a/crates/sibling/src/link.rs
+++ b/crates/sibling/src/link.rs
@@ -150,9 +150,11 @@
             stamp,
             message,
         };
-        wire::write(&mut tx, &envelope)
-            .await
-            .map_err(|e| self.broken(step, e))?;
+        match wire::write(&mut tx, &envelope).await {
+            // The answer tells why the sibling needs no more of the message.
+            Err(Error::Stopped) => return Ok(rx),
+            written => written.map_err(|e| self.broken(step, e))?,
+        }
         tx.finish().map_err(|e| self.broken(step, e))?;
         Ok(rx)
     }
--- a/crates/sibling/src/wire.rs
+++ b/crates/sibling/src/wire.rs
@@ -1,7 +1,10 @@
 //! Messages as length-prefixed postcard on a stream.
 
+use chiverelay_decisions::event::Stamp;
 use quinn::RecvStream;
 use quinn::SendStream;
+use quinn::WriteError;
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -19,6 +22,17 @@
 /// Bytes of the length before each message.
 const PREFIX: usize = 4;
 
+/// Most bytes that the version, the stamp and the kind of the message take at the
+/// start of an envelope.
+const MAX_PREAMBLE: usize = 64;
+
+/// The first kinds of [`crate::Message`], in its order and without what they hold.
+#[derive(Deserialize)]
+enum Kind {
+    Heartbeat,
+    Forward,
+}
+
 fn malformed(e: impl ToString) -> Error {
     Error::Malformed {
         reason: e.to_string(),
@@ -63,8 +77,15 @@
 {
     let buf = encode(msg)?;
     let len = (buf.len() as u32).to_be_bytes();
-    tx.write_all(&len).await.map_err(malformed)?;
-    tx.write_all(&buf).await.map_err(malformed)
+    tx.write_all(&len).await.map_err(unwritten)?;
+    tx.write_all(&buf).await.map_err(unwritten)
+}
+
+fn unwritten(e: WriteError) -> Error {
+    match e {
+        WriteError::Stopped(_) => Error::Stopped,
+        e => malformed(e),
+    }
 }
 
 fn truncated(e: impl ToString) -> Error {
@@ -73,23 +94,59 @@
     }
 }
 
-async fn read_buf(rx: &mut RecvStream) -> Result<Vec<u8>, Error> {
-    let mut len = [0; PREFIX];
-    rx.read_exact(&mut len).await.map_err(truncated)?;
-    let len = u32::from_be_bytes(len) as usize;
-    if len > MAX_FRAME {
-        return Err(Error::Oversized { len });
+/// A message whose start was read.
+#[derive(Debug)]
+pub(crate) struct PartialMessage {
+    len: usize,
+    buf: Vec<u8>,
+}
+
+impl PartialMessage {
+    /// Reads the length of a message.
+    pub(crate) async fn begin(rx: &mut RecvStream) -> Result<Self, Error> {
+        let mut len = [0; PREFIX];
+        rx.read_exact(&mut len).await.map_err(truncated)?;
+        let len = u32::from_be_bytes(len) as usize;
+        if len > MAX_FRAME {
+            return Err(Error::Oversized { len });
+        }
+        // Memory grows with what arrives, not with what is announced.
+        let buf = Vec::with_capacity(len.min(CHUNK));
+        Ok(Self { len, buf })
     }
-    // Memory grows with what arrives, not with what is announced.
-    let mut buf = Vec::with_capacity(len.min(CHUNK));
-    while buf.len() < len {
-        let chunk = rx.read_chunk(len - buf.len(), true).await;
-        match chunk.map_err(truncated)? {
-            Some(chunk) => buf.extend_from_slice(&chunk.bytes),
-            None => return Err(truncated("end of stream")),
+
+    /// Returns the length of the whole message, in bytes.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Reads enough of an envelope to tell whether it has a forwarded request.
+    pub(crate) async fn read_is_forward(&mut self, rx: &mut RecvStream) -> Result<bool, Error> {
+        self.read_to(self.len.min(MAX_PREAMBLE), rx).await?;
+        let preamble = postcard::take_from_bytes::<(u16, Stamp, Kind)>(&self.buf);
+        Ok(matches!(preamble, Ok(((VERSION, _, Kind::Forward), _))))
+    }
+
+    /// Reads the rest of the message.
+    pub(crate) async fn finish(mut self, rx: &mut RecvStream) -> Result<Vec<u8>, Error> {
+        self.read_to(self.len, rx).await?;
+        Ok(self.buf)
+    }
+
+    async fn read_to(&mut self, end: usize, rx: &mut RecvStream) -> Result<(), Error> {
+        while self.buf.len() < end {
+            let chunk = rx.read_chunk(end - self.buf.len(), true).await;
+            match chunk.map_err(truncated)? {
+                Some(chunk) => self.buf.extend_from_slice(&chunk.bytes),
+                None => return Err(truncated("end of stream")),
+            }
         }
+        Ok(())
     }
-    Ok(buf)
+}
+
+async fn read_buf(rx: &mut RecvStream) -> Result<Vec<u8>, Error> {
+    PartialMessage::begin(rx).await?.finish(rx).await
 }
 
 pub(crate) async fn read<T>(rx: &mut RecvStream) -> Result<T, Error>
--- a/tests/support/node/scripted_instance.rs
+++ b/tests/support/node/scripted_instance.rs
@@ -9,7 +9,10 @@
 use std::time::Duration;
 
 use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::memory_budget::MemoryBudget;
+use chiverelay_decisions::memory_budget::Reservation;
 use chiverelay_decisions::names::Instance;
+use chiverelay_decisions::refusal::Refusal;
 use chiverelay_gateway::MemberRecord;
 use chiverelay_gateway::MemberState;
 use chiverelay_platform::protocol::MEMBERS_PREFIX;
@@ -250,7 +253,18 @@
         }
     }
 
-    async fn forward(&self, _from: &Identity, _stamp: Stamp, req: Forward, mut tx: FrameSender) {
+    fn reserve_forward(&self, _bytes: usize) -> Result<Reservation, Refusal> {
+        Ok(MemoryBudget::new(0).empty_reservation())
+    }
+
+    async fn forward(
+        &self,
+        _from: &Identity,
+        _stamp: Stamp,
+        req: Forward,
+        _memory: Reservation,
+        mut tx: FrameSender,
+    ) {
         let script = {
             let forwards = self.shared.forwards.lock();
             let mut forwards = forwards.expect("no panic under the lock");
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -6,6 +6,13 @@
 use std::time::Duration;
 
 use chiverelay_decisions::event::Stamp;
+use chiverelay_decisions::memory_budget::MemoryBudget;
+use chiverelay_decisions::memory_budget::Reservation;
+use chiverelay_decisions::refusal::Code;
+use chiverelay_decisions::refusal::Outcome;
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::step::Peer;
+use chiverelay_decisions::step::Step;
 use chiverelay_sibling::Certificates;
 use chiverelay_sibling::Endpoint;
 use chiverelay_sibling::Envelope;
@@ -23,6 +30,7 @@
 use chiverelay_sibling::VERSION;
 use futures_util::future::join_all;
 use support::block_on;
+use support::cases;
 use tokio::runtime::Runtime;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -37,6 +45,9 @@
 /// Bytes of an answer that takes more than one flight.
 const LARGE: usize = 960 * 1024;
 
+/// Memory for a forwarded request, in bytes.
+const MEMORY: u64 = 1024 * 1024;
+
 fn large_frame() -> Frame {
     Frame::Data(vec![7; LARGE])
 }
@@ -63,7 +74,19 @@
         }
     }
 
-    async fn forward(&self, _: &Identity, _: Stamp, _: Forward, mut tx: FrameSender) {
+    fn reserve_forward(&self, bytes: usize) -> Result<Reservation, Refusal> {
+        let reserved = MemoryBudget::new(MEMORY).reserve(bytes);
+        reserved.map_err(|_| Refusal::not_run(Code::Overloaded, Step::Receive, Peer::Local))
+    }
+
+    async fn forward(
+        &self,
+        _: &Identity,
+        _: Stamp,
+        _: Forward,
+        _: Reservation,
+        mut tx: FrameSender,
+    ) {
         tx.send(&large_frame()).await.expect("it is awaited");
         tx.send(&Frame::End).await.expect("it is awaited");
         tx.finish().await;
@@ -213,3 +236,31 @@
         assert_eq!(end.expect("the end"), Frame::End);
     });
 }
+
+fn check_memory(body_bytes: usize, is_refused: bool) {
+    block_on(async {
+        let pair = Pair::start().await;
+        let req = Forward {
+            body: vec![7; body_bytes],
+            ..request()
+        };
+        let sent = pair.link.forward(Stamp::default(), req).await;
+        let mut answer = sent.expect("a stream");
+        match answer.next().await.expect("a frame") {
+            Frame::Refused(refusal) => {
+                assert!(is_refused, "{refusal:?}");
+                assert_eq!(refusal.outcome, Outcome::NotRun);
+            }
+            _ => assert!(!is_refused),
+        }
+    });
+}
+
+// Failure: a forwarded request was read whole before there was known to be memory
+// for it.
+cases! {
+    check_memory:
+    a_forward_within_the_memory_is_taken(500_000, false);
+    a_forward_over_the_memory_is_refused(MEMORY as usize, true);
+    a_forward_far_over_the_memory_is_refused(7 * MEMORY as usize, true);
+}
--- a/tests/testsuite/memory_budget.rs
+++ b/tests/testsuite/memory_budget.rs
@@ -65,6 +65,23 @@
     assert_eq!(budget.usage().used, 0);
 }
 
+/// Failure: data that was read under a reservation was reserved once more, or held
+/// more than it needs.
+#[test]
+fn a_reservation_goes_over_to_the_data_that_it_was_made_for() {
+    let budget = MemoryBudget::new(LIMIT);
+    let reservation = budget.reserve(800).expect("room");
+    let mut data = Vec::with_capacity(900);
+    data.extend_from_slice(&[7; 600]);
+    let held = reservation.hold(data).expect("room");
+    assert_eq!(budget.usage().used, 600);
+    let too_small = budget.reserve(300).expect("room");
+    assert_eq!(too_small.hold(vec![7; 500]).err(), Some(Exhausted));
+    assert_eq!(budget.usage().used, 600);
+    drop(held);
+    assert_eq!(budget.usage().used, 0);
+}
+
 #[test]
 fn each_change_of_level_is_told_once() {
     let budget = MemoryBudget::new(LIMIT);
--- a/tests/testsuite/node/memory.rs
+++ b/tests/testsuite/node/memory.rs
@@ -1,6 +1,7 @@
 //! The memory of an instance grows with its callers by no more than
 //! `docs/CAPACITY.md` allows for each.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 use support::node::call;
 use support::node::call::Call;
 use support::node::site::KEY;
+use support::node::site::Limits;
 use support::node::site::configuration;
 use support::node::site::until;
 
@@ -46,6 +48,15 @@
 /// Time in which a refusal arrives whose caller sends no more of its body.
 const REFUSED_WITHIN: Duration = Duration::from_secs(4);
 
+/// Memory of an instance that large bodies are forwarded to, in MB, and of the one
+/// that forwards them.
+const FORWARDED_TO_MB: u64 = 100;
+const FORWARDED_BY_MB: u64 = 4000;
+
+/// Bodies that are forwarded at once, and the size of each in bytes: together more
+/// than that memory.
+const FORWARDED: (usize, usize) = (24, 7 * 1024 * 1024);
+
 /// Time that targets are silent: longer than a test.
 const SILENCE: Duration = Duration::from_secs(60);
 
@@ -101,9 +112,9 @@
 }
 
 /// Registers a target that takes all requests of a test at once.
-fn register_large(site: &Site, target: &SilentTarget) {
+fn register_large(site: &Site, address: SocketAddr, zone: &str) {
     let record = json!({
-        "service": "orders", "address": target.address.to_string(), "zone": "north-a",
+        "service": "orders", "address": address.to_string(), "zone": zone,
         "version": "v1", "slots": 1000, "state": "ready", "warmup_left_ms": 0,
         "sequence": 1, "born": 1_700_000_000_000_u64,
     });
@@ -133,7 +144,7 @@
         let site = Site::start().await;
         site.store.put("op/config", &patient());
         let silent = SilentTarget::start(SilentAnswer::Plain, Stage::BeforeHead, SILENCE).await;
-        register_large(&site, &silent);
+        register_large(&site, silent.address, "north-a");
         let node = site.instance("one", "north-a", "north").await;
         open_requests(&node, &silent, FIRST_CALLERS).await;
         let before = node.process.resident_bytes();
@@ -185,3 +196,49 @@
         .await;
     });
 }
+
+/// Starts an instance with an amount of memory.
+async fn start_with_memory(site: &mut Site, memory_mb: u64, region: &str) -> Node {
+    site.limit(Limits {
+        memory_mb,
+        ..Limits::default()
+    });
+    let zone = format!("{region}-a");
+    site.instance(region, &zone, region).await
+}
+
+/// Failure: messages of other instances were read whole before there was known to
+/// be memory for them, and an instance that was forwarded large bodies exceeded its
+/// own.
+#[test]
+fn forwarded_bodies_over_the_memory_are_refused_as_not_run() {
+    block_on(async {
+        let mut site = Site::start().await;
+        let mut config = patient();
+        config["limits"]["max_body_bytes"] = json!(FORWARDED.1);
+        site.store.put("op/config", &config);
+        let target = PlatformTarget::start("i-1").await;
+        register_large(&site, target.address, "south-a");
+        let far = start_with_memory(&mut site, FORWARDED_TO_MB, "south").await;
+        let near = start_with_memory(&mut site, FORWARDED_BY_MB, "north").await;
+        until("the instances are linked", async || {
+            near.logged().contains("link is up") && far.logged().contains("link is up")
+        })
+        .await;
+        let body = Bytes::from(vec![b'a'; FORWARDED.1]);
+        let calls = (0..FORWARDED.0).map(|n| {
+            let call = Call::new(&format!("r-{n}"), "/deposit/1").key(KEY);
+            let call = call.header("request-deadline", "60000").body(body.clone());
+            let front = near.front;
+            async move { call.exchange(front).await.expect("an answer").status }
+        });
+        let statuses = futures_util::future::join_all(calls).await;
+        let count = |status| statuses.iter().filter(|s| **s == status).count();
+        let answered = count(StatusCode::OK);
+        let refused = count(StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(answered + refused, FORWARDED.0, "{statuses:?}");
+        assert!(answered > 0 && refused > 0, "{statuses:?}");
+        let peak = far.process.peak_resident_bytes();
+        assert!(peak <= FORWARDED_TO_MB * 1_000_000, "{peak} bytes");
+    });
+}
