--- a/tests/testsuite/node/early_answers.rs
+++ b/tests/testsuite/node/early_answers.rs
@@ -17,6 +17,9 @@
 /// Size of a request's body, in bytes: more than the kernel takes at once.
 const UPLOAD_BYTES: usize = 7 * 1024 * 1024;
 
+/// Time for an upload, in milliseconds: ample for a forward on a busy machine.
+const DEADLINE_MS: u64 = 60_000;
+
 /// Size, in bytes, from which on an answer is passed on before its end.
 const STARTED_BYTES: usize = 300 * 1024;
 
@@ -42,6 +45,9 @@
         let site = Site::start().await;
         let mut config = configuration(4);
         config["limits"]["max_body_bytes"] = json!(UPLOAD_BYTES);
+        for route in config["routes"].as_array_mut().expect("routes") {
+            route["timeout_ms"] = json!(DEADLINE_MS);
+        }
         site.store.put("op/config", &config);
         let target = EarlyTarget::start(answer, end).await;
         let service = match path {
@@ -72,6 +78,7 @@
         };
         let body = Bytes::from(vec![b'a'; UPLOAD_BYTES]);
         let call = Call::new("r-1", path).key(KEY).body(body);
+        let call = call.header("request-deadline", &DEADLINE_MS.to_string());
         call.exchange(front).await
     }
 }
