--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -14,6 +14,7 @@
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Up;
 use chiverelay_sibling::read_headers;
+use chiverelay_sibling::read_status;
 use hyper::HeaderMap;
 use hyper::StatusCode;
 
@@ -82,6 +83,12 @@
     fn before_head(reason: impl ToString) -> Self {
         Self::ExchangeFailed(reason.to_string(), 1)
     }
+
+    /// The head of the answer has a status that ends no exchange.
+    fn without_status(status: u16, attempts_used: u32) -> Self {
+        let reason = format!("status {status} ends no exchange");
+        Self::ExchangeFailed(reason, attempts_used.max(1))
+    }
 }
 
 impl RemoteAnswer {
@@ -121,9 +128,10 @@
                 Frame::Software(version) => software = Some(version),
                 Frame::SoftwareUnknown => is_software_uncertain = true,
                 Frame::Head { status, headers } => {
-                    let status = StatusCode::from_u16(status);
+                    let status = read_status(status)
+                        .ok_or_else(|| ForwardFailure::without_status(status, attempts_used))?;
                     return Ok(Self {
-                        status: status.map_err(ForwardFailure::before_head)?,
+                        status,
                         headers: read_headers(&headers),
                         software,
                         is_software_uncertain,
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -6,6 +6,7 @@
 mod cut_off_from_store;
 mod cut_watches;
 mod decode;
+mod early_answers;
 mod endless;
 mod extra_attempts;
 mod first_listings;
