Play releases of targets and callers that resume streams in the soak

Targets state their software in their records and in each event that they send. In every other seed of the mixed and the calm profile a release replaces half of the targets of streams by others of another version, then the rest; the old ones drain first. In the mixed profile all instances but those under another fault may be killed at once between the halves or after the last one.

Callers of the resumable route lose a quarter of their connections within a stream, and resume what broke off, up to three times, at the same instance or another, within their first deadline. They name the request that brought the first event and the last event that they have.

Checked, over all requests with which a caller got a stream: its events come from one version, without an exception; none is missing or comes twice; a request that is to resume a stream and is refused is refused with 503 (429 by a limit), and no target had it; under planned work alone at least half of 12 or more such requests go on. Their counts are printed at the end of a run.

The new parts draw from a random source of their own, so that earlier seeds keep their faults. The check of requests that an instance gave up leaves out those whose callers lost the connection; all other checks are as they were.

--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -55,9 +55,9 @@
                     Ok(Frame::Data(data)) => return Ok(Some(data.into())),
                     Ok(Frame::End) => return Ok(None),
                     Ok(Frame::Refused(refusal)) => return Err(refusal),
-                    Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Ran(_) | Frame::Software(_)) => {
-                        (Code::SiblingFailed, peer, "a second head".to_owned())
-                    }
+                    Ok(
+                        Frame::Head { .. } | Frame::Stamp(_) | Frame::Ran(_) | Frame::Software(_),
+                    ) => (Code::SiblingFailed, peer, "a second head".to_owned()),
                     Err(e) => (Code::SiblingFailed, peer, e.to_string()),
                 }
             }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -340,8 +340,7 @@
         let is_usable = fleet.accepts_requests(target)
             && software.is_some_and(|software| cx.accepts_software(software));
         drop(fleet);
-        is_usable
-            && self.tables.traffic.lock().pause_left(target, now).is_none()
+        is_usable && self.tables.traffic.lock().pause_left(target, now).is_none()
     }
 
     async fn connect(
--- a/crates/gateway/src/remote_answer.rs
+++ b/crates/gateway/src/remote_answer.rs
@@ -153,7 +153,9 @@
                 Ok(Frame::Data(data)) => Ok(Some(data.into())),
                 Ok(Frame::End) => Ok(None),
                 Ok(Frame::Refused(refusal)) => Err(refusal.code.as_str().to_owned()),
-                Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Software(_)) => Err("unexpected frame".to_owned()),
+                Ok(Frame::Head { .. } | Frame::Stamp(_) | Frame::Software(_)) => {
+                    Err("unexpected frame".to_owned())
+                }
                 Err(e) => Err(e.to_string()),
             };
         }
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -31,6 +31,7 @@
 pub use silent::SilentTarget;
 pub use silent::Stage;
 pub use site::Node;
+pub use site::Registration;
 pub use site::Site;
 pub use slow_reader::SlowReader;
 pub use store::PlatformStore;
--- a/tests/support/node/kept.rs
+++ b/tests/support/node/kept.rs
@@ -78,6 +78,19 @@
     ///
     /// Fails if there is no head of an answer.
     pub async fn exchange(&mut self, call: &Call) -> Result<Got, NoAnswer> {
+        self.exchange_until(call, |_| false).await
+    }
+
+    /// Sends a request and reads the answer until what came of its body is
+    /// enough. An answer that was enough before its end isn't whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no head of an answer.
+    pub async fn exchange_until<F>(&mut self, call: &Call, is_enough: F) -> Result<Got, NoAnswer>
+    where
+        F: Fn(&[u8]) -> bool,
+    {
         let not_sent = |e: hyper::Error| NoAnswer::NotSent(e.to_string());
         self.sender.ready().await.map_err(not_sent)?;
         let sent = self.sender.try_send_request(call.request()).await;
@@ -94,6 +107,10 @@
                 break;
             };
             data.extend(frame.into_data().unwrap_or_default());
+            if is_enough(&data) {
+                whole = false;
+                break;
+            }
         }
         Ok(Got {
             status: parts.status,
--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -193,12 +193,44 @@
 /// Software version of targets that are registered without one.
 const SOFTWARE: &str = "v1";
 
-fn record(address: SocketAddr, service: &str, zone: &str, state: &str, cold_ms: u64) -> Value {
-    json!({
-        "service": service, "address": address.to_string(), "zone": zone,
-        "version": SOFTWARE, "slots": 6, "state": state, "warmup_left_ms": cold_ms,
-        "sequence": 1, "born": 1_700_000_000_000_u64,
-    })
+/// What a target's record says.
+#[derive(Clone, Copy, Debug)]
+pub struct Registration<'a> {
+    /// Where instances reach it.
+    pub address: SocketAddr,
+    /// The service that it belongs to.
+    pub service: &'a str,
+    /// Its availability zone.
+    pub zone: &'a str,
+    /// Version of its software.
+    pub software: &'a str,
+    /// `ready` or `draining`.
+    pub state: &'a str,
+    /// How long it stays cold, in ms.
+    pub cold_ms: u64,
+}
+
+impl<'a> Registration<'a> {
+    /// Describes a target that takes requests and isn't cold.
+    pub fn new(address: SocketAddr, service: &'a str, zone: &'a str) -> Self {
+        Self {
+            address,
+            service,
+            zone,
+            software: SOFTWARE,
+            state: "ready",
+            cold_ms: 0,
+        }
+    }
+
+    fn record(&self) -> Value {
+        json!({
+            "service": self.service, "address": self.address.to_string(), "zone": self.zone,
+            "version": self.software, "slots": 6, "state": self.state,
+            "warmup_left_ms": self.cold_ms,
+            "sequence": 1, "born": 1_700_000_000_000_u64,
+        })
+    }
 }
 
 impl Site {
@@ -245,8 +277,13 @@
         state: &str,
         cold_ms: u64,
     ) {
-        let record = record(target.address, service, zone, state, cold_ms);
-        self.store.put(&format!("servers/{}", target.name), &record);
+        let usual = Registration::new(target.address, service, zone);
+        let registration = Registration {
+            state,
+            cold_ms,
+            ..usual
+        };
+        self.write_registration(&target.name, &registration);
     }
 
     /// Registers a target with a version of its software.
@@ -257,27 +294,20 @@
         zone: &str,
         software: &str,
     ) {
-        let mut record = record(target.address, service, zone, "ready", 0);
-        record["version"] = software.into();
-        self.store.put(&format!("servers/{}", target.name), &record);
+        let usual = Registration::new(target.address, service, zone);
+        let registration = Registration { software, ..usual };
+        self.write_registration(&target.name, &registration);
     }
 
     /// Registers a target that instances reach at an address.
     pub fn register_at(&self, name: &str, address: SocketAddr, service: &str, zone: &str) {
-        self.register_cold_at(name, address, service, zone, 0);
+        self.write_registration(name, &Registration::new(address, service, zone));
     }
 
-    /// Registers a target that instances reach at an address, cold for a while.
-    pub fn register_cold_at(
-        &self,
-        name: &str,
-        address: SocketAddr,
-        service: &str,
-        zone: &str,
-        cold_ms: u64,
-    ) {
-        let record = record(address, service, zone, "ready", cold_ms);
-        self.store.put(&format!("servers/{name}"), &record);
+    /// Writes the record of a target.
+    pub fn write_registration(&self, name: &str, registration: &Registration<'_>) {
+        let key = format!("servers/{name}");
+        self.store.put(&key, &registration.record());
     }
 
     /// Starts an instance and waits until it takes requests.
--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -87,6 +87,8 @@
 #[derive(Debug)]
 struct State {
     mode: Mode,
+    /// Software version that events name, if they name one.
+    software: Option<String>,
     arrivals: Vec<Arrival>,
 }
 
@@ -107,6 +109,7 @@
         let (listener, address) = crate::platform::listener().await;
         let state = Arc::new(Mutex::new(State {
             mode: Mode::Answer,
+            software: None,
             arrivals: Vec::new(),
         }));
         let stop = CancellationToken::new();
@@ -128,6 +131,13 @@
         self.state.lock().expect("no panic under the lock").mode = mode;
     }
 
+    /// Has each event of a [`Mode::Events`], [`Mode::Cut`] or [`Mode::Paced`]
+    /// stream name a software version.
+    pub fn name_software(&self, software: &str) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        state.software = Some(software.to_owned());
+    }
+
     /// Returns the requests that reached the target.
     pub fn arrivals(&self) -> Vec<Arrival> {
         let state = self.state.lock().expect("no panic under the lock");
@@ -151,10 +161,10 @@
     let id = arrival.header("request-id").to_owned();
     let meant = arrival.header("target-instance").to_owned();
     let after: u64 = arrival.header("last-event-id").parse().unwrap_or_default();
-    let mode = {
+    let (mode, software) = {
         let mut state = state.lock().expect("no panic under the lock");
         state.arrivals.push(arrival);
-        state.mode
+        (state.mode, state.software.clone())
     };
     if meant != name {
         return http::empty_response(StatusCode::MISDIRECTED_REQUEST);
@@ -179,11 +189,17 @@
             resp.extensions_mut().insert(http::ResetConnection);
             return resp;
         }
-        Mode::Events(count) => events(after, after + count, false, EVENT_PAUSE),
-        Mode::Cut(count) => events(after, after + count, true, EVENT_PAUSE),
-        Mode::Paced(last, pause) => events(after, last, false, pause),
+        Mode::Events(count) => {
+            let pieces = Pieces::new(after, after + count, software);
+            events(pieces, false, EVENT_PAUSE)
+        }
+        Mode::Cut(count) => {
+            let pieces = Pieces::new(after, after + count, software);
+            events(pieces, true, EVENT_PAUSE)
+        }
+        Mode::Paced(last, pause) => events(Pieces::new(after, last, software), false, pause),
         Mode::LongEvent(bytes) => long_event(bytes),
-        Mode::EndlessEvent => endless_event(),
+        Mode::EndlessEvent => endless_event(after + 1),
         Mode::LongBody(bytes) => Response::new(http::full_body("a".repeat(bytes))),
     };
     let id = if mode == Mode::Foreign {
@@ -228,14 +244,15 @@
 /// Size of such a block, in bytes.
 const BLOCK_BYTES: usize = 16 * 1024;
 
-fn endless_event() -> Response<http::Body> {
+fn endless_event(id: u64) -> Response<http::Body> {
     let block = Bytes::from("a".repeat(BLOCK_BYTES));
+    let start = Bytes::from(format!("id: {id}\ndata: "));
     let blocks = futures_util::stream::unfold(true, move |is_first| {
-        let block = block.clone();
+        let (start, block) = (start.clone(), block.clone());
         async move {
             tokio::time::sleep(BLOCK_PAUSE).await;
             let data = match is_first {
-                true => Bytes::from_static(b"id: 1\ndata: "),
+                true => start,
                 false => block,
             };
             Some((Ok::<_, std::io::Error>(Frame::data(data)), false))
@@ -255,11 +272,35 @@
     resp
 }
 
-/// Sends the events of a stream after `after` up to `last`, with half of one
-/// more at the end if it breaks off.
-fn events(after: u64, last: u64, cut: bool, pause: Duration) -> Response<http::Body> {
-    let event = |n: u64| Ok(Bytes::from(format!("id: {n}\ndata: piece {n}\n\n")));
-    let mut pieces: Vec<Result<Bytes, std::io::Error>> = (after + 1..=last).map(event).collect();
+/// The events of a stream that a target sends.
+struct Pieces {
+    ids: std::ops::RangeInclusive<u64>,
+    software: Option<String>,
+}
+
+impl Pieces {
+    /// Names the events after `after` up to `last`.
+    fn new(after: u64, last: u64, software: Option<String>) -> Self {
+        Self {
+            ids: after + 1..=last,
+            software,
+        }
+    }
+
+    fn event(&self, n: u64) -> Bytes {
+        let text = match &self.software {
+            Some(software) => format!("id: {n}\ndata: piece {n} of {software}\n\n"),
+            None => format!("id: {n}\ndata: piece {n}\n\n"),
+        };
+        Bytes::from(text)
+    }
+}
+
+/// Sends the events of a stream, with half of one more at the end if it breaks
+/// off.
+fn events(pieces: Pieces, cut: bool, pause: Duration) -> Response<http::Body> {
+    let ids = pieces.ids.clone();
+    let mut pieces: Vec<Result<Bytes, std::io::Error>> = ids.map(|n| Ok(pieces.event(n))).collect();
     if cut {
         pieces.push(Ok(Bytes::from("id: 99\nda")));
         pieces.push(Err(std::io::Error::other("cut")));
--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -8,12 +8,16 @@
 //! `SOAK_MEMORY_MB=260` and `SOAK_DESCRIPTORS=4100` what each process is
 //! allowed.
 
+mod arrivals;
 mod callers;
 mod changes;
 mod checks;
 mod crowd;
 mod faults;
 mod record;
+mod release;
+mod resume;
+mod streams;
 mod usage;
 mod watches;
 mod world;
@@ -30,6 +34,7 @@
 use support::node::site::Limits;
 
 use callers::Caller;
+use resume::Habits;
 use world::Soak;
 
 /// Time in which faults begin.
@@ -105,6 +110,12 @@
         }
     }
 
+    /// Tells whether targets of a second software version come in a run: in that
+    /// of every other seed.
+    fn has_release(self, seed: u64) -> bool {
+        self != Self::Crowded && !seed.is_multiple_of(2)
+    }
+
     /// Returns what each process is allowed.
     fn limits(self) -> Limits {
         match self {
@@ -129,10 +140,15 @@
 /// Strikes and sends requests, and waits until everything works again.
 async fn run(soak: &Soak, profile: Profile, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
+    // What was added later draws from a source of its own, so that earlier seeds
+    // keep their faults.
+    let mut later = StdRng::seed_from_u64(!seed);
+    let mut next_rng = || StdRng::seed_from_u64(later.next_u64());
     let until = Instant::now() + FAULTS;
     let callers: Vec<_> = (0..soak.size.callers)
         .map(|n| {
-            let caller = Caller::new(soak, n, StdRng::seed_from_u64(rng.next_u64()));
+            let own = StdRng::seed_from_u64(rng.next_u64());
+            let caller = Caller::new(soak, n, own, Habits::new(next_rng()));
             tokio::spawn(caller.run(until))
         })
         .collect();
@@ -146,7 +162,12 @@
             }
         }
     });
-    futures_util::future::join_all(series).await;
+    let series = futures_util::future::join_all(series);
+    tokio::join!(series, async {
+        if profile.has_release(seed) {
+            release::run(soak, profile, &mut next_rng()).await;
+        }
+    });
     for caller in callers {
         caller.await.expect("no panic");
     }
--- a/tests/testsuite/node/soak/callers.rs
+++ b/tests/testsuite/node/soak/callers.rs
@@ -18,6 +18,10 @@
 use super::DEADLINE;
 use super::SLACK;
 use super::changes::Changes;
+use super::resume;
+use super::resume::BrokenStream;
+use super::resume::Habits;
+use super::resume::Resumption;
 use super::world::Soak;
 
 /// A path of each route that is asked for.
@@ -51,6 +55,8 @@
     Late,
     /// There was an answer, or a part of one.
     Answered(Got),
+    /// The caller lost its connection within the answer.
+    Lost(Got),
 }
 
 /// What a caller saw of one request.
@@ -61,6 +67,10 @@
     /// Index of the instance.
     pub(super) at: usize,
     pub(super) is_kept: bool,
+    /// What it states if it resumes a stream.
+    pub(super) resumption: Option<Resumption>,
+    /// Time that the caller grants.
+    pub(super) deadline: Duration,
     pub(super) sent: Instant,
     pub(super) ended: Instant,
     pub(super) end: End,
@@ -70,7 +80,7 @@
     /// Returns the answer, if there is one.
     pub(super) fn answer(&self) -> Option<&Got> {
         match &self.end {
-            End::Answered(got) => Some(got),
+            End::Answered(got) | End::Lost(got) => Some(got),
             _ => None,
         }
     }
@@ -80,22 +90,36 @@
         let is_success = |got: &Got| got.whole && got.status == StatusCode::OK;
         self.answer().is_some_and(is_success)
     }
+
+    /// Returns the id of the request that began the stream which this one
+    /// resumes, or its own.
+    pub(super) fn stream(&self) -> &str {
+        let first = self.resumption.as_ref().map(|r| r.first.as_str());
+        first.unwrap_or(&self.id)
+    }
+
+    /// Returns the id of the event after which the answer is to begin.
+    pub(super) fn after(&self) -> u64 {
+        self.resumption.as_ref().map_or(0, |r| r.after)
+    }
 }
 
 /// A caller.
 pub(super) struct Caller {
     number: usize,
     rng: StdRng,
+    habits: Habits,
     fronts: Arc<Vec<Mutex<SocketAddr>>>,
     changes: Arc<Changes>,
     seen: Arc<Mutex<Vec<Seen>>>,
 }
 
 impl Caller {
-    pub(super) fn new(soak: &Soak, number: usize, rng: StdRng) -> Self {
+    pub(super) fn new(soak: &Soak, number: usize, rng: StdRng, habits: Habits) -> Self {
         Self {
             number,
             rng,
+            habits,
             fronts: Arc::clone(&soak.fronts),
             changes: Arc::clone(&soak.changes),
             seen: Arc::clone(&soak.seen),
@@ -131,28 +155,70 @@
             Some(kept) => kept,
             None => self.connect().await?,
         };
-        let sent = Instant::now();
-        let end = exchange(&mut conn, &request(id, path, is_long)).await;
-        let one = Seen {
-            id: id.to_owned(),
-            path,
-            at,
+        let ask = Ask {
+            is_long,
             is_kept,
-            sent,
-            ended: Instant::now(),
-            end,
+            events_before_loss: self.habits.events_before_loss(path),
+            ..Ask::new(id, path)
         };
+        let one = ask.send(at, &mut conn).await;
         let is_reusable = self.keeps_connections() && one.allows_reuse() && !conn.is_closed();
-        self.seen.lock().expect("no panic under the lock").push(one);
+        let broken = BrokenStream::of(&one);
+        self.note(one);
+        if let Some(stream) = broken {
+            drop(conn);
+            self.resume(stream).await;
+            return None;
+        }
         is_reusable.then_some((at, conn))
     }
 
+    /// Resumes a broken stream as often as the caller does, until it has come to
+    /// its end or the time is over.
+    async fn resume(&mut self, mut stream: BrokenStream) {
+        let mut left = self.habits.resumes();
+        let mut n = 0;
+        while left > 0 {
+            tokio::time::sleep(self.habits.pause()).await;
+            let Some(time_left) = stream.time_left() else {
+                return;
+            };
+            let at = self.habits.instance(stream.at, self.fronts.len());
+            let Some(mut conn) = self.connect_to(at).await else {
+                continue;
+            };
+            left -= 1;
+            n += 1;
+            let id = format!("{}-{n}", stream.resumption.first);
+            let ask = Ask {
+                deadline: time_left,
+                events_before_loss: self.habits.events_before_loss(stream.path),
+                resumption: Some(stream.resumption.clone()),
+                ..Ask::new(&id, stream.path)
+            };
+            let one = ask.send(at, &mut conn).await;
+            let is_broken = stream.add(&one);
+            self.note(one);
+            if !is_broken {
+                return;
+            }
+        }
+    }
+
+    fn note(&self, one: Seen) {
+        self.seen.lock().expect("no panic under the lock").push(one);
+    }
+
     async fn connect(&mut self) -> Option<(usize, KeptConnection)> {
         let at = self.rng.random_range(0..self.fronts.len());
+        let conn = self.connect_to(at).await?;
+        Some((at, conn))
+    }
+
+    async fn connect_to(&self, at: usize) -> Option<KeptConnection> {
         let front = *self.fronts[at].lock().expect("no panic under the lock");
         let opening = tokio::time::timeout(SLACK, KeptConnection::try_open(front));
-        let conn = opening.await.ok()?.ok()?;
-        Some((at, conn))
+        opening.await.ok()?.ok()
     }
 
     fn pause(&mut self) -> Duration {
@@ -181,23 +247,83 @@
     }
 }
 
-fn request(id: &str, path: &str, is_long: bool) -> Call {
-    let call = Call::new(id, path).key(KEY);
-    let call = call.header("request-deadline", &DEADLINE.as_millis().to_string());
-    match is_long {
-        true => call.header("x-long", &"a".repeat(LONG_HEADER_BYTES)),
-        false => call,
-    }
+/// A request that is to be sent.
+#[derive(Debug)]
+struct Ask<'a> {
+    id: &'a str,
+    path: &'static str,
+    is_long: bool,
+    is_kept: bool,
+    deadline: Duration,
+    /// Events after which the caller loses its connection, if it does.
+    events_before_loss: Option<usize>,
+    resumption: Option<Resumption>,
 }
 
-/// Sends a request and waits for as long as its caller does.
-async fn exchange(conn: &mut KeptConnection, call: &Call) -> End {
-    let got = tokio::time::timeout(DEADLINE + SLACK, conn.exchange(call)).await;
-    match got {
-        Ok(Ok(got)) => End::Answered(got),
-        Ok(Err(NoAnswer::NotSent(_))) => End::NotSent,
-        Ok(Err(NoAnswer::Unanswered(_))) => End::Unanswered,
-        Err(_) => End::Late,
+impl<'a> Ask<'a> {
+    fn new(id: &'a str, path: &'static str) -> Self {
+        Self {
+            id,
+            path,
+            is_long: false,
+            is_kept: false,
+            deadline: DEADLINE,
+            events_before_loss: None,
+            resumption: None,
+        }
+    }
+
+    fn call(&self) -> Call {
+        let deadline = self.deadline.as_millis().to_string();
+        let mut call = Call::new(self.id, self.path).key(KEY);
+        call = call.header("request-deadline", &deadline);
+        if self.is_long {
+            call = call.header("x-long", &"a".repeat(LONG_HEADER_BYTES));
+        }
+        match &self.resumption {
+            Some(Resumption { first, after }) => call
+                .header("resumes", first)
+                .header("last-event-id", &after.to_string()),
+            None => call,
+        }
+    }
+
+    /// Sends the request on a connection to an instance.
+    async fn send(self, at: usize, conn: &mut KeptConnection) -> Seen {
+        let sent = Instant::now();
+        let end = self.exchange(conn).await;
+        self.seen(at, sent, end)
+    }
+
+    /// Sends the request and waits for as long as its caller does.
+    async fn exchange(&self, conn: &mut KeptConnection) -> End {
+        let call = self.call();
+        let is_lost = |body: &[u8]| {
+            let pieces = resume::pieces(&String::from_utf8_lossy(body));
+            self.events_before_loss.is_some_and(|n| pieces.len() >= n)
+        };
+        let exchange = conn.exchange_until(&call, is_lost);
+        match tokio::time::timeout(self.deadline + SLACK, exchange).await {
+            Ok(Ok(got)) if is_lost(got.body.as_bytes()) => End::Lost(got),
+            Ok(Ok(got)) => End::Answered(got),
+            Ok(Err(NoAnswer::NotSent(_))) => End::NotSent,
+            Ok(Err(NoAnswer::Unanswered(_))) => End::Unanswered,
+            Err(_) => End::Late,
+        }
+    }
+
+    fn seen(self, at: usize, sent: Instant, end: End) -> Seen {
+        Seen {
+            id: self.id.to_owned(),
+            path: self.path,
+            at,
+            is_kept: self.is_kept,
+            resumption: self.resumption,
+            deadline: self.deadline,
+            sent,
+            ended: Instant::now(),
+            end,
+        }
     }
 }
 
@@ -219,24 +345,15 @@
     id: &str,
     path: &'static str,
 ) -> (Seen, Option<KeptConnection>) {
+    let ask = Ask::new(id, path);
     let sent = Instant::now();
     let opening = tokio::time::timeout(SLACK, KeptConnection::try_open(front)).await;
-    let (end, conn) = match opening {
+    match opening {
         Ok(Ok(mut conn)) => {
-            let end = exchange(&mut conn, &request(id, path, false)).await;
-            (end, Some(conn))
+            let end = ask.exchange(&mut conn).await;
+            (ask.seen(at, sent, end), Some(conn))
         }
-        Ok(Err(_)) => (End::NotSent, None),
-        Err(_) => (End::Unopened, None),
-    };
-    let seen = Seen {
-        id: id.to_owned(),
-        path,
-        at,
-        is_kept: false,
-        sent,
-        ended: Instant::now(),
-        end,
-    };
-    (seen, conn)
+        Ok(Err(_)) => (ask.seen(at, sent, End::NotSent), None),
+        Err(_) => (ask.seen(at, sent, End::Unopened), None),
+    }
 }
--- a/tests/testsuite/node/soak/checks.rs
+++ b/tests/testsuite/node/soak/checks.rs
@@ -9,20 +9,22 @@
 use serde_json::Value;
 use support::node::Got;
 
-use super::DEADLINE;
 use super::MIN_REQUESTS;
 use super::Profile;
 use super::SLACK;
+use super::arrivals::Arrivals;
 use super::callers::End;
 use super::callers::Seen;
 use super::record::Scope;
+use super::streams;
+use super::streams::Resumed;
 use super::usage::Excess;
 use super::world::EVENTS;
 use super::world::Soak;
 use super::world::TARGETS;
 
 /// Statuses that promise that a request has not run.
-const NOT_RUN: [u16; 9] = [400, 401, 404, 408, 413, 421, 429, 431, 503];
+pub(super) const NOT_RUN: [u16; 9] = [400, 401, 404, 408, 413, 421, 429, 431, 503];
 
 /// Statuses that refuse a request which the configurations of a run allow.
 const DENIED: [u16; 6] = [400, 401, 403, 404, 413, 431];
@@ -49,10 +51,10 @@
 
 /// Something that must not happen.
 #[derive(Debug)]
-struct Violation {
-    id: String,
-    rule: &'static str,
-    seen: String,
+pub(super) struct Violation {
+    pub(super) id: String,
+    pub(super) rule: &'static str,
+    pub(super) seen: String,
 }
 
 /// Checks a run. The logs of one that fails are kept.
@@ -106,11 +108,13 @@
             End::Late => "late".to_owned(),
             End::Answered(got) if got.whole => got.status.as_str().to_owned(),
             End::Answered(_) => "broken off".to_owned(),
+            End::Lost(_) => "lost by its caller".to_owned(),
         };
         *counts.entry(end).or_default() += 1;
     }
     let kept = seen.iter().filter(|one| one.is_kept).count();
-    println!("{profile:?} seed {seed}: {counts:?}, {kept} on kept connections, {used}");
+    let resumed = Resumed::count(seen).summary();
+    println!("{profile:?} seed {seed}: {counts:?}, {kept} on kept connections, {resumed}, {used}");
 }
 
 fn keep_logs(profile: Profile, seed: u64, logs: &[(String, String)]) -> PathBuf {
@@ -134,7 +138,7 @@
 }
 
 impl Violation {
-    fn new(one: &Seen, rule: &'static str) -> Self {
+    pub(super) fn new(one: &Seen, rule: &'static str) -> Self {
         Self {
             id: one.id.clone(),
             rule,
@@ -167,36 +171,26 @@
 struct Checker<'a> {
     soak: &'a Soak,
     profile: Profile,
-    /// For each request the targets that ran it, as often as they did.
-    runs: HashMap<String, Vec<usize>>,
+    arrivals: Arrivals,
     /// Requests that an instance says it gave up.
     given_up: HashSet<String>,
 }
 
 impl<'a> Checker<'a> {
     fn new(soak: &'a Soak, profile: Profile, logs: &[(String, String)]) -> Self {
-        let mut runs: HashMap<String, Vec<usize>> = HashMap::new();
-        for (at, target) in soak.targets.iter().enumerate() {
-            let target = &target.target;
-            for arrival in target.arrivals() {
-                if arrival.header("target-instance") == target.name {
-                    let id = arrival.header("request-id").to_owned();
-                    runs.entry(id).or_default().push(at);
-                }
-            }
-        }
         let lines = logs.iter().flat_map(|(_, log)| log.lines());
         let given_up = lines.filter_map(given_up_request);
         Self {
             soak,
             profile,
-            runs,
+            arrivals: Arrivals::of(soak),
             given_up: given_up.collect(),
         }
     }
 
-    fn runs(&self, one: &Seen) -> &[usize] {
-        self.runs.get(&one.id).map_or(&[], Vec::as_slice)
+    /// Returns the targets that ran a request, as often as they did.
+    fn runs(&self, one: &Seen) -> Vec<usize> {
+        self.arrivals.runs(&one.id)
     }
 
     fn violations(&self, seen: &[Seen]) -> Vec<Violation> {
@@ -208,6 +202,8 @@
         if self.profile != Profile::Mixed {
             found.extend(self.given_up_without_cause(seen));
         }
+        found.extend(streams::violations(seen, &self.arrivals));
+        found.extend(Resumed::count(seen).violation(self.profile));
         found
     }
 
@@ -242,10 +238,11 @@
         if got.header("request-id") != one.id {
             return false;
         }
-        let targets = self.runs(one).iter().map(|at| &TARGETS[*at]);
+        let runs = self.runs(one);
+        let targets = runs.iter().map(|at| &TARGETS[*at]);
         let mut allowed = targets.filter(|(_, service, _)| service_answers(one.path, service));
         if is_stream(one.path) {
-            let whole: Vec<u64> = (1..=EVENTS).collect();
+            let whole: Vec<u64> = (one.after() + 1..=EVENTS).collect();
             let events = got.event_ids();
             let is_in_order = match got.whole {
                 true => events == whole,
@@ -268,14 +265,15 @@
     fn is_answered(&self, one: &Seen) -> bool {
         let (shortest, longest) = self.soak.changes.timeouts(one.sent, one.ended);
         let took = one.ended - one.sent;
-        let is_timed_out = took + TIMEOUT_MARGIN >= DEADLINE.min(shortest);
+        let is_timed_out = took + TIMEOUT_MARGIN >= one.deadline.min(shortest);
         let is_well = match &one.end {
             End::NotSent => true,
             End::Unanswered => !self.was_read(one),
             End::Unopened | End::Late => false,
+            End::Lost(_) => true,
             End::Answered(got) => {
                 let is_answer = got.whole && !UNKNOWN.contains(&got.status.as_u16());
-                let is_in_time = took <= DEADLINE.min(longest) + SLACK;
+                let is_in_time = took <= one.deadline.min(longest) + SLACK;
                 is_in_time && (is_answer || is_timed_out)
             }
         };
@@ -307,10 +305,12 @@
     /// Returns the requests that an instance gave up though their time was not
     /// over.
     fn given_up_without_cause(&self, seen: &[Seen]) -> Vec<Violation> {
-        let given_up = seen.iter().filter(|one| self.given_up.contains(&one.id));
+        // One that its caller has lost is given up for that.
+        let awaited = seen.iter().filter(|one| !matches!(one.end, End::Lost(_)));
+        let given_up = awaited.filter(|one| self.given_up.contains(&one.id));
         let without_cause = given_up.filter(|one| {
             let (shortest, _) = self.soak.changes.timeouts(one.sent, one.ended);
-            one.ended - one.sent + TIMEOUT_MARGIN < DEADLINE.min(shortest)
+            one.ended - one.sent + TIMEOUT_MARGIN < one.deadline.min(shortest)
         });
         without_cause
             .map(|one| Violation::new(one, "given up by its instance"))
--- a/tests/testsuite/node/soak/faults.rs
+++ b/tests/testsuite/node/soak/faults.rs
@@ -21,6 +21,7 @@
 use super::record::Scope;
 use super::watches;
 use super::world;
+use super::world::FIRST_TARGETS;
 use super::world::Soak;
 use super::world::TARGETS;
 
@@ -115,7 +116,7 @@
             store.restore_and_write_again(copy);
         }
         _ => {
-            let (_, _, zone) = TARGETS[rng.random_range(0..TARGETS.len())];
+            let (_, _, zone) = TARGETS[rng.random_range(0..FIRST_TARGETS)];
             let key = format!("op/evacuate/{zone}");
             store.put(&key, &json!({}));
             tokio::time::sleep(time).await;
@@ -126,7 +127,8 @@
 
 /// Lets a sound target be silent for a while and go on.
 async fn fall_silent(soak: &Soak, rng: &mut StdRng) {
-    let target = &soak.targets[rng.random_range(0..soak.targets.len())];
+    let at = soak.serving(rng.random_range(0..FIRST_TARGETS));
+    let target = &soak.targets[at];
     let time = Duration::from_millis(rng.random_range(SILENCE_MS));
     // Another fault may have the target now.
     let Ok(_fault) = target.fault.try_lock() else {
@@ -145,7 +147,7 @@
 /// Harms the link to a target. A delay is the only harm that a request
 /// survives.
 async fn harm_target(soak: &Soak, rng: &mut StdRng, time: Duration) {
-    let at = rng.random_range(0..soak.targets.len());
+    let at = soak.serving(rng.random_range(0..FIRST_TARGETS));
     let target = &soak.targets[at];
     let harm = random_harm(rng);
     let Ok(_fault) = target.fault.try_lock() else {
@@ -171,7 +173,7 @@
 
 /// Has a target of streams send an event that does not end.
 async fn send_without_end(soak: &Soak, rng: &mut StdRng, time: Duration) {
-    let at = rng.random_range(0..soak.targets.len());
+    let at = soak.serving(rng.random_range(0..FIRST_TARGETS));
     let target = &soak.targets[at];
     let Ok(_fault) = target.fault.try_lock() else {
         return;
@@ -239,6 +241,27 @@
     soak.record.end(fault);
 }
 
+/// Kills all instances at once, but those under another fault, and starts them
+/// again after `time`.
+pub(super) async fn kill_all(soak: &Soak, time: Duration) {
+    let nodes = soak.nodes.iter().enumerate();
+    let mut killed = Vec::new();
+    for (at, node) in nodes {
+        if let Ok(node) = node.try_lock() {
+            killed.push((at, soak.record.begin(Scope::Instance(at)), node));
+        }
+    }
+    for (at, _, node) in &mut killed {
+        node.process.kill();
+        soak.note_end(*at);
+    }
+    tokio::time::sleep(time).await;
+    for (at, fault, mut node) in killed {
+        soak.respawn(at, &mut node);
+        soak.record.end(fault);
+    }
+}
+
 /// What the others hear of a restart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Restart {
--- /dev/null
+++ b/tests/testsuite/node/soak/resume.rs
@@ -0,0 +1,145 @@
+//! Callers that resume a stream which broke off.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use super::callers::Seen;
+use super::world::EVENTS;
+
+/// The path whose streams may be resumed.
+const RESUMABLE: &str = "/quote/1";
+
+/// Share of those streams that their callers' network breaks off.
+const LOSS_SHARE: f64 = 0.25;
+
+/// Share of the broken streams that are resumed at the same instance.
+const SAME_INSTANCE_SHARE: f64 = 0.3;
+
+/// Most requests with which a caller resumes one stream.
+const MAX_RESUMES: usize = 3;
+
+/// Longest pause before a stream is resumed, in ms.
+const MAX_PAUSE_MS: u64 = 150;
+
+/// Least time to the deadline in which a caller resumes a stream.
+const LEAST_TIME: Duration = Duration::from_millis(600);
+
+/// A whole event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Piece {
+    pub(super) id: u64,
+    /// Version of the software that made it.
+    pub(super) software: String,
+}
+
+impl Piece {
+    /// Reads an event as the targets of a run write it.
+    fn parse(event: &str) -> Option<Self> {
+        let (id, data) = event.strip_suffix("\n\n")?.split_once('\n')?;
+        let (_, software) = data.rsplit_once(" of ")?;
+        Some(Self {
+            id: id.strip_prefix("id: ")?.parse().ok()?,
+            software: software.to_owned(),
+        })
+    }
+}
+
+/// Returns the events that came whole.
+pub(super) fn pieces(body: &str) -> Vec<Piece> {
+    let events = body.split_inclusive("\n\n");
+    events.filter_map(Piece::parse).collect()
+}
+
+/// What a request that resumes a stream states.
+#[derive(Clone, Debug)]
+pub(super) struct Resumption {
+    /// Id of the request that brought the first event.
+    pub(super) first: String,
+    /// Id of the last event that came.
+    pub(super) after: u64,
+}
+
+/// A stream that its caller doesn't have to its end.
+#[derive(Debug)]
+pub(super) struct BrokenStream {
+    pub(super) path: &'static str,
+    /// Index of the instance that was asked last.
+    pub(super) at: usize,
+    pub(super) resumption: Resumption,
+    deadline: Instant,
+}
+
+impl BrokenStream {
+    /// Returns the stream that a request left broken off, if it may be resumed.
+    pub(super) fn of(one: &Seen) -> Option<Self> {
+        let got = one.answer()?;
+        let last = pieces(&got.body).last()?.id;
+        if one.path != RESUMABLE || got.whole || last >= EVENTS {
+            return None;
+        }
+        Some(Self {
+            path: one.path,
+            at: one.at,
+            resumption: Resumption {
+                first: one.id.clone(),
+                after: last,
+            },
+            deadline: one.sent + one.deadline,
+        })
+    }
+
+    /// Adds what a request that resumes the stream brought, and tells whether
+    /// the stream is still broken off.
+    pub(super) fn add(&mut self, one: &Seen) -> bool {
+        self.at = one.at;
+        let Some(got) = one.answer() else {
+            return true;
+        };
+        if let Some(last) = pieces(&got.body).last() {
+            self.resumption.after = last.id;
+        }
+        !one.is_success() && self.resumption.after < EVENTS
+    }
+
+    /// Returns the time left, if it is enough to resume the stream.
+    pub(super) fn time_left(&self) -> Option<Duration> {
+        let left = self.deadline.checked_duration_since(Instant::now())?;
+        (left >= LEAST_TIME).then_some(left)
+    }
+}
+
+/// What a caller does about streams that break off.
+#[derive(Debug)]
+pub(super) struct Habits(StdRng);
+
+impl Habits {
+    pub(super) fn new(rng: StdRng) -> Self {
+        Self(rng)
+    }
+
+    /// Returns the number of events after which the caller's network loses the
+    /// connection, if it does.
+    pub(super) fn events_before_loss(&mut self, path: &str) -> Option<usize> {
+        let is_lost = path == RESUMABLE && self.0.random_bool(LOSS_SHARE);
+        is_lost.then(|| self.0.random_range(1..EVENTS as usize))
+    }
+
+    pub(super) fn resumes(&mut self) -> usize {
+        self.0.random_range(0..=MAX_RESUMES)
+    }
+
+    /// Chooses the instance that is asked to go on with a stream.
+    pub(super) fn instance(&mut self, last: usize, instances: usize) -> usize {
+        if self.0.random_bool(SAME_INSTANCE_SHARE) {
+            return last;
+        }
+        (last + self.0.random_range(1..instances.max(2))) % instances
+    }
+
+    pub(super) fn pause(&mut self) -> Duration {
+        Duration::from_millis(self.0.random_range(0..MAX_PAUSE_MS))
+    }
+}
--- a/tests/testsuite/node/soak/watches.rs
+++ b/tests/testsuite/node/soak/watches.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use support::node::proxy::Harm;
 
+use super::world::FIRST_TARGETS;
 use super::world::Soak;
 use super::world::TARGETS;
 
@@ -91,23 +92,18 @@
 /// a zone for a part of that time.
 pub(super) async fn cut_off_beside_cold(soak: &Soak, rng: &mut StdRng) {
     let link = &soak.store_links[rng.random_range(0..soak.store_links.len())];
-    let at = rng.random_range(0..soak.targets.len());
-    let (name, service, zone) = TARGETS[at];
+    let at = soak.serving(rng.random_range(0..FIRST_TARGETS));
+    let (_, service, _) = TARGETS[at];
     if service != "model" {
         return;
     }
-    let (_, _, evacuated) = TARGETS[rng.random_range(0..TARGETS.len())];
+    let (_, _, evacuated) = TARGETS[rng.random_range(0..FIRST_TARGETS)];
     let time = Duration::from_millis(rng.random_range(CUT_OFF_MS));
     let Ok(_fault) = soak.targets[at].cold.try_lock() else {
         return;
     };
-    let address = soak.targets[at].proxy.address;
-    let write = |cold_ms| {
-        let site = &soak.site;
-        site.register_cold_at(name, address, service, zone, cold_ms);
-    };
     link.set(Harm::Silence);
-    write(2 * time.as_millis() as u64);
+    soak.write_cold(at, 2 * time.as_millis() as u64);
     let since = Instant::now();
     let key = format!("op/evacuate/{evacuated}");
     soak.site.store.put(&key, &json!({}));
@@ -115,7 +111,7 @@
     soak.site.store.remove(&key);
     tokio::time::sleep(time / 2).await;
     let until = Instant::now();
-    write(0);
+    soak.write_cold(at, 0);
     link.set(Harm::None);
     let cold = ColdTime {
         target: at,
--- a/tests/testsuite/node/soak/world.rs
+++ b/tests/testsuite/node/soak/world.rs
@@ -12,6 +12,7 @@
 use support::node::Node;
 use support::node::PlatformStore;
 use support::node::PlatformTarget;
+use support::node::Registration;
 use support::node::Site;
 use support::node::proxy::Proxy;
 use support::node::site::Limits;
@@ -44,8 +45,18 @@
     ("west-a", "west"),
 ];
 
+/// Targets that serve from the beginning. Those after them replace the targets of
+/// streams, each the one so many before it.
+pub(super) const FIRST_TARGETS: usize = 13;
+
+/// Difference between the numbers of a target and of the one that replaces it.
+const TO_SUCCESSOR: usize = 5;
+
+/// Versions of the targets' software.
+const SOFTWARE: [&str; 2] = ["v1", "v2"];
+
 /// Targets with their service and zone.
-pub(super) const TARGETS: [(&str, &str, &str); 13] = [
+pub(super) const TARGETS: [(&str, &str, &str); 18] = [
     ("i-orders-1", "orders", "north-a"),
     ("i-orders-2", "orders", "north-a"),
     ("i-orders-3", "orders", "south-a"),
@@ -59,6 +70,11 @@
     ("i-model-3", "model", "south-a"),
     ("i-model-4", "model", "south-a"),
     ("i-model-5", "model", "west-a"),
+    ("i-model-6", "model", "north-a"),
+    ("i-model-7", "model", "north-a"),
+    ("i-model-8", "model", "south-a"),
+    ("i-model-9", "model", "south-a"),
+    ("i-model-10", "model", "west-a"),
 ];
 
 /// Where an instance runs.
@@ -89,6 +105,15 @@
     pub(super) fault: tokio::sync::Mutex<()>,
     /// Locked while the target is cold.
     pub(super) cold: tokio::sync::Mutex<()>,
+    /// What its record says besides its place; none while it has none.
+    registered: Mutex<Option<Registered>>,
+}
+
+/// The changing part of a target's record.
+#[derive(Clone, Copy, Debug)]
+struct Registered {
+    is_draining: bool,
+    cold_ms: u64,
 }
 
 /// A run.
@@ -127,9 +152,11 @@
         site.limit(limits);
         let changes = Changes::begin(&site.store);
         let mut targets = Vec::new();
-        for (name, service, zone) in TARGETS {
-            let target = SoakTarget::start(name, service).await;
-            site.register_at(name, target.proxy.address, service, zone);
+        for at in 0..TARGETS.len() {
+            let target = SoakTarget::start(at).await;
+            if at < FIRST_TARGETS {
+                target.begin(&site, at);
+            }
             targets.push(target);
         }
         let places: Vec<_> = (0..size.instances).map(Place::new).collect();
@@ -172,6 +199,35 @@
         }
     }
 
+    /// Returns the target that serves in the place of one of the first.
+    pub(super) fn serving(&self, first: usize) -> usize {
+        let is_replaced = self.targets[first].is_replaced();
+        first + if is_replaced { TO_SUCCESSOR } else { 0 }
+    }
+
+    /// Has another target with other software take the place of one, which
+    /// drains.
+    pub(super) fn replace_target(&self, old: usize) {
+        let new = old + TO_SUCCESSOR;
+        self.targets[new].begin(&self.site, new);
+        self.targets[old].change(&self.site, old, |now| now.is_draining = true);
+    }
+
+    /// Ends the record of a target.
+    pub(super) fn remove_target(&self, at: usize) {
+        let target = &self.targets[at];
+        let mut registered = target.registered.lock().expect("no panic under the lock");
+        *registered = None;
+        self.site
+            .store
+            .remove(&format!("servers/{}", TARGETS[at].0));
+    }
+
+    /// Writes for how long a target is cold, if it has a record.
+    pub(super) fn write_cold(&self, at: usize, cold_ms: u64) {
+        self.targets[at].change(&self.site, at, |now| now.cold_ms = cold_ms);
+    }
+
     /// Returns a number that no other crowd of the run has.
     pub(super) fn next_crowd(&self) -> usize {
         self.crowds.fetch_add(1, Ordering::Relaxed)
@@ -251,6 +307,11 @@
     }
 }
 
+/// Returns the version of a target's software.
+fn software(at: usize) -> &'static str {
+    SOFTWARE[usize::from(at >= FIRST_TARGETS)]
+}
+
 /// Returns how a sound target of a service treats requests.
 pub(super) fn usual_mode(service: &str) -> Mode {
     match service {
@@ -260,15 +321,58 @@
 }
 
 impl SoakTarget {
-    async fn start(name: &str, service: &str) -> Self {
+    async fn start(at: usize) -> Self {
+        let (name, service, _) = TARGETS[at];
         let target = PlatformTarget::start(name).await;
         target.set(usual_mode(service));
+        target.name_software(software(at));
         let proxy = Proxy::start(target.address).await;
         Self {
             target,
             proxy,
             fault: tokio::sync::Mutex::default(),
             cold: tokio::sync::Mutex::default(),
+            registered: Mutex::default(),
         }
     }
+
+    /// Tells whether another target has this one's place.
+    fn is_replaced(&self) -> bool {
+        let registered = self.registered.lock().expect("no panic under the lock");
+        registered.is_none_or(|now| now.is_draining)
+    }
+
+    /// Writes the first record of the target.
+    fn begin(&self, site: &Site, at: usize) {
+        let mut registered = self.registered.lock().expect("no panic under the lock");
+        let now = registered.insert(Registered {
+            is_draining: false,
+            cold_ms: 0,
+        });
+        self.write(site, at, *now);
+    }
+
+    /// Changes the record of the target, if it has one.
+    fn change<F>(&self, site: &Site, at: usize, set: F)
+    where
+        F: FnOnce(&mut Registered),
+    {
+        let mut registered = self.registered.lock().expect("no panic under the lock");
+        if let Some(now) = registered.as_mut() {
+            set(now);
+            self.write(site, at, *now);
+        }
+    }
+
+    fn write(&self, site: &Site, at: usize, now: Registered) {
+        let (name, service, zone) = TARGETS[at];
+        let usual = Registration::new(self.proxy.address, service, zone);
+        let registration = Registration {
+            software: software(at),
+            state: if now.is_draining { "draining" } else { "ready" },
+            cold_ms: now.cold_ms,
+            ..usual
+        };
+        site.write_registration(name, &registration);
+    }
 }
