Move the homes of routes and of the account in the soak

The soak's configurations never had homes, so a request that reached a target outside its home could not be seen there.

In the mixed and the calm profile another series of changes moves the homes of a route or of the account, in steps of 0.3 s to 2 s. A request that reaches a target, also one that refuses it, in a region that no configuration which may have been in force allowed is a violation. Those in force are the one when the caller sent the request and each later one until its end. One that was replaced counts for as long as the next may not be applied: the time of the other checks of the soak, and the contact time of the settings after a fault of the store, or of an instance in the caller's way or in the target's region.

--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -14,6 +14,7 @@
 mod checks;
 mod crowd;
 mod faults;
+mod homes;
 mod record;
 mod release;
 mod resume;
@@ -163,11 +164,18 @@
         }
     });
     let series = futures_util::future::join_all(series);
-    tokio::join!(series, async {
+    let (mut releasing, mut moving) = (next_rng(), next_rng());
+    let release = async {
         if profile.has_release(seed) {
-            release::run(soak, profile, &mut next_rng()).await;
+            release::run(soak, profile, &mut releasing).await;
         }
-    });
+    };
+    let homes = async {
+        if profile != Profile::Crowded {
+            homes::run(soak, until, &mut moving).await;
+        }
+    };
+    tokio::join!(series, release, homes);
     for caller in callers {
         caller.await.expect("no panic");
     }
--- a/tests/testsuite/node/soak/arrivals.rs
+++ b/tests/testsuite/node/soak/arrivals.rs
@@ -1,6 +1,7 @@
 //! The requests of a run that reached targets.
 
 use std::collections::HashMap;
+use std::time::Instant;
 
 use super::world::Soak;
 
@@ -9,6 +10,7 @@
 pub(super) struct Arrived {
     /// Index of the target.
     pub(super) target: usize,
+    pub(super) at: Instant,
     /// Whether the target ran it: one that was meant for another is refused.
     is_run: bool,
 }
@@ -26,6 +28,7 @@
                 let id = arrival.header("request-id").to_owned();
                 let arrived = Arrived {
                     target: at,
+                    at: arrival.at,
                     is_run: arrival.header("target-instance") == target.name,
                 };
                 arrivals.entry(id).or_default().push(arrived);
--- a/tests/testsuite/node/soak/changes.rs
+++ b/tests/testsuite/node/soak/changes.rs
@@ -11,11 +11,13 @@
 use support::node::PlatformStore;
 use support::node::site::configuration;
 
+use super::homes::Homes;
+
 /// Version of the first configuration of a run.
 const FIRST_VERSION: u64 = 10;
 
 /// Time after which a configuration is in force everywhere.
-const APPLY_TIME: Duration = Duration::from_secs(3);
+pub(super) const APPLY_TIME: Duration = Duration::from_secs(3);
 
 /// Values of the idle limit, in ms.
 const IDLE_MS: [u64; 3] = [800, 2000, 15_000];
@@ -38,8 +40,13 @@
     written: Instant,
     idle: Duration,
     timeout: Duration,
+    account_homes: Homes,
+    route_homes: [Homes; ROUTES.len()],
 }
 
+/// Routes of the configuration, in its order.
+const ROUTES: [&str; 4] = ["status", "deposit", "quote", "chat"];
+
 /// A configuration as its values.
 #[derive(Clone, Copy, Debug)]
 struct Values {
@@ -50,6 +57,8 @@
     rate: f64,
     /// Share of the status route's requests that the spare service gets.
     spare_share: f64,
+    account_homes: Homes,
+    route_homes: [Homes; ROUTES.len()],
 }
 
 /// The values of the first and the last configuration of a run.
@@ -60,6 +69,8 @@
     timeout_ms: 4000,
     rate: 1e6,
     spare_share: 0.0,
+    account_homes: &[],
+    route_homes: [&[]; ROUTES.len()],
 };
 
 #[derive(Debug)]
@@ -104,6 +115,15 @@
         });
     }
 
+    /// Moves the homes of a route or of the account, chosen at random.
+    pub(super) fn move_homes(&self, store: &PlatformStore, homes: Homes, rng: &mut StdRng) {
+        let at = rng.random_range(0..=ROUTES.len());
+        self.write(store, |values| match values.route_homes.get_mut(at) {
+            Some(route) => *route = homes,
+            None => values.account_homes = homes,
+        });
+    }
+
     fn write<F>(&self, store: &PlatformStore, mut set: F)
     where
         F: FnMut(&mut Values),
@@ -115,6 +135,8 @@
             written: Instant::now(),
             idle: Duration::from_millis(state.values.idle_ms),
             timeout: Duration::from_millis(state.values.timeout_ms),
+            account_homes: state.values.account_homes,
+            route_homes: state.values.route_homes,
         };
         state.terms.push(terms);
         store.put("op/config", &document(state.version, &state.values));
@@ -130,20 +152,51 @@
     /// Returns the shortest and the longest timeout of a route that may have
     /// been in force within a span of time.
     pub(super) fn timeouts(&self, from: Instant, until: Instant) -> (Duration, Duration) {
-        let state = self.0.lock().expect("no panic under the lock");
-        let terms = &state.terms;
-        let in_force = terms.iter().enumerate().filter(|(i, terms_now)| {
-            let next = terms.get(i + 1);
-            let is_replaced = next.is_some_and(|next| next.written + APPLY_TIME < from);
-            terms_now.written <= until && !is_replaced
-        });
-        let timeouts: Vec<_> = in_force.map(|(_, terms)| terms.timeout).collect();
+        let terms = self.in_force(from, until, |written| Some(written + APPLY_TIME));
+        let timeouts: Vec<_> = terms.iter().map(|terms| terms.timeout).collect();
         let shortest = timeouts.iter().min().copied();
         let longest = timeouts.iter().max().copied();
         shortest
             .zip(longest)
             .expect("a run begins with a configuration")
     }
+
+    /// Returns the homes of a path's route and of the account in each
+    /// configuration that may have been in force within a span of time. `applied`
+    /// tells when one that was written at a time is in force everywhere, if it is.
+    pub(super) fn homes<F>(
+        &self,
+        path: &str,
+        from: Instant,
+        until: Instant,
+        applied: F,
+    ) -> Vec<(Homes, Homes)>
+    where
+        F: Fn(Instant) -> Option<Instant>,
+    {
+        let route = path.split('/').nth(1);
+        let at = ROUTES.iter().position(|name| Some(*name) == route);
+        let at = at.expect("a path of a route");
+        let terms = self.in_force(from, until, applied);
+        let homes = terms.iter().map(|t| (t.route_homes[at], t.account_homes));
+        homes.collect()
+    }
+
+    /// Returns what the configurations state that may have been in force within a
+    /// span of time.
+    fn in_force<F>(&self, from: Instant, until: Instant, applied: F) -> Vec<Terms>
+    where
+        F: Fn(Instant) -> Option<Instant>,
+    {
+        let state = self.0.lock().expect("no panic under the lock");
+        let terms = &state.terms;
+        let in_force = terms.iter().enumerate().filter(|(i, terms_now)| {
+            let next = terms.get(i + 1).and_then(|next| applied(next.written));
+            let is_replaced = next.is_some_and(|next| next < from);
+            terms_now.written <= until && !is_replaced
+        });
+        in_force.map(|(_, terms)| *terms).collect()
+    }
 }
 
 /// Returns the document of a configuration.
@@ -154,9 +207,11 @@
     config["limits"]["max_header_bytes"] = json!(values.head_bytes);
     config["tenants"][0]["rate_per_s"] = json!(values.rate);
     config["tenants"][0]["burst"] = json!(values.rate);
+    config["tenants"][0]["allowed_regions"] = json!(values.account_homes);
     let routes = config["routes"].as_array_mut().expect("routes");
-    for route in &mut *routes {
+    for (route, homes) in routes.iter_mut().zip(values.route_homes) {
         route["timeout_ms"] = json!(values.timeout_ms);
+        route["allowed_regions"] = json!(homes);
     }
     routes[0]["weighted_backends"] = json!([
         {"service": "orders", "weight": 1.0 - values.spare_share},
--- a/tests/testsuite/node/soak/checks.rs
+++ b/tests/testsuite/node/soak/checks.rs
@@ -15,6 +15,7 @@
 use super::arrivals::Arrivals;
 use super::callers::End;
 use super::callers::Seen;
+use super::homes;
 use super::record::Scope;
 use super::streams;
 use super::streams::Resumed;
@@ -202,6 +203,7 @@
         if self.profile != Profile::Mixed {
             found.extend(self.given_up_without_cause(seen));
         }
+        found.extend(homes::violations(self.soak, seen, &self.arrivals));
         found.extend(streams::violations(seen, &self.arrivals));
         found.extend(Resumed::count(seen).violation(self.profile));
         found
@@ -299,6 +301,7 @@
                 Scope::Instance(at) => at == one.at || is_passed_on || runs.is_empty(),
                 Scope::Target(at) if runs.is_empty() => service_answers(one.path, TARGETS[at].1),
                 Scope::Target(at) => runs.contains(&at),
+                Scope::Store | Scope::StoreLink(_) => false,
             })
     }
 
--- a/tests/testsuite/node/soak/faults.rs
+++ b/tests/testsuite/node/soak/faults.rs
@@ -81,9 +81,11 @@
         1 => kill(soak, rng, time).await,
         2 | 3 => stop(soak, rng, Restart::Heard).await,
         4 => {
+            let fault = soak.record.begin(Scope::Store);
             soak.store.set(random_harm(rng));
             tokio::time::sleep(time).await;
             soak.store.set(Harm::None);
+            soak.record.end(fault);
         }
         5..=9 => harm_target(soak, rng, time).await,
         10..=12 => fall_silent(soak, rng).await,
@@ -106,14 +108,18 @@
             tokio::time::sleep(time).await;
         }
         1 => {
+            let fault = soak.record.begin(Scope::Store);
             store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
             tokio::time::sleep(time).await;
             store.refuse(None);
+            soak.record.end(fault);
         }
         2 => {
             let copy = store.copy();
             tokio::time::sleep(time).await;
+            let fault = soak.record.begin(Scope::Store);
             store.restore_and_write_again(copy);
+            soak.record.end(fault);
         }
         _ => {
             let (_, _, zone) = TARGETS[rng.random_range(0..FIRST_TARGETS)];
--- /dev/null
+++ b/tests/testsuite/node/soak/homes.rs
@@ -0,0 +1,90 @@
+//! Homes of routes and accounts that move in the course of a run.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use super::arrivals::Arrivals;
+use super::callers::Seen;
+use super::changes::APPLY_TIME;
+use super::checks::Violation;
+use super::record::Scope;
+use super::world::Soak;
+use super::world::region_of_target;
+
+/// Regions in which requests may run; all if there are none.
+pub(super) type Homes = &'static [&'static str];
+
+/// Values of homes. Those of a route and of an account have a region in common.
+const HOMES: [Homes; 4] = [
+    &[],
+    &["north", "south"],
+    &["south", "west"],
+    &["north", "west"],
+];
+
+/// Pause between two moves, in ms.
+const PAUSE_MS: std::ops::Range<u64> = 300..2000;
+
+/// Time without a fault after which an instance has the latest configuration:
+/// `contact_ms` of the settings.
+const CONTACT_TIME: Duration = Duration::from_millis(5000);
+
+/// Tells whether homes allow a region.
+pub(super) fn allow(homes: Homes, region: &str) -> bool {
+    homes.is_empty() || homes.contains(&region)
+}
+
+/// Moves the homes of a route or of the account again and again.
+pub(super) async fn run(soak: &Soak, until: Instant, rng: &mut StdRng) {
+    while Instant::now() < until {
+        let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
+        tokio::time::sleep(pause).await;
+        let homes = HOMES[rng.random_range(0..HOMES.len())];
+        soak.changes.move_homes(&soak.site.store, homes, rng);
+    }
+}
+
+/// Returns the requests that reached a target of a region which no configuration
+/// that may have been in force allowed.
+pub(super) fn violations(soak: &Soak, seen: &[Seen], arrivals: &Arrivals) -> Vec<Violation> {
+    let outside = seen.iter().filter_map(|one| {
+        let mut arrived = arrivals.all(&one.id).iter();
+        let outside = arrived.find(|arrived| {
+            let until = one.ended.max(arrived.at);
+            !is_allowed(soak, one, arrived.target, until)
+        })?;
+        let mut violation = Violation::new(one, "reached a target outside its homes");
+        let region = region_of_target(outside.target);
+        let after = outside.at - one.sent;
+        violation.seen = format!("in {region} after {after:?}: {}", violation.seen);
+        Some(violation)
+    });
+    outside.collect()
+}
+
+fn is_allowed(soak: &Soak, one: &Seen, target: usize, until: Instant) -> bool {
+    let region = region_of_target(target);
+    let applied = |written| applied_by(soak, written, one.at, region);
+    let homes = soak.changes.homes(one.path, one.sent, until, applied);
+    let mut allowed = homes
+        .into_iter()
+        .map(|(route, account)| allow(route, region) && allow(account, region));
+    allowed.any(|is_allowed| is_allowed)
+}
+
+/// Returns when a configuration is in force at the instance that took a request
+/// and at those of the target's region: once it had time to be applied and they
+/// were in touch with the store.
+fn applied_by(soak: &Soak, written: Instant, instance: usize, region: &str) -> Option<Instant> {
+    let is_passed_by = |at: usize| at == instance || soak.places[at].region == region;
+    let counts = |scope| match scope {
+        Scope::Store => true,
+        Scope::Instance(at) | Scope::StoreLink(at) => is_passed_by(at),
+        Scope::Target(_) => false,
+    };
+    let applied = written + APPLY_TIME;
+    soak.record.calm_after(applied, CONTACT_TIME, counts)
+}
--- a/tests/testsuite/node/soak/record.rs
+++ b/tests/testsuite/node/soak/record.rs
@@ -14,6 +14,10 @@
     Instance(usize),
     /// The target at this index, or the link to it.
     Target(usize),
+    /// The store.
+    Store,
+    /// The way of the instance at this index to the store.
+    StoreLink(usize),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -45,6 +49,24 @@
         faults[fault].ended = Some(Instant::now());
     }
 
+    /// Returns the first moment from `at` on that has no fault of a scope that
+    /// `counts` in the `calm` time before it. There is none while such a fault
+    /// lasts.
+    pub(super) fn calm_after<F>(&self, at: Instant, calm: Duration, counts: F) -> Option<Instant>
+    where
+        F: Fn(Scope) -> bool,
+    {
+        let faults = self.0.lock().expect("no panic under the lock");
+        let mut at = at;
+        // In the order in which they began.
+        for fault in faults.iter().filter(|fault| counts(fault.scope)) {
+            if fault.begun <= at {
+                at = at.max(fault.ended? + calm);
+            }
+        }
+        Some(at)
+    }
+
     /// Tells whether a fault of a scope that `counts` touched a span of time.
     pub(super) fn touches<F>(&self, from: Instant, until: Instant, counts: F) -> bool
     where
--- a/tests/testsuite/node/soak/watches.rs
+++ b/tests/testsuite/node/soak/watches.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use support::node::proxy::Harm;
 
+use super::record::Scope;
 use super::world::FIRST_TARGETS;
 use super::world::Soak;
 use super::world::TARGETS;
@@ -91,7 +92,8 @@
 /// Cuts an instance off from the store while a target turns cold, and evacuates
 /// a zone for a part of that time.
 pub(super) async fn cut_off_beside_cold(soak: &Soak, rng: &mut StdRng) {
-    let link = &soak.store_links[rng.random_range(0..soak.store_links.len())];
+    let instance = rng.random_range(0..soak.store_links.len());
+    let link = &soak.store_links[instance];
     let at = soak.serving(rng.random_range(0..FIRST_TARGETS));
     let (_, service, _) = TARGETS[at];
     if service != "model" {
@@ -102,6 +104,7 @@
     let Ok(_fault) = soak.targets[at].cold.try_lock() else {
         return;
     };
+    let fault = soak.record.begin(Scope::StoreLink(instance));
     link.set(Harm::Silence);
     soak.write_cold(at, 2 * time.as_millis() as u64);
     let since = Instant::now();
@@ -113,6 +116,7 @@
     let until = Instant::now();
     soak.write_cold(at, 0);
     link.set(Harm::None);
+    soak.record.end(fault);
     let cold = ColdTime {
         target: at,
         since,
--- a/tests/testsuite/node/soak/world.rs
+++ b/tests/testsuite/node/soak/world.rs
@@ -82,7 +82,7 @@
 pub(super) struct Place {
     pub(super) name: String,
     pub(super) zone: &'static str,
-    region: &'static str,
+    pub(super) region: &'static str,
 }
 
 impl Place {
@@ -307,6 +307,13 @@
     }
 }
 
+/// Returns the region of a target.
+pub(super) fn region_of_target(at: usize) -> &'static str {
+    let (_, _, zone) = TARGETS[at];
+    let mut zones = ZONES.iter().filter(|(name, _)| *name == zone);
+    zones.next().map(|(_, region)| *region).expect("a zone")
+}
+
 /// Returns the version of a target's software.
 fn software(at: usize) -> &'static str {
     SOFTWARE[usize::from(at >= FIRST_TARGETS)]
