Add targets that answer uploads early, or with status 000, to the soak

A fifth of the plain requests of that profile are long uploads. For a while another address is written into a target's record: there a stand-in answers as it has read the head, with a 200 that has no length, ends its half of the connection and resets the other, or answers with status 000. A violation is a complete answer to such an upload, and, in all profiles, an answer that isn't HTTP.

The stand-ins that the mends' tests use now tell which requests they had. The targets of the soak have a module of their own, and keep no bodies.

--- a/tests/support/node/early.rs
+++ b/tests/support/node/early.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -41,6 +42,7 @@
 pub struct EarlyTarget {
     /// Where it listens.
     pub address: SocketAddr,
+    requests: Arc<Mutex<Vec<String>>>,
     _guard: DropGuard,
 }
 
@@ -56,23 +58,38 @@
         let listener = socket.listen(1024).expect("a listener");
         let address = listener.local_addr().expect("a bound address");
         let answer: Arc<str> = answer.into();
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let seen = Arc::clone(&requests);
         let guard = serve_each(listener, move |stream| {
-            let answer = Arc::clone(&answer);
+            let (answer, seen) = (Arc::clone(&answer), Arc::clone(&seen));
             async move {
                 // The instance may close the connection at any time.
-                let _ = serve(stream, &answer, end).await;
+                let _ = serve(stream, &answer, end, &seen).await;
             }
         });
         Self {
             address,
+            requests,
             _guard: guard,
         }
     }
+
+    /// Returns the ids of the requests whose heads it has read.
+    pub fn requests(&self) -> Vec<String> {
+        let requests = self.requests.lock().expect("no panic under the lock");
+        requests.clone()
+    }
 }
 
-async fn serve(mut stream: TcpStream, answer: &str, end: EarlyEnd) -> std::io::Result<()> {
+async fn serve(
+    mut stream: TcpStream,
+    answer: &str,
+    end: EarlyEnd,
+    seen: &Mutex<Vec<String>>,
+) -> std::io::Result<()> {
     let head = read_head(&mut stream).await?;
     let id = header(&head, "request-id").unwrap_or_default();
+    note(seen, id);
     let answer = answer.replace("{id}", id);
     stream.write_all(answer.as_bytes()).await?;
     if end != EarlyEnd::ResetAtOnce {
@@ -93,6 +110,11 @@
     }
 }
 
+fn note(seen: &Mutex<Vec<String>>, id: &str) {
+    let mut seen = seen.lock().expect("no panic under the lock");
+    seen.push(id.to_owned());
+}
+
 /// Reads the rest of a request's body, of which some may follow the head.
 async fn read_body(stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
     let stated: usize = header(head, "content-length").map_or(0, |v| v.parse().unwrap_or(0));
--- a/tests/support/node/kept.rs
+++ b/tests/support/node/kept.rs
@@ -26,6 +26,8 @@
     NotSent(String),
     /// The connection ended before the head of an answer.
     Unanswered(String),
+    /// What came is no answer of HTTP.
+    Malformed(String),
 }
 
 /// An open connection to an instance.
@@ -96,7 +98,10 @@
         let sent = self.sender.try_send_request(call.request()).await;
         let resp = sent.map_err(|mut e| match e.take_message() {
             Some(_) => NoAnswer::NotSent(e.into_error().to_string()),
-            None => NoAnswer::Unanswered(e.into_error().to_string()),
+            None => match e.into_error() {
+                e if e.is_parse() => NoAnswer::Malformed(e.to_string()),
+                e => NoAnswer::Unanswered(e.to_string()),
+            },
         })?;
         let (parts, mut body) = resp.into_parts();
         let mut data = Vec::new();
--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -89,6 +89,8 @@
     mode: Mode,
     /// Software version that events name, if they name one.
     software: Option<String>,
+    /// Whether arrivals are kept without their bodies.
+    forgets_bodies: bool,
     arrivals: Vec<Arrival>,
 }
 
@@ -110,6 +112,7 @@
         let state = Arc::new(Mutex::new(State {
             mode: Mode::Answer,
             software: None,
+            forgets_bodies: false,
             arrivals: Vec::new(),
         }));
         let stop = CancellationToken::new();
@@ -138,6 +141,12 @@
         state.software = Some(software.to_owned());
     }
 
+    /// Keeps no bodies of the requests that arrive from now on.
+    pub fn forget_bodies(&self) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        state.forgets_bodies = true;
+    }
+
     /// Returns the requests that reached the target.
     pub fn arrivals(&self) -> Vec<Arrival> {
         let state = self.state.lock().expect("no panic under the lock");
@@ -152,7 +161,7 @@
         .await
         .map(|b| b.to_bytes())
         .unwrap_or_default();
-    let arrival = Arrival {
+    let mut arrival = Arrival {
         line: format!("{} {}", parts.method, parts.uri),
         headers: parts.headers,
         body,
@@ -163,6 +172,9 @@
     let after: u64 = arrival.header("last-event-id").parse().unwrap_or_default();
     let (mode, software) = {
         let mut state = state.lock().expect("no panic under the lock");
+        if state.forgets_bodies {
+            arrival.body = Bytes::new();
+        }
         state.arrivals.push(arrival);
         (state.mode, state.software.clone())
     };
--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -2,7 +2,8 @@
 //! the pages promise.
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1000 cargo test --test testsuite soak::seeds_by_hand`
-//! plays fifty seeds from a thousand on. `SOAK_PROFILE=calm` chooses the
+//! plays fifty seeds from a thousand on. `SOAK_PROFILE=calm` (or `crowded`, or
+//! `broken`, of which no seed runs with the tests) chooses the
 //! profile, `SOAK_INSTANCES=40` the number of instances, `SOAK_CALLERS=100`
 //! that of callers and `SOAK_CROWD=4000` that of a crowd's, and
 //! `SOAK_MEMORY_MB=260` and `SOAK_DESCRIPTORS=4100` what each process is
@@ -19,6 +20,8 @@
 mod release;
 mod resume;
 mod streams;
+mod targets;
+mod trouble;
 mod usage;
 mod watches;
 mod world;
@@ -81,6 +84,9 @@
     /// Crowds of callers beside planned work, before processes with little
     /// memory and few descriptors.
     Crowded,
+    /// Targets that answer uploads before they have read them, or with a status
+    /// that HTTP doesn't have.
+    Broken,
 }
 
 /// Size of a run.
@@ -106,7 +112,7 @@
     /// Returns the number of series of faults that overlap.
     fn series(self) -> usize {
         match self {
-            Self::Mixed => 3,
+            Self::Mixed | Self::Broken => 3,
             Self::Calm | Self::Crowded => 6,
         }
     }
@@ -114,13 +120,13 @@
     /// Tells whether targets of a second software version come in a run: in that
     /// of every other seed.
     fn has_release(self, seed: u64) -> bool {
-        self != Self::Crowded && !seed.is_multiple_of(2)
+        matches!(self, Self::Mixed | Self::Calm) && !seed.is_multiple_of(2)
     }
 
     /// Returns what each process is allowed.
     fn limits(self) -> Limits {
         match self {
-            Self::Mixed | Self::Calm => Limits::default(),
+            Self::Mixed | Self::Calm | Self::Broken => Limits::default(),
             Self::Crowded => CROWDED_LIMITS,
         }
     }
@@ -129,7 +135,7 @@
 /// Plays the faults of a seed.
 fn play(profile: Profile, seed: u64, size: Size, limits: Limits) {
     block_on(async {
-        let soak = Soak::start(size, limits).await;
+        let soak = Soak::start(profile, size, limits).await;
         tokio::select! {
             () = soak.usage.watch(&soak) => {}
             () = run(&soak, profile, seed) => {}
@@ -149,7 +155,7 @@
     let callers: Vec<_> = (0..soak.size.callers)
         .map(|n| {
             let own = StdRng::seed_from_u64(rng.next_u64());
-            let caller = Caller::new(soak, n, own, Habits::new(next_rng()));
+            let caller = Caller::new(soak, n, own, Habits::new(next_rng(), profile));
             tokio::spawn(caller.run(until))
         })
         .collect();
@@ -171,7 +177,7 @@
         }
     };
     let homes = async {
-        if profile != Profile::Crowded {
+        if matches!(profile, Profile::Mixed | Profile::Calm) {
             homes::run(soak, until, &mut moving).await;
         }
     };
@@ -226,6 +232,7 @@
     let profile = match text("SOAK_PROFILE").as_deref() {
         Some("calm") => Profile::Calm,
         Some("crowded") => Profile::Crowded,
+        Some("broken") => Profile::Broken,
         _ => Profile::Mixed,
     };
     let count = |name: &str, or: usize| number(name).map_or(or, |n| n as usize);
--- a/tests/testsuite/node/soak/arrivals.rs
+++ b/tests/testsuite/node/soak/arrivals.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
+use super::trouble::Trouble;
 use super::world::Soak;
 
 /// A request that reached a target.
@@ -16,13 +17,20 @@
 }
 
 /// The requests that reached targets, by their ids.
-#[derive(Debug)]
-pub(super) struct Arrivals(HashMap<String, Vec<Arrived>>);
+#[derive(Debug, Default)]
+pub(super) struct Arrivals {
+    arrived: HashMap<String, Vec<Arrived>>,
+    /// Targets in whose place one in trouble had a request.
+    in_trouble: HashMap<String, Vec<usize>>,
+}
 
 impl Arrivals {
     pub(super) fn of(soak: &Soak) -> Self {
-        let mut arrivals: HashMap<String, Vec<Arrived>> = HashMap::new();
+        let mut arrivals = Self::default();
         for (at, target) in soak.targets.iter().enumerate() {
+            for id in target.trouble.iter().flat_map(Trouble::requests) {
+                arrivals.in_trouble.entry(id).or_default().push(at);
+            }
             let target = &target.target;
             for arrival in target.arrivals() {
                 let id = arrival.header("request-id").to_owned();
@@ -31,20 +39,23 @@
                     at: arrival.at,
                     is_run: arrival.header("target-instance") == target.name,
                 };
-                arrivals.entry(id).or_default().push(arrived);
+                arrivals.arrived.entry(id).or_default().push(arrived);
             }
         }
-        Self(arrivals)
+        arrivals
     }
 
-    /// Returns each arrival of a request.
+    /// Returns each arrival of a request at a sound target.
     pub(super) fn all(&self, id: &str) -> &[Arrived] {
-        self.0.get(id).map_or(&[], Vec::as_slice)
+        self.arrived.get(id).map_or(&[], Vec::as_slice)
     }
 
     /// Returns the targets that ran a request, as often as they did.
     pub(super) fn runs(&self, id: &str) -> Vec<usize> {
         let run = self.all(id).iter().filter(|arrived| arrived.is_run);
-        run.map(|arrived| arrived.target).collect()
+        let in_trouble = self.in_trouble.get(id).into_iter().flatten();
+        run.map(|arrived| arrived.target)
+            .chain(in_trouble.copied())
+            .collect()
     }
 }
--- a/tests/testsuite/node/soak/callers.rs
+++ b/tests/testsuite/node/soak/callers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use hyper::StatusCode;
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -22,6 +23,7 @@
 use super::resume::BrokenStream;
 use super::resume::Habits;
 use super::resume::Resumption;
+use super::trouble::UPLOAD_BYTES;
 use super::world::Soak;
 
 /// A path of each route that is asked for.
@@ -51,6 +53,8 @@
     Unopened,
     /// The connection ended before the head of an answer.
     Unanswered,
+    /// What came is no answer of HTTP.
+    Malformed,
     /// The caller's patience was over.
     Late,
     /// There was an answer, or a part of one.
@@ -67,6 +71,8 @@
     /// Index of the instance.
     pub(super) at: usize,
     pub(super) is_kept: bool,
+    /// Whether its body is long.
+    pub(super) is_upload: bool,
     /// What it states if it resumes a stream.
     pub(super) resumption: Option<Resumption>,
     /// Time that the caller grants.
@@ -158,6 +164,7 @@
         let ask = Ask {
             is_long,
             is_kept,
+            is_upload: self.habits.is_upload(path),
             events_before_loss: self.habits.events_before_loss(path),
             ..Ask::new(id, path)
         };
@@ -254,6 +261,7 @@
     path: &'static str,
     is_long: bool,
     is_kept: bool,
+    is_upload: bool,
     deadline: Duration,
     /// Events after which the caller loses its connection, if it does.
     events_before_loss: Option<usize>,
@@ -267,6 +275,7 @@
             path,
             is_long: false,
             is_kept: false,
+            is_upload: false,
             deadline: DEADLINE,
             events_before_loss: None,
             resumption: None,
@@ -280,6 +289,9 @@
         if self.is_long {
             call = call.header("x-long", &"a".repeat(LONG_HEADER_BYTES));
         }
+        if self.is_upload {
+            call = call.body(Bytes::from(vec![b'a'; UPLOAD_BYTES]));
+        }
         match &self.resumption {
             Some(Resumption { first, after }) => call
                 .header("resumes", first)
@@ -308,6 +320,7 @@
             Ok(Ok(got)) => End::Answered(got),
             Ok(Err(NoAnswer::NotSent(_))) => End::NotSent,
             Ok(Err(NoAnswer::Unanswered(_))) => End::Unanswered,
+            Ok(Err(NoAnswer::Malformed(_))) => End::Malformed,
             Err(_) => End::Late,
         }
     }
@@ -318,6 +331,7 @@
             path: self.path,
             at,
             is_kept: self.is_kept,
+            is_upload: self.is_upload,
             resumption: self.resumption,
             deadline: self.deadline,
             sent,
--- a/tests/testsuite/node/soak/changes.rs
+++ b/tests/testsuite/node/soak/changes.rs
@@ -11,7 +11,9 @@
 use support::node::PlatformStore;
 use support::node::site::configuration;
 
+use super::Profile;
 use super::homes::Homes;
+use super::trouble::UPLOAD_BYTES;
 
 /// Version of the first configuration of a run.
 const FIRST_VERSION: u64 = 10;
@@ -76,6 +78,8 @@
 #[derive(Debug)]
 struct State {
     version: u64,
+    /// Largest body of a request; that of the usual configuration if none.
+    max_body_bytes: Option<usize>,
     values: Values,
     terms: Vec<Terms>,
 }
@@ -86,9 +90,10 @@
 
 impl Changes {
     /// Writes the first configuration.
-    pub(super) fn begin(store: &PlatformStore) -> Self {
+    pub(super) fn begin(store: &PlatformStore, profile: Profile) -> Self {
         let changes = Self(Mutex::new(State {
             version: FIRST_VERSION,
+            max_body_bytes: (profile == Profile::Broken).then_some(UPLOAD_BYTES),
             values: STANDARD,
             terms: Vec::new(),
         }));
@@ -139,7 +144,11 @@
             route_homes: state.values.route_homes,
         };
         state.terms.push(terms);
-        store.put("op/config", &document(state.version, &state.values));
+        let mut config = document(state.version, &state.values);
+        if let Some(bytes) = state.max_body_bytes {
+            config["limits"]["max_body_bytes"] = json!(bytes);
+        }
+        store.put("op/config", &config);
     }
 
     /// Returns the larger of the last two idle limits.
--- a/tests/testsuite/node/soak/checks.rs
+++ b/tests/testsuite/node/soak/checks.rs
@@ -19,10 +19,11 @@
 use super::record::Scope;
 use super::streams;
 use super::streams::Resumed;
+use super::targets::EVENTS;
+use super::targets::TARGETS;
+use super::trouble;
 use super::usage::Excess;
-use super::world::EVENTS;
 use super::world::Soak;
-use super::world::TARGETS;
 
 /// Statuses that promise that a request has not run.
 pub(super) const NOT_RUN: [u16; 9] = [400, 401, 404, 408, 413, 421, 429, 431, 503];
@@ -107,6 +108,7 @@
             End::Unopened => "unopened".to_owned(),
             End::Unanswered => "unanswered".to_owned(),
             End::Late => "late".to_owned(),
+            End::Malformed => "malformed".to_owned(),
             End::Answered(got) if got.whole => got.status.as_str().to_owned(),
             End::Answered(_) => "broken off".to_owned(),
             End::Lost(_) => "lost by its caller".to_owned(),
@@ -200,7 +202,7 @@
             let broken = self.broken_rules(one);
             found.extend(broken.into_iter().map(|rule| Violation::new(one, rule)));
         }
-        if self.profile != Profile::Mixed {
+        if matches!(self.profile, Profile::Calm | Profile::Crowded) {
             found.extend(self.given_up_without_cause(seen));
         }
         found.extend(homes::violations(self.soak, seen, &self.arrivals));
@@ -222,6 +224,8 @@
             "ran more than once",
         );
         hold(self.is_answered(one), "not answered, without a fault");
+        let is_malformed = matches!(one.end, End::Malformed);
+        hold(!is_malformed, "answered by what is no answer");
         if let Some(got) = one.answer() {
             let is = |statuses: &[u16]| statuses.contains(&got.status.as_u16());
             hold(!is(&NOT_RUN) || ran == 0, "refused as not run, and ran");
@@ -240,6 +244,9 @@
         if got.header("request-id") != one.id {
             return false;
         }
+        if trouble::wrote(got) {
+            return trouble::is_allowed(one, got);
+        }
         let runs = self.runs(one);
         let targets = runs.iter().map(|at| &TARGETS[*at]);
         let mut allowed = targets.filter(|(_, service, _)| service_answers(one.path, service));
@@ -271,7 +278,7 @@
         let is_well = match &one.end {
             End::NotSent => true,
             End::Unanswered => !self.was_read(one),
-            End::Unopened | End::Late => false,
+            End::Unopened | End::Late | End::Malformed => false,
             End::Lost(_) => true,
             End::Answered(got) => {
                 let is_answer = got.whole && !UNKNOWN.contains(&got.status.as_u16());
--- a/tests/testsuite/node/soak/faults.rs
+++ b/tests/testsuite/node/soak/faults.rs
@@ -19,11 +19,12 @@
 use super::SLACK;
 use super::crowd;
 use super::record::Scope;
+use super::targets;
+use super::targets::FIRST_TARGETS;
+use super::targets::TARGETS;
+use super::trouble;
 use super::watches;
-use super::world;
-use super::world::FIRST_TARGETS;
 use super::world::Soak;
-use super::world::TARGETS;
 
 /// Length of the silence of a sound target, in ms.
 const SILENCE_MS: std::ops::Range<u64> = 800..1800;
@@ -46,6 +47,7 @@
         Profile::Mixed => strike_mixed(soak, rng).await,
         Profile::Calm => strike_calm(soak, rng).await,
         Profile::Crowded => strike_crowded(soak, rng).await,
+        Profile::Broken => strike_broken(soak, rng).await,
     }
 }
 
@@ -63,6 +65,15 @@
     }
 }
 
+async fn strike_broken(soak: &Soak, rng: &mut StdRng) {
+    match rng.random_range(0..10) {
+        0..=6 => trouble::strike(soak, rng).await,
+        7 => change(soak, rng).await,
+        8 => hang_up(soak, rng).await,
+        _ => fall_silent(soak, rng).await,
+    }
+}
+
 async fn strike_calm(soak: &Soak, rng: &mut StdRng) {
     match rng.random_range(0..24) {
         0..=13 => fall_silent(soak, rng).await,
@@ -190,7 +201,7 @@
     let fault = soak.record.begin(Scope::Target(at));
     target.target.set(Mode::EndlessEvent);
     tokio::time::sleep(time).await;
-    target.target.set(world::usual_mode(TARGETS[at].1));
+    target.target.set(targets::usual_mode(TARGETS[at].1));
     soak.record.end(fault);
 }
 
--- a/tests/testsuite/node/soak/homes.rs
+++ b/tests/testsuite/node/soak/homes.rs
@@ -11,8 +11,8 @@
 use super::changes::APPLY_TIME;
 use super::checks::Violation;
 use super::record::Scope;
+use super::targets::region_of_target;
 use super::world::Soak;
-use super::world::region_of_target;
 
 /// Regions in which requests may run; all if there are none.
 pub(super) type Homes = &'static [&'static str];
--- a/tests/testsuite/node/soak/release.rs
+++ b/tests/testsuite/node/soak/release.rs
@@ -8,9 +8,9 @@
 
 use super::Profile;
 use super::faults;
-use super::world::FIRST_TARGETS;
+use super::targets::FIRST_TARGETS;
+use super::targets::TARGETS;
 use super::world::Soak;
-use super::world::TARGETS;
 
 /// Time before a release, and between its halves, in ms.
 const PAUSE_MS: std::ops::Range<u64> = 500..1500;
--- a/tests/testsuite/node/soak/resume.rs
+++ b/tests/testsuite/node/soak/resume.rs
@@ -6,8 +6,9 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use super::Profile;
 use super::callers::Seen;
-use super::world::EVENTS;
+use super::targets::EVENTS;
 
 /// The path whose streams may be resumed.
 const RESUMABLE: &str = "/quote/1";
@@ -111,35 +112,52 @@
     }
 }
 
-/// What a caller does about streams that break off.
+/// Paths with long bodies, where there are any.
+const UPLOADS: [&str; 2] = ["/status/1", "/deposit/1"];
+
+/// Share of those requests that have one.
+const UPLOAD_SHARE: f64 = 0.2;
+
+/// What a caller does besides sending one request after another.
 #[derive(Debug)]
-pub(super) struct Habits(StdRng);
+pub(super) struct Habits {
+    rng: StdRng,
+    /// Whether some of its requests have long bodies.
+    is_uploading: bool,
+}
 
 impl Habits {
-    pub(super) fn new(rng: StdRng) -> Self {
-        Self(rng)
+    pub(super) fn new(rng: StdRng, profile: Profile) -> Self {
+        Self {
+            rng,
+            is_uploading: profile == Profile::Broken,
+        }
+    }
+
+    pub(super) fn is_upload(&mut self, path: &str) -> bool {
+        self.is_uploading && UPLOADS.contains(&path) && self.rng.random_bool(UPLOAD_SHARE)
     }
 
     /// Returns the number of events after which the caller's network loses the
     /// connection, if it does.
     pub(super) fn events_before_loss(&mut self, path: &str) -> Option<usize> {
-        let is_lost = path == RESUMABLE && self.0.random_bool(LOSS_SHARE);
-        is_lost.then(|| self.0.random_range(1..EVENTS as usize))
+        let is_lost = path == RESUMABLE && self.rng.random_bool(LOSS_SHARE);
+        is_lost.then(|| self.rng.random_range(1..EVENTS as usize))
     }
 
     pub(super) fn resumes(&mut self) -> usize {
-        self.0.random_range(0..=MAX_RESUMES)
+        self.rng.random_range(0..=MAX_RESUMES)
     }
 
     /// Chooses the instance that is asked to go on with a stream.
     pub(super) fn instance(&mut self, last: usize, instances: usize) -> usize {
-        if self.0.random_bool(SAME_INSTANCE_SHARE) {
+        if self.rng.random_bool(SAME_INSTANCE_SHARE) {
             return last;
         }
-        (last + self.0.random_range(1..instances.max(2))) % instances
+        (last + self.rng.random_range(1..instances.max(2))) % instances
     }
 
     pub(super) fn pause(&mut self) -> Duration {
-        Duration::from_millis(self.0.random_range(0..MAX_PAUSE_MS))
+        Duration::from_millis(self.rng.random_range(0..MAX_PAUSE_MS))
     }
 }
--- a/tests/testsuite/node/soak/watches.rs
+++ b/tests/testsuite/node/soak/watches.rs
@@ -10,9 +10,9 @@
 use support::node::proxy::Harm;
 
 use super::record::Scope;
-use super::world::FIRST_TARGETS;
+use super::targets::FIRST_TARGETS;
+use super::targets::TARGETS;
 use super::world::Soak;
-use super::world::TARGETS;
 
 /// Pause between two cuts of the waiting watches, in ms.
 const CUT_PAUSE_MS: std::ops::Range<u64> = 50..1900;
--- a/tests/testsuite/node/soak/world.rs
+++ b/tests/testsuite/node/soak/world.rs
@@ -8,20 +8,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use support::node::Mode;
 use support::node::Node;
 use support::node::PlatformStore;
-use support::node::PlatformTarget;
-use support::node::Registration;
 use support::node::Site;
 use support::node::proxy::Proxy;
 use support::node::site::Limits;
 
+use super::Profile;
 use super::Size;
 use super::callers;
 use super::callers::Seen;
 use super::changes::Changes;
 use super::record::Record;
+use super::targets::FIRST_TARGETS;
+use super::targets::SoakTarget;
+use super::targets::TARGETS;
+use super::targets::TO_SUCCESSOR;
 use super::usage;
 use super::usage::Usage;
 use super::watches::ColdTimes;
@@ -29,54 +31,13 @@
 /// Time in which everything works again once the last fault has ended.
 const RECOVERY: Duration = Duration::from_secs(15);
 
-/// Time of a plain answer, so that faults meet requests at the targets.
-const SERVICE: Duration = Duration::from_millis(60);
-
-/// Number of the last event of a stream.
-pub(super) const EVENTS: u64 = 5;
-
-/// Pause between the events of a stream, so that faults meet streams midway.
-const EVENT_PAUSE: Duration = Duration::from_millis(80);
-
 /// Zones and their regions.
-const ZONES: [(&str, &str); 3] = [
+pub(super) const ZONES: [(&str, &str); 3] = [
     ("north-a", "north"),
     ("south-a", "south"),
     ("west-a", "west"),
 ];
 
-/// Targets that serve from the beginning. Those after them replace the targets of
-/// streams, each the one so many before it.
-pub(super) const FIRST_TARGETS: usize = 13;
-
-/// Difference between the numbers of a target and of the one that replaces it.
-const TO_SUCCESSOR: usize = 5;
-
-/// Versions of the targets' software.
-const SOFTWARE: [&str; 2] = ["v1", "v2"];
-
-/// Targets with their service and zone.
-pub(super) const TARGETS: [(&str, &str, &str); 18] = [
-    ("i-orders-1", "orders", "north-a"),
-    ("i-orders-2", "orders", "north-a"),
-    ("i-orders-3", "orders", "south-a"),
-    ("i-orders-4", "orders", "south-a"),
-    ("i-orders-5", "orders", "west-a"),
-    ("i-spare-1", "spare", "north-a"),
-    ("i-spare-2", "spare", "south-a"),
-    ("i-spare-3", "spare", "west-a"),
-    ("i-model-1", "model", "north-a"),
-    ("i-model-2", "model", "north-a"),
-    ("i-model-3", "model", "south-a"),
-    ("i-model-4", "model", "south-a"),
-    ("i-model-5", "model", "west-a"),
-    ("i-model-6", "model", "north-a"),
-    ("i-model-7", "model", "north-a"),
-    ("i-model-8", "model", "south-a"),
-    ("i-model-9", "model", "south-a"),
-    ("i-model-10", "model", "west-a"),
-];
-
 /// Where an instance runs.
 #[derive(Clone, Debug)]
 pub(super) struct Place {
@@ -96,26 +57,6 @@
     }
 }
 
-/// A target behind a proxy.
-#[derive(Debug)]
-pub(super) struct SoakTarget {
-    pub(super) target: PlatformTarget,
-    pub(super) proxy: Proxy,
-    /// Locked by the fault that the target suffers.
-    pub(super) fault: tokio::sync::Mutex<()>,
-    /// Locked while the target is cold.
-    pub(super) cold: tokio::sync::Mutex<()>,
-    /// What its record says besides its place; none while it has none.
-    registered: Mutex<Option<Registered>>,
-}
-
-/// The changing part of a target's record.
-#[derive(Clone, Copy, Debug)]
-struct Registered {
-    is_draining: bool,
-    cold_ms: u64,
-}
-
 /// A run.
 pub(super) struct Soak {
     pub(super) size: Size,
@@ -145,17 +86,17 @@
 }
 
 impl Soak {
-    pub(super) async fn start(size: Size, limits: Limits) -> Self {
+    pub(super) async fn start(profile: Profile, size: Size, limits: Limits) -> Self {
         let store = PlatformStore::start().await;
         let proxy = Proxy::start(store.address).await;
         let mut site = Site::before(store, proxy.address);
         site.limit(limits);
-        let changes = Changes::begin(&site.store);
+        let changes = Changes::begin(&site.store, profile);
         let mut targets = Vec::new();
         for at in 0..TARGETS.len() {
-            let target = SoakTarget::start(at).await;
+            let target = SoakTarget::start(at, profile).await;
             if at < FIRST_TARGETS {
-                target.begin(&site, at);
+                target.begin(&site);
             }
             targets.push(target);
         }
@@ -209,23 +150,23 @@
     /// drains.
     pub(super) fn replace_target(&self, old: usize) {
         let new = old + TO_SUCCESSOR;
-        self.targets[new].begin(&self.site, new);
-        self.targets[old].change(&self.site, old, |now| now.is_draining = true);
+        self.targets[new].begin(&self.site);
+        self.targets[old].change(&self.site, |now| now.is_draining = true);
     }
 
     /// Ends the record of a target.
     pub(super) fn remove_target(&self, at: usize) {
-        let target = &self.targets[at];
-        let mut registered = target.registered.lock().expect("no panic under the lock");
-        *registered = None;
-        self.site
-            .store
-            .remove(&format!("servers/{}", TARGETS[at].0));
+        self.targets[at].remove(&self.site);
     }
 
     /// Writes for how long a target is cold, if it has a record.
     pub(super) fn write_cold(&self, at: usize, cold_ms: u64) {
-        self.targets[at].change(&self.site, at, |now| now.cold_ms = cold_ms);
+        self.targets[at].change(&self.site, |now| now.cold_ms = cold_ms);
+    }
+
+    /// Writes an address for a target, in place of its own if there is one.
+    pub(super) fn write_address(&self, at: usize, address: Option<SocketAddr>) {
+        self.targets[at].change(&self.site, |now| now.address = address);
     }
 
     /// Returns a number that no other crowd of the run has.
@@ -306,80 +247,3 @@
         }
     }
 }
-
-/// Returns the region of a target.
-pub(super) fn region_of_target(at: usize) -> &'static str {
-    let (_, _, zone) = TARGETS[at];
-    let mut zones = ZONES.iter().filter(|(name, _)| *name == zone);
-    zones.next().map(|(_, region)| *region).expect("a zone")
-}
-
-/// Returns the version of a target's software.
-fn software(at: usize) -> &'static str {
-    SOFTWARE[usize::from(at >= FIRST_TARGETS)]
-}
-
-/// Returns how a sound target of a service treats requests.
-pub(super) fn usual_mode(service: &str) -> Mode {
-    match service {
-        "model" => Mode::Paced(EVENTS, EVENT_PAUSE),
-        _ => Mode::Slow(SERVICE),
-    }
-}
-
-impl SoakTarget {
-    async fn start(at: usize) -> Self {
-        let (name, service, _) = TARGETS[at];
-        let target = PlatformTarget::start(name).await;
-        target.set(usual_mode(service));
-        target.name_software(software(at));
-        let proxy = Proxy::start(target.address).await;
-        Self {
-            target,
-            proxy,
-            fault: tokio::sync::Mutex::default(),
-            cold: tokio::sync::Mutex::default(),
-            registered: Mutex::default(),
-        }
-    }
-
-    /// Tells whether another target has this one's place.
-    fn is_replaced(&self) -> bool {
-        let registered = self.registered.lock().expect("no panic under the lock");
-        registered.is_none_or(|now| now.is_draining)
-    }
-
-    /// Writes the first record of the target.
-    fn begin(&self, site: &Site, at: usize) {
-        let mut registered = self.registered.lock().expect("no panic under the lock");
-        let now = registered.insert(Registered {
-            is_draining: false,
-            cold_ms: 0,
-        });
-        self.write(site, at, *now);
-    }
-
-    /// Changes the record of the target, if it has one.
-    fn change<F>(&self, site: &Site, at: usize, set: F)
-    where
-        F: FnOnce(&mut Registered),
-    {
-        let mut registered = self.registered.lock().expect("no panic under the lock");
-        if let Some(now) = registered.as_mut() {
-            set(now);
-            self.write(site, at, *now);
-        }
-    }
-
-    fn write(&self, site: &Site, at: usize, now: Registered) {
-        let (name, service, zone) = TARGETS[at];
-        let usual = Registration::new(self.proxy.address, service, zone);
-        let registration = Registration {
-            software: software(at),
-            state: if now.is_draining { "draining" } else { "ready" },
-            cold_ms: now.cold_ms,
-            ..usual
-        };
-        site.write_registration(name, &registration);
-    }
-}
