Begin the test of a pausing target once its instance knows of it

node::shutdown::a_stream_whose_target_pauses_in_a_stop_stays_with_it failed 3 of 10 times beside load, at `model.arrivals().is_empty()`. The test removes the record of the silent target, adds one that pauses, and sends its first call at once: that call could reach the silent target while its record was still known, and was hedged before the SIGTERM. The race is the test's.

It now waits until the instance has logged that the one target is gone and that the other is there. All that it asserts stays.

--- a/tests/testsuite/node/shutdown.rs
+++ b/tests/testsuite/node/shutdown.rs
@@ -165,6 +165,20 @@
     });
 }
 
+/// Message of an instance that was told of a target by another instance.
+const TOLD_BY_ANOTHER: &str = "target changed by what another instance knows";
+
+/// Waits until an instance has logged one of some messages about a target.
+async fn until_told(node: &Node, target: &str, messages: &[&str]) {
+    let name = format!("\"name\":\"{target}\"");
+    until("the instance is told of the target", async || {
+        let log = node.logged();
+        let mut lines = log.lines().filter(|line| line.contains(&name));
+        lines.any(|line| messages.iter().any(|message| line.contains(message)))
+    })
+    .await;
+}
+
 /// Marks of a silence that ends before the open requests are ended.
 const SILENCE_MARKS: usize = 90;
 
@@ -185,6 +199,14 @@
         let pausing = Scripted::new(&text.concat(), After::Keep);
         let pausing = ScriptedTarget::start(vec![pausing]).await;
         site.register_at("i-3", pausing.address, "model", "north-a");
+        // A call at the target before would leave it for the one that pauses.
+        until_told(
+            &node,
+            "i-2",
+            &["target record removed", "\"change\":\"Gone\""],
+        )
+        .await;
+        until_told(&node, "i-3", &["target record received", TOLD_BY_ANOTHER]).await;
         // A prompt whose prefill takes longer than the stop leaves later on.
         let call = Call::new("r-1", "/quote/1")
             .key(KEY)
