Trace the charges that fail while a hub stops

node::hubs::accounts_are_charged_while_the_hub_stops read the log of one instance as soon as a request had failed, before its last lines were written. It now waits for them and shows the answer and the logs of all instances. What it asserts is as before: each answer is 200.

--- a/tests/testsuite/node/hubs.rs
+++ b/tests/testsuite/node/hubs.rs
@@ -142,6 +142,9 @@
     });
 }
 
+/// Time in which what an instance logs is written.
+const LOG_TIME: Duration = Duration::from_millis(500);
+
 /// What happens to the hub of an instance.
 #[derive(Clone, Copy)]
 enum Fate {
@@ -163,10 +166,10 @@
         let front = nodes[number].front;
         let ask = async |n: usize| {
             let call = Call::new(&format!("r-{n}"), "/status/1").key(KEY);
-            call.send(front).await.status
+            call.send(front).await
         };
         until("the shares have tokens", async || {
-            ask(0).await == StatusCode::OK
+            ask(0).await.status == StatusCode::OK
         })
         .await;
         match fate {
@@ -177,7 +180,12 @@
         let since = Instant::now();
         let mut n = 1;
         while since.elapsed() < SILENCE * 2 {
-            assert_eq!(ask(n).await, StatusCode::OK, "{}", nodes[number].logged());
+            let got = ask(n).await;
+            if got.status != StatusCode::OK {
+                tokio::time::sleep(LOG_TIME).await;
+                let logs: Vec<_> = nodes.iter().map(Node::logged).collect();
+                panic!("{got:?} at {n}\n{}", logs.join("\n"));
+            }
             n += 1;
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
