--- a/tests/support/node/kept.rs
+++ b/tests/support/node/kept.rs
@@ -26,6 +26,8 @@
     NotSent(String),
     /// The connection ended before the head of an answer.
     Unanswered(String),
+    /// What came is no answer of HTTP.
+    Malformed(String),
 }
 
 /// An open connection to an instance.
@@ -78,12 +80,28 @@
     ///
     /// Fails if there is no head of an answer.
     pub async fn exchange(&mut self, call: &Call) -> Result<Got, NoAnswer> {
+        self.exchange_until(call, |_| false).await
+    }
+
+    /// Sends a request and reads the answer until what came of its body is
+    /// enough. An answer that was enough before its end isn't whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no head of an answer.
+    pub async fn exchange_until<F>(&mut self, call: &Call, is_enough: F) -> Result<Got, NoAnswer>
+    where
+        F: Fn(&[u8]) -> bool,
+    {
         let not_sent = |e: hyper::Error| NoAnswer::NotSent(e.to_string());
         self.sender.ready().await.map_err(not_sent)?;
         let sent = self.sender.try_send_request(call.request()).await;
         let resp = sent.map_err(|mut e| match e.take_message() {
             Some(_) => NoAnswer::NotSent(e.into_error().to_string()),
-            None => NoAnswer::Unanswered(e.into_error().to_string()),
+            None => match e.into_error() {
+                e if e.is_parse() => NoAnswer::Malformed(e.to_string()),
+                e => NoAnswer::Unanswered(e.to_string()),
+            },
         })?;
         let (parts, mut body) = resp.into_parts();
         let mut data = Vec::new();
@@ -94,6 +112,10 @@
                 break;
             };
             data.extend(frame.into_data().unwrap_or_default());
+            if is_enough(&data) {
+                whole = false;
+                break;
+            }
         }
         Ok(Got {
             status: parts.status,
--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -2,18 +2,25 @@
 //! the pages promise.
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1000 cargo test --test testsuite soak::seeds_by_hand`
-//! plays fifty seeds from a thousand on. `SOAK_PROFILE=calm` chooses the
-//! profile, `SOAK_INSTANCES=40` the number of instances, `SOAK_CALLERS=100`
+//! plays fifty seeds from a thousand on. `SOAK_PROFILE=calm` (or `crowded`, or
+//! `broken`) chooses the profile, `SOAK_INSTANCES=40` the number of instances, `SOAK_CALLERS=100`
 //! that of callers and `SOAK_CROWD=4000` that of a crowd's, and
 //! `SOAK_MEMORY_MB=260` and `SOAK_DESCRIPTORS=4100` what each process is
 //! allowed.
 
+mod arrivals;
 mod callers;
 mod changes;
 mod checks;
 mod crowd;
 mod faults;
+mod homes;
 mod record;
+mod release;
+mod resume;
+mod streams;
+mod targets;
+mod trouble;
 mod usage;
 mod watches;
 mod world;
@@ -30,6 +37,7 @@
 use support::node::site::Limits;
 
 use callers::Caller;
+use resume::Habits;
 use world::Soak;
 
 /// Time in which faults begin.
@@ -75,6 +83,9 @@
     /// Crowds of callers beside planned work, before processes with little
     /// memory and few descriptors.
     Crowded,
+    /// Targets that answer uploads before they have read them, or with a status
+    /// that HTTP doesn't have.
+    Broken,
 }
 
 /// Size of a run.
@@ -100,15 +111,21 @@
     /// Returns the number of series of faults that overlap.
     fn series(self) -> usize {
         match self {
-            Self::Mixed => 3,
+            Self::Mixed | Self::Broken => 3,
             Self::Calm | Self::Crowded => 6,
         }
     }
 
+    /// Tells whether targets of a second software version come in a run: in that
+    /// of every other seed.
+    fn has_release(self, seed: u64) -> bool {
+        matches!(self, Self::Mixed | Self::Calm) && !seed.is_multiple_of(2)
+    }
+
     /// Returns what each process is allowed.
     fn limits(self) -> Limits {
         match self {
-            Self::Mixed | Self::Calm => Limits::default(),
+            Self::Mixed | Self::Calm | Self::Broken => Limits::default(),
             Self::Crowded => CROWDED_LIMITS,
         }
     }
@@ -117,7 +134,7 @@
 /// Plays the faults of a seed.
 fn play(profile: Profile, seed: u64, size: Size, limits: Limits) {
     block_on(async {
-        let soak = Soak::start(size, limits).await;
+        let soak = Soak::start(profile, size, limits).await;
         tokio::select! {
             () = soak.usage.watch(&soak) => {}
             () = run(&soak, profile, seed) => {}
@@ -129,10 +146,15 @@
 /// Strikes and sends requests, and waits until everything works again.
 async fn run(soak: &Soak, profile: Profile, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
+    // What was added later draws from a source of its own, so that earlier seeds
+    // keep their faults.
+    let mut later = StdRng::seed_from_u64(!seed);
+    let mut next_rng = || StdRng::seed_from_u64(later.next_u64());
     let until = Instant::now() + FAULTS;
     let callers: Vec<_> = (0..soak.size.callers)
         .map(|n| {
-            let caller = Caller::new(soak, n, StdRng::seed_from_u64(rng.next_u64()));
+            let own = StdRng::seed_from_u64(rng.next_u64());
+            let caller = Caller::new(soak, n, own, Habits::new(next_rng(), profile));
             tokio::spawn(caller.run(until))
         })
         .collect();
@@ -146,7 +168,19 @@
             }
         }
     });
-    futures_util::future::join_all(series).await;
+    let series = futures_util::future::join_all(series);
+    let (mut releasing, mut moving) = (next_rng(), next_rng());
+    let release = async {
+        if profile.has_release(seed) {
+            release::run(soak, profile, &mut releasing).await;
+        }
+    };
+    let homes = async {
+        if matches!(profile, Profile::Mixed | Profile::Calm) {
+            homes::run(soak, until, &mut moving).await;
+        }
+    };
+    tokio::join!(series, release, homes);
     for caller in callers {
         caller.await.expect("no panic");
     }
@@ -166,6 +200,10 @@
     play_by_default(Profile::Crowded, seed);
 }
 
+fn check_broken(seed: u64) {
+    play_by_default(Profile::Broken, seed);
+}
+
 fn play_by_default(profile: Profile, seed: u64) {
     play(profile, seed, Size::default(), profile.limits());
 }
@@ -188,6 +226,12 @@
     crowded_seed_2(2);
 }
 
+cases! {
+    check_broken:
+    broken_seed_1(1);
+    broken_seed_2(2);
+}
+
 /// Plays the seeds that the environment asks for. All are played before those
 /// that failed are named.
 #[test]
@@ -197,6 +241,7 @@
     let profile = match text("SOAK_PROFILE").as_deref() {
         Some("calm") => Profile::Calm,
         Some("crowded") => Profile::Crowded,
+        Some("broken") => Profile::Broken,
         _ => Profile::Mixed,
     };
     let count = |name: &str, or: usize| number(name).map_or(or, |n| n as usize);
--- a/tests/testsuite/node/soak/faults.rs
+++ b/tests/testsuite/node/soak/faults.rs
@@ -19,10 +19,12 @@
 use super::SLACK;
 use super::crowd;
 use super::record::Scope;
+use super::targets;
+use super::targets::FIRST_TARGETS;
+use super::targets::TARGETS;
+use super::trouble;
 use super::watches;
-use super::world;
 use super::world::Soak;
-use super::world::TARGETS;
 
 /// Length of the silence of a sound target, in ms.
 const SILENCE_MS: std::ops::Range<u64> = 800..1800;
@@ -45,6 +47,7 @@
         Profile::Mixed => strike_mixed(soak, rng).await,
         Profile::Calm => strike_calm(soak, rng).await,
         Profile::Crowded => strike_crowded(soak, rng).await,
+        Profile::Broken => strike_broken(soak, rng).await,
     }
 }
 
@@ -62,6 +65,15 @@
     }
 }
 
+async fn strike_broken(soak: &Soak, rng: &mut StdRng) {
+    match rng.random_range(0..10) {
+        0..=6 => trouble::strike(soak, rng).await,
+        7 => change(soak, rng).await,
+        8 => hang_up(soak, rng).await,
+        _ => fall_silent(soak, rng).await,
+    }
+}
+
 async fn strike_calm(soak: &Soak, rng: &mut StdRng) {
     match rng.random_range(0..24) {
         0..=13 => fall_silent(soak, rng).await,
@@ -80,9 +92,11 @@
         1 => kill(soak, rng, time).await,
         2 | 3 => stop(soak, rng, Restart::Heard).await,
         4 => {
+            let fault = soak.record.begin(Scope::Store);
             soak.store.set(random_harm(rng));
             tokio::time::sleep(time).await;
             soak.store.set(Harm::None);
+            soak.record.end(fault);
         }
         5..=9 => harm_target(soak, rng, time).await,
         10..=12 => fall_silent(soak, rng).await,
@@ -105,17 +119,21 @@
             tokio::time::sleep(time).await;
         }
         1 => {
+            let fault = soak.record.begin(Scope::Store);
             store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
             tokio::time::sleep(time).await;
             store.refuse(None);
+            soak.record.end(fault);
         }
         2 => {
             let copy = store.copy();
             tokio::time::sleep(time).await;
+            let fault = soak.record.begin(Scope::Store);
             store.restore_and_write_again(copy);
+            soak.record.end(fault);
         }
         _ => {
-            let (_, _, zone) = TARGETS[rng.random_range(0..TARGETS.len())];
+            let (_, _, zone) = TARGETS[rng.random_range(0..FIRST_TARGETS)];
             let key = format!("op/evacuate/{zone}");
             store.put(&key, &json!({}));
             tokio::time::sleep(time).await;
@@ -126,7 +144,8 @@
 
 /// Lets a sound target be silent for a while and go on.
 async fn fall_silent(soak: &Soak, rng: &mut StdRng) {
-    let target = &soak.targets[rng.random_range(0..soak.targets.len())];
+    let at = soak.serving(rng.random_range(0..FIRST_TARGETS));
+    let target = &soak.targets[at];
     let time = Duration::from_millis(rng.random_range(SILENCE_MS));
     // Another fault may have the target now.
     let Ok(_fault) = target.fault.try_lock() else {
@@ -145,7 +164,7 @@
 /// Harms the link to a target. A delay is the only harm that a request
 /// survives.
 async fn harm_target(soak: &Soak, rng: &mut StdRng, time: Duration) {
-    let at = rng.random_range(0..soak.targets.len());
+    let at = soak.serving(rng.random_range(0..FIRST_TARGETS));
     let target = &soak.targets[at];
     let harm = random_harm(rng);
     let Ok(_fault) = target.fault.try_lock() else {
@@ -171,7 +190,7 @@
 
 /// Has a target of streams send an event that does not end.
 async fn send_without_end(soak: &Soak, rng: &mut StdRng, time: Duration) {
-    let at = rng.random_range(0..soak.targets.len());
+    let at = soak.serving(rng.random_range(0..FIRST_TARGETS));
     let target = &soak.targets[at];
     let Ok(_fault) = target.fault.try_lock() else {
         return;
@@ -182,7 +201,7 @@
     let fault = soak.record.begin(Scope::Target(at));
     target.target.set(Mode::EndlessEvent);
     tokio::time::sleep(time).await;
-    target.target.set(world::usual_mode(TARGETS[at].1));
+    target.target.set(targets::usual_mode(TARGETS[at].1));
     soak.record.end(fault);
 }
 
@@ -239,6 +258,27 @@
     soak.record.end(fault);
 }
 
+/// Kills all instances at once, but those under another fault, and starts them
+/// again after `time`.
+pub(super) async fn kill_all(soak: &Soak, time: Duration) {
+    let nodes = soak.nodes.iter().enumerate();
+    let mut killed = Vec::new();
+    for (at, node) in nodes {
+        if let Ok(node) = node.try_lock() {
+            killed.push((at, soak.record.begin(Scope::Instance(at)), node));
+        }
+    }
+    for (at, _, node) in &mut killed {
+        node.process.kill();
+        soak.note_end(*at);
+    }
+    tokio::time::sleep(time).await;
+    for (at, fault, mut node) in killed {
+        soak.respawn(at, &mut node);
+        soak.record.end(fault);
+    }
+}
+
 /// What the others hear of a restart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Restart {
--- a/tests/testsuite/node/soak/watches.rs
+++ b/tests/testsuite/node/soak/watches.rs
@@ -9,8 +9,10 @@
 use serde_json::json;
 use support::node::proxy::Harm;
 
+use super::record::Scope;
+use super::targets::FIRST_TARGETS;
+use super::targets::TARGETS;
 use super::world::Soak;
-use super::world::TARGETS;
 
 /// Pause between two cuts of the waiting watches, in ms.
 const CUT_PAUSE_MS: std::ops::Range<u64> = 50..1900;
@@ -90,24 +92,21 @@
 /// Cuts an instance off from the store while a target turns cold, and evacuates
 /// a zone for a part of that time.
 pub(super) async fn cut_off_beside_cold(soak: &Soak, rng: &mut StdRng) {
-    let link = &soak.store_links[rng.random_range(0..soak.store_links.len())];
-    let at = rng.random_range(0..soak.targets.len());
-    let (name, service, zone) = TARGETS[at];
+    let instance = rng.random_range(0..soak.store_links.len());
+    let link = &soak.store_links[instance];
+    let at = soak.serving(rng.random_range(0..FIRST_TARGETS));
+    let (_, service, _) = TARGETS[at];
     if service != "model" {
         return;
     }
-    let (_, _, evacuated) = TARGETS[rng.random_range(0..TARGETS.len())];
+    let (_, _, evacuated) = TARGETS[rng.random_range(0..FIRST_TARGETS)];
     let time = Duration::from_millis(rng.random_range(CUT_OFF_MS));
     let Ok(_fault) = soak.targets[at].cold.try_lock() else {
         return;
     };
-    let address = soak.targets[at].proxy.address;
-    let write = |cold_ms| {
-        let site = &soak.site;
-        site.register_cold_at(name, address, service, zone, cold_ms);
-    };
+    let fault = soak.record.begin(Scope::StoreLink(instance));
     link.set(Harm::Silence);
-    write(2 * time.as_millis() as u64);
+    soak.write_cold(at, 2 * time.as_millis() as u64);
     let since = Instant::now();
     let key = format!("op/evacuate/{evacuated}");
     soak.site.store.put(&key, &json!({}));
@@ -115,8 +114,9 @@
     soak.site.store.remove(&key);
     tokio::time::sleep(time / 2).await;
     let until = Instant::now();
-    write(0);
+    soak.write_cold(at, 0);
     link.set(Harm::None);
+    soak.record.end(fault);
     let cold = ColdTime {
         target: at,
         since,
--- a/tests/testsuite/node/soak/world.rs
+++ b/tests/testsuite/node/soak/world.rs
@@ -8,19 +8,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use support::node::Mode;
 use support::node::Node;
 use support::node::PlatformStore;
-use support::node::PlatformTarget;
 use support::node::Site;
 use support::node::proxy::Proxy;
 use support::node::site::Limits;
 
+use super::Profile;
 use super::Size;
 use super::callers;
 use super::callers::Seen;
 use super::changes::Changes;
 use super::record::Record;
+use super::targets::FIRST_TARGETS;
+use super::targets::SoakTarget;
+use super::targets::TARGETS;
+use super::targets::TO_SUCCESSOR;
 use super::usage;
 use super::usage::Usage;
 use super::watches::ColdTimes;
@@ -28,45 +31,19 @@
 /// Time in which everything works again once the last fault has ended.
 const RECOVERY: Duration = Duration::from_secs(15);
 
-/// Time of a plain answer, so that faults meet requests at the targets.
-const SERVICE: Duration = Duration::from_millis(60);
-
-/// Number of the last event of a stream.
-pub(super) const EVENTS: u64 = 5;
-
-/// Pause between the events of a stream, so that faults meet streams midway.
-const EVENT_PAUSE: Duration = Duration::from_millis(80);
-
 /// Zones and their regions.
-const ZONES: [(&str, &str); 3] = [
+pub(super) const ZONES: [(&str, &str); 3] = [
     ("north-a", "north"),
     ("south-a", "south"),
     ("west-a", "west"),
 ];
 
-/// Targets with their service and zone.
-pub(super) const TARGETS: [(&str, &str, &str); 13] = [
-    ("i-orders-1", "orders", "north-a"),
-    ("i-orders-2", "orders", "north-a"),
-    ("i-orders-3", "orders", "south-a"),
-    ("i-orders-4", "orders", "south-a"),
-    ("i-orders-5", "orders", "west-a"),
-    ("i-spare-1", "spare", "north-a"),
-    ("i-spare-2", "spare", "south-a"),
-    ("i-spare-3", "spare", "west-a"),
-    ("i-model-1", "model", "north-a"),
-    ("i-model-2", "model", "north-a"),
-    ("i-model-3", "model", "south-a"),
-    ("i-model-4", "model", "south-a"),
-    ("i-model-5", "model", "west-a"),
-];
-
 /// Where an instance runs.
 #[derive(Clone, Debug)]
 pub(super) struct Place {
     pub(super) name: String,
     pub(super) zone: &'static str,
-    region: &'static str,
+    pub(super) region: &'static str,
 }
 
 impl Place {
@@ -80,17 +57,6 @@
     }
 }
 
-/// A target behind a proxy.
-#[derive(Debug)]
-pub(super) struct SoakTarget {
-    pub(super) target: PlatformTarget,
-    pub(super) proxy: Proxy,
-    /// Locked by the fault that the target suffers.
-    pub(super) fault: tokio::sync::Mutex<()>,
-    /// Locked while the target is cold.
-    pub(super) cold: tokio::sync::Mutex<()>,
-}
-
 /// A run.
 pub(super) struct Soak {
     pub(super) size: Size,
@@ -120,16 +86,18 @@
 }
 
 impl Soak {
-    pub(super) async fn start(size: Size, limits: Limits) -> Self {
+    pub(super) async fn start(profile: Profile, size: Size, limits: Limits) -> Self {
         let store = PlatformStore::start().await;
         let proxy = Proxy::start(store.address).await;
         let mut site = Site::before(store, proxy.address);
         site.limit(limits);
-        let changes = Changes::begin(&site.store);
+        let changes = Changes::begin(&site.store, profile);
         let mut targets = Vec::new();
-        for (name, service, zone) in TARGETS {
-            let target = SoakTarget::start(name, service).await;
-            site.register_at(name, target.proxy.address, service, zone);
+        for at in 0..TARGETS.len() {
+            let target = SoakTarget::start(at, profile).await;
+            if at < FIRST_TARGETS {
+                target.begin(&site);
+            }
             targets.push(target);
         }
         let places: Vec<_> = (0..size.instances).map(Place::new).collect();
@@ -172,6 +140,35 @@
         }
     }
 
+    /// Returns the target that serves in the place of one of the first.
+    pub(super) fn serving(&self, first: usize) -> usize {
+        let is_replaced = self.targets[first].is_replaced();
+        first + if is_replaced { TO_SUCCESSOR } else { 0 }
+    }
+
+    /// Has another target with other software take the place of one, which
+    /// drains.
+    pub(super) fn replace_target(&self, old: usize) {
+        let new = old + TO_SUCCESSOR;
+        self.targets[new].begin(&self.site);
+        self.targets[old].change(&self.site, |now| now.is_draining = true);
+    }
+
+    /// Ends the record of a target.
+    pub(super) fn remove_target(&self, at: usize) {
+        self.targets[at].remove(&self.site);
+    }
+
+    /// Writes for how long a target is cold, if it has a record.
+    pub(super) fn write_cold(&self, at: usize, cold_ms: u64) {
+        self.targets[at].change(&self.site, |now| now.cold_ms = cold_ms);
+    }
+
+    /// Writes an address for a target, in place of its own if there is one.
+    pub(super) fn write_address(&self, at: usize, address: Option<SocketAddr>) {
+        self.targets[at].change(&self.site, |now| now.address = address);
+    }
+
     /// Returns a number that no other crowd of the run has.
     pub(super) fn next_crowd(&self) -> usize {
         self.crowds.fetch_add(1, Ordering::Relaxed)
@@ -250,25 +247,3 @@
         }
     }
 }
-
-/// Returns how a sound target of a service treats requests.
-pub(super) fn usual_mode(service: &str) -> Mode {
-    match service {
-        "model" => Mode::Paced(EVENTS, EVENT_PAUSE),
-        _ => Mode::Slow(SERVICE),
-    }
-}
-
-impl SoakTarget {
-    async fn start(name: &str, service: &str) -> Self {
-        let target = PlatformTarget::start(name).await;
-        target.set(usual_mode(service));
-        let proxy = Proxy::start(target.address).await;
-        Self {
-            target,
-            proxy,
-            fault: tokio::sync::Mutex::default(),
-            cold: tokio::sync::Mutex::default(),
-        }
-    }
-}
