--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -30,6 +30,16 @@
 }
 
 impl Distance {
+    /// Returns the name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::SameZone => "zone",
+            Self::SameRegion => "region",
+            Self::OtherRegion(0) => "other region",
+            Self::OtherRegion(_) => "barred region",
+        }
+    }
+
     /// Tells whether the caller may be told of the instance, if none is nearer.
     /// `last_stop` is when an instance of the caller's region, or of one in which
     /// all routes may run, last said that it stops.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -322,8 +322,11 @@
             })
         };
         let now = self.clock.now();
-        self.members
-            .nearest_ready(zone, region, count_barred_routes, now)
+        let nearest = self
+            .members
+            .nearest_ready(zone, region, count_barred_routes, now);
+        self.metrics.count_look_up(nearest.distance);
+        nearest.addresses
     }
 
     /// Returns whether the catalog in force was read at `revision`.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -62,6 +62,15 @@
     own: watch::Sender<MemberRecord>,
 }
 
+/// The instances that a caller is told of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Nearest {
+    /// Where callers connect to them.
+    pub(crate) addresses: Vec<SocketAddr>,
+    /// How far they are; `None` if there are none.
+    pub(crate) distance: Option<Distance>,
+}
+
 impl Members {
     pub(crate) fn new(own: MemberRecord, pins: Pins) -> Self {
         pins.set(&own.instance, &own.certificate);
@@ -335,7 +344,7 @@
         region: &Region,
         count_barred_routes: F,
         now: Duration,
-    ) -> Vec<SocketAddr>
+    ) -> Nearest
     where
         F: Fn(&Region) -> usize,
     {
@@ -377,6 +386,9 @@
         let near: Vec<Candidate<SocketAddr>> = near.collect();
         drop(table);
         let key = format!("{:x}", rand::random::<u64>());
-        directory::choose_advertised(near, &key)
+        Nearest {
+            addresses: directory::choose_advertised(near, &key),
+            distance: nearest,
+        }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use chiverelay_decisions::directory::Distance;
 use chiverelay_decisions::refusal::Refusal;
 use hyper::StatusCode;
 use prometheus::Encoder;
@@ -43,6 +44,7 @@
     unanswered: IntCounterVec,
     interruptions: IntCounterVec,
     continuations: IntCounterVec,
+    look_ups: IntCounterVec,
     cut_answers: IntCounterVec,
     region_conflicts: IntCounterVec,
     attempts: IntCounterVec,
@@ -112,6 +114,12 @@
                 "Attempts and forwards that were not sent, as the catalog in force bars the region.",
                 &["to"],
             ),
+            look_ups: counter(
+                &registry,
+                "look_ups_total",
+                "Look-ups of instances by how far those are that callers were told of.",
+                &["named"],
+            ),
             cut_answers: counter(
                 &registry,
                 "cut_answers_total",
@@ -244,6 +252,7 @@
         self.limit_hits.with_label_values(&["none", "none"]);
         self.interruptions.with_label_values(&["none", "none"]);
         self.continuations.with_label_values(&["same"]);
+        self.look_ups.with_label_values(&["nobody"]);
         self.store_calls.with_label_values(&["none", "none"]);
         self.forwards.with_label_values::<&str>(&[]);
         for histogram in [
@@ -289,6 +298,12 @@
         histogram.observe(took.as_secs_f64());
     }
 
+    /// Counts a look-up by how far the instances are that were named.
+    pub(crate) fn count_look_up(&self, named: Option<Distance>) {
+        let named = named.map_or("nobody", Distance::as_str);
+        self.look_ups.with_label_values(&[named]).inc();
+    }
+
     /// Counts a stream that goes on at another target.
     pub(crate) fn count_continuation(&self, software: SoftwareMatch) {
         let labels = [software.as_str()];
