--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -308,7 +308,7 @@
 
     /// Finds the targets that have most of a prompt cached.
     fn cache_sources(&self, fleet: &Fleet, query: &TargetQuery<'_>) -> CacheSources {
-        let is_allowed = |known: &KnownTarget| query.permitted_regions.allows(&known.record.region);
+        let is_allowed = |known: &KnownTarget| query.residency.allows(&known.record.region);
         let known = self.cached_parts.iter();
         let known = known.filter(|(name, _)| {
             fleet.get(name).is_some_and(is_allowed) && fleet.accepts_requests(name)
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -88,7 +88,7 @@
     pub software: Option<&'a SoftwareVersion>,
     /// Regions in which the request may run. Cached parts of its prompt are
     /// copied only from targets there.
-    pub permitted_regions: &'a Residency,
+    pub residency: &'a Residency,
     /// Random number from which the additions to the targets' costs are
     /// derived.
     pub random: u64,
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -182,7 +182,7 @@
     where
         S: HasGrant,
     {
-        let allowed = self.permitted_regions(req);
+        let allowed = self.residency_now(req);
         let local = self.choose_local_target(cx, &allowed, tried, now);
         // Limited targets of other regions are left to the instances there, but
         // they are better than none.
@@ -234,7 +234,7 @@
         self.check_shutdown(&req, cx, Duration::ZERO, now)?;
         self.check_crashes(&req, cx, now)?;
         let choice = self
-            .choose_local_target(cx, &self.permitted_regions(&req), req.tried_targets(), now)
+            .choose_local_target(cx, &self.residency_now(&req), req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason))?;
         // The instance that forwarded the request knew less of these targets. An
         // answer that has begun goes on, however late.
@@ -363,7 +363,7 @@
         let now = self.clock.now();
         let deadline = req.meta().deadline;
         let left = deadline.saturating_sub(now);
-        let allowed = self.permitted_regions(req);
+        let allowed = self.residency_now(req);
         let choice = self.choose_local_target(cx, &allowed, &tried_with_current(req), now);
         choice.is_ok_and(|TargetChoice { estimate, .. }| {
             is_suitable(&estimate, left)
@@ -388,7 +388,7 @@
             parts: &cx.parts,
             excluded: tried,
             software: cx.software.as_ref(),
-            permitted_regions: allowed,
+            residency: allowed,
             random: rand::random(),
         };
         let fleet = self.tables.fleet.lock();
--- a/crates/gateway/src/residency.rs
+++ b/crates/gateway/src/residency.rs
@@ -43,7 +43,7 @@
 
     /// Returns the regions in which a request may run by both the catalog that
     /// admitted it and the one in force.
-    pub(crate) fn permitted_regions<S, O>(&self, req: &Request<S, O>) -> Residency
+    pub(crate) fn residency_now<S, O>(&self, req: &Request<S, O>) -> Residency
     where
         S: HasGrant,
     {
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -213,7 +213,7 @@
             parts: &[],
             excluded: tried,
             software: None,
-            permitted_regions: &Residency::anywhere(),
+            residency: &Residency::anywhere(),
             random: draw,
         };
         let region = Region::from("north");
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -58,7 +58,7 @@
     region: Region,
     divisor: Divisor,
     /// Where the requests may run.
-    permitted_regions: Residency,
+    residency: Residency,
     draw: u64,
 }
 
@@ -92,7 +92,7 @@
             },
             region: "north".into(),
             divisor: lone(),
-            permitted_regions: Residency::anywhere(),
+            residency: Residency::anywhere(),
             draw: 1,
         };
         for n in 0..targets {
@@ -161,7 +161,7 @@
             parts,
             excluded: tried,
             software: None,
-            permitted_regions: &self.permitted_regions,
+            residency: &self.residency,
             random: self.draw,
         };
         self.draw += 1;
--- a/tests/testsuite/traffic/cached_prompts.rs
+++ b/tests/testsuite/traffic/cached_prompts.rs
@@ -100,7 +100,7 @@
     world
         .traffic
         .record_remote_part_uses(&"two".into(), vec![part_use], ms(0));
-    world.permitted_regions = allowed;
+    world.residency = allowed;
     let parts = [part(0, 13_000), part(1_000, 3_700)];
     let choice = world.choose(&parts, 16_700, &[], ms(10)).expect("a choice");
     assert_eq!(choice.estimate.cache_source.is_some(), is_copied);
--- a/tests/testsuite/traffic/software.rs
+++ b/tests/testsuite/traffic/software.rs
@@ -56,7 +56,7 @@
         parts,
         excluded: &[],
         software: software.as_ref(),
-        permitted_regions: &world.permitted_regions.clone(),
+        residency: &world.residency.clone(),
         random: world.draw,
     };
     world.draw += 1;
