Name, split and explain what the read-through stumbled on

Names: StreamInfo, its fields, the lookup of streams, the functions of the marks, residency_in_force, the metric chiverelay_lookups_total.

--- a/crates/chiverelayd/src/relay.rs
+++ b/crates/chiverelayd/src/relay.rs
@@ -61,7 +61,7 @@
                         | Frame::Ran(_)
                         | Frame::Software(_)
                         | Frame::SoftwareUnknown,
-                    ) => (Code::SiblingFailed, peer, "a second head".to_owned()),
+                    ) => (Code::SiblingFailed, peer, "unexpected frame".to_owned()),
                     Err(e) => (Code::SiblingFailed, peer, e.to_string()),
                 }
             }
--- a/crates/decisions/src/catalog/copy.rs
+++ b/crates/decisions/src/catalog/copy.rs
@@ -63,7 +63,7 @@
 
 impl CurrentCatalog {
     /// Copies the catalog in force for an instance that has the catalog of a
-    /// version, 0 for none. `None` if that is no older one.
+    /// version, 0 for none. `None` if this instance has no later one.
     pub fn copy_if_later(&self, version: u64) -> Option<CatalogCopy> {
         let loaded = self.get()?;
         (loaded.catalog.version > version).then(|| CatalogCopy::of(&loaded))
--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -15,7 +15,8 @@
 /// that have just failed them.
 const MIN_ADVERTISED: usize = 4;
 
-/// Time for which a region whose instances stop is expected to have some again.
+/// Longest usual time from the stop of a region's instances until one is ready
+/// again.
 pub const RESTART_TIME: Duration = Duration::from_secs(10);
 
 /// How far an instance is from a caller. Nearer ones come first.
@@ -25,7 +26,8 @@
     SameZone,
     /// In the caller's region.
     SameRegion,
-    /// In another region, in which so many of the host's routes may not run.
+    /// In another region, with the number of the host's routes that may not run
+    /// there.
     OtherRegion(usize),
 }
 
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -323,14 +323,14 @@
 
     /// Returns a target by its name if it serves a pool in a region. A name may
     /// come back with another record after its target was chosen.
-    pub fn get_in(&self, name: &Target, pool: &Pool, region: &Region) -> Option<&KnownTarget> {
+    pub fn get_at(&self, name: &Target, pool: &Pool, region: &Region) -> Option<&KnownTarget> {
         let known = self.targets.get(name);
         known.filter(|known| known.record.pool == *pool && known.record.region == *region)
     }
 
     /// Tells whether a target may get a request for which it was chosen by the
     /// record `chosen`: it still takes requests, and has not moved since.
-    pub fn accepts_chosen(&self, name: &Target, chosen: &TargetRecord) -> bool {
+    pub fn still_accepts(&self, name: &Target, chosen: &TargetRecord) -> bool {
         let known = self.targets.get(name);
         let is_there = known.is_some_and(|known| chosen.is_at_same_place(&known.record));
         is_there && self.accepts_requests(name)
--- a/crates/decisions/src/fleet/copy.rs
+++ b/crates/decisions/src/fleet/copy.rs
@@ -13,12 +13,12 @@
 use crate::names::Zone;
 use crate::revision::StoreRevision;
 
-/// What an instance has read from the store of the targets of one region and of
-/// all evacuated zones.
+/// What an instance knows of the targets of one region and of all evacuated
+/// zones.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct FleetCopy {
-    /// Revision of the store up to which the sender has read all changes.
+    /// Revision of the store up to which the sender knows all changes.
     pub revision: StoreRevision,
     /// All targets of the region.
     pub targets: Vec<TargetCopy>,
--- a/crates/decisions/src/streams/began.rs
+++ b/crates/decisions/src/streams/began.rs
@@ -10,7 +10,8 @@
 use crate::names::Pool;
 use crate::names::SoftwareVersion;
 
-/// Largest number of streams that are remembered.
+/// Largest number of streams that are remembered, which bounds the memory: each
+/// takes its id and shares the names of its account, pool and software.
 pub const MAX_STREAMS: usize = 30_000;
 
 /// Largest id of a stream that is remembered, in bytes.
@@ -29,7 +30,7 @@
 
 #[derive(Clone, Debug)]
 struct BeganStream {
-    origin: PoolSoftware,
+    began_by: PoolSoftware,
     source: StreamSource,
     /// When it is forgotten, on the local monotonic clock.
     expires_at: Duration,
@@ -71,11 +72,12 @@
         self.lifetime = lifetime;
     }
 
-    /// Records a stream. What began it stays if it is only resumed.
+    /// Records a stream. A resumption of a known stream renews it and keeps what is
+    /// known to have begun it.
     pub fn record(
         &mut self,
         key: &StreamKey,
-        origin: PoolSoftware,
+        began_by: PoolSoftware,
         source: StreamSource,
         now: Duration,
     ) {
@@ -87,13 +89,13 @@
         if let Some(known) = self.by_key.get_mut(key) {
             known.expires_at = expires_at;
             if source != StreamSource::Resumed {
-                known.origin = origin;
+                known.began_by = began_by;
                 known.source = source;
             }
             return;
         }
         let stream = BeganStream {
-            origin,
+            began_by,
             source,
             expires_at,
         };
@@ -107,18 +109,18 @@
     /// Returns what began a stream, if it is known.
     pub fn find(&self, key: &StreamKey, now: Duration) -> Option<&PoolSoftware> {
         let stream = self.by_key.get(key)?;
-        (now < stream.expires_at).then_some(&stream.origin)
+        (now < stream.expires_at).then_some(&stream.began_by)
     }
 
     /// Lists the streams of a pool that began here.
     pub fn list_own(&self, pool: &Pool, now: Duration) -> Vec<(StreamKey, SoftwareVersion)> {
         let is_own = |stream: &BeganStream| {
             stream.source == StreamSource::Own
-                && stream.origin.pool == *pool
+                && stream.began_by.pool == *pool
                 && now < stream.expires_at
         };
         let own = self.by_key.iter().filter(|(_, stream)| is_own(stream));
-        let listed = own.map(|(key, stream)| (key.clone(), stream.origin.software.clone()));
+        let listed = own.map(|(key, stream)| (key.clone(), stream.began_by.software.clone()));
         listed.collect()
     }
 
--- a/crates/decisions/src/streams/software.rs
+++ b/crates/decisions/src/streams/software.rs
@@ -20,7 +20,7 @@
 /// `seen_at` and `unmarked_at` are on the local monotonic clock.
 #[derive(Clone, Debug)]
 struct Seen {
-    /// When a target was last on record, or the mark was first read.
+    /// When a target last had it, as far as is known, or the mark was first read.
     seen_at: Duration,
     /// When it was first seen, or its mark was removed.
     unmarked_at: Duration,
@@ -76,8 +76,8 @@
         self.retention = retention;
     }
 
-    /// Records that a target with the software is on record. Returns whether the
-    /// software is new.
+    /// Records that a target of the pool has the software, by its record, its
+    /// answer or another instance. Returns whether the software is new.
     pub fn observe(&mut self, software: &PoolSoftware, now: Duration) -> bool {
         if let Some(seen) = self.seen.get_mut(software) {
             seen.seen_at = now;
@@ -106,25 +106,26 @@
 
     /// Records that the store has no mark of the software.
     pub fn record_unmarked(&mut self, software: &PoolSoftware, now: Duration) {
-        if let Some(seen) = self.seen.get_mut(software)
-            && seen.is_marked
-        {
-            seen.is_marked = false;
-            seen.unmarked_at = now;
+        if let Some(seen) = self.seen.get_mut(software) {
+            seen.unmark(now);
         }
     }
 
-    /// Applies a complete listing of the marks.
-    pub fn reconcile_marks(&mut self, listed: &HashSet<PoolSoftware>, now: Duration) {
+    /// Applies a complete listing of the marks, and returns the software that is
+    /// new.
+    pub fn reconcile_marks(
+        &mut self,
+        listed: &HashSet<PoolSoftware>,
+        now: Duration,
+    ) -> Vec<PoolSoftware> {
         for (software, seen) in &mut self.seen {
-            if seen.is_marked && !listed.contains(software) {
-                seen.is_marked = false;
-                seen.unmarked_at = now;
+            if !listed.contains(software) {
+                seen.unmark(now);
             }
         }
-        for software in listed {
-            self.record_mark(software.clone(), now);
-        }
+        let mut new: Vec<PoolSoftware> = listed.iter().cloned().collect();
+        new.retain(|software| self.record_mark(software.clone(), now));
+        new
     }
 
     /// Lists the software that may have begun streams of the pool that are still
@@ -173,6 +174,13 @@
 }
 
 impl Seen {
+    fn unmark(&mut self, now: Duration) {
+        if self.is_marked {
+            self.is_marked = false;
+            self.unmarked_at = now;
+        }
+    }
+
     /// Tells whether no target has had the software for that long.
     fn is_outdated(&self, retention: Duration, now: Duration) -> bool {
         now >= self.seen_at + retention
--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -79,7 +79,7 @@
             Self::TimedOut => "no answer in time",
             Self::Silent => "another target may answer",
             Self::Overtaken => "another target has answered first",
-            Self::OtherSoftware => "the target has begun anew with other software",
+            Self::OtherSoftware => "the target's record has come to name other software",
         }
     }
 
--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -94,7 +94,7 @@
         let is_only = answer.software.is_none()
             && !answer.is_software_uncertain
             && cx.software == self.only_software(cx);
-        !answer.status.is_success() || cx.accepts_answer_of(answer.software.as_ref()) || is_only
+        !answer.status.is_success() || cx.accepts_software(answer.software.as_ref()) || is_only
     }
 
     fn only_software(&self, cx: &PlacementContext) -> Option<SoftwareVersion> {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -346,8 +346,9 @@
     ) -> bool {
         let fleet = self.tables.fleet.lock();
         let software = fleet.get(target).map(|known| &known.record.software);
-        let is_usable = fleet.accepts_chosen(target, &chosen.record)
-            && software.is_some_and(|software| cx.accepts_software(software));
+        let is_usable = fleet.still_accepts(target, &chosen.record)
+            && software.is_some()
+            && cx.accepts_software(software);
         drop(fleet);
         is_usable && self.tables.traffic.lock().pause_left(target, now).is_none()
     }
@@ -490,7 +491,7 @@
 where
     D: Dialect,
 {
-    let is_accepted = cx.accepts_answer_of(reservation.confirmed_software());
+    let is_accepted = cx.accepts_software(reservation.confirmed_software());
     let exchanged = match exchanged {
         Ok(_) if !is_accepted => Err(AttemptFailure::OtherSoftware),
         exchanged => exchanged,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,6 @@
 //! and shutdown.
 
 use std::future::Future;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -12,8 +11,6 @@
 use chiverelay_decisions::admission::Shares;
 use chiverelay_decisions::catalog::CatalogChange;
 use chiverelay_decisions::names::Instance;
-use chiverelay_decisions::names::Region;
-use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::shutdown::ShutdownDeadline;
 use chiverelay_decisions::streams;
@@ -310,25 +307,6 @@
         self.members.own_state() == MemberState::Ready
     }
 
-    /// Lists the addresses of the nearest ready instances for a caller in
-    /// `zone`. `host` is the host of its requests; regions that may not answer
-    /// some of that host's routes count as farther.
-    pub fn nearest_ready(&self, host: &str, zone: &Zone, region: &Region) -> Vec<SocketAddr> {
-        let current = self.tables.current_catalog();
-        let count_barred_routes = |region: &Region| {
-            let catalog = current.as_ref().map(|c| &c.catalog);
-            catalog.map_or(0, |catalog| {
-                catalog.count_routes_not_allowed_in(host, region)
-            })
-        };
-        let now = self.clock.now();
-        let nearest = self
-            .members
-            .nearest_ready(zone, region, count_barred_routes, now);
-        self.metrics.count_look_up(nearest.distance);
-        nearest.addresses
-    }
-
     /// Returns whether the catalog in force was read at `revision`.
     pub fn has_catalog_of(&self, revision: StoreRevision) -> bool {
         let current = self.tables.current_catalog();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod loan;
 mod log_rate_limit;
 pub mod log_writer;
+mod lookup;
 mod members;
 mod memory;
 mod message;
--- /dev/null
+++ b/crates/gateway/src/lookup.rs
@@ -0,0 +1,33 @@
+//! Lookups of instances by callers.
+
+use std::net::SocketAddr;
+
+use chiverelay_decisions::names::Region;
+use chiverelay_decisions::names::Zone;
+
+use crate::Dialect;
+use crate::Gateway;
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Lists the addresses of the nearest ready instances for a caller in
+    /// `zone`. `host` is the host of its requests; regions that may not answer
+    /// some of that host's routes count as farther.
+    pub fn nearest_ready(&self, host: &str, zone: &Zone, region: &Region) -> Vec<SocketAddr> {
+        let current = self.tables.current_catalog();
+        let count_barred_routes = |region: &Region| {
+            let catalog = current.as_ref().map(|c| &c.catalog);
+            catalog.map_or(0, |catalog| {
+                catalog.count_routes_not_allowed_in(host, region)
+            })
+        };
+        let now = self.clock.now();
+        let nearest = self
+            .members
+            .nearest_ready(zone, region, count_barred_routes, now);
+        self.metrics.count_lookup(nearest.distance);
+        nearest.addresses
+    }
+}
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -336,8 +336,9 @@
     /// Lists the caller addresses of ready instances nearest to a zone: those
     /// in the zone, else those in its region, else those in the regions that may
     /// answer the largest number of the caller's routes. Nobody is listed of a
-    /// region that may not answer all of them while instances of a better one
-    /// restart. The larger an instance, the more answers list it.
+    /// region that may not answer all of them within
+    /// [`RESTART_TIME`](directory::RESTART_TIME) of a stop in the caller's region
+    /// or in one that may. The larger an instance, the more answers list it.
     pub(crate) fn nearest_ready<F>(
         &self,
         zone: &Zone,
@@ -365,14 +366,11 @@
             }
         };
         let is_preferred = |other: &Region| other == region || count_barred_routes(other) == 0;
-        let stops = table.last_stops.iter();
-        let mut last_stop = stops
-            .filter(|(region, _)| is_preferred(region))
-            .map(|(_, at)| *at)
-            .max();
-        if own.state == MemberState::Leaving && is_preferred(&own.region) {
-            last_stop = Some(now);
-        }
+        let is_own_stop = own.state == MemberState::Leaving && is_preferred(&own.region);
+        let last_stop = match is_own_stop {
+            true => Some(now),
+            false => table.last_stop_in(is_preferred),
+        };
         let nearest = ready.iter().map(|record| distance(record)).min();
         let nearest = nearest.filter(|nearest| nearest.may_be_named(last_stop, now));
         let near = ready
--- a/crates/gateway/src/members/table.rs
+++ b/crates/gateway/src/members/table.rs
@@ -87,6 +87,17 @@
             && member.last_seen() + SILENCE_TIMEOUT > now.min(self.informed_at)
     }
 
+    /// Returns when an instance of the regions that `is_included` accepts last
+    /// said that it stops.
+    pub(super) fn last_stop_in<F>(&self, is_included: F) -> Option<Duration>
+    where
+        F: Fn(&Region) -> bool,
+    {
+        let stops = self.last_stops.iter();
+        let included = stops.filter(|(region, _)| is_included(region));
+        included.map(|(_, at)| *at).max()
+    }
+
     /// Returns when the process of a record was last known to run, apart from
     /// its status messages. `now` is when the record was read.
     pub(super) fn last_sign_of_life(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,7 +44,7 @@
     unanswered: IntCounterVec,
     interruptions: IntCounterVec,
     continuations: IntCounterVec,
-    look_ups: IntCounterVec,
+    lookups: IntCounterVec,
     cut_answers: IntCounterVec,
     region_conflicts: IntCounterVec,
     attempts: IntCounterVec,
@@ -114,11 +114,11 @@
                 "Attempts and forwards that were not sent, as the catalog in force bars the region.",
                 &["to"],
             ),
-            look_ups: counter(
+            lookups: counter(
                 &registry,
-                "look_ups_total",
-                "Look-ups of instances by how far those are that callers were told of.",
-                &["named"],
+                "lookups_total",
+                "Lookups of instances by how far those are that callers were told of.",
+                &["nearest"],
             ),
             cut_answers: counter(
                 &registry,
@@ -252,7 +252,7 @@
         self.limit_hits.with_label_values(&["none", "none"]);
         self.interruptions.with_label_values(&["none", "none"]);
         self.continuations.with_label_values(&["same"]);
-        self.look_ups.with_label_values(&["nobody"]);
+        self.lookups.with_label_values(&["none"]);
         self.store_calls.with_label_values(&["none", "none"]);
         self.forwards.with_label_values::<&str>(&[]);
         for histogram in [
@@ -298,10 +298,10 @@
         histogram.observe(took.as_secs_f64());
     }
 
-    /// Counts a look-up by how far the instances are that were named.
-    pub(crate) fn count_look_up(&self, named: Option<Distance>) {
-        let named = named.map_or("nobody", Distance::as_str);
-        self.look_ups.with_label_values(&[named]).inc();
+    /// Counts a lookup by how far the instances are that were named.
+    pub(crate) fn count_lookup(&self, named: Option<Distance>) {
+        let named = named.map_or("none", Distance::as_str);
+        self.lookups.with_label_values(&[named]).inc();
     }
 
     /// Counts a stream that goes on at another target.
--- a/crates/gateway/src/residency.rs
+++ b/crates/gateway/src/residency.rs
@@ -23,8 +23,8 @@
 struct Destination<'a> {
     peer: Peer,
     region: &'a Region,
-    /// Time since the record of the target was read.
-    record_age: Duration,
+    /// Time since the record of the target was read; `None` for an instance.
+    record_age: Option<Duration>,
 }
 
 impl<D> Gateway<D>
@@ -33,7 +33,7 @@
 {
     /// Returns the regions that the catalog in force allows to a request that
     /// was admitted before.
-    pub(crate) fn current_residency(&self, grant: &Grant) -> Residency {
+    pub(crate) fn residency_in_force(&self, grant: &Grant) -> Residency {
         let current = self.tables.current_catalog();
         current.map_or_else(Residency::anywhere, |current| {
             let catalog = &current.catalog;
@@ -48,7 +48,7 @@
         S: HasGrant,
     {
         let grant = req.grant();
-        grant.residency.and(&self.current_residency(grant))
+        grant.residency.and(&self.residency_in_force(grant))
     }
 
     /// Tells whether a placed request may still go to its target, as another
@@ -62,7 +62,7 @@
         let destination = Destination {
             peer: Peer::Target(req.target().clone()),
             region: &known.record.region,
-            record_age: self.clock.now().saturating_sub(known.read_at),
+            record_age: Some(self.clock.now().saturating_sub(known.read_at)),
         };
         self.check_region(req, cx, &destination, "target")
     }
@@ -76,7 +76,7 @@
         let destination = Destination {
             peer: Peer::Sibling(req.instance().clone()),
             region: req.region(),
-            record_age: Duration::ZERO,
+            record_age: None,
         };
         self.check_region(req, cx, &destination, "instance")
     }
@@ -92,7 +92,7 @@
         S: HasGrant,
     {
         let grant = req.grant();
-        let current = self.current_residency(grant);
+        let current = self.residency_in_force(grant);
         if req.may_go_to(to.region, &current) {
             return true;
         }
@@ -109,7 +109,7 @@
             regions_now:% = current,
             catalog = cx.catalog_version,
             catalog_now = in_force.map_or(0, |current| current.catalog.version),
-            record_age_ms = to.record_age.as_millis() as u64;
+            record_age_ms = to.record_age.map(|age| age.as_millis() as u64);
             "region is not allowed by the catalog in force"
         );
         false
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -104,7 +104,7 @@
                 Message::Done
             }
             Message::AskStream(ask) => {
-                Message::StreamOrigin(self.gateway.answer_for_stream(from, &ask).await)
+                Message::StreamInfo(self.gateway.answer_for_stream(from, &ask).await)
             }
             Message::AskStoreCopy { catalog_version } => {
                 let copy = self.gateway.copy_store(&from.region, catalog_version);
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -2,10 +2,10 @@
 //! a caller can resume one at any instance, at targets of the software that
 //! began it.
 
+mod lookup;
 mod marks;
-mod origin;
 
-pub(crate) use origin::MAX_ASKS;
+pub(crate) use lookup::MAX_ASKS;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,12 +39,13 @@
 use crate::message::HandleResult;
 use crate::place::PlacementContext;
 use crate::request_log::RequestLog;
-use origin::StreamSoftware;
+use lookup::StreamSoftware;
 
 /// Number of hubs of the region that are told of a stream, as one may fail.
 const TOLD_HUBS: usize = 2;
 
-/// Largest number of streams in one message.
+/// Largest number of streams in one message, which stays far below the largest
+/// one that instances take.
 const MAX_TOLD_TOGETHER: usize = 200;
 
 /// Time for which a message waits at a busy link.
@@ -109,9 +110,11 @@
                     cx.is_resumed = true;
                     cx.software = Some(software);
                 }
+                // Nothing shows that the answer has begun, so the request gets no
+                // more room than a new one.
                 StreamSoftware::Only(software) => cx.software = Some(software),
                 StreamSoftware::NoTarget => {}
-                StreamSoftware::Unusable(retry_after) => {
+                StreamSoftware::Refused(retry_after) => {
                     let mut refusal = req.refuse(Code::NotResumable, Step::Place, Peer::Local);
                     refusal.retry_after = retry_after;
                     return Err(refusal);
@@ -174,7 +177,7 @@
         let began = StreamsBegan {
             pool: pool.clone(),
             streams: streams.to_vec(),
-            is_passed_on: false,
+            pass_on: false,
         };
         if self.topology.lock().is_hub {
             let hubs = self.links_to_region_hubs().into_iter().take(TOLD_HUBS);
@@ -187,7 +190,7 @@
         let others = hubs.take(TOLD_HUBS - 1).collect();
         self.tell_each(others, &began);
         let passed_on = StreamsBegan {
-            is_passed_on: true,
+            pass_on: true,
             ..began
         };
         self.tell_each(first.into_iter().collect(), &passed_on);
@@ -238,11 +241,12 @@
         for software in &new {
             self.handle_new_software(software);
         }
-        if told.is_passed_on && from.region == self.settings.region {
+        if told.pass_on && from.region == self.settings.region {
             let passed_on = StreamsBegan {
-                is_passed_on: false,
+                pass_on: false,
                 ..told.clone()
             };
+            // It may be the one that the sender has told itself.
             let mut hubs = self.links_to_region_hubs();
             hubs.truncate(1);
             self.tell_each(hubs, &passed_on);
--- a/crates/gateway/src/streams/origin.rs
+++ b/crates/gateway/src/streams/lookup.rs
@@ -12,7 +12,7 @@
 use chiverelay_sibling::Identity;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Message;
-use chiverelay_sibling::StreamOrigin;
+use chiverelay_sibling::StreamInfo;
 use chiverelay_sibling::Up;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -30,11 +30,15 @@
 /// more.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Part of the limit in which a hub asks others for an instance that is none, so
+/// that its reply comes in time.
+const HUB_LIMIT_DIVISOR: u32 = 2;
+
 /// Time between two looks for a link to ask on.
 const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Age of the last answer of the store from which on it may have told others of
-/// software that this instance doesn't know.
+/// Time without an answer of the store after which others may know of software
+/// that this instance doesn't.
 const MAX_STORE_AGE: Duration = Duration::from_secs(3);
 
 /// Retry delay for a stream that no other instance could be asked about.
@@ -55,13 +59,13 @@
     NoTarget,
     /// Nothing can continue the stream, or it is not known what could. The delay
     /// is set if another attempt may succeed.
-    Unusable(Option<Duration>),
+    Refused(Option<Duration>),
 }
 
 /// What others know of a stream.
 #[derive(Debug, Default)]
 struct Asked {
-    origin: StreamOrigin,
+    info: StreamInfo,
     /// Number of instances that answered.
     answers: usize,
 }
@@ -81,23 +85,23 @@
             key: stream.key.clone(),
             pool: stream.pool.clone(),
         };
-        let mut origin = self.know_of_stream(&ask);
+        let mut info = self.own_stream_info(&ask);
         let mut answers = 0;
-        if origin.origin.is_none() {
-            let asked = self.ask_others(&ask, ask_limit(&origin)).await;
+        if info.began_by.is_none() {
+            let asked = self.ask_others(&ask, ask_limit(&info)).await;
             answers = asked.answers;
-            merge(&mut origin, asked.origin);
+            merge(&mut info, asked.info);
         }
-        origin.is_history_complete &= answers > 0 || self.is_well_informed();
-        let found = self.choose_stream_software(&stream.pool, &origin, answers);
+        info.is_history_complete &= answers > 0 || self.is_well_informed();
+        let found = self.choose_stream_software(&stream.pool, &info, answers);
         log::info!(
             target: "streams",
             id = id.as_str(),
             began_as = stream.key.id.as_str(),
-            software = origin.origin.as_ref().map_or("", |known| known.software.as_str()),
-            possible = origin.possible.len(),
+            software = info.began_by.as_ref().map_or("", |known| known.software.as_str()),
+            possible = info.possible_versions.len(),
             answers,
-            usable = !matches!(found, StreamSoftware::Unusable(_));
+            usable = !matches!(found, StreamSoftware::Refused(_));
             "caller resumes a stream"
         );
         found
@@ -106,30 +110,30 @@
     fn choose_stream_software(
         &self,
         pool: &Pool,
-        origin: &StreamOrigin,
+        info: &StreamInfo,
         answers: usize,
     ) -> StreamSoftware {
-        let known = origin.origin.as_ref();
+        let known = info.began_by.as_ref();
         // The route has moved to another pool since the stream began.
         if known.is_some_and(|known| known.pool != *pool) {
-            return StreamSoftware::Unusable(None);
+            return StreamSoftware::Refused(None);
         }
         let known = known.map(|known| known.software.clone());
         let is_known = known.is_some();
-        let is_complete = origin.is_history_complete;
-        let software = streams::software_of_stream(known, &origin.possible, is_complete);
+        let is_complete = info.is_history_complete;
+        let software = streams::software_of_stream(known, &info.possible_versions, is_complete);
         let has_target = |software: &SoftwareVersion| {
             let fleet = self.tables.fleet.lock();
             fleet.has_software(pool, software)
         };
         match software {
-            Some(software) if !has_target(&software) => StreamSoftware::Unusable(None),
+            Some(software) if !has_target(&software) => StreamSoftware::Refused(None),
             Some(software) if is_known => StreamSoftware::Known(software),
             Some(software) => StreamSoftware::Only(software),
-            None if origin.possible.is_empty() => StreamSoftware::NoTarget,
+            None if info.possible_versions.is_empty() => StreamSoftware::NoTarget,
             None => {
-                let is_worth_a_retry = answers == 0 && self.has_others();
-                StreamSoftware::Unusable(is_worth_a_retry.then_some(NOT_ASKED_RETRY_AFTER))
+                let is_worth_a_retry = answers == 0 && self.knows_other_instances();
+                StreamSoftware::Refused(is_worth_a_retry.then_some(NOT_ASKED_RETRY_AFTER))
             }
         }
     }
@@ -140,29 +144,29 @@
         self: &Arc<Self>,
         from: &Identity,
         ask: &AskStream,
-    ) -> StreamOrigin {
-        let mut origin = self.know_of_stream(ask);
+    ) -> StreamInfo {
+        let mut info = self.own_stream_info(ask);
         let topology = Arc::clone(&self.topology.lock());
         let is_asked_by_hub = topology.other_hubs.contains(&from.instance);
-        if origin.origin.is_none() && topology.is_hub && !is_asked_by_hub {
+        if info.began_by.is_none() && topology.is_hub && !is_asked_by_hub {
             let links = self.links_to_region_hubs();
-            // The instance that asks waits for the whole limit.
-            let asked = ask_for(ask, links, ask_limit(&origin) / 2).await;
-            merge(&mut origin, asked.origin);
+            let asked = ask_each(ask, links, ask_limit(&info) / HUB_LIMIT_DIVISOR).await;
+            merge(&mut info, asked.info);
         }
-        origin
+        info
     }
 
-    /// Returns what this instance itself knows of a stream.
-    fn know_of_stream(self: &Arc<Self>, ask: &AskStream) -> StreamOrigin {
+    /// Observes the software on record, and returns what this instance itself
+    /// knows of a stream.
+    fn own_stream_info(self: &Arc<Self>, ask: &AskStream) -> StreamInfo {
         let now = self.clock.now();
         self.observe_software(now);
         // A store that came back from an older copy may have lost marks.
         let may_lack_marks = self.store_lag.read_revision().era > 0;
         let streams = self.tables.streams.lock();
-        StreamOrigin {
-            origin: streams.began.find(&ask.key, now).cloned(),
-            possible: streams.software.possible(&ask.pool, now),
+        StreamInfo {
+            began_by: streams.began.find(&ask.key, now).cloned(),
+            possible_versions: streams.software.possible(&ask.pool, now),
             is_history_complete: !may_lack_marks || now >= streams.began.lifetime(),
         }
     }
@@ -170,10 +174,10 @@
     /// Tells whether no other instance can know more of the store than this one.
     fn is_well_informed(&self) -> bool {
         let store_age = self.tables.store_age(self.clock.now());
-        store_age < MAX_STORE_AGE || !self.has_others()
+        store_age < MAX_STORE_AGE || !self.knows_other_instances()
     }
 
-    fn has_others(&self) -> bool {
+    fn knows_other_instances(&self) -> bool {
         self.members.summarize(self.clock.now()).known > 0
     }
 
@@ -186,7 +190,7 @@
             let _permit = self.stream_asks.acquire().await.ok();
             let links = self.wait_for_links_to_ask().await;
             let left = limit.saturating_sub(started.elapsed());
-            ask_for(ask, links, left).await
+            ask_each(ask, links, left).await
         };
         let asked = tokio::time::timeout(limit + LINK_POLL_INTERVAL, asking).await;
         asked.unwrap_or_default()
@@ -195,7 +199,7 @@
     async fn wait_for_links_to_ask(&self) -> Vec<Link<Up>> {
         loop {
             let links = self.links_to_ask();
-            if !links.is_empty() || !self.has_others() {
+            if !links.is_empty() || !self.knows_other_instances() {
                 return links;
             }
             tokio::time::sleep(LINK_POLL_INTERVAL).await;
@@ -218,8 +222,8 @@
 }
 
 /// Returns the time limit for asking others.
-fn ask_limit(origin: &StreamOrigin) -> Duration {
-    match origin.possible.len() > 1 {
+fn ask_limit(info: &StreamInfo) -> Duration {
+    match info.possible_versions.len() > 1 {
         true => ASK_TIMEOUT,
         false => CONFIRM_TIMEOUT,
     }
@@ -227,7 +231,7 @@
 
 /// Asks several instances at once, until one knows the stream, all have answered
 /// or the limit has passed.
-async fn ask_for(ask: &AskStream, links: Vec<Link<Up>>, limit: Duration) -> Asked {
+async fn ask_each(ask: &AskStream, links: Vec<Link<Up>>, limit: Duration) -> Asked {
     let until = Instant::now() + limit;
     let asking = links.iter().map(|link| ask_one(link, ask, until));
     let mut asking: FuturesUnordered<_> = asking.collect();
@@ -237,30 +241,30 @@
             continue;
         };
         asked.answers += 1;
-        merge(&mut asked.origin, answer);
-        if asked.origin.origin.is_some() {
+        merge(&mut asked.info, answer);
+        if asked.info.began_by.is_some() {
             break;
         }
     }
     asked
 }
 
-async fn ask_one(link: &Link<Up>, ask: &AskStream, until: Instant) -> Option<StreamOrigin> {
+async fn ask_one(link: &Link<Up>, ask: &AskStream, until: Instant) -> Option<StreamInfo> {
     let asking = link.ask(Stamp::default(), Message::AskStream(ask.clone()));
     let answer = tokio::time::timeout_at(until, asking).await;
     match answer.ok()?.ok()?.message {
-        Message::StreamOrigin(origin) => Some(origin),
+        Message::StreamInfo(origin) => Some(origin),
         _ => None,
     }
 }
 
 /// Adds what another instance knows.
-fn merge(origin: &mut StreamOrigin, other: StreamOrigin) {
-    origin.origin = origin.origin.take().or(other.origin);
-    origin.is_history_complete |= other.is_history_complete;
-    for software in other.possible {
-        if !origin.possible.contains(&software) {
-            origin.possible.push(software);
+fn merge(info: &mut StreamInfo, other: StreamInfo) {
+    info.began_by = info.began_by.take().or(other.began_by);
+    info.is_history_complete |= other.is_history_complete;
+    for software in other.possible_versions {
+        if !info.possible_versions.contains(&software) {
+            info.possible_versions.push(software);
         }
     }
 }
--- a/crates/gateway/src/streams/marks.rs
+++ b/crates/gateway/src/streams/marks.rs
@@ -14,7 +14,8 @@
 use crate::Gateway;
 use crate::members::SETTLING_TIME;
 
-/// Longest time between two looks at the software of the targets on record.
+/// Longest time between two looks at the software of the targets on record, well
+/// below the time for which software counts after its last target has left.
 const OBSERVE_INTERVAL: Duration = Duration::from_secs(5);
 
 impl<D> Gateway<D>
@@ -55,9 +56,9 @@
         )
     }
 
-    /// Records the software of all targets on record. If some is new, the
-    /// streams that are known here are told to others, as their pool may have
-    /// several versions from now on.
+    /// Records the software of all targets on record. If some is new, the streams
+    /// that began here are told to others, as their pool may have several versions
+    /// from now on.
     pub(crate) fn observe_software(self: &Arc<Self>, now: Duration) {
         let mut on_record = self.tables.fleet.lock().list_software();
         let mut streams = self.tables.streams.lock();
@@ -101,11 +102,14 @@
     }
 
     /// Applies a complete listing of the marks.
-    pub(crate) fn reconcile_software_marks(&self, listed: &HashSet<PoolSoftware>) {
+    pub(crate) fn reconcile_software_marks(self: &Arc<Self>, listed: &HashSet<PoolSoftware>) {
         let now = self.clock.now();
         let mut streams = self.tables.streams.lock();
-        streams.software.reconcile_marks(listed, now);
+        let new = streams.software.reconcile_marks(listed, now);
         drop(streams);
+        for software in &new {
+            self.handle_new_software(software);
+        }
         self.software_changed.notify_one();
     }
 
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -128,23 +128,23 @@
     Commit(HandoverCommit),
     /// The sender holds no shares any more and has no record.
     Vacated(Holder),
-    /// Asks for what the receiver has read from the store. Answered by
+    /// Asks for what the receiver knows of the store's contents. Answered by
     /// [`Message::StoreCopy`].
     AskStoreCopy {
         /// Version of the catalog that the sender has, 0 for none.
         catalog_version: u64,
     },
-    /// What the sender has read from the store.
+    /// What the sender knows of the store's contents.
     StoreCopy(StoreCopy),
     /// Streams that began at the sender, or that it was told of.
     StreamsBegan(StreamsBegan),
-    /// Asks what began a stream. Answered by [`Message::StreamOrigin`].
+    /// Asks what began a stream. Answered by [`Message::StreamInfo`].
     AskStream(AskStream),
     /// What the sender knows of a stream.
-    StreamOrigin(StreamOrigin),
+    StreamInfo(StreamInfo),
 }
 
-/// What an instance has read from the store, for another one.
+/// What an instance knows of the store's contents, for another one.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct StoreCopy {
@@ -162,9 +162,9 @@
     pub pool: Pool,
     /// The streams, and the software that began each.
     pub streams: Vec<(StreamKey, SoftwareVersion)>,
-    /// Whether the receiver, a hub, tells another hub of its region and one of
-    /// each other region.
-    pub is_passed_on: bool,
+    /// Whether the receiver, a hub, is to tell another hub of its region and one
+    /// of each other region.
+    pub pass_on: bool,
 }
 
 /// A stream that a caller resumes.
@@ -180,11 +180,11 @@
 /// What an instance knows of a stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct StreamOrigin {
+pub struct StreamInfo {
     /// What began the stream, if it is known.
-    pub origin: Option<PoolSoftware>,
+    pub began_by: Option<PoolSoftware>,
     /// All software that may have begun streams of the pool.
-    pub possible: Vec<SoftwareVersion>,
+    pub possible_versions: Vec<SoftwareVersion>,
     /// Whether no other software can have begun one.
     pub is_history_complete: bool,
 }
--- a/tests/testsuite/directory.rs
+++ b/tests/testsuite/directory.rs
@@ -79,7 +79,7 @@
     assert_eq!(listed.len(), 6);
 }
 
-/// What the last stop of an instance that is nearer is ago.
+/// Time since the last stop of a nearer instance.
 const LONG_AGO: Duration = RESTART_TIME;
 
 fn check_named(distance: Distance, last_stop_ago: Option<Duration>, expected: bool) {
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -518,7 +518,7 @@
     later.started_ms += 1;
     change(&mut later);
     fleet.upsert(&name, later, at(6), ms(10));
-    assert_eq!(fleet.accepts_chosen(&name, &chosen), is_accepted);
+    assert_eq!(fleet.still_accepts(&name, &chosen), is_accepted);
 }
 
 cases! {
@@ -535,7 +535,7 @@
 /// region was taken to be that of the instance.
 fn a_chosen_name_is_looked_up(pool: &str, region: &str, is_found: bool) {
     let (fleet, name) = fleet();
-    let found = fleet.get_in(&name, &pool.into(), &region.into());
+    let found = fleet.get_at(&name, &pool.into(), &region.into());
     assert_eq!(found.is_some(), is_found);
 }
 
--- a/tests/testsuite/streams.rs
+++ b/tests/testsuite/streams.rs
@@ -195,7 +195,8 @@
     let mut history = SoftwareHistory::default();
     history.observe(&of("a"), START);
     history.record_mark(of("a"), START);
-    history.reconcile_marks(&HashSet::from([of("b")]), START);
+    let new = history.reconcile_marks(&HashSet::from([of("b")]), START);
+    assert_eq!(new, [of("b")]);
     let add = MarkStep::Due(MarkChange::Add(of("a")));
     assert_eq!(step(&mut history, 0, START), add);
     assert_eq!(history.possible(&pool(), START).len(), 2);
