Log by whose word a resumed stream is bound

What callers saw: streams joined from two software versions over their tries. The line `caller resumes a stream` didn't tell whether the version came from the instance's own table, from another instance or from the store alone, nor how old that was.

Change: the line has `word` and `word_age_ms`, `store_age_ms`, `behind_ms` (for how long others have read changes that the instance has not), `marks_age_ms` and `took_ms`. No decision is changed.

--- a/crates/decisions/src/store_lag.rs
+++ b/crates/decisions/src/store_lag.rs
@@ -57,6 +57,13 @@
         is_news
     }
 
+    /// Returns for how long this instance has lacked changes that others have;
+    /// zero if it lacks none.
+    pub fn behind_for(&self, now: Duration) -> Duration {
+        let since = self.missing.map_or(now, |missing| missing.since);
+        now.saturating_sub(since)
+    }
+
     /// Returns when the changes that this instance lacks are overdue; `None` if
     /// it lacks none.
     pub fn overdue_at(&self) -> Option<Duration> {
--- a/crates/decisions/src/streams.rs
+++ b/crates/decisions/src/streams.rs
@@ -17,6 +17,7 @@
 pub use began::BeganStreams;
 pub use began::MAX_ID_BYTES;
 pub use began::MAX_STREAMS;
+pub use began::StreamRecord;
 pub use began::StreamSource;
 pub use software::MARK_INTERVAL;
 pub use software::MarkChange;
--- a/crates/decisions/src/streams/began.rs
+++ b/crates/decisions/src/streams/began.rs
@@ -28,10 +28,21 @@
     Resumed,
 }
 
+/// How and since when a stream is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamRecord {
+    /// How it has come to be known.
+    pub source: StreamSource,
+    /// When it was last recorded, on the local monotonic clock.
+    pub recorded_at: Duration,
+}
+
 #[derive(Clone, Debug)]
 struct BeganStream {
     began_by: PoolSoftware,
     source: StreamSource,
+    /// When it was last recorded, on the local monotonic clock.
+    recorded_at: Duration,
     /// When it is forgotten, on the local monotonic clock.
     expires_at: Duration,
 }
@@ -88,6 +99,7 @@
         let expires_at = now + self.lifetime;
         if let Some(known) = self.by_key.get_mut(key) {
             known.expires_at = expires_at;
+            known.recorded_at = now;
             if source != StreamSource::Resumed {
                 known.began_by = began_by;
                 known.source = source;
@@ -97,6 +109,7 @@
         let stream = BeganStream {
             began_by,
             source,
+            recorded_at: now,
             expires_at,
         };
         self.by_key.insert(key.clone(), stream);
@@ -112,6 +125,16 @@
         (now < stream.expires_at).then_some(&stream.began_by)
     }
 
+    /// Returns how a stream is known, if it is.
+    pub fn find_record(&self, key: &StreamKey, now: Duration) -> Option<StreamRecord> {
+        let stream = self.by_key.get(key)?;
+        let record = StreamRecord {
+            source: stream.source,
+            recorded_at: stream.recorded_at,
+        };
+        (now < stream.expires_at).then_some(record)
+    }
+
     /// Lists the streams of a pool that began here.
     pub fn list_own(&self, pool: &Pool, now: Duration) -> Vec<(StreamKey, SoftwareVersion)> {
         let is_own = |stream: &BeganStream| {
--- a/crates/gateway/src/store_lag.rs
+++ b/crates/gateway/src/store_lag.rs
@@ -55,6 +55,12 @@
         self.state.lock().known.own()
     }
 
+    /// Returns for how long others have read changes that this instance has not;
+    /// zero if it has read all that they have.
+    pub(crate) fn read_behind_for(&self, now: Duration) -> Duration {
+        self.state.lock().read.behind_for(now)
+    }
+
     /// Records the revision up to which this instance has read all changes.
     pub(crate) fn record_read(&self, revision: StoreRevision) {
         let mut state = self.state.lock();
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -4,6 +4,7 @@
 
 mod lookup;
 mod marks;
+mod word;
 
 pub(crate) use lookup::MAX_ASKS;
 
@@ -56,6 +57,8 @@
 pub(crate) struct Streams {
     pub(crate) began: BeganStreams,
     pub(crate) software: SoftwareHistory,
+    /// When all marks in the store were last read, on the local monotonic clock.
+    pub(crate) marks_read_at: Option<Duration>,
 }
 
 impl Streams {
--- a/crates/gateway/src/streams/lookup.rs
+++ b/crates/gateway/src/streams/lookup.rs
@@ -19,6 +19,8 @@
 use tokio::time::Instant;
 
 use super::CallerStream;
+use super::word::Lookup;
+use super::word::Word;
 use crate::Dialect;
 use crate::Gateway;
 
@@ -85,25 +87,34 @@
             key: stream.key.clone(),
             pool: stream.pool.clone(),
         };
+        let started = Instant::now();
         let mut info = self.own_stream_info(&ask);
+        let now = self.clock.now();
+        let own = self.tables.streams.lock().began.find_record(&ask.key, now);
         let mut answers = 0;
         if info.began_by.is_none() {
             let asked = self.ask_others(&ask, ask_limit(&info)).await;
             answers = asked.answers;
             merge(&mut info, asked.info);
         }
-        info.is_history_complete &= answers > 0 || self.is_well_informed();
+        let is_well_informed = self.is_well_informed();
+        info.is_history_complete &= answers > 0 || is_well_informed;
         let found = self.choose_stream_software(&stream.pool, &info, answers);
-        log::info!(
-            target: "streams",
-            id = id.as_str(),
-            began_as = stream.key.id.as_str(),
-            software = info.began_by.as_ref().map_or("", |known| known.software.as_str()),
-            possible = info.possible_versions.len(),
+        let word = match (&found, own) {
+            (StreamSoftware::Known(_), Some(record)) => Word::Own(record),
+            (StreamSoftware::Known(_), None) => Word::Asked,
+            (StreamSoftware::Only(_), _) if is_well_informed => Word::Store,
+            (StreamSoftware::Only(_), _) => Word::Others,
+            (StreamSoftware::NoTarget | StreamSoftware::Refused(_), _) => Word::None,
+        };
+        let lookup = Lookup {
+            info: &info,
             answers,
-            usable = !matches!(found, StreamSoftware::Refused(_));
-            "caller resumes a stream"
-        );
+            word,
+            is_usable: !matches!(found, StreamSoftware::Refused(_)),
+            took: started.elapsed(),
+        };
+        self.log_lookup(&ask.key, id, &lookup);
         found
     }
 
--- a/crates/gateway/src/streams/marks.rs
+++ b/crates/gateway/src/streams/marks.rs
@@ -106,6 +106,7 @@
         let now = self.clock.now();
         let mut streams = self.tables.streams.lock();
         let new = streams.software.reconcile_marks(listed, now);
+        streams.marks_read_at = Some(now);
         drop(streams);
         for software in &new {
             self.handle_new_software(software);
--- /dev/null
+++ b/crates/gateway/src/streams/word.rs
@@ -0,0 +1,91 @@
+//! By whose word a stream that a caller resumes is bound to its software, for
+//! the log.
+
+use std::time::Duration;
+
+use chiverelay_decisions::names::RequestId;
+use chiverelay_decisions::streams::StreamKey;
+use chiverelay_decisions::streams::StreamRecord;
+use chiverelay_decisions::streams::StreamSource;
+use chiverelay_sibling::StreamInfo;
+
+use crate::Dialect;
+use crate::Gateway;
+
+/// By whose word a stream is bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Word {
+    /// The table of this instance.
+    Own(StreamRecord),
+    /// Another instance that was asked.
+    Asked,
+    /// The only version by what this instance has read from the store.
+    Store,
+    /// The only version, as other instances that were asked know of no other.
+    Others,
+    /// It is not bound.
+    None,
+}
+
+impl Word {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Own(record) => match record.source {
+                StreamSource::Own => "began here",
+                StreamSource::Told => "told",
+                StreamSource::Resumed => "resumed here",
+            },
+            Self::Asked => "asked",
+            Self::Store => "store",
+            Self::Others => "others",
+            Self::None => "none",
+        }
+    }
+}
+
+/// What came of the lookup of a stream.
+#[derive(Debug)]
+pub(super) struct Lookup<'a> {
+    pub(super) info: &'a StreamInfo,
+    /// Number of other instances that answered.
+    pub(super) answers: usize,
+    pub(super) word: Word,
+    pub(super) is_usable: bool,
+    pub(super) took: Duration,
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Logs what a stream was bound by, and how far this instance was in step
+    /// with the store.
+    pub(super) fn log_lookup(&self, key: &StreamKey, id: &RequestId, lookup: &Lookup<'_>) {
+        let now = self.clock.now();
+        let millis = |age: Duration| age.as_millis() as u64;
+        let marks_read_at = self.tables.streams.lock().marks_read_at;
+        let marks_age = now.saturating_sub(marks_read_at.unwrap_or_default());
+        let word_age = match lookup.word {
+            Word::Own(record) => now.saturating_sub(record.recorded_at),
+            Word::Store => marks_age,
+            Word::Asked | Word::Others | Word::None => Duration::ZERO,
+        };
+        let began_by = lookup.info.began_by.as_ref();
+        log::info!(
+            target: "streams",
+            id = id.as_str(),
+            began_as = key.id.as_str(),
+            software = began_by.map_or("", |known| known.software.as_str()),
+            possible = lookup.info.possible_versions.len(),
+            answers = lookup.answers,
+            usable = lookup.is_usable,
+            word = lookup.word.as_str(),
+            word_age_ms = millis(word_age),
+            store_age_ms = millis(self.tables.store_age(now)),
+            behind_ms = millis(self.store_lag.read_behind_for(now)),
+            marks_age_ms = millis(marks_age),
+            took_ms = millis(lookup.took);
+            "caller resumes a stream"
+        );
+    }
+}
