Mark software in the store before streams begin at it

What callers saw: all instances were killed within seconds of their start, around a release.

Cause: no instance marked a version in its first 4 s, so that streams began at software that the store had no mark of. Those that started next knew the later version alone and took it for the only one.

Change: an instance marks a version as soon as it has read the targets' records. Right after its start it waits for a random time instead of its turn, up to 2 ms for each known instance. New streams avoid software that has no mark yet, for at most 3 s, and are held for at most 300 ms if the pool has no other; a stream that began at such software has it marked at once. Pools without resumable streams are not concerned.

What they check is as before.

--- a/crates/decisions/src/streams.rs
+++ b/crates/decisions/src/streams.rs
@@ -20,8 +20,10 @@
 pub use began::StreamRecord;
 pub use began::StreamSource;
 pub use software::MARK_INTERVAL;
+pub use software::MARK_PATIENCE;
 pub use software::MarkChange;
 pub use software::MarkStep;
+pub use software::MarkTurn;
 pub use software::SoftwareHistory;
 
 /// Shortest time for which streams and the software of pools are remembered. An
--- a/crates/decisions/src/streams/software.rs
+++ b/crates/decisions/src/streams/software.rs
@@ -13,6 +13,46 @@
 /// mark, one after the other.
 pub const MARK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which new streams avoid software that has no mark yet. Later it is
+/// used without one, as the store may refuse to write it.
+pub const MARK_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Part of the spread of the first marks for each known instance.
+const SPREAD_PER_INSTANCE: Duration = Duration::from_millis(2);
+
+/// Longest spread of the first marks.
+const MAX_SPREAD: Duration = Duration::from_millis(400);
+
+/// When an instance may make a change that others may make, too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MarkTurn {
+    /// After so many instances of its region.
+    Rank(usize),
+    /// After this time, as too few of the others are known for an order.
+    Spread(Duration),
+}
+
+impl MarkTurn {
+    /// Returns the turn of an instance that has just started and knows so many
+    /// instances. `random` is drawn once for the process.
+    pub fn after_start(known_instances: usize, random: u64) -> Self {
+        let instances = u32::try_from(known_instances).unwrap_or(u32::MAX);
+        let spread = SPREAD_PER_INSTANCE.saturating_mul(instances);
+        let part = random as f64 / u64::MAX as f64;
+        Self::Spread(spread.min(MAX_SPREAD).mul_f64(part))
+    }
+
+    fn delay(self) -> Duration {
+        match self {
+            Self::Rank(rank) => {
+                let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+                MARK_INTERVAL.saturating_mul(rank)
+            }
+            Self::Spread(delay) => delay,
+        }
+    }
+}
+
 /// What is known of some software of a pool.
 ///
 /// # Invariants
@@ -26,6 +66,8 @@
     unmarked_at: Duration,
     /// Whether the store has a mark of it.
     is_marked: bool,
+    /// Whether a stream began at it here while it had no mark.
+    has_unmarked_stream: bool,
 }
 
 /// A change of the marks in the store.
@@ -87,11 +129,22 @@
             seen_at: now,
             unmarked_at: now,
             is_marked: false,
+            has_unmarked_stream: false,
         };
         self.seen.insert(software.clone(), seen);
         true
     }
 
+    /// Records that a stream began here at the software, which is marked out of
+    /// turn then. Returns whether the software is new.
+    pub fn observe_stream(&mut self, software: &PoolSoftware, now: Duration) -> bool {
+        let is_new = self.observe(software, now);
+        if let Some(seen) = self.seen.get_mut(software) {
+            seen.has_unmarked_stream = !seen.is_marked;
+        }
+        is_new
+    }
+
     /// Records a mark in the store. Returns whether the software is new.
     pub fn record_mark(&mut self, software: PoolSoftware, now: Duration) -> bool {
         let is_new = !self.seen.contains_key(&software);
@@ -99,8 +152,10 @@
             seen_at: now,
             unmarked_at: now,
             is_marked: true,
+            has_unmarked_stream: false,
         });
         seen.is_marked = true;
+        seen.has_unmarked_stream = false;
         is_new
     }
 
@@ -137,13 +192,21 @@
         possible.map(|(key, _)| key.software.clone()).collect()
     }
 
+    /// Lists the software of the pool that has no mark yet, but soon will.
+    pub fn awaiting_mark(&self, pool: &Pool, now: Duration) -> Vec<SoftwareVersion> {
+        let is_awaited = |seen: &Seen| !seen.is_marked && now < seen.unmarked_at + MARK_PATIENCE;
+        let of_pool = self.seen.iter().filter(|(key, _)| key.pool == *pool);
+        let awaited = of_pool.filter(|(_, seen)| is_awaited(seen));
+        awaited.map(|(key, _)| key.software.clone()).collect()
+    }
+
     /// Returns what to do about the marks of the pools that `needs_marks`
-    /// accepts. `rank` is this instance's place for a change among those that
-    /// may make it.
-    pub fn next_mark_step<P, R>(&mut self, needs_marks: P, rank: R, now: Duration) -> MarkStep
+    /// accepts. `turn` is that of this instance among those that may make the
+    /// same change.
+    pub fn next_mark_step<P, T>(&mut self, needs_marks: P, turn: T, now: Duration) -> MarkStep
     where
         P: Fn(&Pool) -> bool,
-        R: Fn(&PoolSoftware) -> usize,
+        T: Fn(&PoolSoftware) -> MarkTurn,
     {
         let retention = self.retention;
         self.seen
@@ -154,11 +217,10 @@
             if !seen.is_marked && !needs_marks(&software.pool) {
                 continue;
             }
-            let turn = u32::try_from(rank(software)).unwrap_or(u32::MAX);
-            let delay = MARK_INTERVAL.saturating_mul(turn);
-            let due_at = match seen.is_marked {
-                true => seen.seen_at + retention + delay,
-                false => seen.unmarked_at + delay,
+            let due_at = match (seen.is_marked, seen.has_unmarked_stream) {
+                (true, _) => seen.seen_at + retention + turn(software).delay(),
+                (false, true) => now,
+                (false, false) => seen.unmarked_at + turn(software).delay(),
             };
             if due_at <= now {
                 let change = match seen.is_marked {
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -27,6 +27,9 @@
 /// and in full, besides, to the cost of a suspect target.
 const FAILURE_COST: Duration = Duration::from_millis(800);
 
+/// Time added to the cost of a target of software that new streams avoid.
+const AVOIDED_COST: Duration = Duration::from_secs(2);
+
 /// Fraction of a prompt's shared parts that is assumed to be cached at its
 /// affinity target, which is the target that rendezvous hashing gives to the
 /// prompt. As the hash is the same at all instances, another one may have sent
@@ -82,6 +85,8 @@
     /// Software that began the answer. If it is set, only targets of the same
     /// version may be chosen, as others can't continue what it wrote.
     pub software: Option<&'a SoftwareVersion>,
+    /// Software that is used only where others would take long.
+    pub avoided_software: &'a [SoftwareVersion],
     /// Regions in which the request may run. Cached parts of its prompt are
     /// copied only from targets there.
     pub residency: &'a Residency,
@@ -232,6 +237,9 @@
             if self.health_status(target, now) == HealthStatus::Suspect {
                 estimate.cost += FAILURE_COST;
             }
+            if query.avoided_software.contains(&known.record.software) {
+                estimate.cost += AVOIDED_COST;
+            }
             let random_weight = prefix::rendezvous_weight(query.random, target.as_str());
             estimate.cost += jitter.mul_f64(random_weight as f64 / u64::MAX as f64);
             if best
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -87,6 +87,8 @@
     pub(crate) stream_asks: Semaphore,
     /// Notified when the software of a pool's targets or its marks change.
     pub(crate) software_changed: Notify,
+    /// Notified when software is marked.
+    pub(crate) software_marked: Notify,
     /// Notified when another catalog is in force.
     pub(crate) catalog_changed: Notify,
     pub(crate) rate_limiter: RateLimiter,
@@ -161,6 +163,7 @@
             store_lag: SharedStoreLag::default(),
             stream_asks: Semaphore::new(MAX_ASKS),
             software_changed: Notify::new(),
+            software_marked: Notify::new(),
             catalog_changed: Notify::new(),
             rate_limiter: RateLimiter::new(settings.account_limit_tolerance),
             members: Members::new(own, pins),
@@ -334,6 +337,7 @@
             StoreUpdate::TargetsListed(names) => {
                 tables.reconcile_targets(&names, now);
                 self.listings.targets.store(true, Ordering::Relaxed);
+                self.software_changed.notify_one();
                 self.set_ready_if_synced();
             }
             StoreUpdate::EvacuationChanged(zone, evacuated) => {
@@ -395,6 +399,8 @@
         let lifetime = streams::lifetime_for(catalog.longest_resumable());
         self.tables.streams.lock().set_lifetime(lifetime);
         self.catalog_changed.notify_waiters();
+        // Pools may need marks from now on.
+        self.software_changed.notify_one();
         self.set_ready_if_synced();
     }
 
@@ -421,6 +427,11 @@
         }
     }
 
+    /// Tells whether the records of all targets were read once.
+    pub(crate) fn has_read_targets(&self) -> bool {
+        self.listings.targets.load(Ordering::Relaxed)
+    }
+
     /// Makes this instance ready once a catalog and the first listings of
     /// targets and instances have arrived, and it is a hub or has heard of the
     /// others through one.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -374,6 +374,10 @@
         shares: RegionShares<'_>,
         now: Duration,
     ) -> Result<TargetChoice, NoTargetReason> {
+        let avoided = match cx.software {
+            Some(_) => Vec::new(),
+            None => self.software_awaiting_mark(&cx.pool.name, now),
+        };
         let query = TargetQuery {
             priority: cx.priority,
             may_fill_queue: cx.is_most_urgent || cx.is_resumed,
@@ -381,6 +385,7 @@
             parts: &cx.parts,
             excluded: tried,
             software: cx.software.as_ref(),
+            avoided_software: &avoided,
             residency: allowed,
             random: rand::random(),
         };
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -107,7 +107,10 @@
         out: Outbound,
         request_log: &mut RequestLog,
     ) -> HandleResult {
-        if stream.is_resumed {
+        let deadline = req.meta().deadline;
+        if !stream.is_resumed {
+            self.wait_for_marked_software(&stream.pool, deadline).await;
+        } else {
             match self.find_stream_software(&stream, &out.id).await {
                 StreamSoftware::Known(software) => {
                     cx.is_resumed = true;
@@ -153,7 +156,7 @@
         };
         let mut streams = self.tables.streams.lock();
         // The store may not have told this instance of it.
-        let is_new = streams.software.observe(&origin, now);
+        let is_new = streams.software.observe_stream(&origin, now);
         streams.began.record(&key, origin.clone(), source, now);
         let possible = streams.software.possible(&pool, now);
         drop(streams);
--- a/crates/gateway/src/streams/marks.rs
+++ b/crates/gateway/src/streams/marks.rs
@@ -2,12 +2,16 @@
 //! instance that starts learns from them of targets that have left.
 
 use std::collections::HashSet;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::names::Pool;
+use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::names::Target;
 use chiverelay_decisions::streams::MarkChange;
 use chiverelay_decisions::streams::MarkStep;
+use chiverelay_decisions::streams::MarkTurn;
 use chiverelay_decisions::streams::PoolSoftware;
 
 use crate::Dialect;
@@ -18,6 +22,10 @@
 /// below the time for which software counts after its last target has left.
 const OBSERVE_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Longest time for which a new stream waits for a mark of its pool's only
+/// software.
+const MAX_MARK_WAIT: Duration = Duration::from_millis(300);
+
 impl<D> Gateway<D>
 where
     D: Dialect,
@@ -41,9 +49,8 @@
     }
 
     fn next_mark_step(&self, now: Duration) -> MarkStep {
-        // Right after the start too few instances are known to take turns.
-        if now < SETTLING_TIME {
-            return MarkStep::WaitUntil(SETTLING_TIME);
+        if !self.has_read_targets() {
+            return MarkStep::Wait;
         }
         let Some(current) = self.tables.current_catalog() else {
             return MarkStep::Wait;
@@ -51,11 +58,68 @@
         let mut streams = self.tables.streams.lock();
         streams.software.next_mark_step(
             |pool| current.catalog.has_resumable_streams(pool),
-            |software| self.members.rank_in_region(software.software.as_str(), now),
+            |software| self.mark_turn(software, now),
             now,
         )
     }
 
+    fn mark_turn(&self, software: &PoolSoftware, now: Duration) -> MarkTurn {
+        // Right after the start too few instances are known to take turns.
+        if now < SETTLING_TIME {
+            return MarkTurn::after_start(self.members.max_known(), self.incarnation);
+        }
+        MarkTurn::Rank(self.members.rank_in_region(software.software.as_str(), now))
+    }
+
+    /// Lists the software of a pool with resumable streams that has no mark yet.
+    /// New streams avoid it: those that start after all instances were killed
+    /// would not know of it.
+    pub(crate) fn software_awaiting_mark(
+        &self,
+        pool: &Pool,
+        now: Duration,
+    ) -> Vec<SoftwareVersion> {
+        let awaiting = self.tables.streams.lock().software.awaiting_mark(pool, now);
+        if awaiting.is_empty() {
+            return awaiting;
+        }
+        let current = self.tables.current_catalog();
+        match current.is_some_and(|current| current.catalog.has_resumable_streams(pool)) {
+            true => awaiting,
+            false => Vec::new(),
+        }
+    }
+
+    /// Waits until the pool has a target of marked software, for at most
+    /// [`MAX_MARK_WAIT`] and half of the time to the deadline. Right after the
+    /// start of all instances that takes one write, which costs callers less than
+    /// a stream that can't be resumed.
+    pub(super) async fn wait_for_marked_software(&self, pool: &Pool, deadline: Duration) {
+        let left = deadline.saturating_sub(self.clock.now());
+        let waiting = async {
+            loop {
+                let mut marked = pin!(self.software_marked.notified());
+                marked.as_mut().enable();
+                if !self.has_only_unmarked_targets(pool) {
+                    return;
+                }
+                marked.await;
+            }
+        };
+        // A stream begins without a mark rather than late.
+        let _ = tokio::time::timeout(MAX_MARK_WAIT.min(left / 2), waiting).await;
+    }
+
+    fn has_only_unmarked_targets(&self, pool: &Pool) -> bool {
+        let awaiting = self.software_awaiting_mark(pool, self.clock.now());
+        if awaiting.is_empty() {
+            return false;
+        }
+        let fleet = self.tables.fleet.lock();
+        let mut targets = fleet.usable_targets(pool);
+        targets.all(|(_, known)| awaiting.contains(&known.record.software))
+    }
+
     /// Records the software of all targets on record. If some is new, the streams
     /// that began here are told to others, as their pool may have several versions
     /// from now on.
@@ -87,6 +151,7 @@
         let mut streams = self.tables.streams.lock();
         let is_new = streams.software.record_mark(software.clone(), now);
         drop(streams);
+        self.software_marked.notify_waiters();
         if is_new {
             self.handle_new_software(&software);
         }
@@ -108,6 +173,7 @@
         let new = streams.software.reconcile_marks(listed, now);
         streams.marks_read_at = Some(now);
         drop(streams);
+        self.software_marked.notify_waiters();
         for software in &new {
             self.handle_new_software(software);
         }
--- a/tests/testsuite/node/resumed_by_callers.rs
+++ b/tests/testsuite/node/resumed_by_callers.rs
@@ -1,6 +1,7 @@
 //! Streams that callers resume before targets of several software versions.
 
 mod doubts;
+mod out_of_step;
 
 use std::time::Duration;
 
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -213,6 +213,7 @@
             parts: &[],
             excluded: tried,
             software: None,
+            avoided_software: &[],
             residency: &Residency::anywhere(),
             random: draw,
         };
--- a/tests/testsuite/streams.rs
+++ b/tests/testsuite/streams.rs
@@ -8,11 +8,13 @@
 use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::streams::BeganStreams;
 use chiverelay_decisions::streams::MARK_INTERVAL;
+use chiverelay_decisions::streams::MARK_PATIENCE;
 use chiverelay_decisions::streams::MAX_ID_BYTES;
 use chiverelay_decisions::streams::MAX_STREAMS;
 use chiverelay_decisions::streams::MIN_LIFETIME;
 use chiverelay_decisions::streams::MarkChange;
 use chiverelay_decisions::streams::MarkStep;
+use chiverelay_decisions::streams::MarkTurn;
 use chiverelay_decisions::streams::PoolSoftware;
 use chiverelay_decisions::streams::SoftwareHistory;
 use chiverelay_decisions::streams::StreamKey;
@@ -135,7 +137,7 @@
 
 /// Returns the next step of an instance of this rank.
 fn step(history: &mut SoftwareHistory, rank: usize, now: Duration) -> MarkStep {
-    history.next_mark_step(|_| true, |_| rank, now)
+    history.next_mark_step(|_| true, |_| MarkTurn::Rank(rank), now)
 }
 
 #[test]
@@ -202,15 +204,60 @@
     assert_eq!(history.possible(&pool(), START).len(), 2);
 }
 
+/// Failure: software had no mark for seconds after its first stream, and those
+/// that started after all instances were killed did not know of it.
+#[test]
+fn software_at_which_a_stream_began_is_marked_out_of_turn() {
+    let mut history = SoftwareHistory::default();
+    history.observe(&of("a"), START);
+    let later = START + Duration::from_millis(1);
+    history.observe_stream(&of("a"), later);
+    let add = MarkStep::Due(MarkChange::Add(of("a")));
+    assert_eq!(step(&mut history, 7, later), add);
+    history.record_mark(of("a"), later);
+    history.observe_stream(&of("a"), later);
+    let unused = MarkStep::WaitUntil(later + MIN_LIFETIME);
+    assert_eq!(step(&mut history, 0, later), unused);
+}
+
+#[test]
+fn new_streams_avoid_software_until_it_is_marked() {
+    let mut history = SoftwareHistory::default();
+    history.observe(&of("a"), START);
+    history.observe(&of("b"), START);
+    history.record_mark(of("a"), START);
+    assert_eq!(history.awaiting_mark(&pool(), START), ["b".into()]);
+    assert!(history.awaiting_mark(&"other".into(), START).is_empty());
+    // The store may refuse to write it.
+    let late = START + MARK_PATIENCE;
+    assert!(history.awaiting_mark(&pool(), late).is_empty());
+    history.record_mark(of("b"), START);
+    assert!(history.awaiting_mark(&pool(), START).is_empty());
+}
+
+/// Load pattern: hundreds of instances start at once before a store without
+/// marks. Most of them hear of the first one's mark before their own turn.
+#[test]
+fn instances_that_start_together_spread_their_first_marks() {
+    let delay = |known, random| match MarkTurn::after_start(known, random) {
+        MarkTurn::Spread(delay) => delay,
+        MarkTurn::Rank(_) => panic!("no order is known"),
+    };
+    assert!(delay(5, u64::MAX) <= Duration::from_millis(10));
+    assert_eq!(delay(330, 0), Duration::ZERO);
+    assert!(delay(330, u64::MAX / 2) >= Duration::from_millis(150));
+    assert!(delay(10_000, u64::MAX) <= Duration::from_millis(400));
+}
+
 /// Pools without streams that callers may resume need no marks.
 #[test]
 fn other_pools_get_no_marks() {
     let mut history = SoftwareHistory::default();
     history.observe(&of("a"), START);
-    let step = history.next_mark_step(|_| false, |_| 0, START);
+    let step = history.next_mark_step(|_| false, |_| MarkTurn::Rank(0), START);
     assert_eq!(step, MarkStep::Wait);
     history.record_mark(of("a"), START);
-    let step = history.next_mark_step(|_| false, |_| 0, START + MIN_LIFETIME);
+    let step = history.next_mark_step(|_| false, |_| MarkTurn::Rank(0), START + MIN_LIFETIME);
     assert_eq!(step, MarkStep::Due(MarkChange::Remove(of("a"))));
 }
 
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -161,6 +161,7 @@
             parts,
             excluded: tried,
             software: None,
+            avoided_software: &[],
             residency: &self.residency,
             random: self.draw,
         };
--- a/tests/testsuite/traffic/software.rs
+++ b/tests/testsuite/traffic/software.rs
@@ -47,6 +47,15 @@
     world: &mut World,
     software: Option<&str>,
     parts: &[PromptPart],
+) -> Result<Target, NoTargetReason> {
+    choose_avoiding(world, software, &[], parts)
+}
+
+fn choose_avoiding(
+    world: &mut World,
+    software: Option<&str>,
+    avoided: &[SoftwareVersion],
+    parts: &[PromptPart],
 ) -> Result<Target, NoTargetReason> {
     let software = software.map(SoftwareVersion::from);
     let query = TargetQuery {
@@ -56,6 +65,7 @@
         parts,
         excluded: &[],
         software: software.as_ref(),
+        avoided_software: avoided,
         residency: &world.residency.clone(),
         random: world.draw,
     };
@@ -122,3 +132,21 @@
     assert_eq!(world.fleet.only_software(&"pool".into()), None);
     assert!(choose(&mut world, None, &[]).is_ok());
 }
+
+/// New streams don't begin at software that the store has no mark of yet, as
+/// long as another target can take them.
+#[test]
+fn a_new_stream_avoids_software_without_a_mark() {
+    let mut world = world();
+    let avoided = ["b".into()];
+    for _ in 0..CHOICES {
+        let chosen = choose_avoiding(&mut world, None, &avoided, &[]).expect("a target");
+        assert!(
+            chosen == "i-0".into() || chosen == "i-2".into(),
+            "{chosen:?}"
+        );
+    }
+    drain(&mut world, &["i-0", "i-2"]);
+    let chosen = choose_avoiding(&mut world, None, &avoided, &[]);
+    assert!(chosen.is_ok(), "{chosen:?}");
+}
