--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -4,6 +4,7 @@
 
 mod lookup;
 mod marks;
+mod word;
 
 pub(crate) use lookup::MAX_ASKS;
 
@@ -56,6 +57,8 @@
 pub(crate) struct Streams {
     pub(crate) began: BeganStreams,
     pub(crate) software: SoftwareHistory,
+    /// When all marks in the store were last read, on the local monotonic clock.
+    pub(crate) marks_read_at: Option<Duration>,
 }
 
 impl Streams {
@@ -104,7 +107,10 @@
         out: Outbound,
         request_log: &mut RequestLog,
     ) -> HandleResult {
-        if stream.is_resumed {
+        let deadline = req.meta().deadline;
+        if !stream.is_resumed {
+            self.wait_for_marked_software(&stream.pool, deadline).await;
+        } else {
             match self.find_stream_software(&stream, &out.id).await {
                 StreamSoftware::Known(software) => {
                     cx.is_resumed = true;
@@ -150,7 +156,7 @@
         };
         let mut streams = self.tables.streams.lock();
         // The store may not have told this instance of it.
-        let is_new = streams.software.observe(&origin, now);
+        let is_new = streams.software.observe_stream(&origin, now);
         streams.began.record(&key, origin.clone(), source, now);
         let possible = streams.software.possible(&pool, now);
         drop(streams);
