Have the soak see the order of events within each answer

It put the events of all requests for a stream in a row, by the time of sending, so it couldn't check answers that overlap in time, and named what goes back within one answer only as 'not the answer to it'. It could not see half an event with a whole one glued to it (it was read as one event), two runs of one version that are joined within an answer, an event of another request's run, or a stamp of a target that didn't run the stream.

Targets of a run now write the request, the run and the event after which it goes on into each event. Each answer is checked by itself: whole events, in a row from the event that its own request states, the last one before its end, one version, each run after the last event of the one before it and only where streams may be resumed. That takes the place of the check of all requests' events in a row, and is as strict: each request states what came before. Small cases show that each of it is found.

--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -92,8 +92,10 @@
 #[derive(Debug)]
 struct State {
     mode: Mode,
-    /// Software version that events name, if they name one.
+    /// Software version that events name beside their run, if they name one.
     software: Option<String>,
+    /// Number of streams that were begun.
+    runs: u64,
     /// Whether arrivals are kept without their bodies.
     forgets_bodies: bool,
     /// Limited room, if it has one.
@@ -119,6 +121,7 @@
         let state = Arc::new(Mutex::new(State {
             mode: Mode::Answer,
             software: None,
+            runs: 0,
             forgets_bodies: false,
             room: None,
             arrivals: Vec::new(),
@@ -143,8 +146,9 @@
     }
 
     /// Has each event of a [`Mode::Events`], [`Mode::Cut`] or [`Mode::Paced`]
-    /// stream name a software version.
-    pub fn name_software(&self, software: &str) {
+    /// stream name a software version, and its run: the request, the target, the
+    /// number of the run there and the event after which it goes on.
+    pub fn name_runs(&self, software: &str) {
         let mut state = self.state.lock().expect("no panic under the lock");
         state.software = Some(software.to_owned());
     }
@@ -237,13 +241,17 @@
     let id = arrival.header("request-id").to_owned();
     let meant = arrival.header("target-instance").to_owned();
     let after: u64 = arrival.header("last-event-id").parse().unwrap_or_default();
-    let (mode, software) = {
+    let (mode, origin) = {
         let mut state = state.lock().expect("no panic under the lock");
         if state.forgets_bodies {
             arrival.body = Bytes::new();
         }
         state.arrivals.push(arrival);
-        (instead.unwrap_or(state.mode), state.software.clone())
+        state.runs += 1;
+        let run = format!("{id}/{name}/{}", state.runs);
+        let software = state.software.as_ref();
+        let origin = software.map(|software| format!("of run {run} after {after} of {software}"));
+        (instead.unwrap_or(state.mode), origin)
     };
     if meant != name {
         return http::empty_response(StatusCode::MISDIRECTED_REQUEST);
@@ -265,14 +273,14 @@
         }
         Mode::Lose => return reset(),
         Mode::Events(count) => {
-            let pieces = Pieces::new(after, after + count, software);
+            let pieces = Pieces::new(after, after + count, origin);
             events(pieces, false, EVENT_PAUSE)
         }
         Mode::Cut(count) => {
-            let pieces = Pieces::new(after, after + count, software);
+            let pieces = Pieces::new(after, after + count, origin);
             events(pieces, true, EVENT_PAUSE)
         }
-        Mode::Paced(last, pause) => events(Pieces::new(after, last, software), false, pause),
+        Mode::Paced(last, pause) => events(Pieces::new(after, last, origin), false, pause),
         Mode::LongEvent(bytes) => long_event(bytes),
         Mode::EndlessEvent => endless_event(after + 1),
         Mode::LongBody(bytes) => Response::new(http::full_body("a".repeat(bytes))),
@@ -350,21 +358,22 @@
 /// The events of a stream that a target sends.
 struct Pieces {
     ids: std::ops::RangeInclusive<u64>,
-    software: Option<String>,
+    /// What each says of its run.
+    origin: Option<String>,
 }
 
 impl Pieces {
     /// Names the events after `after` up to `last`.
-    fn new(after: u64, last: u64, software: Option<String>) -> Self {
+    fn new(after: u64, last: u64, origin: Option<String>) -> Self {
         Self {
             ids: after + 1..=last,
-            software,
+            origin,
         }
     }
 
     fn event(&self, n: u64) -> Bytes {
-        let text = match &self.software {
-            Some(software) => format!("id: {n}\ndata: piece {n} of {software}\n\n"),
+        let text = match &self.origin {
+            Some(origin) => format!("id: {n}\ndata: piece {n} {origin}\n\n"),
             None => format!("id: {n}\ndata: piece {n}\n\n"),
         };
         Bytes::from(text)
--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -15,6 +15,8 @@
 mod crowd;
 mod faults;
 mod homes;
+mod order;
+mod pieces;
 mod record;
 mod release;
 mod resume;
--- a/tests/testsuite/node/soak/callers.rs
+++ b/tests/testsuite/node/soak/callers.rs
@@ -19,7 +19,7 @@
 use super::DEADLINE;
 use super::SLACK;
 use super::changes::Changes;
-use super::resume;
+use super::pieces;
 use super::resume::BrokenStream;
 use super::resume::Habits;
 use super::resume::Resumption;
@@ -311,7 +311,7 @@
     async fn exchange(&self, conn: &mut KeptConnection) -> End {
         let call = self.call();
         let is_lost = |body: &[u8]| {
-            let pieces = resume::pieces(&String::from_utf8_lossy(body));
+            let pieces = pieces::pieces(&String::from_utf8_lossy(body));
             self.events_before_loss.is_some_and(|n| pieces.len() >= n)
         };
         let exchange = conn.exchange_until(&call, is_lost);
--- a/tests/testsuite/node/soak/checks.rs
+++ b/tests/testsuite/node/soak/checks.rs
@@ -337,7 +337,7 @@
     }
 }
 
-fn is_stream(path: &str) -> bool {
+pub(super) fn is_stream(path: &str) -> bool {
     path.starts_with("/quote") || path.starts_with("/chat")
 }
 
--- a/tests/testsuite/node/soak/resume.rs
+++ b/tests/testsuite/node/soak/resume.rs
@@ -8,10 +8,11 @@
 
 use super::Profile;
 use super::callers::Seen;
+use super::pieces::pieces;
 use super::targets::EVENTS;
 
 /// The path whose streams may be resumed.
-const RESUMABLE: &str = "/quote/1";
+pub(super) const RESUMABLE: &str = "/quote/1";
 
 /// Share of those streams that their callers' network breaks off.
 const LOSS_SHARE: f64 = 0.25;
@@ -28,32 +29,6 @@
 /// Least time to the deadline in which a caller resumes a stream.
 const LEAST_TIME: Duration = Duration::from_millis(600);
 
-/// A whole event of a stream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Piece {
-    pub(super) id: u64,
-    /// Version of the software that made it.
-    pub(super) software: String,
-}
-
-impl Piece {
-    /// Reads an event as the targets of a run write it.
-    fn parse(event: &str) -> Option<Self> {
-        let (id, data) = event.strip_suffix("\n\n")?.split_once('\n')?;
-        let (_, software) = data.rsplit_once(" of ")?;
-        Some(Self {
-            id: id.strip_prefix("id: ")?.parse().ok()?,
-            software: software.to_owned(),
-        })
-    }
-}
-
-/// Returns the events that came whole.
-pub(super) fn pieces(body: &str) -> Vec<Piece> {
-    let events = body.split_inclusive("\n\n");
-    events.filter_map(Piece::parse).collect()
-}
-
 /// What a request that resumes a stream states.
 #[derive(Clone, Debug)]
 pub(super) struct Resumption {
--- a/tests/testsuite/node/soak/streams.rs
+++ b/tests/testsuite/node/soak/streams.rs
@@ -8,8 +8,9 @@
 use super::callers::Seen;
 use super::checks::NOT_RUN;
 use super::checks::Violation;
-use super::resume;
-use super::resume::Piece;
+use super::order;
+use super::pieces;
+use super::pieces::Piece;
 
 /// Fewest resumed streams that tell the share of those that go on.
 const MIN_RESUMED: usize = 12;
@@ -59,7 +60,7 @@
 }
 
 fn pieces(one: &Seen) -> Vec<Piece> {
-    let bodies = one.answer().map(|got| resume::pieces(&got.body));
+    let bodies = one.answer().map(|got| pieces::pieces(&got.body));
     bodies.unwrap_or_default()
 }
 
@@ -74,11 +75,10 @@
     for one in seen {
         streams.entry(one.stream()).or_default().push(one);
     }
-    let mut found = Vec::new();
+    let mut found = order::violations(seen, arrivals);
     for requests in streams.values_mut() {
         requests.sort_by_key(|one| one.sent);
         found.extend(joined_versions(requests));
-        found.extend(gap(requests));
     }
     let resumed = seen.iter().filter(|one| one.resumption.is_some());
     found.extend(resumed.filter_map(|one| dishonest_refusal(one, arrivals)));
@@ -93,13 +93,6 @@
     is_joined.then(|| violation(requests, "a stream of two software versions"))
 }
 
-/// Finds a stream that lacks an event or has one twice.
-fn gap(requests: &[&Seen]) -> Option<Violation> {
-    let pieces = requests.iter().flat_map(|one| pieces(one));
-    let is_gap = pieces.zip(1..).any(|(piece, id)| piece.id != id);
-    is_gap.then(|| violation(requests, "an event is missing or came twice"))
-}
-
 /// Finds a request that was to resume a stream and was refused, though a target
 /// had it, or not in the way that lets its caller try again.
 fn dishonest_refusal(one: &Seen, arrivals: &Arrivals) -> Option<Violation> {
@@ -122,7 +115,14 @@
 fn describe(one: &Seen) -> String {
     let pieces: Vec<_> = pieces(one)
         .iter()
-        .map(|piece| format!("{} of {}", piece.id, piece.software))
+        .map(|piece| {
+            format!(
+                "{} of {} by {}",
+                piece.id,
+                piece.software,
+                piece.run.target()
+            )
+        })
         .collect();
     let after = one.after();
     format!(
--- a/tests/testsuite/node/soak/targets.rs
+++ b/tests/testsuite/node/soak/targets.rs
@@ -86,7 +86,7 @@
         let (name, service, _) = TARGETS[at];
         let target = PlatformTarget::start(name).await;
         target.set(usual_mode(service));
-        target.name_software(software(at));
+        target.name_runs(software(at));
         target.forget_bodies();
         let proxy = Proxy::start(target.address).await;
         let trouble = match profile {
