Have the soak put instances out of step around a release

A release had all instances killed beside it, but none that stood still or was cut off from the store while targets of a new version came, and none that was killed again soon after its start. Around each moment at which such targets come, one or two instances now stand still for 0.3 to 4 s, are cut off from the store, or both, so that they run again before they hear of it; callers resume most of their streams there.

--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -17,6 +17,7 @@
 mod homes;
 mod lines;
 mod order;
+mod out_of_step;
 mod overlap;
 mod pieces;
 mod record;
@@ -39,6 +40,7 @@
 use support::block_on;
 use support::cases;
 use support::node::site::Limits;
+use tokio::sync::mpsc;
 
 use callers::Caller;
 use overlap::Overlaps;
@@ -134,6 +136,11 @@
         matches!(self, Self::Mixed | Self::Calm) && seed % 4 >= 2
     }
 
+    /// Tells whether instances are out of step around the release of a run.
+    fn has_instances_out_of_step(self, seed: u64) -> bool {
+        self == Self::Mixed && self.has_release(seed) && self.has_overlaps(seed)
+    }
+
     /// Returns what each process is allowed.
     fn limits(self) -> Limits {
         match self {
@@ -186,9 +193,16 @@
     });
     let series = futures_util::future::join_all(series);
     let (mut releasing, mut moving) = (next_rng(), next_rng());
+    let mut out_of_step = latest_rng();
+    let (moments, announced) = mpsc::unbounded_channel();
     let release = async {
         if profile.has_release(seed) {
-            release::run(soak, profile, &mut releasing).await;
+            release::run(soak, profile, &mut releasing, moments).await;
+        }
+    };
+    let out_of_step = async {
+        if profile.has_instances_out_of_step(seed) {
+            out_of_step::run(soak, announced, &mut out_of_step).await;
         }
     };
     let homes = async {
@@ -196,7 +210,7 @@
             homes::run(soak, until, &mut moving).await;
         }
     };
-    tokio::join!(series, release, homes);
+    tokio::join!(series, release, out_of_step, homes);
     for caller in callers {
         caller.await.expect("no panic");
     }
--- a/tests/testsuite/node/soak/callers.rs
+++ b/tests/testsuite/node/soak/callers.rs
@@ -202,6 +202,7 @@
                 return;
             }
             let at = self.habits.instance(stream.at, self.lines.instances());
+            let at = self.overlaps.instance(at, &self.lines);
             let loss = self.habits.events_before_loss(stream.path);
             let name = (n + 1).to_string();
             let Some(is_broken) = stream.ask_again(&self.lines, at, &name, loss).await else {
--- a/tests/testsuite/node/soak/lines.rs
+++ b/tests/testsuite/node/soak/lines.rs
@@ -8,6 +8,7 @@
 
 use super::SLACK;
 use super::callers::Seen;
+use super::out_of_step::OutOfStep;
 use super::world::Soak;
 
 /// The instances of a run, for its callers.
@@ -15,6 +16,7 @@
 pub(super) struct Lines {
     fronts: Arc<Vec<Mutex<SocketAddr>>>,
     seen: Arc<Mutex<Vec<Seen>>>,
+    out_of_step: Arc<OutOfStep>,
 }
 
 impl Lines {
@@ -22,6 +24,7 @@
         Self {
             fronts: Arc::clone(&soak.fronts),
             seen: Arc::clone(&soak.seen),
+            out_of_step: Arc::clone(&soak.out_of_step),
         }
     }
 
@@ -30,6 +33,11 @@
         self.fronts.len()
     }
 
+    /// Lists the instances that are out of step.
+    pub(super) fn out_of_step(&self) -> Vec<usize> {
+        self.out_of_step.list()
+    }
+
     pub(super) fn note(&self, one: Seen) {
         self.seen.lock().expect("no panic under the lock").push(one);
     }
--- a/tests/testsuite/node/soak/overlap.rs
+++ b/tests/testsuite/node/soak/overlap.rs
@@ -35,7 +35,11 @@
 /// Most of such losses in a row.
 const MAX_LOSSES: usize = 2;
 
-/// Draws what callers do so early.
+/// Share of the streams that are resumed at an instance that is out of step, if
+/// there is one.
+const OUT_OF_STEP_SHARE: f64 = 0.6;
+
+/// Draws what callers do so early, and at instances that are out of step.
 #[derive(Debug)]
 pub(super) struct Overlaps {
     rng: StdRng,
@@ -85,6 +89,16 @@
         })
     }
 
+    /// Chooses the instance that is asked to go on with a stream, in place of
+    /// another one.
+    pub(super) fn instance(&mut self, at: usize, lines: &Lines) -> usize {
+        let out_of_step = lines.out_of_step();
+        if out_of_step.is_empty() || !self.rng.random_bool(OUT_OF_STEP_SHARE) {
+            return at;
+        }
+        out_of_step[self.rng.random_range(0..out_of_step.len())]
+    }
+
     fn resumer(&mut self, after_events: u64, at: usize, instances: usize) -> Resumer {
         let rng = &mut self.rng;
         let after = match rng.random_bool(EARLIER_SHARE) {
--- a/tests/testsuite/node/soak/world.rs
+++ b/tests/testsuite/node/soak/world.rs
@@ -19,6 +19,7 @@
 use super::callers;
 use super::callers::Seen;
 use super::changes::Changes;
+use super::out_of_step::OutOfStep;
 use super::record::Record;
 use super::targets::FIRST_TARGETS;
 use super::targets::SoakTarget;
@@ -75,6 +76,7 @@
     /// The instances' processes; none of an instance that has ended.
     pids: Vec<Mutex<Option<u32>>>,
     pub(super) fronts: Arc<Vec<Mutex<SocketAddr>>>,
+    pub(super) out_of_step: Arc<OutOfStep>,
     pub(super) changes: Arc<Changes>,
     pub(super) record: Record,
     pub(super) seen: Arc<Mutex<Vec<Seen>>>,
@@ -131,6 +133,7 @@
             nodes: nodes.map(Arc::new).collect(),
             pids,
             fronts: Arc::new(fronts),
+            out_of_step: Arc::default(),
             changes: Arc::new(changes),
             record: Record::default(),
             seen: Arc::default(),
