--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -18,7 +18,9 @@
 use chiverelay_decisions::step::Step;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
+use hyper::HeaderMap;
 
+use crate::HeldHeaders;
 use crate::Metrics;
 
 /// Bodies and buffered answers have one part in this number of the process's
@@ -89,6 +91,16 @@
         self.refuse("body", Step::Receive)
     }
 
+    /// Holds the headers of a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if its headers are many and too little memory is left.
+    pub fn hold_headers(&self, headers: HeaderMap) -> Result<HeldHeaders, Refusal> {
+        let held = HeldHeaders::new(headers, &self.budget);
+        held.map_err(|Exhausted| self.refuse("headers", Step::Receive))
+    }
+
     /// Reserves the bytes of a message by which another instance forwards a
     /// request.
     ///
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -18,6 +18,7 @@
 use hyper::Method;
 use hyper::StatusCode;
 
+use crate::HeldHeaders;
 use crate::IncompleteAnswer;
 
 /// Returns the host by which routes are found: that of a `Host` header without a
@@ -40,7 +41,7 @@
     /// Path and query, as the caller sent them.
     pub path_and_query: String,
     /// Headers that are passed on to a target.
-    pub headers: HeaderMap,
+    pub headers: HeldHeaders,
     /// Body of the request.
     pub body: Bytes,
     /// API key of the request.
@@ -93,7 +94,7 @@
     /// Path and query, as the caller sent them.
     pub path_and_query: String,
     /// Headers of the caller that are passed on.
-    pub headers: HeaderMap,
+    pub headers: HeldHeaders,
     /// Body of the request.
     pub body: Bytes,
     /// Client account that the request is charged to.
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -360,7 +360,7 @@
             let refusal = refuse(Code::StateUnavailable, Step::Configure);
             return Err(refusal.with_retry_after(OUTDATED_RETRY_AFTER));
         }
-        let headers = read_headers(&forward.headers);
+        let headers = self.memory.hold_headers(read_headers(&forward.headers))?;
         let host = headers.get(HOST).and_then(|v| v.to_str().ok());
         let host = route_host(host.unwrap_or_default());
         let path = forward.path_and_query.split('?').next().unwrap_or_default();
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -28,6 +28,9 @@
 use crate::held_body::BodyError;
 use crate::held_body::read_held_body;
 
+/// Largest number of header fields of a request over HTTP/1.1.
+const MAX_FIELDS: usize = 1024;
+
 /// Response extension that makes the server close the connection instead of
 /// sending the response.
 #[derive(Clone, Copy, Debug)]
@@ -144,7 +147,8 @@
                     Ok(resp)
                 }
             });
-            let builder = auto::Builder::new(TokioExecutor::new());
+            let mut builder = auto::Builder::new(TokioExecutor::new());
+            builder.http1().max_headers(MAX_FIELDS);
             let conn = builder.serve_connection(TokioIo::new(stream), service);
             if let Some(Err(e)) = cancel.run_until_cancelled(conn).await {
                 log::debug!("http: connection failed: {e}");
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -20,6 +20,7 @@
 mod left_requests;
 mod links;
 mod lost_responses;
+mod many_fields;
 mod memory;
 mod named_instances;
 mod names;
--- a/tests/testsuite/node/decode.rs
+++ b/tests/testsuite/node/decode.rs
@@ -7,6 +7,7 @@
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
 use chiverelay_gateway::Dialect;
+use chiverelay_gateway::HeldHeaders;
 use chiverelay_gateway::Outbound;
 use chiverelay_gateway::ResponseVerdict;
 use chiverelay_platform::catalog;
@@ -83,7 +84,7 @@
         id: "r-1".into(),
         method: Method::GET,
         path_and_query: "/status/1".to_owned(),
-        headers: HeaderMap::new(),
+        headers: HeldHeaders::default(),
         body: bytes::Bytes::new(),
         account: None,
         priority: 1,
--- a/tests/testsuite/node/memory.rs
+++ b/tests/testsuite/node/memory.rs
@@ -57,6 +57,15 @@
 /// than that memory.
 const FORWARDED: (usize, usize) = (24, 7 * 1024 * 1024);
 
+/// An instance of the smallest class, but for its descriptors.
+const SMALL: Limits = Limits {
+    memory_mb: 64,
+    descriptors: 4100,
+};
+
+/// Fields of a head that has room for no more: each counts 8 bytes of 16 KiB.
+const SHORT_FIELDS: usize = 1950;
+
 /// Time that targets are silent: longer than a test.
 const SILENCE: Duration = Duration::from_secs(60);
 
@@ -155,6 +164,43 @@
     });
 }
 
+/// Failure: once heads could have more than 100 fields, a few hundred requests with
+/// as many short ones as a head has room for took twice the memory of a small
+/// instance.
+#[test]
+fn short_fields_of_open_requests_are_bounded() {
+    block_on(async {
+        let mut site = Site::start().await;
+        site.limit(SMALL);
+        site.store.put("op/config", &patient());
+        let silent = SilentTarget::start(SilentAnswer::Plain, Stage::BeforeHead, SILENCE).await;
+        register_large(&site, silent.address, "north-a");
+        let node = site.instance("one", "north-a", "north").await;
+        open_requests(&node, &silent, 1).await;
+        let fields: String = (0..SHORT_FIELDS).map(|n| format!("{n:x}: 0\r\n")).collect();
+        let mut open = Vec::new();
+        for n in 0..CALLERS {
+            let mut caller = SlowReader::open(node.front).await;
+            let head = format!(
+                "GET /deposit/1 HTTP/1.1\r\nhost: desk.example\r\nrequest-id: f-{n}\r\n\
+                 authorization: Bearer {KEY}\r\nrequest-deadline: 60000\r\n{fields}\r\n"
+            );
+            caller.write(&head).await;
+            open.push(caller);
+        }
+        let mut last = open.pop().expect("callers");
+        let refused = last
+            .read_to("\r\n\r\n")
+            .await
+            .expect("the head of an answer");
+        assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+        let memory = node.process.peak_resident_bytes();
+        println!("{memory} bytes, {} at the target", silent.requests().len());
+        assert!(memory <= SMALL.memory_mb << 20, "{memory} bytes of memory");
+        assert!(silent.requests().len() > 1, "none is served");
+    });
+}
+
 /// States a long body and sends none of it; returns the head of a refusal.
 async fn state_body(node: &Node, n: usize) -> (SlowReader, Option<String>) {
     let mut caller = SlowReader::open(node.front).await;
