Take no listing of a record for a sign of its process

Cause: each time a record was read it counted as heard from its process at that moment. A cut watch is followed by a listing, so a record that was still listed kept its instance ready for as long as its lease ran, and 3 s more. The rule against copies of an older store covered the same record only in a later era.

Change: a record that was read before, of the same process and revision, leaves the time of the last sign of life as it was. Status messages and writes of the process count as before.

Result: node::cut_watches::an_instance_that_ended_is_not_named failed before (named 5.1 s after its end), and passes. node::cut_watches, node::restored, node::named_instances and node::first_listings pass (14 of 14).

--- a/crates/gateway/src/members/table.rs
+++ b/crates/gateway/src/members/table.rs
@@ -100,6 +100,9 @@
 
     /// Returns when the process of a record was last known to run, apart from
     /// its status messages. `now` is when the record was read.
+    ///
+    /// A record that is read again, as by a listing after a cut watch or from an
+    /// older copy of the store, is no sign of life: only a write of its process is.
     pub(super) fn last_sign_of_life(
         &self,
         record: &MemberRecord,
@@ -110,11 +113,12 @@
             return Duration::ZERO;
         }
         let known = self.members.get(&record.instance);
-        let is_copy = |known: &&Member| {
-            known.record.incarnation == record.incarnation && known.revision.era < revision.era
+        let was_read = |known: &&Member| {
+            known.record.incarnation == record.incarnation
+                && (known.revision.era < revision.era || known.revision == revision)
         };
         known
-            .filter(is_copy)
+            .filter(was_read)
             .map_or(now, |known| known.record_received_at)
     }
 
--- a/tests/testsuite/node/cut_watches.rs
+++ b/tests/testsuite/node/cut_watches.rs
@@ -2,11 +2,13 @@
 //! other call at once.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use support::block_on;
 use support::cases;
 use support::node::PlatformTarget;
 use support::node::Site;
+use support::node::call;
 use support::node::call::Call;
 use support::node::site::KEY;
 use support::node::site::until;
@@ -14,6 +16,13 @@
 /// Time in which a target that left has to be passed over.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time after its end in which a process has to be left out of look-ups, but for the
+/// way of its last status message: less than a record's lease and that time.
+const NAMED_LIMIT: Duration = Duration::from_secs(5);
+
+/// Look-ups after that time.
+const LOOK_UPS: usize = 20;
+
 /// Requests that are sent after that time.
 const REQUESTS: usize = 20;
 
@@ -68,3 +77,35 @@
     while_watches_are_cut_in_quick_succession(Duration::from_millis(300));
     while_watches_are_cut_now_and_then(Duration::from_millis(1800));
 }
+
+/// Failure: each listing after a cut of a watch counted as a sign of life, so that
+/// an instance was named for as long as its record was listed, and 3 s more.
+#[test]
+fn an_instance_that_ended_is_not_named() {
+    block_on(async {
+        let site = Site::start().await;
+        let mut near = site.instance("near", "north-a", "north").await;
+        let far = site.instance("far", "south-a", "south").await;
+        let named = async || {
+            let path = "/v1/resolve?name=desk.example&region=north&zone=north-a";
+            call::get(far.directory, path)
+                .await
+                .expect("an answer")
+                .body
+        };
+        let address = near.front.to_string();
+        until("it is named", async || named().await.contains(&address)).await;
+        near.process.kill();
+        let killed = Instant::now();
+        while killed.elapsed() < NAMED_LIMIT {
+            site.store.cut_watches();
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        for _ in 0..LOOK_UPS {
+            site.store.cut_watches();
+            let body = named().await;
+            assert!(!body.contains(&address), "{:?}: {body}", killed.elapsed());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
