Add a brittle stand-in target

A stand-in target may be given limited room: slots, a queue and a number of rejections in a second that it survives. It states that number in all its answers, counts what it rejects, and resets every connection for three seconds once it has rejected more.

--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -20,6 +20,11 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
+use super::room::Capacity;
+use super::room::Entry;
+use super::room::Room;
+use super::room::RoomReport;
+
 /// Pause before each event of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -91,6 +96,8 @@
     software: Option<String>,
     /// Whether arrivals are kept without their bodies.
     forgets_bodies: bool,
+    /// Limited room, if it has one.
+    room: Option<Arc<Room>>,
     arrivals: Vec<Arrival>,
 }
 
@@ -113,6 +120,7 @@
             mode: Mode::Answer,
             software: None,
             forgets_bodies: false,
+            room: None,
             arrivals: Vec::new(),
         }));
         let stop = CancellationToken::new();
@@ -147,6 +155,23 @@
         state.forgets_bodies = true;
     }
 
+    /// Limits the room for requests, of which each is treated as its mode has
+    /// it once it has a slot. The number of slots stays as it was first set.
+    pub fn limit_room(&self, capacity: Capacity) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        match &state.room {
+            Some(room) => room.change(capacity),
+            None => state.room = Some(Arc::new(Room::new(capacity))),
+        }
+    }
+
+    /// Returns what became of the target since its room was limited.
+    pub fn room_report(&self) -> RoomReport {
+        let state = self.state.lock().expect("no panic under the lock");
+        let report = state.room.as_ref().map(|room| room.report());
+        report.unwrap_or_default()
+    }
+
     /// Returns the requests that reached the target.
     pub fn arrivals(&self) -> Vec<Arrival> {
         let state = self.state.lock().expect("no panic under the lock");
@@ -155,6 +180,48 @@
 }
 
 async fn answer(state: &Mutex<State>, name: &str, req: Request<Incoming>) -> Response<http::Body> {
+    let room = state.lock().expect("no panic under the lock").room.clone();
+    let Some(room) = room else {
+        return respond(state, name, req, None).await;
+    };
+    let entry = room.enter().await;
+    let max_rejections = room.max_rejections();
+    let mut resp = match entry {
+        Entry::Down => return reset(),
+        Entry::Full => respond(state, name, req, Some(Mode::Full)).await,
+        Entry::Admitted(place) => {
+            let resp = respond(state, name, req, None).await;
+            // The slot is free when the answer has been sent or dropped.
+            resp.map(|body| {
+                let held = body.map_frame(move |frame| {
+                    let _place = &place;
+                    frame
+                });
+                BodyExt::boxed(held)
+            })
+        }
+    };
+    if let Some(max) = max_rejections {
+        let value = HeaderValue::from(max);
+        resp.headers_mut().insert("server-brittle", value);
+    }
+    resp
+}
+
+/// Resets the connection.
+fn reset() -> Response<http::Body> {
+    let mut resp = http::empty_response(StatusCode::OK);
+    resp.extensions_mut().insert(http::ResetConnection);
+    resp
+}
+
+/// Responds as the target's mode has it, or as `instead` has it.
+async fn respond(
+    state: &Mutex<State>,
+    name: &str,
+    req: Request<Incoming>,
+    instead: Option<Mode>,
+) -> Response<http::Body> {
     let (parts, body) = req.into_parts();
     let body = body
         .collect()
@@ -176,7 +243,7 @@
             arrival.body = Bytes::new();
         }
         state.arrivals.push(arrival);
-        (state.mode, state.software.clone())
+        (instead.unwrap_or(state.mode), state.software.clone())
     };
     if meant != name {
         return http::empty_response(StatusCode::MISDIRECTED_REQUEST);
@@ -196,11 +263,7 @@
             resp.headers_mut().insert("retry-after", value);
             resp
         }
-        Mode::Lose => {
-            let mut resp = http::empty_response(StatusCode::OK);
-            resp.extensions_mut().insert(http::ResetConnection);
-            return resp;
-        }
+        Mode::Lose => return reset(),
         Mode::Events(count) => {
             let pieces = Pieces::new(after, after + count, software);
             events(pieces, false, EVENT_PAUSE)
