Keep targets that survive few rejections from rejecting more

Callers saw services fail for seconds under a burst: each target rejects more requests in a second than it survives and takes all that it runs along. Targets say in all their answers how many rejections they survive, and nothing read it.

Cause: an instance queues at a target until that rejects, and tries a target again 50 ms after a rejection, each instance for itself.

Change: the limit is read from each answer of a target (header of the platform, translated in platform/), binds the target's pool and is told to the siblings in their statuses (message version 14). While it is in force nothing is queued at the pool's targets. As many instances as the limit allows rejections divide a target's slots in rendezvous order; each has at most its part of the limit in requests that may yet be rejected, and sends nothing for 1.25 s and more after a rejection. Slots that others leave free for two seconds are used one at a time. The rest is refused at once, not run, with a Retry-After that is spread. Without the header nothing changes.

--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -9,11 +9,13 @@
 mod cold_limit;
 mod expected;
 mod extra_attempts;
+mod guarded_room;
 mod outcome;
 mod part_uses;
 mod pause;
 mod performance;
 mod queue_limit;
+mod rejection_limit;
 mod remote;
 mod reservation;
 mod stated_limit;
@@ -46,8 +48,10 @@
 use crate::window::SlidingWindow;
 use by_priority::LoadByPriority;
 use cached::CacheSources;
+use guarded_room::GuardedRoom;
 use part_uses::PartUseLog;
 use queue_limit::QueueLimit;
+use rejection_limit::RejectionLimit;
 use remote::RemoteCounts;
 use remote::UnreportedForwards;
 use stated_limit::StatedLimit;
@@ -65,6 +69,7 @@
 pub use outcome::TargetOutcome;
 pub use part_uses::PartUseCursor;
 pub use performance::PoolPerformance;
+pub use rejection_limit::RejectionLimitRecord;
 pub use remote::ForwardedLoad;
 pub use remote::TargetInFlight;
 pub use reservation::Reservation;
@@ -173,6 +178,8 @@
     queue_limits: HashMap<Pool, QueueLimit>,
     paused_until: HashMap<Target, Duration>,
     stated_limits: HashMap<Target, StatedLimit>,
+    rejection_limits: HashMap<Pool, RejectionLimit>,
+    guarded_rooms: HashMap<Target, GuardedRoom>,
     /// By the priority of the requests.
     forwarded: HashMap<(Region, Pool), BTreeMap<u8, UnreportedForwards>>,
     retry_limit: RetryLimit,
@@ -196,6 +203,8 @@
             queue_limits: HashMap::new(),
             paused_until: HashMap::new(),
             stated_limits: HashMap::new(),
+            rejection_limits: HashMap::new(),
+            guarded_rooms: HashMap::new(),
             forwarded: HashMap::new(),
             retry_limit,
             extra_attempts: HashMap::new(),
@@ -326,6 +335,7 @@
         self.cached_parts.remove(target);
         self.paused_until.remove(target);
         self.stated_limits.remove(target);
+        self.guarded_rooms.remove(target);
         if let Some(local) = self.local.get_mut(target) {
             local.failure_rate = 0.0;
             local.health.observe(HealthEvent::Restarted, now);
@@ -337,6 +347,7 @@
     pub fn remove_target(&mut self, target: &Target) {
         self.full_until.remove(target);
         self.stated_limits.remove(target);
+        self.guarded_rooms.remove(target);
         self.cached_parts.remove(target);
         if self
             .local
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -122,6 +122,9 @@
     AllCold,
     /// The target stated a limit, and this instance's share of it is used up.
     AllLimited,
+    /// The target survives few rejections, and no slot is free there that this
+    /// instance may use.
+    NoFreeSlot,
     /// The target asked for a pause. The time is left until the first of the
     /// paused targets takes requests again.
     AllPaused(Duration),
@@ -271,8 +274,11 @@
         if known.is_cold(now) && !self.has_cold_capacity(target, pool, shares, now) {
             return Some(NoTargetReason::AllCold);
         }
-        let has_room = self.has_stated_room(target, shares.stated, now);
-        (!has_room).then_some(NoTargetReason::AllLimited)
+        if !self.has_stated_room(target, shares.stated, now) {
+            return Some(NoTargetReason::AllLimited);
+        }
+        let has_room = self.has_guarded_room(target, known, pool, shares, now);
+        (!has_room).then_some(NoTargetReason::NoFreeSlot)
     }
 
     /// Returns the load of a target as a request of this priority finds it.
--- a/crates/decisions/src/traffic/extra_attempts.rs
+++ b/crates/decisions/src/traffic/extra_attempts.rs
@@ -88,7 +88,7 @@
         if !extra.is_some_and(|extra| extra.has_allowance()) {
             return Err(ExtraAttemptDenial::OverLimit);
         }
-        let has_room = self.has_spare_room(fleet, choice, now)
+        let has_room = self.has_spare_room(fleet, pool, choice, now)
             && self.utilization(fleet, pool, region, now) < MAX_UTILIZATION;
         if !has_room {
             return Err(ExtraAttemptDenial::NoRoom);
@@ -114,10 +114,17 @@
 
     /// Tells whether a target can run another request without delaying any, and
     /// nothing limits its requests.
-    fn has_spare_room(&self, fleet: &Fleet, choice: &TargetChoice, now: Duration) -> bool {
+    fn has_spare_room(
+        &self,
+        fleet: &Fleet,
+        pool: &PoolSpec,
+        choice: &TargetChoice,
+        now: Duration,
+    ) -> bool {
         let TargetChoice { target, estimate } = choice;
         let is_limited = fleet.get(target).is_none_or(|known| known.is_cold(now))
             || self.states_limit(target)
+            || self.rejection_limit(&pool.name, now).is_some()
             || self.pause_left(target, now).is_some();
         !is_limited
             && estimate.has_free_slot
--- a/crates/decisions/src/traffic/reservation.rs
+++ b/crates/decisions/src/traffic/reservation.rs
@@ -54,8 +54,8 @@
 const FAILURE_RATE_WEIGHT: f64 = 0.08;
 
 impl Traffic {
-    /// Reserves the chosen target for a request. Returns false if the target is
-    /// cold and this instance has used up its share of the target's rate limit.
+    /// Reserves the chosen target for a request. Returns false if this instance
+    /// has used up its share of one of the target's limits.
     pub fn try_reserve(
         &mut self,
         reservation: &Reservation,
@@ -66,7 +66,9 @@
         now: Duration,
     ) -> bool {
         let target = &reservation.target;
-        if !self.has_stated_room(target, shares.stated, now) {
+        if !self.has_stated_room(target, shares.stated, now)
+            || !self.has_guarded_room(target, known, pool, shares, now)
+        {
             return false;
         }
         let bound = match known.is_cold(now) {
@@ -99,6 +101,7 @@
             self.record_part_uses(&reservation.target, parts);
         }
         self.take_stated_room(target);
+        self.take_guarded_room(target, &pool.name, now);
         true
     }
 
@@ -153,6 +156,7 @@
     /// Ends a reservation and updates the target's health and failure rate.
     pub fn release(&mut self, mut reservation: Reservation, outcome: TargetOutcome, now: Duration) {
         self.record_prefill(&mut reservation);
+        self.release_guarded_room(&reservation, outcome, now);
         let Some(local) = self.local.get_mut(&reservation.target) else {
             return;
         };
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -152,6 +152,10 @@
     /// second from all instances together; `None` if it states none.
     fn stated_limit(&self, headers: &HeaderMap) -> Option<f64>;
 
+    /// Returns how many rejections in a second the target says that it survives,
+    /// whichever instances cause them; `None` if it states no such limit.
+    fn max_rejections(&self, headers: &HeaderMap) -> Option<u32>;
+
     /// Returns the time for which a target that turned a request away wants no
     /// more requests from this instance; `None` if it states none.
     fn requested_pause(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration>;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -155,11 +155,11 @@
             };
             let placed = self.place_remotely(req, cx, &remote, callers_ratio, now);
             return placed.or_else(|req| {
-                let local = local.map_err(|reason| refuse_no_target(&req, reason));
+                let local = local.map_err(|reason| refuse_no_target(&req, reason, now));
                 self.reserve_if_in_time(*req, cx, local, left, now)
             });
         }
-        let local = local.map_err(|reason| refuse_no_target(&req, reason));
+        let local = local.map_err(|reason| refuse_no_target(&req, reason, now));
         self.reserve_if_in_time(req, cx, local, left, now)
     }
 
@@ -228,7 +228,7 @@
         self.check_crashes(&req, cx, now)?;
         let choice = self
             .choose_local_target(cx, &self.residency_now(&req), req.tried_targets(), now)
-            .map_err(|reason| refuse_no_target(&req, reason))?;
+            .map_err(|reason| refuse_no_target(&req, reason, now))?;
         // The instance that forwarded the request knew less of these targets. An
         // answer that has begun goes on, however late.
         let left = req.meta().deadline.saturating_sub(now);
--- a/crates/gateway/src/place/refusals.rs
+++ b/crates/gateway/src/place/refusals.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chiverelay_decisions::admission::spread_retry_after_within;
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
@@ -12,6 +13,7 @@
 use chiverelay_decisions::traffic::NoTargetReason;
 
 use super::PlacementContext;
+use crate::handle::max_retry_after;
 
 /// Lower bound for the retry delay of a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
@@ -19,7 +21,11 @@
 /// Retry delay for a request that no target could take.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-pub(super) fn refuse_no_target<O>(req: &Request<Admitted, O>, reason: NoTargetReason) -> Refusal {
+pub(super) fn refuse_no_target<O>(
+    req: &Request<Admitted, O>,
+    reason: NoTargetReason,
+    now: Duration,
+) -> Refusal {
     log::info!(
         target: "place",
         id = req.meta().id.as_str(),
@@ -33,10 +39,15 @@
         NoTargetReason::AllFull
         | NoTargetReason::AllCold
         | NoTargetReason::AllLimited
+        | NoTargetReason::NoFreeSlot
         | NoTargetReason::AllPaused(_) => Code::Overloaded,
     };
     let retry_after = match reason {
         NoTargetReason::AllPaused(left) => left.max(MIN_RETRY_AFTER),
+        NoTargetReason::NoFreeSlot => {
+            let left = req.meta().deadline.saturating_sub(now);
+            spread_retry_after_within(rand::random(), max_retry_after(left))
+        }
         _ => NO_TARGET_RETRY_AFTER,
     };
     req.refusal(code, Step::Place, Peer::Local)
--- a/crates/gateway/src/place/reserve.rs
+++ b/crates/gateway/src/place/reserve.rs
@@ -72,7 +72,7 @@
         let region = self.settings.region.clone();
         let current = self.residency_in_force(req.grant());
         if !req.may_go_to(&region, &current) {
-            return Err(refuse_no_target(&req, NoTargetReason::NoTarget));
+            return Err(refuse_no_target(&req, NoTargetReason::NoTarget, now));
         }
         let known = {
             let fleet = self.tables.fleet.lock();
@@ -103,7 +103,7 @@
         });
         let Some(known_target) = known.filter(|_| is_reserved) else {
             // Any failed reservation is reported with this reason.
-            return Err(refuse_no_target(&req, NoTargetReason::AllCold));
+            return Err(refuse_no_target(&req, NoTargetReason::AllCold, now));
         };
         let request = ReservedRequest {
             id: req.meta().id.clone(),
@@ -121,7 +121,7 @@
                 known_target,
             }),
             // The request may not run in this region.
-            Err(req) => Err(refuse_no_target(&req, NoTargetReason::NoTarget)),
+            Err(req) => Err(refuse_no_target(&req, NoTargetReason::NoTarget, now)),
         }
     }
 }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -247,6 +247,7 @@
             crashes,
             lost,
             limits: traffic.stated_limit_records(audience, now),
+            rejection_limits: traffic.rejection_limit_records(audience, now),
             heard,
         }
     }
@@ -283,6 +284,7 @@
         traffic.update_remote_counts(from, status.counts, now);
         traffic.record_remote_part_uses(from, status.uses, now);
         traffic.merge_stated_limits(from, status.limits, now);
+        traffic.merge_rejection_limits(from, status.rejection_limits, now);
         drop(traffic);
         self.merge_crash_report(from, status.crashes, now);
         let mut suspensions = self.tables.suspensions.lock();
--- a/crates/gateway/src/target_notices.rs
+++ b/crates/gateway/src/target_notices.rs
@@ -1,5 +1,5 @@
 //! Records what targets say about themselves in their answers: a limit on
-//! requests, a pause, or that they are leaving.
+//! requests or on rejections, a pause, or that they are leaving.
 
 use chiverelay_decisions::fleet::KnownTarget;
 use chiverelay_decisions::names::Target;
@@ -24,6 +24,7 @@
     ) {
         if matches!(verdict, ResponseVerdict::Ran | ResponseVerdict::Rejected) {
             self.record_stated_limit(answer.target(), answer.headers());
+            self.record_rejection_limit(answer, known_target);
             self.record_leaving(answer, known_target);
         }
         // A late or repeated answer to another request asks for the pause too.
@@ -51,6 +52,27 @@
         }
     }
 
+    /// Records how many rejections in a second the targets of a pool survive, or
+    /// that a target states no such limit.
+    fn record_rejection_limit(&self, answer: &PooledResponse, known_target: &KnownTarget) {
+        let per_s = self.dialect.max_rejections(answer.headers());
+        let pool = &known_target.record.pool;
+        let now = self.clock.now();
+        let mut traffic = self.tables.traffic.lock();
+        let has_changed = traffic.record_rejection_limit(pool, per_s, now);
+        drop(traffic);
+        if has_changed {
+            log::info!(
+                target: "dispatch",
+                to = answer.target().as_str(),
+                pool = pool.as_str(),
+                limited = per_s.is_some(),
+                max_rejections = per_s.unwrap_or_default();
+                "targets state another limit on rejections"
+            );
+        }
+    }
+
     /// Records that a target that turned a request away asks for a pause.
     fn record_pause(&self, answer: &PooledResponse) {
         let Some(pause) = self
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -35,6 +35,7 @@
 use chiverelay_decisions::tickets::Ticket;
 use chiverelay_decisions::traffic::PromptPart;
 use chiverelay_decisions::traffic::PromptPartUse;
+use chiverelay_decisions::traffic::RejectionLimitRecord;
 use chiverelay_decisions::traffic::StatedLimitRecord;
 use chiverelay_decisions::traffic::TargetInFlight;
 use serde::Deserialize;
@@ -44,7 +45,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 13;
+pub const VERSION: u16 = 14;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
@@ -257,6 +258,8 @@
     pub lost: LostRequestsReport,
     /// Limits that targets stated to the sender.
     pub limits: Vec<StatedLimitRecord>,
+    /// Limits on rejections that targets stated to the sender.
+    pub rejection_limits: Vec<RejectionLimitRecord>,
     /// Other instances that the sender heard. Together with the sender they are
     /// those whose requests, crashes and limits this status has.
     pub heard: Vec<HeardInstance>,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod allowance;
 mod answer;
+mod brittle;
 mod bucket;
 mod call_limit;
 mod callers;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -1,6 +1,7 @@
 //! The gateway on the users' platform.
 
 mod bounds;
+mod brittle;
 mod broken_answers;
 mod changed_regions;
 mod cut_off_from_store;
--- a/tests/testsuite/node/decode.rs
+++ b/tests/testsuite/node/decode.rs
@@ -162,6 +162,22 @@
     no_pause_until_a_date(503, "Sat, 05 Dec 2026 08:00:00 GMT", None);
 }
 
+fn check_max_rejections(value: &'static str, want: Option<u32>) {
+    let name = HeaderName::from_static("server-brittle");
+    let map = HeaderMap::from_iter([(name, HeaderValue::from_static(value))]);
+    assert_eq!(PlatformCodec.max_rejections(&map), want);
+}
+
+cases! {
+    check_max_rejections:
+    a_target_that_survives_some("12", Some(12));
+    a_target_that_survives_none("0", Some(0));
+    a_target_that_survives_a_fraction("2.9", Some(2));
+    no_number_below_nothing("-1", None);
+    no_number_at_all("many", None);
+    no_number_without_an_end("inf", None);
+}
+
 fn check_leaving(value: &'static str, is_leaving: bool) {
     let name = HeaderName::from_static("server-leaving");
     let map = HeaderMap::from_iter([(name, HeaderValue::from_static(value))]);
