--- a/crates/http/src/endpoint.rs
+++ b/crates/http/src/endpoint.rs
@@ -25,7 +25,7 @@
 
 /// Largest number of header fields of a request over HTTP/1.1: as many as a head
 /// of 16 KiB may have over HTTP/2, which counts 32 bytes more for each.
-pub const MAX_FIELDS: usize = 16 * 1024 / 32;
+const MAX_FIELDS: usize = 16 * 1024 / 32;
 
 /// Accepts connections and responds to their requests with `handler` until
 /// `cancel` is cancelled, which also drops open connections.
