Take one version for the only one by a read of the marks alone

What callers saw: during a release, an instance that was out of step (cut off from the others, or standing still) resumed streams at a target of another version than the one that began them.

Cause: the absence of news was taken for knowledge. Any answer of the store within 3 s, or knowing no other instance, counted as knowledge of all versions, and so did one answer of one other instance, which may have been out of step itself or just started.

Change: a stream that nobody knows is bound to the only known version after a complete read of the marks that began after the request arrived, by this instance or, if its own read isn't there after 350 ms, by another one that was asked for it. Lookups share reads, which begin at most every 50 ms or 2 ms for each known instance, and are made only while one waits. Otherwise the request is refused as not run, with a Retry-After of 500 ms. What may continue a stream, the evidence for it and when to read are in `decisions::streams`. A lookup takes 800 ms at most, as before, and now three quarters of the time to the deadline at most. The messages of instances have version 14.

Tests changed: the cases of `software_of_stream` in `streams` check `StreamKnowledge::binding`, with the same inputs and more.

--- a/crates/decisions/src/streams.rs
+++ b/crates/decisions/src/streams.rs
@@ -2,6 +2,8 @@
 //! them. A stream can be continued only by targets of the same software.
 
 mod began;
+mod knowledge;
+mod mark_reads;
 mod software;
 
 use std::time::Duration;
@@ -19,6 +21,11 @@
 pub use began::MAX_STREAMS;
 pub use began::StreamRecord;
 pub use began::StreamSource;
+pub use knowledge::Binding;
+pub use knowledge::History;
+pub use knowledge::StreamKnowledge;
+pub use mark_reads::LOOKUP_TIMEOUT;
+pub use mark_reads::MarkReads;
 pub use software::MARK_INTERVAL;
 pub use software::MARK_PATIENCE;
 pub use software::MarkChange;
@@ -60,17 +67,3 @@
     /// Version of its targets' software.
     pub software: SoftwareVersion,
 }
-
-/// Returns the software that began a stream: what is known of it, or the only
-/// software that its pool can have had since, if all of it is known.
-pub fn software_of_stream(
-    known: Option<SoftwareVersion>,
-    possible: &[SoftwareVersion],
-    is_history_complete: bool,
-) -> Option<SoftwareVersion> {
-    match (known, possible) {
-        (Some(software), _) => Some(software),
-        (None, [only]) if is_history_complete => Some(only.clone()),
-        (None, _) => None,
-    }
-}
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -55,6 +55,8 @@
     Suspensions,
     /// The streams that began lately, and the software of pools.
     Streams,
+    /// When the marks of software were read for streams that are resumed.
+    MarkReads,
     /// What is known of the other instances.
     Members,
     /// What each sibling last reported of itself.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -54,6 +54,7 @@
 use crate::status;
 use crate::store_lag::SharedStoreLag;
 use crate::streams::MAX_ASKS;
+use crate::streams::SharedMarkReads;
 use crate::supervise;
 use crate::tables::SharedTables;
 use crate::topology::Topology;
@@ -85,6 +86,8 @@
     pub(crate) store_lag: SharedStoreLag,
     /// Bounds how many streams others are asked about at once.
     pub(crate) stream_asks: Semaphore,
+    /// Reads of the marks that lookups of streams wait for.
+    pub(crate) mark_reads: SharedMarkReads,
     /// Notified when the software of a pool's targets or its marks change.
     pub(crate) software_changed: Notify,
     /// Notified when software is marked.
@@ -162,6 +165,7 @@
             tables: SharedTables::new(&settings),
             store_lag: SharedStoreLag::default(),
             stream_asks: Semaphore::new(MAX_ASKS),
+            mark_reads: SharedMarkReads::default(),
             software_changed: Notify::new(),
             software_marked: Notify::new(),
             catalog_changed: Notify::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -83,4 +83,5 @@
 pub use metrics::Resource;
 pub use relay::IncompleteAnswer;
 pub use settings::Settings;
+pub use streams::MarksRead;
 pub use tables::StoreUpdate;
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -3,10 +3,13 @@
 //! began it.
 
 mod lookup;
+mod mark_reads;
 mod marks;
 mod word;
 
 pub(crate) use lookup::MAX_ASKS;
+pub use mark_reads::MarksRead;
+pub(crate) use mark_reads::SharedMarkReads;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -107,11 +110,11 @@
         out: Outbound,
         request_log: &mut RequestLog,
     ) -> HandleResult {
-        let deadline = req.meta().deadline;
         if !stream.is_resumed {
+            let deadline = req.meta().deadline;
             self.wait_for_marked_software(&stream.pool, deadline).await;
         } else {
-            match self.find_stream_software(&stream, &out.id).await {
+            match self.find_stream_software(&stream, req.meta()).await {
                 StreamSoftware::Known(software) => {
                     cx.is_resumed = true;
                     cx.software = Some(software);
--- a/crates/gateway/src/streams/lookup.rs
+++ b/crates/gateway/src/streams/lookup.rs
@@ -4,15 +4,16 @@
 use std::time::Duration;
 
 use chiverelay_decisions::event::Stamp;
-use chiverelay_decisions::names::Pool;
-use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::names::SoftwareVersion;
-use chiverelay_decisions::streams;
+use chiverelay_decisions::request::RequestMeta;
+use chiverelay_decisions::streams::Binding;
+use chiverelay_decisions::streams::History;
+use chiverelay_decisions::streams::LOOKUP_TIMEOUT;
+use chiverelay_decisions::streams::StreamKnowledge;
 use chiverelay_sibling::AskStream;
 use chiverelay_sibling::Identity;
 use chiverelay_sibling::Link;
 use chiverelay_sibling::Message;
-use chiverelay_sibling::StreamInfo;
 use chiverelay_sibling::Up;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -24,14 +25,14 @@
 use crate::Dialect;
 use crate::Gateway;
 
-/// Time limit for asking others what began a stream while its pool may have had
-/// several versions of software.
-const ASK_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// The same while it can have had one, and others are asked whether they know of
-/// more.
+/// Time for which one round of questions is waited for while the pool can have
+/// had one version of software, which is nearly always so.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time for which this instance's own read of the marks is waited for before
+/// others are asked to read them.
+const READ_TIMEOUT: Duration = Duration::from_millis(350);
+
 /// Part of the limit in which a hub asks others for an instance that is none, so
 /// that its reply comes in time.
 const HUB_LIMIT_DIVISOR: u32 = 2;
@@ -39,12 +40,8 @@
 /// Time between two looks for a link to ask on.
 const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time without an answer of the store after which others may know of software
-/// that this instance doesn't.
-const MAX_STORE_AGE: Duration = Duration::from_secs(3);
-
-/// Retry delay for a stream that no other instance could be asked about.
-const NOT_ASKED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay for a stream of which others may know more later.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Largest number of streams that others are asked about at once. Asking shares
 /// the links with forwarded requests.
@@ -67,85 +64,150 @@
 /// What others know of a stream.
 #[derive(Debug, Default)]
 struct Asked {
-    info: StreamInfo,
+    knowledge: StreamKnowledge,
     /// Number of instances that answered.
     answers: usize,
 }
 
+/// What is known of a stream so far.
+#[derive(Debug)]
+struct LookupState {
+    ask: AskStream,
+    /// When the request arrived, on the local monotonic clock.
+    arrived_at: Duration,
+    /// When the lookup has to end.
+    until: Instant,
+    knowledge: StreamKnowledge,
+    /// Number of instances that answered in one round.
+    answers: usize,
+}
+
 impl<D> Gateway<D>
 where
     D: Dialect,
 {
-    /// Finds the software that may continue a stream. `id` is that of the request
-    /// that resumes it.
+    /// Finds the software that may continue a stream. `meta` is that of the
+    /// request that resumes it.
     pub(super) async fn find_stream_software(
         self: &Arc<Self>,
         stream: &CallerStream,
-        id: &RequestId,
+        meta: &RequestMeta,
     ) -> StreamSoftware {
         let ask = AskStream {
             key: stream.key.clone(),
             pool: stream.pool.clone(),
+            confirm: false,
         };
-        let started = Instant::now();
-        let mut info = self.own_stream_info(&ask);
-        let now = self.clock.now();
-        let own = self.tables.streams.lock().began.find_record(&ask.key, now);
-        let mut answers = 0;
-        if info.began_by.is_none() {
-            let asked = self.ask_others(&ask, ask_limit(&info)).await;
-            answers = asked.answers;
-            merge(&mut info, asked.info);
+        let (started, now) = (Instant::now(), self.clock.now());
+        let left = meta.deadline.saturating_sub(now);
+        let mut state = LookupState {
+            arrived_at: meta.received,
+            until: started + LOOKUP_TIMEOUT.min(left * 3 / 4),
+            knowledge: self.own_knowledge(&ask, meta.received),
+            answers: 0,
+            ask,
+        };
+        let own = self
+            .tables
+            .streams
+            .lock()
+            .began
+            .find_record(&stream.key, now);
+        if state.knowledge.began_by.is_none() {
+            self.ask_for_knowledge(&mut state).await;
         }
-        let is_well_informed = self.is_well_informed();
-        info.is_history_complete &= answers > 0 || is_well_informed;
-        let found = self.choose_stream_software(&stream.pool, &info, answers);
+        let found = self.choose_stream_software(&state);
+        let is_own_read = self.has_read_marks_since(state.arrived_at);
         let word = match (&found, own) {
             (StreamSoftware::Known(_), Some(record)) => Word::Own(record),
             (StreamSoftware::Known(_), None) => Word::Asked,
-            (StreamSoftware::Only(_), _) if is_well_informed => Word::Store,
+            (StreamSoftware::Only(_), _) if is_own_read => Word::Store,
             (StreamSoftware::Only(_), _) => Word::Others,
             (StreamSoftware::NoTarget | StreamSoftware::Refused(_), _) => Word::None,
         };
         let lookup = Lookup {
-            info: &info,
-            answers,
+            knowledge: &state.knowledge,
+            answers: state.answers,
             word,
             is_usable: !matches!(found, StreamSoftware::Refused(_)),
             took: started.elapsed(),
         };
-        self.log_lookup(&ask.key, id, &lookup);
+        self.log_lookup(&stream.key, &meta.id, &lookup);
         found
     }
 
-    fn choose_stream_software(
-        &self,
-        pool: &Pool,
-        info: &StreamInfo,
-        answers: usize,
-    ) -> StreamSoftware {
-        let known = info.began_by.as_ref();
-        // The route has moved to another pool since the stream began.
-        if known.is_some_and(|known| known.pool != *pool) {
-            return StreamSoftware::Refused(None);
+    /// Asks others for the stream, and the store for the software of its pool,
+    /// until it is known what may continue the stream.
+    async fn ask_for_knowledge(self: &Arc<Self>, state: &mut LookupState) {
+        let has_several = |state: &LookupState| state.knowledge.possible_versions.len() > 1;
+        let started = Instant::now();
+        let is_several_at_first = has_several(state);
+        let until = match is_several_at_first {
+            true => state.until,
+            false => {
+                self.mark_reads.want(state.arrived_at);
+                state.until.min(started + CONFIRM_TIMEOUT)
+            }
+        };
+        self.ask_round(state, until).await;
+        if state.knowledge.began_by.is_some() || is_several_at_first {
+            return;
+        }
+        let read_until = state.until.min(started + READ_TIMEOUT);
+        self.mark_reads.wait_for(state.arrived_at, read_until).await;
+        self.add_own_knowledge(state);
+        match state.knowledge.binding(&state.ask.pool) {
+            // The read told of another version, so others may need longer.
+            Binding::OneOfSeveral => self.ask_round(state, state.until).await,
+            Binding::Unconfirmed(_) => {
+                state.ask.confirm = true;
+                self.confirm_by_others(state).await;
+            }
+            _ => {}
+        }
+    }
+
+    /// Has others read the marks, while this instance's own read may still be
+    /// answered.
+    async fn confirm_by_others(self: &Arc<Self>, state: &mut LookupState) {
+        let (arrived_at, until) = (state.arrived_at, state.until);
+        tokio::select! {
+            () = self.ask_round(state, until) => {}
+            () = self.mark_reads.wait_for(arrived_at, until) => {}
         }
-        let known = known.map(|known| known.software.clone());
-        let is_known = known.is_some();
-        let is_complete = info.is_history_complete;
-        let software = streams::software_of_stream(known, &info.possible_versions, is_complete);
+        self.add_own_knowledge(state);
+    }
+
+    async fn ask_round(self: &Arc<Self>, state: &mut LookupState, until: Instant) {
+        let limit = until.saturating_duration_since(Instant::now());
+        let asked = self.ask_others(&state.ask, limit).await;
+        state.answers = state.answers.max(asked.answers);
+        state.knowledge.merge(asked.knowledge);
+    }
+
+    fn add_own_knowledge(self: &Arc<Self>, state: &mut LookupState) {
+        let own = self.own_knowledge(&state.ask, state.arrived_at);
+        state.knowledge.merge(own);
+    }
+
+    fn choose_stream_software(&self, state: &LookupState) -> StreamSoftware {
+        let pool = &state.ask.pool;
         let has_target = |software: &SoftwareVersion| {
             let fleet = self.tables.fleet.lock();
             fleet.has_software(pool, software)
         };
-        match software {
-            Some(software) if !has_target(&software) => StreamSoftware::Refused(None),
-            Some(software) if is_known => StreamSoftware::Known(software),
-            Some(software) => StreamSoftware::Only(software),
-            None if info.possible_versions.is_empty() => StreamSoftware::NoTarget,
-            None => {
-                let is_worth_a_retry = answers == 0 && self.knows_other_instances();
-                StreamSoftware::Refused(is_worth_a_retry.then_some(NOT_ASKED_RETRY_AFTER))
+        match state.knowledge.binding(pool) {
+            Binding::Known(software) if has_target(&software) => StreamSoftware::Known(software),
+            Binding::Only(software) if has_target(&software) => StreamSoftware::Only(software),
+            Binding::Known(_) | Binding::Only(_) | Binding::OtherPool => {
+                StreamSoftware::Refused(None)
             }
+            Binding::NoTarget => StreamSoftware::NoTarget,
+            Binding::OneOfSeveral => {
+                let is_worth_a_retry = state.answers == 0 && self.knows_other_instances();
+                StreamSoftware::Refused(is_worth_a_retry.then_some(UNKNOWN_RETRY_AFTER))
+            }
+            Binding::Unconfirmed(_) => StreamSoftware::Refused(Some(UNKNOWN_RETRY_AFTER)),
         }
     }
 
@@ -155,37 +217,59 @@
         self: &Arc<Self>,
         from: &Identity,
         ask: &AskStream,
-    ) -> StreamInfo {
-        let mut info = self.own_stream_info(ask);
+    ) -> StreamKnowledge {
+        let asked_at = self.clock.now();
+        let mut knowledge = self.own_knowledge(ask, asked_at);
+        if knowledge.began_by.is_some() {
+            return knowledge;
+        }
+        // Others were asked for the stream before.
+        if ask.confirm {
+            self.mark_reads.want(asked_at);
+            let until = Instant::now() + READ_TIMEOUT;
+            self.mark_reads.wait_for(asked_at, until).await;
+            return self.own_knowledge(ask, asked_at);
+        }
         let topology = Arc::clone(&self.topology.lock());
         let is_asked_by_hub = topology.other_hubs.contains(&from.instance);
-        if info.began_by.is_none() && topology.is_hub && !is_asked_by_hub {
+        if topology.is_hub && !is_asked_by_hub {
             let links = self.links_to_region_hubs();
-            let asked = ask_each(ask, links, ask_limit(&info) / HUB_LIMIT_DIVISOR).await;
-            merge(&mut info, asked.info);
+            let limit = match knowledge.possible_versions.len() > 1 {
+                true => LOOKUP_TIMEOUT,
+                false => CONFIRM_TIMEOUT,
+            };
+            let asked = ask_each(ask, links, limit / HUB_LIMIT_DIVISOR).await;
+            knowledge.merge(asked.knowledge);
         }
-        info
+        knowledge
     }
 
     /// Observes the software on record, and returns what this instance itself
-    /// knows of a stream.
-    fn own_stream_info(self: &Arc<Self>, ask: &AskStream) -> StreamInfo {
+    /// knows of a stream for a request that it has since `requested_at`.
+    fn own_knowledge(self: &Arc<Self>, ask: &AskStream, requested_at: Duration) -> StreamKnowledge {
         let now = self.clock.now();
         self.observe_software(now);
-        // A store that came back from an older copy may have lost marks.
-        let may_lack_marks = self.store_lag.read_revision().era > 0;
+        let is_restored_store = self.store_lag.read_revision().era > 0;
+        let marks_read_at = self.mark_reads.completed();
         let streams = self.tables.streams.lock();
-        StreamInfo {
+        let lifetime = streams.began.lifetime();
+        StreamKnowledge {
             began_by: streams.began.find(&ask.key, now).cloned(),
             possible_versions: streams.software.possible(&ask.pool, now),
-            is_history_complete: !may_lack_marks || now >= streams.began.lifetime(),
+            history: History::of(
+                is_restored_store,
+                now,
+                lifetime,
+                requested_at,
+                marks_read_at,
+            ),
         }
     }
 
-    /// Tells whether no other instance can know more of the store than this one.
-    fn is_well_informed(&self) -> bool {
-        let store_age = self.tables.store_age(self.clock.now());
-        store_age < MAX_STORE_AGE || !self.knows_other_instances()
+    fn has_read_marks_since(&self, at: Duration) -> bool {
+        self.mark_reads
+            .completed()
+            .is_some_and(|read_at| read_at >= at)
     }
 
     fn knows_other_instances(&self) -> bool {
@@ -232,16 +316,8 @@
     }
 }
 
-/// Returns the time limit for asking others.
-fn ask_limit(info: &StreamInfo) -> Duration {
-    match info.possible_versions.len() > 1 {
-        true => ASK_TIMEOUT,
-        false => CONFIRM_TIMEOUT,
-    }
-}
-
-/// Asks several instances at once, until one knows the stream, all have answered
-/// or the limit has passed.
+/// Asks several instances at once, until one knows the stream or has confirmed
+/// what it was to confirm, all have answered or the limit has passed.
 async fn ask_each(ask: &AskStream, links: Vec<Link<Up>>, limit: Duration) -> Asked {
     let until = Instant::now() + limit;
     let asking = links.iter().map(|link| ask_one(link, ask, until));
@@ -252,30 +328,20 @@
             continue;
         };
         asked.answers += 1;
-        merge(&mut asked.info, answer);
-        if asked.info.began_by.is_some() {
+        asked.knowledge.merge(answer);
+        let is_confirmed = asked.knowledge.history == History::Confirmed;
+        if asked.knowledge.began_by.is_some() || (ask.confirm && is_confirmed) {
             break;
         }
     }
     asked
 }
 
-async fn ask_one(link: &Link<Up>, ask: &AskStream, until: Instant) -> Option<StreamInfo> {
+async fn ask_one(link: &Link<Up>, ask: &AskStream, until: Instant) -> Option<StreamKnowledge> {
     let asking = link.ask(Stamp::default(), Message::AskStream(ask.clone()));
     let answer = tokio::time::timeout_at(until, asking).await;
     match answer.ok()?.ok()?.message {
-        Message::StreamInfo(origin) => Some(origin),
+        Message::StreamInfo(knowledge) => Some(knowledge),
         _ => None,
     }
 }
-
-/// Adds what another instance knows.
-fn merge(info: &mut StreamInfo, other: StreamInfo) {
-    info.began_by = info.began_by.take().or(other.began_by);
-    info.is_history_complete |= other.is_history_complete;
-    for software in other.possible_versions {
-        if !info.possible_versions.contains(&software) {
-            info.possible_versions.push(software);
-        }
-    }
-}
--- a/crates/gateway/src/streams/marks.rs
+++ b/crates/gateway/src/streams/marks.rs
@@ -2,7 +2,6 @@
 //! instance that starts learns from them of targets that have left.
 
 use std::collections::HashSet;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -98,8 +97,7 @@
         let left = deadline.saturating_sub(self.clock.now());
         let waiting = async {
             loop {
-                let mut marked = pin!(self.software_marked.notified());
-                marked.as_mut().enable();
+                let marked = self.software_marked.notified();
                 if !self.has_only_unmarked_targets(pool) {
                     return;
                 }
--- a/crates/gateway/src/streams/word.rs
+++ b/crates/gateway/src/streams/word.rs
@@ -5,9 +5,9 @@
 
 use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::streams::StreamKey;
+use chiverelay_decisions::streams::StreamKnowledge;
 use chiverelay_decisions::streams::StreamRecord;
 use chiverelay_decisions::streams::StreamSource;
-use chiverelay_sibling::StreamInfo;
 
 use crate::Dialect;
 use crate::Gateway;
@@ -19,9 +19,9 @@
     Own(StreamRecord),
     /// Another instance that was asked.
     Asked,
-    /// The only version by what this instance has read from the store.
+    /// The only version, by this instance's read of the marks.
     Store,
-    /// The only version, as other instances that were asked know of no other.
+    /// The only version, by another instance's read of the marks.
     Others,
     /// It is not bound.
     None,
@@ -46,7 +46,7 @@
 /// What came of the lookup of a stream.
 #[derive(Debug)]
 pub(super) struct Lookup<'a> {
-    pub(super) info: &'a StreamInfo,
+    pub(super) knowledge: &'a StreamKnowledge,
     /// Number of other instances that answered.
     pub(super) answers: usize,
     pub(super) word: Word,
@@ -70,13 +70,13 @@
             Word::Store => marks_age,
             Word::Asked | Word::Others | Word::None => Duration::ZERO,
         };
-        let began_by = lookup.info.began_by.as_ref();
+        let began_by = lookup.knowledge.began_by.as_ref();
         log::info!(
             target: "streams",
             id = id.as_str(),
             began_as = key.id.as_str(),
             software = began_by.map_or("", |known| known.software.as_str()),
-            possible = lookup.info.possible_versions.len(),
+            possible = lookup.knowledge.possible_versions.len(),
             answers = lookup.answers,
             usable = lookup.is_usable,
             word = lookup.word.as_str(),
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -49,7 +49,6 @@
 pub use message::Message;
 pub use message::Status;
 pub use message::StoreCopy;
-pub use message::StreamInfo;
 pub use message::StreamsBegan;
 pub use message::TargetLoad;
 pub use message::VERSION;
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -26,8 +26,8 @@
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::settlements::ClaimSettlement;
-use chiverelay_decisions::streams::PoolSoftware;
 use chiverelay_decisions::streams::StreamKey;
+use chiverelay_decisions::streams::StreamKnowledge;
 use chiverelay_decisions::suspension::LostRequestsReport;
 use chiverelay_decisions::tickets::ClaimReply;
 use chiverelay_decisions::tickets::Nonce;
@@ -44,7 +44,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 13;
+pub const VERSION: u16 = 14;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
@@ -141,7 +141,7 @@
     /// Asks what began a stream. Answered by [`Message::StreamInfo`].
     AskStream(AskStream),
     /// What the sender knows of a stream.
-    StreamInfo(StreamInfo),
+    StreamInfo(StreamKnowledge),
 }
 
 /// What an instance knows of the store's contents, for another one.
@@ -175,18 +175,9 @@
     pub key: StreamKey,
     /// The pool that is to serve it.
     pub pool: Pool,
-}
-
-/// What an instance knows of a stream.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct StreamInfo {
-    /// What began the stream, if it is known.
-    pub began_by: Option<PoolSoftware>,
-    /// All software that may have begun streams of the pool.
-    pub possible_versions: Vec<SoftwareVersion>,
-    /// Whether no other software can have begun one.
-    pub is_history_complete: bool,
+    /// Whether the receiver is to read the marks of software from the store
+    /// before it answers, as the sender can't.
+    pub confirm: bool,
 }
 
 /// A claim of a ticket.
--- a/tests/testsuite/node/resumed_by_callers/out_of_step.rs
+++ b/tests/testsuite/node/resumed_by_callers/out_of_step.rs
@@ -111,6 +111,41 @@
     all_instances_are_killed_right_after_their_start(2);
 }
 
+/// Failure: an instance stood still while a release replaced the only target,
+/// and its watch told it nothing afterwards. It continued a stream of the new
+/// software at the old one, as the store answered its other calls.
+#[test]
+fn a_stream_of_software_that_was_missed_is_not_continued_by_other() {
+    block_on(async {
+        let (site, targets) = start_targets().await;
+        let late = site.instance("late", "north-a", "north").await;
+        let mut world = World {
+            site,
+            targets,
+            nodes: Vec::new(),
+        };
+        until("the software is marked", async || {
+            world.site.store.keys(MARKS).len() == 1
+        })
+        .await;
+        world.site.store.mute(true);
+        late.process.freeze();
+        world.replace();
+        let first = world.site.instance("first", "north-a", "north").await;
+        world.nodes.push(first);
+        for n in 0..STREAMS {
+            world.begin(&format!("r-{n}")).await;
+        }
+        world.kill(0);
+        late.process.thaw();
+        world.shorten();
+        for n in 0..STREAMS {
+            let (id, began_as) = (format!("s-{n}"), format!("r-{n}"));
+            world.check_resumed(&late, &id, &began_as).await;
+        }
+    });
+}
+
 /// What an instance without news can still ask.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum InTouch {
--- a/tests/testsuite/streams.rs
+++ b/tests/testsuite/streams.rs
@@ -5,22 +5,25 @@
 use std::time::Duration;
 
 use chiverelay_decisions::names::Pool;
-use chiverelay_decisions::names::SoftwareVersion;
 use chiverelay_decisions::streams::BeganStreams;
+use chiverelay_decisions::streams::Binding;
+use chiverelay_decisions::streams::History;
+use chiverelay_decisions::streams::LOOKUP_TIMEOUT;
 use chiverelay_decisions::streams::MARK_INTERVAL;
 use chiverelay_decisions::streams::MARK_PATIENCE;
 use chiverelay_decisions::streams::MAX_ID_BYTES;
 use chiverelay_decisions::streams::MAX_STREAMS;
 use chiverelay_decisions::streams::MIN_LIFETIME;
 use chiverelay_decisions::streams::MarkChange;
+use chiverelay_decisions::streams::MarkReads;
 use chiverelay_decisions::streams::MarkStep;
 use chiverelay_decisions::streams::MarkTurn;
 use chiverelay_decisions::streams::PoolSoftware;
 use chiverelay_decisions::streams::SoftwareHistory;
 use chiverelay_decisions::streams::StreamKey;
+use chiverelay_decisions::streams::StreamKnowledge;
 use chiverelay_decisions::streams::StreamSource;
 use chiverelay_decisions::streams::lifetime_for;
-use chiverelay_decisions::streams::software_of_stream;
 use support::cases;
 
 const START: Duration = Duration::from_secs(100);
@@ -54,33 +57,138 @@
     Some(origin.software.as_str())
 }
 
-/// Whether all software that a pool can have had is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum History {
-    Complete,
-    Partial,
+/// Returns what an instance knows.
+fn knows(known: Option<&str>, possible: &[&str], history: History) -> StreamKnowledge {
+    StreamKnowledge {
+        began_by: known.map(of),
+        possible_versions: possible.iter().map(|s| (*s).into()).collect(),
+        history,
+    }
+}
+
+fn check_software(known: Option<&str>, possible: &[&str], history: History, expected: Binding) {
+    let knowledge = knows(known, possible, history);
+    assert_eq!(knowledge.binding(&pool()), expected);
+}
+
+fn known(software: &str) -> Binding {
+    Binding::Known(software.into())
+}
+
+fn only(software: &str) -> Binding {
+    Binding::Only(software.into())
 }
 
-fn check_software(
-    known: Option<&str>,
-    possible: &[&str],
-    history: History,
-    expected: Option<&str>,
-) {
-    let possible: Vec<SoftwareVersion> = possible.iter().map(|s| (*s).into()).collect();
-    let is_complete = history == History::Complete;
-    let found = software_of_stream(known.map(Into::into), &possible, is_complete);
-    assert_eq!(found, expected.map(Into::into));
+fn unconfirmed(software: &str) -> Binding {
+    Binding::Unconfirmed(software.into())
 }
 
 cases! {
     check_software:
-    what_is_known_of_a_stream_counts(Some("a"), &["a", "b"], History::Partial, Some("a"));
-    what_is_known_counts_before_the_only_version(Some("a"), &["b"], History::Complete, Some("a"));
-    the_only_version_began_all_streams(None, &["b"], History::Complete, Some("b"));
-    the_only_version_known_may_not_be_the_only_one(None, &["b"], History::Partial, None);
-    one_of_several_versions_is_not_guessed(None, &["a", "b"], History::Complete, None);
-    without_a_target_nothing_is_known(None, &[], History::Complete, None);
+    what_is_known_of_a_stream_counts(Some("a"), &["a", "b"], History::Heard, known("a"));
+    what_is_known_counts_before_the_only_version(Some("a"), &["b"], History::Confirmed, known("a"));
+    the_only_version_began_all_streams(None, &["b"], History::Confirmed, only("b"));
+    the_only_version_known_may_not_be_the_only_one(None, &["b"], History::Heard, unconfirmed("b"));
+    a_restored_store_may_lack_versions(None, &["b"], History::MayLackMarks, unconfirmed("b"));
+    one_of_several_versions_is_not_guessed(None, &["a", "b"], History::Confirmed, Binding::OneOfSeveral);
+    several_versions_heard_of_are_several(None, &["a", "b"], History::Heard, Binding::OneOfSeveral);
+    without_a_target_nothing_is_known(None, &[], History::Confirmed, Binding::NoTarget);
+}
+
+#[test]
+fn a_stream_of_another_pool_goes_on_nowhere() {
+    let knowledge = knows(Some("a"), &["a"], History::Confirmed);
+    assert_eq!(knowledge.binding(&"other".into()), Binding::OtherPool);
+}
+
+/// What another instance answers to one that knows one version.
+fn check_answer(answer: StreamKnowledge, expected: Binding) {
+    let mut knowledge = knows(None, &["a"], History::Heard);
+    knowledge.merge(answer);
+    assert_eq!(knowledge.binding(&pool()), expected);
+}
+
+// Failure: the answer of one other instance completed what was known of a pool's
+// versions, though that one was out of step, or had just started.
+cases! {
+    check_answer:
+    an_instance_that_has_read_the_marks_completes_the_history(
+        knows(None, &["a"], History::Confirmed), only("a"));
+    an_instance_out_of_step_does_not_complete_the_history(
+        knows(None, &["a"], History::Heard), unconfirmed("a"));
+    an_instance_that_has_just_started_does_not_complete_the_history(
+        knows(None, &[], History::Heard), unconfirmed("a"));
+    an_instance_that_knows_another_version_tells_of_it(
+        knows(None, &["b"], History::Confirmed), Binding::OneOfSeveral);
+    an_instance_that_knows_the_stream_tells_of_it(
+        knows(Some("b"), &["b"], History::Heard), known("b"));
+}
+
+/// When a complete read of the marks began.
+fn check_history(marks_read_at: Option<u64>, expected: History) {
+    let at = |ms: u64| START + Duration::from_millis(ms);
+    let requested_at = at(100);
+    let read_at = marks_read_at.map(at);
+    let found = History::of(false, START, MIN_LIFETIME, requested_at, read_at);
+    assert_eq!(found, expected);
+}
+
+// Failure: any answer that the store had given within 3 s counted for knowledge of
+// all versions, though a release had come since, or the process had stood still.
+cases! {
+    check_history:
+    without_a_read_nothing_is_confirmed(None, History::Heard);
+    a_read_before_the_request_confirms_nothing(Some(99), History::Heard);
+    a_read_after_the_request_confirms_all(Some(100), History::Confirmed);
+}
+
+/// A store that came back from an older copy may lack marks, whenever they are
+/// read. An instance that has run for long enough knows of all software itself.
+#[test]
+fn a_restored_store_is_believed_by_instances_that_have_run_for_long() {
+    let of_age = |age| History::of(true, age, MIN_LIFETIME, age, Some(age));
+    let young = MIN_LIFETIME - Duration::from_millis(1);
+    assert_eq!(of_age(young), History::MayLackMarks);
+    assert_eq!(of_age(MIN_LIFETIME), History::Confirmed);
+}
+
+/// Load pattern: hundreds of streams are resumed at once after a kill.
+#[test]
+fn streams_that_are_resumed_together_share_a_read() {
+    let mut reads = MarkReads::default();
+    let at = |ms: u64| START + Duration::from_millis(ms);
+    assert_eq!(reads.due_at(5, START), None);
+    reads.want(START);
+    assert_eq!(reads.due_at(5, START), Some(START));
+    reads.begin(START);
+    for ms in 1..=40 {
+        reads.want(at(ms));
+    }
+    // The open read began too early for these.
+    assert_eq!(reads.due_at(5, at(40)), Some(at(50)));
+    reads.begin(at(50));
+    reads.complete(at(50));
+    assert_eq!(reads.completed(), Some(at(50)));
+    assert_eq!(reads.due_at(5, at(60)), None);
+    reads.want(at(60));
+    assert_eq!(reads.due_at(330, at(60)), Some(at(50 + 660)));
+}
+
+/// Failure: a response was lost, and its connection returned nothing further.
+#[test]
+fn a_read_without_a_response_is_repeated_while_it_is_waited_for() {
+    let mut reads = MarkReads::default();
+    let at = |ms: u64| START + Duration::from_millis(ms);
+    reads.want(START);
+    reads.begin(START);
+    assert_eq!(reads.due_at(5, at(1)), Some(at(250)));
+    reads.begin(at(250));
+    assert_eq!(reads.due_at(5, at(251)), Some(at(500)));
+    // Late responses count, too.
+    reads.complete(START);
+    assert_eq!(reads.due_at(5, at(300)), None);
+    reads.want(at(300));
+    assert_eq!(reads.due_at(5, at(300) + LOOKUP_TIMEOUT), None);
 }
 
 #[test]
