Tell others of streams while the store does not answer

Cause: others are told of streams only while a pool may have several versions.

Change: an instance that notices that the store does not answer tells the others of its streams, those that it has and each new one, until the store answers. No message more while it answers.

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -111,6 +111,11 @@
         self.store.call_failed();
     }
 
+    /// Tells whether the store has stopped answering.
+    pub fn is_store_unreachable(&self) -> bool {
+        self.store.is_unreachable()
+    }
+
     /// Records that the store does not answer; returns true if it was
     /// reachable before.
     pub fn store_lost(&mut self) -> bool {
--- a/crates/decisions/src/fleet/store_health.rs
+++ b/crates/decisions/src/fleet/store_health.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Tells whether the store has stopped answering.
+    pub(super) fn is_unreachable(&self) -> bool {
+        self.is_unreachable
+    }
+
     /// Tells whether a call has failed since the last answer.
     pub(super) fn is_failing(&self) -> bool {
         self.is_failing
--- a/crates/decisions/src/streams/began.rs
+++ b/crates/decisions/src/streams/began.rs
@@ -1,6 +1,7 @@
 //! The streams that began lately.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -147,6 +148,14 @@
         listed.collect()
     }
 
+    /// Lists the pools of the streams that began here.
+    pub fn list_own_pools(&self, now: Duration) -> HashSet<Pool> {
+        let is_own =
+            |stream: &&BeganStream| stream.source == StreamSource::Own && now < stream.expires_at;
+        let own = self.by_key.values().filter(is_own);
+        own.map(|stream| stream.began_by.pool.clone()).collect()
+    }
+
     /// Returns the number of streams that are remembered.
     pub fn len(&self) -> usize {
         self.by_key.len()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -372,6 +372,7 @@
             StoreUpdate::StoreUnreachable => {
                 if tables.fleet.lock().store_lost() {
                     log::warn!(target: "store", dependency = "store"; "the store does not answer");
+                    self.tell_streams_of_all_pools();
                 }
             }
         }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -141,9 +141,11 @@
     }
 
     /// Records what began or continues a stream. Others are told of one that
-    /// began while the pool may have had several versions of software.
+    /// began while the pool may have had several versions of software, or while
+    /// the store, which could tell that there is but one, does not answer.
     fn record_stream(self: &Arc<Self>, stream: CallerStream, software: &SoftwareVersion) {
         let now = self.clock.now();
+        let is_store_unreachable = self.tables.fleet.lock().is_store_unreachable();
         let CallerStream {
             key,
             pool,
@@ -165,11 +167,21 @@
         drop(streams);
         if is_new {
             self.handle_new_software(&origin);
-        } else if possible.len() > 1 && !is_resumed {
+        } else if !is_resumed && (possible.len() > 1 || is_store_unreachable) {
             self.tell_streams(&pool, &[(key, software.clone())]);
         }
     }
 
+    /// Tells others of all streams that began here, as the store has stopped
+    /// answering.
+    pub(crate) fn tell_streams_of_all_pools(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let pools = self.tables.streams.lock().began.list_own_pools(now);
+        for pool in &pools {
+            self.tell_all_streams(pool);
+        }
+    }
+
     /// Tells others of all streams of a pool that began here. They were not told
     /// while the pool had one version of software only.
     pub(crate) fn tell_all_streams(self: &Arc<Self>, pool: &Pool) {
--- a/tests/testsuite/node/resumed_by_callers/out_of_step.rs
+++ b/tests/testsuite/node/resumed_by_callers/out_of_step.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hyper::StatusCode;
 use serde_json::Value;
 use serde_json::json;
 use support::block_on;
@@ -204,6 +205,56 @@
     a_stream_goes_on_if_another_instance_can_tell(InTouch::WithOthers);
 }
 
+/// Failure: while the store answered nobody, streams of a pool with one version
+/// were refused after a kill, as nothing could tell that there was no other.
+#[test]
+fn a_stream_goes_on_while_the_store_answers_nobody() {
+    block_on(async {
+        let (site, targets) = start_targets().await;
+        let mut nodes = Vec::new();
+        for n in 0..3 {
+            nodes.push(site.instance(&format!("n-{n}"), "north-a", "north").await);
+        }
+        let mut world = World {
+            site,
+            targets,
+            nodes,
+        };
+        for node in &world.nodes {
+            until("the links are up", async || {
+                node.logged().matches("link is up").count() >= 2
+            })
+            .await;
+        }
+        world.begin("r-0").await;
+        world
+            .site
+            .store
+            .refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
+        world.site.store.cut_watches();
+        until("the outage is noticed", async || {
+            world.nodes[0]
+                .logged()
+                .contains("the store does not answer")
+        })
+        .await;
+        for n in 1..STREAMS {
+            world.begin(&format!("r-{n}")).await;
+        }
+        world.kill(0);
+        world.shorten();
+        let mut continued = 0;
+        for n in 0..STREAMS {
+            let (id, began_as) = (format!("s-{n}"), format!("r-{n}"));
+            let goes_on = world.check_resumed(&world.nodes[1], &id, &began_as).await;
+            continued += usize::from(goes_on);
+        }
+        // The kill may come before the last one is told.
+        let log = world.nodes[1].logged();
+        assert!(continued + 1 >= STREAMS, "{continued} of {STREAMS}: {log}");
+    });
+}
+
 /// Returns a configuration without streams that callers may resume.
 fn without_resumable_routes() -> Value {
     let mut config = configuration(4);
