--- a/tests/testsuite/node/resumed_by_callers/out_of_step.rs
+++ b/tests/testsuite/node/resumed_by_callers/out_of_step.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hyper::StatusCode;
 use serde_json::Value;
 use serde_json::json;
 use support::block_on;
@@ -111,6 +112,41 @@
     all_instances_are_killed_right_after_their_start(2);
 }
 
+/// Failure: an instance stood still while a release replaced the only target,
+/// and its watch told it nothing afterwards. It continued a stream of the new
+/// software at the old one, as the store answered its other calls.
+#[test]
+fn a_stream_of_software_that_was_missed_is_not_continued_by_other() {
+    block_on(async {
+        let (site, targets) = start_targets().await;
+        let late = site.instance("late", "north-a", "north").await;
+        let mut world = World {
+            site,
+            targets,
+            nodes: Vec::new(),
+        };
+        until("the software is marked", async || {
+            world.site.store.keys(MARKS).len() == 1
+        })
+        .await;
+        world.site.store.mute(true);
+        late.process.freeze();
+        world.replace();
+        let first = world.site.instance("first", "north-a", "north").await;
+        world.nodes.push(first);
+        for n in 0..STREAMS {
+            world.begin(&format!("r-{n}")).await;
+        }
+        world.kill(0);
+        late.process.thaw();
+        world.shorten();
+        for n in 0..STREAMS {
+            let (id, began_as) = (format!("s-{n}"), format!("r-{n}"));
+            world.check_resumed(&late, &id, &began_as).await;
+        }
+    });
+}
+
 /// What an instance without news can still ask.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum InTouch {
@@ -169,6 +205,56 @@
     a_stream_goes_on_if_another_instance_can_tell(InTouch::WithOthers);
 }
 
+/// Failure: while the store answered nobody, streams of a pool with one version
+/// were refused after a kill, as nothing could tell that there was no other.
+#[test]
+fn a_stream_goes_on_while_the_store_answers_nobody() {
+    block_on(async {
+        let (site, targets) = start_targets().await;
+        let mut nodes = Vec::new();
+        for n in 0..3 {
+            nodes.push(site.instance(&format!("n-{n}"), "north-a", "north").await);
+        }
+        let mut world = World {
+            site,
+            targets,
+            nodes,
+        };
+        for node in &world.nodes {
+            until("the links are up", async || {
+                node.logged().matches("link is up").count() >= 2
+            })
+            .await;
+        }
+        world.begin("r-0").await;
+        world
+            .site
+            .store
+            .refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
+        world.site.store.cut_watches();
+        until("the outage is noticed", async || {
+            world.nodes[0]
+                .logged()
+                .contains("the store does not answer")
+        })
+        .await;
+        for n in 1..STREAMS {
+            world.begin(&format!("r-{n}")).await;
+        }
+        world.kill(0);
+        world.shorten();
+        let mut continued = 0;
+        for n in 0..STREAMS {
+            let (id, began_as) = (format!("s-{n}"), format!("r-{n}"));
+            let goes_on = world.check_resumed(&world.nodes[1], &id, &began_as).await;
+            continued += usize::from(goes_on);
+        }
+        // The kill may come before the last one is told.
+        let log = world.nodes[1].logged();
+        assert!(continued + 1 >= STREAMS, "{continued} of {STREAMS}: {log}");
+    });
+}
+
 /// Returns a configuration without streams that callers may resume.
 fn without_resumable_routes() -> Value {
     let mut config = configuration(4);
