Name no instance of a region that may run none of a host's routes

Cause: the directory bars a region for 10 s after a stop (RESTART_TIME), as the own instances usually are back by then, and names it afterwards for the sake of the host's other routes. It did not ask whether there are other routes.

Change: an instance of another region is named only if at least one of the host's routes may run there; else the look-up says 503, and callers keep what they know. Where some routes may run, the region is named after the 10 s, as before: without it the callers of those routes would have no instance.

--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -206,10 +206,19 @@
         found.map(Arc::clone)
     }
 
+    fn routes_of(&self, host: &str) -> &[Arc<RouteSpec>] {
+        self.routes_by_host.get(host).map_or(&[], Vec::as_slice)
+    }
+
+    /// Counts the routes of a host.
+    pub fn count_routes(&self, host: &str) -> usize {
+        self.routes_of(host).len()
+    }
+
     /// Counts the routes of a host whose requests may not run in a region.
     pub fn count_routes_not_allowed_in(&self, host: &str, region: &Region) -> usize {
-        let routes = self.routes_by_host.get(host).map_or(&[][..], Vec::as_slice);
-        let excluding = routes.iter().filter(|r| !r.residency.allows(region));
+        let routes = self.routes_of(host).iter();
+        let excluding = routes.filter(|r| !r.residency.allows(region));
         excluding.count()
     }
 
--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -42,6 +42,15 @@
         }
     }
 
+    /// Tells whether an instance as far as this may run any of the host's
+    /// `routes`. In the caller's own region it may pass them on.
+    pub fn may_run_any(self, routes: usize) -> bool {
+        match self {
+            Self::SameZone | Self::SameRegion | Self::OtherRegion(0) => true,
+            Self::OtherRegion(barred) => barred < routes,
+        }
+    }
+
     /// Tells whether the caller may be told of the instance, if none is nearer.
     /// `last_stop` is when an instance of the caller's region, or of one in which
     /// all routes may run, last said that it stops.
--- a/crates/gateway/src/lookup.rs
+++ b/crates/gateway/src/lookup.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 
+use chiverelay_decisions::directory::Distance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::members::Nearest;
 
 impl<D> Gateway<D>
 where
@@ -14,7 +16,8 @@
 {
     /// Lists the addresses of the nearest ready instances for a caller in
     /// `zone`. `host` is the host of its requests; regions that may not answer
-    /// some of that host's routes count as farther.
+    /// some of that host's routes count as farther, and nobody is listed of one
+    /// that may answer none.
     pub fn nearest_ready(&self, host: &str, zone: &Zone, region: &Region) -> Vec<SocketAddr> {
         let current = self.tables.current_catalog();
         let count_barred_routes = |region: &Region| {
@@ -27,6 +30,15 @@
         let nearest = self
             .members
             .nearest_ready(zone, region, count_barred_routes, now);
+        // Instances that may run none of the host's routes would be sent the bodies
+        // of requests that they can only refuse.
+        let catalog = current.as_ref().map(|c| &c.catalog);
+        let routes = catalog.map_or(0, |catalog| catalog.count_routes(host));
+        let is_useful = |distance: Distance| distance.may_run_any(routes);
+        let nearest = match nearest.distance.is_some_and(is_useful) {
+            true => nearest,
+            false => Nearest::default(),
+        };
         self.metrics.count_lookup(nearest.distance);
         nearest.addresses
     }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -63,7 +63,7 @@
 }
 
 /// The instances that a caller is told of.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Nearest {
     /// Where callers connect to them.
     pub(crate) addresses: Vec<SocketAddr>,
--- a/tests/testsuite/directory.rs
+++ b/tests/testsuite/directory.rs
@@ -97,3 +97,16 @@
     a_barred_region_after_a_restart(Distance::OtherRegion(1), Some(LONG_AGO), true);
     a_barred_region_without_a_stop(Distance::OtherRegion(1), None, true);
 }
+
+fn check_useful(distance: Distance, routes: usize, expected: bool) {
+    assert_eq!(distance.may_run_any(routes), expected);
+}
+
+cases! {
+    check_useful:
+    its_own_region_whatever_is_barred(Distance::SameRegion, 2, true);
+    a_region_that_bars_none(Distance::OtherRegion(0), 2, true);
+    a_region_that_bars_one_of_two(Distance::OtherRegion(1), 2, true);
+    a_region_that_bars_all(Distance::OtherRegion(2), 2, false);
+    any_region_for_an_unknown_host(Distance::OtherRegion(0), 0, true);
+}
