Write an instance's record again once another stands in its place

The instances of that region ran, and no other had a link to them.

Cause: the store did a write of a killed process late, over the record of its successor under the same name. An instance ignored what it read under its own name, so the record was never written again; the others took the successor for ended, and a record of an ended process counts for nothing, so that writing the same again would not have been enough.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -109,7 +109,6 @@
     pub(crate) memory: RequestMemory,
     pub(crate) log_rate_limit: LogRateLimit,
     pub(crate) limit_reports: LimitReports,
-    pub(crate) incarnation: u64,
     pub(crate) shutdown: Shutdown,
     pub(crate) stop: CancellationToken,
     pub(crate) open_requests: TaskTracker,
@@ -143,7 +142,6 @@
         };
         let certificates = Certificates::generate(&identity, pins.clone())?;
         let endpoint = Endpoint::bind(settings.sibling_address, &certificates)?;
-        let incarnation = rand::random();
         let metrics = Arc::new(Metrics::new());
         let own = MemberRecord {
             instance: settings.instance.clone(),
@@ -152,7 +150,7 @@
             callers: settings.caller_address,
             siblings: endpoint.address(),
             certificate: certificates.digest(),
-            incarnation,
+            incarnation: rand::random(),
             state: MemberState::Starting,
             capacity: settings.capacity,
         };
@@ -181,7 +179,6 @@
             listings: ReceivedListings::default(),
             log_rate_limit: LogRateLimit::default(),
             limit_reports: LimitReports::default(),
-            incarnation,
             clock,
             dialect,
             settings,
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -113,10 +113,36 @@
         });
     }
 
-    /// Stores the record of another instance, unless a newer one is known.
+    /// Has this instance's own record written again, as `other` stands in its
+    /// place: a late write of an earlier process. The incarnation that was written
+    /// before counts as ended for those that have read both.
+    fn replace_own_incarnation(&self, other: &MemberRecord) {
+        let is_replaced = self.own.send_if_modified(|own| {
+            // The record is written anyway once the instance has started.
+            let is_written = own.state != MemberState::Starting;
+            if is_written {
+                own.incarnation = rand::random();
+            }
+            is_written
+        });
+        if is_replaced {
+            log::warn!(target: "members", instance = other.instance.as_str(), incarnation = other.incarnation; "own record was replaced by that of another process");
+        }
+    }
+
+    /// Returns the number that identifies this process to the others.
+    pub(crate) fn own_incarnation(&self) -> u64 {
+        self.own.borrow().incarnation
+    }
+
+    /// Stores the record of another instance, unless a newer one is known. One of
+    /// another process in the place of the own record has that written again.
     pub(crate) fn put_record(&self, record: MemberRecord, revision: StoreRevision, now: Duration) {
         let own = self.own.borrow().clone();
         if record.instance == own.instance {
+            if record.incarnation != own.incarnation {
+                self.replace_own_incarnation(&record);
+            }
             return;
         }
         let mut table = self.table.lock();
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -236,7 +236,7 @@
         let traffic = self.tables.traffic.lock();
         Status {
             sequence,
-            incarnation: self.incarnation,
+            incarnation: self.members.own_incarnation(),
             ready: self.members.own_state() == MemberState::Ready,
             read_revision,
             known_revision,
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -29,6 +29,7 @@
 mod path;
 mod pause;
 mod quarantine;
+mod replaced_record;
 mod restored;
 mod resumed_by_callers;
 mod retries;
