--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -105,6 +105,9 @@
         connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+        // One would decide in place of the number of probes. The exchange's
+        // timeout bounds data that isn't acknowledged.
+        connector.set_tcp_user_timeout(None);
         let pool = Pool::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
             .build(connector);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod hostile;
 mod hubs;
 mod instances;
+mod keepalive;
 mod keys;
 mod limits;
 mod limits_site;
