--- a/crates/gateway/src/streams/marks.rs
+++ b/crates/gateway/src/streams/marks.rs
@@ -65,7 +65,7 @@
     fn mark_turn(&self, software: &PoolSoftware, now: Duration) -> MarkTurn {
         // Right after the start too few instances are known to take turns.
         if now < SETTLING_TIME {
-            return MarkTurn::after_start(self.members.max_known(), self.incarnation);
+            return MarkTurn::after_start(self.members.max_known(), self.members.own_incarnation());
         }
         MarkTurn::Rank(self.members.rank_in_region(software.software.as_str(), now))
     }
