Serve callers of an instance that reaches no target through others

Callers saw: an instance that had lost its connections to all targets, while callers, the store and the other instances reached it, answered 502 and 503, or held requests until their deadlines, for as long as the cut lasted. Other regions went on to forward to it, the directory to name it, and requests that it lost were suspended everywhere, as refused connections counted as crashes.

Cause: a failed connection was only ever a fault of its target. Nothing told that none is reached, and requests were forwarded to other regions only.

Change: when a connection fails, or all targets are silent for unusually long while requests wait, an instance opens connections to up to four targets of its region (decisions::reachability, gateway::reach). If none is accepted it is cut off until one is. Meanwhile its requests run at an instance of the region that reaches targets, admitted as that one's own; attempts that are connecting, and those sent that may be repeated and on whose connection nothing arrives, move there within the retry budget. Statuses say so (version 14), and instances that are cut off get no forwards and are named by the directory only where the others are fewer. With three targets or more out of reach no refused connection counts as a crash. After the cut the failures it caused are forgotten: the first run of the tests served 0 of 20 right after it, as all targets were ejected. Shares of limits stay as they are. Where all targets are down, or just one, or one pool, nothing changes.

Connections are moved out of dispatch.rs into connect.rs as they are.

Result: before, 6 of 9 cases of node::cut_off_from_targets failed on: 0 of 100 requests served 2 s after the cut in each of five, a stuck request ended at 4.0 s; the two cases on suspended requests and on the directory came later and were not run there. Now all 11 pass, and the 17 of the decision. node:: without the soaks: 538 of 539 pass; the other one, a_request_that_is_read_after_its_caller_has_left_goes_nowhere, is in KNOWN-RED.txt and fails on as well.

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -345,6 +345,17 @@
         self.targets.get(name).is_some_and(usable)
     }
 
+    /// Lists the targets of a region that may get new requests.
+    pub fn usable_targets_in<'a>(
+        &'a self,
+        region: &Region,
+    ) -> impl Iterator<Item = (&'a Target, &'a KnownTarget)> + use<'a> {
+        let region = region.clone();
+        let in_region = self.targets.iter();
+        let in_region = in_region.filter(move |(_, known)| known.record.region == region);
+        in_region.filter(|(name, _)| self.accepts_requests(name))
+    }
+
     /// Lists the targets of a pool that may get new requests.
     pub fn usable_targets<'a>(
         &'a self,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod progress;
 pub mod publication;
 pub mod quarantine;
+pub mod reachability;
 pub mod refusal;
 pub mod rendezvous;
 pub mod request;
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -47,6 +47,8 @@
     StoreLag,
     /// Load, health and statistics of the targets.
     Targets,
+    /// Whether this instance reaches the targets of its region.
+    Reachability,
     /// Requests lost at targets that are checked for a crash.
     Losses,
     /// Prompt parts that crash targets, and the evidence about others.
--- a/crates/decisions/src/traffic.rs
+++ b/crates/decisions/src/traffic.rs
@@ -332,6 +332,15 @@
         }
     }
 
+    /// Forgets the failures of all targets, as this instance was cut off from
+    /// them.
+    pub fn forget_failures(&mut self) {
+        for local in self.local.values_mut() {
+            local.failure_rate = 0.0;
+            local.health = Health::default();
+        }
+    }
+
     /// Forgets a removed target. Load and health stay while requests run there.
     /// A pause stays, as the target's process may still run and be listed again.
     pub fn remove_target(&mut self, target: &Target) {
--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -49,6 +49,9 @@
     /// The target was silent for longer than a sound one may be, and the retry
     /// budget has granted an attempt at another one.
     Silent,
+    /// Nothing arrives from any target of the region, and the retry budget has
+    /// granted an attempt through another instance.
+    Stuck,
     /// An extra attempt has brought an answer first.
     Overtaken,
     /// The answer may be of other software than the one that it has to continue.
@@ -65,6 +68,7 @@
             Self::ServerError(_) => "failed",
             Self::TimedOut => "late",
             Self::Silent => "silent",
+            Self::Stuck => "stuck",
             Self::Overtaken => "overtaken",
             Self::OtherSoftware => "other software",
         }
@@ -78,6 +82,7 @@
             Self::ServerError(_) => "server error",
             Self::TimedOut => "no answer in time",
             Self::Silent => "another target may answer",
+            Self::Stuck => "no target of the region can be reached",
             Self::Overtaken => "another target has answered first",
             Self::OtherSoftware => "the target's record has come to name other software",
         }
@@ -86,6 +91,8 @@
     /// Returns the outcome of the attempt at the target.
     fn outcome(&self) -> TargetOutcome {
         match self {
+            // It is not the target that has failed.
+            Self::Stuck => TargetOutcome::Cancelled,
             Self::NotSent(_) | Self::Overtaken | Self::OtherSoftware => TargetOutcome::Cancelled,
             Self::NotRun(outcome) => *outcome,
             Self::ExchangeFailed(_) => TargetOutcome::Lost,
@@ -242,7 +249,7 @@
                 // No time is left for another attempt.
                 AttemptOutcome::Refused(req.refuse_unknown(Code::DeadlineExceeded, Step::Dispatch))
             }
-            AttemptFailure::Silent | AttemptFailure::Overtaken => {
+            AttemptFailure::Silent | AttemptFailure::Stuck | AttemptFailure::Overtaken => {
                 retry_granted(req, Code::DeadlineExceeded)
             }
         }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one target in this region and reads the start of its
 //! answer.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,6 +39,7 @@
 use crate::attempt_failure::AttemptFailure;
 use crate::attempt_failure::FailedAttempt;
 use crate::attempt_failure::SentFailure;
+use crate::connect::ConnectFailure;
 use crate::handle::max_retry_after;
 use crate::hedge::Elsewhere;
 use crate::hedge::Hedge;
@@ -49,26 +51,9 @@
 use crate::place::PlacementContext;
 use crate::reservation_guard::ReservationGuard;
 
-/// Maximum idle time of a reused connection for a request that may run at most
-/// once. The limit is short because the outcome is unknown if the target closes
-/// the connection while the request is being sent.
-const MAX_IDLE_NON_REPEATABLE: Duration = Duration::from_millis(400);
-
-/// Maximum idle time of a reused connection for all other requests.
-const MAX_IDLE: Duration = Duration::from_secs(4);
-
 /// Shortest time to the deadline at which a request is still sent.
 pub(crate) const MIN_TIME_TO_SEND: Duration = Duration::from_millis(20);
 
-/// Why there is no connection to a target, for the log.
-#[derive(Debug)]
-enum ConnectFailure {
-    /// The target can't be reached.
-    Unreachable(String),
-    /// This instance has no connection left.
-    LocalLimit(String),
-}
-
 /// Result of the exchange with a target: an answer whose start was read.
 pub(crate) type Exchanged = Result<(PooledResponse, AnswerStart), AttemptFailure>;
 
@@ -306,6 +291,7 @@
         let msg = self.encode(out, &attempt);
         let req = req.dispatch();
         cx.sent_count.increment();
+        self.reach.record_sent(now);
         Ok(SentAttempt {
             req,
             reservation,
@@ -319,7 +305,7 @@
     }
 
     /// Sends a message and reads the start of the answer, within the time that
-    /// is left.
+    /// is left. A request that is stuck on its connection may leave it.
     pub(crate) async fn run_exchange(
         &self,
         exchange: Exchange,
@@ -328,7 +314,16 @@
     ) -> Exchanged {
         let left = exchange.left;
         let exchanging = self.exchange(exchange, out, cx.route.kind);
-        match tokio::time::timeout(left, exchanging).await {
+        let mut exchanging = pin!(tokio::time::timeout(left, exchanging));
+        let exchanged = tokio::select! {
+            biased;
+            exchanged = &mut exchanging => exchanged,
+            () = self.until_requests_are_stuck() => match self.may_leave_connection(cx, out) {
+                true => return Err(AttemptFailure::Stuck),
+                false => exchanging.await,
+            },
+        };
+        match exchanged {
             Ok(sent) => sent,
             Err(_) => Err(AttemptFailure::TimedOut),
         }
@@ -353,33 +348,6 @@
         is_usable && self.tables.traffic.lock().pause_left(target, now).is_none()
     }
 
-    async fn connect(
-        &self,
-        target: &Target,
-        known_target: &KnownTarget,
-        deadline: Duration,
-        purpose: Purpose,
-        cx: &PlacementContext,
-    ) -> Result<PooledConnection, ConnectFailure> {
-        let max_idle = match cx.route.kind.is_repeatable() {
-            true => MAX_IDLE,
-            false => MAX_IDLE_NON_REPEATABLE,
-        };
-        let left = deadline.saturating_sub(self.clock.now());
-        let connecting =
-            self.connections
-                .acquire(target, known_target.record.address, max_idle, purpose);
-        match tokio::time::timeout(left, connecting).await {
-            Ok(Ok(conn)) => {
-                self.metrics.count_connection_use(conn.is_new());
-                Ok(conn)
-            }
-            Ok(Err(e)) if e.is_local_limit() => Err(ConnectFailure::LocalLimit(e.to_string())),
-            Ok(Err(e)) => Err(ConnectFailure::Unreachable(e.to_string())),
-            Err(_) => Err(ConnectFailure::Unreachable("timeout".to_owned())),
-        }
-    }
-
     fn encode(&self, out: &Outbound, attempt: &AttemptContext<'_>) -> hyper::Request<Full<Bytes>> {
         let mut msg = hyper::Request::new(Full::new(out.body.clone()));
         *msg.method_mut() = out.method.clone();
@@ -399,6 +367,7 @@
             SendError::NotSent(e) => AttemptFailure::NotSent(e.to_string()),
             SendError::MaybeSent(e) => AttemptFailure::ExchangeFailed(e.to_string()),
         })?;
+        self.reach.record_contact(self.clock.now());
         let verdict = self.dialect.classify_response(
             out,
             answer.status(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,6 +46,8 @@
 use crate::memory;
 use crate::memory::RequestMemory;
 use crate::rate_limiter::RateLimiter;
+use crate::reach;
+use crate::reach::SharedReach;
 use crate::report::Upstream;
 use crate::reporters::Reporters;
 use crate::resources::LimitReports;
@@ -103,6 +105,8 @@
     /// What this instance may take on.
     pub(crate) shares: Shares,
     pub(crate) pending_losses: PendingLosses,
+    /// Whether the targets of the region are reached.
+    pub(crate) reach: SharedReach,
     /// Notified when the other instances have to be told something at once.
     pub(crate) status_due: Notify,
     pub(crate) metrics: Arc<Metrics>,
@@ -172,6 +176,7 @@
             caller_connections: Connections::new(shares),
             shares,
             pending_losses: PendingLosses::default(),
+            reach: SharedReach::default(),
             status_due: Notify::new(),
             memory: RequestMemory::new(settings.resources, Arc::clone(&metrics)),
             metrics,
@@ -201,6 +206,8 @@
         let gateway = Arc::clone(self);
         self.supervise("status", move || status::run(Arc::clone(&gateway)));
         let gateway = Arc::clone(self);
+        self.supervise("reach", move || reach::run(Arc::clone(&gateway)));
+        let gateway = Arc::clone(self);
         self.supervise("fleet copies", move || {
             fleet_copy::run(Arc::clone(&gateway))
         });
--- a/crates/gateway/src/lookup.rs
+++ b/crates/gateway/src/lookup.rs
@@ -24,9 +24,10 @@
             })
         };
         let now = self.clock.now();
-        let nearest = self
-            .members
-            .nearest_ready(zone, region, count_barred_routes, now);
+        let is_cut_off = self.reach.is_cut_off();
+        let nearest =
+            self.members
+                .nearest_ready(zone, region, count_barred_routes, is_cut_off, now);
         self.metrics.count_lookup(nearest.distance);
         nearest.addresses
     }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -15,12 +15,14 @@
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
+use chiverelay_decisions::reachability::prefer_reaching;
 use chiverelay_decisions::rendezvous;
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
 use chiverelay_decisions::window::Divisor;
 use chiverelay_sibling::Pins;
+use chiverelay_sibling::Status;
 use tokio::sync::watch;
 
 pub use record::MemberRecord;
@@ -133,6 +135,7 @@
                 }
                 old.last_status_at = None;
                 old.is_ready_by_status = true;
+                old.is_cut_off = false;
             }
         }
         self.pins.set(&record.instance, &record.certificate);
@@ -156,6 +159,7 @@
             record_received_at,
             last_status_at: old.as_ref().and_then(|old| old.last_status_at),
             is_ready_by_status: old.as_ref().is_none_or(|old| old.is_ready_by_status),
+            is_cut_off: old.as_ref().is_some_and(|old| old.is_cut_off),
             is_record_in_store: true,
             record,
         };
@@ -187,26 +191,21 @@
         }
     }
 
-    /// Records that a status message arrived from an instance, and whether it
-    /// is ready. Returns false if the instance is unknown or the message is
-    /// from another process than the one in its record.
-    pub(crate) fn record_status(
-        &self,
-        from: &Instance,
-        incarnation: u64,
-        ready: bool,
-        now: Duration,
-    ) -> bool {
+    /// Records that a status message arrived from an instance, whether it is
+    /// ready and whether it reaches its targets. Returns false if the instance is
+    /// unknown or the message is from another process than the one in its record.
+    pub(crate) fn record_status(&self, from: &Instance, status: &Status, now: Duration) -> bool {
         let mut table = self.table.lock();
         let Some(member) = table.members.get_mut(from) else {
             return false;
         };
-        if member.record.incarnation != incarnation {
+        if member.record.incarnation != status.incarnation {
             return false;
         }
         member.last_status_at = Some(now);
-        let stops = member.is_ready_by_status && !ready;
-        member.is_ready_by_status = ready;
+        let stops = member.is_ready_by_status && !status.ready;
+        member.is_ready_by_status = status.ready;
+        member.is_cut_off = status.is_cut_off;
         let region = member.record.region.clone();
         if stops {
             table.last_stops.insert(region, now);
@@ -252,12 +251,13 @@
         directory::callers_ratio(own.capacity, capacities)
     }
 
-    /// Returns those of the other instances `names` that are ready.
-    pub(crate) fn filter_ready(&self, mut names: Vec<Instance>, now: Duration) -> Vec<Instance> {
+    /// Returns those of the other instances `names` that are ready and reach the
+    /// targets of their regions.
+    pub(crate) fn filter_reaching(&self, mut names: Vec<Instance>, now: Duration) -> Vec<Instance> {
         let table = self.table.lock();
         names.retain(|name| {
             let member = table.members.get(name);
-            member.is_some_and(|member| table.is_ready(member, now))
+            member.is_some_and(|member| table.is_ready(member, now) && !member.is_cut_off)
         });
         names
     }
@@ -339,11 +339,14 @@
     /// region that may not answer all of them within
     /// [`RESTART_TIME`](directory::RESTART_TIME) of a stop in the caller's region
     /// or in one that may. The larger an instance, the more answers list it.
+    /// Those that reach no target are left out while the others of the same
+    /// distance are at least as many; `is_cut_off` tells that of this one.
     pub(crate) fn nearest_ready<F>(
         &self,
         zone: &Zone,
         region: &Region,
         count_barred_routes: F,
+        is_cut_off: bool,
         now: Duration,
     ) -> Nearest
     where
@@ -352,9 +355,9 @@
         let own = self.own.borrow().clone();
         let table = self.table.lock();
         let others = table.members.values().filter(|m| table.is_ready(m, now));
-        let mut ready: Vec<&MemberRecord> = others.map(|m| &m.record).collect();
+        let mut ready: Vec<_> = others.map(|m| (&m.record, m.is_cut_off)).collect();
         if own.state == MemberState::Ready {
-            ready.push(&own);
+            ready.push((&own, is_cut_off));
         }
         let distance = |record: &MemberRecord| {
             if record.zone == *zone {
@@ -371,12 +374,12 @@
             true => Some(now),
             false => table.last_stop_in(is_preferred),
         };
-        let nearest = ready.iter().map(|record| distance(record)).min();
+        let nearest = ready.iter().map(|(record, _)| distance(record)).min();
         let nearest = nearest.filter(|nearest| nearest.may_be_named(last_stop, now));
-        let near = ready
-            .iter()
-            .filter(|record| Some(distance(record)) == nearest);
-        let near = near.map(|record| Candidate {
+        let is_near = |record: &MemberRecord| Some(distance(record)) == nearest;
+        let near: Vec<_> = ready.into_iter().filter(|(r, _)| is_near(r)).collect();
+        let near = prefer_reaching(near, |(_, is_cut_off)| *is_cut_off);
+        let near = near.into_iter().map(|(record, _)| Candidate {
             instance: record.instance.clone(),
             capacity: record.capacity,
             address: record.callers,
--- a/crates/gateway/src/members/table.rs
+++ b/crates/gateway/src/members/table.rs
@@ -27,6 +27,9 @@
     /// Whether the last status message said that the instance is ready; true
     /// before the first message of the process.
     pub(super) is_ready_by_status: bool,
+    /// Whether the last status message said that the instance reaches no target
+    /// of its region.
+    pub(super) is_cut_off: bool,
     /// Whether the record is still in the store.
     pub(super) is_record_in_store: bool,
 }
@@ -87,6 +90,16 @@
             && member.last_seen() + SILENCE_TIMEOUT > now.min(self.informed_at)
     }
 
+    /// Lists the other instances in a region that are ready and reach its targets.
+    pub(super) fn list_reaching_in(&self, region: &Region, now: Duration) -> Vec<Instance> {
+        let members = self.members.values();
+        let reaching = members.filter(|member| self.is_ready(member, now) && !member.is_cut_off);
+        let in_region = reaching.filter(|member| member.record.region == *region);
+        in_region
+            .map(|member| member.record.instance.clone())
+            .collect()
+    }
+
     /// Returns when an instance of the regions that `is_included` accepts last
     /// said that it stops.
     pub(super) fn last_stop_in<F>(&self, is_included: F) -> Option<Duration>
--- a/crates/gateway/src/members/topology.rs
+++ b/crates/gateway/src/members/topology.rs
@@ -20,7 +20,8 @@
 
 impl Members {
     /// Determines which instances this one exchanges messages with.
-    pub(crate) fn topology(&self, now: Duration) -> Topology {
+    /// `is_cut_off` tells whether it reaches no target of its region.
+    pub(crate) fn topology(&self, is_cut_off: bool, now: Duration) -> Topology {
         let own = self.own.borrow().clone();
         let table = self.table.lock();
         let mut regions: HashMap<Region, RegionMembers> = HashMap::new();
@@ -38,8 +39,14 @@
                 region.ready.push(member.record.instance.clone());
             }
         }
+        let stand_ins = match is_cut_off {
+            true => table.list_reaching_in(&own.region, now),
+            false => Vec::new(),
+        };
         drop(table);
-        Topology::new(&own.instance, &own.region, regions)
+        let mut topology = Topology::new(&own.instance, &own.region, regions);
+        topology.link_stand_ins(&own.instance, &stand_ins);
+        topology
     }
 
     /// Lists the records of the other instances among `names`.
@@ -85,6 +92,7 @@
             (age < SILENCE_TIMEOUT).then_some(HeardInstance {
                 incarnation: member.record.incarnation,
                 is_ready: member.is_ready_by_status,
+                is_cut_off: member.is_cut_off,
                 age_ms: age.as_millis() as u32,
             })
         });
@@ -114,6 +122,7 @@
     if member.last_status_at.is_none_or(|known| known < heard_at) {
         member.last_status_at = Some(heard_at);
         member.is_ready_by_status = heard.is_ready;
+        member.is_cut_off = heard.is_cut_off;
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -53,6 +53,8 @@
     crash_checks: IntCounterVec,
     connection_uses: IntCounterVec,
     forwards: IntCounterVec,
+    target_cuts: IntCounterVec,
+    cut_off_forwards: IntCounterVec,
     sibling_refusals: IntCounterVec,
     memory_denials: IntCounterVec,
     store_calls: IntCounterVec,
@@ -159,7 +161,19 @@
             forwards: counter(
                 &registry,
                 "forwards_total",
-                "Requests passed on to other regions.",
+                "Requests passed on to other instances.",
+                &[],
+            ),
+            target_cuts: counter(
+                &registry,
+                "target_cuts_total",
+                "Times that no target of the region could be reached, by event.",
+                &["event"],
+            ),
+            cut_off_forwards: counter(
+                &registry,
+                "cut_off_forwards_total",
+                "Requests passed on within the region, as no target could be reached.",
                 &[],
             ),
             sibling_refusals: counter(
@@ -242,6 +256,7 @@
             &self.extra_attempts,
             &self.crash_checks,
             &self.connection_uses,
+            &self.target_cuts,
             &self.sibling_refusals,
             &self.memory_denials,
             &self.task_restarts,
@@ -255,6 +270,7 @@
         self.lookups.with_label_values(&["none"]);
         self.store_calls.with_label_values(&["none", "none"]);
         self.forwards.with_label_values::<&str>(&[]);
+        self.cut_off_forwards.with_label_values::<&str>(&[]);
         for histogram in [
             &self.first_byte_times,
             &self.attempt_times,
@@ -346,11 +362,26 @@
         self.connection_uses.with_label_values(&[kind]).inc();
     }
 
-    /// Counts a request that was forwarded to another region.
+    /// Counts a request that was forwarded.
     pub(crate) fn count_forward(&self) {
         self.forwards.with_label_values::<&str>(&[]).inc();
     }
 
+    /// Counts the begin or the end of a time in which no target of the region can
+    /// be reached.
+    pub(crate) fn count_target_cut(&self, is_cut_off: bool) {
+        let label = match is_cut_off {
+            true => "found",
+            false => "over",
+        };
+        self.target_cuts.with_label_values(&[label]).inc();
+    }
+
+    /// Counts a request that is forwarded within the region.
+    pub(crate) fn count_cut_off_forward(&self) {
+        self.cut_off_forwards.with_label_values::<&str>(&[]).inc();
+    }
+
     /// Records the time until another instance's answer began or forwarding the
     /// request failed.
     pub(crate) fn record_forward(&self, outcome: &str, took: Duration) {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -1,6 +1,7 @@
 //! Placement of a request: selects a target in this region, or an instance in
 //! another region to forward the request to.
 
+mod cut_off;
 mod extra_attempt;
 mod refusals;
 mod reserve;
@@ -103,7 +104,8 @@
 {
     /// A target in this region.
     Local(Box<LocalPlacement<D, Direct>>),
-    /// An instance in another region.
+    /// An instance in another region, or in this one while this instance reaches
+    /// no target.
     Remote(Request<PlacedRemote, Direct>),
 }
 
@@ -142,6 +144,10 @@
         let now = self.clock.now();
         self.check_shutdown(&req, cx, Duration::ZERO, now)?;
         self.check_crashes(&req, cx, now)?;
+        let req = match self.place_at_stand_in(req, now) {
+            Ok(placed) => return Ok(placed),
+            Err(req) => *req,
+        };
         let left = req.meta().deadline.saturating_sub(now);
         let (local, remote) = self.choose_regions(&req, cx, req.tried_targets(), now);
         if let Some(remote) = remote {
@@ -176,7 +182,7 @@
         S: HasGrant,
     {
         let allowed = self.residency_now(req);
-        let local = self.choose_local_target(cx, &allowed, tried, now);
+        let local = self.unless_cut_off(now, || self.choose_local_target(cx, &allowed, tried, now));
         // Limited targets of other regions are left to the instances there, but
         // they are better than none.
         let remote = self.choose_remote_region(req, cx, &allowed, StatedLimitUse::Avoid, now);
@@ -223,6 +229,19 @@
         req: Request<Admitted, O>,
         cx: &PlacementContext,
     ) -> Result<LocalPlacement<D, O>, Refusal> {
+        self.place_locally_if(req, cx, check_prompts)
+    }
+
+    /// Like [`Gateway::place_locally`], with a further condition on the estimate.
+    fn place_locally_if<O, F>(
+        self: &Arc<Self>,
+        req: Request<Admitted, O>,
+        cx: &PlacementContext,
+        check: F,
+    ) -> Result<LocalPlacement<D, O>, Refusal>
+    where
+        F: FnOnce(&Request<Admitted, O>, &PlacementContext, &Estimate) -> Result<(), Refusal>,
+    {
         let now = self.clock.now();
         self.check_shutdown(&req, cx, Duration::ZERO, now)?;
         self.check_crashes(&req, cx, now)?;
@@ -233,7 +252,7 @@
         // answer that has begun goes on, however late.
         let left = req.meta().deadline.saturating_sub(now);
         check_wait(&req, cx, &choice.estimate, left)?;
-        check_prompts(&req, cx, &choice.estimate)?;
+        check(&req, cx, &choice.estimate)?;
         self.check_shutdown(&req, cx, choice.estimate.queue_delay, now)?;
         self.reserve(req, cx, &choice, now)
     }
@@ -309,6 +328,9 @@
             return self.has_other_timely_local_target(req, cx);
         }
         let now = self.clock.now();
+        if self.has_stand_in(req, now) {
+            return true;
+        }
         let deadline = req.meta().deadline;
         let left = deadline.saturating_sub(now);
         // The same conditions as of `choose_destination`.
@@ -436,7 +458,7 @@
     }
 
     /// Chooses a ready and connected instance of a region at random, leaving
-    /// out those that were asked before.
+    /// out those that were asked before or reach no target there.
     fn choose_instance<S, O>(
         &self,
         region: &Region,
@@ -445,7 +467,7 @@
     ) -> Option<Instance> {
         let mut linked = self.links.list_open_in(region);
         linked.retain(|name| !req.asked_siblings().contains(name));
-        let mut ready = self.members.filter_ready(linked, now);
+        let mut ready = self.members.filter_reaching(linked, now);
         if ready.is_empty() {
             return None;
         }
--- /dev/null
+++ b/crates/gateway/src/place/cut_off.rs
@@ -0,0 +1,107 @@
+//! Placement while this instance reaches no target of its region: another
+//! instance of the region that does so runs the request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chiverelay_decisions::refusal::Refusal;
+use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Direct;
+use chiverelay_decisions::request::HasGrant;
+use chiverelay_decisions::request::Request;
+use chiverelay_decisions::traffic::NoTargetReason;
+use chiverelay_decisions::traffic::TargetChoice;
+use chiverelay_sibling::Identity;
+
+use super::Destination;
+use super::LocalPlacement;
+use super::PlacementContext;
+use super::refusals::refuse_no_target;
+use crate::Dialect;
+use crate::Gateway;
+
+/// Number of instances of the region that are asked to run a request. All know
+/// the same targets, so one that is refused twice finds no room in the region.
+const MAX_STAND_INS: usize = 2;
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Assigns a request to another instance of the region if this one is cut
+    /// off from the targets.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request if this instance reaches targets, or if no other one
+    /// can be asked.
+    pub(super) fn place_at_stand_in(
+        &self,
+        req: Request<Admitted, Direct>,
+        now: Duration,
+    ) -> Result<Destination<D>, Box<Request<Admitted, Direct>>> {
+        if !self.reach.is_cut_off() || req.asked_siblings().len() >= MAX_STAND_INS {
+            return Err(Box::new(req));
+        }
+        let region = self.settings.region.clone();
+        let Some(instance) = self.choose_instance(&region, &req, now) else {
+            return Err(Box::new(req));
+        };
+        let current = self.residency_in_force(req.grant());
+        let req = req.place_remote(instance, region, &current)?;
+        self.metrics.count_cut_off_forward();
+        Ok(Destination::Remote(req))
+    }
+
+    /// Replaces the choice of a target of the region while this instance is cut
+    /// off from it and others are not. If they are, too, the targets have
+    /// failed, and connections show when the first one is back.
+    pub(super) fn unless_cut_off<F>(
+        &self,
+        now: Duration,
+        choose: F,
+    ) -> Result<TargetChoice, NoTargetReason>
+    where
+        F: FnOnce() -> Result<TargetChoice, NoTargetReason>,
+    {
+        match self.reach.is_cut_off() && self.knows_reaching_sibling(now) {
+            true => Err(NoTargetReason::NoneHealthy),
+            false => choose(),
+        }
+    }
+
+    /// Places a request that an instance forwarded. One of the same region knows
+    /// as much of the targets as this one, and its callers are served as this
+    /// one's.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Gateway::place_locally`], and if this instance is cut off from
+    /// the targets itself.
+    pub(crate) fn place_forwarded<O>(
+        self: &Arc<Self>,
+        req: Request<Admitted, O>,
+        cx: &PlacementContext,
+        from: &Identity,
+    ) -> Result<LocalPlacement<D, O>, Refusal> {
+        if from.region != self.settings.region {
+            return self.place_locally(req, cx);
+        }
+        if self.reach.is_cut_off() {
+            return Err(refuse_no_target(&req, NoTargetReason::NoneHealthy));
+        }
+        self.place_locally_if(req, cx, |_, _, _| Ok(()))
+    }
+
+    /// Tells whether another instance of the region could run a request.
+    pub(super) fn has_stand_in<S, O>(&self, req: &Request<S, O>, now: Duration) -> bool
+    where
+        S: HasGrant,
+    {
+        self.reach.is_cut_off()
+            && req.asked_siblings().len() < MAX_STAND_INS
+            && self
+                .choose_instance(&self.settings.region, req, now)
+                .is_some()
+    }
+}
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -105,11 +105,7 @@
     /// Applies the status of all other instances that a hub answered with.
     fn receive_overview(&self, hub: &Instance, status: Status) {
         let now = self.clock.now();
-        if !self
-            .members
-            .record_status(hub, status.incarnation, status.ready, now)
-            || self.topology.lock().is_hub
-        {
+        if !self.members.record_status(hub, &status, now) || self.topology.lock().is_hub {
             return;
         }
         let former = self.upstream.lock().hub.replace(hub.clone());
@@ -129,10 +125,7 @@
         let now = self.clock.now();
         let name = &from.instance;
         let sequence = status.sequence;
-        if !self
-            .members
-            .record_status(name, status.incarnation, status.ready, now)
-        {
+        if !self.members.record_status(name, &status, now) {
             return None;
         }
         let mut cursor = self.reporters.record(name, now);
--- a/crates/gateway/src/reservation_guard.rs
+++ b/crates/gateway/src/reservation_guard.rs
@@ -119,6 +119,7 @@
     /// Records that a part of the answer has arrived.
     pub(crate) fn record_sign_of_life(&mut self, now: Duration) {
         self.heard_at = Some(now);
+        self.gateway.reach.record_contact(now);
     }
 
     /// Records that the start of an answer that is not a stream was read.
@@ -155,7 +156,11 @@
         let now = self.gateway.clock.now();
         let answered_for = self.first_event_at.map(|at| now.saturating_sub(at));
         match outcome {
-            TargetOutcome::Lost => self.record_loss(&reservation.target, answered_for),
+            TargetOutcome::Lost => {
+                self.gateway.reach.record_failure();
+                self.record_loss(&reservation.target, answered_for);
+            }
+            TargetOutcome::Unreachable => self.gateway.reach.record_failure(),
             TargetOutcome::Answered => self.record_answer_of_request(now),
             _ => {}
         }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -141,7 +141,7 @@
         let deadline = gateway.clock.now() + Duration::from_millis(req.remaining_ms);
         let mut usage = TargetUsage::default();
         // Each future around a large one has room for it twice.
-        let running = Box::pin(gateway.run_forwarded(req, memory, &mut usage));
+        let running = Box::pin(gateway.run_forwarded(from, req, memory, &mut usage));
         let running = gateway.shutdown.run_until_over(running);
         // Check for the cancellation first: if the request arrived late, its
         // cancellation has often arrived too.
@@ -275,6 +275,7 @@
     /// sent to.
     async fn run_forwarded(
         self: &Arc<Self>,
+        from: &Identity,
         forward: Forward,
         memory: Reservation,
         usage: &mut TargetUsage,
@@ -288,7 +289,7 @@
         let max_attempts = cx.attempts_left;
         let mut fallback: Option<Fallback> = None;
         for _ in 0..MAX_TARGETS {
-            let placed = match self.place_locally(req, &cx) {
+            let placed = match self.place_forwarded(req, &cx, from) {
                 Ok(placed) => placed,
                 Err(refusal) => return fallback.unwrap_or(refusal.into()).into_result(),
             };
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -126,7 +126,7 @@
     /// when this one becomes a hub or stops to be one, as it comes other ways
     /// from then on.
     fn update_topology(&self, now: Duration) -> Arc<Topology> {
-        let mut new = self.members.topology(now);
+        let mut new = self.members.topology(self.reach.is_cut_off(), now);
         let old = Arc::clone(&self.topology.lock());
         if old.is_hub && !new.is_hub && !self.is_linked_to_any(&new.upstream) {
             // Until another hub can charge accounts for it.
@@ -238,6 +238,7 @@
             sequence,
             incarnation: self.incarnation,
             ready: self.members.own_state() == MemberState::Ready,
+            is_cut_off: self.reach.is_cut_off(),
             read_revision,
             known_revision,
             counts: traffic.in_flight_for(audience),
@@ -257,11 +258,7 @@
     pub(crate) fn receive_status(&self, from: &Identity, status: Status) {
         let now = self.clock.now();
         let name = &from.instance;
-        if !self
-            .members
-            .record_status(name, status.incarnation, status.ready, now)
-            || !self.topology.lock().is_hub
-        {
+        if !self.members.record_status(name, &status, now) || !self.topology.lock().is_hub {
             return;
         }
         if !status.parts.is_empty() {
--- a/crates/gateway/src/topology.rs
+++ b/crates/gateway/src/topology.rs
@@ -50,6 +50,13 @@
         self.linked.extend(old.linked.iter().cloned());
     }
 
+    /// Adds links to a few of the instances that can run the requests of `own`,
+    /// which reaches no target.
+    pub(crate) fn link_stand_ins(&mut self, own: &Instance, reaching: &[Instance]) {
+        self.linked
+            .extend(topology::choose_forward_peers(own, reaching));
+    }
+
     /// Determines the place of `own`, an instance of the region `own_region`.
     pub(crate) fn new(
         own: &Instance,
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -44,7 +44,7 @@
 use crate::ConfigRequest;
 
 /// Version of the messages. Instances refuse any other.
-pub const VERSION: u16 = 13;
+pub const VERSION: u16 = 14;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
@@ -236,6 +236,8 @@
     pub incarnation: u64,
     /// Whether the sender takes new work.
     pub ready: bool,
+    /// Whether the sender reaches no target of its region.
+    pub is_cut_off: bool,
     /// Revision of the store up to which the sender has read all changes.
     pub read_revision: StoreRevision,
     /// Revision of the store up to which the sender knows the catalog, the
@@ -270,6 +272,8 @@
     pub incarnation: u64,
     /// Whether it takes new work.
     pub is_ready: bool,
+    /// Whether it reaches no target of its region.
+    pub is_cut_off: bool,
     /// Time since it was heard, in milliseconds.
     pub age_ms: u32,
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 pub mod headers;
 mod load;
+mod probe;
 mod stream;
 
 pub use client::Client;
@@ -22,3 +23,4 @@
 pub use crash::refuses_connections;
 pub use error::Error;
 pub use load::fetch_load;
+pub use probe::accepts_connections;
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -7,6 +7,7 @@
 pub mod early;
 pub mod endless;
 pub mod kept;
+pub mod path;
 pub mod proxy;
 pub mod scripted;
 pub mod scripted_instance;
@@ -14,6 +15,7 @@
 pub mod site;
 pub mod slow_reader;
 pub mod store;
+pub mod store_view;
 pub mod target;
 mod wire;
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -38,6 +38,7 @@
 mod progress;
 mod quarantine;
 mod queue;
+mod reachability;
 mod refusals;
 mod registry;
 mod replay;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -4,6 +4,7 @@
 mod broken_answers;
 mod changed_regions;
 mod cut_off_from_store;
+mod cut_off_from_targets;
 mod cut_watches;
 mod decode;
 mod early_answers;
