--- a/crates/gateway/src/lookup.rs
+++ b/crates/gateway/src/lookup.rs
@@ -27,9 +27,10 @@
             })
         };
         let now = self.clock.now();
-        let nearest = self
-            .members
-            .nearest_ready(zone, region, count_barred_routes, now);
+        let is_cut_off = self.reach.is_cut_off();
+        let nearest =
+            self.members
+                .nearest_ready(zone, region, count_barred_routes, is_cut_off, now);
         // Instances that may run none of the host's routes would be sent the bodies
         // of requests that they can only refuse.
         let catalog = current.as_ref().map(|c| &c.catalog);
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -228,6 +228,8 @@
     pub incarnation: u64,
     /// Whether the sender takes new work.
     pub ready: bool,
+    /// Whether the sender reaches no target of its region.
+    pub is_cut_off: bool,
     /// Revision of the store up to which the sender has read all changes.
     pub read_revision: StoreRevision,
     /// Revision of the store up to which the sender knows the catalog, the
@@ -264,6 +266,8 @@
     pub incarnation: u64,
     /// Whether it takes new work.
     pub is_ready: bool,
+    /// Whether it reaches no target of its region.
+    pub is_cut_off: bool,
     /// Time since it was heard, in milliseconds.
     pub age_ms: u32,
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -40,6 +40,7 @@
 mod progress;
 mod quarantine;
 mod queue;
+mod reachability;
 mod refusals;
 mod registry;
 mod replay;
