Send requests of cut-off instances to siblings only for pools of the region

Cause: an instance that reaches no target of its region had a sibling run each request, also those of pools that have targets in other regions alone, which two siblings refused before the request went there.

Change: such a request goes to the other region at once, as before.

--- a/crates/gateway/src/place/cut_off.rs
+++ b/crates/gateway/src/place/cut_off.rs
@@ -38,9 +38,10 @@
     pub(super) fn place_at_stand_in(
         &self,
         req: Request<Admitted, Direct>,
+        cx: &PlacementContext,
         now: Duration,
     ) -> Result<Destination<D>, Box<Request<Admitted, Direct>>> {
-        if !self.reach.is_cut_off() || req.asked_siblings().len() >= MAX_STAND_INS {
+        if !self.may_have_stand_in(&req, cx) {
             return Err(Box::new(req));
         }
         let region = self.settings.region.clone();
@@ -95,14 +96,27 @@
     }
 
     /// Tells whether another instance of the region could run a request.
-    pub(super) fn has_stand_in<S, O>(&self, req: &Request<S, O>, now: Duration) -> bool
+    pub(super) fn has_stand_in<S, O>(
+        &self,
+        req: &Request<S, O>,
+        cx: &PlacementContext,
+        now: Duration,
+    ) -> bool
     where
         S: HasGrant,
     {
-        self.reach.is_cut_off()
-            && req.asked_siblings().len() < MAX_STAND_INS
+        self.may_have_stand_in(req, cx)
             && self
                 .choose_instance(&self.settings.region, req, now)
                 .is_some()
     }
+
+    /// Tells whether an instance of the region would run a request that this one
+    /// can't. Those of a pool without targets in the region go to another one.
+    fn may_have_stand_in<S, O>(&self, req: &Request<S, O>, cx: &PlacementContext) -> bool {
+        self.reach.is_cut_off() && req.asked_siblings().len() < MAX_STAND_INS && {
+            let regions = self.tables.fleet.lock().usable_regions(&cx.pool.name);
+            regions.contains(&self.settings.region)
+        }
+    }
 }
