Cut instances of the soak off from all targets alone

The soak could cut a target off from all instances, or an instance from the store, but no instance from all targets while callers, the store and the other instances reach it. SOAK_PROFILE=stranded does: a zone, all instances but one or a few are cut off for 9 to 11 s, twice a run, and their connections to targets hang, are reset, or live on while new ones are refused. Targets keep one address for all; a proxy before each looks up whose socket a peer is, in the kernel's list of connections, once for all peers that come at the same time (the list had 19,000 lines here, and took 25 ms). From 5 s after a cut began, first tries at its instances must be served at least two thirds as often as at the others, or no more than 10 + 1 in 50 of all fail there. Callers note requests that find no listener, in all profiles. 120 callers press, so that the others have to carry more.

--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -2,8 +2,8 @@
 //! the pages promise.
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1000 cargo test --test testsuite soak::seeds_by_hand`
-//! plays fifty seeds from a thousand on. `SOAK_PROFILE=calm` (or `crowded`, or
-//! `broken`) chooses the profile, `SOAK_INSTANCES=40` the number of instances, `SOAK_CALLERS=100`
+//! plays fifty seeds from a thousand on. `SOAK_PROFILE=calm` (or `crowded`,
+//! `broken` or `stranded`) chooses the profile, `SOAK_INSTANCES=40` the number of instances, `SOAK_CALLERS=100`
 //! that of callers and `SOAK_CROWD=4000` that of a crowd's, and
 //! `SOAK_MEMORY_MB=260` and `SOAK_DESCRIPTORS=4100` what each process is
 //! allowed.
@@ -19,10 +19,12 @@
 mod order;
 mod out_of_step;
 mod overlap;
+mod peers;
 mod pieces;
 mod record;
 mod release;
 mod resume;
+mod stranded;
 mod streams;
 mod targets;
 mod trouble;
@@ -50,6 +52,9 @@
 /// Time in which faults begin.
 const FAULTS: Duration = Duration::from_secs(8);
 
+/// The same where each fault has to last longer than `contact_ms`.
+const LONG_FAULTS: Duration = Duration::from_secs(24);
+
 /// Time in which an instance that is told to stop has ended.
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -63,6 +68,9 @@
 /// for more. Every second one keeps its connections.
 const CALLERS: usize = 16;
 
+/// Callers where a part of the instances has to carry all requests.
+const PRESSING_CALLERS: usize = 120;
+
 /// Instances of a run, unless the environment asks for more.
 const INSTANCES: usize = 5;
 
@@ -93,6 +101,8 @@
     /// Targets that answer uploads before they have read them, or with a status
     /// that HTTP doesn't have.
     Broken,
+    /// Instances that are cut off from all targets, and from nothing else.
+    Stranded,
 }
 
 /// Size of a run.
@@ -104,11 +114,16 @@
     crowd: usize,
 }
 
-impl Default for Size {
-    fn default() -> Self {
+impl Size {
+    /// Returns the usual size of a profile's runs.
+    fn of(profile: Profile) -> Self {
+        let callers = match profile {
+            Profile::Stranded => PRESSING_CALLERS,
+            _ => CALLERS,
+        };
         Self {
             instances: INSTANCES,
-            callers: CALLERS,
+            callers,
             crowd: CROWD,
         }
     }
@@ -120,6 +135,15 @@
         match self {
             Self::Mixed | Self::Broken => 3,
             Self::Calm | Self::Crowded => 6,
+            Self::Stranded => 1,
+        }
+    }
+
+    /// Returns the time in which faults begin.
+    fn faults(self) -> Duration {
+        match self {
+            Self::Stranded => LONG_FAULTS,
+            _ => FAULTS,
         }
     }
 
@@ -144,8 +168,8 @@
     /// Returns what each process is allowed.
     fn limits(self) -> Limits {
         match self {
-            Self::Mixed | Self::Calm | Self::Broken => Limits::default(),
             Self::Crowded => CROWDED_LIMITS,
+            _ => Limits::default(),
         }
     }
 }
@@ -171,7 +195,7 @@
     let mut next_rng = || StdRng::seed_from_u64(later.next_u64());
     let mut latest = StdRng::seed_from_u64(!seed.rotate_left(32));
     let mut latest_rng = || StdRng::seed_from_u64(latest.next_u64());
-    let until = Instant::now() + FAULTS;
+    let until = Instant::now() + profile.faults();
     let callers: Vec<_> = (0..soak.size.callers)
         .map(|n| {
             let own = StdRng::seed_from_u64(rng.next_u64());
@@ -210,7 +234,14 @@
             homes::run(soak, until, &mut moving).await;
         }
     };
-    tokio::join!(series, release, out_of_step, homes);
+    // Whatever the number of callers.
+    let mut of_profile = StdRng::seed_from_u64(seed.rotate_left(16));
+    let of_profile = async {
+        if profile == Profile::Stranded {
+            stranded::run(soak, until, &mut of_profile).await;
+        }
+    };
+    tokio::join!(series, release, out_of_step, homes, of_profile);
     for caller in callers {
         caller.await.expect("no panic");
     }
@@ -235,7 +266,7 @@
 }
 
 fn play_by_default(profile: Profile, seed: u64) {
-    play(profile, seed, Size::default(), profile.limits());
+    play(profile, seed, Size::of(profile), profile.limits());
 }
 
 cases! {
@@ -272,13 +303,15 @@
         Some("calm") => Profile::Calm,
         Some("crowded") => Profile::Crowded,
         Some("broken") => Profile::Broken,
+        Some("stranded") => Profile::Stranded,
         _ => Profile::Mixed,
     };
     let count = |name: &str, or: usize| number(name).map_or(or, |n| n as usize);
+    let usual = Size::of(profile);
     let size = Size {
-        instances: count("SOAK_INSTANCES", INSTANCES),
-        callers: count("SOAK_CALLERS", CALLERS),
-        crowd: count("SOAK_CROWD", CROWD),
+        instances: count("SOAK_INSTANCES", usual.instances),
+        callers: count("SOAK_CALLERS", usual.callers),
+        crowd: count("SOAK_CROWD", usual.crowd),
     };
     let standard = profile.limits();
     let limits = Limits {
--- a/tests/testsuite/node/soak/callers.rs
+++ b/tests/testsuite/node/soak/callers.rs
@@ -166,7 +166,7 @@
         let is_kept = kept.is_some();
         let (at, mut conn) = match kept {
             Some(kept) => kept,
-            None => self.connect().await?,
+            None => self.connect(id, path).await?,
         };
         let ask = Ask {
             is_long,
@@ -216,10 +216,16 @@
         }
     }
 
-    async fn connect(&mut self) -> Option<(usize, KeptConnection)> {
+    /// Connects to an instance. A request that finds none is noted.
+    async fn connect(&mut self, id: &str, path: &'static str) -> Option<(usize, KeptConnection)> {
         let at = self.rng.random_range(0..self.lines.instances());
-        let conn = self.lines.connect_to(at).await?;
-        Some((at, conn))
+        let sent = Instant::now();
+        let conn = self.lines.connect_to(at).await;
+        if conn.is_none() {
+            let ask = Ask::new(id, path);
+            self.lines.note(ask.seen(at, sent, End::NotSent));
+        }
+        Some((at, conn?))
     }
 
     fn pause(&mut self) -> Duration {
--- a/tests/testsuite/node/soak/checks.rs
+++ b/tests/testsuite/node/soak/checks.rs
@@ -74,6 +74,7 @@
                 .into_iter()
                 .map(too_many_while_cold),
         );
+        found.extend(soak.cuts.violations(&seen));
         found.extend(Checker::new(soak, profile, &logs).violations(&seen));
         found
     };
--- a/tests/testsuite/node/soak/faults.rs
+++ b/tests/testsuite/node/soak/faults.rs
@@ -48,6 +48,7 @@
         Profile::Calm => strike_calm(soak, rng).await,
         Profile::Crowded => strike_crowded(soak, rng).await,
         Profile::Broken => strike_broken(soak, rng).await,
+        Profile::Stranded => strike_lightly(soak, rng).await,
     }
 }
 
@@ -74,6 +75,14 @@
     }
 }
 
+/// Has targets fall silent for a moment, beside what a profile strikes itself.
+async fn strike_lightly(soak: &Soak, rng: &mut StdRng) {
+    match rng.random_range(0..3) {
+        0 | 1 => fall_silent(soak, rng).await,
+        _ => hang_up(soak, rng).await,
+    }
+}
+
 async fn strike_calm(soak: &Soak, rng: &mut StdRng) {
     match rng.random_range(0..24) {
         0..=13 => fall_silent(soak, rng).await,
--- a/tests/testsuite/node/soak/world.rs
+++ b/tests/testsuite/node/soak/world.rs
@@ -20,7 +20,9 @@
 use super::callers::Seen;
 use super::changes::Changes;
 use super::out_of_step::OutOfStep;
+use super::peers::Peers;
 use super::record::Record;
+use super::stranded::Cuts;
 use super::targets::FIRST_TARGETS;
 use super::targets::SoakTarget;
 use super::targets::TARGETS;
@@ -66,6 +68,9 @@
     pub(super) usage: Usage,
     pub(super) site: Site,
     pub(super) targets: Vec<SoakTarget>,
+    /// The ways of the instances to the targets.
+    pub(super) peers: Arc<Peers>,
+    pub(super) cuts: Cuts,
     pub(super) store: Proxy,
     /// The way of each instance to that proxy.
     pub(super) store_links: Vec<Proxy>,
@@ -94,9 +99,10 @@
         let mut site = Site::before(store, proxy.address);
         site.limit(limits);
         let changes = Changes::begin(&site.store, profile);
+        let peers = Arc::new(Peers::new(size.instances));
         let mut targets = Vec::new();
         for at in 0..TARGETS.len() {
-            let target = SoakTarget::start(at, profile).await;
+            let target = SoakTarget::start(at, profile, &peers).await;
             if at < FIRST_TARGETS {
                 target.begin(&site);
             }
@@ -105,9 +111,10 @@
         let places: Vec<_> = (0..size.instances).map(Place::new).collect();
         let mut nodes = Vec::new();
         let mut store_links = Vec::new();
-        for place in &places {
+        for (at, place) in places.iter().enumerate() {
             let link = Proxy::start(proxy.address).await;
             let node = site.spawn_before(&place.name, place.zone, place.region, link.address);
+            peers.note(at, node.process.id());
             store_links.push(link);
             node.process
                 .limit_descriptors(usage::open_descriptors(limits));
@@ -126,6 +133,8 @@
             usage: Usage::default(),
             site,
             targets,
+            peers,
+            cuts: Cuts::default(),
             store: proxy,
             store_links,
             cold: ColdTimes::default(),
@@ -213,6 +222,7 @@
         let descriptors = usage::open_descriptors(self.limits);
         node.process.limit_descriptors(descriptors);
         *self.pids[at].lock().expect("no panic under the lock") = Some(node.process.id());
+        self.peers.note(at, node.process.id());
     }
 
     /// Returns the logs of all instances, with their names.
