Have targets of the soak turn brittle

Nothing in the soak had a target run out of room, or fall over for having to reject too much. SOAK_PROFILE=brittle does: 120 callers press on the orders service, whose targets run six requests at once; twice a run they state Server-Brittle (2 to 5 rejections in a second), five seconds later let no more than zero to three requests wait, and reset all connections for three seconds once they have rejected more. More than 2 + a tenth of their number of falls in one such time is a violation. What a target rejects for want of room doesn't count as run.

--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -68,6 +68,16 @@
     EndlessEvent,
 }
 
+impl Mode {
+    /// Tells whether a target says that it didn't run a request.
+    fn is_full(self) -> bool {
+        matches!(
+            self,
+            Self::Full | Self::FullAfter(_) | Self::FullAndLeaving | Self::Pausing(_)
+        )
+    }
+}
+
 /// A request as it reached the target.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -79,6 +89,8 @@
     pub body: Bytes,
     /// When it had arrived.
     pub at: Instant,
+    /// Whether the target said that it doesn't run it.
+    pub is_rejected: bool,
 }
 
 impl Arrival {
@@ -237,6 +249,7 @@
         headers: parts.headers,
         body,
         at: Instant::now(),
+        is_rejected: false,
     };
     let id = arrival.header("request-id").to_owned();
     let meant = arrival.header("target-instance").to_owned();
@@ -246,12 +259,14 @@
         if state.forgets_bodies {
             arrival.body = Bytes::new();
         }
+        let mode = instead.unwrap_or(state.mode);
+        arrival.is_rejected = mode.is_full();
         state.arrivals.push(arrival);
         state.runs += 1;
         let run = format!("{id}/{name}/{}", state.runs);
         let software = state.software.as_ref();
         let origin = software.map(|software| format!("of run {run} after {after} of {software}"));
-        (instead.unwrap_or(state.mode), origin)
+        (mode, origin)
     };
     if meant != name {
         return http::empty_response(StatusCode::MISDIRECTED_REQUEST);
--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -3,12 +3,13 @@
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1000 cargo test --test testsuite soak::seeds_by_hand`
 //! plays fifty seeds from a thousand on. `SOAK_PROFILE=calm` (or `crowded`,
-//! `broken` or `stranded`) chooses the profile, `SOAK_INSTANCES=40` the number of instances, `SOAK_CALLERS=100`
+//! `broken`, `stranded` or `brittle`) chooses the profile, `SOAK_INSTANCES=40` the number of instances, `SOAK_CALLERS=100`
 //! that of callers and `SOAK_CROWD=4000` that of a crowd's, and
 //! `SOAK_MEMORY_MB=260` and `SOAK_DESCRIPTORS=4100` what each process is
 //! allowed.
 
 mod arrivals;
+mod brittle;
 mod callers;
 mod changes;
 mod checks;
@@ -68,7 +69,8 @@
 /// for more. Every second one keeps its connections.
 const CALLERS: usize = 16;
 
-/// Callers where a part of the instances has to carry all requests.
+/// Callers where requests are to be more than the targets run at once, or a part
+/// of the instances has to carry all.
 const PRESSING_CALLERS: usize = 120;
 
 /// Instances of a run, unless the environment asks for more.
@@ -103,6 +105,8 @@
     Broken,
     /// Instances that are cut off from all targets, and from nothing else.
     Stranded,
+    /// Targets that fall over if they have to reject too much, and say so.
+    Brittle,
 }
 
 /// Size of a run.
@@ -118,7 +122,7 @@
     /// Returns the usual size of a profile's runs.
     fn of(profile: Profile) -> Self {
         let callers = match profile {
-            Profile::Stranded => PRESSING_CALLERS,
+            Profile::Stranded | Profile::Brittle => PRESSING_CALLERS,
             _ => CALLERS,
         };
         Self {
@@ -135,14 +139,14 @@
         match self {
             Self::Mixed | Self::Broken => 3,
             Self::Calm | Self::Crowded => 6,
-            Self::Stranded => 1,
+            Self::Stranded | Self::Brittle => 1,
         }
     }
 
     /// Returns the time in which faults begin.
     fn faults(self) -> Duration {
         match self {
-            Self::Stranded => LONG_FAULTS,
+            Self::Stranded | Self::Brittle => LONG_FAULTS,
             _ => FAULTS,
         }
     }
@@ -237,8 +241,10 @@
     // Whatever the number of callers.
     let mut of_profile = StdRng::seed_from_u64(seed.rotate_left(16));
     let of_profile = async {
-        if profile == Profile::Stranded {
-            stranded::run(soak, until, &mut of_profile).await;
+        match profile {
+            Profile::Stranded => stranded::run(soak, until, &mut of_profile).await,
+            Profile::Brittle => brittle::run(soak, until, &mut of_profile).await,
+            _ => {}
         }
     };
     tokio::join!(series, release, out_of_step, homes, of_profile);
@@ -304,6 +310,7 @@
         Some("crowded") => Profile::Crowded,
         Some("broken") => Profile::Broken,
         Some("stranded") => Profile::Stranded,
+        Some("brittle") => Profile::Brittle,
         _ => Profile::Mixed,
     };
     let count = |name: &str, or: usize| number(name).map_or(or, |n| n as usize);
--- a/tests/testsuite/node/soak/arrivals.rs
+++ b/tests/testsuite/node/soak/arrivals.rs
@@ -12,7 +12,8 @@
     /// Index of the target.
     pub(super) target: usize,
     pub(super) at: Instant,
-    /// Whether the target ran it: one that was meant for another is refused.
+    /// Whether the target ran it: one that was meant for another is refused, and
+    /// so is one for which there is no room.
     is_run: bool,
 }
 
@@ -37,7 +38,8 @@
                 let arrived = Arrived {
                     target: at,
                     at: arrival.at,
-                    is_run: arrival.header("target-instance") == target.name,
+                    is_run: arrival.header("target-instance") == target.name
+                        && !arrival.is_rejected,
                 };
                 arrivals.arrived.entry(id).or_default().push(arrived);
             }
--- a/tests/testsuite/node/soak/checks.rs
+++ b/tests/testsuite/node/soak/checks.rs
@@ -75,6 +75,7 @@
                 .map(too_many_while_cold),
         );
         found.extend(soak.cuts.violations(&seen));
+        found.extend(soak.brittle.violations(soak));
         found.extend(Checker::new(soak, profile, &logs).violations(&seen));
         found
     };
--- a/tests/testsuite/node/soak/faults.rs
+++ b/tests/testsuite/node/soak/faults.rs
@@ -49,6 +49,7 @@
         Profile::Crowded => strike_crowded(soak, rng).await,
         Profile::Broken => strike_broken(soak, rng).await,
         Profile::Stranded => strike_lightly(soak, rng).await,
+        Profile::Brittle => hang_up(soak, rng).await,
     }
 }
 
--- a/tests/testsuite/node/soak/world.rs
+++ b/tests/testsuite/node/soak/world.rs
@@ -16,6 +16,7 @@
 
 use super::Profile;
 use super::Size;
+use super::brittle::BrittleTimes;
 use super::callers;
 use super::callers::Seen;
 use super::changes::Changes;
@@ -71,6 +72,7 @@
     /// The ways of the instances to the targets.
     pub(super) peers: Arc<Peers>,
     pub(super) cuts: Cuts,
+    pub(super) brittle: BrittleTimes,
     pub(super) store: Proxy,
     /// The way of each instance to that proxy.
     pub(super) store_links: Vec<Proxy>,
@@ -135,6 +137,7 @@
             targets,
             peers,
             cuts: Cuts::default(),
+            brittle: BrittleTimes::default(),
             store: proxy,
             store_links,
             cold: ColdTimes::default(),
