Have targets of the soak write streams in parts that end anywhere

Each event came as one piece, with nothing between. In the runs whose callers resume early, one target of streams after another now writes parts of 4 to 150 bytes for a while, several events at once or a piece of one, with a comment between the events, 1 to 90 ms apart.

--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -60,6 +60,9 @@
     Cut(u64),
     /// It sends the events of a stream up to this one, with a pause before each.
     Paced(u64, Duration),
+    /// It sends these events in parts that end anywhere, with comments between
+    /// the events and a pause before each part.
+    Torn(u64, Duration),
     /// It sends a stream of one event with so many bytes.
     LongEvent(usize),
     /// It answers with so many bytes.
@@ -296,6 +299,7 @@
             events(pieces, true, EVENT_PAUSE)
         }
         Mode::Paced(last, pause) => events(Pieces::new(after, last, origin), false, pause),
+        Mode::Torn(last, pause) => torn(&Pieces::new(after, last, origin), pause),
         Mode::LongEvent(bytes) => long_event(bytes),
         Mode::EndlessEvent => endless_event(after + 1),
         Mode::LongBody(bytes) => Response::new(http::full_body("a".repeat(bytes))),
@@ -404,13 +408,36 @@
         pieces.push(Ok(Bytes::from("id: 99\nda")));
         pieces.push(Err(std::io::Error::other("cut")));
     }
-    let pieces = futures_util::stream::iter(pieces);
-    // Each piece goes out by itself, so that a cut comes after what was sent.
-    let pieces = futures_util::StreamExt::then(pieces, move |piece| async move {
+    paced(pieces, pause)
+}
+
+/// Sizes of the parts of a torn stream, in bytes, in turn.
+const PART_BYTES: [usize; 5] = [23, 97, 4, 61, 150];
+
+/// Sends the events of a stream in parts.
+fn torn(pieces: &Pieces, pause: Duration) -> Response<http::Body> {
+    let events = pieces.ids.clone().map(|n| pieces.event(n));
+    let commented = events.flat_map(|event| [event, Bytes::from_static(b": alive\n\n")]);
+    let mut rest = Bytes::from(commented.collect::<Vec<_>>().concat());
+    let mut parts = Vec::new();
+    for bytes in PART_BYTES.into_iter().cycle() {
+        if rest.is_empty() {
+            break;
+        }
+        parts.push(Ok(rest.split_to(bytes.min(rest.len()))));
+    }
+    paced(parts, pause)
+}
+
+/// Sends the parts of a stream.
+fn paced(parts: Vec<Result<Bytes, std::io::Error>>, pause: Duration) -> Response<http::Body> {
+    let parts = futures_util::stream::iter(parts);
+    // Each part goes out by itself, so that a cut comes after what was sent.
+    let parts = futures_util::StreamExt::then(parts, move |part| async move {
         tokio::time::sleep(pause).await;
-        piece.map(Frame::data)
+        part.map(Frame::data)
     });
-    let mut resp = Response::new(BodyExt::boxed(StreamBody::new(pieces)));
+    let mut resp = Response::new(BodyExt::boxed(StreamBody::new(parts)));
     let kind = HeaderValue::from_static("text/event-stream");
     resp.headers_mut().insert("content-type", kind);
     resp
--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -3,10 +3,10 @@
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1000 cargo test --test testsuite soak::seeds_by_hand`
 //! plays fifty seeds from a thousand on. `SOAK_PROFILE=calm` (or `crowded`,
-//! `broken`, `stranded` or `brittle`) chooses the profile, `SOAK_INSTANCES=40` the number of instances, `SOAK_CALLERS=100`
-//! that of callers and `SOAK_CROWD=4000` that of a crowd's, and
-//! `SOAK_MEMORY_MB=260` and `SOAK_DESCRIPTORS=4100` what each process is
-//! allowed.
+//! `broken`, `stranded` or `brittle`) chooses the profile, `SOAK_INSTANCES=40` the
+//! number of instances, `SOAK_CALLERS=100` that of callers and `SOAK_CROWD=4000`
+//! that of a crowd's, and `SOAK_MEMORY_MB=260` and `SOAK_DESCRIPTORS=4100` what
+//! each process is allowed.
 
 mod arrivals;
 mod brittle;
@@ -32,6 +32,7 @@
 mod usage;
 mod watches;
 mod world;
+mod writing;
 
 use std::time::Duration;
 use std::time::Instant;
@@ -222,6 +223,7 @@
     let series = futures_util::future::join_all(series);
     let (mut releasing, mut moving) = (next_rng(), next_rng());
     let mut out_of_step = latest_rng();
+    let mut writing = latest_rng();
     let (moments, announced) = mpsc::unbounded_channel();
     let release = async {
         if profile.has_release(seed) {
@@ -238,6 +240,11 @@
             homes::run(soak, until, &mut moving).await;
         }
     };
+    let writing = async {
+        if profile.has_overlaps(seed) {
+            writing::run(soak, until, &mut writing).await;
+        }
+    };
     // Whatever the number of callers.
     let mut of_profile = StdRng::seed_from_u64(seed.rotate_left(16));
     let of_profile = async {
@@ -247,7 +254,7 @@
             _ => {}
         }
     };
-    tokio::join!(series, release, out_of_step, homes, of_profile);
+    tokio::join!(series, release, out_of_step, homes, writing, of_profile);
     for caller in callers {
         caller.await.expect("no panic");
     }
--- a/tests/testsuite/node/soak/pieces.rs
+++ b/tests/testsuite/node/soak/pieces.rs
@@ -69,7 +69,8 @@
     body.is_empty() || body.ends_with("\n\n")
 }
 
+/// Lists the events that came whole, without comments.
 fn whole_events(body: &str) -> impl Iterator<Item = &str> {
     let events = body.split_inclusive("\n\n");
-    events.filter(|event| event.ends_with("\n\n"))
+    events.filter(|event| event.ends_with("\n\n") && !event.starts_with(':'))
 }
