--- a/tests/support/node/target.rs
+++ b/tests/support/node/target.rs
@@ -60,6 +60,9 @@
     Cut(u64),
     /// It sends the events of a stream up to this one, with a pause before each.
     Paced(u64, Duration),
+    /// It sends these events in parts that end anywhere, with comments between
+    /// the events and a pause before each part.
+    Torn(u64, Duration),
     /// It sends a stream of one event with so many bytes.
     LongEvent(usize),
     /// It answers with so many bytes.
@@ -68,6 +71,16 @@
     EndlessEvent,
 }
 
+impl Mode {
+    /// Tells whether a target says that it didn't run a request.
+    fn is_full(self) -> bool {
+        matches!(
+            self,
+            Self::Full | Self::FullAfter(_) | Self::FullAndLeaving | Self::Pausing(_)
+        )
+    }
+}
+
 /// A request as it reached the target.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -79,6 +92,8 @@
     pub body: Bytes,
     /// When it had arrived.
     pub at: Instant,
+    /// Whether the target said that it doesn't run it.
+    pub is_rejected: bool,
 }
 
 impl Arrival {
@@ -237,6 +252,7 @@
         headers: parts.headers,
         body,
         at: Instant::now(),
+        is_rejected: false,
     };
     let id = arrival.header("request-id").to_owned();
     let meant = arrival.header("target-instance").to_owned();
@@ -246,12 +262,14 @@
         if state.forgets_bodies {
             arrival.body = Bytes::new();
         }
+        let mode = instead.unwrap_or(state.mode);
+        arrival.is_rejected = mode.is_full();
         state.arrivals.push(arrival);
         state.runs += 1;
         let run = format!("{id}/{name}/{}", state.runs);
         let software = state.software.as_ref();
         let origin = software.map(|software| format!("of run {run} after {after} of {software}"));
-        (instead.unwrap_or(state.mode), origin)
+        (mode, origin)
     };
     if meant != name {
         return http::empty_response(StatusCode::MISDIRECTED_REQUEST);
@@ -281,6 +299,7 @@
             events(pieces, true, EVENT_PAUSE)
         }
         Mode::Paced(last, pause) => events(Pieces::new(after, last, origin), false, pause),
+        Mode::Torn(last, pause) => torn(&Pieces::new(after, last, origin), pause),
         Mode::LongEvent(bytes) => long_event(bytes),
         Mode::EndlessEvent => endless_event(after + 1),
         Mode::LongBody(bytes) => Response::new(http::full_body("a".repeat(bytes))),
@@ -389,13 +408,36 @@
         pieces.push(Ok(Bytes::from("id: 99\nda")));
         pieces.push(Err(std::io::Error::other("cut")));
     }
-    let pieces = futures_util::stream::iter(pieces);
-    // Each piece goes out by itself, so that a cut comes after what was sent.
-    let pieces = futures_util::StreamExt::then(pieces, move |piece| async move {
+    paced(pieces, pause)
+}
+
+/// Sizes of the parts of a torn stream, in bytes, in turn.
+const PART_BYTES: [usize; 5] = [23, 97, 4, 61, 150];
+
+/// Sends the events of a stream in parts.
+fn torn(pieces: &Pieces, pause: Duration) -> Response<http::Body> {
+    let events = pieces.ids.clone().map(|n| pieces.event(n));
+    let commented = events.flat_map(|event| [event, Bytes::from_static(b": alive\n\n")]);
+    let mut rest = Bytes::from(commented.collect::<Vec<_>>().concat());
+    let mut parts = Vec::new();
+    for bytes in PART_BYTES.into_iter().cycle() {
+        if rest.is_empty() {
+            break;
+        }
+        parts.push(Ok(rest.split_to(bytes.min(rest.len()))));
+    }
+    paced(parts, pause)
+}
+
+/// Sends the parts of a stream.
+fn paced(parts: Vec<Result<Bytes, std::io::Error>>, pause: Duration) -> Response<http::Body> {
+    let parts = futures_util::stream::iter(parts);
+    // Each part goes out by itself, so that a cut comes after what was sent.
+    let parts = futures_util::StreamExt::then(parts, move |part| async move {
         tokio::time::sleep(pause).await;
-        piece.map(Frame::data)
+        part.map(Frame::data)
     });
-    let mut resp = Response::new(BodyExt::boxed(StreamBody::new(pieces)));
+    let mut resp = Response::new(BodyExt::boxed(StreamBody::new(parts)));
     let kind = HeaderValue::from_static("text/event-stream");
     resp.headers_mut().insert("content-type", kind);
     resp
