Keep software for as long as its streams may last when a catalog shortens that

Callers saw: after a catalog with shorter timeouts, a stream that had begun under the longer ones could be resumed at a target of other software.

Cause: the new retention applied to software that was seen before. With the last target of its version gone for the shorter time, an instance forgot the version and removed its mark, though streams that it began could still be resumed.

Change: what was seen before counts for as long as it did. A longer retention applies to it, as before.

Result: streams::a_shorter_retention_forgets_no_software_of_earlier_streams printed before

left: [SoftwareVersion("b")] right: [SoftwareVersion("a"), SoftwareVersion("b")]

and passes now, with the rest of streams::. Not covered: an instance that starts after the change knows the shorter time only and may remove the mark.

--- a/crates/decisions/src/streams/software.rs
+++ b/crates/decisions/src/streams/software.rs
@@ -57,11 +57,13 @@
 ///
 /// # Invariants
 ///
-/// `seen_at` and `unmarked_at` are on the local monotonic clock.
+/// All times are on the local monotonic clock.
 #[derive(Clone, Debug)]
 struct Seen {
     /// When a target last had it, as far as is known, or the mark was first read.
     seen_at: Duration,
+    /// Until when it counts from then on.
+    kept_until: Duration,
     /// When it was first seen, or its mark was removed.
     unmarked_at: Duration,
     /// Whether the store has a mark of it.
@@ -113,9 +115,13 @@
 
 impl SoftwareHistory {
     /// Sets the time for which software counts after its last target has left
-    /// the records.
+    /// the records. What was seen before counts for as long as it did, as
+    /// streams that began then may last longer than those that begin now.
     pub fn set_retention(&mut self, retention: Duration) {
         self.retention = retention;
+        for seen in self.seen.values_mut() {
+            seen.keep(retention);
+        }
     }
 
     /// Records that a target of the pool has the software, by its record, its
@@ -123,10 +129,12 @@
     pub fn observe(&mut self, software: &PoolSoftware, now: Duration) -> bool {
         if let Some(seen) = self.seen.get_mut(software) {
             seen.seen_at = now;
+            seen.keep(self.retention);
             return false;
         }
         let seen = Seen {
             seen_at: now,
+            kept_until: now + self.retention,
             unmarked_at: now,
             is_marked: false,
             has_unmarked_stream: false,
@@ -150,6 +158,7 @@
         let is_new = !self.seen.contains_key(&software);
         let seen = self.seen.entry(software).or_insert(Seen {
             seen_at: now,
+            kept_until: now + self.retention,
             unmarked_at: now,
             is_marked: true,
             has_unmarked_stream: false,
@@ -187,8 +196,7 @@
     /// resumed. What is on record was observed before.
     pub fn possible(&self, pool: &Pool, now: Duration) -> Vec<SoftwareVersion> {
         let of_pool = self.seen.iter().filter(|(key, _)| key.pool == *pool);
-        let possible =
-            of_pool.filter(|(_, seen)| seen.is_marked || !seen.is_outdated(self.retention, now));
+        let possible = of_pool.filter(|(_, seen)| seen.is_marked || !seen.is_outdated(now));
         possible.map(|(key, _)| key.software.clone()).collect()
     }
 
@@ -208,9 +216,8 @@
         P: Fn(&Pool) -> bool,
         T: Fn(&PoolSoftware) -> MarkTurn,
     {
-        let retention = self.retention;
         self.seen
-            .retain(|_, seen| seen.is_marked || !seen.is_outdated(retention, now));
+            .retain(|_, seen| seen.is_marked || !seen.is_outdated(now));
         let mut next: Option<Duration> = None;
         for (software, seen) in &self.seen {
             // A mark that is no longer needed is removed, too.
@@ -218,7 +225,7 @@
                 continue;
             }
             let due_at = match (seen.is_marked, seen.has_unmarked_stream) {
-                (true, _) => seen.seen_at + retention + turn(software).delay(),
+                (true, _) => seen.kept_until + turn(software).delay(),
                 (false, true) => now,
                 (false, false) => seen.unmarked_at + turn(software).delay(),
             };
@@ -236,6 +243,11 @@
 }
 
 impl Seen {
+    /// Keeps the software for so long at least from when it was seen.
+    fn keep(&mut self, retention: Duration) {
+        self.kept_until = self.kept_until.max(self.seen_at + retention);
+    }
+
     fn unmark(&mut self, now: Duration) {
         if self.is_marked {
             self.is_marked = false;
@@ -243,8 +255,8 @@
         }
     }
 
-    /// Tells whether no target has had the software for that long.
-    fn is_outdated(&self, retention: Duration, now: Duration) -> bool {
-        now >= self.seen_at + retention
+    /// Tells whether no target has had the software for long enough.
+    fn is_outdated(&self, now: Duration) -> bool {
+        now >= self.kept_until
     }
 }
--- a/tests/testsuite/streams.rs
+++ b/tests/testsuite/streams.rs
@@ -426,3 +426,20 @@
     assert_eq!(streams.len(), 2);
     assert_eq!(found(&streams, 1, START + MIN_LIFETIME), Some("a"));
 }
+
+/// Failure: a catalog with shorter timeouts made an instance forget software at
+/// once, and remove its mark, while streams that had begun under the longer
+/// timeouts could still be resumed. With one version left, they were bound to it.
+#[test]
+fn a_shorter_retention_forgets_no_software_of_earlier_streams() {
+    let (long, short) = (Duration::from_secs(130), Duration::from_secs(30));
+    let mut history = SoftwareHistory::default();
+    history.set_retention(long);
+    history.observe(&of("a"), START);
+    history.set_retention(short);
+    let resumed_at = START + Duration::from_secs(40);
+    history.observe(&of("b"), resumed_at);
+    let mut possible = history.possible(&pool(), resumed_at);
+    possible.sort();
+    assert_eq!(possible, ["a".into(), "b".into()]);
+}
