Probe targets of each pool and zone before taking an instance for cut off

Callers saw: while a pool of many targets was down, instances of its region took themselves for cut off from all targets, though those of a smaller pool answered: requests of both pools went to other instances, the directory left them out, and failures of the targets that were really down were forgotten.

Cause: a round tries four targets drawn from all of the region. With ten of twelve down, all four are of the pool that is down in two rounds of five. The test a_pool_that_is_down_is_no_cut has three of six down, fewer than a round tries.

Change: a round tries one target of each pool in each zone before others, 16 at most. In calm it still opens one connection.

--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,6 +1,7 @@
 //! Finds out whether this instance reaches the targets of its region, and tells
 //! what waits for them when it does not.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use chiverelay_target::accepts_connections;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
@@ -32,9 +33,12 @@
 /// Time limit for the other connections of a round.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Number of targets that a round tries.
+/// Number of targets that a round tries, or more if there are more kinds.
 const PROBED_TARGETS: usize = 4;
 
+/// Largest number of targets that a round tries.
+const MAX_PROBED_TARGETS: usize = 16;
+
 /// Pause before a request that waits on a connection which sends nothing looks
 /// again for an instance that could take it.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
@@ -191,11 +195,20 @@
         self.status_due.notify_one();
     }
 
+    /// Chooses at random, but one target of each pool in each zone first: a whole
+    /// pool or zone may be down while the others are reached.
     fn choose_probed_targets(&self) -> Vec<SocketAddr> {
         let fleet = self.tables.fleet.lock();
-        let usable = fleet.usable_targets_in(&self.settings.region);
-        let addresses = usable.map(|(_, known)| known.record.address);
-        addresses.sample(&mut rand::rng(), PROBED_TARGETS)
+        let mut usable: Vec<_> = fleet.usable_targets_in(&self.settings.region).collect();
+        usable.shuffle(&mut rand::rng());
+        let mut kinds = HashSet::new();
+        let records = usable.into_iter().map(|(_, known)| &known.record);
+        let (mut chosen, others): (Vec<_>, Vec<_>) =
+            records.partition(|record| kinds.insert((&record.pool, &record.zone)));
+        let others_tried = PROBED_TARGETS.saturating_sub(chosen.len());
+        chosen.extend(others.into_iter().take(others_tried));
+        chosen.truncate(MAX_PROBED_TARGETS);
+        chosen.iter().map(|record| record.address).collect()
     }
 
     /// Waits until this instance is cut off from its targets, nothing arrives on
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -35,6 +35,7 @@
 mod restored;
 mod resumed_by_callers;
 mod retries;
+mod review_59;
 mod settings;
 mod shutdown;
 mod silence;
