Show that callers of some instances are refused before idle targets

While targets state a limit on rejections below the number of instances of the region, an instance that is among the holders of no target serves nobody, whatever room there is.

brittle::of_a_limit_below_the_number_of_instances_one_by_one fails:

--- a/tests/testsuite/brittle.rs
+++ b/tests/testsuite/brittle.rs
@@ -425,3 +425,28 @@
     let later = start + ms(30_000);
     assert_eq!(one.rejection_limit(&pool(), later), Some(5));
 }
+
+/// Pattern: steady requests, below what all targets can serve, at instances that
+/// are more than may send to each target. Their callers are served alike.
+fn callers_of_each_instance_are_served(instances: usize, targets: usize, limit: u32) {
+    let mut scene = Scene::new(instances, targets, Some(limit));
+    let mut unserved = Vec::new();
+    for instance in 0..instances {
+        let before = scene.served;
+        scene.play(ms(500), instance..instance + 1, 1);
+        if scene.served == before {
+            unserved.push(instance);
+        }
+    }
+    assert!(
+        unserved.is_empty(),
+        "{} of {instances} served nothing while all targets were idle",
+        unserved.len()
+    );
+}
+
+cases! {
+    callers_of_each_instance_are_served:
+    of_a_limit_below_the_number_of_instances_one_by_one(30, 8, 3);
+    of_as_many_as_the_limit_one_by_one(3, 8, 3);
+}
