Show that targets which reject late reject more than they survive

A request counts as taken after 50 ms without an answer. A target that stands still for a second rejects later than that, and the instance goes on to send until its own slots are used.

brittle::targets_that_reject_late_reject_few fails, with a limit of 3:

6 rejections in a second

--- a/tests/testsuite/brittle.rs
+++ b/tests/testsuite/brittle.rs
@@ -143,6 +143,8 @@
     steps: u64,
     served: usize,
     draw: u64,
+    /// Time until a rejection is heard.
+    rejection_time: Duration,
 }
 
 impl Scene {
@@ -166,6 +168,7 @@
             steps: 0,
             served: 0,
             draw: 1,
+            rejection_time: REJECTION_TIME,
         };
         // An answer to each instance has stated the limit.
         for traffic in &mut scene.instances {
@@ -245,7 +248,7 @@
         let is_admitted = self.servers[server].admits(self.now);
         let (outcome, time) = match is_admitted {
             true => (TargetOutcome::Answered, SERVICE_TIME),
-            false => (TargetOutcome::Full, REJECTION_TIME),
+            false => (TargetOutcome::Full, self.rejection_time),
         };
         self.open.push(Exchange {
             instance,
@@ -450,3 +453,17 @@
     of_a_limit_below_the_number_of_instances_one_by_one(30, 8, 3);
     of_as_many_as_the_limit_one_by_one(3, 8, 3);
 }
+
+/// Pattern: a burst at targets whose slots are taken and that stand still for
+/// most of a second, so that what they reject is heard late.
+#[test]
+fn targets_that_reject_late_reject_few() {
+    let mut scene = Scene::new(1, 4, Some(3));
+    scene.rejection_time = ms(800);
+    for server in &mut scene.servers {
+        server.taken = SLOTS;
+    }
+    scene.play(ms(3_000), 0..1, 3);
+    let most = scene.most_rejected();
+    assert!(most <= 3, "{most} rejections in a second");
+}
