Show that lookups of streams get one read of the marks at a large site

With 330 instances reads begin 660 ms apart while streams are resumed all the time, so a lookup of 800 ms gets one, after up to 660 ms. If its response is lost or takes longer than 140 ms, the lookup ends without it.

streams::at_a_large_site fails; the times are those of reads since the lookup:

330 instances: [659ms]

--- a/tests/testsuite/streams.rs
+++ b/tests/testsuite/streams.rs
@@ -443,3 +443,31 @@
     possible.sort();
     assert_eq!(possible, ["a".into(), "b".into()]);
 }
+
+/// Load pattern: streams are resumed all the time, and the response to a read of
+/// the marks is lost. Each lookup gets a second one in time, whatever the number
+/// of instances.
+fn a_lookup_gets_a_second_read(instances: usize) {
+    let mut reads = MarkReads::default();
+    let ms = Duration::from_millis;
+    reads.want(START);
+    reads.begin(START);
+    let wanted_at = START + ms(1);
+    reads.want(wanted_at);
+    let mut begun = Vec::new();
+    let mut now = wanted_at;
+    while now < wanted_at + LOOKUP_TIMEOUT {
+        if reads.due_at(instances, now).is_some_and(|due| due <= now) {
+            reads.begin(now);
+            begun.push(now - wanted_at);
+        }
+        now += ms(1);
+    }
+    assert!(begun.len() >= 2, "{instances} instances: {begun:?}");
+}
+
+cases! {
+    a_lookup_gets_a_second_read:
+    at_a_small_site(5);
+    at_a_large_site(330);
+}
