Take the marks of a store that came back from an older copy for incomplete

Callers saw: a stream went on at targets of other software, after the store had come back from an older copy and the stream was resumed at an instance that had missed the software which began it.

Cause: a read of all marks counted as complete unless the instance had noticed the older copy by its records, which it reads on its own. The read may come from the older copy before that, which lacks marks.

Change: the era of the read counts, too.

Not mended: an instance that runs for longer than streams last takes the marks for complete although it was out of step.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -62,6 +62,8 @@
     pub(crate) software: SoftwareHistory,
     /// When all marks in the store were last read, on the local monotonic clock.
     pub(crate) marks_read_at: Option<Duration>,
+    /// Latest era of the store in which all marks were read for lookups.
+    pub(crate) marks_era: u64,
 }
 
 impl Streams {
--- a/crates/gateway/src/streams/lookup.rs
+++ b/crates/gateway/src/streams/lookup.rs
@@ -249,9 +249,11 @@
     fn own_knowledge(self: &Arc<Self>, ask: &AskStream, requested_at: Duration) -> StreamKnowledge {
         let now = self.clock.now();
         self.observe_software(now);
-        let is_restored_store = self.store_lag.read_revision().era > 0;
+        let read_era = self.store_lag.read_revision().era;
         let marks_read_at = self.mark_reads.completed();
         let streams = self.tables.streams.lock();
+        // The marks may be read before the records are read anew.
+        let is_restored_store = read_era.max(streams.marks_era) > 0;
         let lifetime = streams.began.lifetime();
         StreamKnowledge {
             began_by: streams.began.find(&ask.key, now).cloned(),
--- a/crates/gateway/src/streams/mark_reads.rs
+++ b/crates/gateway/src/streams/mark_reads.rs
@@ -93,14 +93,20 @@
         }
     }
 
-    /// Applies a complete read of the marks. One that it lacks may have been
-    /// written since, so that none is removed.
-    pub fn complete_marks_read(self: &Arc<Self>, read: MarksRead, marks: HashSet<PoolSoftware>) {
+    /// Applies a complete read of the marks in an era of the store. One that it
+    /// lacks may have been written since, so that none is removed.
+    pub fn complete_marks_read(
+        self: &Arc<Self>,
+        read: MarksRead,
+        marks: HashSet<PoolSoftware>,
+        era: u64,
+    ) {
         for software in marks {
             self.record_software_mark(software);
         }
         let mut streams = self.tables.streams.lock();
         streams.marks_read_at = streams.marks_read_at.max(Some(read.began_at));
+        streams.marks_era = streams.marks_era.max(era);
         drop(streams);
         self.mark_reads.state.lock().complete(read.began_at);
         self.mark_reads.completed.notify_waiters();
--- a/tests/testsuite/node/resumed_by_callers/out_of_step.rs
+++ b/tests/testsuite/node/resumed_by_callers/out_of_step.rs
@@ -309,3 +309,44 @@
         assert_eq!(world.site.store.calls(LIST), listings);
     });
 }
+
+/// Guards against an instance that takes the marks of a store that has come back
+/// from an older copy for complete, as it hasn't read the records anew yet.
+fn marks_of_a_restored_store_show_no_only_software(age: Duration) {
+    block_on(async {
+        let (site, targets) = start_targets().await;
+        let late = site.instance("late", "north-a", "north").await;
+        tokio::time::sleep(age).await;
+        let mut world = World {
+            site,
+            targets,
+            nodes: Vec::new(),
+        };
+        until("the software is marked", async || {
+            world.site.store.keys(MARKS).len() == 1
+        })
+        .await;
+        let copy = world.site.store.copy();
+        world.site.store.mute(true);
+        late.process.freeze();
+        world.replace();
+        let first = world.site.instance("first", "north-a", "north").await;
+        world.nodes.push(first);
+        for n in 0..STREAMS {
+            world.begin(&format!("r-{n}")).await;
+        }
+        world.kill(0);
+        world.site.store.restore_and_write_again(copy);
+        late.process.thaw();
+        world.shorten();
+        for n in 0..STREAMS {
+            let (id, began_as) = (format!("s-{n}"), format!("r-{n}"));
+            world.check_resumed(&late, &id, &began_as).await;
+        }
+    });
+}
+
+cases! {
+    marks_of_a_restored_store_show_no_only_software:
+    to_an_instance_that_has_just_started(Duration::ZERO);
+}
