Show that a restored store misleads an instance that has run for long

An instance that has run for longer than streams last counts as one that knows of all versions by itself, also if it was out of step. Before others have marked their software again, its read of the marks of a store that came back from an older copy shows one version.

--- a/tests/testsuite/node/resumed_by_callers/out_of_step.rs
+++ b/tests/testsuite/node/resumed_by_callers/out_of_step.rs
@@ -349,4 +349,5 @@
 cases! {
     marks_of_a_restored_store_show_no_only_software:
     to_an_instance_that_has_just_started(Duration::ZERO);
+    to_an_instance_that_runs_for_longer_than_streams_last(Duration::from_secs(32));
 }
