Don't try the targets of a region that is cut off with callers' requests

Callers saw: while all instances of a region were cut off, some requests waited 3 s, each time that a target's ejection had run out.

Cause: with no other instance of the region to ask, the usual choice between the region's targets and other regions went on, and placed one request at each such target, whose connection hung.

Change: an instance that is cut off chooses another region at once; a target of its own only if nobody else can take the request.

Result: node::cut_off_from_targets::callers_are_served_by_another_region_if_nobody_of_theirs_reaches_targets failed before with an answer after 3.0 s, and passes. The filters cut_off_from_targets, forwards, residency, hedged and operations pass (66).

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -182,7 +182,10 @@
         S: HasGrant,
     {
         let allowed = self.residency_now(req);
-        let local = self.unless_cut_off(now, || self.choose_local_target(cx, &allowed, tried, now));
+        if self.reach.is_cut_off() {
+            return self.choose_regions_when_cut_off(req, cx, &allowed, tried, now);
+        }
+        let local = self.choose_local_target(cx, &allowed, tried, now);
         // Limited targets of other regions are left to the instances there, but
         // they are better than none.
         let remote = self.choose_remote_region(req, cx, &allowed, StatedLimitUse::Avoid, now);
--- a/crates/gateway/src/place/cut_off.rs
+++ b/crates/gateway/src/place/cut_off.rs
@@ -4,12 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::config::Residency;
+use chiverelay_decisions::names::Target;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::HasGrant;
 use chiverelay_decisions::request::Request;
 use chiverelay_decisions::traffic::NoTargetReason;
+use chiverelay_decisions::traffic::RegionChoice;
+use chiverelay_decisions::traffic::StatedLimitUse;
 use chiverelay_decisions::traffic::TargetChoice;
 use chiverelay_sibling::Identity;
 
@@ -53,21 +57,27 @@
         Ok(Destination::Remote(req))
     }
 
-    /// Replaces the choice of a target of the region while this instance is cut
-    /// off from it and others are not. If they are, too, the targets have
-    /// failed, and connections show when the first one is back.
-    pub(super) fn unless_cut_off<F>(
+    /// Like [`Gateway::choose_regions`] while this instance is cut off. A target
+    /// of this region is chosen only if nobody else can take the request: if all
+    /// targets have failed, connections show when the first one is back.
+    pub(super) fn choose_regions_when_cut_off<S, O>(
         &self,
+        req: &Request<S, O>,
+        cx: &PlacementContext,
+        allowed: &Residency,
+        tried: &[Target],
         now: Duration,
-        choose: F,
-    ) -> Result<TargetChoice, NoTargetReason>
+    ) -> (Result<TargetChoice, NoTargetReason>, Option<RegionChoice>)
     where
-        F: FnOnce() -> Result<TargetChoice, NoTargetReason>,
+        S: HasGrant,
     {
-        match self.reach.is_cut_off() && self.knows_reaching_sibling(now) {
+        let choose = |stated| self.choose_remote_region(req, cx, allowed, stated, now);
+        let remote = choose(StatedLimitUse::Avoid).or_else(|| choose(StatedLimitUse::Ignore));
+        let local = match remote.is_some() || self.knows_reaching_sibling(now) {
             true => Err(NoTargetReason::NoneHealthy),
-            false => choose(),
-        }
+            false => self.choose_local_target(cx, allowed, tried, now),
+        };
+        (local, remote)
     }
 
     /// Places a request that an instance forwarded. One of the same region knows
--- a/tests/testsuite/node/cut_off_from_targets.rs
+++ b/tests/testsuite/node/cut_off_from_targets.rs
@@ -88,20 +88,25 @@
         }
     }
 
-    /// Sends requests to the instance that is cut off for a while, and returns
-    /// how many of how many were served, and the longest time.
+    /// Sends requests to the instance that is cut off.
     async fn press(&self, requests: usize, path: &str) -> (usize, Duration) {
-        let calls = (0..requests).map(|n| async move {
-            tokio::time::sleep(Duration::from_millis(20) * n as u32).await;
-            send(self.cut_off.front, &format!("p-{path}-{n}"), path).await
-        });
-        let got = futures_util::future::join_all(calls).await;
-        let served = got.iter().filter(|(is_served, _)| *is_served).count();
-        let longest = got.iter().map(|(_, took)| *took).max().unwrap_or_default();
-        (served, longest)
+        press(self.cut_off.front, requests, path).await
     }
 }
 
+/// Sends requests to an instance at a constant rate, and returns how many were
+/// served, and the longest time.
+async fn press(front: SocketAddr, requests: usize, path: &str) -> (usize, Duration) {
+    let calls = (0..requests).map(|n| async move {
+        tokio::time::sleep(Duration::from_millis(20) * n as u32).await;
+        send(front, &format!("p-{path}-{n}"), path).await
+    });
+    let got = futures_util::future::join_all(calls).await;
+    let served = got.iter().filter(|(is_served, _)| *is_served).count();
+    let longest = got.iter().map(|(_, took)| *took).max().unwrap_or_default();
+    (served, longest)
+}
+
 /// Sends a request, and returns whether it was served and the time it took.
 async fn send(front: SocketAddr, id: &str, path: &str) -> (bool, Duration) {
     let began = Instant::now();
@@ -144,6 +149,47 @@
     with_deposits_while_connections_are_reset(Cut::Reset, "/deposit/2");
 }
 
+/// Failure: while all instances of a region were cut off, requests were placed at
+/// their targets again and again to see whether those were back, and waited for
+/// connections, though another region had room.
+#[test]
+fn callers_are_served_by_another_region_if_nobody_of_theirs_reaches_targets() {
+    block_on(async {
+        let site = Site::start().await;
+        let (mut targets, mut paths, mut replaced) = (Vec::new(), Vec::new(), Vec::new());
+        for n in 0..TARGETS {
+            let target = PlatformTarget::start(&format!("i-north-{n}")).await;
+            let path = TargetPath::start(target.address).await;
+            replaced.push((target.address, path.address));
+            site.register(&target, "orders", "north-a");
+            targets.push(target);
+            paths.push(path);
+        }
+        let view = StoreView::start(site.store.address, replaced).await;
+        let far_target = PlatformTarget::start("i-south").await;
+        site.register(&far_target, "orders", "south-a");
+        let near = site.spawn_before("near", "north-a", "north", view.address);
+        near.until_ready(true).await;
+        let _far = site.instance("far", "south-a", "south").await;
+        until("the other region is linked", async || {
+            near.logged().contains("link is up")
+        })
+        .await;
+        let began = Instant::now();
+        for path in &paths {
+            path.set(Cut::Hang);
+        }
+        press(near.front, 40, "/status/1").await;
+        tokio::time::sleep(KNOWN_WITHIN.saturating_sub(began.elapsed())).await;
+        for n in 0..80 {
+            let (is_served, took) = send(near.front, &format!("r-{n}"), "/status/2").await;
+            assert!(is_served, "{n}: {}", near.logged());
+            assert!(took <= PROMPT, "{n}: {took:?}");
+            tokio::time::sleep(Duration::from_millis(80)).await;
+        }
+    });
+}
+
 /// Failure: requests whose answers had not begun waited on connections of an
 /// instance that was cut off until their deadlines, though others could have run
 /// them.
