Press on the targets while instances of the soak are cut off from them

With targets that take all that comes, the instances that still reach them carried the others' requests, and the stranded profile showed nothing. SOAK_KEEP_LOGS=1 keeps the logs of runs that pass.

The instances that are cut off refuse these requests themselves, as overloaded at the step 'place', or as unavailable.

--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -6,7 +6,8 @@
 //! `broken`, `stranded` or `brittle`) chooses the profile, `SOAK_INSTANCES=40` the
 //! number of instances, `SOAK_CALLERS=100` that of callers and `SOAK_CROWD=4000`
 //! that of a crowd's, and `SOAK_MEMORY_MB=260` and `SOAK_DESCRIPTORS=4100` what
-//! each process is allowed.
+//! each process is allowed. With `SOAK_KEEP_LOGS=1` the logs of runs that pass
+//! are kept too.
 
 mod arrivals;
 mod brittle;
--- a/tests/testsuite/node/soak/brittle.rs
+++ b/tests/testsuite/node/soak/brittle.rs
@@ -44,6 +44,14 @@
 /// Pause before targets turn brittle, in ms.
 const PAUSE_MS: std::ops::Range<u64> = 500..2000;
 
+/// Room of these targets when they aren't brittle.
+const USUAL: Capacity = Capacity {
+    slots: SLOTS,
+    queue: QUEUE,
+    service_time: SERVICE_TIME,
+    max_rejections: None,
+};
+
 /// A time for which targets were brittle.
 #[derive(Clone, Copy, Debug)]
 struct BrittleTime {
@@ -98,15 +106,16 @@
     all.filter(|at| TARGETS[*at].1 == SERVICE)
 }
 
+/// Limits the room of these targets, so that many callers want more than they
+/// run.
+pub(super) fn limit_room(soak: &Soak) {
+    limit(soak, USUAL);
+}
+
 /// Has the targets of a service turn brittle, one time after another.
 pub(super) async fn run(soak: &Soak, until: Instant, rng: &mut StdRng) {
-    let usual = Capacity {
-        slots: SLOTS,
-        queue: QUEUE,
-        service_time: SERVICE_TIME,
-        max_rejections: None,
-    };
-    limit(soak, usual);
+    let usual = USUAL;
+    limit_room(soak);
     loop {
         let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
         let short = Duration::from_millis(rng.random_range(SHORT_MS));
--- a/tests/testsuite/node/soak/checks.rs
+++ b/tests/testsuite/node/soak/checks.rs
@@ -48,6 +48,9 @@
 /// Most log lines that are shown of a request.
 const MAX_SHOWN_LINES: usize = 16;
 
+/// Variable that asks for the logs of all runs.
+const KEEP_LOGS: &str = "SOAK_KEEP_LOGS";
+
 /// Most violations that are shown.
 const MAX_SHOWN: usize = 20;
 
@@ -59,7 +62,8 @@
     pub(super) seen: String,
 }
 
-/// Checks a run. The logs of one that fails are kept.
+/// Checks a run. The logs of one that fails are kept, and those of others if
+/// the environment asks for them.
 pub(super) async fn check(soak: &Soak, profile: Profile, seed: u64) {
     let logs = soak.logs().await;
     let found = {
@@ -80,6 +84,9 @@
         found
     };
     if found.is_empty() {
+        if std::env::var_os(KEEP_LOGS).is_some() {
+            keep_logs(profile, seed, &logs);
+        }
         return;
     }
     let dir = keep_logs(profile, seed, &logs);
--- a/tests/testsuite/node/soak/stranded.rs
+++ b/tests/testsuite/node/soak/stranded.rs
@@ -10,6 +10,7 @@
 use rand::seq::SliceRandom;
 use support::node::proxy::Harm;
 
+use super::brittle;
 use super::callers::End;
 use super::callers::Seen;
 use super::checks::Violation;
@@ -117,6 +118,7 @@
 
 /// Cuts instances off from all targets, one time after another.
 pub(super) async fn run(soak: &Soak, until: Instant, rng: &mut StdRng) {
+    brittle::limit_room(soak);
     loop {
         let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
         let length = Duration::from_millis(rng.random_range(CUT_MS));
