Let begun answers use any free slot of targets that survive few rejections

A stream that its target has cut goes on at another one. With the limit on rejections in force it was refused where only slots of other instances were free, and was lost.

Change: an answer that has begun may use any slot that is free by the counts; what bounds rejections holds for it too. The check at the reservation leaves out whose slot it is, which the choice has decided.

Result: brittle::an_answer_that_has_begun_takes_any_free_slot failed before with NoFreeSlot at the fourth of six slots, passes now.

--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -9,6 +9,7 @@
 use super::PromptPart;
 use super::RegionShares;
 use super::Traffic;
+use super::guarded_room::SlotUse;
 use crate::catalog::PoolSpec;
 use crate::config::Residency;
 use crate::fleet::Fleet;
@@ -277,7 +278,11 @@
         if !self.has_stated_room(target, shares.stated, now) {
             return Some(NoTargetReason::AllLimited);
         }
-        let has_room = self.has_guarded_room(target, known, pool, shares, now);
+        let slot_use = match query.software {
+            Some(_) => SlotUse::Any,
+            None => SlotUse::Own,
+        };
+        let has_room = self.has_guarded_room(target, known, pool, shares, slot_use, now);
         (!has_room).then_some(NoTargetReason::NoFreeSlot)
     }
 
--- a/crates/decisions/src/traffic/guarded_room.rs
+++ b/crates/decisions/src/traffic/guarded_room.rs
@@ -95,6 +95,15 @@
     }
 }
 
+/// Which slots of a target a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SlotUse {
+    /// Those of this instance, and what others leave free.
+    Own,
+    /// Any that is free, as an answer has begun that is lost otherwise.
+    Any,
+}
+
 /// How the room of a target is divided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Division {
@@ -163,6 +172,7 @@
     fn admits(
         &mut self,
         division: Division,
+        slot_use: SlotUse,
         slots: u32,
         own: u32,
         all: u32,
@@ -178,7 +188,7 @@
             return false;
         }
         let own_slots = division.own_slots(room);
-        if own < own_slots {
+        if slot_use == SlotUse::Any || own < own_slots {
             return true;
         }
         let used = own.saturating_add(others);
@@ -241,6 +251,7 @@
         known: &KnownTarget,
         pool: &PoolSpec,
         shares: RegionShares<'_>,
+        slot_use: SlotUse,
         now: Duration,
     ) -> bool {
         let Some(max_rejections) = self.rejection_limit(&pool.name, now) else {
@@ -258,7 +269,7 @@
         let (position, at) = recent.unwrap_or_else(|| (rank(target), now));
         room.rank = Some((position, at));
         let division = Division::new(max_rejections, instances, position);
-        room.admits(division, slots, own, all, now)
+        room.admits(division, slot_use, slots, own, all, now)
     }
 
     /// Counts a request that is sent to a target.
--- a/crates/decisions/src/traffic/reservation.rs
+++ b/crates/decisions/src/traffic/reservation.rs
@@ -11,6 +11,7 @@
 use super::TargetOutcome;
 use super::Traffic;
 use super::cold_limit::COLD_LIMIT_WINDOW;
+use super::guarded_room::SlotUse;
 use crate::catalog::PoolSpec;
 use crate::fleet::KnownTarget;
 use crate::names::Pool;
@@ -66,8 +67,9 @@
         now: Duration,
     ) -> bool {
         let target = &reservation.target;
+        // The choice was among the slots that the request may use.
         if !self.has_stated_room(target, shares.stated, now)
-            || !self.has_guarded_room(target, known, pool, shares, now)
+            || !self.has_guarded_room(target, known, pool, shares, SlotUse::Any, now)
         {
             return false;
         }
