--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -347,7 +347,6 @@
         .http1()
         .timer(TokioTimer::new())
         .max_buf_size(MAX_HEAD_BYTES)
-        .max_headers(chiverelay_http::MAX_FIELDS)
         .header_read_timeout(limits.header_timeout);
     builder
         .http2()
--- a/crates/http/src/endpoint.rs
+++ b/crates/http/src/endpoint.rs
@@ -23,10 +23,6 @@
 /// doesn't read.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
-/// Largest number of header fields of a request over HTTP/1.1: as many as a head
-/// of 16 KiB may have over HTTP/2, which counts 32 bytes more for each.
-pub const MAX_FIELDS: usize = 16 * 1024 / 32;
-
 /// Accepts connections and responds to their requests with `handler` until
 /// `cancel` is cancelled, which also drops open connections.
 ///
@@ -88,7 +84,6 @@
         // Slow clients are closed once others need their place.
         .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
-        .max_headers(MAX_FIELDS)
         .serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         result = conn => {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -23,7 +23,6 @@
 pub use connections::Connections;
 pub use connections::Opened;
 pub use connections::Usage;
-pub use endpoint::MAX_FIELDS;
 pub use endpoint::serve_endpoint;
 pub use held_body::BodyError;
 pub use held_body::read_held_body;
