Show that targets whose queues become shorter under load do not fail

Change: a test in which targets begin to state the limit while requests wait in their queues, and hold none five seconds later, under three times what they serve.

--- a/tests/testsuite/node/brittle.rs
+++ b/tests/testsuite/node/brittle.rs
@@ -27,6 +27,9 @@
 /// Length of the burst.
 const BURST: Duration = Duration::from_secs(4);
 
+/// Time after which targets that state a limit hold fewer requests.
+const SHORTER_QUEUE_AFTER: Duration = Duration::from_secs(5);
+
 /// Time between two requests at each instance: two targets serve 60 requests a
 /// second, and two instances get 180.
 const PAUSE: Duration = Duration::from_millis(11);
@@ -54,10 +57,10 @@
 }
 
 /// Sends requests to an instance, each without waiting for the ones before.
-async fn burst(node: &Node, name: &str) -> Vec<Got> {
+async fn burst(node: &Node, name: &str, time: Duration) -> Vec<Got> {
     let began = Instant::now();
     let mut calls = Vec::new();
-    while began.elapsed() < BURST {
+    while began.elapsed() < time {
         let (front, call) = (node.front, call(&format!("{name}-{}", calls.len())));
         calls.push(tokio::spawn(async move { call.send(front).await }));
         tokio::time::sleep(PAUSE).await;
@@ -89,7 +92,7 @@
         // The other instance has heard of the limit from this one only.
         tokio::time::sleep(Duration::from_secs(1)).await;
 
-        let (mut got, more) = tokio::join!(burst(&one, "a"), burst(&two, "b"));
+        let (mut got, more) = tokio::join!(burst(&one, "a", BURST), burst(&two, "b", BURST));
         got.extend(more);
         let reports = targets.each_ref().map(|target| target.room_report());
         let falls: usize = reports.iter().map(|report| report.falls).sum();
@@ -110,6 +113,55 @@
     });
 }
 
+/// Targets with requests in their queues begin to state the limit under load, and
+/// hold fewer some time later.
+#[test]
+fn targets_whose_queues_become_shorter_under_load_do_not_fail() {
+    block_on(async {
+        let site = Site::start().await;
+        let targets = [
+            PlatformTarget::start("i-1").await,
+            PlatformTarget::start("i-2").await,
+        ];
+        for target in &targets {
+            target.limit_room(capacity(None));
+            site.register(target, "orders", "north-a");
+        }
+        let one = site.instance("one", "north-a", "north").await;
+        let two = site.instance("two", "north-a", "north").await;
+        until_served(&one).await;
+        until_served(&two).await;
+        let changes = async {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            for target in &targets {
+                // More than comes until the limit is known.
+                let many = Capacity {
+                    queue: 400,
+                    ..capacity(Some(MAX_REJECTIONS))
+                };
+                target.limit_room(many);
+            }
+            tokio::time::sleep(SHORTER_QUEUE_AFTER).await;
+            for target in &targets {
+                let none = Capacity {
+                    queue: 0,
+                    ..capacity(Some(MAX_REJECTIONS))
+                };
+                target.limit_room(none);
+            }
+        };
+        let time = Duration::from_secs(1) + SHORTER_QUEUE_AFTER + BURST;
+        let (got, more, ()) = tokio::join!(burst(&one, "a", time), burst(&two, "b", time), changes);
+        let served = got
+            .iter()
+            .chain(&more)
+            .filter(|got| got.status.is_success());
+        let reports = targets.each_ref().map(|target| target.room_report());
+        println!("{} served, {reports:?}", served.count());
+        assert_eq!(reports.map(|report| report.falls), [0, 0], "{reports:?}");
+    });
+}
+
 /// Targets that state nothing may hold requests in their queues as before.
 #[test]
 fn requests_wait_at_targets_that_state_no_number_of_rejections() {
