Leave each lookup of a stream a second read of the marks

Callers of a site with hundreds of instances would see a resumed stream refused if the response to one read was lost: reads began 2 ms apart for each known instance, 660 ms with 330, of the 800 ms that a lookup takes.

Change: at most 250 ms. 330 instances that all look streams up read 1,320 times a second at most, and none while nothing is resumed.

--- a/crates/decisions/src/streams/mark_reads.rs
+++ b/crates/decisions/src/streams/mark_reads.rs
@@ -11,6 +11,9 @@
 /// Time between two reads for each known instance, as all share the store.
 const INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(2);
 
+/// Longest time between two reads, which leaves a lookup a second one.
+const MAX_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time after which a read is repeated whose response may be lost.
 const REPEAT_AFTER: Duration = Duration::from_millis(250);
 
@@ -58,7 +61,7 @@
         };
         let instances = u32::try_from(known_instances).unwrap_or(u32::MAX);
         let interval = INTERVAL_PER_INSTANCE.saturating_mul(instances);
-        let interval = interval.max(MIN_INTERVAL);
+        let interval = interval.clamp(MIN_INTERVAL, MAX_INTERVAL);
         // The open read may still be answered.
         let is_open = began_at >= wanted_at;
         let gap = if is_open {
