Mark software at once when a stream has begun at it without a mark

Suspected by review, not seen: a stream that begins at software without a mark has it marked out of turn, but the task that writes marks was told only of software that is new, and else looked again at its turn, up to 5 s later.

Change: it is told of each such stream.

--- a/crates/decisions/src/streams/software.rs
+++ b/crates/decisions/src/streams/software.rs
@@ -153,6 +153,12 @@
         is_new
     }
 
+    /// Tells whether a stream began here at the software while it had no mark.
+    pub fn has_unmarked_stream(&self, software: &PoolSoftware) -> bool {
+        let seen = self.seen.get(software);
+        seen.is_some_and(|seen| seen.has_unmarked_stream)
+    }
+
     /// Records a mark in the store. Returns whether the software is new.
     pub fn record_mark(&mut self, software: PoolSoftware, now: Duration) -> bool {
         let is_new = !self.seen.contains_key(&software);
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -166,7 +166,11 @@
         let is_new = streams.software.observe_stream(&origin, now);
         streams.began.record(&key, origin.clone(), source, now);
         let possible = streams.software.possible(&pool, now);
+        let is_mark_due = streams.software.has_unmarked_stream(&origin);
         drop(streams);
+        if is_mark_due {
+            self.software_changed.notify_one();
+        }
         if is_new {
             self.handle_new_software(&origin);
         } else if !is_resumed && (possible.len() > 1 || is_store_unreachable) {
