Judge a crash by probes that began after the loss

Cause: the check of a target whose request was lost looked at what the last round of probes had shown.

Change: the check waits until a round has ended that began after the loss, for a second at most, if the target refuses connections. In calm that round has ended before.

--- a/crates/decisions/src/reachability.rs
+++ b/crates/decisions/src/reachability.rs
@@ -59,6 +59,10 @@
     began: Duration,
 }
 
+/// The first round of probes that begins after something happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NextRound(u64);
+
 /// What a round of probes has found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RoundResult {
@@ -72,7 +76,8 @@
 ///
 /// # Invariants
 ///
-/// `cut_off_since` is set exactly while the last round has failed.
+/// `cut_off_since` is set exactly while the last round has failed. At most one
+/// round runs at a time, so `ended_rounds` is `begun_rounds` or one less.
 #[derive(Debug, Default)]
 pub struct Reachability {
     /// When the first request was sent since the last sign of life.
@@ -84,6 +89,8 @@
     /// When a connection was last opened.
     connected_at: Option<Duration>,
     last_round: Option<Duration>,
+    begun_rounds: u64,
+    ended_rounds: u64,
     cut_off_since: Option<Duration>,
     /// Targets that the last round has not reached.
     unreached: usize,
@@ -110,8 +117,15 @@
     }
 
     /// Records that a connection to a target could not be opened or was lost.
-    pub fn record_failure(&mut self) {
+    /// Returns the round that tells whether a cut explains it.
+    pub fn record_failure(&mut self) -> NextRound {
         self.has_failure = true;
+        NextRound(self.begun_rounds + 1)
+    }
+
+    /// Tells whether a round has ended.
+    pub fn has_ended(&self, round: NextRound) -> bool {
+        self.ended_rounds >= round.0
     }
 
     /// Returns when the targets are to be probed; `None` while nothing calls for
@@ -131,6 +145,7 @@
     pub fn begin_round(&mut self, now: Duration) -> Option<ProbeRound> {
         self.next_round().filter(|due| *due <= now)?;
         self.has_failure = false;
+        self.begun_rounds += 1;
         self.last_round = Some(now);
         Some(ProbeRound { began: now })
     }
@@ -139,6 +154,7 @@
     /// meanwhile counts as one of its own.
     pub fn finish_round(&mut self, round: ProbeRound, result: RoundResult, now: Duration) {
         self.last_round = Some(now);
+        self.ended_rounds = self.begun_rounds;
         let has_connected = self.connected_at.is_some_and(|at| at >= round.began);
         match result {
             RoundResult::Failed(tried) if tried > 0 && !has_connected => {
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -108,9 +108,14 @@
 
     async fn check_for_crash(&self, target: &Target, address: SocketAddr) {
         let check = self.pending_losses.begin_check(target);
+        let round = self.reach.record_failure();
         let connecting = async {
             tokio::time::sleep(COLLECT_TIME).await;
-            refuses_connections(address, CONNECT_TIMEOUT).await
+            let is_refused = refuses_connections(address, CONNECT_TIMEOUT).await;
+            if is_refused {
+                self.reach.until_ended(round).await;
+            }
+            is_refused
         };
         let checked = self.stop.run_until_cancelled(connecting).await;
         // A cut looks the same from here, also as a refused connection.
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chiverelay_decisions::reachability::NextRound;
 use chiverelay_decisions::reachability::Reachability;
 use chiverelay_decisions::reachability::RoundResult;
 use chiverelay_decisions::reachability::TargetReach;
@@ -39,6 +40,9 @@
 /// Largest number of targets that a round tries.
 const MAX_PROBED_TARGETS: usize = 16;
 
+/// Longest wait for a round to begin and end.
+const MAX_ROUND_WAIT: Duration = Duration::from_secs(1);
+
 /// Pause before a request that waits on a connection which sends nothing looks
 /// again for an instance that could take it.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
@@ -50,6 +54,8 @@
     current: watch::Sender<TargetReach>,
     /// Notified when a connection has failed.
     has_failed: Notify,
+    /// Notified when a round of probes has ended.
+    round_ended: Notify,
 }
 
 impl Default for SharedReach {
@@ -58,6 +64,7 @@
             evidence: RankedMutex::new(LockRank::Reachability, Reachability::default()),
             current: watch::Sender::default(),
             has_failed: Notify::new(),
+            round_ended: Notify::new(),
         }
     }
 }
@@ -90,9 +97,26 @@
     }
 
     /// Records that a connection to a target could not be opened or was lost.
-    pub(crate) fn record_failure(&self) {
-        self.evidence.lock().record_failure();
+    /// Returns the round of probes that tells whether a cut explains it.
+    pub(crate) fn record_failure(&self) -> NextRound {
+        let round = self.evidence.lock().record_failure();
         self.has_failed.notify_one();
+        round
+    }
+
+    /// Waits until a round of probes has ended, for at most [`MAX_ROUND_WAIT`].
+    pub(crate) async fn until_ended(&self, round: NextRound) {
+        let waiting = async {
+            loop {
+                let ended = self.round_ended.notified();
+                if self.evidence.lock().has_ended(round) {
+                    return;
+                }
+                ended.await;
+            }
+        };
+        // Without a round, what is known from before has to do.
+        let _ = tokio::time::timeout(MAX_ROUND_WAIT, waiting).await;
     }
 
     /// Waits until connections that were awaited begin to fail.
@@ -173,6 +197,7 @@
         let cut_since = evidence.cut_off_since();
         evidence.finish_round(round, result, now);
         drop(evidence);
+        self.reach.round_ended.notify_waiters();
         let Some(former) = self.reach.publish(now) else {
             return;
         };
--- a/crates/gateway/src/reservation_guard.rs
+++ b/crates/gateway/src/reservation_guard.rs
@@ -160,7 +160,9 @@
                 self.gateway.reach.record_failure();
                 self.record_loss(&reservation.target, answered_for);
             }
-            TargetOutcome::Unreachable => self.gateway.reach.record_failure(),
+            TargetOutcome::Unreachable => {
+                self.gateway.reach.record_failure();
+            }
             TargetOutcome::Answered => self.record_answer_of_request(now),
             _ => {}
         }
--- a/tests/testsuite/reachability.rs
+++ b/tests/testsuite/reachability.rs
@@ -153,6 +153,20 @@
     assert_eq!(reach.reach(ms(1450)), TargetReach::Reached);
 }
 
+/// Failure: a crash check took what a round showed that had begun before the loss.
+#[test]
+fn a_failure_is_explained_by_a_round_that_begins_after_it() {
+    let mut reach = busy();
+    reach.record_failure();
+    let running = reach.begin_round(ms(1000)).expect("a round is due");
+    let next = reach.record_failure();
+    reach.finish_round(running, RoundResult::Reached, ms(1100));
+    assert!(!reach.has_ended(next));
+    let round = reach.begin_round(ms(1400)).expect("a round is due");
+    reach.finish_round(round, RoundResult::Failed(4), ms(1850));
+    assert!(reach.has_ended(next));
+}
+
 /// Guards against a region without targets whose instance is taken for cut off.
 #[test]
 fn a_round_without_targets_says_nothing() {
