--- a/crates/decisions/src/reachability.rs
+++ b/crates/decisions/src/reachability.rs
@@ -171,7 +171,7 @@
 
     /// Tells whether so many targets are out of reach that a refused connection
     /// to one of them says nothing about its process.
-    pub fn explains_refusals(&self) -> bool {
+    pub fn explains_refused_connections(&self) -> bool {
         self.unreached >= MANY_TARGETS
     }
 
--- a/crates/decisions/src/traffic/guarded_room.rs
+++ b/crates/decisions/src/traffic/guarded_room.rs
@@ -69,7 +69,7 @@
     reduced: Option<(f64, Duration)>,
     closed_until: Duration,
     /// Rejections of first requests after a time without any.
-    failed_probes: u32,
+    rejected_reopenings: u32,
     unconfirmed: VecDeque<Duration>,
     /// Slots of other instances that this one may use, and when they became so
     /// many.
@@ -86,7 +86,7 @@
         Self {
             reduced: None,
             closed_until: Duration::ZERO,
-            failed_probes: 0,
+            rejected_reopenings: 0,
             unconfirmed: VecDeque::new(),
             borrowed: (0, Duration::ZERO),
             others: None,
@@ -234,10 +234,10 @@
         let is_first = now >= self.closed_until;
         let room = self.room(slots, now).min(known).saturating_sub(1);
         self.reduced = Some((f64::from(room), now));
-        let doublings = self.failed_probes.min(MAX_DOUBLINGS);
+        let doublings = self.rejected_reopenings.min(MAX_DOUBLINGS);
         self.closed_until = now + CLOSED_TIME * (1 << doublings);
         if is_first {
-            self.failed_probes += 1;
+            self.rejected_reopenings += 1;
         }
     }
 }
@@ -301,7 +301,7 @@
                 room.record_rejection(reservation.known_running, reservation.slots, now);
             }
             TargetOutcome::Answered | TargetOutcome::Failed => {
-                room.failed_probes = 0;
+                room.rejected_reopenings = 0;
                 room.confirm(reservation.reserved_at);
             }
             TargetOutcome::Misdirected | TargetOutcome::Unreachable => {
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -114,7 +114,7 @@
         };
         let checked = self.stop.run_until_cancelled(connecting).await;
         // A cut looks the same from here, also as a refused connection.
-        let has_crashed = checked.unwrap_or(false) && !self.reach.explains_refusals();
+        let has_crashed = checked.unwrap_or(false) && !self.reach.explains_refused_connections();
         let losses = check.take().unwrap_or_default();
         self.metrics.count_crash_check(has_crashed);
         self.log_crash_check(target, has_crashed, &losses);
--- a/crates/gateway/src/members/topology.rs
+++ b/crates/gateway/src/members/topology.rs
@@ -39,13 +39,13 @@
                 region.ready.push(member.record.instance.clone());
             }
         }
-        let stand_ins = match is_cut_off {
+        let substitutes = match is_cut_off {
             true => table.list_reaching_in(&own.region, now),
             false => Vec::new(),
         };
         drop(table);
         let mut topology = Topology::new(&own.instance, &own.region, regions);
-        topology.link_stand_ins(&own.instance, &stand_ins);
+        topology.link_substitutes(&own.instance, &substitutes);
         topology
     }
 
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -144,7 +144,7 @@
         let now = self.clock.now();
         self.check_shutdown(&req, cx, Duration::ZERO, now)?;
         self.check_crashes(&req, cx, now)?;
-        let req = match self.place_at_stand_in(req, cx, now) {
+        let req = match self.place_at_substitute(req, cx, now) {
             Ok(placed) => return Ok(placed),
             Err(req) => *req,
         };
@@ -331,7 +331,7 @@
             return self.has_other_timely_local_target(req, cx);
         }
         let now = self.clock.now();
-        if self.has_stand_in(req, cx, now) {
+        if self.has_substitute(req, cx, now) {
             return true;
         }
         let deadline = req.meta().deadline;
--- a/crates/gateway/src/place/cut_off.rs
+++ b/crates/gateway/src/place/cut_off.rs
@@ -26,7 +26,7 @@
 
 /// Number of instances of the region that are asked to run a request. All know
 /// the same targets, so one that is refused twice finds no room in the region.
-const MAX_STAND_INS: usize = 2;
+const MAX_SUBSTITUTES: usize = 2;
 
 impl<D> Gateway<D>
 where
@@ -39,13 +39,13 @@
     ///
     /// Returns the request if this instance reaches targets, or if no other one
     /// can be asked.
-    pub(super) fn place_at_stand_in(
+    pub(super) fn place_at_substitute(
         &self,
         req: Request<Admitted, Direct>,
         cx: &PlacementContext,
         now: Duration,
     ) -> Result<Destination<D>, Box<Request<Admitted, Direct>>> {
-        if !self.may_have_stand_in(&req, cx) {
+        if !self.may_have_substitute(&req, cx) {
             return Err(Box::new(req));
         }
         let region = self.settings.region.clone();
@@ -106,7 +106,7 @@
     }
 
     /// Tells whether another instance of the region could run a request.
-    pub(super) fn has_stand_in<S, O>(
+    pub(super) fn has_substitute<S, O>(
         &self,
         req: &Request<S, O>,
         cx: &PlacementContext,
@@ -115,7 +115,7 @@
     where
         S: HasGrant,
     {
-        self.may_have_stand_in(req, cx)
+        self.may_have_substitute(req, cx)
             && self
                 .choose_instance(&self.settings.region, req, now)
                 .is_some()
@@ -123,8 +123,8 @@
 
     /// Tells whether an instance of the region would run a request that this one
     /// can't. Those of a pool without targets in the region go to another one.
-    fn may_have_stand_in<S, O>(&self, req: &Request<S, O>, cx: &PlacementContext) -> bool {
-        self.reach.is_cut_off() && req.asked_siblings().len() < MAX_STAND_INS && {
+    fn may_have_substitute<S, O>(&self, req: &Request<S, O>, cx: &PlacementContext) -> bool {
+        self.reach.is_cut_off() && req.asked_siblings().len() < MAX_SUBSTITUTES && {
             let regions = self.tables.fleet.lock().usable_regions(&cx.pool.name);
             regions.contains(&self.settings.region)
         }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -70,8 +70,8 @@
 
     /// Tells whether so many targets are out of reach that a refused connection
     /// says nothing about the target.
-    pub(crate) fn explains_refusals(&self) -> bool {
-        self.evidence.lock().explains_refusals()
+    pub(crate) fn explains_refused_connections(&self) -> bool {
+        self.evidence.lock().explains_refused_connections()
     }
 
     /// Records that a request was sent to a target.
@@ -95,7 +95,9 @@
         self.has_failed.notify_one();
     }
 
-    /// Waits until connections that were awaited begin to fail.
+    /// Waits until the published reach changes to one that is cut off. One that
+    /// holds already is passed over: connections that are tried then show when the
+    /// first target is back.
     pub(crate) async fn until_cut_off(&self) {
         let mut current = self.current.subscribe();
         current.mark_unchanged();
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -3,9 +3,9 @@
 //! began it.
 
 mod lookup;
+mod lookup_log;
 mod mark_reads;
 mod marks;
-mod word;
 
 pub(crate) use lookup::MAX_ASKS;
 pub use mark_reads::MarksRead;
@@ -61,6 +61,8 @@
     pub(crate) began: BeganStreams,
     pub(crate) software: SoftwareHistory,
     /// When all marks in the store were last read, on the local monotonic clock.
+    /// It is for the log only: what a read shows of a stream depends on when the
+    /// read began, which [`SharedMarkReads`] has.
     pub(crate) marks_read_at: Option<Duration>,
     /// Latest era of the store in which all marks were read for lookups.
     pub(crate) marks_era: u64,
--- a/crates/gateway/src/streams/lookup.rs
+++ b/crates/gateway/src/streams/lookup.rs
@@ -10,6 +10,7 @@
 use chiverelay_decisions::streams::History;
 use chiverelay_decisions::streams::LOOKUP_TIMEOUT;
 use chiverelay_decisions::streams::StreamKnowledge;
+use chiverelay_decisions::streams::StreamRecord;
 use chiverelay_sibling::AskStream;
 use chiverelay_sibling::Identity;
 use chiverelay_sibling::Link;
@@ -20,8 +21,8 @@
 use tokio::time::Instant;
 
 use super::CallerStream;
-use super::word::Lookup;
-use super::word::Word;
+use super::lookup_log::BindingSource;
+use super::lookup_log::StreamLookup;
 use crate::Dialect;
 use crate::Gateway;
 
@@ -102,6 +103,7 @@
         let left = meta.deadline.saturating_sub(now);
         let mut state = LookupState {
             arrived_at: meta.received,
+            // Some of the time is left for the request itself.
             until: started + LOOKUP_TIMEOUT.min(left * 3 / 4),
             knowledge: self.own_knowledge(&ask, meta.received),
             answers: 0,
@@ -117,18 +119,10 @@
             self.ask_for_knowledge(&mut state).await;
         }
         let found = self.choose_stream_software(&state);
-        let is_own_read = self.has_read_marks_since(state.arrived_at);
-        let word = match (&found, own) {
-            (StreamSoftware::Known(_), Some(record)) => Word::Own(record),
-            (StreamSoftware::Known(_), None) => Word::Asked,
-            (StreamSoftware::Only(_), _) if is_own_read => Word::Store,
-            (StreamSoftware::Only(_), _) => Word::Others,
-            (StreamSoftware::NoTarget | StreamSoftware::Refused(_), _) => Word::None,
-        };
-        let lookup = Lookup {
+        let lookup = StreamLookup {
             knowledge: &state.knowledge,
             answers: state.answers,
-            word,
+            source: self.binding_source(&found, own, state.arrived_at),
             is_usable: !matches!(found, StreamSoftware::Refused(_)),
             took: started.elapsed(),
         };
@@ -136,6 +130,24 @@
         found
     }
 
+    /// Tells by what a lookup found the software. `own` is what this instance had
+    /// on record of the stream before it asked others.
+    fn binding_source(
+        &self,
+        found: &StreamSoftware,
+        own: Option<StreamRecord>,
+        arrived_at: Duration,
+    ) -> BindingSource {
+        let is_own_read = self.has_read_marks_since(arrived_at);
+        match (found, own) {
+            (StreamSoftware::Known(_), Some(record)) => BindingSource::Own(record),
+            (StreamSoftware::Known(_), None) => BindingSource::Asked,
+            (StreamSoftware::Only(_), _) if is_own_read => BindingSource::Store,
+            (StreamSoftware::Only(_), _) => BindingSource::Others,
+            (StreamSoftware::NoTarget | StreamSoftware::Refused(_), _) => BindingSource::None,
+        }
+    }
+
     /// Asks others for the stream, and the store for the software of its pool,
     /// until it is known what may continue the stream.
     async fn ask_for_knowledge(self: &Arc<Self>, state: &mut LookupState) {
--- a/crates/gateway/src/streams/word.rs
+++ b/crates/gateway/src/streams/lookup_log.rs
@@ -1,5 +1,4 @@
-//! By whose word a stream that a caller resumes is bound to its software, for
-//! the log.
+//! Logs how the software that may continue a stream was found.
 
 use std::time::Duration;
 
@@ -12,9 +11,9 @@
 use crate::Dialect;
 use crate::Gateway;
 
-/// By whose word a stream is bound.
+/// Where it is known from what may continue a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Word {
+pub(super) enum BindingSource {
     /// The table of this instance.
     Own(StreamRecord),
     /// Another instance that was asked.
@@ -27,7 +26,7 @@
     None,
 }
 
-impl Word {
+impl BindingSource {
     fn as_str(self) -> &'static str {
         match self {
             Self::Own(record) => match record.source {
@@ -45,11 +44,11 @@
 
 /// What came of the lookup of a stream.
 #[derive(Debug)]
-pub(super) struct Lookup<'a> {
+pub(super) struct StreamLookup<'a> {
     pub(super) knowledge: &'a StreamKnowledge,
     /// Number of other instances that answered.
     pub(super) answers: usize,
-    pub(super) word: Word,
+    pub(super) source: BindingSource,
     pub(super) is_usable: bool,
     pub(super) took: Duration,
 }
@@ -60,15 +59,15 @@
 {
     /// Logs what a stream was bound by, and how far this instance was in step
     /// with the store.
-    pub(super) fn log_lookup(&self, key: &StreamKey, id: &RequestId, lookup: &Lookup<'_>) {
+    pub(super) fn log_lookup(&self, key: &StreamKey, id: &RequestId, lookup: &StreamLookup<'_>) {
         let now = self.clock.now();
         let millis = |age: Duration| age.as_millis() as u64;
         let marks_read_at = self.tables.streams.lock().marks_read_at;
         let marks_age = now.saturating_sub(marks_read_at.unwrap_or_default());
-        let word_age = match lookup.word {
-            Word::Own(record) => now.saturating_sub(record.recorded_at),
-            Word::Store => marks_age,
-            Word::Asked | Word::Others | Word::None => Duration::ZERO,
+        let source_age = match lookup.source {
+            BindingSource::Own(record) => now.saturating_sub(record.recorded_at),
+            BindingSource::Store => marks_age,
+            BindingSource::Asked | BindingSource::Others | BindingSource::None => Duration::ZERO,
         };
         let began_by = lookup.knowledge.began_by.as_ref();
         log::info!(
@@ -79,8 +78,8 @@
             possible = lookup.knowledge.possible_versions.len(),
             answers = lookup.answers,
             usable = lookup.is_usable,
-            word = lookup.word.as_str(),
-            word_age_ms = millis(word_age),
+            word = lookup.source.as_str(),
+            word_age_ms = millis(source_age),
             store_age_ms = millis(self.tables.store_age(now)),
             behind_ms = millis(self.store_lag.read_behind_for(now)),
             marks_age_ms = millis(marks_age),
--- a/crates/gateway/src/topology.rs
+++ b/crates/gateway/src/topology.rs
@@ -52,7 +52,7 @@
 
     /// Adds links to a few of the instances that can run the requests of `own`,
     /// which reaches no target.
-    pub(crate) fn link_stand_ins(&mut self, own: &Instance, reaching: &[Instance]) {
+    pub(crate) fn link_substitutes(&mut self, own: &Instance, reaching: &[Instance]) {
         self.linked
             .extend(topology::choose_forward_peers(own, reaching));
     }
--- a/tests/testsuite/reachability.rs
+++ b/tests/testsuite/reachability.rs
@@ -168,7 +168,7 @@
     let mut reach = busy();
     reach.record_failure();
     run_round(&mut reach, RoundResult::Failed(unreached), ms(1000));
-    assert_eq!(reach.explains_refusals(), is_explained);
+    assert_eq!(reach.explains_refused_connections(), is_explained);
 }
 
 cases! {
