--- a/crates/decisions/src/streams/knowledge.rs
+++ b/crates/decisions/src/streams/knowledge.rs
@@ -3,8 +3,8 @@
 //! That nothing was heard of other software doesn't show that there is none: an
 //! instance may have missed it. Software is marked in the store before streams
 //! begin at it, so a complete read of the marks that began after the request
-//! arrived has all of it. A read that began earlier, or any other answer of the
-//! store, shows nothing.
+//! arrived has all of it, unless the store came back from an older copy. A read
+//! that began earlier, or any other answer of the store, shows nothing.
 
 use std::time::Duration;
 
--- a/crates/decisions/src/traffic/guarded_room.rs
+++ b/crates/decisions/src/traffic/guarded_room.rs
@@ -1,6 +1,6 @@
 //! The room that an instance may use at targets that survive few rejections.
 //!
-//! Without messages between the instances it is certain that a target rejects
+//! Without messages between the instances a target that rejects at once rejects
 //! no more in a second than it survives: as many instances as the limit allows
 //! rejections, or all of them if they are fewer, divide the target's slots, and
 //! each has at most its part of the limit in requests that the target may yet
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -121,13 +121,13 @@
     pub(crate) shutdown: Shutdown,
     pub(crate) stop: CancellationToken,
     pub(crate) open_requests: TaskTracker,
-    listings: ReceivedListings,
+    pub(crate) listings: ReceivedListings,
 }
 
 /// Which complete listings of the store have been received since the start.
 #[derive(Debug, Default)]
-struct ReceivedListings {
-    targets: AtomicBool,
+pub(crate) struct ReceivedListings {
+    pub(crate) targets: AtomicBool,
     members: AtomicBool,
 }
 
@@ -436,11 +436,6 @@
         }
     }
 
-    /// Tells whether the records of all targets were read once.
-    pub(crate) fn has_read_targets(&self) -> bool {
-        self.listings.targets.load(Ordering::Relaxed)
-    }
-
     /// Makes this instance ready once a catalog and the first listings of
     /// targets and instances have arrived, and it is a hub or has heard of the
     /// others through one.
--- a/crates/gateway/src/streams/marks.rs
+++ b/crates/gateway/src/streams/marks.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chiverelay_decisions::names::Pool;
@@ -48,7 +49,7 @@
     }
 
     fn next_mark_step(&self, now: Duration) -> MarkStep {
-        if !self.has_read_targets() {
+        if !self.listings.targets.load(Ordering::Relaxed) {
             return MarkStep::Wait;
         }
         let Some(current) = self.tables.current_catalog() else {
