Ask other hubs once the first ones give no answer

Callers saw: an instance whose hubs were lost at once went on to name them, and all others that were lost with them, for as long as the store was down.

Cause: the silence of an instance counts only up to when hubs last told of all (informed_at). With both linked hubs gone nothing moves that time, so the two stayed the first of the order, and no other hub was ever linked.

Ruled out: reports repeated by a second hub. Hubs tell each other of their own reporters only, with ages, so none is passed on in turn.

Change: a report without an answer, or a hub that can't be dialed, counts against that hub until it is heard again, by itself or through another. Hubs that do answer come before it and are linked besides.

--- a/crates/gateway/src/members/topology.rs
+++ b/crates/gateway/src/members/topology.rs
@@ -2,6 +2,7 @@
 //! each other through hubs.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use chiverelay_decisions::audience::Audience;
@@ -20,8 +21,18 @@
 
 impl Members {
     /// Determines which instances this one exchanges messages with.
-    /// `is_cut_off` tells whether it reaches no target of its region.
-    pub(crate) fn topology(&self, is_cut_off: bool, now: Duration) -> Topology {
+    /// `is_cut_off` tells whether it reaches no target of its region, `failed_at`
+    /// when hubs gave it no answer.
+    ///
+    /// What others tell of a hub counts up to when this instance was last informed.
+    /// That doesn't show the end of those that informed it, so a hub's failure
+    /// counts until it is heard again.
+    pub(crate) fn topology(
+        &self,
+        is_cut_off: bool,
+        failed_at: HashMap<Instance, Duration>,
+        now: Duration,
+    ) -> Topology {
         let own = self.own.borrow().clone();
         let table = self.table.lock();
         let mut regions: HashMap<Region, RegionMembers> = HashMap::new();
@@ -43,8 +54,14 @@
             true => table.list_reaching_in(&own.region, now),
             false => Vec::new(),
         };
+        let is_unheard = |(hub, at): (Instance, Duration)| {
+            let member = table.members.get(&hub);
+            let is_heard = member.is_some_and(|member| member.last_seen() > at);
+            (!is_heard).then_some(hub)
+        };
+        let failed: HashSet<Instance> = failed_at.into_iter().filter_map(is_unheard).collect();
         drop(table);
-        let mut topology = Topology::new(&own.instance, &own.region, regions);
+        let mut topology = Topology::new(&own.instance, &own.region, regions, &failed);
         topology.link_substitutes(&own.instance, &substitutes);
         topology
     }
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -26,19 +26,48 @@
 /// Age up to which the loss of a request is passed on at once, in milliseconds.
 const NEWS_AGE_MS: u32 = 1_000;
 
+/// When a hub gave no answer, on the local monotonic clock.
+#[derive(Clone, Copy, Debug)]
+struct HubFailure {
+    at: Duration,
+    ask_again_at: Duration,
+}
+
 /// The hub that this instance reports to, and those that failed.
 #[derive(Debug, Default)]
 pub(crate) struct Upstream {
     hub: Option<Instance>,
-    /// Hubs that gave no answer lately, and when each is asked again.
-    failed: HashMap<Instance, Duration>,
+    /// The last failure of each hub that gave no answer.
+    failed: HashMap<Instance, HubFailure>,
     /// Up to where the hub was told the uses of prompt parts.
     reported_uses: PartUseCursor,
 }
 
 impl Upstream {
     fn may_ask(&self, hub: &Instance, now: Duration) -> bool {
-        self.failed.get(hub).is_none_or(|until| *until <= now)
+        let failure = self.failed.get(hub);
+        failure.is_none_or(|failure| failure.ask_again_at <= now)
+    }
+
+    fn record_failure(&mut self, hub: &Instance, now: Duration) {
+        let failure = HubFailure {
+            at: now,
+            ask_again_at: now + FAILED_HUB_PAUSE,
+        };
+        self.failed.insert(hub.clone(), failure);
+    }
+
+    /// Returns when each hub that gave no answer failed last.
+    pub(crate) fn failed_at(&self) -> HashMap<Instance, Duration> {
+        let failed = self.failed.iter();
+        failed
+            .map(|(hub, failure)| (hub.clone(), failure.at))
+            .collect()
+    }
+
+    /// Forgets the failures of all others than `hubs`.
+    pub(crate) fn retain_failures(&mut self, hubs: &[Instance]) {
+        self.failed.retain(|hub, _| hubs.contains(hub));
     }
 }
 
@@ -55,13 +84,11 @@
         hubs.iter().filter_map(|hub| self.links.get(hub)).collect()
     }
 
-    /// Leaves out a hub that gave no answer for a while.
+    /// Leaves out a hub that gave no answer for a while. Until it is heard again,
+    /// those that do answer come before it.
     pub(crate) fn record_hub_failure(&self, hub: &Instance) {
         let now = self.clock.now();
-        let mut upstream = self.upstream.lock();
-        upstream.failed.retain(|_, until| *until > now);
-        upstream.failed.insert(hub.clone(), now + FAILED_HUB_PAUSE);
-        drop(upstream);
+        self.upstream.lock().record_failure(hub, now);
         self.status_due.notify_one();
     }
 
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -21,6 +21,7 @@
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::MemberRecord;
 use crate::MemberState;
 use crate::topology::Topology;
 
@@ -126,12 +127,15 @@
     /// when this one becomes a hub or stops to be one, as it comes other ways
     /// from then on.
     fn update_topology(&self, now: Duration) -> Arc<Topology> {
-        let mut new = self.members.topology(self.reach.is_cut_off(), now);
+        let failed_at = self.upstream.lock().failed_at();
+        let is_cut_off = self.reach.is_cut_off();
+        let mut new = self.members.topology(is_cut_off, failed_at, now);
         let old = Arc::clone(&self.topology.lock());
         if old.is_hub && !new.is_hub && !self.is_linked_to_any(&new.upstream) {
             // Until another hub can charge accounts for it.
             new.remain_hub(&old);
         }
+        self.upstream.lock().retain_failures(&new.upstream);
         let new = Arc::new(new);
         *self.topology.lock() = Arc::clone(&new);
         if old.is_hub != new.is_hub {
@@ -156,7 +160,15 @@
         let linked = self.members.list_records(&topology.linked);
         for record in self.links.mark_due_for_dialing(linked, now) {
             let gateway = Arc::clone(self);
-            tokio::spawn(async move { gateway.links.dial(&record, now).await });
+            tokio::spawn(async move { gateway.dial(&record, now).await });
+        }
+    }
+
+    async fn dial(&self, record: &MemberRecord, now: Duration) {
+        let is_up = self.links.dial(record, now).await;
+        let hub = &record.instance;
+        if !is_up && self.topology.lock().upstream.contains(hub) {
+            self.record_hub_failure(hub);
         }
     }
 
--- a/crates/gateway/src/topology.rs
+++ b/crates/gateway/src/topology.rs
@@ -57,11 +57,13 @@
             .extend(topology::choose_forward_peers(own, reaching));
     }
 
-    /// Determines the place of `own`, an instance of the region `own_region`.
+    /// Determines the place of `own`, an instance of the region `own_region`. The
+    /// hubs in `failed` gave it no answer and were not heard since.
     pub(crate) fn new(
         own: &Instance,
         own_region: &Region,
         regions: HashMap<Region, RegionMembers>,
+        failed: &HashSet<Instance>,
     ) -> Self {
         let hub_counts = regions
             .values()
@@ -89,10 +91,20 @@
             let is_ready = |name: &Instance| regions[own_region].ready.contains(name);
             let ranked = topology::rank_hubs(own, &in_region);
             let (ready, silent): (Vec<_>, Vec<_>) = ranked.into_iter().partition(is_ready);
-            this.upstream = [ready, silent].concat();
-            let linked = this.upstream.iter().take(LINKED_HUBS);
-            this.linked.extend(linked.cloned());
+            this.set_upstream([ready, silent].concat(), failed);
         }
         this
     }
+
+    /// Sets the hubs of this region, `ranked` by how well they are placed to take
+    /// reports. While some of the first ones fail, others are linked besides.
+    fn set_upstream(&mut self, ranked: Vec<Instance>, failed: &HashSet<Instance>) {
+        let linked = ranked.iter().take(LINKED_HUBS);
+        self.linked.extend(linked.cloned());
+        let is_failed = |hub: &Instance| failed.contains(hub);
+        let (failing, answering): (Vec<_>, Vec<_>) = ranked.into_iter().partition(is_failed);
+        let in_reserve = answering.iter().take(LINKED_HUBS);
+        self.linked.extend(in_reserve.cloned());
+        self.upstream = [answering, failing].concat();
+    }
 }
--- a/tests/testsuite/node/hubs.rs
+++ b/tests/testsuite/node/hubs.rs
@@ -1,5 +1,7 @@
 //! Regions of so many instances that they hear of each other through hubs.
 
+mod lost_at_once;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
