Let the store's stand-in check conditions and execute writes late

Cause: the stand-in ignored expected_revision and delete, and answered each write at once, so no test could show what a late or conditional write does.

Change: conditions are checked (412 with the keys as they are), keys are deleted, and execute_late has the next write of a key executed later, without a response.

--- a/tests/support/node/store.rs
+++ b/tests/support/node/store.rs
@@ -19,6 +19,7 @@
 pub use state::StoreCopy;
 
 use answers::answer;
+use state::LateWrite;
 use state::Loss;
 use state::State;
 use state::end_leases;
@@ -133,6 +134,14 @@
         state.losing.push(Loss::Page(prefix.to_owned()));
     }
 
+    /// Executes the next write of a key late, by this time, if its conditions hold
+    /// then. It gets no response.
+    pub fn execute_late(&self, key: &str, time: Duration) {
+        let mut state = self.state.lock().expect("no panic under the lock");
+        let key = key.to_owned();
+        state.late_writes.push(LateWrite { key, time });
+    }
+
     /// Sends each response of a path that begins so later, by this time.
     pub fn delay_responses(&self, path: &'static str, time: Duration) {
         let mut state = self.state.lock().expect("no panic under the lock");
--- a/tests/support/node/store/answers.rs
+++ b/tests/support/node/store/answers.rs
@@ -26,6 +26,7 @@
 use super::state::Stored;
 use super::state::end_lease;
 use super::state::put;
+use super::state::remove;
 use super::state::tell;
 
 /// Header with the number of times that the data was replaced by an older copy.
@@ -172,32 +173,76 @@
 }
 
 async fn change(
-    state: &Mutex<State>,
-    changed: &watch::Sender<u64>,
+    state: &Arc<Mutex<State>>,
+    changed: &Arc<watch::Sender<u64>>,
     req: Request<Incoming>,
 ) -> Response<http::Body> {
     let body: Value = match http::read_json(req, MAX_BODY).await {
         Ok(body) => body,
         Err(resp) => return *resp,
     };
+    let late = {
+        let mut state = state.lock().expect("no panic under the lock");
+        take_late_write(&mut state, &body)
+    };
+    if let Some(time) = late {
+        let (state, changed) = (Arc::clone(state), Arc::clone(changed));
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            change_now(&state, &changed, &body);
+        });
+        return std::future::pending().await;
+    }
+    change_now(state, changed, &body)
+}
+
+/// Takes the order to execute a write late, if there is one for it.
+fn take_late_write(state: &mut State, body: &Value) -> Option<Duration> {
+    let is_put = |key: &str| rows(body, "puts").any(|put| put["key"] == key);
+    let at = state
+        .late_writes
+        .iter()
+        .position(|late| is_put(&late.key))?;
+    Some(state.late_writes.remove(at).time)
+}
+
+fn rows<'a>(body: &'a Value, field: &str) -> impl Iterator<Item = &'a Value> {
+    body[field].as_array().into_iter().flatten()
+}
+
+fn change_now(
+    state: &Mutex<State>,
+    changed: &watch::Sender<u64>,
+    body: &Value,
+) -> Response<http::Body> {
     let mut state = state.lock().expect("no panic under the lock");
-    let none = Vec::new();
-    for entry in body["puts"].as_array().unwrap_or(&none) {
-        let lease = entry["lease"].as_u64().unwrap_or_default();
-        if lease != 0 && !state.data.leases.contains_key(&lease) {
-            return http::empty_response(StatusCode::NOT_FOUND);
-        }
+    let lease = |put: &Value| put["lease"].as_u64().unwrap_or_default();
+    let is_ended = |id: u64| id != 0 && !state.data.leases.contains_key(&id);
+    if rows(body, "puts").any(|put| is_ended(lease(put))) {
+        return http::empty_response(StatusCode::NOT_FOUND);
+    }
+    let keys = rows(body, "expected_revision").filter_map(|row| row["key"].as_str());
+    let found = |key: &str| state.data.items.get(key);
+    let is_met = |row: &Value| {
+        let stored = row["key"].as_str().and_then(found);
+        row["revision"] == stored.map_or(0, |stored| stored.revision)
+    };
+    if !rows(body, "expected_revision").all(is_met) {
+        let stored = keys.filter_map(|key| Some(item(key, found(key)?)));
+        let items: Vec<Value> = stored.collect();
+        return http::json_response(
+            StatusCode::PRECONDITION_FAILED,
+            &json!({"items": items, "store_revision": state.data.revision}),
+        );
     }
-    for entry in body["puts"].as_array().unwrap_or(&none) {
+    for entry in rows(body, "puts") {
         let key = entry["key"].as_str().unwrap_or_default();
         let value = entry["value"].as_str().unwrap_or_default();
         let value = BASE64_STANDARD.decode(value).unwrap_or_default();
-        put(
-            &mut state,
-            key,
-            value,
-            entry["lease"].as_u64().unwrap_or_default(),
-        );
+        put(&mut state, key, value, lease(entry));
+    }
+    for key in rows(body, "delete").filter_map(Value::as_str) {
+        remove(&mut state, key);
     }
     tell(&state, changed);
     http::json_response(StatusCode::OK, &json!({"revision": state.data.revision}))
--- a/tests/support/node/store/state.rs
+++ b/tests/support/node/store/state.rs
@@ -52,6 +52,13 @@
     Page(String),
 }
 
+/// A write that is executed late and gets no response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct LateWrite {
+    pub(super) key: String,
+    pub(super) time: Duration,
+}
+
 #[derive(Debug, Default)]
 pub(super) struct State {
     pub(super) data: StoreCopy,
@@ -61,6 +68,8 @@
     pub(super) mute: bool,
     /// Responses that are to be lost.
     pub(super) losing: Vec<Loss>,
+    /// Writes that are to be executed late.
+    pub(super) late_writes: Vec<LateWrite>,
     /// Time by which responses of paths that begin so come later.
     pub(super) delay: Option<(&'static str, Duration)>,
     /// Items that each page and each watch that told changes have besides.
