Take only the first reading of a process's record for a sign of life

Callers saw: an instance that had ended was named for 3 s more each time the store executed a write of it late, also in a later era.

A record at another revision counted as a write of its process at the moment of the reading. But a write may be executed seconds after it was sent, and an older copy of the store gives revisions anew.

Change: the record of a process that is known already leaves the time of its last sign of life as it was, whatever its revision. Running instances send statuses, which are heard directly or through hubs, several times within those 3 s.

Result: node::late_writes::by_its_late_writes and by_its_late_writes_after_a_restore failed before (named 5.1 s after the end), and pass, as do node::cut_watches, restored, named_instances and first_listings.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -178,7 +178,7 @@
         if record.state == MemberState::Leaving {
             table.last_stops.insert(record.region.clone(), now);
         }
-        let record_received_at = table.last_sign_of_life(&record, revision, now);
+        let record_received_at = table.last_sign_of_life(&record, now);
         let old = table.members.remove(&record.instance);
         let member = Member {
             revision,
--- a/crates/gateway/src/members/table.rs
+++ b/crates/gateway/src/members/table.rs
@@ -114,24 +114,16 @@
     /// Returns when the process of a record was last known to run, apart from
     /// its status messages. `now` is when the record was read.
     ///
-    /// A record that is read again, as by a listing after a cut watch or from an
-    /// older copy of the store, is no sign of life: only a write of its process is.
-    pub(super) fn last_sign_of_life(
-        &self,
-        record: &MemberRecord,
-        revision: StoreRevision,
-        now: Duration,
-    ) -> Duration {
+    /// Only the first reading of a process's record is a sign of life. A listing,
+    /// an older copy of the store or a late write may repeat it after the process
+    /// has ended.
+    pub(super) fn last_sign_of_life(&self, record: &MemberRecord, now: Duration) -> Duration {
         if self.removed.get(&record.instance) == Some(&record.incarnation) {
             return Duration::ZERO;
         }
         let known = self.members.get(&record.instance);
-        let was_read = |known: &&Member| {
-            known.record.incarnation == record.incarnation
-                && (known.revision.era < revision.era || known.revision == revision)
-        };
         known
-            .filter(was_read)
+            .filter(|known| known.record.incarnation == record.incarnation)
             .map_or(now, |known| known.record_received_at)
     }
 
