--- a/crates/http/src/endpoint.rs
+++ b/crates/http/src/endpoint.rs
@@ -23,6 +23,10 @@
 /// doesn't read.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
+/// Largest number of header fields of a request: one for each 32 bytes of a head,
+/// as HTTP/2 counts them.
+const MAX_FIELDS: usize = MAX_HEAD_BYTES / 32;
+
 /// Accepts connections and responds to their requests with `handler` until
 /// `cancel` is cancelled, which also drops open connections.
 ///
@@ -84,6 +88,7 @@
         // Slow clients are closed once others need their place.
         .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_FIELDS)
         .serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         result = conn => {
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -15,6 +15,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+/// Largest number of header fields of an answer.
+const MAX_FIELDS: usize = 1024;
+
 /// Time in which an answer must end.
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -74,7 +77,9 @@
     let stream = TcpStream::connect(address)
         .await
         .map_err(|e| e.to_string())?;
-    let (mut sender, conn) = http1::handshake(TokioIo::new(stream))
+    let (mut sender, conn) = http1::Builder::new()
+        .max_headers(MAX_FIELDS)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|e| e.to_string())?;
     let conn = tokio::spawn(conn);
--- a/tests/testsuite/node/many_fields.rs
+++ b/tests/testsuite/node/many_fields.rs
@@ -11,6 +11,7 @@
 use support::node::call::Call;
 use support::node::site::KEY;
 use support::node::site::until;
+use support::raw;
 
 /// Pause between the pieces of what a caller sends.
 const PIECE_PAUSE: Duration = Duration::from_millis(5);
@@ -18,6 +19,9 @@
 /// Size of a piece that holds all that a caller sends.
 const WHOLE: usize = usize::MAX >> 1;
 
+/// Fields of a target's answer.
+const ANSWER_FIELDS: usize = 300;
+
 /// Returns a request with so many further fields, each of 18 bytes.
 fn call(id: &str, path: &str, fields: usize) -> Call {
     let named = (0..fields).map(|n| format!("x-trace-{n:03}"));
@@ -110,3 +114,50 @@
     many_then_few_then_more(&[300, 3, 500, 700], 2000);
     in_small_pieces(&[300, 3, 150], 100);
 }
+
+/// Failure: an answer with more than 100 fields counted as no answer, and a request
+/// that may run once got 502 though its target had answered.
+fn an_answer_of_many_fields_is_passed_on(zone: &'static str) {
+    block_on(async {
+        let site = Site::start().await;
+        let answer = |path: &str| {
+            let id = path.rsplit('/').next().unwrap_or_default();
+            let fields: String = (0..ANSWER_FIELDS)
+                .map(|n| format!("x-{n:03}: 0\r\n"))
+                .collect();
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-stamp: s\r\n{fields}\
+                 content-length: 2\r\n\r\nok"
+            );
+            vec![(Duration::ZERO, text)]
+        };
+        let address = raw::target(answer, false).await;
+        site.register_at("i-1", address, "orders", zone);
+        let near = site.instance("near", "north-a", "north").await;
+        let _far = site.instance("far", "south-a", "south").await;
+        until("an answer is passed on", async || {
+            let got = call("r-1", "/deposit/r-1", 0).send(near.front).await;
+            got.status == StatusCode::OK && got.header("x-299") == "0"
+        })
+        .await;
+    });
+}
+
+cases! {
+    an_answer_of_many_fields_is_passed_on:
+    by_a_target_of_the_region("north-a");
+    by_a_target_of_another_region("south-a");
+}
+
+/// Failure: a look-up with more than 100 fields got 431, and its caller had to find
+/// another instance to ask.
+#[test]
+fn a_look_up_may_have_many_fields() {
+    block_on(async {
+        let site = Site::start().await;
+        let node = site.instance("one", "north-a", "north").await;
+        let path = "/v1/resolve?name=desk.example&zone=north-a&region=north";
+        let got = call("r-1", path, 300).send(node.directory).await;
+        assert_eq!(got.status, StatusCode::OK, "{got:?}");
+    });
+}
