Move the steps in which an instance stops into a module

Change: waiting for others, leaving, ending open requests and closing links stand in leave.rs, unchanged.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod handle;
 mod hedge;
 mod held_headers;
+mod leave;
 mod link_check;
 mod links;
 mod loan;
