Have the soak lose instances while the store tells late, and upgrade a fleet

Nor did builds of two versions ever run side by side.

Look-ups by instances in touch may not name who was lost over 8 s before, and at the end of every run each instance has a record that says ready. One in eight requests of all callers has 250 further fields.

--- a/tests/support/node/site.rs
+++ b/tests/support/node/site.rs
@@ -2,7 +2,9 @@
 //! own, before one store.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -52,6 +54,8 @@
     reached_at: SocketAddr,
     limits: Limits,
     variables: Vec<(&'static str, String)>,
+    /// Another build of the program, which processes are started from.
+    program: Mutex<Option<PathBuf>>,
     dir: TempDir,
 }
 
@@ -258,6 +262,7 @@
             reached_at,
             limits: Limits::default(),
             variables: Vec::new(),
+            program: Mutex::default(),
             dir: TempDir::new().expect("a folder for settings"),
         }
     }
@@ -272,6 +277,22 @@
         self.variables.push((name, value.to_owned()));
     }
 
+    /// Starts processes from another build of the program from now on, or from
+    /// today's.
+    pub fn use_program(&self, program: Option<PathBuf>) {
+        *self.program.lock().expect("no panic under the lock") = program;
+    }
+
+    fn start_node(&self, name: &str, log: &Path) -> Process {
+        let program = self
+            .program
+            .lock()
+            .expect("no panic under the lock")
+            .clone();
+        let settings = self.settings_path(name);
+        Process::start_node(program.as_deref(), &settings, log, &self.variables)
+    }
+
     /// Registers a target as it does itself.
     pub fn register(&self, target: &PlatformTarget, service: &str, zone: &str) {
         self.register_as(target, service, zone, "ready", 0);
@@ -366,8 +387,7 @@
     pub fn restart(&self, node: &mut Node) {
         node.process.kill();
         let name = node.log.file_stem().expect("the log has a name").to_owned();
-        let path = self.settings_path(&name.to_string_lossy());
-        node.process = Process::start_node(&path, &node.log, &self.variables);
+        node.process = self.start_node(&name.to_string_lossy(), &node.log);
     }
 
     /// Starts an instance that reaches the store at an address of its own.
@@ -391,7 +411,7 @@
         let log = self.dir.path().join(format!("{name}.log"));
         let at = |port| format!("{ip}:{port}").parse().expect("an address");
         Node {
-            process: Process::start_node(&self.settings_path(name), &log, &self.variables),
+            process: self.start_node(name, &log),
             ip: ip.to_owned(),
             front: at(8221),
             ready: at(8224),
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -85,10 +85,17 @@
         Self::spawn(command.args(args).env("RUST_LOG", "debug").stderr(log))
     }
 
-    /// Starts an instance on the platform, which logs into a file.
-    pub fn start_node(settings: &Path, log: &Path, variables: &[(&str, String)]) -> Self {
+    /// Starts an instance on the platform, which logs into a file, from today's
+    /// program or from another build of it.
+    pub fn start_node(
+        program: Option<&Path>,
+        settings: &Path,
+        log: &Path,
+        variables: &[(&str, String)],
+    ) -> Self {
         let log = File::create(log).expect("a file for the log");
-        let mut command = Command::new(programs().join("chiverelay-node"));
+        let todays = || programs().join("chiverelay-node");
+        let mut command = Command::new(program.map_or_else(todays, Path::to_owned));
         let child = command
             .env("CHIVERELAY_SETTINGS", settings)
             .envs(variables.iter().map(|(name, value)| (name, value)))
--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -3,10 +3,12 @@
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1000 cargo test --test testsuite soak::seeds_by_hand`
 //! plays fifty seeds from a thousand on. `SOAK_PROFILE=calm` (or `crowded`,
-//! `broken`, `stranded` or `brittle`) chooses the profile, `SOAK_INSTANCES=40` the
+//! `broken`, `stranded`, `brittle` or `upgrade`) chooses the profile, `SOAK_INSTANCES=40` the
 //! number of instances, `SOAK_CALLERS=100` that of callers and `SOAK_CROWD=4000`
 //! that of a crowd's, and `SOAK_MEMORY_MB=260` and `SOAK_DESCRIPTORS=4100` what
-//! each process is allowed. With `SOAK_KEEP_LOGS=1` the logs of runs that pass
+//! each process is allowed. In the profile `upgrade` all instances start from the
+//! program at `SOAK_OLDER_PROGRAM`, an older build, and are replaced one by one by
+//! today's. With `SOAK_KEEP_LOGS=1` the logs of runs that pass
 //! are kept too.
 
 mod arrivals;
@@ -17,6 +19,7 @@
 mod crowd;
 mod faults;
 mod homes;
+mod late;
 mod lines;
 mod order;
 mod out_of_step;
@@ -30,11 +33,13 @@
 mod streams;
 mod targets;
 mod trouble;
+mod upgrade;
 mod usage;
 mod watches;
 mod world;
 mod writing;
 
+use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -61,6 +66,9 @@
 /// Time in which an instance that is told to stop has ended.
 const GRACE: Duration = Duration::from_secs(8);
 
+/// Variable with the path of an older build of the program.
+const OLDER_PROGRAM: &str = "SOAK_OLDER_PROGRAM";
+
 /// Slack of the test's own clock.
 const SLACK: Duration = Duration::from_millis(1500);
 
@@ -109,6 +117,9 @@
     Stranded,
     /// Targets that fall over if they have to reject too much, and say so.
     Brittle,
+    /// Instances of an older build that are replaced one by one, beside changes of
+    /// the configuration and watches that are cut.
+    Upgrade,
 }
 
 /// Size of a run.
@@ -141,14 +152,14 @@
         match self {
             Self::Mixed | Self::Broken => 3,
             Self::Calm | Self::Crowded => 6,
-            Self::Stranded | Self::Brittle => 1,
+            Self::Stranded | Self::Brittle | Self::Upgrade => 1,
         }
     }
 
     /// Returns the time in which faults begin.
     fn faults(self) -> Duration {
         match self {
-            Self::Stranded | Self::Brittle => LONG_FAULTS,
+            Self::Stranded | Self::Brittle | Self::Upgrade => LONG_FAULTS,
             _ => FAULTS,
         }
     }
@@ -171,6 +182,19 @@
         self == Self::Mixed && self.has_release(seed) && self.has_overlaps(seed)
     }
 
+    /// Tells whether instances of a run are lost in ways that the store tells late
+    /// or wrongly: in a third of the runs, beside the other faults.
+    fn has_late_news(self, seed: u64) -> bool {
+        self == Self::Mixed && seed.is_multiple_of(3)
+    }
+
+    /// Returns the program that the first processes of a run are started from, if
+    /// it isn't today's.
+    fn first_program(self) -> Option<PathBuf> {
+        let older = std::env::var_os(OLDER_PROGRAM).map(PathBuf::from);
+        older.filter(|_| self == Self::Upgrade)
+    }
+
     /// Returns what each process is allowed.
     fn limits(self) -> Limits {
         match self {
@@ -252,10 +276,25 @@
         match profile {
             Profile::Stranded => stranded::run(soak, until, &mut of_profile).await,
             Profile::Brittle => brittle::run(soak, until, &mut of_profile).await,
+            Profile::Upgrade => upgrade::run(soak, &mut of_profile).await,
             _ => {}
         }
     };
-    tokio::join!(series, release, out_of_step, homes, writing, of_profile);
+    let mut late_news = StdRng::seed_from_u64(seed.rotate_left(48));
+    let late_news = async {
+        if profile.has_late_news(seed) {
+            late::run(soak, until, &mut late_news).await;
+        }
+    };
+    tokio::join!(
+        series,
+        release,
+        out_of_step,
+        homes,
+        writing,
+        of_profile,
+        late_news
+    );
     for caller in callers {
         caller.await.expect("no panic");
     }
@@ -279,6 +318,10 @@
     play_by_default(Profile::Broken, seed);
 }
 
+fn check_upgrade(seed: u64) {
+    play_by_default(Profile::Upgrade, seed);
+}
+
 fn play_by_default(profile: Profile, seed: u64) {
     play(profile, seed, Size::of(profile), profile.limits());
 }
@@ -287,6 +330,8 @@
     check_mixed:
     seed_1(1);
     seed_2(2);
+    // Instances are lost while the store tells late of it.
+    seed_3(3);
     // All instances are killed within 4 s of their start, around a release.
     seed_915973(915_973);
 }
@@ -309,6 +354,11 @@
     broken_seed_2(2);
 }
 
+cases! {
+    check_upgrade:
+    upgrade_seed_1(1);
+}
+
 /// Plays the seeds that the environment asks for. All are played before those
 /// that failed are named.
 #[test]
@@ -321,6 +371,7 @@
         Some("broken") => Profile::Broken,
         Some("stranded") => Profile::Stranded,
         Some("brittle") => Profile::Brittle,
+        Some("upgrade") => Profile::Upgrade,
         _ => Profile::Mixed,
     };
     let count = |name: &str, or: usize| number(name).map_or(or, |n| n as usize);
--- a/tests/testsuite/node/soak/callers.rs
+++ b/tests/testsuite/node/soak/callers.rs
@@ -45,6 +45,13 @@
 /// Size of a header that makes a head long, within the smallest limit.
 const LONG_HEADER_BYTES: usize = 6000;
 
+/// Further header fields of a request that has many: more than HTTP libraries read
+/// without being told.
+const MANY_FIELDS: usize = 250;
+
+/// One in so many requests of a caller has many header fields.
+const MANY_FIELDS_EVERY: usize = 8;
+
 /// How a request ended for its caller.
 #[derive(Debug)]
 pub(super) enum End {
@@ -150,7 +157,8 @@
         while Instant::now() < until {
             n += 1;
             let call_id = format!("r-{}-{n}", self.number);
-            kept = self.send_one(&call_id, kept).await;
+            let has_many_fields = (n + self.number).is_multiple_of(MANY_FIELDS_EVERY);
+            kept = self.send_one(&call_id, has_many_fields, kept).await;
             tokio::time::sleep(self.pause()).await;
         }
     }
@@ -159,6 +167,7 @@
     async fn send_one(
         &mut self,
         id: &str,
+        has_many_fields: bool,
         kept: Option<(usize, KeptConnection)>,
     ) -> Option<(usize, KeptConnection)> {
         let path = PATHS[self.rng.random_range(0..PATHS.len())];
@@ -170,6 +179,7 @@
         };
         let ask = Ask {
             is_long,
+            has_many_fields: has_many_fields && !is_long,
             is_kept,
             is_upload: self.habits.is_upload(path),
             events_before_loss: self.habits.events_before_loss(path),
@@ -260,6 +270,7 @@
     pub(super) id: &'a str,
     pub(super) path: &'static str,
     pub(super) is_long: bool,
+    pub(super) has_many_fields: bool,
     pub(super) is_kept: bool,
     pub(super) is_upload: bool,
     pub(super) deadline: Duration,
@@ -274,6 +285,7 @@
             id,
             path,
             is_long: false,
+            has_many_fields: false,
             is_kept: false,
             is_upload: false,
             deadline: DEADLINE,
@@ -289,6 +301,10 @@
         if self.is_long {
             call = call.header("x-long", &"a".repeat(LONG_HEADER_BYTES));
         }
+        if self.has_many_fields {
+            let names = (0..MANY_FIELDS).map(|n| format!("x-trace-{n:03}"));
+            call = names.fold(call, |call, name| call.header(&name, "00"));
+        }
         if self.is_upload {
             call = call.body(Bytes::from(vec![b'a'; UPLOAD_BYTES]));
         }
--- a/tests/testsuite/node/soak/checks.rs
+++ b/tests/testsuite/node/soak/checks.rs
@@ -16,6 +16,7 @@
 use super::callers::End;
 use super::callers::Seen;
 use super::homes;
+use super::late;
 use super::record::Scope;
 use super::streams;
 use super::streams::Resumed;
@@ -65,6 +66,7 @@
 /// Checks a run. The logs of one that fails are kept, and those of others if
 /// the environment asks for them.
 pub(super) async fn check(soak: &Soak, profile: Profile, seed: u64) {
+    let unrecorded = late::unrecorded(soak).await;
     let logs = soak.logs().await;
     let found = {
         let seen = soak.seen.lock().expect("no panic under the lock");
@@ -78,6 +80,8 @@
                 .into_iter()
                 .map(too_many_while_cold),
         );
+        found.extend(unrecorded);
+        found.extend(soak.misnamed.violations());
         found.extend(soak.cuts.violations(&seen));
         found.extend(soak.brittle.violations(soak));
         found.extend(Checker::new(soak, profile, &logs).violations(&seen));
--- a/tests/testsuite/node/soak/faults.rs
+++ b/tests/testsuite/node/soak/faults.rs
@@ -50,6 +50,7 @@
         Profile::Broken => strike_broken(soak, rng).await,
         Profile::Stranded => strike_lightly(soak, rng).await,
         Profile::Brittle => hang_up(soak, rng).await,
+        Profile::Upgrade => strike_beside_upgrade(soak, rng).await,
     }
 }
 
@@ -84,6 +85,16 @@
     }
 }
 
+/// Changes the configuration and cuts watches, beside what an upgrade does.
+async fn strike_beside_upgrade(soak: &Soak, rng: &mut StdRng) {
+    match rng.random_range(0..6) {
+        0 | 1 => change(soak, rng).await,
+        2 | 3 => watches::cut_in_series(soak, rng).await,
+        4 => watches::lose_responses(soak, rng).await,
+        _ => fall_silent(soak, rng).await,
+    }
+}
+
 async fn strike_calm(soak: &Soak, rng: &mut StdRng) {
     match rng.random_range(0..24) {
         0..=13 => fall_silent(soak, rng).await,
@@ -303,6 +314,15 @@
 /// it again.
 async fn stop(soak: &Soak, rng: &mut StdRng, restart: Restart) {
     let at = rng.random_range(0..soak.nodes.len());
+    stop_one(soak, at, rng, restart).await;
+}
+
+/// Replaces the process of an instance, as an upgrade does.
+pub(super) async fn replace(soak: &Soak, at: usize, rng: &mut StdRng) {
+    stop_one(soak, at, rng, Restart::Heard).await;
+}
+
+async fn stop_one(soak: &Soak, at: usize, rng: &mut StdRng, restart: Restart) {
     let signals: Vec<bool> = (0..rng.random_range(0..4)).map(|_| rng.random()).collect();
     let pause = Duration::from_millis(rng.random_range(50..1200));
     let Ok(mut node) = Arc::clone(&soak.nodes[at]).try_lock_owned() else {
--- a/tests/testsuite/node/soak/world.rs
+++ b/tests/testsuite/node/soak/world.rs
@@ -20,6 +20,7 @@
 use super::callers;
 use super::callers::Seen;
 use super::changes::Changes;
+use super::late::Misnamed;
 use super::out_of_step::OutOfStep;
 use super::peers::Peers;
 use super::record::Record;
@@ -73,6 +74,7 @@
     pub(super) peers: Arc<Peers>,
     pub(super) cuts: Cuts,
     pub(super) brittle: BrittleTimes,
+    pub(super) misnamed: Misnamed,
     pub(super) store: Proxy,
     /// The way of each instance to that proxy.
     pub(super) store_links: Vec<Proxy>,
@@ -111,6 +113,7 @@
             targets.push(target);
         }
         let places: Vec<_> = (0..size.instances).map(Place::new).collect();
+        site.use_program(profile.first_program());
         let mut nodes = Vec::new();
         let mut store_links = Vec::new();
         for (at, place) in places.iter().enumerate() {
@@ -125,6 +128,7 @@
         for node in &nodes {
             node.until_ready(true).await;
         }
+        site.use_program(None);
         let fronts = nodes.iter().map(|node| Mutex::new(node.front)).collect();
         let pids = nodes.iter().map(|node| Mutex::new(Some(node.process.id())));
         let pids = pids.collect();
@@ -138,6 +142,7 @@
             peers,
             cuts: Cuts::default(),
             brittle: BrittleTimes::default(),
+            misnamed: Misnamed::default(),
             store: proxy,
             store_links,
             cold: ColdTimes::default(),
