Speak the version before with instances of an older build

Callers would see: 503 state_unavailable at each new instance of a region with more than eight while such a fleet is upgraded, as its hubs are of the older build, and none of what instances tell each other.

Cause: instances refuse messages of any version but their own, and version 14, which added whether targets are reached, limits on rejections and confirmed marks, is read by no build before it. All instances had to be replaced together.

Change: an instance reads versions 13 and 14 and answers in that of the message. The side that accepts a connection states its version in the stream that confirms it, whose content older builds don't read; where nothing is stated, one message finds out, as a build answers only a version that it reads. What version 13 lacks is left out, and counts where it is read for what says least: targets reached, no limits on rejections, marks not confirmed. The record and the marks in the store are as before.

--- a/crates/sibling/src/endpoint.rs
+++ b/crates/sibling/src/endpoint.rs
@@ -28,7 +28,9 @@
 use crate::Identity;
 use crate::Link;
 use crate::Message;
+use crate::PREVIOUS_VERSION;
 use crate::Up;
+use crate::VERSION;
 use crate::congestion::LossTolerant;
 use crate::identity::server_name;
 use crate::identity::shown_digest;
@@ -191,10 +193,10 @@
             .map_err(|e| wrap(e.to_string()))?;
         let accepted = async {
             let conn = connecting.await?;
-            wait_until_accepted(&conn).await?;
-            Ok::<_, ConnectionError>(conn)
+            let version = wait_until_accepted(&conn).await?;
+            Ok::<_, ConnectionError>((conn, version))
         };
-        let conn = tokio::time::timeout(CONNECT_TIMEOUT, accepted)
+        let (conn, version) = tokio::time::timeout(CONNECT_TIMEOUT, accepted)
             .await
             .map_err(|_| wrap("timeout".to_owned()))?
             .map_err(|e| wrap(e.to_string()))?;
@@ -203,7 +205,7 @@
             instance: instance.clone(),
             region: region.clone(),
         };
-        Ok(Link::new(peer, conn, certificate.into()))
+        Ok(Link::new(peer, conn, certificate.into(), version))
     }
 
     /// Serves siblings until `cancel`.
@@ -249,15 +251,40 @@
 /// has checked its certificate.
 async fn confirm_accepted(conn: &quinn::Connection) -> Result<(), ConnectionError> {
     let mut tx = conn.open_uni().await?;
-    // An empty stream says it. It has ended already only if the connection has.
+    // The stream says it, and its content the version of the messages that are read
+    // here. Older builds don't read it.
+    let _ = tx.write_all(&VERSION.to_be_bytes()).await;
     let _ = tx.finish();
     Ok(())
 }
 
-/// Waits for [`confirm_accepted`] of the other side.
-async fn wait_until_accepted(conn: &quinn::Connection) -> Result<(), ConnectionError> {
-    conn.accept_uni().await?;
-    Ok(())
+/// Waits for [`confirm_accepted`] of the other side. Returns the version of the
+/// messages that both sides read.
+async fn wait_until_accepted(conn: &quinn::Connection) -> Result<u16, ConnectionError> {
+    let mut rx = conn.accept_uni().await?;
+    let mut stated = [0; size_of::<u16>()];
+    match rx.read_exact(&mut stated).await {
+        Ok(()) => Ok(VERSION.min(u16::from_be_bytes(stated))),
+        // An older build sends nothing.
+        Err(_) => probe_version(conn).await,
+    }
+}
+
+/// Finds out which version a sibling reads that doesn't state one: it answers a
+/// message of a version that it reads, and no other.
+async fn probe_version(conn: &quinn::Connection) -> Result<u16, ConnectionError> {
+    let (mut tx, mut rx) = conn.open_bi().await?;
+    let probe = Envelope {
+        version: VERSION,
+        stamp: Stamp::default(),
+        message: Message::Done,
+    };
+    let is_written = wire::write_envelope(&mut tx, &probe).await.is_ok();
+    let is_sent = is_written && tx.finish().is_ok();
+    match is_sent && wire::read_envelope(&mut rx).await.is_ok() {
+        true => Ok(VERSION),
+        false => Ok(PREVIOUS_VERSION),
+    }
 }
 
 async fn serve<H>(conn: quinn::Connection, handler: Arc<H>)
@@ -368,8 +395,9 @@
             handler.forward(peer, stamp, req, memory, tx).await;
         }
         (message, _) => {
-            let reply = handler.control(peer, envelope.stamp, message).await;
-            wire::write(&mut tx, &reply).await?;
+            let mut reply = handler.control(peer, envelope.stamp, message).await;
+            reply.version = envelope.version;
+            wire::write_envelope(&mut tx, &reply).await?;
             // The reply is on its way; the sibling may be gone already.
             let _ = tx.finish();
         }
--- a/crates/sibling/src/lib.rs
+++ b/crates/sibling/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Message`] and [`Frame`] are what goes over it. A sibling's name and
 //! region come from its certificate, never from a message.
 
+mod compat;
 mod config;
 mod congestion;
 mod endpoint;
@@ -17,6 +18,7 @@
 mod stream_limit;
 mod wire;
 
+pub use compat::PREVIOUS_VERSION;
 pub use config::ConfigParts;
 pub use config::ConfigRequest;
 pub use config::MAX_PARTS;
@@ -58,3 +60,4 @@
 pub use wire::decode;
 pub use wire::decode_envelope;
 pub use wire::encode;
+pub use wire::encode_envelope;
--- a/crates/sibling/src/link.rs
+++ b/crates/sibling/src/link.rs
@@ -17,7 +17,6 @@
 use crate::Frame;
 use crate::Identity;
 use crate::Message;
-use crate::VERSION;
 use crate::wire;
 
 /// State of a link that can carry messages.
@@ -47,6 +46,8 @@
     conn: quinn::Connection,
     /// Digest of the certificate that the sibling's process has shown.
     certificate: Arc<str>,
+    /// Version of the messages that the sibling reads.
+    version: u16,
     /// What waits for an answer.
     answers: TaskTracker,
     state: PhantomData<S>,
@@ -63,6 +64,7 @@
             peer: self.peer,
             conn: self.conn,
             certificate: self.certificate,
+            version: self.version,
             answers: self.answers,
             state: PhantomData,
         }
@@ -108,11 +110,17 @@
 }
 
 impl Link<Up> {
-    pub(crate) fn new(peer: Identity, conn: quinn::Connection, certificate: Arc<str>) -> Self {
+    pub(crate) fn new(
+        peer: Identity,
+        conn: quinn::Connection,
+        certificate: Arc<str>,
+        version: u16,
+    ) -> Self {
         Self {
             peer,
             conn,
             certificate,
+            version,
             answers: TaskTracker::new(),
             state: PhantomData,
         }
@@ -146,11 +154,11 @@
             .ok_or_else(|| self.no_free_stream(step))?
             .map_err(|e| self.broken(step, e))?;
         let envelope = Envelope {
-            version: VERSION,
+            version: self.version,
             stamp,
             message,
         };
-        match wire::write(&mut tx, &envelope).await {
+        match wire::write_envelope(&mut tx, &envelope).await {
             // The answer tells why the sibling needs no more of the message.
             Err(Error::Stopped) => return Ok(rx),
             written => written.map_err(|e| self.broken(step, e))?,
@@ -182,12 +190,12 @@
     /// that no datagram holds.
     pub async fn tell(&self, message: Message) -> Result<(), Error> {
         let envelope = Envelope {
-            version: VERSION,
+            version: self.version,
             stamp: Stamp::default(),
             message,
         };
         let broken = |e: &dyn std::fmt::Display| self.broken(Step::Forward, e);
-        let buf = wire::encode(&envelope)?;
+        let buf = wire::encode_envelope(&envelope)?;
         let room = self.conn.max_datagram_size().unwrap_or(0);
         if buf.len() <= room {
             return self.conn.send_datagram(buf.into()).map_err(|e| broken(&e));
@@ -196,7 +204,7 @@
         let mut tx = opened
             .ok_or_else(|| self.no_free_stream(Step::Forward))?
             .map_err(|e| broken(&e))?;
-        wire::write(&mut tx, &envelope).await?;
+        wire::write_envelope(&mut tx, &envelope).await?;
         tx.finish().map_err(|e| broken(&e))
     }
 
--- a/crates/sibling/src/message.rs
+++ b/crates/sibling/src/message.rs
@@ -44,14 +44,15 @@
 use crate::ConfigParts;
 use crate::ConfigRequest;
 
-/// Version of the messages. Instances refuse any other.
+/// Version of the messages. Besides, instances read and write
+/// [`PREVIOUS_VERSION`](crate::PREVIOUS_VERSION), and refuse any other.
 pub const VERSION: u16 = 14;
 
 /// A message with what goes along with every message.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Envelope {
-    /// [`VERSION`] of the sender.
+    /// Version of the message, which its receiver reads.
     pub version: u16,
     /// The sender's hybrid logical clock.
     pub stamp: Stamp,
--- a/crates/sibling/src/wire.rs
+++ b/crates/sibling/src/wire.rs
@@ -11,7 +11,9 @@
 use crate::Envelope;
 use crate::Error;
 use crate::Frame;
+use crate::PREVIOUS_VERSION;
 use crate::VERSION;
+use crate::compat;
 
 /// Largest encoded message in bytes.
 pub const MAX_FRAME: usize = 8 * 1024 * 1024;
@@ -71,14 +73,47 @@
     Ok(msg)
 }
 
+/// Decodes the start of a message.
+///
+/// # Errors
+///
+/// Fails if `buf` does not begin with a `T`.
+pub(crate) fn decode_start<T>(buf: &[u8]) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    let (start, _) = postcard::take_from_bytes(buf).map_err(malformed)?;
+    Ok(start)
+}
+
+/// Encodes an envelope in its version, which is [`VERSION`] or
+/// [`PREVIOUS_VERSION`].
+///
+/// # Errors
+///
+/// Fails if the message is larger than [`MAX_FRAME`].
+pub fn encode_envelope(envelope: &Envelope) -> Result<Vec<u8>, Error> {
+    match envelope.version {
+        PREVIOUS_VERSION => compat::encode(envelope),
+        _ => encode(envelope),
+    }
+}
+
+pub(crate) async fn write_envelope(tx: &mut SendStream, envelope: &Envelope) -> Result<(), Error> {
+    write_encoded(tx, &encode_envelope(envelope)?).await
+}
+
 pub(crate) async fn write<T>(tx: &mut SendStream, msg: &T) -> Result<(), Error>
 where
     T: Serialize,
 {
-    let buf = encode(msg)?;
+    write_encoded(tx, &encode(msg)?).await
+}
+
+async fn write_encoded(tx: &mut SendStream, buf: &[u8]) -> Result<(), Error> {
     let len = (buf.len() as u32).to_be_bytes();
     tx.write_all(&len).await.map_err(unwritten)?;
-    tx.write_all(&buf).await.map_err(unwritten)
+    tx.write_all(buf).await.map_err(unwritten)
 }
 
 fn unwritten(e: WriteError) -> Error {
@@ -124,7 +159,10 @@
     pub(crate) async fn read_is_forward(&mut self, rx: &mut RecvStream) -> Result<bool, Error> {
         self.read_to(self.len.min(MAX_PREAMBLE), rx).await?;
         let preamble = postcard::take_from_bytes::<(u16, Stamp, Kind)>(&self.buf);
-        Ok(matches!(preamble, Ok(((VERSION, _, Kind::Forward), _))))
+        Ok(matches!(
+            preamble,
+            Ok(((VERSION | PREVIOUS_VERSION, _, Kind::Forward), _))
+        ))
     }
 
     /// Reads the rest of the message.
@@ -165,13 +203,14 @@
 ///
 /// # Errors
 ///
-/// Fails if `buf` is not exactly one envelope of [`VERSION`].
+/// Fails if `buf` is not exactly one envelope of [`VERSION`] or
+/// [`PREVIOUS_VERSION`].
 pub fn decode_envelope(buf: &[u8]) -> Result<Envelope, Error> {
-    let (version, _) = postcard::take_from_bytes::<u16>(buf).map_err(malformed)?;
-    if version != VERSION {
-        return Err(Error::Version { version });
+    match decode_start::<u16>(buf)? {
+        VERSION => decode(buf),
+        PREVIOUS_VERSION => compat::decode(buf),
+        version => Err(Error::Version { version }),
     }
-    decode(buf)
 }
 
 /// Sends the parts of an answer to a forwarded request.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod membership;
 mod membership_fleet;
 mod memory_budget;
+mod message_versions;
 mod metrics;
 mod node;
 mod once;
--- a/tests/testsuite/node/soak/resume.rs
+++ b/tests/testsuite/node/soak/resume.rs
@@ -140,6 +140,9 @@
     rng: StdRng,
     /// Whether some of its requests have long bodies.
     is_uploading: bool,
+    /// Whether some of its requests have many header fields: not where an older
+    /// build may answer, which refuses them.
+    sends_many_fields: bool,
 }
 
 impl Habits {
@@ -147,9 +150,14 @@
         Self {
             rng,
             is_uploading: profile == Profile::Broken,
+            sends_many_fields: profile.first_program().is_none(),
         }
     }
 
+    pub(super) fn sends_many_fields(&self) -> bool {
+        self.sends_many_fields
+    }
+
     pub(super) fn is_upload(&mut self, path: &str) -> bool {
         self.is_uploading && UPLOADS.contains(&path) && self.rng.random_bool(UPLOAD_SHARE)
     }
