--- a/tests/support/node/store/answers.rs
+++ b/tests/support/node/store/answers.rs
@@ -126,7 +126,13 @@
             if after < state.data.forgotten && !state.mute {
                 return http::empty_response(StatusCode::GONE);
             }
-            (events(&state, &prefix, after), state.data.revision)
+            // Who hears nothing is told of no later revision, or would never hear it.
+            let revision = if state.mute {
+                after
+            } else {
+                state.data.revision
+            };
+            (events(&state, &prefix, after), revision)
         };
         if !events.is_empty() && is_lost(state, &Loss::Watch(prefix.clone())) {
             return std::future::pending().await;
--- a/tests/testsuite/node/many_fields.rs
+++ b/tests/testsuite/node/many_fields.rs
@@ -161,3 +161,27 @@
         assert_eq!(got.status, StatusCode::OK, "{got:?}");
     });
 }
+
+/// Failure: a head with many fields that came in one read with the end of the body
+/// before it got 431, as the lines of such a head aren't counted.
+#[test]
+fn a_request_ahead_may_have_many_fields() {
+    block_on(async {
+        let site = Site::start().await;
+        let target = PlatformTarget::start("i-1").await;
+        site.register(&target, "orders", "north-a");
+        let near = site.instance("near", "north-a", "north").await;
+        until("a request is answered", async || {
+            call("r-1", "/status/1", 0).send(near.front).await.status == StatusCode::OK
+        })
+        .await;
+        let mut caller = SlowReader::open(near.front).await;
+        caller
+            .write(&[raw("k-0", 3), raw("k-1", 300)].concat())
+            .await;
+        for n in 0..2 {
+            let head = caller.read_to("\r\n\r\n").await.expect("a head");
+            assert!(head.contains("HTTP/1.1 200"), "{n}: {head}");
+        }
+    });
+}
