--- a/crates/decisions/src/registration.rs
+++ b/crates/decisions/src/registration.rs
@@ -115,9 +115,9 @@
         self.has_open_write = true;
     }
 
-    /// Returns the revision that the key has to have for a write in an era of the
-    /// store, 0 if it must not exist. A guess that is wrong costs one more call.
-    pub fn expected_revision(&self, era: u64) -> u64 {
+    /// Returns the revision that a write replaces in an era of the
+    /// store, 0 if the key must not exist. A guess that is wrong costs one more call.
+    pub fn replaced_revision(&self, era: u64) -> u64 {
         let standing = self.standing.as_ref();
         let known = standing.filter(|known| known.revision.era == era);
         match known {
--- a/tests/testsuite/registration.rs
+++ b/tests/testsuite/registration.rs
@@ -48,7 +48,7 @@
     registration.written(MEANT, StoreRevision { era: 1, number: 10 });
     registration.observe(then);
     assert_eq!(registration.next_step(&MEANT), step);
-    assert_eq!(registration.expected_revision(era), expected);
+    assert_eq!(registration.replaced_revision(era), expected);
 }
 
 cases! {
@@ -69,7 +69,7 @@
     let era = then.revision.era;
     registration.observe(then);
     assert_eq!(registration.next_step(&MEANT), step);
-    assert_eq!(registration.expected_revision(era), expected);
+    assert_eq!(registration.replaced_revision(era), expected);
 }
 
 cases! {
@@ -86,6 +86,6 @@
     registration.unanswered();
     registration.correct(read(1, 9, Content::Record(OTHER)));
     assert_eq!(registration.next_step(&MEANT), RecordStep::WriteAnew);
-    assert_eq!(registration.expected_revision(1), 9);
-    assert_eq!(registration.expected_revision(2), 0);
+    assert_eq!(registration.replaced_revision(1), 9);
+    assert_eq!(registration.replaced_revision(2), 0);
 }
