--- a/tests/testsuite/node/memory.rs
+++ b/tests/testsuite/node/memory.rs
@@ -284,7 +284,8 @@
         let count = |status| statuses.iter().filter(|s| **s == status).count();
         let answered = count(StatusCode::OK);
         let refused = count(StatusCode::SERVICE_UNAVAILABLE);
-        assert_eq!(answered + refused, FORWARDED.0, "{statuses:?}");
+        let logs = || format!("{}\n{}", near.logged(), far.logged());
+        assert_eq!(answered + refused, FORWARDED.0, "{statuses:?}\n{}", logs());
         assert!(answered > 0 && refused > 0, "{statuses:?}");
         let peak = far.process.peak_resident_bytes();
         assert!(peak <= FORWARDED_TO_MB * 1_000_000, "{peak} bytes");
