Take back the room for 512 fields of a target's answer

Cause: callers of sound targets got 503 or a broken answer beside a crowd before interim responses: the HTTP library takes that room for each head of an answer.

--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -42,10 +42,6 @@
 /// not read.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
-/// Largest number of header fields of an answer: one for each 64 bytes of the
-/// buffer. The library takes room for all of them whenever it reads a head.
-const MAX_ANSWER_FIELDS: usize = MAX_BUFFER_BYTES / 64;
-
 /// Most interim responses to a request, which have a status below 200 and precede
 /// the response.
 const MAX_INTERIM_RESPONSES: u32 = 16;
@@ -271,7 +267,6 @@
         chiverelay_http::enable_keepalive(&stream);
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .max_headers(MAX_ANSWER_FIELDS)
             .handshake(TokioIo::new(TargetStream::new(stream)))
             .await
             .map_err(|source| Error::Handshake {
