Log why callers are told of another region, and count what arrives there

Cause: look-ups that name another region had a count, and no line said who was known near the caller, since when it was silent, how long ago the last stop was or which catalog judged the host; nothing counted requests that arrive where they may not run, so the hypotheses on the incident could not be told apart.

Change: a line for each look-up that names another region or none, with these; a line and chiverelay_barred_requests_total for each request that arrives in a region where it may not run, by who sent it. Both lines share the limit of the lines of requests.

No decision changes.

--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Tells whether the instance is in another region than the caller.
+    pub fn is_in_other_region(self) -> bool {
+        matches!(self, Self::OtherRegion(_))
+    }
+
     /// Tells whether an instance as far as this may run any of the host's
     /// `routes`. In the caller's own region it may pass them on.
     pub fn may_run_any(self, routes: usize) -> bool {
--- a/crates/gateway/src/lookup.rs
+++ b/crates/gateway/src/lookup.rs
@@ -1,6 +1,7 @@
 //! Lookups of instances by callers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use chiverelay_decisions::directory::Distance;
 use chiverelay_decisions::names::Region;
@@ -38,9 +39,38 @@
         let is_useful = |distance: Distance| distance.may_run_any(routes);
         let nearest = match nearest.distance.is_some_and(is_useful) {
             true => nearest,
-            false => Nearest::default(),
+            false => Nearest {
+                basis: nearest.basis,
+                ..Nearest::default()
+            },
         };
         self.metrics.count_lookup(nearest.distance);
+        if nearest.distance.is_none_or(Distance::is_in_other_region) {
+            let version = catalog.map_or(0, |catalog| catalog.version);
+            self.log_far_lookup(host, region, &nearest, version);
+        }
         nearest.addresses
     }
+
+    /// Logs that a caller was told of instances of another region, or of none.
+    fn log_far_lookup(&self, host: &str, region: &Region, nearest: &Nearest, version: u64) {
+        if !self.log_rate_limit.should_log(self.clock.now()) {
+            return;
+        }
+        let basis = &nearest.basis;
+        let millis = |time: Option<Duration>| time.map(|time| time.as_millis() as u64);
+        log::info!(
+            target: "lookup",
+            host = host,
+            region = region.as_str(),
+            nearest = nearest.distance.map_or("none", Distance::as_str),
+            named = nearest.addresses.len(),
+            ready = basis.ready,
+            known_near = basis.known_in_region,
+            silent_ms = millis(basis.silence_in_region),
+            since_stop_ms = millis(basis.since_stop),
+            catalog = version;
+            "no instance of the caller's region is ready"
+        );
+    }
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -75,6 +75,22 @@
     pub(crate) addresses: Vec<SocketAddr>,
     /// How far they are; `None` if there are none.
     pub(crate) distance: Option<Distance>,
+    /// What was known of the instances near the caller.
+    pub(crate) basis: LookupBasis,
+}
+
+/// What was known when a caller was told of instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct LookupBasis {
+    /// Number of ready instances in all regions.
+    pub(crate) ready: usize,
+    /// Number of other instances in the caller's region that have a record or
+    /// still send status messages, ready or not.
+    pub(crate) known_in_region: usize,
+    /// Time since one of these was last heard of.
+    pub(crate) silence_in_region: Option<Duration>,
+    /// Time since the last stop that bars other regions.
+    pub(crate) since_stop: Option<Duration>,
 }
 
 impl Members {
@@ -432,11 +448,16 @@
             address: record.callers,
         });
         let near: Vec<Candidate<SocketAddr>> = near.collect();
+        let basis = LookupBasis {
+            since_stop: last_stop.map(|at| now.saturating_sub(at)),
+            ..table.lookup_basis(region, now)
+        };
         drop(table);
         let key = format!("{:x}", rand::random::<u64>());
         Nearest {
             addresses: directory::choose_advertised(near, &key),
             distance: nearest,
+            basis,
         }
     }
 }
--- a/crates/gateway/src/members/table.rs
+++ b/crates/gateway/src/members/table.rs
@@ -8,6 +8,7 @@
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::tables::RecentSet;
 
+use super::LookupBasis;
 use super::MemberRecord;
 use super::MemberState;
 
@@ -111,6 +112,21 @@
         included.map(|(_, at)| *at).max()
     }
 
+    /// Returns what is known of the other instances for a caller in a region,
+    /// apart from their stops.
+    pub(super) fn lookup_basis(&self, region: &Region, now: Duration) -> LookupBasis {
+        let members = self.members.values();
+        let in_region = members.filter(|member| member.record.region == *region);
+        let seen: Vec<_> = in_region.map(Member::last_seen).collect();
+        let ready = self.members.values().filter(|m| self.is_ready(m, now));
+        LookupBasis {
+            ready: ready.count(),
+            known_in_region: seen.len(),
+            silence_in_region: seen.into_iter().max().map(|at| now.saturating_sub(at)),
+            since_stop: None,
+        }
+    }
+
     /// Returns when the process of a record was last known to run, apart from
     /// its status messages. `now` is when the record was read.
     ///
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,7 @@
     lookups: IntCounterVec,
     cut_answers: IntCounterVec,
     region_conflicts: IntCounterVec,
+    barred_requests: IntCounterVec,
     attempts: IntCounterVec,
     retry_decisions: IntCounterVec,
     extra_attempts: IntCounterVec,
@@ -116,6 +117,12 @@
                 "Attempts and forwards that were not sent, as the catalog in force bars the region.",
                 &["to"],
             ),
+            barred_requests: counter(
+                &registry,
+                "barred_requests_total",
+                "Requests that arrived in a region where they may not run, by who sent them.",
+                &["from"],
+            ),
             lookups: counter(
                 &registry,
                 "lookups_total",
@@ -251,6 +258,7 @@
             &self.unanswered,
             &self.cut_answers,
             &self.region_conflicts,
+            &self.barred_requests,
             &self.attempts,
             &self.retry_decisions,
             &self.extra_attempts,
@@ -338,6 +346,11 @@
         self.region_conflicts.with_label_values(&[to]).inc();
     }
 
+    /// Counts a request that arrived in a region where it may not run.
+    pub(crate) fn count_barred_request(&self, from: &'static str) {
+        self.barred_requests.with_label_values(&[from]).inc();
+    }
+
     /// Counts answers that a link carried when this instance closed it.
     pub(crate) fn count_cut_answers(&self, cause: CloseCause, count: usize) {
         let counter = self.cut_answers.with_label_values(&[cause.as_str()]);
--- a/crates/gateway/src/residency.rs
+++ b/crates/gateway/src/residency.rs
@@ -3,10 +3,12 @@
 
 use std::time::Duration;
 
+use chiverelay_decisions::catalog::MatchedRoute;
 use chiverelay_decisions::config::Residency;
 use chiverelay_decisions::fleet::KnownTarget;
 use chiverelay_decisions::names::Account;
 use chiverelay_decisions::names::Region;
+use chiverelay_decisions::names::RequestId;
 use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Grant;
 use chiverelay_decisions::request::HasGrant;
@@ -27,10 +29,54 @@
     record_age: Option<Duration>,
 }
 
+/// Who sent a request to an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sender {
+    /// The caller itself.
+    Caller,
+    /// Another instance, which forwarded it.
+    Instance,
+}
+
+impl Sender {
+    /// Returns the name in metrics and log lines.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Instance => "instance",
+        }
+    }
+}
+
 impl<D> Gateway<D>
 where
     D: Dialect,
 {
+    /// Counts and logs a request that arrived in a region where it may not run.
+    pub(crate) fn note_barred_request(
+        &self,
+        id: &RequestId,
+        matched: &MatchedRoute,
+        version: u64,
+        sender: Sender,
+    ) {
+        self.metrics.count_barred_request(sender.as_str());
+        if !self.log_rate_limit.should_log(self.clock.now()) {
+            return;
+        }
+        let account = matched.account.as_ref();
+        log::info!(
+            target: "request",
+            id = id.as_str(),
+            route = matched.route.name.as_str(),
+            account = account.map_or("", |account| account.name.as_str()),
+            regions:% = matched.route.residency,
+            from = sender.as_str(),
+            catalog = version;
+            "request arrived in a region where it may not run"
+        );
+    }
+
     /// Returns the regions that the catalog in force allows to a request that
     /// was admitted before.
     pub(crate) fn residency_in_force(&self, grant: &Grant) -> Residency {
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -41,6 +41,7 @@
 use crate::outcome::AttemptOutcome;
 use crate::outcome::Fallback;
 use crate::place::PlacementContext;
+use crate::residency::Sender;
 use crate::sent_count::SentCount;
 use crate::suspension;
 
@@ -388,6 +389,8 @@
         };
         let grant = handle::build_grant(&matched, &pool.name, 0);
         if !grant.residency.allows(&self.settings.region) {
+            let version = current.catalog.version;
+            self.note_barred_request(&forward.id, &matched, version, Sender::Instance);
             return Err(refuse(Code::Unavailable, Step::Place));
         }
         let priority = matched.priority();
