Lead no caller to a region where a route of its host may not run

Callers saw: once the instances of all regions where a route may run had stopped or been killed, callers were told of instances of another region, and sent there the requests that may not leave their regions, with their bodies; each got 503.

Cause: the directory traded what the catalog forbids for availability. It named the region that bars the fewest routes, and put only a time in the way: 10 s after the last stop that the answering instance had heard of, at once if it knew of none. A region that is removed stays away for longer; an instance that started after the stop, or saw a kill, knows of none. Likewise an instance without a catalog, or whose catalog lacked the host, counted no route as barred and named anybody.

Change: instances of another region are named only if all routes of the host may run there, by a catalog that is known and has the host. Why nobody is named is counted. The lookup has a module of its own.

--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -210,18 +210,6 @@
         self.routes_by_host.get(host).map_or(&[], Vec::as_slice)
     }
 
-    /// Counts the routes of a host.
-    pub fn count_routes(&self, host: &str) -> usize {
-        self.routes_of(host).len()
-    }
-
-    /// Counts the routes of a host whose requests may not run in a region.
-    pub fn count_routes_not_allowed_in(&self, host: &str, region: &Region) -> usize {
-        let routes = self.routes_of(host).iter();
-        let excluding = routes.filter(|r| !r.residency.allows(region));
-        excluding.count()
-    }
-
     /// Returns a pool by its name.
     pub fn pool(&self, name: &Pool) -> Option<&Arc<PoolSpec>> {
         self.pools.get(name)
--- a/crates/decisions/src/catalog/residency.rs
+++ b/crates/decisions/src/catalog/residency.rs
@@ -26,4 +26,12 @@
             (None, None) => Residency::anywhere(),
         }
     }
+
+    /// Returns the regions in which all routes of a host may run, or `None` if it
+    /// has no route.
+    pub fn residency_of_host(&self, host: &str) -> Option<Residency> {
+        let routes = self.routes_of(host).iter();
+        let residencies = routes.map(|route| route.residency.clone());
+        residencies.reduce(|all, one| all.and(&one))
+    }
 }
--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -1,24 +1,26 @@
 //! Which of the nearest instances a caller is told of.
 //!
+//! A caller may always use its own region. It is led to another one only if all
+//! routes of its host may run there; otherwise it is told of nobody and keeps the
+//! instances that it knows.
+//!
 //! Callers connect to the addresses that they are told of with equal
 //! probability. Where instances differ in processor time, an answer that always
 //! listed all of them would bring the small ones as many callers as the large
 //! ones. An answer therefore lists each instance with a probability in
 //! proportion to its capacity.
 
-use std::time::Duration;
-
+use crate::catalog::Catalog;
+use crate::config::Residency;
 use crate::names::Instance;
+use crate::names::Region;
+use crate::names::Zone;
 use crate::rendezvous;
 
 /// Fewest instances in an answer, if there are as many: callers leave out those
 /// that have just failed them.
 const MIN_ADVERTISED: usize = 4;
 
-/// Longest usual time from the stop of a region's instances until one is ready
-/// again.
-pub const RESTART_TIME: Duration = Duration::from_secs(10);
-
 /// How far an instance is from a caller. Nearer ones come first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -26,9 +28,8 @@
     SameZone,
     /// In the caller's region.
     SameRegion,
-    /// In another region, with the number of the host's routes that may not run
-    /// there.
-    OtherRegion(usize),
+    /// In another region, in which all of the host's routes may run.
+    OtherRegion,
 }
 
 impl Distance {
@@ -37,37 +38,101 @@
         match self {
             Self::SameZone => "zone",
             Self::SameRegion => "region",
-            Self::OtherRegion(0) => "other region",
-            Self::OtherRegion(_) => "barred region",
+            Self::OtherRegion => "other region",
         }
     }
+}
 
-    /// Tells whether the instance is in another region than the caller.
-    pub fn is_in_other_region(self) -> bool {
-        matches!(self, Self::OtherRegion(_))
-    }
+/// Why a caller is told of no instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unnamed {
+    /// No instance of any region is ready.
+    NoneReady,
+    /// All ready instances are in regions where some of the host's routes may not
+    /// run.
+    Barred,
+    /// None is ready in the caller's region, and the catalog lacks the host.
+    UnknownHost,
+    /// None is ready in the caller's region, and there is no catalog yet.
+    NoCatalog,
+}
 
-    /// Tells whether an instance as far as this may run any of the host's
-    /// `routes`. In the caller's own region it may pass them on.
-    pub fn may_run_any(self, routes: usize) -> bool {
+impl Unnamed {
+    /// Returns the name in metrics.
+    pub fn as_str(self) -> &'static str {
         match self {
-            Self::SameZone | Self::SameRegion | Self::OtherRegion(0) => true,
-            Self::OtherRegion(barred) => barred < routes,
+            Self::NoneReady => "none ready",
+            Self::Barred => "barred",
+            Self::UnknownHost => "unknown host",
+            Self::NoCatalog => "no catalog",
+        }
+    }
+}
+
+/// The regions to which a host's callers may be led from their own one.
+///
+/// A caller sends the requests of all of the host's routes, with their bodies, to
+/// the instances that it is told of, and only the catalog tells where these may
+/// go. What the catalog doesn't tell is not allowed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HostRegions {
+    /// There is no catalog yet.
+    NoCatalog,
+    /// The catalog has no route of the host.
+    UnknownHost,
+    /// Regions in which all of the host's routes may run.
+    Known(Residency),
+}
+
+impl HostRegions {
+    /// Looks up the regions of a host.
+    pub fn find(catalog: Option<&Catalog>, host: &str) -> Self {
+        match catalog.map(|catalog| catalog.residency_of_host(host)) {
+            None => Self::NoCatalog,
+            Some(None) => Self::UnknownHost,
+            Some(Some(residency)) => Self::Known(residency),
         }
     }
 
-    /// Tells whether the caller may be told of the instance, if none is nearer.
-    /// `last_stop` is when an instance of the caller's region, or of one in which
-    /// all routes may run, last said that it stops.
-    ///
-    /// Requests that may not run in a region are not sent there. Callers keep the
-    /// instances that they know until their own are back. Only if these don't come
-    /// back, as after an outage, they are better served for the other routes.
-    pub fn may_be_named(self, last_stop: Option<Duration>, now: Duration) -> bool {
+    fn allow(&self, region: &Region) -> bool {
+        matches!(self, Self::Known(residency) if residency.allows(region))
+    }
+
+    /// Returns why the host's callers are told of nobody while `ready` instances
+    /// are ready, none of them in the caller's region.
+    pub fn reason_for_none(&self, ready: usize) -> Unnamed {
         match self {
-            Self::SameZone | Self::SameRegion | Self::OtherRegion(0) => true,
-            Self::OtherRegion(_) => last_stop.is_none_or(|at| now >= at + RESTART_TIME),
+            _ if ready == 0 => Unnamed::NoneReady,
+            Self::NoCatalog => Unnamed::NoCatalog,
+            Self::UnknownHost => Unnamed::UnknownHost,
+            Self::Known(_) => Unnamed::Barred,
+        }
+    }
+}
+
+/// A caller that asks for instances.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Its region.
+    pub region: Region,
+    /// Where the requests of its host may go.
+    pub host_regions: HostRegions,
+}
+
+impl Caller {
+    /// Returns how far an instance is, or `None` if the caller may not be led
+    /// there, however few others are ready.
+    pub fn distance_to(&self, zone: &Zone, region: &Region) -> Option<Distance> {
+        if *zone == self.zone {
+            return Some(Distance::SameZone);
+        }
+        if *region == self.region {
+            return Some(Distance::SameRegion);
         }
+        let is_allowed = self.host_regions.allow(region);
+        is_allowed.then_some(Distance::OtherRegion)
     }
 }
 
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,21 +1,17 @@
 //! The known instances of the gateway, called members, from the records in the
 //! store and the status messages that instances send each other.
 
+mod nearest;
 mod record;
 mod table;
 mod topology;
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use chiverelay_decisions::directory;
-use chiverelay_decisions::directory::Candidate;
-use chiverelay_decisions::directory::Distance;
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::names::Region;
-use chiverelay_decisions::names::Zone;
-use chiverelay_decisions::reachability::prefer_reaching;
 use chiverelay_decisions::registration::Content;
 use chiverelay_decisions::registration::Standing;
 use chiverelay_decisions::rendezvous;
@@ -27,6 +23,7 @@
 use chiverelay_sibling::Status;
 use tokio::sync::watch;
 
+pub(crate) use nearest::Nearest;
 pub use record::MemberRecord;
 pub use record::MemberState;
 use table::Member;
@@ -68,31 +65,6 @@
     standing: watch::Sender<Option<Standing<MemberRecord>>>,
 }
 
-/// The instances that a caller is told of.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Nearest {
-    /// Where callers connect to them.
-    pub(crate) addresses: Vec<SocketAddr>,
-    /// How far they are; `None` if there are none.
-    pub(crate) distance: Option<Distance>,
-    /// What was known of the instances near the caller.
-    pub(crate) basis: LookupBasis,
-}
-
-/// What was known when a caller was told of instances.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct LookupBasis {
-    /// Number of ready instances in all regions.
-    pub(crate) ready: usize,
-    /// Number of other instances in the caller's region that have a record or
-    /// still send status messages, ready or not.
-    pub(crate) known_in_region: usize,
-    /// Time since one of these was last heard of.
-    pub(crate) silence_in_region: Option<Duration>,
-    /// Time since the last stop that bars other regions.
-    pub(crate) since_stop: Option<Duration>,
-}
-
 impl Members {
     pub(crate) fn new(own: MemberRecord, pins: Pins) -> Self {
         pins.set(&own.instance, &own.certificate);
@@ -201,9 +173,6 @@
             revision = revision.number;
             "instance record received"
         );
-        if record.state == MemberState::Leaving {
-            table.last_stops.insert(record.region.clone(), now);
-        }
         let record_received_at = table.last_sign_of_life(&record, now);
         let old = table.members.remove(&record.instance);
         let member = Member {
@@ -266,13 +235,8 @@
             return false;
         }
         member.last_status_at = Some(now);
-        let stops = member.is_ready_by_status && !status.ready;
         member.is_ready_by_status = status.ready;
         member.is_cut_off = status.is_cut_off;
-        let region = member.record.region.clone();
-        if stops {
-            table.last_stops.insert(region, now);
-        }
         true
     }
 
@@ -395,69 +359,4 @@
             now,
         )
     }
-
-    /// Lists the caller addresses of ready instances nearest to a zone: those
-    /// in the zone, else those in its region, else those in the regions that may
-    /// answer the largest number of the caller's routes. Nobody is listed of a
-    /// region that may not answer all of them within
-    /// [`RESTART_TIME`](directory::RESTART_TIME) of a stop in the caller's region
-    /// or in one that may. The larger an instance, the more answers list it.
-    /// Those that reach no target are left out while the others of the same
-    /// distance are at least as many; `is_cut_off` tells that of this one.
-    pub(crate) fn nearest_ready<F>(
-        &self,
-        zone: &Zone,
-        region: &Region,
-        count_barred_routes: F,
-        is_cut_off: bool,
-        now: Duration,
-    ) -> Nearest
-    where
-        F: Fn(&Region) -> usize,
-    {
-        let own = self.own.borrow().clone();
-        let table = self.table.lock();
-        let others = table.members.values().filter(|m| table.is_ready(m, now));
-        let mut ready: Vec<_> = others.map(|m| (&m.record, m.is_cut_off)).collect();
-        if own.state == MemberState::Ready {
-            ready.push((&own, is_cut_off));
-        }
-        let distance = |record: &MemberRecord| {
-            if record.zone == *zone {
-                return Distance::SameZone;
-            }
-            match record.region == *region {
-                true => Distance::SameRegion,
-                false => Distance::OtherRegion(count_barred_routes(&record.region)),
-            }
-        };
-        let is_preferred = |other: &Region| other == region || count_barred_routes(other) == 0;
-        let is_own_stop = own.state == MemberState::Leaving && is_preferred(&own.region);
-        let last_stop = match is_own_stop {
-            true => Some(now),
-            false => table.last_stop_in(is_preferred),
-        };
-        let nearest = ready.iter().map(|(record, _)| distance(record)).min();
-        let nearest = nearest.filter(|nearest| nearest.may_be_named(last_stop, now));
-        let is_near = |record: &MemberRecord| Some(distance(record)) == nearest;
-        let near: Vec<_> = ready.into_iter().filter(|(r, _)| is_near(r)).collect();
-        let near = prefer_reaching(near, |(_, is_cut_off)| *is_cut_off);
-        let near = near.into_iter().map(|(record, _)| Candidate {
-            instance: record.instance.clone(),
-            capacity: record.capacity,
-            address: record.callers,
-        });
-        let near: Vec<Candidate<SocketAddr>> = near.collect();
-        let basis = LookupBasis {
-            since_stop: last_stop.map(|at| now.saturating_sub(at)),
-            ..table.lookup_basis(region, now)
-        };
-        drop(table);
-        let key = format!("{:x}", rand::random::<u64>());
-        Nearest {
-            addresses: directory::choose_advertised(near, &key),
-            distance: nearest,
-            basis,
-        }
-    }
 }
--- a/crates/gateway/src/members/table.rs
+++ b/crates/gateway/src/members/table.rs
@@ -8,7 +8,6 @@
 use chiverelay_decisions::revision::StoreRevision;
 use chiverelay_decisions::tables::RecentSet;
 
-use super::LookupBasis;
 use super::MemberRecord;
 use super::MemberState;
 
@@ -63,8 +62,6 @@
     /// Incarnations that ended, as another of the same name followed. Only an
     /// older copy of the store has a record of one of them.
     pub(super) replaced: RecentSet<u64>,
-    /// When an instance of each region last said that it stops.
-    pub(super) last_stops: HashMap<Region, Duration>,
     /// Up to when the silence of an instance counts, as others are heard
     /// through a hub that may be silent itself.
     pub(super) informed_at: Duration,
@@ -78,7 +75,6 @@
             max_known_by_region: HashMap::new(),
             removed: HashMap::new(),
             replaced: RecentSet::new(MAX_REPLACED),
-            last_stops: HashMap::new(),
             informed_at: Duration::ZERO,
         }
     }
@@ -101,32 +97,6 @@
             .collect()
     }
 
-    /// Returns when an instance of the regions that `is_included` accepts last
-    /// said that it stops.
-    pub(super) fn last_stop_in<F>(&self, is_included: F) -> Option<Duration>
-    where
-        F: Fn(&Region) -> bool,
-    {
-        let stops = self.last_stops.iter();
-        let included = stops.filter(|(region, _)| is_included(region));
-        included.map(|(_, at)| *at).max()
-    }
-
-    /// Returns what is known of the other instances for a caller in a region,
-    /// apart from their stops.
-    pub(super) fn lookup_basis(&self, region: &Region, now: Duration) -> LookupBasis {
-        let members = self.members.values();
-        let in_region = members.filter(|member| member.record.region == *region);
-        let seen: Vec<_> = in_region.map(Member::last_seen).collect();
-        let ready = self.members.values().filter(|m| self.is_ready(m, now));
-        LookupBasis {
-            ready: ready.count(),
-            known_in_region: seen.len(),
-            silence_in_region: seen.into_iter().max().map(|at| now.saturating_sub(at)),
-            since_stop: None,
-        }
-    }
-
     /// Returns when the process of a record was last known to run, apart from
     /// its status messages. `now` is when the record was read.
     ///
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::directory::Distance;
+use chiverelay_decisions::directory::Unnamed;
 use chiverelay_decisions::refusal::Refusal;
 use hyper::StatusCode;
 use prometheus::Encoder;
@@ -22,6 +23,7 @@
 use crate::continuation::SoftwareMatch;
 use crate::links::CloseCause;
 use crate::log_writer::LineCounts;
+use crate::lookup;
 use crate::relay::AnswerOrigin;
 use crate::relay::EndCause;
 
@@ -126,7 +128,7 @@
             lookups: counter(
                 &registry,
                 "lookups_total",
-                "Lookups of instances by how far those are that callers were told of.",
+                "Lookups of instances by how far those are that callers were told of, or why there were none.",
                 &["nearest"],
             ),
             cut_answers: counter(
@@ -322,10 +324,11 @@
         histogram.observe(took.as_secs_f64());
     }
 
-    /// Counts a lookup by how far the instances are that were named.
-    pub(crate) fn count_lookup(&self, named: Option<Distance>) {
-        let named = named.map_or("none", Distance::as_str);
-        self.lookups.with_label_values(&[named]).inc();
+    /// Counts a lookup by how far the instances are that were named, or by why
+    /// none were.
+    pub(crate) fn count_lookup(&self, result: Result<Distance, Unnamed>) {
+        let labels = [lookup::result_name(result)];
+        self.lookups.with_label_values(&labels).inc();
     }
 
     /// Counts a stream that goes on at another target.
--- a/tests/testsuite/catalog.rs
+++ b/tests/testsuite/catalog.rs
@@ -109,20 +109,12 @@
 }
 
 #[test]
-fn a_region_bars_the_routes_that_are_bound_to_others() {
+fn a_host_allows_the_regions_that_all_its_routes_allow() {
     let catalog = catalog(1);
-    assert_eq!(
-        catalog.count_routes_not_allowed_in("desk.example", &"north".into()),
-        0
-    );
-    assert_eq!(
-        catalog.count_routes_not_allowed_in("desk.example", &"south".into()),
-        1
-    );
-    assert_eq!(
-        catalog.count_routes_not_allowed_in("other.example", &"south".into()),
-        0
-    );
+    let desk = catalog.residency_of_host("desk.example").expect("routes");
+    assert!(desk.allows(&"north".into()));
+    assert!(!desk.allows(&"south".into()));
+    assert_eq!(catalog.residency_of_host("other.example"), None);
 }
 
 #[test]
--- a/tests/testsuite/directory.rs
+++ b/tests/testsuite/directory.rs
@@ -2,11 +2,13 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::time::Duration;
 
+use chiverelay_decisions::config::Residency;
+use chiverelay_decisions::directory::Caller;
 use chiverelay_decisions::directory::Candidate;
 use chiverelay_decisions::directory::Distance;
-use chiverelay_decisions::directory::RESTART_TIME;
+use chiverelay_decisions::directory::HostRegions;
+use chiverelay_decisions::directory::Unnamed;
 use chiverelay_decisions::directory::choose_advertised;
 use support::cases;
 
@@ -79,34 +81,73 @@
     assert_eq!(listed.len(), 6);
 }
 
-/// Time since the last stop of a nearer instance.
-const LONG_AGO: Duration = RESTART_TIME;
+/// What the catalog says of a caller's host.
+#[derive(Clone, Copy, Debug)]
+enum Host {
+    RunsAnywhere,
+    /// Only in the north and the east.
+    IsBound,
+    IsUnknown,
+    HasNoCatalog,
+}
+
+impl Host {
+    fn regions(self) -> HostRegions {
+        match self {
+            Self::RunsAnywhere => HostRegions::Known(Residency::anywhere()),
+            Self::IsBound => {
+                HostRegions::Known(Residency::only(vec!["north".into(), "east".into()]))
+            }
+            Self::IsUnknown => HostRegions::UnknownHost,
+            Self::HasNoCatalog => HostRegions::NoCatalog,
+        }
+    }
+}
 
-fn check_named(distance: Distance, last_stop_ago: Option<Duration>, expected: bool) {
-    let now = Duration::from_secs(100);
-    let last_stop = last_stop_ago.map(|ago| now - ago);
-    assert_eq!(distance.may_be_named(last_stop, now), expected);
+/// Checks how far an instance is from a caller in west-a, if it may be named.
+fn check_distance(host: Host, instance: (&str, &str), expected: Option<Distance>) {
+    let caller = Caller {
+        zone: "west-a".into(),
+        region: "west".into(),
+        host_regions: host.regions(),
+    };
+    let (zone, region) = instance;
+    assert_eq!(caller.distance_to(&zone.into(), &region.into()), expected);
 }
 
 cases! {
-    check_named:
-    the_own_zone(Distance::SameZone, Some(Duration::ZERO), true);
-    the_own_region(Distance::SameRegion, Some(Duration::ZERO), true);
-    a_region_for_all_routes(Distance::OtherRegion(0), Some(Duration::ZERO), true);
-    a_barred_region_beside_a_restart(Distance::OtherRegion(1), Some(Duration::ZERO), false);
-    a_barred_region_after_a_restart(Distance::OtherRegion(1), Some(LONG_AGO), true);
-    a_barred_region_without_a_stop(Distance::OtherRegion(1), None, true);
+    check_distance:
+    the_own_zone_though_it_is_barred(
+        Host::IsBound, ("west-a", "west"), Some(Distance::SameZone)
+    );
+    the_own_region_though_it_is_barred(
+        Host::IsBound, ("west-b", "west"), Some(Distance::SameRegion)
+    );
+    a_region_where_all_routes_may_run(
+        Host::IsBound, ("east-a", "east"), Some(Distance::OtherRegion)
+    );
+    a_region_that_bars_a_route(Host::IsBound, ("south-a", "south"), None);
+    any_region_for_a_host_that_is_not_bound(
+        Host::RunsAnywhere, ("south-a", "south"), Some(Distance::OtherRegion)
+    );
+    no_other_region_for_an_unknown_host(Host::IsUnknown, ("east-a", "east"), None);
+    the_own_region_for_an_unknown_host(
+        Host::IsUnknown, ("west-b", "west"), Some(Distance::SameRegion)
+    );
+    no_other_region_before_the_first_catalog(Host::HasNoCatalog, ("east-a", "east"), None);
+    the_own_region_before_the_first_catalog(
+        Host::HasNoCatalog, ("west-b", "west"), Some(Distance::SameRegion)
+    );
 }
 
-fn check_useful(distance: Distance, routes: usize, expected: bool) {
-    assert_eq!(distance.may_run_any(routes), expected);
+fn check_reason(host: Host, ready: usize, expected: Unnamed) {
+    assert_eq!(host.regions().reason_for_none(ready), expected);
 }
 
 cases! {
-    check_useful:
-    its_own_region_whatever_is_barred(Distance::SameRegion, 2, true);
-    a_region_that_bars_none(Distance::OtherRegion(0), 2, true);
-    a_region_that_bars_one_of_two(Distance::OtherRegion(1), 2, true);
-    a_region_that_bars_all(Distance::OtherRegion(2), 2, false);
-    any_region_for_an_unknown_host(Distance::OtherRegion(0), 0, true);
+    check_reason:
+    all_instances_are_down(Host::IsBound, 0, Unnamed::NoneReady);
+    those_that_are_ready_are_barred(Host::IsBound, 2, Unnamed::Barred);
+    the_host_is_unknown(Host::IsUnknown, 2, Unnamed::UnknownHost);
+    there_is_no_catalog(Host::HasNoCatalog, 2, Unnamed::NoCatalog);
 }
--- a/tests/testsuite/node/named_instances.rs
+++ b/tests/testsuite/node/named_instances.rs
@@ -15,8 +15,8 @@
 use support::node::site::configuration;
 use support::node::site::until;
 
-/// Time after which a lost instance's record is gone too.
-const LONG_AFTER: Duration = Duration::from_secs(8);
+/// Longer than a restart takes and than the record of a lost instance stays.
+const LONG_AFTER: Duration = Duration::from_secs(12);
 
 /// How the instance of the caller's region ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +27,15 @@
     Killed,
 }
 
+impl End {
+    fn bring_about(self, node: &mut Node) {
+        match self {
+            Self::Stopped => node.process.terminate(),
+            Self::Killed => node.process.kill(),
+        }
+    }
+}
+
 /// Whether a route of the host, or each one, may only run in the caller's region.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Routes {
@@ -71,61 +80,66 @@
     (site, near, far, target)
 }
 
-/// Failure: while all instances of a region were stopped for a restart, its
-/// callers were led to a region where their routes may not run, and their
-/// requests went there.
-#[test]
-fn nobody_is_named_in_a_barred_region_while_the_own_one_restarts() {
-    block_on(async {
-        let (_site, mut near, far, _target) = start(Routes::Bound).await;
-        near.process.terminate();
-        until("the stopped one is not named", async || {
-            let (_, named) = look_up(&far).await;
-            !named.contains(&near.front.to_string())
-        })
-        .await;
-        let (status, named) = look_up(&far).await;
+/// Checks that `far` names nobody for some time.
+async fn check_names_nobody(far: &Node) {
+    let began = Instant::now();
+    while began.elapsed() < LONG_AFTER {
+        let (status, named) = look_up(far).await;
         assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{named}");
-        near.process.wait();
-        let (status, named) = look_up(&far).await;
-        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{named}");
-    });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn until_not_named(far: &Node, gone: &Node) {
+    let address = gone.front.to_string();
+    until("the one that ends is not named", async || {
+        let (_, named) = look_up(far).await;
+        !named.contains(&address)
+    })
+    .await;
 }
 
-fn check_other_region_named(routes: Routes, end: End) {
+/// Failure: once the instances of all regions where the routes of a host may run
+/// had stopped, or been killed, callers were led to a region that may not run all
+/// of them, and requests went there.
+fn check_nobody_named(routes: Routes, end: End) {
     block_on(async {
-        let (_site, mut near, far, _target) = start(routes).await;
-        match end {
-            End::Stopped => near.process.terminate(),
-            End::Killed => near.process.kill(),
-        }
-        until_named(&far, far.front).await;
+        let (site, mut near, far, _target) = start(routes).await;
+        end.bring_about(&mut near);
+        until_not_named(&far, &near).await;
+        check_names_nobody(&far).await;
+        let again = site.instance("again", "north-a", "north").await;
+        until_named(&far, again.front).await;
     });
 }
 
 cases! {
-    check_other_region_named:
-    a_region_that_may_answer_is_named_while_the_own_one_restarts(Routes::Anywhere, End::Stopped);
-    a_barred_region_is_named_in_an_outage(Routes::Bound, End::Killed);
+    check_nobody_named:
+    nobody_is_named_in_a_barred_region_after_a_stop(Routes::Bound, End::Stopped);
+    nobody_is_named_in_a_barred_region_in_an_outage(Routes::Bound, End::Killed);
+    nobody_is_named_where_no_route_may_run(Routes::AllBound, End::Killed);
 }
 
-/// Failure: once the instances of all regions where the routes of a host may run
-/// were gone for good, its callers were led to a region that may run none.
+/// Failure: an instance that had started after the last stop knew of none, and
+/// named a barred region at once.
 #[test]
-fn nobody_is_named_where_no_route_may_run() {
+fn nobody_is_named_in_a_barred_region_by_an_instance_that_has_just_started() {
     block_on(async {
-        let (_site, mut near, far, _target) = start(Routes::AllBound).await;
-        near.process.kill();
-        let killed = Instant::now();
-        until("the killed one is not named", async || {
-            let (_, named) = look_up(&far).await;
-            !named.contains(&near.front.to_string())
-        })
-        .await;
-        while killed.elapsed() < LONG_AFTER {
-            let (status, named) = look_up(&far).await;
-            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{named}");
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
+        let (site, mut near, far, _target) = start(Routes::Bound).await;
+        near.process.terminate();
+        near.process.wait();
+        let late = site.instance("late", "south-a", "south").await;
+        until_not_named(&late, &near).await;
+        check_names_nobody(&late).await;
+        drop(far);
+    });
+}
+
+#[test]
+fn a_region_that_may_answer_is_named_while_the_own_one_restarts() {
+    block_on(async {
+        let (_site, mut near, far, _target) = start(Routes::Anywhere).await;
+        End::Stopped.bring_about(&mut near);
+        until_named(&far, far.front).await;
     });
 }
