Hold later attempts to the homes of the route that now matches the path

What callers saw: a request that was open while a configuration split a part off its route, with homes of its own, was tried again, or its stream went on, in a region that the new route bars.

Cause: the regions by the catalog in force were looked up by the name of the route that admitted the request. That route is still there after a split, without homes, so its requests could go anywhere.

Change: the catalog in force is asked by host and path, as a new request would be, and by the name only if no route matches any more. The path is kept beside the route.

Result: three cases of node::changed_regions (part_of_a_route) failed on at `second.arrivals().is_empty()`: a target of the barred region got the request from the caller's instance, the rest of a stream, and the request from the instance that it was forwarded to. They pass, as do the six cases before them, whose paths now come from `Bound::path`.

--- a/crates/decisions/src/catalog/residency.rs
+++ b/crates/decisions/src/catalog/residency.rs
@@ -15,6 +15,22 @@
 }
 
 impl Catalog {
+    /// Returns the regions in which a request that another catalog admitted may
+    /// run: those of the route that its host and path match here, or of `former`,
+    /// its route by the other catalog, if they match none; and those of its
+    /// account.
+    pub fn residency_of_request(
+        &self,
+        host: &str,
+        path: &str,
+        former: &Route,
+        account: Option<&Account>,
+    ) -> Residency {
+        let route = self.find_route(host, path);
+        let route = route.as_ref().map_or(former, |route| &route.name);
+        self.residency_of(route, account)
+    }
+
     /// Returns the regions in which the requests of a route and an account may
     /// run. A route or an account that the catalog lacks allows any region.
     pub fn residency_of(&self, route: &Route, account: Option<&Account>) -> Residency {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -122,6 +122,7 @@
     inbound: Inbound,
 ) -> (PlacementContext, Outbound) {
     let account = matched.account.as_ref().map(|account| account.name.clone());
+    let path = inbound.path().into();
     let out = Outbound {
         id: inbound.id,
         method: inbound.method,
@@ -145,6 +146,7 @@
         software: None,
         extra_attempt: None,
         route: Arc::clone(&matched.route),
+        path,
         pool,
         catalog_version: catalog.version,
     };
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -62,6 +62,8 @@
 pub(crate) struct PlacementContext {
     /// Route of the catalog that the request matched.
     pub(crate) route: Arc<RouteSpec>,
+    /// Path of the request, without the query.
+    pub(crate) path: Arc<str>,
     /// Pool of targets that serve the request.
     pub(crate) pool: Arc<PoolSpec>,
     /// Version of that catalog.
@@ -181,7 +183,7 @@
     where
         S: HasGrant,
     {
-        let allowed = self.residency_now(req);
+        let allowed = self.residency_now(req, cx);
         if self.reach.is_cut_off() {
             return self.choose_regions_when_cut_off(req, cx, &allowed, tried, now);
         }
@@ -249,7 +251,7 @@
         self.check_shutdown(&req, cx, Duration::ZERO, now)?;
         self.check_crashes(&req, cx, now)?;
         let choice = self
-            .choose_local_target(cx, &self.residency_now(&req), req.tried_targets(), now)
+            .choose_local_target(cx, &self.residency_now(&req, cx), req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason, now))?;
         // The instance that forwarded the request knew less of these targets. An
         // answer that has begun goes on, however late.
@@ -381,7 +383,7 @@
         let now = self.clock.now();
         let deadline = req.meta().deadline;
         let left = deadline.saturating_sub(now);
-        let allowed = self.residency_now(req);
+        let allowed = self.residency_now(req, cx);
         let choice = self.choose_local_target(cx, &allowed, &tried_with_current(req), now);
         choice.is_ok_and(|TargetChoice { estimate, .. }| {
             is_suitable(&estimate, left)
--- a/crates/gateway/src/place/cut_off.rs
+++ b/crates/gateway/src/place/cut_off.rs
@@ -52,7 +52,7 @@
         let Some(instance) = self.choose_instance(&region, &req, now) else {
             return Err(Box::new(req));
         };
-        let current = self.residency_in_force(req.grant());
+        let current = self.residency_in_force(req.grant(), cx);
         let req = req.place_remote(instance, region, &current)?;
         self.metrics.count_cut_off_forward();
         Ok(Destination::Remote(req))
--- a/crates/gateway/src/place/extra_attempt.rs
+++ b/crates/gateway/src/place/extra_attempt.rs
@@ -34,8 +34,12 @@
         let now = self.clock.now();
         self.check_crashes(&copy, cx, now).ok()?;
         let left = req.meta().deadline.saturating_sub(now);
-        let choice =
-            self.choose_local_target(cx, &self.residency_now(req), &tried_with_current(req), now);
+        let choice = self.choose_local_target(
+            cx,
+            &self.residency_now(req, cx),
+            &tried_with_current(req),
+            now,
+        );
         let choice = choice.ok().filter(|c| is_timely(cx, &c.estimate, left));
         let allowed = match &choice {
             Some(choice) => self.try_extra_attempt(cx, choice),
--- a/crates/gateway/src/place/reserve.rs
+++ b/crates/gateway/src/place/reserve.rs
@@ -43,7 +43,7 @@
         let Some(instance) = self.choose_instance(&remote.region, &req, now) else {
             return Err(Box::new(req));
         };
-        let current = self.residency_in_force(req.grant());
+        let current = self.residency_in_force(req.grant(), cx);
         let req = req.place_remote(instance, remote.region.clone(), &current)?;
         let tokens = remote.estimate.prefill_tokens;
         let mut traffic = self.tables.traffic.lock();
@@ -70,7 +70,7 @@
         now: Duration,
     ) -> Result<LocalPlacement<D, O>, Refusal> {
         let region = self.settings.region.clone();
-        let current = self.residency_in_force(req.grant());
+        let current = self.residency_in_force(req.grant(), cx);
         if !req.may_go_to(&region, &current) {
             return Err(refuse_no_target(&req, NoTargetReason::NoTarget, now));
         }
--- a/crates/gateway/src/residency.rs
+++ b/crates/gateway/src/residency.rs
@@ -33,22 +33,28 @@
 {
     /// Returns the regions that the catalog in force allows to a request that
     /// was admitted before.
-    pub(crate) fn residency_in_force(&self, grant: &Grant) -> Residency {
+    pub(crate) fn residency_in_force(&self, grant: &Grant, cx: &PlacementContext) -> Residency {
         let current = self.tables.current_catalog();
         current.map_or_else(Residency::anywhere, |current| {
+            let (host, path) = (&cx.route.host, &cx.path);
+            let account = grant.account.as_ref();
             let catalog = &current.catalog;
-            catalog.residency_of(&grant.route, grant.account.as_ref())
+            catalog.residency_of_request(host, path, &grant.route, account)
         })
     }
 
     /// Returns the regions in which a request may run by both the catalog that
     /// admitted it and the one in force.
-    pub(crate) fn residency_now<S, O>(&self, req: &Request<S, O>) -> Residency
+    pub(crate) fn residency_now<S, O>(
+        &self,
+        req: &Request<S, O>,
+        cx: &PlacementContext,
+    ) -> Residency
     where
         S: HasGrant,
     {
         let grant = req.grant();
-        grant.residency.and(&self.residency_in_force(grant))
+        grant.residency.and(&self.residency_in_force(grant, cx))
     }
 
     /// Tells whether a placed request may still go to its target, as another
@@ -92,7 +98,7 @@
         S: HasGrant,
     {
         let grant = req.grant();
-        let current = self.residency_in_force(grant);
+        let current = self.residency_in_force(grant, cx);
         if req.may_go_to(to.region, &current) {
             return true;
         }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -365,7 +365,8 @@
         let host = headers.get(HOST).and_then(|v| v.to_str().ok());
         let host = route_host(host.unwrap_or_default());
         let path = forward.path_and_query.split('?').next().unwrap_or_default();
-        let route = current.catalog.find_route(&host, path);
+        let path: Arc<str> = path.into();
+        let route = current.catalog.find_route(&host, &path);
         let Some(route) = route else {
             // The other instance found the route in its own catalog, so this is
             // not `Code::NoRoute`, which would blame the caller.
@@ -408,6 +409,7 @@
             priority: out.priority,
             is_most_urgent: current.catalog.is_most_urgent(priority, &pool.name),
             route: matched.route,
+            path,
             digest: suspension::digest(&pool.name, &forward.parts, &out),
             pool,
             catalog_version: current.catalog.version,
--- a/tests/testsuite/node/changed_regions.rs
+++ b/tests/testsuite/node/changed_regions.rs
@@ -29,6 +29,8 @@
 enum Bound {
     Routes,
     Account,
+    /// A new route, which is split off from the one of the request.
+    SplitOff,
 }
 
 impl Bound {
@@ -42,9 +44,29 @@
                 }
             }
             Self::Account => config["tenants"][0]["allowed_regions"] = json!([region]),
+            Self::SplitOff => {
+                let routes = config["routes"].as_array_mut().expect("a list of routes");
+                let split_off = routes.clone().into_iter().map(|mut route| {
+                    let name = route["name"].as_str().expect("a name");
+                    let (name, prefix) = (format!("{name}-more"), format!("/{name}/more/"));
+                    route["name"] = json!(name);
+                    route["path_prefix"] = json!(prefix);
+                    route["allowed_regions"] = json!([region]);
+                    route
+                });
+                routes.extend(split_off);
+            }
         }
         config
     }
+
+    /// Returns the path of a request on a route.
+    fn path(self, route: &str) -> String {
+        match self {
+            Self::Routes | Self::Account => format!("/{route}/1"),
+            Self::SplitOff => format!("/{route}/more/1"),
+        }
+    }
 }
 
 /// An instance in the north, which takes the requests, and one in the south.
@@ -123,7 +145,8 @@
         let mode = Mode::FullAfter(TURNED_AWAY_AFTER);
         let first = world.target("i-first", "orders", "north-a", mode).await;
         let config = bound.to("south");
-        let sending = world.send_and_bind("/status/1", &first, "north-a", &config);
+        let path = bound.path("status");
+        let sending = world.send_and_bind(&path, &first, "north-a", &config);
         let south = async {
             until("a target has the request", async || {
                 !first.arrivals().is_empty()
@@ -144,6 +167,7 @@
     check_retry:
     a_request_is_not_tried_again_where_its_route_may_no_longer_run(Bound::Routes);
     a_request_is_not_tried_again_where_its_account_may_no_longer_run(Bound::Account);
+    a_request_is_not_tried_again_where_its_part_of_a_route_may_no_longer_run(Bound::SplitOff);
 }
 
 /// Failure: a stream that broke off went on in a region that a later
@@ -155,7 +179,7 @@
         let first = world.target("i-first", "model", "north-a", mode).await;
         let config = bound.to("south");
         let (got, second) = world
-            .send_and_bind("/quote/1", &first, "north-a", &config)
+            .send_and_bind(&bound.path("quote"), &first, "north-a", &config)
             .await;
         assert!(second.arrivals().is_empty(), "{}", world.near.logged());
         assert!(!got.whole, "{got:?}");
@@ -166,6 +190,7 @@
     check_stream:
     a_stream_does_not_go_on_where_its_route_may_no_longer_run(Bound::Routes);
     a_stream_does_not_go_on_where_its_account_may_no_longer_run(Bound::Account);
+    a_stream_does_not_go_on_where_its_part_of_a_route_may_no_longer_run(Bound::SplitOff);
 }
 
 /// Failure: an instance that had a request from another one tried it again in its
@@ -177,7 +202,7 @@
         let first = world.target("i-first", "orders", "south-a", mode).await;
         let config = bound.to("north");
         let (got, second) = world
-            .send_and_bind("/status/1", &first, "south-a", &config)
+            .send_and_bind(&bound.path("status"), &first, "south-a", &config)
             .await;
         assert!(second.arrivals().is_empty(), "{}", world.far.logged());
         assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE, "{got:?}");
@@ -188,4 +213,5 @@
     check_forwarded:
     a_forwarded_request_is_not_tried_again_where_its_route_may_no_longer_run(Bound::Routes);
     a_forwarded_request_is_not_tried_again_where_its_account_may_no_longer_run(Bound::Account);
+    a_forwarded_request_is_not_tried_again_where_its_part_of_a_route_may_no_longer_run(Bound::SplitOff);
 }
