--- a/tests/testsuite/node/forwarded_by_version.rs
+++ b/tests/testsuite/node/forwarded_by_version.rs
@@ -8,9 +8,11 @@
 use serde_json::json;
 use support::block_on;
 use support::cases;
+use support::node::Node;
 use support::node::PlatformTarget;
 use support::node::Site;
 use support::node::call::Call;
+use support::node::call::Got;
 use support::node::proxy::Harm;
 use support::node::proxy::Proxy;
 use support::node::site::KEY;
@@ -86,3 +88,75 @@
     as_the_only_instance_there_is_behind(false);
     as_one_of_two_instances_there_is_behind(true);
 }
+
+/// Two instances in the south, where the target is, and one in the north that the
+/// store can be kept from.
+struct OutdatedSender {
+    site: Site,
+    store: Proxy,
+    target: PlatformTarget,
+    sender: Node,
+    receivers: [Node; 2],
+}
+
+impl OutdatedSender {
+    async fn start(config: &Value) -> Self {
+        let site = Site::start().await;
+        site.store.put("op/config", config);
+        let target = PlatformTarget::start("i-south").await;
+        site.register(&target, "orders", "south-a");
+        let store = Proxy::start(site.store.address).await;
+        let sender = site.spawn_before("sender", "north-a", "north", store.address);
+        let receivers = ["south-1", "south-2"].map(|name| site.spawn(name, "south-a", "south"));
+        for node in receivers.iter().chain([&sender]) {
+            node.until_ready(true).await;
+        }
+        until("the links are up", async || {
+            sender.logged().matches("link is up").count() == receivers.len()
+        })
+        .await;
+        Self {
+            site,
+            store,
+            target,
+            sender,
+            receivers,
+        }
+    }
+
+    /// Sends a request while a configuration is in force at the receivers alone.
+    async fn send_after(&self, config: &Value) -> Got {
+        until("the target is used", async || {
+            let warm = Call::new("warm", "/status/1").key(KEY);
+            warm.send(self.sender.front).await.status == StatusCode::OK
+        })
+        .await;
+        self.store.set(Harm::Silence);
+        self.site.store.put("op/config", config);
+        until("the version is in force", async || {
+            let is_known = |node: &Node| node.logged().contains(r#""version":9"#);
+            self.receivers.iter().all(is_known)
+        })
+        .await;
+        let call = Call::new("r-1", "/status/1").key(KEY);
+        call.send(self.sender.front).await
+    }
+}
+
+/// Failure: a route that had been public came to require a key, and its requests
+/// were run for no account, in a region that the account may not use.
+#[test]
+fn a_request_without_its_account_is_not_run() {
+    block_on(async {
+        let mut public = configuration(4);
+        public["routes"][0]["public"] = json!(true);
+        let world = OutdatedSender::start(&public).await;
+        let mut bound = configuration(9);
+        bound["tenants"][0]["allowed_regions"] = json!(["north"]);
+        let got = world.send_after(&bound).await;
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE, "{got:?}");
+        let arrivals = world.target.arrivals();
+        let ids = arrivals.iter().map(|arrival| arrival.header("request-id"));
+        assert!(!ids.into_iter().any(|id| id == "r-1"));
+    });
+}
