--- a/tests/testsuite/node/forwarded_by_version.rs
+++ b/tests/testsuite/node/forwarded_by_version.rs
@@ -141,6 +141,24 @@
         let call = Call::new("r-1", "/status/1").key(KEY);
         call.send(self.sender.front).await
     }
+
+    /// Counts the receivers that have refused the request.
+    async fn count_refusals(&self) -> usize {
+        let lines_of_request = || {
+            let log = self.sender.logged();
+            let lines = log.lines().filter(|line| line.contains(r#""r-1""#));
+            lines.map(str::to_owned).collect::<Vec<_>>()
+        };
+        until("the end of the request is logged", async || {
+            lines_of_request()
+                .iter()
+                .any(|line| line.contains(r#""places""#))
+        })
+        .await;
+        let lines = lines_of_request();
+        let refusals = lines.iter().filter(|line| line.contains("refused there"));
+        refusals.count()
+    }
 }
 
 /// Failure: a route that had been public came to require a key, and its requests
@@ -160,3 +178,18 @@
         assert!(!ids.into_iter().any(|id| id == "r-1"));
     });
 }
+
+/// Failure: one instance said that the request may not run in its region, and the
+/// body went to the next one there all the same.
+#[test]
+fn a_request_goes_to_a_barred_region_once_at_most() {
+    block_on(async {
+        let world = OutdatedSender::start(&configuration(4)).await;
+        let mut bound = configuration(9);
+        bound["routes"][0]["allowed_regions"] = json!(["north"]);
+        let got = world.send_after(&bound).await;
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE, "{got:?}");
+        let refusals = world.count_refusals().await;
+        assert_eq!(refusals, 1, "{}", world.sender.logged());
+    });
+}
