--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -123,6 +123,7 @@
     inbound: Inbound,
 ) -> (PlacementContext, Outbound) {
     let account = matched.account.as_ref().map(|account| account.name.clone());
+    let path = inbound.path().into();
     let out = Outbound {
         id: inbound.id,
         method: inbound.method,
@@ -146,6 +147,7 @@
         software: None,
         extra_attempt: None,
         route: Arc::clone(&matched.route),
+        path,
         pool,
         catalog_version: catalog.version,
     };
