Have regions leave in the soak, and callers look instances up

Cause: no soak had all instances of two regions gone for longer than a restart, and its callers chose among all instances by themselves. So it could not see that, 10 s after the regions of a route's homes had left, look-ups named instances where the route may not run, nor that bodies were sent there.

Change: a profile `outage`. Two of three regions leave one after the other, each stopped or killed as a whole, for 12 s to 15 s, beside the faults of the mixed profile and moves of homes. Six callers look instances up at the three nearest and keep what they are told, three of them three times as long. Violations are an answer that names an instance outside the caller's region where, by each configuration that may have been in force, a route of the host may not run; a body that is sent there because of one; and a caller that its own region doesn't serve again 20 s after all instances are back. `faults::terminate` is a part of `stop_one` now, and `homes::applied_by` is told which instances count; what they check is as before.

--- a/tests/testsuite/node/soak.rs
+++ b/tests/testsuite/node/soak.rs
@@ -3,8 +3,8 @@
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1000 cargo test --test testsuite soak::seeds_by_hand`
 //! plays fifty seeds from a thousand on. `SOAK_PROFILE=calm` (or `crowded`,
-//! `broken`, `stranded`, `brittle` or `upgrade`) chooses the profile, `SOAK_INSTANCES=40` the
-//! number of instances, `SOAK_CALLERS=100` that of callers and `SOAK_CROWD=4000`
+//! `broken`, `stranded`, `brittle`, `upgrade` or `outage`) chooses the profile,
+//! `SOAK_INSTANCES=40` the number of instances, `SOAK_CALLERS=100` that of callers and `SOAK_CROWD=4000`
 //! that of a crowd's, and `SOAK_MEMORY_MB=260` and `SOAK_DESCRIPTORS=4100` what
 //! each process is allowed. In the profile `upgrade` all instances start from the
 //! program at `SOAK_OLDER_PROGRAM`, an older build, and are replaced one by one by
@@ -21,8 +21,10 @@
 mod homes;
 mod late;
 mod lines;
+mod lookups;
 mod order;
 mod out_of_step;
+mod outage;
 mod overlap;
 mod peers;
 mod pieces;
@@ -120,6 +122,9 @@
     /// Instances of an older build that are replaced one by one, beside changes of
     /// the configuration and watches that are cut.
     Upgrade,
+    /// Two of three regions that leave one after the other for longer than a
+    /// restart, beside faults of all kinds.
+    Outage,
 }
 
 /// Size of a run.
@@ -152,14 +157,14 @@
         match self {
             Self::Mixed | Self::Broken => 3,
             Self::Calm | Self::Crowded => 6,
-            Self::Stranded | Self::Brittle | Self::Upgrade => 1,
+            Self::Stranded | Self::Brittle | Self::Upgrade | Self::Outage => 1,
         }
     }
 
     /// Returns the time in which faults begin.
     fn faults(self) -> Duration {
         match self {
-            Self::Stranded | Self::Brittle | Self::Upgrade => LONG_FAULTS,
+            Self::Stranded | Self::Brittle | Self::Upgrade | Self::Outage => LONG_FAULTS,
             _ => FAULTS,
         }
     }
@@ -261,8 +266,8 @@
         }
     };
     let homes = async {
-        if matches!(profile, Profile::Mixed | Profile::Calm) {
-            homes::run(soak, until, &mut moving).await;
+        if matches!(profile, Profile::Mixed | Profile::Calm | Profile::Outage) {
+            homes::run(soak, profile, until, &mut moving).await;
         }
     };
     let writing = async {
@@ -277,6 +282,7 @@
             Profile::Stranded => stranded::run(soak, until, &mut of_profile).await,
             Profile::Brittle => brittle::run(soak, until, &mut of_profile).await,
             Profile::Upgrade => upgrade::run(soak, &mut of_profile).await,
+            Profile::Outage => outage::run(soak, until, &mut of_profile).await,
             _ => {}
         }
     };
@@ -322,6 +328,10 @@
     play_by_default(Profile::Upgrade, seed);
 }
 
+fn check_outage(seed: u64) {
+    play_by_default(Profile::Outage, seed);
+}
+
 fn play_by_default(profile: Profile, seed: u64) {
     play(profile, seed, Size::of(profile), profile.limits());
 }
@@ -359,6 +369,13 @@
     upgrade_seed_1(1);
 }
 
+cases! {
+    check_outage:
+    // Callers were told of instances in a region where some of their routes may not
+    // run, and sent requests there, once the others had been gone for 10 s.
+    outage_seed_1(1);
+}
+
 /// Plays the seeds that the environment asks for. All are played before those
 /// that failed are named.
 #[test]
@@ -372,6 +389,7 @@
         Some("stranded") => Profile::Stranded,
         Some("brittle") => Profile::Brittle,
         Some("upgrade") => Profile::Upgrade,
+        Some("outage") => Profile::Outage,
         _ => Profile::Mixed,
     };
     let count = |name: &str, or: usize| number(name).map_or(or, |n| n as usize);
--- a/tests/testsuite/node/soak/changes.rs
+++ b/tests/testsuite/node/soak/changes.rs
@@ -191,6 +191,21 @@
         homes.collect()
     }
 
+    /// Returns the homes of all routes, in their order, in each configuration that
+    /// may have been in force within a span of time.
+    pub(super) fn route_homes<F>(
+        &self,
+        from: Instant,
+        until: Instant,
+        applied: F,
+    ) -> Vec<[Homes; ROUTES.len()]>
+    where
+        F: Fn(Instant) -> Option<Instant>,
+    {
+        let terms = self.in_force(from, until, applied);
+        terms.iter().map(|terms| terms.route_homes).collect()
+    }
+
     /// Returns what the configurations state that may have been in force within a
     /// span of time.
     fn in_force<F>(&self, from: Instant, until: Instant, applied: F) -> Vec<Terms>
--- a/tests/testsuite/node/soak/checks.rs
+++ b/tests/testsuite/node/soak/checks.rs
@@ -84,6 +84,7 @@
         found.extend(soak.misnamed.violations());
         found.extend(soak.cuts.violations(&seen));
         found.extend(soak.brittle.violations(soak));
+        found.extend(soak.lookups.violations(soak));
         found.extend(Checker::new(soak, profile, &logs).violations(&seen));
         found
     };
--- a/tests/testsuite/node/soak/faults.rs
+++ b/tests/testsuite/node/soak/faults.rs
@@ -13,6 +13,7 @@
 use support::node::call;
 use support::node::proxy::Harm;
 use support::node::proxy::Proxy;
+use tokio::sync::OwnedMutexGuard;
 
 use super::GRACE;
 use super::Profile;
@@ -44,7 +45,7 @@
 /// Begins a random fault of a profile, and ends it after a random time.
 pub(super) async fn strike(soak: &Soak, profile: Profile, rng: &mut StdRng) {
     match profile {
-        Profile::Mixed => strike_mixed(soak, rng).await,
+        Profile::Mixed | Profile::Outage => strike_mixed(soak, rng).await,
         Profile::Calm => strike_calm(soak, rng).await,
         Profile::Crowded => strike_crowded(soak, rng).await,
         Profile::Broken => strike_broken(soak, rng).await,
@@ -332,11 +333,34 @@
     if node.logged().is_empty() {
         return;
     }
+    node = terminate(soak, at, node, &signals, rng).await;
+    if restart == Restart::Unheard {
+        soak.site.store.mute(true);
+    }
+    tokio::time::sleep(pause).await;
+    soak.respawn(at, &mut node);
+    if restart == Restart::Unheard {
+        let delay = Duration::from_millis(rng.random_range(RECORD_DELAY_MS));
+        tokio::time::sleep(delay).await;
+        soak.site.store.mute(false);
+    }
+}
+
+/// Tells an instance to stop, with further signals while it does so, and waits
+/// until it has ended.
+pub(super) async fn terminate(
+    soak: &Soak,
+    at: usize,
+    node: OwnedMutexGuard<Node>,
+    signals: &[bool],
+    rng: &mut StdRng,
+) -> OwnedMutexGuard<Node> {
+    let mut node = node;
     let told = Instant::now();
     node.process.terminate();
     for is_hang_up in signals {
         tokio::time::sleep(Duration::from_millis(rng.random_range(5..300))).await;
-        signal_again(&node, is_hang_up);
+        signal_again(&node, *is_hang_up);
     }
     let ending = tokio::task::spawn_blocking(move || {
         let status = node.process.wait_for_status();
@@ -356,16 +380,7 @@
         "instance {at} took {took:?} to stop, {}",
         last_lines(&node.logged())
     );
-    if restart == Restart::Unheard {
-        soak.site.store.mute(true);
-    }
-    tokio::time::sleep(pause).await;
-    soak.respawn(at, &mut node);
-    if restart == Restart::Unheard {
-        let delay = Duration::from_millis(rng.random_range(RECORD_DELAY_MS));
-        tokio::time::sleep(delay).await;
-        soak.site.store.mute(false);
-    }
+    node
 }
 
 /// Returns the end of a log.
--- a/tests/testsuite/node/soak/homes.rs
+++ b/tests/testsuite/node/soak/homes.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use super::Profile;
 use super::arrivals::Arrivals;
 use super::callers::Seen;
 use super::changes::APPLY_TIME;
@@ -28,19 +29,32 @@
 /// Pause between two moves, in ms.
 const PAUSE_MS: std::ops::Range<u64> = 300..2000;
 
+/// The same where one configuration is to be in force for a while.
+const LONG_PAUSE_MS: std::ops::Range<u64> = 2000..7000;
+
 /// Time without a fault after which an instance has the latest configuration:
 /// `contact_ms` of the settings.
-const CONTACT_TIME: Duration = Duration::from_millis(5000);
+pub(super) const CONTACT_TIME: Duration = Duration::from_millis(5000);
 
 /// Tells whether homes allow a region.
 pub(super) fn allow(homes: Homes, region: &str) -> bool {
     homes.is_empty() || homes.contains(&region)
 }
 
+/// Returns the homes that are two regions.
+pub(super) fn of_both(one: &str, other: &str) -> Homes {
+    let is_both = |homes: &&Homes| homes.contains(&one) && homes.contains(&other);
+    HOMES.iter().find(is_both).expect("each pair has a value")
+}
+
 /// Moves the homes of a route or of the account again and again.
-pub(super) async fn run(soak: &Soak, until: Instant, rng: &mut StdRng) {
+pub(super) async fn run(soak: &Soak, profile: Profile, until: Instant, rng: &mut StdRng) {
+    let pause_ms = match profile {
+        Profile::Outage => LONG_PAUSE_MS,
+        _ => PAUSE_MS,
+    };
     while Instant::now() < until {
-        let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
+        let pause = Duration::from_millis(rng.random_range(pause_ms.clone()));
         tokio::time::sleep(pause).await;
         let homes = HOMES[rng.random_range(0..HOMES.len())];
         soak.changes.move_homes(&soak.site.store, homes, rng);
@@ -67,7 +81,8 @@
 
 fn is_allowed(soak: &Soak, one: &Seen, target: usize, until: Instant) -> bool {
     let region = region_of_target(target);
-    let applied = |written| applied_by(soak, written, one.at, region);
+    let is_passed_by = |at: usize| at == one.at || soak.places[at].region == region;
+    let applied = |written| applied_by(soak, written, is_passed_by);
     let homes = soak.changes.homes(one.path, one.sent, until, applied);
     let mut allowed = homes
         .into_iter()
@@ -75,11 +90,12 @@
     allowed.any(|is_allowed| is_allowed)
 }
 
-/// Returns when a configuration is in force at the instance that took a request
-/// and at those of the target's region: once it had time to be applied and they
-/// were in touch with the store.
-fn applied_by(soak: &Soak, written: Instant, instance: usize, region: &str) -> Option<Instant> {
-    let is_passed_by = |at: usize| at == instance || soak.places[at].region == region;
+/// Returns when a configuration is in force at the instances that a request is
+/// passed by: once it had time to be applied and they were in touch with the store.
+pub(super) fn applied_by<F>(soak: &Soak, written: Instant, is_passed_by: F) -> Option<Instant>
+where
+    F: Fn(usize) -> bool,
+{
     let counts = |scope| match scope {
         Scope::Store => true,
         Scope::Instance(at) | Scope::StoreLink(at) => is_passed_by(at),
--- a/tests/testsuite/node/soak/release.rs
+++ b/tests/testsuite/node/soak/release.rs
@@ -77,6 +77,6 @@
     tokio::time::sleep(pause).await;
 }
 
-async fn pause(rng: &mut StdRng, ms: std::ops::Range<u64>) {
+pub(super) async fn pause(rng: &mut StdRng, ms: std::ops::Range<u64>) {
     tokio::time::sleep(Duration::from_millis(rng.random_range(ms))).await;
 }
--- a/tests/testsuite/node/soak/world.rs
+++ b/tests/testsuite/node/soak/world.rs
@@ -21,6 +21,7 @@
 use super::callers::Seen;
 use super::changes::Changes;
 use super::late::Misnamed;
+use super::lookups::Lookups;
 use super::out_of_step::OutOfStep;
 use super::peers::Peers;
 use super::record::Record;
@@ -64,6 +65,7 @@
 
 /// A run.
 pub(super) struct Soak {
+    pub(super) begun: Instant,
     pub(super) size: Size,
     /// What each instance's process is allowed.
     pub(super) limits: Limits,
@@ -75,6 +77,7 @@
     pub(super) cuts: Cuts,
     pub(super) brittle: BrittleTimes,
     pub(super) misnamed: Misnamed,
+    pub(super) lookups: Lookups,
     pub(super) store: Proxy,
     /// The way of each instance to that proxy.
     pub(super) store_links: Vec<Proxy>,
@@ -85,6 +88,8 @@
     /// The instances' processes; none of an instance that has ended.
     pids: Vec<Mutex<Option<u32>>>,
     pub(super) fronts: Arc<Vec<Mutex<SocketAddr>>>,
+    /// Where callers look the instances up.
+    pub(super) directories: Vec<SocketAddr>,
     pub(super) out_of_step: Arc<OutOfStep>,
     pub(super) changes: Arc<Changes>,
     pub(super) record: Record,
@@ -132,8 +137,10 @@
         let fronts = nodes.iter().map(|node| Mutex::new(node.front)).collect();
         let pids = nodes.iter().map(|node| Mutex::new(Some(node.process.id())));
         let pids = pids.collect();
+        let directories = nodes.iter().map(|node| node.directory).collect();
         let nodes = nodes.into_iter().map(tokio::sync::Mutex::new);
         Self {
+            begun: Instant::now(),
             size,
             limits,
             usage: Usage::default(),
@@ -143,6 +150,7 @@
             cuts: Cuts::default(),
             brittle: BrittleTimes::default(),
             misnamed: Misnamed::default(),
+            lookups: Lookups::default(),
             store: proxy,
             store_links,
             cold: ColdTimes::default(),
@@ -150,6 +158,7 @@
             nodes: nodes.map(Arc::new).collect(),
             pids,
             fronts: Arc::new(fronts),
+            directories,
             out_of_step: Arc::default(),
             changes: Arc::new(changes),
             record: Record::default(),
