Run no forwarded request without its account where the route requires one

What callers saw: a request on a route that had just come to require a key was run for no account, in a region that the account of its key may not use.

Cause: an instance with an older configuration took the route for public and forwarded the request without an account. The other one, where the route requires a key by then, took no account for one without homes.

Change: an instance on the platform refuses such a forward as not run.

Result: node::forwarded_by_version::as_the_route_needs_an_account_by_then failed on: 200 from the target of the barred region in place of 503.

--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -184,7 +184,7 @@
         key: Option<&str>,
     ) -> Result<MatchedRoute, LookupError> {
         let route = self.find_route(host, path).ok_or(LookupError::NoRoute)?;
-        if route.public || !self.has_accounts {
+        if !self.requires_account(&route) {
             return Ok(MatchedRoute {
                 route,
                 account: None,
@@ -198,6 +198,11 @@
         })
     }
 
+    /// Tells whether the requests of a route run for a client account.
+    pub fn requires_account(&self, route: &RouteSpec) -> bool {
+        self.has_accounts && !route.public
+    }
+
     /// Finds the route of a host whose path prefix is the longest that matches
     /// `path`.
     pub fn find_route(&self, host: &str, path: &str) -> Option<Arc<RouteSpec>> {
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -373,6 +373,10 @@
             return Err(refuse(Code::Unavailable, Step::Route));
         };
         let account = match &forward.account {
+            // Its account, which may be bound to other regions, isn't known.
+            None if current.catalog.requires_account(&route) => {
+                return Err(refuse(Code::Unavailable, Step::Authenticate));
+            }
             None => None,
             Some(name) => {
                 let known = current.catalog.account(name);
--- a/tests/testsuite/node/forwarded_by_version.rs
+++ b/tests/testsuite/node/forwarded_by_version.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 use support::block_on;
 use support::cases;
+use support::node::Node;
 use support::node::PlatformTarget;
 use support::node::Site;
 use support::node::call::Call;
@@ -86,3 +87,51 @@
     as_the_only_instance_there_is_behind(false);
     as_one_of_two_instances_there_is_behind(true);
 }
+
+/// Failure: an instance with an older version sent a request on for no account, as its
+/// route had been public, and it ran where its account may not.
+fn an_outdated_sender_is_turned_back(is_public_before: bool, bind: fn(&mut Value)) {
+    block_on(async {
+        let site = Site::start().await;
+        let mut config = configuration(4);
+        config["routes"][0]["public"] = json!(is_public_before);
+        site.store.put("op/config", &config);
+        let target = PlatformTarget::start("i-south").await;
+        site.register(&target, "orders", "south-a");
+        let store = Proxy::start(site.store.address).await;
+        let sender = site.spawn_before("sender", "north-a", "north", store.address);
+        let receivers = ["south-1", "south-2"].map(|name| site.spawn(name, "south-a", "south"));
+        let send = async |id| {
+            let call = Call::new(id, "/status/1").key(KEY);
+            call.send(sender.front).await.status
+        };
+        until("both are linked and the target is used", async || {
+            sender.logged().matches("link is up").count() == receivers.len()
+                && send("warm").await == StatusCode::OK
+        })
+        .await;
+        store.set(Harm::Silence);
+        let mut bound = configuration(9);
+        bind(&mut bound);
+        site.store.put("op/config", &bound);
+        until("the version is in force", async || {
+            let is_known = |node: &Node| node.logged().contains(r#""version":9"#);
+            receivers.iter().all(is_known)
+        })
+        .await;
+        assert_eq!(send("r-1").await, StatusCode::SERVICE_UNAVAILABLE);
+        let count = |text: &str| {
+            let log = sender.logged();
+            let lines = log.lines().filter(|line| line.contains(r#""id":"r-1""#));
+            lines.filter(|line| line.contains(text)).count()
+        };
+        until("its end is logged", async || count(r#""places""#) == 1).await;
+        assert_eq!(count("refused there"), 1, "{}", sender.logged());
+    });
+}
+
+cases! {
+    an_outdated_sender_is_turned_back:
+    as_the_route_needs_an_account_by_then(
+        true, |config| config["tenants"][0]["allowed_regions"] = json!(["north"]));
+}
