Send a request to no second instance of a region whose homes bar it

What callers saw: where an instance had an older configuration than the others, the body of a request went to a second instance of a region that bars it, though the first one had said that it may not run there. By reading, further ones and the sender's own region could follow, up to five destinations.

Cause: that refusal looked like one for want of a target, after which other destinations are tried. Refusals that show that the catalogs differ end the request, as others of the region would refuse it too; this one was left out.

Change: it is told as such a refusal, with the same Retry-After as where the receiver's catalog is the older one. Instances of older builds read it so, too. The caller's next try is judged by what the sender has learned by then.

Result: node::forwarded_by_version::as_the_region_is_barred_by_then failed on: refused there by south-1 and south-2, 2 in place of 1.

--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -55,7 +55,7 @@
 /// forwards it.
 const MAX_CATALOG_WAIT: Duration = Duration::from_millis(250);
 
-/// Retry delay for a request of a later catalog than this instance's.
+/// Retry delay for a request while the catalogs of the two instances differ.
 const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Largest part of an answer that is copied and sent at once, in bytes.
@@ -393,7 +393,9 @@
         };
         let grant = handle::build_grant(&matched, &pool.name, 0);
         if !grant.residency.allows(&self.settings.region) {
-            return Err(refuse(Code::Unavailable, Step::Place));
+            // By `Step::Route` the other instance tells that its catalog differs.
+            let refusal = refuse(Code::Unavailable, Step::Route);
+            return Err(refusal.with_retry_after(OUTDATED_RETRY_AFTER));
         }
         let priority = matched.priority();
         let method = forward.method.parse();
--- a/tests/testsuite/node/forwarded_by_version.rs
+++ b/tests/testsuite/node/forwarded_by_version.rs
@@ -89,7 +89,8 @@
 }
 
 /// Failure: an instance with an older version sent a request on for no account, as its
-/// route had been public, and it ran where its account may not.
+/// route had been public, and it ran where its account may not; or it sent the body
+/// to one instance after another of a region that bars it.
 fn an_outdated_sender_is_turned_back(is_public_before: bool, bind: fn(&mut Value)) {
     block_on(async {
         let site = Site::start().await;
@@ -134,4 +135,6 @@
     an_outdated_sender_is_turned_back:
     as_the_route_needs_an_account_by_then(
         true, |config| config["tenants"][0]["allowed_regions"] = json!(["north"]));
+    as_the_region_is_barred_by_then(
+        false, |config| config["routes"][0]["allowed_regions"] = json!(["north"]));
 }
