Ask others for the catalog that a restored store has lost at the start

What callers saw: after the store came back from an older copy, an instance that started served by the configuration of that copy, until the operator wrote the later one again: requests ran in a region that the later one bars, by services that it no longer names, with keys that it has withdrawn.

Cause: catalogs don't go back at an instance that runs, as they are ordered by version, but one that starts has none. Nothing told it of a later one: the revisions that instances compare are those of the store's new era, in which nobody is ahead.

Change: an instance that starts in an era after the first asks up to three linked instances for a later catalog, within 10 s of its first one. It is put in force as one that is learned while the store does not answer. In the first era nothing is asked.

Until then it serves by the copy: left as it is, as an instance that is alone can't tell.

--- a/crates/gateway/src/fleet_copy.rs
+++ b/crates/gateway/src/fleet_copy.rs
@@ -1,7 +1,11 @@
 //! Learns from other instances what the store does not tell this one: while it
 //! is cut off from the store, they still hear of targets that turn cold, drain
 //! or leave, of evacuated zones and of later catalogs.
+//!
+//! An instance that starts after the store came back from an older copy has only
+//! that copy's catalog. The others tell it of a later one.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,18 +32,29 @@
 /// Time limit for another instance to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time since the first catalog in which others are asked for a later one.
+const LATER_CATALOG_TIME: Duration = Duration::from_secs(10);
+
+/// Pause between two looks for an instance to ask for a later catalog.
+const LATER_CATALOG_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Number of instances that are asked for a later catalog, as some may have just
+/// started themselves.
+const LATER_CATALOG_ANSWERS: usize = 3;
+
 /// Asks others for what this instance does not know, until it stops.
 pub(crate) async fn run<D>(gateway: Arc<Gateway<D>>)
 where
     D: Dialect,
 {
-    let asking = async {
+    let following = async {
         loop {
             gateway.wait_until_others_know_more().await;
             gateway.ask_for_copy().await;
             tokio::time::sleep(ASK_INTERVAL).await;
         }
     };
+    let asking = async { tokio::join!(gateway.ask_for_later_catalog(), following) };
     gateway.stop.run_until_cancelled(asking).await;
 }
 
@@ -63,6 +78,47 @@
         }
     }
 
+    /// Asks several instances for a later catalog than the first one that this
+    /// instance has read, if the store may have lost it.
+    async fn ask_for_later_catalog(self: &Arc<Self>) {
+        let until = self.wait_for_first_catalog().await + LATER_CATALOG_TIME;
+        let mut answered = HashSet::new();
+        while answered.len() < LATER_CATALOG_ANSWERS && self.clock.now() < until {
+            if self.store_lag.read_revision().era > 0 {
+                self.ask_unasked_for_catalog(&mut answered).await;
+            }
+            tokio::time::sleep(LATER_CATALOG_INTERVAL).await;
+        }
+    }
+
+    /// Asks those of the linked instances that have not `answered` yet.
+    async fn ask_unasked_for_catalog(self: &Arc<Self>, answered: &mut HashSet<Instance>) {
+        for link in self.links.list_open() {
+            let from = &link.peer().instance;
+            if answered.contains(from) || answered.len() >= LATER_CATALOG_ANSWERS {
+                continue;
+            }
+            let Some(copy) = ask(&link, self.catalog_version()).await else {
+                continue;
+            };
+            answered.insert(from.clone());
+            if let Some(catalog) = copy.catalog {
+                self.apply_catalog_copy(catalog, from);
+            }
+        }
+    }
+
+    /// Waits for the first catalog, and returns when it was read.
+    async fn wait_for_first_catalog(&self) -> Duration {
+        loop {
+            let changed = self.catalog_changed.notified();
+            if let Some(current) = self.tables.current_catalog() {
+                return current.loaded_at;
+            }
+            changed.await;
+        }
+    }
+
     /// Asks one instance after another until one has answered.
     async fn ask_for_copy(self: &Arc<Self>) {
         for link in self.links_to_better_informed() {
--- a/tests/testsuite/node/restored.rs
+++ b/tests/testsuite/node/restored.rs
@@ -304,3 +304,26 @@
         assert!(named.body.contains(&node.front.to_string()), "{named:?}");
     });
 }
+
+/// Failure: an instance that started after the store had come back from an older
+/// copy served by that copy's configuration, which the others had a later version
+/// of: requests ran in a region that was barred.
+#[test]
+fn an_instance_that_starts_after_a_restore_learns_the_later_version() {
+    block_on(async {
+        let (site, target, running) = desk().await;
+        let copy = site.store.copy();
+        let mut bound = configuration(6);
+        bound["routes"][0]["allowed_regions"] = json!(["south"]);
+        site.store.put("op/config", &bound);
+        until_version(&running, "6").await;
+        site.store.restore(copy);
+        site.store.cut_watches();
+        until_restore_known(&running).await;
+        let started = site.instance("two", "north-a", "north").await;
+        tokio::time::sleep(APPLY_LIMIT).await;
+        let status = status_of(&started, "/status/1").await;
+        assert!(target.arrivals().is_empty(), "run where it may not");
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    });
+}
