Name the instances of the own region first in the daemon's list

What callers saw: `GET /v1/instances` of `chiverelayd`, which callers take for ranked and use from the top, had instances of other regions between those of its own.

Cause: the list was in the order of a table's shards.

Change: the others of the region come right after the instance itself, then those of other regions, which are still named: the list is one for all routes, and doesn't say which of them a region bars.

Result: instances::instances_of_the_region_are_named_first failed on: `cusco-1: ["cusco-1", "lima-1", "lima-2", "cusco-2", "cusco-3"]`.

--- a/crates/chiverelayd/src/serve.rs
+++ b/crates/chiverelayd/src/serve.rs
@@ -8,6 +8,7 @@
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::tickets::Validity;
 use hyper::StatusCode;
+use serde_json::Value;
 use serde_json::json;
 
 use crate::context::Context;
@@ -38,16 +39,7 @@
                 "address": self.cx.addresses.caller,
             }));
         }
-        self.cx.members.for_each(|name, m| {
-            if self
-                .cx
-                .tables
-                .siblings
-                .with(name, |s| s.is_some_and(|s| s.serving))
-            {
-                list.push(json!({"instance": name, "address": m.profile.caller}));
-            }
-        });
+        list.extend(self.list_siblings());
         // A draining instance may be gone before its tickets are used.
         let tickets = if drains { 0 } else { TICKETS };
         let now = self.cx.clock.now();
@@ -67,6 +59,22 @@
         Reply::json(StatusCode::OK, body.to_string().into_bytes())
     }
 
+    /// Lists the other instances that take requests, those of this region first.
+    fn list_siblings(&self) -> Vec<Value> {
+        let own_region = &self.cx.settings.region;
+        let mut ranked = Vec::new();
+        self.cx.members.for_each(|name, m| {
+            let region = self.cx.tables.siblings.with(name, |sibling| {
+                let serving = sibling.filter(|sibling| sibling.serving);
+                serving.map(|sibling| sibling.region.clone())
+            });
+            let entry = json!({"instance": name, "address": m.profile.caller});
+            ranked.extend(region.map(|region| (region != *own_region, entry)));
+        });
+        ranked.sort_by_key(|(is_elsewhere, _)| *is_elsewhere);
+        ranked.into_iter().map(|(_, entry)| entry).collect()
+    }
+
     fn models(&self) -> Reply {
         let config = self.cx.tables.config.get();
         let data: Vec<_> = config
--- a/tests/testsuite/instances.rs
+++ b/tests/testsuite/instances.rs
@@ -40,6 +40,25 @@
     .await;
 }
 
+/// Failure: an instance named those of other regions, which may not be homes of its
+/// callers' requests, before others of its own region.
+#[test]
+fn instances_of_the_region_are_named_first() {
+    block_on(async {
+        let names = ["lima-1", "lima-2", "cusco-1", "cusco-2", "cusco-3"];
+        let daemons = names.map(|name| (name, &name[..name.len() - 2]));
+        let site = Site::start(&daemons).await;
+        for (asked, region) in daemons {
+            for other in names {
+                until_named(&site, asked, other, true).await;
+            }
+            let names = named(&site, asked).await;
+            let is_other = names.iter().map(|name| !name.starts_with(region));
+            assert!(is_other.is_sorted(), "{asked}: {names:?}");
+        }
+    });
+}
+
 fn refuse() -> Faults {
     Faults {
         refuse: true,
