Lead callers to a region that bars few of their host's bound requests

Cause: the number of routes that a region bars says nothing of the number of requests. Hosts have routes for a single region beside one for two.

Change: each instance counts its callers' requests by route (decisions::route_use). A region is named where it bars at most one in twenty of the host's bound requests, the share that the users allow, from 100 such requests on; below that, and while it isn't known, it is not. No message changes.

--- a/crates/decisions/src/catalog.rs
+++ b/crates/decisions/src/catalog.rs
@@ -52,6 +52,8 @@
     pools: HashMap<Pool, Arc<PoolSpec>>,
     accounts_by_key: HashMap<Box<str>, Arc<AccountSpec>>,
     has_accounts: bool,
+    /// Identifies the routes that are bound to regions, and the regions.
+    bound_routes_digest: u64,
     /// Where the requests of each route may run.
     route_residencies: HashMap<Route, Residency>,
     /// All accounts, whether they have a key or not.
@@ -118,6 +120,7 @@
         let resumable = resumable.flat_map(|route| &route.backends);
         let resumable_pools = resumable.map(|backend| backend.pool.clone()).collect();
         let route_residencies = residency::by_route(&routes);
+        let bound_routes_digest = residency::digest_bound_routes(&routes);
         let mut by_host: HashMap<Box<str>, Vec<Arc<RouteSpec>>> = HashMap::new();
         for route in routes {
             let host = route.host.as_ref().into();
@@ -144,6 +147,7 @@
             pools: pools.into_iter().map(keyed_by_name).collect(),
             accounts_by_key: by_key,
             has_accounts,
+            bound_routes_digest,
             route_residencies,
             accounts_by_name: by_name,
             most_urgent,
@@ -215,6 +219,11 @@
         self.routes_by_host.get(host).map_or(&[], Vec::as_slice)
     }
 
+    /// Tells whether a host has a route.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.routes_by_host.contains_key(host)
+    }
+
     /// Returns a pool by its name.
     pub fn pool(&self, name: &Pool) -> Option<&Arc<PoolSpec>> {
         self.pools.get(name)
--- a/crates/decisions/src/catalog/residency.rs
+++ b/crates/decisions/src/catalog/residency.rs
@@ -2,6 +2,9 @@
 //! admitted.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Catalog;
 use super::RouteSpec;
@@ -14,6 +17,17 @@
     routes.iter().map(residency).collect()
 }
 
+pub(super) fn digest_bound_routes(routes: &[RouteSpec]) -> u64 {
+    let bound = routes.iter().filter(|route| !route.residency.is_anywhere());
+    let text = |route: &RouteSpec| {
+        let (host, path, name) = (&route.host, &route.path_prefix, route.name.as_str());
+        format!("{host} {path} {name} {}", route.residency)
+    };
+    let mut texts: Vec<_> = bound.map(text).collect();
+    texts.sort_unstable();
+    xxh3_64(texts.join("\n").as_bytes())
+}
+
 impl Catalog {
     /// Returns the regions in which a request that another catalog admitted may
     /// run: those of the route that its host and path match here, or of `former`,
@@ -43,11 +57,15 @@
         }
     }
 
-    /// Returns the regions in which all routes of a host may run, or `None` if it
-    /// has no route.
-    pub fn residency_of_host(&self, host: &str) -> Option<Residency> {
-        let routes = self.routes_of(host).iter();
-        let residencies = routes.map(|route| route.residency.clone());
-        residencies.reduce(|all, one| all.and(&one))
+    /// Lists the routes of a host that are bound to regions.
+    pub fn bound_routes_of(&self, host: &str) -> impl Iterator<Item = &RouteSpec> {
+        let routes = self.routes_of(host).iter().map(Arc::as_ref);
+        routes.filter(|route| !route.residency.is_anywhere())
+    }
+
+    /// Returns a number that changes with the routes that are bound to regions,
+    /// and with these regions.
+    pub fn bound_routes_digest(&self) -> u64 {
+        self.bound_routes_digest
     }
 }
--- a/crates/decisions/src/config/residency.rs
+++ b/crates/decisions/src/config/residency.rs
@@ -24,6 +24,11 @@
         Self(Some(regions))
     }
 
+    /// Returns true if a request may run in any region.
+    pub fn is_anywhere(&self) -> bool {
+        self.0.is_none()
+    }
+
     /// Returns true if a request may run in `region`.
     pub fn allows(&self, region: &Region) -> bool {
         match &self.0 {
--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -1,8 +1,8 @@
 //! Which of the nearest instances a caller is told of.
 //!
-//! A caller may always use its own region. It is led to another one only if all
-//! routes of its host may run there; otherwise it is told of nobody and keeps the
-//! instances that it knows.
+//! A caller may always use its own region. It is led to another one only if that
+//! bars at most a small share of the requests on the host's bound routes; otherwise
+//! it is told of nobody and keeps the instances that it knows.
 //!
 //! Callers connect to the addresses that they are told of with equal
 //! probability. Where instances differ in processor time, an answer that always
@@ -10,12 +10,15 @@
 //! ones. An answer therefore lists each instance with a probability in
 //! proportion to its capacity.
 
+use std::collections::HashMap;
+
 use crate::catalog::Catalog;
-use crate::config::Residency;
 use crate::names::Instance;
 use crate::names::Region;
 use crate::names::Zone;
 use crate::rendezvous;
+use crate::route_use::BarredShare;
+use crate::route_use::RouteUse;
 
 /// Fewest instances in an answer, if there are as many: callers leave out those
 /// that have just failed them.
@@ -30,6 +33,8 @@
     SameRegion,
     /// In another region, in which all of the host's routes may run.
     OtherRegion,
+    /// In another region, which bars a small share of the host's bound requests.
+    PartlyBarred,
 }
 
 impl Distance {
@@ -39,6 +44,7 @@
             Self::SameZone => "zone",
             Self::SameRegion => "region",
             Self::OtherRegion => "other region",
+            Self::PartlyBarred => "partly barred",
         }
     }
 }
@@ -48,9 +54,12 @@
 pub enum Unnamed {
     /// No instance of any region is ready.
     NoneReady,
-    /// All ready instances are in regions where some of the host's routes may not
-    /// run.
+    /// All ready instances are in regions that bar more than a small share of the
+    /// host's bound requests.
     Barred,
+    /// None is ready in the caller's region, and too few requests were seen to
+    /// tell which share the others bar.
+    UnknownShare,
     /// None is ready in the caller's region, and the catalog lacks the host.
     UnknownHost,
     /// None is ready in the caller's region, and there is no catalog yet.
@@ -63,6 +72,7 @@
         match self {
             Self::NoneReady => "none ready",
             Self::Barred => "barred",
+            Self::UnknownShare => "unknown share",
             Self::UnknownHost => "unknown host",
             Self::NoCatalog => "no catalog",
         }
@@ -72,30 +82,50 @@
 /// The regions to which a host's callers may be led from their own one.
 ///
 /// A caller sends the requests of all of the host's routes, with their bodies, to
-/// the instances that it is told of, and only the catalog tells where these may
-/// go. What the catalog doesn't tell is not allowed.
+/// the instances that it is told of. The catalog tells where these may go, and the
+/// callers' requests how many of them a region bars. What isn't known is not
+/// allowed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HostRegions {
     /// There is no catalog yet.
     NoCatalog,
     /// The catalog has no route of the host.
     UnknownHost,
-    /// Regions in which all of the host's routes may run.
-    Known(Residency),
+    /// How much of the host's bound requests each region bars.
+    Known(HashMap<Region, BarredShare>),
 }
 
 impl HostRegions {
-    /// Looks up the regions of a host.
-    pub fn find(catalog: Option<&Catalog>, host: &str) -> Self {
-        match catalog.map(|catalog| catalog.residency_of_host(host)) {
-            None => Self::NoCatalog,
-            Some(None) => Self::UnknownHost,
-            Some(Some(residency)) => Self::Known(residency),
+    /// Looks up what each of `regions` bars of a host's requests.
+    pub fn find<'a, I>(
+        catalog: Option<&Catalog>,
+        route_use: &RouteUse,
+        host: &str,
+        regions: I,
+    ) -> Self
+    where
+        I: IntoIterator<Item = &'a Region>,
+    {
+        let Some(catalog) = catalog else {
+            return Self::NoCatalog;
+        };
+        if !catalog.has_host(host) {
+            return Self::UnknownHost;
         }
+        let share = |region: &Region| route_use.barred_share(catalog, host, region);
+        let regions = regions.into_iter();
+        Self::Known(regions.map(|r| (r.clone(), share(r))).collect())
     }
 
-    fn allow(&self, region: &Region) -> bool {
-        matches!(self, Self::Known(residency) if residency.allows(region))
+    fn distance_to(&self, region: &Region) -> Option<Distance> {
+        let Self::Known(shares) = self else {
+            return None;
+        };
+        match shares.get(region)? {
+            BarredShare::None => Some(Distance::OtherRegion),
+            BarredShare::Small => Some(Distance::PartlyBarred),
+            BarredShare::Large | BarredShare::Unknown => None,
+        }
     }
 
     /// Returns why the host's callers are told of nobody while `ready` instances
@@ -105,7 +135,13 @@
             _ if ready == 0 => Unnamed::NoneReady,
             Self::NoCatalog => Unnamed::NoCatalog,
             Self::UnknownHost => Unnamed::UnknownHost,
-            Self::Known(_) => Unnamed::Barred,
+            Self::Known(shares) => {
+                let mut shares = shares.values();
+                match shares.any(|share| *share == BarredShare::Unknown) {
+                    true => Unnamed::UnknownShare,
+                    false => Unnamed::Barred,
+                }
+            }
         }
     }
 }
@@ -131,8 +167,7 @@
         if *region == self.region {
             return Some(Distance::SameRegion);
         }
-        let is_allowed = self.host_regions.allow(region);
-        is_allowed.then_some(Distance::OtherRegion)
+        self.host_regions.distance_to(region)
     }
 }
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod resources;
 pub mod retry_budget;
 pub mod revision;
+pub mod route_use;
 pub mod settlements;
 pub mod shutdown;
 pub mod silence;
--- a/crates/decisions/src/tables.rs
+++ b/crates/decisions/src/tables.rs
@@ -59,6 +59,8 @@
     Streams,
     /// When the marks of software were read for streams that are resumed.
     MarkReads,
+    /// How much callers use each route.
+    RouteUse,
     /// What is known of the other instances.
     Members,
     /// What each sibling last reported of itself.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -242,6 +242,8 @@
             .map_err(refuse_lookup_error)?;
         request_log.route = Some(matched.route.name.clone());
         request_log.account = matched.account.as_ref().map(|account| account.name.clone());
+        let route = &matched.route.name;
+        self.tables.route_use.lock().record(catalog, route);
         if !matched.allows(&self.settings.region) {
             self.note_barred_request(&inbound.id, &matched, catalog.version, Sender::Caller);
         }
--- a/crates/gateway/src/lookup.rs
+++ b/crates/gateway/src/lookup.rs
@@ -24,14 +24,20 @@
 {
     /// Lists the addresses of the nearest ready instances for a caller in `zone`
     /// of `region`. `host` is the host of its requests. Instances of another
-    /// region are listed only if all routes of the host may run there.
+    /// region are listed only if it bars at most a small share of the host's bound
+    /// requests.
     pub fn nearest_ready(&self, host: &str, zone: &Zone, region: &Region) -> Vec<SocketAddr> {
         let current = self.tables.current_catalog();
         let catalog = current.as_ref().map(|current| current.catalog.as_ref());
         let caller = Caller {
             zone: zone.clone(),
             region: region.clone(),
-            host_regions: HostRegions::find(catalog, host),
+            host_regions: HostRegions::find(
+                catalog,
+                &self.tables.route_use.lock(),
+                host,
+                self.settings.zone_regions.values(),
+            ),
         };
         let is_cut_off = self.reach.is_cut_off();
         let now = self.clock.now();
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -18,6 +18,7 @@
 use chiverelay_decisions::names::Zone;
 use chiverelay_decisions::quarantine::Quarantine;
 use chiverelay_decisions::revision::StoreRevision;
+use chiverelay_decisions::route_use::RouteUse;
 use chiverelay_decisions::streams::PoolSoftware;
 use chiverelay_decisions::suspension::Suspensions;
 use chiverelay_decisions::tables::LockRank;
@@ -69,7 +70,7 @@
 /// Tables shared by requests and updates from the store.
 ///
 /// Locked in this order: `catalog`, `fleet`, `traffic`, `quarantine`,
-/// `suspensions`, `streams`. Their ranks in [`LockRank`] increase in the same order.
+/// `suspensions`, `streams`, `route_use`. Their ranks in [`LockRank`] increase in the same order.
 #[derive(Debug)]
 pub(crate) struct SharedTables {
     pub(crate) catalog: CurrentCatalog,
@@ -78,6 +79,7 @@
     pub(crate) quarantine: RankedMutex<Quarantine>,
     pub(crate) suspensions: RankedMutex<Suspensions>,
     pub(crate) streams: RankedMutex<Streams>,
+    pub(crate) route_use: RankedMutex<RouteUse>,
 }
 
 impl SharedTables {
@@ -99,6 +101,7 @@
             quarantine: RankedMutex::new(LockRank::Quarantine, Quarantine::default()),
             suspensions: RankedMutex::new(LockRank::Suspensions, Suspensions::default()),
             streams: RankedMutex::new(LockRank::Streams, Streams::default()),
+            route_use: RankedMutex::new(LockRank::RouteUse, RouteUse::default()),
         }
     }
 
