--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::directory::Distance;
+use chiverelay_decisions::directory::Unnamed;
 use chiverelay_decisions::refusal::Refusal;
 use hyper::StatusCode;
 use prometheus::Encoder;
@@ -22,6 +23,7 @@
 use crate::continuation::SoftwareMatch;
 use crate::links::CloseCause;
 use crate::log_writer::LineCounts;
+use crate::lookup;
 use crate::relay::AnswerOrigin;
 use crate::relay::EndCause;
 
@@ -47,6 +49,7 @@
     lookups: IntCounterVec,
     cut_answers: IntCounterVec,
     region_conflicts: IntCounterVec,
+    barred_requests: IntCounterVec,
     attempts: IntCounterVec,
     retry_decisions: IntCounterVec,
     extra_attempts: IntCounterVec,
@@ -116,10 +119,16 @@
                 "Attempts and forwards that were not sent, as the catalog in force bars the region.",
                 &["to"],
             ),
+            barred_requests: counter(
+                &registry,
+                "barred_requests_total",
+                "Requests that arrived in a region where they may not run, by who sent them.",
+                &["from"],
+            ),
             lookups: counter(
                 &registry,
                 "lookups_total",
-                "Lookups of instances by how far those are that callers were told of.",
+                "Lookups of instances by how far those are that callers were told of, or why there were none.",
                 &["nearest"],
             ),
             cut_answers: counter(
@@ -251,6 +260,7 @@
             &self.unanswered,
             &self.cut_answers,
             &self.region_conflicts,
+            &self.barred_requests,
             &self.attempts,
             &self.retry_decisions,
             &self.extra_attempts,
@@ -314,10 +324,11 @@
         histogram.observe(took.as_secs_f64());
     }
 
-    /// Counts a lookup by how far the instances are that were named.
-    pub(crate) fn count_lookup(&self, named: Option<Distance>) {
-        let named = named.map_or("none", Distance::as_str);
-        self.lookups.with_label_values(&[named]).inc();
+    /// Counts a lookup by how far the instances are that were named, or by why
+    /// none were.
+    pub(crate) fn count_lookup(&self, result: Result<Distance, Unnamed>) {
+        let labels = [lookup::result_name(result)];
+        self.lookups.with_label_values(&labels).inc();
     }
 
     /// Counts a stream that goes on at another target.
@@ -338,6 +349,11 @@
         self.region_conflicts.with_label_values(&[to]).inc();
     }
 
+    /// Counts a request that arrived in a region where it may not run.
+    pub(crate) fn count_barred_request(&self, from: &'static str) {
+        self.barred_requests.with_label_values(&[from]).inc();
+    }
+
     /// Counts answers that a link carried when this instance closed it.
     pub(crate) fn count_cut_answers(&self, cause: CloseCause, count: usize) {
         let counter = self.cut_answers.with_label_values(&[cause.as_str()]);
