Count a connection to a target only if the target keeps it

Cause: a round of probes took an accepted connection for reach, and so did a request that opened one, whatever became of it.

Change: a probe's connection has to be kept for 50 ms, and a request's counts from the first bytes that arrive on it. A crash check waits for neither: an accepted connection settles at once whether a cut explains a refused one (`Reachability::record_accepted`). `TargetPath` has a cut of this kind.

--- a/crates/decisions/src/reachability.rs
+++ b/crates/decisions/src/reachability.rs
@@ -4,7 +4,8 @@
 //! An instance that reaches none of several is cut off from them. Failures of
 //! requests only say when to look: what decides is a round of probes, which open
 //! connections to several targets. A target whose process stands still or is
-//! busy accepts connections, and so do the other targets when one has crashed.
+//! busy accepts connections and keeps them, and so do the other targets when one
+//! has crashed.
 //!
 //! If all targets of a region have failed, all its instances count as cut off,
 //! and none is better than the others.
@@ -66,9 +67,9 @@
 /// What a round of probes has found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RoundResult {
-    /// A target has accepted a connection.
+    /// A target has accepted a connection and kept it open.
     Reached,
-    /// So many targets have been tried, and none has accepted a connection.
+    /// So many targets have been tried, and none has done so.
     Failed(usize),
 }
 
@@ -77,7 +78,7 @@
 /// # Invariants
 ///
 /// `cut_off_since` is set exactly while the last round has failed. At most one
-/// round runs at a time, so `ended_rounds` is `begun_rounds` or one less.
+/// round runs at a time, so `settled_rounds` is `begun_rounds` or one less.
 #[derive(Debug, Default)]
 pub struct Reachability {
     /// When the first request was sent since the last sign of life.
@@ -86,11 +87,13 @@
     longest_wait: Duration,
     /// Whether a connection has failed since the last round began.
     has_failure: bool,
-    /// When a connection was last opened.
+    /// When the last connection was opened on which something has arrived.
     connected_at: Option<Duration>,
+    /// When the last round began, or ended if it failed.
     last_round: Option<Duration>,
     begun_rounds: u64,
-    ended_rounds: u64,
+    /// Rounds that tell whether a cut explains refused connections.
+    settled_rounds: u64,
     cut_off_since: Option<Duration>,
     /// Targets that the last round has not reached.
     unreached: usize,
@@ -110,10 +113,10 @@
         }
     }
 
-    /// Records that a connection to a target was opened.
-    pub fn record_connected(&mut self, now: Duration) {
-        self.connected_at = Some(now);
-        self.record_contact(now);
+    /// Records that something has arrived on a connection that was opened at a
+    /// time. An open connection alone shows nothing: it may be reset at once.
+    pub fn record_connected(&mut self, opened: Duration) {
+        self.connected_at = self.connected_at.max(Some(opened));
     }
 
     /// Records that a connection to a target could not be opened or was lost.
@@ -123,9 +126,16 @@
         NextRound(self.begun_rounds + 1)
     }
 
-    /// Tells whether a round has ended.
-    pub fn has_ended(&self, round: NextRound) -> bool {
-        self.ended_rounds >= round.0
+    /// Tells whether a round shows if a cut explains refused connections.
+    pub fn is_settled(&self, round: NextRound) -> bool {
+        self.settled_rounds >= round.0
+    }
+
+    /// Records that a target has accepted a connection of the round that runs. No
+    /// cut explains a refused one then, whether or not this one is kept.
+    pub fn record_accepted(&mut self) {
+        self.settled_rounds = self.begun_rounds;
+        self.unreached = 0;
     }
 
     /// Returns when the targets are to be probed; `None` while nothing calls for
@@ -151,13 +161,13 @@
     }
 
     /// Ends a round of probes. A connection that was opened for a request
-    /// meanwhile counts as one of its own.
+    /// meanwhile, and on which something has arrived, counts as one of its own.
     pub fn finish_round(&mut self, round: ProbeRound, result: RoundResult, now: Duration) {
-        self.last_round = Some(now);
-        self.ended_rounds = self.begun_rounds;
+        self.settled_rounds = self.begun_rounds;
         let has_connected = self.connected_at.is_some_and(|at| at >= round.began);
         match result {
             RoundResult::Failed(tried) if tried > 0 && !has_connected => {
+                self.last_round = Some(now);
                 self.cut_off_since.get_or_insert(now);
                 self.unreached = tried;
             }
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -65,9 +65,6 @@
         };
         match connected {
             Ok(Ok(conn)) => {
-                if conn.is_new() {
-                    self.reach.record_connected(self.clock.now());
-                }
                 self.metrics.count_connection_use(conn.is_new());
                 Ok(conn)
             }
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -113,7 +113,7 @@
             tokio::time::sleep(COLLECT_TIME).await;
             let is_refused = refuses_connections(address, CONNECT_TIMEOUT).await;
             if is_refused {
-                self.reach.until_ended(round).await;
+                self.reach.until_settled(round).await;
             }
             is_refused
         };
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -362,12 +362,16 @@
     }
 
     async fn exchange(&self, exchange: Exchange, out: &Outbound, kind: RouteKind) -> Exchanged {
+        let opened = exchange.conn.is_new().then(|| self.clock.now());
         let sent = exchange.conn.send(exchange.msg).await;
         let mut answer = sent.map_err(|e| match e {
             SendError::NotSent(e) => AttemptFailure::NotSent(e.to_string()),
             SendError::MaybeSent(e) => AttemptFailure::ExchangeFailed(e.to_string()),
         })?;
         self.reach.record_contact(self.clock.now());
+        if let Some(opened) = opened {
+            self.reach.record_connected(opened);
+        }
         let verdict = self.dialect.classify_response(
             out,
             answer.status(),
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -12,7 +12,7 @@
 use chiverelay_decisions::reachability::TargetReach;
 use chiverelay_decisions::tables::LockRank;
 use chiverelay_decisions::tables::RankedMutex;
-use chiverelay_target::accepts_connections;
+use chiverelay_target::ProbeConnection;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use rand::seq::SliceRandom;
@@ -54,8 +54,8 @@
     current: watch::Sender<TargetReach>,
     /// Notified when a connection has failed.
     has_failed: Notify,
-    /// Notified when a round of probes has ended.
-    round_ended: Notify,
+    /// Notified when a round of probes is settled.
+    round_settled: Notify,
 }
 
 impl Default for SharedReach {
@@ -64,7 +64,7 @@
             evidence: RankedMutex::new(LockRank::Reachability, Reachability::default()),
             current: watch::Sender::default(),
             has_failed: Notify::new(),
-            round_ended: Notify::new(),
+            round_settled: Notify::new(),
         }
     }
 }
@@ -91,9 +91,10 @@
         self.evidence.lock().record_contact(now);
     }
 
-    /// Records that a connection to a target was opened.
-    pub(crate) fn record_connected(&self, now: Duration) {
-        self.evidence.lock().record_connected(now);
+    /// Records that something has arrived on a connection that was opened at a
+    /// time.
+    pub(crate) fn record_connected(&self, opened: Duration) {
+        self.evidence.lock().record_connected(opened);
     }
 
     /// Records that a connection to a target could not be opened or was lost.
@@ -104,15 +105,22 @@
         round
     }
 
-    /// Waits until a round of probes has ended, for at most [`MAX_ROUND_WAIT`].
-    pub(crate) async fn until_ended(&self, round: NextRound) {
+    /// Records that a target has accepted a connection of a probe.
+    fn record_accepted(&self) {
+        self.evidence.lock().record_accepted();
+        self.round_settled.notify_waiters();
+    }
+
+    /// Waits until a round of probes shows whether a cut explains refused
+    /// connections, for at most [`MAX_ROUND_WAIT`].
+    pub(crate) async fn until_settled(&self, round: NextRound) {
         let waiting = async {
             loop {
-                let ended = self.round_ended.notified();
-                if self.evidence.lock().has_ended(round) {
+                let settled = self.round_settled.notified();
+                if self.evidence.lock().is_settled(round) {
                     return;
                 }
-                ended.await;
+                settled.await;
             }
         };
         // Without a round, what is known from before has to do.
@@ -193,13 +201,13 @@
         let Some(round) = self.reach.evidence.lock().begin_round(began) else {
             return;
         };
-        let result = probe(self.choose_probed_targets()).await;
+        let result = self.probe(self.choose_probed_targets()).await;
         let now = self.clock.now();
         let mut evidence = self.reach.evidence.lock();
         let cut_since = evidence.cut_off_since();
         evidence.finish_round(round, result, now);
         drop(evidence);
-        self.reach.round_ended.notify_waiters();
+        self.reach.round_settled.notify_waiters();
         let Some(former) = self.reach.publish(now) else {
             return;
         };
@@ -222,6 +230,34 @@
         self.status_due.notify_one();
     }
 
+    /// Tries to connect to targets: first to one, and to the others if that fails.
+    async fn probe(&self, addresses: Vec<SocketAddr>) -> RoundResult {
+        let tried = addresses.len();
+        let mut addresses = addresses.into_iter();
+        let Some(first) = addresses.next() else {
+            return RoundResult::Failed(0);
+        };
+        if self.is_reached(first, FIRST_PROBE_TIMEOUT).await {
+            return RoundResult::Reached;
+        }
+        let probes = addresses.map(|address| self.is_reached(address, PROBE_TIMEOUT));
+        let mut probes: FuturesUnordered<_> = probes.collect();
+        while let Some(is_reached) = probes.next().await {
+            if is_reached {
+                return RoundResult::Reached;
+            }
+        }
+        RoundResult::Failed(tried)
+    }
+
+    async fn is_reached(&self, address: SocketAddr, timeout: Duration) -> bool {
+        let Some(conn) = ProbeConnection::open(address, timeout).await else {
+            return false;
+        };
+        self.reach.record_accepted();
+        conn.is_kept().await
+    }
+
     /// Chooses at random, but one target of each pool in each zone first: a whole
     /// pool or zone may be down while the others are reached.
     fn choose_probed_targets(&self) -> Vec<SocketAddr> {
@@ -267,23 +303,3 @@
         !self.members.filter_reaching(linked, now).is_empty()
     }
 }
-
-/// Tries to connect to targets: first to one, and to the others if that fails.
-async fn probe(addresses: Vec<SocketAddr>) -> RoundResult {
-    let tried = addresses.len();
-    let mut addresses = addresses.into_iter();
-    let Some(first) = addresses.next() else {
-        return RoundResult::Failed(0);
-    };
-    if accepts_connections(first, FIRST_PROBE_TIMEOUT).await {
-        return RoundResult::Reached;
-    }
-    let probes = addresses.map(|address| accepts_connections(address, PROBE_TIMEOUT));
-    let mut probes: FuturesUnordered<_> = probes.collect();
-    while let Some(is_reached) = probes.next().await {
-        if is_reached {
-            return RoundResult::Reached;
-        }
-    }
-    RoundResult::Failed(tried)
-}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -23,4 +23,4 @@
 pub use crash::refuses_connections;
 pub use error::Error;
 pub use load::fetch_load;
-pub use probe::accepts_connections;
+pub use probe::ProbeConnection;
--- a/crates/target/src/probe.rs
+++ b/crates/target/src/probe.rs
@@ -3,11 +3,28 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
-/// Tells whether a connection to a target can be opened within `timeout`. It is
-/// closed at once, and nothing is sent on it.
-pub async fn accepts_connections(address: SocketAddr, timeout: Duration) -> bool {
-    let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
-    matches!(connecting.await, Ok(Ok(_)))
+/// Time after which a connection that is still open counts as kept. What stands
+/// before a target may accept connections for it and then reset them.
+const HOLD_TIME: Duration = Duration::from_millis(50);
+
+/// A connection to a target, on which nothing is sent.
+#[derive(Debug)]
+pub struct ProbeConnection(TcpStream);
+
+impl ProbeConnection {
+    /// Opens a connection; `None` if that fails or takes longer than `timeout`.
+    pub async fn open(address: SocketAddr, timeout: Duration) -> Option<Self> {
+        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
+        connecting.await.ok()?.ok().map(Self)
+    }
+
+    /// Tells whether the other side keeps the connection, for a moment at least.
+    pub async fn is_kept(mut self) -> bool {
+        let mut buf = [0];
+        let reading = tokio::time::timeout(HOLD_TIME, self.0.read(&mut buf));
+        matches!(reading.await, Err(_) | Ok(Ok(1..)))
+    }
 }
--- a/tests/support/node/path.rs
+++ b/tests/support/node/path.rs
@@ -27,6 +27,9 @@
     Reset,
     /// New connections are refused. Open ones live on.
     RefuseNew,
+    /// New connections are accepted and reset at once, as by a proxy that has lost
+    /// what is behind it. Open ones live on.
+    ResetNew,
 }
 
 /// Connections that wait to be accepted before the system drops further ones.
@@ -93,6 +96,18 @@
                     _ = cut.changed() => {}
                 }
             }
+            Cut::ResetNew => {
+                let open = listener.get_or_insert_with(|| listen(address, LONG_BACKLOG));
+                tokio::select! {
+                    accepted = open.accept() => {
+                        if let Ok((stream, _)) = accepted {
+                            // It is reset when it is dropped.
+                            let _ = stream.set_zero_linger();
+                        }
+                    }
+                    _ = cut.changed() => {}
+                }
+            }
             Cut::Reset | Cut::RefuseNew => {
                 listener = None;
                 let _ = cut.changed().await;
--- a/tests/testsuite/node/cut_off_from_targets.rs
+++ b/tests/testsuite/node/cut_off_from_targets.rs
@@ -145,6 +145,7 @@
     while_connections_hang(Cut::Hang, "/status/2");
     while_connections_are_reset(Cut::Reset, "/status/2");
     while_new_connections_are_refused(Cut::RefuseNew, "/status/2");
+    while_new_connections_are_accepted_and_reset(Cut::ResetNew, "/status/2");
     with_streams_while_connections_hang(Cut::Hang, "/chat/2");
     with_deposits_while_connections_are_reset(Cut::Reset, "/deposit/2");
 }
--- a/tests/testsuite/reachability.rs
+++ b/tests/testsuite/reachability.rs
@@ -153,6 +153,18 @@
     assert_eq!(reach.reach(ms(1450)), TargetReach::Reached);
 }
 
+/// Load pattern: streams on connections from before a cut go on while new ones
+/// are reset.
+#[test]
+fn a_connection_from_before_a_round_says_nothing() {
+    let mut reach = busy();
+    reach.record_failure();
+    let round = reach.begin_round(ms(1000)).expect("a round is due");
+    reach.record_connected(ms(990));
+    reach.finish_round(round, RoundResult::Failed(4), ms(1450));
+    assert_eq!(reach.reach(ms(1450)), TargetReach::NoNewConnections);
+}
+
 /// Failure: a crash check took what a round showed that had begun before the loss.
 #[test]
 fn a_failure_is_explained_by_a_round_that_begins_after_it() {
@@ -161,10 +173,22 @@
     let running = reach.begin_round(ms(1000)).expect("a round is due");
     let next = reach.record_failure();
     reach.finish_round(running, RoundResult::Reached, ms(1100));
-    assert!(!reach.has_ended(next));
+    assert!(!reach.is_settled(next));
     let round = reach.begin_round(ms(1400)).expect("a round is due");
     reach.finish_round(round, RoundResult::Failed(4), ms(1850));
-    assert!(reach.has_ended(next));
+    assert!(reach.is_settled(next));
+}
+
+/// Failure: a crash check waited for connections of probes to be kept, and the
+/// request that had crashed the target was sent to others meanwhile.
+#[test]
+fn an_accepted_connection_settles_a_failure() {
+    let mut reach = busy();
+    let next = reach.record_failure();
+    let _round = reach.begin_round(ms(1000)).expect("a round is due");
+    reach.record_accepted();
+    assert!(reach.is_settled(next));
+    assert!(!reach.explains_refused_connections());
 }
 
 /// Guards against a region without targets whose instance is taken for cut off.
