Let the region that is left decide on what others forward to it

Cause: an instance refused a request before it asked, when its estimate of the other region's queue passed half of the route's latency target. That estimate adds what it forwarded within 0.8 s, ended or not, to reports that have it already, while the instances there let their own callers keep the queue just within the same bound.

Change: a request whose region has no target that can be used whatever its load is forwarded once if the deadline allows it, and admitted there as those of its own callers (`Estimate::allows_forward`). After a refusal there, and where the region's targets are just full, one's own estimate decides as before.

--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -137,6 +137,11 @@
 }
 
 impl NoTargetReason {
+    /// Tells whether no target can be used whatever its load.
+    pub fn is_out_of_reach(self) -> bool {
+        matches!(self, Self::NoTarget | Self::NoneHealthy)
+    }
+
     /// Returns the reason once a target that is paused for `left` was
     /// considered too.
     fn with_pause(self, left: Duration) -> Self {
--- a/crates/decisions/src/traffic/expected.rs
+++ b/crates/decisions/src/traffic/expected.rs
@@ -50,6 +50,24 @@
         !self.has_free_slot && self.queue_delay > latency_target.mul_f64(MAX_QUEUE_SHARE)
     }
 
+    /// Tells whether a request whose own region has no target that can be used is
+    /// forwarded to the region of this estimate. `left` is the time to its
+    /// deadline.
+    ///
+    /// The instances there decide whether it waits too long in the queue, as for
+    /// their own callers: they keep their queues just within the bound, and with
+    /// older counts nearly all would be refused here. Once one of them has refused
+    /// the request, the estimate has to do.
+    pub fn allows_forward(
+        &self,
+        left: Duration,
+        latency_target: Duration,
+        was_refused_there: bool,
+    ) -> bool {
+        let is_late = was_refused_there && self.is_late_from_queueing(latency_target);
+        self.wait <= left && !is_late
+    }
+
     /// Tells whether the request would begin after its latency target as other
     /// prompts are read first, though a slot may be free. It should not leave its
     /// region for such a target.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -47,6 +47,7 @@
 use crate::quarantine;
 use crate::reservation_guard::ReservationGuard;
 use crate::sent_count::SentCount;
+use refusals::check_forward;
 use refusals::check_prompts;
 use refusals::check_wait;
 use refusals::is_timely;
@@ -151,7 +152,12 @@
         let left = req.meta().deadline.saturating_sub(now);
         let (local, remote) = self.choose_regions(&req, cx, req.tried_targets(), now);
         if let Some(remote) = remote {
-            check_wait(&req, cx, &remote.estimate, left)?;
+            match local {
+                Err(reason) if reason.is_out_of_reach() => {
+                    check_forward(&req, cx, &remote.estimate, left)?;
+                }
+                _ => check_wait(&req, cx, &remote.estimate, left)?,
+            }
             self.check_shutdown(&req, cx, remote.estimate.queue_delay, now)?;
             // Without a local target, each instance forwards as its callers come,
             // and not all at once when a region fills up.
@@ -336,7 +342,8 @@
         }
         let deadline = req.meta().deadline;
         let left = deadline.saturating_sub(now);
-        // The same conditions as of `choose_destination`.
+        // The conditions of `choose_destination`, but no region is asked whose queue
+        // is long by the estimate: the request has a target.
         let estimate = match self.choose_regions(req, cx, &tried_with_current(req), now) {
             (_, Some(remote)) => remote.estimate,
             (Ok(local), None) => local.estimate,
--- a/crates/gateway/src/place/refusals.rs
+++ b/crates/gateway/src/place/refusals.rs
@@ -6,6 +6,7 @@
 use chiverelay_decisions::refusal::Code;
 use chiverelay_decisions::refusal::Refusal;
 use chiverelay_decisions::request::Admitted;
+use chiverelay_decisions::request::Direct;
 use chiverelay_decisions::request::Request;
 use chiverelay_decisions::step::Peer;
 use chiverelay_decisions::step::Step;
@@ -76,6 +77,25 @@
     Ok(())
 }
 
+/// Checks that a request may be forwarded to another region at the estimated wait
+/// there, as no target of this one can be used whatever its load.
+///
+/// # Errors
+///
+/// As for [`check_wait`].
+pub(super) fn check_forward(
+    req: &Request<Admitted, Direct>,
+    cx: &PlacementContext,
+    estimate: &Estimate,
+    left: Duration,
+) -> Result<(), Refusal> {
+    let was_refused = !req.asked_siblings().is_empty();
+    match estimate.allows_forward(left, cx.route.target_latency, was_refused) {
+        true => Ok(()),
+        false => check_wait(req, cx, estimate, left),
+    }
+}
+
 /// Checks that a request that was forwarded does not wait for other prompts
 /// until it is late.
 ///
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -45,7 +45,7 @@
     Divisor::new(1)
 }
 
-fn ms(ms: u64) -> Duration {
+const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
