Take requests for admitted only at targets that were heard lately

Targets that survive few rejections in a second and stood still for a moment rejected all that they had got meanwhile, and fell over (LIMIT).

Cause: a request that was not rejected within 50 ms counted as admitted, also at a target that had sent nothing for long.

Change: that holds only for targets that have sent something within the time that a request usually takes there, 250 ms at least (`guarded_room`). After a pause no more requests than the target may reject go there until the first answer. What is left: a target whose slots all become free at once and which stands still right then.

Result: `brittle::targets_that_reject_late_reject_few` and the four new cases of `what_is_rejected_late_is_little` failed before, with 6 rejections in a second where 1 to 5 are allowed, and pass.

--- a/crates/decisions/src/traffic/guarded_room.rs
+++ b/crates/decisions/src/traffic/guarded_room.rs
@@ -28,14 +28,17 @@
 use crate::names::Pool;
 use crate::names::Target;
 
-/// Time after which a target is taken to have admitted a request, as it rejects
-/// at once.
+/// Time after which a target that runs is taken to have admitted a request, as it
+/// rejects at once.
 const REJECTION_TIME: Duration = Duration::from_millis(50);
 
 /// The same until a target has its whole room again after a rejection. A busy
 /// one may take longer to reject.
 const REJECTION_TIME_WHEN_REDUCED: Duration = Duration::from_millis(150);
 
+/// Shortest time after its last sign of life for which a target is taken to run.
+const MIN_HEARD_TIME: Duration = Duration::from_millis(250);
+
 /// Time without requests after a rejection. It is longer than the second in
 /// which rejections are counted.
 const CLOSED_TIME: Duration = Duration::from_millis(1250);
@@ -145,6 +148,18 @@
     }
 }
 
+/// What is known of a target when its room is asked for.
+#[derive(Clone, Copy, Debug)]
+struct TargetLoad {
+    slots: u32,
+    /// Requests of this instance there.
+    own: u32,
+    /// Requests of all instances there.
+    all: u32,
+    /// Whether the target has shown lately that it runs.
+    is_heard: bool,
+}
+
 impl GuardedRoom {
     /// Returns how many requests the target is taken to hold.
     fn room(&self, slots: u32, now: Duration) -> u32 {
@@ -156,6 +171,8 @@
         grown.min(f64::from(slots)) as u32
     }
 
+    /// Takes requests for admitted that a target which runs would have rejected by
+    /// now. One that stands still rejects them when it goes on.
     fn confirm_old(&mut self, is_reduced: bool, now: Duration) {
         let limit = match is_reduced {
             true => REJECTION_TIME_WHEN_REDUCED,
@@ -167,19 +184,24 @@
         }
     }
 
-    /// Returns whether this instance may send another request, with `own` of
-    /// `all` requests at the target being its own.
+    /// Returns whether this instance may send another request.
     fn admits(
         &mut self,
         division: Division,
         slot_use: SlotUse,
-        slots: u32,
-        own: u32,
-        all: u32,
+        load: TargetLoad,
         now: Duration,
     ) -> bool {
+        let TargetLoad {
+            slots,
+            own,
+            all,
+            is_heard,
+        } = load;
         let room = self.room(slots, now);
-        self.confirm_old(room < slots, now);
+        if is_heard {
+            self.confirm_old(room < slots, now);
+        }
         let others = self.update_others(all.saturating_sub(own), slots, now);
         let may_send = division.is_holder()
             && now >= self.closed_until
@@ -263,13 +285,18 @@
             // The instances of the target's region decide.
             return all < slots;
         };
-        let own = self.own_in_flight(target).running;
+        let load = TargetLoad {
+            slots,
+            own: self.own_in_flight(target).running,
+            all,
+            is_heard: self.is_heard(target, pool, now),
+        };
         let room = self.guarded_rooms.entry(target.clone()).or_default();
         let recent = room.rank.filter(|(_, at)| now < *at + RANK_TTL);
         let (position, at) = recent.unwrap_or_else(|| (rank(target), now));
         room.rank = Some((position, at));
         let division = Division::new(max_rejections, instances, position);
-        room.admits(division, slot_use, slots, own, all, now)
+        room.admits(division, slot_use, load, now)
     }
 
     /// Counts a request that is sent to a target.
@@ -312,6 +339,21 @@
         }
     }
 
+    /// Tells whether a target has sent something within the time that it usually
+    /// takes for a request.
+    fn is_heard(&self, target: &Target, pool: &PoolSpec, now: Duration) -> bool {
+        let performance = self.performance(&pool.name);
+        let usual = match pool.engine {
+            Some(_) => performance.generation_time(),
+            None => performance.service_time(),
+        };
+        let heard_at = self
+            .local
+            .get(target)
+            .map(|local| local.unanswered.heard_at());
+        heard_at.is_some_and(|at| now < at + usual.max(MIN_HEARD_TIME))
+    }
+
     /// Returns the requests that this instance has at a target.
     fn own_in_flight(&self, target: &Target) -> InFlight {
         let local = self.local.get(target);
--- a/tests/testsuite/brittle.rs
+++ b/tests/testsuite/brittle.rs
@@ -492,3 +492,23 @@
     let most = scene.most_rejected();
     assert!(most <= 3, "{most} rejections in a second");
 }
+
+/// Pattern: the same at several instances, with other times and limits.
+fn what_is_rejected_late_is_little(instances: usize, limit: u32, rejection_time: Duration) {
+    let mut scene = Scene::new(instances, 4, Some(limit));
+    scene.rejection_time = rejection_time;
+    for server in &mut scene.servers {
+        server.taken = SLOTS;
+    }
+    scene.play(ms(10_000), 0..instances, 3);
+    let most = scene.most_rejected();
+    assert!(most <= limit as usize, "{most} rejections in a second");
+}
+
+cases! {
+    what_is_rejected_late_is_little:
+    by_targets_of_two_instances(2, 3, ms(800));
+    by_targets_that_stand_still_for_long(5, 5, ms(2_000));
+    by_targets_that_stand_still_for_a_moment(1, 4, ms(300));
+    by_targets_that_survive_one(4, 1, ms(800));
+}
