Take a share of barred requests for small only if it very likely is

Cause: the share was compared without its error and without a margin, and counted in whole numbers over the routes of all hosts.

Change: a share is small if what is about two standard deviations above it is still at most one in forty, half of what operators allow. Only bound routes are counted, in fractions. Three names say better what they are: NotNamed, ReceivedFrom and BarredShare::Nothing.

New are a share of 350 rare routes that has to stay large, shares of few requests, and a region that bars one in ten with real processes; few barred requests are 2 of 302 there, not none.

--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -51,7 +51,7 @@
 
 /// Why a caller is told of no instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unnamed {
+pub enum NotNamed {
     /// No instance of any region is ready.
     NoneReady,
     /// All ready instances are in regions that bar more than a small share of the
@@ -66,7 +66,7 @@
     NoCatalog,
 }
 
-impl Unnamed {
+impl NotNamed {
     /// Returns the name in metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -122,7 +122,7 @@
             return None;
         };
         match shares.get(region)? {
-            BarredShare::None => Some(Distance::OtherRegion),
+            BarredShare::Nothing => Some(Distance::OtherRegion),
             BarredShare::Small => Some(Distance::PartlyBarred),
             BarredShare::Large | BarredShare::Unknown => None,
         }
@@ -130,16 +130,16 @@
 
     /// Returns why the host's callers are told of nobody while `ready` instances
     /// are ready, none of them in the caller's region.
-    pub fn reason_for_none(&self, ready: usize) -> Unnamed {
+    pub fn reason_for_none(&self, ready: usize) -> NotNamed {
         match self {
-            _ if ready == 0 => Unnamed::NoneReady,
-            Self::NoCatalog => Unnamed::NoCatalog,
-            Self::UnknownHost => Unnamed::UnknownHost,
+            _ if ready == 0 => NotNamed::NoneReady,
+            Self::NoCatalog => NotNamed::NoCatalog,
+            Self::UnknownHost => NotNamed::UnknownHost,
             Self::Known(shares) => {
                 let mut shares = shares.values();
                 match shares.any(|share| *share == BarredShare::Unknown) {
-                    true => Unnamed::UnknownShare,
-                    false => Unnamed::Barred,
+                    true => NotNamed::UnknownShare,
+                    false => NotNamed::Barred,
                 }
             }
         }
--- a/crates/decisions/src/route_use.rs
+++ b/crates/decisions/src/route_use.rs
@@ -6,23 +6,24 @@
 use crate::names::Region;
 use crate::names::Route;
 
-/// Number of requests on a host's bound routes from which on their shares count.
-const MIN_SAMPLE: u32 = 100;
-
 /// Number of recorded requests at which all counts are halved, so that they
 /// follow the traffic.
-const MAX_RECORDED: u32 = 8_192;
+const MAX_RECORDED: f64 = 8_192.0;
+
+/// Count below which a route is forgotten.
+const MIN_COUNT: f64 = 0.01;
 
-/// One in this many of a host's bound requests may be led to a region that bars
-/// them.
-const BARRED_SHARE: u32 = 20;
+/// Largest share of a host's bound requests that may be led to a region which bars
+/// them. It is half of the share that operators allow, as callers send what was
+/// refused once more.
+const MAX_BARRED_SHARE: f64 = 1.0 / 40.0;
 
 /// How much of a host's bound requests a region bars.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BarredShare {
     /// All of the host's routes may run there.
-    None,
-    /// At most one in twenty of the bound requests may not run there.
+    Nothing,
+    /// At most one in forty of the bound requests may not run there.
     Small,
     /// More than that may not.
     Large,
@@ -30,22 +31,22 @@
     Unknown,
 }
 
-/// How often callers lately sent requests on each route.
+/// How often callers lately sent requests on each bound route.
 ///
 /// # Invariants
 ///
 /// All counts are of requests that were matched while the bound routes were those
-/// of the digest `bound_routes`. A route that was not bound before, or has other
-/// regions, would have the shares of former requests.
+/// of the digest `bound_routes`. Otherwise a route that was not bound before, or
+/// has other regions now, would have the shares of former requests.
 #[derive(Debug, Default)]
 pub struct RouteUse {
     bound_routes: u64,
-    counts: HashMap<Route, u32>,
-    recorded: u32,
+    counts: HashMap<Route, f64>,
+    recorded: f64,
 }
 
 impl RouteUse {
-    /// Records a request that a caller sent on a route of the catalog.
+    /// Records a request that a caller sent on a bound route of the catalog.
     pub fn record(&mut self, catalog: &Catalog, route: &Route) {
         if self.bound_routes != catalog.bound_routes_digest() {
             *self = Self {
@@ -53,40 +54,48 @@
                 ..Self::default()
             };
         }
-        *self.counts.entry(route.clone()).or_default() += 1;
-        self.recorded += 1;
+        *self.counts.entry(route.clone()).or_default() += 1.0;
+        self.recorded += 1.0;
         if self.recorded >= MAX_RECORDED {
             self.halve();
         }
     }
 
     fn halve(&mut self) {
+        self.recorded /= 2.0;
         self.counts.retain(|_, count| {
-            *count /= 2;
-            *count > 0
+            *count /= 2.0;
+            *count >= MIN_COUNT
         });
-        self.recorded = self.counts.values().sum();
     }
 
     /// Returns how much of the bound requests of a host a region bars.
     pub fn barred_share(&self, catalog: &Catalog, host: &str, region: &Region) -> BarredShare {
-        let mut bound = 0_u32;
-        let mut barred = 0_u32;
+        let is_known = self.bound_routes == catalog.bound_routes_digest();
+        let mut bound = 0.0;
+        let mut barred = 0.0;
         let mut bars_any = false;
         for route in catalog.bound_routes_of(host) {
-            let count = self.counts.get(&route.name).copied().unwrap_or_default();
+            let count = self.counts.get(&route.name).filter(|_| is_known);
+            let count = count.copied().unwrap_or_default();
             bound += count;
             if !route.residency.allows(region) {
                 bars_any = true;
                 barred += count;
             }
         }
-        let is_sample = self.bound_routes == catalog.bound_routes_digest() && bound >= MIN_SAMPLE;
-        match (bars_any, is_sample) {
-            (false, _) => BarredShare::None,
-            (true, false) => BarredShare::Unknown,
-            (true, true) if barred.saturating_mul(BARRED_SHARE) <= bound => BarredShare::Small,
-            (true, true) => BarredShare::Large,
+        let allowed = bound * MAX_BARRED_SHARE;
+        match bars_any {
+            false => BarredShare::Nothing,
+            true if barred > allowed => BarredShare::Large,
+            true if most_likely(barred) <= allowed => BarredShare::Small,
+            true => BarredShare::Unknown,
         }
     }
 }
+
+/// Returns the largest count that is likely where `seen` requests were seen: about
+/// two standard deviations more.
+fn most_likely(seen: f64) -> f64 {
+    seen + 2.0 * (seen + 1.0).sqrt() + 1.0
+}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -45,7 +45,7 @@
 use crate::relay::AnswerSource;
 use crate::relay::Relay;
 use crate::request_log::RequestLog;
-use crate::residency::Sender;
+use crate::residency::ReceivedFrom;
 use crate::sent_count::SentCount;
 use crate::shutdown::refuse_open_request;
 use crate::streams::CallerStream;
@@ -242,10 +242,12 @@
             .map_err(refuse_lookup_error)?;
         request_log.route = Some(matched.route.name.clone());
         request_log.account = matched.account.as_ref().map(|account| account.name.clone());
-        let route = &matched.route.name;
-        self.tables.route_use.lock().record(catalog, route);
+        if !matched.route.residency.is_anywhere() {
+            let route = &matched.route.name;
+            self.tables.route_use.lock().record(catalog, route);
+        }
         if !matched.allows(&self.settings.region) {
-            self.note_barred_request(&inbound.id, &matched, catalog.version, Sender::Caller);
+            self.note_barred_request(&inbound.id, &matched, catalog.version, ReceivedFrom::Caller);
         }
         // A stream stays with the pool that its first request chose.
         let chosen_by = match matched.route.kind.is_resumable() {
--- a/crates/gateway/src/lookup.rs
+++ b/crates/gateway/src/lookup.rs
@@ -1,11 +1,12 @@
 //! Lookups of instances by callers.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use chiverelay_decisions::directory::Caller;
 use chiverelay_decisions::directory::Distance;
 use chiverelay_decisions::directory::HostRegions;
-use chiverelay_decisions::directory::Unnamed;
+use chiverelay_decisions::directory::NotNamed;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
 
@@ -14,8 +15,8 @@
 use crate::members::Nearest;
 
 /// Returns the name of a lookup's result in metrics and log lines.
-pub(crate) fn result_name(result: Result<Distance, Unnamed>) -> &'static str {
-    result.map_or_else(Unnamed::as_str, Distance::as_str)
+pub(crate) fn result_name(result: Result<Distance, NotNamed>) -> &'static str {
+    result.map_or_else(NotNamed::as_str, Distance::as_str)
 }
 
 impl<D> Gateway<D>
@@ -29,15 +30,11 @@
     pub fn nearest_ready(&self, host: &str, zone: &Zone, region: &Region) -> Vec<SocketAddr> {
         let current = self.tables.current_catalog();
         let catalog = current.as_ref().map(|current| current.catalog.as_ref());
+        let regions: HashSet<&Region> = self.settings.zone_regions.values().collect();
         let caller = Caller {
             zone: zone.clone(),
             region: region.clone(),
-            host_regions: HostRegions::find(
-                catalog,
-                &self.tables.route_use.lock(),
-                host,
-                self.settings.zone_regions.values(),
-            ),
+            host_regions: HostRegions::find(catalog, &self.tables.route_use.lock(), host, regions),
         };
         let is_cut_off = self.reach.is_cut_off();
         let now = self.clock.now();
@@ -45,7 +42,7 @@
         self.metrics.count_lookup(nearest.distance);
         let is_near = nearest
             .distance
-            .is_ok_and(|far| far < Distance::OtherRegion);
+            .is_ok_and(|distance| distance < Distance::OtherRegion);
         if !is_near {
             let version = catalog.map_or(0, |catalog| catalog.version);
             self.log_far_lookup(host, region, &nearest, version);
--- a/crates/gateway/src/residency.rs
+++ b/crates/gateway/src/residency.rs
@@ -31,14 +31,14 @@
 
 /// Who sent a request to an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Sender {
+pub(crate) enum ReceivedFrom {
     /// The caller itself.
     Caller,
     /// Another instance, which forwarded it.
     Instance,
 }
 
-impl Sender {
+impl ReceivedFrom {
     /// Returns the name in metrics and log lines.
     fn as_str(self) -> &'static str {
         match self {
@@ -58,9 +58,9 @@
         id: &RequestId,
         matched: &MatchedRoute,
         version: u64,
-        sender: Sender,
+        from: ReceivedFrom,
     ) {
-        self.metrics.count_barred_request(sender.as_str());
+        self.metrics.count_barred_request(from.as_str());
         if !self.log_rate_limit.should_log(self.clock.now()) {
             return;
         }
@@ -71,7 +71,7 @@
             route = matched.route.name.as_str(),
             account = account.map_or("", |account| account.name.as_str()),
             regions:% = matched.route.residency,
-            from = sender.as_str(),
+            from = from.as_str(),
             catalog = version;
             "request arrived in a region where it may not run"
         );
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -41,7 +41,7 @@
 use crate::outcome::AttemptOutcome;
 use crate::outcome::Fallback;
 use crate::place::PlacementContext;
-use crate::residency::Sender;
+use crate::residency::ReceivedFrom;
 use crate::sent_count::SentCount;
 use crate::suspension;
 
@@ -396,7 +396,7 @@
         let grant = handle::build_grant(&matched, &pool.name, 0);
         if !grant.residency.allows(&self.settings.region) {
             let version = current.catalog.version;
-            self.note_barred_request(&forward.id, &matched, version, Sender::Instance);
+            self.note_barred_request(&forward.id, &matched, version, ReceivedFrom::Instance);
             // By `Step::Route` the other instance tells that its catalog differs.
             let refusal = refuse(Code::Unavailable, Step::Route);
             return Err(refusal.with_retry_after(OUTDATED_RETRY_AFTER));
--- a/tests/testsuite/directory.rs
+++ b/tests/testsuite/directory.rs
@@ -13,7 +13,7 @@
 use chiverelay_decisions::directory::Candidate;
 use chiverelay_decisions::directory::Distance;
 use chiverelay_decisions::directory::HostRegions;
-use chiverelay_decisions::directory::Unnamed;
+use chiverelay_decisions::directory::NotNamed;
 use chiverelay_decisions::directory::choose_advertised;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::route_use::BarredShare;
@@ -104,7 +104,7 @@
         let shares = match self {
             Self::IsUnknown => return HostRegions::UnknownHost,
             Self::HasNoCatalog => return HostRegions::NoCatalog,
-            Self::IsBound => [BarredShare::None, BarredShare::Small, BarredShare::Large],
+            Self::IsBound => [BarredShare::Nothing, BarredShare::Small, BarredShare::Large],
             Self::HasTooFewRequests => [BarredShare::Unknown; 3],
         };
         let regions = ["east", "north", "south"].map(Region::from);
@@ -150,21 +150,24 @@
     );
 }
 
-fn check_reason(host: Host, ready: usize, expected: Unnamed) {
+fn check_reason(host: Host, ready: usize, expected: NotNamed) {
     assert_eq!(host.regions().reason_for_none(ready), expected);
 }
 
 cases! {
     check_reason:
-    all_instances_are_down(Host::IsBound, 0, Unnamed::NoneReady);
-    those_that_are_ready_are_barred(Host::IsBound, 2, Unnamed::Barred);
-    too_few_requests_were_seen(Host::HasTooFewRequests, 2, Unnamed::UnknownShare);
-    the_host_is_unknown(Host::IsUnknown, 2, Unnamed::UnknownHost);
-    there_is_no_catalog(Host::HasNoCatalog, 2, Unnamed::NoCatalog);
+    all_instances_are_down(Host::IsBound, 0, NotNamed::NoneReady);
+    those_that_are_ready_are_barred(Host::IsBound, 2, NotNamed::Barred);
+    too_few_requests_were_seen(Host::HasTooFewRequests, 2, NotNamed::UnknownShare);
+    the_host_is_unknown(Host::IsUnknown, 2, NotNamed::UnknownHost);
+    there_is_no_catalog(Host::HasNoCatalog, 2, NotNamed::NoCatalog);
 }
 
 const HOST: &str = "desk.example";
 
+/// Routes with little traffic each.
+const RARE_ROUTES: usize = 350;
+
 fn route(name: &str, regions: &[&str]) -> RouteSpec {
     let regions = regions
         .iter()
@@ -212,8 +215,12 @@
 impl Requests {
     fn record(self, route_use: &mut RouteUse, catalog: &Catalog) {
         for (name, count) in [("many", self.many), ("few", self.few), ("free", self.free)] {
+            let route = catalog.find_route(HOST, &format!("/{name}/"));
+            let route = route.expect("a route of the catalog");
             for _ in 0..count {
-                route_use.record(catalog, &name.into());
+                if !route.residency.is_anywhere() {
+                    route_use.record(catalog, &route.name);
+                }
             }
         }
     }
@@ -234,31 +241,40 @@
 
 cases! {
     check_share:
-    nothing_is_barred(Requests { many: 0, few: 0, free: 0 }, "north", BarredShare::None);
-    one_in_twenty(Requests { many: 95, few: 5, free: 0 }, "east", BarredShare::Small);
-    more_than_one_in_twenty(Requests { many: 94, few: 6, free: 0 }, "east", BarredShare::Large);
+    nothing_is_barred(Requests { many: 0, few: 0, free: 0 }, "north", BarredShare::Nothing);
+    one_in_two_hundred(Requests { many: 796, few: 4, free: 0 }, "east", BarredShare::Small);
+    one_in_twenty(Requests { many: 760, few: 40, free: 0 }, "east", BarredShare::Large);
     requests_that_run_anywhere_do_not_count(
-        Requests { many: 94, few: 6, free: 5_000 }, "east", BarredShare::Large
+        Requests { many: 760, few: 40, free: 5_000 }, "east", BarredShare::Large
     );
     nearly_all(Requests { many: 199, few: 1, free: 50 }, "south", BarredShare::Large);
     too_few_requests(Requests { many: 99, few: 0, free: 900 }, "east", BarredShare::Unknown);
+    /// The true share may be above one in twenty as well as below.
+    a_small_share_of_few_requests(
+        Requests { many: 98, few: 2, free: 0 }, "east", BarredShare::Unknown
+    );
+    no_request_yet(Requests { many: 0, few: 0, free: 0 }, "east", BarredShare::Unknown);
 }
 
-/// The counts are halved many times over, and the shares stay.
+/// Failure: counts that were rounded down when they are halved took a share that
+/// many routes have together for a small one.
 #[test]
-fn a_small_share_stays_small_for_long() {
-    let catalog = catalog("north");
+fn a_share_of_many_routes_stays_large_for_long() {
+    let rare = |n: usize| route(&format!("rare-{n}"), &["north"]);
+    let mut routes: Vec<_> = (0..RARE_ROUTES).map(rare).collect();
+    routes.push(route("many", &["north", "east"]));
+    let catalog = Catalog::new(1, routes, Vec::new(), Vec::new(), ClientLimits::default());
     let mut route_use = RouteUse::default();
-    for _ in 0..600 {
-        let requests = Requests {
-            many: 100,
-            few: 1,
-            free: 0,
+    for n in 0..60_000 {
+        // Every twelfth request is one on a rare route.
+        let name = match n % 12 {
+            0 => format!("rare-{}", n / 12 % RARE_ROUTES),
+            _ => "many".to_owned(),
         };
-        requests.record(&mut route_use, &catalog);
+        route_use.record(&catalog, &name.as_str().into());
+        let share = route_use.barred_share(&catalog, HOST, &"east".into());
+        assert!(matches!(share, BarredShare::Large), "{share:?} after {n}");
     }
-    let share = route_use.barred_share(&catalog, HOST, &"east".into());
-    assert_eq!(share, BarredShare::Small);
 }
 
 /// Failure: a route that was bound elsewhere until now would have the share of its
--- a/tests/testsuite/node/named_instances.rs
+++ b/tests/testsuite/node/named_instances.rs
@@ -18,7 +18,11 @@
 use support::node::site::until;
 
 /// Requests of the callers of the region that is left, enough to tell shares.
-const OWN_REQUESTS: usize = 120;
+const OWN_REQUESTS: usize = 300;
+
+/// How many of them are barred there where these are few, and where they are many.
+const FEW_BARRED: usize = 2;
+const MANY_BARRED: usize = 30;
 
 /// Longer than a restart takes and than the record of a lost instance stays.
 const LONG_AFTER: Duration = Duration::from_secs(12);
@@ -145,6 +149,32 @@
     });
 }
 
+/// Sends requests of its own callers to `far`, some of which are barred there.
+async fn send_own(far: &Node, barred: usize) {
+    for n in 0..OWN_REQUESTS + barred {
+        let path = if n < barred {
+            "/status/1"
+        } else {
+            "/deposit/1"
+        };
+        let call = Call::new(&format!("r-{n}"), path).key(KEY);
+        call.send(far.front).await;
+    }
+}
+
+#[test]
+fn a_region_that_bars_many_requests_is_not_named() {
+    block_on(async {
+        let (_site, mut near, far, _target) = start(Routes::BoundBesideBoth).await;
+        send_own(&far, MANY_BARRED).await;
+        End::Killed.bring_about(&mut near);
+        until_not_named(&far, &near).await;
+        check_names_nobody(&far).await;
+        let logged = far.logged();
+        assert!(logged.contains(r#""nearest":"barred""#), "{logged}");
+    });
+}
+
 /// Failure: the callers of a region whose instances were gone were told of nobody,
 /// though the other region bars few of the requests that are bound to regions.
 #[test]
@@ -155,10 +185,7 @@
         until_not_named(&far, &near).await;
         let (status, named) = look_up(&far).await;
         assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{named}");
-        for n in 0..OWN_REQUESTS {
-            let call = Call::new(&format!("r-{n}"), "/deposit/1").key(KEY);
-            call.send(far.front).await;
-        }
+        send_own(&far, FEW_BARRED).await;
         until_named(&far, far.front).await;
     });
 }
