--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod resources;
 pub mod retry_budget;
 pub mod revision;
+pub mod route_use;
 pub mod settlements;
 pub mod shutdown;
 pub mod silence;
@@ -50,6 +51,7 @@
 pub mod tickets;
 pub mod topology;
 pub mod traffic;
+pub mod unanswered;
 pub mod window;
 
 pub use catalog::Catalog;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -123,6 +123,7 @@
     inbound: Inbound,
 ) -> (PlacementContext, Outbound) {
     let account = matched.account.as_ref().map(|account| account.name.clone());
+    let path = inbound.path().into();
     let out = Outbound {
         id: inbound.id,
         method: inbound.method,
@@ -146,6 +147,7 @@
         software: None,
         extra_attempt: None,
         route: Arc::clone(&matched.route),
+        path,
         pool,
         catalog_version: catalog.version,
     };
@@ -240,6 +242,8 @@
             .map_err(refuse_lookup_error)?;
         request_log.route = Some(matched.route.name.clone());
         request_log.account = matched.account.as_ref().map(|account| account.name.clone());
+        let route = &matched.route.name;
+        self.tables.route_use.lock().record(catalog, route);
         if !matched.allows(&self.settings.region) {
             self.note_barred_request(&inbound.id, &matched, catalog.version, Sender::Caller);
         }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -47,6 +47,7 @@
 use crate::quarantine;
 use crate::reservation_guard::ReservationGuard;
 use crate::sent_count::SentCount;
+use refusals::check_forward;
 use refusals::check_prompts;
 use refusals::check_wait;
 use refusals::is_timely;
@@ -62,6 +63,8 @@
 pub(crate) struct PlacementContext {
     /// Route of the catalog that the request matched.
     pub(crate) route: Arc<RouteSpec>,
+    /// Path of the request, without the query.
+    pub(crate) path: Arc<str>,
     /// Pool of targets that serve the request.
     pub(crate) pool: Arc<PoolSpec>,
     /// Version of that catalog.
@@ -151,7 +154,12 @@
         let left = req.meta().deadline.saturating_sub(now);
         let (local, remote) = self.choose_regions(&req, cx, req.tried_targets(), now);
         if let Some(remote) = remote {
-            check_wait(&req, cx, &remote.estimate, left)?;
+            match local {
+                Err(reason) if reason.is_out_of_reach() => {
+                    check_forward(&req, cx, &remote.estimate, left)?;
+                }
+                _ => check_wait(&req, cx, &remote.estimate, left)?,
+            }
             self.check_shutdown(&req, cx, remote.estimate.queue_delay, now)?;
             // Without a local target, each instance forwards as its callers come,
             // and not all at once when a region fills up.
@@ -181,7 +189,7 @@
     where
         S: HasGrant,
     {
-        let allowed = self.residency_now(req);
+        let allowed = self.residency_now(req, cx);
         if self.reach.is_cut_off() {
             return self.choose_regions_when_cut_off(req, cx, &allowed, tried, now);
         }
@@ -249,7 +257,7 @@
         self.check_shutdown(&req, cx, Duration::ZERO, now)?;
         self.check_crashes(&req, cx, now)?;
         let choice = self
-            .choose_local_target(cx, &self.residency_now(&req), req.tried_targets(), now)
+            .choose_local_target(cx, &self.residency_now(&req, cx), req.tried_targets(), now)
             .map_err(|reason| refuse_no_target(&req, reason, now))?;
         // The instance that forwarded the request knew less of these targets. An
         // answer that has begun goes on, however late.
@@ -336,7 +344,8 @@
         }
         let deadline = req.meta().deadline;
         let left = deadline.saturating_sub(now);
-        // The same conditions as of `choose_destination`.
+        // The conditions of `choose_destination`, but no region is asked whose queue
+        // is long by the estimate: the request has a target.
         let estimate = match self.choose_regions(req, cx, &tried_with_current(req), now) {
             (_, Some(remote)) => remote.estimate,
             (Ok(local), None) => local.estimate,
@@ -381,7 +390,7 @@
         let now = self.clock.now();
         let deadline = req.meta().deadline;
         let left = deadline.saturating_sub(now);
-        let allowed = self.residency_now(req);
+        let allowed = self.residency_now(req, cx);
         let choice = self.choose_local_target(cx, &allowed, &tried_with_current(req), now);
         choice.is_ok_and(|TargetChoice { estimate, .. }| {
             is_suitable(&estimate, left)
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -56,7 +56,7 @@
 /// forwards it.
 const MAX_CATALOG_WAIT: Duration = Duration::from_millis(250);
 
-/// Retry delay for a request of a later catalog than this instance's.
+/// Retry delay for a request while the catalogs of the two instances differ.
 const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Largest part of an answer that is copied and sent at once, in bytes.
@@ -94,7 +94,8 @@
                 None => Message::Done,
             },
             Message::Charge(charge) => {
-                Message::Charged(self.gateway.charge_for_other(&charge).await)
+                let charging = self.gateway.charge_for_other(&from.instance, charge);
+                Message::Charged(charging.await)
             }
             Message::Refund(refund) => {
                 self.gateway.receive_refund(&refund);
@@ -366,13 +367,18 @@
         let host = headers.get(HOST).and_then(|v| v.to_str().ok());
         let host = route_host(host.unwrap_or_default());
         let path = forward.path_and_query.split('?').next().unwrap_or_default();
-        let route = current.catalog.find_route(&host, path);
+        let path: Arc<str> = path.into();
+        let route = current.catalog.find_route(&host, &path);
         let Some(route) = route else {
             // The other instance found the route in its own catalog, so this is
             // not `Code::NoRoute`, which would blame the caller.
             return Err(refuse(Code::Unavailable, Step::Route));
         };
         let account = match &forward.account {
+            // Its account, which may be bound to other regions, isn't known.
+            None if current.catalog.requires_account(&route) => {
+                return Err(refuse(Code::Unavailable, Step::Authenticate));
+            }
             None => None,
             Some(name) => {
                 let known = current.catalog.account(name);
@@ -391,7 +397,9 @@
         if !grant.residency.allows(&self.settings.region) {
             let version = current.catalog.version;
             self.note_barred_request(&forward.id, &matched, version, Sender::Instance);
-            return Err(refuse(Code::Unavailable, Step::Place));
+            // By `Step::Route` the other instance tells that its catalog differs.
+            let refusal = refuse(Code::Unavailable, Step::Route);
+            return Err(refusal.with_retry_after(OUTDATED_RETRY_AFTER));
         }
         let priority = matched.priority();
         let method = forward.method.parse();
@@ -411,6 +419,7 @@
             priority: out.priority,
             is_most_urgent: current.catalog.is_most_urgent(priority, &pool.name),
             route: matched.route,
+            path,
             digest: suspension::digest(&pool.name, &forward.parts, &out),
             pool,
             catalog_version: current.catalog.version,
--- a/tests/testsuite/node/soak/world.rs
+++ b/tests/testsuite/node/soak/world.rs
@@ -21,8 +21,9 @@
 use super::callers::Seen;
 use super::changes::Changes;
 use super::late::Misnamed;
+use super::lookups::Lookups;
 use super::out_of_step::OutOfStep;
-use super::peers::Peers;
+
 use super::record::Record;
 use super::stranded::Cuts;
 use super::targets::FIRST_TARGETS;
@@ -32,6 +33,7 @@
 use super::usage;
 use super::usage::Usage;
 use super::watches::ColdTimes;
+use super::ways::Way;
 
 /// Time in which everything works again once the last fault has ended.
 const RECOVERY: Duration = Duration::from_secs(15);
@@ -64,17 +66,19 @@
 
 /// A run.
 pub(super) struct Soak {
+    pub(super) begun: Instant,
     pub(super) size: Size,
     /// What each instance's process is allowed.
     pub(super) limits: Limits,
     pub(super) usage: Usage,
     pub(super) site: Site,
     pub(super) targets: Vec<SoakTarget>,
-    /// The ways of the instances to the targets.
-    pub(super) peers: Arc<Peers>,
+    /// The ways of the instances to the targets, where they may be cut off.
+    pub(super) ways: Vec<Way>,
     pub(super) cuts: Cuts,
     pub(super) brittle: BrittleTimes,
     pub(super) misnamed: Misnamed,
+    pub(super) lookups: Lookups,
     pub(super) store: Proxy,
     /// The way of each instance to that proxy.
     pub(super) store_links: Vec<Proxy>,
@@ -85,6 +89,8 @@
     /// The instances' processes; none of an instance that has ended.
     pids: Vec<Mutex<Option<u32>>>,
     pub(super) fronts: Arc<Vec<Mutex<SocketAddr>>>,
+    /// Where callers look the instances up.
+    pub(super) directories: Vec<SocketAddr>,
     pub(super) out_of_step: Arc<OutOfStep>,
     pub(super) changes: Arc<Changes>,
     pub(super) record: Record,
@@ -103,10 +109,9 @@
         let mut site = Site::before(store, proxy.address);
         site.limit(limits);
         let changes = Changes::begin(&site.store, profile);
-        let peers = Arc::new(Peers::new(size.instances));
         let mut targets = Vec::new();
         for at in 0..TARGETS.len() {
-            let target = SoakTarget::start(at, profile, &peers).await;
+            let target = SoakTarget::start(at, profile).await;
             if at < FIRST_TARGETS {
                 target.begin(&site);
             }
@@ -115,11 +120,17 @@
         let places: Vec<_> = (0..size.instances).map(Place::new).collect();
         site.use_program(profile.first_program());
         let mut nodes = Vec::new();
-        let mut store_links = Vec::new();
-        for (at, place) in places.iter().enumerate() {
+        let (mut store_links, mut ways) = (Vec::new(), Vec::new());
+        let addresses: Vec<_> = targets.iter().map(|t| t.proxy.address).collect();
+        for place in &places {
             let link = Proxy::start(proxy.address).await;
-            let node = site.spawn_before(&place.name, place.zone, place.region, link.address);
-            peers.note(at, node.process.id());
+            let mut store_address = link.address;
+            if profile == Profile::Stranded {
+                let way = Way::start(link.address, &addresses).await;
+                store_address = way.store();
+                ways.push(way);
+            }
+            let node = site.spawn_before(&place.name, place.zone, place.region, store_address);
             store_links.push(link);
             node.process
                 .limit_descriptors(usage::open_descriptors(limits));
@@ -132,17 +143,20 @@
         let fronts = nodes.iter().map(|node| Mutex::new(node.front)).collect();
         let pids = nodes.iter().map(|node| Mutex::new(Some(node.process.id())));
         let pids = pids.collect();
+        let directories = nodes.iter().map(|node| node.directory).collect();
         let nodes = nodes.into_iter().map(tokio::sync::Mutex::new);
         Self {
+            begun: Instant::now(),
             size,
             limits,
             usage: Usage::default(),
             site,
             targets,
-            peers,
+            ways,
             cuts: Cuts::default(),
             brittle: BrittleTimes::default(),
             misnamed: Misnamed::default(),
+            lookups: Lookups::default(),
             store: proxy,
             store_links,
             cold: ColdTimes::default(),
@@ -150,6 +164,7 @@
             nodes: nodes.map(Arc::new).collect(),
             pids,
             fronts: Arc::new(fronts),
+            directories,
             out_of_step: Arc::default(),
             changes: Arc::new(changes),
             record: Record::default(),
@@ -230,7 +245,6 @@
         let descriptors = usage::open_descriptors(self.limits);
         node.process.limit_descriptors(descriptors);
         *self.pids[at].lock().expect("no panic under the lock") = Some(node.process.id());
-        self.peers.note(at, node.process.id());
     }
 
     /// Returns the logs of all instances, with their names.
