Rename and explain what stopped a newcomer

Change: NoInstanceReason, OtherRegionPartlyBarred, FormerFellowHubs, is_independent_of_load, upper_bound with its factor named; comments and pages put right. No decision changes.

--- a/crates/decisions/src/directory.rs
+++ b/crates/decisions/src/directory.rs
@@ -34,7 +34,7 @@
     /// In another region, in which all of the host's routes may run.
     OtherRegion,
     /// In another region, which bars a small share of the host's bound requests.
-    PartlyBarred,
+    OtherRegionPartlyBarred,
 }
 
 impl Distance {
@@ -44,21 +44,21 @@
             Self::SameZone => "zone",
             Self::SameRegion => "region",
             Self::OtherRegion => "other region",
-            Self::PartlyBarred => "partly barred",
+            Self::OtherRegionPartlyBarred => "partly barred",
         }
     }
 }
 
 /// Why a caller is told of no instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NotNamed {
+pub enum NoInstanceReason {
     /// No instance of any region is ready.
     NoneReady,
-    /// All ready instances are in regions that bar more than a small share of the
-    /// host's bound requests.
+    /// The share that each region bars is known, and no ready instance is in an
+    /// allowed one.
     Barred,
-    /// None is ready in the caller's region, and too few requests were seen to
-    /// tell which share the others bar.
+    /// None is ready in an allowed region, and too few requests were seen to tell
+    /// which share at least one region bars.
     UnknownShare,
     /// None is ready in the caller's region, and the catalog lacks the host.
     UnknownHost,
@@ -66,7 +66,7 @@
     NoCatalog,
 }
 
-impl NotNamed {
+impl NoInstanceReason {
     /// Returns the name in metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -123,23 +123,23 @@
         };
         match shares.get(region)? {
             BarredShare::Nothing => Some(Distance::OtherRegion),
-            BarredShare::Small => Some(Distance::PartlyBarred),
+            BarredShare::Small => Some(Distance::OtherRegionPartlyBarred),
             BarredShare::Large | BarredShare::Unknown => None,
         }
     }
 
     /// Returns why the host's callers are told of nobody while `ready` instances
     /// are ready, none of them in the caller's region.
-    pub fn reason_for_none(&self, ready: usize) -> NotNamed {
+    pub fn reason_for_none(&self, ready: usize) -> NoInstanceReason {
         match self {
-            _ if ready == 0 => NotNamed::NoneReady,
-            Self::NoCatalog => NotNamed::NoCatalog,
-            Self::UnknownHost => NotNamed::UnknownHost,
+            _ if ready == 0 => NoInstanceReason::NoneReady,
+            Self::NoCatalog => NoInstanceReason::NoCatalog,
+            Self::UnknownHost => NoInstanceReason::UnknownHost,
             Self::Known(shares) => {
                 let mut shares = shares.values();
                 match shares.any(|share| *share == BarredShare::Unknown) {
-                    true => NotNamed::UnknownShare,
-                    false => NotNamed::Barred,
+                    true => NoInstanceReason::UnknownShare,
+                    false => NoInstanceReason::Barred,
                 }
             }
         }
--- a/crates/decisions/src/route_use.rs
+++ b/crates/decisions/src/route_use.rs
@@ -18,6 +18,9 @@
 /// refused once more.
 const MAX_BARRED_SHARE: f64 = 1.0 / 40.0;
 
+/// Standard deviations between a count and its upper confidence bound.
+const DEVIATIONS: f64 = 2.0;
+
 /// How much of a host's bound requests a region bars.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BarredShare {
@@ -88,14 +91,14 @@
         match bars_any {
             false => BarredShare::Nothing,
             true if barred > allowed => BarredShare::Large,
-            true if most_likely(barred) <= allowed => BarredShare::Small,
+            true if upper_bound(barred) <= allowed => BarredShare::Small,
             true => BarredShare::Unknown,
         }
     }
 }
 
-/// Returns the largest count that is likely where `seen` requests were seen: about
-/// two standard deviations more.
-fn most_likely(seen: f64) -> f64 {
-    seen + 2.0 * (seen + 1.0).sqrt() + 1.0
+/// Returns an upper confidence bound of the expected count where `seen` requests
+/// were counted; it is 3 for none.
+fn upper_bound(seen: f64) -> f64 {
+    seen + 1.0 + DEVIATIONS * (seen + 1.0).sqrt()
 }
--- a/crates/decisions/src/topology.rs
+++ b/crates/decisions/src/topology.rs
@@ -72,11 +72,11 @@
     chosen.into_iter().cloned().collect()
 }
 
-/// The other hubs that an instance knew when it last was one, if it is none now.
+/// The other hubs at the time when this instance stopped being one, if it has.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct FormerPeers(Option<HashSet<Instance>>);
+pub struct FormerFellowHubs(Option<HashSet<Instance>>);
 
-impl FormerPeers {
+impl FormerFellowHubs {
     /// The hubs beside an instance that was one until now.
     pub fn new(peers: HashSet<Instance>) -> Self {
         Self(Some(peers))
@@ -85,8 +85,8 @@
     /// Tells whether this instance, which has given up its share of the limits,
     /// passes charges of `reporter` on to a hub.
     ///
-    /// It does for no other former hub: two that take each other for hubs would
-    /// pass a charge to and fro.
+    /// It passes on none for another former hub: two instances that regard each
+    /// other as hubs would forward a charge in a loop.
     pub fn passes_charges_of(&self, reporter: &Instance) -> bool {
         let peers = self.0.as_ref();
         peers.is_some_and(|peers| !peers.contains(reporter))
--- a/crates/decisions/src/traffic/choose.rs
+++ b/crates/decisions/src/traffic/choose.rs
@@ -137,8 +137,9 @@
 }
 
 impl NoTargetReason {
-    /// Tells whether no target can be used whatever its load.
-    pub fn is_out_of_reach(self) -> bool {
+    /// Tells whether there is no target or none is healthy, so that waiting for load
+    /// to fall would not help.
+    pub fn is_independent_of_load(self) -> bool {
         matches!(self, Self::NoTarget | Self::NoneHealthy)
     }
 
--- a/crates/decisions/src/traffic/expected.rs
+++ b/crates/decisions/src/traffic/expected.rs
@@ -54,17 +54,15 @@
     /// forwarded to the region of this estimate. `left` is the time to its
     /// deadline.
     ///
-    /// The instances there decide whether it waits too long in the queue, as for
-    /// their own callers: they keep their queues just within the bound, and with
-    /// older counts nearly all would be refused here. Once one of them has refused
-    /// the request, the estimate has to do.
+    /// The receiving instance checks its own queue, as its counts are newer. If
+    /// another sibling was chosen before, the queue estimate is checked here too.
     pub fn allows_forward(
         &self,
         left: Duration,
         latency_target: Duration,
-        was_refused_there: bool,
+        has_asked_sibling: bool,
     ) -> bool {
-        let is_late = was_refused_there && self.is_late_from_queueing(latency_target);
+        let is_late = has_asked_sibling && self.is_late_from_queueing(latency_target);
         self.wait <= left && !is_late
     }
 
--- a/crates/decisions/src/traffic/guarded_room.rs
+++ b/crates/decisions/src/traffic/guarded_room.rs
@@ -171,8 +171,9 @@
         grown.min(f64::from(slots)) as u32
     }
 
-    /// Takes requests for admitted that a target which runs would have rejected by
-    /// now. One that stands still rejects them when it goes on.
+    /// Counts older requests as admitted: a running target would have rejected them
+    /// by now. Called only for a target that was heard lately, as a stalled one
+    /// rejects when it resumes.
     fn confirm_old(&mut self, is_reduced: bool, now: Duration) {
         let limit = match is_reduced {
             true => REJECTION_TIME_WHEN_REDUCED,
--- a/crates/gateway/src/fleet_copy.rs
+++ b/crates/gateway/src/fleet_copy.rs
@@ -83,19 +83,20 @@
     /// instance has read, if the store may have lost it.
     async fn ask_for_later_catalog(self: &Arc<Self>) {
         let first = self.wait_for_first_catalog().await;
+        // Era 0 is a store that never came back from an older copy.
         if first.revision.era == 0 {
             return;
         }
         let until = first.loaded_at + LATER_CATALOG_TIME;
         let mut answered = HashSet::new();
         while answered.len() < LATER_CATALOG_ANSWERS && self.clock.now() < until {
-            self.ask_unasked_for_catalog(&mut answered).await;
+            self.ask_next_for_catalog(&mut answered).await;
             tokio::time::sleep(LATER_CATALOG_INTERVAL).await;
         }
     }
 
     /// Asks those of the linked instances that have not `answered` yet.
-    async fn ask_unasked_for_catalog(self: &Arc<Self>, answered: &mut HashSet<Instance>) {
+    async fn ask_next_for_catalog(self: &Arc<Self>, answered: &mut HashSet<Instance>) {
         for link in self.links.list_open() {
             let from = &link.peer().instance;
             if answered.contains(from) || answered.len() >= LATER_CATALOG_ANSWERS {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -38,8 +38,8 @@
 /// Time in which this instance reads what has arrived on its links.
 const READ_TIME: Duration = Duration::from_millis(50);
 
-/// Times that [`READ_TIME`] is waited for at most, as this instance may stand
-/// still meanwhile.
+/// Largest number of waits for [`READ_TIME`]. A wait is repeated if this process
+/// was paused during it.
 const MAX_READS: usize = 4;
 
 /// Result of forwarding a request.
@@ -97,6 +97,8 @@
                 AnsweredLink::Overdue if has_read => break,
                 AnsweredLink::Overdue => tokio::time::sleep(READ_TIME).await,
             }
+            // A sleep that took twice as long means that this process was paused, and
+            // datagrams may still be unread.
             has_read = self.clock.now() < looked_at + 2 * READ_TIME;
         }
         self.links.give_up(instance);
--- a/crates/gateway/src/lookup.rs
+++ b/crates/gateway/src/lookup.rs
@@ -6,7 +6,7 @@
 use chiverelay_decisions::directory::Caller;
 use chiverelay_decisions::directory::Distance;
 use chiverelay_decisions::directory::HostRegions;
-use chiverelay_decisions::directory::NotNamed;
+use chiverelay_decisions::directory::NoInstanceReason;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::names::Zone;
 
@@ -15,8 +15,8 @@
 use crate::members::Nearest;
 
 /// Returns the name of a lookup's result in metrics and log lines.
-pub(crate) fn result_name(result: Result<Distance, NotNamed>) -> &'static str {
-    result.map_or_else(NotNamed::as_str, Distance::as_str)
+pub(crate) fn result_name(result: Result<Distance, NoInstanceReason>) -> &'static str {
+    result.map_or_else(NoInstanceReason::as_str, Distance::as_str)
 }
 
 impl<D> Gateway<D>
--- a/crates/gateway/src/members/nearest.rs
+++ b/crates/gateway/src/members/nearest.rs
@@ -7,7 +7,7 @@
 use chiverelay_decisions::directory::Caller;
 use chiverelay_decisions::directory::Candidate;
 use chiverelay_decisions::directory::Distance;
-use chiverelay_decisions::directory::NotNamed;
+use chiverelay_decisions::directory::NoInstanceReason;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::reachability::prefer_reaching;
 
@@ -23,7 +23,7 @@
     /// Where callers connect to the instances; empty if nobody is named.
     pub(crate) addresses: Vec<SocketAddr>,
     /// How far they are, or why there are none.
-    pub(crate) distance: Result<Distance, NotNamed>,
+    pub(crate) distance: Result<Distance, NoInstanceReason>,
     /// What the answer rests on.
     pub(crate) basis: LookupBasis,
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use chiverelay_decisions::directory::Distance;
-use chiverelay_decisions::directory::NotNamed;
+use chiverelay_decisions::directory::NoInstanceReason;
 use chiverelay_decisions::refusal::Refusal;
 use hyper::StatusCode;
 use prometheus::Encoder;
@@ -326,7 +326,7 @@
 
     /// Counts a lookup by how far the instances are that were named, or by why
     /// none were.
-    pub(crate) fn count_lookup(&self, result: Result<Distance, NotNamed>) {
+    pub(crate) fn count_lookup(&self, result: Result<Distance, NoInstanceReason>) {
         let labels = [lookup::result_name(result)];
         self.lookups.with_label_values(&labels).inc();
     }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -155,7 +155,7 @@
         let (local, remote) = self.choose_regions(&req, cx, req.tried_targets(), now);
         if let Some(remote) = remote {
             match local {
-                Err(reason) if reason.is_out_of_reach() => {
+                Err(reason) if reason.is_independent_of_load() => {
                     check_forward(&req, cx, &remote.estimate, left)?;
                 }
                 _ => check_wait(&req, cx, &remote.estimate, left)?,
@@ -344,8 +344,8 @@
         }
         let deadline = req.meta().deadline;
         let left = deadline.saturating_sub(now);
-        // The conditions of `choose_destination`, but no region is asked whose queue
-        // is long by the estimate: the request has a target.
+        // The conditions of `choose_destination`, except that the queue estimate of
+        // another region always counts, as the request already has a target.
         let estimate = match self.choose_regions(req, cx, &tried_with_current(req), now) {
             (_, Some(remote)) => remote.estimate,
             (Ok(local), None) => local.estimate,
--- a/crates/gateway/src/place/refusals.rs
+++ b/crates/gateway/src/place/refusals.rs
@@ -78,7 +78,7 @@
 }
 
 /// Checks that a request may be forwarded to another region at the estimated wait
-/// there, as no target of this one can be used whatever its load.
+/// there, as no target of this one would be free if its load fell.
 ///
 /// # Errors
 ///
@@ -89,8 +89,8 @@
     estimate: &Estimate,
     left: Duration,
 ) -> Result<(), Refusal> {
-    let was_refused = !req.asked_siblings().is_empty();
-    match estimate.allows_forward(left, cx.route.target_latency, was_refused) {
+    let has_asked_sibling = !req.asked_siblings().is_empty();
+    match estimate.allows_forward(left, cx.route.target_latency, has_asked_sibling) {
         true => Ok(()),
         false => check_wait(req, cx, estimate, left),
     }
--- a/crates/gateway/src/sibling_handler.rs
+++ b/crates/gateway/src/sibling_handler.rs
@@ -57,7 +57,7 @@
 const MAX_CATALOG_WAIT: Duration = Duration::from_millis(250);
 
 /// Retry delay for a request while the catalogs of the two instances differ.
-const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(500);
+const CATALOG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Largest part of an answer that is copied and sent at once, in bytes.
 const REPLY_PART_BYTES: usize = 16 * 1024;
@@ -361,7 +361,7 @@
         };
         if current.catalog.version < forward.config_version {
             let refusal = refuse(Code::StateUnavailable, Step::Configure);
-            return Err(refusal.with_retry_after(OUTDATED_RETRY_AFTER));
+            return Err(refusal.with_retry_after(CATALOG_RETRY_AFTER));
         }
         let headers = self.memory.hold_headers(read_headers(&forward.headers))?;
         let host = headers.get(HOST).and_then(|v| v.to_str().ok());
@@ -397,9 +397,10 @@
         if !grant.residency.allows(&self.settings.region) {
             let version = current.catalog.version;
             self.note_barred_request(&forward.id, &matched, version, ReceivedFrom::Instance);
-            // By `Step::Route` the other instance tells that its catalog differs.
+            // `Step::Route` tells the sender that the catalogs differ, so that it asks
+            // no other instance of this region.
             let refusal = refuse(Code::Unavailable, Step::Route);
-            return Err(refusal.with_retry_after(OUTDATED_RETRY_AFTER));
+            return Err(refusal.with_retry_after(CATALOG_RETRY_AFTER));
         }
         let priority = matched.priority();
         let method = forward.method.parse();
--- a/crates/gateway/src/topology.rs
+++ b/crates/gateway/src/topology.rs
@@ -8,7 +8,7 @@
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::topology;
 use chiverelay_decisions::topology::Candidate;
-use chiverelay_decisions::topology::FormerPeers;
+use chiverelay_decisions::topology::FormerFellowHubs;
 
 /// Number of hubs to which an instance that is none keeps links: the one that
 /// it reports to, and the one that takes over if that fails.
@@ -40,7 +40,7 @@
     /// Instances to which links are kept.
     pub(crate) linked: HashSet<Instance>,
     /// The other hubs when this instance last was one, if it is none now.
-    pub(crate) former_peers: FormerPeers,
+    pub(crate) former_peers: FormerFellowHubs,
 }
 
 impl Topology {
@@ -56,8 +56,8 @@
     /// Keeps in mind which hubs there were when this instance last was one.
     pub(crate) fn remember_hubs(&mut self, old: &Self) {
         self.former_peers = match (self.is_hub, old.is_hub) {
-            (true, _) => FormerPeers::default(),
-            (false, true) => FormerPeers::new(old.other_hubs.clone()),
+            (true, _) => FormerFellowHubs::default(),
+            (false, true) => FormerFellowHubs::new(old.other_hubs.clone()),
             (false, false) => old.former_peers.clone(),
         };
     }
--- a/crates/target/src/probe.rs
+++ b/crates/target/src/probe.rs
@@ -6,8 +6,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
-/// Time after which a connection that is still open counts as kept. What stands
-/// before a target may accept connections for it and then reset them.
+/// Time after which a connection that is still open counts as kept. A
+/// proxy in front of a target may accept connections and then reset them.
 const HOLD_TIME: Duration = Duration::from_millis(50);
 
 /// A connection to a target, on which nothing is sent.
--- a/tests/testsuite/brittle.rs
+++ b/tests/testsuite/brittle.rs
@@ -493,7 +493,7 @@
     assert!(most <= 3, "{most} rejections in a second");
 }
 
-/// Pattern: the same at several instances, with other times and limits.
+/// Load pattern: several instances send to targets that reject late.
 fn what_is_rejected_late_is_little(instances: usize, limit: u32, rejection_time: Duration) {
     let mut scene = Scene::new(instances, 4, Some(limit));
     scene.rejection_time = rejection_time;
--- a/tests/testsuite/directory.rs
+++ b/tests/testsuite/directory.rs
@@ -13,7 +13,7 @@
 use chiverelay_decisions::directory::Candidate;
 use chiverelay_decisions::directory::Distance;
 use chiverelay_decisions::directory::HostRegions;
-use chiverelay_decisions::directory::NotNamed;
+use chiverelay_decisions::directory::NoInstanceReason;
 use chiverelay_decisions::directory::choose_advertised;
 use chiverelay_decisions::names::Region;
 use chiverelay_decisions::route_use::BarredShare;
@@ -135,7 +135,7 @@
         Host::IsBound, ("east-a", "east"), Some(Distance::OtherRegion)
     );
     a_region_that_bars_few_requests(
-        Host::IsBound, ("north-a", "north"), Some(Distance::PartlyBarred)
+        Host::IsBound, ("north-a", "north"), Some(Distance::OtherRegionPartlyBarred)
     );
     a_region_that_bars_many_requests(Host::IsBound, ("south-a", "south"), None);
     a_region_that_nothing_is_known_of(Host::IsBound, ("far-a", "far"), None);
@@ -150,17 +150,17 @@
     );
 }
 
-fn check_reason(host: Host, ready: usize, expected: NotNamed) {
+fn check_reason(host: Host, ready: usize, expected: NoInstanceReason) {
     assert_eq!(host.regions().reason_for_none(ready), expected);
 }
 
 cases! {
     check_reason:
-    all_instances_are_down(Host::IsBound, 0, NotNamed::NoneReady);
-    those_that_are_ready_are_barred(Host::IsBound, 2, NotNamed::Barred);
-    too_few_requests_were_seen(Host::HasTooFewRequests, 2, NotNamed::UnknownShare);
-    the_host_is_unknown(Host::IsUnknown, 2, NotNamed::UnknownHost);
-    there_is_no_catalog(Host::HasNoCatalog, 2, NotNamed::NoCatalog);
+    all_instances_are_down(Host::IsBound, 0, NoInstanceReason::NoneReady);
+    those_that_are_ready_are_barred(Host::IsBound, 2, NoInstanceReason::Barred);
+    too_few_requests_were_seen(Host::HasTooFewRequests, 2, NoInstanceReason::UnknownShare);
+    the_host_is_unknown(Host::IsUnknown, 2, NoInstanceReason::UnknownHost);
+    there_is_no_catalog(Host::HasNoCatalog, 2, NoInstanceReason::NoCatalog);
 }
 
 const HOST: &str = "desk.example";
@@ -249,7 +249,7 @@
     );
     nearly_all(Requests { many: 199, few: 1, free: 50 }, "south", BarredShare::Large);
     too_few_requests(Requests { many: 99, few: 0, free: 900 }, "east", BarredShare::Unknown);
-    /// The true share may be above one in twenty as well as below.
+    /// The true share may also be above one in forty.
     a_small_share_of_few_requests(
         Requests { many: 98, few: 2, free: 0 }, "east", BarredShare::Unknown
     );
--- a/tests/testsuite/node/named_instances.rs
+++ b/tests/testsuite/node/named_instances.rs
@@ -20,7 +20,7 @@
 /// Requests of the callers of the region that is left, enough to tell shares.
 const OWN_REQUESTS: usize = 300;
 
-/// How many of them are barred there where these are few, and where they are many.
+/// Further requests, which that region bars, where they are few and many.
 const FEW_BARRED: usize = 2;
 const MANY_BARRED: usize = 30;
 
@@ -162,6 +162,8 @@
     }
 }
 
+/// Failure: a region was named though it bars more than a small share of the
+/// host's bound requests.
 #[test]
 fn a_region_that_bars_many_requests_is_not_named() {
     block_on(async {
--- a/tests/testsuite/topology.rs
+++ b/tests/testsuite/topology.rs
@@ -5,7 +5,7 @@
 
 use chiverelay_decisions::names::Instance;
 use chiverelay_decisions::topology::Candidate;
-use chiverelay_decisions::topology::FormerPeers;
+use chiverelay_decisions::topology::FormerFellowHubs;
 use chiverelay_decisions::topology::choose_forward_peers;
 use chiverelay_decisions::topology::choose_hubs;
 use chiverelay_decisions::topology::hub_count;
@@ -124,7 +124,7 @@
     let hubs = choose_hubs(region(40, 0), 40);
     for hub in &hubs {
         let others = hubs.iter().filter(|other| *other != hub).cloned();
-        let former = FormerPeers::new(others.collect());
+        let former = FormerFellowHubs::new(others.collect());
         let passed: Vec<_> = (0..40)
             .map(name)
             .filter(|reporter| reporter != hub && former.passes_charges_of(reporter))
@@ -132,6 +132,6 @@
         assert_eq!(passed.len(), 40 - hubs.len());
         assert!(hubs.iter().all(|other| !passed.contains(other)));
     }
-    let never_a_hub = FormerPeers::default();
+    let never_a_hub = FormerFellowHubs::default();
     assert!(!never_a_hub.passes_charges_of(&name(0)));
 }
--- a/tests/testsuite/traffic/forwarded.rs
+++ b/tests/testsuite/traffic/forwarded.rs
@@ -235,8 +235,8 @@
     by_twelve_instances(11, 101);
 }
 
-/// Pattern: the same. A request is not sent from one instance there to the next
-/// while their queues are full.
+/// Failure: a request that was refused there was forwarded to one instance after
+/// another whose queues were full.
 #[test]
 fn a_request_that_was_refused_there_is_not_forwarded_to_a_full_queue() {
     let mut world = World::new(1, false);
